Add the core's types: events, actions, records, messages, configuration

Ruled out: maps of strings between modules (no check at compile time). Conclusion: packages can now grow side by side.

--- /dev/null
+++ b/include/plantainhead/core/fleet_state.h
@@ -0,0 +1,114 @@
+#ifndef PLANTAINHEAD_CORE_FLEET_STATE_H_
+#define PLANTAINHEAD_CORE_FLEET_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "plantainhead/core/configuration.h"
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/records.h"
+
+namespace plantainhead::core {
+
+/// A member of the view.
+struct entry_member {
+  incarnation who = incarnation::kNone;
+  entry_id name;
+  zone_id zone;
+  std::string host;
+  std::uint16_t peer_port = 0;
+  std::uint16_t http_port = 0;
+  /// Members that hear nothing from it.
+  std::set<incarnation> accusers;
+
+  friend bool operator==(const entry_member&, const entry_member&) = default;
+};
+
+/// Who plans, under which epoch.
+struct planner_lease {
+  incarnation holder = incarnation::kNone;
+  lease_epoch epoch = 0;
+  /// Offset of the newest record that took or renewed it.
+  log_offset renewed_at = 0;
+
+  friend bool operator==(const planner_lease&, const planner_lease&) = default;
+};
+
+/// What is agreed about one VM.
+struct vm_state {
+  pool_id pool;
+  vm_phase phase = vm_phase::kServing;
+  generation version = 0;
+  operation_id operation;
+  wave_id wave;
+  bool quarantined = false;
+  std::string reason;
+
+  friend bool operator==(const vm_state&, const vm_state&) = default;
+};
+
+/// What is agreed about one wave.
+struct wave_progress {
+  std::vector<pool_id> pools;
+  time_point finish_by;
+  wave_state state = wave_state::kRunning;
+  generation version = 0;
+  /// VMs that have been rebooted and are back.
+  std::set<vm_id> visited;
+  std::string author;
+  std::string reason;
+
+  friend bool operator==(const wave_progress&, const wave_progress&) = default;
+};
+
+/// What is agreed about one job.
+struct job_progress {
+  job_spec spec;
+  job_state state = job_state::kWaiting;
+  generation version = 0;
+  vm_id vm;
+  operation_id operation;
+  /// Tasks of this job that failed, for parking.
+  std::uint32_t failures = 0;
+  std::string reason;
+
+  friend bool operator==(const job_progress&, const job_progress&) = default;
+};
+
+/// The fold of the control stream up to `offset`. Equal offsets mean equal
+/// states at every entry. The maps are ordered so that digests and plans are
+/// the same everywhere. Thread safety: none; each core owns one.
+struct fleet_state {
+  log_offset offset = 0;
+  configuration targets;
+  generation targets_version = 0;
+  std::string targets_author;
+  /// Offset of the record that published `targets`.
+  log_offset targets_offset = 0;
+  std::map<incarnation, entry_member> members;
+  /// Offset of the newest change of `members`: the number of the view.
+  log_offset view = 0;
+  planner_lease lease;
+  std::map<vm_id, vm_state> vms;
+  std::map<wave_id, wave_progress> waves;
+  std::map<job_id, job_progress> jobs;
+  /// Offsets and ids of recent records, to drop second copies. Bounded by
+  /// `kRememberedRecords`.
+  std::map<log_offset, record_id> recent_records;
+  std::set<record_id> recent_ids;
+
+  friend bool operator==(const fleet_state&, const fleet_state&) = default;
+};
+
+/// How many record ids the fold remembers. A second copy comes from an append
+/// that is repeated within seconds; at several hundred appends a second this is
+/// minutes of the log.
+inline constexpr std::size_t kRememberedRecords = 65536;
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_FLEET_STATE_H_
--- /dev/null
+++ b/include/plantainhead/core/platform_types.h
@@ -0,0 +1,146 @@
+#ifndef PLANTAINHEAD_CORE_PLATFORM_TYPES_H_
+#define PLANTAINHEAD_CORE_PLATFORM_TYPES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/names.h"
+#include "plantainhead/core/time.h"
+
+/// What the platform tells and does.
+namespace plantainhead::core {
+
+/// What the platform's lagging list says of a VM.
+enum class vm_listing_state { kLive, kLeaving };
+
+inline constexpr name_table<vm_listing_state, 2> kVmListingStateNames = {{
+    {vm_listing_state::kLive, "live"},
+    {vm_listing_state::kLeaving, "leaving"},
+}};
+inline constexpr const auto& NamesOf(vm_listing_state) {
+  return kVmListingStateNames;
+}
+
+/// One VM of the platform's list. A VM serves at most one endpoint.
+struct vm_listing {
+  vm_id vm;
+  vm_listing_state state = vm_listing_state::kLive;
+  region_id region;
+  zone_id zone;
+  rack_id rack;
+  std::uint32_t processors = 0;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+  /// Pool that the platform says the VM is in; plantainhead's own record wins.
+  pool_id pool;
+  /// Address of the endpoint; port 0 when it serves none.
+  std::string host;
+  std::uint16_t port = 0;
+  service_name service;
+  /// Requests that the endpoint runs at once.
+  std::uint32_t slots = 0;
+
+  friend bool operator==(const vm_listing&, const vm_listing&) = default;
+};
+
+/// What a worker says of a task.
+enum class task_state { kRunning, kCheckpointed, kFinished, kFailed, kLapsed };
+
+inline constexpr name_table<task_state, 5> kTaskStateNames = {{
+    {task_state::kRunning, "running"},
+    {task_state::kCheckpointed, "checkpointed"},
+    {task_state::kFinished, "finished"},
+    {task_state::kFailed, "failed"},
+    {task_state::kLapsed, "lapsed"},
+}};
+inline constexpr const auto& NamesOf(task_state) {
+  return kTaskStateNames;
+}
+
+/// A task as the platform reports it, with a lag.
+struct task_listing {
+  job_id job;
+  vm_id vm;
+  operation_id started_by;
+  task_state state = task_state::kRunning;
+  std::uint32_t processors_used = 0;
+  std::uint32_t memory_used_mb = 0;
+  std::string detail;
+
+  friend bool operator==(const task_listing&, const task_listing&) = default;
+};
+
+/// Asks a VM's runner to take no new work and end what it runs.
+struct drain_vm {
+  vm_id vm;
+};
+struct reboot_vm {
+  vm_id vm;
+};
+/// Tells the platform which pool a VM is in.
+struct move_vm {
+  vm_id vm;
+  pool_id pool;
+};
+/// Starts a job as a task under a lease of `lease` that must be renewed.
+struct start_task {
+  job_id job;
+  vm_id vm;
+  std::uint32_t processors = 0;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+  duration lease{};
+};
+struct renew_task {
+  job_id job;
+  vm_id vm;
+  duration lease{};
+};
+struct checkpoint_task {
+  job_id job;
+  vm_id vm;
+};
+/// Limits a task to `percent` of its processors.
+struct throttle_task {
+  job_id job;
+  vm_id vm;
+  std::uint32_t percent = 100;
+};
+struct stop_task {
+  job_id job;
+  vm_id vm;
+};
+
+using platform_operation = std::variant<drain_vm,
+                                        reboot_vm,
+                                        move_vm,
+                                        start_task,
+                                        renew_task,
+                                        checkpoint_task,
+                                        throttle_task,
+                                        stop_task>;
+
+/// How an operation at the platform ended.
+enum class operation_result {
+  kDone,
+  /// It was refused; asking again won't help.
+  kRefused,
+  /// Whether it took effect isn't known; it can be sent again under its id.
+  kUnknown,
+};
+
+inline constexpr name_table<operation_result, 3> kOperationResultNames = {{
+    {operation_result::kDone, "done"},
+    {operation_result::kRefused, "refused"},
+    {operation_result::kUnknown, "unknown"},
+}};
+inline constexpr const auto& NamesOf(operation_result) {
+  return kOperationResultNames;
+}
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_PLATFORM_TYPES_H_
--- /dev/null
+++ b/src/observe/observe.cc
@@ -0,0 +1,1 @@
+namespace plantainhead {}
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
