--- a/include/plantainhead/core/records.h
+++ b/include/plantainhead/core/records.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_CORE_RECORDS_H_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -238,6 +239,19 @@
   request_id request;
 };
 
+// --- snapshots (on the snapshot stream) -------------------------------------
+
+struct fleet_state;
+
+/// The whole fold of the control stream up to `state->offset`.
+struct snapshot_taken {
+  /// Never null.
+  std::shared_ptr<const fleet_state> state;
+  /// Digest of `state`; a reader that computes another one ignores the
+  /// snapshot.
+  std::uint64_t digest = 0;
+};
+
 // --- others ------------------------------------------------------------------
 
 /// A record of a type that this version doesn't know; the fold skips it.
@@ -262,6 +276,7 @@
                                  set_quarantine,
                                  claim_request,
                                  release_claim,
+                                 snapshot_taken,
                                  unknown_record>;
 
 /// One record. Its id makes it safe to append again when the answer to an
