Add settings, targets, the operators' routes and plantainctl

Cause: operators need a way to set targets and to see the fleet; an entry needs its settings.

Ruled out: per-key exceptions in the settings (only the first mistake would be told); a publish that takes "whatever is in force" at each entry that the client tries (a second copy after a lost answer would undo what another operator published in between, so plantainctl fixes the version once).

Change: settings (units, entry settings, targets, all findings with place), operators (routes on core_gateway and a plain entry_view, client with failover, commands), tools/plantainctl.cc, examples.

--- /dev/null
+++ b/include/plantainhead/settings/files.h
@@ -0,0 +1,15 @@
+#ifndef PLANTAINHEAD_SETTINGS_FILES_H_
+#define PLANTAINHEAD_SETTINGS_FILES_H_
+
+#include <string>
+
+namespace plantainhead::settings {
+
+/// Returns the whole content of the file at `path`.
+/// Thread safety: safe from any thread.
+/// Errors: throws `core::findings_error` when it can't be read.
+std::string ReadFile(const std::string& path);
+
+}  // namespace plantainhead::settings
+
+#endif  // PLANTAINHEAD_SETTINGS_FILES_H_
--- /dev/null
+++ b/src/operators/commands.h
@@ -0,0 +1,49 @@
+#ifndef PLANTAINHEAD_SRC_OPERATORS_COMMANDS_H_
+#define PLANTAINHEAD_SRC_OPERATORS_COMMANDS_H_
+
+#include <optional>
+#include <string>
+
+#include "plantainhead/caller/route.h"
+#include "plantainhead/core/gateway.h"
+#include "plantainhead/operators/entry_view.h"
+#include "plantainhead/operators/routes.h"
+
+namespace plantainhead::operators {
+
+/// Turns operators' requests into records and the ends of these into answers.
+/// Every change names the generation that it expects, so that of two operators
+/// who change one object one gets a 409 with what is in force, and a request
+/// that is sent again after a lost answer changes nothing twice.
+/// Thread safety: all methods are safe from many threads at once.
+class command_handlers {
+ public:
+  command_handlers(core::core_gateway gateway,
+                   view_function view,
+                   route_options options);
+
+  caller::http_answer PublishTargets(const caller::http_request& request) const;
+  caller::http_answer StartWave(const caller::http_request& request) const;
+  /// Handles /v1/waves/{wave}/{pause|resume|cancel}.
+  caller::http_answer ChangeWave(const caller::http_request& request) const;
+  caller::http_answer SubmitJob(const caller::http_request& request) const;
+  /// Handles /v1/jobs/{job}/cancel.
+  caller::http_answer CancelJob(const caller::http_request& request) const;
+
+ private:
+  // Hands in a record and waits for its end, at most for the patience.
+  core::answer_operator Run(const caller::http_request& request,
+                            core::record_body body) const;
+
+  // The answer to a command that was not accepted and is no conflict.
+  caller::http_answer Refusal(const core::answer_operator& end) const;
+  caller::http_answer Unavailable(const std::string& message) const;
+
+  core::core_gateway gateway_;
+  view_function view_;
+  route_options options_;
+};
+
+}  // namespace plantainhead::operators
+
+#endif  // PLANTAINHEAD_SRC_OPERATORS_COMMANDS_H_
--- /dev/null
+++ b/src/operators/routes.cc
@@ -0,0 +1,94 @@
+#include "plantainhead/operators/routes.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "operators/answers.h"
+#include "operators/commands.h"
+#include "operators/views.h"
+
+namespace plantainhead::operators {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+using handler = std::function<caller::http_answer(const caller::http_request&)>;
+
+// Answers what is wrong with a request instead of a bare 500.
+handler WithFindings(handler inner) {
+  return [inner = std::move(inner)](const caller::http_request& request) {
+    try {
+      return inner(request);
+    } catch (const core::findings_error& error) {
+      return FindingsAnswer(error);
+    }
+  };
+}
+
+// Shows a part of the fold, or 503 while the entry has none.
+handler Shows(view_function view, json (*show)(const core::fleet_state&)) {
+  return [view = std::move(view), show](const caller::http_request&) {
+    const entry_view now = view();
+    if (now.state == nullptr) {
+      return ErrorAnswer(kUnavailable, "unavailable",
+                         "this entry has not read the log yet");
+    }
+    return JsonAnswer(kOk, show(*now.state));
+  };
+}
+
+caller::http_answer Readiness(bool ready, const std::string& reason) {
+  return JsonAnswer(ready ? kOk : kUnavailable,
+                    {{"ready", ready}, {"reason", reason}});
+}
+
+}  // namespace
+
+caller::route_list MakeOperatorRoutes(core::core_gateway gateway,
+                                      view_function view,
+                                      route_options options) {
+  const auto commands =
+      std::make_shared<command_handlers>(gateway, view, options);
+  using method =
+      caller::http_answer (command_handlers::*)(const caller::http_request&)
+          const;
+  const auto runs = [commands](method handle) {
+    return WithFindings(
+        [commands, handle](const caller::http_request& request) {
+          return ((*commands).*handle)(request);
+        });
+  };
+  return {
+      {"PUT", "/v1/targets", runs(&command_handlers::PublishTargets)},
+      {"GET", "/v1/targets", Shows(view, TargetsView)},
+      {"GET", "/v1/status",
+       [view](const caller::http_request&) {
+         return JsonAnswer(kOk, StatusView(view()));
+       }},
+      {"GET", "/v1/state", Shows(view, StateView)},
+      {"GET", "/v1/waves", Shows(view, WavesView)},
+      {"POST", "/v1/waves", runs(&command_handlers::StartWave)},
+      {"POST", "/v1/waves/[A-Za-z0-9._-]+/(pause|resume|cancel)",
+       runs(&command_handlers::ChangeWave)},
+      {"GET", "/v1/vms", Shows(view, VmsView)},
+      {"GET", "/v1/pools", Shows(view, PoolsView)},
+      {"GET", "/v1/jobs", Shows(view, JobsView)},
+      {"POST", "/v1/jobs", runs(&command_handlers::SubmitJob)},
+      {"POST", "/v1/jobs/[A-Za-z0-9._-]+/cancel",
+       runs(&command_handlers::CancelJob)},
+      {"GET", "/healthz",
+       [](const caller::http_request&) {
+         return JsonAnswer(kOk, {{"alive", true}});
+       }},
+      {"GET", "/readyz",
+       [gateway, view](const caller::http_request&) {
+         const bool ready = gateway.ready();
+         return Readiness(ready, ready ? "" : view().reason);
+       }},
+  };
+}
+
+}  // namespace plantainhead::operators
--- /dev/null
+++ b/tests/settings/entry_settings_test.cc
@@ -0,0 +1,114 @@
+#include "plantainhead/settings/entry_settings.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "plantainhead/core/findings.h"
+
+namespace plantainhead::settings {
+namespace {
+
+std::vector<std::string> FindingsIn(const std::string& text) {
+  try {
+    ParseEntrySettings(text, "entry.yaml");
+  } catch (const core::findings_error& error) {
+    std::vector<std::string> lines;
+    for (const core::finding& item : error.findings()) {
+      lines.push_back(ToString(item));
+    }
+    return lines;
+  }
+  return {};
+}
+
+constexpr char kLeast[] =
+    "name: entry-1\n"
+    "zone: suwon\n"
+    "region: gyeonggi\n"
+    "host: 127.0.0.1\n"
+    "platform: {host: 127.0.0.1, port: 7070}\n";
+
+TEST_CASE("An entry learns from its settings") {
+  SECTION("all that the example gives") {
+    const entry_settings settings =
+        LoadEntrySettings(PLANTAINHEAD_EXAMPLES_DIR "/entry.yaml");
+
+    CHECK(settings.name.value() == "entry-suwon-1");
+    CHECK(settings.http_port == 8080);
+    CHECK(settings.platform_port == 7070);
+    CHECK(settings.body_limit == 8U << 20);
+    CHECK(settings.retry_share == Approx(0.1));
+    CHECK(settings.suspicion_timeout == std::chrono::seconds(1));
+  }
+
+  SECTION("the least, with defaults for the rest") {
+    const entry_settings settings = ParseEntrySettings(kLeast, "entry.yaml");
+
+    CHECK(settings.http_port == 0);
+    CHECK(settings.heartbeat_interval == std::chrono::milliseconds(200));
+    CHECK(settings.planner_lease == std::chrono::seconds(3));
+    CHECK(settings.log_file == "-");
+  }
+}
+
+TEST_CASE("An operator mistypes settings and is told all mistakes at once") {
+  SECTION("with their exact places, in the order of the file") {
+    const std::string text =
+        "name: entry-1\n"
+        "zone: suwon\n"
+        "regoin: gyeonggi\n"
+        "host: entry.example\n"
+        "http-port: 70000\n"
+        "platform: {host: 127.0.0.1, port: 7070}\n"
+        "limits:\n"
+        "  body: 8MB\n"
+        "heartbeat:\n"
+        "  interval: 200\n";
+
+    const std::vector<std::string> expected = {
+        "entry.yaml:1:1: 'region' is missing",
+        "entry.yaml:3:1: 'regoin' is not known; did you mean 'region'?",
+        "entry.yaml:4:7: 'entry.example' is not an IP number",
+        "entry.yaml:5:12: 'http-port' must be from 0 to 65535, not 70000",
+        "entry.yaml:8:9: 'limits.body': '8MB' can't be read: write a size "
+        "with its unit: B, KiB, MiB or GiB, as in 8MiB",
+        "entry.yaml:10:13: 'heartbeat.interval': '200' can't be read: write a "
+        "time with its unit: us, ms, s, m, h or d, as in 800ms",
+    };
+    CHECK(FindingsIn(text) == expected);
+  }
+
+  SECTION("when a key stands twice") {
+    CHECK(FindingsIn(std::string(kLeast) + "zone: goyang\n") ==
+          std::vector<std::string>{"entry.yaml:6:1: 'zone' stands twice"});
+  }
+
+  SECTION("when one late heartbeat would accuse a healthy entry") {
+    const std::string text =
+        std::string(kLeast) +
+        "heartbeat: {interval: 900ms, suspect-after: 1s}\n";
+    CHECK(FindingsIn(text).size() == 1);
+  }
+
+  SECTION("when its address would not reach it") {
+    const std::string text = std::string(kLeast) + "http-port: 1\n";
+    std::string wildcard = text;
+    wildcard.replace(wildcard.find("127.0.0.1"), 9, "0.0.0.0");
+    CHECK(FindingsIn(wildcard).size() == 1);
+  }
+
+  SECTION("when the text is no YAML mapping at all") {
+    CHECK(FindingsIn("").size() == 1);
+    CHECK(FindingsIn("- a\n").size() == 1);
+    CHECK(FindingsIn("a: [").size() == 1);
+  }
+
+  SECTION("when the file isn't there") {
+    CHECK_THROWS_AS(LoadEntrySettings("/nowhere/entry.yaml"),
+                    core::findings_error);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::settings
--- /dev/null
+++ b/tools/plantainctl.cc
@@ -0,0 +1,178 @@
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "plantainhead/operators/control.h"
+#include "plantainhead/version.h"
+
+namespace plantainhead::operators {
+namespace {
+
+// What the command line says.
+struct arguments {
+  std::vector<std::string> entries;
+  output_format format = output_format::kTable;
+  std::string author;
+  publish_options publish;
+  wave_options wave;
+  std::string file;
+  std::string name;
+  std::string reason;
+  int wait_seconds = 60;
+  std::uint64_t expect = 0;
+};
+
+// The command that was chosen, run once the line has been read.
+using chosen_command = std::function<exit_code(control&)>;
+
+std::string FromEnvironment(const char* name, const char* otherwise) {
+  const char* const value = std::getenv(name);
+  return value == nullptr ? otherwise : value;
+}
+
+void AddTargetCommands(CLI::App* app, arguments* args, chosen_command* chosen) {
+  CLI::App* publish = app->add_subcommand("publish", "Publish new targets");
+  publish->add_option("file", args->publish.file, "YAML file")->required();
+  publish->add_flag("--wait", args->publish.wait,
+                    "Wait until every live entry has them in force");
+  publish->add_option("--wait-limit", args->wait_seconds,
+                      "Seconds after which --wait gives up");
+  CLI::Option* expect = publish->add_option("--expect", args->expect,
+                                            "Version that must be in force");
+  publish->callback([=] {
+    if (expect->count() > 0) {
+      args->publish.expected = args->expect;
+    }
+    args->publish.wait_limit = std::chrono::seconds(args->wait_seconds);
+    *chosen = [args](control& run) { return run.Publish(args->publish); };
+  });
+
+  CLI::App* show = app->add_subcommand("show", "Show the targets in force");
+  show->callback([=] { *chosen = [](control& run) { return run.Show(); }; });
+
+  CLI::App* diff =
+      app->add_subcommand("diff", "Compare a file with the targets in force");
+  diff->add_option("file", args->file, "YAML file")->required();
+  diff->callback(
+      [=] { *chosen = [args](control& run) { return run.Diff(args->file); }; });
+
+  CLI::App* check = app->add_subcommand(
+      "check", "Check a file of targets or of an entry's settings");
+  check->add_option("file", args->file, "YAML file")->required();
+  check->callback([=] {
+    *chosen = [args](control& run) { return run.Check(args->file); };
+  });
+}
+
+void AddWaveCommands(CLI::App* app, arguments* args, chosen_command* chosen) {
+  CLI::App* wave = app->add_subcommand("wave", "Maintenance waves");
+  wave->require_subcommand(1);
+  CLI::App* start = wave->add_subcommand("start", "Reboot the VMs of pools");
+  start->add_option("wave", args->wave.wave, "Name of the wave")->required();
+  start->add_option("--pool", args->wave.pools, "Pool; may be repeated")
+      ->required();
+  start->add_option("--finish-by", args->wave.finish_by,
+                    "Time in UTC, as in 2026-03-01T12:00:00Z");
+  start->callback([=] {
+    *chosen = [args](control& run) { return run.StartWave(args->wave); };
+  });
+  CLI::App* status = wave->add_subcommand("status", "Show waves");
+  status->add_option("wave", args->name, "Name of the wave");
+  status->callback([=] {
+    *chosen = [args](control& run) { return run.ShowWaves(args->name); };
+  });
+  for (const char* verb : {"pause", "resume", "cancel"}) {
+    CLI::App* change =
+        wave->add_subcommand(verb, std::string("Make a wave ") + verb);
+    change->add_option("wave", args->name, "Name of the wave")->required();
+    change->add_option("--reason", args->reason, "Shown to other operators");
+    change->callback([=] {
+      *chosen = [args, verb](control& run) {
+        return run.ChangeWave(args->name, verb, args->reason);
+      };
+    });
+  }
+}
+
+void AddFleetCommands(CLI::App* app, arguments* args, chosen_command* chosen) {
+  const auto add = [=](const char* name, const char* help,
+                       exit_code (control::*method)()) {
+    app->add_subcommand(name, help)->callback([=] {
+      *chosen = [method](control& run) { return (run.*method)(); };
+    });
+  };
+  add("status", "Show an entry and its view", &control::Status);
+  add("vms", "Show the VMs", &control::ShowVms);
+  add("pools", "Show the pools", &control::ShowPools);
+  add("jobs", "Show the jobs", &control::ShowJobs);
+  CLI::App* cancel = app->add_subcommand("cancel-job", "Cancel a job");
+  cancel->add_option("job", args->name, "Name of the job")->required();
+  cancel->callback([=] {
+    *chosen = [args](control& run) { return run.CancelJob(args->name); };
+  });
+  CLI::App* explain =
+      app->add_subcommand("explain", "Tell why a VM is where it is");
+  explain->add_option("vm", args->name, "Name of the VM")->required();
+  explain->callback([=] {
+    *chosen = [args](control& run) { return run.Explain(args->name); };
+  });
+}
+
+control_context MakeContext(const arguments& args) {
+  control_context context;
+  context.format = args.format;
+  context.author = args.author;
+  for (const std::string& text : args.entries) {
+    for (entry_address& address : ParseAddresses(text)) {
+      context.entries.push_back(std::move(address));
+    }
+  }
+  if (context.entries.empty()) {
+    context.entries =
+        ParseAddresses(FromEnvironment("PLANTAIN_ENTRIES", "127.0.0.1:8080"));
+  }
+  return context;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app(
+      "Operators' commands of plantainhead. Exit codes: 0 done, 1 "
+      "failed, 2 bad input, 3 conflict, 4 no entry answered.");
+  app.set_version_flag("--version", std::string(kVersion));
+  app.require_subcommand(1);
+  app.fallthrough();
+  arguments args;
+  args.author = FromEnvironment("USER", "operator");
+  chosen_command chosen;
+  app.add_option("--entry", args.entries,
+                 "Entry as host:port; may be repeated (else PLANTAIN_ENTRIES)");
+  app.add_option("--author", args.author, "Name written beside changes");
+  const std::map<std::string, output_format> formats = {
+      {"table", output_format::kTable}, {"json", output_format::kJson}};
+  app.add_option("--output", args.format, "table or json")
+      ->transform(CLI::CheckedTransformer(formats));
+  AddTargetCommands(&app, &args, &chosen);
+  AddWaveCommands(&app, &args, &chosen);
+  AddFleetCommands(&app, &args, &chosen);
+  try {
+    app.parse(argc, argv);
+    control run(MakeContext(args), &std::cout, &std::cerr);
+    return static_cast<int>(chosen(run));
+  } catch (const CLI::ParseError& error) {
+    const int code = app.exit(error);
+    return code == 0 ? 0 : static_cast<int>(exit_code::kBadInput);
+  } catch (const std::invalid_argument& error) {
+    std::cerr << error.what() << '\n';
+    return static_cast<int>(exit_code::kBadInput);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::operators
+
+int main(int argc, char** argv) {
+  return plantainhead::operators::Main(argc, argv);
+}
