--- /dev/null
+++ b/src/platform/record_fields.h
@@ -0,0 +1,312 @@
+#ifndef PLANTAINHEAD_SRC_PLATFORM_RECORD_FIELDS_H_
+#define PLANTAINHEAD_SRC_PLATFORM_RECORD_FIELDS_H_
+
+#include <memory>
+
+#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/records.h"
+#include "platform/json_archive.h"
+
+/// The fields of every struct that a record or the fold holds, by the names
+/// that they have in the log. A name is never reused for another meaning.
+namespace plantainhead::platform {
+
+// `Archive::ref<T>` is `const T&` for a writer and `T&` for a reader.
+
+// --- configuration -----------------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::work_class> x) {
+  a("name", x.name);
+  a("service", x.service);
+  a("served", x.served);
+  a("within_us", x.within);
+  a("unavailability", x.unavailability);
+  a("window_us", x.window);
+  a("can_wait", x.can_wait);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::service_spec> x) {
+  a("name", x.name);
+  a("pools", x.pools);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::pool_spec> x) {
+  a("name", x.name);
+  a("team", x.team);
+  a("least_vms", x.least_vms);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::team_spec> x) {
+  a("name", x.name);
+  a("vms", x.vms);
+  a("accelerators", x.accelerators);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::measure_priorities> x) {
+  a("buffer_cost", x.buffer_cost);
+  a("roll_out_time", x.roll_out_time);
+  a("moves", x.moves);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::configuration> x) {
+  a("services", x.services);
+  a("classes", x.classes);
+  a("pools", x.pools);
+  a("teams", x.teams);
+  a("priorities", x.priorities);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::publish_configuration> x) {
+  a("document", x.document);
+  a("expected", x.expected);
+}
+
+// --- membership and planner --------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::join_entry> x) {
+  a("who", x.who);
+  a("name", x.name);
+  a("zone", x.zone);
+  a("host", x.host);
+  a("peer_port", x.peer_port);
+  a("http_port", x.http_port);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::leave_entry> x) {
+  a("who", x.who);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::accuse_entry> x) {
+  a("accuser", x.accuser);
+  a("accused", x.accused);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::withdraw_accusation> x) {
+  a("accuser", x.accuser);
+  a("accused", x.accused);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::take_planner_lease> x) {
+  a("holder", x.holder);
+  a("expected", x.expected);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::renew_planner_lease> x) {
+  a("holder", x.holder);
+  a("epoch", x.epoch);
+}
+
+// --- VMs, waves and jobs -----------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::assign_vm> x) {
+  a("epoch", x.epoch);
+  a("vm", x.vm);
+  a("expected", x.expected);
+  a("pool", x.pool);
+  a("reason", x.reason);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::set_vm_phase> x) {
+  a("epoch", x.epoch);
+  a("vm", x.vm);
+  a("expected", x.expected);
+  a("phase", x.phase);
+  a("operation", x.operation);
+  a("wave", x.wave);
+  a("reason", x.reason);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::forget_vm> x) {
+  a("epoch", x.epoch);
+  a("vm", x.vm);
+  a("expected", x.expected);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::start_wave> x) {
+  a("wave", x.wave);
+  a("pools", x.pools);
+  a("finish_by_us", x.finish_by);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::set_wave_state> x) {
+  a("epoch", x.epoch);
+  a("wave", x.wave);
+  a("expected", x.expected);
+  a("state", x.state);
+  a("reason", x.reason);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::job_spec> x) {
+  a("name", x.name);
+  a("team", x.team);
+  a("pool", x.pool);
+  a("processors", x.processors);
+  a("memory_mb", x.memory_mb);
+  a("accelerators", x.accelerators);
+  a("declared_run_time_us", x.declared_run_time);
+  a("finish_by_us", x.finish_by);
+  a("urgent", x.urgent);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::submit_job> x) {
+  a("spec", x.spec);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::set_job_state> x) {
+  a("epoch", x.epoch);
+  a("job", x.job);
+  a("expected", x.expected);
+  a("state", x.state);
+  a("vm", x.vm);
+  a("operation", x.operation);
+  a("reason", x.reason);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::set_quarantine> x) {
+  a("epoch", x.epoch);
+  a("vm", x.vm);
+  a("expected", x.expected);
+  a("quarantined", x.quarantined);
+  a("reason", x.reason);
+}
+
+// --- claims ------------------------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::request_id> x) {
+  a("entry", x.entry);
+  a("sequence", x.sequence);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::claim_request> x) {
+  a("key", x.key);
+  a("claimant", x.claimant);
+  a("request", x.request);
+  a("at_us", x.at);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::release_claim> x) {
+  a("key", x.key);
+  a("claimant", x.claimant);
+  a("request", x.request);
+}
+
+// --- the fold ----------------------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::entry_member> x) {
+  a("who", x.who);
+  a("name", x.name);
+  a("zone", x.zone);
+  a("host", x.host);
+  a("peer_port", x.peer_port);
+  a("http_port", x.http_port);
+  a("accusers", x.accusers);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::planner_lease> x) {
+  a("holder", x.holder);
+  a("epoch", x.epoch);
+  a("renewed_at", x.renewed_at);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::vm_state> x) {
+  a("pool", x.pool);
+  a("phase", x.phase);
+  a("version", x.version);
+  a("operation", x.operation);
+  a("wave", x.wave);
+  a("quarantined", x.quarantined);
+  a("reason", x.reason);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::wave_progress> x) {
+  a("pools", x.pools);
+  a("finish_by_us", x.finish_by);
+  a("state", x.state);
+  a("version", x.version);
+  a("visited", x.visited);
+  a("author", x.author);
+  a("reason", x.reason);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::job_progress> x) {
+  a("spec", x.spec);
+  a("state", x.state);
+  a("version", x.version);
+  a("vm", x.vm);
+  a("operation", x.operation);
+  a("failures", x.failures);
+  a("reason", x.reason);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::fleet_state> x) {
+  a("offset", x.offset);
+  a("targets", x.targets);
+  a("targets_version", x.targets_version);
+  a("targets_author", x.targets_author);
+  a("targets_offset", x.targets_offset);
+  a("members", x.members);
+  a("view", x.view);
+  a("lease", x.lease);
+  a("vms", x.vms);
+  a("waves", x.waves);
+  a("jobs", x.jobs);
+  a("recent_records", x.recent_records);
+  a("recent_ids", x.recent_ids);
+}
+
+template <typename Archive>
+void Fields(Archive&, typename Archive::template ref<core::unknown_record>) {}
+
+inline void Fields(json_writer& a, const core::snapshot_taken& x) {
+  a("state", *x.state);
+  a("digest", hex_field{x.digest});
+}
+
+inline void Fields(json_reader& a, core::snapshot_taken& x) {
+  auto state = std::make_shared<core::fleet_state>();
+  json_reader::Read(a.Require("state"), *state, a.place() + "/state");
+  x.state = std::move(state);
+  a("digest", hex_field{x.digest});
+}
+
+}  // namespace plantainhead::platform
+
+#endif  // PLANTAINHEAD_SRC_PLATFORM_RECORD_FIELDS_H_
