Add the fold of the control stream and its digest

Cause: every entry needs the same state from the same records. Ruled out: generations that count from 1 for VMs, waves and jobs, as one that is forgotten and made again would repeat them; they start at the offset of the record that made the object. Change: Apply() with a rule for each record body, Digest() over a canonical walk, append_ids. fleet_state gains authors of VMs and jobs, departed incarnations and the ended waves and jobs; take_planner_lease gains the renewal that its writer has read, so that a lease renewed meanwhile isn't taken.

--- a/include/plantainhead/core/fleet_state.h
+++ b/include/plantainhead/core/fleet_state.h
@@ -47,6 +47,8 @@
   wave_id wave;
   bool quarantined = false;
   std::string reason;
+  /// Who wrote the newest change.
+  std::string author;
 
   friend bool operator==(const vm_state&, const vm_state&) = default;
 };
@@ -75,6 +77,8 @@
   /// Tasks of this job that failed, for parking.
   std::uint32_t failures = 0;
   std::string reason;
+  /// Who wrote the newest change.
+  std::string author;
 
   friend bool operator==(const job_progress&, const job_progress&) = default;
 };
@@ -96,6 +100,13 @@
   std::map<vm_id, vm_state> vms;
   std::map<wave_id, wave_progress> waves;
   std::map<job_id, job_progress> jobs;
+  /// Incarnations that left, were expelled or were replaced, with the offset of
+  /// that record: none of them can join again. Bounded by `kRememberedLives`.
+  std::map<incarnation, log_offset> departed;
+  /// Cancelled and finished waves and jobs by the offset of that record, for
+  /// forgetting the oldest. Bounded by `kRememberedWaves`, `kRememberedJobs`.
+  std::map<log_offset, wave_id> ended_waves;
+  std::map<log_offset, job_id> ended_jobs;
   /// Offsets and ids of recent records, to drop second copies. Bounded by
   /// `kRememberedRecords`.
   std::map<log_offset, record_id> recent_records;
@@ -109,6 +120,14 @@
 /// minutes of the log.
 inline constexpr std::size_t kRememberedRecords = 65536;
 
+/// How many departed incarnations the fold remembers. A join that is appended
+/// again after its process was expelled comes within minutes of it.
+inline constexpr std::size_t kRememberedLives = 1024;
+
+/// How many ended waves and jobs the fold keeps for operators to look at.
+inline constexpr std::size_t kRememberedWaves = 100;
+inline constexpr std::size_t kRememberedJobs = 1000;
+
 }  // namespace plantainhead::core
 
 #endif  // PLANTAINHEAD_CORE_FLEET_STATE_H_
--- a/include/plantainhead/core/records.h
+++ b/include/plantainhead/core/records.h
@@ -69,6 +69,10 @@
 struct take_planner_lease {
   incarnation holder = incarnation::kNone;
   lease_epoch expected = 0;
+  /// Offset of the newest renewal that the taker has read (`renewed_at` of the
+  /// fold), or 0 to take without this check. A renewal that the taker has not
+  /// read yet makes the taking a conflict.
+  log_offset renewed_at = 0;
 };
 
 /// Shows that the holder is alive; others count the lease's time from the
--- /dev/null
+++ b/src/core/fold_rules.h
@@ -0,0 +1,78 @@
+#ifndef PLANTAINHEAD_SRC_CORE_FOLD_RULES_H_
+#define PLANTAINHEAD_SRC_CORE_FOLD_RULES_H_
+
+#include <string>
+
+#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/fold.h"
+#include "plantainhead/core/records.h"
+
+/// The rules of the fold, one for each kind of record. `state.offset` is
+/// already that of the record.
+namespace plantainhead::core::fold_rules {
+
+inline fold_result Applied() {
+  return {};
+}
+inline fold_result Conflict(std::string in_force) {
+  return {fold_outcome::kConflict, std::move(in_force)};
+}
+inline fold_result Ignored(std::string why) {
+  return {fold_outcome::kIgnored, std::move(why)};
+}
+
+/// Tells if a record with `epoch` comes from the planner in force.
+bool IsPlanner(const fleet_state& state, lease_epoch epoch);
+
+/// The conflict of a record that comes from a planner no longer in force.
+fold_result StalePlanner(const fleet_state& state, lease_epoch epoch);
+
+/// The conflict of a record that expects another generation of `what`.
+fold_result WrongGeneration(const std::string& what,
+                            generation in_force,
+                            generation expected,
+                            const std::string& shown,
+                            const std::string& author);
+
+// fold_members.cc
+fold_result Rule(fleet_state& state, const join_entry& body);
+fold_result Rule(fleet_state& state, const leave_entry& body);
+fold_result Rule(fleet_state& state, const accuse_entry& body);
+fold_result Rule(fleet_state& state, const withdraw_accusation& body);
+fold_result Rule(fleet_state& state, const take_planner_lease& body);
+fold_result Rule(fleet_state& state, const renew_planner_lease& body);
+
+// fold_vms.cc
+fold_result Rule(fleet_state& state,
+                 const assign_vm& body,
+                 const std::string& author);
+fold_result Rule(fleet_state& state,
+                 const set_vm_phase& body,
+                 const std::string& author);
+fold_result Rule(fleet_state& state,
+                 const forget_vm& body,
+                 const std::string& author);
+fold_result Rule(fleet_state& state,
+                 const set_quarantine& body,
+                 const std::string& author);
+
+// fold_work.cc
+fold_result Rule(fleet_state& state,
+                 const publish_configuration& body,
+                 const std::string& author);
+fold_result Rule(fleet_state& state,
+                 const start_wave& body,
+                 const std::string& author);
+fold_result Rule(fleet_state& state,
+                 const set_wave_state& body,
+                 const std::string& author);
+fold_result Rule(fleet_state& state,
+                 const submit_job& body,
+                 const std::string& author);
+fold_result Rule(fleet_state& state,
+                 const set_job_state& body,
+                 const std::string& author);
+
+}  // namespace plantainhead::core::fold_rules
+
+#endif  // PLANTAINHEAD_SRC_CORE_FOLD_RULES_H_
--- /dev/null
+++ b/src/core/fold_work.cc
@@ -0,0 +1,274 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/fold_rules.h"
+
+namespace plantainhead::core {
+namespace {
+
+bool IsEnded(wave_state state) {
+  return state == wave_state::kCancelled || state == wave_state::kFinished;
+}
+
+bool IsEnded(job_state state) {
+  return state == job_state::kCancelled || state == job_state::kFinished;
+}
+
+}  // namespace
+
+bool IsAllowed(wave_state from, wave_state to) {
+  return !IsEnded(from) && from != to;
+}
+
+bool IsAllowed(job_state from, job_state to) {
+  if (IsEnded(from) || from == to) {
+    return false;
+  }
+  switch (to) {
+    case job_state::kWaiting:
+    case job_state::kCancelled:
+      return true;
+    case job_state::kPlaced:
+      return from == job_state::kWaiting || from == job_state::kCheckpointing;
+    case job_state::kCheckpointing:
+      return from == job_state::kPlaced;
+    // A task that was given up for lost may report its end later.
+    case job_state::kFinished:
+    case job_state::kParked:
+      return from != job_state::kParked;
+  }
+  return false;
+}
+
+namespace fold_rules {
+namespace {
+
+bool HasPool(const configuration& targets, const pool_id& pool) {
+  return std::any_of(targets.pools.begin(), targets.pools.end(),
+                     [&](const pool_spec& spec) { return spec.name == pool; });
+}
+
+bool HasTeam(const configuration& targets, const team_id& team) {
+  return team.empty() ||
+         std::any_of(targets.teams.begin(), targets.teams.end(),
+                     [&](const team_spec& spec) { return spec.name == team; });
+}
+
+fold_result UnknownPool(const fleet_state& state, const pool_id& pool) {
+  return Conflict("pool '" + pool.value() + "' isn't in the configuration of " +
+                  state.targets_author);
+}
+
+std::string Show(const wave_id& wave, const wave_progress& progress) {
+  return "wave '" + wave.value() + "' is " +
+         std::string(NameOf(progress.state));
+}
+
+std::string Show(const job_id& job, const job_progress& progress) {
+  std::string text =
+      "job '" + job.value() + "' is " + std::string(NameOf(progress.state));
+  if (!progress.vm.empty()) {
+    text += " on VM '" + progress.vm.value() + "'";
+  }
+  return text;
+}
+
+std::string WrittenBy(const std::string& author) {
+  return ", written by " + author;
+}
+
+// What an operator may ask of a job: to cancel it, or to free a parked one.
+bool IsForOperators(job_state from, job_state to) {
+  return to == job_state::kCancelled ||
+         (from == job_state::kParked && to == job_state::kWaiting);
+}
+
+// Tells why a job can't be placed there, or nothing if it can.
+std::string FindObstacle(const fleet_state& state, const vm_id& vm) {
+  const auto it = state.vms.find(vm);
+  if (it == state.vms.end()) {
+    return "VM '" + vm.value() + "' isn't known";
+  }
+  if (it->second.quarantined) {
+    return "VM '" + vm.value() + "' is quarantined" +
+           WrittenBy(it->second.author);
+  }
+  if (it->second.phase != vm_phase::kServing) {
+    return "VM '" + vm.value() + "' is " +
+           std::string(NameOf(it->second.phase)) + WrittenBy(it->second.author);
+  }
+  return {};
+}
+
+void CountFailures(job_progress& job, job_state next) {
+  if (job.state == job_state::kPlaced && next == job_state::kWaiting) {
+    ++job.failures;
+  }
+  if (job.state == job_state::kParked) {
+    job.failures = 0;
+  }
+}
+
+void ChangeState(fleet_state& state,
+                 job_progress& job,
+                 const set_job_state& body,
+                 const std::string& author) {
+  CountFailures(job, body.state);
+  job.state = body.state;
+  job.vm = body.vm;
+  job.operation = body.operation;
+  job.reason = body.reason;
+  job.author = author;
+  ++job.version;
+  if (IsEnded(job.state)) {
+    state.ended_jobs.emplace(state.offset, body.job);
+  }
+  if (state.ended_jobs.size() > kRememberedJobs) {
+    state.jobs.erase(state.ended_jobs.begin()->second);
+    state.ended_jobs.erase(state.ended_jobs.begin());
+  }
+}
+
+}  // namespace
+
+fold_result WrongGeneration(const std::string& what,
+                            generation in_force,
+                            generation expected,
+                            const std::string& shown,
+                            const std::string& author) {
+  return Conflict(what + " has generation " + std::to_string(in_force) +
+                  ", not " + std::to_string(expected) + ": " + shown +
+                  WrittenBy(author));
+}
+
+fold_result Rule(fleet_state& state,
+                 const publish_configuration& body,
+                 const std::string& author) {
+  if (body.expected != state.targets_version) {
+    return WrongGeneration(
+        "the configuration", state.targets_version, body.expected,
+        "in force since offset " + std::to_string(state.targets_offset),
+        state.targets_author);
+  }
+  state.targets = body.document;
+  ++state.targets_version;
+  state.targets_author = author;
+  state.targets_offset = state.offset;
+  return Applied();
+}
+
+fold_result Rule(fleet_state& state,
+                 const start_wave& body,
+                 const std::string& author) {
+  if (body.wave.empty() || body.pools.empty()) {
+    return Ignored("names no wave or no pool");
+  }
+  if (const auto it = state.waves.find(body.wave); it != state.waves.end()) {
+    return Conflict(Show(body.wave, it->second) + WrittenBy(it->second.author));
+  }
+  for (const pool_id& pool : body.pools) {
+    if (!HasPool(state.targets, pool)) {
+      return UnknownPool(state, pool);
+    }
+  }
+  wave_progress& wave = state.waves[body.wave];
+  wave.pools = body.pools;
+  wave.finish_by = body.finish_by;
+  wave.version = state.offset;
+  wave.author = author;
+  return Applied();
+}
+
+fold_result Rule(fleet_state& state,
+                 const set_wave_state& body,
+                 const std::string& author) {
+  if (body.epoch != 0 && !IsPlanner(state, body.epoch)) {
+    return StalePlanner(state, body.epoch);
+  }
+  const auto it = state.waves.find(body.wave);
+  if (it == state.waves.end()) {
+    return Conflict("wave '" + body.wave.value() + "' isn't known");
+  }
+  wave_progress& wave = it->second;
+  if (body.expected != wave.version) {
+    return WrongGeneration("wave '" + body.wave.value() + "'", wave.version,
+                           body.expected, Show(body.wave, wave), wave.author);
+  }
+  if (!IsAllowed(wave.state, body.state)) {
+    return Conflict(Show(body.wave, wave) + WrittenBy(wave.author));
+  }
+  if (body.epoch == 0 && body.state == wave_state::kFinished) {
+    return Ignored("only the planner finishes a wave");
+  }
+  wave.state = body.state;
+  wave.reason = body.reason;
+  wave.author = author;
+  ++wave.version;
+  if (IsEnded(wave.state)) {
+    state.ended_waves.emplace(state.offset, body.wave);
+  }
+  if (state.ended_waves.size() > kRememberedWaves) {
+    state.waves.erase(state.ended_waves.begin()->second);
+    state.ended_waves.erase(state.ended_waves.begin());
+  }
+  return Applied();
+}
+
+fold_result Rule(fleet_state& state,
+                 const submit_job& body,
+                 const std::string& author) {
+  const job_spec& spec = body.spec;
+  if (spec.name.empty() || spec.processors == 0) {
+    return Ignored("a job needs a name and a processor");
+  }
+  if (const auto it = state.jobs.find(spec.name); it != state.jobs.end()) {
+    return Conflict(Show(spec.name, it->second) + WrittenBy(it->second.author));
+  }
+  if (!HasPool(state.targets, spec.pool)) {
+    return UnknownPool(state, spec.pool);
+  }
+  if (!HasTeam(state.targets, spec.team)) {
+    return Conflict("team '" + spec.team.value() +
+                    "' isn't in the configuration of " + state.targets_author);
+  }
+  job_progress& job = state.jobs[spec.name];
+  job.spec = spec;
+  job.version = state.offset;
+  job.author = author;
+  return Applied();
+}
+
+fold_result Rule(fleet_state& state,
+                 const set_job_state& body,
+                 const std::string& author) {
+  if (body.epoch != 0 && !IsPlanner(state, body.epoch)) {
+    return StalePlanner(state, body.epoch);
+  }
+  const auto it = state.jobs.find(body.job);
+  if (it == state.jobs.end()) {
+    return Conflict("job '" + body.job.value() + "' isn't known");
+  }
+  job_progress& job = it->second;
+  if (body.expected != job.version) {
+    return WrongGeneration("job '" + body.job.value() + "'", job.version,
+                           body.expected, Show(body.job, job), job.author);
+  }
+  if (!IsAllowed(job.state, body.state)) {
+    return Conflict(Show(body.job, job) + WrittenBy(job.author));
+  }
+  if (body.epoch == 0 && !IsForOperators(job.state, body.state)) {
+    return Ignored("operators only cancel jobs and free parked ones");
+  }
+  if (body.state == job_state::kPlaced) {
+    if (std::string obstacle = FindObstacle(state, body.vm);
+        !obstacle.empty()) {
+      return Conflict(std::move(obstacle));
+    }
+  }
+  ChangeState(state, job, body, author);
+  return Applied();
+}
+
+}  // namespace fold_rules
+}  // namespace plantainhead::core
