Add a thin planner: pools for new VMs, waves with drain proof

Cause: nothing yet decides pools or carries out waves. Every step is a record; operations follow the read-back and have ids made from the record. Conclusion: the seam (planner_inputs, planner) is ready to be wired; capacity from demand, moves, pauses and jobs follow.

--- /dev/null
+++ b/include/plantainhead/core/operation_tracker.h
@@ -0,0 +1,62 @@
+#ifndef PLANTAINHEAD_CORE_OPERATION_TRACKER_H_
+#define PLANTAINHEAD_CORE_OPERATION_TRACKER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "plantainhead/core/effects.h"
+#include "plantainhead/core/events.h"
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core {
+
+/// Sends operations to the platform until each has a sure end. The id comes
+/// from a record that was read back, so a planner that takes over sends the
+/// same id, and the platform acts once. Thread safety: none.
+class operation_tracker {
+ public:
+  /// `patience` is the time without an answer and `retry` the wait after an
+  /// answer of unknown effect, after which an operation is sent again.
+  operation_tracker(duration patience, duration retry);
+
+  /// Sends `what` under `id` unless it is under way or has ended. Returns its
+  /// sure end, or nothing while there is none.
+  std::optional<operation_result> Drive(const operation_id& id,
+                                        const platform_operation& what,
+                                        time_point now,
+                                        effects& out);
+
+  /// Takes in the end of an operation; one that was never driven is ignored.
+  void Finish(const operation_finished& event, time_point now);
+
+  /// Returns when `id` was done, or nothing.
+  std::optional<time_point> DoneAt(const operation_id& id) const;
+
+  /// Returns the platform's words on how `id` ended; empty when it said none.
+  std::string DetailOf(const operation_id& id) const;
+
+  /// Forgets the operations that were not driven since `before`.
+  void Forget(time_point before);
+
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct entry {
+    time_point sent;
+    time_point driven;
+    std::optional<time_point> retry_at;
+    std::optional<operation_result> end;
+    time_point ended;
+    std::string detail;
+  };
+
+  duration patience_;
+  duration retry_;
+  std::map<operation_id, entry> entries_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_OPERATION_TRACKER_H_
--- /dev/null
+++ b/include/plantainhead/core/planner.h
@@ -0,0 +1,57 @@
+#ifndef PLANTAINHEAD_CORE_PLANNER_H_
+#define PLANTAINHEAD_CORE_PLANNER_H_
+
+#include <string>
+
+#include "plantainhead/core/operation_tracker.h"
+#include "plantainhead/core/phase_watch.h"
+#include "plantainhead/core/planner_context.h"
+#include "plantainhead/core/planner_types.h"
+#include "plantainhead/core/pool_planner.h"
+#include "plantainhead/core/record_gate.h"
+#include "plantainhead/core/wave_planner.h"
+
+namespace plantainhead::core {
+
+/// Decides pools, waves and jobs. It runs on every entry and acts only while
+/// that entry holds the planner lease. All that must last is a record, so
+/// another entry's planner goes on from the fold alone:
+///
+///     planner fleet_planner{planner_options()};
+///     fleet_planner.OnTick(inputs, now, out);  // records and operations
+///
+/// Thread safety: none; each core owns one.
+class planner {
+ public:
+  explicit planner(planner_options options = {});
+
+  /// Plans if `plan_interval` has passed since the last plan.
+  void OnTick(const planner_inputs& inputs, time_point now, effects& out);
+
+  /// Takes in the end of an operation. Others' operations are ignored.
+  void OnOperationFinished(const operation_finished& event,
+                           time_point now,
+                           effects& out);
+
+  /// Returns why things stand as they do, by object ("vm:a", "wave:w",
+  /// "job:j"). It is what this entry's planner decided while it held the lease;
+  /// the records of the fold carry their own reasons.
+  const reason_book& reasons() const { return reasons_; }
+
+ private:
+  void Plan(const planner_inputs& inputs, time_point now, effects& out);
+
+  planner_options options_;
+  operation_tracker operations_;
+  record_gate gate_;
+  phase_watch watch_;
+  reason_book reasons_;
+  pool_planner pools_;
+  wave_planner waves_;
+  time_point planned_at_;
+  lease_epoch epoch_ = 0;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_PLANNER_H_
--- /dev/null
+++ b/include/plantainhead/core/planner_types.h
@@ -0,0 +1,96 @@
+#ifndef PLANTAINHEAD_CORE_PLANNER_TYPES_H_
+#define PLANTAINHEAD_CORE_PLANNER_TYPES_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/platform_types.h"
+#include "plantainhead/core/time.h"
+
+/// What the planner is given and how it is tuned.
+namespace plantainhead::core {
+
+/// How much of one service callers ask for, as the entries measured it.
+struct service_demand {
+  double arrivals_per_second = 0;
+  /// Time that one request holds a slot.
+  duration mean_service_time{};
+};
+
+/// How a class stands against its availability budget.
+struct class_burn {
+  /// Share of the budget of the window that is spent, from 0.
+  double spent = 0;
+  /// How many times faster than the window allows the budget is being spent.
+  double rate = 0;
+};
+
+/// All that the planner sees at one moment.
+struct planner_inputs {
+  /// All three must outlive the inputs.
+  planner_inputs(const fleet_state& fleet,
+                 const std::vector<vm_listing>& listed_vms,
+                 const std::vector<task_listing>& listed_tasks)
+      : state(fleet), vms(listed_vms), tasks(listed_tasks) {}
+
+  const fleet_state& state;
+  /// True while this entry may count on holding the planner lease.
+  bool holds_lease = false;
+  /// The epoch under which this entry holds it.
+  lease_epoch epoch = 0;
+  /// The newest list of the platform.
+  const std::vector<vm_listing>& vms;
+  const std::vector<task_listing>& tasks;
+  /// When the list was read; 1970-01-01 when it never was.
+  time_point listed_at;
+  /// The least offset that the newest heartbeats of all live members, this
+  /// entry among them, say to have applied.
+  log_offset reported_offset = 0;
+  /// For each VM the sum of the requests in flight in those same heartbeats. A
+  /// VM that is missing has none.
+  std::map<vm_id, std::uint32_t> in_flight;
+  /// Empty for services of which nothing is known.
+  std::map<service_name, service_demand> demand;
+  std::map<class_name, class_burn> budgets;
+  /// VMs whose endpoint is ejected or fails its health check.
+  std::set<vm_id> unhealthy;
+};
+
+/// How the planner acts; the defaults fit both users.
+struct planner_options {
+  /// Time between two plans. Small against the 2.1 s in which urgent work
+  /// starts.
+  duration plan_interval = std::chrono::milliseconds(200);
+  /// A record that has not been read back after this is appended again.
+  duration record_patience = std::chrono::seconds(5);
+  /// An operation that has not ended after this is sent again under its id.
+  duration operation_patience = std::chrono::seconds(30);
+  /// Wait before an operation whose end is unknown is sent again.
+  duration operation_retry = std::chrono::seconds(1);
+  /// A list older than this is not acted upon.
+  duration list_patience = std::chrono::seconds(15);
+  /// How far the list may lag behind what happens.
+  duration list_lag = std::chrono::seconds(5);
+  /// A VM that has been off the list for this long is forgotten.
+  duration forget_after = std::chrono::seconds(60);
+
+  /// Time that owners are given to stop sending to a draining VM.
+  duration drain_notice = std::chrono::seconds(2);
+  /// The greatest patience that a caller may ask for; requests of an entry that
+  /// has gone have ended after it.
+  duration greatest_deadline = std::chrono::seconds(60);
+  /// A VM that has not drained after this goes back to serving and is reported.
+  duration drain_bound = std::chrono::minutes(15);
+  /// A VM that has not come back after this is reported as lost.
+  duration return_bound = std::chrono::minutes(15);
+  /// What one reboot is taken to last, for what it costs of a budget.
+  duration reboot_estimate = std::chrono::minutes(5);
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_PLANNER_TYPES_H_
--- /dev/null
+++ b/include/plantainhead/core/record_gate.h
@@ -0,0 +1,63 @@
+#ifndef PLANTAINHEAD_CORE_RECORD_GATE_H_
+#define PLANTAINHEAD_CORE_RECORD_GATE_H_
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "plantainhead/core/effects.h"
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core {
+
+/// Lets one record for each generation of an object through and holds back its
+/// repetition until the fold shows another generation or `patience` has passed.
+/// A record that goes out twice takes effect once: both expect the same
+/// generation. Thread safety: none.
+class record_gate {
+ public:
+  explicit record_gate(duration patience) : patience_(patience) {}
+
+  /// Returns true while a record for this generation of `object` is under way.
+  bool IsPending(const std::string& object,
+                 generation expected,
+                 time_point now) const {
+    const auto found = pending_.find(object);
+    return found != pending_.end() && found->second.first == expected &&
+           now - found->second.second < patience_;
+  }
+
+  /// Appends `body` unless a record for this generation of `object` is under
+  /// way. Returns whether it was appended.
+  bool Append(const std::string& object,
+              generation expected,
+              record_body body,
+              time_point now,
+              effects& out) {
+    if (IsPending(object, expected, now)) {
+      return false;
+    }
+    pending_[object] = {expected, now};
+    out.Append(std::move(body));
+    return true;
+  }
+
+  /// Forgets records that are older than the patience.
+  void Expire(time_point now) {
+    std::erase_if(pending_, [&](const auto& item) {
+      return now - item.second.second >= patience_;
+    });
+  }
+
+  /// Forgets all, as when the lease was lost.
+  void Clear() { pending_.clear(); }
+
+ private:
+  duration patience_;
+  std::map<std::string, std::pair<generation, time_point>> pending_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_RECORD_GATE_H_
--- /dev/null
+++ b/src/core/operation_tracker.cc
@@ -0,0 +1,64 @@
+#include "plantainhead/core/operation_tracker.h"
+
+namespace plantainhead::core {
+
+operation_tracker::operation_tracker(duration patience, duration retry)
+    : patience_(patience), retry_(retry) {}
+
+std::optional<operation_result> operation_tracker::Drive(
+    const operation_id& id,
+    const platform_operation& what,
+    time_point now,
+    effects& out) {
+  const auto [found, is_new] = entries_.try_emplace(id);
+  entry& item = found->second;
+  item.driven = now;
+  if (item.end) {
+    return item.end;
+  }
+  const bool is_due =
+      item.retry_at ? now >= *item.retry_at : now - item.sent >= patience_;
+  if (is_new || is_due) {
+    item.sent = now;
+    item.retry_at.reset();
+    out.Do(run_operation{id, what});
+  }
+  return std::nullopt;
+}
+
+void operation_tracker::Finish(const operation_finished& event,
+                               time_point now) {
+  const auto found = entries_.find(event.operation);
+  if (found == entries_.end() || found->second.end) {
+    return;
+  }
+  entry& item = found->second;
+  item.detail = event.detail;
+  if (event.result == operation_result::kUnknown) {
+    item.retry_at = now + retry_;
+    return;
+  }
+  item.end = event.result;
+  item.ended = now;
+}
+
+std::optional<time_point> operation_tracker::DoneAt(
+    const operation_id& id) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.end != operation_result::kDone) {
+    return std::nullopt;
+  }
+  return found->second.ended;
+}
+
+std::string operation_tracker::DetailOf(const operation_id& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? std::string() : found->second.detail;
+}
+
+void operation_tracker::Forget(time_point before) {
+  std::erase_if(entries_,
+                [&](const auto& item) { return item.second.driven < before; });
+}
+
+}  // namespace plantainhead::core
