Add claims: at most once for keyed requests through the log

Cause: a request that isn't idempotent must run at most once for each key, whatever is frozen, repeated or lost. Change: claims on 18 streams by key hash, one home for each; a claim is granted by its writer once read back as the first that stands. Group commit, releases, stored answers, cut detection, marks.

--- /dev/null
+++ b/include/plantainhead/core/claim_home.h
@@ -0,0 +1,37 @@
+#ifndef PLANTAINHEAD_CORE_CLAIM_HOME_H_
+#define PLANTAINHEAD_CORE_CLAIM_HOME_H_
+
+#include <cstdint>
+#include <set>
+
+#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/ids.h"
+
+/// Which stream holds a key's claims, and which entry writes them.
+namespace plantainhead::core {
+
+/// Number of claim streams. Fixed: a key must always map to the same stream.
+inline constexpr std::uint32_t kClaimPartitions = 18;
+
+/// Returns the partition of `key`, below `kClaimPartitions`; the same in every
+/// process and version.
+/// Thread safety: safe from any thread.
+std::uint32_t PartitionOf(const claim_key& key);
+
+/// Returns the stream of `partition`: "claims-0" and so on.
+/// Precondition: `partition` < `kClaimPartitions`.
+/// Thread safety: safe from any thread.
+stream_name ClaimStream(std::uint32_t partition);
+
+/// Returns the member that writes the claims of `partition`, by rendezvous
+/// hashing over the members of `state` that aren't in `excluded`; `kNone` when
+/// none is left. Only an efficiency: two entries that take themselves for the
+/// home at once never both grant a key, since the log orders their claims.
+/// Thread safety: safe from any thread while nobody writes `state`.
+incarnation HomeOf(std::uint32_t partition,
+                   const fleet_state& state,
+                   const std::set<incarnation>& excluded);
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_CLAIM_HOME_H_
--- /dev/null
+++ b/src/core/answer_store.cc
@@ -0,0 +1,61 @@
+#include "core/answer_store.h"
+
+#include <iterator>
+
+namespace plantainhead::core {
+namespace {
+
+// What one answer costs beside its texts: list and map nodes, strings' heads.
+constexpr std::size_t kFixedBytes = 320;
+
+std::size_t BytesOf(const response& answer) {
+  std::size_t bytes = kFixedBytes + answer.detail.size();
+  for (const auto& [name, value] : answer.headers) {
+    bytes += sizeof(header_list::value_type) + name.size() + value.size();
+  }
+  return bytes + (answer.body ? answer.body->size() : 0);
+}
+
+}  // namespace
+
+void answer_store::Put(const key_hash& key,
+                       const response& answer,
+                       time_point now) {
+  const std::size_t bytes = BytesOf(answer);
+  if (bytes > largest_ || bytes > most_bytes_) {
+    return;
+  }
+  const auto place = by_key_.find(key);
+  if (place != by_key_.end()) {
+    Erase(place->second);
+  }
+  while (bytes_ + bytes > most_bytes_) {
+    Erase(std::prev(answers_.end()));
+  }
+  answers_.push_front({key, answer, now, bytes});
+  by_key_[key] = answers_.begin();
+  bytes_ += bytes;
+}
+
+const response* answer_store::Find(const key_hash& key) {
+  const auto place = by_key_.find(key);
+  if (place == by_key_.end()) {
+    return nullptr;
+  }
+  answers_.splice(answers_.begin(), answers_, place->second);
+  return &answers_.front().answer;
+}
+
+void answer_store::Forget(time_point oldest) {
+  while (!answers_.empty() && answers_.back().at < oldest) {
+    Erase(std::prev(answers_.end()));
+  }
+}
+
+void answer_store::Erase(answer_list::iterator place) {
+  bytes_ -= place->bytes;
+  by_key_.erase(place->key);
+  answers_.erase(place);
+}
+
+}  // namespace plantainhead::core
--- /dev/null
+++ b/src/core/answer_store.h
@@ -0,0 +1,54 @@
+#ifndef PLANTAINHEAD_SRC_CORE_ANSWER_STORE_H_
+#define PLANTAINHEAD_SRC_CORE_ANSWER_STORE_H_
+
+#include <cstddef>
+#include <list>
+#include <unordered_map>
+
+#include "core/claim_index.h"
+#include "plantainhead/core/request.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core {
+
+/// Answers of finished requests by key, within a bound of bytes; those that
+/// were used longest ago go first.
+/// Thread safety: none.
+class answer_store {
+ public:
+  answer_store(std::size_t most_bytes, std::size_t largest)
+      : most_bytes_(most_bytes), largest_(largest) {}
+
+  /// Keeps `answer` unless it is too large.
+  void Put(const key_hash& key, const response& answer, time_point now);
+
+  /// Returns the answer, or null.
+  const response* Find(const key_hash& key);
+
+  /// Drops answers that were put before `oldest`.
+  void Forget(time_point oldest);
+
+  std::size_t bytes() const { return bytes_; }
+
+ private:
+  struct stored_answer {
+    key_hash key;
+    response answer;
+    time_point at;
+    std::size_t bytes = 0;
+  };
+  using answer_list = std::list<stored_answer>;
+
+  void Erase(answer_list::iterator place);
+
+  const std::size_t most_bytes_;
+  const std::size_t largest_;
+  std::size_t bytes_ = 0;
+  /// Those used last are in front.
+  answer_list answers_;
+  std::unordered_map<key_hash, answer_list::iterator, key_hash_hasher> by_key_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_SRC_CORE_ANSWER_STORE_H_
--- /dev/null
+++ b/src/core/claim_index.h
@@ -0,0 +1,131 @@
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_INDEX_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIM_INDEX_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/records.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core {
+
+/// Stands for a key in memory. Two keys with one hash would share their claims:
+/// the second is refused as already run, which is safe.
+struct key_hash {
+  std::uint64_t low = 0;
+  std::uint64_t high = 0;
+
+  friend bool operator==(const key_hash&, const key_hash&) = default;
+};
+
+struct key_hash_hasher {
+  std::size_t operator()(const key_hash& hash) const noexcept {
+    return static_cast<std::size_t>(hash.low);
+  }
+};
+
+key_hash HashOf(const claim_key& key);
+
+/// Tells one claim from all others; its copies in the log share it.
+struct claim_identity {
+  incarnation claimant = incarnation::kNone;
+  request_id request;
+
+  friend bool operator==(const claim_identity&,
+                         const claim_identity&) = default;
+};
+
+struct claim_identity_hasher {
+  std::size_t operator()(const claim_identity& id) const noexcept {
+    return std::hash<request_id>()(id.request) ^
+           static_cast<std::size_t>(id.claimant);
+  }
+};
+
+/// How a claim record stands at its place in the stream.
+enum class claim_standing {
+  /// No earlier claim of its key stands.
+  kFirst,
+  /// Another claim of its key stands.
+  kLater,
+  /// A copy of it was read before.
+  kCopy,
+  /// Its claimant released it before this copy was read.
+  kReleased,
+};
+
+/// The claims of one stream that stand, by key, as read in the stream's order.
+///
+/// Two readers may forget an old claim at different times, and so may differ in
+/// which of two claims is the first. So every claim that was read is kept until
+/// it is released or old, the later ones too: then whichever of them another
+/// reader took for the first, it bars the key here as well.
+///
+/// Thread safety: none.
+class claim_index {
+ public:
+  /// A claim is forgotten `keep` after its time.
+  explicit claim_index(duration keep) : keep_(keep) {}
+
+  claim_standing Add(const claim_request& claim, time_point now);
+
+  /// Ends the claim `id` on `key`, now and for copies of it that are still to
+  /// come. Others' claims are untouched.
+  void Release(const key_hash& key, const claim_identity& id, time_point now);
+
+  /// Takes note of the time of a record.
+  void Advance(time_point at);
+
+  void Forget(time_point now);
+
+  /// Returns the first claim that stands on `key`, or null.
+  const claim_identity* Find(const key_hash& key) const;
+
+  /// Whether a claim of `id` stands on `key`.
+  bool Stands(const key_hash& key, const claim_identity& id) const;
+
+  /// Greatest time of a record read so far.
+  time_point newest() const { return newest_; }
+  std::size_t size() const { return claims_; }
+
+ private:
+  struct standing_claim {
+    claim_identity id;
+    time_point at;
+  };
+  struct key_claims {
+    standing_claim first;
+    /// Nearly always null: claims that lost and aren't released yet.
+    std::unique_ptr<std::vector<standing_claim>> later;
+  };
+  struct old_key {
+    time_point at;
+    key_hash key;
+  };
+  struct old_release {
+    time_point at;
+    claim_identity id;
+  };
+
+  template <typename Predicate>
+  void RemoveIf(const key_hash& key, Predicate predicate);
+  time_point TimeOfNewest(time_point now) const;
+
+  duration keep_;
+  time_point newest_;
+  std::size_t claims_ = 0;
+  std::unordered_map<key_hash, key_claims, key_hash_hasher> keys_;
+  std::deque<old_key> by_age_;
+  std::unordered_set<claim_identity, claim_identity_hasher> released_;
+  std::deque<old_release> releases_by_age_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_INDEX_H_
--- /dev/null
+++ b/src/core/claim_key_time.h
@@ -0,0 +1,17 @@
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_KEY_TIME_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIM_KEY_TIME_H_
+
+#include <optional>
+
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core {
+
+/// Returns when a key was made, if it ends in a UUID of version 7 (RFC 9562) in
+/// its usual form of 36 characters.
+std::optional<time_point> KeyTime(const claim_key& key);
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_KEY_TIME_H_
--- /dev/null
+++ b/src/core/claim_partition.h
@@ -0,0 +1,163 @@
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_PARTITION_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIM_PARTITION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "core/answer_store.h"
+#include "core/claim_index.h"
+#include "core/claim_writer.h"
+#include "plantainhead/core/claims.h"
+
+namespace plantainhead::core {
+
+/// What the partitions of one entry share.
+struct claim_shared {
+  const claim_options* options = nullptr;
+  incarnation self = incarnation::kNone;
+  append_ids* ids = nullptr;
+  answer_store* answers = nullptr;
+  claim_figures* figures = nullptr;
+};
+
+/// The claims on the keys of one stream; see `claims`.
+/// Thread safety: none.
+class claim_partition {
+ public:
+  using decision_list = std::vector<claim_decision>;
+
+  claim_partition(std::uint32_t number, const claim_shared& shared);
+
+  void SetHome(bool is_home, effects& out);
+  void Ask(const claim_key& key,
+           request_id request,
+           time_point deadline,
+           time_point now,
+           effects& out,
+           decision_list& decisions);
+  void Release(const claim_key& key,
+               request_id request,
+               time_point now,
+               effects& out);
+  void Finished(const claim_key& key,
+                request_id request,
+                const response& answer,
+                time_point now);
+  void OnLogRead(const log_read& read,
+                 time_point now,
+                 effects& out,
+                 decision_list& decisions);
+  void OnLogUnavailable(time_point now, effects& out, decision_list& decisions);
+  bool OnAppendFinished(const append_finished& result,
+                        time_point now,
+                        effects& out);
+  void OnTick(time_point now, effects& out, decision_list& decisions);
+
+  const stream_name& stream() const { return stream_; }
+  bool is_home() const { return is_home_; }
+  std::size_t claims_held() const { return index_.size(); }
+  std::size_t waiting() const { return waiting_.size(); }
+  /// Why a new claim can't be made now: how long until it may; else nothing.
+  std::optional<duration> Refusal(time_point now) const;
+
+ private:
+  /// A claim that was asked for and isn't settled.
+  struct waiting_claim {
+    claim_key key;
+    request_id request;
+    time_point deadline;
+    time_point asked;
+    std::uint64_t record_number = 0;
+  };
+  using waiting_map =
+      std::unordered_map<key_hash, waiting_claim, key_hash_hasher>;
+  struct running_request {
+    request_id request;
+    time_point granted;
+  };
+  using running_map =
+      std::unordered_map<key_hash, running_request, key_hash_hasher>;
+
+  std::optional<claim_verdict> StandingVerdict(const key_hash& hash) const;
+  void Start(const key_hash& hash, waiting_claim claim);
+  void Settle(const claim_request& claim,
+              claim_standing standing,
+              time_point now,
+              time_point grant_time,
+              decision_list& decisions);
+  void GiveUp(waiting_map::iterator place,
+              claim_verdict verdict,
+              duration retry_after,
+              time_point now,
+              decision_list& decisions);
+  void GiveUpAll(duration retry_after,
+                 time_point now,
+                 decision_list& decisions);
+  void GiveUpLate(time_point now, decision_list& decisions);
+  void GiveUpStanding(time_point now, decision_list& decisions);
+  void AppendRelease(const claim_key& key, request_id request, time_point now);
+  void Decide(request_id request,
+              claim_verdict verdict,
+              duration retry_after,
+              decision_list& decisions);
+
+  bool CheckContinuity(const log_read& read,
+                       time_point now,
+                       effects& out,
+                       decision_list& decisions);
+  void NoteCut(std::string what,
+               time_point now,
+               effects& out,
+               decision_list& decisions);
+  bool ReachesBackFarEnough(const log_read& read, time_point now) const;
+  void Apply(const record_body& body,
+             time_point now,
+             time_point grant_time,
+             decision_list& decisions);
+  void OnMark(const claim_request& mark, time_point now);
+
+  bool NeedsMark(time_point now) const;
+  void AppendMark(time_point now);
+  void ForgetOld(time_point now);
+  void Follow(effects& out);
+  void UnfollowIfDone(effects& out);
+  void Flush(time_point now, effects& out);
+  duration Kept() const { return options_.window + options_.clock_skew; }
+
+  const stream_name stream_;
+  const claim_shared shared_;
+  const claim_options& options_;
+  claim_writer writer_;
+  claim_index index_;
+
+  bool is_home_ = false;
+  bool is_following_ = false;
+  /// Whether the stream was read to its end once since it is followed.
+  bool caught_up_ = false;
+  /// Offset of the next record to read.
+  log_offset next_ = 1;
+  /// Claims that can't be ruled out by the index may have been made before.
+  std::optional<time_point> no_grant_before_;
+
+  /// True from a failure until a mark of ours came back in good time.
+  bool is_out_ = false;
+  std::uint64_t last_mark_ = 0;
+  std::uint64_t mark_record_ = 0;
+  time_point mark_written_;
+  bool is_mark_pending_ = false;
+
+  waiting_map waiting_;
+  /// The first time at which a waiting claim must be given up.
+  time_point next_late_ = time_point::max();
+  /// Keys granted here whose requests aren't finished.
+  running_map running_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_PARTITION_H_
--- /dev/null
+++ b/src/core/claim_writer.h
@@ -0,0 +1,72 @@
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_WRITER_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIM_WRITER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "plantainhead/core/append_ids.h"
+#include "plantainhead/core/claims.h"
+#include "plantainhead/core/effects.h"
+#include "plantainhead/core/events.h"
+#include "plantainhead/core/records.h"
+
+namespace plantainhead::core {
+
+/// Writes records to one stream in groups: one append is in flight, all that
+/// comes in meanwhile goes into the next. Records whose append failed or isn't
+/// known are appended again under the same ids, before any later ones, so that
+/// the first copies in the stream are in the order of `Add`.
+/// Thread safety: none.
+class claim_writer {
+ public:
+  /// `options` and `ids` must outlive this object.
+  claim_writer(stream_name stream,
+               incarnation self,
+               const claim_options* options,
+               append_ids* ids);
+
+  /// Queues a record; returns its number.
+  std::uint64_t Add(record_body body);
+
+  /// Takes a record back. Returns true when it isn't in the stream and never
+  /// will be, false when it may be or become so.
+  bool Withdraw(std::uint64_t number);
+
+  /// Appends what is queued, if it is time.
+  void Flush(time_point now, effects& out, claim_figures& figures);
+
+  /// Returns whether the append was one of this writer.
+  bool OnAppendFinished(const append_finished& result, time_point now);
+
+  bool idle() const { return queue_.empty() && in_flight_.empty(); }
+
+ private:
+  struct item {
+    std::uint64_t number = 0;
+    /// An append with it ended unknown.
+    bool maybe_landed = false;
+    bool withdrawn = false;
+    record content;
+  };
+
+  void Requeue(bool maybe_landed);
+
+  const stream_name stream_;
+  const std::string author_;
+  const claim_options* const options_;
+  append_ids* const ids_;
+  std::uint64_t last_number_ = 0;
+  /// Both in the order of their numbers.
+  std::deque<item> queue_;
+  std::vector<item> in_flight_;
+  append_id append_ = append_id::kNone;
+  time_point not_before_;
+  duration backoff_{};
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_WRITER_H_
--- /dev/null
+++ b/src/core/claims.cc
@@ -0,0 +1,167 @@
+#include "plantainhead/core/claims.h"
+
+#include <algorithm>
+
+#include "core/answer_store.h"
+#include "core/claim_key_time.h"
+#include "core/claim_partition.h"
+
+namespace plantainhead::core {
+
+claims::claims(claim_options options, incarnation self, append_ids* ids)
+    : options_(options),
+      self_(self),
+      answers_(std::make_unique<answer_store>(options.stored_bytes,
+                                              options.largest_stored)) {
+  const claim_shared shared{&options_, self_, ids, answers_.get(), &figures_};
+  for (std::uint32_t number = 0; number < kClaimPartitions; ++number) {
+    partitions_.push_back(std::make_unique<claim_partition>(number, shared));
+  }
+}
+
+claims::~claims() = default;
+
+void claims::Ask(const claim_key& key,
+                 request_id request,
+                 time_point deadline,
+                 time_point now,
+                 effects& out,
+                 std::vector<claim_decision>& decisions) {
+  ++figures_.asked;
+  const std::size_t before = decisions.size();
+  if (const response* stored = answers_->Find(HashOf(key))) {
+    decisions.push_back({request, claim_verdict::kStoredAnswer, *stored, {}});
+  } else if (const std::optional<time_point> made = KeyTime(key);
+             made && *made + options_.window <= now) {
+    decisions.push_back({request, claim_verdict::kTooOld, std::nullopt, {}});
+  } else {
+    PartitionFor(key).Ask(key, request, deadline, now, out, decisions);
+  }
+  Count(decisions, before);
+}
+
+void claims::Release(const claim_key& key,
+                     request_id request,
+                     time_point now,
+                     effects& out) {
+  PartitionFor(key).Release(key, request, now, out);
+}
+
+void claims::Finished(const claim_key& key,
+                      request_id request,
+                      const response& answer,
+                      time_point now) {
+  PartitionFor(key).Finished(key, request, answer, now);
+}
+
+void claims::OnViewChanged(const fleet_state& state,
+                           const std::set<incarnation>& excluded,
+                           time_point,
+                           effects& out) {
+  for (std::uint32_t number = 0; number < kClaimPartitions; ++number) {
+    partitions_[number]->SetHome(HomeOf(number, state, excluded) == self_, out);
+  }
+}
+
+bool claims::OnLogRead(const log_read& read,
+                       time_point now,
+                       effects& out,
+                       std::vector<claim_decision>& decisions) {
+  claim_partition* partition = FindStream(read.stream);
+  if (partition == nullptr) {
+    return false;
+  }
+  const std::size_t before = decisions.size();
+  partition->OnLogRead(read, now, out, decisions);
+  Count(decisions, before);
+  return true;
+}
+
+bool claims::OnLogUnavailable(const log_unavailable& failure,
+                              time_point now,
+                              effects& out,
+                              std::vector<claim_decision>& decisions) {
+  claim_partition* partition = FindStream(failure.stream);
+  if (partition == nullptr) {
+    return false;
+  }
+  const std::size_t before = decisions.size();
+  partition->OnLogUnavailable(now, out, decisions);
+  Count(decisions, before);
+  return true;
+}
+
+bool claims::OnAppendFinished(const append_finished& result,
+                              time_point now,
+                              effects& out) {
+  return std::any_of(partitions_.begin(), partitions_.end(),
+                     [&](const auto& partition) {
+                       return partition->OnAppendFinished(result, now, out);
+                     });
+}
+
+void claims::OnTick(time_point now,
+                    effects& out,
+                    std::vector<claim_decision>& decisions) {
+  const std::size_t before = decisions.size();
+  std::size_t held = 0;
+  for (const auto& partition : partitions_) {
+    partition->OnTick(now, out, decisions);
+    held += partition->claims_held();
+  }
+  figures_.claims_held = held;
+  answers_->Forget(now - options_.window);
+  Count(decisions, before);
+}
+
+claim_figures claims::figures(time_point now) const {
+  claim_figures result = figures_;
+  result.claims_held = 0;
+  result.answer_bytes = answers_->bytes();
+  for (const auto& partition : partitions_) {
+    result.claims_held += partition->claims_held();
+    result.waiting += partition->waiting();
+    result.homes += partition->is_home() ? 1 : 0;
+    const bool is_refusing = partition->is_home() && partition->Refusal(now);
+    result.refusing += is_refusing ? 1 : 0;
+  }
+  return result;
+}
+
+void claims::Count(const std::vector<claim_decision>& decisions,
+                   std::size_t from) {
+  for (std::size_t i = from; i < decisions.size(); ++i) {
+    ++CounterOf(decisions[i].verdict);
+  }
+}
+
+std::uint64_t& claims::CounterOf(claim_verdict verdict) {
+  switch (verdict) {
+    case claim_verdict::kGranted:
+      return figures_.granted;
+    case claim_verdict::kInProgress:
+      return figures_.in_progress;
+    case claim_verdict::kStoredAnswer:
+      return figures_.stored_answers;
+    case claim_verdict::kAlreadyRun:
+      return figures_.already_run;
+    case claim_verdict::kTooOld:
+      return figures_.too_old;
+    case claim_verdict::kLogUnavailable:
+      break;
+  }
+  return figures_.unavailable;
+}
+
+claim_partition& claims::PartitionFor(const claim_key& key) {
+  return *partitions_[PartitionOf(key)];
+}
+
+claim_partition* claims::FindStream(const stream_name& stream) {
+  const auto place = std::find_if(
+      partitions_.begin(), partitions_.end(),
+      [&](const auto& partition) { return partition->stream() == stream; });
+  return place == partitions_.end() ? nullptr : place->get();
+}
+
+}  // namespace plantainhead::core
--- /dev/null
+++ b/tests/core/claims_fixture.h
@@ -0,0 +1,172 @@
+#ifndef PLANTAINHEAD_TESTS_CORE_CLAIMS_FIXTURE_H_
+#define PLANTAINHEAD_TESTS_CORE_CLAIMS_FIXTURE_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/model_log.h"
+#include "plantainhead/core/claims.h"
+#include "plantainhead/core/visit.h"
+
+namespace plantainhead::core {
+
+/// One entry's claims with the adapter's part of the work: it keeps appends
+/// until the test decides their fate, and reads when the test says so.
+class claims_entry {
+ public:
+  claims_entry(std::uint64_t self, model_log* log, claim_options options = {})
+      : self_(static_cast<incarnation>(self)),
+        log_(log),
+        claims_(options, self_, &ids_) {}
+
+  /// Makes this entry the home of all partitions, or of none.
+  void SetHome(bool is_home, time_point now) {
+    fleet_state state;
+    state.members[self_].who = self_;
+    std::set<incarnation> excluded;
+    if (!is_home) {
+      excluded.insert(self_);
+    }
+    claims_.OnViewChanged(state, excluded, now, out_);
+    Collect();
+  }
+
+  void Ask(const claim_key& key,
+           std::uint64_t sequence,
+           time_point now,
+           duration patience = std::chrono::seconds(30)) {
+    claims_.Ask(key, Request(sequence), now + patience, now, out_, decisions_);
+    Collect();
+  }
+
+  void Release(const claim_key& key, std::uint64_t sequence, time_point now) {
+    claims_.Release(key, Request(sequence), now, out_);
+    Collect();
+  }
+
+  void Finish(const claim_key& key, std::uint64_t sequence, time_point now) {
+    response answer;
+    answer.status = 201;
+    answer.result = outcome::kDone;
+    claims_.Finished(key, Request(sequence), answer, now);
+  }
+
+  void Tick(time_point now) {
+    claims_.OnTick(now, out_, decisions_);
+    Collect();
+  }
+
+  /// Takes the oldest append to the log, and tells its end as `result`.
+  void Land(time_point now, append_result result = append_result::kAppended) {
+    const append_records append = TakeAppend();
+    const log_offset first = log_->Append(append.stream, append.records);
+    End(append, result, first, now);
+  }
+
+  /// Ends the oldest append without effect on the log.
+  void Lose(time_point now, append_result result = append_result::kUnknown) {
+    End(TakeAppend(), result, 0, now);
+  }
+
+  append_records TakeAppend() {
+    append_records append = std::move(appends_.at(0));
+    appends_.erase(appends_.begin());
+    return append;
+  }
+
+  void End(const append_records& append,
+           append_result result,
+           log_offset first,
+           time_point now) {
+    claims_.OnAppendFinished({append.append, result, first}, now, out_);
+    Collect();
+  }
+
+  /// Reads all that the followed streams have.
+  void Read(time_point now) {
+    for (const auto& [stream, after] : std::map(followed_)) {
+      const log_read read = log_->Read(stream, after);
+      if (!read.entries.empty()) {
+        followed_[stream] = read.entries.back().offset;
+      }
+      Hand(read, now);
+    }
+  }
+
+  void Hand(const log_read& read, time_point now) {
+    claims_.OnLogRead(read, now, out_, decisions_);
+    Collect();
+  }
+
+  void LogUnavailable(time_point now) {
+    for (const auto& [stream, after] : std::map(followed_)) {
+      claims_.OnLogUnavailable({stream, "down"}, now, out_, decisions_);
+    }
+    Collect();
+  }
+
+  /// Lands and reads until there is nothing left to do.
+  void Settle(time_point now) {
+    do {
+      while (!appends_.empty()) {
+        Land(now);
+      }
+      Read(now);
+    } while (!appends_.empty());
+  }
+
+  /// Takes the verdict on a request; nothing while there is none.
+  std::optional<claim_decision> Take(std::uint64_t sequence) {
+    for (auto place = decisions_.begin(); place != decisions_.end(); ++place) {
+      if (place->request == Request(sequence)) {
+        claim_decision decision = *place;
+        decisions_.erase(place);
+        return decision;
+      }
+    }
+    return std::nullopt;
+  }
+
+  request_id Request(std::uint64_t sequence) const { return {self_, sequence}; }
+  incarnation self() const { return self_; }
+  std::vector<append_records>& appends() { return appends_; }
+  std::vector<claim_decision>& decisions() { return decisions_; }
+  const std::map<stream_name, log_offset>& followed() const {
+    return followed_;
+  }
+  const claims& core() const { return claims_; }
+
+ private:
+  void Collect() {
+    const action_list actions = std::exchange(out_.actions, {});
+    for (const action& item : actions) {
+      std::visit(overloaded{[&](const append_records& append) {
+                              appends_.push_back(append);
+                            },
+                            [&](const follow_stream& follow) {
+                              followed_[follow.stream] = follow.after;
+                            },
+                            [&](const unfollow_stream& unfollow) {
+                              followed_.erase(unfollow.stream);
+                            },
+                            [](const auto&) {}},
+                 item);
+    }
+  }
+
+  const incarnation self_;
+  model_log* const log_;
+  append_ids ids_;
+  claims claims_;
+  effects out_;
+  std::vector<claim_decision> decisions_;
+  std::vector<append_records> appends_;
+  std::map<stream_name, log_offset> followed_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_TESTS_CORE_CLAIMS_FIXTURE_H_
