--- a/include/plantainhead/core/append_ids.h
+++ b/include/plantainhead/core/append_ids.h
@@ -7,12 +7,13 @@
 
 namespace plantainhead::core {
 
-/// Numbers the appends of one entry process. Shared by all modules that append,
-/// so that each can tell its own `append_finished` events from the others'.
-/// Thread safety: none.
+/// Hands out the numbers of appends. All modules of one entry that append to
+/// the log share one, so that an `append_finished` belongs to one of them only.
+/// Thread safety: none; owned by the thread of the decisions.
 class append_ids {
  public:
-  append_id Next() { return append_id(++last_); }
+  /// Returns a number that this object has not returned before, never `kNone`.
+  append_id Next() { return static_cast<append_id>(++last_); }
 
  private:
   std::uint64_t last_ = 0;
