--- /dev/null
+++ b/src/entry/frame_codec.cc
@@ -0,0 +1,126 @@
+#include "plantainhead/entry/frame_codec.h"
+
+#include <xxhash.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "entry/frame_generated.h"
+#include "entry/frame_reader.h"
+#include "entry/frame_writer.h"
+
+namespace plantainhead::entry {
+namespace {
+
+constexpr unsigned char kMagic = 0xA7;
+constexpr unsigned char kVersion = 1;
+constexpr std::size_t kMagicAt = 4;
+constexpr std::size_t kVersionAt = 5;
+constexpr std::size_t kChecksumAt = 8;
+// FlatBuffers reads scalars in place; the widest has 8 bytes.
+constexpr std::size_t kAlignment = 8;
+
+void PutUint32(std::uint32_t value, char* at) {
+  for (int i = 0; i < 4; ++i) {
+    at[i] = static_cast<char>((value >> (8 * i)) & 0xFF);
+  }
+}
+
+std::uint32_t GetUint32(const char* at) {
+  std::uint32_t value = 0;
+  for (int i = 0; i < 4; ++i) {
+    value |= std::uint32_t{static_cast<unsigned char>(at[i])} << (8 * i);
+  }
+  return value;
+}
+
+std::uint32_t Checksum(std::string_view payload) {
+  return static_cast<std::uint32_t>(
+      XXH3_64bits(payload.data(), payload.size()));
+}
+
+bool IsAligned(const char* data) {
+  return reinterpret_cast<std::uintptr_t>(data) % kAlignment == 0;
+}
+
+}  // namespace
+
+frame_error::frame_error(frame_fault fault)
+    : std::runtime_error("bad frame: " + std::string(core::NameOf(fault))),
+      fault_(fault) {}
+
+std::string SealPayload(std::string_view payload) {
+  std::string bytes(kFrameHeaderSize, '\0');
+  PutUint32(static_cast<std::uint32_t>(payload.size()), bytes.data());
+  bytes[kMagicAt] = static_cast<char>(kMagic);
+  bytes[kVersionAt] = static_cast<char>(kVersion);
+  PutUint32(Checksum(payload), bytes.data() + kChecksumAt);
+  bytes.append(payload);
+  return bytes;
+}
+
+std::string EncodeFrame(const core::peer_frame& frame,
+                        core::time_point now,
+                        std::size_t limit) {
+  flatbuffers::FlatBufferBuilder builder;
+  WriteFrame(frame, now, builder);
+  if (builder.GetSize() > limit) {
+    throw frame_error(frame_fault::kTooLong);
+  }
+  return SealPayload({reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                      builder.GetSize()});
+}
+
+frame_header DecodeHeader(std::string_view bytes, std::size_t limit) {
+  if (bytes.size() < kFrameHeaderSize) {
+    throw frame_error(frame_fault::kTruncated);
+  }
+  if (static_cast<unsigned char>(bytes[kMagicAt]) != kMagic) {
+    throw frame_error(frame_fault::kBadMagic);
+  }
+  const bool reserved_are_zero =
+      bytes[kVersionAt + 1] == 0 && bytes[kVersionAt + 2] == 0;
+  if (static_cast<unsigned char>(bytes[kVersionAt]) != kVersion ||
+      !reserved_are_zero) {
+    throw frame_error(frame_fault::kUnknownVersion);
+  }
+  const frame_header header{GetUint32(bytes.data()),
+                            GetUint32(bytes.data() + kChecksumAt)};
+  if (header.payload_size == 0) {
+    throw frame_error(frame_fault::kMalformed);
+  }
+  if (header.payload_size > limit) {
+    throw frame_error(frame_fault::kTooLong);
+  }
+  return header;
+}
+
+core::peer_frame DecodePayload(const frame_header& header,
+                               std::string_view payload,
+                               core::time_point now) {
+  if (payload.size() != header.payload_size) {
+    throw frame_error(frame_fault::kTruncated);
+  }
+  // Without the checksum a flipped bit in a number or a name would verify, and
+  // one caller's answer could reach another.
+  if (Checksum(payload) != header.checksum) {
+    throw frame_error(frame_fault::kBadChecksum);
+  }
+  if (IsAligned(payload.data())) {
+    return ReadFrame(payload, now);
+  }
+  // Memory from new is aligned for every scalar.
+  const auto copy = std::make_unique<char[]>(payload.size());
+  payload.copy(copy.get(), payload.size());
+  return ReadFrame({copy.get(), payload.size()}, now);
+}
+
+core::peer_frame DecodeFrame(std::string_view bytes,
+                             core::time_point now,
+                             std::size_t limit) {
+  const frame_header header = DecodeHeader(bytes, limit);
+  return DecodePayload(header, bytes.substr(kFrameHeaderSize), now);
+}
+
+}  // namespace plantainhead::entry
--- /dev/null
+++ b/src/entry/frame_reader.h
@@ -0,0 +1,18 @@
+#ifndef PLANTAINHEAD_ENTRY_FRAME_READER_H_
+#define PLANTAINHEAD_ENTRY_FRAME_READER_H_
+
+#include <string_view>
+
+#include "plantainhead/core/messages.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::entry {
+
+/// Returns the frame of `payload`. Throws `frame_error` when it isn't valid.
+/// Precondition: `payload` starts at an address that is a multiple of 8.
+/// Thread safety: safe from any thread.
+core::peer_frame ReadFrame(std::string_view payload, core::time_point now);
+
+}  // namespace plantainhead::entry
+
+#endif  // PLANTAINHEAD_ENTRY_FRAME_READER_H_
--- /dev/null
+++ b/src/entry/peer_broker.cc
@@ -0,0 +1,162 @@
+#include "entry/peer_broker.h"
+
+#include <string_view>
+#include <utility>
+
+#include "entry/peer_socket.h"
+
+namespace plantainhead::entry {
+
+using caf::io::connection_handle;
+using caf::io::receive_policy;
+
+peer_broker::peer_broker(caf::actor_config& config,
+                         std::shared_ptr<peer_link_shared> shared)
+    : caf::io::broker(config), shared_(std::move(shared)) {}
+
+caf::behavior peer_broker::make_behavior() {
+  return {
+      [this](listen_atom) { return Listen(); },
+      [this](const outgoing_frame& frame) { Queue(frame); },
+      [this](const backoff_over& item) { peers_.erase(item.peer); },
+      [this](const caf::io::new_connection_msg& item) { Accept(item.handle); },
+      [this](const caf::io::new_data_msg& item) { Read(item); },
+      [this](const caf::io::data_transferred_msg& item) {
+        const auto found = outgoing_.find(item.handle);
+        if (found != outgoing_.end()) {
+          peers_[found->second].unsent = item.remaining;
+        }
+      },
+      [this](const caf::io::connection_closed_msg& item) {
+        Forget(item.handle);
+      },
+  };
+}
+
+caf::result<std::uint16_t> peer_broker::Listen() {
+  const peer_link_options& options = shared_->options;
+  auto door = add_tcp_doorman(options.port, options.host.c_str(), true);
+  if (!door) {
+    return std::move(door.error());
+  }
+  return door->second;
+}
+
+void peer_broker::Queue(const outgoing_frame& frame) {
+  const auto [found, is_new] = peers_.try_emplace(frame.to);
+  outgoing_connection& peer = found->second;
+  if (is_new && !Connect(frame, peer)) {
+    Drop(frame.to);
+    Lose(frame.to);
+    return;
+  }
+  if (!peer.handle) {
+    Drop(frame.to);
+    return;
+  }
+  if (peer.unsent + frame.bytes.size() > shared_->options.queue_limit) {
+    // A peer that doesn't read would let the queue grow until this entry runs
+    // out of memory. Its frames are useless by then, so the whole queue goes.
+    Drop(frame.to);
+    Abort(peer.socket);
+    Lose(frame.to);
+    return;
+  }
+  peer.unsent += frame.bytes.size();
+  write(*peer.handle, frame.bytes.size(), frame.bytes.data());
+  flush(*peer.handle);
+  ++shared_->counters.frames_sent;
+  shared_->counters.bytes_sent += frame.bytes.size();
+}
+
+bool peer_broker::Connect(const outgoing_frame& frame,
+                          outgoing_connection& peer) {
+  const std::optional<int> socket =
+      StartConnecting(frame.host, frame.port, shared_->options.stall_timeout);
+  if (!socket) {
+    return false;
+  }
+  peer.socket = *socket;
+  peer.handle = add_scribe(*socket);
+  outgoing_.emplace(*peer.handle, frame.to);
+  ack_writes(*peer.handle, true);
+  // The peer sends nothing here; reading shows the end of the connection.
+  configure_read(*peer.handle, receive_policy::at_most(1));
+  return true;
+}
+
+void peer_broker::Accept(connection_handle handle) {
+  if (incoming_.size() >= shared_->options.inbound_limit) {
+    close(handle);
+    return;
+  }
+  incoming_.emplace(handle, incoming_connection{});
+  configure_read(handle, receive_policy::exactly(kFrameHeaderSize));
+}
+
+void peer_broker::Read(const caf::io::new_data_msg& data) {
+  const auto found = incoming_.find(data.handle);
+  if (found == incoming_.end()) {
+    return;
+  }
+  shared_->counters.bytes_received += data.buf.size();
+  try {
+    ReadFrame(data, found->second);
+  } catch (const frame_error&) {
+    // The stream is out of step: what follows can't be told apart from frames.
+    ++shared_->counters.malformed;
+    incoming_.erase(found);
+    close(data.handle);
+  }
+}
+
+void peer_broker::ReadFrame(const caf::io::new_data_msg& data,
+                            incoming_connection& incoming) {
+  const std::string_view bytes(data.buf.data(), data.buf.size());
+  if (!incoming.header) {
+    incoming.header = DecodeHeader(bytes, shared_->options.frame_limit);
+    configure_read(data.handle,
+                   receive_policy::exactly(incoming.header->payload_size));
+    return;
+  }
+  const frame_header header = *incoming.header;
+  incoming.header.reset();
+  configure_read(data.handle, receive_policy::exactly(kFrameHeaderSize));
+  try {
+    core::peer_frame frame = DecodePayload(header, bytes, shared_->now());
+    ++shared_->counters.frames_received;
+    shared_->post(core::frame_received{std::move(frame)});
+  } catch (const frame_error& error) {
+    if (error.fault() != frame_fault::kUnknownMessage) {
+      throw;
+    }
+    ++shared_->counters.skipped;
+  }
+}
+
+void peer_broker::Forget(connection_handle handle) {
+  incoming_.erase(handle);
+  const auto found = outgoing_.find(handle);
+  if (found != outgoing_.end()) {
+    const core::incarnation peer = found->second;
+    Lose(peer);
+  }
+}
+
+void peer_broker::Lose(core::incarnation peer) {
+  outgoing_connection& lost = peers_[peer];
+  if (lost.handle) {
+    outgoing_.erase(*lost.handle);
+  }
+  lost = outgoing_connection{};
+  ++shared_->counters.disconnects;
+  shared_->post(core::peer_disconnected{peer});
+  delayed_send(this, shared_->options.reconnect_backoff, backoff_over{peer});
+}
+
+void peer_broker::Drop(core::incarnation peer) {
+  ++shared_->counters.dropped;
+  shared_->post(core::peer_disconnected{peer});
+}
+
+}  // namespace plantainhead::entry
--- /dev/null
+++ b/src/entry/peer_broker.h
@@ -0,0 +1,98 @@
+#ifndef PLANTAINHEAD_ENTRY_PEER_BROKER_H_
+#define PLANTAINHEAD_ENTRY_PEER_BROKER_H_
+
+#include <atomic>
+#include <caf/all.hpp>
+#include <caf/io/all.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "plantainhead/entry/peer_link.h"
+
+namespace plantainhead::entry {
+
+/// Counters that one thread adds to and any may read.
+struct atomic_counters {
+  std::atomic<std::uint64_t> frames_sent{0};
+  std::atomic<std::uint64_t> frames_received{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
+  std::atomic<std::uint64_t> bytes_received{0};
+  std::atomic<std::uint64_t> malformed{0};
+  std::atomic<std::uint64_t> skipped{0};
+  std::atomic<std::uint64_t> dropped{0};
+  std::atomic<std::uint64_t> disconnects{0};
+};
+
+/// What a link and its broker share.
+struct peer_link_shared {
+  peer_link_options options;
+  peer_link::clock_function now;
+  peer_link::post_function post;
+  atomic_counters counters;
+};
+
+/// Message to the broker: an encoded frame to queue.
+struct outgoing_frame {
+  core::incarnation to = core::incarnation::kNone;
+  std::string host;
+  std::uint16_t port = 0;
+  std::string bytes;
+};
+
+/// Message to the broker: listen and answer with the port.
+using listen_atom = caf::atom_constant<caf::atom("listen")>;
+
+/// Message of the broker to itself: a peer's pause is over.
+struct backoff_over {
+  core::incarnation peer = core::incarnation::kNone;
+};
+
+/// Owns the sockets of one link; runs in CAF's I/O thread.
+class peer_broker : public caf::io::broker {
+ public:
+  peer_broker(caf::actor_config& config,
+              std::shared_ptr<peer_link_shared> shared);
+
+ protected:
+  caf::behavior make_behavior() override;
+
+ private:
+  // Neither value while the pause after a lost connection lasts.
+  struct outgoing_connection {
+    std::optional<caf::io::connection_handle> handle;
+    int socket = -1;
+    std::size_t unsent = 0;
+  };
+
+  struct incoming_connection {
+    // Set while the payload is awaited.
+    std::optional<frame_header> header;
+  };
+
+  caf::result<std::uint16_t> Listen();
+  void Queue(const outgoing_frame& frame);
+  bool Connect(const outgoing_frame& frame, outgoing_connection& peer);
+  void Accept(caf::io::connection_handle handle);
+  void Read(const caf::io::new_data_msg& data);
+  void ReadFrame(const caf::io::new_data_msg& data,
+                 incoming_connection& incoming);
+  void Forget(caf::io::connection_handle handle);
+  void Lose(core::incarnation peer);
+  void Drop(core::incarnation peer);
+
+  std::shared_ptr<peer_link_shared> shared_;
+  std::map<core::incarnation, outgoing_connection> peers_;
+  std::map<caf::io::connection_handle, core::incarnation> outgoing_;
+  std::map<caf::io::connection_handle, incoming_connection> incoming_;
+};
+
+}  // namespace plantainhead::entry
+
+// These stay within the process.
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::entry::outgoing_frame)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::entry::backoff_over)
+
+#endif  // PLANTAINHEAD_ENTRY_PEER_BROKER_H_
--- /dev/null
+++ b/tests/entry/peer_link_test.cc
@@ -0,0 +1,235 @@
+#include "plantainhead/entry/peer_link.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <caf/all.hpp>
+#include <caf/io/all.hpp>
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+#include "entry/frame_samples.h"
+
+namespace plantainhead::entry {
+namespace {
+
+constexpr std::chrono::seconds kPatience(20);
+
+// Events that a link posted, in order.
+class inbox {
+ public:
+  void Post(core::event item) {
+    std::lock_guard lock(mutex_);
+    events_.push_back(std::move(item));
+    changed_.notify_all();
+  }
+
+  // Waits for the next event of type `Event`, dropping others.
+  template <typename Event>
+  Event Await() {
+    std::unique_lock lock(mutex_);
+    while (true) {
+      REQUIRE(changed_.wait_for(lock, kPatience,
+                                [this] { return !events_.empty(); }));
+      const core::event item = std::move(events_.front());
+      events_.pop_front();
+      if (const Event* found = std::get_if<Event>(&item)) {
+        return *found;
+      }
+    }
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<core::event> events_;
+};
+
+struct test_system {
+  test_system() {
+    config.load<caf::io::middleman>();
+    config.set("scheduler.max-threads", 2);
+    system.emplace(config);
+  }
+
+  caf::actor_system_config config;
+  std::optional<caf::actor_system> system;
+};
+
+struct linked_entry {
+  explicit linked_entry(test_system& with, peer_link_options options = {})
+      : link(
+            *with.system,
+            std::move(options),
+            [] { return kSampleNow; },
+            [this](core::event item) { events.Post(std::move(item)); }),
+        port(link.Start()) {}
+
+  inbox events;
+  peer_link link;
+  std::uint16_t port;
+};
+
+core::send_frame To(std::uint64_t peer,
+                    std::uint16_t port,
+                    core::peer_frame frame) {
+  return {core::incarnation{peer}, "127.0.0.1", port, std::move(frame)};
+}
+
+core::peer_frame NumberedCancel(std::uint64_t number) {
+  return {core::incarnation{1}, 1,
+          core::cancel_forward{{core::incarnation{1}, number}}};
+}
+
+std::uint64_t NumberOf(const core::frame_received& item) {
+  return std::get<core::cancel_forward>(item.frame.message).id.sequence;
+}
+
+// A plain socket to a port, closed at the end.
+class raw_socket {
+ public:
+  explicit raw_socket(std::uint16_t port)
+      : handle_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int result = ::connect(handle_, reinterpret_cast<sockaddr*>(&address),
+                                 sizeof(address));
+    REQUIRE(result == 0);
+  }
+  ~raw_socket() { ::close(handle_); }
+
+  void Write(std::string_view bytes) {
+    REQUIRE(::send(handle_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+
+  // Blocks until the other side has closed.
+  void AwaitEnd() {
+    char byte = 0;
+    REQUIRE(::recv(handle_, &byte, 1, 0) <= 0);
+  }
+
+ private:
+  int handle_;
+};
+
+TEST_CASE("Two entries exchange frames") {
+  test_system system;
+  linked_entry a(system);
+  linked_entry b(system);
+
+  SECTION("both ways, of every kind") {
+    for (const core::peer_frame& frame : SampleFrames()) {
+      a.link.Send(To(2, b.port, frame));
+      const auto got = b.events.Await<core::frame_received>();
+      CHECK(EncodeFrame(got.frame, kSampleNow) ==
+            EncodeFrame(frame, kSampleNow));
+    }
+    b.link.Send(To(1, a.port, SampleHeartbeat()));
+    a.events.Await<core::frame_received>();
+    CHECK(a.link.counters().frames_sent == 4);
+    CHECK(b.link.counters().frames_received == 4);
+  }
+
+  SECTION("in the order of sending") {
+    constexpr std::uint64_t kFrames = 2000;
+    for (std::uint64_t i = 0; i < kFrames; ++i) {
+      a.link.Send(To(2, b.port, NumberedCancel(i)));
+    }
+    for (std::uint64_t i = 0; i < kFrames; ++i) {
+      REQUIRE(NumberOf(b.events.Await<core::frame_received>()) == i);
+    }
+  }
+}
+
+// Some program that isn't an entry connects to an entry's port and sends what
+// it likes. Its connection is closed and counted; the entry's own peers notice
+// nothing.
+TEST_CASE("Bytes that aren't a frame close their connection only") {
+  test_system system;
+  linked_entry a(system);
+  linked_entry b(system);
+  a.link.Send(To(2, b.port, NumberedCancel(1)));
+  b.events.Await<core::frame_received>();
+
+  SECTION("when the header is wrong") {
+    raw_socket stranger(b.port);
+    stranger.Write("GET / HTTP/1.1\r\n\r\n");
+    stranger.AwaitEnd();
+  }
+
+  SECTION("when the payload is wrong") {
+    raw_socket stranger(b.port);
+    stranger.Write(SealPayload("this is no table"));
+    stranger.AwaitEnd();
+  }
+
+  SECTION("when there is no payload at all") {
+    raw_socket stranger(b.port);
+    stranger.Write(SealPayload(""));
+    stranger.AwaitEnd();
+  }
+
+  CHECK(b.link.counters().malformed == 1);
+  a.link.Send(To(2, b.port, NumberedCancel(2)));
+  CHECK(NumberOf(b.events.Await<core::frame_received>()) == 2);
+}
+
+// An entry waits for answers of a peer that dies. The link sees the connection
+// end and says so, so that waiting requests can be answered at once instead of
+// at their deadlines.
+TEST_CASE("A peer that can't be reached is told of") {
+  test_system system;
+  linked_entry a(system);
+  auto b = std::make_unique<linked_entry>(system);
+  const std::uint16_t port = b->port;
+
+  SECTION("when it goes away") {
+    a.link.Send(To(2, port, NumberedCancel(1)));
+    b->events.Await<core::frame_received>();
+    b.reset();
+    CHECK(a.events.Await<core::peer_disconnected>().peer ==
+          core::incarnation{2});
+  }
+
+  SECTION("when nobody listens") {
+    b.reset();
+    a.link.Send(To(2, port, NumberedCancel(1)));
+    CHECK(a.events.Await<core::peer_disconnected>().peer ==
+          core::incarnation{2});
+  }
+
+  SECTION("when its address is no IP number") {
+    a.link.Send({core::incarnation{2}, "nowhere", port, NumberedCancel(1)});
+    CHECK(a.events.Await<core::peer_disconnected>().peer ==
+          core::incarnation{2});
+  }
+
+  SECTION("when the frame is too long") {
+    core::peer_frame frame = SampleRequest();
+    std::get<core::forward_request>(frame.message).request.body =
+        std::make_shared<const std::string>(kDefaultFrameLimit, 'x');
+    a.link.Send(To(2, port, frame));
+    CHECK(a.events.Await<core::peer_disconnected>().peer ==
+          core::incarnation{2});
+    CHECK(a.link.counters().dropped == 1);
+  }
+}
+
+TEST_CASE("An entry that can't listen says so") {
+  test_system system;
+  linked_entry a(system);
+  peer_link_options options;
+  options.host = "192.0.2.1";
+  CHECK_THROWS_AS(linked_entry(system, options), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace plantainhead::entry
