Add the requests: ownership, queues, forwarding, dispatch, answers

Cause: the entries need one place that decides where a request goes and what its caller may be told.

--- /dev/null
+++ b/include/plantainhead/core/owner_loads.h
@@ -0,0 +1,66 @@
+#ifndef PLANTAINHEAD_CORE_OWNER_LOADS_H_
+#define PLANTAINHEAD_CORE_OWNER_LOADS_H_
+
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/messages.h"
+#include "plantainhead/core/random.h"
+#include "plantainhead/core/routing_context.h"
+
+namespace plantainhead::core {
+
+/// What this entry knows of how full the owners are, and the choice of one for
+/// a request.
+/// Thread safety: none.
+class owner_loads {
+ public:
+  /// Takes in what an owner told with a heartbeat or a reply.
+  void OnReport(incarnation owner, const std::vector<service_load>& load);
+
+  /// A request was forwarded to an owner; counts until its next report.
+  void OnForwarded(incarnation owner, const service_name& service);
+
+  void Forget(incarnation owner);
+
+  /// Returns the owner for a request of a service: this entry itself if it has
+  /// a free slot (`own_load`), else the less full of two drawn at random, each
+  /// by its number of slots; when they tie, the one in this entry's zone.
+  /// Suspects and those in `avoid` are passed over. Returns nothing if nobody
+  /// is left.
+  std::optional<incarnation> Choose(const service_routes& routes,
+                                    const service_load& own_load,
+                                    const routing_context& context,
+                                    const std::vector<incarnation>& avoid,
+                                    random_source& random) const;
+
+  /// Returns the slots of a service that owners report to be out of use.
+  std::uint32_t LostSlots(const service_routes& routes) const;
+
+  /// Returns true if an owner is known or believed to have a free slot.
+  bool HasFreeSlot(const owner_share& share, const service_name& service) const;
+
+ private:
+  struct known_load {
+    std::uint32_t slots = 0;
+    std::uint32_t busy = 0;
+    std::uint32_t queued = 0;
+    /// Forwarded by this entry since the report.
+    std::uint32_t sent = 0;
+    bool reported = false;
+  };
+  using load_by_service = std::unordered_map<service_name, known_load>;
+
+  const known_load* Find(incarnation owner, const service_name& service) const;
+  /// Returns how many requests wait for each slot, 0 when a slot is free.
+  double WaitScore(const owner_share& share, const service_name& service) const;
+
+  std::unordered_map<incarnation, load_by_service> loads_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_OWNER_LOADS_H_
--- /dev/null
+++ b/include/plantainhead/core/request_queue.h
@@ -0,0 +1,156 @@
+#ifndef PLANTAINHEAD_CORE_REQUEST_QUEUE_H_
+#define PLANTAINHEAD_CORE_REQUEST_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "plantainhead/core/configuration.h"
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core {
+
+/// One request as the queue sees it.
+struct queue_item {
+  std::uint64_t id = 0;
+  time_point arrival;
+  /// Nothing is started after it.
+  time_point deadline;
+};
+
+/// Whether a request may wait.
+struct admission {
+  bool admitted = false;
+  duration predicted_wait{};
+  /// When asking again may help; set when it isn't admitted.
+  duration retry_after{};
+};
+
+/// The requests that wait for one service's slots at their owner, in the order
+/// of their classes' targets.
+///
+/// A request's limit is the earlier of its deadline and its class's target.
+/// Classes that can't wait go by the earliest limit, moved forward a little for
+/// a class that burns its budget. Classes that can wait go when no other does,
+/// or when their limit is the earliest, and get a small share of the slots in
+/// any case, so that they finish. A request is refused when it arrives if it
+/// would start too late, and when its turn comes if it can't end in time while
+/// others still can.
+/// Thread safety: none.
+class request_queue {
+ public:
+  /// Shares of the dispatches, while other classes wait, that classes that can
+  /// wait get at least and at most.
+  static constexpr double kLeastWaitingShare = 1.0 / 32;
+  static constexpr double kMostWaitingShare = 1.0 / 8;
+  /// A request is admitted if its predicted wait takes at most this part of its
+  /// time. With the whole of it the queue would be full of requests close to
+  /// their limit, which go before new ones of a tighter class, and the tighter
+  /// class would miss its target.
+  static constexpr double kWaitPart = 0.5;
+  /// How much of its time a class that burns its budget is moved forward at
+  /// most. Bounded, since in an overload that no order can mend a class far
+  /// behind would push aside those that still meet their targets.
+  static constexpr double kMostForward = 0.2;
+  /// Bounds the memory; far above what admission lets in.
+  static constexpr std::size_t kMostQueued = 10000;
+  static constexpr duration kLeastRetryAfter = std::chrono::milliseconds(50);
+  static constexpr duration kMostRetryAfter = std::chrono::seconds(30);
+
+  /// Puts a new request into the queue if it can be served in time by `slots`
+  /// of which `free` are free. Precondition: no item has its id.
+  admission Offer(const queue_item& item,
+                  const work_class& work,
+                  std::uint32_t slots,
+                  std::uint32_t free,
+                  time_point now);
+
+  /// Puts a request back that was taken out and surely not run.
+  void PutBack(const queue_item& item, const work_class& work);
+
+  /// Takes out the request that goes next. Those passed over since they can't
+  /// end in time are appended to `refused`; they are out of the queue too.
+  std::optional<std::uint64_t> Pop(time_point now,
+                                   std::vector<std::uint64_t>& refused);
+
+  /// Takes a request out. Returns false if it isn't there.
+  bool Erase(std::uint64_t id);
+
+  /// A request of a class ended after `service_time` at the endpoint, `in_time`
+  /// or not.
+  void OnServed(const work_class& work, duration service_time, bool in_time);
+
+  /// A request of a class ended without being served.
+  void OnUnserved(const work_class& work);
+
+  /// Returns how long a request of a class that arrives now would wait.
+  duration PredictedWait(const work_class& work,
+                         std::uint32_t slots,
+                         std::uint32_t free,
+                         time_point now) const;
+
+  std::size_t size() const { return places_.size(); }
+
+  /// Returns all ids, for a service whose endpoints went to other owners.
+  std::vector<std::uint64_t> Ids() const;
+
+ private:
+  struct waiting {
+    /// Order within and between lanes.
+    time_point key;
+    std::uint64_t id = 0;
+    /// Target of the class or deadline, whichever is earlier.
+    time_point limit;
+    time_point deadline;
+  };
+
+  /// The requests of one class, by key.
+  struct lane {
+    bool can_wait = false;
+    std::deque<waiting> items;
+    double mean_us = 0;
+    double deviation_us = 0;
+    /// Share of requests that were not served in time, over that allowed.
+    double burn = 0;
+  };
+
+  struct place {
+    lane* in = nullptr;
+    time_point key;
+  };
+
+  lane& LaneOf(const work_class& work);
+  const lane* FindLane(const class_name& name) const;
+  waiting MakeWaiting(const queue_item& item,
+                      const work_class& work,
+                      const lane& into) const;
+  void Insert(lane& into, const waiting& item);
+  void CountOutcome(lane& in, const work_class& work, bool served);
+  lane* First(bool can_wait);
+  lane* Next();
+  std::size_t CountAhead(const lane& in, time_point key) const;
+  duration WaitOf(const lane& in,
+                  time_point key,
+                  std::uint32_t slots,
+                  std::uint32_t free) const;
+  static duration LikelyServiceTime(const lane& in);
+
+  std::map<class_name, lane> lanes_;
+  std::unordered_map<std::uint64_t, place> places_;
+  /// Mean service time over all classes.
+  double mean_us_ = 0;
+  /// Credit of the classes that can wait: rises with each dispatch, and one of
+  /// theirs costs one.
+  double waiting_credit_ = 0;
+  /// Share of the dispatches that went to classes that can wait.
+  double waiting_share_ = kMostWaitingShare;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_REQUEST_QUEUE_H_
--- /dev/null
+++ b/src/core/answers.h
@@ -0,0 +1,29 @@
+#ifndef PLANTAINHEAD_SRC_CORE_ANSWERS_H_
+#define PLANTAINHEAD_SRC_CORE_ANSWERS_H_
+
+#include <string>
+
+#include "plantainhead/core/claim_decision.h"
+#include "plantainhead/core/request.h"
+
+/// The answers that entries give in place of an endpoint.
+namespace plantainhead::core {
+
+/// When there is no better estimate of when asking again may help.
+inline constexpr duration kUsualRetryAfter = std::chrono::seconds(1);
+
+/// Returns an answer to a request that was not run and will not be.
+response NotRun(answer_reason reason,
+                std::string detail,
+                duration retry_after = kUsualRetryAfter);
+
+/// Returns an answer to a request that may have run.
+response Unknown(answer_reason reason, std::string detail);
+
+/// Returns the answer to a request whose claim wasn't granted.
+/// Precondition: the verdict isn't `kGranted`.
+response AnswerTo(const claim_decision& refused);
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_SRC_CORE_ANSWERS_H_
--- /dev/null
+++ b/src/core/endpoint_table.cc
@@ -0,0 +1,171 @@
+#include "plantainhead/core/endpoint_table.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+
+#include <xxhash.h>
+
+namespace plantainhead::core {
+namespace {
+
+struct candidate {
+  incarnation who = incarnation::kNone;
+  const zone_id* zone = nullptr;
+};
+
+using candidate_list = std::vector<candidate>;
+
+std::uint64_t HashOf(std::string_view name) {
+  return XXH3_64bits(name.data(), name.size());
+}
+
+/// The weight of a member for a thing in rendezvous hashing.
+std::uint64_t WeightOf(std::uint64_t thing, incarnation member) {
+  const std::uint64_t pair[] = {thing, static_cast<std::uint64_t>(member)};
+  return XXH3_64bits(pair, sizeof(pair));
+}
+
+incarnation Heaviest(std::uint64_t thing, const candidate_list& members) {
+  incarnation best = incarnation::kNone;
+  std::uint64_t best_weight = 0;
+  for (const candidate& member : members) {
+    const std::uint64_t weight = WeightOf(thing, member.who);
+    if (best == incarnation::kNone || weight > best_weight) {
+      best = member.who;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+std::vector<incarnation> Ranking(std::uint64_t thing,
+                                 const candidate_list& members,
+                                 std::size_t most) {
+  std::vector<std::pair<std::uint64_t, incarnation>> weighed;
+  for (const candidate& member : members) {
+    weighed.emplace_back(WeightOf(thing, member.who), member.who);
+  }
+  std::sort(weighed.rbegin(), weighed.rend());
+  std::vector<incarnation> ranking;
+  for (std::size_t i = 0; i < std::min(most, weighed.size()); ++i) {
+    ranking.push_back(weighed[i].second);
+  }
+  return ranking;
+}
+
+bool TakesNew(const fleet_state& fleet, const vm_listing& listing) {
+  if (listing.state != vm_listing_state::kLive) {
+    return false;
+  }
+  const auto found = fleet.vms.find(listing.vm);
+  if (found == fleet.vms.end()) {
+    return true;
+  }
+  return found->second.phase == vm_phase::kServing &&
+         !found->second.quarantined;
+}
+
+}  // namespace
+
+const work_class* service_routes::FindClass(const class_name& name) const {
+  for (const work_class& work : classes) {
+    if (work.name == name) {
+      return &work;
+    }
+  }
+  return nullptr;
+}
+
+std::size_t ClaimPartitionOf(const claim_key& key) {
+  return HashOf(key.value()) % kClaimPartitions;
+}
+
+void endpoint_table::Rebuild(const fleet_state& fleet,
+                             const std::vector<vm_listing>& listings,
+                             incarnation self,
+                             const std::set<incarnation>& stopping) {
+  candidate_list members;
+  std::map<zone_id, candidate_list> by_zone;
+  for (const auto& [who, member] : fleet.members) {
+    if (stopping.count(who) == 0) {
+      members.push_back({who, &member.zone});
+      by_zone[member.zone].push_back(members.back());
+    }
+  }
+
+  services_.clear();
+  by_vm_.clear();
+  for (const service_spec& spec : fleet.targets.services) {
+    services_[spec.name].name = spec.name;
+  }
+  for (const work_class& work : fleet.targets.classes) {
+    const auto found = services_.find(work.service);
+    if (found != services_.end()) {
+      found->second.classes.push_back(work);
+    }
+  }
+  for (const vm_listing& listing : listings) {
+    const auto zone = by_zone.find(listing.zone);
+    const candidate_list& near = zone == by_zone.end() ? members : zone->second;
+    AddEndpoint(fleet, listing, Heaviest(HashOf(listing.vm.value()), near));
+  }
+  CountShares(fleet, self);
+  for (std::size_t partition = 0; partition < kClaimPartitions; ++partition) {
+    homes_[partition] = Ranking(partition, members, kHomeChoices);
+  }
+}
+
+void endpoint_table::AddEndpoint(const fleet_state& fleet,
+                                 const vm_listing& listing,
+                                 incarnation owner) {
+  const auto service = services_.find(listing.service);
+  if (listing.port == 0 || service == services_.end() ||
+      by_vm_.count(listing.vm) != 0) {
+    return;
+  }
+  service_routes& routes = service->second;
+  by_vm_[listing.vm] = {&routes, routes.endpoints.size()};
+  routes.endpoints.push_back({listing.vm, listing.service, listing.host,
+                              listing.port, listing.zone, listing.slots, owner,
+                              TakesNew(fleet, listing)});
+}
+
+void endpoint_table::CountShares(const fleet_state& fleet, incarnation self) {
+  for (auto& [name, routes] : services_) {
+    std::map<incarnation, std::uint32_t> slots;
+    for (std::size_t i = 0; i < routes.endpoints.size(); ++i) {
+      const endpoint_info& endpoint = routes.endpoints[i];
+      if (endpoint.owner == self) {
+        routes.owned.push_back(i);
+      }
+      if (endpoint.takes_new && endpoint.owner != incarnation::kNone) {
+        slots[endpoint.owner] += endpoint.slots;
+        routes.slots += endpoint.slots;
+      }
+    }
+    for (const auto& [owner, count] : slots) {
+      routes.owners.push_back({owner, fleet.members.at(owner).zone, count});
+    }
+  }
+}
+
+const service_routes* endpoint_table::Find(const service_name& service) const {
+  const auto found = services_.find(service);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+const endpoint_info* endpoint_table::FindVm(const vm_id& vm) const {
+  const auto found = by_vm_.find(vm);
+  if (found == by_vm_.end()) {
+    return nullptr;
+  }
+  return &found->second.routes->endpoints[found->second.index];
+}
+
+const std::vector<incarnation>& endpoint_table::HomesOf(
+    std::size_t partition) const {
+  return homes_[partition];
+}
+
+}  // namespace plantainhead::core
