--- a/include/plantainhead/core/claim_decision.h
+++ b/include/plantainhead/core/claim_decision.h
@@ -8,24 +8,56 @@
 #include "plantainhead/core/request.h"
 #include "plantainhead/core/time.h"
 
+/// The seam between the requests and the claims of their keys. After each event
+/// that it hands to `request_core`, the owner of both takes the questions with
+/// `request_core::TakeClaimQuestions`, hands each to the claims, and hands the
+/// claims' decisions to `request_core::OnClaimDecision`.
 namespace plantainhead::core {
 
-/// What became of a request's claim on its key.
+/// What `request_core` wants of the claims.
+enum class claim_need {
+  /// Claim the key; ends in a `claim_decision` unless released before.
+  kAsk,
+  /// The request was not dispatched and never will be. Comes for a granted
+  /// claim, and for one that is still undecided; may come twice.
+  kRelease,
+  /// The request was dispatched and has ended; `answer` is set. An answer whose
+  /// result is `kDone` may be kept for a retry of the key; `kUnknown` says only
+  /// that it ended.
+  kFinished,
+};
+
+inline constexpr name_table<claim_need, 3> kClaimNeedNames = {{
+    {claim_need::kAsk, "ask"},
+    {claim_need::kRelease, "release"},
+    {claim_need::kFinished, "finished"},
+}};
+inline constexpr const auto& NamesOf(claim_need) {
+  return kClaimNeedNames;
+}
+
+struct claim_question {
+  claim_need need = claim_need::kAsk;
+  claim_key key;
+  /// This entry's own id of the request, repeated in the decision.
+  request_id request;
+  /// Set for `kFinished`.
+  std::optional<response> answer;
+};
+
+/// What the claims found.
 enum class claim_verdict {
-  /// The request may be dispatched until its deadline; no other request with
-  /// this key may be.
+  /// The claim was read back as the first for its key; dispatching is allowed.
   kGranted,
-  /// Another request with this key is being claimed or run here.
+  /// Another request with the key holds the claim and has not ended.
   kInProgress,
-  /// The key's request ended here; `stored` is its answer.
+  /// The key has ended; `stored` is its answer.
   kStoredAnswer,
-  /// The key was claimed and its answer isn't here: it may have run, and is
-  /// never run again.
+  /// The key was claimed and its answer isn't held here.
   kAlreadyRun,
-  /// The key says that it is older than the claim window.
+  /// The key is older than the claim window.
   kTooOld,
-  /// No claim could be made now. The request was not run and never will be; a
-  /// later one with the same key may be.
+  /// The log can't be reached; this request will not be dispatched.
   kLogUnavailable,
 };
 
@@ -41,13 +73,12 @@
   return kClaimVerdictNames;
 }
 
-/// The answer to one `claims::Ask`.
 struct claim_decision {
   request_id request;
   claim_verdict verdict = claim_verdict::kLogUnavailable;
-  /// Set for `kStoredAnswer`.
+  /// Set when `verdict` is `kStoredAnswer`.
   std::optional<response> stored;
-  /// When asking again may help; set for `kInProgress` and `kLogUnavailable`.
+  /// When asking again may help.
   duration retry_after{};
 };
 
