Join the ends of the operators' commands in one place

Cause: four handlers repeated the same tail. A new wave or job starts at its record's offset as version, which the answer now tells.

Change: command_handlers::Finish; a parked job can be freed (POST /v1/jobs/{id}/retry).

--- a/src/operators/answers.cc
+++ b/src/operators/answers.cc
@@ -2,6 +2,16 @@
 
 namespace plantainhead::operators {
 
+no_state_error::no_state_error()
+    : std::runtime_error("this entry has not read the log yet") {}
+
+std::shared_ptr<const core::fleet_state> StateOf(const entry_view& view) {
+  if (view.state == nullptr) {
+    throw no_state_error();
+  }
+  return view.state;
+}
+
 caller::http_answer JsonAnswer(int status, const json& body) {
   constexpr int kIndent = 2;
   caller::http_answer answer;
@@ -17,6 +27,11 @@
   return JsonAnswer(status, {{"error", code}, {"message", message}});
 }
 
+caller::http_answer UnavailableAnswer(const std::string& message) {
+  constexpr int kUnavailable = 503;
+  return ErrorAnswer(kUnavailable, "unavailable", message);
+}
+
 caller::http_answer FindingsAnswer(const core::findings_error& error) {
   constexpr int kBadRequest = 400;
   json findings = json::array();
--- a/src/operators/commands.cc
+++ b/src/operators/commands.cc
@@ -18,7 +18,6 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
-constexpr int kUnavailable = 503;
 
 constexpr char kAuthorHeader[] = "plantain-author";
 constexpr char kExpectedHeader[] = "plantain-expected-version";
@@ -74,11 +73,12 @@
 
 core::start_wave ReadWave(const caller::http_request& request,
                           const entry_view& view) {
+  const auto state = StateOf(view);
   json_reader reader(request.body);
   core::start_wave wave;
   wave.wave = core::wave_id(reader.Name("wave"));
   for (std::string& name : reader.Names("pools")) {
-    const auto& pools = view.state->targets.pools;
+    const auto& pools = state->targets.pools;
     const core::pool_id pool(std::move(name));
     const bool known = std::any_of(
         pools.begin(), pools.end(),
@@ -112,17 +112,8 @@
   return spec;
 }
 
-caller::http_answer Accepted(const core::answer_operator& end,
-                             core::generation version) {
-  return JsonAnswer(kOk, {{"offset", end.offset}, {"version", version}});
-}
-
-caller::http_answer ConflictAnswer(const core::answer_operator& end,
-                                   json in_force) {
-  return JsonAnswer(kConflict, {{"error", "conflict"},
-                                {"message", end.detail},
-                                {"in_force", std::move(in_force)}});
-}
+// The version of a new object is the offset of its first record.
+constexpr std::nullopt_t kVersionIsOffset = std::nullopt;
 
 // Returns the object called `name` of a list of views, or null.
 json InList(const json& list, const char* key, const std::string& name) {
@@ -157,61 +148,49 @@
   return future.get();
 }
 
-caller::http_answer command_handlers::Unavailable(
-    const std::string& message) const {
-  caller::http_answer answer =
-      ErrorAnswer(kUnavailable, "unavailable", message);
-  answer.headers["Retry-After"] = std::to_string(options_.retry_after.count());
-  return answer;
-}
-
-caller::http_answer command_handlers::Refusal(
-    const core::answer_operator& end) const {
-  if (end.result == core::command_result::kInvalid) {
-    return ErrorAnswer(kBadRequest, "invalid", end.detail);
-  }
-  return Unavailable(
+caller::http_answer command_handlers::Finish(
+    const caller::http_request& request,
+    core::record_body body,
+    std::optional<core::generation> version,
+    const std::function<json(const core::fleet_state&)>& in_force) const {
+  const core::answer_operator end = Run(request, std::move(body));
+  switch (end.result) {
+    case core::command_result::kAccepted:
+      return JsonAnswer(kOk, {{"offset", end.offset},
+                              {"version", version.value_or(end.offset)}});
+    case core::command_result::kConflict:
+      return JsonAnswer(kConflict, {{"error", "conflict"},
+                                    {"message", end.detail},
+                                    {"in_force", in_force(*StateOf(view_()))}});
+    case core::command_result::kInvalid:
+      return ErrorAnswer(kBadRequest, "invalid", end.detail);
+    case core::command_result::kUnknown:
+      break;
+  }
+  caller::http_answer answer = UnavailableAnswer(
       "whether the change will take effect isn't known; send it again with the "
       "same expected version: " +
       end.detail);
+  answer.headers["Retry-After"] = std::to_string(options_.retry_after.count());
+  return answer;
 }
 
 caller::http_answer command_handlers::PublishTargets(
     const caller::http_request& request) const {
   core::publish_configuration body;
   body.document = settings::ParseTargets(request.body, "targets.yaml");
-  const entry_view before = view_();
-  if (before.state == nullptr) {
-    return Unavailable("this entry has not read the log yet");
-  }
-  body.expected = ExpectedOf(request, before.state->targets_version);
+  body.expected = ExpectedOf(request, StateOf(view_())->targets_version);
   const core::generation version = body.expected + 1;
-  const core::answer_operator end = Run(request, std::move(body));
-  if (end.result == core::command_result::kAccepted) {
-    return Accepted(end, version);
-  }
-  if (end.result == core::command_result::kConflict) {
-    return ConflictAnswer(end, TargetsView(*view_().state));
-  }
-  return Refusal(end);
+  return Finish(request, std::move(body), version, TargetsView);
 }
 
 caller::http_answer command_handlers::StartWave(
     const caller::http_request& request) const {
-  const entry_view before = view_();
-  if (before.state == nullptr) {
-    return Unavailable("this entry has not read the log yet");
-  }
-  const core::start_wave wave = ReadWave(request, before);
-  const core::answer_operator end = Run(request, wave);
-  if (end.result == core::command_result::kAccepted) {
-    return Accepted(end, 1);
-  }
-  if (end.result == core::command_result::kConflict) {
-    return ConflictAnswer(
-        end, InList(WavesView(*view_().state), "wave", wave.wave.value()));
-  }
-  return Refusal(end);
+  const core::start_wave wave = ReadWave(request, view_());
+  return Finish(request, wave, kVersionIsOffset,
+                [name = wave.wave](const core::fleet_state& state) {
+                  return InList(WavesView(state), "wave", name.value());
+                });
 }
 
 caller::http_answer command_handlers::ChangeWave(
@@ -220,66 +199,47 @@
   body.wave = core::wave_id(PathPart(request.path, kNamePart));
   body.state = StateFor(PathPart(request.path, kVerbPart));
   body.reason = ReasonOf(request);
-  const entry_view before = view_();
-  if (before.state == nullptr) {
-    return Unavailable("this entry has not read the log yet");
-  }
-  const auto wave = before.state->waves.find(body.wave);
-  if (wave == before.state->waves.end()) {
+  const auto state = StateOf(view_());
+  const auto wave = state->waves.find(body.wave);
+  if (wave == state->waves.end()) {
     return ErrorAnswer(kNotFound, "not-found",
                        "no wave is called '" + body.wave.value() + "'");
   }
   body.expected = ExpectedOf(request, wave->second.version);
-  const core::answer_operator end = Run(request, body);
-  if (end.result == core::command_result::kAccepted) {
-    return Accepted(end, body.expected + 1);
-  }
-  if (end.result == core::command_result::kConflict) {
-    return ConflictAnswer(
-        end, InList(WavesView(*view_().state), "wave", body.wave.value()));
-  }
-  return Refusal(end);
+  return Finish(request, body, body.expected + 1,
+                [name = body.wave](const core::fleet_state& now) {
+                  return InList(WavesView(now), "wave", name.value());
+                });
 }
 
 caller::http_answer command_handlers::SubmitJob(
     const caller::http_request& request) const {
   const core::job_spec spec = ReadJob(request);
-  const core::answer_operator end = Run(request, core::submit_job{spec});
-  if (end.result == core::command_result::kAccepted) {
-    return Accepted(end, 1);
-  }
-  if (end.result == core::command_result::kConflict) {
-    return ConflictAnswer(
-        end, InList(JobsView(*view_().state), "job", spec.name.value()));
-  }
-  return Refusal(end);
+  return Finish(request, core::submit_job{spec}, kVersionIsOffset,
+                [name = spec.name](const core::fleet_state& state) {
+                  return InList(JobsView(state), "job", name.value());
+                });
 }
 
-caller::http_answer command_handlers::CancelJob(
+caller::http_answer command_handlers::ChangeJob(
     const caller::http_request& request) const {
   core::set_job_state body;
   body.job = core::job_id(PathPart(request.path, kNamePart));
-  body.state = core::job_state::kCancelled;
+  body.state = PathPart(request.path, kVerbPart) == "cancel"
+                   ? core::job_state::kCancelled
+                   : core::job_state::kWaiting;
   body.reason = ReasonOf(request);
-  const entry_view before = view_();
-  if (before.state == nullptr) {
-    return Unavailable("this entry has not read the log yet");
-  }
-  const auto job = before.state->jobs.find(body.job);
-  if (job == before.state->jobs.end()) {
+  const auto state = StateOf(view_());
+  const auto job = state->jobs.find(body.job);
+  if (job == state->jobs.end()) {
     return ErrorAnswer(kNotFound, "not-found",
                        "no job is called '" + body.job.value() + "'");
   }
   body.expected = ExpectedOf(request, job->second.version);
-  const core::answer_operator end = Run(request, body);
-  if (end.result == core::command_result::kAccepted) {
-    return Accepted(end, body.expected + 1);
-  }
-  if (end.result == core::command_result::kConflict) {
-    return ConflictAnswer(
-        end, InList(JobsView(*view_().state), "job", body.job.value()));
-  }
-  return Refusal(end);
+  return Finish(request, body, body.expected + 1,
+                [name = body.job](const core::fleet_state& now) {
+                  return InList(JobsView(now), "job", name.value());
+                });
 }
 
 }  // namespace plantainhead::operators
--- a/src/operators/commands.h
+++ b/src/operators/commands.h
@@ -1,9 +1,10 @@
 #ifndef PLANTAINHEAD_SRC_OPERATORS_COMMANDS_H_
 #define PLANTAINHEAD_SRC_OPERATORS_COMMANDS_H_
 
+#include <functional>
 #include <optional>
-#include <string>
 
+#include "operators/views.h"
 #include "plantainhead/caller/route.h"
 #include "plantainhead/core/gateway.h"
 #include "plantainhead/operators/entry_view.h"
@@ -27,17 +28,21 @@
   /// Handles /v1/waves/{wave}/{pause|resume|cancel}.
   caller::http_answer ChangeWave(const caller::http_request& request) const;
   caller::http_answer SubmitJob(const caller::http_request& request) const;
-  /// Handles /v1/jobs/{job}/cancel.
-  caller::http_answer CancelJob(const caller::http_request& request) const;
+  /// Handles /v1/jobs/{job}/{cancel|retry}; a retry frees a parked job.
+  caller::http_answer ChangeJob(const caller::http_request& request) const;
 
  private:
   // Hands in a record and waits for its end, at most for the patience.
   core::answer_operator Run(const caller::http_request& request,
                             core::record_body body) const;
 
-  // The answer to a command that was not accepted and is no conflict.
-  caller::http_answer Refusal(const core::answer_operator& end) const;
-  caller::http_answer Unavailable(const std::string& message) const;
+  // Runs a command and answers how it ended. `version` is the object's after
+  // an accepted change; a conflict shows `in_force` of the fold.
+  caller::http_answer Finish(
+      const caller::http_request& request,
+      core::record_body body,
+      std::optional<core::generation> version,
+      const std::function<json(const core::fleet_state&)>& in_force) const;
 
   core::core_gateway gateway_;
   view_function view_;
--- a/src/operators/control.cc
+++ b/src/operators/control.cc
@@ -107,7 +107,8 @@
   } else {
     *err_ << "an entry answered " << answer.status << '\n';
   }
-  if (body.is_object() && body.contains("in_force")) {
+  if (body.is_object() && body.contains("in_force") &&
+      !body["in_force"].is_null()) {
     const json& in_force = body["in_force"];
     *err_ << "in force: " << in_force.dump(2) << '\n';
   }
--- a/src/operators/routes.cc
+++ b/src/operators/routes.cc
@@ -18,26 +18,24 @@
 using handler = std::function<caller::http_answer(const caller::http_request&)>;
 
 // Answers what is wrong with a request instead of a bare 500.
-handler WithFindings(handler inner) {
+handler WithErrors(handler inner) {
   return [inner = std::move(inner)](const caller::http_request& request) {
     try {
       return inner(request);
     } catch (const core::findings_error& error) {
       return FindingsAnswer(error);
+    } catch (const no_state_error& error) {
+      return UnavailableAnswer(error.what());
     }
   };
 }
 
-// Shows a part of the fold, or 503 while the entry has none.
+// Shows a part of the fold.
 handler Shows(view_function view, json (*show)(const core::fleet_state&)) {
-  return [view = std::move(view), show](const caller::http_request&) {
-    const entry_view now = view();
-    if (now.state == nullptr) {
-      return ErrorAnswer(kUnavailable, "unavailable",
-                         "this entry has not read the log yet");
-    }
-    return JsonAnswer(kOk, show(*now.state));
-  };
+  return WithErrors(
+      [view = std::move(view), show](const caller::http_request&) {
+        return JsonAnswer(kOk, show(*StateOf(view())));
+      });
 }
 
 caller::http_answer Readiness(bool ready, const std::string& reason) {
@@ -56,10 +54,9 @@
       caller::http_answer (command_handlers::*)(const caller::http_request&)
           const;
   const auto runs = [commands](method handle) {
-    return WithFindings(
-        [commands, handle](const caller::http_request& request) {
-          return ((*commands).*handle)(request);
-        });
+    return WithErrors([commands, handle](const caller::http_request& request) {
+      return ((*commands).*handle)(request);
+    });
   };
   return {
       {"PUT", "/v1/targets", runs(&command_handlers::PublishTargets)},
@@ -77,8 +74,8 @@
       {"GET", "/v1/pools", Shows(view, PoolsView)},
       {"GET", "/v1/jobs", Shows(view, JobsView)},
       {"POST", "/v1/jobs", runs(&command_handlers::SubmitJob)},
-      {"POST", "/v1/jobs/[A-Za-z0-9._-]+/cancel",
-       runs(&command_handlers::CancelJob)},
+      {"POST", "/v1/jobs/[A-Za-z0-9._-]+/(cancel|retry)",
+       runs(&command_handlers::ChangeJob)},
       {"GET", "/healthz",
        [](const caller::http_request&) {
          return JsonAnswer(kOk, {{"alive", true}});
--- a/src/operators/views.cc
+++ b/src/operators/views.cc
@@ -164,6 +164,7 @@
                    {"quarantined", vm.quarantined},
                    {"wave", vm.wave.value()},
                    {"operation", vm.operation.value()},
+                   {"author", vm.author},
                    {"reason", vm.reason}});
   }
   return vms;
@@ -208,6 +209,7 @@
                     {"urgent", job.spec.urgent},
                     {"finish_by", ToUtc(job.spec.finish_by)},
                     {"failures", job.failures},
+                    {"author", job.author},
                     {"reason", job.reason}});
   }
   return jobs;
