--- a/include/plantainhead/core/actions.h
+++ b/include/plantainhead/core/actions.h
@@ -120,7 +120,11 @@
 };
 
 /// The entry has ended all it had to do.
-struct exit_process {};
+struct exit_process {
+  /// True when the fold dropped this entry while it lived: the process is to
+  /// start anew under another incarnation.
+  bool restart = false;
+};
 
 using action = std::variant<answer_caller,
                             send_frame,
--- a/include/plantainhead/core/claim_home.h
+++ b/include/plantainhead/core/claim_home.h
@@ -1,8 +1,10 @@
 #ifndef PLANTAINHEAD_CORE_CLAIM_HOME_H_
 #define PLANTAINHEAD_CORE_CLAIM_HOME_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
+#include <vector>
 
 #include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
@@ -32,6 +34,15 @@
                    const fleet_state& state,
                    const std::set<incarnation>& excluded);
 
+/// Returns the members that may write the claims of `partition`, first choice
+/// first, at most `most`; the first is `HomeOf`. When it is excluded, the second
+/// is the home, and so on.
+/// Thread safety: safe from any thread while nobody writes `state`.
+std::vector<incarnation> HomesOf(std::uint32_t partition,
+                                 const fleet_state& state,
+                                 const std::set<incarnation>& excluded,
+                                 std::size_t most);
+
 }  // namespace plantainhead::core
 
 #endif  // PLANTAINHEAD_CORE_CLAIM_HOME_H_
--- a/include/plantainhead/core/endpoint_table.h
+++ b/include/plantainhead/core/endpoint_table.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "plantainhead/core/claim_home.h"
 #include "plantainhead/core/configuration.h"
 #include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
@@ -55,13 +56,6 @@
   const work_class* FindClass(const class_name& name) const;
 };
 
-/// Number of parts into which the claim keys are divided.
-inline constexpr std::size_t kClaimPartitions = 64;
-
-/// Returns the part of a key, in [0, kClaimPartitions).
-/// Thread safety: safe from any thread.
-std::size_t ClaimPartitionOf(const claim_key& key);
-
 /// Which entry owns which endpoint, and which entry claims which keys, worked
 /// out by rendezvous hashing over the members of the fold: equal inputs give
 /// equal tables at every entry, and a change of members moves only the
--- a/src/core/claim_home.cc
+++ b/src/core/claim_home.cc
@@ -2,8 +2,10 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
+#include <utility>
 
 namespace plantainhead::core {
 
@@ -17,24 +19,33 @@
   return stream_name("claims-" + std::to_string(partition));
 }
 
-incarnation HomeOf(std::uint32_t partition,
-                   const fleet_state& state,
-                   const std::set<incarnation>& excluded) {
-  incarnation home = incarnation::kNone;
-  std::uint64_t greatest = 0;
+std::vector<incarnation> HomesOf(std::uint32_t partition,
+                                 const fleet_state& state,
+                                 const std::set<incarnation>& excluded,
+                                 std::size_t most) {
+  std::vector<std::pair<std::uint64_t, incarnation>> weighed;
   for (const auto& [who, member] : state.members) {
-    if (excluded.count(who) > 0) {
+    if (excluded.contains(who)) {
       continue;
     }
     const std::array<std::uint64_t, 2> parts = {static_cast<std::uint64_t>(who),
                                                 partition};
-    const std::uint64_t score = XXH3_64bits(parts.data(), sizeof(parts));
-    if (home == incarnation::kNone || score > greatest) {
-      home = who;
-      greatest = score;
-    }
+    weighed.emplace_back(XXH3_64bits(parts.data(), sizeof(parts)), who);
+  }
+  std::sort(weighed.rbegin(), weighed.rend());
+  std::vector<incarnation> homes;
+  for (std::size_t i = 0; i < std::min(most, weighed.size()); ++i) {
+    homes.push_back(weighed[i].second);
   }
-  return home;
+  return homes;
+}
+
+incarnation HomeOf(std::uint32_t partition,
+                   const fleet_state& state,
+                   const std::set<incarnation>& excluded) {
+  const std::vector<incarnation> homes =
+      HomesOf(partition, state, excluded, 1);
+  return homes.empty() ? incarnation::kNone : homes.front();
 }
 
 }  // namespace plantainhead::core
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -39,21 +39,6 @@
   return best;
 }
 
-std::vector<incarnation> Ranking(std::uint64_t thing,
-                                 const candidate_list& members,
-                                 std::size_t most) {
-  std::vector<std::pair<std::uint64_t, incarnation>> weighed;
-  for (const candidate& member : members) {
-    weighed.emplace_back(WeightOf(thing, member.who), member.who);
-  }
-  std::sort(weighed.rbegin(), weighed.rend());
-  std::vector<incarnation> ranking;
-  for (std::size_t i = 0; i < std::min(most, weighed.size()); ++i) {
-    ranking.push_back(weighed[i].second);
-  }
-  return ranking;
-}
-
 bool TakesNew(const fleet_state& fleet, const vm_listing& listing) {
   if (listing.state != vm_listing_state::kLive) {
     return false;
@@ -77,10 +62,6 @@
   return nullptr;
 }
 
-std::size_t ClaimPartitionOf(const claim_key& key) {
-  return HashOf(key.value()) % kClaimPartitions;
-}
-
 void endpoint_table::Rebuild(const fleet_state& fleet,
                              const std::vector<vm_listing>& listings,
                              incarnation self,
@@ -111,8 +92,9 @@
     AddEndpoint(fleet, listing, Heaviest(HashOf(listing.vm.value()), near));
   }
   CountShares(fleet, self);
-  for (std::size_t partition = 0; partition < kClaimPartitions; ++partition) {
-    homes_[partition] = Ranking(partition, members, kHomeChoices);
+  for (std::uint32_t partition = 0; partition < kClaimPartitions; ++partition) {
+    homes_[partition] =
+        core::HomesOf(partition, fleet, stopping, kHomeChoices);
   }
 }
 
--- a/src/core/request_core_routing.cc
+++ b/src/core/request_core_routing.cc
@@ -42,7 +42,7 @@
            context, now, out);
     return;
   }
-  const std::size_t partition = ClaimPartitionOf(*item.envelope.key);
+  const std::uint32_t partition = PartitionOf(*item.envelope.key);
   for (const incarnation home : context.endpoints.HomesOf(partition)) {
     if (home == self_) {
       break;
@@ -53,8 +53,7 @@
       return;
     }
   }
-  // The log decides who is first, so any entry may claim; the home only saves
-  // appends and holds the answers.
+  // Every home is lost, or this is one. An entry that isn't the home refuses.
   AskClaim(item);
 }
 
