--- /dev/null
+++ b/src/caller/connection_server.h
@@ -0,0 +1,84 @@
+#ifndef PLANTAINHEAD_CALLER_CONNECTION_SERVER_H_
+#define PLANTAINHEAD_CALLER_CONNECTION_SERVER_H_
+
+#include <httplib.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "caller/idle_connections.h"
+#include "plantainhead/core/request.h"
+
+namespace plantainhead::caller {
+
+/// What the HTTP library would change about a request or lose of it, kept for
+/// the handler that runs on the same thread.
+struct exchange {
+  /// Decoded path.
+  std::string path;
+  /// Headers as the caller sent them.
+  core::header_list headers;
+  /// The handler sets it when the rest of the connection can't be trusted.
+  bool close = false;
+  /// Set when the length of the body is in doubt or the body isn't allowed.
+  std::string framing_fault;
+};
+
+/// Returns the exchange of the request that this thread handles.
+/// Precondition: called from a handler of a `connection_server`.
+exchange& CurrentExchange();
+
+/// cpp-httplib's server with threads for requests instead of connections.
+///
+/// It replaces only how connections are waited for. Parsing, routing and
+/// writing stay the library's.
+class connection_server : public httplib::Server {
+ public:
+  struct limits {
+    std::size_t threads;
+    std::size_t most_idle;
+    std::chrono::milliseconds idle_timeout;
+    std::size_t most_requests;
+    std::chrono::milliseconds read_limit;
+    std::chrono::milliseconds write_limit;
+  };
+
+  explicit connection_server(limits bounds);
+  ~connection_server() override;
+
+  /// Binds and accepts. Throws `std::runtime_error` when it can't bind.
+  std::uint16_t Start(const std::string& host, std::uint16_t port);
+
+  /// Ends each connection after its next answer.
+  void EndConnections() { ending_ = true; }
+
+  /// Returns once every request in progress has its answer.
+  void Stop();
+
+  std::size_t IdleConnections() const { return idle_.size(); }
+
+ private:
+  bool process_and_close_socket(socket_t socket) override;
+  bool Bind(const std::string& host, int port);
+  void Listen(const std::string& host);
+  void Serve(connection_ptr item);
+  bool ServeOne(connection* item);
+  void Enqueue(connection_ptr item);
+
+  const limits limits_;
+  httplib::ThreadPool pool_;
+  idle_connections idle_;
+  std::atomic<bool> ending_ = false;
+  std::atomic<bool> stopping_ = false;
+  int port_ = 0;
+  std::thread listener_;
+};
+
+}  // namespace plantainhead::caller
+
+#endif  // PLANTAINHEAD_CALLER_CONNECTION_SERVER_H_
--- /dev/null
+++ b/src/caller/http_server.cc
@@ -0,0 +1,344 @@
+#include "plantainhead/caller/http_server.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <exception>
+#include <future>
+#include <regex>
+#include <stdexcept>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "caller/answer_writer.h"
+#include "caller/connection_server.h"
+#include "caller/request_parser.h"
+
+namespace plantainhead::caller {
+namespace {
+
+using clock = std::chrono::steady_clock;
+
+// The decisions answer each request by its deadline. If one is missed for this
+// long, the caller is told that nobody knows, instead of waiting for ever.
+constexpr std::chrono::seconds kAnswerGrace{5};
+
+// How often a waiting thread looks whether the server's stop has run out.
+constexpr std::chrono::milliseconds kWaitSlice{200};
+
+constexpr const char* kRequestIdHeader = "Plantain-Request-Id";
+
+bool HasNoContent(int status) {
+  return status == 204 || status == 304;
+}
+
+// Moves an answer into the library's. `echo` is the caller's request id.
+void Fill(const written_answer& answer,
+          const std::string& method,
+          const std::string& echo,
+          httplib::Response* response) {
+  response->status = answer.status;
+  for (const auto& [name, value] : answer.headers) {
+    response->headers.emplace(name, value);
+  }
+  if (!echo.empty()) {
+    response->headers.emplace(kRequestIdHeader, echo);
+  }
+  if (answer.body != nullptr && method != "HEAD" &&
+      !HasNoContent(answer.status)) {
+    response->body = *answer.body;
+  }
+}
+
+struct compiled_route {
+  route what;
+  std::regex pattern;
+};
+
+void RequirePositive(bool holds, const char* what) {
+  if (!holds) {
+    throw std::invalid_argument(std::string("http_server: ") + what);
+  }
+}
+
+void Check(const http_server_options& options,
+           const core::core_gateway& gateway) {
+  const auto zero = std::chrono::milliseconds::zero();
+  RequirePositive(options.now != nullptr, "'now' is not set");
+  RequirePositive(gateway.submit != nullptr, "'submit' is not set");
+  RequirePositive(options.threads > 0, "'threads' is 0");
+  RequirePositive(options.most_idle_connections > 0,
+                  "'most_idle_connections' is 0");
+  RequirePositive(options.idle_timeout > zero, "'idle_timeout' is 0");
+  RequirePositive(options.most_requests_per_connection > 0,
+                  "'most_requests_per_connection' is 0");
+  RequirePositive(options.read_limit > zero, "'read_limit' is 0");
+  RequirePositive(options.write_limit > zero, "'write_limit' is 0");
+  RequirePositive(options.default_patience > zero, "'default_patience' is 0");
+}
+
+}  // namespace
+
+class http_server::impl {
+ public:
+  impl(http_server_options options,
+       core::core_gateway gateway,
+       const route_list& routes)
+      : options_(std::move(options)),
+        gateway_(std::move(gateway)),
+        server_({options_.threads, options_.most_idle_connections,
+                 options_.idle_timeout, options_.most_requests_per_connection,
+                 options_.read_limit, options_.write_limit}) {
+    for (const route& item : routes) {
+      routes_.push_back({item, std::regex(item.pattern)});
+    }
+    Register();
+  }
+
+  connection_server& server() { return server_; }
+  const http_server_options& options() const { return options_; }
+
+  void Stop() {
+    if (!stopping_.exchange(true)) {
+      stop_by_ = clock::now() + options_.stop_limit;
+      stop_by_set_ = true;
+      server_.Stop();
+    }
+  }
+
+ private:
+  void Register();
+  void Handle(const httplib::Request& request,
+              httplib::Response& response,
+              const httplib::ContentReader* reader);
+  std::variant<core::shared_body, refusal> ReadBody(
+      const httplib::Request& request,
+      const httplib::ContentReader* reader) const;
+  written_answer AnswerCaller(const httplib::Request& request,
+                              core::shared_body body);
+  written_answer AnswerRoute(const httplib::Request& request,
+                             const core::shared_body& body) const;
+  core::response Wait(std::future<core::response> future,
+                      core::time_point deadline) const;
+  bool HasWaitedEnough(core::time_point deadline) const;
+
+  const http_server_options options_;
+  const core::core_gateway gateway_;
+  std::vector<compiled_route> routes_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<bool> stop_by_set_ = false;
+  clock::time_point stop_by_;
+  connection_server server_;
+};
+
+void http_server::impl::Register() {
+  const auto plain = [this](const httplib::Request& request,
+                            httplib::Response& response) {
+    Handle(request, response, nullptr);
+  };
+  const auto with_body = [this](const httplib::Request& request,
+                                httplib::Response& response,
+                                const httplib::ContentReader& reader) {
+    Handle(request, response, &reader);
+  };
+  // A request whose length is in doubt is answered before the library reads
+  // its body.
+  server_.set_pre_routing_handler(
+      [this](const httplib::Request& request, httplib::Response& response) {
+        if (CurrentExchange().framing_fault.empty()) {
+          return httplib::Server::HandlerResponse::Unhandled;
+        }
+        Handle(request, response, nullptr);
+        return httplib::Server::HandlerResponse::Handled;
+      });
+  server_.Get("/", plain);
+  server_.Options("/", plain);
+  server_.Post("/", with_body);
+  server_.Put("/", with_body);
+  server_.Patch("/", with_body);
+  server_.Delete("/", with_body);
+  // The library's own refusals: malformed requests and unknown methods.
+  server_.set_error_handler(
+      [](const httplib::Request& request, httplib::Response& response) {
+        if (!response.has_header("Plantain-Outcome") &&
+            !response.has_header("Content-Type")) {
+          const refusal why = {response.status, "bad-request",
+                               "the request isn't one that HTTP allows here"};
+          Fill(WriteRefusal(why), request.method, "", &response);
+        }
+      });
+}
+
+void http_server::impl::Handle(const httplib::Request& request,
+                               httplib::Response& response,
+                               const httplib::ContentReader* reader) {
+  exchange& current = CurrentExchange();
+  const std::string* id = FindHeader(current.headers, "plantain-request-id");
+  const std::string echo = id != nullptr ? *id : "";
+  std::variant<core::shared_body, refusal> body = ReadBody(request, reader);
+  if (const refusal* why = std::get_if<refusal>(&body)) {
+    // What is left of the body would be read as the next request.
+    current.close = true;
+    response.headers.emplace("Connection", "close");
+    Fill(WriteRefusal(*why), request.method, echo, &response);
+    return;
+  }
+  const core::shared_body& bytes = std::get<core::shared_body>(body);
+  const bool for_service = request.target.rfind(kServicePrefix, 0) == 0;
+  Fill(for_service ? AnswerCaller(request, bytes) : AnswerRoute(request, bytes),
+       request.method, echo, &response);
+}
+
+std::variant<core::shared_body, refusal> http_server::impl::ReadBody(
+    const httplib::Request& request,
+    const httplib::ContentReader* reader) const {
+  const exchange& current = CurrentExchange();
+  if (!current.framing_fault.empty()) {
+    return refusal{400, "bad-request", current.framing_fault};
+  }
+  const refusal too_large = {
+      413, std::string(core::NameOf(core::answer_reason::kBodyTooLarge)),
+      "a body may have at most " + std::to_string(options_.body_limit) +
+          " bytes"};
+  if (request.get_header_value<std::uint64_t>("Content-Length") >
+      options_.body_limit) {
+    return too_large;
+  }
+  auto bytes = std::make_shared<std::string>();
+  bool overflow = false;
+  const bool whole =
+      reader == nullptr || (*reader)([&](const char* data, std::size_t size) {
+        overflow = bytes->size() + size > options_.body_limit;
+        if (!overflow) {
+          bytes->append(data, size);
+        }
+        return !overflow;
+      });
+  if (overflow) {
+    return too_large;
+  }
+  if (!whole) {
+    return refusal{400, "bad-request", "the body ended early"};
+  }
+  return core::shared_body(std::move(bytes));
+}
+
+written_answer http_server::impl::AnswerCaller(const httplib::Request& request,
+                                               core::shared_body body) {
+  raw_request raw;
+  raw.method = request.method;
+  raw.target = request.target;
+  raw.headers = CurrentExchange().headers;
+  raw.body = std::move(body);
+  raw.remote_ip = request.remote_addr;
+  const patience_limits limits = {options_.default_patience,
+                                  options_.greatest_patience};
+  auto parsed = ParseRequest(raw, options_.now(), limits);
+  if (const refusal* why = std::get_if<refusal>(&parsed)) {
+    return WriteRefusal(*why);
+  }
+  core::request_envelope& envelope = std::get<core::request_envelope>(parsed);
+  const core::time_point deadline = envelope.deadline;
+  return WriteAnswer(Wait(gateway_.submit(std::move(envelope)), deadline));
+}
+
+bool http_server::impl::HasWaitedEnough(core::time_point deadline) const {
+  const bool stop_ran_out = stop_by_set_ && clock::now() >= stop_by_;
+  return stop_ran_out || options_.now() >= deadline + kAnswerGrace;
+}
+
+core::response http_server::impl::Wait(std::future<core::response> future,
+                                       core::time_point deadline) const {
+  core::response unknown;
+  unknown.result = core::outcome::kUnknown;
+  while (future.wait_for(kWaitSlice) != std::future_status::ready) {
+    if (HasWaitedEnough(deadline)) {
+      unknown.reason = stopping_ ? core::answer_reason::kStopping
+                                 : core::answer_reason::kDeadline;
+      unknown.detail = "no answer was known in time";
+      return unknown;
+    }
+  }
+  try {
+    return future.get();
+  } catch (const std::exception& error) {
+    // A promise that was dropped: the runtime ended before it could answer.
+    unknown.reason = core::answer_reason::kStopping;
+    unknown.detail = error.what();
+    return unknown;
+  }
+}
+
+written_answer http_server::impl::AnswerRoute(
+    const httplib::Request& request,
+    const core::shared_body& body) const {
+  const exchange& current = CurrentExchange();
+  http_request plain;
+  plain.method = request.method;
+  plain.path = current.path;
+  for (const auto& [name, value] : request.params) {
+    plain.query[name] = value;
+  }
+  for (const auto& [name, value] : current.headers) {
+    plain.headers[ToLower(name)] = value;
+  }
+  plain.body = *body;
+  bool path_known = false;
+  for (const compiled_route& item : routes_) {
+    if (!std::regex_match(plain.path, item.pattern)) {
+      continue;
+    }
+    path_known = true;
+    const bool head_of_get =
+        plain.method == "HEAD" && item.what.method == "GET";
+    if (item.what.method != plain.method && !head_of_get) {
+      continue;
+    }
+    http_answer answer;
+    try {
+      answer = item.what.handle(plain);
+    } catch (const std::exception& error) {
+      return WriteRefusal({500, "internal", error.what()});
+    }
+    written_answer written;
+    written.status = answer.status;
+    written.headers.emplace_back("Content-Type", answer.content_type);
+    written.headers.insert(written.headers.end(), answer.headers.begin(),
+                           answer.headers.end());
+    written.body = std::make_shared<const std::string>(std::move(answer.body));
+    return written;
+  }
+  return path_known ? WriteRefusal({405, "bad-request", "no such method here"})
+                    : WriteRefusal({404, "bad-request", "no such path"});
+}
+
+http_server::http_server(http_server_options options,
+                         core::core_gateway gateway,
+                         route_list routes) {
+  Check(options, gateway);
+  impl_ =
+      std::make_unique<impl>(std::move(options), std::move(gateway), routes);
+}
+
+http_server::~http_server() {
+  Stop();
+}
+
+std::uint16_t http_server::Start() {
+  return impl_->server().Start(impl_->options().host, impl_->options().port);
+}
+
+void http_server::BeginStop() {
+  impl_->server().EndConnections();
+}
+
+void http_server::Stop() {
+  impl_->Stop();
+}
+
+std::size_t http_server::IdleConnections() const {
+  return impl_->server().IdleConnections();
+}
+
+}  // namespace plantainhead::caller
--- /dev/null
+++ b/src/caller/request_parser.h
@@ -0,0 +1,62 @@
+#ifndef PLANTAINHEAD_CALLER_REQUEST_PARSER_H_
+#define PLANTAINHEAD_CALLER_REQUEST_PARSER_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "plantainhead/core/request.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::caller {
+
+/// A caller's request as HTTP brought it.
+struct raw_request {
+  std::string method;
+  /// Path and query as received.
+  std::string target;
+  core::header_list headers;
+  core::shared_body body;
+  std::string remote_ip;
+};
+
+/// A request that never reaches the decisions.
+struct refusal {
+  int status = 400;
+  std::string reason;
+  std::string detail;
+};
+
+struct patience_limits {
+  std::chrono::milliseconds standard;
+  std::chrono::milliseconds greatest;
+};
+
+/// The start of the path of every caller's request.
+inline constexpr std::string_view kServicePrefix = "/s/";
+
+/// Returns the first value of the header called `name` (in lower case), or
+/// null. Thread safety: safe from any thread.
+const std::string* FindHeader(const core::header_list& headers,
+                              std::string_view name);
+
+/// Returns `text` with ASCII letters in lower case.
+/// Thread safety: safe from any thread.
+std::string ToLower(std::string_view text);
+
+/// Returns the headers without those that concern one connection only: the
+/// fixed ones and those that `Connection` names.
+/// Thread safety: safe from any thread.
+core::header_list WithoutHopByHop(const core::header_list& headers);
+
+/// Reads a request that arrived at `now`. Precondition: its target starts with
+/// `kServicePrefix`. Thread safety: safe from any thread.
+std::variant<core::request_envelope, refusal> ParseRequest(
+    const raw_request& raw,
+    core::time_point now,
+    const patience_limits& limits);
+
+}  // namespace plantainhead::caller
+
+#endif  // PLANTAINHEAD_CALLER_REQUEST_PARSER_H_
--- /dev/null
+++ b/src/endpoint/connection_pool.h
@@ -0,0 +1,68 @@
+#ifndef PLANTAINHEAD_ENDPOINT_CONNECTION_POOL_H_
+#define PLANTAINHEAD_ENDPOINT_CONNECTION_POOL_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "endpoint/endpoint_connection.h"
+
+namespace plantainhead::endpoint {
+
+/// The connections to all endpoints, with a bound for each endpoint.
+class connection_pool {
+ public:
+  using address = std::pair<std::string, std::uint16_t>;
+  using connection_ptr = std::unique_ptr<endpoint_connection>;
+
+  struct limits {
+    std::chrono::milliseconds connect_timeout;
+    std::size_t most_connections;
+    std::chrono::milliseconds keep_idle;
+  };
+
+  explicit connection_pool(limits bounds) : limits_(bounds) {}
+
+  /// Returns a kept connection that may be used again, else a new one that
+  /// isn't connected yet; null when the endpoint has as many as it may.
+  /// Give each back by `Release()`.
+  /// Thread safety: safe from any thread.
+  connection_ptr Acquire(const address& where);
+
+  /// Keeps the connection if it may be used again, else closes it.
+  /// Thread safety: safe from any thread.
+  void Release(const address& where, connection_ptr item);
+
+  /// Closes the kept ones. Thread safety: safe from any thread.
+  void Clear();
+
+ private:
+  using clock = endpoint_connection::clock;
+
+  struct kept_connection {
+    connection_ptr item;
+    clock::time_point since;
+  };
+  struct endpoint_connections {
+    std::size_t in_use = 0;
+    // The back was used last.
+    std::vector<kept_connection> kept;
+  };
+
+  void Sweep(clock::time_point now, std::vector<connection_ptr>* closing);
+
+  const limits limits_;
+  std::mutex mutex_;
+  std::map<address, endpoint_connections> endpoints_;
+  clock::time_point swept_;
+};
+
+}  // namespace plantainhead::endpoint
+
+#endif  // PLANTAINHEAD_ENDPOINT_CONNECTION_POOL_H_
--- /dev/null
+++ b/src/endpoint/endpoint_connection.cc
@@ -0,0 +1,186 @@
+#include "endpoint/endpoint_connection.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace plantainhead::endpoint {
+namespace {
+
+// The bytes that end a chunked body without trailers.
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+static_assert(kLastChunk.size() == socket_stream::kTailSize);
+
+constexpr std::chrono::milliseconds kLeastTimeout{1};
+
+bool IsNumber(const std::string& text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return c >= '0' && c <= '9';
+  });
+}
+
+std::chrono::milliseconds TimeLeft(socket_stream::clock::time_point deadline) {
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+      deadline - socket_stream::clock::now());
+  return std::max(left, kLeastTimeout);
+}
+
+constexpr int kNotModified = 304;
+constexpr int kFirstFinalStatus = 200;
+
+}  // namespace
+
+endpoint_connection::endpoint_connection(
+    const std::string& host,
+    std::uint16_t port,
+    std::chrono::milliseconds connect_timeout)
+    : httplib::ClientImpl(host, port), connect_timeout_(connect_timeout) {
+  set_keep_alive(true);
+  set_tcp_nodelay(true);
+  // Bytes are passed on as they are.
+  set_decompress(false);
+  set_url_encode(false);
+  set_follow_location(false);
+}
+
+exchange_result endpoint_connection::Exchange(
+    const core::request_envelope& request,
+    const core::header_list& headers,
+    clock::time_point deadline,
+    std::size_t answer_limit) {
+  Reset(deadline);
+  httplib::Request message;
+  message.method = request.method;
+  message.path = request.path;
+  for (const auto& [name, value] : headers) {
+    message.headers.emplace(name, value);
+  }
+  if (request.body != nullptr) {
+    message.body = *request.body;
+  }
+  message.response_handler = [&](const httplib::Response& head) {
+    return ReadHead(head, answer_limit);
+  };
+  message.content_receiver = [&](const char* data, std::size_t size,
+                                 std::uint64_t, std::uint64_t) {
+    if (current_.body.size() + size > answer_limit) {
+      doubt_ = "the answer is too long";
+      return false;
+    }
+    current_.body.append(data, size);
+    return true;
+  };
+  const httplib::Result result = send(message);
+  return Conclude(result);
+}
+
+void endpoint_connection::Reset(clock::time_point deadline) {
+  deadline_ = deadline;
+  framing_ = framing::kUnknown;
+  sent_ = false;
+  ends_in_last_chunk_ = false;
+  clean_ = false;
+  asks_to_close_ = false;
+  doubt_.clear();
+  current_ = {};
+  set_connection_timeout(std::min(connect_timeout_, TimeLeft(deadline)));
+}
+
+void endpoint_connection::CopyHead(const httplib::Response& head) {
+  current_.status = head.status;
+  current_.headers.clear();
+  for (const auto& [name, value] : head.headers) {
+    current_.headers.emplace_back(name, value);
+  }
+  asks_to_close_ = head.version == "HTTP/1.0" ||
+                   head.get_header_value("Connection") == "close";
+}
+
+bool endpoint_connection::ReadHead(const httplib::Response& head,
+                                   std::size_t answer_limit) {
+  CopyHead(head);
+  if (head.status < kFirstFinalStatus) {
+    doubt_ = "the answer isn't a final one";
+    return false;
+  }
+  if (head.status == kNotModified) {
+    // It has no body whatever its length says; the library would wait for one.
+    framing_ = framing::kNoBody;
+    return false;
+  }
+  const std::size_t lengths = head.get_header_value_count("Content-Length");
+  const std::size_t encodings =
+      head.get_header_value_count("Transfer-Encoding");
+  if (lengths + encodings > 1) {
+    doubt_ = "the length of the answer is given more than once";
+    return false;
+  }
+  if (encodings == 1) {
+    framing_ = framing::kChunked;
+    return true;
+  }
+  const std::string length = head.get_header_value("Content-Length");
+  if (lengths == 1) {
+    framing_ = framing::kLength;
+    if (!IsNumber(length)) {
+      doubt_ = "Content-Length isn't a number";
+    } else if (head.get_header_value<std::uint64_t>("Content-Length") >
+               answer_limit) {
+      doubt_ = "the answer is too long";
+    }
+    return doubt_.empty();
+  }
+  // Such a body lasts until the connection ends, and an endpoint that dies
+  // midway ends it just so.
+  doubt_ = "the length of the answer isn't given";
+  return false;
+}
+
+bool endpoint_connection::process_socket(
+    const Socket& socket,
+    std::function<bool(httplib::Stream&)> callback) {
+  socket_stream stream(socket.sock, deadline_, TimeLeft(deadline_));
+  const bool whole = callback(stream);
+  sent_ = stream.has_written();
+  ends_in_last_chunk_ = stream.tail() == kLastChunk;
+  clean_ = whole && !stream.HasBuffered();
+  return whole;
+}
+
+exchange_result endpoint_connection::Conclude(const httplib::Result& result) {
+  if (result && framing_ == framing::kUnknown) {
+    // The library asks nobody about the head of an answer that has no body.
+    framing_ = framing::kNoBody;
+    CopyHead(*result);
+  }
+  const bool no_body = framing_ == framing::kNoBody && doubt_.empty();
+  if (!result && !no_body) {
+    current_.how = sent_ ? exchange_result::kind::kDoubtful
+                         : exchange_result::kind::kNotSent;
+    current_.detail =
+        doubt_.empty() ? httplib::to_string(result.error()) : doubt_;
+  } else if (framing_ == framing::kChunked && !ends_in_last_chunk_) {
+    // The library takes a chunk that doesn't end as it should for the last
+    // one, and would pass the part before it as the whole answer.
+    current_.how = exchange_result::kind::kDoubtful;
+    current_.detail = "the answer has no last chunk";
+  } else {
+    current_.how = exchange_result::kind::kWhole;
+  }
+  if (current_.how != exchange_result::kind::kWhole || asks_to_close_) {
+    clean_ = false;
+  }
+  if (!clean_) {
+    stop();
+  }
+  return std::move(current_);
+}
+
+bool endpoint_connection::IsReusable() const {
+  return clean_ && is_socket_open() != 0 &&
+         !WaitFor(socket_.sock, POLLIN, clock::now());
+}
+
+}  // namespace plantainhead::endpoint
--- /dev/null
+++ b/src/endpoint/endpoint_link.cc
@@ -0,0 +1,249 @@
+#include "plantainhead/endpoint/endpoint_link.h"
+
+#include <algorithm>
+#include <array>
+#include <caf/all.hpp>
+#include <condition_variable>
+#include <cstdio>
+#include <deque>
+#include <mutex>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include "caller/request_parser.h"
+#include "endpoint/connection_pool.h"
+
+namespace plantainhead::endpoint {
+namespace {
+
+/// A call on its way to a worker. Shared, so that the message is cheap to copy.
+struct call_job {
+  std::shared_ptr<const core::call_endpoint> call;
+};
+
+}  // namespace
+}  // namespace plantainhead::endpoint
+
+// Stays within this process.
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::endpoint::call_job)
+
+namespace plantainhead::endpoint {
+namespace {
+
+using clock = endpoint_connection::clock;
+
+constexpr int kServiceUnavailable = 503;
+constexpr std::string_view kRequestIdHeader = "plantain-request-id";
+constexpr std::string_view kNotRunHeader = "plantain-not-run";
+constexpr std::string_view kLeavingHeader = "plantain-leaving";
+
+std::string ToText(const core::request_id& id) {
+  std::array<char, 48> text = {};
+  std::snprintf(text.data(), text.size(), "%016llx-%llu",
+                static_cast<unsigned long long>(id.entry),
+                static_cast<unsigned long long>(id.sequence));
+  return text.data();
+}
+
+core::header_list HeadersToSend(const core::call_endpoint& call) {
+  core::header_list headers = caller::WithoutHopByHop(call.envelope.headers);
+  std::erase_if(headers, [](const auto& header) {
+    return caller::ToLower(header.first) == kRequestIdHeader;
+  });
+  headers.emplace_back("Plantain-Request-Id", ToText(call.request));
+  return headers;
+}
+
+bool SaysTrue(const core::header_list& headers, std::string_view name) {
+  const std::string* value = caller::FindHeader(headers, name);
+  return value != nullptr && caller::ToLower(*value) == "true";
+}
+
+core::endpoint_failed NotSent(core::call_id call, std::string detail) {
+  return {call, core::endpoint_failure::kNotSent, false, std::move(detail)};
+}
+
+core::event ToEvent(core::call_id call, exchange_result result) {
+  using kind = exchange_result::kind;
+  if (result.how == kind::kNotSent) {
+    return NotSent(call, std::move(result.detail));
+  }
+  const bool leaving = SaysTrue(result.headers, kLeavingHeader);
+  if (result.how == kind::kDoubtful) {
+    return core::endpoint_failed{call, core::endpoint_failure::kMaybeSent,
+                                 leaving, std::move(result.detail)};
+  }
+  if (result.status == kServiceUnavailable &&
+      SaysTrue(result.headers, kNotRunHeader)) {
+    return core::endpoint_failed{call, core::endpoint_failure::kRefused,
+                                 leaving, "the endpoint didn't run it"};
+  }
+  return core::endpoint_replied{
+      call, result.status, caller::WithoutHopByHop(result.headers),
+      std::make_shared<const std::string>(std::move(result.body))};
+}
+
+}  // namespace
+
+// Blocking calls run on CAF actors that have a thread of their own, so that
+// they never hold a thread of CAF's scheduler.
+class endpoint_link::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(caf::actor_system& system,
+       endpoint_options options,
+       std::function<core::time_point()> now,
+       std::function<void(core::event)> post)
+      : system_(system),
+        options_(options),
+        now_(std::move(now)),
+        post_(std::move(post)),
+        pool_({options.connect_timeout, options.most_connections,
+               options.keep_idle}) {}
+
+  void Call(core::call_endpoint request);
+  void Stop();
+
+ private:
+  caf::actor Spawn();
+  void Work(caf::actor self, call_job job);
+  core::event Run(const core::call_endpoint& call);
+
+  caf::actor_system& system_;
+  const endpoint_options options_;
+  const std::function<core::time_point()> now_;
+  const std::function<void(core::event)> post_;
+  connection_pool pool_;
+
+  std::mutex mutex_;
+  std::condition_variable idle_changed_;
+  bool stopped_ = false;
+  std::vector<caf::actor> workers_;
+  std::vector<caf::actor> idle_;
+  std::deque<call_job> waiting_;
+};
+
+void endpoint_link::impl::Call(core::call_endpoint request) {
+  const core::call_id call = request.call;
+  call_job job{std::make_shared<const core::call_endpoint>(std::move(request))};
+  caf::actor worker;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!stopped_) {
+      if (!idle_.empty()) {
+        worker = std::move(idle_.back());
+        idle_.pop_back();
+      } else if (workers_.size() < options_.most_threads) {
+        worker = Spawn();
+        workers_.push_back(worker);
+      } else {
+        waiting_.push_back(std::move(job));
+        return;
+      }
+    }
+  }
+  if (worker == nullptr) {
+    post_(NotSent(call, "the entry is stopping"));
+    return;
+  }
+  caf::anon_send(worker, std::move(job));
+}
+
+caf::actor endpoint_link::impl::Spawn() {
+  const std::shared_ptr<impl> self = shared_from_this();
+  return system_.spawn<caf::detached>(
+      [self](caf::event_based_actor* worker) -> caf::behavior {
+        return {[self, worker](const call_job& job) {
+          self->Work(caf::actor_cast<caf::actor>(worker), job);
+        }};
+      });
+}
+
+void endpoint_link::impl::Work(caf::actor self, call_job job) {
+  while (true) {
+    post_(Run(*job.call));
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (waiting_.empty()) {
+      idle_.push_back(std::move(self));
+      idle_changed_.notify_all();
+      return;
+    }
+    job = std::move(waiting_.front());
+    waiting_.pop_front();
+  }
+}
+
+core::event endpoint_link::impl::Run(const core::call_endpoint& call) {
+  const core::duration left = call.envelope.deadline - now_();
+  if (left <= core::duration::zero()) {
+    return NotSent(call.call, "the deadline passed before it was sent");
+  }
+  const connection_pool::address where = {call.host, call.port};
+  connection_pool::connection_ptr link = pool_.Acquire(where);
+  if (link == nullptr) {
+    return NotSent(call.call, "the endpoint has all its connections in use");
+  }
+  exchange_result result;
+  try {
+    result = link->Exchange(call.envelope, HeadersToSend(call),
+                            clock::now() + left, options_.answer_limit);
+  } catch (const std::exception& error) {
+    // Out of memory, for one. The call still has to end, and nobody knows how
+    // far it got.
+    result = {};
+    result.detail = error.what();
+  }
+  pool_.Release(where, std::move(link));
+  return ToEvent(call.call, std::move(result));
+}
+
+void endpoint_link::impl::Stop() {
+  std::deque<call_job> unsent;
+  std::vector<caf::actor> workers;
+  {
+    std::unique_lock<std::mutex> lock(mutex_);
+    stopped_ = true;
+    unsent.swap(waiting_);
+    idle_changed_.wait(lock, [&] { return idle_.size() == workers_.size(); });
+    workers.swap(workers_);
+    idle_.clear();
+  }
+  for (const call_job& job : unsent) {
+    post_(NotSent(job.call->call, "the entry is stopping"));
+  }
+  for (const caf::actor& worker : workers) {
+    caf::anon_send_exit(worker, caf::exit_reason::user_shutdown);
+  }
+  pool_.Clear();
+}
+
+endpoint_link::endpoint_link(caf::actor_system& system,
+                             endpoint_options options,
+                             std::function<core::time_point()> now,
+                             std::function<void(core::event)> post) {
+  const auto zero = std::chrono::milliseconds::zero();
+  if (now == nullptr || post == nullptr) {
+    throw std::invalid_argument("endpoint_link: a function is not set");
+  }
+  if (options.connect_timeout <= zero || options.keep_idle <= zero ||
+      options.most_connections == 0 || options.most_threads == 0 ||
+      options.answer_limit == 0) {
+    throw std::invalid_argument("endpoint_link: a limit is 0");
+  }
+  impl_ =
+      std::make_shared<impl>(system, options, std::move(now), std::move(post));
+}
+
+endpoint_link::~endpoint_link() {
+  Stop();
+}
+
+void endpoint_link::Call(core::call_endpoint request) {
+  impl_->Call(std::move(request));
+}
+
+void endpoint_link::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace plantainhead::endpoint
