--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -1,6 +1,5 @@
 #include "plantainhead/core/endpoint_table.h"
 
-#include <algorithm>
 #include <map>
 #include <string_view>
 
@@ -39,19 +38,19 @@
   return best;
 }
 
-std::vector<incarnation> Ranking(std::uint64_t thing,
-                                 const candidate_list& members,
-                                 std::size_t most) {
-  std::vector<std::pair<std::uint64_t, incarnation>> weighed;
-  for (const candidate& member : members) {
-    weighed.emplace_back(WeightOf(thing, member.who), member.who);
-  }
-  std::sort(weighed.rbegin(), weighed.rend());
-  std::vector<incarnation> ranking;
-  for (std::size_t i = 0; i < std::min(most, weighed.size()); ++i) {
-    ranking.push_back(weighed[i].second);
+std::vector<incarnation> HomeChoices(std::uint32_t partition,
+                                     const fleet_state& fleet,
+                                     std::set<incarnation> excluded) {
+  std::vector<incarnation> homes;
+  while (homes.size() < endpoint_table::kHomeChoices) {
+    const incarnation home = HomeOf(partition, fleet, excluded);
+    if (home == incarnation::kNone) {
+      break;
+    }
+    homes.push_back(home);
+    excluded.insert(home);
   }
-  return ranking;
+  return homes;
 }
 
 bool TakesNew(const fleet_state& fleet, const vm_listing& listing) {
@@ -77,10 +76,6 @@
   return nullptr;
 }
 
-std::size_t ClaimPartitionOf(const claim_key& key) {
-  return HashOf(key.value()) % kClaimPartitions;
-}
-
 void endpoint_table::Rebuild(const fleet_state& fleet,
                              const std::vector<vm_listing>& listings,
                              incarnation self,
@@ -111,8 +106,8 @@
     AddEndpoint(fleet, listing, Heaviest(HashOf(listing.vm.value()), near));
   }
   CountShares(fleet, self);
-  for (std::size_t partition = 0; partition < kClaimPartitions; ++partition) {
-    homes_[partition] = Ranking(partition, members, kHomeChoices);
+  for (std::uint32_t part = 0; part < kClaimPartitions; ++part) {
+    homes_[part] = HomeChoices(part, fleet, stopping);
   }
 }
 
@@ -164,7 +159,7 @@
 }
 
 const std::vector<incarnation>& endpoint_table::HomesOf(
-    std::size_t partition) const {
+    std::uint32_t partition) const {
   return homes_[partition];
 }
 
--- a/src/core/request_core.cc
+++ b/src/core/request_core.cc
@@ -30,8 +30,10 @@
 
 }  // namespace
 
-request_core::request_core(incarnation self, std::uint64_t seed)
-    : self_(self), random_(seed) {}
+request_core::request_core(incarnation self,
+                           std::uint64_t seed,
+                           duration claim_window)
+    : self_(self), random_(seed), claim_window_(claim_window) {}
 
 request_core::request& request_core::Begin(origin from,
                                            request_envelope envelope,
@@ -139,7 +141,7 @@
   budget_.OnRequest();
   request& item = Begin(peer, message.request, now);
   if (message.stage == forward_stage::kClaim) {
-    AskClaim(item);
+    AskClaim(item, now);
     return;
   }
   item.may_forward = false;
@@ -279,9 +281,22 @@
                                    const routing_context& context,
                                    time_point now,
                                    effects& out) {
-  request* item = Find(decision.request.sequence);
-  if (decision.request.entry != self_ || item == nullptr ||
-      item->at != stage::kClaiming) {
+  if (decision.request.entry != self_) {
+    return;
+  }
+  const std::uint64_t number = decision.request.sequence;
+  const auto ended = undecided_.find(number);
+  if (ended != undecided_.end()) {
+    // Its caller was told that it was not run. Without the release a retry
+    // would be refused although nobody ran the key.
+    if (decision.verdict == claim_verdict::kGranted) {
+      AddQuestion(claim_need::kRelease, ended->second, number);
+    }
+    undecided_.erase(ended);
+    return;
+  }
+  request* item = Find(number);
+  if (item == nullptr || item->at != stage::kClaiming) {
     return;
   }
   if (decision.verdict != claim_verdict::kGranted) {
@@ -289,7 +304,8 @@
     Finish(*item, AnswerTo(decision), context, now, out);
     return;
   }
-  if (item->envelope.deadline <= now) {
+  item->at = stage::kQueued;
+  if (ExpiryOf(*item) <= now) {
     Expire(*item, context, now, out);
     return;
   }
