--- a/include/plantainhead/core/endpoint_table.h
+++ b/include/plantainhead/core/endpoint_table.h
@@ -78,10 +78,11 @@
   /// Returns the endpoint of a VM, or null.
   const endpoint_info* FindVm(const vm_id& vm) const;
 
-  /// Returns the entries that may claim the keys of `partition`, first choice
-  /// first; at most `kHomeChoices`, empty when there are no members.
-  /// Precondition: `partition < kClaimPartitions`.
-  const std::vector<incarnation>& HomesOf(std::size_t partition) const;
+  /// Returns the entries that may claim the keys of `partition`: `HomeOf` that,
+  /// and then the homes were those before it gone; at most `kHomeChoices`, and
+  /// none when there are no members. Precondition: `partition` <
+  /// `kClaimPartitions`.
+  const std::vector<incarnation>& HomesOf(std::uint32_t partition) const;
 
   const std::unordered_map<service_name, service_routes>& services() const {
     return services_;
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -1,6 +1,5 @@
 #include "plantainhead/core/endpoint_table.h"
 
-#include <algorithm>
 #include <map>
 #include <string_view>
 
@@ -92,9 +91,8 @@
     AddEndpoint(fleet, listing, Heaviest(HashOf(listing.vm.value()), near));
   }
   CountShares(fleet, self);
-  for (std::uint32_t partition = 0; partition < kClaimPartitions; ++partition) {
-    homes_[partition] =
-        core::HomesOf(partition, fleet, stopping, kHomeChoices);
+  for (std::uint32_t part = 0; part < kClaimPartitions; ++part) {
+    homes_[part] = core::HomesOf(part, fleet, stopping, kHomeChoices);
   }
 }
 
@@ -146,7 +144,7 @@
 }
 
 const std::vector<incarnation>& endpoint_table::HomesOf(
-    std::size_t partition) const {
+    std::uint32_t partition) const {
   return homes_[partition];
 }
 
--- a/src/core/request_core_finish.cc
+++ b/src/core/request_core_finish.cc
@@ -29,20 +29,28 @@
   Deliver(to, service, std::move(answer), context, now, out);
 }
 
+claim_question& request_core::AddQuestion(claim_need need,
+                                          const claim_key& key,
+                                          std::uint64_t number) {
+  claim_question& question = questions_.emplace_back();
+  question.need = need;
+  question.key = key;
+  question.request = {self_, number};
+  return question;
+}
+
 void request_core::SettleClaim(const request& item, const response& answer) {
   if (!item.claim_asked) {
     return;
   }
-  claim_question question;
-  question.key = *item.envelope.key;
-  question.request = {self_, item.number};
-  if (answer.result == outcome::kNotRun) {
-    question.need = claim_need::kRelease;
+  const claim_key& key = *item.envelope.key;
+  if (item.at == stage::kClaiming) {
+    undecided_[item.number] = key;
+  } else if (answer.result == outcome::kNotRun) {
+    AddQuestion(claim_need::kRelease, key, item.number);
   } else {
-    question.need = claim_need::kFinished;
-    question.answer = answer;
+    AddQuestion(claim_need::kFinished, key, item.number).answer = answer;
   }
-  questions_.push_back(std::move(question));
 }
 
 void request_core::Detach(request& item) {
