--- /dev/null
+++ b/src/core/control_log.cc
@@ -0,0 +1,246 @@
+#include "plantainhead/core/control_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainhead::core {
+
+control_log::control_log(control_log_settings settings,
+                         append_ids* ids,
+                         random_source* random)
+    : settings_(std::move(settings)),
+      ids_(ids),
+      random_(random),
+      queue_(settings_.queue, ids, random) {}
+
+void control_log::Start(time_point /*now*/, effects& out) {
+  ReadSnapshots(out);
+}
+
+std::size_t control_log::OnLogRead(time_point now,
+                                   const log_read& event,
+                                   effects& out) {
+  if (event.stream == kSnapshotStream) {
+    if (phase_ == phase::kReadingSnapshots) {
+      OnReadable(now, out);
+    }
+    OnSnapshotRead(event, out);
+    return 0;
+  }
+  if (event.stream != kControlStream || phase_ != phase::kFollowing) {
+    return 0;
+  }
+  OnReadable(now, out);
+  const std::size_t applied = OnControlRead(event, out);
+  TakeSnapshot(now, out);
+  return applied;
+}
+
+void control_log::OnLogUnavailable(time_point /*now*/,
+                                   const log_unavailable& event,
+                                   effects& out) {
+  const stream_name& needed =
+      phase_ == phase::kFollowing ? kControlStream : kSnapshotStream;
+  if (event.stream != needed || !log_readable_) {
+    return;
+  }
+  log_readable_ = false;
+  out.Note(note_level::kWarning, "the log can't be read",
+           {{"stream", event.stream.value()}, {"detail", event.detail}});
+}
+
+void control_log::OnReadable(time_point now, effects& out) {
+  if (log_readable_) {
+    return;
+  }
+  log_readable_ = true;
+  queue_.OnRecovered(now);
+  out.Note(note_level::kInfo, "the log can be read again");
+}
+
+bool control_log::OnAppendFinished(time_point now,
+                                   const append_finished& event,
+                                   effects& out) {
+  if (event.append != append_id::kNone && event.append == snapshot_append_) {
+    snapshot_append_ = append_id::kNone;
+    if (event.result == append_result::kRejected) {
+      out.Note(note_level::kError, "the log refuses a snapshot");
+    }
+    return true;
+  }
+  std::vector<record_id> refused;
+  if (!queue_.OnAppendFinished(now, event, refused, out)) {
+    return false;
+  }
+  AnswerRefused(refused, out);
+  Pump(now, out);
+  return true;
+}
+
+void control_log::OnTick(time_point now, effects& out) {
+  AnswerLate(now, out);
+  Pump(now, out);
+  TakeSnapshot(now, out);
+}
+
+void control_log::Submit(time_point now,
+                         std::vector<record_body> bodies,
+                         effects& out) {
+  std::size_t refused = 0;
+  for (record_body& body : bodies) {
+    if (!queue_.Push(settings_.name.value(), std::move(body))) {
+      ++refused;
+    }
+  }
+  if (refused > 0) {
+    out.Note(note_level::kError, "too many records wait for the log",
+             {{"dropped", std::to_string(refused)}});
+  }
+  Pump(now, out);
+}
+
+bool control_log::caught_up() const {
+  return phase_ == phase::kFollowing && end_known_ &&
+         fault_ == log_fault::kNone && state_.offset >= greatest_known_;
+}
+
+// A log that lost its end or its middle is not written to: what is appended
+// there may take offsets that other entries have applied with other records.
+bool control_log::CanWrite() const {
+  return phase_ == phase::kFollowing && end_known_ &&
+         fault_ == log_fault::kNone;
+}
+
+void control_log::Pump(time_point now, effects& out) {
+  if (CanWrite()) {
+    queue_.Pump(now, state_, out);
+  }
+}
+
+void control_log::FollowControl(log_offset after, effects& out) {
+  phase_ = phase::kFollowing;
+  out.Do(follow_stream{kControlStream, after});
+}
+
+std::size_t control_log::OnControlRead(const log_read& event, effects& out) {
+  if (!IsHistoryKept(event, out)) {
+    return 0;
+  }
+  begin_ = event.begin;
+  end_ = event.end;
+  greatest_known_ = std::max(greatest_known_, event.end);
+  end_known_ = true;
+  ClearFault(out);
+  return ApplyEntries(event, out);
+}
+
+std::size_t control_log::ApplyEntries(const log_read& event, effects& out) {
+  std::size_t applied = 0;
+  for (const log_entry& entry : event.entries) {
+    if (entry.offset <= state_.offset) {
+      continue;
+    }
+    ApplyEntry(entry, out);
+    ++applied;
+  }
+  return applied;
+}
+
+void control_log::ApplyEntry(const log_entry& entry, effects& out) {
+  const fold_result result = Apply(state_, entry);
+  newest_record_ = entry.content.id;
+  digest_.reset();
+  CompareExpected(out);
+  queue_.OnReadBack(entry.content.id);
+  AnswerReadBack(entry, result, out);
+}
+
+bool control_log::IsHistoryKept(const log_read& event, effects& out) {
+  return fault_ != log_fault::kReplaced && IsSameHistory(event, out) &&
+         IsNextKept(event, out);
+}
+
+// The log came back with fewer records than were applied, as a restored copy
+// does. Its next records take offsets that this entry has applied with other
+// contents, so following it would revert a configuration or move a VM twice.
+// The entry keeps its state and reads its newest offset again: only the same
+// record there shows that the end was merely late.
+bool control_log::IsSameHistory(const log_read& event, effects& out) {
+  if (event.end < state_.offset) {
+    if (fault_ != log_fault::kShorter) {
+      SetFault(log_fault::kShorter,
+               "the log ends at offset " + std::to_string(event.end) +
+                   ", but " + std::to_string(state_.offset) +
+                   " has been applied",
+               out);
+      FollowControl(state_.offset - 1, out);
+    }
+    return false;
+  }
+  if (fault_ != log_fault::kShorter) {
+    return true;
+  }
+  for (const log_entry& entry : event.entries) {
+    if (entry.offset != state_.offset || !newest_record_) {
+      continue;
+    }
+    if (entry.content.id == *newest_record_) {
+      return true;
+    }
+    SetFault(log_fault::kReplaced,
+             "the log has record " + entry.content.id.value() + " at offset " +
+                 std::to_string(entry.offset) + ", where " +
+                 newest_record_->value() + " has been applied",
+             out);
+    return false;
+  }
+  return false;
+}
+
+bool control_log::IsNextKept(const log_read& event, effects& out) {
+  const log_offset next = state_.offset + 1;
+  const auto is_next = [&](const log_entry& entry) {
+    return entry.offset <= next;
+  };
+  const bool has_gap =
+      !event.entries.empty() && !is_next(event.entries.front());
+  if (event.begin > next && (event.entries.empty() || has_gap)) {
+    begin_ = event.begin;
+    SetFault(log_fault::kCut,
+             "the log begins at offset " + std::to_string(event.begin) +
+                 ", but " + std::to_string(next) + " is needed",
+             out);
+    out.Do(unfollow_stream{kControlStream});
+    ReadSnapshots(out);
+    return false;
+  }
+  if (has_gap && !following_again_) {
+    following_again_ = true;
+    out.Note(note_level::kWarning, "a read skipped records; reading again",
+             {{"next", std::to_string(next)}});
+    FollowControl(state_.offset, out);
+  }
+  if (!has_gap) {
+    following_again_ = false;
+  }
+  return !has_gap;
+}
+
+void control_log::SetFault(log_fault fault, std::string detail, effects& out) {
+  fault_ = fault;
+  fault_detail_ = std::move(detail);
+  out.Note(note_level::kError, fault_detail_,
+           {{"fault", std::string(NameOf(fault))}});
+}
+
+void control_log::ClearFault(effects& out) {
+  if (fault_ == log_fault::kNone) {
+    return;
+  }
+  out.Note(note_level::kInfo, "the log can be followed again",
+           {{"fault", std::string(NameOf(fault_))}});
+  fault_ = log_fault::kNone;
+  fault_detail_.clear();
+}
+
+}  // namespace plantainhead::core
--- /dev/null
+++ b/src/core/control_log_digests.cc
@@ -0,0 +1,77 @@
+#include <algorithm>
+#include <string>
+
+#include "core/hex.h"
+#include "plantainhead/core/control_log.h"
+
+// How a control_log compares its fold with other entries'.
+namespace plantainhead::core {
+namespace {
+
+// Digests of peers that are ahead, and own ones for peers that are behind.
+// Peers are seconds apart, which is a few records; what doesn't fit is compared
+// at a later heartbeat.
+constexpr std::size_t kKeptDigests = 64;
+
+}  // namespace
+
+std::uint64_t control_log::digest() {
+  if (!digest_) {
+    digest_ = Digest(state_);
+    own_digests_[state_.offset] = *digest_;
+    if (own_digests_.size() > kKeptDigests) {
+      own_digests_.erase(own_digests_.begin());
+    }
+  }
+  return *digest_;
+}
+
+void control_log::OnPeerOffset(log_offset offset,
+                               std::uint64_t digest,
+                               incarnation from,
+                               effects& out) {
+  greatest_known_ = std::max(greatest_known_, offset);
+  CompareDigests(offset, digest, from, out);
+}
+
+// Equal offsets mean equal folds. If they don't, one of the two has a fault in
+// its reducer or its memory, and VMs may be planned into two pools. It is shown
+// and both go on: nobody can tell which is right, and stopping all entries
+// would turn a doubt into an outage.
+void control_log::CompareDigests(log_offset offset,
+                                 std::uint64_t theirs,
+                                 incarnation from,
+                                 effects& out) {
+  if (from == settings_.queue.self) {
+    return;
+  }
+  if (offset > state_.offset) {
+    if (expected_.size() < kKeptDigests) {
+      expected_[{offset, from}] = theirs;
+    }
+    return;
+  }
+  if (offset == state_.offset) {
+    digest();
+  }
+  const auto own = own_digests_.find(offset);
+  if (own == own_digests_.end() || own->second == theirs) {
+    return;
+  }
+  if (divergent_peers_.insert(from).second) {
+    out.Note(note_level::kError,
+             "another entry has folded the log to another state",
+             {{"offset", std::to_string(offset)}, {"peer", ToHex(from)}});
+  }
+}
+
+void control_log::CompareExpected(effects& out) {
+  while (!expected_.empty() &&
+         expected_.begin()->first.first <= state_.offset) {
+    const auto [key, theirs] = *expected_.begin();
+    expected_.erase(expected_.begin());
+    CompareDigests(key.first, theirs, key.second, out);
+  }
+}
+
+}  // namespace plantainhead::core
--- /dev/null
+++ b/src/core/control_log_snapshots.cc
@@ -0,0 +1,173 @@
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <variant>
+
+#include "core/jitter.h"
+#include "plantainhead/core/control_log.h"
+#include "plantainhead/core/record_number.h"
+
+// How a control_log starts from snapshots and takes them.
+namespace plantainhead::core {
+namespace {
+
+// A start reads so many of the newest snapshots; older ones only if all of
+// these are bad. Reading each that is retained would cost minutes.
+constexpr log_offset kSnapshotsTried = 3;
+
+// A snapshot is due while half of what the log keeps is left for its append.
+constexpr log_offset kRetentionPart = 2;
+
+incarnation WriterOf(const record_id& id) {
+  const std::optional<record_number> number = ParseRecordId(id);
+  return number ? number->writer : incarnation::kNone;
+}
+
+}  // namespace
+
+void control_log::ReadSnapshots(effects& out) {
+  phase_ = phase::kReadingSnapshots;
+  candidate_.reset();
+  snapshots_read_ = 0;
+  may_skip_snapshots_ = true;
+  snapshots_skipped_ = false;
+  out.Do(follow_stream{kSnapshotStream, 0});
+}
+
+void control_log::OnSnapshotRead(const log_read& event, effects& out) {
+  for (const log_entry& entry : event.entries) {
+    snapshots_read_ = std::max(snapshots_read_, entry.offset);
+    ConsiderSnapshot(entry, out);
+  }
+  snapshots_begin_ = event.begin;
+  if (phase_ != phase::kReadingSnapshots) {
+    return;
+  }
+  const bool has_more = !event.entries.empty() && snapshots_read_ < event.end;
+  if (!has_more) {
+    FinishSnapshots(out);
+    return;
+  }
+  if (may_skip_snapshots_ && event.end > snapshots_read_ + kSnapshotsTried) {
+    snapshots_read_ = event.end - kSnapshotsTried;
+    snapshots_skipped_ = true;
+    out.Do(follow_stream{kSnapshotStream, snapshots_read_});
+  }
+  may_skip_snapshots_ = false;
+}
+
+void control_log::ConsiderSnapshot(const log_entry& entry, effects& out) {
+  const auto* taken = std::get_if<snapshot_taken>(&entry.content.body);
+  if (taken == nullptr) {
+    return;
+  }
+  // A damaged snapshot, or one that another version wrote with fields that this
+  // one can't read, would start this entry from a state that nobody has.
+  if (taken->state == nullptr || Digest(*taken->state) != taken->digest) {
+    out.Note(note_level::kError, "ignored a snapshot with a wrong digest",
+             {{"snapshot", std::to_string(entry.offset)},
+              {"author", entry.content.author}});
+    return;
+  }
+  const log_offset offset = taken->state->offset;
+  if (offset >= newest_snapshot_) {
+    newest_snapshot_ = offset;
+    newest_snapshot_at_ = entry.offset;
+  }
+  greatest_known_ = std::max(greatest_known_, offset);
+  if (phase_ != phase::kReadingSnapshots) {
+    CompareDigests(offset, taken->digest, WriterOf(entry.content.id), out);
+    return;
+  }
+  if (candidate_ == nullptr || offset > candidate_->offset) {
+    candidate_ = taken->state;
+  }
+}
+
+void control_log::FinishSnapshots(effects& out) {
+  if (candidate_ == nullptr && snapshots_skipped_) {
+    snapshots_skipped_ = false;
+    snapshots_read_ = 0;
+    out.Do(follow_stream{kSnapshotStream, 0});
+    return;
+  }
+  if (candidate_ != nullptr && candidate_->offset > state_.offset) {
+    state_ = *candidate_;
+    newest_record_.reset();
+    digest_.reset();
+    CompareExpected(out);
+    out.Note(note_level::kInfo, "starts from a snapshot",
+             {{"offset", std::to_string(state_.offset)}});
+  }
+  candidate_.reset();
+  // Nothing reaches beyond the cut yet; the next snapshot that is read may.
+  if (fault_ == log_fault::kCut && state_.offset + 1 < begin_) {
+    return;
+  }
+  FollowControl(state_.offset, out);
+}
+
+// Of the records that the log keeps, the newest 1/`part` must not lie wholly
+// before a snapshot.
+bool control_log::IsSnapshotDue(log_offset records, log_offset part) const {
+  const bool is_dropped =
+      newest_snapshot_ != 0 && newest_snapshot_at_ < snapshots_begin_;
+  if (newest_snapshot_ >= state_.offset) {
+    return is_dropped;
+  }
+  const log_offset kept = end_ - std::min(begin_, end_);
+  const bool is_old = begin_ > 1 && newest_snapshot_ < begin_ + kept / part;
+  const log_offset growth = state_.offset - newest_snapshot_;
+  return growth >= records || is_old || is_dropped;
+}
+
+// One entry takes snapshots: the planner, else the member with the least
+// incarnation.
+bool control_log::IsSnapshotTaker() const {
+  if (state_.members.contains(state_.lease.holder)) {
+    return state_.lease.holder == settings_.queue.self;
+  }
+  return !state_.members.empty() &&
+         state_.members.begin()->first == settings_.queue.self;
+}
+
+// The taker may be dead and not yet expelled, or frozen. Then retention would
+// pass the newest snapshot by and nobody could join any more. So any member
+// takes one that is overdue, after a time of its own, in which another's may
+// arrive.
+bool control_log::IsStandIn(time_point now) {
+  const bool is_overdue =
+      state_.members.contains(settings_.queue.self) &&
+      IsSnapshotDue(2 * settings_.snapshot_records, 2 * kRetentionPart);
+  if (!is_overdue) {
+    stand_in_at_.reset();
+    return false;
+  }
+  if (!stand_in_at_) {
+    stand_in_at_ = now + Jitter(*random_, settings_.snapshot_retry);
+  }
+  return now >= *stand_in_at_;
+}
+
+void control_log::TakeSnapshot(time_point now, effects& out) {
+  if (!caught_up() || !log_readable_ || now < next_snapshot_ ||
+      snapshot_append_ != append_id::kNone) {
+    return;
+  }
+  const bool is_mine =
+      IsSnapshotTaker() &&
+      IsSnapshotDue(settings_.snapshot_records, kRetentionPart);
+  if (!is_mine && !IsStandIn(now)) {
+    return;
+  }
+  record taken;
+  taken.id = MakeRecordId({settings_.queue.self, state_.offset});
+  taken.author = settings_.name.value();
+  taken.body =
+      snapshot_taken{std::make_shared<const fleet_state>(state_), digest()};
+  snapshot_append_ = ids_->Next();
+  next_snapshot_ = now + settings_.snapshot_retry;
+  out.Do(append_records{snapshot_append_, kSnapshotStream, {std::move(taken)}});
+}
+
+}  // namespace plantainhead::core
--- /dev/null
+++ b/tests/core/control_log_test.cc
@@ -0,0 +1,287 @@
+#include "plantainhead/core/control_log.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "core/memory_log.h"
+
+namespace plantainhead::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration kLong = 1s;
+
+publish_configuration Publish(generation expected) {
+  return {configuration(), expected};
+}
+
+TEST_CASE("Two operators publish at once at two entries") {
+  // Both read generation 0 and publish through different entries. Both records
+  // get into the log; the second operator must be told who was first.
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  log_user two(&log, 2, "entry-2");
+  one.Start();
+  two.Start();
+  one.Command(7, "ana", Publish(0));
+  two.Command(8, "ben", Publish(0));
+
+  REQUIRE(one.answers.size() == 1);
+  CHECK(one.answers[0].sequence == 7);
+  CHECK(one.answers[0].result == command_result::kAccepted);
+  CHECK(one.answers[0].offset == 1);
+  REQUIRE(two.answers.size() == 1);
+  CHECK(two.answers[0].result == command_result::kConflict);
+  CHECK(two.answers[0].detail.find("written by ana") != std::string::npos);
+}
+
+TEST_CASE("The answer to an append is lost") {
+  // The records were written, but the entry doesn't know and hears nothing from
+  // the log for a while. It appends them again; the fold takes the first copy
+  // only and the operator gets one answer, of that copy.
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  one.Start();
+  one.next_result = append_result::kUnknown;
+  one.is_out = false;
+  one.Submit(Publish(0));
+  CHECK(one.state().targets_version == 1);
+
+  SECTION("and it isn't appended again once it was read back") {
+    one.next_result = append_result::kAppended;
+    one.Tick(kLong);
+    CHECK(one.appends.size() == 1);
+  }
+
+  SECTION("and it is, while reads come late") {
+    // The log answers neither appends nor reads, yet takes the records.
+    effects out;
+    append_ids ids;
+    random_source random(3);
+    control_log_settings settings;
+    settings.queue.self = incarnation{3};
+    control_log core(settings, &ids, &random);
+    core.Start(one.now, out);
+    core.OnLogRead(one.now, log.Read(kSnapshotStream, 0), out);
+    core.OnLogRead(one.now, log.Read(kControlStream, 0), out);
+    out.actions.clear();
+    core.OnCommand(one.now, {5, "ana", Publish(1)}, out);
+    const auto first = std::get<append_records>(out.actions.at(0));
+    core.OnAppendFinished(one.now, {first.append, append_result::kUnknown, 0},
+                          out);
+    out.actions.clear();
+    core.OnTick(one.now + kLong, out);
+    const auto second = std::get<append_records>(out.actions.at(0));
+    REQUIRE(second.records.at(0).id == first.records.at(0).id);
+    log.Append(kControlStream, first.records);
+    log.Append(kControlStream, second.records);
+    out.actions.clear();
+    core.OnLogRead(one.now + kLong, log.Read(kControlStream, 1), out);
+    REQUIRE(out.actions.size() == 1);
+    CHECK(std::get<answer_operator>(out.actions[0]).result ==
+          command_result::kAccepted);
+    CHECK(core.state().targets_version == 2);
+    CHECK(core.state().offset == 3);
+  }
+}
+
+TEST_CASE("An operator publishes while the log is out") {
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  one.Start();
+  one.LoseLog();
+  one.Command(7, "ana", Publish(0));
+  CHECK(one.answers.empty());
+  one.Tick(6s);
+  REQUIRE(one.answers.size() == 1);
+  CHECK(one.answers[0].result == command_result::kUnknown);
+  CHECK(one.answers[0].detail.find("may still appear") != std::string::npos);
+
+  SECTION("and the change doesn't spring up when the log is back") {
+    const std::size_t tried = one.appends.size();
+    one.is_out = false;
+    one.Settle();
+    one.Tick(6s);
+    CHECK(one.appends.size() == tried);
+    CHECK(one.state().targets_version == 0);
+    CHECK(one.answers.size() == 1);
+  }
+}
+
+TEST_CASE("The log comes back shorter") {
+  // The platform restores its log from a copy that lacks the newest records.
+  // Following it would put an older configuration in force, so the entry keeps
+  // what it has, writes nothing, and shows the fault.
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  one.Start();
+  one.Command(1, "ana", Publish(0));
+  one.Command(2, "ana", Publish(1));
+  REQUIRE(one.state().offset == 2);
+  auto& records = log.streams[kControlStream].records;
+  const record lost = records.back();
+  records.pop_back();
+  one.Settle();
+  CHECK(one.core->fault() == log_fault::kShorter);
+  CHECK_FALSE(one.core->caught_up());
+  CHECK(one.state().offset == 2);
+  CHECK(one.notes.size() == 1);
+  one.Command(3, "ana", Publish(2));
+  CHECK(one.answers.back().result == command_result::kUnknown);
+  CHECK(records.size() == 1);
+
+  SECTION("and was only late: the same record is there again") {
+    records.push_back(lost);
+    one.Settle();
+    CHECK(one.core->fault() == log_fault::kNone);
+    CHECK(one.core->caught_up());
+  }
+
+  SECTION("and another record takes the lost one's offset") {
+    record other = lost;
+    other.id = record_id("other");
+    records.push_back(other);
+    records.push_back(other);
+    one.Settle();
+    CHECK(one.core->fault() == log_fault::kReplaced);
+    CHECK(one.state().offset == 2);
+  }
+}
+
+TEST_CASE("Retention passes an entry by") {
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  log_user two(&log, 2, "entry-2");
+  one.Start();
+  one.Join();
+  two.Start();
+  two.LoseLog();
+  constexpr int kPublications = 30;
+  for (int i = 0; i < kPublications; ++i) {
+    one.Tick(kLong);
+    one.Submit(Publish(i));
+  }
+  REQUIRE(one.core->newest_snapshot() >= 20);
+  log.streams[kControlStream].begin = 15;
+
+  SECTION("and it goes on from a newer snapshot") {
+    two.is_out = false;
+    two.Settle();
+    CHECK(two.state() == one.state());
+    CHECK(two.core->caught_up());
+  }
+
+  SECTION("and no snapshot reaches beyond the cut") {
+    // It must not skip the records it lacks: it would have another fold than
+    // the others. It waits, shows why, and goes on when a snapshot comes.
+    const auto snapshots = log.streams[kSnapshotStream];
+    log.streams.erase(kSnapshotStream);
+    two.is_out = false;
+    two.Settle();
+    CHECK(two.core->fault() == log_fault::kCut);
+    CHECK(two.state().offset == 1);
+    CHECK_FALSE(two.core->caught_up());
+
+    log.streams[kSnapshotStream] = snapshots;
+    two.Settle();
+    CHECK(two.core->fault() == log_fault::kNone);
+    CHECK(two.state() == one.state());
+  }
+}
+
+TEST_CASE("The newest snapshot is damaged") {
+  // A joiner that trusted it would start from a state that nobody has.
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  one.Start();
+  one.Join();
+  for (int i = 0; i < 50; ++i) {
+    one.Tick(kLong);
+    one.Submit(Publish(i));
+  }
+  auto& snapshots = log.streams[kSnapshotStream].records;
+  REQUIRE(snapshots.size() == 2);
+  std::get<snapshot_taken>(snapshots.back().body).digest ^= 1;
+  log.streams[kControlStream].begin = 10;
+
+  log_user two(&log, 2, "entry-2");
+  two.Start();
+  CHECK(two.HasNote("wrong digest"));
+  CHECK(two.state() == one.state());
+  CHECK(two.core->digest() == one.core->digest());
+}
+
+TEST_CASE("All entries are replaced one after another") {
+  // The VMs keep nothing, so the log is all that is left of each configuration.
+  // Each dies without a word and retention follows close behind the snapshots,
+  // which a live entry has to take in the place of a dead one.
+  memory_log log;
+  generation published = 0;
+  for (std::uint64_t life = 1; life <= 12; ++life) {
+    log_user next(&log, life, "entry-" + std::to_string(life % 3));
+    next.Start();
+    REQUIRE(next.state().targets_version == published);
+    next.Join();
+    for (int i = 0; i < 15; ++i) {
+      next.Command(published, "ana", Publish(published));
+      REQUIRE(next.answers.back().result == command_result::kAccepted);
+      ++published;
+    }
+    next.Tick(10s);
+    next.Tick(10s);
+    auto& control = log.streams[kControlStream];
+    control.begin = std::max(control.begin, next.core->newest_snapshot() + 1);
+  }
+  CHECK(log.streams[kControlStream].begin > 1);
+}
+
+TEST_CASE("The end of an outage brings no burst") {
+  // Nine entries have a backlog when the log comes back. Each keeps to its rate
+  // and starts at a time of its own.
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  one.Start();
+  one.LoseLog();
+  for (int i = 0; i < 500; ++i) {
+    one.Submit(Publish(i));
+  }
+  one.Tick(10s);
+  one.is_out = false;
+  one.appends.clear();
+  one.Settle();
+  for (int i = 0; i < 200; ++i) {
+    one.Tick(10ms);
+  }
+  CHECK(one.appends.size() <= 2 * 20 + 1);
+  CHECK(one.state().targets_version == 500);
+}
+
+TEST_CASE("Entries compare their folds") {
+  memory_log log;
+  log_user one(&log, 1, "entry-1");
+  one.Start();
+  one.Command(1, "ana", Publish(0));
+  const std::uint64_t digest = one.core->digest();
+
+  SECTION("with a peer at the same offset") {
+    one.HearOf(1, digest, incarnation{2});
+    CHECK(one.core->divergent_peers().empty());
+    one.HearOf(1, digest + 1, incarnation{2});
+    one.HearOf(1, digest + 1, incarnation{2});
+    CHECK(one.core->divergent_peers().size() == 1);
+    CHECK(one.notes.size() == 1);
+  }
+
+  SECTION("with a peer that is ahead, once they get there") {
+    one.HearOf(2, 12345, incarnation{2});
+    CHECK_FALSE(one.core->caught_up());
+    one.Command(2, "ana", Publish(1));
+    CHECK(one.core->caught_up());
+    CHECK(one.core->divergent_peers().contains(incarnation{2}));
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core
