--- a/include/plantainhead/core/fleet_view.h
+++ b/include/plantainhead/core/fleet_view.h
@@ -5,7 +5,9 @@
 #include <map>
 #include <vector>
 
+#include "plantainhead/core/phase_watch.h"
 #include "plantainhead/core/planner_types.h"
+#include "plantainhead/core/record_gate.h"
 
 namespace plantainhead::core {
 
@@ -16,20 +18,35 @@
   const vm_state* state = nullptr;
   /// Null for a VM that is not on the list.
   const vm_listing* listing = nullptr;
+  /// What this entry has seen of it; null for one not seen yet.
+  const phase_watch::sight* seen = nullptr;
+  /// Where it is, or was when it was listed last.
+  zone_id zone;
+  rack_id rack;
   /// Requests in flight as far as they were reported.
   std::uint32_t in_flight = 0;
-  /// Tasks that run on it as far as the list shows.
-  std::uint32_t tasks = 0;
+  /// Jobs that the fold has placed on it.
+  std::uint32_t jobs = 0;
   bool healthy = true;
+  /// A record about it has been appended and not yet read back.
+  bool is_pending = false;
 
   /// True when the list shows it live.
   bool listed_live() const {
     return listing != nullptr && listing->state == vm_listing_state::kLive;
   }
-  /// True when it takes work.
+  /// True when the fold wants it to serve.
+  bool serving() const {
+    return state != nullptr && state->phase == vm_phase::kServing;
+  }
+  /// True when it takes work and nothing is about to change that.
   bool available() const {
-    return state != nullptr && state->phase == vm_phase::kServing &&
-           !state->quarantined && listed_live() && healthy;
+    return serving() && !state->quarantined && listed_live() && healthy &&
+           !is_pending;
+  }
+  /// True when it is out of work though nobody asked for it.
+  bool is_lost() const {
+    return serving() && !state->quarantined && (!listed_live() || !healthy);
   }
 };
 
@@ -44,7 +61,10 @@
 /// must outlive it. Thread safety: none.
 class fleet_view {
  public:
-  explicit fleet_view(const planner_inputs& inputs);
+  fleet_view(const planner_inputs& inputs,
+             const phase_watch& watch,
+             const record_gate& gate,
+             time_point now);
 
   fleet_view(const fleet_view&) = delete;
   fleet_view& operator=(const fleet_view&) = delete;
@@ -59,7 +79,12 @@
 
  private:
   void JoinVms(const planner_inputs& inputs);
+  void JoinReports(const planner_inputs& inputs);
+  void JoinMemory(const phase_watch& watch,
+                  const record_gate& gate,
+                  time_point now);
   void FillPools(const planner_inputs& inputs);
+  vm_view* FindMutable(const vm_id& id);
 
   std::map<vm_id, vm_view> vms_;
   std::map<pool_id, pool_view> pools_;
--- a/include/plantainhead/core/operation_tracker.h
+++ b/include/plantainhead/core/operation_tracker.h
@@ -31,6 +31,9 @@
   /// Takes in the end of an operation; one that was never driven is ignored.
   void Finish(const operation_finished& event, time_point now);
 
+  /// Returns true once `id` has a sure end.
+  bool HasEnded(const operation_id& id) const;
+
   /// Returns when `id` was done, or nothing.
   std::optional<time_point> DoneAt(const operation_id& id) const;
 
--- a/include/plantainhead/core/phase_watch.h
+++ b/include/plantainhead/core/phase_watch.h
@@ -23,6 +23,15 @@
     /// First moment of the present absence from the list, if it is absent.
     time_point missing_since;
     bool missing = false;
+    /// First moment of the present failure (absent, leaving or unhealthy).
+    time_point impaired_since;
+    bool impaired = false;
+    /// Pool and the first sight of the VM in it.
+    pool_id pool;
+    time_point pool_since;
+    /// Where it was when it was listed last.
+    zone_id zone;
+    rack_id rack;
   };
 
   void Observe(const planner_inputs& inputs, time_point now);
--- a/include/plantainhead/core/planner.h
+++ b/include/plantainhead/core/planner.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "plantainhead/core/demand_estimator.h"
 #include "plantainhead/core/operation_tracker.h"
 #include "plantainhead/core/phase_watch.h"
 #include "plantainhead/core/planner_context.h"
@@ -38,17 +39,24 @@
   /// the records of the fold carry their own reasons.
   const reason_book& reasons() const { return reasons_; }
 
+  /// Returns what the pools cost as of the newest plan.
+  const pool_figures& figures() const { return pools_.figures(); }
+
  private:
+  void Prune(const planner_inputs& inputs, time_point now);
   void Plan(const planner_inputs& inputs, time_point now, effects& out);
 
   planner_options options_;
   operation_tracker operations_;
   record_gate gate_;
   phase_watch watch_;
+  demand_estimator demand_;
+  std::map<vm_id, time_point> deferred_;
   reason_book reasons_;
   pool_planner pools_;
   wave_planner waves_;
   time_point planned_at_;
+  time_point pools_planned_at_;
   lease_epoch epoch_ = 0;
 };
 
--- a/include/plantainhead/core/planner_context.h
+++ b/include/plantainhead/core/planner_context.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_CORE_PLANNER_CONTEXT_H_
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "plantainhead/core/effects.h"
@@ -25,6 +26,20 @@
   operation_tracker& operations;
   reason_book& reasons;
   effects& out;
+  /// When each VM that didn't drain in time was given up; tried again last.
+  std::map<vm_id, time_point>& deferred;
+  /// Pools in which a failure took the slack, so that no VM may leave.
+  const std::set<pool_id>& held_pools;
+
+  /// Returns true while the platform's list is new enough to act upon.
+  bool list_is_fresh() const {
+    return now - inputs.listed_at <= options.list_patience;
+  }
+
+  /// The failure domain of a VM: its zone, or its rack.
+  static zone_id DomainOf(const vm_view& vm, bool by_rack) {
+    return by_rack ? zone_id(vm.rack.value()) : vm.zone;
+  }
 
   /// Keeps `reason` for `object` and notes it the first time that it is given.
   void Report(note_level level,
--- a/include/plantainhead/core/planner_types.h
+++ b/include/plantainhead/core/planner_types.h
@@ -65,6 +65,8 @@
   /// Time between two plans. Small against the 2.1 s in which urgent work
   /// starts.
   duration plan_interval = std::chrono::milliseconds(200);
+  /// Time between two plans of the pools, which change more slowly.
+  duration pool_interval = std::chrono::seconds(1);
   /// A record that has not been read back after this is appended again.
   duration record_patience = std::chrono::seconds(5);
   /// An operation that has not ended after this is sent again under its id.
@@ -78,6 +80,20 @@
   /// A VM that has been off the list for this long is forgotten.
   duration forget_after = std::chrono::seconds(60);
 
+  /// Time constants with which a learned load follows a rise and a fall.
+  duration demand_rise = std::chrono::seconds(15);
+  duration demand_fall = std::chrono::minutes(15);
+  /// How long a pool must lack VMs for its demand, or for its spare, and how
+  /// long another must have too many, before one is moved.
+  duration base_lack_patience = std::chrono::seconds(5);
+  duration spare_lack_patience = std::chrono::minutes(1);
+  duration surplus_patience = std::chrono::minutes(5);
+  /// Time that a VM stays in a pool before it moves again, unless the demand of
+  /// another pool can't be served without it.
+  duration least_dwell = std::chrono::minutes(10);
+  /// How long a zone that lost all its VMs counts as out and not as gone.
+  duration outage_memory = std::chrono::hours(6);
+
   /// Time that owners are given to stop sending to a draining VM.
   duration drain_notice = std::chrono::seconds(2);
   /// The greatest patience that a caller may ask for; requests of an entry that
@@ -87,6 +103,13 @@
   duration drain_bound = std::chrono::minutes(15);
   /// A VM that has not come back after this is reported as lost.
   duration return_bound = std::chrono::minutes(15);
+  /// Wait before a VM that didn't drain is tried again.
+  duration defer_time = std::chrono::minutes(30);
+  /// A budget that burns this many times too fast pauses waves; at or below the
+  /// second rate, kept for `resume_after`, they resume.
+  double pause_burn_rate = 2.0;
+  double resume_burn_rate = 1.0;
+  duration resume_after = std::chrono::seconds(30);
   /// What one reboot is taken to last, for what it costs of a budget.
   duration reboot_estimate = std::chrono::minutes(5);
 };
--- a/include/plantainhead/core/pool_planner.h
+++ b/include/plantainhead/core/pool_planner.h
@@ -1,28 +1,107 @@
 #ifndef PLANTAINHEAD_CORE_POOL_PLANNER_H_
 #define PLANTAINHEAD_CORE_POOL_PLANNER_H_
 
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "plantainhead/core/capacity.h"
-#include "plantainhead/core/phase_watch.h"
-#include "plantainhead/core/planner_context.h"
+#include "plantainhead/core/pool_balance.h"
 #include "plantainhead/core/vm_lifecycle.h"
 
 namespace plantainhead::core {
 
-/// Gives every VM of the platform's list a pool, moves VMs to the pools that
-/// lack them and forgets VMs that are gone. Thread safety: none.
+/// What the pools cost, beside the least that would do.
+struct pool_figures {
+  /// VMs that all pools need to serve their demand.
+  std::uint32_t need = 0;
+  /// Spare VMs that the planner holds back, and the fewest that survive the
+  /// loss of one zone when spread evenly.
+  std::uint32_t buffer = 0;
+  std::uint32_t buffer_bound = 0;
+  /// VMs that no pool asks for.
+  std::uint32_t surplus = 0;
+  /// VMs that pools lack.
+  std::uint32_t lack = 0;
+  /// Moves that this planner has started.
+  std::uint64_t moves = 0;
+};
+
+/// Gives every VM of the platform's list a pool, moves as few VMs as it can to
+/// the pools that lack them, and forgets VMs that are gone.
+/// Thread safety: none.
 class pool_planner {
  public:
+  /// Writes the records and operations that the pools need now.
   void Plan(const planner_context& context,
             const vm_lifecycle& lifecycle,
-            const capacity_plan& capacity,
-            const phase_watch& watch);
+            const capacity_plan& capacity);
+
+  /// Figures of the newest plan.
+  const pool_figures& figures() const { return figures_; }
 
  private:
-  void AssignNew(const planner_context& context, const capacity_plan& capacity);
-  void ForgetGone(const planner_context& context, const phase_watch& watch);
+  using balances = std::map<pool_id, pool_balance>;
+
+  struct donor {
+    const vm_view* vm = nullptr;
+    pool_id from;
+  };
+
+  void ObserveZones(const planner_context& context);
+  balances Balance(const planner_context& context,
+                   const capacity_plan& capacity) const;
+  void CountTeams(const planner_context& context);
+  void AssignNew(const planner_context& context, balances& pools);
+  void ForgetGone(const planner_context& context);
   void TellPlatform(const planner_context& context);
+  void EndMoves(const planner_context& context,
+                const vm_lifecycle& lifecycle,
+                balances& pools);
+  void StartMoves(const planner_context& context,
+                  const vm_lifecycle& lifecycle,
+                  balances& pools);
+  void ObserveLacks(const planner_context& context, const balances& pools);
+  void UpdateFigures(const planner_context& context,
+                     const balances& pools,
+                     const capacity_plan& capacity);
+  /// Returns true if the quota of the receiving pool's team lets a VM of pool
+  /// `from` in; `from` is empty for a new VM.
+  bool HasRoom(const planner_context& context,
+               const pool_id& pool,
+               const pool_id& from) const;
+  void MoveInTeams(const planner_context& context,
+                   const pool_id& from,
+                   const pool_id& to);
+  /// Returns the pools whose lack has not yet lasted long enough for a move.
+  std::set<pool_id> PoolsWithShortLack(const planner_context& context,
+                                       const balances& pools) const;
+  /// Returns the pool outside `settled` that lacks most, or nothing. With
+  /// `from` only pools whose quota lets a VM of that pool in are seen.
+  std::optional<pool_id> NeediestPool(const planner_context& context,
+                                      const balances& pools,
+                                      const std::optional<pool_id>& from,
+                                      const std::set<pool_id>& settled) const;
+  std::optional<donor> BestDonor(const planner_context& context,
+                                 const vm_lifecycle& lifecycle,
+                                 const balances& pools,
+                                 const pool_id& receiver,
+                                 const std::set<vm_id>& taken) const;
+  bool MayLeave(const planner_context& context,
+                const vm_view& vm,
+                bool is_urgent) const;
+
+  std::map<zone_id, time_point> zone_seen_;
+  bool zone_is_out_ = false;
+  std::uint32_t domains_ = 0;
+  bool by_rack_ = false;
+  std::map<pool_id, time_point> lack_since_;
+  std::map<pool_id, time_point> surplus_since_;
+  std::map<pool_id, std::uint32_t> surplus_;
+  std::map<team_id, std::uint32_t> team_vms_;
+  pool_figures figures_;
 };
 
 }  // namespace plantainhead::core
--- a/include/plantainhead/core/record_gate.h
+++ b/include/plantainhead/core/record_gate.h
@@ -11,6 +11,20 @@
 
 namespace plantainhead::core {
 
+/// Names of objects in the gate, in reasons and in notes.
+inline std::string ObjectOf(const vm_id& vm) {
+  return "vm:" + vm.value();
+}
+inline std::string ObjectOf(const wave_id& wave) {
+  return "wave:" + wave.value();
+}
+inline std::string ObjectOf(const pool_id& pool) {
+  return "pool:" + pool.value();
+}
+inline std::string ObjectOf(const job_id& job) {
+  return "job:" + job.value();
+}
+
 /// Lets one record for each generation of an object through and holds back its
 /// repetition until the fold shows another generation or `patience` has passed.
 /// A record that goes out twice takes effect once: both expect the same
@@ -50,6 +64,8 @@
     });
   }
 
+  bool empty() const { return pending_.empty(); }
+
   /// Forgets all, as when the lease was lost.
   void Clear() { pending_.clear(); }
 
--- a/include/plantainhead/core/wave_planner.h
+++ b/include/plantainhead/core/wave_planner.h
@@ -1,10 +1,11 @@
 #ifndef PLANTAINHEAD_CORE_WAVE_PLANNER_H_
 #define PLANTAINHEAD_CORE_WAVE_PLANNER_H_
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "plantainhead/core/capacity.h"
@@ -12,22 +13,65 @@
 
 namespace plantainhead::core {
 
-/// Chooses the VMs that a wave takes next: as many at once as the budgets of
-/// all classes allow, one zone of a pool at a time, rack by rack.
+/// Chooses the VMs that waves take next: as many at once as the budgets of all
+/// classes allow, one zone of a pool at a time, rack by rack. It pauses waves
+/// when a budget burns or failures leave them no slack, and resumes them.
 /// Thread safety: none.
 class wave_planner {
  public:
-  /// Starts drains for all running waves and ends those that are complete.
+  /// Returns the pools from which nothing may leave, because VMs were lost
+  /// and the rest is no more than the pool needs.
+  static std::set<pool_id> HeldPools(const planner_context& context,
+                                     const capacity_plan& capacity);
+
+  /// Starts drains for all running waves, pauses, resumes and ends waves.
   void Plan(const planner_context& context,
             const vm_lifecycle& lifecycle,
             const capacity_plan& capacity);
 
  private:
+  /// What a pass over a wave's pools found.
+  struct pass {
+    std::uint32_t left = 0;
+    std::uint32_t under_way = 0;
+    /// Pools with VMs left, and those of them that failures hold back.
+    std::uint32_t open_pools = 0;
+    std::uint32_t held_pools = 0;
+    std::string obstacle;
+  };
+
   void PlanWave(const planner_context& context,
                 const vm_lifecycle& lifecycle,
                 const capacity_plan& capacity,
                 const wave_id& id,
                 const wave_progress& wave);
+  void PlanPool(const planner_context& context,
+                const vm_lifecycle& lifecycle,
+                const pool_capacity& capacity,
+                const pool_view& pool,
+                const wave_id& id,
+                const wave_progress& wave,
+                pass& found);
+  std::vector<const vm_view*> Candidates(const planner_context& context,
+                                         const vm_lifecycle& lifecycle,
+                                         const pool_view& pool,
+                                         const wave_progress& wave) const;
+  /// Returns why the wave should be paused, or nothing.
+  std::string WhyPause(const planner_context& context,
+                       const wave_progress& wave,
+                       const pass& found) const;
+  void PauseOrResume(const planner_context& context,
+                     const wave_id& id,
+                     const wave_progress& wave,
+                     const std::string& why);
+  void SetState(const planner_context& context,
+                const wave_id& id,
+                const wave_progress& wave,
+                wave_state state,
+                const std::string& reason) const;
+
+  /// Since when nothing speaks for the pause of a wave that paused itself.
+  std::map<wave_id, time_point> calm_since_;
 };
 
 }  // namespace plantainhead::core
--- a/src/core/capacity.cc
+++ b/src/core/capacity.cc
@@ -1,27 +1,225 @@
 #include "plantainhead/core/capacity.h"
 
 #include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "plantainhead/core/queueing.h"
 
 namespace plantainhead::core {
 namespace {
 
 /// Share of a pool that may be in maintenance while its demand isn't known.
 constexpr std::uint32_t kUnknownDemandDivisor = 10;
+/// The same for a pool that runs only jobs.
+constexpr std::uint32_t kJobPoolDivisor = 2;
+/// Slots of a VM of which the list says nothing.
+constexpr double kDefaultSlots = 8.0;
+/// Work that can wait is served at this share of its slots.
+constexpr double kWaitingUtilization = 0.9;
+/// Share of what is left of a budget that one dip of a pool may spend.
+constexpr double kDipShare = 0.25;
+
+/// The strictest of the classes of one service.
+struct service_targets {
+  double late = 1.0;
+  double patience_seconds = 0;
+  double tolerance = 1.0;
+  /// The tolerance that is left of the budgets right now.
+  double usable_tolerance = 1.0;
+  duration dip_allowance = duration::max();
+  bool only_waiting_work = true;
+};
+
+double SecondsOf(duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+void AddClass(service_targets& targets,
+              const work_class& work,
+              const class_burn& burn) {
+  const double left = std::max(0.0, 1.0 - burn.spent);
+  const double usable = burn.rate > 1.0 ? 0.0 : work.unavailability * left;
+  const double seconds =
+      left * work.unavailability * SecondsOf(work.window) * kDipShare;
+  targets.dip_allowance = std::min(targets.dip_allowance,
+                                   std::chrono::duration_cast<duration>(
+                                       std::chrono::duration<double>(seconds)));
+  if (work.can_wait) {
+    return;
+  }
+  const double within = SecondsOf(work.within);
+  if (targets.only_waiting_work || within < targets.patience_seconds) {
+    targets.patience_seconds = within;
+  }
+  targets.only_waiting_work = false;
+  targets.late = std::min(targets.late, std::max(1e-6, 1.0 - work.served));
+  targets.tolerance = std::min(targets.tolerance, work.unavailability);
+  targets.usable_tolerance = std::min(targets.usable_tolerance, usable);
+}
+
+service_targets TargetsOf(const planner_inputs& inputs,
+                          const service_name& service) {
+  service_targets targets;
+  for (const work_class& work : inputs.state.targets.classes) {
+    if (work.service != service) {
+      continue;
+    }
+    const auto burn = inputs.budgets.find(work.name);
+    AddClass(targets, work,
+             burn == inputs.budgets.end() ? class_burn() : burn->second);
+  }
+  return targets;
+}
+
+double SlotsForLoad(const service_targets& targets,
+                    double load,
+                    double service_seconds) {
+  if (targets.only_waiting_work || service_seconds <= 0) {
+    return load / kWaitingUtilization;
+  }
+  // One mean service time of the patience goes on the service itself.
+  const double patience = targets.patience_seconds / service_seconds - 1.0;
+  return SlotsFor(load, targets.late, patience);
+}
+
+double SlotsPerVm(const pool_view& pool) {
+  double slots = 0;
+  double count = 0;
+  for (const vm_view* vm : pool.vms) {
+    if (vm->listing != nullptr && vm->listing->slots > 0) {
+      slots += vm->listing->slots;
+      count += 1;
+    }
+  }
+  return count > 0 ? slots / count : kDefaultSlots;
+}
+
+std::uint32_t VmsFor(double slots, double slots_per_vm) {
+  return static_cast<std::uint32_t>(std::ceil(slots / slots_per_vm - 1e-9));
+}
+
+/// Slots of one pool, added up over the services that it runs.
+struct pool_slots {
+  bool has_service = false;
+  bool is_known = false;
+  double need = 0;
+  double survivors = 0;
+  double floor = 0;
+  double tolerance = 1.0;
+  duration dip_allowance = duration::max();
+};
+
+/// Returns what share of a service's load each of its pools carries: by the
+/// VMs they have, evenly when they have none.
+std::vector<double> SharesOf(const service_spec& service,
+                             const fleet_view& view) {
+  std::vector<double> shares;
+  double sum = 0;
+  for (const pool_id& name : service.pools) {
+    const pool_view* pool = view.FindPool(name);
+    shares.push_back(pool == nullptr ? 0.0
+                                     : static_cast<double>(pool->vms.size()));
+    sum += shares.back();
+  }
+  for (double& share : shares) {
+    share = sum > 0 ? share / sum : 1.0 / static_cast<double>(shares.size());
+  }
+  return shares;
+}
+
+void AddService(pool_slots& slots,
+                const service_targets& targets,
+                double load,
+                double service_seconds) {
+  slots.is_known = true;
+  slots.need += SlotsForLoad(targets, load, service_seconds);
+  slots.floor += SlotsForLoad(targets, load * (1.0 - targets.usable_tolerance),
+                              service_seconds);
+  if (!targets.only_waiting_work) {
+    slots.survivors += SlotsForLoad(targets, load * (1.0 - targets.tolerance),
+                                    service_seconds);
+  }
+}
+
+std::map<pool_id, pool_slots> SlotsOfPools(const planner_inputs& inputs,
+                                           const fleet_view& view,
+                                           const demand_estimator& demand) {
+  std::map<pool_id, pool_slots> pools;
+  for (const service_spec& service : inputs.state.targets.services) {
+    const service_targets targets = TargetsOf(inputs, service.name);
+    const std::vector<double> shares = SharesOf(service, view);
+    const auto known = demand.estimates().find(service.name);
+    for (std::size_t i = 0; i < service.pools.size(); ++i) {
+      pool_slots& slots = pools[service.pools[i]];
+      slots.has_service = true;
+      slots.tolerance = std::min(slots.tolerance, targets.tolerance);
+      slots.dip_allowance =
+          std::min(slots.dip_allowance, targets.dip_allowance);
+      if (known != demand.estimates().end()) {
+        AddService(slots, targets, known->second.load * shares[i],
+                   known->second.service_seconds);
+      }
+    }
+  }
+  return pools;
+}
+
+pool_capacity CapacityOf(const pool_view& pool, const pool_slots& slots) {
+  const auto size = static_cast<std::uint32_t>(pool.vms.size());
+  const std::uint32_t least = pool.spec->least_vms;
+  pool_capacity item;
+  item.is_known = slots.is_known;
+  item.tolerance = slots.tolerance;
+  item.dip_allowance = slots.dip_allowance;
+  if (slots.is_known) {
+    const double per_vm = SlotsPerVm(pool);
+    item.need = std::max(least, VmsFor(slots.need, per_vm));
+    item.survivors = VmsFor(slots.survivors, per_vm);
+    item.floor = VmsFor(slots.floor, per_vm);
+  } else {
+    // A pool without a service has only jobs, which a drain moves elsewhere.
+    const std::uint32_t divisor =
+        slots.has_service ? kUnknownDemandDivisor : kJobPoolDivisor;
+    const std::uint32_t away = std::max(1U, size / divisor);
+    item.need = std::max(least, size);
+    item.floor = size > away ? size - away : 0;
+  }
+  // A pool that has no more than its least VMs still gets its maintenance, one
+  // VM at a time.
+  const std::uint32_t all_but_one = size > 0 ? size - 1 : 0;
+  item.floor = std::max(item.floor, std::min(least, all_but_one));
+  return item;
+}
 
 }  // namespace
 
-capacity_plan PlanCapacity(const planner_inputs&,
+capacity_plan PlanCapacity(const planner_inputs& inputs,
                            const fleet_view& view,
+                           const demand_estimator& demand,
                            const planner_options&) {
+  const std::map<pool_id, pool_slots> slots =
+      SlotsOfPools(inputs, view, demand);
   capacity_plan plan;
   for (const auto& [name, pool] : view.pools()) {
-    const auto size = static_cast<std::uint32_t>(pool.vms.size());
-    pool_capacity& item = plan[name];
-    item.need = std::max(size, pool.spec->least_vms);
-    const std::uint32_t away = std::max(1U, size / kUnknownDemandDivisor);
-    item.floor = size > away ? size - away : 0;
+    const auto found = slots.find(name);
+    plan[name] =
+        CapacityOf(pool, found == slots.end() ? pool_slots() : found->second);
   }
   return plan;
 }
 
+std::uint32_t LeastSpread(std::uint32_t need,
+                          std::uint32_t survivors,
+                          std::uint32_t domains) {
+  if (domains < 2) {
+    return need;
+  }
+  std::uint32_t size = std::max(need, survivors);
+  while (size - (size + domains - 1) / domains < survivors) {
+    ++size;
+  }
+  return size;
+}
+
 }  // namespace plantainhead::core
--- a/src/core/fleet_view.cc
+++ b/src/core/fleet_view.cc
@@ -2,8 +2,13 @@
 
 namespace plantainhead::core {
 
-fleet_view::fleet_view(const planner_inputs& inputs) {
+fleet_view::fleet_view(const planner_inputs& inputs,
+                       const phase_watch& watch,
+                       const record_gate& gate,
+                       time_point now) {
   JoinVms(inputs);
+  JoinReports(inputs);
+  JoinMemory(watch, gate, now);
   FillPools(inputs);
 }
 
@@ -17,23 +22,42 @@
     vm_view& vm = vms_[listing.vm];
     vm.id = listing.vm;
     vm.listing = &listing;
+    vm.zone = listing.zone;
+    vm.rack = listing.rack;
   }
+}
+
+void fleet_view::JoinReports(const planner_inputs& inputs) {
   for (const auto& [id, requests] : inputs.in_flight) {
-    const auto found = vms_.find(id);
-    if (found != vms_.end()) {
-      found->second.in_flight = requests;
+    if (vm_view* vm = FindMutable(id)) {
+      vm->in_flight = requests;
     }
   }
   for (const vm_id& id : inputs.unhealthy) {
-    const auto found = vms_.find(id);
-    if (found != vms_.end()) {
-      found->second.healthy = false;
+    if (vm_view* vm = FindMutable(id)) {
+      vm->healthy = false;
     }
   }
-  for (const task_listing& task : inputs.tasks) {
-    const auto found = vms_.find(task.vm);
-    if (found != vms_.end() && task.state == task_state::kRunning) {
-      ++found->second.tasks;
+  for (const auto& [id, job] : inputs.state.jobs) {
+    const bool holds = job.state == job_state::kPlaced ||
+                       job.state == job_state::kCheckpointing;
+    if (vm_view* vm = holds ? FindMutable(job.vm) : nullptr) {
+      ++vm->jobs;
+    }
+  }
+}
+
+void fleet_view::JoinMemory(const phase_watch& watch,
+                            const record_gate& gate,
+                            time_point now) {
+  for (auto& [id, vm] : vms_) {
+    vm.seen = watch.Find(id);
+    if (vm.seen != nullptr && vm.listing == nullptr) {
+      vm.zone = vm.seen->zone;
+      vm.rack = vm.seen->rack;
+    }
+    if (!gate.empty() && vm.state != nullptr) {
+      vm.is_pending = gate.IsPending(ObjectOf(id), vm.state->version, now);
     }
   }
 }
@@ -65,4 +89,9 @@
   return found == pools_.end() ? nullptr : &found->second;
 }
 
+vm_view* fleet_view::FindMutable(const vm_id& id) {
+  const auto found = vms_.find(id);
+  return found == vms_.end() ? nullptr : &found->second;
+}
+
 }  // namespace plantainhead::core
--- a/src/core/operation_tracker.cc
+++ b/src/core/operation_tracker.cc
@@ -42,6 +42,11 @@
   item.ended = now;
 }
 
+bool operation_tracker::HasEnded(const operation_id& id) const {
+  const auto found = entries_.find(id);
+  return found != entries_.end() && found->second.end.has_value();
+}
+
 std::optional<time_point> operation_tracker::DoneAt(
     const operation_id& id) const {
   const auto found = entries_.find(id);
--- a/src/core/phase_watch.cc
+++ b/src/core/phase_watch.cc
@@ -32,6 +32,10 @@
   for (const auto& [id, vm] : inputs.state.vms) {
     const auto [found, is_new] = sights_.try_emplace(id);
     sight& seen = found->second;
+    if (is_new || seen.pool != vm.pool) {
+      seen.pool = vm.pool;
+      seen.pool_since = now;
+    }
     // A second drain may follow the first within one batch of records; the
     // operation tells them apart, so that no old heartbeat proves the new one.
     if (is_new || seen.phase != vm.phase || seen.operation != vm.operation) {
@@ -62,16 +66,28 @@
 }
 
 void phase_watch::ObserveList(const planner_inputs& inputs, time_point now) {
-  std::set<vm_id> listed;
+  std::map<vm_id, const vm_listing*> listed;
   for (const vm_listing& listing : inputs.vms) {
-    listed.insert(listing.vm);
+    listed[listing.vm] = &listing;
   }
   for (auto& [id, seen] : sights_) {
-    const bool missing = !listed.contains(id);
+    const auto found = listed.find(id);
+    const bool missing = found == listed.end();
     if (missing && !seen.missing) {
       seen.missing_since = now;
     }
     seen.missing = missing;
+    const bool impaired = missing ||
+                          found->second->state != vm_listing_state::kLive ||
+                          inputs.unhealthy.contains(id);
+    if (impaired && !seen.impaired) {
+      seen.impaired_since = now;
+    }
+    seen.impaired = impaired;
+    if (!missing) {
+      seen.zone = found->second->zone;
+      seen.rack = found->second->rack;
+    }
   }
 }
 
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -7,13 +7,16 @@
 
 /// How long the end of an operation is remembered after it was last needed.
 constexpr duration kOperationMemory = std::chrono::minutes(5);
+/// Reasons kept beyond one for each VM, before all are dropped and given anew.
+constexpr std::size_t kKeptReasons = 4096;
 
 }  // namespace
 
 planner::planner(planner_options options)
     : options_(std::move(options)),
       operations_(options_.operation_patience, options_.operation_retry),
-      gate_(options_.record_patience) {}
+      gate_(options_.record_patience),
+      demand_(options_.demand_rise, options_.demand_fall) {}
 
 void planner::OnTick(const planner_inputs& inputs,
                      time_point now,
@@ -23,6 +26,7 @@
   }
   planned_at_ = now;
   watch_.Observe(inputs, now);
+  demand_.Observe(inputs.demand, now);
   if (!inputs.holds_lease) {
     return;
   }
@@ -33,8 +37,19 @@
     gate_.Clear();
   }
   Plan(inputs, now, out);
+  Prune(inputs, now);
+}
+
+void planner::Prune(const planner_inputs& inputs, time_point now) {
   gate_.Expire(now);
   operations_.Forget(now - kOperationMemory);
+  std::erase_if(deferred_, [&](const auto& item) {
+    return !inputs.state.vms.contains(item.first);
+  });
+  if (reasons_.size() <= inputs.state.vms.size() + kKeptReasons) {
+    return;
+  }
+  reasons_.clear();
 }
 
 void planner::OnOperationFinished(const operation_finished& event,
@@ -44,13 +59,21 @@
 }
 
 void planner::Plan(const planner_inputs& inputs, time_point now, effects& out) {
-  const fleet_view view(inputs);
-  const planner_context context{inputs, options_,    view,     now,
-                                gate_,  operations_, reasons_, out};
+  const fleet_view view(inputs, watch_, gate_, now);
+  const capacity_plan capacity = PlanCapacity(inputs, view, demand_, options_);
+  const std::set<pool_id> none_held;
+  const planner_context unheld{inputs,    options_,    view,     now,
+                               gate_,     operations_, reasons_, out,
+                               deferred_, none_held};
+  const std::set<pool_id> held = wave_planner::HeldPools(unheld, capacity);
+  const planner_context context{inputs,      options_, view, now,       gate_,
+                                operations_, reasons_, out,  deferred_, held};
   const vm_lifecycle lifecycle(context, watch_);
-  const capacity_plan capacity = PlanCapacity(inputs, view, options_);
   lifecycle.Advance();
-  pools_.Plan(context, lifecycle, capacity, watch_);
+  if (now - pools_planned_at_ >= options_.pool_interval) {
+    pools_planned_at_ = now;
+    pools_.Plan(context, lifecycle, capacity);
+  }
   waves_.Plan(context, lifecycle, capacity);
 }
 
--- a/src/core/pool_planner.cc
+++ b/src/core/pool_planner.cc
@@ -1,81 +1,181 @@
 #include "plantainhead/core/pool_planner.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace plantainhead::core {
 namespace {
 
-std::string ObjectOf(const vm_id& vm) {
-  return "vm:" + vm.value();
+/// A mover is a VM that was drained, or drains, to change its pool.
+bool IsMover(const vm_view& vm) {
+  return vm.state != nullptr && vm.state->wave.empty() &&
+         (vm.state->phase == vm_phase::kDraining ||
+          vm.state->phase == vm_phase::kDrained);
+}
+
+/// Tells if the pool can count on the VM: it works, or comes back from
+/// maintenance.
+bool IsMember(const planner_context& context, const vm_view& vm) {
+  if (vm.state == nullptr || vm.state->quarantined || IsMover(vm)) {
+    return false;
+  }
+  if (vm.state->phase != vm_phase::kServing) {
+    return vm.seen == nullptr ||
+           context.now - vm.seen->since < context.options.return_bound;
+  }
+  return vm.listed_live() && vm.healthy;
+}
+
+const pool_spec* SpecOf(const planner_context& context, const pool_id& pool) {
+  const pool_view* view = context.view.FindPool(pool);
+  return view == nullptr ? nullptr : view->spec;
+}
+
+std::uint32_t QuotaOf(const planner_context& context, const team_id& team) {
+  for (const team_spec& spec : context.inputs.state.targets.teams) {
+    if (spec.name == team) {
+      return spec.vms;
+    }
+  }
+  return 0;
+}
+
+/// Tells if a running wave has still to visit the VM in its present pool.
+bool AwaitsWave(const planner_context& context, const vm_view& vm) {
+  for (const auto& [id, wave] : context.inputs.state.waves) {
+    const bool is_open =
+        wave.state == wave_state::kRunning || wave.state == wave_state::kPaused;
+    if (is_open && !wave.visited.contains(vm.id) &&
+        std::find(wave.pools.begin(), wave.pools.end(), vm.state->pool) !=
+            wave.pools.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+pool_id SmallestPool(const std::map<pool_id, pool_balance>& pools) {
+  return std::min_element(pools.begin(), pools.end(),
+                          [](const auto& left, const auto& right) {
+                            return left.second.size() < right.second.size();
+                          })
+      ->first;
+}
+
+std::string Count(std::uint32_t count) {
+  return std::to_string(count);
 }
 
 }  // namespace
 
 void pool_planner::Plan(const planner_context& context,
                         const vm_lifecycle& lifecycle,
-                        const capacity_plan& capacity,
-                        const phase_watch& watch) {
-  if (context.now - context.inputs.listed_at > context.options.list_patience) {
+                        const capacity_plan& capacity) {
+  if (!context.list_is_fresh() || capacity.empty()) {
     return;
   }
-  AssignNew(context, capacity);
-  ForgetGone(context, watch);
+  ObserveZones(context);
+  balances pools = Balance(context, capacity);
+  CountTeams(context);
+  UpdateFigures(context, pools, capacity);
+  ObserveLacks(context, pools);
+  AssignNew(context, pools);
+  ForgetGone(context);
   TellPlatform(context);
-  for (const auto& [id, vm] : context.view.vms()) {
-    if (vm.state != nullptr && vm.state->phase == vm_phase::kDrained &&
-        vm.state->wave.empty()) {
-      lifecycle.Readmit(vm, "it stays in its pool");
+  EndMoves(context, lifecycle, pools);
+  StartMoves(context, lifecycle, pools);
+}
+
+void pool_planner::ObserveZones(const planner_context& context) {
+  std::set<rack_id> racks;
+  for (const vm_listing& vm : context.inputs.vms) {
+    if (vm.state == vm_listing_state::kLive) {
+      zone_seen_[vm.zone] = context.now;
+      racks.insert(vm.rack);
     }
   }
+  std::erase_if(zone_seen_, [&](const auto& item) {
+    return context.now - item.second >= context.options.outage_memory;
+  });
+  zone_is_out_ =
+      std::any_of(zone_seen_.begin(), zone_seen_.end(),
+                  [&](const auto& item) { return item.second != context.now; });
+  by_rack_ = zone_seen_.size() < 2;
+  domains_ =
+      static_cast<std::uint32_t>(by_rack_ ? racks.size() : zone_seen_.size());
 }
 
-void pool_planner::AssignNew(const planner_context& context,
-                             const capacity_plan& capacity) {
-  std::map<pool_id, std::uint32_t> sizes;
+pool_planner::balances pool_planner::Balance(
+    const planner_context& context,
+    const capacity_plan& capacity) const {
+  balances pools;
+  for (const auto& [name, item] : capacity) {
+    pool_balance& balance =
+        pools.try_emplace(name, item, domains_, !zone_is_out_).first->second;
+    const pool_view* pool = context.view.FindPool(name);
+    for (const vm_view* vm : pool->vms) {
+      if (IsMember(context, *vm)) {
+        balance.Add(context.DomainOf(*vm, by_rack_));
+      }
+    }
+  }
+  return pools;
+}
+
+void pool_planner::CountTeams(const planner_context& context) {
+  team_vms_.clear();
   for (const auto& [name, pool] : context.view.pools()) {
-    sizes[name] = static_cast<std::uint32_t>(pool.vms.size());
+    team_vms_[pool.spec->team] += static_cast<std::uint32_t>(pool.vms.size());
   }
-  if (sizes.empty()) {
-    return;
+}
+
+bool pool_planner::HasRoom(const planner_context& context,
+                           const pool_id& pool,
+                           const pool_id& from) const {
+  const pool_spec* spec = SpecOf(context, pool);
+  if (spec == nullptr || spec->team.empty()) {
+    return true;
   }
+  const pool_spec* from_spec = SpecOf(context, from);
+  if (from_spec != nullptr && from_spec->team == spec->team) {
+    return true;
+  }
+  const std::uint32_t quota = QuotaOf(context, spec->team);
+  const auto held = team_vms_.find(spec->team);
+  return quota == 0 || held == team_vms_.end() || held->second < quota;
+}
+
+void pool_planner::AssignNew(const planner_context& context, balances& pools) {
   for (const auto& [id, vm] : context.view.vms()) {
-    if (vm.state != nullptr || !vm.listed_live()) {
+    if (vm.state != nullptr || !vm.listed_live() ||
+        context.gate.IsPending(ObjectOf(id), 0, context.now)) {
       continue;
     }
     pool_id chosen = vm.listing->pool;
     std::string reason = "the platform lists it in this pool";
-    if (!sizes.contains(chosen)) {
-      double least = 0;
-      chosen = pool_id();
-      for (const auto& [name, size] : sizes) {
-        const double need = std::max(1U, capacity.at(name).need);
-        const double fill = size / need;
-        if (chosen.empty() || fill < least) {
-          chosen = name;
-          least = fill;
-        }
-      }
-      reason = "this pool lacks most";
+    if (!pools.contains(chosen)) {
+      const std::optional<pool_id> neediest =
+          NeediestPool(context, pools, pool_id(), {});
+      chosen = neediest ? *neediest : SmallestPool(pools);
+      reason = neediest ? "this pool lacks most" : "no pool lacks a VM";
     }
-    ++sizes[chosen];
+    pools.at(chosen).Add(context.DomainOf(vm, by_rack_));
     context.gate.Append(ObjectOf(id), 0,
                         assign_vm{context.inputs.epoch, id, 0, chosen, reason},
                         context.now, context.out);
   }
 }
 
-void pool_planner::ForgetGone(const planner_context& context,
-                              const phase_watch& watch) {
+void pool_planner::ForgetGone(const planner_context& context) {
   for (const auto& [id, vm] : context.view.vms()) {
-    if (vm.state == nullptr || vm.listing != nullptr) {
-      continue;
-    }
-    const phase_watch::sight* seen = watch.Find(id);
-    if (seen == nullptr || !seen->missing) {
+    if (vm.state == nullptr || vm.listing != nullptr || vm.seen == nullptr ||
+        !vm.seen->missing || vm.is_pending) {
       continue;
     }
     const bool may_come_back = vm.state->phase == vm_phase::kRebooting;
     const duration bound = may_come_back ? context.options.return_bound
                                          : context.options.forget_after;
-    if (context.now - seen->missing_since >= bound) {
+    if (context.now - vm.seen->missing_since >= bound) {
       context.gate.Append(
           ObjectOf(id), vm.state->version,
           forget_vm{context.inputs.epoch, id, vm.state->version}, context.now,
@@ -86,9 +186,15 @@
 
 void pool_planner::TellPlatform(const planner_context& context) {
   for (const auto& [id, vm] : context.view.vms()) {
-    if (vm.state == nullptr || !vm.listed_live() ||
-        vm.listing->pool == vm.state->pool ||
-        vm.state->phase != vm_phase::kServing) {
+    if (!vm.serving() || vm.is_pending || !vm.listed_live() ||
+        vm.listing->pool == vm.state->pool) {
+      continue;
+    }
+    // A readmission tells the pool itself; the list shows it after its lag.
+    const operation_id& own = vm.state->operation;
+    const std::optional<time_point> done = context.operations.DoneAt(own);
+    if (!own.empty() && (!done || context.inputs.listed_at <
+                                      *done + context.options.list_lag)) {
       continue;
     }
     context.operations.Drive(
@@ -97,4 +203,222 @@
   }
 }
 
+void pool_planner::EndMoves(const planner_context& context,
+                            const vm_lifecycle& lifecycle,
+                            balances& pools) {
+  for (const auto& [id, vm] : context.view.vms()) {
+    if (!IsMover(vm) || vm.is_pending ||
+        vm.state->phase != vm_phase::kDrained) {
+      continue;
+    }
+    const std::optional<pool_id> receiver =
+        NeediestPool(context, pools, vm.state->pool, {});
+    if (!receiver || *receiver == vm.state->pool) {
+      lifecycle.Readmit(vm, "no other pool lacks it any more");
+      continue;
+    }
+    pools.at(*receiver).Add(context.DomainOf(vm, by_rack_));
+    MoveInTeams(context, vm.state->pool, *receiver);
+    lifecycle.ReadmitTo(vm, *receiver,
+                        "pool " + receiver->value() + " lacked it more than " +
+                            vm.state->pool.value());
+  }
+}
+
+void pool_planner::StartMoves(const planner_context& context,
+                              const vm_lifecycle& lifecycle,
+                              balances& pools) {
+  std::uint32_t under_way = 0;
+  for (const auto& [id, vm] : context.view.vms()) {
+    under_way += IsMover(vm) ? 1 : 0;
+  }
+  std::set<vm_id> taken;
+  std::set<pool_id> settled = PoolsWithShortLack(context, pools);
+  while (true) {
+    const std::optional<pool_id> receiver =
+        NeediestPool(context, pools, std::nullopt, settled);
+    if (!receiver) {
+      return;
+    }
+    pool_balance& to = pools.at(*receiver);
+    if (under_way > 0) {
+      // One that already drains will go there.
+      --under_way;
+      to.Add(zone_id());
+      continue;
+    }
+    const std::optional<donor> best =
+        BestDonor(context, lifecycle, pools, *receiver, taken);
+    if (!best) {
+      context.Report(
+          note_level::kWarning, ObjectOf(*receiver),
+          "it lacks " + Count(to.Lack()) + " VMs and no pool can spare one");
+      settled.insert(*receiver);
+      continue;
+    }
+    const zone_id domain = context.DomainOf(*best->vm, by_rack_);
+    lifecycle.StartDrain(*best->vm, wave_id(),
+                         "move to pool " + receiver->value() +
+                             ", which lacks " + Count(to.Lack()) + "; pool " +
+                             best->from.value() + " needs " +
+                             Count(pools.at(best->from).need()) + " of its " +
+                             Count(pools.at(best->from).size()));
+    taken.insert(best->vm->id);
+    pools.at(best->from).Remove(domain);
+    to.Add(domain);
+    MoveInTeams(context, best->from, *receiver);
+    ++figures_.moves;
+  }
+}
+
+void pool_planner::MoveInTeams(const planner_context& context,
+                               const pool_id& from,
+                               const pool_id& to) {
+  if (const pool_spec* spec = SpecOf(context, from)) {
+    --team_vms_[spec->team];
+  }
+  ++team_vms_[SpecOf(context, to)->team];
+}
+
+std::set<pool_id> pool_planner::PoolsWithShortLack(
+    const planner_context& context,
+    const balances& pools) const {
+  std::set<pool_id> found;
+  for (const auto& [name, since] : lack_since_) {
+    const bool is_base = pools.at(name).BaseLack() > 0;
+    const duration patience = is_base ? context.options.base_lack_patience
+                                      : context.options.spare_lack_patience;
+    if (context.now - since < patience) {
+      found.insert(name);
+    }
+  }
+  return found;
+}
+
+void pool_planner::ObserveLacks(const planner_context& context,
+                                const balances& pools) {
+  for (const auto& [name, pool] : pools) {
+    if (pool.Lack() == 0) {
+      lack_since_.erase(name);
+    } else {
+      lack_since_.try_emplace(name, context.now);
+    }
+    const std::uint32_t surplus = pool.Surplus();
+    surplus_[name] = surplus;
+    if (surplus == 0) {
+      surplus_since_.erase(name);
+    } else {
+      surplus_since_.try_emplace(name, context.now);
+    }
+  }
+}
+
+std::optional<pool_id> pool_planner::NeediestPool(
+    const planner_context& context,
+    const balances& pools,
+    const std::optional<pool_id>& from,
+    const std::set<pool_id>& settled) const {
+  std::optional<pool_id> neediest;
+  std::tuple<double, double, double> greatest;
+  for (const auto& [name, pool] : pools) {
+    const std::uint32_t lack = pool.Lack();
+    if (lack == 0 || settled.contains(name) ||
+        (from && !HasRoom(context, name, *from))) {
+      continue;
+    }
+    const std::uint32_t base = pool.BaseLack();
+    const double size = std::max(1U, pool.need());
+    const std::tuple<double, double, double> urgency{
+        base / size, -pool.tolerance(), lack / size};
+    if (!neediest || urgency > greatest) {
+      neediest = name;
+      greatest = urgency;
+    }
+  }
+  return neediest;
+}
+
+std::optional<pool_planner::donor> pool_planner::BestDonor(
+    const planner_context& context,
+    const vm_lifecycle& lifecycle,
+    const balances& pools,
+    const pool_id& receiver,
+    const std::set<vm_id>& taken) const {
+  const pool_balance& to = pools.at(receiver);
+  const bool is_urgent = to.BaseLack() > 0;
+  std::optional<donor> best;
+  std::tuple<bool, std::uint32_t, bool, std::int64_t, std::uint32_t> least;
+  for (const auto& [name, from] : pools) {
+    if (name == receiver || from.size() <= from.need()) {
+      continue;
+    }
+    const auto since = surplus_since_.find(name);
+    const bool has_lasting_surplus =
+        since != surplus_since_.end() &&
+        context.now - since->second >= context.options.surplus_patience;
+    const bool may_use_spare = is_urgent && from.tolerance() >= to.tolerance();
+    if (!HasRoom(context, receiver, name)) {
+      continue;
+    }
+    const std::uint32_t surplus = surplus_.at(name);
+    if (!(surplus > 0 && (has_lasting_surplus || is_urgent)) &&
+        !may_use_spare) {
+      continue;
+    }
+    for (const vm_view* vm : context.view.FindPool(name)->vms) {
+      const zone_id domain = context.DomainOf(*vm, by_rack_);
+      const bool keeps_spare = from.CanSpare(domain, false);
+      if ((!keeps_spare && !(may_use_spare && from.CanSpare(domain, true))) ||
+          taken.contains(vm->id) || !lifecycle.CanDrain(*vm) ||
+          !MayLeave(context, *vm, is_urgent)) {
+        continue;
+      }
+      const std::tuple<bool, std::uint32_t, bool, std::int64_t, std::uint32_t>
+          cost{!keeps_spare, to.CountIn(domain), vm->jobs > 0,
+               -static_cast<std::int64_t>(surplus), vm->jobs};
+      if (!best || cost < least) {
+        best = donor{vm, name};
+        least = cost;
+      }
+    }
+  }
+  return best;
+}
+
+bool pool_planner::MayLeave(const planner_context& context,
+                            const vm_view& vm,
+                            bool is_urgent) const {
+  if (!vm.available()) {
+    return false;
+  }
+  if (is_urgent) {
+    return true;
+  }
+  return vm.seen != nullptr &&
+         context.now - vm.seen->pool_since >= context.options.least_dwell &&
+         !AwaitsWave(context, vm);
+}
+
+void pool_planner::UpdateFigures(const planner_context& context,
+                                 const balances& pools,
+                                 const capacity_plan& capacity) {
+  const std::uint64_t moves = figures_.moves;
+  figures_ = pool_figures();
+  figures_.moves = moves;
+  for (const auto& [name, pool] : pools) {
+    const pool_capacity& item = capacity.at(name);
+    const std::uint32_t survivors = zone_is_out_ ? 0 : item.survivors;
+    figures_.need += item.need;
+    figures_.buffer += pool.Wanted() - item.need;
+    figures_.buffer_bound +=
+        LeastSpread(item.need, survivors, domains_) - item.need;
+    figures_.surplus += pool.Surplus();
+    const std::uint32_t lack = pool.Lack();
+    figures_.lack += lack;
+    if (lack == 0) {
+      context.reasons.erase(ObjectOf(name));
+    }
+  }
+}
+
 }  // namespace plantainhead::core
--- /dev/null
+++ b/src/core/queueing.cc
@@ -0,0 +1,56 @@
+#include "plantainhead/core/queueing.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantainhead::core {
+namespace {
+
+/// Erlang B by its recursion: the share that would be turned away.
+double BlockingProbability(double load, std::uint32_t slots) {
+  double blocking = 1.0;
+  for (std::uint32_t n = 1; n <= slots; ++n) {
+    blocking = load * blocking / (n + load * blocking);
+  }
+  return blocking;
+}
+
+double WaitFromBlocking(double load, std::uint32_t slots, double blocking) {
+  const double utilization = load / slots;
+  if (utilization >= 1.0) {
+    return 1.0;
+  }
+  return blocking / (1.0 - utilization * (1.0 - blocking));
+}
+
+}  // namespace
+
+double WaitProbability(double load, std::uint32_t slots) {
+  if (load <= 0.0) {
+    return 0.0;
+  }
+  if (slots == 0) {
+    return 1.0;
+  }
+  return WaitFromBlocking(load, slots, BlockingProbability(load, slots));
+}
+
+std::uint32_t SlotsFor(double load, double late, double patience) {
+  if (load <= 0.0) {
+    return 0;
+  }
+  auto slots = static_cast<std::uint32_t>(std::floor(load)) + 1;
+  double blocking = BlockingProbability(load, slots);
+  const double wait_limit = std::max(0.0, patience);
+  while (true) {
+    const double waits = WaitFromBlocking(load, slots, blocking);
+    const double late_share = waits * std::exp(-(slots - load) * wait_limit);
+    if (late_share <= late) {
+      return slots;
+    }
+    ++slots;
+    blocking = load * blocking / (slots + load * blocking);
+  }
+}
+
+}  // namespace plantainhead::core
--- a/src/core/vm_lifecycle.cc
+++ b/src/core/vm_lifecycle.cc
@@ -5,12 +5,9 @@
 
 constexpr const char* kDrain = "drain";
 constexpr const char* kReboot = "reboot";
+/// Puts a drained VM to work again, in the pool of its record.
 constexpr const char* kReadmit = "readmit";
 
-std::string ObjectOf(const vm_id& vm) {
-  return "vm:" + vm.value();
-}
-
 }  // namespace
 
 bool IsOwnPause(const wave_progress& wave) {
@@ -28,24 +25,30 @@
                            const phase_watch& watch)
     : context_(context), watch_(watch) {}
 
-bool vm_lifecycle::StartDrain(const vm_view& vm,
-                              const wave_id& wave,
-                              const std::string& reason) const {
-  if (context_.gate.IsPending(ObjectOf(vm.id), vm.state->version,
-                              context_.now)) {
+bool vm_lifecycle::CanDrain(const vm_view& vm) const {
+  if (!vm.serving() || vm.is_pending || !vm.listed_live()) {
     return false;
   }
+  // A readmission that is still under way could reach the VM after the drain
+  // and make it take work while it is about to be rebooted.
+  return vm.state->operation.empty() ||
+         context_.operations.HasEnded(vm.state->operation);
+}
+
+void vm_lifecycle::StartDrain(const vm_view& vm,
+                              const wave_id& wave,
+                              const std::string& reason) const {
   SetPhase(vm, vm_phase::kDraining, kDrain, wave, reason);
-  return true;
 }
 
 void vm_lifecycle::Advance() const {
   for (const auto& [id, vm] : context_.view.vms()) {
-    if (vm.state == nullptr) {
+    if (vm.state == nullptr || vm.is_pending) {
       continue;
     }
     switch (vm.state->phase) {
       case vm_phase::kServing:
+        AdvanceServing(vm);
         break;
       case vm_phase::kDraining:
         AdvanceDraining(vm);
@@ -64,7 +67,32 @@
 }
 
 void vm_lifecycle::Readmit(const vm_view& vm, const std::string& reason) const {
-  SetPhase(vm, vm_phase::kReturning, kReadmit, wave_id(), reason);
+  SetPhase(vm, vm_phase::kServing, kReadmit, wave_id(), reason);
+}
+
+void vm_lifecycle::ReadmitTo(const vm_view& vm,
+                             const pool_id& pool,
+                             const std::string& reason) const {
+  if (vm.is_pending) {
+    return;
+  }
+  // Both records go out together. Between them the VM serves its old pool by
+  // the fold, but its runner still refuses work until the operation, which
+  // waits for the second record.
+  const generation after = vm.state->version + 1;
+  SetPhase(vm, vm_phase::kServing, kReadmit, wave_id(), reason);
+  context_.gate.Append(
+      ObjectOf(vm.id), after,
+      assign_vm{context_.inputs.epoch, vm.id, after, pool, reason},
+      context_.now, context_.out);
+}
+
+void vm_lifecycle::AdvanceServing(const vm_view& vm) const {
+  if (!vm.state->operation.empty()) {
+    context_.operations.Drive(vm.state->operation,
+                              move_vm{vm.id, vm.state->pool}, context_.now,
+                              context_.out);
+  }
 }
 
 void vm_lifecycle::AdvanceDraining(const vm_view& vm) const {
@@ -76,11 +104,8 @@
   const std::optional<operation_result> end = context_.operations.Drive(
       vm.state->operation, drain_vm{vm.id}, context_.now, context_.out);
   if (end == operation_result::kRefused) {
-    const std::string reason =
-        "the platform refused to drain it: " +
-        context_.operations.DetailOf(vm.state->operation);
-    context_.Report(note_level::kWarning, ObjectOf(vm.id), reason);
-    Readmit(vm, reason);
+    GiveUpDraining(vm, "the platform refused to drain it: " +
+                           context_.operations.DetailOf(vm.state->operation));
     return;
   }
   if (end == operation_result::kDone && IsDrained(vm)) {
@@ -88,15 +113,18 @@
              "no requests in flight at any entry or at the endpoint");
     return;
   }
-  const phase_watch::sight* seen = watch_.Find(vm.id);
-  if (seen != nullptr &&
-      context_.now - seen->since >= context_.options.drain_bound) {
-    const std::string reason = "it did not drain in time; it serves again";
-    context_.Report(note_level::kWarning, ObjectOf(vm.id), reason);
-    Readmit(vm, reason);
+  if (HasWaited(vm, context_.options.drain_bound)) {
+    GiveUpDraining(vm, "it did not drain in time and serves again");
   }
 }
 
+void vm_lifecycle::GiveUpDraining(const vm_view& vm,
+                                  const std::string& reason) const {
+  context_.Report(note_level::kWarning, ObjectOf(vm.id), reason);
+  context_.deferred[vm.id] = context_.now;
+  Readmit(vm, reason);
+}
+
 void vm_lifecycle::AdvanceDrained(const vm_view& vm) const {
   if (vm.state->wave.empty()) {
     return;
@@ -115,47 +143,35 @@
   const std::optional<operation_result> end = context_.operations.Drive(
       id, reboot_vm{vm.id}, context_.now, context_.out);
   if (end == operation_result::kRefused) {
-    const std::string reason = "the platform refused to reboot it: " +
-                               context_.operations.DetailOf(id);
-    context_.Report(note_level::kWarning, ObjectOf(vm.id), reason);
-    Readmit(vm, reason);
+    context_.Report(note_level::kError, ObjectOf(vm.id),
+                    "the platform refused to reboot it: " +
+                        context_.operations.DetailOf(id));
     return;
   }
   const std::optional<time_point> done = context_.operations.DoneAt(id);
-  // The list lags: a list from just after the reboot may still show the VM as
-  // it was before. One that was read later by the lag shows what came of it.
-  if (done && ListIsFresh(*done + context_.options.list_lag) &&
-      vm.listed_live()) {
+  // The list lags: one from just after the reboot may still show the VM as it
+  // was before. One that was read later by the lag shows what came of it.
+  if (done && vm.listed_live() &&
+      context_.inputs.listed_at >= *done + context_.options.list_lag) {
     SetPhase(vm, vm_phase::kReturning, "", vm.state->wave,
              "rebooted and listed as live");
     return;
   }
-  const phase_watch::sight* seen = watch_.Find(vm.id);
-  if (seen != nullptr &&
-      context_.now - seen->since >= context_.options.return_bound) {
+  if (HasWaited(vm, context_.options.return_bound)) {
     context_.Report(note_level::kError, ObjectOf(vm.id),
-                    "it did not come back after its reboot in time");
+                    "it did not come back in time after its reboot");
   }
 }
 
 void vm_lifecycle::AdvanceReturning(const vm_view& vm) const {
-  if (!vm.state->operation.empty()) {
-    const std::optional<operation_result> end = context_.operations.Drive(
-        vm.state->operation, move_vm{vm.id, vm.state->pool}, context_.now,
-        context_.out);
-    if (!end) {
-      return;
-    }
-  }
   if (vm.listed_live() && vm.healthy) {
-    SetPhase(vm, vm_phase::kServing, "", vm.state->wave, vm.state->reason);
+    SetPhase(vm, vm_phase::kServing, "", vm.state->wave,
+             "rebooted and healthy");
     return;
   }
-  const phase_watch::sight* seen = watch_.Find(vm.id);
-  if (seen != nullptr &&
-      context_.now - seen->since >= context_.options.return_bound) {
+  if (HasWaited(vm, context_.options.return_bound)) {
     context_.Report(note_level::kError, ObjectOf(vm.id),
-                    "it is not healthy after its return");
+                    "it is not healthy after its reboot");
   }
 }
 
@@ -163,52 +179,44 @@
   if (vm.state->wave.empty()) {
     return "";
   }
+  const std::string name = "wave " + vm.state->wave.value();
   const auto found = context_.inputs.state.waves.find(vm.state->wave);
   if (found == context_.inputs.state.waves.end()) {
-    return "its wave is not known";
+    return name + " is not known";
   }
   const wave_progress& wave = found->second;
   if (wave.state == wave_state::kCancelled ||
       wave.state == wave_state::kFinished) {
-    return "wave " + vm.state->wave.value() + " has ended";
+    return name + " has ended";
   }
   if (IsOwnPause(wave)) {
-    return "wave " + vm.state->wave.value() + " is paused, " + wave.reason;
+    return name + " is paused, " + wave.reason;
+  }
+  if (context_.held_pools.contains(vm.state->pool)) {
+    return "a failure took the slack of its pool";
   }
   return "";
 }
 
 bool vm_lifecycle::IsDrained(const vm_view& vm) const {
-  const phase_watch::sight* seen = watch_.Find(vm.id);
-  if (seen == nullptr || seen->phase != vm_phase::kDraining) {
+  if (vm.seen == nullptr || vm.seen->operation != vm.state->operation) {
     return false;
   }
-  if (context_.now - seen->since < context_.options.drain_notice) {
+  if (!HasWaited(vm, context_.options.drain_notice)) {
     return false;
   }
   // A member that has not yet applied the drain may still send to the VM; the
   // caller would see its request cut by the reboot. Only heartbeats that were
   // sent after the drain was applied prove the zero.
-  if (context_.inputs.reported_offset < seen->offset || vm.in_flight > 0) {
+  if (context_.inputs.reported_offset < vm.seen->offset || vm.in_flight > 0) {
     return false;
   }
-  return !HasTasks(vm) && watch_.LostMembersAreOver(
-                              context_.now, context_.options.greatest_deadline);
-}
-
-bool vm_lifecycle::HasTasks(const vm_view& vm) const {
-  for (const auto& [id, job] : context_.inputs.state.jobs) {
-    const bool holds = job.state == job_state::kPlaced ||
-                       job.state == job_state::kCheckpointing;
-    if (holds && job.vm == vm.id) {
-      return true;
-    }
-  }
-  return false;
+  return vm.jobs == 0 && watch_.LostMembersAreOver(
+                             context_.now, context_.options.greatest_deadline);
 }
 
-bool vm_lifecycle::ListIsFresh(time_point after) const {
-  return context_.inputs.listed_at >= after;
+bool vm_lifecycle::HasWaited(const vm_view& vm, duration bound) const {
+  return vm.seen != nullptr && context_.now - vm.seen->since >= bound;
 }
 
 void vm_lifecycle::SetPhase(const vm_view& vm,
--- a/src/core/wave_planner.cc
+++ b/src/core/wave_planner.cc
@@ -1,47 +1,92 @@
 #include "plantainhead/core/wave_planner.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace plantainhead::core {
 namespace {
 
-/// Returns the zones of the pool in which a VM doesn't take work.
-std::set<zone_id> ZonesDown(const pool_view& pool) {
+bool IsOpen(const wave_progress& wave) {
+  return wave.state == wave_state::kRunning ||
+         wave.state == wave_state::kPaused;
+}
+
+/// Tells if a VM that is out of work holds its zone: no other zone of the pool
+/// may be touched. One that has been out for longer than the bound is taken for
+/// lost for good, or it would hold the wave up for ever.
+bool HoldsZone(const planner_context& context, const vm_view& vm) {
+  if (vm.state == nullptr || vm.zone.empty()) {
+    return false;
+  }
+  if (vm.is_pending) {
+    return true;
+  }
+  if (vm.serving() && !vm.is_lost()) {
+    return false;
+  }
+  if (vm.seen == nullptr) {
+    return true;
+  }
+  const time_point since =
+      vm.serving() ? vm.seen->impaired_since : vm.seen->since;
+  return context.now - since < context.options.return_bound;
+}
+
+std::set<zone_id> HeldZones(const planner_context& context,
+                            const pool_view& pool) {
   std::set<zone_id> zones;
   for (const vm_view* vm : pool.vms) {
-    if (!vm->available() && vm->listing != nullptr) {
-      zones.insert(vm->listing->zone);
+    if (HoldsZone(context, *vm)) {
+      zones.insert(vm->zone);
     }
   }
   return zones;
 }
 
-/// Returns the VMs of the pool that the wave has still to take, in the order of
-/// their zones and racks.
-std::vector<const vm_view*> Candidates(const pool_view& pool,
-                                       const wave_progress& wave) {
-  std::vector<const vm_view*> found;
+std::uint32_t CountLost(const planner_context& context, const pool_view& pool) {
+  std::uint32_t lost = 0;
   for (const vm_view* vm : pool.vms) {
-    if (vm->available() && !wave.visited.contains(vm->id)) {
-      found.push_back(vm);
-    }
+    lost += vm->is_lost() && HoldsZone(context, *vm) ? 1 : 0;
   }
-  std::sort(
-      found.begin(), found.end(),
-      [](const vm_view* left, const vm_view* right) {
-        return std::tie(left->listing->zone, left->listing->rack, left->id) <
-               std::tie(right->listing->zone, right->listing->rack, right->id);
-      });
-  return found;
+  return lost;
+}
+
+/// Tells if the budgets allow the pool to go below its floor for one reboot.
+/// It is for pools too small to give up even one VM otherwise.
+bool MayDip(const planner_context& context,
+            const pool_capacity& capacity,
+            std::uint32_t available) {
+  if (capacity.need == 0) {
+    return true;
+  }
+  const double left = available > 0 ? available - 1 : 0;
+  const double shed = std::max(0.0, 1.0 - left / capacity.need);
+  return shed * static_cast<double>(context.options.reboot_estimate.count()) <=
+         static_cast<double>(capacity.dip_allowance.count());
 }
 
 }  // namespace
 
+std::set<pool_id> wave_planner::HeldPools(const planner_context& context,
+                                          const capacity_plan& capacity) {
+  std::set<pool_id> held;
+  for (const auto& [name, pool] : context.view.pools()) {
+    if (pool.available < capacity.at(name).floor &&
+        CountLost(context, pool) > 0) {
+      held.insert(name);
+    }
+  }
+  return held;
+}
+
 void wave_planner::Plan(const planner_context& context,
                         const vm_lifecycle& lifecycle,
                         const capacity_plan& capacity) {
+  std::erase_if(calm_since_, [&](const auto& item) {
+    return !context.inputs.state.waves.contains(item.first);
+  });
   for (const auto& [id, wave] : context.inputs.state.waves) {
-    if (wave.state == wave_state::kRunning) {
+    if (IsOpen(wave)) {
       PlanWave(context, lifecycle, capacity, id, wave);
     }
   }
@@ -52,36 +97,176 @@
                             const capacity_plan& capacity,
                             const wave_id& id,
                             const wave_progress& wave) {
-  std::size_t left = 0;
+  if (context.gate.IsPending(ObjectOf(id), wave.version, context.now)) {
+    return;
+  }
+  pass found;
   for (const pool_id& name : wave.pools) {
-    const pool_view* pool = context.view.FindPool(name);
-    if (pool == nullptr) {
+    if (const pool_view* pool = context.view.FindPool(name)) {
+      PlanPool(context, lifecycle, capacity.at(name), *pool, id, wave, found);
+    }
+  }
+  if (found.left == 0 && found.under_way == 0) {
+    SetState(context, id, wave, wave_state::kFinished, "every VM was visited");
+    return;
+  }
+  if (!found.obstacle.empty()) {
+    context.reasons[ObjectOf(id)] = found.obstacle;
+  }
+  PauseOrResume(context, id, wave, WhyPause(context, wave, found));
+}
+
+void wave_planner::PlanPool(const planner_context& context,
+                            const vm_lifecycle& lifecycle,
+                            const pool_capacity& capacity,
+                            const pool_view& pool,
+                            const wave_id& id,
+                            const wave_progress& wave,
+                            pass& found) {
+  std::uint32_t left = 0;
+  std::uint32_t under_way = 0;
+  for (const vm_view* vm : pool.vms) {
+    left += wave.visited.contains(vm->id) ? 0 : 1;
+    under_way += vm->state->wave == id ? 1 : 0;
+  }
+  found.left += left;
+  found.under_way += under_way;
+  if (left == under_way) {
+    return;
+  }
+  ++found.open_pools;
+  std::set<zone_id> zones = HeldZones(context, pool);
+  if (context.held_pools.contains(pool.spec->name)) {
+    ++found.held_pools;
+    found.obstacle =
+        "a failure took the slack of pool " + pool.spec->name.value();
+    return;
+  }
+  if (wave.state != wave_state::kRunning || !context.list_is_fresh()) {
+    return;
+  }
+  std::uint32_t available = pool.available;
+  std::uint32_t away = static_cast<std::uint32_t>(pool.vms.size()) - available;
+  for (const vm_view* vm : Candidates(context, lifecycle, pool, wave)) {
+    const std::uint32_t cost = vm->available() ? 1 : 0;
+    if (cost == 1 && available <= capacity.floor &&
+        (away > 0 || !MayDip(context, capacity, available))) {
+      found.obstacle = "pool " + pool.spec->name.value() + " has " +
+                       std::to_string(available) + " VMs at work and needs " +
+                       std::to_string(capacity.floor);
+      break;
+    }
+    if (!zones.empty() && !zones.contains(vm->zone)) {
       continue;
     }
-    for (const vm_view* vm : pool->vms) {
-      left += wave.visited.contains(vm->id) ? 0 : 1;
+    if (zones.size() > 1) {
+      found.obstacle = "pool " + pool.spec->name.value() +
+                       " has VMs out of work in more than one zone";
+      break;
     }
-    std::set<zone_id> zones = ZonesDown(*pool);
-    std::uint32_t available = pool->available;
-    for (const vm_view* vm : Candidates(*pool, wave)) {
-      if (available <= capacity.at(name).floor) {
-        break;
-      }
-      zones.insert(vm->listing->zone);
-      if (zones.size() > 1) {
-        break;
+    zones.insert(vm->zone);
+    lifecycle.StartDrain(*vm, id,
+                         "wave " + id.value() + ", zone " + vm->zone.value() +
+                             ", rack " + vm->rack.value() + ": " +
+                             std::to_string(available) + " at work, " +
+                             std::to_string(capacity.floor) + " needed");
+    available -= cost;
+    ++away;
+  }
+}
+
+std::vector<const vm_view*> wave_planner::Candidates(
+    const planner_context& context,
+    const vm_lifecycle& lifecycle,
+    const pool_view& pool,
+    const wave_progress& wave) const {
+  std::vector<const vm_view*> found;
+  std::map<zone_id, bool> is_started;
+  for (const vm_view* vm : pool.vms) {
+    if (wave.visited.contains(vm->id)) {
+      is_started[vm->zone] = true;
+      continue;
+    }
+    const auto deferred = context.deferred.find(vm->id);
+    const bool waits =
+        deferred != context.deferred.end() &&
+        context.now - deferred->second < context.options.defer_time;
+    if (!waits && lifecycle.CanDrain(*vm)) {
+      found.push_back(vm);
+    }
+  }
+  // A zone that was begun is ended first, then by name; within it rack by rack.
+  std::sort(found.begin(), found.end(),
+            [&](const vm_view* left, const vm_view* right) {
+              const bool left_new = !is_started.contains(left->zone);
+              const bool right_new = !is_started.contains(right->zone);
+              return std::tie(left_new, left->zone, left->rack, left->id) <
+                     std::tie(right_new, right->zone, right->rack, right->id);
+            });
+  return found;
+}
+
+std::string wave_planner::WhyPause(const planner_context& context,
+                                   const wave_progress& wave,
+                                   const pass& found) const {
+  if (found.open_pools > 0 && found.held_pools == found.open_pools) {
+    return found.obstacle;
+  }
+  const double limit = wave.state == wave_state::kPaused
+                           ? context.options.resume_burn_rate
+                           : context.options.pause_burn_rate;
+  for (const work_class& work : context.inputs.state.targets.classes) {
+    const auto burn = context.inputs.budgets.find(work.name);
+    if (burn == context.inputs.budgets.end() || burn->second.rate <= limit) {
+      continue;
+    }
+    const service_spec* service =
+        context.inputs.state.targets.FindService(work.service);
+    if (service == nullptr) {
+      continue;
+    }
+    for (const pool_id& pool : service->pools) {
+      if (std::find(wave.pools.begin(), wave.pools.end(), pool) !=
+          wave.pools.end()) {
+        return "class " + work.name.value() + " burns its budget too fast";
       }
-      lifecycle.StartDrain(*vm, id, "wave " + id.value());
-      --available;
     }
   }
-  if (left == 0) {
-    context.gate.Append(
-        "wave:" + id.value(), wave.version,
-        set_wave_state{context.inputs.epoch, id, wave.version,
-                       wave_state::kFinished, "every VM was visited"},
-        context.now, context.out);
+  return "";
+}
+
+void wave_planner::PauseOrResume(const planner_context& context,
+                                 const wave_id& id,
+                                 const wave_progress& wave,
+                                 const std::string& why) {
+  if (!why.empty()) {
+    calm_since_.erase(id);
+    if (wave.state == wave_state::kRunning) {
+      SetState(context, id, wave, wave_state::kPaused, kOwnPause + why);
+    }
+    return;
+  }
+  if (!IsOwnPause(wave)) {
+    return;
+  }
+  const time_point calm =
+      calm_since_.try_emplace(id, context.now).first->second;
+  if (context.now - calm >= context.options.resume_after) {
+    SetState(context, id, wave, wave_state::kRunning,
+             "resumed, what paused it is over");
   }
 }
 
+void wave_planner::SetState(const planner_context& context,
+                            const wave_id& id,
+                            const wave_progress& wave,
+                            wave_state state,
+                            const std::string& reason) const {
+  context.reasons[ObjectOf(id)] = reason;
+  context.gate.Append(
+      ObjectOf(id), wave.version,
+      set_wave_state{context.inputs.epoch, id, wave.version, state, reason},
+      context.now, context.out);
+}
+
 }  // namespace plantainhead::core
--- a/tests/core/planner_harness.h
+++ b/tests/core/planner_harness.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "plantainhead/core/fold.h"
 #include "plantainhead/core/planner.h"
 #include "plantainhead/core/visit.h"
 
@@ -19,8 +20,12 @@
  public:
   explicit planner_harness(planner_options options = {})
       : options_(options), planner_(options) {
-    state.members[incarnation{1}] = {};
     now = time_point(std::chrono::hours(1));
+    join_entry join;
+    join.who = incarnation{1};
+    join.name = entry_id("entry-1");
+    Apply(join);
+    Apply(take_planner_lease{incarnation{1}, 0});
   }
 
   void AddVm(const std::string& name,
@@ -74,7 +79,7 @@
   /// A planner that knows nothing but the fold takes over.
   void ReplacePlanner() {
     planner_ = planner(options_);
-    ++state.lease.epoch;
+    Apply(take_planner_lease{incarnation{1}, state.lease.epoch});
   }
 
   planner_inputs Inputs() {
@@ -99,34 +104,13 @@
     return count;
   }
 
-  void Apply(const record_body& body) {
-    ++state.offset;
+  fold_result Apply(record_body body) {
     records.push_back(body);
-    std::visit(
-        overloaded{
-            [&](const assign_vm& r) { Assign(r); },
-            [&](const set_vm_phase& r) { SetPhase(r); },
-            [&](const forget_vm& r) {
-              if (IsCurrent(r.epoch, state.vms[r.vm].version, r.expected)) {
-                state.vms.erase(r.vm);
-              }
-            },
-            [&](const start_wave& r) {
-              wave_progress& wave = state.waves[r.wave];
-              wave.pools = r.pools;
-              wave.version = 1;
-            },
-            [&](const set_wave_state& r) {
-              wave_progress& wave = state.waves[r.wave];
-              if (IsCurrent(r.epoch, wave.version, r.expected)) {
-                wave.state = r.state;
-                wave.reason = r.reason;
-                ++wave.version;
-              }
-            },
-            [](const auto&) {},
-        },
-        body);
+    log_entry entry;
+    entry.offset = state.offset + 1;
+    entry.content.id = record_id("record-" + std::to_string(entry.offset));
+    entry.content.body = std::move(body);
+    return core::Apply(state, entry);
   }
 
   time_point now;
@@ -153,34 +137,6 @@
     time_point end;
   };
 
-  bool IsCurrent(lease_epoch epoch, generation have, generation expected) {
-    return (epoch == 0 || epoch == state.lease.epoch) && have == expected;
-  }
-
-  void Assign(const assign_vm& r) {
-    vm_state& vm = state.vms[r.vm];
-    if (IsCurrent(r.epoch, vm.version, r.expected)) {
-      vm.pool = r.pool;
-      vm.reason = r.reason;
-      ++vm.version;
-    }
-  }
-
-  void SetPhase(const set_vm_phase& r) {
-    vm_state& vm = state.vms[r.vm];
-    if (!IsCurrent(r.epoch, vm.version, r.expected)) {
-      return;
-    }
-    vm.phase = r.phase;
-    vm.operation = r.operation;
-    vm.wave = r.wave;
-    vm.reason = r.reason;
-    ++vm.version;
-    if (r.phase == vm_phase::kServing && !r.wave.empty()) {
-      state.waves[r.wave].visited.insert(r.vm);
-    }
-  }
-
   void Run(const run_operation& run) {
     pending_.push_back({run, now + operation_time});
     if (acted[run.operation]++ > 0) {
