--- a/src/core/vm_lifecycle.cc
+++ b/src/core/vm_lifecycle.cc
@@ -211,9 +211,8 @@
   if (context_.inputs.reported_offset < vm.seen->offset || vm.in_flight > 0) {
     return false;
   }
-  return vm.jobs == 0 &&
-         watch_.LostMembersAreOver(context_.now,
-                                   context_.options.greatest_deadline);
+  return vm.jobs == 0 && watch_.LostMembersAreOver(
+                             context_.now, context_.options.greatest_deadline);
 }
 
 bool vm_lifecycle::HasWaited(const vm_view& vm, duration bound) const {
