Add the platform link: log, VM list and operations over HTTP

Change: blocking CAF actors with a connection each: an appender for each stream (streams beyond eight share), a reader for each followed stream by long poll, a reader of the lists by changes, and four runners of operations that ask again until the effect is reached. A lost or late answer to an append is kUnknown; only a connection that was never made and 4xx are kRejected. A stream that is shorter than what was read, or cut, is shown and not followed.

--- a/fakes/platform_server.cc
+++ b/fakes/platform_server.cc
@@ -279,7 +279,7 @@
   server_.Get(R"(/streams/([^/]+)/records)", Faulty(&self::ReadRecords));
   server_.Get("/vms", Faulty(&self::ListVms));
   server_.Get("/tasks", Faulty(&self::ListTasks));
-  server_.Post(R"(/operations/([^/]+))", Faulty(&self::RunOperation));
+  server_.Post(R"(/operations/(.+))", Faulty(&self::RunOperation));
   server_.Post("/vms", Steady(&self::RegisterVm));
   server_.Post(R"(/vms/([^/]+)/state)", Steady(&self::SetVmState));
   server_.Post(R"(/vms/([^/]+)/behaviour)", Steady(&self::SetVmBehaviour));
--- a/include/plantainhead/platform/platform_link.h
+++ b/include/plantainhead/platform/platform_link.h
@@ -111,7 +111,7 @@
   /// Ends all work and returns once no thread of the link is left; nothing is
   /// posted afterwards. Takes at most about `connect_timeout` +
   /// `answer_timeout`. What was still queued is not posted. Later calls of any
-  /// method do nothing.
+  /// method do nothing. Precondition: not called from `post`.
   void Stop();
 
  private:
--- /dev/null
+++ b/src/platform/appender.h
@@ -0,0 +1,22 @@
+#ifndef PLANTAINHEAD_SRC_PLATFORM_APPENDER_H_
+#define PLANTAINHEAD_SRC_PLATFORM_APPENDER_H_
+
+#include "platform/worker.h"
+
+namespace plantainhead::platform {
+
+/// Carries out `append_job`s, one after the other.
+class appender : public worker {
+ public:
+  explicit appender(link_context* context);
+
+  /// The body of the actor.
+  void Run(caf::blocking_actor* self);
+
+ private:
+  core::append_finished Append(const core::append_records& what);
+};
+
+}  // namespace plantainhead::platform
+
+#endif  // PLANTAINHEAD_SRC_PLATFORM_APPENDER_H_
--- /dev/null
+++ b/src/platform/http_client.h
@@ -0,0 +1,73 @@
+#ifndef PLANTAINHEAD_SRC_PLATFORM_HTTP_CLIENT_H_
+#define PLANTAINHEAD_SRC_PLATFORM_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <string>
+
+#include <httplib.h>
+
+#include "plantainhead/core/names.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::platform {
+
+/// How far a request got.
+enum class delivery {
+  /// No connection was made: the request was not sent.
+  kNotSent,
+  /// It was sent, at least in part, and no whole answer came.
+  kMaybeSent,
+  /// A whole answer came.
+  kAnswered,
+};
+
+inline constexpr core::name_table<delivery, 3> kDeliveryNames = {{
+    {delivery::kNotSent, "not sent"},
+    {delivery::kMaybeSent, "no whole answer"},
+    {delivery::kAnswered, "answered"},
+}};
+inline constexpr const auto& NamesOf(delivery) {
+  return kDeliveryNames;
+}
+
+struct http_reply {
+  delivery reached = delivery::kNotSent;
+  /// Of the answer, when there is one.
+  int status = 0;
+  std::string body;
+
+  /// True for a whole answer with a status of 2xx.
+  bool IsSuccess() const;
+  /// What went wrong, for people.
+  std::string Fault() const;
+};
+
+/// Returns `text` as one segment of a path.
+/// Thread safety: safe from any thread.
+std::string EscapeSegment(const std::string& text);
+
+/// A connection to the platform that blocks its one user.
+class http_client {
+ public:
+  http_client(const std::string& host,
+              std::uint16_t port,
+              core::duration connect_timeout,
+              core::duration answer_timeout);
+
+  /// Thread safety: one thread at a time.
+  http_reply Get(const std::string& path);
+  /// Never sends the body twice.
+  /// Thread safety: one thread at a time.
+  http_reply Post(const std::string& path, const std::string& body);
+
+  /// Makes a request that is waiting for its answer end now.
+  /// Thread safety: safe from any thread.
+  void Interrupt();
+
+ private:
+  httplib::Client client_;
+};
+
+}  // namespace plantainhead::platform
+
+#endif  // PLANTAINHEAD_SRC_PLATFORM_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/platform/operation_runner.h
@@ -0,0 +1,40 @@
+#ifndef PLANTAINHEAD_SRC_PLATFORM_OPERATION_RUNNER_H_
+#define PLANTAINHEAD_SRC_PLATFORM_OPERATION_RUNNER_H_
+
+#include <chrono>
+#include <list>
+#include <optional>
+
+#include "platform/worker.h"
+
+namespace plantainhead::platform {
+
+/// Carries out `operation_job`s. Those that have not reached their effect are
+/// asked again in turn.
+class operation_runner : public worker {
+ public:
+  explicit operation_runner(link_context* context);
+
+  /// The body of the actor.
+  void Run(caf::blocking_actor* self);
+
+ private:
+  using steady = std::chrono::steady_clock;
+
+  struct pending {
+    core::run_operation what;
+    steady::time_point give_up;
+    steady::time_point ask_next;
+  };
+
+  void TakeMessages(caf::blocking_actor* self);
+  core::duration UntilNext() const;
+  // Returns the end of the operation, or nothing while it runs.
+  std::optional<core::operation_finished> Ask(const pending& item);
+
+  std::list<pending> pending_;
+};
+
+}  // namespace plantainhead::platform
+
+#endif  // PLANTAINHEAD_SRC_PLATFORM_OPERATION_RUNNER_H_
--- /dev/null
+++ b/src/platform/platform_link.cc
@@ -0,0 +1,238 @@
+#include "plantainhead/platform/platform_link.h"
+
+#include <csignal>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include <caf/actor_system.hpp>
+#include <caf/send.hpp>
+
+#include "platform/appender.h"
+#include "platform/list_reader.h"
+#include "platform/operation_runner.h"
+#include "platform/stream_reader.h"
+#include "platform/worker.h"
+
+namespace plantainhead::platform {
+namespace {
+
+// How often `Stop` interrupts requests until all workers have ended.
+constexpr auto kInterruptInterval = std::chrono::milliseconds(5);
+
+// The HTTP library writes to sockets that the platform may have closed. The
+// signal that this raises would end the process; blocked, it leaves the write
+// to fail with an error. Other threads keep their own disposition.
+void BlockPipeSignal() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGPIPE);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+// Counts a worker as running while its thread may touch the link.
+class running_mark {
+ public:
+  explicit running_mark(link_context* context) : context_(*context) {}
+  ~running_mark() {
+    const std::lock_guard lock(context_.mutex);
+    --context_.running;
+    context_.ended.notify_all();
+  }
+
+  running_mark(const running_mark&) = delete;
+  running_mark& operator=(const running_mark&) = delete;
+
+ private:
+  link_context& context_;
+};
+
+}  // namespace
+
+class platform_link::implementation {
+ public:
+  implementation(caf::actor_system& system,
+                 platform_options options,
+                 post_function post);
+  ~implementation() { Stop(); }
+
+  void Append(core::append_records action);
+  void Follow(core::follow_stream action);
+  void Unfollow(const core::unfollow_stream& action);
+  void Run(core::run_operation action);
+  void Stop();
+
+ private:
+  template <typename Worker, typename... Args>
+  std::unique_ptr<Worker> Start(Args&&... args);
+  // Returns the appender of a stream; starts it for the first streams.
+  appender& AppenderOf(const core::stream_name& stream);
+  // Calls `visit` with each worker.
+  template <typename Visitor>
+  void ForEachWorker(Visitor visit);
+
+  caf::actor_system& system_;
+  link_context context_;
+
+  std::mutex mutex_;
+  // All below are guarded by `mutex_` until the link is being stopped, and
+  // don't change afterwards. Workers live as long as the link.
+  std::vector<std::unique_ptr<appender>> appenders_;
+  std::map<core::stream_name, std::size_t> appender_of_;
+  std::map<core::stream_name, std::unique_ptr<stream_reader>> readers_;
+  std::vector<std::unique_ptr<operation_runner>> runners_;
+  std::unique_ptr<list_reader> list_reader_;
+};
+
+platform_link::implementation::implementation(caf::actor_system& system,
+                                              platform_options options,
+                                              post_function post)
+    : system_(system) {
+  context_.options = std::move(options);
+  context_.post = std::move(post);
+  const std::lock_guard lock(mutex_);
+  list_reader_ = Start<list_reader>();
+  for (std::size_t i = 0; i < context_.options.operators; ++i) {
+    runners_.push_back(Start<operation_runner>());
+  }
+}
+
+template <typename Worker, typename... Args>
+std::unique_ptr<Worker> platform_link::implementation::Start(Args&&... args) {
+  auto started =
+      std::make_unique<Worker>(&context_, std::forward<Args>(args)...);
+  {
+    const std::lock_guard lock(context_.mutex);
+    ++context_.running;
+  }
+  started->address = system_.spawn<caf::detached>(
+      [context = &context_, body = started.get()](caf::blocking_actor* self) {
+        const running_mark mark(context);
+        BlockPipeSignal();
+        body->Run(self);
+      });
+  return started;
+}
+
+appender& platform_link::implementation::AppenderOf(
+    const core::stream_name& stream) {
+  const auto known = appender_of_.find(stream);
+  if (known != appender_of_.end()) {
+    return *appenders_[known->second];
+  }
+  const std::size_t most = context_.options.appenders;
+  std::size_t chosen = appender_of_.size() % most;
+  if (chosen == appenders_.size()) {
+    appenders_.push_back(Start<appender>());
+  }
+  appender_of_[stream] = chosen;
+  return *appenders_[chosen];
+}
+
+void platform_link::implementation::Append(core::append_records action) {
+  const std::lock_guard lock(mutex_);
+  if (!context_.stopping) {
+    appender& to = AppenderOf(action.stream);
+    caf::anon_send(to.address, append_job{std::move(action)});
+  }
+}
+
+void platform_link::implementation::Follow(core::follow_stream action) {
+  const std::lock_guard lock(mutex_);
+  if (context_.stopping) {
+    return;
+  }
+  std::unique_ptr<stream_reader>& reader = readers_[action.stream];
+  if (reader == nullptr) {
+    reader = Start<stream_reader>(action.stream);
+  }
+  caf::anon_send(reader->address, follow_job{std::move(action)});
+  reader->Interrupt();
+}
+
+void platform_link::implementation::Unfollow(
+    const core::unfollow_stream& action) {
+  const std::lock_guard lock(mutex_);
+  const auto found = readers_.find(action.stream);
+  if (found != readers_.end() && !context_.stopping) {
+    caf::anon_send(found->second->address, unfollow_job{});
+    found->second->Interrupt();
+  }
+}
+
+void platform_link::implementation::Run(core::run_operation action) {
+  const std::lock_guard lock(mutex_);
+  if (!context_.stopping) {
+    const std::size_t chosen =
+        std::hash<core::operation_id>()(action.operation) % runners_.size();
+    caf::anon_send(runners_[chosen]->address, operation_job{std::move(action)});
+  }
+}
+
+template <typename Visitor>
+void platform_link::implementation::ForEachWorker(Visitor visit) {
+  visit(*list_reader_);
+  for (const auto& item : runners_) {
+    visit(*item);
+  }
+  for (const auto& item : appenders_) {
+    visit(*item);
+  }
+  for (const auto& [stream, item] : readers_) {
+    visit(*item);
+  }
+}
+
+void platform_link::implementation::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    context_.stopping = true;
+  }
+  // No worker is added any more, so the lists can be read without the lock,
+  // which a `post` that calls back into the link may need.
+  ForEachWorker([](worker& item) { caf::anon_send(item.address, stop_job{}); });
+  std::unique_lock ended(context_.mutex);
+  // A worker that was about to send its request when it was interrupted would
+  // wait for the answer; so it is interrupted again.
+  while (context_.running > 0) {
+    ended.unlock();
+    ForEachWorker([](worker& item) { item.Interrupt(); });
+    ended.lock();
+    context_.ended.wait_for(ended, kInterruptInterval,
+                            [this] { return context_.running == 0; });
+  }
+}
+
+platform_link::platform_link(caf::actor_system& system,
+                             platform_options options,
+                             post_function post)
+    : implementation_(std::make_unique<implementation>(system,
+                                                       std::move(options),
+                                                       std::move(post))) {}
+
+platform_link::~platform_link() = default;
+
+void platform_link::Append(core::append_records action) {
+  implementation_->Append(std::move(action));
+}
+
+void platform_link::Follow(core::follow_stream action) {
+  implementation_->Follow(std::move(action));
+}
+
+void platform_link::Unfollow(core::unfollow_stream action) {
+  implementation_->Unfollow(action);
+}
+
+void platform_link::Run(core::run_operation action) {
+  implementation_->Run(std::move(action));
+}
+
+void platform_link::Stop() {
+  implementation_->Stop();
+}
+
+}  // namespace plantainhead::platform
--- /dev/null
+++ b/src/platform/stream_reader.cc
@@ -0,0 +1,169 @@
+#include "platform/stream_reader.h"
+
+#include <chrono>
+#include <utility>
+
+#include <caf/after.hpp>
+
+#include "plantainhead/platform/record_codec.h"
+#include "platform/json_archive.h"
+
+namespace plantainhead::platform {
+namespace {
+
+constexpr char kMalformed[] = "malformed";
+
+// A record that can't be read must not stop the stream: every entry would hang
+// at its offset until it ages out. All entries skip it alike, as they skip a
+// type that they don't know.
+core::record DecodeOrSkip(const std::string& text) {
+  try {
+    return DecodeRecord(text);
+  } catch (const codec_error&) {
+    core::record skipped;
+    skipped.body = core::unknown_record{kMalformed};
+    return skipped;
+  }
+}
+
+core::log_read ParseRead(const std::string& text) {
+  const json body = ParseObject(text);
+  json_reader in(body, "");
+  core::log_read read;
+  json_reader::Read(in.Require("begin"), read.begin, "/begin");
+  json_reader::Read(in.Require("end"), read.end, "/end");
+  const json& records = in.Require("records");
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    const std::string place = "/records/" + std::to_string(i);
+    json_reader item(records[i], place);
+    core::log_entry entry;
+    std::string data;
+    json_reader::Read(item.Require("offset"), entry.offset, place + "/offset");
+    json_reader::Read(item.Require("data"), data, place + "/data");
+    entry.content = DecodeOrSkip(data);
+    read.entries.push_back(std::move(entry));
+  }
+  return read;
+}
+
+// Returns true if the entries follow `after`, or start anywhere when it is 0,
+// without gaps.
+bool IsInOrder(const std::vector<core::log_entry>& entries,
+               core::log_offset after) {
+  core::log_offset last = after;
+  for (const core::log_entry& entry : entries) {
+    if (last != 0 && entry.offset != last + 1) {
+      return false;
+    }
+    last = entry.offset;
+  }
+  return true;
+}
+
+}  // namespace
+
+stream_reader::stream_reader(link_context* context, core::stream_name stream)
+    : worker(context,
+             context->options.read_wait + context->options.answer_timeout),
+      stream_(std::move(stream)),
+      backoff_(context->MakeBackoff()) {}
+
+void stream_reader::Run(caf::blocking_actor* self) {
+  while (!IsStopping()) {
+    TakeMessages(self);
+    if (!after_.has_value() || IsStopping()) {
+      continue;
+    }
+    const http_reply reply = client_.Get(NextPath());
+    // A message means that this read was started for another offset or was
+    // interrupted: its result concerns nobody.
+    pause_ = core::duration::zero();
+    if (!TakeMessages(self) && !IsStopping()) {
+      Handle(reply);
+    }
+  }
+}
+
+bool stream_reader::TakeMessages(caf::blocking_actor* self) {
+  bool is_any = false;
+  bool is_more = true;
+  const auto on_follow = [&](const follow_job& job) {
+    after_ = job.what.after;
+    is_fresh_ = true;
+    backoff_.Reset();
+    pause_ = core::duration::zero();
+    is_any = true;
+  };
+  const auto on_unfollow = [&](unfollow_job) {
+    after_.reset();
+    is_any = true;
+  };
+  const auto on_stop = [&](stop_job) { is_any = true; };
+  while (is_more && !IsStopping()) {
+    if (!after_.has_value()) {
+      self->receive(on_follow, on_unfollow, on_stop);
+    } else {
+      self->receive(
+          on_follow, on_unfollow, on_stop,
+          caf::after(pause_) >> [&] { is_more = false; });
+    }
+  }
+  return is_any;
+}
+
+std::string stream_reader::NextPath() const {
+  const core::duration wait =
+      is_fresh_ ? core::duration::zero() : options().read_wait;
+  const auto wait_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  return "/streams/" + EscapeSegment(stream_.value()) +
+         "/records?after=" + std::to_string(*after_) +
+         "&max=" + std::to_string(options().read_max) +
+         "&wait_ms=" + std::to_string(wait_ms);
+}
+
+void stream_reader::Handle(const http_reply& reply) {
+  if (!reply.IsSuccess()) {
+    HandleFailure(reply.Fault());
+    return;
+  }
+  try {
+    HandleRead(ParseRead(reply.body));
+  } catch (const codec_error& error) {
+    HandleFailure(error.what());
+  }
+}
+
+void stream_reader::HandleFailure(std::string detail) {
+  is_fresh_ = true;
+  pause_ = backoff_.Next();
+  context_.Post(core::log_unavailable{stream_, std::move(detail)});
+}
+
+void stream_reader::HandleRead(core::log_read read) {
+  read.stream = stream_;
+  const bool is_shorter = read.end < *after_;
+  const bool is_cut = *after_ != 0 && read.begin > *after_ + 1;
+  if (is_shorter || is_cut) {
+    read.entries.clear();
+    is_fresh_ = true;
+    pause_ = backoff_.Next();
+    context_.Post(std::move(read));
+    return;
+  }
+  if (!IsInOrder(read.entries, *after_)) {
+    HandleFailure("the offsets are not in order");
+    return;
+  }
+  backoff_.Reset();
+  is_fresh_ = false;
+  if (!read.entries.empty()) {
+    after_ = read.entries.back().offset;
+  } else if (*after_ == 0) {
+    // All records may have aged out.
+    after_ = read.end;
+  }
+  context_.Post(std::move(read));
+}
+
+}  // namespace plantainhead::platform
--- /dev/null
+++ b/src/platform/stream_reader.h
@@ -0,0 +1,40 @@
+#ifndef PLANTAINHEAD_SRC_PLATFORM_STREAM_READER_H_
+#define PLANTAINHEAD_SRC_PLATFORM_STREAM_READER_H_
+
+#include <optional>
+
+#include "platform/worker.h"
+
+namespace plantainhead::platform {
+
+/// Reads one stream by long polls, as told by `follow_job` and `unfollow_job`.
+class stream_reader : public worker {
+ public:
+  stream_reader(link_context* context, core::stream_name stream);
+
+  /// The body of the actor.
+  void Run(caf::blocking_actor* self);
+
+ private:
+  // Takes all messages that have come, and waits up to `pause_` for one.
+  // Returns true if there was a message.
+  bool TakeMessages(caf::blocking_actor* self);
+  std::string NextPath() const;
+  // Posts what was read, and sets where and when to read next.
+  void Handle(const http_reply& reply);
+  void HandleFailure(std::string detail);
+  void HandleRead(core::log_read read);
+
+  const core::stream_name stream_;
+  // Offset of the newest record that was posted; nothing when not followed.
+  std::optional<core::log_offset> after_;
+  // True when nothing was read since the stream was followed or lost: the next
+  // read then tells at once where the stream ends.
+  bool is_fresh_ = true;
+  core::duration pause_{};
+  backoff backoff_;
+};
+
+}  // namespace plantainhead::platform
+
+#endif  // PLANTAINHEAD_SRC_PLATFORM_STREAM_READER_H_
--- /dev/null
+++ b/tests/platform/platform_link_test.cc
@@ -0,0 +1,426 @@
+#include "plantainhead/platform/platform_link.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include <httplib.h>
+#include <caf/actor_system.hpp>
+#include <caf/actor_system_config.hpp>
+#include <catch2/catch.hpp>
+
+#include "plantainhead/platform/record_codec.h"
+#include "platform/json_archive.h"
+#include "platform_server.h"
+
+namespace plantainhead::platform {
+namespace {
+
+using namespace core;
+
+// Bounds a wait for an event that never comes.
+constexpr auto kPatience = std::chrono::seconds(20);
+
+const stream_name kStream{"control"};
+
+// Collects what the link posts.
+class inbox {
+ public:
+  void Put(event what) {
+    const std::lock_guard lock(mutex_);
+    events_.push_back(std::move(what));
+    arrived_.notify_all();
+  }
+
+  // Waits for the next event of type `T`; events of other types stay.
+  template <typename T>
+  T Take() {
+    return TakeIf<T>([](const T&) { return true; });
+  }
+
+  // Waits for an event of type `T` that `fits`; drops those that don't.
+  template <typename T, typename Predicate>
+  T TakeIf(Predicate fits) {
+    std::optional<T> found;
+    std::unique_lock lock(mutex_);
+    const bool is_there = arrived_.wait_for(lock, kPatience, [&] {
+      std::erase_if(events_, [&](const event& item) {
+        const T* candidate = std::get_if<T>(&item);
+        if (candidate == nullptr || found.has_value()) {
+          return false;
+        }
+        if (fits(*candidate)) {
+          found = *candidate;
+        }
+        return true;
+      });
+      return found.has_value();
+    });
+    if (!is_there) {
+      throw std::runtime_error("an expected event did not come");
+    }
+    return *found;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable arrived_;
+  std::deque<event> events_;
+};
+
+record Leave(int number) {
+  return {record_id("r" + std::to_string(number)), "ann",
+          leave_entry{incarnation{static_cast<std::uint64_t>(number)}}};
+}
+
+append_records Append(int number, int count = 1) {
+  append_records action;
+  action.append = append_id{static_cast<std::uint64_t>(number)};
+  action.stream = kStream;
+  for (int i = 0; i < count; ++i) {
+    action.records.push_back(Leave(number + i));
+  }
+  return action;
+}
+
+// A stand-in, a link to it and what the link posted.
+class link_fixture {
+ public:
+  link_fixture()
+      : link_(system_,
+              Options(),
+              [this](event e) { inbox_.Put(std::move(e)); }),
+        control_("127.0.0.1", server_->port()) {}
+
+ protected:
+  platform_options Options() const {
+    platform_options options;
+    options.port = server_->port();
+    options.first_backoff = std::chrono::milliseconds(5);
+    options.greatest_backoff = std::chrono::milliseconds(20);
+    options.list_interval = std::chrono::milliseconds(20);
+    options.operation_poll = std::chrono::milliseconds(10);
+    return options;
+  }
+
+  json Post(const std::string& path, const json& body) {
+    const auto result = control_.Post(path, Dump(body), "application/json");
+    REQUIRE(result);
+    REQUIRE(result->status == 200);
+    return json::parse(result->body);
+  }
+
+  json Counters() { return json::parse(control_.Get("/counters")->body); }
+
+  append_finished AppendAndWait(append_records action) {
+    link_.Append(std::move(action));
+    return inbox_.Take<append_finished>();
+  }
+
+  // Takes reads until `end` has been reached, and returns the ids of the
+  // records and whether their offsets had no gap.
+  std::pair<std::vector<std::string>, bool> ReadTo(log_offset end,
+                                                   log_offset after) {
+    std::vector<std::string> ids;
+    bool is_in_order = true;
+    while (after < end) {
+      for (const log_entry& entry : inbox_.Take<log_read>().entries) {
+        is_in_order = is_in_order && entry.offset == after + 1;
+        after = entry.offset;
+        ids.push_back(entry.content.id.value());
+      }
+    }
+    return {ids, is_in_order};
+  }
+
+  std::unique_ptr<fakes::platform_server> server_ =
+      std::make_unique<fakes::platform_server>(
+          fakes::platform_server_options{});
+  inbox inbox_;
+  caf::actor_system_config config_;
+  caf::actor_system system_{config_};
+  platform_link link_;
+  httplib::Client control_;
+};
+
+TEST_CASE_METHOD(link_fixture, "An entry reads a stream") {
+  SECTION("that is empty, and is told so at once") {
+    link_.Follow({kStream, 0});
+    const auto read = inbox_.Take<log_read>();
+    CHECK(read.stream == kStream);
+    CHECK(read.entries.empty());
+    CHECK(read.end == 0);
+
+    SECTION("then sees a record that is appended while it waits") {
+      const auto finished = AppendAndWait(Append(1));
+      CHECK(finished.result == append_result::kAppended);
+      CHECK(finished.first == 1);
+      const auto next = inbox_.TakeIf<log_read>(
+          [](const log_read& item) { return !item.entries.empty(); });
+      CHECK(next.entries[0].offset == 1);
+      CHECK(std::get<leave_entry>(next.entries[0].content.body).who ==
+            incarnation{1});
+    }
+  }
+
+  SECTION("from the middle") {
+    AppendAndWait(Append(1, 5));
+    link_.Follow({kStream, 3});
+    CHECK(ReadTo(5, 3) ==
+          std::pair(std::vector<std::string>{"r4", "r5"}, true));
+
+    SECTION("and again from another place") {
+      link_.Follow({kStream, 1});
+      const auto again = inbox_.TakeIf<log_read>(
+          [](const log_read& item) { return !item.entries.empty(); });
+      CHECK(again.entries[0].offset == 2);
+    }
+  }
+
+  SECTION("with a record that nobody can read, and goes on behind it") {
+    Post("/streams/control/records", {{"records", {"nonsense"}}});
+    AppendAndWait(Append(2));
+    link_.Follow({kStream, 0});
+    const auto read = inbox_.Take<log_read>();
+    REQUIRE(read.entries.size() == 2);
+    CHECK(std::get<unknown_record>(read.entries[0].content.body).type ==
+          "malformed");
+    CHECK(read.entries[1].content.id.value() == "r2");
+  }
+}
+
+TEST_CASE_METHOD(link_fixture, "Appends to a stream keep their order") {
+  constexpr int kAppends = 50;
+  for (int i = 1; i <= kAppends; ++i) {
+    link_.Append(Append(i));
+  }
+  for (int i = 1; i <= kAppends; ++i) {
+    const auto finished = inbox_.Take<append_finished>();
+    CHECK(finished.append == append_id{static_cast<std::uint64_t>(i)});
+    CHECK(finished.first == static_cast<log_offset>(i));
+  }
+}
+
+// The platform takes an append but its answer is lost, once as a server error
+// and once by a connection that closes early. The entry must not take this for
+// a refusal, and the client library must not send the append a second time: the
+// record is in the stream exactly once.
+TEST_CASE_METHOD(link_fixture, "The answer to an append is lost") {
+  const std::string lose_by = GENERATE("status", "close");
+  Post("/faults", {{"lose_append_answers", 1}, {"lose_by", lose_by}});
+  CHECK(AppendAndWait(Append(1)).result == append_result::kUnknown);
+  CHECK(AppendAndWait(Append(2)).result == append_result::kAppended);
+  link_.Follow({kStream, 0});
+  CHECK(ReadTo(2, 0) == std::pair(std::vector<std::string>{"r1", "r2"}, true));
+  CHECK(Counters()["appends"] == 2);
+}
+
+// The platform takes longer to answer an append than the entry waits. The
+// entry can't know that the append takes effect afterwards.
+TEST_CASE_METHOD(link_fixture, "The answer to an append is late") {
+  platform_options options = Options();
+  options.answer_timeout = std::chrono::milliseconds(50);
+  inbox other;
+  platform_link hasty(system_, options,
+                      [&](event e) { other.Put(std::move(e)); });
+  Post("/faults", {{"slow_ms", 300}});
+  hasty.Append(Append(1));
+  CHECK(other.Take<append_finished>().result == append_result::kUnknown);
+  link_.Follow({kStream, 0});
+  CHECK(ReadTo(1, 0).second);
+  hasty.Stop();
+}
+
+// The platform is at its limit of appends and refuses one with a status of
+// 4xx. The entry may say that it has no effect, and append again.
+TEST_CASE_METHOD(link_fixture, "An append is refused") {
+  Post("/faults", {{"appends_per_second", 1}});
+  CHECK(AppendAndWait(Append(1)).result == append_result::kAppended);
+  CHECK(AppendAndWait(Append(2)).result == append_result::kRejected);
+  link_.Follow({kStream, 0});
+  CHECK(inbox_.Take<log_read>().end == 1);
+}
+
+// The platform answers nothing but errors for a while. Reads fail and say so;
+// after the outage the entry reads on from where it was, without being told.
+TEST_CASE_METHOD(link_fixture, "The platform is down for a while") {
+  AppendAndWait(Append(1));
+  link_.Follow({kStream, 0});
+  ReadTo(1, 0);
+  Post("/faults", {{"down", true}});
+  CHECK(inbox_.Take<log_unavailable>().stream == kStream);
+  inbox_.Take<vm_list_unavailable>();
+  CHECK(AppendAndWait(Append(2)).result == append_result::kUnknown);
+
+  Post("/faults", {{"down", false}});
+  CHECK(AppendAndWait(Append(3)).result == append_result::kAppended);
+  CHECK(ReadTo(2, 1) == std::pair(std::vector<std::string>{"r3"}, true));
+  inbox_.Take<vm_list_read>();
+}
+
+// The platform's process ends, so connections are refused, and a new one
+// without the records takes its port. An append during the outage had surely
+// no effect. The shorter stream is shown again and again and not followed.
+TEST_CASE_METHOD(link_fixture, "The platform comes back without its log") {
+  AppendAndWait(Append(1, 3));
+  link_.Follow({kStream, 0});
+  ReadTo(3, 0);
+  fakes::platform_server_options same;
+  same.port = server_->port();
+  server_.reset();
+  inbox_.Take<log_unavailable>();
+  CHECK(AppendAndWait(Append(4)).result == append_result::kRejected);
+
+  server_ = std::make_unique<fakes::platform_server>(same);
+  for (int i = 0; i < 2; ++i) {
+    const auto shorter = inbox_.Take<log_read>();
+    CHECK(shorter.end == 0);
+    CHECK(shorter.entries.empty());
+  }
+}
+
+// Records age out while an entry can't read. What it would read next no longer
+// follows what it has; it is told where the stream begins and gets nothing from
+// behind the gap until it follows the stream from a place of its choice.
+TEST_CASE_METHOD(link_fixture, "Records age out before they are read") {
+  AppendAndWait(Append(1, 2));
+  Post("/faults", {{"retention_records", 3}});
+  AppendAndWait(Append(3, 6));
+  link_.Follow({kStream, 2});
+  const auto cut = inbox_.Take<log_read>();
+  CHECK(cut.entries.empty());
+  CHECK(cut.begin == 6);
+  CHECK(cut.end == 8);
+
+  link_.Follow({kStream, 5});
+  const auto read = inbox_.TakeIf<log_read>(
+      [](const log_read& item) { return !item.entries.empty(); });
+  CHECK(read.entries[0].offset == 6);
+}
+
+TEST_CASE_METHOD(link_fixture, "A joiner starts at the oldest record kept") {
+  Post("/faults", {{"retention_records", 3}});
+  AppendAndWait(Append(1, 8));
+  link_.Follow({kStream, 0});
+  const auto read = inbox_.Take<log_read>();
+  REQUIRE(read.entries.size() == 3);
+  CHECK(read.entries[0].offset == 6);
+  CHECK(read.begin == 6);
+}
+
+TEST_CASE_METHOD(link_fixture, "An entry sees the list of VMs") {
+  const auto has = [](const std::string& name, vm_listing_state state) {
+    return [=](const vm_list_read& read) {
+      for (const vm_listing& vm : read.vms) {
+        if (vm.vm.value() == name) {
+          return vm.state == state;
+        }
+      }
+      return false;
+    };
+  };
+  Post("/vms", {{"vm", "vm-1"}, {"zone", "suwon"}, {"slots", 8}});
+  Post("/vms", {{"vm", "vm-2"}});
+  const auto read =
+      inbox_.TakeIf<vm_list_read>(has("vm-2", vm_listing_state::kLive));
+  REQUIRE(read.vms.size() == 2);
+  CHECK(read.vms[0].zone == zone_id("suwon"));
+  CHECK(read.vms[0].slots == 8);
+
+  Post("/vms/vm-2/state", {{"state", "gone"}});
+  Post("/vms/vm-1/state", {{"state", "leaving"}});
+  const auto later =
+      inbox_.TakeIf<vm_list_read>(has("vm-1", vm_listing_state::kLeaving));
+  CHECK(later.vms.size() == 1);
+
+  SECTION("also once the platform has been replaced by one without it") {
+    fakes::platform_server_options same;
+    same.port = server_->port();
+    server_.reset();
+    server_ = std::make_unique<fakes::platform_server>(same);
+    inbox_.TakeIf<vm_list_read>(
+        [](const vm_list_read& item) { return item.vms.empty(); });
+  }
+}
+
+TEST_CASE_METHOD(link_fixture, "An entry runs operations") {
+  Post("/faults", {{"reboot_ms", 50}});
+  Post("/vms", {{"vm", "vm-1"}, {"processors", 4}});
+
+  SECTION("and learns when the VM is back from its reboot") {
+    link_.Run({operation_id("o/1 x"), reboot_vm{vm_id("vm-1")}});
+    const auto finished = inbox_.Take<operation_finished>();
+    CHECK(finished.operation == operation_id("o/1 x"));
+    CHECK(finished.result == operation_result::kDone);
+
+    SECTION("and the same operation again has no second effect") {
+      link_.Run({operation_id("o/1 x"), reboot_vm{vm_id("vm-1")}});
+      CHECK(inbox_.Take<operation_finished>().result ==
+            operation_result::kDone);
+      CHECK(Counters()["reboots"]["vm-1"] == 1);
+    }
+  }
+
+  SECTION("and is refused one that can't be") {
+    link_.Run({operation_id("o2"), reboot_vm{vm_id("nowhere")}});
+    const auto finished = inbox_.Take<operation_finished>();
+    CHECK(finished.result == operation_result::kRefused);
+    CHECK(finished.detail == "no such VM");
+  }
+
+  SECTION("and doesn't know of one during an outage") {
+    Post("/faults", {{"down", true}});
+    link_.Run({operation_id("o3"), move_vm{vm_id("vm-1"), pool_id("a")}});
+    CHECK(inbox_.Take<operation_finished>().result ==
+          operation_result::kUnknown);
+  }
+}
+
+// A VM drains while its endpoint still runs two requests. The operation is done
+// only once the endpoint has ended both.
+TEST_CASE_METHOD(link_fixture, "A drain ends with the last request in flight") {
+  std::atomic<int> in_flight = 2;
+  std::atomic<int> asked = 0;
+  httplib::Server runner;
+  runner.Post("/control/drain", [&](const httplib::Request&,
+                                    httplib::Response& response) {
+    const int now = in_flight;
+    if (now > 0 && ++asked % 3 == 0) {
+      --in_flight;
+    }
+    response.set_content(R"({"in_flight":)" + std::to_string(now) + "}",
+                         "application/json");
+  });
+  const int port = runner.bind_to_any_port("127.0.0.1");
+  std::thread serving([&] { runner.listen_after_bind(); });
+  Post("/vms", {{"vm", "vm-1"}, {"host", "127.0.0.1"}, {"port", port}});
+
+  link_.Run({operation_id("o1"), drain_vm{vm_id("vm-1")}});
+  const auto finished = inbox_.Take<operation_finished>();
+  CHECK(finished.result == operation_result::kDone);
+  CHECK(finished.detail == "in_flight=0");
+  CHECK(in_flight == 0);
+  CHECK(asked == 6);
+
+  runner.stop();
+  serving.join();
+}
+
+TEST_CASE_METHOD(link_fixture, "A link that was stopped posts nothing") {
+  link_.Follow({kStream, 0});
+  inbox_.Take<log_read>();
+  link_.Stop();
+  Post("/streams/control/records", {{"records", {"x"}}});
+  link_.Append(Append(1));
+  link_.Follow({stream_name("other"), 0});
+  link_.Stop();
+  CHECK(Counters()["appends"] == 1);
+}
+
+}  // namespace
+}  // namespace plantainhead::platform
