Encode the fold's new fields

Ruled out: leaving them out of the digest (they decide what later records do). Change: the codec writes and reads them; its round-trip test sets them.

--- a/src/platform/record_fields.h
+++ b/src/platform/record_fields.h
@@ -105,6 +105,7 @@
             typename Archive::template ref<core::take_planner_lease> x) {
   a("holder", x.holder);
   a("expected", x.expected);
+  a("renewed_at", x.renewed_at);
 }
 
 template <typename Archive>
@@ -251,6 +252,7 @@
   a("wave", x.wave);
   a("quarantined", x.quarantined);
   a("reason", x.reason);
+  a("author", x.author);
 }
 
 template <typename Archive>
@@ -273,6 +275,13 @@
   a("operation", x.operation);
   a("failures", x.failures);
   a("reason", x.reason);
+  a("author", x.author);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::writer_mark> x) {
+  a("number", x.number);
+  a("offset", x.offset);
 }
 
 template <typename Archive>
@@ -288,6 +297,10 @@
   a("vms", x.vms);
   a("waves", x.waves);
   a("jobs", x.jobs);
+  a("departed", x.departed);
+  a("ended_waves", x.ended_waves);
+  a("ended_jobs", x.ended_jobs);
+  a("writers", x.writers);
   a("recent_records", x.recent_records);
   a("recent_ids", x.recent_ids);
 }
--- a/tests/platform/record_codec_test.cc
+++ b/tests/platform/record_codec_test.cc
@@ -45,7 +45,8 @@
                               operation_id("o"),
                               wave_id("w"),
                               true,
-                              "slow"};
+                              "slow",
+                              "ann"};
   state.waves[wave_id("w")] = {
       {pool_id("a")}, kAt,     wave_state::kPaused, 2, {vm_id("vm-1")},
       "ann",          "budget"};
@@ -60,7 +61,11 @@
                 true};
   state.jobs[job_id("j")] = {
       spec, job_state::kParked, 4, vm_id("vm-1"), operation_id("o2"),
-      3,    "fails everywhere"};
+      3,    "fails everywhere", "bob"};
+  state.departed = {{kAnn, 4}};
+  state.ended_waves = {{8, wave_id("v")}};
+  state.ended_jobs = {{7, job_id("i")}};
+  state.writers = {{kBob, {5, 9}}};
   state.recent_records = {{9, record_id("r9")}, {10, record_id("r10")}};
   state.recent_ids = {record_id("r9"), record_id("r10")};
   return state;
