--- a/include/plantainhead/core/control_log.h
+++ b/include/plantainhead/core/control_log.h
@@ -119,6 +119,9 @@
   /// False from `log_unavailable` until the control stream is read again.
   bool log_readable() const { return log_readable_; }
 
+  /// Greatest offset of the control stream that this entry has heard of.
+  log_offset greatest_known() const { return greatest_known_; }
+
   log_fault fault() const { return fault_; }
   /// A sentence about `fault()`; empty without one.
   const std::string& fault_detail() const { return fault_detail_; }
--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -19,6 +19,7 @@
 #include "plantainhead/core/lease.h"
 #include "plantainhead/core/membership.h"
 #include "plantainhead/core/planner.h"
+#include "plantainhead/core/random.h"
 #include "plantainhead/core/request_core.h"
 #include "plantainhead/core/time.h"
 
@@ -30,8 +31,10 @@
   membership_options membership;
   claim_options claims;
   planner_options planner;
-  control_log_options control;
-  lease_options lease;
+  /// `queue.self` and `name` are taken from `self`.
+  control_log_settings control;
+  /// `self` is taken from above.
+  planner_lease_settings lease;
   /// How long requests are still taken after a stop was asked for, so that the
   /// balancer has seen that the entry isn't ready.
   duration stop_notice = std::chrono::seconds(1);
@@ -117,6 +120,7 @@
   std::string WhyNotReady() const;
 
   entry_core_options options_;
+  random_source random_;
   append_ids append_ids_;
   control_log control_;
   planner_lease_holder lease_;
--- /dev/null
+++ b/src/core/entry_core.cc
@@ -0,0 +1,372 @@
+#include "plantainhead/core/entry_core.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "plantainhead/core/visit.h"
+
+namespace plantainhead::core {
+
+namespace {
+
+control_log_settings ControlSettings(const entry_core_options& options) {
+  control_log_settings settings = options.control;
+  settings.name = options.self.name;
+  settings.queue.self = options.self.who;
+  return settings;
+}
+
+planner_lease_settings LeaseSettings(const entry_core_options& options) {
+  planner_lease_settings settings = options.lease;
+  settings.self = options.self.who;
+  return settings;
+}
+
+}  // namespace
+
+entry_core::entry_core(entry_core_options options)
+    : options_(std::move(options)),
+      random_(options_.seed),
+      control_(ControlSettings(options_), &append_ids_, &random_),
+      lease_(LeaseSettings(options_), &random_),
+      membership_(options_.self, options_.membership),
+      requests_(options_.self.who, options_.seed),
+      claims_(options_.claims, options_.self.who, &append_ids_),
+      planner_(options_.planner) {}
+
+action_list entry_core::Start(time_point now) {
+  effects out;
+  control_.Start(now, out);
+  not_ready_reason_ = WhyNotReady();
+  out.Do(set_ready{false, not_ready_reason_});
+  return std::move(out.actions);
+}
+
+action_list entry_core::Handle(const event& item, time_point now) {
+  effects out;
+  std::visit([&](const auto& content) { On(content, now, out); }, item);
+  Settle(now, out);
+  return std::move(out.actions);
+}
+
+std::vector<service_load> entry_core::Load(time_point now) const {
+  return requests_.Load(Context(), now);
+}
+
+// --- events
+// --------------------------------------------------------------------
+
+void entry_core::On(const tick&, time_point now, effects& out) {
+  control_.OnTick(now, out);
+  membership_.OnTick(fleet(), HeartbeatContents(now), now, out);
+  lease_.OnTick(now, fleet(), control_.log_readable(), out);
+  claims_.OnTick(now, out, decisions_);
+  requests_.OnTick(Context(), now, out);
+  if (!stopping()) {
+    planner_.OnTick(PlannerInputs(now), now, out);
+  }
+}
+
+void entry_core::On(const request_arrived& item, time_point now, effects& out) {
+  requests_.OnArrival(item, Context(), now, out);
+}
+
+void entry_core::On(const caller_gone& item, time_point now, effects& out) {
+  requests_.OnCallerGone(item, Context(), now, out);
+}
+
+void entry_core::On(const frame_received& item, time_point now, effects& out) {
+  // A frame of an incarnation that the fold has dropped may be a request that
+  // its caller was already told about: it must start nothing here.
+  const bool is_member = fleet().members.contains(item.frame.from);
+  membership_.OnFrame(item.frame, now);
+  if (is_member || std::holds_alternative<heartbeat>(item.frame.message)) {
+    OnPeerMessage(item.frame, now, out);
+  }
+}
+
+void entry_core::OnPeerMessage(const peer_frame& frame,
+                               time_point now,
+                               effects& out) {
+  const incarnation from = frame.from;
+  const overloaded take{
+      [&](const forward_request& message) {
+        requests_.OnForward(from, message, Context(), now, out);
+      },
+      [&](const forward_reply& message) {
+        requests_.OnReply(from, message, Context(), now, out);
+      },
+      [&](const cancel_forward& message) {
+        requests_.OnCancel(from, message, Context(), now, out);
+      },
+      [&](const heartbeat& message) {
+        control_.OnPeerOffset(message.offset, message.digest, from, out);
+        requests_.OnPeerLoad(from, message.load);
+        const bool was_stopping = stopping_members_.contains(from);
+        if (message.stopping && !was_stopping) {
+          stopping_members_.insert(from);
+          list_changed_ = true;
+        }
+      },
+  };
+  std::visit(take, frame.message);
+}
+
+void entry_core::On(const peer_disconnected& item,
+                    time_point now,
+                    effects& out) {
+  requests_.OnPeerDisconnected(item.peer, Context(), now, out);
+}
+
+void entry_core::On(const endpoint_replied& item,
+                    time_point now,
+                    effects& out) {
+  requests_.OnEndpointReplied(item, Context(), now, out);
+}
+
+void entry_core::On(const endpoint_failed& item, time_point now, effects& out) {
+  requests_.OnEndpointFailed(item, Context(), now, out);
+}
+
+void entry_core::On(const log_read& item, time_point now, effects& out) {
+  if (!claims_.OnLogRead(item, now, out, decisions_)) {
+    control_.OnLogRead(now, item, out);
+  }
+}
+
+void entry_core::On(const log_unavailable& item, time_point now, effects& out) {
+  if (!claims_.OnLogUnavailable(item, now, out, decisions_)) {
+    control_.OnLogUnavailable(now, item, out);
+  }
+}
+
+void entry_core::On(const append_finished& item, time_point now, effects& out) {
+  if (!claims_.OnAppendFinished(item, now, out)) {
+    control_.OnAppendFinished(now, item, out);
+  }
+}
+
+void entry_core::On(const vm_list_read& item, time_point now, effects&) {
+  list_changed_ = list_changed_ || vms_ != item.vms;
+  vms_ = item.vms;
+  tasks_ = item.tasks;
+  listed_at_ = now;
+}
+
+// The last list stays in use: an endpoint that has gone is found out by its
+// calls, and one that has come can wait.
+void entry_core::On(const vm_list_unavailable&, time_point, effects&) {}
+
+void entry_core::On(const operation_finished& item,
+                    time_point now,
+                    effects& out) {
+  planner_.OnOperationFinished(item, now, out);
+}
+
+void entry_core::On(const operator_command& item,
+                    time_point now,
+                    effects& out) {
+  control_.OnCommand(now, item, out);
+}
+
+void entry_core::On(const stop_requested&, time_point now, effects& out) {
+  if (stopping()) {
+    return;
+  }
+  stop_asked_at_ = now;
+  // Its endpoints go to other owners at once; what it runs, it ends.
+  stopping_members_.insert(options_.self.who);
+  list_changed_ = true;
+  out.Note(note_level::kInfo, "stopping");
+}
+
+// --- what one module's change means for the others
+// -----------------------------
+
+routing_context entry_core::Context() const {
+  return {fleet(), endpoints_, suspects_, options_.self.who, ready_};
+}
+
+heartbeat_contents entry_core::HeartbeatContents(time_point now) {
+  heartbeat_contents contents;
+  contents.offset = fleet().offset;
+  contents.digest = control_.digest();
+  contents.ready = ready_;
+  contents.stopping = stopping();
+  contents.caught_up = control_.caught_up() && !stopping();
+  contents.log_out = !control_.log_readable();
+  contents.load = Load(now);
+  for (const vm_in_flight& item : requests_.InFlight()) {
+    const auto vm = fleet().vms.find(item.vm);
+    if (vm != fleet().vms.end() && vm->second.phase != vm_phase::kServing) {
+      contents.in_flight.push_back(item);
+    }
+  }
+  return contents;
+}
+
+planner_inputs entry_core::PlannerInputs(time_point now) const {
+  planner_inputs inputs(fleet(), vms_, tasks_);
+  inputs.holds_lease = lease_.Holds(now);
+  inputs.epoch = lease_.epoch();
+  inputs.listed_at = listed_at_;
+  inputs.reported_offset = fleet().offset;
+  for (const vm_in_flight& item : requests_.InFlight()) {
+    inputs.in_flight[item.vm] += item.requests;
+  }
+  for (const auto& [who, member] : fleet().members) {
+    if (who == options_.self.who) {
+      continue;
+    }
+    const peer_status* status = membership_.StatusOf(who);
+    // A member that was never heard may have anything in flight.
+    const log_offset offset = status == nullptr ? 0 : status->last.offset;
+    inputs.reported_offset = std::min(inputs.reported_offset, offset);
+    if (status == nullptr) {
+      continue;
+    }
+    for (const vm_in_flight& item : status->last.in_flight) {
+      inputs.in_flight[item.vm] += item.requests;
+    }
+  }
+  return inputs;
+}
+
+void entry_core::Settle(time_point now, effects& out) {
+  FollowFold(now, out);
+  FollowSuspicion(now, out);
+  ExchangeClaims(now, out);
+  FollowReadiness(out);
+  FollowStop(now, out);
+  control_.Submit(now, std::exchange(out.records, {}), out);
+}
+
+void entry_core::FollowFold(time_point now, effects& out) {
+  const bool folded = followed_offset_ != fleet().offset;
+  if (!folded && !list_changed_) {
+    return;
+  }
+  followed_offset_ = fleet().offset;
+  list_changed_ = false;
+  lease_.Observe(now, fleet());
+  endpoints_.Rebuild(fleet(), vms_, options_.self.who, stopping_members_);
+  FollowMembers(now, out);
+  requests_.OnEndpointsChanged(Context(), now, out);
+}
+
+void entry_core::FollowMembers(time_point now, effects& out) {
+  std::set<incarnation> members;
+  for (const auto& [who, member] : fleet().members) {
+    members.insert(who);
+  }
+  for (const incarnation who : known_members_) {
+    if (!members.contains(who)) {
+      stopping_members_.erase(who);
+      suspects_.erase(who);
+      requests_.OnPeerDisconnected(who, Context(), now, out);
+    }
+  }
+  known_members_ = std::move(members);
+  followed_view_ = fleet().view;
+  claims_.OnViewChanged(fleet(), stopping_members_, now, out);
+}
+
+void entry_core::FollowSuspicion(time_point now, effects& out) {
+  for (const incarnation who : known_members_) {
+    const bool suspected = membership_.Suspects(who);
+    if (suspected && suspects_.insert(who).second) {
+      requests_.OnPeerSuspected(who, Context(), now, out);
+    }
+    if (!suspected) {
+      suspects_.erase(who);
+    }
+  }
+}
+
+void entry_core::ExchangeClaims(time_point now, effects& out) {
+  // A decision may make the requests ask again (another key, a release), so
+  // this goes on until both are silent.
+  while (true) {
+    for (const claim_question& question : requests_.TakeClaimQuestions()) {
+      switch (question.need) {
+        case claim_need::kAsk:
+          claims_.Ask(question.key, question.request, question.deadline, now,
+                      out, decisions_);
+          break;
+        case claim_need::kRelease:
+          claims_.Release(question.key, question.request, now, out);
+          break;
+        case claim_need::kFinished:
+          claims_.Finished(question.key, question.request, *question.answer,
+                           now);
+          break;
+      }
+    }
+    if (decisions_.empty()) {
+      return;
+    }
+    for (const claim_decision& decision : std::exchange(decisions_, {})) {
+      requests_.OnClaimDecision(decision, Context(), now, out);
+    }
+  }
+}
+
+std::string entry_core::WhyNotReady() const {
+  if (stopping()) {
+    return "stopping";
+  }
+  if (membership_.expelled()) {
+    return "expelled from the view";
+  }
+  if (!control_.caught_up()) {
+    return "not caught up with the log";
+  }
+  if (!fleet().members.contains(options_.self.who)) {
+    return "not yet a member of the view";
+  }
+  if (listed_at_ == time_point()) {
+    return "the platform's VM list has not been read";
+  }
+  return "";
+}
+
+void entry_core::FollowReadiness(effects& out) {
+  std::string reason = WhyNotReady();
+  const bool ready = reason.empty();
+  if (ready == ready_ && reason == not_ready_reason_) {
+    return;
+  }
+  ready_ = ready;
+  not_ready_reason_ = std::move(reason);
+  out.Do(set_ready{ready_, not_ready_reason_});
+}
+
+void entry_core::FollowStop(time_point now, effects& out) {
+  if (exited_) {
+    return;
+  }
+  // An entry that the others expelled while it was frozen owns nothing any
+  // more; it ends what it has and starts anew, since its incarnation is void.
+  const bool expelled = membership_.expelled();
+  const bool notice_over =
+      stopping() && now >= *stop_asked_at_ + options_.stop_notice;
+  if (!refusing_ && (expelled || notice_over)) {
+    refusing_ = true;
+    requests_.OnStop();
+  }
+  if (!refusing_ || !requests_.Idle()) {
+    return;
+  }
+  if (!left_at_) {
+    left_at_ = now;
+    membership_.Leave(fleet(), out);
+  }
+  const bool left = !fleet().members.contains(options_.self.who);
+  if (left || now >= *left_at_ + options_.leave_patience) {
+    exited_ = true;
+    out.Do(exit_process{expelled && !stopping()});
+  }
+}
+
+}  // namespace plantainhead::core
