--- a/src/observe/observe.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-namespace plantainhead {}
