--- a/include/plantainhead/core/request_core.h
+++ b/include/plantainhead/core/request_core.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "plantainhead/core/claim_decision.h"
+#include "plantainhead/core/claim_question.h"
 #include "plantainhead/core/effects.h"
 #include "plantainhead/core/endpoint_health.h"
 #include "plantainhead/core/events.h"
@@ -40,7 +41,12 @@
 class request_core {
  public:
   /// `self` is this process's incarnation; `seed` starts the random choices.
-  request_core(incarnation self, std::uint64_t seed);
+  /// `claim_window` is how long a key is remembered (`claim_options::window`):
+  /// a request with a key is given up at the latest that long after its claim
+  /// was asked for, since a grant doesn't hold longer.
+  request_core(incarnation self,
+               std::uint64_t seed,
+               duration claim_window = std::chrono::minutes(10));
 
   /// A caller's request; ends in `answer_caller` exactly once.
   void OnArrival(const request_arrived& event,
@@ -92,8 +98,7 @@
                         time_point now,
                         effects& out);
 
-  /// What the claims found; a decision for a request that has ended is met by
-  /// a release.
+  /// What the claims found; a grant for a request that has ended is released.
   void OnClaimDecision(const claim_decision& decision,
                        const routing_context& context,
                        time_point now,
@@ -141,7 +146,7 @@
                                 const routing_context& context,
                                 time_point now) const;
 
-  void AskClaim(request& item);
+  void AskClaim(request& item, time_point now);
   void Claim(request& item,
              const routing_context& context,
              time_point now,
@@ -208,6 +213,9 @@
               const routing_context& context,
               time_point now,
               effects& out);
+  claim_question& AddQuestion(claim_need need,
+                              const claim_key& key,
+                              std::uint64_t number);
   void SettleClaim(const request& item, const response& answer);
   void CountUnserved(const request& item, const routing_context& context);
   void Detach(request& item);
@@ -258,7 +266,10 @@
   endpoint_health health_;
   owner_loads loads_;
   retry_budget budget_;
+  duration claim_window_;
   std::vector<claim_question> questions_;
+  /// Keys of requests that ended before their claim was decided.
+  std::unordered_map<std::uint64_t, claim_key> undecided_;
 };
 
 }  // namespace plantainhead::core
--- a/src/core/request_core_routing.cc
+++ b/src/core/request_core_routing.cc
@@ -22,13 +22,13 @@
 
 }  // namespace
 
-void request_core::AskClaim(request& item) {
+void request_core::AskClaim(request& item, time_point now) {
   item.at = stage::kClaiming;
   item.claim_asked = true;
-  questions_.push_back({claim_need::kAsk,
-                        *item.envelope.key,
-                        {self_, item.number},
-                        std::nullopt});
+  item.envelope.deadline =
+      std::min(item.envelope.deadline, now + claim_window_);
+  AddQuestion(claim_need::kAsk, *item.envelope.key, item.number).deadline =
+      item.envelope.deadline;
 }
 
 void request_core::Claim(request& item,
@@ -53,8 +53,9 @@
       return;
     }
   }
-  // Every home is lost, or this is one. An entry that isn't the home refuses.
-  AskClaim(item);
+  // The log decides who is first, so any entry may claim; the home only saves
+  // appends and holds the answers.
+  AskClaim(item, now);
 }
 
 void request_core::Route(request& item,
