--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -26,8 +26,8 @@
 // The links have their own threads; what is left for the scheduler is small.
 constexpr std::size_t kSchedulerThreads = 2;
 
-// Parts of the planner lease: how much earlier its holder stops acting, and over
-// how much of it the others spread their tries to take it.
+// Parts of the planner lease: how much earlier its holder stops acting, and
+// over how much of it the others spread their tries to take it.
 constexpr int kLeaseMarginParts = 4;
 constexpr int kLeaseSpreadParts = 9;
 
@@ -49,10 +49,6 @@
   return core::incarnation(value);
 }
 
-std::chrono::milliseconds ToMilliseconds(core::duration value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value);
-}
-
 }  // namespace
 
 class entry_daemon::impl {
@@ -197,9 +193,7 @@
     observe::WriteLog(core::note_level::kInfo, ready ? "ready" : "not ready",
                       {{"reason", reason}});
   };
-  to.note = [](const core::write_note& item) {
-    observe::WriteLog(item.level, item.message, item.fields);
-  };
+  to.note = [](const core::write_note& item) { observe::WriteLog(item); };
   to.answered = [](const core::request_envelope&, const core::response&,
                    core::time_point, core::time_point) {};
   to.exited = [this](bool restart) { NoteExit(restart); };
--- a/tools/plantain_entry.cc
+++ b/tools/plantain_entry.cc
@@ -106,6 +106,7 @@
       target.Stop();
     }).detach();
     Run(settings, target);
+    plantainhead::observe::StopLogging();
     return 0;
   } catch (const plantainhead::core::findings_error& error) {
     std::cerr << error.what() << '\n';
