Add the planner lease for one entry

Cause: one entry may plan at a time, also while entries freeze, appends are late and reads lag. Ruled out: counting from the reading of an own renewal, two renewals under way at once, taking without naming the renewal that was read, a taker's wait of half the lease: a trial of each made 'Two planners never act at one moment' fail. Not counting anew after an outage made 'stays the planner after an outage' fail. Change: planner_lease_holder. Conclusion: core tests pass (24 cases).

--- /dev/null
+++ b/src/core/lease.cc
@@ -0,0 +1,100 @@
+#include "plantainhead/core/lease.h"
+
+#include "core/jitter.h"
+
+namespace plantainhead::core {
+
+planner_lease_holder::planner_lease_holder(planner_lease_settings settings,
+                                           random_source* random)
+    : settings_(settings), random_(random) {}
+
+void planner_lease_holder::Observe(time_point now, const fleet_state& state) {
+  const bool is_member = state.members.contains(settings_.self);
+  if (state.lease != seen_) {
+    ObserveOwn(state.lease);
+    seen_ = state.lease;
+    quiet_since_ = now;
+    spread_ = Jitter(*random_, settings_.take_spread);
+    // A taking names the lease that it saw, so one that is still under way can
+    // only be a conflict from here on.
+    take_sent_.reset();
+    next_take_ = now;
+  }
+  const bool is_holder = is_member && seen_.holder == settings_.self;
+  epoch_ = is_holder ? seen_.epoch : 0;
+}
+
+// Called when the lease has changed. With one renewal under way at a time, a
+// newer `renewed_at` of the same epoch is that renewal.
+void planner_lease_holder::ObserveOwn(const planner_lease& changed) {
+  if (changed.holder != settings_.self) {
+    renewal_sent_.reset();
+    return;
+  }
+  const bool is_taken = changed.epoch != seen_.epoch;
+  const std::optional<time_point>& sent = is_taken ? take_sent_ : renewal_sent_;
+  if (sent) {
+    confirmed_ = *sent;
+    next_renewal_ = *sent + settings_.lease / 3;
+  }
+  renewal_sent_.reset();
+}
+
+void planner_lease_holder::OnTick(time_point now,
+                                  const fleet_state& state,
+                                  bool readable,
+                                  effects& out) {
+  // After a pause, of this process or of the log, renewals may be there that
+  // this entry hasn't read. If it counted that time it would take the lease of
+  // a live holder after every outage.
+  const bool was_paused =
+      !last_tick_ || now - *last_tick_ > settings_.pause || !readable;
+  last_tick_ = now;
+  Observe(now, state);
+  if (was_paused) {
+    quiet_since_ = now;
+  }
+  if (!readable || !state.members.contains(settings_.self)) {
+    return;
+  }
+  if (epoch_ != 0) {
+    Renew(now, out);
+  }
+  TryTake(now, state, out);
+}
+
+void planner_lease_holder::Renew(time_point now, effects& out) {
+  if (renewal_sent_ || now < next_renewal_) {
+    return;
+  }
+  renewal_sent_ = now;
+  out.Append(renew_planner_lease{settings_.self, epoch_});
+}
+
+// The holder itself takes the lease anew, too, when its renewal got lost for
+// good: it can't send a second one, because it couldn't tell which of the two
+// is read back and might count from the later one.
+void planner_lease_holder::TryTake(time_point now,
+                                   const fleet_state& state,
+                                   effects& out) {
+  const bool is_free = state.lease.holder == incarnation::kNone;
+  const duration wait = is_free ? duration::zero() : settings_.lease;
+  if (now < quiet_since_ + wait + spread_ || now < next_take_) {
+    return;
+  }
+  if (!take_sent_) {
+    take_sent_ = now;
+  }
+  next_take_ = now + settings_.lease;
+  out.Append(take_planner_lease{settings_.self, state.lease.epoch,
+                                state.lease.renewed_at});
+}
+
+// A holder that was frozen finds at its first look at the clock that the lease
+// has lapsed, before it has read anything: the time counts from when its newest
+// confirmed record was sent, which is before anyone else could read it.
+bool planner_lease_holder::Holds(time_point now) const {
+  return epoch_ != 0 && now < confirmed_ + settings_.lease - settings_.margin;
+}
+
+}  // namespace plantainhead::core
