Bound the link against strangers, frozen peers and silent networks

Cause: a stranger that sends garbage and keeps its socket open would hold a descriptor for ever: CAF's graceful close ends one direction and waits.

Change: connections are refused by ending both directions. Start checks that the actor system has few workers (at most 4). Tests for a peer that reads nothing, a handshake nobody answers, too many connections.

Ruled out: taking the scribe from the broker and out of the loop; a trial test could not tell it from the graceful close, and the shutdown is the simpler way.

Conclusion: the link's own limits hold in these tests; memory under a full queue was not measured.

--- a/include/plantainhead/entry/peer_link.h
+++ b/include/plantainhead/entry/peer_link.h
@@ -65,7 +65,8 @@
   /// `post` gets `frame_received` and `peer_disconnected`. It and `now` are
   /// called from the broker's thread and from callers of `Send`, and must
   /// neither block nor throw. Preconditions: `system` has the module
-  /// caf::io::middleman loaded and outlives the link.
+  /// caf::io::middleman loaded and outlives the link; its scheduler has at most
+  /// 4 workers (`scheduler.max-threads`).
   peer_link(caf::actor_system& system,
             peer_link_options options,
             clock_function now,
@@ -78,7 +79,8 @@
   peer_link& operator=(const peer_link&) = delete;
 
   /// Listens, and returns the port. Throws `std::runtime_error` when the
-  /// address can't be bound. Precondition: not called before.
+  /// address can't be bound, `std::logic_error` when the actor system isn't as
+  /// the constructor asks. Precondition: not called before.
   /// Thread safety: none.
   std::uint16_t Start();
 
--- a/src/entry/peer_broker.cc
+++ b/src/entry/peer_broker.cc
@@ -6,6 +6,14 @@
 #include "entry/peer_socket.h"
 
 namespace plantainhead::entry {
+namespace {
+
+// CAF makes a connection's handle from its socket (conn_hdl_from_socket).
+int SocketOf(caf::io::connection_handle handle) {
+  return static_cast<int>(handle.id());
+}
+
+}  // namespace
 
 using caf::io::connection_handle;
 using caf::io::receive_policy;
@@ -58,7 +66,7 @@
     // A peer that doesn't read would let the queue grow until this entry runs
     // out of memory. Its frames are useless by then, so the whole queue goes.
     Drop(frame.to);
-    Abort(peer.socket);
+    Abort(SocketOf(*peer.handle));
     Lose(frame.to);
     return;
   }
@@ -76,7 +84,6 @@
   if (!socket) {
     return false;
   }
-  peer.socket = *socket;
   peer.handle = add_scribe(*socket);
   outgoing_.emplace(*peer.handle, frame.to);
   ack_writes(*peer.handle, true);
@@ -87,7 +94,7 @@
 
 void peer_broker::Accept(connection_handle handle) {
   if (incoming_.size() >= shared_->options.inbound_limit) {
-    close(handle);
+    Refuse(handle);
     return;
   }
   incoming_.emplace(handle, incoming_connection{});
@@ -106,10 +113,19 @@
     // The stream is out of step: what follows can't be told apart from frames.
     ++shared_->counters.malformed;
     incoming_.erase(found);
-    close(data.handle);
+    Refuse(data.handle);
   }
 }
 
+void peer_broker::Refuse(connection_handle handle) {
+  // CAF's graceful close ends one direction and waits for the other side to
+  // end the other; a stranger that keeps its socket open would hold a
+  // descriptor here for ever. Ending both directions makes the reading see the
+  // end at once, and CAF closes the socket.
+  configure_read(handle, receive_policy::at_most(1));
+  Abort(SocketOf(handle));
+}
+
 void peer_broker::ReadFrame(const caf::io::new_data_msg& data,
                             incoming_connection& incoming) {
   const std::string_view bytes(data.buf.data(), data.buf.size());
--- a/src/entry/peer_broker.h
+++ b/src/entry/peer_broker.h
@@ -60,10 +60,9 @@
   caf::behavior make_behavior() override;
 
  private:
-  // Neither value while the pause after a lost connection lasts.
+  // No handle while the pause after a lost connection lasts.
   struct outgoing_connection {
     std::optional<caf::io::connection_handle> handle;
-    int socket = -1;
     std::size_t unsent = 0;
   };
 
@@ -79,6 +78,7 @@
   void Read(const caf::io::new_data_msg& data);
   void ReadFrame(const caf::io::new_data_msg& data,
                  incoming_connection& incoming);
+  void Refuse(caf::io::connection_handle handle);
   void Forget(caf::io::connection_handle handle);
   void Lose(core::incarnation peer);
   void Drop(core::incarnation peer);
--- a/src/entry/peer_link.cc
+++ b/src/entry/peer_link.cc
@@ -6,6 +6,13 @@
 #include "entry/peer_broker.h"
 
 namespace plantainhead::entry {
+namespace {
+
+// CAF starts a worker for each processor. The decisions need one thread; more
+// workers only cost the memory of their stacks and steal from each other.
+constexpr std::size_t kMostWorkers = 4;
+
+}  // namespace
 
 class peer_link::state {
  public:
@@ -36,6 +43,11 @@
   if (!state_->system.has_middleman()) {
     throw std::logic_error("the actor system lacks caf::io::middleman");
   }
+  if (state_->system.scheduler().num_workers() > kMostWorkers) {
+    throw std::logic_error(
+        "scheduler.max-threads is too great for a small VM: at most " +
+        std::to_string(kMostWorkers));
+  }
   // Brokers run in the I/O thread; the function-based spawn of the middleman
   // would force the state into lambdas.
   caf::actor_config config{&state_->system.middleman().backend()};
--- a/tests/entry/peer_link_test.cc
+++ b/tests/entry/peer_link_test.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,9 +52,9 @@
 };
 
 struct test_system {
-  test_system() {
+  explicit test_system(std::size_t workers = 2) {
     config.load<caf::io::middleman>();
-    config.set("scheduler.max-threads", 2);
+    config.set("scheduler.max-threads", workers);
     system.emplace(config);
   }
 
@@ -110,16 +111,47 @@
             static_cast<ssize_t>(bytes.size()));
   }
 
-  // Blocks until the other side has closed.
+  // Waits until the other side has closed both directions: after its end of
+  // stream, a byte more makes it answer with a reset.
   void AwaitEnd() {
     char byte = 0;
     REQUIRE(::recv(handle_, &byte, 1, 0) <= 0);
+    ::send(handle_, &byte, 1, MSG_NOSIGNAL);
+    pollfd waiting{handle_, 0, 0};
+    const auto patience =
+        std::chrono::duration_cast<std::chrono::milliseconds>(kPatience);
+    REQUIRE(::poll(&waiting, 1, static_cast<int>(patience.count())) == 1);
+    REQUIRE((waiting.revents & POLLHUP) != 0);
   }
 
  private:
   int handle_;
 };
 
+// A listening socket that never accepts.
+class raw_listener {
+ public:
+  explicit raw_listener(int backlog)
+      : handle_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    REQUIRE(::bind(handle_, generic, size) == 0);
+    REQUIRE(::listen(handle_, backlog) == 0);
+    REQUIRE(::getsockname(handle_, generic, &size) == 0);
+    port_ = ntohs(address.sin_port);
+  }
+  ~raw_listener() { ::close(handle_); }
+
+  std::uint16_t port() const { return port_; }
+
+ private:
+  int handle_;
+  std::uint16_t port_ = 0;
+};
+
 TEST_CASE("Two entries exchange frames") {
   test_system system;
   linked_entry a(system);
@@ -171,6 +203,14 @@
     stranger.AwaitEnd();
   }
 
+  SECTION("when a bit of the payload was flipped on its way") {
+    std::string bytes = EncodeFrame(SampleReply(), kSampleNow);
+    bytes.back() ^= 1;
+    raw_socket stranger(b.port);
+    stranger.Write(bytes);
+    stranger.AwaitEnd();
+  }
+
   SECTION("when there is no payload at all") {
     raw_socket stranger(b.port);
     stranger.Write(SealPayload(""));
@@ -223,12 +263,69 @@
   }
 }
 
-TEST_CASE("An entry that can't listen says so") {
+// A peer is frozen: its kernel takes bytes until its buffers are full, then
+// nothing moves. What waits for it here must not grow without end, and those
+// who wait for answers must hear of it long before their deadlines.
+TEST_CASE("A peer that reads nothing is given up") {
+  test_system system;
+  peer_link_options options;
+  options.queue_limit = std::size_t{1} << 20;
+  linked_entry a(system, options);
+  raw_listener frozen(128);
+
+  core::peer_frame frame = SampleRequest();
+  std::get<core::forward_request>(frame.message).request.body =
+      std::make_shared<const std::string>(std::size_t{256} << 10, 'x');
+  constexpr int kFrames = 400;
+  for (int i = 0; i < kFrames; ++i) {
+    a.link.Send(To(2, frozen.port(), frame));
+  }
+  CHECK(a.events.Await<core::peer_disconnected>().peer == core::incarnation{2});
+  CHECK(a.link.counters().frames_sent < kFrames);
+}
+
+// A switch is lost: packets to a peer vanish and nobody answers the handshake.
+// The link gives up after its stall timeout, not after the kernel's minutes.
+// A listener whose queue is full drops handshakes in the same way.
+TEST_CASE("A peer that doesn't answer the handshake is given up") {
+  test_system system;
+  peer_link_options options;
+  options.stall_timeout = std::chrono::milliseconds(300);
+  linked_entry a(system, options);
+  raw_listener silent(0);
+  raw_socket fills_the_queue(silent.port());
+
+  a.link.Send(To(2, silent.port(), NumberedCancel(1)));
+  CHECK(a.events.Await<core::peer_disconnected>().peer == core::incarnation{2});
+}
+
+TEST_CASE("An entry takes a bounded number of connections") {
   test_system system;
-  linked_entry a(system);
   peer_link_options options;
-  options.host = "192.0.2.1";
-  CHECK_THROWS_AS(linked_entry(system, options), std::runtime_error);
+  options.inbound_limit = 1;
+  linked_entry b(system, options);
+  linked_entry a(system);
+  a.link.Send(To(2, b.port, NumberedCancel(1)));
+  b.events.Await<core::frame_received>();
+
+  raw_socket one_too_many(b.port);
+  one_too_many.AwaitEnd();
+  a.link.Send(To(2, b.port, NumberedCancel(2)));
+  CHECK(NumberOf(b.events.Await<core::frame_received>()) == 2);
+}
+
+TEST_CASE("An entry that can't start its link says so") {
+  SECTION("when the address is another machine's") {
+    test_system system;
+    peer_link_options options;
+    options.host = "192.0.2.1";
+    CHECK_THROWS_AS(linked_entry(system, options), std::runtime_error);
+  }
+
+  SECTION("when the actor system has a crowd of workers") {
+    test_system system(16);
+    CHECK_THROWS_AS(linked_entry(system), std::logic_error);
+  }
 }
 
 }  // namespace
