--- a/src/core/request_core.cc
+++ b/src/core/request_core.cc
@@ -167,6 +167,7 @@
     Finish(item, message.answer, context, now, out);
     return;
   }
+  item.maybe_run = item.maybe_run || message.answer.result == outcome::kUnknown;
   item.avoid_owners.push_back(from);
   item.refusal = message.answer;
   if (item.wanted == forward_stage::kClaim) {
