--- a/tests/core/request_core_test.cc
+++ b/tests/core/request_core_test.cc
@@ -72,5 +72,87 @@
   CHECK(replies[0].load[0].slots == 8);
 }
 
+TEST_CASE("A request that can't be taken is answered at once") {
+  request_harness world;
+  world.AddEndpoint("runner-1", "suwon");
+  request_envelope envelope = world.Envelope();
+  int status = 0;
+  answer_reason reason = answer_reason::kNone;
+
+  SECTION("since its service isn't known") {
+    envelope.service = service_name("nowhere");
+    status = 404;
+    reason = answer_reason::kUnknownService;
+  }
+  SECTION("since its class isn't known: the known ones are named") {
+    envelope.work = class_name("other");
+    status = 400;
+    reason = answer_reason::kUnknownClass;
+  }
+  SECTION("since it names none of several classes") {
+    envelope.work = class_name();
+    status = 400;
+    reason = answer_reason::kUnknownClass;
+  }
+  SECTION("since the entry isn't ready") {
+    world.ready = false;
+    status = 503;
+    reason = answer_reason::kNotReady;
+  }
+  SECTION("since the service has no endpoint") {
+    world.listings.clear();
+    status = 503;
+    reason = answer_reason::kNoEndpoint;
+  }
+
+  world.Rebuild();
+  world.Arrive(envelope);
+  const response answer = world.Answer();
+  CHECK(answer.status == status);
+  CHECK(answer.reason == reason);
+  CHECK(answer.result == outcome::kNotRun);
+  CHECK(answer.retry_after.has_value());
+  if (reason == answer_reason::kUnknownClass) {
+    CHECK(answer.detail.find("urgent, archive") != std::string::npos);
+  }
+}
+
+TEST_CASE("A request may leave out the only class of its service") {
+  request_harness world;
+  world.fleet.targets.classes.pop_back();
+  world.AddEndpoint("runner-1", "suwon");
+  world.Rebuild();
+  request_envelope envelope = world.Envelope();
+  envelope.work = class_name();
+  world.Arrive(envelope);
+  REQUIRE(world.Calls().size() == 1);
+  CHECK(world.Calls()[0].envelope.work == kUrgent);
+}
+
+TEST_CASE("Requests beyond the slots wait, and beyond their time are refused") {
+  request_harness world;
+  world.AddEndpoint("runner-1", "suwon", 2);
+  world.Rebuild();
+  std::size_t calls = 0;
+  std::size_t refused = 0;
+  for (int i = 0; i < 2000; ++i) {
+    world.Arrive(world.Envelope());
+    calls += world.Calls().size();
+    for (const answer_caller& answer : All<answer_caller>(world.out)) {
+      refused += 1;
+      CHECK(answer.answer.status == 429);
+      CHECK(answer.answer.result == outcome::kNotRun);
+      CHECK(answer.answer.retry_after.has_value());
+    }
+  }
+  CHECK(calls == 2);
+  CHECK(refused > 1000);
+  const std::vector<service_load> load =
+      world.core.Load(world.Context(), world.now);
+  REQUIRE(load.size() == 1);
+  CHECK(load[0].busy == 2);
+  CHECK(load[0].queued == 2000 - 2 - refused);
+}
+
 }  // namespace
 }  // namespace plantainhead::core
