Order and admit by class targets; hold goodput under overload

Cause: the predicted wait left out requests that arrive later and go first. Ruled out: a stronger correction by burn, which lets a class that can't be saved push aside one that still is (kMostForward is 0.2 for that reason). Change: the wait is divided by the share of slots that tighter classes leave; classes that others overtake may wait for 0.3 of their time, others for 0.5.

--- a/include/plantainhead/core/request_queue.h
+++ b/include/plantainhead/core/request_queue.h
@@ -50,9 +50,13 @@
   static constexpr double kMostWaitingShare = 1.0 / 8;
   /// A request is admitted if its predicted wait takes at most this part of its
   /// time. With the whole of it the queue would be full of requests close to
-  /// their limit, which go before new ones of a tighter class, and the tighter
-  /// class would miss its target.
+  /// their limit, and those whose service takes longer than usual would end
+  /// late.
   static constexpr double kWaitPart = 0.5;
+  /// The same for classes that others go before. Their requests would go before
+  /// new ones of a tighter class once they are close to their limit, and the
+  /// tighter class would miss its target.
+  static constexpr double kLooseWaitPart = 0.3;
   /// How much of its time a class that burns its budget is moved forward at
   /// most. Bounded, since in an overload that no order can mend a class far
   /// behind would push aside those that still meet their targets.
@@ -112,6 +116,9 @@
   /// The requests of one class, by key.
   struct lane {
     bool can_wait = false;
+    duration within{};
+    /// Part of the recent dispatches that were of this class.
+    double share = 0;
     std::deque<waiting> items;
     double mean_us = 0;
     double deviation_us = 0;
@@ -138,6 +145,11 @@
                   time_point key,
                   std::uint32_t slots,
                   std::uint32_t free) const;
+  double ShareLeftFor(const lane& in) const;
+  /// Returns whether new requests of one class overtake those of another.
+  static bool GoesFirst(const lane& first, const lane& second);
+  bool IsTightest(const lane& in) const;
+  void CountDispatch(const lane& in);
   static duration LikelyServiceTime(const lane& in);
 
   std::map<class_name, lane> lanes_;
@@ -147,8 +159,6 @@
   /// Credit of the classes that can wait: rises with each dispatch, and one of
   /// theirs costs one.
   double waiting_credit_ = 0;
-  /// Share of the dispatches that went to classes that can wait.
-  double waiting_share_ = kMostWaitingShare;
 };
 
 }  // namespace plantainhead::core
--- a/src/core/request_queue.cc
+++ b/src/core/request_queue.cc
@@ -10,7 +10,8 @@
 constexpr double kServiceTimeWeight = 1.0 / 16;
 /// Weight of one request's end in the burn.
 constexpr double kBurnWeight = 1.0 / 128;
-constexpr double kWaitingShareWeight = 1.0 / 64;
+/// Weight of one dispatch in the shares of the classes.
+constexpr double kShareWeight = 1.0 / 256;
 /// Stands in until the first service time is measured.
 constexpr double kFirstGuessUs = 10000;
 /// A budget of less than this counts as this, so that the burn stays finite.
@@ -26,6 +27,7 @@
 request_queue::lane& request_queue::LaneOf(const work_class& work) {
   lane& found = lanes_[work.name];
   found.can_wait = work.can_wait;
+  found.within = work.within;
   return found;
 }
 
@@ -73,7 +75,8 @@
   admission result;
   result.predicted_wait = WaitOf(into, made.key, slots, free);
   const duration left = made.limit - now;
-  const duration most = Microseconds(left.count() * kWaitPart);
+  const double part = IsTightest(into) ? kWaitPart : kLooseWaitPart;
+  const duration most = Microseconds(left.count() * part);
   const bool at_once = result.predicted_wait == duration::zero();
   if (places_.size() < kMostQueued &&
       (at_once || result.predicted_wait <= most)) {
@@ -122,7 +125,6 @@
   if (turn) {
     waiting_credit_ -= 1;
   }
-  waiting_share_ += kWaitingShareWeight * ((turn ? 1.0 : 0.0) - waiting_share_);
   return turn ? waiting : urgent;
 }
 
@@ -136,6 +138,7 @@
     const bool hopeless =
         item.deadline <= now || now + LikelyServiceTime(*next) > item.limit;
     if (item.deadline > now && (!hopeless || places_.empty())) {
+      CountDispatch(*next);
       return item.id;
     }
     refused.push_back(item.id);
@@ -207,30 +210,53 @@
     return kMostRetryAfter;
   }
   double ahead = 0;
-  double urgent = 0;
   for (const auto& [name, other] : lanes_) {
-    const auto count = static_cast<double>(other.can_wait == in.can_wait
-                                               ? CountAhead(other, key)
-                                               : other.items.size());
-    if (other.can_wait == in.can_wait) {
-      ahead += count;
-    } else if (in.can_wait) {
-      urgent += count;
-    } else {
-      // Those that can wait take their share beside the urgent ones.
-      ahead += count > 0 ? ahead * kMostWaitingShare : 0;
+    // Work that can wait lets all other work go first.
+    const bool all = in.can_wait && !other.can_wait;
+    if (all || other.can_wait == in.can_wait) {
+      ahead += static_cast<double>(all ? other.items.size()
+                                       : CountAhead(other, key));
     }
   }
-  if (ahead + urgent < free) {
+  if (ahead < free) {
     return duration::zero();
   }
   const double mean = mean_us_ == 0 ? kFirstGuessUs : mean_us_;
-  const double turn = mean / slots;
-  if (in.can_wait && urgent > 0) {
-    const double share = std::max(kLeastWaitingShare, waiting_share_);
-    return Microseconds((ahead + 1) * turn / share);
+  return Microseconds((ahead + 1) * mean / slots / ShareLeftFor(in));
+}
+
+// Requests that arrive later and go first take slots too: without them the
+// prediction falls short by as much as the tighter classes get, and requests
+// are let in that can't be served in time.
+double request_queue::ShareLeftFor(const lane& in) const {
+  double left = 1;
+  for (const auto& [name, other] : lanes_) {
+    const bool goes_first = in.can_wait
+                                ? !other.can_wait
+                                : !other.can_wait && other.within < in.within;
+    left -= goes_first ? other.share : 0;
+  }
+  return std::max(left, kLeastWaitingShare);
+}
+
+bool request_queue::IsTightest(const lane& in) const {
+  return std::none_of(lanes_.begin(), lanes_.end(), [&](const auto& other) {
+    return GoesFirst(other.second, in);
+  });
+}
+
+bool request_queue::GoesFirst(const lane& first, const lane& second) {
+  if (first.can_wait || second.can_wait) {
+    return !first.can_wait;
+  }
+  return first.within < second.within;
+}
+
+void request_queue::CountDispatch(const lane& in) {
+  for (auto& [name, other] : lanes_) {
+    const double now = &other == &in ? 1 : 0;
+    other.share += kShareWeight * (now - other.share);
   }
-  return Microseconds((ahead + 1) * turn);
 }
 
 duration request_queue::PredictedWait(const work_class& work,
--- /dev/null
+++ b/tests/core/owner_loads_test.cc
@@ -0,0 +1,112 @@
+#include "plantainhead/core/owner_loads.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "core/request_harness.h"
+
+namespace plantainhead::core {
+namespace {
+
+struct routing_story {
+  request_harness world;
+  owner_loads loads;
+  random_source random{1};
+  service_load own;
+  std::vector<incarnation> avoid;
+
+  routing_story() {
+    world.AddMember(kPeer, "goyang");
+    world.AddMember(kOther, "seongnam");
+    world.AddEndpoint("runner-2", "goyang");
+    world.AddEndpoint("runner-3", "seongnam");
+  }
+
+  std::map<incarnation, int> Draw(int times) {
+    world.table.Rebuild(world.fleet, world.listings, kSelf, {});
+    std::map<incarnation, int> drawn;
+    for (int i = 0; i < times; ++i) {
+      const auto owner = loads.Choose(*world.table.Find(kIntake), own,
+                                      world.Context(), avoid, random);
+      drawn[owner.value_or(incarnation::kNone)] += 1;
+    }
+    return drawn;
+  }
+
+  void Report(incarnation owner, std::uint32_t busy, std::uint32_t queued) {
+    loads.OnReport(owner, {{kIntake, 8, busy, queued}});
+  }
+};
+
+TEST_CASE("An owner is chosen for a request") {
+  routing_story story;
+
+  SECTION("among those with endpoints, by their slots") {
+    const auto drawn = story.Draw(1000);
+    CHECK(drawn.size() == 2);
+    CHECK(drawn.at(kPeer) > 400);
+    CHECK(drawn.at(kOther) > 400);
+  }
+
+  SECTION("this entry first, while it has a free slot") {
+    story.world.AddEndpoint("runner-1", "suwon");
+    story.own = {kIntake, 8, 7, 0};
+    CHECK(story.Draw(10).at(kSelf) == 10);
+    story.own.busy = 8;
+    CHECK(story.Draw(100)[kSelf] < 100);
+  }
+
+  SECTION("mostly the one that is less full") {
+    story.Report(kPeer, 8, 20);
+    story.Report(kOther, 8, 2);
+    CHECK(story.Draw(1000).at(kOther) > 700);
+  }
+
+  SECTION("with what was sent since its last report counted in") {
+    story.Report(kPeer, 0, 0);
+    story.Report(kOther, 0, 0);
+    for (int i = 0; i < 20; ++i) {
+      story.loads.OnForwarded(kPeer, kIntake);
+    }
+    CHECK(story.Draw(1000).at(kOther) > 700);
+  }
+
+  SECTION("the one in this entry's zone when they tie") {
+    story.world.fleet.members[kPeer].zone = zone_id("suwon");
+    story.world.listings[0].zone = zone_id("suwon");
+    story.world.fleet.members.erase(kSelf);
+    story.world.fleet.members[kSelf].zone = zone_id("suwon");
+    // Owned by the peer as the only other member of the zone is this entry.
+    story.world.stopping = {kSelf};
+    story.world.table.Rebuild(story.world.fleet, story.world.listings, kSelf,
+                              {kSelf});
+    std::map<incarnation, int> drawn;
+    for (int i = 0; i < 1000; ++i) {
+      drawn[*story.loads.Choose(*story.world.table.Find(kIntake), story.own,
+                                story.world.Context(), {}, story.random)] += 1;
+    }
+    CHECK(drawn[kPeer] > 700);
+  }
+
+  SECTION("never a suspect or one that was tried") {
+    story.world.suspects = {kPeer};
+    CHECK(story.Draw(100).at(kOther) == 100);
+    story.avoid = {kOther};
+    CHECK(story.Draw(100).at(incarnation::kNone) == 100);
+  }
+}
+
+TEST_CASE("Owners report slots that are out of use") {
+  routing_story story;
+  story.Draw(1);
+  const service_routes& routes = *story.world.table.Find(kIntake);
+  CHECK(story.loads.LostSlots(routes) == 0);
+  story.loads.OnReport(kPeer, {{kIntake, 3, 0, 0}});
+  CHECK(story.loads.LostSlots(routes) == 5);
+  story.loads.Forget(kPeer);
+  CHECK(story.loads.LostSlots(routes) == 0);
+}
+
+}  // namespace
+}  // namespace plantainhead::core
