--- a/include/plantainhead/core/fleet_state.h
+++ b/include/plantainhead/core/fleet_state.h
@@ -47,6 +47,8 @@
   wave_id wave;
   bool quarantined = false;
   std::string reason;
+  /// Who wrote the newest change.
+  std::string author;
 
   friend bool operator==(const vm_state&, const vm_state&) = default;
 };
@@ -75,10 +77,22 @@
   /// Tasks of this job that failed, for parking.
   std::uint32_t failures = 0;
   std::string reason;
+  /// Who wrote the newest change.
+  std::string author;
 
   friend bool operator==(const job_progress&, const job_progress&) = default;
 };
 
+/// The newest record of one entry process.
+struct writer_mark {
+  /// Its number in the record's id, see `MakeRecordId`.
+  std::uint64_t number = 0;
+  /// Offset at which it was read.
+  log_offset offset = 0;
+
+  friend bool operator==(const writer_mark&, const writer_mark&) = default;
+};
+
 /// The fold of the control stream up to `offset`. Equal offsets mean equal
 /// states at every entry. The maps are ordered so that digests and plans are
 /// the same everywhere. Thread safety: none; each core owns one.
@@ -96,18 +110,38 @@
   std::map<vm_id, vm_state> vms;
   std::map<wave_id, wave_progress> waves;
   std::map<job_id, job_progress> jobs;
-  /// Offsets and ids of recent records, to drop second copies. Bounded by
-  /// `kRememberedRecords`.
+  /// Incarnations that left, were expelled or were replaced, with the offset of
+  /// that record: none of them can join again. Bounded by `kRememberedLives`.
+  std::map<incarnation, log_offset> departed;
+  /// Cancelled and finished waves and jobs by the offset of that record, for
+  /// forgetting the oldest. Bounded by `kRememberedWaves`, `kRememberedJobs`.
+  std::map<log_offset, wave_id> ended_waves;
+  std::map<log_offset, job_id> ended_jobs;
+  /// How far each entry process has written. A process numbers its records and
+  /// appends them in order, one append at a time, so that a record with a
+  /// number up to its mark is a second copy. Bounded by `kRememberedLives`.
+  std::map<incarnation, writer_mark> writers;
+  /// Offsets and ids of recent records whose ids have another form, to drop
+  /// second copies. Bounded by `kRememberedRecords`.
   std::map<log_offset, record_id> recent_records;
   std::set<record_id> recent_ids;
 
   friend bool operator==(const fleet_state&, const fleet_state&) = default;
 };
 
-/// How many record ids the fold remembers. A second copy comes from an append
-/// that is repeated within seconds; at several hundred appends a second this is
-/// minutes of the log.
-inline constexpr std::size_t kRememberedRecords = 65536;
+/// How many record ids the fold remembers one by one. A second copy comes from
+/// an append that is repeated within seconds; no entry process writes such ids.
+inline constexpr std::size_t kRememberedRecords = 8192;
+
+/// How many incarnations the fold remembers as writers, and how many as
+/// departed. An append that is repeated, or a join that arrives after its
+/// process was expelled, comes within minutes; entry processes start some tens
+/// of times a day.
+inline constexpr std::size_t kRememberedLives = 1024;
+
+/// How many ended waves and jobs the fold keeps for operators to look at.
+inline constexpr std::size_t kRememberedWaves = 100;
+inline constexpr std::size_t kRememberedJobs = 1000;
 
 }  // namespace plantainhead::core
 
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -38,21 +38,6 @@
   return best;
 }
 
-std::vector<incarnation> HomeChoices(std::uint32_t partition,
-                                     const fleet_state& fleet,
-                                     std::set<incarnation> excluded) {
-  std::vector<incarnation> homes;
-  while (homes.size() < endpoint_table::kHomeChoices) {
-    const incarnation home = HomeOf(partition, fleet, excluded);
-    if (home == incarnation::kNone) {
-      break;
-    }
-    homes.push_back(home);
-    excluded.insert(home);
-  }
-  return homes;
-}
-
 bool TakesNew(const fleet_state& fleet, const vm_listing& listing) {
   if (listing.state != vm_listing_state::kLive) {
     return false;
@@ -107,7 +92,7 @@
   }
   CountShares(fleet, self);
   for (std::uint32_t part = 0; part < kClaimPartitions; ++part) {
-    homes_[part] = HomeChoices(part, fleet, stopping);
+    homes_[part] = core::HomesOf(part, fleet, stopping, kHomeChoices);
   }
 }
 
