--- a/fakes/runner.h
+++ b/fakes/runner.h
@@ -28,6 +28,8 @@
   std::uint64_t seed = 1;
   /// Connections that it serves at once, and some for control.
   std::size_t threads = 80;
+  /// How long a connection without a request is kept.
+  std::chrono::seconds keep_alive{5};
   /// Called by the fault "die" after a run, before its answer.
   std::function<void()> die = [] {};
 };
@@ -56,6 +58,7 @@
     };
     server_.set_tcp_nodelay(true);
     server_.set_keep_alive_max_count(kRequestsPerConnection);
+    server_.set_keep_alive_timeout(options_.keep_alive.count());
     RegisterControl();
     RegisterService();
   }
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -56,6 +56,7 @@
 
   /// Ends each connection after its next answer.
   void EndConnections() { ending_ = true; }
+  bool ending() const { return ending_; }
 
   /// Returns once every request in progress has its answer.
   void Stop();
--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -186,8 +186,15 @@
   }
   const core::shared_body& bytes = std::get<core::shared_body>(body);
   const bool for_service = request.target.rfind(kServicePrefix, 0) == 0;
-  Fill(for_service ? AnswerCaller(request, bytes) : AnswerRoute(request, bytes),
-       request.method, echo, &response);
+  const written_answer answer =
+      for_service ? AnswerCaller(request, bytes) : AnswerRoute(request, bytes);
+  if (server_.ending()) {
+    // The stop may have begun while the answer was waited for. A caller that
+    // isn't told would send its next request into a connection that closes.
+    current.close = true;
+    response.headers.emplace("Connection", "close");
+  }
+  Fill(answer, request.method, echo, &response);
 }
 
 std::variant<core::shared_body, refusal> http_server::impl::ReadBody(
--- /dev/null
+++ b/tests/caller/http_server_test.cc
@@ -0,0 +1,378 @@
+#include "plantainhead/caller/http_server.h"
+
+#include <httplib.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "loopback.h"
+
+namespace plantainhead::caller {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Stands for the decisions: keeps what was submitted until the test answers.
+class fake_core {
+ public:
+  core::core_gateway Gateway() {
+    core::core_gateway gateway;
+    gateway.submit = [this](core::request_envelope envelope) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      ++submitted_;
+      waiting_.push_back({std::move(envelope), {}});
+      std::future<core::response> future = waiting_.back().promise.get_future();
+      if (reply_at_once_) {
+        Reply(*reply_at_once_);
+      }
+      changed_.notify_all();
+      return future;
+    };
+    return gateway;
+  }
+
+  void AnswerAllWith(core::response answer) {
+    reply_at_once_ = std::move(answer);
+  }
+
+  void AwaitSubmitted(int count) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [&] { return submitted_ >= count; });
+  }
+
+  void AnswerNext(core::response answer) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Reply(std::move(answer));
+  }
+
+  core::request_envelope last() const { return last_; }
+  int submitted() const { return submitted_; }
+
+ private:
+  struct submission {
+    core::request_envelope envelope;
+    std::promise<core::response> promise;
+  };
+
+  void Reply(core::response answer) {
+    last_ = std::move(waiting_.front().envelope);
+    waiting_.front().promise.set_value(std::move(answer));
+    waiting_.pop_front();
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<submission> waiting_;
+  std::optional<core::response> reply_at_once_;
+  core::request_envelope last_;
+  int submitted_ = 0;
+};
+
+core::response Done(std::string body) {
+  core::response answer;
+  answer.status = 200;
+  answer.headers = {{"Content-Type", "text/plain"}, {"X-From", "endpoint"}};
+  answer.body = std::make_shared<const std::string>(std::move(body));
+  answer.result = core::outcome::kDone;
+  return answer;
+}
+
+http_server_options SmallOptions() {
+  http_server_options options;
+  options.threads = 4;
+  options.body_limit = 64;
+  options.now = [] { return core::time_point(1000s); };
+  return options;
+}
+
+std::string Get(const std::string& path) {
+  return "GET " + path + " HTTP/1.1\r\nHost: entry\r\n\r\n";
+}
+
+TEST_CASE("A caller gets an answer") {
+  fake_core decisions;
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  httplib::Client caller("127.0.0.1", server.Start());
+
+  SECTION("that is the endpoint's own") {
+    decisions.AnswerAllWith(Done("hello"));
+    const auto answer = caller.Post(
+        "/s/intake/a?b=c",
+        {{"Plantain-Class", "urgent"}, {"Plantain-Request-Id", "mine-7"}}, "{}",
+        "application/json");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "hello");
+    CHECK(answer->get_header_value("X-From") == "endpoint");
+    CHECK(answer->get_header_value("Plantain-Outcome") == "done");
+    CHECK(answer->get_header_value("Plantain-Request-Id") == "mine-7");
+
+    const core::request_envelope seen = decisions.last();
+    CHECK(seen.work.value() == "urgent");
+    CHECK(seen.path == "/a?b=c");
+    CHECK(*seen.body == "{}");
+    CHECK_FALSE(seen.idempotent);
+  }
+
+  SECTION("that it was not run, and when to ask again") {
+    core::response refused;
+    refused.result = core::outcome::kNotRun;
+    refused.reason = core::answer_reason::kOverload;
+    refused.detail = "too much to do";
+    refused.retry_after = 1200ms;
+    decisions.AnswerAllWith(refused);
+    const auto answer = caller.Get("/s/intake/");
+    REQUIRE(answer);
+    CHECK(answer->status == 503);
+    CHECK(answer->get_header_value("Plantain-Outcome") == "not-run");
+    CHECK(answer->get_header_value("Retry-After") == "2");
+    CHECK(answer->get_header_value("Retry-After-Ms") == "1200");
+    const auto body = nlohmann::json::parse(answer->body);
+    CHECK(body["reason"] == "overload");
+    CHECK(body["detail"] == "too much to do");
+  }
+
+  SECTION("that nobody knows what became of it") {
+    core::response lost;
+    lost.result = core::outcome::kUnknown;
+    lost.reason = core::answer_reason::kEndpointLost;
+    decisions.AnswerAllWith(lost);
+    const auto answer = caller.Get("/s/intake/");
+    REQUIRE(answer);
+    CHECK(answer->status == 502);
+    CHECK(answer->get_header_value("Plantain-Outcome") == "unknown");
+    CHECK_FALSE(answer->has_header("Retry-After"));
+  }
+
+  SECTION("with bytes that the HTTP library leaves alone") {
+    // cpp-httplib unpacks bodies, takes forms apart, packs answers and cuts
+    // ranges out of them by itself. An endpoint that does the same would then
+    // get or send something that differs from what its headers say.
+    core::response packed = Done("not really gzip");
+    packed.headers = {{"Content-Type", "text/plain"},
+                      {"Content-Encoding", "gzip"}};
+    decisions.AnswerAllWith(packed);
+    const httplib::Headers headers = {{"Accept-Encoding", "gzip, br"},
+                                      {"Range", "bytes=0-1"},
+                                      {"Content-Encoding", "gzip"}};
+    const std::string form = "a=1&b=2";
+    caller.set_decompress(false);
+    const auto answer = caller.Post("/s/intake/", headers, form,
+                                    "application/x-www-form-urlencoded");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+    CHECK(answer->body == "not really gzip");
+    CHECK(answer->get_header_value_count("Content-Encoding") == 1);
+    CHECK(*decisions.last().body == form);
+
+    std::vector<std::string> names;
+    for (const auto& [name, value] : decisions.last().headers) {
+      names.push_back(name);
+    }
+    CHECK(std::count(names.begin(), names.end(), "Range") == 1);
+    CHECK(std::count(names.begin(), names.end(), "Accept-Encoding") == 1);
+    CHECK(std::count(names.begin(), names.end(), "Content-Type") == 1);
+    CHECK(std::count(names.begin(), names.end(), "REMOTE_ADDR") == 0);
+
+    const std::string part = "--x\r\n\r\nsmall\r\n--x--\r\n";
+    REQUIRE(caller.Post("/s/intake/", part, "multipart/form-data; boundary=x"));
+    CHECK(*decisions.last().body == part);
+  }
+}
+
+TEST_CASE("A request that can't be taken is refused") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const std::uint16_t port = server.Start();
+
+  const auto answer_to = [&](const std::string& bytes) {
+    const testing::raw_connection caller = testing::ConnectTo(port);
+    caller.Send(bytes);
+    return caller.ReadAll();
+  };
+
+  SECTION("when its body is announced as too long, before it is read") {
+    const std::string answer = answer_to(
+        "POST /s/intake/ HTTP/1.1\r\nContent-Length: 9999999999\r\n\r\n");
+    CHECK(answer.find("HTTP/1.1 413 ") == 0);
+    CHECK(answer.find("body-too-large") != std::string::npos);
+  }
+
+  SECTION("when its body grows too long chunk by chunk") {
+    const std::string chunk = "20\r\n" + std::string(32, 'x') + "\r\n";
+    const std::string answer = answer_to(
+        "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        chunk + chunk + chunk);
+    CHECK(answer.find("HTTP/1.1 413 ") == 0);
+  }
+
+  SECTION("when the length of its body is in doubt") {
+    // Two readers that disagree about where a request ends take the rest of one
+    // caller's body for another caller's request. The connection is closed, so
+    // the second request below must never be seen.
+    const std::string smuggled = Get("/s/intake/smuggled");
+    for (const std::string head :
+         {"POST /s/intake/ HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: "
+          "5\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nContent-Length: 0x4\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+          "GET /s/intake/ HTTP/1.1\r\nContent-Length: 99\r\n\r\n"}) {
+      INFO(head);
+      const std::string answer = answer_to(head + smuggled);
+      CHECK(answer.find("HTTP/1.1 400 ") == 0);
+      CHECK(answer.find("Connection: close") != std::string::npos);
+      CHECK(answer.find("HTTP/1.1 200") == std::string::npos);
+    }
+    CHECK(decisions.submitted() == 0);
+  }
+
+  SECTION("when it isn't HTTP") {
+    CHECK(answer_to("BREW /s/intake/ HTTP/1.1\r\n\r\n").find("HTTP/1.1 400 ") ==
+          0);
+  }
+}
+
+TEST_CASE("A request without a length has no body") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const testing::raw_connection caller = testing::ConnectTo(server.Start());
+  for (const std::string method : {"POST", "DELETE"}) {
+    caller.Send(method + " /s/intake/ HTTP/1.1\r\nHost: entry\r\n\r\n");
+    CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+    CHECK(decisions.last().body->empty());
+  }
+}
+
+TEST_CASE("Connections without a request keep nobody waiting") {
+  // cpp-httplib keeps a thread for each connection. With as many silent
+  // connections as threads a new caller would see its request accepted and
+  // never read, until one of the others times out.
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server_options options = SmallOptions();
+  options.most_idle_connections = 10;
+  http_server server(options, decisions.Gateway(), {});
+  const std::uint16_t port = server.Start();
+
+  std::vector<testing::raw_connection> silent;
+  std::vector<testing::raw_connection> kept;
+  for (int i = 0; i < 9; ++i) {
+    silent.push_back(testing::ConnectTo(port));
+    kept.push_back(testing::ConnectTo(port));
+    kept.back().Send(Get("/s/intake/"));
+    REQUIRE(kept.back().ReadMessage(5).find("hello") != std::string::npos);
+  }
+
+  SECTION("a new caller is answered") {
+    const testing::raw_connection caller = testing::ConnectTo(port);
+    caller.Send(Get("/s/intake/"));
+    CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+  }
+
+  SECTION("the oldest are closed when there are too many, the others work") {
+    CHECK(silent.front().ReadAll().empty());
+    kept.back().Send(Get("/s/intake/"));
+    CHECK(kept.back().ReadMessage(5).find("hello") != std::string::npos);
+    CHECK(server.IdleConnections() <= 10);
+  }
+}
+
+TEST_CASE("Two requests sent at once on one connection are both answered") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const testing::raw_connection caller = testing::ConnectTo(server.Start());
+  caller.Send(Get("/s/intake/1") + Get("/s/intake/2"));
+  CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+  CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+  CHECK(decisions.last().path == "/2");
+}
+
+TEST_CASE("A planned stop cuts no request off") {
+  fake_core decisions;
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const std::uint16_t port = server.Start();
+  const testing::raw_connection busy = testing::ConnectTo(port);
+  busy.Send(Get("/s/intake/slow"));
+  decisions.AwaitSubmitted(1);
+  const testing::raw_connection idle = testing::ConnectTo(port);
+
+  SECTION("the request in progress gets its answer, the idle one is closed") {
+    std::thread stopping([&] { server.Stop(); });
+    CHECK(idle.ReadAll().empty());
+    decisions.AnswerNext(Done("hello"));
+    const std::string answer = busy.ReadAll();
+    stopping.join();
+    CHECK(answer.find("HTTP/1.1 200") == 0);
+    CHECK(answer.find("hello") != std::string::npos);
+  }
+
+  SECTION("from its announcement on, each answer ends its connection") {
+    server.BeginStop();
+    decisions.AnswerNext(Done("hello"));
+    CHECK(busy.ReadAll().find("hello") != std::string::npos);
+    idle.Send(Get("/s/intake/late"));
+    decisions.AwaitSubmitted(2);
+    decisions.AnswerNext(Done("late"));
+    const std::string answer = idle.ReadAll();
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.find("late") != std::string::npos);
+  }
+}
+
+TEST_CASE("A caller is told when the decisions give no answer") {
+  // The runtime ends with a request unanswered, so its promise is dropped. The
+  // caller must not read that as "not run".
+  core::core_gateway gateway;
+  gateway.submit = [](core::request_envelope) {
+    return std::promise<core::response>().get_future();
+  };
+  http_server server(SmallOptions(), gateway, {});
+  httplib::Client caller("127.0.0.1", server.Start());
+  const auto answer = caller.Get("/s/intake/");
+  REQUIRE(answer);
+  CHECK(answer->get_header_value("Plantain-Outcome") == "unknown");
+  CHECK(answer->get_header_value("Plantain-Reason") == "stopping");
+}
+
+TEST_CASE("Operators' routes are found by method and path") {
+  fake_core decisions;
+  const route_list routes = {
+      {"GET", "/readyz",
+       [](const http_request&) {
+         return http_answer{503, "text/plain", {}, "no"};
+       }},
+      {"POST", "/v1/pools/[^/]+",
+       [](const http_request& request) {
+         return http_answer{200,
+                            "text/plain",
+                            {},
+                            request.path + request.query.at("a") +
+                                request.headers.at("x-who") + request.body};
+       }},
+      {"GET", "/broken", [](const http_request&) -> http_answer {
+         throw std::runtime_error("it broke");
+       }}};
+  http_server server(SmallOptions(), decisions.Gateway(), routes);
+  httplib::Client caller("127.0.0.1", server.Start());
+
+  CHECK(caller.Get("/readyz")->status == 503);
+  CHECK(caller.Post("/v1/pools/p%20q?a=1", {{"X-Who", "ann"}}, "!", "a/b")
+            ->body == "/v1/pools/p q1ann!");
+  CHECK(caller.Get("/v1/pools/p")->status == 405);
+  CHECK(caller.Get("/nothing")->status == 404);
+  CHECK(caller.Get("/broken")->status == 500);
+}
+
+}  // namespace
+}  // namespace plantainhead::caller
