--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -158,15 +158,19 @@
   server_.Put("/", with_body);
   server_.Patch("/", with_body);
   server_.Delete("/", with_body);
-  // The library's own refusals: malformed requests and unknown methods.
+  // The library's own refusals: malformed requests and unknown methods. What
+  // follows on the connection can't be told from the rest of such a request.
   server_.set_error_handler(
       [](const httplib::Request& request, httplib::Response& response) {
-        if (!response.has_header("Plantain-Outcome") &&
-            !response.has_header("Content-Type")) {
-          const refusal why = {response.status, "bad-request",
-                               "the request isn't one that HTTP allows here"};
-          Fill(WriteRefusal(why), request.method, "", &response);
+        if (response.has_header("Plantain-Outcome") ||
+            response.has_header("Content-Type")) {
+          return;
         }
+        CurrentExchange().close = true;
+        response.headers.emplace("Connection", "close");
+        const refusal why = {response.status, "bad-request",
+                             "the request isn't one that HTTP allows here"};
+        Fill(WriteRefusal(why), request.method, "", &response);
       });
 }
 
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -235,9 +235,12 @@
     CHECK(decisions.submitted() == 0);
   }
 
-  SECTION("when it isn't HTTP") {
-    CHECK(answer_to("BREW /s/intake/ HTTP/1.1\r\n\r\n").find("HTTP/1.1 400 ") ==
-          0);
+  SECTION("when it isn't HTTP, and nothing after it is read") {
+    const std::string answer =
+        answer_to("BREW /s/intake/ HTTP/1.1\r\n\r\n" + Get("/s/intake/"));
+    CHECK(answer.find("HTTP/1.1 400 ") == 0);
+    CHECK(answer.find("\"outcome\":\"not-run\"") != std::string::npos);
+    CHECK(decisions.submitted() == 0);
   }
 }
 
--- /dev/null
+++ b/tests/endpoint/endpoint_link_test.cc
@@ -0,0 +1,399 @@
+#include "plantainhead/endpoint/endpoint_link.h"
+
+#include <caf/all.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "loopback.h"
+
+namespace plantainhead::endpoint {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::raw_connection;
+using testing::raw_listener;
+
+core::time_point Now() {
+  return core::time_point(std::chrono::duration_cast<core::duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+// A link whose events the test waits for.
+class linked {
+ public:
+  explicit linked(endpoint_options options = {})
+      : system_(config_),
+        link_(system_, options, Now, [this](core::event what) {
+          const std::lock_guard<std::mutex> lock(mutex_);
+          events_.push_back(std::move(what));
+          changed_.notify_all();
+        }) {}
+
+  core::call_endpoint Request(std::uint16_t port, std::string method = "POST") {
+    core::call_endpoint call;
+    call.call = core::call_id{++calls_};
+    call.host = "127.0.0.1";
+    call.port = port;
+    call.request = {core::incarnation{0xabc}, calls_};
+    call.envelope.method = std::move(method);
+    call.envelope.path = "/appeals?a=b%2F";
+    call.envelope.headers = {{"Idempotency-Key", "k-1"},
+                             {"Plantain-Request-Id", "the caller's own"},
+                             {"Connection", "close"}};
+    if (call.envelope.method == "POST") {
+      call.envelope.body = std::make_shared<const std::string>("abc");
+    }
+    call.envelope.deadline = Now() + 20s;
+    return call;
+  }
+
+  void Start(core::call_endpoint call) { link_.Call(std::move(call)); }
+
+  core::event AwaitEvent() {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [&] { return !events_.empty(); });
+    core::event what = std::move(events_.front());
+    events_.erase(events_.begin());
+    return what;
+  }
+
+  core::endpoint_failed AwaitFailure() {
+    const core::event what = AwaitEvent();
+    REQUIRE(std::holds_alternative<core::endpoint_failed>(what));
+    return std::get<core::endpoint_failed>(what);
+  }
+
+  core::endpoint_replied AwaitReply() {
+    const core::event what = AwaitEvent();
+    if (const auto* failed = std::get_if<core::endpoint_failed>(&what)) {
+      FAIL("the call failed: " << failed->detail);
+    }
+    return std::get<core::endpoint_replied>(what);
+  }
+
+  std::size_t UnreadEvents() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return events_.size();
+  }
+
+  endpoint_link& link() { return link_; }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<core::event> events_;
+  std::uint64_t calls_ = 0;
+  caf::actor_system_config config_;
+  caf::actor_system system_;
+  endpoint_link link_;
+};
+
+constexpr const char* kHello =
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+constexpr std::size_t kBodySize = 3;
+
+TEST_CASE("An endpoint's whole answer is handed over") {
+  linked entry;
+  const raw_listener endpoint;
+  entry.Start(entry.Request(endpoint.port()));
+  const raw_connection peer = endpoint.Accept();
+  const std::string request = peer.ReadMessage(kBodySize);
+
+  SECTION("after a request that carries what the endpoint needs") {
+    CHECK(request.find("POST /appeals?a=b%2F HTTP/1.1\r\n") == 0);
+    CHECK(request.find("Idempotency-Key: k-1\r\n") != std::string::npos);
+    CHECK(request.find("Plantain-Request-Id: 0000000000000abc-1\r\n") !=
+          std::string::npos);
+    CHECK(request.find("the caller's own") == std::string::npos);
+    CHECK(request.find("Connection: close") == std::string::npos);
+    CHECK(request.substr(request.size() - kBodySize) == "abc");
+    peer.Send(kHello);
+    entry.AwaitReply();
+  }
+
+  SECTION("by its length, without headers of the connection") {
+    peer.Send(
+        "HTTP/1.1 201 Created\r\nContent-Length: 5\r\nX-A: 1\r\n"
+        "Keep-Alive: timeout=5\r\n\r\nhello");
+    const core::endpoint_replied reply = entry.AwaitReply();
+    CHECK(reply.status == 201);
+    CHECK(*reply.body == "hello");
+    REQUIRE(reply.headers.size() == 1);
+    CHECK(reply.headers[0].first == "X-A");
+  }
+
+  SECTION("by its last chunk") {
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n");
+    CHECK(*entry.AwaitReply().body == "hello");
+  }
+
+  SECTION("when it has no body") {
+    peer.Send("HTTP/1.1 204 No Content\r\n\r\n");
+    CHECK(entry.AwaitReply().status == 204);
+    entry.Start(entry.Request(endpoint.port(), "HEAD"));
+    peer.ReadMessage();
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+    CHECK(entry.AwaitReply().status == 200);
+    entry.Start(entry.Request(endpoint.port(), "GET"));
+    peer.ReadMessage();
+    peer.Send("HTTP/1.1 304 Not Modified\r\nContent-Length: 500\r\n\r\n");
+    CHECK(entry.AwaitReply().status == 304);
+  }
+  CHECK(entry.UnreadEvents() == 0);
+}
+
+TEST_CASE("An answer that isn't whole is never handed over as one") {
+  // The endpoint runs the request and dies, or a proxy garbles the answer,
+  // after a part of it went out. The caller must be told that nobody knows,
+  // since half an appeal that looks whole is worse than none.
+  linked entry;
+  const raw_listener endpoint;
+  entry.Start(entry.Request(endpoint.port()));
+  raw_connection peer = endpoint.Accept();
+  peer.ReadMessage(kBodySize);
+
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello";
+
+  SECTION("when the connection ends before Content-Length is met") {
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello");
+  }
+  SECTION("when it ends within the head") {
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Le");
+  }
+  SECTION("when it ends without a byte") {}
+  SECTION("when it ends before the last chunk") {
+    peer.Send(chunked + "\r\n");
+  }
+  SECTION("when a chunk doesn't end where its size says") {
+    peer.Send(chunked + "XX\r\n0\r\n\r\n");
+  }
+  SECTION("when the last chunk isn't ended") {
+    peer.Send(chunked + "\r\n0\r\n");
+  }
+  SECTION("when only the end of the connection would end it") {
+    peer.Send("HTTP/1.1 200 OK\r\n\r\nhello");
+  }
+  SECTION("when its length is given twice") {
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\n"
+        "hello");
+  }
+  SECTION("when its length isn't a number") {
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nhello");
+  }
+  SECTION("when it isn't a final answer") {
+    peer.Send("HTTP/1.1 102 Processing\r\nContent-Length: 5\r\n\r\nhello");
+  }
+  SECTION("when the connection is reset midway") {
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello");
+    peer.ResetOnClose();
+  }
+  peer.Close();
+  CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kMaybeSent);
+  entry.link().Stop();
+  CHECK(entry.UnreadEvents() == 0);
+}
+
+TEST_CASE("A request is sent once, whatever becomes of its connection") {
+  // A kept connection ends just as the next request goes out on it. A client
+  // that sends the request again by itself makes an appeal be logged twice.
+  linked entry;
+  raw_listener endpoint;
+  entry.Start(entry.Request(endpoint.port()));
+  raw_connection peer = endpoint.Accept();
+  peer.ReadMessage(kBodySize);
+  peer.Send(kHello);
+  entry.AwaitReply();
+  entry.Start(entry.Request(endpoint.port()));
+
+  SECTION("when the endpoint reads it and closes") {
+    REQUIRE(peer.ReadMessage(kBodySize).find("POST") == 0);
+    peer.Close();
+  }
+  SECTION("when the endpoint reads it and resets the connection") {
+    REQUIRE(peer.ReadMessage(kBodySize).find("POST") == 0);
+    peer.ResetOnClose();
+    peer.Close();
+  }
+  CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kMaybeSent);
+  // Had it been sent again, it would wait in the listener's queue now.
+  entry.Start(entry.Request(endpoint.port(), "GET"));
+  const raw_connection next = endpoint.Accept();
+  CHECK(next.ReadMessage().find("GET ") == 0);
+  next.Send(kHello);
+  entry.AwaitReply();
+}
+
+TEST_CASE("A kept connection is used again only when it is clean") {
+  linked entry;
+  const raw_listener endpoint;
+  entry.Start(entry.Request(endpoint.port()));
+  raw_connection first = endpoint.Accept();
+  first.ReadMessage(kBodySize);
+
+  SECTION("it is, after a whole answer") {
+    first.Send(kHello);
+    entry.AwaitReply();
+    entry.Start(entry.Request(endpoint.port()));
+    CHECK(first.ReadMessage(kBodySize).find("POST") == 0);
+    first.Send(kHello);
+    entry.AwaitReply();
+  }
+
+  SECTION("not when bytes followed the answer") {
+    // The endpoint sends a second answer that nobody asked for. On a kept
+    // connection the next caller would get it as its own.
+    first.Send(std::string(kHello) +
+               "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+    CHECK(*entry.AwaitReply().body == "hello");
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection second = endpoint.Accept();
+    second.ReadMessage(kBodySize);
+    second.Send(kHello);
+    CHECK(*entry.AwaitReply().body == "hello");
+  }
+
+  SECTION("not when the deadline passed before the answer") {
+    core::call_endpoint hurried = entry.Request(endpoint.port());
+    first.Send(kHello);
+    entry.AwaitReply();
+    hurried.envelope.deadline = Now() + 30ms;
+    entry.Start(std::move(hurried));
+    REQUIRE(first.ReadMessage(kBodySize).find("POST") == 0);
+    CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kMaybeSent);
+    // The late answer meets a closed connection.
+    CHECK(first.ReadAll().empty());
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection second = endpoint.Accept();
+    second.ReadMessage(kBodySize);
+    second.Send(kHello);
+    CHECK(*entry.AwaitReply().body == "hello");
+  }
+
+  SECTION("not when the endpoint asked to close it") {
+    first.Send(
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: "
+        "close\r\n\r\nhello");
+    entry.AwaitReply();
+    CHECK(first.ReadAll().empty());
+  }
+}
+
+TEST_CASE("A deadline holds against an endpoint that answers byte by byte") {
+  // Each byte comes in time for a timeout of one read, and the whole never
+  // ends. The caller would wait without limit and the slot stay taken.
+  linked entry;
+  const raw_listener endpoint;
+  core::call_endpoint call = entry.Request(endpoint.port());
+  call.envelope.deadline = Now() + 50ms;
+  entry.Start(std::move(call));
+  const raw_connection peer = endpoint.Accept();
+  std::atomic<bool> ended = false;
+  std::thread trickle([&] {
+    peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+    while (!ended) {
+      peer.Send("x");
+      std::this_thread::sleep_for(1ms);
+    }
+  });
+  CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kMaybeSent);
+  ended = true;
+  trickle.join();
+}
+
+TEST_CASE("What surely wasn't run is told as such") {
+  linked entry;
+  raw_listener endpoint;
+
+  SECTION("when the endpoint refuses the connection") {
+    const std::uint16_t port = endpoint.port();
+    endpoint.Close();
+    entry.Start(entry.Request(port));
+    CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kNotSent);
+  }
+
+  SECTION("when the deadline has passed already") {
+    core::call_endpoint late = entry.Request(endpoint.port());
+    late.envelope.deadline = Now() - 1ms;
+    entry.Start(std::move(late));
+    CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kNotSent);
+  }
+
+  SECTION("when the link has been stopped") {
+    entry.link().Stop();
+    entry.Start(entry.Request(endpoint.port()));
+    CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kNotSent);
+  }
+
+  SECTION("when the endpoint says so, and whether it is leaving") {
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection peer = endpoint.Accept();
+    peer.ReadMessage(kBodySize);
+    peer.Send(
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+        "Plantain-Not-Run: true\r\nPlantain-Leaving: true\r\n\r\n");
+    const core::endpoint_failed failed = entry.AwaitFailure();
+    CHECK(failed.failure == core::endpoint_failure::kRefused);
+    CHECK(failed.leaving);
+  }
+
+  SECTION("but a 503 alone is the endpoint's answer") {
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection peer = endpoint.Accept();
+    peer.ReadMessage(kBodySize);
+    peer.Send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    CHECK(entry.AwaitReply().status == 503);
+  }
+}
+
+TEST_CASE("Connections and threads are bounded") {
+  endpoint_options options;
+  const raw_listener endpoint;
+
+  SECTION("a call beyond an endpoint's connections isn't sent") {
+    options.most_connections = 1;
+    linked entry(options);
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection peer = endpoint.Accept();
+    peer.ReadMessage(kBodySize);
+    entry.Start(entry.Request(endpoint.port()));
+    CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kNotSent);
+    peer.Send(kHello);
+    entry.AwaitReply();
+  }
+
+  SECTION("a call beyond the threads waits for one") {
+    options.most_threads = 1;
+    linked entry(options);
+    entry.Start(entry.Request(endpoint.port()));
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection peer = endpoint.Accept();
+    for (int i = 0; i < 2; ++i) {
+      peer.ReadMessage(kBodySize);
+      peer.Send(kHello);
+      entry.AwaitReply();
+    }
+  }
+
+  SECTION("an answer beyond the limit isn't kept in memory") {
+    options.answer_limit = 4;
+    linked entry(options);
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection peer = endpoint.Accept();
+    peer.ReadMessage(kBodySize);
+    peer.Send(kHello);
+    CHECK(entry.AwaitFailure().failure == core::endpoint_failure::kMaybeSent);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::endpoint
