--- /dev/null
+++ b/include/plantainhead/core/job_planner.h
@@ -0,0 +1,106 @@
+#ifndef PLANTAINHEAD_CORE_JOB_PLANNER_H_
+#define PLANTAINHEAD_CORE_JOB_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "plantainhead/core/job_placement.h"
+#include "plantainhead/core/planner_context.h"
+#include "plantainhead/core/task_history.h"
+
+namespace plantainhead::core {
+
+/// Places jobs on workers, keeps the leases of their tasks, checkpoints them
+/// before their worker goes, and takes workers and jobs out of use that fail
+/// time after time. Thread safety: none.
+class job_planner {
+ public:
+  /// Watches jobs and list; called on every entry, with or without the lease.
+  void Observe(const planner_inputs& inputs,
+               const planner_options& options,
+               time_point now);
+
+  /// Writes the records and operations that the jobs need now.
+  void Plan(const planner_context& context);
+
+ private:
+  /// What this entry knows of the present state of one job.
+  struct job_sight {
+    generation version = 0;
+    time_point since;
+    /// The latest moment at which its task's lease may still run.
+    time_point lease_end;
+  };
+
+  void IndexTasks(const planner_inputs& inputs);
+  void DriveJobs(const planner_context& context);
+  void DrivePlaced(const planner_context& context,
+                   const job_id& id,
+                   const job_progress& job);
+  void DriveCheckpointing(const planner_context& context,
+                          const job_id& id,
+                          const job_progress& job);
+  /// Records the end of a task if the list shows one. Returns whether it did.
+  bool RecordEnd(const planner_context& context,
+                 const job_id& id,
+                 const job_progress& job);
+  /// Sends the start until it has a sure end. Returns whether it was done.
+  bool DriveStart(const planner_context& context,
+                  const job_id& id,
+                  const job_progress& job);
+  /// Gives a task up once its lease surely ended. Returns whether its worker or
+  /// task is gone from the list.
+  bool GiveUpLost(const planner_context& context,
+                  const job_id& id,
+                  const job_progress& job);
+  static bool IsWorkerGone(const planner_context& context,
+                           const job_progress& job);
+  void Renew(const planner_context& context,
+             const job_id& id,
+             const job_progress& job);
+  void StopStrays(const planner_context& context);
+  void Quarantine(const planner_context& context);
+  void PlaceWaiting(const planner_context& context);
+  /// Places one job or leaves the reason why not. Returns true if a record was
+  /// written.
+  bool PlaceOne(const planner_context& context,
+                job_placement& room,
+                const job_id& id,
+                const job_progress& job);
+  bool PlaceUrgent(const planner_context& context,
+                   job_placement& room,
+                   const job_id& id,
+                   const job_progress& job);
+  std::string WhyPark(const planner_context& context,
+                      const job_placement& room,
+                      const job_id& id,
+                      const job_progress& job);
+  const task_listing* FindTask(const job_id& id, const job_progress& job) const;
+  static bool MustLeave(const planner_context& context,
+                        const job_progress& job);
+  void SetState(const planner_context& context,
+                const job_id& id,
+                const job_progress& job,
+                job_state state,
+                const vm_id& vm,
+                const std::string& operation_kind,
+                const std::string& reason) const;
+
+  task_history history_;
+  std::map<job_id, job_sight> sights_;
+  std::map<job_id, const task_listing*> tasks_;
+  time_point observed_list_;
+  /// Since when no worker seems able to hold a job.
+  std::map<job_id, time_point> never_since_;
+  /// Offset and list of the newest pass over the waiting jobs.
+  log_offset placed_offset_ = 0;
+  time_point placed_list_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_JOB_PLANNER_H_
--- a/include/plantainhead/core/phase_watch.h
+++ b/include/plantainhead/core/phase_watch.h
@@ -26,6 +26,8 @@
     /// First moment of the present failure (absent, leaving or unhealthy).
     time_point impaired_since;
     bool impaired = false;
+    bool quarantined = false;
+    time_point quarantined_since;
     /// Pool and the first sight of the VM in it.
     pool_id pool;
     time_point pool_since;
--- a/include/plantainhead/core/planner.h
+++ b/include/plantainhead/core/planner.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "plantainhead/core/demand_estimator.h"
+#include "plantainhead/core/job_planner.h"
 #include "plantainhead/core/operation_tracker.h"
 #include "plantainhead/core/phase_watch.h"
 #include "plantainhead/core/planner_context.h"
@@ -55,6 +56,7 @@
   reason_book reasons_;
   pool_planner pools_;
   wave_planner waves_;
+  job_planner jobs_;
   time_point planned_at_;
   time_point pools_planned_at_;
   lease_epoch epoch_ = 0;
--- a/include/plantainhead/core/planner_types.h
+++ b/include/plantainhead/core/planner_types.h
@@ -110,6 +110,24 @@
   double pause_burn_rate = 2.0;
   double resume_burn_rate = 1.0;
   duration resume_after = std::chrono::seconds(30);
+  /// Lease under which tasks run; renewed at a third of it. Longer leases cost
+  /// fewer messages and make the restart of a lost job later.
+  duration task_lease = std::chrono::minutes(2);
+  /// Added to a lease before its task is taken for ended: a renewal may still
+  /// be on its way, and clocks differ.
+  duration lease_margin = std::chrono::seconds(15);
+  /// A worker is quarantined once its last tasks, of this many different jobs,
+  /// have all failed; never more than this share of all VMs at once.
+  std::size_t quarantine_failures = 3;
+  double quarantine_share = 0.1;
+  duration quarantine_time = std::chrono::hours(1);
+  /// A job is parked once it failed on this many different workers, or was
+  /// started this often without an end, or no worker could hold it for this
+  /// long.
+  std::size_t park_failures = 3;
+  std::uint32_t park_starts = 10;
+  duration park_patience = std::chrono::seconds(30);
+
   /// What one reboot is taken to last, for what it costs of a budget.
   duration reboot_estimate = std::chrono::minutes(5);
 };
--- /dev/null
+++ b/include/plantainhead/core/task_history.h
@@ -0,0 +1,67 @@
+#ifndef PLANTAINHEAD_CORE_TASK_HISTORY_H_
+#define PLANTAINHEAD_CORE_TASK_HISTORY_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/platform_types.h"
+
+namespace plantainhead::core {
+
+/// What a job takes on a worker.
+struct job_size {
+  std::uint32_t processors = 0;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+};
+
+/// Learns from the platform's list of tasks: which workers fail every task,
+/// which jobs fail everywhere, and how much jobs use beside what they declare.
+/// It is memory only: a planner that takes over learns it anew from the list.
+/// Thread safety: none.
+class task_history {
+ public:
+  /// Takes in the newest list. Each task's end counts once.
+  void Observe(const std::vector<task_listing>& tasks,
+               const fleet_state& state);
+
+  /// Returns true if the last tasks of the worker, of `in_a_row` different
+  /// jobs, have all failed.
+  bool FailsEverything(const vm_id& vm, std::size_t in_a_row) const;
+
+  /// Returns the workers on which the job failed.
+  const std::set<vm_id>& FailedOn(const job_id& job) const;
+
+  /// Forgets what was held against a worker, as when it is used again.
+  void Pardon(const vm_id& vm);
+  /// Forgets what was held against a job, as when an operator frees it.
+  void Pardon(const job_id& job);
+
+  /// Returns what the job is expected to take: what it was seen to use, else
+  /// what it declares, corrected by how far off its team's jobs declare.
+  job_size SizeOf(const job_spec& spec) const;
+
+ private:
+  struct usage {
+    double processors = 0;
+    double memory_mb = 0;
+  };
+
+  void CountEnd(const task_listing& task);
+  void Learn(const task_listing& task, const job_spec& spec);
+
+  std::map<vm_id, std::deque<job_id>> failures_;
+  std::map<job_id, std::set<vm_id>> failed_on_;
+  std::set<operation_id> counted_;
+  std::map<job_id, usage> used_;
+  /// Used over declared, by team.
+  std::map<team_id, usage> ratios_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_TASK_HISTORY_H_
--- /dev/null
+++ b/src/core/job_planner.cc
@@ -0,0 +1,530 @@
+#include "plantainhead/core/job_planner.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+#include "plantainhead/core/vm_lifecycle.h"
+
+namespace plantainhead::core {
+namespace {
+
+constexpr const char* kStart = "start";
+constexpr const char* kCheckpoint = "checkpoint";
+constexpr const char* kStop = "stop";
+constexpr const char* kRenew = "renew";
+
+/// A lease is renewed this many times while it lasts, so that one lost renewal
+/// doesn't end the task.
+constexpr int kRenewalsPerLease = 3;
+/// Records of placements written in one plan; the log takes several hundred
+/// appends a second.
+constexpr std::size_t kPlacementsPerPlan = 100;
+
+bool HoldsTask(const job_progress& job) {
+  return job.state == job_state::kPlaced ||
+         job.state == job_state::kCheckpointing;
+}
+
+/// Spreads the renewals of many tasks over the period. It need not be equal at
+/// two planners: a renewal more does no harm.
+duration OffsetOf(const job_id& id, duration period) {
+  return duration(static_cast<duration::rep>(
+      std::hash<job_id>()(id) % static_cast<std::size_t>(period.count())));
+}
+
+}  // namespace
+
+void job_planner::Observe(const planner_inputs& inputs,
+                          const planner_options& options,
+                          time_point now) {
+  std::erase_if(sights_, [&](const auto& item) {
+    const auto job = inputs.state.jobs.find(item.first);
+    return job == inputs.state.jobs.end() || !HoldsTask(job->second);
+  });
+  for (const auto& [id, job] : inputs.state.jobs) {
+    if (job.state == job_state::kParked) {
+      // An operator who frees it wants it tried anew.
+      history_.Pardon(id);
+    }
+    if (!HoldsTask(job)) {
+      continue;
+    }
+    const auto [found, is_new] = sights_.try_emplace(id);
+    job_sight& seen = found->second;
+    if (is_new || seen.version != job.version) {
+      // Whoever planned before may have renewed the lease until just now.
+      seen.lease_end = now + options.task_lease + options.lease_margin;
+      seen.version = job.version;
+      seen.since = now;
+    }
+  }
+  if (inputs.listed_at != observed_list_) {
+    observed_list_ = inputs.listed_at;
+    history_.Observe(inputs.tasks, inputs.state);
+  }
+}
+
+void job_planner::IndexTasks(const planner_inputs& inputs) {
+  tasks_.clear();
+  for (const task_listing& task : inputs.tasks) {
+    const auto job = inputs.state.jobs.find(task.job);
+    if (job != inputs.state.jobs.end() && job->second.vm == task.vm) {
+      tasks_[task.job] = &task;
+    }
+  }
+}
+
+void job_planner::Plan(const planner_context& context) {
+  IndexTasks(context.inputs);
+  DriveJobs(context);
+  if (!context.list_is_fresh()) {
+    return;
+  }
+  StopStrays(context);
+  Quarantine(context);
+  PlaceWaiting(context);
+}
+
+void job_planner::DriveJobs(const planner_context& context) {
+  for (const auto& [id, job] : context.inputs.state.jobs) {
+    if (!HoldsTask(job) ||
+        context.gate.IsPending(ObjectOf(id), job.version, context.now)) {
+      continue;
+    }
+    if (job.state == job_state::kPlaced) {
+      DrivePlaced(context, id, job);
+    } else {
+      DriveCheckpointing(context, id, job);
+    }
+  }
+}
+
+void job_planner::DrivePlaced(const planner_context& context,
+                              const job_id& id,
+                              const job_progress& job) {
+  if (RecordEnd(context, id, job)) {
+    return;
+  }
+  // A task on the list needs no start; a planner that takes over need not send
+  // the starts of all jobs again.
+  const bool is_running = FindTask(id, job) != nullptr;
+  if (!is_running && IsWorkerGone(context, job)) {
+    GiveUpLost(context, id, job);
+    return;
+  }
+  if (!is_running && !DriveStart(context, id, job)) {
+    return;
+  }
+  if (GiveUpLost(context, id, job)) {
+    return;
+  }
+  if (MustLeave(context, job)) {
+    SetState(context, id, job, job_state::kCheckpointing, job.vm, kCheckpoint,
+             "worker " + job.vm.value() + " is leaving or in maintenance");
+    return;
+  }
+  Renew(context, id, job);
+}
+
+bool job_planner::DriveStart(const planner_context& context,
+                             const job_id& id,
+                             const job_progress& job) {
+  const job_size size = history_.SizeOf(job.spec);
+  const std::optional<operation_result> end = context.operations.Drive(
+      job.operation,
+      start_task{id, job.vm, size.processors, size.memory_mb, size.accelerators,
+                 context.options.task_lease},
+      context.now, context.out);
+  if (end == operation_result::kDone) {
+    return true;
+  }
+  if (end == operation_result::kRefused) {
+    SetState(context, id, job, job_state::kWaiting, job.vm, "",
+             "worker " + job.vm.value() +
+                 " refused it: " + context.operations.DetailOf(job.operation));
+    return false;
+  }
+  // A start that is still under way may begin a lease at any moment.
+  const auto seen = sights_.find(id);
+  if (seen != sights_.end()) {
+    seen->second.lease_end =
+        context.now + context.options.task_lease + context.options.lease_margin;
+  }
+  return false;
+}
+
+void job_planner::DriveCheckpointing(const planner_context& context,
+                                     const job_id& id,
+                                     const job_progress& job) {
+  const std::optional<operation_result> end = context.operations.Drive(
+      job.operation, checkpoint_task{id, job.vm}, context.now, context.out);
+  if (end == operation_result::kDone) {
+    SetState(context, id, job, job_state::kWaiting, vm_id(), "",
+             "checkpointed; " + job.reason);
+    return;
+  }
+  if (RecordEnd(context, id, job) || GiveUpLost(context, id, job)) {
+    return;
+  }
+  // Until it is saved, or has ended by itself, its task must not lapse.
+  Renew(context, id, job);
+  if (end == operation_result::kRefused) {
+    context.Report(note_level::kWarning, ObjectOf(id),
+                   "it can't be checkpointed and is left to finish: " +
+                       context.operations.DetailOf(job.operation));
+  }
+}
+
+bool job_planner::RecordEnd(const planner_context& context,
+                            const job_id& id,
+                            const job_progress& job) {
+  const task_listing* task = FindTask(id, job);
+  if (task == nullptr) {
+    return false;
+  }
+  switch (task->state) {
+    case task_state::kRunning:
+      return false;
+    case task_state::kFinished:
+      SetState(context, id, job, job_state::kFinished, vm_id(), "",
+               "finished on " + job.vm.value());
+      return true;
+    case task_state::kFailed:
+      SetState(context, id, job, job_state::kWaiting, job.vm, "",
+               "failed on " + job.vm.value() + ": " + task->detail);
+      return true;
+    case task_state::kLapsed:
+      SetState(context, id, job, job_state::kWaiting, job.vm, "",
+               "its lease lapsed on " + job.vm.value());
+      return true;
+    case task_state::kCheckpointed:
+      SetState(context, id, job, job_state::kWaiting, vm_id(), "",
+               "checkpointed on " + job.vm.value());
+      return true;
+  }
+  return false;
+}
+
+bool job_planner::GiveUpLost(const planner_context& context,
+                             const job_id& id,
+                             const job_progress& job) {
+  const auto seen = sights_.find(id);
+  if (!context.list_is_fresh() || seen == sights_.end()) {
+    return false;
+  }
+  const bool is_vm_gone = IsWorkerGone(context, job);
+  const duration settled = context.options.list_lag * 2;
+  const bool is_task_gone = FindTask(id, job) == nullptr &&
+                            context.now - seen->second.since >= settled;
+  if (!is_vm_gone && !is_task_gone) {
+    return false;
+  }
+  // The list may be wrong, and the task may still run on a worker that nobody
+  // can reach; a second start then would run the job twice. Without renewal the
+  // worker ends it by the end of its lease at the latest.
+  if (context.now >= seen->second.lease_end) {
+    SetState(context, id, job, job_state::kWaiting, job.vm, "",
+             (is_vm_gone ? "its worker was lost: " : "its task was lost on ") +
+                 job.vm.value());
+  }
+  return is_vm_gone || is_task_gone;
+}
+
+bool job_planner::IsWorkerGone(const planner_context& context,
+                               const job_progress& job) {
+  const vm_view* vm = context.view.FindVm(job.vm);
+  return vm == nullptr || vm->listing == nullptr;
+}
+
+void job_planner::Renew(const planner_context& context,
+                        const job_id& id,
+                        const job_progress& job) {
+  const auto seen = sights_.find(id);
+  if (seen == sights_.end()) {
+    return;
+  }
+  const duration period = context.options.task_lease / kRenewalsPerLease;
+  const duration shifted =
+      context.now.time_since_epoch() + OffsetOf(id, period);
+  const auto number = static_cast<generation>(shifted / period);
+  context.operations.Drive(
+      OperationFor(kRenew, id.value() + ":" + std::to_string(job.version),
+                   number),
+      renew_task{id, job.vm, context.options.task_lease}, context.now,
+      context.out);
+  seen->second.lease_end =
+      context.now + context.options.task_lease + context.options.lease_margin;
+}
+
+void job_planner::StopStrays(const planner_context& context) {
+  for (const task_listing& task : context.inputs.tasks) {
+    if (task.state != task_state::kRunning) {
+      continue;
+    }
+    const auto found = context.inputs.state.jobs.find(task.job);
+    // A job that this fold doesn't know may be newer than the fold; if it is
+    // not, its task ends with its lease.
+    if (found == context.inputs.state.jobs.end()) {
+      continue;
+    }
+    const job_progress& job = found->second;
+    if (HoldsTask(job) && job.vm == task.vm) {
+      continue;
+    }
+    const bool has_ended = job.state == job_state::kCancelled ||
+                           job.state == job_state::kFinished ||
+                           job.state == job_state::kParked;
+    const bool is_elsewhere = HoldsTask(job) && job.vm != task.vm;
+    if (has_ended || is_elsewhere) {
+      context.operations.Drive(
+          operation_id(std::string(kStop) + ":" + task.started_by.value()),
+          stop_task{task.job, task.vm}, context.now, context.out);
+    }
+  }
+}
+
+void job_planner::Quarantine(const planner_context& context) {
+  std::size_t quarantined = 0;
+  for (const auto& [id, vm] : context.view.vms()) {
+    quarantined += vm.state != nullptr && vm.state->quarantined ? 1 : 0;
+  }
+  const std::size_t most = std::max<std::size_t>(
+      1,
+      static_cast<std::size_t>(context.options.quarantine_share *
+                               static_cast<double>(context.view.vms().size())));
+  for (const auto& [id, vm] : context.view.vms()) {
+    if (vm.state == nullptr || vm.is_pending) {
+      continue;
+    }
+    if (vm.state->quarantined) {
+      const bool is_over = vm.seen != nullptr && vm.seen->quarantined &&
+                           context.now - vm.seen->quarantined_since >=
+                               context.options.quarantine_time;
+      if (is_over) {
+        history_.Pardon(id);
+        context.gate.Append(
+            ObjectOf(id), vm.state->version,
+            set_quarantine{context.inputs.epoch, id, vm.state->version, false,
+                           "its quarantine is over; it is tried again"},
+            context.now, context.out);
+      }
+      continue;
+    }
+    if (!history_.FailsEverything(id, context.options.quarantine_failures)) {
+      continue;
+    }
+    if (quarantined >= most) {
+      context.Report(note_level::kError, ObjectOf(id),
+                     "it fails every task, but too many workers are "
+                     "quarantined already");
+      continue;
+    }
+    ++quarantined;
+    context.gate.Append(
+        ObjectOf(id), vm.state->version,
+        set_quarantine{context.inputs.epoch, id, vm.state->version, true,
+                       "the last tasks of " +
+                           std::to_string(context.options.quarantine_failures) +
+                           " different jobs failed on it"},
+        context.now, context.out);
+  }
+}
+
+void job_planner::PlaceWaiting(const planner_context& context) {
+  // With no new record and no new list, the pass would end as the last did.
+  if (placed_offset_ == context.inputs.state.offset &&
+      placed_list_ == context.inputs.listed_at) {
+    return;
+  }
+  placed_offset_ = context.inputs.state.offset;
+  placed_list_ = context.inputs.listed_at;
+  using order = std::tuple<bool, time_point, generation>;
+  std::vector<std::pair<order, const job_progress*>> waiting;
+  for (const auto& [id, job] : context.inputs.state.jobs) {
+    if (job.state != job_state::kWaiting ||
+        context.gate.IsPending(ObjectOf(id), job.version, context.now)) {
+      continue;
+    }
+    const time_point by = job.spec.finish_by == time_point()
+                              ? time_point::max()
+                              : job.spec.finish_by - job.spec.declared_run_time;
+    waiting.emplace_back(order{!job.spec.urgent, by, job.version}, &job);
+  }
+  if (waiting.empty()) {
+    return;
+  }
+  std::sort(waiting.begin(), waiting.end());
+  job_placement room(context, history_);
+  // Equal jobs that found no room would search again and again in a long queue.
+  std::set<
+      std::tuple<pool_id, team_id, std::uint32_t, std::uint32_t, std::uint32_t>>
+      full;
+  std::size_t placed = 0;
+  for (const auto& [key, job] : waiting) {
+    if (placed >= kPlacementsPerPlan) {
+      break;
+    }
+    const job_id& id = job->spec.name;
+    const job_size size = history_.SizeOf(job->spec);
+    const auto shape =
+        std::make_tuple(job->spec.pool, job->spec.team, size.processors,
+                        size.memory_mb, size.accelerators);
+    if (!job->spec.urgent && full.contains(shape)) {
+      context.reasons[ObjectOf(id)] = "no worker of its pool has room";
+      continue;
+    }
+    if (PlaceOne(context, room, id, *job)) {
+      ++placed;
+    } else if (history_.FailedOn(id).empty()) {
+      full.insert(shape);
+    }
+  }
+}
+
+bool job_planner::PlaceOne(const planner_context& context,
+                           job_placement& room,
+                           const job_id& id,
+                           const job_progress& job) {
+  const std::string park = WhyPark(context, room, id, job);
+  if (!park.empty()) {
+    context.Report(note_level::kWarning, ObjectOf(id), park);
+    SetState(context, id, job, job_state::kParked, vm_id(), "", park);
+    return true;
+  }
+  const std::string quota = room.WhyOverQuota(job.spec);
+  if (!quota.empty()) {
+    context.reasons[ObjectOf(id)] = quota;
+    return false;
+  }
+  const std::optional<job_placement::choice> found = room.Find(job.spec);
+  if (found) {
+    room.Place(job.spec, found->vm->id);
+    SetState(context, id, job, job_state::kPlaced, found->vm->id, kStart,
+             "worker " + found->vm->id.value() + " has room");
+    return true;
+  }
+  if (job.spec.urgent && PlaceUrgent(context, room, id, job)) {
+    return true;
+  }
+  context.reasons[ObjectOf(id)] = "no worker of its pool has room";
+  return false;
+}
+
+bool job_planner::PlaceUrgent(const planner_context& context,
+                              job_placement& room,
+                              const job_id& id,
+                              const job_progress& job) {
+  const std::optional<job_placement::choice> found =
+      room.FindByDisplacing(job.spec);
+  if (!found) {
+    return false;
+  }
+  for (const job_id& other : found->displaced) {
+    const job_progress& progress = context.inputs.state.jobs.at(other);
+    if (context.gate.IsPending(ObjectOf(other), progress.version,
+                               context.now)) {
+      continue;
+    }
+    SetState(context, other, progress, job_state::kCheckpointing, progress.vm,
+             kCheckpoint, "it can wait and makes room for " + id.value());
+  }
+  // The room is kept for it in this plan, or others would take it.
+  room.Place(job.spec, found->vm->id);
+  if (!found->can_start_now) {
+    context.reasons[ObjectOf(id)] =
+        "room is being made on " + found->vm->id.value();
+    return false;
+  }
+  SetState(context, id, job, job_state::kPlaced, found->vm->id, kStart,
+           "urgent; it shares worker " + found->vm->id.value() +
+               " until jobs that can wait have left");
+  return true;
+}
+
+std::string job_planner::WhyPark(const planner_context& context,
+                                 const job_placement& room,
+                                 const job_id& id,
+                                 const job_progress& job) {
+  std::string workers;
+  std::size_t failed = 0;
+  for (const vm_id& vm : history_.FailedOn(id)) {
+    const vm_view* view = context.view.FindVm(vm);
+    const bool is_to_blame =
+        view != nullptr && view->state != nullptr && view->state->quarantined;
+    if (!is_to_blame) {
+      ++failed;
+      workers += (workers.empty() ? "" : ", ") + vm.value();
+    }
+  }
+  if (failed >= context.options.park_failures) {
+    return "it failed on " + std::to_string(failed) + " workers: " + workers +
+           "; " + job.reason;
+  }
+  if (job.failures >= context.options.park_starts) {
+    return "it was started " + std::to_string(job.failures) +
+           " times without an end; " + job.reason;
+  }
+  const std::string never = room.WhyNever(job.spec);
+  if (never.empty()) {
+    never_since_.erase(id);
+    return "";
+  }
+  const time_point since =
+      never_since_.try_emplace(id, context.now).first->second;
+  if (context.now - since < context.options.park_patience) {
+    return "";
+  }
+  never_since_.erase(id);
+  return never;
+}
+
+const task_listing* job_planner::FindTask(const job_id& id,
+                                          const job_progress& job) const {
+  const auto found = tasks_.find(id);
+  if (found == tasks_.end()) {
+    return nullptr;
+  }
+  const task_listing* task = found->second;
+  // The list lags and may still show an earlier task of the job on this worker.
+  const bool is_this = job.state == job_state::kCheckpointing ||
+                       task->started_by == job.operation;
+  return is_this ? task : nullptr;
+}
+
+bool job_planner::MustLeave(const planner_context& context,
+                            const job_progress& job) {
+  const vm_view* vm = context.view.FindVm(job.vm);
+  if (vm == nullptr || vm->state == nullptr) {
+    return false;
+  }
+  const bool is_leaving = vm->listing != nullptr &&
+                          vm->listing->state == vm_listing_state::kLeaving;
+  return is_leaving || vm->state->phase == vm_phase::kDraining ||
+         vm->state->pool != job.spec.pool;
+}
+
+void job_planner::SetState(const planner_context& context,
+                           const job_id& id,
+                           const job_progress& job,
+                           job_state state,
+                           const vm_id& vm,
+                           const std::string& operation_kind,
+                           const std::string& reason) const {
+  set_job_state record;
+  record.epoch = context.inputs.epoch;
+  record.job = id;
+  record.expected = job.version;
+  record.state = state;
+  record.vm = vm;
+  if (!operation_kind.empty()) {
+    record.operation = OperationFor(operation_kind, id.value(), job.version);
+  }
+  record.reason = reason;
+  context.reasons[ObjectOf(id)] = reason;
+  context.gate.Append(ObjectOf(id), job.version, std::move(record), context.now,
+                      context.out);
+}
+
+}  // namespace plantainhead::core
--- a/src/core/phase_watch.cc
+++ b/src/core/phase_watch.cc
@@ -32,6 +32,10 @@
   for (const auto& [id, vm] : inputs.state.vms) {
     const auto [found, is_new] = sights_.try_emplace(id);
     sight& seen = found->second;
+    if (vm.quarantined && !seen.quarantined) {
+      seen.quarantined_since = now;
+    }
+    seen.quarantined = vm.quarantined;
     if (is_new || seen.pool != vm.pool) {
       seen.pool = vm.pool;
       seen.pool_since = now;
--- a/src/core/planner.cc
+++ b/src/core/planner.cc
@@ -27,6 +27,7 @@
   planned_at_ = now;
   watch_.Observe(inputs, now);
   demand_.Observe(inputs.demand, now);
+  jobs_.Observe(inputs, options_, now);
   if (!inputs.holds_lease) {
     return;
   }
@@ -75,6 +76,7 @@
     pools_.Plan(context, lifecycle, capacity);
   }
   waves_.Plan(context, lifecycle, capacity);
+  jobs_.Plan(context);
 }
 
 }  // namespace plantainhead::core
