Hold a wave open while listed VMs have no pool

Ruled out: planning pools before waves in one pass (the records of that pass are not read back yet). Change: a wave ends only when every listed live VM has a pool and the list is fresh.

--- a/src/core/wave_planner.cc
+++ b/src/core/wave_planner.cc
@@ -65,6 +65,20 @@
          static_cast<double>(capacity.dip_allowance.count());
 }
 
+/// Tells if a listed VM has no pool yet. A wave that is started together with
+/// the first targets meets empty pools: taken for finished then, it would never
+/// reboot their VMs. The pool planner gives every listed VM a pool, so this
+/// holds a wave up for some plans only.
+bool AwaitsPools(const planner_context& context) {
+  if (!context.list_is_fresh()) {
+    return true;
+  }
+  const auto& vms = context.view.vms();
+  return std::any_of(vms.begin(), vms.end(), [](const auto& item) {
+    return item.second.state == nullptr && item.second.listed_live();
+  });
+}
+
 }  // namespace
 
 std::set<pool_id> wave_planner::HeldPools(const planner_context& context,
@@ -107,6 +121,10 @@
     }
   }
   if (found.left == 0 && found.under_way == 0) {
+    if (AwaitsPools(context)) {
+      context.reasons[ObjectOf(id)] = "listed VMs have no pool yet";
+      return;
+    }
     SetState(context, id, wave, wave_state::kFinished, "every VM was visited");
     return;
   }
--- /dev/null
+++ b/tests/core/wave_start_test.cc
@@ -0,0 +1,33 @@
+#include <catch2/catch.hpp>
+
+#include "core/planner_harness.h"
+#include "plantainhead/core/wave_planner.h"
+
+namespace plantainhead::core {
+namespace {
+
+// An operator's script publishes targets and starts a wave right after. The
+// planner sees both before it has put any VM into a pool, so that the wave's
+// pool is still empty. The wave must not be taken for finished: its VMs are
+// listed, and would never be rebooted.
+TEST_CASE("A wave is started before the first VM has a pool") {
+  planner_harness story;
+  configuration targets;
+  targets.pools = {{pool_id("casework"), team_id(), 0}};
+  story.Apply(publish_configuration{targets, 0});
+  story.Apply(start_wave{wave_id("kernel"), {pool_id("casework")}, {}});
+  for (const std::string zone : {"goyang", "suwon"}) {
+    story.AddVm(zone + "-1", zone, zone + "-rack", "casework");
+  }
+
+  const bool finished = story.StepUntil([&] {
+    return story.state.waves.at(wave_id("kernel")).state ==
+           wave_state::kFinished;
+  });
+
+  CHECK(finished);
+  CHECK(story.reboots.size() == 2);
+}
+
+}  // namespace
+}  // namespace plantainhead::core
