Count requests by class in the fold: ledgers of error budgets

Cause: budgets run over 30 days, while every entry VM keeps nothing and is replaced at any time; a planner must know what is spent. Ruled out: counts kept by each entry (lost with it); one record a request (far beyond the log's rate); the planner writing for all (loses what a lapse of the lease covers). Conclusion: to be wired with heartbeats' counts.

--- a/include/plantainhead/core/claim_home.h
+++ b/include/plantainhead/core/claim_home.h
@@ -35,9 +35,9 @@
                    const std::set<incarnation>& excluded);
 
 /// Returns the members that may write the claims of `partition`, first choice
-/// first, at most `most`; the first is `HomeOf`. When it is excluded, the second
-/// is the home, and so on.
-/// Thread safety: safe from any thread while nobody writes `state`.
+/// first, at most `most`; the first is `HomeOf`. When it is excluded, the
+/// second is the home, and so on. Thread safety: safe from any thread while
+/// nobody writes `state`.
 std::vector<incarnation> HomesOf(std::uint32_t partition,
                                  const fleet_state& state,
                                  const std::set<incarnation>& excluded,
--- a/include/plantainhead/core/fleet_state.h
+++ b/include/plantainhead/core/fleet_state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "plantainhead/core/configuration.h"
+#include "plantainhead/core/error_budget.h"
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/records.h"
 
@@ -110,6 +111,8 @@
   std::map<vm_id, vm_state> vms;
   std::map<wave_id, wave_progress> waves;
   std::map<job_id, job_progress> jobs;
+  /// Requests of each class that the targets name.
+  std::map<class_name, class_ledger> ledgers;
   /// Incarnations that left, were expelled or were replaced, with the offset of
   /// that record: none of them can join again. Bounded by `kRememberedLives`.
   std::map<incarnation, log_offset> departed;
--- a/include/plantainhead/core/messages.h
+++ b/include/plantainhead/core/messages.h
@@ -7,6 +7,7 @@
 
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/request.h"
+#include "plantainhead/core/request_counts.h"
 #include "plantainhead/core/time.h"
 
 /// Messages between entries. Each travels in a frame with the sender's
@@ -61,6 +62,23 @@
   friend bool operator==(const vm_in_flight&, const vm_in_flight&) = default;
 };
 
+/// Requests of one class that a sender has answered since its start.
+struct class_counts {
+  class_name work;
+  request_counts counts;
+
+  friend bool operator==(const class_counts&, const class_counts&) = default;
+};
+
+/// Time for which a sender's endpoints held slots since its start.
+struct service_times {
+  service_name service;
+  std::uint64_t finished = 0;
+  duration held{};
+
+  friend bool operator==(const service_times&, const service_times&) = default;
+};
+
 /// Sent to the other entries at a fixed interval.
 struct heartbeat {
   std::uint64_t sequence = 0;
@@ -73,6 +91,9 @@
   std::vector<service_load> load;
   /// For VMs that are not serving; a VM that is missing has none in flight.
   std::vector<vm_in_flight> in_flight;
+  /// Classes and services of which the sender has seen requests.
+  std::vector<class_counts> classes = {};
+  std::vector<service_times> times = {};
 };
 
 using peer_message =
--- a/include/plantainhead/core/records.h
+++ b/include/plantainhead/core/records.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_CORE_RECORDS_H_
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +12,7 @@
 #include "plantainhead/core/configuration.h"
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/names.h"
+#include "plantainhead/core/request_counts.h"
 #include "plantainhead/core/time.h"
 
 /// Records of the platform's log. What must be agreed or last is a record; the
@@ -225,6 +227,17 @@
   std::string reason;
 };
 
+// --- error budgets ---------------------------------------------------------
+
+/// Requests that one entry answered since its previous such record. Each entry
+/// writes its own, so that the fold's ledgers lose at most one interval of an
+/// entry that is killed.
+struct count_requests {
+  incarnation who = incarnation::kNone;
+  time_point at;
+  std::map<class_name, request_counts> classes;
+};
+
 // --- claims (on the claim streams, not on the control stream) ---------------
 
 /// The first claim of a key in its stream may dispatch; all others may not.
@@ -278,6 +291,7 @@
                                  submit_job,
                                  set_job_state,
                                  set_quarantine,
+                                 count_requests,
                                  claim_request,
                                  release_claim,
                                  snapshot_taken,
--- a/src/core/claim_home.cc
+++ b/src/core/claim_home.cc
@@ -43,8 +43,7 @@
 incarnation HomeOf(std::uint32_t partition,
                    const fleet_state& state,
                    const std::set<incarnation>& excluded) {
-  const std::vector<incarnation> homes =
-      HomesOf(partition, state, excluded, 1);
+  const std::vector<incarnation> homes = HomesOf(partition, state, excluded, 1);
   return homes.empty() ? incarnation::kNone : homes.front();
 }
 
--- a/src/core/digest.cc
+++ b/src/core/digest.cc
@@ -95,6 +95,12 @@
     Put(mark.number);
     Put(mark.offset);
   }
+  void Put(const request_counts& counts) { PutAll(counts.by_fate); }
+  void Put(const class_ledger& ledger) {
+    for (const auto& periods : ledger.periods) {
+      PutMap(periods);
+    }
+  }
   void Put(const planner_lease& lease) {
     Put(lease.holder);
     Put(lease.epoch);
@@ -188,6 +194,7 @@
   writer.PutMap(state.vms);
   writer.PutMap(state.waves);
   writer.PutMap(state.jobs);
+  writer.PutMap(state.ledgers);
   writer.PutMap(state.departed);
   writer.PutMap(state.ended_waves);
   writer.PutMap(state.ended_jobs);
--- a/src/core/fold.cc
+++ b/src/core/fold.cc
@@ -80,6 +80,9 @@
           [&](const renew_planner_lease& body) {
             return fold_rules::Rule(state, body);
           },
+          [&](const count_requests& body) {
+            return fold_rules::Rule(state, body);
+          },
           [&](const unknown_record& body) {
             return fold_rules::Ignored("unknown type '" + body.type + "'");
           },
--- a/src/core/fold_rules.h
+++ b/src/core/fold_rules.h
@@ -42,6 +42,9 @@
 fold_result Rule(fleet_state& state, const take_planner_lease& body);
 fold_result Rule(fleet_state& state, const renew_planner_lease& body);
 
+// fold_budget.cc
+fold_result Rule(fleet_state& state, const count_requests& body);
+
 // fold_vms.cc
 fold_result Rule(fleet_state& state,
                  const assign_vm& body,
--- a/src/platform/record_codec.cc
+++ b/src/platform/record_codec.cc
@@ -30,6 +30,7 @@
     "submit-job",
     "set-job-state",
     "set-quarantine",
+    "count-requests",
     "claim-request",
     "release-claim",
     "snapshot-taken",
--- a/src/platform/record_fields.h
+++ b/src/platform/record_fields.h
@@ -200,6 +200,32 @@
   a("reason", x.reason);
 }
 
+// --- error budgets -----------------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::request_counts> x) {
+  a("served", x[core::request_fate::kServed]);
+  a("overload", x[core::request_fate::kOverload]);
+  a("maintenance", x[core::request_fate::kMaintenance]);
+  a("failure", x[core::request_fate::kFailure]);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::count_requests> x) {
+  a("who", x.who);
+  a("at_us", x.at);
+  a("classes", x.classes);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::class_ledger> x) {
+  a("five_minutes", x.periods[0]);
+  a("hours", x.periods[1]);
+  a("days", x.periods[2]);
+}
+
 // --- claims ------------------------------------------------------------------
 
 template <typename Archive>
@@ -297,6 +323,7 @@
   a("vms", x.vms);
   a("waves", x.waves);
   a("jobs", x.jobs);
+  a("ledgers", x.ledgers);
   a("departed", x.departed);
   a("ended_waves", x.ended_waves);
   a("ended_jobs", x.ended_jobs);
--- /dev/null
+++ b/tests/core/error_budget_test.cc
@@ -0,0 +1,81 @@
+#include "plantainhead/core/error_budget.h"
+
+#include <catch2/catch.hpp>
+
+#include "plantainhead/core/fold.h"
+
+namespace plantainhead::core {
+namespace {
+
+constexpr time_point kNoon{std::chrono::hours(24 * 365 + 12)};
+
+request_counts Counts(std::uint64_t served, std::uint64_t overload) {
+  request_counts counts;
+  counts[request_fate::kServed] = served;
+  counts[request_fate::kOverload] = overload;
+  return counts;
+}
+
+TEST_CASE("A class spends its error budget") {
+  work_class petitions;
+  petitions.name = class_name("petitions");
+  petitions.unavailability = 0.01;
+  petitions.window = std::chrono::hours(24 * 30);
+  class_ledger ledger;
+
+  SECTION("not at all while nobody asks") {
+    CHECK(StatusOf(petitions, ledger, kNoon).spent == 0);
+  }
+
+  SECTION("in proportion to the requests that it missed") {
+    ledger.Add(kNoon, Counts(995, 5));
+    CHECK(StatusOf(petitions, ledger, kNoon).spent == Approx(0.5));
+  }
+
+  SECTION("and what is past the window counts no more") {
+    ledger.Add(kNoon, Counts(0, 100));
+    ledger.Add(kNoon + std::chrono::hours(24 * 31), Counts(100, 0));
+    const budget_status later =
+        StatusOf(petitions, ledger, kNoon + std::chrono::hours(24 * 31));
+    CHECK(later.spent == 0);
+    CHECK(later.counts.Total() == 100);
+  }
+
+  SECTION("and a short window shows what burns now") {
+    ledger.Add(kNoon - std::chrono::hours(3), Counts(1000, 0));
+    ledger.Add(kNoon, Counts(90, 10));
+    const request_counts recent = ledger.Over(std::chrono::minutes(5), kNoon);
+    CHECK(recent.Total() == 100);
+    CHECK(BurnRate(petitions, recent) == Approx(10));
+  }
+
+  SECTION("and the ledger stays small over a year") {
+    for (int hour = 0; hour < 24 * 365; ++hour) {
+      ledger.Add(kNoon + std::chrono::hours(hour), Counts(1, 0));
+    }
+    for (std::size_t i = 0; i < kLedgerResolutions.size(); ++i) {
+      CHECK(ledger.periods[i].size() <= kLedgerResolutions[i].kept);
+    }
+  }
+}
+
+TEST_CASE("Counts are folded only for classes that the targets name") {
+  fleet_state state;
+  configuration targets;
+  work_class known;
+  known.name = class_name("petitions");
+  targets.classes = {known};
+  Apply(state, {1, {record_id("a"), "ann", publish_configuration{targets, 0}}});
+  count_requests counts{incarnation{1}, kNoon, {}};
+  counts.classes[known.name] = Counts(5, 0);
+  counts.classes[class_name("other")] = Counts(7, 0);
+
+  CHECK(Apply(state, {2, {record_id("b"), "e1", counts}}).outcome ==
+        fold_outcome::kApplied);
+  CHECK(state.ledgers.size() == 1);
+  CHECK(state.ledgers.at(known.name).Over(std::chrono::hours(1), kNoon) ==
+        Counts(5, 0));
+}
+
+}  // namespace
+}  // namespace plantainhead::core
