--- a/include/plantainhead/operators/control.h
+++ b/include/plantainhead/operators/control.h
@@ -41,6 +41,12 @@
   sleep_function sleep;
 };
 
+/// A field of an object as JSON text, for comparing with what is in force.
+struct expected_field {
+  std::string key;
+  std::string value;
+};
+
 struct publish_options {
   std::string file;
   /// Waits until every live entry has the new targets in force.
@@ -57,6 +63,20 @@
   std::string finish_by;
 };
 
+struct job_options {
+  std::string job;
+  std::string pool;
+  std::string team;
+  std::uint32_t processors = 1;
+  std::uint32_t memory_mb = 0;
+  std::uint32_t accelerators = 0;
+  /// As in 2h; empty when it isn't known.
+  std::string declared_run_time;
+  /// As in 2026-03-01T12:00:00Z; empty for no limit.
+  std::string finish_by;
+  bool urgent = false;
+};
+
 /// Carries out operators' commands and writes what they tell.
 /// Errors: what goes wrong is written to `err` and told by the exit code; only
 /// `std::bad_alloc` and the like leave a method.
@@ -89,7 +109,11 @@
   exit_code ShowVms();
   exit_code ShowPools();
   exit_code ShowJobs();
-  exit_code CancelJob(const std::string& job);
+  exit_code SubmitJob(const job_options& options);
+  /// `verb` is "cancel", or "retry" for a parked job.
+  exit_code ChangeJob(const std::string& job,
+                      const std::string& verb,
+                      const std::string& reason);
   /// Tells why a VM is where it is.
   exit_code Explain(const std::string& vm);
 
@@ -102,9 +126,25 @@
   exit_code Refused(const caller::http_answer& answer);
   exit_code PrintDone(const caller::http_answer& answer,
                       const std::string& what);
+  // Puts the version of an object into a request, so that a copy which is sent
+  // after a lost answer can't undo what another operator did in between.
+  void FixVersion(const std::string& path,
+                  const std::string& kind,
+                  const std::string& name,
+                  client_request* request) const;
+  // Sends a change. A conflict that shows this very change in force, by this
+  // author, counts as done: an entry carried it out, its answer was lost, and
+  // the next entry refused the second copy.
+  exit_code SendChange(const client_request& request,
+                       const std::string& what,
+                       const std::vector<expected_field>& wanted);
   exit_code WaitForAll(std::uint64_t offset, std::chrono::milliseconds limit);
   exit_code ShowList(const std::string& path,
                      const std::vector<std::string>& keys);
+  // Shows the object of a list whose key `kind` is `name`, field by field.
+  exit_code ShowOne(const std::string& path,
+                    const std::string& kind,
+                    const std::string& name);
 
   control_context context_;
   entry_client client_;
--- a/src/observe/latency_histogram.cc
+++ b/src/observe/latency_histogram.cc
@@ -82,7 +82,7 @@
   }
   const int last = std::min(bin, bins_->size() - 1);
   const std::chrono::duration<double> edge(bins_->UpperEdge(last));
-  return std::chrono::duration_cast<core::duration>(edge);
+  return std::chrono::round<core::duration>(edge);
 }
 
 void latency_histogram::AppendText(const std::string& name,
--- a/src/operators/control.cc
+++ b/src/operators/control.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int kOkStatus = 200;
+constexpr int kConflictStatus = 409;
 
 std::string Cell(const json& value) {
   if (value.is_string()) {
@@ -184,56 +185,83 @@
   });
 }
 
+void control::FixVersion(const std::string& path,
+                         const std::string& kind,
+                         const std::string& name,
+                         client_request* request) const {
+  const caller::http_answer answer = Get(path);
+  const json list = json::parse(answer.body);
+  if (!list.is_array()) {
+    return;
+  }
+  for (const json& item : list) {
+    if (item[kind] == name) {
+      request->headers["Plantain-Expected-Version"] = item["version"].dump();
+    }
+  }
+}
+
+exit_code control::SendChange(const client_request& request,
+                              const std::string& what,
+                              const std::vector<expected_field>& wanted) {
+  caller::http_answer answer = Change(request);
+  if (answer.status != kConflictStatus) {
+    return PrintDone(answer, what);
+  }
+  const json in_force = json::parse(answer.body).value("in_force", json());
+  bool own =
+      in_force.is_object() && in_force.value("author", "") == context_.author;
+  for (const expected_field& field : wanted) {
+    own = own && in_force.contains(field.key) &&
+          in_force[field.key].dump() == field.value;
+  }
+  if (!own) {
+    return Refused(answer);
+  }
+  *out_ << what << " (it was in force already)\n";
+  return exit_code::kOk;
+}
+
 exit_code control::StartWave(const wave_options& options) {
   return Guard([&] {
-    json body = {{"wave", options.wave}, {"pools", options.pools}};
+    const json pools = options.pools;
+    const json finish_by = options.finish_by;
+    json body = {{"wave", options.wave}, {"pools", pools}};
     if (!options.finish_by.empty()) {
-      body["finish_by"] = options.finish_by;
+      body["finish_by"] = finish_by;
     }
     const client_request request{"POST", "/v1/waves", {}, body.dump()};
-    return PrintDone(Change(request), "wave " + options.wave + " started");
+    return SendChange(request, "wave " + options.wave + " started",
+                      {{"state", "\"running\""},
+                       {"pools", pools.dump()},
+                       {"finish_by", finish_by.dump()}});
   });
 }
 
 exit_code control::ChangeWave(const std::string& wave,
                               const std::string& verb,
                               const std::string& reason) {
+  static const std::map<std::string, std::string> kStates = {
+      {"pause", "\"paused\""},
+      {"resume", "\"running\""},
+      {"cancel", "\"cancelled\""},
+  };
   return Guard([&] {
     const json body = {{"reason", reason}};
-    client_request request;
-    request.method = "POST";
-    request.path = "/v1/waves/" + wave + "/" + verb;
-    request.body = body.dump();
-    return PrintDone(Change(request), "wave " + wave + ": " + verb);
+    client_request request{
+        "POST", "/v1/waves/" + wave + "/" + verb, {}, body.dump()};
+    FixVersion("/v1/waves", "wave", wave, &request);
+    return SendChange(request, "wave " + wave + ": " + verb,
+                      {{"state", kStates.at(verb)}});
   });
 }
 
 exit_code control::ShowWaves(const std::string& wave) {
-  const std::vector<std::string> keys = {"wave",      "state",   "version",
-                                         "pools",     "visited", "vms",
-                                         "finish_by", "author",  "reason"};
-  if (wave.empty()) {
-    return ShowList("/v1/waves", keys);
+  if (!wave.empty()) {
+    return ShowOne("/v1/waves", "wave", wave);
   }
-  return Guard([&] {
-    const caller::http_answer answer = Get("/v1/waves");
-    if (answer.status != kOkStatus) {
-      return Refused(answer);
-    }
-    for (const json& item : json::parse(answer.body)) {
-      if (item["wave"] != wave) {
-        continue;
-      }
-      if (context_.format == output_format::kJson) {
-        *out_ << item.dump(2) << '\n';
-      } else {
-        WriteList(json::array({item}), keys, out_);
-      }
-      return exit_code::kOk;
-    }
-    *err_ << "no wave is called '" << wave << "'\n";
-    return exit_code::kBadInput;
-  });
+  return ShowList("/v1/waves", {"wave", "state", "version", "pools", "visited",
+                                "vms", "finish_by", "author", "reason"});
 }
 
 exit_code control::ShowVms() {
@@ -251,21 +279,57 @@
                                "finish_by", "failures", "reason"});
 }
 
-exit_code control::CancelJob(const std::string& job) {
+exit_code control::SubmitJob(const job_options& options) {
   return Guard([&] {
-    const client_request request{"POST", "/v1/jobs/" + job + "/cancel", {}, ""};
-    return PrintDone(Change(request), "job " + job + " cancelled");
+    json body = {{"job", options.job},
+                 {"pool", options.pool},
+                 {"team", options.team},
+                 {"processors", options.processors},
+                 {"memory_mb", options.memory_mb},
+                 {"accelerators", options.accelerators},
+                 {"urgent", options.urgent},
+                 {"finish_by", options.finish_by}};
+    std::vector<expected_field> wanted;
+    for (const auto& [key, value] : body.items()) {
+      wanted.push_back({key, value.dump()});
+    }
+    body["declared_run_time"] = options.declared_run_time;
+    const client_request request{"POST", "/v1/jobs", {}, body.dump()};
+    return SendChange(request, "job " + options.job + " submitted", wanted);
+  });
+}
+
+exit_code control::ChangeJob(const std::string& job,
+                             const std::string& verb,
+                             const std::string& reason) {
+  static const std::map<std::string, std::string> kStates = {
+      {"cancel", "\"cancelled\""},
+      {"retry", "\"waiting\""},
+  };
+  return Guard([&] {
+    const json body = {{"reason", reason}};
+    client_request request{
+        "POST", "/v1/jobs/" + job + "/" + verb, {}, body.dump()};
+    FixVersion("/v1/jobs", "job", job, &request);
+    return SendChange(request, "job " + job + ": " + verb,
+                      {{"state", kStates.at(verb)}});
   });
 }
 
 exit_code control::Explain(const std::string& vm) {
+  return ShowOne("/v1/vms", "vm", vm);
+}
+
+exit_code control::ShowOne(const std::string& path,
+                           const std::string& kind,
+                           const std::string& name) {
   return Guard([&] {
-    const caller::http_answer answer = Get("/v1/vms");
+    const caller::http_answer answer = Get(path);
     if (answer.status != kOkStatus) {
       return Refused(answer);
     }
     for (const json& item : json::parse(answer.body)) {
-      if (item["vm"] != vm) {
+      if (item[kind] != name) {
         continue;
       }
       if (context_.format == output_format::kJson) {
@@ -279,7 +343,7 @@
       WriteTable(rows, out_);
       return exit_code::kOk;
     }
-    *err_ << "no VM is called '" << vm << "'\n";
+    *err_ << "no " << kind << " is called '" << name << "'\n";
     return exit_code::kBadInput;
   });
 }
--- a/tests/operators/operator_fixture.h
+++ b/tests/operators/operator_fixture.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "plantainhead/core/fold.h"
 #include "plantainhead/operators/routes.h"
 #include "plantainhead/settings/targets.h"
 
@@ -83,6 +84,8 @@
   /// How the next commands end; a command never ends while `silent`.
   core::answer_operator end{0, core::command_result::kAccepted, 91, ""};
   bool silent = false;
+  /// Commands end as the fold decides, not as `end` says.
+  bool folding = false;
   std::vector<core::record_body> commands;
   std::vector<std::string> authors;
   caller::route_list routes;
@@ -95,11 +98,26 @@
     authors.push_back(std::move(author));
     std::promise<core::answer_operator>& promise = promises_.emplace_back();
     if (!silent) {
-      promise.set_value(end);
+      promise.set_value(folding ? Fold() : end);
     }
     return promise.get_future();
   }
 
+  // Applies the newest command as a record of the log.
+  core::answer_operator Fold() {
+    const core::log_offset offset = state.offset + 1;
+    const core::record_id id("test-" + std::to_string(offset));
+    const core::fold_result result =
+        core::Apply(state, {offset, {id, authors.back(), commands.back()}});
+    core::answer_operator answer;
+    answer.result = result.outcome == core::fold_outcome::kApplied
+                        ? core::command_result::kAccepted
+                        : core::command_result::kConflict;
+    answer.offset = offset;
+    answer.detail = result.detail;
+    return answer;
+  }
+
   std::vector<std::promise<core::answer_operator>> promises_;
 };
 
--- a/tools/plantainctl.cc
+++ b/tools/plantainctl.cc
@@ -18,6 +18,7 @@
   std::string author;
   publish_options publish;
   wave_options wave;
+  job_options job;
   std::string file;
   std::string name;
   std::string reason;
@@ -108,11 +109,6 @@
   add("vms", "Show the VMs", &control::ShowVms);
   add("pools", "Show the pools", &control::ShowPools);
   add("jobs", "Show the jobs", &control::ShowJobs);
-  CLI::App* cancel = app->add_subcommand("cancel-job", "Cancel a job");
-  cancel->add_option("job", args->name, "Name of the job")->required();
-  cancel->callback([=] {
-    *chosen = [args](control& run) { return run.CancelJob(args->name); };
-  });
   CLI::App* explain =
       app->add_subcommand("explain", "Tell why a VM is where it is");
   explain->add_option("vm", args->name, "Name of the VM")->required();
@@ -121,6 +117,39 @@
   });
 }
 
+void AddJobCommands(CLI::App* app, arguments* args, chosen_command* chosen) {
+  CLI::App* job = app->add_subcommand("job", "Jobs on workers");
+  job->require_subcommand(1);
+  CLI::App* submit = job->add_subcommand("submit", "Submit a job");
+  job_options* options = &args->job;
+  submit->add_option("job", options->job, "Name of the job")->required();
+  submit->add_option("--pool", options->pool, "Pool to run in")->required();
+  submit->add_option("--team", options->team, "Team that it counts against");
+  submit->add_option("--processors", options->processors, "Processors");
+  submit->add_option("--memory-mb", options->memory_mb, "Memory in MB");
+  submit->add_option("--accelerators", options->accelerators, "Accelerators");
+  submit->add_option("--run-time", options->declared_run_time,
+                     "Declared run time, as in 2h");
+  submit->add_option("--finish-by", options->finish_by,
+                     "Time in UTC, as in 2026-03-01T12:00:00Z");
+  submit->add_flag("--urgent", options->urgent, "Goes before other jobs");
+  submit->callback([=] {
+    *chosen = [args](control& run) { return run.SubmitJob(args->job); };
+  });
+  const std::map<std::string, std::string> verbs = {
+      {"cancel", "Cancel a job"}, {"retry", "Free a parked job"}};
+  for (const auto& [verb, help] : verbs) {
+    CLI::App* change = job->add_subcommand(verb, help);
+    change->add_option("job", args->name, "Name of the job")->required();
+    change->add_option("--reason", args->reason, "Shown to other operators");
+    change->callback([=, verb = verb] {
+      *chosen = [args, verb](control& run) {
+        return run.ChangeJob(args->name, verb, args->reason);
+      };
+    });
+  }
+}
+
 control_context MakeContext(const arguments& args) {
   control_context context;
   context.format = args.format;
@@ -156,6 +185,7 @@
       ->transform(CLI::CheckedTransformer(formats));
   AddTargetCommands(&app, &args, &chosen);
   AddWaveCommands(&app, &args, &chosen);
+  AddJobCommands(&app, &args, &chosen);
   AddFleetCommands(&app, &args, &chosen);
   try {
     app.parse(argc, argv);
