--- /dev/null
+++ b/src/core/vm_lifecycle.cc
@@ -0,0 +1,242 @@
+#include "plantainhead/core/vm_lifecycle.h"
+
+namespace plantainhead::core {
+namespace {
+
+constexpr const char* kDrain = "drain";
+constexpr const char* kReboot = "reboot";
+/// Puts a drained VM to work again, in the pool of its record.
+constexpr const char* kReadmit = "readmit";
+
+}  // namespace
+
+bool IsOwnPause(const wave_progress& wave) {
+  return wave.state == wave_state::kPaused &&
+         wave.reason.starts_with(kOwnPause);
+}
+
+operation_id OperationFor(const std::string& kind,
+                          const std::string& object,
+                          generation expected) {
+  return operation_id(kind + ":" + object + ":" + std::to_string(expected));
+}
+
+vm_lifecycle::vm_lifecycle(const planner_context& context,
+                           const phase_watch& watch)
+    : context_(context), watch_(watch) {}
+
+bool vm_lifecycle::CanDrain(const vm_view& vm) const {
+  if (!vm.serving() || vm.is_pending || !vm.listed_live()) {
+    return false;
+  }
+  // A readmission that is still under way could reach the VM after the drain
+  // and make it take work while it is about to be rebooted.
+  return vm.state->operation.empty() ||
+         context_.operations.HasEnded(vm.state->operation);
+}
+
+void vm_lifecycle::StartDrain(const vm_view& vm,
+                              const wave_id& wave,
+                              const std::string& reason) const {
+  SetPhase(vm, vm_phase::kDraining, kDrain, wave, reason);
+}
+
+void vm_lifecycle::Advance() const {
+  for (const auto& [id, vm] : context_.view.vms()) {
+    if (vm.state == nullptr || vm.is_pending) {
+      continue;
+    }
+    switch (vm.state->phase) {
+      case vm_phase::kServing:
+        AdvanceServing(vm);
+        break;
+      case vm_phase::kDraining:
+        AdvanceDraining(vm);
+        break;
+      case vm_phase::kDrained:
+        AdvanceDrained(vm);
+        break;
+      case vm_phase::kRebooting:
+        AdvanceRebooting(vm);
+        break;
+      case vm_phase::kReturning:
+        AdvanceReturning(vm);
+        break;
+    }
+  }
+}
+
+void vm_lifecycle::Readmit(const vm_view& vm, const std::string& reason) const {
+  SetPhase(vm, vm_phase::kServing, kReadmit, wave_id(), reason);
+}
+
+void vm_lifecycle::ReadmitTo(const vm_view& vm,
+                             const pool_id& pool,
+                             const std::string& reason) const {
+  if (vm.is_pending) {
+    return;
+  }
+  // Both records go out together. Between them the VM serves its old pool by
+  // the fold, but its runner still refuses work until the operation, which
+  // waits for the second record.
+  const generation after = vm.state->version + 1;
+  SetPhase(vm, vm_phase::kServing, kReadmit, wave_id(), reason);
+  context_.gate.Append(
+      ObjectOf(vm.id), after,
+      assign_vm{context_.inputs.epoch, vm.id, after, pool, reason},
+      context_.now, context_.out);
+}
+
+void vm_lifecycle::AdvanceServing(const vm_view& vm) const {
+  if (!vm.state->operation.empty()) {
+    context_.operations.Drive(vm.state->operation,
+                              move_vm{vm.id, vm.state->pool}, context_.now,
+                              context_.out);
+  }
+}
+
+void vm_lifecycle::AdvanceDraining(const vm_view& vm) const {
+  const std::string why = WhyAborted(vm);
+  if (!why.empty()) {
+    Readmit(vm, why);
+    return;
+  }
+  const std::optional<operation_result> end = context_.operations.Drive(
+      vm.state->operation, drain_vm{vm.id}, context_.now, context_.out);
+  if (end == operation_result::kRefused) {
+    GiveUpDraining(vm, "the platform refused to drain it: " +
+                           context_.operations.DetailOf(vm.state->operation));
+    return;
+  }
+  if (end == operation_result::kDone && IsDrained(vm)) {
+    SetPhase(vm, vm_phase::kDrained, "", vm.state->wave,
+             "no requests in flight at any entry or at the endpoint");
+    return;
+  }
+  if (HasWaited(vm, context_.options.drain_bound)) {
+    GiveUpDraining(vm, "it did not drain in time and serves again");
+  }
+}
+
+void vm_lifecycle::GiveUpDraining(const vm_view& vm,
+                                  const std::string& reason) const {
+  context_.Report(note_level::kWarning, ObjectOf(vm.id), reason);
+  context_.deferred[vm.id] = context_.now;
+  Readmit(vm, reason);
+}
+
+void vm_lifecycle::AdvanceDrained(const vm_view& vm) const {
+  if (vm.state->wave.empty()) {
+    return;
+  }
+  const std::string why = WhyAborted(vm);
+  if (!why.empty()) {
+    Readmit(vm, why);
+    return;
+  }
+  SetPhase(vm, vm_phase::kRebooting, kReboot, vm.state->wave,
+           "drained; reboot for wave " + vm.state->wave.value());
+}
+
+void vm_lifecycle::AdvanceRebooting(const vm_view& vm) const {
+  const operation_id& id = vm.state->operation;
+  const std::optional<operation_result> end = context_.operations.Drive(
+      id, reboot_vm{vm.id}, context_.now, context_.out);
+  if (end == operation_result::kRefused) {
+    context_.Report(note_level::kError, ObjectOf(vm.id),
+                    "the platform refused to reboot it: " +
+                        context_.operations.DetailOf(id));
+    return;
+  }
+  const std::optional<time_point> done = context_.operations.DoneAt(id);
+  // The list lags: one from just after the reboot may still show the VM as it
+  // was before. One that was read later by the lag shows what came of it.
+  if (done && vm.listed_live() &&
+      context_.inputs.listed_at >= *done + context_.options.list_lag) {
+    SetPhase(vm, vm_phase::kReturning, "", vm.state->wave,
+             "rebooted and listed as live");
+    return;
+  }
+  if (HasWaited(vm, context_.options.return_bound)) {
+    context_.Report(note_level::kError, ObjectOf(vm.id),
+                    "it did not come back in time after its reboot");
+  }
+}
+
+void vm_lifecycle::AdvanceReturning(const vm_view& vm) const {
+  if (vm.listed_live() && vm.healthy) {
+    SetPhase(vm, vm_phase::kServing, "", vm.state->wave,
+             "rebooted and healthy");
+    return;
+  }
+  if (HasWaited(vm, context_.options.return_bound)) {
+    context_.Report(note_level::kError, ObjectOf(vm.id),
+                    "it is not healthy after its reboot");
+  }
+}
+
+std::string vm_lifecycle::WhyAborted(const vm_view& vm) const {
+  if (vm.state->wave.empty()) {
+    return "";
+  }
+  const std::string name = "wave " + vm.state->wave.value();
+  const auto found = context_.inputs.state.waves.find(vm.state->wave);
+  if (found == context_.inputs.state.waves.end()) {
+    return name + " is not known";
+  }
+  const wave_progress& wave = found->second;
+  if (wave.state == wave_state::kCancelled ||
+      wave.state == wave_state::kFinished) {
+    return name + " has ended";
+  }
+  if (IsOwnPause(wave)) {
+    return name + " is paused, " + wave.reason;
+  }
+  if (context_.held_pools.contains(vm.state->pool)) {
+    return "a failure took the slack of its pool";
+  }
+  return "";
+}
+
+bool vm_lifecycle::IsDrained(const vm_view& vm) const {
+  if (vm.seen == nullptr || vm.seen->operation != vm.state->operation) {
+    return false;
+  }
+  if (!HasWaited(vm, context_.options.drain_notice)) {
+    return false;
+  }
+  // A member that has not yet applied the drain may still send to the VM; the
+  // caller would see its request cut by the reboot. Only heartbeats that were
+  // sent after the drain was applied prove the zero.
+  if (context_.inputs.reported_offset < vm.seen->offset || vm.in_flight > 0) {
+    return false;
+  }
+  return vm.jobs == 0 && watch_.LostMembersAreOver(
+                             context_.now, context_.options.greatest_deadline);
+}
+
+bool vm_lifecycle::HasWaited(const vm_view& vm, duration bound) const {
+  return vm.seen != nullptr && context_.now - vm.seen->since >= bound;
+}
+
+void vm_lifecycle::SetPhase(const vm_view& vm,
+                            vm_phase phase,
+                            const std::string& operation_kind,
+                            const wave_id& wave,
+                            const std::string& reason) const {
+  set_vm_phase record;
+  record.epoch = context_.inputs.epoch;
+  record.vm = vm.id;
+  record.expected = vm.state->version;
+  record.phase = phase;
+  if (!operation_kind.empty()) {
+    record.operation =
+        OperationFor(operation_kind, vm.id.value(), vm.state->version);
+  }
+  record.wave = wave;
+  record.reason = reason;
+  context_.gate.Append(ObjectOf(vm.id), vm.state->version, std::move(record),
+                       context_.now, context_.out);
+}
+
+}  // namespace plantainhead::core
