Keep records through refused appends; ignore strangers' offsets

Cause: the platform link reports an append as rejected when its connection was never made. The queue gave a record up after four rejections, so an entry lost its own join in an outage of a second, and an operator was told that the change was invalid. A heartbeat of a process that is no member could claim any offset and make every entry unready. Ruled out: counting refusals only while the log can be read, since 429 is a refusal too; single appends after a refusal, which is slowest just when the log is asked for too much. Change: a refused record goes behind the rest under a new id and batches halve until it is alone; operators are answered unknown with 'not written and will not be'. Offsets and digests of members only. A record whose append ended unknown and is then refused for ever holds up those behind it; only an operator's record can be like that, and it is withdrawn after the command's timeout.

--- a/include/plantainhead/core/control_log.h
+++ b/include/plantainhead/core/control_log.h
@@ -90,7 +90,8 @@
                         effects& out);
   void OnTick(time_point now, effects& out);
 
-  /// Takes in what a peer's heartbeat says of its fold.
+  /// Takes in what a peer's heartbeat says of its fold. Heartbeats of processes
+  /// that aren't members of this entry's view tell nothing.
   void OnPeerOffset(log_offset offset,
                     std::uint64_t digest,
                     incarnation from,
@@ -177,7 +178,7 @@
   void AnswerReadBack(const log_entry& entry,
                       const fold_result& result,
                       effects& out);
-  void AnswerRefused(const std::vector<record_id>& refused, effects& out);
+  void RenameCommands(const std::vector<renamed_record>& renamed);
   void AnswerLate(time_point now, effects& out);
 
   control_log_settings settings_;
--- a/include/plantainhead/core/record_queue.h
+++ b/include/plantainhead/core/record_queue.h
@@ -31,6 +31,9 @@
   /// Pause after a failed append, doubled for each further one.
   duration first_backoff = std::chrono::milliseconds(100);
   duration greatest_backoff = std::chrono::seconds(5);
+  /// The greatest pause after an append that the log refused. It is short,
+  /// since other records of the batch may be waiting for a smaller one.
+  duration greatest_refused_backoff = std::chrono::milliseconds(500);
   /// After an outage each entry starts to append at a random time within this.
   duration recovery_spread = std::chrono::seconds(1);
 };
@@ -38,6 +41,12 @@
 /// Whether a record that is taken back can still appear in the stream.
 enum class withdrawal { kNotWritten, kMaybeWritten };
 
+/// A record that was given a new id.
+struct renamed_record {
+  record_id from;
+  record_id to;
+};
+
 /// The records that an entry has yet to get into the control stream. It numbers
 /// them, appends them in that order with one append in flight, and appends
 /// again under the same ids when an answer was lost; the fold drops what
@@ -62,12 +71,11 @@
   /// The stream can be read again after an outage.
   void OnRecovered(time_point now);
 
-  /// Returns true if this was the queue's append. Ids of records that the log
-  /// refuses for good are added to `refused`.
+  /// Returns true if this was the queue's append. A record that the log refused
+  /// goes to the end of the queue under a new id, which is added to `renamed`.
   bool OnAppendFinished(time_point now,
                         const append_finished& event,
-                        std::vector<record_id>& refused,
-                        effects& out);
+                        std::vector<renamed_record>& renamed);
 
   /// Appends what waits, if it is time. Drops first what has become void under
   /// `state`.
@@ -81,13 +89,14 @@
     /// An append that held it ended without an answer.
     bool maybe_written = false;
     bool in_flight = false;
-    int refusals = 0;
   };
 
   void DropVoid(const fleet_state& state, effects& out);
-  void DropRefused(std::vector<record_id>& refused, effects& out);
-  void Settle(const append_finished& event);
-  void BackOff(time_point now);
+  void OnAppended();
+  void OnUnknown(time_point now);
+  void OnRefused(time_point now, std::vector<renamed_record>& renamed);
+  void BackOff(time_point now, duration greatest);
+  record_id NextId();
   std::deque<waiting_record>::iterator Find(const record_id& id);
 
   record_queue_settings settings_;
@@ -96,6 +105,8 @@
   std::deque<waiting_record> waiting_;
   std::uint64_t last_number_ = 0;
   append_id in_flight_ = append_id::kNone;
+  /// Most records in the next append.
+  std::size_t batch_ = 0;
   time_point next_append_{};
   duration backoff_{};
 };
--- a/src/core/control_log.cc
+++ b/src/core/control_log.cc
@@ -68,11 +68,11 @@
     }
     return true;
   }
-  std::vector<record_id> refused;
-  if (!queue_.OnAppendFinished(now, event, refused, out)) {
+  std::vector<renamed_record> renamed;
+  if (!queue_.OnAppendFinished(now, event, renamed)) {
     return false;
   }
-  AnswerRefused(refused, out);
+  RenameCommands(renamed);
   Pump(now, out);
   return true;
 }
--- a/src/core/control_log_commands.cc
+++ b/src/core/control_log_commands.cc
@@ -48,8 +48,8 @@
     return "the log did not answer; the change may still appear as record " +
            id.value() + " and will not be appended again";
   }
-  return "the log could not be reached; the change was not written and will "
-         "not be";
+  return "the log could not be reached or refused the change; it was not "
+         "written and will not be";
 }
 
 }  // namespace
@@ -90,16 +90,12 @@
   commands_.erase(it);
 }
 
-void control_log::AnswerRefused(const std::vector<record_id>& refused,
-                                effects& out) {
-  for (const record_id& id : refused) {
-    const auto it = commands_.find(id);
-    if (it == commands_.end()) {
-      continue;
+void control_log::RenameCommands(const std::vector<renamed_record>& renamed) {
+  for (const renamed_record& item : renamed) {
+    if (auto node = commands_.extract(item.from); !node.empty()) {
+      node.key() = item.to;
+      commands_.insert(std::move(node));
     }
-    out.Do(answer_operator{it->second.sequence, command_result::kInvalid, 0,
-                           "the log refuses the record"});
-    commands_.erase(it);
   }
 }
 
--- a/src/core/control_log_digests.cc
+++ b/src/core/control_log_digests.cc
@@ -30,6 +30,11 @@
                                std::uint64_t digest,
                                incarnation from,
                                effects& out) {
+  // A process of another fleet, or one that was expelled with a log of its own,
+  // may claim any offset; waiting for it would make every entry unready.
+  if (!state_.members.contains(from)) {
+    return;
+  }
   greatest_known_ = std::max(greatest_known_, offset);
   CompareDigests(offset, digest, from, out);
 }
--- a/src/core/record_queue.cc
+++ b/src/core/record_queue.cc
@@ -11,11 +11,6 @@
 namespace plantainhead::core {
 namespace {
 
-// A record is refused for good when the log refuses it alone this often. The
-// first refusal may have been meant for another record of the batch, or for a
-// passing lack of room.
-constexpr int kRefusalLimit = 4;
-
 template <typename Body>
 constexpr bool kHasEpoch = requires(const Body& body) {
   body.epoch;
@@ -52,14 +47,21 @@
 record_queue::record_queue(record_queue_settings settings,
                            append_ids* ids,
                            random_source* random)
-    : settings_(settings), ids_(ids), random_(random) {}
+    : settings_(settings),
+      ids_(ids),
+      random_(random),
+      batch_(settings.batch_records) {}
+
+record_id record_queue::NextId() {
+  return MakeRecordId({settings_.self, ++last_number_});
+}
 
 std::optional<record_id> record_queue::Push(std::string author,
                                             record_body body) {
   if (waiting_.size() >= settings_.limit) {
     return std::nullopt;
   }
-  record_id id = MakeRecordId({settings_.self, ++last_number_});
+  record_id id = NextId();
   waiting_record item;
   item.content = {id, std::move(author), std::move(body)};
   waiting_.push_back(std::move(item));
@@ -95,60 +97,79 @@
 // again under them.
 void record_queue::OnRecovered(time_point now) {
   backoff_ = duration::zero();
+  batch_ = settings_.batch_records;
   next_append_ = now + Jitter(*random_, settings_.recovery_spread);
 }
 
 bool record_queue::OnAppendFinished(time_point now,
                                     const append_finished& event,
-                                    std::vector<record_id>& refused,
-                                    effects& out) {
+                                    std::vector<renamed_record>& renamed) {
   if (event.append == append_id::kNone || event.append != in_flight_) {
     return false;
   }
   in_flight_ = append_id::kNone;
-  Settle(event);
-  if (event.result == append_result::kAppended) {
-    backoff_ = duration::zero();
-  } else {
-    BackOff(now);
+  switch (event.result) {
+    case append_result::kAppended:
+      OnAppended();
+      break;
+    case append_result::kUnknown:
+      OnUnknown(now);
+      break;
+    case append_result::kRejected:
+      OnRefused(now, renamed);
+      break;
   }
-  DropRefused(refused, out);
   return true;
 }
 
-void record_queue::Settle(const append_finished& event) {
-  if (event.result == append_result::kAppended) {
-    std::erase_if(waiting_,
-                  [](const waiting_record& item) { return item.in_flight; });
-    return;
-  }
+void record_queue::OnAppended() {
+  std::erase_if(waiting_,
+                [](const waiting_record& item) { return item.in_flight; });
+  backoff_ = duration::zero();
+  batch_ = std::min(batch_ * 2, settings_.batch_records);
+}
+
+void record_queue::OnUnknown(time_point now) {
   for (waiting_record& item : waiting_) {
-    if (!item.in_flight) {
-      continue;
-    }
+    item.maybe_written = item.maybe_written || item.in_flight;
     item.in_flight = false;
-    if (event.result == append_result::kRejected) {
-      ++item.refusals;
-    } else {
-      item.maybe_written = true;
-    }
   }
+  BackOff(now, settings_.greatest_backoff);
 }
 
-void record_queue::DropRefused(std::vector<record_id>& refused, effects& out) {
-  while (!waiting_.empty() && waiting_.front().refusals >= kRefusalLimit) {
-    const record_id id = waiting_.front().content.id;
-    out.Note(note_level::kError, "the log refuses a record",
-             {{"record", id.value()}});
-    refused.push_back(id);
-    waiting_.pop_front();
+// An append is refused as long as the log can't be connected to, or is asked
+// for too much, so no record is given up for it; but one that the log never
+// takes must not hold up the others. Refused records go behind the rest and the
+// next append is half as large, until such a record is alone in its append. The
+// fold takes a writer's records in the order of their numbers, hence the new
+// id; it is safe because the old one surely isn't in the log. A record whose
+// earlier append ended unknown may be there: it keeps its id and its place.
+void record_queue::OnRefused(time_point now,
+                             std::vector<renamed_record>& renamed) {
+  std::size_t sent = 0;
+  std::deque<waiting_record> kept;
+  std::deque<waiting_record> refused;
+  for (waiting_record& item : waiting_) {
+    sent += item.in_flight ? 1 : 0;
+    const bool is_refused = item.in_flight && !item.maybe_written;
+    item.in_flight = false;
+    (is_refused ? refused : kept).push_back(std::move(item));
+  }
+  for (waiting_record& item : refused) {
+    const record_id id = NextId();
+    renamed.push_back({item.content.id, id});
+    item.content.id = id;
+    kept.push_back(std::move(item));
   }
+  waiting_ = std::move(kept);
+  batch_ = std::max<std::size_t>(1, std::min(sent, batch_) / 2);
+  BackOff(now, settings_.greatest_refused_backoff);
 }
 
-void record_queue::BackOff(time_point now) {
-  backoff_ = backoff_ == duration::zero()
-                 ? settings_.first_backoff
-                 : std::min(backoff_ * 2, settings_.greatest_backoff);
+void record_queue::BackOff(time_point now, duration greatest) {
+  const duration next =
+      backoff_ == duration::zero() ? settings_.first_backoff : backoff_ * 2;
+  backoff_ = std::min(next, greatest);
   const duration half = backoff_ / 2;
   next_append_ = now + half + Jitter(*random_, half);
 }
@@ -174,15 +195,11 @@
   if (waiting_.empty()) {
     return;
   }
-  // After a refusal records go one by one, so that one which the log never
-  // takes holds up no other.
-  const std::size_t most =
-      waiting_.front().refusals > 0 ? 1 : settings_.batch_records;
   append_records append;
   append.append = ids_->Next();
   append.stream = kControlStream;
   for (waiting_record& item : waiting_) {
-    if (append.records.size() == most) {
+    if (append.records.size() == batch_) {
       break;
     }
     item.in_flight = true;
