--- a/include/plantainhead/core/control_log.h
+++ b/include/plantainhead/core/control_log.h
@@ -136,7 +136,13 @@
   log_offset newest_snapshot() const { return newest_snapshot_; }
 
  private:
-  enum class phase { kStopped, kReadingSnapshots, kFollowing };
+  enum class phase {
+    kStopped,
+    /// Asking where the snapshot stream ends.
+    kFindingSnapshots,
+    kReadingSnapshots,
+    kFollowing,
+  };
 
   struct command {
     std::uint64_t sequence = 0;
@@ -158,7 +164,8 @@
   void ClearFault(effects& out);
 
   // Snapshots (control_log_snapshots.cc).
-  void ReadSnapshots(effects& out);
+  void FindSnapshots(effects& out);
+  void ReadSnapshots(log_offset count, effects& out);
   void OnSnapshotRead(const log_read& event, effects& out);
   void ConsiderSnapshot(const log_entry& entry, effects& out);
   void FinishSnapshots(effects& out);
@@ -206,10 +213,10 @@
   /// Its place in the snapshot stream, and where that stream begins.
   log_offset newest_snapshot_at_ = 0;
   log_offset snapshots_begin_ = 0;
+  log_offset snapshots_end_ = 0;
   log_offset snapshots_read_ = 0;
-  /// Older snapshots were passed over to get at the newest ones.
-  bool snapshots_skipped_ = false;
-  bool may_skip_snapshots_ = true;
+  /// How many of the newest snapshots are being read.
+  log_offset snapshots_tried_ = 0;
   append_id snapshot_append_ = append_id::kNone;
   time_point next_snapshot_{};
   std::optional<time_point> stand_in_at_;
--- a/src/core/control_log.cc
+++ b/src/core/control_log.cc
@@ -14,14 +14,14 @@
       queue_(settings_.queue, ids, random) {}
 
 void control_log::Start(time_point /*now*/, effects& out) {
-  ReadSnapshots(out);
+  FindSnapshots(out);
 }
 
 std::size_t control_log::OnLogRead(time_point now,
                                    const log_read& event,
                                    effects& out) {
   if (event.stream == kSnapshotStream) {
-    if (phase_ == phase::kReadingSnapshots) {
+    if (phase_ != phase::kFollowing) {
       OnReadable(now, out);
     }
     OnSnapshotRead(event, out);
@@ -211,7 +211,7 @@
                  ", but " + std::to_string(next) + " is needed",
              out);
     out.Do(unfollow_stream{kControlStream});
-    ReadSnapshots(out);
+    FindSnapshots(out);
     return false;
   }
   if (has_gap && !following_again_) {
--- a/src/core/control_log_snapshots.cc
+++ b/src/core/control_log_snapshots.cc
@@ -11,9 +11,15 @@
 namespace plantainhead::core {
 namespace {
 
-// A start reads so many of the newest snapshots; older ones only if all of
-// these are bad. Reading each that is retained would cost minutes.
-constexpr log_offset kSnapshotsTried = 3;
+// A start reads so many of the newest snapshots, and only if all of these are
+// bad, four times as many. Each is some hundred kilobytes, and a day of them
+// wouldn't fit into an entry's memory.
+constexpr log_offset kSnapshotsTried = 2;
+constexpr log_offset kTriedFactor = 4;
+
+// Beyond the end of any stream. A read after it brings no records, only where
+// the stream begins and ends.
+constexpr log_offset kBeyondEnd = log_offset{1} << 62;
 
 // A snapshot is due while half of what the log keeps is left for its append.
 constexpr log_offset kRetentionPart = 2;
@@ -25,35 +31,43 @@
 
 }  // namespace
 
-void control_log::ReadSnapshots(effects& out) {
-  phase_ = phase::kReadingSnapshots;
+void control_log::FindSnapshots(effects& out) {
+  phase_ = phase::kFindingSnapshots;
   candidate_.reset();
-  snapshots_read_ = 0;
-  may_skip_snapshots_ = true;
-  snapshots_skipped_ = false;
-  out.Do(follow_stream{kSnapshotStream, 0});
+  out.Do(follow_stream{kSnapshotStream, kBeyondEnd});
+}
+
+void control_log::ReadSnapshots(log_offset count, effects& out) {
+  phase_ = phase::kReadingSnapshots;
+  snapshots_tried_ = count;
+  const log_offset before_begin =
+      snapshots_begin_ - std::min<log_offset>(snapshots_begin_, 1);
+  const log_offset before_newest =
+      snapshots_end_ - std::min(snapshots_end_, count);
+  snapshots_read_ = std::max(before_begin, before_newest);
+  out.Do(follow_stream{kSnapshotStream, snapshots_read_});
 }
 
 void control_log::OnSnapshotRead(const log_read& event, effects& out) {
+  snapshots_begin_ = event.begin;
+  if (phase_ == phase::kFindingSnapshots) {
+    snapshots_end_ = event.end;
+    ReadSnapshots(kSnapshotsTried, out);
+    return;
+  }
   for (const log_entry& entry : event.entries) {
     snapshots_read_ = std::max(snapshots_read_, entry.offset);
     ConsiderSnapshot(entry, out);
   }
-  snapshots_begin_ = event.begin;
   if (phase_ != phase::kReadingSnapshots) {
     return;
   }
-  const bool has_more = !event.entries.empty() && snapshots_read_ < event.end;
-  if (!has_more) {
+  // Retention may pass by while a read is under way.
+  const log_offset reachable = std::max(
+      snapshots_read_, event.begin - std::min<log_offset>(event.begin, 1));
+  if (reachable >= snapshots_end_) {
     FinishSnapshots(out);
-    return;
-  }
-  if (may_skip_snapshots_ && event.end > snapshots_read_ + kSnapshotsTried) {
-    snapshots_read_ = event.end - kSnapshotsTried;
-    snapshots_skipped_ = true;
-    out.Do(follow_stream{kSnapshotStream, snapshots_read_});
   }
-  may_skip_snapshots_ = false;
 }
 
 void control_log::ConsiderSnapshot(const log_entry& entry, effects& out) {
@@ -85,10 +99,10 @@
 }
 
 void control_log::FinishSnapshots(effects& out) {
-  if (candidate_ == nullptr && snapshots_skipped_) {
-    snapshots_skipped_ = false;
-    snapshots_read_ = 0;
-    out.Do(follow_stream{kSnapshotStream, 0});
+  const bool has_older = snapshots_tried_ < snapshots_end_ &&
+                         snapshots_end_ - snapshots_tried_ >= snapshots_begin_;
+  if (candidate_ == nullptr && has_older) {
+    ReadSnapshots(snapshots_tried_ * kTriedFactor, out);
     return;
   }
   if (candidate_ != nullptr && candidate_->offset > state_.offset) {
@@ -100,6 +114,7 @@
              {{"offset", std::to_string(state_.offset)}});
   }
   candidate_.reset();
+  snapshots_tried_ = snapshots_end_;
   // Nothing reaches beyond the cut yet; the next snapshot that is read may.
   if (fault_ == log_fault::kCut && state_.offset + 1 < begin_) {
     return;
--- a/tests/core/control_log_test.cc
+++ b/tests/core/control_log_test.cc
@@ -65,6 +65,7 @@
     control_log core(settings, &ids, &random);
     core.Start(one.now, out);
     core.OnLogRead(one.now, log.Read(kSnapshotStream, 0), out);
+    core.OnLogRead(one.now, log.Read(kSnapshotStream, 0), out);
     core.OnLogRead(one.now, log.Read(kControlStream, 0), out);
     out.actions.clear();
     core.OnCommand(one.now, {5, "ana", Publish(1)}, out);
@@ -191,24 +192,30 @@
   }
 }
 
-TEST_CASE("The newest snapshot is damaged") {
-  // A joiner that trusted it would start from a state that nobody has.
+TEST_CASE("The newest snapshots are damaged") {
+  // A joiner that trusted one would start from a state that nobody has. It
+  // takes the newest good one, and reads no more of them than it has to.
   memory_log log;
   log_user one(&log, 1, "entry-1");
   one.Start();
   one.Join();
-  for (int i = 0; i < 50; ++i) {
+  for (int i = 0; i < 250; ++i) {
     one.Tick(kLong);
     one.Submit(Publish(i));
   }
   auto& snapshots = log.streams[kSnapshotStream].records;
-  REQUIRE(snapshots.size() == 2);
-  std::get<snapshot_taken>(snapshots.back().body).digest ^= 1;
+  REQUIRE(snapshots.size() == 12);
+  const std::size_t damaged = GENERATE(0, 1, 2, 7, 11);
+  for (std::size_t i = 0; i < damaged; ++i) {
+    const std::size_t at = snapshots.size() - 1 - i;
+    std::get<snapshot_taken>(snapshots[at].body).digest ^= 1;
+  }
   log.streams[kControlStream].begin = 10;
 
   log_user two(&log, 2, "entry-2");
   two.Start();
-  CHECK(two.HasNote("wrong digest"));
+  CHECK(two.HasNote("wrong digest") == (damaged > 0));
+  CHECK(two.snapshots_read <= 2 + 4 * damaged);
   CHECK(two.state() == one.state());
   CHECK(two.core->digest() == one.core->digest());
 }
--- a/tests/core/fold_property_test.cc
+++ b/tests/core/fold_property_test.cc
@@ -280,6 +280,7 @@
     joiner.Start(time_point(), out);
     const std::uint64_t digest = Digest(*snapshot);
     const record taken{record_id("s"), "", snapshot_taken{snapshot, digest}};
+    joiner.OnLogRead(time_point(), {kSnapshotStream, {}, 1, 1}, out);
     joiner.OnLogRead(time_point(), {kSnapshotStream, {{1, taken}}, 1, 1}, out);
     joiner.OnLogRead(
         time_point(),
@@ -312,6 +313,7 @@
     effects out;
     follower.Start(time_point(), out);
     follower.OnLogRead(time_point(), {kSnapshotStream, {}, 0, 1}, out);
+    follower.OnLogRead(time_point(), {kSnapshotStream, {}, 0, 1}, out);
     std::size_t applied = 0;
     while (follower.state().offset < log.size()) {
       const log_offset done = follower.state().offset;
--- a/tests/core/memory_log.h
+++ b/tests/core/memory_log.h
@@ -116,6 +116,9 @@
   }
   void Read(const stream_name& name, log_offset after) {
     const log_read event = log_->Read(name, after);
+    if (name == kSnapshotStream) {
+      snapshots_read += event.entries.size();
+    }
     if (!event.entries.empty()) {
       followed_[name] = event.entries.back().offset;
     }
@@ -143,6 +146,7 @@
   std::vector<answer_operator> answers;
   std::vector<write_note> notes;
   std::vector<append_records> appends;
+  std::size_t snapshots_read = 0;
 
  private:
   template <typename Call>
