--- a/src/platform/record_fields.h
+++ b/src/platform/record_fields.h
@@ -1,7 +1,9 @@
 #ifndef PLANTAINHEAD_SRC_PLATFORM_RECORD_FIELDS_H_
 #define PLANTAINHEAD_SRC_PLATFORM_RECORD_FIELDS_H_
 
+#include <map>
 #include <memory>
+#include <set>
 
 #include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/records.h"
@@ -275,6 +277,28 @@
   a("reason", x.reason);
 }
 
+inline std::set<core::record_id> IdsOf(
+    const std::map<core::log_offset, core::record_id>& records) {
+  std::set<core::record_id> ids;
+  for (const auto& [offset, id] : records) {
+    ids.insert(id);
+  }
+  return ids;
+}
+
+// The remembered ids are most of a snapshot, and as a rule they are those of
+// the remembered records; only then they are left out.
+inline void RecentIds(json_writer& a, const core::fleet_state& x) {
+  if (x.recent_ids != IdsOf(x.recent_records)) {
+    a("recent_ids", x.recent_ids);
+  }
+}
+
+inline void RecentIds(json_reader& a, core::fleet_state& x) {
+  x.recent_ids = IdsOf(x.recent_records);
+  a("recent_ids", x.recent_ids);
+}
+
 template <typename Archive>
 void Fields(Archive& a, typename Archive::template ref<core::fleet_state> x) {
   a("offset", x.offset);
@@ -289,7 +313,7 @@
   a("waves", x.waves);
   a("jobs", x.jobs);
   a("recent_records", x.recent_records);
-  a("recent_ids", x.recent_ids);
+  RecentIds(a, x);
 }
 
 template <typename Archive>
--- a/tests/platform/record_codec_test.cc
+++ b/tests/platform/record_codec_test.cc
@@ -127,6 +127,9 @@
   CHECK(*std::get<snapshot_taken>(back.body).state == State());
   CHECK(std::get<snapshot_taken>(back.body).digest == 0xF00DFACECAFEBEEFULL);
   CHECK(DecodeState(EncodeState(State())) == State());
+  fleet_state other_ids = State();
+  other_ids.recent_ids = {record_id("r10"), record_id("r11")};
+  CHECK(DecodeState(EncodeState(other_ids)) == other_ids);
   CHECK(DecodeConfiguration(EncodeConfiguration(Targets())) == Targets());
 }
 
