Give each follow of a stream a reader of its own

Cause: a long poll that started just as its stream was followed anew ran to its end (5 s) before the new place was read. Change: following again retires the reader, which ends by itself, and starts another at the new place.

--- a/include/plantainhead/platform/platform_link.h
+++ b/include/plantainhead/platform/platform_link.h
@@ -88,7 +88,8 @@
   /// Reads the stream from `after` on and posts `core::log_read` for what comes
   /// and `core::log_unavailable` for each try that fails. With `after` 0 the
   /// entries start at the oldest record that the stream keeps. Following a
-  /// stream again starts anew.
+  /// stream again starts anew; a read of the old place that is already on its
+  /// way may still be posted.
   ///
   /// Two faults are posted as a `log_read` without entries, again and again at
   /// the pace of the backoff, until the stream is followed anew: a stream whose
--- a/src/platform/appender.cc
+++ b/src/platform/appender.cc
@@ -36,7 +36,7 @@
     self->receive(
         [this](const append_job& job) {
           if (!IsStopping()) {
-            context_.Post(Append(job.what));
+            Post(Append(job.what));
           }
         },
         [](stop_job) {});
--- a/src/platform/list_reader.cc
+++ b/src/platform/list_reader.cc
@@ -17,10 +17,10 @@
     core::duration pause = options().list_interval;
     if (ReadLists()) {
       backoff_.Reset();
-      context_.Post(core::vm_list_read{vms_.Items(), tasks_.Items()});
+      Post(core::vm_list_read{vms_.Items(), tasks_.Items()});
     } else {
       pause = std::max(pause, backoff_.Next());
-      context_.Post(core::vm_list_unavailable{});
+      Post(core::vm_list_unavailable{});
     }
     if (!IsStopping()) {
       self->receive([](stop_job) {}, caf::after(pause) >> [] {});
--- a/src/platform/operation_runner.cc
+++ b/src/platform/operation_runner.cc
@@ -57,7 +57,7 @@
       }
       auto finished = Ask(*item);
       if (finished.has_value()) {
-        context_.Post(std::move(*finished));
+        Post(std::move(*finished));
         item = pending_.erase(item);
       } else {
         item->ask_next = steady::now() + options().operation_poll;
--- a/src/platform/platform_link.cc
+++ b/src/platform/platform_link.cc
@@ -20,8 +20,8 @@
 namespace plantainhead::platform {
 namespace {
 
-// How often `Stop` interrupts requests until all workers have ended.
-constexpr auto kInterruptInterval = std::chrono::milliseconds(5);
+// How often `Stop` stops the workers until all have ended.
+constexpr auto kStopInterval = std::chrono::milliseconds(5);
 
 // The HTTP library writes to sockets that the platform may have closed. The
 // signal that this raises would end the process; blocked, it leaves the write
@@ -36,9 +36,11 @@
 // Counts a worker as running while its thread may touch the link.
 class running_mark {
  public:
-  explicit running_mark(link_context* context) : context_(*context) {}
+  running_mark(link_context* context, worker* who)
+      : context_(*context), who_(*who) {}
   ~running_mark() {
     const std::lock_guard lock(context_.mutex);
+    who_.set_ended();
     --context_.running;
     context_.ended.notify_all();
   }
@@ -48,6 +50,7 @@
 
  private:
   link_context& context_;
+  worker& who_;
 };
 
 }  // namespace
@@ -70,9 +73,10 @@
   std::unique_ptr<Worker> Start(Args&&... args);
   // Returns the appender of a stream; starts it for the first streams.
   appender& AppenderOf(const core::stream_name& stream);
-  // Calls `visit` with each worker.
-  template <typename Visitor>
-  void ForEachWorker(Visitor visit);
+  // Stops the reader of a stream, if there is one, and forgets those that have
+  // ended.
+  void RetireReader(const core::stream_name& stream);
+  void StopAll();
 
   caf::actor_system& system_;
   link_context context_;
@@ -83,8 +87,11 @@
   std::vector<std::unique_ptr<appender>> appenders_;
   std::map<core::stream_name, std::size_t> appender_of_;
   std::map<core::stream_name, std::unique_ptr<stream_reader>> readers_;
+  // Readers that were stopped and may still wait for an answer.
+  std::vector<std::unique_ptr<stream_reader>> retired_readers_;
   std::vector<std::unique_ptr<operation_runner>> runners_;
   std::unique_ptr<list_reader> list_reader_;
+  bool stopping_ = false;
 };
 
 platform_link::implementation::implementation(caf::actor_system& system,
@@ -108,12 +115,12 @@
     const std::lock_guard lock(context_.mutex);
     ++context_.running;
   }
-  started->address = system_.spawn<caf::detached>(
+  started->set_address(system_.spawn<caf::detached>(
       [context = &context_, body = started.get()](caf::blocking_actor* self) {
-        const running_mark mark(context);
+        const running_mark mark(context, body);
         BlockPipeSignal();
         body->Run(self);
-      });
+      }));
   return started;
 }
 
@@ -134,74 +141,83 @@
 
 void platform_link::implementation::Append(core::append_records action) {
   const std::lock_guard lock(mutex_);
-  if (!context_.stopping) {
+  if (!stopping_) {
     appender& to = AppenderOf(action.stream);
-    caf::anon_send(to.address, append_job{std::move(action)});
+    caf::anon_send(to.address(), append_job{std::move(action)});
   }
 }
 
 void platform_link::implementation::Follow(core::follow_stream action) {
   const std::lock_guard lock(mutex_);
-  if (context_.stopping) {
+  if (stopping_) {
     return;
   }
-  std::unique_ptr<stream_reader>& reader = readers_[action.stream];
-  if (reader == nullptr) {
-    reader = Start<stream_reader>(action.stream);
-  }
-  caf::anon_send(reader->address, follow_job{std::move(action)});
-  reader->Interrupt();
+  RetireReader(action.stream);
+  const core::stream_name stream = action.stream;
+  readers_[stream] = Start<stream_reader>(std::move(action));
 }
 
 void platform_link::implementation::Unfollow(
     const core::unfollow_stream& action) {
   const std::lock_guard lock(mutex_);
-  const auto found = readers_.find(action.stream);
-  if (found != readers_.end() && !context_.stopping) {
-    caf::anon_send(found->second->address, unfollow_job{});
-    found->second->Interrupt();
+  if (!stopping_) {
+    RetireReader(action.stream);
+  }
+}
+
+void platform_link::implementation::RetireReader(
+    const core::stream_name& stream) {
+  std::erase_if(retired_readers_,
+                [](const auto& reader) { return reader->HasEnded(); });
+  const auto found = readers_.find(stream);
+  if (found != readers_.end()) {
+    found->second->Stop();
+    retired_readers_.push_back(std::move(found->second));
+    readers_.erase(found);
   }
 }
 
 void platform_link::implementation::Run(core::run_operation action) {
   const std::lock_guard lock(mutex_);
-  if (!context_.stopping) {
+  if (!stopping_) {
     const std::size_t chosen =
         std::hash<core::operation_id>()(action.operation) % runners_.size();
-    caf::anon_send(runners_[chosen]->address, operation_job{std::move(action)});
+    caf::anon_send(runners_[chosen]->address(),
+                   operation_job{std::move(action)});
   }
 }
 
-template <typename Visitor>
-void platform_link::implementation::ForEachWorker(Visitor visit) {
-  visit(*list_reader_);
+void platform_link::implementation::StopAll() {
+  list_reader_->Stop();
   for (const auto& item : runners_) {
-    visit(*item);
+    item->Stop();
   }
   for (const auto& item : appenders_) {
-    visit(*item);
+    item->Stop();
   }
   for (const auto& [stream, item] : readers_) {
-    visit(*item);
+    item->Stop();
+  }
+  for (const auto& item : retired_readers_) {
+    item->Stop();
   }
 }
 
 void platform_link::implementation::Stop() {
   {
     const std::lock_guard lock(mutex_);
-    context_.stopping = true;
+    stopping_ = true;
   }
   // No worker is added any more, so the lists can be read without the lock,
   // which a `post` that calls back into the link may need.
-  ForEachWorker([](worker& item) { caf::anon_send(item.address, stop_job{}); });
   std::unique_lock ended(context_.mutex);
-  // A worker that was about to send its request when it was interrupted would
-  // wait for the answer; so it is interrupted again.
+  // A worker that was about to send its request when it was stopped would wait
+  // for the answer; so all are stopped again until they have ended.
   while (context_.running > 0) {
     ended.unlock();
-    ForEachWorker([](worker& item) { item.Interrupt(); });
+    StopAll();
     ended.lock();
-    context_.ended.wait_for(ended, kInterruptInterval,
+    context_.ended.wait_for(ended, kStopInterval,
                             [this] { return context_.running == 0; });
   }
 }
--- a/src/platform/stream_reader.cc
+++ b/src/platform/stream_reader.cc
@@ -62,53 +62,21 @@
 
 }  // namespace
 
-stream_reader::stream_reader(link_context* context, core::stream_name stream)
+stream_reader::stream_reader(link_context* context, core::follow_stream what)
     : worker(context,
              context->options.read_wait + context->options.answer_timeout),
-      stream_(std::move(stream)),
+      stream_(std::move(what.stream)),
+      after_(what.after),
       backoff_(context->MakeBackoff()) {}
 
 void stream_reader::Run(caf::blocking_actor* self) {
   while (!IsStopping()) {
-    TakeMessages(self);
-    if (!after_.has_value() || IsStopping()) {
-      continue;
-    }
-    const http_reply reply = client_.Get(NextPath());
-    // A message means that this read was started for another offset or was
-    // interrupted: its result concerns nobody.
-    pause_ = core::duration::zero();
-    if (!TakeMessages(self) && !IsStopping()) {
-      Handle(reply);
-    }
-  }
-}
-
-bool stream_reader::TakeMessages(caf::blocking_actor* self) {
-  bool is_any = false;
-  bool is_more = true;
-  const auto on_follow = [&](const follow_job& job) {
-    after_ = job.what.after;
-    is_fresh_ = true;
-    backoff_.Reset();
     pause_ = core::duration::zero();
-    is_any = true;
-  };
-  const auto on_unfollow = [&](unfollow_job) {
-    after_.reset();
-    is_any = true;
-  };
-  const auto on_stop = [&](stop_job) { is_any = true; };
-  while (is_more && !IsStopping()) {
-    if (!after_.has_value()) {
-      self->receive(on_follow, on_unfollow, on_stop);
-    } else {
-      self->receive(
-          on_follow, on_unfollow, on_stop,
-          caf::after(pause_) >> [&] { is_more = false; });
+    Handle(client_.Get(NextPath()));
+    if (!IsStopping() && pause_ > core::duration::zero()) {
+      self->receive([](stop_job) {}, caf::after(pause_) >> [] {});
     }
   }
-  return is_any;
 }
 
 std::string stream_reader::NextPath() const {
@@ -117,7 +85,7 @@
   const auto wait_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   return "/streams/" + EscapeSegment(stream_.value()) +
-         "/records?after=" + std::to_string(*after_) +
+         "/records?after=" + std::to_string(after_) +
          "&max=" + std::to_string(options().read_max) +
          "&wait_ms=" + std::to_string(wait_ms);
 }
@@ -137,21 +105,21 @@
 void stream_reader::HandleFailure(std::string detail) {
   is_fresh_ = true;
   pause_ = backoff_.Next();
-  context_.Post(core::log_unavailable{stream_, std::move(detail)});
+  Post(core::log_unavailable{stream_, std::move(detail)});
 }
 
 void stream_reader::HandleRead(core::log_read read) {
   read.stream = stream_;
-  const bool is_shorter = read.end < *after_;
-  const bool is_cut = *after_ != 0 && read.begin > *after_ + 1;
+  const bool is_shorter = read.end < after_;
+  const bool is_cut = after_ != 0 && read.begin > after_ + 1;
   if (is_shorter || is_cut) {
     read.entries.clear();
     is_fresh_ = true;
     pause_ = backoff_.Next();
-    context_.Post(std::move(read));
+    Post(std::move(read));
     return;
   }
-  if (!IsInOrder(read.entries, *after_)) {
+  if (!IsInOrder(read.entries, after_)) {
     HandleFailure("the offsets are not in order");
     return;
   }
@@ -159,11 +127,11 @@
   is_fresh_ = false;
   if (!read.entries.empty()) {
     after_ = read.entries.back().offset;
-  } else if (*after_ == 0) {
+  } else if (after_ == 0) {
     // All records may have aged out.
     after_ = read.end;
   }
-  context_.Post(std::move(read));
+  Post(std::move(read));
 }
 
 }  // namespace plantainhead::platform
--- a/src/platform/stream_reader.h
+++ b/src/platform/stream_reader.h
@@ -1,24 +1,21 @@
 #ifndef PLANTAINHEAD_SRC_PLATFORM_STREAM_READER_H_
 #define PLANTAINHEAD_SRC_PLATFORM_STREAM_READER_H_
 
-#include <optional>
+#include <string>
 
 #include "platform/worker.h"
 
 namespace plantainhead::platform {
 
-/// Reads one stream by long polls, as told by `follow_job` and `unfollow_job`.
+/// Reads one stream by long polls.
 class stream_reader : public worker {
  public:
-  stream_reader(link_context* context, core::stream_name stream);
+  stream_reader(link_context* context, core::follow_stream what);
 
   /// The body of the actor.
   void Run(caf::blocking_actor* self);
 
  private:
-  // Takes all messages that have come, and waits up to `pause_` for one.
-  // Returns true if there was a message.
-  bool TakeMessages(caf::blocking_actor* self);
   std::string NextPath() const;
   // Posts what was read, and sets where and when to read next.
   void Handle(const http_reply& reply);
@@ -26,8 +23,8 @@
   void HandleRead(core::log_read read);
 
   const core::stream_name stream_;
-  // Offset of the newest record that was posted; nothing when not followed.
-  std::optional<core::log_offset> after_;
+  // Offset of the newest record that was posted.
+  core::log_offset after_ = 0;
   // True when nothing was read since the stream was followed or lost: the next
   // read then tells at once where the stream ends.
   bool is_fresh_ = true;
--- a/src/platform/worker.h
+++ b/src/platform/worker.h
@@ -6,10 +6,12 @@
 #include <cstddef>
 #include <mutex>
 #include <random>
+#include <utility>
 
 #include <caf/actor.hpp>
 #include <caf/allowed_unsafe_message_type.hpp>
 #include <caf/blocking_actor.hpp>
+#include <caf/send.hpp>
 
 #include "plantainhead/platform/platform_link.h"
 #include "platform/backoff.h"
@@ -22,10 +24,6 @@
 struct append_job {
   core::append_records what;
 };
-struct follow_job {
-  core::follow_stream what;
-};
-struct unfollow_job {};
 struct operation_job {
   core::run_operation what;
 };
@@ -34,8 +32,6 @@
 }  // namespace plantainhead::platform
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::platform::append_job)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::platform::follow_job)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::platform::unfollow_job)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::platform::operation_job)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(plantainhead::platform::stop_job)
 
@@ -45,7 +41,6 @@
 struct link_context {
   platform_options options;
   platform_link::post_function post;
-  std::atomic<bool> stopping = false;
 
   std::mutex mutex;
   /// Signalled when a worker has ended.
@@ -53,14 +48,6 @@
   /// Workers whose thread still runs. Guarded by `mutex`.
   std::size_t running = 0;
 
-  /// Posts `what` unless the link is being stopped.
-  /// Thread safety: safe from any thread.
-  void Post(core::event what) {
-    if (!stopping) {
-      post(std::move(what));
-    }
-  }
-
   backoff MakeBackoff() const {
     return backoff(options.first_backoff, options.greatest_backoff,
                    std::random_device()());
@@ -68,9 +55,7 @@
 };
 
 /// A blocking actor with a connection of its own. A derived worker has
-/// `void Run(caf::blocking_actor* self)`, which returns once
-/// `link_context::stopping` is set and a `stop_job` or an interruption has
-/// come.
+/// `void Run(caf::blocking_actor* self)`, which returns soon after `Stop`.
 class worker {
  public:
   worker(link_context* context, core::duration answer_timeout)
@@ -83,21 +68,44 @@
   worker(const worker&) = delete;
   worker& operator=(const worker&) = delete;
 
-  /// Ends a request that is in progress.
+  /// Ends the worker: it posts nothing that it has not begun to post. A request
+  /// that it is just about to send may still run to its end, unless this is
+  /// called again.
+  /// Thread safety: safe from any thread.
+  void Stop() {
+    stopping_ = true;
+    caf::anon_send(address_, stop_job{});
+    client_.Interrupt();
+  }
+
+  /// Returns true once the worker's thread no longer uses it.
   /// Thread safety: safe from any thread.
-  void Interrupt() { client_.Interrupt(); }
+  bool HasEnded() const { return has_ended_; }
 
-  /// The actor that runs this worker; set before the link uses it.
-  caf::actor address;
+  /// Used by the link when it starts the actor that runs this worker.
+  void set_address(caf::actor address) { address_ = std::move(address); }
+  const caf::actor& address() const { return address_; }
+  void set_ended() { has_ended_ = true; }
 
  protected:
   ~worker() = default;
 
-  bool IsStopping() const { return context_.stopping; }
+  bool IsStopping() const { return stopping_; }
   const platform_options& options() const { return context_.options; }
 
+  void Post(core::event what) {
+    if (!IsStopping()) {
+      context_.post(std::move(what));
+    }
+  }
+
   link_context& context_;
   http_client client_;
+
+ private:
+  caf::actor address_;
+  std::atomic<bool> stopping_ = false;
+  std::atomic<bool> has_ended_ = false;
 };
 
 }  // namespace plantainhead::platform
