--- a/fakes/fleet_model.h
+++ b/fakes/fleet_model.h
@@ -9,32 +9,14 @@
 #include <string>
 
 #include "change_feed.h"
+#include "operation_answer.h"
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/platform_types.h"
 #include "plantainhead/core/time.h"
+#include "task_model.h"
 
 namespace plantainhead::fakes {
 
-/// How far an operation has come.
-enum class operation_progress { kDone, kRunning, kRefused };
-
-inline constexpr core::name_table<operation_progress, 3>
-    kOperationProgressNames = {{
-        {operation_progress::kDone, "done"},
-        {operation_progress::kRunning, "running"},
-        {operation_progress::kRefused, "refused"},
-    }};
-inline constexpr const auto& NamesOf(operation_progress) {
-  return kOperationProgressNames;
-}
-
-struct operation_answer {
-  operation_progress progress = operation_progress::kDone;
-  std::string detail;
-  /// Requests that a draining VM still runs.
-  std::optional<std::uint32_t> in_flight;
-};
-
 /// A call that the platform makes to a VM's runner.
 struct runner_call {
   std::string host;
@@ -57,21 +39,11 @@
   std::optional<core::duration> reboot_time;
 };
 
-/// How a job's tasks behave, whatever was declared.
-struct job_behaviour {
-  /// Never ends by itself without it.
-  std::optional<core::duration> run_time;
-  bool fails = false;
-  std::uint32_t processors_used = 1;
-  std::uint32_t memory_used_mb = 0;
-};
-
-/// VMs in racks and pools, tasks under leases, and the operations on them.
+/// VMs in racks and pools, and the operations on them and on their tasks.
 /// Every method takes the time, which never goes back. Thread safety: none.
 class fleet_model {
  public:
   using vm_view = change_feed<core::vm_id, core::vm_listing>::view;
-  using task_view = change_feed<core::job_id, core::task_listing>::view;
 
   void set_list_lag(core::duration lag) { list_lag_ = lag; }
   core::duration list_lag() const { return list_lag_; }
@@ -86,14 +58,10 @@
                 core::time_point now);
   /// Takes a VM away for good; its tasks are lost. False if it isn't there.
   bool Remove(const core::vm_id& vm, core::time_point now);
-  /// Ends a running task as `state`. False if there is none.
-  bool EndTask(const core::job_id& job,
-               core::task_state state,
-               const std::string& detail,
-               core::time_point now);
-
+  /// Without effect for a VM that isn't there.
   void SetBehaviour(const core::vm_id& vm, const vm_behaviour& behaviour);
-  void SetBehaviour(const core::job_id& job, const job_behaviour& behaviour);
+
+  task_model& tasks() { return tasks_; }
 
   /// Starts the operation, or tells how far it is when `id` was seen before.
   /// `answer` holds unless `call` is a drain, whose answer `FinishDrain` gives.
@@ -108,7 +76,9 @@
 
   /// What the lagging lists show.
   vm_view ReadVms(std::uint64_t since, core::time_point now);
-  task_view ReadTasks(std::uint64_t since, core::time_point now);
+  task_model::view ReadTasks(std::uint64_t since, core::time_point now) {
+    return tasks_.Read(since, now, list_lag_);
+  }
 
   const std::map<core::vm_id, std::uint64_t>& reboots() const {
     return reboots_;
@@ -124,86 +94,37 @@
     std::optional<core::time_point> live_again;
   };
 
-  struct task {
-    core::task_listing listing;
-    core::start_task asked;
-    core::time_point lease_until;
-    // Work done before `since`; work goes on at `percent` of its speed.
-    core::duration done{};
-    core::time_point since;
-    std::uint32_t percent = 100;
-  };
-
   struct known_operation {
     core::platform_operation what;
     operation_answer answer;
   };
 
-  // What may end a task, and when.
-  struct task_end {
-    core::time_point at;
-    core::task_state state = core::task_state::kLapsed;
-    const char* detail = "";
-  };
-
-  // Lets happen what was due by `now`.
+  // Brings back the VMs whose reboot had ended by `now`.
   void Advance(core::time_point now);
-  task_end NextEnd(const task& item) const;
-  void End(task* item,
-           core::task_state state,
-           const std::string& detail,
-           core::time_point at);
-  void EndAllOn(const core::vm_id& vm,
-                const std::string& detail,
-                core::time_point at);
   void Publish(const vm& item, core::time_point at);
-  void Publish(const task& item, core::time_point at);
-  void SetUsage(task* item) const;
-  static core::duration WorkDone(const task& item, core::time_point now);
-  bool HasRoom(const core::start_task& asked) const;
-
   vm* FindVm(const core::vm_id& name);
-  task* FindTask(const core::job_id& job, const core::vm_id& vm);
-  job_behaviour BehaviourOf(const core::job_id& job) const;
   void Remember(const core::operation_id& id, known_operation known);
 
   operation_step Start(const core::operation_id& id,
-                       const core::drain_vm& what,
-                       core::time_point now);
-  operation_step Start(const core::operation_id& id,
-                       const core::reboot_vm& what,
-                       core::time_point now);
-  operation_step Start(const core::operation_id& id,
-                       const core::move_vm& what,
-                       core::time_point now);
-  operation_step Start(const core::operation_id& id,
-                       const core::start_task& what,
-                       core::time_point now);
-  operation_step Start(const core::operation_id& id,
-                       const core::renew_task& what,
-                       core::time_point now);
-  operation_step Start(const core::operation_id& id,
-                       const core::checkpoint_task& what,
-                       core::time_point now);
-  operation_step Start(const core::operation_id& id,
-                       const core::throttle_task& what,
-                       core::time_point now);
-  operation_step Start(const core::operation_id& id,
-                       const core::stop_task& what,
+                       const core::platform_operation& operation,
                        core::time_point now);
+  operation_step StartDrain(const core::drain_vm& what);
+  operation_step StartReboot(const core::reboot_vm& what, core::time_point now);
+  operation_answer Move(const core::move_vm& what, core::time_point now);
+  operation_answer StartTask(const core::operation_id& id,
+                             const core::start_task& what,
+                             core::time_point now);
   operation_step Continue(const known_operation& known);
 
   core::duration list_lag_{};
   core::duration reboot_time_ = std::chrono::seconds(2);
+  task_model tasks_;
   std::map<core::vm_id, vm> vms_;
-  std::map<core::job_id, task> tasks_;
-  std::map<core::job_id, job_behaviour> behaviours_;
   std::map<core::operation_id, known_operation> known_;
   std::deque<core::operation_id> known_order_;
   std::map<core::vm_id, std::uint64_t> reboots_;
   std::map<std::string, std::uint64_t> operations_;
-  change_feed<core::vm_id, core::vm_listing> vm_feed_;
-  change_feed<core::job_id, core::task_listing> task_feed_;
+  change_feed<core::vm_id, core::vm_listing> feed_;
 };
 
 }  // namespace plantainhead::fakes
--- a/fakes/platform_server.cc
+++ b/fakes/platform_server.cc
@@ -490,7 +490,7 @@
     ReadMilliseconds(in, "run_time_ms", &behaviour.run_time.emplace());
   }
   const std::lock_guard lock(mutex_);
-  fleet_.SetBehaviour(core::job_id(request.matches[1]), behaviour);
+  fleet_.tasks().SetBehaviour(core::job_id(request.matches[1]), behaviour);
   Answer(response, kOk, json::object());
 }
 
@@ -504,8 +504,8 @@
   in("state", state);
   in("detail", detail);
   const std::lock_guard lock(mutex_);
-  const bool is_there =
-      fleet_.EndTask(core::job_id(request.matches[1]), state, detail, Now());
+  const bool is_there = fleet_.tasks().EndTask(core::job_id(request.matches[1]),
+                                               state, detail, Now());
   Answer(response, is_there ? kOk : kNotFound, json::object());
 }
 
--- a/tests/platform/fleet_model_test.cc
+++ b/tests/platform/fleet_model_test.cc
@@ -123,7 +123,7 @@
 }
 
 TEST_CASE_METHOD(fleet_fixture, "A checkpointed task goes on where it was") {
-  fleet_.SetBehaviour(kJob, {8s, false, 2, 50});
+  fleet_.tasks().SetBehaviour(kJob, {8s, false, 2, 50});
   StartTask("o1", kStart);
   CHECK(TaskAt(kStart).processors_used == 2);
   CHECK(Run("o2", throttle_task{kJob, kVm, 50}, kStart + 2s) ==
