--- a/tests/endpoint/endpoint_link_test.cc
+++ b/tests/endpoint/endpoint_link_test.cc
@@ -262,6 +262,28 @@
     CHECK(*entry.AwaitReply().body == "hello");
   }
 
+  SECTION("not when bytes came while nobody waited for any") {
+    first.Send(kHello);
+    entry.AwaitReply();
+    first.Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection second = endpoint.Accept();
+    second.ReadMessage(kBodySize);
+    second.Send(kHello);
+    CHECK(*entry.AwaitReply().body == "hello");
+  }
+
+  SECTION("not when the endpoint closed it meanwhile") {
+    first.Send(kHello);
+    entry.AwaitReply();
+    first.Close();
+    entry.Start(entry.Request(endpoint.port()));
+    const raw_connection second = endpoint.Accept();
+    second.ReadMessage(kBodySize);
+    second.Send(kHello);
+    CHECK(*entry.AwaitReply().body == "hello");
+  }
+
   SECTION("not when the deadline passed before the answer") {
     core::call_endpoint hurried = entry.Request(endpoint.port());
     first.Send(kHello);
