--- a/include/plantainhead/core/pool_planner.h
+++ b/include/plantainhead/core/pool_planner.h
@@ -25,7 +25,7 @@
   std::uint32_t surplus = 0;
   /// VMs that pools lack.
   std::uint32_t lack = 0;
-  /// Moves that this planner has started.
+  /// Moves that this planner has carried out.
   std::uint64_t moves = 0;
 };
 
@@ -72,6 +72,11 @@
   bool HasRoom(const planner_context& context,
                const pool_id& pool,
                const pool_id& from) const;
+  /// Counts VMs that already drain towards the pools that lack them.
+  void CountMovers(const planner_context& context, balances& pools);
+  /// Returns true while the drain for a move has been asked for and not read
+  /// back.
+  bool IsStarting(const vm_view& vm) const;
   void MoveInTeams(const planner_context& context,
                    const pool_id& from,
                    const pool_id& to);
@@ -100,6 +105,7 @@
   std::map<pool_id, time_point> lack_since_;
   std::map<pool_id, time_point> surplus_since_;
   std::map<pool_id, std::uint32_t> surplus_;
+  std::map<vm_id, generation> starting_;
   std::map<team_id, std::uint32_t> team_vms_;
   pool_figures figures_;
 };
--- a/include/plantainhead/core/task_history.h
+++ b/include/plantainhead/core/task_history.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_CORE_TASK_HISTORY_H_
 #define PLANTAINHEAD_CORE_TASK_HISTORY_H_
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -17,6 +18,8 @@
   std::uint32_t processors = 0;
   std::uint32_t memory_mb = 0;
   std::uint32_t accelerators = 0;
+
+  friend auto operator<=>(const job_size&, const job_size&) = default;
 };
 
 /// Learns from the platform's list of tasks: which workers fail every task,
--- a/src/core/job_planner.cc
+++ b/src/core/job_planner.cc
@@ -22,6 +22,15 @@
 /// appends a second.
 constexpr std::size_t kPlacementsPerPlan = 100;
 
+/// What decides whether a job finds room; equal jobs all do or all don't.
+struct job_shape {
+  pool_id pool;
+  team_id team;
+  job_size size;
+
+  friend auto operator<=>(const job_shape&, const job_shape&) = default;
+};
+
 bool HoldsTask(const job_progress& job) {
   return job.state == job_state::kPlaced ||
          job.state == job_state::kCheckpointing;
@@ -358,27 +367,24 @@
   std::sort(waiting.begin(), waiting.end());
   job_placement room(context, history_);
   // Equal jobs that found no room would search again and again in a long queue.
-  std::set<
-      std::tuple<pool_id, team_id, std::uint32_t, std::uint32_t, std::uint32_t>>
-      full;
+  std::map<job_shape, std::string> full;
   std::size_t placed = 0;
   for (const auto& [key, job] : waiting) {
     if (placed >= kPlacementsPerPlan) {
       break;
     }
     const job_id& id = job->spec.name;
-    const job_size size = history_.SizeOf(job->spec);
-    const auto shape =
-        std::make_tuple(job->spec.pool, job->spec.team, size.processors,
-                        size.memory_mb, size.accelerators);
-    if (!job->spec.urgent && full.contains(shape)) {
-      context.reasons[ObjectOf(id)] = "no worker of its pool has room";
+    const job_shape shape{job->spec.pool, job->spec.team,
+                          history_.SizeOf(job->spec)};
+    const auto known = full.find(shape);
+    if (!job->spec.urgent && known != full.end()) {
+      context.reasons[ObjectOf(id)] = known->second;
       continue;
     }
     if (PlaceOne(context, room, id, *job)) {
       ++placed;
     } else if (history_.FailedOn(id).empty()) {
-      full.insert(shape);
+      full[shape] = context.reasons[ObjectOf(id)];
     }
   }
 }
--- a/src/core/pool_planner.cc
+++ b/src/core/pool_planner.cc
@@ -77,6 +77,10 @@
   ObserveZones(context);
   balances pools = Balance(context, capacity);
   CountTeams(context);
+  std::erase_if(starting_, [&](const auto& item) {
+    const vm_view* vm = context.view.FindVm(item.first);
+    return vm == nullptr || !IsStarting(*vm);
+  });
   UpdateFigures(context, pools, capacity);
   ObserveLacks(context, pools);
   AssignNew(context, pools);
@@ -114,7 +118,7 @@
         pools.try_emplace(name, item, domains_, !zone_is_out_).first->second;
     const pool_view* pool = context.view.FindPool(name);
     for (const vm_view* vm : pool->vms) {
-      if (IsMember(context, *vm)) {
+      if (IsMember(context, *vm) && !IsStarting(*vm)) {
         balance.Add(context.DomainOf(*vm, by_rack_));
       }
     }
@@ -219,6 +223,7 @@
     }
     pools.at(*receiver).Add(context.DomainOf(vm, by_rack_));
     MoveInTeams(context, vm.state->pool, *receiver);
+    ++figures_.moves;
     lifecycle.ReadmitTo(vm, *receiver,
                         "pool " + receiver->value() + " lacked it more than " +
                             vm.state->pool.value());
@@ -228,10 +233,7 @@
 void pool_planner::StartMoves(const planner_context& context,
                               const vm_lifecycle& lifecycle,
                               balances& pools) {
-  std::uint32_t under_way = 0;
-  for (const auto& [id, vm] : context.view.vms()) {
-    under_way += IsMover(vm) ? 1 : 0;
-  }
+  CountMovers(context, pools);
   std::set<vm_id> taken;
   std::set<pool_id> settled = PoolsWithShortLack(context, pools);
   while (true) {
@@ -241,12 +243,6 @@
       return;
     }
     pool_balance& to = pools.at(*receiver);
-    if (under_way > 0) {
-      // One that already drains will go there.
-      --under_way;
-      to.Add(zone_id());
-      continue;
-    }
     const std::optional<donor> best =
         BestDonor(context, lifecycle, pools, *receiver, taken);
     if (!best) {
@@ -264,10 +260,34 @@
                              Count(pools.at(best->from).need()) + " of its " +
                              Count(pools.at(best->from).size()));
     taken.insert(best->vm->id);
+    starting_[best->vm->id] = best->vm->state->version;
     pools.at(best->from).Remove(domain);
     to.Add(domain);
     MoveInTeams(context, best->from, *receiver);
-    ++figures_.moves;
+  }
+}
+
+bool pool_planner::IsStarting(const vm_view& vm) const {
+  const auto found = starting_.find(vm.id);
+  return found != starting_.end() && vm.is_pending && vm.serving() &&
+         vm.state->version == found->second;
+}
+
+void pool_planner::CountMovers(const planner_context& context,
+                               balances& pools) {
+  for (const auto& [id, vm] : context.view.vms()) {
+    const bool is_leaving =
+        IsMover(vm) &&
+        (vm.is_pending || vm.state->phase == vm_phase::kDraining);
+    if (!is_leaving && !IsStarting(vm)) {
+      continue;
+    }
+    const std::optional<pool_id> receiver =
+        NeediestPool(context, pools, vm.state->pool, {});
+    if (receiver) {
+      pools.at(*receiver).Add(context.DomainOf(vm, by_rack_));
+      MoveInTeams(context, vm.state->pool, *receiver);
+    }
   }
 }
 
--- a/src/core/wave_planner.cc
+++ b/src/core/wave_planner.cc
@@ -1,6 +1,7 @@
 #include "plantainhead/core/wave_planner.h"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace plantainhead::core {
@@ -181,10 +182,12 @@
     const pool_view& pool,
     const wave_progress& wave) const {
   std::vector<const vm_view*> found;
-  std::map<zone_id, bool> is_started;
+  std::set<zone_id> started;
+  std::map<zone_id, std::uint32_t> jobs;
   for (const vm_view* vm : pool.vms) {
+    jobs[vm->zone] += vm->jobs;
     if (wave.visited.contains(vm->id)) {
-      is_started[vm->zone] = true;
+      started.insert(vm->zone);
       continue;
     }
     const auto deferred = context.deferred.find(vm->id);
@@ -195,13 +198,16 @@
       found.push_back(vm);
     }
   }
-  // A zone that was begun is ended first, then by name; within it rack by rack.
+  // A zone that was begun is ended first, then the zones and VMs with the
+  // fewest jobs: what must move away then finds rebooted VMs and moves once.
+  const auto key = [&](const vm_view* vm) {
+    return std::make_tuple(!started.contains(vm->zone), jobs[vm->zone],
+                           std::cref(vm->zone), vm->jobs > 0,
+                           std::cref(vm->rack), std::cref(vm->id));
+  };
   std::sort(found.begin(), found.end(),
             [&](const vm_view* left, const vm_view* right) {
-              const bool left_new = !is_started.contains(left->zone);
-              const bool right_new = !is_started.contains(right->zone);
-              return std::tie(left_new, left->zone, left->rack, left->id) <
-                     std::tie(right_new, right->zone, right->rack, right->id);
+              return key(left) < key(right);
             });
   return found;
 }
--- a/tests/core/planner_harness.h
+++ b/tests/core/planner_harness.h
@@ -146,6 +146,8 @@
   std::set<operation_id> acted;
   std::map<vm_id, int> reboots;
   std::map<job_id, int> starts;
+  /// Starts of jobs that may still have run elsewhere.
+  int overlaps = 0;
   duration operation_time = std::chrono::seconds(10);
   duration run_time = std::chrono::minutes(5);
   std::function<void()> after_step;
@@ -158,6 +160,7 @@
   struct running_task {
     time_point ends;
     time_point lease_end;
+    bool is_over = false;
   };
 
   void Run(const run_operation& run) {
@@ -195,6 +198,11 @@
 
   void Start(const start_task& what, const operation_id& id) {
     ++starts[what.job];
+    const auto earlier = running_.find(what.job);
+    overlaps += earlier != running_.end() && !earlier->second.is_over &&
+                        now < earlier->second.lease_end
+                    ? 1
+                    : 0;
     std::erase_if(tasks, [&](const auto& t) { return t.job == what.job; });
     task_listing task;
     task.job = what.job;
@@ -208,6 +216,7 @@
   }
 
   void EndTask(const job_id& job, task_state state_now) {
+    running_[job].is_over = true;
     for (task_listing& task : tasks) {
       if (task.job == job && task.state == task_state::kRunning) {
         task.state = state_now;
@@ -220,12 +229,13 @@
       if (task.state != task_state::kRunning) {
         continue;
       }
-      const running_task& run = running_.at(task.job);
+      running_task& run = running_.at(task.job);
       if (now >= run.lease_end) {
         task.state = task_state::kLapsed;
       } else if (now >= run.ends) {
         task.state = task_state::kFinished;
       }
+      run.is_over = task.state != task_state::kRunning;
     }
   }
 
