--- a/include/plantainhead/core/fleet_view.h
+++ b/include/plantainhead/core/fleet_view.h
@@ -55,6 +55,9 @@
   const pool_spec* spec = nullptr;
   std::vector<const vm_view*> vms;
   std::uint32_t available = 0;
+  /// VMs that hold jobs, and jobs that wait for a worker of the pool.
+  std::uint32_t with_jobs = 0;
+  std::uint32_t waiting_jobs = 0;
 };
 
 /// The fold and the list joined, for one plan. It points into the inputs, which
--- a/include/plantainhead/core/pool_balance.h
+++ b/include/plantainhead/core/pool_balance.h
@@ -26,6 +26,8 @@
 
   std::uint32_t size() const { return size_; }
   std::uint32_t need() const { return capacity_.need; }
+  /// True when callers, not only jobs, lack what it lacks.
+  bool is_for_callers() const { return capacity_.is_known; }
   double tolerance() const { return capacity_.tolerance; }
   std::uint32_t CountIn(const zone_id& domain) const;
 
--- a/src/core/capacity.cc
+++ b/src/core/capacity.cc
@@ -179,10 +179,13 @@
     item.floor = VmsFor(slots.floor, per_vm);
   } else {
     // A pool without a service has only jobs, which a drain moves elsewhere.
+    // While jobs wait it is asked to grow by one VM at a time.
     const std::uint32_t divisor =
         slots.has_service ? kUnknownDemandDivisor : kJobPoolDivisor;
     const std::uint32_t away = std::max(1U, size / divisor);
-    item.need = std::max(least, size);
+    const std::uint32_t for_jobs =
+        pool.with_jobs + (pool.waiting_jobs > 0 ? 1 : 0);
+    item.need = std::max(least, slots.has_service ? size : for_jobs);
     item.floor = size > away ? size - away : 0;
   }
   // A pool that has no more than its least VMs still gets its maintenance, one
--- a/src/core/fleet_view.cc
+++ b/src/core/fleet_view.cc
@@ -76,6 +76,13 @@
     }
     found->second.vms.push_back(&vm);
     found->second.available += vm.available() ? 1 : 0;
+    found->second.with_jobs += vm.jobs > 0 ? 1 : 0;
+  }
+  for (const auto& [id, job] : inputs.state.jobs) {
+    const auto found = pools_.find(job.spec.pool);
+    if (job.state == job_state::kWaiting && found != pools_.end()) {
+      ++found->second.waiting_jobs;
+    }
   }
 }
 
--- a/src/core/pool_planner.cc
+++ b/src/core/pool_planner.cc
@@ -365,7 +365,7 @@
     const pool_id& receiver,
     const std::set<vm_id>& taken) const {
   const pool_balance& to = pools.at(receiver);
-  const bool is_urgent = to.BaseLack() > 0;
+  const bool is_urgent = to.BaseLack() > 0 && to.is_for_callers();
   std::optional<donor> best;
   std::tuple<bool, std::uint32_t, bool, std::int64_t, std::uint32_t> least;
   for (const auto& [name, from] : pools) {
--- a/tests/core/planner_harness.h
+++ b/tests/core/planner_harness.h
@@ -53,7 +53,12 @@
     EndTasks();
     FinishOperations();
     effects out;
-    planner_.OnTick(Inputs(), now, out);
+    const planner_inputs inputs = Inputs();
+    if (around_plan) {
+      around_plan([&] { planner_.OnTick(inputs, now, out); });
+    } else {
+      planner_.OnTick(inputs, now, out);
+    }
     for (const record_body& body : out.records) {
       if (!log_is_out) {
         Apply(body);
@@ -149,6 +154,8 @@
   /// Starts of jobs that may still have run elsewhere.
   int overlaps = 0;
   duration operation_time = std::chrono::seconds(10);
+  /// Called with each plan, which it must run; for measurements.
+  std::function<void(const std::function<void()>&)> around_plan;
   duration run_time = std::chrono::minutes(5);
   std::function<void()> after_step;
 
