--- a/tests/core/claims_test.cc
+++ b/tests/core/claims_test.cc
@@ -164,7 +164,7 @@
 
 // The platform's store took an append, but its answer was lost. The home can't
 // know, and appends the same record again; the stream may hold it twice.
-TEST_CASE("The answer to an append is lost") {
+TEST_CASE("The answer to the append of a claim is lost") {
   model_log log;
   claims_entry home(1, &log);
   MakeHome(home, kStart);
