Meter requests at each entry; give the planner demand and burn

Cause: the planner planned without demand, and no one knew what budgets had been spent. Ruled out: counts in the platform's log a request (rate); the planner asking each entry (another message). Change: request_meter counts an entry's own callers' requests by class and fate; the counts ride on heartbeats; fleet_meter turns them into demand and burn; each entry records what it counted every 5 minutes and when it stops. A suspected home of claims is passed over as a stopping one is: the demo's kill left 3 keys refused by the second home, which did not yet take itself for one.

--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -15,12 +15,14 @@
 #include "plantainhead/core/effects.h"
 #include "plantainhead/core/endpoint_table.h"
 #include "plantainhead/core/events.h"
+#include "plantainhead/core/fleet_meter.h"
 #include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/lease.h"
 #include "plantainhead/core/membership.h"
 #include "plantainhead/core/planner.h"
 #include "plantainhead/core/random.h"
 #include "plantainhead/core/request_core.h"
+#include "plantainhead/core/request_meter.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -40,6 +42,8 @@
   duration stop_notice = std::chrono::seconds(1);
   /// How long an entry that has ended its work waits for its leave record.
   duration leave_patience = std::chrono::seconds(2);
+  /// How often this entry's counts of requests are recorded.
+  duration count_interval = std::chrono::minutes(5);
   /// Starts the random choices.
   std::uint64_t seed = 1;
 };
@@ -76,6 +80,7 @@
   const control_log& control() const { return control_; }
   const planner& fleet_planner() const { return planner_; }
   const membership& members() const { return membership_; }
+  const request_meter& meter() const { return meter_; }
 
   /// Returns how full this entry's own endpoints are.
   std::vector<service_load> Load(time_point now) const;
@@ -114,6 +119,10 @@
   void FollowFold(time_point now, effects& out);
   void FollowMembers(time_point now, effects& out);
   void FollowSuspicion(time_point now, effects& out);
+  void TellClaimsTheirHomes(time_point now, effects& out);
+  void Meter(const action_list& actions, time_point now);
+  void RecordCounts(time_point now, effects& out);
+  bool IsInMaintenance(const service_name& service) const;
   void ExchangeClaims(time_point now, effects& out);
   void FollowReadiness(effects& out);
   void FollowStop(time_point now, effects& out);
@@ -129,6 +138,9 @@
   request_core requests_;
   claims claims_;
   planner planner_;
+  request_meter meter_;
+  fleet_meter fleet_meter_;
+  time_point counted_at_;
 
   std::vector<vm_listing> vms_;
   std::vector<task_listing> tasks_;
--- /dev/null
+++ b/include/plantainhead/core/fleet_meter.h
@@ -0,0 +1,60 @@
+#ifndef PLANTAINHEAD_CORE_FLEET_METER_H_
+#define PLANTAINHEAD_CORE_FLEET_METER_H_
+
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/messages.h"
+#include "plantainhead/core/planner_types.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core {
+
+/// Works out what the whole fleet is asked for, and how fast budgets burn, from
+/// the counts that entries send with their heartbeats.
+/// Thread safety: none.
+class fleet_meter {
+ public:
+  /// Over how long demand and burn are measured.
+  static constexpr duration kWindow = std::chrono::seconds(60);
+  static constexpr duration kSlot = std::chrono::seconds(5);
+
+  /// Takes in an entry's counts since its start. The first report of an entry
+  /// is only the base of what follows: its counts may be hours old. Empty lists
+  /// change nothing.
+  void Observe(incarnation who,
+               const std::vector<class_counts>& classes,
+               const std::vector<service_times>& times,
+               time_point now);
+
+  /// Forgets entries that aren't members.
+  void Retain(const std::map<incarnation, entry_member>& members);
+
+  std::map<service_name, service_demand> Demand(const configuration& targets,
+                                                time_point now) const;
+  std::map<class_name, class_burn> Budgets(const fleet_state& fleet,
+                                           time_point now) const;
+
+ private:
+  struct totals {
+    std::map<class_name, request_counts> classes;
+    std::map<service_name, service_times> times;
+  };
+  struct slot {
+    time_point start;
+    totals sum;
+  };
+
+  totals& SlotAt(time_point now);
+  totals Sum(time_point now) const;
+
+  std::map<incarnation, totals> newest_;
+  std::deque<slot> slots_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_FLEET_METER_H_
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -37,6 +37,7 @@
 
 action_list entry_core::Start(time_point now) {
   effects out;
+  counted_at_ = now;
   control_.Start(now, out);
   not_ready_reason_ = WhyNotReady();
   out.Do(set_ready{false, not_ready_reason_});
@@ -47,6 +48,7 @@
   effects out;
   std::visit([&](const auto& content) { On(content, now, out); }, item);
   Settle(now, out);
+  Meter(out.actions, now);
   return std::move(out.actions);
 }
 
@@ -63,12 +65,27 @@
   lease_.OnTick(now, fleet(), control_.log_readable(), out);
   claims_.OnTick(now, out, decisions_);
   requests_.OnTick(Context(), now, out);
-  if (!stopping()) {
+  fleet_meter_.Observe(options_.self.who, meter_.Classes(), meter_.Times(),
+                       now);
+  if (now - counted_at_ >= options_.count_interval) {
+    RecordCounts(now, out);
+  }
+  if (!stopping() && lease_.Holds(now)) {
     planner_.OnTick(PlannerInputs(now), now, out);
   }
 }
 
 void entry_core::On(const request_arrived& item, time_point now, effects& out) {
+  const service_routes* routes = endpoints_.Find(item.request.service);
+  if (routes != nullptr) {
+    const bool is_only =
+        item.request.work.empty() && routes->classes.size() == 1;
+    const work_class* work = is_only ? &routes->classes.front()
+                                     : routes->FindClass(item.request.work);
+    if (work != nullptr) {
+      meter_.OnArrival(item.sequence, *work, now);
+    }
+  }
   requests_.OnArrival(item, Context(), now, out);
 }
 
@@ -103,6 +120,7 @@
       [&](const heartbeat& message) {
         control_.OnPeerOffset(message.offset, message.digest, from, out);
         requests_.OnPeerLoad(from, message.load);
+        fleet_meter_.Observe(from, message.classes, message.times, now);
         const bool was_stopping = stopping_members_.contains(from);
         if (message.stopping && !was_stopping) {
           stopping_members_.insert(from);
@@ -122,10 +140,12 @@
 void entry_core::On(const endpoint_replied& item,
                     time_point now,
                     effects& out) {
+  meter_.OnCallEnded(item.call, now);
   requests_.OnEndpointReplied(item, Context(), now, out);
 }
 
 void entry_core::On(const endpoint_failed& item, time_point now, effects& out) {
+  meter_.OnCallEnded(item.call, now);
   requests_.OnEndpointFailed(item, Context(), now, out);
 }
 
@@ -197,6 +217,8 @@
   contents.caught_up = control_.caught_up() && !stopping();
   contents.log_out = !control_.log_readable();
   contents.load = Load(now);
+  contents.classes = meter_.Classes();
+  contents.times = meter_.Times();
   for (const vm_in_flight& item : requests_.InFlight()) {
     const auto vm = fleet().vms.find(item.vm);
     if (vm != fleet().vms.end() && vm->second.phase != vm_phase::kServing) {
@@ -211,6 +233,8 @@
   inputs.holds_lease = lease_.Holds(now);
   inputs.epoch = lease_.epoch();
   inputs.listed_at = listed_at_;
+  inputs.demand = fleet_meter_.Demand(fleet().targets, now);
+  inputs.budgets = fleet_meter_.Budgets(fleet(), now);
   inputs.reported_offset = fleet().offset;
   for (const vm_in_flight& item : requests_.InFlight()) {
     inputs.in_flight[item.vm] += item.requests;
@@ -269,10 +293,21 @@
   }
   known_members_ = std::move(members);
   followed_view_ = fleet().view;
-  claims_.OnViewChanged(fleet(), stopping_members_, now, out);
+  fleet_meter_.Retain(fleet().members);
+  TellClaimsTheirHomes(now, out);
+}
+
+// A home that isn't heard is passed over like one that is stopping: its keys
+// would be refused until the fleet has expelled it. Should it live, both write
+// claims, and the log's order decides.
+void entry_core::TellClaimsTheirHomes(time_point now, effects& out) {
+  std::set<incarnation> excluded = stopping_members_;
+  excluded.insert(suspects_.begin(), suspects_.end());
+  claims_.OnViewChanged(fleet(), excluded, now, out);
 }
 
 void entry_core::FollowSuspicion(time_point now, effects& out) {
+  const std::set<incarnation> before = suspects_;
   for (const incarnation who : known_members_) {
     const bool suspected = membership_.Suspects(who);
     if (suspected && suspects_.insert(who).second) {
@@ -282,6 +317,46 @@
       suspects_.erase(who);
     }
   }
+  if (suspects_ != before) {
+    TellClaimsTheirHomes(now, out);
+  }
+}
+
+bool entry_core::IsInMaintenance(const service_name& service) const {
+  const service_spec* spec = fleet().targets.FindService(service);
+  if (spec == nullptr) {
+    return false;
+  }
+  return std::any_of(fleet().vms.begin(), fleet().vms.end(),
+                     [&](const auto& item) {
+                       return item.second.phase != vm_phase::kServing &&
+                              std::find(spec->pools.begin(), spec->pools.end(),
+                                        item.second.pool) != spec->pools.end();
+                     });
+}
+
+void entry_core::Meter(const action_list& actions, time_point now) {
+  for (const action& item : actions) {
+    if (const auto* call = std::get_if<call_endpoint>(&item)) {
+      meter_.OnCall(*call, now);
+    }
+    if (const auto* answer = std::get_if<answer_caller>(&item)) {
+      const bool is_done = answer->answer.result == outcome::kDone;
+      const service_name* service = meter_.ServiceOf(answer->sequence);
+      // Only looked up for the few that may have missed their target.
+      const bool in_maintenance =
+          service != nullptr && !is_done && IsInMaintenance(*service);
+      meter_.OnAnswer(*answer, in_maintenance, now);
+    }
+  }
+}
+
+void entry_core::RecordCounts(time_point now, effects& out) {
+  counted_at_ = now;
+  std::map<class_name, request_counts> counts = meter_.TakeUnrecorded();
+  if (!counts.empty()) {
+    out.Append(count_requests{options_.self.who, now, std::move(counts)});
+  }
 }
 
 void entry_core::ExchangeClaims(time_point now, effects& out) {
@@ -360,6 +435,7 @@
   }
   if (!left_at_) {
     left_at_ = now;
+    RecordCounts(now, out);
     membership_.Leave(fleet(), out);
   }
   const bool left = !fleet().members.contains(options_.self.who);
