--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -141,6 +141,7 @@
   request_meter meter_;
   fleet_meter fleet_meter_;
   time_point counted_at_;
+  time_point planned_at_;
 
   std::vector<vm_listing> vms_;
   std::vector<task_listing> tasks_;
--- a/include/plantainhead/core/membership.h
+++ b/include/plantainhead/core/membership.h
@@ -49,6 +49,8 @@
   bool log_out = false;
   std::vector<service_load> load;
   std::vector<vm_in_flight> in_flight;
+  std::vector<class_counts> classes = {};
+  std::vector<service_times> times = {};
 };
 
 /// What is known of another entry by its heartbeats.
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -70,7 +70,8 @@
   if (now - counted_at_ >= options_.count_interval) {
     RecordCounts(now, out);
   }
-  if (!stopping() && lease_.Holds(now)) {
+  if (!stopping() && now - planned_at_ >= options_.planner.plan_interval) {
+    planned_at_ = now;
     planner_.OnTick(PlannerInputs(now), now, out);
   }
 }
@@ -119,7 +120,9 @@
       },
       [&](const heartbeat& message) {
         control_.OnPeerOffset(message.offset, message.digest, from, out);
-        requests_.OnPeerLoad(from, message.load);
+        if (message.complete) {
+          requests_.OnPeerLoad(from, message.load);
+        }
         fleet_meter_.Observe(from, message.classes, message.times, now);
         const bool was_stopping = stopping_members_.contains(from);
         if (message.stopping && !was_stopping) {
--- a/src/core/membership_heartbeats.cc
+++ b/src/core/membership_heartbeats.cc
@@ -47,6 +47,8 @@
   if (complete) {
     made.load = contents.load;
     made.in_flight = contents.in_flight;
+    made.classes = contents.classes;
+    made.times = contents.times;
   }
   return made;
 }
--- a/src/entry/frame_generated.h
+++ b/src/entry/frame_generated.h
@@ -43,6 +43,12 @@
 struct CancelForward;
 struct CancelForwardBuilder;
 
+struct ClassCounts;
+struct ClassCountsBuilder;
+
+struct ServiceTimes;
+struct ServiceTimesBuilder;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 
@@ -893,6 +899,160 @@
   static auto constexpr Create = CreateCancelForward;
 };
 
+struct ClassCounts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ClassCountsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORK = 4,
+    VT_BY_FATE = 6
+  };
+  const flatbuffers::String *work() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORK);
+  }
+  const flatbuffers::Vector<uint64_t> *by_fate() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BY_FATE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_WORK) &&
+           verifier.VerifyString(work()) &&
+           VerifyOffset(verifier, VT_BY_FATE) &&
+           verifier.VerifyVector(by_fate()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ClassCountsBuilder {
+  typedef ClassCounts Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_work(flatbuffers::Offset<flatbuffers::String> work) {
+    fbb_.AddOffset(ClassCounts::VT_WORK, work);
+  }
+  void add_by_fate(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> by_fate) {
+    fbb_.AddOffset(ClassCounts::VT_BY_FATE, by_fate);
+  }
+  explicit ClassCountsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ClassCounts> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ClassCounts>(end);
+    fbb_.Required(o, ClassCounts::VT_WORK);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ClassCounts> CreateClassCounts(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> work = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> by_fate = 0) {
+  ClassCountsBuilder builder_(_fbb);
+  builder_.add_by_fate(by_fate);
+  builder_.add_work(work);
+  return builder_.Finish();
+}
+
+struct ClassCounts::Traits {
+  using type = ClassCounts;
+  static auto constexpr Create = CreateClassCounts;
+};
+
+inline flatbuffers::Offset<ClassCounts> CreateClassCountsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *work = nullptr,
+    const std::vector<uint64_t> *by_fate = nullptr) {
+  auto work__ = work ? _fbb.CreateString(work) : 0;
+  auto by_fate__ = by_fate ? _fbb.CreateVector<uint64_t>(*by_fate) : 0;
+  return plantainhead::entry::wire::CreateClassCounts(
+      _fbb,
+      work__,
+      by_fate__);
+}
+
+struct ServiceTimes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ServiceTimesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_FINISHED = 6,
+    VT_HELD_MICROSECONDS = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t finished() const {
+    return GetField<uint64_t>(VT_FINISHED, 0);
+  }
+  int64_t held_microseconds() const {
+    return GetField<int64_t>(VT_HELD_MICROSECONDS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_FINISHED, 8) &&
+           VerifyField<int64_t>(verifier, VT_HELD_MICROSECONDS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ServiceTimesBuilder {
+  typedef ServiceTimes Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(ServiceTimes::VT_SERVICE, service);
+  }
+  void add_finished(uint64_t finished) {
+    fbb_.AddElement<uint64_t>(ServiceTimes::VT_FINISHED, finished, 0);
+  }
+  void add_held_microseconds(int64_t held_microseconds) {
+    fbb_.AddElement<int64_t>(ServiceTimes::VT_HELD_MICROSECONDS, held_microseconds, 0);
+  }
+  explicit ServiceTimesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ServiceTimes> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ServiceTimes>(end);
+    fbb_.Required(o, ServiceTimes::VT_SERVICE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ServiceTimes> CreateServiceTimes(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t finished = 0,
+    int64_t held_microseconds = 0) {
+  ServiceTimesBuilder builder_(_fbb);
+  builder_.add_held_microseconds(held_microseconds);
+  builder_.add_finished(finished);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct ServiceTimes::Traits {
+  using type = ServiceTimes;
+  static auto constexpr Create = CreateServiceTimes;
+};
+
+inline flatbuffers::Offset<ServiceTimes> CreateServiceTimesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t finished = 0,
+    int64_t held_microseconds = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return plantainhead::entry::wire::CreateServiceTimes(
+      _fbb,
+      service__,
+      finished,
+      held_microseconds);
+}
+
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HeartbeatBuilder Builder;
   struct Traits;
@@ -905,7 +1065,9 @@
     VT_LOAD = 14,
     VT_IN_FLIGHT = 16,
     VT_COMPLETE = 18,
-    VT_SUSPECTED = 20
+    VT_SUSPECTED = 20,
+    VT_CLASSES = 22,
+    VT_TIMES = 24
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -934,6 +1096,12 @@
   const flatbuffers::Vector<uint64_t> *suspected() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECTED);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ClassCounts>> *classes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ClassCounts>> *>(VT_CLASSES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ServiceTimes>> *times() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ServiceTimes>> *>(VT_TIMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -950,6 +1118,12 @@
            VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            VerifyOffset(verifier, VT_SUSPECTED) &&
            verifier.VerifyVector(suspected()) &&
+           VerifyOffset(verifier, VT_CLASSES) &&
+           verifier.VerifyVector(classes()) &&
+           verifier.VerifyVectorOfTables(classes()) &&
+           VerifyOffset(verifier, VT_TIMES) &&
+           verifier.VerifyVector(times()) &&
+           verifier.VerifyVectorOfTables(times()) &&
            verifier.EndTable();
   }
 };
@@ -985,6 +1159,12 @@
   void add_suspected(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspected) {
     fbb_.AddOffset(Heartbeat::VT_SUSPECTED, suspected);
   }
+  void add_classes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ClassCounts>>> classes) {
+    fbb_.AddOffset(Heartbeat::VT_CLASSES, classes);
+  }
+  void add_times(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ServiceTimes>>> times) {
+    fbb_.AddOffset(Heartbeat::VT_TIMES, times);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1006,11 +1186,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ServiceLoad>>> load = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::VmInFlight>>> in_flight = 0,
     bool complete = true,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspected = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspected = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ClassCounts>>> classes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<plantainhead::entry::wire::ServiceTimes>>> times = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_offset(offset);
   builder_.add_sequence(sequence);
+  builder_.add_times(times);
+  builder_.add_classes(classes);
   builder_.add_suspected(suspected);
   builder_.add_in_flight(in_flight);
   builder_.add_load(load);
@@ -1035,10 +1219,14 @@
     const std::vector<flatbuffers::Offset<plantainhead::entry::wire::ServiceLoad>> *load = nullptr,
     const std::vector<flatbuffers::Offset<plantainhead::entry::wire::VmInFlight>> *in_flight = nullptr,
     bool complete = true,
-    const std::vector<uint64_t> *suspected = nullptr) {
+    const std::vector<uint64_t> *suspected = nullptr,
+    const std::vector<flatbuffers::Offset<plantainhead::entry::wire::ClassCounts>> *classes = nullptr,
+    const std::vector<flatbuffers::Offset<plantainhead::entry::wire::ServiceTimes>> *times = nullptr) {
   auto load__ = load ? _fbb.CreateVector<flatbuffers::Offset<plantainhead::entry::wire::ServiceLoad>>(*load) : 0;
   auto in_flight__ = in_flight ? _fbb.CreateVector<flatbuffers::Offset<plantainhead::entry::wire::VmInFlight>>(*in_flight) : 0;
   auto suspected__ = suspected ? _fbb.CreateVector<uint64_t>(*suspected) : 0;
+  auto classes__ = classes ? _fbb.CreateVector<flatbuffers::Offset<plantainhead::entry::wire::ClassCounts>>(*classes) : 0;
+  auto times__ = times ? _fbb.CreateVector<flatbuffers::Offset<plantainhead::entry::wire::ServiceTimes>>(*times) : 0;
   return plantainhead::entry::wire::CreateHeartbeat(
       _fbb,
       sequence,
@@ -1049,7 +1237,9 @@
       load__,
       in_flight__,
       complete,
-      suspected__);
+      suspected__,
+      classes__,
+      times__);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/entry/frame_reader.cc
+++ b/src/entry/frame_reader.cc
@@ -95,6 +95,43 @@
   return result;
 }
 
+std::vector<core::class_counts> ReadClasses(
+    const items_of<wire::ClassCounts>* classes) {
+  std::vector<core::class_counts> result;
+  if (!classes) {
+    return result;
+  }
+  result.reserve(classes->size());
+  for (const wire::ClassCounts* item : *classes) {
+    core::class_counts& read = result.emplace_back();
+    read.work = core::class_name(item->work()->str());
+    const auto* by_fate = item->by_fate();
+    const std::size_t known = read.counts.by_fate.size();
+    // A newer sender may know more fates.
+    for (std::size_t i = 0; by_fate && i < std::min<std::size_t>(
+                                               known, by_fate->size());
+         ++i) {
+      read.counts.by_fate[i] = by_fate->Get(static_cast<std::uint32_t>(i));
+    }
+  }
+  return result;
+}
+
+std::vector<core::service_times> ReadTimes(
+    const items_of<wire::ServiceTimes>* times) {
+  std::vector<core::service_times> result;
+  if (!times) {
+    return result;
+  }
+  result.reserve(times->size());
+  for (const wire::ServiceTimes* item : *times) {
+    result.push_back({core::service_name(item->service()->str()),
+                      item->finished(),
+                      core::duration(item->held_microseconds())});
+  }
+  return result;
+}
+
 core::request_envelope ReadRequest(const wire::Request& request,
                                    core::time_point now) {
   core::request_envelope result;
@@ -153,6 +190,8 @@
   result.load = ReadLoad(item.load());
   result.in_flight = ReadInFlight(item.in_flight());
   result.complete = item.complete();
+  result.classes = ReadClasses(item.classes());
+  result.times = ReadTimes(item.times());
   if (item.suspected()) {
     for (const std::uint64_t number : *item.suspected()) {
       result.suspected.push_back(core::incarnation{number});
--- a/src/entry/frame_writer.cc
+++ b/src/entry/frame_writer.cc
@@ -85,6 +85,33 @@
   return items.empty() ? 0 : builder.CreateVector(items);
 }
 
+offsets<wire::ClassCounts> WriteClasses(
+    FlatBufferBuilder& builder,
+    const std::vector<core::class_counts>& classes) {
+  std::vector<Offset<wire::ClassCounts>> items;
+  items.reserve(classes.size());
+  for (const core::class_counts& item : classes) {
+    const auto work = builder.CreateString(item.work.value());
+    const auto by_fate = builder.CreateVector(item.counts.by_fate.data(),
+                                              item.counts.by_fate.size());
+    items.push_back(wire::CreateClassCounts(builder, work, by_fate));
+  }
+  return items.empty() ? 0 : builder.CreateVector(items);
+}
+
+offsets<wire::ServiceTimes> WriteTimes(
+    FlatBufferBuilder& builder,
+    const std::vector<core::service_times>& times) {
+  std::vector<Offset<wire::ServiceTimes>> items;
+  items.reserve(times.size());
+  for (const core::service_times& item : times) {
+    const auto service = builder.CreateString(item.service.value());
+    items.push_back(wire::CreateServiceTimes(builder, service, item.finished,
+                                             item.held.count()));
+  }
+  return items.empty() ? 0 : builder.CreateVector(items);
+}
+
 Offset<Vector<std::uint64_t>> WriteSuspected(
     FlatBufferBuilder& builder,
     const std::vector<core::incarnation>& suspected) {
@@ -159,9 +186,12 @@
             const auto load = WriteLoad(builder, item.load);
             const auto in_flight = WriteInFlight(builder, item.in_flight);
             const auto suspected = WriteSuspected(builder, item.suspected);
+            const auto classes = WriteClasses(builder, item.classes);
+            const auto times = WriteTimes(builder, item.times);
             const auto at = wire::CreateHeartbeat(
                 builder, item.sequence, item.offset, item.digest, item.ready,
-                item.stopping, load, in_flight, item.complete, suspected);
+                item.stopping, load, in_flight, item.complete, suspected,
+                classes, times);
             return {wire::Message::Heartbeat, at.Union()};
           },
       },
