--- a/include/plantainhead/core/owner_loads.h
+++ b/include/plantainhead/core/owner_loads.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -24,13 +25,20 @@
   /// A request was forwarded to an owner; counts until its next report.
   void OnForwarded(incarnation owner, const service_name& service);
 
-  void Forget(incarnation owner);
+  /// The connection to an owner was lost: it isn't chosen until it reports
+  /// again. Otherwise each request sent to it would be lost too, and one that
+  /// isn't idempotent would end as unknown, until the owner is suspected.
+  void OnLost(incarnation owner);
+  bool IsLost(incarnation owner) const { return lost_.contains(owner); }
+
+  /// Forgets all who are no members any more.
+  void Prune(const fleet_state& fleet);
 
   /// Returns the owner for a request of a service: this entry itself if it has
   /// a free slot (`own_load`), else the less full of two drawn at random,
   /// each by its number of slots; when they tie, the one in this entry's zone.
-  /// Suspects and those in `avoid` are passed over. Returns nothing if nobody
-  /// is left.
+  /// Suspects, lost ones and those in `avoid` are passed over. Returns nothing
+  /// if nobody is left.
   std::optional<incarnation> Choose(const service_routes& routes,
                                     const service_load& own_load,
                                     const routing_context& context,
@@ -53,10 +61,10 @@
   using load_by_service = std::unordered_map<service_name, known_load>;
 
   const known_load* Find(incarnation owner, const service_name& service) const;
-  static bool IsUsable(const owner_share& share,
-                       const service_load& own_load,
-                       const routing_context& context,
-                       const std::vector<incarnation>& avoid);
+  bool IsUsable(const owner_share& share,
+                const service_load& own_load,
+                const routing_context& context,
+                const std::vector<incarnation>& avoid) const;
   /// Returns one at random, each by its slots; null if there are none.
   static const owner_share* Draw(const std::vector<const owner_share*>& shares,
                                  random_source& random);
@@ -65,6 +73,7 @@
   double WaitScore(const owner_share& share, const service_name& service) const;
 
   std::unordered_map<incarnation, load_by_service> loads_;
+  std::set<incarnation> lost_;
 };
 
 }  // namespace plantainhead::core
--- a/include/plantainhead/core/request_core.h
+++ b/include/plantainhead/core/request_core.h
@@ -165,7 +165,9 @@
                     const routing_context& context,
                     time_point now,
                     effects& out);
+  /// `own` is this entry's load of the service.
   void Enqueue(request& item,
+               const service_load& own,
                const routing_context& context,
                time_point now,
                effects& out);
@@ -177,8 +179,9 @@
                 const endpoint_info& endpoint,
                 time_point now,
                 effects& out);
+  /// Returns the least busy endpoint of this entry's with a free slot, or null.
   const endpoint_info* PickEndpoint(const service_routes& routes,
-                                    const request* item,
+                                    const std::vector<vm_id>& avoid,
                                     time_point now) const;
   void OnAttemptFailed(request& item,
                        const endpoint_failed& event,
@@ -186,6 +189,7 @@
                        const routing_context& context,
                        time_point now,
                        effects& out);
+  /// An endpoint or owner may be tried once more.
   bool MayRetry(const request& item, time_point now) const;
   bool ShouldAskAnother(const request& item,
                         const response& answer,
--- a/src/core/endpoint_health.cc
+++ b/src/core/endpoint_health.cc
@@ -51,6 +51,9 @@
 std::uint32_t endpoint_health::Allowed(const vm_id& vm,
                                        time_point now,
                                        std::uint32_t slots) const {
+  if (records_.empty()) {
+    return slots;
+  }
   const auto found = records_.find(vm);
   if (found == records_.end()) {
     return slots;
@@ -63,6 +66,9 @@
 }
 
 bool endpoint_health::IsFull(const vm_id& vm, time_point now) const {
+  if (records_.empty()) {
+    return false;
+  }
   const auto found = records_.find(vm);
   return found != records_.end() && now < found->second.full_until;
 }
--- a/src/core/owner_loads.cc
+++ b/src/core/owner_loads.cc
@@ -6,6 +6,7 @@
 
 void owner_loads::OnReport(incarnation owner,
                            const std::vector<service_load>& load) {
+  lost_.erase(owner);
   load_by_service& known = loads_[owner];
   for (const service_load& item : load) {
     known[item.service] = {item, 0, true};
@@ -16,8 +17,17 @@
   loads_[owner][service].sent += 1;
 }
 
-void owner_loads::Forget(incarnation owner) {
+void owner_loads::OnLost(incarnation owner) {
   loads_.erase(owner);
+  lost_.insert(owner);
+}
+
+void owner_loads::Prune(const fleet_state& fleet) {
+  std::erase_if(lost_,
+                [&](incarnation who) { return !fleet.members.contains(who); });
+  std::erase_if(loads_, [&](const auto& known) {
+    return !fleet.members.contains(known.first);
+  });
 }
 
 const owner_loads::known_load* owner_loads::Find(
@@ -70,12 +80,14 @@
 bool owner_loads::IsUsable(const owner_share& share,
                            const service_load& own_load,
                            const routing_context& context,
-                           const std::vector<incarnation>& avoid) {
+                           const std::vector<incarnation>& avoid) const {
   if (std::find(avoid.begin(), avoid.end(), share.owner) != avoid.end()) {
     return false;
   }
-  return share.owner == context.self ? own_load.slots > 0
-                                     : !context.suspects.contains(share.owner);
+  if (share.owner == context.self) {
+    return own_load.slots > 0;
+  }
+  return !context.suspects.contains(share.owner) && !IsLost(share.owner);
 }
 
 std::optional<incarnation> owner_loads::Choose(
--- a/src/core/request_core.cc
+++ b/src/core/request_core.cc
@@ -145,7 +145,10 @@
     return;
   }
   item.may_forward = false;
-  Enqueue(item, context, now, out);
+  const service_routes* routes = context.endpoints.Find(item.envelope.service);
+  const service_load own =
+      routes == nullptr ? service_load() : OwnLoad(*routes, now);
+  Enqueue(item, own, context, now, out);
 }
 
 void request_core::OnReply(incarnation from,
@@ -226,7 +229,7 @@
                                       const routing_context& context,
                                       time_point now,
                                       effects& out) {
-  loads_.Forget(peer);
+  loads_.OnLost(peer);
   std::vector<std::uint64_t> waiting_for;
   std::vector<std::uint64_t> came_from;
   for (const auto& [number, item] : requests_) {
@@ -375,6 +378,7 @@
     const bool known = endpoint == nullptr || !endpoint->takes_new;
     at = known ? leaving_.erase(at) : std::next(at);
   }
+  loads_.Prune(context.fleet);
   if (seen_forwards_.size() > kMostSeen) {
     std::erase_if(seen_forwards_, [&](const auto& seen) {
       return context.fleet.members.count(seen.first) == 0;
--- a/src/core/request_core_routing.cc
+++ b/src/core/request_core_routing.cc
@@ -47,7 +47,7 @@
     if (home == self_) {
       break;
     }
-    if (context.suspects.count(home) == 0 &&
+    if (!context.suspects.contains(home) && !loads_.IsLost(home) &&
         !Contains(item.avoid_owners, home)) {
       Forward(item, home, forward_stage::kClaim, context, out);
       return;
@@ -70,15 +70,16 @@
            context, now, out);
     return;
   }
-  const std::optional<incarnation> owner = loads_.Choose(
-      *routes, OwnLoad(*routes, now), context, item.avoid_owners, random_);
+  const service_load own = OwnLoad(*routes, now);
+  const std::optional<incarnation> owner =
+      loads_.Choose(*routes, own, context, item.avoid_owners, random_);
   if (!owner.has_value()) {
     Finish(item,
            item.refusal.value_or(NotRun(answer_reason::kNoEndpoint,
                                         "no endpoint of the service is up")),
            context, now, out);
   } else if (*owner == self_) {
-    Enqueue(item, context, now, out);
+    Enqueue(item, own, context, now, out);
   } else {
     Forward(item, *owner, forward_stage::kDispatch, context, out);
   }
@@ -104,17 +105,13 @@
 }
 
 void request_core::Enqueue(request& item,
+                           const service_load& own,
                            const routing_context& context,
                            time_point now,
                            effects& out) {
   item.at = stage::kQueued;
-  const service_routes* routes = context.endpoints.Find(item.envelope.service);
   const work_class* work = ClassOf(item.envelope, context);
-  service_load load;
-  if (routes != nullptr) {
-    load = OwnLoad(*routes, now);
-  }
-  if (work == nullptr || load.slots == 0) {
+  if (work == nullptr || own.slots == 0) {
     TryElsewhere(item,
                  NotRun(answer_reason::kNoEndpoint,
                         "the entry owns no endpoint of the service"),
@@ -122,9 +119,9 @@
     return;
   }
   request_queue& queue = queues_[item.envelope.service];
+  const std::uint32_t free = own.slots - std::min(own.slots, own.busy);
   const admission result = queue.Offer(
-      {item.number, item.arrival, ExpiryOf(item)}, *work, load.slots,
-      load.slots - std::min(load.slots, load.busy), now);
+      {item.number, item.arrival, ExpiryOf(item)}, *work, own.slots, free, now);
   if (!result.admitted) {
     Finish(item,
            NotRun(answer_reason::kOverload, "it would wait too long",
@@ -145,14 +142,19 @@
     return;
   }
   std::vector<std::uint64_t> refused;
-  while (queue->second.size() > 0 &&
-         PickEndpoint(*routes, nullptr, now) != nullptr) {
+  while (queue->second.size() > 0) {
+    const endpoint_info* endpoint = PickEndpoint(*routes, {}, now);
+    if (endpoint == nullptr) {
+      break;
+    }
     const std::optional<std::uint64_t> next = queue->second.Pop(now, refused);
     if (!next.has_value()) {
       break;
     }
     request& item = *Find(*next);
-    const endpoint_info* endpoint = PickEndpoint(*routes, &item, now);
+    if (Contains(item.avoid_vms, endpoint->vm)) {
+      endpoint = PickEndpoint(*routes, item.avoid_vms, now);
+    }
     if (endpoint == nullptr) {
       TryElsewhere(item,
                    item.refusal.value_or(NotRun(answer_reason::kNoEndpoint,
@@ -193,14 +195,14 @@
 }
 
 const endpoint_info* request_core::PickEndpoint(const service_routes& routes,
-                                                const request* item,
+                                                const std::vector<vm_id>& avoid,
                                                 time_point now) const {
   const endpoint_info* best = nullptr;
   std::uint32_t best_load = 0;
   for (const std::size_t index : routes.owned) {
     const endpoint_info& endpoint = routes.endpoints[index];
     if (!MayUse(endpoint, now) || health_.IsFull(endpoint.vm, now) ||
-        (item != nullptr && Contains(item->avoid_vms, endpoint.vm))) {
+        Contains(avoid, endpoint.vm)) {
       continue;
     }
     const std::uint32_t load = InFlightAt(endpoint.vm);
@@ -266,7 +268,8 @@
   }
   for (const owner_share& share : routes->owners) {
     if (share.owner != item.peer && share.owner != self_ &&
-        context.suspects.count(share.owner) == 0 &&
+        !context.suspects.contains(share.owner) &&
+        !loads_.IsLost(share.owner) &&
         !Contains(item.avoid_owners, share.owner) &&
         loads_.HasFreeSlot(share, routes->name)) {
       return true;
@@ -414,7 +417,7 @@
   const service_routes* routes = context.endpoints.Find(item.envelope.service);
   const work_class* work = ClassOf(item.envelope, context);
   if (routes != nullptr && work != nullptr &&
-      PickEndpoint(*routes, &item, now) != nullptr) {
+      PickEndpoint(*routes, item.avoid_vms, now) != nullptr) {
     item.refusal = std::move(refusal);
     queues_[item.envelope.service].PutBack(
         {item.number, item.arrival, ExpiryOf(item)}, *work);
@@ -429,8 +432,8 @@
 }
 
 bool request_core::MayUse(const endpoint_info& endpoint, time_point now) const {
-  if (!endpoint.takes_new) {
-    return false;
+  if (!endpoint.takes_new || leaving_.empty()) {
+    return endpoint.takes_new;
   }
   const auto found = leaving_.find(endpoint.vm);
   return found == leaving_.end() || found->second <= now;
--- a/tests/core/owner_loads_test.cc
+++ b/tests/core/owner_loads_test.cc
@@ -97,6 +97,25 @@
   }
 }
 
+// The connection to an owner breaks. Until heartbeats stop for long enough to
+// suspect it, each request sent to it would be lost as well.
+TEST_CASE("An owner whose connection was lost isn't chosen") {
+  routing_story story;
+  story.loads.OnLost(kPeer);
+  CHECK(story.Draw(100).at(kOther) == 100);
+
+  SECTION("until it is heard again") {
+    story.Report(kPeer, 0, 0);
+    CHECK(story.Draw(100).size() == 2);
+  }
+
+  SECTION("and is forgotten once it is no member") {
+    story.world.fleet.members.erase(kPeer);
+    story.loads.Prune(story.world.fleet);
+    CHECK_FALSE(story.loads.IsLost(kPeer));
+  }
+}
+
 TEST_CASE("Owners report slots that are out of use") {
   routing_story story;
   story.Draw(1);
@@ -104,7 +123,7 @@
   CHECK(story.loads.LostSlots(routes) == 0);
   story.loads.OnReport(kPeer, {{kIntake, 3, 0, 0}});
   CHECK(story.loads.LostSlots(routes) == 5);
-  story.loads.Forget(kPeer);
+  story.loads.OnLost(kPeer);
   CHECK(story.loads.LostSlots(routes) == 0);
 }
 
