--- a/fakes/runner.h
+++ b/fakes/runner.h
@@ -47,6 +47,18 @@
   kDie,
 };
 
+/// cpp-httplib's server with room for a burst of connections. It asks the
+/// system for 5 connections ahead of accept(); beyond them a client sees its
+/// connection made, sends its request and waits in vain.
+class burst_server : public httplib::Server {
+ public:
+  /// Precondition: the server is bound.
+  void MakeRoom() {
+    constexpr int kBacklog = 511;
+    ::listen(svr_sock_, kBacklog);
+  }
+};
+
 /// A back-end service with slots: it counts what it runs, so that a test can
 /// compare that with what callers were told.
 class runner {
@@ -74,6 +86,7 @@
                           ? server_.bind_to_any_port(kHost)
                           : (server_.bind_to_port(kHost, port) ? port : -1);
     if (bound > 0) {
+      server_.MakeRoom();
       listener_ = std::thread([this] { server_.listen_after_bind(); });
       while (!server_.is_running()) {
         std::this_thread::yield();
@@ -298,7 +311,7 @@
   }
 
   const runner_options options_;
-  httplib::Server server_;
+  burst_server server_;
   std::thread listener_;
 
   mutable std::mutex mutex_;
