Add the service-level burn report

Cause: operators need to see how fast each class uses up its budget, and why.

Ruled out: one counter per request kind with a time stamp each (memory grows with the load); fixed calendar windows (a reset at midnight hides a burn).

Conclusion: counts live in the entry's memory; those of a process that has ended are missing from the sum, and the report says since when it counts.

--- a/src/observe/log_line.cc
+++ b/src/observe/log_line.cc
@@ -2,9 +2,9 @@
 
 #include <array>
 #include <cstdio>
-#include <ctime>
 #include <nlohmann/json.hpp>
 
+#include "observe/utc.h"
 #include "plantainhead/core/names.h"
 
 namespace plantainhead::observe {
@@ -17,15 +17,10 @@
   const auto seconds = std::chrono::floor<std::chrono::seconds>(time);
   const auto rest =
       std::chrono::duration_cast<std::chrono::microseconds>(time - seconds);
-  const std::time_t whole = std::chrono::system_clock::to_time_t(seconds);
-  std::tm parts{};
-  gmtime_r(&whole, &parts);
-  std::array<char, 32> date{};
-  std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
   std::array<char, 16> fraction{};
   std::snprintf(fraction.data(), fraction.size(), ".%06dZ",
                 static_cast<int>(rest.count()));
-  return std::string(date.data()) + fraction.data();
+  return UtcText(seconds.time_since_epoch().count()) + fraction.data();
 }
 
 }  // namespace
--- a/src/operators/routes.cc
+++ b/src/operators/routes.cc
@@ -8,11 +8,13 @@
 #include "operators/answers.h"
 #include "operators/commands.h"
 #include "operators/views.h"
+#include "plantainhead/observe/burn_formats.h"
 
 namespace plantainhead::operators {
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 
 using handler = std::function<caller::http_answer(const caller::http_request&)>;
@@ -88,6 +90,31 @@
   };
 }
 
+caller::route_list MakeBurnRoutes(
+    std::function<observe::burn_report()> report) {
+  const auto show =
+      [report = std::move(report)](const caller::http_request& request) {
+        const auto query = request.query.find("format");
+        const std::string format =
+            query == request.query.end() ? "json" : query->second;
+        caller::http_answer answer;
+        if (format == "json") {
+          answer.body = observe::ToJson(report());
+        } else if (format == "html") {
+          answer.content_type = "text/html; charset=utf-8";
+          answer.body = observe::ToHtml(report());
+        } else if (format == "text") {
+          answer.content_type = "text/plain; charset=utf-8";
+          answer.body = observe::ToText(report());
+        } else {
+          return ErrorAnswer(kBadRequest, "invalid",
+                             "'format' must be json, html or text");
+        }
+        return answer;
+      };
+  return {{"GET", "/v1/burn", show}};
+}
+
 caller::route_list MakeMetricsRoutes(const observe::metrics* all) {
   const auto show = [all](const caller::http_request&) {
     caller::http_answer answer;
--- a/src/operators/views.cc
+++ b/src/operators/views.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <stdexcept>
 
+#include "observe/utc.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/settings/targets.h"
 
@@ -80,13 +81,8 @@
     return "";
   }
   const auto since_epoch = time.time_since_epoch();
-  const std::time_t seconds =
-      std::chrono::floor<std::chrono::seconds>(since_epoch).count();
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  std::array<char, 32> text{};
-  std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
-  return text.data();
+  const auto seconds = std::chrono::floor<std::chrono::seconds>(since_epoch);
+  return observe::UtcText(seconds.count()) + "Z";
 }
 
 core::time_point FromUtc(const std::string& text) {
--- a/tests/operators/routes_test.cc
+++ b/tests/operators/routes_test.cc
@@ -179,5 +179,23 @@
   }
 }
 
+TEST_CASE("An operator reads the burn report and the metrics") {
+  const caller::route burn =
+      MakeBurnRoutes([] { return observe::burn_report(); }).at(0);
+  const auto status = [&](const std::string& format) {
+    return burn.handle({"GET", "/v1/burn", {{"format", format}}, {}, ""})
+        .status;
+  };
+  CHECK(json::accept(burn.handle({"GET", "/v1/burn", {}, {}, ""}).body));
+  CHECK(status("html") == 200);
+  CHECK(status("text") == 200);
+  CHECK(status("png") == 400);
+
+  observe::metrics all;
+  all.Counter("x_total", "X.").Add();
+  const caller::route metrics = MakeMetricsRoutes(&all).at(0);
+  CHECK(metrics.handle({}).body == all.ToText());
+}
+
 }  // namespace
 }  // namespace plantainhead::operators
