--- a/src/core/claim_partition.cc
+++ b/src/core/claim_partition.cc
@@ -72,6 +72,7 @@
   if (waiting != waiting_.end() && waiting->second.request == request) {
     return;
   }
+  index_.Forget(now);
   if (const auto verdict = StandingVerdict(hash)) {
     Decide(request, *verdict, options_.retry_after, decisions);
     return;
@@ -394,6 +395,10 @@
   index_.Forget(now);
   // Requests end at their deadlines, which the window caps; one whose end was
   // never reported must not stay for good.
+  if (now < next_running_check_) {
+    return;
+  }
+  next_running_check_ = now + options_.clock_skew;
   std::erase_if(running_, [&](const auto& entry) {
     return entry.second.granted + Kept() <= now;
   });
--- a/src/core/claim_partition.h
+++ b/src/core/claim_partition.h
@@ -166,6 +166,7 @@
   time_point next_late_ = time_point::max();
   /// Keys granted here whose requests aren't finished.
   running_map running_;
+  time_point next_running_check_;
 };
 
 }  // namespace plantainhead::core
