--- a/bench/claims_bench.cc
+++ b/bench/claims_bench.cc
@@ -26,8 +26,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const time_point kStart{std::chrono::hours(500000)};
-constexpr duration kRun = seconds(20);
+constexpr time_point kStart{std::chrono::hours(500000)};
 constexpr int kAppendsPerSecond = 300;
 constexpr std::size_t kEntries = 9;
 // What a record takes on the wire beside its key and id: type, author,
@@ -42,6 +41,10 @@
   int claims_per_second = 0;
   duration least_latency{};
   duration longest_latency{};
+  /// The log refuses everything in between.
+  duration outage_begin{};
+  duration outage_end{};
+  duration run = seconds(20);
 };
 
 class claims_bench {
@@ -68,13 +71,17 @@
   void Run() {
     At(now_, [this] { Arrive(); });
     At(now_, [this] { TickAll(); });
-    while (!steps_.empty() && steps_.top().at < kStart + kRun) {
+    while (!steps_.empty() && steps_.top().at < kStart + what_.run) {
       now_ = steps_.top().at;
       const auto what = steps_.top().what;
       steps_.pop();
       what();
     }
-    Print();
+    if (what_.outage_end > duration::zero()) {
+      PrintOutage();
+    } else {
+      Print();
+    }
   }
 
  private:
@@ -167,8 +174,14 @@
         const auto waited = now_ - asked_at_[decision.request.sequence - 1];
         grant_times_.push_back(static_cast<double>(waited.count()) / 1000.0);
         Finish(at, decision.request);
+        if (now_ >= kStart + what_.outage_end) {
+          first_grant_after_ = std::min(first_grant_after_, now_);
+        }
       } else {
         ++refused_;
+        const auto waited = now_ - asked_at_[decision.request.sequence - 1];
+        longest_refusal_ = std::max(longest_refusal_, waited);
+        last_refusal_ = now_;
       }
     }
   }
@@ -190,6 +203,15 @@
         std::max(log_free_, now_) + duration(seconds(1)) / kAppendsPerSecond;
     const time_point landed = log_free_ + Latency();
     ++appends_;
+    if (IsOut()) {
+      At(landed, [this, &at, append] {
+        On(at, [&] {
+          at.core.OnAppendFinished({append.append, append_result::kUnknown, 0},
+                                   now_, at.out);
+        });
+      });
+      return;
+    }
     At(landed, [this, &at, append] {
       auto& records = log_[append.stream];
       const log_offset first = records.size() + 1;
@@ -214,6 +236,13 @@
     }
     At(now_ + Latency(), [this, &at, stream] {
       at.reading.erase(stream);
+      if (IsOut()) {
+        On(at, [&] {
+          at.core.OnLogUnavailable({stream, "out"}, now_, at.out, at.decisions);
+        });
+        Read(at, stream);
+        return;
+      }
       const std::vector<record>& records = log_[stream];
       log_offset& read_to = at.read_to[stream];
       log_read read;
@@ -228,6 +257,11 @@
     });
   }
 
+  bool IsOut() const {
+    return now_ >= kStart + what_.outage_begin &&
+           now_ < kStart + what_.outage_end;
+  }
+
   static std::size_t BytesOf(const record& item) {
     const auto* claim = std::get_if<claim_request>(&item.body);
     const std::size_t key = claim == nullptr ? 0 : claim->key.value().size();
@@ -243,8 +277,25 @@
     return grant_times_[static_cast<std::size_t>(last * share)];
   }
 
+  void PrintOutage() {
+    const auto ms = [](duration time) {
+      return static_cast<double>(time.count()) / 1000.0;
+    };
+    const time_point back = kStart + what_.outage_end;
+    const duration out = what_.outage_end - what_.outage_begin;
+    const double share =
+        static_cast<double>(refused_) / static_cast<double>(asked_);
+    std::printf(
+        "outage of %.0f s in %.0f s at %d/s: refused %.1f%%, longest wait for "
+        "a refusal %.0f ms, first grant %.0f ms and last refusal %.0f ms after "
+        "the log was back\n",
+        ms(out) / 1000, ms(what_.run) / 1000, what_.claims_per_second,
+        100 * share, ms(longest_refusal_), ms(first_grant_after_ - back),
+        ms(last_refusal_ - back));
+  }
+
   void Print() {
-    const double run = std::chrono::duration<double>(kRun).count();
+    const double run = std::chrono::duration<double>(what_.run).count();
     double spent = 0;
     double most_bytes = 0;
     for (const auto& entry : entries_) {
@@ -278,6 +329,9 @@
   std::uint64_t asked_ = 0;
   std::uint64_t refused_ = 0;
   std::uint64_t appends_ = 0;
+  duration longest_refusal_{};
+  time_point first_grant_after_ = time_point::max();
+  time_point last_refusal_;
   std::vector<time_point> asked_at_;
   std::vector<claim_key> keys_;
   const shared_body body_ = std::make_shared<const std::string>(200, 'a');
@@ -365,4 +419,12 @@
   const bench_case twice{claimant_choice::kHomeOfPartition, 20000,
                          milliseconds(10), milliseconds(50)};
   plantainhead::core::claims_bench(twice).Run();
+  bench_case outage{claimant_choice::kHomeOfPartition, 100, milliseconds(10),
+                    milliseconds(50)};
+  outage.run = std::chrono::seconds(120);
+  outage.outage_begin = std::chrono::seconds(30);
+  for (const int length : {1, 10, 60}) {
+    outage.outage_end = outage.outage_begin + std::chrono::seconds(length);
+    plantainhead::core::claims_bench(outage).Run();
+  }
 }
--- a/include/plantainhead/core/claims.h
+++ b/include/plantainhead/core/claims.h
@@ -25,9 +25,10 @@
 /// Limits of the claims. The window and the skew must be equal at all entries.
 struct claim_options {
   /// How long a key is remembered after it was claimed. Retries must come
-  /// within it. The log must keep the claim streams twice as long.
+  /// within it. The log must keep the claim streams at least twice as long.
   duration window = std::chrono::minutes(10);
-  /// The most that the clocks of two entries may differ.
+  /// The most that the clocks of two entries may differ. A claim is kept that
+  /// much longer than the window.
   duration clock_skew = std::chrono::minutes(1);
   /// A claim that isn't settled after this time is given up: the log is taken
   /// for unavailable.
@@ -62,7 +63,7 @@
   std::uint64_t released = 0;
   std::uint64_t appends = 0;
   std::uint64_t records = 0;
-  /// Times that records of the claim window were found to be lost.
+  /// Times that records of the claim window could not be read.
   std::uint64_t cuts = 0;
   /// Now, not counts: claims in memory, bytes of answers, claims in the making.
   std::size_t claims_held = 0;
@@ -81,12 +82,12 @@
 /// which entry is the home of a partition, who is frozen and which append was
 /// repeated doesn't matter. docs/design/claims.md has the reasoning.
 ///
-/// A key stands for `claim_options::window` after its claim. A grant is valid
-/// until the request's deadline, and never longer than the window: the owner
-/// caps the deadline of a marked request at its arrival plus the window, and
-/// checks it again right before dispatch. A key that ends in a UUID of version
-/// 7 tells its own age and is refused once older than the window; for other
-/// keys the callers must stop their retries in time.
+/// A key stands for `claim_options::window` after its claim, at least. A grant
+/// is valid until the request's deadline and never longer than the window: the
+/// caller of this class must cap the deadline of a request with a key at its
+/// arrival plus the window, and check it again right before dispatch. A key
+/// that ends in a UUID of version 7 tells its own age and is refused once older
+/// than the window; for other keys the callers must stop their retries in time.
 ///
 /// Each `Ask` gets exactly one decision, from the call itself or a later one.
 /// Thread safety: none; owned by the thread of the decisions.
@@ -128,15 +129,21 @@
                      time_point now,
                      effects& out);
 
-  /// All below return whether the event was one for the claims.
+  /// Applies what was read from a claim stream; grants what came back first.
+  /// Like the next two, returns whether the event was one for the claims.
   bool OnLogRead(const log_read& read,
                  time_point now,
                  effects& out,
                  std::vector<claim_decision>& decisions);
+
+  /// Gives up the claims in the making of a stream that can't be read.
+  /// Precondition: reading is tried on, without another `follow_stream`.
   bool OnLogUnavailable(const log_unavailable& failure,
                         time_point now,
                         effects& out,
                         std::vector<claim_decision>& decisions);
+
+  /// Goes on with what waits, or appends again what may not have landed.
   bool OnAppendFinished(const append_finished& result,
                         time_point now,
                         effects& out);
@@ -146,6 +153,7 @@
               effects& out,
               std::vector<claim_decision>& decisions);
 
+  /// Returns the figures at `now`. Looks at all partitions; cheap.
   claim_figures figures(time_point now) const;
 
  private:
--- a/tests/core/claims_property_test.cc
+++ b/tests/core/claims_property_test.cc
@@ -17,7 +17,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const time_point kStart{std::chrono::hours(500000)};
+constexpr time_point kStart{std::chrono::hours(500000)};
 constexpr std::size_t kEntries = 3;
 
 // Keys of one partition, so that few steps make them meet.
--- a/tests/core/claims_test.cc
+++ b/tests/core/claims_test.cc
@@ -14,7 +14,7 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-const time_point kStart{std::chrono::hours(500000)};
+constexpr time_point kStart{std::chrono::hours(500000)};
 const claim_key kKey("casework/appeal-17");
 const stream_name kStream = ClaimStream(PartitionOf(kKey));
 constexpr duration kWindow = claim_options().window;
