--- a/src/core/wave_planner.cc
+++ b/src/core/wave_planner.cc
@@ -1,6 +1,7 @@
 #include "plantainhead/core/wave_planner.h"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace plantainhead::core {
@@ -65,6 +66,20 @@
          static_cast<double>(capacity.dip_allowance.count());
 }
 
+/// Tells if a listed VM has no pool yet. A wave that is started together with
+/// the first targets meets empty pools: taken for finished then, it would never
+/// reboot their VMs. The pool planner gives every listed VM a pool, so this
+/// holds a wave up for some plans only.
+bool AwaitsPools(const planner_context& context) {
+  if (!context.list_is_fresh()) {
+    return true;
+  }
+  const auto& vms = context.view.vms();
+  return std::any_of(vms.begin(), vms.end(), [](const auto& item) {
+    return item.second.state == nullptr && item.second.listed_live();
+  });
+}
+
 }  // namespace
 
 std::set<pool_id> wave_planner::HeldPools(const planner_context& context,
@@ -107,6 +122,10 @@
     }
   }
   if (found.left == 0 && found.under_way == 0) {
+    if (AwaitsPools(context)) {
+      context.reasons[ObjectOf(id)] = "listed VMs have no pool yet";
+      return;
+    }
     SetState(context, id, wave, wave_state::kFinished, "every VM was visited");
     return;
   }
@@ -181,10 +200,12 @@
     const pool_view& pool,
     const wave_progress& wave) const {
   std::vector<const vm_view*> found;
-  std::map<zone_id, bool> is_started;
+  std::set<zone_id> started;
+  std::map<zone_id, std::uint32_t> jobs;
   for (const vm_view* vm : pool.vms) {
+    jobs[vm->zone] += vm->jobs;
     if (wave.visited.contains(vm->id)) {
-      is_started[vm->zone] = true;
+      started.insert(vm->zone);
       continue;
     }
     const auto deferred = context.deferred.find(vm->id);
@@ -195,13 +216,16 @@
       found.push_back(vm);
     }
   }
-  // A zone that was begun is ended first, then by name; within it rack by rack.
+  // A zone that was begun is ended first, then the zones and VMs with the
+  // fewest jobs: what must move away then finds rebooted VMs and moves once.
+  const auto key = [&](const vm_view* vm) {
+    return std::make_tuple(!started.contains(vm->zone), jobs[vm->zone],
+                           std::cref(vm->zone), vm->jobs > 0,
+                           std::cref(vm->rack), std::cref(vm->id));
+  };
   std::sort(found.begin(), found.end(),
             [&](const vm_view* left, const vm_view* right) {
-              const bool left_new = !is_started.contains(left->zone);
-              const bool right_new = !is_started.contains(right->zone);
-              return std::tie(left_new, left->zone, left->rack, left->id) <
-                     std::tie(right_new, right->zone, right->rack, right->id);
+              return key(left) < key(right);
             });
   return found;
 }
