Follow demand closely and move VMs that no pool will want back

Cause: the learned load sat at the peaks of its noise and fell over 15 minutes; donors were chosen without regard to what they will need again. Change: noise is smoothed evenly before the fast rise and slow fall; each pool remembers the most it wanted lately, and pools above that give VMs first.

--- a/bench/planner_bench.cc
+++ b/bench/planner_bench.cc
@@ -2,7 +2,7 @@
 // plan, and buffer cost, moves and roll-out time beside their lower bounds and
 // two simple ways. Prints a few lines for each size.
 //
-//     planner_bench [seed]
+//     planner_bench [seed] [workers]
 
 #include <malloc.h>
 
@@ -455,8 +455,11 @@
 
 int main(int argc, char** argv) {
   const std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+  const int only = argc > 2 ? std::atoi(argv[2]) : 0;
   for (const auto& size : plantainhead::core::kSizes) {
-    plantainhead::core::Measure(size, seed);
+    if (only == 0 || only == size.workers) {
+      plantainhead::core::Measure(size, seed);
+    }
   }
   return 0;
 }
--- a/include/plantainhead/core/demand_estimator.h
+++ b/include/plantainhead/core/demand_estimator.h
@@ -18,6 +18,8 @@
     double load = 0;
     /// Mean time that a request holds a slot, in seconds.
     double service_seconds = 0;
+    /// The measured load without its fastest noise.
+    double smoothed = 0;
   };
 
   /// `rise` and `fall` are the time constants of the moving average.
--- a/include/plantainhead/core/fleet_view.h
+++ b/include/plantainhead/core/fleet_view.h
@@ -75,6 +75,13 @@
   const std::map<vm_id, vm_view>& vms() const { return vms_; }
   const std::map<pool_id, pool_view>& pools() const { return pools_; }
 
+  /// Jobs that wait for a worker.
+  const std::vector<const job_progress*>& waiting() const { return waiting_; }
+
+  /// Changes with every record about a VM or a job: the sum of their
+  /// generations, which only grow.
+  generation work_version() const { return work_version_; }
+
   /// Returns the VM, or null.
   const vm_view* FindVm(const vm_id& id) const;
   /// Returns the pool if the configuration has it, or null.
@@ -91,6 +98,8 @@
 
   std::map<vm_id, vm_view> vms_;
   std::map<pool_id, pool_view> pools_;
+  std::vector<const job_progress*> waiting_;
+  generation work_version_ = 0;
 };
 
 }  // namespace plantainhead::core
--- a/include/plantainhead/core/job_planner.h
+++ b/include/plantainhead/core/job_planner.h
@@ -96,8 +96,8 @@
   time_point observed_list_;
   /// Since when no worker seems able to hold a job.
   std::map<job_id, time_point> never_since_;
-  /// Offset and list of the newest pass over the waiting jobs.
-  log_offset placed_offset_ = 0;
+  /// Version and list of the newest pass over the waiting jobs.
+  generation placed_version_ = 0;
   time_point placed_list_;
 };
 
--- a/include/plantainhead/core/planner_types.h
+++ b/include/plantainhead/core/planner_types.h
@@ -81,8 +81,8 @@
   duration forget_after = std::chrono::seconds(60);
 
   /// Time constants with which a learned load follows a rise and a fall.
-  duration demand_rise = std::chrono::seconds(15);
-  duration demand_fall = std::chrono::minutes(15);
+  duration demand_rise = std::chrono::seconds(10);
+  duration demand_fall = std::chrono::minutes(2);
   /// How long a pool must lack VMs for its demand, or for its spare, and how
   /// long another must have too many, before one is moved.
   duration base_lack_patience = std::chrono::seconds(5);
@@ -91,6 +91,9 @@
   /// Time that a VM stays in a pool before it moves again, unless the demand of
   /// another pool can't be served without it.
   duration least_dwell = std::chrono::minutes(10);
+  /// Time in which the remembered peak of a pool loses half. Pools at or below
+  /// their peak give VMs away last: they will want them back.
+  duration peak_half_life = std::chrono::hours(48);
   /// How long a zone that lost all its VMs counts as out and not as gone.
   duration outage_memory = std::chrono::hours(6);
 
--- a/include/plantainhead/core/pool_balance.h
+++ b/include/plantainhead/core/pool_balance.h
@@ -41,8 +41,6 @@
   /// Returns true if one VM of `domain` can go. With `base_only` the spare may
   /// be used up.
   bool CanSpare(const zone_id& domain, bool base_only) const;
-  /// VMs that the pool is asked to hold as it is spread now.
-  std::uint32_t Wanted() const { return size_ + Lack() - Surplus(); }
 
  private:
   using spread = std::map<zone_id, std::uint32_t>;
--- a/include/plantainhead/core/pool_planner.h
+++ b/include/plantainhead/core/pool_planner.h
@@ -45,6 +45,18 @@
  private:
   using balances = std::map<pool_id, pool_balance>;
 
+  /// How one pool stands, worked out once for each plan.
+  struct standing {
+    std::uint32_t lack = 0;
+    std::uint32_t surplus = 0;
+    /// VMs that it wants now, and the most that it lately wanted.
+    std::uint32_t wanted = 0;
+    double peak = 0;
+    time_point peak_at;
+    std::optional<time_point> lack_since;
+    std::optional<time_point> surplus_since;
+  };
+
   struct donor {
     const vm_view* vm = nullptr;
     pool_id from;
@@ -63,7 +75,10 @@
   void StartMoves(const planner_context& context,
                   const vm_lifecycle& lifecycle,
                   balances& pools);
-  void ObserveLacks(const planner_context& context, const balances& pools);
+  void ObserveStandings(const planner_context& context, const balances& pools);
+  /// Returns the pool that a VM suits best which none lacks: the one furthest
+  /// below its peak, else the smallest.
+  pool_id SpareHome(const balances& pools) const;
   void UpdateFigures(const planner_context& context,
                      const balances& pools,
                      const capacity_plan& capacity);
@@ -89,6 +104,11 @@
                                       const balances& pools,
                                       const std::optional<pool_id>& from,
                                       const std::set<pool_id>& settled) const;
+  /// Returns true if the pool may give VMs of some kind to the receiver.
+  bool IsDonor(const planner_context& context,
+               const pool_balance& from,
+               const standing& stand,
+               const pool_balance& to) const;
   std::optional<donor> BestDonor(const planner_context& context,
                                  const vm_lifecycle& lifecycle,
                                  const balances& pools,
@@ -102,9 +122,7 @@
   bool zone_is_out_ = false;
   std::uint32_t domains_ = 0;
   bool by_rack_ = false;
-  std::map<pool_id, time_point> lack_since_;
-  std::map<pool_id, time_point> surplus_since_;
-  std::map<pool_id, std::uint32_t> surplus_;
+  std::map<pool_id, standing> standings_;
   std::map<vm_id, generation> starting_;
   std::map<team_id, std::uint32_t> team_vms_;
   pool_figures figures_;
--- a/src/core/demand_estimator.cc
+++ b/src/core/demand_estimator.cc
@@ -5,10 +5,17 @@
 namespace plantainhead::core {
 namespace {
 
+constexpr duration kSmoothing = std::chrono::seconds(10);
+
 double SecondsOf(duration time) {
   return std::chrono::duration<double>(time).count();
 }
 
+/// Weight of a new value in a moving average of this time constant.
+double WeightOf(double elapsed, duration constant) {
+  return 1.0 - std::exp(-elapsed / SecondsOf(constant));
+}
+
 }  // namespace
 
 demand_estimator::demand_estimator(duration rise, duration fall)
@@ -25,14 +32,17 @@
     const auto [found, is_new] = estimates_.try_emplace(name);
     estimate& known = found->second;
     if (is_new) {
-      known = {load, seconds};
+      known = {load, seconds, load};
       continue;
     }
-    const duration constant = load > known.load ? rise_ : fall_;
-    const double weight = 1.0 - std::exp(-elapsed / SecondsOf(constant));
-    known.load += weight * (load - known.load);
+    // Noise is taken out first, evenly: else each upward swing would lift the
+    // estimate at once and the slow fall would keep it at the peaks of noise.
+    known.smoothed += WeightOf(elapsed, kSmoothing) * (load - known.smoothed);
+    const duration constant = known.smoothed > known.load ? rise_ : fall_;
+    known.load += WeightOf(elapsed, constant) * (known.smoothed - known.load);
     if (measured.arrivals_per_second > 0) {
-      known.service_seconds += weight * (seconds - known.service_seconds);
+      known.service_seconds +=
+          WeightOf(elapsed, constant) * (seconds - known.service_seconds);
     }
   }
 }
--- a/src/core/fleet_view.cc
+++ b/src/core/fleet_view.cc
@@ -44,6 +44,10 @@
     if (vm_view* vm = holds ? FindMutable(job.vm) : nullptr) {
       ++vm->jobs;
     }
+    if (job.state == job_state::kWaiting) {
+      waiting_.push_back(&job);
+    }
+    work_version_ += job.version;
   }
 }
 
@@ -56,6 +60,9 @@
       vm.zone = vm.seen->zone;
       vm.rack = vm.seen->rack;
     }
+    if (vm.state != nullptr) {
+      work_version_ += vm.state->version;
+    }
     if (!gate.empty() && vm.state != nullptr) {
       vm.is_pending = gate.IsPending(ObjectOf(id), vm.state->version, now);
     }
@@ -78,9 +85,9 @@
     found->second.available += vm.available() ? 1 : 0;
     found->second.with_jobs += vm.jobs > 0 ? 1 : 0;
   }
-  for (const auto& [id, job] : inputs.state.jobs) {
-    const auto found = pools_.find(job.spec.pool);
-    if (job.state == job_state::kWaiting && found != pools_.end()) {
+  for (const job_progress* job : waiting_) {
+    const auto found = pools_.find(job->spec.pool);
+    if (found != pools_.end()) {
       ++found->second.waiting_jobs;
     }
   }
--- a/src/core/job_planner.cc
+++ b/src/core/job_planner.cc
@@ -342,24 +342,26 @@
 }
 
 void job_planner::PlaceWaiting(const planner_context& context) {
-  // With no new record and no new list, the pass would end as the last did.
-  if (placed_offset_ == context.inputs.state.offset &&
+  // With no new record of a job or VM and no new list, the pass would end as
+  // the last did.
+  if (placed_version_ == context.view.work_version() &&
       placed_list_ == context.inputs.listed_at) {
     return;
   }
-  placed_offset_ = context.inputs.state.offset;
+  placed_version_ = context.view.work_version();
   placed_list_ = context.inputs.listed_at;
   using order = std::tuple<bool, time_point, generation>;
   std::vector<std::pair<order, const job_progress*>> waiting;
-  for (const auto& [id, job] : context.inputs.state.jobs) {
-    if (job.state != job_state::kWaiting ||
-        context.gate.IsPending(ObjectOf(id), job.version, context.now)) {
+  for (const job_progress* job : context.view.waiting()) {
+    if (context.gate.IsPending(ObjectOf(job->spec.name), job->version,
+                               context.now)) {
       continue;
     }
-    const time_point by = job.spec.finish_by == time_point()
+    const job_spec& spec = job->spec;
+    const time_point by = spec.finish_by == time_point()
                               ? time_point::max()
-                              : job.spec.finish_by - job.spec.declared_run_time;
-    waiting.emplace_back(order{!job.spec.urgent, by, job.version}, &job);
+                              : spec.finish_by - spec.declared_run_time;
+    waiting.emplace_back(order{!spec.urgent, by, job->version}, job);
   }
   if (waiting.empty()) {
     return;
--- a/src/core/pool_planner.cc
+++ b/src/core/pool_planner.cc
@@ -1,6 +1,7 @@
 #include "plantainhead/core/pool_planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace plantainhead::core {
@@ -54,12 +55,9 @@
   return false;
 }
 
-pool_id SmallestPool(const std::map<pool_id, pool_balance>& pools) {
-  return std::min_element(pools.begin(), pools.end(),
-                          [](const auto& left, const auto& right) {
-                            return left.second.size() < right.second.size();
-                          })
-      ->first;
+/// Tells if callers can't be served without more VMs.
+bool IsUrgent(const pool_balance& pool) {
+  return pool.BaseLack() > 0 && pool.is_for_callers();
 }
 
 std::string Count(std::uint32_t count) {
@@ -81,8 +79,8 @@
     const vm_view* vm = context.view.FindVm(item.first);
     return vm == nullptr || !IsStarting(*vm);
   });
+  ObserveStandings(context, pools);
   UpdateFigures(context, pools, capacity);
-  ObserveLacks(context, pools);
   AssignNew(context, pools);
   ForgetGone(context);
   TellPlatform(context);
@@ -160,7 +158,7 @@
     if (!pools.contains(chosen)) {
       const std::optional<pool_id> neediest =
           NeediestPool(context, pools, pool_id(), {});
-      chosen = neediest ? *neediest : SmallestPool(pools);
+      chosen = neediest ? *neediest : SpareHome(pools);
       reason = neediest ? "this pool lacks most" : "no pool lacks a VM";
     }
     pools.at(chosen).Add(context.DomainOf(vm, by_rack_));
@@ -304,35 +302,58 @@
     const planner_context& context,
     const balances& pools) const {
   std::set<pool_id> found;
-  for (const auto& [name, since] : lack_since_) {
+  for (const auto& [name, stand] : standings_) {
     const bool is_base = pools.at(name).BaseLack() > 0;
     const duration patience = is_base ? context.options.base_lack_patience
                                       : context.options.spare_lack_patience;
-    if (context.now - since < patience) {
+    if (stand.lack_since && context.now - *stand.lack_since < patience) {
       found.insert(name);
     }
   }
   return found;
 }
 
-void pool_planner::ObserveLacks(const planner_context& context,
-                                const balances& pools) {
-  for (const auto& [name, pool] : pools) {
-    if (pool.Lack() == 0) {
-      lack_since_.erase(name);
-    } else {
-      lack_since_.try_emplace(name, context.now);
+void pool_planner::ObserveStandings(const planner_context& context,
+                                    const balances& pools) {
+  std::erase_if(standings_, [&](const auto& item) {
+    return !pools.contains(item.first);
+  });
+  const auto follow = [&](std::optional<time_point>& since, bool holds) {
+    if (!holds) {
+      since.reset();
+    } else if (!since) {
+      since = context.now;
     }
-    const std::uint32_t surplus = pool.Surplus();
-    surplus_[name] = surplus;
-    if (surplus == 0) {
-      surplus_since_.erase(name);
-    } else {
-      surplus_since_.try_emplace(name, context.now);
+  };
+  for (const auto& [name, pool] : pools) {
+    standing& stand = standings_[name];
+    stand.lack = pool.Lack();
+    stand.surplus = pool.Surplus();
+    stand.wanted = pool.size() + stand.lack - stand.surplus;
+    follow(stand.lack_since, stand.lack > 0);
+    follow(stand.surplus_since, stand.surplus > 0);
+    const std::chrono::duration<double> elapsed = context.now - stand.peak_at;
+    const std::chrono::duration<double> half = context.options.peak_half_life;
+    const double kept = stand.peak * std::exp2(-(elapsed / half));
+    if (stand.wanted >= kept) {
+      stand.peak = stand.wanted;
+      stand.peak_at = context.now;
     }
   }
 }
 
+pool_id pool_planner::SpareHome(const balances& pools) const {
+  const auto key = [&](const auto& item) {
+    const double size = item.second.size();
+    return std::make_tuple(size - standings_.at(item.first).peak, size);
+  };
+  return std::min_element(pools.begin(), pools.end(),
+                          [&](const auto& left, const auto& right) {
+                            return key(left) < key(right);
+                          })
+      ->first;
+}
+
 std::optional<pool_id> pool_planner::NeediestPool(
     const planner_context& context,
     const balances& pools,
@@ -365,37 +386,28 @@
     const pool_id& receiver,
     const std::set<vm_id>& taken) const {
   const pool_balance& to = pools.at(receiver);
-  const bool is_urgent = to.BaseLack() > 0 && to.is_for_callers();
+  const bool is_urgent = IsUrgent(to);
   std::optional<donor> best;
-  std::tuple<bool, std::uint32_t, bool, std::int64_t, std::uint32_t> least;
+  std::tuple<bool, bool, std::uint32_t, std::uint32_t, double> least;
   for (const auto& [name, from] : pools) {
-    if (name == receiver || from.size() <= from.need()) {
-      continue;
-    }
-    const auto since = surplus_since_.find(name);
-    const bool has_lasting_surplus =
-        since != surplus_since_.end() &&
-        context.now - since->second >= context.options.surplus_patience;
-    const bool may_use_spare = is_urgent && from.tolerance() >= to.tolerance();
-    if (!HasRoom(context, receiver, name)) {
-      continue;
-    }
-    const std::uint32_t surplus = surplus_.at(name);
-    if (!(surplus > 0 && (has_lasting_surplus || is_urgent)) &&
-        !may_use_spare) {
+    const standing& stand = standings_.at(name);
+    if (name == receiver || !HasRoom(context, receiver, name) ||
+        !IsDonor(context, from, stand, to)) {
       continue;
     }
+    const bool spares_all = is_urgent && from.tolerance() >= to.tolerance();
+    const double above_peak = from.size() - stand.peak;
     for (const vm_view* vm : context.view.FindPool(name)->vms) {
       const zone_id domain = context.DomainOf(*vm, by_rack_);
       const bool keeps_spare = from.CanSpare(domain, false);
-      if ((!keeps_spare && !(may_use_spare && from.CanSpare(domain, true))) ||
+      if ((!keeps_spare && !(spares_all && from.CanSpare(domain, true))) ||
           taken.contains(vm->id) || !lifecycle.CanDrain(*vm) ||
           !MayLeave(context, *vm, is_urgent)) {
         continue;
       }
-      const std::tuple<bool, std::uint32_t, bool, std::int64_t, std::uint32_t>
-          cost{!keeps_spare, to.CountIn(domain), vm->jobs > 0,
-               -static_cast<std::int64_t>(surplus), vm->jobs};
+      const std::tuple<bool, bool, std::uint32_t, std::uint32_t, double> cost{
+          !keeps_spare, above_peak < 1.0, to.CountIn(domain), vm->jobs,
+          -above_peak};
       if (!best || cost < least) {
         best = donor{vm, name};
         least = cost;
@@ -405,6 +417,21 @@
   return best;
 }
 
+bool pool_planner::IsDonor(const planner_context& context,
+                           const pool_balance& from,
+                           const standing& stand,
+                           const pool_balance& to) const {
+  if (from.size() <= from.need()) {
+    return false;
+  }
+  if (IsUrgent(to)) {
+    return stand.surplus > 0 || from.tolerance() >= to.tolerance();
+  }
+  return stand.surplus > 0 && stand.surplus_since &&
+         context.now - *stand.surplus_since >=
+             context.options.surplus_patience;
+}
+
 bool pool_planner::MayLeave(const planner_context& context,
                             const vm_view& vm,
                             bool is_urgent) const {
@@ -429,13 +456,13 @@
     const pool_capacity& item = capacity.at(name);
     const std::uint32_t survivors = zone_is_out_ ? 0 : item.survivors;
     figures_.need += item.need;
-    figures_.buffer += pool.Wanted() - item.need;
+    const standing& stand = standings_.at(name);
+    figures_.buffer += stand.wanted - item.need;
     figures_.buffer_bound +=
         LeastSpread(item.need, survivors, domains_) - item.need;
-    figures_.surplus += pool.Surplus();
-    const std::uint32_t lack = pool.Lack();
-    figures_.lack += lack;
-    if (lack == 0) {
+    figures_.surplus += stand.surplus;
+    figures_.lack += stand.lack;
+    if (stand.lack == 0) {
       context.reasons.erase(ObjectOf(name));
     }
   }
--- a/tests/core/planner_harness.h
+++ b/tests/core/planner_harness.h
@@ -52,6 +52,7 @@
     now += length;
     EndTasks();
     FinishOperations();
+    listed_at_ = now - listed_at_ >= list_interval ? now : listed_at_;
     effects out;
     const planner_inputs inputs = Inputs();
     if (around_plan) {
@@ -99,7 +100,7 @@
     planner_inputs inputs(state, vms, tasks);
     inputs.holds_lease = true;
     inputs.epoch = state.lease.epoch;
-    inputs.listed_at = now;
+    inputs.listed_at = listed_at_;
     inputs.reported_offset = reported_offset.value_or(state.offset);
     inputs.in_flight = in_flight;
     inputs.demand = demand;
@@ -156,6 +157,8 @@
   duration operation_time = std::chrono::seconds(10);
   /// Called with each plan, which it must run; for measurements.
   std::function<void(const std::function<void()>&)> around_plan;
+  /// How often the platform's list is read; what it shows is never old.
+  duration list_interval{};
   duration run_time = std::chrono::minutes(5);
   std::function<void()> after_step;
 
@@ -267,6 +270,7 @@
     pending_ = std::move(left);
   }
 
+  time_point listed_at_;
   planner_options options_;
   planner planner_;
   std::vector<pending_operation> pending_;
