Search less for full fleets and long queues

Change: no search when no pool has VMs to give; sizes known to be full are skipped; teams are indexed. planner_bench measures two swings of the load, the cost at the planner's real pace and with a long queue.

--- a/bench/planner_bench.cc
+++ b/bench/planner_bench.cc
@@ -22,7 +22,8 @@
 namespace {
 
 constexpr duration kMinute = std::chrono::minutes(1);
-constexpr duration kTraceLength = std::chrono::hours(6);
+/// The load of each service swings once in this time.
+constexpr duration kSwing = std::chrono::hours(4);
 constexpr duration kSample = std::chrono::minutes(5);
 constexpr duration kServiceTime = std::chrono::milliseconds(100);
 /// Drains and reboots of the stand-in platform each take this.
@@ -74,7 +75,7 @@
     }
   }
   double LoadOf(int service, duration at) const {
-    const double turns = 1.5 * SecondsOf(at) / SecondsOf(kTraceLength);
+    const double turns = SecondsOf(at) / SecondsOf(kSwing);
     const double swing = std::sin(phases_[service] + kFullTurn * turns);
     return means_[service] * (1.0 + 0.5 * swing);
   }
@@ -282,20 +283,20 @@
   });
 }
 
-pool_result MeasurePools(bench_world& world) {
-  // In the first two hours the pools fill and settle; they aren't counted.
-  for (duration at{}; at < std::chrono::hours(2); at += kMinute / 12) {
-    world.Ask(duration(), true);
+/// Steps through a part of the trace without counting it.
+void Settle(bench_world& world, duration from, duration until) {
+  for (duration at = from; at < until; at += kMinute / 12) {
+    world.Ask(at, true);
     world.Step(kMinute / 12);
   }
-  world.plan_micros.clear();
+}
+
+/// Measures one swing of the load.
+pool_result MeasureSwing(bench_world& world) {
   const std::uint64_t moves = world.Planner().figures().moves;
   pool_samples samples;
-  for (duration at{}; at < kTraceLength; at += kSample) {
-    for (duration part{}; part < kSample; part += std::chrono::seconds(1)) {
-      world.Ask(at + part, true);
-      world.Step(std::chrono::seconds(1));
-    }
+  for (duration at{}; at < kSwing; at += kSample) {
+    Settle(world, at, at + kSample);
     TakeSample(world, at + kSample, samples);
   }
   vm_counts greatest(samples.targets[0].size(), 0);
@@ -358,13 +359,9 @@
 }
 
 wave_result MeasureWave(bench_world& world) {
-  for (duration part{}; part < std::chrono::hours(2); part += kMinute / 12) {
-    world.Ask(kTraceLength, false);
-    world.Step(kMinute / 12);
-  }
   wave_result result;
   std::vector<pool_id> pools;
-  world.WithTruth(kTraceLength,
+  world.WithTruth(duration(),
                   [&](const fleet_view& view, const capacity_plan& plan) {
                     for (const auto& [name, pool] : view.pools()) {
                       pools.push_back(name);
@@ -381,6 +378,23 @@
   return result;
 }
 
+/// Measures the planner at its real pace while little happens.
+void MeasureCost(bench_world& world) {
+  constexpr duration kSpan = std::chrono::minutes(2);
+  world.plan_micros.clear();
+  const auto before = static_cast<double>(mallinfo2().uordblks);
+  world.StepFor(kSpan);
+  const auto after = static_cast<double>(mallinfo2().uordblks);
+  const double sum =
+      std::accumulate(world.plan_micros.begin(), world.plan_micros.end(), 0.0);
+  std::printf(
+      "  plan: mean %.0f us, p99 %.0f us, %.2f%% of a core; heap of "
+      "the program %.1f MB, grown by %.2f MB in 2 minutes\n",
+      Mean(world.plan_micros), Quantile(world.plan_micros, 0.99),
+      sum / static_cast<double>(kSpan.count()) * 100.0, after / 1e6,
+      (after - before) / 1e6);
+}
+
 /// Starts of urgent jobs while the pools of jobs are full.
 void MeasureJobs(bench_world& world) {
   world.run_time = std::chrono::hours(2);
@@ -388,6 +402,8 @@
     world.SubmitJob(i, false);
   }
   world.StepFor(std::chrono::minutes(1));
+  std::printf("  with %d jobs, most of them waiting\n", world.size().jobs);
+  MeasureCost(world);
   world.plan_micros.clear();
   std::vector<double> waits;
   int late = 0;
@@ -407,21 +423,18 @@
       Mean(world.plan_micros), Quantile(world.plan_micros, 0.99));
 }
 
-void PrintPools(const bench_world& world, const pool_result& pools) {
-  const double mean = Mean(world.plan_micros);
-  std::printf(
-      "  plan: mean %.0f us, p99 %.0f us; every 200 ms %.2f%% of a "
-      "core\n",
-      mean, Quantile(world.plan_micros, 0.99), mean / 2000.0);
+void PrintSwing(const char* name, const pool_result& pools) {
+  std::printf("  %s swing:\n", name);
   const double bound = std::max(0.1, pools.bound);
   std::printf(
-      "  buffer in VMs: %.1f, bound %.1f, ratio %.2f; static split "
+      "    buffer in VMs: %.1f, bound %.1f, ratio %.2f; static split "
       "%.1f, ratio %.2f\n",
       pools.buffer, pools.bound, pools.buffer / bound, pools.static_split,
       pools.static_split / bound);
-  std::printf("  lacking on average: %.2f VMs, of these for the demand %.2f\n",
-              pools.lack, pools.base_lack);
-  std::printf("  moves: %llu, bound %u, greedy %u\n",
+  std::printf(
+      "    lacking on average: %.2f VMs, of these for the demand %.2f\n",
+      pools.lack, pools.base_lack);
+  std::printf("    moves: %llu, bound %u, greedy %u\n",
               static_cast<unsigned long long>(pools.moves), pools.moves_bound,
               pools.greedy_moves);
 }
@@ -441,8 +454,16 @@
               size.zones, size.pools(), size.teams,
               static_cast<unsigned long long>(seed));
   bench_world world(size, seed);
-  const pool_result pools = MeasurePools(world);
-  PrintPools(world, pools);
+  world.list_interval = std::chrono::seconds(2);
+  for (int i = 0; i < 24; ++i) {
+    Settle(world, duration(), kSample);
+  }
+  MeasureCost(world);
+  PrintSwing("first", MeasureSwing(world));
+  PrintSwing("second", MeasureSwing(world));
+  for (int i = 0; i < 12; ++i) {
+    Settle(world, duration(), kSample);
+  }
   PrintWave(MeasureWave(world));
   if (size.jobs > 0) {
     MeasureJobs(world);
--- a/include/plantainhead/core/job_placement.h
+++ b/include/plantainhead/core/job_placement.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "plantainhead/core/planner_context.h"
@@ -31,7 +32,11 @@
 
   /// Returns a worker with room for the job, or nothing. Among several it takes
   /// one that no wave has still to reboot, then the one with the least room.
-  std::optional<choice> Find(const job_spec& spec) const;
+  std::optional<choice> Find(const job_spec& spec);
+
+  /// Returns true if `Find` has met a job of this pool and size for which no
+  /// worker had room; a long queue need not search again for each.
+  bool IsKnownFull(const job_spec& spec) const;
 
   /// Returns a worker where an urgent job gets room at the expense of jobs that
   /// can wait, or nothing.
@@ -66,6 +71,7 @@
   void AddJobs();
   void AddTeamPools();
   void Occupy(const job_spec& spec, const vm_id& vm, const job_id& job);
+  const team_spec* FindTeam(const team_id& team) const;
   /// Returns true if the team's quota lets a job of it run on the VM.
   bool TeamMayUse(const team_id& team, const vm_id& vm) const;
   static bool Fits(const worker& item, const job_size& size);
@@ -78,6 +84,8 @@
   std::map<vm_id, worker> workers_;
   std::map<pool_id, std::vector<worker*>> by_pool_;
   std::map<team_id, team_use> teams_;
+  std::map<team_id, const team_spec*> team_specs_;
+  std::set<std::pair<pool_id, job_size>> full_;
 };
 
 }  // namespace plantainhead::core
--- a/include/plantainhead/core/pool_planner.h
+++ b/include/plantainhead/core/pool_planner.h
@@ -114,6 +114,16 @@
                                  const balances& pools,
                                  const pool_id& receiver,
                                  const std::set<vm_id>& taken) const;
+  static bool HasLastingSurplus(const planner_context& context,
+                                const standing& stand);
+  /// Settles all pools whose lack isn't urgent when no pool has VMs to give: in
+  /// a full fleet the search for each would come to nothing.
+  void SettleIfNoDonor(const planner_context& context,
+                       const balances& pools,
+                       std::set<pool_id>& settled) const;
+  static void ReportNoDonor(const planner_context& context,
+                            const pool_id& name,
+                            const pool_balance& pool);
   bool MayLeave(const planner_context& context,
                 const vm_view& vm,
                 bool is_urgent) const;
--- a/src/core/job_placement.cc
+++ b/src/core/job_placement.cc
@@ -15,20 +15,14 @@
          job.state == job_state::kCheckpointing;
 }
 
-const team_spec* FindTeam(const configuration& targets, const team_id& team) {
-  for (const team_spec& spec : targets.teams) {
-    if (spec.name == team) {
-      return &spec;
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace
 
 job_placement::job_placement(const planner_context& context,
                              const task_history& history)
     : context_(context), history_(history) {
+  for (const team_spec& spec : context.inputs.state.targets.teams) {
+    team_specs_[spec.name] = &spec;
+  }
   AddWorkers();
   AddTeamPools();
   AddJobs();
@@ -114,8 +108,7 @@
          item.accelerators >= size.accelerators;
 }
 
-std::optional<job_placement::choice> job_placement::Find(
-    const job_spec& spec) const {
+std::optional<job_placement::choice> job_placement::Find(const job_spec& spec) {
   const auto pool = by_pool_.find(spec.pool);
   if (pool == by_pool_.end()) {
     return std::nullopt;
@@ -123,13 +116,17 @@
   const job_size size = history_.SizeOf(spec);
   const std::set<vm_id>& failed_on = history_.FailedOn(spec.name);
   const worker* best = nullptr;
+  bool has_room = false;
   const auto key = [](const worker& item) {
     return std::make_tuple(item.awaits_wave, item.accelerators, item.processors,
                            item.memory_mb);
   };
   for (const worker* item : pool->second) {
-    if (!item->vm->available() || !Fits(*item, size) ||
-        failed_on.contains(item->vm->id) ||
+    if (!item->vm->available() || !Fits(*item, size)) {
+      continue;
+    }
+    has_room = true;
+    if (failed_on.contains(item->vm->id) ||
         !TeamMayUse(spec.team, item->vm->id)) {
       continue;
     }
@@ -137,6 +134,9 @@
       best = item;
     }
   }
+  if (!has_room) {
+    full_.emplace(spec.pool, size);
+  }
   if (best == nullptr) {
     return std::nullopt;
   }
@@ -241,7 +241,7 @@
 }
 
 std::string job_placement::WhyOverQuota(const job_spec& spec) const {
-  const team_spec* team = FindTeam(context_.inputs.state.targets, spec.team);
+  const team_spec* team = FindTeam(spec.team);
   const auto use = teams_.find(spec.team);
   if (team == nullptr || use == teams_.end()) {
     return "";
@@ -257,8 +257,17 @@
   return "";
 }
 
+const team_spec* job_placement::FindTeam(const team_id& team) const {
+  const auto found = team_specs_.find(team);
+  return found == team_specs_.end() ? nullptr : found->second;
+}
+
+bool job_placement::IsKnownFull(const job_spec& spec) const {
+  return full_.contains({spec.pool, history_.SizeOf(spec)});
+}
+
 bool job_placement::TeamMayUse(const team_id& team, const vm_id& vm) const {
-  const team_spec* spec = FindTeam(context_.inputs.state.targets, team);
+  const team_spec* spec = FindTeam(team);
   const auto use = teams_.find(team);
   return spec == nullptr || spec->vms == 0 || use == teams_.end() ||
          use->second.vms.size() < spec->vms || use->second.vms.contains(vm);
--- a/src/core/job_planner.cc
+++ b/src/core/job_planner.cc
@@ -15,6 +15,8 @@
 constexpr const char* kStop = "stop";
 constexpr const char* kRenew = "renew";
 
+constexpr const char* kNoRoom = "no worker of its pool has room";
+
 /// A lease is renewed this many times while it lasts, so that one lost renewal
 /// doesn't end the task.
 constexpr int kRenewalsPerLease = 3;
@@ -22,15 +24,6 @@
 /// appends a second.
 constexpr std::size_t kPlacementsPerPlan = 100;
 
-/// What decides whether a job finds room; equal jobs all do or all don't.
-struct job_shape {
-  pool_id pool;
-  team_id team;
-  job_size size;
-
-  friend auto operator<=>(const job_shape&, const job_shape&) = default;
-};
-
 bool HoldsTask(const job_progress& job) {
   return job.state == job_state::kPlaced ||
          job.state == job_state::kCheckpointing;
@@ -368,26 +361,17 @@
   }
   std::sort(waiting.begin(), waiting.end());
   job_placement room(context, history_);
-  // Equal jobs that found no room would search again and again in a long queue.
-  std::map<job_shape, std::string> full;
   std::size_t placed = 0;
   for (const auto& [key, job] : waiting) {
     if (placed >= kPlacementsPerPlan) {
       break;
     }
     const job_id& id = job->spec.name;
-    const job_shape shape{job->spec.pool, job->spec.team,
-                          history_.SizeOf(job->spec)};
-    const auto known = full.find(shape);
-    if (!job->spec.urgent && known != full.end()) {
-      context.reasons[ObjectOf(id)] = known->second;
+    if (!job->spec.urgent && room.IsKnownFull(job->spec)) {
+      context.reasons.try_emplace(ObjectOf(id), kNoRoom);
       continue;
     }
-    if (PlaceOne(context, room, id, *job)) {
-      ++placed;
-    } else if (history_.FailedOn(id).empty()) {
-      full[shape] = context.reasons[ObjectOf(id)];
-    }
+    placed += PlaceOne(context, room, id, *job) ? 1 : 0;
   }
 }
 
@@ -416,7 +400,7 @@
   if (job.spec.urgent && PlaceUrgent(context, room, id, job)) {
     return true;
   }
-  context.reasons[ObjectOf(id)] = "no worker of its pool has room";
+  context.reasons[ObjectOf(id)] = kNoRoom;
   return false;
 }
 
--- a/src/core/pool_planner.cc
+++ b/src/core/pool_planner.cc
@@ -234,6 +234,7 @@
   CountMovers(context, pools);
   std::set<vm_id> taken;
   std::set<pool_id> settled = PoolsWithShortLack(context, pools);
+  SettleIfNoDonor(context, pools, settled);
   while (true) {
     const std::optional<pool_id> receiver =
         NeediestPool(context, pools, std::nullopt, settled);
@@ -244,9 +245,7 @@
     const std::optional<donor> best =
         BestDonor(context, lifecycle, pools, *receiver, taken);
     if (!best) {
-      context.Report(
-          note_level::kWarning, ObjectOf(*receiver),
-          "it lacks " + Count(to.Lack()) + " VMs and no pool can spare one");
+      ReportNoDonor(context, *receiver, to);
       settled.insert(*receiver);
       continue;
     }
@@ -315,9 +314,8 @@
 
 void pool_planner::ObserveStandings(const planner_context& context,
                                     const balances& pools) {
-  std::erase_if(standings_, [&](const auto& item) {
-    return !pools.contains(item.first);
-  });
+  std::erase_if(standings_,
+                [&](const auto& item) { return !pools.contains(item.first); });
   const auto follow = [&](std::optional<time_point>& since, bool holds) {
     if (!holds) {
       since.reset();
@@ -362,9 +360,11 @@
   std::optional<pool_id> neediest;
   std::tuple<double, double, double> greatest;
   for (const auto& [name, pool] : pools) {
+    if (settled.contains(name)) {
+      continue;
+    }
     const std::uint32_t lack = pool.Lack();
-    if (lack == 0 || settled.contains(name) ||
-        (from && !HasRoom(context, name, *from))) {
+    if (lack == 0 || (from && !HasRoom(context, name, *from))) {
       continue;
     }
     const std::uint32_t base = pool.BaseLack();
@@ -391,8 +391,8 @@
   std::tuple<bool, bool, std::uint32_t, std::uint32_t, double> least;
   for (const auto& [name, from] : pools) {
     const standing& stand = standings_.at(name);
-    if (name == receiver || !HasRoom(context, receiver, name) ||
-        !IsDonor(context, from, stand, to)) {
+    if (name == receiver || !IsDonor(context, from, stand, to) ||
+        !HasRoom(context, receiver, name)) {
       continue;
     }
     const bool spares_all = is_urgent && from.tolerance() >= to.tolerance();
@@ -427,9 +427,37 @@
   if (IsUrgent(to)) {
     return stand.surplus > 0 || from.tolerance() >= to.tolerance();
   }
+  return HasLastingSurplus(context, stand);
+}
+
+bool pool_planner::HasLastingSurplus(const planner_context& context,
+                                     const standing& stand) {
   return stand.surplus > 0 && stand.surplus_since &&
-         context.now - *stand.surplus_since >=
-             context.options.surplus_patience;
+         context.now - *stand.surplus_since >= context.options.surplus_patience;
+}
+
+void pool_planner::SettleIfNoDonor(const planner_context& context,
+                                   const balances& pools,
+                                   std::set<pool_id>& settled) const {
+  for (const auto& [name, stand] : standings_) {
+    if (HasLastingSurplus(context, stand)) {
+      return;
+    }
+  }
+  for (const auto& [name, stand] : standings_) {
+    const pool_balance& pool = pools.at(name);
+    if (stand.lack > 0 && !IsUrgent(pool) && settled.insert(name).second) {
+      ReportNoDonor(context, name, pool);
+    }
+  }
+}
+
+void pool_planner::ReportNoDonor(const planner_context& context,
+                                 const pool_id& name,
+                                 const pool_balance& pool) {
+  context.Report(
+      note_level::kWarning, ObjectOf(name),
+      "it lacks " + Count(pool.Lack()) + " VMs and no pool can spare one");
 }
 
 bool pool_planner::MayLeave(const planner_context& context,
