--- a/src/core/error_budget.cc
+++ b/src/core/error_budget.cc
@@ -48,9 +48,9 @@
   if (total == 0) {
     return 0;
   }
-  const double missed =
-      static_cast<double>(counts.Missed()) / static_cast<double>(total);
-  return missed / std::max(work.unavailability, kLeastTolerance);
+  const double unserved =
+      static_cast<double>(counts.Unserved()) / static_cast<double>(total);
+  return unserved / std::max(work.unavailability, kLeastTolerance);
 }
 
 budget_status StatusOf(const work_class& work,
--- a/src/entry/frame_reader.cc
+++ b/src/entry/frame_reader.cc
@@ -1,5 +1,6 @@
 #include "entry/frame_reader.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -108,9 +109,8 @@
     const auto* by_fate = item->by_fate();
     const std::size_t known = read.counts.by_fate.size();
     // A newer sender may know more fates.
-    for (std::size_t i = 0; by_fate && i < std::min<std::size_t>(
-                                               known, by_fate->size());
-         ++i) {
+    for (std::size_t i = 0;
+         by_fate && i < std::min<std::size_t>(known, by_fate->size()); ++i) {
       read.counts.by_fate[i] = by_fate->Get(static_cast<std::uint32_t>(i));
     }
   }
