--- a/include/plantainhead/core/control_log.h
+++ b/include/plantainhead/core/control_log.h
@@ -90,7 +90,8 @@
                         effects& out);
   void OnTick(time_point now, effects& out);
 
-  /// Takes in what a peer's heartbeat says of its fold.
+  /// Takes in what a peer's heartbeat says of its fold. Heartbeats of processes
+  /// that aren't members of this entry's view tell nothing.
   void OnPeerOffset(log_offset offset,
                     std::uint64_t digest,
                     incarnation from,
@@ -135,7 +136,13 @@
   log_offset newest_snapshot() const { return newest_snapshot_; }
 
  private:
-  enum class phase { kStopped, kReadingSnapshots, kFollowing };
+  enum class phase {
+    kStopped,
+    /// Asking where the snapshot stream ends.
+    kFindingSnapshots,
+    kReadingSnapshots,
+    kFollowing,
+  };
 
   struct command {
     std::uint64_t sequence = 0;
@@ -157,7 +164,8 @@
   void ClearFault(effects& out);
 
   // Snapshots (control_log_snapshots.cc).
-  void ReadSnapshots(effects& out);
+  void FindSnapshots(effects& out);
+  void ReadSnapshots(log_offset count, effects& out);
   void OnSnapshotRead(const log_read& event, effects& out);
   void ConsiderSnapshot(const log_entry& entry, effects& out);
   void FinishSnapshots(effects& out);
@@ -177,7 +185,7 @@
   void AnswerReadBack(const log_entry& entry,
                       const fold_result& result,
                       effects& out);
-  void AnswerRefused(const std::vector<record_id>& refused, effects& out);
+  void RenameCommands(const std::vector<renamed_record>& renamed);
   void AnswerLate(time_point now, effects& out);
 
   control_log_settings settings_;
@@ -205,10 +213,10 @@
   /// Its place in the snapshot stream, and where that stream begins.
   log_offset newest_snapshot_at_ = 0;
   log_offset snapshots_begin_ = 0;
+  log_offset snapshots_end_ = 0;
   log_offset snapshots_read_ = 0;
-  /// Older snapshots were passed over to get at the newest ones.
-  bool snapshots_skipped_ = false;
-  bool may_skip_snapshots_ = true;
+  /// How many of the newest snapshots are being read.
+  log_offset snapshots_tried_ = 0;
   append_id snapshot_append_ = append_id::kNone;
   time_point next_snapshot_{};
   std::optional<time_point> stand_in_at_;
--- a/include/plantainhead/core/pool_balance.h
+++ b/include/plantainhead/core/pool_balance.h
@@ -26,6 +26,8 @@
 
   std::uint32_t size() const { return size_; }
   std::uint32_t need() const { return capacity_.need; }
+  /// True when callers, not only jobs, lack what it lacks.
+  bool is_for_callers() const { return capacity_.is_known; }
   double tolerance() const { return capacity_.tolerance; }
   std::uint32_t CountIn(const zone_id& domain) const;
 
@@ -39,8 +41,6 @@
   /// Returns true if one VM of `domain` can go. With `base_only` the spare may
   /// be used up.
   bool CanSpare(const zone_id& domain, bool base_only) const;
-  /// VMs that the pool is asked to hold as it is spread now.
-  std::uint32_t Wanted() const { return size_ + Lack() - Surplus(); }
 
  private:
   using spread = std::map<zone_id, std::uint32_t>;
