Let the stand-in take a burst of connections; read past any record

Cause: cpp-httplib listens with a backlog of 5. With 100 readers at once the kernel drops connections, calls take seconds or time out, and a test that did not check an answer crashed (seen twice at load over 20). Change: listen with 512, threads started as needed, no SO_REUSEPORT; the test checks the answer it waits for. Conclusion: the entry's own HTTP server needs the same treatment.

--- a/fakes/platform_server.cc
+++ b/fakes/platform_server.cc
@@ -17,9 +17,11 @@
 
 #include <httplib.h>
 
-#include "fleet_model.h"
-#include "log_model.h"
+#include "growing_pool.h"
+#include "http_json.h"
 #include "platform/platform_json.h"
+#include "platform_state.h"
+#include "runner_client.h"
 
 namespace plantainhead::fakes {
 namespace {
@@ -32,126 +34,20 @@
 // as many that append, list and operate.
 constexpr std::size_t kServerThreads = 256;
 constexpr std::size_t kKeepAliveRequests = 1'000'000'000;
+// The HTTP library lets 5 connections wait to be accepted. When all entries
+// connect at once the kernel would drop some without a word, and their first
+// calls would time out; this many covers every thread of the server.
+constexpr int kListenBacklog = 512;
 // Stopping waits this long for idle connections.
 constexpr std::time_t kKeepAliveSeconds = 2;
 constexpr std::size_t kMostRecords = 10'000;
-constexpr core::duration kLongestWait = std::chrono::seconds(60);
-constexpr core::duration kRunnerTimeout = std::chrono::seconds(2);
-
-enum status : int {
-  kOk = 200,
-  kAccepted = 202,
-  kBadRequest = 400,
-  kNotFound = 404,
-  kConflict = 409,
-  kTooMany = 429,
-  kServerError = 500,
-  kUnavailable = 503,
-};
-
-// How an answer to an append that took effect is lost.
-enum class loss { kStatus, kClose };
-
-constexpr core::name_table<loss, 2> kLossNames = {{
-    {loss::kStatus, "status"},
-    {loss::kClose, "close"},
-}};
-constexpr const auto& NamesOf(loss) {
-  return kLossNames;
-}
-
-struct fault_settings {
-  bool down = false;
-  core::duration slow{};
-  std::uint64_t refuse_appends = 0;
-  std::uint64_t lose_append_answers = 0;
-  loss lose_by = loss::kStatus;
-};
-
-struct platform_counters {
-  std::uint64_t appends = 0;
-  std::uint64_t records = 0;
-  std::uint64_t refused_appends = 0;
-  std::uint64_t lost_answers = 0;
-  std::uint64_t reads = 0;
-  std::uint64_t list_reads = 0;
-  std::uint64_t operation_calls = 0;
-};
-
-template <typename Archive>
-void Fields(Archive& a, typename Archive::template ref<platform_counters> x) {
-  a("appends", x.appends);
-  a("records", x.records);
-  a("refused_appends", x.refused_appends);
-  a("lost_answers", x.lost_answers);
-  a("reads", x.reads);
-  a("list_reads", x.list_reads);
-  a("operation_calls", x.operation_calls);
-}
+constexpr std::uint64_t kLongestWaitMs = 60'000;
 
 core::time_point Now() {
   return core::time_point(std::chrono::duration_cast<core::duration>(
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-void Answer(httplib::Response& to, int code, const json& body) {
-  to.status = code;
-  to.set_content(platform::Dump(body), "application/json");
-}
-
-void Refuse(httplib::Response& to, int code, const std::string& why) {
-  Answer(to, code, {{"error", why}});
-}
-
-// Returns the query parameter as a number, or `fallback` without one.
-std::uint64_t NumberOf(const httplib::Request& request,
-                       const char* name,
-                       std::uint64_t fallback) {
-  if (!request.has_param(name)) {
-    return fallback;
-  }
-  const std::string text = request.get_param_value(name);
-  std::uint64_t number = 0;
-  const char* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, number);
-  if (result.ec != std::errc() || result.ptr != end) {
-    throw platform::codec_error(name, "expected a whole number from 0");
-  }
-  return number;
-}
-
-// Reads an optional field of whole milliseconds.
-void ReadMilliseconds(json_reader& in, const char* name, core::duration* to) {
-  std::int64_t count =
-      std::chrono::duration_cast<std::chrono::milliseconds>(*to).count();
-  in(name, count);
-  *to = std::chrono::milliseconds(count);
-}
-
-// Asks a runner to drain or to reboot; returns what it has in flight, if it
-// says so. A runner whose process isn't there has nothing in flight.
-std::optional<std::uint32_t> Call(const runner_call& call) {
-  httplib::Client client(call.host, call.port);
-  client.set_connection_timeout(kRunnerTimeout);
-  client.set_read_timeout(kRunnerTimeout);
-  const httplib::Result result =
-      client.Post(call.path, "{}", "application/json");
-  if (!result) {
-    return result.error() == httplib::Error::Connection
-               ? std::optional<std::uint32_t>(0)
-               : std::nullopt;
-  }
-  try {
-    const json body = platform::ParseObject(result->body);
-    std::uint32_t in_flight = 0;
-    const json_reader in(body, "");
-    json_reader::Read(in.Require("in_flight"), in_flight, "/in_flight");
-    return in_flight;
-  } catch (const platform::codec_error&) {
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 class platform_server::implementation {
@@ -170,6 +66,8 @@
   // What the stand-in itself offers, which always answers.
   httplib::Server::Handler Steady(handler handle);
   void AddRoutes();
+  // Binds the port. Throws `std::runtime_error`.
+  void Listen(const platform_server_options& options);
 
   void AppendRecords(const httplib::Request&, httplib::Response&);
   void ReadRecords(const httplib::Request&, httplib::Response&);
@@ -185,11 +83,6 @@
   void ReadFaults(const httplib::Request&, httplib::Response&);
   void ReadCounters(const httplib::Request&, httplib::Response&);
 
-  // Waits out the fault `slow`. Returns false when the platform is down.
-  bool PassFaults();
-  json FaultsJson() const;
-  std::condition_variable& WaitersOf(const core::stream_name& stream);
-  void WakeAll();
   template <typename View>
   json ViewJson(const View& view, const char* name) const;
   std::uint64_t CursorOf(const httplib::Request& request) const;
@@ -201,32 +94,34 @@
   const std::string life_ = platform::ToHex(
       static_cast<std::uint64_t>(Now().time_since_epoch().count()));
 
-  mutable std::mutex mutex_;
-  // All below are guarded by `mutex_`.
-  log_model log_;
-  fleet_model fleet_;
-  fault_settings faults_;
-  platform_counters counters_;
-  bool stopping_ = false;
-  // Wakes the readers of one stream.
-  std::map<core::stream_name, std::condition_variable> waiters_;
-  std::condition_variable faults_changed_;
+  platform_state state_;
 };
 
 platform_server::implementation::implementation(
     const platform_server_options& options) {
   log_limits limits;
   limits.appends_per_second = options.appends_per_second;
-  log_.set_limits(limits);
-  fleet_.set_list_lag(options.list_lag);
-  fleet_.set_reboot_time(options.reboot_time);
-  server_.new_task_queue = [] {
-    return new httplib::ThreadPool(kServerThreads);
-  };
+  state_.log.set_limits(limits);
+  state_.fleet.set_list_lag(options.list_lag);
+  state_.fleet.set_reboot_time(options.reboot_time);
+  server_.new_task_queue = [] { return new growing_pool(kServerThreads); };
   server_.set_tcp_nodelay(true);
   server_.set_keep_alive_max_count(kKeepAliveRequests);
   server_.set_keep_alive_timeout(kKeepAliveSeconds);
   AddRoutes();
+  Listen(options);
+  thread_ = std::thread([this] { server_.listen_after_bind(); });
+}
+
+void platform_server::implementation::Listen(
+    const platform_server_options& options) {
+  socket_t listener = INVALID_SOCKET;
+  // The library's own options would let two servers share a port.
+  server_.set_socket_options([&listener](socket_t created) {
+    const int yes = 1;
+    setsockopt(created, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    listener = created;
+  });
   if (options.port == 0) {
     port_ = static_cast<std::uint16_t>(
         std::max(0, server_.bind_to_any_port(options.host)));
@@ -237,14 +132,14 @@
     throw std::runtime_error("can't listen on " + options.host + ":" +
                              std::to_string(options.port));
   }
-  thread_ = std::thread([this] { server_.listen_after_bind(); });
+  listen(listener, kListenBacklog);
 }
 
 platform_server::implementation::~implementation() {
   {
-    const std::lock_guard lock(mutex_);
-    stopping_ = true;
-    WakeAll();
+    const std::lock_guard lock(state_.mutex);
+    state_.stopping = true;
+    state_.WakeAll();
   }
   // `stop` has no effect on a server whose thread has not begun to listen.
   while (!server_.is_running()) {
@@ -261,7 +156,7 @@
     try {
       (this->*handle)(request, response);
     } catch (const platform::codec_error& error) {
-      Refuse(response, kBadRequest, error.what());
+      Refuse(response, status::kBadRequest, error.what());
     }
   };
 }
@@ -270,10 +165,13 @@
     handler handle) {
   return [this, run = Steady(handle)](const httplib::Request& request,
                                       httplib::Response& response) {
-    if (PassFaults()) {
+    std::unique_lock lock(state_.mutex);
+    const bool is_up = state_.PassFaults(lock);
+    lock.unlock();
+    if (is_up) {
       run(request, response);
     } else {
-      Refuse(response, kUnavailable, "the platform is down");
+      Refuse(response, status::kUnavailable, "the platform is down");
     }
   };
 }
@@ -295,17 +193,6 @@
   server_.Get("/counters", Steady(&self::ReadCounters));
 }
 
-bool platform_server::implementation::PassFaults() {
-  std::unique_lock lock(mutex_);
-  const auto start = std::chrono::steady_clock::now();
-  // A change of the fault also concerns the requests that it holds.
-  while (!stopping_ &&
-         std::chrono::steady_clock::now() < start + faults_.slow) {
-    faults_changed_.wait_until(lock, start + faults_.slow);
-  }
-  return !faults_.down && !stopping_;
-}
-
 void platform_server::implementation::AppendRecords(
     const httplib::Request& request,
     httplib::Response& response) {
@@ -313,34 +200,36 @@
   const json body = platform::ParseObject(request.body);
   std::vector<std::string> records;
   const json_reader in(body, "");
-  json_reader::Read(in.Require("records"), records, "/records");
+  for (const json& item : in.Require("records")) {
+    records.push_back(json_reader::Text(item, "/records"));
+  }
   if (records.empty()) {
     throw platform::codec_error("/records", "expected at least one");
   }
-  const std::lock_guard lock(mutex_);
+  const std::lock_guard lock(state_.mutex);
   const std::size_t count = records.size();
   std::optional<core::log_offset> first;
-  if (faults_.refuse_appends > 0) {
-    --faults_.refuse_appends;
+  if (state_.faults.refuse_appends > 0) {
+    --state_.faults.refuse_appends;
   } else {
-    first = log_.Append(stream, std::move(records), Now());
+    first = state_.log.Append(stream, std::move(records), Now());
   }
   if (!first.has_value()) {
-    ++counters_.refused_appends;
-    Refuse(response, kTooMany, "too many appends");
+    ++state_.counters.refused_appends;
+    Refuse(response, status::kTooMany, "too many appends");
     return;
   }
-  ++counters_.appends;
-  counters_.records += count;
-  WaitersOf(stream).notify_all();
-  if (faults_.lose_append_answers == 0) {
-    Answer(response, kOk, {{"first", *first}});
+  ++state_.counters.appends;
+  state_.counters.records += count;
+  state_.readers[stream].notify_all();
+  if (state_.faults.lose_append_answers == 0) {
+    Answer(response, status::kOk, {{"first", *first}});
     return;
   }
-  --faults_.lose_append_answers;
-  ++counters_.lost_answers;
-  if (faults_.lose_by == loss::kStatus) {
-    Refuse(response, kServerError, "the answer was lost");
+  --state_.faults.lose_append_answers;
+  ++state_.counters.lost_answers;
+  if (state_.faults.lose_by == answer_loss::kStatus) {
+    Refuse(response, status::kServerError, "the answer was lost");
     return;
   }
   // A provider that fails makes the server close the connection before the
@@ -357,21 +246,22 @@
   const core::log_offset after = NumberOf(request, "after", 0);
   const std::size_t max = std::clamp<std::uint64_t>(
       NumberOf(request, "max", 1000), 1, kMostRecords);
-  const auto wait = std::min<core::duration>(
-      std::chrono::milliseconds(NumberOf(request, "wait_ms", 0)), kLongestWait);
+  const std::chrono::milliseconds wait(
+      std::min(NumberOf(request, "wait_ms", 0), kLongestWaitMs));
   const auto until = std::chrono::steady_clock::now() + wait;
 
-  std::unique_lock lock(mutex_);
-  ++counters_.reads;
-  read_result found = log_.Read(stream, after, max, Now());
-  while (found.end == after && !faults_.down && !stopping_) {
-    if (WaitersOf(stream).wait_until(lock, until) == std::cv_status::timeout) {
+  std::unique_lock lock(state_.mutex);
+  ++state_.counters.reads;
+  read_result found = state_.log.Read(stream, after, max, Now());
+  while (found.end == after && !state_.faults.down && !state_.stopping) {
+    if (state_.readers[stream].wait_until(lock, until) ==
+        std::cv_status::timeout) {
       break;
     }
-    found = log_.Read(stream, after, max, Now());
+    found = state_.log.Read(stream, after, max, Now());
   }
-  if (faults_.down) {
-    Refuse(response, kUnavailable, "the platform is down");
+  if (state_.faults.down) {
+    Refuse(response, status::kUnavailable, "the platform is down");
     return;
   }
   lock.unlock();
@@ -381,7 +271,7 @@
     records.push_back(
         {{"offset", item.offset}, {"data", std::move(item.data)}});
   }
-  Answer(response, kOk,
+  Answer(response, status::kOk,
          {{"begin", found.begin},
           {"end", found.end},
           {"records", std::move(records)}});
@@ -417,17 +307,17 @@
 
 void platform_server::implementation::ListVms(const httplib::Request& request,
                                               httplib::Response& response) {
-  const std::lock_guard lock(mutex_);
-  ++counters_.list_reads;
-  const auto view = fleet_.ReadVms(CursorOf(request), Now());
-  Answer(response, kOk, ViewJson(view, "vms"));
+  const std::lock_guard lock(state_.mutex);
+  ++state_.counters.list_reads;
+  const auto view = state_.fleet.ReadVms(CursorOf(request), Now());
+  Answer(response, status::kOk, ViewJson(view, "vms"));
 }
 
 void platform_server::implementation::ListTasks(const httplib::Request& request,
                                                 httplib::Response& response) {
-  const std::lock_guard lock(mutex_);
-  const auto view = fleet_.ReadTasks(CursorOf(request), Now());
-  Answer(response, kOk, ViewJson(view, "tasks"));
+  const std::lock_guard lock(state_.mutex);
+  const auto view = state_.fleet.ReadTasks(CursorOf(request), Now());
+  Answer(response, status::kOk, ViewJson(view, "tasks"));
 }
 
 void platform_server::implementation::RegisterVm(
@@ -438,9 +328,9 @@
   if (listing.vm.empty()) {
     throw platform::codec_error("/vm", "expected a name");
   }
-  const std::lock_guard lock(mutex_);
-  fleet_.Register(listing, Now());
-  Answer(response, kOk, json::object());
+  const std::lock_guard lock(state_.mutex);
+  state_.fleet.Register(listing, Now());
+  Answer(response, status::kOk, json::object());
 }
 
 void platform_server::implementation::SetVmState(
@@ -450,16 +340,16 @@
   const json body = platform::ParseObject(request.body);
   const json_reader in(body, "");
   const json& wanted = in.Require("state");
-  const std::lock_guard lock(mutex_);
+  const std::lock_guard lock(state_.mutex);
   bool is_there = false;
   if (wanted == "gone") {
-    is_there = fleet_.Remove(vm, Now());
+    is_there = state_.fleet.Remove(vm, Now());
   } else {
     auto state = core::vm_listing_state::kLive;
     json_reader::Read(wanted, state, "/state");
-    is_there = fleet_.SetState(vm, state, Now());
+    is_there = state_.fleet.SetState(vm, state, Now());
   }
-  Answer(response, is_there ? kOk : kNotFound, json::object());
+  Answer(response, is_there ? status::kOk : status::kNotFound, json::object());
 }
 
 void platform_server::implementation::SetVmBehaviour(
@@ -472,9 +362,9 @@
   if (in.Find("reboot_ms") != nullptr) {
     ReadMilliseconds(in, "reboot_ms", &behaviour.reboot_time.emplace());
   }
-  const std::lock_guard lock(mutex_);
-  fleet_.SetBehaviour(core::vm_id(request.matches[1]), behaviour);
-  Answer(response, kOk, json::object());
+  const std::lock_guard lock(state_.mutex);
+  state_.fleet.SetBehaviour(core::vm_id(request.matches[1]), behaviour);
+  Answer(response, status::kOk, json::object());
 }
 
 void platform_server::implementation::SetJobBehaviour(
@@ -489,9 +379,10 @@
   if (in.Find("run_time_ms") != nullptr) {
     ReadMilliseconds(in, "run_time_ms", &behaviour.run_time.emplace());
   }
-  const std::lock_guard lock(mutex_);
-  fleet_.tasks().SetBehaviour(core::job_id(request.matches[1]), behaviour);
-  Answer(response, kOk, json::object());
+  const std::lock_guard lock(state_.mutex);
+  state_.fleet.tasks().SetBehaviour(core::job_id(request.matches[1]),
+                                    behaviour);
+  Answer(response, status::kOk, json::object());
 }
 
 void platform_server::implementation::SetTaskState(
@@ -503,10 +394,10 @@
   std::string detail;
   in("state", state);
   in("detail", detail);
-  const std::lock_guard lock(mutex_);
-  const bool is_there = fleet_.tasks().EndTask(core::job_id(request.matches[1]),
-                                               state, detail, Now());
-  Answer(response, is_there ? kOk : kNotFound, json::object());
+  const std::lock_guard lock(state_.mutex);
+  const bool is_there = state_.fleet.tasks().EndTask(
+      core::job_id(request.matches[1]), state, detail, Now());
+  Answer(response, is_there ? status::kOk : status::kNotFound, json::object());
 }
 
 void platform_server::implementation::RunOperation(
@@ -517,16 +408,16 @@
       platform::ReadOperation(platform::ParseObject(request.body));
   operation_step step;
   {
-    const std::lock_guard lock(mutex_);
-    ++counters_.operation_calls;
-    step = fleet_.Run(id, operation, Now());
+    const std::lock_guard lock(state_.mutex);
+    ++state_.counters.operation_calls;
+    step = state_.fleet.Run(id, operation, Now());
   }
   // The runner is called without the lock: it may take its time.
   if (step.call.has_value()) {
-    const auto in_flight = Call(*step.call);
+    const auto in_flight = CallRunner(*step.call);
     if (step.call->is_drain) {
-      const std::lock_guard lock(mutex_);
-      step.answer = fleet_.FinishDrain(id, in_flight);
+      const std::lock_guard lock(state_.mutex);
+      step.answer = state_.fleet.FinishDrain(id, in_flight);
     }
   }
   json body = {{"result", std::string(core::NameOf(step.answer.progress))},
@@ -534,11 +425,11 @@
   if (step.answer.in_flight.has_value()) {
     body["in_flight"] = *step.answer.in_flight;
   }
-  int code = kOk;
+  int code = status::kOk;
   if (step.answer.progress == operation_progress::kRunning) {
-    code = kAccepted;
+    code = status::kAccepted;
   } else if (step.answer.progress == operation_progress::kRefused) {
-    code = kConflict;
+    code = status::kConflict;
   }
   Answer(response, code, body);
 }
@@ -546,87 +437,22 @@
 void platform_server::implementation::SetFaults(const httplib::Request& request,
                                                 httplib::Response& response) {
   const json body = platform::ParseObject(request.body);
-  json_reader in(body, "");
-  const std::lock_guard lock(mutex_);
-  fault_settings faults = faults_;
-  in("down", faults.down);
-  ReadMilliseconds(in, "slow_ms", &faults.slow);
-  in("refuse_appends", faults.refuse_appends);
-  in("lose_append_answers", faults.lose_append_answers);
-  in("lose_by", faults.lose_by);
-  core::duration lag = fleet_.list_lag();
-  core::duration reboot_time = fleet_.reboot_time();
-  log_limits limits = log_.limits();
-  ReadMilliseconds(in, "list_lag_ms", &lag);
-  ReadMilliseconds(in, "reboot_ms", &reboot_time);
-  ReadMilliseconds(in, "retention_ms", &limits.retention_time);
-  in("retention_records", limits.retention_records);
-  in("appends_per_second", limits.appends_per_second);
-  if (const json* cut = in.Find("truncate")) {
-    json_reader what(*cut, "/truncate");
-    core::stream_name stream;
-    core::log_offset end = 0;
-    json_reader::Read(what.Require("stream"), stream, "/truncate/stream");
-    json_reader::Read(what.Require("end"), end, "/truncate/end");
-    log_.Truncate(stream, end);
-  }
-  faults_ = faults;
-  fleet_.set_list_lag(lag);
-  fleet_.set_reboot_time(reboot_time);
-  log_.set_limits(limits);
-  WakeAll();
-  Answer(response, kOk, FaultsJson());
+  const std::lock_guard lock(state_.mutex);
+  state_.ChangeFaults(body);
+  Answer(response, status::kOk, state_.FaultsJson());
 }
 
 void platform_server::implementation::ReadFaults(const httplib::Request&,
                                                  httplib::Response& response) {
-  const std::lock_guard lock(mutex_);
-  Answer(response, kOk, FaultsJson());
-}
-
-json platform_server::implementation::FaultsJson() const {
-  const auto milliseconds = [](core::duration time) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-  };
-  const log_limits& limits = log_.limits();
-  return {
-      {"down", faults_.down},
-      {"slow_ms", milliseconds(faults_.slow)},
-      {"refuse_appends", faults_.refuse_appends},
-      {"lose_append_answers", faults_.lose_append_answers},
-      {"lose_by", std::string(core::NameOf(faults_.lose_by))},
-      {"list_lag_ms", milliseconds(fleet_.list_lag())},
-      {"reboot_ms", milliseconds(fleet_.reboot_time())},
-      {"retention_records", limits.retention_records},
-      {"retention_ms", milliseconds(limits.retention_time)},
-      {"appends_per_second", limits.appends_per_second},
-  };
+  const std::lock_guard lock(state_.mutex);
+  Answer(response, status::kOk, state_.FaultsJson());
 }
 
 void platform_server::implementation::ReadCounters(
     const httplib::Request&,
     httplib::Response& response) {
-  const std::lock_guard lock(mutex_);
-  json body = json_writer::Write(counters_);
-  body["reboots"] = json_writer::Write(fleet_.reboots());
-  json operations = json::object();
-  for (const auto& [type, count] : fleet_.operations()) {
-    operations[type] = count;
-  }
-  body["operations"] = std::move(operations);
-  Answer(response, kOk, body);
-}
-
-std::condition_variable& platform_server::implementation::WaitersOf(
-    const core::stream_name& stream) {
-  return waiters_[stream];
-}
-
-void platform_server::implementation::WakeAll() {
-  faults_changed_.notify_all();
-  for (auto& [stream, waiters] : waiters_) {
-    waiters.notify_all();
-  }
+  const std::lock_guard lock(state_.mutex);
+  Answer(response, status::kOk, state_.CountersJson());
 }
 
 platform_server::platform_server(const platform_server_options& options)
--- a/include/plantainhead/platform/platform_link.h
+++ b/include/plantainhead/platform/platform_link.h
@@ -102,7 +102,7 @@
 
   /// Stops reading the stream; a read that is already on its way may still be
   /// posted.
-  void Unfollow(core::unfollow_stream action);
+  void Unfollow(const core::unfollow_stream& action);
 
   /// Runs the operation and posts one `core::operation_finished`: `kDone` once
   /// its effect has been reached (the VM is drained with nothing in flight, or
--- a/src/platform/json_archive.h
+++ b/src/platform/json_archive.h
@@ -185,6 +185,10 @@
 
   const std::string& place() const { return place_; }
 
+  /// Returns the text that `from` holds, as it stands.
+  /// Errors: `codec_error` unless it is a text.
+  static const std::string& Text(const json& from, const std::string& place);
+
   template <typename T>
   static void Read(const json& from, T& to, const std::string& place) {
     if constexpr (std::is_same_v<T, bool>) {
@@ -226,7 +230,9 @@
     Expect(from.is_array(), place, "a list");
     to.clear();
     for (std::size_t i = 0; i < from.size(); ++i) {
-      Read(from[i], to.emplace_back(), place + "/" + std::to_string(i));
+      std::string at = place;
+      at.append("/").append(std::to_string(i));
+      Read(from[i], to.emplace_back(), at);
     }
   }
 
@@ -246,7 +252,8 @@
     Expect(from.is_object(), place, "an object");
     to.clear();
     for (const auto& [key, item] : from.items()) {
-      const std::string at = place + "/" + key;
+      std::string at = place;
+      at.append("/").append(key);
       Read(item, to[ReadKey<Key>(key, at)], at);
     }
   }
@@ -259,7 +266,6 @@
   }
 
   static std::int64_t Signed(const json& from, const std::string& place);
-  static const std::string& Text(const json& from, const std::string& place);
 
   template <typename Key>
   static Key ReadKey(const std::string& text, const std::string& place) {
--- a/src/platform/platform_link.cc
+++ b/src/platform/platform_link.cc
@@ -239,7 +239,7 @@
   implementation_->Follow(std::move(action));
 }
 
-void platform_link::Unfollow(core::unfollow_stream action) {
+void platform_link::Unfollow(const core::unfollow_stream& action) {
   implementation_->Unfollow(action);
 }
 
--- a/src/platform/stream_reader.cc
+++ b/src/platform/stream_reader.cc
@@ -33,14 +33,16 @@
   json_reader::Read(in.Require("begin"), read.begin, "/begin");
   json_reader::Read(in.Require("end"), read.end, "/end");
   const json& records = in.Require("records");
+  if (!records.is_array()) {
+    throw codec_error("/records", "expected a list");
+  }
   for (std::size_t i = 0; i < records.size(); ++i) {
     const std::string place = "/records/" + std::to_string(i);
     json_reader item(records[i], place);
     core::log_entry entry;
-    std::string data;
     json_reader::Read(item.Require("offset"), entry.offset, place + "/offset");
-    json_reader::Read(item.Require("data"), data, place + "/data");
-    entry.content = DecodeOrSkip(data);
+    entry.content =
+        DecodeOrSkip(json_reader::Text(item.Require("data"), place + "/data"));
     read.entries.push_back(std::move(entry));
   }
   return read;
--- a/tests/platform/platform_link_test.cc
+++ b/tests/platform/platform_link_test.cc
@@ -182,15 +182,19 @@
     }
   }
 
-  SECTION("with a record that nobody can read, and goes on behind it") {
-    Post("/streams/control/records", {{"records", {"nonsense"}}});
-    AppendAndWait(Append(2));
+  SECTION("with records that nobody can read, and goes on behind them") {
+    const std::string broken_escape("\0x", 2);
+    Post("/streams/control/records",
+         {{"records", {"nonsense", broken_escape}}});
+    AppendAndWait(Append(3));
     link_.Follow({kStream, 0});
     const auto read = inbox_.Take<log_read>();
-    REQUIRE(read.entries.size() == 2);
-    CHECK(std::get<unknown_record>(read.entries[0].content.body).type ==
-          "malformed");
-    CHECK(read.entries[1].content.id.value() == "r2");
+    REQUIRE(read.entries.size() == 3);
+    for (int i = 0; i < 2; ++i) {
+      CHECK(std::get<unknown_record>(read.entries[i].content.body).type ==
+            "malformed");
+    }
+    CHECK(read.entries[2].content.id.value() == "r3");
   }
 }
 
--- a/tests/platform/platform_server_test.cc
+++ b/tests/platform/platform_server_test.cc
@@ -29,8 +29,10 @@
     });
   }
   // All wait in the server, each on a thread of it, before the record comes.
-  while (control.Get("/counters")->body.find("\"reads\":100") ==
-         std::string::npos) {
+  std::string counters;
+  while (counters.find("\"reads\":100") == std::string::npos) {
+    const auto result = control.Get("/counters");
+    counters = result ? result->body : counters;
     std::this_thread::yield();
   }
   control.Post("/streams/control/records", R"({"records":["x"]})",
