Tell late answers from those not served

Cause: the ledger counted late answers against the unavailability that a class tolerates; they belong to the share that must be served. Conclusion: the planner's budgets mean what operators published.

--- a/include/plantainhead/core/error_budget.h
+++ b/include/plantainhead/core/error_budget.h
@@ -60,8 +60,8 @@
                        const class_ledger& ledger,
                        time_point now);
 
-/// Returns how many times faster than its target allows a class missed
-/// requests; 0 when there were none. A class that tolerates nothing burns at
+/// Returns how many times faster than a class's target allows its requests went
+/// unserved; 0 when there were none. A class that tolerates nothing burns at
 /// the rate of one that tolerates a millionth. Thread safety: safe from any
 /// thread.
 double BurnRate(const work_class& work, const request_counts& counts);
--- a/src/core/request_meter.cc
+++ b/src/core/request_meter.cc
@@ -21,7 +21,7 @@
 }
 
 bool IsForLackOfCapacity(answer_reason reason) {
-  return reason == answer_reason::kNone || reason == answer_reason::kOverload ||
+  return reason == answer_reason::kOverload ||
          reason == answer_reason::kDeadline ||
          reason == answer_reason::kNoEndpoint;
 }
@@ -35,8 +35,8 @@
   if (answer.result != outcome::kDone && IsCallersMistake(answer.reason)) {
     return std::nullopt;
   }
-  if (answer.result == outcome::kDone && elapsed <= within) {
-    return request_fate::kServed;
+  if (answer.result == outcome::kDone) {
+    return elapsed <= within ? request_fate::kServed : request_fate::kLate;
   }
   if (!IsForLackOfCapacity(answer.reason)) {
     return request_fate::kFailure;
--- a/src/platform/record_fields.h
+++ b/src/platform/record_fields.h
@@ -208,6 +208,7 @@
 void Fields(Archive& a,
             typename Archive::template ref<core::request_counts> x) {
   a("served", x[core::request_fate::kServed]);
+  a("late", x[core::request_fate::kLate]);
   a("overload", x[core::request_fate::kOverload]);
   a("maintenance", x[core::request_fate::kMaintenance]);
   a("failure", x[core::request_fate::kFailure]);
