--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -85,6 +85,14 @@
   /// Returns how full this entry's own endpoints are.
   std::vector<service_load> Load(time_point now) const;
 
+  /// Returns true while maintenance keeps a VM of the service's pools from
+  /// work.
+  bool IsInMaintenance(const service_name& service) const;
+
+  /// Returns the class that a request names, or its service's only class when
+  /// it names none; null when there is no such class.
+  const work_class* ClassOf(const request_envelope& request) const;
+
   bool ready() const { return ready_; }
   /// Returns why the entry isn't ready; empty when it is.
   const std::string& not_ready_reason() const { return not_ready_reason_; }
@@ -122,7 +130,6 @@
   void TellClaimsTheirHomes(time_point now, effects& out);
   void Meter(const action_list& actions, time_point now);
   void RecordCounts(time_point now, effects& out);
-  bool IsInMaintenance(const service_name& service) const;
   void ExchangeClaims(time_point now, effects& out);
   void FollowReadiness(effects& out);
   void FollowStop(time_point now, effects& out);
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -77,15 +77,8 @@
 }
 
 void entry_core::On(const request_arrived& item, time_point now, effects& out) {
-  const service_routes* routes = endpoints_.Find(item.request.service);
-  if (routes != nullptr) {
-    const bool is_only =
-        item.request.work.empty() && routes->classes.size() == 1;
-    const work_class* work = is_only ? &routes->classes.front()
-                                     : routes->FindClass(item.request.work);
-    if (work != nullptr) {
-      meter_.OnArrival(item.sequence, *work, now);
-    }
+  if (const work_class* work = ClassOf(item.request)) {
+    meter_.OnArrival(item.sequence, *work, now);
   }
   requests_.OnArrival(item, Context(), now, out);
 }
@@ -325,6 +318,17 @@
   }
 }
 
+const work_class* entry_core::ClassOf(const request_envelope& request) const {
+  const service_routes* routes = endpoints_.Find(request.service);
+  if (routes == nullptr) {
+    return nullptr;
+  }
+  if (request.work.empty() && routes->classes.size() == 1) {
+    return &routes->classes.front();
+  }
+  return routes->FindClass(request.work);
+}
+
 bool entry_core::IsInMaintenance(const service_name& service) const {
   const service_spec* spec = fleet().targets.FindService(service);
   if (spec == nullptr) {
--- a/src/runtime/core_loop.cc
+++ b/src/runtime/core_loop.cc
@@ -55,6 +55,9 @@
 
 void core_loop::Handle(const core::event& item) {
   Carry(core_.Handle(item, options_.now()));
+  if (std::holds_alternative<core::log_read>(item)) {
+    options_.handlers.folded(core_.fleet());
+  }
 }
 
 void core_loop::Carry(core::action_list actions) {
@@ -84,8 +87,14 @@
   }
   const waiting_request waiting = std::move(found->second);
   requests_.erase(found);
-  options_.handlers.answered(waiting.request->envelope, item.answer,
-                             waiting.arrived, options_.now());
+  const core::request_envelope& envelope = waiting.request->envelope;
+  const core::work_class* work = core_.ClassOf(envelope);
+  const core::time_point now = options_.now();
+  const bool in_maintenance = work != nullptr &&
+                              item.answer.result != core::outcome::kDone &&
+                              core_.IsInMaintenance(work->service);
+  options_.handlers.answered(
+      {work, item.answer, now - waiting.arrived, in_maintenance}, now);
   waiting.request->answer.set_value(item.answer);
 }
 
--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -19,12 +19,15 @@
 #include "plantainhead/platform/platform_link.h"
 #include "plantainhead/runtime/wall_clock.h"
 #include "runtime/core_loop.h"
+#include "runtime/entry_observer.h"
 
 namespace plantainhead::runtime {
 namespace {
 
-// The links have their own threads; what is left for the scheduler is small.
-constexpr std::size_t kSchedulerThreads = 2;
+// The links and the decisions have their own threads; what is left for the
+// scheduler is small. Idle threads that look for work to steal would alone nearly
+// use up what a node may spend (docs/design/platform.md).
+constexpr std::size_t kSchedulerThreads = 1;
 
 // Parts of the planner lease: how much earlier its holder stops acting, and
 // over how much of it the others spread their tries to take it.
@@ -36,6 +39,7 @@
   daemon_config() {
     load<caf::io::middleman>();
     set("scheduler.max-threads", kSchedulerThreads);
+    set("scheduler.policy", caf::atom("sharing"));
     set("logger.file-verbosity", caf::atom("quiet"));
   }
 };
@@ -68,6 +72,8 @@
   action_handlers Handlers();
   core::core_gateway Gateway();
   operators::entry_view View();
+  caller::route_list Routes(const core::core_gateway& gateway);
+  std::string MetricsText();
   void StartLinks();
   void WritePortFile() const;
   void Post(core::event item);
@@ -77,6 +83,7 @@
 
   settings::entry_settings settings_;
   wall_clock clock_;
+  entry_observer observer_{clock_.Now()};
   daemon_config config_;
   caf::actor_system system_;
   std::unique_ptr<entry::peer_link> peers_;
@@ -122,9 +129,8 @@
   http_options.body_limit = settings_.body_limit;
   http_options.now = now;
   const core::core_gateway gateway = Gateway();
-  http_ = std::make_unique<caller::http_server>(
-      http_options, gateway,
-      operators::MakeOperatorRoutes(gateway, [this] { return View(); }));
+  http_ = std::make_unique<caller::http_server>(http_options, gateway,
+                                                Routes(gateway));
   http_port_ = http_->Start();
 
   self_ = core::entry_member{DrawIncarnation(),
@@ -194,8 +200,12 @@
                       {{"reason", reason}});
   };
   to.note = [](const core::write_note& item) { observe::WriteLog(item); };
-  to.answered = [](const core::request_envelope&, const core::response&,
-                   core::time_point, core::time_point) {};
+  to.answered = [this](const observed_answer& item, core::time_point now) {
+    observer_.OnAnswer(item, now);
+  };
+  to.folded = [this](const core::fleet_state& fleet) {
+    observer_.OnTargets(fleet);
+  };
   to.exited = [this](bool restart) { NoteExit(restart); };
   return to;
 }
@@ -266,6 +276,31 @@
   return view;
 }
 
+caller::route_list entry_daemon::impl::Routes(
+    const core::core_gateway& gateway) {
+  caller::route_list routes =
+      operators::MakeOperatorRoutes(gateway, [this] { return View(); });
+  for (caller::route& route : operators::MakeBurnRoutes(
+           [this] { return observer_.Report(clock_.Now()); })) {
+    routes.push_back(std::move(route));
+  }
+  routes.push_back({"GET", "/metrics", [this](const caller::http_request&) {
+                      caller::http_answer answer;
+                      answer.content_type = "text/plain; version=0.0.4";
+                      answer.body = MetricsText();
+                      return answer;
+                    }});
+  return routes;
+}
+
+std::string entry_daemon::impl::MetricsText() {
+  std::string text;
+  Query([&](const core::entry_core& core) {
+    text = observer_.Text(core, peers_->counters(), clock_.Now());
+  });
+  return text;
+}
+
 void entry_daemon::impl::WritePortFile() const {
   if (settings_.port_file.empty()) {
     return;
