Give each pending operation a small share of its runner's time

Cause: the platform may wait seconds for a dead VM's runner in a drain; asked again every 200 ms, four of these would keep all other operations waiting. Change: the one due first is asked, new ones come in between, and one that takes long is left alone for four times as long. Conclusion: the starvation was reasoned, not measured.

--- a/src/platform/operation_runner.cc
+++ b/src/platform/operation_runner.cc
@@ -14,6 +14,8 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kClientErrorBegin = 400;
 constexpr int kClientErrorEnd = 500;
+// An operation that takes long to ask is left alone for so many times as long.
+constexpr int kPauseFactor = 4;
 
 core::operation_result ResultOf(const http_reply& reply) {
   if (reply.IsSuccess()) {
@@ -48,21 +50,8 @@
 void operation_runner::Run(caf::blocking_actor* self) {
   while (!IsStopping()) {
     TakeMessages(self);
-    const auto now = steady::now();
-    for (auto item = pending_.begin();
-         item != pending_.end() && !IsStopping();) {
-      if (item->ask_next > now) {
-        ++item;
-        continue;
-      }
-      auto finished = Ask(*item);
-      if (finished.has_value()) {
-        Post(std::move(*finished));
-        item = pending_.erase(item);
-      } else {
-        item->ask_next = steady::now() + options().operation_poll;
-        ++item;
-      }
+    if (!IsStopping() && !pending_.empty()) {
+      AskFirst();
     }
   }
 }
@@ -81,21 +70,42 @@
     } else {
       self->receive(
           on_operation, on_stop,
-          caf::after(UntilNext()) >> [&] { is_more = false; });
+          caf::after(UntilFirst()) >> [&] { is_more = false; });
     }
   }
 }
 
-core::duration operation_runner::UntilNext() const {
-  auto next = pending_.front().ask_next;
-  for (const pending& item : pending_) {
-    next = std::min(next, item.ask_next);
-  }
-  const auto wait =
-      std::chrono::duration_cast<core::duration>(next - steady::now());
+std::list<operation_runner::pending>::iterator operation_runner::First() {
+  return std::min_element(pending_.begin(), pending_.end(),
+                          [](const pending& left, const pending& right) {
+                            return left.ask_next < right.ask_next;
+                          });
+}
+
+core::duration operation_runner::UntilFirst() {
+  const auto wait = std::chrono::duration_cast<core::duration>(
+      First()->ask_next - steady::now());
   return std::max(wait, core::duration::zero());
 }
 
+void operation_runner::AskFirst() {
+  const auto item = First();
+  const auto start = steady::now();
+  auto finished = Ask(*item);
+  if (finished.has_value()) {
+    Post(std::move(*finished));
+    pending_.erase(item);
+    return;
+  }
+  // The platform may wait seconds for a VM that has died while it drains. Asked
+  // again at once, a few of these would keep all others from being asked: a
+  // lost rack would stop every wave. So each gets a small share of the time.
+  const auto now = steady::now();
+  const auto pause = std::max<steady::duration>(options().operation_poll,
+                                                (now - start) * kPauseFactor);
+  item->ask_next = now + pause;
+}
+
 std::optional<core::operation_finished> operation_runner::Ask(
     const pending& item) {
   const http_reply reply =
--- a/src/platform/operation_runner.h
+++ b/src/platform/operation_runner.h
@@ -28,7 +28,10 @@
   };
 
   void TakeMessages(caf::blocking_actor* self);
-  core::duration UntilNext() const;
+  // The one to be asked first. Precondition: some are pending.
+  std::list<pending>::iterator First();
+  core::duration UntilFirst();
+  void AskFirst();
   // Returns the end of the operation, or nothing while it runs.
   std::optional<core::operation_finished> Ask(const pending& item);
 
