--- /dev/null
+++ b/src/core/wave_planner.cc
@@ -0,0 +1,296 @@
+#include "plantainhead/core/wave_planner.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace plantainhead::core {
+namespace {
+
+bool IsOpen(const wave_progress& wave) {
+  return wave.state == wave_state::kRunning ||
+         wave.state == wave_state::kPaused;
+}
+
+/// Tells if a VM that is out of work holds its zone: no other zone of the pool
+/// may be touched. One that has been out for longer than the bound is taken for
+/// lost for good, or it would hold the wave up for ever.
+bool HoldsZone(const planner_context& context, const vm_view& vm) {
+  if (vm.state == nullptr || vm.zone.empty()) {
+    return false;
+  }
+  if (vm.is_pending) {
+    return true;
+  }
+  if (vm.serving() && !vm.is_lost()) {
+    return false;
+  }
+  if (vm.seen == nullptr) {
+    return true;
+  }
+  const time_point since =
+      vm.serving() ? vm.seen->impaired_since : vm.seen->since;
+  return context.now - since < context.options.return_bound;
+}
+
+std::set<zone_id> HeldZones(const planner_context& context,
+                            const pool_view& pool) {
+  std::set<zone_id> zones;
+  for (const vm_view* vm : pool.vms) {
+    if (HoldsZone(context, *vm)) {
+      zones.insert(vm->zone);
+    }
+  }
+  return zones;
+}
+
+std::uint32_t CountLost(const planner_context& context, const pool_view& pool) {
+  std::uint32_t lost = 0;
+  for (const vm_view* vm : pool.vms) {
+    lost += vm->is_lost() && HoldsZone(context, *vm) ? 1 : 0;
+  }
+  return lost;
+}
+
+/// Tells if the budgets allow the pool to go below its floor for one reboot.
+/// It is for pools too small to give up even one VM otherwise.
+bool MayDip(const planner_context& context,
+            const pool_capacity& capacity,
+            std::uint32_t available) {
+  if (capacity.need == 0) {
+    return true;
+  }
+  const double left = available > 0 ? available - 1 : 0;
+  const double shed = std::max(0.0, 1.0 - left / capacity.need);
+  return shed * static_cast<double>(context.options.reboot_estimate.count()) <=
+         static_cast<double>(capacity.dip_allowance.count());
+}
+
+/// Tells if a listed VM has no pool yet. A wave that is started together with
+/// the first targets meets empty pools: taken for finished then, it would never
+/// reboot their VMs. The pool planner gives every listed VM a pool, so this
+/// holds a wave up for some plans only.
+bool AwaitsPools(const planner_context& context) {
+  if (!context.list_is_fresh()) {
+    return true;
+  }
+  const auto& vms = context.view.vms();
+  return std::any_of(vms.begin(), vms.end(), [](const auto& item) {
+    return item.second.state == nullptr && item.second.listed_live();
+  });
+}
+
+}  // namespace
+
+std::set<pool_id> wave_planner::HeldPools(const planner_context& context,
+                                          const capacity_plan& capacity) {
+  std::set<pool_id> held;
+  for (const auto& [name, pool] : context.view.pools()) {
+    if (pool.available < capacity.at(name).floor &&
+        CountLost(context, pool) > 0) {
+      held.insert(name);
+    }
+  }
+  return held;
+}
+
+void wave_planner::Plan(const planner_context& context,
+                        const vm_lifecycle& lifecycle,
+                        const capacity_plan& capacity) {
+  std::erase_if(calm_since_, [&](const auto& item) {
+    return !context.inputs.state.waves.contains(item.first);
+  });
+  for (const auto& [id, wave] : context.inputs.state.waves) {
+    if (IsOpen(wave)) {
+      PlanWave(context, lifecycle, capacity, id, wave);
+    }
+  }
+}
+
+void wave_planner::PlanWave(const planner_context& context,
+                            const vm_lifecycle& lifecycle,
+                            const capacity_plan& capacity,
+                            const wave_id& id,
+                            const wave_progress& wave) {
+  if (context.gate.IsPending(ObjectOf(id), wave.version, context.now)) {
+    return;
+  }
+  pass found;
+  for (const pool_id& name : wave.pools) {
+    if (const pool_view* pool = context.view.FindPool(name)) {
+      PlanPool(context, lifecycle, capacity.at(name), *pool, id, wave, found);
+    }
+  }
+  if (found.left == 0 && found.under_way == 0) {
+    if (AwaitsPools(context)) {
+      context.reasons[ObjectOf(id)] = "listed VMs have no pool yet";
+      return;
+    }
+    SetState(context, id, wave, wave_state::kFinished, "every VM was visited");
+    return;
+  }
+  if (!found.obstacle.empty()) {
+    context.reasons[ObjectOf(id)] = found.obstacle;
+  }
+  PauseOrResume(context, id, wave, WhyPause(context, wave, found));
+}
+
+void wave_planner::PlanPool(const planner_context& context,
+                            const vm_lifecycle& lifecycle,
+                            const pool_capacity& capacity,
+                            const pool_view& pool,
+                            const wave_id& id,
+                            const wave_progress& wave,
+                            pass& found) {
+  std::uint32_t left = 0;
+  std::uint32_t under_way = 0;
+  for (const vm_view* vm : pool.vms) {
+    left += wave.visited.contains(vm->id) ? 0 : 1;
+    under_way += vm->state->wave == id ? 1 : 0;
+  }
+  found.left += left;
+  found.under_way += under_way;
+  if (left == under_way) {
+    return;
+  }
+  ++found.open_pools;
+  std::set<zone_id> zones = HeldZones(context, pool);
+  if (context.held_pools.contains(pool.spec->name)) {
+    ++found.held_pools;
+    found.obstacle =
+        "a failure took the slack of pool " + pool.spec->name.value();
+    return;
+  }
+  if (wave.state != wave_state::kRunning || !context.list_is_fresh()) {
+    return;
+  }
+  std::uint32_t available = pool.available;
+  std::uint32_t away = static_cast<std::uint32_t>(pool.vms.size()) - available;
+  for (const vm_view* vm : Candidates(context, lifecycle, pool, wave)) {
+    const std::uint32_t cost = vm->available() ? 1 : 0;
+    if (cost == 1 && available <= capacity.floor &&
+        (away > 0 || !MayDip(context, capacity, available))) {
+      found.obstacle = "pool " + pool.spec->name.value() + " has " +
+                       std::to_string(available) + " VMs at work and needs " +
+                       std::to_string(capacity.floor);
+      break;
+    }
+    if (!zones.empty() && !zones.contains(vm->zone)) {
+      continue;
+    }
+    if (zones.size() > 1) {
+      found.obstacle = "pool " + pool.spec->name.value() +
+                       " has VMs out of work in more than one zone";
+      break;
+    }
+    zones.insert(vm->zone);
+    lifecycle.StartDrain(*vm, id,
+                         "wave " + id.value() + ", zone " + vm->zone.value() +
+                             ", rack " + vm->rack.value() + ": " +
+                             std::to_string(available) + " at work, " +
+                             std::to_string(capacity.floor) + " needed");
+    available -= cost;
+    ++away;
+  }
+}
+
+std::vector<const vm_view*> wave_planner::Candidates(
+    const planner_context& context,
+    const vm_lifecycle& lifecycle,
+    const pool_view& pool,
+    const wave_progress& wave) const {
+  std::vector<const vm_view*> found;
+  std::set<zone_id> started;
+  std::map<zone_id, std::uint32_t> jobs;
+  for (const vm_view* vm : pool.vms) {
+    jobs[vm->zone] += vm->jobs;
+    if (wave.visited.contains(vm->id)) {
+      started.insert(vm->zone);
+      continue;
+    }
+    const auto deferred = context.deferred.find(vm->id);
+    const bool waits =
+        deferred != context.deferred.end() &&
+        context.now - deferred->second < context.options.defer_time;
+    if (!waits && lifecycle.CanDrain(*vm)) {
+      found.push_back(vm);
+    }
+  }
+  // A zone that was begun is ended first, then the zones and VMs with the
+  // fewest jobs: what must move away then finds rebooted VMs and moves once.
+  const auto key = [&](const vm_view* vm) {
+    return std::make_tuple(!started.contains(vm->zone), jobs[vm->zone],
+                           std::cref(vm->zone), vm->jobs > 0,
+                           std::cref(vm->rack), std::cref(vm->id));
+  };
+  std::sort(found.begin(), found.end(),
+            [&](const vm_view* left, const vm_view* right) {
+              return key(left) < key(right);
+            });
+  return found;
+}
+
+std::string wave_planner::WhyPause(const planner_context& context,
+                                   const wave_progress& wave,
+                                   const pass& found) const {
+  if (found.open_pools > 0 && found.held_pools == found.open_pools) {
+    return found.obstacle;
+  }
+  const double limit = wave.state == wave_state::kPaused
+                           ? context.options.resume_burn_rate
+                           : context.options.pause_burn_rate;
+  for (const work_class& work : context.inputs.state.targets.classes) {
+    const auto burn = context.inputs.budgets.find(work.name);
+    if (burn == context.inputs.budgets.end() || burn->second.rate <= limit) {
+      continue;
+    }
+    const service_spec* service =
+        context.inputs.state.targets.FindService(work.service);
+    if (service == nullptr) {
+      continue;
+    }
+    for (const pool_id& pool : service->pools) {
+      if (std::find(wave.pools.begin(), wave.pools.end(), pool) !=
+          wave.pools.end()) {
+        return "class " + work.name.value() + " burns its budget too fast";
+      }
+    }
+  }
+  return "";
+}
+
+void wave_planner::PauseOrResume(const planner_context& context,
+                                 const wave_id& id,
+                                 const wave_progress& wave,
+                                 const std::string& why) {
+  if (!why.empty()) {
+    calm_since_.erase(id);
+    if (wave.state == wave_state::kRunning) {
+      SetState(context, id, wave, wave_state::kPaused, kOwnPause + why);
+    }
+    return;
+  }
+  if (!IsOwnPause(wave)) {
+    return;
+  }
+  const time_point calm =
+      calm_since_.try_emplace(id, context.now).first->second;
+  if (context.now - calm >= context.options.resume_after) {
+    SetState(context, id, wave, wave_state::kRunning,
+             "resumed, what paused it is over");
+  }
+}
+
+void wave_planner::SetState(const planner_context& context,
+                            const wave_id& id,
+                            const wave_progress& wave,
+                            wave_state state,
+                            const std::string& reason) const {
+  context.reasons[ObjectOf(id)] = reason;
+  context.gate.Append(
+      ObjectOf(id), wave.version,
+      set_wave_state{context.inputs.epoch, id, wave.version, state, reason},
+      context.now, context.out);
+}
+
+}  // namespace plantainhead::core
--- a/src/platform/record_fields.h
+++ b/src/platform/record_fields.h
@@ -107,6 +107,7 @@
             typename Archive::template ref<core::take_planner_lease> x) {
   a("holder", x.holder);
   a("expected", x.expected);
+  a("renewed_at", x.renewed_at);
 }
 
 template <typename Archive>
@@ -201,6 +202,33 @@
   a("reason", x.reason);
 }
 
+// --- error budgets -----------------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::request_counts> x) {
+  a("served", x[core::request_fate::kServed]);
+  a("late", x[core::request_fate::kLate]);
+  a("overload", x[core::request_fate::kOverload]);
+  a("maintenance", x[core::request_fate::kMaintenance]);
+  a("failure", x[core::request_fate::kFailure]);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::count_requests> x) {
+  a("who", x.who);
+  a("at_us", x.at);
+  a("classes", x.classes);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::class_ledger> x) {
+  a("five_minutes", x.periods[0]);
+  a("hours", x.periods[1]);
+  a("days", x.periods[2]);
+}
+
 // --- claims ------------------------------------------------------------------
 
 template <typename Archive>
@@ -253,6 +281,7 @@
   a("wave", x.wave);
   a("quarantined", x.quarantined);
   a("reason", x.reason);
+  a("author", x.author);
 }
 
 template <typename Archive>
@@ -275,6 +304,13 @@
   a("operation", x.operation);
   a("failures", x.failures);
   a("reason", x.reason);
+  a("author", x.author);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::writer_mark> x) {
+  a("number", x.number);
+  a("offset", x.offset);
 }
 
 inline std::set<core::record_id> IdsOf(
@@ -312,6 +348,11 @@
   a("vms", x.vms);
   a("waves", x.waves);
   a("jobs", x.jobs);
+  a("ledgers", x.ledgers);
+  a("departed", x.departed);
+  a("ended_waves", x.ended_waves);
+  a("ended_jobs", x.ended_jobs);
+  a("writers", x.writers);
   a("recent_records", x.recent_records);
   RecentIds(a, x);
 }
--- a/tests/platform/record_codec_test.cc
+++ b/tests/platform/record_codec_test.cc
@@ -45,7 +45,8 @@
                               operation_id("o"),
                               wave_id("w"),
                               true,
-                              "slow"};
+                              "slow",
+                              "ann"};
   state.waves[wave_id("w")] = {
       {pool_id("a")}, kAt,     wave_state::kPaused, 2, {vm_id("vm-1")},
       "ann",          "budget"};
@@ -59,8 +60,13 @@
                 kAt,
                 true};
   state.jobs[job_id("j")] = {
-      spec, job_state::kParked, 4, vm_id("vm-1"), operation_id("o2"),
-      3,    "fails everywhere"};
+      spec, job_state::kParked, 4,    vm_id("vm-1"), operation_id("o2"),
+      3,    "fails everywhere", "bob"};
+  state.ledgers[class_name("c")].Add(kAt, {{1, 2, 3, 4, 5}});
+  state.departed = {{kAnn, 4}};
+  state.ended_waves = {{8, wave_id("v")}};
+  state.ended_jobs = {{7, job_id("i")}};
+  state.writers = {{kBob, {5, 9}}};
   state.recent_records = {{9, record_id("r9")}, {10, record_id("r10")}};
   state.recent_ids = {record_id("r9"), record_id("r10")};
   return state;
@@ -94,6 +100,7 @@
       set_job_state{4, job_id("j"), 2, job_state::kCheckpointing, vm_id("vm"),
                     operation_id("o"), "move"},
       set_quarantine{4, vm_id("vm"), 2, true, "fails all"},
+      count_requests{kBob, kAt, {{class_name("c"), {{1, 2, 3, 4, 5}}}}},
       claim_request{claim_key("c/k"), kAnn, {kAnn, 77}, kAt},
       release_claim{claim_key("c/k"), kAnn, {kAnn, 77}},
       snapshot_taken{std::make_shared<const fleet_state>(State()),
