Add plantainctl burn; count the part of a budget's window that is known

Cause: a process that had counted for six hours showed a month's budget as used up after its first failures; at a rate of 0.03 it showed "exhausted in 2248 days".

Change: time before the counting started counts as time without failures; no time to exhaustion at a rate that the target allows. plantainctl burn adds up the entries of the view and names those that don't answer.

--- a/include/plantainhead/operators/control.h
+++ b/include/plantainhead/operators/control.h
@@ -27,7 +27,8 @@
   kUnreachable = 4,
 };
 
-enum class output_format { kTable, kJson };
+/// `kHtml` is for the burn report; elsewhere it is as `kTable`.
+enum class output_format { kTable, kJson, kHtml };
 
 /// Passes the time between two polls.
 using sleep_function = std::function<void(std::chrono::milliseconds)>;
@@ -114,6 +115,9 @@
   exit_code ChangeJob(const std::string& job,
                       const std::string& verb,
                       const std::string& reason);
+  /// Shows the burn report, added up over all entries of the view; those that
+  /// don't answer are named on `err`.
+  exit_code Burn();
   /// Tells why a VM is where it is.
   exit_code Explain(const std::string& vm);
 
--- a/src/observe/burn.cc
+++ b/src/observe/burn.cc
@@ -64,15 +64,12 @@
   if (left <= 0) {
     return core::duration::zero();
   }
-  if (rate <= 0) {
+  // At a rate of 1 or less old failures leave the sliding window at least as
+  // fast as new ones come.
+  if (rate <= 1) {
     return std::nullopt;
   }
   const double micros = static_cast<double>(window.count()) * left / rate;
-  constexpr auto kMost =
-      static_cast<double>(std::numeric_limits<std::int64_t>::max());
-  if (micros >= kMost) {
-    return std::nullopt;
-  }
   return core::duration(std::llround(micros));
 }
 
@@ -171,13 +168,18 @@
   return series;
 }
 
-budget_use UseOf(const class_report& report, burn_target target) {
+budget_use UseOf(const class_report& report,
+                 burn_target target,
+                 core::duration counted_for) {
   budget_use use;
   use.allowed = target == burn_target::kInTime ? 1 - report.target.served
                                                : report.target.unavailability;
   const window_report& whole = report.windows.back();
   use.failed = ShareFailed(whole.counts, target);
-  use.left = 1 - RateOf(use.failed, use.allowed);
+  const double covered =
+      std::min(1.0, static_cast<double>(counted_for.count()) /
+                        static_cast<double>(report.target.window.count()));
+  use.left = 1 - RateOf(use.failed, use.allowed) * covered;
   for (std::size_t i = 0; i + 1 < report.windows.size(); ++i) {
     use.rates.push_back(
         RateOf(ShareFailed(report.windows[i].counts, target), use.allowed));
--- a/src/observe/burn_html.cc
+++ b/src/observe/burn_html.cc
@@ -74,10 +74,7 @@
 
 std::string ToHtml(const burn_report& report) {
   std::string html = kHead;
-  html += "<h1>Service-level burn</h1>\n<p>At " + TimeText(report.at) +
-          ", counted since " + TimeText(report.since) + " by " +
-          std::to_string(report.entries) +
-          (report.entries == 1 ? " entry" : " entries") + ".</p>\n";
+  html += "<h1>Service-level burn</h1>\n<p>" + OriginText(report) + ".</p>\n";
   html += Table(report) + Legend();
   for (const class_report& item : report.classes) {
     html += "<h2>" + EscapeHtml(item.target.name.value()) + "</h2>\n" +
--- a/src/observe/burn_json.cc
+++ b/src/observe/burn_json.cc
@@ -53,7 +53,7 @@
            use.exhausted_in ? json(use.exhausted_in->count()) : json(nullptr)}};
 }
 
-json ClassToJson(const class_report& item) {
+json ClassToJson(const class_report& item, core::duration counted_for) {
   json windows = json::array();
   for (const window_report& window : item.windows) {
     windows.push_back({{"window_us", window.window.count()},
@@ -63,16 +63,18 @@
   for (const request_counts& counts : item.series) {
     series.push_back(CountsToJson(counts));
   }
-  return {{"class", item.target.name.value()},
-          {"service", item.target.service.value()},
-          {"served", item.target.served},
-          {"unavailability", item.target.unavailability},
-          {"within_us", item.target.within.count()},
-          {"window_us", item.target.window.count()},
-          {"in_time", UseToJson(UseOf(item, burn_target::kInTime))},
-          {"available", UseToJson(UseOf(item, burn_target::kAvailable))},
-          {"windows", windows},
-          {"last_6h", series}};
+  return {
+      {"class", item.target.name.value()},
+      {"service", item.target.service.value()},
+      {"served", item.target.served},
+      {"unavailability", item.target.unavailability},
+      {"within_us", item.target.within.count()},
+      {"window_us", item.target.window.count()},
+      {"in_time", UseToJson(UseOf(item, burn_target::kInTime, counted_for))},
+      {"available",
+       UseToJson(UseOf(item, burn_target::kAvailable, counted_for))},
+      {"windows", windows},
+      {"last_6h", series}};
 }
 
 class_report ClassFromJson(const json& value) {
@@ -109,7 +111,7 @@
 std::string ToJson(const burn_report& report) {
   json classes = json::array();
   for (const class_report& item : report.classes) {
-    classes.push_back(ClassToJson(item));
+    classes.push_back(ClassToJson(item, report.at - report.since));
   }
   const json whole = {{"at", TimeText(report.at)},
                       {"at_us", report.at.time_since_epoch().count()},
--- a/src/observe/burn_text.cc
+++ b/src/observe/burn_text.cc
@@ -53,8 +53,10 @@
   return text.empty() ? "-" : text;
 }
 
-burn_row RowOf(const class_report& item, burn_target target) {
-  const budget_use use = UseOf(item, target);
+burn_row RowOf(const class_report& item,
+               burn_target target,
+               core::duration counted_for) {
+  const budget_use use = UseOf(item, target, counted_for);
   burn_row row;
   row.left = use.left;
   row.cells = {item.target.name.value(),
@@ -80,6 +82,12 @@
          "Z";
 }
 
+std::string OriginText(const burn_report& report) {
+  return "At " + TimeText(report.at) + ", counted since " +
+         TimeText(report.since) + " by " + std::to_string(report.entries) +
+         (report.entries == 1 ? " entry" : " entries");
+}
+
 std::vector<std::string> BurnHeadings() {
   return {"class",   "target",  "promised", "reached",      "requests", "left",
           "burn 5m", "burn 1h", "burn 6h",  "exhausted in", "causes"};
@@ -88,8 +96,9 @@
 std::vector<burn_row> BurnRows(const burn_report& report) {
   std::vector<burn_row> rows;
   for (const class_report& item : report.classes) {
-    rows.push_back(RowOf(item, burn_target::kInTime));
-    rows.push_back(RowOf(item, burn_target::kAvailable));
+    rows.push_back(RowOf(item, burn_target::kInTime, report.at - report.since));
+    rows.push_back(
+        RowOf(item, burn_target::kAvailable, report.at - report.since));
   }
   return rows;
 }
@@ -105,9 +114,7 @@
       widths[i] = std::max(widths[i], line[i].size());
     }
   }
-  std::string text = "at " + TimeText(report.at) + ", counted since " +
-                     TimeText(report.since) + " by " +
-                     std::to_string(report.entries) + " entries\n";
+  std::string text = OriginText(report) + "\n";
   for (const auto& line : lines) {
     std::string padded;
     for (std::size_t i = 0; i < line.size(); ++i) {
--- a/tests/operators/operator_fixture.h
+++ b/tests/operators/operator_fixture.h
@@ -44,6 +44,9 @@
     gateway.ready = [this] { return ready; };
     routes = MakeOperatorRoutes(
         gateway, [this] { return View(); }, options);
+    for (caller::route& item : MakeBurnRoutes([this] { return burn; })) {
+      routes.push_back(std::move(item));
+    }
   }
 
   entry_view View() {
@@ -88,6 +91,7 @@
   bool folding = false;
   std::vector<core::record_body> commands;
   std::vector<std::string> authors;
+  observe::burn_report burn;
   caller::route_list routes;
 
  private:
--- a/tools/plantainctl.cc
+++ b/tools/plantainctl.cc
@@ -109,6 +109,7 @@
   add("vms", "Show the VMs", &control::ShowVms);
   add("pools", "Show the pools", &control::ShowPools);
   add("jobs", "Show the jobs", &control::ShowJobs);
+  add("burn", "Show how fast classes use up their budgets", &control::Burn);
   CLI::App* explain =
       app->add_subcommand("explain", "Tell why a VM is where it is");
   explain->add_option("vm", args->name, "Name of the VM")->required();
@@ -180,8 +181,10 @@
                  "Entry as host:port; may be repeated (else PLANTAIN_ENTRIES)");
   app.add_option("--author", args.author, "Name written beside changes");
   const std::map<std::string, output_format> formats = {
-      {"table", output_format::kTable}, {"json", output_format::kJson}};
-  app.add_option("--output", args.format, "table or json")
+      {"table", output_format::kTable},
+      {"json", output_format::kJson},
+      {"html", output_format::kHtml}};
+  app.add_option("--output", args.format, "table or json; html for burn")
       ->transform(CLI::CheckedTransformer(formats));
   AddTargetCommands(&app, &args, &chosen);
   AddWaveCommands(&app, &args, &chosen);
