--- a/include/plantainhead/core/fleet_view.h
+++ b/include/plantainhead/core/fleet_view.h
@@ -55,6 +55,9 @@
   const pool_spec* spec = nullptr;
   std::vector<const vm_view*> vms;
   std::uint32_t available = 0;
+  /// VMs that hold jobs, and jobs that wait for a worker of the pool.
+  std::uint32_t with_jobs = 0;
+  std::uint32_t waiting_jobs = 0;
 };
 
 /// The fold and the list joined, for one plan. It points into the inputs, which
@@ -72,6 +75,13 @@
   const std::map<vm_id, vm_view>& vms() const { return vms_; }
   const std::map<pool_id, pool_view>& pools() const { return pools_; }
 
+  /// Jobs that wait for a worker.
+  const std::vector<const job_progress*>& waiting() const { return waiting_; }
+
+  /// Changes with every record about a VM or a job: the sum of their
+  /// generations, which only grow.
+  generation work_version() const { return work_version_; }
+
   /// Returns the VM, or null.
   const vm_view* FindVm(const vm_id& id) const;
   /// Returns the pool if the configuration has it, or null.
@@ -88,6 +98,8 @@
 
   std::map<vm_id, vm_view> vms_;
   std::map<pool_id, pool_view> pools_;
+  std::vector<const job_progress*> waiting_;
+  generation work_version_ = 0;
 };
 
 }  // namespace plantainhead::core
--- a/include/plantainhead/core/pool_planner.h
+++ b/include/plantainhead/core/pool_planner.h
@@ -25,7 +25,7 @@
   std::uint32_t surplus = 0;
   /// VMs that pools lack.
   std::uint32_t lack = 0;
-  /// Moves that this planner has started.
+  /// Moves that this planner has carried out.
   std::uint64_t moves = 0;
 };
 
@@ -45,6 +45,18 @@
  private:
   using balances = std::map<pool_id, pool_balance>;
 
+  /// How one pool stands, worked out once for each plan.
+  struct standing {
+    std::uint32_t lack = 0;
+    std::uint32_t surplus = 0;
+    /// VMs that it wants now, and the most that it lately wanted.
+    std::uint32_t wanted = 0;
+    double peak = 0;
+    time_point peak_at;
+    std::optional<time_point> lack_since;
+    std::optional<time_point> surplus_since;
+  };
+
   struct donor {
     const vm_view* vm = nullptr;
     pool_id from;
@@ -63,7 +75,10 @@
   void StartMoves(const planner_context& context,
                   const vm_lifecycle& lifecycle,
                   balances& pools);
-  void ObserveLacks(const planner_context& context, const balances& pools);
+  void ObserveStandings(const planner_context& context, const balances& pools);
+  /// Returns the pool that a VM suits best which none lacks: the one furthest
+  /// below its peak, else the smallest.
+  pool_id SpareHome(const balances& pools) const;
   void UpdateFigures(const planner_context& context,
                      const balances& pools,
                      const capacity_plan& capacity);
@@ -72,6 +87,11 @@
   bool HasRoom(const planner_context& context,
                const pool_id& pool,
                const pool_id& from) const;
+  /// Counts VMs that already drain towards the pools that lack them.
+  void CountMovers(const planner_context& context, balances& pools);
+  /// Returns true while the drain for a move has been asked for and not read
+  /// back.
+  bool IsStarting(const vm_view& vm) const;
   void MoveInTeams(const planner_context& context,
                    const pool_id& from,
                    const pool_id& to);
@@ -84,11 +104,26 @@
                                       const balances& pools,
                                       const std::optional<pool_id>& from,
                                       const std::set<pool_id>& settled) const;
+  /// Returns true if the pool may give VMs of some kind to the receiver.
+  bool IsDonor(const planner_context& context,
+               const pool_balance& from,
+               const standing& stand,
+               const pool_balance& to) const;
   std::optional<donor> BestDonor(const planner_context& context,
                                  const vm_lifecycle& lifecycle,
                                  const balances& pools,
                                  const pool_id& receiver,
                                  const std::set<vm_id>& taken) const;
+  static bool HasLastingSurplus(const planner_context& context,
+                                const standing& stand);
+  /// Settles all pools whose lack isn't urgent when no pool has VMs to give: in
+  /// a full fleet the search for each would come to nothing.
+  void SettleIfNoDonor(const planner_context& context,
+                       const balances& pools,
+                       std::set<pool_id>& settled) const;
+  static void ReportNoDonor(const planner_context& context,
+                            const pool_id& name,
+                            const pool_balance& pool);
   bool MayLeave(const planner_context& context,
                 const vm_view& vm,
                 bool is_urgent) const;
@@ -97,9 +132,8 @@
   bool zone_is_out_ = false;
   std::uint32_t domains_ = 0;
   bool by_rack_ = false;
-  std::map<pool_id, time_point> lack_since_;
-  std::map<pool_id, time_point> surplus_since_;
-  std::map<pool_id, std::uint32_t> surplus_;
+  std::map<pool_id, standing> standings_;
+  std::map<vm_id, generation> starting_;
   std::map<team_id, std::uint32_t> team_vms_;
   pool_figures figures_;
 };
--- a/src/platform/record_fields.h
+++ b/src/platform/record_fields.h
@@ -1,7 +1,9 @@
 #ifndef PLANTAINHEAD_SRC_PLATFORM_RECORD_FIELDS_H_
 #define PLANTAINHEAD_SRC_PLATFORM_RECORD_FIELDS_H_
 
+#include <map>
 #include <memory>
+#include <set>
 
 #include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/records.h"
@@ -200,6 +202,33 @@
   a("reason", x.reason);
 }
 
+// --- error budgets -----------------------------------------------------------
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::request_counts> x) {
+  a("served", x[core::request_fate::kServed]);
+  a("late", x[core::request_fate::kLate]);
+  a("overload", x[core::request_fate::kOverload]);
+  a("maintenance", x[core::request_fate::kMaintenance]);
+  a("failure", x[core::request_fate::kFailure]);
+}
+
+template <typename Archive>
+void Fields(Archive& a,
+            typename Archive::template ref<core::count_requests> x) {
+  a("who", x.who);
+  a("at_us", x.at);
+  a("classes", x.classes);
+}
+
+template <typename Archive>
+void Fields(Archive& a, typename Archive::template ref<core::class_ledger> x) {
+  a("five_minutes", x.periods[0]);
+  a("hours", x.periods[1]);
+  a("days", x.periods[2]);
+}
+
 // --- claims ------------------------------------------------------------------
 
 template <typename Archive>
@@ -284,6 +313,28 @@
   a("offset", x.offset);
 }
 
+inline std::set<core::record_id> IdsOf(
+    const std::map<core::log_offset, core::record_id>& records) {
+  std::set<core::record_id> ids;
+  for (const auto& [offset, id] : records) {
+    ids.insert(id);
+  }
+  return ids;
+}
+
+// The remembered ids are most of a snapshot, and as a rule they are those of
+// the remembered records; only then they are left out.
+inline void RecentIds(json_writer& a, const core::fleet_state& x) {
+  if (x.recent_ids != IdsOf(x.recent_records)) {
+    a("recent_ids", x.recent_ids);
+  }
+}
+
+inline void RecentIds(json_reader& a, core::fleet_state& x) {
+  x.recent_ids = IdsOf(x.recent_records);
+  a("recent_ids", x.recent_ids);
+}
+
 template <typename Archive>
 void Fields(Archive& a, typename Archive::template ref<core::fleet_state> x) {
   a("offset", x.offset);
@@ -297,12 +348,13 @@
   a("vms", x.vms);
   a("waves", x.waves);
   a("jobs", x.jobs);
+  a("ledgers", x.ledgers);
   a("departed", x.departed);
   a("ended_waves", x.ended_waves);
   a("ended_jobs", x.ended_jobs);
   a("writers", x.writers);
   a("recent_records", x.recent_records);
-  a("recent_ids", x.recent_ids);
+  RecentIds(a, x);
 }
 
 template <typename Archive>
