Let a thread wait 2 ms for a connection's next request

Cause: each request of a kept connection went through the watching thread. Change: while at most half of the threads are busy, a thread stays with its connection for 2 ms.

--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -24,6 +24,11 @@
 // first byte.
 constexpr std::chrono::milliseconds kLateRequestWait{100};
 
+// How long a thread waits for the next request of a connection while more than
+// half of the threads are free. It saves a caller that asks again at once the
+// way through the watching thread.
+constexpr std::chrono::milliseconds kLinger{2};
+
 // cpp-httplib makes a queue for each run of its accept loop and ends it with
 // the loop; the threads of `pool` outlive it.
 class borrowed_queue : public httplib::TaskQueue {
@@ -38,6 +43,20 @@
   httplib::TaskQueue* pool_;
 };
 
+// Counts a thread as busy for its own lifetime.
+class busy_mark {
+ public:
+  explicit busy_mark(std::atomic<std::size_t>* count) : count_(count) {
+    ++*count_;
+  }
+  ~busy_mark() { --*count_; }
+  busy_mark(const busy_mark&) = delete;
+  busy_mark& operator=(const busy_mark&) = delete;
+
+ private:
+  std::atomic<std::size_t>* const count_;
+};
+
 thread_local exchange* current_exchange = nullptr;
 
 // Headers that make cpp-httplib change a body or an answer: it would unpack
@@ -209,11 +228,20 @@
   pool_.enqueue([this, shared] { Serve(std::move(*shared)); });
 }
 
+bool connection_server::AwaitNextRequest(connection* item) const {
+  if (item->stream.HasBuffered()) {
+    return true;
+  }
+  const bool may_linger =
+      item->requests > 0 && !ending_ && busy_threads_ <= limits_.threads / 2;
+  const auto until = may_linger ? clock::now() + kLinger : clock::now();
+  return endpoint::WaitFor(item->socket, POLLIN, until);
+}
+
 void connection_server::Serve(connection_ptr item) {
+  const busy_mark mark(&busy_threads_);
   while (true) {
-    const bool ready = item->stream.HasBuffered() ||
-                       endpoint::WaitFor(item->socket, POLLIN, clock::now());
-    if (!ready) {
+    if (!AwaitNextRequest(item.get())) {
       item = idle_.Add(std::move(item));
       if (item == nullptr) {
         return;
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -68,12 +68,14 @@
   bool Bind(const std::string& host, int port);
   void Listen(const std::string& host);
   void Serve(connection_ptr item);
+  bool AwaitNextRequest(connection* item) const;
   bool ServeOne(connection* item);
   void Enqueue(connection_ptr item);
 
   const limits limits_;
   httplib::ThreadPool pool_;
   idle_connections idle_;
+  std::atomic<std::size_t> busy_threads_ = 0;
   std::atomic<bool> ending_ = false;
   std::atomic<bool> stopping_ = false;
   int port_ = 0;
