Hand header values on unchanged

Cause: cpp-httplib decodes %XX in header values, of requests and of answers. A caller that sends 'X-A: a%0d%0aEvil: 1' thereby put a header of its own making into what the endpoint got; an endpoint's data could do the same to an answer. Ruled out: reading the headers a second time beside the library (a second parser); refusing values with a percent sign (they are common). Change: the stream shows the library each percent sign of a header line as %25, so that what it decodes is what was sent. Conclusion: header values go through byte for byte, Location included.

--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -260,6 +260,7 @@
 
 bool connection_server::ServeOne(connection* item) {
   item->stream.set_read_deadline(clock::now() + limits_.read_limit);
+  item->stream.StartMessage();
   ++item->requests;
   const bool last = ending_ || item->requests >= limits_.most_requests;
   exchange current;
--- a/src/endpoint/socket_stream.cc
+++ b/src/endpoint/socket_stream.cc
@@ -33,6 +33,9 @@
   *ip = text.data();
 }
 
+// What follows the percent sign in the escaped form of a percent sign.
+constexpr std::string_view kEscapeRest = "25";
+
 }  // namespace
 
 bool WaitFor(int socket,
@@ -88,6 +91,23 @@
 }
 
 ssize_t socket_stream::read(char* data, size_t size) {
+  return head_.InHead() && size > 0 ? ReadOfHead(data) : ReadRaw(data, size);
+}
+
+ssize_t socket_stream::ReadOfHead(char* data) {
+  if (!escape_rest_.empty()) {
+    *data = escape_rest_.front();
+    escape_rest_.remove_prefix(1);
+    return 1;
+  }
+  const ssize_t count = ReadRaw(data, 1);
+  if (count == 1 && head_.Take(*data)) {
+    escape_rest_ = kEscapeRest;
+  }
+  return count;
+}
+
+ssize_t socket_stream::ReadRaw(char* data, std::size_t size) {
   if (!HasBuffered()) {
     begin_ = 0;
     end_ = 0;
--- a/src/endpoint/socket_stream.h
+++ b/src/endpoint/socket_stream.h
@@ -7,6 +7,9 @@
 #include <chrono>
 #include <cstddef>
 #include <string>
+#include <string_view>
+
+#include "endpoint/head_escaper.h"
 
 namespace plantainhead::endpoint {
 
@@ -32,6 +35,9 @@
   /// True when bytes were received that nobody has read yet.
   bool HasBuffered() const { return begin_ != end_; }
 
+  /// What is read next is the head of a message.
+  void StartMessage() { head_.Restart(); }
+
   /// True once a byte of the current message has been handed to the system.
   bool has_written() const { return written_ > 0; }
 
@@ -51,6 +57,8 @@
   socket_t socket() const override { return 0; }
 
  private:
+  ssize_t ReadRaw(char* data, std::size_t size);
+  ssize_t ReadOfHead(char* data);
   ssize_t Receive(char* data, std::size_t size);
   void Remember(const char* data, std::size_t size);
 
@@ -64,6 +72,9 @@
   std::size_t end_ = 0;
   std::size_t written_ = 0;
   std::string tail_;
+  head_escaper head_;
+  // What is left of an escaped byte.
+  std::string_view escape_rest_;
 };
 
 /// Waits until `socket` has one of `events` (of poll()) or `deadline` has
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -87,6 +87,7 @@
   http_server_options options;
   options.threads = 4;
   options.body_limit = 64;
+  options.read_limit = 100ms;
   options.now = [] { return core::time_point(1000s); };
   return options;
 }
@@ -235,6 +236,14 @@
     CHECK(decisions.submitted() == 0);
   }
 
+  SECTION("when it isn't all there in time") {
+    const std::string answer =
+        answer_to("POST /s/intake/ HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+    CHECK(answer.find("HTTP/1.1 400 ") == 0);
+    CHECK(answer_to("POST /s/in").find("HTTP/1.1 200") == std::string::npos);
+    CHECK(decisions.submitted() == 0);
+  }
+
   SECTION("when it isn't HTTP, and nothing after it is read") {
     const std::string answer =
         answer_to("BREW /s/intake/ HTTP/1.1\r\n\r\n" + Get("/s/intake/"));
@@ -244,6 +253,31 @@
   }
 }
 
+TEST_CASE("Header values go through unchanged") {
+  // cpp-httplib decodes %XX in header values. A caller that writes an encoded
+  // line end then puts a header of its own making into what the endpoint gets,
+  // and values that hold a percent sign arrive changed.
+  fake_core decisions;
+  core::response answer = Done("hello");
+  decisions.AnswerAllWith(answer);
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const testing::raw_connection caller = testing::ConnectTo(server.Start());
+  const std::string value = "50%2525 a%0d%0aEvil: 1";
+  for (const std::string name : {"X-A", "Location", "Referer"}) {
+    INFO(name);
+    // The lone line feed must not end the head for one reader only.
+    caller.Send("GET /s/intake/ HTTP/1.1\r\nHost: entry\r\n\n" + name + ": " +
+                value + "\r\n\r\n");
+    REQUIRE(caller.ReadMessage(5).find("hello") != std::string::npos);
+    const core::header_list seen = decisions.last().headers;
+    const auto found =
+        std::find_if(seen.begin(), seen.end(),
+                     [&](const auto& header) { return header.first == name; });
+    REQUIRE(found != seen.end());
+    CHECK(found->second == value);
+  }
+}
+
 TEST_CASE("A request without a length has no body") {
   fake_core decisions;
   decisions.AnswerAllWith(Done("hello"));
@@ -333,6 +367,22 @@
   }
 }
 
+TEST_CASE("A stop ends although an answer never comes") {
+  // The decisions hang while the entry is told to stop. Its caller is told that
+  // nobody knows, and the process can end.
+  fake_core decisions;
+  http_server_options options = SmallOptions();
+  options.stop_limit = 1ms;
+  http_server server(options, decisions.Gateway(), {});
+  const testing::raw_connection caller = testing::ConnectTo(server.Start());
+  caller.Send(Get("/s/intake/"));
+  decisions.AwaitSubmitted(1);
+  server.Stop();
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("Plantain-Outcome: unknown") != std::string::npos);
+  CHECK(answer.find("Plantain-Reason: stopping") != std::string::npos);
+}
+
 TEST_CASE("A caller is told when the decisions give no answer") {
   // The runtime ends with a request unanswered, so its promise is dropped. The
   // caller must not read that as "not run".
--- a/tests/endpoint/endpoint_link_test.cc
+++ b/tests/endpoint/endpoint_link_test.cc
@@ -135,6 +135,19 @@
     CHECK(*entry.AwaitReply().body == "hello");
   }
 
+  SECTION("with header values that are left as they are") {
+    // cpp-httplib decodes %XX in them, and so would let an endpoint's data
+    // put headers into the answer to a caller.
+    peer.Send(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: a%0d%0aB: "
+        "%41\r\nLocation: /%41\r\nContent-Length: 3\r\n\r\n%41");
+    const core::endpoint_replied reply = entry.AwaitReply();
+    REQUIRE(reply.headers.size() == 2);
+    CHECK(reply.headers[0].second == "/%41");
+    CHECK(reply.headers[1].second == "a%0d%0aB: %41");
+    CHECK(*reply.body == "%41");
+  }
+
   SECTION("when it has no body") {
     peer.Send("HTTP/1.1 204 No Content\r\n\r\n");
     CHECK(entry.AwaitReply().status == 204);
@@ -176,6 +189,9 @@
   SECTION("when a chunk doesn't end where its size says") {
     peer.Send(chunked + "XX\r\n0\r\n\r\n");
   }
+  SECTION("when trailers follow the last chunk, which the library can't read") {
+    peer.Send(chunked + "\r\n0\r\nX-Sum: 1\r\n\r\n");
+  }
   SECTION("when the last chunk isn't ended") {
     peer.Send(chunked + "\r\n0\r\n");
   }
--- /dev/null
+++ b/tests/endpoint/head_escaper_test.cc
@@ -0,0 +1,43 @@
+#include "endpoint/head_escaper.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace plantainhead::endpoint {
+namespace {
+
+// Returns the message with each byte that has to be escaped marked by '!'.
+std::string Mark(const std::string& message) {
+  head_escaper head;
+  std::string marked;
+  for (const char byte : message) {
+    const bool escape = head.InHead() && head.Take(byte);
+    marked += escape ? '!' : byte;
+  }
+  return marked;
+}
+
+TEST_CASE("Percent signs are found in header lines only") {
+  CHECK(Mark("GET /a%20b HTTP/1.1\r\nA: 1%\r\nB: %%\r\n\r\n%") ==
+        "GET /a%20b HTTP/1.1\r\nA: 1!\r\nB: !!\r\n\r\n%");
+
+  SECTION("and the head ends at a blank line with carriage return only") {
+    CHECK(Mark("GET / HTTP/1.1\r\n\nA: %\r\n\r\n%") ==
+          "GET / HTTP/1.1\r\n\nA: !\r\n\r\n%");
+    CHECK(Mark("GET / HTTP/1.1\r\n\r\r\nA: %\r\n\r\n%") ==
+          "GET / HTTP/1.1\r\n\r\r\nA: !\r\n\r\n%");
+    CHECK(Mark("GET / HTTP/1.1\nA: %\n\r\n%") == "GET / HTTP/1.1\nA: !\n\r\n%");
+  }
+
+  SECTION("and an interim answer is followed by another head") {
+    CHECK(Mark("HTTP/1.1 100 Continue\r\nA: %\r\n\r\n"
+               "HTTP/1.1 200 OK 100%\r\nA: %\r\n\r\n%") ==
+          "HTTP/1.1 100 Continue\r\nA: !\r\n\r\n"
+          "HTTP/1.1 200 OK 100%\r\nA: !\r\n\r\n%");
+    CHECK(Mark("HEAD /567 1 HTTP/1.1\r\nA: %\r\n\r\n%") ==
+          "HEAD /567 1 HTTP/1.1\r\nA: !\r\n\r\n%");
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::endpoint
