Split the claim partition: cursor, marks and reading stand alone

Looking at it showed a fault: a home that saw the log reset wrote marks with its old offsets, which would speak for records that it never saw. Change: claim_cursor (how far, barred or not), claim_marks (is the log well), claim_partition_reading.cc.

--- a/src/core/claim_partition.cc
+++ b/src/core/claim_partition.cc
@@ -1,12 +1,9 @@
 #include "core/claim_partition.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
-#include <variant>
 
 #include "plantainhead/core/records.h"
-#include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
 
@@ -16,9 +13,11 @@
       shared_(shared),
       options_(*shared.options),
       writer_(stream_, shared.self, shared.options, shared.ids),
-      index_(Kept()) {}
+      index_(Kept()),
+      cursor_(Kept()),
+      marks_(shared.self, shared.options) {}
 
-// --- home ------------------------------------------------------------------
+// --- home ----------------------------------------------------------------
 
 void claim_partition::SetHome(bool is_home, effects& out) {
   is_home_ = is_home;
@@ -31,12 +30,8 @@
 void claim_partition::Follow(effects& out) {
   index_ = claim_index(Kept());
   is_following_ = true;
-  caught_up_ = false;
-  is_out_ = false;
-  is_mark_pending_ = false;
-  unread_.reset();
-  newest_mark_ = time_point();
-  next_ = 1;
+  cursor_ = claim_cursor(Kept());
+  marks_ = claim_marks(shared_.self, &options_);
   out.Do(follow_stream{stream_, 0});
 }
 
@@ -50,16 +45,16 @@
 }
 
 std::optional<duration> claim_partition::Refusal(time_point now) const {
-  if (caught_up_ && IsBarred(now)) {
-    return std::max(unread_->until - now, options_.retry_after);
+  if (cursor_.caught_up() && cursor_.IsBarred(now)) {
+    return std::max(cursor_.BarredFor(now), options_.retry_after);
   }
-  if (!is_home_ || is_out_) {
+  if (!is_home_ || marks_.is_out()) {
     return options_.retry_after;
   }
   return std::nullopt;
 }
 
-// --- requests ----------------------------------------------------------------
+// --- requests ------------------------------------------------------------
 
 void claim_partition::Ask(const claim_key& key,
                           request_id request,
@@ -144,8 +139,7 @@
   ++shared_.figures->released;
 }
 
-// --- giving up
-// -----------------------------------------------------------------
+// --- giving up -----------------------------------------------------------
 
 // Ends a waiting claim without a grant. The caller may be told that its request
 // was not run, so the claim is never granted from here on, also when its record
@@ -184,7 +178,7 @@
     const waiting_claim& claim = here->second;
     const time_point impatient = claim.asked + options_.patience;
     if (now >= impatient) {
-      is_out_ = is_home_;
+      marks_.SetOut();
     }
     if (now >= impatient || now >= claim.deadline) {
       GiveUp(here, claim_verdict::kLogUnavailable, options_.retry_after, now,
@@ -217,175 +211,15 @@
                        may_ask_again ? retry_after : duration::zero()});
 }
 
-// --- the stream
-// ------------------------------------------------------------------
-
-void claim_partition::OnLogRead(const log_read& read,
-                                time_point now,
-                                effects& out,
-                                decision_list& decisions) {
-  if (!is_following_ || !CheckContinuity(read, now, out, decisions)) {
-    return;
-  }
-  // A claimant that was frozen may come to read its claim long after the others
-  // forgot it, with a clock that stood still meanwhile. Newer records in the
-  // same read show how late it is at least.
-  time_point newest;
-  for (const log_entry& entry : read.entries) {
-    if (const auto* claim = std::get_if<claim_request>(&entry.content.body)) {
-      newest = std::max(newest, claim->at);
-    }
-  }
-  const time_point grant_time = std::max(now, newest - options_.clock_skew);
-  for (const log_entry& entry : read.entries) {
-    if (entry.offset < next_) {
-      continue;
-    }
-    next_ = entry.offset + 1;
-    Apply(entry.content.body, now, grant_time, decisions);
-  }
-  if (!caught_up_ && next_ > read.end) {
-    caught_up_ = true;
-    ForgetOld(now);
-    GiveUpStanding(now, decisions);
-  }
-  ReportBar(now, out, decisions);
-  UnfollowIfDone(out);
-  Flush(now, out);
-}
-
-void claim_partition::Apply(const record_body& body,
-                            time_point now,
-                            time_point grant_time,
-                            decision_list& decisions) {
-  const auto claim = [&](const claim_request& record) {
-    if (record.key.empty()) {
-      OnMark(record, now);
-      return;
-    }
-    index_.Forget(now);
-    const claim_standing standing = index_.Add(record, now);
-    if (record.claimant == shared_.self) {
-      Settle(record, standing, now, grant_time, decisions);
-    }
-  };
-  const auto release = [&](const release_claim& record) {
-    index_.Release(HashOf(record.key), {record.claimant, record.request}, now);
-  };
-  std::visit(overloaded{claim, release, [](const auto&) {}}, body);
-}
-
-void claim_partition::Settle(const claim_request& claim,
-                             claim_standing standing,
-                             time_point now,
-                             time_point grant_time,
-                             decision_list& decisions) {
-  const auto place = waiting_.find(HashOf(claim.key));
-  if (place == waiting_.end() || place->second.request != claim.request) {
-    return;
-  }
-  if (standing == claim_standing::kLater) {
-    GiveUp(place, claim_verdict::kAlreadyRun, duration::zero(), now, decisions);
-    return;
-  }
-  // A frozen home must not grant what it asked for long ago: the claim that
-  // stood in the way then may be forgotten by now.
-  const waiting_claim& waiting = place->second;
-  const time_point end =
-      std::min(waiting.deadline, waiting.asked + options_.patience);
-  if (standing != claim_standing::kFirst || IsBarred(now) ||
-      grant_time >= end) {
-    GiveUp(place, claim_verdict::kLogUnavailable, options_.retry_after, now,
-           decisions);
-    return;
-  }
-  running_[place->first] = {claim.request, now};
-  waiting_.erase(place);
-  Decide(claim.request, claim_verdict::kGranted, duration::zero(), decisions);
-}
-
-// Returns whether the entries of `read` follow on what was read before.
-bool claim_partition::CheckContinuity(const log_read& read,
-                                      time_point now,
-                                      effects& out,
-                                      decision_list& decisions) {
-  if (read.end + 1 < next_) {
-    Bar(std::numeric_limits<log_offset>::max(), now);
-    ReportBar(now, out, decisions);
-    return false;
-  }
-  if (read.begin > next_) {
-    Bar(read.begin, now);
-    next_ = read.begin;
-  }
-  if (!read.entries.empty() && read.entries.front().offset > next_) {
-    out.Do(follow_stream{stream_, next_ - 1});
-    return false;
-  }
-  return true;
-}
-
-// Records before `begin` that were not read may hold claims that stand. A grant
-// beside one of them would run its key twice. After a full window all of them
-// are old, and retries of their keys are no longer allowed, so grants are safe
-// again. A mark can show sooner that they are old; see `OnMark`.
-void claim_partition::Bar(log_offset begin, time_point now) {
-  const bool is_reported = IsBarred(now) && unread_->is_reported;
-  const log_offset before = IsBarred(now) ? unread_->begin : 0;
-  unread_ = {std::max(begin, before), now + Kept(), is_reported};
-}
-
-bool claim_partition::IsBarred(time_point now) const {
-  return unread_ && now < unread_->until;
-}
-
-// Waits until the stream was read to its end, since a mark on the way may show
-// that the records are old.
-void claim_partition::ReportBar(time_point now,
-                                effects& out,
-                                decision_list& decisions) {
-  if (!caught_up_ || !IsBarred(now)) {
-    return;
-  }
-  if (!unread_->is_reported) {
-    unread_->is_reported = true;
-    ++shared_.figures->cuts;
-    out.Note(note_level::kError,
-             "claims of the window can't be read; the stream was cut or reset",
-             {{"stream", stream_.value()}, {"next", std::to_string(next_)}});
-  }
-  GiveUpAll(unread_->until - now, now, decisions);
-}
-
-void claim_partition::OnLogUnavailable(time_point now,
-                                       effects& out,
-                                       decision_list& decisions) {
-  is_out_ = is_home_;
-  GiveUpAll(options_.retry_after, now, decisions);
-  UnfollowIfDone(out);
-  Flush(now, out);
-}
-
-bool claim_partition::OnAppendFinished(const append_finished& result,
-                                       time_point now,
-                                       effects& out) {
-  const bool is_ours = writer_.OnAppendFinished(result, now);
-  if (is_ours) {
-    Flush(now, out);
-  }
-  return is_ours;
-}
-
-// --- time
-// ------------------------------------------------------------------------
+// --- time ----------------------------------------------------------------
 
 void claim_partition::OnTick(time_point now,
                              effects& out,
                              decision_list& decisions) {
   GiveUpLate(now, decisions);
   ForgetOld(now);
-  if (NeedsMark(now)) {
-    AppendMark(now);
+  if (is_home_ && cursor_.caught_up()) {
+    marks_.Write(cursor_.MarkOffset(now), now, writer_);
   }
   UnfollowIfDone(out);
   Flush(now, out);
@@ -404,53 +238,8 @@
   });
 }
 
-// A mark is a claim without a key. It shows that the log takes and returns
-// records again, and tells later readers how far the stream reached at its
-// time.
-bool claim_partition::NeedsMark(time_point now) const {
-  if (!is_home_ || !caught_up_) {
-    return false;
-  }
-  if (is_mark_pending_ && now < mark_written_ + options_.patience) {
-    return false;
-  }
-  return is_out_ || now >= newest_mark_ + options_.window / 2;
-}
-
-void claim_partition::AppendMark(time_point now) {
-  if (is_mark_pending_) {
-    writer_.Withdraw(mark_record_);
-  }
-  mark_written_ = now;
-  is_mark_pending_ = true;
-  const request_id last_read{shared_.self, next_ - 1};
-  mark_record_ =
-      writer_.Add(claim_request{claim_key(), shared_.self, last_read, now});
-}
-
-// Every record up to the offset in a mark was in the stream at the mark's time.
-// So if a mark is older than claims are kept, the records that it covers are
-// too, though they can't be read. This holds for late copies of a mark as well.
-void claim_partition::OnMark(const claim_request& mark, time_point now) {
-  index_.Advance(mark.at);
-  newest_mark_ = std::max(newest_mark_, std::min(mark.at, now));
-  if (unread_ && mark.request.sequence + 1 >= unread_->begin &&
-      mark.at + Kept() <= now) {
-    unread_.reset();
-  }
-  const bool is_newest_of_ours =
-      mark.claimant == shared_.self && mark.at == mark_written_;
-  if (!is_newest_of_ours || !is_mark_pending_) {
-    return;
-  }
-  is_mark_pending_ = false;
-  if (now < mark_written_ + options_.patience) {
-    is_out_ = false;
-  }
-}
-
 void claim_partition::Flush(time_point now, effects& out) {
-  if (is_following_ && !caught_up_) {
+  if (is_following_ && !cursor_.caught_up()) {
     return;
   }
   writer_.Flush(now, out, *shared_.figures);
--- a/src/core/claim_partition.h
+++ b/src/core/claim_partition.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "core/answer_store.h"
+#include "core/claim_cursor.h"
 #include "core/claim_index.h"
+#include "core/claim_marks.h"
 #include "core/claim_writer.h"
 #include "plantainhead/core/claims.h"
 
@@ -76,12 +78,6 @@
   };
   using waiting_map =
       std::unordered_map<key_hash, waiting_claim, key_hash_hasher>;
-  /// Records before `begin` are gone or can't be relied upon.
-  struct unread_records {
-    log_offset begin = 0;
-    time_point until;
-    bool is_reported = false;
-  };
   struct running_request {
     request_id request;
     time_point granted;
@@ -112,21 +108,14 @@
               duration retry_after,
               decision_list& decisions);
 
-  bool CheckContinuity(const log_read& read,
-                       time_point now,
-                       effects& out,
-                       decision_list& decisions);
-  void Bar(log_offset begin, time_point now);
-  void ReportBar(time_point now, effects& out, decision_list& decisions);
-  bool IsBarred(time_point now) const;
+  void TakeEntries(const log_read& read,
+                   time_point now,
+                   decision_list& decisions);
+  void GiveUpIfBarred(time_point now, effects& out, decision_list& decisions);
   void Apply(const record_body& body,
              time_point now,
              time_point grant_time,
              decision_list& decisions);
-  void OnMark(const claim_request& mark, time_point now);
-
-  bool NeedsMark(time_point now) const;
-  void AppendMark(time_point now);
   void ForgetOld(time_point now);
   void Follow(effects& out);
   void UnfollowIfDone(effects& out);
@@ -142,25 +131,11 @@
   const claim_options& options_;
   claim_writer writer_;
   claim_index index_;
+  claim_cursor cursor_;
+  claim_marks marks_;
 
   bool is_home_ = false;
   bool is_following_ = false;
-  /// Whether the stream was read to its end once since it is followed.
-  bool caught_up_ = false;
-  /// Offset of the next record to read.
-  log_offset next_ = 1;
-  /// Set while records that were not read may hold claims that stand.
-  std::optional<unread_records> unread_;
-
-  /// True from a failure until a mark of ours came back in good time.
-  bool is_out_ = false;
-  /// The mark that was written last, by its record's number and its time.
-  std::uint64_t mark_record_ = 0;
-  time_point mark_written_;
-  bool is_mark_pending_ = false;
-  /// Greatest time of a mark that was read.
-  time_point newest_mark_;
-
   waiting_map waiting_;
   /// The first time at which a waiting claim must be given up.
   time_point next_late_ = time_point::max();
--- a/tests/core/claims_test.cc
+++ b/tests/core/claims_test.cc
@@ -476,6 +476,19 @@
     CHECK(home.core().figures(kStart).refusing == 1);
   }
 
+  // Offsets start anew: a mark with an old offset would speak for records that
+  // its writer never saw.
+  SECTION("and a mark that is written meanwhile speaks for no record") {
+    const time_point later = kStart + kWindow / 2;
+    home.Tick(later);
+    home.LandAllBut(kStream, later);
+    const append_records append = home.TakeAppend();
+    REQUIRE(append.records.size() == 1);
+    const auto& mark = std::get<claim_request>(append.records[0].body);
+    CHECK(mark.key.empty());
+    CHECK(mark.request.sequence == 0);
+  }
+
   SECTION("but after a window all that it lost is old") {
     CHECK(home.core().figures(kStart + kKept).refusing == 0);
   }
