--- a/bench/planner_bench.cc
+++ b/bench/planner_bench.cc
@@ -243,6 +243,8 @@
   double buffer = 0;
   double bound = 0;
   double static_split = 0;
+  /// VMs that a static split takes in all.
+  std::uint32_t static_vms = 0;
   double lack = 0;
   double base_lack = 0;
   std::uint64_t moves = 0;
@@ -308,6 +310,7 @@
   pool_result result;
   result.buffer = Mean(samples.buffers);
   result.bound = Mean(samples.bounds);
+  result.static_vms = Sum(greatest);
   result.static_split = Sum(greatest) - Mean(samples.needs);
   result.lack = Mean(samples.lacks);
   result.base_lack = Mean(samples.base_lacks);
@@ -434,9 +437,11 @@
   std::printf(
       "    lacking on average: %.2f VMs, of these for the demand %.2f\n",
       pools.lack, pools.base_lack);
-  std::printf("    moves: %llu, bound %u, greedy %u\n",
-              static_cast<unsigned long long>(pools.moves), pools.moves_bound,
-              pools.greedy_moves);
+  std::printf(
+      "    moves: %llu, bound %u, greedy %u; a static split takes %u "
+      "VMs\n",
+      static_cast<unsigned long long>(pools.moves), pools.moves_bound,
+      pools.greedy_moves, pools.static_vms);
 }
 
 void PrintWave(const wave_result& wave) {
