--- a/src/core/control_log.cc
+++ b/src/core/control_log.cc
@@ -140,17 +140,18 @@
     if (entry.offset <= state_.offset) {
       continue;
     }
-    ApplyEntry(entry, out);
+    ApplyEntry(entry, event.end, out);
     ++applied;
   }
   return applied;
 }
 
-void control_log::ApplyEntry(const log_entry& entry, effects& out) {
+void control_log::ApplyEntry(const log_entry& entry,
+                             log_offset end,
+                             effects& out) {
   const fold_result result = Apply(state_, entry);
   newest_record_ = entry.content.id;
-  digest_.reset();
-  CompareExpected(out);
+  CheckDigests(end, out);
   queue_.OnReadBack(entry.content.id);
   AnswerReadBack(entry, result, out);
 }
--- a/src/core/control_log_digests.cc
+++ b/src/core/control_log_digests.cc
@@ -9,21 +9,34 @@
 namespace {
 
 // Digests of peers that are ahead, and own ones for peers that are behind.
-// Peers are seconds apart, which is a few records; what doesn't fit is compared
-// at a later heartbeat.
-constexpr std::size_t kKeptDigests = 64;
+// Peers are seconds apart; what doesn't fit is compared at a later offset.
+constexpr std::size_t kKeptDigests = 32;
 
 }  // namespace
 
-std::uint64_t control_log::digest() {
-  if (!digest_) {
-    digest_ = Digest(state_);
-    own_digests_[state_.offset] = *digest_;
-    if (own_digests_.size() > kKeptDigests) {
-      own_digests_.erase(own_digests_.begin());
-    }
+std::uint64_t control_log::digest() const {
+  const auto own = own_digests_.find(state_.offset);
+  return own == own_digests_.end() ? 0 : own->second;
+}
+
+// Called after each entry. Digests that the others have long passed, as at a
+// start, aren't worth their cost.
+void control_log::CheckDigests(log_offset end, effects& out) {
+  constexpr log_offset kRecent = 4 * kDigestInterval;
+  const bool is_due = state_.offset % kDigestInterval == 0;
+  if (!is_due || state_.offset + kRecent < end) {
+    return;
+  }
+  own_digests_[state_.offset] = Digest(state_);
+  if (own_digests_.size() > kKeptDigests) {
+    own_digests_.erase(own_digests_.begin());
+  }
+  while (!expected_.empty() &&
+         expected_.begin()->first.first <= state_.offset) {
+    const auto [key, theirs] = *expected_.begin();
+    expected_.erase(expected_.begin());
+    CompareDigests(key.first, theirs, key.second, out);
   }
-  return *digest_;
 }
 
 void control_log::OnPeerOffset(log_offset offset,
@@ -47,7 +60,8 @@
                                  std::uint64_t theirs,
                                  incarnation from,
                                  effects& out) {
-  if (from == settings_.queue.self) {
+  const bool is_compared = offset % kDigestInterval == 0 && theirs != 0;
+  if (!is_compared || from == settings_.queue.self) {
     return;
   }
   if (offset > state_.offset) {
@@ -56,9 +70,6 @@
     }
     return;
   }
-  if (offset == state_.offset) {
-    digest();
-  }
   const auto own = own_digests_.find(offset);
   if (own == own_digests_.end() || own->second == theirs) {
     return;
@@ -70,13 +81,4 @@
   }
 }
 
-void control_log::CompareExpected(effects& out) {
-  while (!expected_.empty() &&
-         expected_.begin()->first.first <= state_.offset) {
-    const auto [key, theirs] = *expected_.begin();
-    expected_.erase(expected_.begin());
-    CompareDigests(key.first, theirs, key.second, out);
-  }
-}
-
 }  // namespace plantainhead::core
--- a/src/core/control_log_snapshots.cc
+++ b/src/core/control_log_snapshots.cc
@@ -12,9 +12,10 @@
 namespace {
 
 // A start reads so many of the newest snapshots, and only if all of these are
-// bad, four times as many. Each is some hundred kilobytes, and a day of them
-// wouldn't fit into an entry's memory.
-constexpr log_offset kSnapshotsTried = 2;
+// bad, four times as many. A snapshot takes up to 2 MB as text and several
+// times that while it is decoded; a day of them wouldn't fit into an entry's
+// memory.
+constexpr log_offset kSnapshotsTried = 1;
 constexpr log_offset kTriedFactor = 4;
 
 // Beyond the end of any stream. A read after it brings no records, only where
@@ -108,8 +109,6 @@
   if (candidate_ != nullptr && candidate_->offset > state_.offset) {
     state_ = *candidate_;
     newest_record_.reset();
-    digest_.reset();
-    CompareExpected(out);
     out.Note(note_level::kInfo, "starts from a snapshot",
              {{"offset", std::to_string(state_.offset)}});
   }
@@ -178,8 +177,8 @@
   record taken;
   taken.id = MakeRecordId({settings_.queue.self, state_.offset});
   taken.author = settings_.name.value();
-  taken.body =
-      snapshot_taken{std::make_shared<const fleet_state>(state_), digest()};
+  taken.body = snapshot_taken{std::make_shared<const fleet_state>(state_),
+                              Digest(state_)};
   snapshot_append_ = ids_->Next();
   next_snapshot_ = now + settings_.snapshot_retry;
   out.Do(append_records{snapshot_append_, kSnapshotStream, {std::move(taken)}});
