Serve on while stopping; test whole entries in virtual time

Ruled out: the queue (no request was refused as stopping). Change: requests are taken and claims made until the stop's notice is over; only the readiness goes at once. tests/core/entry_fleet.h drives whole entries, the log and endpoints in virtual time.

--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -133,7 +133,7 @@
   void ExchangeClaims(time_point now, effects& out);
   void FollowReadiness(effects& out);
   void FollowStop(time_point now, effects& out);
-  std::string WhyNotReady() const;
+  std::string WhyNotServing() const;
 
   entry_core_options options_;
   random_source random_;
@@ -163,6 +163,7 @@
   std::vector<claim_decision> decisions_;
 
   bool ready_ = false;
+  bool serving_ = false;
   std::string not_ready_reason_;
   std::optional<time_point> stop_asked_at_;
   std::optional<time_point> left_at_;
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -39,7 +39,7 @@
   effects out;
   counted_at_ = now;
   control_.Start(now, out);
-  not_ready_reason_ = WhyNotReady();
+  not_ready_reason_ = WhyNotServing();
   out.Do(set_ready{false, not_ready_reason_});
   return std::move(out.actions);
 }
@@ -201,7 +201,7 @@
 // -----------------------------
 
 routing_context entry_core::Context() const {
-  return {fleet(), endpoints_, suspects_, options_.self.who, ready_};
+  return {fleet(), endpoints_, suspects_, options_.self.who, serving_};
 }
 
 heartbeat_contents entry_core::HeartbeatContents(time_point now) {
@@ -299,6 +299,11 @@
 void entry_core::TellClaimsTheirHomes(time_point now, effects& out) {
   std::set<incarnation> excluded = stopping_members_;
   excluded.insert(suspects_.begin(), suspects_.end());
+  // A stopping entry goes on as home until its notice is over: the others need
+  // some heartbeats to hear of it, and their callers would be refused meanwhile.
+  if (!refusing_) {
+    excluded.erase(options_.self.who);
+  }
   claims_.OnViewChanged(fleet(), excluded, now, out);
 }
 
@@ -394,10 +399,7 @@
   }
 }
 
-std::string entry_core::WhyNotReady() const {
-  if (stopping()) {
-    return "stopping";
-  }
+std::string entry_core::WhyNotServing() const {
   if (membership_.expelled()) {
     return "expelled from the view";
   }
@@ -414,7 +416,13 @@
 }
 
 void entry_core::FollowReadiness(effects& out) {
-  std::string reason = WhyNotReady();
+  std::string reason = WhyNotServing();
+  // The balancer takes some time to see that this entry is to end; what it
+  // sends until then is served.
+  serving_ = reason.empty();
+  if (stopping()) {
+    reason = "stopping";
+  }
   const bool ready = reason.empty();
   if (ready == ready_ && reason == not_ready_reason_) {
     return;
@@ -436,6 +444,7 @@
   if (!refusing_ && (expelled || notice_over)) {
     refusing_ = true;
     requests_.OnStop();
+    TellClaimsTheirHomes(now, out);
   }
   if (!refusing_ || !requests_.Idle()) {
     return;
--- /dev/null
+++ b/tests/core/entry_core_test.cc
@@ -0,0 +1,208 @@
+#include "plantainhead/core/entry_core.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/entry_fleet.h"
+
+namespace plantainhead::core {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr incarnation kFirst{1};
+constexpr incarnation kSecond{2};
+constexpr incarnation kThird{3};
+
+struct fleet_story : entry_fleet {
+  fleet_story() : entry_fleet(3) {
+    for (const std::string zone : {"suwon", "goyang", "seongnam"}) {
+      AddVm(zone + "-1", zone);
+      AddVm(zone + "-2", zone);
+    }
+    Begin();
+  }
+
+  // Asks at each live entry at every step, for some time.
+  void AskFor(duration time, const std::string& prefix) {
+    for (const time_point end = now + time; now < end;) {
+      for (auto& [who, item] : entries) {
+        if (item.alive && !item.exited && !item.frozen) {
+          const std::string key = prefix + std::to_string(keys_++);
+          asked_.push_back({who, Ask(who, key), "surgery/" + key});
+        }
+      }
+      StepFor(kStep);
+    }
+  }
+
+  struct asked_request {
+    incarnation at;
+    std::uint64_t sequence;
+    std::string key;
+  };
+
+  int Count(outcome result) {
+    int count = 0;
+    for (const asked_request& item : asked_) {
+      const response* answer = AnswerOf(item.at, item.sequence);
+      count += answer != nullptr && answer->result == result ? 1 : 0;
+    }
+    return count;
+  }
+
+  // What must hold of all that was asked at entries that live.
+  void CheckAll() {
+    CHECK(answers_twice == 0);
+    CHECK(cut_by_reboot == 0);
+    for (const asked_request& item : asked_) {
+      const response* answer = AnswerOf(item.at, item.sequence);
+      const int runs = runs_of_key[item.key];
+      if (entries[item.at].alive) {
+        REQUIRE(answer != nullptr);
+      }
+      REQUIRE(runs <= 1);
+      if (answer != nullptr && answer->result == outcome::kNotRun) {
+        REQUIRE(runs == 0);
+        REQUIRE(answer->retry_after.has_value());
+      }
+      if (answer != nullptr && answer->result == outcome::kDone) {
+        REQUIRE(runs == 1);
+      }
+    }
+  }
+
+  std::vector<asked_request> asked_;
+  int keys_ = 0;
+};
+
+TEST_CASE("Three entries serve requests with keys") {
+  fleet_story fleet;
+
+  SECTION("each once, wherever it arrives") {
+    fleet.AskFor(seconds(2), "a");
+    fleet.StepFor(seconds(5));
+    fleet.CheckAll();
+    CHECK(fleet.Count(outcome::kDone) == static_cast<int>(fleet.asked_.size()));
+  }
+
+  // The caller hears nothing from one entry and asks another with the same key
+  // while the first still runs it. Both go to the key's home, which says that
+  // it is in progress: the endpoint runs it once.
+  SECTION("and one that comes again through another entry runs once") {
+    const std::uint64_t first = fleet.Ask(kFirst, "k");
+    fleet.StepFor(std::chrono::milliseconds(60));
+    const std::uint64_t again = fleet.Ask(kSecond, "k");
+    fleet.StepFor(seconds(5));
+    CHECK(fleet.AnswerOf(kFirst, first)->result == outcome::kDone);
+    CHECK(fleet.AnswerOf(kSecond, again) != nullptr);
+    CHECK(fleet.runs_of_key["surgery/k"] == 1);
+  }
+}
+
+// Callers of the other entries see an answer for each of their requests. What
+// was at the killed entry, as the home of a key or as an owner, ends as unknown
+// unless it surely was not sent. The fold then expels it and its endpoints and
+// keys go to the others.
+TEST_CASE("An entry is killed under load") {
+  fleet_story fleet;
+  fleet.AskFor(seconds(1), "a");
+  fleet.Kill(kThird);
+  fleet.AskFor(seconds(5), "b");
+  fleet.StepFor(seconds(10));
+
+  fleet.CheckAll();
+  CHECK(fleet.entries[kFirst].core->fleet().members.size() == 2);
+  const int asked = static_cast<int>(fleet.asked_.size());
+  CHECK(fleet.Count(outcome::kDone) > asked * 8 / 10);
+}
+
+// An entry stops for longer than it takes to be expelled (a paused VM) and goes
+// on as if nothing had happened. Its claims, calls and lease belong to a life
+// that the others have ended. It must not dispatch what it held, and it starts
+// anew.
+TEST_CASE("An entry is frozen past its expulsion and wakes up") {
+  fleet_story fleet;
+  fleet.AskFor(seconds(1), "a");
+  fleet.entries[kThird].frozen = true;
+  fleet.AskFor(seconds(8), "b");
+  REQUIRE(fleet.entries[kFirst].core->fleet().members.size() == 2);
+  fleet.entries[kThird].frozen = false;
+  fleet.StepFor(seconds(10));
+
+  fleet.CheckAll();
+  CHECK(fleet.entries[kThird].exited);
+  CHECK(fleet.entries[kThird].restart);
+}
+
+// Callers with keys are told not-run at once while the log can't be reached;
+// callers without are served all the same. When the log is back, keys are
+// served again, also those that were refused.
+TEST_CASE("The log is out for a while") {
+  fleet_story fleet;
+  fleet.log_is_out = true;
+  fleet.StepFor(seconds(3));
+  const std::uint64_t keyed = fleet.Ask(kFirst, "k");
+  const std::uint64_t plain = fleet.Ask(kFirst);
+  fleet.StepFor(seconds(1));
+  REQUIRE(fleet.AnswerOf(kFirst, keyed) != nullptr);
+  CHECK(fleet.AnswerOf(kFirst, keyed)->result == outcome::kNotRun);
+  CHECK(fleet.AnswerOf(kFirst, plain)->result == outcome::kDone);
+  CHECK(fleet.entries[kFirst].core->fleet().members.size() == 3);
+
+  fleet.log_is_out = false;
+  fleet.StepFor(seconds(5));
+  const std::uint64_t again = fleet.Ask(kFirst, "k");
+  fleet.StepFor(seconds(5));
+  CHECK(fleet.AnswerOf(kFirst, again)->result == outcome::kDone);
+  CHECK(fleet.runs_of_key["surgery/k"] == 1);
+}
+
+// A wave reboots every VM while requests come in. Each is drained first: owners
+// stop sending, what runs ends, and only then comes the reboot, so no request
+// is cut and callers notice nothing.
+TEST_CASE("A wave passes under load") {
+  fleet_story fleet;
+  fleet.AskFor(seconds(2), "a");
+  fleet.Command(kFirst,
+                start_wave{wave_id("kernel"), {pool_id("casework")}, {}});
+  bool finished = false;
+  for (int round = 0; round < 60 && !finished; ++round) {
+    fleet.AskFor(seconds(1), "w" + std::to_string(round) + "-");
+    const auto& waves = fleet.entries[kFirst].core->fleet().waves;
+    const auto wave = waves.find(wave_id("kernel"));
+    finished =
+        wave != waves.end() && wave->second.state == wave_state::kFinished;
+  }
+  fleet.StepFor(seconds(5));
+
+  CHECK(finished);
+  CHECK(fleet.reboots.size() == 6);
+  for (const auto& [vm, count] : fleet.reboots) {
+    CHECK(count == 1);
+  }
+  fleet.CheckAll();
+  CHECK(fleet.Count(outcome::kDone) == static_cast<int>(fleet.asked_.size()));
+}
+
+// An entry is asked to stop under load. It serves on until the balancer has
+// seen that it isn't ready, ends what it runs, leaves the view and exits.
+TEST_CASE("An entry is stopped under load") {
+  fleet_story fleet;
+  fleet.AskFor(seconds(1), "a");
+  fleet.entries[kThird].inbox.push_back(stop_requested{});
+  fleet.AskFor(std::chrono::milliseconds(500), "b");
+  CHECK_FALSE(fleet.entries[kThird].ready);
+  fleet.StepUntil([&] { return fleet.entries[kThird].exited; });
+  fleet.StepFor(seconds(5));
+
+  CHECK(fleet.entries[kThird].exited);
+  CHECK_FALSE(fleet.entries[kThird].restart);
+  CHECK(fleet.entries[kFirst].core->fleet().members.size() == 2);
+  fleet.CheckAll();
+  for (const auto& item : fleet.asked_) {
+    CHECK(NameOf(fleet.AnswerOf(item.at, item.sequence)->reason) == "none");
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core
--- /dev/null
+++ b/tests/core/entry_fleet.h
@@ -0,0 +1,298 @@
+#ifndef PLANTAINHEAD_TESTS_CORE_ENTRY_FLEET_H_
+#define PLANTAINHEAD_TESTS_CORE_ENTRY_FLEET_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/memory_log.h"
+#include "plantainhead/core/entry_core.h"
+#include "plantainhead/core/visit.h"
+
+namespace plantainhead::core {
+
+// A few whole entries, the platform and endpoints in virtual time. Messages
+// take one step; a call takes `service_time`; the log is read at each step.
+class entry_fleet {
+ public:
+  static constexpr duration kStep = kTickInterval;
+
+  struct entry {
+    std::unique_ptr<entry_core> core;
+    std::map<stream_name, log_offset> followed;
+    std::vector<event> inbox;
+    std::map<std::uint64_t, response> answers;
+    std::uint64_t arrivals = 0;
+    bool alive = true;
+    bool frozen = false;
+    bool exited = false;
+    bool restart = false;
+    bool ready = false;
+  };
+
+  struct endpoint_call {
+    incarnation caller;
+    call_endpoint request;
+    time_point ends;
+  };
+
+  explicit entry_fleet(std::size_t count) {
+    for (std::size_t i = 1; i <= count; ++i) {
+      Add(i);
+    }
+  }
+
+  entry& Add(std::uint64_t number) {
+    entry_core_options options;
+    options.self.who = incarnation{number};
+    options.self.name = entry_id("entry-" + std::to_string(number));
+    options.self.zone = zone_id("suwon");
+    options.seed = number;
+    options.planner.drain_notice = std::chrono::seconds(2);
+    options.planner.greatest_deadline = std::chrono::seconds(5);
+    entry& made = entries[options.self.who];
+    made.core = std::make_unique<entry_core>(options);
+    Carry(options.self.who, made.core->Start(now));
+    return made;
+  }
+
+  void AddVm(const std::string& name, const std::string& zone) {
+    vm_listing vm;
+    vm.vm = vm_id(name);
+    vm.zone = zone_id(zone);
+    vm.rack = rack_id(zone + "-rack");
+    vm.pool = pool_id("casework");
+    vm.host = "10.0.0.1";
+    vm.port = 80;
+    vm.service = service_name("intake");
+    vm.slots = 8;
+    vms.push_back(vm);
+  }
+
+  // Publishes one service with a class, and steps until all entries are ready.
+  void Begin() {
+    configuration targets;
+    targets.pools = {{pool_id("casework"), team_id(), 0}};
+    targets.services = {{service_name("intake"), {pool_id("casework")}}};
+    work_class petitions;
+    petitions.name = class_name("petitions");
+    petitions.service = service_name("intake");
+    petitions.unavailability = 0.05;
+    targets.classes = {petitions};
+    Command(incarnation{1}, publish_configuration{targets, 0});
+    StepUntil([&] {
+      return std::all_of(entries.begin(), entries.end(), [](const auto& item) {
+        return item.second.ready &&
+               item.second.core->fleet().targets_version == 1;
+      });
+    });
+  }
+
+  // Returns the sequence by which the answer is found.
+  std::uint64_t Ask(incarnation at,
+                    std::optional<std::string> key = std::nullopt,
+                    duration patience = std::chrono::seconds(4)) {
+    request_arrived event;
+    event.sequence = ++entries[at].arrivals;
+    event.request.caller = caller_id("surgery");
+    event.request.service = service_name("intake");
+    event.request.method = "POST";
+    event.request.path = "/appeals";
+    event.request.deadline = now + patience;
+    event.request.idempotent = !key.has_value();
+    if (key) {
+      event.request.key = claim_key("surgery/" + *key);
+    }
+    Hand(at, event);
+    return event.sequence;
+  }
+
+  void Command(incarnation at, record_body body) {
+    Hand(at, operator_command{++commands_, "ann", std::move(body)});
+  }
+
+  const response* AnswerOf(incarnation at, std::uint64_t sequence) {
+    const auto& answers = entries[at].answers;
+    const auto found = answers.find(sequence);
+    return found == answers.end() ? nullptr : &found->second;
+  }
+
+  void Kill(incarnation who) {
+    entries[who].alive = false;
+    for (auto& [other, item] : entries) {
+      item.inbox.push_back(peer_disconnected{who});
+    }
+  }
+
+  void Step() {
+    now += kStep;
+    EndCalls();
+    for (auto& [who, item] : entries) {
+      if (!item.alive || item.frozen || item.exited) {
+        continue;
+      }
+      for (event& waiting : std::exchange(item.inbox, {})) {
+        Hand(who, waiting);
+      }
+      ReadLog(who);
+      if (!list_is_out) {
+        Hand(who, vm_list_read{vms, {}});
+      }
+      Hand(who, tick{});
+    }
+  }
+
+  void StepFor(duration time) {
+    for (const time_point end = now + time; now < end;) {
+      Step();
+      if (each_step) {
+        each_step();
+      }
+    }
+  }
+
+  template <typename Condition>
+  bool StepUntil(Condition holds, duration bound = std::chrono::seconds(120)) {
+    for (const time_point end = now + bound; now < end;) {
+      if (holds()) {
+        return true;
+      }
+      StepFor(kStep);
+    }
+    return holds();
+  }
+
+  time_point now{std::chrono::hours(1)};
+  duration service_time = std::chrono::milliseconds(100);
+  std::map<incarnation, entry> entries;
+  memory_log log;
+  bool log_is_out = false;
+  bool list_is_out = false;
+  std::vector<vm_listing> vms;
+  std::vector<endpoint_call> calls;
+  // Started runs by key, and requests that a reboot cut.
+  std::map<std::string, int> runs_of_key;
+  int cut_by_reboot = 0;
+  int runs_after_drain = 0;
+  std::map<vm_id, int> reboots;
+  std::function<void()> each_step;
+
+ private:
+  void Hand(incarnation who, const event& item) {
+    Carry(who, entries[who].core->Handle(item, now));
+  }
+
+  void ReadLog(incarnation who) {
+    entry& item = entries[who];
+    const auto followed = item.followed;
+    for (const auto& [name, after] : followed) {
+      if (log_is_out) {
+        Hand(who, log_unavailable{name, "down"});
+        continue;
+      }
+      const log_read read = log.Read(name, after);
+      if (!read.entries.empty()) {
+        item.followed[name] = read.entries.back().offset;
+      }
+      Hand(who, read);
+    }
+  }
+
+  void EndCalls() {
+    std::vector<endpoint_call> open;
+    for (endpoint_call& call : calls) {
+      if (call.ends > now) {
+        open.push_back(std::move(call));
+        continue;
+      }
+      endpoint_replied reply;
+      reply.call = call.request.call;
+      reply.status = 200;
+      reply.body = std::make_shared<const std::string>(
+          call.request.envelope.path + call.request.vm.value());
+      entries[call.caller].inbox.push_back(std::move(reply));
+    }
+    calls = std::move(open);
+  }
+
+  void StartCall(incarnation who, call_endpoint request) {
+    if (request.envelope.key) {
+      ++runs_of_key[request.envelope.key->value()];
+    }
+    calls.push_back({who, std::move(request), now + service_time});
+  }
+
+  void Append(incarnation who, append_records item) {
+    append_finished done{item.append, append_result::kRejected, 0};
+    if (!log_is_out) {
+      done.result = append_result::kAppended;
+      done.first = log.Append(item.stream, std::move(item.records));
+    }
+    entries[who].inbox.push_back(done);
+  }
+
+  void Run(incarnation who, const run_operation& item) {
+    if (const auto* reboot = std::get_if<reboot_vm>(&item.what)) {
+      if (done_operations_.insert(item.operation).second) {
+        ++reboots[reboot->vm];
+        cut_by_reboot += static_cast<int>(std::count_if(
+            calls.begin(), calls.end(),
+            [&](const auto& call) { return call.request.vm == reboot->vm; }));
+      }
+    }
+    entries[who].inbox.push_back(
+        operation_finished{item.operation, operation_result::kDone, ""});
+  }
+
+  void Send(incarnation who, send_frame item) {
+    const auto to = entries.find(item.to);
+    if (to == entries.end() || !to->second.alive || to->second.exited) {
+      entries[who].inbox.push_back(peer_disconnected{item.to});
+      return;
+    }
+    to->second.inbox.push_back(frame_received{std::move(item.frame)});
+  }
+
+  void Carry(incarnation who, action_list actions) {
+    entry& self = entries[who];
+    const overloaded carry{
+        [&](answer_caller& item) {
+          answers_twice += self.answers.contains(item.sequence) ? 1 : 0;
+          self.answers[item.sequence] = std::move(item.answer);
+        },
+        [&](send_frame& item) { Send(who, std::move(item)); },
+        [&](call_endpoint& item) { StartCall(who, std::move(item)); },
+        [&](append_records& item) { Append(who, std::move(item)); },
+        [&](follow_stream& item) { self.followed[item.stream] = item.after; },
+        [&](unfollow_stream& item) { self.followed.erase(item.stream); },
+        [&](run_operation& item) { Run(who, item); },
+        [&](set_ready& item) { self.ready = item.ready; },
+        [&](exit_process& item) {
+          self.exited = true;
+          self.restart = item.restart;
+        },
+        [](auto&) {},
+    };
+    for (action& item : actions) {
+      std::visit(carry, item);
+    }
+  }
+
+ public:
+  int answers_twice = 0;
+
+ private:
+  std::set<operation_id> done_operations_;
+  std::uint64_t commands_ = 0;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_TESTS_CORE_ENTRY_FLEET_H_
