--- a/src/observe/burn_html.cc
+++ b/src/observe/burn_html.cc
@@ -16,8 +16,8 @@
 @media (prefers-color-scheme: dark) { :root { --ink: #f2f1ed; --quiet: #a8a7a1;
   --page: #1a1a19; --rule: #3b3a38; --wave: #5b9bea; --failure: #e66767;
   --overload: #e0a020; } }
-body { font: 15px/1.45 system-ui, sans-serif; color: var(--ink);
-  background: var(--page); max-width: 72rem; margin: 2rem auto;
+body { font: 14px/1.45 system-ui, sans-serif; color: var(--ink);
+  background: var(--page); max-width: 84rem; margin: 2rem auto;
   padding: 0 1rem; }
 h1 { font-size: 1.4rem; margin: 0; }
 h2 { font-size: 1rem; margin: 1.6rem 0 .2rem; }
@@ -25,7 +25,7 @@
 .scroll { overflow-x: auto; }
 table { border-collapse: collapse; width: 100%;
   font-variant-numeric: tabular-nums; }
-th, td { text-align: right; padding: .3rem .6rem; white-space: nowrap;
+th, td { text-align: right; padding: .3rem .5rem; white-space: nowrap;
   border-bottom: 1px solid var(--rule); }
 th { color: var(--quiet); font-weight: 500; }
 th:nth-child(-n+2), td:nth-child(-n+2), th:last-child, td:last-child
--- a/src/observe/burn_text.cc
+++ b/src/observe/burn_text.cc
@@ -41,7 +41,7 @@
   if (use.left <= 0) {
     return "used up";
   }
-  return use.exhausted_in ? SpanText(*use.exhausted_in) : "never";
+  return use.exhausted_in ? SpanText(*use.exhausted_in) : "-";
 }
 
 std::string CausesText(const request_counts& counts) {
