Refuse malformed headers and chunks on both sides

Cause: cpp-httplib takes header names with spaces and values with a bare carriage return, and takes a chunk that doesn't end where its size says for the last one. A request whose end is seen differently by the next reader lets the rest of its body pass as another caller's request. Change: such requests are answered 400 and their connection is closed; such answers count as doubtful. What HTTP says of headers moved to src/endpoint/http_headers, which both sides use. Conclusion: the listed forms of request smuggling are refused before the decisions see them.

--- a/src/caller/answer_writer.cc
+++ b/src/caller/answer_writer.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string_view>
+#include "endpoint/http_headers.h"
 
 namespace plantainhead::caller {
 namespace {
@@ -69,8 +70,9 @@
   const std::string_view outcome = core::NameOf(answer.result);
   const std::string_view reason = core::NameOf(answer.reason);
   if (answer.result == core::outcome::kDone) {
-    for (const auto& [name, value] : WithoutHopByHop(answer.headers)) {
-      if (!IsEntryHeader(ToLower(name))) {
+    for (const auto& [name, value] :
+         endpoint::WithoutHopByHop(answer.headers)) {
+      if (!IsEntryHeader(endpoint::ToLower(name))) {
         written.headers.emplace_back(name, value);
       }
     }
--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "caller/request_parser.h"
+#include "endpoint/http_headers.h"
 
 namespace plantainhead::caller {
 namespace {
@@ -78,16 +79,16 @@
          method == "DELETE";
 }
 
-bool IsNumber(const std::string& text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return c >= '0' && c <= '9';
-  });
-}
-
 // Returns what is wrong with the announced length of the body, or "". If two
 // readers of a connection disagree about where a request ends, the rest of one
 // caller's body is taken for another caller's request.
-std::string FindFramingFault(const httplib::Request& request) {
+std::string FindFramingFault(const httplib::Request& request,
+                             const core::header_list& headers) {
+  for (const auto& [name, value] : headers) {
+    if (!endpoint::IsWellFormed(name, value)) {
+      return "a header is malformed";
+    }
+  }
   const std::size_t lengths = request.get_header_value_count("Content-Length");
   const std::size_t encodings =
       request.get_header_value_count("Transfer-Encoding");
@@ -95,11 +96,11 @@
     return "the length of the body is given more than once";
   }
   const std::string length = request.get_header_value("Content-Length");
-  if (lengths == 1 && !IsNumber(length)) {
+  if (lengths == 1 && !endpoint::IsNumber(length)) {
     return "Content-Length isn't a number";
   }
   const std::string encoding = request.get_header_value("Transfer-Encoding");
-  if (encodings == 1 && ToLower(encoding) != "chunked") {
+  if (encodings == 1 && endpoint::ToLower(encoding) != "chunked") {
     return "only the transfer encoding 'chunked' is known";
   }
   const bool has_body =
@@ -116,17 +117,17 @@
   // Routing is ours; the library's pattern sees one short path.
   request.path = "/";
   request.ranges.clear();
-  httplib::Headers acted_on;
+  httplib::Headers left_alone;
   for (const auto& [name, value] : request.headers) {
     if (!IsAddedByLibrary(name)) {
       current->headers.emplace_back(name, value);
     }
-    if (!IsActedUponByLibrary(ToLower(name))) {
-      acted_on.emplace(name, value);
+    if (!IsActedUponByLibrary(endpoint::ToLower(name))) {
+      left_alone.emplace(name, value);
     }
   }
-  request.headers = std::move(acted_on);
-  current->framing_fault = FindFramingFault(request);
+  request.headers = std::move(left_alone);
+  current->framing_fault = FindFramingFault(request, current->headers);
   const bool no_length = !request.has_header("Content-Length") &&
                          !request.has_header("Transfer-Encoding");
   if (no_length && MayHaveBody(request.method)) {
@@ -264,6 +265,7 @@
   ++item->requests;
   const bool last = ending_ || item->requests >= limits_.most_requests;
   exchange current;
+  current.stream = &item->stream;
   current_exchange = &current;
   bool closed_by_caller = false;
   const bool whole = process_request(
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -25,6 +25,7 @@
   core::header_list headers;
   /// The handler sets it when the rest of the connection can't be trusted.
   bool close = false;
+  const endpoint::socket_stream* stream = nullptr;
   /// Set when the length of the body is in doubt or the body isn't allowed.
   std::string framing_fault;
 };
--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -14,6 +14,7 @@
 #include "caller/answer_writer.h"
 #include "caller/connection_server.h"
 #include "caller/request_parser.h"
+#include "endpoint/http_headers.h"
 
 namespace plantainhead::caller {
 namespace {
@@ -178,7 +179,8 @@
                                httplib::Response& response,
                                const httplib::ContentReader* reader) {
   exchange& current = CurrentExchange();
-  const std::string* id = FindHeader(current.headers, "plantain-request-id");
+  const std::string* id =
+      endpoint::FindHeader(current.headers, "plantain-request-id");
   const std::string echo = id != nullptr ? *id : "";
   std::variant<core::shared_body, refusal> body = ReadBody(request, reader);
   if (const refusal* why = std::get_if<refusal>(&body)) {
@@ -229,7 +231,11 @@
   if (overflow) {
     return too_large;
   }
-  if (!whole) {
+  // The library takes a chunk that doesn't end as it should for the last one,
+  // and would read the rest of the body as the next request.
+  const bool ended = !request.has_header("Transfer-Encoding") ||
+                     current.stream->tail() == endpoint::kLastChunk;
+  if (!whole || !ended) {
     return refusal{400, "bad-request", "the body ended early"};
   }
   return core::shared_body(std::move(bytes));
@@ -292,7 +298,7 @@
     plain.query[name] = value;
   }
   for (const auto& [name, value] : current.headers) {
-    plain.headers[ToLower(name)] = value;
+    plain.headers[endpoint::ToLower(name)] = value;
   }
   plain.body = *body;
   bool path_known = false;
--- a/src/caller/load_sender.cc
+++ b/src/caller/load_sender.cc
@@ -13,6 +13,7 @@
 
 #include "caller/request_parser.h"
 #include "endpoint/connection_pool.h"
+#include "endpoint/http_headers.h"
 
 namespace plantainhead::caller {
 namespace {
@@ -197,13 +198,15 @@
                    const exchange_result& answer,
                    load_result* result) const {
   result->status = answer.status;
-  const std::string* outcome = FindHeader(answer.headers, "plantain-outcome");
-  const std::string* reason = FindHeader(answer.headers, "plantain-reason");
+  const std::string* outcome =
+      endpoint::FindHeader(answer.headers, "plantain-outcome");
+  const std::string* reason =
+      endpoint::FindHeader(answer.headers, "plantain-reason");
   result->reason = reason != nullptr ? *reason : "";
   if (outcome == nullptr) {
     // A runner that is asked without an entry between.
     const bool refused =
-        FindHeader(answer.headers, "plantain-not-run") != nullptr;
+        endpoint::FindHeader(answer.headers, "plantain-not-run") != nullptr;
     result->how = refused ? load_outcome::kNotRun : load_outcome::kDone;
   } else if (*outcome == core::NameOf(core::outcome::kDone)) {
     result->how = load_outcome::kDone;
--- a/src/caller/request_parser.h
+++ b/src/caller/request_parser.h
@@ -36,20 +36,6 @@
 /// The start of the path of every caller's request.
 inline constexpr std::string_view kServicePrefix = "/s/";
 
-/// Returns the first value of the header called `name` (in lower case), or
-/// null. Thread safety: safe from any thread.
-const std::string* FindHeader(const core::header_list& headers,
-                              std::string_view name);
-
-/// Returns `text` with ASCII letters in lower case.
-/// Thread safety: safe from any thread.
-std::string ToLower(std::string_view text);
-
-/// Returns the headers without those that concern one connection only: the
-/// fixed ones and those that `Connection` names.
-/// Thread safety: safe from any thread.
-core::header_list WithoutHopByHop(const core::header_list& headers);
-
 /// Reads a request that arrived at `now`. Precondition: its target starts with
 /// `kServicePrefix`. Thread safety: safe from any thread.
 std::variant<core::request_envelope, refusal> ParseRequest(
--- a/src/endpoint/endpoint_connection.cc
+++ b/src/endpoint/endpoint_connection.cc
@@ -6,21 +6,15 @@
 #include <string_view>
 #include <utility>
 
+#include "endpoint/http_headers.h"
+
 namespace plantainhead::endpoint {
 namespace {
 
-// The bytes that end a chunked body without trailers.
-constexpr std::string_view kLastChunk = "0\r\n\r\n";
 static_assert(kLastChunk.size() == socket_stream::kTailSize);
 
 constexpr std::chrono::milliseconds kLeastTimeout{1};
 
-bool IsNumber(const std::string& text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return c >= '0' && c <= '9';
-  });
-}
-
 std::chrono::milliseconds TimeLeft(socket_stream::clock::time_point deadline) {
   const auto left = std::chrono::ceil<std::chrono::milliseconds>(
       deadline - socket_stream::clock::now());
@@ -101,6 +95,12 @@
 bool endpoint_connection::ReadHead(const httplib::Response& head,
                                    std::size_t answer_limit) {
   CopyHead(head);
+  for (const auto& [name, value] : head.headers) {
+    if (!IsWellFormed(name, value)) {
+      doubt_ = "a header is malformed";
+      return false;
+    }
+  }
   if (head.status < kFirstFinalStatus) {
     doubt_ = "the answer isn't a final one";
     return false;
--- a/src/endpoint/endpoint_link.cc
+++ b/src/endpoint/endpoint_link.cc
@@ -11,8 +11,8 @@
 #include <utility>
 #include <vector>
 
-#include "caller/request_parser.h"
 #include "endpoint/connection_pool.h"
+#include "endpoint/http_headers.h"
 
 namespace plantainhead::endpoint {
 namespace {
@@ -47,17 +47,17 @@
 }
 
 core::header_list HeadersToSend(const core::call_endpoint& call) {
-  core::header_list headers = caller::WithoutHopByHop(call.envelope.headers);
+  core::header_list headers = WithoutHopByHop(call.envelope.headers);
   std::erase_if(headers, [](const auto& header) {
-    return caller::ToLower(header.first) == kRequestIdHeader;
+    return ToLower(header.first) == kRequestIdHeader;
   });
   headers.emplace_back("Plantain-Request-Id", ToText(call.request));
   return headers;
 }
 
 bool SaysTrue(const core::header_list& headers, std::string_view name) {
-  const std::string* value = caller::FindHeader(headers, name);
-  return value != nullptr && caller::ToLower(*value) == "true";
+  const std::string* value = FindHeader(headers, name);
+  return value != nullptr && ToLower(*value) == "true";
 }
 
 core::endpoint_failed NotSent(core::call_id call, std::string detail) {
@@ -80,7 +80,7 @@
                                  leaving, "the endpoint didn't run it"};
   }
   return core::endpoint_replied{
-      call, result.status, caller::WithoutHopByHop(result.headers),
+      call, result.status, WithoutHopByHop(result.headers),
       std::make_shared<const std::string>(std::move(result.body))};
 }
 
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -226,6 +226,12 @@
           "chunked\r\n\r\n",
           "POST /s/intake/ HTTP/1.1\r\nContent-Length: 0x4\r\n\r\n",
           "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\n Transfer-Encoding: chunked\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nA: b\rTransfer-Encoding: "
+          "chunked\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\nabcXX\r\n0\r\n\r\n",
           "GET /s/intake/ HTTP/1.1\r\nContent-Length: 99\r\n\r\n"}) {
       INFO(head);
       const std::string answer = answer_to(head + smuggled);
--- a/tests/endpoint/endpoint_link_test.cc
+++ b/tests/endpoint/endpoint_link_test.cc
@@ -206,6 +206,11 @@
   SECTION("when its length isn't a number") {
     peer.Send("HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nhello");
   }
+  SECTION("when a header's name is none") {
+    peer.Send(
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length : 3\r\n\r\n"
+        "hello");
+  }
   SECTION("when it isn't a final answer") {
     peer.Send("HTTP/1.1 102 Processing\r\nContent-Length: 5\r\n\r\nhello");
   }
