--- a/include/plantainhead/caller/http_server.h
+++ b/include/plantainhead/caller/http_server.h
@@ -58,7 +58,7 @@
   /// `std::regex_error` when a route's pattern is malformed.
   http_server(http_server_options options,
               core::core_gateway gateway,
-              route_list routes);
+              const route_list& routes);
 
   /// Stops if that hasn't been done.
   ~http_server();
--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -332,7 +332,7 @@
 
 http_server::http_server(http_server_options options,
                          core::core_gateway gateway,
-                         route_list routes) {
+                         const route_list& routes) {
   Check(options, gateway);
   impl_ =
       std::make_unique<impl>(std::move(options), std::move(gateway), routes);
