--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -259,6 +259,19 @@
   }
 }
 
+TEST_CASE("An answer to HEAD has no body, and the connection stays in step") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const testing::raw_connection caller = testing::ConnectTo(server.Start());
+  caller.Send("HEAD /s/intake/ HTTP/1.1\r\nHost: entry\r\n\r\n");
+  const std::string head = caller.ReadMessage();
+  CHECK(head.find("HTTP/1.1 200 ") == 0);
+  CHECK(head.find("Content-Length: 0\r\n") != std::string::npos);
+  caller.Send(Get("/s/intake/"));
+  CHECK(caller.ReadMessage(5).find("HTTP/1.1 200 ") == 0);
+}
+
 TEST_CASE("Header values go through unchanged") {
   // cpp-httplib decodes %XX in header values. A caller that writes an encoded
   // line end then puts a header of its own making into what the endpoint gets,
