--- a/fakes/runner.h
+++ b/fakes/runner.h
@@ -181,7 +181,6 @@
       const std::lock_guard<std::mutex> lock(mutex_);
       ++reboots_;
       ++life_;
-      cut_ += in_flight_;
       draining_ = false;
       Answer({{"cut", in_flight_}}, response);
     }
@@ -259,6 +258,8 @@
       });
     }
     --in_flight_;
+    // Counted here, so that a second reboot doesn't count the same run again.
+    cut_ += interrupted() ? 1 : 0;
     const bool cut = interrupted() || fault == runner_fault::kHang;
     lock.unlock();
     changed_.notify_all();
