--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -226,6 +226,12 @@
           "chunked\r\n\r\n",
           "POST /s/intake/ HTTP/1.1\r\nContent-Length: 0x4\r\n\r\n",
           "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\n Transfer-Encoding: chunked\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nA: b\rTransfer-Encoding: "
+          "chunked\r\n\r\n",
+          "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\nabcXX\r\n0\r\n\r\n",
           "GET /s/intake/ HTTP/1.1\r\nContent-Length: 99\r\n\r\n"}) {
       INFO(head);
       const std::string answer = answer_to(head + smuggled);
@@ -253,6 +259,19 @@
   }
 }
 
+TEST_CASE("An answer to HEAD has no body, and the connection stays in step") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const testing::raw_connection caller = testing::ConnectTo(server.Start());
+  caller.Send("HEAD /s/intake/ HTTP/1.1\r\nHost: entry\r\n\r\n");
+  const std::string head = caller.ReadMessage();
+  CHECK(head.find("HTTP/1.1 200 ") == 0);
+  CHECK(head.find("Content-Length: 0\r\n") != std::string::npos);
+  caller.Send(Get("/s/intake/"));
+  CHECK(caller.ReadMessage(5).find("HTTP/1.1 200 ") == 0);
+}
+
 TEST_CASE("Header values go through unchanged") {
   // cpp-httplib decodes %XX in header values. A caller that writes an encoded
   // line end then puts a header of its own making into what the endpoint gets,
