--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -341,6 +341,9 @@
     ring.options.watchers = watchers;
     ways.push_back(ring);
   }
+  watch_way patient{"3, after 4 s", {}};
+  patient.options.suspicion_timeout = seconds(4);
+  ways.push_back(patient);
   for (const watch_way& way : ways) {
     MeasureBytes(size, way);
     MeasureCrash(size, way);
--- a/src/core/watch_ring.cc
+++ b/src/core/watch_ring.cc
@@ -11,8 +11,6 @@
   std::size_t round = 0;
   zone_id zone;
   incarnation who = incarnation::kNone;
-
-  friend auto operator<=>(const ring_place&, const ring_place&) = default;
 };
 
 // Takes one member of each zone in turn. If a zone is lost as a whole, each of
@@ -24,7 +22,9 @@
   for (const auto& [who, member] : members) {
     places.push_back({rounds[member.zone]++, member.zone, who});
   }
-  std::sort(places.begin(), places.end());
+  std::ranges::sort(places, {}, [](const ring_place& place) {
+    return std::tuple(place.round, place.zone, place.who);
+  });
   return places;
 }
 
@@ -46,9 +46,9 @@
 }
 
 const std::vector<incarnation>& watch_ring::WatchersOf(incarnation who) const {
-  static const std::vector<incarnation> kNobody;
+  static const std::vector<incarnation> nobody;
   const auto found = watchers_.find(who);
-  return found == watchers_.end() ? kNobody : found->second;
+  return found == watchers_.end() ? nobody : found->second;
 }
 
 bool watch_ring::Watches(incarnation watcher, incarnation watched) const {
