--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -117,6 +117,13 @@
     entries_[index]->frozen_until = now_ + time;
   }
 
+  // Loses what this entry is sent, and what it sends if `both_ways`. It still
+  // reaches the log.
+  void Cut(std::size_t index, bool both_ways) {
+    deaf_ = Who(index);
+    mute_ = both_ways ? deaf_ : incarnation::kNone;
+  }
+
   bool IsMember(std::size_t index) const {
     return fleet_.members.contains(Who(index));
   }
@@ -168,6 +175,9 @@
   void Send(simulated_entry& from, core::send_frame& item) {
     ++from.frames;
     from.bytes += entry::EncodeFrame(item.frame, now_).size();
+    if (item.to == deaf_ || item.frame.from == mute_) {
+      return;
+    }
     const duration latency = milliseconds(1) + duration(random_() % 1000);
     flying_.emplace(now_ + latency,
                     flying_frame{item.to, std::move(item.frame)});
@@ -199,6 +209,8 @@
   std::multimap<time_point, flying_frame> flying_;
   std::deque<std::pair<time_point, core::record_body>> appended_;
   std::size_t records_ = 0;
+  incarnation deaf_ = incarnation::kNone;
+  incarnation mute_ = incarnation::kNone;
 };
 
 struct watch_way {
@@ -330,6 +342,29 @@
       static_cast<double>(records) / kRuns, expelled, kRuns, others_expelled);
 }
 
+void MeasureCut(std::size_t size, const watch_way& way, bool both_ways) {
+  int expelled = 0;
+  int others_expelled = 0;
+  std::size_t records = 0;
+  for (int seed = 1; seed <= kRuns; ++seed) {
+    simulation run(size, way.options, seed);
+    const std::size_t victim = size / 2;
+    const std::size_t before = run.records();
+    run.Cut(victim, both_ways);
+    run.Run(seconds(10));
+    records += run.records() - before;
+    expelled += !run.IsMember(victim);
+    for (std::size_t i = 0; i < size; ++i) {
+      others_expelled += i != victim && !run.IsMember(i);
+    }
+  }
+  std::printf(
+      "%3zu %-12s %s: expelled in %d of %d runs, others expelled %d, "
+      "%.1f records\n",
+      size, way.name, both_ways ? "cut off" : "deaf", expelled, kRuns,
+      others_expelled, static_cast<double>(records) / kRuns);
+}
+
 void MeasureAll(std::size_t size) {
   std::vector<watch_way> ways;
   watch_way all{"all-to-all", {}};
@@ -350,6 +385,8 @@
     MeasureZoneLoss(size, way);
     MeasureFreeze(size, way, milliseconds(800));
     MeasureFreeze(size, way, seconds(3));
+    MeasureCut(size, way, false);
+    MeasureCut(size, way, true);
   }
 }
 
