Begin each connection between entries with whom it is for

Cause: a restarted entry listens at the port of its earlier life; entries that haven't read of its end would hand it requests for endpoints it doesn't own.

Change: a greeting of 12 bytes with the incarnation. With peer_link_options::self set, connections for others are closed and counted; the sender gets peer_disconnected. Tests also for a frame of a newer kind, which is skipped.

Ruled out: the addressee on each frame; it costs 8 bytes more on each heartbeat.

The raw socket tests now greet first, as bytes without a greeting are refused earlier; that case got a section of its own.

--- a/include/plantainhead/entry/frame_codec.h
+++ b/include/plantainhead/entry/frame_codec.h
@@ -14,7 +14,9 @@
 /// Frames between entries as bytes: a header of `kFrameHeaderSize` bytes, then
 /// a FlatBuffers payload (schemas/frame.fbs). The header holds, in little
 /// endian, the payload's length (4 bytes), a magic byte, the version, two zero
-/// bytes and a checksum of the payload (4 bytes).
+/// bytes and a checksum of the payload (4 bytes). A connection begins with a
+/// greeting of the same size: two magic bytes, the version, a zero byte, and
+/// the incarnation that it is for (8 bytes).
 namespace plantainhead::entry {
 
 inline constexpr std::size_t kFrameHeaderSize = 12;
@@ -72,6 +74,15 @@
   std::uint32_t checksum = 0;
 };
 
+/// Returns the first `kFrameHeaderSize` bytes of a connection, which say whom
+/// it is for. Thread safety: safe from any thread.
+std::string EncodeGreeting(core::incarnation to);
+
+/// Returns whom a connection that begins with `bytes` is for. Throws
+/// `frame_error` when they aren't a greeting of this version.
+/// Thread safety: safe from any thread.
+core::incarnation DecodeGreeting(std::string_view bytes);
+
 /// Returns the bytes of a frame with its header. The deadline of a forwarded
 /// request travels as the time left at `now`. Throws `frame_error` (kTooLong)
 /// when the payload is longer than `limit` bytes.
--- a/include/plantainhead/entry/peer_link.h
+++ b/include/plantainhead/entry/peer_link.h
@@ -19,6 +19,9 @@
 namespace plantainhead::entry {
 
 struct peer_link_options {
+  /// This entry process. Connections that are for another one, such as an
+  /// earlier process at the same port, are closed. With `kNone` all are taken.
+  core::incarnation self = core::incarnation::kNone;
   /// The IP number to listen at.
   std::string host = "127.0.0.1";
   /// 0 picks a free port.
@@ -44,6 +47,8 @@
   std::uint64_t bytes_received = 0;
   /// Connections that were closed because of bytes that aren't a frame.
   std::uint64_t malformed = 0;
+  /// Connections that were closed because they were for another process.
+  std::uint64_t misdirected = 0;
   /// Valid frames of a kind that this version doesn't know.
   std::uint64_t skipped = 0;
   /// Frames that were dropped before they were written.
--- a/src/entry/frame_codec.cc
+++ b/src/entry/frame_codec.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr unsigned char kMagic = 0xA7;
+constexpr unsigned char kGreetingMagic = 0xC3;
+constexpr std::size_t kGreetedAt = 4;
 constexpr unsigned char kVersion = 1;
 constexpr std::size_t kMagicAt = 4;
 constexpr std::size_t kVersionAt = 5;
@@ -50,6 +52,33 @@
     : std::runtime_error("bad frame: " + std::string(core::NameOf(fault))),
       fault_(fault) {}
 
+std::string EncodeGreeting(core::incarnation to) {
+  std::string bytes(kFrameHeaderSize, '\0');
+  bytes[0] = static_cast<char>(kMagic);
+  bytes[1] = static_cast<char>(kGreetingMagic);
+  bytes[2] = static_cast<char>(kVersion);
+  const auto number = static_cast<std::uint64_t>(to);
+  PutUint32(static_cast<std::uint32_t>(number), &bytes[kGreetedAt]);
+  PutUint32(static_cast<std::uint32_t>(number >> 32), &bytes[kGreetedAt + 4]);
+  return bytes;
+}
+
+core::incarnation DecodeGreeting(std::string_view bytes) {
+  if (bytes.size() < kFrameHeaderSize) {
+    throw frame_error(frame_fault::kTruncated);
+  }
+  if (static_cast<unsigned char>(bytes[0]) != kMagic ||
+      static_cast<unsigned char>(bytes[1]) != kGreetingMagic) {
+    throw frame_error(frame_fault::kBadMagic);
+  }
+  if (static_cast<unsigned char>(bytes[2]) != kVersion || bytes[3] != 0) {
+    throw frame_error(frame_fault::kUnknownVersion);
+  }
+  const std::uint64_t low = GetUint32(&bytes[kGreetedAt]);
+  const std::uint64_t high = GetUint32(&bytes[kGreetedAt + 4]);
+  return core::incarnation{low | (high << 32)};
+}
+
 std::string SealPayload(std::string_view payload) {
   std::string bytes(kFrameHeaderSize, '\0');
   PutUint32(static_cast<std::uint32_t>(payload.size()), bytes.data());
--- a/src/entry/peer_broker.cc
+++ b/src/entry/peer_broker.cc
@@ -89,6 +89,8 @@
   ack_writes(*peer.handle, true);
   // The peer sends nothing here; reading shows the end of the connection.
   configure_read(*peer.handle, receive_policy::at_most(1));
+  const std::string greeting = EncodeGreeting(frame.to);
+  write(*peer.handle, greeting.size(), greeting.data());
   return true;
 }
 
@@ -107,17 +109,38 @@
     return;
   }
   shared_->counters.bytes_received += data.buf.size();
+  incoming_connection& incoming = found->second;
   try {
-    ReadFrame(data, found->second);
+    if (incoming.greeted) {
+      ReadFrame(data, incoming);
+    } else {
+      ReadGreeting(data, incoming);
+    }
   } catch (const frame_error&) {
     // The stream is out of step: what follows can't be told apart from frames.
     ++shared_->counters.malformed;
-    incoming_.erase(found);
     Refuse(data.handle);
   }
 }
 
+void peer_broker::ReadGreeting(const caf::io::new_data_msg& data,
+                               incoming_connection& incoming) {
+  const core::incarnation to =
+      DecodeGreeting({data.buf.data(), data.buf.size()});
+  const core::incarnation self = shared_->options.self;
+  incoming.greeted = true;
+  if (self == core::incarnation::kNone || to == self) {
+    return;
+  }
+  // A restarted entry listens at the port of its earlier life. Others that have
+  // not read of its end yet would hand it requests for endpoints that it
+  // doesn't own; the closed connection tells them to take another way.
+  ++shared_->counters.misdirected;
+  Refuse(data.handle);
+}
+
 void peer_broker::Refuse(connection_handle handle) {
+  incoming_.erase(handle);
   // CAF's graceful close ends one direction and waits for the other side to
   // end the other; a stranger that keeps its socket open would hold a
   // descriptor here for ever. Ending both directions makes the reading see the
--- a/src/entry/peer_broker.h
+++ b/src/entry/peer_broker.h
@@ -21,6 +21,7 @@
   std::atomic<std::uint64_t> bytes_sent{0};
   std::atomic<std::uint64_t> bytes_received{0};
   std::atomic<std::uint64_t> malformed{0};
+  std::atomic<std::uint64_t> misdirected{0};
   std::atomic<std::uint64_t> skipped{0};
   std::atomic<std::uint64_t> dropped{0};
   std::atomic<std::uint64_t> disconnects{0};
@@ -67,6 +68,7 @@
   };
 
   struct incoming_connection {
+    bool greeted = false;
     // Set while the payload is awaited.
     std::optional<frame_header> header;
   };
@@ -76,6 +78,8 @@
   bool Connect(const outgoing_frame& frame, outgoing_connection& peer);
   void Accept(caf::io::connection_handle handle);
   void Read(const caf::io::new_data_msg& data);
+  void ReadGreeting(const caf::io::new_data_msg& data,
+                    incoming_connection& incoming);
   void ReadFrame(const caf::io::new_data_msg& data,
                  incoming_connection& incoming);
   void Refuse(caf::io::connection_handle handle);
--- a/tests/entry/frame_codec_test.cc
+++ b/tests/entry/frame_codec_test.cc
@@ -97,6 +97,19 @@
   }
 }
 
+TEST_CASE("A connection says whom it is for") {
+  const core::incarnation to{0xFEDCBA9876543210ULL};
+  const std::string greeting = EncodeGreeting(to);
+  CHECK(greeting.size() == kFrameHeaderSize);
+  CHECK(DecodeGreeting(greeting) == to);
+  CHECK_THROWS_AS(DecodeGreeting(greeting.substr(1)), frame_error);
+  for (std::size_t i = 0; i < 4; ++i) {
+    std::string damaged = greeting;
+    damaged[i] ^= 1;
+    CHECK_THROWS_AS(DecodeGreeting(damaged), frame_error);
+  }
+}
+
 TEST_CASE("Random frames survive the wire") {
   const auto survives = [](std::string text, std::uint64_t number,
                            bool has_body) {
@@ -175,6 +188,10 @@
                     frame_error);
   }
 
+  SECTION("when it is of a kind that only newer entries know") {
+    CHECK(FaultOf(FrameOfNewerKind()) == frame_fault::kUnknownMessage);
+  }
+
   SECTION("when it has another version") {
     std::string bytes = EncodeFrame(SampleCancel(), kSampleNow);
     bytes[5] = 2;
--- a/tests/entry/frame_samples.h
+++ b/tests/entry/frame_samples.h
@@ -5,7 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "entry/frame_generated.h"
 #include "plantainhead/core/messages.h"
+#include "plantainhead/entry/frame_codec.h"
 
 namespace plantainhead::entry {
 
@@ -70,6 +72,17 @@
   return {core::incarnation{11}, 101, item};
 }
 
+// The bytes of a valid frame of a kind that only a newer entry knows.
+inline std::string FrameOfNewerKind() {
+  flatbuffers::FlatBufferBuilder builder;
+  const wire::RequestId id(7, 8);
+  const auto message = wire::CreateCancelForward(builder, &id).Union();
+  const auto kind = static_cast<wire::Message>(200);
+  builder.Finish(wire::CreateFrame(builder, 7, 99, kind, message));
+  return SealPayload({reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                      builder.GetSize()});
+}
+
 inline std::vector<core::peer_frame> SampleFrames() {
   return {SampleRequest(), SampleReply(), SampleCancel(), SampleHeartbeat(),
           SampleSmallHeartbeat()};
--- a/tests/entry/peer_link_test.cc
+++ b/tests/entry/peer_link_test.cc
@@ -191,15 +191,22 @@
   a.link.Send(To(2, b.port, NumberedCancel(1)));
   b.events.Await<core::frame_received>();
 
-  SECTION("when the header is wrong") {
+  SECTION("when it doesn't begin with a greeting") {
     raw_socket stranger(b.port);
     stranger.Write("GET / HTTP/1.1\r\n\r\n");
     stranger.AwaitEnd();
   }
 
+  SECTION("when the header is wrong") {
+    raw_socket stranger(b.port);
+    stranger.Write(EncodeGreeting(core::incarnation{2}) + "GET / HTTP/1.1");
+    stranger.AwaitEnd();
+  }
+
   SECTION("when the payload is wrong") {
     raw_socket stranger(b.port);
-    stranger.Write(SealPayload("this is no table"));
+    stranger.Write(EncodeGreeting(core::incarnation{2}) +
+                   SealPayload("this is no table"));
     stranger.AwaitEnd();
   }
 
@@ -207,13 +214,13 @@
     std::string bytes = EncodeFrame(SampleReply(), kSampleNow);
     bytes.back() ^= 1;
     raw_socket stranger(b.port);
-    stranger.Write(bytes);
+    stranger.Write(EncodeGreeting(core::incarnation{2}) + bytes);
     stranger.AwaitEnd();
   }
 
   SECTION("when there is no payload at all") {
     raw_socket stranger(b.port);
-    stranger.Write(SealPayload(""));
+    stranger.Write(EncodeGreeting(core::incarnation{2}) + SealPayload(""));
     stranger.AwaitEnd();
   }
 
@@ -299,6 +306,39 @@
   CHECK(a.events.Await<core::peer_disconnected>().peer == core::incarnation{2});
 }
 
+// Entries are replaced one by one by a newer version, which sends messages that
+// the older ones don't know. Closing the connection would lose the requests on
+// it over and over; the stream is in step, so that the frame can be skipped.
+TEST_CASE("A frame of a newer kind is skipped") {
+  test_system system;
+  linked_entry b(system);
+  raw_socket newer(b.port);
+  newer.Write(EncodeGreeting(core::incarnation{2}) + FrameOfNewerKind() +
+              EncodeFrame(NumberedCancel(3), kSampleNow));
+  CHECK(NumberOf(b.events.Await<core::frame_received>()) == 3);
+  CHECK(b.link.counters().skipped == 1);
+  CHECK(b.link.counters().malformed == 0);
+}
+
+// An entry dies and a new process starts at its port. Another entry has not
+// read of the end yet and forwards a request to the old incarnation. The new
+// process doesn't own those endpoints; it must not get the frame, and the
+// sender must hear so.
+TEST_CASE("A frame for an earlier process at the same port isn't taken") {
+  test_system system;
+  peer_link_options options;
+  options.self = core::incarnation{22};
+  linked_entry reborn(system, options);
+  linked_entry a(system);
+
+  a.link.Send(To(2, reborn.port, NumberedCancel(1)));
+  CHECK(a.events.Await<core::peer_disconnected>().peer == core::incarnation{2});
+  a.link.Send(To(22, reborn.port, NumberedCancel(2)));
+  CHECK(NumberOf(reborn.events.Await<core::frame_received>()) == 2);
+  CHECK(reborn.link.counters().misdirected == 1);
+  CHECK(reborn.link.counters().frames_received == 1);
+}
+
 TEST_CASE("An entry takes a bounded number of connections") {
   test_system system;
   peer_link_options options;
