--- a/src/core/claim_partition.h
+++ b/src/core/claim_partition.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "core/answer_store.h"
+#include "core/claim_cursor.h"
 #include "core/claim_index.h"
+#include "core/claim_marks.h"
 #include "core/claim_writer.h"
 #include "plantainhead/core/claims.h"
 
@@ -106,56 +108,40 @@
               duration retry_after,
               decision_list& decisions);
 
-  bool CheckContinuity(const log_read& read,
-                       time_point now,
-                       effects& out,
-                       decision_list& decisions);
-  void NoteCut(std::string what,
-               time_point now,
-               effects& out,
-               decision_list& decisions);
-  bool ReachesBackFarEnough(const log_read& read, time_point now) const;
+  void TakeEntries(const log_read& read,
+                   time_point now,
+                   decision_list& decisions);
+  void GiveUpIfBarred(time_point now, effects& out, decision_list& decisions);
   void Apply(const record_body& body,
              time_point now,
              time_point grant_time,
              decision_list& decisions);
-  void OnMark(const claim_request& mark, time_point now);
-
-  bool NeedsMark(time_point now) const;
-  void AppendMark(time_point now);
   void ForgetOld(time_point now);
   void Follow(effects& out);
   void UnfollowIfDone(effects& out);
   void Flush(time_point now, effects& out);
-  duration Kept() const { return options_.window + options_.clock_skew; }
+  /// How long a claim is remembered. A retry that comes within the window is
+  /// granted up to the patience later, by a clock that may differ.
+  duration Kept() const {
+    return options_.window + options_.clock_skew + options_.patience;
+  }
 
   const stream_name stream_;
   const claim_shared shared_;
   const claim_options& options_;
   claim_writer writer_;
   claim_index index_;
+  claim_cursor cursor_;
+  claim_marks marks_;
 
   bool is_home_ = false;
   bool is_following_ = false;
-  /// Whether the stream was read to its end once since it is followed.
-  bool caught_up_ = false;
-  /// Offset of the next record to read.
-  log_offset next_ = 1;
-  /// Claims that can't be ruled out by the index may have been made before.
-  std::optional<time_point> no_grant_before_;
-
-  /// True from a failure until a mark of ours came back in good time.
-  bool is_out_ = false;
-  std::uint64_t last_mark_ = 0;
-  std::uint64_t mark_record_ = 0;
-  time_point mark_written_;
-  bool is_mark_pending_ = false;
-
   waiting_map waiting_;
   /// The first time at which a waiting claim must be given up.
   time_point next_late_ = time_point::max();
   /// Keys granted here whose requests aren't finished.
   running_map running_;
+  time_point next_running_check_;
 };
 
 }  // namespace plantainhead::core
--- a/src/core/pool_planner.cc
+++ b/src/core/pool_planner.cc
@@ -1,6 +1,7 @@
 #include "plantainhead/core/pool_planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace plantainhead::core {
@@ -54,12 +55,9 @@
   return false;
 }
 
-pool_id SmallestPool(const std::map<pool_id, pool_balance>& pools) {
-  return std::min_element(pools.begin(), pools.end(),
-                          [](const auto& left, const auto& right) {
-                            return left.second.size() < right.second.size();
-                          })
-      ->first;
+/// Tells if callers can't be served without more VMs.
+bool IsUrgent(const pool_balance& pool) {
+  return pool.BaseLack() > 0 && pool.is_for_callers();
 }
 
 std::string Count(std::uint32_t count) {
@@ -77,8 +75,12 @@
   ObserveZones(context);
   balances pools = Balance(context, capacity);
   CountTeams(context);
+  std::erase_if(starting_, [&](const auto& item) {
+    const vm_view* vm = context.view.FindVm(item.first);
+    return vm == nullptr || !IsStarting(*vm);
+  });
+  ObserveStandings(context, pools);
   UpdateFigures(context, pools, capacity);
-  ObserveLacks(context, pools);
   AssignNew(context, pools);
   ForgetGone(context);
   TellPlatform(context);
@@ -114,7 +116,7 @@
         pools.try_emplace(name, item, domains_, !zone_is_out_).first->second;
     const pool_view* pool = context.view.FindPool(name);
     for (const vm_view* vm : pool->vms) {
-      if (IsMember(context, *vm)) {
+      if (IsMember(context, *vm) && !IsStarting(*vm)) {
         balance.Add(context.DomainOf(*vm, by_rack_));
       }
     }
@@ -156,7 +158,7 @@
     if (!pools.contains(chosen)) {
       const std::optional<pool_id> neediest =
           NeediestPool(context, pools, pool_id(), {});
-      chosen = neediest ? *neediest : SmallestPool(pools);
+      chosen = neediest ? *neediest : SpareHome(pools);
       reason = neediest ? "this pool lacks most" : "no pool lacks a VM";
     }
     pools.at(chosen).Add(context.DomainOf(vm, by_rack_));
@@ -219,6 +221,7 @@
     }
     pools.at(*receiver).Add(context.DomainOf(vm, by_rack_));
     MoveInTeams(context, vm.state->pool, *receiver);
+    ++figures_.moves;
     lifecycle.ReadmitTo(vm, *receiver,
                         "pool " + receiver->value() + " lacked it more than " +
                             vm.state->pool.value());
@@ -228,12 +231,10 @@
 void pool_planner::StartMoves(const planner_context& context,
                               const vm_lifecycle& lifecycle,
                               balances& pools) {
-  std::uint32_t under_way = 0;
-  for (const auto& [id, vm] : context.view.vms()) {
-    under_way += IsMover(vm) ? 1 : 0;
-  }
+  CountMovers(context, pools);
   std::set<vm_id> taken;
   std::set<pool_id> settled = PoolsWithShortLack(context, pools);
+  SettleIfNoDonor(context, pools, settled);
   while (true) {
     const std::optional<pool_id> receiver =
         NeediestPool(context, pools, std::nullopt, settled);
@@ -241,18 +242,10 @@
       return;
     }
     pool_balance& to = pools.at(*receiver);
-    if (under_way > 0) {
-      // One that already drains will go there.
-      --under_way;
-      to.Add(zone_id());
-      continue;
-    }
     const std::optional<donor> best =
         BestDonor(context, lifecycle, pools, *receiver, taken);
     if (!best) {
-      context.Report(
-          note_level::kWarning, ObjectOf(*receiver),
-          "it lacks " + Count(to.Lack()) + " VMs and no pool can spare one");
+      ReportNoDonor(context, *receiver, to);
       settled.insert(*receiver);
       continue;
     }
@@ -264,10 +257,34 @@
                              Count(pools.at(best->from).need()) + " of its " +
                              Count(pools.at(best->from).size()));
     taken.insert(best->vm->id);
+    starting_[best->vm->id] = best->vm->state->version;
     pools.at(best->from).Remove(domain);
     to.Add(domain);
     MoveInTeams(context, best->from, *receiver);
-    ++figures_.moves;
+  }
+}
+
+bool pool_planner::IsStarting(const vm_view& vm) const {
+  const auto found = starting_.find(vm.id);
+  return found != starting_.end() && vm.is_pending && vm.serving() &&
+         vm.state->version == found->second;
+}
+
+void pool_planner::CountMovers(const planner_context& context,
+                               balances& pools) {
+  for (const auto& [id, vm] : context.view.vms()) {
+    const bool is_leaving =
+        IsMover(vm) &&
+        (vm.is_pending || vm.state->phase == vm_phase::kDraining);
+    if (!is_leaving && !IsStarting(vm)) {
+      continue;
+    }
+    const std::optional<pool_id> receiver =
+        NeediestPool(context, pools, vm.state->pool, {});
+    if (receiver) {
+      pools.at(*receiver).Add(context.DomainOf(vm, by_rack_));
+      MoveInTeams(context, vm.state->pool, *receiver);
+    }
   }
 }
 
@@ -284,35 +301,57 @@
     const planner_context& context,
     const balances& pools) const {
   std::set<pool_id> found;
-  for (const auto& [name, since] : lack_since_) {
+  for (const auto& [name, stand] : standings_) {
     const bool is_base = pools.at(name).BaseLack() > 0;
     const duration patience = is_base ? context.options.base_lack_patience
                                       : context.options.spare_lack_patience;
-    if (context.now - since < patience) {
+    if (stand.lack_since && context.now - *stand.lack_since < patience) {
       found.insert(name);
     }
   }
   return found;
 }
 
-void pool_planner::ObserveLacks(const planner_context& context,
-                                const balances& pools) {
-  for (const auto& [name, pool] : pools) {
-    if (pool.Lack() == 0) {
-      lack_since_.erase(name);
-    } else {
-      lack_since_.try_emplace(name, context.now);
+void pool_planner::ObserveStandings(const planner_context& context,
+                                    const balances& pools) {
+  std::erase_if(standings_,
+                [&](const auto& item) { return !pools.contains(item.first); });
+  const auto follow = [&](std::optional<time_point>& since, bool holds) {
+    if (!holds) {
+      since.reset();
+    } else if (!since) {
+      since = context.now;
     }
-    const std::uint32_t surplus = pool.Surplus();
-    surplus_[name] = surplus;
-    if (surplus == 0) {
-      surplus_since_.erase(name);
-    } else {
-      surplus_since_.try_emplace(name, context.now);
+  };
+  for (const auto& [name, pool] : pools) {
+    standing& stand = standings_[name];
+    stand.lack = pool.Lack();
+    stand.surplus = pool.Surplus();
+    stand.wanted = pool.size() + stand.lack - stand.surplus;
+    follow(stand.lack_since, stand.lack > 0);
+    follow(stand.surplus_since, stand.surplus > 0);
+    const std::chrono::duration<double> elapsed = context.now - stand.peak_at;
+    const std::chrono::duration<double> half = context.options.peak_half_life;
+    const double kept = stand.peak * std::exp2(-(elapsed / half));
+    if (stand.wanted >= kept) {
+      stand.peak = stand.wanted;
+      stand.peak_at = context.now;
     }
   }
 }
 
+pool_id pool_planner::SpareHome(const balances& pools) const {
+  const auto key = [&](const auto& item) {
+    const double size = item.second.size();
+    return std::make_tuple(size - standings_.at(item.first).peak, size);
+  };
+  return std::min_element(pools.begin(), pools.end(),
+                          [&](const auto& left, const auto& right) {
+                            return key(left) < key(right);
+                          })
+      ->first;
+}
+
 std::optional<pool_id> pool_planner::NeediestPool(
     const planner_context& context,
     const balances& pools,
@@ -321,9 +360,11 @@
   std::optional<pool_id> neediest;
   std::tuple<double, double, double> greatest;
   for (const auto& [name, pool] : pools) {
+    if (settled.contains(name)) {
+      continue;
+    }
     const std::uint32_t lack = pool.Lack();
-    if (lack == 0 || settled.contains(name) ||
-        (from && !HasRoom(context, name, *from))) {
+    if (lack == 0 || (from && !HasRoom(context, name, *from))) {
       continue;
     }
     const std::uint32_t base = pool.BaseLack();
@@ -345,37 +386,28 @@
     const pool_id& receiver,
     const std::set<vm_id>& taken) const {
   const pool_balance& to = pools.at(receiver);
-  const bool is_urgent = to.BaseLack() > 0;
+  const bool is_urgent = IsUrgent(to);
   std::optional<donor> best;
-  std::tuple<bool, std::uint32_t, bool, std::int64_t, std::uint32_t> least;
+  std::tuple<bool, bool, std::uint32_t, std::uint32_t, double> least;
   for (const auto& [name, from] : pools) {
-    if (name == receiver || from.size() <= from.need()) {
-      continue;
-    }
-    const auto since = surplus_since_.find(name);
-    const bool has_lasting_surplus =
-        since != surplus_since_.end() &&
-        context.now - since->second >= context.options.surplus_patience;
-    const bool may_use_spare = is_urgent && from.tolerance() >= to.tolerance();
-    if (!HasRoom(context, receiver, name)) {
-      continue;
-    }
-    const std::uint32_t surplus = surplus_.at(name);
-    if (!(surplus > 0 && (has_lasting_surplus || is_urgent)) &&
-        !may_use_spare) {
+    const standing& stand = standings_.at(name);
+    if (name == receiver || !IsDonor(context, from, stand, to) ||
+        !HasRoom(context, receiver, name)) {
       continue;
     }
+    const bool spares_all = is_urgent && from.tolerance() >= to.tolerance();
+    const double above_peak = from.size() - stand.peak;
     for (const vm_view* vm : context.view.FindPool(name)->vms) {
       const zone_id domain = context.DomainOf(*vm, by_rack_);
       const bool keeps_spare = from.CanSpare(domain, false);
-      if ((!keeps_spare && !(may_use_spare && from.CanSpare(domain, true))) ||
+      if ((!keeps_spare && !(spares_all && from.CanSpare(domain, true))) ||
           taken.contains(vm->id) || !lifecycle.CanDrain(*vm) ||
           !MayLeave(context, *vm, is_urgent)) {
         continue;
       }
-      const std::tuple<bool, std::uint32_t, bool, std::int64_t, std::uint32_t>
-          cost{!keeps_spare, to.CountIn(domain), vm->jobs > 0,
-               -static_cast<std::int64_t>(surplus), vm->jobs};
+      const std::tuple<bool, bool, std::uint32_t, std::uint32_t, double> cost{
+          !keeps_spare, above_peak < 1.0, to.CountIn(domain), vm->jobs,
+          -above_peak};
       if (!best || cost < least) {
         best = donor{vm, name};
         least = cost;
@@ -385,6 +417,49 @@
   return best;
 }
 
+bool pool_planner::IsDonor(const planner_context& context,
+                           const pool_balance& from,
+                           const standing& stand,
+                           const pool_balance& to) const {
+  if (from.size() <= from.need()) {
+    return false;
+  }
+  if (IsUrgent(to)) {
+    return stand.surplus > 0 || from.tolerance() >= to.tolerance();
+  }
+  return HasLastingSurplus(context, stand);
+}
+
+bool pool_planner::HasLastingSurplus(const planner_context& context,
+                                     const standing& stand) {
+  return stand.surplus > 0 && stand.surplus_since &&
+         context.now - *stand.surplus_since >= context.options.surplus_patience;
+}
+
+void pool_planner::SettleIfNoDonor(const planner_context& context,
+                                   const balances& pools,
+                                   std::set<pool_id>& settled) const {
+  for (const auto& [name, stand] : standings_) {
+    if (HasLastingSurplus(context, stand)) {
+      return;
+    }
+  }
+  for (const auto& [name, stand] : standings_) {
+    const pool_balance& pool = pools.at(name);
+    if (stand.lack > 0 && !IsUrgent(pool) && settled.insert(name).second) {
+      ReportNoDonor(context, name, pool);
+    }
+  }
+}
+
+void pool_planner::ReportNoDonor(const planner_context& context,
+                                 const pool_id& name,
+                                 const pool_balance& pool) {
+  context.Report(
+      note_level::kWarning, ObjectOf(name),
+      "it lacks " + Count(pool.Lack()) + " VMs and no pool can spare one");
+}
+
 bool pool_planner::MayLeave(const planner_context& context,
                             const vm_view& vm,
                             bool is_urgent) const {
@@ -409,13 +484,13 @@
     const pool_capacity& item = capacity.at(name);
     const std::uint32_t survivors = zone_is_out_ ? 0 : item.survivors;
     figures_.need += item.need;
-    figures_.buffer += pool.Wanted() - item.need;
+    const standing& stand = standings_.at(name);
+    figures_.buffer += stand.wanted - item.need;
     figures_.buffer_bound +=
         LeastSpread(item.need, survivors, domains_) - item.need;
-    figures_.surplus += pool.Surplus();
-    const std::uint32_t lack = pool.Lack();
-    figures_.lack += lack;
-    if (lack == 0) {
+    figures_.surplus += stand.surplus;
+    figures_.lack += stand.lack;
+    if (stand.lack == 0) {
       context.reasons.erase(ObjectOf(name));
     }
   }
