Follow a claim stream on behind a cut that stops its reader

Cause: the platform's reader posts a read without entries when the stream was cut past its place, and goes on only once the stream is followed anew. The claims moved their own place and waited: the partition would have refused all claims until a restart. Change: the cursor asks to start again in that case.

--- a/src/core/claim_cursor.cc
+++ b/src/core/claim_cursor.cc
@@ -18,8 +18,13 @@
     return read_continuity::kShorter;
   }
   if (read.begin > next_) {
+    // Only a reader that starts at the oldest record goes on behind a cut.
+    const bool has_stopped = next_ > 1 && read.entries.empty();
     Bar(read.begin, now);
     next_ = read.begin;
+    if (has_stopped) {
+      return read_continuity::kLeftOut;
+    }
   }
   if (!read.entries.empty() && read.entries.front().offset > next_) {
     return read_continuity::kLeftOut;
--- a/src/core/claim_cursor.h
+++ b/src/core/claim_cursor.h
@@ -13,7 +13,7 @@
 /// How a read goes on from what was read of a stream before.
 enum class read_continuity {
   kFollows,
-  /// Records that the log still has were left out; read them again.
+  /// Reading must be started again after `last_read()`.
   kLeftOut,
   /// The stream has less than was read from it.
   kShorter,
--- a/src/core/claim_partition_reading.cc
+++ b/src/core/claim_partition_reading.cc
@@ -19,7 +19,6 @@
   const read_continuity continuity = cursor_.Begin(read, now);
   if (continuity == read_continuity::kLeftOut) {
     out.Do(follow_stream{stream_, cursor_.last_read()});
-    return;
   }
   if (continuity == read_continuity::kFollows) {
     TakeEntries(read, now, decisions);
--- a/tests/core/claims_test.cc
+++ b/tests/core/claims_test.cc
@@ -418,6 +418,18 @@
     CHECK(home.core().figures(later).cuts == 1);
   }
 
+  SECTION("ahead of a reader that stops there: it follows on behind the cut") {
+    claims_entry home(2, &log);
+    MakeHome(home, later);
+    log_read cut;
+    cut.stream = kStream;
+    cut.begin = 500;
+    cut.end = 510;
+    home.Hand(cut, later);
+    CHECK(home.followed().at(kStream) == 499);
+    CHECK(home.core().figures(later).refusing == 1);
+  }
+
   SECTION("outside of the window: the marks of a quiet stream show it") {
     time_point now = kStart;
     log_offset kept_for_two_windows = 0;
