Say how long a request with a key may wait

Cause: callers may ask for a patience of an hour, the window is 10 minutes: a caller that waits longer than the window can't keep to it with its retries. Change: claims::LongestPatience (half a window), for the request side to cap deadlines by; the design note says why.

--- a/include/plantainhead/core/claims.h
+++ b/include/plantainhead/core/claims.h
@@ -83,11 +83,11 @@
 /// repeated doesn't matter. docs/design/claims.md has the reasoning.
 ///
 /// A key stands for `claim_options::window` after its claim, at least. A grant
-/// is valid until the request's deadline and never longer than the window: the
-/// caller of this class must cap the deadline of a request with a key at its
-/// arrival plus the window, and check it again right before dispatch. A key
-/// that ends in a UUID of version 7 tells its own age and is refused once older
-/// than the window; for other keys the callers must stop their retries in time.
+/// is valid until the request's deadline; the user of this class must cap the
+/// deadline of a request with a key at its arrival plus `LongestPatience`, and
+/// check it again right before dispatch. A key that ends in a UUID of version 7
+/// tells its own age and is refused once older than the window; for other keys
+/// the callers must stop their retries in time.
 ///
 /// Each `Ask` gets exactly one decision, from the call itself or a later one.
 /// Thread safety: none; owned by the thread of the decisions.
@@ -153,6 +153,11 @@
               effects& out,
               std::vector<claim_decision>& decisions);
 
+  /// Longest time to its deadline that a request with a key may have: half of
+  /// the window, so that a caller that waited to its end and heard nothing has
+  /// the other half for retries.
+  duration LongestPatience() const { return options_.window / 2; }
+
   /// Returns the figures at `now`. Looks at all partitions; cheap.
   claim_figures figures(time_point now) const;
 
