--- /dev/null
+++ b/src/core/record_queue.cc
@@ -0,0 +1,213 @@
+#include "plantainhead/core/record_queue.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "core/jitter.h"
+#include "plantainhead/core/record_number.h"
+#include "plantainhead/core/visit.h"
+
+namespace plantainhead::core {
+namespace {
+
+template <typename Body>
+constexpr bool kHasEpoch = requires(const Body& body) {
+  body.epoch;
+};
+
+}  // namespace
+
+bool IsVoid(const record_body& body, const fleet_state& state) {
+  const auto is_member = [&](incarnation who) {
+    return state.members.contains(who);
+  };
+  return std::visit(
+      overloaded{
+          [&](const accuse_entry& item) {
+            return !is_member(item.accuser) || !is_member(item.accused);
+          },
+          [&](const withdraw_accusation& item) {
+            return !is_member(item.accuser) || !is_member(item.accused);
+          },
+          [&](const take_planner_lease& item) {
+            return item.expected < state.lease.epoch;
+          },
+          [&](const auto& item) {
+            if constexpr (kHasEpoch<std::decay_t<decltype(item)>>) {
+              return item.epoch != 0 && item.epoch < state.lease.epoch;
+            } else {
+              return false;
+            }
+          },
+      },
+      body);
+}
+
+record_queue::record_queue(record_queue_settings settings,
+                           append_ids* ids,
+                           random_source* random)
+    : settings_(settings),
+      ids_(ids),
+      random_(random),
+      batch_(settings.batch_records) {}
+
+record_id record_queue::NextId() {
+  return MakeRecordId({settings_.self, ++last_number_});
+}
+
+std::optional<record_id> record_queue::Push(std::string author,
+                                            record_body body) {
+  if (waiting_.size() >= settings_.limit) {
+    return std::nullopt;
+  }
+  record_id id = NextId();
+  waiting_record item;
+  item.content = {id, std::move(author), std::move(body)};
+  waiting_.push_back(std::move(item));
+  return id;
+}
+
+std::deque<record_queue::waiting_record>::iterator record_queue::Find(
+    const record_id& id) {
+  return std::find_if(
+      waiting_.begin(), waiting_.end(),
+      [&](const waiting_record& item) { return item.content.id == id; });
+}
+
+std::optional<withdrawal> record_queue::Withdraw(const record_id& id) {
+  const auto it = Find(id);
+  if (it == waiting_.end()) {
+    return std::nullopt;
+  }
+  const bool maybe_written = it->maybe_written || it->in_flight;
+  waiting_.erase(it);
+  return maybe_written ? withdrawal::kMaybeWritten : withdrawal::kNotWritten;
+}
+
+void record_queue::OnReadBack(const record_id& id) {
+  const auto it = Find(id);
+  if (it != waiting_.end()) {
+    waiting_.erase(it);
+  }
+}
+
+// All entries notice the end of an outage at the same moment and each has a
+// backlog. Without the spread the log would get them all at once and might fail
+// again under them.
+void record_queue::OnRecovered(time_point now) {
+  backoff_ = duration::zero();
+  batch_ = settings_.batch_records;
+  next_append_ = now + Jitter(*random_, settings_.recovery_spread);
+}
+
+bool record_queue::OnAppendFinished(time_point now,
+                                    const append_finished& event,
+                                    std::vector<renamed_record>& renamed) {
+  if (event.append == append_id::kNone || event.append != in_flight_) {
+    return false;
+  }
+  in_flight_ = append_id::kNone;
+  switch (event.result) {
+    case append_result::kAppended:
+      OnAppended();
+      break;
+    case append_result::kUnknown:
+      OnUnknown(now);
+      break;
+    case append_result::kRejected:
+      OnRefused(now, renamed);
+      break;
+  }
+  return true;
+}
+
+void record_queue::OnAppended() {
+  std::erase_if(waiting_,
+                [](const waiting_record& item) { return item.in_flight; });
+  backoff_ = duration::zero();
+  batch_ = std::min(batch_ * 2, settings_.batch_records);
+}
+
+void record_queue::OnUnknown(time_point now) {
+  for (waiting_record& item : waiting_) {
+    item.maybe_written = item.maybe_written || item.in_flight;
+    item.in_flight = false;
+  }
+  BackOff(now, settings_.greatest_backoff);
+}
+
+// An append is refused as long as the log can't be connected to, or is asked
+// for too much, so no record is given up for it; but one that the log never
+// takes must not hold up the others. Refused records go behind the rest and the
+// next append is half as large, until such a record is alone in its append. The
+// fold takes a writer's records in the order of their numbers, hence the new
+// id; it is safe because the old one surely isn't in the log. A record whose
+// earlier append ended unknown may be there: it keeps its id and its place.
+void record_queue::OnRefused(time_point now,
+                             std::vector<renamed_record>& renamed) {
+  std::size_t sent = 0;
+  std::deque<waiting_record> kept;
+  std::deque<waiting_record> refused;
+  for (waiting_record& item : waiting_) {
+    sent += item.in_flight ? 1 : 0;
+    const bool is_refused = item.in_flight && !item.maybe_written;
+    item.in_flight = false;
+    (is_refused ? refused : kept).push_back(std::move(item));
+  }
+  for (waiting_record& item : refused) {
+    const record_id id = NextId();
+    renamed.push_back({item.content.id, id});
+    item.content.id = id;
+    kept.push_back(std::move(item));
+  }
+  waiting_ = std::move(kept);
+  batch_ = std::max<std::size_t>(1, std::min(sent, batch_) / 2);
+  BackOff(now, settings_.greatest_refused_backoff);
+}
+
+void record_queue::BackOff(time_point now, duration greatest) {
+  const duration next =
+      backoff_ == duration::zero() ? settings_.first_backoff : backoff_ * 2;
+  backoff_ = std::min(next, greatest);
+  const duration half = backoff_ / 2;
+  next_append_ = now + half + Jitter(*random_, half);
+}
+
+void record_queue::DropVoid(const fleet_state& state, effects& out) {
+  const std::size_t dropped =
+      std::erase_if(waiting_, [&](const waiting_record& item) {
+        return IsVoid(item.content.body, state);
+      });
+  if (dropped > 0) {
+    out.Note(note_level::kInfo, "dropped records that have become void",
+             {{"records", std::to_string(dropped)}});
+  }
+}
+
+void record_queue::Pump(time_point now,
+                        const fleet_state& state,
+                        effects& out) {
+  if (in_flight_ != append_id::kNone || now < next_append_) {
+    return;
+  }
+  DropVoid(state, out);
+  if (waiting_.empty()) {
+    return;
+  }
+  append_records append;
+  append.append = ids_->Next();
+  append.stream = kControlStream;
+  for (waiting_record& item : waiting_) {
+    if (append.records.size() == batch_) {
+      break;
+    }
+    item.in_flight = true;
+    append.records.push_back(item.content);
+  }
+  in_flight_ = append.append;
+  next_append_ = now + settings_.append_interval;
+  out.Do(std::move(append));
+}
+
+}  // namespace plantainhead::core
--- /dev/null
+++ b/src/platform/platform_link.cc
@@ -0,0 +1,254 @@
+#include "plantainhead/platform/platform_link.h"
+
+#include <csignal>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include <caf/actor_system.hpp>
+#include <caf/send.hpp>
+
+#include "platform/appender.h"
+#include "platform/list_reader.h"
+#include "platform/operation_runner.h"
+#include "platform/stream_reader.h"
+#include "platform/worker.h"
+
+namespace plantainhead::platform {
+namespace {
+
+// How often `Stop` stops the workers until all have ended.
+constexpr auto kStopInterval = std::chrono::milliseconds(5);
+
+// The HTTP library writes to sockets that the platform may have closed. The
+// signal that this raises would end the process; blocked, it leaves the write
+// to fail with an error. Other threads keep their own disposition.
+void BlockPipeSignal() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGPIPE);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+// Counts a worker as running while its thread may touch the link.
+class running_mark {
+ public:
+  running_mark(link_context* context, worker* who)
+      : context_(*context), who_(*who) {}
+  ~running_mark() {
+    const std::lock_guard lock(context_.mutex);
+    who_.set_ended();
+    --context_.running;
+    context_.ended.notify_all();
+  }
+
+  running_mark(const running_mark&) = delete;
+  running_mark& operator=(const running_mark&) = delete;
+
+ private:
+  link_context& context_;
+  worker& who_;
+};
+
+}  // namespace
+
+class platform_link::implementation {
+ public:
+  implementation(caf::actor_system& system,
+                 platform_options options,
+                 post_function post);
+  ~implementation() { Stop(); }
+
+  void Append(core::append_records action);
+  void Follow(core::follow_stream action);
+  void Unfollow(const core::unfollow_stream& action);
+  void Run(core::run_operation action);
+  void Stop();
+
+ private:
+  template <typename Worker, typename... Args>
+  std::unique_ptr<Worker> Start(Args&&... args);
+  // Returns the appender of a stream; starts it for the first streams.
+  appender& AppenderOf(const core::stream_name& stream);
+  // Stops the reader of a stream, if there is one, and forgets those that have
+  // ended.
+  void RetireReader(const core::stream_name& stream);
+  void StopAll();
+
+  caf::actor_system& system_;
+  link_context context_;
+
+  std::mutex mutex_;
+  // All below are guarded by `mutex_` until the link is being stopped, and
+  // don't change afterwards. Workers live as long as the link.
+  std::vector<std::unique_ptr<appender>> appenders_;
+  std::map<core::stream_name, std::size_t> appender_of_;
+  std::map<core::stream_name, std::unique_ptr<stream_reader>> readers_;
+  // Readers that were stopped and may still wait for an answer.
+  std::vector<std::unique_ptr<stream_reader>> retired_readers_;
+  std::vector<std::unique_ptr<operation_runner>> runners_;
+  std::unique_ptr<list_reader> list_reader_;
+  bool stopping_ = false;
+};
+
+platform_link::implementation::implementation(caf::actor_system& system,
+                                              platform_options options,
+                                              post_function post)
+    : system_(system) {
+  context_.options = std::move(options);
+  context_.post = std::move(post);
+  const std::lock_guard lock(mutex_);
+  list_reader_ = Start<list_reader>();
+  for (std::size_t i = 0; i < context_.options.operators; ++i) {
+    runners_.push_back(Start<operation_runner>());
+  }
+}
+
+template <typename Worker, typename... Args>
+std::unique_ptr<Worker> platform_link::implementation::Start(Args&&... args) {
+  auto started =
+      std::make_unique<Worker>(&context_, std::forward<Args>(args)...);
+  {
+    const std::lock_guard lock(context_.mutex);
+    ++context_.running;
+  }
+  started->set_address(system_.spawn<caf::detached>(
+      [context = &context_, body = started.get()](caf::blocking_actor* self) {
+        const running_mark mark(context, body);
+        BlockPipeSignal();
+        body->Run(self);
+      }));
+  return started;
+}
+
+appender& platform_link::implementation::AppenderOf(
+    const core::stream_name& stream) {
+  const auto known = appender_of_.find(stream);
+  if (known != appender_of_.end()) {
+    return *appenders_[known->second];
+  }
+  const std::size_t most = context_.options.appenders;
+  std::size_t chosen = appender_of_.size() % most;
+  if (chosen == appenders_.size()) {
+    appenders_.push_back(Start<appender>());
+  }
+  appender_of_[stream] = chosen;
+  return *appenders_[chosen];
+}
+
+void platform_link::implementation::Append(core::append_records action) {
+  const std::lock_guard lock(mutex_);
+  if (!stopping_) {
+    appender& to = AppenderOf(action.stream);
+    caf::anon_send(to.address(), append_job{std::move(action)});
+  }
+}
+
+void platform_link::implementation::Follow(core::follow_stream action) {
+  const std::lock_guard lock(mutex_);
+  if (stopping_) {
+    return;
+  }
+  RetireReader(action.stream);
+  const core::stream_name stream = action.stream;
+  readers_[stream] = Start<stream_reader>(std::move(action));
+}
+
+void platform_link::implementation::Unfollow(
+    const core::unfollow_stream& action) {
+  const std::lock_guard lock(mutex_);
+  if (!stopping_) {
+    RetireReader(action.stream);
+  }
+}
+
+void platform_link::implementation::RetireReader(
+    const core::stream_name& stream) {
+  std::erase_if(retired_readers_,
+                [](const auto& reader) { return reader->HasEnded(); });
+  const auto found = readers_.find(stream);
+  if (found != readers_.end()) {
+    found->second->Stop();
+    retired_readers_.push_back(std::move(found->second));
+    readers_.erase(found);
+  }
+}
+
+void platform_link::implementation::Run(core::run_operation action) {
+  const std::lock_guard lock(mutex_);
+  if (!stopping_) {
+    const std::size_t chosen =
+        std::hash<core::operation_id>()(action.operation) % runners_.size();
+    caf::anon_send(runners_[chosen]->address(),
+                   operation_job{std::move(action)});
+  }
+}
+
+void platform_link::implementation::StopAll() {
+  list_reader_->Stop();
+  for (const auto& item : runners_) {
+    item->Stop();
+  }
+  for (const auto& item : appenders_) {
+    item->Stop();
+  }
+  for (const auto& [stream, item] : readers_) {
+    item->Stop();
+  }
+  for (const auto& item : retired_readers_) {
+    item->Stop();
+  }
+}
+
+void platform_link::implementation::Stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  // No worker is added any more, so the lists can be read without the lock,
+  // which a `post` that calls back into the link may need.
+  std::unique_lock ended(context_.mutex);
+  // A worker that was about to send its request when it was stopped would wait
+  // for the answer; so all are stopped again until they have ended.
+  while (context_.running > 0) {
+    ended.unlock();
+    StopAll();
+    ended.lock();
+    context_.ended.wait_for(ended, kStopInterval,
+                            [this] { return context_.running == 0; });
+  }
+}
+
+platform_link::platform_link(caf::actor_system& system,
+                             platform_options options,
+                             post_function post)
+    : implementation_(std::make_unique<implementation>(system,
+                                                       std::move(options),
+                                                       std::move(post))) {}
+
+platform_link::~platform_link() = default;
+
+void platform_link::Append(core::append_records action) {
+  implementation_->Append(std::move(action));
+}
+
+void platform_link::Follow(core::follow_stream action) {
+  implementation_->Follow(std::move(action));
+}
+
+void platform_link::Unfollow(const core::unfollow_stream& action) {
+  implementation_->Unfollow(action);
+}
+
+void platform_link::Run(core::run_operation action) {
+  implementation_->Run(std::move(action));
+}
+
+void platform_link::Stop() {
+  implementation_->Stop();
+}
+
+}  // namespace plantainhead::platform
