Keep half of an idle pool at work; don't park jobs that were only refused

Cause: with a known demand of zero the floor of a pool was zero, and a wave took all VMs of a pool in one zone at once. Each refused start counted in the fold as a failure, so ten refusals within seconds parked a sound job.

--- a/include/plantainhead/core/job_placement.h
+++ b/include/plantainhead/core/job_placement.h
@@ -71,6 +71,8 @@
   void AddJobs();
   void AddTeamPools();
   void Occupy(const job_spec& spec, const vm_id& vm, const job_id& job);
+  /// Returns true if the job failed on the worker or was refused by it lately.
+  bool IsAvoided(const job_id& job, const vm_id& vm) const;
   const team_spec* FindTeam(const team_id& team) const;
   /// Returns true if the team's quota lets a job of it run on the VM.
   bool TeamMayUse(const team_id& team, const vm_id& vm) const;
--- a/include/plantainhead/core/planner_types.h
+++ b/include/plantainhead/core/planner_types.h
@@ -119,6 +119,8 @@
   /// Added to a lease before its task is taken for ended: a renewal may still
   /// be on its way, and clocks differ.
   duration lease_margin = std::chrono::seconds(15);
+  /// A job isn't offered again for this long to a worker that refused it.
+  duration refusal_time = std::chrono::minutes(1);
   /// A worker is quarantined once its last tasks, of this many different jobs,
   /// have all failed; never more than this share of all VMs at once.
   std::size_t quarantine_failures = 3;
--- a/include/plantainhead/core/task_history.h
+++ b/include/plantainhead/core/task_history.h
@@ -10,6 +10,7 @@
 
 #include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/platform_types.h"
+#include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
 
@@ -39,6 +40,15 @@
   /// Returns the workers on which the job failed.
   const std::set<vm_id>& FailedOn(const job_id& job) const;
 
+  /// Notes that a worker refused a job.
+  void CountRefusal(const job_id& job, const vm_id& vm, time_point now);
+
+  /// Returns true if the worker refused the job at or after `since`.
+  bool WasRefused(const job_id& job, const vm_id& vm, time_point since) const;
+
+  /// Returns how often workers refused the job.
+  std::uint32_t Refusals(const job_id& job) const;
+
   /// Forgets what was held against a worker, as when it is used again.
   void Pardon(const vm_id& vm);
   /// Forgets what was held against a job, as when an operator frees it.
@@ -54,11 +64,17 @@
     double memory_mb = 0;
   };
 
+  struct refusals {
+    std::uint32_t count = 0;
+    std::map<vm_id, time_point> last;
+  };
+
   void CountEnd(const task_listing& task);
   void Learn(const task_listing& task, const job_spec& spec);
 
   std::map<vm_id, std::deque<job_id>> failures_;
   std::map<job_id, std::set<vm_id>> failed_on_;
+  std::map<job_id, refusals> refusals_;
   std::set<operation_id> counted_;
   std::map<job_id, usage> used_;
   /// Used over declared, by team.
--- a/src/core/capacity.cc
+++ b/src/core/capacity.cc
@@ -176,7 +176,9 @@
     const double per_vm = SlotsPerVm(pool);
     item.need = std::max(least, VmsFor(slots.need, per_vm));
     item.survivors = VmsFor(slots.survivors, per_vm);
-    item.floor = VmsFor(slots.floor, per_vm);
+    // Load may come back while VMs reboot. Without this a wave would take a
+    // whole pool that nobody uses at the time.
+    item.floor = std::max(VmsFor(slots.floor, per_vm), (size + 1) / 2);
   } else {
     // A pool without a service has only jobs, which a drain moves elsewhere.
     // While jobs wait it is asked to grow by one VM at a time.
--- a/src/core/job_placement.cc
+++ b/src/core/job_placement.cc
@@ -114,7 +114,6 @@
     return std::nullopt;
   }
   const job_size size = history_.SizeOf(spec);
-  const std::set<vm_id>& failed_on = history_.FailedOn(spec.name);
   const worker* best = nullptr;
   bool has_room = false;
   const auto key = [](const worker& item) {
@@ -126,7 +125,7 @@
       continue;
     }
     has_room = true;
-    if (failed_on.contains(item->vm->id) ||
+    if (IsAvoided(spec.name, item->vm->id) ||
         !TeamMayUse(spec.team, item->vm->id)) {
       continue;
     }
@@ -150,13 +149,12 @@
     return std::nullopt;
   }
   const job_size size = history_.SizeOf(spec);
-  const std::set<vm_id>& failed_on = history_.FailedOn(spec.name);
   std::optional<choice> best;
   const auto key = [](const choice& item) {
     return std::make_tuple(!item.can_start_now, item.displaced.size());
   };
   for (const worker* item : pool->second) {
-    if (!item->vm->available() || failed_on.contains(item->vm->id) ||
+    if (!item->vm->available() || IsAvoided(spec.name, item->vm->id) ||
         !TeamMayUse(spec.team, item->vm->id)) {
       continue;
     }
@@ -262,6 +260,12 @@
   return found == team_specs_.end() ? nullptr : found->second;
 }
 
+bool job_placement::IsAvoided(const job_id& job, const vm_id& vm) const {
+  return history_.FailedOn(job).contains(vm) ||
+         history_.WasRefused(job, vm,
+                             context_.now - context_.options.refusal_time);
+}
+
 bool job_placement::IsKnownFull(const job_spec& spec) const {
   return full_.contains({spec.pool, history_.SizeOf(spec)});
 }
--- a/src/core/job_planner.cc
+++ b/src/core/job_planner.cc
@@ -143,6 +143,7 @@
     return true;
   }
   if (end == operation_result::kRefused) {
+    history_.CountRefusal(id, job.vm, context.now);
     SetState(context, id, job, job_state::kWaiting, job.vm, "",
              "worker " + job.vm.value() +
                  " refused it: " + context.operations.DetailOf(job.operation));
@@ -454,7 +455,9 @@
     return "it failed on " + std::to_string(failed) + " workers: " + workers +
            "; " + job.reason;
   }
-  if (job.failures >= context.options.park_starts) {
+  // The fold counts each placement that came to nothing; a refusal says nothing
+  // of the job.
+  if (job.failures >= context.options.park_starts + history_.Refusals(id)) {
     return "it was started " + std::to_string(job.failures) +
            " times without an end; " + job.reason;
   }
--- a/src/core/task_history.cc
+++ b/src/core/task_history.cc
@@ -51,6 +51,9 @@
   std::erase_if(failed_on_, [&](const auto& item) {
     return !state.jobs.contains(item.first);
   });
+  std::erase_if(refusals_, [&](const auto& item) {
+    return !state.jobs.contains(item.first);
+  });
   std::erase_if(failures_, [&](const auto& item) {
     return !state.vms.contains(item.first);
   });
@@ -108,6 +111,30 @@
   return found == failed_on_.end() ? kNowhere : found->second;
 }
 
+void task_history::CountRefusal(const job_id& job,
+                                const vm_id& vm,
+                                time_point now) {
+  refusals& known = refusals_[job];
+  ++known.count;
+  known.last[vm] = now;
+}
+
+bool task_history::WasRefused(const job_id& job,
+                              const vm_id& vm,
+                              time_point since) const {
+  const auto found = refusals_.find(job);
+  if (found == refusals_.end()) {
+    return false;
+  }
+  const auto last = found->second.last.find(vm);
+  return last != found->second.last.end() && last->second >= since;
+}
+
+std::uint32_t task_history::Refusals(const job_id& job) const {
+  const auto found = refusals_.find(job);
+  return found == refusals_.end() ? 0 : found->second.count;
+}
+
 void task_history::Pardon(const vm_id& vm) {
   failures_.erase(vm);
 }
--- a/tests/core/job_planner_test.cc
+++ b/tests/core/job_planner_test.cc
@@ -128,6 +128,21 @@
   CHECK_FALSE(world.Vm("w0").quarantined);
 }
 
+TEST_CASE("All workers refuse a job for a while") {
+  // The list shows room that the platform no longer has. Each refusal ends the
+  // placement; taken for failures, ten of them within seconds would park a job
+  // that is sound.
+  job_story world;
+  for (const vm_listing& vm : world.vms) {
+    world.refusing.insert(vm.vm);
+  }
+  world.Submit("map");
+  world.StepFor(std::chrono::minutes(10));
+  CHECK(world.Job("map").state != job_state::kParked);
+  world.refusing.clear();
+  CHECK(world.Becomes("map", job_state::kFinished));
+}
+
 TEST_CASE("Some jobs can never run") {
   job_story world;
 
--- a/tests/core/wave_planner_test.cc
+++ b/tests/core/wave_planner_test.cc
@@ -162,6 +162,31 @@
   }
 }
 
+TEST_CASE("A wave comes while nobody asks for a service") {
+  // It is night and the one zone of the pool is idle. A wave that takes all its
+  // VMs at once leaves the first caller of the morning with nobody to answer.
+  planner_harness world;
+  configuration targets;
+  targets.pools = {{pool_id("casework"), team_id(), 0}};
+  targets.services = {{service_name("intake"), {pool_id("casework")}}};
+  world.Apply(publish_configuration{targets, 0});
+  world.demand[service_name("intake")] = {0, duration()};
+  for (int i = 0; i < 5; ++i) {
+    world.AddVm("vm-" + std::to_string(i), "suwon", "rack", "casework");
+  }
+  world.StepFor(std::chrono::minutes(2));
+  world.Apply(start_wave{kWave, {pool_id("casework")}, {}});
+  std::size_t least_serving = 5;
+  world.after_step = [&] {
+    least_serving =
+        std::min(least_serving, world.CountPhase(vm_phase::kServing));
+  };
+  REQUIRE(world.StepUntil([&] {
+    return world.state.waves.at(kWave).state == wave_state::kFinished;
+  }));
+  CHECK(least_serving == 3);
+}
+
 TEST_CASE("A failure takes the slack of a wave") {
   wave_story world;
   REQUIRE(world.StepUntil([&] { return !world.reboots.empty(); }));
