Stay caught up when the log comes back shorter

Cause: in a trial (fake-platform, two entries, the last five records of the control stream truncated) both entries became unready at once: a fault of the platform's log would have stopped all callers' work, idempotent work included. Ruled out: following the shorter log. Change: caught_up() tells only what has been applied; log_readable() is false while there is a fault, so that the lease lapses and the view stays frozen. A process that starts then is not caught up. Operators' status doesn't show fault_detail() yet.

--- a/bench/fold_bench.cc
+++ b/bench/fold_bench.cc
@@ -163,8 +163,9 @@
     }
   });
   const double copy = MeasureNanoseconds([&] {
-    const fleet_state other = day.state();
-    digests += other.offset;
+    fleet_state other = day.state();
+    other.offset += digests;
+    digests = other.offset;
   });
   std::string text;
   const double encode = MeasureNanoseconds([&] {
--- a/include/plantainhead/core/control_log.h
+++ b/include/plantainhead/core/control_log.h
@@ -122,11 +122,13 @@
   std::uint64_t digest() const;
 
   /// Returns true once all that this entry can learn of has been applied: the
-  /// end of the stream, peers' offsets, snapshots. False while `fault()`.
+  /// end of the stream, peers' offsets, snapshots. It stays true while the log
+  /// is out or has come back shorter, since nobody has a newer state then.
   bool caught_up() const;
 
-  /// False from `log_unavailable` until the control stream is read again.
-  bool log_readable() const { return log_readable_; }
+  /// False while the stream can't be read and while `fault()`: nothing that is
+  /// appended will be read back, and others' records don't arrive.
+  bool log_readable() const;
 
   /// Greatest offset of the control stream that this entry has heard of.
   log_offset greatest_known() const { return greatest_known_; }
--- a/src/core/control_log.cc
+++ b/src/core/control_log.cc
@@ -99,9 +99,16 @@
   Pump(now, out);
 }
 
+// An entry whose log came back shorter holds the newest state that there is.
+// Were it not caught up, all entries would stop taking requests at once for a
+// fault of the platform that requests don't depend on.
 bool control_log::caught_up() const {
   return phase_ == phase::kFollowing && end_known_ &&
-         fault_ == log_fault::kNone && state_.offset >= greatest_known_;
+         state_.offset >= greatest_known_;
+}
+
+bool control_log::log_readable() const {
+  return log_readable_ && fault_ == log_fault::kNone;
 }
 
 // A log that lost its end or its middle is not written to: what is appended
--- a/src/core/control_log_snapshots.cc
+++ b/src/core/control_log_snapshots.cc
@@ -164,7 +164,7 @@
 }
 
 void control_log::TakeSnapshot(time_point now, effects& out) {
-  if (!caught_up() || !log_readable_ || now < next_snapshot_ ||
+  if (!caught_up() || !log_readable() || now < next_snapshot_ ||
       snapshot_append_ != append_id::kNone) {
     return;
   }
