--- a/include/plantainhead/core/messages.h
+++ b/include/plantainhead/core/messages.h
@@ -79,7 +79,7 @@
   friend bool operator==(const service_times&, const service_times&) = default;
 };
 
-/// Sent to the other entries at a fixed interval.
+/// Tells another entry how the sender is. Most carry no load, see `complete`.
 struct heartbeat {
   std::uint64_t sequence = 0;
   /// Offset of the control stream that the sender has applied.
@@ -91,7 +91,14 @@
   std::vector<service_load> load;
   /// For VMs that are not serving; a VM that is missing has none in flight.
   std::vector<vm_in_flight> in_flight;
-  /// Classes and services of which the sender has seen requests.
+  /// False when `load` and `in_flight` were left out to save bytes; what was
+  /// told before then still holds for the offset that it was told with.
+  bool complete = true;
+  /// Members that the sender watched and has missed, not those that it knows of
+  /// by others.
+  std::vector<incarnation> suspected;
+  /// Classes and services of which the sender has seen requests; empty when left
+  /// out.
   std::vector<class_counts> classes = {};
   std::vector<service_times> times = {};
 };
--- a/src/core/job_planner.cc
+++ b/src/core/job_planner.cc
@@ -15,6 +15,8 @@
 constexpr const char* kStop = "stop";
 constexpr const char* kRenew = "renew";
 
+constexpr const char* kNoRoom = "no worker of its pool has room";
+
 /// A lease is renewed this many times while it lasts, so that one lost renewal
 /// doesn't end the task.
 constexpr int kRenewalsPerLease = 3;
@@ -22,15 +24,6 @@
 /// appends a second.
 constexpr std::size_t kPlacementsPerPlan = 100;
 
-/// What decides whether a job finds room; equal jobs all do or all don't.
-struct job_shape {
-  pool_id pool;
-  team_id team;
-  job_size size;
-
-  friend auto operator<=>(const job_shape&, const job_shape&) = default;
-};
-
 bool HoldsTask(const job_progress& job) {
   return job.state == job_state::kPlaced ||
          job.state == job_state::kCheckpointing;
@@ -342,50 +335,43 @@
 }
 
 void job_planner::PlaceWaiting(const planner_context& context) {
-  // With no new record and no new list, the pass would end as the last did.
-  if (placed_offset_ == context.inputs.state.offset &&
+  // With no new record of a job or VM and no new list, the pass would end as
+  // the last did.
+  if (placed_version_ == context.view.work_version() &&
       placed_list_ == context.inputs.listed_at) {
     return;
   }
-  placed_offset_ = context.inputs.state.offset;
+  placed_version_ = context.view.work_version();
   placed_list_ = context.inputs.listed_at;
   using order = std::tuple<bool, time_point, generation>;
   std::vector<std::pair<order, const job_progress*>> waiting;
-  for (const auto& [id, job] : context.inputs.state.jobs) {
-    if (job.state != job_state::kWaiting ||
-        context.gate.IsPending(ObjectOf(id), job.version, context.now)) {
+  for (const job_progress* job : context.view.waiting()) {
+    if (context.gate.IsPending(ObjectOf(job->spec.name), job->version,
+                               context.now)) {
       continue;
     }
-    const time_point by = job.spec.finish_by == time_point()
+    const job_spec& spec = job->spec;
+    const time_point by = spec.finish_by == time_point()
                               ? time_point::max()
-                              : job.spec.finish_by - job.spec.declared_run_time;
-    waiting.emplace_back(order{!job.spec.urgent, by, job.version}, &job);
+                              : spec.finish_by - spec.declared_run_time;
+    waiting.emplace_back(order{!spec.urgent, by, job->version}, job);
   }
   if (waiting.empty()) {
     return;
   }
   std::sort(waiting.begin(), waiting.end());
   job_placement room(context, history_);
-  // Equal jobs that found no room would search again and again in a long queue.
-  std::map<job_shape, std::string> full;
   std::size_t placed = 0;
   for (const auto& [key, job] : waiting) {
     if (placed >= kPlacementsPerPlan) {
       break;
     }
     const job_id& id = job->spec.name;
-    const job_shape shape{job->spec.pool, job->spec.team,
-                          history_.SizeOf(job->spec)};
-    const auto known = full.find(shape);
-    if (!job->spec.urgent && known != full.end()) {
-      context.reasons[ObjectOf(id)] = known->second;
+    if (!job->spec.urgent && room.IsKnownFull(job->spec)) {
+      context.reasons.try_emplace(ObjectOf(id), kNoRoom);
       continue;
     }
-    if (PlaceOne(context, room, id, *job)) {
-      ++placed;
-    } else if (history_.FailedOn(id).empty()) {
-      full[shape] = context.reasons[ObjectOf(id)];
-    }
+    placed += PlaceOne(context, room, id, *job) ? 1 : 0;
   }
 }
 
@@ -414,7 +400,7 @@
   if (job.spec.urgent && PlaceUrgent(context, room, id, job)) {
     return true;
   }
-  context.reasons[ObjectOf(id)] = "no worker of its pool has room";
+  context.reasons[ObjectOf(id)] = kNoRoom;
   return false;
 }
 
--- /dev/null
+++ b/src/core/membership_judgement.cc
@@ -0,0 +1,127 @@
+#include <algorithm>
+
+#include "plantainhead/core/membership.h"
+
+// How a membership comes to suspect, accuse and trust the others.
+namespace plantainhead::core {
+namespace {
+
+// Withdrawals of a member that comes and goes wait at most 2^5 times as long.
+constexpr int kMostDoublings = 5;
+
+}  // namespace
+
+void membership::Judge(const fleet_state& fleet,
+                       const heartbeat_contents& contents,
+                       time_point now,
+                       effects& out) {
+  CountReports();
+  unheard_.clear();
+  for (member_entry& item : others_) {
+    known_member& member = item.second;
+    const bool silent = IsSilent(item, now);
+    // A suspicion ends only by hearing from the member: when the ring changes,
+    // its new watchers need their time to miss it, too.
+    const bool not_heard_since =
+        member.suspected && member.heard_at <= member.suspected_at;
+    member.suspected = silent || not_heard_since;
+    if (silent) {
+      member.suspected_at = now;
+    }
+    // What a watcher has missed itself it goes on telling, also when the ring
+    // has changed since; what it has by hearsay it doesn't tell, or a rumour
+    // would feed itself.
+    member.missed =
+        member.suspected && (member.missed || IsWatched(member, now));
+    if (member.missed) {
+      unheard_.insert(item.first);
+    }
+    // With the log out the view is frozen. What is still so when the log is
+    // back is said then; the rest would have been wrong.
+    if (contents.log_out) {
+      continue;
+    }
+    const auto found = fleet.members.find(item.first);
+    const bool accused = found != fleet.members.end() &&
+                         found->second.accusers.contains(self_.who);
+    if (!accused && member.suspected) {
+      Accuse(item, now, out);
+    }
+    if (accused && IsTrustedAgain(member, now) &&
+        now - member.withdraw_asked_at >= options_.record_pause) {
+      member.withdraw_asked_at = now;
+      member.accuse_asked_at = time_point();
+      out.Append(withdraw_accusation{self_.who, item.first});
+    }
+  }
+}
+
+bool membership::IsSilent(const member_entry& item, time_point now) const {
+  const auto& [who, member] = item;
+  if (now - member.heard_at < options_.suspicion_timeout) {
+    return false;
+  }
+  const bool watched_long =
+      now - member.watched_since >= options_.suspicion_timeout;
+  return (IsWatched(member, now) && watched_long) || MostWatchersSuspect(who);
+}
+
+bool membership::IsWatched(const known_member& member, time_point now) {
+  return member.watched || now < member.watched_until;
+}
+
+void membership::CountReports() {
+  reports_.clear();
+  for (const auto& [who, member] : others_) {
+    // A member that is gone itself can neither hear nor tell.
+    if (member.suspected || !member.status) {
+      continue;
+    }
+    for (const incarnation missed : member.status->last.suspected) {
+      ++reports_[missed];
+    }
+  }
+}
+
+// Reports count also from those who watched before the ring changed: when a
+// zone is lost, the first expulsions change it, and the others' watchers would
+// have to miss them for a whole timeout anew.
+bool membership::MostWatchersSuspect(incarnation who) const {
+  const auto reports = reports_.find(who);
+  if (reports == reports_.end()) {
+    return false;
+  }
+  const std::vector<incarnation>& watchers = ring_.WatchersOf(who);
+  const auto voices = std::count_if(
+      watchers.begin(), watchers.end(),
+      [&](incarnation item) { return item == self_.who || !Suspects(item); });
+  return reports->second * 2 > voices;
+}
+
+bool membership::IsTrustedAgain(const known_member& member,
+                                time_point now) const {
+  // An entry that freezes again and again would cost a pair of records of each
+  // member each time; doubling bounds them.
+  const int doublings = std::clamp(member.accusations - 1, 0, kMostDoublings);
+  return !member.suspected &&
+         now - member.suspected_at >= options_.trust_after * (1 << doublings);
+}
+
+void membership::Accuse(member_entry& item, time_point now, effects& out) {
+  known_member& member = item.second;
+  if (now - member.accuse_asked_at < options_.record_pause) {
+    return;
+  }
+  const duration forget_after = options_.trust_after * (2 << kMostDoublings);
+  if (now - member.accuse_asked_at >= forget_after &&
+      member.withdraw_asked_at != time_point() &&
+      now - member.withdraw_asked_at >= forget_after) {
+    member.accusations = 0;
+  }
+  ++member.accusations;
+  member.accuse_asked_at = now;
+  member.withdraw_asked_at = time_point();
+  out.Append(accuse_entry{self_.who, item.first});
+}
+
+}  // namespace plantainhead::core
