Make a decision flat in the endpoints; eject again after a failed trial

Cause: an endpoint that failed its trial wasn't ejected again: the slots that it lacked itself counted as lost at others, and used up the allowed third. It then got 100 of 100 requests (the new test failed first).

--- /dev/null
+++ b/include/plantainhead/core/call_counts.h
@@ -0,0 +1,51 @@
+#ifndef PLANTAINHEAD_CORE_CALL_COUNTS_H_
+#define PLANTAINHEAD_CORE_CALL_COUNTS_H_
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "plantainhead/core/endpoint_table.h"
+#include "plantainhead/core/ids.h"
+#include "plantainhead/core/messages.h"
+
+namespace plantainhead::core {
+
+/// Counts the calls in flight at each endpoint. For the endpoints of this entry
+/// it keeps the places of the counts: looking each up by its name took most of
+/// the time of a decision, and the more the more endpoints the entry owns.
+/// Thread safety: none, also for the const methods.
+class call_counts {
+ public:
+  void Add(const vm_id& vm) { counts_[vm] += 1; }
+
+  /// Precondition: a call was added and not yet removed.
+  void Remove(const vm_id& vm) { counts_.at(vm) -= 1; }
+
+  std::uint32_t Of(const vm_id& vm) const;
+
+  /// Returns the counts of `routes.owned`, in that order. The places are valid
+  /// until the next `Tidy`.
+  const std::vector<const std::uint32_t*>& OwnedOf(
+      const service_routes& routes) const;
+
+  /// Returns the VMs with calls in flight, by name.
+  std::vector<vm_in_flight> All() const;
+
+  /// Forgets VMs without calls; to be called after the table was rebuilt.
+  void Tidy();
+
+ private:
+  struct owned_counts {
+    std::uint64_t version = 0;
+    std::vector<const std::uint32_t*> places;
+  };
+
+  /// Both change when counts are asked for that aren't there yet.
+  mutable std::unordered_map<vm_id, std::uint32_t> counts_;
+  mutable std::unordered_map<service_name, owned_counts> owned_;
+};
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_CORE_CALL_COUNTS_H_
--- a/include/plantainhead/core/endpoint_table.h
+++ b/include/plantainhead/core/endpoint_table.h
@@ -42,6 +42,8 @@
 /// All that routing needs of one service.
 struct service_routes {
   service_name name;
+  /// Raised by each `endpoint_table::Rebuild`, for whoever keeps places.
+  std::uint64_t version = 0;
   std::vector<work_class> classes;
   std::vector<endpoint_info> endpoints;
   /// Owners of at least one endpoint that takes new work, in the order of their
@@ -101,6 +103,7 @@
                    incarnation owner);
   void CountShares(const fleet_state& fleet, incarnation self);
 
+  std::uint64_t version_ = 0;
   std::unordered_map<service_name, service_routes> services_;
   std::unordered_map<vm_id, place> by_vm_;
   std::array<std::vector<incarnation>, kClaimPartitions> homes_;
--- a/include/plantainhead/core/request_core.h
+++ b/include/plantainhead/core/request_core.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "plantainhead/core/call_counts.h"
 #include "plantainhead/core/claim_decision.h"
 #include "plantainhead/core/claim_question.h"
 #include "plantainhead/core/effects.h"
@@ -130,7 +131,7 @@
 
   /// Returns the requests in flight at each VM, for the drain. VMs without any
   /// are left out.
-  std::vector<vm_in_flight> InFlight() const;
+  std::vector<vm_in_flight> InFlight() const { return counts_.All(); }
 
  private:
   using request = pending_request;
@@ -242,7 +243,6 @@
                   const routing_context& context,
                   time_point now);
   service_load OwnLoad(const service_routes& routes, time_point now) const;
-  std::uint32_t InFlightAt(const vm_id& vm) const;
   bool MayUse(const endpoint_info& endpoint, time_point now) const;
   const work_class* ClassOf(const request_envelope& envelope,
                             const routing_context& context) const;
@@ -264,7 +264,7 @@
   std::unordered_map<incarnation, std::uint64_t> seen_forwards_;
   std::unordered_map<call_id, call> calls_;
   std::map<service_name, request_queue> queues_;
-  std::unordered_map<vm_id, std::uint32_t> in_flight_;
+  call_counts counts_;
   /// VMs that said themselves that they leave, until the table knows.
   std::unordered_map<vm_id, time_point> leaving_;
   endpoint_health health_;
--- /dev/null
+++ b/src/core/contains.h
@@ -0,0 +1,16 @@
+#ifndef PLANTAINHEAD_SRC_CORE_CONTAINS_H_
+#define PLANTAINHEAD_SRC_CORE_CONTAINS_H_
+
+#include <algorithm>
+
+namespace plantainhead::core {
+
+/// Returns whether a sequence holds a value. Thread safety: as the sequence's.
+template <typename Range, typename Value>
+bool Contains(const Range& range, const Value& value) {
+  return std::find(range.begin(), range.end(), value) != range.end();
+}
+
+}  // namespace plantainhead::core
+
+#endif  // PLANTAINHEAD_SRC_CORE_CONTAINS_H_
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -74,10 +74,13 @@
     }
   }
 
+  version_ += 1;
   services_.clear();
   by_vm_.clear();
   for (const service_spec& spec : fleet.targets.services) {
-    services_[spec.name].name = spec.name;
+    service_routes& routes = services_[spec.name];
+    routes.name = spec.name;
+    routes.version = version_;
   }
   for (const work_class& work : fleet.targets.classes) {
     const auto found = services_.find(work.service);
--- /dev/null
+++ b/src/core/request_core_calls.cc
@@ -0,0 +1,234 @@
+#include <algorithm>
+
+#include "core/answers.h"
+#include "core/contains.h"
+#include "plantainhead/core/request_core.h"
+
+/// The part of `request_core` that calls endpoints.
+namespace plantainhead::core {
+namespace {
+
+/// How long an endpoint that is full is left alone.
+constexpr duration kFullPause = std::chrono::milliseconds(50);
+/// How long an endpoint's own word that it leaves holds if neither the list nor
+/// the fold ever shows it, e.g. since only its process was restarted.
+constexpr duration kLeavingHolds = std::chrono::minutes(5);
+/// Answers with this status or a greater one are errors of the endpoint.
+constexpr int kFirstServerError = 500;
+
+}  // namespace
+
+void request_core::Dispatch(request& item,
+                            const endpoint_info& endpoint,
+                            time_point now,
+                            effects& out) {
+  last_call_ += 1;
+  item.at = stage::kDispatched;
+  item.attempts += 1;
+  item.call = static_cast<call_id>(last_call_);
+  counts_.Add(endpoint.vm);
+  calls_[item.call] = {endpoint.vm, endpoint.service, now, item.number};
+  out.Do(call_endpoint{item.call,
+                       endpoint.vm,
+                       endpoint.host,
+                       endpoint.port,
+                       {self_, item.number},
+                       item.envelope});
+}
+
+const endpoint_info* request_core::PickEndpoint(const service_routes& routes,
+                                                const std::vector<vm_id>& avoid,
+                                                time_point now) const {
+  const endpoint_info* best = nullptr;
+  std::uint32_t best_load = 0;
+  const std::vector<const std::uint32_t*>& counts = counts_.OwnedOf(routes);
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const endpoint_info& endpoint = routes.endpoints[routes.owned[i]];
+    if (!MayUse(endpoint, now) || health_.IsFull(endpoint.vm, now) ||
+        Contains(avoid, endpoint.vm)) {
+      continue;
+    }
+    const std::uint32_t load = *counts[i];
+    if (load < health_.Allowed(endpoint.vm, now, endpoint.slots) &&
+        (best == nullptr || load < best_load)) {
+      best = &endpoint;
+      best_load = load;
+    }
+  }
+  return best;
+}
+
+std::optional<request_core::call> request_core::EndCall(call_id id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return std::nullopt;
+  }
+  call ended = std::move(found->second);
+  calls_.erase(found);
+  counts_.Remove(ended.vm);
+  return ended;
+}
+
+void request_core::TellHealth(const call& ended,
+                              bool success,
+                              const routing_context& context,
+                              time_point now) {
+  if (success) {
+    health_.OnSuccess(ended.vm);
+    return;
+  }
+  const service_routes* routes = context.endpoints.Find(ended.service);
+  const endpoint_info* endpoint = context.endpoints.FindVm(ended.vm);
+  if (routes == nullptr || endpoint == nullptr) {
+    return;
+  }
+  std::uint32_t own = 0;
+  for (const owner_share& share : routes->owners) {
+    own += share.owner == self_ ? share.slots : 0;
+  }
+  // What this endpoint lacks itself, while it proves itself, isn't lost at
+  // others: counted in, it would keep it from being ejected again.
+  const std::uint32_t usable = OwnLoad(*routes, now).slots + endpoint->slots -
+                               health_.Allowed(ended.vm, now, endpoint->slots);
+  const std::uint32_t lost =
+      loads_.LostSlots(*routes) + (own - std::min(own, usable));
+  health_.OnFailure(ended.vm, now, routes->slots, lost, endpoint->slots);
+}
+
+void request_core::OnEndpointReplied(const endpoint_replied& event,
+                                     const routing_context& context,
+                                     time_point now,
+                                     effects& out) {
+  const std::optional<call> ended = EndCall(event.call);
+  if (!ended.has_value()) {
+    return;
+  }
+  TellHealth(*ended, event.status < kFirstServerError, context, now);
+  if (request* item = Find(ended->request)) {
+    const work_class* work = ClassOf(item->envelope, context);
+    if (work != nullptr) {
+      queues_[ended->service].OnServed(*work, now - ended->started,
+                                       now - item->arrival <= work->within);
+    }
+    item->maybe_run = false;
+    response answer;
+    answer.status = event.status;
+    answer.headers = event.headers;
+    answer.body = event.body;
+    answer.result = outcome::kDone;
+    Finish(*item, std::move(answer), context, now, out);
+  }
+  Pump(ended->service, context, now, out);
+}
+
+void request_core::OnEndpointFailed(const endpoint_failed& event,
+                                    const routing_context& context,
+                                    time_point now,
+                                    effects& out) {
+  const std::optional<call> ended = EndCall(event.call);
+  if (!ended.has_value()) {
+    return;
+  }
+  const bool full = event.failure == endpoint_failure::kRefused;
+  if (event.leaving) {
+    leaving_[ended->vm] = now + kLeavingHolds;
+  } else if (full) {
+    health_.OnFull(ended->vm, now + kFullPause);
+  }
+  // An endpoint that refuses although nothing runs there isn't full but broken.
+  if (!full || (!event.leaving && counts_.Of(ended->vm) == 0)) {
+    TellHealth(*ended, false, context, now);
+  }
+  if (request* item = Find(ended->request)) {
+    OnAttemptFailed(*item, event, ended->vm, context, now, out);
+  }
+  Pump(ended->service, context, now, out);
+}
+
+void request_core::OnAttemptFailed(request& item,
+                                   const endpoint_failed& event,
+                                   const vm_id& vm,
+                                   const routing_context& context,
+                                   time_point now,
+                                   effects& out) {
+  const bool unsent = event.failure != endpoint_failure::kMaybeSent;
+  const bool again = !item.cancelled && MayRetry(item, now) &&
+                     (unsent || (item.envelope.idempotent && budget_.Take()));
+  item.maybe_run = item.maybe_run || !unsent;
+  item.call = call_id::kNone;
+  item.at = stage::kQueued;
+  response refusal =
+      unsent ? NotRun(answer_reason::kEndpointRefused,
+                      "the endpoint didn't take it: " + event.detail)
+             : Unknown(answer_reason::kEndpointLost,
+                       "no whole answer from the endpoint: " + event.detail);
+  if (!again) {
+    CountUnserved(item, context);
+    Finish(item, std::move(refusal), context, now, out);
+    return;
+  }
+  item.avoid_vms.push_back(vm);
+  const service_routes* routes = context.endpoints.Find(item.envelope.service);
+  const work_class* work = ClassOf(item.envelope, context);
+  if (routes != nullptr && work != nullptr &&
+      PickEndpoint(*routes, item.avoid_vms, now) != nullptr) {
+    item.refusal = std::move(refusal);
+    queues_[item.envelope.service].PutBack(
+        {item.number, item.arrival, ExpiryOf(item)}, *work);
+    return;
+  }
+  TryElsewhere(item, std::move(refusal), context, now, out);
+}
+
+bool request_core::MayUse(const endpoint_info& endpoint, time_point now) const {
+  if (!endpoint.takes_new || leaving_.empty()) {
+    return endpoint.takes_new;
+  }
+  const auto found = leaving_.find(endpoint.vm);
+  return found == leaving_.end() || found->second <= now;
+}
+
+service_load request_core::OwnLoad(const service_routes& routes,
+                                   time_point now) const {
+  service_load load;
+  load.service = routes.name;
+  const std::vector<const std::uint32_t*>& counts = counts_.OwnedOf(routes);
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    const endpoint_info& endpoint = routes.endpoints[routes.owned[i]];
+    if (!MayUse(endpoint, now)) {
+      continue;
+    }
+    const std::uint32_t allowed =
+        health_.Allowed(endpoint.vm, now, endpoint.slots);
+    load.slots += allowed;
+    load.busy += health_.IsFull(endpoint.vm, now)
+                     ? allowed
+                     : std::min(allowed, *counts[i]);
+  }
+  const auto queue = queues_.find(routes.name);
+  if (queue != queues_.end()) {
+    load.queued = static_cast<std::uint32_t>(queue->second.size());
+  }
+  return load;
+}
+
+const work_class* request_core::ClassOf(const request_envelope& envelope,
+                                        const routing_context& context) const {
+  const service_routes* routes = context.endpoints.Find(envelope.service);
+  return routes == nullptr ? nullptr : routes->FindClass(envelope.work);
+}
+
+std::vector<service_load> request_core::Load(const routing_context& context,
+                                             time_point now) const {
+  std::vector<service_load> loads;
+  for (const auto& [name, routes] : context.endpoints.services()) {
+    loads.push_back(OwnLoad(routes, now));
+  }
+  std::sort(loads.begin(), loads.end(),
+            [](const service_load& left, const service_load& right) {
+              return left.service < right.service;
+            });
+  return loads;
+}
+
+}  // namespace plantainhead::core
--- a/tests/core/request_core_failures_test.cc
+++ b/tests/core/request_core_failures_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <map>
+
 #include "core/request_harness.h"
 
 namespace plantainhead::core {
@@ -304,6 +306,45 @@
   }
 }
 
+// A worker fails every task at once. Being the least busy, it would get most of
+// the requests; it is ejected, and the others get them.
+TEST_CASE("An endpoint fails all it gets") {
+  request_harness world = MakeWorld();
+  for (const char* vm : {"runner-1", "runner-2", "runner-3"}) {
+    world.AddEndpoint(vm, "suwon");
+  }
+  world.Rebuild();
+  const auto serve = [&](int times, bool all_fail) {
+    std::map<vm_id, int> served;
+    for (int i = 0; i < times; ++i) {
+      world.now += milliseconds(1);
+      world.Arrive(world.Envelope());
+      const call_endpoint call = world.Calls().at(0);
+      served[call.vm] += 1;
+      const bool fails = all_fail || call.vm == vm_id("runner-1");
+      world.Reply(call.call, fails ? 500 : 200);
+      CHECK(world.Answer().status == (fails ? 500 : 200));
+    }
+    return served;
+  };
+
+  SECTION("and gets no more") {
+    serve(20, false);
+    CHECK(serve(100, false).count(vm_id("runner-1")) == 0);
+    CHECK(world.core.Load(world.Context(), world.now)[0].slots == 16);
+
+    SECTION("until it is tried again") {
+      world.now += seconds(1);
+      CHECK(serve(100, false)[vm_id("runner-1")] == 1);
+    }
+  }
+
+  SECTION("like all others, and never more than a third is ejected") {
+    serve(200, true);
+    CHECK(world.core.Load(world.Context(), world.now)[0].slots == 16);
+  }
+}
+
 TEST_CASE("An entry stops") {
   request_harness world = MakeWorld();
   world.AddEndpoint("runner-1", "suwon", 1);
