Start nothing late from other entries; tell when to come back by the queue

Cause: since requests skip an empty queue, one that another entry sent after its deadline was dispatched (the new test failed first, with 2 checks). Change: Enqueue checks the deadline; a request that the queue passes over is told to come back after the predicted wait.

--- a/include/plantainhead/core/request_core.h
+++ b/include/plantainhead/core/request_core.h
@@ -176,6 +176,12 @@
             const routing_context& context,
             time_point now,
             effects& out);
+  /// Ends a request that the queue passed over.
+  void Refuse(request& item,
+              const service_routes& routes,
+              const routing_context& context,
+              time_point now,
+              effects& out);
   void Dispatch(request& item,
                 const endpoint_info& endpoint,
                 time_point now,
--- a/include/plantainhead/core/request_queue.h
+++ b/include/plantainhead/core/request_queue.h
@@ -95,11 +95,12 @@
   /// A request of a class ended without being served.
   void OnUnserved(const work_class& work);
 
-  /// Returns how long a request of a class that arrives now would wait.
-  duration PredictedWait(const work_class& work,
-                         std::uint32_t slots,
-                         std::uint32_t free,
-                         time_point now) const;
+  /// Returns after what time a request of a class that was refused now may be
+  /// admitted: when the queue will have got short enough, if nothing arrives.
+  duration RetryAfter(const work_class& work,
+                      std::uint32_t slots,
+                      std::uint32_t free,
+                      time_point now) const;
 
   std::size_t size() const { return places_.size(); }
 
@@ -153,6 +154,8 @@
   static bool GoesFirst(const lane& first, const lane& second);
   bool IsTightest(const lane& in) const;
   void CountDispatch(const lane& in);
+  /// Returns how long a request with `left` of its time may wait.
+  duration MostWait(const lane& in, duration left) const;
   static duration LikelyServiceTime(const lane& in);
 
   std::map<class_name, lane> lanes_;
--- a/src/core/request_core_routing.cc
+++ b/src/core/request_core_routing.cc
@@ -101,6 +101,10 @@
                            time_point now,
                            effects& out) {
   item.at = stage::kQueued;
+  if (ExpiryOf(item) <= now) {
+    Expire(item, context, now, out);
+    return;
+  }
   const work_class* work = ClassOf(item.envelope, context);
   if (work == nullptr || own.slots == 0) {
     TryElsewhere(item,
@@ -166,15 +170,28 @@
     Dispatch(item, *endpoint, now, out);
   }
   for (const std::uint64_t number : refused) {
-    request& item = *Find(number);
-    CountUnserved(item, context);
-    Finish(item,
-           item.envelope.deadline <= now
-               ? NotRun(answer_reason::kDeadline,
-                        "the deadline passed before it could be started")
-               : NotRun(answer_reason::kOverload, "it could not end in time"),
-           context, now, out);
+    Refuse(*Find(number), *routes, context, now, out);
+  }
+}
+
+void request_core::Refuse(request& item,
+                          const service_routes& routes,
+                          const routing_context& context,
+                          time_point now,
+                          effects& out) {
+  const work_class* work = routes.FindClass(item.envelope.work);
+  if (work == nullptr || ExpiryOf(item) <= now) {
+    Expire(item, context, now, out);
+    return;
   }
+  const service_load own = OwnLoad(routes, now);
+  const duration retry_after = queues_[routes.name].RetryAfter(
+      *work, own.slots, own.slots - std::min(own.slots, own.busy), now);
+  CountUnserved(item, context);
+  Finish(
+      item,
+      NotRun(answer_reason::kOverload, "it could not end in time", retry_after),
+      context, now, out);
 }
 
 bool request_core::MayRetry(const request& item, time_point now) const {
--- a/src/core/request_queue.cc
+++ b/src/core/request_queue.cc
@@ -74,9 +74,7 @@
   const waiting made = MakeWaiting(item, work, into);
   admission result;
   result.predicted_wait = WaitOf(into, made.key, slots, free);
-  const duration left = made.limit - now;
-  const double part = IsTightest(into) ? kWaitPart : kLooseWaitPart;
-  const duration most = Microseconds(left.count() * part);
+  const duration most = MostWait(into, made.limit - now);
   const bool at_once = result.predicted_wait == duration::zero();
   if (places_.size() < kMostQueued &&
       (at_once || result.predicted_wait <= most)) {
@@ -263,14 +261,22 @@
   }
 }
 
-duration request_queue::PredictedWait(const work_class& work,
-                                      std::uint32_t slots,
-                                      std::uint32_t free,
-                                      time_point now) const {
+duration request_queue::MostWait(const lane& in, duration left) const {
+  const double part = IsTightest(in) ? kWaitPart : kLooseWaitPart;
+  return Microseconds(static_cast<double>(left.count()) * part);
+}
+
+duration request_queue::RetryAfter(const work_class& work,
+                                   std::uint32_t slots,
+                                   std::uint32_t free,
+                                   time_point now) const {
   const lane* found = FindLane(work.name);
-  const lane empty;
-  return WaitOf(found == nullptr ? empty : *found, now + work.within, slots,
-                free);
+  if (found == nullptr) {
+    return kLeastRetryAfter;
+  }
+  const duration wait = WaitOf(*found, now + work.within, slots, free);
+  return std::clamp(wait - MostWait(*found, work.within), kLeastRetryAfter,
+                    kMostRetryAfter);
 }
 
 duration request_queue::LikelyServiceTime(const lane& in) {
--- a/tests/core/request_core_failures_test.cc
+++ b/tests/core/request_core_failures_test.cc
@@ -193,6 +193,17 @@
     CHECK(replies[0].answer.reason == answer_reason::kDeadline);
   }
 
+  SECTION("for one that another entry sent too late: not-run") {
+    world.Reply(first.call);
+    request_envelope late = world.Envelope(false);
+    late.deadline = world.now;
+    world.Receive(kPeer, late);
+    CHECK(world.Calls().empty());
+    const auto replies = Sent<forward_reply>(world.out, kPeer);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].answer.reason == answer_reason::kDeadline);
+  }
+
   SECTION("for one that was dispatched: unknown, and the slot stays taken") {
     world.Tick(seconds(2));
     CHECK(world.Answer().result == outcome::kUnknown);
