Start nothing stale after a freeze

Cause: a forwarded request's deadline travels as the time left, so an entry that stood still for seconds would start requests whose callers were told unknown and may have asked again. Change: after 500 ms without a tick or a forwarded request nothing is dispatched for 100 ms, in which the cancels right behind are read.

--- a/include/plantainhead/core/request_core.h
+++ b/include/plantainhead/core/request_core.h
@@ -172,6 +172,8 @@
                const routing_context& context,
                time_point now,
                effects& out);
+  /// Finds out that the process stood still.
+  void NoticeFreeze(time_point now);
   void Pump(const service_name& service,
             const routing_context& context,
             time_point now,
@@ -256,6 +258,10 @@
   incarnation self_;
   random_source random_;
   bool stopping_ = false;
+  /// When a tick or a forwarded request was last handled.
+  time_point last_seen_;
+  /// Nothing is dispatched before; set after the process stood still.
+  time_point hold_until_;
   std::uint64_t last_number_ = 0;
   std::uint64_t last_forward_ = 0;
   std::uint64_t last_call_ = 0;
--- a/src/core/request_core.cc
+++ b/src/core/request_core.cc
@@ -16,6 +16,11 @@
 constexpr duration kHopMargin = std::chrono::milliseconds(60);
 /// The margin is at most this part of the time that is left.
 constexpr int kHopMarginPart = 8;
+/// Ticks come every `kTickInterval`; without one for this long the process
+/// stood still.
+constexpr duration kStoodStill = std::chrono::milliseconds(500);
+/// How long what piled up meanwhile may take to be read.
+constexpr duration kHoldAfterFreeze = std::chrono::milliseconds(100);
 /// Above this many incarnations those that are no members are forgotten.
 constexpr std::size_t kMostSeen = 1024;
 
@@ -185,9 +190,24 @@
   Route(*item, context, now, out);
 }
 
+// The time that a forwarded request has left travels as a duration, so for an
+// entry that stood still (a VM that was paused) an old request looks new. Its
+// caller was told unknown long ago and may have asked for it anew: running it
+// now would do it twice. The sender's `cancel_forward` stands right behind it
+// on the connection, so waiting until all that has piled up was read is enough.
+void request_core::NoticeFreeze(time_point now) {
+  const bool stood_still =
+      last_seen_ != time_point() && now - last_seen_ > kStoodStill;
+  if (stood_still) {
+    hold_until_ = now + kHoldAfterFreeze;
+  }
+  last_seen_ = now;
+}
+
 void request_core::OnTick(const routing_context& context,
                           time_point now,
                           effects& out) {
+  NoticeFreeze(now);
   // First what has expired, so that an entry that was frozen starts nothing
   // whose caller has given up.
   while (!expiries_.empty() && expiries_.begin()->first <= now) {
--- a/src/core/request_core_peers.cc
+++ b/src/core/request_core_peers.cc
@@ -23,6 +23,7 @@
             now, out);
     return;
   }
+  NoticeFreeze(now);
   budget_.OnRequest();
   request& item = Begin(peer, message.request, now);
   if (message.stage == forward_stage::kClaim) {
--- a/src/core/request_core_routing.cc
+++ b/src/core/request_core_routing.cc
@@ -115,7 +115,7 @@
   }
   request_queue& queue = queues_[item.envelope.service];
   const endpoint_info* endpoint =
-      queue.size() == 0
+      queue.size() == 0 && now >= hold_until_
           ? PickEndpoint(*context.endpoints.Find(item.envelope.service),
                          item.avoid_vms, now)
           : nullptr;
@@ -143,7 +143,7 @@
                         effects& out) {
   const service_routes* routes = context.endpoints.Find(service);
   const auto queue = queues_.find(service);
-  if (routes == nullptr || queue == queues_.end()) {
+  if (routes == nullptr || queue == queues_.end() || now < hold_until_) {
     return;
   }
   std::vector<std::uint64_t> refused;
--- a/tests/core/request_core_failures_test.cc
+++ b/tests/core/request_core_failures_test.cc
@@ -224,6 +224,44 @@
   }
 }
 
+// The entry's VM is paused for five seconds. Requests that others forwarded
+// meanwhile are read when it wakes, with their time left as it was when they
+// were sent, and behind them the news that nobody waits any more. Their callers
+// were told unknown and may have asked again: none may be started.
+TEST_CASE("An owner wakes up with old requests before it") {
+  request_harness world = MakeWorld();
+  world.AddEndpoint("runner-1", "suwon");
+  world.Rebuild();
+  world.Tick(milliseconds(20));
+  world.Tick(milliseconds(20));
+  world.now += seconds(5);
+  const bool tick_first = GENERATE(false, true);
+  if (tick_first) {
+    world.Tick({});
+  }
+  const request_id old = world.Receive(kPeer, world.Envelope(false));
+  CHECK(world.Calls().empty());
+
+  SECTION("and drops those that were given up") {
+    world.out = {};
+    world.core.OnCancel(kPeer, {old}, world.Context(), world.now, world.out);
+    CHECK(Sent<forward_reply>(world.out, kPeer).size() == 1);
+    for (int i = 0; i < 10; ++i) {
+      world.Tick(milliseconds(20));
+      CHECK(world.Calls().empty());
+    }
+  }
+
+  SECTION("and starts the others a little later") {
+    std::size_t calls = 0;
+    for (int i = 0; i < 10; ++i) {
+      world.Tick(milliseconds(20));
+      calls += world.Calls().size();
+    }
+    CHECK(calls == 1);
+  }
+}
+
 TEST_CASE("A caller hangs up") {
   request_harness world = MakeWorld();
   world.AddEndpoint("runner-1", "suwon", 1);
