--- a/tests/core/request_core_failures_test.cc
+++ b/tests/core/request_core_failures_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <map>
+
 #include "core/request_harness.h"
 
 namespace plantainhead::core {
@@ -191,6 +193,17 @@
     CHECK(replies[0].answer.reason == answer_reason::kDeadline);
   }
 
+  SECTION("for one that another entry sent too late: not-run") {
+    world.Reply(first.call);
+    request_envelope late = world.Envelope(false);
+    late.deadline = world.now;
+    world.Receive(kPeer, late);
+    CHECK(world.Calls().empty());
+    const auto replies = Sent<forward_reply>(world.out, kPeer);
+    REQUIRE(replies.size() == 1);
+    CHECK(replies[0].answer.reason == answer_reason::kDeadline);
+  }
+
   SECTION("for one that was dispatched: unknown, and the slot stays taken") {
     world.Tick(seconds(2));
     CHECK(world.Answer().result == outcome::kUnknown);
@@ -211,6 +224,44 @@
   }
 }
 
+// The entry's VM is paused for five seconds. Requests that others forwarded
+// meanwhile are read when it wakes, with their time left as it was when they
+// were sent, and behind them the news that nobody waits any more. Their callers
+// were told unknown and may have asked again: none may be started.
+TEST_CASE("An owner wakes up with old requests before it") {
+  request_harness world = MakeWorld();
+  world.AddEndpoint("runner-1", "suwon");
+  world.Rebuild();
+  world.Tick(milliseconds(20));
+  world.Tick(milliseconds(20));
+  world.now += seconds(5);
+  const bool tick_first = GENERATE(false, true);
+  if (tick_first) {
+    world.Tick({});
+  }
+  const request_id old = world.Receive(kPeer, world.Envelope(false));
+  CHECK(world.Calls().empty());
+
+  SECTION("and drops those that were given up") {
+    world.out = {};
+    world.core.OnCancel(kPeer, {old}, world.Context(), world.now, world.out);
+    CHECK(Sent<forward_reply>(world.out, kPeer).size() == 1);
+    for (int i = 0; i < 10; ++i) {
+      world.Tick(milliseconds(20));
+      CHECK(world.Calls().empty());
+    }
+  }
+
+  SECTION("and starts the others a little later") {
+    std::size_t calls = 0;
+    for (int i = 0; i < 10; ++i) {
+      world.Tick(milliseconds(20));
+      calls += world.Calls().size();
+    }
+    CHECK(calls == 1);
+  }
+}
+
 TEST_CASE("A caller hangs up") {
   request_harness world = MakeWorld();
   world.AddEndpoint("runner-1", "suwon", 1);
@@ -304,6 +355,45 @@
   }
 }
 
+// A worker fails every task at once. Being the least busy, it would get most of
+// the requests; it is ejected, and the others get them.
+TEST_CASE("An endpoint fails all it gets") {
+  request_harness world = MakeWorld();
+  for (const char* vm : {"runner-1", "runner-2", "runner-3"}) {
+    world.AddEndpoint(vm, "suwon");
+  }
+  world.Rebuild();
+  const auto serve = [&](int times, bool all_fail) {
+    std::map<vm_id, int> served;
+    for (int i = 0; i < times; ++i) {
+      world.now += milliseconds(1);
+      world.Arrive(world.Envelope());
+      const call_endpoint call = world.Calls().at(0);
+      served[call.vm] += 1;
+      const bool fails = all_fail || call.vm == vm_id("runner-1");
+      world.Reply(call.call, fails ? 500 : 200);
+      CHECK(world.Answer().status == (fails ? 500 : 200));
+    }
+    return served;
+  };
+
+  SECTION("and gets no more") {
+    serve(20, false);
+    CHECK(serve(100, false).count(vm_id("runner-1")) == 0);
+    CHECK(world.core.Load(world.Context(), world.now)[0].slots == 16);
+
+    SECTION("until it is tried again") {
+      world.now += seconds(1);
+      CHECK(serve(100, false)[vm_id("runner-1")] == 1);
+    }
+  }
+
+  SECTION("like all others, and never more than a third is ejected") {
+    serve(200, true);
+    CHECK(world.core.Load(world.Context(), world.now)[0].slots == 16);
+  }
+}
+
 TEST_CASE("An entry stops") {
   request_harness world = MakeWorld();
   world.AddEndpoint("runner-1", "suwon", 1);
