Cut the patience of requests with keys; count only members' requests

Cause: found by the claims' author: HTTP allows an hour of patience while a claim bars its key for ten minutes, so a request could be dispatched after its retry was free to run. By the fold's author: a stopping entry took the planner lease, and counts of strangers were folded. Ruled out: a longer window (memory grows with it). Change: the deadline of a request with a key is at most half of the claim window away; a stopping entry lets the lease be; count_requests of no member is a conflict.

--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -62,7 +62,10 @@
 void entry_core::On(const tick&, time_point now, effects& out) {
   control_.OnTick(now, out);
   membership_.OnTick(fleet(), HeartbeatContents(now), now, out);
-  lease_.OnTick(now, fleet(), control_.log_readable(), out);
+  // An entry that is to end plans nothing; its leave record frees the lease.
+  if (!stopping()) {
+    lease_.OnTick(now, fleet(), control_.log_readable(), out);
+  }
   claims_.OnTick(now, out, decisions_);
   requests_.OnTick(Context(), now, out);
   fleet_meter_.Observe(options_.self.who, meter_.Classes(), meter_.Times(),
@@ -80,7 +83,17 @@
   if (const work_class* work = ClassOf(item.request)) {
     meter_.OnArrival(item.sequence, *work, now);
   }
-  requests_.OnArrival(item, Context(), now, out);
+  if (!item.request.key) {
+    requests_.OnArrival(item, Context(), now, out);
+    return;
+  }
+  // A claim bars its key for the claim window. A request that could still be
+  // dispatched when a retry of its key is no longer barred would run twice;
+  // with at most half of the window to its deadline it has ended by then.
+  request_arrived bounded = item;
+  bounded.request.deadline =
+      std::min(item.request.deadline, now + claims_.LongestPatience());
+  requests_.OnArrival(bounded, Context(), now, out);
 }
 
 void entry_core::On(const caller_gone& item, time_point now, effects& out) {
@@ -300,7 +313,8 @@
   std::set<incarnation> excluded = stopping_members_;
   excluded.insert(suspects_.begin(), suspects_.end());
   // A stopping entry goes on as home until its notice is over: the others need
-  // some heartbeats to hear of it, and their callers would be refused meanwhile.
+  // some heartbeats to hear of it, and their callers would be refused
+  // meanwhile.
   if (!refusing_) {
     excluded.erase(options_.self.who);
   }
--- a/src/core/fold_budget.cc
+++ b/src/core/fold_budget.cc
@@ -3,6 +3,11 @@
 namespace plantainhead::core::fold_rules {
 
 fold_result Rule(fleet_state& state, const count_requests& body) {
+  // An entry that was expelled while frozen may count what its new life counts
+  // again.
+  if (!state.members.contains(body.who)) {
+    return Conflict("the entry isn't a member");
+  }
   for (const auto& [name, counts] : body.classes) {
     // Names come from the targets, so the ledgers are bounded by them; a class
     // that was taken out since is not counted any more.
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -99,6 +99,21 @@
   }
 }
 
+// A caller waits for an hour and asks again with its key at the end. Its claim
+// stands for ten minutes only, so if the first request could still be
+// dispatched then, the key would run twice. Its deadline is cut to half of that
+// time.
+TEST_CASE("A caller with a key is very patient") {
+  fleet_story fleet;
+  fleet.Ask(kFirst, "k", std::chrono::hours(1));
+  fleet.StepUntil([&] { return !fleet.calls.empty(); });
+
+  REQUIRE(fleet.calls.size() == 1);
+  const duration left =
+      fleet.calls.front().request.envelope.deadline - fleet.now;
+  CHECK(left <= claim_options().window / 2);
+}
+
 // Callers of the other entries see an answer for each of their requests. What
 // was at the killed entry, as the home of a key or as an owner, ends as unknown
 // unless it surely was not sent. The fold then expels it and its endpoints and
--- a/tests/core/error_budget_test.cc
+++ b/tests/core/error_budget_test.cc
@@ -73,15 +73,23 @@
   known.name = class_name("petitions");
   targets.classes = {known};
   Apply(state, {1, {record_id("a"), "ann", publish_configuration{targets, 0}}});
+  join_entry join;
+  join.who = incarnation{1};
+  join.name = entry_id("e1");
+  Apply(state, {2, {record_id("j"), "e1", join}});
   count_requests counts{incarnation{1}, kNoon, {}};
   counts.classes[known.name] = Counts(5, 0);
   counts.classes[class_name("other")] = Counts(7, 0);
 
-  CHECK(Apply(state, {2, {record_id("b"), "e1", counts}}).outcome ==
+  CHECK(Apply(state, {3, {record_id("b"), "e1", counts}}).outcome ==
         fold_outcome::kApplied);
   CHECK(state.ledgers.size() == 1);
   CHECK(state.ledgers.at(known.name).Over(std::chrono::hours(1), kNoon) ==
         Counts(5, 0));
+
+  counts.who = incarnation{2};
+  CHECK(Apply(state, {4, {record_id("c"), "e2", counts}}).outcome ==
+        fold_outcome::kConflict);
 }
 
 }  // namespace
