Read on behind records that aged out, as the core expects

Cause: for a cut stream the link posted empty reads until it was followed anew. Ruled out: a change in the core, which is consistent within itself. Change: entries start at 'begin' in the same event. Conclusion: a shorter stream is still shown and not followed.

--- a/include/plantainhead/platform/platform_link.h
+++ b/include/plantainhead/platform/platform_link.h
@@ -86,15 +86,17 @@
   void Append(core::append_records action);
 
   /// Reads the stream from `after` on and posts `core::log_read` for what comes
-  /// and `core::log_unavailable` for each try that fails. With `after` 0 the
-  /// entries start at the oldest record that the stream keeps. Following a
-  /// stream again starts anew; a read of the old place that is already on its
-  /// way may still be posted.
+  /// and `core::log_unavailable` for each try that fails. Following a stream
+  /// again starts anew; a read of the old place that is already on its way may
+  /// still be posted.
   ///
-  /// Two faults are posted as a `log_read` without entries, again and again at
-  /// the pace of the backoff, until the stream is followed anew: a stream whose
-  /// `end` is less than what was read, and one whose `begin` has passed the
-  /// next offset, so that records in between are lost.
+  /// Entries come in order without gaps, but for one case: when the next record
+  /// has aged out (`begin` is greater than its offset), they start at `begin`.
+  /// So `after` 0 reads from the oldest record that the stream keeps.
+  ///
+  /// A stream whose `end` is less than what was read is posted without entries,
+  /// again and again at the pace of the backoff, until the stream has grown or
+  /// is followed anew.
   ///
   /// A record that can't be decoded arrives as `core::unknown_record` with the
   /// type "malformed".
--- a/src/platform/stream_reader.cc
+++ b/src/platform/stream_reader.cc
@@ -1,5 +1,6 @@
 #include "platform/stream_reader.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -48,16 +49,15 @@
   return read;
 }
 
-// Returns true if the entries follow `after`, or start anywhere when it is 0,
-// without gaps.
+// Returns true if the entries start at `first` and have no gaps.
 bool IsInOrder(const std::vector<core::log_entry>& entries,
-               core::log_offset after) {
-  core::log_offset last = after;
+               core::log_offset first) {
+  core::log_offset next = first;
   for (const core::log_entry& entry : entries) {
-    if (last != 0 && entry.offset != last + 1) {
+    if (entry.offset != next) {
       return false;
     }
-    last = entry.offset;
+    ++next;
   }
   return true;
 }
@@ -112,27 +112,23 @@
 
 void stream_reader::HandleRead(core::log_read read) {
   read.stream = stream_;
-  const bool is_shorter = read.end < after_;
-  const bool is_cut = after_ != 0 && read.begin > after_ + 1;
-  if (is_shorter || is_cut) {
+  if (read.end < after_) {
     read.entries.clear();
     is_fresh_ = true;
     pause_ = backoff_.Next();
     Post(std::move(read));
     return;
   }
-  if (!IsInOrder(read.entries, after_)) {
+  // Records that aged out before they were read are passed over; `begin` shows
+  // it.
+  const core::log_offset first = std::max(after_ + 1, read.begin);
+  if (!IsInOrder(read.entries, first)) {
     HandleFailure("the offsets are not in order");
     return;
   }
   backoff_.Reset();
   is_fresh_ = false;
-  if (!read.entries.empty()) {
-    after_ = read.entries.back().offset;
-  } else if (after_ == 0) {
-    // All records may have aged out.
-    after_ = read.end;
-  }
+  after_ = first - 1 + read.entries.size();
   Post(std::move(read));
 }
 
