Report burn from the fold's ledgers

The burn counters in each entry's memory counted the same a second time, lost their counts with the process, and had to be added up over entries that may be down.

Ruled out: keeping both (two figures for one budget; the operator would not see the one that the planner acts on).

Change: MakeBurnReport reads the ledgers; GET /v1/burn is one of the operators' routes and needs no wiring.

--- a/include/plantainhead/observe/request_recorder.h
+++ b/include/plantainhead/observe/request_recorder.h
@@ -2,40 +2,37 @@
 #define PLANTAINHEAD_OBSERVE_REQUEST_RECORDER_H_
 
 #include <memory>
-#include <string>
 
 #include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/request.h"
 #include "plantainhead/core/time.h"
-#include "plantainhead/observe/burn.h"
 #include "plantainhead/observe/metrics.h"
 
 namespace plantainhead::observe {
 
-/// Counts the answers that an entry gives to its own callers: for the burn
-/// report, and as the metrics `plantainhead_answers_total` (by class and
-/// outcome) and `plantainhead_answer_seconds` (by class).
+/// Counts the answers that an entry gives to its own callers, as the metrics
+/// `plantainhead_answers_total` (by class and outcome) and
+/// `plantainhead_answer_seconds` (by class).
 /// Thread safety: all methods are safe from any thread.
 class request_recorder {
  public:
   /// Precondition: `all` isn't null and outlives the recorder.
-  request_recorder(core::time_point start, metrics* all);
+  explicit request_recorder(metrics* all);
   request_recorder(const request_recorder&) = delete;
   request_recorder& operator=(const request_recorder&) = delete;
   ~request_recorder();
 
-  /// Takes the targets and the VMs that waves hold from the fold. Cheap when
-  /// its offset is the same as at the call before.
-  void FollowFleet(const core::fleet_state& fleet);
+  /// Takes the known classes from the targets in force. Cheap when their
+  /// version is the same as at the call before.
+  void FollowTargets(const core::fleet_state& fleet);
 
-  /// Counts one answer. A class that is not in the targets is left out.
+  /// Counts one answer. A class that is not in the targets is left out: names
+  /// that callers make up would grow the metrics without end.
   void Record(const core::request_envelope& request,
               const core::response& answer,
               core::time_point arrived,
               core::time_point now);
 
-  burn_report Report(core::time_point now) const;
-
  private:
   class impl;
   std::unique_ptr<impl> impl_;
--- a/include/plantainhead/operators/control.h
+++ b/include/plantainhead/operators/control.h
@@ -115,8 +115,7 @@
   exit_code ChangeJob(const std::string& job,
                       const std::string& verb,
                       const std::string& reason);
-  /// Shows the burn report, added up over all entries of the view; those that
-  /// don't answer are named on `err`.
+  /// Shows the burn report of the whole fleet.
   exit_code Burn();
   /// Tells why a VM is where it is.
   exit_code Explain(const std::string& vm);
--- a/src/observe/burn_html.cc
+++ b/src/observe/burn_html.cc
@@ -1,6 +1,6 @@
 #include "observe/burn_plot.h"
 #include "observe/burn_words.h"
-#include "plantainhead/observe/burn_formats.h"
+#include "plantainhead/observe/burn.h"
 
 namespace plantainhead::observe {
 namespace {
@@ -11,11 +11,11 @@
 <title>Service-level burn</title>
 <style>
 :root { color-scheme: light dark; --ink: #1b1b1a; --quiet: #5f5e5a;
-  --page: #fcfcfb; --rule: #d9d8d4; --wave: #2a78d6; --failure: #d03b3b;
-  --overload: #c98500; }
+  --page: #fcfcfb; --rule: #d9d8d4; --late: #8a63d2;
+  --maintenance: #2a78d6; --failure: #d03b3b; --overload: #c98500; }
 @media (prefers-color-scheme: dark) { :root { --ink: #f2f1ed; --quiet: #a8a7a1;
-  --page: #1a1a19; --rule: #3b3a38; --wave: #5b9bea; --failure: #e66767;
-  --overload: #e0a020; } }
+  --page: #1a1a19; --rule: #3b3a38; --late: #a88ae6;
+  --maintenance: #5b9bea; --failure: #e66767; --overload: #e0a020; } }
 body { font: 14px/1.45 system-ui, sans-serif; color: var(--ink);
   background: var(--page); max-width: 84rem; margin: 2rem auto;
   padding: 0 1rem; }
@@ -28,6 +28,7 @@
 th, td { text-align: right; padding: .3rem .5rem; white-space: nowrap;
   border-bottom: 1px solid var(--rule); }
 th { color: var(--quiet); font-weight: 500; }
+td:last-child { white-space: normal; min-width: 11rem; }
 th:nth-child(-n+2), td:nth-child(-n+2), th:last-child, td:last-child
   { text-align: left; }
 tr.spent td:nth-child(6) { color: var(--failure); font-weight: 700; }
@@ -35,7 +36,8 @@
 svg text { font: 11px system-ui, sans-serif; fill: var(--quiet); }
 .axis { stroke: var(--rule); }
 .allowed { stroke: var(--ink); stroke-dasharray: 4 3; }
-.wave { fill: var(--wave); background: var(--wave); }
+.late { fill: var(--late); background: var(--late); }
+.maintenance { fill: var(--maintenance); background: var(--maintenance); }
 .failure { fill: var(--failure); background: var(--failure); }
 .overload { fill: var(--overload); background: var(--overload); }
 .key { display: inline-block; width: .8em; height: .8em; margin: 0 .4em 0 1em; }
@@ -63,7 +65,10 @@
 
 std::string Legend() {
   std::string html = "<p>Missed by cause:";
-  for (const auto& [cause, name] : kBurnCauseNames) {
+  for (const auto& [fate, name] : core::kRequestFateNames) {
+    if (fate == core::request_fate::kServed) {
+      continue;
+    }
     html += "<span class=\"key " + std::string(name) + "\"></span>" +
             std::string(name);
   }
@@ -74,7 +79,8 @@
 
 std::string ToHtml(const burn_report& report) {
   std::string html = kHead;
-  html += "<h1>Service-level burn</h1>\n<p>" + OriginText(report) + ".</p>\n";
+  html +=
+      "<h1>Service-level burn</h1>\n<p>At " + TimeText(report.at) + ".</p>\n";
   html += Table(report) + Legend();
   for (const class_report& item : report.classes) {
     html += "<h2>" + EscapeHtml(item.target.name.value()) + "</h2>\n" +
--- a/src/observe/burn_plot.cc
+++ b/src/observe/burn_plot.cc
@@ -39,8 +39,10 @@
 
 double ScaleOf(const class_report& report) {
   double most = std::max(2 * (1 - report.target.served), kLeastScale);
-  for (const request_counts& counts : report.series) {
-    most = std::max(most, ShareOf(counts.missed(), counts.total));
+  for (const core::request_counts& counts : report.hours) {
+    most = std::max(
+        most, ShareOf(counts.Total() - counts[core::request_fate::kServed],
+                      counts.Total()));
   }
   return most;
 }
@@ -61,19 +63,23 @@
 }
 
 // One part of time: a bar for each cause, one above the other.
-std::string Bars(const request_counts& counts, double x, double scale) {
-  constexpr double kSlot = kPlotWidth / sliding_counts::kBuckets;
+std::string Bars(const core::request_counts& counts, double x, double scale) {
+  constexpr double kSlot = kPlotWidth / kBurnHours;
   std::string svg;
   double top = kTop + kPlotHeight;
-  for (const auto& [cause, count] : counts.causes) {
-    const double share = ShareOf(count, counts.total);
+  for (const auto& [fate, fate_name] : core::kRequestFateNames) {
+    const std::uint64_t count = counts[fate];
+    if (fate == core::request_fate::kServed || count == 0) {
+      continue;
+    }
+    const double share = ShareOf(count, counts.Total());
     const double height = HeightOf(share, scale);
     top -= height;
-    const std::string name(core::NameOf(cause));
+    const std::string name(fate_name);
     svg += "<rect class=\"" + name + "\"" + Attribute("x", x + kBarGap / 2) +
            Attribute("y", top) + Attribute("width", kSlot - kBarGap) +
            Attribute("height", height) + "><title>" + name + ": " +
-           std::to_string(count) + " of " + std::to_string(counts.total) +
+           std::to_string(count) + " of " + std::to_string(counts.Total()) +
            " (" + Number(share * kPercent) + "%)</title></rect>";
   }
   return svg;
@@ -112,19 +118,18 @@
   std::string svg = "<svg viewBox=\"0 0 " + Number(kWidth) + " " +
                     Number(kHeight) +
                     "\" role=\"img\" aria-label=\"Requests that missed the "
-                    "target in the last 6 hours\">";
+                    "target in the last 48 hours\">";
   svg += Line(bottom, "axis");
-  for (std::size_t i = 0; i < report.series.size(); ++i) {
-    const double x =
-        kLeft + kPlotWidth * static_cast<double>(i) / sliding_counts::kBuckets;
-    svg += Bars(report.series[i], x, scale);
+  for (std::size_t i = 0; i < report.hours.size(); ++i) {
+    const double x = kLeft + kPlotWidth * static_cast<double>(i) / kBurnHours;
+    svg += Bars(report.hours[i], x, scale);
   }
   svg += Line(allowed_y, "allowed");
   svg += Text(kLeft - 6, kTop + 4, "end", Number(scale * kPercent) + "%");
   svg += Text(kLeft - 6, bottom, "end", "0%");
   svg += Text(kWidth - kRight, allowed_y - 4, "end",
               "allowed " + Number(allowed * kPercent) + "%");
-  svg += Text(kLeft, kHeight - 6, "start", "6 h ago");
+  svg += Text(kLeft, kHeight - 6, "start", "48 h ago");
   svg += Text(kWidth - kRight, kHeight - 6, "end", "now");
   return svg + "</svg>";
 }
--- a/src/observe/burn_plot.h
+++ b/src/observe/burn_plot.h
@@ -8,9 +8,9 @@
 namespace plantainhead::observe {
 
 /// Returns an SVG element that shows the share of requests that missed the
-/// class's target in each part of the last 6 hours, by cause, with a line at
-/// the share that may. Colours are CSS classes of the page that it stands in.
-/// Thread safety: safe from any thread.
+/// class's target in each of the last `kBurnHours` hours, by cause, with a line
+/// at the share that may. Colours are CSS classes of the page that it stands
+/// in. Thread safety: safe from any thread.
 std::string BurnPlot(const class_report& report);
 
 /// Returns `text` with the characters that HTML gives a meaning replaced.
--- a/src/observe/burn_text.cc
+++ b/src/observe/burn_text.cc
@@ -5,7 +5,7 @@
 
 #include "observe/burn_words.h"
 #include "observe/utc.h"
-#include "plantainhead/observe/burn_formats.h"
+#include "plantainhead/observe/burn.h"
 
 namespace plantainhead::observe {
 namespace {
@@ -44,26 +44,26 @@
   return use.exhausted_in ? SpanText(*use.exhausted_in) : "-";
 }
 
-std::string CausesText(const request_counts& counts) {
+std::string CausesText(const core::request_counts& counts) {
   std::string text;
-  for (const auto& [cause, count] : counts.causes) {
-    text += (text.empty() ? "" : ", ") + std::string(core::NameOf(cause)) +
-            " " + std::to_string(count);
+  for (const auto& [fate, name] : core::kRequestFateNames) {
+    if (fate != core::request_fate::kServed && counts[fate] > 0) {
+      text += (text.empty() ? "" : ", ") + std::string(name) + " " +
+              std::to_string(counts[fate]);
+    }
   }
   return text.empty() ? "-" : text;
 }
 
-burn_row RowOf(const class_report& item,
-               burn_target target,
-               core::duration counted_for) {
-  const budget_use use = UseOf(item, target, counted_for);
+burn_row RowOf(const class_report& item, burn_target target) {
+  const budget_use use = UseOf(item, target);
   burn_row row;
   row.left = use.left;
   row.cells = {item.target.name.value(),
                target == burn_target::kInTime ? "in time" : "available",
                PercentText(1 - use.allowed),
                PercentText(1 - use.failed),
-               std::to_string(item.windows.back().counts.total),
+               std::to_string(item.windows.back().counts.Total()),
                PercentText(use.left)};
   for (const double rate : use.rates) {
     row.cells.push_back(RateText(rate));
@@ -82,12 +82,6 @@
          "Z";
 }
 
-std::string OriginText(const burn_report& report) {
-  return "At " + TimeText(report.at) + ", counted since " +
-         TimeText(report.since) + " by " + std::to_string(report.entries) +
-         (report.entries == 1 ? " entry" : " entries");
-}
-
 std::vector<std::string> BurnHeadings() {
   return {"class",   "target",  "promised", "reached",      "requests", "left",
           "burn 5m", "burn 1h", "burn 6h",  "exhausted in", "causes"};
@@ -96,9 +90,8 @@
 std::vector<burn_row> BurnRows(const burn_report& report) {
   std::vector<burn_row> rows;
   for (const class_report& item : report.classes) {
-    rows.push_back(RowOf(item, burn_target::kInTime, report.at - report.since));
-    rows.push_back(
-        RowOf(item, burn_target::kAvailable, report.at - report.since));
+    rows.push_back(RowOf(item, burn_target::kInTime));
+    rows.push_back(RowOf(item, burn_target::kAvailable));
   }
   return rows;
 }
@@ -114,7 +107,7 @@
       widths[i] = std::max(widths[i], line[i].size());
     }
   }
-  std::string text = OriginText(report) + "\n";
+  std::string text = "At " + TimeText(report.at) + "\n";
   for (const auto& line : lines) {
     std::string padded;
     for (std::size_t i = 0; i < line.size(); ++i) {
--- a/src/observe/burn_words.h
+++ b/src/observe/burn_words.h
@@ -25,9 +25,6 @@
 /// "2026-03-01T12:00:00Z"
 std::string TimeText(core::time_point time);
 
-/// Says when and by how many entries the report was counted.
-std::string OriginText(const burn_report& report);
-
 }  // namespace plantainhead::observe
 
 #endif  // PLANTAINHEAD_SRC_OBSERVE_BURN_WORDS_H_
--- a/src/operators/control.cc
+++ b/src/operators/control.cc
@@ -316,6 +316,23 @@
   });
 }
 
+exit_code control::Burn() {
+  static const std::map<output_format, std::string> kFormats = {
+      {output_format::kTable, "text"},
+      {output_format::kJson, "json"},
+      {output_format::kHtml, "html"},
+  };
+  return Guard([&] {
+    const caller::http_answer answer =
+        Get("/v1/burn?format=" + kFormats.at(context_.format));
+    if (answer.status != kOkStatus) {
+      return Refused(answer);
+    }
+    *out_ << answer.body;
+    return exit_code::kOk;
+  });
+}
+
 exit_code control::Explain(const std::string& vm) {
   return ShowOne("/v1/vms", "vm", vm);
 }
--- a/src/operators/routes.cc
+++ b/src/operators/routes.cc
@@ -8,7 +8,7 @@
 #include "operators/answers.h"
 #include "operators/commands.h"
 #include "operators/views.h"
-#include "plantainhead/observe/burn_formats.h"
+#include "plantainhead/observe/burn.h"
 
 namespace plantainhead::operators {
 namespace {
@@ -40,6 +40,29 @@
       });
 }
 
+caller::http_answer BurnAnswer(const caller::http_request& request,
+                               const entry_view& view) {
+  const auto query = request.query.find("format");
+  const std::string format =
+      query == request.query.end() ? "json" : query->second;
+  const observe::burn_report report =
+      observe::MakeBurnReport(*StateOf(view), view.now);
+  caller::http_answer answer;
+  if (format == "json") {
+    answer.body = observe::ToJson(report);
+  } else if (format == "html") {
+    answer.content_type = "text/html; charset=utf-8";
+    answer.body = observe::ToHtml(report);
+  } else if (format == "text") {
+    answer.content_type = "text/plain; charset=utf-8";
+    answer.body = observe::ToText(report);
+  } else {
+    return ErrorAnswer(kBadRequest, "invalid",
+                       "'format' must be json, html or text");
+  }
+  return answer;
+}
+
 caller::http_answer Readiness(bool ready, const std::string& reason) {
   return JsonAnswer(ready ? kOk : kUnavailable,
                     {{"ready", ready}, {"reason", reason}});
@@ -78,6 +101,10 @@
       {"POST", "/v1/jobs", runs(&command_handlers::SubmitJob)},
       {"POST", "/v1/jobs/[A-Za-z0-9._-]+/(cancel|retry)",
        runs(&command_handlers::ChangeJob)},
+      {"GET", "/v1/burn",
+       WithErrors([view](const caller::http_request& request) {
+         return BurnAnswer(request, view());
+       })},
       {"GET", "/healthz",
        [](const caller::http_request&) {
          return JsonAnswer(kOk, {{"alive", true}});
@@ -90,31 +117,6 @@
   };
 }
 
-caller::route_list MakeBurnRoutes(
-    std::function<observe::burn_report()> report) {
-  const auto show =
-      [report = std::move(report)](const caller::http_request& request) {
-        const auto query = request.query.find("format");
-        const std::string format =
-            query == request.query.end() ? "json" : query->second;
-        caller::http_answer answer;
-        if (format == "json") {
-          answer.body = observe::ToJson(report());
-        } else if (format == "html") {
-          answer.content_type = "text/html; charset=utf-8";
-          answer.body = observe::ToHtml(report());
-        } else if (format == "text") {
-          answer.content_type = "text/plain; charset=utf-8";
-          answer.body = observe::ToText(report());
-        } else {
-          return ErrorAnswer(kBadRequest, "invalid",
-                             "'format' must be json, html or text");
-        }
-        return answer;
-      };
-  return {{"GET", "/v1/burn", show}};
-}
-
 caller::route_list MakeMetricsRoutes(const observe::metrics* all) {
   const auto show = [all](const caller::http_request&) {
     caller::http_answer answer;
--- a/tests/operators/entry_server.h
+++ b/tests/operators/entry_server.h
@@ -59,6 +59,9 @@
       }
       asked.headers.emplace(lower, value);
     }
+    for (const auto& [name, value] : request.params) {
+      asked.query.emplace(name, value);
+    }
     const caller::http_answer answer = entry_->Ask(asked);
     if (request.method != "GET") {
       after_change();
