--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "caller/request_parser.h"
+#include "endpoint/http_headers.h"
 
 namespace plantainhead::caller {
 namespace {
@@ -24,6 +25,11 @@
 // first byte.
 constexpr std::chrono::milliseconds kLateRequestWait{100};
 
+// How long a thread waits for the next request of a connection while more than
+// half of the threads are free. It saves a caller that asks again at once the
+// way through the watching thread.
+constexpr std::chrono::milliseconds kLinger{2};
+
 // cpp-httplib makes a queue for each run of its accept loop and ends it with
 // the loop; the threads of `pool` outlive it.
 class borrowed_queue : public httplib::TaskQueue {
@@ -38,6 +44,20 @@
   httplib::TaskQueue* pool_;
 };
 
+// Counts a thread as busy for its own lifetime.
+class busy_mark {
+ public:
+  explicit busy_mark(std::atomic<std::size_t>* count) : count_(count) {
+    ++*count_;
+  }
+  ~busy_mark() { --*count_; }
+  busy_mark(const busy_mark&) = delete;
+  busy_mark& operator=(const busy_mark&) = delete;
+
+ private:
+  std::atomic<std::size_t>* const count_;
+};
+
 thread_local exchange* current_exchange = nullptr;
 
 // Headers that make cpp-httplib change a body or an answer: it would unpack
@@ -59,16 +79,16 @@
          method == "DELETE";
 }
 
-bool IsNumber(const std::string& text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return c >= '0' && c <= '9';
-  });
-}
-
 // Returns what is wrong with the announced length of the body, or "". If two
 // readers of a connection disagree about where a request ends, the rest of one
 // caller's body is taken for another caller's request.
-std::string FindFramingFault(const httplib::Request& request) {
+std::string FindFramingFault(const httplib::Request& request,
+                             const core::header_list& headers) {
+  for (const auto& [name, value] : headers) {
+    if (!endpoint::IsWellFormed(name, value)) {
+      return "a header is malformed";
+    }
+  }
   const std::size_t lengths = request.get_header_value_count("Content-Length");
   const std::size_t encodings =
       request.get_header_value_count("Transfer-Encoding");
@@ -76,11 +96,11 @@
     return "the length of the body is given more than once";
   }
   const std::string length = request.get_header_value("Content-Length");
-  if (lengths == 1 && !IsNumber(length)) {
+  if (lengths == 1 && !endpoint::IsNumber(length)) {
     return "Content-Length isn't a number";
   }
   const std::string encoding = request.get_header_value("Transfer-Encoding");
-  if (encodings == 1 && ToLower(encoding) != "chunked") {
+  if (encodings == 1 && endpoint::ToLower(encoding) != "chunked") {
     return "only the transfer encoding 'chunked' is known";
   }
   const bool has_body =
@@ -97,17 +117,17 @@
   // Routing is ours; the library's pattern sees one short path.
   request.path = "/";
   request.ranges.clear();
-  httplib::Headers acted_on;
+  httplib::Headers left_alone;
   for (const auto& [name, value] : request.headers) {
     if (!IsAddedByLibrary(name)) {
       current->headers.emplace_back(name, value);
     }
-    if (!IsActedUponByLibrary(ToLower(name))) {
-      acted_on.emplace(name, value);
+    if (!IsActedUponByLibrary(endpoint::ToLower(name))) {
+      left_alone.emplace(name, value);
     }
   }
-  request.headers = std::move(acted_on);
-  current->framing_fault = FindFramingFault(request);
+  request.headers = std::move(left_alone);
+  current->framing_fault = FindFramingFault(request, current->headers);
   const bool no_length = !request.has_header("Content-Length") &&
                          !request.has_header("Transfer-Encoding");
   if (no_length && MayHaveBody(request.method)) {
@@ -209,11 +229,20 @@
   pool_.enqueue([this, shared] { Serve(std::move(*shared)); });
 }
 
+bool connection_server::AwaitNextRequest(connection* item) const {
+  if (item->stream.HasBuffered()) {
+    return true;
+  }
+  const bool may_linger =
+      item->requests > 0 && !ending_ && busy_threads_ <= limits_.threads / 2;
+  const auto until = may_linger ? clock::now() + kLinger : clock::now();
+  return endpoint::WaitFor(item->socket, POLLIN, until);
+}
+
 void connection_server::Serve(connection_ptr item) {
+  const busy_mark mark(&busy_threads_);
   while (true) {
-    const bool ready = item->stream.HasBuffered() ||
-                       endpoint::WaitFor(item->socket, POLLIN, clock::now());
-    if (!ready) {
+    if (!AwaitNextRequest(item.get())) {
       item = idle_.Add(std::move(item));
       if (item == nullptr) {
         return;
@@ -232,9 +261,11 @@
 
 bool connection_server::ServeOne(connection* item) {
   item->stream.set_read_deadline(clock::now() + limits_.read_limit);
+  item->stream.StartMessage();
   ++item->requests;
   const bool last = ending_ || item->requests >= limits_.most_requests;
   exchange current;
+  current.stream = &item->stream;
   current_exchange = &current;
   bool closed_by_caller = false;
   const bool whole = process_request(
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -25,6 +25,7 @@
   core::header_list headers;
   /// The handler sets it when the rest of the connection can't be trusted.
   bool close = false;
+  const endpoint::socket_stream* stream = nullptr;
   /// Set when the length of the body is in doubt or the body isn't allowed.
   std::string framing_fault;
 };
@@ -68,12 +69,14 @@
   bool Bind(const std::string& host, int port);
   void Listen(const std::string& host);
   void Serve(connection_ptr item);
+  bool AwaitNextRequest(connection* item) const;
   bool ServeOne(connection* item);
   void Enqueue(connection_ptr item);
 
   const limits limits_;
   httplib::ThreadPool pool_;
   idle_connections idle_;
+  std::atomic<std::size_t> busy_threads_ = 0;
   std::atomic<bool> ending_ = false;
   std::atomic<bool> stopping_ = false;
   int port_ = 0;
--- a/src/core/control_log.cc
+++ b/src/core/control_log.cc
@@ -99,9 +99,16 @@
   Pump(now, out);
 }
 
+// An entry whose log came back shorter holds the newest state that there is.
+// Were it not caught up, all entries would stop taking requests at once for a
+// fault of the platform that requests don't depend on.
 bool control_log::caught_up() const {
   return phase_ == phase::kFollowing && end_known_ &&
-         fault_ == log_fault::kNone && state_.offset >= greatest_known_;
+         state_.offset >= greatest_known_;
+}
+
+bool control_log::log_readable() const {
+  return log_readable_ && fault_ == log_fault::kNone;
 }
 
 // A log that lost its end or its middle is not written to: what is appended
@@ -140,17 +147,18 @@
     if (entry.offset <= state_.offset) {
       continue;
     }
-    ApplyEntry(entry, out);
+    ApplyEntry(entry, event.end, out);
     ++applied;
   }
   return applied;
 }
 
-void control_log::ApplyEntry(const log_entry& entry, effects& out) {
+void control_log::ApplyEntry(const log_entry& entry,
+                             log_offset end,
+                             effects& out) {
   const fold_result result = Apply(state_, entry);
   newest_record_ = entry.content.id;
-  digest_.reset();
-  CompareExpected(out);
+  CheckDigests(end, out);
   queue_.OnReadBack(entry.content.id);
   AnswerReadBack(entry, result, out);
 }
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -39,7 +39,7 @@
   effects out;
   counted_at_ = now;
   control_.Start(now, out);
-  not_ready_reason_ = WhyNotReady();
+  not_ready_reason_ = WhyNotServing();
   out.Do(set_ready{false, not_ready_reason_});
   return std::move(out.actions);
 }
@@ -77,15 +77,8 @@
 }
 
 void entry_core::On(const request_arrived& item, time_point now, effects& out) {
-  const service_routes* routes = endpoints_.Find(item.request.service);
-  if (routes != nullptr) {
-    const bool is_only =
-        item.request.work.empty() && routes->classes.size() == 1;
-    const work_class* work = is_only ? &routes->classes.front()
-                                     : routes->FindClass(item.request.work);
-    if (work != nullptr) {
-      meter_.OnArrival(item.sequence, *work, now);
-    }
+  if (const work_class* work = ClassOf(item.request)) {
+    meter_.OnArrival(item.sequence, *work, now);
   }
   requests_.OnArrival(item, Context(), now, out);
 }
@@ -208,7 +201,7 @@
 // -----------------------------
 
 routing_context entry_core::Context() const {
-  return {fleet(), endpoints_, suspects_, options_.self.who, ready_};
+  return {fleet(), endpoints_, suspects_, options_.self.who, serving_};
 }
 
 heartbeat_contents entry_core::HeartbeatContents(time_point now) {
@@ -306,6 +299,11 @@
 void entry_core::TellClaimsTheirHomes(time_point now, effects& out) {
   std::set<incarnation> excluded = stopping_members_;
   excluded.insert(suspects_.begin(), suspects_.end());
+  // A stopping entry goes on as home until its notice is over: the others need
+  // some heartbeats to hear of it, and their callers would be refused meanwhile.
+  if (!refusing_) {
+    excluded.erase(options_.self.who);
+  }
   claims_.OnViewChanged(fleet(), excluded, now, out);
 }
 
@@ -325,6 +323,17 @@
   }
 }
 
+const work_class* entry_core::ClassOf(const request_envelope& request) const {
+  const service_routes* routes = endpoints_.Find(request.service);
+  if (routes == nullptr) {
+    return nullptr;
+  }
+  if (request.work.empty() && routes->classes.size() == 1) {
+    return &routes->classes.front();
+  }
+  return routes->FindClass(request.work);
+}
+
 bool entry_core::IsInMaintenance(const service_name& service) const {
   const service_spec* spec = fleet().targets.FindService(service);
   if (spec == nullptr) {
@@ -390,10 +399,7 @@
   }
 }
 
-std::string entry_core::WhyNotReady() const {
-  if (stopping()) {
-    return "stopping";
-  }
+std::string entry_core::WhyNotServing() const {
   if (membership_.expelled()) {
     return "expelled from the view";
   }
@@ -410,7 +416,13 @@
 }
 
 void entry_core::FollowReadiness(effects& out) {
-  std::string reason = WhyNotReady();
+  std::string reason = WhyNotServing();
+  // The balancer takes some time to see that this entry is to end; what it
+  // sends until then is served.
+  serving_ = reason.empty();
+  if (stopping()) {
+    reason = "stopping";
+  }
   const bool ready = reason.empty();
   if (ready == ready_ && reason == not_ready_reason_) {
     return;
@@ -432,6 +444,7 @@
   if (!refusing_ && (expelled || notice_over)) {
     refusing_ = true;
     requests_.OnStop();
+    TellClaimsTheirHomes(now, out);
   }
   if (!refusing_ || !requests_.Idle()) {
     return;
