--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -5,15 +5,14 @@
 #include <atomic>
 #include <exception>
 #include <future>
-#include <regex>
 #include <stdexcept>
 #include <utility>
 #include <variant>
-#include <vector>
 
 #include "caller/answer_writer.h"
 #include "caller/connection_server.h"
 #include "caller/request_parser.h"
+#include "caller/route_table.h"
 #include "endpoint/http_headers.h"
 
 namespace plantainhead::caller {
@@ -52,11 +51,6 @@
   }
 }
 
-struct compiled_route {
-  route what;
-  std::regex pattern;
-};
-
 void RequirePositive(bool holds, const char* what) {
   if (!holds) {
     throw std::invalid_argument(std::string("http_server: ") + what);
@@ -88,12 +82,10 @@
        const route_list& routes)
       : options_(std::move(options)),
         gateway_(std::move(gateway)),
+        routes_(routes),
         server_({options_.threads, options_.most_idle_connections,
                  options_.idle_timeout, options_.most_requests_per_connection,
                  options_.read_limit, options_.write_limit}) {
-    for (const route& item : routes) {
-      routes_.push_back({item, std::regex(item.pattern)});
-    }
     Register();
   }
 
@@ -126,7 +118,7 @@
 
   const http_server_options options_;
   const core::core_gateway gateway_;
-  std::vector<compiled_route> routes_;
+  const route_table routes_;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> stop_by_set_ = false;
   clock::time_point stop_by_;
@@ -301,33 +293,7 @@
     plain.headers[endpoint::ToLower(name)] = value;
   }
   plain.body = *body;
-  bool path_known = false;
-  for (const compiled_route& item : routes_) {
-    if (!std::regex_match(plain.path, item.pattern)) {
-      continue;
-    }
-    path_known = true;
-    const bool head_of_get =
-        plain.method == "HEAD" && item.what.method == "GET";
-    if (item.what.method != plain.method && !head_of_get) {
-      continue;
-    }
-    http_answer answer;
-    try {
-      answer = item.what.handle(plain);
-    } catch (const std::exception& error) {
-      return WriteRefusal({500, "internal", error.what()});
-    }
-    written_answer written;
-    written.status = answer.status;
-    written.headers.emplace_back("Content-Type", answer.content_type);
-    written.headers.insert(written.headers.end(), answer.headers.begin(),
-                           answer.headers.end());
-    written.body = std::make_shared<const std::string>(std::move(answer.body));
-    return written;
-  }
-  return path_known ? WriteRefusal({405, "bad-request", "no such method here"})
-                    : WriteRefusal({404, "bad-request", "no such path"});
+  return routes_.Answer(plain);
 }
 
 http_server::http_server(http_server_options options,
