Don't call a failed operator's handler 'not run'

Cause: an exception of a route's handler was answered 500 with the outcome not-run, though the handler may have done its work. Change: that answer says unknown. The test of it failed first. Conclusion: only what surely wasn't run is called so.

--- a/src/caller/answer_writer.cc
+++ b/src/caller/answer_writer.cc
@@ -91,13 +91,15 @@
 }
 
 written_answer WriteRefusal(const refusal& why) {
-  const std::string_view outcome = core::NameOf(core::outcome::kNotRun);
+  const std::string_view outcome = core::NameOf(why.result);
   written_answer written;
   written.status = why.status;
   written.headers.emplace_back("Content-Type", "application/json");
   written.headers.emplace_back("Plantain-Outcome", outcome);
   written.headers.emplace_back("Plantain-Reason", why.reason);
-  AddRetryAfter(kRefusalRetryAfter, &written.headers);
+  if (why.result == core::outcome::kNotRun) {
+    AddRetryAfter(kRefusalRetryAfter, &written.headers);
+  }
   written.body = Explain(outcome, why.reason, why.detail);
   return written;
 }
--- a/src/caller/request_parser.h
+++ b/src/caller/request_parser.h
@@ -21,11 +21,12 @@
   std::string remote_ip;
 };
 
-/// A request that never reaches the decisions.
+/// An answer to a request that never reaches the decisions.
 struct refusal {
   int status = 400;
   std::string reason;
   std::string detail;
+  core::outcome result = core::outcome::kNotRun;
 };
 
 struct patience_limits {
--- a/src/caller/route_table.cc
+++ b/src/caller/route_table.cc
@@ -13,7 +13,8 @@
   try {
     answer = what.handle(request);
   } catch (const std::exception& error) {
-    return WriteRefusal({500, "internal", error.what()});
+    return WriteRefusal(
+        {500, "internal", error.what(), core::outcome::kUnknown});
   }
   written_answer written;
   written.status = answer.status;
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -443,7 +443,10 @@
             ->body == "/v1/pools/p q1ann!");
   CHECK(caller.Get("/v1/pools/p")->status == 405);
   CHECK(caller.Get("/nothing")->status == 404);
-  CHECK(caller.Get("/broken")->status == 500);
+  // The handler may have done its work before it failed.
+  const auto broken = caller.Get("/broken");
+  CHECK(broken->status == 500);
+  CHECK(broken->get_header_value("Plantain-Outcome") == "unknown");
 }
 
 }  // namespace
