Answer 'unknown' when the decisions throw

Cause: cpp-httplib answered an exception with 500 by itself, which was then taken for a refusal of its own and told to the caller as not-run. Change: an exception handler that says unknown. The test of it failed first. Conclusion: found while looking for other answers that say not-run unfounded; none other was found in http_server.

--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -151,6 +151,15 @@
   server_.Put("/", with_body);
   server_.Patch("/", with_body);
   server_.Delete("/", with_body);
+  // Without this the library answers 500 by itself, which would be taken for
+  // one of its refusals below, and so for "not run".
+  server_.set_exception_handler([](const httplib::Request& request,
+                                   httplib::Response& response,
+                                   const std::exception_ptr&) {
+    const refusal why = {500, "internal", "the entry failed",
+                         core::outcome::kUnknown};
+    Fill(WriteRefusal(why), request.method, "", &response);
+  });
   // The library's own refusals: malformed requests and unknown methods. What
   // follows on the connection can't be told from the rest of such a request.
   server_.set_error_handler(
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -403,18 +403,28 @@
 }
 
 TEST_CASE("A caller is told when the decisions give no answer") {
-  // The runtime ends with a request unanswered, so its promise is dropped. The
-  // caller must not read that as "not run".
+  // The runtime ends or fails with a request in hand. Whether it went on to an
+  // endpoint isn't known here, so the caller must not read "not run".
   core::core_gateway gateway;
-  gateway.submit = [](core::request_envelope) {
-    return std::promise<core::response>().get_future();
-  };
+  std::string reason;
+  SECTION("because the promise of one was dropped") {
+    gateway.submit = [](core::request_envelope) {
+      return std::promise<core::response>().get_future();
+    };
+    reason = "stopping";
+  }
+  SECTION("because they threw") {
+    gateway.submit = [](core::request_envelope) -> std::future<core::response> {
+      throw std::runtime_error("out of order");
+    };
+    reason = "internal";
+  }
   http_server server(SmallOptions(), gateway, {});
   httplib::Client caller("127.0.0.1", server.Start());
   const auto answer = caller.Get("/s/intake/");
   REQUIRE(answer);
   CHECK(answer->get_header_value("Plantain-Outcome") == "unknown");
-  CHECK(answer->get_header_value("Plantain-Reason") == "stopping");
+  CHECK(answer->get_header_value("Plantain-Reason") == reason);
 }
 
 TEST_CASE("Operators' routes are found by method and path") {
