Let a VM whose reboot was refused serve again after its wave

Cause: a refused reboot left the VM out of work for ever, also after the wave was cancelled. Change: once its wave is over it returns and is readmitted, so that its runner takes work. Its kept reason is dropped when it serves again.

--- a/include/plantainhead/core/vm_lifecycle.h
+++ b/include/plantainhead/core/vm_lifecycle.h
@@ -63,6 +63,8 @@
   void GiveUpDraining(const vm_view& vm, const std::string& reason) const;
   /// Returns why a drain for a wave must not go on, or nothing.
   std::string WhyAborted(const vm_view& vm) const;
+  /// True when the VM's wave was cancelled, has finished or is forgotten.
+  bool IsWaveOver(const vm_view& vm) const;
   bool IsDrained(const vm_view& vm) const;
   bool HasWaited(const vm_view& vm, duration bound) const;
   void SetPhase(const vm_view& vm,
--- a/src/core/vm_lifecycle.cc
+++ b/src/core/vm_lifecycle.cc
@@ -8,6 +8,8 @@
 /// Puts a drained VM to work again, in the pool of its record.
 constexpr const char* kReadmit = "readmit";
 
+constexpr const char* kNotRebooted = "not rebooted; its wave has ended";
+
 }  // namespace
 
 bool IsOwnPause(const wave_progress& wave) {
@@ -146,6 +148,9 @@
     context_.Report(note_level::kError, ObjectOf(vm.id),
                     "the platform refused to reboot it: " +
                         context_.operations.DetailOf(id));
+    if (IsWaveOver(vm)) {
+      SetPhase(vm, vm_phase::kReturning, "", vm.state->wave, kNotRebooted);
+    }
     return;
   }
   const std::optional<time_point> done = context_.operations.DoneAt(id);
@@ -165,8 +170,12 @@
 
 void vm_lifecycle::AdvanceReturning(const vm_view& vm) const {
   if (vm.listed_live() && vm.healthy) {
-    SetPhase(vm, vm_phase::kServing, "", vm.state->wave,
-             "rebooted and healthy");
+    // A VM that was not rebooted still refuses work since its drain.
+    const bool was_rebooted = vm.state->reason != kNotRebooted;
+    SetPhase(vm, vm_phase::kServing, was_rebooted ? "" : kReadmit,
+             vm.state->wave,
+             was_rebooted ? "rebooted and healthy" : kNotRebooted);
+    context_.reasons.erase(ObjectOf(vm.id));
     return;
   }
   if (HasWaited(vm, context_.options.return_bound)) {
@@ -180,15 +189,10 @@
     return "";
   }
   const std::string name = "wave " + vm.state->wave.value();
-  const auto found = context_.inputs.state.waves.find(vm.state->wave);
-  if (found == context_.inputs.state.waves.end()) {
-    return name + " is not known";
-  }
-  const wave_progress& wave = found->second;
-  if (wave.state == wave_state::kCancelled ||
-      wave.state == wave_state::kFinished) {
+  if (IsWaveOver(vm)) {
     return name + " has ended";
   }
+  const wave_progress& wave = context_.inputs.state.waves.at(vm.state->wave);
   if (IsOwnPause(wave)) {
     return name + " is paused, " + wave.reason;
   }
@@ -198,6 +202,13 @@
   return "";
 }
 
+bool vm_lifecycle::IsWaveOver(const vm_view& vm) const {
+  const auto found = context_.inputs.state.waves.find(vm.state->wave);
+  return found == context_.inputs.state.waves.end() ||
+         found->second.state == wave_state::kCancelled ||
+         found->second.state == wave_state::kFinished;
+}
+
 bool vm_lifecycle::IsDrained(const vm_view& vm) const {
   if (vm.seen == nullptr || vm.seen->operation != vm.state->operation) {
     return false;
--- a/tests/core/planner_harness.h
+++ b/tests/core/planner_harness.h
@@ -148,6 +148,8 @@
   /// Workers on which, and jobs of which, every task fails.
   std::set<vm_id> bad_workers;
   std::set<job_id> bad_jobs;
+  /// VMs that the platform refuses to reboot.
+  std::set<vm_id> unbootable;
   /// Workers that refuse every start.
   std::set<vm_id> refusing;
   /// Operations that took effect, and how often those of each kind did.
@@ -182,7 +184,9 @@
     if (acted.insert(run.operation).second) {
       std::visit(
           overloaded{
-              [&](const reboot_vm& what) { ++reboots[what.vm]; },
+              [&](const reboot_vm& what) {
+                reboots[what.vm] += unbootable.contains(what.vm) ? 0 : 1;
+              },
               [&](const move_vm& what) { Move(what); },
               [&](const start_task& what) { Start(what, run.operation); },
               [&](const renew_task& what) {
@@ -270,7 +274,10 @@
       }
       effects ignored;
       const auto* start = std::get_if<start_task>(&item.what.what);
-      const bool is_refused = start != nullptr && refusing.contains(start->vm);
+      const auto* reboot = std::get_if<reboot_vm>(&item.what.what);
+      const bool is_refused =
+          (start != nullptr && refusing.contains(start->vm)) ||
+          (reboot != nullptr && unbootable.contains(reboot->vm));
       planner_.OnOperationFinished(
           {item.what.operation,
            is_refused ? operation_result::kRefused : operation_result::kDone,
--- a/tests/core/wave_planner_test.cc
+++ b/tests/core/wave_planner_test.cc
@@ -211,6 +211,26 @@
   }
 }
 
+TEST_CASE("The platform refuses to reboot a VM") {
+  // The VM is drained and will not be rebooted. It must not count as visited,
+  // and once the operator gives the wave up it has to work again; its runner
+  // still refuses work until it is told otherwise.
+  wave_story world;
+  world.unbootable = {vm_id("goyang-0")};
+  REQUIRE(world.StepUntil([&] { return world.reboots.size() >= kVms - 1; }));
+  world.StepFor(std::chrono::minutes(30));
+  CHECK(world.Vm("goyang-0").phase == vm_phase::kRebooting);
+  CHECK_FALSE(world.IsFinished());
+
+  world.Apply(set_wave_state{0, kWave, world.state.waves.at(kWave).version,
+                             wave_state::kCancelled, ""});
+  REQUIRE(world.StepUntil(
+      [&] { return world.CountPhase(vm_phase::kServing) == kVms; },
+      std::chrono::minutes(5)));
+  world.Step();
+  CHECK(world.acted.contains(world.Vm("goyang-0").operation));
+}
+
 TEST_CASE("A budget burns during a wave") {
   // Callers of petitions are refused more often than their budget allows. The
   // wave can't know if it is the cause; it stops taking VMs until that is over.
