--- a/include/plantainhead/core/fleet_view.h
+++ b/include/plantainhead/core/fleet_view.h
@@ -11,6 +11,13 @@
 
 namespace plantainhead::core {
 
+/// Returns true while the job has a worker that may run its task.
+/// Thread safety: safe from any thread while nobody writes the job.
+inline bool HoldsTask(const job_progress& job) {
+  return job.state == job_state::kPlaced ||
+         job.state == job_state::kCheckpointing;
+}
+
 /// One VM as the fold and the platform's list show it together.
 struct vm_view {
   vm_id id;
--- a/src/core/fleet_view.cc
+++ b/src/core/fleet_view.cc
@@ -39,9 +39,7 @@
     }
   }
   for (const auto& [id, job] : inputs.state.jobs) {
-    const bool holds = job.state == job_state::kPlaced ||
-                       job.state == job_state::kCheckpointing;
-    if (vm_view* vm = holds ? FindMutable(job.vm) : nullptr) {
+    if (vm_view* vm = HoldsTask(job) ? FindMutable(job.vm) : nullptr) {
       ++vm->jobs;
     }
     if (job.state == job_state::kWaiting) {
--- a/src/core/job_placement.cc
+++ b/src/core/job_placement.cc
@@ -10,11 +10,6 @@
 /// that can wait are being checkpointed.
 constexpr std::int64_t kOvercommit = 2;
 
-bool Holds(const job_progress& job) {
-  return job.state == job_state::kPlaced ||
-         job.state == job_state::kCheckpointing;
-}
-
 }  // namespace
 
 job_placement::job_placement(const planner_context& context,
@@ -71,7 +66,7 @@
 
 void job_placement::AddJobs() {
   for (const auto& [id, job] : context_.inputs.state.jobs) {
-    if (Holds(job)) {
+    if (HoldsTask(job)) {
       Occupy(job.spec, job.vm, id);
     }
   }
--- a/src/core/job_planner.cc
+++ b/src/core/job_planner.cc
@@ -1,7 +1,6 @@
 #include "plantainhead/core/job_planner.h"
 
 #include <algorithm>
-#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -13,29 +12,13 @@
 constexpr const char* kStart = "start";
 constexpr const char* kCheckpoint = "checkpoint";
 constexpr const char* kStop = "stop";
-constexpr const char* kRenew = "renew";
 
 constexpr const char* kNoRoom = "no worker of its pool has room";
 
-/// A lease is renewed this many times while it lasts, so that one lost renewal
-/// doesn't end the task.
-constexpr int kRenewalsPerLease = 3;
 /// Records of placements written in one plan; the log takes several hundred
 /// appends a second.
 constexpr std::size_t kPlacementsPerPlan = 100;
 
-bool HoldsTask(const job_progress& job) {
-  return job.state == job_state::kPlaced ||
-         job.state == job_state::kCheckpointing;
-}
-
-/// Spreads the renewals of many tasks over the period. It need not be equal at
-/// two planners: a renewal more does no harm.
-duration OffsetOf(const job_id& id, duration period) {
-  return duration(static_cast<duration::rep>(
-      std::hash<job_id>()(id) % static_cast<std::size_t>(period.count())));
-}
-
 }  // namespace
 
 void job_planner::Observe(const planner_inputs& inputs,
@@ -89,178 +72,6 @@
   PlaceWaiting(context);
 }
 
-void job_planner::DriveJobs(const planner_context& context) {
-  for (const auto& [id, job] : context.inputs.state.jobs) {
-    if (!HoldsTask(job) ||
-        context.gate.IsPending(ObjectOf(id), job.version, context.now)) {
-      continue;
-    }
-    if (job.state == job_state::kPlaced) {
-      DrivePlaced(context, id, job);
-    } else {
-      DriveCheckpointing(context, id, job);
-    }
-  }
-}
-
-void job_planner::DrivePlaced(const planner_context& context,
-                              const job_id& id,
-                              const job_progress& job) {
-  if (RecordEnd(context, id, job)) {
-    return;
-  }
-  // A task on the list needs no start; a planner that takes over need not send
-  // the starts of all jobs again.
-  const bool is_running = FindTask(id, job) != nullptr;
-  if (!is_running && IsWorkerGone(context, job)) {
-    GiveUpLost(context, id, job);
-    return;
-  }
-  if (!is_running && !DriveStart(context, id, job)) {
-    return;
-  }
-  if (GiveUpLost(context, id, job)) {
-    return;
-  }
-  if (MustLeave(context, job)) {
-    SetState(context, id, job, job_state::kCheckpointing, job.vm, kCheckpoint,
-             "worker " + job.vm.value() + " is leaving or in maintenance");
-    return;
-  }
-  Renew(context, id, job);
-}
-
-bool job_planner::DriveStart(const planner_context& context,
-                             const job_id& id,
-                             const job_progress& job) {
-  const job_size size = history_.SizeOf(job.spec);
-  const std::optional<operation_result> end = context.operations.Drive(
-      job.operation,
-      start_task{id, job.vm, size.processors, size.memory_mb, size.accelerators,
-                 context.options.task_lease},
-      context.now, context.out);
-  if (end == operation_result::kDone) {
-    return true;
-  }
-  if (end == operation_result::kRefused) {
-    history_.CountRefusal(id, job.vm, context.now);
-    SetState(context, id, job, job_state::kWaiting, job.vm, "",
-             "worker " + job.vm.value() +
-                 " refused it: " + context.operations.DetailOf(job.operation));
-    return false;
-  }
-  // A start that is still under way may begin a lease at any moment.
-  const auto seen = sights_.find(id);
-  if (seen != sights_.end()) {
-    seen->second.lease_end =
-        context.now + context.options.task_lease + context.options.lease_margin;
-  }
-  return false;
-}
-
-void job_planner::DriveCheckpointing(const planner_context& context,
-                                     const job_id& id,
-                                     const job_progress& job) {
-  const std::optional<operation_result> end = context.operations.Drive(
-      job.operation, checkpoint_task{id, job.vm}, context.now, context.out);
-  if (end == operation_result::kDone) {
-    SetState(context, id, job, job_state::kWaiting, vm_id(), "",
-             "checkpointed; " + job.reason);
-    return;
-  }
-  if (RecordEnd(context, id, job) || GiveUpLost(context, id, job)) {
-    return;
-  }
-  // Until it is saved, or has ended by itself, its task must not lapse.
-  Renew(context, id, job);
-  if (end == operation_result::kRefused) {
-    context.Report(note_level::kWarning, ObjectOf(id),
-                   "it can't be checkpointed and is left to finish: " +
-                       context.operations.DetailOf(job.operation));
-  }
-}
-
-bool job_planner::RecordEnd(const planner_context& context,
-                            const job_id& id,
-                            const job_progress& job) {
-  const task_listing* task = FindTask(id, job);
-  if (task == nullptr) {
-    return false;
-  }
-  switch (task->state) {
-    case task_state::kRunning:
-      return false;
-    case task_state::kFinished:
-      SetState(context, id, job, job_state::kFinished, vm_id(), "",
-               "finished on " + job.vm.value());
-      return true;
-    case task_state::kFailed:
-      SetState(context, id, job, job_state::kWaiting, job.vm, "",
-               "failed on " + job.vm.value() + ": " + task->detail);
-      return true;
-    case task_state::kLapsed:
-      SetState(context, id, job, job_state::kWaiting, job.vm, "",
-               "its lease lapsed on " + job.vm.value());
-      return true;
-    case task_state::kCheckpointed:
-      SetState(context, id, job, job_state::kWaiting, vm_id(), "",
-               "checkpointed on " + job.vm.value());
-      return true;
-  }
-  return false;
-}
-
-bool job_planner::GiveUpLost(const planner_context& context,
-                             const job_id& id,
-                             const job_progress& job) {
-  const auto seen = sights_.find(id);
-  if (!context.list_is_fresh() || seen == sights_.end()) {
-    return false;
-  }
-  const bool is_vm_gone = IsWorkerGone(context, job);
-  const duration settled = context.options.list_lag * 2;
-  const bool is_task_gone = FindTask(id, job) == nullptr &&
-                            context.now - seen->second.since >= settled;
-  if (!is_vm_gone && !is_task_gone) {
-    return false;
-  }
-  // The list may be wrong, and the task may still run on a worker that nobody
-  // can reach; a second start then would run the job twice. Without renewal the
-  // worker ends it by the end of its lease at the latest.
-  if (context.now >= seen->second.lease_end) {
-    SetState(context, id, job, job_state::kWaiting, job.vm, "",
-             (is_vm_gone ? "its worker was lost: " : "its task was lost on ") +
-                 job.vm.value());
-  }
-  return is_vm_gone || is_task_gone;
-}
-
-bool job_planner::IsWorkerGone(const planner_context& context,
-                               const job_progress& job) {
-  const vm_view* vm = context.view.FindVm(job.vm);
-  return vm == nullptr || vm->listing == nullptr;
-}
-
-void job_planner::Renew(const planner_context& context,
-                        const job_id& id,
-                        const job_progress& job) {
-  const auto seen = sights_.find(id);
-  if (seen == sights_.end()) {
-    return;
-  }
-  const duration period = context.options.task_lease / kRenewalsPerLease;
-  const duration shifted =
-      context.now.time_since_epoch() + OffsetOf(id, period);
-  const auto number = static_cast<generation>(shifted / period);
-  context.operations.Drive(
-      OperationFor(kRenew, id.value() + ":" + std::to_string(job.version),
-                   number),
-      renew_task{id, job.vm, context.options.task_lease}, context.now,
-      context.out);
-  seen->second.lease_end =
-      context.now + context.options.task_lease + context.options.lease_margin;
-}
-
 void job_planner::StopStrays(const planner_context& context) {
   for (const task_listing& task : context.inputs.tasks) {
     if (task.state != task_state::kRunning) {
@@ -475,31 +286,6 @@
   return never;
 }
 
-const task_listing* job_planner::FindTask(const job_id& id,
-                                          const job_progress& job) const {
-  const auto found = tasks_.find(id);
-  if (found == tasks_.end()) {
-    return nullptr;
-  }
-  const task_listing* task = found->second;
-  // The list lags and may still show an earlier task of the job on this worker.
-  const bool is_this = job.state == job_state::kCheckpointing ||
-                       task->started_by == job.operation;
-  return is_this ? task : nullptr;
-}
-
-bool job_planner::MustLeave(const planner_context& context,
-                            const job_progress& job) {
-  const vm_view* vm = context.view.FindVm(job.vm);
-  if (vm == nullptr || vm->state == nullptr) {
-    return false;
-  }
-  const bool is_leaving = vm->listing != nullptr &&
-                          vm->listing->state == vm_listing_state::kLeaving;
-  return is_leaving || vm->state->phase == vm_phase::kDraining ||
-         vm->state->pool != job.spec.pool;
-}
-
 void job_planner::SetState(const planner_context& context,
                            const job_id& id,
                            const job_progress& job,
--- /dev/null
+++ b/src/core/pool_planner_moves.cc
@@ -0,0 +1,267 @@
+#include <algorithm>
+#include <tuple>
+
+#include "core/pool_rules.h"
+#include "plantainhead/core/pool_planner.h"
+
+namespace plantainhead::core {
+namespace {
+
+using pool_rules::IsMover;
+using pool_rules::SpecOf;
+
+/// Tells if a running wave has still to visit the VM in its present pool.
+bool AwaitsWave(const planner_context& context, const vm_view& vm) {
+  for (const auto& [id, wave] : context.inputs.state.waves) {
+    const bool is_open =
+        wave.state == wave_state::kRunning || wave.state == wave_state::kPaused;
+    if (is_open && !wave.visited.contains(vm.id) &&
+        std::find(wave.pools.begin(), wave.pools.end(), vm.state->pool) !=
+            wave.pools.end()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Tells if callers can't be served without more VMs.
+bool IsUrgent(const pool_balance& pool) {
+  return pool.BaseLack() > 0 && pool.is_for_callers();
+}
+
+std::string Count(std::uint32_t count) {
+  return std::to_string(count);
+}
+
+}  // namespace
+
+void pool_planner::EndMoves(const planner_context& context,
+                            const vm_lifecycle& lifecycle,
+                            balances& pools) {
+  for (const auto& [id, vm] : context.view.vms()) {
+    if (!IsMover(vm) || vm.is_pending ||
+        vm.state->phase != vm_phase::kDrained) {
+      continue;
+    }
+    const std::optional<pool_id> receiver =
+        NeediestPool(context, pools, vm.state->pool, {});
+    if (!receiver || *receiver == vm.state->pool) {
+      lifecycle.Readmit(vm, "no other pool lacks it any more");
+      continue;
+    }
+    pools.at(*receiver).Add(context.DomainOf(vm, by_rack_));
+    MoveInTeams(context, vm.state->pool, *receiver);
+    ++figures_.moves;
+    lifecycle.ReadmitTo(vm, *receiver,
+                        "pool " + receiver->value() + " lacked it more than " +
+                            vm.state->pool.value());
+  }
+}
+
+void pool_planner::StartMoves(const planner_context& context,
+                              const vm_lifecycle& lifecycle,
+                              balances& pools) {
+  CountMovers(context, pools);
+  std::set<vm_id> taken;
+  std::set<pool_id> settled = PoolsWithShortLack(context, pools);
+  SettleIfNoDonor(context, pools, settled);
+  while (true) {
+    const std::optional<pool_id> receiver =
+        NeediestPool(context, pools, std::nullopt, settled);
+    if (!receiver) {
+      return;
+    }
+    pool_balance& to = pools.at(*receiver);
+    const std::optional<donor> best =
+        BestDonor(context, lifecycle, pools, *receiver, taken);
+    if (!best) {
+      ReportNoDonor(context, *receiver, to);
+      settled.insert(*receiver);
+      continue;
+    }
+    const zone_id domain = context.DomainOf(*best->vm, by_rack_);
+    lifecycle.StartDrain(*best->vm, wave_id(),
+                         "move to pool " + receiver->value() +
+                             ", which lacks " + Count(to.Lack()) + "; pool " +
+                             best->from.value() + " needs " +
+                             Count(pools.at(best->from).need()) + " of its " +
+                             Count(pools.at(best->from).size()));
+    taken.insert(best->vm->id);
+    starting_[best->vm->id] = best->vm->state->version;
+    pools.at(best->from).Remove(domain);
+    to.Add(domain);
+    MoveInTeams(context, best->from, *receiver);
+  }
+}
+
+bool pool_planner::IsStarting(const vm_view& vm) const {
+  const auto found = starting_.find(vm.id);
+  return found != starting_.end() && vm.is_pending && vm.serving() &&
+         vm.state->version == found->second;
+}
+
+void pool_planner::CountMovers(const planner_context& context,
+                               balances& pools) {
+  for (const auto& [id, vm] : context.view.vms()) {
+    const bool is_leaving =
+        IsMover(vm) &&
+        (vm.is_pending || vm.state->phase == vm_phase::kDraining);
+    if (!is_leaving && !IsStarting(vm)) {
+      continue;
+    }
+    const std::optional<pool_id> receiver =
+        NeediestPool(context, pools, vm.state->pool, {});
+    if (receiver) {
+      pools.at(*receiver).Add(context.DomainOf(vm, by_rack_));
+      MoveInTeams(context, vm.state->pool, *receiver);
+    }
+  }
+}
+
+void pool_planner::MoveInTeams(const planner_context& context,
+                               const pool_id& from,
+                               const pool_id& to) {
+  if (const pool_spec* spec = SpecOf(context, from)) {
+    --team_vms_[spec->team];
+  }
+  ++team_vms_[SpecOf(context, to)->team];
+}
+
+std::set<pool_id> pool_planner::PoolsWithShortLack(
+    const planner_context& context,
+    const balances& pools) const {
+  std::set<pool_id> found;
+  for (const auto& [name, stand] : standings_) {
+    const bool is_base = pools.at(name).BaseLack() > 0;
+    const duration patience = is_base ? context.options.base_lack_patience
+                                      : context.options.spare_lack_patience;
+    if (stand.lack_since && context.now - *stand.lack_since < patience) {
+      found.insert(name);
+    }
+  }
+  return found;
+}
+
+std::optional<pool_id> pool_planner::NeediestPool(
+    const planner_context& context,
+    const balances& pools,
+    const std::optional<pool_id>& from,
+    const std::set<pool_id>& settled) const {
+  std::optional<pool_id> neediest;
+  std::tuple<double, double, double> greatest;
+  for (const auto& [name, pool] : pools) {
+    if (settled.contains(name)) {
+      continue;
+    }
+    const std::uint32_t lack = pool.Lack();
+    if (lack == 0 || (from && !HasRoom(context, name, *from))) {
+      continue;
+    }
+    const std::uint32_t base = pool.BaseLack();
+    const double size = std::max(1U, pool.need());
+    const std::tuple<double, double, double> urgency{
+        base / size, -pool.tolerance(), lack / size};
+    if (!neediest || urgency > greatest) {
+      neediest = name;
+      greatest = urgency;
+    }
+  }
+  return neediest;
+}
+
+std::optional<pool_planner::donor> pool_planner::BestDonor(
+    const planner_context& context,
+    const vm_lifecycle& lifecycle,
+    const balances& pools,
+    const pool_id& receiver,
+    const std::set<vm_id>& taken) const {
+  const pool_balance& to = pools.at(receiver);
+  const bool is_urgent = IsUrgent(to);
+  std::optional<donor> best;
+  std::tuple<bool, bool, std::uint32_t, std::uint32_t, double> least;
+  for (const auto& [name, from] : pools) {
+    const standing& stand = standings_.at(name);
+    if (name == receiver || !IsDonor(context, from, stand, to) ||
+        !HasRoom(context, receiver, name)) {
+      continue;
+    }
+    const bool spares_all = is_urgent && from.tolerance() >= to.tolerance();
+    const double above_peak = from.size() - stand.peak;
+    for (const vm_view* vm : context.view.FindPool(name)->vms) {
+      const zone_id domain = context.DomainOf(*vm, by_rack_);
+      const bool keeps_spare = from.CanSpare(domain, false);
+      if ((!keeps_spare && !(spares_all && from.CanSpare(domain, true))) ||
+          taken.contains(vm->id) || !lifecycle.CanDrain(*vm) ||
+          !MayLeave(context, *vm, is_urgent)) {
+        continue;
+      }
+      const std::tuple<bool, bool, std::uint32_t, std::uint32_t, double> cost{
+          !keeps_spare, above_peak < 1.0, to.CountIn(domain), vm->jobs,
+          -above_peak};
+      if (!best || cost < least) {
+        best = donor{vm, name};
+        least = cost;
+      }
+    }
+  }
+  return best;
+}
+
+bool pool_planner::IsDonor(const planner_context& context,
+                           const pool_balance& from,
+                           const standing& stand,
+                           const pool_balance& to) const {
+  if (from.size() <= from.need()) {
+    return false;
+  }
+  if (IsUrgent(to)) {
+    return stand.surplus > 0 || from.tolerance() >= to.tolerance();
+  }
+  return HasLastingSurplus(context, stand);
+}
+
+bool pool_planner::HasLastingSurplus(const planner_context& context,
+                                     const standing& stand) {
+  return stand.surplus > 0 && stand.surplus_since &&
+         context.now - *stand.surplus_since >= context.options.surplus_patience;
+}
+
+void pool_planner::SettleIfNoDonor(const planner_context& context,
+                                   const balances& pools,
+                                   std::set<pool_id>& settled) const {
+  for (const auto& [name, stand] : standings_) {
+    if (HasLastingSurplus(context, stand)) {
+      return;
+    }
+  }
+  for (const auto& [name, stand] : standings_) {
+    const pool_balance& pool = pools.at(name);
+    if (stand.lack > 0 && !IsUrgent(pool) && settled.insert(name).second) {
+      ReportNoDonor(context, name, pool);
+    }
+  }
+}
+
+void pool_planner::ReportNoDonor(const planner_context& context,
+                                 const pool_id& name,
+                                 const pool_balance& pool) {
+  context.Report(
+      note_level::kWarning, ObjectOf(name),
+      "it lacks " + Count(pool.Lack()) + " VMs and no pool can spare one");
+}
+
+bool pool_planner::MayLeave(const planner_context& context,
+                            const vm_view& vm,
+                            bool is_urgent) const {
+  if (!vm.available()) {
+    return false;
+  }
+  if (is_urgent) {
+    return true;
+  }
+  return vm.seen != nullptr &&
+         context.now - vm.seen->pool_since >= context.options.least_dwell &&
+         !AwaitsWave(context, vm);
+}
+
+}  // namespace plantainhead::core
--- /dev/null
+++ b/src/core/pool_rules.h
@@ -0,0 +1,25 @@
+#ifndef PLANTAINHEAD_SRC_CORE_POOL_RULES_H_
+#define PLANTAINHEAD_SRC_CORE_POOL_RULES_H_
+
+#include "plantainhead/core/planner_context.h"
+
+/// Rules that the parts of the planner of the pools share.
+namespace plantainhead::core::pool_rules {
+
+/// A mover is a VM that was drained, or drains, to change its pool.
+inline bool IsMover(const vm_view& vm) {
+  return vm.state != nullptr && vm.state->wave.empty() &&
+         (vm.state->phase == vm_phase::kDraining ||
+          vm.state->phase == vm_phase::kDrained);
+}
+
+/// Returns the pool's part of the configuration, or null.
+inline const pool_spec* SpecOf(const planner_context& context,
+                               const pool_id& pool) {
+  const pool_view* view = context.view.FindPool(pool);
+  return view == nullptr ? nullptr : view->spec;
+}
+
+}  // namespace plantainhead::core::pool_rules
+
+#endif  // PLANTAINHEAD_SRC_CORE_POOL_RULES_H_
