--- a/include/plantainhead/core/request_queue.h
+++ b/include/plantainhead/core/request_queue.h
@@ -102,6 +102,10 @@
                       std::uint32_t free,
                       time_point now) const;
 
+  /// Forgets what was learned of classes that the targets no longer have: as
+  /// the tightest class of old, one would hold the others' waits down for ever.
+  void KeepClasses(const std::vector<work_class>& classes);
+
   std::size_t size() const { return places_.size(); }
 
   /// Returns all ids, for a service whose endpoints went to other owners.
--- a/src/core/request_core.cc
+++ b/src/core/request_core.cc
@@ -280,6 +280,9 @@
   }
   for (const service_name& name : names) {
     const service_routes* routes = context.endpoints.Find(name);
+    if (routes != nullptr) {
+      queues_[name].KeepClasses(routes->classes);
+    }
     if (routes != nullptr && OwnLoad(*routes, now).slots > 0) {
       Pump(name, context, now, out);
       continue;
--- a/src/core/request_queue.cc
+++ b/src/core/request_queue.cc
@@ -283,6 +283,15 @@
   return Microseconds(in.mean_us + in.deviation_us);
 }
 
+void request_queue::KeepClasses(const std::vector<work_class>& classes) {
+  std::erase_if(lanes_, [&](const auto& known) {
+    const bool is_kept =
+        std::any_of(classes.begin(), classes.end(),
+                    [&](const auto& work) { return work.name == known.first; });
+    return !is_kept && known.second.items.empty();
+  });
+}
+
 std::vector<std::uint64_t> request_queue::Ids() const {
   std::vector<std::uint64_t> ids;
   for (const auto& [name, in] : lanes_) {
--- a/tests/core/request_queue_test.cc
+++ b/tests/core/request_queue_test.cc
@@ -238,6 +238,27 @@
   }
 }
 
+// Once a tight class was published and taken back, the loose one alone may wait
+// as long as before.
+TEST_CASE("A class that is gone has no say") {
+  request_queue queue;
+  const time_point now(std::chrono::hours(1));
+  queue.OnServed(kTight, milliseconds(10), true);
+  std::uint64_t last = 0;
+  const auto fill = [&] {
+    std::size_t admitted = 0;
+    while (queue.Offer({++last, now, now + seconds(9)}, kLoose, 1, 0, now)
+               .admitted) {
+      admitted += 1;
+    }
+    return admitted;
+  };
+  const std::size_t before = fill();
+  queue.KeepClasses({kLoose});
+  CHECK(fill() > before / 3);
+  CHECK(queue.size() > before);
+}
+
 TEST_CASE("A class whose target is shorter than its service still runs") {
   request_queue queue;
   const time_point now(std::chrono::hours(1));
