Take the burn from the ledgers and the metrics from the recorder

Cause: operators' routes now read the fold's ledgers; the entry's own burn counter went with it. Change: entry_observer keeps metrics only, with gauges for faults of the log and entries with another fold. Conclusion: one judgement of answers.

--- a/src/runtime/core_loop.cc
+++ b/src/runtime/core_loop.cc
@@ -87,14 +87,8 @@
   }
   const waiting_request waiting = std::move(found->second);
   requests_.erase(found);
-  const core::request_envelope& envelope = waiting.request->envelope;
-  const core::work_class* work = core_.ClassOf(envelope);
-  const core::time_point now = options_.now();
-  const bool in_maintenance = work != nullptr &&
-                              item.answer.result != core::outcome::kDone &&
-                              core_.IsInMaintenance(work->service);
-  options_.handlers.answered(
-      {work, item.answer, now - waiting.arrived, in_maintenance}, now);
+  options_.handlers.answered(waiting.request->envelope, item.answer,
+                             waiting.arrived, options_.now());
   waiting.request->answer.set_value(item.answer);
 }
 
--- a/src/runtime/core_loop.h
+++ b/src/runtime/core_loop.h
@@ -12,7 +12,6 @@
 
 #include "plantainhead/core/entry_core.h"
 #include "plantainhead/core/events.h"
-#include "runtime/entry_observer.h"
 
 namespace plantainhead::runtime {
 
@@ -61,7 +60,11 @@
   std::function<void(bool ready, const std::string& reason)> set_ready;
   std::function<void(const core::write_note&)> note;
   /// Told of each answer, for metrics and the burn report.
-  std::function<void(const observed_answer&, core::time_point now)> answered;
+  std::function<void(const core::request_envelope&,
+                     const core::response&,
+                     core::time_point arrived,
+                     core::time_point now)>
+      answered;
   /// Told when the fold may have changed.
   std::function<void(const core::fleet_state&)> folded;
   std::function<void(bool restart)> exited;
--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -25,8 +25,8 @@
 namespace {
 
 // The links and the decisions have their own threads; what is left for the
-// scheduler is small. Idle threads that look for work to steal would alone nearly
-// use up what a node may spend (docs/design/platform.md).
+// scheduler is small. Idle threads that look for work to steal would alone
+// nearly use up what a node may spend (docs/design/platform.md).
 constexpr std::size_t kSchedulerThreads = 1;
 
 // Parts of the planner lease: how much earlier its holder stops acting, and
@@ -73,7 +73,7 @@
   core::core_gateway Gateway();
   operators::entry_view View();
   caller::route_list Routes(const core::core_gateway& gateway);
-  std::string MetricsText();
+  void RefreshGauges();
   void StartLinks();
   void WritePortFile() const;
   void Post(core::event item);
@@ -83,7 +83,7 @@
 
   settings::entry_settings settings_;
   wall_clock clock_;
-  entry_observer observer_{clock_.Now()};
+  entry_observer observer_;
   daemon_config config_;
   caf::actor_system system_;
   std::unique_ptr<entry::peer_link> peers_;
@@ -200,11 +200,13 @@
                       {{"reason", reason}});
   };
   to.note = [](const core::write_note& item) { observe::WriteLog(item); };
-  to.answered = [this](const observed_answer& item, core::time_point now) {
-    observer_.OnAnswer(item, now);
+  to.answered = [this](const core::request_envelope& request,
+                       const core::response& answer, core::time_point arrived,
+                       core::time_point now) {
+    observer_.OnAnswer(request, answer, arrived, now);
   };
   to.folded = [this](const core::fleet_state& fleet) {
-    observer_.OnTargets(fleet);
+    observer_.OnFold(fleet);
   };
   to.exited = [this](bool restart) { NoteExit(restart); };
   return to;
@@ -280,25 +282,22 @@
     const core::core_gateway& gateway) {
   caller::route_list routes =
       operators::MakeOperatorRoutes(gateway, [this] { return View(); });
-  for (caller::route& route : operators::MakeBurnRoutes(
-           [this] { return observer_.Report(clock_.Now()); })) {
+  for (caller::route& route : operators::MakeMetricsRoutes(&observer_.all())) {
+    route.handle = [this, show = std::move(route.handle)](
+                       const caller::http_request& request) {
+      RefreshGauges();
+      return show(request);
+    };
     routes.push_back(std::move(route));
   }
-  routes.push_back({"GET", "/metrics", [this](const caller::http_request&) {
-                      caller::http_answer answer;
-                      answer.content_type = "text/plain; version=0.0.4";
-                      answer.body = MetricsText();
-                      return answer;
-                    }});
   return routes;
 }
 
-std::string entry_daemon::impl::MetricsText() {
-  std::string text;
-  Query([&](const core::entry_core& core) {
-    text = observer_.Text(core, peers_->counters(), clock_.Now());
+void entry_daemon::impl::RefreshGauges() {
+  Query([this](const core::entry_core& core) {
+    observer_.SetDecisionGauges(core, clock_.Now());
   });
-  return text;
+  observer_.SetLinkGauges(peers_->counters());
 }
 
 void entry_daemon::impl::WritePortFile() const {
--- a/src/runtime/entry_observer.cc
+++ b/src/runtime/entry_observer.cc
@@ -2,46 +2,15 @@
 
 namespace plantainhead::runtime {
 
-entry_observer::entry_observer(core::time_point start) : burn_(start) {}
-
-void entry_observer::OnAnswer(const observed_answer& item,
+void entry_observer::OnAnswer(const core::request_envelope& request,
+                              const core::response& answer,
+                              core::time_point arrived,
                               core::time_point now) {
-  // Class names come from the targets only; what callers send would grow the
-  // metrics without bound.
-  const std::string name =
-      item.work == nullptr ? "unknown" : item.work->name.value();
-  const std::string result(core::NameOf(item.answer.result));
-  const std::string reason(core::NameOf(item.answer.reason));
-  metrics_
-      .Counter("plantain_requests_total", "Answers to callers",
-               {{"class", name}, {"outcome", result}, {"reason", reason}})
-      .Add();
-  if (item.work == nullptr) {
-    return;
-  }
-  metrics_
-      .Latency("plantain_request_seconds", "From arrival to answer",
-               {{"class", name}})
-      .Record(item.elapsed);
-  const auto counted = observe::JudgeAnswer(
-      item.answer, item.elapsed, item.work->within, item.in_maintenance);
-  if (counted) {
-    const std::lock_guard lock(mutex_);
-    burn_.Count(item.work->name, *counted, now);
-  }
-}
-
-void entry_observer::OnTargets(const core::fleet_state& fleet) {
-  const std::lock_guard lock(mutex_);
-  if (targets_version_ != fleet.targets_version) {
-    targets_version_ = fleet.targets_version;
-    burn_.SetTargets(fleet.targets);
-  }
+  recorder_.Record(request, answer, arrived, now);
 }
 
-observe::burn_report entry_observer::Report(core::time_point now) const {
-  const std::lock_guard lock(mutex_);
-  return burn_.Report(now);
+void entry_observer::OnFold(const core::fleet_state& fleet) {
+  recorder_.FollowTargets(fleet);
 }
 
 void entry_observer::SetDecisionGauges(const core::entry_core& core,
@@ -51,23 +20,29 @@
   };
   const core::fleet_state& fleet = core.fleet();
   const core::claim_figures claims = core.claim_ledger().figures(now);
-  set("plantain_log_offset", "Offset of the control stream applied",
+  set("plantainhead_log_offset", "Offset of the control stream applied",
       static_cast<double>(fleet.offset));
-  set("plantain_log_end", "Greatest offset heard of",
+  set("plantainhead_log_end", "Greatest offset heard of",
       static_cast<double>(core.control().greatest_known()));
-  set("plantain_log_readable", "1 while the log can be read",
+  set("plantainhead_log_readable", "1 while the log can be read",
       core.control().log_readable() ? 1 : 0);
-  set("plantain_ready", "1 while callers may be sent here",
+  set("plantainhead_ready", "1 while callers may be sent here",
       core.ready() ? 1 : 0);
-  set("plantain_members", "Entries in the view",
+  set("plantainhead_members", "Entries in the view",
       static_cast<double>(fleet.members.size()));
-  set("plantain_targets_version", "Version of the targets in force",
+  set("plantainhead_targets_version", "Version of the targets in force",
       static_cast<double>(fleet.targets_version));
-  set("plantain_claims_granted", "Claims granted since the start",
+  set("plantainhead_claims_granted", "Claims granted since the start",
       static_cast<double>(claims.granted));
-  set("plantain_claims_unavailable", "Claims refused for lack of the log",
+  set("plantainhead_claims_unavailable", "Claims refused for lack of the log",
       static_cast<double>(claims.unavailable));
-  set("plantain_claims_held", "Claims in memory",
+  set("plantainhead_claims_refusing", "Homes here that refuse claims",
+      static_cast<double>(claims.refusing));
+  set("plantainhead_log_fault", "1 while the log can't be followed",
+      core.control().fault() == core::log_fault::kNone ? 0 : 1);
+  set("plantainhead_divergent_peers", "Entries with another fold than this one",
+      static_cast<double>(core.control().divergent_peers().size()));
+  set("plantainhead_claims_held", "Claims in memory",
       static_cast<double>(claims.claims_held));
 }
 
@@ -76,22 +51,15 @@
                        std::uint64_t value) {
     metrics_.Gauge(name, help).Set(static_cast<double>(value));
   };
-  set("plantain_frames_sent", "Frames to other entries", link.frames_sent);
-  set("plantain_frames_received", "Frames from other entries",
+  set("plantainhead_frames_sent", "Frames to other entries", link.frames_sent);
+  set("plantainhead_frames_received", "Frames from other entries",
       link.frames_received);
-  set("plantain_frame_bytes_sent", "Bytes to other entries", link.bytes_sent);
-  set("plantain_frame_bytes_received", "Bytes from other entries",
+  set("plantainhead_frame_bytes_sent", "Bytes to other entries",
+      link.bytes_sent);
+  set("plantainhead_frame_bytes_received", "Bytes from other entries",
       link.bytes_received);
-  set("plantain_frames_malformed", "Connections closed for malformed bytes",
+  set("plantainhead_frames_malformed", "Connections closed for malformed bytes",
       link.malformed);
 }
 
-std::string entry_observer::Text(const core::entry_core& core,
-                                 const entry::peer_link_counters& link,
-                                 core::time_point now) {
-  SetDecisionGauges(core, now);
-  SetLinkGauges(link);
-  return metrics_.ToText();
-}
-
 }  // namespace plantainhead::runtime
--- a/src/runtime/entry_observer.h
+++ b/src/runtime/entry_observer.h
@@ -1,55 +1,34 @@
 #ifndef PLANTAINHEAD_SRC_RUNTIME_ENTRY_OBSERVER_H_
 #define PLANTAINHEAD_SRC_RUNTIME_ENTRY_OBSERVER_H_
 
-#include <mutex>
-#include <string>
-
 #include "plantainhead/caller/route.h"
 #include "plantainhead/core/entry_core.h"
-#include "plantainhead/core/request.h"
 #include "plantainhead/entry/peer_link.h"
-#include "plantainhead/observe/burn.h"
 #include "plantainhead/observe/metrics.h"
+#include "plantainhead/observe/request_recorder.h"
 
 namespace plantainhead::runtime {
 
-/// One answer to a caller as the report and the metrics see it.
-struct observed_answer {
-  /// Null when the request named no class that is in the targets.
-  const core::work_class* work = nullptr;
-  const core::response& answer;
-  core::duration elapsed{};
-  /// Maintenance keeps VMs of the service from work.
-  bool in_maintenance = false;
-};
-
-/// What one entry shows of itself: metrics and the service-level burn.
+/// The metrics of one entry.
 /// Thread safety: all methods are safe from any thread.
 class entry_observer {
  public:
-  explicit entry_observer(core::time_point start);
-
-  void OnAnswer(const observed_answer& item, core::time_point now);
-
-  /// Takes over targets, if their version differs from the last.
-  void OnTargets(const core::fleet_state& fleet);
+  void OnAnswer(const core::request_envelope& request,
+                const core::response& answer,
+                core::time_point arrived,
+                core::time_point now);
+  void OnFold(const core::fleet_state& fleet);
 
-  observe::burn_report Report(core::time_point now) const;
-
-  /// Returns all metrics as Prometheus text, with the newest figures of the
-  /// decisions and the link.
-  std::string Text(const core::entry_core& core,
-                   const entry::peer_link_counters& link,
-                   core::time_point now);
-
- private:
+  /// Sets the gauges that tell of the decisions.
   void SetDecisionGauges(const core::entry_core& core, core::time_point now);
+  /// Sets the gauges that tell of the link to other entries.
   void SetLinkGauges(const entry::peer_link_counters& link);
 
+  const observe::metrics& all() const { return metrics_; }
+
+ private:
   observe::metrics metrics_;
-  mutable std::mutex mutex_;
-  observe::burn_counter burn_;
-  core::generation targets_version_ = 0;
+  observe::request_recorder recorder_{&metrics_};
 };
 
 }  // namespace plantainhead::runtime
