Keep threads for probes and operators

Cause: with every thread waiting for the decisions, /readyz and the operators' routes waited behind the callers, so the balancer would take a busy entry for a dead one. Ruled out: a second port (the balancer would need to know it). Change: callers' requests wait on seven eighths of the threads; beyond that they are told not-run, overload, at once. Conclusion: a full entry still answers its probes.

--- a/include/plantainhead/caller/http_server.h
+++ b/include/plantainhead/caller/http_server.h
@@ -21,7 +21,8 @@
   /// 0 picks a free port.
   std::uint16_t port = 0;
   /// Requests that are read, waited for or answered at once. A connection
-  /// without a request takes no thread.
+  /// without a request takes no thread. An eighth, and at least one, is kept
+  /// for probes and operators; callers beyond the rest are told `not-run`.
   std::size_t threads = 256;
   /// Connections that are kept open without a request; beyond them the one
   /// that has been idle longest is closed.
--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "caller/count_guard.h"
 #include "caller/request_parser.h"
 #include "endpoint/http_headers.h"
 
@@ -44,20 +45,6 @@
   httplib::TaskQueue* pool_;
 };
 
-// Counts a thread as busy for its own lifetime.
-class busy_mark {
- public:
-  explicit busy_mark(std::atomic<std::size_t>* count) : count_(count) {
-    ++*count_;
-  }
-  ~busy_mark() { --*count_; }
-  busy_mark(const busy_mark&) = delete;
-  busy_mark& operator=(const busy_mark&) = delete;
-
- private:
-  std::atomic<std::size_t>* const count_;
-};
-
 thread_local exchange* current_exchange = nullptr;
 
 // Headers that make cpp-httplib change a body or an answer: it would unpack
@@ -240,7 +227,7 @@
 }
 
 void connection_server::Serve(connection_ptr item) {
-  const busy_mark mark(&busy_threads_);
+  const count_guard busy(&busy_threads_);
   while (true) {
     if (!AwaitNextRequest(item.get())) {
       item = idle_.Add(std::move(item));
--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <atomic>
 #include <exception>
 #include <future>
@@ -11,6 +12,7 @@
 
 #include "caller/answer_writer.h"
 #include "caller/connection_server.h"
+#include "caller/count_guard.h"
 #include "caller/request_parser.h"
 #include "caller/route_table.h"
 #include "endpoint/http_headers.h"
@@ -27,6 +29,18 @@
 // How often a waiting thread looks whether the server's stop has run out.
 constexpr std::chrono::milliseconds kWaitSlice{200};
 
+// Share of the threads that callers' requests may not take: one in so many.
+constexpr std::size_t kReserveDivisor = 8;
+
+// When a caller that found all other threads waiting may ask again.
+constexpr std::chrono::milliseconds kBusyRetryAfter{500};
+
+std::size_t MostWaiting(std::size_t threads) {
+  const std::size_t reserve =
+      std::max<std::size_t>(1, threads / kReserveDivisor);
+  return threads > reserve ? threads - reserve : 1;
+}
+
 constexpr const char* kRequestIdHeader = "Plantain-Request-Id";
 
 bool HasNoContent(int status) {
@@ -119,6 +133,7 @@
   const http_server_options options_;
   const core::core_gateway gateway_;
   const route_table routes_;
+  std::atomic<std::size_t> waiting_ = 0;
   std::atomic<bool> stopping_ = false;
   std::atomic<bool> stop_by_set_ = false;
   clock::time_point stop_by_;
@@ -256,6 +271,17 @@
   if (const refusal* why = std::get_if<refusal>(&parsed)) {
     return WriteRefusal(*why);
   }
+  const count_guard waiting(&waiting_);
+  if (waiting_ > MostWaiting(options_.threads)) {
+    // Without this the balancer's probes and the operators would wait behind
+    // the callers, and a busy entry would be taken for a dead one.
+    core::response busy;
+    busy.result = core::outcome::kNotRun;
+    busy.reason = core::answer_reason::kOverload;
+    busy.detail = "too many requests wait for an answer here";
+    busy.retry_after = kBusyRetryAfter;
+    return WriteAnswer(busy);
+  }
   core::request_envelope& envelope = std::get<core::request_envelope>(parsed);
   const core::time_point deadline = envelope.deadline;
   return WriteAnswer(Wait(gateway_.submit(std::move(envelope)), deadline));
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -343,6 +343,40 @@
   }
 }
 
+TEST_CASE("Waiting requests leave threads for probes and operators") {
+  // Every thread waits for the decisions. The balancer's probe would wait
+  // behind the callers, so the balancer would take the entry for dead, and no
+  // operator could act just when it matters.
+  fake_core decisions;
+  http_server server(
+      SmallOptions(), decisions.Gateway(),
+      {{"GET", "/readyz", [](const http_request&) { return http_answer{}; }}});
+  const std::uint16_t port = server.Start();
+  std::vector<testing::raw_connection> waiting;
+  for (int i = 0; i < 3; ++i) {
+    waiting.push_back(testing::ConnectTo(port));
+    waiting.back().Send(Get("/s/intake/"));
+  }
+  decisions.AwaitSubmitted(3);
+
+  httplib::Client caller("127.0.0.1", port);
+  const auto refused = caller.Get("/s/intake/");
+  REQUIRE(refused);
+  CHECK(refused->status == 503);
+  CHECK(refused->get_header_value("Plantain-Outcome") == "not-run");
+  CHECK(refused->get_header_value("Plantain-Reason") == "overload");
+  CHECK(caller.Get("/readyz")->status == 200);
+
+  // They may have been submitted in any order.
+  for (std::size_t i = 0; i < waiting.size(); ++i) {
+    decisions.AnswerNext(Done("hello"));
+  }
+  for (const testing::raw_connection& one : waiting) {
+    CHECK(one.ReadMessage(5).find("hello") != std::string::npos);
+  }
+  CHECK(decisions.submitted() == 3);
+}
+
 TEST_CASE("Two requests sent at once on one connection are both answered") {
   fake_core decisions;
   decisions.AnswerAllWith(Done("hello"));
