Send a start again with the size that it was recorded with

Cause: a start that is sent again took the size learned by then. The platform refuses an id that comes with another content; the refusal would have put the job back into the queue while its task ran. A refused readmission also kept the planner from ever telling the platform the VM's pool. Change: the size is part of the start's id; after a refused readmission the pool is told by an operation of its own.

--- a/include/plantainhead/core/task_history.h
+++ b/include/plantainhead/core/task_history.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,6 +24,16 @@
   friend auto operator<=>(const job_size&, const job_size&) = default;
 };
 
+/// Returns `start` with the size that the task is to get. A start that is sent
+/// again must ask for the same: the platform refuses an id that comes with
+/// other figures, and what is learned of a job changes between two planners.
+/// Thread safety: safe from any thread.
+operation_id WithSize(const operation_id& start, const job_size& size);
+
+/// Returns the size that `WithSize` put into an id, or nothing.
+/// Thread safety: safe from any thread.
+std::optional<job_size> SizeIn(const operation_id& start);
+
 /// Learns from the platform's list of tasks: which workers fail every task,
 /// which jobs fail everywhere, and how much jobs use beside what they declare.
 /// It is memory only: a planner that takes over learns it anew from the list.
--- a/src/core/job_planner.cc
+++ b/src/core/job_planner.cc
@@ -302,6 +302,9 @@
   if (!operation_kind.empty()) {
     record.operation = OperationFor(operation_kind, id.value(), job.version);
   }
+  if (state == job_state::kPlaced) {
+    record.operation = WithSize(record.operation, history_.SizeOf(job.spec));
+  }
   record.reason = reason;
   context.reasons[ObjectOf(id)] = reason;
   context.gate.Append(ObjectOf(id), job.version, std::move(record), context.now,
--- a/src/core/job_planner_tasks.cc
+++ b/src/core/job_planner_tasks.cc
@@ -65,7 +65,8 @@
 bool job_planner::DriveStart(const planner_context& context,
                              const job_id& id,
                              const job_progress& job) {
-  const job_size size = history_.SizeOf(job.spec);
+  const job_size size =
+      SizeIn(job.operation).value_or(history_.SizeOf(job.spec));
   const std::optional<operation_result> end = context.operations.Drive(
       job.operation,
       start_task{id, job.vm, size.processors, size.memory_mb, size.accelerators,
--- a/src/core/pool_planner.cc
+++ b/src/core/pool_planner.cc
@@ -165,8 +165,9 @@
     // A readmission tells the pool itself; the list shows it after its lag.
     const operation_id& own = vm.state->operation;
     const std::optional<time_point> done = context.operations.DoneAt(own);
-    if (!own.empty() && (!done || context.inputs.listed_at <
-                                      *done + context.options.list_lag)) {
+    const bool is_under_way = !own.empty() && !context.operations.HasEnded(own);
+    if (is_under_way ||
+        (done && context.inputs.listed_at < *done + context.options.list_lag)) {
       continue;
     }
     context.operations.Drive(
--- a/src/core/task_history.cc
+++ b/src/core/task_history.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
+#include <string>
 
 namespace plantainhead::core {
 namespace {
@@ -27,6 +29,27 @@
 
 }  // namespace
 
+operation_id WithSize(const operation_id& start, const job_size& size) {
+  return operation_id(start.value() + ":" + std::to_string(size.processors) +
+                      "x" + std::to_string(size.memory_mb) + "x" +
+                      std::to_string(size.accelerators));
+}
+
+std::optional<job_size> SizeIn(const operation_id& start) {
+  const std::size_t begin = start.value().rfind(':');
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  std::istringstream text(start.value().substr(begin + 1));
+  job_size size;
+  char first = 0;
+  char second = 0;
+  text >> size.processors >> first >> size.memory_mb >> second >>
+      size.accelerators;
+  const bool is_size = !text.fail() && first == 'x' && second == 'x';
+  return is_size ? std::optional<job_size>(size) : std::nullopt;
+}
+
 void task_history::Observe(const std::vector<task_listing>& tasks,
                            const fleet_state& state) {
   std::set<operation_id> listed;
--- a/tests/core/job_planner_test.cc
+++ b/tests/core/job_planner_test.cc
@@ -128,6 +128,27 @@
   CHECK_FALSE(world.Vm("w0").quarantined);
 }
 
+TEST_CASE("A start is sent again after the job's expected size changed") {
+  // The answer to a start is lost. Until it is sent again, other tasks show
+  // that the team's jobs use far less than they declare. The platform refuses
+  // an id that comes with other figures, and a refusal that is believed leaves
+  // a task running that nobody counts.
+  job_story world;
+  world.Submit("first");
+  world.StepFor(std::chrono::seconds(5));
+  world.Submit("second");
+  world.StepUntil([&] { return world.starts.contains(job_id("second")); });
+  std::erase_if(world.tasks,
+                [](const auto& task) { return task.job == job_id("second"); });
+  for (task_listing& task : world.tasks) {
+    task.processors_used = 2;
+    task.memory_used_mb = 1024;
+  }
+  world.ReplacePlanner();
+  world.StepFor(std::chrono::seconds(5));
+  CHECK(world.changed == 0);
+}
+
 TEST_CASE("All workers refuse a job for a while") {
   // The list shows room that the platform no longer has. Each refusal ends the
   // placement; taken for failures, ten of them within seconds would park a job
--- a/tests/core/planner_harness.h
+++ b/tests/core/planner_harness.h
@@ -148,6 +148,8 @@
   /// Workers on which, and jobs of which, every task fails.
   std::set<vm_id> bad_workers;
   std::set<job_id> bad_jobs;
+  /// Operations whose id came again with another content.
+  int changed = 0;
   /// VMs that the platform refuses to reboot.
   std::set<vm_id> unbootable;
   /// Workers that refuse every start.
@@ -181,6 +183,8 @@
     const bool is_short = !std::holds_alternative<drain_vm>(run.what) &&
                           !std::holds_alternative<reboot_vm>(run.what);
     pending_.push_back({run, is_short ? now : now + operation_time});
+    const auto [first, is_new] = contents_.try_emplace(run.operation, run.what);
+    changed += Shown(first->second) == Shown(run.what) ? 0 : 1;
     if (acted.insert(run.operation).second) {
       std::visit(
           overloaded{
@@ -204,6 +208,15 @@
     }
   }
 
+  static std::string Shown(const platform_operation& what) {
+    if (const auto* start = std::get_if<start_task>(&what)) {
+      return std::to_string(start->processors) + " " +
+             std::to_string(start->memory_mb);
+    }
+    const auto* move = std::get_if<move_vm>(&what);
+    return move == nullptr ? std::string() : move->pool.value();
+  }
+
   void Move(const move_vm& what) {
     for (vm_listing& vm : vms) {
       if (vm.vm == what.vm) {
@@ -292,6 +305,7 @@
   planner planner_;
   std::vector<pending_operation> pending_;
   std::map<job_id, running_task> running_;
+  std::map<operation_id, platform_operation> contents_;
 };
 
 }  // namespace plantainhead::core
