Let the stand-in's drained runner take work again after a move

Cause: a VM that was drained for a move, or whose wave was cancelled, serves again by the fold, but its runner went on refusing work: nothing undid the drain at the platform.

--- a/fakes/fleet_model.cc
+++ b/fakes/fleet_model.cc
@@ -81,9 +81,7 @@
   const auto visitor = core::overloaded{
       [&](const core::drain_vm& what) { return StartDrain(what); },
       [&](const core::reboot_vm& what) { return StartReboot(what, now); },
-      [&](const core::move_vm& what) {
-        return operation_step{Move(what, now), std::nullopt};
-      },
+      [&](const core::move_vm& what) { return Move(what, now); },
       [&](const core::start_task& what) {
         return operation_step{StartTask(id, what, now), std::nullopt};
       },
@@ -163,15 +161,22 @@
   return step;
 }
 
-operation_answer fleet_model::Move(const core::move_vm& what,
-                                   core::time_point now) {
+operation_step fleet_model::Move(const core::move_vm& what,
+                                 core::time_point now) {
   vm* item = FindVm(what.vm);
   if (item == nullptr) {
-    return Refused(kNoSuchVm);
+    return {Refused(kNoSuchVm), std::nullopt};
   }
   item->listing.pool = what.pool;
   Publish(*item, now);
-  return Done();
+  operation_step step;
+  step.answer = Done();
+  // A VM that was drained takes work again in the pool that it is put into.
+  if (item->listing.port != 0) {
+    step.call = {item->listing.host, item->listing.port, "/control/undrain",
+                 false};
+  }
+  return step;
 }
 
 operation_answer fleet_model::StartTask(const core::operation_id& id,
--- a/fakes/fleet_model.h
+++ b/fakes/fleet_model.h
@@ -110,7 +110,7 @@
                        core::time_point now);
   operation_step StartDrain(const core::drain_vm& what);
   operation_step StartReboot(const core::reboot_vm& what, core::time_point now);
-  operation_answer Move(const core::move_vm& what, core::time_point now);
+  operation_step Move(const core::move_vm& what, core::time_point now);
   operation_answer StartTask(const core::operation_id& id,
                              const core::start_task& what,
                              core::time_point now);
