--- a/include/plantainhead/core/messages.h
+++ b/include/plantainhead/core/messages.h
@@ -97,8 +97,8 @@
   /// Members that the sender watched and has missed, not those that it knows of
   /// by others.
   std::vector<incarnation> suspected;
-  /// Classes and services of which the sender has seen requests; empty when left
-  /// out.
+  /// Classes and services of which the sender has seen requests; empty when
+  /// left out.
   std::vector<class_counts> classes = {};
   std::vector<service_times> times = {};
 };
