Read vectors of numbers without trusting their alignment

A damaged frame put eight-byte numbers at a multiple of four; reading them in place is undefined.

Seen: two misaligned loads in the tests of damaged frames under g++'s undefined-behaviour sanitizer; none after.

Change: such vectors (suspected, by_fate) are copied out.

Left: the leak checker showed 2 KB once, a broker that CAF's clock held when the actor system ended within a peer's pause; see docs/design/wire.md.

--- a/src/entry/frame_reader.cc
+++ b/src/entry/frame_reader.cc
@@ -1,6 +1,7 @@
 #include "entry/frame_reader.h"
 
 #include <algorithm>
+#include <cstring>
 #include <memory>
 #include <optional>
 #include <string>
@@ -49,6 +50,25 @@
   return value;
 }
 
+// The verifier checks that a vector's length is aligned, but not its elements;
+// a damaged frame can put eight-byte numbers at any multiple of four, and to
+// read them in place is undefined.
+std::vector<std::uint64_t> ReadNumbers(
+    const flatbuffers::Vector<std::uint64_t>* numbers) {
+  std::vector<std::uint64_t> result;
+  if (!numbers) {
+    return result;
+  }
+  result.resize(numbers->size());
+  const std::uint8_t* from = numbers->Data();
+  for (std::uint64_t& number : result) {
+    std::memcpy(&number, from, sizeof(number));
+    number = flatbuffers::EndianScalar(number);
+    from += sizeof(number);
+  }
+  return result;
+}
+
 core::header_list ReadHeaders(const items_of<wire::Header>* headers) {
   core::header_list result;
   if (!headers) {
@@ -106,12 +126,11 @@
   for (const wire::ClassCounts* item : *classes) {
     core::class_counts& read = result.emplace_back();
     read.work = core::class_name(item->work()->str());
-    const auto* by_fate = item->by_fate();
+    const std::vector<std::uint64_t> by_fate = ReadNumbers(item->by_fate());
     const std::size_t known = read.counts.by_fate.size();
     // A newer sender may know more fates.
-    for (std::size_t i = 0;
-         by_fate && i < std::min<std::size_t>(known, by_fate->size()); ++i) {
-      read.counts.by_fate[i] = by_fate->Get(static_cast<std::uint32_t>(i));
+    for (std::size_t i = 0; i < std::min(known, by_fate.size()); ++i) {
+      read.counts.by_fate[i] = by_fate[i];
     }
   }
   return result;
@@ -192,10 +211,8 @@
   result.complete = item.complete();
   result.classes = ReadClasses(item.classes());
   result.times = ReadTimes(item.times());
-  if (item.suspected()) {
-    for (const std::uint64_t number : *item.suspected()) {
-      result.suspected.push_back(core::incarnation{number});
-    }
+  for (const std::uint64_t number : ReadNumbers(item.suspected())) {
+    result.suspected.push_back(core::incarnation{number});
   }
   return result;
 }
