--- a/src/observe/burn_html.cc
+++ b/src/observe/burn_html.cc
@@ -47,8 +47,12 @@
 std::string TableRow(const std::vector<std::string>& cells,
                      const std::string& tag) {
   std::string html;
+  const std::string open = "<" + tag + ">";
+  const std::string close = "</" + tag + ">";
   for (const std::string& cell : cells) {
-    html += "<" + tag + ">" + EscapeHtml(cell) + "</" + tag + ">";
+    html += open;
+    html += EscapeHtml(cell);
+    html += close;
   }
   return html;
 }
--- a/src/observe/burn_plot.cc
+++ b/src/observe/burn_plot.cc
@@ -15,6 +15,7 @@
 constexpr double kBottom = 24;
 constexpr double kPlotWidth = kWidth - kLeft - kRight;
 constexpr double kPlotHeight = kHeight - kTop - kBottom;
+constexpr double kSlot = kPlotWidth / kBurnHours;
 constexpr double kBarGap = 2;
 constexpr double kPercent = 100;
 
@@ -62,9 +63,14 @@
   return kPlotHeight * share / scale;
 }
 
+// Returns the start of a bar's element, open for further attributes.
+std::string Bar(double x, double top, double height) {
+  return "<rect" + Attribute("x", x + kBarGap / 2) + Attribute("y", top) +
+         Attribute("width", kSlot - kBarGap) + Attribute("height", height);
+}
+
 // One part of time: a bar for each cause, one above the other.
 std::string Bars(const core::request_counts& counts, double x, double scale) {
-  constexpr double kSlot = kPlotWidth / kBurnHours;
   std::string svg;
   double top = kTop + kPlotHeight;
   for (const auto& [fate, fate_name] : core::kRequestFateNames) {
@@ -75,10 +81,8 @@
     const double share = ShareOf(count, counts.Total());
     const double height = HeightOf(share, scale);
     top -= height;
-    const std::string name(fate_name);
-    svg += "<rect class=\"" + name + "\"" + Attribute("x", x + kBarGap / 2) +
-           Attribute("y", top) + Attribute("width", kSlot - kBarGap) +
-           Attribute("height", height) + "><title>" + name + ": " +
+    svg += Bar(x, top, height) + " class=\"" + std::string(fate_name) +
+           "\"><title>" + std::string(fate_name) + ": " +
            std::to_string(count) + " of " + std::to_string(counts.Total()) +
            " (" + Number(share * kPercent) + "%)</title></rect>";
   }
--- a/src/operators/routes.cc
+++ b/src/operators/routes.cc
@@ -117,14 +117,4 @@
   };
 }
 
-caller::route_list MakeMetricsRoutes(const observe::metrics* all) {
-  const auto show = [all](const caller::http_request&) {
-    caller::http_answer answer;
-    answer.content_type = "text/plain; version=0.0.4";
-    answer.body = all->ToText();
-    return answer;
-  };
-  return {{"GET", "/metrics", show}};
-}
-
 }  // namespace plantainhead::operators
--- a/src/operators/target_diff.cc
+++ b/src/operators/target_diff.cc
@@ -52,7 +52,7 @@
 std::string Whole(const field_list& fields) {
   std::string text;
   for (const auto& [key, value] : fields) {
-    text += " " + key + "=" + value;
+    text.append(" ").append(key).append("=").append(value);
   }
   return text;
 }
@@ -65,8 +65,10 @@
     const auto& [key, old_value] = before[i];
     const std::string& new_value = after[i].second;
     if (old_value != new_value) {
-      lines->push_back("~ " + what + ": " + key + " " + old_value + " -> " +
-                       new_value);
+      std::string line = "~ " + what + ": ";
+      line.append(key).append(" ").append(old_value);
+      line.append(" -> ").append(new_value);
+      lines->push_back(std::move(line));
     }
   }
 }
@@ -91,7 +93,9 @@
     old_parts.erase(old_part);
   }
   for (const auto& [name, fields] : old_parts) {
-    lines->push_back("- " + kind + " " + name + Whole(fields));
+    std::string line = "- " + kind;
+    line.append(" ").append(name).append(Whole(fields));
+    lines->push_back(std::move(line));
   }
 }
 
--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -25,8 +25,8 @@
 namespace {
 
 // The links and the decisions have their own threads; what is left for the
-// scheduler is small. Idle threads that look for work to steal would alone nearly
-// use up what a node may spend (docs/design/platform.md).
+// scheduler is small. Idle threads that look for work to steal would alone
+// nearly use up what a node may spend (docs/design/platform.md).
 constexpr std::size_t kSchedulerThreads = 1;
 
 // Parts of the planner lease: how much earlier its holder stops acting, and
@@ -83,7 +83,7 @@
 
   settings::entry_settings settings_;
   wall_clock clock_;
-  entry_observer observer_{clock_.Now()};
+  entry_observer observer_;
   daemon_config config_;
   caf::actor_system system_;
   std::unique_ptr<entry::peer_link> peers_;
@@ -200,12 +200,10 @@
                       {{"reason", reason}});
   };
   to.note = [](const core::write_note& item) { observe::WriteLog(item); };
-  to.answered = [this](const observed_answer& item, core::time_point now) {
-    observer_.OnAnswer(item, now);
-  };
-  to.folded = [this](const core::fleet_state& fleet) {
-    observer_.OnTargets(fleet);
+  to.answered = [this](const observed_answer& item, core::time_point) {
+    observer_.OnAnswer(item);
   };
+  to.folded = [](const core::fleet_state&) {};
   to.exited = [this](bool restart) { NoteExit(restart); };
   return to;
 }
@@ -280,10 +278,6 @@
     const core::core_gateway& gateway) {
   caller::route_list routes =
       operators::MakeOperatorRoutes(gateway, [this] { return View(); });
-  for (caller::route& route : operators::MakeBurnRoutes(
-           [this] { return observer_.Report(clock_.Now()); })) {
-    routes.push_back(std::move(route));
-  }
   routes.push_back({"GET", "/metrics", [this](const caller::http_request&) {
                       caller::http_answer answer;
                       answer.content_type = "text/plain; version=0.0.4";
--- a/src/runtime/entry_observer.cc
+++ b/src/runtime/entry_observer.cc
@@ -2,10 +2,7 @@
 
 namespace plantainhead::runtime {
 
-entry_observer::entry_observer(core::time_point start) : burn_(start) {}
-
-void entry_observer::OnAnswer(const observed_answer& item,
-                              core::time_point now) {
+void entry_observer::OnAnswer(const observed_answer& item) {
   // Class names come from the targets only; what callers send would grow the
   // metrics without bound.
   const std::string name =
@@ -23,25 +20,6 @@
       .Latency("plantain_request_seconds", "From arrival to answer",
                {{"class", name}})
       .Record(item.elapsed);
-  const auto counted = observe::JudgeAnswer(
-      item.answer, item.elapsed, item.work->within, item.in_maintenance);
-  if (counted) {
-    const std::lock_guard lock(mutex_);
-    burn_.Count(item.work->name, *counted, now);
-  }
-}
-
-void entry_observer::OnTargets(const core::fleet_state& fleet) {
-  const std::lock_guard lock(mutex_);
-  if (targets_version_ != fleet.targets_version) {
-    targets_version_ = fleet.targets_version;
-    burn_.SetTargets(fleet.targets);
-  }
-}
-
-observe::burn_report entry_observer::Report(core::time_point now) const {
-  const std::lock_guard lock(mutex_);
-  return burn_.Report(now);
 }
 
 void entry_observer::SetDecisionGauges(const core::entry_core& core,
--- a/src/settings/yaml_mapping.cc
+++ b/src/settings/yaml_mapping.cc
@@ -83,10 +83,10 @@
   return documents.front();
 }
 
-yaml_mapping::yaml_mapping(YAML::Node node,
+yaml_mapping::yaml_mapping(const YAML::Node& node,
                            std::string name,
                            finding_sink* sink)
-    : node_(std::move(node)), name_(std::move(name)), sink_(sink) {}
+    : node_(node), name_(std::move(name)), sink_(sink) {}
 
 std::string yaml_mapping::PathOf(const std::string& key) const {
   return "'" + (name_.empty() ? key : name_ + "." + key) + "'";
--- a/src/settings/yaml_mapping.h
+++ b/src/settings/yaml_mapping.h
@@ -47,7 +47,7 @@
  public:
   /// `name` is the path of the mapping for messages, empty at the top.
   /// Precondition: `sink` outlives the mapping.
-  yaml_mapping(YAML::Node node, std::string name, finding_sink* sink);
+  yaml_mapping(const YAML::Node& node, std::string name, finding_sink* sink);
 
   void ReadText(const std::string& key,
                 std::string* value,
