--- a/include/plantainhead/core/request_queue.h
+++ b/include/plantainhead/core/request_queue.h
@@ -102,6 +102,10 @@
                       std::uint32_t free,
                       time_point now) const;
 
+  /// Forgets what was learned of classes that the targets no longer have: as
+  /// the tightest class of old, one would hold the others' waits down for ever.
+  void KeepClasses(const std::vector<work_class>& classes);
+
   std::size_t size() const { return places_.size(); }
 
   /// Returns all ids, for a service whose endpoints went to other owners.
@@ -142,6 +146,10 @@
                       const lane& into) const;
   void Insert(lane& into, const waiting& item);
   void CountOutcome(lane& in, const work_class& work, bool served);
+  /// How much a class that burns its budget is moved forward.
+  static duration Forward(const lane& in);
+  /// Precondition: something waits in the lane.
+  static time_point HeadOf(const lane& in);
   lane* First(bool can_wait);
   lane* Next();
   std::size_t CountAhead(const lane& in, time_point key) const;
--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -73,7 +73,7 @@
   core::core_gateway Gateway();
   operators::entry_view View();
   caller::route_list Routes(const core::core_gateway& gateway);
-  std::string MetricsText();
+  void RefreshGauges();
   void StartLinks();
   void WritePortFile() const;
   void Post(core::event item);
@@ -200,10 +200,14 @@
                       {{"reason", reason}});
   };
   to.note = [](const core::write_note& item) { observe::WriteLog(item); };
-  to.answered = [this](const observed_answer& item, core::time_point) {
-    observer_.OnAnswer(item);
+  to.answered = [this](const core::request_envelope& request,
+                       const core::response& answer, core::time_point arrived,
+                       core::time_point now) {
+    observer_.OnAnswer(request, answer, arrived, now);
+  };
+  to.folded = [this](const core::fleet_state& fleet) {
+    observer_.OnFold(fleet);
   };
-  to.folded = [](const core::fleet_state&) {};
   to.exited = [this](bool restart) { NoteExit(restart); };
   return to;
 }
@@ -278,21 +282,22 @@
     const core::core_gateway& gateway) {
   caller::route_list routes =
       operators::MakeOperatorRoutes(gateway, [this] { return View(); });
-  routes.push_back({"GET", "/metrics", [this](const caller::http_request&) {
-                      caller::http_answer answer;
-                      answer.content_type = "text/plain; version=0.0.4";
-                      answer.body = MetricsText();
-                      return answer;
-                    }});
+  for (caller::route& route : operators::MakeMetricsRoutes(&observer_.all())) {
+    route.handle = [this, show = std::move(route.handle)](
+                       const caller::http_request& request) {
+      RefreshGauges();
+      return show(request);
+    };
+    routes.push_back(std::move(route));
+  }
   return routes;
 }
 
-std::string entry_daemon::impl::MetricsText() {
-  std::string text;
-  Query([&](const core::entry_core& core) {
-    text = observer_.Text(core, peers_->counters(), clock_.Now());
+void entry_daemon::impl::RefreshGauges() {
+  Query([this](const core::entry_core& core) {
+    observer_.SetDecisionGauges(core, clock_.Now());
   });
-  return text;
+  observer_.SetLinkGauges(peers_->counters());
 }
 
 void entry_daemon::impl::WritePortFile() const {
