--- a/include/plantainhead/operators/routes.h
+++ b/include/plantainhead/operators/routes.h
@@ -27,8 +27,8 @@
 /// Only `command` and `ready` of the gateway are used. Preconditions: both and
 /// `view` are set and stay callable as long as the routes do.
 /// Thread safety: the handlers may be called from many threads at once.
-caller::route_list MakeOperatorRoutes(core::core_gateway gateway,
-                                      view_function view,
+caller::route_list MakeOperatorRoutes(const core::core_gateway& gateway,
+                                      const view_function& view,
                                       route_options options = {});
 
 /// Returns GET /metrics, which answers `all` as Prometheus text.
--- a/src/observe/latency_histogram.cc
+++ b/src/observe/latency_histogram.cc
@@ -91,11 +91,11 @@
   // The counts go on while they are read, so that the total is summed up here
   // as well: a total from elsewhere could be less than the last bin.
   const std::string inside = labels.empty() ? "" : labels + ",";
+  const std::string bucket = name + "_bucket{" + inside + "le=\"";
   std::uint64_t seen = bins_->At(-1);
   for (int i = 0; i < bins_->size(); ++i) {
     seen += bins_->At(i);
-    *text += name + "_bucket{" + inside + "le=\"" +
-             FormatSeconds(bins_->UpperEdge(i)) + "\"} " +
+    *text += bucket + FormatSeconds(bins_->UpperEdge(i)) + "\"} " +
              std::to_string(seen) + "\n";
   }
   seen += bins_->At(bins_->size());
@@ -104,9 +104,9 @@
   const double sum =
       static_cast<double>(bins_->sum_micros.load(std::memory_order_relaxed)) /
       kMicrosPerSecond;
-  *text += name + "_bucket{" + inside + "le=\"+Inf\"} " + std::to_string(seen) +
-           "\n" + name + "_sum" + braces + " " + std::to_string(sum) + "\n" +
-           name + "_count" + braces + " " + std::to_string(seen) + "\n";
+  *text += bucket + "+Inf\"} " + std::to_string(seen) + "\n" + name + "_sum" +
+           braces + " " + std::to_string(sum) + "\n" + name + "_count" +
+           braces + " " + std::to_string(seen) + "\n";
 }
 
 }  // namespace plantainhead::observe
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -99,8 +99,9 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     std::string text;
     for (const auto& [name, group] : families_) {
-      text += "# HELP " + name + " " + group.help + "\n# TYPE " + name + " " +
-              TypeOf(group.by_labels.begin()->second) + "\n";
+      text.append("# HELP ").append(name).append(" ").append(group.help);
+      text.append("\n# TYPE ").append(name).append(" ");
+      text.append(TypeOf(group.by_labels.begin()->second)).append("\n");
       for (const auto& [labels, item] : group.by_labels) {
         AppendMetric(name, labels, item, &text);
       }
--- a/src/operators/routes.cc
+++ b/src/operators/routes.cc
@@ -70,8 +70,8 @@
 
 }  // namespace
 
-caller::route_list MakeOperatorRoutes(core::core_gateway gateway,
-                                      view_function view,
+caller::route_list MakeOperatorRoutes(const core::core_gateway& gateway,
+                                      const view_function& view,
                                       route_options options) {
   const auto commands =
       std::make_shared<command_handlers>(gateway, view, options);
