Join after the VM list; take over keys when a connection breaks

Cause: an entry became a member, so home of keys and owner of endpoints, before it had read the VM list: keyed requests at such a home ended not-run no-endpoint, which the asking entry takes as final. After a kill the next home refused keys (log-unavailable) until the dead one was suspected, since it went by suspicion alone, while the asking entries already went by the broken connection. Ruled out: the claim hop as one of the three attempts (the home counts its own). Change: the join waits for the VM list; a member whose connection broke is no home until it is heard again.

--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -156,6 +156,8 @@
   bool list_changed_ = false;
 
   std::set<incarnation> suspects_;
+  /// Members whose connection broke and of whom nothing was heard since.
+  std::set<incarnation> unconnected_;
   std::set<incarnation> stopping_members_;
   std::set<incarnation> known_members_;
   log_offset followed_offset_ = 0;
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -114,6 +114,9 @@
                                time_point now,
                                effects& out) {
   const incarnation from = frame.from;
+  if (unconnected_.erase(from) > 0) {
+    TellClaimsTheirHomes(now, out);
+  }
   const overloaded take{
       [&](const forward_request& message) {
         requests_.OnForward(from, message, Context(), now, out);
@@ -143,6 +146,10 @@
 void entry_core::On(const peer_disconnected& item,
                     time_point now,
                     effects& out) {
+  if (known_members_.contains(item.peer) &&
+      unconnected_.insert(item.peer).second) {
+    TellClaimsTheirHomes(now, out);
+  }
   requests_.OnPeerDisconnected(item.peer, Context(), now, out);
 }
 
@@ -223,7 +230,10 @@
   contents.digest = control_.digest();
   contents.ready = ready_;
   contents.stopping = stopping();
-  contents.caught_up = control_.caught_up() && !stopping();
+  // A member is home of keys and owner of endpoints at once. Without the VM
+  // list it would answer that there is no endpoint, so it joins after it.
+  contents.caught_up =
+      control_.caught_up() && listed_at_ != time_point() && !stopping();
   contents.log_out = !control_.log_readable();
   contents.load = Load(now);
   contents.classes = meter_.Classes();
@@ -297,6 +307,7 @@
     if (!members.contains(who)) {
       stopping_members_.erase(who);
       suspects_.erase(who);
+      unconnected_.erase(who);
       requests_.OnPeerDisconnected(who, Context(), now, out);
     }
   }
@@ -306,12 +317,13 @@
   TellClaimsTheirHomes(now, out);
 }
 
-// A home that isn't heard is passed over like one that is stopping: its keys
-// would be refused until the fleet has expelled it. Should it live, both write
-// claims, and the log's order decides.
+// A home that isn't heard, or whose connection broke, is passed over like one
+// that is stopping: its keys would be refused until the fleet has expelled it.
+// Should it live, both write claims, and the log's order decides.
 void entry_core::TellClaimsTheirHomes(time_point now, effects& out) {
   std::set<incarnation> excluded = stopping_members_;
   excluded.insert(suspects_.begin(), suspects_.end());
+  excluded.insert(unconnected_.begin(), unconnected_.end());
   // A stopping entry goes on as home until its notice is over: the others need
   // some heartbeats to hear of it, and their callers would be refused
   // meanwhile.
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -131,6 +131,44 @@
   CHECK(fleet.Count(outcome::kDone) > asked * 8 / 10);
 }
 
+// Callers with keys go on asking right after the home of their keys was killed.
+// Their entry finds its connection lost and asks the next home. The killed one
+// is a member until the others have expelled it, so the next home must take
+// over by itself: else it refuses these keys for the seconds until then.
+TEST_CASE("The next home takes over as soon as the connection is lost") {
+  fleet_story fleet;
+  fleet.AskFor(seconds(1), "a");
+  fleet.StepFor(seconds(2));
+  fleet.Kill(kThird);
+  fleet.StepFor(2 * entry_fleet::kStep);
+  fleet.asked_.clear();
+  fleet.AskFor(seconds(3), "b");
+  fleet.StepFor(seconds(10));
+
+  fleet.CheckAll();
+  CHECK(fleet.Count(outcome::kDone) == static_cast<int>(fleet.asked_.size()));
+}
+
+// An entry starts while the platform's VM list is slow. As a member it would be
+// home of keys and owner of endpoints without knowing one of them: its callers
+// with keys would hear that there is no endpoint. So it joins only after it has
+// read the list.
+TEST_CASE("An entry joins that has not read the VM list") {
+  fleet_story fleet;
+  fleet.Add(4).list_is_out = true;
+  fleet.AskFor(seconds(3), "a");
+  CHECK(fleet.entries[kFirst].core->fleet().members.size() == 3);
+  fleet.entries[incarnation{4}].list_is_out = false;
+  REQUIRE(fleet.StepUntil([&] { return fleet.entries[incarnation{4}].ready; }));
+  fleet.StepFor(seconds(5));
+
+  fleet.CheckAll();
+  for (const auto& item : fleet.asked_) {
+    const response& answer = *fleet.AnswerOf(item.at, item.sequence);
+    CHECK(NameOf(answer.reason) != "no-endpoint");
+  }
+}
+
 // An entry stops for longer than it takes to be expelled (a paused VM) and goes
 // on as if nothing had happened. Its claims, calls and lease belong to a life
 // that the others have ended. It must not dispatch what it held, and it starts
--- a/tests/core/entry_fleet.h
+++ b/tests/core/entry_fleet.h
@@ -35,6 +35,7 @@
     bool exited = false;
     bool restart = false;
     bool ready = false;
+    bool list_is_out = false;
   };
 
   struct endpoint_call {
@@ -142,7 +143,7 @@
         Hand(who, waiting);
       }
       ReadLog(who);
-      if (!list_is_out) {
+      if (!list_is_out && !item.list_is_out) {
         Hand(who, vm_list_read{vms, {}});
       }
       Hand(who, tick{});
