--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -131,8 +131,9 @@
   void Meter(const action_list& actions, time_point now);
   void RecordCounts(time_point now, effects& out);
   void ExchangeClaims(time_point now, effects& out);
-  void FollowReadiness(effects& out);
+  void FollowReadiness(time_point now, effects& out);
   void FollowStop(time_point now, effects& out);
+  void FollowLag(time_point now);
   std::string WhyNotServing() const;
 
   entry_core_options options_;
@@ -164,6 +165,10 @@
   log_offset followed_view_ = 0;
   std::vector<claim_decision> decisions_;
 
+  time_point handled_at_;
+  /// Since when others have applied records that this entry has not read.
+  std::optional<time_point> behind_since_;
+  bool lags_too_far_ = true;
   bool ready_ = false;
   bool serving_ = false;
   std::string not_ready_reason_;
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -10,6 +10,12 @@
 
 namespace {
 
+/// How long an entry that serves may lack records that others have applied.
+constexpr duration kLagPatience = std::chrono::seconds(1);
+/// Ticks come every `kTickInterval`; without an event for this long the process
+/// stood still.
+constexpr duration kStoodStill = std::chrono::milliseconds(500);
+
 control_log_settings ControlSettings(const entry_core_options& options) {
   control_log_settings settings = options.control;
   settings.name = options.self.name;
@@ -46,6 +52,10 @@
 
 action_list entry_core::Handle(const event& item, time_point now) {
   effects out;
+  if (now - handled_at_ > kStoodStill) {
+    lags_too_far_ = true;
+  }
+  handled_at_ = now;
   std::visit([&](const auto& content) { On(content, now, out); }, item);
   Settle(now, out);
   Meter(out.actions, now);
@@ -280,7 +290,7 @@
   FollowFold(now, out);
   FollowSuspicion(now, out);
   ExchangeClaims(now, out);
-  FollowReadiness(out);
+  FollowReadiness(now, out);
   FollowStop(now, out);
   control_.Submit(now, std::exchange(out.records, {}), out);
 }
@@ -425,11 +435,28 @@
   }
 }
 
+// Peers often tell of a record some milliseconds before it is read here; to
+// refuse requests then would cost callers something at each record. The drain
+// of a VM waits for each member's own word, so what is missing here meanwhile
+// harms nobody. An entry that has just started or stood still may lack much,
+// also its own expulsion, and has no such time.
+void entry_core::FollowLag(time_point now) {
+  if (control_.caught_up()) {
+    behind_since_.reset();
+    lags_too_far_ = false;
+    return;
+  }
+  if (!behind_since_) {
+    behind_since_ = now;
+  }
+  lags_too_far_ = lags_too_far_ || now - *behind_since_ >= kLagPatience;
+}
+
 std::string entry_core::WhyNotServing() const {
   if (membership_.expelled()) {
     return "expelled from the view";
   }
-  if (!control_.caught_up()) {
+  if (lags_too_far_) {
     return "not caught up with the log";
   }
   if (!fleet().members.contains(options_.self.who)) {
@@ -441,7 +468,8 @@
   return "";
 }
 
-void entry_core::FollowReadiness(effects& out) {
+void entry_core::FollowReadiness(time_point now, effects& out) {
+  FollowLag(now);
   std::string reason = WhyNotServing();
   // The balancer takes some time to see that this entry is to end; what it
   // sends until then is served.
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -169,6 +169,48 @@
   }
 }
 
+// An operator publishes. The others read the record and say so in their
+// heartbeats some milliseconds before this entry has read it, too. Its callers
+// must not notice: each record would cost some of them a refusal.
+TEST_CASE("An entry hears of a record a little before it reads it") {
+  fleet_story fleet;
+  fleet.entries[kThird].log_is_slow = true;
+  configuration targets = fleet.entries[kFirst].core->fleet().targets;
+  fleet.Command(kFirst, publish_configuration{targets, 1});
+  std::vector<std::uint64_t> asked;
+  for (int step = 0; step < 20; ++step) {
+    asked.push_back(fleet.Ask(kThird));
+    fleet.Step();
+  }
+
+  SECTION("and serves meanwhile") {
+    fleet.entries[kThird].log_is_slow = false;
+    fleet.StepFor(seconds(5));
+    for (const std::uint64_t sequence : asked) {
+      REQUIRE(fleet.AnswerOf(kThird, sequence) != nullptr);
+      CHECK(NameOf(fleet.AnswerOf(kThird, sequence)->reason) == "none");
+    }
+  }
+
+  SECTION("but takes no more requests once it stays behind") {
+    fleet.StepFor(seconds(3));
+    const std::uint64_t late = fleet.Ask(kThird);
+    REQUIRE(fleet.AnswerOf(kThird, late) != nullptr);
+    CHECK(NameOf(fleet.AnswerOf(kThird, late)->reason) == "not-ready");
+    CHECK_FALSE(fleet.entries[kThird].ready);
+  }
+
+  SECTION("but takes none after it stood still, until it has read on") {
+    fleet.entries[kThird].frozen = true;
+    fleet.StepFor(std::chrono::milliseconds(700));
+    fleet.entries[kThird].frozen = false;
+    fleet.StepFor(2 * entry_fleet::kStep);
+    const std::uint64_t late = fleet.Ask(kThird);
+    REQUIRE(fleet.AnswerOf(kThird, late) != nullptr);
+    CHECK(NameOf(fleet.AnswerOf(kThird, late)->reason) == "not-ready");
+  }
+}
+
 // An entry stops for longer than it takes to be expelled (a paused VM) and goes
 // on as if nothing had happened. Its claims, calls and lease belong to a life
 // that the others have ended. It must not dispatch what it held, and it starts
--- a/tests/core/entry_fleet.h
+++ b/tests/core/entry_fleet.h
@@ -36,6 +36,7 @@
     bool restart = false;
     bool ready = false;
     bool list_is_out = false;
+    bool log_is_slow = false;
   };
 
   struct endpoint_call {
@@ -142,7 +143,9 @@
       for (event& waiting : std::exchange(item.inbox, {})) {
         Hand(who, waiting);
       }
-      ReadLog(who);
+      if (!item.log_is_slow) {
+        ReadLog(who);
+      }
       if (!list_is_out && !item.list_is_out) {
         Hand(who, vm_list_read{vms, {}});
       }
