--- a/tests/core/entry_fleet.h
+++ b/tests/core/entry_fleet.h
@@ -106,7 +106,7 @@
     event.request.caller = caller_id("surgery");
     event.request.service = service_name("intake");
     event.request.method = "POST";
-    event.request.path = "/appeals";
+    event.request.path = PathOf(at, event.sequence);
     event.request.deadline = now + patience;
     event.request.idempotent = !key.has_value();
     if (key) {
@@ -116,6 +116,24 @@
     return event.sequence;
   }
 
+  // Tells the runs of one request from those of another with the same key.
+  static std::string PathOf(incarnation at, std::uint64_t sequence) {
+    return "/appeals/" + std::to_string(static_cast<std::uint64_t>(at)) + "-" +
+           std::to_string(sequence);
+  }
+
+  // Both lose what is on its way from the other; the connection is made anew by
+  // the next frame.
+  void Disconnect(incarnation left, incarnation right) {
+    for (const auto& [at, peer] : {std::pair(left, right), {right, left}}) {
+      std::erase_if(entries[at].inbox, [&](const event& item) {
+        const auto* received = std::get_if<frame_received>(&item);
+        return received != nullptr && received->frame.from == peer;
+      });
+      entries[at].inbox.push_back(peer_disconnected{peer});
+    }
+  }
+
   void Command(incarnation at, record_body body) {
     Hand(at, operator_command{++commands_, "ann", std::move(body)});
   }
@@ -183,6 +201,7 @@
   std::vector<endpoint_call> calls;
   // Started runs by key, and requests that a reboot cut.
   std::map<std::string, int> runs_of_key;
+  std::map<std::string, int> runs_of_path;
   int cut_by_reboot = 0;
   int runs_after_drain = 0;
   std::map<vm_id, int> reboots;
@@ -227,6 +246,7 @@
   }
 
   void StartCall(incarnation who, call_endpoint request) {
+    ++runs_of_path[request.envelope.path];
     if (request.envelope.key) {
       ++runs_of_key[request.envelope.key->value()];
     }
--- /dev/null
+++ b/tests/core/entry_fleet_property_test.cc
@@ -0,0 +1,158 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "core/entry_fleet.h"
+#include "plantainhead/core/random.h"
+
+namespace plantainhead::core {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kEntries = 5;
+constexpr int kRounds = 250;
+
+// A fleet in which anything may happen at any time. Callers ask at any live
+// entry, with keys that come again elsewhere while the first still runs.
+struct faulty_fleet : entry_fleet {
+  explicit faulty_fleet(std::uint64_t seed)
+      : entry_fleet(kEntries), random(seed) {
+    for (const std::string zone : {"suwon", "goyang", "seongnam"}) {
+      AddVm(zone + "-1", zone);
+      AddVm(zone + "-2", zone);
+    }
+    Begin();
+  }
+
+  struct asked_request {
+    incarnation at;
+    std::uint64_t sequence;
+    std::string key;
+  };
+
+  incarnation Any() { return incarnation{1 + random() % started_}; }
+
+  void AskSome() {
+    for (int i = 0; i < 3; ++i) {
+      const incarnation at = Any();
+      entry& item = entries[at];
+      if (!item.alive || item.exited || item.frozen) {
+        continue;
+      }
+      // Two of three keys are new; the others are one of the last few.
+      keys_ += random() % 3 == 0 ? 0 : 1;
+      const std::string key = std::to_string(keys_ - random() % 2);
+      const duration patience = milliseconds(100 + random() % 4000);
+      asked.push_back({at, Ask(at, key, patience), "surgery/" + key});
+    }
+  }
+
+  void Fail() {
+    entry& item = entries[Any()];
+    switch (random() % 60) {
+      case 0:
+        item.frozen = true;
+        return;
+      case 1:
+      case 2:
+        BreakSomeConnection();
+        return;
+      case 3:
+        log_is_out = true;
+        return;
+      case 4:
+        item.log_is_slow = true;
+        return;
+      case 5:
+        Kill(Any());
+        return;
+      case 6:
+        item.inbox.push_back(stop_requested{});
+        return;
+      case 7:
+      case 8:
+      case 9:
+        Heal();
+        return;
+      default:
+        return;
+    }
+  }
+
+  void BreakSomeConnection() {
+    const incarnation left = Any();
+    const incarnation right = Any();
+    if (left != right) {
+      Disconnect(left, right);
+    }
+  }
+
+  // Whoever has gone is replaced.
+  void Heal() {
+    log_is_out = false;
+    const auto gone =
+        std::count_if(entries.begin(), entries.end(), [](const auto& item) {
+          return !item.second.alive || item.second.exited;
+        });
+    while (started_ < kEntries + static_cast<std::uint64_t>(gone)) {
+      Add(++started_);
+    }
+    for (auto& [who, item] : entries) {
+      item.frozen = false;
+      item.log_is_slow = false;
+    }
+  }
+
+  std::vector<asked_request> asked;
+  random_source random;
+
+ private:
+  std::uint64_t keys_ = 1;
+  std::uint64_t started_ = kEntries;
+};
+
+// Entries are frozen, killed and stopped, connections break, the log is out or
+// late, and callers ask again elsewhere meanwhile. Whatever they are told is
+// true: no key runs twice, not-run means that it was not run, done that it was,
+// and each gets one answer unless its entry died.
+TEST_CASE("Callers are told the truth whatever fails") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    faulty_fleet fleet(seed);
+    for (int round = 0; round < kRounds; ++round) {
+      fleet.AskSome();
+      fleet.Fail();
+      fleet.StepFor(entry_fleet::kStep * (1 + fleet.random() % 4));
+    }
+    fleet.Heal();
+    fleet.StepFor(seconds(15));
+
+    INFO("seed " << seed);
+    CHECK(fleet.answers_twice == 0);
+    for (const auto& item : fleet.asked) {
+      INFO(item.key << " at " << static_cast<std::uint64_t>(item.at) << ", "
+                    << item.sequence);
+      REQUIRE(fleet.runs_of_key[item.key] <= 1);
+      const response* answer = fleet.AnswerOf(item.at, item.sequence);
+      if (answer == nullptr) {
+        REQUIRE_FALSE(fleet.entries[item.at].alive);
+        continue;
+      }
+      const int runs =
+          fleet.runs_of_path[entry_fleet::PathOf(item.at, item.sequence)];
+      if (answer->result == outcome::kNotRun) {
+        REQUIRE(runs == 0);
+        REQUIRE(answer->retry_after.has_value());
+      }
+      if (answer->result == outcome::kDone) {
+        REQUIRE(fleet.runs_of_key[item.key] == 1);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core
