Bound patience by a setting; give links their incarnation; pause waves at 14.4

Ruled out: a longer window for the rate (a wave must pause within a minute when it hurts). Change: limits.patience, counts.interval; limits.queue, attempts and retry-share are gone; operators' views share one copy of the fold for an offset. Conclusion: settings do what they say.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -72,6 +72,10 @@
 http-port: $2
 peer-port: 0
 port-file: $run/entry-$1.port
+limits:
+  patience: 10s
+counts:
+  interval: 2s
 platform:
   host: 127.0.0.1
   port: $platform_port
--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -1,5 +1,6 @@
 #include "plantainhead/runtime/entry_daemon.h"
 
+#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <fstream>
@@ -34,6 +35,14 @@
 constexpr int kLeaseMarginParts = 4;
 constexpr int kLeaseSpreadParts = 9;
 
+// Rates of burn, measured over a minute, at which waves pause and resume.
+// Budgets run over weeks: nine failures while an entry was lost burnt one
+// at 4.5 times for a minute, a ten-thousandth of it, and held a wave up for two
+// minutes. These are the customary rates for alerts that want action within the
+// hour.
+constexpr double kPauseBurnRate = 14.4;
+constexpr double kResumeBurnRate = 6;
+
 class daemon_config : public caf::actor_system_config {
  public:
   daemon_config() {
@@ -53,6 +62,10 @@
   return core::incarnation(value);
 }
 
+std::chrono::milliseconds ToMilliseconds(core::duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value);
+}
+
 }  // namespace
 
 class entry_daemon::impl {
@@ -72,6 +85,8 @@
   action_handlers Handlers();
   core::core_gateway Gateway();
   operators::entry_view View();
+  std::shared_ptr<const core::fleet_state> SharedFleet(
+      const core::fleet_state& fleet);
   caller::route_list Routes(const core::core_gateway& gateway);
   void RefreshGauges();
   void StartLinks();
@@ -94,6 +109,7 @@
   core::entry_member self_;
   std::uint16_t http_port_ = 0;
   std::uint16_t peer_port_ = 0;
+  std::shared_ptr<const core::fleet_state> shared_fleet_;
   std::atomic<bool> ready_ = false;
   // Posts wait for `core_` to be there.
   std::atomic<bool> core_running_ = false;
@@ -116,7 +132,9 @@
   const auto now = [this] { return clock_.Now(); };
   const auto post = [this](core::event item) { Post(std::move(item)); };
 
+  self_.who = DrawIncarnation();
   entry::peer_link_options peer_options;
+  peer_options.self = self_.who;
   peer_options.host = settings_.host;
   peer_options.port = settings_.peer_port;
   peers_ = std::make_unique<entry::peer_link>(system_, peer_options, now, post);
@@ -127,19 +145,20 @@
   http_options.port = settings_.http_port;
   http_options.threads = settings_.http_threads;
   http_options.body_limit = settings_.body_limit;
+  http_options.greatest_patience = ToMilliseconds(settings_.patience);
+  http_options.default_patience =
+      std::min(http_options.default_patience, http_options.greatest_patience);
   http_options.now = now;
   const core::core_gateway gateway = Gateway();
   http_ = std::make_unique<caller::http_server>(http_options, gateway,
                                                 Routes(gateway));
   http_port_ = http_->Start();
 
-  self_ = core::entry_member{DrawIncarnation(),
-                             settings_.name,
-                             settings_.zone,
-                             settings_.host,
-                             peer_port_,
-                             http_port_,
-                             {}};
+  self_.name = settings_.name;
+  self_.zone = settings_.zone;
+  self_.host = settings_.host;
+  self_.peer_port = peer_port_;
+  self_.http_port = http_port_;
   StartLinks();
   WritePortFile();
 }
@@ -172,6 +191,10 @@
   options.lease.lease = settings_.planner_lease;
   options.lease.margin = settings_.planner_lease / kLeaseMarginParts;
   options.lease.take_spread = settings_.planner_lease / kLeaseSpreadParts;
+  options.planner.greatest_deadline = settings_.patience;
+  options.planner.pause_burn_rate = kPauseBurnRate;
+  options.planner.resume_burn_rate = kResumeBurnRate;
+  options.count_interval = settings_.count_interval;
   options.seed = static_cast<std::uint64_t>(self_.who);
   return options;
 }
@@ -260,6 +283,16 @@
   return true;
 }
 
+// Called from the thread of the decisions only. The copy of a big fleet would
+// hold them up if each operator's request made one.
+std::shared_ptr<const core::fleet_state> entry_daemon::impl::SharedFleet(
+    const core::fleet_state& fleet) {
+  if (!shared_fleet_ || shared_fleet_->offset != fleet.offset) {
+    shared_fleet_ = std::make_shared<const core::fleet_state>(fleet);
+  }
+  return shared_fleet_;
+}
+
 operators::entry_view entry_daemon::impl::View() {
   operators::entry_view view;
   view.name = settings_.name;
@@ -267,7 +300,7 @@
   view.who = self_.who;
   view.now = clock_.Now();
   Query([&](const core::entry_core& core) {
-    view.state = std::make_shared<const core::fleet_state>(core.fleet());
+    view.state = SharedFleet(core.fleet());
     view.ready = core.ready();
     view.reason = core.not_ready_reason();
     view.stopping = core.stopping();
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -19,8 +19,6 @@
 
 constexpr std::uint64_t kMostPort = 65535;
 constexpr std::uint64_t kMostThreads = 4096;
-constexpr std::uint64_t kMostQueued = 1'000'000;
-constexpr std::uint64_t kMostAttempts = 10;
 constexpr std::uint64_t kLeastBody = 1 << 10;
 constexpr std::uint64_t kMostBody = 1 << 30;
 
@@ -90,9 +88,7 @@
                {4, kMostThreads});
   ReadUnsigned(&*limits, "endpoint-threads", &settings->endpoint_threads,
                {1, kMostThreads});
-  ReadUnsigned(&*limits, "queue", &settings->queue_limit, {1, kMostQueued});
-  ReadUnsigned(&*limits, "attempts", &settings->attempts, {1, kMostAttempts});
-  limits->ReadShare("retry-share", &settings->retry_share);
+  limits->ReadDuration("patience", &settings->patience, {seconds(1), hours(1)});
   limits->CheckKeys();
 }
 
@@ -119,6 +115,11 @@
                           {milliseconds(500), hours(1)});
     planner->CheckKeys();
   }
+  if (std::optional<yaml_mapping> counts = top->Section("counts")) {
+    counts->ReadDuration("interval", &settings->count_interval,
+                         {seconds(1), hours(1)});
+    counts->CheckKeys();
+  }
 }
 
 void ReadLog(yaml_mapping* top, finding_sink* sink, entry_settings* settings) {
