Prove the fleet's state over whole entries in virtual time

Cause: the line 'an accepted configuration is in force everywhere within seconds and never reverts' was tested on one module at a time only. Ruled out: a second harness; entry_fleet gets a slow log (delay of appends, interval and size of reads), answers to operators and lost VMs instead. Change: tests/core/entry_state_test.cc with two operators at two entries, roll-out with a frozen entry and a slow log, a restart after retention, a shorter log.

--- a/tests/core/entry_fleet.h
+++ b/tests/core/entry_fleet.h
@@ -19,7 +19,8 @@
 namespace plantainhead::core {
 
 // A few whole entries, the platform and endpoints in virtual time. Messages
-// take one step; a call takes `service_time`; the log is read at each step.
+// take one step; a call takes `service_time`; the log is read at each step, or
+// slowly, see `log_delay`.
 class entry_fleet {
  public:
   static constexpr duration kStep = kTickInterval;
@@ -35,6 +36,18 @@
     bool exited = false;
     bool restart = false;
     bool ready = false;
+    time_point next_read;
+  };
+
+  struct command_answer {
+    answer_operator answer;
+    time_point at;
+  };
+
+  struct late_append {
+    time_point due;
+    incarnation who;
+    append_records content;
   };
 
   struct endpoint_call {
@@ -43,20 +56,30 @@
     time_point ends;
   };
 
-  explicit entry_fleet(std::size_t count) {
+  static planner_options QuickPlanner() {
+    planner_options options;
+    options.drain_notice = std::chrono::seconds(2);
+    options.greatest_deadline = std::chrono::seconds(5);
+    return options;
+  }
+
+  explicit entry_fleet(std::size_t count,
+                       planner_options planning = QuickPlanner())
+      : planning_(planning) {
     for (std::size_t i = 1; i <= count; ++i) {
       Add(i);
     }
   }
 
-  entry& Add(std::uint64_t number) {
+  // A process that starts in the place of another has that one's name.
+  entry& Add(std::uint64_t number, std::uint64_t place = 0) {
     entry_core_options options;
     options.self.who = incarnation{number};
-    options.self.name = entry_id("entry-" + std::to_string(number));
+    options.self.name =
+        entry_id("entry-" + std::to_string(place == 0 ? number : place));
     options.self.zone = zone_id("suwon");
     options.seed = number;
-    options.planner.drain_notice = std::chrono::seconds(2);
-    options.planner.greatest_deadline = std::chrono::seconds(5);
+    options.planner = planning_;
     entry& made = entries[options.self.who];
     made.core = std::make_unique<entry_core>(options);
     Carry(options.self.who, made.core->Start(now));
@@ -76,8 +99,8 @@
     vms.push_back(vm);
   }
 
-  // Publishes one service with a class, and steps until all entries are ready.
-  void Begin() {
+  // One service with a class and a pool.
+  static configuration Targets() {
     configuration targets;
     targets.pools = {{pool_id("casework"), team_id(), 0}};
     targets.services = {{service_name("intake"), {pool_id("casework")}}};
@@ -86,6 +109,11 @@
     petitions.service = service_name("intake");
     petitions.unavailability = 0.05;
     targets.classes = {petitions};
+    return targets;
+  }
+
+  // Publishes targets, and steps until all entries are ready.
+  void Begin(const configuration& targets = Targets()) {
     Command(incarnation{1}, publish_configuration{targets, 0});
     StepUntil([&] {
       return std::all_of(entries.begin(), entries.end(), [](const auto& item) {
@@ -114,8 +142,12 @@
     return event.sequence;
   }
 
-  void Command(incarnation at, record_body body) {
-    Hand(at, operator_command{++commands_, "ann", std::move(body)});
+  // Returns the sequence by which the answer is found.
+  std::uint64_t Command(incarnation at,
+                        record_body body,
+                        const std::string& author = "ann") {
+    Hand(at, operator_command{++commands_, author, std::move(body)});
+    return commands_;
   }
 
   const response* AnswerOf(incarnation at, std::uint64_t sequence) {
@@ -134,6 +166,7 @@
   void Step() {
     now += kStep;
     EndCalls();
+    WriteLate();
     for (auto& [who, item] : entries) {
       if (!item.alive || item.frozen || item.exited) {
         continue;
@@ -175,6 +208,13 @@
   memory_log log;
   bool log_is_out = false;
   bool list_is_out = false;
+  // How long an append takes, how often each entry reads, and how many records
+  // one read brings; 0 for all.
+  duration log_delay{};
+  duration read_interval{};
+  std::size_t read_limit = 0;
+  std::vector<late_append> late_appends;
+  std::map<std::uint64_t, command_answer> command_answers;
   std::vector<vm_listing> vms;
   std::vector<endpoint_call> calls;
   // Started runs by key, and requests that a reboot cut.
@@ -191,13 +231,20 @@
 
   void ReadLog(incarnation who) {
     entry& item = entries[who];
+    if (now < item.next_read) {
+      return;
+    }
+    item.next_read = now + read_interval;
     const auto followed = item.followed;
     for (const auto& [name, after] : followed) {
       if (log_is_out) {
         Hand(who, log_unavailable{name, "down"});
         continue;
       }
-      const log_read read = log.Read(name, after);
+      log_read read = log.Read(name, after);
+      if (read_limit != 0 && read.entries.size() > read_limit) {
+        read.entries.resize(read_limit);
+      }
       if (!read.entries.empty()) {
         item.followed[name] = read.entries.back().offset;
       }
@@ -205,6 +252,11 @@
     }
   }
 
+  bool IsListed(const vm_id& vm) const {
+    return std::any_of(vms.begin(), vms.end(),
+                       [&](const vm_listing& item) { return item.vm == vm; });
+  }
+
   void EndCalls() {
     std::vector<endpoint_call> open;
     for (endpoint_call& call : calls) {
@@ -212,6 +264,11 @@
         open.push_back(std::move(call));
         continue;
       }
+      if (!IsListed(call.request.vm)) {
+        entries[call.caller].inbox.push_back(endpoint_failed{
+            call.request.call, endpoint_failure::kMaybeSent, false, "lost"});
+        continue;
+      }
       endpoint_replied reply;
       reply.call = call.request.call;
       reply.status = 200;
@@ -230,12 +287,32 @@
   }
 
   void Append(incarnation who, append_records item) {
-    append_finished done{item.append, append_result::kRejected, 0};
-    if (!log_is_out) {
-      done.result = append_result::kAppended;
-      done.first = log.Append(item.stream, std::move(item.records));
+    if (log_is_out) {
+      entries[who].inbox.push_back(
+          append_finished{item.append, append_result::kRejected, 0});
+      return;
+    }
+    if (log_delay > duration::zero()) {
+      late_appends.push_back({now + log_delay, who, std::move(item)});
+      return;
+    }
+    Write(who, std::move(item));
+  }
+
+  void Write(incarnation who, append_records item) {
+    const log_offset first = log.Append(item.stream, std::move(item.records));
+    entries[who].inbox.push_back(
+        append_finished{item.append, append_result::kAppended, first});
+  }
+
+  void WriteLate() {
+    for (late_append& item : std::exchange(late_appends, {})) {
+      if (item.due > now) {
+        late_appends.push_back(std::move(item));
+      } else {
+        Write(item.who, std::move(item.content));
+      }
     }
-    entries[who].inbox.push_back(done);
   }
 
   void Run(incarnation who, const run_operation& item) {
@@ -273,6 +350,9 @@
         [&](follow_stream& item) { self.followed[item.stream] = item.after; },
         [&](unfollow_stream& item) { self.followed.erase(item.stream); },
         [&](run_operation& item) { Run(who, item); },
+        [&](answer_operator& item) {
+          command_answers[item.sequence] = {item, now};
+        },
         [&](set_ready& item) { self.ready = item.ready; },
         [&](exit_process& item) {
           self.exited = true;
@@ -289,6 +369,7 @@
   int answers_twice = 0;
 
  private:
+  planner_options planning_;
   std::set<operation_id> done_operations_;
   std::uint64_t commands_ = 0;
 };
--- /dev/null
+++ b/tests/core/entry_state_test.cc
@@ -0,0 +1,298 @@
+#include <catch2/catch.hpp>
+
+#include "core/entry_fleet.h"
+#include "plantainhead/core/digest.h"
+
+namespace plantainhead::core {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr incarnation kFirst{1};
+constexpr incarnation kSecond{2};
+constexpr incarnation kThird{3};
+constexpr incarnation kNewcomer{4};
+
+/// Three entries and three VMs whose operators change the targets.
+struct state_story : entry_fleet {
+  state_story() : entry_fleet(3) {
+    for (const std::string zone : {"suwon", "goyang", "seongnam"}) {
+      AddVm(zone + "-1", zone);
+    }
+    Begin();
+  }
+
+  const fleet_state& Fleet(incarnation who) {
+    return entries[who].core->fleet();
+  }
+
+  bool IsLive(const entry& item) const {
+    return item.alive && !item.frozen && !item.exited;
+  }
+
+  /// Targets that differ from all others by `within`.
+  static configuration Within(duration within) {
+    configuration targets = Targets();
+    targets.classes.front().within = within;
+    return targets;
+  }
+
+  std::uint64_t Publish(incarnation at,
+                        duration within,
+                        generation expected,
+                        const std::string& author = "ann") {
+    return Command(at, publish_configuration{Within(within), expected}, author);
+  }
+
+  /// Publishes and waits until the entry that was asked has answered.
+  void PublishNext(incarnation at, duration within) {
+    const std::uint64_t sequence =
+        Publish(at, within, Fleet(at).targets_version);
+    REQUIRE(StepUntil([&] { return command_answers.contains(sequence); }));
+    REQUIRE(command_answers[sequence].answer.result ==
+            command_result::kAccepted);
+  }
+
+  /// Steps until all live entries are at the end of the log, and compares.
+  void CheckAllEqual() {
+    const auto at_end = [&](const auto& item) {
+      return !IsLive(item.second) ||
+             item.second.core->fleet().offset ==
+                 log.streams[kControlStream].records.size();
+    };
+    REQUIRE(StepUntil(
+        [&] { return std::all_of(entries.begin(), entries.end(), at_end); }));
+    std::set<std::uint64_t> digests;
+    for (const auto& [who, item] : entries) {
+      if (IsLive(item)) {
+        digests.insert(Digest(item.core->fleet()));
+      }
+    }
+    CHECK(digests.size() == 1);
+  }
+
+  void CheckAllWithin(duration within) {
+    for (const auto& [who, item] : entries) {
+      if (IsLive(item)) {
+        CHECK(item.core->fleet().targets.classes.front().within == within);
+      }
+    }
+  }
+};
+
+// Ann and Ben publish from the same generation at two entries. Both records may
+// reach the log; its order decides. One of them is told that it is accepted,
+// the other gets a conflict with the winner's name and can look before trying
+// again. No entry ever holds the loser's targets.
+TEST_CASE("Two operators publish at once at two whole entries") {
+  state_story fleet;
+  constexpr int kRounds = 20;
+  int won_by_ann = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    fleet.log_delay = milliseconds(30) * (round % 5);
+    const generation seen = fleet.Fleet(kFirst).targets_version;
+    const milliseconds ann_within(1000 + round);
+    const milliseconds ben_within(2000 + round);
+    const bool ann_is_first = round % 2 == 0;
+    std::uint64_t ann = 0;
+    if (ann_is_first) {
+      ann = fleet.Publish(kFirst, ann_within, seen, "ann");
+    }
+    const std::uint64_t ben = fleet.Publish(kSecond, ben_within, seen, "ben");
+    if (!ann_is_first) {
+      ann = fleet.Publish(kFirst, ann_within, seen, "ann");
+    }
+    REQUIRE(fleet.StepUntil([&] {
+      return fleet.command_answers.contains(ann) &&
+             fleet.command_answers.contains(ben);
+    }));
+
+    const answer_operator to_ann = fleet.command_answers[ann].answer;
+    const answer_operator to_ben = fleet.command_answers[ben].answer;
+    const bool ann_won = to_ann.result == command_result::kAccepted;
+    won_by_ann += ann_won ? 1 : 0;
+    const answer_operator& winner = ann_won ? to_ann : to_ben;
+    const answer_operator& loser = ann_won ? to_ben : to_ann;
+    CHECK(winner.result == command_result::kAccepted);
+    CHECK(loser.result == command_result::kConflict);
+    CHECK(loser.detail.find(ann_won ? "ann" : "ben") != std::string::npos);
+
+    fleet.CheckAllEqual();
+    fleet.CheckAllWithin(ann_won ? ann_within : ben_within);
+    CHECK(fleet.Fleet(kThird).targets_author == (ann_won ? "ann" : "ben"));
+  }
+  CHECK(won_by_ann > 0);
+  CHECK(won_by_ann < kRounds);
+}
+
+/// Publishes changes in turn and notes the longest time from an answer
+/// "accepted" until each live entry had that change, and any step back.
+struct roll_out_story : state_story {
+  roll_out_story() {
+    each_step = [this] { Watch(); };
+  }
+
+  void PublishOften(int changes) {
+    for (int change = 0; change < changes; ++change) {
+      PublishNext(change % 2 == 0 ? kFirst : kSecond,
+                  milliseconds(1000 + change));
+      const generation version =
+          Fleet(change % 2 == 0 ? kFirst : kSecond).targets_version;
+      const time_point accepted = command_answers.rbegin()->second.at;
+      REQUIRE(StepUntil([&] { return IsInForce(version); }));
+      longest = std::max(longest, now - accepted);
+    }
+  }
+
+  bool IsInForce(generation version) {
+    return std::all_of(entries.begin(), entries.end(), [&](const auto& item) {
+      return !IsLive(item.second) ||
+             item.second.core->fleet().targets_version >= version;
+    });
+  }
+
+  duration longest{};
+  int steps_back = 0;
+
+ private:
+  void Watch() {
+    for (const auto& [who, item] : entries) {
+      generation& seen = seen_[who];
+      const generation version = item.core->fleet().targets_version;
+      steps_back += version < seen ? 1 : 0;
+      seen = version;
+    }
+  }
+
+  std::map<incarnation, generation> seen_;
+};
+
+// An operator changes targets while one entry stands still and, or, the log
+// takes seconds for each append and read. "Accepted" comes when the asked entry
+// has read the record back; nobody waits for the entry that isn't heard, and
+// the others have the change as soon as they read. No entry ever goes back.
+TEST_CASE("A change is in force within seconds of being accepted") {
+  roll_out_story fleet;
+  constexpr int kChanges = 12;
+
+  SECTION("while all is well") {
+    fleet.PublishOften(kChanges);
+  }
+  SECTION("while one entry is frozen") {
+    fleet.entries[kThird].frozen = true;
+    fleet.PublishOften(kChanges);
+    fleet.StepFor(seconds(10));
+    fleet.entries[kThird].frozen = false;
+    fleet.StepFor(seconds(10));
+    CHECK(fleet.entries[kThird].exited);
+  }
+  SECTION("with a slow log") {
+    fleet.log_delay = milliseconds(1500);
+    fleet.read_interval = milliseconds(1500);
+    fleet.PublishOften(kChanges);
+  }
+  SECTION("with a slow log while one entry is frozen") {
+    fleet.log_delay = milliseconds(1500);
+    fleet.read_interval = milliseconds(1500);
+    fleet.entries[kThird].frozen = true;
+    fleet.PublishOften(kChanges);
+  }
+
+  CHECK(fleet.longest <= seconds(7));
+  CHECK(fleet.steps_back == 0);
+  fleet.CheckAllWithin(milliseconds(1000 + kChanges - 1));
+  fleet.CheckAllEqual();
+}
+
+// An entry's VM is replaced after the log has dropped the records that made the
+// state. The new process starts from a snapshot and reads the rest one record
+// at a time. Were it ready before the end, its callers would be served by
+// targets that were replaced long ago.
+TEST_CASE("An entry starts anew after records have aged out") {
+  state_story fleet;
+  fleet.Kill(kThird);
+  fleet.PublishNext(kFirst, milliseconds(1500));
+  auto& control = fleet.log.streams[kControlStream];
+  control.begin = control.records.size();
+  REQUIRE(fleet.StepUntil([&] {
+    return fleet.entries[kFirst].core->control().newest_snapshot() >=
+           control.begin;
+  }));
+  for (int change = 0; change < 10; ++change) {
+    fleet.PublishNext(kFirst, milliseconds(2000 + change));
+  }
+  const generation newest = fleet.Fleet(kFirst).targets_version;
+  const log_offset end = control.records.size();
+
+  fleet.read_limit = 1;
+  fleet.read_interval = milliseconds(200);
+  int ready_too_early = 0;
+  int steps_before = 0;
+  fleet.Add(static_cast<std::uint64_t>(kNewcomer), 3);
+  fleet.each_step = [&] {
+    const auto& item = fleet.entries[kNewcomer];
+    const bool is_newest = item.core->fleet().offset >= end &&
+                           item.core->fleet().targets_version >= newest;
+    ready_too_early += item.ready && !is_newest ? 1 : 0;
+    steps_before += is_newest ? 0 : 1;
+  };
+  REQUIRE(fleet.StepUntil([&] { return fleet.entries[kNewcomer].ready; }));
+
+  CHECK(ready_too_early == 0);
+  CHECK(steps_before > 10);
+  CHECK(fleet.entries[kNewcomer].core->control().newest_snapshot() >=
+        control.begin);
+  fleet.CheckAllWithin(milliseconds(2009));
+  fleet.CheckAllEqual();
+}
+
+// The platform restores its log from an older copy, which lacks the newest
+// targets. Entries would fall back to older targets if they followed it, and
+// what is written to it next takes offsets that they have applied. They show
+// the fault, write nothing, keep their targets and go on serving callers.
+TEST_CASE("The log comes back shorter under a fleet") {
+  state_story fleet;
+  fleet.PublishNext(kFirst, milliseconds(1500));
+  auto& control = fleet.log.streams[kControlStream];
+  const std::size_t before = control.records.size();
+  fleet.PublishNext(kSecond, milliseconds(2500));
+  fleet.CheckAllEqual();
+  control.records.resize(before);
+  fleet.StepFor(seconds(5));
+
+  const auto check_kept = [&](log_fault fault) {
+    for (const incarnation who : {kFirst, kSecond, kThird}) {
+      const control_log& log = fleet.entries[who].core->control();
+      CHECK(NameOf(log.fault()) == NameOf(fault));
+      CHECK_FALSE(log.fault_detail().empty());
+      CHECK(fleet.entries[who].ready);
+    }
+    fleet.CheckAllWithin(milliseconds(2500));
+    const std::uint64_t asked = fleet.Ask(kFirst);
+    fleet.StepFor(seconds(2));
+    REQUIRE(fleet.AnswerOf(kFirst, asked) != nullptr);
+    CHECK(fleet.AnswerOf(kFirst, asked)->result == outcome::kDone);
+  };
+
+  SECTION("and stays so") {
+    check_kept(log_fault::kShorter);
+    CHECK(control.records.size() == before);
+  }
+  SECTION("and others write to it") {
+    const generation seen = fleet.Fleet(kFirst).targets_version;
+    for (int i = 0; i < 40; ++i) {
+      record other;
+      other.id = record_id("other-" + std::to_string(i));
+      other.author = "other";
+      other.body = publish_configuration{state_story::Within(milliseconds(700)),
+                                         seen + (i / 20)};
+      fleet.log.Append(kControlStream, {other});
+    }
+    fleet.StepFor(seconds(5));
+    check_kept(log_fault::kReplaced);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core
