Find a home for each key also when most members are dead

Cause: an entry kept three homes at hand for each partition of keys. Without a majority the dead can't be expelled, so with six of nine gone all three could be dead for good; the entry then asked itself, which isn't home by its own view, and refused the key (log-unavailable). Change: the table keeps all members that aren't stopping, in order.

--- a/include/plantainhead/core/endpoint_table.h
+++ b/include/plantainhead/core/endpoint_table.h
@@ -81,17 +81,15 @@
   const endpoint_info* FindVm(const vm_id& vm) const;
 
   /// Returns the entries that may claim the keys of `partition`: `HomeOf` that,
-  /// and then the homes were those before it gone; at most `kHomeChoices`, and
-  /// none when there are no members. Precondition: `partition` <
-  /// `kClaimPartitions`.
+  /// and then the homes were those before it gone. These are all members that
+  /// aren't stopping: without a majority the dead stay members, and any number
+  /// of them may stand first. Precondition: `partition` < `kClaimPartitions`.
   const std::vector<incarnation>& HomesOf(std::uint32_t partition) const;
 
   const std::unordered_map<service_name, service_routes>& services() const {
     return services_;
   }
 
-  static constexpr std::size_t kHomeChoices = 3;
-
  private:
   struct place {
     const service_routes* routes = nullptr;
--- a/src/core/endpoint_table.cc
+++ b/src/core/endpoint_table.cc
@@ -95,7 +95,7 @@
   }
   CountShares(fleet, self);
   for (std::uint32_t part = 0; part < kClaimPartitions; ++part) {
-    homes_[part] = core::HomesOf(part, fleet, stopping, kHomeChoices);
+    homes_[part] = core::HomesOf(part, fleet, stopping, fleet.members.size());
   }
 }
 
