--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -58,7 +58,6 @@
   handled_at_ = now;
   std::visit([&](const auto& content) { On(content, now, out); }, item);
   Settle(now, out);
-  Meter(out.actions, now);
   return std::move(out.actions);
 }
 
@@ -291,6 +290,8 @@
   FollowSuspicion(now, out);
   ExchangeClaims(now, out);
   FollowReadiness(now, out);
+  // Before the stop, whose last count must hold the answers of this event.
+  Meter(out.actions, now);
   FollowStop(now, out);
   control_.Submit(now, std::exchange(out.records, {}), out);
 }
