Set the limits of an entry's parts in one place

Cause: entry_daemon.cc had grown, and limits that must agree stood apart: an endpoint's answer of up to 64 MiB was taken though a frame between entries carries only the body limit, so one such answer would have cost the connection and all answers under way on it. Ruled out: a larger frame limit alone (memory of the queue for each peer). Change: daemon_options turns settings into each part's options; answers are bounded by limits.body, frames by that and 1 MiB. Conclusion: large answers end as a failed call instead.

--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -1,6 +1,5 @@
 #include "plantainhead/runtime/entry_daemon.h"
 
-#include <algorithm>
 #include <atomic>
 #include <condition_variable>
 #include <fstream>
@@ -20,6 +19,7 @@
 #include "plantainhead/platform/platform_link.h"
 #include "plantainhead/runtime/wall_clock.h"
 #include "runtime/core_loop.h"
+#include "runtime/daemon_options.h"
 #include "runtime/entry_observer.h"
 
 namespace plantainhead::runtime {
@@ -30,19 +30,6 @@
 // nearly use up what a node may spend (docs/design/platform.md).
 constexpr std::size_t kSchedulerThreads = 1;
 
-// Parts of the planner lease: how much earlier its holder stops acting, and
-// over how much of it the others spread their tries to take it.
-constexpr int kLeaseMarginParts = 4;
-constexpr int kLeaseSpreadParts = 9;
-
-// Rates of burn, measured over a minute, at which waves pause and resume.
-// Budgets run over weeks: nine failures while an entry was lost burnt one
-// at 4.5 times for a minute, a ten-thousandth of it, and held a wave up for two
-// minutes. These are the customary rates for alerts that want action within the
-// hour.
-constexpr double kPauseBurnRate = 14.4;
-constexpr double kResumeBurnRate = 6;
-
 class daemon_config : public caf::actor_system_config {
  public:
   daemon_config() {
@@ -62,10 +49,6 @@
   return core::incarnation(value);
 }
 
-std::chrono::milliseconds ToMilliseconds(core::duration value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value);
-}
-
 }  // namespace
 
 class entry_daemon::impl {
@@ -81,7 +64,6 @@
   std::uint16_t peer_port() const { return peer_port_; }
 
  private:
-  core::entry_core_options CoreOptions() const;
   action_handlers Handlers();
   core::core_gateway Gateway();
   operators::entry_view View();
@@ -133,21 +115,11 @@
   const auto post = [this](core::event item) { Post(std::move(item)); };
 
   self_.who = DrawIncarnation();
-  entry::peer_link_options peer_options;
-  peer_options.self = self_.who;
-  peer_options.host = settings_.host;
-  peer_options.port = settings_.peer_port;
-  peers_ = std::make_unique<entry::peer_link>(system_, peer_options, now, post);
+  peers_ = std::make_unique<entry::peer_link>(
+      system_, PeerOptions(settings_, self_.who), now, post);
   peer_port_ = peers_->Start();
 
-  caller::http_server_options http_options;
-  http_options.host = settings_.host;
-  http_options.port = settings_.http_port;
-  http_options.threads = settings_.http_threads;
-  http_options.body_limit = settings_.body_limit;
-  http_options.greatest_patience = ToMilliseconds(settings_.patience);
-  http_options.default_patience =
-      std::min(http_options.default_patience, http_options.greatest_patience);
+  caller::http_server_options http_options = HttpOptions(settings_);
   http_options.now = now;
   const core::core_gateway gateway = Gateway();
   http_ = std::make_unique<caller::http_server>(http_options, gateway,
@@ -167,38 +139,16 @@
   const auto now = [this] { return clock_.Now(); };
   const auto post = [this](core::event item) { Post(std::move(item)); };
 
-  endpoint::endpoint_options endpoint_options;
-  endpoint_options.most_threads = settings_.endpoint_threads;
   endpoints_ = std::make_unique<endpoint::endpoint_link>(
-      system_, endpoint_options, now, post);
-
-  platform::platform_options platform_options;
-  platform_options.host = settings_.platform_host;
-  platform_options.port = settings_.platform_port;
-  platform_ = std::make_unique<platform::platform_link>(system_,
-                                                        platform_options, post);
-
-  core_ =
-      SpawnCoreLoop(system_, core_loop_options{CoreOptions(), now, Handlers()});
+      system_, EndpointOptions(settings_), now, post);
+  platform_ = std::make_unique<platform::platform_link>(
+      system_, PlatformOptions(settings_), post);
+  core_ = SpawnCoreLoop(
+      system_,
+      core_loop_options{CoreOptions(settings_, self_), now, Handlers()});
   core_running_ = true;
 }
 
-core::entry_core_options entry_daemon::impl::CoreOptions() const {
-  core::entry_core_options options;
-  options.self = self_;
-  options.membership.heartbeat_interval = settings_.heartbeat_interval;
-  options.membership.suspicion_timeout = settings_.suspicion_timeout;
-  options.lease.lease = settings_.planner_lease;
-  options.lease.margin = settings_.planner_lease / kLeaseMarginParts;
-  options.lease.take_spread = settings_.planner_lease / kLeaseSpreadParts;
-  options.planner.greatest_deadline = settings_.patience;
-  options.planner.pause_burn_rate = kPauseBurnRate;
-  options.planner.resume_burn_rate = kResumeBurnRate;
-  options.count_interval = settings_.count_interval;
-  options.seed = static_cast<std::uint64_t>(self_.who);
-  return options;
-}
-
 action_handlers entry_daemon::impl::Handlers() {
   action_handlers to;
   to.send_frame = [this](const core::send_frame& item) { peers_->Send(item); };
