--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -158,11 +158,11 @@
   to.append = [this](core::append_records item) {
     platform_->Append(std::move(item));
   };
-  to.follow = [this](core::follow_stream item) {
-    platform_->Follow(std::move(item));
+  to.follow = [this](const core::follow_stream& item) {
+    platform_->Follow(item);
   };
-  to.unfollow = [this](core::unfollow_stream item) {
-    platform_->Unfollow(std::move(item));
+  to.unfollow = [this](const core::unfollow_stream& item) {
+    platform_->Unfollow(item);
   };
   to.run = [this](core::run_operation item) {
     platform_->Run(std::move(item));
