--- a/tests/core/entry_fleet.h
+++ b/tests/core/entry_fleet.h
@@ -24,6 +24,8 @@
 class entry_fleet {
  public:
   static constexpr duration kStep = kTickInterval;
+  // Header that tells the requests apart.
+  static constexpr char kMark[] = "Test-Mark";
 
   struct entry {
     std::unique_ptr<entry_core> core;
@@ -135,6 +137,7 @@
     event.request.service = service_name("intake");
     event.request.method = "POST";
     event.request.path = "/appeals";
+    event.request.headers.push_back({kMark, MarkOf(at, event.sequence)});
     event.request.deadline = now + patience;
     event.request.idempotent = !key.has_value();
     if (key) {
@@ -144,6 +147,24 @@
     return event.sequence;
   }
 
+  // Tells the runs of one request from those of another with the same key.
+  static std::string MarkOf(incarnation at, std::uint64_t sequence) {
+    return std::to_string(static_cast<std::uint64_t>(at)) + "-" +
+           std::to_string(sequence);
+  }
+
+  // Both lose what is on its way from the other; the connection is made anew by
+  // the next frame.
+  void Disconnect(incarnation left, incarnation right) {
+    for (const auto& [at, peer] : {std::pair(left, right), {right, left}}) {
+      std::erase_if(entries[at].inbox, [&](const event& item) {
+        const auto* received = std::get_if<frame_received>(&item);
+        return received != nullptr && received->frame.from == peer;
+      });
+      entries[at].inbox.push_back(peer_disconnected{peer});
+    }
+  }
+
   // Returns the sequence by which the answer is found.
   std::uint64_t Command(incarnation at,
                         record_body body,
@@ -223,6 +244,7 @@
   std::vector<endpoint_call> calls;
   // Started runs by key, and requests that a reboot cut.
   std::map<std::string, int> runs_of_key;
+  std::map<std::string, int> runs_of_mark;
   int cut_by_reboot = 0;
   int runs_after_drain = 0;
   std::map<vm_id, int> reboots;
@@ -293,6 +315,9 @@
   }
 
   void StartCall(incarnation who, call_endpoint request) {
+    for (const auto& [name, value] : request.envelope.headers) {
+      runs_of_mark[value] += name == kMark ? 1 : 0;
+    }
     if (request.envelope.key) {
       ++runs_of_key[request.envelope.key->value()];
     }
