Prove over whole entries that a draining VM gets no new work

Cause: no test measured the 2 s over several entries. Change: tests/core/entry_drain_test.cc, with a log that takes 0.5 s to write and 1.5 s to read.

--- /dev/null
+++ b/tests/core/entry_drain_test.cc
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+
+#include "core/entry_fleet.h"
+
+namespace plantainhead::core {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr incarnation kFirst{1};
+
+/// Counts calls that start at a VM later than `kBound` after the record of its
+/// drain was in the log.
+struct drain_story : entry_fleet {
+  static constexpr duration kBound = seconds(2);
+
+  drain_story() : entry_fleet(3) {
+    for (const std::string zone : {"suwon", "goyang", "seongnam"}) {
+      AddVm(zone + "-1", zone);
+      AddVm(zone + "-2", zone);
+    }
+    Begin();
+    trace = [this](const event*, const action_list& actions) {
+      for (const action& item : actions) {
+        if (const auto* call = std::get_if<call_endpoint>(&item)) {
+          ++calls_started;
+          const auto drain = drained_at.find(call->vm);
+          late_calls +=
+              drain != drained_at.end() && now - drain->second > kBound ? 1 : 0;
+        }
+      }
+    };
+    each_step = [this] { Watch(); };
+  }
+
+  bool StartsWave(incarnation at = kFirst) {
+    Command(at, start_wave{wave_id("kernel"), {pool_id("casework")}, {}});
+    return StepUntil([&] { return !drained_at.empty(); });
+  }
+  bool WaveEnds() {
+    return StepUntil([&] {
+      return entries[kFirst].core->fleet().waves.at(wave_id("kernel")).state ==
+             wave_state::kFinished;
+    });
+  }
+
+  int late_calls = 0;
+  int calls_started = 0;
+  std::size_t drains = 0;
+  std::map<vm_id, time_point> drained_at;
+
+ private:
+  void Watch() {
+    const auto& records = log.streams[kControlStream].records;
+    for (; read_ < records.size(); ++read_) {
+      const auto* phase = std::get_if<set_vm_phase>(&records[read_].body);
+      if (phase == nullptr) {
+        continue;
+      }
+      if (phase->phase == vm_phase::kDraining) {
+        drained_at[phase->vm] = now;
+        ++drains;
+      }
+      if (phase->phase == vm_phase::kServing) {
+        drained_at.erase(phase->vm);
+      }
+    }
+    for (auto& [who, item] : entries) {
+      if (item.alive && !item.exited && !item.frozen) {
+        Ask(who);
+      }
+    }
+  }
+
+  std::size_t read_ = 0;
+};
+
+// A wave drains VMs under load. Owners stop sending to one as soon as they have
+// read its record, also one that reads late.
+TEST_CASE("A draining endpoint gets no new work after two seconds") {
+  drain_story fleet;
+
+  SECTION("while all is well") {
+    REQUIRE(fleet.StartsWave());
+    REQUIRE(fleet.WaveEnds());
+    CHECK(fleet.drains == 6);
+  }
+  SECTION("with a slow log") {
+    fleet.log_delay = milliseconds(500);
+    fleet.read_interval = milliseconds(1500);
+    REQUIRE(fleet.StartsWave());
+    REQUIRE(fleet.WaveEnds());
+    CHECK(fleet.drains == 6);
+  }
+
+  CHECK(fleet.late_calls == 0);
+  CHECK(fleet.calls_started > 100);
+  CHECK(fleet.cut_by_reboot == 0);
+}
+
+}  // namespace
+}  // namespace plantainhead::core
