--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -19,6 +19,7 @@
 #include "plantainhead/platform/platform_link.h"
 #include "plantainhead/runtime/wall_clock.h"
 #include "runtime/core_loop.h"
+#include "runtime/daemon_options.h"
 #include "runtime/entry_observer.h"
 
 namespace plantainhead::runtime {
@@ -29,11 +30,6 @@
 // nearly use up what a node may spend (docs/design/platform.md).
 constexpr std::size_t kSchedulerThreads = 1;
 
-// Parts of the planner lease: how much earlier its holder stops acting, and
-// over how much of it the others spread their tries to take it.
-constexpr int kLeaseMarginParts = 4;
-constexpr int kLeaseSpreadParts = 9;
-
 class daemon_config : public caf::actor_system_config {
  public:
   daemon_config() {
@@ -68,10 +64,11 @@
   std::uint16_t peer_port() const { return peer_port_; }
 
  private:
-  core::entry_core_options CoreOptions() const;
   action_handlers Handlers();
   core::core_gateway Gateway();
   operators::entry_view View();
+  std::shared_ptr<const core::fleet_state> SharedFleet(
+      const core::fleet_state& fleet);
   caller::route_list Routes(const core::core_gateway& gateway);
   void RefreshGauges();
   void StartLinks();
@@ -94,6 +91,7 @@
   core::entry_member self_;
   std::uint16_t http_port_ = 0;
   std::uint16_t peer_port_ = 0;
+  std::shared_ptr<const core::fleet_state> shared_fleet_;
   std::atomic<bool> ready_ = false;
   // Posts wait for `core_` to be there.
   std::atomic<bool> core_running_ = false;
@@ -116,30 +114,23 @@
   const auto now = [this] { return clock_.Now(); };
   const auto post = [this](core::event item) { Post(std::move(item)); };
 
-  entry::peer_link_options peer_options;
-  peer_options.host = settings_.host;
-  peer_options.port = settings_.peer_port;
-  peers_ = std::make_unique<entry::peer_link>(system_, peer_options, now, post);
+  self_.who = DrawIncarnation();
+  peers_ = std::make_unique<entry::peer_link>(
+      system_, PeerOptions(settings_, self_.who), now, post);
   peer_port_ = peers_->Start();
 
-  caller::http_server_options http_options;
-  http_options.host = settings_.host;
-  http_options.port = settings_.http_port;
-  http_options.threads = settings_.http_threads;
-  http_options.body_limit = settings_.body_limit;
+  caller::http_server_options http_options = HttpOptions(settings_);
   http_options.now = now;
   const core::core_gateway gateway = Gateway();
   http_ = std::make_unique<caller::http_server>(http_options, gateway,
                                                 Routes(gateway));
   http_port_ = http_->Start();
 
-  self_ = core::entry_member{DrawIncarnation(),
-                             settings_.name,
-                             settings_.zone,
-                             settings_.host,
-                             peer_port_,
-                             http_port_,
-                             {}};
+  self_.name = settings_.name;
+  self_.zone = settings_.zone;
+  self_.host = settings_.host;
+  self_.peer_port = peer_port_;
+  self_.http_port = http_port_;
   StartLinks();
   WritePortFile();
 }
@@ -148,34 +139,16 @@
   const auto now = [this] { return clock_.Now(); };
   const auto post = [this](core::event item) { Post(std::move(item)); };
 
-  endpoint::endpoint_options endpoint_options;
-  endpoint_options.most_threads = settings_.endpoint_threads;
   endpoints_ = std::make_unique<endpoint::endpoint_link>(
-      system_, endpoint_options, now, post);
-
-  platform::platform_options platform_options;
-  platform_options.host = settings_.platform_host;
-  platform_options.port = settings_.platform_port;
-  platform_ = std::make_unique<platform::platform_link>(system_,
-                                                        platform_options, post);
-
-  core_ =
-      SpawnCoreLoop(system_, core_loop_options{CoreOptions(), now, Handlers()});
+      system_, EndpointOptions(settings_), now, post);
+  platform_ = std::make_unique<platform::platform_link>(
+      system_, PlatformOptions(settings_), post);
+  core_ = SpawnCoreLoop(
+      system_,
+      core_loop_options{CoreOptions(settings_, self_), now, Handlers()});
   core_running_ = true;
 }
 
-core::entry_core_options entry_daemon::impl::CoreOptions() const {
-  core::entry_core_options options;
-  options.self = self_;
-  options.membership.heartbeat_interval = settings_.heartbeat_interval;
-  options.membership.suspicion_timeout = settings_.suspicion_timeout;
-  options.lease.lease = settings_.planner_lease;
-  options.lease.margin = settings_.planner_lease / kLeaseMarginParts;
-  options.lease.take_spread = settings_.planner_lease / kLeaseSpreadParts;
-  options.seed = static_cast<std::uint64_t>(self_.who);
-  return options;
-}
-
 action_handlers entry_daemon::impl::Handlers() {
   action_handlers to;
   to.send_frame = [this](const core::send_frame& item) { peers_->Send(item); };
@@ -260,6 +233,16 @@
   return true;
 }
 
+// Called from the thread of the decisions only. The copy of a big fleet would
+// hold them up if each operator's request made one.
+std::shared_ptr<const core::fleet_state> entry_daemon::impl::SharedFleet(
+    const core::fleet_state& fleet) {
+  if (!shared_fleet_ || shared_fleet_->offset != fleet.offset) {
+    shared_fleet_ = std::make_shared<const core::fleet_state>(fleet);
+  }
+  return shared_fleet_;
+}
+
 operators::entry_view entry_daemon::impl::View() {
   operators::entry_view view;
   view.name = settings_.name;
@@ -267,7 +250,7 @@
   view.who = self_.who;
   view.now = clock_.Now();
   Query([&](const core::entry_core& core) {
-    view.state = std::make_shared<const core::fleet_state>(core.fleet());
+    view.state = SharedFleet(core.fleet());
     view.ready = core.ready();
     view.reason = core.not_ready_reason();
     view.stopping = core.stopping();
--- a/tests/core/entry_fleet.h
+++ b/tests/core/entry_fleet.h
@@ -36,6 +36,8 @@
     bool exited = false;
     bool restart = false;
     bool ready = false;
+    bool list_is_out = false;
+    bool log_is_slow = false;
     time_point next_read;
   };
 
@@ -174,8 +176,10 @@
       for (event& waiting : std::exchange(item.inbox, {})) {
         Hand(who, waiting);
       }
-      ReadLog(who);
-      if (!list_is_out) {
+      if (!item.log_is_slow) {
+        ReadLog(who);
+      }
+      if (!list_is_out && !item.list_is_out) {
         Hand(who, vm_list_read{vms, {}});
       }
       Hand(who, tick{});
