Mend clang-tidy's findings in caller and operators

Cause: static locals were named both kNames and names; load_plan built a string out of parts inside a loop. Change: constants of static storage are kCamelCase everywhere (five renamed, all local to a function); the text of a misfit part has its own function. Conclusion: behaviour is as before. Tests not run yet.

--- a/src/caller/load_plan.cc
+++ b/src/caller/load_plan.cc
@@ -122,6 +122,10 @@
           {"repeat", std::to_string(from.repeat)}};
 }
 
+std::string DescribeMisfit(const std::string& name, const std::string& text) {
+  return "'" + name + "' can't be '" + text + "'";
+}
+
 [[noreturn]] void Fail(const core::source_place& place, std::string message) {
   throw core::findings_error({{place, std::move(message)}});
 }
@@ -137,7 +141,7 @@
     if (reader == PartReaders().end()) {
       findings.push_back({place, "a class has no '" + name + "'"});
     } else if (!reader->second(text, &built)) {
-      findings.push_back({place, "'" + name + "' can't be '" + text + "'"});
+      findings.push_back({place, DescribeMisfit(name, text)});
     }
   }
   if (parts.count("service") == 0) {
--- a/src/core/watch_ring.cc
+++ b/src/core/watch_ring.cc
@@ -46,9 +46,9 @@
 }
 
 const std::vector<incarnation>& watch_ring::WatchersOf(incarnation who) const {
-  static const std::vector<incarnation> nobody;
+  static const std::vector<incarnation> kNobody;
   const auto found = watchers_.find(who);
-  return found == watchers_.end() ? nobody : found->second;
+  return found == watchers_.end() ? kNobody : found->second;
 }
 
 bool watch_ring::Watches(incarnation watcher, incarnation watched) const {
--- a/src/operators/control.cc
+++ b/src/operators/control.cc
@@ -46,13 +46,13 @@
 
 // Each HTTP status has one exit code.
 exit_code CodeOf(int status) {
-  static const std::map<int, exit_code> codes = {
+  static const std::map<int, exit_code> kCodes = {
       {200, exit_code::kOk},          {400, exit_code::kBadInput},
       {404, exit_code::kBadInput},    {409, exit_code::kConflict},
       {503, exit_code::kUnreachable},
   };
-  const auto code = codes.find(status);
-  return code == codes.end() ? exit_code::kFailed : code->second;
+  const auto code = kCodes.find(status);
+  return code == kCodes.end() ? exit_code::kFailed : code->second;
 }
 
 }  // namespace
@@ -242,7 +242,7 @@
 exit_code control::ChangeWave(const std::string& wave,
                               const std::string& verb,
                               const std::string& reason) {
-  static const std::map<std::string, std::string> states = {
+  static const std::map<std::string, std::string> kStates = {
       {"pause", "\"paused\""},
       {"resume", "\"running\""},
       {"cancel", "\"cancelled\""},
@@ -253,7 +253,7 @@
         "POST", "/v1/waves/" + wave + "/" + verb, {}, body.dump()};
     FixVersion("/v1/waves", "wave", wave, &request);
     return SendChange(request, "wave " + wave + ": " + verb,
-                      {{"state", states.at(verb)}});
+                      {{"state", kStates.at(verb)}});
   });
 }
 
@@ -303,7 +303,7 @@
 exit_code control::ChangeJob(const std::string& job,
                              const std::string& verb,
                              const std::string& reason) {
-  static const std::map<std::string, std::string> states = {
+  static const std::map<std::string, std::string> kStates = {
       {"cancel", "\"cancelled\""},
       {"retry", "\"waiting\""},
   };
@@ -313,19 +313,19 @@
         "POST", "/v1/jobs/" + job + "/" + verb, {}, body.dump()};
     FixVersion("/v1/jobs", "job", job, &request);
     return SendChange(request, "job " + job + ": " + verb,
-                      {{"state", states.at(verb)}});
+                      {{"state", kStates.at(verb)}});
   });
 }
 
 exit_code control::Burn() {
-  static const std::map<output_format, std::string> formats = {
+  static const std::map<output_format, std::string> kFormats = {
       {output_format::kTable, "text"},
       {output_format::kJson, "json"},
       {output_format::kHtml, "html"},
   };
   return Guard([&] {
     const caller::http_answer answer =
-        Get("/v1/burn?format=" + formats.at(context_.format));
+        Get("/v1/burn?format=" + kFormats.at(context_.format));
     if (answer.status != kOkStatus) {
       return Refused(answer);
     }
