--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -10,6 +10,12 @@
 
 namespace {
 
+/// How long an entry that serves may lack records that others have applied.
+constexpr duration kLagPatience = std::chrono::seconds(1);
+/// Ticks come every `kTickInterval`; without an event for this long the process
+/// stood still.
+constexpr duration kStoodStill = std::chrono::milliseconds(500);
+
 control_log_settings ControlSettings(const entry_core_options& options) {
   control_log_settings settings = options.control;
   settings.name = options.self.name;
@@ -46,9 +52,12 @@
 
 action_list entry_core::Handle(const event& item, time_point now) {
   effects out;
+  if (now - handled_at_ > kStoodStill) {
+    lags_too_far_ = true;
+  }
+  handled_at_ = now;
   std::visit([&](const auto& content) { On(content, now, out); }, item);
   Settle(now, out);
-  Meter(out.actions, now);
   return std::move(out.actions);
 }
 
@@ -114,6 +123,9 @@
                                time_point now,
                                effects& out) {
   const incarnation from = frame.from;
+  if (unconnected_.erase(from) > 0) {
+    TellClaimsTheirHomes(now, out);
+  }
   const overloaded take{
       [&](const forward_request& message) {
         requests_.OnForward(from, message, Context(), now, out);
@@ -143,6 +155,10 @@
 void entry_core::On(const peer_disconnected& item,
                     time_point now,
                     effects& out) {
+  if (known_members_.contains(item.peer) &&
+      unconnected_.insert(item.peer).second) {
+    TellClaimsTheirHomes(now, out);
+  }
   requests_.OnPeerDisconnected(item.peer, Context(), now, out);
 }
 
@@ -223,7 +239,10 @@
   contents.digest = control_.digest();
   contents.ready = ready_;
   contents.stopping = stopping();
-  contents.caught_up = control_.caught_up() && !stopping();
+  // A member is home of keys and owner of endpoints at once. Without the VM
+  // list it would answer that there is no endpoint, so it joins after it.
+  contents.caught_up =
+      control_.caught_up() && listed_at_ != time_point() && !stopping();
   contents.log_out = !control_.log_readable();
   contents.load = Load(now);
   contents.classes = meter_.Classes();
@@ -270,7 +289,9 @@
   FollowFold(now, out);
   FollowSuspicion(now, out);
   ExchangeClaims(now, out);
-  FollowReadiness(out);
+  FollowReadiness(now, out);
+  // Before the stop, whose last count must hold the answers of this event.
+  Meter(out.actions, now);
   FollowStop(now, out);
   control_.Submit(now, std::exchange(out.records, {}), out);
 }
@@ -297,6 +318,7 @@
     if (!members.contains(who)) {
       stopping_members_.erase(who);
       suspects_.erase(who);
+      unconnected_.erase(who);
       requests_.OnPeerDisconnected(who, Context(), now, out);
     }
   }
@@ -306,12 +328,13 @@
   TellClaimsTheirHomes(now, out);
 }
 
-// A home that isn't heard is passed over like one that is stopping: its keys
-// would be refused until the fleet has expelled it. Should it live, both write
-// claims, and the log's order decides.
+// A home that isn't heard, or whose connection broke, is passed over like one
+// that is stopping: its keys would be refused until the fleet has expelled it.
+// Should it live, both write claims, and the log's order decides.
 void entry_core::TellClaimsTheirHomes(time_point now, effects& out) {
   std::set<incarnation> excluded = stopping_members_;
   excluded.insert(suspects_.begin(), suspects_.end());
+  excluded.insert(unconnected_.begin(), unconnected_.end());
   // A stopping entry goes on as home until its notice is over: the others need
   // some heartbeats to hear of it, and their callers would be refused
   // meanwhile.
@@ -413,11 +436,28 @@
   }
 }
 
+// Peers often tell of a record some milliseconds before it is read here; to
+// refuse requests then would cost callers something at each record. The drain
+// of a VM waits for each member's own word, so what is missing here meanwhile
+// harms nobody. An entry that has just started or stood still may lack much,
+// also its own expulsion, and has no such time.
+void entry_core::FollowLag(time_point now) {
+  if (control_.caught_up()) {
+    behind_since_.reset();
+    lags_too_far_ = false;
+    return;
+  }
+  if (!behind_since_) {
+    behind_since_ = now;
+  }
+  lags_too_far_ = lags_too_far_ || now - *behind_since_ >= kLagPatience;
+}
+
 std::string entry_core::WhyNotServing() const {
   if (membership_.expelled()) {
     return "expelled from the view";
   }
-  if (!control_.caught_up()) {
+  if (lags_too_far_) {
     return "not caught up with the log";
   }
   if (!fleet().members.contains(options_.self.who)) {
@@ -429,7 +469,8 @@
   return "";
 }
 
-void entry_core::FollowReadiness(effects& out) {
+void entry_core::FollowReadiness(time_point now, effects& out) {
+  FollowLag(now);
   std::string reason = WhyNotServing();
   // The balancer takes some time to see that this entry is to end; what it
   // sends until then is served.
