Mend clang-tidy's findings in runtime and tools

Cause: the first whole run of scripts/lint found an action passed by value and moved into a const reference in entry_daemon, and a vector grown in a loop in plantain_load. Change: the action goes by const reference; the vector is reserved. Conclusion: behaviour is as before; plantain-entry and plantain-load build.

--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -161,8 +161,8 @@
   to.follow = [this](core::follow_stream item) {
     platform_->Follow(std::move(item));
   };
-  to.unfollow = [this](core::unfollow_stream item) {
-    platform_->Unfollow(std::move(item));
+  to.unfollow = [this](const core::unfollow_stream& item) {
+    platform_->Unfollow(item);
   };
   to.run = [this](core::run_operation item) {
     platform_->Run(std::move(item));
--- a/tools/plantain_load.cc
+++ b/tools/plantain_load.cc
@@ -108,6 +108,7 @@
 std::vector<caller::entry_address> ParseAll(
     const std::vector<std::string>& texts) {
   std::vector<caller::entry_address> addresses;
+  addresses.reserve(texts.size());
   for (const std::string& text : texts) {
     addresses.push_back(caller::ParseAddress(text));
   }
