Show two faults by tests that fail: a woken entry, a start on a shortened log

Cause: an entry that wakes from a pause dispatches by its old fold to a VM that drains, before it has read the log; an entry that starts while the log is an older copy gets ready with older targets.

--- a/tests/core/entry_drain_test.cc
+++ b/tests/core/entry_drain_test.cc
@@ -9,6 +9,9 @@
 using std::chrono::seconds;
 
 constexpr incarnation kFirst{1};
+constexpr incarnation kSecond{2};
+constexpr incarnation kThird{3};
+constexpr int kAtOnce = 60;
 
 /// Counts calls that start at a VM later than `kBound` after the record of its
 /// drain was in the log.
@@ -99,5 +102,25 @@
   CHECK(fleet.cut_by_reboot == 0);
 }
 
+// An entry stands still while a VM starts to drain, and callers have written to
+// it when it wakes. It has not read the log yet and sends their requests to
+// that VM, seconds after all others stopped.
+TEST_CASE("An entry wakes up after a VM began to drain") {
+  drain_story fleet;
+  const incarnation frozen = GENERATE(kFirst, kSecond, kThird);
+  fleet.StepFor(seconds(1));
+  fleet.entries[frozen].frozen = true;
+  REQUIRE(fleet.StartsWave(frozen == kFirst ? kSecond : kFirst));
+  fleet.StepFor(seconds(4));
+  REQUIRE_FALSE(fleet.drained_at.empty());
+  fleet.entries[frozen].frozen = false;
+  for (int i = 0; i < kAtOnce; ++i) {
+    fleet.Ask(frozen);
+  }
+  fleet.StepFor(seconds(10));
+  CHECK(fleet.late_calls == 0);
+  CHECK(fleet.cut_by_reboot == 0);
+}
+
 }  // namespace
 }  // namespace plantainhead::core
--- a/tests/core/entry_state_test.cc
+++ b/tests/core/entry_state_test.cc
@@ -294,5 +294,31 @@
   }
 }
 
+// An entry's VM is replaced while the platform's log is an older copy. The new
+// process can read only that copy, which has no sign of what was lost. Were it
+// ready, its callers would be served by targets that were replaced.
+TEST_CASE("An entry starts while the log is shorter than the fleet's state") {
+  state_story fleet;
+  fleet.PublishNext(kFirst, milliseconds(1500));
+  auto& control = fleet.log.streams[kControlStream];
+  const std::size_t before = control.records.size();
+  fleet.PublishNext(kSecond, milliseconds(2500));
+  fleet.CheckAllEqual();
+  control.records.resize(before);
+  fleet.StepFor(seconds(2));
+  fleet.Add(static_cast<std::uint64_t>(kNewcomer));
+
+  int ready_with_older = 0;
+  fleet.each_step = [&] {
+    const auto& item = fleet.entries[kNewcomer];
+    ready_with_older += item.ready ? 1 : 0;
+  };
+  fleet.StepFor(seconds(30));
+
+  CHECK(ready_with_older == 0);
+  fleet.entries.erase(kNewcomer);
+  fleet.CheckAllWithin(milliseconds(2500));
+}
+
 }  // namespace
 }  // namespace plantainhead::core
