--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry_core_test.cc
@@ -131,6 +131,86 @@
   CHECK(fleet.Count(outcome::kDone) > asked * 8 / 10);
 }
 
+// Callers with keys go on asking right after the home of their keys was killed.
+// Their entry finds its connection lost and asks the next home. The killed one
+// is a member until the others have expelled it, so the next home must take
+// over by itself: else it refuses these keys for the seconds until then.
+TEST_CASE("The next home takes over as soon as the connection is lost") {
+  fleet_story fleet;
+  fleet.AskFor(seconds(1), "a");
+  fleet.StepFor(seconds(2));
+  fleet.Kill(kThird);
+  fleet.StepFor(2 * entry_fleet::kStep);
+  fleet.asked_.clear();
+  fleet.AskFor(seconds(3), "b");
+  fleet.StepFor(seconds(10));
+
+  fleet.CheckAll();
+  CHECK(fleet.Count(outcome::kDone) == static_cast<int>(fleet.asked_.size()));
+}
+
+// An entry starts while the platform's VM list is slow. As a member it would be
+// home of keys and owner of endpoints without knowing one of them: its callers
+// with keys would hear that there is no endpoint. So it joins only after it has
+// read the list.
+TEST_CASE("An entry joins that has not read the VM list") {
+  fleet_story fleet;
+  fleet.Add(4).list_is_out = true;
+  fleet.AskFor(seconds(3), "a");
+  CHECK(fleet.entries[kFirst].core->fleet().members.size() == 3);
+  fleet.entries[incarnation{4}].list_is_out = false;
+  REQUIRE(fleet.StepUntil([&] { return fleet.entries[incarnation{4}].ready; }));
+  fleet.StepFor(seconds(5));
+
+  fleet.CheckAll();
+  for (const auto& item : fleet.asked_) {
+    const response& answer = *fleet.AnswerOf(item.at, item.sequence);
+    CHECK(NameOf(answer.reason) != "no-endpoint");
+  }
+}
+
+// An operator publishes. The others read the record and say so in their
+// heartbeats some milliseconds before this entry has read it, too. Its callers
+// must not notice: each record would cost some of them a refusal.
+TEST_CASE("An entry hears of a record a little before it reads it") {
+  fleet_story fleet;
+  fleet.entries[kThird].log_is_slow = true;
+  configuration targets = fleet.entries[kFirst].core->fleet().targets;
+  fleet.Command(kFirst, publish_configuration{targets, 1});
+  std::vector<std::uint64_t> asked;
+  for (int step = 0; step < 20; ++step) {
+    asked.push_back(fleet.Ask(kThird));
+    fleet.Step();
+  }
+
+  SECTION("and serves meanwhile") {
+    fleet.entries[kThird].log_is_slow = false;
+    fleet.StepFor(seconds(5));
+    for (const std::uint64_t sequence : asked) {
+      REQUIRE(fleet.AnswerOf(kThird, sequence) != nullptr);
+      CHECK(NameOf(fleet.AnswerOf(kThird, sequence)->reason) == "none");
+    }
+  }
+
+  SECTION("but takes no more requests once it stays behind") {
+    fleet.StepFor(seconds(3));
+    const std::uint64_t late = fleet.Ask(kThird);
+    REQUIRE(fleet.AnswerOf(kThird, late) != nullptr);
+    CHECK(NameOf(fleet.AnswerOf(kThird, late)->reason) == "not-ready");
+    CHECK_FALSE(fleet.entries[kThird].ready);
+  }
+
+  SECTION("but takes none after it stood still, until it has read on") {
+    fleet.entries[kThird].frozen = true;
+    fleet.StepFor(std::chrono::milliseconds(700));
+    fleet.entries[kThird].frozen = false;
+    fleet.StepFor(2 * entry_fleet::kStep);
+    const std::uint64_t late = fleet.Ask(kThird);
+    REQUIRE(fleet.AnswerOf(kThird, late) != nullptr);
+    CHECK(NameOf(fleet.AnswerOf(kThird, late)->reason) == "not-ready");
+  }
+}
+
 // An entry stops for longer than it takes to be expelled (a paused VM) and goes
 // on as if nothing had happened. Its claims, calls and lease belong to a life
 // that the others have ended. It must not dispatch what it held, and it starts
