Hold back after a pause; be ready only when heard; hand over after notice

Ruled out: members with a fault answering strangers (they don't know the address of one whose join they can't read); reading anew by following the stream again (a held poll would take 5 s). Change: after 500 ms without an event nothing is taken or dispatched until the control stream was read 200 ms or more after waking; readiness needs more than half of the other members heard once; a stopping entry hands over after 500 ms.

--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry_core.h
@@ -134,6 +134,8 @@
   void FollowReadiness(time_point now, effects& out);
   void FollowStop(time_point now, effects& out);
   void FollowLag(time_point now);
+  void FollowWelcome();
+  void HandOver(time_point now);
   std::string WhyNotServing() const;
 
   entry_core_options options_;
@@ -166,9 +168,14 @@
   std::vector<claim_decision> decisions_;
 
   time_point handled_at_;
+  /// When the process went on after it stood still, until the log was read
+  /// anew.
+  std::optional<time_point> woke_at_;
   /// Since when others have applied records that this entry has not read.
   std::optional<time_point> behind_since_;
   bool lags_too_far_ = true;
+  /// Others have shown that they follow the same log.
+  bool welcomed_ = false;
   bool ready_ = false;
   bool serving_ = false;
   std::string not_ready_reason_;
--- a/src/core/entry_core.cc
+++ b/src/core/entry_core.cc
@@ -12,6 +12,11 @@
 
 /// How long an entry that serves may lack records that others have applied.
 constexpr duration kLagPatience = std::chrono::seconds(1);
+/// Time in which all have had a heartbeat that says that this entry stops.
+constexpr duration kHandOverAfter = std::chrono::milliseconds(500);
+/// A read of the log that arrives sooner than this after the process stood
+/// still may have been made before.
+constexpr duration kFreshReadAfter = std::chrono::milliseconds(200);
 /// Ticks come every `kTickInterval`; without an event for this long the process
 /// stood still.
 constexpr duration kStoodStill = std::chrono::milliseconds(500);
@@ -44,6 +49,7 @@
 action_list entry_core::Start(time_point now) {
   effects out;
   counted_at_ = now;
+  handled_at_ = now;
   control_.Start(now, out);
   not_ready_reason_ = WhyNotServing();
   out.Do(set_ready{false, not_ready_reason_});
@@ -54,6 +60,8 @@
   effects out;
   if (now - handled_at_ > kStoodStill) {
     lags_too_far_ = true;
+    serving_ = false;
+    woke_at_ = now;
   }
   handled_at_ = now;
   std::visit([&](const auto& content) { On(content, now, out); }, item);
@@ -175,8 +183,13 @@
 }
 
 void entry_core::On(const log_read& item, time_point now, effects& out) {
-  if (!claims_.OnLogRead(item, now, out, decisions_)) {
-    control_.OnLogRead(now, item, out);
+  if (claims_.OnLogRead(item, now, out, decisions_)) {
+    return;
+  }
+  control_.OnLogRead(now, item, out);
+  if (woke_at_ && item.stream == kControlStream &&
+      now - *woke_at_ >= kFreshReadAfter) {
+    woke_at_.reset();
   }
 }
 
@@ -220,9 +233,6 @@
     return;
   }
   stop_asked_at_ = now;
-  // Its endpoints go to other owners at once; what it runs, it ends.
-  stopping_members_.insert(options_.self.who);
-  list_changed_ = true;
   out.Note(note_level::kInfo, "stopping");
 }
 
@@ -442,6 +452,12 @@
 // harms nobody. An entry that has just started or stood still may lack much,
 // also its own expulsion, and has no such time.
 void entry_core::FollowLag(time_point now) {
+  // What an entry knew before it stood still says nothing of what it lacks: a
+  // VM may drain, or reboot, since. Until it has read the log anew it would
+  // send requests there.
+  if (woke_at_) {
+    return;
+  }
   if (control_.caught_up()) {
     behind_since_.reset();
     lags_too_far_ = false;
@@ -453,6 +469,27 @@
   lags_too_far_ = lags_too_far_ || now - *behind_since_ >= kLagPatience;
 }
 
+// A log that lost its end looks whole to an entry that starts on it. Members
+// that know more don't read its join there, so it hears none of them; an entry
+// that has heard more than half of the others since its start shares their log.
+// Members that are dead don't hold it up for long: the others expel them.
+void entry_core::FollowWelcome() {
+  if (welcomed_) {
+    return;
+  }
+  std::size_t others = 0;
+  std::size_t heard = 0;
+  for (const auto& [who, member] : fleet().members) {
+    if (who == options_.self.who) {
+      continue;
+    }
+    ++others;
+    heard += membership_.StatusOf(who) != nullptr ? 1 : 0;
+  }
+  const bool is_member = fleet().members.contains(options_.self.who);
+  welcomed_ = is_member && (2 * heard > others || others == 0);
+}
+
 std::string entry_core::WhyNotServing() const {
   if (membership_.expelled()) {
     return "expelled from the view";
@@ -463,6 +500,9 @@
   if (!fleet().members.contains(options_.self.who)) {
     return "not yet a member of the view";
   }
+  if (!welcomed_) {
+    return "too few other members have been heard";
+  }
   if (listed_at_ == time_point()) {
     return "the platform's VM list has not been read";
   }
@@ -471,6 +511,7 @@
 
 void entry_core::FollowReadiness(time_point now, effects& out) {
   FollowLag(now);
+  FollowWelcome();
   std::string reason = WhyNotServing();
   // The balancer takes some time to see that this entry is to end; what it
   // sends until then is served.
@@ -487,10 +528,20 @@
   out.Do(set_ready{ready_, not_ready_reason_});
 }
 
+// The others must hear that this entry stops before it sends them what was its
+// own: a key's next home refuses the key until it takes itself for the home.
+void entry_core::HandOver(time_point now) {
+  const bool is_due = stopping() && now >= *stop_asked_at_ + kHandOverAfter;
+  if (is_due && stopping_members_.insert(options_.self.who).second) {
+    list_changed_ = true;
+  }
+}
+
 void entry_core::FollowStop(time_point now, effects& out) {
   if (exited_) {
     return;
   }
+  HandOver(now);
   // An entry that the others expelled while it was frozen owns nothing any
   // more; it ends what it has and starts anew, since its incarnation is void.
   const bool expelled = membership_.expelled();
--- a/src/core/request_core_routing.cc
+++ b/src/core/request_core_routing.cc
@@ -143,7 +143,10 @@
                         effects& out) {
   const service_routes* routes = context.endpoints.Find(service);
   const auto queue = queues_.find(service);
-  if (routes == nullptr || queue == queues_.end() || now < hold_until_) {
+  // While this entry lags behind the log it may not know which VMs drain; what
+  // waits is answered at its deadline at the latest.
+  const bool is_held = now < hold_until_ || !context.ready;
+  if (routes == nullptr || queue == queues_.end() || is_held) {
     return;
   }
   std::vector<std::uint64_t> refused;
