--- /dev/null
+++ b/src/core/entry_core_follow.cc
@@ -0,0 +1,161 @@
+#include "plantainhead/core/entry_core.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+// What a change in one module means for the others.
+namespace plantainhead::core {
+
+void entry_core::Settle(time_point now, effects& out) {
+  FollowFold(now, out);
+  FollowSuspicion(now, out);
+  ExchangeClaims(now, out);
+  FollowReadiness(now, out);
+  // Before the stop, whose last count must hold the answers of this event.
+  Meter(out.actions, now);
+  FollowStop(now, out);
+  control_.Submit(now, std::exchange(out.records, {}), out);
+}
+
+void entry_core::FollowFold(time_point now, effects& out) {
+  const bool folded = followed_offset_ != fleet().offset;
+  if (!folded && !list_changed_) {
+    return;
+  }
+  followed_offset_ = fleet().offset;
+  list_changed_ = false;
+  lease_.Observe(now, fleet());
+  endpoints_.Rebuild(fleet(), vms_, options_.self.who, stopping_members_);
+  FollowMembers(now, out);
+  requests_.OnEndpointsChanged(Context(), now, out);
+}
+
+void entry_core::FollowMembers(time_point now, effects& out) {
+  std::set<incarnation> members;
+  for (const auto& [who, member] : fleet().members) {
+    members.insert(who);
+  }
+  for (const incarnation who : known_members_) {
+    if (!members.contains(who)) {
+      stopping_members_.erase(who);
+      suspects_.erase(who);
+      unconnected_.erase(who);
+      requests_.OnPeerDisconnected(who, Context(), now, out);
+    }
+  }
+  known_members_ = std::move(members);
+  followed_view_ = fleet().view;
+  fleet_meter_.Retain(fleet().members);
+  TellClaimsTheirHomes(now, out);
+}
+
+// A home that isn't heard, or whose connection broke, is passed over like one
+// that is stopping: its keys would be refused until the fleet has expelled it.
+// Should it live, both write claims, and the log's order decides.
+void entry_core::TellClaimsTheirHomes(time_point now, effects& out) {
+  std::set<incarnation> excluded = stopping_members_;
+  excluded.insert(suspects_.begin(), suspects_.end());
+  excluded.insert(unconnected_.begin(), unconnected_.end());
+  // A stopping entry goes on as home until its notice is over: the others need
+  // some heartbeats to hear of it, and their callers would be refused
+  // meanwhile.
+  if (!refusing_) {
+    excluded.erase(options_.self.who);
+  }
+  claims_.OnViewChanged(fleet(), excluded, now, out);
+}
+
+void entry_core::FollowSuspicion(time_point now, effects& out) {
+  const std::set<incarnation> before = suspects_;
+  for (const incarnation who : known_members_) {
+    const bool suspected = membership_.Suspects(who);
+    if (suspected && suspects_.insert(who).second) {
+      requests_.OnPeerSuspected(who, Context(), now, out);
+    }
+    if (!suspected) {
+      suspects_.erase(who);
+    }
+  }
+  if (suspects_ != before) {
+    TellClaimsTheirHomes(now, out);
+  }
+}
+
+const work_class* entry_core::ClassOf(const request_envelope& request) const {
+  const service_routes* routes = endpoints_.Find(request.service);
+  if (routes == nullptr) {
+    return nullptr;
+  }
+  if (request.work.empty() && routes->classes.size() == 1) {
+    return &routes->classes.front();
+  }
+  return routes->FindClass(request.work);
+}
+
+bool entry_core::IsInMaintenance(const service_name& service) const {
+  const service_spec* spec = fleet().targets.FindService(service);
+  if (spec == nullptr) {
+    return false;
+  }
+  return std::any_of(fleet().vms.begin(), fleet().vms.end(),
+                     [&](const auto& item) {
+                       return item.second.phase != vm_phase::kServing &&
+                              std::find(spec->pools.begin(), spec->pools.end(),
+                                        item.second.pool) != spec->pools.end();
+                     });
+}
+
+void entry_core::Meter(const action_list& actions, time_point now) {
+  for (const action& item : actions) {
+    if (const auto* call = std::get_if<call_endpoint>(&item)) {
+      meter_.OnCall(*call, now);
+    }
+    if (const auto* answer = std::get_if<answer_caller>(&item)) {
+      const bool is_done = answer->answer.result == outcome::kDone;
+      const service_name* service = meter_.ServiceOf(answer->sequence);
+      // Only looked up for the few that may have missed their target.
+      const bool in_maintenance =
+          service != nullptr && !is_done && IsInMaintenance(*service);
+      meter_.OnAnswer(*answer, in_maintenance, now);
+    }
+  }
+}
+
+void entry_core::RecordCounts(time_point now, effects& out) {
+  counted_at_ = now;
+  std::map<class_name, request_counts> counts = meter_.TakeUnrecorded();
+  if (!counts.empty()) {
+    out.Append(count_requests{options_.self.who, now, std::move(counts)});
+  }
+}
+
+void entry_core::ExchangeClaims(time_point now, effects& out) {
+  // A decision may make the requests ask again (another key, a release), so
+  // this goes on until both are silent.
+  while (true) {
+    for (const claim_question& question : requests_.TakeClaimQuestions()) {
+      switch (question.need) {
+        case claim_need::kAsk:
+          claims_.Ask(question.key, question.request, question.deadline, now,
+                      out, decisions_);
+          break;
+        case claim_need::kRelease:
+          claims_.Release(question.key, question.request, now, out);
+          break;
+        case claim_need::kFinished:
+          claims_.Finished(question.key, question.request, *question.answer,
+                           now);
+          break;
+      }
+    }
+    if (decisions_.empty()) {
+      return;
+    }
+    for (const claim_decision& decision : std::exchange(decisions_, {})) {
+      requests_.OnClaimDecision(decision, Context(), now, out);
+    }
+  }
+}
+
+}  // namespace plantainhead::core
