--- a/fakes/fake_runner.cc
+++ b/fakes/fake_runner.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <thread>
 
+#include "plantainhead/version.h"
 #include "runner.h"
 
 namespace {
@@ -89,6 +90,7 @@
 
 int main(int argc, char** argv) {
   CLI::App app("A stand-in for a back-end service");
+  app.set_version_flag("--version", plantainhead::kVersion);
   settings all;
   AddOptions(&app, &all);
   CLI11_PARSE(app, argc, argv);
--- a/tools/plantain_load.cc
+++ b/tools/plantain_load.cc
@@ -18,6 +18,7 @@
 #include "caller/load_plan.h"
 #include "caller/load_report.h"
 #include "caller/load_sender.h"
+#include "plantainhead/version.h"
 
 namespace {
 
@@ -169,6 +170,7 @@
 
 int main(int argc, char** argv) {
   CLI::App app("Sends requests to entries and reports what became of them");
+  app.set_version_flag("--version", plantainhead::kVersion);
   settings all;
   AddOptions(&app, &all);
   CLI11_PARSE(app, argc, argv);
