--- /dev/null
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -0,0 +1,149 @@
+#ifndef PLANTAINHEAD_CORE_JOBS_POOL_SCHEDULER_H_
+#define PLANTAINHEAD_CORE_JOBS_POOL_SCHEDULER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/orders.h"
+#include "plantainhead/core/jobs/vm_reports.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+/// Limits and waits of a `pool_scheduler`.
+struct scheduler_settings {
+  /// How long a VM may run tasks without hearing from the owner. Longer than it
+  /// takes to replace an owner that was killed (time to live of a member, 2.4 s,
+  /// and the takeover), so that its tasks survive; no longer than the least that
+  /// VMs allow (6 s).
+  duration lease = std::chrono::milliseconds(5500);
+  /// How long a hold waits for an end. Holds keep the lease alive, so it is well
+  /// under half of it.
+  duration hold_wait = std::chrono::milliseconds(1500);
+  /// The same beside tasks that serve, whose tail latency must be watched.
+  duration watch_wait = std::chrono::milliseconds(500);
+  /// A stop without an answer is sent again after this time.
+  duration stop_retry = std::chrono::milliseconds(400);
+  /// A task whose percentage stands still this long, over at least two
+  /// listings, hangs. A sound task of a second or less ends before.
+  duration hang_limit = std::chrono::milliseconds(2500);
+  /// A VM that fails every task gets none for this time.
+  duration quarantine = std::chrono::seconds(4);
+  /// Failures in a row, of at least two jobs, that put a VM under quarantine.
+  std::uint32_t quarantine_failures = 3;
+  /// A VM that refused an order for a passing reason gets none for this time.
+  duration refusal_pause = std::chrono::milliseconds(300);
+  /// A VM that is to be emptied lets its tasks end for this time, so that most
+  /// of them, which take a second or less, lose no work; then it stops them.
+  duration empty_limit = std::chrono::milliseconds(2000);
+  /// A run of an unknown job is stopped after this time: by then the record of
+  /// its job has been read if there is one.
+  duration foreign_limit = std::chrono::seconds(3);
+};
+
+/// What a new owner must assume of the one before it.
+struct takeover_bounds {
+  /// From now on nobody else gives orders: jobs that are first read later can't
+  /// have been started by an earlier owner.
+  time_point fresh_from;
+  /// By now every lease that an earlier owner granted is over.
+  time_point others_lapsed_at;
+};
+
+/// Figures for reports.
+struct scheduler_counts {
+  std::size_t open_jobs = 0;
+  std::size_t waiting_tasks = 0;
+  std::size_t placed_tasks = 0;
+  std::uint64_t starts = 0;
+  std::uint64_t lapsed_runs = 0;
+  std::uint64_t failed_runs = 0;
+  std::uint64_t hung_runs = 0;
+};
+
+/// Decides for one pool which task runs on which VM.
+///
+/// Pure: events and times come in, orders come out. The promises it keeps, with
+/// orders that may be lost or carried out late:
+/// - a task has at most one run that can be alive. A run that may be alive ends
+///   by being listed as ended; by a listing without it that was asked for after
+///   the VM had confirmed a stop of it; by another life of the VM; or by the end
+///   of the VM's lease.
+/// - a VM never holds more than its capacity: a run takes its room until then.
+/// - an end is acknowledged to the VM only after the record of it is stored.
+/// Not thread-safe.
+class pool_scheduler {
+ public:
+  pool_scheduler(const scheduler_settings& settings,
+                 const takeover_bounds& takeover);
+  pool_scheduler(const pool_scheduler&) = delete;
+  pool_scheduler& operator=(const pool_scheduler&) = delete;
+  ~pool_scheduler();
+
+  /// Adds a job; one that is known already is left as it is.
+  /// Precondition: `spec` is valid (see `FindFaults`).
+  void AddJob(std::shared_ptr<const job_spec> spec,
+              const queue_policy& policy,
+              time_point now);
+  /// Takes over what an earlier owner recorded. Precondition: the job was added
+  /// and nothing of it was started since.
+  void RestoreJob(const job_id& id, const job_progress& progress);
+  void SetPolicy(const queue_id& queue, const queue_policy& policy);
+  /// Ends a job and its tasks; unknown and ended jobs are left as they are.
+  void CancelJob(const job_id& id);
+
+  /// Replaces the list of the pool's VMs. A VM that is gone from it gets no new
+  /// tasks, and is forgotten when nothing can be running on it.
+  void UpdateVms(const std::vector<vm_description>& vms, time_point now);
+  /// Empties a VM: no new tasks, and lasting ones move as their steps allow.
+  void CloseVm(const vm_id& vm, time_point now);
+  /// Takes back `CloseVm`.
+  void OpenVm(const vm_id& vm);
+  /// Returns whether the VM is known, heard, and holds no run.
+  bool IsEmpty(const vm_id& vm) const;
+  /// Returns the VMs that need a hold; also those that left the list.
+  std::vector<vm_description> Vms() const;
+
+  void OnStartAnswer(const run_ref& target, start_result result, time_point now);
+  void OnStopAnswer(const run_ref& target, bool is_answered, time_point now);
+  /// Precondition: `sent_at` is when the hold was sent; holds of a VM follow one
+  /// another.
+  void OnListing(const vm_id& vm,
+                 time_point sent_at,
+                 const vm_listing& listing,
+                 time_point now);
+  void OnHoldUnanswered(const vm_id& vm);
+  /// Another life of the VM answered: all that ran on this one is over.
+  void OnReplaced(const vm_id& vm, time_point now);
+  /// A VM refused an order because a newer owner holds it.
+  void OnFenced() { is_fenced_ = true; }
+
+  /// Returns how to send the next hold, and grants the lease in it.
+  hold_parameters NextHold(const vm_id& vm, time_point now);
+  /// Returns the orders to send now. `wall_now` is only used for due times.
+  std::vector<vm_order> Plan(time_point now, time_point wall_now);
+
+  /// Returns what has to be stored next, if anything.
+  std::optional<progress_batch> TakeBatch();
+  /// Precondition: batches are stored in their order.
+  void OnBatchStored(std::uint64_t number);
+
+  /// True when a newer owner was met. Give no more orders then.
+  bool IsFenced() const { return is_fenced_; }
+  scheduler_counts Counts() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+  bool is_fenced_ = false;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_CORE_JOBS_POOL_SCHEDULER_H_
--- /dev/null
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -0,0 +1,131 @@
+#ifndef PLANTAINHEAD_CORE_JOBS_WAVE_KEEPER_H_
+#define PLANTAINHEAD_CORE_JOBS_WAVE_KEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/maintenance.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+/// Ask the pool's owner to empty the VM.
+struct close_vm {
+  vm_id vm;
+};
+
+/// The VM's life is over, or it isn't to be serviced: take `close_vm` back.
+struct release_vm {
+  vm_id vm;
+};
+
+/// Service the host now; what runs on it ends.
+struct service_host {
+  std::uint64_t wave = 0;
+  host_id host;
+};
+
+/// All hosts of the wave have been taken down for service.
+struct complete_wave {
+  std::uint64_t wave = 0;
+};
+
+using wave_action =
+    std::variant<close_vm, release_vm, service_host, complete_wave>;
+
+/// How an order to service a host went.
+enum class service_result {
+  /// Begun, or done before.
+  kAccepted,
+  /// Surely not begun; try again later.
+  kNotNow,
+  /// It can't be serviced in this wave.
+  kNever,
+  /// May have begun, or may begin yet.
+  kUnknown,
+};
+
+struct wave_settings {
+  /// Hosts that are emptied ahead of their turn, so that one is ready when
+  /// another returns. Each costs its pool a VM meanwhile.
+  std::uint32_t emptied_ahead = 1;
+  /// An order that may not have arrived is sent again after this time; it has
+  /// no effect if it did.
+  duration order_retry = std::chrono::seconds(1);
+  /// A host that isn't listed for this time has left for good.
+  duration missing_limit = std::chrono::seconds(3);
+};
+
+/// Decides which hosts are emptied and serviced when, for all waves.
+/// Pure and not thread-safe.
+class wave_keeper {
+ public:
+  explicit wave_keeper(const wave_settings& settings) : settings_(settings) {}
+
+  /// Adds waves; one that is known stays as it is.
+  void AddWave(const maintenance_wave& wave);
+  /// Notes what an earlier keeper recorded.
+  void NoteServiced(std::uint64_t wave, const host_id& host);
+  void NoteCompleted(std::uint64_t wave);
+  /// Replaces the list of the fleet's hosts. `spare` are the pools whose VMs
+  /// run nothing.
+  void UpdateHosts(const std::vector<fleet_host>& hosts,
+                   const std::set<pool_id>& spare,
+                   time_point now);
+  /// Replaces the set of VMs that have been emptied.
+  void UpdateEmpty(std::set<vm_id> empty) { empty_ = std::move(empty); }
+  void OnServiceAnswer(std::uint64_t wave,
+                       const host_id& host,
+                       service_result result,
+                       time_point now);
+
+  std::vector<wave_action> Plan(time_point now);
+  /// Returns whether a wave isn't complete, so that the list must be read.
+  bool HasWork() const;
+
+ private:
+  enum class host_phase { kDue, kClosing, kOrdered, kDown, kDone };
+  struct host_progress {
+    host_phase phase = host_phase::kDue;
+    /// The life that is emptied or was ended.
+    vm_id vm;
+    bool is_order_in_flight = false;
+    time_point next_order_at;
+  };
+  struct wave_progress {
+    maintenance_wave wave;
+    std::map<host_id, host_progress> hosts;
+    bool is_complete = false;
+  };
+  struct listed_host {
+    fleet_host host;
+    time_point last_listed;
+  };
+
+  void PlanWave(wave_progress* wave,
+                time_point now,
+                std::vector<wave_action>* actions);
+  void NoteReturns(wave_progress* wave, std::vector<wave_action>* actions);
+  bool IsMissing(const host_id& host, time_point now) const;
+  const listed_host* FindHost(const host_id& host) const;
+  std::uint32_t Busy(const pool_id& pool) const;
+  void CloseNext(wave_progress* wave, std::vector<wave_action>* actions);
+  bool IsReady(const host_progress& progress, const fleet_host& host) const;
+
+  wave_settings settings_;
+  std::map<std::uint64_t, wave_progress> waves_;
+  std::map<host_id, listed_host> hosts_;
+  std::set<pool_id> spare_;
+  std::set<vm_id> empty_;
+  time_point updated_at_;
+  bool is_listed_ = false;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_CORE_JOBS_WAVE_KEEPER_H_
--- /dev/null
+++ b/src/core/jobs/job_directory.cc
@@ -0,0 +1,82 @@
+#include "plantainhead/core/jobs/job_directory.h"
+
+#include <utility>
+
+namespace plantainhead::core::jobs {
+
+job_phase directory_entry::Phase() const {
+  if (IsFinal(progress.phase)) {
+    return progress.phase;
+  }
+  return is_cancelled ? job_phase::kCancelled : progress.phase;
+}
+
+bool job_directory::IsPending(const directory_entry& entry) const {
+  return entry.is_accepted && entry.Phase() == job_phase::kQueued;
+}
+
+template <typename Change>
+void job_directory::Update(const job_id& id, Change change) {
+  directory_entry& entry = entries_[id];
+  const bool was_pending = IsPending(entry);
+  change(&entry);
+  const bool is_pending = IsPending(entry);
+  if (is_pending && !was_pending) {
+    ++pending_[entry.queue];
+  } else if (was_pending && !is_pending) {
+    --pending_[entry.queue];
+  }
+  if (IsFinal(entry.progress.phase)) {
+    entry.spec.reset();
+    entry.progress.tasks = {};
+  }
+}
+
+bool job_directory::AddJob(std::shared_ptr<const job_spec> spec) {
+  bool is_new = false;
+  const job_id id = spec->id;
+  Update(id, [&](directory_entry* entry) {
+    is_new = !entry->is_accepted;
+    if (is_new) {
+      entry->is_accepted = true;
+      entry->pool = spec->pool;
+      entry->queue = spec->queue;
+      entry->spec = std::move(spec);
+    }
+  });
+  return is_new;
+}
+
+bool job_directory::NoteCancel(const job_id& id) {
+  bool is_new = false;
+  Update(id, [&](directory_entry* entry) {
+    is_new = !entry->is_cancelled;
+    entry->is_cancelled = true;
+  });
+  return is_new;
+}
+
+void job_directory::NoteProgress(const job_id& id, job_progress progress) {
+  Update(id, [&](directory_entry* entry) {
+    // Pages of the newest records aren't a snapshot: an older record of the job
+    // may be read after its final one.
+    if (!IsFinal(entry->progress.phase)) {
+      entry->progress = std::move(progress);
+    }
+  });
+}
+
+const directory_entry* job_directory::Find(const job_id& id) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || !found->second.is_accepted) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+std::size_t job_directory::Pending(const queue_id& queue) const {
+  const auto found = pending_.find(queue);
+  return found == pending_.end() ? 0 : found->second;
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/job_state.cc
@@ -0,0 +1,254 @@
+#include "core/jobs/job_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantainhead::core::jobs {
+namespace {
+
+std::uint32_t OccurrencesOf(const job_spec& spec) {
+  return spec.schedule ? spec.schedule->count : 1;
+}
+
+}  // namespace
+
+job_state::job_state(std::shared_ptr<const job_spec> spec,
+                     const queue_policy& policy,
+                     time_point arrived_at)
+    : spec_(std::move(spec)), arrived_at_(arrived_at) {
+  SetPolicy(policy);
+  if (!spec_->schedule) {
+    Open(0);
+  }
+}
+
+void job_state::SetPolicy(const queue_policy& policy) {
+  policy_ = policy;
+  const double allowed =
+      policy.stretch * static_cast<double>(LongestChain().count());
+  deadline_ = arrived_at_ + duration(static_cast<std::int64_t>(allowed)) +
+              policy.latency_target;
+}
+
+duration job_state::LongestChain() const {
+  std::vector<duration> ends;
+  ends.reserve(spec_->steps.size());
+  duration longest = duration::zero();
+  for (const step_spec& step : spec_->steps) {
+    duration begin = duration::zero();
+    for (const std::uint32_t earlier : step.depends_on) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends.push_back(begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+duration job_state::RemainingChain(const occurrence_state& occurrence) const {
+  std::vector<duration> ends;
+  ends.reserve(spec_->steps.size());
+  duration longest = duration::zero();
+  for (std::size_t i = 0; i < spec_->steps.size(); ++i) {
+    const step_spec& step = spec_->steps[i];
+    duration begin = duration::zero();
+    for (const std::uint32_t earlier : step.depends_on) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    const bool is_done = occurrence.steps[i].IsDone();
+    ends.push_back(is_done ? duration::zero() : begin + step.estimate);
+    longest = std::max(longest, ends.back());
+  }
+  return longest;
+}
+
+void job_state::Open(std::uint32_t occurrence) {
+  occurrence_state& state = occurrences_[occurrence];
+  for (const step_spec& step : spec_->steps) {
+    state.steps.emplace_back().tasks.resize(step.task_count);
+  }
+  opened_ = std::max(opened_, occurrence + 1);
+}
+
+void job_state::OpenDue(time_point wall_now) {
+  while (!IsFinal(phase_)) {
+    const auto due = NextDue();
+    if (!due || *due > wall_now) {
+      return;
+    }
+    Open(opened_);
+  }
+}
+
+std::optional<time_point> job_state::NextDue() const {
+  if (!spec_->schedule || opened_ >= spec_->schedule->count) {
+    return std::nullopt;
+  }
+  return spec_->schedule->first_due + opened_ * spec_->schedule->interval;
+}
+
+task_state* job_state::Find(const task_name& name) {
+  const auto occurrence = occurrences_.find(name.occurrence);
+  if (occurrence == occurrences_.end()) {
+    return nullptr;
+  }
+  std::vector<step_state>& steps = occurrence->second.steps;
+  if (name.step >= steps.size() ||
+      name.index >= steps[name.step].tasks.size()) {
+    return nullptr;
+  }
+  return &steps[name.step].tasks[name.index];
+}
+
+bool job_state::IsOpen(const occurrence_state& occurrence,
+                       std::uint32_t step) const {
+  const std::vector<std::uint32_t>& earlier = spec_->steps[step].depends_on;
+  return std::all_of(earlier.begin(), earlier.end(), [&](std::uint32_t i) {
+    return occurrence.steps[i].IsDone();
+  });
+}
+
+void job_state::MarkPlaced(const task_name& name, std::uint32_t run) {
+  task_state& task = *Find(name);
+  if (task.phase == task_phase::kWaiting) {
+    task.phase = task_phase::kPlaced;
+    ++occurrences_[name.occurrence].steps[name.step].placed;
+  }
+  task.last_run = std::max(task.last_run, run);
+  if (phase_ == job_phase::kQueued) {
+    phase_ = job_phase::kRunning;
+  }
+}
+
+void job_state::MarkWaiting(const task_name& name) {
+  task_state* task = Find(name);
+  if (task != nullptr && task->phase == task_phase::kPlaced) {
+    task->phase = task_phase::kWaiting;
+    --occurrences_[name.occurrence].steps[name.step].placed;
+  }
+}
+
+void job_state::MarkDone(step_state* step, task_state* task) {
+  if (task->phase == task_phase::kDone) {
+    return;
+  }
+  if (task->phase == task_phase::kPlaced) {
+    --step->placed;
+  }
+  task->phase = task_phase::kDone;
+  ++step->done;
+}
+
+bool job_state::ApplyEnd(const task_name& name,
+                         std::uint32_t run,
+                         end_kind how,
+                         const std::string& checkpoint,
+                         const vm_id& vm) {
+  task_state* task = Find(name);
+  // After a takeover a VM lists ends that the earlier owner has recorded but
+  // not acknowledged. Counted again, one failure would use up two attempts.
+  if (task == nullptr || run <= task->ended_run) {
+    return false;
+  }
+  task->ended_run = run;
+  const bool is_newest = run >= task->last_run;
+  task->last_run = std::max(task->last_run, run);
+  if (!checkpoint.empty()) {
+    task->checkpoint = checkpoint;
+  }
+  const step_spec& step = StepOf(name);
+  step_state& steps = occurrences_[name.occurrence].steps[name.step];
+  if (how == end_kind::kDone && !step.lasting) {
+    if (step.gang) {
+      for (task_state& member : steps.tasks) {
+        member.ended_run = std::max(member.ended_run, run);
+        MarkDone(&steps, &member);
+      }
+    }
+    MarkDone(&steps, task);
+    CheckCompletion();
+    return true;
+  }
+  if (how == end_kind::kFailed) {
+    ++task->failures;
+    task->failed_on = vm;
+  }
+  if (is_newest) {
+    MarkWaiting(name);
+  }
+  if (task->failures >= policy_.max_attempts && !step.lasting) {
+    Finish(job_phase::kFailed);
+  }
+  return true;
+}
+
+void job_state::CheckCompletion() {
+  if (occurrences_.size() < OccurrencesOf(*spec_)) {
+    return;
+  }
+  for (const auto& [number, occurrence] : occurrences_) {
+    for (const step_state& step : occurrence.steps) {
+      if (!step.IsDone()) {
+        return;
+      }
+    }
+  }
+  Finish(job_phase::kCompleted);
+}
+
+void job_state::Finish(job_phase phase) {
+  if (IsFinal(phase_)) {
+    return;
+  }
+  phase_ = phase;
+  occurrences_.clear();
+}
+
+void job_state::Restore(const job_progress& progress) {
+  if (IsFinal(progress.phase)) {
+    Finish(progress.phase);
+    return;
+  }
+  phase_ = progress.phase;
+  for (const task_record& record : progress.tasks) {
+    const bool is_valid = record.occurrence < OccurrencesOf(*spec_) &&
+                          record.step < spec_->steps.size();
+    while (is_valid && opened_ <= record.occurrence) {
+      Open(opened_);
+    }
+    task_state* task =
+        Find({spec_->id, record.occurrence, record.step, record.index});
+    if (task == nullptr) {
+      continue;
+    }
+    task->ended_run = record.ended_run;
+    task->last_run = record.ended_run;
+    task->failures = record.failures;
+    task->checkpoint = record.checkpoint;
+    if (record.done) {
+      MarkDone(&occurrences_[record.occurrence].steps[record.step], task);
+    }
+  }
+}
+
+job_progress job_state::Progress() const {
+  job_progress progress;
+  progress.phase = phase_;
+  for (const auto& [number, occurrence] : occurrences_) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      const std::vector<task_state>& tasks = occurrence.steps[s].tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        const task_state& task = tasks[i];
+        if (task.ended_run == 0) {
+          continue;
+        }
+        const bool is_done = task.phase == task_phase::kDone;
+        progress.tasks.push_back({number, s, i, task.ended_run, task.failures,
+                                  is_done, is_done ? "" : task.checkpoint});
+      }
+    }
+  }
+  return progress;
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/job_state.h
@@ -0,0 +1,123 @@
+#ifndef PLANTAINHEAD_SRC_CORE_JOBS_JOB_STATE_H_
+#define PLANTAINHEAD_SRC_CORE_JOBS_JOB_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/vm_reports.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+enum class task_phase {
+  /// To be started as soon as its step may.
+  kWaiting,
+  /// A run of it is, or may be, on a VM.
+  kPlaced,
+  kDone,
+};
+
+struct task_state {
+  task_phase phase = task_phase::kWaiting;
+  /// Highest run that was ever ordered or listed.
+  std::uint32_t last_run = 0;
+  /// See `task_record`.
+  std::uint32_t ended_run = 0;
+  std::uint32_t failures = 0;
+  std::string checkpoint;
+  /// Where its last run failed; the next one goes elsewhere if it can.
+  vm_id failed_on;
+  /// No start before this time.
+  time_point not_before;
+};
+
+struct step_state {
+  std::vector<task_state> tasks;
+  std::uint32_t done = 0;
+  std::uint32_t placed = 0;
+
+  std::uint32_t Waiting() const {
+    return static_cast<std::uint32_t>(tasks.size()) - done - placed;
+  }
+  bool IsDone() const { return done == tasks.size(); }
+};
+
+struct occurrence_state {
+  std::vector<step_state> steps;
+};
+
+/// One accepted job and how far it is. Not thread-safe.
+class job_state {
+ public:
+  /// Preconditions: `spec` is set and has a step; `arrived_at` is when this
+  /// process learned of the job.
+  job_state(std::shared_ptr<const job_spec> spec,
+            const queue_policy& policy,
+            time_point arrived_at);
+
+  const job_spec& spec() const { return *spec_; }
+  const std::shared_ptr<const job_spec>& shared_spec() const { return spec_; }
+  const queue_policy& policy() const { return policy_; }
+  void SetPolicy(const queue_policy& policy);
+  job_phase phase() const { return phase_; }
+  /// When the job should have ended, by its caller's estimates.
+  time_point deadline() const { return deadline_; }
+  time_point arrived_at() const { return arrived_at_; }
+
+  /// Takes over what an earlier owner recorded.
+  void Restore(const job_progress& progress);
+  /// Returns what must outlast this process.
+  job_progress Progress() const;
+
+  /// Opens the occurrences that are due by `wall_now`.
+  void OpenDue(time_point wall_now);
+  /// Returns when the next occurrence opens, on the wall clock, or nothing.
+  std::optional<time_point> NextDue() const;
+
+  std::map<std::uint32_t, occurrence_state>& occurrences() {
+    return occurrences_;
+  }
+  /// Returns the task, or null when the job has none of this name (any more).
+  task_state* Find(const task_name& name);
+  const step_spec& StepOf(const task_name& name) const {
+    return spec_->steps[name.step];
+  }
+  /// Returns whether all steps that `step` depends on are done.
+  bool IsOpen(const occurrence_state& occurrence, std::uint32_t step) const;
+  /// Returns an estimate of the work left on the longest chain.
+  duration RemainingChain(const occurrence_state& occurrence) const;
+
+  void MarkPlaced(const task_name& name, std::uint32_t run);
+  /// The run is over without effect; the task waits again.
+  void MarkWaiting(const task_name& name);
+  /// Returns false when the end was recorded before, and nothing changed.
+  bool ApplyEnd(const task_name& name,
+                std::uint32_t run,
+                end_kind how,
+                const std::string& checkpoint,
+                const vm_id& vm);
+  void Cancel() { Finish(job_phase::kCancelled); }
+
+ private:
+  void Finish(job_phase phase);
+  void Open(std::uint32_t occurrence);
+  void MarkDone(step_state* step, task_state* task);
+  void CheckCompletion();
+  duration LongestChain() const;
+
+  std::shared_ptr<const job_spec> spec_;
+  queue_policy policy_;
+  time_point arrived_at_;
+  time_point deadline_;
+  job_phase phase_ = job_phase::kQueued;
+  std::map<std::uint32_t, occurrence_state> occurrences_;
+  std::uint32_t opened_ = 0;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_SRC_CORE_JOBS_JOB_STATE_H_
--- /dev/null
+++ b/src/core/jobs/job_table.cc
@@ -0,0 +1,58 @@
+#include "core/jobs/job_table.h"
+
+#include <utility>
+
+namespace plantainhead::core::jobs {
+
+job_state* job_table::Add(std::shared_ptr<const job_spec> spec,
+                          const queue_policy& policy,
+                          time_point now) {
+  const job_id id = spec->id;
+  auto [found, is_new] = jobs_.try_emplace(id);
+  if (!is_new) {
+    return nullptr;
+  }
+  found->second = std::make_unique<job_state>(std::move(spec), policy, now);
+  open_.emplace(id, found->second.get());
+  return found->second.get();
+}
+
+job_state* job_table::Find(const job_id& id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void job_table::SetPolicy(const queue_id& queue, const queue_policy& policy) {
+  for (const auto& [id, job] : open_) {
+    if (job->spec().queue == queue) {
+      job->SetPolicy(policy);
+    }
+  }
+}
+
+void job_table::NoteChange(job_state* job) {
+  changed_.insert(job->spec().id);
+  NoteRestored(job);
+}
+
+void job_table::NoteRestored(job_state* job) {
+  if (IsFinal(job->phase())) {
+    open_.erase(job->spec().id);
+  }
+}
+
+std::optional<progress_batch> job_table::TakeBatch() {
+  if (changed_.empty()) {
+    return std::nullopt;
+  }
+  progress_batch batch;
+  batch.number = next_batch_++;
+  batch.jobs.reserve(changed_.size());
+  for (const job_id& id : changed_) {
+    batch.jobs.emplace_back(id, jobs_.at(id)->Progress());
+  }
+  changed_.clear();
+  return batch;
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/job_table.h
@@ -0,0 +1,47 @@
+#ifndef PLANTAINHEAD_SRC_CORE_JOBS_JOB_TABLE_H_
+#define PLANTAINHEAD_SRC_CORE_JOBS_JOB_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "core/jobs/job_state.h"
+#include "plantainhead/core/jobs/orders.h"
+
+namespace plantainhead::core::jobs {
+
+/// The jobs of one pool, and which of them must be recorded. Not thread-safe.
+class job_table {
+ public:
+  /// Returns the new job, or null when it is known.
+  job_state* Add(std::shared_ptr<const job_spec> spec,
+                 const queue_policy& policy,
+                 time_point now);
+  /// Returns the job, or null when it is unknown.
+  job_state* Find(const job_id& id);
+  void SetPolicy(const queue_id& queue, const queue_policy& policy);
+
+  /// Marks the job as changed, and forgets it as open when it has ended.
+  void NoteChange(job_state* job);
+  /// Takes a job that has ended out of those that are open.
+  void NoteRestored(job_state* job);
+  const std::map<job_id, job_state*>& open() const { return open_; }
+
+  /// The number that the next batch will have.
+  std::uint64_t next_batch() const { return next_batch_; }
+  /// Returns the changed jobs as a batch, or nothing.
+  std::optional<progress_batch> TakeBatch();
+
+ private:
+  std::unordered_map<job_id, std::unique_ptr<job_state>> jobs_;
+  std::map<job_id, job_state*> open_;
+  std::set<job_id> changed_;
+  std::uint64_t next_batch_ = 1;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_SRC_CORE_JOBS_JOB_TABLE_H_
--- /dev/null
+++ b/src/core/jobs/pool_placement.cc
@@ -0,0 +1,306 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/jobs/pool_scheduler_impl.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+bool HasLabel(const vm_description& vm, const std::string& label) {
+  return std::find(vm.labels.begin(), vm.labels.end(), label) !=
+         vm.labels.end();
+}
+
+resources RoomOf(const step_spec& step) {
+  resources room = step.need;
+  if (step.fills) {
+    room.cpu_millis = 0;
+  }
+  return room;
+}
+
+}  // namespace
+
+std::vector<vm_order> pool_scheduler::impl::Plan(time_point now,
+                                                 time_point wall_now) {
+  std::vector<vm_order> orders;
+  LapseSilentVms(now);
+  for (auto& [id, vm] : vms_) {
+    StopHungRuns(&vm, now);
+    if (vm.description().draining || vm.is_closed) {
+      EmptyVm(&vm, now);
+    }
+    PlanStops(&vm, now, &orders);
+    PlanPace(&vm, &orders);
+  }
+  for (const auto& [id, job] : jobs_.open()) {
+    job->OpenDue(wall_now);
+  }
+  for (const candidate& next : Candidates(now)) {
+    PlaceJob(next.job, now, &orders);
+  }
+  ForgetGoneVms(now);
+  return orders;
+}
+
+// After a takeover a task may be running on any VM that hasn't been heard. It
+// must not start elsewhere before that VM has told, or its lease is over.
+bool pool_scheduler::impl::IsRecovered(time_point now) {
+  if (!is_recovered_) {
+    is_recovered_ = std::all_of(
+        vms_.begin(), vms_.end(), [now](const auto& entry) {
+          return entry.second.IsHeard() || entry.second.IsLapsed(now);
+        });
+  }
+  return is_recovered_;
+}
+
+std::vector<pool_scheduler::impl::candidate> pool_scheduler::impl::Candidates(
+    time_point now) {
+  const bool is_recovered = IsRecovered(now);
+  std::vector<candidate> candidates;
+  for (const auto& [id, job] : jobs_.open()) {
+    const bool may_be_running =
+        !is_recovered && job->arrived_at() < takeover_.fresh_from;
+    if (may_be_running) {
+      continue;
+    }
+    std::uint32_t waiting = 0;
+    duration chain = duration::zero();
+    bool lasts = false;
+    for (const auto& [number, occurrence] : job->occurrences()) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        if (job->IsOpen(occurrence, s)) {
+          waiting += occurrence.steps[s].Waiting();
+          lasts = lasts || job->spec().steps[s].lasting;
+        }
+      }
+      chain = std::max(chain, job->RemainingChain(occurrence));
+    }
+    if (waiting == 0) {
+      continue;
+    }
+    constexpr int kLateRank = 1000;
+    const bool is_late = now + chain > job->deadline();
+    int rank = job->policy().priority;
+    if (lasts) {
+      rank = -1;
+    } else if (is_late) {
+      rank += kLateRank;
+    }
+    candidates.push_back({job, rank, job->deadline()});
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const candidate& a, const candidate& b) {
+              return std::tie(a.rank, a.deadline, a.job->spec().id) <
+                     std::tie(b.rank, b.deadline, b.job->spec().id);
+            });
+  return candidates;
+}
+
+void pool_scheduler::impl::PlaceJob(job_state* job,
+                                    time_point now,
+                                    std::vector<vm_order>* orders) {
+  for (auto& [number, occurrence] : job->occurrences()) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (occurrence.steps[s].Waiting() == 0 || !job->IsOpen(occurrence, s)) {
+        continue;
+      }
+      if (job->spec().steps[s].gang) {
+        PlaceGang(job, number, s, now, orders);
+      } else {
+        PlaceStep(job, number, s, now, orders);
+      }
+    }
+  }
+}
+
+void pool_scheduler::impl::PlaceStep(job_state* job,
+                                     std::uint32_t occurrence,
+                                     std::uint32_t step,
+                                     time_point now,
+                                     std::vector<vm_order>* orders) {
+  const std::string& rack = job->spec().steps[step].preferred_rack;
+  const auto count = job->occurrences()[occurrence].steps[step].tasks.size();
+  for (std::uint32_t i = 0; i < count; ++i) {
+    const task_name name{job->spec().id, occurrence, step, i};
+    const task_state& task = *job->Find(name);
+    if (task.phase != task_phase::kWaiting || now < task.not_before) {
+      continue;
+    }
+    vm_state* vm = ChooseVm(*job, name, rack, now);
+    if (vm == nullptr) {
+      // The other tasks of the step are as large.
+      return;
+    }
+    Start(job, name, task.last_run + 1, vm, now, orders);
+  }
+}
+
+// Members of a gang that start while others find no room only hold capacity and
+// end as alone. So all are placed, or none.
+void pool_scheduler::impl::PlaceGang(job_state* job,
+                                     std::uint32_t occurrence,
+                                     std::uint32_t step,
+                                     time_point now,
+                                     std::vector<vm_order>* orders) {
+  step_state& state = job->occurrences()[occurrence].steps[step];
+  if (state.placed > 0) {
+    return;
+  }
+  std::uint32_t run = 0;
+  std::string checkpoint;
+  for (const task_state& task : state.tasks) {
+    run = std::max(run, task.last_run);
+    checkpoint = std::max(checkpoint, task.checkpoint);
+  }
+  std::vector<std::string> racks = {""};
+  if (job->spec().steps[step].same_rack) {
+    racks.clear();
+    for (const auto& [id, vm] : vms_) {
+      const std::vector<std::string>& labels = vm.description().labels;
+      if (labels.size() > 1) {
+        racks.push_back(labels.back());
+      }
+    }
+    racks.emplace_back("");
+  }
+  for (const std::string& rack : racks) {
+    std::vector<vm_order> trial;
+    std::vector<std::pair<vm_state*, task_name>> placed;
+    for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
+      const task_name name{job->spec().id, occurrence, step, i};
+      vm_state* vm = ChooseVm(*job, name, rack, now);
+      const bool is_in_rack =
+          vm != nullptr && (rack.empty() || HasLabel(vm->description(), rack));
+      if (!is_in_rack) {
+        break;
+      }
+      run_state reserved;
+      reserved.room = RoomOf(job->spec().steps[step]);
+      vm->Add(name, reserved);
+      placed.emplace_back(vm, name);
+    }
+    const bool fits = placed.size() == state.tasks.size();
+    for (const auto& [vm, name] : placed) {
+      vm->Erase(name);
+    }
+    if (!fits) {
+      continue;
+    }
+    for (const auto& [vm, name] : placed) {
+      job->Find(name)->checkpoint = checkpoint;
+      Start(job, name, run + 1, vm, now, orders);
+    }
+    return;
+  }
+}
+
+bool pool_scheduler::impl::IsEligible(const vm_state& vm,
+                                      const pool_id& pool,
+                                      const step_spec& step) const {
+  const vm_description& description = vm.description();
+  const bool has_foreign =
+      std::any_of(vm.runs().begin(), vm.runs().end(), [](const auto& entry) {
+        return entry.second.is_foreign;
+      });
+  return vm.is_listed && description.pool == pool && !vm.is_closed && !description.draining &&
+         vm.IsReachable() && !has_foreign &&
+         (step.required_label.empty() ||
+          HasLabel(description, step.required_label));
+}
+
+std::uint32_t pool_scheduler::impl::RunsOfStep(const vm_state& vm,
+                                               const task_name& task) const {
+  std::uint32_t count = 0;
+  for (auto it =
+           vm.runs().lower_bound({task.job, task.occurrence, task.step, 0});
+       it != vm.runs().end() && it->first.job == task.job &&
+       it->first.occurrence == task.occurrence && it->first.step == task.step;
+       ++it) {
+    ++count;
+  }
+  return count;
+}
+
+// Takes the VM that is left with the least processor time, so that VMs with
+// much room stay free for large tasks. Lasting tasks are spread: one VM that
+// fails, or is serviced, then takes few of them.
+vm_state* pool_scheduler::impl::ChooseVm(const job_state& job,
+                                         const task_name& task,
+                                         const std::string& rack,
+                                         time_point now) {
+  const step_spec& step = job.spec().steps[task.step];
+  const resources room = RoomOf(step);
+  const vm_id failed_on =
+      const_cast<job_state&>(job).Find(task)->failed_on;
+  vm_state* best = nullptr;
+  vm_state* last_resort = nullptr;
+  std::size_t eligible = 0;
+  std::tuple<int, std::int64_t> best_cost;
+  for (auto& [id, vm] : vms_) {
+    if (!IsEligible(vm, job.spec().pool, step)) {
+      continue;
+    }
+    ++eligible;
+    const bool is_full =
+        !Fits(room, vm.Free()) || now < vm.avoid_until ||
+        (step.most_per_vm > 0 && RunsOfStep(vm, task) >= step.most_per_vm) ||
+        vm.runs().count(task) != 0;
+    if (is_full) {
+      continue;
+    }
+    if (id == failed_on) {
+      last_resort = &vm;
+      continue;
+    }
+    const bool is_near =
+        rack.empty() || HasLabel(vm.description(), rack);
+    const std::int64_t left = vm.Free().cpu_millis - room.cpu_millis;
+    int serving = 0;
+    if (step.fills) {
+      serving = HasServing(vm) ? 1 : 0;
+    }
+    const std::tuple<int, std::int64_t> cost = {
+        (is_near ? 0 : 2) + serving, step.lasting ? -left : left};
+    if (best == nullptr || cost < best_cost) {
+      best = &vm;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr && eligible <= 1) {
+    return last_resort;
+  }
+  return best;
+}
+
+void pool_scheduler::impl::Start(job_state* job,
+                                 const task_name& task,
+                                 std::uint32_t run,
+                                 vm_state* vm,
+                                 time_point now,
+                                 std::vector<vm_order>* orders) {
+  const auto lease_until = vm->Grant(settings_.lease, now);
+  if (!lease_until) {
+    return;
+  }
+  run_state state;
+  state.run = run;
+  state.room = RoomOf(job->StepOf(task));
+  state.ordered_at = now;
+  state.progressed_at = now;
+  state.is_start_in_flight = true;
+  vm->Add(task, state);
+  const job_phase before = job->phase();
+  job->MarkPlaced(task, run);
+  if (job->phase() != before) {
+    jobs_.NoteChange(job);
+  }
+  ++counts_.starts;
+  orders->emplace_back(start_order{{vm->description().id, task, run},
+                                   job->shared_spec(),
+                                   job->Find(task)->checkpoint,
+                                   *lease_until});
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/pool_reports.cc
@@ -0,0 +1,335 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "core/jobs/pool_scheduler_impl.h"
+
+namespace plantainhead::core::jobs {
+
+vm_state* pool_scheduler::impl::FindVm(const vm_id& id) {
+  const auto found = vms_.find(id);
+  return found == vms_.end() ? nullptr : &found->second;
+}
+
+void pool_scheduler::impl::UpdateVms(const std::vector<vm_description>& listed,
+                                     time_point now) {
+  for (auto& [id, vm] : vms_) {
+    vm.is_listed = false;
+  }
+  for (const vm_description& description : listed) {
+    if (replaced_.count(description.id) != 0) {
+      continue;
+    }
+    auto [found, is_new] = vms_.try_emplace(description.id, description);
+    vm_state& vm = found->second;
+    vm.description() = description;
+    vm.is_listed = true;
+    // An owner that was paused may have been the first to see this VM, and may
+    // have started a task on it that would start twice here.
+    if (is_new && now < takeover_.fresh_from) {
+      vm.AssumeLease(takeover_.others_lapsed_at);
+      is_recovered_ = false;
+    }
+  }
+}
+
+void pool_scheduler::impl::TakeListing(vm_state* vm,
+                                       time_point sent_at,
+                                       const vm_listing& listing,
+                                       time_point now) {
+  vm->Hear(listing.vm_clock, now);
+  for (const running_task& row : listing.running) {
+    TakeRunning(vm, row, now);
+  }
+  for (const ended_task& end : listing.ended) {
+    if (end.number > vm->taken_through && !TakeEnd(vm, end, now)) {
+      break;
+    }
+  }
+  CheckAbsent(vm, sent_at, listing, now);
+}
+
+void pool_scheduler::impl::TakeRunning(vm_state* vm,
+                                       const running_task& row,
+                                       time_point now) {
+  run_state* run = vm->Find(row.task, row.run);
+  if (run == nullptr) {
+    Adopt(vm, row, now);
+    return;
+  }
+  if (!run->confirmed_at) {
+    run->confirmed_at = now;
+  }
+  run->reading = row.reading;
+  if (run->percent != row.percent) {
+    run->percent = row.percent;
+    run->progressed_at = now;
+  }
+  if (run->is_foreign) {
+    if (jobs_.Find(row.task.job) != nullptr) {
+      vm->Erase(row.task);
+      Adopt(vm, row, now);
+    } else if (now - run->ordered_at > settings_.foreign_limit) {
+      run->is_stop_wanted = true;
+    }
+  }
+}
+
+// A run that this owner didn't order: an earlier owner did, or an order of this
+// owner was carried out after it had given the run up.
+void pool_scheduler::impl::Adopt(vm_state* vm,
+                                 const running_task& row,
+                                 time_point now) {
+  run_state run;
+  run.run = row.run;
+  run.ordered_at = now;
+  run.confirmed_at = now;
+  run.progressed_at = now;
+  run.percent = row.percent;
+  run.reading = row.reading;
+  job_state* job = jobs_.Find(row.task.job);
+  if (job == nullptr) {
+    run.is_foreign = true;
+    vm->Add(row.task, run);
+    return;
+  }
+  task_state* task = job->Find(row.task);
+  const bool is_wanted = task != nullptr &&
+                         task->phase == task_phase::kWaiting &&
+                         row.run > task->ended_run;
+  run.is_stop_wanted = !is_wanted;
+  if (row.task.step < job->spec().steps.size()) {
+    const step_spec& step = job->spec().steps[row.task.step];
+    run.room = step.need;
+    run.room.cpu_millis = step.fills ? 0 : step.need.cpu_millis;
+  }
+  vm->Add(row.task, run);
+  if (is_wanted) {
+    const job_phase before = job->phase();
+    job->MarkPlaced(row.task, row.run);
+    if (job->phase() != before) {
+      jobs_.NoteChange(job);
+    }
+  }
+}
+
+// Returns false when the end, and all later ones, can't be taken in yet.
+bool pool_scheduler::impl::TakeEnd(vm_state* vm,
+                                   const ended_task& end,
+                                   time_point now) {
+  job_state* job = jobs_.Find(end.task.job);
+  if (job == nullptr) {
+    // Its job's record may not have been read yet. Acknowledged now, the end
+    // would be lost and the task would run a second time.
+    if (!vm->unknown_end_since) {
+      vm->unknown_end_since = now;
+    }
+    if (now - *vm->unknown_end_since < settings_.foreign_limit) {
+      return false;
+    }
+  }
+  vm->unknown_end_since.reset();
+  vm->taken_through = end.number;
+  vm->unstored_ends.emplace_back(end.number, jobs_.next_batch());
+  const auto held = vm->runs().find(end.task);
+  if (held != vm->runs().end() && held->second.run <= end.run) {
+    vm->Erase(end.task);
+  }
+  if (job == nullptr) {
+    return true;
+  }
+  NoteHealth(vm, end, now);
+  const bool is_new = job->ApplyEnd(end.task, end.run, end.how, end.checkpoint,
+                                    vm->description().id);
+  if (is_new) {
+    if (end.how == end_kind::kFailed) {
+      ++counts_.failed_runs;
+    }
+    jobs_.NoteChange(job);
+    if (IsFinal(job->phase())) {
+      StopRunsOf(job->spec().id);
+    }
+  }
+  return true;
+}
+
+// A VM that fails all it is given looks idle, so that it would draw, and fail,
+// every next task until jobs run out of attempts. Failures in a row of several
+// jobs tell it from a job that can't be done; at most a third of the pool is
+// set aside, so that many bad jobs can't empty the pool.
+void pool_scheduler::impl::NoteHealth(vm_state* vm,
+                                      const ended_task& end,
+                                      time_point now) {
+  if (end.how == end_kind::kDone) {
+    vm->failures_in_row = 0;
+    vm->failing_jobs.clear();
+    return;
+  }
+  if (end.how != end_kind::kFailed) {
+    return;
+  }
+  ++vm->failures_in_row;
+  vm->failing_jobs.insert(end.task.job);
+  if (vm->failures_in_row < settings_.quarantine_failures ||
+      vm->failing_jobs.size() < 2) {
+    return;
+  }
+  const auto set_aside =
+      std::count_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
+        return entry.second.avoid_until > now;
+      });
+  if (3 * (static_cast<std::size_t>(set_aside) + 1) <= vms_.size() + 2) {
+    vm->avoid_until = now + settings_.quarantine;
+  }
+}
+
+// Ends runs that the VM doesn't have. A hold that was sent before the VM had
+// confirmed the run, or the stop of it, proves nothing: its answer may have been
+// made earlier.
+void pool_scheduler::impl::CheckAbsent(vm_state* vm,
+                                       time_point sent_at,
+                                       const vm_listing& listing,
+                                       time_point now) {
+  if (listing.is_partial || vm->unknown_end_since) {
+    return;
+  }
+  std::set<std::pair<task_name, std::uint32_t>> running;
+  for (const running_task& row : listing.running) {
+    running.emplace(row.task, row.run);
+  }
+  std::vector<task_name> over;
+  for (auto& [task, run] : vm->runs()) {
+    if (running.count({task, run.run}) != 0) {
+      continue;
+    }
+    if (run.stop_answered_at && *run.stop_answered_at <= sent_at) {
+      over.push_back(task);
+    } else if (run.confirmed_at && *run.confirmed_at <= sent_at) {
+      run.is_stop_wanted = true;
+      run.next_stop_at = std::max(run.next_stop_at, now);
+    }
+  }
+  for (const task_name& task : over) {
+    EndRun(vm, task, end_kind::kLapsed);
+  }
+}
+
+void pool_scheduler::impl::TakeStartAnswer(vm_state* vm,
+                                           const run_ref& target,
+                                           start_result result,
+                                           time_point now) {
+  run_state* run = vm->Find(target.task, target.run);
+  if (run == nullptr) {
+    return;
+  }
+  run->is_start_in_flight = false;
+  switch (result) {
+    case start_result::kStarted:
+      if (!run->confirmed_at) {
+        run->confirmed_at = now;
+        run->progressed_at = now;
+      }
+      return;
+    case start_result::kUnknown:
+      // The VM may still carry the order out, seconds from now. Until a stop is
+      // confirmed there the task must not start elsewhere.
+      run->is_stop_wanted = true;
+      return;
+    case start_result::kNoRoom:
+    case start_result::kUnwell:
+    case start_result::kNotSent:
+    case start_result::kLate:
+      vm->avoid_until =
+          std::max(vm->avoid_until, now + settings_.refusal_pause);
+      EndRun(vm, target.task, end_kind::kStopped);
+      return;
+    case start_result::kOldRun:
+      EndRun(vm, target.task, end_kind::kStopped);
+      return;
+    case start_result::kInvalid:
+      EndRun(vm, target.task, end_kind::kFailed);
+      return;
+    case start_result::kFenced:
+    case start_result::kReplaced:
+      return;
+  }
+}
+
+void pool_scheduler::impl::TakeStopAnswer(vm_state* vm,
+                                          const run_ref& target,
+                                          bool is_answered,
+                                          time_point now) {
+  run_state* run = vm->Find(target.task, target.run);
+  if (run == nullptr) {
+    return;
+  }
+  run->is_stop_in_flight = false;
+  if (is_answered) {
+    run->stop_answered_at = now;
+  } else {
+    run->next_stop_at = now + settings_.stop_retry;
+  }
+}
+
+hold_parameters pool_scheduler::impl::NextHold(vm_state* vm, time_point now) {
+  hold_parameters hold;
+  hold.acked_through = vm->acked_through;
+  const bool has_unacked = vm->acked_through < vm->taken_through;
+  if (!vm->IsReachable()) {
+    // A VM that doesn't answer gets no longer lease: what may be running there
+    // can start elsewhere only after the last lease is over.
+    return hold;
+  }
+  hold.lease_until = vm->Grant(settings_.lease, now);
+  const bool has_stops = std::any_of(
+      vm->runs().begin(), vm->runs().end(),
+      [](const auto& entry) { return entry.second.is_stop_wanted; });
+  if (has_unacked || has_stops) {
+    hold.wait = settings_.watch_wait / 10;
+  } else {
+    hold.wait = HasServing(*vm) ? settings_.watch_wait : settings_.hold_wait;
+  }
+  return hold;
+}
+
+std::optional<progress_batch> pool_scheduler::impl::TakeBatch() {
+  auto batch = jobs_.TakeBatch();
+  if (!batch) {
+    // Ends that changed no record wait for no store.
+    for (auto& [id, vm] : vms_) {
+      for (auto& [number, needed] : vm.unstored_ends) {
+        if (needed == jobs_.next_batch()) {
+          needed = 0;
+        }
+      }
+    }
+    NoteStored(0);
+  }
+  return batch;
+}
+
+void pool_scheduler::impl::NoteStored(std::uint64_t batch) {
+  for (auto& [id, vm] : vms_) {
+    while (!vm.unstored_ends.empty() &&
+           vm.unstored_ends.front().second <= batch) {
+      vm.acked_through = vm.unstored_ends.front().first;
+      vm.unstored_ends.pop_front();
+    }
+  }
+}
+
+scheduler_counts pool_scheduler::impl::Counts() const {
+  scheduler_counts counts = counts_;
+  counts.open_jobs = jobs_.open().size();
+  for (const auto& [id, job] : jobs_.open()) {
+    for (const auto& [number, occurrence] : job->occurrences()) {
+      for (const step_state& step : occurrence.steps) {
+        counts.waiting_tasks += step.Waiting();
+        counts.placed_tasks += step.placed;
+      }
+    }
+  }
+  return counts;
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/pool_runs.cc
@@ -0,0 +1,222 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/jobs/pool_scheduler_impl.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+// A serving task's tail is acted on from this share of its target on, before it
+// is over, and leaves room to come back below this one.
+constexpr double kSlowFrom = 0.85;
+constexpr double kSpeedUpBelow = 0.6;
+constexpr std::uint32_t kFullPace = 100;
+constexpr std::uint32_t kPaceStep = 20;
+// A lasting task at this percentage serves.
+constexpr std::uint32_t kAtWork = 100;
+
+}  // namespace
+
+void pool_scheduler::impl::EndRun(vm_state* vm,
+                                  const task_name& name,
+                                  end_kind how) {
+  const auto held = vm->runs().find(name);
+  if (held == vm->runs().end()) {
+    return;
+  }
+  const std::uint32_t run = held->second.run;
+  vm->Erase(name);
+  job_state* job = jobs_.Find(name.job);
+  if (job == nullptr) {
+    return;
+  }
+  if (job->ApplyEnd(name, run, how, "", vm->description().id)) {
+    jobs_.NoteChange(job);
+    if (IsFinal(job->phase())) {
+      StopRunsOf(name.job);
+    }
+  }
+}
+
+void pool_scheduler::impl::EndAllRuns(vm_state* vm, end_kind how) {
+  std::vector<task_name> tasks;
+  for (const auto& [task, run] : vm->runs()) {
+    tasks.push_back(task);
+  }
+  for (const task_name& task : tasks) {
+    EndRun(vm, task, how);
+  }
+}
+
+void pool_scheduler::impl::Replace(const vm_id& id) {
+  vm_state* vm = FindVm(id);
+  if (vm != nullptr) {
+    EndAllRuns(vm, end_kind::kLapsed);
+    vms_.erase(id);
+  }
+  replaced_.insert(id);
+}
+
+void pool_scheduler::impl::StopRunsOf(const job_id& id) {
+  for (auto& [vm_name, vm] : vms_) {
+    for (auto it = vm.runs().lower_bound({id, 0, 0, 0});
+         it != vm.runs().end() && it->first.job == id; ++it) {
+      it->second.is_stop_wanted = true;
+    }
+  }
+}
+
+void pool_scheduler::impl::LapseSilentVms(time_point now) {
+  for (auto& [id, vm] : vms_) {
+    if (!vm.runs().empty() && vm.IsLapsed(now)) {
+      counts_.lapsed_runs += vm.runs().size();
+      EndAllRuns(&vm, end_kind::kLapsed);
+      vm.MarkLapsed();
+    }
+  }
+}
+
+void pool_scheduler::impl::ForgetGoneVms(time_point now) {
+  for (auto it = vms_.begin(); it != vms_.end();) {
+    const vm_state& vm = it->second;
+    const bool is_forgotten =
+        !vm.is_listed && vm.runs().empty() && vm.IsLapsed(now);
+    it = is_forgotten ? vms_.erase(it) : std::next(it);
+  }
+}
+
+void pool_scheduler::impl::StopHungRuns(vm_state* vm, time_point now) {
+  if (!vm->IsReachable()) {
+    return;
+  }
+  for (auto& [task, run] : vm->runs()) {
+    if (!run.confirmed_at || run.is_stop_wanted || run.is_foreign ||
+        run.pace == 0 || run.percent >= kAtWork ||
+        vm->last_heard() - run.progressed_at < settings_.hang_limit) {
+      continue;
+    }
+    job_state* job = jobs_.Find(task.job);
+    task_state* state = job == nullptr ? nullptr : job->Find(task);
+    if (state == nullptr || job->StepOf(task).gang) {
+      continue;
+    }
+    run.is_stop_wanted = true;
+    state->failed_on = vm->description().id;
+    vm->avoid_until = std::max(vm->avoid_until, now + settings_.quarantine);
+    ++counts_.hung_runs;
+  }
+}
+
+bool pool_scheduler::impl::HasServing(const vm_state& vm) {
+  return std::any_of(
+      vm.runs().begin(), vm.runs().end(), [this](const auto& entry) {
+        const job_state* job = jobs_.Find(entry.first.job);
+        return job != nullptr && !IsFinal(job->phase()) &&
+               job->StepOf(entry.first).latency_target > duration::zero();
+      });
+}
+
+// A lasting step must never miss more tasks at once for planned reasons than it
+// may. Every task that isn't at work counts as missing, whatever the reason.
+bool pool_scheduler::impl::MayDisturb(const task_name& name) {
+  job_state* job = jobs_.Find(name.job);
+  if (job == nullptr || job->Find(name) == nullptr) {
+    return true;
+  }
+  const step_spec& step = job->StepOf(name);
+  std::uint32_t at_work = 0;
+  for (const auto& [id, vm] : vms_) {
+    for (auto it = vm.runs().lower_bound({name.job, name.occurrence, name.step, 0});
+         it != vm.runs().end() && it->first.job == name.job &&
+         it->first.occurrence == name.occurrence &&
+         it->first.step == name.step;
+         ++it) {
+      const bool is_other = it->first.index != name.index;
+      const bool is_at_work = it->second.percent >= kAtWork &&
+                              !it->second.is_stop_wanted && vm.IsReachable();
+      at_work += is_other && is_at_work ? 1 : 0;
+    }
+  }
+  const std::uint32_t missing = step.task_count - 1 - at_work;
+  return missing < std::max(step.may_miss, 1U);
+}
+
+// Moves off a VM that leaves, or is to be serviced, what won't end in time.
+void pool_scheduler::impl::EmptyVm(vm_state* vm, time_point now) {
+  const bool leaves = vm->description().draining;
+  const bool is_overdue =
+      vm->is_closed && now - vm->closed_at > settings_.empty_limit;
+  for (auto& [task, run] : vm->runs()) {
+    job_state* job = jobs_.Find(task.job);
+    if (run.is_stop_wanted || job == nullptr || job->Find(task) == nullptr) {
+      continue;
+    }
+    const step_spec& step = job->StepOf(task);
+    if (step.lasting) {
+      run.is_stop_wanted = leaves || MayDisturb(task);
+    } else {
+      run.is_stop_wanted = is_overdue || (step.checkpoints && !step.gang);
+    }
+  }
+}
+
+void pool_scheduler::impl::PlanStops(vm_state* vm,
+                                     time_point now,
+                                     std::vector<vm_order>* orders) {
+  for (auto& [task, run] : vm->runs()) {
+    const bool is_due = run.is_stop_wanted && !run.is_stop_in_flight &&
+                        !run.is_start_in_flight && !run.stop_answered_at &&
+                        now >= run.next_stop_at;
+    if (is_due) {
+      run.is_stop_in_flight = true;
+      orders->emplace_back(
+          stop_order{{vm->description().id, task, run.run}});
+    }
+  }
+}
+
+// Slows the tasks that only use what is left over while a task that serves
+// users beside them is near its latency target, and lets them go on by steps.
+void pool_scheduler::impl::PlanPace(vm_state* vm,
+                                    std::vector<vm_order>* orders) {
+  // A listing is acted on once.
+  if (vm->last_heard() <= vm->paced_at) {
+    return;
+  }
+  vm->paced_at = vm->last_heard();
+  double worst = -1.0;
+  for (const auto& [task, run] : vm->runs()) {
+    const job_state* job = jobs_.Find(task.job);
+    if (job == nullptr || IsFinal(job->phase())) {
+      continue;
+    }
+    const duration target = job->StepOf(task).latency_target;
+    if (target > duration::zero()) {
+      const duration tail = std::chrono::milliseconds(run.reading);
+      worst = std::max(worst, static_cast<double>(tail.count()) /
+                                  static_cast<double>(target.count()));
+    }
+  }
+  for (auto& [task, run] : vm->runs()) {
+    const job_state* job = jobs_.Find(task.job);
+    if (job == nullptr || IsFinal(job->phase()) || !run.confirmed_at ||
+        !job->StepOf(task).fills || run.is_stop_wanted) {
+      continue;
+    }
+    std::uint32_t pace = run.pace;
+    if (worst >= 1.0) {
+      pace = 0;
+    } else if (worst >= kSlowFrom) {
+      pace = run.pace / 2;
+    } else if (worst < kSpeedUpBelow) {
+      pace = std::min(kFullPace, run.pace + kPaceStep);
+    }
+    if (pace != run.pace) {
+      run.pace = pace;
+      orders->emplace_back(
+          pace_order{{vm->description().id, task, run.run}, pace});
+    }
+  }
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/pool_scheduler.cc
@@ -0,0 +1,145 @@
+#include "plantainhead/core/jobs/pool_scheduler.h"
+
+#include <utility>
+
+#include "core/jobs/pool_scheduler_impl.h"
+
+namespace plantainhead::core::jobs {
+
+pool_scheduler::pool_scheduler(const scheduler_settings& settings,
+                               const takeover_bounds& takeover)
+    : impl_(std::make_unique<impl>(settings, takeover)) {}
+
+pool_scheduler::~pool_scheduler() = default;
+
+void pool_scheduler::AddJob(std::shared_ptr<const job_spec> spec,
+                            const queue_policy& policy,
+                            time_point now) {
+  impl_->jobs().Add(std::move(spec), policy, now);
+}
+
+void pool_scheduler::RestoreJob(const job_id& id,
+                                const job_progress& progress) {
+  job_state* job = impl_->jobs().Find(id);
+  if (job != nullptr) {
+    job->Restore(progress);
+    impl_->jobs().NoteRestored(job);
+  }
+}
+
+void pool_scheduler::SetPolicy(const queue_id& queue,
+                               const queue_policy& policy) {
+  impl_->jobs().SetPolicy(queue, policy);
+}
+
+void pool_scheduler::CancelJob(const job_id& id) {
+  job_state* job = impl_->jobs().Find(id);
+  if (job == nullptr || IsFinal(job->phase())) {
+    return;
+  }
+  job->Cancel();
+  impl_->jobs().NoteChange(job);
+  impl_->StopRunsOf(id);
+}
+
+void pool_scheduler::UpdateVms(const std::vector<vm_description>& vms,
+                               time_point now) {
+  impl_->UpdateVms(vms, now);
+}
+
+void pool_scheduler::CloseVm(const vm_id& vm, time_point now) {
+  vm_state* found = impl_->FindVm(vm);
+  if (found != nullptr && !found->is_closed) {
+    found->is_closed = true;
+    found->closed_at = now;
+  }
+}
+
+void pool_scheduler::OpenVm(const vm_id& vm) {
+  if (vm_state* found = impl_->FindVm(vm)) {
+    found->is_closed = false;
+  }
+}
+
+bool pool_scheduler::IsEmpty(const vm_id& vm) const {
+  const vm_state* found = impl_->FindVm(vm);
+  return found != nullptr && found->IsHeard() && found->runs().empty();
+}
+
+std::vector<vm_description> pool_scheduler::Vms() const {
+  std::vector<vm_description> all;
+  for (const auto& [id, vm] : impl_->vms()) {
+    all.push_back(vm.description());
+  }
+  return all;
+}
+
+void pool_scheduler::OnStartAnswer(const run_ref& target,
+                                   start_result result,
+                                   time_point now) {
+  if (result == start_result::kFenced) {
+    OnFenced();
+    return;
+  }
+  if (result == start_result::kReplaced) {
+    OnReplaced(target.vm, now);
+    return;
+  }
+  if (vm_state* vm = impl_->FindVm(target.vm)) {
+    impl_->TakeStartAnswer(vm, target, result, now);
+  }
+}
+
+void pool_scheduler::OnStopAnswer(const run_ref& target,
+                                  bool is_answered,
+                                  time_point now) {
+  if (vm_state* vm = impl_->FindVm(target.vm)) {
+    impl_->TakeStopAnswer(vm, target, is_answered, now);
+  }
+}
+
+void pool_scheduler::OnListing(const vm_id& vm,
+                               time_point sent_at,
+                               const vm_listing& listing,
+                               time_point now) {
+  if (vm_state* found = impl_->FindVm(vm)) {
+    impl_->TakeListing(found, sent_at, listing, now);
+  }
+}
+
+void pool_scheduler::OnHoldUnanswered(const vm_id& vm) {
+  if (vm_state* found = impl_->FindVm(vm)) {
+    found->NoteUnanswered();
+  }
+}
+
+void pool_scheduler::OnReplaced(const vm_id& vm, time_point /*now*/) {
+  impl_->Replace(vm);
+}
+
+hold_parameters pool_scheduler::NextHold(const vm_id& vm, time_point now) {
+  vm_state* found = impl_->FindVm(vm);
+  return found == nullptr ? hold_parameters() : impl_->NextHold(found, now);
+}
+
+std::vector<vm_order> pool_scheduler::Plan(time_point now,
+                                           time_point wall_now) {
+  if (is_fenced_) {
+    return {};
+  }
+  return impl_->Plan(now, wall_now);
+}
+
+std::optional<progress_batch> pool_scheduler::TakeBatch() {
+  return impl_->TakeBatch();
+}
+
+void pool_scheduler::OnBatchStored(std::uint64_t number) {
+  impl_->NoteStored(number);
+}
+
+scheduler_counts pool_scheduler::Counts() const {
+  return impl_->Counts();
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -0,0 +1,123 @@
+#ifndef PLANTAINHEAD_SRC_CORE_JOBS_POOL_SCHEDULER_IMPL_H_
+#define PLANTAINHEAD_SRC_CORE_JOBS_POOL_SCHEDULER_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/jobs/job_table.h"
+#include "core/jobs/vm_state.h"
+#include "plantainhead/core/jobs/pool_scheduler.h"
+
+namespace plantainhead::core::jobs {
+
+/// The state of a `pool_scheduler`. Three files share it: what VMs report
+/// (`pool_reports.cc`), which runs end (`pool_runs.cc`) and where tasks start
+/// (`pool_placement.cc`).
+class pool_scheduler::impl {
+ public:
+  impl(const scheduler_settings& settings, const takeover_bounds& takeover)
+      : settings_(settings), takeover_(takeover) {}
+
+  job_table& jobs() { return jobs_; }
+  std::map<vm_id, vm_state>& vms() { return vms_; }
+  vm_state* FindVm(const vm_id& id);
+  scheduler_counts Counts() const;
+
+  void UpdateVms(const std::vector<vm_description>& listed, time_point now);
+  void TakeListing(vm_state* vm,
+                   time_point sent_at,
+                   const vm_listing& listing,
+                   time_point now);
+  void TakeStartAnswer(vm_state* vm,
+                       const run_ref& target,
+                       start_result result,
+                       time_point now);
+  void TakeStopAnswer(vm_state* vm,
+                      const run_ref& target,
+                      bool is_answered,
+                      time_point now);
+  void Replace(const vm_id& id);
+  hold_parameters NextHold(vm_state* vm, time_point now);
+
+  std::vector<vm_order> Plan(time_point now, time_point wall_now);
+  std::optional<progress_batch> TakeBatch();
+  void NoteStored(std::uint64_t batch);
+  /// Wants a stop of every run of the job.
+  void StopRunsOf(const job_id& id);
+
+ private:
+  struct candidate {
+    job_state* job = nullptr;
+    int rank = 0;
+    time_point deadline;
+  };
+
+  // Reports.
+  void TakeRunning(vm_state* vm, const running_task& row, time_point now);
+  void Adopt(vm_state* vm, const running_task& row, time_point now);
+  bool TakeEnd(vm_state* vm, const ended_task& end, time_point now);
+  void NoteHealth(vm_state* vm, const ended_task& end, time_point now);
+  void CheckAbsent(vm_state* vm,
+                   time_point sent_at,
+                   const vm_listing& listing,
+                   time_point now);
+
+  // Ends of runs.
+  /// The run left no effect that is known: its task may start elsewhere.
+  void EndRun(vm_state* vm, const task_name& task, end_kind how);
+  void EndAllRuns(vm_state* vm, end_kind how);
+  void LapseSilentVms(time_point now);
+  void ForgetGoneVms(time_point now);
+  void StopHungRuns(vm_state* vm, time_point now);
+  void EmptyVm(vm_state* vm, time_point now);
+  bool MayDisturb(const task_name& task);
+  void PlanStops(vm_state* vm, time_point now, std::vector<vm_order>* orders);
+  void PlanPace(vm_state* vm, std::vector<vm_order>* orders);
+  bool HasServing(const vm_state& vm);
+
+  // Placement.
+  bool IsRecovered(time_point now);
+  std::vector<candidate> Candidates(time_point now);
+  void PlaceJob(job_state* job, time_point now, std::vector<vm_order>* orders);
+  void PlaceStep(job_state* job,
+                 std::uint32_t occurrence,
+                 std::uint32_t step,
+                 time_point now,
+                 std::vector<vm_order>* orders);
+  void PlaceGang(job_state* job,
+                 std::uint32_t occurrence,
+                 std::uint32_t step,
+                 time_point now,
+                 std::vector<vm_order>* orders);
+  bool IsEligible(const vm_state& vm,
+                  const pool_id& pool,
+                  const step_spec& step) const;
+  vm_state* ChooseVm(const job_state& job,
+                     const task_name& task,
+                     const std::string& rack,
+                     time_point now);
+  std::uint32_t RunsOfStep(const vm_state& vm, const task_name& task) const;
+  void Start(job_state* job,
+             const task_name& task,
+             std::uint32_t run,
+             vm_state* vm,
+             time_point now,
+             std::vector<vm_order>* orders);
+
+  scheduler_settings settings_;
+  takeover_bounds takeover_;
+  job_table jobs_;
+  std::map<vm_id, vm_state> vms_;
+  /// Lives that are known to be over; the registry may still list them.
+  std::set<vm_id> replaced_;
+  scheduler_counts counts_;
+  bool is_recovered_ = false;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_SRC_CORE_JOBS_POOL_SCHEDULER_IMPL_H_
--- /dev/null
+++ b/src/core/jobs/vm_state.cc
@@ -0,0 +1,61 @@
+#include "core/jobs/vm_state.h"
+
+#include <algorithm>
+
+namespace plantainhead::core::jobs {
+namespace {
+
+// A VM's clock may run 2% slow, so that it takes 1/0.98 of the time to reach a
+// date on it; 1/0.975 leaves a quarter of the deviation as a reserve.
+constexpr double kSlowestClock = 0.975;
+// Ending what runs takes a VM a moment after its lease is over.
+constexpr duration kLapseReserve = std::chrono::milliseconds(100);
+
+}  // namespace
+
+run_state* vm_state::Find(const task_name& task, std::uint32_t run) {
+  const auto found = runs_.find(task);
+  if (found == runs_.end() || found->second.run != run) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+run_state& vm_state::Add(const task_name& task, run_state run) {
+  Erase(task);
+  used_ = used_ + run.room;
+  return runs_.emplace(task, std::move(run)).first->second;
+}
+
+void vm_state::Erase(const task_name& task) {
+  const auto found = runs_.find(task);
+  if (found != runs_.end()) {
+    used_ = used_ - found->second.room;
+    runs_.erase(found);
+  }
+}
+
+void vm_state::Hear(duration vm_clock, time_point now) {
+  is_heard_ = true;
+  unanswered_ = 0;
+  last_heard_ = now;
+  clock_sample_ = vm_clock;
+}
+
+std::optional<duration> vm_state::Grant(duration lease, time_point now) {
+  if (!is_heard_) {
+    return std::nullopt;
+  }
+  const duration until = clock_sample_ + (now - last_heard_) + lease;
+  const auto longest = static_cast<std::int64_t>(
+      static_cast<double>((until - clock_sample_).count()) / kSlowestClock);
+  lapse_at_ =
+      std::max(lapse_at_, last_heard_ + duration(longest) + kLapseReserve);
+  return until;
+}
+
+void vm_state::AssumeLease(time_point until) {
+  lapse_at_ = std::max(lapse_at_, until);
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/core/jobs/vm_state.h
@@ -0,0 +1,109 @@
+#ifndef PLANTAINHEAD_SRC_CORE_JOBS_VM_STATE_H_
+#define PLANTAINHEAD_SRC_CORE_JOBS_VM_STATE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/orders.h"
+#include "plantainhead/core/jobs/vm_reports.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+/// A run that is, or may be, on a VM. It takes its room until the VM has listed
+/// its end or can't be running it any more.
+struct run_state {
+  std::uint32_t run = 0;
+  resources room;
+  time_point ordered_at;
+  /// Since when the VM is known to have taken the run.
+  std::optional<time_point> confirmed_at;
+  bool is_start_in_flight = false;
+  bool is_stop_wanted = false;
+  bool is_stop_in_flight = false;
+  std::optional<time_point> stop_answered_at;
+  time_point next_stop_at;
+  std::uint32_t percent = 0;
+  /// When `percent` was last seen to change.
+  time_point progressed_at;
+  std::int64_t reading = 0;
+  /// Share of its speed that it was last told to work at.
+  std::uint32_t pace = 100;
+  /// Its job isn't known here.
+  bool is_foreign = false;
+};
+
+/// One life of a VM as its pool's owner sees it. Not thread-safe.
+class vm_state {
+ public:
+  explicit vm_state(vm_description description)
+      : description_(std::move(description)) {}
+
+  vm_description& description() { return description_; }
+  const vm_description& description() const { return description_; }
+
+  std::map<task_name, run_state>& runs() { return runs_; }
+  const std::map<task_name, run_state>& runs() const { return runs_; }
+  run_state* Find(const task_name& task, std::uint32_t run);
+  /// Adds a run that takes `room`.
+  run_state& Add(const task_name& task, run_state run);
+  void Erase(const task_name& task);
+  resources Free() const { return description_.capacity - used_; }
+
+  /// Notes that the VM answered: its clock, and when the answer came.
+  void Hear(duration vm_clock, time_point now);
+  void NoteUnanswered() { ++unanswered_; }
+  bool IsHeard() const { return is_heard_; }
+  /// True when the last call had an answer.
+  bool IsReachable() const { return is_heard_ && unanswered_ == 0; }
+  time_point last_heard() const { return last_heard_; }
+
+  /// Returns a time on the VM's clock, `lease` from now, up to which an order
+  /// may let it run tasks, and remembers it. Nothing before it was heard.
+  std::optional<duration> Grant(duration lease, time_point now);
+  /// Returns whether nothing can be running on the VM, since no lease that was
+  /// ever granted to it is still running on its clock.
+  bool IsLapsed(time_point now) const { return now >= lapse_at_; }
+  /// Counts leases that somebody else granted until `until`.
+  void AssumeLease(time_point until);
+  /// Forgets that the VM was heard: all that ran on it is over.
+  void MarkLapsed() { is_heard_ = false; }
+
+  /// Ends: the greatest number that was taken in, and what may be acknowledged.
+  std::uint64_t taken_through = 0;
+  std::uint64_t acked_through = 0;
+  /// Ends that wait for their batch of records to be stored.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> unstored_ends;
+  /// Since when an end of an unknown job holds back the later ones.
+  std::optional<time_point> unknown_end_since;
+
+  /// When the pace of its tasks was last decided.
+  time_point paced_at;
+  /// No starts before this time.
+  time_point avoid_until;
+  std::uint32_t failures_in_row = 0;
+  std::set<job_id> failing_jobs;
+  bool is_listed = true;
+  /// Being emptied for maintenance, and since when.
+  bool is_closed = false;
+  time_point closed_at;
+
+ private:
+  vm_description description_;
+  std::map<task_name, run_state> runs_;
+  resources used_;
+  bool is_heard_ = false;
+  std::uint32_t unanswered_ = 0;
+  time_point last_heard_;
+  duration clock_sample_ = duration::zero();
+  time_point lapse_at_;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_SRC_CORE_JOBS_VM_STATE_H_
--- /dev/null
+++ b/src/core/jobs/wave_keeper.cc
@@ -0,0 +1,243 @@
+#include "plantainhead/core/jobs/wave_keeper.h"
+
+#include <algorithm>
+
+namespace plantainhead::core::jobs {
+
+void wave_keeper::AddWave(const maintenance_wave& wave) {
+  auto [found, is_new] = waves_.try_emplace(wave.number);
+  if (!is_new) {
+    return;
+  }
+  found->second.wave = wave;
+  for (const host_id& host : wave.hosts) {
+    found->second.hosts.try_emplace(host);
+  }
+}
+
+void wave_keeper::NoteServiced(std::uint64_t wave, const host_id& host) {
+  const auto found = waves_.find(wave);
+  if (found == waves_.end()) {
+    return;
+  }
+  const auto progress = found->second.hosts.find(host);
+  if (progress != found->second.hosts.end() &&
+      progress->second.phase == host_phase::kDue) {
+    progress->second.phase = host_phase::kDone;
+  }
+}
+
+void wave_keeper::NoteCompleted(std::uint64_t wave) {
+  const auto found = waves_.find(wave);
+  if (found != waves_.end()) {
+    found->second.is_complete = true;
+  }
+}
+
+void wave_keeper::UpdateHosts(const std::vector<fleet_host>& hosts,
+                              const std::set<pool_id>& spare,
+                              time_point now) {
+  for (const fleet_host& host : hosts) {
+    hosts_[host.host] = {host, now};
+  }
+  spare_ = spare;
+  updated_at_ = now;
+  is_listed_ = true;
+}
+
+void wave_keeper::OnServiceAnswer(std::uint64_t wave,
+                                  const host_id& host,
+                                  service_result result,
+                                  time_point now) {
+  const auto found = waves_.find(wave);
+  if (found == waves_.end()) {
+    return;
+  }
+  host_progress& progress = found->second.hosts[host];
+  progress.is_order_in_flight = false;
+  progress.next_order_at = now + settings_.order_retry;
+  switch (result) {
+    case service_result::kAccepted:
+      progress.phase = host_phase::kDown;
+      return;
+    case service_result::kNotNow:
+      progress.phase = host_phase::kClosing;
+      return;
+    case service_result::kNever:
+      progress.phase = host_phase::kDone;
+      return;
+    case service_result::kUnknown:
+      // It counts as down until an answer comes.
+      return;
+  }
+}
+
+bool wave_keeper::HasWork() const {
+  return std::any_of(waves_.begin(), waves_.end(), [](const auto& entry) {
+    return !entry.second.is_complete ||
+           std::any_of(entry.second.hosts.begin(), entry.second.hosts.end(),
+                       [](const auto& host) {
+                         return host.second.phase == host_phase::kDown;
+                       });
+  });
+}
+
+const wave_keeper::listed_host* wave_keeper::FindHost(
+    const host_id& host) const {
+  const auto found = hosts_.find(host);
+  return found == hosts_.end() ? nullptr : &found->second;
+}
+
+bool wave_keeper::IsMissing(const host_id& host, time_point now) const {
+  const listed_host* listed = FindHost(host);
+  return listed == nullptr ||
+         now - listed->last_listed > settings_.missing_limit;
+}
+
+// Returns how many of the pool's VMs are being emptied or are down.
+std::uint32_t wave_keeper::Busy(const pool_id& pool) const {
+  std::uint32_t busy = 0;
+  for (const auto& [number, wave] : waves_) {
+    for (const auto& [host, progress] : wave.hosts) {
+      const listed_host* listed = FindHost(host);
+      const bool is_busy = progress.phase != host_phase::kDue &&
+                           progress.phase != host_phase::kDone;
+      if (is_busy && listed != nullptr && listed->host.pool == pool) {
+        ++busy;
+      }
+    }
+  }
+  return busy;
+}
+
+// A host is back when it is up in another life.
+void wave_keeper::NoteReturns(wave_progress* wave,
+                              std::vector<wave_action>* actions) {
+  for (auto& [host, progress] : wave->hosts) {
+    const listed_host* listed = FindHost(host);
+    if (progress.phase != host_phase::kDown || listed == nullptr) {
+      continue;
+    }
+    const bool is_back = listed->host.state == host_state::kUp &&
+                         (progress.vm.empty() || listed->host.vm != progress.vm);
+    if (is_back) {
+      progress.phase = host_phase::kDone;
+      if (!progress.vm.empty()) {
+        actions->emplace_back(release_vm{progress.vm});
+      }
+    }
+  }
+}
+
+bool wave_keeper::IsReady(const host_progress& progress,
+                          const fleet_host& host) const {
+  return host.vm.empty() || spare_.count(host.pool) != 0 ||
+         empty_.count(progress.vm) != 0;
+}
+
+void wave_keeper::CloseNext(wave_progress* wave,
+                            std::vector<wave_action>* actions) {
+  const auto begun = std::count_if(
+      wave->hosts.begin(), wave->hosts.end(), [](const auto& entry) {
+        return entry.second.phase != host_phase::kDue &&
+               entry.second.phase != host_phase::kDone;
+      });
+  auto room = static_cast<std::int64_t>(wave->wave.most_at_once) +
+              settings_.emptied_ahead - begun;
+  while (room-- > 0) {
+    std::pair<const host_id, host_progress>* next = nullptr;
+    std::uint32_t least = 0;
+    for (auto& entry : wave->hosts) {
+      const listed_host* listed = FindHost(entry.first);
+      if (entry.second.phase != host_phase::kDue || listed == nullptr ||
+          listed->host.state != host_state::kUp) {
+        continue;
+      }
+      // Spread over the pools, so that none loses many VMs at once.
+      const std::uint32_t busy = Busy(listed->host.pool);
+      if (next == nullptr || busy < least) {
+        next = &entry;
+        least = busy;
+      }
+    }
+    if (next == nullptr) {
+      return;
+    }
+    const fleet_host& host = FindHost(next->first)->host;
+    next->second.phase = host_phase::kClosing;
+    next->second.vm = host.vm;
+    if (!host.vm.empty() && spare_.count(host.pool) == 0) {
+      actions->emplace_back(close_vm{host.vm});
+    }
+  }
+}
+
+void wave_keeper::PlanWave(wave_progress* wave,
+                           time_point now,
+                           std::vector<wave_action>* actions) {
+  NoteReturns(wave, actions);
+  if (wave->is_complete) {
+    return;
+  }
+  auto down = std::count_if(
+      wave->hosts.begin(), wave->hosts.end(), [this](const auto& entry) {
+        const listed_host* listed = FindHost(entry.first);
+        const bool is_in_service =
+            listed != nullptr &&
+            listed->host.state == host_state::kInService;
+        return is_in_service || entry.second.phase == host_phase::kOrdered ||
+               entry.second.phase == host_phase::kDown;
+      });
+  bool is_complete = true;
+  for (auto& [host, progress] : wave->hosts) {
+    const listed_host* listed = FindHost(host);
+    const bool is_open = progress.phase != host_phase::kDone &&
+                         progress.phase != host_phase::kDown;
+    is_complete = is_complete && (!is_open || IsMissing(host, now));
+    if (listed == nullptr || !is_open || progress.is_order_in_flight ||
+        now < progress.next_order_at) {
+      continue;
+    }
+    const bool is_new_life = progress.phase == host_phase::kClosing &&
+                             listed->host.state == host_state::kUp &&
+                             listed->host.vm != progress.vm;
+    if (is_new_life) {
+      // The life that was being emptied ended by itself.
+      if (!progress.vm.empty()) {
+        actions->emplace_back(release_vm{progress.vm});
+      }
+      progress = {};
+      continue;
+    }
+    const bool is_repeat = progress.phase == host_phase::kOrdered;
+    const bool is_turn = progress.phase == host_phase::kClosing &&
+                         listed->host.state == host_state::kUp &&
+                         IsReady(progress, listed->host) &&
+                         down < wave->wave.most_at_once;
+    if (is_repeat || is_turn) {
+      down += is_turn ? 1 : 0;
+      progress.phase = host_phase::kOrdered;
+      progress.is_order_in_flight = true;
+      actions->emplace_back(service_host{wave->wave.number, host});
+    }
+  }
+  if (is_complete) {
+    wave->is_complete = true;
+    actions->emplace_back(complete_wave{wave->wave.number});
+    return;
+  }
+  CloseNext(wave, actions);
+}
+
+std::vector<wave_action> wave_keeper::Plan(time_point now) {
+  std::vector<wave_action> actions;
+  if (!is_listed_) {
+    return actions;
+  }
+  for (auto& [number, wave] : waves_) {
+    PlanWave(&wave, now, &actions);
+  }
+  return actions;
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/src/jobs/clocks.cc
@@ -0,0 +1,26 @@
+#include "jobs/clocks.h"
+
+#include <ctime>
+
+namespace plantainhead::jobs {
+namespace {
+
+core::time_point Read(clockid_t clock) {
+  timespec now{};
+  clock_gettime(clock, &now);
+  const auto since = std::chrono::seconds(now.tv_sec) +
+                     std::chrono::nanoseconds(now.tv_nsec);
+  return core::time_point(std::chrono::duration_cast<core::duration>(since));
+}
+
+}  // namespace
+
+core::time_point BootTime() {
+  return Read(CLOCK_BOOTTIME);
+}
+
+core::time_point WallTime() {
+  return Read(CLOCK_REALTIME);
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/event_log.h
@@ -0,0 +1,89 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
+#define PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
+
+#include "plantainhead/core/names.h"
+#include "plantainhead/observe/logging.h"
+
+namespace plantainhead::jobs {
+
+/// What a process of the job scheduler logs.
+enum class job_event {
+  kProcessStarted,
+  kProcessStopping,
+  kProcessStopped,
+  kSettingsRead,
+  kStoreLost,
+  kStoreRegained,
+  kConfigurationApplied,
+  kConfigurationInvalid,
+  kRecordInvalid,
+  kReadinessChanged,
+  kJobAccepted,
+  kJobRefused,
+  kJobUnanswered,
+  kJobCancelled,
+  kJobEnded,
+  kTaskStarted,
+  kTaskNotStarted,
+  kTaskStopped,
+  kTaskEnded,
+  kVmLost,
+  kVmHeard,
+  kOwnershipGained,
+  kOwnershipLost,
+  kTakeoverFailed,
+  kHostServiced,
+  kHostNotServiced,
+  kHostMoved,
+  kWaveCompleted,
+  kLinesLeftOut,
+};
+
+inline constexpr core::name_table<job_event, 29> kJobEventNames = {{
+    {job_event::kProcessStarted, "process started"},
+    {job_event::kProcessStopping, "process stopping"},
+    {job_event::kProcessStopped, "process stopped"},
+    {job_event::kSettingsRead, "settings read"},
+    {job_event::kStoreLost, "store lost"},
+    {job_event::kStoreRegained, "store regained"},
+    {job_event::kConfigurationApplied, "configuration applied"},
+    {job_event::kConfigurationInvalid, "configuration invalid"},
+    {job_event::kRecordInvalid, "record invalid"},
+    {job_event::kReadinessChanged, "readiness changed"},
+    {job_event::kJobAccepted, "job accepted"},
+    {job_event::kJobRefused, "job refused"},
+    {job_event::kJobUnanswered, "job unanswered"},
+    {job_event::kJobCancelled, "job cancelled"},
+    {job_event::kJobEnded, "job ended"},
+    {job_event::kTaskStarted, "task started"},
+    {job_event::kTaskNotStarted, "task not started"},
+    {job_event::kTaskStopped, "task stopped"},
+    {job_event::kTaskEnded, "task ended"},
+    {job_event::kVmLost, "vm lost"},
+    {job_event::kVmHeard, "vm heard"},
+    {job_event::kOwnershipGained, "ownership gained"},
+    {job_event::kOwnershipLost, "ownership lost"},
+    {job_event::kTakeoverFailed, "takeover failed"},
+    {job_event::kHostServiced, "host serviced"},
+    {job_event::kHostNotServiced, "host not serviced"},
+    {job_event::kHostMoved, "host moved"},
+    {job_event::kWaveCompleted, "wave completed"},
+    {job_event::kLinesLeftOut, "lines left out"},
+}};
+inline constexpr const auto& NamesOf(job_event) {
+  return kJobEventNames;
+}
+
+/// Lines of one kind of event that are written in a second at most. The rest is
+/// counted, and the count is written in the next second. 60 lines of 200 bytes
+/// of each kind stay well under the 10 KB/s that a node may write when quiet,
+/// and bound a storm to a few hundred lines a second.
+inline constexpr unsigned kMostLinesPerSecond = 60;
+
+/// Writes one line. Never waits for the reader of the log.
+/// Thread safety: one thread at a time.
+void LogEvent(job_event event, observe::log_fields fields);
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
--- /dev/null
+++ b/src/jobs/fleet_owner.h
@@ -0,0 +1,63 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_FLEET_OWNER_H_
+#define PLANTAINHEAD_SRC_JOBS_FLEET_OWNER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "jobs/job_world.h"
+#include "jobs/progress_writer.h"
+#include "platform/store_client.h"
+#include "plantainhead/core/jobs/wave_keeper.h"
+
+namespace plantainhead::jobs {
+
+struct fleet_settings {
+  std::string address;
+  core::jobs::wave_settings waves;
+  writer_settings writer;
+  std::chrono::milliseconds order_timeout = std::chrono::seconds(2);
+  std::chrono::milliseconds tick = std::chrono::milliseconds(100);
+  /// Time between two readings of the list while a wave runs. A host is away
+  /// for some 2 s; each reading is paid for.
+  std::chrono::milliseconds list_interval = std::chrono::milliseconds(600);
+  std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(200);
+  /// No order is given for this time after a takeover: orders carry fences that
+  /// the platform doesn't check, so the earlier holder's lease must be over.
+  std::chrono::milliseconds holder_wait = std::chrono::milliseconds(5500);
+};
+
+/// Takes the fleet's partition over and walks maintenance waves through. The
+/// only process that gives orders for hosts. Not thread-safe.
+class fleet_owner {
+ public:
+  struct dependencies {
+    boost::asio::io_context* context = nullptr;
+    adapter::store_client* store = nullptr;
+    job_world* world = nullptr;
+    std::string member;
+    /// Names the process towards the platform.
+    std::string holder;
+    /// Whether ownership surely hasn't passed on.
+    std::function<bool()> is_sure;
+    std::function<void()> on_fenced;
+  };
+
+  fleet_owner(dependencies dependencies, const fleet_settings& settings);
+  fleet_owner(const fleet_owner&) = delete;
+  fleet_owner& operator=(const fleet_owner&) = delete;
+  ~fleet_owner();
+
+  void Start(std::uint64_t generation);
+  void OnFleetRecords();
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_FLEET_OWNER_H_
--- /dev/null
+++ b/src/jobs/fleet_records.cc
@@ -0,0 +1,86 @@
+#include "jobs/fleet_records.h"
+
+#include <charconv>
+#include <string_view>
+
+namespace plantainhead::jobs {
+namespace {
+
+constexpr std::string_view kClosed = "closed/";
+constexpr std::string_view kEmpty = "empty/";
+constexpr std::string_view kServiced = "serviced/";
+constexpr std::string_view kCompleted = "completed/";
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::optional<core::jobs::vm_id> AfterPrefix(const std::string& key,
+                                             std::string_view prefix) {
+  if (key.compare(0, prefix.size(), prefix) != 0) {
+    return std::nullopt;
+  }
+  return key.substr(prefix.size());
+}
+
+}  // namespace
+
+adapter::keyed_record EncodeClosedVm(const core::jobs::vm_id& vm) {
+  return {std::string(kClosed) + vm, "1"};
+}
+
+adapter::keyed_record EncodeEmptyVm(const core::jobs::vm_id& vm) {
+  return {std::string(kEmpty) + vm, "1"};
+}
+
+adapter::keyed_record DropClosedVm(const core::jobs::vm_id& vm) {
+  return {std::string(kClosed) + vm, std::nullopt};
+}
+
+adapter::keyed_record DropEmptyVm(const core::jobs::vm_id& vm) {
+  return {std::string(kEmpty) + vm, std::nullopt};
+}
+
+adapter::keyed_record EncodeServicedHost(const serviced_host& serviced) {
+  return {std::string(kServiced) + std::to_string(serviced.wave) + "/" +
+              serviced.host,
+          "1"};
+}
+
+adapter::keyed_record EncodeCompletedWave(std::uint64_t wave) {
+  return {std::string(kCompleted) + std::to_string(wave), "1"};
+}
+
+std::optional<serviced_host> ServicedHostOf(const std::string& key) {
+  const auto rest = AfterPrefix(key, kServiced);
+  const auto slash = rest ? rest->find('/') : std::string::npos;
+  if (slash == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto wave = ParseNumber(std::string_view(*rest).substr(0, slash));
+  if (!wave) {
+    return std::nullopt;
+  }
+  return serviced_host{*wave, rest->substr(slash + 1)};
+}
+
+std::optional<std::uint64_t> CompletedWaveOf(const std::string& key) {
+  const auto rest = AfterPrefix(key, kCompleted);
+  return rest ? ParseNumber(*rest) : std::nullopt;
+}
+
+std::optional<core::jobs::vm_id> ClosedVmOf(const std::string& key) {
+  return AfterPrefix(key, kClosed);
+}
+
+std::optional<core::jobs::vm_id> EmptyVmOf(const std::string& key) {
+  return AfterPrefix(key, kEmpty);
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/fleet_records.h
@@ -0,0 +1,40 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_FLEET_RECORDS_H_
+#define PLANTAINHEAD_SRC_JOBS_FLEET_RECORDS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "platform/store_client.h"
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/maintenance.h"
+
+/// What the fleet's owner and the pools' owners tell each other through the
+/// store: the first asks for a VM to be emptied, the second tells when it is.
+namespace plantainhead::jobs {
+
+adapter::keyed_record EncodeClosedVm(const core::jobs::vm_id& vm);
+adapter::keyed_record EncodeEmptyVm(const core::jobs::vm_id& vm);
+/// Take the records back.
+adapter::keyed_record DropClosedVm(const core::jobs::vm_id& vm);
+adapter::keyed_record DropEmptyVm(const core::jobs::vm_id& vm);
+
+struct serviced_host {
+  std::uint64_t wave = 0;
+  core::jobs::host_id host;
+};
+
+/// The host was taken down for the wave.
+adapter::keyed_record EncodeServicedHost(const serviced_host& serviced);
+/// All hosts of the wave were.
+adapter::keyed_record EncodeCompletedWave(std::uint64_t wave);
+
+/// Return the VM that a record's key names, if it is of this kind.
+std::optional<core::jobs::vm_id> ClosedVmOf(const std::string& key);
+std::optional<core::jobs::vm_id> EmptyVmOf(const std::string& key);
+std::optional<serviced_host> ServicedHostOf(const std::string& key);
+std::optional<std::uint64_t> CompletedWaveOf(const std::string& key);
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_FLEET_RECORDS_H_
--- /dev/null
+++ b/src/jobs/group_member.cc
@@ -0,0 +1,123 @@
+#include "jobs/group_member.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "jobs/clocks.h"
+
+namespace plantainhead::jobs {
+
+class group_member::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(boost::asio::io_context* context,
+       adapter::store_client* store,
+       const member_settings& settings,
+       std::string member,
+       change_handler on_dealt)
+      : store_(*store),
+        settings_(settings),
+        member_(std::move(member)),
+        on_dealt_(std::move(on_dealt)),
+        timer_(*context) {}
+
+  void Renew() {
+    if (is_in_flight_ || has_left_) {
+      return;
+    }
+    is_in_flight_ = true;
+    timer_.cancel();
+    const core::time_point sent_at = BootTime();
+    store_.Join({settings_.group, member_, settings_.topic,
+                 settings_.time_to_live, generation_},
+                settings_.timeout,
+                [self = weak_from_this(),
+                 sent_at](const adapter::join_reply& reply) {
+                  if (const auto member = self.lock()) {
+                    member->TakeReply(sent_at, reply);
+                  }
+                });
+  }
+
+  void Leave(std::function<void()> on_left) {
+    has_left_ = true;
+    timer_.cancel();
+    store_.Leave(settings_.group, member_, settings_.timeout,
+                 std::move(on_left));
+  }
+
+  core::time_point renewed_at() const { return renewed_at_; }
+  bool is_failing() const { return is_failing_; }
+
+ private:
+  void TakeReply(core::time_point sent_at, const adapter::join_reply& reply) {
+    is_in_flight_ = false;
+    if (has_left_) {
+      return;
+    }
+    is_failing_ = !reply.is_joined;
+    // A failed renewal is repeated sooner, so that a short outage of the store
+    // doesn't use up the time to live.
+    const auto pause = is_failing_ ? settings_.renewal / 3 : settings_.renewal;
+    timer_.expires_after(pause);
+    timer_.async_wait([self = weak_from_this()](
+                          const boost::system::error_code& error) {
+      const auto member = self.lock();
+      if (member && !error) {
+        member->Renew();
+      }
+    });
+    if (reply.is_joined) {
+      renewed_at_ = sent_at;
+      generation_ = reply.generation;
+      on_dealt_(generation_, std::set<std::uint32_t>(reply.partitions.begin(),
+                                                     reply.partitions.end()));
+    }
+  }
+
+  adapter::store_client& store_;
+  member_settings settings_;
+  std::string member_;
+  change_handler on_dealt_;
+  boost::asio::steady_timer timer_;
+  std::uint64_t generation_ = 0;
+  core::time_point renewed_at_;
+  bool is_failing_ = false;
+  bool is_in_flight_ = false;
+  bool has_left_ = false;
+};
+
+group_member::group_member(boost::asio::io_context* context,
+                           adapter::store_client* store,
+                           const member_settings& settings,
+                           std::string member,
+                           change_handler on_dealt)
+    : impl_(std::make_shared<impl>(context,
+                                   store,
+                                   settings,
+                                   std::move(member),
+                                   std::move(on_dealt))) {}
+
+group_member::~group_member() = default;
+
+void group_member::Start() {
+  impl_->Renew();
+}
+
+void group_member::RenewNow() {
+  impl_->Renew();
+}
+
+void group_member::Leave(std::function<void()> on_left) {
+  impl_->Leave(std::move(on_left));
+}
+
+core::time_point group_member::RenewedAt() const {
+  return impl_->renewed_at();
+}
+
+bool group_member::IsFailing() const {
+  return impl_->is_failing();
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/group_member.h
@@ -0,0 +1,70 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_GROUP_MEMBER_H_
+#define PLANTAINHEAD_SRC_JOBS_GROUP_MEMBER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "platform/store_client.h"
+#include "plantainhead/core/time.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace plantainhead::jobs {
+
+struct member_settings {
+  std::string group = "plantain";
+  /// Its partitions are dealt to the members; nothing is written there.
+  std::string topic = "plantain-owners";
+  /// A member that is silent for this time loses its partitions. The store
+  /// allows no less than 1 s. An owner that dies costs its pool this time, and
+  /// one that can't reach the store for a shorter time costs nothing.
+  std::chrono::milliseconds time_to_live = std::chrono::milliseconds(2400);
+  /// Three renewals fit into the time to live, so that a lost one is no harm.
+  std::chrono::milliseconds renewal = std::chrono::milliseconds(700);
+  std::chrono::milliseconds timeout = std::chrono::milliseconds(600);
+};
+
+/// Membership in the store's group, which deals the partitions. Not
+/// thread-safe.
+class group_member {
+ public:
+  using change_handler =
+      std::function<void(std::uint64_t generation,
+                         const std::set<std::uint32_t>& partitions)>;
+
+  /// `member` names this life of the process. `on_dealt` is called after each
+  /// renewal.
+  group_member(boost::asio::io_context* context,
+               adapter::store_client* store,
+               const member_settings& settings,
+               std::string member,
+               change_handler on_dealt);
+  group_member(const group_member&) = delete;
+  group_member& operator=(const group_member&) = delete;
+  ~group_member();
+
+  void Start();
+  /// Renews now and not only when it is due.
+  void RenewNow();
+  /// Gives the partitions back and renews no more.
+  void Leave(std::function<void()> on_left);
+
+  /// When the last renewal that was answered was sent, by `BootTime`.
+  core::time_point RenewedAt() const;
+  /// Whether the last renewal failed.
+  bool IsFailing() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_GROUP_MEMBER_H_
--- /dev/null
+++ b/src/jobs/job_metrics.cc
@@ -0,0 +1,65 @@
+#include "jobs/job_metrics.h"
+
+#include "plantainhead/observe/metrics.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+constexpr const char* kRequestsName = "plantain_job_requests_total";
+constexpr const char* kRequestsHelp = "Callers' requests by outcome.";
+
+}  // namespace
+
+std::string FormatMetrics(const job_figures& figures) {
+  observe::metrics registry;
+  const auto count = [&](const char* outcome, std::uint64_t value) {
+    registry.Counter(kRequestsName, kRequestsHelp, {{"outcome", outcome}})
+        .Add(value);
+  };
+  count("accepted", figures.submissions.accepted);
+  count("repeated", figures.submissions.repeated);
+  count("refused", figures.submissions.refused);
+  count("unanswered", figures.submissions.unanswered);
+  count("cancelled", figures.submissions.cancelled);
+  count("queried", figures.submissions.queries);
+  count("unknown_route", figures.submissions.unknown_route);
+  count("malformed", figures.submissions.malformed);
+  const auto level = [&](const char* name, const char* help, double value,
+                         const observe::label_list& labels = {}) {
+    registry.Gauge(name, help, labels).Set(value);
+  };
+  level("plantain_ready", "1 when the process takes requests.",
+        figures.is_ready ? 1 : 0);
+  level("plantain_jobs_known", "Jobs that have been read from the store.",
+        static_cast<double>(figures.known_jobs));
+  level("plantain_configuration_version", "The version in force.",
+        static_cast<double>(figures.configuration_version));
+  for (const auto& [partition, counts] : figures.pools) {
+    const observe::label_list labels = {
+        {"partition", std::to_string(partition)}};
+    level("plantain_open_jobs", "Jobs that haven't ended, in owned pools.",
+          static_cast<double>(counts.open_jobs), labels);
+    level("plantain_waiting_tasks", "Tasks that may not start yet.",
+          static_cast<double>(counts.waiting_tasks), labels);
+    level("plantain_placed_tasks", "Tasks with a run on a VM.",
+          static_cast<double>(counts.placed_tasks), labels);
+    registry
+        .Counter("plantain_task_starts_total", "Orders to start a task.",
+                 labels)
+        .Add(counts.starts);
+    registry
+        .Counter("plantain_task_failures_total", "Runs that failed.", labels)
+        .Add(counts.failed_runs);
+    registry
+        .Counter("plantain_task_lapses_total",
+                 "Runs given up because their VM was silent.", labels)
+        .Add(counts.lapsed_runs);
+    registry
+        .Counter("plantain_task_hangs_total",
+                 "Runs stopped because they made no progress.", labels)
+        .Add(counts.hung_runs);
+  }
+  return registry.ToText();
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/job_metrics.h
@@ -0,0 +1,30 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_JOB_METRICS_H_
+#define PLANTAINHEAD_SRC_JOBS_JOB_METRICS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "jobs/submissions.h"
+#include "plantainhead/core/jobs/pool_scheduler.h"
+
+namespace plantainhead::jobs {
+
+/// What a process of the job scheduler reports of itself.
+struct job_figures {
+  submission_counts submissions;
+  bool is_ready = false;
+  /// By partition, of those that it owns.
+  std::map<std::uint32_t, core::jobs::scheduler_counts> pools;
+  std::size_t known_jobs = 0;
+  std::uint64_t configuration_version = 0;
+};
+
+/// Returns the figures as Prometheus text (version 0.0.4).
+/// Thread safety: safe from any thread.
+std::string FormatMetrics(const job_figures& figures);
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_JOB_METRICS_H_
--- /dev/null
+++ b/src/jobs/job_service.cc
@@ -0,0 +1,397 @@
+#include "jobs/job_service.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+#include "jobs/fleet_owner.h"
+#include "jobs/group_member.h"
+#include "jobs/job_metrics.h"
+#include "jobs/job_world.h"
+#include "jobs/pool_owner.h"
+#include "jobs/submissions.h"
+#include "net/http_server.h"
+#include "platform/ingress_codec.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Connections for short calls to the store. One answers within 4 ms, so that
+// six carry over a thousand calls a second.
+constexpr std::size_t kStoreConnections = 6;
+// A process that hasn't reached the store for this time tells that it isn't
+// ready: callers' jobs can't be stored here. Longer than three renewals.
+constexpr milliseconds kReadyWithoutStore = milliseconds(2800);
+// After a request to stop new connections come for two more probes, a second
+// apart, and a little longer.
+constexpr milliseconds kProbesMissed = milliseconds(2300);
+constexpr milliseconds kStopTick = milliseconds(50);
+// Left of the grace when the process ends whatever is open.
+constexpr milliseconds kStopReserve = milliseconds(700);
+
+std::string MemberName(const std::string& name) {
+  std::random_device device;
+  return name + "-" + std::to_string(device()) + std::to_string(device());
+}
+
+}  // namespace
+
+class job_service::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(boost::asio::io_context* context,
+       const settings::scheduler_process_settings& settings)
+      : context_(context),
+        settings_(settings),
+        member_name_(MemberName(settings.name)),
+        store_(context, settings.store_address, kStoreConnections),
+        world_(context, &store_, {}, MakeListeners()),
+        submissions_(context, &store_, &world_, {}),
+        member_(context,
+                &store_,
+                member_settings_,
+                member_name_,
+                [this](std::uint64_t generation,
+                       const std::set<std::uint32_t>& partitions) {
+                  generation_ = generation;
+                  dealt_ = partitions;
+                  UpdateOwners();
+                }),
+        stop_timer_(*context) {
+    owner_settings_.time_to_live = member_settings_.time_to_live;
+    owner_settings_.scheduler.lease =
+        std::min(owner_settings_.scheduler.lease, settings.longest_lease);
+    fleet_settings_.address = settings.fleet_address;
+    fleet_settings_.holder_wait =
+        member_settings_.time_to_live +
+        std::chrono::duration_cast<milliseconds>(settings.holder_lease);
+  }
+
+  void Start() {
+    callers_ = std::make_unique<net::http_server>(
+        context_, settings_.caller_address, net::http_server_options(),
+        [this](const net::server_request& request,
+               const net::responder& respond) {
+          submissions_.Handle(request, respond);
+        });
+    probes_ = std::make_unique<net::http_server>(
+        context_, settings_.probe_address, net::http_server_options(),
+        [this](const net::server_request& request,
+               const net::responder& respond) { Probe(request, respond); });
+    if (!settings_.metrics_address.empty()) {
+      metrics_ = std::make_unique<net::http_server>(
+          context_, settings_.metrics_address, net::http_server_options(),
+          [this](const net::server_request& /*request*/,
+                 const net::responder& respond) { respond(Metrics()); });
+    }
+    world_.Start();
+    member_.Start();
+  }
+
+  void Stop(std::function<void()> on_stopped) {
+    if (is_stopping_) {
+      return;
+    }
+    is_stopping_ = true;
+    on_stopped_ = std::move(on_stopped);
+    stop_began_ = BootTime();
+    callers_->BeginStop();
+    fleet_.reset();
+    auto left = std::make_shared<std::size_t>(owners_.size() + 1);
+    const auto done = [self = shared_from_this(), left] {
+      if (--*left == 0) {
+        self->member_.Leave([] {});
+      }
+    };
+    for (auto& [partition, owner] : owners_) {
+      owner->Release(done);
+    }
+    done();
+    StopTick();
+  }
+
+ private:
+  job_world::listeners MakeListeners() {
+    job_world::listeners listeners;
+    listeners.on_job =
+        [this](const std::shared_ptr<const core::jobs::job_spec>& job) {
+          for (auto& [partition, owner] : owners_) {
+            owner->OnJob(job);
+          }
+        };
+    listeners.on_cancel = [this](const core::jobs::job_id& job) {
+      for (auto& [partition, owner] : owners_) {
+        owner->OnCancel(job);
+      }
+    };
+    listeners.on_configuration = [this] {
+      for (auto& [partition, owner] : owners_) {
+        owner->OnConfiguration();
+      }
+      UpdateOwners();
+    };
+    listeners.on_registry = [this] {
+      for (auto& [partition, owner] : owners_) {
+        owner->OnRegistry();
+      }
+    };
+    listeners.on_fleet_records = [this] {
+      for (auto& [partition, owner] : owners_) {
+        owner->OnFleetRecords();
+      }
+      if (fleet_) {
+        fleet_->OnFleetRecords();
+      }
+    };
+    listeners.on_store_contact = [this](bool is_answered) {
+      if (is_answered != is_store_answering_) {
+        is_store_answering_ = is_answered;
+        LogEvent(is_answered ? job_event::kStoreRegained
+                             : job_event::kStoreLost,
+                 {{"renewed_ms_ago", MillisSince(member_.RenewedAt())}});
+      }
+    };
+    return listeners;
+  }
+
+  static std::string MillisSince(core::time_point time) {
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(BootTime() - time).count());
+  }
+
+  // Ownership.
+
+  std::set<std::uint32_t> PartitionsWithPools() const {
+    std::set<std::uint32_t> partitions;
+    for (const core::jobs::pool_settings& pool :
+         world_.routes().configuration().pools) {
+      if (!pool.is_spare) {
+        partitions.insert(PoolPartitionOf(pool.id));
+      }
+    }
+    return partitions;
+  }
+
+  void UpdateOwners() {
+    if (is_stopping_) {
+      return;
+    }
+    std::set<std::uint32_t> wanted;
+    for (const std::uint32_t partition : PartitionsWithPools()) {
+      if (dealt_.count(partition) != 0) {
+        wanted.insert(partition);
+      }
+    }
+    for (auto it = owners_.begin(); it != owners_.end();) {
+      if (wanted.count(it->first) != 0) {
+        ++it;
+        continue;
+      }
+      LogEvent(job_event::kOwnershipLost,
+               {{"partition", std::to_string(it->first)},
+                {"epoch", std::to_string(it->second->epoch())},
+                {"generation", std::to_string(generation_)},
+                {"reason", "dealt to another member"}});
+      Retire(std::move(it->second));
+      it = owners_.erase(it);
+    }
+    for (const std::uint32_t partition : wanted) {
+      if (owners_.count(partition) == 0) {
+        Own(partition);
+      }
+    }
+    UpdateFleet();
+    world_.SetOwned({wanted.begin(), wanted.end()});
+  }
+
+  // The records of the end of an ownership let the next owner begin at once.
+  void Retire(std::unique_ptr<pool_owner> owner) {
+    const std::shared_ptr<pool_owner> leaving = std::move(owner);
+    leaving->Release([self = weak_from_this(), leaving] {
+      if (const auto service = self.lock()) {
+        service->member_.RenewNow();
+      }
+    });
+  }
+
+  void Own(std::uint32_t partition) {
+    pool_owner::dependencies deps;
+    deps.context = context_;
+    deps.store = &store_;
+    deps.world = &world_;
+    deps.member = member_name_;
+    deps.authority = [this] { return Authority(); };
+    deps.on_fenced = [this, partition] {
+      boost::asio::post(*context_, [self = weak_from_this(), partition] {
+        const auto service = self.lock();
+        if (service && !service->is_stopping_) {
+          service->owners_.erase(partition);
+          // Tells whether the partition is still this member's; if it is, it is
+          // claimed again.
+          service->member_.RenewNow();
+        }
+      });
+    };
+    auto& owner = owners_[partition];
+    owner = std::make_unique<pool_owner>(std::move(deps), partition,
+                                         owner_settings_);
+    owner->Start(generation_);
+  }
+
+  void UpdateFleet() {
+    const bool is_wanted =
+        dealt_.count(kFleetPartition) != 0 && !settings_.fleet_address.empty();
+    world_.SetFleetOwned(is_wanted);
+    if (!is_wanted) {
+      fleet_.reset();
+      return;
+    }
+    if (fleet_) {
+      return;
+    }
+    fleet_owner::dependencies deps;
+    deps.context = context_;
+    deps.store = &store_;
+    deps.world = &world_;
+    deps.member = member_name_;
+    deps.holder = settings_.name;
+    deps.is_sure = [this] {
+      return BootTime() < member_.RenewedAt() + member_settings_.time_to_live;
+    };
+    deps.on_fenced = [this] {
+      boost::asio::post(*context_, [self = weak_from_this()] {
+        if (const auto service = self.lock()) {
+          service->fleet_.reset();
+          service->member_.RenewNow();
+        }
+      });
+    };
+    fleet_ = std::make_unique<fleet_owner>(std::move(deps), fleet_settings_);
+    fleet_->Start(generation_);
+  }
+
+  // While the store can't be reached nobody can tell whether the group has
+  // dealt the partition anew. The fences on VMs, and the wait of a new owner for
+  // those that it can't reach, make it safe to work on for a while. When the
+  // store answers but the renewal is overdue, this process was suspended.
+  authority_state Authority() const {
+    const core::duration age = BootTime() - member_.RenewedAt();
+    authority_state state;
+    state.may_hold = age < owner_settings_.authority;
+    state.may_start = age < member_settings_.time_to_live ||
+                      (state.may_hold && member_.IsFailing());
+    return state;
+  }
+
+  // Readiness and metrics.
+
+  bool IsReady() const {
+    return !is_stopping_ && world_.IsLoaded() &&
+           BootTime() - member_.RenewedAt() < kReadyWithoutStore;
+  }
+
+  void Probe(const net::server_request& request,
+             const net::responder& respond) {
+    if (adapter::DecodePath(request.target) != adapter::kReadinessPath) {
+      respond(adapter::EncodeFault(404, "unknown path"));
+      return;
+    }
+    const bool is_ready = IsReady();
+    if (is_ready != was_ready_) {
+      was_ready_ = is_ready;
+      LogEvent(job_event::kReadinessChanged,
+               {{"ready", is_ready ? "yes" : "no"},
+                {"loaded", world_.IsLoaded() ? "yes" : "no"},
+                {"renewed_ms_ago", MillisSince(member_.RenewedAt())},
+                {"stopping", is_stopping_ ? "yes" : "no"}});
+    }
+    respond(is_ready ? net::server_response{200, {}, "{}"}
+                     : adapter::EncodeFault(503, "not ready"));
+  }
+
+  net::server_response Metrics() const {
+    job_figures figures;
+    figures.submissions = submissions_.counts();
+    figures.is_ready = IsReady();
+    for (const auto& [partition, owner] : owners_) {
+      figures.pools[partition] = owner->Counts();
+    }
+    figures.known_jobs = world_.directory().entries().size();
+    figures.configuration_version = world_.routes().configuration().version;
+    net::server_response response;
+    response.body = FormatMetrics(figures);
+    response.content_type = "text/plain; version=0.0.4";
+    return response;
+  }
+
+  // Stop.
+
+  void StopTick() {
+    const core::duration age = BootTime() - stop_began_;
+    const bool is_quiet = age > kProbesMissed && callers_->ActiveRequests() == 0;
+    if (is_quiet || age > settings_.stop_grace - kStopReserve) {
+      callers_->CloseIdle();
+      on_stopped_();
+      return;
+    }
+    stop_timer_.expires_after(kStopTick);
+    stop_timer_.async_wait([self = weak_from_this()](
+                               const boost::system::error_code& error) {
+      const auto service = self.lock();
+      if (service && !error) {
+        service->StopTick();
+      }
+    });
+  }
+
+  boost::asio::io_context* context_;
+  settings::scheduler_process_settings settings_;
+  std::string member_name_;
+  member_settings member_settings_;
+  owner_settings owner_settings_;
+  fleet_settings fleet_settings_;
+  adapter::store_client store_;
+  job_world world_;
+  submissions submissions_;
+  group_member member_;
+  std::uint64_t generation_ = 0;
+  std::set<std::uint32_t> dealt_;
+  std::map<std::uint32_t, std::unique_ptr<pool_owner>> owners_;
+  std::unique_ptr<fleet_owner> fleet_;
+  std::unique_ptr<net::http_server> callers_;
+  std::unique_ptr<net::http_server> probes_;
+  std::unique_ptr<net::http_server> metrics_;
+  boost::asio::steady_timer stop_timer_;
+  std::function<void()> on_stopped_;
+  core::time_point stop_began_;
+  bool is_stopping_ = false;
+  bool is_store_answering_ = true;
+  bool was_ready_ = false;
+};
+
+job_service::job_service(boost::asio::io_context* context,
+                         const settings::scheduler_process_settings& settings)
+    : impl_(std::make_shared<impl>(context, settings)) {}
+
+job_service::~job_service() = default;
+
+void job_service::Start() {
+  impl_->Start();
+}
+
+void job_service::Stop(std::function<void()> on_stopped) {
+  impl_->Stop(std::move(on_stopped));
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/job_world.cc
@@ -0,0 +1,314 @@
+#include "jobs/job_world.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "jobs/event_log.h"
+#include "jobs/record_codec.h"
+#include "platform/configuration_codec.h"
+#include "plantainhead/core/visit.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+std::uint64_t Hash(const std::string& text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
+bool HasPrefix(const std::string& text, std::string_view prefix) {
+  return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+void LogInvalid(const std::string& topic, const adapter::keyed_record& record) {
+  LogEvent(job_event::kRecordInvalid,
+           {{"topic", topic},
+            {"key", record.key},
+            {"offset", std::to_string(record.offset)}});
+}
+
+}  // namespace
+
+std::uint32_t JobPartitionOf(const core::jobs::queue_id& queue) {
+  return static_cast<std::uint32_t>(Hash(queue) % kJobPartitions);
+}
+
+std::uint32_t PoolPartitionOf(const core::jobs::pool_id& pool) {
+  return static_cast<std::uint32_t>(Hash(pool) % kPoolPartitions);
+}
+
+job_world::job_world(boost::asio::io_context* context,
+                     adapter::store_client* store,
+                     const follower_settings& settings,
+                     listeners listeners)
+    : context_(context),
+      store_(store),
+      settings_(settings),
+      listeners_(std::move(listeners)) {
+  operators_ = MakeFollower(
+      {adapter::kOperatorTopic, 0},
+      [this](const adapter::keyed_record& r) { TakeOperatorRecord(r); });
+  for (std::uint32_t i = 0; i < kJobPartitions; ++i) {
+    job_followers_.push_back(MakeFollower(
+        {kJobTopic, i},
+        [this](const adapter::keyed_record& r) { TakeJobRecord(r); }));
+  }
+}
+
+std::unique_ptr<log_follower> job_world::MakeFollower(
+    const adapter::store_partition& partition,
+    log_follower::record_handler on_record) {
+  return std::make_unique<log_follower>(
+      context_, store_, partition, settings_, std::move(on_record),
+      [this](bool is_answered) { listeners_.on_store_contact(is_answered); });
+}
+
+void job_world::Start() {
+  operators_->Start(follow_mode::kWatch);
+  for (const auto& follower : job_followers_) {
+    follower->Start(follow_mode::kBackground);
+  }
+}
+
+bool job_world::IsLoaded() const {
+  const auto is_loaded = [](const std::unique_ptr<log_follower>& follower) {
+    return follower->IsLoaded();
+  };
+  return routes_.configuration().version > 0 &&
+         std::all_of(job_followers_.begin(), job_followers_.end(), is_loaded) &&
+         std::all_of(pool_followers_.begin(), pool_followers_.end(),
+                     [&](const auto& entry) { return is_loaded(entry.second); });
+}
+
+core::jobs::queue_policy job_world::PolicyOf(
+    const core::jobs::queue_id& queue) const {
+  const auto found = policies_.find(queue);
+  return found == policies_.end() ? core::jobs::queue_policy() : found->second;
+}
+
+std::uint64_t job_world::EpochOf(std::uint32_t pool_partition) const {
+  const auto found = owners_.find(pool_partition);
+  return found == owners_.end() ? 0 : found->second.epoch;
+}
+
+std::string job_world::OwnerOf(std::uint32_t pool_partition) const {
+  const auto found = owners_.find(pool_partition);
+  return found == owners_.end() ? std::string() : found->second.member;
+}
+
+std::uint64_t job_world::CursorOf(std::uint32_t pool_partition) const {
+  const auto found = pool_followers_.find(pool_partition);
+  return found == pool_followers_.end() ? 0 : found->second->cursor();
+}
+
+void job_world::NoteProgress(const core::jobs::job_id& id,
+                             core::jobs::job_progress progress) {
+  directory_.NoteProgress(id, std::move(progress));
+}
+
+void job_world::TakeJobRecord(const adapter::keyed_record& record) {
+  auto decoded = DecodeJobRecord(record);
+  if (!decoded) {
+    if (record.value) {
+      LogInvalid(kJobTopic, record);
+    }
+    return;
+  }
+  std::visit(
+      core::overloaded{
+          [this](submission_record& submission) {
+            auto spec = std::make_shared<const core::jobs::job_spec>(
+                std::move(submission.spec));
+            if (directory_.AddJob(spec)) {
+              listeners_.on_job(spec);
+            }
+          },
+          [this](const cancel_record& cancel) {
+            if (directory_.NoteCancel(cancel.job)) {
+              listeners_.on_cancel(cancel.job);
+            }
+          }},
+      *decoded);
+}
+
+void job_world::TakePoolRecord(std::uint32_t partition,
+                               const adapter::keyed_record& record) {
+  auto decoded = DecodePoolRecord(record);
+  if (!decoded) {
+    if (record.value) {
+      LogInvalid(kProgressTopic, record);
+    }
+    return;
+  }
+  std::visit(core::overloaded{[this](progress_record& progress) {
+                             directory_.NoteProgress(
+                                 progress.job, std::move(progress.progress));
+                           },
+                           [this, partition](owner_record& owner) {
+                             owner_note& note = owners_[partition];
+                             if (owner.epoch >= note.epoch) {
+                               note = {owner.epoch, std::move(owner.member)};
+                             }
+                           }},
+             *decoded);
+}
+
+void job_world::TakeOperatorRecord(const adapter::keyed_record& record) {
+  if (!record.value) {
+    return;
+  }
+  if (record.key == adapter::kConfigurationKey) {
+    auto decoded = adapter::DecodeConfiguration(*record.value);
+    if (!decoded) {
+      LogEvent(job_event::kConfigurationInvalid,
+               {{"offset", std::to_string(record.offset)}});
+      return;
+    }
+    // Pages and appends may show an older version after a newer one.
+    if (decoded->version <= routes_.configuration().version) {
+      return;
+    }
+    routes_ = core::jobs::routing_table(std::move(*decoded));
+    for (const core::jobs::queue_route& route :
+         routes_.configuration().routes) {
+      policies_[route.queue] = route.policy;
+    }
+    LogEvent(job_event::kConfigurationApplied,
+             {{"version", std::to_string(routes_.configuration().version)},
+              {"routes",
+               std::to_string(routes_.configuration().routes.size())}});
+    FollowPools();
+    listeners_.on_configuration();
+    return;
+  }
+  if (HasPrefix(record.key, adapter::kWaveKeyPrefix)) {
+    if (auto wave = adapter::DecodeWave(*record.value)) {
+      waves_[wave->number] = std::move(*wave);
+      listeners_.on_fleet_records();
+    } else {
+      LogInvalid(adapter::kOperatorTopic, record);
+    }
+  }
+}
+
+void job_world::TakeRegistryRecord(const adapter::keyed_record& record) {
+  if (!record.value) {
+    registry_.erase(record.key);
+  } else if (auto vm = adapter::DecodeVm(record.key, *record.value)) {
+    registry_[record.key] = std::move(*vm);
+  } else {
+    LogInvalid(adapter::kRegistryTopic, record);
+    return;
+  }
+  listeners_.on_registry();
+}
+
+log_follower& job_world::PoolFollower(std::uint32_t partition) {
+  std::unique_ptr<log_follower>& follower = pool_followers_[partition];
+  if (!follower) {
+    follower = MakeFollower({kProgressTopic, partition},
+                            [this, partition](const adapter::keyed_record& r) {
+                              TakePoolRecord(partition, r);
+                            });
+    follower->Start(follow_mode::kBackground);
+  }
+  return *follower;
+}
+
+void job_world::FollowPools() {
+  for (const core::jobs::pool_settings& pool : routes_.configuration().pools) {
+    if (!pool.is_spare) {
+      PoolFollower(PoolPartitionOf(pool.id));
+    }
+  }
+  UpdateModes();
+}
+
+void job_world::SetOwned(const std::vector<std::uint32_t>& pool_partitions) {
+  owned_ = pool_partitions;
+  UpdateModes();
+}
+
+void job_world::SetFleetOwned(bool is_owned) {
+  is_fleet_owned_ = is_owned;
+  UpdateModes();
+}
+
+// An owner must learn of new jobs at once; for all others the background is
+// enough, since they refresh before they answer.
+void job_world::UpdateModes() {
+  std::set<std::uint32_t> watched;
+  for (const core::jobs::queue_route& route : routes_.configuration().routes) {
+    const std::uint32_t pool = PoolPartitionOf(route.pool);
+    if (std::find(owned_.begin(), owned_.end(), pool) != owned_.end()) {
+      watched.insert(JobPartitionOf(route.queue));
+    }
+  }
+  for (std::uint32_t i = 0; i < job_followers_.size(); ++i) {
+    job_followers_[i]->SetMode(watched.count(i) != 0 ? follow_mode::kWatch
+                                                     : follow_mode::kBackground);
+  }
+  if (!registry_follower_ && (!owned_.empty() || is_fleet_owned_)) {
+    registry_follower_ = MakeFollower(
+        {adapter::kRegistryTopic, 0},
+        [this](const adapter::keyed_record& r) { TakeRegistryRecord(r); });
+    registry_follower_->Start(follow_mode::kWatch);
+  }
+  if (registry_follower_) {
+    registry_follower_->SetMode(owned_.empty() ? follow_mode::kBackground
+                                               : follow_mode::kWatch);
+  }
+  if (!fleet_follower_ && (!owned_.empty() || is_fleet_owned_)) {
+    fleet_follower_ = MakeFollower(
+        {kFleetTopic, 0}, [this](const adapter::keyed_record& record) {
+          if (record.value) {
+            fleet_records_[record.key] = *record.value;
+          } else {
+            fleet_records_.erase(record.key);
+          }
+          listeners_.on_fleet_records();
+        });
+    fleet_follower_->Start(follow_mode::kWatch);
+  }
+}
+
+void job_world::RefreshJobs(std::uint32_t partition,
+                            std::function<void(bool)> on_done) {
+  job_followers_[partition]->Refresh(std::move(on_done));
+}
+
+void job_world::RefreshAllJobs(std::function<void(bool)> on_done) {
+  struct pending {
+    std::size_t left = 0;
+    bool all_read = true;
+  };
+  const auto state = std::make_shared<pending>();
+  state->left = job_followers_.size();
+  for (const auto& follower : job_followers_) {
+    follower->Refresh([state, on_done](bool is_read) {
+      state->all_read = state->all_read && is_read;
+      if (--state->left == 0) {
+        on_done(state->all_read);
+      }
+    });
+  }
+}
+
+void job_world::RefreshProgress(std::uint32_t partition,
+                                std::function<void(bool)> on_done) {
+  PoolFollower(partition).Refresh(std::move(on_done));
+}
+
+void job_world::RefreshRegistry(std::function<void(bool)> on_done) {
+  if (registry_follower_) {
+    registry_follower_->Refresh(std::move(on_done));
+  } else {
+    on_done(false);
+  }
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/job_world.h
@@ -0,0 +1,149 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_JOB_WORLD_H_
+#define PLANTAINHEAD_SRC_JOBS_JOB_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "jobs/log_follower.h"
+#include "platform/store_client.h"
+#include "plantainhead/core/jobs/job_directory.h"
+#include "plantainhead/core/jobs/maintenance.h"
+#include "plantainhead/core/jobs/routing.h"
+#include "plantainhead/core/jobs/vm_reports.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace plantainhead::jobs {
+
+/// Partitions of the topic of accepted jobs that are used. Each is read by all
+/// entries; eight let the appends of a burst go side by side, of which one takes
+/// the store 2 ms.
+inline constexpr std::uint32_t kJobPartitions = 8;
+/// Partitions over which the pools are spread; each has an owner of its own.
+/// The store makes 32 of each topic. The last one is the fleet's.
+inline constexpr std::uint32_t kPoolPartitions = 31;
+inline constexpr std::uint32_t kFleetPartition = 31;
+
+inline constexpr const char* kJobTopic = "keyed.plantain-jobs";
+inline constexpr const char* kProgressTopic = "keyed.plantain-progress";
+inline constexpr const char* kFleetTopic = "keyed.plantain-fleet";
+
+/// Returns where submissions to the queue are stored. It depends on the queue
+/// alone, so that a repeated submission meets the first one also after the
+/// queue has moved to another pool.
+std::uint32_t JobPartitionOf(const core::jobs::queue_id& queue);
+
+/// Returns where the pool's progress is stored, and whose owner schedules it.
+std::uint32_t PoolPartitionOf(const core::jobs::pool_id& pool);
+
+/// What a process knows from reading the store, kept up to date by followers.
+/// Not thread-safe.
+class job_world {
+ public:
+  /// What may have changed.
+  struct listeners {
+    std::function<void(const std::shared_ptr<const core::jobs::job_spec>&)>
+        on_job;
+    std::function<void(const core::jobs::job_id&)> on_cancel;
+    std::function<void()> on_configuration;
+    std::function<void()> on_registry;
+    std::function<void()> on_fleet_records;
+    std::function<void(bool is_answered)> on_store_contact;
+  };
+
+  job_world(boost::asio::io_context* context,
+            adapter::store_client* store,
+            const follower_settings& settings,
+            listeners listeners);
+  job_world(const job_world&) = delete;
+  job_world& operator=(const job_world&) = delete;
+
+  void Start();
+  /// True when there is a configuration, and all job records and the progress
+  /// of all its pools have been read once.
+  bool IsLoaded() const;
+
+  const core::jobs::routing_table& routes() const { return routes_; }
+  const core::jobs::job_directory& directory() const { return directory_; }
+  const std::map<core::jobs::vm_id, core::jobs::vm_description>& registry()
+      const {
+    return registry_;
+  }
+  const std::map<std::uint64_t, core::jobs::maintenance_wave>& waves() const {
+    return waves_;
+  }
+  const std::map<std::string, std::string>& fleet_records() const {
+    return fleet_records_;
+  }
+  /// Returns the queue's newest policy, also after its route was removed.
+  core::jobs::queue_policy PolicyOf(const core::jobs::queue_id& queue) const;
+  /// Returns the newest epoch that claimed the partition; 0: none did.
+  std::uint64_t EpochOf(std::uint32_t pool_partition) const;
+  /// Returns the member that holds the epoch; empty when it has given it up.
+  std::string OwnerOf(std::uint32_t pool_partition) const;
+  std::uint64_t CursorOf(std::uint32_t pool_partition) const;
+
+  /// Notes what this process has stored itself.
+  void NoteProgress(const core::jobs::job_id& id,
+                    core::jobs::job_progress progress);
+
+  /// Reads what the store has by now; `on_done` gets false when it can't be
+  /// read. A partition that isn't followed yet is from then on.
+  void RefreshJobs(std::uint32_t partition, std::function<void(bool)> on_done);
+  void RefreshAllJobs(std::function<void(bool)> on_done);
+  void RefreshProgress(std::uint32_t partition,
+                       std::function<void(bool)> on_done);
+  void RefreshRegistry(std::function<void(bool)> on_done);
+
+  /// Sets which pools' partitions this process owns: their jobs and VMs are
+  /// read as soon as they are written.
+  void SetOwned(const std::vector<std::uint32_t>& pool_partitions);
+  void SetFleetOwned(bool is_owned);
+
+ private:
+  void TakeJobRecord(const adapter::keyed_record& record);
+  void TakePoolRecord(std::uint32_t partition,
+                      const adapter::keyed_record& record);
+  void TakeOperatorRecord(const adapter::keyed_record& record);
+  void TakeRegistryRecord(const adapter::keyed_record& record);
+  void FollowPools();
+  void UpdateModes();
+  log_follower& PoolFollower(std::uint32_t partition);
+  std::unique_ptr<log_follower> MakeFollower(
+      const adapter::store_partition& partition,
+      log_follower::record_handler on_record);
+
+  boost::asio::io_context* context_;
+  adapter::store_client* store_;
+  follower_settings settings_;
+  listeners listeners_;
+  core::jobs::routing_table routes_;
+  core::jobs::job_directory directory_;
+  std::map<core::jobs::vm_id, core::jobs::vm_description> registry_;
+  std::map<std::uint64_t, core::jobs::maintenance_wave> waves_;
+  std::map<std::string, std::string> fleet_records_;
+  std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
+  struct owner_note {
+    std::uint64_t epoch = 0;
+    std::string member;
+  };
+  std::map<std::uint32_t, owner_note> owners_;
+  std::vector<std::uint32_t> owned_;
+  bool is_fleet_owned_ = false;
+
+  std::unique_ptr<log_follower> operators_;
+  std::unique_ptr<log_follower> registry_follower_;
+  std::unique_ptr<log_follower> fleet_follower_;
+  std::vector<std::unique_ptr<log_follower>> job_followers_;
+  std::map<std::uint32_t, std::unique_ptr<log_follower>> pool_followers_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_JOB_WORLD_H_
--- /dev/null
+++ b/src/jobs/log_follower.cc
@@ -0,0 +1,258 @@
+#include "jobs/log_follower.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace plantainhead::jobs {
+
+namespace asio = boost::asio;
+using adapter::read_outcome;
+using std::chrono::milliseconds;
+
+class log_follower::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context* context,
+       adapter::store_client* store,
+       adapter::store_partition partition,
+       const follower_settings& settings,
+       record_handler on_record,
+       contact_handler on_contact)
+      : store_(*store),
+        partition_(std::move(partition)),
+        settings_(settings),
+        on_record_(std::move(on_record)),
+        on_contact_(std::move(on_contact)),
+        timer_(*context),
+        pause_(settings.least_pause) {}
+
+  void Start(follow_mode mode) {
+    mode_ = mode;
+    Load("");
+  }
+
+  void SetMode(follow_mode mode) {
+    const bool hastens =
+        mode == follow_mode::kWatch && mode_ != follow_mode::kWatch;
+    mode_ = mode;
+    if (hastens && is_pausing_) {
+      timer_.cancel();
+      is_pausing_ = false;
+      Follow();
+    }
+  }
+
+  void Refresh(std::function<void(bool)> on_done) {
+    if (!is_loaded_) {
+      on_done(false);
+      return;
+    }
+    next_refresh_.push_back(std::move(on_done));
+    if (current_refresh_.empty()) {
+      StartRefresh();
+    }
+  }
+
+  void Close() {
+    is_closed_ = true;
+    timer_.cancel();
+    next_refresh_.clear();
+    current_refresh_.clear();
+  }
+
+  bool is_loaded() const { return is_loaded_; }
+  std::uint64_t cursor() const { return cursor_; }
+
+ private:
+  // Calls `action` later, unless the follower is closed by then.
+  void Pause(milliseconds time, void (impl::*action)()) {
+    is_pausing_ = true;
+    timer_.expires_after(time);
+    timer_.async_wait([self = weak_from_this(),
+                       action](const boost::system::error_code& error) {
+      const auto follower = self.lock();
+      if (follower && !error && !follower->is_closed_) {
+        follower->is_pausing_ = false;
+        (follower.get()->*action)();
+      }
+    });
+  }
+
+  void PauseAfterFailure(void (impl::*action)()) {
+    Pause(pause_, action);
+    pause_ = std::min(2 * pause_, settings_.most_pause);
+  }
+
+  void LoadAgain() { Load(""); }
+
+  // Reads the newest records, page by page, from the one after `after`.
+  void Load(const std::string& after) {
+    store_.ReadNewest(
+        partition_, after, settings_.timeout,
+        [self = weak_from_this(), after](const adapter::newest_reply& reply) {
+          const auto follower = self.lock();
+          if (follower && !follower->is_closed_) {
+            follower->TakePage(after, reply);
+          }
+        });
+  }
+
+  void TakePage(const std::string& after, const adapter::newest_reply& reply) {
+    on_contact_(reply.is_read);
+    if (!reply.is_read) {
+      PauseAfterFailure(&impl::LoadAgain);
+      return;
+    }
+    pause_ = settings_.least_pause;
+    if (after.empty()) {
+      // Later pages may show records that are newer than this end; those before
+      // it are all in the pages.
+      load_end_ = reply.end;
+    }
+    for (const adapter::keyed_record& record : reply.records) {
+      on_record_(record);
+    }
+    if (reply.has_more && !reply.records.empty()) {
+      Load(reply.records.back().key);
+      return;
+    }
+    cursor_ = std::max(cursor_, load_end_);
+    is_loaded_ = true;
+    Follow();
+  }
+
+  void Follow() {
+    store_.Read(partition_, cursor_, settings_.wait, settings_.timeout,
+                [self = weak_from_this()](const adapter::read_reply& reply) {
+                  const auto follower = self.lock();
+                  if (follower && !follower->is_closed_) {
+                    follower->TakeFollowed(reply);
+                  }
+                });
+  }
+
+  void TakeFollowed(const adapter::read_reply& reply) {
+    on_contact_(reply.outcome != read_outcome::kFailed);
+    if (reply.outcome == read_outcome::kFailed) {
+      PauseAfterFailure(&impl::Follow);
+      return;
+    }
+    pause_ = settings_.least_pause;
+    if (reply.outcome == read_outcome::kTrimmed) {
+      Load("");
+      return;
+    }
+    const bool is_news = TakeRecords(reply);
+    if (is_news && mode_ == follow_mode::kBackground) {
+      Pause(settings_.background_pause, &impl::Follow);
+    } else {
+      Follow();
+    }
+  }
+
+  // Returns whether there was one that hadn't been read.
+  bool TakeRecords(const adapter::read_reply& reply) {
+    bool is_news = false;
+    for (const adapter::keyed_record& record : reply.records) {
+      if (record.offset >= cursor_) {
+        cursor_ = record.offset + 1;
+        on_record_(record);
+        is_news = true;
+      }
+    }
+    return is_news;
+  }
+
+  // A read that is under way may have been answered before what the caller
+  // wants to see was stored, so each refresh needs a read that begins after it.
+  void StartRefresh() {
+    current_refresh_.swap(next_refresh_);
+    ReadForRefresh();
+  }
+
+  void ReadForRefresh() {
+    store_.Read(partition_, cursor_, milliseconds(0), settings_.timeout,
+                [self = weak_from_this()](const adapter::read_reply& reply) {
+                  const auto follower = self.lock();
+                  if (follower && !follower->is_closed_) {
+                    follower->TakeRefresh(reply);
+                  }
+                });
+  }
+
+  void TakeRefresh(const adapter::read_reply& reply) {
+    const bool is_read = reply.outcome == read_outcome::kRead;
+    on_contact_(reply.outcome != read_outcome::kFailed);
+    if (is_read) {
+      TakeRecords(reply);
+      if (cursor_ < reply.end && !reply.records.empty()) {
+        ReadForRefresh();
+        return;
+      }
+    }
+    std::vector<std::function<void(bool)>> done;
+    done.swap(current_refresh_);
+    for (const auto& on_done : done) {
+      on_done(is_read);
+    }
+    if (!is_closed_ && current_refresh_.empty() && !next_refresh_.empty()) {
+      StartRefresh();
+    }
+  }
+
+  adapter::store_client& store_;
+  adapter::store_partition partition_;
+  follower_settings settings_;
+  record_handler on_record_;
+  contact_handler on_contact_;
+  asio::steady_timer timer_;
+  milliseconds pause_;
+  follow_mode mode_ = follow_mode::kBackground;
+  std::uint64_t cursor_ = 0;
+  std::uint64_t load_end_ = 0;
+  bool is_loaded_ = false;
+  bool is_pausing_ = false;
+  bool is_closed_ = false;
+  std::vector<std::function<void(bool)>> current_refresh_;
+  std::vector<std::function<void(bool)>> next_refresh_;
+};
+
+log_follower::log_follower(asio::io_context* context,
+                           adapter::store_client* store,
+                           adapter::store_partition partition,
+                           const follower_settings& settings,
+                           record_handler on_record,
+                           contact_handler on_contact)
+    : impl_(std::make_shared<impl>(context,
+                                   store,
+                                   std::move(partition),
+                                   settings,
+                                   std::move(on_record),
+                                   std::move(on_contact))) {}
+
+log_follower::~log_follower() {
+  impl_->Close();
+}
+
+void log_follower::Start(follow_mode mode) {
+  impl_->Start(mode);
+}
+
+void log_follower::SetMode(follow_mode mode) {
+  impl_->SetMode(mode);
+}
+
+void log_follower::Refresh(std::function<void(bool)> on_done) {
+  impl_->Refresh(std::move(on_done));
+}
+
+bool log_follower::IsLoaded() const {
+  return impl_->is_loaded();
+}
+
+std::uint64_t log_follower::cursor() const {
+  return impl_->cursor();
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/log_follower.h
@@ -0,0 +1,79 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_LOG_FOLLOWER_H_
+#define PLANTAINHEAD_SRC_JOBS_LOG_FOLLOWER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "platform/store_client.h"
+#include "plantainhead/core/time.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace plantainhead::jobs {
+
+/// How a follower reads on its own.
+enum class follow_mode {
+  /// Records are read as soon as they are written.
+  kWatch,
+  /// Records are read some time later; callers refresh when they need to know.
+  kBackground,
+};
+
+struct follower_settings {
+  /// How long one read waits for a record. Within it a reading of an idle
+  /// partition costs one call.
+  std::chrono::milliseconds wait = std::chrono::seconds(10);
+  /// Pause after a read with records, in the background.
+  std::chrono::milliseconds background_pause = std::chrono::milliseconds(1200);
+  /// How long the store may take to answer.
+  std::chrono::milliseconds timeout = std::chrono::milliseconds(900);
+  /// Pause after a failed read; it doubles up to `most_pause`.
+  std::chrono::milliseconds least_pause = std::chrono::milliseconds(50);
+  std::chrono::milliseconds most_pause = std::chrono::milliseconds(800);
+};
+
+/// Reads one partition of a topic that keeps the newest record of each key:
+/// first the newest records, then what is appended. When the store has dropped
+/// what comes next, it starts over; handlers must take a record twice.
+/// Not thread-safe.
+class log_follower {
+ public:
+  using record_handler = std::function<void(const adapter::keyed_record&)>;
+  using contact_handler = std::function<void(bool is_answered)>;
+
+  log_follower(boost::asio::io_context* context,
+               adapter::store_client* store,
+               adapter::store_partition partition,
+               const follower_settings& settings,
+               record_handler on_record,
+               contact_handler on_contact);
+  log_follower(const log_follower&) = delete;
+  log_follower& operator=(const log_follower&) = delete;
+  ~log_follower();
+
+  /// Begins to read. Call it once.
+  void Start(follow_mode mode);
+  void SetMode(follow_mode mode);
+  /// Reads all that the store has acknowledged by now, and then calls
+  /// `on_done`, with false when the store couldn't be read, or at once when the
+  /// partition isn't loaded yet.
+  void Refresh(std::function<void(bool is_read)> on_done);
+
+  /// True when all records up to some moment after the start have been read.
+  bool IsLoaded() const;
+  /// The offset that is read next.
+  std::uint64_t cursor() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_LOG_FOLLOWER_H_
--- /dev/null
+++ b/src/jobs/pool_owner.h
@@ -0,0 +1,93 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_POOL_OWNER_H_
+#define PLANTAINHEAD_SRC_JOBS_POOL_OWNER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "jobs/job_world.h"
+#include "jobs/progress_writer.h"
+#include "platform/store_client.h"
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/pool_scheduler.h"
+
+namespace plantainhead::jobs {
+
+struct owner_settings {
+  core::jobs::scheduler_settings scheduler;
+  writer_settings writer;
+  /// For a VM's answer to an order. VMs answer within milliseconds.
+  std::chrono::milliseconds order_timeout = std::chrono::milliseconds(700);
+  /// For a VM's answer to a hold, beyond the hold's wait.
+  std::chrono::milliseconds hold_timeout = std::chrono::milliseconds(700);
+  /// Pause after a hold without an answer.
+  std::chrono::milliseconds hold_retry = std::chrono::milliseconds(250);
+  /// Least time between two holds of a VM.
+  std::chrono::milliseconds hold_gap = std::chrono::milliseconds(20);
+  /// The same after a listing with ends: by then their record is stored, and
+  /// the next hold acknowledges them. Until that is so a VM answers at once.
+  std::chrono::milliseconds ack_gap = std::chrono::milliseconds(45);
+  /// Time between two looks at what is due.
+  std::chrono::milliseconds tick = std::chrono::milliseconds(100);
+  /// Pause before a takeover that failed is tried again.
+  std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(150);
+  /// Time to live of a member that owns.
+  std::chrono::milliseconds time_to_live = std::chrono::milliseconds(2400);
+  /// How long an owner works on when the store can't be reached. A new owner
+  /// waits as long, and a lease more, before it takes the tasks of a VM that it
+  /// can't reach for lost. Outages of 4 to 5 s are ordinary.
+  std::chrono::milliseconds authority = std::chrono::milliseconds(8000);
+};
+
+/// Whether this process may give orders.
+struct authority_state {
+  bool may_start = false;
+  bool may_hold = false;
+};
+
+/// Takes a partition of pools over and schedules their jobs, until it is
+/// destroyed or meets a newer owner. Not thread-safe.
+class pool_owner {
+ public:
+  struct dependencies {
+    boost::asio::io_context* context = nullptr;
+    adapter::store_client* store = nullptr;
+    job_world* world = nullptr;
+    std::string member;
+    std::function<authority_state()> authority;
+    /// A newer owner was met; destroys this object later.
+    std::function<void()> on_fenced;
+  };
+
+  pool_owner(dependencies dependencies,
+             std::uint32_t partition,
+             const owner_settings& settings);
+  pool_owner(const pool_owner&) = delete;
+  pool_owner& operator=(const pool_owner&) = delete;
+  ~pool_owner();
+
+  /// Begins to take over. `generation` is the group's; the epoch is no lower.
+  void Start(std::uint64_t generation);
+  /// Stops giving orders, and records that it has.
+  void Release(std::function<void()> on_released);
+
+  bool IsActive() const;
+  std::uint64_t epoch() const;
+  core::jobs::scheduler_counts Counts() const;
+
+  void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
+  void OnCancel(const core::jobs::job_id& job);
+  void OnRegistry();
+  void OnConfiguration();
+  void OnFleetRecords();
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_POOL_OWNER_H_
--- /dev/null
+++ b/src/jobs/progress_writer.cc
@@ -0,0 +1,147 @@
+#include "jobs/progress_writer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "jobs/clocks.h"
+#include "jobs/record_codec.h"
+
+namespace plantainhead::jobs {
+
+using adapter::append_outcome;
+
+class progress_writer::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(boost::asio::io_context* context,
+       adapter::store_client* store,
+       adapter::store_partition partition,
+       const writer_settings& settings)
+      : store_(*store), settings_(settings), timer_(*context) {
+    call_.partition = std::move(partition);
+  }
+
+  void Claim(std::uint64_t epoch,
+             const std::string& member,
+             std::uint64_t expected_end,
+             done_handler on_done) {
+    call_.identity = adapter::append_identity{"owner", epoch, 1};
+    call_.expected_end = expected_end;
+    call_.records = {Encode(owner_record{epoch, member})};
+    on_done_ = std::move(on_done);
+    Send();
+  }
+
+  void Write(std::vector<adapter::keyed_record> records,
+             done_handler on_done) {
+    ++call_.identity->sequence;
+    call_.expected_end.reset();
+    call_.records = std::move(records);
+    on_done_ = std::move(on_done);
+    Send();
+  }
+
+  bool is_busy() const {
+    return on_done_ != nullptr || BootTime() < free_at_;
+  }
+
+  void Close() {
+    timer_.cancel();
+    on_done_ = nullptr;
+  }
+
+ private:
+  void Send() {
+    store_.Append(call_, settings_.timeout,
+                  [self = weak_from_this()](const adapter::append_reply& reply) {
+                    const auto writer = self.lock();
+                    if (writer && writer->on_done_) {
+                      writer->TakeReply(reply);
+                    }
+                  });
+  }
+
+  void TakeReply(const adapter::append_reply& reply) {
+    const bool is_claim = call_.expected_end.has_value();
+    switch (reply.outcome) {
+      case append_outcome::kStored:
+        Finish(result::kStored);
+        return;
+      case append_outcome::kFenced:
+        Finish(result::kFenced);
+        return;
+      case append_outcome::kEndMoved:
+        // A claim whose first answer was lost may have moved the end itself;
+        // reading the partition shows it.
+        Finish(result::kStale);
+        return;
+      case append_outcome::kOutOfSequence:
+      case append_outcome::kInvalid:
+        // Another claimant has used this epoch, or the store has dropped what
+        // it knew of it. Either way a new claim must settle it.
+        Finish(is_claim ? result::kStale : result::kFenced);
+        return;
+      case append_outcome::kUnknown:
+        if (is_claim) {
+          Finish(result::kStale);
+          return;
+        }
+        break;
+      case append_outcome::kRefused:
+        break;
+    }
+    timer_.expires_after(settings_.retry_pause);
+    timer_.async_wait([self = weak_from_this()](
+                          const boost::system::error_code& error) {
+      const auto writer = self.lock();
+      if (writer && !error && writer->on_done_) {
+        writer->Send();
+      }
+    });
+  }
+
+  void Finish(result outcome) {
+    free_at_ = BootTime() + settings_.gap;
+    const done_handler on_done = std::move(on_done_);
+    on_done_ = nullptr;
+    on_done(outcome);
+  }
+
+  adapter::store_client& store_;
+  writer_settings settings_;
+  boost::asio::steady_timer timer_;
+  adapter::append_call call_;
+  done_handler on_done_;
+  core::time_point free_at_;
+};
+
+progress_writer::progress_writer(boost::asio::io_context* context,
+                                 adapter::store_client* store,
+                                 adapter::store_partition partition,
+                                 const writer_settings& settings)
+    : impl_(std::make_shared<impl>(context,
+                                   store,
+                                   std::move(partition),
+                                   settings)) {}
+
+progress_writer::~progress_writer() {
+  impl_->Close();
+}
+
+void progress_writer::Claim(std::uint64_t epoch,
+                            const std::string& member,
+                            std::uint64_t expected_end,
+                            done_handler on_done) {
+  impl_->Claim(epoch, member, expected_end, std::move(on_done));
+}
+
+void progress_writer::Write(std::vector<adapter::keyed_record> records,
+                            done_handler on_done) {
+  impl_->Write(std::move(records), std::move(on_done));
+}
+
+bool progress_writer::IsBusy() const {
+  return impl_->is_busy();
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/record_codec.h
@@ -0,0 +1,53 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_RECORD_CODEC_H_
+#define PLANTAINHEAD_SRC_JOBS_RECORD_CODEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "platform/store_client.h"
+#include "plantainhead/core/jobs/job_types.h"
+
+/// The records that this project keeps in the store. Each has a key, and the
+/// store keeps the newest record of each key for good.
+namespace plantainhead::jobs {
+
+/// A job was accepted. Key: its id.
+struct submission_record {
+  core::jobs::job_spec spec;
+};
+
+/// A caller cancelled the job. Key: its id and "-cancel".
+struct cancel_record {
+  core::jobs::job_id job;
+};
+
+/// How far the job is, written by its pool's owner. Key: its id.
+struct progress_record {
+  core::jobs::job_id job;
+  core::jobs::job_progress progress;
+};
+
+/// A process has become the owner of the pools of this partition. Key: "owner".
+struct owner_record {
+  std::uint64_t epoch = 0;
+  std::string member;
+};
+
+using job_record = std::variant<submission_record, cancel_record>;
+using pool_record = std::variant<progress_record, owner_record>;
+
+adapter::keyed_record Encode(const submission_record& record);
+adapter::keyed_record Encode(const cancel_record& record);
+adapter::keyed_record Encode(const progress_record& record);
+adapter::keyed_record Encode(const owner_record& record);
+
+/// Return nothing when the record is malformed, or drops its key.
+std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record);
+std::optional<pool_record> DecodePoolRecord(
+    const adapter::keyed_record& record);
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_RECORD_CODEC_H_
--- /dev/null
+++ b/src/jobs/submissions.cc
@@ -0,0 +1,366 @@
+#include "jobs/submissions.h"
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+#include "jobs/record_codec.h"
+#include "platform/ingress_codec.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using adapter::append_outcome;
+using core::jobs::directory_entry;
+using core::jobs::job_id;
+using core::jobs::route_match;
+using std::chrono::milliseconds;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kBadRequest = 400;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kMethodNotAllowed = 405;
+constexpr unsigned kGone = 410;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
+
+}  // namespace
+
+class submissions::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(boost::asio::io_context* context,
+       adapter::store_client* store,
+       job_world* world,
+       const submission_settings& settings)
+      : context_(*context),
+        store_(*store),
+        world_(*world),
+        settings_(settings) {}
+
+  void Handle(const net::server_request& request,
+              const net::responder& respond) {
+    if (world_.routes().configuration().version == 0) {
+      respond(Refusal("no configuration has been read yet"));
+      return;
+    }
+    const std::string path = adapter::DecodePath(request.target);
+    const std::string host = adapter::DecodeHost(request.host);
+    const route_match match = world_.routes().Find(host, path);
+    if (match.route == nullptr) {
+      ++counts_.unknown_route;
+      respond(adapter::EncodeFault(kNotFound, "no such queue"));
+      return;
+    }
+    const std::string id(match.rest);
+    if (id.empty() && request.verb == net::method::kGet) {
+      ++counts_.queries;
+      respond(adapter::EncodePending(world_.directory().Pending(
+          match.route->queue)));
+      return;
+    }
+    if (!adapter::IsJobId(id)) {
+      ++counts_.malformed;
+      respond(adapter::EncodeFault(kBadRequest,
+                                   "the path doesn't end in a job's id"));
+      return;
+    }
+    switch (request.verb) {
+      case net::method::kPost:
+        Submit(*match.route, id, request, respond);
+        return;
+      case net::method::kGet:
+        Query(*match.route, id, respond);
+        return;
+      case net::method::kDelete:
+        Cancel(*match.route, id, request, respond);
+        return;
+      case net::method::kOther:
+        respond(adapter::EncodeFault(kMethodNotAllowed,
+                                     "use POST, GET or DELETE"));
+        return;
+    }
+  }
+
+  const submission_counts& counts() const { return counts_; }
+
+ private:
+  /// One record that callers wait for.
+  struct pending_append {
+    adapter::append_call call;
+    std::string what;
+    job_id id;
+    core::time_point began_at;
+    core::time_point give_up_at;
+    /// Some append had no answer, so that it may land at any time.
+    bool may_land = false;
+    std::vector<net::responder> waiting;
+  };
+  using append_ptr = std::shared_ptr<pending_append>;
+
+  net::server_response Refusal(const std::string& why) const {
+    net::server_response response = adapter::EncodeFault(kUnavailable, why);
+    response.headers.emplace_back(
+        "Retry-After", std::to_string(settings_.retry_after.count()));
+    return response;
+  }
+
+  core::time_point GiveUpAt(const net::server_request& request) const {
+    const milliseconds patience =
+        adapter::DecodePatience(request).value_or(settings_.default_patience);
+    const milliseconds usable =
+        std::max(patience - settings_.answer_reserve, patience / 2);
+    return BootTime() + usable;
+  }
+
+  void Submit(const core::jobs::queue_route& route,
+              const job_id& id,
+              const net::server_request& request,
+              const net::responder& respond) {
+    if (world_.directory().Find(id) != nullptr) {
+      ++counts_.repeated;
+      respond({kOk, {}, "{}"});
+      return;
+    }
+    adapter::decoded_job decoded = adapter::DecodeJob(request.body);
+    if (!decoded.spec) {
+      ++counts_.malformed;
+      respond(adapter::EncodeFault(kBadRequest, "malformed: " + decoded.fault));
+      return;
+    }
+    if (route.needs_advice) {
+      ++counts_.refused;
+      respond(Refusal("queues with an advisor are not supported yet"));
+      return;
+    }
+    decoded.spec->id = id;
+    decoded.spec->queue = route.queue;
+    decoded.spec->pool = route.pool;
+    Append(Encode(submission_record{std::move(*decoded.spec)}), route, id,
+           "job", request, respond);
+  }
+
+  void Cancel(const core::jobs::queue_route& route,
+              const job_id& id,
+              const net::server_request& request,
+              const net::responder& respond) {
+    const directory_entry* entry = world_.directory().Find(id);
+    if (entry != nullptr) {
+      CancelKnown(route, id, request, respond);
+      return;
+    }
+    world_.RefreshJobs(
+        JobPartitionOf(route.queue),
+        [self = weak_from_this(), queue = route.queue, id, request,
+         respond](bool is_read) {
+          const auto service = self.lock();
+          if (!service) {
+            return;
+          }
+          if (service->world_.directory().Find(id) != nullptr) {
+            const core::jobs::queue_route* found =
+                service->world_.routes().FindQueue(queue);
+            if (found != nullptr) {
+              service->CancelKnown(*found, id, request, respond);
+              return;
+            }
+          }
+          respond(is_read ? adapter::EncodeFault(kGone, "no such job")
+                          : service->Refusal("the store can't be read"));
+        });
+  }
+
+  void CancelKnown(const core::jobs::queue_route& route,
+                   const job_id& id,
+                   const net::server_request& request,
+                   const net::responder& respond) {
+    const directory_entry* entry = world_.directory().Find(id);
+    if (entry->is_cancelled || core::jobs::IsFinal(entry->progress.phase)) {
+      respond({kOk, {}, "{}"});
+      return;
+    }
+    Append(Encode(cancel_record{id}), route, id, "cancel", request, respond);
+  }
+
+  void Query(const core::jobs::queue_route& route,
+             const job_id& id,
+             const net::responder& respond) {
+    ++counts_.queries;
+    const directory_entry* entry = world_.directory().Find(id);
+    if (entry != nullptr) {
+      QueryKnown(id, respond);
+      return;
+    }
+    world_.RefreshJobs(
+        JobPartitionOf(route.queue),
+        [self = weak_from_this(), id, respond](bool is_read) {
+          const auto service = self.lock();
+          if (!service) {
+            return;
+          }
+          if (service->world_.directory().Find(id) != nullptr) {
+            service->QueryKnown(id, respond);
+            return;
+          }
+          respond(is_read ? adapter::EncodeFault(kGone, "no such job")
+                          : service->Refusal("the store can't be read"));
+        });
+  }
+
+  // A job that hasn't ended may have since it was last read about.
+  void QueryKnown(const job_id& id, const net::responder& respond) {
+    const directory_entry* entry = world_.directory().Find(id);
+    if (core::jobs::IsFinal(entry->Phase())) {
+      respond(adapter::EncodePhase(entry->Phase()));
+      return;
+    }
+    world_.RefreshProgress(
+        PoolPartitionOf(entry->pool),
+        [self = weak_from_this(), id, respond](bool /*is_read*/) {
+          const auto service = self.lock();
+          if (!service) {
+            return;
+          }
+          const directory_entry* known = service->world_.directory().Find(id);
+          respond(adapter::EncodePhase(known->Phase()));
+        });
+  }
+
+  // Stores the record, once for all callers that want it at the same time.
+  void Append(adapter::keyed_record record,
+              const core::jobs::queue_route& route,
+              const job_id& id,
+              const std::string& what,
+              const net::server_request& request,
+              const net::responder& respond) {
+    append_ptr& pending = pending_[record.key];
+    if (pending) {
+      pending->waiting.push_back(respond);
+      return;
+    }
+    pending = std::make_shared<pending_append>();
+    pending->what = what;
+    pending->id = id;
+    pending->began_at = BootTime();
+    pending->give_up_at = GiveUpAt(request);
+    pending->waiting.push_back(respond);
+    pending->call.partition = {kJobTopic, JobPartitionOf(route.queue)};
+    pending->call.records.push_back(std::move(record));
+    Send(pending);
+  }
+
+  void Send(const append_ptr& pending) {
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        pending->give_up_at - BootTime());
+    const milliseconds timeout =
+        std::max(milliseconds(1), std::min(left, settings_.append_timeout));
+    store_.Append(pending->call, timeout,
+                  [self = weak_from_this(),
+                   pending](const adapter::append_reply& reply) {
+                    if (const auto service = self.lock()) {
+                      service->TakeReply(pending, reply);
+                    }
+                  });
+  }
+
+  void TakeReply(const append_ptr& pending, const adapter::append_reply& reply) {
+    if (reply.outcome == append_outcome::kStored) {
+      ++(pending->what == "job" ? counts_.accepted : counts_.cancelled);
+      LogEvent(pending->what == "job" ? job_event::kJobAccepted
+                                      : job_event::kJobCancelled,
+               {{"job", pending->id},
+                {"topic", pending->call.partition.topic},
+                {"part", std::to_string(pending->call.partition.number)},
+                {"offset", std::to_string(reply.offset)},
+                {"ms", Elapsed(*pending)}});
+      Answer(pending, {kOk, {}, "{}"});
+      return;
+    }
+    if (reply.outcome == append_outcome::kUnknown) {
+      pending->may_land = true;
+    }
+    const core::time_point now = BootTime();
+    const bool is_hopeless =
+        !pending->may_land && now - pending->began_at > settings_.refusal_limit;
+    const bool is_invalid =
+        reply.outcome == append_outcome::kInvalid && !pending->may_land;
+    if (is_invalid || is_hopeless ||
+        now + settings_.retry_pause >= pending->give_up_at) {
+      GiveUp(pending, reply);
+      return;
+    }
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(context_);
+    timer->expires_after(settings_.retry_pause);
+    timer->async_wait([self = weak_from_this(), pending,
+                       timer](const boost::system::error_code& error) {
+      const auto service = self.lock();
+      if (service && !error) {
+        service->Send(pending);
+      }
+    });
+  }
+
+  // A caller that is told "refused" may believe that its job never runs, so
+  // after an append without an answer there is no such word.
+  void GiveUp(const append_ptr& pending, const adapter::append_reply& reply) {
+    observe::log_fields fields = {
+        {"job", pending->id},
+        {"what", pending->what},
+        {"store", std::string(core::NameOf(reply.outcome))},
+        {"status", std::to_string(reply.status)},
+        {"ms", Elapsed(*pending)}};
+    if (pending->may_land) {
+      ++counts_.unanswered;
+      LogEvent(job_event::kJobUnanswered, std::move(fields));
+      Answer(pending, adapter::EncodeFault(
+                          kGatewayTimeout,
+                          "the store didn't answer; repeat the same id"));
+      return;
+    }
+    ++counts_.refused;
+    LogEvent(job_event::kJobRefused, std::move(fields));
+    Answer(pending, Refusal("the store refused the record"));
+  }
+
+  static std::string Elapsed(const pending_append& pending) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(
+                              BootTime() - pending.began_at)
+                              .count());
+  }
+
+  void Answer(const append_ptr& pending, const net::server_response& response) {
+    pending_.erase(pending->call.records.front().key);
+    for (const net::responder& respond : pending->waiting) {
+      respond(response);
+    }
+  }
+
+  boost::asio::io_context& context_;
+  adapter::store_client& store_;
+  job_world& world_;
+  submission_settings settings_;
+  submission_counts counts_;
+  std::map<std::string, append_ptr> pending_;
+};
+
+submissions::submissions(boost::asio::io_context* context,
+                         adapter::store_client* store,
+                         job_world* world,
+                         const submission_settings& settings)
+    : impl_(std::make_shared<impl>(context, store, world, settings)) {}
+
+submissions::~submissions() = default;
+
+void submissions::Handle(const net::server_request& request,
+                         const net::responder& respond) {
+  impl_->Handle(request, respond);
+}
+
+const submission_counts& submissions::counts() const {
+  return impl_->counts();
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/submissions.h
@@ -0,0 +1,77 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_SUBMISSIONS_H_
+#define PLANTAINHEAD_SRC_JOBS_SUBMISSIONS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jobs/job_world.h"
+#include "net/http_message.h"
+#include "platform/store_client.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::jobs {
+
+struct submission_settings {
+  /// One append's share of a request's time.
+  std::chrono::milliseconds append_timeout = std::chrono::milliseconds(600);
+  std::chrono::milliseconds retry_pause = std::chrono::milliseconds(60);
+  /// How long a request is tried while the store refuses it, which it does
+  /// within milliseconds: outages that end within it aren't noticed.
+  std::chrono::milliseconds refusal_limit = std::chrono::milliseconds(500);
+  /// A caller without a header waits this long.
+  std::chrono::milliseconds default_patience = std::chrono::seconds(3);
+  /// An answer leaves this long before the caller gives up.
+  std::chrono::milliseconds answer_reserve = std::chrono::milliseconds(250);
+  /// What a caller is told to wait after a refusal. Outages of the store last
+  /// seconds; a shorter time would bring the caller back into the same one.
+  std::chrono::seconds retry_after = std::chrono::seconds(1);
+};
+
+/// Counts by outcome.
+struct submission_counts {
+  std::uint64_t accepted = 0;
+  std::uint64_t repeated = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t unanswered = 0;
+  std::uint64_t cancelled = 0;
+  std::uint64_t queries = 0;
+  std::uint64_t unknown_route = 0;
+  std::uint64_t malformed = 0;
+};
+
+/// Answers callers: takes jobs and cancellations, and tells states.
+///
+/// What a caller is told:
+/// - accepted: the job's record is stored.
+/// - refused (503): no append of the job can land, and a caller that comes back
+///   later starts afresh.
+/// - no answer (504): an append may still land; the same id is safe to repeat.
+/// Not thread-safe.
+class submissions {
+ public:
+  submissions(boost::asio::io_context* context,
+              adapter::store_client* store,
+              job_world* world,
+              const submission_settings& settings);
+  submissions(const submissions&) = delete;
+  submissions& operator=(const submissions&) = delete;
+  ~submissions();
+
+  void Handle(const net::server_request& request,
+              const net::responder& respond);
+  const submission_counts& counts() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_SUBMISSIONS_H_
--- /dev/null
+++ b/src/jobs/vm_link.h
@@ -0,0 +1,31 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_VM_LINK_H_
+#define PLANTAINHEAD_SRC_JOBS_VM_LINK_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+
+#include "platform/vm_client.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::jobs {
+
+/// An owner's connections to one life of a VM, and the hold that is under way.
+struct vm_link {
+  vm_link(boost::asio::io_context* context,
+          const core::jobs::vm_id& id,
+          const std::string& vm_address)
+      : address(vm_address), client(context, id, vm_address), timer(*context) {}
+
+  std::string address;
+  adapter::vm_client client;
+  /// Until the next hold.
+  boost::asio::steady_timer timer;
+  bool is_holding = false;
+  bool is_waiting = false;
+  core::time_point held_at;
+  bool is_lost = false;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_VM_LINK_H_
--- /dev/null
+++ b/src/net/address.h
@@ -0,0 +1,15 @@
+#ifndef PLANTAINHEAD_SRC_NET_ADDRESS_H_
+#define PLANTAINHEAD_SRC_NET_ADDRESS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+#include <string>
+
+namespace plantainhead::net {
+
+/// Returns the endpoint of "IP:PORT". Throws `std::invalid_argument` when the
+/// text isn't one.
+boost::asio::ip::tcp::endpoint ParseAddress(const std::string& text);
+
+}  // namespace plantainhead::net
+
+#endif  // PLANTAINHEAD_SRC_NET_ADDRESS_H_
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,280 @@
+#include "net/http_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include "net/address.h"
+#include "net/socket_options.h"
+
+namespace plantainhead::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+using steady_clock = std::chrono::steady_clock;
+
+// Above the largest answer of the store: a read of 1 MiB with its frame, or a
+// page of records of 1 MB in base64.
+constexpr std::size_t kMostAnswerBytes = std::size_t{8} << 20U;
+
+http::verb ToVerb(method verb) {
+  switch (verb) {
+    case method::kPost:
+      return http::verb::post;
+    case method::kDelete:
+      return http::verb::delete_;
+    case method::kGet:
+    case method::kOther:
+      return http::verb::get;
+  }
+  return http::verb::get;
+}
+
+// True when the peer hasn't closed the idle connection, nor sent anything.
+bool IsUsable(beast::tcp_stream* stream) {
+  char byte = 0;
+  const auto count = ::recv(stream->socket().native_handle(), &byte, 1,
+                            MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+class http_client::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(asio::io_context* context,
+       const std::string& address,
+       const http_client_options& options)
+      : context_(*context),
+        endpoint_(ParseAddress(address)),
+        host_(address),
+        options_(options) {}
+
+  void Send(client_request request,
+            std::chrono::milliseconds timeout,
+            reply_handler on_reply) {
+    auto call = std::make_shared<pending_call>(context_);
+    call->on_reply = std::move(on_reply);
+    call->deadline = steady_clock::now() + timeout;
+    call->message.method(ToVerb(request.verb));
+    call->message.target(request.target);
+    call->message.version(11);
+    call->message.set(http::field::host, host_);
+    for (const auto& [name, value] : request.headers) {
+      call->message.set(name, value);
+    }
+    if (request.verb == method::kPost) {
+      call->message.set(http::field::content_type, request.content_type);
+      call->message.body() = std::move(request.body);
+    }
+    call->message.prepare_payload();
+    waiting_.push_back(call);
+    call->timer.expires_at(call->deadline);
+    call->timer.async_wait([self = weak_from_this(), call](error_code error) {
+      const auto client = self.lock();
+      if (client && !error) {
+        client->Expire(call);
+      }
+    });
+    StartNext();
+  }
+
+  void Close() {
+    is_closed_ = true;
+    waiting_.clear();
+    idle_.clear();
+  }
+
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  struct connection {
+    explicit connection(asio::io_context& context) : stream(context) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    steady_clock::time_point idle_since;
+  };
+  using connection_ptr = std::unique_ptr<connection>;
+
+  struct pending_call {
+    explicit pending_call(asio::io_context& context) : timer(context) {}
+    http::request<http::string_body> message;
+    http::response_parser<http::string_body> parser;
+    reply_handler on_reply;
+    steady_clock::time_point deadline;
+    asio::steady_timer timer;
+    connection_ptr held;
+    bool is_sent = false;
+    bool is_over = false;
+  };
+  using call_ptr = std::shared_ptr<pending_call>;
+
+  void StartNext() {
+    while (!waiting_.empty() && !is_closed_) {
+      connection_ptr free = TakeIdle();
+      if (!free && busy_ >= options_.most_connections) {
+        return;
+      }
+      const call_ptr call = waiting_.front();
+      waiting_.pop_front();
+      ++busy_;
+      if (free) {
+        call->held = std::move(free);
+        Write(call);
+      } else {
+        Connect(call);
+      }
+    }
+  }
+
+  connection_ptr TakeIdle() {
+    while (!idle_.empty()) {
+      connection_ptr last = std::move(idle_.back());
+      idle_.pop_back();
+      const bool is_fresh =
+          steady_clock::now() - last->idle_since < options_.idle_limit;
+      if (is_fresh && IsUsable(&last->stream)) {
+        return last;
+      }
+    }
+    return nullptr;
+  }
+
+  void Connect(const call_ptr& call) {
+    ++opened_;
+    call->held = std::make_unique<connection>(context_);
+    call->held->stream.async_connect(
+        endpoint_, [self = shared_from_this(), call](error_code error) {
+          if (call->is_over) {
+            return;
+          }
+          if (error) {
+            self->Finish(call, {delivery::kNotSent, 0, {}}, false);
+            return;
+          }
+          SetSocketOptions(call->held->stream.socket().native_handle());
+          self->Write(call);
+        });
+  }
+
+  void Write(const call_ptr& call) {
+    call->is_sent = true;
+    http::async_write(
+        call->held->stream, call->message,
+        [self = shared_from_this(), call](error_code error, std::size_t) {
+          if (call->is_over) {
+            return;
+          }
+          if (error) {
+            self->Finish(call, {delivery::kUnanswered, 0, {}}, false);
+            return;
+          }
+          self->Read(call);
+        });
+  }
+
+  void Read(const call_ptr& call) {
+    call->parser.body_limit(kMostAnswerBytes);
+    http::async_read(
+        call->held->stream, call->held->buffer, call->parser,
+        [self = shared_from_this(), call](error_code error, std::size_t) {
+          if (call->is_over) {
+            return;
+          }
+          if (error) {
+            self->Finish(call, {delivery::kUnanswered, 0, {}}, false);
+            return;
+          }
+          auto message = call->parser.release();
+          client_reply reply{delivery::kAnswered, message.result_int(),
+                             std::move(message.body())};
+          self->Finish(call, std::move(reply), message.keep_alive());
+        });
+  }
+
+  void Expire(const call_ptr& call) {
+    if (call->is_over) {
+      return;
+    }
+    const bool is_waiting = call->held == nullptr;
+    if (is_waiting) {
+      std::erase(waiting_, call);
+      call->is_over = true;
+      Answer(call, {delivery::kNotSent, 0, {}});
+      return;
+    }
+    const delivery reached =
+        call->is_sent ? delivery::kUnanswered : delivery::kNotSent;
+    Finish(call, {reached, 0, {}}, false);
+  }
+
+  void Finish(const call_ptr& call, client_reply reply, bool is_reusable) {
+    call->is_over = true;
+    call->timer.cancel();
+    --busy_;
+    if (is_reusable && !is_closed_) {
+      call->held->idle_since = steady_clock::now();
+      // A large answer's buffer isn't kept for the next small one.
+      call->held->buffer.consume(call->held->buffer.size());
+      call->held->buffer.shrink_to_fit();
+      idle_.push_back(std::move(call->held));
+    } else {
+      error_code ignored;
+      call->held->stream.socket().close(ignored);
+      // The handlers that are still due refer to the connection through the
+      // call, which they hold.
+    }
+    Answer(call, std::move(reply));
+    StartNext();
+  }
+
+  void Answer(const call_ptr& call, client_reply reply) {
+    const reply_handler on_reply = std::move(call->on_reply);
+    call->on_reply = nullptr;
+    if (on_reply && !is_closed_) {
+      on_reply(std::move(reply));
+    }
+  }
+
+  asio::io_context& context_;
+  asio::ip::tcp::endpoint endpoint_;
+  std::string host_;
+  http_client_options options_;
+  std::deque<call_ptr> waiting_;
+  std::vector<connection_ptr> idle_;
+  std::size_t busy_ = 0;
+  std::uint64_t opened_ = 0;
+  bool is_closed_ = false;
+};
+
+http_client::http_client(asio::io_context* context,
+                         const std::string& address,
+                         const http_client_options& options)
+    : impl_(std::make_shared<impl>(context, address, options)) {}
+
+http_client::~http_client() {
+  impl_->Close();
+}
+
+void http_client::Send(client_request request,
+                       std::chrono::milliseconds timeout,
+                       reply_handler on_reply) {
+  impl_->Send(std::move(request), timeout, std::move(on_reply));
+}
+
+std::uint64_t http_client::OpenedConnections() const {
+  return impl_->opened();
+}
+
+}  // namespace plantainhead::net
--- /dev/null
+++ b/src/settings/scheduler_settings.cc
@@ -0,0 +1,58 @@
+#include "plantainhead/settings/scheduler_settings.h"
+
+#include <optional>
+
+#include "plantainhead/settings/files.h"
+#include "settings/yaml_mapping.h"
+
+namespace plantainhead::settings {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+}  // namespace
+
+scheduler_process_settings ParseSchedulerSettings(const std::string& text,
+                                                  const std::string& file) {
+  finding_sink sink{file, {}};
+  yaml_mapping top(ParseDocument(text, file), "", &sink);
+  scheduler_process_settings settings;
+  top.ReadText("name", &settings.name, presence::kRequired);
+  top.ReadText("availability-zone", &settings.availability_zone);
+  if (auto listen = top.Section("listen", presence::kRequired)) {
+    listen->ReadText("callers", &settings.caller_address, presence::kRequired);
+    listen->ReadText("probes", &settings.probe_address, presence::kRequired);
+    listen->ReadText("metrics", &settings.metrics_address);
+    listen->CheckKeys();
+  }
+  if (auto store = top.Section("store", presence::kRequired)) {
+    store->ReadText("address", &settings.store_address, presence::kRequired);
+    store->CheckKeys();
+  }
+  if (auto fleet = top.Section("fleet")) {
+    fleet->ReadText("address", &settings.fleet_address);
+    fleet->CheckKeys();
+  }
+  if (auto lease = top.Section("lease")) {
+    lease->ReadDuration("most", &settings.longest_lease,
+                        {milliseconds(1000), hours(1)});
+    lease->ReadDuration("holder", &settings.holder_lease,
+                        {milliseconds(0), hours(1)});
+    lease->CheckKeys();
+  }
+  if (auto stop = top.Section("stop")) {
+    stop->ReadDuration("grace", &settings.stop_grace, {seconds(1), hours(1)});
+    stop->CheckKeys();
+  }
+  top.CheckKeys();
+  sink.ThrowIfAny();
+  return settings;
+}
+
+scheduler_process_settings LoadSchedulerSettings(const std::string& path) {
+  return ParseSchedulerSettings(ReadFile(path), path);
+}
+
+}  // namespace plantainhead::settings
