--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -72,11 +72,11 @@
   /// Notes what an earlier keeper recorded.
   void NoteServiced(std::uint64_t wave, const host_id& host);
   void NoteCompleted(std::uint64_t wave);
-  /// Replaces the list of the fleet's hosts. `spare` are the pools whose VMs
-  /// run nothing.
+  /// Replaces the list of the fleet's hosts, which was asked for at
+  /// `requested_at`. `spare` are the pools whose VMs run nothing.
   void UpdateHosts(const std::vector<fleet_host>& hosts,
                    const std::set<pool_id>& spare,
-                   time_point now);
+                   time_point requested_at);
   /// Replaces the set of VMs that have been emptied.
   void UpdateEmpty(std::set<vm_id> empty) { empty_ = std::move(empty); }
   void OnServiceAnswer(std::uint64_t wave,
@@ -96,6 +96,8 @@
     vm_id vm;
     bool is_order_in_flight = false;
     time_point next_order_at;
+    /// When the order to service it was accepted.
+    time_point accepted_at;
   };
   struct wave_progress {
     maintenance_wave wave;
@@ -122,7 +124,7 @@
   std::map<host_id, listed_host> hosts_;
   std::set<pool_id> spare_;
   std::set<vm_id> empty_;
-  time_point updated_at_;
+  time_point requested_at_;
   bool is_listed_ = false;
 };
 
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -36,12 +36,12 @@
 
 void wave_keeper::UpdateHosts(const std::vector<fleet_host>& hosts,
                               const std::set<pool_id>& spare,
-                              time_point now) {
+                              time_point requested_at) {
   for (const fleet_host& host : hosts) {
-    hosts_[host.host] = {host, now};
+    hosts_[host.host] = {host, requested_at};
   }
   spare_ = spare;
-  updated_at_ = now;
+  requested_at_ = requested_at;
   is_listed_ = true;
 }
 
@@ -59,6 +59,7 @@
   switch (result) {
     case service_result::kAccepted:
       progress.phase = host_phase::kDown;
+      progress.accepted_at = now;
       return;
     case service_result::kNotNow:
       progress.phase = host_phase::kClosing;
@@ -110,7 +111,9 @@
   return busy;
 }
 
-// A host is back when it is up in another life.
+// A host is back when it is up in another life. A list that was asked for
+// before the host went down shows it as up, and a host of a spare pool has no
+// life to compare: taken for back, it would let one host too many go down.
 void wave_keeper::NoteReturns(wave_progress* wave,
                               std::vector<wave_action>* actions) {
   for (auto& [host, progress] : wave->hosts) {
@@ -119,6 +122,7 @@
       continue;
     }
     const bool is_back = listed->host.state == host_state::kUp &&
+                         listed->last_listed > progress.accepted_at &&
                          (progress.vm.empty() || listed->host.vm != progress.vm);
     if (is_back) {
       progress.phase = host_phase::kDone;
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -173,6 +173,7 @@
 
   void List() {
     is_listing_ = true;
+    requested_at_ = BootTime();
     page_hosts_.clear();
     ListPage("");
   }
@@ -208,7 +209,7 @@
         spare.insert(pool.id);
       }
     }
-    keeper_.UpdateHosts(page_hosts_, spare, listed_at_);
+    keeper_.UpdateHosts(page_hosts_, spare, requested_at_);
     Work();
   }
 
@@ -305,6 +306,7 @@
   bool is_closed_ = false;
   bool is_listing_ = false;
   core::time_point listed_at_;
+  core::time_point requested_at_;
   core::time_point orders_from_;
   std::vector<core::jobs::fleet_host> page_hosts_;
 };
