Ask every VM that an earlier owner may have used, and wait until each has told all

Cause: a new owner took a VM for settled at its first answer though its ends of already ended jobs held back the rest; VMs missing from the registry weren't asked; jobs read at the takeover counted as fresh. Change: VMs are recorded before their first task; takeover waits for a complete listing of each or the end of its lease; a restarted process keeps its member name.

--- a/include/plantainhead/core/jobs/orders.h
+++ b/include/plantainhead/core/jobs/orders.h
@@ -54,10 +54,22 @@
   duration wait = duration::zero();
 };
 
-/// Job records to be stored together, in one append.
+/// A VM on which tasks may run.
+struct known_vm {
+  vm_id id;
+  std::string address;
+
+  bool operator==(const known_vm&) const = default;
+};
+
+/// Records to be stored together, in one append.
 struct progress_batch {
   std::uint64_t number = 0;
   std::vector<std::pair<job_id, job_progress>> jobs;
+  /// VMs that will be used from now on.
+  std::vector<known_vm> used_vms;
+  /// VMs on which nothing can be running any more.
+  std::vector<vm_id> dropped_vms;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -77,6 +77,8 @@
 ///   of the VM's lease.
 /// - a VM never holds more than its capacity: a run takes its room until then.
 /// - an end is acknowledged to the VM only after the record of it is stored.
+/// - a VM is used only after a record of it is stored, so that the next owner
+///   asks it, also when the registry has lost it.
 /// Not thread-safe.
 class pool_scheduler {
  public:
@@ -91,6 +93,8 @@
   void AddJob(std::shared_ptr<const job_spec> spec,
               const queue_policy& policy,
               time_point now);
+  /// Notes a job that ended under an earlier owner. VMs may still list its runs.
+  void AddEndedJob(const job_id& id);
   /// Takes over what an earlier owner recorded. Precondition: the job was added
   /// and nothing of it was started since.
   void RestoreJob(const job_id& id, const job_progress& progress);
@@ -98,6 +102,9 @@
   /// Ends a job and its tasks; unknown and ended jobs are left as they are.
   void CancelJob(const job_id& id);
 
+  /// Adds a VM that an earlier owner may have used, whether or not the registry
+  /// lists it. Precondition: called before the first `UpdateVms`.
+  void AddKnownVm(const known_vm& vm);
   /// Replaces the list of the pool's VMs. A VM that is gone from it gets no new
   /// tasks, and is forgotten when nothing can be running on it.
   void UpdateVms(const std::vector<vm_description>& vms, time_point now);
@@ -132,7 +139,7 @@
   /// Returns what has to be stored next, if anything.
   std::optional<progress_batch> TakeBatch();
   /// Precondition: batches are stored in their order.
-  void OnBatchStored(std::uint64_t number);
+  void OnBatchStored(const progress_batch& batch);
 
   /// True when a newer owner was met. Give no more orders then.
   bool IsFenced() const { return is_fenced_; }
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -41,8 +41,8 @@
   }
 }
 
-std::optional<progress_batch> job_table::TakeBatch() {
-  if (changed_.empty()) {
+std::optional<progress_batch> job_table::TakeBatch(bool has_more) {
+  if (changed_.empty() && !has_more) {
     return std::nullopt;
   }
   progress_batch batch;
--- a/src/core/jobs/job_table.h
+++ b/src/core/jobs/job_table.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/jobs/job_state.h"
@@ -20,8 +21,12 @@
   job_state* Add(std::shared_ptr<const job_spec> spec,
                  const queue_policy& policy,
                  time_point now);
-  /// Returns the job, or null when it is unknown.
+  /// Returns the job, or null when it is unknown or only known as ended.
   job_state* Find(const job_id& id);
+  /// Notes a job that ended under an earlier owner.
+  void AddEnded(const job_id& id) { ended_.insert(id); }
+  /// Returns whether the job ended under an earlier owner.
+  bool IsEnded(const job_id& id) const { return ended_.count(id) != 0; }
   void SetPolicy(const queue_id& queue, const queue_policy& policy);
 
   /// Marks the job as changed, and forgets it as open when it has ended.
@@ -32,13 +37,15 @@
 
   /// The number that the next batch will have.
   std::uint64_t next_batch() const { return next_batch_; }
-  /// Returns the changed jobs as a batch, or nothing.
-  std::optional<progress_batch> TakeBatch();
+  /// Returns the changed jobs as a batch; nothing when there are none and the
+  /// batch carries nothing else either.
+  std::optional<progress_batch> TakeBatch(bool has_more);
 
  private:
   std::unordered_map<job_id, std::unique_ptr<job_state>> jobs_;
   std::map<job_id, job_state*> open_;
   std::set<job_id> changed_;
+  std::unordered_set<job_id> ended_;
   std::uint64_t next_batch_ = 1;
 };
 
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -43,13 +43,14 @@
   return orders;
 }
 
-// After a takeover a task may be running on any VM that hasn't been heard. It
-// must not start elsewhere before that VM has told, or its lease is over.
+// After a takeover a task may be running, or may have ended, on any VM that
+// hasn't told all. It must not start elsewhere before that, or before the VM's
+// lease is over.
 bool pool_scheduler::impl::IsRecovered(time_point now) {
   if (!is_recovered_) {
     is_recovered_ = std::all_of(
         vms_.begin(), vms_.end(), [now](const auto& entry) {
-          return entry.second.IsHeard() || entry.second.IsLapsed(now);
+          return entry.second.is_settled || entry.second.IsLapsed(now);
         });
   }
   return is_recovered_;
@@ -204,7 +205,8 @@
       std::any_of(vm.runs().begin(), vm.runs().end(), [](const auto& entry) {
         return entry.second.is_foreign;
       });
-  return vm.is_listed && description.pool == pool && !vm.is_closed && !description.draining &&
+  return vm.is_listed && vm.is_recorded && vm.is_settled &&
+         description.pool == pool && !vm.is_closed && !description.draining &&
          vm.IsReachable() && !has_foreign &&
          (step.required_label.empty() ||
           HasLabel(description, step.required_label));
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -11,6 +11,17 @@
   return found == vms_.end() ? nullptr : &found->second;
 }
 
+void pool_scheduler::impl::AddKnownVm(const known_vm& known) {
+  vm_description description;
+  description.id = known.id;
+  description.address = known.address;
+  vm_state& vm = vms_.try_emplace(known.id, description).first->second;
+  vm.is_listed = false;
+  vm.is_recorded = true;
+  vm.is_record_due = false;
+  vm.AssumeLease(takeover_.others_lapsed_at);
+}
+
 void pool_scheduler::impl::UpdateVms(const std::vector<vm_description>& listed,
                                      time_point now) {
   for (auto& [id, vm] : vms_) {
@@ -26,11 +37,12 @@
     vm.is_listed = true;
     // An owner that was paused may have been the first to see this VM, and may
     // have started a task on it that would start twice here.
-    if (is_new && now < takeover_.fresh_from) {
+    if (is_new && (!has_list_ || now < takeover_.fresh_from)) {
       vm.AssumeLease(takeover_.others_lapsed_at);
       is_recovered_ = false;
     }
   }
+  has_list_ = true;
 }
 
 void pool_scheduler::impl::TakeListing(vm_state* vm,
@@ -47,6 +59,8 @@
     }
   }
   CheckAbsent(vm, sent_at, listing, now);
+  vm->is_settled =
+      vm->is_settled || (!listing.is_partial && !vm->unknown_end_since);
 }
 
 void pool_scheduler::impl::TakeRunning(vm_state* vm,
@@ -89,7 +103,8 @@
   run.reading = row.reading;
   job_state* job = jobs_.Find(row.task.job);
   if (job == nullptr) {
-    run.is_foreign = true;
+    run.is_stop_wanted = jobs_.IsEnded(row.task.job);
+    run.is_foreign = !run.is_stop_wanted;
     vm->Add(row.task, run);
     return;
   }
@@ -118,7 +133,7 @@
                                    const ended_task& end,
                                    time_point now) {
   job_state* job = jobs_.Find(end.task.job);
-  if (job == nullptr) {
+  if (job == nullptr && !jobs_.IsEnded(end.task.job)) {
     // Its job's record may not have been read yet. Acknowledged now, the end
     // would be lost and the task would run a second time.
     if (!vm->unknown_end_since) {
@@ -293,8 +308,20 @@
 }
 
 std::optional<progress_batch> pool_scheduler::impl::TakeBatch() {
-  auto batch = jobs_.TakeBatch();
-  if (!batch) {
+  std::vector<known_vm> used;
+  for (auto& [id, vm] : vms_) {
+    if (vm.is_record_due && vm.is_listed) {
+      vm.is_record_due = false;
+      used.push_back({id, vm.description().address});
+    }
+  }
+  const bool has_vms = !used.empty() || !dropped_vms_.empty();
+  auto batch = jobs_.TakeBatch(has_vms);
+  if (batch) {
+    batch->used_vms = std::move(used);
+    batch->dropped_vms = std::move(dropped_vms_);
+    dropped_vms_.clear();
+  } else {
     // Ends that changed no record wait for no store.
     for (auto& [id, vm] : vms_) {
       for (auto& [number, needed] : vm.unstored_ends) {
@@ -303,12 +330,21 @@
         }
       }
     }
-    NoteStored(0);
+    AckThrough(0);
   }
   return batch;
 }
 
-void pool_scheduler::impl::NoteStored(std::uint64_t batch) {
+void pool_scheduler::impl::NoteStored(const progress_batch& batch) {
+  for (const known_vm& used : batch.used_vms) {
+    if (vm_state* vm = FindVm(used.id)) {
+      vm->is_recorded = true;
+    }
+  }
+  AckThrough(batch.number);
+}
+
+void pool_scheduler::impl::AckThrough(std::uint64_t batch) {
   for (auto& [id, vm] : vms_) {
     while (!vm.unstored_ends.empty() &&
            vm.unstored_ends.front().second <= batch) {
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -52,6 +52,7 @@
   vm_state* vm = FindVm(id);
   if (vm != nullptr) {
     EndAllRuns(vm, end_kind::kLapsed);
+    dropped_vms_.push_back(id);
     vms_.erase(id);
   }
   replaced_.insert(id);
@@ -81,6 +82,9 @@
     const vm_state& vm = it->second;
     const bool is_forgotten =
         !vm.is_listed && vm.runs().empty() && vm.IsLapsed(now);
+    if (is_forgotten) {
+      dropped_vms_.push_back(it->first);
+    }
     it = is_forgotten ? vms_.erase(it) : std::next(it);
   }
 }
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -18,6 +18,10 @@
   impl_->jobs().Add(std::move(spec), policy, now);
 }
 
+void pool_scheduler::AddEndedJob(const job_id& id) {
+  impl_->jobs().AddEnded(id);
+}
+
 void pool_scheduler::RestoreJob(const job_id& id,
                                 const job_progress& progress) {
   job_state* job = impl_->jobs().Find(id);
@@ -42,6 +46,10 @@
   impl_->StopRunsOf(id);
 }
 
+void pool_scheduler::AddKnownVm(const known_vm& vm) {
+  impl_->AddKnownVm(vm);
+}
+
 void pool_scheduler::UpdateVms(const std::vector<vm_description>& vms,
                                time_point now) {
   impl_->UpdateVms(vms, now);
@@ -134,8 +142,8 @@
   return impl_->TakeBatch();
 }
 
-void pool_scheduler::OnBatchStored(std::uint64_t number) {
-  impl_->NoteStored(number);
+void pool_scheduler::OnBatchStored(const progress_batch& batch) {
+  impl_->NoteStored(batch);
 }
 
 scheduler_counts pool_scheduler::Counts() const {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -27,6 +27,7 @@
   vm_state* FindVm(const vm_id& id);
   scheduler_counts Counts() const;
 
+  void AddKnownVm(const known_vm& vm);
   void UpdateVms(const std::vector<vm_description>& listed, time_point now);
   void TakeListing(vm_state* vm,
                    time_point sent_at,
@@ -45,7 +46,7 @@
 
   std::vector<vm_order> Plan(time_point now, time_point wall_now);
   std::optional<progress_batch> TakeBatch();
-  void NoteStored(std::uint64_t batch);
+  void NoteStored(const progress_batch& batch);
   /// Wants a stop of every run of the job.
   void StopRunsOf(const job_id& id);
 
@@ -66,6 +67,8 @@
                    const vm_listing& listing,
                    time_point now);
 
+  void AckThrough(std::uint64_t batch);
+
   // Ends of runs.
   /// The run left no effect that is known: its task may start elsewhere.
   void EndRun(vm_state* vm, const task_name& task, end_kind how);
@@ -114,6 +117,9 @@
   std::map<vm_id, vm_state> vms_;
   /// Lives that are known to be over; the registry may still list them.
   std::set<vm_id> replaced_;
+  /// Forgotten VMs whose records are to be dropped.
+  std::vector<vm_id> dropped_vms_;
+  bool has_list_ = false;
   scheduler_counts counts_;
   bool is_recovered_ = false;
 };
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -89,6 +89,11 @@
   std::uint32_t failures_in_row = 0;
   std::set<job_id> failing_jobs;
   bool is_listed = true;
+  /// A listing of it has been taken in completely.
+  bool is_settled = false;
+  /// A record that it is used is stored, or is on its way.
+  bool is_recorded = false;
+  bool is_record_due = true;
   /// Being emptied for maintenance, and since when.
   bool is_closed = false;
   time_point closed_at;
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -38,7 +38,7 @@
       std::function<void(std::uint64_t generation,
                          const std::set<std::uint32_t>& partitions)>;
 
-  /// `member` names this life of the process. `on_dealt` is called after each
+  /// `member` names the process; it is the same after a restart. `on_dealt` is called after each
   /// renewal.
   group_member(boost::asio::io_context* context,
                adapter::store_client* store,
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <optional>
-#include <random>
 #include <set>
 #include <utility>
 #include <vector>
@@ -41,11 +40,6 @@
 // Left of the grace when the process ends whatever is open.
 constexpr milliseconds kStopReserve = milliseconds(700);
 
-std::string MemberName(const std::string& name) {
-  std::random_device device;
-  return name + "-" + std::to_string(device()) + std::to_string(device());
-}
-
 }  // namespace
 
 class job_service::impl : public std::enable_shared_from_this<impl> {
@@ -54,7 +48,9 @@
        const settings::scheduler_process_settings& settings)
       : context_(context),
         settings_(settings),
-        member_name_(MemberName(settings.name)),
+        // The name of the VM, and not of this life: after a restart the group
+        // knows the member again, and needn't wait for its time to live.
+        member_name_(settings.name),
         store_(context, settings.store_address, kStoreConnections),
         world_(context, &store_, {}, MakeListeners()),
         submissions_(context, &store_, &world_, {}),
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -153,6 +153,13 @@
                              if (owner.epoch >= note.epoch) {
                                note = {owner.epoch, std::move(owner.member)};
                              }
+                           },
+                           [this, partition](vm_record& vm) {
+                             if (vm.is_dropped) {
+                               used_vms_[partition].erase(vm.vm);
+                             } else {
+                               used_vms_[partition][vm.vm] = vm.address;
+                             }
                            }},
              *decoded);
 }
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -88,6 +88,11 @@
   /// Returns the member that holds the epoch; empty when it has given it up.
   std::string OwnerOf(std::uint32_t pool_partition) const;
   std::uint64_t CursorOf(std::uint32_t pool_partition) const;
+  /// Returns the VMs that owners of the partition may have used, by address.
+  const std::map<core::jobs::vm_id, std::string>& UsedVms(
+      std::uint32_t pool_partition) {
+    return used_vms_[pool_partition];
+  }
 
   /// Notes what this process has stored itself.
   void NoteProgress(const core::jobs::job_id& id,
@@ -134,6 +139,7 @@
     std::string member;
   };
   std::map<std::uint32_t, owner_note> owners_;
+  std::map<std::uint32_t, std::map<core::jobs::vm_id, std::string>> used_vms_;
   std::vector<std::uint32_t> owned_;
   bool is_fleet_owned_ = false;
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -181,7 +181,7 @@
 
   void Claim() {
     const std::uint64_t before = deps_.world->EpochOf(partition_);
-    has_predecessor_ = before > 0 && !deps_.world->OwnerOf(partition_).empty();
+    predecessor_ = deps_.world->OwnerOf(partition_);
     epoch_ = std::max({generation_, before + 1, epoch_ + 1});
     writer_ = std::make_unique<progress_writer>(
         deps_.context, deps_.store,
@@ -248,26 +248,34 @@
   }
 
   void Begin() {
-    const core::time_point now = BootTime();
     core::jobs::takeover_bounds bounds;
-    if (has_predecessor_) {
+    if (!predecessor_.empty()) {
       const auto longest_lease = core::duration(static_cast<std::int64_t>(
           static_cast<double>(settings_.scheduler.lease.count()) /
           kSlowestClock));
-      bounds.fresh_from = claimed_at_ + settings_.time_to_live;
+      // An earlier life of this process gives no more orders.
+      const bool may_act = predecessor_ != deps_.member;
+      bounds.fresh_from =
+          claimed_at_ + (may_act ? settings_.time_to_live : milliseconds(1));
       bounds.others_lapsed_at =
-          claimed_at_ + settings_.authority + longest_lease;
+          claimed_at_ + longest_lease +
+          (may_act ? settings_.authority : milliseconds(0));
     }
     scheduler_ =
         std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
     std::size_t open = 0;
     for (const auto& [id, entry] : deps_.world->directory().entries()) {
-      if (!entry.spec || PoolPartitionOf(entry.pool) != partition_ ||
-          core::jobs::IsFinal(entry.progress.phase)) {
+      if (core::jobs::IsFinal(entry.progress.phase)) {
+        scheduler_->AddEndedJob(id);
+      }
+      if (!entry.spec || PoolPartitionOf(entry.pool) != partition_) {
         continue;
       }
       ++open;
-      scheduler_->AddJob(entry.spec, deps_.world->PolicyOf(entry.queue), now);
+      // An earlier owner may have read all that was stored by the claim, so that
+      // none of these jobs counts as fresh.
+      scheduler_->AddJob(entry.spec, deps_.world->PolicyOf(entry.queue),
+                         claimed_at_);
       scheduler_->RestoreJob(id, entry.progress);
       if (entry.is_cancelled) {
         scheduler_->CancelJob(id);
@@ -277,7 +285,10 @@
              {{"partition", std::to_string(partition_)},
               {"epoch", std::to_string(epoch_)},
               {"open_jobs", std::to_string(open)},
-              {"predecessor", has_predecessor_ ? "may be alive" : "none"}});
+              {"predecessor", predecessor_}});
+    for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
+      scheduler_->AddKnownVm({id, address});
+    }
     OnRegistry();
     Work();
     OnFleetRecords();
@@ -540,6 +551,12 @@
     for (const auto& [id, progress] : batch->jobs) {
       records.push_back(Encode(progress_record{id, progress}));
     }
+    for (const core::jobs::known_vm& vm : batch->used_vms) {
+      records.push_back(Encode(vm_record{vm.id, vm.address, false}));
+    }
+    for (const vm_id& vm : batch->dropped_vms) {
+      records.push_back(Encode(vm_record{vm, "", true}));
+    }
     const auto stored =
         std::make_shared<core::jobs::progress_batch>(std::move(*batch));
     writer_->Write(std::move(records),
@@ -566,7 +583,7 @@
       }
       deps_.world->NoteProgress(id, progress);
     }
-    scheduler_->OnBatchStored(batch.number);
+    scheduler_->OnBatchStored(batch);
     Kick();
   }
 
@@ -599,7 +616,8 @@
   asio::steady_timer claim_timer_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
-  bool has_predecessor_ = false;
+  /// The member that owned before and hasn't given up; empty: none.
+  std::string predecessor_;
   bool is_closed_ = false;
   bool is_kicked_ = false;
   core::time_point claimed_at_;
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -12,6 +12,7 @@
 using core::jobs::step_spec;
 
 constexpr const char* kOwnerKey = "owner";
+constexpr std::string_view kVmPrefix = "vm/";
 constexpr std::string_view kCancelSuffix = "-cancel";
 
 // Names are one or two letters: the bytes of each record are paid for once when
@@ -147,6 +148,15 @@
           json{{"epoch", record.epoch}, {"member", record.member}}.dump()};
 }
 
+adapter::keyed_record Encode(const vm_record& record) {
+  adapter::keyed_record encoded;
+  encoded.key = std::string(kVmPrefix) + record.vm;
+  if (!record.is_dropped) {
+    encoded.value = record.address;
+  }
+  return encoded;
+}
+
 std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record) {
   if (!record.value) {
     return std::nullopt;
@@ -166,6 +176,10 @@
 
 std::optional<pool_record> DecodePoolRecord(
     const adapter::keyed_record& record) {
+  if (record.key.compare(0, kVmPrefix.size(), kVmPrefix) == 0) {
+    return vm_record{record.key.substr(kVmPrefix.size()),
+                     record.value.value_or(""), !record.value.has_value()};
+  }
   if (!record.value) {
     return std::nullopt;
   }
--- a/src/jobs/record_codec.h
+++ b/src/jobs/record_codec.h
@@ -35,13 +35,22 @@
   std::string member;
 };
 
+/// The partition's owner may run tasks on the VM, or does so no more. Key: "vm/"
+/// and its id; dropped when nothing can be running there any more.
+struct vm_record {
+  core::jobs::vm_id vm;
+  std::string address;
+  bool is_dropped = false;
+};
+
 using job_record = std::variant<submission_record, cancel_record>;
-using pool_record = std::variant<progress_record, owner_record>;
+using pool_record = std::variant<progress_record, owner_record, vm_record>;
 
 adapter::keyed_record Encode(const submission_record& record);
 adapter::keyed_record Encode(const cancel_record& record);
 adapter::keyed_record Encode(const progress_record& record);
 adapter::keyed_record Encode(const owner_record& record);
+adapter::keyed_record Encode(const vm_record& record);
 
 /// Return nothing when the record is malformed, or drops its key.
 std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record);
