--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -181,6 +181,7 @@
 
   void Claim() {
     const std::uint64_t before = deps_.world->EpochOf(partition_);
+    had_owner_ = before > 0;
     predecessor_ = deps_.world->OwnerOf(partition_);
     epoch_ = std::max({generation_, before + 1, epoch_ + 1});
     writer_ = std::make_unique<progress_writer>(
@@ -249,12 +250,14 @@
 
   void Begin() {
     core::jobs::takeover_bounds bounds;
-    if (!predecessor_.empty()) {
+    if (had_owner_) {
       const auto longest_lease = core::duration(static_cast<std::int64_t>(
           static_cast<double>(settings_.scheduler.lease.count()) /
           kSlowestClock));
-      // An earlier life of this process gives no more orders.
-      const bool may_act = predecessor_ != deps_.member;
+      // One that has given up, or an earlier life of this process, gives no more
+      // orders. What it started runs on.
+      const bool may_act =
+          !predecessor_.empty() && predecessor_ != deps_.member;
       bounds.fresh_from =
           claimed_at_ + (may_act ? settings_.time_to_live : milliseconds(1));
       bounds.others_lapsed_at =
@@ -616,7 +619,8 @@
   asio::steady_timer claim_timer_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
-  /// The member that owned before and hasn't given up; empty: none.
+  bool had_owner_ = false;
+  /// The member that owned before; empty when it has given up.
   std::string predecessor_;
   bool is_closed_ = false;
   bool is_kicked_ = false;
