End orders with the member's time to live, and hand lease ends over

Change: an owner gives no orders past its time to live; it hands over how long each VM's lease runs; lapsed VMs are dropped from the record; an append is waited for and looked for instead of repeated.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -18,14 +18,14 @@
 
 /// Limits and waits of a `pool_scheduler`.
 struct scheduler_settings {
-  /// How long a VM may run tasks without hearing from the owner. Longer than it
-  /// takes to replace an owner that was killed (time to live of a member, 2.4 s,
-  /// and the takeover), so that its tasks survive; no longer than the least that
-  /// VMs allow (6 s).
-  duration lease = std::chrono::milliseconds(5500);
-  /// How long a hold waits for an end. Holds keep the lease alive, so it is well
-  /// under half of it.
-  duration hold_wait = std::chrono::milliseconds(1500);
+  /// How long a VM may run tasks without hearing from the owner. After the last
+  /// hold (1 s) and the replacement of an owner that was killed (time to live of
+  /// a member, 2.4 s, a renewal of another one, 0.7 s, and the takeover) it must
+  /// not be over, so that the tasks survive. A new owner waits as long for VMs
+  /// that don't answer, so it is no longer than that needs.
+  duration lease = std::chrono::milliseconds(4500);
+  /// How long a hold waits for an end. Holds keep the lease alive.
+  duration hold_wait = std::chrono::milliseconds(1000);
   /// The same beside tasks that serve, whose tail latency must be watched.
   duration watch_wait = std::chrono::milliseconds(500);
   /// A stop without an answer is sent again after this time.
@@ -52,8 +52,11 @@
   /// From now on nobody else gives orders: jobs that are first read later can't
   /// have been started by an earlier owner.
   time_point fresh_from;
-  /// By now every lease that an earlier owner granted is over.
+  /// By now every lease that an earlier owner granted is over, on VMs for which
+  /// nothing else is known.
   time_point others_lapsed_at;
+  /// By now the leases of these are over.
+  std::map<vm_id, time_point> lapsed_at;
 };
 
 /// Figures for reports.
@@ -114,6 +117,9 @@
   void OpenVm(const vm_id& vm);
   /// Returns whether the VM is known, heard, and holds no run.
   bool IsEmpty(const vm_id& vm) const;
+  /// Returns by when the lease of each VM that may be running tasks is over, for
+  /// the next owner.
+  std::map<vm_id, time_point> LeaseEnds() const;
   /// Returns the VMs that need a hold; also those that left the list.
   std::vector<vm_description> Vms() const;
 
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -19,7 +19,14 @@
   vm.is_listed = false;
   vm.is_recorded = true;
   vm.is_record_due = false;
-  vm.AssumeLease(takeover_.others_lapsed_at);
+  AssumeLeaseOf(known.id, &vm);
+}
+
+void pool_scheduler::impl::AssumeLeaseOf(const vm_id& id, vm_state* vm) {
+  const auto known = takeover_.lapsed_at.find(id);
+  vm->AssumeLease(known == takeover_.lapsed_at.end()
+                      ? takeover_.others_lapsed_at
+                      : known->second);
 }
 
 void pool_scheduler::impl::UpdateVms(const std::vector<vm_description>& listed,
@@ -38,7 +45,7 @@
     // An owner that was paused may have been the first to see this VM, and may
     // have started a task on it that would start twice here.
     if (is_new && (!has_list_ || now < takeover_.fresh_from)) {
-      vm.AssumeLease(takeover_.others_lapsed_at);
+      AssumeLeaseOf(description.id, &vm);
       is_recovered_ = false;
     }
   }
@@ -310,7 +317,7 @@
 std::optional<progress_batch> pool_scheduler::impl::TakeBatch() {
   std::vector<known_vm> used;
   for (auto& [id, vm] : vms_) {
-    if (vm.is_record_due && vm.is_listed) {
+    if (vm.is_record_due && vm.is_listed && vm.IsReachable()) {
       vm.is_record_due = false;
       used.push_back({id, vm.description().address});
     }
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -69,10 +69,19 @@
 
 void pool_scheduler::impl::LapseSilentVms(time_point now) {
   for (auto& [id, vm] : vms_) {
-    if (!vm.runs().empty() && vm.IsLapsed(now)) {
-      counts_.lapsed_runs += vm.runs().size();
-      EndAllRuns(&vm, end_kind::kLapsed);
-      vm.MarkLapsed();
+    if (!vm.IsLapsed(now) || (vm.runs().empty() && vm.IsReachable())) {
+      continue;
+    }
+    counts_.lapsed_runs += vm.runs().size();
+    EndAllRuns(&vm, end_kind::kLapsed);
+    vm.MarkLapsed();
+    // It is used again only after it has told all, and after a new record: the
+    // next owner needn't ask a VM that has none.
+    vm.is_settled = false;
+    if (vm.is_recorded) {
+      vm.is_recorded = false;
+      vm.is_record_due = true;
+      dropped_vms_.push_back(id);
     }
   }
 }
@@ -82,7 +91,7 @@
     const vm_state& vm = it->second;
     const bool is_forgotten =
         !vm.is_listed && vm.runs().empty() && vm.IsLapsed(now);
-    if (is_forgotten) {
+    if (is_forgotten && it->second.is_recorded) {
       dropped_vms_.push_back(it->first);
     }
     it = is_forgotten ? vms_.erase(it) : std::next(it);
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -74,6 +74,16 @@
   return found != nullptr && found->IsHeard() && found->runs().empty();
 }
 
+std::map<vm_id, time_point> pool_scheduler::LeaseEnds() const {
+  std::map<vm_id, time_point> ends;
+  for (const auto& [id, vm] : impl_->vms()) {
+    if (vm.is_recorded) {
+      ends[id] = vm.lapse_at();
+    }
+  }
+  return ends;
+}
+
 std::vector<vm_description> pool_scheduler::Vms() const {
   std::vector<vm_description> all;
   for (const auto& [id, vm] : impl_->vms()) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -57,6 +57,8 @@
     time_point deadline;
   };
 
+  void AssumeLeaseOf(const vm_id& id, vm_state* vm);
+
   // Reports.
   void TakeRunning(vm_state* vm, const running_task& row, time_point now);
   void Adopt(vm_state* vm, const running_task& row, time_point now);
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -69,6 +69,8 @@
   /// Returns whether nothing can be running on the VM, since no lease that was
   /// ever granted to it is still running on its clock.
   bool IsLapsed(time_point now) const { return now >= lapse_at_; }
+  /// Returns when the last lease is over at the latest.
+  time_point lapse_at() const { return lapse_at_; }
   /// Counts leases that somebody else granted until `until`.
   void AssumeLease(time_point until);
   /// Forgets that the VM was heard: all that ran on it is over.
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -103,7 +103,8 @@
   }
 
   void Claim() {
-    const std::uint64_t before = deps_.world->EpochOf(kFleetPartition);
+    const std::uint64_t before =
+        deps_.world->OwnerOf(kFleetPartition).epoch;
     epoch_ = std::max({generation_, before + 1, epoch_ + 1});
     has_predecessor_ = before > 0;
     writer_.Claim(epoch_, deps_.member, deps_.world->CursorOf(kFleetPartition),
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -227,7 +227,7 @@
     deps.store = &store_;
     deps.world = &world_;
     deps.member = member_name_;
-    deps.authority = [this] { return Authority(); };
+    deps.is_sure = [this] { return IsSure(); };
     deps.on_fenced = [this, partition] {
       boost::asio::post(*context_, [self = weak_from_this(), partition] {
         const auto service = self.lock();
@@ -262,9 +262,7 @@
     deps.world = &world_;
     deps.member = member_name_;
     deps.holder = settings_.name;
-    deps.is_sure = [this] {
-      return BootTime() < member_.RenewedAt() + member_settings_.time_to_live;
-    };
+    deps.is_sure = [this] { return IsSure(); };
     deps.on_fenced = [this] {
       boost::asio::post(*context_, [self = weak_from_this()] {
         if (const auto service = self.lock()) {
@@ -277,17 +275,12 @@
     fleet_->Start(generation_);
   }
 
-  // While the store can't be reached nobody can tell whether the group has
-  // dealt the partition anew. The fences on VMs, and the wait of a new owner for
-  // those that it can't reach, make it safe to work on for a while. When the
-  // store answers but the renewal is overdue, this process was suspended.
-  authority_state Authority() const {
-    const core::duration age = BootTime() - member_.RenewedAt();
-    authority_state state;
-    state.may_hold = age < owner_settings_.authority;
-    state.may_start = age < member_settings_.time_to_live ||
-                      (state.may_hold && member_.IsFailing());
-    return state;
+  // A member that hasn't renewed for its time to live may have lost its
+  // partitions, also when it was suspended meanwhile and hasn't noticed. If it
+  // went on, it could start a task on a VM that the new owner can't reach, after
+  // that has waited for the last lease there to end.
+  bool IsSure() const {
+    return BootTime() < member_.RenewedAt() + member_settings_.time_to_live;
   }
 
   // Readiness and metrics.
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -9,7 +9,6 @@
 #include <variant>
 
 #include "jobs/event_log.h"
-#include "jobs/record_codec.h"
 #include "platform/configuration_codec.h"
 #include "plantainhead/core/visit.h"
 
@@ -90,14 +89,9 @@
   return found == policies_.end() ? core::jobs::queue_policy() : found->second;
 }
 
-std::uint64_t job_world::EpochOf(std::uint32_t pool_partition) const {
+owner_record job_world::OwnerOf(std::uint32_t pool_partition) const {
   const auto found = owners_.find(pool_partition);
-  return found == owners_.end() ? 0 : found->second.epoch;
-}
-
-std::string job_world::OwnerOf(std::uint32_t pool_partition) const {
-  const auto found = owners_.find(pool_partition);
-  return found == owners_.end() ? std::string() : found->second.member;
+  return found == owners_.end() ? owner_record() : found->second;
 }
 
 std::uint64_t job_world::CursorOf(std::uint32_t pool_partition) const {
@@ -149,9 +143,9 @@
                                  progress.job, std::move(progress.progress));
                            },
                            [this, partition](owner_record& owner) {
-                             owner_note& note = owners_[partition];
+                             owner_record& note = owners_[partition];
                              if (owner.epoch >= note.epoch) {
-                               note = {owner.epoch, std::move(owner.member)};
+                               note = std::move(owner);
                              }
                            },
                            [this, partition](vm_record& vm) {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jobs/log_follower.h"
+#include "jobs/record_codec.h"
 #include "platform/store_client.h"
 #include "plantainhead/core/jobs/job_directory.h"
 #include "plantainhead/core/jobs/maintenance.h"
@@ -83,10 +84,8 @@
   }
   /// Returns the queue's newest policy, also after its route was removed.
   core::jobs::queue_policy PolicyOf(const core::jobs::queue_id& queue) const;
-  /// Returns the newest epoch that claimed the partition; 0: none did.
-  std::uint64_t EpochOf(std::uint32_t pool_partition) const;
-  /// Returns the member that holds the epoch; empty when it has given it up.
-  std::string OwnerOf(std::uint32_t pool_partition) const;
+  /// Returns the newest claim of the partition; epoch 0: there is none.
+  owner_record OwnerOf(std::uint32_t pool_partition) const;
   std::uint64_t CursorOf(std::uint32_t pool_partition) const;
   /// Returns the VMs that owners of the partition may have used, by address.
   const std::map<core::jobs::vm_id, std::string>& UsedVms(
@@ -134,11 +133,7 @@
   std::map<std::uint64_t, core::jobs::maintenance_wave> waves_;
   std::map<std::string, std::string> fleet_records_;
   std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
-  struct owner_note {
-    std::uint64_t epoch = 0;
-    std::string member;
-  };
-  std::map<std::uint32_t, owner_note> owners_;
+  std::map<std::uint32_t, owner_record> owners_;
   std::map<std::uint32_t, std::map<core::jobs::vm_id, std::string>> used_vms_;
   std::vector<std::uint32_t> owned_;
   bool is_fleet_owned_ = false;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -13,6 +13,7 @@
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "jobs/fleet_records.h"
+#include "jobs/group_member.h"
 #include "jobs/record_codec.h"
 #include "jobs/vm_link.h"
 #include "plantainhead/core/visit.h"
@@ -74,10 +75,15 @@
       on_released();
       return;
     }
+    owner_record end{epoch_, "", {}};
+    for (const auto& [vm, lapse_at] : scheduler_->LeaseEnds()) {
+      end.leases[vm] =
+          std::max(core::duration::zero(), lapse_at - BootTime());
+    }
     scheduler_.reset();
     links_.clear();
     tick_timer_.cancel();
-    writer_->Write({Encode(owner_record{epoch_, ""})},
+    writer_->Write({Encode(end)},
                    [self = shared_from_this(),
                     on_released](progress_writer::result /*result*/) {
                      self->Close();
@@ -180,10 +186,8 @@
   }
 
   void Claim() {
-    const std::uint64_t before = deps_.world->EpochOf(partition_);
-    had_owner_ = before > 0;
     predecessor_ = deps_.world->OwnerOf(partition_);
-    epoch_ = std::max({generation_, before + 1, epoch_ + 1});
+    epoch_ = std::max({generation_, predecessor_.epoch + 1, epoch_ + 1});
     writer_ = std::make_unique<progress_writer>(
         deps_.context, deps_.store,
         adapter::store_partition{kProgressTopic, partition_}, settings_.writer);
@@ -229,7 +233,7 @@
           return;
         }
         if (is_registry_read) {
-          reader->Begin();
+          reader->AskForPredecessor();
         } else {
           reader->RetryReading();
         }
@@ -248,22 +252,50 @@
     });
   }
 
-  void Begin() {
+  // A member that has given up, or an earlier life of this process, gives no
+  // more orders; neither does one that the group doesn't know any more, since
+  // its time to live has passed. What it started runs on.
+  void AskForPredecessor() {
+    const std::string& member = predecessor_.member;
+    if (predecessor_.epoch == 0 || member.empty() || member == deps_.member) {
+      Begin(false);
+      return;
+    }
+    deps_.store->ListMembers(
+        group_, settings_.owners_timeout,
+        [self = weak_from_this()](const adapter::members_reply& reply) {
+          const auto owner = self.lock();
+          if (owner && !owner->is_closed_) {
+            // With fewer members than partitions each member holds one, so that
+            // one that holds none has left or has expired.
+            const bool is_gone =
+                reply.is_read && reply.members.size() < kPoolPartitions &&
+                reply.members.count(owner->predecessor_.member) == 0;
+            owner->Begin(!is_gone);
+          }
+        });
+  }
+
+  core::jobs::takeover_bounds MakeBounds(bool may_predecessor_act) const {
     core::jobs::takeover_bounds bounds;
-    if (had_owner_) {
-      const auto longest_lease = core::duration(static_cast<std::int64_t>(
-          static_cast<double>(settings_.scheduler.lease.count()) /
-          kSlowestClock));
-      // One that has given up, or an earlier life of this process, gives no more
-      // orders. What it started runs on.
-      const bool may_act =
-          !predecessor_.empty() && predecessor_ != deps_.member;
-      bounds.fresh_from =
-          claimed_at_ + (may_act ? settings_.time_to_live : milliseconds(1));
-      bounds.others_lapsed_at =
-          claimed_at_ + longest_lease +
-          (may_act ? settings_.authority : milliseconds(0));
+    if (predecessor_.epoch == 0) {
+      return bounds;
+    }
+    const auto longest_lease = core::duration(static_cast<std::int64_t>(
+        static_cast<double>(settings_.scheduler.lease.count()) /
+        kSlowestClock));
+    const milliseconds acting =
+        may_predecessor_act ? settings_.time_to_live : milliseconds(0);
+    bounds.fresh_from = claimed_at_ + acting + milliseconds(1);
+    bounds.others_lapsed_at = claimed_at_ + acting + longest_lease;
+    for (const auto& [vm, left] : predecessor_.leases) {
+      bounds.lapsed_at[vm] = claimed_at_ + left;
     }
+    return bounds;
+  }
+
+  void Begin(bool may_predecessor_act) {
+    const core::jobs::takeover_bounds bounds = MakeBounds(may_predecessor_act);
     scheduler_ =
         std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
     std::size_t open = 0;
@@ -288,7 +320,8 @@
              {{"partition", std::to_string(partition_)},
               {"epoch", std::to_string(epoch_)},
               {"open_jobs", std::to_string(open)},
-              {"predecessor", predecessor_}});
+              {"predecessor", predecessor_.member},
+              {"predecessor_acts", may_predecessor_act ? "maybe" : "no"}});
     for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
       scheduler_->AddKnownVm({id, address});
     }
@@ -335,7 +368,7 @@
       return;
     }
     SyncLinks();
-    if (deps_.authority().may_start) {
+    if (deps_.is_sure()) {
       for (const core::jobs::vm_order& order :
            scheduler_->Plan(BootTime(), WallTime())) {
         std::visit([this](const auto& kind) { Send(kind); }, order);
@@ -411,7 +444,7 @@
     if (!link || link->is_holding || !scheduler_) {
       return;
     }
-    if (!deps_.authority().may_hold) {
+    if (!deps_.is_sure()) {
       HoldLater(vm, settings_.hold_retry);
       return;
     }
@@ -441,9 +474,7 @@
           link->is_lost = false;
           LogEvent(job_event::kVmHeard, {{"vm", vm}});
         }
-        for (const core::jobs::ended_task& end : reply.listing.ended) {
-          LogEnd(vm, end);
-        }
+        LogNewEnds(vm, link, reply.listing);
         scheduler_->OnListing(vm, sent_at, reply.listing, now);
         Work();
         // Ends that aren't acknowledged would be listed again at once, so the
@@ -476,13 +507,22 @@
     }
   }
 
-  void LogEnd(const vm_id& vm, const core::jobs::ended_task& end) {
-    if (end.how == core::jobs::end_kind::kDone) {
-      return;
+  void LogNewEnds(const vm_id& vm,
+                  const std::shared_ptr<vm_link>& link,
+                  const core::jobs::vm_listing& listing) {
+    for (const core::jobs::ended_task& end : listing.ended) {
+      if (end.number <= link->logged_end ||
+          end.how == core::jobs::end_kind::kDone) {
+        continue;
+      }
+      observe::log_fields fields = FieldsOf({vm, end.task, end.run});
+      fields.emplace_back("how", core::NameOf(end.how));
+      LogEvent(job_event::kTaskEnded, std::move(fields));
+    }
+    if (!listing.ended.empty()) {
+      link->logged_end =
+          std::max(link->logged_end, listing.ended.back().number);
     }
-    observe::log_fields fields = FieldsOf({vm, end.task, end.run});
-    fields.emplace_back("how", core::NameOf(end.how));
-    LogEvent(job_event::kTaskEnded, std::move(fields));
   }
 
   void Send(const core::jobs::start_order& order) {
@@ -554,12 +594,13 @@
     for (const auto& [id, progress] : batch->jobs) {
       records.push_back(Encode(progress_record{id, progress}));
     }
-    for (const core::jobs::known_vm& vm : batch->used_vms) {
-      records.push_back(Encode(vm_record{vm.id, vm.address, false}));
-    }
+    // In this order: a VM that is used again was dropped before.
     for (const vm_id& vm : batch->dropped_vms) {
       records.push_back(Encode(vm_record{vm, "", true}));
     }
+    for (const core::jobs::known_vm& vm : batch->used_vms) {
+      records.push_back(Encode(vm_record{vm.id, vm.address, false}));
+    }
     const auto stored =
         std::make_shared<core::jobs::progress_batch>(std::move(*batch));
     writer_->Write(std::move(records),
@@ -619,9 +660,9 @@
   asio::steady_timer claim_timer_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
-  bool had_owner_ = false;
-  /// The member that owned before; empty when it has given up.
-  std::string predecessor_;
+  /// Who owned before, and how it left.
+  owner_record predecessor_;
+  std::string group_ = member_settings().group;
   bool is_closed_ = false;
   bool is_kicked_ = false;
   core::time_point claimed_at_;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -33,18 +33,12 @@
   std::chrono::milliseconds tick = std::chrono::milliseconds(100);
   /// Pause before a takeover that failed is tried again.
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(150);
-  /// Time to live of a member that owns.
+  /// Time to live of a member, within which an owner that can't renew it works
+  /// on. A new owner waits as long, and a lease more, before it takes the tasks
+  /// of a VM that it can't reach for lost.
   std::chrono::milliseconds time_to_live = std::chrono::milliseconds(2400);
-  /// How long an owner works on when the store can't be reached. A new owner
-  /// waits as long, and a lease more, before it takes the tasks of a VM that it
-  /// can't reach for lost. Outages of 4 to 5 s are ordinary.
-  std::chrono::milliseconds authority = std::chrono::milliseconds(8000);
-};
-
-/// Whether this process may give orders.
-struct authority_state {
-  bool may_start = false;
-  bool may_hold = false;
+  /// For the store's answer to who owns what.
+  std::chrono::milliseconds owners_timeout = std::chrono::milliseconds(600);
 };
 
 /// Takes a partition of pools over and schedules their jobs, until it is
@@ -56,7 +50,8 @@
     adapter::store_client* store = nullptr;
     job_world* world = nullptr;
     std::string member;
-    std::function<authority_state()> authority;
+    /// Whether the ownership surely hasn't passed on.
+    std::function<bool()> is_sure;
     /// A newer owner was met; destroys this object later.
     std::function<void()> on_fenced;
   };
--- a/src/jobs/progress_writer.cc
+++ b/src/jobs/progress_writer.cc
@@ -27,7 +27,7 @@
              done_handler on_done) {
     call_.identity = adapter::append_identity{"owner", epoch, 1};
     call_.expected_end = expected_end;
-    call_.records = {Encode(owner_record{epoch, member})};
+    call_.records = {Encode(owner_record{epoch, member, {}})};
     on_done_ = std::move(on_done);
     Send();
   }
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -144,8 +144,11 @@
 }
 
 adapter::keyed_record Encode(const owner_record& record) {
-  return {kOwnerKey,
-          json{{"epoch", record.epoch}, {"member", record.member}}.dump()};
+  json value = {{"epoch", record.epoch}, {"member", record.member}};
+  for (const auto& [vm, left] : record.leases) {
+    value["leases"][vm] = left.count();
+  }
+  return {kOwnerKey, value.dump()};
 }
 
 adapter::keyed_record Encode(const vm_record& record) {
@@ -186,8 +189,15 @@
   try {
     const json parsed = json::parse(*record.value);
     if (record.key == kOwnerKey) {
-      return owner_record{parsed.at("epoch").get<std::uint64_t>(),
-                          parsed.at("member").get<std::string>()};
+      owner_record owner{parsed.at("epoch").get<std::uint64_t>(),
+                         parsed.at("member").get<std::string>(),
+                         {}};
+      if (parsed.contains("leases")) {
+        for (const auto& [vm, left] : parsed["leases"].items()) {
+          owner.leases[vm] = duration(left.get<duration::rep>());
+        }
+      }
+      return owner;
     }
     return progress_record{record.key, ToProgress(parsed)};
   } catch (const json::exception&) {
--- a/src/jobs/record_codec.h
+++ b/src/jobs/record_codec.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_SRC_JOBS_RECORD_CODEC_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
@@ -32,7 +33,10 @@
 /// A process has become the owner of the pools of this partition. Key: "owner".
 struct owner_record {
   std::uint64_t epoch = 0;
+  /// Empty: it gives no more orders.
   std::string member;
+  /// Of an owner that gives no more orders: how long the VMs' leases run yet.
+  std::map<core::jobs::vm_id, core::duration> leases;
 };
 
 /// The partition's owner may run tasks on the VM, or does so no more. Key: "vm/"
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -27,6 +27,9 @@
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kGatewayTimeout = 504;
 
+constexpr const char* kJob = "job";
+constexpr const char* kCancel = "cancel";
+
 }  // namespace
 
 class submissions::impl : public std::enable_shared_from_this<impl> {
@@ -97,6 +100,8 @@
     /// Some append had no answer, so that it may land at any time.
     bool may_land = false;
     std::vector<net::responder> waiting;
+    bool is_answered = false;
+    std::shared_ptr<boost::asio::steady_timer> look_timer;
   };
   using append_ptr = std::shared_ptr<pending_append>;
 
@@ -139,7 +144,7 @@
     decoded.spec->queue = route.queue;
     decoded.spec->pool = route.pool;
     Append(Encode(submission_record{std::move(*decoded.spec)}), route, id,
-           "job", request, respond);
+           kJob, request, respond);
   }
 
   void Cancel(const core::jobs::queue_route& route,
@@ -181,7 +186,7 @@
       respond({kOk, {}, "{}"});
       return;
     }
-    Append(Encode(cancel_record{id}), route, id, "cancel", request, respond);
+    Append(Encode(cancel_record{id}), route, id, kCancel, request, respond);
   }
 
   void Query(const core::jobs::queue_route& route,
@@ -248,7 +253,57 @@
     pending->waiting.push_back(respond);
     pending->call.partition = {kJobTopic, JobPartitionOf(route.queue)};
     pending->call.records.push_back(std::move(record));
-    Send(pending);
+    const append_ptr created = pending;
+    created->look_timer =
+        std::make_shared<boost::asio::steady_timer>(context_);
+    LookLater(created);
+    Send(created);
+  }
+
+  void LookLater(const append_ptr& pending) {
+    pending->look_timer->expires_after(settings_.look_interval);
+    pending->look_timer->async_wait(
+        [self = weak_from_this(),
+         pending](const boost::system::error_code& error) {
+          const auto service = self.lock();
+          if (service && !error && !pending->is_answered) {
+            service->Look(pending);
+          }
+        });
+  }
+
+  void Look(const append_ptr& pending) {
+    world_.RefreshJobs(
+        pending->call.partition.number,
+        [self = weak_from_this(), pending](bool /*is_read*/) {
+          const auto service = self.lock();
+          if (!service || pending->is_answered) {
+            return;
+          }
+          if (service->IsStored(*pending)) {
+            service->Succeed(pending, "found in the store");
+          } else {
+            service->LookLater(pending);
+          }
+        });
+  }
+
+  bool IsStored(const pending_append& pending) const {
+    const directory_entry* entry = world_.directory().Find(pending.id);
+    return entry != nullptr &&
+           (pending.what == kJob || entry->is_cancelled);
+  }
+
+  void Succeed(const append_ptr& pending, const std::string& how) {
+    const bool is_job = pending->what == kJob;
+    ++(is_job ? counts_.accepted : counts_.cancelled);
+    LogEvent(is_job ? job_event::kJobAccepted : job_event::kJobCancelled,
+             {{"job", pending->id},
+              {"topic", pending->call.partition.topic},
+              {"part", std::to_string(pending->call.partition.number)},
+              {"how", how},
+              {"ms", Elapsed(*pending)}});
+    Answer(pending, {kOk, {}, "{}"});
   }
 
   void Send(const append_ptr& pending) {
@@ -266,16 +321,11 @@
   }
 
   void TakeReply(const append_ptr& pending, const adapter::append_reply& reply) {
+    if (pending->is_answered) {
+      return;
+    }
     if (reply.outcome == append_outcome::kStored) {
-      ++(pending->what == "job" ? counts_.accepted : counts_.cancelled);
-      LogEvent(pending->what == "job" ? job_event::kJobAccepted
-                                      : job_event::kJobCancelled,
-               {{"job", pending->id},
-                {"topic", pending->call.partition.topic},
-                {"part", std::to_string(pending->call.partition.number)},
-                {"offset", std::to_string(reply.offset)},
-                {"ms", Elapsed(*pending)}});
-      Answer(pending, {kOk, {}, "{}"});
+      Succeed(pending, "offset " + std::to_string(reply.offset));
       return;
     }
     if (reply.outcome == append_outcome::kUnknown) {
@@ -297,7 +347,7 @@
     timer->async_wait([self = weak_from_this(), pending,
                        timer](const boost::system::error_code& error) {
       const auto service = self.lock();
-      if (service && !error) {
+      if (service && !error && !pending->is_answered) {
         service->Send(pending);
       }
     });
@@ -332,6 +382,8 @@
   }
 
   void Answer(const append_ptr& pending, const net::server_response& response) {
+    pending->is_answered = true;
+    pending->look_timer->cancel();
     pending_.erase(pending->call.records.front().key);
     for (const net::responder& respond : pending->waiting) {
       respond(response);
--- a/src/jobs/submissions.h
+++ b/src/jobs/submissions.h
@@ -18,8 +18,13 @@
 namespace plantainhead::jobs {
 
 struct submission_settings {
-  /// One append's share of a request's time.
-  std::chrono::milliseconds append_timeout = std::chrono::milliseconds(600);
+  /// For the store's answer to an append. A slow store is not helped by a second
+  /// append, so that it is long enough for one that takes 50 times as long as
+  /// usual (0.2 s) with ten in a row before it.
+  std::chrono::milliseconds append_timeout = std::chrono::milliseconds(1400);
+  /// An append without an answer is looked for in the store at this interval: a
+  /// caller whose job is stored needn't wait for an answer that was lost.
+  std::chrono::milliseconds look_interval = std::chrono::milliseconds(350);
   std::chrono::milliseconds retry_pause = std::chrono::milliseconds(60);
   /// How long a request is tried while the store refuses it, which it does
   /// within milliseconds: outages that end within it aren't noticed.
