--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -110,8 +110,10 @@
   run.reading = row.reading;
   job_state* job = jobs_.Find(row.task.job);
   if (job == nullptr) {
+    // How much room it takes isn't known, so that the VM gets no other task
+    // until it is gone.
+    run.is_foreign = true;
     run.is_stop_wanted = jobs_.IsEnded(row.task.job);
-    run.is_foreign = !run.is_stop_wanted;
     vm->Add(row.task, run);
     return;
   }
