Count a task's failures by run, in whatever order VMs tell of them

Ruled out: a lost record of the job's end (none was written). Change: records hold the failed runs and not their count. Test: takeover_test, failing before.

--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -158,8 +158,8 @@
   /// The highest run whose end is recorded here. A VM that lists that end again
   /// brings nothing new.
   std::uint32_t ended_run = 0;
-  /// Runs that ended as failed.
-  std::uint32_t failures = 0;
+  /// Runs that ended as failed, in any order. VMs tell of them in any order.
+  std::vector<std::uint32_t> failed_runs;
   bool done = false;
   std::string checkpoint;
   /// No VM has listed how `ended_run` ended: its VM was silent or didn't have it.
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -145,13 +145,11 @@
                          const std::string& checkpoint,
                          const vm_id& vm) {
   task_state* task = Find(name);
-  // After a takeover a VM lists ends that the earlier owner has recorded but
-  // not acknowledged. Counted again, one failure would use up two attempts.
-  if (task == nullptr || run < task->ended_run) {
+  if (task == nullptr) {
     return false;
   }
-  if (run == task->ended_run) {
-    return task->is_presumed && ApplyPresumed(name, task, how);
+  if (run <= task->ended_run) {
+    return ApplyLate(name, task, run, how);
   }
   task->ended_run = run;
   task->is_presumed = false;
@@ -178,37 +176,45 @@
   }
   if (how == end_kind::kFailed) {
     task->failed_on = vm;
-    CountFailure(name, task);
+    CountFailure(name, task, run);
   }
   return true;
 }
 
-void job_state::CountFailure(const task_name& name, task_state* task) {
-  ++task->failures;
-  if (task->failures >= policy_.max_attempts && !StepOf(name).lasting) {
+bool job_state::CountFailure(const task_name& name,
+                             task_state* task,
+                             std::uint32_t run) {
+  std::vector<std::uint32_t>& failed = task->failed_runs;
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
+    return false;
+  }
+  failed.push_back(run);
+  if (failed.size() >= policy_.max_attempts && !StepOf(name).lasting) {
     Finish(job_phase::kFailed);
   }
+  return true;
 }
 
-// A VM that was silent tells after all how a run ended. A failure that isn't
-// counted would let the task start once more than its queue allows.
-bool job_state::ApplyPresumed(const task_name& name,
-                              task_state* task,
-                              end_kind how) {
-  task->is_presumed = false;
+// After a takeover VMs list ends that the earlier owner has recorded but not
+// acknowledged: these bring nothing new. They also list ends that it couldn't
+// record, and a later run's may be read before an earlier one's. A failure that
+// isn't counted would let the task start once more than its queue allows.
+bool job_state::ApplyLate(const task_name& name,
+                          task_state* task,
+                          std::uint32_t run,
+                          end_kind how) {
   if (how == end_kind::kFailed) {
-    CountFailure(name, task);
-    return true;
+    return CountFailure(name, task, run);
   }
-  const bool is_done = how == end_kind::kDone &&
+  const bool is_done = how == end_kind::kDone && task->is_presumed &&
                        task->phase == task_phase::kWaiting &&
-                       task->last_run == task->ended_run &&
                        !StepOf(name).lasting && !StepOf(name).gang;
   if (is_done) {
+    task->is_presumed = false;
     MarkDone(&occurrences_[name.occurrence].steps[name.step], task);
     CheckCompletion();
   }
-  return true;
+  return is_done;
 }
 
 bool job_state::PresumeEnd(const task_name& name, std::uint32_t run) {
@@ -266,7 +272,7 @@
     }
     task->ended_run = record.ended_run;
     task->last_run = record.ended_run;
-    task->failures = record.failures;
+    task->failed_runs = record.failed_runs;
     task->is_presumed = record.is_presumed;
     task->checkpoint = record.checkpoint;
     if (record.done) {
@@ -287,7 +293,8 @@
           continue;
         }
         const bool is_done = task.phase == task_phase::kDone;
-        progress.tasks.push_back({number, s, i, task.ended_run, task.failures,
+        progress.tasks.push_back({number, s, i, task.ended_run,
+                                  task.failed_runs,
                                   is_done, is_done ? "" : task.checkpoint,
                                   task.is_presumed});
       }
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -27,7 +27,7 @@
   std::uint32_t last_run = 0;
   /// See `task_record`.
   std::uint32_t ended_run = 0;
-  std::uint32_t failures = 0;
+  std::vector<std::uint32_t> failed_runs;
   bool is_presumed = false;
   std::string checkpoint;
   /// Where its last run failed; the next one goes elsewhere if it can.
@@ -108,8 +108,15 @@
   void Cancel() { Finish(job_phase::kCancelled); }
 
  private:
-  bool ApplyPresumed(const task_name& name, task_state* task, end_kind how);
-  void CountFailure(const task_name& name, task_state* task);
+  /// Takes an end of a run for which a later end, or a presumed one, is known.
+  bool ApplyLate(const task_name& name,
+                 task_state* task,
+                 std::uint32_t run,
+                 end_kind how);
+  /// Returns false when the failure was counted before.
+  bool CountFailure(const task_name& name,
+                    task_state* task,
+                    std::uint32_t run);
   void Finish(job_phase phase);
   void Open(std::uint32_t occurrence);
   void MarkDone(step_state* step, task_state* task);
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -97,7 +97,8 @@
       progress.tasks.push_back(
           {row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
            row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>(),
-           row.at(4).get<std::uint32_t>(), row.at(5).get<int>() != 0,
+           row.at(4).get<std::vector<std::uint32_t>>(),
+           row.at(5).get<int>() != 0,
            row.size() > 6 ? row.at(6).get<std::string>() : "",
            row.size() > 7});
     }
@@ -132,7 +133,7 @@
     json rows = json::array();
     for (const core::jobs::task_record& task : record.progress.tasks) {
       json row = json::array({task.occurrence, task.step, task.index,
-                              task.ended_run, task.failures,
+                              task.ended_run, task.failed_runs,
                               task.done ? 1 : 0});
       if (!task.checkpoint.empty() || task.is_presumed) {
         row.push_back(task.checkpoint);
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -126,8 +126,8 @@
   driver.Add(Job("job", {Step(2), second}));
   job_progress progress;
   progress.phase = job_phase::kRunning;
-  progress.tasks.push_back({0, 0, 0, 4, 1, true, "", false});
-  progress.tasks.push_back({0, 0, 1, 2, 1, false, "saved", false});
+  progress.tasks.push_back({0, 0, 0, 4, {1}, true, "", false});
+  progress.tasks.push_back({0, 0, 1, 2, {2}, false, "saved", false});
   driver.scheduler.RestoreJob("job", progress);
   driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
   driver.Bring({Vm("vm-1")});
@@ -158,6 +158,22 @@
   }
 }
 
+// A task failed twice under an owner that couldn't reach the store, so that
+// nothing of it is recorded. The new owner hears the VM of the second run first.
+// A failure that is passed over would allow a third run.
+TEST_CASE("Failures are counted in whatever order VMs tell of them") {
+  scheduler_driver driver(Bounds());
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.scheduler.AddKnownVm({"vm-2", "10.0.0.2:80"});
+  driver.Add(Job("job", {Step(1)}), Policy(2));
+  driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+  const task_name task{"job", 0, 0, 0};
+  driver.List("vm-2", {}, {Ended(1, task, 2, end_kind::kFailed)});
+  driver.List("vm-1", {}, {Ended(1, task, 1, end_kind::kFailed)});
+  CHECK(driver.Starts().empty());
+  CHECK(driver.Store().back().jobs[0].second.phase == job_phase::kFailed);
+}
+
 TEST_CASE("A VM is used only after a record of it is stored") {
   scheduler_driver driver;
   driver.Add(Job("job", {Step(1)}));
