Move hosts between the pools and the spare pool as the demand turns

Change: each pool's owner tells how many VMs it wants and gives away emptied ones; the fleet's owner moves hosts. Jobs that are late draw none.

--- /dev/null
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -0,0 +1,82 @@
+#ifndef PLANTAINHEAD_CORE_JOBS_FLEET_BALANCER_H_
+#define PLANTAINHEAD_CORE_JOBS_FLEET_BALANCER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/maintenance.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+/// Bring the host into the pool; what runs on it ends.
+struct move_host {
+  host_id host;
+  pool_id pool;
+};
+
+struct balancer_settings {
+  /// An order that may not have arrived is sent again after this time; it has
+  /// no effect if it did.
+  duration order_retry = std::chrono::seconds(1);
+};
+
+/// Decides which hosts move between the pools and the spare pool: pools tell how
+/// many VMs they want and which they can do without. Pure and not thread-safe.
+class fleet_balancer {
+ public:
+  explicit fleet_balancer(const balancer_settings& settings)
+      : settings_(settings) {}
+
+  /// Replaces the list of the fleet's hosts, which was asked for at
+  /// `requested_at`.
+  void UpdateHosts(const std::vector<fleet_host>& hosts,
+                   const std::set<pool_id>& spare,
+                   time_point requested_at);
+  /// Replaces how many VMs each pool wants.
+  void UpdateWanted(std::map<pool_id, std::uint32_t> wanted) {
+    wanted_ = std::move(wanted);
+  }
+  /// Replaces the VMs that their pools have emptied and given away.
+  void UpdateOffers(std::set<vm_id> offers) { offers_ = std::move(offers); }
+  /// Replaces the VMs that take no tasks for other reasons.
+  void UpdateClosed(std::set<vm_id> closed) { closed_ = std::move(closed); }
+  /// `is_settled`: the order was carried out, or surely wasn't.
+  void OnMoveAnswer(const host_id& host,
+                    bool is_accepted,
+                    bool is_settled,
+                    time_point now);
+
+  /// Returns the moves to order now. `busy` are hosts that are being serviced.
+  std::vector<move_host> Plan(const std::set<host_id>& busy, time_point now);
+
+ private:
+  struct pending_move {
+    pool_id pool;
+    bool is_in_flight = true;
+    bool is_accepted = false;
+    time_point changed_at;
+  };
+
+  bool IsFree(const fleet_host& host, const std::set<host_id>& busy) const;
+  std::map<pool_id, std::uint32_t> Counts() const;
+  void Order(const host_id& host,
+             const pool_id& pool,
+             time_point now,
+             std::vector<move_host>* moves);
+
+  balancer_settings settings_;
+  std::vector<fleet_host> hosts_;
+  std::set<pool_id> spare_;
+  std::map<pool_id, std::uint32_t> wanted_;
+  std::set<vm_id> offers_;
+  std::set<vm_id> closed_;
+  std::map<host_id, pending_move> moves_;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_CORE_JOBS_FLEET_BALANCER_H_
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -11,6 +11,7 @@
 
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/orders.h"
+#include "plantainhead/core/jobs/pool_sizer.h"
 #include "plantainhead/core/jobs/vm_reports.h"
 #include "plantainhead/core/time.h"
 
@@ -115,6 +116,12 @@
   void CloseVm(const vm_id& vm, time_point now);
   /// Takes back `CloseVm`.
   void OpenVm(const vm_id& vm);
+  /// Returns what the pool's tasks take and could take, as of the last plan.
+  /// Jobs that are late don't count.
+  pool_load Load(const pool_id& pool, time_point now) const;
+  /// Returns up to `count` VMs of the pool that hold no lasting task, those with
+  /// the least work first.
+  std::vector<vm_id> LeastUsed(const pool_id& pool, std::size_t count) const;
   /// Returns whether the VM is known, heard, and holds no run.
   bool IsEmpty(const vm_id& vm) const;
   /// Returns by when the lease of each VM that may be running tasks is over, for
--- /dev/null
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -0,0 +1,57 @@
+#ifndef PLANTAINHEAD_CORE_JOBS_POOL_SIZER_H_
+#define PLANTAINHEAD_CORE_JOBS_POOL_SIZER_H_
+
+#include <cstdint>
+#include <deque>
+#include <utility>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+/// What a pool's tasks take and could take now.
+struct pool_load {
+  /// Of the runs on its VMs.
+  resources used;
+  /// Of the tasks that may start but found no room.
+  resources waiting;
+  /// VMs that take tasks.
+  std::uint32_t usable_vms = 0;
+  /// Of a VM of the pool, on average.
+  resources vm_capacity;
+  /// Most tasks of one step that must stand on different VMs.
+  std::uint32_t spread = 0;
+};
+
+struct sizer_settings {
+  /// Share of a VM that tasks fill, as they don't divide its capacity evenly.
+  double fill = 0.85;
+  /// VMs beyond what is needed now: for the first tasks of a rise, before more
+  /// VMs come, and for the loss of one.
+  std::uint32_t reserve = 1;
+  /// A pool shrinks to the most that it needed in this time. A VM that is given
+  /// away is missed for the time of two moves (1.5 s each) when the demand
+  /// returns, and costs as much to move as 1.1 s of its use.
+  duration memory = std::chrono::milliseconds(2500);
+};
+
+/// Decides how many VMs a pool should have. Pure and not thread-safe.
+class pool_sizer {
+ public:
+  explicit pool_sizer(const sizer_settings& settings) : settings_(settings) {}
+
+  /// Returns how many VMs the pool should have, given its load now.
+  std::uint32_t Update(const pool_load& load, time_point now);
+
+ private:
+  std::uint32_t Needed(const pool_load& load) const;
+
+  sizer_settings settings_;
+  /// Falling needs, the newest last.
+  std::deque<std::pair<time_point, std::uint32_t>> needs_;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_CORE_JOBS_POOL_SIZER_H_
--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -85,6 +85,8 @@
                        time_point now);
 
   std::vector<wave_action> Plan(time_point now);
+  /// Returns the hosts that are being emptied or serviced.
+  std::set<host_id> BusyHosts() const;
   /// Returns whether a wave isn't complete, so that the list must be read.
   bool HasWork() const;
 
--- /dev/null
+++ b/src/core/jobs/fleet_balancer.cc
@@ -0,0 +1,125 @@
+#include "plantainhead/core/jobs/fleet_balancer.h"
+
+#include <algorithm>
+
+namespace plantainhead::core::jobs {
+
+void fleet_balancer::UpdateHosts(const std::vector<fleet_host>& hosts,
+                                 const std::set<pool_id>& spare,
+                                 time_point requested_at) {
+  hosts_ = hosts;
+  spare_ = spare;
+  // A list that was asked for after a move was accepted shows it.
+  for (auto it = moves_.begin(); it != moves_.end();) {
+    const bool is_shown =
+        it->second.is_accepted && requested_at > it->second.changed_at;
+    it = is_shown ? moves_.erase(it) : std::next(it);
+  }
+}
+
+void fleet_balancer::OnMoveAnswer(const host_id& host,
+                                  bool is_accepted,
+                                  bool is_settled,
+                                  time_point now) {
+  const auto found = moves_.find(host);
+  if (found == moves_.end()) {
+    return;
+  }
+  if (is_settled && !is_accepted) {
+    moves_.erase(found);
+    return;
+  }
+  found->second.is_in_flight = false;
+  found->second.is_accepted = is_accepted;
+  found->second.changed_at = now;
+}
+
+// Returns how many VMs each pool has or is getting, without those that take no
+// tasks.
+std::map<pool_id, std::uint32_t> fleet_balancer::Counts() const {
+  std::map<pool_id, std::uint32_t> counts;
+  for (const fleet_host& host : hosts_) {
+    const auto move = moves_.find(host.host);
+    if (move != moves_.end()) {
+      ++counts[move->second.pool];
+      continue;
+    }
+    const bool is_coming = host.state == host_state::kMoving;
+    const bool is_usable = host.state == host_state::kUp &&
+                           offers_.count(host.vm) == 0 &&
+                           closed_.count(host.vm) == 0;
+    if (is_coming || is_usable) {
+      ++counts[host.pool];
+    }
+  }
+  return counts;
+}
+
+bool fleet_balancer::IsFree(const fleet_host& host,
+                            const std::set<host_id>& busy) const {
+  const bool is_idle =
+      spare_.count(host.pool) != 0 ||
+      (!host.vm.empty() && offers_.count(host.vm) != 0);
+  return host.state == host_state::kUp && is_idle &&
+         moves_.count(host.host) == 0 && busy.count(host.host) == 0;
+}
+
+void fleet_balancer::Order(const host_id& host,
+                           const pool_id& pool,
+                           time_point now,
+                           std::vector<move_host>* moves) {
+  pending_move& move = moves_[host];
+  move.pool = pool;
+  move.is_in_flight = true;
+  move.changed_at = now;
+  moves->push_back({host, pool});
+}
+
+std::vector<move_host> fleet_balancer::Plan(const std::set<host_id>& busy,
+                                            time_point now) {
+  std::vector<move_host> moves;
+  for (auto& [host, move] : moves_) {
+    const bool is_due = !move.is_in_flight && !move.is_accepted &&
+                        now - move.changed_at >= settings_.order_retry;
+    if (is_due) {
+      move.is_in_flight = true;
+      moves.push_back({host, move.pool});
+    }
+  }
+  std::map<pool_id, std::uint32_t> counts = Counts();
+  std::vector<const fleet_host*> free;
+  for (const fleet_host& host : hosts_) {
+    if (IsFree(host, busy)) {
+      free.push_back(&host);
+    }
+  }
+  // The pool that misses most goes first, VM by VM.
+  while (!free.empty()) {
+    const pool_id* neediest = nullptr;
+    std::int64_t most = 0;
+    for (const auto& [pool, wanted] : wanted_) {
+      const std::int64_t missing = std::int64_t{wanted} - counts[pool];
+      if (missing > most) {
+        most = missing;
+        neediest = &pool;
+      }
+    }
+    if (neediest == nullptr) {
+      break;
+    }
+    Order(free.back()->host, *neediest, now, &moves);
+    ++counts[*neediest];
+    free.pop_back();
+  }
+  if (spare_.empty()) {
+    return moves;
+  }
+  for (const fleet_host* host : free) {
+    if (spare_.count(host->pool) == 0) {
+      Order(host->host, *spare_.begin(), now, &moves);
+    }
+  }
+  return moves;
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -11,6 +11,8 @@
          vm.labels.end();
 }
 
+}  // namespace
+
 resources RoomOf(const step_spec& step) {
   resources room = step.need;
   if (step.fills) {
@@ -19,8 +21,6 @@
   return room;
 }
 
-}  // namespace
-
 std::vector<vm_order> pool_scheduler::impl::Plan(time_point now,
                                                  time_point wall_now) {
   std::vector<vm_order> orders;
@@ -226,8 +226,9 @@
 }
 
 // Takes the VM that is left with the least processor time, so that VMs with
-// much room stay free for large tasks. Lasting tasks are spread: one VM that
-// fails, or is serviced, then takes few of them.
+// much room stay free for large tasks. Lasting tasks go where others are already,
+// as far as their steps allow: the VMs without any can be given away when the
+// demand falls. Those that only fill keep away from those that serve.
 vm_state* pool_scheduler::impl::ChooseVm(const job_state& job,
                                          const task_name& task,
                                          const std::string& rack,
@@ -259,12 +260,14 @@
     const bool is_near =
         rack.empty() || HasLabel(vm.description(), rack);
     const std::int64_t left = vm.Free().cpu_millis - room.cpu_millis;
-    int serving = 0;
+    int burden = is_near ? 0 : 4;
     if (step.fills) {
-      serving = HasServing(vm) ? 1 : 0;
+      burden += HasServing(vm) ? 2 : 0;
+    }
+    if (step.lasting) {
+      burden += HasLasting(vm) ? 0 : 1;
     }
-    const std::tuple<int, std::int64_t> cost = {
-        (is_near ? 0 : 2) + serving, step.lasting ? -left : left};
+    const std::tuple<int, std::int64_t> cost = {burden, left};
     if (best == nullptr || cost < best_cost) {
       best = &vm;
       best_cost = cost;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -124,8 +124,7 @@
   run.is_stop_wanted = !is_wanted;
   if (row.task.step < job->spec().steps.size()) {
     const step_spec& step = job->spec().steps[row.task.step];
-    run.room = step.need;
-    run.room.cpu_millis = step.fills ? 0 : step.need.cpu_millis;
+    run.room = RoomOf(step);
   }
   vm->Add(row.task, run);
   if (is_wanted) {
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -69,6 +69,15 @@
   }
 }
 
+pool_load pool_scheduler::Load(const pool_id& pool, time_point now) const {
+  return impl_->Load(pool, now);
+}
+
+std::vector<vm_id> pool_scheduler::LeastUsed(const pool_id& pool,
+                                             std::size_t count) const {
+  return impl_->LeastUsed(pool, count);
+}
+
 bool pool_scheduler::IsEmpty(const vm_id& vm) const {
   const vm_state* found = impl_->FindVm(vm);
   return found != nullptr && found->IsHeard() && found->runs().empty();
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -14,9 +14,12 @@
 
 namespace plantainhead::core::jobs {
 
-/// The state of a `pool_scheduler`. Three files share it: what VMs report
-/// (`pool_reports.cc`), which runs end (`pool_runs.cc`) and where tasks start
-/// (`pool_placement.cc`).
+/// Returns what a task of the step takes of a VM's capacity.
+resources RoomOf(const step_spec& step);
+
+/// The state of a `pool_scheduler`. Four files share it: what VMs report
+/// (`pool_reports.cc`), which runs end (`pool_runs.cc`), where tasks start
+/// (`pool_placement.cc`) and what they take (`pool_size.cc`).
 class pool_scheduler::impl {
  public:
   impl(const scheduler_settings& settings, const takeover_bounds& takeover)
@@ -26,6 +29,8 @@
   std::map<vm_id, vm_state>& vms() { return vms_; }
   vm_state* FindVm(const vm_id& id);
   scheduler_counts Counts() const;
+  pool_load Load(const pool_id& pool, time_point now);
+  std::vector<vm_id> LeastUsed(const pool_id& pool, std::size_t count);
 
   void AddKnownVm(const known_vm& vm);
   void UpdateVms(const std::vector<vm_description>& listed, time_point now);
@@ -84,6 +89,10 @@
   void PlanPace(vm_state* vm, std::vector<vm_order>* orders);
   bool HasServing(const vm_state& vm);
 
+  // Size.
+  bool TakesTasks(const vm_state& vm, const pool_id& pool) const;
+  bool HasLasting(const vm_state& vm);
+
   // Placement.
   bool IsRecovered(time_point now);
   std::vector<candidate> Candidates(time_point now);
--- /dev/null
+++ b/src/core/jobs/pool_sizer.cc
@@ -0,0 +1,39 @@
+#include "plantainhead/core/jobs/pool_sizer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantainhead::core::jobs {
+namespace {
+
+double Ratio(std::int64_t part, std::int64_t whole) {
+  return whole <= 0 ? 0.0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+}  // namespace
+
+std::uint32_t pool_sizer::Needed(const pool_load& load) const {
+  const resources demand = load.used + load.waiting;
+  const double vms =
+      std::max({Ratio(demand.cpu_millis, load.vm_capacity.cpu_millis),
+                Ratio(demand.memory_mb, load.vm_capacity.memory_mb),
+                Ratio(demand.gpus, load.vm_capacity.gpus)});
+  const auto needed =
+      static_cast<std::uint32_t>(std::ceil(vms / settings_.fill));
+  return std::max(needed, load.spread) + settings_.reserve;
+}
+
+std::uint32_t pool_sizer::Update(const pool_load& load, time_point now) {
+  const std::uint32_t needed = Needed(load);
+  while (!needs_.empty() && needs_.back().second <= needed) {
+    needs_.pop_back();
+  }
+  needs_.emplace_back(now, needed);
+  while (now - needs_.front().first > settings_.memory) {
+    needs_.pop_front();
+  }
+  return needs_.front().second;
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -83,6 +83,19 @@
   });
 }
 
+std::set<host_id> wave_keeper::BusyHosts() const {
+  std::set<host_id> busy;
+  for (const auto& [number, wave] : waves_) {
+    for (const auto& [host, progress] : wave.hosts) {
+      if (progress.phase != host_phase::kDue &&
+          progress.phase != host_phase::kDone) {
+        busy.insert(host);
+      }
+    }
+  }
+  return busy;
+}
+
 const wave_keeper::listed_host* wave_keeper::FindHost(
     const host_id& host) const {
   const auto found = hosts_.find(host);
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -35,11 +35,12 @@
   kHostServiced,
   kHostNotServiced,
   kHostMoved,
+  kPoolSized,
   kWaveCompleted,
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 29> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 30> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessStopping, "process stopping"},
     {job_event::kProcessStopped, "process stopped"},
@@ -67,6 +68,7 @@
     {job_event::kHostServiced, "host serviced"},
     {job_event::kHostNotServiced, "host not serviced"},
     {job_event::kHostMoved, "host moved"},
+    {job_event::kPoolSized, "pool sized"},
     {job_event::kWaveCompleted, "wave completed"},
     {job_event::kLinesLeftOut, "lines left out"},
 }};
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -56,7 +57,8 @@
                 {kProgressTopic, kFleetPartition},
                 settings.writer),
         timer_(*deps_.context),
-        keeper_(settings.waves) {}
+        keeper_(settings.waves),
+        balancer_(settings.balancer) {}
 
   void Start(std::uint64_t generation) {
     generation_ = generation;
@@ -139,9 +141,18 @@
       keeper_.AddWave(wave);
     }
     std::set<core::jobs::vm_id> empty;
+    std::set<core::jobs::vm_id> closed;
+    std::set<core::jobs::vm_id> offers;
+    std::map<core::jobs::pool_id, std::uint32_t> wanted;
     for (const auto& [key, value] : deps_.world->fleet_records()) {
       if (const auto vm = EmptyVmOf(key)) {
         empty.insert(*vm);
+      } else if (const auto closing = ClosedVmOf(key)) {
+        closed.insert(*closing);
+      } else if (const auto offered = OfferedVmOf(key)) {
+        offers.insert(*offered);
+      } else if (const auto pool = WantingPoolOf(key)) {
+        wanted[*pool] = DecodeWantedVms(value);
       } else if (const auto serviced = ServicedHostOf(key)) {
         keeper_.NoteServiced(serviced->wave, serviced->host);
       } else if (const auto wave = CompletedWaveOf(key)) {
@@ -149,6 +160,9 @@
       }
     }
     keeper_.UpdateEmpty(std::move(empty));
+    balancer_.UpdateClosed(std::move(closed));
+    balancer_.UpdateOffers(std::move(offers));
+    balancer_.UpdateWanted(std::move(wanted));
   }
 
   void Tick() {
@@ -158,7 +172,7 @@
 
   void Work() {
     const core::time_point now = BootTime();
-    if (!keeper_.HasWork() || !deps_.is_sure()) {
+    if (!deps_.is_sure()) {
       return;
     }
     if (!is_listing_ && now - listed_at_ >= settings_.list_interval) {
@@ -170,6 +184,50 @@
     for (const core::jobs::wave_action& action : keeper_.Plan(now)) {
       std::visit([this](const auto& kind) { Do(kind); }, action);
     }
+    for (const core::jobs::move_host& move :
+         balancer_.Plan(keeper_.BusyHosts(), now)) {
+      Move(move);
+    }
+  }
+
+  void Move(const core::jobs::move_host& move) {
+    client_.Move(move.host, move.pool, epoch_, settings_.order_timeout,
+                 [self = weak_from_this(), move](duty_outcome outcome) {
+                   const auto owner = self.lock();
+                   if (owner && !owner->is_closed_) {
+                     owner->TakeMove(move, outcome);
+                   }
+                 });
+  }
+
+  void TakeMove(const core::jobs::move_host& move, duty_outcome outcome) {
+    LogEvent(job_event::kHostMoved,
+             {{"host", move.host},
+              {"pool", move.pool},
+              {"outcome", std::string(core::NameOf(outcome))}});
+    balancer_.OnMoveAnswer(move.host, outcome == duty_outcome::kAccepted,
+                           outcome != duty_outcome::kUnknown, BootTime());
+    DropOffersOfGoneVms();
+  }
+
+  // The life that was offered ended with the move.
+  void DropOffersOfGoneVms() {
+    std::set<core::jobs::vm_id> present;
+    for (const core::jobs::fleet_host& host : page_hosts_) {
+      present.insert(host.vm);
+    }
+    std::vector<adapter::keyed_record> drops;
+    for (const auto& [key, value] : deps_.world->fleet_records()) {
+      const auto vm = OfferedVmOf(key);
+      const bool is_gone = vm && present.count(*vm) == 0 &&
+                           deps_.world->registry().count(*vm) == 0;
+      if (is_gone && dropped_offers_.insert(*vm).second) {
+        drops.push_back(DropOfferedVm(*vm));
+      }
+    }
+    if (!drops.empty()) {
+      Append(kFleetTopic, std::move(drops));
+    }
   }
 
   void List() {
@@ -211,6 +269,7 @@
       }
     }
     keeper_.UpdateHosts(page_hosts_, spare, requested_at_);
+    balancer_.UpdateHosts(page_hosts_, spare, requested_at_);
     Work();
   }
 
@@ -300,6 +359,8 @@
   progress_writer writer_;
   boost::asio::steady_timer timer_;
   core::jobs::wave_keeper keeper_;
+  core::jobs::fleet_balancer balancer_;
+  std::set<core::jobs::vm_id> dropped_offers_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
   bool has_predecessor_ = false;
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -10,6 +10,7 @@
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
 #include "platform/store_client.h"
+#include "plantainhead/core/jobs/fleet_balancer.h"
 #include "plantainhead/core/jobs/wave_keeper.h"
 
 namespace plantainhead::jobs {
@@ -17,11 +18,12 @@
 struct fleet_settings {
   std::string address;
   core::jobs::wave_settings waves;
+  core::jobs::balancer_settings balancer;
   writer_settings writer;
   std::chrono::milliseconds order_timeout = std::chrono::seconds(2);
   std::chrono::milliseconds tick = std::chrono::milliseconds(100);
-  /// Time between two readings of the list while a wave runs. A host is away
-  /// for some 2 s; each reading is paid for.
+  /// Time between two readings of the list. A host is away for some 2 s; each
+  /// reading is paid for.
   std::chrono::milliseconds list_interval = std::chrono::milliseconds(600);
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(200);
   /// No order is given for this time after a takeover: orders carry fences that
@@ -29,8 +31,8 @@
   std::chrono::milliseconds holder_wait = std::chrono::milliseconds(5500);
 };
 
-/// Takes the fleet's partition over and walks maintenance waves through. The
-/// only process that gives orders for hosts. Not thread-safe.
+/// Takes the fleet's partition over and walks maintenance waves through,
+/// and moves hosts between pools. The only process that gives orders for hosts. Not thread-safe.
 class fleet_owner {
  public:
   struct dependencies {
--- a/src/jobs/fleet_records.cc
+++ b/src/jobs/fleet_records.cc
@@ -8,6 +8,8 @@
 
 constexpr std::string_view kClosed = "closed/";
 constexpr std::string_view kEmpty = "empty/";
+constexpr std::string_view kOffered = "offered/";
+constexpr std::string_view kWanted = "wanted/";
 constexpr std::string_view kServiced = "serviced/";
 constexpr std::string_view kCompleted = "completed/";
 
@@ -47,6 +49,31 @@
   return {std::string(kEmpty) + vm, std::nullopt};
 }
 
+adapter::keyed_record EncodeOfferedVm(const core::jobs::vm_id& vm) {
+  return {std::string(kOffered) + vm, "1"};
+}
+
+adapter::keyed_record DropOfferedVm(const core::jobs::vm_id& vm) {
+  return {std::string(kOffered) + vm, std::nullopt};
+}
+
+adapter::keyed_record EncodeWantedVms(const core::jobs::pool_id& pool,
+                                      std::uint32_t count) {
+  return {std::string(kWanted) + pool, std::to_string(count)};
+}
+
+std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key) {
+  return AfterPrefix(key, kOffered);
+}
+
+std::optional<core::jobs::pool_id> WantingPoolOf(const std::string& key) {
+  return AfterPrefix(key, kWanted);
+}
+
+std::uint32_t DecodeWantedVms(const std::string& value) {
+  return static_cast<std::uint32_t>(ParseNumber(value).value_or(0));
+}
+
 adapter::keyed_record EncodeServicedHost(const serviced_host& serviced) {
   return {std::string(kServiced) + std::to_string(serviced.wave) + "/" +
               serviced.host,
--- a/src/jobs/fleet_records.h
+++ b/src/jobs/fleet_records.h
@@ -19,6 +19,13 @@
 adapter::keyed_record DropClosedVm(const core::jobs::vm_id& vm);
 adapter::keyed_record DropEmptyVm(const core::jobs::vm_id& vm);
 
+/// Its pool has emptied the VM and uses it no more.
+adapter::keyed_record EncodeOfferedVm(const core::jobs::vm_id& vm);
+adapter::keyed_record DropOfferedVm(const core::jobs::vm_id& vm);
+/// How many VMs the pool should have.
+adapter::keyed_record EncodeWantedVms(const core::jobs::pool_id& pool,
+                                      std::uint32_t count);
+
 struct serviced_host {
   std::uint64_t wave = 0;
   core::jobs::host_id host;
@@ -32,6 +39,10 @@
 /// Return the VM that a record's key names, if it is of this kind.
 std::optional<core::jobs::vm_id> ClosedVmOf(const std::string& key);
 std::optional<core::jobs::vm_id> EmptyVmOf(const std::string& key);
+std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key);
+/// Returns the pool whose wanted VMs the record tells.
+std::optional<core::jobs::pool_id> WantingPoolOf(const std::string& key);
+std::uint32_t DecodeWantedVms(const std::string& value);
 std::optional<serviced_host> ServicedHostOf(const std::string& key);
 std::optional<std::uint64_t> CompletedWaveOf(const std::string& key);
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -145,8 +146,13 @@
     for (const auto& [key, value] : deps_.world->fleet_records()) {
       if (const auto vm = ClosedVmOf(key)) {
         wanted[*vm] = true;
+      } else if (const auto offered = OfferedVmOf(key)) {
+        wanted[*offered] = true;
       }
     }
+    for (const vm_id& vm : released_) {
+      wanted[vm] = true;
+    }
     for (const auto& [id, link] : links_) {
       if (wanted.count(id) != 0) {
         scheduler_->CloseVm(id, BootTime());
@@ -340,6 +346,7 @@
       const auto owner = self.lock();
       if (owner && !error && !owner->is_closed_) {
         owner->Work();
+        owner->SizePools();
         owner->Tick();
       }
     });
@@ -376,6 +383,7 @@
     }
     StoreProgress();
     ReportEmptyVms();
+    OfferEmptyVms();
   }
 
   void Lose(const std::string& reason) {
@@ -631,6 +639,103 @@
     Kick();
   }
 
+  // Tells the owner of the fleet how many VMs each pool wants, and gives away
+  // those that it can do without.
+  void SizePools() {
+    if (!scheduler_) {
+      return;
+    }
+    const core::time_point now = BootTime();
+    for (const core::jobs::pool_settings& pool :
+         deps_.world->routes().configuration().pools) {
+      if (pool.is_spare || PoolPartitionOf(pool.id) != partition_) {
+        continue;
+      }
+      const core::jobs::pool_load load = scheduler_->Load(pool.id, now);
+      if (load.usable_vms == 0) {
+        continue;
+      }
+      auto [size, is_new] =
+          sizes_.try_emplace(pool.id, settings_.sizer, now);
+      const std::uint32_t wanted = size->second.sizer.Update(load, now);
+      TellWanted(pool.id, &size->second, load, wanted, now);
+      const bool is_known = now - size->second.since > settings_.sizer.memory;
+      if (is_known && load.usable_vms > wanted) {
+        for (const vm_id& vm :
+             scheduler_->LeastUsed(pool.id, load.usable_vms - wanted)) {
+          scheduler_->CloseVm(vm, now);
+          released_.insert(vm);
+        }
+      }
+    }
+  }
+
+  struct pool_size {
+    pool_size(const core::jobs::sizer_settings& settings, core::time_point now)
+        : sizer(settings), since(now) {}
+    core::jobs::pool_sizer sizer;
+    core::time_point since;
+    std::uint32_t told = 0;
+    core::time_point told_at;
+  };
+
+  void TellWanted(const core::jobs::pool_id& pool,
+                  pool_size* size,
+                  const core::jobs::pool_load& load,
+                  std::uint32_t wanted,
+                  core::time_point now) {
+    if (wanted == size->told || now - size->told_at < settings_.wanted_gap) {
+      return;
+    }
+    size->told = wanted;
+    size->told_at = now;
+    LogEvent(job_event::kPoolSized,
+             {{"pool", pool},
+              {"wanted", std::to_string(wanted)},
+              {"usable", std::to_string(load.usable_vms)},
+              {"used_millis", std::to_string(load.used.cpu_millis)},
+              {"waiting_millis", std::to_string(load.waiting.cpu_millis)}});
+    adapter::append_call call;
+    call.partition = {kFleetTopic, 0};
+    call.records = {EncodeWantedVms(pool, wanted)};
+    deps_.store->Append(
+        call, settings_.writer.timeout,
+        [self = weak_from_this(), pool](const adapter::append_reply& reply) {
+          const auto owner = self.lock();
+          if (owner && reply.outcome != adapter::append_outcome::kStored) {
+            const auto found = owner->sizes_.find(pool);
+            if (found != owner->sizes_.end()) {
+              found->second.told = 0;
+            }
+          }
+        });
+  }
+
+  void OfferEmptyVms() {
+    for (auto it = released_.begin(); it != released_.end();) {
+      const vm_id vm = *it;
+      if (links_.count(vm) == 0) {
+        it = released_.erase(it);
+        continue;
+      }
+      ++it;
+      if (!scheduler_->IsEmpty(vm) || !offered_.insert(vm).second) {
+        continue;
+      }
+      adapter::append_call call;
+      call.partition = {kFleetTopic, 0};
+      call.records = {EncodeOfferedVm(vm)};
+      deps_.store->Append(
+          call, settings_.writer.timeout,
+          [self = weak_from_this(), vm](const adapter::append_reply& reply) {
+            const auto owner = self.lock();
+            if (owner && reply.outcome != adapter::append_outcome::kStored) {
+              owner->offered_.erase(vm);
+            }
+          });
+    }
+  }
+
   // Tells the owner of the fleet which VMs may be serviced.
   void ReportEmptyVms() {
     for (const auto& [key, value] : deps_.world->fleet_records()) {
@@ -670,6 +775,10 @@
   std::unique_ptr<pool_scheduler> scheduler_;
   std::map<vm_id, std::shared_ptr<vm_link>> links_;
   std::map<vm_id, bool> reported_empty_;
+  std::map<core::jobs::pool_id, pool_size> sizes_;
+  /// VMs that are emptied to be given away, and those that were offered.
+  std::set<vm_id> released_;
+  std::set<vm_id> offered_;
 };
 
 pool_owner::pool_owner(dependencies dependencies,
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -12,6 +12,7 @@
 #include "platform/store_client.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
+#include "plantainhead/core/jobs/pool_sizer.h"
 
 namespace plantainhead::jobs {
 
@@ -31,6 +32,9 @@
   std::chrono::milliseconds ack_gap = std::chrono::milliseconds(45);
   /// Time between two looks at what is due.
   std::chrono::milliseconds tick = std::chrono::milliseconds(100);
+  core::jobs::sizer_settings sizer;
+  /// Least time between two records of how many VMs a pool wants.
+  std::chrono::milliseconds wanted_gap = std::chrono::milliseconds(150);
   /// Pause before a takeover that failed is tried again.
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(150);
   /// Time to live of a member, within which an owner that can't renew it works
