--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -29,11 +29,11 @@
   double fill = 0.85;
   /// VMs beyond what is needed now: for the first tasks of a rise, before more
   /// VMs come, and for the loss of one.
-  std::uint32_t reserve = 1;
+  std::uint32_t reserve = 2;
   /// A pool shrinks to the most that it needed in this time. A VM that is given
   /// away is missed for the time of two moves (1.5 s each) when the demand
   /// returns, and costs as much to move as 1.1 s of its use.
-  duration memory = std::chrono::milliseconds(2500);
+  duration memory = std::chrono::milliseconds(1500);
 };
 
 /// Decides how many VMs a pool should have. Pure and not thread-safe.
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -29,7 +29,7 @@
   /// partition costs one call.
   std::chrono::milliseconds wait = std::chrono::seconds(10);
   /// Pause after a read with records, in the background.
-  std::chrono::milliseconds background_pause = std::chrono::milliseconds(1200);
+  std::chrono::milliseconds background_pause = std::chrono::milliseconds(1800);
   /// How long the store may take to answer.
   std::chrono::milliseconds timeout = std::chrono::milliseconds(900);
   /// Pause after a failed read; it doubles up to `most_pause`.
--- a/src/jobs/progress_writer.h
+++ b/src/jobs/progress_writer.h
@@ -19,7 +19,7 @@
   std::chrono::milliseconds timeout = std::chrono::milliseconds(700);
   /// Least time between two appends. All that changes meanwhile goes into the
   /// next one; it adds half of this to the time until a job is seen to end.
-  std::chrono::milliseconds gap = std::chrono::milliseconds(25);
+  std::chrono::milliseconds gap = std::chrono::milliseconds(35);
   std::chrono::milliseconds retry_pause = std::chrono::milliseconds(100);
 };
 
