--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -62,23 +62,6 @@
   return longest;
 }
 
-double job_state::RemainingWork() const {
-  constexpr double kMillisPerCore = 1000.0;
-  double work = 0.0;
-  for (const auto& [number, occurrence] : occurrences_) {
-    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
-      const step_spec& step = spec_->steps[i];
-      const step_state& state = occurrence.steps[i];
-      const auto left = static_cast<double>(state.tasks.size() - state.done);
-      const double seconds =
-          std::chrono::duration<double>(step.estimate).count();
-      work += left * seconds * static_cast<double>(step.need.cpu_millis) /
-              kMillisPerCore;
-    }
-  }
-  return work;
-}
-
 void job_state::Open(std::uint32_t occurrence) {
   occurrence_state& state = occurrences_[occurrence];
   for (const step_spec& step : spec_->steps) {
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -92,9 +92,6 @@
   /// Returns an estimate of the work left on the longest chain.
   duration RemainingChain(const occurrence_state& occurrence) const;
 
-  /// Returns an estimate of the core-seconds that the job still takes.
-  double RemainingWork() const;
-
   void MarkPlaced(const task_name& name, std::uint32_t run);
   /// The run is over without effect; the task waits again.
   void MarkWaiting(const task_name& name);
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -6,14 +6,6 @@
 namespace plantainhead::core::jobs {
 namespace {
 
-// By how much a job goes back in the order for each core-second that it still
-// takes. By deadlines alone a pool that is asked for twice what it holds serves
-// each job just as it gets late. With this the small ones go first, which are
-// worth most for what they take (three tenths of a job's worth don't depend on
-// its size), and large ones in time, since their deadlines pass too. Served
-// worth on the days with turns: 0.70 to 0.76 at Gulfmargin's sizes (0.1 s), 0.74
-// at 0.4 s, which starves the largest.
-constexpr duration kHandicap = std::chrono::milliseconds(100);
 // Lasting tasks go before all priorities, and jobs that will be late after them.
 constexpr int kLastingRank = -1;
 constexpr int kLateRank = 1000;
@@ -100,9 +92,7 @@
     } else if (is_late) {
       rank += kLateRank;
     }
-    const duration handicap(static_cast<std::int64_t>(
-        job->RemainingWork() * static_cast<double>(kHandicap.count())));
-    candidates.push_back({job, rank, job->deadline() + handicap});
+    candidates.push_back({job, rank, job->deadline()});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const candidate& a, const candidate& b) {
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -27,9 +27,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Connections for short calls to the store. One answers within 4 ms, so that
-// six carry over a thousand calls a second.
-constexpr std::size_t kStoreConnections = 6;
+// Connections for short calls to the store. A takeover reads 18 partitions at
+// once; when the store is slow (0.2 s an answer) fewer connections would make
+// the last reads wait until they time out, and the takeover begin again.
+constexpr std::size_t kStoreConnections = 20;
 // A process that hasn't reached the store for this time tells that it isn't
 // ready: callers' jobs can't be stored here. Longer than three renewals.
 constexpr milliseconds kReadyWithoutStore = milliseconds(2800);
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -287,34 +289,42 @@
   job_followers_[partition]->Refresh(std::move(on_done));
 }
 
-void job_world::RefreshAllJobs(std::function<void(bool)> on_done) {
-  struct pending {
-    std::size_t left = 0;
-    bool all_read = true;
-  };
-  const auto state = std::make_shared<pending>();
-  state->left = job_followers_.size();
+void job_world::RefreshAllJobs(std::function<void()> on_done) {
+  const auto left = std::make_shared<std::size_t>(job_followers_.size());
   for (const auto& follower : job_followers_) {
-    follower->Refresh([state, on_done](bool is_read) {
-      state->all_read = state->all_read && is_read;
-      if (--state->left == 0) {
-        on_done(state->all_read);
+    RefreshUntilRead(follower.get(), [left, on_done] {
+      if (--*left == 0) {
+        on_done();
       }
     });
   }
 }
 
+// Repeats what has failed, and not what other partitions have read already.
+void job_world::RefreshUntilRead(log_follower* follower,
+                                 std::function<void()> on_read) {
+  follower->Refresh([this, follower, on_read](bool is_read) {
+    if (is_read) {
+      on_read();
+      return;
+    }
+    const auto timer =
+        std::make_shared<boost::asio::steady_timer>(*context_);
+    timer->expires_after(settings_.least_pause);
+    timer->async_wait([this, follower, on_read,
+                       timer](const boost::system::error_code& /*error*/) {
+      RefreshUntilRead(follower, on_read);
+    });
+  });
+}
+
 void job_world::RefreshProgress(std::uint32_t partition,
                                 std::function<void(bool)> on_done) {
   PoolFollower(partition).Refresh(std::move(on_done));
 }
 
-void job_world::RefreshRegistry(std::function<void(bool)> on_done) {
-  if (registry_follower_) {
-    registry_follower_->Refresh(std::move(on_done));
-  } else {
-    on_done(false);
-  }
+void job_world::RefreshRegistry(std::function<void()> on_done) {
+  RefreshUntilRead(registry_follower_.get(), std::move(on_done));
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -105,10 +105,12 @@
   /// Reads what the store has by now; `on_done` gets false when it can't be
   /// read. A partition that isn't followed yet is from then on.
   void RefreshJobs(std::uint32_t partition, std::function<void(bool)> on_done);
-  void RefreshAllJobs(std::function<void(bool)> on_done);
+  /// The same for all partitions, repeated until all have been read.
+  void RefreshAllJobs(std::function<void()> on_done);
   void RefreshProgress(std::uint32_t partition,
                        std::function<void(bool)> on_done);
-  void RefreshRegistry(std::function<void(bool)> on_done);
+  /// Repeated until it has been read. Precondition: a partition is owned.
+  void RefreshRegistry(std::function<void()> on_done);
 
   /// Sets which pools' partitions this process owns: their jobs and VMs are
   /// read as soon as they are written.
@@ -122,6 +124,7 @@
   void TakeOperatorRecord(const adapter::keyed_record& record);
   void TakeRegistryRecord(const adapter::keyed_record& record);
   void FollowPools();
+  void RefreshUntilRead(log_follower* follower, std::function<void()> on_read);
   void UpdateModes();
   log_follower& PoolFollower(std::uint32_t partition);
   std::unique_ptr<log_follower> MakeFollower(
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -34,8 +34,9 @@
   std::chrono::milliseconds background_wait = std::chrono::seconds(10);
   /// Pause after a read with records, in the background.
   std::chrono::milliseconds background_pause = std::chrono::milliseconds(1800);
-  /// How long the store may take to answer.
-  std::chrono::milliseconds timeout = std::chrono::milliseconds(700);
+  /// How long the store may take to answer: 4 ms as a rule, 0.25 s when it is
+  /// slow.
+  std::chrono::milliseconds timeout = std::chrono::milliseconds(900);
   /// Pause after a failed read; it doubles up to `most_pause`.
   std::chrono::milliseconds least_pause = std::chrono::milliseconds(50);
   std::chrono::milliseconds most_pause = std::chrono::milliseconds(800);
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -224,65 +224,47 @@
   // What an earlier owner may have acted on, it has read from the store. So all
   // that is in the store now must be known before the first order.
   void ReadAfterClaim() {
-    deps_.world->RefreshAllJobs([self = weak_from_this()](bool is_read) {
+    const auto left = std::make_shared<int>(3);
+    const auto done = [self = weak_from_this(), left] {
       const auto owner = self.lock();
-      if (!owner || owner->is_closed_) {
-        return;
-      }
-      if (!is_read) {
-        owner->RetryReading();
-        return;
+      if (--*left == 0 && owner && !owner->is_closed_) {
+        owner->Begin();
       }
-      owner->deps_.world->RefreshRegistry([self](bool is_registry_read) {
-        const auto reader = self.lock();
-        if (!reader || reader->is_closed_) {
-          return;
-        }
-        if (is_registry_read) {
-          reader->AskForPredecessor();
-        } else {
-          reader->RetryReading();
-        }
-      });
-    });
-  }
-
-  void RetryReading() {
-    claim_timer_.expires_after(settings_.takeover_retry);
-    claim_timer_.async_wait([self = weak_from_this()](
-                                const boost::system::error_code& error) {
-      const auto owner = self.lock();
-      if (owner && !error && !owner->is_closed_) {
-        owner->ReadAfterClaim();
-      }
-    });
+    };
+    deps_.world->RefreshAllJobs(done);
+    deps_.world->RefreshRegistry(done);
+    AskForPredecessor(done);
   }
 
   // A member that has given up, or an earlier life of this process, gives no
   // more orders; neither does one that the group doesn't know any more, since
   // its time to live has passed. What it started runs on.
-  void AskForPredecessor() {
+  void AskForPredecessor(const std::function<void()>& done) {
     const std::string& member = predecessor_.member;
+    may_predecessor_act_ = false;
     if (predecessor_.epoch == 0 || member.empty() || member == deps_.member) {
-      Begin(false);
+      done();
       return;
     }
+    may_predecessor_act_ = true;
     deps_.store->ListMembers(
         group_, settings_.owners_timeout,
-        [self = weak_from_this()](const adapter::members_reply& reply) {
+        [self = weak_from_this(), done](const adapter::members_reply& reply) {
           const auto owner = self.lock();
-          if (owner && !owner->is_closed_) {
-            // With fewer members than partitions each member holds one, so that
-            // one that holds none has left or has expired.
-            const bool is_gone =
-                reply.is_read && reply.members.size() < kPoolPartitions &&
-                reply.members.count(owner->predecessor_.member) == 0;
-            owner->Begin(!is_gone);
+          if (!owner || owner->is_closed_) {
+            return;
           }
+          // With fewer members than partitions each member holds one, so that
+          // one that holds none has left or has expired.
+          const bool is_gone =
+              reply.is_read && reply.members.size() < kPoolPartitions &&
+              reply.members.count(owner->predecessor_.member) == 0;
+          owner->may_predecessor_act_ = !is_gone;
+          done();
         });
   }
 
-  core::jobs::takeover_bounds MakeBounds(bool may_predecessor_act) const {
+  core::jobs::takeover_bounds MakeBounds() const {
     core::jobs::takeover_bounds bounds;
     if (predecessor_.epoch == 0) {
       return bounds;
@@ -291,7 +273,7 @@
         static_cast<double>(settings_.scheduler.lease.count()) /
         kSlowestClock));
     const milliseconds acting =
-        may_predecessor_act ? settings_.time_to_live : milliseconds(0);
+        may_predecessor_act_ ? settings_.time_to_live : milliseconds(0);
     bounds.fresh_from = claimed_at_ + acting + milliseconds(1);
     bounds.others_lapsed_at = claimed_at_ + acting + longest_lease;
     for (const auto& [vm, left] : predecessor_.leases) {
@@ -300,8 +282,8 @@
     return bounds;
   }
 
-  void Begin(bool may_predecessor_act) {
-    const core::jobs::takeover_bounds bounds = MakeBounds(may_predecessor_act);
+  void Begin() {
+    const core::jobs::takeover_bounds bounds = MakeBounds();
     scheduler_ =
         std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
     std::size_t open = 0;
@@ -327,7 +309,7 @@
               {"epoch", std::to_string(epoch_)},
               {"open_jobs", std::to_string(open)},
               {"predecessor", predecessor_.member},
-              {"predecessor_acts", may_predecessor_act ? "maybe" : "no"}});
+              {"predecessor_acts", may_predecessor_act_ ? "maybe" : "no"}});
     for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
       scheduler_->AddKnownVm({id, address});
     }
@@ -767,6 +749,7 @@
   std::uint64_t epoch_ = 0;
   /// Who owned before, and how it left.
   owner_record predecessor_;
+  bool may_predecessor_act_ = false;
   std::string group_ = member_settings().group;
   bool is_closed_ = false;
   bool is_kicked_ = false;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -42,7 +42,7 @@
   /// of a VM that it can't reach for lost.
   std::chrono::milliseconds time_to_live = std::chrono::milliseconds(2400);
   /// For the store's answer to who owns what.
-  std::chrono::milliseconds owners_timeout = std::chrono::milliseconds(600);
+  std::chrono::milliseconds owners_timeout = std::chrono::milliseconds(900);
 };
 
 /// Takes a partition of pools over and schedules their jobs, until it is
--- a/src/jobs/progress_writer.h
+++ b/src/jobs/progress_writer.h
@@ -16,7 +16,8 @@
 namespace plantainhead::jobs {
 
 struct writer_settings {
-  std::chrono::milliseconds timeout = std::chrono::milliseconds(700);
+  /// For the store's answer: 6 ms as a rule, 0.4 s when it is slow.
+  std::chrono::milliseconds timeout = std::chrono::milliseconds(1000);
   /// Least time between two appends. All that changes meanwhile goes into the
   /// next one; it adds half of this to the time until a job is seen to end.
   std::chrono::milliseconds gap = std::chrono::milliseconds(35);
