--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -33,7 +33,10 @@
   /// A pool shrinks to the most that it needed in this time. A VM that is given
   /// away is missed for the time of two moves (1.5 s each) when the demand
   /// returns, and costs as much to move as 1.1 s of its use.
-  duration memory = std::chrono::milliseconds(1500);
+  duration memory = std::chrono::milliseconds(2500);
+  /// The same while another pool lacks VMs. It outlasts the gaps between the
+  /// bursts of a few jobs.
+  duration scarce_memory = std::chrono::milliseconds(1000);
 };
 
 /// Decides how many VMs a pool should have. Pure and not thread-safe.
@@ -42,7 +45,8 @@
   explicit pool_sizer(const sizer_settings& settings) : settings_(settings) {}
 
   /// Returns how many VMs the pool should have, given its load now.
-  std::uint32_t Update(const pool_load& load, time_point now);
+  /// `is_scarce`: another pool has fewer than it wants.
+  std::uint32_t Update(const pool_load& load, bool is_scarce, time_point now);
 
  private:
   std::uint32_t Needed(const pool_load& load) const;
--- a/src/core/jobs/pool_sizer.cc
+++ b/src/core/jobs/pool_sizer.cc
@@ -24,7 +24,9 @@
   return std::max(needed, load.spread) + settings_.reserve;
 }
 
-std::uint32_t pool_sizer::Update(const pool_load& load, time_point now) {
+std::uint32_t pool_sizer::Update(const pool_load& load,
+                                 bool is_scarce,
+                                 time_point now) {
   const std::uint32_t needed = Needed(load);
   while (!needs_.empty() && needs_.back().second <= needed) {
     needs_.pop_back();
@@ -33,7 +35,14 @@
   while (now - needs_.front().first > settings_.memory) {
     needs_.pop_front();
   }
-  return needs_.front().second;
+  if (!is_scarce) {
+    return needs_.front().second;
+  }
+  const auto recent =
+      std::find_if(needs_.begin(), needs_.end(), [&](const auto& entry) {
+        return now - entry.first <= settings_.scarce_memory;
+      });
+  return recent->second;
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -152,7 +152,7 @@
       } else if (const auto offered = OfferedVmOf(key)) {
         offers.insert(*offered);
       } else if (const auto pool = WantingPoolOf(key)) {
-        wanted[*pool] = DecodeWantedVms(value);
+        wanted[*pool] = DecodeWantedVms(value).count;
       } else if (const auto serviced = ServicedHostOf(key)) {
         keeper_.NoteServiced(serviced->wave, serviced->host);
       } else if (const auto wave = CompletedWaveOf(key)) {
--- a/src/jobs/fleet_records.cc
+++ b/src/jobs/fleet_records.cc
@@ -10,6 +10,7 @@
 constexpr std::string_view kEmpty = "empty/";
 constexpr std::string_view kOffered = "offered/";
 constexpr std::string_view kWanted = "wanted/";
+constexpr const char* kShort = "!";
 constexpr std::string_view kServiced = "serviced/";
 constexpr std::string_view kCompleted = "completed/";
 
@@ -58,8 +59,9 @@
 }
 
 adapter::keyed_record EncodeWantedVms(const core::jobs::pool_id& pool,
-                                      std::uint32_t count) {
-  return {std::string(kWanted) + pool, std::to_string(count)};
+                                      const wanted_vms& wanted) {
+  return {std::string(kWanted) + pool,
+          std::to_string(wanted.count) + (wanted.is_short ? kShort : "")};
 }
 
 std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key) {
@@ -70,8 +72,13 @@
   return AfterPrefix(key, kWanted);
 }
 
-std::uint32_t DecodeWantedVms(const std::string& value) {
-  return static_cast<std::uint32_t>(ParseNumber(value).value_or(0));
+wanted_vms DecodeWantedVms(const std::string& value) {
+  wanted_vms wanted;
+  wanted.is_short = !value.empty() && value.back() == kShort[0];
+  const std::string_view number =
+      std::string_view(value).substr(0, value.size() - wanted.is_short);
+  wanted.count = static_cast<std::uint32_t>(ParseNumber(number).value_or(0));
+  return wanted;
 }
 
 adapter::keyed_record EncodeServicedHost(const serviced_host& serviced) {
--- a/src/jobs/fleet_records.h
+++ b/src/jobs/fleet_records.h
@@ -22,9 +22,16 @@
 /// Its pool has emptied the VM and uses it no more.
 adapter::keyed_record EncodeOfferedVm(const core::jobs::vm_id& vm);
 adapter::keyed_record DropOfferedVm(const core::jobs::vm_id& vm);
-/// How many VMs the pool should have.
+/// How many VMs a pool should have, and whether it has fewer.
+struct wanted_vms {
+  std::uint32_t count = 0;
+  bool is_short = false;
+
+  bool operator==(const wanted_vms&) const = default;
+};
+
 adapter::keyed_record EncodeWantedVms(const core::jobs::pool_id& pool,
-                                      std::uint32_t count);
+                                      const wanted_vms& wanted);
 
 struct serviced_host {
   std::uint64_t wave = 0;
@@ -42,7 +49,7 @@
 std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key);
 /// Returns the pool whose wanted VMs the record tells.
 std::optional<core::jobs::pool_id> WantingPoolOf(const std::string& key);
-std::uint32_t DecodeWantedVms(const std::string& value);
+wanted_vms DecodeWantedVms(const std::string& value);
 std::optional<serviced_host> ServicedHostOf(const std::string& key);
 std::optional<std::uint64_t> CompletedWaveOf(const std::string& key);
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -639,7 +639,8 @@
       }
       auto [size, is_new] =
           sizes_.try_emplace(pool.id, settings_.sizer, now);
-      const std::uint32_t wanted = size->second.sizer.Update(load, now);
+      const std::uint32_t wanted =
+          size->second.sizer.Update(load, IsScarce(pool.id), now);
       TellWanted(pool.id, &size->second, load, wanted, now);
       const bool is_known = now - size->second.since > settings_.sizer.memory;
       if (is_known && load.usable_vms > wanted) {
@@ -652,20 +653,31 @@
     }
   }
 
+  bool IsScarce(const core::jobs::pool_id& except) const {
+    const auto& records = deps_.world->fleet_records();
+    return std::any_of(
+        records.begin(), records.end(), [&](const auto& record) {
+          const auto pool = WantingPoolOf(record.first);
+          return pool && *pool != except &&
+                 DecodeWantedVms(record.second).is_short;
+        });
+  }
+
   struct pool_size {
     pool_size(const core::jobs::sizer_settings& settings, core::time_point now)
         : sizer(settings), since(now) {}
     core::jobs::pool_sizer sizer;
     core::time_point since;
-    std::uint32_t told = 0;
+    wanted_vms told;
     core::time_point told_at;
   };
 
   void TellWanted(const core::jobs::pool_id& pool,
                   pool_size* size,
                   const core::jobs::pool_load& load,
-                  std::uint32_t wanted,
+                  std::uint32_t count,
                   core::time_point now) {
+    const wanted_vms wanted{count, load.usable_vms < count};
     if (wanted == size->told || now - size->told_at < settings_.wanted_gap) {
       return;
     }
@@ -673,7 +685,7 @@
     size->told_at = now;
     LogEvent(job_event::kPoolSized,
              {{"pool", pool},
-              {"wanted", std::to_string(wanted)},
+              {"wanted", std::to_string(count)},
               {"usable", std::to_string(load.usable_vms)},
               {"used_millis", std::to_string(load.used.cpu_millis)},
               {"waiting_millis", std::to_string(load.waiting.cpu_millis)}});
@@ -687,7 +699,7 @@
           if (owner && reply.outcome != adapter::append_outcome::kStored) {
             const auto found = owner->sizes_.find(pool);
             if (found != owner->sizes_.end()) {
-              found->second.told = 0;
+              found->second.told = {};
             }
           }
         });
