--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -36,7 +36,7 @@
   duration memory = std::chrono::milliseconds(2500);
   /// The same while another pool lacks VMs. It outlasts the gaps between the
   /// bursts of a few jobs.
-  duration scarce_memory = std::chrono::milliseconds(1000);
+  duration scarce_memory = std::chrono::milliseconds(400);
 };
 
 /// Decides how many VMs a pool should have. Pure and not thread-safe.
