Test the adapter, the network layer and whole processes against a stand-in

A stand-in of the users' store and VMs (fakes/site_store, fakes/site_vm) serves tests without the kit: acceptance, takeover, lost answers, a store that refuses, loses answers or is silent.

--- /dev/null
+++ b/fakes/site_store.h
@@ -0,0 +1,104 @@
+#ifndef PLANTAINHEAD_FAKES_SITE_STORE_H_
+#define PLANTAINHEAD_FAKES_SITE_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/http_message.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace plantainhead::fakes {
+
+/// What the stand-in's store does to the next calls.
+struct store_faults {
+  /// Answer nothing: the call's connection stays silent.
+  bool is_silent = false;
+  /// Refuse with 503.
+  bool is_refusing = false;
+  /// Execute appends and answer nothing.
+  bool loses_answers = false;
+};
+
+/// Stands in for the users' metadata store: a log of partitions with producers'
+/// epochs, the newest record of each key, and groups. Only what the project
+/// uses. Not thread-safe.
+class site_store {
+ public:
+  explicit site_store(boost::asio::io_context* context) : context_(context) {}
+
+  /// Handles one call.
+  void Handle(const net::server_request& request,
+              const net::responder& respond);
+  /// Puts a record, as the operators and VMs do. No value drops the key.
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::optional<std::string>& value);
+  /// Returns the newest value of the key in any partition of the topic.
+  std::optional<std::string> Newest(const std::string& topic,
+                                    const std::string& key) const;
+  /// Returns how many records of the key were ever appended.
+  std::size_t CountRecords(const std::string& topic,
+                           const std::string& key) const;
+  /// Ends a member at once, as its time to live does.
+  void Expire(const std::string& member);
+  std::set<std::string> Members() const;
+
+  store_faults faults;
+
+ private:
+  using partition_key = std::pair<std::string, std::uint32_t>;
+
+  struct stored_record {
+    std::string key;
+    std::optional<std::string> value;
+    std::string raw;
+  };
+
+  struct producer_state {
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+    std::string last_answer;
+  };
+
+  struct partition {
+    std::vector<stored_record> records;
+    std::map<std::string, producer_state> producers;
+  };
+
+  struct waiting_read {
+    partition_key key;
+    std::uint64_t from = 0;
+    net::responder respond;
+  };
+
+  void Append(const std::map<std::string, std::string>& query,
+              const std::string& body,
+              const net::responder& respond);
+  void Read(const std::map<std::string, std::string>& query,
+            const net::responder& respond);
+  void ReadNewest(const std::map<std::string, std::string>& query,
+                  const net::responder& respond) const;
+  void Join(const std::string& body, const net::responder& respond);
+  void Deal();
+  void WakeReaders();
+  std::string RawFrom(const partition_key& key, std::uint64_t from) const;
+  std::string Rows() const;
+
+  boost::asio::io_context* context_;
+  std::map<partition_key, partition> partitions_;
+  std::vector<waiting_read> waiting_;
+  std::map<std::string, std::set<std::uint32_t>> members_;
+  std::uint64_t generation_ = 0;
+};
+
+}  // namespace plantainhead::fakes
+
+#endif  // PLANTAINHEAD_FAKES_SITE_STORE_H_
--- /dev/null
+++ b/fakes/site_vm.h
@@ -0,0 +1,79 @@
+#ifndef PLANTAINHEAD_FAKES_SITE_VM_H_
+#define PLANTAINHEAD_FAKES_SITE_VM_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http_message.h"
+#include "net/http_server.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace plantainhead::fakes {
+
+/// Stands in for one life of a VM that runs tasks under a lease: start, stop,
+/// hold and pace. Each task takes the same time. Counts what must not happen.
+/// Not thread-safe.
+class site_vm {
+ public:
+  /// Listens on "IP:PORT".
+  site_vm(boost::asio::io_context* context,
+          std::string id,
+          const std::string& address,
+          std::chrono::milliseconds task_time);
+
+  /// Returns what the VM's registry entry says.
+  std::string RegistryValue(const std::string& pool) const;
+  const std::string& id() const { return id_; }
+  /// Returns how often each task was started.
+  const std::map<std::string, int>& starts() const { return starts_; }
+  /// Returns how many tasks run now.
+  std::size_t Running() const { return running_.size(); }
+
+  /// Orders to start are carried out and not answered.
+  bool loses_start_answers = false;
+
+ private:
+  struct run {
+    std::uint32_t number = 0;
+    std::chrono::steady_clock::time_point ends_at;
+  };
+
+  void Handle(const net::server_request& request,
+              const net::responder& respond);
+  void Start(const net::server_request& request, const net::responder& respond);
+  void Hold(const std::string& body, const net::responder& respond);
+  void EndTask(const std::string& task, std::uint32_t number, const char* how);
+  std::string Listing() const;
+  void WakeHolds();
+  bool IsFenced(std::uint64_t token);
+
+  boost::asio::io_context* context_;
+  std::string id_;
+  std::string address_;
+  std::chrono::milliseconds task_time_;
+  std::unique_ptr<net::http_server> server_;
+  std::map<std::string, run> running_;
+  std::map<std::string, std::uint32_t> highest_;
+  std::map<std::string, int> starts_;
+  struct ended {
+    std::uint64_t number = 0;
+    std::string task;
+    std::uint32_t run = 0;
+    std::string how;
+  };
+  std::vector<ended> ended_;
+  std::uint64_t last_end_ = 0;
+  std::uint64_t fence_ = 0;
+  std::vector<net::responder> holds_;
+};
+
+}  // namespace plantainhead::fakes
+
+#endif  // PLANTAINHEAD_FAKES_SITE_VM_H_
--- /dev/null
+++ b/tests/adapter/codec_test.cc
@@ -0,0 +1,156 @@
+#include <catch2/catch.hpp>
+
+#include "platform/configuration_codec.h"
+#include "platform/ingress_codec.h"
+#include "platform/store_client.h"
+#include "platform/vm_client.h"
+
+namespace plantainhead::adapter {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("A submitted job is decoded field by field") {
+  const decoded_job job = DecodeJob(
+      R"({"spec":"text","steps":[
+        {"count":4,"cpu":500,"mem_mb":256,"gpu":1,"estimate_ms":900,
+         "affinity":"r1-3","requirements":"a","anti_affinity":2},
+        {"count":2,"cpu":100,"mem_mb":10,"depends_on":[0],"checkpointing":true,
+         "gang":true,"same_rack":true,"speculative":true,"long_running":true,
+         "image":"web","target_ms":120,"fills":true,"may_miss":1}],
+        "repeat_count":3,"first_run_ms":1000,"interval_ms":500})");
+  REQUIRE(job.spec);
+  REQUIRE(job.spec->steps.size() == 2);
+  const core::jobs::step_spec& first = job.spec->steps[0];
+  CHECK(first.task_count == 4);
+  CHECK(first.need == core::jobs::resources{500, 256, 1});
+  CHECK(first.estimate == milliseconds(900));
+  CHECK(first.preferred_rack == "r1-3");
+  CHECK(first.required_label == "a");
+  CHECK(first.most_per_vm == 2);
+  const core::jobs::step_spec& second = job.spec->steps[1];
+  CHECK(second.depends_on == std::vector<std::uint32_t>{0});
+  CHECK(second.checkpoints);
+  CHECK(second.gang);
+  CHECK(second.same_rack);
+  CHECK(second.speculative);
+  CHECK(second.lasting);
+  CHECK(second.image == "web");
+  CHECK(second.latency_target == milliseconds(120));
+  CHECK(second.fills);
+  CHECK(second.may_miss == 1);
+  REQUIRE(job.spec->schedule);
+  CHECK(job.spec->schedule->count == 3);
+  CHECK(job.spec->schedule->interval == milliseconds(500));
+}
+
+TEST_CASE("A malformed job is refused with the field that is wrong") {
+  CHECK(DecodeJob("no json").fault == "the body is no JSON object");
+  CHECK(DecodeJob(R"({"spec":"x"})").fault == "steps");
+  CHECK(DecodeJob(R"({"steps":[{"cpu":1}]})").fault == "steps[0].count");
+  CHECK(DecodeJob(R"({"steps":[{"count":1,"cpu":-1}]})").fault ==
+        "steps[0].cpu");
+  CHECK(DecodeJob(R"({"steps":[{"count":1,"depends_on":[0]}]})").fault ==
+        "steps[0].depends_on");
+  CHECK(DecodeJob(R"({"steps":[{"count":1,"depends_on":["a"]}]})").fault ==
+        "steps[0].depends_on");
+  CHECK(DecodeJob(R"({"steps":[{"count":99999999}]})").fault ==
+        "steps[0].count");
+  CHECK(DecodeJob("{\"spec\":\"" + std::string(5000, 'x') +
+                  R"(","steps":[{"count":1}]})")
+            .fault == "spec");
+}
+
+TEST_CASE("Job ids, hosts and paths of requests") {
+  CHECK(IsJobId("0123456789abcdef"));
+  CHECK_FALSE(IsJobId("0123456789abcde"));
+  CHECK_FALSE(IsJobId("0123456789abcdeg"));
+  CHECK(DecodeHost("a.example:8080") == "a.example");
+  CHECK(DecodePath("/a/b?c=d") == "/a/b");
+}
+
+TEST_CASE("A task's name is read back") {
+  const core::jobs::task_name name{"0123456789abcdef", 1, 2, 17};
+  CHECK(EncodeTaskName(name) == "0123456789abcdef.1.2.17");
+  CHECK(DecodeTaskName("0123456789abcdef.1.2.17") == name);
+  CHECK_FALSE(DecodeTaskName("0123456789abcdef.1.2"));
+  CHECK_FALSE(DecodeTaskName("0123456789abcdef.1.2.x"));
+  CHECK_FALSE(DecodeTaskName("0123456789abcdef.1.2.17.4"));
+}
+
+TEST_CASE("A VM's listing is decoded, or refused as a whole") {
+  const auto listing = DecodeListing(
+      R"({"clock_ms":5000,"running":[["j.0.0.1",2,"cp",41,7]],
+          "finished":[[58,"j.0.0.9",1,"done",""],[59,"j.0.0.8",3,"lapsed","s"]]})");
+  REQUIRE(listing);
+  CHECK(listing->vm_clock == milliseconds(5000));
+  REQUIRE(listing->running.size() == 1);
+  CHECK(listing->running[0].run == 2);
+  CHECK(listing->running[0].percent == 41);
+  CHECK(listing->running[0].reading == 7);
+  REQUIRE(listing->ended.size() == 2);
+  CHECK(listing->ended[1].how == core::jobs::end_kind::kLapsed);
+  CHECK(listing->ended[1].checkpoint == "s");
+  CHECK_FALSE(DecodeListing(R"({"running":[]})"));
+  CHECK_FALSE(DecodeListing(R"({"clock_ms":1,"running":[["bad",1,"",0]]})"));
+  CHECK_FALSE(
+      DecodeListing(R"({"clock_ms":1,"finished":[[1,"j.0.0.1",1,"odd",""]]})"));
+  CHECK_FALSE(DecodeListing("not json"));
+}
+
+TEST_CASE("Records are framed as the store takes and gives them") {
+  const std::string raw = EncodeRecord({"key", "value"}) +
+                          EncodeRecord({"gone", std::nullopt});
+  const std::string body = std::string(7, '\0') + "\x0c" +
+                           std::string(7, '\0') + "\x02" + raw;
+  const auto reply = DecodeRead(body, 10, true);
+  REQUIRE(reply);
+  CHECK(reply->end == 12);
+  CHECK(reply->first == 2);
+  REQUIRE(reply->records.size() == 2);
+  CHECK(reply->records[0].key == "key");
+  CHECK(reply->records[0].value == "value");
+  CHECK(reply->records[0].offset == 10);
+  CHECK(reply->records[1].key == "gone");
+  CHECK_FALSE(reply->records[1].value);
+  CHECK(reply->records[1].offset == 11);
+  CHECK_FALSE(DecodeRead("short", 0, true));
+  CHECK_FALSE(DecodeRead(body.substr(0, body.size() - 1), 10, true));
+}
+
+TEST_CASE("A configuration, a wave and a VM's entry are decoded") {
+  const auto configuration = DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"q","host":"h","path_prefix":"/p/",
+          "service":"s","priority":1,"max_attempts":4,"stretch":1.6,
+          "target_latency_ms":600}],
+          "services":[{"name":"s"},{"name":"t","spare":true}]})");
+  REQUIRE(configuration);
+  CHECK(configuration->version == 7);
+  REQUIRE(configuration->routes.size() == 1);
+  CHECK(configuration->routes[0].policy.max_attempts == 4);
+  CHECK(configuration->routes[0].policy.latency_target == milliseconds(600));
+  REQUIRE(configuration->pools.size() == 2);
+  CHECK(configuration->pools[1].is_spare);
+  CHECK_FALSE(DecodeConfiguration("[]"));
+
+  const auto wave = DecodeWave(
+      R"({"wave":1,"machines":["m1","m2"],"duration_s":2.5,"maximum":3})");
+  REQUIRE(wave);
+  CHECK(wave->hosts.size() == 2);
+  CHECK(wave->time_limit == milliseconds(2500));
+  CHECK(wave->most_at_once == 3);
+
+  const auto vm = DecodeVm(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining",
+          "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],
+          "remaining_ms":1500})");
+  REQUIRE(vm);
+  CHECK(vm->pool == "s");
+  CHECK(vm->capacity.cpu_millis == 16000);
+  CHECK(vm->draining);
+  CHECK(vm->remaining == milliseconds(1500));
+}
+
+}  // namespace
+}  // namespace plantainhead::adapter
--- /dev/null
+++ b/tests/jobs/record_codec_test.cc
@@ -0,0 +1,114 @@
+#include "jobs/record_codec.h"
+
+#include <catch2/catch.hpp>
+
+#include "jobs/fleet_records.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("A job's record is read back as it was") {
+  submission_record record;
+  record.spec.id = "0123456789abcdef";
+  record.spec.queue = "queue";
+  record.spec.pool = "pool";
+  record.spec.payload = "payload \"quoted\"";
+  core::jobs::step_spec step;
+  step.task_count = 3;
+  step.need = {500, 256, 1};
+  step.estimate = milliseconds(900);
+  step.depends_on = {0};
+  step.checkpoints = true;
+  step.lasting = true;
+  step.fills = true;
+  step.may_miss = 2;
+  step.most_per_vm = 1;
+  step.required_label = "label";
+  step.preferred_rack = "rack";
+  step.image = "image";
+  step.latency_target = milliseconds(120);
+  record.spec.steps = {core::jobs::step_spec(), step};
+  record.spec.schedule = core::jobs::job_schedule{
+      core::time_point(milliseconds(5)), milliseconds(7), 9};
+
+  const auto decoded = DecodeJobRecord(Encode(record));
+  REQUIRE(decoded);
+  const auto& read = std::get<submission_record>(*decoded).spec;
+  CHECK(read.id == record.spec.id);
+  CHECK(read.payload == record.spec.payload);
+  REQUIRE(read.steps.size() == 2);
+  CHECK(read.steps[1].need == step.need);
+  CHECK(read.steps[1].depends_on == step.depends_on);
+  CHECK(read.steps[1].checkpoints);
+  CHECK(read.steps[1].lasting);
+  CHECK(read.steps[1].fills);
+  CHECK_FALSE(read.steps[1].gang);
+  CHECK(read.steps[1].may_miss == 2);
+  CHECK(read.steps[1].most_per_vm == 1);
+  CHECK(read.steps[1].required_label == "label");
+  CHECK(read.steps[1].preferred_rack == "rack");
+  CHECK(read.steps[1].image == "image");
+  CHECK(read.steps[1].latency_target == step.latency_target);
+  REQUIRE(read.schedule);
+  CHECK(read.schedule->count == 9);
+}
+
+TEST_CASE("A cancellation is told from a submission by its key") {
+  const auto decoded = DecodeJobRecord(Encode(cancel_record{"job"}));
+  REQUIRE(decoded);
+  CHECK(std::get<cancel_record>(*decoded).job == "job");
+}
+
+TEST_CASE("A job's progress is read back as it was") {
+  core::jobs::job_progress progress;
+  progress.phase = core::jobs::job_phase::kRunning;
+  progress.tasks.push_back({0, 1, 2, 3, {1, 2}, false, "saved", true});
+  progress.tasks.push_back({1, 0, 0, 7, {}, true, "", false});
+  const auto decoded = DecodePoolRecord(Encode(progress_record{"job", progress}));
+  REQUIRE(decoded);
+  CHECK(std::get<progress_record>(*decoded).progress == progress);
+}
+
+TEST_CASE("Owners and VMs are told apart from jobs") {
+  const auto owner = DecodePoolRecord(
+      Encode(owner_record{7, "node", {{"vm", milliseconds(5)}}}));
+  REQUIRE(owner);
+  CHECK(std::get<owner_record>(*owner).epoch == 7);
+  CHECK(std::get<owner_record>(*owner).leases.at("vm") == milliseconds(5));
+
+  const auto used = DecodePoolRecord(Encode(vm_record{"vm", "ip:1", false}));
+  REQUIRE(used);
+  CHECK(std::get<vm_record>(*used).address == "ip:1");
+  const auto dropped = DecodePoolRecord(Encode(vm_record{"vm", "", true}));
+  REQUIRE(dropped);
+  CHECK(std::get<vm_record>(*dropped).is_dropped);
+}
+
+TEST_CASE("A malformed record is no record") {
+  CHECK_FALSE(DecodeJobRecord({"0123456789abcdef", "{"}));
+  CHECK_FALSE(DecodeJobRecord({"0123456789abcdef", R"({"q":1})"}));
+  CHECK_FALSE(DecodeJobRecord({"0123456789abcdef", std::nullopt}));
+  CHECK_FALSE(DecodePoolRecord({"job", "[]"}));
+}
+
+TEST_CASE("The fleet's records are told apart by their keys") {
+  CHECK(ClosedVmOf(EncodeClosedVm("vm").key) == "vm");
+  CHECK(EmptyVmOf(EncodeEmptyVm("vm").key) == "vm");
+  CHECK(OfferedVmOf(EncodeOfferedVm("vm").key) == "vm");
+  CHECK_FALSE(ClosedVmOf(EncodeEmptyVm("vm").key));
+  const auto serviced = ServicedHostOf(EncodeServicedHost({3, "host/1"}).key);
+  REQUIRE(serviced);
+  CHECK(serviced->wave == 3);
+  CHECK(serviced->host == "host/1");
+  CHECK(CompletedWaveOf(EncodeCompletedWave(4).key) == 4);
+  const auto wanted = EncodeWantedVms("pool", {5, true});
+  CHECK(WantingPoolOf(wanted.key) == "pool");
+  CHECK(DecodeWantedVms(*wanted.value) == wanted_vms{5, true});
+  CHECK(DecodeWantedVms("6") == wanted_vms{6, false});
+  CHECK(DecodeWantedVms("") == wanted_vms{});
+}
+
+}  // namespace
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/tests/net/http_test.cc
@@ -0,0 +1,154 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "loopback.h"
+#include "net/address.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "run_until.h"
+
+namespace plantainhead::net {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::RunUntil;
+
+// Returns a free port on 127.0.0.1 as "IP:PORT".
+std::string FreeAddress() {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(context, ParseAddress("127.0.0.1:0"));
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+client_request Post(const std::string& target, const std::string& body) {
+  client_request request;
+  request.verb = method::kPost;
+  request.target = target;
+  request.body = body;
+  return request;
+}
+
+TEST_CASE("A client's calls are answered by the server") {
+  boost::asio::io_context context;
+  const std::string address = FreeAddress();
+  std::vector<server_request> requests;
+  std::vector<responder> held;
+  bool answers = true;
+  http_server server(&context, address, {},
+                     [&](server_request request, responder respond) {
+                       requests.push_back(request);
+                       if (answers) {
+                         respond({201, {{"Retry-After", "2"}}, "ok"});
+                       } else {
+                         held.push_back(std::move(respond));
+                       }
+                     });
+  http_client client(&context, address, {1, std::chrono::seconds(20)});
+  std::optional<client_reply> reply;
+  const auto call = [&](milliseconds timeout) {
+    reply.reset();
+    client.Send(Post("/path?x=1", "body"), timeout,
+                [&](client_reply got) { reply = std::move(got); });
+  };
+
+  call(std::chrono::seconds(10));
+  REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+  CHECK(reply->reached == delivery::kAnswered);
+  CHECK(reply->status == 201);
+  CHECK(reply->body == "ok");
+  REQUIRE(requests.size() == 1);
+  CHECK(requests[0].target == "/path?x=1");
+  CHECK(requests[0].body == "body");
+  CHECK(FindHeader(requests[0].headers, "content-type") == "application/json");
+
+  SECTION("over one connection while it stays open") {
+    call(std::chrono::seconds(10));
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(client.OpenedConnections() == 1);
+  }
+
+  // The server is silent. The call must end by its own timeout, and what the
+  // server answers later must reach nobody.
+  SECTION("a call without an answer ends, and its connection is given up") {
+    answers = false;
+    call(milliseconds(50));
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kUnanswered);
+    REQUIRE(held.size() == 1);
+    held[0]({200, {}, "late"});
+    answers = true;
+    call(std::chrono::seconds(10));
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->body == "ok");
+    CHECK(client.OpenedConnections() == 2);
+  }
+
+  SECTION("a call that finds no free connection in time was not sent") {
+    answers = false;
+    std::optional<client_reply> first;
+    client.Send(Post("/", ""), std::chrono::seconds(30),
+                [&](client_reply got) { first = std::move(got); });
+    call(milliseconds(50));
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kNotSent);
+    CHECK(requests.size() <= 2);
+  }
+
+  SECTION("a server that stops ends the connection with the answer") {
+    server.BeginStop();
+    call(std::chrono::seconds(10));
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->status == 201);
+    CHECK(server.ActiveRequests() == 0);
+    call(std::chrono::seconds(10));
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(client.OpenedConnections() == 2);
+  }
+}
+
+TEST_CASE("A call to a port without a listener was not sent") {
+  boost::asio::io_context context;
+  http_client client(&context, FreeAddress(), {});
+  std::optional<client_reply> reply;
+  client.Send(Post("/", ""), std::chrono::seconds(10),
+              [&](client_reply got) { reply = std::move(got); });
+  REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+  CHECK(reply->reached == delivery::kNotSent);
+}
+
+TEST_CASE("A server bounds what it reads") {
+  boost::asio::io_context context;
+  const std::string address = FreeAddress();
+  http_server_options options;
+  options.body_limit = 10;
+  http_server server(&context, address, options,
+                     [](server_request, const responder& respond) {
+                       respond({200, {}, "fine"});
+                     });
+  http_client client(&context, address, {});
+  std::optional<client_reply> reply;
+  client.Send(Post("/", "more than ten bytes"), std::chrono::seconds(10),
+              [&](client_reply got) { reply = std::move(got); });
+  REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+  CHECK(reply->status == 413);
+}
+
+TEST_CASE("An address needs an IP number and a port") {
+  CHECK(ParseAddress("127.0.0.1:80").port() == 80);
+  CHECK_THROWS_AS(ParseAddress("localhost:80"), std::invalid_argument);
+  CHECK_THROWS_AS(ParseAddress("127.0.0.1"), std::invalid_argument);
+  CHECK_THROWS_AS(ParseAddress("127.0.0.1:port"), std::invalid_argument);
+}
+
+}  // namespace
+}  // namespace plantainhead::net
