--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -28,9 +28,8 @@
       break;
     }
     query[target.substr(at + 1, equals - at - 1)] =
-        target.substr(equals + 1, end == std::string::npos
-                                      ? std::string::npos
-                                      : end - equals - 1);
+        target.substr(equals + 1, end == std::string::npos ? std::string::npos
+                                                           : end - equals - 1);
     at = end;
   }
   return query;
@@ -90,9 +89,8 @@
 void site_store::Append(const query_map& query,
                         const std::string& body,
                         const net::responder& respond) {
-  partition& target = partitions_[{query.at("topic"),
-                                   static_cast<std::uint32_t>(
-                                       NumberOf(query, "part"))}];
+  partition& target = partitions_[{
+      query.at("topic"), static_cast<std::uint32_t>(NumberOf(query, "part"))}];
   const std::uint64_t end = target.records.size();
   producer_state* producer = nullptr;
   if (query.count("producer") != 0) {
@@ -169,17 +167,17 @@
   waiting_.push_back({key, from, respond});
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
   timer->expires_after(std::chrono::milliseconds(wait_ms));
-  timer->async_wait([this, key, from,
-                     timer](const boost::system::error_code& /*error*/) {
-    for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
-      if (it->key == key && it->from == from) {
-        const net::responder late = it->respond;
-        waiting_.erase(it);
-        late({200, {}, RawFrom(key, from), "application/octet-stream"});
-        return;
-      }
-    }
-  });
+  timer->async_wait(
+      [this, key, from, timer](const boost::system::error_code& /*error*/) {
+        for (auto it = waiting_.begin(); it != waiting_.end(); ++it) {
+          if (it->key == key && it->from == from) {
+            const net::responder late = it->respond;
+            waiting_.erase(it);
+            late({200, {}, RawFrom(key, from), "application/octet-stream"});
+            return;
+          }
+        }
+      });
 }
 
 void site_store::WakeReaders() {
@@ -191,8 +189,8 @@
   }
   waiting_ = std::move(still);
   for (const waiting_read& read : ready) {
-    read.respond({200, {}, RawFrom(read.key, read.from),
-                  "application/octet-stream"});
+    read.respond(
+        {200, {}, RawFrom(read.key, read.from), "application/octet-stream"});
   }
 }
 
--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -99,10 +99,10 @@
   running_[task] = {number, steady_clock::now() + task_time_};
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
   timer->expires_after(task_time_);
-  timer->async_wait([this, task, number,
-                     timer](const boost::system::error_code& /*error*/) {
-    EndTask(task, number, "done");
-  });
+  timer->async_wait(
+      [this, task, number, timer](const boost::system::error_code& /*error*/) {
+        EndTask(task, number, "done");
+      });
   if (!loses_start_answers) {
     respond(Answer(200, json::object()));
   }
@@ -146,10 +146,9 @@
   holds_.push_back(respond);
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
   timer->expires_after(std::chrono::milliseconds(wait_ms));
-  timer->async_wait(
-      [this, timer](const boost::system::error_code& /*error*/) {
-        WakeHolds();
-      });
+  timer->async_wait([this, timer](const boost::system::error_code& /*error*/) {
+    WakeHolds();
+  });
 }
 
 void site_vm::WakeHolds() {
--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -24,8 +24,9 @@
   duration order_retry = std::chrono::seconds(1);
 };
 
-/// Decides which hosts move between the pools and the spare pool: pools tell how
-/// many VMs they want and which they can do without. Pure and not thread-safe.
+/// Decides which hosts move between the pools and the spare pool: pools tell
+/// how many VMs they want and which they can do without. Pure and not
+/// thread-safe.
 class fleet_balancer {
  public:
   explicit fleet_balancer(const balancer_settings& settings)
--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -162,7 +162,8 @@
   std::vector<std::uint32_t> failed_runs;
   bool done = false;
   std::string checkpoint;
-  /// No VM has listed how `ended_run` ended: its VM was silent or didn't have it.
+  /// No VM has listed how `ended_run` ended: its VM was silent or didn't have
+  /// it.
   bool is_presumed = false;
 
   bool operator==(const task_record&) const = default;
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -20,10 +20,10 @@
 /// Limits and waits of a `pool_scheduler`.
 struct scheduler_settings {
   /// How long a VM may run tasks without hearing from the owner. After the last
-  /// hold (1 s) and the replacement of an owner that was killed (time to live of
-  /// a member, 2.4 s, a renewal of another one, 0.7 s, and the takeover) it must
-  /// not be over, so that the tasks survive. A new owner waits as long for VMs
-  /// that don't answer, so it is no longer than that needs.
+  /// hold (1 s) and the replacement of an owner that was killed (time to live
+  /// of a member, 2.4 s, a renewal of another one, 0.7 s, and the takeover) it
+  /// must not be over, so that the tasks survive. A new owner waits as long for
+  /// VMs that don't answer, so it is no longer than that needs.
   duration lease = std::chrono::milliseconds(4500);
   /// How long a hold waits for an end. Holds keep the lease alive.
   duration hold_wait = std::chrono::milliseconds(1000);
@@ -77,8 +77,8 @@
 /// orders that may be lost or carried out late:
 /// - a task has at most one run that can be alive. A run that may be alive ends
 ///   by being listed as ended; by a listing without it that was asked for after
-///   the VM had confirmed a stop of it; by another life of the VM; or by the end
-///   of the VM's lease.
+///   the VM had confirmed a stop of it; by another life of the VM; or by the
+///   end of the VM's lease.
 /// - a VM never holds more than its capacity: a run takes its room until then.
 /// - an end is acknowledged to the VM only after the record of it is stored.
 /// - a VM is used only after a record of it is stored, so that the next owner
@@ -97,7 +97,8 @@
   void AddJob(std::shared_ptr<const job_spec> spec,
               const queue_policy& policy,
               time_point now);
-  /// Notes a job that ended under an earlier owner. VMs may still list its runs.
+  /// Notes a job that ended under an earlier owner. VMs may still list its
+  /// runs.
   void AddEndedJob(const job_id& id);
   /// Takes over what an earlier owner recorded. Precondition: the job was added
   /// and nothing of it was started since.
@@ -119,21 +120,23 @@
   /// Returns what the pool's tasks take and could take, as of the last plan.
   /// Jobs that are late don't count.
   pool_load Load(const pool_id& pool, time_point now) const;
-  /// Returns up to `count` VMs of the pool that hold no lasting task, those with
-  /// the least work first.
+  /// Returns up to `count` VMs of the pool that hold no lasting task, those
+  /// with the least work first.
   std::vector<vm_id> LeastUsed(const pool_id& pool, std::size_t count) const;
   /// Returns whether the VM is known, heard, and holds no run.
   bool IsEmpty(const vm_id& vm) const;
-  /// Returns by when the lease of each VM that may be running tasks is over, for
-  /// the next owner.
+  /// Returns by when the lease of each VM that may be running tasks is over,
+  /// for the next owner.
   std::map<vm_id, time_point> LeaseEnds() const;
   /// Returns the VMs that need a hold; also those that left the list.
   std::vector<vm_description> Vms() const;
 
-  void OnStartAnswer(const run_ref& target, start_result result, time_point now);
+  void OnStartAnswer(const run_ref& target,
+                     start_result result,
+                     time_point now);
   void OnStopAnswer(const run_ref& target, bool is_answered, time_point now);
-  /// Precondition: `sent_at` is when the hold was sent; holds of a VM follow one
-  /// another.
+  /// Precondition: `sent_at` is when the hold was sent; holds of a VM follow
+  /// one another.
   void OnListing(const vm_id& vm,
                  time_point sent_at,
                  const vm_listing& listing,
--- a/include/plantainhead/core/jobs/routing.h
+++ b/include/plantainhead/core/jobs/routing.h
@@ -64,7 +64,8 @@
  private:
   routing_configuration configuration_;
   // By host, then by prefix.
-  std::map<std::string, std::map<std::string, std::size_t, std::less<>>,
+  std::map<std::string,
+           std::map<std::string, std::size_t, std::less<>>,
            std::less<>>
       by_host_;
   std::map<queue_id, std::size_t> by_queue_;
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -57,9 +57,8 @@
 
 bool fleet_balancer::IsFree(const fleet_host& host,
                             const std::set<host_id>& busy) const {
-  const bool is_idle =
-      spare_.count(host.pool) != 0 ||
-      (!host.vm.empty() && offers_.count(host.vm) != 0);
+  const bool is_idle = spare_.count(host.pool) != 0 ||
+                       (!host.vm.empty() && offers_.count(host.vm) != 0);
   return host.state == host_state::kUp && is_idle &&
          moves_.count(host.host) == 0 && busy.count(host.host) == 0;
 }
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -293,10 +293,9 @@
           continue;
         }
         const bool is_done = task.phase == task_phase::kDone;
-        progress.tasks.push_back({number, s, i, task.ended_run,
-                                  task.failed_runs,
-                                  is_done, is_done ? "" : task.checkpoint,
-                                  task.is_presumed});
+        progress.tasks.push_back(
+            {number, s, i, task.ended_run, task.failed_runs, is_done,
+             is_done ? "" : task.checkpoint, task.is_presumed});
       }
     }
   }
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -102,8 +102,8 @@
                 end_kind how,
                 const std::string& checkpoint,
                 const vm_id& vm);
-  /// Takes a run for ended that no VM can be running. Returns false when its end
-  /// was recorded before.
+  /// Takes a run for ended that no VM can be running. Returns false when its
+  /// end was recorded before.
   bool PresumeEnd(const task_name& name, std::uint32_t run);
   void Cancel() { Finish(job_phase::kCancelled); }
 
@@ -114,9 +114,7 @@
                  std::uint32_t run,
                  end_kind how);
   /// Returns false when the failure was counted before.
-  bool CountFailure(const task_name& name,
-                    task_state* task,
-                    std::uint32_t run);
+  bool CountFailure(const task_name& name, task_state* task, std::uint32_t run);
   void Finish(job_phase phase);
   void Open(std::uint32_t occurrence);
   void MarkDone(step_state* step, task_state* task);
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -6,7 +6,8 @@
 namespace plantainhead::core::jobs {
 namespace {
 
-// Lasting tasks go before all priorities, and jobs that will be late after them.
+// Lasting tasks go before all priorities, and jobs that will be late after
+// them.
 constexpr int kLastingRank = -1;
 constexpr int kLateRank = 1000;
 
@@ -52,8 +53,8 @@
 // lease is over.
 bool pool_scheduler::impl::IsRecovered(time_point now) {
   if (!is_recovered_) {
-    is_recovered_ = std::all_of(
-        vms_.begin(), vms_.end(), [now](const auto& entry) {
+    is_recovered_ =
+        std::all_of(vms_.begin(), vms_.end(), [now](const auto& entry) {
           return entry.second.is_settled || entry.second.IsLapsed(now);
         });
   }
@@ -205,9 +206,8 @@
                                       const step_spec& step) const {
   const vm_description& description = vm.description();
   const bool has_foreign =
-      std::any_of(vm.runs().begin(), vm.runs().end(), [](const auto& entry) {
-        return entry.second.is_foreign;
-      });
+      std::any_of(vm.runs().begin(), vm.runs().end(),
+                  [](const auto& entry) { return entry.second.is_foreign; });
   return vm.is_listed && vm.is_recorded && vm.is_settled &&
          description.pool == pool && !vm.is_closed && !description.draining &&
          vm.IsReachable() && !has_foreign &&
@@ -229,17 +229,16 @@
 }
 
 // Takes the VM that is left with the least processor time, so that VMs with
-// much room stay free for large tasks. Lasting tasks go where others are already,
-// as far as their steps allow: the VMs without any can be given away when the
-// demand falls. Those that only fill keep away from those that serve.
+// much room stay free for large tasks. Lasting tasks go where others are
+// already, as far as their steps allow: the VMs without any can be given away
+// when the demand falls. Those that only fill keep away from those that serve.
 vm_state* pool_scheduler::impl::ChooseVm(const job_state& job,
                                          const task_name& task,
                                          const std::string& rack,
                                          time_point now) {
   const step_spec& step = job.spec().steps[task.step];
   const resources room = RoomOf(step);
-  const vm_id failed_on =
-      const_cast<job_state&>(job).Find(task)->failed_on;
+  const vm_id failed_on = const_cast<job_state&>(job).Find(task)->failed_on;
   vm_state* best = nullptr;
   vm_state* last_resort = nullptr;
   std::size_t eligible = 0;
@@ -260,8 +259,7 @@
       last_resort = &vm;
       continue;
     }
-    const bool is_near =
-        rack.empty() || HasLabel(vm.description(), rack);
+    const bool is_near = rack.empty() || HasLabel(vm.description(), rack);
     const std::int64_t left = vm.Free().cpu_millis - room.cpu_millis;
     int burden = is_near ? 0 : 4;
     if (step.fills) {
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -197,18 +197,17 @@
       vm->failing_jobs.size() < 2) {
     return;
   }
-  const auto set_aside =
-      std::count_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
-        return entry.second.avoid_until > now;
-      });
+  const auto set_aside = std::count_if(
+      vms_.begin(), vms_.end(),
+      [&](const auto& entry) { return entry.second.avoid_until > now; });
   if (3 * (static_cast<std::size_t>(set_aside) + 1) <= vms_.size() + 2) {
     vm->avoid_until = now + settings_.quarantine;
   }
 }
 
 // Ends runs that the VM doesn't have. A hold that was sent before the VM had
-// confirmed the run, or the stop of it, proves nothing: its answer may have been
-// made earlier.
+// confirmed the run, or the stop of it, proves nothing: its answer may have
+// been made earlier.
 void pool_scheduler::impl::CheckAbsent(vm_state* vm,
                                        time_point sent_at,
                                        const vm_listing& listing,
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -137,10 +137,10 @@
   const step_spec& step = job->StepOf(name);
   std::uint32_t at_work = 0;
   for (const auto& [id, vm] : vms_) {
-    for (auto it = vm.runs().lower_bound({name.job, name.occurrence, name.step, 0});
+    for (auto it =
+             vm.runs().lower_bound({name.job, name.occurrence, name.step, 0});
          it != vm.runs().end() && it->first.job == name.job &&
-         it->first.occurrence == name.occurrence &&
-         it->first.step == name.step;
+         it->first.occurrence == name.occurrence && it->first.step == name.step;
          ++it) {
       const bool is_other = it->first.index != name.index;
       const bool is_at_work = it->second.percent >= kAtWork &&
@@ -180,8 +180,7 @@
                         now >= run.next_stop_at;
     if (is_due) {
       run.is_stop_in_flight = true;
-      orders->emplace_back(
-          stop_order{{vm->description().id, task, run.run}});
+      orders->emplace_back(stop_order{{vm->description().id, task, run.run}});
     }
   }
 }
--- a/src/core/jobs/pool_size.cc
+++ b/src/core/jobs/pool_size.cc
@@ -42,9 +42,9 @@
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         const step_spec& step = job->spec().steps[s];
         if (step.lasting && step.most_per_vm > 0) {
-          load.spread = std::max(load.spread,
-                                 (step.task_count + step.most_per_vm - 1) /
-                                     step.most_per_vm);
+          load.spread =
+              std::max(load.spread, (step.task_count + step.most_per_vm - 1) /
+                                        step.most_per_vm);
         }
         const std::int64_t waiting = occurrence.steps[s].Waiting();
         // A job that is late anyway draws no VMs: it gains little by ending
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -134,9 +134,10 @@
     if (progress.phase != host_phase::kDown || listed == nullptr) {
       continue;
     }
-    const bool is_back = listed->host.state == host_state::kUp &&
-                         listed->last_listed > progress.accepted_at &&
-                         (progress.vm.empty() || listed->host.vm != progress.vm);
+    const bool is_back =
+        listed->host.state == host_state::kUp &&
+        listed->last_listed > progress.accepted_at &&
+        (progress.vm.empty() || listed->host.vm != progress.vm);
     if (is_back) {
       progress.phase = host_phase::kDone;
       if (!progress.vm.empty()) {
@@ -200,8 +201,7 @@
       wave->hosts.begin(), wave->hosts.end(), [this](const auto& entry) {
         const listed_host* listed = FindHost(entry.first);
         const bool is_in_service =
-            listed != nullptr &&
-            listed->host.state == host_state::kInService;
+            listed != nullptr && listed->host.state == host_state::kInService;
         return is_in_service || entry.second.phase == host_phase::kOrdered ||
                entry.second.phase == host_phase::kDown;
       });
--- a/src/jobs/clocks.cc
+++ b/src/jobs/clocks.cc
@@ -8,8 +8,8 @@
 core::time_point Read(clockid_t clock) {
   timespec now{};
   clock_gettime(clock, &now);
-  const auto since = std::chrono::seconds(now.tv_sec) +
-                     std::chrono::nanoseconds(now.tv_nsec);
+  const auto since =
+      std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
   return core::time_point(std::chrono::duration_cast<core::duration>(since));
 }
 
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -13,9 +13,9 @@
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "jobs/fleet_records.h"
+#include "plantainhead/core/visit.h"
 #include "platform/configuration_codec.h"
 #include "platform/fleet_client.h"
-#include "plantainhead/core/visit.h"
 
 namespace plantainhead::jobs {
 namespace {
@@ -89,24 +89,22 @@
   }
 
   void ReadBeforeClaim() {
-    deps_.world->RefreshProgress(
-        kFleetPartition, [self = weak_from_this()](bool is_read) {
-          const auto owner = self.lock();
-          if (!owner || owner->is_closed_) {
-            return;
-          }
-          if (is_read) {
-            owner->Claim();
-          } else {
-            owner->After(owner->settings_.takeover_retry,
-                         &impl::ReadBeforeClaim);
-          }
-        });
+    deps_.world->RefreshProgress(kFleetPartition, [self = weak_from_this()](
+                                                      bool is_read) {
+      const auto owner = self.lock();
+      if (!owner || owner->is_closed_) {
+        return;
+      }
+      if (is_read) {
+        owner->Claim();
+      } else {
+        owner->After(owner->settings_.takeover_retry, &impl::ReadBeforeClaim);
+      }
+    });
   }
 
   void Claim() {
-    const std::uint64_t before =
-        deps_.world->OwnerOf(kFleetPartition).epoch;
+    const std::uint64_t before = deps_.world->OwnerOf(kFleetPartition).epoch;
     epoch_ = std::max({generation_, before + 1, epoch_ + 1});
     has_predecessor_ = before > 0;
     writer_.Claim(epoch_, deps_.member, deps_.world->CursorOf(kFleetPartition),
@@ -335,11 +333,11 @@
   void TakeService(const core::jobs::service_host& action,
                    duty_outcome outcome) {
     const bool is_accepted = outcome == duty_outcome::kAccepted;
-    LogEvent(is_accepted ? job_event::kHostServiced
-                         : job_event::kHostNotServiced,
-             {{"host", action.host},
-              {"wave", std::to_string(action.wave)},
-              {"outcome", std::string(core::NameOf(outcome))}});
+    LogEvent(
+        is_accepted ? job_event::kHostServiced : job_event::kHostNotServiced,
+        {{"host", action.host},
+         {"wave", std::to_string(action.wave)},
+         {"outcome", std::string(core::NameOf(outcome))}});
     if (outcome == duty_outcome::kFenced) {
       const auto on_fenced = deps_.on_fenced;
       Close();
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -9,9 +9,9 @@
 
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
-#include "platform/store_client.h"
 #include "plantainhead/core/jobs/fleet_balancer.h"
 #include "plantainhead/core/jobs/wave_keeper.h"
+#include "platform/store_client.h"
 
 namespace plantainhead::jobs {
 
@@ -32,7 +32,8 @@
 };
 
 /// Takes the fleet's partition over and walks maintenance waves through,
-/// and moves hosts between pools. The only process that gives orders for hosts. Not thread-safe.
+/// and moves hosts between pools. The only process that gives orders for hosts.
+/// Not thread-safe.
 class fleet_owner {
  public:
   struct dependencies {
--- a/src/jobs/fleet_records.h
+++ b/src/jobs/fleet_records.h
@@ -5,9 +5,9 @@
 #include <optional>
 #include <string>
 
-#include "platform/store_client.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/maintenance.h"
+#include "platform/store_client.h"
 
 /// What the fleet's owner and the pools' owners tell each other through the
 /// store: the first asks for a VM to be emptied, the second tells when it is.
--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -27,13 +27,13 @@
   }
 
   void LookForOthers() {
-    store_.ListMembers(settings_.group, settings_.timeout,
-                       [self = weak_from_this()](
-                           const adapter::members_reply& reply) {
-                         if (const auto member = self.lock()) {
-                           member->TakeMembers(reply);
-                         }
-                       });
+    store_.ListMembers(
+        settings_.group, settings_.timeout,
+        [self = weak_from_this()](const adapter::members_reply& reply) {
+          if (const auto member = self.lock()) {
+            member->TakeMembers(reply);
+          }
+        });
   }
 
   void TakeMembers(const adapter::members_reply& reply) {
@@ -51,13 +51,13 @@
       return;
     }
     timer_.expires_after(settings_.look_interval);
-    timer_.async_wait([self = weak_from_this()](
-                          const boost::system::error_code& error) {
-      const auto member = self.lock();
-      if (member && !error) {
-        member->LookForOthers();
-      }
-    });
+    timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto member = self.lock();
+          if (member && !error) {
+            member->LookForOthers();
+          }
+        });
   }
 
   void Renew() {
@@ -67,15 +67,15 @@
     is_in_flight_ = true;
     timer_.cancel();
     const core::time_point sent_at = BootTime();
-    store_.Join({settings_.group, member_, settings_.topic,
-                 settings_.time_to_live, generation_},
-                settings_.timeout,
-                [self = weak_from_this(),
-                 sent_at](const adapter::join_reply& reply) {
-                  if (const auto member = self.lock()) {
-                    member->TakeReply(sent_at, reply);
-                  }
-                });
+    store_.Join(
+        {settings_.group, member_, settings_.topic, settings_.time_to_live,
+         generation_},
+        settings_.timeout,
+        [self = weak_from_this(), sent_at](const adapter::join_reply& reply) {
+          if (const auto member = self.lock()) {
+            member->TakeReply(sent_at, reply);
+          }
+        });
   }
 
   void Leave(std::function<void()> on_left) {
@@ -100,13 +100,13 @@
     // doesn't use up the time to live.
     const auto pause = is_failing_ ? settings_.renewal / 3 : settings_.renewal;
     timer_.expires_after(pause);
-    timer_.async_wait([self = weak_from_this()](
-                          const boost::system::error_code& error) {
-      const auto member = self.lock();
-      if (member && !error) {
-        member->Renew();
-      }
-    });
+    timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto member = self.lock();
+          if (member && !error) {
+            member->Renew();
+          }
+        });
     if (reply.is_joined) {
       renewed_at_ = sent_at;
       answered_at_ = BootTime();
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -8,8 +8,8 @@
 #include <set>
 #include <string>
 
-#include "platform/store_client.h"
 #include "plantainhead/core/time.h"
+#include "platform/store_client.h"
 
 namespace boost::asio {
 class io_context;
@@ -46,8 +46,8 @@
       std::function<void(std::uint64_t generation,
                          const std::set<std::uint32_t>& partitions)>;
 
-  /// `member` names the process; it is the same after a restart. `on_dealt` is called after each
-  /// renewal.
+  /// `member` names the process; it is the same after a restart. `on_dealt` is
+  /// called after each renewal.
   group_member(boost::asio::io_context* context,
                adapter::store_client* store,
                const member_settings& settings,
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -154,9 +154,9 @@
     listeners.on_store_contact = [this](bool is_answered) {
       if (is_answered != is_store_answering_) {
         is_store_answering_ = is_answered;
-        LogEvent(is_answered ? job_event::kStoreRegained
-                             : job_event::kStoreLost,
-                 {{"renewed_ms_ago", MillisSince(member_.RenewedAt())}});
+        LogEvent(
+            is_answered ? job_event::kStoreRegained : job_event::kStoreLost,
+            {{"renewed_ms_ago", MillisSince(member_.RenewedAt())}});
       }
     };
     return listeners;
@@ -278,8 +278,8 @@
 
   // A member that hasn't renewed for its time to live may have lost its
   // partitions, also when it was suspended meanwhile and hasn't noticed. If it
-  // went on, it could start a task on a VM that the new owner can't reach, after
-  // that has waited for the last lease there to end.
+  // went on, it could start a task on a VM that the new owner can't reach,
+  // after that has waited for the last lease there to end.
   bool IsSure() const {
     return BootTime() < member_.RenewedAt() + member_settings_.time_to_live;
   }
@@ -329,20 +329,21 @@
 
   void StopTick() {
     const core::duration age = BootTime() - stop_began_;
-    const bool is_quiet = age > kProbesMissed && callers_->ActiveRequests() == 0;
+    const bool is_quiet =
+        age > kProbesMissed && callers_->ActiveRequests() == 0;
     if (is_quiet || age > settings_.stop_grace - kStopReserve) {
       callers_->CloseIdle();
       on_stopped_();
       return;
     }
     stop_timer_.expires_after(kStopTick);
-    stop_timer_.async_wait([self = weak_from_this()](
-                               const boost::system::error_code& error) {
-      const auto service = self.lock();
-      if (service && !error) {
-        service->StopTick();
-      }
-    });
+    stop_timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto service = self.lock();
+          if (service && !error) {
+            service->StopTick();
+          }
+        });
   }
 
   boost::asio::io_context* context_;
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -11,8 +11,8 @@
 #include <variant>
 
 #include "jobs/event_log.h"
-#include "platform/configuration_codec.h"
 #include "plantainhead/core/visit.h"
+#include "platform/configuration_codec.h"
 
 namespace plantainhead::jobs {
 namespace {
@@ -83,8 +83,9 @@
   };
   return routes_.configuration().version > 0 &&
          std::all_of(job_followers_.begin(), job_followers_.end(), is_loaded) &&
-         std::all_of(pool_followers_.begin(), pool_followers_.end(),
-                     [&](const auto& entry) { return is_loaded(entry.second); });
+         std::all_of(
+             pool_followers_.begin(), pool_followers_.end(),
+             [&](const auto& entry) { return is_loaded(entry.second); });
 }
 
 core::jobs::queue_policy job_world::PolicyOf(
@@ -116,21 +117,20 @@
     }
     return;
   }
-  std::visit(
-      core::overloaded{
-          [this](submission_record& submission) {
-            auto spec = std::make_shared<const core::jobs::job_spec>(
-                std::move(submission.spec));
-            if (directory_.AddJob(spec)) {
-              listeners_.on_job(spec);
-            }
-          },
-          [this](const cancel_record& cancel) {
-            if (directory_.NoteCancel(cancel.job)) {
-              listeners_.on_cancel(cancel.job);
-            }
-          }},
-      *decoded);
+  std::visit(core::overloaded{
+                 [this](submission_record& submission) {
+                   auto spec = std::make_shared<const core::jobs::job_spec>(
+                       std::move(submission.spec));
+                   if (directory_.AddJob(spec)) {
+                     listeners_.on_job(spec);
+                   }
+                 },
+                 [this](const cancel_record& cancel) {
+                   if (directory_.NoteCancel(cancel.job)) {
+                     listeners_.on_cancel(cancel.job);
+                   }
+                 }},
+             *decoded);
 }
 
 void job_world::TakePoolRecord(std::uint32_t partition,
@@ -143,22 +143,22 @@
     return;
   }
   std::visit(core::overloaded{[this](progress_record& progress) {
-                             directory_.NoteProgress(
-                                 progress.job, std::move(progress.progress));
-                           },
-                           [this, partition](owner_record& owner) {
-                             owner_record& note = owners_[partition];
-                             if (owner.epoch >= note.epoch) {
-                               note = std::move(owner);
-                             }
-                           },
-                           [this, partition](vm_record& vm) {
-                             if (vm.is_dropped) {
-                               used_vms_[partition].erase(vm.vm);
-                             } else {
-                               used_vms_[partition][vm.vm] = vm.address;
-                             }
-                           }},
+                                directory_.NoteProgress(
+                                    progress.job, std::move(progress.progress));
+                              },
+                              [this, partition](owner_record& owner) {
+                                owner_record& note = owners_[partition];
+                                if (owner.epoch >= note.epoch) {
+                                  note = std::move(owner);
+                                }
+                              },
+                              [this, partition](vm_record& vm) {
+                                if (vm.is_dropped) {
+                                  used_vms_[partition].erase(vm.vm);
+                                } else {
+                                  used_vms_[partition][vm.vm] = vm.address;
+                                }
+                              }},
              *decoded);
 }
 
@@ -182,10 +182,10 @@
          routes_.configuration().routes) {
       policies_[route.queue] = route.policy;
     }
-    LogEvent(job_event::kConfigurationApplied,
-             {{"version", std::to_string(routes_.configuration().version)},
-              {"routes",
-               std::to_string(routes_.configuration().routes.size())}});
+    LogEvent(
+        job_event::kConfigurationApplied,
+        {{"version", std::to_string(routes_.configuration().version)},
+         {"routes", std::to_string(routes_.configuration().routes.size())}});
     FollowPools();
     listeners_.on_configuration();
     return;
@@ -251,14 +251,14 @@
     const std::uint32_t pool = PoolPartitionOf(route.pool);
     if (std::find(owned_.begin(), owned_.end(), pool) != owned_.end()) {
       for (std::uint32_t i = 0; i < kPartitionsOfQueue; ++i) {
-        watched.insert(
-            static_cast<std::uint32_t>((Hash(route.queue) + i) % kJobPartitions));
+        watched.insert(static_cast<std::uint32_t>((Hash(route.queue) + i) %
+                                                  kJobPartitions));
       }
     }
   }
   for (std::uint32_t i = 0; i < job_followers_.size(); ++i) {
-    job_followers_[i]->SetMode(watched.count(i) != 0 ? follow_mode::kWatch
-                                                     : follow_mode::kBackground);
+    job_followers_[i]->SetMode(
+        watched.count(i) != 0 ? follow_mode::kWatch : follow_mode::kBackground);
   }
   if (!registry_follower_ && (!owned_.empty() || is_fleet_owned_)) {
     registry_follower_ = MakeFollower(
@@ -308,8 +308,7 @@
       on_read();
       return;
     }
-    const auto timer =
-        std::make_shared<boost::asio::steady_timer>(*context_);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
     timer->expires_after(settings_.least_pause);
     timer->async_wait([this, follower, on_read,
                        timer](const boost::system::error_code& /*error*/) {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -10,11 +10,11 @@
 
 #include "jobs/log_follower.h"
 #include "jobs/record_codec.h"
-#include "platform/store_client.h"
 #include "plantainhead/core/jobs/job_directory.h"
 #include "plantainhead/core/jobs/maintenance.h"
 #include "plantainhead/core/jobs/routing.h"
 #include "plantainhead/core/jobs/vm_reports.h"
+#include "platform/store_client.h"
 
 namespace boost::asio {
 class io_context;
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -7,8 +7,8 @@
 #include <memory>
 #include <vector>
 
-#include "platform/store_client.h"
 #include "plantainhead/core/time.h"
+#include "platform/store_client.h"
 
 namespace boost::asio {
 class io_context;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -78,18 +78,16 @@
     }
     owner_record end{epoch_, "", {}};
     for (const auto& [vm, lapse_at] : scheduler_->LeaseEnds()) {
-      end.leases[vm] =
-          std::max(core::duration::zero(), lapse_at - BootTime());
+      end.leases[vm] = std::max(core::duration::zero(), lapse_at - BootTime());
     }
     scheduler_.reset();
     links_.clear();
     tick_timer_.cancel();
-    writer_->Write({Encode(end)},
-                   [self = shared_from_this(),
-                    on_released](progress_writer::result /*result*/) {
-                     self->Close();
-                     on_released();
-                   });
+    writer_->Write({Encode(end)}, [self = shared_from_this(), on_released](
+                                      progress_writer::result /*result*/) {
+      self->Close();
+      on_released();
+    });
   }
 
   bool is_active() const { return scheduler_ != nullptr; }
@@ -167,30 +165,30 @@
  private:
   void RetryClaim() {
     claim_timer_.expires_after(settings_.takeover_retry);
-    claim_timer_.async_wait([self = weak_from_this()](
-                                const boost::system::error_code& error) {
-      const auto owner = self.lock();
-      if (owner && !error && !owner->is_closed_) {
-        owner->ReadBeforeClaim();
-      }
-    });
-  }
-
-  void ReadBeforeClaim() {
-    deps_.world->RefreshProgress(
-        partition_, [self = weak_from_this()](bool is_read) {
+    claim_timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
           const auto owner = self.lock();
-          if (!owner || owner->is_closed_) {
-            return;
-          }
-          if (is_read) {
-            owner->Claim();
-          } else {
-            owner->RetryClaim();
+          if (owner && !error && !owner->is_closed_) {
+            owner->ReadBeforeClaim();
           }
         });
   }
 
+  void ReadBeforeClaim() {
+    deps_.world->RefreshProgress(partition_,
+                                 [self = weak_from_this()](bool is_read) {
+                                   const auto owner = self.lock();
+                                   if (!owner || owner->is_closed_) {
+                                     return;
+                                   }
+                                   if (is_read) {
+                                     owner->Claim();
+                                   } else {
+                                     owner->RetryClaim();
+                                   }
+                                 });
+  }
+
   void Claim() {
     predecessor_ = deps_.world->OwnerOf(partition_);
     epoch_ = std::max({generation_, predecessor_.epoch + 1, epoch_ + 1});
@@ -284,8 +282,7 @@
 
   void Begin() {
     const core::jobs::takeover_bounds bounds = MakeBounds();
-    scheduler_ =
-        std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
+    scheduler_ = std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
     std::size_t open = 0;
     for (const auto& [id, entry] : deps_.world->directory().entries()) {
       if (core::jobs::IsFinal(entry.progress.phase)) {
@@ -295,8 +292,8 @@
         continue;
       }
       ++open;
-      // An earlier owner may have read all that was stored by the claim, so that
-      // none of these jobs counts as fresh.
+      // An earlier owner may have read all that was stored by the claim, so
+      // that none of these jobs counts as fresh.
       scheduler_->AddJob(entry.spec, deps_.world->PolicyOf(entry.queue),
                          claimed_at_);
       scheduler_->RestoreJob(id, entry.progress);
@@ -323,15 +320,15 @@
 
   void Tick() {
     tick_timer_.expires_after(settings_.tick);
-    tick_timer_.async_wait([self = weak_from_this()](
-                               const boost::system::error_code& error) {
-      const auto owner = self.lock();
-      if (owner && !error && !owner->is_closed_) {
-        owner->Work();
-        owner->SizePools();
-        owner->Tick();
-      }
-    });
+    tick_timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto owner = self.lock();
+          if (owner && !error && !owner->is_closed_) {
+            owner->Work();
+            owner->SizePools();
+            owner->Tick();
+          }
+        });
   }
 
   // Plans soon; several events in a row lead to one plan.
@@ -390,19 +387,17 @@
         links_[vm.id] =
             std::make_shared<vm_link>(deps_.context, vm.id, vm.address);
       } catch (const std::invalid_argument& error) {
-        LogEvent(job_event::kRecordInvalid,
-                 {{"topic", adapter::kRegistryTopic},
-                  {"key", vm.id},
-                  {"reason", error.what()}});
+        LogEvent(job_event::kRecordInvalid, {{"topic", adapter::kRegistryTopic},
+                                             {"key", vm.id},
+                                             {"reason", error.what()}});
         continue;
       }
       Hold(vm.id);
     }
     for (auto it = links_.begin(); it != links_.end();) {
-      const bool is_known =
-          std::any_of(vms.begin(), vms.end(), [&](const vm_description& vm) {
-            return vm.id == it->first;
-          });
+      const bool is_known = std::any_of(
+          vms.begin(), vms.end(),
+          [&](const vm_description& vm) { return vm.id == it->first; });
       it = is_known ? std::next(it) : links_.erase(it);
     }
   }
@@ -441,16 +436,16 @@
     link->is_holding = true;
     const core::time_point sent_at = BootTime();
     link->held_at = sent_at;
-    link->client.Hold(
-        scheduler_->NextHold(vm, sent_at), epoch_, settings_.hold_timeout,
-        [self = weak_from_this(), link, vm,
-         sent_at](const adapter::hold_reply& reply) {
-          link->is_holding = false;
-          const auto owner = self.lock();
-          if (owner && !owner->is_closed_ && owner->scheduler_) {
-            owner->TakeHold(vm, link, sent_at, reply);
-          }
-        });
+    link->client.Hold(scheduler_->NextHold(vm, sent_at), epoch_,
+                      settings_.hold_timeout,
+                      [self = weak_from_this(), link, vm,
+                       sent_at](const adapter::hold_reply& reply) {
+                        link->is_holding = false;
+                        const auto owner = self.lock();
+                        if (owner && !owner->is_closed_ && owner->scheduler_) {
+                          owner->TakeHold(vm, link, sent_at, reply);
+                        }
+                      });
   }
 
   void TakeHold(const vm_id& vm,
@@ -533,9 +528,9 @@
           const bool is_started = result == start_result::kStarted;
           observe::log_fields fields = FieldsOf(target);
           fields.emplace_back("result", core::NameOf(result));
-          LogEvent(is_started ? job_event::kTaskStarted
-                              : job_event::kTaskNotStarted,
-                   std::move(fields));
+          LogEvent(
+              is_started ? job_event::kTaskStarted : job_event::kTaskNotStarted,
+              std::move(fields));
           owner->scheduler_->OnStartAnswer(target, result, BootTime());
           if (!is_started) {
             owner->Kick();
@@ -593,14 +588,13 @@
     }
     const auto stored =
         std::make_shared<core::jobs::progress_batch>(std::move(*batch));
-    writer_->Write(std::move(records),
-                   [self = weak_from_this(),
-                    stored](progress_writer::result result) {
-                     const auto owner = self.lock();
-                     if (owner && !owner->is_closed_ && owner->scheduler_) {
-                       owner->TakeStored(*stored, result);
-                     }
-                   });
+    writer_->Write(std::move(records), [self = weak_from_this(), stored](
+                                           progress_writer::result result) {
+      const auto owner = self.lock();
+      if (owner && !owner->is_closed_ && owner->scheduler_) {
+        owner->TakeStored(*stored, result);
+      }
+    });
   }
 
   void TakeStored(const core::jobs::progress_batch& batch,
@@ -637,8 +631,7 @@
       if (load.usable_vms == 0) {
         continue;
       }
-      auto [size, is_new] =
-          sizes_.try_emplace(pool.id, settings_.sizer, now);
+      auto [size, is_new] = sizes_.try_emplace(pool.id, settings_.sizer, now);
       const std::uint32_t wanted =
           size->second.sizer.Update(load, IsScarce(pool.id), now);
       TellWanted(pool.id, &size->second, load, wanted, now);
@@ -655,12 +648,10 @@
 
   bool IsScarce(const core::jobs::pool_id& except) const {
     const auto& records = deps_.world->fleet_records();
-    return std::any_of(
-        records.begin(), records.end(), [&](const auto& record) {
-          const auto pool = WantingPoolOf(record.first);
-          return pool && *pool != except &&
-                 DecodeWantedVms(record.second).is_short;
-        });
+    return std::any_of(records.begin(), records.end(), [&](const auto& record) {
+      const auto pool = WantingPoolOf(record.first);
+      return pool && *pool != except && DecodeWantedVms(record.second).is_short;
+    });
   }
 
   struct pool_size {
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -9,10 +9,10 @@
 
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
-#include "platform/store_client.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
 #include "plantainhead/core/jobs/pool_sizer.h"
+#include "platform/store_client.h"
 
 namespace plantainhead::jobs {
 
--- a/src/jobs/progress_writer.cc
+++ b/src/jobs/progress_writer.cc
@@ -32,8 +32,7 @@
     Send();
   }
 
-  void Write(std::vector<adapter::keyed_record> records,
-             done_handler on_done) {
+  void Write(std::vector<adapter::keyed_record> records, done_handler on_done) {
     ++call_.identity->sequence;
     call_.expected_end.reset();
     call_.records = std::move(records);
@@ -41,9 +40,7 @@
     Send();
   }
 
-  bool is_busy() const {
-    return on_done_ != nullptr || BootTime() < free_at_;
-  }
+  bool is_busy() const { return on_done_ != nullptr || BootTime() < free_at_; }
 
   void Close() {
     timer_.cancel();
@@ -52,13 +49,14 @@
 
  private:
   void Send() {
-    store_.Append(call_, settings_.timeout,
-                  [self = weak_from_this()](const adapter::append_reply& reply) {
-                    const auto writer = self.lock();
-                    if (writer && writer->on_done_) {
-                      writer->TakeReply(reply);
-                    }
-                  });
+    store_.Append(
+        call_, settings_.timeout,
+        [self = weak_from_this()](const adapter::append_reply& reply) {
+          const auto writer = self.lock();
+          if (writer && writer->on_done_) {
+            writer->TakeReply(reply);
+          }
+        });
   }
 
   void TakeReply(const adapter::append_reply& reply) {
@@ -91,13 +89,13 @@
         break;
     }
     timer_.expires_after(settings_.retry_pause);
-    timer_.async_wait([self = weak_from_this()](
-                          const boost::system::error_code& error) {
-      const auto writer = self.lock();
-      if (writer && !error && writer->on_done_) {
-        writer->Send();
-      }
-    });
+    timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto writer = self.lock();
+          if (writer && !error && writer->on_done_) {
+            writer->Send();
+          }
+        });
   }
 
   void Finish(result outcome) {
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -89,8 +89,8 @@
 
 core::jobs::job_progress ToProgress(const json& parsed) {
   core::jobs::job_progress progress;
-  const auto phase = core::FromName<core::jobs::job_phase>(
-      parsed.at("s").get<std::string>());
+  const auto phase =
+      core::FromName<core::jobs::job_phase>(parsed.at("s").get<std::string>());
   progress.phase = phase.value_or(core::jobs::job_phase::kQueued);
   if (parsed.contains("t")) {
     for (const json& row : parsed["t"]) {
@@ -99,8 +99,7 @@
            row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>(),
            row.at(4).get<std::vector<std::uint32_t>>(),
            row.at(5).get<int>() != 0,
-           row.size() > 6 ? row.at(6).get<std::string>() : "",
-           row.size() > 7});
+           row.size() > 6 ? row.at(6).get<std::string>() : "", row.size() > 7});
     }
   }
   return progress;
@@ -132,9 +131,9 @@
   if (!record.progress.tasks.empty()) {
     json rows = json::array();
     for (const core::jobs::task_record& task : record.progress.tasks) {
-      json row = json::array({task.occurrence, task.step, task.index,
-                              task.ended_run, task.failed_runs,
-                              task.done ? 1 : 0});
+      json row =
+          json::array({task.occurrence, task.step, task.index, task.ended_run,
+                       task.failed_runs, task.done ? 1 : 0});
       if (!task.checkpoint.empty() || task.is_presumed) {
         row.push_back(task.checkpoint);
       }
--- a/src/jobs/record_codec.h
+++ b/src/jobs/record_codec.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <variant>
 
-#include "platform/store_client.h"
 #include "plantainhead/core/jobs/job_types.h"
+#include "platform/store_client.h"
 
 /// The records that this project keeps in the store. Each has a key, and the
 /// store keeps the newest record of each key for good.
@@ -39,8 +39,8 @@
   std::map<core::jobs::vm_id, core::duration> leases;
 };
 
-/// The partition's owner may run tasks on the VM, or does so no more. Key: "vm/"
-/// and its id; dropped when nothing can be running there any more.
+/// The partition's owner may run tasks on the VM, or does so no more. Key:
+/// "vm/" and its id; dropped when nothing can be running there any more.
 struct vm_record {
   core::jobs::vm_id vm;
   std::string address;
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -60,8 +60,8 @@
     const std::string id(match.rest);
     if (id.empty() && request.verb == net::method::kGet) {
       ++counts_.queries;
-      respond(adapter::EncodePending(world_.directory().Pending(
-          match.route->queue)));
+      respond(adapter::EncodePending(
+          world_.directory().Pending(match.route->queue)));
       return;
     }
     if (!adapter::IsJobId(id)) {
@@ -81,8 +81,8 @@
         Cancel(*match.route, id, request, respond);
         return;
       case net::method::kOther:
-        respond(adapter::EncodeFault(kMethodNotAllowed,
-                                     "use POST, GET or DELETE"));
+        respond(
+            adapter::EncodeFault(kMethodNotAllowed, "use POST, GET or DELETE"));
         return;
     }
   }
@@ -150,8 +150,8 @@
     decoded.spec->id = id;
     decoded.spec->queue = route.queue;
     decoded.spec->pool = route.pool;
-    Append(Encode(submission_record{std::move(*decoded.spec)}), route, id,
-           kJob, request, respond);
+    Append(Encode(submission_record{std::move(*decoded.spec)}), route, id, kJob,
+           request, respond);
   }
 
   void Cancel(const core::jobs::queue_route& route,
@@ -261,8 +261,7 @@
     pending->waiting.push_back(respond);
     pending->partition = JobPartitionOf(route.queue, id);
     pending->record = std::move(record);
-    pending->look_timer =
-        std::make_shared<boost::asio::steady_timer>(context_);
+    pending->look_timer = std::make_shared<boost::asio::steady_timer>(context_);
     LookLater(pending);
     lanes_[pending->partition].waiting.push_back(pending);
     Flush(pending->partition);
@@ -316,19 +315,18 @@
       GiveUp(pending, {append_outcome::kUnknown, 0, 0, 0});
       return;
     }
-    world_.RefreshJobs(
-        pending->partition,
-        [self = weak_from_this(), pending](bool /*is_read*/) {
-          const auto service = self.lock();
-          if (!service || pending->is_answered) {
-            return;
-          }
-          if (service->IsStored(*pending)) {
-            service->Succeed(pending, "found in the store");
-          } else {
-            service->LookLater(pending);
-          }
-        });
+    world_.RefreshJobs(pending->partition,
+                       [self = weak_from_this(), pending](bool /*is_read*/) {
+                         const auto service = self.lock();
+                         if (!service || pending->is_answered) {
+                           return;
+                         }
+                         if (service->IsStored(*pending)) {
+                           service->Succeed(pending, "found in the store");
+                         } else {
+                           service->LookLater(pending);
+                         }
+                       });
   }
 
   bool IsStored(const pending_record& pending) const {
@@ -347,12 +345,14 @@
     Answer(pending, {kOk, {}, "{}"});
   }
 
-  void TakeReply(const record_ptr& pending, const adapter::append_reply& reply) {
+  void TakeReply(const record_ptr& pending,
+                 const adapter::append_reply& reply) {
     if (pending->is_answered) {
       return;
     }
     if (reply.outcome == append_outcome::kStored) {
-      Succeed(pending, "at offset " + std::to_string(reply.offset) + " or next");
+      Succeed(pending,
+              "at offset " + std::to_string(reply.offset) + " or next");
       return;
     }
     if (reply.outcome == append_outcome::kUnknown) {
@@ -368,8 +368,7 @@
       GiveUp(pending, reply);
       return;
     }
-    const auto timer =
-        std::make_shared<boost::asio::steady_timer>(context_);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context_);
     timer->expires_after(settings_.retry_pause);
     timer->async_wait([self = weak_from_this(), pending,
                        timer](const boost::system::error_code& error) {
@@ -407,9 +406,9 @@
   }
 
   static std::string Elapsed(const pending_record& pending) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(
-                              BootTime() - pending.began_at)
-                              .count());
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(BootTime() - pending.began_at)
+            .count());
   }
 
   void Answer(const record_ptr& pending, const net::server_response& response) {
--- a/src/jobs/submissions.h
+++ b/src/jobs/submissions.h
@@ -12,15 +12,15 @@
 
 #include "jobs/job_world.h"
 #include "net/http_message.h"
-#include "platform/store_client.h"
 #include "plantainhead/core/time.h"
+#include "platform/store_client.h"
 
 namespace plantainhead::jobs {
 
 struct submission_settings {
-  /// For the store's answer to an append. A slow store is not helped by a second
-  /// append, so that it is long enough for one that takes 50 times as long as
-  /// usual (0.2 s) with ten in a row before it.
+  /// For the store's answer to an append. A slow store is not helped by a
+  /// second append, so that it is long enough for one that takes 50 times as
+  /// long as usual (0.2 s) with ten in a row before it.
   std::chrono::milliseconds append_timeout = std::chrono::milliseconds(1400);
   /// An append without an answer is looked for in the store at this interval: a
   /// caller whose job is stored needn't wait for an answer that was lost.
--- a/src/jobs/vm_link.h
+++ b/src/jobs/vm_link.h
@@ -4,8 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <string>
 
-#include "platform/vm_client.h"
 #include "plantainhead/core/time.h"
+#include "platform/vm_client.h"
 
 namespace plantainhead::jobs {
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -9,8 +9,9 @@
 #include "plantainhead/core/names.h"
 
 /// HTTP/1.1 as messages, without the sockets. The platform's deployments need
-/// some hundred calls in flight on a quarter of a core, so that here, other than
-/// in `caller` and `endpoint`, no call takes a thread (docs/design/jobs.md).
+/// some hundred calls in flight on a quarter of a core, so that here, other
+/// than in `caller` and `endpoint`, no call takes a thread
+/// (docs/design/jobs.md).
 namespace plantainhead::net {
 
 using header_list = std::vector<std::pair<std::string, std::string>>;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -51,11 +51,10 @@
         handler_(std::move(handler)) {}
 
   void Accept() {
-    acceptor_.async_accept(
-        [self = shared_from_this()](error_code error,
-                                    asio::ip::tcp::socket socket) {
-          self->TakeConnection(error, std::move(socket));
-        });
+    acceptor_.async_accept([self = shared_from_this()](
+                               error_code error, asio::ip::tcp::socket socket) {
+      self->TakeConnection(error, std::move(socket));
+    });
   }
 
   void BeginStop() { is_stopping_ = true; }
@@ -124,11 +123,11 @@
     open->parser.emplace();
     open->parser->body_limit(options_.body_limit);
     open->stream.expires_after(options_.idle_limit);
-    http::async_read(open->stream, open->buffer, *open->parser,
-                     [self = shared_from_this(), open](error_code error,
-                                                       std::size_t) {
-                       self->TakeRequest(open, error);
-                     });
+    http::async_read(
+        open->stream, open->buffer, *open->parser,
+        [self = shared_from_this(), open](error_code error, std::size_t) {
+          self->TakeRequest(open, error);
+        });
   }
 
   void TakeRequest(const session_ptr& open, error_code error) {
@@ -138,8 +137,9 @@
       return;
     }
     const bool is_malformed =
-        error && error.category() ==
-                     make_error_code(http::error::bad_method).category() &&
+        error &&
+        error.category() ==
+            make_error_code(http::error::bad_method).category() &&
         error != http::error::end_of_stream &&
         error != http::error::partial_message;
     if (is_malformed) {
@@ -197,12 +197,12 @@
     open->response.keep_alive(keep_alive && !is_stopping_);
     open->response.prepare_payload();
     open->stream.expires_after(options_.transfer_limit);
-    http::async_write(open->stream, open->response,
-                      [self = shared_from_this(), open](error_code error,
-                                                        std::size_t) {
-                        --self->active_;
-                        self->AfterWrite(open, error);
-                      });
+    http::async_write(
+        open->stream, open->response,
+        [self = shared_from_this(), open](error_code error, std::size_t) {
+          --self->active_;
+          self->AfterWrite(open, error);
+        });
   }
 
   void AfterWrite(const session_ptr& open, error_code error) {
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -13,7 +13,8 @@
 
 /// Sets the options that each TCP connection needs: no delay of small packets,
 /// and `kUserTimeout`. Without that a write to a peer that lost its power waits
-/// for many minutes. Failures are ignored: the calls have timeouts of their own.
+/// for many minutes. Failures are ignored: the calls have timeouts of their
+/// own.
 void SetSocketOptions(int socket);
 
 }  // namespace plantainhead::net
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -99,10 +99,10 @@
 }
 
 TEST_CASE("Records are framed as the store takes and gives them") {
-  const std::string raw = EncodeRecord({"key", "value"}) +
-                          EncodeRecord({"gone", std::nullopt});
-  const std::string body = std::string(7, '\0') + "\x0c" +
-                           std::string(7, '\0') + "\x02" + raw;
+  const std::string raw =
+      EncodeRecord({"key", "value"}) + EncodeRecord({"gone", std::nullopt});
+  const std::string body =
+      std::string(7, '\0') + "\x0c" + std::string(7, '\0') + "\x02" + raw;
   const auto reply = DecodeRead(body, 10, true);
   REQUIRE(reply);
   CHECK(reply->end == 12);
--- a/tests/core/jobs/pool_scheduler_test.cc
+++ b/tests/core/jobs/pool_scheduler_test.cc
@@ -146,7 +146,8 @@
   const auto starts = driver.StartAll();
   driver.Store();
   driver.Pass(milliseconds(100));
-  driver.List("vm-1", {}, {Ended(1, starts[0].target.task, 1, end_kind::kDone)});
+  driver.List("vm-1", {},
+              {Ended(1, starts[0].target.task, 1, end_kind::kDone)});
   CHECK(driver.scheduler.NextHold("vm-1", driver.now).acked_through == 0);
   const auto batch = driver.scheduler.TakeBatch();
   REQUIRE(batch);
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -159,8 +159,8 @@
 }
 
 // A task failed twice under an owner that couldn't reach the store, so that
-// nothing of it is recorded. The new owner hears the VM of the second run first.
-// A failure that is passed over would allow a third run.
+// nothing of it is recorded. The new owner hears the VM of the second run
+// first. A failure that is passed over would allow a third run.
 TEST_CASE("Failures are counted in whatever order VMs tell of them") {
   scheduler_driver driver(Bounds());
   driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -168,14 +168,18 @@
   SECTION("what isn't there is told so") {
     CHECK(site.StateOf("p1", "ffffffffffffffff").find("no such job") !=
           std::string::npos);
-    CHECK(site.Call(site.addresses.at("p1"), net::method::kPost, "/nowhere/" +
-                    std::string(kId), kJob).status == 404);
-    CHECK(site.Call(site.addresses.at("p1"), net::method::kPost, "/q/short",
-                    kJob).status == 400);
     CHECK(site.Call(site.addresses.at("p1"), net::method::kPost,
-                    "/q/aaaaaaaaaaaaaaaa", "{}").status == 400);
+                    "/nowhere/" + std::string(kId), kJob)
+              .status == 404);
+    CHECK(
+        site.Call(site.addresses.at("p1"), net::method::kPost, "/q/short", kJob)
+            .status == 400);
+    CHECK(site.Call(site.addresses.at("p1"), net::method::kPost,
+                    "/q/aaaaaaaaaaaaaaaa", "{}")
+              .status == 400);
     CHECK(site.Call(site.addresses.at("p1"), net::method::kDelete,
-                    "/q/bbbbbbbbbbbbbbbb").status == 410);
+                    "/q/bbbbbbbbbbbbbbbb")
+              .status == 410);
     CHECK(site.Call(site.addresses.at("p1"), net::method::kGet, "/q/").body ==
           R"({"pending":0})");
   }
@@ -189,7 +193,8 @@
   REQUIRE(site.Submit("p1", kId).status == 200);
   REQUIRE(RunUntil(&site.context, [&] { return vm.Running() == 2; }));
   CHECK(site.Call(site.addresses.at("p1"), net::method::kDelete,
-                  "/q/" + std::string(kId)).status == 200);
+                  "/q/" + std::string(kId))
+            .status == 200);
   CHECK(RunUntil(&site.context, [&] { return vm.Running() == 0; }));
   CHECK(site.StateOf("p1", kId) == R"({"state":"cancelled"})");
 }
--- a/tests/run_until.h
+++ b/tests/run_until.h
@@ -8,7 +8,8 @@
 namespace plantainhead::testing {
 
 /// Runs the context until `is_done`, and returns whether it came to that. The
-/// limit only ends a test that would hang; no test depends on how long it takes.
+/// limit only ends a test that would hang; no test depends on how long it
+/// takes.
 inline bool RunUntil(boost::asio::io_context* context,
                      const std::function<bool()>& is_done) {
   constexpr auto kLimit = std::chrono::seconds(60);
