Record orders for hosts, so that a new owner of the fleet needn't wait

At 22.7 s a pool wanted 27 VMs, had 4, and got none until 24.05 s. Ruled out: too few hosts (22 were in the spare pool). Change: each order is recorded first, under the owner's epoch; a new owner leaves only hosts with a record alone for the lease.

--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -13,6 +13,7 @@
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "jobs/fleet_records.h"
+#include "jobs/record_codec.h"
 #include "plantainhead/core/visit.h"
 #include "platform/configuration_codec.h"
 #include "platform/fleet_client.h"
@@ -40,6 +41,15 @@
   return service_result::kUnknown;
 }
 
+using host_order =
+    std::variant<core::jobs::move_host, core::jobs::service_host>;
+
+const core::jobs::host_id& HostOf(const host_order& order) {
+  return std::visit(
+      [](const auto& kind) -> const core::jobs::host_id& { return kind.host; },
+      order);
+}
+
 std::string StatusKey(std::uint64_t wave) {
   return adapter::kWaveKeyPrefix + std::to_string(wave);
 }
@@ -106,7 +116,6 @@
   void Claim() {
     const std::uint64_t before = deps_.world->OwnerOf(kFleetPartition).epoch;
     epoch_ = std::max({generation_, before + 1, epoch_ + 1});
-    has_predecessor_ = before > 0;
     writer_.Claim(epoch_, deps_.member, deps_.world->CursorOf(kFleetPartition),
                   [self = weak_from_this()](progress_writer::result result) {
                     const auto owner = self.lock();
@@ -126,9 +135,9 @@
     LogEvent(job_event::kOwnershipGained,
              {{"partition", "fleet"}, {"epoch", std::to_string(epoch_)}});
     is_active_ = true;
-    orders_from_ = BootTime();
-    if (has_predecessor_) {
-      orders_from_ += settings_.holder_wait;
+    for (const core::jobs::host_id& host : deps_.world->ordered_hosts()) {
+      ordered_[host] = BootTime();
+      closed_until_[host] = BootTime() + ClosedTime();
     }
     TakeRecords();
     Tick();
@@ -176,19 +185,89 @@
     if (!is_listing_ && now - listed_at_ >= settings_.list_interval) {
       List();
     }
-    if (now < orders_from_) {
-      return;
-    }
     for (const core::jobs::wave_action& action : keeper_.Plan(now)) {
       std::visit([this](const auto& kind) { Do(kind); }, action);
     }
     for (const core::jobs::move_host& move :
          balancer_.Plan(keeper_.BusyHosts(), now)) {
-      Move(move);
+      orders_.emplace_back(move);
     }
+    SendOrders(now);
   }
 
-  void Move(const core::jobs::move_host& move) {
+  core::duration ClosedTime() const {
+    return settings_.holder_lease + settings_.lease_reserve;
+  }
+
+  // Two owners must not give orders for one host at about the same time. Each
+  // order is recorded before it is sent, under this owner's epoch: once a new
+  // owner has claimed the fleet the store refuses the record, and what was
+  // recorded before tells the new owner which hosts to leave alone for a while.
+  // It needn't wait for all others, so that hosts move on at once.
+  void SendOrders(core::time_point now) {
+    if (writer_.IsBusy()) {
+      return;
+    }
+    const auto batch = std::make_shared<std::vector<host_order>>();
+    std::vector<host_order> later;
+    for (host_order& order : orders_) {
+      const auto closed = closed_until_.find(HostOf(order));
+      const bool is_closed =
+          closed != closed_until_.end() && now < closed->second;
+      (is_closed ? later : *batch).push_back(std::move(order));
+    }
+    orders_ = std::move(later);
+    std::vector<adapter::keyed_record> records;
+    for (const host_order& order : *batch) {
+      records.push_back(Encode(order_record{HostOf(order), false}));
+      ordered_[HostOf(order)] = now;
+    }
+    for (auto it = ordered_.begin(); it != ordered_.end();) {
+      const bool is_old = now - it->second > ClosedTime();
+      if (is_old) {
+        records.push_back(Encode(order_record{it->first, true}));
+      }
+      it = is_old ? ordered_.erase(it) : std::next(it);
+    }
+    if (records.empty()) {
+      return;
+    }
+    writer_.Write(std::move(records), [self = weak_from_this(),
+                                       batch](progress_writer::result result) {
+      const auto owner = self.lock();
+      if (owner && !owner->is_closed_) {
+        owner->TakeRecorded(*batch, result);
+      }
+    });
+  }
+
+  void TakeRecorded(const std::vector<host_order>& batch,
+                    progress_writer::result result) {
+    if (result != progress_writer::result::kStored) {
+      Lose();
+      return;
+    }
+    // This process may have been suspended since it asked for the record.
+    if (!deps_.is_sure()) {
+      orders_.insert(orders_.end(), batch.begin(), batch.end());
+      return;
+    }
+    for (const host_order& order : batch) {
+      std::visit([this](const auto& kind) { Send(kind); }, order);
+    }
+  }
+
+  void Lose() {
+    LogEvent(job_event::kOwnershipLost,
+             {{"partition", "fleet"},
+              {"epoch", std::to_string(epoch_)},
+              {"reason", "a newer owner has claimed it"}});
+    const auto on_fenced = deps_.on_fenced;
+    Close();
+    on_fenced();
+  }
+
+  void Send(const core::jobs::move_host& move) {
     client_.Move(move.host, move.pool, epoch_, settings_.order_timeout,
                  [self = weak_from_this(), move](duty_outcome outcome) {
                    const auto owner = self.lock();
@@ -313,6 +392,10 @@
   }
 
   void Do(const core::jobs::service_host& action) {
+    orders_.emplace_back(action);
+  }
+
+  void Send(const core::jobs::service_host& action) {
     client_.Service(action.host, action.wave, epoch_, settings_.order_timeout,
                     [self = weak_from_this(), action](duty_outcome outcome) {
                       const auto owner = self.lock();
@@ -339,9 +422,7 @@
          {"wave", std::to_string(action.wave)},
          {"outcome", std::string(core::NameOf(outcome))}});
     if (outcome == duty_outcome::kFenced) {
-      const auto on_fenced = deps_.on_fenced;
-      Close();
-      on_fenced();
+      Lose();
       return;
     }
     keeper_.OnServiceAnswer(action.wave, action.host, ToResult(outcome),
@@ -361,13 +442,16 @@
   std::set<core::jobs::vm_id> dropped_offers_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
-  bool has_predecessor_ = false;
   bool is_active_ = false;
   bool is_closed_ = false;
   bool is_listing_ = false;
   core::time_point listed_at_;
   core::time_point requested_at_;
-  core::time_point orders_from_;
+  std::vector<host_order> orders_;
+  /// Hosts with a record of an order, and when it was given.
+  std::map<core::jobs::host_id, core::time_point> ordered_;
+  /// Hosts for which an earlier owner may have given an order.
+  std::map<core::jobs::host_id, core::time_point> closed_until_;
   std::vector<core::jobs::fleet_host> page_hosts_;
 };
 
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -26,9 +26,12 @@
   /// reading is paid for.
   std::chrono::milliseconds list_interval = std::chrono::milliseconds(600);
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(200);
-  /// No order is given for this time after a takeover: orders carry fences that
-  /// the platform doesn't check, so the earlier holder's lease must be over.
-  std::chrono::milliseconds holder_wait = std::chrono::milliseconds(5500);
+  /// How long an order for a host keeps other holders out. After a takeover a
+  /// host for which the earlier owner may have given an order gets none for
+  /// this time, since the platform doesn't check orders' fences.
+  std::chrono::milliseconds holder_lease = std::chrono::milliseconds(3000);
+  /// Added to it for what an order takes to arrive.
+  std::chrono::milliseconds lease_reserve = std::chrono::milliseconds(300);
 };
 
 /// Takes the fleet's partition over and walks maintenance waves through,
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -70,8 +70,7 @@
     owner_settings_.scheduler.lease =
         std::min(owner_settings_.scheduler.lease, settings.longest_lease);
     fleet_settings_.address = settings.fleet_address;
-    fleet_settings_.holder_wait =
-        member_settings_.time_to_live +
+    fleet_settings_.holder_lease =
         std::chrono::duration_cast<milliseconds>(settings.holder_lease);
   }
 
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -158,6 +158,13 @@
                                 } else {
                                   used_vms_[partition][vm.vm] = vm.address;
                                 }
+                              },
+                              [this](order_record& order) {
+                                if (order.is_dropped) {
+                                  ordered_hosts_.erase(order.host);
+                                } else {
+                                  ordered_hosts_.insert(order.host);
+                                }
                               }},
              *decoded);
 }
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,11 @@
   const std::map<std::string, std::string>& fleet_records() const {
     return fleet_records_;
   }
+  /// Returns the hosts for which an owner of the fleet may have given an order
+  /// not long ago.
+  const std::set<core::jobs::host_id>& ordered_hosts() const {
+    return ordered_hosts_;
+  }
   /// Returns the queue's newest policy, also after its route was removed.
   core::jobs::queue_policy PolicyOf(const core::jobs::queue_id& queue) const;
   /// Returns the newest claim of the partition; epoch 0: there is none.
@@ -143,6 +149,7 @@
   std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
   std::map<std::uint32_t, owner_record> owners_;
   std::map<std::uint32_t, std::map<core::jobs::vm_id, std::string>> used_vms_;
+  std::set<core::jobs::host_id> ordered_hosts_;
   std::vector<std::uint32_t> owned_;
   bool is_fleet_owned_ = false;
 
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -13,6 +13,7 @@
 
 constexpr const char* kOwnerKey = "owner";
 constexpr std::string_view kVmPrefix = "vm/";
+constexpr std::string_view kOrderPrefix = "order/";
 constexpr std::string_view kCancelSuffix = "-cancel";
 
 // Names are one or two letters: the bytes of each record are paid for once when
@@ -164,6 +165,15 @@
   return encoded;
 }
 
+adapter::keyed_record Encode(const order_record& record) {
+  adapter::keyed_record encoded;
+  encoded.key = std::string(kOrderPrefix) + record.host;
+  if (!record.is_dropped) {
+    encoded.value = "1";
+  }
+  return encoded;
+}
+
 std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record) {
   if (!record.value) {
     return std::nullopt;
@@ -187,6 +197,10 @@
     return vm_record{record.key.substr(kVmPrefix.size()),
                      record.value.value_or(""), !record.value.has_value()};
   }
+  if (record.key.compare(0, kOrderPrefix.size(), kOrderPrefix) == 0) {
+    return order_record{record.key.substr(kOrderPrefix.size()),
+                        !record.value.has_value()};
+  }
   if (!record.value) {
     return std::nullopt;
   }
--- a/src/jobs/record_codec.h
+++ b/src/jobs/record_codec.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/maintenance.h"
 #include "platform/store_client.h"
 
 /// The records that this project keeps in the store. Each has a key, and the
@@ -47,14 +48,23 @@
   bool is_dropped = false;
 };
 
+/// The fleet's owner is about to give an order for the host, or gave one not
+/// long ago. Key: "order/" and the host; dropped some seconds later.
+struct order_record {
+  core::jobs::host_id host;
+  bool is_dropped = false;
+};
+
 using job_record = std::variant<submission_record, cancel_record>;
-using pool_record = std::variant<progress_record, owner_record, vm_record>;
+using pool_record =
+    std::variant<progress_record, owner_record, vm_record, order_record>;
 
 adapter::keyed_record Encode(const submission_record& record);
 adapter::keyed_record Encode(const cancel_record& record);
 adapter::keyed_record Encode(const progress_record& record);
 adapter::keyed_record Encode(const owner_record& record);
 adapter::keyed_record Encode(const vm_record& record);
+adapter::keyed_record Encode(const order_record& record);
 
 /// Return nothing when the record is malformed, or drops its key.
 std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record);
