--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -147,7 +147,11 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  auto operator<=>(const task_name&) const = default;
+  bool operator==(const task_name&) const = default;
+  friend bool operator<(const task_name& a, const task_name& b) {
+    return std::tie(a.job, a.occurrence, a.step, a.index) <
+           std::tie(b.job, b.occurrence, b.step, b.index);
+  }
 };
 
 /// What must outlast the owner of a job about one of its tasks.
--- a/include/plantainhead/core/jobs/orders.h
+++ b/include/plantainhead/core/jobs/orders.h
@@ -21,7 +21,7 @@
   task_name task;
   std::uint32_t run = 0;
 
-  auto operator<=>(const run_ref&) const = default;
+  bool operator==(const run_ref&) const = default;
 };
 
 struct start_order {
--- a/src/core/jobs/vm_state.cc
+++ b/src/core/jobs/vm_state.cc
@@ -21,10 +21,10 @@
   return &found->second;
 }
 
-run_state& vm_state::Add(const task_name& task, run_state run) {
+run_state& vm_state::Add(const task_name& task, const run_state& run) {
   Erase(task);
   Count(run, 1);
-  return runs_.emplace(task, std::move(run)).first->second;
+  return runs_.emplace(task, run).first->second;
 }
 
 void vm_state::Erase(const task_name& task) {
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -58,7 +58,7 @@
   const std::map<task_name, run_state>& runs() const { return runs_; }
   run_state* Find(const task_name& task, std::uint32_t run);
   /// Adds a run that takes `room`.
-  run_state& Add(const task_name& task, run_state run);
+  run_state& Add(const task_name& task, const run_state& run);
   void Erase(const task_name& task);
   resources Free() const { return description_.capacity - used_; }
   /// Counted, since every placement asks.
--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -34,7 +34,7 @@
 
 }  // namespace
 
-void LogEvent(job_event event, observe::log_fields fields) {
+void LogEvent(job_event event, const observe::log_fields& fields) {
   static std::array<line_budget, kJobEventNames.size()> budgets;
   line_budget& budget = budgets.at(static_cast<std::size_t>(event));
   const core::time_point now = BootTime();
@@ -52,7 +52,7 @@
     return;
   }
   ++budget.written;
-  observe::WriteLog(LevelOf(event), core::NameOf(event), std::move(fields));
+  observe::WriteLog(LevelOf(event), core::NameOf(event), fields);
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -84,7 +84,7 @@
 
 /// Writes one line. Never waits for the reader of the log.
 /// Thread safety: one thread at a time.
-void LogEvent(job_event event, observe::log_fields fields);
+void LogEvent(job_event event, const observe::log_fields& fields);
 
 }  // namespace plantainhead::jobs
 
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -296,7 +296,7 @@
   job_followers_[partition]->Refresh(std::move(on_done));
 }
 
-void job_world::RefreshAllJobs(std::function<void()> on_done) {
+void job_world::RefreshAllJobs(const std::function<void()>& on_done) {
   const auto left = std::make_shared<std::size_t>(job_followers_.size());
   for (const auto& follower : job_followers_) {
     RefreshUntilRead(follower.get(), [left, on_done] {
@@ -309,7 +309,7 @@
 
 // Repeats what has failed, and not what other partitions have read already.
 void job_world::RefreshUntilRead(log_follower* follower,
-                                 std::function<void()> on_read) {
+                                 const std::function<void()>& on_read) {
   follower->Refresh([this, follower, on_read](bool is_read) {
     if (is_read) {
       on_read();
@@ -329,8 +329,8 @@
   PoolFollower(partition).Refresh(std::move(on_done));
 }
 
-void job_world::RefreshRegistry(std::function<void()> on_done) {
-  RefreshUntilRead(registry_follower_.get(), std::move(on_done));
+void job_world::RefreshRegistry(const std::function<void()>& on_done) {
+  RefreshUntilRead(registry_follower_.get(), on_done);
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -112,11 +112,11 @@
   /// read. A partition that isn't followed yet is from then on.
   void RefreshJobs(std::uint32_t partition, std::function<void(bool)> on_done);
   /// The same for all partitions, repeated until all have been read.
-  void RefreshAllJobs(std::function<void()> on_done);
+  void RefreshAllJobs(const std::function<void()>& on_done);
   void RefreshProgress(std::uint32_t partition,
                        std::function<void(bool)> on_done);
   /// Repeated until it has been read. Precondition: a partition is owned.
-  void RefreshRegistry(std::function<void()> on_done);
+  void RefreshRegistry(const std::function<void()>& on_done);
 
   /// Sets which pools' partitions this process owns: their jobs and VMs are
   /// read as soon as they are written.
@@ -130,7 +130,8 @@
   void TakeOperatorRecord(const adapter::keyed_record& record);
   void TakeRegistryRecord(const adapter::keyed_record& record);
   void FollowPools();
-  void RefreshUntilRead(log_follower* follower, std::function<void()> on_read);
+  void RefreshUntilRead(log_follower* follower,
+                        const std::function<void()>& on_read);
   void UpdateModes();
   log_follower& PoolFollower(std::uint32_t partition);
   std::unique_ptr<log_follower> MakeFollower(
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -75,7 +75,7 @@
   // The record of the end lets the next owner begin without waiting for this
   // one's time to live, and tells it how long each lease runs. So a batch that
   // is under way is waited for.
-  void Release(std::function<void()> on_released) {
+  void Release(const std::function<void()>& on_released) {
     if (!scheduler_) {
       Close();
       on_released();
@@ -87,10 +87,10 @@
     tick_timer_.cancel();
     plan_timer_.cancel();
     release_until_ = BootTime() + settings_.release_limit;
-    WriteRelease(std::move(on_released));
+    WriteRelease(on_released);
   }
 
-  void WriteRelease(std::function<void()> on_released) {
+  void WriteRelease(const std::function<void()>& on_released) {
     if (writer_->IsWriting()) {
       if (BootTime() >= release_until_) {
         Close();
@@ -539,7 +539,7 @@
       }
       observe::log_fields fields = FieldsOf({vm, end.task, end.run});
       fields.emplace_back("how", core::NameOf(end.how));
-      LogEvent(job_event::kTaskEnded, std::move(fields));
+      LogEvent(job_event::kTaskEnded, fields);
     }
     if (!listing.ended.empty()) {
       link->logged_end =
@@ -567,7 +567,7 @@
           fields.emplace_back("result", core::NameOf(result));
           LogEvent(
               is_started ? job_event::kTaskStarted : job_event::kTaskNotStarted,
-              std::move(fields));
+              fields);
           owner->scheduler_->OnStartAnswer(target, result, BootTime());
           if (!is_started) {
             owner->Kick();
@@ -591,7 +591,7 @@
           }
           observe::log_fields fields = FieldsOf(target);
           fields.emplace_back("confirmed", is_confirmed ? "yes" : "no");
-          LogEvent(job_event::kTaskStopped, std::move(fields));
+          LogEvent(job_event::kTaskStopped, fields);
           owner->scheduler_->OnStopAnswer(target, is_confirmed, BootTime());
           owner->Kick();
         });
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -394,14 +394,14 @@
         {"ms", Elapsed(*pending)}};
     if (may_land) {
       ++counts_.unanswered;
-      LogEvent(job_event::kJobUnanswered, std::move(fields));
+      LogEvent(job_event::kJobUnanswered, fields);
       Answer(pending, adapter::EncodeFault(
                           kGatewayTimeout,
                           "the store didn't answer; repeat the same id"));
       return;
     }
     ++counts_.refused;
-    LogEvent(job_event::kJobRefused, std::move(fields));
+    LogEvent(job_event::kJobRefused, fields);
     Answer(pending, Refusal("the store refused the record"));
   }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -44,8 +44,7 @@
        const std::string& address,
        const http_server_options& options,
        request_handler handler)
-      : context_(*context),
-        acceptor_(*context, ParseAddress(address)),
+      : acceptor_(*context, ParseAddress(address)),
         accept_timer_(*context),
         options_(options),
         handler_(std::move(handler)) {}
@@ -222,7 +221,6 @@
     sessions_.erase(open);
   }
 
-  asio::io_context& context_;
   asio::ip::tcp::acceptor acceptor_;
   asio::steady_timer accept_timer_;
   http_server_options options_;
