Give no run number again that an earlier owner may have given; play the pool at random

Ruled out: a wrong bound of the lease (it had run out). Change: tasks that may have been started skip 100 numbers when a VM is given up untold.

--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -108,6 +108,18 @@
   });
 }
 
+void job_state::SkipRuns(std::uint32_t count) {
+  for (auto& [number, occurrence] : occurrences_) {
+    for (step_state& step : occurrence.steps) {
+      for (task_state& task : step.tasks) {
+        if (task.phase == task_phase::kWaiting) {
+          task.last_run += count;
+        }
+      }
+    }
+  }
+}
+
 void job_state::MarkPlaced(const task_name& name, std::uint32_t run) {
   task_state& task = *Find(name);
   if (task.phase == task_phase::kWaiting) {
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -92,6 +92,8 @@
   /// Returns an estimate of the work left on the longest chain.
   duration RemainingChain(const occurrence_state& occurrence) const;
 
+  /// Leaves out run numbers that an earlier owner may have given.
+  void SkipRuns(std::uint32_t count);
   void MarkPlaced(const task_name& name, std::uint32_t run);
   /// The run is over without effect; the task waits again.
   void MarkWaiting(const task_name& name);
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -10,6 +10,9 @@
 // them.
 constexpr int kLastingRank = -1;
 constexpr int kLateRank = 1000;
+// More runs of one task than an earlier owner can have started without any of
+// them being recorded: each failed run is recorded within some 50 ms.
+constexpr std::uint32_t kUntoldRuns = 100;
 
 bool HasLabel(const vm_description& vm, const std::string& label) {
   return std::find(vm.labels.begin(), vm.labels.end(), label) !=
@@ -58,15 +61,32 @@
 // hasn't told all. It must not start elsewhere before that, or before the VM's
 // lease is over.
 bool pool_scheduler::impl::IsRecovered(time_point now) {
-  if (!is_recovered_) {
-    is_recovered_ =
-        std::all_of(vms_.begin(), vms_.end(), [now](const auto& entry) {
-          return entry.second.is_settled || entry.second.IsLapsed(now);
-        });
+  if (is_recovered_) {
+    return true;
+  }
+  is_recovered_ =
+      std::all_of(vms_.begin(), vms_.end(), [now](const auto& entry) {
+        return entry.second.is_settled || entry.second.IsLapsed(now);
+      });
+  if (is_recovered_ && has_untold_vm_) {
+    SkipUntoldRuns();
   }
   return is_recovered_;
 }
 
+// A VM that never told what an earlier owner had started there may tell it
+// later. If this owner had given the same number to a run of the same task, the
+// end of the old one would pass for the end of the new one, which would be
+// started a second time while it runs.
+void pool_scheduler::impl::SkipUntoldRuns() {
+  for (const auto& [id, job] : jobs_.open()) {
+    if (job->arrived_at() < takeover_.fresh_from) {
+      job->SkipRuns(kUntoldRuns);
+    }
+  }
+  has_untold_vm_ = false;
+}
+
 std::vector<pool_scheduler::impl::candidate> pool_scheduler::impl::Candidates(
     time_point now) {
   const bool is_recovered = IsRecovered(now);
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -71,6 +71,7 @@
     if (!vm.IsLapsed(now) || has_told_since) {
       continue;
     }
+    has_untold_vm_ = has_untold_vm_ || (!is_recovered_ && !vm.is_settled);
     counts_.lapsed_runs += vm.runs().size();
     EndAllRuns(&vm);
     vm.MarkLapsed();
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -96,6 +96,7 @@
   // Placement.
   void FindTakers(time_point now);
   bool IsRecovered(time_point now);
+  void SkipUntoldRuns();
   std::vector<candidate> Candidates(time_point now);
   void PlaceJob(job_state* job, time_point now, std::vector<vm_order>* orders);
   void PlaceStep(job_state* job,
@@ -139,6 +140,8 @@
   /// has: most tasks of a backlog fit nowhere, and needn't be tried on each VM.
   std::vector<vm_state*> takers_;
   resources most_room_;
+  /// A VM's lease ran out before it had told what was started there.
+  bool has_untold_vm_ = false;
   bool is_recovered_ = false;
 };
 
--- /dev/null
+++ b/tests/core/jobs/pool_model.h
@@ -0,0 +1,505 @@
+#ifndef PLANTAINHEAD_TESTS_CORE_JOBS_POOL_MODEL_H_
+#define PLANTAINHEAD_TESTS_CORE_JOBS_POOL_MODEL_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/jobs/scheduler_driver.h"
+#include "plantainhead/core/jobs/pool_scheduler.h"
+#include "plantainhead/core/visit.h"
+
+namespace plantainhead::core::jobs {
+
+/// Which faults a `pool_model` brings about, while they last.
+struct model_faults {
+  /// Share of orders that get no answer and are carried out 2 to 12 s later.
+  double late_orders = 0.0;
+  /// Share of calls whose answer is lost.
+  double lost_answers = 0.0;
+  /// Share of runs that fail.
+  double failing_runs = 0.0;
+  /// Mean time between two VMs that fall silent for up to 8 s; zero: none.
+  duration silence_every = duration::zero();
+  /// The same for VMs that crash and come back in another life.
+  duration crash_every = duration::zero();
+  /// Mean time between two changes of the owner; zero: none.
+  duration takeover_every = duration::zero();
+};
+
+/// One pool in virtual time: VMs that run tasks under leases, a network that
+/// delays, loses and holds back, a store that keeps records, and owners that
+/// replace one another. Collects what must never happen.
+class pool_model {
+ public:
+  pool_model(std::uint32_t seed,
+             const model_faults& faults,
+             std::size_t vm_count)
+      : random_(seed), faults_(faults) {
+    for (std::size_t i = 0; i < vm_count; ++i) {
+      AddVm();
+    }
+    BeginOwner({});
+  }
+
+  void Submit(const std::shared_ptr<const job_spec>& job,
+              const queue_policy& policy) {
+    submitted_.emplace_back(job, policy);
+    owner_->scheduler->AddJob(job, policy, now);
+    submitted_at[job->id] = now;
+  }
+
+  /// Lets `time` pass.
+  void Run(duration time) {
+    const time_point end = now + time;
+    while (now < end) {
+      now += kTick;
+      BringFaults();
+      Deliver();
+      EndTasks();
+      for (const auto& owner : {owner_, zombie_}) {
+        if (owner) {
+          Work(owner);
+        }
+      }
+      if (zombie_ && now >= zombie_until_) {
+        zombie_.reset();
+      }
+    }
+  }
+
+  void StopFaults() { faults_ = {}; }
+
+  /// Returns the recorded phase of the job.
+  job_phase PhaseOf(const job_id& id) const {
+    const auto found = records_.find(id);
+    return found == records_.end() ? job_phase::kQueued : found->second.phase;
+  }
+
+  time_point now = time_point(std::chrono::hours(1));
+  std::vector<std::string> violations;
+  std::map<job_id, time_point> submitted_at;
+  std::map<job_id, time_point> ended_at;
+  std::uint64_t starts = 0;
+
+ private:
+  static constexpr duration kTick = std::chrono::milliseconds(10);
+  static constexpr duration kAnswerTimeout = std::chrono::milliseconds(700);
+  static constexpr duration kActing = std::chrono::milliseconds(2400);
+  static constexpr duration kStopTime = std::chrono::milliseconds(100);
+
+  struct vm_run {
+    std::uint32_t run = 0;
+    resources room;
+    time_point ends_at;
+    bool fails = false;
+    bool is_stopping = false;
+  };
+
+  struct vm {
+    vm_description description;
+    std::map<task_name, vm_run> runs;
+    std::map<task_name, std::uint32_t> highest;
+    std::vector<ended_task> ended;
+    std::uint64_t last_end = 0;
+    /// Ends up to this one are from before the lease last ran out.
+    std::uint64_t lapsed_end = 0;
+    std::uint64_t fence = 0;
+    time_point lease_until;
+    time_point silent_until;
+    /// The clock runs up to 2% slow, from its own zero.
+    double speed = 1.0;
+    duration zero = duration::zero();
+  };
+
+  struct owner {
+    std::uint64_t epoch = 0;
+    std::unique_ptr<pool_scheduler> scheduler;
+    std::map<vm_id, time_point> next_hold;
+    std::optional<progress_batch> storing;
+    time_point stored_at;
+  };
+  using owner_ptr = std::shared_ptr<owner>;
+
+  double Chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
+  duration Between(duration least, duration most) {
+    return duration(std::uniform_int_distribution<std::int64_t>(
+        least.count(), most.count())(random_));
+  }
+  bool Comes(duration every) {
+    return every > duration::zero() &&
+           Chance() < static_cast<double>(kTick.count()) /
+                          static_cast<double>(every.count());
+  }
+
+  void AddVm() {
+    const vm_id id = "vm-" + std::to_string(++last_vm_);
+    vm& added = vms_[id];
+    added.description = Vm(id, 8000);
+    added.speed = 0.98 + 0.02 * Chance();
+    added.zero = Between(std::chrono::seconds(0), std::chrono::seconds(1000));
+  }
+
+  duration ClockOf(const vm& machine) const {
+    const auto since =
+        static_cast<double>((now - time_point(std::chrono::hours(1))).count());
+    return machine.zero +
+           duration(static_cast<std::int64_t>(since * machine.speed));
+  }
+
+  std::vector<vm_description> Registry() const {
+    std::vector<vm_description> list;
+    for (const auto& [id, machine] : vms_) {
+      list.push_back(machine.description);
+    }
+    return list;
+  }
+
+  void BeginOwner(const takeover_bounds& bounds) {
+    owner_ = std::make_shared<owner>();
+    owner_->epoch = ++last_epoch_;
+    owner_->scheduler =
+        std::make_unique<pool_scheduler>(scheduler_settings(), bounds);
+    for (const auto& [job, policy] : submitted_) {
+      const auto record = records_.find(job->id);
+      if (record != records_.end() && IsFinal(record->second.phase)) {
+        owner_->scheduler->AddEndedJob(job->id);
+        continue;
+      }
+      owner_->scheduler->AddJob(job, policy, now);
+      if (record != records_.end()) {
+        owner_->scheduler->RestoreJob(job->id, record->second);
+      }
+    }
+    for (const auto& [id, address] : used_) {
+      owner_->scheduler->AddKnownVm({id, address});
+    }
+    owner_->scheduler->UpdateVms(Registry(), now);
+  }
+
+  void BringFaults() {
+    if (Comes(faults_.silence_every)) {
+      auto it =
+          std::next(vms_.begin(), static_cast<long>(random_() % vms_.size()));
+      it->second.silent_until =
+          now + Between(std::chrono::seconds(1), std::chrono::seconds(8));
+    }
+    if (Comes(faults_.crash_every)) {
+      vms_.erase(
+          std::next(vms_.begin(), static_cast<long>(random_() % vms_.size())));
+      AddVm();
+      owner_->scheduler->UpdateVms(Registry(), now);
+    }
+    if (Comes(faults_.takeover_every)) {
+      // The earlier owner goes on for a while, as one that was suspended does.
+      zombie_ = owner_;
+      zombie_until_ = now + Between(duration::zero(), kActing);
+      takeover_bounds bounds;
+      bounds.fresh_from = now + kActing + std::chrono::milliseconds(1);
+      const auto lease =
+          static_cast<double>(scheduler_settings().lease.count());
+      bounds.others_lapsed_at =
+          now + kActing + duration(static_cast<std::int64_t>(lease / 0.975));
+      BeginOwner(bounds);
+    }
+  }
+
+  void Later(duration delay, std::function<void()> action) {
+    network_.emplace(now + delay, std::move(action));
+  }
+
+  void Deliver() {
+    while (!network_.empty() && network_.begin()->first <= now) {
+      const auto action = std::move(network_.begin()->second);
+      network_.erase(network_.begin());
+      action();
+    }
+  }
+
+  duration Delay() {
+    return Between(std::chrono::milliseconds(1), std::chrono::milliseconds(30));
+  }
+
+  // Carries a call to the VM and its answer back. `at_vm` runs there; `answer`
+  // runs at the owner if an answer comes, `unanswered` after the timeout if
+  // not.
+  void Call(const vm_id& id,
+            bool is_order,
+            const std::function<std::function<void()>(vm*)>& at_vm,
+            const std::function<void()>& unanswered) {
+    const bool is_late = is_order && Chance() < faults_.late_orders;
+    const bool is_lost = is_late || Chance() < faults_.lost_answers;
+    const duration delay =
+        is_late ? Between(std::chrono::seconds(2), std::chrono::seconds(12))
+                : Delay();
+    const time_point sent_at = now;
+    Later(delay, [this, id, at_vm, unanswered, is_lost, sent_at] {
+      const auto found = vms_.find(id);
+      const bool is_reached =
+          found != vms_.end() && now >= found->second.silent_until;
+      const auto answer = is_reached ? at_vm(&found->second) : nullptr;
+      if (answer && !is_lost) {
+        Later(Delay(), answer);
+      } else {
+        const duration left =
+            std::max(duration::zero(), sent_at + kAnswerTimeout - now);
+        Later(left, unanswered);
+      }
+    });
+  }
+
+  void Work(const owner_ptr& worker) {
+    pool_scheduler& scheduler = *worker->scheduler;
+    if (scheduler.IsFenced()) {
+      return;
+    }
+    for (const vm_description& machine : scheduler.Vms()) {
+      time_point& next = worker->next_hold[machine.id];
+      if (now >= next) {
+        next = time_point::max();
+        Hold(worker, machine.id);
+      }
+    }
+    for (const vm_order& order : scheduler.Plan(now, now)) {
+      std::visit([&](const auto& kind) { Send(worker, kind); }, order);
+    }
+    if (worker->storing && now >= worker->stored_at) {
+      // The store refuses what an earlier owner appends.
+      if (worker == owner_) {
+        Record(*worker->storing);
+        scheduler.OnBatchStored(*worker->storing);
+      }
+      worker->storing.reset();
+    }
+    if (!worker->storing) {
+      worker->storing = scheduler.TakeBatch();
+      worker->stored_at = now + Delay();
+    }
+  }
+
+  void Record(const progress_batch& batch) {
+    for (const auto& [id, progress] : batch.jobs) {
+      if (IsFinal(progress.phase) && ended_at.count(id) == 0) {
+        ended_at[id] = now;
+      }
+      records_[id] = progress;
+    }
+    for (const vm_id& id : batch.dropped_vms) {
+      used_.erase(id);
+    }
+    for (const known_vm& known : batch.used_vms) {
+      used_[known.id] = known.address;
+    }
+  }
+
+  bool Fence(vm* machine, const owner_ptr& worker) {
+    if (worker->epoch < machine->fence) {
+      return false;
+    }
+    machine->fence = worker->epoch;
+    return true;
+  }
+
+  void Hold(const owner_ptr& worker, const vm_id& id) {
+    const hold_parameters hold = worker->scheduler->NextHold(id, now);
+    const time_point sent_at = now;
+    const auto again = [this, worker, id] {
+      worker->next_hold[id] = now + std::chrono::milliseconds(100);
+    };
+    Call(
+        id, false,
+        [=, this](vm* machine) -> std::function<void()> {
+          if (!Fence(machine, worker)) {
+            return [worker] { worker->scheduler->OnFenced(); };
+          }
+          Extend(machine, hold.lease_until);
+          Acknowledge(machine, hold.acked_through);
+          vm_listing listing;
+          listing.vm_clock = ClockOf(*machine);
+          for (const auto& [task, held] : machine->runs) {
+            listing.running.push_back(
+                {task, held.run, "",
+                 static_cast<std::uint32_t>(now.time_since_epoch().count() /
+                                            10000 % 99),
+                 0});
+          }
+          listing.ended = machine->ended;
+          return [=, this] {
+            worker->scheduler->OnListing(id, sent_at, listing, now);
+            again();
+          };
+        },
+        [=] {
+          worker->scheduler->OnHoldUnanswered(id);
+          again();
+        });
+  }
+
+  // An end that was done counts from its acknowledgement on, unless the lease
+  // ran out between the two: then nobody could know of it in time.
+  void Acknowledge(vm* machine, std::uint64_t through) {
+    for (const ended_task& end : machine->ended) {
+      if (end.number <= through && end.how == end_kind::kDone &&
+          end.number > machine->lapsed_end) {
+        acked_done_.insert(end.task);
+      }
+    }
+    std::erase_if(machine->ended, [through](const ended_task& end) {
+      return end.number <= through;
+    });
+  }
+
+  void Extend(vm* machine, const std::optional<duration>& until) {
+    if (until) {
+      const auto left =
+          static_cast<double>((*until - ClockOf(*machine)).count());
+      machine->lease_until = std::max(
+          machine->lease_until,
+          now + duration(static_cast<std::int64_t>(left / machine->speed)));
+    }
+  }
+
+  void Send(const owner_ptr& worker, const start_order& order) {
+    const run_ref target = order.target;
+    Call(
+        target.vm, true,
+        [=, this](vm* machine) -> std::function<void()> {
+          const start_result result = Start(machine, worker, order);
+          return [=, this] {
+            worker->scheduler->OnStartAnswer(target, result, now);
+          };
+        },
+        [=, this] {
+          worker->scheduler->OnStartAnswer(target, start_result::kUnknown, now);
+        });
+  }
+
+  start_result Start(vm* machine,
+                     const owner_ptr& worker,
+                     const start_order& order) {
+    if (!Fence(machine, worker)) {
+      return start_result::kFenced;
+    }
+    const task_name& task = order.target.task;
+    if (order.target.run <= machine->highest[task]) {
+      return start_result::kOldRun;
+    }
+    if (order.lease_until <= ClockOf(*machine)) {
+      return start_result::kLate;
+    }
+    Extend(machine, order.lease_until);
+    machine->highest[task] = order.target.run;
+    vm_run started;
+    started.run = order.target.run;
+    started.room = order.job->steps[task.step].need;
+    started.ends_at = now + order.job->steps[task.step].estimate +
+                      Between(duration::zero(), std::chrono::milliseconds(300));
+    started.fails = Chance() < faults_.failing_runs;
+    CheckStart(*machine, task, started);
+    machine->runs[task] = started;
+    ++starts;
+    return start_result::kStarted;
+  }
+
+  void CheckStart(const vm& machine, const task_name& task, const vm_run& run) {
+    const std::string name = task.job + "." + std::to_string(task.step) + "." +
+                             std::to_string(task.index);
+    resources used = run.room;
+    for (const auto& [other, held] : machine.runs) {
+      used = used + held.room;
+    }
+    if (!Fits(used, machine.description.capacity)) {
+      violations.push_back("over capacity: " + name);
+    }
+    for (const auto& [id, other] : vms_) {
+      if (other.runs.count(task) != 0) {
+        violations.push_back("two runs at once: " + name);
+      }
+    }
+    if (acked_done_.count(task) != 0) {
+      violations.push_back("started after it was done: " + name);
+    }
+    const auto record = records_.find(task.job);
+    if (record != records_.end() &&
+        record->second.phase == job_phase::kCompleted) {
+      violations.push_back("started after its job was completed: " + name);
+    }
+  }
+
+  void Send(const owner_ptr& worker, const stop_order& order) {
+    const run_ref target = order.target;
+    Call(
+        target.vm, true,
+        [=, this](vm* machine) -> std::function<void()> {
+          if (!Fence(machine, worker)) {
+            return [worker] { worker->scheduler->OnFenced(); };
+          }
+          machine->highest[target.task] =
+              std::max(machine->highest[target.task], target.run);
+          const auto held = machine->runs.find(target.task);
+          if (held != machine->runs.end() && held->second.run <= target.run) {
+            held->second.is_stopping = true;
+            held->second.ends_at =
+                std::min(held->second.ends_at, now + kStopTime);
+          }
+          return
+              [=, this] { worker->scheduler->OnStopAnswer(target, true, now); };
+        },
+        [=, this] { worker->scheduler->OnStopAnswer(target, false, now); });
+  }
+
+  void Send(const owner_ptr& /*worker*/, const pace_order& /*order*/) {}
+
+  void EndTasks() {
+    for (auto& [id, machine] : vms_) {
+      const bool is_lapsed = now >= machine.lease_until;
+      if (is_lapsed) {
+        machine.lapsed_end = machine.last_end;
+      }
+      for (auto it = machine.runs.begin(); it != machine.runs.end();) {
+        if (!is_lapsed && now < it->second.ends_at) {
+          ++it;
+          continue;
+        }
+        end_kind how = end_kind::kDone;
+        if (now < it->second.ends_at) {
+          how = end_kind::kLapsed;
+        } else if (it->second.is_stopping) {
+          how = end_kind::kStopped;
+        } else if (it->second.fails) {
+          how = end_kind::kFailed;
+        }
+        machine.ended.push_back(
+            {++machine.last_end, it->first, it->second.run, how, ""});
+        it = machine.runs.erase(it);
+      }
+    }
+  }
+
+  std::mt19937 random_;
+  model_faults faults_;
+  std::map<vm_id, vm> vms_;
+  int last_vm_ = 0;
+  std::uint64_t last_epoch_ = 0;
+  owner_ptr owner_;
+  owner_ptr zombie_;
+  time_point zombie_until_;
+  std::multimap<time_point, std::function<void()>> network_;
+  std::vector<std::pair<std::shared_ptr<const job_spec>, queue_policy>>
+      submitted_;
+  std::map<job_id, job_progress> records_;
+  std::map<vm_id, std::string> used_;
+  std::set<task_name> acked_done_;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_TESTS_CORE_JOBS_POOL_MODEL_H_
