--- /dev/null
+++ b/src/jobs/pool_owner_fleet.cc
@@ -0,0 +1,160 @@
+#include "jobs/pool_owner_impl.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+
+namespace plantainhead::jobs {
+
+using core::jobs::vm_id;
+
+void pool_owner::impl::OnFleetRecords() {
+  if (!scheduler_) {
+    return;
+  }
+  std::map<vm_id, bool> wanted;
+  for (const auto& [key, value] : deps_.world->fleet_records()) {
+    if (const auto vm = ClosedVmOf(key)) {
+      wanted[*vm] = true;
+    } else if (const auto offered = OfferedVmOf(key)) {
+      wanted[*offered] = true;
+    }
+  }
+  for (const vm_id& vm : released_) {
+    wanted[vm] = true;
+  }
+  has_closed_vms_ = !wanted.empty();
+  for (const auto& [id, link] : links_) {
+    if (wanted.count(id) != 0) {
+      scheduler_->CloseVm(id, BootTime());
+    } else {
+      scheduler_->OpenVm(id);
+      reported_empty_.erase(id);
+    }
+  }
+  Kick();
+}
+
+// Tells the owner of the fleet how many VMs each pool wants, and gives away
+// those that it can do without.
+void pool_owner::impl::SizePools() {
+  if (!scheduler_) {
+    return;
+  }
+  const core::time_point now = BootTime();
+  for (const core::jobs::pool_settings& pool :
+       deps_.world->routes().configuration().pools) {
+    if (pool.is_spare || PoolPartitionOf(pool.id) != partition_) {
+      continue;
+    }
+    const core::jobs::pool_load load = scheduler_->Load(pool.id, now);
+    if (load.usable_vms == 0) {
+      continue;
+    }
+    auto [size, is_new] = sizes_.try_emplace(pool.id, settings_.sizer, now);
+    const std::uint32_t wanted =
+        size->second.sizer.Update(load, IsScarce(pool.id), now);
+    TellWanted(pool.id, &size->second, load, wanted, now);
+    const bool is_known = now - size->second.since > settings_.sizer.memory;
+    if (is_known && load.usable_vms > wanted) {
+      for (const vm_id& vm :
+           scheduler_->LeastUsed(pool.id, load.usable_vms - wanted)) {
+        scheduler_->CloseVm(vm, now);
+        released_.insert(vm);
+      }
+    }
+  }
+}
+
+bool pool_owner::impl::IsScarce(const core::jobs::pool_id& except) const {
+  const auto& records = deps_.world->fleet_records();
+  return std::any_of(records.begin(), records.end(), [&](const auto& record) {
+    const auto pool = WantingPoolOf(record.first);
+    return pool && *pool != except && DecodeWantedVms(record.second).is_short;
+  });
+}
+
+void pool_owner::impl::TellWanted(const core::jobs::pool_id& pool,
+                                  pool_size* size,
+                                  const core::jobs::pool_load& load,
+                                  std::uint32_t count,
+                                  core::time_point now) {
+  const wanted_vms wanted{count, load.usable_vms < count};
+  if (wanted == size->told || now - size->told_at < settings_.wanted_gap) {
+    return;
+  }
+  size->told = wanted;
+  size->told_at = now;
+  LogEvent(job_event::kPoolSized,
+           {{"pool", pool},
+            {"wanted", std::to_string(count)},
+            {"usable", std::to_string(load.usable_vms)},
+            {"used_millis", std::to_string(load.used.cpu_millis)},
+            {"waiting_millis", std::to_string(load.waiting.cpu_millis)}});
+  adapter::append_call call;
+  call.partition = {kFleetTopic, 0};
+  call.records = {EncodeWantedVms(pool, wanted)};
+  deps_.store->Append(
+      call, settings_.writer.timeout,
+      [self = weak_from_this(), pool](const adapter::append_reply& reply) {
+        const auto owner = self.lock();
+        if (owner && reply.outcome != adapter::append_outcome::kStored) {
+          const auto found = owner->sizes_.find(pool);
+          if (found != owner->sizes_.end()) {
+            found->second.told = {};
+          }
+        }
+      });
+}
+
+void pool_owner::impl::OfferEmptyVms() {
+  for (auto it = released_.begin(); it != released_.end();) {
+    const vm_id vm = *it;
+    if (links_.count(vm) == 0) {
+      it = released_.erase(it);
+      continue;
+    }
+    ++it;
+    if (!scheduler_->IsEmpty(vm) || !offered_.insert(vm).second) {
+      continue;
+    }
+    adapter::append_call call;
+    call.partition = {kFleetTopic, 0};
+    call.records = {EncodeOfferedVm(vm)};
+    deps_.store->Append(
+        call, settings_.writer.timeout,
+        [self = weak_from_this(), vm](const adapter::append_reply& reply) {
+          const auto owner = self.lock();
+          if (owner && reply.outcome != adapter::append_outcome::kStored) {
+            owner->offered_.erase(vm);
+          }
+        });
+  }
+}
+
+// Tells the owner of the fleet which VMs may be serviced.
+void pool_owner::impl::ReportEmptyVms() {
+  for (const auto& [key, value] : deps_.world->fleet_records()) {
+    const auto vm = ClosedVmOf(key);
+    if (!vm || !scheduler_->IsEmpty(*vm) ||
+        !reported_empty_.emplace(*vm, true).second) {
+      continue;
+    }
+    adapter::append_call call;
+    call.partition = {kFleetTopic, 0};
+    call.records = {EncodeEmptyVm(*vm)};
+    deps_.store->Append(
+        call, settings_.writer.timeout,
+        [self = weak_from_this(), vm](const adapter::append_reply& reply) {
+          const auto owner = self.lock();
+          if (owner && reply.outcome != adapter::append_outcome::kStored) {
+            owner->reported_empty_.erase(*vm);
+          }
+        });
+  }
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/pool_owner_impl.h
@@ -0,0 +1,141 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_POOL_OWNER_IMPL_H_
+#define PLANTAINHEAD_SRC_JOBS_POOL_OWNER_IMPL_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "jobs/fleet_records.h"
+#include "jobs/group_member.h"
+#include "jobs/pool_owner.h"
+#include "jobs/progress_writer.h"
+#include "jobs/record_codec.h"
+#include "jobs/vm_link.h"
+
+namespace plantainhead::jobs {
+
+/// The state of a `pool_owner`. Four files share it: how the partition is taken
+/// over and handed on (`pool_owner_takeover.cc`), calls to VMs
+/// (`pool_owner_vms.cc`), what is agreed with the fleet's owner
+/// (`pool_owner_fleet.cc`), and the work between them (`pool_owner.cc`).
+class pool_owner::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(dependencies dependencies,
+       std::uint32_t partition,
+       const owner_settings& settings)
+      : deps_(std::move(dependencies)),
+        partition_(partition),
+        settings_(settings),
+        tick_timer_(*deps_.context),
+        plan_timer_(*deps_.context),
+        claim_timer_(*deps_.context) {}
+  void Start(std::uint64_t generation);
+  void Close();
+  // The record of the end lets the next owner begin without waiting for this
+  // one's time to live, and tells it how long each lease runs. So a batch that
+  // is under way is waited for.
+  void Release(const std::function<void()>& on_released);
+  bool is_active() const { return scheduler_ != nullptr; }
+  std::uint64_t epoch() const { return epoch_; }
+  core::jobs::scheduler_counts Counts() const;
+  void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
+  void OnCancel(const core::jobs::job_id& job);
+  void OnRegistry();
+  void OnConfiguration();
+  void OnFleetRecords();
+
+ private:
+  struct pool_size {
+    pool_size(const core::jobs::sizer_settings& settings, core::time_point now)
+        : sizer(settings), since(now) {}
+    core::jobs::pool_sizer sizer;
+    core::time_point since;
+    wanted_vms told;
+    core::time_point told_at;
+  };
+
+  // Takeover.
+  void WriteRelease(const std::function<void()>& on_released);
+  void RetryClaim();
+  void ReadBeforeClaim();
+  void Claim();
+  void TakeClaim(progress_writer::result result);
+  void ReadAfterClaim();
+  void AskForPredecessor(const std::function<void()>& done);
+  core::jobs::takeover_bounds MakeBounds() const;
+  void Begin();
+
+  // Work.
+  void Tick();
+  void Kick();
+  void Work();
+  void Lose(const std::string& reason);
+  void StoreProgress();
+  void TakeStored(const core::jobs::progress_batch& batch,
+                  progress_writer::result result);
+
+  // VMs.
+  void SyncLinks();
+  std::shared_ptr<vm_link> FindLink(const core::jobs::vm_id& vm);
+  void HoldLater(const core::jobs::vm_id& vm, std::chrono::milliseconds pause);
+  void Hold(const core::jobs::vm_id& vm);
+  void TakeHold(const core::jobs::vm_id& vm,
+                const std::shared_ptr<vm_link>& link,
+                core::time_point sent_at,
+                const adapter::hold_reply& reply);
+  void LogNewEnds(const core::jobs::vm_id& vm,
+                  const std::shared_ptr<vm_link>& link,
+                  const core::jobs::vm_listing& listing);
+  void Send(const core::jobs::start_order& order);
+  void Send(const core::jobs::stop_order& order);
+  void Send(const core::jobs::pace_order& order);
+
+  // Fleet.
+  void SizePools();
+  bool IsScarce(const core::jobs::pool_id& except) const;
+  void TellWanted(const core::jobs::pool_id& pool,
+                  pool_size* size,
+                  const core::jobs::pool_load& load,
+                  std::uint32_t count,
+                  core::time_point now);
+  void OfferEmptyVms();
+  void ReportEmptyVms();
+
+  dependencies deps_;
+  std::uint32_t partition_;
+  owner_settings settings_;
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer plan_timer_;
+  boost::asio::steady_timer claim_timer_;
+  std::uint64_t generation_ = 0;
+  std::uint64_t epoch_ = 0;
+  /// Who owned before, and how it left.
+  owner_record predecessor_;
+  bool may_predecessor_act_ = false;
+  std::string group_ = member_settings().group;
+  bool is_closed_ = false;
+  bool is_kicked_ = false;
+  std::uint64_t synced_version_ = 0;
+  core::time_point claimed_at_;
+  std::unique_ptr<progress_writer> writer_;
+  std::unique_ptr<core::jobs::pool_scheduler> scheduler_;
+  std::map<core::jobs::vm_id, core::time_point> lease_ends_;
+  core::time_point release_until_;
+  std::map<core::jobs::vm_id, std::shared_ptr<vm_link>> links_;
+  bool has_closed_vms_ = false;
+  std::map<core::jobs::vm_id, bool> reported_empty_;
+  std::map<core::jobs::pool_id, pool_size> sizes_;
+  /// VMs that are emptied to be given away, and those that were offered.
+  std::set<core::jobs::vm_id> released_;
+  std::set<core::jobs::vm_id> offered_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_POOL_OWNER_IMPL_H_
--- /dev/null
+++ b/src/jobs/pool_owner_takeover.cc
@@ -0,0 +1,223 @@
+#include "jobs/pool_owner_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+
+namespace plantainhead::jobs {
+
+using core::jobs::pool_scheduler;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Clocks that differ by 2% make a lease last longer; see `vm_state::Grant`.
+constexpr double kSlowestClock = 0.975;
+
+}  // namespace
+
+void pool_owner::impl::Start(std::uint64_t generation) {
+  generation_ = generation;
+  ReadBeforeClaim();
+}
+
+// The record of the end lets the next owner begin without waiting for this
+// one's time to live, and tells it how long each lease runs. So a batch that
+// is under way is waited for.
+void pool_owner::impl::Release(const std::function<void()>& on_released) {
+  if (!scheduler_) {
+    Close();
+    on_released();
+    return;
+  }
+  lease_ends_ = scheduler_->LeaseEnds();
+  scheduler_.reset();
+  links_.clear();
+  tick_timer_.cancel();
+  plan_timer_.cancel();
+  release_until_ = BootTime() + settings_.release_limit;
+  WriteRelease(on_released);
+}
+
+void pool_owner::impl::WriteRelease(const std::function<void()>& on_released) {
+  if (writer_->IsWriting()) {
+    if (BootTime() >= release_until_) {
+      Close();
+      on_released();
+      return;
+    }
+    claim_timer_.expires_after(settings_.release_poll);
+    claim_timer_.async_wait([self = shared_from_this(), on_released](
+                                const boost::system::error_code& error) {
+      if (!error) {
+        self->WriteRelease(on_released);
+      }
+    });
+    return;
+  }
+  owner_record end{epoch_, "", {}};
+  for (const auto& [vm, lapse_at] : lease_ends_) {
+    end.leases[vm] = std::max(core::duration::zero(), lapse_at - BootTime());
+  }
+  writer_->Write({Encode(end)}, [self = shared_from_this(), on_released](
+                                    progress_writer::result /*result*/) {
+    self->Close();
+    on_released();
+  });
+}
+
+void pool_owner::impl::RetryClaim() {
+  claim_timer_.expires_after(settings_.takeover_retry);
+  claim_timer_.async_wait(
+      [self = weak_from_this()](const boost::system::error_code& error) {
+        const auto owner = self.lock();
+        if (owner && !error && !owner->is_closed_) {
+          owner->ReadBeforeClaim();
+        }
+      });
+}
+
+void pool_owner::impl::ReadBeforeClaim() {
+  deps_.world->RefreshProgress(partition_,
+                               [self = weak_from_this()](bool is_read) {
+                                 const auto owner = self.lock();
+                                 if (!owner || owner->is_closed_) {
+                                   return;
+                                 }
+                                 if (is_read) {
+                                   owner->Claim();
+                                 } else {
+                                   owner->RetryClaim();
+                                 }
+                               });
+}
+
+void pool_owner::impl::Claim() {
+  predecessor_ = deps_.world->OwnerOf(partition_);
+  epoch_ = std::max({generation_, predecessor_.epoch + 1, epoch_ + 1});
+  writer_ = std::make_unique<progress_writer>(
+      deps_.context, deps_.store,
+      adapter::store_partition{kProgressTopic, partition_}, settings_.writer);
+  writer_->Claim(epoch_, deps_.member, deps_.world->CursorOf(partition_),
+                 [self = weak_from_this()](progress_writer::result result) {
+                   const auto owner = self.lock();
+                   if (owner && !owner->is_closed_) {
+                     owner->TakeClaim(result);
+                   }
+                 });
+}
+
+void pool_owner::impl::TakeClaim(progress_writer::result result) {
+  if (result != progress_writer::result::kStored) {
+    LogEvent(job_event::kTakeoverFailed,
+             {{"partition", std::to_string(partition_)},
+              {"epoch", std::to_string(epoch_)},
+              {"reason", result == progress_writer::result::kFenced
+                             ? "a newer owner has written"
+                             : "the partition was written to meanwhile"}});
+    RetryClaim();
+    return;
+  }
+  claimed_at_ = BootTime();
+  ReadAfterClaim();
+}
+
+// What an earlier owner may have acted on, it has read from the store. So all
+// that is in the store now must be known before the first order.
+void pool_owner::impl::ReadAfterClaim() {
+  const auto left = std::make_shared<int>(3);
+  const auto done = [self = weak_from_this(), left] {
+    const auto owner = self.lock();
+    if (--*left == 0 && owner && !owner->is_closed_) {
+      owner->Begin();
+    }
+  };
+  deps_.world->RefreshAllJobs(done);
+  deps_.world->RefreshRegistry(done);
+  AskForPredecessor(done);
+}
+
+// A member that has given up, or an earlier life of this process, gives no
+// more orders; neither does one that the group doesn't know any more, since
+// its time to live has passed. What it started runs on.
+void pool_owner::impl::AskForPredecessor(const std::function<void()>& done) {
+  const std::string& member = predecessor_.member;
+  may_predecessor_act_ = false;
+  if (predecessor_.epoch == 0 || member.empty() || member == deps_.member) {
+    done();
+    return;
+  }
+  may_predecessor_act_ = true;
+  deps_.store->ListMembers(
+      group_, settings_.owners_timeout,
+      [self = weak_from_this(), done](const adapter::members_reply& reply) {
+        const auto owner = self.lock();
+        if (!owner || owner->is_closed_) {
+          return;
+        }
+        // With fewer members than partitions each member holds one, so that
+        // one that holds none has left or has expired.
+        const bool is_gone =
+            reply.is_read && reply.members.size() < kPoolPartitions &&
+            reply.members.count(owner->predecessor_.member) == 0;
+        owner->may_predecessor_act_ = !is_gone;
+        done();
+      });
+}
+
+core::jobs::takeover_bounds pool_owner::impl::MakeBounds() const {
+  core::jobs::takeover_bounds bounds;
+  if (predecessor_.epoch == 0) {
+    return bounds;
+  }
+  const auto longest_lease = core::duration(static_cast<std::int64_t>(
+      static_cast<double>(settings_.scheduler.lease.count()) / kSlowestClock));
+  const milliseconds acting =
+      may_predecessor_act_ ? settings_.time_to_live : milliseconds(0);
+  bounds.fresh_from = claimed_at_ + acting + milliseconds(1);
+  bounds.others_lapsed_at = claimed_at_ + acting + longest_lease;
+  for (const auto& [vm, left] : predecessor_.leases) {
+    bounds.lapsed_at[vm] = claimed_at_ + left;
+  }
+  return bounds;
+}
+
+void pool_owner::impl::Begin() {
+  const core::jobs::takeover_bounds bounds = MakeBounds();
+  scheduler_ = std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
+  std::size_t open = 0;
+  for (const auto& [id, entry] : deps_.world->directory().entries()) {
+    if (core::jobs::IsFinal(entry.progress.phase)) {
+      scheduler_->AddEndedJob(id);
+    }
+    if (!entry.spec || PoolPartitionOf(entry.pool) != partition_) {
+      continue;
+    }
+    ++open;
+    // An earlier owner may have read all that was stored by the claim, so
+    // that none of these jobs counts as fresh.
+    scheduler_->AddJob(entry.spec, deps_.world->PolicyOf(entry.queue),
+                       claimed_at_);
+    scheduler_->RestoreJob(id, entry.progress);
+    if (entry.is_cancelled) {
+      scheduler_->CancelJob(id);
+    }
+  }
+  LogEvent(job_event::kOwnershipGained,
+           {{"partition", std::to_string(partition_)},
+            {"epoch", std::to_string(epoch_)},
+            {"open_jobs", std::to_string(open)},
+            {"predecessor", predecessor_.member},
+            {"predecessor_acts", may_predecessor_act_ ? "maybe" : "no"}});
+  for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
+    scheduler_->AddKnownVm({id, address});
+  }
+  OnRegistry();
+  Work();
+  OnFleetRecords();
+  Tick();
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/pool_owner_vms.cc
@@ -0,0 +1,224 @@
+#include "jobs/pool_owner_impl.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+
+namespace plantainhead::jobs {
+
+using adapter::hold_outcome;
+using core::jobs::run_ref;
+using core::jobs::start_result;
+using core::jobs::vm_description;
+using core::jobs::vm_id;
+using std::chrono::milliseconds;
+
+namespace {
+
+observe::log_fields FieldsOf(const run_ref& target) {
+  return {{"job", target.task.job},
+          {"step", std::to_string(target.task.step)},
+          {"index", std::to_string(target.task.index)},
+          {"run", std::to_string(target.run)},
+          {"vm", target.vm}};
+}
+
+}  // namespace
+
+void pool_owner::impl::SyncLinks() {
+  if (scheduler_->VmsVersion() == synced_version_) {
+    return;
+  }
+  synced_version_ = scheduler_->VmsVersion();
+  const std::vector<vm_description> vms = scheduler_->Vms();
+  for (const vm_description& vm : vms) {
+    const auto found = links_.find(vm.id);
+    if (found != links_.end() && found->second->address == vm.address) {
+      continue;
+    }
+    try {
+      links_[vm.id] =
+          std::make_shared<vm_link>(deps_.context, vm.id, vm.address);
+    } catch (const std::invalid_argument& error) {
+      LogEvent(job_event::kRecordInvalid, {{"topic", adapter::kRegistryTopic},
+                                           {"key", vm.id},
+                                           {"reason", error.what()}});
+      continue;
+    }
+    Hold(vm.id);
+  }
+  for (auto it = links_.begin(); it != links_.end();) {
+    const bool is_known = std::any_of(
+        vms.begin(), vms.end(),
+        [&](const vm_description& vm) { return vm.id == it->first; });
+    it = is_known ? std::next(it) : links_.erase(it);
+  }
+}
+
+std::shared_ptr<vm_link> pool_owner::impl::FindLink(const vm_id& vm) {
+  const auto found = links_.find(vm);
+  return found == links_.end() ? nullptr : found->second;
+}
+
+void pool_owner::impl::HoldLater(const vm_id& vm, milliseconds pause) {
+  const auto link = FindLink(vm);
+  if (!link || link->is_waiting || link->is_holding) {
+    return;
+  }
+  link->is_waiting = true;
+  link->timer.expires_after(pause);
+  link->timer.async_wait([self = weak_from_this(), link,
+                          vm](const boost::system::error_code& error) {
+    link->is_waiting = false;
+    const auto owner = self.lock();
+    if (owner && !error && !owner->is_closed_) {
+      owner->Hold(vm);
+    }
+  });
+}
+
+void pool_owner::impl::Hold(const vm_id& vm) {
+  const auto link = FindLink(vm);
+  if (!link || link->is_holding || !scheduler_) {
+    return;
+  }
+  if (!deps_.is_sure()) {
+    HoldLater(vm, settings_.hold_retry);
+    return;
+  }
+  link->is_holding = true;
+  const core::time_point sent_at = BootTime();
+  link->held_at = sent_at;
+  link->client.Hold(scheduler_->NextHold(vm, sent_at), epoch_,
+                    settings_.hold_timeout,
+                    [self = weak_from_this(), link, vm,
+                     sent_at](const adapter::hold_reply& reply) {
+                      link->is_holding = false;
+                      const auto owner = self.lock();
+                      if (owner && !owner->is_closed_ && owner->scheduler_) {
+                        owner->TakeHold(vm, link, sent_at, reply);
+                      }
+                    });
+}
+
+void pool_owner::impl::TakeHold(const vm_id& vm,
+                                const std::shared_ptr<vm_link>& link,
+                                core::time_point sent_at,
+                                const adapter::hold_reply& reply) {
+  const core::time_point now = BootTime();
+  switch (reply.outcome) {
+    case hold_outcome::kListed:
+      if (link->is_lost) {
+        link->is_lost = false;
+        LogEvent(job_event::kVmHeard, {{"vm", vm}});
+      }
+      LogNewEnds(vm, link, reply.listing);
+      scheduler_->OnListing(vm, sent_at, reply.listing, now);
+      Kick();
+      // Ends that aren't acknowledged would be listed again at once, so the
+      // next hold waits for their record to be stored.
+      HoldLater(vm, reply.listing.ended.empty() ? settings_.hold_gap
+                                                : settings_.ack_gap);
+      return;
+    case hold_outcome::kFenced:
+      scheduler_->OnFenced();
+      Kick();
+      return;
+    case hold_outcome::kReplaced:
+      LogEvent(job_event::kVmLost,
+               {{"vm", vm}, {"reason", "another life of it answered"}});
+      scheduler_->OnReplaced(vm, now);
+      Kick();
+      return;
+    case hold_outcome::kFailed:
+    case hold_outcome::kUnanswered:
+      if (!link->is_lost) {
+        link->is_lost = true;
+        LogEvent(job_event::kVmLost,
+                 {{"vm", vm},
+                  {"reason", "a hold had no answer"},
+                  {"status", std::to_string(reply.status)}});
+      }
+      scheduler_->OnHoldUnanswered(vm);
+      HoldLater(vm, settings_.hold_retry);
+      return;
+  }
+}
+
+void pool_owner::impl::LogNewEnds(const vm_id& vm,
+                                  const std::shared_ptr<vm_link>& link,
+                                  const core::jobs::vm_listing& listing) {
+  for (const core::jobs::ended_task& end : listing.ended) {
+    if (end.number <= link->logged_end ||
+        end.how == core::jobs::end_kind::kDone) {
+      continue;
+    }
+    observe::log_fields fields = FieldsOf({vm, end.task, end.run});
+    fields.emplace_back("how", core::NameOf(end.how));
+    LogEvent(job_event::kTaskEnded, fields);
+  }
+  if (!listing.ended.empty()) {
+    link->logged_end = std::max(link->logged_end, listing.ended.back().number);
+  }
+}
+
+void pool_owner::impl::Send(const core::jobs::start_order& order) {
+  const auto link = FindLink(order.target.vm);
+  if (!link) {
+    scheduler_->OnStartAnswer(order.target, start_result::kNotSent, BootTime());
+    return;
+  }
+  const run_ref target = order.target;
+  link->client.Start(
+      order, epoch_, settings_.order_timeout,
+      [self = weak_from_this(), target](start_result result) {
+        const auto owner = self.lock();
+        if (!owner || owner->is_closed_ || !owner->scheduler_) {
+          return;
+        }
+        const bool is_started = result == start_result::kStarted;
+        observe::log_fields fields = FieldsOf(target);
+        fields.emplace_back("result", core::NameOf(result));
+        LogEvent(
+            is_started ? job_event::kTaskStarted : job_event::kTaskNotStarted,
+            fields);
+        owner->scheduler_->OnStartAnswer(target, result, BootTime());
+        if (!is_started) {
+          owner->Kick();
+        }
+      });
+}
+
+void pool_owner::impl::Send(const core::jobs::stop_order& order) {
+  const auto link = FindLink(order.target.vm);
+  if (!link) {
+    scheduler_->OnStopAnswer(order.target, false, BootTime());
+    return;
+  }
+  const run_ref target = order.target;
+  link->client.Stop(
+      order, epoch_, settings_.order_timeout,
+      [self = weak_from_this(), target](bool is_confirmed) {
+        const auto owner = self.lock();
+        if (!owner || owner->is_closed_ || !owner->scheduler_) {
+          return;
+        }
+        observe::log_fields fields = FieldsOf(target);
+        fields.emplace_back("confirmed", is_confirmed ? "yes" : "no");
+        LogEvent(job_event::kTaskStopped, fields);
+        owner->scheduler_->OnStopAnswer(target, is_confirmed, BootTime());
+        owner->Kick();
+      });
+}
+
+void pool_owner::impl::Send(const core::jobs::pace_order& order) {
+  if (const auto link = FindLink(order.target.vm)) {
+    link->client.Pace(order, epoch_, settings_.order_timeout);
+  }
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -0,0 +1,132 @@
+#include <catch2/catch.hpp>
+
+#include "plantainhead/core/jobs/fleet_balancer.h"
+#include "plantainhead/core/jobs/pool_sizer.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+pool_load Load(std::int64_t used, std::int64_t waiting) {
+  pool_load load;
+  load.used.cpu_millis = used;
+  load.waiting.cpu_millis = waiting;
+  load.usable_vms = 4;
+  load.vm_capacity = {10000, 10000, 0};
+  return load;
+}
+
+TEST_CASE("A pool wants VMs for what runs and what waits") {
+  sizer_settings settings;
+  settings.fill = 1.0;
+  settings.reserve = 1;
+  pool_sizer sizer(settings);
+  time_point now{std::chrono::hours(1)};
+  CHECK(sizer.Update(Load(20000, 0), false, now) == 3);
+  CHECK(sizer.Update(Load(20000, 15000), false, now) == 5);
+
+  SECTION("the scarcest resource counts") {
+    pool_load load = Load(0, 0);
+    load.waiting.memory_mb = 60000;
+    CHECK(sizer.Update(load, false, now) == 7);
+  }
+
+  SECTION("lasting tasks that must be spread need as many VMs") {
+    pool_load load = Load(1000, 0);
+    load.spread = 8;
+    CHECK(sizer.Update(load, false, now) == 9);
+  }
+
+  SECTION("it keeps for a while what it needed most") {
+    now += seconds(2);
+    CHECK(sizer.Update(Load(1000, 0), false, now) == 5);
+    now += seconds(1);
+    CHECK(sizer.Update(Load(1000, 0), false, now) == 2);
+  }
+
+  // Another queue has its turn and lacks VMs: what this pool keeps for later is
+  // missing there now.
+  SECTION("but gives away sooner while another pool lacks VMs") {
+    now += seconds(1);
+    CHECK(sizer.Update(Load(1000, 0), true, now) == 2);
+  }
+}
+
+fleet_host Host(const host_id& name, const pool_id& pool, const vm_id& vm) {
+  fleet_host host;
+  host.host = name;
+  host.pool = pool;
+  host.vm = vm;
+  host.state = host_state::kUp;
+  return host;
+}
+
+TEST_CASE("Hosts move to the pool that misses most") {
+  fleet_balancer balancer{balancer_settings()};
+  time_point now{std::chrono::hours(1)};
+  std::vector<fleet_host> hosts = {
+      Host("s1", "spare", ""), Host("s2", "spare", ""), Host("s3", "spare", ""),
+      Host("a1", "a", "vm-a1"), Host("b1", "b", "vm-b1")};
+  balancer.UpdateHosts(hosts, {"spare"}, now);
+  balancer.UpdateWanted({{"a", 2}, {"b", 3}});
+
+  SECTION("VM by VM, and no more than are wanted") {
+    const auto moves = balancer.Plan({}, now);
+    REQUIRE(moves.size() == 3);
+    CHECK(moves[0].pool == "b");
+    CHECK(balancer.Plan({}, now).empty());
+
+    SECTION("a move that may not have arrived is ordered again") {
+      balancer.OnMoveAnswer(moves[0].host, false, false, now);
+      CHECK(balancer.Plan({}, now).empty());
+      now += seconds(2);
+      const auto again = balancer.Plan({}, now);
+      REQUIRE(again.size() == 1);
+      CHECK(again[0].host == moves[0].host);
+    }
+
+    SECTION("a move that was refused frees the host for another") {
+      balancer.OnMoveAnswer(moves[0].host, false, true, now);
+      CHECK(balancer.Plan({}, now).size() == 1);
+    }
+
+    SECTION("a list from before the move doesn't bring it back") {
+      balancer.OnMoveAnswer(moves[0].host, true, true, now);
+      balancer.UpdateHosts(hosts, {"spare"}, now - milliseconds(10));
+      CHECK(balancer.Plan({}, now).empty());
+    }
+  }
+
+  SECTION("not those that are being serviced") {
+    CHECK(balancer.Plan({"s1", "s2"}, now).size() == 1);
+  }
+
+  SECTION("a VM that is closed for service is missed by its pool") {
+    balancer.UpdateWanted({{"a", 1}});
+    CHECK(balancer.Plan({}, now).empty());
+    balancer.UpdateClosed({"vm-a1"});
+    CHECK(balancer.Plan({}, now).size() == 1);
+  }
+
+  SECTION("a VM that its pool gives away goes where it is wanted, else spare") {
+    balancer.UpdateHosts({Host("a1", "a", "vm-a1"), Host("b1", "b", "vm-b1")},
+                         {"spare"}, now);
+    balancer.UpdateOffers({"vm-a1"});
+    balancer.UpdateWanted({{"b", 2}});
+    auto moves = balancer.Plan({}, now);
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].pool == "b");
+
+    fleet_balancer idle{balancer_settings()};
+    idle.UpdateHosts({Host("a1", "a", "vm-a1")}, {"spare"}, now);
+    idle.UpdateOffers({"vm-a1"});
+    moves = idle.Plan({}, now);
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].pool == "spare");
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
