--- a/include/plantainhead/core/jobs/orders.h
+++ b/include/plantainhead/core/jobs/orders.h
@@ -47,7 +47,7 @@
 
 /// How the next hold of a VM is to be sent.
 struct hold_parameters {
-  std::uint64_t acked_through = 0;
+  std::uint64_t acknowledged_through = 0;
   /// On the VM's clock. None: the hold only looks and extends no lease.
   std::optional<duration> lease_until;
   /// How long the VM may wait for an end before it answers.
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -303,8 +303,8 @@
 
 hold_parameters pool_scheduler::impl::NextHold(vm_state* vm, time_point now) {
   hold_parameters hold;
-  hold.acked_through = vm->acked_through;
-  const bool has_unacked = vm->acked_through < vm->taken_through;
+  hold.acknowledged_through = vm->acknowledged_through;
+  const bool has_unacked = vm->acknowledged_through < vm->taken_through;
   if (!vm->IsReachable()) {
     // A VM that doesn't answer gets no longer lease: what may be running there
     // can start elsewhere only after the last lease is over.
@@ -363,7 +363,7 @@
   for (auto& [id, vm] : vms_) {
     while (!vm.unstored_ends.empty() &&
            vm.unstored_ends.front().second <= stored_through_) {
-      vm.acked_through = vm.unstored_ends.front().first;
+      vm.acknowledged_through = vm.unstored_ends.front().first;
       vm.unstored_ends.pop_front();
     }
   }
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -89,7 +89,7 @@
 
   /// Ends: the greatest number that was taken in, and what may be acknowledged.
   std::uint64_t taken_through = 0;
-  std::uint64_t acked_through = 0;
+  std::uint64_t acknowledged_through = 0;
   /// Ends that wait for their batch of records to be stored.
   std::deque<std::pair<std::uint64_t, std::uint64_t>> unstored_ends;
   /// Since when an end of an unknown job holds back the later ones.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -19,6 +19,7 @@
 #include "jobs/pool_owner.h"
 #include "jobs/submissions.h"
 #include "net/http_server.h"
+#include "net/http_status.h"
 #include "platform/ingress_codec.h"
 
 namespace plantainhead::jobs {
@@ -293,7 +294,7 @@
   void Probe(const net::server_request& request,
              const net::responder& respond) {
     if (adapter::DecodePath(request.target) != adapter::kReadinessPath) {
-      respond(adapter::EncodeFault(404, "unknown path"));
+      respond(adapter::EncodeFault(net::kNotFound, "unknown path"));
       return;
     }
     const bool is_ready = IsReady();
@@ -305,8 +306,8 @@
                 {"answered_ms_ago", MillisSince(member_.AnsweredAt())},
                 {"stopping", is_stopping_ ? "yes" : "no"}});
     }
-    respond(is_ready ? net::server_response{200, {}, "{}"}
-                     : adapter::EncodeFault(503, "not ready"));
+    respond(is_ready ? net::server_response{net::kOk, {}, "{}"}
+                     : adapter::EncodeFault(net::kUnavailable, "not ready"));
   }
 
   net::server_response Metrics() const {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -36,9 +36,9 @@
 inline constexpr std::uint32_t kPoolPartitions = 31;
 inline constexpr std::uint32_t kFleetPartition = 31;
 
-inline constexpr const char* kJobTopic = "keyed.plantain-jobs";
-inline constexpr const char* kProgressTopic = "keyed.plantain-progress";
-inline constexpr const char* kFleetTopic = "keyed.plantain-fleet";
+using adapter::kFleetTopic;
+using adapter::kJobTopic;
+using adapter::kProgressTopic;
 
 /// Returns where the submission is stored. It depends on the queue and the id
 /// alone, so that a repeated submission meets the first one also after the
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -8,6 +8,7 @@
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "jobs/record_codec.h"
+#include "net/http_status.h"
 #include "platform/ingress_codec.h"
 
 namespace plantainhead::jobs {
@@ -19,14 +20,6 @@
 using core::jobs::route_match;
 using std::chrono::milliseconds;
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kMethodNotAllowed = 405;
-constexpr unsigned kGone = 410;
-constexpr unsigned kUnavailable = 503;
-constexpr unsigned kGatewayTimeout = 504;
-
 constexpr const char* kJob = "job";
 constexpr const char* kCancel = "cancel";
 
@@ -54,7 +47,7 @@
     const route_match match = world_.routes().Find(host, path);
     if (match.route == nullptr) {
       ++counts_.unknown_route;
-      respond(adapter::EncodeFault(kNotFound, "no such queue"));
+      respond(adapter::EncodeFault(net::kNotFound, "no such queue"));
       return;
     }
     const std::string id(match.rest);
@@ -66,7 +59,7 @@
     }
     if (!adapter::IsJobId(id)) {
       ++counts_.malformed;
-      respond(adapter::EncodeFault(kBadRequest,
+      respond(adapter::EncodeFault(net::kBadRequest,
                                    "the path doesn't end in a job's id"));
       return;
     }
@@ -81,8 +74,8 @@
         Cancel(*match.route, id, request, respond);
         return;
       case net::method::kOther:
-        respond(
-            adapter::EncodeFault(kMethodNotAllowed, "use POST, GET or DELETE"));
+        respond(adapter::EncodeFault(net::kMethodNotAllowed,
+                                     "use POST, GET or DELETE"));
         return;
     }
   }
@@ -113,7 +106,8 @@
   };
 
   net::server_response Refusal(const std::string& why) const {
-    net::server_response response = adapter::EncodeFault(kUnavailable, why);
+    net::server_response response =
+        adapter::EncodeFault(net::kUnavailable, why);
     response.headers.emplace_back(
         "Retry-After", std::to_string(settings_.retry_after.count()));
     return response;
@@ -133,13 +127,14 @@
               const net::responder& respond) {
     if (world_.directory().Find(id) != nullptr) {
       ++counts_.repeated;
-      respond({kOk, {}, "{}"});
+      respond({net::kOk, {}, "{}"});
       return;
     }
     adapter::decoded_job decoded = adapter::DecodeJob(request.body);
     if (!decoded.spec) {
       ++counts_.malformed;
-      respond(adapter::EncodeFault(kBadRequest, "malformed: " + decoded.fault));
+      respond(adapter::EncodeFault(net::kBadRequest,
+                                   "malformed: " + decoded.fault));
       return;
     }
     if (route.needs_advice) {
@@ -179,7 +174,7 @@
               return;
             }
           }
-          respond(is_read ? adapter::EncodeFault(kGone, "no such job")
+          respond(is_read ? adapter::EncodeFault(net::kGone, "no such job")
                           : service->Refusal("the store can't be read"));
         });
   }
@@ -190,7 +185,7 @@
                    const net::responder& respond) {
     const directory_entry* entry = world_.directory().Find(id);
     if (entry->is_cancelled || core::jobs::IsFinal(entry->progress.phase)) {
-      respond({kOk, {}, "{}"});
+      respond({net::kOk, {}, "{}"});
       return;
     }
     Append(Encode(cancel_record{id}), route, id, kCancel, request, respond);
@@ -216,7 +211,7 @@
             service->QueryKnown(id, respond);
             return;
           }
-          respond(is_read ? adapter::EncodeFault(kGone, "no such job")
+          respond(is_read ? adapter::EncodeFault(net::kGone, "no such job")
                           : service->Refusal("the store can't be read"));
         });
   }
@@ -342,7 +337,7 @@
               {"part", std::to_string(pending->partition)},
               {"how", how},
               {"ms", Elapsed(*pending)}});
-    Answer(pending, {kOk, {}, "{}"});
+    Answer(pending, {net::kOk, {}, "{}"});
   }
 
   void TakeReply(const record_ptr& pending,
@@ -396,7 +391,7 @@
       ++counts_.unanswered;
       LogEvent(job_event::kJobUnanswered, fields);
       Answer(pending, adapter::EncodeFault(
-                          kGatewayTimeout,
+                          net::kGatewayTimeout,
                           "the store didn't answer; repeat the same id"));
       return;
     }
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/names.h"
+#include "net/delivery.h"
 
 /// HTTP/1.1 as messages, without the sockets. The platform's deployments need
 /// some hundred calls in flight on a quarter of a core, so that here, other
@@ -28,25 +28,6 @@
   std::string content_type = "application/json";
 };
 
-/// How far a request got.
-enum class delivery {
-  /// No connection was made, so the request was not sent.
-  kNotSent,
-  /// It was sent, at least in part, and no whole answer came in time.
-  kUnanswered,
-  /// A whole answer came.
-  kAnswered,
-};
-
-inline constexpr core::name_table<delivery, 3> kDeliveryNames = {{
-    {delivery::kNotSent, "not sent"},
-    {delivery::kUnanswered, "unanswered"},
-    {delivery::kAnswered, "answered"},
-}};
-inline constexpr const auto& NamesOf(delivery) {
-  return kDeliveryNames;
-}
-
 struct client_reply {
   delivery reached = delivery::kNotSent;
   /// Of a whole answer.
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "net/address.h"
+#include "net/http_status.h"
 #include "net/socket_options.h"
 
 namespace plantainhead::net {
@@ -132,7 +133,9 @@
   void TakeRequest(const session_ptr& open, error_code error) {
     if (error == http::error::body_limit) {
       Begin(open);
-      Write(open, {413, {}, R"({"error":"the body is too large"})"}, false);
+      Write(open,
+            {kContentTooLarge, {}, R"({"error":"the body is too large"})"},
+            false);
       return;
     }
     const bool is_malformed =
@@ -143,7 +146,8 @@
         error != http::error::partial_message;
     if (is_malformed) {
       Begin(open);
-      Write(open, {400, {}, R"({"error":"malformed HTTP request"})"}, false);
+      Write(open, {kBadRequest, {}, R"({"error":"malformed HTTP request"})"},
+            false);
       return;
     }
     if (error) {
--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -22,7 +22,7 @@
   const bool is_connected = error != httplib::Error::Connection &&
                             error != httplib::Error::ConnectionTimeout &&
                             error != httplib::Error::BindIPAddress;
-  reply.reached = is_connected ? delivery::kMaybeSent : delivery::kNotSent;
+  reply.reached = is_connected ? delivery::kUnanswered : delivery::kNotSent;
   return reply;
 }
 
--- a/src/platform/http_client.h
+++ b/src/platform/http_client.h
@@ -7,29 +7,12 @@
 
 #include <httplib.h>
 
-#include "plantainhead/core/names.h"
+#include "net/delivery.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::platform {
 
-/// How far a request got.
-enum class delivery {
-  /// No connection was made: the request was not sent.
-  kNotSent,
-  /// It was sent, at least in part, and no whole answer came.
-  kMaybeSent,
-  /// A whole answer came.
-  kAnswered,
-};
-
-inline constexpr core::name_table<delivery, 3> kDeliveryNames = {{
-    {delivery::kNotSent, "not sent"},
-    {delivery::kMaybeSent, "no whole answer"},
-    {delivery::kAnswered, "answered"},
-}};
-inline constexpr const auto& NamesOf(delivery) {
-  return kDeliveryNames;
-}
+using net::delivery;
 
 struct http_reply {
   delivery reached = delivery::kNotSent;
--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -321,7 +321,7 @@
             return [worker] { worker->scheduler->OnFenced(); };
           }
           Extend(machine, hold.lease_until);
-          Acknowledge(machine, hold.acked_through);
+          Acknowledge(machine, hold.acknowledged_through);
           vm_listing listing;
           listing.vm_clock = ClockOf(*machine);
           for (const auto& [task, held] : machine->runs) {
--- a/tests/core/jobs/pool_scheduler_test.cc
+++ b/tests/core/jobs/pool_scheduler_test.cc
@@ -148,17 +148,21 @@
   driver.Pass(milliseconds(100));
   driver.List("vm-1", {},
               {Ended(1, starts[0].target.task, 1, end_kind::kDone)});
-  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acked_through == 0);
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        0);
   const auto batch = driver.scheduler.TakeBatch();
   REQUIRE(batch);
-  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acked_through == 0);
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        0);
 
   SECTION("also when nothing else is to be stored meanwhile") {
     CHECK_FALSE(driver.scheduler.TakeBatch());
-    CHECK(driver.scheduler.NextHold("vm-1", driver.now).acked_through == 0);
+    CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+          0);
   }
   driver.scheduler.OnBatchStored(*batch);
-  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acked_through == 1);
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        1);
 }
 
 // The order to start a task has no answer. The VM may carry it out seconds
--- a/tools/plantain_scheduler.cc
+++ b/tools/plantain_scheduler.cc
@@ -84,9 +84,7 @@
   app.set_version_flag("--version", plantainhead::kVersion);
   std::string file;
   bool check = false;
-  app.add_option("settings", file, "settings file (YAML)")
-      ->envname("PLANTAINHEAD_SETTINGS")
-      ->required();
+  app.add_option("settings", file, "settings file (YAML)")->required();
   app.add_flag("--check", check, "only check the settings file");
   CLI11_PARSE(app, argc, argv);
 
