--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -41,6 +41,9 @@
     hosts_[host.host] = {host, requested_at};
   }
   spare_ = spare;
+  if (!is_listed_) {
+    first_requested_at_ = requested_at;
+  }
   requested_at_ = requested_at;
   is_listed_ = true;
 }
@@ -102,10 +105,13 @@
   return found == hosts_.end() ? nullptr : &found->second;
 }
 
-bool wave_keeper::IsMissing(const host_id& host, time_point now) const {
+// Only newer lists without the host tell that it left. While no list can be
+// read every host would seem to be missing, and the wave complete.
+bool wave_keeper::IsMissing(const host_id& host) const {
   const listed_host* listed = FindHost(host);
-  return listed == nullptr ||
-         now - listed->last_listed > settings_.missing_limit;
+  const time_point since =
+      listed == nullptr ? first_requested_at_ : listed->last_listed;
+  return requested_at_ - since > settings_.missing_limit;
 }
 
 // Returns how many of the pool's VMs are being emptied or are down.
@@ -210,7 +216,7 @@
     const listed_host* listed = FindHost(host);
     const bool is_open = progress.phase != host_phase::kDone &&
                          progress.phase != host_phase::kDown;
-    is_complete = is_complete && (!is_open || IsMissing(host, now));
+    is_complete = is_complete && (!is_open || IsMissing(host));
     if (listed == nullptr || !is_open || progress.is_order_in_flight ||
         now < progress.next_order_at) {
       continue;
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -68,6 +68,7 @@
   void TakeClaim(progress_writer::result result);
   void ReadAfterClaim();
   void AskForPredecessor(const std::function<void()>& done);
+  std::map<core::jobs::vm_id, core::time_point> InheritedLeaseEnds() const;
   core::jobs::takeover_bounds MakeBounds() const;
   void Begin();
 
@@ -119,6 +120,8 @@
   owner_record predecessor_;
   bool may_predecessor_act_ = false;
   std::string group_ = member_settings().group;
+  bool is_claimed_ = false;
+  bool is_released_ = false;
   bool is_closed_ = false;
   bool is_kicked_ = false;
   std::uint64_t synced_version_ = 0;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -27,12 +27,13 @@
 // one's time to live, and tells it how long each lease runs. So a batch that
 // is under way is waited for.
 void pool_owner::impl::Release(const std::function<void()>& on_released) {
-  if (!scheduler_) {
+  if (!is_claimed_) {
     Close();
     on_released();
     return;
   }
-  lease_ends_ = scheduler_->LeaseEnds();
+  lease_ends_ = scheduler_ ? scheduler_->LeaseEnds() : InheritedLeaseEnds();
+  is_released_ = true;
   scheduler_.reset();
   links_.clear();
   tick_timer_.cancel();
@@ -121,6 +122,7 @@
     return;
   }
   claimed_at_ = BootTime();
+  is_claimed_ = true;
   ReadAfterClaim();
 }
 
@@ -167,6 +169,21 @@
       });
 }
 
+// In a rolling restart owners follow one another before any has begun to work.
+// Each hands on what it knows of the leases; if the wait for silent VMs began
+// anew with each of them, the pool would start nothing until the last one.
+std::map<core::jobs::vm_id, core::time_point>
+pool_owner::impl::InheritedLeaseEnds() const {
+  const core::jobs::takeover_bounds bounds = MakeBounds();
+  std::map<core::jobs::vm_id, core::time_point> ends;
+  for (const auto& [vm, address] : deps_.world->UsedVms(partition_)) {
+    const auto known = bounds.lapsed_at.find(vm);
+    ends[vm] = known == bounds.lapsed_at.end() ? bounds.others_lapsed_at
+                                               : known->second;
+  }
+  return ends;
+}
+
 core::jobs::takeover_bounds pool_owner::impl::MakeBounds() const {
   core::jobs::takeover_bounds bounds;
   if (predecessor_.epoch == 0) {
@@ -185,6 +202,9 @@
 }
 
 void pool_owner::impl::Begin() {
+  if (is_released_) {
+    return;
+  }
   const core::jobs::takeover_bounds bounds = MakeBounds();
   scheduler_ = std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
   std::size_t open = 0;
