--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -38,6 +38,10 @@
   duration quarantine = std::chrono::seconds(4);
   /// Failures in a row, of at least two jobs, that put a VM under quarantine.
   std::uint32_t quarantine_failures = 3;
+  /// A task that failed waits this long for another VM. Then its own may take
+  /// it again: where each VM holds at most one task of the step there may be no
+  /// other, and one that fails all is set aside by then.
+  duration elsewhere = std::chrono::milliseconds(1000);
   /// A VM that refused an order for a passing reason gets none for this time.
   duration refusal_pause = std::chrono::milliseconds(300);
   /// A VM that is to be emptied lets its tasks end for this time, so that most
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -30,8 +30,10 @@
   std::vector<std::uint32_t> failed_runs;
   bool is_presumed = false;
   std::string checkpoint;
-  /// Where its last run failed; the next one goes elsewhere if it can.
+  /// Where its last run failed; the next one goes elsewhere before
+  /// `failed_until`.
   vm_id failed_on;
+  time_point failed_until;
   /// No start before this time.
   time_point not_before;
 };
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -159,7 +159,7 @@
     if (task.phase != task_phase::kWaiting || now < task.not_before) {
       continue;
     }
-    vm_state* vm = ChooseVm(*job, name, rack, now);
+    vm_state* vm = ChooseVm(job, name, rack, now);
     if (vm == nullptr) {
       // The other tasks of the step are as large.
       return;
@@ -201,7 +201,7 @@
     std::vector<std::pair<vm_state*, task_name>> placed;
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
       const task_name name{job->spec().id, occurrence, step, i};
-      vm_state* vm = ChooseVm(*job, name, rack, now);
+      vm_state* vm = ChooseVm(job, name, rack, now);
       const bool is_in_rack =
           vm != nullptr && (rack.empty() || HasLabel(vm->description(), rack));
       if (!is_in_rack) {
@@ -274,16 +274,17 @@
 // much room stay free for large tasks. Lasting tasks go where others are
 // already, as far as their steps allow: the VMs without any can be given away
 // when the demand falls. Those that only fill keep away from those that serve.
-vm_state* pool_scheduler::impl::ChooseVm(const job_state& job,
+vm_state* pool_scheduler::impl::ChooseVm(job_state* job,
                                          const task_name& task,
                                          const std::string& rack,
                                          time_point now) {
-  const step_spec& step = job.spec().steps[task.step];
+  const step_spec& step = job->spec().steps[task.step];
   const resources room = RoomOf(step);
   if (!Fits(room, most_room_)) {
     return nullptr;
   }
-  const vm_id failed_on = const_cast<job_state&>(job).Find(task)->failed_on;
+  const task_state& state = *job->Find(task);
+  const bool is_elsewhere = now < state.failed_until;
   vm_state* best = nullptr;
   vm_state* last_resort = nullptr;
   std::size_t eligible = 0;
@@ -291,7 +292,7 @@
   for (vm_state* taker : takers_) {
     vm_state& vm = *taker;
     const vm_id& id = vm.description().id;
-    if (!IsEligible(vm, job.spec().pool, step)) {
+    if (!IsEligible(vm, job->spec().pool, step)) {
       continue;
     }
     ++eligible;
@@ -302,7 +303,7 @@
     if (is_full) {
       continue;
     }
-    if (id == failed_on) {
+    if (is_elsewhere && id == state.failed_on) {
       last_resort = &vm;
       continue;
     }
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -169,6 +169,9 @@
   if (is_new) {
     if (end.how == end_kind::kFailed) {
       ++counts_.failed_runs;
+      if (task_state* task = job->Find(end.task)) {
+        task->failed_until = now + settings_.elsewhere;
+      }
     }
     jobs_.NoteChange(job);
     if (IsFinal(job->phase())) {
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -113,6 +113,7 @@
     }
     run.is_stop_wanted = true;
     state->failed_on = vm->description().id;
+    state->failed_until = now + settings_.elsewhere;
     vm->avoid_until = std::max(vm->avoid_until, now + settings_.quarantine);
     ++counts_.hung_runs;
   }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -112,7 +112,7 @@
   bool IsEligible(const vm_state& vm,
                   const pool_id& pool,
                   const step_spec& step) const;
-  vm_state* ChooseVm(const job_state& job,
+  vm_state* ChooseVm(job_state* job,
                      const task_name& task,
                      const std::string& rack,
                      time_point now);
--- a/tests/core/jobs/pool_scheduler_test.cc
+++ b/tests/core/jobs/pool_scheduler_test.cc
@@ -139,6 +139,31 @@
   }
 }
 
+// A lasting step has one task on each VM. One fails, and all other VMs hold a
+// task of the step already. If it never went back to its VM it would stay down
+// for good, with room for it.
+TEST_CASE("A failed task goes back to its VM when no other may take it") {
+  scheduler_driver driver;
+  driver.Bring({Vm("vm-1"), Vm("vm-2")});
+  step_spec step = Step(2);
+  step.lasting = true;
+  step.most_per_vm = 1;
+  driver.Add(Job("job", {step}));
+  const auto starts = driver.StartAll();
+  REQUIRE(starts.size() == 2);
+  const run_ref failed = starts[0].target;
+  const run_ref other = starts[1].target;
+  driver.Pass(milliseconds(100));
+  driver.List(failed.vm, {}, {Ended(1, failed.task, 1, end_kind::kFailed)});
+  CHECK(driver.Starts().empty());
+  driver.Pass(milliseconds(1100));
+  driver.List(failed.vm, {}, {});
+  driver.List(other.vm, {Running(other.task, 1, 100)}, {});
+  const auto again = driver.Starts();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].target.vm == failed.vm);
+}
+
 TEST_CASE("An end is acknowledged only after its record is stored") {
   scheduler_driver driver;
   driver.Bring({Vm("vm-1")});
