Close given-away VMs before any start after a takeover; end an ownership twice safely

Change: the fleet's records are read at a takeover and applied to each VM as it becomes known; only a sure owner reports and offers.

--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -333,4 +333,8 @@
   RefreshUntilRead(registry_follower_.get(), on_done);
 }
 
+void job_world::RefreshFleetRecords(const std::function<void()>& on_done) {
+  RefreshUntilRead(fleet_follower_.get(), on_done);
+}
+
 }  // namespace plantainhead::jobs
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -115,8 +115,9 @@
   void RefreshAllJobs(const std::function<void()>& on_done);
   void RefreshProgress(std::uint32_t partition,
                        std::function<void(bool)> on_done);
-  /// Repeated until it has been read. Precondition: a partition is owned.
+  /// Repeated until they have been read. Precondition: a partition is owned.
   void RefreshRegistry(const std::function<void()>& on_done);
+  void RefreshFleetRecords(const std::function<void()>& on_done);
 
   /// Sets which pools' partitions this process owns: their jobs and VMs are
   /// read as soon as they are written.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -116,10 +116,14 @@
     }
   }
   StoreProgress();
-  if (has_closed_vms_) {
-    ReportEmptyVms();
+  // What is told here lets the VM's life be ended, so it must be this owner's
+  // to tell.
+  if (deps_.is_sure()) {
+    if (has_closed_vms_) {
+      ReportEmptyVms();
+    }
+    OfferEmptyVms();
   }
-  OfferEmptyVms();
 }
 
 void pool_owner::impl::Lose(const std::string& reason) {
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -12,30 +12,33 @@
 using core::jobs::vm_id;
 
 void pool_owner::impl::OnFleetRecords() {
-  if (!scheduler_) {
-    return;
+  if (scheduler_) {
+    CloseVms();
+    Kick();
   }
-  std::map<vm_id, bool> wanted;
+}
+
+// A VM that was emptied, or given away, is moved or serviced at any moment. A
+// task that started there, after a change of owner or before this VM was known
+// here, would be ended by that.
+void pool_owner::impl::CloseVms() {
+  std::set<vm_id> closed = released_;
   for (const auto& [key, value] : deps_.world->fleet_records()) {
     if (const auto vm = ClosedVmOf(key)) {
-      wanted[*vm] = true;
+      closed.insert(*vm);
     } else if (const auto offered = OfferedVmOf(key)) {
-      wanted[*offered] = true;
+      closed.insert(*offered);
     }
   }
-  for (const vm_id& vm : released_) {
-    wanted[vm] = true;
-  }
-  has_closed_vms_ = !wanted.empty();
-  for (const auto& [id, link] : links_) {
-    if (wanted.count(id) != 0) {
-      scheduler_->CloseVm(id, BootTime());
+  has_closed_vms_ = !closed.empty();
+  for (const core::jobs::vm_description& vm : scheduler_->Vms()) {
+    if (closed.count(vm.id) != 0) {
+      scheduler_->CloseVm(vm.id, BootTime());
     } else {
-      scheduler_->OpenVm(id);
-      reported_empty_.erase(id);
+      scheduler_->OpenVm(vm.id);
+      reported_empty_.erase(vm.id);
     }
   }
-  Kick();
 }
 
 // Tells the owner of the fleet how many VMs each pool wants, and gives away
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -98,6 +98,7 @@
   void Send(const core::jobs::pace_order& order);
 
   // Fleet.
+  void CloseVms();
   void SizePools();
   bool IsScarce(const core::jobs::pool_id& except) const;
   void TellWanted(const core::jobs::pool_id& pool,
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -27,7 +27,7 @@
 // one's time to live, and tells it how long each lease runs. So a batch that
 // is under way is waited for.
 void pool_owner::impl::Release(const std::function<void()>& on_released) {
-  if (!is_claimed_) {
+  if (!is_claimed_ || is_closed_) {
     Close();
     on_released();
     return;
@@ -129,7 +129,7 @@
 // What an earlier owner may have acted on, it has read from the store. So all
 // that is in the store now must be known before the first order.
 void pool_owner::impl::ReadAfterClaim() {
-  const auto left = std::make_shared<int>(3);
+  const auto left = std::make_shared<int>(4);
   const auto done = [self = weak_from_this(), left] {
     const auto owner = self.lock();
     if (--*left == 0 && owner && !owner->is_closed_) {
@@ -138,6 +138,7 @@
   };
   deps_.world->RefreshAllJobs(done);
   deps_.world->RefreshRegistry(done);
+  deps_.world->RefreshFleetRecords(done);
   AskForPredecessor(done);
 }
 
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -57,6 +57,7 @@
         [&](const vm_description& vm) { return vm.id == it->first; });
     it = is_known ? std::next(it) : links_.erase(it);
   }
+  CloseVms();
 }
 
 std::shared_ptr<vm_link> pool_owner::impl::FindLink(const vm_id& vm) {
