--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -34,8 +34,6 @@
   /// `failed_until`.
   vm_id failed_on;
   time_point failed_until;
-  /// No start before this time.
-  time_point not_before;
 };
 
 struct step_state {
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -156,7 +156,7 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     const task_name name{job->spec().id, occurrence, step, i};
     const task_state& task = *job->Find(name);
-    if (task.phase != task_phase::kWaiting || now < task.not_before) {
+    if (task.phase != task_phase::kWaiting) {
       continue;
     }
     vm_state* vm = ChooseVm(job, name, rack, now);
