--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -78,11 +78,10 @@
         });
   }
 
-  void Leave(std::function<void()> on_left) {
+  void Leave(const std::function<void()>& on_left) {
     has_left_ = true;
     timer_.cancel();
-    store_.Leave(settings_.group, member_, settings_.timeout,
-                 std::move(on_left));
+    store_.Leave(settings_.group, member_, settings_.timeout, on_left);
   }
 
   core::time_point renewed_at() const { return renewed_at_; }
@@ -151,8 +150,8 @@
   impl_->Renew();
 }
 
-void group_member::Leave(std::function<void()> on_left) {
-  impl_->Leave(std::move(on_left));
+void group_member::Leave(const std::function<void()>& on_left) {
+  impl_->Leave(on_left);
 }
 
 core::time_point group_member::RenewedAt() const {
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -61,7 +61,7 @@
   /// Renews now and not only when it is due.
   void RenewNow();
   /// Gives the partitions back and renews no more.
-  void Leave(std::function<void()> on_left);
+  void Leave(const std::function<void()>& on_left);
 
   /// When the last renewal that was answered was sent, by `BootTime`.
   core::time_point RenewedAt() const;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -201,8 +201,8 @@
   impl_->Start(generation);
 }
 
-void pool_owner::Release(std::function<void()> on_released) {
-  impl_->Release(std::move(on_released));
+void pool_owner::Release(const std::function<void()>& on_released) {
+  impl_->Release(on_released);
 }
 
 bool pool_owner::IsActive() const {
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -77,7 +77,7 @@
   /// Begins to take over. `generation` is the group's; the epoch is no lower.
   void Start(std::uint64_t generation);
   /// Stops giving orders, and records that it has.
-  void Release(std::function<void()> on_released);
+  void Release(const std::function<void()>& on_released);
 
   bool IsActive() const;
   std::uint64_t epoch() const;
