Tell the fleet's owner in one place; drop a question that nobody asks

The same append with the same reaction to a failure stood three times in the pool's owner, and group_member::IsFailing lost its last caller when orders came to end with the time to live. Behaviour as before.

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -86,7 +86,6 @@
 
   core::time_point renewed_at() const { return renewed_at_; }
   core::time_point answered_at() const { return answered_at_; }
-  bool is_failing() const { return is_failing_; }
 
  private:
   void TakeReply(core::time_point sent_at, const adapter::join_reply& reply) {
@@ -94,10 +93,10 @@
     if (has_left_) {
       return;
     }
-    is_failing_ = !reply.is_joined;
     // A failed renewal is repeated sooner, so that a short outage of the store
     // doesn't use up the time to live.
-    const auto pause = is_failing_ ? settings_.renewal / 3 : settings_.renewal;
+    const auto pause =
+        reply.is_joined ? settings_.renewal : settings_.renewal / 3;
     timer_.expires_after(pause);
     timer_.async_wait(
         [self = weak_from_this()](const boost::system::error_code& error) {
@@ -124,7 +123,6 @@
   core::time_point renewed_at_;
   core::time_point answered_at_;
   core::time_point began_at_;
-  bool is_failing_ = false;
   bool is_in_flight_ = false;
   bool has_left_ = false;
 };
@@ -162,8 +160,4 @@
   return impl_->answered_at();
 }
 
-bool group_member::IsFailing() const {
-  return impl_->is_failing();
-}
-
 }  // namespace plantainhead::jobs
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -67,8 +67,6 @@
   core::time_point RenewedAt() const;
   /// When the store last answered a call of this member, by `BootTime`.
   core::time_point AnsweredAt() const;
-  /// Whether the last renewal failed.
-  bool IsFailing() const;
 
  private:
   class impl;
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -97,18 +97,27 @@
             {"usable", std::to_string(load.usable_vms)},
             {"used_millis", std::to_string(load.used.cpu_millis)},
             {"waiting_millis", std::to_string(load.waiting.cpu_millis)}});
+  TellFleet(EncodeWantedVms(pool, wanted), [this, pool] {
+    const auto found = sizes_.find(pool);
+    if (found != sizes_.end()) {
+      found->second.told = {};
+    }
+  });
+}
+
+// `on_failed` is called, while this owner lives, when the record may not be
+// stored; it makes the next look tell it again.
+void pool_owner::impl::TellFleet(const adapter::keyed_record& record,
+                                 const std::function<void()>& on_failed) {
   adapter::append_call call;
   call.partition = {kFleetTopic, 0};
-  call.records = {EncodeWantedVms(pool, wanted)};
+  call.records = {record};
   deps_.store->Append(
       call, settings_.writer.timeout,
-      [self = weak_from_this(), pool](const adapter::append_reply& reply) {
+      [self = weak_from_this(), on_failed](const adapter::append_reply& reply) {
         const auto owner = self.lock();
         if (owner && reply.outcome != adapter::append_outcome::kStored) {
-          const auto found = owner->sizes_.find(pool);
-          if (found != owner->sizes_.end()) {
-            found->second.told = {};
-          }
+          on_failed();
         }
       });
 }
@@ -124,17 +133,7 @@
     if (!scheduler_->IsEmpty(vm) || !offered_.insert(vm).second) {
       continue;
     }
-    adapter::append_call call;
-    call.partition = {kFleetTopic, 0};
-    call.records = {EncodeOfferedVm(vm)};
-    deps_.store->Append(
-        call, settings_.writer.timeout,
-        [self = weak_from_this(), vm](const adapter::append_reply& reply) {
-          const auto owner = self.lock();
-          if (owner && reply.outcome != adapter::append_outcome::kStored) {
-            owner->offered_.erase(vm);
-          }
-        });
+    TellFleet(EncodeOfferedVm(vm), [this, vm] { offered_.erase(vm); });
   }
 }
 
@@ -146,17 +145,7 @@
         !reported_empty_.emplace(*vm, true).second) {
       continue;
     }
-    adapter::append_call call;
-    call.partition = {kFleetTopic, 0};
-    call.records = {EncodeEmptyVm(*vm)};
-    deps_.store->Append(
-        call, settings_.writer.timeout,
-        [self = weak_from_this(), vm](const adapter::append_reply& reply) {
-          const auto owner = self.lock();
-          if (owner && reply.outcome != adapter::append_outcome::kStored) {
-            owner->reported_empty_.erase(*vm);
-          }
-        });
+    TellFleet(EncodeEmptyVm(*vm), [this, vm] { reported_empty_.erase(*vm); });
   }
 }
 
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -106,6 +106,8 @@
                   const core::jobs::pool_load& load,
                   std::uint32_t count,
                   core::time_point now);
+  void TellFleet(const adapter::keyed_record& record,
+                 const std::function<void()>& on_failed);
   void OfferEmptyVms();
   void ReportEmptyVms();
 
