--- a/bench/claims_bench.cc
+++ b/bench/claims_bench.cc
@@ -17,7 +17,7 @@
 #include <variant>
 #include <vector>
 
-#include "plantainhead/core/claims.h"
+#include "plantainhead/core/claims/claims.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
--- a/bench/fold_bench.cc
+++ b/bench/fold_bench.cc
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/digest.h"
-#include "plantainhead/core/fold.h"
+#include "plantainhead/core/log/digest.h"
+#include "plantainhead/core/log/fold.h"
 #include "plantainhead/platform/record_codec.h"
 
 namespace plantainhead::core {
--- a/bench/membership_bench.cc
+++ b/bench/membership_bench.cc
@@ -15,9 +15,9 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/fold.h"
-#include "plantainhead/core/membership.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/log/fold.h"
+#include "plantainhead/core/membership/membership.h"
 #include "plantainhead/core/random.h"
 #include "plantainhead/entry/frame_codec.h"
 
--- a/bench/owner_model.h
+++ b/bench/owner_model.h
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-#include "plantainhead/core/request_core.h"
+#include "plantainhead/core/requests/request_core.h"
 #include "plantainhead/core/visit.h"
 #include "routing_models.h"
 
--- a/bench/planner_bench.cc
+++ b/bench/planner_bench.cc
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-#include "../tests/core/planner_harness.h"
+#include "../tests/core/fleet/planner_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/bench/platform_log_bench.cc
+++ b/bench/platform_log_bench.cc
@@ -26,7 +26,7 @@
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
 
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/log/fleet_state.h"
 #include "plantainhead/platform/platform_link.h"
 #include "plantainhead/platform/record_codec.h"
 #include "platform_server.h"
--- a/include/plantainhead/caller/http_server.h
+++ b/include/plantainhead/caller/http_server.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "plantainhead/caller/route.h"
-#include "plantainhead/core/gateway.h"
+#include "plantainhead/core/requests/gateway.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::caller {
--- a/include/plantainhead/core/claim_decision.h
+++ b/include/plantainhead/core/claims/claim_decision.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_CORE_CLAIM_DECISION_H_
-#define PLANTAINHEAD_CORE_CLAIM_DECISION_H_
+#ifndef PLANTAINHEAD_CORE_CLAIMS_CLAIM_DECISION_H_
+#define PLANTAINHEAD_CORE_CLAIMS_CLAIM_DECISION_H_
 
 #include <optional>
 
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/names.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -53,4 +53,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_CLAIM_DECISION_H_
+#endif  // PLANTAINHEAD_CORE_CLAIMS_CLAIM_DECISION_H_
--- a/include/plantainhead/core/claim_home.h
+++ b/include/plantainhead/core/claims/claim_home.h
@@ -1,13 +1,13 @@
-#ifndef PLANTAINHEAD_CORE_CLAIM_HOME_H_
-#define PLANTAINHEAD_CORE_CLAIM_HOME_H_
+#ifndef PLANTAINHEAD_CORE_CLAIMS_CLAIM_HOME_H_
+#define PLANTAINHEAD_CORE_CLAIMS_CLAIM_HOME_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <set>
 #include <vector>
 
-#include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/fleet_state.h"
 
 /// Which stream holds a key's claims, and which entry writes them.
 namespace plantainhead::core {
@@ -45,4 +45,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_CLAIM_HOME_H_
+#endif  // PLANTAINHEAD_CORE_CLAIMS_CLAIM_HOME_H_
--- a/include/plantainhead/core/claim_question.h
+++ b/include/plantainhead/core/claims/claim_question.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_CORE_CLAIM_QUESTION_H_
-#define PLANTAINHEAD_CORE_CLAIM_QUESTION_H_
+#ifndef PLANTAINHEAD_CORE_CLAIMS_CLAIM_QUESTION_H_
+#define PLANTAINHEAD_CORE_CLAIMS_CLAIM_QUESTION_H_
 
 #include <optional>
 
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/names.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 #include "plantainhead/core/time.h"
 
 /// The seam between the requests and the claims of their keys. After each event
@@ -49,4 +49,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_CLAIM_QUESTION_H_
+#endif  // PLANTAINHEAD_CORE_CLAIMS_CLAIM_QUESTION_H_
--- a/include/plantainhead/core/claims.h
+++ b/include/plantainhead/core/claims/claims.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_CLAIMS_H_
-#define PLANTAINHEAD_CORE_CLAIMS_H_
+#ifndef PLANTAINHEAD_CORE_CLAIMS_CLAIMS_H_
+#define PLANTAINHEAD_CORE_CLAIMS_CLAIMS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -7,14 +7,14 @@
 #include <set>
 #include <vector>
 
-#include "plantainhead/core/append_ids.h"
-#include "plantainhead/core/claim_decision.h"
-#include "plantainhead/core/claim_home.h"
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/claims/claim_decision.h"
+#include "plantainhead/core/claims/claim_home.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/events.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/log/append_ids.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/requests/request.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -176,4 +176,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_CLAIMS_H_
+#endif  // PLANTAINHEAD_CORE_CLAIMS_CLAIMS_H_
--- a/include/plantainhead/core/actions.h
+++ b/include/plantainhead/core/entry/actions.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_ACTIONS_H_
-#define PLANTAINHEAD_CORE_ACTIONS_H_
+#ifndef PLANTAINHEAD_CORE_ENTRY_ACTIONS_H_
+#define PLANTAINHEAD_CORE_ENTRY_ACTIONS_H_
 
 #include <cstdint>
 #include <optional>
@@ -8,12 +8,12 @@
 #include <variant>
 #include <vector>
 
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/log/records.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/core/platform_types.h"
-#include "plantainhead/core/records.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 
 /// All that an entry can do. An adapter carries these out in their order.
 namespace plantainhead::core {
@@ -142,4 +142,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_ACTIONS_H_
+#endif  // PLANTAINHEAD_CORE_ENTRY_ACTIONS_H_
--- a/include/plantainhead/core/effects.h
+++ b/include/plantainhead/core/entry/effects.h
@@ -1,12 +1,12 @@
-#ifndef PLANTAINHEAD_CORE_EFFECTS_H_
-#define PLANTAINHEAD_CORE_EFFECTS_H_
+#ifndef PLANTAINHEAD_CORE_ENTRY_EFFECTS_H_
+#define PLANTAINHEAD_CORE_ENTRY_EFFECTS_H_
 
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/log/records.h"
 
 namespace plantainhead::core {
 
@@ -31,4 +31,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_EFFECTS_H_
+#endif  // PLANTAINHEAD_CORE_ENTRY_EFFECTS_H_
--- a/include/plantainhead/core/entry_core.h
+++ b/include/plantainhead/core/entry/entry_core.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_ENTRY_CORE_H_
-#define PLANTAINHEAD_CORE_ENTRY_CORE_H_
+#ifndef PLANTAINHEAD_CORE_ENTRY_ENTRY_CORE_H_
+#define PLANTAINHEAD_CORE_ENTRY_ENTRY_CORE_H_
 
 #include <cstdint>
 #include <map>
@@ -8,21 +8,21 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/append_ids.h"
-#include "plantainhead/core/claims.h"
-#include "plantainhead/core/control_log.h"
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/endpoint_table.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/fleet_meter.h"
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/lease.h"
-#include "plantainhead/core/membership.h"
-#include "plantainhead/core/planner.h"
+#include "plantainhead/core/claims/claims.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/fleet/fleet_meter.h"
+#include "plantainhead/core/fleet/planner.h"
+#include "plantainhead/core/log/append_ids.h"
+#include "plantainhead/core/log/control_log.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/log/lease.h"
+#include "plantainhead/core/membership/membership.h"
 #include "plantainhead/core/random.h"
-#include "plantainhead/core/request_core.h"
-#include "plantainhead/core/request_meter.h"
+#include "plantainhead/core/requests/endpoint_table.h"
+#include "plantainhead/core/requests/request_core.h"
+#include "plantainhead/core/requests/request_meter.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -186,4 +186,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_ENTRY_CORE_H_
+#endif  // PLANTAINHEAD_CORE_ENTRY_ENTRY_CORE_H_
--- a/include/plantainhead/core/events.h
+++ b/include/plantainhead/core/entry/events.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_EVENTS_H_
-#define PLANTAINHEAD_CORE_EVENTS_H_
+#ifndef PLANTAINHEAD_CORE_ENTRY_EVENTS_H_
+#define PLANTAINHEAD_CORE_ENTRY_EVENTS_H_
 
 #include <cstdint>
 #include <optional>
@@ -7,12 +7,12 @@
 #include <variant>
 #include <vector>
 
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/log/records.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/core/platform_types.h"
-#include "plantainhead/core/records.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 
 /// All that can happen to an entry. An adapter turns sockets, timers and files
 /// into these and hands each to `entry_core::Handle` with the time.
@@ -156,4 +156,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_EVENTS_H_
+#endif  // PLANTAINHEAD_CORE_ENTRY_EVENTS_H_
--- a/include/plantainhead/core/messages.h
+++ b/include/plantainhead/core/entry/messages.h
@@ -1,13 +1,13 @@
-#ifndef PLANTAINHEAD_CORE_MESSAGES_H_
-#define PLANTAINHEAD_CORE_MESSAGES_H_
+#ifndef PLANTAINHEAD_CORE_ENTRY_MESSAGES_H_
+#define PLANTAINHEAD_CORE_ENTRY_MESSAGES_H_
 
 #include <cstdint>
 #include <variant>
 #include <vector>
 
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/request.h"
-#include "plantainhead/core/request_counts.h"
+#include "plantainhead/core/requests/request.h"
+#include "plantainhead/core/requests/request_counts.h"
 #include "plantainhead/core/time.h"
 
 /// Messages between entries. Each travels in a frame with the sender's
@@ -115,4 +115,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_MESSAGES_H_
+#endif  // PLANTAINHEAD_CORE_ENTRY_MESSAGES_H_
--- a/include/plantainhead/core/capacity.h
+++ b/include/plantainhead/core/fleet/capacity.h
@@ -1,12 +1,12 @@
-#ifndef PLANTAINHEAD_CORE_CAPACITY_H_
-#define PLANTAINHEAD_CORE_CAPACITY_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_CAPACITY_H_
+#define PLANTAINHEAD_CORE_FLEET_CAPACITY_H_
 
 #include <cstdint>
 #include <map>
 
-#include "plantainhead/core/demand_estimator.h"
-#include "plantainhead/core/fleet_view.h"
-#include "plantainhead/core/planner_types.h"
+#include "plantainhead/core/fleet/demand_estimator.h"
+#include "plantainhead/core/fleet/planner_types.h"
+#include "plantainhead/core/log/fleet_view.h"
 
 namespace plantainhead::core {
 
@@ -46,4 +46,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_CAPACITY_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_CAPACITY_H_
--- a/include/plantainhead/core/demand_estimator.h
+++ b/include/plantainhead/core/fleet/demand_estimator.h
@@ -1,9 +1,9 @@
-#ifndef PLANTAINHEAD_CORE_DEMAND_ESTIMATOR_H_
-#define PLANTAINHEAD_CORE_DEMAND_ESTIMATOR_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_DEMAND_ESTIMATOR_H_
+#define PLANTAINHEAD_CORE_FLEET_DEMAND_ESTIMATOR_H_
 
 #include <map>
 
-#include "plantainhead/core/planner_types.h"
+#include "plantainhead/core/fleet/planner_types.h"
 
 namespace plantainhead::core {
 
@@ -44,4 +44,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_DEMAND_ESTIMATOR_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_DEMAND_ESTIMATOR_H_
--- a/include/plantainhead/core/error_budget.h
+++ b/include/plantainhead/core/fleet/error_budget.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_ERROR_BUDGET_H_
-#define PLANTAINHEAD_CORE_ERROR_BUDGET_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_ERROR_BUDGET_H_
+#define PLANTAINHEAD_CORE_FLEET_ERROR_BUDGET_H_
 
 #include <array>
 #include <cstddef>
@@ -7,7 +7,7 @@
 #include <map>
 
 #include "plantainhead/core/configuration.h"
-#include "plantainhead/core/request_counts.h"
+#include "plantainhead/core/requests/request_counts.h"
 #include "plantainhead/core/time.h"
 
 /// What each class has spent of the unavailability that its target tolerates.
@@ -68,4 +68,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_ERROR_BUDGET_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_ERROR_BUDGET_H_
--- a/include/plantainhead/core/fleet_meter.h
+++ b/include/plantainhead/core/fleet/fleet_meter.h
@@ -1,14 +1,14 @@
-#ifndef PLANTAINHEAD_CORE_FLEET_METER_H_
-#define PLANTAINHEAD_CORE_FLEET_METER_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_FLEET_METER_H_
+#define PLANTAINHEAD_CORE_FLEET_FLEET_METER_H_
 
 #include <deque>
 #include <map>
 #include <set>
 #include <vector>
 
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/messages.h"
-#include "plantainhead/core/planner_types.h"
+#include "plantainhead/core/entry/messages.h"
+#include "plantainhead/core/fleet/planner_types.h"
+#include "plantainhead/core/log/fleet_state.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -57,4 +57,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_FLEET_METER_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_FLEET_METER_H_
--- a/include/plantainhead/core/job_placement.h
+++ b/include/plantainhead/core/fleet/job_placement.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_JOB_PLACEMENT_H_
-#define PLANTAINHEAD_CORE_JOB_PLACEMENT_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_JOB_PLACEMENT_H_
+#define PLANTAINHEAD_CORE_FLEET_JOB_PLACEMENT_H_
 
 #include <cstdint>
 #include <map>
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/planner_context.h"
-#include "plantainhead/core/task_history.h"
+#include "plantainhead/core/fleet/planner_context.h"
+#include "plantainhead/core/fleet/task_history.h"
 
 namespace plantainhead::core {
 
@@ -92,4 +92,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_JOB_PLACEMENT_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_JOB_PLACEMENT_H_
--- a/include/plantainhead/core/job_planner.h
+++ b/include/plantainhead/core/fleet/job_planner.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_JOB_PLANNER_H_
-#define PLANTAINHEAD_CORE_JOB_PLANNER_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_JOB_PLANNER_H_
+#define PLANTAINHEAD_CORE_FLEET_JOB_PLANNER_H_
 
 #include <cstdint>
 #include <map>
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/job_placement.h"
-#include "plantainhead/core/planner_context.h"
-#include "plantainhead/core/task_history.h"
+#include "plantainhead/core/fleet/job_placement.h"
+#include "plantainhead/core/fleet/planner_context.h"
+#include "plantainhead/core/fleet/task_history.h"
 
 namespace plantainhead::core {
 
@@ -103,4 +103,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_JOB_PLANNER_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_JOB_PLANNER_H_
--- a/include/plantainhead/core/operation_tracker.h
+++ b/include/plantainhead/core/fleet/operation_tracker.h
@@ -1,12 +1,12 @@
-#ifndef PLANTAINHEAD_CORE_OPERATION_TRACKER_H_
-#define PLANTAINHEAD_CORE_OPERATION_TRACKER_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_OPERATION_TRACKER_H_
+#define PLANTAINHEAD_CORE_FLEET_OPERATION_TRACKER_H_
 
 #include <map>
 #include <optional>
 #include <string>
 
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/events.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/events.h"
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/time.h"
 
@@ -62,4 +62,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_OPERATION_TRACKER_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_OPERATION_TRACKER_H_
--- a/include/plantainhead/core/phase_watch.h
+++ b/include/plantainhead/core/fleet/phase_watch.h
@@ -1,10 +1,10 @@
-#ifndef PLANTAINHEAD_CORE_PHASE_WATCH_H_
-#define PLANTAINHEAD_CORE_PHASE_WATCH_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_PHASE_WATCH_H_
+#define PLANTAINHEAD_CORE_FLEET_PHASE_WATCH_H_
 
 #include <map>
 #include <set>
 
-#include "plantainhead/core/planner_types.h"
+#include "plantainhead/core/fleet/planner_types.h"
 
 namespace plantainhead::core {
 
@@ -60,4 +60,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_PHASE_WATCH_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_PHASE_WATCH_H_
--- a/include/plantainhead/core/planner.h
+++ b/include/plantainhead/core/fleet/planner.h
@@ -1,17 +1,17 @@
-#ifndef PLANTAINHEAD_CORE_PLANNER_H_
-#define PLANTAINHEAD_CORE_PLANNER_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_PLANNER_H_
+#define PLANTAINHEAD_CORE_FLEET_PLANNER_H_
 
 #include <string>
 
-#include "plantainhead/core/demand_estimator.h"
-#include "plantainhead/core/job_planner.h"
-#include "plantainhead/core/operation_tracker.h"
-#include "plantainhead/core/phase_watch.h"
-#include "plantainhead/core/planner_context.h"
-#include "plantainhead/core/planner_types.h"
-#include "plantainhead/core/pool_planner.h"
-#include "plantainhead/core/record_gate.h"
-#include "plantainhead/core/wave_planner.h"
+#include "plantainhead/core/fleet/demand_estimator.h"
+#include "plantainhead/core/fleet/job_planner.h"
+#include "plantainhead/core/fleet/operation_tracker.h"
+#include "plantainhead/core/fleet/phase_watch.h"
+#include "plantainhead/core/fleet/planner_context.h"
+#include "plantainhead/core/fleet/planner_types.h"
+#include "plantainhead/core/fleet/pool_planner.h"
+#include "plantainhead/core/fleet/wave_planner.h"
+#include "plantainhead/core/log/record_gate.h"
 
 namespace plantainhead::core {
 
@@ -64,4 +64,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_PLANNER_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_PLANNER_H_
--- a/include/plantainhead/core/planner_context.h
+++ b/include/plantainhead/core/fleet/planner_context.h
@@ -1,15 +1,15 @@
-#ifndef PLANTAINHEAD_CORE_PLANNER_CONTEXT_H_
-#define PLANTAINHEAD_CORE_PLANNER_CONTEXT_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_PLANNER_CONTEXT_H_
+#define PLANTAINHEAD_CORE_FLEET_PLANNER_CONTEXT_H_
 
 #include <map>
 #include <set>
 #include <string>
 
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/fleet_view.h"
-#include "plantainhead/core/operation_tracker.h"
-#include "plantainhead/core/planner_types.h"
-#include "plantainhead/core/record_gate.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/fleet/operation_tracker.h"
+#include "plantainhead/core/fleet/planner_types.h"
+#include "plantainhead/core/log/fleet_view.h"
+#include "plantainhead/core/log/record_gate.h"
 
 namespace plantainhead::core {
 
@@ -56,4 +56,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_PLANNER_CONTEXT_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_PLANNER_CONTEXT_H_
--- a/include/plantainhead/core/planner_types.h
+++ b/include/plantainhead/core/fleet/planner_types.h
@@ -1,13 +1,13 @@
-#ifndef PLANTAINHEAD_CORE_PLANNER_TYPES_H_
-#define PLANTAINHEAD_CORE_PLANNER_TYPES_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_PLANNER_TYPES_H_
+#define PLANTAINHEAD_CORE_FLEET_PLANNER_TYPES_H_
 
 #include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
 
-#include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/fleet_state.h"
 #include "plantainhead/core/platform_types.h"
 #include "plantainhead/core/time.h"
 
@@ -139,4 +139,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_PLANNER_TYPES_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_PLANNER_TYPES_H_
--- a/include/plantainhead/core/pool_balance.h
+++ b/include/plantainhead/core/fleet/pool_balance.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_CORE_POOL_BALANCE_H_
-#define PLANTAINHEAD_CORE_POOL_BALANCE_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_POOL_BALANCE_H_
+#define PLANTAINHEAD_CORE_FLEET_POOL_BALANCE_H_
 
 #include <cstdint>
 #include <map>
 #include <optional>
 
-#include "plantainhead/core/capacity.h"
+#include "plantainhead/core/fleet/capacity.h"
 
 namespace plantainhead::core {
 
@@ -57,4 +57,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_POOL_BALANCE_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_POOL_BALANCE_H_
--- a/include/plantainhead/core/pool_planner.h
+++ b/include/plantainhead/core/fleet/pool_planner.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_POOL_PLANNER_H_
-#define PLANTAINHEAD_CORE_POOL_PLANNER_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_POOL_PLANNER_H_
+#define PLANTAINHEAD_CORE_FLEET_POOL_PLANNER_H_
 
 #include <cstdint>
 #include <map>
@@ -7,9 +7,9 @@
 #include <set>
 #include <string>
 
-#include "plantainhead/core/capacity.h"
-#include "plantainhead/core/pool_balance.h"
-#include "plantainhead/core/vm_lifecycle.h"
+#include "plantainhead/core/fleet/capacity.h"
+#include "plantainhead/core/fleet/pool_balance.h"
+#include "plantainhead/core/fleet/vm_lifecycle.h"
 
 namespace plantainhead::core {
 
@@ -140,4 +140,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_POOL_PLANNER_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_POOL_PLANNER_H_
--- a/include/plantainhead/core/queueing.h
+++ b/include/plantainhead/core/fleet/queueing.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_QUEUEING_H_
-#define PLANTAINHEAD_CORE_QUEUEING_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_QUEUEING_H_
+#define PLANTAINHEAD_CORE_FLEET_QUEUEING_H_
 
 #include <cstdint>
 
@@ -19,4 +19,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_QUEUEING_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_QUEUEING_H_
--- a/include/plantainhead/core/task_history.h
+++ b/include/plantainhead/core/fleet/task_history.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_TASK_HISTORY_H_
-#define PLANTAINHEAD_CORE_TASK_HISTORY_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_TASK_HISTORY_H_
+#define PLANTAINHEAD_CORE_FLEET_TASK_HISTORY_H_
 
 #include <compare>
 #include <cstdint>
@@ -9,7 +9,7 @@
 #include <set>
 #include <vector>
 
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/log/fleet_state.h"
 #include "plantainhead/core/platform_types.h"
 #include "plantainhead/core/time.h"
 
@@ -95,4 +95,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_TASK_HISTORY_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_TASK_HISTORY_H_
--- a/include/plantainhead/core/vm_lifecycle.h
+++ b/include/plantainhead/core/fleet/vm_lifecycle.h
@@ -1,10 +1,10 @@
-#ifndef PLANTAINHEAD_CORE_VM_LIFECYCLE_H_
-#define PLANTAINHEAD_CORE_VM_LIFECYCLE_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_VM_LIFECYCLE_H_
+#define PLANTAINHEAD_CORE_FLEET_VM_LIFECYCLE_H_
 
 #include <string>
 
-#include "plantainhead/core/phase_watch.h"
-#include "plantainhead/core/planner_context.h"
+#include "plantainhead/core/fleet/phase_watch.h"
+#include "plantainhead/core/fleet/planner_context.h"
 
 namespace plantainhead::core {
 
@@ -79,4 +79,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_VM_LIFECYCLE_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_VM_LIFECYCLE_H_
--- a/include/plantainhead/core/wave_planner.h
+++ b/include/plantainhead/core/fleet/wave_planner.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_WAVE_PLANNER_H_
-#define PLANTAINHEAD_CORE_WAVE_PLANNER_H_
+#ifndef PLANTAINHEAD_CORE_FLEET_WAVE_PLANNER_H_
+#define PLANTAINHEAD_CORE_FLEET_WAVE_PLANNER_H_
 
 #include <cstdint>
 #include <map>
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/capacity.h"
-#include "plantainhead/core/vm_lifecycle.h"
+#include "plantainhead/core/fleet/capacity.h"
+#include "plantainhead/core/fleet/vm_lifecycle.h"
 
 namespace plantainhead::core {
 
@@ -76,4 +76,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_WAVE_PLANNER_H_
+#endif  // PLANTAINHEAD_CORE_FLEET_WAVE_PLANNER_H_
--- a/include/plantainhead/core/append_ids.h
+++ b/include/plantainhead/core/log/append_ids.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_APPEND_IDS_H_
-#define PLANTAINHEAD_CORE_APPEND_IDS_H_
+#ifndef PLANTAINHEAD_CORE_LOG_APPEND_IDS_H_
+#define PLANTAINHEAD_CORE_LOG_APPEND_IDS_H_
 
 #include <cstdint>
 
@@ -21,4 +21,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_APPEND_IDS_H_
+#endif  // PLANTAINHEAD_CORE_LOG_APPEND_IDS_H_
--- a/include/plantainhead/core/control_log.h
+++ b/include/plantainhead/core/log/control_log.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_CONTROL_LOG_H_
-#define PLANTAINHEAD_CORE_CONTROL_LOG_H_
+#ifndef PLANTAINHEAD_CORE_LOG_CONTROL_LOG_H_
+#define PLANTAINHEAD_CORE_LOG_CONTROL_LOG_H_
 
 #include <cstdint>
 #include <map>
@@ -10,15 +10,15 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/append_ids.h"
-#include "plantainhead/core/digest.h"
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/fold.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/log/append_ids.h"
+#include "plantainhead/core/log/digest.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/log/fold.h"
+#include "plantainhead/core/log/record_queue.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/core/random.h"
-#include "plantainhead/core/record_queue.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -240,4 +240,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_CONTROL_LOG_H_
+#endif  // PLANTAINHEAD_CORE_LOG_CONTROL_LOG_H_
--- a/include/plantainhead/core/digest.h
+++ b/include/plantainhead/core/log/digest.h
@@ -1,9 +1,9 @@
-#ifndef PLANTAINHEAD_CORE_DIGEST_H_
-#define PLANTAINHEAD_CORE_DIGEST_H_
+#ifndef PLANTAINHEAD_CORE_LOG_DIGEST_H_
+#define PLANTAINHEAD_CORE_LOG_DIGEST_H_
 
 #include <cstdint>
 
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/log/fleet_state.h"
 
 namespace plantainhead::core {
 
@@ -16,4 +16,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_DIGEST_H_
+#endif  // PLANTAINHEAD_CORE_LOG_DIGEST_H_
--- a/include/plantainhead/core/fleet_state.h
+++ b/include/plantainhead/core/log/fleet_state.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_FLEET_STATE_H_
-#define PLANTAINHEAD_CORE_FLEET_STATE_H_
+#ifndef PLANTAINHEAD_CORE_LOG_FLEET_STATE_H_
+#define PLANTAINHEAD_CORE_LOG_FLEET_STATE_H_
 
 #include <cstdint>
 #include <map>
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "plantainhead/core/configuration.h"
-#include "plantainhead/core/error_budget.h"
+#include "plantainhead/core/fleet/error_budget.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/log/records.h"
 
 namespace plantainhead::core {
 
@@ -148,4 +148,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_FLEET_STATE_H_
+#endif  // PLANTAINHEAD_CORE_LOG_FLEET_STATE_H_
--- a/include/plantainhead/core/fleet_view.h
+++ b/include/plantainhead/core/log/fleet_view.h
@@ -1,13 +1,13 @@
-#ifndef PLANTAINHEAD_CORE_FLEET_VIEW_H_
-#define PLANTAINHEAD_CORE_FLEET_VIEW_H_
+#ifndef PLANTAINHEAD_CORE_LOG_FLEET_VIEW_H_
+#define PLANTAINHEAD_CORE_LOG_FLEET_VIEW_H_
 
 #include <cstdint>
 #include <map>
 #include <vector>
 
-#include "plantainhead/core/phase_watch.h"
-#include "plantainhead/core/planner_types.h"
-#include "plantainhead/core/record_gate.h"
+#include "plantainhead/core/fleet/phase_watch.h"
+#include "plantainhead/core/fleet/planner_types.h"
+#include "plantainhead/core/log/record_gate.h"
 
 namespace plantainhead::core {
 
@@ -111,4 +111,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_FLEET_VIEW_H_
+#endif  // PLANTAINHEAD_CORE_LOG_FLEET_VIEW_H_
--- a/include/plantainhead/core/fold.h
+++ b/include/plantainhead/core/log/fold.h
@@ -1,14 +1,14 @@
-#ifndef PLANTAINHEAD_CORE_FOLD_H_
-#define PLANTAINHEAD_CORE_FOLD_H_
+#ifndef PLANTAINHEAD_CORE_LOG_FOLD_H_
+#define PLANTAINHEAD_CORE_LOG_FOLD_H_
 
 #include <cstddef>
 #include <stdexcept>
 #include <string>
 
-#include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/log/records.h"
 #include "plantainhead/core/names.h"
-#include "plantainhead/core/records.h"
 
 namespace plantainhead::core {
 
@@ -91,4 +91,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_FOLD_H_
+#endif  // PLANTAINHEAD_CORE_LOG_FOLD_H_
--- a/include/plantainhead/core/lease.h
+++ b/include/plantainhead/core/log/lease.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_CORE_LEASE_H_
-#define PLANTAINHEAD_CORE_LEASE_H_
+#ifndef PLANTAINHEAD_CORE_LOG_LEASE_H_
+#define PLANTAINHEAD_CORE_LOG_LEASE_H_
 
 #include <optional>
 
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/entry/effects.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/fleet_state.h"
 #include "plantainhead/core/random.h"
 #include "plantainhead/core/time.h"
 
@@ -87,4 +87,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_LEASE_H_
+#endif  // PLANTAINHEAD_CORE_LOG_LEASE_H_
--- a/include/plantainhead/core/record_gate.h
+++ b/include/plantainhead/core/log/record_gate.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_CORE_RECORD_GATE_H_
-#define PLANTAINHEAD_CORE_RECORD_GATE_H_
+#ifndef PLANTAINHEAD_CORE_LOG_RECORD_GATE_H_
+#define PLANTAINHEAD_CORE_LOG_RECORD_GATE_H_
 
 #include <map>
 #include <string>
 #include <utility>
 
-#include "plantainhead/core/effects.h"
+#include "plantainhead/core/entry/effects.h"
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/time.h"
 
@@ -76,4 +76,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_RECORD_GATE_H_
+#endif  // PLANTAINHEAD_CORE_LOG_RECORD_GATE_H_
--- a/include/plantainhead/core/record_number.h
+++ b/include/plantainhead/core/log/record_number.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_RECORD_NUMBER_H_
-#define PLANTAINHEAD_CORE_RECORD_NUMBER_H_
+#ifndef PLANTAINHEAD_CORE_LOG_RECORD_NUMBER_H_
+#define PLANTAINHEAD_CORE_LOG_RECORD_NUMBER_H_
 
 #include <cstdint>
 #include <optional>
@@ -28,4 +28,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_RECORD_NUMBER_H_
+#endif  // PLANTAINHEAD_CORE_LOG_RECORD_NUMBER_H_
--- a/include/plantainhead/core/record_queue.h
+++ b/include/plantainhead/core/log/record_queue.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_RECORD_QUEUE_H_
-#define PLANTAINHEAD_CORE_RECORD_QUEUE_H_
+#ifndef PLANTAINHEAD_CORE_LOG_RECORD_QUEUE_H_
+#define PLANTAINHEAD_CORE_LOG_RECORD_QUEUE_H_
 
 #include <cstdint>
 #include <deque>
@@ -7,13 +7,13 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/append_ids.h"
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/events.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/append_ids.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/log/records.h"
 #include "plantainhead/core/random.h"
-#include "plantainhead/core/records.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -118,4 +118,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_RECORD_QUEUE_H_
+#endif  // PLANTAINHEAD_CORE_LOG_RECORD_QUEUE_H_
--- a/include/plantainhead/core/records.h
+++ b/include/plantainhead/core/log/records.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_RECORDS_H_
-#define PLANTAINHEAD_CORE_RECORDS_H_
+#ifndef PLANTAINHEAD_CORE_LOG_RECORDS_H_
+#define PLANTAINHEAD_CORE_LOG_RECORDS_H_
 
 #include <cstdint>
 #include <map>
@@ -12,7 +12,7 @@
 #include "plantainhead/core/configuration.h"
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/names.h"
-#include "plantainhead/core/request_counts.h"
+#include "plantainhead/core/requests/request_counts.h"
 #include "plantainhead/core/time.h"
 
 /// Records of the platform's log. What must be agreed or last is a record; the
@@ -314,4 +314,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_RECORDS_H_
+#endif  // PLANTAINHEAD_CORE_LOG_RECORDS_H_
--- a/include/plantainhead/core/membership.h
+++ b/include/plantainhead/core/membership/membership.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_MEMBERSHIP_H_
-#define PLANTAINHEAD_CORE_MEMBERSHIP_H_
+#ifndef PLANTAINHEAD_CORE_MEMBERSHIP_MEMBERSHIP_H_
+#define PLANTAINHEAD_CORE_MEMBERSHIP_MEMBERSHIP_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -8,12 +8,12 @@
 #include <set>
 #include <vector>
 
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/membership/watch_ring.h"
 #include "plantainhead/core/time.h"
-#include "plantainhead/core/watch_ring.h"
 
 namespace plantainhead::core {
 
@@ -217,4 +217,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_MEMBERSHIP_H_
+#endif  // PLANTAINHEAD_CORE_MEMBERSHIP_MEMBERSHIP_H_
--- a/include/plantainhead/core/watch_ring.h
+++ b/include/plantainhead/core/membership/watch_ring.h
@@ -1,12 +1,12 @@
-#ifndef PLANTAINHEAD_CORE_WATCH_RING_H_
-#define PLANTAINHEAD_CORE_WATCH_RING_H_
+#ifndef PLANTAINHEAD_CORE_MEMBERSHIP_WATCH_RING_H_
+#define PLANTAINHEAD_CORE_MEMBERSHIP_WATCH_RING_H_
 
 #include <cstddef>
 #include <map>
 #include <vector>
 
-#include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/fleet_state.h"
 
 namespace plantainhead::core {
 
@@ -36,4 +36,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_WATCH_RING_H_
+#endif  // PLANTAINHEAD_CORE_MEMBERSHIP_WATCH_RING_H_
--- a/include/plantainhead/core/call_counts.h
+++ b/include/plantainhead/core/requests/call_counts.h
@@ -1,13 +1,13 @@
-#ifndef PLANTAINHEAD_CORE_CALL_COUNTS_H_
-#define PLANTAINHEAD_CORE_CALL_COUNTS_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_CALL_COUNTS_H_
+#define PLANTAINHEAD_CORE_REQUESTS_CALL_COUNTS_H_
 
 #include <cstdint>
 #include <unordered_map>
 #include <vector>
 
-#include "plantainhead/core/endpoint_table.h"
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/requests/endpoint_table.h"
 
 namespace plantainhead::core {
 
@@ -48,4 +48,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_CALL_COUNTS_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_CALL_COUNTS_H_
--- a/include/plantainhead/core/endpoint_health.h
+++ b/include/plantainhead/core/requests/endpoint_health.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_ENDPOINT_HEALTH_H_
-#define PLANTAINHEAD_CORE_ENDPOINT_HEALTH_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_ENDPOINT_HEALTH_H_
+#define PLANTAINHEAD_CORE_REQUESTS_ENDPOINT_HEALTH_H_
 
 #include <cstdint>
 #include <unordered_map>
@@ -63,4 +63,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_ENDPOINT_HEALTH_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_ENDPOINT_HEALTH_H_
--- a/include/plantainhead/core/endpoint_table.h
+++ b/include/plantainhead/core/requests/endpoint_table.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_ENDPOINT_TABLE_H_
-#define PLANTAINHEAD_CORE_ENDPOINT_TABLE_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_ENDPOINT_TABLE_H_
+#define PLANTAINHEAD_CORE_REQUESTS_ENDPOINT_TABLE_H_
 
 #include <array>
 #include <cstddef>
@@ -9,10 +9,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "plantainhead/core/claim_home.h"
+#include "plantainhead/core/claims/claim_home.h"
 #include "plantainhead/core/configuration.h"
-#include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/fleet_state.h"
 #include "plantainhead/core/platform_types.h"
 
 namespace plantainhead::core {
@@ -109,4 +109,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_ENDPOINT_TABLE_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_ENDPOINT_TABLE_H_
--- a/include/plantainhead/core/gateway.h
+++ b/include/plantainhead/core/requests/gateway.h
@@ -1,13 +1,13 @@
-#ifndef PLANTAINHEAD_CORE_GATEWAY_H_
-#define PLANTAINHEAD_CORE_GATEWAY_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_GATEWAY_H_
+#define PLANTAINHEAD_CORE_REQUESTS_GATEWAY_H_
 
 #include <functional>
 #include <future>
 #include <string>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/records.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/log/records.h"
+#include "plantainhead/core/requests/request.h"
 
 namespace plantainhead::core {
 
@@ -33,4 +33,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_GATEWAY_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_GATEWAY_H_
--- a/include/plantainhead/core/owner_loads.h
+++ b/include/plantainhead/core/requests/owner_loads.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_OWNER_LOADS_H_
-#define PLANTAINHEAD_CORE_OWNER_LOADS_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_OWNER_LOADS_H_
+#define PLANTAINHEAD_CORE_REQUESTS_OWNER_LOADS_H_
 
 #include <cstdint>
 #include <optional>
@@ -7,10 +7,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/messages.h"
 #include "plantainhead/core/random.h"
-#include "plantainhead/core/routing_context.h"
+#include "plantainhead/core/requests/routing_context.h"
 
 namespace plantainhead::core {
 
@@ -78,4 +78,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_OWNER_LOADS_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_OWNER_LOADS_H_
--- a/include/plantainhead/core/pending_request.h
+++ b/include/plantainhead/core/requests/pending_request.h
@@ -1,14 +1,14 @@
-#ifndef PLANTAINHEAD_CORE_PENDING_REQUEST_H_
-#define PLANTAINHEAD_CORE_PENDING_REQUEST_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_PENDING_REQUEST_H_
+#define PLANTAINHEAD_CORE_REQUESTS_PENDING_REQUEST_H_
 
 #include <cstdint>
 #include <optional>
 #include <variant>
 #include <vector>
 
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/messages.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 #include "plantainhead/core/time.h"
 
 /// What `request_core` keeps of the requests at hand.
@@ -70,4 +70,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_PENDING_REQUEST_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_PENDING_REQUEST_H_
--- a/include/plantainhead/core/request.h
+++ b/include/plantainhead/core/requests/request.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_REQUEST_H_
-#define PLANTAINHEAD_CORE_REQUEST_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_REQUEST_H_
+#define PLANTAINHEAD_CORE_REQUESTS_REQUEST_H_
 
 #include <cstdint>
 #include <memory>
@@ -118,4 +118,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_REQUEST_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_REQUEST_H_
--- a/include/plantainhead/core/request_core.h
+++ b/include/plantainhead/core/requests/request_core.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_REQUEST_CORE_H_
-#define PLANTAINHEAD_CORE_REQUEST_CORE_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_REQUEST_CORE_H_
+#define PLANTAINHEAD_CORE_REQUESTS_REQUEST_CORE_H_
 
 #include <cstdint>
 #include <map>
@@ -9,19 +9,19 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/call_counts.h"
-#include "plantainhead/core/claim_decision.h"
-#include "plantainhead/core/claim_question.h"
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/endpoint_health.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/messages.h"
-#include "plantainhead/core/owner_loads.h"
-#include "plantainhead/core/pending_request.h"
+#include "plantainhead/core/claims/claim_decision.h"
+#include "plantainhead/core/claims/claim_question.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/random.h"
-#include "plantainhead/core/request_queue.h"
-#include "plantainhead/core/retry_budget.h"
-#include "plantainhead/core/routing_context.h"
+#include "plantainhead/core/requests/call_counts.h"
+#include "plantainhead/core/requests/endpoint_health.h"
+#include "plantainhead/core/requests/owner_loads.h"
+#include "plantainhead/core/requests/pending_request.h"
+#include "plantainhead/core/requests/request_queue.h"
+#include "plantainhead/core/requests/retry_budget.h"
+#include "plantainhead/core/requests/routing_context.h"
 
 namespace plantainhead::core {
 
@@ -290,4 +290,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_REQUEST_CORE_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_REQUEST_CORE_H_
--- a/include/plantainhead/core/request_counts.h
+++ b/include/plantainhead/core/requests/request_counts.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_REQUEST_COUNTS_H_
-#define PLANTAINHEAD_CORE_REQUEST_COUNTS_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_REQUEST_COUNTS_H_
+#define PLANTAINHEAD_CORE_REQUESTS_REQUEST_COUNTS_H_
 
 #include <array>
 #include <cstddef>
@@ -80,4 +80,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_REQUEST_COUNTS_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_REQUEST_COUNTS_H_
--- a/include/plantainhead/core/request_meter.h
+++ b/include/plantainhead/core/requests/request_meter.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_REQUEST_METER_H_
-#define PLANTAINHEAD_CORE_REQUEST_METER_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_REQUEST_METER_H_
+#define PLANTAINHEAD_CORE_REQUESTS_REQUEST_METER_H_
 
 #include <cstdint>
 #include <map>
@@ -7,11 +7,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "plantainhead/core/actions.h"
 #include "plantainhead/core/configuration.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/messages.h"
-#include "plantainhead/core/request_counts.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/entry/messages.h"
+#include "plantainhead/core/requests/request_counts.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -71,4 +71,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_REQUEST_METER_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_REQUEST_METER_H_
--- a/include/plantainhead/core/request_queue.h
+++ b/include/plantainhead/core/requests/request_queue.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_REQUEST_QUEUE_H_
-#define PLANTAINHEAD_CORE_REQUEST_QUEUE_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_REQUEST_QUEUE_H_
+#define PLANTAINHEAD_CORE_REQUESTS_REQUEST_QUEUE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -177,4 +177,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_REQUEST_QUEUE_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_REQUEST_QUEUE_H_
--- a/include/plantainhead/core/retry_budget.h
+++ b/include/plantainhead/core/requests/retry_budget.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_CORE_RETRY_BUDGET_H_
-#define PLANTAINHEAD_CORE_RETRY_BUDGET_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_RETRY_BUDGET_H_
+#define PLANTAINHEAD_CORE_REQUESTS_RETRY_BUDGET_H_
 
 #include <algorithm>
 
@@ -33,4 +33,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_RETRY_BUDGET_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_RETRY_BUDGET_H_
--- a/include/plantainhead/core/routing_context.h
+++ b/include/plantainhead/core/requests/routing_context.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_CORE_ROUTING_CONTEXT_H_
-#define PLANTAINHEAD_CORE_ROUTING_CONTEXT_H_
+#ifndef PLANTAINHEAD_CORE_REQUESTS_ROUTING_CONTEXT_H_
+#define PLANTAINHEAD_CORE_REQUESTS_ROUTING_CONTEXT_H_
 
 #include <set>
 
-#include "plantainhead/core/endpoint_table.h"
-#include "plantainhead/core/fleet_state.h"
 #include "plantainhead/core/ids.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/requests/endpoint_table.h"
 
 namespace plantainhead::core {
 
@@ -23,4 +23,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_CORE_ROUTING_CONTEXT_H_
+#endif  // PLANTAINHEAD_CORE_REQUESTS_ROUTING_CONTEXT_H_
--- a/include/plantainhead/endpoint/endpoint_link.h
+++ b/include/plantainhead/endpoint/endpoint_link.h
@@ -6,8 +6,8 @@
 #include <functional>
 #include <memory>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/events.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/entry/events.h"
 #include "plantainhead/core/time.h"
 
 namespace caf {
--- a/include/plantainhead/entry/frame_codec.h
+++ b/include/plantainhead/entry/frame_codec.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/core/time.h"
 
--- a/include/plantainhead/entry/peer_link.h
+++ b/include/plantainhead/entry/peer_link.h
@@ -7,8 +7,8 @@
 #include <memory>
 #include <string>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/events.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/entry/events.h"
 #include "plantainhead/core/time.h"
 #include "plantainhead/entry/frame_codec.h"
 
--- a/include/plantainhead/observe/burn.h
+++ b/include/plantainhead/observe/burn.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "plantainhead/core/configuration.h"
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/request_counts.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/requests/request_counts.h"
 #include "plantainhead/core/time.h"
 
 /// How fast each class of work uses up the share of requests that may fail its
--- a/include/plantainhead/observe/logging.h
+++ b/include/plantainhead/observe/logging.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/actions.h"
+#include "plantainhead/core/entry/actions.h"
 
 /// The log of a process: one JSON object a line, with `time` (UTC), `level`,
 /// `message` and the fields, all in ASCII.
--- a/include/plantainhead/observe/request_recorder.h
+++ b/include/plantainhead/observe/request_recorder.h
@@ -3,8 +3,8 @@
 
 #include <memory>
 
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/requests/request.h"
 #include "plantainhead/core/time.h"
 #include "plantainhead/observe/metrics.h"
 
--- a/include/plantainhead/operators/entry_view.h
+++ b/include/plantainhead/operators/entry_view.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/fleet_state.h"
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/log/fleet_state.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::operators {
--- a/include/plantainhead/operators/routes.h
+++ b/include/plantainhead/operators/routes.h
@@ -4,7 +4,7 @@
 #include <chrono>
 
 #include "plantainhead/caller/route.h"
-#include "plantainhead/core/gateway.h"
+#include "plantainhead/core/requests/gateway.h"
 #include "plantainhead/observe/metrics.h"
 #include "plantainhead/operators/entry_view.h"
 
--- a/include/plantainhead/platform/record_codec.h
+++ b/include/plantainhead/platform/record_codec.h
@@ -6,8 +6,8 @@
 #include <string_view>
 
 #include "plantainhead/core/configuration.h"
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/log/records.h"
 
 /// The platform's log, VM list and operations, as seen by an entry.
 namespace plantainhead::platform {
--- a/include/plantainhead/settings/entry_settings.h
+++ b/include/plantainhead/settings/entry_settings.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-#include "plantainhead/core/actions.h"
+#include "plantainhead/core/entry/actions.h"
 #include "plantainhead/core/ids.h"
 #include "plantainhead/core/time.h"
 
--- a/src/caller/answer_writer.h
+++ b/src/caller/answer_writer.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "caller/request_parser.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 
 namespace plantainhead::caller {
 
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -12,7 +12,7 @@
 #include <thread>
 
 #include "caller/idle_connections.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 
 namespace plantainhead::caller {
 
--- a/src/caller/request_parser.h
+++ b/src/caller/request_parser.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <variant>
 
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::caller {
--- a/src/core/claim_cursor.cc
+++ b/src/core/claims/claim_cursor.cc
@@ -1,4 +1,4 @@
-#include "core/claim_cursor.h"
+#include "core/claims/claim_cursor.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/core/claim_cursor.h
+++ b/src/core/claims/claim_cursor.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_CURSOR_H_
-#define PLANTAINHEAD_SRC_CORE_CLAIM_CURSOR_H_
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_CURSOR_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_CURSOR_H_
 
 #include <optional>
 
-#include "plantainhead/core/events.h"
+#include "plantainhead/core/entry/events.h"
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/log/records.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -75,4 +75,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_CURSOR_H_
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_CURSOR_H_
--- a/src/core/claim_home.cc
+++ b/src/core/claims/claim_home.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/claim_home.h"
+#include "plantainhead/core/claims/claim_home.h"
 
 #include <xxhash.h>
 
--- a/src/core/claim_index.cc
+++ b/src/core/claims/claim_index.cc
@@ -1,4 +1,4 @@
-#include "core/claim_index.h"
+#include "core/claims/claim_index.h"
 
 #include <xxhash.h>
 
--- a/src/core/claim_index.h
+++ b/src/core/claims/claim_index.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_INDEX_H_
-#define PLANTAINHEAD_SRC_CORE_CLAIM_INDEX_H_
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_INDEX_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_INDEX_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "plantainhead/core/ids.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/log/records.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -128,4 +128,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_INDEX_H_
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_INDEX_H_
--- a/src/core/claim_key_time.cc
+++ b/src/core/claims/claim_key_time.cc
@@ -1,4 +1,4 @@
-#include "core/claim_key_time.h"
+#include "core/claims/claim_key_time.h"
 
 #include <chrono>
 #include <cstddef>
--- a/src/core/claim_key_time.h
+++ b/src/core/claims/claim_key_time.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_KEY_TIME_H_
-#define PLANTAINHEAD_SRC_CORE_CLAIM_KEY_TIME_H_
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_KEY_TIME_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_KEY_TIME_H_
 
 #include <optional>
 
@@ -14,4 +14,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_KEY_TIME_H_
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_KEY_TIME_H_
--- a/src/core/claim_marks.cc
+++ b/src/core/claims/claim_marks.cc
@@ -1,4 +1,4 @@
-#include "core/claim_marks.h"
+#include "core/claims/claim_marks.h"
 
 #include <algorithm>
 
--- a/src/core/claim_marks.h
+++ b/src/core/claims/claim_marks.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_MARKS_H_
-#define PLANTAINHEAD_SRC_CORE_CLAIM_MARKS_H_
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_MARKS_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_MARKS_H_
 
 #include <cstdint>
 
-#include "core/claim_writer.h"
-#include "plantainhead/core/claims.h"
-#include "plantainhead/core/records.h"
+#include "core/claims/claim_writer.h"
+#include "plantainhead/core/claims/claims.h"
+#include "plantainhead/core/log/records.h"
 
 namespace plantainhead::core {
 
@@ -49,4 +49,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_MARKS_H_
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_MARKS_H_
--- a/src/core/claim_partition.cc
+++ b/src/core/claims/claim_partition.cc
@@ -1,9 +1,9 @@
-#include "core/claim_partition.h"
+#include "core/claims/claim_partition.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/log/records.h"
 
 namespace plantainhead::core {
 
--- a/src/core/claim_partition.h
+++ b/src/core/claims/claim_partition.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_PARTITION_H_
-#define PLANTAINHEAD_SRC_CORE_CLAIM_PARTITION_H_
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_PARTITION_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_PARTITION_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -9,12 +9,12 @@
 #include <unordered_set>
 #include <vector>
 
-#include "core/answer_store.h"
-#include "core/claim_cursor.h"
-#include "core/claim_index.h"
-#include "core/claim_marks.h"
-#include "core/claim_writer.h"
-#include "plantainhead/core/claims.h"
+#include "core/claims/claim_cursor.h"
+#include "core/claims/claim_index.h"
+#include "core/claims/claim_marks.h"
+#include "core/claims/claim_writer.h"
+#include "core/requests/answer_store.h"
+#include "plantainhead/core/claims/claims.h"
 
 namespace plantainhead::core {
 
@@ -146,4 +146,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_PARTITION_H_
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_PARTITION_H_
--- a/src/core/claim_partition_reading.cc
+++ b/src/core/claims/claim_partition_reading.cc
@@ -3,8 +3,8 @@
 #include <string>
 #include <variant>
 
-#include "core/claim_partition.h"
-#include "plantainhead/core/records.h"
+#include "core/claims/claim_partition.h"
+#include "plantainhead/core/log/records.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
--- a/src/core/claim_writer.cc
+++ b/src/core/claims/claim_writer.cc
@@ -1,4 +1,4 @@
-#include "core/claim_writer.h"
+#include "core/claims/claim_writer.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/core/claim_writer.h
+++ b/src/core/claims/claim_writer.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_SRC_CORE_CLAIM_WRITER_H_
-#define PLANTAINHEAD_SRC_CORE_CLAIM_WRITER_H_
+#ifndef PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_WRITER_H_
+#define PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_WRITER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -7,11 +7,11 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/append_ids.h"
-#include "plantainhead/core/claims.h"
-#include "plantainhead/core/effects.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/claims/claims.h"
+#include "plantainhead/core/entry/effects.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/log/append_ids.h"
+#include "plantainhead/core/log/records.h"
 
 namespace plantainhead::core {
 
@@ -69,4 +69,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_CLAIM_WRITER_H_
+#endif  // PLANTAINHEAD_SRC_CORE_CLAIMS_CLAIM_WRITER_H_
--- a/src/core/claims.cc
+++ b/src/core/claims/claims.cc
@@ -1,10 +1,10 @@
-#include "plantainhead/core/claims.h"
+#include "plantainhead/core/claims/claims.h"
 
 #include <algorithm>
 
-#include "core/answer_store.h"
-#include "core/claim_key_time.h"
-#include "core/claim_partition.h"
+#include "core/claims/claim_key_time.h"
+#include "core/claims/claim_partition.h"
+#include "core/requests/answer_store.h"
 
 namespace plantainhead::core {
 
--- a/src/core/entry_core_follow.cc
+++ b/src/core/entry/entry_core_follow.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/entry_core.h"
+#include "plantainhead/core/entry/entry_core.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/capacity.cc
+++ b/src/core/fleet/capacity.cc
@@ -1,10 +1,10 @@
-#include "plantainhead/core/capacity.h"
+#include "plantainhead/core/fleet/capacity.h"
 
 #include <algorithm>
 #include <cmath>
 #include <vector>
 
-#include "plantainhead/core/queueing.h"
+#include "plantainhead/core/fleet/queueing.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/demand_estimator.cc
+++ b/src/core/fleet/demand_estimator.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/demand_estimator.h"
+#include "plantainhead/core/fleet/demand_estimator.h"
 
 #include <cmath>
 
--- a/src/core/error_budget.cc
+++ b/src/core/fleet/error_budget.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/error_budget.h"
+#include "plantainhead/core/fleet/error_budget.h"
 
 #include <algorithm>
 
--- a/src/core/fleet_meter.cc
+++ b/src/core/fleet/fleet_meter.cc
@@ -1,9 +1,9 @@
-#include "plantainhead/core/fleet_meter.h"
+#include "plantainhead/core/fleet/fleet_meter.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "plantainhead/core/error_budget.h"
+#include "plantainhead/core/fleet/error_budget.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/job_placement.cc
+++ b/src/core/fleet/job_placement.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/job_placement.h"
+#include "plantainhead/core/fleet/job_placement.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/core/job_planner.cc
+++ b/src/core/fleet/job_planner.cc
@@ -1,10 +1,10 @@
-#include "plantainhead/core/job_planner.h"
+#include "plantainhead/core/fleet/job_planner.h"
 
 #include <algorithm>
 #include <tuple>
 #include <utility>
 
-#include "plantainhead/core/vm_lifecycle.h"
+#include "plantainhead/core/fleet/vm_lifecycle.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/job_planner_tasks.cc
+++ b/src/core/fleet/job_planner_tasks.cc
@@ -1,7 +1,7 @@
 #include <functional>
 
-#include "plantainhead/core/job_planner.h"
-#include "plantainhead/core/vm_lifecycle.h"
+#include "plantainhead/core/fleet/job_planner.h"
+#include "plantainhead/core/fleet/vm_lifecycle.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/operation_tracker.cc
+++ b/src/core/fleet/operation_tracker.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/operation_tracker.h"
+#include "plantainhead/core/fleet/operation_tracker.h"
 
 namespace plantainhead::core {
 
--- a/src/core/phase_watch.cc
+++ b/src/core/fleet/phase_watch.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/phase_watch.h"
+#include "plantainhead/core/fleet/phase_watch.h"
 
 namespace plantainhead::core {
 
--- a/src/core/planner.cc
+++ b/src/core/fleet/planner.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/planner.h"
+#include "plantainhead/core/fleet/planner.h"
 
 #include <utility>
 
--- a/src/core/pool_balance.cc
+++ b/src/core/fleet/pool_balance.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/pool_balance.h"
+#include "plantainhead/core/fleet/pool_balance.h"
 
 #include <algorithm>
 #include <vector>
--- a/src/core/pool_planner.cc
+++ b/src/core/fleet/pool_planner.cc
@@ -1,10 +1,10 @@
-#include "plantainhead/core/pool_planner.h"
+#include "plantainhead/core/fleet/pool_planner.h"
 
 #include <algorithm>
 #include <cmath>
 #include <tuple>
 
-#include "core/pool_rules.h"
+#include "core/fleet/pool_rules.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/pool_planner_moves.cc
+++ b/src/core/fleet/pool_planner_moves.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <tuple>
 
-#include "core/pool_rules.h"
-#include "plantainhead/core/pool_planner.h"
+#include "core/fleet/pool_rules.h"
+#include "plantainhead/core/fleet/pool_planner.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/pool_rules.h
+++ b/src/core/fleet/pool_rules.h
@@ -1,7 +1,7 @@
-#ifndef PLANTAINHEAD_SRC_CORE_POOL_RULES_H_
-#define PLANTAINHEAD_SRC_CORE_POOL_RULES_H_
+#ifndef PLANTAINHEAD_SRC_CORE_FLEET_POOL_RULES_H_
+#define PLANTAINHEAD_SRC_CORE_FLEET_POOL_RULES_H_
 
-#include "plantainhead/core/planner_context.h"
+#include "plantainhead/core/fleet/planner_context.h"
 
 /// Rules that the parts of the planner of the pools share.
 namespace plantainhead::core::pool_rules {
@@ -22,4 +22,4 @@
 
 }  // namespace plantainhead::core::pool_rules
 
-#endif  // PLANTAINHEAD_SRC_CORE_POOL_RULES_H_
+#endif  // PLANTAINHEAD_SRC_CORE_FLEET_POOL_RULES_H_
--- a/src/core/queueing.cc
+++ b/src/core/fleet/queueing.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/queueing.h"
+#include "plantainhead/core/fleet/queueing.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/task_history.cc
+++ b/src/core/fleet/task_history.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/task_history.h"
+#include "plantainhead/core/fleet/task_history.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/core/vm_lifecycle.cc
+++ b/src/core/fleet/vm_lifecycle.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/vm_lifecycle.h"
+#include "plantainhead/core/fleet/vm_lifecycle.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/wave_planner.cc
+++ b/src/core/fleet/wave_planner.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/wave_planner.h"
+#include "plantainhead/core/fleet/wave_planner.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/core/control_log.cc
+++ b/src/core/log/control_log.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/control_log.h"
+#include "plantainhead/core/log/control_log.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/control_log_commands.cc
+++ b/src/core/log/control_log_commands.cc
@@ -2,7 +2,7 @@
 #include <utility>
 #include <variant>
 
-#include "plantainhead/core/control_log.h"
+#include "plantainhead/core/log/control_log.h"
 #include "plantainhead/core/visit.h"
 
 // How a control_log answers operators.
--- a/src/core/control_log_digests.cc
+++ b/src/core/log/control_log_digests.cc
@@ -2,7 +2,7 @@
 #include <string>
 
 #include "core/hex.h"
-#include "plantainhead/core/control_log.h"
+#include "plantainhead/core/log/control_log.h"
 
 // How a control_log compares its fold with other entries'.
 namespace plantainhead::core {
--- a/src/core/control_log_snapshots.cc
+++ b/src/core/log/control_log_snapshots.cc
@@ -4,8 +4,8 @@
 #include <variant>
 
 #include "core/jitter.h"
-#include "plantainhead/core/control_log.h"
-#include "plantainhead/core/record_number.h"
+#include "plantainhead/core/log/control_log.h"
+#include "plantainhead/core/log/record_number.h"
 
 // How a control_log starts from snapshots and takes them.
 namespace plantainhead::core {
--- a/src/core/digest.cc
+++ b/src/core/log/digest.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/digest.h"
+#include "plantainhead/core/log/digest.h"
 
 #include <xxhash.h>
 
--- a/src/core/fleet_view.cc
+++ b/src/core/log/fleet_view.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/fleet_view.h"
+#include "plantainhead/core/log/fleet_view.h"
 
 namespace plantainhead::core {
 
--- a/src/core/fold.cc
+++ b/src/core/log/fold.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/fold.h"
+#include "plantainhead/core/log/fold.h"
 
 #include <algorithm>
 #include <optional>
@@ -6,8 +6,8 @@
 #include <utility>
 #include <variant>
 
-#include "core/fold_rules.h"
-#include "plantainhead/core/record_number.h"
+#include "core/log/fold_rules.h"
+#include "plantainhead/core/log/record_number.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
--- a/src/core/fold_budget.cc
+++ b/src/core/log/fold_budget.cc
@@ -1,4 +1,4 @@
-#include "core/fold_rules.h"
+#include "core/log/fold_rules.h"
 
 namespace plantainhead::core::fold_rules {
 
--- a/src/core/fold_members.cc
+++ b/src/core/log/fold_members.cc
@@ -1,8 +1,8 @@
 #include <iterator>
 #include <string>
 
-#include "core/fold_rules.h"
 #include "core/hex.h"
+#include "core/log/fold_rules.h"
 
 namespace plantainhead::core::fold_rules {
 namespace {
--- a/src/core/fold_rules.h
+++ b/src/core/log/fold_rules.h
@@ -1,11 +1,11 @@
-#ifndef PLANTAINHEAD_SRC_CORE_FOLD_RULES_H_
-#define PLANTAINHEAD_SRC_CORE_FOLD_RULES_H_
+#ifndef PLANTAINHEAD_SRC_CORE_LOG_FOLD_RULES_H_
+#define PLANTAINHEAD_SRC_CORE_LOG_FOLD_RULES_H_
 
 #include <string>
 
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/fold.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/log/fold.h"
+#include "plantainhead/core/log/records.h"
 
 /// The rules of the fold, one for each kind of record. `state.offset` is
 /// already that of the record.
@@ -78,4 +78,4 @@
 
 }  // namespace plantainhead::core::fold_rules
 
-#endif  // PLANTAINHEAD_SRC_CORE_FOLD_RULES_H_
+#endif  // PLANTAINHEAD_SRC_CORE_LOG_FOLD_RULES_H_
--- a/src/core/fold_vms.cc
+++ b/src/core/log/fold_vms.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <string>
 
-#include "core/fold_rules.h"
+#include "core/log/fold_rules.h"
 
 namespace plantainhead::core {
 
--- a/src/core/fold_work.cc
+++ b/src/core/log/fold_work.cc
@@ -2,7 +2,7 @@
 #include <string>
 #include <utility>
 
-#include "core/fold_rules.h"
+#include "core/log/fold_rules.h"
 
 namespace plantainhead::core {
 namespace {
--- a/src/core/lease.cc
+++ b/src/core/log/lease.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/lease.h"
+#include "plantainhead/core/log/lease.h"
 
 #include "core/jitter.h"
 
--- a/src/core/record_queue.cc
+++ b/src/core/log/record_queue.cc
@@ -1,11 +1,11 @@
-#include "plantainhead/core/record_queue.h"
+#include "plantainhead/core/log/record_queue.h"
 
 #include <algorithm>
 #include <utility>
 #include <variant>
 
 #include "core/jitter.h"
-#include "plantainhead/core/record_number.h"
+#include "plantainhead/core/log/record_number.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
--- a/src/core/membership.cc
+++ b/src/core/membership/membership.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/membership.h"
+#include "plantainhead/core/membership/membership.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/membership_heartbeats.cc
+++ b/src/core/membership/membership_heartbeats.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "plantainhead/core/membership.h"
+#include "plantainhead/core/membership/membership.h"
 
 // What a membership tells the others, and when.
 namespace plantainhead::core {
--- a/src/core/membership_judgement.cc
+++ b/src/core/membership/membership_judgement.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "plantainhead/core/membership.h"
+#include "plantainhead/core/membership/membership.h"
 
 // How a membership comes to suspect, accuse and trust the others.
 namespace plantainhead::core {
--- a/src/core/answer_store.cc
+++ b/src/core/requests/answer_store.cc
@@ -1,4 +1,4 @@
-#include "core/answer_store.h"
+#include "core/requests/answer_store.h"
 
 #include <iterator>
 
--- a/src/core/answer_store.h
+++ b/src/core/requests/answer_store.h
@@ -1,12 +1,12 @@
-#ifndef PLANTAINHEAD_SRC_CORE_ANSWER_STORE_H_
-#define PLANTAINHEAD_SRC_CORE_ANSWER_STORE_H_
+#ifndef PLANTAINHEAD_SRC_CORE_REQUESTS_ANSWER_STORE_H_
+#define PLANTAINHEAD_SRC_CORE_REQUESTS_ANSWER_STORE_H_
 
 #include <cstddef>
 #include <list>
 #include <unordered_map>
 
-#include "core/claim_index.h"
-#include "plantainhead/core/request.h"
+#include "core/claims/claim_index.h"
+#include "plantainhead/core/requests/request.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::core {
@@ -51,4 +51,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_ANSWER_STORE_H_
+#endif  // PLANTAINHEAD_SRC_CORE_REQUESTS_ANSWER_STORE_H_
--- a/src/core/answers.cc
+++ b/src/core/requests/answers.cc
@@ -1,4 +1,4 @@
-#include "core/answers.h"
+#include "core/requests/answers.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/core/answers.h
+++ b/src/core/requests/answers.h
@@ -1,10 +1,10 @@
-#ifndef PLANTAINHEAD_SRC_CORE_ANSWERS_H_
-#define PLANTAINHEAD_SRC_CORE_ANSWERS_H_
+#ifndef PLANTAINHEAD_SRC_CORE_REQUESTS_ANSWERS_H_
+#define PLANTAINHEAD_SRC_CORE_REQUESTS_ANSWERS_H_
 
 #include <string>
 
-#include "plantainhead/core/claim_decision.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/claims/claim_decision.h"
+#include "plantainhead/core/requests/request.h"
 
 /// The answers that entries give in place of an endpoint.
 namespace plantainhead::core {
@@ -26,4 +26,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_SRC_CORE_ANSWERS_H_
+#endif  // PLANTAINHEAD_SRC_CORE_REQUESTS_ANSWERS_H_
--- a/src/core/call_counts.cc
+++ b/src/core/requests/call_counts.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/call_counts.h"
+#include "plantainhead/core/requests/call_counts.h"
 
 #include <algorithm>
 
--- a/src/core/endpoint_health.cc
+++ b/src/core/requests/endpoint_health.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/endpoint_health.h"
+#include "plantainhead/core/requests/endpoint_health.h"
 
 #include <algorithm>
 
--- a/src/core/endpoint_table.cc
+++ b/src/core/requests/endpoint_table.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/endpoint_table.h"
+#include "plantainhead/core/requests/endpoint_table.h"
 
 #include <map>
 #include <string_view>
--- a/src/core/owner_loads.cc
+++ b/src/core/requests/owner_loads.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/owner_loads.h"
+#include "plantainhead/core/requests/owner_loads.h"
 
 #include <algorithm>
 
--- a/src/core/request_core.cc
+++ b/src/core/requests/request_core.cc
@@ -1,9 +1,9 @@
-#include "plantainhead/core/request_core.h"
+#include "plantainhead/core/requests/request_core.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "core/answers.h"
+#include "core/requests/answers.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
--- a/src/core/request_core_finish.cc
+++ b/src/core/requests/request_core_finish.cc
@@ -1,7 +1,7 @@
 #include <utility>
 
-#include "core/answers.h"
-#include "plantainhead/core/request_core.h"
+#include "core/requests/answers.h"
+#include "plantainhead/core/requests/request_core.h"
 #include "plantainhead/core/visit.h"
 
 /// The part of `request_core` that ends requests and sends messages.
--- a/src/core/request_core_peers.cc
+++ b/src/core/requests/request_core_peers.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
-#include "core/answers.h"
-#include "plantainhead/core/request_core.h"
+#include "core/requests/answers.h"
+#include "plantainhead/core/requests/request_core.h"
 
 /// The part of `request_core` that hears other entries.
 namespace plantainhead::core {
--- a/src/core/request_core_routing.cc
+++ b/src/core/requests/request_core_routing.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 
-#include "core/answers.h"
 #include "core/contains.h"
-#include "plantainhead/core/request_core.h"
+#include "core/requests/answers.h"
+#include "plantainhead/core/requests/request_core.h"
 
 /// The part of `request_core` that chooses homes and owners.
 namespace plantainhead::core {
--- a/src/core/request_meter.cc
+++ b/src/core/requests/request_meter.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/request_meter.h"
+#include "plantainhead/core/requests/request_meter.h"
 
 #include <utility>
 
--- a/src/core/request_queue.cc
+++ b/src/core/requests/request_queue.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/request_queue.h"
+#include "plantainhead/core/requests/request_queue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/endpoint/endpoint_connection.h
+++ b/src/endpoint/endpoint_connection.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "endpoint/socket_stream.h"
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 
 namespace plantainhead::endpoint {
 
--- a/src/endpoint/http_headers.h
+++ b/src/endpoint/http_headers.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "plantainhead/core/request.h"
+#include "plantainhead/core/requests/request.h"
 
 /// What HTTP says of headers, for both sides of an entry. All functions here
 /// are safe from any thread.
--- a/src/entry/frame_writer.h
+++ b/src/entry/frame_writer.h
@@ -3,7 +3,7 @@
 
 #include <flatbuffers/flatbuffers.h>
 
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::entry {
--- a/src/observe/burn.cc
+++ b/src/observe/burn.cc
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <limits>
 
-#include "plantainhead/core/error_budget.h"
+#include "plantainhead/core/fleet/error_budget.h"
 
 namespace plantainhead::observe {
 namespace {
--- a/src/operators/commands.h
+++ b/src/operators/commands.h
@@ -6,7 +6,7 @@
 
 #include "operators/views.h"
 #include "plantainhead/caller/route.h"
-#include "plantainhead/core/gateway.h"
+#include "plantainhead/core/requests/gateway.h"
 #include "plantainhead/operators/entry_view.h"
 #include "plantainhead/operators/routes.h"
 
--- a/src/platform/record_fields.h
+++ b/src/platform/record_fields.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <set>
 
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/log/records.h"
 #include "platform/json_archive.h"
 
 /// The fields of every struct that a record or the fold holds, by the names
--- a/src/runtime/core_loop.h
+++ b/src/runtime/core_loop.h
@@ -10,8 +10,8 @@
 
 #include <caf/all.hpp>
 
-#include "plantainhead/core/entry_core.h"
-#include "plantainhead/core/events.h"
+#include "plantainhead/core/entry/entry_core.h"
+#include "plantainhead/core/entry/events.h"
 
 namespace plantainhead::runtime {
 
--- a/src/runtime/daemon_options.h
+++ b/src/runtime/daemon_options.h
@@ -2,7 +2,7 @@
 #define PLANTAINHEAD_SRC_RUNTIME_DAEMON_OPTIONS_H_
 
 #include "plantainhead/caller/http_server.h"
-#include "plantainhead/core/entry_core.h"
+#include "plantainhead/core/entry/entry_core.h"
 #include "plantainhead/endpoint/endpoint_link.h"
 #include "plantainhead/entry/peer_link.h"
 #include "plantainhead/platform/platform_link.h"
--- a/src/runtime/entry_observer.h
+++ b/src/runtime/entry_observer.h
@@ -2,7 +2,7 @@
 #define PLANTAINHEAD_SRC_RUNTIME_ENTRY_OBSERVER_H_
 
 #include "plantainhead/caller/route.h"
-#include "plantainhead/core/entry_core.h"
+#include "plantainhead/core/entry/entry_core.h"
 #include "plantainhead/entry/peer_link.h"
 #include "plantainhead/observe/metrics.h"
 #include "plantainhead/observe/request_recorder.h"
--- a/tests/core/claims_fixture.h
+++ b/tests/core/claims/claims_fixture.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_CLAIMS_FIXTURE_H_
-#define PLANTAINHEAD_TESTS_CORE_CLAIMS_FIXTURE_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_CLAIMS_CLAIMS_FIXTURE_H_
+#define PLANTAINHEAD_TESTS_CORE_CLAIMS_CLAIMS_FIXTURE_H_
 
 #include <map>
 #include <optional>
@@ -7,8 +7,8 @@
 #include <utility>
 #include <vector>
 
-#include "core/model_log.h"
-#include "plantainhead/core/claims.h"
+#include "core/log/model_log.h"
+#include "plantainhead/core/claims/claims.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
@@ -198,4 +198,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_CLAIMS_FIXTURE_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_CLAIMS_CLAIMS_FIXTURE_H_
--- a/tests/core/claims_property_test.cc
+++ b/tests/core/claims/claims_property_test.cc
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "core/claims_fixture.h"
-#include "plantainhead/core/claims.h"
+#include "core/claims/claims_fixture.h"
+#include "plantainhead/core/claims/claims.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/claims_test.cc
+++ b/tests/core/claims/claims_test.cc
@@ -1,11 +1,11 @@
-#include "plantainhead/core/claims.h"
+#include "plantainhead/core/claims/claims.h"
 
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "core/claims_fixture.h"
+#include "core/claims/claims_fixture.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/configuration_test.cc
+++ b/tests/core/configuration_test.cc
@@ -2,10 +2,10 @@
 
 #include <catch2/catch.hpp>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/fleet_state.h"
-#include "plantainhead/core/gateway.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/log/fleet_state.h"
+#include "plantainhead/core/requests/gateway.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/entry_core_test.cc
+++ b/tests/core/entry/entry_core_test.cc
@@ -1,8 +1,8 @@
-#include "plantainhead/core/entry_core.h"
+#include "plantainhead/core/entry/entry_core.h"
 
 #include <catch2/catch.hpp>
 
-#include "core/entry_fleet.h"
+#include "core/entry/entry_fleet.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/entry_drain_test.cc
+++ b/tests/core/entry/entry_drain_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "core/entry_fleet.h"
+#include "core/entry/entry_fleet.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/entry_fleet.h
+++ b/tests/core/entry/entry_fleet.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_ENTRY_FLEET_H_
-#define PLANTAINHEAD_TESTS_CORE_ENTRY_FLEET_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_ENTRY_ENTRY_FLEET_H_
+#define PLANTAINHEAD_TESTS_CORE_ENTRY_ENTRY_FLEET_H_
 
 #include <algorithm>
 #include <functional>
@@ -12,8 +12,8 @@
 #include <variant>
 #include <vector>
 
-#include "core/memory_log.h"
-#include "plantainhead/core/entry_core.h"
+#include "core/log/memory_log.h"
+#include "plantainhead/core/entry/entry_core.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
@@ -414,4 +414,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_ENTRY_FLEET_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_ENTRY_ENTRY_FLEET_H_
--- a/tests/core/entry_fleet_property_test.cc
+++ b/tests/core/entry/entry_fleet_property_test.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "core/entry_fleet.h"
+#include "core/entry/entry_fleet.h"
 #include "plantainhead/core/random.h"
 
 namespace plantainhead::core {
--- a/tests/core/entry_state_test.cc
+++ b/tests/core/entry/entry_state_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "core/entry_fleet.h"
-#include "plantainhead/core/digest.h"
+#include "core/entry/entry_fleet.h"
+#include "plantainhead/core/log/digest.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/golden_entry_test.cc
+++ b/tests/core/entry/golden_entry_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "core/entry_fleet.h"
-#include "core/session_text.h"
+#include "core/entry/entry_fleet.h"
+#include "core/requests/session_text.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/capacity_test.cc
+++ b/tests/core/fleet/capacity_test.cc
@@ -1,9 +1,9 @@
-#include "plantainhead/core/capacity.h"
+#include "plantainhead/core/fleet/capacity.h"
 
 #include <catch2/catch.hpp>
 
-#include "core/planner_harness.h"
-#include "plantainhead/core/queueing.h"
+#include "core/fleet/planner_harness.h"
+#include "plantainhead/core/fleet/queueing.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/error_budget_test.cc
+++ b/tests/core/fleet/error_budget_test.cc
@@ -1,8 +1,8 @@
-#include "plantainhead/core/error_budget.h"
+#include "plantainhead/core/fleet/error_budget.h"
 
 #include <catch2/catch.hpp>
 
-#include "plantainhead/core/fold.h"
+#include "plantainhead/core/log/fold.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/job_planner_test.cc
+++ b/tests/core/fleet/job_planner_test.cc
@@ -1,8 +1,8 @@
-#include "plantainhead/core/job_planner.h"
+#include "plantainhead/core/fleet/job_planner.h"
 
 #include <catch2/catch.hpp>
 
-#include "core/planner_harness.h"
+#include "core/fleet/planner_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/planner_harness.h
+++ b/tests/core/fleet/planner_harness.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_PLANNER_HARNESS_H_
-#define PLANTAINHEAD_TESTS_CORE_PLANNER_HARNESS_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_FLEET_PLANNER_HARNESS_H_
+#define PLANTAINHEAD_TESTS_CORE_FLEET_PLANNER_HARNESS_H_
 
 #include <algorithm>
 #include <functional>
@@ -10,8 +10,8 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/fold.h"
-#include "plantainhead/core/planner.h"
+#include "plantainhead/core/fleet/planner.h"
+#include "plantainhead/core/log/fold.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
@@ -310,4 +310,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_PLANNER_HARNESS_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_FLEET_PLANNER_HARNESS_H_
--- a/tests/core/wave_planner_property_test.cc
+++ b/tests/core/fleet/wave_planner_property_test.cc
@@ -2,7 +2,7 @@
 
 #include <random>
 
-#include "core/planner_harness.h"
+#include "core/fleet/planner_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/wave_start_test.cc
+++ b/tests/core/fleet/wave_start_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 
-#include "core/planner_harness.h"
-#include "plantainhead/core/wave_planner.h"
+#include "core/fleet/planner_harness.h"
+#include "plantainhead/core/fleet/wave_planner.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/control_log_test.cc
+++ b/tests/core/log/control_log_test.cc
@@ -1,10 +1,10 @@
-#include "plantainhead/core/control_log.h"
+#include "plantainhead/core/log/control_log.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 
-#include "core/memory_log.h"
+#include "core/log/memory_log.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/fold_property_test.cc
+++ b/tests/core/log/fold_property_test.cc
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "plantainhead/core/control_log.h"
-#include "plantainhead/core/fold.h"
-#include "plantainhead/core/record_number.h"
+#include "plantainhead/core/log/control_log.h"
+#include "plantainhead/core/log/fold.h"
+#include "plantainhead/core/log/record_number.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/fold_test.cc
+++ b/tests/core/log/fold_test.cc
@@ -1,12 +1,12 @@
-#include "plantainhead/core/fold.h"
+#include "plantainhead/core/log/fold.h"
 
 #include <catch2/catch.hpp>
 
 #include <string>
 #include <utility>
 
-#include "plantainhead/core/digest.h"
-#include "plantainhead/core/record_number.h"
+#include "plantainhead/core/log/digest.h"
+#include "plantainhead/core/log/record_number.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/lease_test.cc
+++ b/tests/core/log/lease_test.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/lease.h"
+#include "plantainhead/core/log/lease.h"
 
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/fold.h"
+#include "plantainhead/core/log/fold.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/memory_log.h
+++ b/tests/core/log/memory_log.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_MEMORY_LOG_H_
-#define PLANTAINHEAD_TESTS_CORE_MEMORY_LOG_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_LOG_MEMORY_LOG_H_
+#define PLANTAINHEAD_TESTS_CORE_LOG_MEMORY_LOG_H_
 
 #include <algorithm>
 #include <map>
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "plantainhead/core/control_log.h"
+#include "plantainhead/core/log/control_log.h"
 
 namespace plantainhead::core {
 
@@ -180,4 +180,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_MEMORY_LOG_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_LOG_MEMORY_LOG_H_
--- a/tests/core/model_log.h
+++ b/tests/core/log/model_log.h
@@ -1,13 +1,13 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_MODEL_LOG_H_
-#define PLANTAINHEAD_TESTS_CORE_MODEL_LOG_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_LOG_MODEL_LOG_H_
+#define PLANTAINHEAD_TESTS_CORE_LOG_MODEL_LOG_H_
 
 #include <algorithm>
 #include <map>
 #include <vector>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/events.h"
-#include "plantainhead/core/records.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/entry/events.h"
+#include "plantainhead/core/log/records.h"
 
 namespace plantainhead::core {
 
@@ -58,4 +58,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_MODEL_LOG_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_LOG_MODEL_LOG_H_
--- a/tests/core/record_number_test.cc
+++ b/tests/core/log/record_number_test.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/record_number.h"
+#include "plantainhead/core/log/record_number.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/membership_test.cc
+++ b/tests/core/membership/membership_test.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/membership.h"
+#include "plantainhead/core/membership/membership.h"
 
 #include <catch2/catch.hpp>
 
@@ -6,7 +6,7 @@
 #include <set>
 #include <string>
 
-#include "plantainhead/core/events.h"
+#include "plantainhead/core/entry/events.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/watch_ring_test.cc
+++ b/tests/core/membership/watch_ring_test.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/watch_ring.h"
+#include "plantainhead/core/membership/watch_ring.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/core/endpoint_table_test.cc
+++ b/tests/core/requests/endpoint_table_test.cc
@@ -1,10 +1,10 @@
-#include "plantainhead/core/endpoint_table.h"
+#include "plantainhead/core/requests/endpoint_table.h"
 
 #include <catch2/catch.hpp>
 
 #include <map>
 
-#include "core/request_harness.h"
+#include "core/requests/request_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/golden_session_test.cc
+++ b/tests/core/requests/golden_session_test.cc
@@ -1,8 +1,8 @@
 #include <catch2/catch.hpp>
 
-#include "core/request_harness.h"
-#include "core/session_text.h"
-#include "plantainhead/core/fold.h"
+#include "core/requests/request_harness.h"
+#include "core/requests/session_text.h"
+#include "plantainhead/core/log/fold.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/owner_loads_test.cc
+++ b/tests/core/requests/owner_loads_test.cc
@@ -1,10 +1,10 @@
-#include "plantainhead/core/owner_loads.h"
+#include "plantainhead/core/requests/owner_loads.h"
 
 #include <catch2/catch.hpp>
 
 #include <map>
 
-#include "core/request_harness.h"
+#include "core/requests/request_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/request_cluster.h
+++ b/tests/core/requests/request_cluster.h
@@ -1,5 +1,5 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_REQUEST_CLUSTER_H_
-#define PLANTAINHEAD_TESTS_CORE_REQUEST_CLUSTER_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_REQUESTS_REQUEST_CLUSTER_H_
+#define PLANTAINHEAD_TESTS_CORE_REQUESTS_REQUEST_CLUSTER_H_
 
 #include <deque>
 #include <map>
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "core/request_harness.h"
+#include "core/requests/request_harness.h"
 #include "plantainhead/core/visit.h"
 
 namespace plantainhead::core {
@@ -410,4 +410,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_REQUEST_CLUSTER_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_REQUESTS_REQUEST_CLUSTER_H_
--- a/tests/core/request_core_claims_test.cc
+++ b/tests/core/requests/request_core_claims_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "core/request_harness.h"
+#include "core/requests/request_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/request_core_failures_test.cc
+++ b/tests/core/requests/request_core_failures_test.cc
@@ -2,7 +2,7 @@
 
 #include <map>
 
-#include "core/request_harness.h"
+#include "core/requests/request_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/request_core_property_test.cc
+++ b/tests/core/requests/request_core_property_test.cc
@@ -1,7 +1,7 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
-#include "core/request_cluster.h"
+#include "core/requests/request_cluster.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/request_core_test.cc
+++ b/tests/core/requests/request_core_test.cc
@@ -1,8 +1,8 @@
-#include "plantainhead/core/request_core.h"
+#include "plantainhead/core/requests/request_core.h"
 
 #include <catch2/catch.hpp>
 
-#include "core/request_harness.h"
+#include "core/requests/request_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/request_harness.h
+++ b/tests/core/requests/request_harness.h
@@ -1,12 +1,12 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_REQUEST_HARNESS_H_
-#define PLANTAINHEAD_TESTS_CORE_REQUEST_HARNESS_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_REQUESTS_REQUEST_HARNESS_H_
+#define PLANTAINHEAD_TESTS_CORE_REQUESTS_REQUEST_HARNESS_H_
 
 #include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
-#include "plantainhead/core/request_core.h"
+#include "plantainhead/core/requests/request_core.h"
 
 namespace plantainhead::core {
 
@@ -189,4 +189,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_REQUEST_HARNESS_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_REQUESTS_REQUEST_HARNESS_H_
--- a/tests/core/request_meter_test.cc
+++ b/tests/core/requests/request_meter_test.cc
@@ -1,8 +1,8 @@
-#include "plantainhead/core/request_meter.h"
+#include "plantainhead/core/requests/request_meter.h"
 
 #include <catch2/catch.hpp>
 
-#include "plantainhead/core/fleet_meter.h"
+#include "plantainhead/core/fleet/fleet_meter.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/request_queue_test.cc
+++ b/tests/core/requests/request_queue_test.cc
@@ -1,4 +1,4 @@
-#include "plantainhead/core/request_queue.h"
+#include "plantainhead/core/requests/request_queue.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,7 +7,7 @@
 #include <queue>
 #include <random>
 
-#include "core/request_harness.h"
+#include "core/requests/request_harness.h"
 
 namespace plantainhead::core {
 namespace {
--- a/tests/core/session_text.h
+++ b/tests/core/requests/session_text.h
@@ -1,14 +1,14 @@
-#ifndef PLANTAINHEAD_TESTS_CORE_SESSION_TEXT_H_
-#define PLANTAINHEAD_TESTS_CORE_SESSION_TEXT_H_
+#ifndef PLANTAINHEAD_TESTS_CORE_REQUESTS_SESSION_TEXT_H_
+#define PLANTAINHEAD_TESTS_CORE_REQUESTS_SESSION_TEXT_H_
 
 #include <cstdlib>
 #include <fstream>
 #include <sstream>
 #include <string>
 
-#include "plantainhead/core/actions.h"
-#include "plantainhead/core/claim_question.h"
-#include "plantainhead/core/events.h"
+#include "plantainhead/core/claims/claim_question.h"
+#include "plantainhead/core/entry/actions.h"
+#include "plantainhead/core/entry/events.h"
 #include "plantainhead/core/visit.h"
 #include "plantainhead/platform/record_codec.h"
 
@@ -236,4 +236,4 @@
 
 }  // namespace plantainhead::core
 
-#endif  // PLANTAINHEAD_TESTS_CORE_SESSION_TEXT_H_
+#endif  // PLANTAINHEAD_TESTS_CORE_REQUESTS_SESSION_TEXT_H_
--- a/tests/entry/frame_samples.h
+++ b/tests/entry/frame_samples.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "entry/frame_generated.h"
-#include "plantainhead/core/messages.h"
+#include "plantainhead/core/entry/messages.h"
 #include "plantainhead/entry/frame_codec.h"
 
 namespace plantainhead::entry {
--- a/tests/operators/operator_fixture.h
+++ b/tests/operators/operator_fixture.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-#include "plantainhead/core/fold.h"
+#include "plantainhead/core/log/fold.h"
 #include "plantainhead/operators/routes.h"
 #include "plantainhead/settings/targets.h"
 
