Let processes with little processor time own pools only in need

Cause: the group deals partitions evenly. Ruled out: memory (7 MB), store rates (no 429 seen), planning order. Change: below 0.2 of a core a process is a reserve: it joins when two looks in a row show fewer than four regular members, and leaves when there are enough.

--- a/include/plantainhead/settings/scheduler_settings.h
+++ b/include/plantainhead/settings/scheduler_settings.h
@@ -29,6 +29,8 @@
   core::duration longest_lease = std::chrono::seconds(6);
   /// `lease.holder`: how long an order for a host keeps other holders out.
   core::duration holder_lease = std::chrono::seconds(3);
+  /// `processor`: of the VM, in cores.
+  double processor_cores = 1.0;
   /// `stop.grace`: time between the request to stop and the end by force.
   core::duration stop_grace = std::chrono::seconds(6);
 };
--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -1,12 +1,32 @@
 #include "jobs/group_member.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <string_view>
 #include <utility>
 
 #include "jobs/clocks.h"
 
 namespace plantainhead::jobs {
+namespace {
+
+// What the names of reserves end with, in the store's list of members.
+constexpr std::string_view kReserveMark = "+reserve";
+
+bool IsReserveName(std::string_view member) {
+  return member.size() > kReserveMark.size() &&
+         member.substr(member.size() - kReserveMark.size()) == kReserveMark;
+}
+
+std::string NameIn(member_role role, std::string process) {
+  if (role == member_role::kReserve) {
+    process += kReserveMark;
+  }
+  return process;
+}
+
+}  // namespace
 
 class group_member::impl : public std::enable_shared_from_this<impl> {
  public:
@@ -17,9 +37,10 @@
        change_handler on_dealt)
       : store_(*store),
         settings_(settings),
-        member_(std::move(member)),
+        member_(NameIn(settings.role, std::move(member))),
         on_dealt_(std::move(on_dealt)),
-        timer_(*context) {}
+        timer_(*context),
+        look_timer_(*context) {}
 
   void Begin() {
     began_at_ = BootTime();
@@ -43,15 +64,55 @@
     if (reply.is_read) {
       answered_at_ = BootTime();
     }
+    const auto regular = static_cast<std::size_t>(
+        std::count_if(reply.members.begin(), reply.members.end(),
+                      [](const auto& name) { return !IsReserveName(name); }));
+    const bool is_enough = regular >= settings_.enough_members;
+    if (settings_.role == member_role::kReserve) {
+      if (reply.is_read) {
+        UpdateReserve(is_enough);
+      }
+      LookLater(settings_.reserve_look_interval);
+      return;
+    }
     const bool is_known = reply.members.count(member_) != 0;
-    const bool is_enough = reply.members.size() >= settings_.enough_members;
     const bool is_early = BootTime() - began_at_ < settings_.join_delay;
     if (!reply.is_read || is_known || !is_enough || !is_early) {
       Renew();
       return;
     }
-    timer_.expires_after(settings_.look_interval);
+    LookLater(settings_.look_interval);
+  }
+
+  void UpdateReserve(bool is_enough) {
+    const bool was_short = is_short_;
+    is_short_ = !is_enough;
+    if (is_short_ && was_short && !is_member_) {
+      is_member_ = true;
+      Renew();
+    } else if (is_enough && is_member_) {
+      Withdraw();
+    }
+  }
+
+  // Its owners record their ends first, so that the next ones needn't wait.
+  void Withdraw() {
+    is_member_ = false;
+    is_withdrawing_ = true;
+    on_dealt_(generation_, {});
+    timer_.expires_after(settings_.leave_limit);
     timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto member = self.lock();
+          if (member && !error) {
+            member->Renew();
+          }
+        });
+  }
+
+  void LookLater(std::chrono::milliseconds pause) {
+    look_timer_.expires_after(pause);
+    look_timer_.async_wait(
         [self = weak_from_this()](const boost::system::error_code& error) {
           const auto member = self.lock();
           if (member && !error) {
@@ -64,8 +125,12 @@
     if (is_in_flight_ || has_left_) {
       return;
     }
-    is_in_flight_ = true;
     timer_.cancel();
+    if (settings_.role == member_role::kReserve && !is_member_) {
+      LeaveForNow();
+      return;
+    }
+    is_in_flight_ = true;
     const core::time_point sent_at = BootTime();
     store_.Join(
         {settings_.group, member_, settings_.topic, settings_.time_to_live,
@@ -81,6 +146,7 @@
   void Leave(const std::function<void()>& on_left) {
     has_left_ = true;
     timer_.cancel();
+    look_timer_.cancel();
     store_.Leave(settings_.group, member_, settings_.timeout, on_left);
   }
 
@@ -88,9 +154,19 @@
   core::time_point answered_at() const { return answered_at_; }
 
  private:
+  // A call that is lost does no harm: the time to live ends the membership.
+  void LeaveForNow() {
+    if (is_withdrawing_) {
+      is_withdrawing_ = false;
+      store_.Leave(settings_.group, member_, settings_.timeout, [] {});
+    }
+  }
+
   void TakeReply(core::time_point sent_at, const adapter::join_reply& reply) {
     is_in_flight_ = false;
-    if (has_left_) {
+    const bool is_over =
+        has_left_ || (settings_.role == member_role::kReserve && !is_member_);
+    if (is_over) {
       return;
     }
     // A failed renewal is repeated sooner, so that a short outage of the store
@@ -119,12 +195,17 @@
   std::string member_;
   change_handler on_dealt_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer look_timer_;
   std::uint64_t generation_ = 0;
   core::time_point renewed_at_;
   core::time_point answered_at_;
   core::time_point began_at_;
   bool is_in_flight_ = false;
   bool has_left_ = false;
+  /// Of a reserve.
+  bool is_member_ = false;
+  bool is_short_ = false;
+  bool is_withdrawing_ = false;
 };
 
 group_member::group_member(boost::asio::io_context* context,
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -17,8 +17,16 @@
 
 namespace plantainhead::jobs {
 
+/// Whether a process owns pools whenever it runs.
+enum class member_role {
+  kRegular,
+  /// Joins only while there are too few regular members.
+  kReserve,
+};
+
 struct member_settings {
   std::string group = "plantain";
+  member_role role = member_role::kRegular;
   /// Its partitions are dealt to the members; nothing is written there.
   std::string topic = "plantain-owners";
   /// A member that is silent for this time loses its partitions. The store
@@ -28,18 +36,27 @@
   /// Three renewals fit into the time to live, so that a lost one is no harm.
   std::chrono::milliseconds renewal = std::chrono::milliseconds(700);
   std::chrono::milliseconds timeout = std::chrono::milliseconds(600);
-  /// A process that starts beside at least this many members joins later: each
-  /// join deals partitions anew, and a pool whose owner changes starts nothing
-  /// for about half a second. In a rolling restart, or when a process restarts
-  /// again and again, that would happen with each start.
+  /// A process that starts beside at least this many regular members joins
+  /// later, and a reserve doesn't join at all: each join deals partitions anew,
+  /// and a pool whose owner changes starts nothing for about half a second. In
+  /// a rolling restart, or when a process restarts again and again, that would
+  /// happen with each start.
   std::size_t enough_members = 4;
   std::chrono::milliseconds join_delay = std::chrono::seconds(7);
   /// Time between two looks at whether there are still enough.
   std::chrono::milliseconds look_interval = std::chrono::milliseconds(500);
+  /// The same of a reserve. It joins when two looks in a row have shown too
+  /// few: when all processes start together the first look shows none.
+  std::chrono::milliseconds reserve_look_interval = std::chrono::seconds(1);
+  /// After this time a reserve that isn't needed any more leaves the group,
+  /// also when its owners haven't recorded their ends by then.
+  std::chrono::milliseconds leave_limit = std::chrono::milliseconds(1500);
 };
 
-/// Membership in the store's group, which deals the partitions. Not
-/// thread-safe.
+/// Membership in the store's group, which deals the partitions evenly, whatever
+/// its members can do. An owner of a large pool starts several hundred tasks a
+/// second, for which an eighth of a core isn't enough; so processes with little
+/// processor time are reserves. Not thread-safe.
 class group_member {
  public:
   using change_handler =
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -39,6 +39,10 @@
 // apart, and a little longer.
 constexpr milliseconds kProbesMissed = milliseconds(2300);
 constexpr milliseconds kStopTick = milliseconds(50);
+// Cores that an owner of a pool needs. One with 60 to 85 VMs takes 0.1 to 0.4
+// of a core while its queue has its turn; with an eighth it falls behind, and
+// what it places is late. On smaller fleets a quarter is plenty.
+constexpr double kOwnerCores = 0.2;
 // Left of the grace when the process ends whatever is open.
 constexpr milliseconds kStopReserve = milliseconds(700);
 
@@ -54,6 +58,7 @@
         // knows the member again, and needn't wait for its time to live.
         member_name_(settings.name),
         store_(context, settings.store_address, kStoreConnections),
+        member_settings_(MakeMemberSettings(settings)),
         world_(context, &store_, {}, MakeListeners()),
         submissions_(context, &store_, &world_, {}),
         member_(context,
@@ -121,6 +126,15 @@
  private:
   job_world::listeners MakeListeners() {
     job_world::listeners listeners;
+  static member_settings MakeMemberSettings(
+      const settings::scheduler_process_settings& settings) {
+    member_settings made;
+    if (settings.processor_cores < kOwnerCores) {
+      made.role = member_role::kReserve;
+    }
+    return made;
+  }
+
     listeners.on_job =
         [this](const std::shared_ptr<const core::jobs::job_spec>& job) {
           for (auto& [partition, owner] : owners_) {
--- a/src/settings/scheduler_settings.cc
+++ b/src/settings/scheduler_settings.cc
@@ -21,6 +21,7 @@
   scheduler_process_settings settings;
   top.ReadText("name", &settings.name, presence::kRequired);
   top.ReadText("availability-zone", &settings.availability_zone);
+  top.ReadNumber("processor", &settings.processor_cores, {0.0, 1024.0});
   if (auto listen = top.Section("listen", presence::kRequired)) {
     listen->ReadText("callers", &settings.caller_address, presence::kRequired);
     listen->ReadText("probes", &settings.probe_address, presence::kRequired);
