Let an answer that is still arriving outlast its call's timeout

Cause: on the grown sites a process that starts reads all jobs (2300 of 1.2 KB) over a link of 10 Mbit/s, in 16 calls side by side. Ruled out: the store's rates, memory, a store that is down (it answered others). Change: a call whose answer grows gets 0.9 s for each further piece, 20 s in all.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -79,14 +80,9 @@
       call->message.body() = std::move(request.body);
     }
     call->message.prepare_payload();
+    call->last_deadline = call->deadline + options_.answer_limit;
     waiting_.push_back(call);
-    call->timer.expires_at(call->deadline);
-    call->timer.async_wait([self = weak_from_this(), call](error_code error) {
-      const auto client = self.lock();
-      if (client && !error) {
-        client->Expire(call);
-      }
-    });
+    AwaitDeadline(call);
     StartNext();
   }
 
@@ -113,8 +109,11 @@
     http::response_parser<http::string_body> parser;
     reply_handler on_reply;
     steady_clock::time_point deadline;
+    steady_clock::time_point last_deadline;
     asio::steady_timer timer;
     connection_ptr held;
+    /// How much of the answer had arrived at the last deadline.
+    std::size_t arrived = 0;
     bool is_sent = false;
     bool is_over = false;
   };
@@ -203,8 +202,38 @@
         });
   }
 
+  void AwaitDeadline(const call_ptr& call) {
+    call->timer.expires_at(call->deadline);
+    call->timer.async_wait([self = weak_from_this(), call](error_code error) {
+      const auto client = self.lock();
+      if (client && !error) {
+        client->Expire(call);
+      }
+    });
+  }
+
+  static std::size_t ArrivedBytes(pending_call* call) {
+    return call->parser.is_header_done() ? 1 + call->parser.get().body().size()
+                                         : 0;
+  }
+
+  // Returns whether more of the answer has arrived since the last deadline, so
+  // that there is a new one.
+  bool Prolong(const call_ptr& call) {
+    const std::size_t arrived = ArrivedBytes(call.get());
+    const bool is_arriving = call->is_sent && arrived > call->arrived &&
+                             call->deadline < call->last_deadline;
+    if (is_arriving) {
+      call->arrived = arrived;
+      call->deadline =
+          std::min(call->deadline + options_.stall_limit, call->last_deadline);
+      AwaitDeadline(call);
+    }
+    return is_arriving;
+  }
+
   void Expire(const call_ptr& call) {
-    if (call->is_over) {
+    if (call->is_over || Prolong(call)) {
       return;
     }
     const bool is_waiting = call->held == nullptr;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -21,6 +21,13 @@
   std::size_t most_connections = 4;
   /// A connection unused for this time is closed.
   std::chrono::milliseconds idle_limit = std::chrono::seconds(20);
+  /// An answer that is still arriving when its call's timeout is over gets this
+  /// time for each further piece: a page of 1.3 MB takes 1.1 s over the slowest
+  /// link (10 Mbit/s), and several share it when a process starts. A call that
+  /// ended then would be repeated and would never succeed.
+  std::chrono::milliseconds stall_limit = std::chrono::milliseconds(900);
+  /// But all of it must have arrived within this time.
+  std::chrono::milliseconds answer_limit = std::chrono::seconds(20);
 };
 
 /// Calls one server, over a few connections that are kept open.
@@ -43,7 +50,8 @@
   ~http_client();
 
   /// Sends the request. `on_reply` is called once, later, unless the client is
-  /// destroyed before. `timeout` covers waiting, connecting and the answer.
+  /// destroyed before. `timeout` covers waiting, connecting and the time until
+  /// the answer begins to arrive; see `http_client_options` for the rest of it.
   void Send(client_request request,
             std::chrono::milliseconds timeout,
             reply_handler on_reply);
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -4,6 +4,9 @@
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
@@ -116,6 +119,92 @@
   }
 }
 
+// Answers one call piece by piece, with a pause between them.
+class slow_server {
+ public:
+  slow_server(boost::asio::io_context* context,
+              std::vector<std::string> pieces,
+              milliseconds pause)
+      : acceptor_(*context, ParseAddress("127.0.0.1:0")),
+        socket_(*context),
+        timer_(*context),
+        pieces_(std::move(pieces)),
+        pause_(pause) {
+    acceptor_.async_accept(socket_,
+                           [this](const boost::system::error_code& error) {
+                             if (!error) {
+                               Next();
+                             }
+                           });
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+
+ private:
+  void Next() {
+    if (sent_ == pieces_.size()) {
+      return;
+    }
+    timer_.expires_after(sent_ == 0 ? milliseconds(0) : pause_);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        boost::asio::write(socket_, boost::asio::buffer(pieces_[sent_]));
+        ++sent_;
+        Next();
+      }
+    });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::vector<std::string> pieces_;
+  milliseconds pause_;
+  std::size_t sent_ = 0;
+};
+
+// A process that starts reads some MB of records over a slow link. If each call
+// ended by its timeout while its answer arrives, all would be repeated together
+// and none would ever succeed: the process would stay unready for good.
+TEST_CASE("An answer that is still arriving outlasts its call's timeout") {
+  boost::asio::io_context context;
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n";
+  http_client_options options;
+  std::optional<client_reply> reply;
+  const auto take = [&](client_reply got) { reply = std::move(got); };
+
+  SECTION("for as long as more of it comes") {
+    options.stall_limit = std::chrono::seconds(30);
+    slow_server server(&context, {head + "ab", "cd", "ef"}, milliseconds(400));
+    http_client client(&context, server.address(), options);
+    client.Send(Post("/", ""), milliseconds(500), take);
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kAnswered);
+    CHECK(reply->body == "abcdef");
+  }
+
+  SECTION("but not when it stops") {
+    options.stall_limit = milliseconds(50);
+    slow_server server(&context, {head + "ab"}, milliseconds(0));
+    http_client client(&context, server.address(), options);
+    client.Send(Post("/", ""), milliseconds(500), take);
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kUnanswered);
+  }
+
+  SECTION("and not without end") {
+    options.stall_limit = std::chrono::seconds(30);
+    options.answer_limit = milliseconds(0);
+    slow_server server(&context, {head + "ab"}, milliseconds(0));
+    http_client client(&context, server.address(), options);
+    client.Send(Post("/", ""), milliseconds(300), take);
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kUnanswered);
+  }
+}
+
 TEST_CASE("A call to a port without a listener was not sent") {
   boost::asio::io_context context;
   http_client client(&context, FreeAddress(), {});
