--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -59,7 +59,10 @@
 
 void site_store::Handle(const net::server_request& request,
                         const net::responder& respond) {
-  if (faults.is_silent) {
+  const bool is_topic_silent =
+      !faults.silent_topic.empty() &&
+      request.target.find(faults.silent_topic) != std::string::npos;
+  if (faults.is_silent || is_topic_silent) {
     return;
   }
   if (faults.is_refusing) {
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -23,6 +23,8 @@
   bool is_silent = false;
   /// Refuse with 503.
   bool is_refusing = false;
+  /// The same for calls about this topic only; empty for none.
+  std::string silent_topic;
   /// Execute appends and answer nothing.
   bool loses_answers = false;
 };
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -53,6 +53,11 @@
     const std::string id(match.rest);
     if (id.empty() && request.verb == net::method::kGet) {
       ++counts_.queries;
+      // A count of what has been read so far would be far too low.
+      if (!world_.IsLoaded()) {
+        respond(Refusal("the jobs haven't been read yet"));
+        return;
+      }
       respond(adapter::EncodePending(
           world_.directory().Pending(match.route->queue)));
       return;
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -264,3 +264,26 @@
 
 }  // namespace
 }  // namespace plantainhead::jobs
+// A process that has just started knows the queue and none of its jobs. A count
+// of what it has read so far would be 0, and operators would believe that
+// nothing waits.
+TEST_CASE("Before the jobs have been read their number isn't told") {
+  site site;
+  site.AddVm("vm-1", milliseconds(50));
+  site.store.faults.silent_topic = "plantain-jobs";
+  site.AddProcess("p1");
+  net::client_reply reply;
+  const auto ask = [&] {
+    reply = site.Call(site.addresses.at("p1"), net::method::kGet, "/q/");
+    return reply.status;
+  };
+  while (ask() == 404) {
+    site.Pass(milliseconds(20));
+  }
+  CHECK(reply.status == 503);
+  site.store.faults.silent_topic.clear();
+  REQUIRE(site.AwaitReady("p1"));
+  CHECK(ask() == 200);
+  CHECK(reply.body == R"({"pending":0})");
+}
+
