Record vacant VMs under the owner's epoch; keep short records of ended jobs

Cause: an owner's offer of an emptied VM was appended without a fence. Change: the owner records the VM as vacant in its own partition, where the store refuses it from a replaced owner, and then tells the fleet's owner, which reads that partition before it acts. A vacant VM is never opened again. With it: a VM is no longer 'moved' to the pool in which it is, which left it idle for good. Weighed: the offer with the epoch in it, checked by the fleet's owner against the newest claim: still open between that reading and the order.

Cause: a starting process reads every submission ever made. Tests: vacancy_checker_test, fleet_size_test, job_service_test, codec.

--- a/include/plantainhead/core/jobs/job_directory.h
+++ b/include/plantainhead/core/jobs/job_directory.h
@@ -30,6 +30,9 @@
  public:
   /// Returns true when the job is new; the first record of an id counts.
   bool AddJob(std::shared_ptr<const job_spec> spec);
+  /// Notes a job that was accepted and has ended, and of which nothing else is
+  /// kept. Precondition: the phase is final.
+  void NoteEnded(const job_id& id, job_phase phase);
   /// Returns true when it is news.
   bool NoteCancel(const job_id& id);
   void NoteProgress(const job_id& id, job_progress progress);
--- /dev/null
+++ b/include/plantainhead/core/jobs/vacancy_checker.h
@@ -0,0 +1,72 @@
+#ifndef PLANTAINHEAD_CORE_JOBS_VACANCY_CHECKER_H_
+#define PLANTAINHEAD_CORE_JOBS_VACANCY_CHECKER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "plantainhead/core/jobs/job_types.h"
+
+namespace plantainhead::core::jobs {
+
+/// What a VM was emptied for.
+enum class vacancy_reason {
+  /// Its pool has no use for it.
+  kOffered,
+  /// Its host is to be serviced.
+  kForService,
+};
+
+/// An owner of a pool tells that it has emptied a VM and uses it no more.
+struct vacancy_hint {
+  vm_id vm;
+  vacancy_reason reason = vacancy_reason::kOffered;
+  /// The partition of the pool, and the epoch of the owner that tells.
+  std::uint32_t partition = 0;
+  std::uint64_t epoch = 0;
+
+  bool operator==(const vacancy_hint&) const = default;
+};
+
+/// Decides which hints the fleet's owner may act on.
+///
+/// Hints are appended without a fence, so that one of an owner that was
+/// replaced may arrive late. The next owner may have started a task on the VM,
+/// which a move or a service of the host would end. What counts is the record
+/// in the pool's own partition, which the store refuses from a replaced owner,
+/// and which is stored before the hint is sent. A hint is acted on once a
+/// reading of that partition that began after the hint was read has shown the
+/// record. A VM that is vacant stays so until its life ends.
+/// Not thread-safe.
+class vacancy_checker {
+ public:
+  /// Replaces the hints.
+  void UpdateHints(const std::vector<vacancy_hint>& hints);
+  /// Returns the partitions that must be read, and takes their readings for
+  /// begun.
+  std::set<std::uint32_t> TakeReadings();
+  /// A reading has ended. `vacant` are the VMs whose records it has shown; it
+  /// is unused when the reading failed.
+  void EndReading(std::uint32_t partition,
+                  bool is_read,
+                  const std::set<vm_id>& vacant);
+
+  /// Returns the VMs that are surely vacant for this reason.
+  std::set<vm_id> Confirmed(vacancy_reason reason) const;
+
+ private:
+  enum class state { kUnread, kReading, kConfirmed, kRefuted };
+  struct noted_hint {
+    vacancy_hint hint;
+    state phase = state::kUnread;
+  };
+
+  std::map<std::pair<vm_id, vacancy_reason>, noted_hint> hints_;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_CORE_JOBS_VACANCY_CHECKER_H_
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -93,12 +93,13 @@
     }
   }
   // The pool that misses most goes first, VM by VM.
+  std::set<pool_id> unserved;
   while (!free.empty()) {
     const pool_id* neediest = nullptr;
     std::int64_t most = 0;
     for (const auto& [pool, wanted] : wanted_) {
       const std::int64_t missing = std::int64_t{wanted} - counts[pool];
-      if (missing > most) {
+      if (missing > most && unserved.count(pool) == 0) {
         most = missing;
         neediest = &pool;
       }
@@ -106,9 +107,18 @@
     if (neediest == nullptr) {
       break;
     }
-    Order(free.back()->host, *neediest, now, &moves);
+    // A move to the pool that a host is in has no effect: the VM that was given
+    // away there would never be used again. It goes by way of the spare pool.
+    const auto chosen = std::find_if(
+        free.rbegin(), free.rend(),
+        [&](const fleet_host* host) { return host->pool != *neediest; });
+    if (chosen == free.rend()) {
+      unserved.insert(*neediest);
+      continue;
+    }
+    Order((*chosen)->host, *neediest, now, &moves);
     ++counts[*neediest];
-    free.pop_back();
+    free.erase(std::next(chosen).base());
   }
   if (spare_.empty()) {
     return moves;
--- a/src/core/jobs/job_directory.cc
+++ b/src/core/jobs/job_directory.cc
@@ -47,6 +47,13 @@
   return is_new;
 }
 
+void job_directory::NoteEnded(const job_id& id, job_phase phase) {
+  Update(id, [&](directory_entry* entry) {
+    entry->is_accepted = true;
+    entry->progress.phase = phase;
+  });
+}
+
 bool job_directory::NoteCancel(const job_id& id) {
   bool is_new = false;
   Update(id, [&](directory_entry* entry) {
--- /dev/null
+++ b/src/core/jobs/vacancy_checker.cc
@@ -0,0 +1,62 @@
+#include "plantainhead/core/jobs/vacancy_checker.h"
+
+namespace plantainhead::core::jobs {
+
+void vacancy_checker::UpdateHints(const std::vector<vacancy_hint>& hints) {
+  std::map<std::pair<vm_id, vacancy_reason>, noted_hint> noted;
+  for (const vacancy_hint& hint : hints) {
+    const std::pair<vm_id, vacancy_reason> key(hint.vm, hint.reason);
+    const auto known = hints_.find(key);
+    // A hint of another owner is news: the earlier one may have been refuted.
+    const bool is_known = known != hints_.end() && known->second.hint == hint;
+    noted[key] = is_known ? known->second : noted_hint{hint, state::kUnread};
+  }
+  hints_ = std::move(noted);
+}
+
+std::set<std::uint32_t> vacancy_checker::TakeReadings() {
+  std::set<std::uint32_t> under_way;
+  for (const auto& [key, noted] : hints_) {
+    if (noted.phase == state::kReading) {
+      under_way.insert(noted.hint.partition);
+    }
+  }
+  std::set<std::uint32_t> due;
+  for (auto& [key, noted] : hints_) {
+    const bool is_due = noted.phase == state::kUnread &&
+                        under_way.count(noted.hint.partition) == 0;
+    if (is_due) {
+      noted.phase = state::kReading;
+      due.insert(noted.hint.partition);
+    }
+  }
+  return due;
+}
+
+void vacancy_checker::EndReading(std::uint32_t partition,
+                                 bool is_read,
+                                 const std::set<vm_id>& vacant) {
+  for (auto& [key, noted] : hints_) {
+    if (noted.hint.partition != partition || noted.phase != state::kReading) {
+      continue;
+    }
+    if (!is_read) {
+      noted.phase = state::kUnread;
+    } else {
+      noted.phase = vacant.count(noted.hint.vm) != 0 ? state::kConfirmed
+                                                     : state::kRefuted;
+    }
+  }
+}
+
+std::set<vm_id> vacancy_checker::Confirmed(vacancy_reason reason) const {
+  std::set<vm_id> vms;
+  for (const auto& [key, noted] : hints_) {
+    if (key.second == reason && noted.phase == state::kConfirmed) {
+      vms.insert(key.first);
+    }
+  }
+  return vms;
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -147,17 +147,14 @@
     for (const auto& [number, wave] : deps_.world->waves()) {
       keeper_.AddWave(wave);
     }
-    std::set<core::jobs::vm_id> empty;
     std::set<core::jobs::vm_id> closed;
-    std::set<core::jobs::vm_id> offers;
+    std::vector<core::jobs::vacancy_hint> hints;
     std::map<core::jobs::pool_id, std::uint32_t> wanted;
     for (const auto& [key, value] : deps_.world->fleet_records()) {
-      if (const auto vm = EmptyVmOf(key)) {
-        empty.insert(*vm);
+      if (auto hint = DecodeVacancyHint(key, value)) {
+        hints.push_back(std::move(*hint));
       } else if (const auto closing = ClosedVmOf(key)) {
         closed.insert(*closing);
-      } else if (const auto offered = OfferedVmOf(key)) {
-        offers.insert(*offered);
       } else if (const auto pool = WantingPoolOf(key)) {
         wanted[*pool] = DecodeWantedVms(value).count;
       } else if (const auto serviced = ServicedHostOf(key)) {
@@ -166,13 +163,39 @@
         keeper_.NoteCompleted(*wave);
       }
     }
-    keeper_.UpdateEmpty(std::move(empty));
     balancer_.UpdateClosed(std::move(closed));
-    balancer_.UpdateOffers(std::move(offers));
     balancer_.UpdateWanted(std::move(wanted));
+    vacancies_.UpdateHints(hints);
+    TakeVacancies();
+  }
+
+  void TakeVacancies() {
+    using core::jobs::vacancy_reason;
+    keeper_.UpdateEmpty(vacancies_.Confirmed(vacancy_reason::kForService));
+    balancer_.UpdateOffers(vacancies_.Confirmed(vacancy_reason::kOffered));
+    for (const std::uint32_t partition : vacancies_.TakeReadings()) {
+      deps_.world->RefreshProgress(
+          partition, [self = weak_from_this(), partition](bool is_read) {
+            const auto owner = self.lock();
+            if (owner && !owner->is_closed_) {
+              owner->TakeReading(partition, is_read);
+            }
+          });
+    }
+  }
+
+  void TakeReading(std::uint32_t partition, bool is_read) {
+    vacancies_.EndReading(partition, is_read,
+                          deps_.world->VacantVms(partition));
+    if (is_read) {
+      TakeVacancies();
+      Work();
+    }
   }
 
   void Tick() {
+    // Repeats readings that have failed.
+    TakeVacancies();
     Work();
     After(settings_.tick, &impl::Tick);
   }
@@ -439,6 +462,7 @@
   boost::asio::steady_timer timer_;
   core::jobs::wave_keeper keeper_;
   core::jobs::fleet_balancer balancer_;
+  core::jobs::vacancy_checker vacancies_;
   std::set<core::jobs::vm_id> dropped_offers_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
--- a/src/jobs/fleet_records.cc
+++ b/src/jobs/fleet_records.cc
@@ -11,6 +11,7 @@
 constexpr std::string_view kOffered = "offered/";
 constexpr std::string_view kWanted = "wanted/";
 constexpr const char* kShort = "!";
+constexpr char kPartSeparator = ':';
 constexpr std::string_view kServiced = "serviced/";
 constexpr std::string_view kCompleted = "completed/";
 
@@ -38,10 +39,6 @@
   return {std::string(kClosed) + vm, "1"};
 }
 
-adapter::keyed_record EncodeEmptyVm(const core::jobs::vm_id& vm) {
-  return {std::string(kEmpty) + vm, "1"};
-}
-
 adapter::keyed_record DropClosedVm(const core::jobs::vm_id& vm) {
   return {std::string(kClosed) + vm, std::nullopt};
 }
@@ -50,8 +47,11 @@
   return {std::string(kEmpty) + vm, std::nullopt};
 }
 
-adapter::keyed_record EncodeOfferedVm(const core::jobs::vm_id& vm) {
-  return {std::string(kOffered) + vm, "1"};
+adapter::keyed_record Encode(const core::jobs::vacancy_hint& hint) {
+  const bool is_offer = hint.reason == core::jobs::vacancy_reason::kOffered;
+  return {std::string(is_offer ? kOffered : kEmpty) + hint.vm,
+          std::to_string(hint.partition) + kPartSeparator +
+              std::to_string(hint.epoch)};
 }
 
 adapter::keyed_record DropOfferedVm(const core::jobs::vm_id& vm) {
@@ -113,8 +113,32 @@
   return AfterPrefix(key, kClosed);
 }
 
-std::optional<core::jobs::vm_id> EmptyVmOf(const std::string& key) {
-  return AfterPrefix(key, kEmpty);
+std::optional<core::jobs::vacancy_hint> DecodeVacancyHint(
+    const std::string& key,
+    const std::string& value) {
+  core::jobs::vacancy_hint hint;
+  if (const auto offered = AfterPrefix(key, kOffered)) {
+    hint.vm = *offered;
+    hint.reason = core::jobs::vacancy_reason::kOffered;
+  } else if (const auto empty = AfterPrefix(key, kEmpty)) {
+    hint.vm = *empty;
+    hint.reason = core::jobs::vacancy_reason::kForService;
+  } else {
+    return std::nullopt;
+  }
+  const std::string_view text = value;
+  const auto separator = text.find(kPartSeparator);
+  if (separator == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto partition = ParseNumber(text.substr(0, separator));
+  const auto epoch = ParseNumber(text.substr(separator + 1));
+  if (!partition || !epoch) {
+    return std::nullopt;
+  }
+  hint.partition = static_cast<std::uint32_t>(*partition);
+  hint.epoch = *epoch;
+  return hint;
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/fleet_records.h
+++ b/src/jobs/fleet_records.h
@@ -7,6 +7,7 @@
 
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/maintenance.h"
+#include "plantainhead/core/jobs/vacancy_checker.h"
 #include "platform/store_client.h"
 
 /// What the fleet's owner and the pools' owners tell each other through the
@@ -14,13 +15,12 @@
 namespace plantainhead::jobs {
 
 adapter::keyed_record EncodeClosedVm(const core::jobs::vm_id& vm);
-adapter::keyed_record EncodeEmptyVm(const core::jobs::vm_id& vm);
 /// Take the records back.
 adapter::keyed_record DropClosedVm(const core::jobs::vm_id& vm);
 adapter::keyed_record DropEmptyVm(const core::jobs::vm_id& vm);
 
-/// Its pool has emptied the VM and uses it no more.
-adapter::keyed_record EncodeOfferedVm(const core::jobs::vm_id& vm);
+/// An owner of a pool has recorded that the VM is vacant.
+adapter::keyed_record Encode(const core::jobs::vacancy_hint& hint);
 adapter::keyed_record DropOfferedVm(const core::jobs::vm_id& vm);
 /// How many VMs a pool should have, and whether it has fewer.
 struct wanted_vms {
@@ -45,8 +45,11 @@
 
 /// Return the VM that a record's key names, if it is of this kind.
 std::optional<core::jobs::vm_id> ClosedVmOf(const std::string& key);
-std::optional<core::jobs::vm_id> EmptyVmOf(const std::string& key);
 std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key);
+/// Returns nothing when the record is of another kind, or malformed.
+std::optional<core::jobs::vacancy_hint> DecodeVacancyHint(
+    const std::string& key,
+    const std::string& value);
 /// Returns the pool whose wanted VMs the record tells.
 std::optional<core::jobs::pool_id> WantingPoolOf(const std::string& key);
 wanted_vms DecodeWantedVms(const std::string& value);
--- /dev/null
+++ b/src/jobs/job_archiver.h
@@ -0,0 +1,53 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_JOB_ARCHIVER_H_
+#define PLANTAINHEAD_SRC_JOBS_JOB_ARCHIVER_H_
+
+#include <chrono>
+#include <memory>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "platform/store_client.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace plantainhead::jobs {
+
+struct archiver_settings {
+  /// Time between two rounds. Each writes to the partitions of the jobs that
+  /// have ended meanwhile; every call is paid for, and nobody waits for it.
+  std::chrono::milliseconds gap = std::chrono::seconds(3);
+  std::chrono::milliseconds timeout = std::chrono::seconds(1);
+};
+
+/// Replaces the records of accepted jobs that have ended by short ones.
+///
+/// A process that starts reads the newest record of every job, over a link that
+/// may carry 10 Mbit/s. With the whole submissions (1.2 KB and more each) 2300
+/// jobs take 3 s of it, and a rising part of a minute later in the day. A short
+/// record says all that is asked for of a job that has ended: that it was
+/// accepted, and how it ended. It is written after the owner's own record of
+/// the end, so that losing it, or writing it twice, changes nothing.
+/// Not thread-safe.
+class job_archiver {
+ public:
+  job_archiver(boost::asio::io_context* context,
+               adapter::store_client* store,
+               const archiver_settings& settings);
+  job_archiver(const job_archiver&) = delete;
+  job_archiver& operator=(const job_archiver&) = delete;
+  ~job_archiver();
+
+  /// Precondition: the store has a record of the job's end.
+  void Add(const core::jobs::queue_id& queue,
+           const core::jobs::job_id& job,
+           core::jobs::job_phase phase);
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_JOB_ARCHIVER_H_
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -14,6 +14,7 @@
 #include "jobs/event_log.h"
 #include "jobs/fleet_owner.h"
 #include "jobs/group_member.h"
+#include "jobs/job_archiver.h"
 #include "jobs/job_metrics.h"
 #include "jobs/job_world.h"
 #include "jobs/pool_owner.h"
@@ -38,11 +39,11 @@
 // After a request to stop new connections come for two more probes, a second
 // apart, and a little longer.
 constexpr milliseconds kProbesMissed = milliseconds(2300);
-constexpr milliseconds kStopTick = milliseconds(50);
 // Cores that an owner of a pool needs. One with 60 to 85 VMs takes 0.1 to 0.4
 // of a core while its queue has its turn; with an eighth it falls behind, and
 // what it places is late. On smaller fleets a quarter is plenty.
 constexpr double kOwnerCores = 0.2;
+constexpr milliseconds kStopTick = milliseconds(50);
 // Left of the grace when the process ends whatever is open.
 constexpr milliseconds kStopReserve = milliseconds(700);
 
@@ -57,10 +58,11 @@
         // The name of the VM, and not of this life: after a restart the group
         // knows the member again, and needn't wait for its time to live.
         member_name_(settings.name),
-        store_(context, settings.store_address, kStoreConnections),
         member_settings_(MakeMemberSettings(settings)),
+        store_(context, settings.store_address, kStoreConnections),
         world_(context, &store_, {}, MakeListeners()),
         submissions_(context, &store_, &world_, {}),
+        archiver_(context, &store_, {}),
         member_(context,
                 &store_,
                 member_settings_,
@@ -124,8 +126,6 @@
   }
 
  private:
-  job_world::listeners MakeListeners() {
-    job_world::listeners listeners;
   static member_settings MakeMemberSettings(
       const settings::scheduler_process_settings& settings) {
     member_settings made;
@@ -135,6 +135,8 @@
     return made;
   }
 
+  job_world::listeners MakeListeners() {
+    job_world::listeners listeners;
     listeners.on_job =
         [this](const std::shared_ptr<const core::jobs::job_spec>& job) {
           for (auto& [partition, owner] : owners_) {
@@ -241,6 +243,7 @@
     deps.context = context_;
     deps.store = &store_;
     deps.world = &world_;
+    deps.archiver = &archiver_;
     deps.member = member_name_;
     deps.is_sure = [this] { return IsSure(); };
     deps.on_fenced = [this, partition] {
@@ -369,6 +372,7 @@
   adapter::store_client store_;
   job_world world_;
   submissions submissions_;
+  job_archiver archiver_;
   group_member member_;
   std::uint64_t generation_ = 0;
   std::set<std::uint32_t> dealt_;
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -125,6 +125,9 @@
                      listeners_.on_job(spec);
                    }
                  },
+                 [this](const ended_record& ended) {
+                   directory_.NoteEnded(ended.job, ended.phase);
+                 },
                  [this](const cancel_record& cancel) {
                    if (directory_.NoteCancel(cancel.job)) {
                      listeners_.on_cancel(cancel.job);
@@ -159,6 +162,13 @@
                                   used_vms_[partition][vm.vm] = vm.address;
                                 }
                               },
+                              [this, partition](vacancy_record& vacancy) {
+                                if (vacancy.is_dropped) {
+                                  vacant_vms_[partition].erase(vacancy.vm);
+                                } else {
+                                  vacant_vms_[partition].insert(vacancy.vm);
+                                }
+                              },
                               [this](order_record& order) {
                                 if (order.is_dropped) {
                                   ordered_hosts_.erase(order.host);
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -103,6 +103,10 @@
       std::uint32_t pool_partition) {
     return used_vms_[pool_partition];
   }
+  /// Returns the VMs that owners of the partition have emptied for good.
+  const std::set<core::jobs::vm_id>& VacantVms(std::uint32_t pool_partition) {
+    return vacant_vms_[pool_partition];
+  }
 
   /// Notes what this process has stored itself.
   void NoteProgress(const core::jobs::job_id& id,
@@ -151,6 +155,7 @@
   std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
   std::map<std::uint32_t, owner_record> owners_;
   std::map<std::uint32_t, std::map<core::jobs::vm_id, std::string>> used_vms_;
+  std::map<std::uint32_t, std::set<core::jobs::vm_id>> vacant_vms_;
   std::set<core::jobs::host_id> ordered_hosts_;
   std::vector<std::uint32_t> owned_;
   bool is_fleet_owned_ = false;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -116,13 +116,9 @@
     }
   }
   StoreProgress();
-  // What is told here lets the VM's life be ended, so it must be this owner's
-  // to tell.
   if (deps_.is_sure()) {
-    if (has_closed_vms_) {
-      ReportEmptyVms();
-    }
-    OfferEmptyVms();
+    FindVacantVms();
+    TellVacantVms();
   }
 }
 
@@ -141,24 +137,26 @@
   if (writer_->IsBusy()) {
     return;
   }
+  std::vector<adapter::keyed_record> records = TakeVacancyRecords();
   auto batch = scheduler_->TakeBatch();
-  if (!batch) {
-    return;
-  }
-  std::vector<adapter::keyed_record> records;
-  records.reserve(batch->jobs.size());
-  for (const auto& [id, progress] : batch->jobs) {
-    records.push_back(Encode(progress_record{id, progress}));
-  }
-  // In this order: a VM that is used again was dropped before.
-  for (const vm_id& vm : batch->dropped_vms) {
-    records.push_back(Encode(vm_record{vm, "", true}));
+  if (batch) {
+    for (const auto& [id, progress] : batch->jobs) {
+      records.push_back(Encode(progress_record{id, progress}));
+    }
+    // In this order: a VM that is used again was dropped before.
+    for (const vm_id& vm : batch->dropped_vms) {
+      records.push_back(Encode(vm_record{vm, "", true}));
+    }
+    for (const core::jobs::known_vm& vm : batch->used_vms) {
+      records.push_back(Encode(vm_record{vm.id, vm.address, false}));
+    }
   }
-  for (const core::jobs::known_vm& vm : batch->used_vms) {
-    records.push_back(Encode(vm_record{vm.id, vm.address, false}));
+  if (records.empty() && !batch) {
+    return;
   }
   const auto stored =
-      std::make_shared<core::jobs::progress_batch>(std::move(*batch));
+      std::make_shared<std::optional<core::jobs::progress_batch>>(
+          std::move(batch));
   writer_->Write(std::move(records), [self = weak_from_this(),
                                       stored](progress_writer::result result) {
     const auto owner = self.lock();
@@ -168,24 +166,35 @@
   });
 }
 
-void pool_owner::impl::TakeStored(const core::jobs::progress_batch& batch,
-                                  progress_writer::result result) {
+void pool_owner::impl::TakeStored(
+    const std::optional<core::jobs::progress_batch>& batch,
+    progress_writer::result result) {
   if (result != progress_writer::result::kStored) {
     Lose("the store has a newer owner");
     return;
   }
-  for (const auto& [id, progress] : batch.jobs) {
-    if (core::jobs::IsFinal(progress.phase)) {
-      LogEvent(
-          job_event::kJobEnded,
-          {{"job", id}, {"phase", std::string(core::NameOf(progress.phase))}});
+  NoteVacanciesStored();
+  if (batch) {
+    for (const auto& [id, progress] : batch->jobs) {
+      if (core::jobs::IsFinal(progress.phase)) {
+        NoteJobEnd(id, progress.phase);
+      }
+      deps_.world->NoteProgress(id, progress);
     }
-    deps_.world->NoteProgress(id, progress);
+    scheduler_->OnBatchStored(*batch);
   }
-  scheduler_->OnBatchStored(batch);
   Kick();
 }
 
+void pool_owner::impl::NoteJobEnd(const core::jobs::job_id& id,
+                                  core::jobs::job_phase phase) {
+  LogEvent(job_event::kJobEnded,
+           {{"job", id}, {"phase", std::string(core::NameOf(phase))}});
+  if (const auto* entry = deps_.world->directory().Find(id)) {
+    deps_.archiver->Add(entry->queue, id, phase);
+  }
+}
+
 pool_owner::pool_owner(dependencies dependencies,
                        std::uint32_t partition,
                        const owner_settings& settings)
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "jobs/job_archiver.h"
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
 #include "plantainhead/core/jobs/job_types.h"
@@ -38,6 +39,9 @@
   core::jobs::sizer_settings sizer;
   /// Least time between two records of how many VMs a pool wants.
   std::chrono::milliseconds wanted_gap = std::chrono::milliseconds(150);
+  /// How long after a vacant VM's end its record is kept. The registry misses
+  /// VMs for some seconds after the store was away.
+  std::chrono::milliseconds vacancy_memory = std::chrono::seconds(20);
   /// Pause before a takeover that failed is tried again.
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(150);
   /// Time to live of a member, within which an owner that can't renew it works
@@ -60,6 +64,7 @@
     boost::asio::io_context* context = nullptr;
     adapter::store_client* store = nullptr;
     job_world* world = nullptr;
+    job_archiver* archiver = nullptr;
     std::string member;
     /// Whether the ownership surely hasn't passed on.
     std::function<bool()> is_sure;
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -18,25 +18,30 @@
   }
 }
 
-// A VM that was emptied, or given away, is moved or serviced at any moment. A
-// task that started there, after a change of owner or before this VM was known
-// here, would be ended by that.
-void pool_owner::impl::CloseVms() {
-  std::set<vm_id> closed = released_;
+std::set<vm_id> pool_owner::impl::ClosedForService() const {
+  std::set<vm_id> closed;
   for (const auto& [key, value] : deps_.world->fleet_records()) {
     if (const auto vm = ClosedVmOf(key)) {
       closed.insert(*vm);
-    } else if (const auto offered = OfferedVmOf(key)) {
-      closed.insert(*offered);
     }
   }
-  has_closed_vms_ = !closed.empty();
+  return closed;
+}
+
+// A vacant VM is moved or serviced at any moment. A task that started there,
+// after a change of owner or before this VM was known here, would be ended by
+// that. So it is never opened again.
+void pool_owner::impl::CloseVms() {
+  std::set<vm_id> closed = ClosedForService();
+  for (const auto* more :
+       {&released_, &found_vacant_, &recording_vacant_, &vacant_}) {
+    closed.insert(more->begin(), more->end());
+  }
   for (const core::jobs::vm_description& vm : scheduler_->Vms()) {
     if (closed.count(vm.id) != 0) {
       scheduler_->CloseVm(vm.id, BootTime());
     } else {
       scheduler_->OpenVm(vm.id);
-      reported_empty_.erase(vm.id);
     }
   }
 }
@@ -122,30 +127,76 @@
       });
 }
 
-void pool_owner::impl::OfferEmptyVms() {
+void pool_owner::impl::FindVacantVms() {
+  std::set<vm_id> closing = ClosedForService();
   for (auto it = released_.begin(); it != released_.end();) {
+    closing.insert(*it);
+    it = links_.count(*it) == 0 ? released_.erase(it) : std::next(it);
+  }
+  bool is_found = false;
+  for (const vm_id& vm : closing) {
+    const bool is_new = vacant_.count(vm) == 0 &&
+                        recording_vacant_.count(vm) == 0 &&
+                        scheduler_->IsEmpty(vm);
+    is_found = (is_new && found_vacant_.insert(vm).second) || is_found;
+  }
+  if (is_found) {
+    Kick();
+  }
+}
+
+// Returns records of the VMs that were found vacant, and drops those of VMs
+// whose lives have been over for a while.
+std::vector<adapter::keyed_record> pool_owner::impl::TakeVacancyRecords() {
+  std::vector<adapter::keyed_record> records;
+  for (const vm_id& vm : found_vacant_) {
+    records.push_back(Encode(vacancy_record{vm, false}));
+  }
+  recording_vacant_ = std::move(found_vacant_);
+  found_vacant_.clear();
+  const core::time_point now = BootTime();
+  for (auto it = vacant_.begin(); it != vacant_.end();) {
     const vm_id vm = *it;
-    if (links_.count(vm) == 0) {
-      it = released_.erase(it);
-      continue;
-    }
     ++it;
-    if (!scheduler_->IsEmpty(vm) || !offered_.insert(vm).second) {
+    const bool is_gone =
+        links_.count(vm) == 0 && deps_.world->registry().count(vm) == 0;
+    if (!is_gone) {
+      gone_.erase(vm);
       continue;
     }
-    TellFleet(EncodeOfferedVm(vm), [this, vm] { offered_.erase(vm); });
+    const core::time_point since = gone_.try_emplace(vm, now).first->second;
+    if (now - since > settings_.vacancy_memory) {
+      records.push_back(Encode(vacancy_record{vm, true}));
+      vacant_.erase(vm);
+      gone_.erase(vm);
+    }
   }
+  return records;
 }
 
-// Tells the owner of the fleet which VMs may be serviced.
-void pool_owner::impl::ReportEmptyVms() {
-  for (const auto& [key, value] : deps_.world->fleet_records()) {
-    const auto vm = ClosedVmOf(key);
-    if (!vm || !scheduler_->IsEmpty(*vm) ||
-        !reported_empty_.emplace(*vm, true).second) {
+void pool_owner::impl::NoteVacanciesStored() {
+  vacant_.insert(recording_vacant_.begin(), recording_vacant_.end());
+  recording_vacant_.clear();
+}
+
+// Tells the owner of the fleet which VMs are vacant. An earlier owner may have
+// recorded some without telling.
+void pool_owner::impl::TellVacantVms() {
+  using core::jobs::vacancy_reason;
+  if (vacant_.empty()) {
+    return;
+  }
+  const std::set<vm_id> for_service = ClosedForService();
+  for (const vm_id& vm : vacant_) {
+    const auto reason = for_service.count(vm) != 0 ? vacancy_reason::kForService
+                                                   : vacancy_reason::kOffered;
+    if (links_.count(vm) == 0 || !told_.emplace(vm, reason).second) {
       continue;
     }
-    TellFleet(EncodeEmptyVm(*vm), [this, vm] { reported_empty_.erase(*vm); });
+    TellFleet(Encode(core::jobs::vacancy_hint{vm, reason, partition_, epoch_}),
+              [this, vm, reason] {
+                told_.erase({vm, reason});
+              });
   }
 }
 
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -7,9 +7,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "jobs/fleet_records.h"
 #include "jobs/group_member.h"
@@ -78,8 +80,9 @@
   void Work();
   void Lose(const std::string& reason);
   void StoreProgress();
-  void TakeStored(const core::jobs::progress_batch& batch,
+  void TakeStored(const std::optional<core::jobs::progress_batch>& batch,
                   progress_writer::result result);
+  void NoteJobEnd(const core::jobs::job_id& id, core::jobs::job_phase phase);
 
   // VMs.
   void SyncLinks();
@@ -108,8 +111,11 @@
                   core::time_point now);
   void TellFleet(const adapter::keyed_record& record,
                  const std::function<void()>& on_failed);
-  void OfferEmptyVms();
-  void ReportEmptyVms();
+  std::set<core::jobs::vm_id> ClosedForService() const;
+  void FindVacantVms();
+  std::vector<adapter::keyed_record> TakeVacancyRecords();
+  void NoteVacanciesStored();
+  void TellVacantVms();
 
   dependencies deps_;
   std::uint32_t partition_;
@@ -134,12 +140,17 @@
   std::map<core::jobs::vm_id, core::time_point> lease_ends_;
   core::time_point release_until_;
   std::map<core::jobs::vm_id, std::shared_ptr<vm_link>> links_;
-  bool has_closed_vms_ = false;
-  std::map<core::jobs::vm_id, bool> reported_empty_;
   std::map<core::jobs::pool_id, pool_size> sizes_;
-  /// VMs that are emptied to be given away, and those that were offered.
+  /// VMs that are emptied to be given away.
   std::set<core::jobs::vm_id> released_;
-  std::set<core::jobs::vm_id> offered_;
+  /// VMs that are empty, in the order of what happens with each: found so,
+  /// being recorded, recorded, and told to the fleet's owner.
+  std::set<core::jobs::vm_id> found_vacant_;
+  std::set<core::jobs::vm_id> recording_vacant_;
+  std::set<core::jobs::vm_id> vacant_;
+  std::set<std::pair<core::jobs::vm_id, core::jobs::vacancy_reason>> told_;
+  /// Vacant VMs whose lives seem to be over, and since when.
+  std::map<core::jobs::vm_id, core::time_point> gone_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -235,8 +235,8 @@
   for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
     scheduler_->AddKnownVm({id, address});
   }
+  vacant_ = deps_.world->VacantVms(partition_);
   OnRegistry();
-  Work();
   OnFleetRecords();
   Tick();
 }
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -11,8 +11,10 @@
 using core::duration;
 using core::jobs::step_spec;
 
+constexpr const char* kEndedAs = "x";
 constexpr const char* kOwnerKey = "owner";
 constexpr std::string_view kVmPrefix = "vm/";
+constexpr std::string_view kVacantPrefix = "vacant/";
 constexpr std::string_view kOrderPrefix = "order/";
 constexpr std::string_view kCancelSuffix = "-cancel";
 
@@ -106,6 +108,17 @@
   return progress;
 }
 
+adapter::keyed_record MarkOrDrop(std::string_view prefix,
+                                 const std::string& name,
+                                 bool is_dropped) {
+  adapter::keyed_record encoded;
+  encoded.key = std::string(prefix) + name;
+  if (!is_dropped) {
+    encoded.value = "1";
+  }
+  return encoded;
+}
+
 }  // namespace
 
 adapter::keyed_record Encode(const submission_record& record) {
@@ -123,6 +136,11 @@
   return {spec.id, value.dump()};
 }
 
+adapter::keyed_record Encode(const ended_record& record) {
+  const json value = {{kEndedAs, core::NameOf(record.phase)}};
+  return {record.job, value.dump()};
+}
+
 adapter::keyed_record Encode(const cancel_record& record) {
   return {record.job + std::string(kCancelSuffix), "1"};
 }
@@ -165,13 +183,12 @@
   return encoded;
 }
 
+adapter::keyed_record Encode(const vacancy_record& record) {
+  return MarkOrDrop(kVacantPrefix, record.vm, record.is_dropped);
+}
+
 adapter::keyed_record Encode(const order_record& record) {
-  adapter::keyed_record encoded;
-  encoded.key = std::string(kOrderPrefix) + record.host;
-  if (!record.is_dropped) {
-    encoded.value = "1";
-  }
-  return encoded;
+  return MarkOrDrop(kOrderPrefix, record.host, record.is_dropped);
 }
 
 std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record) {
@@ -185,7 +202,16 @@
         record.key.substr(0, key.size() - kCancelSuffix.size())};
   }
   try {
-    return submission_record{ToSpec(record.key, json::parse(*record.value))};
+    const json parsed = json::parse(*record.value);
+    if (!parsed.contains(kEndedAs)) {
+      return submission_record{ToSpec(record.key, parsed)};
+    }
+    const auto phase = core::FromName<core::jobs::job_phase>(
+        parsed[kEndedAs].get<std::string>());
+    if (!phase || !core::jobs::IsFinal(*phase)) {
+      return std::nullopt;
+    }
+    return ended_record{record.key, *phase};
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -197,6 +223,10 @@
     return vm_record{record.key.substr(kVmPrefix.size()),
                      record.value.value_or(""), !record.value.has_value()};
   }
+  if (record.key.compare(0, kVacantPrefix.size(), kVacantPrefix) == 0) {
+    return vacancy_record{record.key.substr(kVacantPrefix.size()),
+                          !record.value.has_value()};
+  }
   if (record.key.compare(0, kOrderPrefix.size(), kOrderPrefix) == 0) {
     return order_record{record.key.substr(kOrderPrefix.size()),
                         !record.value.has_value()};
--- a/src/jobs/record_codec.h
+++ b/src/jobs/record_codec.h
@@ -20,6 +20,12 @@
   core::jobs::job_spec spec;
 };
 
+/// The job was accepted and has ended. Takes the place of its submission.
+struct ended_record {
+  core::jobs::job_id job;
+  core::jobs::job_phase phase = core::jobs::job_phase::kCompleted;
+};
+
 /// A caller cancelled the job. Key: its id and "-cancel".
 struct cancel_record {
   core::jobs::job_id job;
@@ -48,6 +54,13 @@
   bool is_dropped = false;
 };
 
+/// The VM is empty, and no owner of the pool uses it any more. Key: "vacant/"
+/// and the VM; dropped some time after its life.
+struct vacancy_record {
+  core::jobs::vm_id vm;
+  bool is_dropped = false;
+};
+
 /// The fleet's owner is about to give an order for the host, or gave one not
 /// long ago. Key: "order/" and the host; dropped some seconds later.
 struct order_record {
@@ -55,15 +68,20 @@
   bool is_dropped = false;
 };
 
-using job_record = std::variant<submission_record, cancel_record>;
-using pool_record =
-    std::variant<progress_record, owner_record, vm_record, order_record>;
+using job_record = std::variant<submission_record, ended_record, cancel_record>;
+using pool_record = std::variant<progress_record,
+                                 owner_record,
+                                 vm_record,
+                                 vacancy_record,
+                                 order_record>;
 
 adapter::keyed_record Encode(const submission_record& record);
+adapter::keyed_record Encode(const ended_record& record);
 adapter::keyed_record Encode(const cancel_record& record);
 adapter::keyed_record Encode(const progress_record& record);
 adapter::keyed_record Encode(const owner_record& record);
 adapter::keyed_record Encode(const vm_record& record);
+adapter::keyed_record Encode(const vacancy_record& record);
 adapter::keyed_record Encode(const order_record& record);
 
 /// Return nothing when the record is malformed, or drops its key.
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -126,6 +126,23 @@
     REQUIRE(moves.size() == 1);
     CHECK(moves[0].pool == "spare");
   }
+
+  // A pool gives a VM away, and its demand rises before the VM was moved. An
+  // order to move it to the pool where it is changes nothing: the VM, which its
+  // pool never uses again, would stay idle there for good.
+  SECTION("a VM that its own pool wants again goes by way of the spare pool") {
+    const std::vector<fleet_host> present = {Host("a1", "a", "vm-a1"),
+                                             Host("s1", "spare", "")};
+    balancer.UpdateHosts(present, {"spare"}, now);
+    balancer.UpdateOffers({"vm-a1"});
+    balancer.UpdateWanted({{"a", 2}});
+    const auto moves = balancer.Plan({}, now);
+    REQUIRE(moves.size() == 2);
+    CHECK(moves[0].host == "s1");
+    CHECK(moves[0].pool == "a");
+    CHECK(moves[1].host == "a1");
+    CHECK(moves[1].pool == "spare");
+  }
 }
 
 }  // namespace
--- a/tests/core/jobs/job_directory_test.cc
+++ b/tests/core/jobs/job_directory_test.cc
@@ -35,6 +35,15 @@
     CHECK(directory.Find("job")->spec == nullptr);
   }
 
+  SECTION("a job of which only its end is kept is known, and starts no more") {
+    directory.NoteEnded("job", job_phase::kFailed);
+    REQUIRE(directory.Find("job") != nullptr);
+    CHECK(directory.Find("job")->Phase() == job_phase::kFailed);
+    CHECK_FALSE(directory.AddJob(Job("job", {Step(1)})));
+    CHECK(directory.Find("job")->spec == nullptr);
+    CHECK(directory.Pending("queue") == 0);
+  }
+
   SECTION("a cancelled job is shown so at once and pends no more") {
     directory.AddJob(Job("job", {Step(1)}));
     CHECK(directory.NoteCancel("job"));
--- /dev/null
+++ b/tests/core/jobs/vacancy_checker_test.cc
@@ -0,0 +1,78 @@
+#include "plantainhead/core/jobs/vacancy_checker.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace plantainhead::core::jobs {
+namespace {
+
+constexpr std::uint32_t kPartition = 7;
+constexpr std::uint64_t kEpoch = 3;
+
+vacancy_hint Offer(const vm_id& vm, std::uint64_t epoch = kEpoch) {
+  return {vm, vacancy_reason::kOffered, kPartition, epoch};
+}
+
+// A pool's owner is suspended while its offer of a VM is on the way. Another
+// owner takes the pool over, starts a lasting task on the VM, and then the
+// offer arrives. If the fleet's owner acted on it, the move would end the task
+// and users would miss it. The offer alone proves nothing; the record that the
+// store refused does.
+TEST_CASE("A late offer of a replaced owner moves no VM") {
+  vacancy_checker checker;
+  checker.UpdateHints({Offer("vm-1")});
+
+  SECTION("An offer counts for nothing before its partition was read") {
+    CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+    CHECK(checker.TakeReadings() == std::set<std::uint32_t>{kPartition});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+
+    SECTION("and then when the record was there") {
+      checker.EndReading(kPartition, true, {"vm-1"});
+      CHECK(checker.Confirmed(vacancy_reason::kOffered) ==
+            std::set<vm_id>{"vm-1"});
+      CHECK(checker.Confirmed(vacancy_reason::kForService).empty());
+      CHECK(checker.TakeReadings().empty());
+    }
+
+    SECTION("but not when the record wasn't, and it isn't asked for again") {
+      checker.EndReading(kPartition, true, {"vm-2"});
+      CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+      CHECK(checker.TakeReadings().empty());
+
+      SECTION("until an owner of a later epoch offers the VM too") {
+        checker.UpdateHints({Offer("vm-1", kEpoch + 1)});
+        CHECK(checker.TakeReadings() == std::set<std::uint32_t>{kPartition});
+        checker.EndReading(kPartition, true, {"vm-1"});
+        CHECK(checker.Confirmed(vacancy_reason::kOffered) ==
+              std::set<vm_id>{"vm-1"});
+      }
+    }
+
+    SECTION("and is asked for again when the reading failed") {
+      checker.EndReading(kPartition, false, {"vm-1"});
+      CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+      CHECK(checker.TakeReadings() == std::set<std::uint32_t>{kPartition});
+    }
+  }
+
+  SECTION("A reading that began before the offer was read says nothing of it") {
+    REQUIRE(checker.TakeReadings().size() == 1);
+    checker.UpdateHints({Offer("vm-1"), Offer("vm-2")});
+    CHECK(checker.TakeReadings().empty());
+    checker.EndReading(kPartition, true, {"vm-1", "vm-2"});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered) ==
+          std::set<vm_id>{"vm-1"});
+    CHECK(checker.TakeReadings() == std::set<std::uint32_t>{kPartition});
+  }
+
+  SECTION("A hint that was taken back counts no more") {
+    checker.TakeReadings();
+    checker.EndReading(kPartition, true, {"vm-1"});
+    checker.UpdateHints({});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -159,6 +159,21 @@
   CHECK(site.StartsOf(std::string(kId) + ".0.0.0") == 1);
   CHECK(site.StartsOf(std::string(kId) + ".0.1.0") == 1);
 
+  // The record of the submission is replaced by a short one some seconds after
+  // the end; a process that starts later must know the job all the same.
+  SECTION("also by one that starts when only its end is kept") {
+    REQUIRE(RunUntil(&site.context, [&] {
+      return site.store.Newest("keyed.plantain-jobs", kId) ==
+             R"({"x":"completed"})";
+    }));
+    site.AddProcess("p3");
+    REQUIRE(site.AwaitReady("p3"));
+    CHECK(site.StateOf("p3", kId) == R"({"state":"completed"})");
+    CHECK(site.Submit("p3", kId).status == 200);
+    site.Pass(milliseconds(300));
+    CHECK(site.StartsOf(std::string(kId) + ".0.0.0") == 1);
+  }
+
   SECTION("a submission that is repeated elsewhere starts nothing") {
     CHECK(site.Submit("p2", kId).status == 200);
     site.Pass(milliseconds(300));
@@ -262,8 +277,6 @@
   }
 }
 
-}  // namespace
-}  // namespace plantainhead::jobs
 // A process that has just started knows the queue and none of its jobs. A count
 // of what it has read so far would be 0, and operators would believe that
 // nothing waits.
@@ -287,3 +300,5 @@
   CHECK(reply.body == R"({"pending":0})");
 }
 
+}  // namespace
+}  // namespace plantainhead::jobs
--- a/tests/jobs/record_codec_test.cc
+++ b/tests/jobs/record_codec_test.cc
@@ -55,6 +55,17 @@
   CHECK(read.schedule->count == 9);
 }
 
+TEST_CASE("The short record of a job that has ended is read back") {
+  using core::jobs::job_phase;
+  const auto decoded =
+      DecodeJobRecord(Encode(ended_record{"job", job_phase::kFailed}));
+  REQUIRE(decoded);
+  CHECK(std::get<ended_record>(*decoded).job == "job");
+  CHECK(std::get<ended_record>(*decoded).phase == job_phase::kFailed);
+  CHECK_FALSE(
+      DecodeJobRecord(Encode(ended_record{"job", job_phase::kRunning})));
+}
+
 TEST_CASE("A cancellation is told from a submission by its key") {
   const auto decoded = DecodeJobRecord(Encode(cancel_record{"job"}));
   REQUIRE(decoded);
@@ -96,9 +107,19 @@
 
 TEST_CASE("The fleet's records are told apart by their keys") {
   CHECK(ClosedVmOf(EncodeClosedVm("vm").key) == "vm");
-  CHECK(EmptyVmOf(EncodeEmptyVm("vm").key) == "vm");
-  CHECK(OfferedVmOf(EncodeOfferedVm("vm").key) == "vm");
-  CHECK_FALSE(ClosedVmOf(EncodeEmptyVm("vm").key));
+  using core::jobs::vacancy_hint;
+  using core::jobs::vacancy_reason;
+  for (const auto reason :
+       {vacancy_reason::kOffered, vacancy_reason::kForService}) {
+    const vacancy_hint hint{"vm", reason, 30, 12};
+    const adapter::keyed_record encoded = Encode(hint);
+    CHECK(DecodeVacancyHint(encoded.key, *encoded.value) == hint);
+    CHECK_FALSE(DecodeVacancyHint(encoded.key, "1"));
+    CHECK_FALSE(ClosedVmOf(encoded.key));
+  }
+  CHECK(OfferedVmOf(
+            Encode(vacancy_hint{"vm", vacancy_reason::kOffered, 1, 2}).key) ==
+        "vm");
   const auto serviced = ServicedHostOf(EncodeServicedHost({3, "host/1"}).key);
   REQUIRE(serviced);
   CHECK(serviced->wave == 3);
