Load a follower that is told to watch before its first reading has succeeded

Cause: a process that restarts while the store is slow pauses after a failed first reading. When it then got a pool, SetMode ended the pause and followed the partition from its first offset, so that the follower never counted as loaded. No line told of it. Ruled out: claims (no takeover failed), the store (others read it), dark VMs. Change: it loads; a takeover that can't read says so, with the partition. Test: log_follower_test, which hung before.

--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -20,6 +20,7 @@
     case job_event::kStoreLost:
     case job_event::kConfigurationInvalid:
     case job_event::kRecordInvalid:
+    case job_event::kReadRepeated:
     case job_event::kJobUnanswered:
     case job_event::kVmLost:
     case job_event::kOwnershipLost:
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -17,6 +17,7 @@
   kConfigurationApplied,
   kConfigurationInvalid,
   kRecordInvalid,
+  kReadRepeated,
   kReadinessChanged,
   kJobAccepted,
   kJobRefused,
@@ -40,7 +41,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 30> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 31> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessStopping, "process stopping"},
     {job_event::kProcessStopped, "process stopped"},
@@ -50,6 +51,7 @@
     {job_event::kConfigurationApplied, "configuration applied"},
     {job_event::kConfigurationInvalid, "configuration invalid"},
     {job_event::kRecordInvalid, "record invalid"},
+    {job_event::kReadRepeated, "read repeated"},
     {job_event::kReadinessChanged, "readiness changed"},
     {job_event::kJobAccepted, "job accepted"},
     {job_event::kJobRefused, "job refused"},
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -325,6 +325,10 @@
       on_read();
       return;
     }
+    LogEvent(job_event::kReadRepeated,
+             {{"topic", follower->partition().topic},
+              {"part", std::to_string(follower->partition().number)},
+              {"loaded", follower->IsLoaded() ? "yes" : "no"}});
     const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
     timer->expires_after(settings_.least_pause);
     timer->async_wait([this, follower, on_read,
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -39,7 +39,7 @@
     if (hastens && is_pausing_) {
       timer_.cancel();
       is_pausing_ = false;
-      Follow();
+      Resume();
     }
   }
 
@@ -62,9 +62,21 @@
   }
 
   bool is_loaded() const { return is_loaded_; }
+  const adapter::store_partition& partition() const { return partition_; }
   std::uint64_t cursor() const { return cursor_; }
 
  private:
+  // A follower whose first reading failed begins anew. If it went on from the
+  // first offset instead, it would never count as loaded, and an owner that
+  // waits for that would take its pool over and start nothing.
+  void Resume() {
+    if (is_loaded_) {
+      Follow();
+    } else {
+      Load("");
+    }
+  }
+
   // Calls `action` later, unless the follower is closed by then.
   void Pause(milliseconds time, void (impl::*action)()) {
     is_pausing_ = true;
@@ -72,7 +84,10 @@
     timer_.async_wait([self = weak_from_this(),
                        action](const boost::system::error_code& error) {
       const auto follower = self.lock();
-      if (follower && !error && !follower->is_closed_) {
+      // The handler may be due already when the pause is ended early.
+      const bool is_due =
+          follower && !error && !follower->is_closed_ && follower->is_pausing_;
+      if (is_due) {
         follower->is_pausing_ = false;
         (follower.get()->*action)();
       }
@@ -254,6 +269,10 @@
   return impl_->is_loaded();
 }
 
+const adapter::store_partition& log_follower::partition() const {
+  return impl_->partition();
+}
+
 std::uint64_t log_follower::cursor() const {
   return impl_->cursor();
 }
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -71,6 +71,7 @@
 
   /// True when all records up to some moment after the start have been read.
   bool IsLoaded() const;
+  const adapter::store_partition& partition() const;
   /// The offset that is read next.
   std::uint64_t cursor() const;
 
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -64,6 +64,7 @@
 
   // Takeover.
   void WriteRelease(const std::function<void()>& on_released);
+  void LogTakeoverFailed(const std::string& reason) const;
   void RetryClaim();
   void ReadBeforeClaim();
   void Claim();
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -69,6 +69,13 @@
   });
 }
 
+void pool_owner::impl::LogTakeoverFailed(const std::string& reason) const {
+  LogEvent(job_event::kTakeoverFailed,
+           {{"partition", std::to_string(partition_)},
+            {"epoch", std::to_string(epoch_)},
+            {"reason", reason}});
+}
+
 void pool_owner::impl::RetryClaim() {
   claim_timer_.expires_after(settings_.takeover_retry);
   claim_timer_.async_wait(
@@ -81,18 +88,19 @@
 }
 
 void pool_owner::impl::ReadBeforeClaim() {
-  deps_.world->RefreshProgress(partition_,
-                               [self = weak_from_this()](bool is_read) {
-                                 const auto owner = self.lock();
-                                 if (!owner || owner->is_closed_) {
-                                   return;
-                                 }
-                                 if (is_read) {
-                                   owner->Claim();
-                                 } else {
-                                   owner->RetryClaim();
-                                 }
-                               });
+  deps_.world->RefreshProgress(
+      partition_, [self = weak_from_this()](bool is_read) {
+        const auto owner = self.lock();
+        if (!owner || owner->is_closed_) {
+          return;
+        }
+        if (is_read) {
+          owner->Claim();
+        } else {
+          owner->LogTakeoverFailed("the partition couldn't be read");
+          owner->RetryClaim();
+        }
+      });
 }
 
 void pool_owner::impl::Claim() {
@@ -112,12 +120,9 @@
 
 void pool_owner::impl::TakeClaim(progress_writer::result result) {
   if (result != progress_writer::result::kStored) {
-    LogEvent(job_event::kTakeoverFailed,
-             {{"partition", std::to_string(partition_)},
-              {"epoch", std::to_string(epoch_)},
-              {"reason", result == progress_writer::result::kFenced
-                             ? "a newer owner has written"
-                             : "the partition was written to meanwhile"}});
+    LogTakeoverFailed(result == progress_writer::result::kFenced
+                          ? "a newer owner has written"
+                          : "the partition was written to meanwhile");
     RetryClaim();
     return;
   }
--- /dev/null
+++ b/tests/jobs/log_follower_test.cc
@@ -0,0 +1,106 @@
+#include "jobs/log_follower.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/address.h"
+#include "net/http_server.h"
+#include "platform/store_client.h"
+#include "run_until.h"
+#include "site_store.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::RunUntil;
+
+constexpr const char* kTopic = "keyed.topic";
+constexpr std::size_t kStoreConnections = 4;
+
+/// A store, and a follower of one of its partitions.
+class followed_partition {
+ public:
+  followed_partition() : store(&context) {
+    boost::asio::ip::tcp::acceptor free_port(context,
+                                             net::ParseAddress("127.0.0.1:0"));
+    const std::string address =
+        "127.0.0.1:" + std::to_string(free_port.local_endpoint().port());
+    free_port.close();
+    server_ = std::make_unique<net::http_server>(
+        &context, address, net::http_server_options(),
+        [this](const net::server_request& request,
+               const net::responder& respond) {
+          store.Handle(request, respond);
+        });
+    client_ = std::make_unique<adapter::store_client>(&context, address,
+                                                      kStoreConnections);
+  }
+
+  log_follower& Follow(const follower_settings& settings) {
+    follower_ = std::make_unique<log_follower>(
+        &context, client_.get(), adapter::store_partition{kTopic, 0}, settings,
+        [this](const adapter::keyed_record& record) {
+          keys.push_back(record.key);
+        },
+        [this](bool is_answered) { contacts.push_back(is_answered); });
+    return *follower_;
+  }
+
+  boost::asio::io_context context;
+  fakes::site_store store;
+  std::vector<std::string> keys;
+  std::vector<bool> contacts;
+
+ private:
+  std::unique_ptr<net::http_server> server_;
+  std::unique_ptr<adapter::store_client> client_;
+  std::unique_ptr<log_follower> follower_;
+};
+
+TEST_CASE("A follower reads what is there and what is appended") {
+  followed_partition partition;
+  partition.store.Put(kTopic, "a", "1");
+  log_follower& follower = partition.Follow({});
+  follower.Start(follow_mode::kWatch);
+  REQUIRE(RunUntil(&partition.context, [&] { return follower.IsLoaded(); }));
+  CHECK(partition.keys == std::vector<std::string>{"a"});
+  partition.store.Put(kTopic, "b", "1");
+  CHECK(
+      RunUntil(&partition.context, [&] { return partition.keys.size() == 2; }));
+}
+
+// A process starts while the store refuses its first reading, and pauses before
+// the next. Meanwhile it becomes the owner of a pool and wants to watch the
+// partition. It must read all that is there: if it only followed what is
+// appended it would never be loaded, and its pool would start nothing, for as
+// long as it owns it, with no line in any log.
+TEST_CASE("A follower that is told to watch before it has loaded still loads") {
+  followed_partition partition;
+  partition.store.Put(kTopic, "a", "1");
+  partition.store.faults.is_refusing = true;
+  follower_settings settings;
+  settings.least_pause = std::chrono::hours(1);
+  settings.most_pause = settings.least_pause;
+  log_follower& follower = partition.Follow(settings);
+  follower.Start(follow_mode::kBackground);
+  REQUIRE(RunUntil(&partition.context,
+                   [&] { return !partition.contacts.empty(); }));
+  REQUIRE_FALSE(partition.contacts.front());
+  partition.store.faults.is_refusing = false;
+  follower.SetMode(follow_mode::kWatch);
+  CHECK(RunUntil(&partition.context, [&] { return follower.IsLoaded(); }));
+  std::optional<bool> is_read;
+  follower.Refresh([&](bool got) { is_read = got; });
+  REQUIRE(RunUntil(&partition.context, [&] { return is_read.has_value(); }));
+  CHECK(*is_read);
+  CHECK(partition.keys.front() == "a");
+}
+
+}  // namespace
+}  // namespace plantainhead::jobs
