Group an owner's records for the fleet; read VMs and fleet records in advance

Change: record_outbox, one append under way at a time, newest of each key; the fleet's owner and the archive of ended jobs use it too, in place of their own retries. Regular members follow VMs and fleet records from their start; a takeover waits for a loading partition instead of asking it every 50 ms.

--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -14,6 +14,7 @@
 #include "jobs/event_log.h"
 #include "jobs/fleet_records.h"
 #include "jobs/record_codec.h"
+#include "jobs/record_outbox.h"
 #include "plantainhead/core/visit.h"
 #include "platform/configuration_codec.h"
 #include "platform/fleet_client.h"
@@ -66,6 +67,8 @@
                 deps_.store,
                 {kProgressTopic, kFleetPartition},
                 settings.writer),
+        records_(deps_.context, deps_.store, {kFleetTopic, 0}, {}),
+        status_(deps_.context, deps_.store, {adapter::kStatusTopic, 0}, {}),
         timer_(*deps_.context),
         keeper_(settings.waves),
         balancer_(settings.balancer) {}
@@ -316,18 +319,14 @@
     for (const core::jobs::fleet_host& host : page_hosts_) {
       present.insert(host.vm);
     }
-    std::vector<adapter::keyed_record> drops;
     for (const auto& [key, value] : deps_.world->fleet_records()) {
       const auto vm = OfferedVmOf(key);
       const bool is_gone = vm && present.count(*vm) == 0 &&
                            deps_.world->registry().count(*vm) == 0;
       if (is_gone && dropped_offers_.insert(*vm).second) {
-        drops.push_back(DropOfferedVm(*vm));
+        records_.Put(DropOfferedVm(*vm));
       }
     }
-    if (!drops.empty()) {
-      Append(kFleetTopic, std::move(drops));
-    }
   }
 
   void List() {
@@ -373,45 +372,13 @@
     Work();
   }
 
-  void Append(const std::string& topic,
-              std::vector<adapter::keyed_record> records) {
-    adapter::append_call call;
-    call.partition = {topic, 0};
-    call.records = std::move(records);
-    deps_.store->Append(
-        call, settings_.writer.timeout,
-        [self = weak_from_this(), call](const adapter::append_reply& reply) {
-          const auto owner = self.lock();
-          const bool is_retried =
-              reply.outcome == adapter::append_outcome::kRefused ||
-              reply.outcome == adapter::append_outcome::kUnknown;
-          // The records name lives of VMs, so that storing one twice does no
-          // harm.
-          if (owner && !owner->is_closed_ && is_retried) {
-            owner->AppendLater(call);
-          }
-        });
-  }
-
-  void AppendLater(const adapter::append_call& call) {
-    const auto timer =
-        std::make_shared<boost::asio::steady_timer>(*deps_.context);
-    timer->expires_after(settings_.takeover_retry);
-    timer->async_wait([self = weak_from_this(), call,
-                       timer](const boost::system::error_code& /*error*/) {
-      const auto owner = self.lock();
-      if (owner && !owner->is_closed_) {
-        owner->Append(call.partition.topic, call.records);
-      }
-    });
-  }
-
   void Do(const core::jobs::close_vm& action) {
-    Append(kFleetTopic, {EncodeClosedVm(action.vm)});
+    records_.Put(EncodeClosedVm(action.vm));
   }
 
   void Do(const core::jobs::release_vm& action) {
-    Append(kFleetTopic, {DropClosedVm(action.vm), DropEmptyVm(action.vm)});
+    records_.Put(DropClosedVm(action.vm));
+    records_.Put(DropEmptyVm(action.vm));
   }
 
   void Do(const core::jobs::service_host& action) {
@@ -431,9 +398,8 @@
   void Do(const core::jobs::complete_wave& action) {
     LogEvent(job_event::kWaveCompleted,
              {{"wave", std::to_string(action.wave)}});
-    Append(kFleetTopic, {EncodeCompletedWave(action.wave)});
-    Append(adapter::kStatusTopic,
-           {{StatusKey(action.wave), adapter::EncodeWaveStatus(true)}});
+    records_.Put(EncodeCompletedWave(action.wave));
+    status_.Put({StatusKey(action.wave), adapter::EncodeWaveStatus(true)});
   }
 
   void TakeService(const core::jobs::service_host& action,
@@ -451,7 +417,7 @@
     keeper_.OnServiceAnswer(action.wave, action.host, ToResult(outcome),
                             BootTime());
     if (is_accepted) {
-      Append(kFleetTopic, {EncodeServicedHost({action.wave, action.host})});
+      records_.Put(EncodeServicedHost({action.wave, action.host}));
     }
   }
 
@@ -459,6 +425,9 @@
   fleet_settings settings_;
   adapter::fleet_client client_;
   progress_writer writer_;
+  /// What pools' owners and later owners of the fleet are told.
+  record_outbox records_;
+  record_outbox status_;
   boost::asio::steady_timer timer_;
   core::jobs::wave_keeper keeper_;
   core::jobs::fleet_balancer balancer_;
--- a/src/jobs/job_archiver.cc
+++ b/src/jobs/job_archiver.cc
@@ -1,89 +1,46 @@
 #include "jobs/job_archiver.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
-#include <utility>
-#include <vector>
 
 #include "jobs/job_world.h"
 #include "jobs/record_codec.h"
 
 namespace plantainhead::jobs {
 
-class job_archiver::impl : public std::enable_shared_from_this<impl> {
+class job_archiver::impl {
  public:
   impl(boost::asio::io_context* context,
        adapter::store_client* store,
-       const archiver_settings& settings)
-      : store_(*store), settings_(settings), timer_(*context) {}
+       const outbox_settings& settings)
+      : context_(context), store_(store), settings_(settings) {}
 
   void Add(const core::jobs::queue_id& queue,
            const core::jobs::job_id& job,
            core::jobs::job_phase phase) {
-    due_[JobPartitionOf(queue, job)].push_back(
-        Encode(ended_record{job, phase}));
-    Schedule();
-  }
-
-  void Close() { timer_.cancel(); }
-
- private:
-  void Schedule() {
-    if (is_scheduled_) {
-      return;
+    const std::uint32_t partition = JobPartitionOf(queue, job);
+    std::unique_ptr<record_outbox>& outbox = outboxes_[partition];
+    if (!outbox) {
+      outbox = std::make_unique<record_outbox>(
+          context_, store_, adapter::store_partition{kJobTopic, partition},
+          settings_);
     }
-    is_scheduled_ = true;
-    timer_.expires_after(settings_.gap);
-    timer_.async_wait(
-        [self = weak_from_this()](const boost::system::error_code& error) {
-          const auto archiver = self.lock();
-          if (archiver && !error) {
-            archiver->is_scheduled_ = false;
-            archiver->Write();
-          }
-        });
+    outbox->Put(Encode(ended_record{job, phase}));
   }
 
-  void Write() {
-    for (auto& [partition, records] : due_) {
-      adapter::append_call call;
-      call.partition = {kJobTopic, partition};
-      call.records = std::move(records);
-      store_.Append(
-          call, settings_.timeout,
-          [self = weak_from_this(), call](const adapter::append_reply& reply) {
-            const auto archiver = self.lock();
-            if (archiver && reply.outcome != adapter::append_outcome::kStored) {
-              archiver->WriteAgain(call);
-            }
-          });
-    }
-    due_.clear();
-  }
-
-  void WriteAgain(const adapter::append_call& call) {
-    std::vector<adapter::keyed_record>& due = due_[call.partition.number];
-    due.insert(due.end(), call.records.begin(), call.records.end());
-    Schedule();
-  }
-
-  adapter::store_client& store_;
-  archiver_settings settings_;
-  boost::asio::steady_timer timer_;
-  std::map<std::uint32_t, std::vector<adapter::keyed_record>> due_;
-  bool is_scheduled_ = false;
+ private:
+  boost::asio::io_context* context_;
+  adapter::store_client* store_;
+  outbox_settings settings_;
+  std::map<std::uint32_t, std::unique_ptr<record_outbox>> outboxes_;
 };
 
 job_archiver::job_archiver(boost::asio::io_context* context,
                            adapter::store_client* store,
-                           const archiver_settings& settings)
-    : impl_(std::make_shared<impl>(context, store, settings)) {}
+                           const outbox_settings& settings)
+    : impl_(std::make_unique<impl>(context, store, settings)) {}
 
-job_archiver::~job_archiver() {
-  impl_->Close();
-}
+job_archiver::~job_archiver() = default;
 
 void job_archiver::Add(const core::jobs::queue_id& queue,
                        const core::jobs::job_id& job,
--- a/src/jobs/job_archiver.h
+++ b/src/jobs/job_archiver.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <memory>
 
+#include "jobs/record_outbox.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "platform/store_client.h"
 
@@ -13,12 +14,10 @@
 
 namespace plantainhead::jobs {
 
-struct archiver_settings {
-  /// Time between two rounds. Each writes to the partitions of the jobs that
-  /// have ended meanwhile; every call is paid for, and nobody waits for it.
-  std::chrono::milliseconds gap = std::chrono::seconds(3);
-  std::chrono::milliseconds timeout = std::chrono::seconds(1);
-};
+/// Time between two rounds. Each writes to the partitions of the jobs that have
+/// ended meanwhile; every call is paid for, and nobody waits for it.
+inline constexpr std::chrono::milliseconds kArchiveGap =
+    std::chrono::seconds(3);
 
 /// Replaces the records of accepted jobs that have ended by short ones.
 ///
@@ -33,7 +32,7 @@
  public:
   job_archiver(boost::asio::io_context* context,
                adapter::store_client* store,
-               const archiver_settings& settings);
+               const outbox_settings& settings);
   job_archiver(const job_archiver&) = delete;
   job_archiver& operator=(const job_archiver&) = delete;
   ~job_archiver();
@@ -45,7 +44,7 @@
 
  private:
   class impl;
-  std::shared_ptr<impl> impl_;
+  std::unique_ptr<impl> impl_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -62,7 +62,7 @@
         store_(context, settings.store_address, kStoreConnections),
         world_(context, &store_, {}, MakeListeners()),
         submissions_(context, &store_, &world_, {}),
-        archiver_(context, &store_, {}),
+        archiver_(context, &store_, MakeArchiverSettings()),
         member_(context,
                 &store_,
                 member_settings_,
@@ -99,7 +99,7 @@
           [this](const net::server_request& /*request*/,
                  const net::responder& respond) { respond(Metrics()); });
     }
-    world_.Start();
+    world_.Start(member_settings_.role == member_role::kRegular);
     member_.Start();
   }
 
@@ -135,6 +135,12 @@
     return made;
   }
 
+  static outbox_settings MakeArchiverSettings() {
+    outbox_settings made;
+    made.gap = kArchiveGap;
+    return made;
+  }
+
   job_world::listeners MakeListeners() {
     job_world::listeners listeners;
     listeners.on_job =
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -70,7 +70,10 @@
       [this](bool is_answered) { listeners_.on_store_contact(is_answered); });
 }
 
-void job_world::Start() {
+void job_world::Start(bool expects_pools) {
+  if (expects_pools) {
+    FollowFleet();
+  }
   operators_->Start(follow_mode::kWatch);
   for (const auto& follower : job_followers_) {
     follower->Start(follow_mode::kBackground);
@@ -277,28 +280,36 @@
     job_followers_[i]->SetMode(
         watched.count(i) != 0 ? follow_mode::kWatch : follow_mode::kBackground);
   }
-  if (!registry_follower_ && (!owned_.empty() || is_fleet_owned_)) {
-    registry_follower_ = MakeFollower(
-        {adapter::kRegistryTopic, 0},
-        [this](const adapter::keyed_record& r) { TakeRegistryRecord(r); });
-    registry_follower_->Start(follow_mode::kWatch);
+  const bool owns_any = !owned_.empty() || is_fleet_owned_;
+  if (owns_any) {
+    FollowFleet();
   }
   if (registry_follower_) {
     registry_follower_->SetMode(owned_.empty() ? follow_mode::kBackground
                                                : follow_mode::kWatch);
+    fleet_follower_->SetMode(owns_any ? follow_mode::kWatch
+                                      : follow_mode::kBackground);
   }
-  if (!fleet_follower_ && (!owned_.empty() || is_fleet_owned_)) {
-    fleet_follower_ = MakeFollower(
-        {kFleetTopic, 0}, [this](const adapter::keyed_record& record) {
-          if (record.value) {
-            fleet_records_[record.key] = *record.value;
-          } else {
-            fleet_records_.erase(record.key);
-          }
-          listeners_.on_fleet_records();
-        });
-    fleet_follower_->Start(follow_mode::kWatch);
+}
+
+void job_world::FollowFleet() {
+  if (registry_follower_) {
+    return;
   }
+  registry_follower_ = MakeFollower(
+      {adapter::kRegistryTopic, 0},
+      [this](const adapter::keyed_record& r) { TakeRegistryRecord(r); });
+  registry_follower_->Start(follow_mode::kBackground);
+  fleet_follower_ = MakeFollower({kFleetTopic, 0},
+                                 [this](const adapter::keyed_record& record) {
+                                   if (record.value) {
+                                     fleet_records_[record.key] = *record.value;
+                                   } else {
+                                     fleet_records_.erase(record.key);
+                                   }
+                                   listeners_.on_fleet_records();
+                                 });
+  fleet_follower_->Start(follow_mode::kBackground);
 }
 
 void job_world::RefreshJobs(std::uint32_t partition,
@@ -320,20 +331,21 @@
 // Repeats what has failed, and not what other partitions have read already.
 void job_world::RefreshUntilRead(log_follower* follower,
                                  const std::function<void()>& on_read) {
-  follower->Refresh([this, follower, on_read](bool is_read) {
-    if (is_read) {
-      on_read();
-      return;
-    }
-    LogEvent(job_event::kReadRepeated,
-             {{"topic", follower->partition().topic},
-              {"part", std::to_string(follower->partition().number)},
-              {"loaded", follower->IsLoaded() ? "yes" : "no"}});
-    const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
-    timer->expires_after(settings_.least_pause);
-    timer->async_wait([this, follower, on_read,
-                       timer](const boost::system::error_code& /*error*/) {
-      RefreshUntilRead(follower, on_read);
+  follower->AwaitLoaded([this, follower, on_read] {
+    follower->Refresh([this, follower, on_read](bool is_read) {
+      if (is_read) {
+        on_read();
+        return;
+      }
+      LogEvent(job_event::kReadRepeated,
+               {{"topic", follower->partition().topic},
+                {"part", std::to_string(follower->partition().number)}});
+      const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
+      timer->expires_after(settings_.least_pause);
+      timer->async_wait([this, follower, on_read,
+                         timer](const boost::system::error_code& /*error*/) {
+        RefreshUntilRead(follower, on_read);
+      });
     });
   });
 }
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -71,7 +71,10 @@
   job_world(const job_world&) = delete;
   job_world& operator=(const job_world&) = delete;
 
-  void Start();
+  /// `expects_pools`: the process is to own pools soon, so that it reads VMs
+  /// and the fleet's records in advance. With a slow store (0.4 s an answer) a
+  /// takeover that had to begin with that would take seconds.
+  void Start(bool expects_pools);
   /// True when there is a configuration, and all job records and the progress
   /// of all its pools have been read once.
   bool IsLoaded() const;
@@ -135,6 +138,7 @@
   void TakeOperatorRecord(const adapter::keyed_record& record);
   void TakeRegistryRecord(const adapter::keyed_record& record);
   void FollowPools();
+  void FollowFleet();
   void RefreshUntilRead(log_follower* follower,
                         const std::function<void()>& on_read);
   void UpdateModes();
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -54,9 +54,18 @@
     }
   }
 
+  void AwaitLoaded(std::function<void()> on_loaded) {
+    if (is_loaded_) {
+      on_loaded();
+    } else {
+      awaiting_load_.push_back(std::move(on_loaded));
+    }
+  }
+
   void Close() {
     is_closed_ = true;
     timer_.cancel();
+    awaiting_load_.clear();
     next_refresh_.clear();
     current_refresh_.clear();
   }
@@ -135,6 +144,11 @@
     cursor_ = std::max(cursor_, load_end_);
     is_loaded_ = true;
     Follow();
+    std::vector<std::function<void()>> awaiting;
+    awaiting.swap(awaiting_load_);
+    for (const auto& on_loaded : awaiting) {
+      on_loaded();
+    }
   }
 
   void Follow() {
@@ -232,6 +246,7 @@
   bool is_loaded_ = false;
   bool is_pausing_ = false;
   bool is_closed_ = false;
+  std::vector<std::function<void()>> awaiting_load_;
   std::vector<std::function<void(bool)>> current_refresh_;
   std::vector<std::function<void(bool)>> next_refresh_;
 };
@@ -265,6 +280,10 @@
   impl_->Refresh(std::move(on_done));
 }
 
+void log_follower::AwaitLoaded(std::function<void()> on_loaded) {
+  impl_->AwaitLoaded(std::move(on_loaded));
+}
+
 bool log_follower::IsLoaded() const {
   return impl_->is_loaded();
 }
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -69,6 +69,9 @@
   /// partition isn't loaded yet.
   void Refresh(std::function<void(bool is_read)> on_done);
 
+  /// Calls `on_loaded` when the partition is loaded: at once, or later.
+  void AwaitLoaded(std::function<void()> on_loaded);
+
   /// True when all records up to some moment after the start have been read.
   bool IsLoaded() const;
   const adapter::store_partition& partition() const;
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -102,29 +102,7 @@
             {"usable", std::to_string(load.usable_vms)},
             {"used_millis", std::to_string(load.used.cpu_millis)},
             {"waiting_millis", std::to_string(load.waiting.cpu_millis)}});
-  TellFleet(EncodeWantedVms(pool, wanted), [this, pool] {
-    const auto found = sizes_.find(pool);
-    if (found != sizes_.end()) {
-      found->second.told = {};
-    }
-  });
-}
-
-// `on_failed` is called, while this owner lives, when the record may not be
-// stored; it makes the next look tell it again.
-void pool_owner::impl::TellFleet(const adapter::keyed_record& record,
-                                 const std::function<void()>& on_failed) {
-  adapter::append_call call;
-  call.partition = {kFleetTopic, 0};
-  call.records = {record};
-  deps_.store->Append(
-      call, settings_.writer.timeout,
-      [self = weak_from_this(), on_failed](const adapter::append_reply& reply) {
-        const auto owner = self.lock();
-        if (owner && reply.outcome != adapter::append_outcome::kStored) {
-          on_failed();
-        }
-      });
+  fleet_outbox_.Put(EncodeWantedVms(pool, wanted));
 }
 
 void pool_owner::impl::FindVacantVms() {
@@ -193,10 +171,8 @@
     if (links_.count(vm) == 0 || !told_.emplace(vm, reason).second) {
       continue;
     }
-    TellFleet(Encode(core::jobs::vacancy_hint{vm, reason, partition_, epoch_}),
-              [this, vm, reason] {
-                told_.erase({vm, reason});
-              });
+    fleet_outbox_.Put(
+        Encode(core::jobs::vacancy_hint{vm, reason, partition_, epoch_}));
   }
 }
 
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -18,6 +18,7 @@
 #include "jobs/pool_owner.h"
 #include "jobs/progress_writer.h"
 #include "jobs/record_codec.h"
+#include "jobs/record_outbox.h"
 #include "jobs/vm_link.h"
 
 namespace plantainhead::jobs {
@@ -36,7 +37,8 @@
         settings_(settings),
         tick_timer_(*deps_.context),
         plan_timer_(*deps_.context),
-        claim_timer_(*deps_.context) {}
+        claim_timer_(*deps_.context),
+        fleet_outbox_(deps_.context, deps_.store, {kFleetTopic, 0}, {}) {}
   void Start(std::uint64_t generation);
   void Close();
   // The record of the end lets the next owner begin without waiting for this
@@ -110,8 +112,6 @@
                   const core::jobs::pool_load& load,
                   std::uint32_t count,
                   core::time_point now);
-  void TellFleet(const adapter::keyed_record& record,
-                 const std::function<void()>& on_failed);
   std::set<core::jobs::vm_id> ClosedForService() const;
   void FindVacantVms();
   std::vector<adapter::keyed_record> TakeVacancyRecords();
@@ -124,6 +124,7 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer plan_timer_;
   boost::asio::steady_timer claim_timer_;
+  record_outbox fleet_outbox_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
   /// Who owned before, and how it left.
