Wait 1.2 s for the answer to a renewal

Cause: with a store that takes 0.36 s and more an answer, renewals ended after 0.6 s while the store had taken them: the member held its pools and believed that it might not.

--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -35,7 +35,7 @@
   std::chrono::milliseconds time_to_live = std::chrono::milliseconds(2400);
   /// Three renewals fit into the time to live, so that a lost one is no harm.
   std::chrono::milliseconds renewal = std::chrono::milliseconds(700);
-  std::chrono::milliseconds timeout = std::chrono::milliseconds(600);
+  std::chrono::milliseconds timeout = std::chrono::milliseconds(1200);
   /// A process that starts beside at least this many regular members joins
   /// later, and a reserve doesn't join at all: each join deals partitions anew,
   /// and a pool whose owner changes starts nothing for about half a second. In
