Join the group only while it has fewer members than pools

Ruled out: time to live (no expiry then), a longer delay (the same, later). Change: a process that starts joins when there are fewer regular members than partitions with pools (the fleet's included), at least four. The delay is gone.

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -42,10 +42,7 @@
         timer_(*context),
         look_timer_(*context) {}
 
-  void Begin() {
-    began_at_ = BootTime();
-    LookForOthers();
-  }
+  void set_used_partitions(std::size_t count) { used_partitions_ = count; }
 
   void LookForOthers() {
     store_.ListMembers(
@@ -67,7 +64,8 @@
     const auto regular = static_cast<std::size_t>(
         std::count_if(reply.members.begin(), reply.members.end(),
                       [](const auto& name) { return !IsReserveName(name); }));
-    const bool is_enough = regular >= settings_.enough_members;
+    const bool is_enough =
+        regular >= std::max(settings_.enough_members, used_partitions_);
     if (settings_.role == member_role::kReserve) {
       if (reply.is_read) {
         UpdateReserve(is_enough);
@@ -76,8 +74,7 @@
       return;
     }
     const bool is_known = reply.members.count(member_) != 0;
-    const bool is_early = BootTime() - began_at_ < settings_.join_delay;
-    if (!reply.is_read || is_known || !is_enough || !is_early) {
+    if (!reply.is_read || is_known || !is_enough) {
       Renew();
       return;
     }
@@ -196,10 +193,10 @@
   change_handler on_dealt_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer look_timer_;
+  std::size_t used_partitions_ = 0;
   std::uint64_t generation_ = 0;
   core::time_point renewed_at_;
   core::time_point answered_at_;
-  core::time_point began_at_;
   bool is_in_flight_ = false;
   bool has_left_ = false;
   /// Of a reserve.
@@ -222,7 +219,11 @@
 group_member::~group_member() = default;
 
 void group_member::Start() {
-  impl_->Begin();
+  impl_->LookForOthers();
+}
+
+void group_member::SetUsedPartitions(std::size_t count) {
+  impl_->set_used_partitions(count);
 }
 
 void group_member::RenewNow() {
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -36,13 +36,12 @@
   /// Three renewals fit into the time to live, so that a lost one is no harm.
   std::chrono::milliseconds renewal = std::chrono::milliseconds(700);
   std::chrono::milliseconds timeout = std::chrono::milliseconds(1200);
-  /// A process that starts beside at least this many regular members joins
-  /// later, and a reserve doesn't join at all: each join deals partitions anew,
-  /// and a pool whose owner changes starts nothing for about half a second. In
-  /// a rolling restart, or when a process restarts again and again, that would
-  /// happen with each start.
+  /// A process that starts beside at least this many regular members doesn't
+  /// join, unless there are more partitions with pools: each join deals
+  /// partitions anew, and a pool whose owner changes starts nothing for about
+  /// half a second. In a rolling restart of nine processes that would happen
+  /// nine times more, and twice as many pools would change their owner.
   std::size_t enough_members = 4;
-  std::chrono::milliseconds join_delay = std::chrono::seconds(7);
   /// Time between two looks at whether there are still enough.
   std::chrono::milliseconds look_interval = std::chrono::milliseconds(500);
   /// The same of a reserve. It joins when two looks in a row have shown too
@@ -75,6 +74,9 @@
   ~group_member();
 
   void Start();
+  /// Sets how many partitions have pools: so many members are enough, if it is
+  /// more than the settings say. Each then has one, and more would have none.
+  void SetUsedPartitions(std::size_t count);
   /// Renews now and not only when it is due.
   void RenewNow();
   /// Gives the partitions back and renews no more.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -155,6 +155,8 @@
       }
     };
     listeners.on_configuration = [this] {
+      // The fleet's comes on top.
+      member_.SetUsedPartitions(PartitionsWithPools().size() + 1);
       for (auto& [partition, owner] : owners_) {
         owner->OnConfiguration();
       }
