--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -33,8 +33,10 @@
   /// allows no less than 1 s. An owner that dies costs its pool this time, and
   /// one that can't reach the store for a shorter time costs nothing.
   std::chrono::milliseconds time_to_live = std::chrono::milliseconds(2400);
-  /// Three renewals fit into the time to live, so that a lost one is no harm.
-  std::chrono::milliseconds renewal = std::chrono::milliseconds(700);
+  /// A member learns at its next renewal that it was dealt the pool of one that
+  /// has left, so that this is what a handover takes at most, beside 50 ms. The
+  /// store counts a renewal as a tenth of a call.
+  std::chrono::milliseconds renewal = std::chrono::milliseconds(300);
   std::chrono::milliseconds timeout = std::chrono::milliseconds(1200);
   /// A process that starts beside at least this many regular members doesn't
   /// join, unless there are more partitions with pools: each join deals
