Ask for VMs by the rate of arrivals when a queue's turn begins

Cause: a pool asked for what its tasks take and what waits. Ruled out: the time of the moves themselves (60 ms from the want to the order). Change: arrival_meter: jobs of the last 0.4 s, if work comes twice as fast as in the 2.6 s before, tell what the turn will take; the sizer takes the greater.

--- /dev/null
+++ b/include/plantainhead/core/jobs/arrival_meter.h
@@ -0,0 +1,56 @@
+#ifndef PLANTAINHEAD_CORE_JOBS_ARRIVAL_METER_H_
+#define PLANTAINHEAD_CORE_JOBS_ARRIVAL_METER_H_
+
+#include <cstddef>
+#include <deque>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+struct arrival_settings {
+  /// A rise is looked for in the jobs of this time. In its turn a queue brings
+  /// 9 to 36 jobs a second, so that this holds 4 to 14 of them.
+  duration window = std::chrono::milliseconds(400);
+  /// And compared with those of this time before it.
+  duration past = std::chrono::milliseconds(2600);
+  /// Fewer jobs than this in the window are no rise.
+  std::size_t least_jobs = 3;
+  /// Work must come this many times as fast as before.
+  double rise = 2.0;
+};
+
+/// Notices when a queue's turn begins: its jobs come many times as fast as
+/// before. What waits then tells how many VMs are needed only when most of the
+/// jobs that will wait are there, and VMs come 1.5 s after they are asked for.
+/// The rate of the arrivals tells it within the first few jobs.
+/// Pure and not thread-safe.
+class arrival_meter {
+ public:
+  explicit arrival_meter(const arrival_settings& settings)
+      : settings_(settings) {}
+
+  /// Notes a job that has just arrived. Lasting steps count for nothing: they
+  /// don't come at a rate. Precondition: times don't fall.
+  void Note(const job_spec& job, time_point now);
+  /// Returns what the tasks will take on average if jobs go on to come as they
+  /// do now; nothing while no rise is under way. By the callers' estimates.
+  resources RisingDemand(time_point now);
+
+ private:
+  /// Resources x seconds.
+  struct arrival {
+    time_point at;
+    double cpu = 0;
+    double memory = 0;
+    double gpus = 0;
+  };
+
+  arrival_settings settings_;
+  std::deque<arrival> arrivals_;
+};
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_CORE_JOBS_ARRIVAL_METER_H_
--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -16,6 +16,8 @@
   resources used;
   /// Of the tasks that may start but found no room.
   resources waiting;
+  /// What jobs that come at a rising rate will take; see `arrival_meter`.
+  resources rising;
   /// VMs that take tasks.
   std::uint32_t usable_vms = 0;
   /// Of a VM of the pool, on average.
--- a/src/core/jobs/pool_sizer.cc
+++ b/src/core/jobs/pool_sizer.cc
@@ -11,14 +11,17 @@
                     : static_cast<double>(part) / static_cast<double>(whole);
 }
 
+double VmsFor(const resources& demand, const pool_load& load) {
+  return std::max({Ratio(demand.cpu_millis, load.vm_capacity.cpu_millis),
+                   Ratio(demand.memory_mb, load.vm_capacity.memory_mb),
+                   Ratio(demand.gpus, load.vm_capacity.gpus)});
+}
+
 }  // namespace
 
 std::uint32_t pool_sizer::Needed(const pool_load& load) const {
-  const resources demand = load.used + load.waiting;
-  const double vms =
-      std::max({Ratio(demand.cpu_millis, load.vm_capacity.cpu_millis),
-                Ratio(demand.memory_mb, load.vm_capacity.memory_mb),
-                Ratio(demand.gpus, load.vm_capacity.gpus)});
+  const double vms = std::max(VmsFor(load.used + load.waiting, load),
+                              VmsFor(load.rising, load));
   const auto needed =
       static_cast<std::uint32_t>(std::ceil(vms / settings_.fill));
   return std::max(needed, load.spread) + settings_.reserve;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -30,6 +30,10 @@
     const std::shared_ptr<const core::jobs::job_spec>& job) {
   if (scheduler_ && PoolPartitionOf(job->pool) == partition_) {
     scheduler_->AddJob(job, deps_.world->PolicyOf(job->queue), BootTime());
+    const auto size = sizes_.find(job->pool);
+    if (size != sizes_.end()) {
+      size->second.arrivals.Note(*job, BootTime());
+    }
     // Pages of the newest records may show a cancellation before its job.
     const core::jobs::directory_entry* entry =
         deps_.world->directory().Find(job->id);
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -10,6 +10,7 @@
 #include "jobs/job_archiver.h"
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
+#include "plantainhead/core/jobs/arrival_meter.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
 #include "plantainhead/core/jobs/pool_sizer.h"
@@ -37,6 +38,7 @@
   /// Time between two looks at what is due.
   std::chrono::milliseconds tick = std::chrono::milliseconds(100);
   core::jobs::sizer_settings sizer;
+  core::jobs::arrival_settings arrivals;
   /// Least time between two records of how many VMs a pool wants.
   std::chrono::milliseconds wanted_gap = std::chrono::milliseconds(150);
   /// How long after a vacant VM's end its record is kept. The registry misses
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -58,11 +58,13 @@
     if (pool.is_spare || PoolPartitionOf(pool.id) != partition_) {
       continue;
     }
-    const core::jobs::pool_load load = scheduler_->Load(pool.id, now);
+    core::jobs::pool_load load = scheduler_->Load(pool.id, now);
     if (load.usable_vms == 0) {
       continue;
     }
-    auto [size, is_new] = sizes_.try_emplace(pool.id, settings_.sizer, now);
+    auto [size, is_new] =
+        sizes_.try_emplace(pool.id, settings_.sizer, settings_.arrivals, now);
+    load.rising = size->second.arrivals.RisingDemand(now);
     const std::uint32_t wanted =
         size->second.sizer.Update(load, IsScarce(pool.id), now);
     TellWanted(pool.id, &size->second, load, wanted, now);
--- /dev/null
+++ b/tests/core/jobs/arrival_meter_test.cc
@@ -0,0 +1,107 @@
+#include "plantainhead/core/jobs/arrival_meter.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/jobs/scheduler_driver.h"
+#include "plantainhead/core/jobs/pool_sizer.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kVmMillis = 16000;
+
+// Six tasks of 0.9 cores, 1 s each: 5.4 core-seconds.
+job_spec ShortJob() {
+  job_spec job;
+  step_spec step;
+  step.task_count = 6;
+  step.need = {900, 500, 0};
+  step.estimate = seconds(1);
+  job.steps = {step};
+  return job;
+}
+
+// The pattern: for some 14 s a queue brings a job every 3 s, and then, in its
+// turn, 30 a second for 5 s. Each takes 5.4 core-seconds, so that the turn
+// takes 162 cores; VMs have 16. They come 1.5 s after they are asked for, and a
+// job may wait about that long before it is late. What counts is how soon after
+// the first job the pool asks for all that the turn will take.
+TEST_CASE("A queue's turn is noticed by its first jobs") {
+  arrival_meter meter{arrival_settings()};
+  time_point now{std::chrono::hours(1)};
+  for (int i = 0; i < 5; ++i) {
+    now += seconds(3);
+    meter.Note(ShortJob(), now);
+    CHECK(meter.RisingDemand(now) == resources());
+  }
+  now += seconds(1);
+  const time_point began = now;
+  const auto pass_turn = [&](milliseconds time) {
+    for (; now < began + time; now += milliseconds(33)) {
+      meter.Note(ShortJob(), now);
+    }
+  };
+
+  SECTION("Within 0.2 s half of what it takes is asked for, in 0.4 s all") {
+    pass_turn(milliseconds(200));
+    CHECK(meter.RisingDemand(now).cpu_millis >= 81000);
+    pass_turn(milliseconds(400));
+    CHECK(meter.RisingDemand(now).cpu_millis >= 155000);
+
+    SECTION("where what waits and runs would have asked for a quarter") {
+      pool_load load;
+      load.vm_capacity = {kVmMillis, 64000, 0};
+      load.usable_vms = 5;
+      // 12 jobs have come; 4 VMs' worth of tasks run, and hardly any waits yet.
+      load.used = {65000, 0, 0};
+      const std::uint32_t by_backlog =
+          pool_sizer(sizer_settings()).Update(load, false, now);
+      load.rising = meter.RisingDemand(now);
+      const std::uint32_t by_rate =
+          pool_sizer(sizer_settings()).Update(load, false, now);
+      CHECK(by_backlog == 7);
+      CHECK(by_rate >= 13);
+    }
+  }
+
+  SECTION("Once it is under way, what waits tells enough") {
+    pass_turn(milliseconds(2500));
+    CHECK(meter.RisingDemand(now) == resources());
+  }
+
+  SECTION("Lasting steps bring no rate") {
+    job_spec lasting = ShortJob();
+    lasting.steps[0].lasting = true;
+    for (int i = 0; i < 20; ++i) {
+      meter.Note(lasting, now);
+    }
+    CHECK(meter.RisingDemand(now) == resources());
+  }
+}
+
+TEST_CASE("Jobs that come evenly, or two at once, are no rise") {
+  arrival_meter meter{arrival_settings()};
+  time_point now{std::chrono::hours(1)};
+
+  SECTION("ten a second, for long") {
+    for (int i = 0; i < 60; ++i) {
+      now += milliseconds(100);
+      meter.Note(ShortJob(), now);
+      if (i > 30) {
+        CHECK(meter.RisingDemand(now) == resources());
+      }
+    }
+  }
+
+  SECTION("two after a calm") {
+    meter.Note(ShortJob(), now);
+    meter.Note(ShortJob(), now);
+    CHECK(meter.RisingDemand(now) == resources());
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
