Pace waves by their time, and take hosts of the spare pool first

Cause: a wave of 24 of 49 hosts in 27 s was done as fast as it allows (10 at once, and one more emptied), from 2 to 14 s: a fifth of the fleet was away in the first turns. Change: hosts of the spare pool go first; of pools' hosts only as many are in hand as the wave's time demands (0.8 of it), none of a pool that lacks VMs before all are needed. A wave whose begin isn't known goes at full speed, as before.

--- a/include/plantainhead/core/jobs/maintenance.h
+++ b/include/plantainhead/core/jobs/maintenance.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_CORE_JOBS_MAINTENANCE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,8 @@
   std::vector<host_id> hosts;
   /// Within this time after the wave was published.
   duration time_limit = duration::zero();
+  /// None: at some time before this process began to read waves.
+  std::optional<time_point> published_at;
   /// Hosts that may be down for it at once.
   std::uint32_t most_at_once = 1;
 };
--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -54,6 +54,11 @@
   /// Hosts that are emptied ahead of their turn, so that one is ready when
   /// another returns. Each costs its pool a VM meanwhile.
   std::uint32_t emptied_ahead = 1;
+  /// What a host takes from being closed to being back: up to 2 s until it is
+  /// empty, 2 s of service, and a list every 0.6 s to see it by.
+  duration cycle = std::chrono::milliseconds(5000);
+  /// Share of a wave's time by which it is to be done.
+  double pace_share = 0.8;
   /// An order that may not have arrived is sent again after this time; it has
   /// no effect if it did.
   duration order_retry = std::chrono::seconds(1);
@@ -78,6 +83,8 @@
   void UpdateHosts(const std::vector<fleet_host>& hosts,
                    const std::set<pool_id>& spare,
                    time_point requested_at);
+  /// Replaces the pools that have fewer VMs than they want.
+  void UpdateShort(std::set<pool_id> pools) { short_ = std::move(pools); }
   /// Replaces the set of VMs that have been emptied.
   void UpdateEmpty(std::set<vm_id> empty) { empty_ = std::move(empty); }
   void OnServiceAnswer(std::uint64_t wave,
@@ -119,13 +126,21 @@
   bool IsMissing(const host_id& host) const;
   const listed_host* FindHost(const host_id& host) const;
   std::uint32_t Busy(const pool_id& pool) const;
-  void CloseNext(wave_progress* wave, std::vector<wave_action>* actions);
+  void CloseNext(wave_progress* wave,
+                 time_point now,
+                 std::vector<wave_action>* actions);
+  std::uint32_t NeededAtOnce(const wave_progress& wave, time_point now) const;
+  bool RunsTasks(const fleet_host& host) const;
+  std::pair<const host_id, host_progress>* FindNext(wave_progress* wave,
+                                                    bool only_spare,
+                                                    bool spares_short);
   bool IsReady(const host_progress& progress, const fleet_host& host) const;
 
   wave_settings settings_;
   std::map<std::uint64_t, wave_progress> waves_;
   std::map<host_id, listed_host> hosts_;
   std::set<pool_id> spare_;
+  std::set<pool_id> short_;
   std::set<vm_id> empty_;
   time_point first_requested_at_;
   time_point requested_at_;
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -159,38 +159,87 @@
          empty_.count(progress.vm) != 0;
 }
 
-void wave_keeper::CloseNext(wave_progress* wave,
-                            std::vector<wave_action>* actions) {
-  const auto begun = std::count_if(
-      wave->hosts.begin(), wave->hosts.end(), [](const auto& entry) {
-        return entry.second.phase != host_phase::kDue &&
-               entry.second.phase != host_phase::kDone;
+bool wave_keeper::RunsTasks(const fleet_host& host) const {
+  return !host.vm.empty() && spare_.count(host.pool) == 0;
+}
+
+// Returns how many of the pools' hosts must be in hand for the wave to end in
+// time. All that it allows, if its time isn't known.
+std::uint32_t wave_keeper::NeededAtOnce(const wave_progress& wave,
+                                        time_point now) const {
+  const std::uint32_t most = wave.wave.most_at_once + settings_.emptied_ahead;
+  if (!wave.wave.published_at) {
+    return most;
+  }
+  const auto usable = static_cast<std::int64_t>(
+      static_cast<double>(wave.wave.time_limit.count()) * settings_.pace_share);
+  const duration left = *wave.wave.published_at + duration(usable) - now;
+  const auto open = std::count_if(
+      wave.hosts.begin(), wave.hosts.end(), [](const auto& entry) {
+        return entry.second.phase != host_phase::kDone &&
+               entry.second.phase != host_phase::kDown;
       });
-  auto room = static_cast<std::int64_t>(wave->wave.most_at_once) +
-              settings_.emptied_ahead - begun;
-  while (room-- > 0) {
-    std::pair<const host_id, host_progress>* next = nullptr;
-    std::uint32_t least = 0;
-    for (auto& entry : wave->hosts) {
-      const listed_host* listed = FindHost(entry.first);
-      if (entry.second.phase != host_phase::kDue || listed == nullptr ||
-          listed->host.state != host_state::kUp) {
-        continue;
-      }
-      // Spread over the pools, so that none loses many VMs at once.
-      const std::uint32_t busy = Busy(listed->host.pool);
-      if (next == nullptr || busy < least) {
-        next = &entry;
-        least = busy;
-      }
+  if (left <= settings_.cycle) {
+    return most;
+  }
+  const auto needed = (open * settings_.cycle + left - duration(1)) / left;
+  return std::min(most, static_cast<std::uint32_t>(needed));
+}
+
+// Returns the next due host, spread over the pools, so that none loses many VMs
+// at once.
+std::pair<const host_id, wave_keeper::host_progress>*
+wave_keeper::FindNext(wave_progress* wave, bool only_spare, bool spares_short) {
+  std::pair<const host_id, host_progress>* next = nullptr;
+  std::uint32_t least = 0;
+  for (auto& entry : wave->hosts) {
+    const listed_host* listed = FindHost(entry.first);
+    if (entry.second.phase != host_phase::kDue || listed == nullptr ||
+        listed->host.state != host_state::kUp) {
+      continue;
+    }
+    const bool runs_tasks = RunsTasks(listed->host);
+    const bool is_missed =
+        runs_tasks && spares_short && short_.count(listed->host.pool) != 0;
+    if (is_missed || (runs_tasks && only_spare)) {
+      continue;
     }
+    const std::uint32_t busy = runs_tasks ? 1 + Busy(listed->host.pool) : 0;
+    if (next == nullptr || busy < least) {
+      next = &entry;
+      least = busy;
+    }
+  }
+  return next;
+}
+
+// A host of the spare pool is missed by nobody, and while some pool is calm
+// most hosts are there at one time or another. So those go first; of the pools'
+// hosts only as many are in hand as the wave's time demands, and none of a pool
+// that lacks VMs before all that the wave allows are needed.
+void wave_keeper::CloseNext(wave_progress* wave,
+                            time_point now,
+                            std::vector<wave_action>* actions) {
+  const std::uint32_t most = wave->wave.most_at_once + settings_.emptied_ahead;
+  const std::uint32_t needed = NeededAtOnce(*wave, now);
+  std::uint32_t begun = 0;
+  std::uint32_t begun_in_pools = 0;
+  for (const auto& [host, progress] : wave->hosts) {
+    const bool is_begun = progress.phase != host_phase::kDue &&
+                          progress.phase != host_phase::kDone;
+    begun += is_begun ? 1 : 0;
+    begun_in_pools += is_begun && !progress.vm.empty() ? 1 : 0;
+  }
+  for (; begun < most; ++begun) {
+    const auto next = FindNext(wave, begun_in_pools >= needed, needed < most);
     if (next == nullptr) {
       return;
     }
     const fleet_host& host = FindHost(next->first)->host;
     next->second.phase = host_phase::kClosing;
     next->second.vm = host.vm;
-    if (!host.vm.empty() && spare_.count(host.pool) == 0) {
+    if (RunsTasks(host)) {
+      ++begun_in_pools;
       actions->emplace_back(close_vm{host.vm});
     }
   }
@@ -249,7 +298,7 @@
     actions->emplace_back(complete_wave{wave->wave.number});
     return;
   }
-  CloseNext(wave, actions);
+  CloseNext(wave, now, actions);
 }
 
 std::vector<wave_action> wave_keeper::Plan(time_point now) {
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -154,12 +154,17 @@
     std::vector<core::jobs::vacancy_hint> hints;
     std::map<core::jobs::pool_id, std::uint32_t> wanted;
     for (const auto& [key, value] : deps_.world->fleet_records()) {
+    std::set<core::jobs::pool_id> short_pools;
       if (auto hint = DecodeVacancyHint(key, value)) {
         hints.push_back(std::move(*hint));
       } else if (const auto closing = ClosedVmOf(key)) {
         closed.insert(*closing);
       } else if (const auto pool = WantingPoolOf(key)) {
-        wanted[*pool] = DecodeWantedVms(value).count;
+        const wanted_vms want = DecodeWantedVms(value);
+        wanted[*pool] = want.count;
+        if (want.is_short) {
+          short_pools.insert(*pool);
+        }
       } else if (const auto serviced = ServicedHostOf(key)) {
         keeper_.NoteServiced(serviced->wave, serviced->host);
       } else if (const auto wave = CompletedWaveOf(key)) {
@@ -167,6 +172,7 @@
       }
     }
     balancer_.UpdateClosed(std::move(closed));
+    keeper_.UpdateShort(std::move(short_pools));
     balancer_.UpdateWanted(std::move(wanted));
     vacancies_.UpdateHints(hints);
     TakeVacancies();
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "plantainhead/core/visit.h"
 #include "platform/configuration_codec.h"
@@ -212,7 +213,11 @@
   }
   if (HasPrefix(record.key, adapter::kWaveKeyPrefix)) {
     if (auto wave = adapter::DecodeWave(*record.value)) {
-      waves_[wave->number] = std::move(*wave);
+      if (operators_->IsLoaded()) {
+        wave->published_at = BootTime();
+      }
+      // Records may be read again; the first reading tells the time.
+      waves_.try_emplace(wave->number, std::move(*wave));
       listeners_.on_fleet_records();
     } else {
       LogInvalid(adapter::kOperatorTopic, record);
--- a/tests/core/jobs/wave_keeper_test.cc
+++ b/tests/core/jobs/wave_keeper_test.cc
@@ -167,5 +167,68 @@
   CHECK(Of<complete_wave>(keeper.Plan(now)).empty());
 }
 
+// The pattern: a wave of 24 of 49 hosts in 27 s, 10 at once, while the queues
+// have their turns and each pool wants every VM in its own. Taken as fast as
+// the wave allows, a fifth of the fleet is away in its first turn, and jobs
+// there are late; spread over the wave's time it is an eighth. Each turn is
+// another pool's, so that most hosts are spare at some time.
+TEST_CASE("A wave takes VMs from pools no faster than its time demands") {
+  wave_keeper keeper{wave_settings()};
+  const time_point begin{std::chrono::hours(1)};
+  std::vector<fleet_host> hosts;
+  std::vector<host_id> due;
+  for (int i = 0; i < 24; ++i) {
+    const std::string name = "h" + std::to_string(i);
+    hosts.push_back(Host(name, i % 2 == 0 ? "p" : "q", "vm-" + name));
+    due.push_back(name);
+  }
+  maintenance_wave wave = Wave(due, 10);
+  wave.time_limit = seconds(27);
+
+  SECTION("six of ten, when its time is known") {
+    wave.published_at = begin;
+    keeper.AddWave(wave);
+    keeper.UpdateHosts(hosts, {"spare"}, begin);
+    CHECK(Of<close_vm>(keeper.Plan(begin)).size() == 6);
+
+    SECTION("and all that it allows when it gets late") {
+      const time_point late = begin + seconds(17);
+      keeper.UpdateHosts(hosts, {"spare"}, late);
+      CHECK(Of<close_vm>(keeper.Plan(late)).size() == 5);
+    }
+  }
+
+  SECTION("all that it allows, when an earlier owner may have begun it") {
+    keeper.AddWave(wave);
+    keeper.UpdateHosts(hosts, {"spare"}, begin);
+    CHECK(Of<close_vm>(keeper.Plan(begin)).size() == 11);
+  }
+
+  SECTION("hosts of the spare pool go first, as many as it allows") {
+    for (int i = 0; i < 8; ++i) {
+      hosts[20 - i].pool = "spare";
+      hosts[20 - i].vm = "";
+    }
+    wave.published_at = begin;
+    keeper.AddWave(wave);
+    keeper.UpdateHosts(hosts, {"spare"}, begin);
+    const auto actions = keeper.Plan(begin);
+    CHECK(Of<close_vm>(actions).size() == 3);
+    CHECK(Of<service_host>(keeper.Plan(begin + milliseconds(1))).size() == 8);
+  }
+
+  SECTION("none of a pool that lacks VMs, while there is time") {
+    wave.published_at = begin;
+    keeper.AddWave(wave);
+    keeper.UpdateHosts(hosts, {"spare"}, begin);
+    keeper.UpdateShort({"p"});
+    const auto closed = Of<close_vm>(keeper.Plan(begin));
+    REQUIRE(closed.size() == 6);
+    for (const close_vm& close : closed) {
+      CHECK(std::stoi(close.vm.substr(4)) % 2 == 1);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
