Keep offers of VMs that have just begun their lives

Cause: the fleet's owner dropped an offer when neither its list nor the registry showed the VM. The list was cleared when the next one was asked for, and the registry is read up to 2 s late, so that offers of young VMs went: their pool had closed them, and nobody moved them. Ruled out: the confirmation of vacancies (the loss was there before it), waves. Change: an offer goes when its VM has been missing for 10 s from the last complete list and the registry. A line tells of each VM that was vacated. Test: vacancy_checker_test.

--- a/include/plantainhead/core/jobs/vacancy_checker.h
+++ b/include/plantainhead/core/jobs/vacancy_checker.h
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/time.h"
 
 namespace plantainhead::core::jobs {
 
@@ -31,6 +33,13 @@
   bool operator==(const vacancy_hint&) const = default;
 };
 
+struct vacancy_settings {
+  /// How long an offered VM must be missing before its offer is dropped. The
+  /// registry is read up to 2 s late, and misses VMs for some seconds after the
+  /// store was away.
+  duration missing_limit = std::chrono::seconds(10);
+};
+
 /// Decides which hints the fleet's owner may act on.
 ///
 /// Hints are appended without a fence, so that one of an owner that was
@@ -43,6 +52,9 @@
 /// Not thread-safe.
 class vacancy_checker {
  public:
+  explicit vacancy_checker(const vacancy_settings& settings)
+      : settings_(settings) {}
+
   /// Replaces the hints.
   void UpdateHints(const std::vector<vacancy_hint>& hints);
   /// Returns the partitions that must be read, and takes their readings for
@@ -56,14 +68,23 @@
 
   /// Returns the VMs that are surely vacant for this reason.
   std::set<vm_id> Confirmed(vacancy_reason reason) const;
+  /// Returns the offered VMs whose lives are over, once each, so that their
+  /// hints can be taken back. `present` are those that the list of the fleet or
+  /// the registry shows. A life that has just begun may be in neither yet: its
+  /// pool has given it away, and nobody would ever move it if its hint went.
+  std::vector<vm_id> TakeGoneOffers(const std::set<vm_id>& present,
+                                    time_point now);
 
  private:
   enum class state { kUnread, kReading, kConfirmed, kRefuted };
   struct noted_hint {
     vacancy_hint hint;
     state phase = state::kUnread;
+    std::optional<time_point> missing_since;
+    bool is_taken_as_gone = false;
   };
 
+  vacancy_settings settings_;
   std::map<std::pair<vm_id, vacancy_reason>, noted_hint> hints_;
 };
 
--- a/src/core/jobs/vacancy_checker.cc
+++ b/src/core/jobs/vacancy_checker.cc
@@ -9,7 +9,11 @@
     const auto known = hints_.find(key);
     // A hint of another owner is news: the earlier one may have been refuted.
     const bool is_known = known != hints_.end() && known->second.hint == hint;
-    noted[key] = is_known ? known->second : noted_hint{hint, state::kUnread};
+    if (is_known) {
+      noted[key] = known->second;
+    } else {
+      noted[key].hint = hint;
+    }
   }
   hints_ = std::move(noted);
 }
@@ -59,4 +63,27 @@
   return vms;
 }
 
+std::vector<vm_id> vacancy_checker::TakeGoneOffers(
+    const std::set<vm_id>& present,
+    time_point now) {
+  std::vector<vm_id> gone;
+  for (auto& [key, noted] : hints_) {
+    if (key.second != vacancy_reason::kOffered || noted.is_taken_as_gone) {
+      continue;
+    }
+    if (present.count(key.first) != 0) {
+      noted.missing_since.reset();
+      continue;
+    }
+    if (!noted.missing_since) {
+      noted.missing_since = now;
+    }
+    if (now - *noted.missing_since > settings_.missing_limit) {
+      noted.is_taken_as_gone = true;
+      gone.push_back(key.first);
+    }
+  }
+  return gone;
+}
+
 }  // namespace plantainhead::core::jobs
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -30,6 +30,7 @@
   kTaskEnded,
   kVmLost,
   kVmHeard,
+  kVmVacated,
   kOwnershipGained,
   kOwnershipLost,
   kTakeoverFailed,
@@ -41,7 +42,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 31> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 32> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessStopping, "process stopping"},
     {job_event::kProcessStopped, "process stopped"},
@@ -64,6 +65,7 @@
     {job_event::kTaskEnded, "task ended"},
     {job_event::kVmLost, "vm lost"},
     {job_event::kVmHeard, "vm heard"},
+    {job_event::kVmVacated, "vm vacated"},
     {job_event::kOwnershipGained, "ownership gained"},
     {job_event::kOwnershipLost, "ownership lost"},
     {job_event::kTakeoverFailed, "takeover failed"},
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -71,7 +71,8 @@
         status_(deps_.context, deps_.store, {adapter::kStatusTopic, 0}, {}),
         timer_(*deps_.context),
         keeper_(settings.waves),
-        balancer_(settings.balancer) {}
+        balancer_(settings.balancer),
+        vacancies_(settings.vacancies) {}
 
   void Start(std::uint64_t generation) {
     generation_ = generation;
@@ -153,8 +154,8 @@
     std::set<core::jobs::vm_id> closed;
     std::vector<core::jobs::vacancy_hint> hints;
     std::map<core::jobs::pool_id, std::uint32_t> wanted;
-    for (const auto& [key, value] : deps_.world->fleet_records()) {
     std::set<core::jobs::pool_id> short_pools;
+    for (const auto& [key, value] : deps_.world->fleet_records()) {
       if (auto hint = DecodeVacancyHint(key, value)) {
         hints.push_back(std::move(*hint));
       } else if (const auto closing = ClosedVmOf(key)) {
@@ -171,8 +172,8 @@
         keeper_.NoteCompleted(*wave);
       }
     }
-    balancer_.UpdateClosed(std::move(closed));
     keeper_.UpdateShort(std::move(short_pools));
+    balancer_.UpdateClosed(std::move(closed));
     balancer_.UpdateWanted(std::move(wanted));
     vacancies_.UpdateHints(hints);
     TakeVacancies();
@@ -316,22 +317,19 @@
               {"outcome", std::string(core::NameOf(outcome))}});
     balancer_.OnMoveAnswer(move.host, outcome == duty_outcome::kAccepted,
                            outcome != duty_outcome::kUnknown, BootTime());
-    DropOffersOfGoneVms();
   }
 
-  // The life that was offered ended with the move.
   void DropOffersOfGoneVms() {
     std::set<core::jobs::vm_id> present;
     for (const core::jobs::fleet_host& host : page_hosts_) {
       present.insert(host.vm);
     }
-    for (const auto& [key, value] : deps_.world->fleet_records()) {
-      const auto vm = OfferedVmOf(key);
-      const bool is_gone = vm && present.count(*vm) == 0 &&
-                           deps_.world->registry().count(*vm) == 0;
-      if (is_gone && dropped_offers_.insert(*vm).second) {
-        records_.Put(DropOfferedVm(*vm));
-      }
+    for (const auto& [vm, description] : deps_.world->registry()) {
+      present.insert(vm);
+    }
+    for (const core::jobs::vm_id& vm :
+         vacancies_.TakeGoneOffers(present, BootTime())) {
+      records_.Put(DropOfferedVm(vm));
     }
   }
 
@@ -366,6 +364,7 @@
     }
     is_listing_ = false;
     listed_at_ = BootTime();
+    DropOffersOfGoneVms();
     std::set<core::jobs::pool_id> spare;
     for (const core::jobs::pool_settings& pool :
          deps_.world->routes().configuration().pools) {
@@ -438,7 +437,6 @@
   core::jobs::wave_keeper keeper_;
   core::jobs::fleet_balancer balancer_;
   core::jobs::vacancy_checker vacancies_;
-  std::set<core::jobs::vm_id> dropped_offers_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
   bool is_active_ = false;
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -10,6 +10,7 @@
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
 #include "plantainhead/core/jobs/fleet_balancer.h"
+#include "plantainhead/core/jobs/vacancy_checker.h"
 #include "plantainhead/core/jobs/wave_keeper.h"
 #include "platform/store_client.h"
 
@@ -19,6 +20,7 @@
   std::string address;
   core::jobs::wave_settings waves;
   core::jobs::balancer_settings balancer;
+  core::jobs::vacancy_settings vacancies;
   writer_settings writer;
   std::chrono::milliseconds order_timeout = std::chrono::seconds(2);
   std::chrono::milliseconds tick = std::chrono::milliseconds(100);
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -155,6 +155,12 @@
 }
 
 void pool_owner::impl::NoteVacanciesStored() {
+  for (const vm_id& vm : recording_vacant_) {
+    LogEvent(job_event::kVmVacated,
+             {{"vm", vm},
+              {"partition", std::to_string(partition_)},
+              {"reason", released_.count(vm) != 0 ? "not needed" : "service"}});
+  }
   vacant_.insert(recording_vacant_.begin(), recording_vacant_.end());
   recording_vacant_.clear();
 }
--- a/tests/core/jobs/vacancy_checker_test.cc
+++ b/tests/core/jobs/vacancy_checker_test.cc
@@ -19,7 +19,7 @@
 // and users would miss it. The offer alone proves nothing; the record that the
 // store refused does.
 TEST_CASE("A late offer of a replaced owner moves no VM") {
-  vacancy_checker checker;
+  vacancy_checker checker{vacancy_settings()};
   checker.UpdateHints({Offer("vm-1")});
 
   SECTION("An offer counts for nothing before its partition was read") {
@@ -74,5 +74,31 @@
   }
 }
 
+// A VM begins its life in a pool, is found to be one too many, and is given
+// away within two seconds. The last list of the fleet was asked for before, and
+// the registry is read up to 2 s late, so that neither shows it. Were its offer
+// taken back as that of a dead one, its pool would use it no more and nobody
+// would move it: after 25 s of such moves 10 of 49 VMs stood idle for good, and
+// jobs were late for want of them.
+TEST_CASE("An offered VM that isn't listed yet stays offered") {
+  vacancy_checker checker{vacancy_settings()};
+  time_point now{std::chrono::hours(1)};
+  checker.UpdateHints({Offer("vm-1")});
+  checker.TakeReadings();
+  checker.EndReading(kPartition, true, {"vm-1"});
+  CHECK(checker.TakeGoneOffers({}, now).empty());
+  now += std::chrono::seconds(2);
+  CHECK(checker.TakeGoneOffers({}, now).empty());
+  CHECK(checker.TakeGoneOffers({"vm-1"}, now).empty());
+
+  SECTION("and is dropped, once, some time after it was moved") {
+    now += std::chrono::seconds(9);
+    CHECK(checker.TakeGoneOffers({}, now).empty());
+    now += std::chrono::seconds(11);
+    CHECK(checker.TakeGoneOffers({}, now) == std::vector<vm_id>{"vm-1"});
+    CHECK(checker.TakeGoneOffers({}, now).empty());
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
