Tell why a job was late, measure latencies, and trace a job through the logs

Cause: an engineer with a job's id had to sort the lines of nine processes by hand, and metrics had counts only. Change: the owner notes what spent a job's time (waited for room, runs repeated, owner changed, ran long) in the line of its end and as a counter by queue and verdict, from which the burn by class follows; latency histograms of acceptance, first start, whole jobs, plans, starts at VMs, takeovers and store calls; 'plantainctl trace ID LOGS...' gathers a job's lines, what befell its VMs and what the processes that dealt with it gained, lost or changed, and says the verdict.

--- /dev/null
+++ b/include/plantainhead/core/jobs/job_result.h
@@ -0,0 +1,69 @@
+#ifndef PLANTAINHEAD_CORE_JOBS_JOB_RESULT_H_
+#define PLANTAINHEAD_CORE_JOBS_JOB_RESULT_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/names.h"
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::core::jobs {
+
+/// How a job went, as its last owner saw it.
+struct job_result {
+  job_id id;
+  queue_id queue;
+  job_phase phase = job_phase::kCompleted;
+  /// When this owner learned of the job.
+  time_point arrived_at;
+  /// When its first task was ordered to start; none if none was.
+  std::optional<time_point> started_at;
+  /// When it should have ended.
+  time_point deadline;
+  /// The estimate of its longest chain of work.
+  duration chain = duration::zero();
+  /// Runs that failed, lapsed, or were stopped to run elsewhere.
+  std::uint32_t repeated_runs = 0;
+  /// It was accepted under an earlier owner, so that it is older than
+  /// `arrived_at` says.
+  bool is_inherited = false;
+};
+
+/// What spent the time of a job that missed its target, or that it missed none.
+enum class job_verdict {
+  kInTime,
+  /// Its tasks used up their attempts.
+  kFailed,
+  kCancelled,
+  /// It changed its owner on the way.
+  kOwnerChanged,
+  /// Runs of it were lost or failed and were repeated.
+  kRunsRepeated,
+  /// Its first task started too late for what its caller estimated.
+  kWaitedForRoom,
+  /// It started in time and took longer than its caller estimated.
+  kRanLong,
+};
+
+inline constexpr name_table<job_verdict, 7> kJobVerdictNames = {{
+    {job_verdict::kInTime, "in time"},
+    {job_verdict::kFailed, "failed"},
+    {job_verdict::kCancelled, "cancelled"},
+    {job_verdict::kOwnerChanged, "late, owner changed"},
+    {job_verdict::kRunsRepeated, "late, runs repeated"},
+    {job_verdict::kWaitedForRoom, "late, waited for room"},
+    {job_verdict::kRanLong, "late, ran long"},
+}};
+inline constexpr const auto& NamesOf(job_verdict) {
+  return kJobVerdictNames;
+}
+
+/// Returns what became of the job's target, when it ended at `ended_at`. Of
+/// several causes the first in the order above counts, since it brings the
+/// others about. Thread safety: safe from any thread.
+job_verdict VerdictOf(const job_result& result, time_point ended_at);
+
+}  // namespace plantainhead::core::jobs
+
+#endif  // PLANTAINHEAD_CORE_JOBS_JOB_RESULT_H_
--- a/include/plantainhead/core/jobs/orders.h
+++ b/include/plantainhead/core/jobs/orders.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "plantainhead/core/jobs/job_result.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/vm_reports.h"
 #include "plantainhead/core/time.h"
@@ -66,6 +67,8 @@
 struct progress_batch {
   std::uint64_t number = 0;
   std::vector<std::pair<job_id, job_progress>> jobs;
+  /// Of those among them that have ended.
+  std::vector<job_result> results;
   /// VMs that will be used from now on.
   std::vector<known_vm> used_vms;
   /// VMs on which nothing can be running any more.
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -96,7 +96,8 @@
   pool_scheduler& operator=(const pool_scheduler&) = delete;
   ~pool_scheduler();
 
-  /// Adds a job; one that is known already is left as it is.
+  /// Adds a job; one that is known already is left as it is. Jobs that are
+  /// added before the first `UpdateVms` are an earlier owner's.
   /// Precondition: `spec` is valid (see `FindFaults`).
   void AddJob(std::shared_ptr<const job_spec> spec,
               const queue_policy& policy,
--- /dev/null
+++ b/src/core/jobs/job_result.cc
@@ -0,0 +1,27 @@
+#include "plantainhead/core/jobs/job_result.h"
+
+namespace plantainhead::core::jobs {
+
+job_verdict VerdictOf(const job_result& result, time_point ended_at) {
+  if (result.phase == job_phase::kFailed) {
+    return job_verdict::kFailed;
+  }
+  if (result.phase == job_phase::kCancelled) {
+    return job_verdict::kCancelled;
+  }
+  if (ended_at <= result.deadline) {
+    return job_verdict::kInTime;
+  }
+  if (result.is_inherited) {
+    return job_verdict::kOwnerChanged;
+  }
+  if (result.repeated_runs > 0) {
+    return job_verdict::kRunsRepeated;
+  }
+  const time_point latest_start = result.deadline - result.chain;
+  const bool has_waited =
+      !result.started_at || *result.started_at > latest_start;
+  return has_waited ? job_verdict::kWaitedForRoom : job_verdict::kRanLong;
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -186,6 +186,7 @@
   if (is_newest) {
     MarkWaiting(name);
   }
+  ++repeated_runs_;
   if (how == end_kind::kFailed) {
     task->failed_on = vm;
     CountFailure(name, task, run);
@@ -234,6 +235,7 @@
   if (task == nullptr || run <= task->ended_run) {
     return false;
   }
+  ++repeated_runs_;
   task->ended_run = run;
   task->is_presumed = true;
   if (run >= task->last_run) {
@@ -293,6 +295,20 @@
   }
 }
 
+job_result job_state::Result() const {
+  job_result result;
+  result.id = spec_->id;
+  result.queue = spec_->queue;
+  result.phase = phase_;
+  result.arrived_at = arrived_at_;
+  result.started_at = started_at_;
+  result.deadline = deadline_;
+  result.chain = LongestChain();
+  result.repeated_runs = repeated_runs_;
+  result.is_inherited = is_inherited_;
+  return result;
+}
+
 job_progress job_state::Progress() const {
   job_progress progress;
   progress.phase = phase_;
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "plantainhead/core/jobs/job_result.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/vm_reports.h"
 #include "plantainhead/core/time.h"
@@ -70,6 +72,15 @@
   time_point arrived_at() const { return arrived_at_; }
 
   /// Takes over what an earlier owner recorded.
+  /// Notes that an earlier owner had accepted the job.
+  void MarkInherited() { is_inherited_ = true; }
+  /// Notes that a task was ordered to start.
+  void MarkStarted(time_point now) {
+    if (!started_at_) {
+      started_at_ = now;
+    }
+  }
+  job_result Result() const;
   void Restore(const job_progress& progress);
   /// Returns what must outlast this process.
   job_progress Progress() const;
@@ -130,6 +141,9 @@
   job_phase phase_ = job_phase::kQueued;
   std::map<std::uint32_t, occurrence_state> occurrences_;
   std::uint32_t opened_ = 0;
+  std::optional<time_point> started_at_;
+  std::uint32_t repeated_runs_ = 0;
+  bool is_inherited_ = false;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -49,7 +49,11 @@
   batch.number = next_batch_++;
   batch.jobs.reserve(changed_.size());
   for (const job_id& id : changed_) {
-    batch.jobs.emplace_back(id, jobs_.at(id)->Progress());
+    const job_state& job = *jobs_.at(id);
+    batch.jobs.emplace_back(id, job.Progress());
+    if (IsFinal(job.phase())) {
+      batch.results.push_back(job.Result());
+    }
   }
   changed_.clear();
   return batch;
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -356,6 +356,7 @@
                                    job->shared_spec(),
                                    job->Find(task)->checkpoint,
                                    *lease_until});
+  job->MarkStarted(now);
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -15,7 +15,10 @@
 void pool_scheduler::AddJob(std::shared_ptr<const job_spec> spec,
                             const queue_policy& policy,
                             time_point now) {
-  impl_->jobs().Add(std::move(spec), policy, now);
+  job_state* job = impl_->jobs().Add(std::move(spec), policy, now);
+  if (job != nullptr && !impl_->has_list()) {
+    job->MarkInherited();
+  }
 }
 
 void pool_scheduler::AddEndedJob(const job_id& id) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -27,6 +27,9 @@
 
   job_table& jobs() { return jobs_; }
   std::map<vm_id, vm_state>& vms() { return vms_; }
+  /// True once the registry's VMs are known: jobs that were added before that
+  /// are an earlier owner's.
+  bool has_list() const { return has_list_; }
   std::uint64_t vms_version() const { return vms_version_; }
   vm_state* FindVm(const vm_id& id);
   scheduler_counts Counts() const;
--- /dev/null
+++ b/src/jobs/job_meters.cc
@@ -0,0 +1,55 @@
+#include "jobs/job_meters.h"
+
+#include <string>
+
+namespace plantainhead::jobs {
+
+job_meters::job_meters()
+    : accept_(registry_.Latency("plantain_job_accept_seconds",
+                                "From a submission's arrival until its record "
+                                "is stored.")),
+      plan_(registry_.Latency("plantain_plan_seconds",
+                              "Time that one plan of a pool's owner takes.")),
+      start_(registry_.Latency("plantain_task_start_seconds",
+                               "From an order to start until the VM's "
+                               "answer.")),
+      takeover_(registry_.Latency("plantain_takeover_seconds",
+                                  "From being dealt a partition until its "
+                                  "owner gives orders.")) {}
+
+void job_meters::NoteStoreCall(adapter::store_call call, core::duration time) {
+  registry_
+      .Latency("plantain_store_call_seconds",
+               "Calls to the store, without reads that wait for records.",
+               {{"call", std::string(core::NameOf(call))}})
+      .Record(time);
+}
+
+core::jobs::job_verdict job_meters::NoteResult(
+    const core::jobs::job_result& result,
+    core::time_point ended_at) {
+  const core::jobs::job_verdict verdict =
+      core::jobs::VerdictOf(result, ended_at);
+  registry_
+      .Counter("plantain_job_results_total",
+               "Jobs that have ended, by what became of their target.",
+               {{"queue", result.queue},
+                {"verdict", std::string(core::NameOf(verdict))}})
+      .Add();
+  registry_
+      .Latency("plantain_job_seconds",
+               "From an owner's learning of a job until its end is stored.",
+               {{"queue", result.queue}})
+      .Record(ended_at - result.arrived_at);
+  if (result.started_at) {
+    registry_
+        .Latency("plantain_job_first_start_seconds",
+                 "From an owner's learning of a job until the first order to "
+                 "start a task of it.",
+                 {{"queue", result.queue}})
+        .Record(*result.started_at - result.arrived_at);
+  }
+  return verdict;
+}
+
+}  // namespace plantainhead::jobs
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -15,6 +15,7 @@
 #include "jobs/fleet_owner.h"
 #include "jobs/group_member.h"
 #include "jobs/job_archiver.h"
+#include "jobs/job_meters.h"
 #include "jobs/job_metrics.h"
 #include "jobs/job_world.h"
 #include "jobs/pool_owner.h"
@@ -61,7 +62,7 @@
         member_settings_(MakeMemberSettings(settings)),
         store_(context, settings.store_address, kStoreConnections),
         world_(context, &store_, {}, MakeListeners()),
-        submissions_(context, &store_, &world_, {}),
+        submissions_(context, &store_, &world_, &meters_, {}),
         archiver_(context, &store_, MakeArchiverSettings()),
         member_(context,
                 &store_,
@@ -83,6 +84,11 @@
   }
 
   void Start() {
+    store_.SetObserver(
+        [this](adapter::store_call call, std::chrono::nanoseconds time) {
+          meters_.NoteStoreCall(
+              call, std::chrono::duration_cast<core::duration>(time));
+        });
     callers_ = std::make_unique<net::http_server>(
         context_, settings_.caller_address, net::http_server_options(),
         [this](const net::server_request& request,
@@ -252,6 +258,7 @@
     deps.store = &store_;
     deps.world = &world_;
     deps.archiver = &archiver_;
+    deps.meters = &meters_;
     deps.member = member_name_;
     deps.is_sure = [this] { return IsSure(); };
     deps.on_fenced = [this, partition] {
@@ -345,7 +352,7 @@
     figures.known_jobs = world_.directory().entries().size();
     figures.configuration_version = world_.routes().configuration().version;
     net::server_response response;
-    response.body = FormatMetrics(figures);
+    response.body = FormatMetrics(figures) + meters_.ToText();
     response.content_type = "text/plain; version=0.0.4";
     return response;
   }
@@ -377,6 +384,7 @@
   member_settings member_settings_;
   owner_settings owner_settings_;
   fleet_settings fleet_settings_;
+  job_meters meters_;
   adapter::store_client store_;
   job_world world_;
   submissions submissions_;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -13,6 +13,15 @@
 using core::jobs::vm_description;
 using core::jobs::vm_id;
 
+namespace {
+
+std::string MillisOf(core::duration time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+}  // namespace
+
 void pool_owner::impl::Close() {
   is_closed_ = true;
   tick_timer_.cancel();
@@ -114,8 +123,11 @@
   }
   SyncLinks();
   if (deps_.is_sure()) {
-    for (const core::jobs::vm_order& order :
-         scheduler_->Plan(BootTime(), WallTime())) {
+    const core::time_point began = BootTime();
+    const std::vector<core::jobs::vm_order> orders =
+        scheduler_->Plan(began, WallTime());
+    deps_.meters->NotePlan(BootTime() - began);
+    for (const core::jobs::vm_order& order : orders) {
       std::visit([this](const auto& kind) { Send(kind); }, order);
     }
   }
@@ -180,23 +192,33 @@
   NoteVacanciesStored();
   if (batch) {
     for (const auto& [id, progress] : batch->jobs) {
-      if (core::jobs::IsFinal(progress.phase)) {
-        NoteJobEnd(id, progress.phase);
-      }
       deps_.world->NoteProgress(id, progress);
     }
+    for (const core::jobs::job_result& job : batch->results) {
+      NoteJobEnd(job);
+    }
     scheduler_->OnBatchStored(*batch);
   }
   Kick();
 }
 
-void pool_owner::impl::NoteJobEnd(const core::jobs::job_id& id,
-                                  core::jobs::job_phase phase) {
-  LogEvent(job_event::kJobEnded,
-           {{"job", id}, {"phase", std::string(core::NameOf(phase))}});
-  if (const auto* entry = deps_.world->directory().Find(id)) {
-    deps_.archiver->Add(entry->queue, id, phase);
+void pool_owner::impl::NoteJobEnd(const core::jobs::job_result& job) {
+  const core::time_point now = BootTime();
+  const auto verdict = deps_.meters->NoteResult(job, now);
+  observe::log_fields fields = {
+      {"job", job.id},
+      {"phase", std::string(core::NameOf(job.phase))},
+      {"verdict", std::string(core::NameOf(verdict))},
+      {"ms", MillisOf(now - job.arrived_at)},
+      {"allowed_ms", MillisOf(job.deadline - job.arrived_at)},
+      {"chain_ms", MillisOf(job.chain)},
+      {"repeated_runs", std::to_string(job.repeated_runs)}};
+  if (job.started_at) {
+    fields.emplace_back("first_start_ms",
+                        MillisOf(*job.started_at - job.arrived_at));
   }
+  LogEvent(job_event::kJobEnded, fields);
+  deps_.archiver->Add(job.queue, job.id, job.phase);
 }
 
 pool_owner::pool_owner(dependencies dependencies,
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "jobs/job_archiver.h"
+#include "jobs/job_meters.h"
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
 #include "plantainhead/core/jobs/arrival_meter.h"
@@ -67,6 +68,7 @@
     adapter::store_client* store = nullptr;
     job_world* world = nullptr;
     job_archiver* archiver = nullptr;
+    job_meters* meters = nullptr;
     std::string member;
     /// Whether the ownership surely hasn't passed on.
     std::function<bool()> is_sure;
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -88,7 +88,7 @@
   void StoreProgress();
   void TakeStored(const std::optional<core::jobs::progress_batch>& batch,
                   progress_writer::result result);
-  void NoteJobEnd(const core::jobs::job_id& id, core::jobs::job_phase phase);
+  void NoteJobEnd(const core::jobs::job_result& job);
 
   // VMs.
   void SyncLinks();
@@ -139,6 +139,7 @@
   bool is_closed_ = false;
   bool is_kicked_ = false;
   std::uint64_t synced_version_ = 0;
+  core::time_point dealt_at_;
   core::time_point claimed_at_;
   std::unique_ptr<progress_writer> writer_;
   std::unique_ptr<core::jobs::pool_scheduler> scheduler_;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -20,6 +20,7 @@
 
 void pool_owner::impl::Start(std::uint64_t generation) {
   generation_ = generation;
+  dealt_at_ = BootTime();
   ReadBeforeClaim();
 }
 
@@ -243,6 +244,7 @@
   vacant_ = deps_.world->VacantVms(partition_);
   OnRegistry();
   OnFleetRecords();
+  deps_.meters->NoteTakeover(BootTime() - dealt_at_);
   Tick();
 }
 
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -174,13 +174,15 @@
     return;
   }
   const run_ref target = order.target;
+  const core::time_point sent_at = BootTime();
   link->client.Start(
       order, epoch_, settings_.order_timeout,
-      [self = weak_from_this(), target](start_result result) {
+      [self = weak_from_this(), target, sent_at](start_result result) {
         const auto owner = self.lock();
         if (!owner || owner->is_closed_ || !owner->scheduler_) {
           return;
         }
+        owner->deps_.meters->NoteStart(BootTime() - sent_at);
         const bool is_started = result == start_result::kStarted;
         observe::log_fields fields = FieldsOf(target);
         fields.emplace_back("result", core::NameOf(result));
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -30,10 +30,12 @@
   impl(boost::asio::io_context* context,
        adapter::store_client* store,
        job_world* world,
+       job_meters* meters,
        const submission_settings& settings)
       : context_(*context),
         store_(*store),
         world_(*world),
+        meters_(*meters),
         settings_(settings) {}
 
   void Handle(const net::server_request& request,
@@ -337,6 +339,9 @@
   void Succeed(const record_ptr& pending, const std::string& how) {
     const bool is_job = pending->what == kJob;
     ++(is_job ? counts_.accepted : counts_.cancelled);
+    if (is_job) {
+      meters_.NoteAccepted(BootTime() - pending->began_at);
+    }
     LogEvent(is_job ? job_event::kJobAccepted : job_event::kJobCancelled,
              {{"job", pending->id},
               {"part", std::to_string(pending->partition)},
@@ -423,6 +428,7 @@
   boost::asio::io_context& context_;
   adapter::store_client& store_;
   job_world& world_;
+  job_meters& meters_;
   submission_settings settings_;
   submission_counts counts_;
   std::map<std::string, record_ptr> pending_;
@@ -432,8 +438,9 @@
 submissions::submissions(boost::asio::io_context* context,
                          adapter::store_client* store,
                          job_world* world,
+                         job_meters* meters,
                          const submission_settings& settings)
-    : impl_(std::make_shared<impl>(context, store, world, settings)) {}
+    : impl_(std::make_shared<impl>(context, store, world, meters, settings)) {}
 
 submissions::~submissions() = default;
 
--- a/src/jobs/submissions.h
+++ b/src/jobs/submissions.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "jobs/job_meters.h"
 #include "jobs/job_world.h"
 #include "net/http_message.h"
 #include "plantainhead/core/time.h"
@@ -66,6 +67,7 @@
   submissions(boost::asio::io_context* context,
               adapter::store_client* store,
               job_world* world,
+              job_meters* meters,
               const submission_settings& settings);
   submissions(const submissions&) = delete;
   submissions& operator=(const submissions&) = delete;
--- a/tools/plantainctl.cc
+++ b/tools/plantainctl.cc
@@ -1,11 +1,16 @@
 #include <CLI/CLI.hpp>
 #include <cstdlib>
+#include <filesystem>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "plantainhead/core/findings.h"
+#include "plantainhead/observe/job_trace.h"
 #include "plantainhead/operators/control.h"
+#include "plantainhead/settings/files.h"
 #include "plantainhead/version.h"
 
 namespace plantainhead::operators {
@@ -20,6 +25,7 @@
   wave_options wave;
   job_options job;
   std::string file;
+  std::vector<std::string> logs;
   std::string name;
   std::string reason;
   int wait_seconds = 60;
@@ -68,6 +74,27 @@
   });
 }
 
+// Needs no entry.
+exit_code Trace(const arguments& args) {
+  std::vector<observe::process_log> logs;
+  for (const std::string& path : args.logs) {
+    logs.push_back({std::filesystem::path(path).stem().string(),
+                    settings::ReadFile(path)});
+  }
+  const observe::job_trace trace = observe::TraceJob(args.name, logs);
+  std::cout << observe::ToText(trace);
+  return trace.events.empty() ? exit_code::kFailed : exit_code::kOk;
+}
+
+void AddTraceCommand(CLI::App* app, arguments* args, chosen_command* chosen) {
+  CLI::App* trace = app->add_subcommand(
+      "trace", "Tell what became of a job, from the logs of all processes");
+  trace->add_option("job", args->name, "Id of the job")->required();
+  trace->add_option("logs", args->logs, "Log files")->required();
+  trace->callback(
+      [=] { *chosen = [args](control& /*run*/) { return Trace(*args); }; });
+}
+
 void AddWaveCommands(CLI::App* app, arguments* args, chosen_command* chosen) {
   CLI::App* wave = app->add_subcommand("wave", "Maintenance waves");
   wave->require_subcommand(1);
@@ -187,6 +214,7 @@
   app.add_option("--output", args.format, "table or json; html for burn")
       ->transform(CLI::CheckedTransformer(formats));
   AddTargetCommands(&app, &args, &chosen);
+  AddTraceCommand(&app, &args, &chosen);
   AddWaveCommands(&app, &args, &chosen);
   AddJobCommands(&app, &args, &chosen);
   AddFleetCommands(&app, &args, &chosen);
@@ -197,6 +225,9 @@
   } catch (const CLI::ParseError& error) {
     const int code = app.exit(error);
     return code == 0 ? 0 : static_cast<int>(exit_code::kBadInput);
+  } catch (const core::findings_error& error) {
+    std::cerr << error.what() << '\n';
+    return static_cast<int>(exit_code::kBadInput);
   } catch (const std::invalid_argument& error) {
     std::cerr << error.what() << '\n';
     return static_cast<int>(exit_code::kBadInput);
