Start tasks of a lapsed VM elsewhere only after the store has taken the record

The pool is dealt away while its owner can't reach one VM and the new owner can't reach another. The new one hears the first VM, stores the end of a task and acknowledges it; the old one, whose membership still runs, counts that VM's lease as over and starts the task again on the second VM, which the new owner hasn't fenced yet. Ruled out: shorter leases (they are needed through outages), the fence at VMs. Change: such a task starts again only after a batch is stored that was taken after the lapse: a newer owner has claimed the partition, and the store refuses it. The same for a VM that is settled by its lapse in a takeover, and for one that another life replaced.

--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -32,6 +32,8 @@
   std::vector<std::uint32_t> failed_runs;
   bool is_presumed = false;
   std::string checkpoint;
+  /// It may start only after this batch is stored; see `LapseSilentVms`.
+  std::uint64_t starts_after_batch = 0;
   /// Where its last run failed; the next one goes elsewhere before
   /// `failed_until`.
   vm_id failed_on;
@@ -70,8 +72,6 @@
   /// When the job should have ended, by its caller's estimates.
   time_point deadline() const { return deadline_; }
   time_point arrived_at() const { return arrived_at_; }
-
-  /// Takes over what an earlier owner recorded.
   /// Notes that an earlier owner had accepted the job.
   void MarkInherited() { is_inherited_ = true; }
   /// Notes that a task was ordered to start.
@@ -81,6 +81,8 @@
     }
   }
   job_result Result() const;
+
+  /// Takes over what an earlier owner recorded.
   void Restore(const job_progress& progress);
   /// Returns what must outlast this process.
   job_progress Progress() const;
@@ -139,11 +141,11 @@
   time_point arrived_at_;
   time_point deadline_;
   job_phase phase_ = job_phase::kQueued;
-  std::map<std::uint32_t, occurrence_state> occurrences_;
-  std::uint32_t opened_ = 0;
   std::optional<time_point> started_at_;
   std::uint32_t repeated_runs_ = 0;
   bool is_inherited_ = false;
+  std::map<std::uint32_t, occurrence_state> occurrences_;
+  std::uint32_t opened_ = 0;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -64,7 +64,11 @@
   if (is_recovered_) {
     return true;
   }
+  // A VM that has lapsed without telling counts when the store has taken the
+  // record of it: a newer owner, which may have heard it, would have claimed
+  // the partition before.
   is_recovered_ =
+      lapse_batch_ <= stored_through_ &&
       std::all_of(vms_.begin(), vms_.end(), [now](const auto& entry) {
         return entry.second.is_settled || entry.second.IsLapsed(now);
       });
@@ -156,7 +160,8 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     const task_name name{job->spec().id, occurrence, step, i};
     const task_state& task = *job->Find(name);
-    if (task.phase != task_phase::kWaiting) {
+    if (task.phase != task_phase::kWaiting ||
+        task.starts_after_batch > stored_through_) {
       continue;
     }
     vm_state* vm = ChooseVm(job, name, rack, now);
@@ -182,6 +187,9 @@
   std::uint32_t run = 0;
   std::string checkpoint;
   for (const task_state& task : state.tasks) {
+    if (task.starts_after_batch > stored_through_) {
+      return;
+    }
     run = std::max(run, task.last_run);
     checkpoint = std::max(checkpoint, task.checkpoint);
   }
@@ -348,6 +356,7 @@
   vm->Add(task, state);
   const job_phase before = job->phase();
   job->MarkPlaced(task, run);
+  job->MarkStarted(now);
   if (job->phase() != before) {
     jobs_.NoteChange(job);
   }
@@ -356,7 +365,6 @@
                                    job->shared_spec(),
                                    job->Find(task)->checkpoint,
                                    *lease_until});
-  job->MarkStarted(now);
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -33,20 +33,29 @@
   }
 }
 
-void pool_scheduler::impl::EndAllRuns(vm_state* vm) {
+// A newer owner may have heard from the VM what this one hasn't, and may have
+// acknowledged the end of a task that would start again here. Such an owner has
+// claimed the partition before, so that the store refuses the record of these
+// ends; they start again only after it is stored.
+void pool_scheduler::impl::EndUnheardRuns(vm_state* vm) {
   std::vector<task_name> tasks;
   for (const auto& [task, run] : vm->runs()) {
     tasks.push_back(task);
   }
-  for (const task_name& task : tasks) {
-    EndRun(vm, task);
+  for (const task_name& name : tasks) {
+    EndRun(vm, name);
+    job_state* job = jobs_.Find(name.job);
+    task_state* task = job == nullptr ? nullptr : job->Find(name);
+    if (task != nullptr) {
+      task->starts_after_batch = jobs_.next_batch();
+    }
   }
 }
 
 void pool_scheduler::impl::Replace(const vm_id& id) {
   vm_state* vm = FindVm(id);
   if (vm != nullptr) {
-    EndAllRuns(vm);
+    EndUnheardRuns(vm);
     dropped_vms_.push_back(id);
     vms_.erase(id);
     ++vms_version_;
@@ -73,7 +82,7 @@
     }
     has_untold_vm_ = has_untold_vm_ || (!is_recovered_ && !vm.is_settled);
     counts_.lapsed_runs += vm.runs().size();
-    EndAllRuns(&vm);
+    EndUnheardRuns(&vm);
     vm.MarkLapsed();
     // It is used again only after it has told all, and after a new record: the
     // next owner needn't ask a VM that has none.
@@ -82,6 +91,7 @@
       vm.is_recorded = false;
       vm.is_record_due = true;
       dropped_vms_.push_back(id);
+      lapse_batch_ = jobs_.next_batch();
     }
   }
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -84,7 +84,8 @@
   // Ends of runs.
   /// The run left no effect that is known: its task may start elsewhere.
   void EndRun(vm_state* vm, const task_name& task);
-  void EndAllRuns(vm_state* vm);
+  /// Ends all runs on a VM of which nothing more can be heard.
+  void EndUnheardRuns(vm_state* vm);
   void LapseSilentVms(time_point now);
   void ForgetGoneVms(time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
@@ -146,6 +147,8 @@
   /// A VM's lease ran out before it had told what was started there.
   bool has_untold_vm_ = false;
   bool is_recovered_ = false;
+  /// The batch that records the last lapse of a VM.
+  std::uint64_t lapse_batch_ = 0;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/tests/core/jobs/pool_scheduler_test.cc
+++ b/tests/core/jobs/pool_scheduler_test.cc
@@ -265,6 +265,10 @@
   CHECK(driver.Starts().empty());
   driver.Pass(milliseconds(400));
   driver.List(other, {}, {});
+  // A newer owner may have heard the VM, and may have acknowledged the end of
+  // the task there. The store refuses this owner's record then.
+  CHECK(driver.Starts().empty());
+  driver.Store();
   const auto again = driver.StartAll();
   REQUIRE(again.size() == 1);
   CHECK(again[0].target.vm == other);
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -48,6 +48,8 @@
       CHECK(driver.Starts().empty());
       driver.Pass(seconds(2));
       driver.List("vm-1", {}, {});
+      CHECK(driver.Starts().empty());
+      driver.Store();
       CHECK(driver.Starts().size() == 2);
     }
   }
@@ -97,6 +99,8 @@
     CHECK(informed.Starts().empty());
     informed.Pass(milliseconds(1100));
     informed.List("vm-1", {}, {});
+    CHECK(informed.Starts().empty());
+    informed.Store();
     CHECK(informed.Starts().size() == 1);
   }
 }
