--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -33,7 +33,7 @@
   /// The same in the background. Within it an idle partition costs one call.
   std::chrono::milliseconds background_wait = std::chrono::seconds(10);
   /// Pause after a read with records, in the background.
-  std::chrono::milliseconds background_pause = std::chrono::milliseconds(1800);
+  std::chrono::milliseconds background_pause = std::chrono::milliseconds(3500);
   /// How long the store may take to answer: 4 ms as a rule, 0.25 s when it is
   /// slow.
   std::chrono::milliseconds timeout = std::chrono::milliseconds(900);
