Tell a rise of arrivals by the number of jobs, not by their work

Cause: a few large jobs among many passed for a queue's turn. Change: jobs must come 2.5 times as fast as before, and count as of average size.

--- a/include/plantainhead/core/jobs/arrival_meter.h
+++ b/include/plantainhead/core/jobs/arrival_meter.h
@@ -17,8 +17,9 @@
   duration past = std::chrono::milliseconds(2600);
   /// Fewer jobs than this in the window are no rise.
   std::size_t least_jobs = 3;
-  /// Work must come this many times as fast as before.
-  double rise = 2.0;
+  /// Jobs must come this many times as fast as before. At a constant rate of
+  /// eight in the window, chance brings that in one of 10000 windows.
+  double rise = 2.5;
 };
 
 /// Notices when a queue's turn begins: its jobs come many times as fast as
@@ -35,7 +36,8 @@
   /// don't come at a rate. Precondition: times don't fall.
   void Note(const job_spec& job, time_point now);
   /// Returns what the tasks will take on average if jobs go on to come as they
-  /// do now; nothing while no rise is under way. By the callers' estimates.
+  /// do now; nothing while no rise is under way. By the callers' estimates, and
+  /// for jobs of average size: a single large one is no rise.
   resources RisingDemand(time_point now);
 
  private:
--- a/src/core/jobs/arrival_meter.cc
+++ b/src/core/jobs/arrival_meter.cc
@@ -35,29 +35,27 @@
   while (!arrivals_.empty() && arrivals_.front().at < past_begin) {
     arrivals_.pop_front();
   }
-  arrival recent;
-  double past_cpu = 0;
-  std::size_t count = 0;
+  arrival sum;
+  std::size_t recent = 0;
   for (const arrival& job : arrivals_) {
-    if (job.at < window_begin) {
-      past_cpu += job.cpu;
-      continue;
-    }
-    ++count;
-    recent.cpu += job.cpu;
-    recent.memory += job.memory;
-    recent.gpus += job.gpus;
+    recent += job.at >= window_begin ? 1 : 0;
+    sum.cpu += job.cpu;
+    sum.memory += job.memory;
+    sum.gpus += job.gpus;
   }
-  const double window = Seconds(settings_.window);
-  const double past_rate = past_cpu / Seconds(settings_.past);
-  const bool is_rise = count >= settings_.least_jobs &&
-                       recent.cpu / window >= settings_.rise * past_rate;
+  const double rate = static_cast<double>(recent) / Seconds(settings_.window);
+  const double past_rate =
+      static_cast<double>(arrivals_.size() - recent) / Seconds(settings_.past);
+  const bool is_rise =
+      recent >= settings_.least_jobs && rate >= settings_.rise * past_rate;
   if (!is_rise) {
     return {};
   }
-  return {static_cast<std::int64_t>(recent.cpu / window),
-          static_cast<std::int64_t>(recent.memory / window),
-          static_cast<std::int64_t>(recent.gpus / window)};
+  // Of all jobs here, times their rate.
+  const double scale = rate / static_cast<double>(arrivals_.size());
+  return {static_cast<std::int64_t>(sum.cpu * scale),
+          static_cast<std::int64_t>(sum.memory * scale),
+          static_cast<std::int64_t>(sum.gpus * scale)};
 }
 
 }  // namespace plantainhead::core::jobs
--- a/tests/core/jobs/arrival_meter_test.cc
+++ b/tests/core/jobs/arrival_meter_test.cc
@@ -96,6 +96,24 @@
     }
   }
 
+  // In a turn of 20 jobs a second one of 40 is five times as large as the
+  // others. Taken for a rise, it drew 67 VMs to a pool whose turn was ending,
+  // and the next pool's turn found none.
+  SECTION("a few large ones among many") {
+    job_spec large = ShortJob();
+    large.steps[0].task_count = 32;
+    for (int i = 0; i < 120; ++i) {
+      now += milliseconds(50);
+      meter.Note(i % 40 == 39 ? large : ShortJob(), now);
+      if (i % 40 == 39) {
+        meter.Note(large, now);
+      }
+      if (i > 60) {
+        CHECK(meter.RisingDemand(now) == resources());
+      }
+    }
+  }
+
   SECTION("two after a calm") {
     meter.Note(ShortJob(), now);
     meter.Note(ShortJob(), now);
