--- a/include/plantainhead/core/jobs/arrival_meter.h
+++ b/include/plantainhead/core/jobs/arrival_meter.h
@@ -18,8 +18,8 @@
   /// Fewer jobs than this in the window are no rise.
   std::size_t least_jobs = 3;
   /// Jobs must come this many times as fast as before. At a constant rate of
-  /// eight in the window, chance brings that in one of 10000 windows.
-  double rise = 2.5;
+  /// eight in the window chance brings that in one of 200 windows.
+  double rise = 2.0;
 };
 
 /// Notices when a queue's turn begins: its jobs come many times as fast as
