Add a fault soak of the real processes; ignore SIGHUP until it has a handler

It checks what callers and VMs see. The other failures were the soak's own: ports that met, VMs that came back to life, a signal while the program was being loaded. The stand-ins got what it needs: leases and late orders of VMs, members' time to live at the store.

--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -240,6 +240,9 @@
 void site_store::Join(const std::string& body, const net::responder& respond) {
   const json call = json::parse(body);
   const std::string member = call["member"].get<std::string>();
+  live_until_[member] =
+      std::chrono::steady_clock::now() +
+      std::chrono::milliseconds(call.value("ttl_ms", std::int64_t{1000}));
   if (members_.try_emplace(member).second) {
     Deal();
   }
@@ -250,6 +253,15 @@
   respond(Answer(200, {{"generation", generation_}, {"parts", rows}}));
 }
 
+void site_store::ExpireSilent() {
+  const auto now = std::chrono::steady_clock::now();
+  for (const std::string& member : Members()) {
+    if (now > live_until_[member]) {
+      Expire(member);
+    }
+  }
+}
+
 void site_store::Expire(const std::string& member) {
   if (members_.erase(member) != 0) {
     Deal();
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_FAKES_SITE_STORE_H_
 #define PLANTAINHEAD_FAKES_SITE_STORE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -49,6 +50,9 @@
   /// Returns how many records of the key were ever appended.
   std::size_t CountRecords(const std::string& topic,
                            const std::string& key) const;
+  /// Ends members that have been silent for their time to live. Without a call
+  /// of it members live for ever.
+  void ExpireSilent();
   /// Ends a member at once, as its time to live does.
   void Expire(const std::string& member);
   std::set<std::string> Members() const;
@@ -98,6 +102,7 @@
   std::map<partition_key, partition> partitions_;
   std::vector<waiting_read> waiting_;
   std::map<std::string, std::set<std::uint32_t>> members_;
+  std::map<std::string, std::chrono::steady_clock::time_point> live_until_;
   std::uint64_t generation_ = 0;
 };
 
--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 namespace plantainhead::fakes {
@@ -29,15 +31,17 @@
       id_(std::move(id)),
       address_(address),
       task_time_(task_time) {
+  lapse_timer_ = std::make_shared<boost::asio::steady_timer>(*context);
   server_ = std::make_unique<net::http_server>(
       context, address, net::http_server_options(),
       [this](const net::server_request& request,
              const net::responder& respond) { Handle(request, respond); });
 }
 
-std::string site_vm::RegistryValue(const std::string& pool) const {
+std::string site_vm::RegistryValue(const std::string& pool,
+                                   const std::string& address) const {
   return json{{"service", pool},
-              {"address", address_},
+              {"address", address.empty() ? address_ : address},
               {"zone", "zone-1"},
               {"state", "ready"},
               {"capacity", {{"cpu", 4000}, {"mem_mb", 8000}, {"gpu", 0}}},
@@ -45,6 +49,35 @@
       .dump();
 }
 
+void site_vm::Tell(vm_event event,
+                   const std::string& task,
+                   std::uint32_t run) const {
+  if (on_event) {
+    on_event(event, task, run);
+  }
+}
+
+void site_vm::ExtendLease(std::int64_t deadline_ms) {
+  const steady_clock::time_point until{std::chrono::milliseconds(deadline_ms)};
+  if (until > lease_until_) {
+    lease_until_ = until;
+    AwaitLapse();
+  }
+}
+
+void site_vm::AwaitLapse() {
+  lapse_timer_->expires_at(lease_until_);
+  lapse_timer_->async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;
+    }
+    const auto lapsed = running_;
+    for (const auto& [task, held] : lapsed) {
+      EndTask(task, held.number, "lapsed");
+    }
+  });
+}
+
 bool site_vm::IsFenced(std::uint64_t token) {
   if (token < fence_) {
     return true;
@@ -65,7 +98,16 @@
     respond(Answer(409, {{"reason", "fence"}}));
     return;
   }
-  if (request.target == "/plantainhead/run-start") {
+  if (request.target == "/plantainhead/run-start" && start_delay.count() > 0) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
+    timer->expires_after(start_delay);
+    timer->async_wait([this, request, token = fence_,
+                       timer](const boost::system::error_code& /*error*/) {
+      if (json::parse(request.body).value("fence_token", token) >= fence_) {
+        Start(request, [](const net::server_response& /*response*/) {});
+      }
+    });
+  } else if (request.target == "/plantainhead/run-start") {
     Start(request, respond);
   } else if (request.target == "/plantainhead/hold") {
     Hold(request.body, respond);
@@ -94,8 +136,18 @@
     respond(Answer(409, {{"reason", "old"}}));
     return;
   }
+  const auto deadline =
+      body.value("deadline_ms", std::numeric_limits<std::int64_t>::max() /
+                                    std::int64_t{4000000});
+  if (steady_clock::time_point{std::chrono::milliseconds(deadline)} <
+      steady_clock::now()) {
+    respond(Answer(409, {{"reason", "late"}}));
+    return;
+  }
+  ExtendLease(deadline);
   highest_[task] = number;
   ++starts_[task];
+  Tell(vm_event::kStarted, task, number);
   running_[task] = {number, steady_clock::now() + task_time_};
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
   timer->expires_after(task_time_);
@@ -116,6 +168,11 @@
     return;
   }
   running_.erase(held);
+  const std::string_view end = how;
+  Tell(end == "done"      ? vm_event::kDone
+       : end == "stopped" ? vm_event::kStopped
+                          : vm_event::kLapsed,
+       task, number);
   ended_.push_back({++last_end_, task, number, how});
   WakeHolds();
 }
@@ -136,8 +193,16 @@
 void site_vm::Hold(const std::string& body, const net::responder& respond) {
   const json call = json::parse(body);
   const auto acked = call.value("acked_through", std::uint64_t{0});
+  for (const ended& end : ended_) {
+    if (end.number <= acked && end.how == "done") {
+      Tell(vm_event::kAcknowledged, end.task, end.run);
+    }
+  }
   std::erase_if(ended_,
                 [acked](const ended& end) { return end.number <= acked; });
+  if (call.contains("deadline_ms")) {
+    ExtendLease(call["deadline_ms"].get<std::int64_t>());
+  }
   const auto wait_ms = call.value("wait_ms", 0);
   if (wait_ms == 0 || !ended_.empty()) {
     respond({200, {}, Listing()});
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -1,8 +1,10 @@
 #ifndef PLANTAINHEAD_FAKES_SITE_VM_H_
 #define PLANTAINHEAD_FAKES_SITE_VM_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,12 +13,11 @@
 #include "net/http_message.h"
 #include "net/http_server.h"
 
-namespace boost::asio {
-class io_context;
-}
-
 namespace plantainhead::fakes {
 
+/// What happens to a run on a VM.
+enum class vm_event { kStarted, kDone, kStopped, kLapsed, kAcknowledged };
+
 /// Stands in for one life of a VM that runs tasks under a lease: start, stop,
 /// hold and pace. Each task takes the same time. Counts what must not happen.
 /// Not thread-safe.
@@ -28,8 +29,10 @@
           const std::string& address,
           std::chrono::milliseconds task_time);
 
-  /// Returns what the VM's registry entry says.
-  std::string RegistryValue(const std::string& pool) const;
+  /// Returns what the VM's registry entry says. `address`: where it is reached,
+  /// if that is through a proxy.
+  std::string RegistryValue(const std::string& pool,
+                            const std::string& address = "") const;
   const std::string& id() const { return id_; }
   /// Returns how often each task was started.
   const std::map<std::string, int>& starts() const { return starts_; }
@@ -38,6 +41,11 @@
 
   /// Orders to start are carried out and not answered.
   bool loses_start_answers = false;
+  /// Orders to start are carried out this much later, and then not answered.
+  std::chrono::milliseconds start_delay{0};
+  /// Is told what happens. Only ends as done are told to be acknowledged.
+  std::function<void(vm_event, const std::string& task, std::uint32_t run)>
+      on_event;
 
  private:
   struct run {
@@ -48,6 +56,10 @@
   void Handle(const net::server_request& request,
               const net::responder& respond);
   void Start(const net::server_request& request, const net::responder& respond);
+  void Tell(vm_event event, const std::string& task, std::uint32_t run) const;
+  /// Lets tasks run until then, on the steady clock; never shortens.
+  void ExtendLease(std::int64_t deadline_ms);
+  void AwaitLapse();
   void Hold(const std::string& body, const net::responder& respond);
   void EndTask(const std::string& task, std::uint32_t number, const char* how);
   std::string Listing() const;
@@ -71,6 +83,8 @@
   std::vector<ended> ended_;
   std::uint64_t last_end_ = 0;
   std::uint64_t fence_ = 0;
+  std::chrono::steady_clock::time_point lease_until_;
+  std::shared_ptr<boost::asio::steady_timer> lapse_timer_;
   std::vector<net::responder> holds_;
 };
 
--- /dev/null
+++ b/soak/run_ledger.h
@@ -0,0 +1,60 @@
+#ifndef PLANTAINHEAD_SOAK_RUN_LEDGER_H_
+#define PLANTAINHEAD_SOAK_RUN_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "site_vm.h"
+
+namespace plantainhead::soak {
+
+/// What callers were told of a job.
+enum class job_answer { kUnknown, kAccepted, kRefused };
+
+/// Checks the promises about jobs and their runs, from what callers and VMs
+/// see. Not thread-safe.
+class run_ledger {
+ public:
+  /// A caller sends the job; it has this many tasks in all.
+  void NoteSubmission(const std::string& job, std::size_t tasks);
+  void NoteAnswer(const std::string& job, job_answer answer);
+  /// A process says that the job is completed.
+  void NoteCompleted(const std::string& job);
+  /// A process says that there is no such job.
+  void NoteMissing(const std::string& job);
+  void NoteRun(const std::string& vm,
+               fakes::vm_event event,
+               const std::string& task,
+               std::uint32_t run);
+  /// The VM's life is over, and what ran there with it.
+  void NoteVmEnd(const std::string& vm);
+
+  /// Returns the accepted jobs that no process has shown as completed.
+  std::set<std::string> OpenJobs() const;
+  std::size_t accepted() const;
+  std::size_t starts() const { return starts_; }
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  struct job_note {
+    std::size_t tasks = 0;
+    job_answer answer = job_answer::kUnknown;
+    bool is_completed = false;
+    bool has_started = false;
+    std::set<std::string> done;
+  };
+
+  std::map<std::string, job_note> jobs_;
+  /// VMs on which a task runs now.
+  std::map<std::string, std::set<std::string>> running_;
+  std::set<std::string> acknowledged_;
+  std::size_t starts_ = 0;
+  std::vector<std::string> violations_;
+};
+
+}  // namespace plantainhead::soak
+
+#endif  // PLANTAINHEAD_SOAK_RUN_LEDGER_H_
--- a/tools/plantain_scheduler.cc
+++ b/tools/plantain_scheduler.cc
@@ -78,6 +78,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Before anything else: by default the signal that asks for a look at the
+  // settings would end a process that has just started.
+  std::signal(SIGHUP, SIG_IGN);
   CLI::App app(
       "The job scheduler of plantainhead: takes callers' jobs and runs their "
       "tasks on the pools' VMs.");
