--- a/soak/scheduler_process.cc
+++ b/soak/scheduler_process.cc
@@ -78,7 +78,8 @@
 void scheduler_process::Signal(int signal) const {
   const bool is_loading = std::chrono::steady_clock::now() - started_at_ <
                           std::chrono::milliseconds(500);
-  if (is_running() && !(signal == SIGHUP && is_loading)) {
+  const bool must_wait = signal == SIGHUP || signal == SIGSTOP;
+  if (is_running() && !(must_wait && is_loading)) {
     kill(pid_, signal);
   }
 }
--- a/soak/scheduler_process.h
+++ b/soak/scheduler_process.h
@@ -26,8 +26,9 @@
 
   /// Starts it, unless it runs. Throws `std::runtime_error` when it can't.
   void Start();
-  /// Sends a signal, if it runs. SIGHUP isn't sent in the first half second:
-  /// while a program is still being loaded it can't have set a handler.
+  /// Sends a signal, if it runs. SIGHUP and SIGSTOP aren't sent in the first
+  /// half second: while a program is still being loaded, or is stopped then, it
+  /// can't have set a handler.
   void Signal(int signal) const;
   /// Notes an exit. Returns how it ended, if it did so by itself.
   std::optional<std::string> Reap();
--- a/tools/plantain_scheduler.cc
+++ b/tools/plantain_scheduler.cc
@@ -101,6 +101,8 @@
     plantainhead::observe::ConfigureLogging(
         plantainhead::core::note_level::kInfo, "-");
     Run(file, current);
+    // The handler has gone with the run.
+    std::signal(SIGHUP, SIG_IGN);
     plantainhead::observe::StopLogging();
     return 0;
   } catch (const plantainhead::core::findings_error& error) {
