--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -46,9 +46,9 @@
   std::size_t enough_members = 4;
   /// A reserve joins when there are fewer regular members than this, and then
   /// only while all members together are fewer than enough. Regular members
-  /// with half a core use a fifth of it at most where 350 VMs are shared by six,
-  /// so that few can do the work of many, and 30 reserves that joined together
-  /// dealt a pool anew four times in 3 s.
+  /// with half a core use a fifth of it at most where 350 VMs are shared by
+  /// six, so that few can do the work of many, and 30 reserves that joined
+  /// together dealt a pool anew four times in 3 s.
   std::size_t enough_for_reserves = 2;
   /// Time between two looks at whether there are still enough.
   std::chrono::milliseconds look_interval = std::chrono::milliseconds(500);
