Log when owners learn of jobs and cancellations, and how old a told count is

Change: lines 'job read', 'cancellation read', 'read unanswered' (partition, mode, how long), 'count told' and 'count refused' with the copy's age; the gauge plantain_job_copy_age_seconds.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -109,8 +109,9 @@
   /// and nothing of it was started since.
   void RestoreJob(const job_id& id, const job_progress& progress);
   void SetPolicy(const queue_id& queue, const queue_policy& policy);
-  /// Ends a job and its tasks; unknown and ended jobs are left as they are.
-  void CancelJob(const job_id& id);
+  /// Ends a job and its tasks. Returns false, and changes nothing, when the job
+  /// is unknown or has ended.
+  bool CancelJob(const job_id& id);
 
   /// Adds a VM that an earlier owner may have used, whether or not the registry
   /// lists it. Precondition: called before the first `UpdateVms`.
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -39,14 +39,15 @@
   impl_->jobs().SetPolicy(queue, policy);
 }
 
-void pool_scheduler::CancelJob(const job_id& id) {
+bool pool_scheduler::CancelJob(const job_id& id) {
   job_state* job = impl_->jobs().Find(id);
   if (job == nullptr || IsFinal(job->phase())) {
-    return;
+    return false;
   }
   job->Cancel();
   impl_->jobs().NoteChange(job);
   impl_->StopRunsOf(id);
+  return true;
 }
 
 void pool_scheduler::AddKnownVm(const known_vm& vm) {
--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -21,6 +21,8 @@
     case job_event::kConfigurationInvalid:
     case job_event::kRecordInvalid:
     case job_event::kReadRepeated:
+    case job_event::kReadUnanswered:
+    case job_event::kCountRefused:
     case job_event::kJobUnanswered:
     case job_event::kVmLost:
     case job_event::kOwnershipLost:
--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -32,6 +32,11 @@
         figures.is_ready ? 1 : 0);
   level("plantain_jobs_known", "Jobs that have been read from the store.",
         static_cast<double>(figures.known_jobs));
+  if (figures.job_copy_age) {
+    level("plantain_job_copy_age_seconds",
+          "Since all partitions of jobs had been read to their ends.",
+          std::chrono::duration<double>(*figures.job_copy_age).count());
+  }
   level("plantain_configuration_version", "The version in force.",
         static_cast<double>(figures.configuration_version));
   for (const auto& [partition, counts] : figures.pools) {
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -4,10 +4,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "jobs/submissions.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
+#include "plantainhead/core/time.h"
 
 namespace plantainhead::jobs {
 
@@ -18,6 +20,8 @@
   /// By partition, of those that it owns.
   std::map<std::uint32_t, core::jobs::scheduler_counts> pools;
   std::size_t known_jobs = 0;
+  /// See `job_world::JobCopyAge`; nothing before the jobs have been read.
+  std::optional<core::duration> job_copy_age;
   std::uint64_t configuration_version = 0;
 };
 
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -351,6 +351,9 @@
       figures.pools[partition] = owner->Counts();
     }
     figures.known_jobs = world_.directory().entries().size();
+    if (world_.IsLoaded()) {
+      figures.job_copy_age = world_.JobCopyAge();
+    }
     figures.configuration_version = world_.routes().configuration().version;
     net::server_response response;
     response.body = FormatMetrics(figures) + meters_.ToText();
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -92,6 +92,16 @@
              [&](const auto& entry) { return is_loaded(entry.second); });
 }
 
+core::duration job_world::JobCopyAge() const {
+  const auto oldest =
+      std::min_element(job_followers_.begin(), job_followers_.end(),
+                       [](const std::unique_ptr<log_follower>& a,
+                          const std::unique_ptr<log_follower>& b) {
+                         return a->CompleteAt() < b->CompleteAt();
+                       });
+  return BootTime() - (*oldest)->CompleteAt();
+}
+
 core::jobs::queue_policy job_world::PolicyOf(
     const core::jobs::queue_id& queue) const {
   const auto found = policies_.find(queue);
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -78,6 +78,9 @@
   /// True when there is a configuration, and all job records and the progress
   /// of all its pools have been read once.
   bool IsLoaded() const;
+  /// Returns how long ago all of the partitions of jobs had been read up to
+  /// their ends. Precondition: `IsLoaded`.
+  core::duration JobCopyAge() const;
 
   const core::jobs::routing_table& routes() const { return routes_; }
   const core::jobs::job_directory& directory() const { return directory_; }
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -3,8 +3,12 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <string>
 #include <utility>
 
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+
 namespace plantainhead::jobs {
 
 namespace asio = boost::asio;
@@ -71,10 +75,17 @@
   }
 
   bool is_loaded() const { return is_loaded_; }
+  core::time_point complete_at() const { return complete_at_; }
   const adapter::store_partition& partition() const { return partition_; }
   std::uint64_t cursor() const { return cursor_; }
 
  private:
+  /// A read on the follower's own account that is under way.
+  struct sent_read {
+    core::time_point at;
+    follow_mode mode = follow_mode::kBackground;
+  };
+
   // A follower whose first reading failed begins anew. If it went on from the
   // first offset instead, it would never count as loaded, and an owner that
   // waits for that would take its pool over and start nothing.
@@ -112,6 +123,9 @@
 
   // Reads the newest records, page by page, from the one after `after`.
   void Load(const std::string& after) {
+    if (after.empty()) {
+      load_began_at_ = BootTime();
+    }
     store_.ReadNewest(
         partition_, after, settings_.timeout,
         [self = weak_from_this(), after](const adapter::newest_reply& reply) {
@@ -143,6 +157,7 @@
     }
     cursor_ = std::max(cursor_, load_end_);
     is_loaded_ = true;
+    NoteComplete(load_began_at_);
     Follow();
     std::vector<std::function<void()>> awaiting;
     awaiting.swap(awaiting_load_);
@@ -155,18 +170,21 @@
     const milliseconds wait = mode_ == follow_mode::kWatch
                                   ? settings_.watch_wait
                                   : settings_.background_wait;
-    store_.Read(partition_, cursor_, wait, settings_.timeout,
-                [self = weak_from_this()](const adapter::read_reply& reply) {
-                  const auto follower = self.lock();
-                  if (follower && !follower->is_closed_) {
-                    follower->TakeFollowed(reply);
-                  }
-                });
+    const sent_read sent{BootTime(), mode_};
+    store_.Read(
+        partition_, cursor_, wait, settings_.timeout,
+        [self = weak_from_this(), sent](const adapter::read_reply& reply) {
+          const auto follower = self.lock();
+          if (follower && !follower->is_closed_) {
+            follower->TakeFollowed(sent, reply);
+          }
+        });
   }
 
-  void TakeFollowed(const adapter::read_reply& reply) {
+  void TakeFollowed(const sent_read& sent, const adapter::read_reply& reply) {
     on_contact_(reply.outcome != read_outcome::kFailed);
     if (reply.outcome == read_outcome::kFailed) {
+      LogUnanswered(sent, reply.status);
       PauseAfterFailure(&impl::Follow);
       return;
     }
@@ -176,6 +194,9 @@
       return;
     }
     const bool is_news = TakeRecords(reply);
+    if (cursor_ >= reply.end) {
+      NoteComplete(sent.at);
+    }
     if (is_news && mode_ == follow_mode::kBackground) {
       Pause(settings_.background_pause, &impl::Follow);
     } else {
@@ -183,6 +204,22 @@
     }
   }
 
+  // A read that hung may have kept records from this process for as long.
+  void LogUnanswered(const sent_read& sent, unsigned status) const {
+    const auto waited =
+        std::chrono::duration_cast<milliseconds>(BootTime() - sent.at);
+    LogEvent(job_event::kReadUnanswered,
+             {{"topic", partition_.topic},
+              {"part", std::to_string(partition_.number)},
+              {"mode", std::string(core::NameOf(sent.mode))},
+              {"status", std::to_string(status)},
+              {"waited_ms", std::to_string(waited.count())}});
+  }
+
+  void NoteComplete(core::time_point asked_at) {
+    complete_at_ = std::max(complete_at_, asked_at);
+  }
+
   // Returns whether there was one that hadn't been read.
   bool TakeRecords(const adapter::read_reply& reply) {
     bool is_news = false;
@@ -204,16 +241,18 @@
   }
 
   void ReadForRefresh() {
-    store_.Read(partition_, cursor_, milliseconds(0), settings_.timeout,
-                [self = weak_from_this()](const adapter::read_reply& reply) {
-                  const auto follower = self.lock();
-                  if (follower && !follower->is_closed_) {
-                    follower->TakeRefresh(reply);
-                  }
-                });
+    const core::time_point sent_at = BootTime();
+    store_.Read(
+        partition_, cursor_, milliseconds(0), settings_.timeout,
+        [self = weak_from_this(), sent_at](const adapter::read_reply& reply) {
+          const auto follower = self.lock();
+          if (follower && !follower->is_closed_) {
+            follower->TakeRefresh(sent_at, reply);
+          }
+        });
   }
 
-  void TakeRefresh(const adapter::read_reply& reply) {
+  void TakeRefresh(core::time_point sent_at, const adapter::read_reply& reply) {
     const bool is_read = reply.outcome == read_outcome::kRead;
     on_contact_(reply.outcome != read_outcome::kFailed);
     if (is_read) {
@@ -222,6 +261,7 @@
         ReadForRefresh();
         return;
       }
+      NoteComplete(sent_at);
     }
     std::vector<std::function<void(bool)>> done;
     done.swap(current_refresh_);
@@ -243,6 +283,8 @@
   follow_mode mode_ = follow_mode::kBackground;
   std::uint64_t cursor_ = 0;
   std::uint64_t load_end_ = 0;
+  core::time_point load_began_at_;
+  core::time_point complete_at_;
   bool is_loaded_ = false;
   bool is_pausing_ = false;
   bool is_closed_ = false;
@@ -288,6 +330,10 @@
   return impl_->is_loaded();
 }
 
+core::time_point log_follower::CompleteAt() const {
+  return impl_->complete_at();
+}
+
 const adapter::store_partition& log_follower::partition() const {
   return impl_->partition();
 }
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "plantainhead/core/names.h"
 #include "plantainhead/core/time.h"
 #include "platform/store_client.h"
 
@@ -24,6 +25,14 @@
   kBackground,
 };
 
+inline constexpr core::name_table<follow_mode, 2> kFollowModeNames = {{
+    {follow_mode::kWatch, "watch"},
+    {follow_mode::kBackground, "background"},
+}};
+inline constexpr const auto& NamesOf(follow_mode) {
+  return kFollowModeNames;
+}
+
 struct follower_settings {
   /// How long one read waits for a record while watching. A connection may fall
   /// silent without being closed: records are then read this much, and the
@@ -74,6 +83,9 @@
 
   /// True when all records up to some moment after the start have been read.
   bool IsLoaded() const;
+  /// Returns the latest known moment by which all that the store had
+  /// acknowledged has been read. Precondition: the partition is loaded.
+  core::time_point CompleteAt() const;
   const adapter::store_partition& partition() const;
   /// The offset that is read next.
   std::uint64_t cursor() const;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -38,6 +38,8 @@
 void pool_owner::impl::OnJob(
     const std::shared_ptr<const core::jobs::job_spec>& job) {
   if (scheduler_ && PoolPartitionOf(job->pool) == partition_) {
+    LogEvent(job_event::kJobRead,
+             {{"job", job->id}, {"partition", std::to_string(partition_)}});
     scheduler_->AddJob(job, deps_.world->PolicyOf(job->queue), BootTime());
     const auto size = sizes_.find(job->pool);
     if (size != sizes_.end()) {
@@ -54,8 +56,9 @@
 }
 
 void pool_owner::impl::OnCancel(const core::jobs::job_id& job) {
-  if (scheduler_) {
-    scheduler_->CancelJob(job);
+  if (scheduler_ && scheduler_->CancelJob(job)) {
+    LogEvent(job_event::kCancellationRead,
+             {{"job", job}, {"partition", std::to_string(partition_)}});
     Kick();
   }
 }
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -55,13 +55,7 @@
     const std::string id(match.rest);
     if (id.empty() && request.verb == net::method::kGet) {
       ++counts_.queries;
-      // A count of what has been read so far would be far too low.
-      if (!world_.IsLoaded()) {
-        respond(Refusal("the jobs haven't been read yet"));
-        return;
-      }
-      respond(adapter::EncodePending(
-          world_.directory().Pending(match.route->queue)));
+      TellCount(match.route->queue, respond);
       return;
     }
     if (!adapter::IsJobId(id)) {
@@ -128,6 +122,23 @@
     return BootTime() + usable;
   }
 
+  void TellCount(const core::jobs::queue_id& queue,
+                 const net::responder& respond) {
+    // A count of what has been read so far would be far too low.
+    if (!world_.IsLoaded()) {
+      LogEvent(job_event::kCountRefused,
+               {{"queue", queue}, {"reason", "not loaded"}});
+      respond(Refusal("the jobs haven't been read yet"));
+      return;
+    }
+    const std::size_t waiting = world_.directory().Pending(queue);
+    LogEvent(job_event::kCountTold,
+             {{"queue", queue},
+              {"waiting", std::to_string(waiting)},
+              {"copy_age_ms", MillisOf(world_.JobCopyAge())}});
+    respond(adapter::EncodePending(waiting));
+  }
+
   void Submit(const core::jobs::queue_route& route,
               const job_id& id,
               const net::server_request& request,
@@ -410,10 +421,13 @@
     Answer(pending, Refusal("the store refused the record"));
   }
 
-  static std::string Elapsed(const pending_record& pending) {
+  static std::string MillisOf(core::duration time) {
     return std::to_string(
-        std::chrono::duration_cast<milliseconds>(BootTime() - pending.began_at)
-            .count());
+        std::chrono::duration_cast<milliseconds>(time).count());
+  }
+
+  static std::string Elapsed(const pending_record& pending) {
+    return MillisOf(BootTime() - pending.began_at);
   }
 
   void Answer(const record_ptr& pending, const net::server_response& response) {
