--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -1,5 +1,6 @@
 #include "site_store.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/detail/base64.hpp>
@@ -276,6 +277,16 @@
   return names;
 }
 
+std::size_t site_store::WaitingReads(const std::string& topic) const {
+  return static_cast<std::size_t>(std::count_if(
+      waiting_.begin(), waiting_.end(),
+      [&](const waiting_read& read) { return read.key.first == topic; }));
+}
+
+void site_store::SilenceWaitingReads() {
+  waiting_.clear();
+}
+
 std::string site_store::Rows() const {
   json rows = json::array();
   for (const auto& [member, partitions] : members_) {
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -56,6 +56,11 @@
   /// Ends a member at once, as its time to live does.
   void Expire(const std::string& member);
   std::set<std::string> Members() const;
+  /// Returns how many reads of the topic wait for a record.
+  std::size_t WaitingReads(const std::string& topic) const;
+  /// Never answers the reads that wait for a record, as when their connections
+  /// have fallen silent. Later calls are answered.
+  void SilenceWaitingReads();
 
   store_faults faults;
 
--- a/tests/core/jobs/pool_scheduler_test.cc
+++ b/tests/core/jobs/pool_scheduler_test.cc
@@ -106,6 +106,44 @@
   }
 }
 
+// A caller is told that its job runs, and an operator that nothing waits, while
+// no VM has taken any task of it: the orders were lost, or refused. A job whose
+// first task was only ordered still waits.
+TEST_CASE("A job runs once a VM has taken one of its tasks") {
+  scheduler_driver driver;
+  driver.Bring({Vm("vm-1")});
+  driver.Add(Job("job", {Step(1)}));
+  const auto starts = driver.Starts();
+  REQUIRE(starts.size() == 1);
+  const auto phase = [&] {
+    const auto batches = driver.Store();
+    return batches.empty() || batches.back().jobs.empty()
+               ? job_phase::kQueued
+               : batches.back().jobs.back().second.phase;
+  };
+  CHECK(phase() == job_phase::kQueued);
+
+  SECTION("when it answers the order") {
+    driver.scheduler.OnStartAnswer(starts[0].target, start_result::kStarted,
+                                   driver.now);
+    CHECK(phase() == job_phase::kRunning);
+  }
+
+  SECTION("when it lists the task, though its answer was lost") {
+    driver.scheduler.OnStartAnswer(starts[0].target, start_result::kUnknown,
+                                   driver.now);
+    CHECK(phase() == job_phase::kQueued);
+    driver.List("vm-1", {Running(starts[0].target.task, 1)}, {});
+    CHECK(phase() == job_phase::kRunning);
+  }
+
+  SECTION("and not when it has no room") {
+    driver.scheduler.OnStartAnswer(starts[0].target, start_result::kNoRoom,
+                                   driver.now);
+    CHECK(phase() == job_phase::kQueued);
+  }
+}
+
 TEST_CASE("Failed runs use up a task's attempts") {
   scheduler_driver driver;
   driver.Bring({Vm("vm-1"), Vm("vm-2")});
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -300,5 +300,42 @@
   CHECK(reply.body == R"({"pending":0})");
 }
 
+// An operator asked two processes how many jobs wait and got 0, while six had
+// waited for 5 s. Each answered from the records that it had read so far, and
+// its reads of them hung: the store had been away when they were sent. The age
+// of what is read is bounded by no read that may hang, so the store is asked
+// before each answer, and without its answer no number is told.
+TEST_CASE("A number of waiting jobs is as new as the question") {
+  constexpr const char* kJobsTopic = "keyed.plantain-jobs";
+  constexpr std::size_t kTopicPartitions = 16;
+  site site;
+  site.AddProcess("p1");
+  site.AddProcess("p2");
+  REQUIRE(site.AwaitReady("p1"));
+  REQUIRE(site.AwaitReady("p2"));
+  const auto ask = [&](const std::string& process) {
+    return site.Call(site.addresses.at(process), net::method::kGet, "/q/");
+  };
+  REQUIRE(RunUntil(&site.context, [&] {
+    return site.store.WaitingReads(kJobsTopic) == 2 * kTopicPartitions;
+  }));
+  site.store.SilenceWaitingReads();
+  REQUIRE(site.Submit("p1", kId).status == 200);
+  REQUIRE(site.Submit("p2", "0123456789abcde0").status == 200);
+
+  SECTION("at every process, when reads hang and the store answers again") {
+    CHECK(ask("p1").body == R"({"pending":2})");
+    CHECK(ask("p2").body == R"({"pending":2})");
+  }
+
+  SECTION("and isn't told when the store doesn't answer") {
+    site.store.faults.silent_topic = "plantain-jobs";
+    CHECK(ask("p1").status == 503);
+    CHECK(ask("p2").status == 503);
+    site.store.faults.silent_topic.clear();
+    CHECK(ask("p1").body == R"({"pending":2})");
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
--- a/tests/jobs/log_follower_test.cc
+++ b/tests/jobs/log_follower_test.cc
@@ -102,5 +102,43 @@
   CHECK(partition.keys.front() == "a");
 }
 
+// Callers saw a cancelled job's tasks run on for 7 s, and jobs start 7 to 11 s
+// after they were accepted. The store was away; a process that followed the
+// jobs of another's pool had a read of 10 s waiting, which was never answered.
+// It became the owner and was told to watch, but waited for that read first.
+// The starts of the jobs came in one burst, a read's whole time after the store
+// had gone silent, and only in the partitions whose reads hung.
+TEST_CASE("A follower that is told to watch doesn't wait for an older read") {
+  followed_partition partition;
+  follower_settings settings;
+  settings.background_wait = std::chrono::hours(1);
+  log_follower& follower = partition.Follow(settings);
+  follower.Start(follow_mode::kBackground);
+  REQUIRE(RunUntil(&partition.context,
+                   [&] { return partition.store.WaitingReads(kTopic) == 1; }));
+
+  SECTION("that hangs") {
+    partition.store.SilenceWaitingReads();
+    follower.SetMode(follow_mode::kWatch);
+    partition.store.Put(kTopic, "a", "1");
+    CHECK(
+        RunUntil(&partition.context, [&] { return !partition.keys.empty(); }));
+  }
+
+  SECTION("and takes each record once when both are answered") {
+    follower.SetMode(follow_mode::kWatch);
+    RunUntil(&partition.context,
+             [&] { return partition.store.WaitingReads(kTopic) == 2; });
+    partition.store.Put(kTopic, "a", "1");
+    REQUIRE(
+        RunUntil(&partition.context, [&] { return !partition.keys.empty(); }));
+    partition.store.Put(kTopic, "b", "1");
+    CHECK(RunUntil(&partition.context, [&] {
+      return partition.keys == std::vector<std::string>{"a", "b"};
+    }));
+    CHECK(partition.store.WaitingReads(kTopic) <= 1);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
