Let a follower that is told to watch read anew instead of waiting for an older read

Report: tasks stopped 7.0 s after the cancellation, 10.9 s after a moment at which the store was still away. Ruled out: stops without an answer (no such line), a late takeover (it ended at 34.7 s). Change: being told to watch sends a new read at once, which supersedes the older one; records of either are taken once. Test: site 'A follower that is told to watch doesn't wait for an older read' failed (60 s without the record) and passes.

--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -36,14 +36,24 @@
     Load("");
   }
 
+  // A read in the background waits for up to 10 s, and 0.9 s more when it hangs
+  // because its connection has fallen silent. If the new owner of a pool waited
+  // for it, it would see new jobs and cancellations that much later: cancelled
+  // tasks ran on for 7 s. So it reads anew at once. What the older read brings
+  // is taken when it is news, and leads to no further read.
   void SetMode(follow_mode mode) {
     const bool hastens =
         mode == follow_mode::kWatch && mode_ != follow_mode::kWatch;
     mode_ = mode;
-    if (hastens && is_pausing_) {
+    if (!hastens) {
+      return;
+    }
+    if (is_pausing_) {
       timer_.cancel();
       is_pausing_ = false;
       Resume();
+    } else if (is_loaded_) {
+      Follow();
     }
   }
 
@@ -82,6 +92,7 @@
  private:
   /// A read on the follower's own account that is under way.
   struct sent_read {
+    std::uint64_t number = 0;
     core::time_point at;
     follow_mode mode = follow_mode::kBackground;
   };
@@ -166,11 +177,12 @@
     }
   }
 
+  // Supersedes any read that is under way: only the newest one is continued.
   void Follow() {
     const milliseconds wait = mode_ == follow_mode::kWatch
                                   ? settings_.watch_wait
                                   : settings_.background_wait;
-    const sent_read sent{BootTime(), mode_};
+    const sent_read sent{++last_read_, BootTime(), mode_};
     store_.Read(
         partition_, cursor_, wait, settings_.timeout,
         [self = weak_from_this(), sent](const adapter::read_reply& reply) {
@@ -182,9 +194,21 @@
   }
 
   void TakeFollowed(const sent_read& sent, const adapter::read_reply& reply) {
-    on_contact_(reply.outcome != read_outcome::kFailed);
-    if (reply.outcome == read_outcome::kFailed) {
+    const bool is_failed = reply.outcome == read_outcome::kFailed;
+    if (is_failed) {
       LogUnanswered(sent, reply.status);
+    }
+    const bool is_news = TakeRecords(reply);
+    if (reply.outcome == read_outcome::kRead && cursor_ >= reply.end) {
+      NoteComplete(sent.at);
+    }
+    // A record may have hastened this follower, too.
+    const bool is_superseded = sent.number != last_read_;
+    if (is_superseded) {
+      return;
+    }
+    on_contact_(!is_failed);
+    if (is_failed) {
       PauseAfterFailure(&impl::Follow);
       return;
     }
@@ -193,10 +217,6 @@
       Load("");
       return;
     }
-    const bool is_news = TakeRecords(reply);
-    if (cursor_ >= reply.end) {
-      NoteComplete(sent.at);
-    }
     if (is_news && mode_ == follow_mode::kBackground) {
       Pause(settings_.background_pause, &impl::Follow);
     } else {
@@ -283,6 +303,7 @@
   follow_mode mode_ = follow_mode::kBackground;
   std::uint64_t cursor_ = 0;
   std::uint64_t load_end_ = 0;
+  std::uint64_t last_read_ = 0;
   core::time_point load_began_at_;
   core::time_point complete_at_;
   bool is_loaded_ = false;
