Ask the store before telling how many jobs wait, and tell no number without its answer

Two processes told 0 while six jobs had waited for 5 s. Ways weighed: a bound of the age (1.5 s) above which the store is asked: fewer reads, but the newest jobs are missing, and a number that is known to be old is told; asking the owner: needs a protocol between processes.

--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <set>
@@ -26,6 +27,17 @@
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
+// Returns the partitions over which the jobs of the queue are spread.
+std::array<std::uint32_t, kPartitionsOfQueue> JobPartitionsOf(
+    const core::jobs::queue_id& queue) {
+  std::array<std::uint32_t, kPartitionsOfQueue> partitions{};
+  for (std::uint32_t i = 0; i < kPartitionsOfQueue; ++i) {
+    partitions.at(i) =
+        static_cast<std::uint32_t>((Hash(queue) + i) % kJobPartitions);
+  }
+  return partitions;
+}
+
 void LogInvalid(const std::string& topic, const adapter::keyed_record& record) {
   LogEvent(job_event::kRecordInvalid,
            {{"topic", topic},
@@ -37,8 +49,7 @@
 
 std::uint32_t JobPartitionOf(const core::jobs::queue_id& queue,
                              const core::jobs::job_id& job) {
-  const std::uint64_t within = Hash(job) % kPartitionsOfQueue;
-  return static_cast<std::uint32_t>((Hash(queue) + within) % kJobPartitions);
+  return JobPartitionsOf(queue).at(Hash(job) % kPartitionsOfQueue);
 }
 
 std::uint32_t PoolPartitionOf(const core::jobs::pool_id& pool) {
@@ -93,13 +104,19 @@
 }
 
 core::duration job_world::JobCopyAge() const {
-  const auto oldest =
-      std::min_element(job_followers_.begin(), job_followers_.end(),
-                       [](const std::unique_ptr<log_follower>& a,
-                          const std::unique_ptr<log_follower>& b) {
-                         return a->CompleteAt() < b->CompleteAt();
-                       });
-  return BootTime() - (*oldest)->CompleteAt();
+  core::time_point oldest = core::time_point::max();
+  for (const auto& follower : job_followers_) {
+    oldest = std::min(oldest, follower->CompleteAt());
+  }
+  return BootTime() - oldest;
+}
+
+core::duration job_world::JobCopyAge(const core::jobs::queue_id& queue) const {
+  core::time_point oldest = core::time_point::max();
+  for (const std::uint32_t partition : JobPartitionsOf(queue)) {
+    oldest = std::min(oldest, job_followers_[partition]->CompleteAt());
+  }
+  return BootTime() - oldest;
 }
 
 core::jobs::queue_policy job_world::PolicyOf(
@@ -285,10 +302,8 @@
   for (const core::jobs::queue_route& route : routes_.configuration().routes) {
     const std::uint32_t pool = PoolPartitionOf(route.pool);
     if (std::find(owned_.begin(), owned_.end(), pool) != owned_.end()) {
-      for (std::uint32_t i = 0; i < kPartitionsOfQueue; ++i) {
-        watched.insert(static_cast<std::uint32_t>((Hash(route.queue) + i) %
-                                                  kJobPartitions));
-      }
+      const auto partitions = JobPartitionsOf(route.queue);
+      watched.insert(partitions.begin(), partitions.end());
     }
   }
   for (std::uint32_t i = 0; i < job_followers_.size(); ++i) {
@@ -332,6 +347,31 @@
   job_followers_[partition]->Refresh(std::move(on_done));
 }
 
+void job_world::RefreshQueue(const core::jobs::queue_route& route,
+                             std::function<void(bool)> on_done) {
+  struct reading {
+    std::size_t left = 0;
+    bool is_read = true;
+    std::function<void(bool)> on_done;
+  };
+  const auto state = std::make_shared<reading>();
+  state->on_done = std::move(on_done);
+  std::vector<log_follower*> followers = {
+      &PoolFollower(PoolPartitionOf(route.pool))};
+  for (const std::uint32_t partition : JobPartitionsOf(route.queue)) {
+    followers.push_back(job_followers_[partition].get());
+  }
+  state->left = followers.size();
+  for (log_follower* follower : followers) {
+    follower->Refresh([state](bool is_read) {
+      state->is_read = state->is_read && is_read;
+      if (--state->left == 0) {
+        state->on_done(state->is_read);
+      }
+    });
+  }
+}
+
 void job_world::RefreshAllJobs(const std::function<void()>& on_done) {
   const auto left = std::make_shared<std::size_t>(job_followers_.size());
   for (const auto& follower : job_followers_) {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -81,6 +81,8 @@
   /// Returns how long ago all of the partitions of jobs had been read up to
   /// their ends. Precondition: `IsLoaded`.
   core::duration JobCopyAge() const;
+  /// The same for those of one queue.
+  core::duration JobCopyAge(const core::jobs::queue_id& queue) const;
 
   const core::jobs::routing_table& routes() const { return routes_; }
   const core::jobs::job_directory& directory() const { return directory_; }
@@ -121,6 +123,11 @@
   /// Reads what the store has by now; `on_done` gets false when it can't be
   /// read. A partition that isn't followed yet is from then on.
   void RefreshJobs(std::uint32_t partition, std::function<void(bool)> on_done);
+  /// The same for all partitions that tell which jobs of the queue wait.
+  /// Progress of jobs from before the queue moved to its pool is left out: what
+  /// it lacks can only make more jobs look waiting.
+  void RefreshQueue(const core::jobs::queue_route& route,
+                    std::function<void(bool)> on_done);
   /// The same for all partitions, repeated until all have been read.
   void RefreshAllJobs(const std::function<void()>& on_done);
   void RefreshProgress(std::uint32_t partition,
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -55,7 +55,7 @@
     const std::string id(match.rest);
     if (id.empty() && request.verb == net::method::kGet) {
       ++counts_.queries;
-      TellCount(match.route->queue, respond);
+      QueryCount(*match.route, respond);
       return;
     }
     if (!adapter::IsJobId(id)) {
@@ -122,20 +122,46 @@
     return BootTime() + usable;
   }
 
-  void TellCount(const core::jobs::queue_id& queue,
-                 const net::responder& respond) {
+  // A process that doesn't own the queue's pool reads of its jobs now and then,
+  // and not at all while a read hangs: it told that none wait when six had for
+  // 5 s. So the store is asked before each answer. Without its answer the
+  // number isn't known, and none is told; the wait for it is bounded by a
+  // call's timeout, well within callers' patience.
+  void QueryCount(const core::jobs::queue_route& route,
+                  const net::responder& respond) {
     // A count of what has been read so far would be far too low.
     if (!world_.IsLoaded()) {
-      LogEvent(job_event::kCountRefused,
-               {{"queue", queue}, {"reason", "not loaded"}});
-      respond(Refusal("the jobs haven't been read yet"));
+      RefuseCount(route.queue, "the jobs haven't been read yet", respond);
       return;
     }
+    world_.RefreshQueue(route, [self = weak_from_this(), queue = route.queue,
+                                respond](bool is_read) {
+      const auto service = self.lock();
+      if (!service) {
+        return;
+      }
+      if (is_read) {
+        service->TellCount(queue, respond);
+      } else {
+        service->RefuseCount(queue, "the store can't be read", respond);
+      }
+    });
+  }
+
+  void RefuseCount(const core::jobs::queue_id& queue,
+                   const std::string& reason,
+                   const net::responder& respond) const {
+    LogEvent(job_event::kCountRefused, {{"queue", queue}, {"reason", reason}});
+    respond(Refusal(reason));
+  }
+
+  void TellCount(const core::jobs::queue_id& queue,
+                 const net::responder& respond) const {
     const std::size_t waiting = world_.directory().Pending(queue);
     LogEvent(job_event::kCountTold,
              {{"queue", queue},
               {"waiting", std::to_string(waiting)},
-              {"copy_age_ms", MillisOf(world_.JobCopyAge())}});
+              {"copy_age_ms", MillisOf(world_.JobCopyAge(queue))}});
     respond(adapter::EncodePending(waiting));
   }
 
