Count a job as running only once a VM has taken one of its tasks

When the orders were lost or refused, callers were told that it runs, and it wasn't counted as waiting; with all VMs of a pool dark the count would be 0. Change: the phase turns at the VM's answer, its listing, or an end that it lists. Nothing else rests on the phase: a new owner goes by runs and leases.

--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -127,9 +127,14 @@
     ++occurrences_[name.occurrence].steps[name.step].placed;
   }
   task.last_run = std::max(task.last_run, run);
-  if (phase_ == job_phase::kQueued) {
-    phase_ = job_phase::kRunning;
+}
+
+bool job_state::MarkBegun() {
+  if (phase_ != job_phase::kQueued) {
+    return false;
   }
+  phase_ = job_phase::kRunning;
+  return true;
 }
 
 void job_state::MarkWaiting(const task_name& name) {
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -108,6 +108,10 @@
   /// Leaves out run numbers that an earlier owner may have given.
   void SkipRuns(std::uint32_t count);
   void MarkPlaced(const task_name& name, std::uint32_t run);
+  /// Notes that a VM has taken a task. An order alone doesn't make a job run:
+  /// it may be lost or refused, and callers would be told that the job runs,
+  /// and operators that it doesn't wait. Returns true when it is news.
+  bool MarkBegun();
   /// The run is over without effect; the task waits again.
   void MarkWaiting(const task_name& name);
   /// Takes the end of a run that a VM has listed. Returns false when it was
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -354,12 +354,8 @@
   state.progressed_at = now;
   state.is_start_in_flight = true;
   vm->Add(task, state);
-  const job_phase before = job->phase();
   job->MarkPlaced(task, run);
   job->MarkStarted(now);
-  if (job->phase() != before) {
-    jobs_.NoteChange(job);
-  }
   ++counts_.starts;
   orders->emplace_back(start_order{{vm->description().id, task, run},
                                    job->shared_spec(),
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -82,6 +82,7 @@
   }
   if (!run->confirmed_at) {
     run->confirmed_at = now;
+    NoteBegun(jobs_.Find(row.task.job));
   }
   run->reading = row.reading;
   if (run->percent != row.percent) {
@@ -130,11 +131,15 @@
   }
   vm->Add(row.task, run);
   if (is_wanted) {
-    const job_phase before = job->phase();
     job->MarkPlaced(row.task, row.run);
-    if (job->phase() != before) {
-      jobs_.NoteChange(job);
-    }
+    NoteBegun(job);
+  }
+}
+
+// `job` may be null: one that isn't known.
+void pool_scheduler::impl::NoteBegun(job_state* job) {
+  if (job != nullptr && job->MarkBegun()) {
+    jobs_.NoteChange(job);
   }
 }
 
@@ -164,6 +169,7 @@
     return true;
   }
   NoteHealth(vm, end, now);
+  NoteBegun(job);
   const bool is_new = job->ApplyEnd(end.task, end.run, end.how, end.checkpoint,
                                     vm->description().id);
   if (is_new) {
@@ -255,6 +261,7 @@
       if (!run->confirmed_at) {
         run->confirmed_at = now;
         run->progressed_at = now;
+        NoteBegun(jobs_.Find(target.task.job));
       }
       return;
     case start_result::kUnknown:
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -72,6 +72,7 @@
   // Reports.
   void TakeRunning(vm_state* vm, const running_task& row, time_point now);
   void Adopt(vm_state* vm, const running_task& row, time_point now);
+  void NoteBegun(job_state* job);
   bool TakeEnd(vm_state* vm, const ended_task& end, time_point now);
   void NoteHealth(vm_state* vm, const ended_task& end, time_point now);
   void CheckAbsent(vm_state* vm,
