Give up idle connections when a call on one of their age goes unanswered

A client kept up to 20 idle ones to the store and tried one after the other, each for a call's whole timeout: a renewal has 1.2 s, so that two lost the membership (2.4 s). Change: a call that goes unanswered closes the connections that were idle when it was sent; those that have brought an answer since stay. Test: site 'A call without an answer gives up the connections of its time' failed (the next call took an idle one) and passes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -108,6 +108,7 @@
     http::request<http::string_body> message;
     http::response_parser<http::string_body> parser;
     reply_handler on_reply;
+    steady_clock::time_point sent_at;
     steady_clock::time_point deadline;
     steady_clock::time_point last_deadline;
     asio::steady_timer timer;
@@ -169,6 +170,7 @@
 
   void Write(const call_ptr& call) {
     call->is_sent = true;
+    call->sent_at = steady_clock::now();
     http::async_write(
         call->held->stream, call->message,
         [self = shared_from_this(), call](error_code error, std::size_t) {
@@ -245,9 +247,22 @@
     }
     const delivery reached =
         call->is_sent ? delivery::kUnanswered : delivery::kNotSent;
+    if (call->is_sent) {
+      DropIdleSince(call->sent_at);
+    }
     Finish(call, {reached, 0, {}}, false);
   }
 
+  // When the path to the peer was lost for a while, all connections that were
+  // idle then may be silent for good. Each would cost another call its whole
+  // timeout, up to twenty in a row; a new connection costs a round trip. Those
+  // that have brought an answer since the call was sent are sound.
+  void DropIdleSince(steady_clock::time_point sent_at) {
+    std::erase_if(idle_, [&](const connection_ptr& idle) {
+      return idle->idle_since < sent_at;
+    });
+  }
+
   void Finish(const call_ptr& call, client_reply reply, bool is_reusable) {
     call->is_over = true;
     call->timer.cancel();
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -119,6 +119,65 @@
   }
 }
 
+// Calls to a peer that is up go unanswered one after the other, each for its
+// whole timeout: the path was lost for a while, and all connections that were
+// idle then are silent for good without a reset. A member that renews so loses
+// its partitions. One timeout tells of all that weren't heard since the call.
+TEST_CASE("A call without an answer gives up the connections of its time") {
+  boost::asio::io_context context;
+  const std::string address = FreeAddress();
+  std::vector<responder> held;
+  http_server server(&context, address, {},
+                     [&](const server_request&, responder respond) {
+                       held.push_back(std::move(respond));
+                     });
+  http_client client(&context, address, {4, std::chrono::seconds(20)});
+  std::size_t answered = 0;
+  std::size_t unanswered = 0;
+  const auto call = [&](milliseconds timeout) {
+    client.Send(Post("/", ""), timeout, [&](const client_reply& got) {
+      ++(got.reached == delivery::kAnswered ? answered : unanswered);
+    });
+  };
+  const auto answer = [&](std::size_t count) {
+    REQUIRE(RunUntil(&context, [&] { return held.size() == count; }));
+    for (const responder& respond : held) {
+      respond({200, {}, "ok"});
+    }
+    held.clear();
+  };
+  for (int i = 0; i < 3; ++i) {
+    call(std::chrono::seconds(30));
+  }
+  answer(3);
+  REQUIRE(RunUntil(&context, [&] { return answered == 3; }));
+  REQUIRE(client.OpenedConnections() == 3);
+
+  SECTION("those that were idle when it was sent") {
+    call(milliseconds(50));
+    REQUIRE(RunUntil(&context, [&] { return unanswered == 1; }));
+    held.clear();
+    call(std::chrono::seconds(30));
+    answer(1);
+    REQUIRE(RunUntil(&context, [&] { return answered == 4; }));
+    CHECK(client.OpenedConnections() == 4);
+  }
+
+  SECTION("and none that has brought an answer since") {
+    call(milliseconds(200));
+    REQUIRE(RunUntil(&context, [&] { return held.size() == 1; }));
+    const responder silent = std::move(held.front());
+    held.clear();
+    call(std::chrono::seconds(30));
+    answer(1);
+    REQUIRE(RunUntil(&context, [&] { return unanswered == 1; }));
+    call(std::chrono::seconds(30));
+    answer(1);
+    REQUIRE(RunUntil(&context, [&] { return answered == 5; }));
+    CHECK(client.OpenedConnections() == 3);
+  }
+}
+
 // Answers one call piece by piece, with a pause between them.
 class slow_server {
  public:
