Log one line for a loss of the store and one for its return

Cause: each read that failed after one that was answered logged `store lost`, and each answer after it `store regained`.

--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -19,6 +19,7 @@
 #include "jobs/job_metrics.h"
 #include "jobs/job_world.h"
 #include "jobs/pool_owner.h"
+#include "jobs/store_contact.h"
 #include "jobs/submissions.h"
 #include "net/http_server.h"
 #include "net/http_status.h"
@@ -183,19 +184,36 @@
       }
     };
     listeners.on_store_contact = [this](bool is_answered) {
-      if (is_answered != is_store_answering_) {
-        is_store_answering_ = is_answered;
-        LogEvent(
-            is_answered ? job_event::kStoreRegained : job_event::kStoreLost,
-            {{"renewed_ms_ago", MillisSince(member_.RenewedAt())}});
-      }
+      NoteStoreContact(is_answered);
     };
     return listeners;
   }
 
-  static std::string MillisSince(core::time_point time) {
+  void NoteStoreContact(bool is_answered) {
+    const core::time_point now = BootTime();
+    if (!is_answered) {
+      if (store_contact_.NoteFailure(now)) {
+        LogEvent(job_event::kStoreLost,
+                 {{"renewed_ms_ago", MillisSince(member_.RenewedAt())}});
+      }
+      return;
+    }
+    if (const auto regained = store_contact_.NoteAnswer(now)) {
+      LogEvent(job_event::kStoreRegained,
+               {{"renewed_ms_ago", MillisSince(member_.RenewedAt())},
+                {"losses", std::to_string(regained->losses)},
+                {"lost_ms", MillisOf(regained->lost_for)},
+                {"held_ms", MillisOf(regained->held_for)}});
+    }
+  }
+
+  static std::string MillisOf(core::duration time) {
     return std::to_string(
-        std::chrono::duration_cast<milliseconds>(BootTime() - time).count());
+        std::chrono::duration_cast<milliseconds>(time).count());
+  }
+
+  static std::string MillisSince(core::time_point time) {
+    return MillisOf(BootTime() - time);
   }
 
   // Ownership.
@@ -389,6 +407,7 @@
   owner_settings owner_settings_;
   fleet_settings fleet_settings_;
   job_meters meters_;
+  store_contact store_contact_;
   adapter::store_client store_;
   job_world world_;
   submissions submissions_;
@@ -405,7 +424,6 @@
   std::function<void()> on_stopped_;
   core::time_point stop_began_;
   bool is_stopping_ = false;
-  bool is_store_answering_ = true;
   bool was_ready_ = false;
 };
 
