Log one line for the tasks, jobs and VMs that meet with the same

Cause: a line for each task that starts.

Ruled out: a longer wait.

Change: a pure module gathers events that differ only in task, VM or job for 0.1 s; lines of a job are written before that on its end, and all before the ownership ends. A line for one event is as before, but for `result` of `task started`, which said nothing. The occurrence of a repeated job is told. `plantainctl trace` reads the lists.

--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -23,6 +23,7 @@
 }  // namespace
 
 void pool_owner::impl::Close() {
+  LogLines(lines_.TakeAll());
   is_closed_ = true;
   tick_timer_.cancel();
   plan_timer_.cancel();
@@ -38,8 +39,8 @@
 void pool_owner::impl::OnJob(
     const std::shared_ptr<const core::jobs::job_spec>& job) {
   if (scheduler_ && PoolPartitionOf(job->pool) == partition_) {
-    LogEvent(job_event::kJobRead,
-             {{"job", job->id}, {"partition", std::to_string(partition_)}});
+    lines_.AddJob(job_event::kJobRead, job->id,
+                  {{"partition", std::to_string(partition_)}}, BootTime());
     scheduler_->AddJob(job, deps_.world->PolicyOf(job->queue), BootTime());
     const auto size = sizes_.find(job->pool);
     if (size != sizes_.end()) {
@@ -117,6 +118,7 @@
 }
 
 void pool_owner::impl::Work() {
+  LogLines(lines_.TakeDue(BootTime()));
   if (!scheduler_ || is_closed_) {
     return;
   }
@@ -142,6 +144,7 @@
 }
 
 void pool_owner::impl::Lose(const std::string& reason) {
+  LogLines(lines_.TakeAll());
   LogEvent(job_event::kOwnershipLost,
            {{"partition", std::to_string(partition_)},
             {"epoch", std::to_string(epoch_)},
@@ -220,10 +223,17 @@
     fields.emplace_back("first_start_ms",
                         MillisOf(*job.started_at - job.arrived_at));
   }
+  LogLines(lines_.TakeOf(job.id));
   LogEvent(job_event::kJobEnded, fields);
   deps_.archiver->Add(job.queue, job.id, job.phase);
 }
 
+void pool_owner::impl::LogLines(const std::vector<gathered_line>& lines) {
+  for (const gathered_line& line : lines) {
+    LogEvent(line.event, line.fields);
+  }
+}
+
 pool_owner::pool_owner(dependencies dependencies,
                        std::uint32_t partition,
                        const owner_settings& settings)
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -15,6 +15,7 @@
 
 #include "jobs/fleet_records.h"
 #include "jobs/group_member.h"
+#include "jobs/line_gatherer.h"
 #include "jobs/pool_owner.h"
 #include "jobs/progress_writer.h"
 #include "jobs/record_codec.h"
@@ -89,6 +90,7 @@
   void TakeStored(const std::optional<core::jobs::progress_batch>& batch,
                   progress_writer::result result);
   void NoteJobEnd(const core::jobs::job_result& job);
+  static void LogLines(const std::vector<gathered_line>& lines);
 
   // VMs.
   void SyncLinks();
@@ -103,6 +105,8 @@
                   const std::shared_ptr<vm_link>& link,
                   const core::jobs::vm_listing& listing);
   void Send(const core::jobs::start_order& order);
+  void NoteStart(const core::jobs::run_ref& target,
+                 core::jobs::start_result result);
   void Send(const core::jobs::stop_order& order);
   void Send(const core::jobs::pace_order& order);
 
@@ -128,6 +132,7 @@
   boost::asio::steady_timer plan_timer_;
   boost::asio::steady_timer claim_timer_;
   record_outbox fleet_outbox_;
+  line_gatherer lines_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
   /// Who owned before, and how it left.
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -35,6 +35,7 @@
   }
   lease_ends_ = scheduler_ ? scheduler_->LeaseEnds() : InheritedLeaseEnds();
   is_released_ = true;
+  LogLines(lines_.TakeAll());
   scheduler_.reset();
   links_.clear();
   tick_timer_.cancel();
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -17,18 +17,6 @@
 using core::jobs::vm_id;
 using std::chrono::milliseconds;
 
-namespace {
-
-observe::log_fields FieldsOf(const run_ref& target) {
-  return {{"job", target.task.job},
-          {"step", std::to_string(target.task.step)},
-          {"index", std::to_string(target.task.index)},
-          {"run", std::to_string(target.run)},
-          {"vm", target.vm}};
-}
-
-}  // namespace
-
 void pool_owner::impl::SyncLinks() {
   if (scheduler_->VmsVersion() == synced_version_) {
     return;
@@ -115,6 +103,8 @@
     case hold_outcome::kListed:
       if (link->is_lost) {
         link->is_lost = false;
+        // Not before the line on its loss.
+        LogLines(lines_.TakeAll());
         LogEvent(job_event::kVmHeard, {{"vm", vm}});
       }
       LogNewEnds(vm, link, reply.listing);
@@ -130,8 +120,8 @@
       Kick();
       return;
     case hold_outcome::kReplaced:
-      LogEvent(job_event::kVmLost,
-               {{"vm", vm}, {"reason", "another life of it answered"}});
+      lines_.AddVm(job_event::kVmLost, vm,
+                   {{"reason", "another life of it answered"}}, now);
       scheduler_->OnReplaced(vm, now);
       Kick();
       return;
@@ -139,10 +129,10 @@
     case hold_outcome::kUnanswered:
       if (!link->is_lost) {
         link->is_lost = true;
-        LogEvent(job_event::kVmLost,
-                 {{"vm", vm},
-                  {"reason", "a hold had no answer"},
-                  {"status", std::to_string(reply.status)}});
+        lines_.AddVm(job_event::kVmLost, vm,
+                     {{"reason", "a hold had no answer"},
+                      {"status", std::to_string(reply.status)}},
+                     now);
       }
       scheduler_->OnHoldUnanswered(vm);
       HoldLater(vm, settings_.hold_retry);
@@ -158,9 +148,8 @@
         end.how == core::jobs::end_kind::kDone) {
       continue;
     }
-    observe::log_fields fields = FieldsOf({vm, end.task, end.run});
-    fields.emplace_back("how", core::NameOf(end.how));
-    LogEvent(job_event::kTaskEnded, fields);
+    lines_.AddTask(job_event::kTaskEnded, {vm, end.task, end.run},
+                   {{"how", std::string(core::NameOf(end.how))}}, BootTime());
   }
   if (!listing.ended.empty()) {
     link->logged_end = std::max(link->logged_end, listing.ended.back().number);
@@ -184,11 +173,7 @@
         }
         owner->deps_.meters->NoteStart(BootTime() - sent_at);
         const bool is_started = result == start_result::kStarted;
-        observe::log_fields fields = FieldsOf(target);
-        fields.emplace_back("result", core::NameOf(result));
-        LogEvent(
-            is_started ? job_event::kTaskStarted : job_event::kTaskNotStarted,
-            fields);
+        owner->NoteStart(target, result);
         owner->scheduler_->OnStartAnswer(target, result, BootTime());
         if (!is_started) {
           owner->Kick();
@@ -196,6 +181,15 @@
       });
 }
 
+void pool_owner::impl::NoteStart(const run_ref& target, start_result result) {
+  if (result == start_result::kStarted) {
+    lines_.AddTask(job_event::kTaskStarted, target, {}, BootTime());
+  } else {
+    lines_.AddTask(job_event::kTaskNotStarted, target,
+                   {{"result", std::string(core::NameOf(result))}}, BootTime());
+  }
+}
+
 void pool_owner::impl::Send(const core::jobs::stop_order& order) {
   const auto link = FindLink(order.target.vm);
   if (!link) {
@@ -210,9 +204,9 @@
         if (!owner || owner->is_closed_ || !owner->scheduler_) {
           return;
         }
-        observe::log_fields fields = FieldsOf(target);
-        fields.emplace_back("confirmed", is_confirmed ? "yes" : "no");
-        LogEvent(job_event::kTaskStopped, fields);
+        owner->lines_.AddTask(job_event::kTaskStopped, target,
+                              {{"confirmed", is_confirmed ? "yes" : "no"}},
+                              BootTime());
         owner->scheduler_->OnStopAnswer(target, is_confirmed, BootTime());
         owner->Kick();
       });
--- a/src/observe/job_trace.cc
+++ b/src/observe/job_trace.cc
@@ -25,6 +25,41 @@
                                                      : std::string();
 }
 
+// Returns the words of a text whose words are separated by spaces.
+std::vector<std::string> WordsOf(const std::string& text) {
+  std::istringstream words(text);
+  std::string word;
+  std::vector<std::string> found;
+  while (words >> word) {
+    found.push_back(word);
+  }
+  return found;
+}
+
+// A line on one VM has `vm`. One on several lists them: `vms` has their names,
+// `tasks` items such as "vm-1:0-3,7".
+std::vector<std::string> VmsOf(const json& fields) {
+  std::vector<std::string> vms = WordsOf(TextOf(fields, "vms"));
+  for (const std::string& item : WordsOf(TextOf(fields, "tasks"))) {
+    vms.push_back(item.substr(0, item.rfind(':')));
+  }
+  const std::string vm = TextOf(fields, "vm");
+  if (!vm.empty()) {
+    vms.push_back(vm);
+  }
+  return vms;
+}
+
+// The same for jobs: `job` and `jobs`.
+std::vector<std::string> JobsOf(const json& fields) {
+  std::vector<std::string> jobs = WordsOf(TextOf(fields, "jobs"));
+  const std::string job = TextOf(fields, "job");
+  if (!job.empty()) {
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
 // Returns the last word before the JSON, which names the process where one file
 // holds the lines of several.
 std::string ProcessBefore(std::string_view prefix) {
@@ -91,17 +126,22 @@
     if (line.time < begin || line.time > end) {
       return false;
     }
-    const std::string vm = TextOf(line.fields, "vm");
-    if (!vm.empty()) {
-      return vms.count(vm) != 0 && line.fields.count("job") == 0;
+    if (!JobsOf(line.fields).empty()) {
+      return false;
+    }
+    const std::vector<std::string> its_vms = VmsOf(line.fields);
+    if (!its_vms.empty()) {
+      return std::any_of(
+          its_vms.begin(), its_vms.end(),
+          [this](const std::string& vm) { return vms.count(vm) != 0; });
     }
-    return processes.count(line.process) != 0 &&
-           line.fields.count("job") == 0 && line.fields.count("host") == 0;
+    return processes.count(line.process) != 0 && line.fields.count("host") == 0;
   }
 };
 
 bool Names(const parsed_line& line, const std::string& job) {
-  return TextOf(line.fields, "job") == job;
+  const std::vector<std::string> jobs = JobsOf(line.fields);
+  return std::find(jobs.begin(), jobs.end(), job) != jobs.end();
 }
 
 std::optional<surroundings> FindSurroundings(
@@ -118,10 +158,8 @@
     }
     found->end = line.time;
     found->processes.insert(line.process);
-    const std::string vm = TextOf(line.fields, "vm");
-    if (!vm.empty()) {
-      found->vms.insert(vm);
-    }
+    const std::vector<std::string> vms = VmsOf(line.fields);
+    found->vms.insert(vms.begin(), vms.end());
   }
   return found;
 }
--- a/tests/observe/job_trace_test.cc
+++ b/tests/observe/job_trace_test.cc
@@ -41,6 +41,30 @@
         std::string::npos);
 }
 
+// After an outage a process tells of tasks, VMs and jobs in lists, one line for
+// many. Someone who looks for one job finds it in them, and what befell the VMs
+// that only such a list names.
+TEST_CASE("A job's trace knows it and its VMs in lines that list several") {
+  const std::vector<process_log> logs = {
+      {"entry-1",
+       R"({"time":"T10","message":"job read","jobs":"aaa bbb","count":"2"}
+{"time":"T11","message":"job read","jobs":"bbb ccc","count":"2"}
+{"time":"T12","message":"task started","job":"aaa","tasks":"vm-1:0-3,7 vm-2:4"}
+{"time":"T13","message":"task started","job":"bbb","tasks":"vm-1:0 vm-3:1"}
+{"time":"T14","message":"vm lost","vms":"vm-2 vm-3"}
+{"time":"T15","message":"vm lost","vms":"vm-3 vm-4"}
+{"time":"T16","message":"vm heard","vm":"vm-1"}
+{"time":"T17","message":"job ended","job":"aaa","verdict":"in time"}
+)"}};
+  const job_trace trace = TraceJob("aaa", logs);
+  std::vector<std::string> times;
+  for (const trace_event& event : trace.events) {
+    times.push_back(event.time);
+  }
+  CHECK(times == std::vector<std::string>{"T10", "T12", "T14", "T16", "T17"});
+  CHECK(trace.events[1].details == "job=aaa tasks=vm-1:0-3,7 vm-2:4");
+}
+
 TEST_CASE("One file may hold the lines of several processes") {
   const job_trace trace = TraceJob(
       "aaa", {{"all.log",
