Share the main of plantain-entry and plantain-scheduler

Both read the same command line, checked the settings file, set up the log and turned errors into the same exit codes, in two copies. tools/daemon_main.h has it once; each program gives how it reads its settings, logs and runs.

plantain-entry blocks the signals that end it before its command line is read and not just after, still before any thread starts.

--- a/tools/plantain_entry.cc
+++ b/tools/plantain_entry.cc
@@ -1,35 +1,23 @@
 #include <pthread.h>
 #include <signal.h>
 
-#include <exception>
-#include <iostream>
 #include <mutex>
-#include <string>
 #include <thread>
 
-#include <CLI/CLI.hpp>
-
-#include "plantainhead/core/findings.h"
-#include "plantainhead/observe/logging.h"
+#include "daemon_main.h"
 #include "plantainhead/runtime/entry_daemon.h"
 #include "plantainhead/settings/entry_settings.h"
-#include "plantainhead/version.h"
 
 namespace {
 
-constexpr int kExitFailed = 1;
-constexpr int kExitBadInput = 2;
-
 // Blocks the signals that end the process, before any thread starts, so that
-// only `sigwait` sees them. A caller that closes its connection must not end
-// the process either.
+// only `sigwait` sees them.
 sigset_t BlockSignals() {
   sigset_t ending;
   sigemptyset(&ending);
   sigaddset(&ending, SIGTERM);
   sigaddset(&ending, SIGINT);
   pthread_sigmask(SIG_BLOCK, &ending, nullptr);
-  signal(SIGPIPE, SIG_IGN);
   return ending;
 }
 
@@ -63,7 +51,8 @@
   bool stop_asked_ = false;
 };
 
-void Run(plantainhead::settings::entry_settings settings, stop_target& target) {
+void RunUntilStopped(plantainhead::settings::entry_settings settings,
+                     stop_target& target) {
   bool again = true;
   while (again) {
     plantainhead::runtime::entry_daemon daemon(settings);
@@ -76,43 +65,35 @@
   }
 }
 
+void Run(const plantainhead::settings::entry_settings& settings,
+         sigset_t ending) {
+  // Outlives main(), since the thread that waits for signals does.
+  static stop_target target;
+  std::thread([ending] {
+    int signal = 0;
+    sigwait(&ending, &signal);
+    target.Stop();
+  }).detach();
+  RunUntilStopped(settings, target);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app(
-      "The entry of plantainhead: routes callers' requests, folds the "
-      "platform's log and may plan the fleet.");
-  app.set_version_flag("--version", plantainhead::kVersion);
-  std::string file;
-  bool check = false;
-  app.add_option("settings", file, "settings file (YAML)")->required();
-  app.add_flag("--check", check, "only check the settings file");
-  CLI11_PARSE(app, argc, argv);
-
+  using plantainhead::settings::entry_settings;
   const sigset_t ending = BlockSignals();
-  try {
-    const auto settings = plantainhead::settings::LoadEntrySettings(file);
-    if (check) {
-      std::cout << file << ": no findings\n";
-      return 0;
-    }
-    plantainhead::observe::ConfigureLogging(settings.log_level,
-                                            settings.log_file);
-    // Outlives main(), since the thread that waits for signals does.
-    static stop_target target;
-    std::thread([ending] {
-      int signal = 0;
-      sigwait(&ending, &signal);
-      target.Stop();
-    }).detach();
-    Run(settings, target);
-    plantainhead::observe::StopLogging();
-    return 0;
-  } catch (const plantainhead::core::findings_error& error) {
-    std::cerr << error.what() << '\n';
-    return kExitBadInput;
-  } catch (const std::exception& error) {
-    std::cerr << "plantain-entry: " << error.what() << '\n';
-    return kExitFailed;
-  }
+  plantainhead::tools::daemon_program<entry_settings> program;
+  program.name = "plantain-entry";
+  program.description =
+      "The entry of plantainhead: routes callers' requests, folds the "
+      "platform's log and may plan the fleet.";
+  program.load = plantainhead::settings::LoadEntrySettings;
+  program.log = [](const entry_settings& settings) {
+    return plantainhead::tools::log_target{settings.log_level,
+                                           settings.log_file};
+  };
+  program.run = [ending](const entry_settings& settings) {
+    Run(settings, ending);
+  };
+  return plantainhead::tools::RunDaemon(program, argc, argv);
 }
--- a/tools/plantain_scheduler.cc
+++ b/tools/plantain_scheduler.cc
@@ -1,27 +1,20 @@
-#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <exception>
 #include <functional>
-#include <iostream>
 #include <string>
 
+#include "daemon_main.h"
 #include "jobs/event_log.h"
 #include "jobs/job_service.h"
 #include "plantainhead/core/findings.h"
-#include "plantainhead/observe/logging.h"
 #include "plantainhead/settings/scheduler_settings.h"
-#include "plantainhead/version.h"
 
 namespace {
 
 namespace jobs = plantainhead::jobs;
 namespace settings = plantainhead::settings;
 
-constexpr int kExitBadInput = 2;
-constexpr int kExitFailed = 1;
-
 // Reads the settings again and says what of them would need a restart.
 void Reload(const std::string& file,
             const settings::scheduler_process_settings& current) {
@@ -78,38 +71,28 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  using settings::scheduler_process_settings;
   // Before anything else: by default the signal that asks for a look at the
   // settings would end a process that has just started.
   std::signal(SIGHUP, SIG_IGN);
-  CLI::App app(
+  // For the reload.
+  std::string file_in_use;
+  plantainhead::tools::daemon_program<scheduler_process_settings> program;
+  program.name = "plantain-scheduler";
+  program.description =
       "The job scheduler of plantainhead: takes callers' jobs and runs their "
-      "tasks on the pools' VMs.");
-  app.set_version_flag("--version", plantainhead::kVersion);
-  std::string file;
-  bool check = false;
-  app.add_option("settings", file, "settings file (YAML)")->required();
-  app.add_flag("--check", check, "only check the settings file");
-  CLI11_PARSE(app, argc, argv);
-
-  std::signal(SIGPIPE, SIG_IGN);
-  try {
-    const auto current = settings::LoadSchedulerSettings(file);
-    if (check) {
-      std::cout << file << ": no findings\n";
-      return 0;
-    }
-    plantainhead::observe::ConfigureLogging(
-        plantainhead::core::note_level::kInfo, "-");
-    Run(file, current);
+      "tasks on the pools' VMs.";
+  program.load = [&file_in_use](const std::string& file) {
+    file_in_use = file;
+    return settings::LoadSchedulerSettings(file);
+  };
+  program.log = [](const scheduler_process_settings&) {
+    return plantainhead::tools::log_target();
+  };
+  program.run = [&file_in_use](const scheduler_process_settings& current) {
+    Run(file_in_use, current);
     // The handler has gone with the run.
     std::signal(SIGHUP, SIG_IGN);
-    plantainhead::observe::StopLogging();
-    return 0;
-  } catch (const plantainhead::core::findings_error& error) {
-    std::cerr << error.what() << '\n';
-    return kExitBadInput;
-  } catch (const std::exception& error) {
-    std::cerr << "plantain-scheduler: " << error.what() << '\n';
-    return kExitFailed;
-  }
+  };
+  return plantainhead::tools::RunDaemon(program, argc, argv);
 }
