Notice settings that change without a signal; apply or refuse them whole

Cause: plantain-scheduler read its settings again at SIGHUP only, and then said "nothing to apply" of a changed grace, lease or metrics address, which stayed as they were. The platform also rewrites the file without a signal.

Change: the file's content is looked at each second, without inotify; a change counts when two looks have found the same, since the beginning of a file that is being written may be a valid file. `stop.grace` is applied; a file in which anything else differs, or that has faults or is gone, is refused with all findings and nothing of it is in force. SIGHUP does the same at once.

--- a/include/plantainhead/settings/scheduler_settings.h
+++ b/include/plantainhead/settings/scheduler_settings.h
@@ -33,6 +33,9 @@
   double processor_cores = 1.0;
   /// `stop.grace`: time between the request to stop and the end by force.
   core::duration stop_grace = std::chrono::seconds(6);
+
+  friend bool operator==(const scheduler_process_settings&,
+                         const scheduler_process_settings&) = default;
 };
 
 /// Reads the text of a settings file; `file` is its name for messages.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -111,6 +111,8 @@
     member_.Start();
   }
 
+  void SetStopGrace(core::duration grace) { settings_.stop_grace = grace; }
+
   void Stop(std::function<void()> on_stopped) {
     if (is_stopping_) {
       return;
@@ -437,6 +439,10 @@
   impl_->Start();
 }
 
+void job_service::SetStopGrace(core::duration grace) {
+  impl_->SetStopGrace(grace);
+}
+
 void job_service::Stop(std::function<void()> on_stopped) {
   impl_->Stop(std::move(on_stopped));
 }
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -26,6 +26,9 @@
   ~job_service();
 
   void Start();
+  /// Sets the time between a request to stop and the end by force, also while
+  /// the process stops.
+  void SetStopGrace(core::duration grace);
   /// Hands its pools over, answers what it has been asked, and then calls
   /// `on_stopped`, within the settings' grace.
   void Stop(std::function<void()> on_stopped);
--- /dev/null
+++ b/tests/settings/settings_reloader_test.cc
@@ -0,0 +1,142 @@
+#include "settings/settings_reloader.h"
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace plantainhead::settings {
+namespace {
+
+constexpr const char* kLeast =
+    "name: scheduler-1\n"
+    "listen: {callers: 127.0.0.1:1, probes: 127.0.0.1:2}\n"
+    "store: {address: 127.0.0.1:3}\n";
+
+/// A settings file that goes with the test.
+class settings_file {
+ public:
+  settings_file()
+      : path_("/tmp/settings_reloader_test." + std::to_string(getpid()) +
+              ".yaml") {}
+  settings_file(const settings_file&) = delete;
+  settings_file& operator=(const settings_file&) = delete;
+  ~settings_file() { Remove(); }
+
+  const std::string& path() const { return path_; }
+  void Write(const std::string& text) const {
+    std::ofstream(path_, std::ios::trunc) << text;
+  }
+  void Remove() const { std::remove(path_.c_str()); }
+
+ private:
+  std::string path_;
+};
+
+std::vector<std::string> MessagesOf(const reload_outcome& outcome) {
+  std::vector<std::string> messages;
+  if (const auto* refused = std::get_if<reload_refused>(&outcome)) {
+    for (const core::finding& item : refused->findings) {
+      messages.push_back(item.message);
+    }
+  }
+  return messages;
+}
+
+// The platform rewrites the file of a running process, with a signal or without
+// one. The operator finds either all of it in force or none, and in the log
+// why; never the addresses of one file with the grace of another.
+TEST_CASE("A settings file that changes is applied or refused as a whole") {
+  const settings_file file;
+  file.Write(kLeast);
+  settings_reloader reloader(file.path());
+  const auto at_start = reloader.current();
+  const std::string longer_grace = std::string(kLeast) + "stop: {grace: 9s}\n";
+
+  SECTION("while it stays the same, looks find nothing") {
+    CHECK_FALSE(reloader.Look());
+    CHECK_FALSE(reloader.Look());
+    CHECK(std::holds_alternative<reload_unchanged>(reloader.Reload()));
+  }
+
+  SECTION("with a signal it is applied at once") {
+    file.Write(longer_grace);
+    CHECK(std::holds_alternative<reload_applied>(reloader.Reload()));
+    CHECK(reloader.current().stop_grace == std::chrono::seconds(9));
+    CHECK_FALSE(reloader.Look());
+  }
+
+  SECTION("without a signal it is applied when two looks have found the same") {
+    file.Write(longer_grace);
+    CHECK_FALSE(reloader.Look());
+    CHECK(reloader.current() == at_start);
+    const auto outcome = reloader.Look();
+    REQUIRE(outcome);
+    CHECK(std::holds_alternative<reload_applied>(*outcome));
+    CHECK(reloader.current().stop_grace == std::chrono::seconds(9));
+    CHECK_FALSE(reloader.Look());
+  }
+
+  SECTION("a file that is being written isn't taken for a whole one") {
+    file.Write(std::string(kLeast) + "stop: {grace: 5s}\n");
+    CHECK_FALSE(reloader.Look());
+    file.Write(longer_grace);
+    CHECK_FALSE(reloader.Look());
+    CHECK(reloader.current() == at_start);
+    CHECK(reloader.Look());
+    CHECK(reloader.current().stop_grace == std::chrono::seconds(9));
+  }
+
+  SECTION("one that needs a restart is refused with all that needs it") {
+    file.Write(
+        "name: scheduler-1\n"
+        "listen: {callers: 127.0.0.1:9, probes: 127.0.0.1:2}\n"
+        "store: {address: 127.0.0.1:3}\n"
+        "lease: {most: 5s}\n"
+        "stop: {grace: 9s}\n");
+    CHECK(
+        MessagesOf(reloader.Reload()) ==
+        std::vector<std::string>{"'listen.callers' changes only with a restart",
+                                 "'lease.most' changes only with a restart"});
+    CHECK(reloader.current() == at_start);
+
+    SECTION("and is told once") {
+      CHECK_FALSE(reloader.Look());
+      CHECK_FALSE(reloader.Look());
+    }
+  }
+
+  SECTION("one with faults is refused, and applied once they are mended") {
+    file.Write(longer_grace + "grcae: 1s\n");
+    CHECK_FALSE(reloader.Look());
+    const auto outcome = reloader.Look();
+    REQUIRE(outcome);
+    CHECK(MessagesOf(*outcome).size() == 1);
+    CHECK(reloader.current() == at_start);
+    file.Write(longer_grace);
+    CHECK_FALSE(reloader.Look());
+    CHECK(reloader.Look());
+    CHECK(reloader.current().stop_grace == std::chrono::seconds(9));
+  }
+
+  SECTION("one that is gone is refused, and nothing is lost when it returns") {
+    file.Remove();
+    CHECK_FALSE(reloader.Look());
+    const auto outcome = reloader.Look();
+    REQUIRE(outcome);
+    CHECK(MessagesOf(*outcome) ==
+          std::vector<std::string>{"the file can't be read"});
+    file.Write(kLeast);
+    CHECK_FALSE(reloader.Look());
+    const auto again = reloader.Look();
+    REQUIRE(again);
+    CHECK(std::holds_alternative<reload_unchanged>(*again));
+    CHECK(reloader.current() == at_start);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::settings
--- a/tools/plantain_scheduler.cc
+++ b/tools/plantain_scheduler.cc
@@ -1,46 +1,106 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <csignal>
 #include <functional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
 
 #include "daemon_main.h"
 #include "jobs/event_log.h"
 #include "jobs/job_service.h"
-#include "plantainhead/core/findings.h"
-#include "plantainhead/settings/scheduler_settings.h"
+#include "settings/settings_reloader.h"
 
 namespace {
 
 namespace jobs = plantainhead::jobs;
 namespace settings = plantainhead::settings;
 
-// Reads the settings again and says what of them would need a restart.
-void Reload(const std::string& file,
-            const settings::scheduler_process_settings& current) {
-  try {
-    const auto fresh = settings::LoadSchedulerSettings(file);
-    const bool is_same = fresh.store_address == current.store_address &&
-                         fresh.fleet_address == current.fleet_address &&
-                         fresh.caller_address == current.caller_address &&
-                         fresh.probe_address == current.probe_address;
-    jobs::LogEvent(jobs::job_event::kSettingsRead,
-                   {{"file", file},
-                    {"outcome", is_same ? "nothing to apply"
-                                        : "addresses apply after a restart"}});
-  } catch (const plantainhead::core::findings_error& error) {
-    jobs::LogEvent(
-        jobs::job_event::kSettingsRead,
-        {{"file", file}, {"outcome", "refused"}, {"reason", error.what()}});
+// Time between two looks at whether the settings file has changed without a
+// signal. A change is then in force, or refused in the log, within two looks;
+// one reads some hundred bytes.
+constexpr std::chrono::seconds kSettingsLook{1};
+
+// Takes settings that changed over into a running process, and logs what was
+// done about a change.
+class settings_keeper {
+ public:
+  settings_keeper(boost::asio::io_context* context,
+                  settings::settings_reloader* reloader,
+                  jobs::job_service* service)
+      : reloader_(reloader),
+        service_(service),
+        signals_(*context, SIGHUP),
+        timer_(*context) {}
+
+  void Start() {
+    AwaitSignal();
+    AwaitLook();
   }
-}
 
-void Run(const std::string& file,
-         const settings::scheduler_process_settings& current) {
+ private:
+  void AwaitSignal() {
+    signals_.async_wait([this](const boost::system::error_code& error, int) {
+      if (!error) {
+        Take("signal", reloader_->Reload());
+        AwaitSignal();
+      }
+    });
+  }
+
+  void AwaitLook() {
+    timer_.expires_after(kSettingsLook);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (error) {
+        return;
+      }
+      if (const auto outcome = reloader_->Look()) {
+        Take("its content", *outcome);
+      }
+      AwaitLook();
+    });
+  }
+
+  void Take(std::string_view cause, const settings::reload_outcome& outcome) {
+    if (const auto* applied = std::get_if<settings::reload_applied>(&outcome)) {
+      service_->SetStopGrace(applied->settings.stop_grace);
+      Log(cause, "applied");
+    } else if (const auto* refused =
+                   std::get_if<settings::reload_refused>(&outcome)) {
+      const plantainhead::core::findings_error error(refused->findings);
+      Log(cause, "refused", error.what());
+    } else {
+      Log(cause, "nothing to apply");
+    }
+  }
+
+  void Log(std::string_view cause,
+           std::string_view outcome,
+           const std::string& reason = "") {
+    plantainhead::observe::log_fields fields = {
+        {"file", reloader_->file()},
+        {"noticed_by", std::string(cause)},
+        {"outcome", std::string(outcome)}};
+    if (!reason.empty()) {
+      fields.emplace_back("reason", reason);
+    }
+    jobs::LogEvent(jobs::job_event::kSettingsRead, fields);
+  }
+
+  settings::settings_reloader* reloader_;
+  jobs::job_service* service_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+};
+
+void Run(settings::settings_reloader reloader) {
+  const settings::scheduler_process_settings current = reloader.current();
   boost::asio::io_context context(1);
   jobs::job_service service(&context, current);
   boost::asio::signal_set endings(context, SIGTERM, SIGINT);
-  boost::asio::signal_set reloads(context, SIGHUP);
   endings.async_wait([&](const boost::system::error_code& error, int signal) {
     if (error) {
       return;
@@ -49,15 +109,8 @@
                    {{"signal", std::to_string(signal)}});
     service.Stop([&context] { context.stop(); });
   });
-  std::function<void()> await_reload = [&] {
-    reloads.async_wait([&](const boost::system::error_code& error, int) {
-      if (!error) {
-        Reload(file, current);
-        await_reload();
-      }
-    });
-  };
-  await_reload();
+  settings_keeper keeper(&context, &reloader, &service);
+  keeper.Start();
   service.Start();
   jobs::LogEvent(jobs::job_event::kProcessStarted,
                  {{"name", current.name},
@@ -71,26 +124,22 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  using settings::scheduler_process_settings;
   // Before anything else: by default the signal that asks for a look at the
   // settings would end a process that has just started.
   std::signal(SIGHUP, SIG_IGN);
-  // For the reload.
-  std::string file_in_use;
-  plantainhead::tools::daemon_program<scheduler_process_settings> program;
+  plantainhead::tools::daemon_program<settings::settings_reloader> program;
   program.name = "plantain-scheduler";
   program.description =
       "The job scheduler of plantainhead: takes callers' jobs and runs their "
       "tasks on the pools' VMs.";
-  program.load = [&file_in_use](const std::string& file) {
-    file_in_use = file;
-    return settings::LoadSchedulerSettings(file);
+  program.load = [](const std::string& file) {
+    return settings::settings_reloader(file);
   };
-  program.log = [](const scheduler_process_settings&) {
+  program.log = [](const settings::settings_reloader&) {
     return plantainhead::tools::log_target();
   };
-  program.run = [&file_in_use](const scheduler_process_settings& current) {
-    Run(file_in_use, current);
+  program.run = [](const settings::settings_reloader& reloader) {
+    Run(reloader);
     // The handler has gone with the run.
     std::signal(SIGHUP, SIG_IGN);
   };
