--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -2,23 +2,18 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <map>
-#include <optional>
 #include <set>
 #include <utility>
-#include <vector>
 
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
-#include "jobs/fleet_owner.h"
 #include "jobs/group_member.h"
 #include "jobs/job_archiver.h"
 #include "jobs/job_meters.h"
 #include "jobs/job_metrics.h"
 #include "jobs/job_world.h"
-#include "jobs/pool_owner.h"
+#include "jobs/ownership.h"
 #include "jobs/store_contact.h"
 #include "jobs/submissions.h"
 #include "net/http_server.h"
@@ -72,18 +67,12 @@
                 member_name_,
                 [this](std::uint64_t generation,
                        const std::set<std::uint32_t>& partitions) {
-                  generation_ = generation;
-                  dealt_ = partitions;
-                  UpdateOwners();
+                  ownership_.TakeDeal(generation, partitions);
                 }),
-        stop_timer_(*context) {
-    owner_settings_.time_to_live = member_settings_.time_to_live;
-    owner_settings_.scheduler.lease =
-        std::min(owner_settings_.scheduler.lease, settings.longest_lease);
-    fleet_settings_.address = settings.fleet_address;
-    fleet_settings_.holder_lease =
-        std::chrono::duration_cast<milliseconds>(settings.holder_lease);
-  }
+        ownership_(MakeOwnershipDependencies(),
+                   MakeOwnerSettings(),
+                   MakeFleetSettings()),
+        stop_timer_(*context) {}
 
   void Start() {
     store_.SetObserver(
@@ -121,17 +110,8 @@
     on_stopped_ = std::move(on_stopped);
     stop_began_ = BootTime();
     callers_->BeginStop();
-    fleet_.reset();
-    auto left = std::make_shared<std::size_t>(owners_.size() + 1);
-    const auto done = [self = shared_from_this(), left] {
-      if (--*left == 0) {
-        self->member_.Leave([] {});
-      }
-    };
-    for (auto& [partition, owner] : owners_) {
-      owner->Release(done);
-    }
-    done();
+    ownership_.Release(
+        [self = shared_from_this()] { self->member_.Leave([] {}); });
     StopTick();
   }
 
@@ -151,40 +131,48 @@
     return made;
   }
 
+  ownership::dependencies MakeOwnershipDependencies() {
+    ownership::dependencies made;
+    made.context = context_;
+    made.store = &store_;
+    made.world = &world_;
+    made.archiver = &archiver_;
+    made.meters = &meters_;
+    made.member = &member_;
+    made.member_name = member_name_;
+    made.holder = settings_.name;
+    made.time_to_live = member_settings_.time_to_live;
+    return made;
+  }
+
+  owner_settings MakeOwnerSettings() const {
+    owner_settings made;
+    made.time_to_live = member_settings_.time_to_live;
+    made.scheduler.lease =
+        std::min(made.scheduler.lease, settings_.longest_lease);
+    return made;
+  }
+
+  fleet_settings MakeFleetSettings() const {
+    fleet_settings made;
+    made.address = settings_.fleet_address;
+    made.holder_lease =
+        std::chrono::duration_cast<milliseconds>(settings_.holder_lease);
+    return made;
+  }
+
   job_world::listeners MakeListeners() {
     job_world::listeners listeners;
     listeners.on_job =
         [this](const std::shared_ptr<const core::jobs::job_spec>& job) {
-          for (auto& [partition, owner] : owners_) {
-            owner->OnJob(job);
-          }
+          ownership_.OnJob(job);
         };
     listeners.on_cancel = [this](const core::jobs::job_id& job) {
-      for (auto& [partition, owner] : owners_) {
-        owner->OnCancel(job);
-      }
-    };
-    listeners.on_configuration = [this] {
-      // The fleet's comes on top.
-      member_.SetUsedPartitions(PartitionsWithPools().size() + 1);
-      for (auto& [partition, owner] : owners_) {
-        owner->OnConfiguration();
-      }
-      UpdateOwners();
-    };
-    listeners.on_registry = [this] {
-      for (auto& [partition, owner] : owners_) {
-        owner->OnRegistry();
-      }
-    };
-    listeners.on_fleet_records = [this] {
-      for (auto& [partition, owner] : owners_) {
-        owner->OnFleetRecords();
-      }
-      if (fleet_) {
-        fleet_->OnFleetRecords();
-      }
+      ownership_.OnCancel(job);
     };
+    listeners.on_configuration = [this] { ownership_.OnConfiguration(); };
+    listeners.on_registry = [this] { ownership_.OnRegistry(); };
+    listeners.on_fleet_records = [this] { ownership_.OnFleetRecords(); };
     listeners.on_store_contact = [this](bool is_answered) {
       NoteStoreContact(is_answered);
     };
@@ -218,125 +206,6 @@
     return MillisOf(BootTime() - time);
   }
 
-  // Ownership.
-
-  std::set<std::uint32_t> PartitionsWithPools() const {
-    std::set<std::uint32_t> partitions;
-    for (const core::jobs::pool_settings& pool :
-         world_.routes().configuration().pools) {
-      if (!pool.is_spare) {
-        partitions.insert(PoolPartitionOf(pool.id));
-      }
-    }
-    return partitions;
-  }
-
-  void UpdateOwners() {
-    if (is_stopping_) {
-      return;
-    }
-    std::set<std::uint32_t> wanted;
-    for (const std::uint32_t partition : PartitionsWithPools()) {
-      if (dealt_.count(partition) != 0) {
-        wanted.insert(partition);
-      }
-    }
-    for (auto it = owners_.begin(); it != owners_.end();) {
-      if (wanted.count(it->first) != 0) {
-        ++it;
-        continue;
-      }
-      LogEvent(job_event::kOwnershipLost,
-               {{"partition", std::to_string(it->first)},
-                {"epoch", std::to_string(it->second->epoch())},
-                {"generation", std::to_string(generation_)},
-                {"reason", "dealt to another member"}});
-      Retire(std::move(it->second));
-      it = owners_.erase(it);
-    }
-    for (const std::uint32_t partition : wanted) {
-      if (owners_.count(partition) == 0) {
-        Own(partition);
-      }
-    }
-    UpdateFleet();
-    world_.SetOwned({wanted.begin(), wanted.end()});
-  }
-
-  // The records of the end of an ownership let the next owner begin at once.
-  void Retire(std::unique_ptr<pool_owner> owner) {
-    const std::shared_ptr<pool_owner> leaving = std::move(owner);
-    leaving->Release([self = weak_from_this(), leaving] {
-      if (const auto service = self.lock()) {
-        service->member_.RenewNow();
-      }
-    });
-  }
-
-  void Own(std::uint32_t partition) {
-    pool_owner::dependencies deps;
-    deps.context = context_;
-    deps.store = &store_;
-    deps.world = &world_;
-    deps.archiver = &archiver_;
-    deps.meters = &meters_;
-    deps.member = member_name_;
-    deps.is_sure = [this] { return IsSure(); };
-    deps.on_fenced = [this, partition] {
-      boost::asio::post(*context_, [self = weak_from_this(), partition] {
-        const auto service = self.lock();
-        if (service && !service->is_stopping_) {
-          service->owners_.erase(partition);
-          // Tells whether the partition is still this member's; if it is, it is
-          // claimed again.
-          service->member_.RenewNow();
-        }
-      });
-    };
-    auto& owner = owners_[partition];
-    owner = std::make_unique<pool_owner>(std::move(deps), partition,
-                                         owner_settings_);
-    owner->Start(generation_);
-  }
-
-  void UpdateFleet() {
-    const bool is_wanted =
-        dealt_.count(kFleetPartition) != 0 && !settings_.fleet_address.empty();
-    world_.SetFleetOwned(is_wanted);
-    if (!is_wanted) {
-      fleet_.reset();
-      return;
-    }
-    if (fleet_) {
-      return;
-    }
-    fleet_owner::dependencies deps;
-    deps.context = context_;
-    deps.store = &store_;
-    deps.world = &world_;
-    deps.member = member_name_;
-    deps.holder = settings_.name;
-    deps.is_sure = [this] { return IsSure(); };
-    deps.on_fenced = [this] {
-      boost::asio::post(*context_, [self = weak_from_this()] {
-        if (const auto service = self.lock()) {
-          service->fleet_.reset();
-          service->member_.RenewNow();
-        }
-      });
-    };
-    fleet_ = std::make_unique<fleet_owner>(std::move(deps), fleet_settings_);
-    fleet_->Start(generation_);
-  }
-
-  // A member that hasn't renewed for its time to live may have lost its
-  // partitions, also when it was suspended meanwhile and hasn't noticed. If it
-  // went on, it could start a task on a VM that the new owner can't reach,
-  // after that has waited for the last lease there to end.
-  bool IsSure() const {
-    return BootTime() < member_.RenewedAt() + member_settings_.time_to_live;
-  }
-
   // Readiness and metrics.
 
   bool IsReady() const {
@@ -367,9 +236,7 @@
     job_figures figures;
     figures.submissions = submissions_.counts();
     figures.is_ready = IsReady();
-    for (const auto& [partition, owner] : owners_) {
-      figures.pools[partition] = owner->Counts();
-    }
+    figures.pools = ownership_.Counts();
     figures.known_jobs = world_.directory().entries().size();
     if (world_.IsLoaded()) {
       figures.job_copy_age = world_.JobCopyAge();
@@ -406,8 +273,6 @@
   settings::scheduler_process_settings settings_;
   std::string member_name_;
   member_settings member_settings_;
-  owner_settings owner_settings_;
-  fleet_settings fleet_settings_;
   job_meters meters_;
   store_contact store_contact_;
   adapter::store_client store_;
@@ -415,10 +280,7 @@
   submissions submissions_;
   job_archiver archiver_;
   group_member member_;
-  std::uint64_t generation_ = 0;
-  std::set<std::uint32_t> dealt_;
-  std::map<std::uint32_t, std::unique_ptr<pool_owner>> owners_;
-  std::unique_ptr<fleet_owner> fleet_;
+  ownership ownership_;
   std::unique_ptr<net::http_server> callers_;
   std::unique_ptr<net::http_server> probes_;
   std::unique_ptr<net::http_server> metrics_;
--- /dev/null
+++ b/src/jobs/ownership.h
@@ -0,0 +1,75 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_OWNERSHIP_H_
+#define PLANTAINHEAD_SRC_JOBS_OWNERSHIP_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "jobs/fleet_owner.h"
+#include "jobs/group_member.h"
+#include "jobs/job_archiver.h"
+#include "jobs/job_meters.h"
+#include "jobs/job_world.h"
+#include "jobs/pool_owner.h"
+#include "platform/store_client.h"
+
+namespace plantainhead::jobs {
+
+/// What a process owns: of the partitions that the group deals to it, those
+/// with pools, and the fleet's. Begins and ends the owners as that changes. The
+/// owners live no longer than this object, but for the records of their ends.
+/// Not thread-safe: used from the thread of its `io_context` only.
+class ownership {
+ public:
+  struct dependencies {
+    boost::asio::io_context* context = nullptr;
+    adapter::store_client* store = nullptr;
+    job_world* world = nullptr;
+    job_archiver* archiver = nullptr;
+    job_meters* meters = nullptr;
+    /// Deals the partitions.
+    group_member* member = nullptr;
+    std::string member_name;
+    /// Names the process towards the fleet.
+    std::string holder;
+    /// Time to live of the member.
+    std::chrono::milliseconds time_to_live{};
+  };
+
+  ownership(const dependencies& dependencies,
+            const owner_settings& owner_settings,
+            const fleet_settings& fleet_settings);
+  ownership(const ownership&) = delete;
+  ownership& operator=(const ownership&) = delete;
+  ~ownership();
+
+  /// Takes what the group has dealt to this process, at a renewal.
+  void TakeDeal(std::uint64_t generation,
+                const std::set<std::uint32_t>& partitions);
+  /// Ends all ownerships and begins none any more. Calls `on_released` once the
+  /// pools' ends are recorded.
+  void Release(const std::function<void()>& on_released);
+
+  // What the world tells.
+  void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
+  void OnCancel(const core::jobs::job_id& job);
+  void OnConfiguration();
+  void OnRegistry();
+  void OnFleetRecords();
+
+  /// Returns the counts of each pool partition that is owned.
+  std::map<std::uint32_t, core::jobs::scheduler_counts> Counts() const;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_OWNERSHIP_H_
