Keep what a process owns in whatever end of its log is kept

Change: `process state` after 100 other lines and each 10 s says what the process owns, by epoch, whether it is ready, its configuration and the age of its copy.

--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -9,6 +9,8 @@
 namespace plantainhead::jobs {
 namespace {
 
+std::uint64_t lines_written = 0;
+
 core::note_level LevelOf(job_event event) {
   switch (event) {
     case job_event::kStoreLost:
@@ -31,25 +33,31 @@
 
 }  // namespace
 
-std::chrono::seconds BudgetWindow(job_event event) {
+std::uint64_t LinesWritten() {
+  return lines_written;
+}
+
+event_budget BudgetOf(job_event event) {
   switch (event) {
     case job_event::kReadRepeated:
     case job_event::kReadUnanswered:
+      return kReadBudget;
     case job_event::kTaskStarted:
     case job_event::kTaskNotStarted:
     case job_event::kTaskStopped:
     case job_event::kTaskEnded:
-      return kDetailWindow;
+      return kTaskBudget;
     default:
-      return kLineWindow;
+      return kLineBudget;
   }
 }
 
 void LogEvent(job_event event, const observe::log_fields& fields) {
   static std::array<line_budget, kJobEventNames.size()> budgets;
+  const event_budget budget = BudgetOf(event);
   const line_budget::verdict verdict =
       budgets.at(static_cast<std::size_t>(event))
-          .Take(BootTime(), kMostLinesInWindow, BudgetWindow(event));
+          .Take(BootTime(), budget.lines, budget.window);
   if (verdict.left_out > 0) {
     observe::WriteLog(LevelOf(job_event::kLinesLeftOut),
                       core::NameOf(job_event::kLinesLeftOut),
@@ -57,6 +65,7 @@
                        {"count", std::to_string(verdict.left_out)}});
   }
   if (verdict.is_written) {
+    ++lines_written;
     observe::WriteLog(LevelOf(event), core::NameOf(event), fields);
   }
 }
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
 
 #include <chrono>
+#include <cstdint>
 
 #include "plantainhead/core/names.h"
 #include "plantainhead/observe/logging.h"
@@ -11,6 +12,7 @@
 /// What a process of the job scheduler logs.
 enum class job_event {
   kProcessStarted,
+  kProcessState,
   kProcessStopping,
   kProcessStopped,
   kSettingsRead,
@@ -49,8 +51,9 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 37> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 38> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
+    {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
     {job_event::kProcessStopped, "process stopped"},
     {job_event::kSettingsRead, "settings read"},
@@ -92,28 +95,38 @@
   return kJobEventNames;
 }
 
-/// Lines of one kind of event that are written at most in each window of time.
+/// How many lines of one kind of event are written at most in a window of time.
 /// The rest is counted, and the count is written in the next window.
-inline constexpr unsigned kMostLinesInWindow = 60;
+struct event_budget {
+  unsigned lines;
+  std::chrono::seconds window;
+
+  friend bool operator==(const event_budget&, const event_budget&) = default;
+};
 /// 60 lines of 200 bytes of each kind stay near the 10 KB/s that a node may
 /// write when quiet, and bound a storm to a few hundred lines a second.
-inline constexpr std::chrono::seconds kLineWindow{1};
-/// The same for the kinds that come most around an outage: events of tasks, of
-/// which one line stands for up to 40, and reads without an answer, which
-/// differ only in their partition. A collector that keeps the last 55 KB of a
-/// log lost, at 60 such lines a second, those on ownership and readiness within
-/// 5 s; now one kind takes 18 s for that. A burst of 60 lines is still written
-/// whole.
-inline constexpr std::chrono::seconds kDetailWindow{4};
+inline constexpr event_budget kLineBudget{60, std::chrono::seconds(1)};
+/// For events of tasks, of which one line stands for up to 40. A collector that
+/// keeps the last 55 KB of a log lost, at 60 such lines a second, those on
+/// ownership and readiness within 5 s. Half as many take 9 s, so that there is
+/// a line on the state of the process among them. A burst of 120 lines is
+/// written whole.
+inline constexpr event_budget kTaskBudget{120, std::chrono::seconds(4)};
+/// For reads without an answer: a process reads some 20 partitions, and while
+/// the store is away lines on them differ only in the partition.
+inline constexpr event_budget kReadBudget{20, std::chrono::seconds(4)};
 
-/// Returns the window in which `kMostLinesInWindow` lines of `event` are
-/// written. Thread safety: safe from any thread.
-std::chrono::seconds BudgetWindow(job_event event);
+/// Thread safety: safe from any thread.
+event_budget BudgetOf(job_event event);
 
 /// Writes one line. Never waits for the reader of the log.
 /// Thread safety: one thread at a time.
 void LogEvent(job_event event, const observe::log_fields& fields);
 
+/// Returns how many lines the process has written.
+/// Thread safety: as `LogEvent`.
+std::uint64_t LinesWritten();
+
 }  // namespace plantainhead::jobs
 
 #endif  // PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -14,6 +14,7 @@
 #include "jobs/job_metrics.h"
 #include "jobs/job_world.h"
 #include "jobs/ownership.h"
+#include "jobs/state_line.h"
 #include "jobs/store_contact.h"
 #include "jobs/submissions.h"
 #include "net/http_server.h"
@@ -72,6 +73,7 @@
         ownership_(MakeOwnershipDependencies(),
                    MakeOwnerSettings(),
                    MakeFleetSettings()),
+        state_timer_(*context),
         stop_timer_(*context) {}
 
   void Start() {
@@ -98,6 +100,7 @@
     }
     world_.Start(member_settings_.role == member_role::kRegular);
     member_.Start();
+    AwaitState();
   }
 
   void SetStopGrace(core::duration grace) { settings_.stop_grace = grace; }
@@ -248,6 +251,35 @@
     return response;
   }
 
+  void AwaitState() {
+    state_timer_.expires_after(kStateLook);
+    state_timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto service = self.lock();
+          if (service && !error) {
+            if (service->state_pace_.IsDue(BootTime(), LinesWritten())) {
+              service->LogState();
+            }
+            service->AwaitState();
+          }
+        });
+  }
+
+  void LogState() const {
+    process_state state;
+    state.pools = ownership_.Held();
+    state.owns_fleet = ownership_.OwnsFleet();
+    state.is_ready = IsReady();
+    state.configuration_version = world_.routes().configuration().version;
+    if (member_.RenewedAt() != core::time_point()) {
+      state.renewed_ago = BootTime() - member_.RenewedAt();
+    }
+    if (world_.IsLoaded()) {
+      state.job_copy_age = world_.JobCopyAge();
+    }
+    LogEvent(job_event::kProcessState, FormatState(state));
+  }
+
   // Stop.
 
   void StopTick() {
@@ -275,6 +307,7 @@
   member_settings member_settings_;
   job_meters meters_;
   store_contact store_contact_;
+  state_pace state_pace_;
   adapter::store_client store_;
   job_world world_;
   submissions submissions_;
@@ -284,6 +317,7 @@
   std::unique_ptr<net::http_server> callers_;
   std::unique_ptr<net::http_server> probes_;
   std::unique_ptr<net::http_server> metrics_;
+  boost::asio::steady_timer state_timer_;
   boost::asio::steady_timer stop_timer_;
   std::function<void()> on_stopped_;
   core::time_point stop_began_;
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -84,6 +84,16 @@
     return counts;
   }
 
+  std::vector<held_partition> Held() const {
+    std::vector<held_partition> held;
+    for (const auto& [partition, owner] : owners_) {
+      held.push_back({partition, owner->epoch(), owner->IsActive()});
+    }
+    return held;
+  }
+
+  bool OwnsFleet() const { return fleet_ != nullptr; }
+
  private:
   std::set<std::uint32_t> PartitionsWithPools() const {
     std::set<std::uint32_t> partitions;
@@ -259,4 +269,12 @@
   return impl_->Counts();
 }
 
+std::vector<held_partition> ownership::Held() const {
+  return impl_->Held();
+}
+
+bool ownership::OwnsFleet() const {
+  return impl_->OwnsFleet();
+}
+
 }  // namespace plantainhead::jobs
--- a/src/jobs/ownership.h
+++ b/src/jobs/ownership.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "jobs/fleet_owner.h"
 #include "jobs/group_member.h"
@@ -16,6 +17,7 @@
 #include "jobs/job_meters.h"
 #include "jobs/job_world.h"
 #include "jobs/pool_owner.h"
+#include "jobs/state_line.h"
 #include "platform/store_client.h"
 
 namespace plantainhead::jobs {
@@ -64,6 +66,9 @@
 
   /// Returns the counts of each pool partition that is owned.
   std::map<std::uint32_t, core::jobs::scheduler_counts> Counts() const;
+  /// Returns the pool partitions that are owned or being taken over.
+  std::vector<held_partition> Held() const;
+  bool OwnsFleet() const;
 
  private:
   class impl;
--- /dev/null
+++ b/src/jobs/state_line.cc
@@ -0,0 +1,49 @@
+#include "jobs/state_line.h"
+
+#include <string>
+
+namespace plantainhead::jobs {
+namespace {
+
+std::string MillisOf(core::duration time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+std::string ToText(const std::vector<held_partition>& pools) {
+  std::string text;
+  for (const held_partition& pool : pools) {
+    text += text.empty() ? "" : " ";
+    text += std::to_string(pool.partition) + "@" + std::to_string(pool.epoch);
+    text += pool.is_active ? "" : "?";
+  }
+  return text;
+}
+
+}  // namespace
+
+observe::log_fields FormatState(const process_state& state) {
+  observe::log_fields fields = {
+      {"owns", ToText(state.pools)},
+      {"fleet", state.owns_fleet ? "yes" : "no"},
+      {"ready", state.is_ready ? "yes" : "no"},
+      {"configuration", std::to_string(state.configuration_version)}};
+  if (state.renewed_ago) {
+    fields.emplace_back("renewed_ms_ago", MillisOf(*state.renewed_ago));
+  }
+  if (state.job_copy_age) {
+    fields.emplace_back("job_copy_ms", MillisOf(*state.job_copy_age));
+  }
+  return fields;
+}
+
+bool state_pace::IsDue(core::time_point now, std::uint64_t lines) {
+  if (now - last_at_ < kStateInterval && lines - last_lines_ < kStateLines) {
+    return false;
+  }
+  last_at_ = now;
+  last_lines_ = lines;
+  return true;
+}
+
+}  // namespace plantainhead::jobs
