--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -1,6 +1,9 @@
 #ifndef PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
 #define PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
 
+#include <chrono>
+#include <cstdint>
+
 #include "plantainhead/core/names.h"
 #include "plantainhead/observe/logging.h"
 
@@ -9,6 +12,7 @@
 /// What a process of the job scheduler logs.
 enum class job_event {
   kProcessStarted,
+  kProcessState,
   kProcessStopping,
   kProcessStopped,
   kSettingsRead,
@@ -47,8 +51,9 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 37> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 38> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
+    {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
     {job_event::kProcessStopped, "process stopped"},
     {job_event::kSettingsRead, "settings read"},
@@ -90,16 +95,38 @@
   return kJobEventNames;
 }
 
-/// Lines of one kind of event that are written in a second at most. The rest is
-/// counted, and the count is written in the next second. 60 lines of 200 bytes
-/// of each kind stay well under the 10 KB/s that a node may write when quiet,
-/// and bound a storm to a few hundred lines a second.
-inline constexpr unsigned kMostLinesPerSecond = 60;
+/// How many lines of one kind of event are written at most in a window of time.
+/// The rest is counted, and the count is written in the next window.
+struct event_budget {
+  unsigned lines;
+  std::chrono::seconds window;
+
+  friend bool operator==(const event_budget&, const event_budget&) = default;
+};
+/// 60 lines of 200 bytes of each kind stay near the 10 KB/s that a node may
+/// write when quiet, and bound a storm to a few hundred lines a second.
+inline constexpr event_budget kLineBudget{60, std::chrono::seconds(1)};
+/// For events of tasks, of which one line stands for up to 40. A collector that
+/// keeps the last 55 KB of a log lost, at 60 such lines a second, those on
+/// ownership and readiness within 5 s. Half as many take 9 s, so that there is
+/// a line on the state of the process among them. A burst of 120 lines is
+/// written whole.
+inline constexpr event_budget kTaskBudget{120, std::chrono::seconds(4)};
+/// For reads without an answer: a process reads some 20 partitions, and while
+/// the store is away lines on them differ only in the partition.
+inline constexpr event_budget kReadBudget{20, std::chrono::seconds(4)};
+
+/// Thread safety: safe from any thread.
+event_budget BudgetOf(job_event event);
 
 /// Writes one line. Never waits for the reader of the log.
 /// Thread safety: one thread at a time.
 void LogEvent(job_event event, const observe::log_fields& fields);
 
+/// Returns how many lines the process has written.
+/// Thread safety: as `LogEvent`.
+std::uint64_t LinesWritten();
+
 }  // namespace plantainhead::jobs
 
 #endif  // PLANTAINHEAD_SRC_JOBS_EVENT_LOG_H_
