Add a failing test: the end of an unheard run passes for that of a newer one

Its heir drops the record of that VM at its first plan (LapseSilentVms, pool_runs.cc) and is replaced before it records what it learns. The third owner knows of neither, skips no run numbers (has_untold_vm_ stays false) and gives number 1 again. The old VM then tells the end of its run 1, TakeEnd (pool_reports.cc) takes it for the end of the newer run, and run 2 starts beside it.

Ruled out: a lost record of the claim (the claim names the end that was read), and a second order of the same owner (each start has one line in the logs).

--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -123,6 +123,67 @@
   CHECK(driver.Starts().size() == 1);
 }
 
+// An owner started run 1 of a task on vm-1 and recorded nothing of it. By the
+// time it is replaced, the VM's lease is over and the VM is silent. Its heir
+// drops the record of the VM; if the heir is replaced before it gives another
+// run, the next owner knows of neither VM nor run and gives number 1 again.
+// When vm-1 tells the end of the old run, that passes for the end of the new
+// one, and the task is started a second time while it runs.
+TEST_CASE(
+    "The end of a run that nobody has heard doesn't pass for a newer one") {
+  const task_name task{"job", 0, 0, 0};
+  takeover_bounds bounds = Bounds();
+  bounds.lapsed_at["vm-1"] = kClaimed;
+  const known_vm silent{"vm-1", "10.0.0.1:80"};
+
+  // Brings the silent VM back while the task's new run is on vm-2.
+  const auto bring_back = [&](scheduler_driver* driver, std::uint32_t run) {
+    driver->Pass(milliseconds(500));
+    driver->scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver->now);
+    driver->List("vm-2", {Running(task, run)}, {});
+    driver->List("vm-1", {}, {Ended(1, task, 1, end_kind::kLapsed)});
+    driver->Store();
+  };
+
+  scheduler_driver heir(bounds);
+  heir.scheduler.AddKnownVm(silent);
+  heir.Add(Job("job", {Step(1)}));
+
+  SECTION("under the heir that dropped the VM's record") {
+    heir.Starts();
+    heir.Bring({Vm("vm-2")});
+    const auto starts = heir.StartAll();
+    REQUIRE(starts.size() == 1);
+    bring_back(&heir, starts[0].target.run);
+    CHECK(heir.Starts().empty());
+  }
+
+  SECTION("under an owner that replaces the heir before it has started any") {
+    heir.Starts();
+    job_progress recorded;
+    bool is_vm_recorded = true;
+    for (const progress_batch& batch : heir.Store()) {
+      for (const auto& [id, progress] : batch.jobs) {
+        recorded = progress;
+      }
+      is_vm_recorded = is_vm_recorded && batch.dropped_vms.empty();
+    }
+
+    scheduler_driver next(bounds);
+    next.Add(Job("job", {Step(1)}));
+    next.scheduler.RestoreJob("job", recorded);
+    if (is_vm_recorded) {
+      next.scheduler.AddKnownVm(silent);
+    }
+    next.Starts();
+    next.Bring({Vm("vm-2")});
+    const auto starts = next.StartAll();
+    REQUIRE(starts.size() == 1);
+    bring_back(&next, starts[0].target.run);
+    CHECK(next.Starts().empty());
+  }
+}
+
 TEST_CASE("What an earlier owner recorded is kept") {
   scheduler_driver driver(Bounds());
   step_spec second = Step(1);
