Check in the pool model what callers are told of a job's phase

Cause: a job was recorded as running when its first task was only ordered, and so not counted as waiting. The pool model couldn't find it: it checked what VMs do (two runs, room, starts after an end) and that jobs complete, but never compared a recorded phase with what VMs took, and its orders were always carried out at last. Change: orders that are lost or that a VM refuses for want of room, in two sections of their own; in all sections, a record that says running or completed must come after some VM took a task of the job. The new faults draw no random number while they are off, so that old seeds bring about what they did.

--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -23,6 +23,10 @@
 struct model_faults {
   /// Share of orders that get no answer and are carried out 2 to 12 s later.
   double late_orders = 0.0;
+  /// Share of orders that get no answer and are never carried out.
+  double lost_orders = 0.0;
+  /// Share of orders to start that the VM refuses for want of room.
+  double refused_orders = 0.0;
   /// Share of calls whose answer is lost.
   double lost_answers = 0.0;
   /// Share of runs that fail.
@@ -130,6 +134,9 @@
   using owner_ptr = std::shared_ptr<owner>;
 
   double Chance() { return std::uniform_real_distribution<>(0, 1)(random_); }
+  // Draws nothing for a fault that is left out, so that a seed brings about the
+  // same without it.
+  bool Happens(double share) { return share > 0.0 && Chance() < share; }
   duration Between(duration least, duration most) {
     return duration(std::uniform_int_distribution<std::int64_t>(
         least.count(), most.count())(random_));
@@ -228,13 +235,17 @@
     return Between(std::chrono::milliseconds(1), std::chrono::milliseconds(30));
   }
 
-  // Carries a call to the VM and its answer back. `at_vm` runs there; `answer`
-  // runs at the owner if an answer comes, `unanswered` after the timeout if
-  // not.
+  // Carries a call to the VM and its answer back. `at_vm` runs there, and what
+  // it returns at the owner if an answer comes; `unanswered` runs after the
+  // timeout if not.
   void Call(const vm_id& id,
             bool is_order,
             const std::function<std::function<void()>(vm*)>& at_vm,
             const std::function<void()>& unanswered) {
+    if (is_order && Happens(faults_.lost_orders)) {
+      Later(kAnswerTimeout, unanswered);
+      return;
+    }
     const bool is_late = is_order && Chance() < faults_.late_orders;
     const bool is_lost = is_late || Chance() < faults_.lost_answers;
     const duration delay =
@@ -287,6 +298,7 @@
 
   void Record(const progress_batch& batch) {
     for (const auto& [id, progress] : batch.jobs) {
+      CheckRecord(id, progress);
       if (IsFinal(progress.phase) && ended_at.count(id) == 0) {
         ended_at[id] = now;
       }
@@ -300,6 +312,16 @@
     }
   }
 
+  // Callers are told the recorded phase, and jobs that are recorded as queued
+  // are counted as waiting.
+  void CheckRecord(const job_id& id, const job_progress& progress) {
+    const bool is_said_to_have_begun = progress.phase == job_phase::kRunning ||
+                                       progress.phase == job_phase::kCompleted;
+    if (is_said_to_have_begun && taken_.count(id) == 0) {
+      violations.push_back("said to have begun, and no VM took a task: " + id);
+    }
+  }
+
   bool Fence(vm* machine, const owner_ptr& worker) {
     if (worker->epoch < machine->fence) {
       return false;
@@ -396,6 +418,10 @@
       return start_result::kLate;
     }
     Extend(machine, order.lease_until);
+    if (Happens(faults_.refused_orders)) {
+      return start_result::kNoRoom;
+    }
+    taken_.insert(task.job);
     machine->highest[task] = order.target.run;
     vm_run started;
     started.run = order.target.run;
@@ -498,6 +524,8 @@
   std::map<job_id, job_progress> records_;
   std::map<vm_id, std::string> used_;
   std::set<task_name> acked_done_;
+  /// Jobs of which some VM took a task.
+  std::set<job_id> taken_;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/tests/core/jobs/pool_model_test.cc
+++ b/tests/core/jobs/pool_model_test.cc
@@ -72,6 +72,19 @@
     }));
   }
 
+  // A caller asked how many jobs wait and was told 0: the first tasks of all
+  // of them had been ordered, and no VM had taken one. Each record that says
+  // that a job runs is checked against what VMs took.
+  SECTION("orders that are lost or refused") {
+    model_faults faults;
+    faults.lost_orders = 0.2;
+    faults.refused_orders = 0.3;
+    CHECK(rc::check([&] {
+      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
+    }));
+  }
+
   SECTION("VMs that fall silent or crash") {
     model_faults faults;
     faults.silence_every = seconds(2);
@@ -97,6 +110,16 @@
       RC_ASSERT(Play(seed, AllFaults()) == std::vector<std::string>());
     }));
   }
+
+  SECTION("all of it together, with orders that are lost or refused") {
+    model_faults faults = AllFaults();
+    faults.lost_orders = 0.05;
+    faults.refused_orders = 0.1;
+    CHECK(rc::check([&] {
+      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
+    }));
+  }
 }
 
 // Seeds that failed once.
