Soak connections that fall silent while owners change, and check promises with a bound

Cause: a process that became an owner went on with a silent long poll, counts of waiting jobs were told from old copies, and jobs that no VM had taken counted as running. The soak couldn't find them. It reset all connections at the end of each silence, which freed the reads that hung; faults came without a pause, so that no bound ever applied, and jobs had 60 s to complete; nobody cancelled a job or asked how many wait; no VM refused an order; and callers asked for each open job all the time, at processes that read the store anew for a job they don't know, which showed them what silent reads kept from them. Change: episodes (--silences N) of quiet, so that reads wait; connections that were open fall silent for good while new ones work; partitions are dealt anew for no reason, or since a process is killed or stopped for 3 s; and 11 s of calm with jobs, cancellations and counts at every process. timed_promises checks from what callers and VMs see, leaving out all within 3 s of a disturbance: no start 3 s after a cancellation's acknowledgement and no task 0.2 s later, a start within 3 s where there is room, and no count under half of the jobs that have waited for 5 s. What both kinds of run share has moved from soak.cc to soak_site. The fakes: a VM may refuse starts and run tasks that last; the store may deal partitions anew for no reason.

--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -228,8 +228,13 @@
   for (auto& [member, partitions] : members_) {
     partitions.clear();
   }
-  auto next = members_.begin();
-  for (std::uint32_t i = 0; i < kPartitions && !members_.empty(); ++i) {
+  if (members_.empty()) {
+    return;
+  }
+  auto next =
+      std::next(members_.begin(),
+                static_cast<std::ptrdiff_t>(first_member_ % members_.size()));
+  for (std::uint32_t i = 0; i < kPartitions; ++i) {
     if (next == members_.end()) {
       next = members_.begin();
     }
@@ -238,6 +243,11 @@
   }
 }
 
+void site_store::DealAnew() {
+  ++first_member_;
+  Deal();
+}
+
 void site_store::Join(const std::string& body, const net::responder& respond) {
   const json call = json::parse(body);
   const std::string member = call["member"].get<std::string>();
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -55,6 +55,8 @@
   void ExpireSilent();
   /// Ends a member at once, as its time to live does.
   void Expire(const std::string& member);
+  /// Deals all partitions to other members, for no reason that they see.
+  void DealAnew();
   std::set<std::string> Members() const;
   /// Returns how many reads of the topic wait for a record.
   std::size_t WaitingReads(const std::string& topic) const;
@@ -109,6 +111,8 @@
   std::map<std::string, std::set<std::uint32_t>> members_;
   std::map<std::string, std::chrono::steady_clock::time_point> live_until_;
   std::uint64_t generation_ = 0;
+  /// The first partition goes to the member at this place.
+  std::size_t first_member_ = 0;
 };
 
 }  // namespace plantainhead::fakes
--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -145,19 +145,30 @@
     return;
   }
   ExtendLease(deadline);
+  if (refuses_starts) {
+    respond(Answer(409, {{"reason", "room"}}));
+    return;
+  }
   highest_[task] = number;
   ++starts_[task];
   Tell(vm_event::kStarted, task, number);
-  running_[task] = {number, steady_clock::now() + task_time_};
+  const bool is_lasting = body.value("spec", "") == kLastingPayload;
+  running_[task] = {number, steady_clock::now() + task_time_, is_lasting};
+  if (!is_lasting) {
+    EndLater(task, number);
+  }
+  if (!loses_start_answers) {
+    respond(Answer(200, json::object()));
+  }
+}
+
+void site_vm::EndLater(const std::string& task, std::uint32_t number) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
   timer->expires_after(task_time_);
   timer->async_wait(
       [this, task, number, timer](const boost::system::error_code& /*error*/) {
         EndTask(task, number, "done");
       });
-  if (!loses_start_answers) {
-    respond(Answer(200, json::object()));
-  }
 }
 
 void site_vm::EndTask(const std::string& task,
@@ -180,7 +191,8 @@
 std::string site_vm::Listing() const {
   json running = json::array();
   for (const auto& [task, held] : running_) {
-    running.push_back(json::array({task, held.number, "", 50, 100}));
+    const int percent = held.is_lasting ? 100 : 50;
+    running.push_back(json::array({task, held.number, "", percent, 100}));
   }
   json finished = json::array();
   for (const ended& end : ended_) {
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -18,8 +18,12 @@
 /// What happens to a run on a VM.
 enum class vm_event { kStarted, kDone, kStopped, kLapsed, kAcknowledged };
 
+/// The payload of jobs whose tasks run until they are stopped.
+inline constexpr const char* kLastingPayload = "lasts";
+
 /// Stands in for one life of a VM that runs tasks under a lease: start, stop,
-/// hold and pace. Each task takes the same time. Counts what must not happen.
+/// hold and pace. Each task takes the same time, but those that last. Counts
+/// what must not happen.
 /// Not thread-safe.
 class site_vm {
  public:
@@ -41,6 +45,8 @@
 
   /// Orders to start are carried out and not answered.
   bool loses_start_answers = false;
+  /// Orders to start are refused for want of room.
+  bool refuses_starts = false;
   /// Orders to start are carried out this much later, and then not answered.
   std::chrono::milliseconds start_delay{0};
   /// Is told what happens. Only ends as done are told to be acknowledged.
@@ -51,6 +57,7 @@
   struct run {
     std::uint32_t number = 0;
     std::chrono::steady_clock::time_point ends_at;
+    bool is_lasting = false;
   };
 
   void Handle(const net::server_request& request,
@@ -61,6 +68,7 @@
   void ExtendLease(std::int64_t deadline_ms);
   void AwaitLapse();
   void Hold(const std::string& body, const net::responder& respond);
+  void EndLater(const std::string& task, std::uint32_t number);
   void EndTask(const std::string& task, std::uint32_t number, const char* how);
   std::string Listing() const;
   void WakeHolds();
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -51,6 +51,12 @@
         });
   }
 
+  void SilenceOpen() {
+    for (const auto& one : pairs_) {
+      one->is_silent = true;
+    }
+  }
+
   void ResetAll() {
     const auto open = std::move(pairs_);
     pairs_.clear();
@@ -72,6 +78,7 @@
     tcp::socket caller;
     tcp::socket server;
     std::array<std::array<char, 16384>, 2> buffers{};
+    bool is_silent = false;
   };
   using pair_ptr = std::shared_ptr<pair>;
 
@@ -100,7 +107,7 @@
   }
 
   void Pass(const pair_ptr& one, bool is_request, std::size_t size) {
-    const bool is_lost = fault_ == link_fault::kSilent ||
+    const bool is_lost = one->is_silent || fault_ == link_fault::kSilent ||
                          (fault_ == link_fault::kLosesAnswers && !is_request);
     if (is_lost) {
       // The connection stays silent for good: bytes of it are missing.
@@ -153,6 +160,10 @@
   impl_->Close();
 }
 
+void fault_proxy::SilenceOpen() {
+  impl_->SilenceOpen();
+}
+
 void fault_proxy::ResetAll() {
   impl_->ResetAll();
 }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -32,6 +32,9 @@
 
   std::string address() const;
   void SetFault(link_fault fault, std::chrono::milliseconds delay = {});
+  /// Lets the connections that are open fall silent for good: nothing passes,
+  /// nobody is told, and later connections are as good as ever.
+  void SilenceOpen();
   /// Resets the connections that are open.
   void ResetAll();
   /// Takes no connection any more.
--- a/soak/run_ledger.cc
+++ b/soak/run_ledger.cc
@@ -21,6 +21,10 @@
   }
 }
 
+void run_ledger::NoteCancelSent(const std::string& job) {
+  jobs_[job].is_cancel_sent = true;
+}
+
 void run_ledger::NoteCompleted(const std::string& job) {
   job_note& note = jobs_[job];
   if (note.done.size() < note.tasks) {
@@ -86,7 +90,8 @@
 std::set<std::string> run_ledger::OpenJobs() const {
   std::set<std::string> open;
   for (const auto& [id, job] : jobs_) {
-    if (job.answer == job_answer::kAccepted && !job.is_completed) {
+    if (job.answer == job_answer::kAccepted && !job.is_completed &&
+        !job.is_cancel_sent) {
       open.insert(id);
     }
   }
--- a/soak/run_ledger.h
+++ b/soak/run_ledger.h
@@ -21,6 +21,8 @@
   /// A caller sends the job; it has this many tasks in all.
   void NoteSubmission(const std::string& job, std::size_t tasks);
   void NoteAnswer(const std::string& job, job_answer answer);
+  /// A caller sends its cancellation, so that it needn't complete.
+  void NoteCancelSent(const std::string& job);
   /// A process says that the job is completed.
   void NoteCompleted(const std::string& job);
   /// A process says that there is no such job.
@@ -43,6 +45,7 @@
     std::size_t tasks = 0;
     job_answer answer = job_answer::kUnknown;
     bool is_completed = false;
+    bool is_cancel_sent = false;
     bool has_started = false;
     std::set<std::string> done;
   };
--- /dev/null
+++ b/soak/soak_site.cc
@@ -0,0 +1,112 @@
+#include "soak_site.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+namespace plantainhead::soak {
+namespace {
+
+constexpr std::chrono::milliseconds kTaskTime(300);
+constexpr std::chrono::seconds kIdleLimit(20);
+constexpr std::size_t kMostCalls = 32;
+constexpr std::size_t kIdLength = 16;
+
+}  // namespace
+
+soak_site::soak_site(const soak_options& chosen,
+                     const std::string& configuration,
+                     run_handler on_run)
+    : store(&context), on_run_(std::move(on_run)), random_(chosen.seed) {
+  store.Put("keyed.op", "config", configuration);
+  const std::string address = NextAddress();
+  store_server_ = std::make_unique<net::http_server>(
+      &context, address, net::http_server_options(),
+      [this](const net::server_request& request,
+             const net::responder& respond) {
+        store.Handle(request, respond);
+      });
+  for (int i = 0; i < chosen.processes; ++i) {
+    soak_process one;
+    one.store = std::make_unique<fault_proxy>(&context, address);
+    one.process = std::make_unique<scheduler_process>(
+        chosen.scheduler, chosen.directory, "s" + std::to_string(i),
+        one.store->address());
+    one.caller = std::make_unique<net::http_client>(
+        &context, one.process->callers(),
+        net::http_client_options{kMostCalls, kIdleLimit});
+    processes.push_back(std::move(one));
+  }
+}
+
+int soak_site::Draw(int least, int most) {
+  return std::uniform_int_distribution<int>(least, most)(random_);
+}
+
+void soak_site::After(std::chrono::milliseconds time,
+                      std::function<void()> action) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(context);
+  timer->expires_after(time);
+  timer->async_wait(
+      [timer, action = std::move(action)](
+          const boost::system::error_code& /*error*/) { action(); });
+}
+
+void soak_site::Every(std::chrono::milliseconds gap,
+                      const std::function<void()>& action) {
+  After(gap, [this, gap, action] {
+    action();
+    Every(gap, action);
+  });
+}
+
+std::string soak_site::AddVm(const std::string& pool) {
+  const std::string id = "vm-" + std::to_string(++last_vm_);
+  const std::string address = NextAddress();
+  soak_vm& one = vms[id];
+  one.vm = std::make_unique<fakes::site_vm>(&context, id, address, kTaskTime);
+  one.vm->on_event = [this, id](fakes::vm_event event, const std::string& task,
+                                std::uint32_t run) {
+    on_run_(id, event, task, run);
+  };
+  one.proxy = std::make_unique<fault_proxy>(&context, address);
+  store.Put("keyed.servers", id,
+            one.vm->RegistryValue(pool, one.proxy->address()));
+  return id;
+}
+
+std::vector<std::string> soak_site::Tend() {
+  std::vector<std::string> ends;
+  store.ExpireSilent();
+  for (soak_process& one : processes) {
+    if (const auto end = one.process->Reap()) {
+      ends.push_back(*end);
+    }
+    if (!one.process->is_running() && !one.is_down) {
+      one.process->Start();
+    }
+  }
+  return ends;
+}
+
+soak_process& soak_site::AnyProcess() {
+  return processes[static_cast<std::size_t>(
+      Draw(0, static_cast<int>(processes.size()) - 1))];
+}
+
+net::client_request CallerRequest(net::method verb,
+                                  const std::string& queue,
+                                  const std::string& id) {
+  net::client_request request;
+  request.verb = verb;
+  request.target = "/" + queue + "/" + id;
+  request.headers.emplace_back("Host", "a.example");
+  return request;
+}
+
+std::string JobIdOf(int number) {
+  std::string id = std::to_string(number);
+  id.insert(0, kIdLength - id.size(), '0');
+  return id;
+}
+
+}  // namespace plantainhead::soak
