Add a failing test: a job that is read after a VM has told of it starts a second time

The new owner's after-claim read was done at 38.23; the owner before read the job that was accepted at 38.18 and started it on vm-3 at 38.185; vm-3 listed that run to the new owner as one of an unknown job; the job was read at 39.680 and started on vm-4 at 39.685, before vm-3's next listing. The same holds for an end that a VM has told and that waits for its job's record. The silent read made the time long (1.5 s); a read that takes longer than a listing is enough. Fails: core 'A job that is read after a VM has told of it isn't started again', in the sections of a run and of an end.

--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -107,6 +107,50 @@
 
 // The run of a job that ended under the earlier owner is still on a VM. How
 // much room it takes isn't known here; a start beside it could exceed the VM.
+// Two runs of a task were seen at once. The owner before had read a job that
+// was accepted during the takeover, and started it before the VM heard of the
+// new owner. A read of the new one was slow, so that the VM listed the run
+// first, of a job that wasn't known, and the job was read later. It was started
+// elsewhere before the VM's next listing.
+TEST_CASE("A job that is read after a VM has told of it isn't started again") {
+  scheduler_driver driver(Bounds());
+  driver.now = kClaimed;
+  driver.Bring({Vm("vm-1"), Vm("vm-2")});
+  const task_name task{"job", 0, 0, 0};
+
+  SECTION("when the VM has told that its task runs") {
+    driver.List("vm-1", {Running(task, 1)}, {});
+    driver.Pass(milliseconds(1500));
+    driver.Add(Job("job", {Step(1)}));
+    CHECK(driver.Starts().empty());
+    CHECK(driver.stops.empty());
+
+    SECTION("and when that run is over, the next one has a higher number") {
+      driver.List("vm-1", {}, {Ended(1, task, 1, end_kind::kLapsed)});
+      const auto starts = driver.Starts();
+      REQUIRE(starts.size() == 1);
+      CHECK(starts[0].target.run == 2);
+    }
+  }
+
+  SECTION("when the VM has told that its task ended") {
+    driver.List("vm-1", {}, {Ended(1, task, 1, end_kind::kDone)});
+    driver.Pass(milliseconds(1500));
+    driver.Add(Job("job", {Step(1)}));
+    CHECK(driver.Starts().empty());
+    driver.List("vm-1", {}, {Ended(1, task, 1, end_kind::kDone)});
+    CHECK(driver.Starts().empty());
+    CHECK(driver.Store().back().jobs.back().second.phase ==
+          job_phase::kCompleted);
+  }
+
+  SECTION("a job of which no VM has told starts at once") {
+    driver.List("vm-1", {Running({"other", 0, 0, 0}, 1)}, {});
+    driver.Add(Job("job", {Step(1)}));
+    CHECK(driver.Starts().size() == 1);
+  }
+}
+
 TEST_CASE("A run of an ended job closes its VM until it is gone") {
   scheduler_driver driver(Bounds());
   driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
