Don't start a job again of which a VM has told before it was read

Cause: AddJob left runs that VMs had told of as runs of an unknown job until their next listing, and ends until the next listing took them in. A plan in between started the tasks a second time. It needs a takeover in which the owner before starts a job that the new one reads after the VM's listing. Ruled out: the fence (the VM hadn't heard of the new owner when it took the first run) and the reads after the claim (the job was stored after them). Change: adding a job takes over at once the runs of it that VMs have told of; a job with an end that a VM has told and that isn't taken in waits for that VM's next listing, or for the end of its lease. Test: core 'A job that is read after a VM has told of it isn't started again' failed and passes; core_tests pass (180 cases).

--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -91,14 +91,25 @@
   has_untold_vm_ = false;
 }
 
+// A VM may have told of a task's end before the job was read. Its next listing
+// tells it again; a start before that would run a task that is done.
+std::set<job_id> pool_scheduler::impl::JobsWithUntakenEnds() const {
+  std::set<job_id> jobs;
+  for (const auto& [id, vm] : vms_) {
+    jobs.insert(vm.untaken_ends.begin(), vm.untaken_ends.end());
+  }
+  return jobs;
+}
+
 std::vector<pool_scheduler::impl::candidate> pool_scheduler::impl::Candidates(
     time_point now) {
   const bool is_recovered = IsRecovered(now);
+  const std::set<job_id> with_untaken_ends = JobsWithUntakenEnds();
   std::vector<candidate> candidates;
   for (const auto& [id, job] : jobs_.open()) {
     const bool may_be_running =
         !is_recovered && job->arrived_at() < takeover_.fresh_from;
-    if (may_be_running) {
+    if (may_be_running || with_untaken_ends.count(id) != 0) {
       continue;
     }
     std::uint32_t waiting = 0;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -62,9 +62,12 @@
   for (const running_task& row : listing.running) {
     TakeRunning(vm, row, now);
   }
+  vm->untaken_ends.clear();
   for (const ended_task& end : listing.ended) {
-    if (end.number > vm->taken_through && !TakeEnd(vm, end, now)) {
-      break;
+    const bool is_held_back = !vm->untaken_ends.empty();
+    if (end.number > vm->taken_through &&
+        (is_held_back || !TakeEnd(vm, end, now))) {
+      vm->untaken_ends.insert(end.task.job);
     }
   }
   CheckAbsent(vm, sent_at, listing, now);
@@ -136,6 +139,25 @@
   }
 }
 
+// An earlier owner may have read the job sooner and started it, and the VM may
+// have told of that before this owner read it. If the task waited for the VM's
+// next listing to be taken over, the plan before that would start it a second
+// time. Runs of which no VM has told yet are another matter: see `IsRecovered`.
+void pool_scheduler::impl::AdoptRunsOf(const job_id& id, time_point now) {
+  for (auto& [vm_id, vm] : vms_) {
+    std::vector<running_task> told;
+    for (const auto& [task, run] : vm.runs()) {
+      if (run.IsForeign() && task.job == id) {
+        told.push_back({task, run.run, "", run.percent, run.reading});
+      }
+    }
+    for (const running_task& row : told) {
+      vm.Erase(row.task);
+      Adopt(&vm, row, now);
+    }
+  }
+}
+
 // `job` may be null: one that isn't known.
 void pool_scheduler::impl::NoteBegun(job_state* job) {
   if (job != nullptr && job->MarkBegun()) {
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -38,6 +38,7 @@
 // claimed the partition before, so that the store refuses the record of these
 // ends; they start again only after it is stored.
 void pool_scheduler::impl::EndUnheardRuns(vm_state* vm) {
+  vm->untaken_ends.clear();
   std::vector<task_name> tasks;
   for (const auto& [task, run] : vm->runs()) {
     tasks.push_back(task);
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -19,6 +19,9 @@
   if (job != nullptr && !impl_->has_list()) {
     job->MarkInherited();
   }
+  if (job != nullptr) {
+    impl_->AdoptRunsOf(job->spec().id, now);
+  }
 }
 
 void pool_scheduler::AddEndedJob(const job_id& id) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -56,6 +56,8 @@
   std::vector<vm_order> Plan(time_point now, time_point wall_now);
   std::optional<progress_batch> TakeBatch();
   void NoteStored(const progress_batch& batch);
+  /// Takes over the runs of a job that VMs have told of before it was known.
+  void AdoptRunsOf(const job_id& id, time_point now);
   /// Wants a stop of every run of the job.
   void StopRunsOf(const job_id& id);
 
@@ -102,6 +104,7 @@
   void FindTakers(time_point now);
   bool IsRecovered(time_point now);
   void SkipUntoldRuns();
+  std::set<job_id> JobsWithUntakenEnds() const;
   std::vector<candidate> Candidates(time_point now);
   void PlaceJob(job_state* job, time_point now, std::vector<vm_order>* orders);
   void PlaceStep(job_state* job,
