Decide in a pure module which VMs an owner closes and tells of

The way of a VM from being closed to being told to the fleet's owner was five sets in pool_owner::impl, without a test; that a vacancy is stored before its hint had none. Change: core/jobs/vacancy_keeper holds the sets; pool_owner_fleet.cc encodes, sends and logs. Behaviour alike but for one field: the line 'vm vacated' tells the reason that the fleet's owner is told, where it told whether the pool had given the VM away first.

--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -15,6 +15,7 @@
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
 #include "plantainhead/core/jobs/pool_sizer.h"
+#include "plantainhead/core/jobs/vacancy_keeper.h"
 #include "platform/store_client.h"
 
 namespace plantainhead::jobs {
@@ -42,9 +43,7 @@
   core::jobs::arrival_settings arrivals;
   /// Least time between two records of how many VMs a pool wants.
   std::chrono::milliseconds wanted_gap = std::chrono::milliseconds(150);
-  /// How long after a vacant VM's end its record is kept. The registry misses
-  /// VMs for some seconds after the store was away.
-  std::chrono::milliseconds vacancy_memory = std::chrono::seconds(20);
+  core::jobs::vacancy_keeper_settings vacancies;
   /// Pause before a takeover that failed is tried again.
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(150);
   /// Time to live of a member, within which an owner that can't renew it works
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -9,6 +9,7 @@
 
 namespace plantainhead::jobs {
 
+using core::jobs::vacancy_reason;
 using core::jobs::vm_id;
 
 void pool_owner::impl::OnFleetRecords() {
@@ -28,15 +29,9 @@
   return closed;
 }
 
-// A vacant VM is moved or serviced at any moment. A task that started there,
-// after a change of owner or before this VM was known here, would be ended by
-// that. So it is never opened again.
 void pool_owner::impl::CloseVms() {
-  std::set<vm_id> closed = ClosedForService();
-  for (const auto* more :
-       {&released_, &found_vacant_, &recording_vacant_, &vacant_}) {
-    closed.insert(more->begin(), more->end());
-  }
+  vacancies_.UpdateForService(ClosedForService());
+  const std::set<vm_id> closed = vacancies_.Closed();
   for (const core::jobs::vm_description& vm : scheduler_->Vms()) {
     if (closed.count(vm.id) != 0) {
       scheduler_->CloseVm(vm.id, BootTime());
@@ -69,12 +64,13 @@
         size->second.sizer.Update(load, IsScarce(pool.id), now);
     TellWanted(pool.id, &size->second, load, wanted, now);
     const bool is_known = now - size->second.since > settings_.sizer.memory;
-    if (is_known && load.usable_vms > wanted) {
-      for (const vm_id& vm :
-           scheduler_->LeastUsed(pool.id, load.usable_vms - wanted)) {
-        scheduler_->CloseVm(vm, now);
-        released_.insert(vm);
-      }
+    const bool is_resized =
+        is_known &&
+        vacancies_.Resize(pool.id, load, wanted, [&](std::uint32_t count) {
+          return scheduler_->LeastUsed(pool.id, count);
+        });
+    if (is_resized) {
+      CloseVms();
     }
   }
 }
@@ -107,19 +103,15 @@
   fleet_outbox_.Put(EncodeWantedVms(pool, wanted));
 }
 
+bool pool_owner::impl::IsLinked(const vm_id& vm) const {
+  return links_.count(vm) != 0;
+}
+
 void pool_owner::impl::FindVacantVms() {
-  std::set<vm_id> closing = ClosedForService();
-  for (auto it = released_.begin(); it != released_.end();) {
-    closing.insert(*it);
-    it = links_.count(*it) == 0 ? released_.erase(it) : std::next(it);
-  }
-  bool is_found = false;
-  for (const vm_id& vm : closing) {
-    const bool is_new = vacant_.count(vm) == 0 &&
-                        recording_vacant_.count(vm) == 0 &&
-                        scheduler_->IsEmpty(vm);
-    is_found = (is_new && found_vacant_.insert(vm).second) || is_found;
-  }
+  vacancies_.UpdateForService(ClosedForService());
+  const bool is_found = vacancies_.FindVacant(
+      [this](const vm_id& vm) { return IsLinked(vm); },
+      [this](const vm_id& vm) { return scheduler_->IsEmpty(vm); });
   if (is_found) {
     Kick();
   }
@@ -128,59 +120,37 @@
 // Returns records of the VMs that were found vacant, and drops those of VMs
 // whose lives have been over for a while.
 std::vector<adapter::keyed_record> pool_owner::impl::TakeVacancyRecords() {
+  const core::jobs::vacancy_batch batch = vacancies_.TakeBatch(
+      [this](const vm_id& vm) {
+        return IsLinked(vm) || deps_.world->registry().count(vm) != 0;
+      },
+      BootTime());
   std::vector<adapter::keyed_record> records;
-  for (const vm_id& vm : found_vacant_) {
+  for (const vm_id& vm : batch.vacant) {
     records.push_back(Encode(vacancy_record{vm, false}));
   }
-  recording_vacant_ = std::move(found_vacant_);
-  found_vacant_.clear();
-  const core::time_point now = BootTime();
-  for (auto it = vacant_.begin(); it != vacant_.end();) {
-    const vm_id vm = *it;
-    ++it;
-    const bool is_gone =
-        links_.count(vm) == 0 && deps_.world->registry().count(vm) == 0;
-    if (!is_gone) {
-      gone_.erase(vm);
-      continue;
-    }
-    const core::time_point since = gone_.try_emplace(vm, now).first->second;
-    if (now - since > settings_.vacancy_memory) {
-      records.push_back(Encode(vacancy_record{vm, true}));
-      vacant_.erase(vm);
-      gone_.erase(vm);
-    }
+  for (const vm_id& vm : batch.dropped) {
+    records.push_back(Encode(vacancy_record{vm, true}));
   }
   return records;
 }
 
 void pool_owner::impl::NoteVacanciesStored() {
-  for (const vm_id& vm : recording_vacant_) {
+  for (const core::jobs::vacant_vm& vacant : vacancies_.NoteStored()) {
+    const bool is_offered = vacant.reason == vacancy_reason::kOffered;
     LogEvent(job_event::kVmVacated,
-             {{"vm", vm},
+             {{"vm", vacant.vm},
               {"partition", std::to_string(partition_)},
-              {"reason", released_.count(vm) != 0 ? "not needed" : "service"}});
+              {"reason", is_offered ? "not needed" : "service"}});
   }
-  vacant_.insert(recording_vacant_.begin(), recording_vacant_.end());
-  recording_vacant_.clear();
 }
 
-// Tells the owner of the fleet which VMs are vacant. An earlier owner may have
-// recorded some without telling.
+// Tells the owner of the fleet which VMs are vacant.
 void pool_owner::impl::TellVacantVms() {
-  using core::jobs::vacancy_reason;
-  if (vacant_.empty()) {
-    return;
-  }
-  const std::set<vm_id> for_service = ClosedForService();
-  for (const vm_id& vm : vacant_) {
-    const auto reason = for_service.count(vm) != 0 ? vacancy_reason::kForService
-                                                   : vacancy_reason::kOffered;
-    if (links_.count(vm) == 0 || !told_.emplace(vm, reason).second) {
-      continue;
-    }
-    fleet_outbox_.Put(
-        Encode(core::jobs::vacancy_hint{vm, reason, partition_, epoch_}));
+  for (const core::jobs::vacant_vm& vacant :
+       vacancies_.TakeHints([this](const vm_id& vm) { return IsLinked(vm); })) {
+    fleet_outbox_.Put(Encode(core::jobs::vacancy_hint{vacant.vm, vacant.reason,
+                                                      partition_, epoch_}));
   }
 }
 
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -38,7 +38,8 @@
         tick_timer_(*deps_.context),
         plan_timer_(*deps_.context),
         claim_timer_(*deps_.context),
-        fleet_outbox_(deps_.context, deps_.store, {kFleetTopic, 0}, {}) {}
+        fleet_outbox_(deps_.context, deps_.store, {kFleetTopic, 0}, {}),
+        vacancies_(settings.vacancies) {}
   void Start(std::uint64_t generation);
   void Close();
   // The record of the end lets the next owner begin without waiting for this
@@ -116,6 +117,7 @@
                   std::uint32_t count,
                   core::time_point now);
   std::set<core::jobs::vm_id> ClosedForService() const;
+  bool IsLinked(const core::jobs::vm_id& vm) const;
   void FindVacantVms();
   std::vector<adapter::keyed_record> TakeVacancyRecords();
   void NoteVacanciesStored();
@@ -147,16 +149,7 @@
   core::time_point release_until_;
   std::map<core::jobs::vm_id, std::shared_ptr<vm_link>> links_;
   std::map<core::jobs::pool_id, pool_size> sizes_;
-  /// VMs that are emptied to be given away.
-  std::set<core::jobs::vm_id> released_;
-  /// VMs that are empty, in the order of what happens with each: found so,
-  /// being recorded, recorded, and told to the fleet's owner.
-  std::set<core::jobs::vm_id> found_vacant_;
-  std::set<core::jobs::vm_id> recording_vacant_;
-  std::set<core::jobs::vm_id> vacant_;
-  std::set<std::pair<core::jobs::vm_id, core::jobs::vacancy_reason>> told_;
-  /// Vacant VMs whose lives seem to be over, and since when.
-  std::map<core::jobs::vm_id, core::time_point> gone_;
+  core::jobs::vacancy_keeper vacancies_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -241,7 +241,7 @@
   for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
     scheduler_->AddKnownVm({id, address});
   }
-  vacant_ = deps_.world->VacantVms(partition_);
+  vacancies_.Restore(deps_.world->VacantVms(partition_));
   OnRegistry();
   OnFleetRecords();
   deps_.meters->NoteTakeover(BootTime() - dealt_at_);
