Add a failing test: a pool that lacks VMs doesn't take back what it gives away

What the caller sees: lasting tasks wait although VMs of their pool have room. A VM that is being emptied to be given away stays closed when the demand returns.

--- a/tests/core/jobs/vacancy_keeper_test.cc
+++ b/tests/core/jobs/vacancy_keeper_test.cc
@@ -138,5 +138,73 @@
   }
 }
 
+// A pool gives a VM away while its queue is calm, and the VM still runs a task.
+// Then the queue's turn begins: lasting tasks of the pool have to wait,
+// although there is room for them on that VM. The owner of the fleet hasn't
+// been told of it, takes it for a VM that the pool uses, and sends no other
+// one.
+TEST_CASE_METHOD(vacancy_fixture,
+                 "A pool that lacks VMs takes back what it gives away") {
+  GiveAway("vm-1");
+
+  SECTION("not while it has as many as it wants") {
+    CHECK_FALSE(Resize(kWanted));
+    CHECK(IsClosed("vm-1"));
+  }
+
+  SECTION("while a task still runs there") {
+    CHECK_FALSE(FindVacant());
+    CHECK(Resize(kWanted - 1));
+    CHECK_FALSE(IsClosed("vm-1"));
+
+    SECTION("so that it isn't recorded as vacant when the task has ended") {
+      empty_ = {"vm-1"};
+      CHECK_FALSE(FindVacant());
+      CHECK(TakeBatch().vacant.empty());
+    }
+  }
+
+  SECTION("when it is empty and its record wasn't asked for yet") {
+    empty_ = {"vm-1"};
+    CHECK(FindVacant());
+    CHECK(Resize(kWanted - 1));
+    CHECK_FALSE(IsClosed("vm-1"));
+    CHECK(TakeBatch().vacant.empty());
+  }
+
+  SECTION("no more than it lacks, the last one first") {
+    GiveAway("vm-2");
+    CHECK(Resize(kWanted - 1));
+    CHECK(IsClosed("vm-1"));
+    CHECK_FALSE(IsClosed("vm-2"));
+  }
+
+  SECTION("not what is closed for service as well") {
+    keeper_.UpdateForService({"vm-1"});
+    Resize(kWanted - 1);
+    CHECK(IsClosed("vm-1"));
+  }
+
+  SECTION("not those of another pool") {
+    CHECK_FALSE(
+        keeper_.Resize("other", Load(kWanted - 1), kWanted,
+                       [](std::uint32_t) { return std::vector<vm_id>(); }));
+    CHECK(IsClosed("vm-1"));
+  }
+
+  // From the moment that the store may have the record, the owner of the fleet
+  // may read it and order the move.
+  SECTION("never once the record may be stored") {
+    empty_ = {"vm-1"};
+    CHECK(FindVacant());
+    CHECK(TakeBatch().vacant == std::vector<vm_id>{"vm-1"});
+    CHECK_FALSE(Resize(kWanted - 1));
+    CHECK(IsClosed("vm-1"));
+    keeper_.NoteStored();
+    CHECK_FALSE(Resize(kWanted - 1));
+    CHECK(IsClosed("vm-1"));
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
