Take back VMs that are being given away when their pool lacks VMs

Cause: an owner closes a VM that its pool can do without, and gives it away once it is empty. When the demand returned before that, the VM stayed closed: its pool was a VM short, with room on it, and the fleet's owner, which isn't told of it yet, counted it as used and sent no other one. Ruled out: taking back a VM whose record was asked for. The fleet's owner may have read it, and would move the VM with what has started there.

--- a/include/plantainhead/core/jobs/vacancy_keeper.h
+++ b/include/plantainhead/core/jobs/vacancy_keeper.h
@@ -57,8 +57,9 @@
   void Restore(std::set<vm_id> recorded) { vacant_ = std::move(recorded); }
   /// Replaces the VMs that are to be emptied for the service of their hosts.
   void UpdateForService(std::set<vm_id> vms) { for_service_ = std::move(vms); }
-  /// Closes what the pool can do without; `wanted` is how many VMs it should
-  /// have. Returns whether other VMs are closed than before.
+  /// Closes what the pool can do without, or takes back what it lacks; `wanted`
+  /// is how many VMs it should have. Returns whether other VMs are closed than
+  /// before.
   bool Resize(const pool_id& pool,
               const pool_load& load,
               std::uint32_t wanted,
@@ -80,12 +81,22 @@
   std::vector<vacant_vm> TakeHints(const vm_predicate& is_present);
 
  private:
+  /// A VM that is emptied to be given away.
+  struct released_vm {
+    vm_id vm;
+    pool_id pool;
+  };
+
+  bool Release(const pool_id& pool, const std::vector<vm_id>& vms);
+  bool TakeBack(const pool_id& pool, std::uint32_t count);
+  bool IsReleased(const vm_id& vm) const;
+  bool MayBeRecorded(const vm_id& vm) const;
   vacancy_reason ReasonOf(const vm_id& vm) const;
 
   vacancy_keeper_settings settings_;
   std::set<vm_id> for_service_;
-  /// VMs that are emptied to be given away, and their pools.
-  std::map<vm_id, pool_id> released_;
+  /// The last one last.
+  std::vector<released_vm> released_;
   /// VMs that are empty, in the order of what happens with each: found so,
   /// being recorded, recorded, and told to the fleet's owner.
   std::set<vm_id> found_;
--- a/src/core/jobs/vacancy_keeper.cc
+++ b/src/core/jobs/vacancy_keeper.cc
@@ -1,25 +1,71 @@
 #include "plantainhead/core/jobs/vacancy_keeper.h"
 
+#include <algorithm>
+#include <cstddef>
+
 namespace plantainhead::core::jobs {
 
 bool vacancy_keeper::Resize(const pool_id& pool,
                             const pool_load& load,
                             std::uint32_t wanted,
                             const vm_chooser& least_used) {
-  if (load.usable_vms <= wanted) {
-    return false;
+  if (load.usable_vms < wanted) {
+    return TakeBack(pool, wanted - load.usable_vms);
+  }
+  if (load.usable_vms > wanted) {
+    return Release(pool, least_used(load.usable_vms - wanted));
   }
+  return false;
+}
+
+bool vacancy_keeper::Release(const pool_id& pool,
+                             const std::vector<vm_id>& vms) {
   bool is_changed = false;
-  for (const vm_id& vm : least_used(load.usable_vms - wanted)) {
-    is_changed = released_.emplace(vm, pool).second || is_changed;
+  for (const vm_id& vm : vms) {
+    if (!IsReleased(vm)) {
+      released_.push_back({vm, pool});
+      is_changed = true;
+    }
   }
   return is_changed;
 }
 
+// The owner of the fleet isn't told of a VM that is still being emptied, takes
+// it for one in use, and sends no other one. Tasks would wait for as long as
+// its last task runs, though there is room for them. It is safe to use it again
+// as long as no record of its vacancy was asked for: the owner of the fleet
+// acts on nothing else. The last one goes first, as least of it is empty yet.
+bool vacancy_keeper::TakeBack(const pool_id& pool, std::uint32_t count) {
+  std::uint32_t taken = 0;
+  for (std::size_t i = released_.size(); i > 0 && taken < count; --i) {
+    const released_vm& released = released_[i - 1];
+    const bool is_free = released.pool == pool &&
+                         for_service_.count(released.vm) == 0 &&
+                         !MayBeRecorded(released.vm);
+    if (!is_free) {
+      continue;
+    }
+    found_.erase(released.vm);
+    released_.erase(released_.begin() + static_cast<std::ptrdiff_t>(i - 1));
+    ++taken;
+  }
+  return taken > 0;
+}
+
+bool vacancy_keeper::IsReleased(const vm_id& vm) const {
+  return std::any_of(
+      released_.begin(), released_.end(),
+      [&](const released_vm& released) { return released.vm == vm; });
+}
+
+bool vacancy_keeper::MayBeRecorded(const vm_id& vm) const {
+  return recording_.count(vm) != 0 || vacant_.count(vm) != 0;
+}
+
 std::set<vm_id> vacancy_keeper::Closed() const {
   std::set<vm_id> closed = for_service_;
-  for (const auto& [vm, pool] : released_) {
-    closed.insert(vm);
+  for (const released_vm& released : released_) {
+    closed.insert(released.vm);
   }
   for (const auto* more : {&found_, &recording_, &vacant_}) {
     closed.insert(more->begin(), more->end());
@@ -30,14 +76,16 @@
 bool vacancy_keeper::FindVacant(const vm_predicate& is_present,
                                 const vm_predicate& is_empty) {
   std::set<vm_id> closing = for_service_;
-  for (auto it = released_.begin(); it != released_.end();) {
-    closing.insert(it->first);
-    it = is_present(it->first) ? std::next(it) : released_.erase(it);
+  for (const released_vm& released : released_) {
+    closing.insert(released.vm);
   }
+  const auto ended = std::remove_if(
+      released_.begin(), released_.end(),
+      [&](const released_vm& released) { return !is_present(released.vm); });
+  released_.erase(ended, released_.end());
   bool is_found = false;
   for (const vm_id& vm : closing) {
-    const bool is_new =
-        vacant_.count(vm) == 0 && recording_.count(vm) == 0 && is_empty(vm);
+    const bool is_new = !MayBeRecorded(vm) && is_empty(vm);
     is_found = (is_new && found_.insert(vm).second) || is_found;
   }
   return is_found;
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -62,17 +62,25 @@
     load.rising = size->second.arrivals.RisingDemand(now);
     const std::uint32_t wanted =
         size->second.sizer.Update(load, IsScarce(pool.id), now);
-    TellWanted(pool.id, &size->second, load, wanted, now);
     const bool is_known = now - size->second.since > settings_.sizer.memory;
-    const bool is_resized =
-        is_known &&
-        vacancies_.Resize(pool.id, load, wanted, [&](std::uint32_t count) {
-          return scheduler_->LeastUsed(pool.id, count);
-        });
-    if (is_resized) {
-      CloseVms();
+    if (is_known && Resize(pool.id, load, wanted)) {
+      load.usable_vms = scheduler_->Load(pool.id, now).usable_vms;
     }
+    TellWanted(pool.id, &size->second, load, wanted, now);
+  }
+}
+
+bool pool_owner::impl::Resize(const core::jobs::pool_id& pool,
+                              const core::jobs::pool_load& load,
+                              std::uint32_t wanted) {
+  const bool is_changed = vacancies_.Resize(
+      pool, load, wanted,
+      [&](std::uint32_t count) { return scheduler_->LeastUsed(pool, count); });
+  if (is_changed) {
+    CloseVms();
+    Kick();
   }
+  return is_changed;
 }
 
 bool pool_owner::impl::IsScarce(const core::jobs::pool_id& except) const {
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -110,6 +110,9 @@
   // Fleet.
   void CloseVms();
   void SizePools();
+  bool Resize(const core::jobs::pool_id& pool,
+              const core::jobs::pool_load& load,
+              std::uint32_t wanted);
   bool IsScarce(const core::jobs::pool_id& except) const;
   void TellWanted(const core::jobs::pool_id& pool,
                   pool_size* size,
