Release VMs that are closed for no wave, and go on with those that are closed

Cause: a VM that is closed for service takes no tasks until its record is dropped, and that was done only when its host came back or began another life. It stayed closed for the rest of its life when the host proved not to be of the wave, when the wave ended while the host was missing, and when the fleet's owner was lost; and a new owner of the fleet began with other hosts, so that closed VMs stood idle until their turn. Ruled out: dropping the record of a host whose order may still be carried out; a host in hand stays so. Change: the keeper knows which VMs are recorded as closed, takes those of due hosts first, and releases those that no wave needs.

--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -85,6 +85,8 @@
                    time_point requested_at);
   /// Replaces the pools that have fewer VMs than they want.
   void UpdateShort(std::set<pool_id> pools) { short_ = std::move(pools); }
+  /// Replaces the VMs that are closed for service, as recorded.
+  void UpdateClosed(std::set<vm_id> vms);
   /// Replaces the set of VMs that have been emptied.
   void UpdateEmpty(std::set<vm_id> empty) { empty_ = std::move(empty); }
   void OnServiceAnswer(std::uint64_t wave,
@@ -134,13 +136,20 @@
   std::pair<const host_id, host_progress>* FindNext(wave_progress* wave,
                                                     bool only_spare,
                                                     bool spares_short);
+  std::pair<const host_id, host_progress>* FindClosed(wave_progress* wave);
   bool IsReady(const host_progress& progress, const fleet_host& host) const;
+  bool IsNeeded(const vm_id& vm) const;
+  void ReleaseUnneeded(std::vector<wave_action>* actions);
+  void Release(const vm_id& vm, std::vector<wave_action>* actions);
 
   wave_settings settings_;
   std::map<std::uint64_t, wave_progress> waves_;
   std::map<host_id, listed_host> hosts_;
   std::set<pool_id> spare_;
   std::set<pool_id> short_;
+  std::set<vm_id> closed_;
+  /// VMs that were released, and are still recorded as closed.
+  std::set<vm_id> released_;
   std::set<vm_id> empty_;
   time_point first_requested_at_;
   time_point requested_at_;
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -48,6 +48,13 @@
   is_listed_ = true;
 }
 
+void wave_keeper::UpdateClosed(std::set<vm_id> vms) {
+  closed_ = std::move(vms);
+  for (auto it = released_.begin(); it != released_.end();) {
+    it = closed_.count(*it) != 0 ? std::next(it) : released_.erase(it);
+  }
+}
+
 void wave_keeper::OnServiceAnswer(std::uint64_t wave,
                                   const host_id& host,
                                   service_result result,
@@ -147,7 +154,7 @@
     if (is_back) {
       progress.phase = host_phase::kDone;
       if (!progress.vm.empty()) {
-        actions->emplace_back(release_vm{progress.vm});
+        Release(progress.vm, actions);
       }
     }
   }
@@ -186,6 +193,23 @@
   return std::min(most, static_cast<std::uint32_t>(needed));
 }
 
+// Returns a due host whose VM an earlier keeper has closed. Its pool misses the
+// VM already; were other hosts closed first, it would miss both.
+std::pair<const host_id, wave_keeper::host_progress>* wave_keeper::FindClosed(
+    wave_progress* wave) {
+  for (auto& entry : wave->hosts) {
+    const listed_host* listed = FindHost(entry.first);
+    const bool is_closed = entry.second.phase == host_phase::kDue &&
+                           listed != nullptr &&
+                           listed->host.state == host_state::kUp &&
+                           closed_.count(listed->host.vm) != 0;
+    if (is_closed) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
 // Returns the next due host, spread over the pools, so that none loses many VMs
 // at once.
 std::pair<const host_id, wave_keeper::host_progress>*
@@ -231,7 +255,10 @@
     begun_in_pools += is_begun && !progress.vm.empty() ? 1 : 0;
   }
   for (; begun < most; ++begun) {
-    const auto next = FindNext(wave, begun_in_pools >= needed, needed < most);
+    auto* next = FindClosed(wave);
+    if (next == nullptr) {
+      next = FindNext(wave, begun_in_pools >= needed, needed < most);
+    }
     if (next == nullptr) {
       return;
     }
@@ -240,6 +267,7 @@
     next->second.vm = host.vm;
     if (RunsTasks(host)) {
       ++begun_in_pools;
+      released_.erase(host.vm);
       actions->emplace_back(close_vm{host.vm});
     }
   }
@@ -276,7 +304,7 @@
     if (is_new_life) {
       // The life that was being emptied ended by itself.
       if (!progress.vm.empty()) {
-        actions->emplace_back(release_vm{progress.vm});
+        Release(progress.vm, actions);
       }
       progress = {};
       continue;
@@ -295,12 +323,56 @@
   }
   if (is_complete) {
     wave->is_complete = true;
+    // Those that were being emptied have left. One that comes back is free.
+    for (auto& [host, progress] : wave->hosts) {
+      if (progress.phase == host_phase::kClosing) {
+        progress.phase = host_phase::kDone;
+      }
+    }
     actions->emplace_back(complete_wave{wave->wave.number});
     return;
   }
   CloseNext(wave, now, actions);
 }
 
+// Returns whether the VM is being emptied, or may be serviced, for a wave.
+bool wave_keeper::IsNeeded(const vm_id& vm) const {
+  for (const auto& [number, wave] : waves_) {
+    for (const auto& [host, progress] : wave.hosts) {
+      const listed_host* listed = FindHost(host);
+      const bool is_due = !wave.is_complete &&
+                          progress.phase == host_phase::kDue &&
+                          listed != nullptr && listed->host.vm == vm;
+      const bool is_in_hand = progress.phase != host_phase::kDue &&
+                              progress.phase != host_phase::kDone &&
+                              progress.vm == vm;
+      if (is_due || is_in_hand) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+// A VM may be closed for a host that turns out not to be of its wave, that has
+// left while the wave ended, or by a keeper that was lost before it took that
+// back. It would take no tasks for the rest of its life, and its pool would
+// miss it. Released, it is used again, or given away if it is vacant already.
+void wave_keeper::ReleaseUnneeded(std::vector<wave_action>* actions) {
+  for (const vm_id& vm : closed_) {
+    if (released_.count(vm) == 0 && !IsNeeded(vm)) {
+      Release(vm, actions);
+    }
+  }
+}
+
+void wave_keeper::Release(const vm_id& vm, std::vector<wave_action>* actions) {
+  if (closed_.count(vm) != 0) {
+    released_.insert(vm);
+  }
+  actions->emplace_back(release_vm{vm});
+}
+
 std::vector<wave_action> wave_keeper::Plan(time_point now) {
   std::vector<wave_action> actions;
   if (!is_listed_) {
@@ -309,6 +381,7 @@
   for (auto& [number, wave] : waves_) {
     PlanWave(&wave, now, &actions);
   }
+  ReleaseUnneeded(&actions);
   return actions;
 }
 
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -173,6 +173,7 @@
       }
     }
     keeper_.UpdateShort(std::move(short_pools));
+    keeper_.UpdateClosed(closed);
     balancer_.UpdateClosed(std::move(closed));
     balancer_.UpdateWanted(std::move(wanted));
     vacancies_.UpdateHints(hints);
--- a/tests/core/jobs/wave_keeper_test.cc
+++ b/tests/core/jobs/wave_keeper_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
 #include <string>
 #include <variant>
 
@@ -140,6 +141,82 @@
   }
 }
 
+// The owner of the fleet has closed VMs for a wave and is lost. Its successor
+// begins with other hosts, and the closed VMs stand idle until their turn
+// comes: lasting tasks of their pool wait, although there is room for them.
+TEST_CASE("A new keeper goes on with the VMs that are closed already") {
+  wave_keeper keeper{wave_settings()};
+  const time_point now{std::chrono::hours(1)};
+  keeper.AddWave(Wave({"h1", "h2", "h3", "h4"}, 1));
+  keeper.UpdateHosts({Host("h1", "p", "a1"), Host("h2", "p", "a2"),
+                      Host("h3", "p", "a3"), Host("h4", "p", "a4")},
+                     {}, now);
+  keeper.UpdateClosed({"a3", "a4"});
+  const auto closed = Of<close_vm>(keeper.Plan(now));
+  REQUIRE(closed.size() == 2);
+  CHECK(closed[0].vm == "a3");
+  CHECK(closed[1].vm == "a4");
+}
+
+// A VM that is closed for service takes no tasks. When its service is off, and
+// nobody takes that back, it stands idle for good with room for the tasks of
+// its pool.
+TEST_CASE("A VM that is closed for no wave is released") {
+  wave_keeper keeper{wave_settings()};
+  time_point now{std::chrono::hours(1)};
+  keeper.AddWave(Wave({"h1"}, 1));
+  const std::vector<fleet_host> hosts = {Host("h1", "p", "a1"),
+                                         Host("h2", "p", "a2")};
+  keeper.UpdateHosts(hosts, {}, now);
+  keeper.UpdateClosed({"a1"});
+  CHECK(Of<release_vm>(keeper.Plan(now)).empty());
+
+  SECTION("when its host proves not to be of the wave") {
+    keeper.UpdateEmpty({"a1"});
+    REQUIRE(Of<service_host>(keeper.Plan(now)).size() == 1);
+    keeper.OnServiceAnswer(7, "h1", service_result::kNever, now);
+    const auto released = Of<release_vm>(keeper.Plan(now));
+    REQUIRE(released.size() == 1);
+    CHECK(released[0].vm == "a1");
+
+    SECTION("once") {
+      CHECK(Of<release_vm>(keeper.Plan(now)).empty());
+    }
+  }
+
+  SECTION("when the wave has ended without its host, which comes back") {
+    for (int i = 0; i < 12; ++i) {
+      now += seconds(1);
+      keeper.UpdateHosts({hosts[1]}, {}, now);
+    }
+    const auto actions = keeper.Plan(now);
+    CHECK(Of<complete_wave>(actions).size() == 1);
+    CHECK(Of<release_vm>(actions).size() == 1);
+    keeper.UpdateHosts(hosts, {}, now);
+    keeper.Plan(now);
+    CHECK(keeper.BusyHosts().empty());
+  }
+
+  SECTION("when an earlier keeper closed it and it isn't due any more") {
+    keeper.UpdateClosed({"a1", "a2"});
+    const auto released = Of<release_vm>(keeper.Plan(now));
+    REQUIRE(released.size() == 1);
+    CHECK(released[0].vm == "a2");
+  }
+
+  SECTION("not while its order may be carried out") {
+    keeper.UpdateEmpty({"a1"});
+    REQUIRE(Of<service_host>(keeper.Plan(now)).size() == 1);
+    keeper.OnServiceAnswer(7, "h1", service_result::kUnknown, now);
+    for (int i = 0; i < 12; ++i) {
+      now += seconds(1);
+      keeper.UpdateHosts({hosts[1]}, {}, now);
+    }
+    CHECK(Of<release_vm>(keeper.Plan(now)).empty());
+    CHECK(keeper.BusyHosts() == std::set<host_id>{"h1"});
+  }
+}
+
 TEST_CASE("A host that has left for good doesn't hold its wave up") {
   wave_keeper keeper{wave_settings()};
   time_point now{std::chrono::hours(1)};
