Forget which vacant VMs were told of when they are forgotten

Cause: told_ kept an entry for each VM and reason for as long as an owner owned. Besides the memory, a VM that was taken for gone while the store was away, and that came back and was given away again, was never told of a second time: closed, and nobody moves it. Change: its entry goes with the record of its vacancy.

--- a/include/plantainhead/core/jobs/vacancy_keeper.h
+++ b/include/plantainhead/core/jobs/vacancy_keeper.h
@@ -89,6 +89,7 @@
 
   bool Release(const pool_id& pool, const std::vector<vm_id>& vms);
   bool TakeBack(const pool_id& pool, std::uint32_t count);
+  void Forget(const vm_id& vm);
   bool IsReleased(const vm_id& vm) const;
   bool MayBeRecorded(const vm_id& vm) const;
   vacancy_reason ReasonOf(const vm_id& vm) const;
--- a/src/core/jobs/vacancy_keeper.cc
+++ b/src/core/jobs/vacancy_keeper.cc
@@ -107,13 +107,19 @@
     const time_point since = gone_.try_emplace(vm, now).first->second;
     if (now - since > settings_.memory) {
       batch.dropped.push_back(vm);
-      vacant_.erase(vm);
-      gone_.erase(vm);
+      Forget(vm);
     }
   }
   return batch;
 }
 
+void vacancy_keeper::Forget(const vm_id& vm) {
+  vacant_.erase(vm);
+  gone_.erase(vm);
+  told_.erase({vm, vacancy_reason::kOffered});
+  told_.erase({vm, vacancy_reason::kForService});
+}
+
 std::vector<vacant_vm> vacancy_keeper::NoteStored() {
   std::vector<vacant_vm> recorded;
   for (const vm_id& vm : recording_) {
--- a/tests/core/jobs/vacancy_keeper_test.cc
+++ b/tests/core/jobs/vacancy_keeper_test.cc
@@ -135,6 +135,19 @@
     now_ += seconds(21);
     CHECK(TakeBatch().dropped == std::vector<vm_id>{"vm-1"});
     CHECK_FALSE(IsClosed("vm-1"));
+
+    // The store was away for long, and the VM wasn't gone. Its hint was taken
+    // back meanwhile.
+    SECTION("so that it is told again if it is back after all") {
+      present_ = {"vm-1"};
+      CHECK(TakeHints().empty());
+      GiveAway("vm-1");
+      empty_ = {"vm-1"};
+      CHECK(FindVacant());
+      TakeBatch();
+      keeper_.NoteStored();
+      CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+    }
   }
 }
 
