Tell again of a vacant VM whose hint got lost

Cause: a pool's owner told of each vacant VM once. When the hint got lost (the store rejects the append that holds it, or the fleet's owner takes the VM for gone, as it did with young VMs), the VM was closed for good: nobody moved it, and the fleet's owner counted it as used and sent no other one. Ruled out: repeats while the store shows the hint; they'd be paid for and change nothing. Change: the owner tells again after 2 s of a vacant VM that it still has a link to, if the store shows no hint of it.

--- a/include/plantainhead/core/jobs/vacancy_keeper.h
+++ b/include/plantainhead/core/jobs/vacancy_keeper.h
@@ -19,6 +19,9 @@
   /// How long after a vacant VM's end its record is kept. The registry misses
   /// VMs for some seconds after the store was away.
   duration memory = std::chrono::seconds(20);
+  /// When a VM that was told of is told of again, if that isn't to be read. An
+  /// append takes 25 ms and its reading as long, 0.5 s while the store is slow.
+  duration hint_retry = std::chrono::seconds(2);
 };
 
 /// Records of vacant VMs that are to be stored together.
@@ -49,6 +52,7 @@
   /// Returns the least used VMs of a pool that take tasks, at most `count`.
   using vm_chooser = std::function<std::vector<vm_id>(std::uint32_t count)>;
   using vm_predicate = std::function<bool(const vm_id&)>;
+  using hint_predicate = std::function<bool(const vacant_vm&)>;
 
   explicit vacancy_keeper(const vacancy_keeper_settings& settings)
       : settings_(settings) {}
@@ -76,9 +80,14 @@
   /// The last batch is stored. Returns the VMs that are recorded as vacant
   /// since.
   std::vector<vacant_vm> NoteStored();
-  /// Returns the VMs of which the owner of the fleet is to be told, each once
-  /// for each reason. An earlier owner may have recorded some without telling.
-  std::vector<vacant_vm> TakeHints(const vm_predicate& is_present);
+  /// Returns the VMs of which the owner of the fleet is to be told. An earlier
+  /// owner may have recorded some without telling. `is_shown`: the store shows
+  /// the hint. One that isn't shown for a while has got lost: the owner of the
+  /// fleet would take the VM for one in use, and neither move it nor send
+  /// another.
+  std::vector<vacant_vm> TakeHints(const vm_predicate& is_present,
+                                   const hint_predicate& is_shown,
+                                   time_point now);
 
  private:
   /// A VM that is emptied to be given away.
@@ -103,7 +112,7 @@
   std::set<vm_id> found_;
   std::set<vm_id> recording_;
   std::set<vm_id> vacant_;
-  std::set<std::pair<vm_id, vacancy_reason>> told_;
+  std::map<std::pair<vm_id, vacancy_reason>, time_point> told_;
   /// Vacant VMs whose lives seem to be over, and since when.
   std::map<vm_id, time_point> gone_;
 };
--- a/src/core/jobs/vacancy_keeper.cc
+++ b/src/core/jobs/vacancy_keeper.cc
@@ -130,13 +130,21 @@
   return recorded;
 }
 
-std::vector<vacant_vm> vacancy_keeper::TakeHints(
-    const vm_predicate& is_present) {
+std::vector<vacant_vm> vacancy_keeper::TakeHints(const vm_predicate& is_present,
+                                                 const hint_predicate& is_shown,
+                                                 time_point now) {
   std::vector<vacant_vm> hints;
   for (const vm_id& vm : vacant_) {
-    const vacancy_reason reason = ReasonOf(vm);
-    if (is_present(vm) && told_.emplace(vm, reason).second) {
-      hints.push_back({vm, reason});
+    const vacant_vm hint = {vm, ReasonOf(vm)};
+    if (!is_present(vm)) {
+      continue;
+    }
+    const auto [told, is_new] = told_.try_emplace({vm, hint.reason}, now);
+    const bool is_lost =
+        now - told->second >= settings_.hint_retry && !is_shown(hint);
+    if (is_new || is_lost) {
+      told->second = now;
+      hints.push_back(hint);
     }
   }
   return hints;
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -155,11 +155,21 @@
 
 // Tells the owner of the fleet which VMs are vacant.
 void pool_owner::impl::TellVacantVms() {
-  for (const core::jobs::vacant_vm& vacant :
-       vacancies_.TakeHints([this](const vm_id& vm) { return IsLinked(vm); })) {
-    fleet_outbox_.Put(Encode(core::jobs::vacancy_hint{vacant.vm, vacant.reason,
-                                                      partition_, epoch_}));
+  const std::vector<core::jobs::vacant_vm> hints = vacancies_.TakeHints(
+      [this](const vm_id& vm) { return IsLinked(vm); },
+      [this](const core::jobs::vacant_vm& vacant) {
+        return deps_.world->fleet_records().count(HintOf(vacant).key) != 0;
+      },
+      BootTime());
+  for (const core::jobs::vacant_vm& vacant : hints) {
+    fleet_outbox_.Put(HintOf(vacant));
   }
 }
 
+adapter::keyed_record pool_owner::impl::HintOf(
+    const core::jobs::vacant_vm& vacant) const {
+  return Encode(
+      core::jobs::vacancy_hint{vacant.vm, vacant.reason, partition_, epoch_});
+}
+
 }  // namespace plantainhead::jobs
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -125,6 +125,7 @@
   std::vector<adapter::keyed_record> TakeVacancyRecords();
   void NoteVacanciesStored();
   void TellVacantVms();
+  adapter::keyed_record HintOf(const core::jobs::vacant_vm& vacant) const;
 
   dependencies deps_;
   std::uint32_t partition_;
--- a/tests/core/jobs/vacancy_keeper_test.cc
+++ b/tests/core/jobs/vacancy_keeper_test.cc
@@ -40,7 +40,12 @@
   }
 
   vacancy_batch TakeBatch() { return keeper_.TakeBatch(IsPresent(), now_); }
-  std::vector<vacant_vm> TakeHints() { return keeper_.TakeHints(IsPresent()); }
+  std::vector<vacant_vm> TakeHints() {
+    return keeper_.TakeHints(
+        IsPresent(),
+        [&](const vacant_vm& hint) { return shown_.count(hint.vm) != 0; },
+        now_);
+  }
   bool IsClosed(const vm_id& vm) const {
     return keeper_.Closed().count(vm) != 0;
   }
@@ -52,6 +57,8 @@
   vacancy_keeper keeper_{vacancy_keeper_settings()};
   std::set<vm_id> present_ = {"vm-1", "vm-2"};
   std::set<vm_id> empty_;
+  /// VMs whose hints are to be read in the store.
+  std::set<vm_id> shown_;
   time_point now_{std::chrono::hours(1)};
 };
 
@@ -219,5 +226,42 @@
   }
 }
 
+// The hint of a vacant VM gets lost: the store rejects the append that holds
+// it, or the owner of the fleet takes the VM for gone and drops it. The VM
+// would be closed for good with nobody to move it, and the owner of the fleet
+// would count it as one that its pool uses: lasting tasks wait beside an idle
+// VM.
+TEST_CASE_METHOD(vacancy_fixture, "A hint that got lost is told again") {
+  keeper_.Restore({"vm-1"});
+  CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+  now_ += seconds(1);
+  CHECK(TakeHints().empty());
+
+  SECTION("some time after it was told") {
+    now_ += seconds(1);
+    CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+    CHECK(TakeHints().empty());
+    now_ += seconds(2);
+    CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+  }
+
+  SECTION("not while the store shows it") {
+    shown_ = {"vm-1"};
+    now_ += seconds(60);
+    CHECK(TakeHints().empty());
+
+    SECTION("but when it was dropped later") {
+      shown_ = {};
+      CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+    }
+  }
+
+  SECTION("not when the VM is gone") {
+    present_ = {};
+    now_ += seconds(60);
+    CHECK(TakeHints().empty());
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
