Look for VMs closed for service when records change, not at each plan

Cause: ClosedForService() went through all records of the fleet at each plan (as often as every 5 ms) and each closing. Its cost wasn't measured.

--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -14,11 +14,14 @@
 
 void pool_owner::impl::OnFleetRecords() {
   if (scheduler_) {
+    vacancies_.UpdateForService(ClosedForService());
     CloseVms();
     Kick();
   }
 }
 
+// Looks through all records of the fleet: for each change of them, not for each
+// plan.
 std::set<vm_id> pool_owner::impl::ClosedForService() const {
   std::set<vm_id> closed;
   for (const auto& [key, value] : deps_.world->fleet_records()) {
@@ -30,7 +33,6 @@
 }
 
 void pool_owner::impl::CloseVms() {
-  vacancies_.UpdateForService(ClosedForService());
   const std::set<vm_id> closed = vacancies_.Closed();
   for (const core::jobs::vm_description& vm : scheduler_->Vms()) {
     if (closed.count(vm.id) != 0) {
@@ -116,7 +118,6 @@
 }
 
 void pool_owner::impl::FindVacantVms() {
-  vacancies_.UpdateForService(ClosedForService());
   const bool is_found = vacancies_.FindVacant(
       [this](const vm_id& vm) { return IsLinked(vm); },
       [this](const vm_id& vm) { return scheduler_->IsEmpty(vm); });
