Send a successor for a VM that leaves before it is gone

Cause: a VM that says that it leaves takes no more tasks at once, but is listed as up for seconds after that. Its pool told that it was a VM short; the fleet's owner counted the VM, found that the pool had what it wants, and sent none until it was gone. Ruled out: reading the registry faster for that; the fleet's owner reads it up to 3.5 s late when it owns no pool, and each change of any VM would be a read. Change: VMs that the registry shows as draining count as missing, and aren't offered to other pools, since the platform refuses to move them.

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -45,6 +45,8 @@
   void UpdateOffers(std::set<vm_id> offers) { offers_ = std::move(offers); }
   /// Replaces the VMs that take no tasks for other reasons.
   void UpdateClosed(std::set<vm_id> closed) { closed_ = std::move(closed); }
+  /// Replaces the VMs that have said that they leave.
+  void UpdateLeaving(std::set<vm_id> leaving) { leaving_ = std::move(leaving); }
   /// `is_settled`: the order was carried out, or surely wasn't.
   void OnMoveAnswer(const host_id& host,
                     bool is_accepted,
@@ -75,6 +77,7 @@
   std::map<pool_id, std::uint32_t> wanted_;
   std::set<vm_id> offers_;
   std::set<vm_id> closed_;
+  std::set<vm_id> leaving_;
   std::map<host_id, pending_move> moves_;
 };
 
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -45,9 +45,9 @@
       continue;
     }
     const bool is_coming = host.state == host_state::kMoving;
-    const bool is_usable = host.state == host_state::kUp &&
-                           offers_.count(host.vm) == 0 &&
-                           closed_.count(host.vm) == 0;
+    const bool is_usable =
+        host.state == host_state::kUp && offers_.count(host.vm) == 0 &&
+        closed_.count(host.vm) == 0 && leaving_.count(host.vm) == 0;
     if (is_coming || is_usable) {
       ++counts[host.pool];
     }
@@ -59,8 +59,10 @@
                             const std::set<host_id>& busy) const {
   const bool is_idle = spare_.count(host.pool) != 0 ||
                        (!host.vm.empty() && offers_.count(host.vm) != 0);
+  // The platform refuses to move a VM that leaves.
   return host.state == host_state::kUp && is_idle &&
-         moves_.count(host.host) == 0 && busy.count(host.host) == 0;
+         leaving_.count(host.vm) == 0 && moves_.count(host.host) == 0 &&
+         busy.count(host.host) == 0;
 }
 
 void fleet_balancer::Order(const host_id& host,
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -222,6 +222,7 @@
     for (const core::jobs::wave_action& action : keeper_.Plan(now)) {
       std::visit([this](const auto& kind) { Do(kind); }, action);
     }
+    balancer_.UpdateLeaving(LeavingVms());
     for (const core::jobs::move_host& move :
          balancer_.Plan(keeper_.BusyHosts(), now)) {
       orders_.emplace_back(move);
@@ -229,6 +230,16 @@
     SendOrders(now);
   }
 
+  std::set<core::jobs::vm_id> LeavingVms() const {
+    std::set<core::jobs::vm_id> leaving;
+    for (const auto& [vm, description] : deps_.world->registry()) {
+      if (description.draining) {
+        leaving.insert(vm);
+      }
+    }
+    return leaving;
+  }
+
   core::duration ClosedTime() const {
     return settings_.holder_lease + settings_.lease_reserve;
   }
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -110,6 +110,23 @@
     CHECK(balancer.Plan({}, now).size() == 1);
   }
 
+  // A VM says that it leaves, and goes many seconds later. The list shows it as
+  // up all the while. Counted as one that its pool uses, it would get no
+  // successor before it is gone: tasks that were moved off it wait as long.
+  SECTION("a VM that leaves by itself is missed by its pool") {
+    balancer.UpdateWanted({{"a", 1}});
+    CHECK(balancer.Plan({}, now).empty());
+    balancer.UpdateLeaving({"vm-a1"});
+    CHECK(balancer.Plan({}, now).size() == 1);
+
+    SECTION("and isn't moved, even if it was given away") {
+      balancer.UpdateHosts({Host("a1", "a", "vm-a1")}, {"spare"}, now);
+      balancer.UpdateOffers({"vm-a1"});
+      balancer.UpdateWanted({{"b", 1}});
+      CHECK(balancer.Plan({}, now).empty());
+    }
+  }
+
   SECTION("a VM that its pool gives away goes where it is wanted, else spare") {
     balancer.UpdateHosts({Host("a1", "a", "vm-a1"), Host("b1", "b", "vm-b1")},
                          {"spare"}, now);
