Split the fleet's owner by job: reading, orders, and the work between them

Change: fleet_owner_impl.h declares its state; fleet_owner_reading.cc reads records, lists and vacancies, fleet_owner_orders.cc records and sends orders; SendOrders is three functions.

--- /dev/null
+++ b/src/jobs/fleet_owner_impl.h
@@ -0,0 +1,108 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_FLEET_OWNER_IMPL_H_
+#define PLANTAINHEAD_SRC_JOBS_FLEET_OWNER_IMPL_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jobs/fleet_owner.h"
+#include "jobs/fleet_records.h"
+#include "jobs/progress_writer.h"
+#include "jobs/record_codec.h"
+#include "jobs/record_outbox.h"
+#include "platform/fleet_client.h"
+
+namespace plantainhead::jobs {
+
+using host_order =
+    std::variant<core::jobs::move_host, core::jobs::service_host>;
+
+/// The state of a `fleet_owner`. Three files share it: what is read of the
+/// fleet (`fleet_owner_reading.cc`), how orders for hosts are recorded and sent
+/// (`fleet_owner_orders.cc`), and takeover and the work between them
+/// (`fleet_owner.cc`).
+class fleet_owner::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(dependencies dependencies, const fleet_settings& settings);
+  void Start(std::uint64_t generation);
+  void Close();
+  void OnFleetRecords();
+
+ private:
+  // Takeover.
+  void After(std::chrono::milliseconds pause, void (impl::*action)());
+  void ReadBeforeClaim();
+  void Claim();
+  void Begin();
+  void Lose();
+
+  // Work.
+  void Tick();
+  void Work();
+  void Do(const core::jobs::close_vm& action);
+  void Do(const core::jobs::release_vm& action);
+  void Do(const core::jobs::service_host& action);
+  void Do(const core::jobs::complete_wave& action);
+
+  // Reading.
+  void TakeRecords();
+  void TakeVacancies();
+  void TakeReading(std::uint32_t partition, bool is_read);
+  void List();
+  void ListPage(const std::string& page);
+  void TakePage(const adapter::fleet_page& reply);
+  void DropOffersOfGoneVms();
+  std::set<core::jobs::vm_id> LeavingVms() const;
+
+  // Orders.
+  core::duration ClosedTime() const;
+  void SendOrders(core::time_point now);
+  std::vector<host_order> TakeDueOrders(core::time_point now);
+  std::vector<adapter::keyed_record> RecordsOf(
+      const std::vector<host_order>& batch,
+      core::time_point now);
+  void TakeRecorded(const std::vector<host_order>& batch,
+                    progress_writer::result result);
+  void Send(const core::jobs::move_host& move);
+  void Send(const core::jobs::service_host& action);
+  void TakeMove(const core::jobs::move_host& move,
+                adapter::duty_outcome outcome);
+  void TakeService(const core::jobs::service_host& action,
+                   adapter::duty_outcome outcome);
+
+  dependencies deps_;
+  fleet_settings settings_;
+  adapter::fleet_client client_;
+  progress_writer writer_;
+  /// What pools' owners and later owners of the fleet are told.
+  record_outbox records_;
+  record_outbox status_;
+  boost::asio::steady_timer timer_;
+  core::jobs::wave_keeper keeper_;
+  core::jobs::fleet_balancer balancer_;
+  core::jobs::vacancy_checker vacancies_;
+  std::uint64_t generation_ = 0;
+  std::uint64_t epoch_ = 0;
+  bool is_active_ = false;
+  bool is_closed_ = false;
+  bool is_listing_ = false;
+  core::time_point listed_at_;
+  core::time_point requested_at_;
+  std::vector<host_order> orders_;
+  /// Hosts with a record of an order, and when it was given.
+  std::map<core::jobs::host_id, core::time_point> ordered_;
+  /// Hosts for which an earlier owner may have given an order.
+  std::map<core::jobs::host_id, core::time_point> closed_until_;
+  std::vector<core::jobs::fleet_host> page_hosts_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_FLEET_OWNER_IMPL_H_
--- /dev/null
+++ b/src/jobs/fleet_owner_orders.cc
@@ -0,0 +1,167 @@
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+#include "jobs/fleet_owner_impl.h"
+
+namespace plantainhead::jobs {
+
+using adapter::duty_outcome;
+using core::jobs::service_result;
+
+namespace {
+
+service_result ToResult(duty_outcome outcome) {
+  switch (outcome) {
+    case duty_outcome::kAccepted:
+      return service_result::kAccepted;
+    case duty_outcome::kInvalid:
+    case duty_outcome::kNotOfWave:
+      return service_result::kNever;
+    case duty_outcome::kUnknown:
+      return service_result::kUnknown;
+    case duty_outcome::kFenced:
+    case duty_outcome::kBusy:
+    case duty_outcome::kRefused:
+      return service_result::kNotNow;
+  }
+  return service_result::kUnknown;
+}
+
+const core::jobs::host_id& HostOf(const host_order& order) {
+  return std::visit(
+      [](const auto& kind) -> const core::jobs::host_id& { return kind.host; },
+      order);
+}
+
+}  // namespace
+
+core::duration fleet_owner::impl::ClosedTime() const {
+  return settings_.holder_lease + settings_.lease_reserve;
+}
+
+// Two owners must not give orders for one host at about the same time. Each
+// order is recorded before it is sent, under this owner's epoch: once a new
+// owner has claimed the fleet the store refuses the record, and what was
+// recorded before tells the new owner which hosts to leave alone for a while.
+// It needn't wait for all others, so that hosts move on at once.
+void fleet_owner::impl::SendOrders(core::time_point now) {
+  if (writer_.IsBusy()) {
+    return;
+  }
+  const std::vector<host_order> batch = TakeDueOrders(now);
+  std::vector<adapter::keyed_record> records = RecordsOf(batch, now);
+  if (records.empty()) {
+    return;
+  }
+  writer_.Write(std::move(records), [self = weak_from_this(),
+                                     batch](progress_writer::result result) {
+    const auto owner = self.lock();
+    if (owner && !owner->is_closed_) {
+      owner->TakeRecorded(batch, result);
+    }
+  });
+}
+
+// Returns the orders for hosts for which no earlier owner may have given one.
+std::vector<host_order> fleet_owner::impl::TakeDueOrders(core::time_point now) {
+  std::vector<host_order> due;
+  std::vector<host_order> later;
+  for (host_order& order : orders_) {
+    const auto closed = closed_until_.find(HostOf(order));
+    const bool is_closed =
+        closed != closed_until_.end() && now < closed->second;
+    (is_closed ? later : due).push_back(std::move(order));
+  }
+  orders_ = std::move(later);
+  return due;
+}
+
+// Returns the records of the orders, and drops those of orders that are so old
+// that a new owner needn't know of them.
+std::vector<adapter::keyed_record> fleet_owner::impl::RecordsOf(
+    const std::vector<host_order>& batch,
+    core::time_point now) {
+  std::vector<adapter::keyed_record> records;
+  for (const host_order& order : batch) {
+    records.push_back(Encode(order_record{HostOf(order), false}));
+    ordered_[HostOf(order)] = now;
+  }
+  for (auto it = ordered_.begin(); it != ordered_.end();) {
+    const bool is_old = now - it->second > ClosedTime();
+    if (is_old) {
+      records.push_back(Encode(order_record{it->first, true}));
+    }
+    it = is_old ? ordered_.erase(it) : std::next(it);
+  }
+  return records;
+}
+
+void fleet_owner::impl::TakeRecorded(const std::vector<host_order>& batch,
+                                     progress_writer::result result) {
+  if (result != progress_writer::result::kStored) {
+    Lose();
+    return;
+  }
+  // This process may have been suspended since it asked for the record.
+  if (!deps_.is_sure()) {
+    orders_.insert(orders_.end(), batch.begin(), batch.end());
+    return;
+  }
+  for (const host_order& order : batch) {
+    std::visit([this](const auto& kind) { Send(kind); }, order);
+  }
+}
+
+void fleet_owner::impl::Send(const core::jobs::move_host& move) {
+  client_.Move(move.host, move.pool, epoch_, settings_.order_timeout,
+               [self = weak_from_this(), move](duty_outcome outcome) {
+                 const auto owner = self.lock();
+                 if (owner && !owner->is_closed_) {
+                   owner->TakeMove(move, outcome);
+                 }
+               });
+}
+
+void fleet_owner::impl::Send(const core::jobs::service_host& action) {
+  client_.Service(action.host, action.wave, epoch_, settings_.order_timeout,
+                  [self = weak_from_this(), action](duty_outcome outcome) {
+                    const auto owner = self.lock();
+                    if (owner && !owner->is_closed_) {
+                      owner->TakeService(action, outcome);
+                    }
+                  });
+}
+
+void fleet_owner::impl::TakeMove(const core::jobs::move_host& move,
+                                 duty_outcome outcome) {
+  LogEvent(job_event::kHostMoved,
+           {{"host", move.host},
+            {"pool", move.pool},
+            {"outcome", std::string(core::NameOf(outcome))}});
+  balancer_.OnMoveAnswer(move.host, outcome == duty_outcome::kAccepted,
+                         outcome != duty_outcome::kUnknown, BootTime());
+}
+
+void fleet_owner::impl::TakeService(const core::jobs::service_host& action,
+                                    duty_outcome outcome) {
+  const bool is_accepted = outcome == duty_outcome::kAccepted;
+  LogEvent(is_accepted ? job_event::kHostServiced : job_event::kHostNotServiced,
+           {{"host", action.host},
+            {"wave", std::to_string(action.wave)},
+            {"outcome", std::string(core::NameOf(outcome))}});
+  if (outcome == duty_outcome::kFenced) {
+    Lose();
+    return;
+  }
+  keeper_.OnServiceAnswer(action.wave, action.host, ToResult(outcome),
+                          BootTime());
+  if (is_accepted) {
+    records_.Put(EncodeServicedHost({action.wave, action.host}));
+  }
+}
+
+}  // namespace plantainhead::jobs
