--- /dev/null
+++ b/tests/core/jobs/vacancy_keeper_test.cc
@@ -0,0 +1,267 @@
+#include "plantainhead/core/jobs/vacancy_keeper.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace plantainhead::core::jobs {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::uint32_t kWanted = 3;
+
+pool_load Load(std::uint32_t usable_vms) {
+  pool_load load;
+  load.usable_vms = usable_vms;
+  return load;
+}
+
+/// A pool's owner with VMs that are empty when a test says so.
+class vacancy_fixture {
+ protected:
+  /// The pool has one VM too many, and `vm` is the least used.
+  void GiveAway(const vm_id& vm) {
+    REQUIRE(keeper_.Resize("pool", Load(kWanted + 1), kWanted,
+                           [&](std::uint32_t count) {
+                             CHECK(count == 1);
+                             return std::vector<vm_id>{vm};
+                           }));
+  }
+
+  /// The pool has `usable_vms` VMs that take tasks.
+  bool Resize(std::uint32_t usable_vms) {
+    return keeper_.Resize("pool", Load(usable_vms), kWanted,
+                          [](std::uint32_t) { return std::vector<vm_id>(); });
+  }
+
+  bool FindVacant() {
+    return keeper_.FindVacant(
+        IsPresent(), [&](const vm_id& vm) { return empty_.count(vm) != 0; });
+  }
+
+  vacancy_batch TakeBatch() { return keeper_.TakeBatch(IsPresent(), now_); }
+  std::vector<vacant_vm> TakeHints() {
+    return keeper_.TakeHints(
+        IsPresent(),
+        [&](const vacant_vm& hint) { return shown_.count(hint.vm) != 0; },
+        now_);
+  }
+  bool IsClosed(const vm_id& vm) const {
+    return keeper_.Closed().count(vm) != 0;
+  }
+
+  vacancy_keeper::vm_predicate IsPresent() const {
+    return [this](const vm_id& vm) { return present_.count(vm) != 0; };
+  }
+
+  vacancy_keeper keeper_{vacancy_keeper_settings()};
+  std::set<vm_id> present_ = {"vm-1", "vm-2"};
+  std::set<vm_id> empty_;
+  /// VMs whose hints are to be read in the store.
+  std::set<vm_id> shown_;
+  time_point now_{std::chrono::hours(1)};
+};
+
+const vacant_vm kOfferedVm = {"vm-1", vacancy_reason::kOffered};
+
+// The owner of the fleet moves a VM that it is told of, and what runs there
+// ends. Told before the record of the vacancy is stored, it would move a VM on
+// which the next owner of the pool, which knows of no vacancy, has started a
+// task.
+TEST_CASE_METHOD(vacancy_fixture,
+                 "Nobody is told of a vacancy before it is stored") {
+  GiveAway("vm-1");
+  CHECK(IsClosed("vm-1"));
+  CHECK_FALSE(FindVacant());
+  CHECK(TakeHints().empty());
+
+  SECTION("found empty, it is to be recorded first") {
+    empty_ = {"vm-1"};
+    CHECK(FindVacant());
+    CHECK(TakeHints().empty());
+    CHECK(TakeBatch().vacant == std::vector<vm_id>{"vm-1"});
+    CHECK_FALSE(FindVacant());
+    CHECK(TakeHints().empty());
+
+    SECTION("and told once when the record is stored") {
+      CHECK(keeper_.NoteStored() == std::vector<vacant_vm>{kOfferedVm});
+      CHECK(TakeBatch().vacant.empty());
+      CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+      CHECK(TakeHints().empty());
+      CHECK(IsClosed("vm-1"));
+
+      SECTION("and again when its host is to be serviced") {
+        keeper_.UpdateForService({"vm-1"});
+        CHECK(TakeHints() ==
+              std::vector<vacant_vm>{{"vm-1", vacancy_reason::kForService}});
+      }
+    }
+  }
+}
+
+TEST_CASE_METHOD(vacancy_fixture,
+                 "A VM is emptied for the service of its host") {
+  keeper_.UpdateForService({"vm-1"});
+  CHECK(IsClosed("vm-1"));
+
+  SECTION("and is used again when the service is off before it was empty") {
+    keeper_.UpdateForService({});
+    CHECK_FALSE(IsClosed("vm-1"));
+  }
+
+  SECTION("but not once it was found empty") {
+    empty_ = {"vm-1"};
+    CHECK(FindVacant());
+    keeper_.UpdateForService({});
+    CHECK(IsClosed("vm-1"));
+  }
+}
+
+TEST_CASE_METHOD(vacancy_fixture,
+                 "What an earlier owner recorded stays closed") {
+  keeper_.Restore({"vm-1"});
+  CHECK(IsClosed("vm-1"));
+  CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+
+  // The registry misses VMs for some seconds after the store was away.
+  SECTION("also while the VM is missing for a moment") {
+    present_ = {};
+    CHECK(TakeBatch().dropped.empty());
+    now_ += seconds(15);
+    present_ = {"vm-1"};
+    CHECK(TakeBatch().dropped.empty());
+    now_ += seconds(15);
+    present_ = {};
+    CHECK(TakeBatch().dropped.empty());
+    CHECK(IsClosed("vm-1"));
+  }
+
+  SECTION("and is forgotten some time after its life") {
+    present_ = {};
+    CHECK(TakeBatch().dropped.empty());
+    now_ += seconds(21);
+    CHECK(TakeBatch().dropped == std::vector<vm_id>{"vm-1"});
+    CHECK_FALSE(IsClosed("vm-1"));
+
+    // The store was away for long, and the VM wasn't gone. Its hint was taken
+    // back meanwhile.
+    SECTION("so that it is told again if it is back after all") {
+      present_ = {"vm-1"};
+      CHECK(TakeHints().empty());
+      GiveAway("vm-1");
+      empty_ = {"vm-1"};
+      CHECK(FindVacant());
+      TakeBatch();
+      keeper_.NoteStored();
+      CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+    }
+  }
+}
+
+// A pool gives a VM away while its queue is calm, and the VM still runs a task.
+// Then the queue's turn begins: lasting tasks of the pool have to wait,
+// although there is room for them on that VM. The owner of the fleet hasn't
+// been told of it, takes it for a VM that the pool uses, and sends no other
+// one.
+TEST_CASE_METHOD(vacancy_fixture,
+                 "A pool that lacks VMs takes back what it gives away") {
+  GiveAway("vm-1");
+
+  SECTION("not while it has as many as it wants") {
+    CHECK_FALSE(Resize(kWanted));
+    CHECK(IsClosed("vm-1"));
+  }
+
+  SECTION("while a task still runs there") {
+    CHECK_FALSE(FindVacant());
+    CHECK(Resize(kWanted - 1));
+    CHECK_FALSE(IsClosed("vm-1"));
+
+    SECTION("so that it isn't recorded as vacant when the task has ended") {
+      empty_ = {"vm-1"};
+      CHECK_FALSE(FindVacant());
+      CHECK(TakeBatch().vacant.empty());
+    }
+  }
+
+  SECTION("when it is empty and its record wasn't asked for yet") {
+    empty_ = {"vm-1"};
+    CHECK(FindVacant());
+    CHECK(Resize(kWanted - 1));
+    CHECK_FALSE(IsClosed("vm-1"));
+    CHECK(TakeBatch().vacant.empty());
+  }
+
+  SECTION("no more than it lacks, the last one first") {
+    GiveAway("vm-2");
+    CHECK(Resize(kWanted - 1));
+    CHECK(IsClosed("vm-1"));
+    CHECK_FALSE(IsClosed("vm-2"));
+  }
+
+  SECTION("not what is closed for service as well") {
+    keeper_.UpdateForService({"vm-1"});
+    Resize(kWanted - 1);
+    CHECK(IsClosed("vm-1"));
+  }
+
+  SECTION("not those of another pool") {
+    CHECK_FALSE(
+        keeper_.Resize("other", Load(kWanted - 1), kWanted,
+                       [](std::uint32_t) { return std::vector<vm_id>(); }));
+    CHECK(IsClosed("vm-1"));
+  }
+
+  // From the moment that the store may have the record, the owner of the fleet
+  // may read it and order the move.
+  SECTION("never once the record may be stored") {
+    empty_ = {"vm-1"};
+    CHECK(FindVacant());
+    CHECK(TakeBatch().vacant == std::vector<vm_id>{"vm-1"});
+    CHECK_FALSE(Resize(kWanted - 1));
+    CHECK(IsClosed("vm-1"));
+    keeper_.NoteStored();
+    CHECK_FALSE(Resize(kWanted - 1));
+    CHECK(IsClosed("vm-1"));
+  }
+}
+
+// The hint of a vacant VM gets lost: the store rejects the append that holds
+// it, or the owner of the fleet takes the VM for gone and drops it. The VM
+// would be closed for good with nobody to move it, and the owner of the fleet
+// would count it as one that its pool uses: lasting tasks wait beside an idle
+// VM.
+TEST_CASE_METHOD(vacancy_fixture, "A hint that got lost is told again") {
+  keeper_.Restore({"vm-1"});
+  CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+  now_ += seconds(1);
+  CHECK(TakeHints().empty());
+
+  SECTION("some time after it was told") {
+    now_ += seconds(1);
+    CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+    CHECK(TakeHints().empty());
+    now_ += seconds(2);
+    CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+  }
+
+  SECTION("not while the store shows it") {
+    shown_ = {"vm-1"};
+    now_ += seconds(60);
+    CHECK(TakeHints().empty());
+
+    SECTION("but when it was dropped later") {
+      shown_ = {};
+      CHECK(TakeHints() == std::vector<vacant_vm>{kOfferedVm});
+    }
+  }
+
+  SECTION("not when the VM is gone") {
+    present_ = {};
+    now_ += seconds(60);
+    CHECK(TakeHints().empty());
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
