Record which run numbers an earlier owner may have given on a VM that never told

Ways weighed: keeping the VM's record (each later takeover would wait for the lease of a dead VM, 7 s); numbers by epoch (every first run after a takeover would have a number in the thousands). Taken: the numbers left out are part of a job's progress and are recorded in the batch that drops the VM's record; they bound the next run's number and not what is known of runs.

--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -177,6 +177,9 @@
 struct job_progress {
   job_phase phase = job_phase::kQueued;
   std::vector<task_record> tasks;
+  /// Runs up to this number may have been given by an earlier owner, on a VM
+  /// that never told of them.
+  std::uint32_t untold_runs = 0;
 
   bool operator==(const job_progress&) const = default;
 };
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -108,16 +108,20 @@
   });
 }
 
-void job_state::SkipRuns(std::uint32_t count) {
-  for (auto& [number, occurrence] : occurrences_) {
-    for (step_state& step : occurrence.steps) {
-      for (task_state& task : step.tasks) {
-        if (task.phase == task_phase::kWaiting) {
-          task.last_run += count;
-        }
+bool job_state::SkipUntoldRuns(std::uint32_t count) {
+  if (has_skipped_runs_ || IsFinal(phase_)) {
+    return false;
+  }
+  has_skipped_runs_ = true;
+  for (const auto& [number, occurrence] : occurrences_) {
+    for (const step_state& step : occurrence.steps) {
+      for (const task_state& task : step.tasks) {
+        untold_runs_ = std::max(untold_runs_, task.last_run);
       }
     }
   }
+  untold_runs_ += count;
+  return true;
 }
 
 void job_state::MarkPlaced(const task_name& name, std::uint32_t run) {
@@ -278,6 +282,7 @@
     return;
   }
   phase_ = progress.phase;
+  untold_runs_ = progress.untold_runs;
   for (const task_record& record : progress.tasks) {
     const bool is_valid = record.occurrence < OccurrencesOf(*spec_) &&
                           record.step < spec_->steps.size();
@@ -317,6 +322,7 @@
 job_progress job_state::Progress() const {
   job_progress progress;
   progress.phase = phase_;
+  progress.untold_runs = untold_runs_;
   for (const auto& [number, occurrence] : occurrences_) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       const std::vector<task_state>& tasks = occurrence.steps[s].tasks;
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_SRC_CORE_JOBS_JOB_STATE_H_
 #define PLANTAINHEAD_SRC_CORE_JOBS_JOB_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -105,8 +106,13 @@
   /// Returns an estimate of the work left on the longest chain.
   duration RemainingChain(const occurrence_state& occurrence) const;
 
-  /// Leaves out run numbers that an earlier owner may have given.
-  void SkipRuns(std::uint32_t count);
+  /// Leaves out `count` run numbers that an earlier owner may have given, once
+  /// in this object's life. Returns true when it is news.
+  bool SkipUntoldRuns(std::uint32_t count);
+  /// Returns the number that the next run of the task gets.
+  std::uint32_t NextRun(const task_state& task) const {
+    return std::max(task.last_run, untold_runs_) + 1;
+  }
   void MarkPlaced(const task_name& name, std::uint32_t run);
   /// Notes that a VM has taken a task. An order alone doesn't make a job run:
   /// it may be lost or refused, and callers would be told that the job runs,
@@ -150,6 +156,9 @@
   bool is_inherited_ = false;
   std::map<std::uint32_t, occurrence_state> occurrences_;
   std::uint32_t opened_ = 0;
+  /// See `job_progress`.
+  std::uint32_t untold_runs_ = 0;
+  bool has_skipped_runs_ = false;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -10,9 +10,6 @@
 // them.
 constexpr int kLastingRank = -1;
 constexpr int kLateRank = 1000;
-// More runs of one task than an earlier owner can have started without any of
-// them being recorded: each failed run is recorded within some 50 ms.
-constexpr std::uint32_t kUntoldRuns = 100;
 
 bool HasLabel(const vm_description& vm, const std::string& label) {
   return std::find(vm.labels.begin(), vm.labels.end(), label) !=
@@ -72,25 +69,9 @@
       std::all_of(vms_.begin(), vms_.end(), [now](const auto& entry) {
         return entry.second.is_settled || entry.second.IsLapsed(now);
       });
-  if (is_recovered_ && has_untold_vm_) {
-    SkipUntoldRuns();
-  }
   return is_recovered_;
 }
 
-// A VM that never told what an earlier owner had started there may tell it
-// later. If this owner had given the same number to a run of the same task, the
-// end of the old one would pass for the end of the new one, which would be
-// started a second time while it runs.
-void pool_scheduler::impl::SkipUntoldRuns() {
-  for (const auto& [id, job] : jobs_.open()) {
-    if (job->arrived_at() < takeover_.fresh_from) {
-      job->SkipRuns(kUntoldRuns);
-    }
-  }
-  has_untold_vm_ = false;
-}
-
 // A VM may have told of a task's end before the job was read. Its next listing
 // tells it again; a start before that would run a task that is done.
 std::set<job_id> pool_scheduler::impl::JobsWithUntakenEnds() const {
@@ -180,7 +161,7 @@
       // The other tasks of the step are as large.
       return;
     }
-    Start(job, name, task.last_run + 1, vm, now, orders);
+    Start(job, name, job->NextRun(task), vm, now, orders);
   }
 }
 
@@ -201,7 +182,7 @@
     if (task.starts_after_batch > stored_through_) {
       return;
     }
-    run = std::max(run, task.last_run);
+    run = std::max(run, job->NextRun(task));
     checkpoint = std::max(checkpoint, task.checkpoint);
   }
   std::vector<std::string> racks = {""};
@@ -241,7 +222,7 @@
     }
     for (const auto& [vm, name] : placed) {
       job->Find(name)->checkpoint = checkpoint;
-      Start(job, name, run + 1, vm, now, orders);
+      Start(job, name, run, vm, now, orders);
     }
     return;
   }
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -14,6 +14,9 @@
 constexpr std::uint32_t kPaceStep = 20;
 // A lasting task at this percentage serves.
 constexpr std::uint32_t kAtWork = 100;
+// More runs of one task than an earlier owner can have started without any of
+// them being recorded: each failed run is recorded within some 50 ms.
+constexpr std::uint32_t kUntoldRuns = 100;
 
 }  // namespace
 
@@ -95,6 +98,27 @@
       lapse_batch_ = jobs_.next_batch();
     }
   }
+  SkipUntoldRuns(now);
+}
+
+// A VM that never told what an earlier owner had started there may tell it
+// later. If the same number had been given to a newer run of the task, the end
+// of the old one would pass for the end of the new one, and the task would be
+// started again while it runs. The numbers that are left out are recorded in
+// the batch that drops the VM's record: an owner that follows finds both, or
+// asks the VM itself.
+void pool_scheduler::impl::SkipUntoldRuns(time_point now) {
+  if (!has_untold_vm_) {
+    return;
+  }
+  for (const auto& [id, job] : jobs_.open()) {
+    const bool may_have_run = job->arrived_at() < takeover_.fresh_from;
+    if (may_have_run && job->SkipUntoldRuns(kUntoldRuns)) {
+      jobs_.NoteChange(job);
+    }
+  }
+  // From then on no job is added that an earlier owner may have started.
+  has_untold_vm_ = now < takeover_.fresh_from;
 }
 
 void pool_scheduler::impl::ForgetGoneVms(time_point now) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -103,7 +103,7 @@
   // Placement.
   void FindTakers(time_point now);
   bool IsRecovered(time_point now);
-  void SkipUntoldRuns();
+  void SkipUntoldRuns(time_point now);
   std::set<job_id> JobsWithUntakenEnds() const;
   std::vector<candidate> Candidates(time_point now);
   void PlaceJob(job_state* job, time_point now, std::vector<vm_order>* orders);
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -95,6 +95,7 @@
   const auto phase =
       core::FromName<core::jobs::job_phase>(parsed.at("s").get<std::string>());
   progress.phase = phase.value_or(core::jobs::job_phase::kQueued);
+  progress.untold_runs = parsed.value("u", 0U);
   if (parsed.contains("t")) {
     for (const json& row : parsed["t"]) {
       progress.tasks.push_back(
@@ -147,6 +148,9 @@
 
 adapter::keyed_record Encode(const progress_record& record) {
   json value = {{"s", core::NameOf(record.progress.phase)}};
+  if (record.progress.untold_runs > 0) {
+    value["u"] = record.progress.untold_runs;
+  }
   if (!record.progress.tasks.empty()) {
     json rows = json::array();
     for (const core::jobs::task_record& task : record.progress.tasks) {
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -105,8 +105,6 @@
   }
 }
 
-// The run of a job that ended under the earlier owner is still on a VM. How
-// much room it takes isn't known here; a start beside it could exceed the VM.
 // Two runs of a task were seen at once. The owner before had read a job that
 // was accepted during the takeover, and started it before the VM heard of the
 // new owner. A read of the new one was slow, so that the VM listed the run
@@ -151,6 +149,8 @@
   }
 }
 
+// The run of a job that ended under the earlier owner is still on a VM. How
+// much room it takes isn't known here; a start beside it could exceed the VM.
 TEST_CASE("A run of an ended job closes its VM until it is gone") {
   scheduler_driver driver(Bounds());
   driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
--- a/tests/jobs/record_codec_test.cc
+++ b/tests/jobs/record_codec_test.cc
@@ -77,6 +77,7 @@
   progress.phase = core::jobs::job_phase::kRunning;
   progress.tasks.push_back({0, 1, 2, 3, {1, 2}, false, "saved", true});
   progress.tasks.push_back({1, 0, 0, 7, {}, true, "", false});
+  progress.untold_runs = 100;
   const auto decoded =
       DecodePoolRecord(Encode(progress_record{"job", progress}));
   REQUIRE(decoded);
