--- a/soak/silence_run.cc
+++ b/soak/silence_run.cc
@@ -1,5 +1,6 @@
 #include "silence_run.h"
 
+#include <array>
 #include <csignal>
 #include <iostream>
 #include <map>
@@ -63,9 +64,10 @@
 // that its reads wait for records when the connections fall silent.
 constexpr int kLeastQuietMs = 3700;
 constexpr int kMostQuietMs = 4700;
-// When the partitions are dealt anew, from the beginning of the silence.
-constexpr int kEarliestDealMs = -3000;
-constexpr int kLatestDealMs = 800;
+// From the beginning of the silence until the partitions are dealt anew. A
+// process may be down before; they go to others when it is back.
+constexpr int kEarliestDownMs = -3000;
+constexpr int kLatestDealMs = 1000;
 // A silent read is given up 10.9 s after it was sent. What it holds back shows
 // only if the trouble is over, and 3 s more, well before that.
 constexpr int kMostSilenceMs = 1500;
@@ -78,6 +80,12 @@
 /// What makes the store deal partitions to other members.
 enum class deal_cause { kNone, kNoReason, kKill, kStop };
 
+// The cause is drawn from these. Without a disturbance of a process the calm
+// comes soonest, and most of what silent reads hold back shows.
+constexpr std::array kDealCauses = {
+    deal_cause::kNone,     deal_cause::kNoReason, deal_cause::kNoReason,
+    deal_cause::kNoReason, deal_cause::kKill,     deal_cause::kStop};
+
 class silence_run {
  public:
   explicit silence_run(const soak_options& chosen)
@@ -147,20 +155,22 @@
   // Returns when it is over.
   void BringTrouble() {
     const milliseconds silence_at(site_.Draw(kLeastQuietMs, kMostQuietMs));
-    const milliseconds deal_at =
-        silence_at + milliseconds(site_.Draw(kEarliestDealMs, kLatestDealMs));
     const milliseconds length(site_.Draw(0, kMostSilenceMs));
-    const auto cause = static_cast<deal_cause>(site_.Draw(0, 3));
-    site_.After(silence_at, [this, length] { SilenceSome(length); });
-    site_.After(deal_at, [this, cause] { DealAnew(cause); });
+    const auto cause = kDealCauses.at(static_cast<std::size_t>(
+        site_.Draw(0, static_cast<int>(kDealCauses.size()) - 1)));
     const bool is_down =
         cause == deal_cause::kKill || cause == deal_cause::kStop;
+    const milliseconds deal_at =
+        silence_at +
+        milliseconds(site_.Draw(is_down ? kEarliestDownMs : 0, kLatestDealMs));
+    site_.After(silence_at, [this, length] { SilenceSome(length); });
+    site_.After(deal_at, [this, cause] { DealAnew(cause); });
     site_.context.run_for(std::max(
         silence_at + length, deal_at + (is_down ? kDown : milliseconds(0))));
   }
 
   void SilenceSome(milliseconds length) {
-    const bool is_everywhere = site_.Draw(0, 1) == 0;
+    const bool is_everywhere = site_.Draw(0, 2) != 0;
     soak_process* const one = &site_.AnyProcess();
     for (soak_process& process : site_.processes) {
       if (is_everywhere || &process == one) {
