Let owners of the pool model read jobs late

Cause: the model's owners all knew a job at the moment it was stored, so that no VM could tell of a job that its owner hadn't read. Change: a delay of up to 2.1 s, drawn for each owner and job, in a section of its own and in the one with all faults.

--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -37,6 +37,8 @@
   duration crash_every = duration::zero();
   /// Mean time between two changes of the owner; zero: none.
   duration takeover_every = duration::zero();
+  /// Owners read a job up to this much after it was stored, each for itself.
+  duration read_delay = duration::zero();
 };
 
 /// One pool in virtual time: VMs that run tasks under leases, a network that
@@ -57,8 +59,12 @@
   void Submit(const std::shared_ptr<const job_spec>& job,
               const queue_policy& policy) {
     submitted_.emplace_back(job, policy);
-    owner_->scheduler->AddJob(job, policy, now);
     submitted_at[job->id] = now;
+    for (const auto& reader : {owner_, zombie_}) {
+      if (reader) {
+        LetRead(reader, job, policy);
+      }
+    }
   }
 
   /// Lets `time` pass.
@@ -170,6 +176,21 @@
     return list;
   }
 
+  // Before an owner begins it reads all that is stored by then; see
+  // `BeginOwner`.
+  void LetRead(const owner_ptr& reader,
+               const std::shared_ptr<const job_spec>& job,
+               const queue_policy& policy) {
+    const auto read = [this, reader, job, policy] {
+      reader->scheduler->AddJob(job, policy, now);
+    };
+    if (faults_.read_delay == duration::zero()) {
+      read();
+    } else {
+      Later(Between(duration::zero(), faults_.read_delay), read);
+    }
+  }
+
   void BeginOwner(const takeover_bounds& bounds) {
     owner_ = std::make_shared<owner>();
     owner_->epoch = ++last_epoch_;
--- a/tests/core/jobs/pool_model_test.cc
+++ b/tests/core/jobs/pool_model_test.cc
@@ -11,6 +11,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+// A read that watches is given up after 2 s, and a new one is sent then.
+constexpr milliseconds kLatestRead(2100);
+
 std::shared_ptr<const job_spec> RandomJob(int number, std::mt19937* random) {
   std::vector<step_spec> steps;
   const auto count = 1 + (*random)() % 3;
@@ -104,6 +107,18 @@
     }));
   }
 
+  // A task ran twice: the owner before had read its job sooner than the new
+  // owner did, and had started it.
+  SECTION("owners that read new jobs sooner or later than one another") {
+    model_faults faults;
+    faults.takeover_every = seconds(2);
+    faults.read_delay = kLatestRead;
+    CHECK(rc::check([&] {
+      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
+    }));
+  }
+
   SECTION("all of it together") {
     CHECK(rc::check([&] {
       const auto seed = *rc::gen::arbitrary<std::uint32_t>();
@@ -111,10 +126,11 @@
     }));
   }
 
-  SECTION("all of it together, with orders that are lost or refused") {
+  SECTION("all of it together, with lost or refused orders and late reads") {
     model_faults faults = AllFaults();
     faults.lost_orders = 0.05;
     faults.refused_orders = 0.1;
+    faults.read_delay = kLatestRead;
     CHECK(rc::check([&] {
       const auto seed = *rc::gen::arbitrary<std::uint32_t>();
       RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
