Let takeovers of the pool model take time

Cause: the model's owners spoke to the VMs at the moment of their claim. In fact reads come between, up to seconds when one hangs, and the owner before goes on with the VMs. Change: up to 2 s between claim and first order, together with late reads.

--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -39,6 +39,8 @@
   duration takeover_every = duration::zero();
   /// Owners read a job up to this much after it was stored, each for itself.
   duration read_delay = duration::zero();
+  /// An owner speaks to VMs up to this long after it has claimed the pool.
+  duration takeover_time = duration::zero();
 };
 
 /// One pool in virtual time: VMs that run tasks under leases, a network that
@@ -132,6 +134,7 @@
 
   struct owner {
     std::uint64_t epoch = 0;
+    time_point begins_at;
     std::unique_ptr<pool_scheduler> scheduler;
     std::map<vm_id, time_point> next_hold;
     std::optional<progress_batch> storing;
@@ -194,6 +197,10 @@
   void BeginOwner(const takeover_bounds& bounds) {
     owner_ = std::make_shared<owner>();
     owner_->epoch = ++last_epoch_;
+    if (faults_.takeover_time > duration::zero()) {
+      owner_->begins_at =
+          now + Between(duration::zero(), faults_.takeover_time);
+    }
     owner_->scheduler =
         std::make_unique<pool_scheduler>(scheduler_settings(), bounds);
     for (const auto& [job, policy] : submitted_) {
@@ -290,7 +297,7 @@
 
   void Work(const owner_ptr& worker) {
     pool_scheduler& scheduler = *worker->scheduler;
-    if (scheduler.IsFenced()) {
+    if (scheduler.IsFenced() || now < worker->begins_at) {
       return;
     }
     for (const vm_description& machine : scheduler.Vms()) {
--- a/tests/core/jobs/pool_model_test.cc
+++ b/tests/core/jobs/pool_model_test.cc
@@ -13,6 +13,8 @@
 
 // A read that watches is given up after 2 s, and a new one is sent then.
 constexpr milliseconds kLatestRead(2100);
+// The reads after a claim take this long when one of them hangs.
+constexpr milliseconds kLongestTakeover(2000);
 
 std::shared_ptr<const job_spec> RandomJob(int number, std::mt19937* random) {
   std::vector<step_spec> steps;
@@ -113,6 +115,7 @@
     model_faults faults;
     faults.takeover_every = seconds(2);
     faults.read_delay = kLatestRead;
+    faults.takeover_time = kLongestTakeover;
     CHECK(rc::check([&] {
       const auto seed = *rc::gen::arbitrary<std::uint32_t>();
       RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
@@ -131,6 +134,7 @@
     faults.lost_orders = 0.05;
     faults.refused_orders = 0.1;
     faults.read_delay = kLatestRead;
+    faults.takeover_time = kLongestTakeover;
     CHECK(rc::check([&] {
       const auto seed = *rc::gen::arbitrary<std::uint32_t>();
       RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
