--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -37,6 +37,10 @@
   duration crash_every = duration::zero();
   /// Mean time between two changes of the owner; zero: none.
   duration takeover_every = duration::zero();
+  /// Owners read a job up to this much after it was stored, each for itself.
+  duration read_delay = duration::zero();
+  /// An owner speaks to VMs up to this long after it has claimed the pool.
+  duration takeover_time = duration::zero();
 };
 
 /// One pool in virtual time: VMs that run tasks under leases, a network that
@@ -57,8 +61,12 @@
   void Submit(const std::shared_ptr<const job_spec>& job,
               const queue_policy& policy) {
     submitted_.emplace_back(job, policy);
-    owner_->scheduler->AddJob(job, policy, now);
     submitted_at[job->id] = now;
+    for (const auto& reader : {owner_, zombie_}) {
+      if (reader) {
+        LetRead(reader, job, policy);
+      }
+    }
   }
 
   /// Lets `time` pass.
@@ -126,6 +134,7 @@
 
   struct owner {
     std::uint64_t epoch = 0;
+    time_point begins_at;
     std::unique_ptr<pool_scheduler> scheduler;
     std::map<vm_id, time_point> next_hold;
     std::optional<progress_batch> storing;
@@ -170,9 +179,28 @@
     return list;
   }
 
+  // Before an owner begins it reads all that is stored by then; see
+  // `BeginOwner`.
+  void LetRead(const owner_ptr& reader,
+               const std::shared_ptr<const job_spec>& job,
+               const queue_policy& policy) {
+    const auto read = [this, reader, job, policy] {
+      reader->scheduler->AddJob(job, policy, now);
+    };
+    if (faults_.read_delay == duration::zero()) {
+      read();
+    } else {
+      Later(Between(duration::zero(), faults_.read_delay), read);
+    }
+  }
+
   void BeginOwner(const takeover_bounds& bounds) {
     owner_ = std::make_shared<owner>();
     owner_->epoch = ++last_epoch_;
+    if (faults_.takeover_time > duration::zero()) {
+      owner_->begins_at =
+          now + Between(duration::zero(), faults_.takeover_time);
+    }
     owner_->scheduler =
         std::make_unique<pool_scheduler>(scheduler_settings(), bounds);
     for (const auto& [job, policy] : submitted_) {
@@ -269,7 +297,7 @@
 
   void Work(const owner_ptr& worker) {
     pool_scheduler& scheduler = *worker->scheduler;
-    if (scheduler.IsFenced()) {
+    if (scheduler.IsFenced() || now < worker->begins_at) {
       return;
     }
     for (const vm_description& machine : scheduler.Vms()) {
