--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -1,151 +1,17 @@
 #include "jobs/job_service.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "jobs/record_codec.h"
-#include "net/address.h"
+#include "jobs/small_site.h"
 #include "net/http_client.h"
-#include "net/http_server.h"
-#include "plantainhead/settings/scheduler_settings.h"
 #include "run_until.h"
-#include "site_store.h"
-#include "site_vm.h"
 
 namespace plantainhead::jobs {
 namespace {
 
-using std::chrono::milliseconds;
-using std::chrono::seconds;
-using testing::RunUntil;
-
-std::string FreeAddress() {
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(context,
-                                          net::ParseAddress("127.0.0.1:0"));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
-constexpr const char* kConfiguration =
-    R"({"version":3,"routes":[{"name":"q","host":"a.example","path_prefix":"/q/",
-        "service":"pool","max_attempts":2,"stretch":2}],
-        "services":[{"name":"pool"}]})";
-constexpr const char* kJob =
-    R"({"spec":"x","steps":[{"count":2,"cpu":1000,"mem_mb":10,"estimate_ms":50},
-        {"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":50,"depends_on":[0]}]})";
-constexpr const char* kId = "0123456789abcdef";
-
-/// A small deployment in one thread: a store, VMs and processes of the
-/// scheduler, which talk over loopback.
-class site {
- public:
-  site() : store(&context), store_address_(FreeAddress()) {
-    store_server_ = std::make_unique<net::http_server>(
-        &context, store_address_, net::http_server_options(),
-        [this](const net::server_request& request,
-               const net::responder& respond) {
-          store.Handle(request, respond);
-        });
-    store.Put("keyed.op", "config", kConfiguration);
-  }
-
-  fakes::site_vm& AddVm(const std::string& id, milliseconds task_time) {
-    const std::string address = FreeAddress();
-    vms[id] =
-        std::make_unique<fakes::site_vm>(&context, id, address, task_time);
-    store.Put("keyed.servers", id, vms[id]->RegistryValue("pool"));
-    return *vms[id];
-  }
-
-  void AddProcess(const std::string& name) {
-    settings::scheduler_process_settings settings;
-    settings.name = name;
-    settings.caller_address = FreeAddress();
-    settings.probe_address = FreeAddress();
-    settings.store_address = store_address_;
-    addresses[name] = settings.caller_address;
-    probes_[name] = settings.probe_address;
-    processes[name] = std::make_unique<job_service>(&context, settings);
-    processes[name]->Start();
-  }
-
-  net::client_reply Call(const std::string& address,
-                         net::method verb,
-                         const std::string& target,
-                         const std::string& body = "") {
-    net::http_client client(&context, address, {});
-    net::client_request request;
-    request.verb = verb;
-    request.target = target;
-    request.headers.emplace_back("Host", "a.example");
-    request.body = body;
-    std::optional<net::client_reply> reply;
-    client.Send(request, seconds(30),
-                [&](net::client_reply got) { reply = std::move(got); });
-    RunUntil(&context, [&] { return reply.has_value(); });
-    return reply.value_or(net::client_reply());
-  }
-
-  net::client_reply Submit(const std::string& process, const std::string& id) {
-    return Call(addresses.at(process), net::method::kPost, "/q/" + id, kJob);
-  }
-
-  std::string StateOf(const std::string& process, const std::string& id) {
-    return Call(addresses.at(process), net::method::kGet, "/q/" + id).body;
-  }
-
-  bool IsReady(const std::string& process) {
-    return Call(probes_.at(process), net::method::kGet, "/plantainhead/ready")
-               .status == 200;
-  }
-
-  bool AwaitReady(const std::string& process) {
-    for (int i = 0; i < 500 && !IsReady(process); ++i) {
-      Pass(milliseconds(20));
-    }
-    return IsReady(process);
-  }
-
-  bool AwaitState(const std::string& process, const std::string& state) {
-    const std::string wanted = "{\"state\":\"" + state + "\"}";
-    for (int i = 0; i < 1500; ++i) {
-      if (StateOf(process, kId) == wanted) {
-        return true;
-      }
-      Pass(milliseconds(20));
-    }
-    return false;
-  }
-
-  void Pass(milliseconds time) { context.run_for(time); }
-
-  int StartsOf(const std::string& task) const {
-    int starts = 0;
-    for (const auto& [id, vm] : vms) {
-      const auto found = vm->starts().find(task);
-      starts += found == vm->starts().end() ? 0 : found->second;
-    }
-    return starts;
-  }
-
-  boost::asio::io_context context;
-  fakes::site_store store;
-  std::map<std::string, std::unique_ptr<fakes::site_vm>> vms;
-  std::map<std::string, std::unique_ptr<job_service>> processes;
-  std::map<std::string, std::string> addresses;
-
- private:
-  std::string store_address_;
-  std::unique_ptr<net::http_server> store_server_;
-  std::map<std::string, std::string> probes_;
-};
-
 TEST_CASE("A job is accepted, run and shown as completed by every process") {
   site site;
   site.AddVm("vm-1", milliseconds(30));
