Decide in the core what a record that can't be read does

Cause: a record with a fault was dropped where it was read, in five ways; a VM whose entry had turned unreadable went on getting tasks. Change: kinds of faults with their place, the effect of each by what the record would have told, a ledger that counts all and tells each key once (1,000 keys at most), the registry of VMs with those that can't be read, and a fleet's list that keeps hosts whose rows can't be read.

--- a/include/plantainhead/core/jobs/routing.h
+++ b/include/plantainhead/core/jobs/routing.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -60,6 +61,7 @@
   /// Returns the names of the pools in order, which is the same in every
   /// process that has the same configuration.
   std::vector<pool_id> Pools() const;
+  bool HasPool(const pool_id& pool) const { return pools_.count(pool) != 0; }
 
  private:
   routing_configuration configuration_;
@@ -69,6 +71,7 @@
            std::less<>>
       by_host_;
   std::map<queue_id, std::size_t> by_queue_;
+  std::set<pool_id> pools_;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/routing.cc
+++ b/src/core/jobs/routing.cc
@@ -12,6 +12,9 @@
     by_host_[route.host].emplace(route.path_prefix, i);
     by_queue_.emplace(route.queue, i);
   }
+  for (const pool_settings& pool : configuration_.pools) {
+    pools_.insert(pool.id);
+  }
 }
 
 route_match routing_table::Find(std::string_view host,
--- /dev/null
+++ b/src/core/jobs/vm_registry.cc
@@ -0,0 +1,46 @@
+#include "plantainhead/core/jobs/vm_registry.h"
+
+#include <utility>
+
+namespace plantainhead::core::jobs {
+
+void vm_registry::Put(vm_description vm) {
+  unreadable_.erase(vm.id);
+  const vm_id id = vm.id;
+  readable_[id] = std::move(vm);
+}
+
+void vm_registry::PutUnreadable(const vm_id& id) {
+  readable_.erase(id);
+  unreadable_.insert(id);
+}
+
+void vm_registry::Drop(const vm_id& id) {
+  readable_.erase(id);
+  unreadable_.erase(id);
+}
+
+std::vector<vm_description> vm_registry::Usable(
+    const routing_table& routes) const {
+  std::vector<vm_description> usable;
+  for (const auto& [id, vm] : readable_) {
+    if (routes.HasPool(vm.pool)) {
+      usable.push_back(vm);
+    }
+  }
+  return usable;
+}
+
+bool vm_registry::IsListed(const vm_id& id) const {
+  return readable_.count(id) != 0 || unreadable_.count(id) != 0;
+}
+
+std::set<vm_id> vm_registry::Listed() const {
+  std::set<vm_id> listed = unreadable_;
+  for (const auto& [id, vm] : readable_) {
+    listed.insert(id);
+  }
+  return listed;
+}
+
+}  // namespace plantainhead::core::jobs
--- /dev/null
+++ b/tests/core/jobs/record_faults_test.cc
@@ -0,0 +1,146 @@
+#include "plantainhead/core/jobs/record_faults.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "plantainhead/core/jobs/fleet_list.h"
+#include "plantainhead/core/jobs/vm_registry.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+const record_fault kFault{fault_kind::kWrongType, "state"};
+
+vm_description VmOf(const vm_id& id, const pool_id& pool) {
+  vm_description vm;
+  vm.id = id;
+  vm.pool = pool;
+  return vm;
+}
+
+TEST_CASE("A fault is counted each time and told once a key") {
+  fault_ledger ledger;
+  CHECK(ledger.Note("t", "a", kFault));
+  CHECK_FALSE(ledger.Note("t", "a", kFault));
+  CHECK(ledger.Note("t", "b", kFault));
+  CHECK(ledger.Note("u", "a", {fault_kind::kNotJson, ""}));
+  CHECK(ledger.counts().at({"t", fault_kind::kWrongType}) == 3);
+  CHECK(ledger.counts().at({"u", fault_kind::kNotJson}) == 1);
+  CHECK(ledger.FaultyKeys() == 3);
+
+  SECTION("and again after a sound record of the key") {
+    ledger.NoteSound("t", "a");
+    CHECK(ledger.FaultyKeys() == 2);
+    CHECK(ledger.Note("t", "a", kFault));
+  }
+
+  SECTION("of keys without end some are told, and all are counted") {
+    constexpr int kKeys = 5000;
+    int told = 0;
+    for (int i = 0; i < kKeys; ++i) {
+      told += ledger.Note("v", std::to_string(i), kFault) ? 1 : 0;
+    }
+    CHECK(told < kKeys);
+    CHECK(ledger.FaultyKeys() == 1000);
+    CHECK(ledger.counts().at({"v", fault_kind::kWrongType}) == kKeys);
+  }
+}
+
+TEST_CASE("A fault does what harms least, whoever wrote the record") {
+  CHECK(EffectOf(record_use::kConfiguration) == fault_effect::kEarlierHolds);
+  CHECK(EffectOf(record_use::kWave) == fault_effect::kEarlierHolds);
+  CHECK(EffectOf(record_use::kVmEntry) == fault_effect::kNoNewWork);
+  CHECK(EffectOf(record_use::kJob) == fault_effect::kEarlierHolds);
+  CHECK(EffectOf(record_use::kProgress) == fault_effect::kEarlierHolds);
+  CHECK(EffectOf(record_use::kOwnerClaim) == fault_effect::kClaimUnknown);
+  CHECK(EffectOf(record_use::kUsedVm) == fault_effect::kCountsAsUsed);
+  CHECK(EffectOf(record_use::kVacancy) == fault_effect::kEarlierHolds);
+  CHECK(EffectOf(record_use::kHostOrder) == fault_effect::kCountsAsUsed);
+  CHECK(EffectOf(record_use::kFleetNote) == fault_effect::kEarlierHolds);
+}
+
+TEST_CASE("Names that become parts of keys and headers") {
+  CHECK(IsSoundName("i-7f3a91c2"));
+  CHECK_FALSE(IsSoundName(""));
+  CHECK_FALSE(IsSoundName("a b"));
+  CHECK_FALSE(IsSoundName("a\r\nb"));
+  CHECK_FALSE(IsSoundName("\xc3\xa9"));
+  CHECK_FALSE(IsSoundName(std::string(1, '\0')));
+  CHECK(IsSoundName(std::string(kMostNameBytes, 'a')));
+  CHECK_FALSE(IsSoundName(std::string(kMostNameBytes + 1, 'a')));
+}
+
+TEST_CASE("A VM whose record can't be read takes no work and isn't gone") {
+  routing_configuration configuration;
+  configuration.pools = {{"pool", false}};
+  const routing_table routes(configuration);
+  vm_registry registry;
+  registry.Put(VmOf("a", "pool"));
+  registry.Put(VmOf("b", "pool"));
+  REQUIRE(registry.Usable(routes).size() == 2);
+
+  registry.PutUnreadable("a");
+  REQUIRE(registry.Usable(routes).size() == 1);
+  CHECK(registry.Usable(routes)[0].id == "b");
+  CHECK(registry.IsListed("a"));
+  CHECK(registry.Listed() == std::set<vm_id>{"a", "b"});
+
+  SECTION("until a sound record of it is read") {
+    registry.Put(VmOf("a", "pool"));
+    CHECK(registry.Usable(routes).size() == 2);
+  }
+
+  SECTION("until its key is dropped") {
+    registry.Drop("a");
+    CHECK_FALSE(registry.IsListed("a"));
+  }
+
+  SECTION("one that was never read sound is no VM to use either") {
+    registry.PutUnreadable("c");
+    CHECK(registry.Usable(routes).size() == 1);
+    CHECK(registry.IsListed("c"));
+  }
+
+  SECTION("a pool that the configuration doesn't name has none to use") {
+    registry.Put(VmOf("d", "other"));
+    CHECK(registry.Usable(routes).size() == 1);
+    configuration.pools.push_back({"other", false});
+    CHECK(registry.Usable(routing_table(configuration)).size() == 2);
+  }
+}
+
+// A row of the fleet's list can't be read. If its host were left out, it would
+// count as one that has left the fleet, and a wave that names it as complete.
+TEST_CASE("A host whose row can't be read is there and isn't used") {
+  fleet_host up;
+  up.host = "a";
+  up.state = host_state::kUp;
+  fleet_host other = up;
+  other.host = "b";
+  const std::vector<fleet_host> before = {up, other};
+
+  const auto kept = KeepFaultyHosts({up}, {"b"}, before);
+  REQUIRE(kept.size() == 2);
+  CHECK(kept[0].state == host_state::kUp);
+  CHECK(kept[1].host == "b");
+  CHECK(kept[1].state == host_state::kDown);
+  CHECK(kept[1].vm.empty());
+
+  SECTION("a row without a name may be any host of before") {
+    const auto all = KeepFaultyHosts({up}, {""}, before);
+    REQUIRE(all.size() == 2);
+    CHECK(all[1].host == "b");
+    CHECK(all[1].state == host_state::kDown);
+  }
+
+  SECTION("a host that has a sound row, too, has just that") {
+    CHECK(KeepFaultyHosts({up}, {"a"}, before).size() == 1);
+  }
+
+  SECTION("without faults a host that isn't listed has left") {
+    CHECK(KeepFaultyHosts({up}, {}, before).size() == 1);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
