--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -309,14 +309,22 @@
 
 void site_store::Put(const std::string& topic,
                      const std::string& key,
-                     const std::optional<std::string>& value) {
+                     const std::optional<std::string>& value,
+                     std::uint32_t part) {
   const std::string content =
       std::string(1, static_cast<char>(key.size())) + key + value.value_or("");
-  partitions_[{topic, 0}].records.push_back(
+  partitions_[{topic, part}].records.push_back(
       {key, value, BigEndian(content.size(), 4) + content});
   WakeReaders();
 }
 
+void site_store::PutRaw(const std::string& topic,
+                        std::uint32_t part,
+                        const std::string& bytes) {
+  partitions_[{topic, part}].records.push_back({"", std::nullopt, bytes});
+  WakeReaders();
+}
+
 std::optional<std::string> site_store::Newest(const std::string& topic,
                                               const std::string& key) const {
   std::optional<std::string> value;
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -43,7 +43,12 @@
   /// Puts a record, as the operators and VMs do. No value drops the key.
   void Put(const std::string& topic,
            const std::string& key,
-           const std::optional<std::string>& value);
+           const std::optional<std::string>& value,
+           std::uint32_t part = 0);
+  /// Puts bytes where a record should be, with its length and all.
+  void PutRaw(const std::string& topic,
+              std::uint32_t part,
+              const std::string& bytes);
   /// Returns the newest value of the key in any partition of the topic.
   std::optional<std::string> Newest(const std::string& topic,
                                     const std::string& key) const;
--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -43,7 +43,11 @@
   return json{{"service", pool},
               {"address", address.empty() ? address_ : address},
               {"zone", "zone-1"},
+              {"version", "v1"},
+              {"slots", 8},
               {"state", "ready"},
+              {"cold_left_ms", 0},
+              {"seq", 1},
               {"capacity", {{"cpu", 4000}, {"mem_mb", 8000}, {"gpu", 0}}},
               {"labels", json::array({"a", "r1"})}}
       .dump();
--- a/include/plantainhead/core/jobs/vm_registry.h
+++ b/include/plantainhead/core/jobs/vm_registry.h
@@ -28,6 +28,9 @@
   bool IsListed(const vm_id& id) const;
   /// Returns all VMs of which there is a record.
   std::set<vm_id> Listed() const;
+  /// Returns the VMs that drain. Whether one whose record can't be read does
+  /// isn't known; it takes no new task anyway.
+  std::set<vm_id> Leaving() const;
 
  private:
   std::map<vm_id, vm_description> readable_;
--- a/src/core/jobs/vm_registry.cc
+++ b/src/core/jobs/vm_registry.cc
@@ -43,4 +43,14 @@
   return listed;
 }
 
+std::set<vm_id> vm_registry::Leaving() const {
+  std::set<vm_id> leaving;
+  for (const auto& [id, vm] : readable_) {
+    if (vm.draining) {
+      leaving.insert(id);
+    }
+  }
+  return leaving;
+}
+
 }  // namespace plantainhead::core::jobs
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -58,6 +58,7 @@
   void List();
   void ListPage(const std::string& page);
   void TakePage(const adapter::fleet_page& reply);
+  void KeepFaultyHosts();
   void DropOffersOfGoneVms();
   std::set<core::jobs::vm_id> LeavingVms() const;
 
@@ -101,6 +102,9 @@
   /// Hosts for which an earlier owner may have given an order.
   std::map<core::jobs::host_id, core::time_point> closed_until_;
   std::vector<core::jobs::fleet_host> page_hosts_;
+  std::vector<adapter::faulty_host> page_faults_;
+  /// Of the newest list.
+  std::vector<core::jobs::fleet_host> known_hosts_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/fleet_owner_reading.cc
+++ b/src/jobs/fleet_owner_reading.cc
@@ -4,8 +4,15 @@
 
 #include "jobs/clocks.h"
 #include "jobs/fleet_owner_impl.h"
+#include "plantainhead/core/jobs/fleet_list.h"
 
 namespace plantainhead::jobs {
+namespace {
+
+// How metrics and logs call the list, which isn't one of the store's topics.
+constexpr const char* kFleetList = "fleet list";
+
+}  // namespace
 
 void fleet_owner::impl::TakeRecords() {
   for (const auto& [number, wave] : deps_.world->waves()) {
@@ -67,6 +74,7 @@
   is_listing_ = true;
   requested_at_ = BootTime();
   page_hosts_.clear();
+  page_faults_.clear();
   ListPage("");
 }
 
@@ -82,17 +90,23 @@
 
 void fleet_owner::impl::TakePage(const adapter::fleet_page& reply) {
   if (!reply.is_read) {
+    for (const adapter::faulty_host& row : reply.faults) {
+      deps_.world->faults().Note(kFleetList, row.host, row.fault);
+    }
     is_listing_ = false;
     listed_at_ = BootTime();
     return;
   }
   page_hosts_.insert(page_hosts_.end(), reply.hosts.begin(), reply.hosts.end());
+  page_faults_.insert(page_faults_.end(), reply.faults.begin(),
+                      reply.faults.end());
   if (!reply.next.empty()) {
     ListPage(reply.next);
     return;
   }
   is_listing_ = false;
   listed_at_ = BootTime();
+  KeepFaultyHosts();
   DropOffersOfGoneVms();
   std::set<core::jobs::pool_id> spare;
   for (const core::jobs::pool_settings& pool :
@@ -106,14 +120,22 @@
   Work();
 }
 
+void fleet_owner::impl::KeepFaultyHosts() {
+  std::vector<core::jobs::host_id> faulty;
+  for (const adapter::faulty_host& row : page_faults_) {
+    deps_.world->faults().Note(kFleetList, row.host, row.fault);
+    faulty.push_back(row.host);
+  }
+  page_hosts_ =
+      core::jobs::KeepFaultyHosts(std::move(page_hosts_), faulty, known_hosts_);
+  known_hosts_ = page_hosts_;
+}
+
 void fleet_owner::impl::DropOffersOfGoneVms() {
-  std::set<core::jobs::vm_id> present;
+  std::set<core::jobs::vm_id> present = deps_.world->registry().Listed();
   for (const core::jobs::fleet_host& host : page_hosts_) {
     present.insert(host.vm);
   }
-  for (const auto& [vm, description] : deps_.world->registry()) {
-    present.insert(vm);
-  }
   for (const core::jobs::vm_id& vm :
        vacancies_.TakeGoneOffers(present, BootTime())) {
     records_.Put(DropOfferedVm(vm));
@@ -121,13 +143,7 @@
 }
 
 std::set<core::jobs::vm_id> fleet_owner::impl::LeavingVms() const {
-  std::set<core::jobs::vm_id> leaving;
-  for (const auto& [vm, description] : deps_.world->registry()) {
-    if (description.draining) {
-      leaving.insert(vm);
-    }
-  }
-  return leaving;
+  return deps_.world->registry().Leaving();
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/fleet_records.cc
+++ b/src/jobs/fleet_records.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <string_view>
 
+#include "jobs/job_world.h"
+
 namespace plantainhead::jobs {
 namespace {
 
@@ -14,6 +16,9 @@
 constexpr char kPartSeparator = ':';
 constexpr std::string_view kServiced = "serviced/";
 constexpr std::string_view kCompleted = "completed/";
+constexpr const char* kMark = "1";
+// Of a pool. No platform has as many VMs.
+constexpr std::uint64_t kMostWanted = 1'000'000;
 
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
   std::uint64_t number = 0;
@@ -33,6 +38,20 @@
   return key.substr(prefix.size());
 }
 
+// Of either kind of hint.
+std::optional<core::jobs::vm_id> HintedVmOf(const std::string& key) {
+  const auto offered = AfterPrefix(key, kOffered);
+  return offered ? offered : AfterPrefix(key, kEmpty);
+}
+
+std::optional<std::uint64_t> ParseWanted(std::string_view text) {
+  if (!text.empty() && text.back() == kShort[0]) {
+    text.remove_suffix(1);
+  }
+  const auto count = ParseNumber(text);
+  return count && *count <= kMostWanted ? count : std::nullopt;
+}
+
 }  // namespace
 
 adapter::keyed_record EncodeClosedVm(const core::jobs::vm_id& vm) {
@@ -75,9 +94,7 @@
 wanted_vms DecodeWantedVms(const std::string& value) {
   wanted_vms wanted;
   wanted.is_short = !value.empty() && value.back() == kShort[0];
-  const std::string_view number =
-      std::string_view(value).substr(0, value.size() - wanted.is_short);
-  wanted.count = static_cast<std::uint32_t>(ParseNumber(number).value_or(0));
+  wanted.count = static_cast<std::uint32_t>(ParseWanted(value).value_or(0));
   return wanted;
 }
 
@@ -136,9 +153,44 @@
   if (!partition || !epoch) {
     return std::nullopt;
   }
+  if (*partition >= kPoolPartitions) {
+    return std::nullopt;
+  }
   hint.partition = static_cast<std::uint32_t>(*partition);
   hint.epoch = *epoch;
   return hint;
 }
 
+std::optional<core::jobs::record_fault> FaultOfFleetRecord(
+    const adapter::keyed_record& record) {
+  using core::jobs::fault_kind;
+  using core::jobs::record_fault;
+  if (record.fault) {
+    return record.fault;
+  }
+  const std::string value = record.value.value_or(kMark);
+  bool is_sound = value == kMark;
+  std::string name;
+  if (const auto hinted = HintedVmOf(record.key)) {
+    name = *hinted;
+    is_sound = !record.value || DecodeVacancyHint(record.key, value);
+  } else if (const auto closed = ClosedVmOf(record.key)) {
+    name = *closed;
+  } else if (const auto pool = WantingPoolOf(record.key)) {
+    name = *pool;
+    is_sound = ParseWanted(value).has_value();
+  } else if (const auto serviced = ServicedHostOf(record.key)) {
+    name = serviced->host;
+  } else if (const auto wave = CompletedWaveOf(record.key)) {
+    name = std::to_string(*wave);
+  } else {
+    return record_fault{fault_kind::kUnknownName, "key"};
+  }
+  if (!core::jobs::IsSoundName(name)) {
+    return record_fault{fault_kind::kUnreadable, "key"};
+  }
+  return is_sound ? std::nullopt
+                  : std::optional(record_fault{fault_kind::kOutOfRange, ""});
+}
+
 }  // namespace plantainhead::jobs
--- a/src/jobs/fleet_records.h
+++ b/src/jobs/fleet_records.h
@@ -7,6 +7,7 @@
 
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/maintenance.h"
+#include "plantainhead/core/jobs/record_faults.h"
 #include "plantainhead/core/jobs/vacancy_checker.h"
 #include "platform/store_client.h"
 
@@ -43,6 +44,10 @@
 /// All hosts of the wave were.
 adapter::keyed_record EncodeCompletedWave(std::uint64_t wave);
 
+/// Returns what is wrong with a record of the fleet's topic, if anything.
+std::optional<core::jobs::record_fault> FaultOfFleetRecord(
+    const adapter::keyed_record& record);
+
 /// Return the VM that a record's key names, if it is of this kind.
 std::optional<core::jobs::vm_id> ClosedVmOf(const std::string& key);
 std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key);
--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -39,6 +39,16 @@
   }
   level("plantain_configuration_version", "The version in force.",
         static_cast<double>(figures.configuration_version));
+  level("plantain_faulty_keys", "Keys whose newest record can't be used.",
+        static_cast<double>(figures.faulty_keys));
+  for (const auto& [fault, times] : figures.faults) {
+    registry
+        .Counter("plantain_record_faults_total",
+                 "Records that were read and can't be used.",
+                 {{"topic", fault.first},
+                  {"fault", std::string(core::NameOf(fault.second))}})
+        .Add(times);
+  }
   for (const auto& [partition, counts] : figures.pools) {
     const observe::label_list labels = {
         {"partition", std::to_string(partition)}};
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -9,6 +9,7 @@
 
 #include "jobs/submissions.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
+#include "plantainhead/core/jobs/record_faults.h"
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::jobs {
@@ -23,6 +24,9 @@
   /// See `job_world::JobCopyAge`; nothing before the jobs have been read.
   std::optional<core::duration> job_copy_age;
   std::uint64_t configuration_version = 0;
+  core::jobs::fault_ledger::counts_by_fault faults;
+  /// Keys that hold a record that can't be used now.
+  std::size_t faulty_keys = 0;
 };
 
 /// Returns the figures as Prometheus text (version 0.0.4).
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -235,7 +235,7 @@
                      : adapter::EncodeFault(net::kUnavailable, "not ready"));
   }
 
-  net::server_response Metrics() const {
+  net::server_response Metrics() {
     job_figures figures;
     figures.submissions = submissions_.counts();
     figures.is_ready = IsReady();
@@ -245,6 +245,8 @@
       figures.job_copy_age = world_.JobCopyAge();
     }
     figures.configuration_version = world_.routes().configuration().version;
+    figures.faults = world_.faults().ledger().counts();
+    figures.faulty_keys = world_.faults().ledger().FaultyKeys();
     net::server_response response;
     response.body = FormatMetrics(figures) + meters_.ToText();
     response.content_type = "text/plain; version=0.0.4";
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -38,13 +38,6 @@
   return partitions;
 }
 
-void LogInvalid(const std::string& topic, const adapter::keyed_record& record) {
-  LogEvent(job_event::kRecordInvalid,
-           {{"topic", topic},
-            {"key", record.key},
-            {"offset", std::to_string(record.offset)}});
-}
-
 }  // namespace
 
 std::uint32_t JobPartitionOf(const core::jobs::queue_id& queue,
@@ -141,11 +134,13 @@
 }
 
 void job_world::TakeJobRecord(const adapter::keyed_record& record) {
+  const bool is_dropped = !record.value && !record.fault;
+  if (is_dropped) {
+    return;
+  }
   auto decoded = DecodeJobRecord(record);
   if (!decoded) {
-    if (record.value) {
-      LogInvalid(kJobTopic, record);
-    }
+    faults_.Note(kJobTopic, record.key, decoded.fault());
     return;
   }
   std::visit(core::overloaded{
@@ -171,8 +166,8 @@
                                const adapter::keyed_record& record) {
   auto decoded = DecodePoolRecord(record);
   if (!decoded) {
-    if (record.value) {
-      LogInvalid(kProgressTopic, record);
+    if (record.value || record.fault) {
+      TakePoolFault(partition, record, decoded.fault());
     }
     return;
   }
@@ -211,57 +206,58 @@
 }
 
 void job_world::TakeOperatorRecord(const adapter::keyed_record& record) {
+  if (record.fault) {
+    faults_.Note(adapter::kOperatorTopic, record.key, *record.fault);
+    return;
+  }
   if (!record.value) {
     return;
   }
   if (record.key == adapter::kConfigurationKey) {
-    auto decoded = adapter::DecodeConfiguration(*record.value);
-    if (!decoded) {
-      LogEvent(job_event::kConfigurationInvalid,
-               {{"offset", std::to_string(record.offset)}});
-      return;
-    }
-    // Pages and appends may show an older version after a newer one.
-    if (decoded->version <= routes_.configuration().version) {
-      return;
-    }
-    routes_ = core::jobs::routing_table(std::move(*decoded));
-    for (const core::jobs::queue_route& route :
-         routes_.configuration().routes) {
-      policies_[route.queue] = route.policy;
-    }
-    LogEvent(
-        job_event::kConfigurationApplied,
-        {{"version", std::to_string(routes_.configuration().version)},
-         {"routes", std::to_string(routes_.configuration().routes.size())}});
-    FollowPools();
-    listeners_.on_configuration();
+    TakeConfiguration(*record.value);
     return;
   }
   if (HasPrefix(record.key, adapter::kWaveKeyPrefix)) {
-    if (auto wave = adapter::DecodeWave(*record.value)) {
-      if (operators_->IsLoaded()) {
-        wave->published_at = BootTime();
-      }
-      // Records may be read again; the first reading tells the time.
-      waves_.try_emplace(wave->number, std::move(*wave));
-      listeners_.on_fleet_records();
-    } else {
-      LogInvalid(adapter::kOperatorTopic, record);
+    auto wave = adapter::DecodeWave(record.key, *record.value);
+    if (!wave) {
+      faults_.Note(adapter::kOperatorTopic, record.key, wave.fault());
+      return;
     }
+    faults_.NoteSound(adapter::kOperatorTopic, record.key);
+    if (operators_->IsLoaded()) {
+      wave->published_at = BootTime();
+    }
+    // Records may be read again; the first reading tells the time.
+    waves_.try_emplace(wave->number, std::move(*wave));
+    listeners_.on_fleet_records();
   }
 }
 
-void job_world::TakeRegistryRecord(const adapter::keyed_record& record) {
-  if (!record.value) {
-    registry_.erase(record.key);
-  } else if (auto vm = adapter::DecodeVm(record.key, *record.value)) {
-    registry_[record.key] = std::move(*vm);
-  } else {
-    LogInvalid(adapter::kRegistryTopic, record);
+void job_world::TakeConfiguration(const std::string& value) {
+  auto decoded = adapter::DecodeConfiguration(value);
+  if (!decoded) {
+    faults_.Note(adapter::kOperatorTopic, adapter::kConfigurationKey,
+                 decoded.fault());
+    LogEvent(job_event::kConfigurationInvalid,
+             {{"fault", std::string(core::NameOf(decoded.fault().kind))},
+              {"field", decoded.fault().field},
+              {"in_force", std::to_string(routes_.configuration().version)}});
+    return;
+  }
+  faults_.NoteSound(adapter::kOperatorTopic, adapter::kConfigurationKey);
+  // Pages and appends may show an older version after a newer one.
+  if (decoded->version <= routes_.configuration().version) {
     return;
   }
-  listeners_.on_registry();
+  routes_ = core::jobs::routing_table(std::move(*decoded));
+  for (const core::jobs::queue_route& route : routes_.configuration().routes) {
+    policies_[route.queue] = route.policy;
+  }
+  LogEvent(job_event::kConfigurationApplied,
+           {{"version", std::to_string(routes_.configuration().version)},
+            {"routes", std::to_string(routes_.configuration().routes.size())}});
+  FollowPools();
+  listeners_.on_configuration();
 }
 
 log_follower& job_world::PoolFollower(std::uint32_t partition) {
@@ -330,15 +326,9 @@
       {adapter::kRegistryTopic, 0},
       [this](const adapter::keyed_record& r) { TakeRegistryRecord(r); });
   registry_follower_->Start(follow_mode::kBackground);
-  fleet_follower_ = MakeFollower({kFleetTopic, 0},
-                                 [this](const adapter::keyed_record& record) {
-                                   if (record.value) {
-                                     fleet_records_[record.key] = *record.value;
-                                   } else {
-                                     fleet_records_.erase(record.key);
-                                   }
-                                   listeners_.on_fleet_records();
-                                 });
+  fleet_follower_ = MakeFollower(
+      {kFleetTopic, 0},
+      [this](const adapter::keyed_record& r) { TakeFleetRecord(r); });
   fleet_follower_->Start(follow_mode::kBackground);
 }
 
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -9,11 +9,13 @@
 #include <string>
 #include <vector>
 
+#include "jobs/fault_log.h"
 #include "jobs/log_follower.h"
 #include "jobs/record_codec.h"
 #include "plantainhead/core/jobs/job_directory.h"
 #include "plantainhead/core/jobs/maintenance.h"
 #include "plantainhead/core/jobs/routing.h"
+#include "plantainhead/core/jobs/vm_registry.h"
 #include "plantainhead/core/jobs/vm_reports.h"
 #include "platform/store_client.h"
 
@@ -86,10 +88,9 @@
 
   const core::jobs::routing_table& routes() const { return routes_; }
   const core::jobs::job_directory& directory() const { return directory_; }
-  const std::map<core::jobs::vm_id, core::jobs::vm_description>& registry()
-      const {
-    return registry_;
-  }
+  const core::jobs::vm_registry& registry() const { return registry_; }
+  /// Where all who read records note what they can't use.
+  fault_log& faults() { return faults_; }
   const std::map<std::uint64_t, core::jobs::maintenance_wave>& waves() const {
     return waves_;
   }
@@ -145,7 +146,13 @@
   void TakeJobRecord(const adapter::keyed_record& record);
   void TakePoolRecord(std::uint32_t partition,
                       const adapter::keyed_record& record);
+  /// Does what the fault of a record of the partition asks for.
+  void TakePoolFault(std::uint32_t partition,
+                     const adapter::keyed_record& record,
+                     const core::jobs::record_fault& fault);
+  void TakeFleetRecord(const adapter::keyed_record& record);
   void TakeOperatorRecord(const adapter::keyed_record& record);
+  void TakeConfiguration(const std::string& value);
   void TakeRegistryRecord(const adapter::keyed_record& record);
   void FollowPools();
   void FollowFleet();
@@ -163,7 +170,8 @@
   listeners listeners_;
   core::jobs::routing_table routes_;
   core::jobs::job_directory directory_;
-  std::map<core::jobs::vm_id, core::jobs::vm_description> registry_;
+  core::jobs::vm_registry registry_;
+  fault_log faults_;
   std::map<std::uint64_t, core::jobs::maintenance_wave> waves_;
   std::map<std::string, std::string> fleet_records_;
   std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
--- /dev/null
+++ b/src/jobs/job_world_faults.cc
@@ -0,0 +1,105 @@
+#include <utility>
+
+#include "jobs/fleet_records.h"
+#include "jobs/job_world.h"
+#include "plantainhead/core/jobs/record_faults.h"
+#include "platform/configuration_codec.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using core::jobs::fault_effect;
+using core::jobs::record_use;
+
+record_use UseOf(pool_record_kind kind) {
+  switch (kind) {
+    case pool_record_kind::kProgress:
+      return record_use::kProgress;
+    case pool_record_kind::kOwner:
+      return record_use::kOwnerClaim;
+    case pool_record_kind::kVm:
+      return record_use::kUsedVm;
+    case pool_record_kind::kVacancy:
+      return record_use::kVacancy;
+    case pool_record_kind::kOrder:
+      return record_use::kHostOrder;
+  }
+  return record_use::kProgress;
+}
+
+core::jobs::decoded<core::jobs::vm_description> DecodeEntry(
+    const adapter::keyed_record& record) {
+  if (record.fault) {
+    return *record.fault;
+  }
+  return adapter::DecodeVm(record.key, *record.value);
+}
+
+}  // namespace
+
+void job_world::TakePoolFault(std::uint32_t partition,
+                              const adapter::keyed_record& record,
+                              const core::jobs::record_fault& fault) {
+  faults_.Note(kProgressTopic, record.key, fault);
+  const pool_key key = PoolKeyOf(record.key);
+  switch (EffectOf(UseOf(key.kind))) {
+    case fault_effect::kClaimUnknown:
+      owners_[partition].is_unreadable = true;
+      return;
+    case fault_effect::kCountsAsUsed:
+      if (!core::jobs::IsSoundName(key.name)) {
+        return;
+      }
+      if (key.kind == pool_record_kind::kVm) {
+        // An address that was read before stays.
+        used_vms_[partition].try_emplace(key.name);
+      } else {
+        ordered_hosts_.insert(key.name);
+      }
+      return;
+    case fault_effect::kEarlierHolds:
+    case fault_effect::kNoNewWork:
+      return;
+  }
+}
+
+void job_world::TakeFleetRecord(const adapter::keyed_record& record) {
+  if (const auto fault = FaultOfFleetRecord(record)) {
+    faults_.Note(kFleetTopic, record.key, *fault);
+    return;
+  }
+  faults_.NoteSound(kFleetTopic, record.key);
+  if (record.value) {
+    fleet_records_[record.key] = *record.value;
+  } else {
+    fleet_records_.erase(record.key);
+  }
+  listeners_.on_fleet_records();
+}
+
+void job_world::TakeRegistryRecord(const adapter::keyed_record& record) {
+  const bool is_dropped = !record.value && !record.fault;
+  if (is_dropped) {
+    registry_.Drop(record.key);
+    faults_.NoteSound(adapter::kRegistryTopic, record.key);
+  } else if (auto vm = DecodeEntry(record)) {
+    const bool is_named =
+        routes_.configuration().version == 0 || routes_.HasPool(vm->pool);
+    if (is_named) {
+      faults_.NoteSound(adapter::kRegistryTopic, record.key);
+    } else {
+      // A configuration that names it may still come.
+      faults_.Note(adapter::kRegistryTopic, record.key,
+                   {core::jobs::fault_kind::kUnknownName, "service"});
+    }
+    registry_.Put(std::move(*vm));
+  } else {
+    faults_.Note(adapter::kRegistryTopic, record.key, vm.fault());
+    if (core::jobs::IsSoundName(record.key)) {
+      registry_.PutUnreadable(record.key);
+    }
+  }
+  listeners_.on_registry();
+}
+
+}  // namespace plantainhead::jobs
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -149,7 +149,9 @@
 
   void TakePage(const std::string& after, const adapter::newest_reply& reply) {
     on_contact_(reply.is_read);
-    if (!reply.is_read) {
+    // A page that ends where it began would come again for ever.
+    const bool is_stuck = reply.has_more && reply.last_key == after;
+    if (!reply.is_read || is_stuck) {
       PauseAfterFailure(&impl::LoadAgain);
       return;
     }
@@ -162,8 +164,8 @@
     for (const adapter::keyed_record& record : reply.records) {
       on_record_(record);
     }
-    if (reply.has_more && !reply.records.empty()) {
-      Load(reply.records.back().key);
+    if (reply.has_more) {
+      Load(reply.last_key);
       return;
     }
     cursor_ = std::max(cursor_, load_end_);
@@ -212,6 +214,13 @@
       PauseAfterFailure(&impl::Follow);
       return;
     }
+    // The same bytes would come again for ever. The newest record of each key
+    // is all that counts, and pages of those are framed in another way.
+    if (reply.outcome == read_outcome::kUnframed) {
+      LogUnframed();
+      PauseAfterFailure(&impl::LoadAgain);
+      return;
+    }
     pause_ = settings_.least_pause;
     if (reply.outcome == read_outcome::kTrimmed) {
       Load("");
@@ -236,6 +245,14 @@
               {"waited_ms", std::to_string(waited.count())}});
   }
 
+  void LogUnframed() const {
+    LogEvent(job_event::kRecordInvalid,
+             {{"topic", partition_.topic},
+              {"part", std::to_string(partition_.number)},
+              {"offset", std::to_string(cursor_)},
+              {"fault", "the records can't be told apart"}});
+  }
+
   void NoteComplete(core::time_point asked_at) {
     complete_at_ = std::max(complete_at_, asked_at);
   }
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -69,9 +69,10 @@
     return;
   }
   std::vector<vm_description> vms;
-  for (const auto& [id, vm] : deps_.world->registry()) {
+  for (vm_description& vm :
+       deps_.world->registry().Usable(deps_.world->routes())) {
     if (PoolPartitionOf(vm.pool) == partition_) {
-      vms.push_back(vm);
+      vms.push_back(std::move(vm));
     }
   }
   scheduler_->UpdateVms(vms, BootTime());
@@ -84,6 +85,8 @@
          deps_.world->routes().configuration().routes) {
       scheduler_->SetPolicy(route.queue, route.policy);
     }
+    // It may name pools that it didn't before.
+    OnRegistry();
   }
 }
 
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -131,7 +131,7 @@
 std::vector<adapter::keyed_record> pool_owner::impl::TakeVacancyRecords() {
   const core::jobs::vacancy_batch batch = vacancies_.TakeBatch(
       [this](const vm_id& vm) {
-        return IsLinked(vm) || deps_.world->registry().count(vm) != 0;
+        return IsLinked(vm) || deps_.world->registry().IsListed(vm);
       },
       BootTime());
   std::vector<adapter::keyed_record> records;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -154,8 +154,10 @@
 // its time to live has passed. What it started runs on.
 void pool_owner::impl::AskForPredecessor(const std::function<void()>& done) {
   const std::string& member = predecessor_.member;
-  may_predecessor_act_ = false;
-  if (predecessor_.epoch == 0 || member.empty() || member == deps_.member) {
+  // Of an owner that nobody can name it can't be known whether it is gone.
+  may_predecessor_act_ = predecessor_.is_unreadable;
+  if (predecessor_.is_unreadable || predecessor_.epoch == 0 || member.empty() ||
+      member == deps_.member) {
     done();
     return;
   }
@@ -194,7 +196,7 @@
 
 core::jobs::takeover_bounds pool_owner::impl::MakeBounds() const {
   core::jobs::takeover_bounds bounds;
-  if (predecessor_.epoch == 0) {
+  if (predecessor_.epoch == 0 && !predecessor_.is_unreadable) {
     return bounds;
   }
   const auto longest_lease = core::duration(static_cast<std::int64_t>(
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -17,6 +17,13 @@
 using core::jobs::vm_id;
 using std::chrono::milliseconds;
 
+namespace {
+
+// How metrics and logs call what VMs answer.
+constexpr const char* kVmListing = "vm listing";
+
+}  // namespace
+
 void pool_owner::impl::SyncLinks() {
   if (scheduler_->VmsVersion() == synced_version_) {
     return;
@@ -32,9 +39,10 @@
       links_[vm.id] =
           std::make_shared<vm_link>(deps_.context, vm.id, vm.address);
     } catch (const std::invalid_argument& error) {
-      LogEvent(job_event::kRecordInvalid, {{"topic", adapter::kRegistryTopic},
-                                           {"key", vm.id},
-                                           {"reason", error.what()}});
+      // The place of its record in the partition, too, was unreadable.
+      deps_.world->faults().Note(
+          adapter::kRegistryTopic, vm.id,
+          {core::jobs::fault_kind::kOutOfRange, error.what()});
       continue;
     }
     Hold(vm.id);
@@ -127,6 +135,9 @@
       return;
     case hold_outcome::kFailed:
     case hold_outcome::kUnanswered:
+      if (reply.fault) {
+        deps_.world->faults().Note(kVmListing, vm, *reply.fault);
+      }
       if (!link->is_lost) {
         link->is_lost = true;
         lines_.AddVm(job_event::kVmLost, vm,
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -1,15 +1,26 @@
 #include "jobs/record_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
 #include <utility>
 
+#include "net/address.h"
+#include "platform/ingress_codec.h"
+#include "platform/record_reader.h"
+
 namespace plantainhead::jobs {
 namespace {
 
-using json = nlohmann::json;
+using adapter::kMostNumber;
+using adapter::value_reader;
 using core::duration;
+using core::jobs::decoded;
+using core::jobs::fault_kind;
+using core::jobs::record_fault;
 using core::jobs::step_spec;
+using json = nlohmann::json;
 
 constexpr const char* kEndedAs = "x";
 constexpr const char* kOwnerKey = "owner";
@@ -17,6 +28,10 @@
 constexpr std::string_view kVacantPrefix = "vacant/";
 constexpr std::string_view kOrderPrefix = "order/";
 constexpr std::string_view kCancelSuffix = "-cancel";
+constexpr const char* kMark = "1";
+// As many as a submission may have.
+constexpr std::uint32_t kMostTasksOfStep = 10000;
+constexpr std::int64_t kMostMicroseconds = adapter::kMostMillis * 1000;
 
 // Names are one or two letters: the bytes of each record are paid for once when
 // it is written and once by every entry that reads it.
@@ -49,66 +64,174 @@
   return row;
 }
 
-step_spec ToStep(const json& row) {
+// A field that is missing has its usual value.
+template <typename T, typename Read>
+T Optional(const value_reader& field, T usual, Read read) {
+  return field.IsMissing() ? usual : read(field);
+}
+
+std::uint32_t OptionalCount(const value_reader& field) {
+  return Optional(field, 0U,
+                  [](const value_reader& count) { return count.Count(); });
+}
+
+bool OptionalFlag(const value_reader& field) {
+  return Optional(field, false,
+                  [](const value_reader& flag) { return flag.Flag(); });
+}
+
+std::string OptionalText(const value_reader& field) {
+  return Optional(field, std::string(),
+                  [](const value_reader& text) { return text.Text(); });
+}
+
+duration ReadDuration(const value_reader& field) {
+  return duration(field.Whole(0, kMostMicroseconds));
+}
+
+// Each number is that of an earlier step: the length of a chain of steps is
+// found by their order.
+std::vector<std::uint32_t> ReadEarlier(const value_reader& field,
+                                       std::size_t number) {
+  if (field.IsMissing()) {
+    return {};
+  }
+  std::vector<std::uint32_t> earlier = field.Counts();
+  const bool is_ordered =
+      std::all_of(earlier.begin(), earlier.end(),
+                  [number](std::uint32_t step) { return step < number; });
+  if (!is_ordered) {
+    field.Fail(fault_kind::kOutOfRange);
+  }
+  return earlier;
+}
+
+step_spec ReadStep(const value_reader& row, std::size_t number) {
   step_spec step;
-  step.task_count = row.at("n").get<std::uint32_t>();
-  step.need = {row.at("c").get<std::int64_t>(), row.at("m").get<std::int64_t>(),
-               row.value("g", std::int64_t{0})};
-  step.estimate = duration(row.at("e").get<duration::rep>());
-  step.depends_on = row.value("d", std::vector<std::uint32_t>());
-  step.checkpoints = row.value("cp", false);
-  step.gang = row.value("ga", false);
-  step.same_rack = row.value("sr", false);
-  step.required_label = row.value("rl", "");
-  step.preferred_rack = row.value("pr", "");
-  step.most_per_vm = row.value("mv", 0U);
-  step.speculative = row.value("sp", false);
-  step.lasting = row.value("la", false);
-  step.image = row.value("i", "");
-  step.latency_target = duration(row.value("lt", duration::rep{0}));
-  step.fills = row.value("f", false);
-  step.may_miss = row.value("mm", 0U);
+  step.task_count = row.At("n").Count(1, kMostTasksOfStep);
+  step.need = {
+      row.At("c").Whole(0, kMostNumber), row.At("m").Whole(0, kMostNumber),
+      Optional(row.At("g"), std::int64_t{0}, [](const value_reader& field) {
+        return field.Whole(0, kMostNumber);
+      })};
+  step.estimate = ReadDuration(row.At("e"));
+  step.depends_on = ReadEarlier(row.At("d"), number);
+  step.checkpoints = OptionalFlag(row.At("cp"));
+  step.gang = OptionalFlag(row.At("ga"));
+  step.same_rack = OptionalFlag(row.At("sr"));
+  step.required_label = OptionalText(row.At("rl"));
+  step.preferred_rack = OptionalText(row.At("pr"));
+  step.most_per_vm = OptionalCount(row.At("mv"));
+  step.speculative = OptionalFlag(row.At("sp"));
+  step.lasting = OptionalFlag(row.At("la"));
+  step.image = OptionalText(row.At("i"));
+  step.latency_target = Optional(row.At("lt"), duration::zero(), ReadDuration);
+  step.fills = OptionalFlag(row.At("f"));
+  step.may_miss = OptionalCount(row.At("mm"));
   return step;
 }
 
-core::jobs::job_spec ToSpec(const std::string& id, const json& parsed) {
+core::jobs::job_schedule ReadSchedule(const value_reader& repeat) {
+  return {core::time_point(ReadDuration(repeat.At(std::size_t{0}))),
+          ReadDuration(repeat.At(1)), repeat.At(2).Count(1)};
+}
+
+core::jobs::job_spec ReadSpec(const value_reader& record) {
   core::jobs::job_spec spec;
-  spec.id = id;
-  spec.queue = parsed.at("q").get<std::string>();
-  spec.pool = parsed.at("p").get<std::string>();
-  spec.payload = parsed.at("b").get<std::string>();
-  for (const json& row : parsed.at("s")) {
-    spec.steps.push_back(ToStep(row));
-  }
-  if (parsed.contains("r")) {
-    const json& repeat = parsed["r"];
-    spec.schedule = core::jobs::job_schedule{
-        core::time_point(duration(repeat.at(0).get<duration::rep>())),
-        duration(repeat.at(1).get<duration::rep>()),
-        repeat.at(2).get<std::uint32_t>()};
+  spec.queue = record.At("q").Name();
+  spec.pool = record.At("p").Name();
+  spec.payload = record.At("b").Text();
+  const value_reader steps = record.At("s");
+  const std::size_t count = steps.Rows();
+  for (std::size_t i = 0; i < count; ++i) {
+    spec.steps.push_back(ReadStep(steps.At(i), i));
+  }
+  const value_reader repeat = record.At("r");
+  if (!repeat.IsMissing()) {
+    spec.schedule = ReadSchedule(repeat);
   }
   return spec;
 }
 
-core::jobs::job_progress ToProgress(const json& parsed) {
+core::jobs::job_phase ReadFinalPhase(const value_reader& field) {
+  const auto phase = field.Named<core::jobs::job_phase>();
+  if (!core::jobs::IsFinal(phase)) {
+    field.Fail(fault_kind::kOutOfRange);
+  }
+  return phase;
+}
+
+core::jobs::task_record ReadTask(const value_reader& row) {
+  core::jobs::task_record task;
+  task.occurrence = row.At(std::size_t{0}).Count();
+  task.step = row.At(1).Count();
+  task.index = row.At(2).Count();
+  task.ended_run = row.At(3).Count();
+  task.failed_runs = row.At(4).Counts();
+  task.done = row.At(5).Count(0, 1) != 0;
+  task.checkpoint = OptionalText(row.At(6));
+  task.is_presumed = Optional(row.At(7), false, [](const value_reader& field) {
+    return field.Count(1, 1) != 0;
+  });
+  return task;
+}
+
+core::jobs::job_progress ReadProgress(const value_reader& record) {
   core::jobs::job_progress progress;
-  const auto phase =
-      core::FromName<core::jobs::job_phase>(parsed.at("s").get<std::string>());
-  progress.phase = phase.value_or(core::jobs::job_phase::kQueued);
-  progress.untold_runs = parsed.value("u", 0U);
-  if (parsed.contains("t")) {
-    for (const json& row : parsed["t"]) {
-      progress.tasks.push_back(
-          {row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
-           row.at(2).get<std::uint32_t>(), row.at(3).get<std::uint32_t>(),
-           row.at(4).get<std::vector<std::uint32_t>>(),
-           row.at(5).get<int>() != 0,
-           row.size() > 6 ? row.at(6).get<std::string>() : "", row.size() > 7});
-    }
+  progress.phase = record.At("s").Named<core::jobs::job_phase>();
+  progress.untold_runs = OptionalCount(record.At("u"));
+  const value_reader tasks = record.At("t");
+  const std::size_t count = tasks.IsMissing() ? 0 : tasks.Rows();
+  for (std::size_t i = 0; i < count; ++i) {
+    progress.tasks.push_back(ReadTask(tasks.At(i)));
   }
   return progress;
 }
 
+owner_record ReadOwner(const value_reader& record) {
+  owner_record owner;
+  owner.epoch =
+      static_cast<std::uint64_t>(record.At("epoch").Whole(1, kMostNumber));
+  owner.member = record.At("member").Text(core::jobs::kMostNameBytes);
+  const value_reader leases = record.At("leases");
+  const auto* fields = leases.IsMissing() ? nullptr : leases.Fields();
+  if (fields != nullptr) {
+    for (const auto& [vm, left] : *fields) {
+      owner.leases[vm] = ReadDuration(leases.At(vm.c_str()));
+    }
+  }
+  return owner;
+}
+
+decoded<job_record> DecodeSubmission(const std::string& id,
+                                     const json& parsed) {
+  std::optional<record_fault> fault;
+  submission_record submission{ReadSpec(value_reader(parsed, &fault))};
+  submission.spec.id = id;
+  if (!adapter::IsJobId(id)) {
+    return record_fault{fault_kind::kUnknownName, "key"};
+  }
+  if (!fault && submission.spec.steps.empty()) {
+    fault = record_fault{fault_kind::kOutOfRange, "s"};
+  }
+  if (fault) {
+    return *std::move(fault);
+  }
+  return job_record(std::move(submission));
+}
+
+// A mark is there or dropped; nothing else is written for it.
+std::optional<record_fault> FaultOfMark(const std::string& name,
+                                        const adapter::keyed_record& record) {
+  if (!core::jobs::IsSoundName(name)) {
+    return record_fault{fault_kind::kUnreadable, "key"};
+  }
+  if (record.value && *record.value != kMark) {
+    return record_fault{fault_kind::kOutOfRange, ""};
+  }
+  return std::nullopt;
+}
+
 adapter::keyed_record MarkOrDrop(std::string_view prefix,
                                  const std::string& name,
                                  bool is_dropped) {
@@ -195,66 +318,125 @@
   return MarkOrDrop(kOrderPrefix, record.host, record.is_dropped);
 }
 
-std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record) {
+decoded<job_record> DecodeJobRecord(const adapter::keyed_record& record) {
+  if (record.fault) {
+    return *record.fault;
+  }
   if (!record.value) {
-    return std::nullopt;
+    return record_fault{fault_kind::kMissing, ""};
   }
   const std::string_view key = record.key;
   if (key.size() > kCancelSuffix.size() &&
       key.substr(key.size() - kCancelSuffix.size()) == kCancelSuffix) {
-    return cancel_record{
+    cancel_record cancel{
         record.key.substr(0, key.size() - kCancelSuffix.size())};
-  }
-  try {
-    const json parsed = json::parse(*record.value);
-    if (!parsed.contains(kEndedAs)) {
-      return submission_record{ToSpec(record.key, parsed)};
-    }
-    const auto phase = core::FromName<core::jobs::job_phase>(
-        parsed[kEndedAs].get<std::string>());
-    if (!phase || !core::jobs::IsFinal(*phase)) {
-      return std::nullopt;
+    if (auto fault = FaultOfMark(cancel.job, record)) {
+      return *std::move(fault);
     }
-    return ended_record{record.key, *phase};
-  } catch (const json::exception&) {
-    return std::nullopt;
+    return job_record(std::move(cancel));
+  }
+  json parsed;
+  std::optional<record_fault> fault =
+      adapter::ParseRecord(*record.value, &parsed);
+  if (fault) {
+    return *std::move(fault);
+  }
+  const value_reader reader(parsed, &fault);
+  const value_reader ended = reader.At(kEndedAs);
+  if (ended.IsMissing()) {
+    return DecodeSubmission(record.key, parsed);
   }
+  const ended_record end{record.key, ReadFinalPhase(ended)};
+  if (fault) {
+    return *std::move(fault);
+  }
+  return job_record(end);
 }
 
-std::optional<pool_record> DecodePoolRecord(
-    const adapter::keyed_record& record) {
-  if (record.key.compare(0, kVmPrefix.size(), kVmPrefix) == 0) {
-    return vm_record{record.key.substr(kVmPrefix.size()),
-                     record.value.value_or(""), !record.value.has_value()};
+pool_key PoolKeyOf(const std::string& key) {
+  const auto is_under = [&key](std::string_view prefix) {
+    return key.compare(0, prefix.size(), prefix) == 0;
+  };
+  if (key == kOwnerKey) {
+    return {pool_record_kind::kOwner, ""};
+  }
+  if (is_under(kVmPrefix)) {
+    return {pool_record_kind::kVm, key.substr(kVmPrefix.size())};
+  }
+  if (is_under(kVacantPrefix)) {
+    return {pool_record_kind::kVacancy, key.substr(kVacantPrefix.size())};
+  }
+  if (is_under(kOrderPrefix)) {
+    return {pool_record_kind::kOrder, key.substr(kOrderPrefix.size())};
   }
-  if (record.key.compare(0, kVacantPrefix.size(), kVacantPrefix) == 0) {
-    return vacancy_record{record.key.substr(kVacantPrefix.size()),
-                          !record.value.has_value()};
+  return {pool_record_kind::kProgress, key};
+}
+
+namespace {
+
+decoded<pool_record> DecodeVmMark(const std::string& vm,
+                                  const adapter::keyed_record& record) {
+  if (!core::jobs::IsSoundName(vm)) {
+    return record_fault{fault_kind::kUnreadable, "key"};
   }
-  if (record.key.compare(0, kOrderPrefix.size(), kOrderPrefix) == 0) {
-    return order_record{record.key.substr(kOrderPrefix.size()),
-                        !record.value.has_value()};
+  if (record.value && !net::IsAddress(*record.value)) {
+    return record_fault{fault_kind::kOutOfRange, ""};
+  }
+  return pool_record(
+      vm_record{vm, record.value.value_or(""), !record.value.has_value()});
+}
+
+template <typename Mark>
+decoded<pool_record> DecodeMark(const std::string& name,
+                                const adapter::keyed_record& record) {
+  if (auto fault = FaultOfMark(name, record)) {
+    return *std::move(fault);
+  }
+  return pool_record(Mark{name, !record.value.has_value()});
+}
+
+decoded<pool_record> DecodeOwner(const std::string& value) {
+  auto owner = adapter::DecodeText<owner_record>(value, ReadOwner);
+  if (!owner) {
+    return owner.fault();
+  }
+  return pool_record(std::move(*owner));
+}
+
+decoded<pool_record> DecodeProgress(const std::string& job,
+                                    const std::string& value) {
+  auto progress =
+      adapter::DecodeText<core::jobs::job_progress>(value, ReadProgress);
+  if (!progress) {
+    return progress.fault();
+  }
+  return pool_record(progress_record{job, std::move(*progress)});
+}
+
+}  // namespace
+
+decoded<pool_record> DecodePoolRecord(const adapter::keyed_record& record) {
+  if (record.fault) {
+    return *record.fault;
+  }
+  const pool_key key = PoolKeyOf(record.key);
+  switch (key.kind) {
+    case pool_record_kind::kVm:
+      return DecodeVmMark(key.name, record);
+    case pool_record_kind::kVacancy:
+      return DecodeMark<vacancy_record>(key.name, record);
+    case pool_record_kind::kOrder:
+      return DecodeMark<order_record>(key.name, record);
+    case pool_record_kind::kOwner:
+    case pool_record_kind::kProgress:
+      break;
   }
   if (!record.value) {
-    return std::nullopt;
-  }
-  try {
-    const json parsed = json::parse(*record.value);
-    if (record.key == kOwnerKey) {
-      owner_record owner{parsed.at("epoch").get<std::uint64_t>(),
-                         parsed.at("member").get<std::string>(),
-                         {}};
-      if (parsed.contains("leases")) {
-        for (const auto& [vm, left] : parsed["leases"].items()) {
-          owner.leases[vm] = duration(left.get<duration::rep>());
-        }
-      }
-      return owner;
-    }
-    return progress_record{record.key, ToProgress(parsed)};
-  } catch (const json::exception&) {
-    return std::nullopt;
+    return record_fault{fault_kind::kMissing, ""};
   }
+  return key.kind == pool_record_kind::kOwner
+             ? DecodeOwner(*record.value)
+             : DecodeProgress(key.name, *record.value);
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/record_codec.h
+++ b/src/jobs/record_codec.h
@@ -3,12 +3,12 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <variant>
 
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/maintenance.h"
+#include "plantainhead/core/jobs/record_faults.h"
 #include "platform/store_client.h"
 
 /// The records that this project keeps in the store. Each has a key, and the
@@ -44,6 +44,8 @@
   std::string member;
   /// Of an owner that gives no more orders: how long the VMs' leases run yet.
   std::map<core::jobs::vm_id, core::duration> leases;
+  /// There is a claim that can't be read: another owner may give orders.
+  bool is_unreadable = false;
 };
 
 /// The partition's owner may run tasks on the VM, or does so no more. Key:
@@ -69,6 +71,18 @@
 };
 
 using job_record = std::variant<submission_record, ended_record, cancel_record>;
+/// What the key of a record in a pool's partition says it is.
+enum class pool_record_kind { kProgress, kOwner, kVm, kVacancy, kOrder };
+
+struct pool_key {
+  pool_record_kind kind = pool_record_kind::kProgress;
+  /// Of the job, VM or host; empty for an owner.
+  std::string name;
+};
+
+/// Returns what the record is of, whatever its value.
+pool_key PoolKeyOf(const std::string& key);
+
 using pool_record = std::variant<progress_record,
                                  owner_record,
                                  vm_record,
@@ -84,9 +98,11 @@
 adapter::keyed_record Encode(const vacancy_record& record);
 adapter::keyed_record Encode(const order_record& record);
 
-/// Return nothing when the record is malformed, or drops its key.
-std::optional<job_record> DecodeJobRecord(const adapter::keyed_record& record);
-std::optional<pool_record> DecodePoolRecord(
+/// Return a whole record, or what is wrong with it. Precondition: the record
+/// has a value, or is one of those that drop a mark of a pool's partition.
+core::jobs::decoded<job_record> DecodeJobRecord(
+    const adapter::keyed_record& record);
+core::jobs::decoded<pool_record> DecodePoolRecord(
     const adapter::keyed_record& record);
 
 }  // namespace plantainhead::jobs
--- a/src/net/address.cc
+++ b/src/net/address.cc
@@ -2,26 +2,44 @@
 
 #include <charconv>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 
 namespace plantainhead::net {
 
-boost::asio::ip::tcp::endpoint ParseAddress(const std::string& text) {
+namespace {
+
+using boost::asio::ip::tcp;
+
+std::optional<tcp::endpoint> ReadAddress(const std::string& text) {
   const auto colon = text.rfind(':');
-  std::uint16_t port = 0;
-  bool is_valid = colon != std::string::npos;
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
   boost::system::error_code error;
-  boost::asio::ip::address ip;
-  if (is_valid) {
-    ip = boost::asio::ip::make_address(text.substr(0, colon), error);
-    const char* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    is_valid = !error && parsed.ec == std::errc() && parsed.ptr == end;
+  const auto ip = boost::asio::ip::make_address(text.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
   }
-  if (!is_valid) {
+  return tcp::endpoint(ip, port);
+}
+
+}  // namespace
+
+tcp::endpoint ParseAddress(const std::string& text) {
+  const auto endpoint = ReadAddress(text);
+  if (!endpoint) {
     throw std::invalid_argument("not an address of the form IP:PORT: " + text);
   }
-  return {ip, port};
+  return *endpoint;
+}
+
+bool IsAddress(const std::string& text) {
+  const auto endpoint = ReadAddress(text);
+  return endpoint && endpoint->port() != 0;
 }
 
 }  // namespace plantainhead::net
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -2,7 +2,7 @@
 
 #include "platform/configuration_codec.h"
 #include "platform/ingress_codec.h"
-#include "platform/store_client.h"
+#include "platform/store_codec.h"
 #include "platform/vm_client.h"
 
 namespace plantainhead::adapter {
@@ -103,19 +103,21 @@
       EncodeRecord({"key", "value"}) + EncodeRecord({"gone", std::nullopt});
   const std::string body =
       std::string(7, '\0') + "\x0c" + std::string(7, '\0') + "\x02" + raw;
-  const auto reply = DecodeRead(body, 10, true);
-  REQUIRE(reply);
-  CHECK(reply->end == 12);
-  CHECK(reply->first == 2);
-  REQUIRE(reply->records.size() == 2);
-  CHECK(reply->records[0].key == "key");
-  CHECK(reply->records[0].value == "value");
-  CHECK(reply->records[0].offset == 10);
-  CHECK(reply->records[1].key == "gone");
-  CHECK_FALSE(reply->records[1].value);
-  CHECK(reply->records[1].offset == 11);
-  CHECK_FALSE(DecodeRead("short", 0, true));
-  CHECK_FALSE(DecodeRead(body.substr(0, body.size() - 1), 10, true));
+  const read_reply reply = DecodeRead(body, 10, true);
+  REQUIRE(reply.outcome == read_outcome::kRead);
+  CHECK(reply.end == 12);
+  CHECK(reply.first == 2);
+  REQUIRE(reply.records.size() == 2);
+  CHECK(reply.records[0].key == "key");
+  CHECK(reply.records[0].value == "value");
+  CHECK(reply.records[0].offset == 10);
+  CHECK(reply.records[1].key == "gone");
+  CHECK_FALSE(reply.records[1].value);
+  CHECK(reply.records[1].offset == 11);
+  CHECK(DecodeRead("short", 0, true).outcome == read_outcome::kFailed);
+  const read_reply part = DecodeRead(body.substr(0, body.size() - 1), 10, true);
+  REQUIRE(part.records.size() == 1);
+  CHECK(part.records[0].key == "key");
 }
 
 TEST_CASE("A configuration, a wave and a VM's entry are decoded") {
@@ -134,6 +136,7 @@
   CHECK_FALSE(DecodeConfiguration("[]"));
 
   const auto wave = DecodeWave(
+      "wave/1",
       R"({"wave":1,"machines":["m1","m2"],"duration_s":2.5,"maximum":3})");
   REQUIRE(wave);
   CHECK(wave->hosts.size() == 2);
@@ -142,7 +145,8 @@
 
   const auto vm = DecodeVm(
       "i-1",
-      R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"draining",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",
+          "slots":8,"state":"draining","cold_left_ms":0,"seq":1,
           "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],
           "remaining_ms":1500})");
   REQUIRE(vm);
--- /dev/null
+++ b/tests/adapter/store_codec_test.cc
@@ -0,0 +1,146 @@
+#include "platform/store_codec.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "record_mutations.h"
+
+namespace plantainhead::adapter {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::uint64_t kFrom = 10;
+
+std::string Framed(const std::string& content) {
+  std::string framed(3, '\0');
+  framed.push_back(static_cast<char>(content.size()));
+  return framed + content;
+}
+
+std::string Page(const std::string& records) {
+  return std::string(7, '\0') + "\x0e" + std::string(8, '\0') + records;
+}
+
+// Another writer's record has a length for its key that it doesn't hold. If the
+// page counted as unread, it would be read again and again, and the records
+// behind it would never be seen.
+TEST_CASE("A record whose key can't be told hides none of its page") {
+  const std::string odd = GENERATE(std::string(), std::string("\xff"),
+                                   std::string("\x05"
+                                               "abc"));
+  const read_reply reply = DecodeRead(
+      Page(EncodeRecord({"a", "1"}) + Framed(odd) + EncodeRecord({"b", "2"})),
+      kFrom, true);
+  REQUIRE(reply.outcome == read_outcome::kRead);
+  REQUIRE(reply.records.size() == 3);
+  CHECK(reply.records[0].key == "a");
+  CHECK(reply.records[1].fault);
+  CHECK_FALSE(reply.records[1].value);
+  CHECK(reply.records[1].offset == kFrom + 1);
+  CHECK(reply.records[2].key == "b");
+  CHECK(reply.records[2].offset == kFrom + 2);
+}
+
+TEST_CASE("What a page doesn't hold wholly is left to the next read") {
+  const std::string first = EncodeRecord({"a", "1"});
+  const std::string second = EncodeRecord({"b", "2"});
+  for (std::size_t cut = 1; cut < second.size(); ++cut) {
+    const std::string part = second.substr(0, cut);
+    const read_reply reply = DecodeRead(Page(first + part), kFrom, true);
+    REQUIRE(reply.outcome == read_outcome::kRead);
+    CHECK(reply.records.size() == 1);
+    CHECK(DecodeRead(Page(part), kFrom, true).outcome ==
+          read_outcome::kUnframed);
+  }
+  CHECK(DecodeRead("", kFrom, true).outcome == read_outcome::kFailed);
+  CHECK(DecodeRead(std::string(15, 'x'), kFrom, true).outcome ==
+        read_outcome::kFailed);
+}
+
+TEST_CASE("An item of the newest records that can't be read hides no other") {
+  const json sound = {{"key", "b"}, {"value", "Mg=="}, {"offset", 4}};
+  const auto page = [&sound](const json& odd) {
+    return json{
+        {"items", json::array({odd, sound})}, {"has_more", true}, {"end", 6}};
+  };
+  const json item = {{"key", "a"}, {"value", "MQ=="}, {"offset", 3}};
+  REQUIRE(DecodeNewest(page(item).dump()).records[0].value == "1");
+  for (const testing::mutation& change : testing::Mutations(item)) {
+    CAPTURE(change.place, change.change);
+    const newest_reply reply = DecodeNewest(page(change.record).dump());
+    REQUIRE(reply.is_read);
+    REQUIRE(reply.records.size() == 2);
+    CHECK(reply.records[1].key == "b");
+    CHECK(reply.records[1].value == "2");
+    CHECK(reply.last_key == "b");
+    // Text of any length may be base64.
+    const bool is_value = change.place == "value" && change.change == "long";
+    CHECK(reply.records[0].fault.has_value() == !is_value);
+  }
+
+  SECTION("half a value is none") {
+    for (const char* value : {"MQ=", "M", "MQ*=", "====", "MQ==MQ==", "\n"}) {
+      json odd = item;
+      odd["value"] = value;
+      const newest_reply reply = DecodeNewest(page(odd).dump());
+      REQUIRE(reply.records.size() == 2);
+      CAPTURE(value);
+      const bool is_whole = std::string(value) == "MQ=";
+      CHECK(reply.records[0].value.has_value() == is_whole);
+    }
+  }
+
+  SECTION("a key whose bytes are no text") {
+    const std::string body =
+        "{\"items\":[{\"key\":\"\xff\xfe\",\"value\":\"MQ==\",\"offset\":3},"
+        "{\"key\":\"b\",\"value\":\"Mg==\",\"offset\":4}],"
+        "\"has_more\":false,\"end\":6}";
+    const newest_reply reply = DecodeNewest(body);
+    REQUIRE(reply.is_read);
+    REQUIRE(reply.records.size() == 2);
+    CHECK(reply.records[1].value == "2");
+  }
+
+  SECTION("a page that can't be gone on from isn't read") {
+    CHECK_FALSE(DecodeNewest(R"({"items":[{"key":7}],"has_more":true,"end":6})")
+                    .is_read);
+    for (const std::string& text : testing::BrokenTexts(page(item).dump())) {
+      CHECK_FALSE(DecodeNewest(text).is_read);
+    }
+  }
+}
+
+TEST_CASE("A row of a group's table that can't be read deals nothing") {
+  const json table = {{"generation", 7}, {"parts", {{"t", 3, 0}, {"t", 4, 0}}}};
+  CHECK(DecodeJoin(table.dump()).partitions ==
+        std::vector<std::uint32_t>{3, 4});
+  for (const testing::mutation& change : testing::Mutations(table)) {
+    CAPTURE(change.place, change.change);
+    const join_reply reply = DecodeJoin(change.record.dump());
+    const bool is_of_generation = change.place == "generation";
+    CHECK(reply.is_joined == !is_of_generation);
+    if (change.place.rfind("parts[0]", 0) == 0) {
+      CHECK(reply.partitions.back() == 4);
+    }
+  }
+}
+
+// A takeover asks whether its predecessor still holds a partition. A row that
+// can't be read may be the predecessor's.
+TEST_CASE("A list of members with a row that can't be read tells nobody gone") {
+  const json rows = {{"owners", {{"t", 3, "p1", 0}, {"t", 4, "p2", 0}}}};
+  const members_reply sound = DecodeMembers(rows.dump());
+  REQUIRE(sound.is_read);
+  CHECK(sound.members == std::set<std::string>{"p1", "p2"});
+  json odd = rows;
+  odd["owners"][0][2] = nullptr;
+  CHECK_FALSE(DecodeMembers(odd.dump()).is_read);
+  CHECK_FALSE(DecodeMembers("{}").is_read);
+  CHECK_FALSE(DecodeMembers("\xff").is_read);
+  CHECK(DecodeMembers(R"([["t",3,"p1",0]])").members.count("p1") == 1);
+}
+
+}  // namespace
+}  // namespace plantainhead::adapter
--- a/tests/core/jobs/record_faults_test.cc
+++ b/tests/core/jobs/record_faults_test.cc
@@ -90,6 +90,15 @@
     CHECK(registry.Usable(routes).size() == 2);
   }
 
+  SECTION("whether it drains isn't known") {
+    vm_description leaving = VmOf("b", "pool");
+    leaving.draining = true;
+    registry.Put(leaving);
+    CHECK(registry.Leaving() == std::set<vm_id>{"b"});
+    registry.PutUnreadable("b");
+    CHECK(registry.Leaving().empty());
+  }
+
   SECTION("until its key is dropped") {
     registry.Drop("a");
     CHECK_FALSE(registry.IsListed("a"));
--- a/tests/jobs/log_follower_test.cc
+++ b/tests/jobs/log_follower_test.cc
@@ -1,5 +1,6 @@
 #include "jobs/log_follower.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
@@ -140,5 +141,39 @@
   }
 }
 
+// Another writer's bytes stand among the records of a partition. The follower
+// reads what is before and behind them. If it took the page for unanswered, it
+// would ask for the same bytes for ever, and see no record any more.
+TEST_CASE("A follower gets past bytes that are no record") {
+  followed_partition partition;
+  partition.store.Put(kTopic, "a", "1");
+  follower_settings settings;
+  settings.least_pause = milliseconds(1);
+  settings.most_pause = settings.least_pause;
+  log_follower& follower = partition.Follow(settings);
+  follower.Start(follow_mode::kWatch);
+  REQUIRE(RunUntil(&partition.context, [&] { return follower.IsLoaded(); }));
+  const auto is_read = [&partition](const char* key) {
+    return RunUntil(&partition.context, [&] {
+      return std::count(partition.keys.begin(), partition.keys.end(), key) > 0;
+    });
+  };
+
+  SECTION("a record whose key is longer than the record") {
+    partition.store.PutRaw(kTopic, 0, std::string("\0\0\0\2\xffx", 6));
+    partition.store.Put(kTopic, "b", "1");
+    CHECK(is_read("b"));
+    CHECK(partition.keys == std::vector<std::string>{"a", "", "b"});
+  }
+
+  SECTION("a length that reaches beyond the end") {
+    partition.store.PutRaw(kTopic, 0, "\xff\xff\xff\xffx");
+    partition.store.Put(kTopic, "b", "1");
+    CHECK(is_read("b"));
+    partition.store.Put(kTopic, "c", "1");
+    CHECK(is_read("c"));
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
--- a/tests/jobs/record_codec_test.cc
+++ b/tests/jobs/record_codec_test.cc
@@ -91,9 +91,11 @@
   CHECK(std::get<owner_record>(*owner).epoch == 7);
   CHECK(std::get<owner_record>(*owner).leases.at("vm") == milliseconds(5));
 
-  const auto used = DecodePoolRecord(Encode(vm_record{"vm", "ip:1", false}));
+  const auto used =
+      DecodePoolRecord(Encode(vm_record{"vm", "10.0.0.1:80", false}));
   REQUIRE(used);
-  CHECK(std::get<vm_record>(*used).address == "ip:1");
+  CHECK(std::get<vm_record>(*used).address == "10.0.0.1:80");
+  CHECK_FALSE(DecodePoolRecord(Encode(vm_record{"vm", "ip:1", false})));
   const auto dropped = DecodePoolRecord(Encode(vm_record{"vm", "", true}));
   REQUIRE(dropped);
   CHECK(std::get<vm_record>(*dropped).is_dropped);
