--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -92,6 +92,9 @@
 
 void site_vm::Handle(const net::server_request& request,
                      const net::responder& respond) {
+  if (is_silent) {
+    return;
+  }
   if (net::FindHeader(request.headers, "X-Plantainhead-Expect-Instance") !=
       id_) {
     respond(Answer(421, json::object()));
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -43,6 +43,8 @@
   /// Returns how many tasks run now.
   std::size_t Running() const { return running_.size(); }
 
+  /// No call is carried out or answered; what runs goes on under its lease.
+  bool is_silent = false;
   /// Orders to start are carried out and not answered.
   bool loses_start_answers = false;
   /// Orders to start are refused for want of room.
--- a/tests/jobs/foreign_site_test.cc
+++ b/tests/jobs/foreign_site_test.cc
@@ -129,5 +129,28 @@
   }
 }
 
+// The same, and the VM has fallen silent: nobody can ask it what runs there. If
+// the partition counted as one that nobody has worked on, its tasks would start
+// elsewhere at once, beside those that run on under the lease.
+TEST_CASE(
+    "After a claim that can't be read silent VMs' leases are waited for") {
+  site site;
+  auto& silent = site.AddVm("vm-1", seconds(100));
+  site.AddProcess("p1");
+  REQUIRE(site.AwaitReady("p1"));
+  REQUIRE(site.Submit("p1", kId).status == 200);
+  REQUIRE(RunUntil(&site.context, [&] { return silent.Running() == 2; }));
+  site.processes.erase("p1");
+  site.store.Expire("p1");
+  silent.is_silent = true;
+  site.store.Put("keyed.plantain-progress", "owner", kBytes,
+                 PoolPartitionOf("pool"));
+  auto& other = site.AddVm("vm-2", milliseconds(30));
+  site.AddProcess("p2");
+  REQUIRE(RunUntil(&site.context, [&] { return !other.starts().empty(); }));
+  CHECK(silent.Running() == 0);
+  CHECK(site.AwaitState("p2", "completed"));
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
