--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -8,6 +8,18 @@
 constexpr const char* kRequestsName = "plantain_job_requests_total";
 constexpr const char* kRequestsHelp = "Callers' requests by outcome.";
 
+void CountFaults(const core::jobs::fault_ledger::counts_by_fault& faults,
+                 observe::metrics* registry) {
+  for (const auto& [fault, times] : faults) {
+    registry
+        ->Counter("plantain_record_faults_total",
+                  "Records that were read and can't be used.",
+                  {{"topic", fault.first},
+                   {"fault", std::string(core::NameOf(fault.second))}})
+        .Add(times);
+  }
+}
+
 }  // namespace
 
 std::string FormatMetrics(const job_figures& figures) {
@@ -41,14 +53,7 @@
         static_cast<double>(figures.configuration_version));
   level("plantain_faulty_keys", "Keys whose newest record can't be used.",
         static_cast<double>(figures.faulty_keys));
-  for (const auto& [fault, times] : figures.faults) {
-    registry
-        .Counter("plantain_record_faults_total",
-                 "Records that were read and can't be used.",
-                 {{"topic", fault.first},
-                  {"fault", std::string(core::NameOf(fault.second))}})
-        .Add(times);
-  }
+  CountFaults(figures.faults, &registry);
   for (const auto& [partition, counts] : figures.pools) {
     const observe::label_list labels = {
         {"partition", std::to_string(partition)}};
