Let the pool model have VMs whose entries can't be read

Change: the model's registry leaves such a VM out for 1 to 8 s, as the registry of a process does, and the model checks that the owner chooses none for a start.

--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -35,6 +35,8 @@
   duration silence_every = duration::zero();
   /// The same for VMs that crash and come back in another life.
   duration crash_every = duration::zero();
+  /// The same for VMs whose entry in the registry can't be read for up to 8 s.
+  duration unreadable_every = duration::zero();
   /// Mean time between two changes of the owner; zero: none.
   duration takeover_every = duration::zero();
 };
@@ -119,6 +121,7 @@
     std::uint64_t fence = 0;
     time_point lease_until;
     time_point silent_until;
+    time_point unreadable_until;
     /// The clock runs up to 2% slow, from its own zero.
     double speed = 1.0;
     duration zero = duration::zero();
@@ -165,7 +168,9 @@
   std::vector<vm_description> Registry() const {
     std::vector<vm_description> list;
     for (const auto& [id, machine] : vms_) {
-      list.push_back(machine.description);
+      if (machine.unreadable_until <= now) {
+        list.push_back(machine.description);
+      }
     }
     return list;
   }
@@ -192,6 +197,24 @@
     owner_->scheduler->UpdateVms(Registry(), now);
   }
 
+  void BringUnreadableEntries() {
+    bool is_changed = false;
+    for (const auto& [id, machine] : vms_) {
+      const time_point until = machine.unreadable_until;
+      is_changed = is_changed || (until <= now && until > now - kTick);
+    }
+    if (Comes(faults_.unreadable_every)) {
+      auto it =
+          std::next(vms_.begin(), static_cast<long>(random_() % vms_.size()));
+      it->second.unreadable_until =
+          now + Between(std::chrono::seconds(1), std::chrono::seconds(8));
+      is_changed = true;
+    }
+    if (is_changed) {
+      owner_->scheduler->UpdateVms(Registry(), now);
+    }
+  }
+
   void BringFaults() {
     if (Comes(faults_.silence_every)) {
       auto it =
@@ -205,6 +228,7 @@
       AddVm();
       owner_->scheduler->UpdateVms(Registry(), now);
     }
+    BringUnreadableEntries();
     if (Comes(faults_.takeover_every)) {
       // The earlier owner goes on for a while, as one that was suspended does.
       zombie_ = owner_;
@@ -391,6 +415,11 @@
 
   void Send(const owner_ptr& worker, const start_order& order) {
     const run_ref target = order.target;
+    const auto chosen = vms_.find(target.vm);
+    if (worker == owner_ && chosen != vms_.end() &&
+        chosen->second.unreadable_until > now) {
+      violations.push_back(target.vm + " was chosen by an unreadable entry");
+    }
     Call(
         target.vm, true,
         [=, this](vm* machine) -> std::function<void()> {
--- a/tests/core/jobs/pool_model_test.cc
+++ b/tests/core/jobs/pool_model_test.cc
@@ -104,6 +104,16 @@
     }));
   }
 
+  // Their tasks run on, and none starts there or, on that ground, elsewhere.
+  SECTION("VMs whose entries can't be read, with all else") {
+    model_faults faults = AllFaults();
+    faults.unreadable_every = seconds(2);
+    CHECK(rc::check([&] {
+      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
+    }));
+  }
+
   SECTION("all of it together") {
     CHECK(rc::check([&] {
       const auto seed = *rc::gen::arbitrary<std::uint32_t>();
