--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -43,7 +43,11 @@
   return json{{"service", pool},
               {"address", address.empty() ? address_ : address},
               {"zone", "zone-1"},
+              {"version", "v1"},
+              {"slots", 8},
               {"state", "ready"},
+              {"cold_left_ms", 0},
+              {"seq", 1},
               {"capacity", {{"cpu", 4000}, {"mem_mb", 8000}, {"gpu", 0}}},
               {"labels", json::array({"a", "r1"})}}
       .dump();
@@ -88,6 +92,9 @@
 
 void site_vm::Handle(const net::server_request& request,
                      const net::responder& respond) {
+  if (is_silent) {
+    return;
+  }
   if (net::FindHeader(request.headers, "X-Plantainhead-Expect-Instance") !=
       id_) {
     respond(Answer(421, json::object()));
