Watch the partitions of queues that have left a pool while jobs of theirs are open there

Change: the directory counts open jobs by pool and queue; their partitions are watched. Test: site 'A cancellation reaches the owner of the pool that a queue has left': the task still ran after 4 s; passes.

--- a/include/plantainhead/core/jobs/job_directory.h
+++ b/include/plantainhead/core/jobs/job_directory.h
@@ -2,8 +2,10 @@
 #define PLANTAINHEAD_CORE_JOBS_JOB_DIRECTORY_H_
 
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 
 #include "plantainhead/core/jobs/job_types.h"
 
@@ -41,17 +43,24 @@
   const directory_entry* Find(const job_id& id) const;
   /// Returns how many accepted jobs of the queue have not begun.
   std::size_t Pending(const queue_id& queue) const;
+  /// Returns how many jobs haven't ended, by the pool that each was accepted for
+  /// and its queue. None is 0.
+  const std::map<std::pair<pool_id, queue_id>, std::size_t>& OpenJobs() const {
+    return open_;
+  }
   const std::unordered_map<job_id, directory_entry>& entries() const {
     return entries_;
   }
 
  private:
   bool IsPending(const directory_entry& entry) const;
+  void CountOpen(const directory_entry& entry, bool was_open);
   template <typename Change>
   void Update(const job_id& id, Change change);
 
   std::unordered_map<job_id, directory_entry> entries_;
   std::unordered_map<queue_id, std::size_t> pending_;
+  std::map<std::pair<pool_id, queue_id>, std::size_t> open_;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/job_directory.cc
+++ b/src/core/jobs/job_directory.cc
@@ -15,10 +15,32 @@
   return entry.is_accepted && entry.Phase() == job_phase::kQueued;
 }
 
+namespace {
+
+bool IsOpen(const directory_entry& entry) {
+  return entry.spec != nullptr && !IsFinal(entry.progress.phase);
+}
+
+}  // namespace
+
+void job_directory::CountOpen(const directory_entry& entry, bool was_open) {
+  const bool is_open = IsOpen(entry);
+  if (is_open == was_open) {
+    return;
+  }
+  const std::pair<pool_id, queue_id> key(entry.pool, entry.queue);
+  std::size_t& count = open_[key];
+  count += is_open ? 1 : -1;
+  if (count == 0) {
+    open_.erase(key);
+  }
+}
+
 template <typename Change>
 void job_directory::Update(const job_id& id, Change change) {
   directory_entry& entry = entries_[id];
   const bool was_pending = IsPending(entry);
+  const bool was_open = IsOpen(entry);
   change(&entry);
   const bool is_pending = IsPending(entry);
   if (is_pending && !was_pending) {
@@ -26,6 +48,7 @@
   } else if (was_pending && !is_pending) {
     --pending_[entry.queue];
   }
+  CountOpen(entry, was_open);
   if (IsFinal(entry.progress.phase)) {
     entry.spec.reset();
     entry.progress.tasks = {};
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -291,17 +291,32 @@
   UpdateModes();
 }
 
-// An owner must learn of new jobs at once; for all others the background is
-// enough, since they refresh before they answer.
-void job_world::UpdateModes() {
+// An owner must learn of new jobs at once, and of cancellations also of jobs
+// whose queue has moved to another pool since: read in the background these
+// came 7 s late. For all others the background is enough, since they refresh
+// before they answer.
+std::set<std::uint32_t> job_world::WatchedJobPartitions() const {
   std::set<std::uint32_t> watched;
-  for (const core::jobs::queue_route& route : routes_.configuration().routes) {
-    const std::uint32_t pool = PoolPartitionOf(route.pool);
-    if (std::find(owned_.begin(), owned_.end(), pool) != owned_.end()) {
-      const auto partitions = JobPartitionsOf(route.queue);
+  const auto watch = [&](const core::jobs::pool_id& pool,
+                         const core::jobs::queue_id& queue) {
+    const auto owned =
+        std::find(owned_.begin(), owned_.end(), PoolPartitionOf(pool));
+    if (owned != owned_.end()) {
+      const auto partitions = JobPartitionsOf(queue);
       watched.insert(partitions.begin(), partitions.end());
     }
+  };
+  for (const core::jobs::queue_route& route : routes_.configuration().routes) {
+    watch(route.pool, route.queue);
   }
+  for (const auto& [pool_and_queue, count] : directory_.OpenJobs()) {
+    watch(pool_and_queue.first, pool_and_queue.second);
+  }
+  return watched;
+}
+
+void job_world::UpdateModes() {
+  const std::set<std::uint32_t> watched = WatchedJobPartitions();
   for (std::uint32_t i = 0; i < job_followers_.size(); ++i) {
     job_followers_[i]->SetMode(
         watched.count(i) != 0 ? follow_mode::kWatch : follow_mode::kBackground);
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -158,6 +158,7 @@
   void FollowFleet();
   void RefreshUntilRead(log_follower* follower,
                         const std::function<void()>& on_read);
+  std::set<std::uint32_t> WatchedJobPartitions() const;
   void UpdateModes();
   log_follower& PoolFollower(std::uint32_t partition);
   std::unique_ptr<log_follower> MakeFollower(
