Start nothing with a run number that isn't recorded; take an end only when all jobs are read

Now a job starts only after the batch with its number is stored (40 ms). - a run of a job that isn't read yet was forgotten when its VM's lease ended; the job, once read, got the same number. Now the highest such runs are kept until it is read. - an end of an unread job was acknowledged after 3 s, however long reads hung; the job, once read, was started again. Now it is acknowledged when all partitions of jobs have been read as of a later moment, for which the owner reads them at once. Tests: core 'A number that was given before a record of it is not given again' (2 of its sections), 'A run that was told before its job was read keeps its number', 'A job that is read late isn't started again after its end' failed and pass; core_tests 196 pass.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -47,9 +47,6 @@
   /// A VM that is to be emptied lets its tasks end for this time, so that most
   /// of them, which take a second or less, lose no work; then it stops them.
   duration empty_limit = std::chrono::milliseconds(2000);
-  /// A run of an unknown job is stopped after this time: by then the record of
-  /// its job has been read if there is one.
-  duration foreign_limit = std::chrono::seconds(3);
 };
 
 /// What a new owner must assume of the one before it.
@@ -102,6 +99,12 @@
   void AddJob(std::shared_ptr<const job_spec> spec,
               const queue_policy& policy,
               time_point now);
+  /// Notes that all jobs that were accepted by then have been added, or noted as
+  /// ended. A VM may tell of a job that isn't known yet; only after a later
+  /// moment has been noted is it certain that there is no such job.
+  void NoteJobsRead(time_point through);
+  /// Returns whether a VM tells of a job that isn't known.
+  bool HasUnknownJobs() const;
   /// Notes a job that ended under an earlier owner. VMs may still list its
   /// runs.
   void AddEndedJob(const job_id& id);
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -124,6 +124,12 @@
   return true;
 }
 
+void job_state::NoteTold(const task_name& name, std::uint32_t run) {
+  if (task_state* task = Find(name)) {
+    task->last_run = std::max(task->last_run, run);
+  }
+}
+
 void job_state::MarkPlaced(const task_name& name, std::uint32_t run) {
   task_state& task = *Find(name);
   if (task.phase == task_phase::kWaiting) {
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -109,6 +109,11 @@
   /// Leaves out `count` run numbers that an earlier owner may have given, once
   /// in this object's life. Returns true when it is news.
   bool SkipUntoldRuns(std::uint32_t count);
+  /// Lets no task start before the batch is stored.
+  void HoldUntilStored(std::uint64_t batch) { starts_after_batch_ = batch; }
+  std::uint64_t starts_after_batch() const { return starts_after_batch_; }
+  /// Notes that a VM has told of the run, of which nothing else is known.
+  void NoteTold(const task_name& name, std::uint32_t run);
   /// Returns the number that the next run of the task gets.
   std::uint32_t NextRun(const task_state& task) const {
     return std::max(task.last_run, untold_runs_) + 1;
@@ -159,6 +164,7 @@
   /// See `job_progress`.
   std::uint32_t untold_runs_ = 0;
   bool has_skipped_runs_ = false;
+  std::uint64_t starts_after_batch_ = 0;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -77,7 +77,9 @@
 std::set<job_id> pool_scheduler::impl::JobsWithUntakenEnds() const {
   std::set<job_id> jobs;
   for (const auto& [id, vm] : vms_) {
-    jobs.insert(vm.untaken_ends.begin(), vm.untaken_ends.end());
+    for (const auto& [task, run] : vm.untaken_ends) {
+      jobs.insert(task.job);
+    }
   }
   return jobs;
 }
@@ -90,7 +92,9 @@
   for (const auto& [id, job] : jobs_.open()) {
     const bool may_be_running =
         !is_recovered && job->arrived_at() < takeover_.fresh_from;
-    if (may_be_running || with_untaken_ends.count(id) != 0) {
+    const bool is_held = may_be_running || with_untaken_ends.count(id) != 0 ||
+                         job->starts_after_batch() > stored_through_;
+    if (is_held) {
       continue;
     }
     std::uint32_t waiting = 0;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -67,7 +67,8 @@
     const bool is_held_back = !vm->untaken_ends.empty();
     if (end.number > vm->taken_through &&
         (is_held_back || !TakeEnd(vm, end, now))) {
-      vm->untaken_ends.insert(end.task.job);
+      std::uint32_t& run = vm->untaken_ends[end.task];
+      run = std::max(run, end.run);
     }
   }
   CheckAbsent(vm, sent_at, listing, now);
@@ -96,7 +97,7 @@
     if (jobs_.Find(row.task.job) != nullptr) {
       vm->Erase(row.task);
       Adopt(vm, row, now);
-    } else if (now - run->ordered_at > settings_.foreign_limit) {
+    } else if (jobs_read_through_ > run->ordered_at) {
       run->is_stop_wanted = true;
     }
   }
@@ -139,6 +140,19 @@
   }
 }
 
+bool pool_scheduler::impl::HasUnknownJobs() const {
+  const auto is_unknown = [this](const auto& run) {
+    return run.second.IsForeign() && !jobs_.IsEnded(run.first.job);
+  };
+  return std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
+    const vm_state& vm = entry.second;
+    const bool has_unknown_run =
+        vm.HasForeign() &&
+        std::any_of(vm.runs().begin(), vm.runs().end(), is_unknown);
+    return has_unknown_run || vm.unknown_end_since.has_value();
+  });
+}
+
 // An earlier owner may have read the job sooner and started it, and the VM may
 // have told of that before this owner read it. If the task waited for the VM's
 // next listing to be taken over, the plan before that would start it a second
@@ -156,6 +170,14 @@
       Adopt(&vm, row, now);
     }
   }
+  const auto forgotten = forgotten_runs_.find(id);
+  if (forgotten == forgotten_runs_.end()) {
+    return;
+  }
+  for (const auto& [task, run] : forgotten->second) {
+    jobs_.Find(id)->NoteTold(task, run);
+  }
+  forgotten_runs_.erase(forgotten);
 }
 
 // `job` may be null: one that isn't known.
@@ -171,12 +193,13 @@
                                    time_point now) {
   job_state* job = jobs_.Find(end.task.job);
   if (job == nullptr && !jobs_.IsEnded(end.task.job)) {
-    // Its job's record may not have been read yet. Acknowledged now, the end
-    // would be lost and the task would run a second time.
+    // Its job's record may not have been read yet, for as long as a read of it
+    // hangs. Acknowledged now, the end would be lost and the task would run a
+    // second time.
     if (!vm->unknown_end_since) {
       vm->unknown_end_since = now;
     }
-    if (now - *vm->unknown_end_since < settings_.foreign_limit) {
+    if (jobs_read_through_ <= *vm->unknown_end_since) {
       return false;
     }
   }
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -29,6 +29,7 @@
   vm->Erase(name);
   job_state* job = jobs_.Find(name.job);
   if (job == nullptr) {
+    NoteForgotten(name, run);
     return;
   }
   if (job->PresumeEnd(name, run)) {
@@ -36,11 +37,27 @@
   }
 }
 
+// The VM may come back and tell the end of the run again, after its job has
+// been read. If a new run had got the same number, the end would pass for its
+// own.
+void pool_scheduler::impl::NoteForgotten(const task_name& task,
+                                         std::uint32_t run) {
+  const bool is_unknown =
+      jobs_.Find(task.job) == nullptr && !jobs_.IsEnded(task.job);
+  if (is_unknown) {
+    std::uint32_t& highest = forgotten_runs_[task.job][task];
+    highest = std::max(highest, run);
+  }
+}
+
 // A newer owner may have heard from the VM what this one hasn't, and may have
 // acknowledged the end of a task that would start again here. Such an owner has
 // claimed the partition before, so that the store refuses the record of these
 // ends; they start again only after it is stored.
 void pool_scheduler::impl::EndUnheardRuns(vm_state* vm) {
+  for (const auto& [task, run] : vm->untaken_ends) {
+    NoteForgotten(task, run);
+  }
   vm->untaken_ends.clear();
   std::vector<task_name> tasks;
   for (const auto& [task, run] : vm->runs()) {
@@ -114,6 +131,9 @@
   for (const auto& [id, job] : jobs_.open()) {
     const bool may_have_run = job->arrived_at() < takeover_.fresh_from;
     if (may_have_run && job->SkipUntoldRuns(kUntoldRuns)) {
+      // A run that is given before that would get the same number from the next
+      // owner, who leaves out as many.
+      job->HoldUntilStored(jobs_.next_batch());
       jobs_.NoteChange(job);
     }
   }
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -24,6 +24,14 @@
   }
 }
 
+void pool_scheduler::NoteJobsRead(time_point through) {
+  impl_->NoteJobsRead(through);
+}
+
+bool pool_scheduler::HasUnknownJobs() const {
+  return impl_->HasUnknownJobs();
+}
+
 void pool_scheduler::AddEndedJob(const job_id& id) {
   impl_->jobs().AddEnded(id);
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -56,6 +56,10 @@
   std::vector<vm_order> Plan(time_point now, time_point wall_now);
   std::optional<progress_batch> TakeBatch();
   void NoteStored(const progress_batch& batch);
+  void NoteJobsRead(time_point through) {
+    jobs_read_through_ = std::max(jobs_read_through_, through);
+  }
+  bool HasUnknownJobs() const;
   /// Takes over the runs of a job that VMs have told of before it was known.
   void AdoptRunsOf(const job_id& id, time_point now);
   /// Wants a stop of every run of the job.
@@ -104,6 +108,7 @@
   void FindTakers(time_point now);
   bool IsRecovered(time_point now);
   void SkipUntoldRuns(time_point now);
+  void NoteForgotten(const task_name& task, std::uint32_t run);
   std::set<job_id> JobsWithUntakenEnds() const;
   std::vector<candidate> Candidates(time_point now);
   void PlaceJob(job_state* job, time_point now, std::vector<vm_order>* orders);
@@ -150,6 +155,9 @@
   resources most_room_;
   /// A VM's lease ran out before it had told what was started there.
   bool has_untold_vm_ = false;
+  time_point jobs_read_through_;
+  /// The highest runs of unknown jobs that VMs had told of before they lapsed.
+  std::map<job_id, std::map<task_name, std::uint32_t>> forgotten_runs_;
   bool is_recovered_ = false;
   /// The batch that records the last lapse of a VM.
   std::uint64_t lapse_batch_ = 0;
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -95,8 +95,8 @@
   /// Since when an end of an unknown job holds back the later ones.
   std::optional<time_point> unknown_end_since;
 
-  /// Jobs of ends that the last listing told and that aren't taken in.
-  std::set<job_id> untaken_ends;
+  /// Runs whose ends the last listing told and that aren't taken in.
+  std::map<task_name, std::uint32_t> untaken_ends;
 
   /// Which listing was last looked through for tasks that hang or must be
   /// paced.
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -98,6 +98,7 @@
   std::shared_ptr<vm_link> FindLink(const core::jobs::vm_id& vm);
   void HoldLater(const core::jobs::vm_id& vm, std::chrono::milliseconds pause);
   void Hold(const core::jobs::vm_id& vm);
+  void ReadUnknownJobs();
   void TakeHold(const core::jobs::vm_id& vm,
                 const std::shared_ptr<vm_link>& link,
                 core::time_point sent_at,
@@ -147,6 +148,7 @@
   std::string group_ = member_settings().group;
   bool is_claimed_ = false;
   bool is_released_ = false;
+  bool is_reading_jobs_ = false;
   bool is_closed_ = false;
   bool is_kicked_ = false;
   std::uint64_t synced_version_ = 0;
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -102,6 +102,21 @@
                     });
 }
 
+// A VM tells of a job that hasn't been read. Until all jobs of that time have
+// been, neither the task's end can be acknowledged nor the run be stopped, and
+// partitions that aren't watched are read up to 10 s late.
+void pool_owner::impl::ReadUnknownJobs() {
+  if (is_reading_jobs_ || !scheduler_->HasUnknownJobs()) {
+    return;
+  }
+  is_reading_jobs_ = true;
+  deps_.world->RefreshAllJobs([self = weak_from_this()] {
+    if (const auto owner = self.lock()) {
+      owner->is_reading_jobs_ = false;
+    }
+  });
+}
+
 void pool_owner::impl::TakeHold(const vm_id& vm,
                                 const std::shared_ptr<vm_link>& link,
                                 core::time_point sent_at,
@@ -116,7 +131,9 @@
         LogEvent(job_event::kVmHeard, {{"vm", vm}});
       }
       LogNewEnds(vm, link, reply.listing);
+      scheduler_->NoteJobsRead(now - deps_.world->JobCopyAge());
       scheduler_->OnListing(vm, sent_at, reply.listing, now);
+      ReadUnknownJobs();
       Kick();
       // Ends that aren't acknowledged would be listed again at once, so the
       // next hold waits for their record to be stored.
