Let soaks of one seed run side by side

Change: ports by the process that runs the soak, and only free ones. What a seed brings about doesn't depend on them.

--- a/soak/scheduler_process.cc
+++ b/soak/scheduler_process.cc
@@ -6,11 +6,15 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
 #include <utility>
 
+#include "net/address.h"
+
 namespace plantainhead::soak {
 
 namespace {
@@ -21,14 +25,29 @@
 
 int next_port = kFirstPort;
 
+// A process that finds its port taken ends, and the run fails.
+bool IsFree(const std::string& address) {
+  boost::asio::io_context context;
+  boost::system::error_code error;
+  const auto endpoint = net::ParseAddress(address);
+  boost::asio::ip::tcp::acceptor acceptor(context);
+  acceptor.open(endpoint.protocol());
+  acceptor.bind(endpoint, error);
+  return !error;
+}
+
 }  // namespace
 
-void UsePortsOf(std::uint64_t seed) {
-  next_port = kFirstPort + static_cast<int>(seed % kRuns) * kPortsOfRun;
+void UsePortsOfThisRun() {
+  next_port = kFirstPort + (::getpid() % kRuns) * kPortsOfRun;
 }
 
 std::string NextAddress() {
-  return "127.0.0.1:" + std::to_string(next_port++);
+  std::string address;
+  do {
+    address = "127.0.0.1:" + std::to_string(next_port++);
+  } while (!IsFree(address));
+  return address;
 }
 
 scheduler_process::scheduler_process(std::string program,
--- a/soak/scheduler_process.h
+++ b/soak/scheduler_process.h
@@ -46,11 +46,12 @@
 };
 
 /// Returns the next address of a run, as "IP:PORT": from below the ports that
-/// outgoing connections take, and others for each seed, so that runs side by
-/// side don't meet. A process that restarts needs its old port again.
-/// Precondition: `UsePortsOf` was called.
+/// outgoing connections take, and others for each process that runs a soak, so
+/// that runs side by side, also of one seed, don't meet. A process that
+/// restarts needs its old port again. Precondition: `UsePortsOfThisRun` was
+/// called.
 std::string NextAddress();
-void UsePortsOf(std::uint64_t seed);
+void UsePortsOfThisRun();
 
 }  // namespace plantainhead::soak
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -257,7 +257,7 @@
       ->check(CLI::Range(1, 50));
   app.add_option("--vms", chosen.vms, "VMs")->check(CLI::Range(1, 200));
   CLI11_PARSE(app, argc, argv);
-  UsePortsOf(chosen.seed);
+  UsePortsOfThisRun();
   chosen.directory += "/" + std::to_string(chosen.seed);
   std::filesystem::remove_all(chosen.directory);
   std::filesystem::create_directories(chosen.directory);
