--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -125,8 +125,8 @@
   // A process that doesn't own the queue's pool reads of its jobs now and then,
   // and not at all while a read hangs: it told that none wait when six had for
   // 5 s. So the store is asked before each answer. Without its answer the
-  // number isn't known, and none is told; the wait for it is bounded by a
-  // call's timeout, well within callers' patience.
+  // number isn't known, and none is told; the wait for it is bounded by two of
+  // a call's timeouts (a read that is under way is waited for).
   void QueryCount(const core::jobs::queue_route& route,
                   const net::responder& respond) {
     // A count of what has been read so far would be far too low.
