Show a confirmed offer that outlives its record, and a service read too late

Cause 1: vacancy_checker.cc EndReading looks only at hints whose reading is under way: an offer that was confirmed once counts for ever. Order: offer confirmed; the registry misses the VM for over 20 s while the fleet's list shows it; the pool's owner drops the record (vacancy_keeper Forget) and uses the VM again when it is back; the offer still moves it. Cause 2: fleet_owner.cc Begin doesn't read the fleet's records before it plans (pool owners do), and wave_keeper.cc NoteServiced ignores a host that is being emptied. Order: takeover, plan closes a VM of a host that was serviced already, the record is read, the service is ordered a second time.

--- a/tests/core/jobs/vacancy_checker_test.cc
+++ b/tests/core/jobs/vacancy_checker_test.cc
@@ -74,6 +74,22 @@
   }
 }
 
+// The registry misses a VM for so long that its pool's owner drops the record
+// of its vacancy. The VM comes back and the pool uses it again, but the list of
+// the fleet has shown it all the while, so that its old offer stands. A newer
+// reading of the partition shows that the record is gone; acted on, the offer
+// would move the VM with what runs there.
+TEST_CASE("An offer counts no longer than its record is there") {
+  vacancy_checker checker{vacancy_settings()};
+  checker.UpdateHints({Offer("vm-1")});
+  checker.TakeReadings();
+  checker.EndReading(kPartition, true, {"vm-1"});
+  checker.UpdateHints({Offer("vm-1"), Offer("vm-2")});
+  REQUIRE(checker.TakeReadings() == std::set<std::uint32_t>{kPartition});
+  checker.EndReading(kPartition, true, {"vm-2"});
+  CHECK(checker.Confirmed(vacancy_reason::kOffered) == std::set<vm_id>{"vm-2"});
+}
+
 // A VM begins its life in a pool, is found to be one too many, and is given
 // away within two seconds. The last list of the fleet was asked for before, and
 // the registry is read up to 2 s late, so that neither shows it. Were its offer
--- a/tests/core/jobs/wave_keeper_test.cc
+++ b/tests/core/jobs/wave_keeper_test.cc
@@ -158,6 +158,23 @@
   CHECK(closed[1].vm == "a4");
 }
 
+// The owner of the fleet is lost, and the next one plans before it has read
+// that hosts of the wave were serviced already. It begins with one of them;
+// what it reads then must end that, or the host is serviced a second time.
+TEST_CASE("A service that is read of after its host was begun counts") {
+  wave_keeper keeper{wave_settings()};
+  const time_point now{std::chrono::hours(1)};
+  keeper.AddWave(Wave({"h1"}, 1));
+  keeper.UpdateHosts({Host("h1", "p", "a1")}, {}, now);
+  REQUIRE(Of<close_vm>(keeper.Plan(now)).size() == 1);
+  keeper.NoteServiced(7, "h1");
+  keeper.UpdateClosed({"a1"});
+  keeper.UpdateEmpty({"a1"});
+  const auto actions = keeper.Plan(now);
+  CHECK(Of<service_host>(actions).empty());
+  CHECK(Of<release_vm>(actions).size() == 1);
+}
+
 // A VM that is closed for service takes no tasks. When its service is off, and
 // nobody takes that back, it stands idle for good with room for the tasks of
 // its pool.
