End an offer whose record of vacancy is gone

Cause: vacancy_checker::EndReading looked only at hints whose reading was under way, so that an offer that was confirmed once counted for ever. Order: offer confirmed; the registry misses the VM for over 20 s while the fleet's list shows it, so that the offer isn't taken back; the pool's owner drops the record and uses the VM again; the old offer moves the VM and ends its tasks.

Ruled out: refuting for good. The owner forgets that it told of the VM, and when it empties the VM once more its hint equals the refuted one; the VM would stand idle and never move. Confirming from the followed copy alone: a reading that began later stays the only proof. A reading of the store before each order: one more answer of the store for each move, which is slow when the store is.

Change: a reading without the record refutes confirmed hints of its partition too. The fleet's owner also shows the checker its followed copy of each hint's partition before it takes the confirmed ones, each tick and after each reading; that asks the store for nothing. The copy ends hints, and has those read again whose records are back. What is left is the lag of the background copy.

--- a/include/plantainhead/core/jobs/vacancy_checker.h
+++ b/include/plantainhead/core/jobs/vacancy_checker.h
@@ -48,7 +48,9 @@
 /// in the pool's own partition, which the store refuses from a replaced owner,
 /// and which is stored before the hint is sent. A hint is acted on once a
 /// reading of that partition that began after the hint was read has shown the
-/// record. A VM that is vacant stays so until its life ends.
+/// record, and for as long as no newer copy of the partition is without it: the
+/// record of a VM that the registry misses for long is dropped, and the VM may
+/// be used again.
 /// Not thread-safe.
 class vacancy_checker {
  public:
@@ -65,6 +67,12 @@
   void EndReading(std::uint32_t partition,
                   bool is_read,
                   const std::set<vm_id>& vacant);
+  /// Tells what the copy of the partition shows by now; it is at least as new
+  /// as the last reading that ended. It ends hints whose records are gone, and
+  /// has those read again whose records are back.
+  void UpdateVacant(std::uint32_t partition, const std::set<vm_id>& vacant);
+  /// Returns the partitions of all hints.
+  std::set<std::uint32_t> Partitions() const;
 
   /// Returns the VMs that are surely vacant for this reason.
   std::set<vm_id> Confirmed(vacancy_reason reason) const;
--- a/src/core/jobs/vacancy_checker.cc
+++ b/src/core/jobs/vacancy_checker.cc
@@ -51,6 +51,37 @@
                                                      : state::kRefuted;
     }
   }
+  if (is_read) {
+    UpdateVacant(partition, vacant);
+  }
+}
+
+// The pool's owner drops the record of a VM that the registry misses for long,
+// and uses the VM again when it is back. The list of the fleet may have shown
+// it all the while, so that its hint stands; acted on, that would move the VM
+// with the tasks that run there. When the owner empties the VM once more the
+// hint is the same as before, so that a refuted one isn't refuted for good.
+void vacancy_checker::UpdateVacant(std::uint32_t partition,
+                                   const std::set<vm_id>& vacant) {
+  for (auto& [key, noted] : hints_) {
+    if (noted.hint.partition != partition) {
+      continue;
+    }
+    const bool is_vacant = vacant.count(noted.hint.vm) != 0;
+    if (noted.phase == state::kConfirmed && !is_vacant) {
+      noted.phase = state::kRefuted;
+    } else if (noted.phase == state::kRefuted && is_vacant) {
+      noted.phase = state::kUnread;
+    }
+  }
+}
+
+std::set<std::uint32_t> vacancy_checker::Partitions() const {
+  std::set<std::uint32_t> partitions;
+  for (const auto& [key, noted] : hints_) {
+    partitions.insert(noted.hint.partition);
+  }
+  return partitions;
 }
 
 std::set<vm_id> vacancy_checker::Confirmed(vacancy_reason reason) const {
--- a/src/jobs/fleet_owner_reading.cc
+++ b/src/jobs/fleet_owner_reading.cc
@@ -49,6 +49,9 @@
 
 void fleet_owner::impl::TakeVacancies() {
   using core::jobs::vacancy_reason;
+  for (const std::uint32_t partition : vacancies_.Partitions()) {
+    vacancies_.UpdateVacant(partition, deps_.world->VacantVms(partition));
+  }
   keeper_.UpdateEmpty(vacancies_.Confirmed(vacancy_reason::kForService));
   balancer_.UpdateOffers(vacancies_.Confirmed(vacancy_reason::kOffered));
   for (const std::uint32_t partition : vacancies_.TakeReadings()) {
--- a/tests/core/jobs/vacancy_checker_test.cc
+++ b/tests/core/jobs/vacancy_checker_test.cc
@@ -90,6 +90,53 @@
   CHECK(checker.Confirmed(vacancy_reason::kOffered) == std::set<vm_id>{"vm-2"});
 }
 
+// The pool's owner drops the record of a VM and uses it again. No hint is new,
+// so that no reading is due; the copy that is followed shows it all the same.
+// Later the same owner empties the VM once more, and its hint is the one that
+// was refuted: were that for good, the VM would stand idle and never move.
+TEST_CASE("An offer ends with its record and counts again with the next one") {
+  vacancy_checker checker{vacancy_settings()};
+  checker.UpdateHints({Offer("vm-1")});
+  checker.TakeReadings();
+
+  SECTION("A copy says nothing of an offer whose reading is under way") {
+    checker.UpdateVacant(kPartition, {"vm-1"});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+  }
+
+  SECTION("The copy of another partition doesn't end it") {
+    checker.EndReading(kPartition, true, {"vm-1"});
+    checker.UpdateVacant(kPartition + 1, {});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered) ==
+          std::set<vm_id>{"vm-1"});
+  }
+
+  SECTION("A copy of its partition without the record ends it") {
+    checker.EndReading(kPartition, true, {"vm-1"});
+    checker.UpdateVacant(kPartition, {});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+    CHECK(checker.TakeReadings().empty());
+
+    SECTION("and one with the record has the partition read again") {
+      checker.UpdateVacant(kPartition, {"vm-1"});
+      CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+      CHECK(checker.TakeReadings() == std::set<std::uint32_t>{kPartition});
+      checker.EndReading(kPartition, true, {"vm-1"});
+      CHECK(checker.Confirmed(vacancy_reason::kOffered) ==
+            std::set<vm_id>{"vm-1"});
+    }
+  }
+
+  SECTION("A reading that failed doesn't end an offer that was confirmed") {
+    checker.EndReading(kPartition, true, {"vm-1"});
+    checker.UpdateHints({Offer("vm-1"), Offer("vm-2")});
+    checker.TakeReadings();
+    checker.EndReading(kPartition, false, {});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered) ==
+          std::set<vm_id>{"vm-1"});
+  }
+}
+
 // A VM begins its life in a pool, is found to be one too many, and is given
 // away within two seconds. The last list of the fleet was asked for before, and
 // the registry is read up to 2 s late, so that neither shows it. Were its offer
