Show an owner of the fleet that begins before it has read what was done

Cause: fleet_owner::Begin doesn't read the fleet's records before it plans. Order: a host was serviced and that recorded; the next owner claims the fleet while its records can't be read; it orders the service of the host again.

The small site gets an address of the fleet for a process.

--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -61,12 +61,15 @@
     return *vms[id];
   }
 
-  void AddProcess(const std::string& name) {
+  /// `fleet_address`: of the interface to the fleet; empty for none.
+  void AddProcess(const std::string& name,
+                  const std::string& fleet_address = "") {
     settings::scheduler_process_settings settings;
     settings.name = name;
     settings.caller_address = FreeAddress();
     settings.probe_address = FreeAddress();
     settings.store_address = store_address_;
+    settings.fleet_address = fleet_address;
     addresses[name] = settings.caller_address;
     probes_[name] = settings.probe_address;
     settings.metrics_address = FreeAddress();
