Read what earlier owners of the fleet have done before beginning

Cause: fleet_owner::Begin planned with whatever of the fleet's records had been followed so far, while owners of pools read them to the end after their claim; and wave_keeper::NoteServiced ignored a host that was being emptied. Order: takeover; the plan closes the VM of a host that was serviced already; the record of that service is read and ignored; the host is ordered a second time, and until then its VM isn't released.

Ruled out: mending only one. A record of the earlier owner is appended without a fence and may arrive after the reading; and the keeper alone would still close VMs for nothing. Taking a host that is ordered or down for done: its own record tells of the order that runs, and the host would no longer count as down.

A record of a service ends the emptying of its host; its VM is released as no longer needed.

--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -75,7 +75,8 @@
 
   /// Adds waves; one that is known stays as it is.
   void AddWave(const maintenance_wave& wave);
-  /// Notes what an earlier keeper recorded.
+  /// Notes what an earlier keeper recorded. It counts also for a host that is
+  /// being emptied.
   void NoteServiced(std::uint64_t wave, const host_id& host);
   void NoteCompleted(std::uint64_t wave);
   /// Replaces the list of the fleet's hosts, which was asked for at
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -15,15 +15,24 @@
   }
 }
 
+// The record of an earlier keeper may be read after this one has begun to empty
+// the host. Emptied on, it would be serviced a second time, and what runs there
+// would end once more. A host that is done isn't ordered, and its VM is
+// released as no longer needed. One that was ordered waits for the answer to
+// its order, and one that is down for its return: that is what its own record
+// tells of.
 void wave_keeper::NoteServiced(std::uint64_t wave, const host_id& host) {
   const auto found = waves_.find(wave);
   if (found == waves_.end()) {
     return;
   }
   const auto progress = found->second.hosts.find(host);
-  if (progress != found->second.hosts.end() &&
-      progress->second.phase == host_phase::kDue) {
-    progress->second.phase = host_phase::kDone;
+  if (progress == found->second.hosts.end()) {
+    return;
+  }
+  host_phase& phase = progress->second.phase;
+  if (phase == host_phase::kDue || phase == host_phase::kClosing) {
+    phase = host_phase::kDone;
   }
 }
 
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -88,7 +88,7 @@
                     return;
                   }
                   if (result == progress_writer::result::kStored) {
-                    owner->Begin();
+                    owner->ReadAfterClaim();
                   } else {
                     owner->After(owner->settings_.takeover_retry,
                                  &impl::ReadBeforeClaim);
@@ -96,6 +96,18 @@
                 });
 }
 
+// What an earlier owner has done is told by records that this process may not
+// have read yet. Without them it would close VMs of hosts that were serviced
+// already, and order their service a second time.
+void fleet_owner::impl::ReadAfterClaim() {
+  deps_.world->RefreshFleetRecords([self = weak_from_this()] {
+    const auto owner = self.lock();
+    if (owner && !owner->is_closed_) {
+      owner->Begin();
+    }
+  });
+}
+
 void fleet_owner::impl::Begin() {
   LogEvent(job_event::kOwnershipGained,
            {{"partition", "fleet"}, {"epoch", std::to_string(epoch_)}});
