--- a/include/plantainhead/core/jobs/job_directory.h
+++ b/include/plantainhead/core/jobs/job_directory.h
@@ -43,8 +43,8 @@
   const directory_entry* Find(const job_id& id) const;
   /// Returns how many accepted jobs of the queue have not begun.
   std::size_t Pending(const queue_id& queue) const;
-  /// Returns how many jobs haven't ended, by the pool that each was accepted for
-  /// and its queue. None is 0.
+  /// Returns how many jobs haven't ended, by the pool that each was accepted
+  /// for and its queue. None is 0.
   const std::map<std::pair<pool_id, queue_id>, std::size_t>& OpenJobs() const {
     return open_;
   }
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -99,8 +99,8 @@
   void AddJob(std::shared_ptr<const job_spec> spec,
               const queue_policy& policy,
               time_point now);
-  /// Notes that all jobs that were accepted by then have been added, or noted as
-  /// ended. A VM may tell of a job that isn't known yet; only after a later
+  /// Notes that all jobs that were accepted by then have been added, or noted
+  /// as ended. A VM may tell of a job that isn't known yet; only after a later
   /// moment has been noted is it certain that there is no such job.
   void NoteJobsRead(time_point through);
   /// Returns whether a VM tells of a job that isn't known.
