--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -8,6 +8,8 @@
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "jobs/record_codec.h"
+#include "jobs/refusal.h"
+#include "jobs/waiting_counts.h"
 #include "net/http_status.h"
 #include "platform/ingress_codec.h"
 
@@ -36,7 +38,8 @@
         store_(*store),
         world_(*world),
         meters_(*meters),
-        settings_(settings) {}
+        settings_(settings),
+        waiting_counts_(world, settings.retry_after) {}
 
   void Handle(const net::server_request& request,
               const net::responder& respond) {
@@ -55,7 +58,7 @@
     const std::string id(match.rest);
     if (id.empty() && request.verb == net::method::kGet) {
       ++counts_.queries;
-      QueryCount(*match.route, respond);
+      waiting_counts_.Answer(*match.route, respond);
       return;
     }
     if (!adapter::IsJobId(id)) {
@@ -107,11 +110,7 @@
   };
 
   net::server_response Refusal(const std::string& why) const {
-    net::server_response response =
-        adapter::EncodeFault(net::kUnavailable, why);
-    response.headers.emplace_back(
-        "Retry-After", std::to_string(settings_.retry_after.count()));
-    return response;
+    return Refuse(why, settings_.retry_after);
   }
 
   core::time_point GiveUpAt(const net::server_request& request) const {
@@ -122,49 +121,6 @@
     return BootTime() + usable;
   }
 
-  // A process that doesn't own the queue's pool reads of its jobs now and then,
-  // and not at all while a read hangs: it told that none wait when six had for
-  // 5 s. So the store is asked before each answer. Without its answer the
-  // number isn't known, and none is told; the wait for it is bounded by two of
-  // a call's timeouts (a read that is under way is waited for).
-  void QueryCount(const core::jobs::queue_route& route,
-                  const net::responder& respond) {
-    // A count of what has been read so far would be far too low.
-    if (!world_.IsLoaded()) {
-      RefuseCount(route.queue, "the jobs haven't been read yet", respond);
-      return;
-    }
-    world_.RefreshQueue(route, [self = weak_from_this(), queue = route.queue,
-                                respond](bool is_read) {
-      const auto service = self.lock();
-      if (!service) {
-        return;
-      }
-      if (is_read) {
-        service->TellCount(queue, respond);
-      } else {
-        service->RefuseCount(queue, "the store can't be read", respond);
-      }
-    });
-  }
-
-  void RefuseCount(const core::jobs::queue_id& queue,
-                   const std::string& reason,
-                   const net::responder& respond) const {
-    LogEvent(job_event::kCountRefused, {{"queue", queue}, {"reason", reason}});
-    respond(Refusal(reason));
-  }
-
-  void TellCount(const core::jobs::queue_id& queue,
-                 const net::responder& respond) const {
-    const std::size_t waiting = world_.directory().Pending(queue);
-    LogEvent(job_event::kCountTold,
-             {{"queue", queue},
-              {"waiting", std::to_string(waiting)},
-              {"copy_age_ms", MillisOf(world_.JobCopyAge(queue))}});
-    respond(adapter::EncodePending(waiting));
-  }
-
   void Submit(const core::jobs::queue_route& route,
               const job_id& id,
               const net::server_request& request,
@@ -471,6 +427,7 @@
   job_meters& meters_;
   submission_settings settings_;
   submission_counts counts_;
+  waiting_counts waiting_counts_;
   std::map<std::string, record_ptr> pending_;
   std::map<std::uint32_t, lane> lanes_;
 };
--- /dev/null
+++ b/src/jobs/waiting_counts.cc
@@ -0,0 +1,72 @@
+#include "jobs/waiting_counts.h"
+
+#include <string>
+
+#include "jobs/event_log.h"
+#include "jobs/refusal.h"
+#include "platform/ingress_codec.h"
+
+namespace plantainhead::jobs {
+
+class waiting_counts::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(job_world* world, std::chrono::seconds retry_after)
+      : world_(*world), retry_after_(retry_after) {}
+
+  void Answer(const core::jobs::queue_route& route,
+              const net::responder& respond) {
+    // A count of what has been read so far would be far too low.
+    if (!world_.IsLoaded()) {
+      RefuseCount(route.queue, "the jobs haven't been read yet", respond);
+      return;
+    }
+    world_.RefreshQueue(route, [self = weak_from_this(), queue = route.queue,
+                                respond](bool is_read) {
+      const auto counts = self.lock();
+      if (!counts) {
+        return;
+      }
+      if (is_read) {
+        counts->TellCount(queue, respond);
+      } else {
+        counts->RefuseCount(queue, "the store can't be read", respond);
+      }
+    });
+  }
+
+ private:
+  void RefuseCount(const core::jobs::queue_id& queue,
+                   const std::string& reason,
+                   const net::responder& respond) const {
+    LogEvent(job_event::kCountRefused, {{"queue", queue}, {"reason", reason}});
+    respond(Refuse(reason, retry_after_));
+  }
+
+  void TellCount(const core::jobs::queue_id& queue,
+                 const net::responder& respond) const {
+    const std::size_t waiting = world_.directory().Pending(queue);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        world_.JobCopyAge(queue));
+    LogEvent(job_event::kCountTold,
+             {{"queue", queue},
+              {"waiting", std::to_string(waiting)},
+              {"copy_age_ms", std::to_string(age.count())}});
+    respond(adapter::EncodePending(waiting));
+  }
+
+  job_world& world_;
+  std::chrono::seconds retry_after_;
+};
+
+waiting_counts::waiting_counts(job_world* world,
+                               std::chrono::seconds retry_after)
+    : impl_(std::make_shared<impl>(world, retry_after)) {}
+
+waiting_counts::~waiting_counts() = default;
+
+void waiting_counts::Answer(const core::jobs::queue_route& route,
+                            const net::responder& respond) {
+  impl_->Answer(route, respond);
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/waiting_counts.h
@@ -0,0 +1,41 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_WAITING_COUNTS_H_
+#define PLANTAINHEAD_SRC_JOBS_WAITING_COUNTS_H_
+
+#include <chrono>
+#include <memory>
+
+#include "jobs/job_world.h"
+#include "net/http_message.h"
+#include "plantainhead/core/jobs/routing.h"
+
+namespace plantainhead::jobs {
+
+/// Tells how many accepted jobs of a queue wait.
+///
+/// A process that doesn't own the queue's pool reads of its jobs now and then,
+/// and not at all while a read hangs: it told that none wait when six had for
+/// 5 s. So the store is asked before each answer. Without its answer the number
+/// isn't known, and none is told. The wait for it is bounded by two of a call's
+/// timeouts, as a read that is under way is waited for.
+/// Not thread-safe.
+class waiting_counts {
+ public:
+  /// `world` outlives the object. `retry_after` goes with refusals.
+  waiting_counts(job_world* world, std::chrono::seconds retry_after);
+  waiting_counts(const waiting_counts&) = delete;
+  waiting_counts& operator=(const waiting_counts&) = delete;
+  ~waiting_counts();
+
+  /// Answers with the number, or refuses; at once or later, unless the object
+  /// is destroyed before.
+  void Answer(const core::jobs::queue_route& route,
+              const net::responder& respond);
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_WAITING_COUNTS_H_
