--- a/include/plantainhead/core/jobs/vm_registry.h
+++ b/include/plantainhead/core/jobs/vm_registry.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_CORE_JOBS_VM_REGISTRY_H_
 #define PLANTAINHEAD_CORE_JOBS_VM_REGISTRY_H_
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -22,8 +23,14 @@
   void PutUnreadable(const vm_id& id);
   void Drop(const vm_id& id);
 
+  using pool_predicate = std::function<bool(const pool_id&)>;
+
   /// Returns the VMs of pools that the configuration names.
   std::vector<vm_description> Usable(const routing_table& routes) const;
+  /// The same for the pools that are wanted. Owners ask at each heartbeat of
+  /// any VM, so that the others aren't copied.
+  std::vector<vm_description> Usable(const routing_table& routes,
+                                     const pool_predicate& is_wanted) const;
   /// Returns whether there is a record of the VM, readable or not.
   bool IsListed(const vm_id& id) const;
   /// Returns all VMs of which there is a record.
--- a/src/core/jobs/job_directory.cc
+++ b/src/core/jobs/job_directory.cc
@@ -3,6 +3,13 @@
 #include <utility>
 
 namespace plantainhead::core::jobs {
+namespace {
+
+bool IsOpen(const directory_entry& entry) {
+  return entry.spec != nullptr && !IsFinal(entry.progress.phase);
+}
+
+}  // namespace
 
 job_phase directory_entry::Phase() const {
   if (IsFinal(progress.phase)) {
@@ -15,14 +22,6 @@
   return entry.is_accepted && entry.Phase() == job_phase::kQueued;
 }
 
-namespace {
-
-bool IsOpen(const directory_entry& entry) {
-  return entry.spec != nullptr && !IsFinal(entry.progress.phase);
-}
-
-}  // namespace
-
 void job_directory::CountOpen(const directory_entry& entry, bool was_open) {
   const bool is_open = IsOpen(entry);
   if (is_open == was_open) {
--- a/src/core/jobs/vm_registry.cc
+++ b/src/core/jobs/vm_registry.cc
@@ -22,9 +22,15 @@
 
 std::vector<vm_description> vm_registry::Usable(
     const routing_table& routes) const {
+  return Usable(routes, [](const pool_id& /*pool*/) { return true; });
+}
+
+std::vector<vm_description> vm_registry::Usable(
+    const routing_table& routes,
+    const pool_predicate& is_wanted) const {
   std::vector<vm_description> usable;
   for (const auto& [id, vm] : readable_) {
-    if (routes.HasPool(vm.pool)) {
+    if (routes.HasPool(vm.pool) && is_wanted(vm.pool)) {
       usable.push_back(vm);
     }
   }
--- a/src/jobs/clocks.cc
+++ b/src/jobs/clocks.cc
@@ -23,4 +23,9 @@
   return Read(CLOCK_REALTIME);
 }
 
+std::string MillisOf(core::duration time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 }  // namespace plantainhead::jobs
--- a/src/jobs/clocks.h
+++ b/src/jobs/clocks.h
@@ -1,6 +1,8 @@
 #ifndef PLANTAINHEAD_SRC_JOBS_CLOCKS_H_
 #define PLANTAINHEAD_SRC_JOBS_CLOCKS_H_
 
+#include <string>
+
 #include "plantainhead/core/time.h"
 
 namespace plantainhead::jobs {
@@ -16,6 +18,10 @@
 /// Thread safety: safe from any thread.
 core::time_point WallTime();
 
+/// Returns the time in whole milliseconds, as lines of the log have it.
+/// Thread safety: safe from any thread.
+std::string MillisOf(core::duration time);
+
 }  // namespace plantainhead::jobs
 
 #endif  // PLANTAINHEAD_SRC_JOBS_CLOCKS_H_
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -200,11 +200,6 @@
     }
   }
 
-  static std::string MillisOf(core::duration time) {
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(time).count());
-  }
-
   static std::string MillisSince(core::time_point time) {
     return MillisOf(BootTime() - time);
   }
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -235,14 +235,12 @@
 
   // A read that hung may have kept records from this process for as long.
   void LogUnanswered(const sent_read& sent, unsigned status) const {
-    const auto waited =
-        std::chrono::duration_cast<milliseconds>(BootTime() - sent.at);
     LogEvent(job_event::kReadUnanswered,
              {{"topic", partition_.topic},
               {"part", std::to_string(partition_.number)},
               {"mode", std::string(core::NameOf(sent.mode))},
               {"status", std::to_string(status)},
-              {"waited_ms", std::to_string(waited.count())}});
+              {"waited_ms", MillisOf(BootTime() - sent.at)}});
   }
 
   void LogUnframed() const {
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -13,15 +13,6 @@
 using core::jobs::vm_description;
 using core::jobs::vm_id;
 
-namespace {
-
-std::string MillisOf(core::duration time) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
-}  // namespace
-
 void pool_owner::impl::Close() {
   LogLines(lines_.TakeAll());
   is_closed_ = true;
@@ -68,13 +59,10 @@
   if (!scheduler_) {
     return;
   }
-  std::vector<vm_description> vms;
-  for (vm_description& vm :
-       deps_.world->registry().Usable(deps_.world->routes())) {
-    if (PoolPartitionOf(vm.pool) == partition_) {
-      vms.push_back(std::move(vm));
-    }
-  }
+  const std::vector<vm_description> vms = deps_.world->registry().Usable(
+      deps_.world->routes(), [this](const core::jobs::pool_id& pool) {
+        return PoolPartitionOf(pool) == partition_;
+      });
   scheduler_->UpdateVms(vms, BootTime());
   Kick();
 }
--- a/src/jobs/state_line.cc
+++ b/src/jobs/state_line.cc
@@ -1,15 +1,12 @@
 #include "jobs/state_line.h"
 
+#include "jobs/clocks.h"
+
 #include <string>
 
 namespace plantainhead::jobs {
 namespace {
 
-std::string MillisOf(core::duration time) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 std::string ToText(const std::vector<held_partition>& pools) {
   std::string text;
   for (const held_partition& pool : pools) {
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -403,11 +403,6 @@
     Answer(pending, Refusal("the store refused the record"));
   }
 
-  static std::string MillisOf(core::duration time) {
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(time).count());
-  }
-
   static std::string Elapsed(const pending_record& pending) {
     return MillisOf(BootTime() - pending.began_at);
   }
--- a/src/jobs/waiting_counts.cc
+++ b/src/jobs/waiting_counts.cc
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "jobs/refusal.h"
 #include "platform/ingress_codec.h"
@@ -45,12 +46,10 @@
   void TellCount(const core::jobs::queue_id& queue,
                  const net::responder& respond) const {
     const std::size_t waiting = world_.directory().Pending(queue);
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        world_.JobCopyAge(queue));
     LogEvent(job_event::kCountTold,
              {{"queue", queue},
               {"waiting", std::to_string(waiting)},
-              {"copy_age_ms", std::to_string(age.count())}});
+              {"copy_age_ms", MillisOf(world_.JobCopyAge(queue))}});
     respond(adapter::EncodePending(waiting));
   }
 
