--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <utility>
 
 #include "plantainhead/core/jobs/job_types.h"
@@ -49,11 +50,18 @@
   /// Returns how many VMs the pool should have, given its load now.
   /// `is_scarce`: another pool has fewer than it wants.
   std::uint32_t Update(const pool_load& load, bool is_scarce, time_point now);
+  /// Returns whether the load has been watched for long enough to shrink by it.
+  /// A new owner knows only what it has seen; but while another pool lacks VMs
+  /// it gives away what it can do without as soon as one that has been at work
+  /// for long would. When all processes start again in another queue's turn,
+  /// most spare hosts are in pools whose turn is over.
+  bool MayShrink(bool is_scarce, time_point now) const;
 
  private:
   std::uint32_t Needed(const pool_load& load) const;
 
   sizer_settings settings_;
+  std::optional<time_point> first_update_;
   /// Falling needs, the newest last.
   std::deque<std::pair<time_point, std::uint32_t>> needs_;
 };
--- a/src/core/jobs/pool_sizer.cc
+++ b/src/core/jobs/pool_sizer.cc
@@ -31,6 +31,7 @@
                                  bool is_scarce,
                                  time_point now) {
   const std::uint32_t needed = Needed(load);
+  first_update_ = first_update_.value_or(now);
   while (!needs_.empty() && needs_.back().second <= needed) {
     needs_.pop_back();
   }
@@ -48,4 +49,10 @@
   return recent->second;
 }
 
+bool pool_sizer::MayShrink(bool is_scarce, time_point now) const {
+  const duration memory =
+      is_scarce ? settings_.scarce_memory : settings_.memory;
+  return first_update_ && now - *first_update_ > memory;
+}
+
 }  // namespace plantainhead::core::jobs
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -60,12 +60,12 @@
       continue;
     }
     auto [size, is_new] =
-        sizes_.try_emplace(pool.id, settings_.sizer, settings_.arrivals, now);
+        sizes_.try_emplace(pool.id, settings_.sizer, settings_.arrivals);
     load.rising = size->second.arrivals.RisingDemand(now);
-    const std::uint32_t wanted =
-        size->second.sizer.Update(load, IsScarce(pool.id), now);
-    const bool is_known = now - size->second.since > settings_.sizer.memory;
-    if (is_known && Resize(pool.id, load, wanted)) {
+    core::jobs::pool_sizer& sizer = size->second.sizer;
+    const bool is_scarce = IsScarce(pool.id);
+    const std::uint32_t wanted = sizer.Update(load, is_scarce, now);
+    if (sizer.MayShrink(is_scarce, now) && Resize(pool.id, load, wanted)) {
       load.usable_vms = scheduler_->Load(pool.id, now).usable_vms;
     }
     TellWanted(pool.id, &size->second, load, wanted, now);
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -59,12 +59,10 @@
  private:
   struct pool_size {
     pool_size(const core::jobs::sizer_settings& settings,
-              const core::jobs::arrival_settings& arrival_settings,
-              core::time_point now)
-        : sizer(settings), arrivals(arrival_settings), since(now) {}
+              const core::jobs::arrival_settings& arrival_settings)
+        : sizer(settings), arrivals(arrival_settings) {}
     core::jobs::pool_sizer sizer;
     core::jobs::arrival_meter arrivals;
-    core::time_point since;
     wanted_vms told;
     core::time_point told_at;
   };
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -54,6 +54,27 @@
   }
 }
 
+// All processes start again in a queue's turn. The pools of the queues whose
+// turn is over hold the hosts that it lacks, and their owners have seen nothing
+// yet. They must not shrink by a load that they haven't seen, nor keep the
+// hosts for the rest of the turn.
+TEST_CASE("A new owner of a pool watches it before it shrinks") {
+  pool_sizer sizer{sizer_settings()};
+  time_point now{std::chrono::hours(1)};
+  CHECK_FALSE(sizer.MayShrink(true, now));
+  sizer.Update(Load(20000, 0), true, now);
+  CHECK_FALSE(sizer.MayShrink(true, now + milliseconds(400)));
+
+  SECTION("for a moment while another pool lacks VMs") {
+    CHECK(sizer.MayShrink(true, now + milliseconds(401)));
+  }
+
+  SECTION("else for as long as it remembers") {
+    CHECK_FALSE(sizer.MayShrink(false, now + milliseconds(2500)));
+    CHECK(sizer.MayShrink(false, now + milliseconds(2501)));
+  }
+}
+
 fleet_host Host(const host_id& name, const pool_id& pool, const vm_id& vm) {
   fleet_host host;
   host.host = name;
