Start nothing while cancellations are known only up to 2.6 s ago

Cause: an owner whose renewals are answered and whose readings hang went on with an old copy of the jobs.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -44,6 +44,11 @@
   duration elsewhere = std::chrono::milliseconds(1000);
   /// A VM that refused an order for a passing reason gets none for this time.
   duration refusal_pause = std::chrono::milliseconds(300);
+  /// Nothing starts while cancellations are known only up to a moment that is
+  /// this long ago. Readings that wait come back every 1.1 s, or 2 s when one
+  /// hangs; a caller may count on it that nothing of its job starts later than
+  /// 3 s after its cancellation was stored.
+  duration oldest_cancellations = std::chrono::milliseconds(2600);
   /// A VM that is to be emptied lets its tasks end for this time, so that most
   /// of them, which take a second or less, lose no work; then it stops them.
   duration empty_limit = std::chrono::milliseconds(2000);
@@ -103,6 +108,12 @@
   /// as ended. A VM may tell of a job that isn't known yet; only after a later
   /// moment has been noted is it certain that there is no such job.
   void NoteJobsRead(time_point through);
+  /// Notes that all cancellations that were stored by then have been passed on.
+  /// Until it is first called there is no bound on their age. Without it an
+  /// owner whose renewals are answered while its readings hang starts tasks of
+  /// jobs that were cancelled long before. See
+  /// `scheduler_settings::oldest_cancellations`.
+  void NoteCancellationsRead(time_point through);
   /// Returns whether a VM tells of a job that isn't known.
   bool HasUnknownJobs() const;
   /// Notes a job that ended under an earlier owner. VMs may still list its
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -46,9 +46,11 @@
   for (const auto& [id, job] : jobs_.open()) {
     job->OpenDue(wall_now);
   }
-  FindTakers(now);
-  for (const candidate& next : Candidates(now)) {
-    PlaceJob(next.job, now, &orders);
+  if (MayStart(now)) {
+    FindTakers(now);
+    for (const candidate& next : Candidates(now)) {
+      PlaceJob(next.job, now, &orders);
+    }
   }
   ForgetGoneVms(now);
   return orders;
@@ -232,6 +234,11 @@
   }
 }
 
+bool pool_scheduler::impl::MayStart(time_point now) const {
+  return !cancellations_read_through_ ||
+         now - *cancellations_read_through_ <= settings_.oldest_cancellations;
+}
+
 void pool_scheduler::impl::FindTakers(time_point now) {
   takers_.clear();
   most_room_ = {};
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -28,6 +28,10 @@
   impl_->NoteJobsRead(through);
 }
 
+void pool_scheduler::NoteCancellationsRead(time_point through) {
+  impl_->NoteCancellationsRead(through);
+}
+
 bool pool_scheduler::HasUnknownJobs() const {
   return impl_->HasUnknownJobs();
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -59,6 +59,9 @@
   void NoteJobsRead(time_point through) {
     jobs_read_through_ = std::max(jobs_read_through_, through);
   }
+  void NoteCancellationsRead(time_point through) {
+    cancellations_read_through_ = through;
+  }
   bool HasUnknownJobs() const;
   /// Takes over the runs of a job that VMs have told of before it was known.
   void AdoptRunsOf(const job_id& id, time_point now);
@@ -105,6 +108,7 @@
   bool TakesTasks(const vm_state& vm, const pool_id& pool) const;
 
   // Placement.
+  bool MayStart(time_point now) const;
   void FindTakers(time_point now);
   bool IsRecovered(time_point now);
   void SkipUntoldRuns(time_point now);
@@ -156,6 +160,8 @@
   /// A VM's lease ran out before it had told what was started there.
   bool has_untold_vm_ = false;
   time_point jobs_read_through_;
+  /// Nothing: it isn't told.
+  std::optional<time_point> cancellations_read_through_;
   /// The highest runs of unknown jobs that VMs had told of before they lapsed.
   std::map<job_id, std::map<task_name, std::uint32_t>> forgotten_runs_;
   bool is_recovered_ = false;
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -112,6 +112,15 @@
   return BootTime() - oldest;
 }
 
+core::duration job_world::WatchedJobCopyAge() const {
+  const core::time_point now = BootTime();
+  core::time_point oldest = now;
+  for (const std::uint32_t partition : watched_) {
+    oldest = std::min(oldest, job_followers_[partition]->CompleteAt());
+  }
+  return now - oldest;
+}
+
 core::jobs::queue_policy job_world::PolicyOf(
     const core::jobs::queue_id& queue) const {
   const auto found = policies_.find(queue);
@@ -316,10 +325,10 @@
 }
 
 void job_world::UpdateModes() {
-  const std::set<std::uint32_t> watched = WatchedJobPartitions();
+  watched_ = WatchedJobPartitions();
   for (std::uint32_t i = 0; i < job_followers_.size(); ++i) {
     job_followers_[i]->SetMode(
-        watched.count(i) != 0 ? follow_mode::kWatch : follow_mode::kBackground);
+        watched_.count(i) != 0 ? follow_mode::kWatch : follow_mode::kBackground);
   }
   const bool owns_any = !owned_.empty() || is_fleet_owned_;
   if (owns_any) {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -85,6 +85,8 @@
   core::duration JobCopyAge() const;
   /// The same for those of one queue.
   core::duration JobCopyAge(const core::jobs::queue_id& queue) const;
+  /// The same for those that hold jobs of the pools that this process owns.
+  core::duration WatchedJobCopyAge() const;
 
   const core::jobs::routing_table& routes() const { return routes_; }
   const core::jobs::job_directory& directory() const { return directory_; }
@@ -181,6 +183,7 @@
   std::map<std::uint32_t, std::set<core::jobs::vm_id>> vacant_vms_;
   std::map<core::jobs::host_id, std::string> ordered_hosts_;
   std::vector<std::uint32_t> owned_;
+  std::set<std::uint32_t> watched_;
   bool is_fleet_owned_ = false;
 
   std::unique_ptr<log_follower> operators_;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -120,6 +120,8 @@
   SyncLinks();
   if (deps_.is_sure()) {
     const core::time_point began = BootTime();
+    scheduler_->NoteCancellationsRead(began -
+                                      deps_.world->WatchedJobCopyAge());
     const std::vector<core::jobs::vm_order> orders =
         scheduler_->Plan(began, WallTime());
     deps_.meters->NotePlan(BootTime() - began);
--- a/tests/core/jobs/pool_scheduler_test.cc
+++ b/tests/core/jobs/pool_scheduler_test.cc
@@ -467,6 +467,36 @@
   CHECK(driver.paces[0].percent == 20);
 }
 
+// The store answers an owner's renewals, and none of its readings. The owner
+// doesn't learn of cancellations, and would go on to start tasks of jobs whose
+// callers were told seconds ago that they are cancelled.
+TEST_CASE("Nothing starts while it isn't known what was cancelled") {
+  scheduler_driver driver;
+  driver.Bring({Vm("vm-1")});
+  const time_point read_at = driver.now;
+  driver.scheduler.NoteCancellationsRead(read_at);
+  driver.Add(Job("job", {Step(1)}));
+  driver.Pass(milliseconds(2601));
+  driver.List("vm-1", {}, {});
+  CHECK(driver.Starts().empty());
+
+  SECTION("and starts as soon as that is known again") {
+    driver.scheduler.NoteCancellationsRead(driver.now - milliseconds(2600));
+    CHECK(driver.Starts().size() == 1);
+  }
+
+  SECTION("what is to be stopped is stopped all the same") {
+    driver.scheduler.NoteCancellationsRead(driver.now);
+    REQUIRE(driver.Starts().size() == 1);
+    driver.scheduler.OnStartAnswer({"vm-1", {"job", 0, 0, 0}, 1},
+                                   start_result::kStarted, driver.now);
+    driver.Pass(milliseconds(3000));
+    driver.scheduler.CancelJob("job");
+    CHECK(driver.Starts().empty());
+    CHECK(driver.stops.size() == 1);
+  }
+}
+
 TEST_CASE("A cancelled job starts nothing and its tasks are stopped") {
   scheduler_driver driver;
   driver.Bring({Vm("vm-1", 1000)});
