Wait 0.5 s for a record, and read watched partitions anew within 0.1 s

What is known of an idle partition is then 1 s old at most, and an owner isn't kept from starting after an outage by a pause of 0.8 s.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -45,9 +45,10 @@
   /// A VM that refused an order for a passing reason gets none for this time.
   duration refusal_pause = std::chrono::milliseconds(300);
   /// Nothing starts while cancellations are known only up to a moment that is
-  /// this long ago. Readings that wait come back every 1.1 s, or 2 s when one
-  /// hangs; a caller may count on it that nothing of its job starts later than
-  /// 3 s after its cancellation was stored.
+  /// this long ago. A caller may count on it that nothing of its job starts
+  /// later than 3 s after its cancellation was stored. What is known of an idle
+  /// partition is up to 1 s old, 2 s when a reading hangs, and two answers of
+  /// the store more (0.8 s when it is very slow).
   duration oldest_cancellations = std::chrono::milliseconds(2600);
   /// A VM that is to be emptied lets its tasks end for this time, so that most
   /// of them, which take a second or less, lose no work; then it stops them.
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -127,7 +127,9 @@
 
   void PauseAfterFailure(void (impl::*action)()) {
     Pause(pause_, action);
-    pause_ = std::min(2 * pause_, settings_.most_pause);
+    pause_ = std::min(2 * pause_, mode_ == follow_mode::kWatch
+                                      ? settings_.most_watch_pause
+                                      : settings_.most_pause);
   }
 
   void LoadAgain() { Load(""); }
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -37,8 +37,10 @@
   /// How long one read waits for a record while watching. A connection may fall
   /// silent without being closed: records are then read this much, and the
   /// timeout, later. Cancellations must reach the owner within 3 s, and a
-  /// configuration all processes within 2 s.
-  std::chrono::milliseconds watch_wait = std::chrono::milliseconds(1100);
+  /// configuration all processes within 2 s. Of a partition without records it
+  /// is known for two of these times, and two answers of the store, that
+  /// nothing new was in it; nothing starts when that takes 2.6 s.
+  std::chrono::milliseconds watch_wait = std::chrono::milliseconds(500);
   /// The same in the background. Within it an idle partition costs one call.
   std::chrono::milliseconds background_wait = std::chrono::seconds(10);
   /// Pause after a read with records, in the background.
@@ -46,9 +48,12 @@
   /// How long the store may take to answer: 4 ms as a rule, 0.25 s when it is
   /// slow.
   std::chrono::milliseconds timeout = std::chrono::milliseconds(900);
-  /// Pause after a failed read; it doubles up to `most_pause`.
+  /// Pause after a failed read; it doubles up to the most of its mode.
   std::chrono::milliseconds least_pause = std::chrono::milliseconds(50);
   std::chrono::milliseconds most_pause = std::chrono::milliseconds(800);
+  /// An owner starts nothing until it has read what it watches, so that this is
+  /// lost when the store has been away.
+  std::chrono::milliseconds most_watch_pause = std::chrono::milliseconds(100);
 };
 
 /// Reads one partition of a topic that keeps the newest record of each key:
