--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -115,6 +115,8 @@
   /// jobs that were cancelled long before. See
   /// `scheduler_settings::oldest_cancellations`.
   void NoteCancellationsRead(time_point through);
+  /// Returns whether cancellations are known well enough to start tasks.
+  bool MayStart(time_point now) const;
   /// Returns whether a VM tells of a job that isn't known.
   bool HasUnknownJobs() const;
   /// Notes a job that ended under an earlier owner. VMs may still list its
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -32,6 +32,10 @@
   impl_->NoteCancellationsRead(through);
 }
 
+bool pool_scheduler::MayStart(time_point now) const {
+  return impl_->MayStart(now);
+}
+
 bool pool_scheduler::HasUnknownJobs() const {
   return impl_->HasUnknownJobs();
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -62,6 +62,7 @@
   void NoteCancellationsRead(time_point through) {
     cancellations_read_through_ = through;
   }
+  bool MayStart(time_point now) const;
   bool HasUnknownJobs() const;
   /// Takes over the runs of a job that VMs have told of before it was known.
   void AdoptRunsOf(const job_id& id, time_point now);
@@ -108,7 +109,6 @@
   bool TakesTasks(const vm_state& vm, const pool_id& pool) const;
 
   // Placement.
-  bool MayStart(time_point now) const;
   void FindTakers(time_point now);
   bool IsRecovered(time_point now);
   void SkipUntoldRuns(time_point now);
--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -20,6 +20,7 @@
     case job_event::kReadUnanswered:
     case job_event::kCountRefused:
     case job_event::kJobUnanswered:
+    case job_event::kStartsPaused:
     case job_event::kVmLost:
     case job_event::kOwnershipLost:
     case job_event::kTakeoverFailed:
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -30,6 +30,8 @@
   kJobUnanswered,
   kJobCancelled,
   kCancellationRead,
+  kStartsPaused,
+  kStartsResumed,
   kCountTold,
   kCountRefused,
   kJobEnded,
@@ -51,7 +53,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 38> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 40> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
@@ -71,6 +73,8 @@
     {job_event::kJobUnanswered, "job unanswered"},
     {job_event::kJobCancelled, "job cancelled"},
     {job_event::kCancellationRead, "cancellation read"},
+    {job_event::kStartsPaused, "starts paused"},
+    {job_event::kStartsResumed, "starts resumed"},
     {job_event::kCountTold, "count told"},
     {job_event::kCountRefused, "count refused"},
     {job_event::kJobEnded, "job ended"},
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -181,11 +181,20 @@
     }
   }
 
+  // After a failure the first read doesn't wait for a record: an owner starts
+  // nothing until it is known again what the partition holds, and of one
+  // without records a read that waits tells that only when its wait is over.
+  milliseconds NextWait() const {
+    if (has_failed_) {
+      return milliseconds(0);
+    }
+    return mode_ == follow_mode::kWatch ? settings_.watch_wait
+                                        : settings_.background_wait;
+  }
+
   // Supersedes any read that is under way: only the newest one is continued.
   void Follow() {
-    const milliseconds wait = mode_ == follow_mode::kWatch
-                                  ? settings_.watch_wait
-                                  : settings_.background_wait;
+    const milliseconds wait = NextWait();
     const sent_read sent{++last_read_, BootTime(), mode_};
     store_.Read(
         partition_, cursor_, wait, settings_.timeout,
@@ -212,6 +221,7 @@
       return;
     }
     on_contact_(!is_failed);
+    has_failed_ = is_failed;
     if (is_failed) {
       PauseAfterFailure(&impl::Follow);
       return;
@@ -324,6 +334,8 @@
   core::time_point load_began_at_;
   core::time_point complete_at_;
   bool is_loaded_ = false;
+  /// The last read on the follower's own account had no answer.
+  bool has_failed_ = false;
   bool is_pausing_ = false;
   bool is_closed_ = false;
   std::vector<std::function<void()>> awaiting_load_;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -120,8 +120,7 @@
   SyncLinks();
   if (deps_.is_sure()) {
     const core::time_point began = BootTime();
-    scheduler_->NoteCancellationsRead(began -
-                                      deps_.world->WatchedJobCopyAge());
+    NoteCancellationsRead(began);
     const std::vector<core::jobs::vm_order> orders =
         scheduler_->Plan(began, WallTime());
     deps_.meters->NotePlan(BootTime() - began);
@@ -136,6 +135,20 @@
   }
 }
 
+// Tasks that could start are late while it isn't known what was cancelled, so
+// that there is a line on each such time.
+void pool_owner::impl::NoteCancellationsRead(core::time_point now) {
+  const core::duration age = deps_.world->WatchedJobCopyAge();
+  scheduler_->NoteCancellationsRead(now - age);
+  const bool may_start = scheduler_->MayStart(now);
+  if (may_start != may_start_) {
+    may_start_ = may_start;
+    LogEvent(may_start ? job_event::kStartsResumed : job_event::kStartsPaused,
+             {{"partition", std::to_string(partition_)},
+              {"job_copy_ms", MillisOf(age)}});
+  }
+}
+
 void pool_owner::impl::Lose(const std::string& reason) {
   LogLines(lines_.TakeAll());
   LogEvent(job_event::kOwnershipLost,
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -84,6 +84,7 @@
   void Tick();
   void Kick();
   void Work();
+  void NoteCancellationsRead(core::time_point now);
   void Lose(const std::string& reason);
   void StoreProgress();
   void TakeStored(const std::optional<core::jobs::progress_batch>& batch,
@@ -149,6 +150,7 @@
   bool is_reading_jobs_ = false;
   bool is_closed_ = false;
   bool is_kicked_ = false;
+  bool may_start_ = true;
   std::uint64_t synced_version_ = 0;
   core::time_point dealt_at_;
   core::time_point claimed_at_;
