Leave hosts that nobody wants where they are for 0.7 s

Hypothesis: one turn ends as the next begins, so that hosts on their way to the spare pool are missed. Slow store, 19.5 s: ten hosts went to the spare pool while the next queue's pool wanted ten more.

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -22,6 +22,10 @@
   /// An order that may not have arrived is sent again after this time; it has
   /// no effect if it did.
   duration order_retry = std::chrono::seconds(1);
+  /// How long a host that its pool gives away and nobody wants waits before it
+  /// goes to the spare pool. One queue's turn ends as the next one's begins: a
+  /// host that is already on its way to the spare pool comes 1.5 s later.
+  duration spare_delay = std::chrono::milliseconds(700);
 };
 
 /// Decides which hosts move between the pools and the spare pool: pools tell
@@ -66,6 +70,9 @@
 
   bool IsFree(const fleet_host& host, const std::set<host_id>& busy) const;
   std::map<pool_id, std::uint32_t> Counts() const;
+  void PutAside(const std::vector<const fleet_host*>& unwanted,
+                time_point now,
+                std::vector<move_host>* moves);
   void Order(const host_id& host,
              const pool_id& pool,
              time_point now,
@@ -76,6 +83,8 @@
   std::set<pool_id> spare_;
   std::map<pool_id, std::uint32_t> wanted_;
   std::set<vm_id> offers_;
+  /// Since when the offered hosts of pools have been free.
+  std::map<host_id, time_point> free_since_;
   std::set<vm_id> closed_;
   std::set<vm_id> leaving_;
   std::map<host_id, pending_move> moves_;
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -122,15 +122,28 @@
     ++counts[*neediest];
     free.erase(std::next(chosen).base());
   }
-  if (spare_.empty()) {
-    return moves;
-  }
-  for (const fleet_host* host : free) {
-    if (spare_.count(host->pool) == 0) {
-      Order(host->host, *spare_.begin(), now, &moves);
+  PutAside(free, now, &moves);
+  return moves;
+}
+
+// Sends hosts that nobody has wanted for a while to the spare pool.
+void fleet_balancer::PutAside(const std::vector<const fleet_host*>& unwanted,
+                              time_point now,
+                              std::vector<move_host>* moves) {
+  std::map<host_id, time_point> since;
+  for (const fleet_host* host : unwanted) {
+    if (spare_.empty() || spare_.count(host->pool) != 0) {
+      continue;
+    }
+    const auto known = free_since_.find(host->host);
+    const time_point begin = known == free_since_.end() ? now : known->second;
+    if (now - begin >= settings_.spare_delay) {
+      Order(host->host, *spare_.begin(), now, moves);
+    } else {
+      since[host->host] = begin;
     }
   }
-  return moves;
+  free_since_ = std::move(since);
 }
 
 }  // namespace plantainhead::core::jobs
