--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -32,7 +32,7 @@
 /// appends to a partition one after the other, each 2 ms, or 100 ms when it is
 /// slow: then a queue in its turn brings 30 jobs a second, three times what one
 /// partition takes.
-inline constexpr std::uint32_t kPartitionsOfQueue = 4;
+inline constexpr std::uint32_t kPartitionsOfQueue = 8;
 /// Partitions over which the pools are spread; each has an owner of its own.
 /// The store makes 32 of each topic. The last one is the fleet's.
 inline constexpr std::uint32_t kPoolPartitions = 31;
