--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -297,6 +297,14 @@
   waiting_.clear();
 }
 
+void site_store::RefuseWaitingReads() {
+  std::vector<waiting_read> refused;
+  refused.swap(waiting_);
+  for (const waiting_read& read : refused) {
+    read.respond(Answer(503, json::object()));
+  }
+}
+
 std::string site_store::Rows() const {
   json rows = json::array();
   for (const auto& [member, partitions] : members_) {
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -68,6 +68,8 @@
   /// Never answers the reads that wait for a record, as when their connections
   /// have fallen silent. Later calls are answered.
   void SilenceWaitingReads();
+  /// Refuses the reads that wait for a record.
+  void RefuseWaitingReads();
 
   store_faults faults;
 
--- a/tests/jobs/log_follower_test.cc
+++ b/tests/jobs/log_follower_test.cc
@@ -175,5 +175,36 @@
   }
 }
 
+// The store has been away, and an owner starts nothing until it knows again
+// what was cancelled. Nothing is: the partition gets no record. A first read
+// that waited for one would tell so only when its wait is over.
+TEST_CASE("After a failure a follower learns at once that there is no news") {
+  followed_partition partition;
+  follower_settings settings;
+  settings.watch_wait = std::chrono::hours(1);
+  settings.least_pause = milliseconds(1);
+  log_follower& follower = partition.Follow(settings);
+  partition.store.faults.is_refusing = true;
+  follower.Start(follow_mode::kWatch);
+  REQUIRE(RunUntil(&partition.context,
+                   [&] { return !partition.contacts.empty(); }));
+  partition.store.faults.is_refusing = false;
+  REQUIRE(RunUntil(&partition.context, [&] { return follower.IsLoaded(); }));
+  REQUIRE(RunUntil(&partition.context,
+                   [&] { return partition.store.WaitingReads(kTopic) == 1; }));
+
+  partition.store.faults.is_refusing = true;
+  partition.store.RefuseWaitingReads();
+  REQUIRE(
+      RunUntil(&partition.context, [&] { return !partition.contacts.back(); }));
+  const core::time_point before = follower.CompleteAt();
+  partition.store.faults.is_refusing = false;
+  CHECK(RunUntil(&partition.context,
+                 [&] { return follower.CompleteAt() > before; }));
+  CHECK(partition.keys.empty());
+  CHECK(RunUntil(&partition.context,
+                 [&] { return partition.store.WaitingReads(kTopic) == 1; }));
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
