Send a host that its own pool wants back to the spare pool at once

Cause: "a VM that its own pool wants again goes by way of the spare pool" failed with the delay of 0.7 s: that host has no other way, and waited for nothing. The section on hosts that nobody wants now also checks that they don't leave sooner than after 0.7 s, and still checks that they leave. A test of the load: hosts go straight from one queue's turn to the next one's (it counts moves in 2 s of virtual time; without the delay some go to the spare pool).

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -71,6 +71,7 @@
   bool IsFree(const fleet_host& host, const std::set<host_id>& busy) const;
   std::map<pool_id, std::uint32_t> Counts() const;
   void PutAside(const std::vector<const fleet_host*>& unwanted,
+                const std::set<pool_id>& wanting,
                 time_point now,
                 std::vector<move_host>* moves);
   void Order(const host_id& host,
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -122,12 +122,14 @@
     ++counts[*neediest];
     free.erase(std::next(chosen).base());
   }
-  PutAside(free, now, &moves);
+  PutAside(free, unserved, now, &moves);
   return moves;
 }
 
-// Sends hosts that nobody has wanted for a while to the spare pool.
+// Sends hosts that nobody has wanted for a while to the spare pool; at once
+// those that their own pools want back, since there is no other way.
 void fleet_balancer::PutAside(const std::vector<const fleet_host*>& unwanted,
+                              const std::set<pool_id>& wanting,
                               time_point now,
                               std::vector<move_host>* moves) {
   std::map<host_id, time_point> since;
@@ -137,7 +139,8 @@
     }
     const auto known = free_since_.find(host->host);
     const time_point begin = known == free_since_.end() ? now : known->second;
-    if (now - begin >= settings_.spare_delay) {
+    const bool is_wanted_back = wanting.count(host->pool) != 0;
+    if (is_wanted_back || now - begin >= settings_.spare_delay) {
       Order(host->host, *spare_.begin(), now, moves);
     } else {
       since[host->host] = begin;
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -1,4 +1,8 @@
 #include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "plantainhead/core/jobs/fleet_balancer.h"
 #include "plantainhead/core/jobs/pool_sizer.h"
@@ -160,7 +164,9 @@
     fleet_balancer idle{balancer_settings()};
     idle.UpdateHosts({Host("a1", "a", "vm-a1")}, {"spare"}, now);
     idle.UpdateOffers({"vm-a1"});
-    moves = idle.Plan({}, now);
+    CHECK(idle.Plan({}, now).empty());
+    CHECK(idle.Plan({}, now + milliseconds(699)).empty());
+    moves = idle.Plan({}, now + milliseconds(700));
     REQUIRE(moves.size() == 1);
     CHECK(moves[0].pool == "spare");
   }
@@ -183,5 +189,37 @@
   }
 }
 
+// One queue's turn ends as the next one's begins, and every 0.2 s its pool
+// gives a VM away. The next pool asks for them 0.5 s after the first. On their
+// way to the spare pool they would be out of reach for a move's time (1.5 s),
+// and cost two moves in place of one: callers of the second queue wait longer.
+TEST_CASE("Hosts go straight from one queue's turn to the next one's") {
+  fleet_balancer balancer{balancer_settings()};
+  const time_point begin{std::chrono::hours(1)};
+  std::vector<fleet_host> hosts;
+  for (int i = 0; i < 8; ++i) {
+    const std::string number = std::to_string(i);
+    hosts.push_back(Host("h" + number, "first", "vm-" + number));
+  }
+  balancer.UpdateHosts(hosts, {"spare"}, begin);
+  balancer.UpdateWanted({{"first", 8}, {"second", 0}});
+
+  std::set<vm_id> offered;
+  std::map<pool_id, int> moves;
+  for (int step = 0; step < 20; ++step) {
+    const time_point now = begin + step * milliseconds(100);
+    if (step % 2 == 0 && step / 2 < 8) {
+      offered.insert("vm-" + std::to_string(step / 2));
+      balancer.UpdateOffers(offered);
+      balancer.UpdateWanted({{"first", 0}, {"second", step < 5 ? 0U : 8U}});
+    }
+    for (const move_host& move : balancer.Plan({}, now)) {
+      ++moves[move.pool];
+      balancer.OnMoveAnswer(move.host, true, true, now);
+    }
+  }
+  CHECK(moves == std::map<pool_id, int>{{"second", 8}});
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
