--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -92,8 +92,7 @@
     core::time_point now) {
   std::vector<adapter::keyed_record> records;
   for (const host_order& order : batch) {
-    records.push_back(
-        Encode(order_record{HostOf(order), deps_.holder, false}));
+    records.push_back(Encode(order_record{HostOf(order), deps_.holder, false}));
     ledger_.NoteOrder(HostOf(order), now);
   }
   for (const core::jobs::host_id& host : ledger_.TakeOutdated(now)) {
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -1,9 +1,6 @@
 #include "jobs/job_world.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <set>
@@ -19,36 +16,12 @@
 namespace plantainhead::jobs {
 namespace {
 
-std::uint64_t Hash(const std::string& text) {
-  return XXH64(text.data(), text.size(), 0);
-}
-
 bool HasPrefix(const std::string& text, std::string_view prefix) {
   return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-// Returns the partitions over which the jobs of the queue are spread.
-std::array<std::uint32_t, kPartitionsOfQueue> JobPartitionsOf(
-    const core::jobs::queue_id& queue) {
-  std::array<std::uint32_t, kPartitionsOfQueue> partitions{};
-  for (std::uint32_t i = 0; i < kPartitionsOfQueue; ++i) {
-    partitions.at(i) =
-        static_cast<std::uint32_t>((Hash(queue) + i) % kJobPartitions);
-  }
-  return partitions;
-}
-
 }  // namespace
 
-std::uint32_t JobPartitionOf(const core::jobs::queue_id& queue,
-                             const core::jobs::job_id& job) {
-  return JobPartitionsOf(queue).at(Hash(job) % kPartitionsOfQueue);
-}
-
-std::uint32_t PoolPartitionOf(const core::jobs::pool_id& pool) {
-  return static_cast<std::uint32_t>(Hash(pool) % kPoolPartitions);
-}
-
 job_world::job_world(boost::asio::io_context* context,
                      adapter::store_client* store,
                      const follower_settings& settings,
@@ -208,7 +181,8 @@
                                 if (order.is_dropped) {
                                   ordered_hosts_.erase(order.host);
                                 } else {
-                                  ordered_hosts_[order.host] = std::move(order.holder);
+                                  ordered_hosts_[order.host] =
+                                      std::move(order.holder);
                                 }
                               }},
              *decoded);
@@ -327,8 +301,9 @@
 void job_world::UpdateModes() {
   watched_ = WatchedJobPartitions();
   for (std::uint32_t i = 0; i < job_followers_.size(); ++i) {
-    job_followers_[i]->SetMode(
-        watched_.count(i) != 0 ? follow_mode::kWatch : follow_mode::kBackground);
+    job_followers_[i]->SetMode(watched_.count(i) != 0
+                                   ? follow_mode::kWatch
+                                   : follow_mode::kBackground);
   }
   const bool owns_any = !owned_.empty() || is_fleet_owned_;
   if (owns_any) {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "jobs/fault_log.h"
+#include "jobs/job_partitions.h"
 #include "jobs/log_follower.h"
 #include "jobs/record_codec.h"
 #include "plantainhead/core/jobs/job_directory.h"
@@ -25,32 +26,10 @@
 
 namespace plantainhead::jobs {
 
-/// Partitions of the topic of accepted jobs that are used. Each is read by all
-/// processes.
-inline constexpr std::uint32_t kJobPartitions = 16;
-/// Partitions over which the jobs of one queue are spread. The store takes the
-/// appends to a partition one after the other, each 2 ms, or 100 ms when it is
-/// slow: then a queue in its turn brings 30 jobs a second, three times what one
-/// partition takes.
-inline constexpr std::uint32_t kPartitionsOfQueue = 8;
-/// Partitions over which the pools are spread; each has an owner of its own.
-/// The store makes 32 of each topic. The last one is the fleet's.
-inline constexpr std::uint32_t kPoolPartitions = 31;
-inline constexpr std::uint32_t kFleetPartition = 31;
-
 using adapter::kFleetTopic;
 using adapter::kJobTopic;
 using adapter::kProgressTopic;
 
-/// Returns where the submission is stored. It depends on the queue and the id
-/// alone, so that a repeated submission meets the first one also after the
-/// queue has moved to another pool.
-std::uint32_t JobPartitionOf(const core::jobs::queue_id& queue,
-                             const core::jobs::job_id& job);
-
-/// Returns where the pool's progress is stored, and whose owner schedules it.
-std::uint32_t PoolPartitionOf(const core::jobs::pool_id& pool);
-
 /// What a process knows from reading the store, kept up to date by followers.
 /// Not thread-safe.
 class job_world {
--- a/tests/core/jobs/host_order_ledger_test.cc
+++ b/tests/core/jobs/host_order_ledger_test.cc
@@ -18,8 +18,7 @@
   ledger.Inherit({{"own", "p1"}, {"other", "p2"}, {"unknown", ""}}, now);
 
   SECTION("at first none that was ordered may be ordered again") {
-    CHECK(ledger.Closed(now) ==
-          std::set<host_id>{"other", "own", "unknown"});
+    CHECK(ledger.Closed(now) == std::set<host_id>{"other", "own", "unknown"});
     CHECK(ledger.MayOrder("untouched", now));
   }
 
--- /dev/null
+++ b/tests/jobs/job_partitions_test.cc
@@ -0,0 +1,88 @@
+#include "jobs/job_partitions.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdio>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace plantainhead::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+
+core::jobs::job_id IdOf(std::uint32_t number) {
+  constexpr std::uint64_t kOddFactor = 0x9e3779b97f4a7c15U;
+  std::string id(16, '0');
+  std::snprintf(id.data(), id.size() + 1, "%016llx",
+                static_cast<unsigned long long>((number + 1) * kOddFactor));
+  return id;
+}
+
+/// Hands jobs in at an even rate, each with an append of its own, to a store
+/// that takes the appends to one partition one after the other. Returns the
+/// wait of each until it is stored, in the order of their coming.
+std::vector<milliseconds> WaitsInTurn(const core::jobs::queue_id& queue,
+                                      std::uint32_t jobs,
+                                      milliseconds gap,
+                                      milliseconds append_time) {
+  std::map<std::uint32_t, milliseconds> free_at;
+  std::vector<milliseconds> waits;
+  for (std::uint32_t i = 0; i < jobs; ++i) {
+    const milliseconds now = gap * i;
+    milliseconds& free = free_at[JobPartitionOf(queue, IdOf(i))];
+    free = std::max(free, now) + append_time;
+    waits.push_back(free - now);
+  }
+  return waits;
+}
+
+// The store answers 60 times as late, and a queue has its turn. Each caller
+// talks to another process, so that hardly any two jobs share an append. If the
+// queue's partitions together take fewer appends than jobs come, each second of
+// the turn adds to the wait of all later callers, whose deadline is 3 s.
+TEST_CASE("A slow store takes the jobs of a queue's turn as fast as they come") {
+  // 45 jobs a second for 4.5 s; 120 ms an append in place of 2 ms.
+  constexpr std::uint32_t kJobs = 200;
+  constexpr milliseconds kGap(22);
+  constexpr milliseconds kAppend(120);
+  const std::string queue = GENERATE("a", "payments", "r-7f3k", "zz/9");
+  CAPTURE(queue);
+  const auto waits = WaitsInTurn(queue, kJobs, kGap, kAppend);
+  auto first_half = std::vector<milliseconds>(waits.begin(),
+                                              waits.begin() + kJobs / 2);
+  auto second_half = std::vector<milliseconds>(waits.begin() + kJobs / 2,
+                                               waits.end());
+  std::sort(first_half.begin(), first_half.end());
+  std::sort(second_half.begin(), second_half.end());
+
+  SECTION("so that late callers wait hardly longer than early ones") {
+    CHECK(second_half[kJobs / 4] <= first_half[kJobs / 4] + 2 * kAppend);
+  }
+
+  SECTION("and nobody's deadline passes") {
+    CHECK(second_half.back() < milliseconds(1500));
+  }
+}
+
+// A submission may come again at any process, also when the first had no
+// answer. In another partition it would be a second job.
+TEST_CASE("A job's partition is one of its queue's, and always the same") {
+  const auto partitions = JobPartitionsOf("queue");
+  const std::set<std::uint32_t> known(partitions.begin(), partitions.end());
+  CHECK(known.size() == kPartitionsOfQueue);
+  CHECK(*known.rbegin() < kJobPartitions);
+  std::set<std::uint32_t> used;
+  for (std::uint32_t i = 0; i < 200; ++i) {
+    const std::uint32_t partition = JobPartitionOf("queue", IdOf(i));
+    CHECK(partition == JobPartitionOf("queue", IdOf(i)));
+    used.insert(partition);
+  }
+  CHECK(used == known);
+}
+
+}  // namespace
+}  // namespace plantainhead::jobs
