--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -33,9 +33,6 @@
   /// VMs beyond what is needed now: for the first tasks of a rise, before more
   /// VMs come, and for the loss of one.
   std::uint32_t reserve = 2;
-  /// VMs beyond those over which lasting tasks are spread: for the loss of one.
-  /// Those leave room for the first tasks of a rise.
-  std::uint32_t spread_reserve = 1;
   /// A pool shrinks to the most that it needed in this time. A VM that is given
   /// away is missed for the time of two moves (1.5 s each) when the demand
   /// returns, and costs as much to move as 1.1 s of its use.
--- a/src/core/jobs/pool_sizer.cc
+++ b/src/core/jobs/pool_sizer.cc
@@ -24,8 +24,7 @@
                               VmsFor(load.rising, load));
   const auto needed =
       static_cast<std::uint32_t>(std::ceil(vms / settings_.fill));
-  return std::max(needed + settings_.reserve,
-                  load.spread + settings_.spread_reserve);
+  return std::max(needed, load.spread) + settings_.reserve;
 }
 
 std::uint32_t pool_sizer::Update(const pool_load& load,
