--- a/tests/jobs/job_partitions_test.cc
+++ b/tests/jobs/job_partitions_test.cc
@@ -44,7 +44,8 @@
 // talks to another process, so that hardly any two jobs share an append. If the
 // queue's partitions together take fewer appends than jobs come, each second of
 // the turn adds to the wait of all later callers, whose deadline is 3 s.
-TEST_CASE("A slow store takes the jobs of a queue's turn as fast as they come") {
+TEST_CASE(
+    "A slow store takes the jobs of a queue's turn as fast as they come") {
   // 45 jobs a second for 4.5 s; 120 ms an append in place of 2 ms.
   constexpr std::uint32_t kJobs = 200;
   constexpr milliseconds kGap(22);
@@ -52,10 +53,10 @@
   const std::string queue = GENERATE("a", "payments", "r-7f3k", "zz/9");
   CAPTURE(queue);
   const auto waits = WaitsInTurn(queue, kJobs, kGap, kAppend);
-  auto first_half = std::vector<milliseconds>(waits.begin(),
-                                              waits.begin() + kJobs / 2);
-  auto second_half = std::vector<milliseconds>(waits.begin() + kJobs / 2,
-                                               waits.end());
+  auto first_half =
+      std::vector<milliseconds>(waits.begin(), waits.begin() + kJobs / 2);
+  auto second_half =
+      std::vector<milliseconds>(waits.begin() + kJobs / 2, waits.end());
   std::sort(first_half.begin(), first_half.end());
   std::sort(second_half.begin(), second_half.end());
 
