--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -1,9 +1,10 @@
 #include "jobs/job_world.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <ranges>
+#include <numeric>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -81,7 +82,9 @@
 }
 
 core::duration job_world::JobCopyAge() const {
-  return CopyAgeOf(std::views::iota(0U, kJobPartitions));
+  std::array<std::uint32_t, kJobPartitions> all{};
+  std::iota(all.begin(), all.end(), 0U);
+  return CopyAgeOf(all);
 }
 
 core::duration job_world::JobCopyAge(const core::jobs::queue_id& queue) const {
