Tell owners only of VMs whose record has changed

Cause: each VM renews its record twice in three seconds. With 1,100 VMs an owner copied all usable VMs of its pool, and gave its links a new list to compare, 730 times a second, nearly always without a change. Change: the registry says whether a record is news; only news are told.

--- a/include/plantainhead/core/jobs/vm_registry.h
+++ b/include/plantainhead/core/jobs/vm_registry.h
@@ -15,7 +15,9 @@
 /// read. Thread safety: one thread at a time.
 class vm_registry {
  public:
-  void Put(vm_description vm);
+  /// Returns whether that is news: VMs renew their records twice in three
+  /// seconds, mostly without a change.
+  bool Put(vm_description vm);
   /// The VM's record can't be read. It names no VM to use: the VM is no longer
   /// among the usable ones, and gets no new task. It isn't gone either: what
   /// runs there is held and counted until the VM itself ends it or its lease
@@ -27,8 +29,7 @@
 
   /// Returns the VMs of pools that the configuration names.
   std::vector<vm_description> Usable(const routing_table& routes) const;
-  /// The same for the pools that are wanted. Owners ask at each heartbeat of
-  /// any VM, so that the others aren't copied.
+  /// The same for the pools that are wanted; the others aren't copied.
   std::vector<vm_description> Usable(const routing_table& routes,
                                      const pool_predicate& is_wanted) const;
   /// Returns whether there is a record of the VM, readable or not.
--- a/src/core/jobs/vm_registry.cc
+++ b/src/core/jobs/vm_registry.cc
@@ -4,10 +4,14 @@
 
 namespace plantainhead::core::jobs {
 
-void vm_registry::Put(vm_description vm) {
-  unreadable_.erase(vm.id);
-  const vm_id id = vm.id;
-  readable_[id] = std::move(vm);
+bool vm_registry::Put(vm_description vm) {
+  bool is_news = unreadable_.erase(vm.id) != 0;
+  const auto [found, is_new] = readable_.try_emplace(vm.id);
+  is_news = is_news || is_new || found->second != vm;
+  if (is_news) {
+    found->second = std::move(vm);
+  }
+  return is_news;
 }
 
 void vm_registry::PutUnreadable(const vm_id& id) {
--- a/src/jobs/job_world_faults.cc
+++ b/src/jobs/job_world_faults.cc
@@ -93,7 +93,9 @@
       faults_.Note(adapter::kRegistryTopic, record.key,
                    {core::jobs::fault_kind::kUnknownName, "service"});
     }
-    registry_.Put(std::move(*vm));
+    if (!registry_.Put(std::move(*vm))) {
+      return;
+    }
   } else {
     faults_.Note(adapter::kRegistryTopic, record.key, vm.fault());
     if (core::jobs::IsSoundName(record.key)) {
