Make plans no longer with a backlog

Cause: in a turn that asks more than the pool holds, each plan tried every waiting job on every VM, up to 200 times a second, on half a core. Change: what found no room in a plan isn't tried again in it; the pause between plans is at least three times as long as the last one took.

--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -203,8 +203,8 @@
     racks.emplace_back("");
   }
   for (const std::string& rack : racks) {
-    std::vector<vm_order> trial;
     std::vector<std::pair<vm_state*, task_name>> placed;
+    const std::size_t unplaced_before = unplaced_.size();
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
       const task_name name{job->spec().id, occurrence, step, i};
       vm_state* vm = ChooseVm(job, name, rack, now);
@@ -224,6 +224,8 @@
       vm->Erase(name);
     }
     if (!fits) {
+      // What found no room beside the trial may find some without it.
+      unplaced_.resize(unplaced_before);
       continue;
     }
     for (const auto& [vm, name] : placed) {
@@ -241,6 +243,7 @@
 
 void pool_scheduler::impl::FindTakers(time_point now) {
   takers_.clear();
+  unplaced_.clear();
   most_room_ = {};
   for (auto& [id, vm] : vms_) {
     const bool takes = vm.is_listed && vm.is_recorded && vm.is_settled &&
@@ -281,6 +284,19 @@
   return count;
 }
 
+// Room only shrinks while a plan is made, so that what found none before finds
+// none now. In an overload a plan would otherwise look for room on every VM for
+// every job that waits, and take longer the more jobs wait.
+bool pool_scheduler::impl::IsHopeless(const pool_id& pool,
+                                      const step_spec& step) const {
+  const resources room = RoomOf(step);
+  return std::any_of(unplaced_.begin(), unplaced_.end(),
+                     [&](const unplaced_need& need) {
+                       return Fits(need.room, room) && need.pool == pool &&
+                              need.label == step.required_label;
+                     });
+}
+
 // Takes the VM that is left with the least processor time, so that VMs with
 // much room stay free for large tasks. Lasting tasks go where others are
 // already, as far as their steps allow: the VMs without any can be given away
@@ -291,7 +307,7 @@
                                          time_point now) {
   const step_spec& step = job->spec().steps[task.step];
   const resources room = RoomOf(step);
-  if (!Fits(room, most_room_)) {
+  if (!Fits(room, most_room_) || IsHopeless(job->spec().pool, step)) {
     return nullptr;
   }
   const task_state& state = *job->Find(task);
@@ -299,6 +315,7 @@
   vm_state* best = nullptr;
   vm_state* last_resort = nullptr;
   std::size_t eligible = 0;
+  bool has_room = false;
   std::tuple<int, std::int64_t> best_cost;
   for (vm_state* taker : takers_) {
     vm_state& vm = *taker;
@@ -307,8 +324,11 @@
       continue;
     }
     ++eligible;
+    if (!Fits(room, vm.Free()) || now < vm.avoid_until) {
+      continue;
+    }
+    has_room = true;
     const bool is_full =
-        !Fits(room, vm.Free()) || now < vm.avoid_until ||
         (step.most_per_vm > 0 && RunsOfStep(vm, task) >= step.most_per_vm) ||
         vm.runs().count(task) != 0;
     if (is_full) {
@@ -333,6 +353,9 @@
       best_cost = cost;
     }
   }
+  if (!has_room) {
+    unplaced_.push_back({job->spec().pool, step.required_label, room});
+  }
   if (best == nullptr && eligible <= 1) {
     return last_resort;
   }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -78,6 +78,13 @@
     time_point order;
   };
 
+  /// What tasks of a step ask of a VM, but for what only some tasks ask.
+  struct unplaced_need {
+    pool_id pool;
+    std::string label;
+    resources room;
+  };
+
   void AssumeLeaseOf(const vm_id& id, vm_state* vm);
 
   // Reports.
@@ -91,6 +98,7 @@
                    const vm_listing& listing,
                    time_point now);
 
+  static void NoteUnsettled(run_state* run, time_point now);
   void AckStored();
 
   // Ends of runs.
@@ -130,6 +138,7 @@
   bool IsEligible(const vm_state& vm,
                   const pool_id& pool,
                   const step_spec& step) const;
+  bool IsHopeless(const pool_id& pool, const step_spec& step) const;
   vm_state* ChooseVm(job_state* job,
                      const task_name& task,
                      const std::string& rack,
@@ -158,6 +167,8 @@
   /// has: most tasks of a backlog fit nowhere, and needn't be tried on each VM.
   std::vector<vm_state*> takers_;
   resources most_room_;
+  /// What found no VM in this plan.
+  std::vector<unplaced_need> unplaced_;
   /// A VM's lease ran out before it had told what was started there.
   bool has_untold_vm_ = false;
   time_point jobs_read_through_;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -1,5 +1,6 @@
 #include "jobs/pool_owner_impl.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <utility>
 #include <variant>
@@ -97,7 +98,8 @@
     return;
   }
   is_kicked_ = true;
-  plan_timer_.expires_after(settings_.plan_gap);
+  plan_timer_.expires_after(std::max<core::duration>(
+      settings_.plan_gap, settings_.plan_gap_factor * plan_time_));
   plan_timer_.async_wait(
       [self = weak_from_this()](const boost::system::error_code& error) {
         const auto owner = self.lock();
@@ -123,7 +125,8 @@
     NoteCancellationsRead(began);
     const std::vector<core::jobs::vm_order> orders =
         scheduler_->Plan(began, WallTime());
-    deps_.meters->NotePlan(BootTime() - began);
+    plan_time_ = BootTime() - began;
+    deps_.meters->NotePlan(plan_time_);
     for (const core::jobs::vm_order& order : orders) {
       std::visit([this](const auto& kind) { Send(kind); }, order);
     }
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -37,6 +37,9 @@
   /// Least time between two plans. Each looks through all VMs and open jobs; on
   /// an eighth of a core with 85 VMs one takes some ms.
   std::chrono::milliseconds plan_gap = std::chrono::milliseconds(5);
+  /// The same, as a multiple of the time that the last one took: where plans
+  /// are long, answers of VMs and renewals must be taken between them.
+  int plan_gap_factor = 3;
   /// Time between two looks at what is due.
   std::chrono::milliseconds tick = std::chrono::milliseconds(100);
   core::jobs::sizer_settings sizer;
@@ -71,6 +74,8 @@
     std::string member;
     /// Whether the ownership surely hasn't passed on.
     std::function<bool()> is_sure;
+    /// The takeover under this epoch is over.
+    std::function<void(std::uint64_t epoch)> on_active;
     /// A newer owner was met; destroys this object later.
     std::function<void()> on_fenced;
   };
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -151,6 +151,7 @@
   bool is_closed_ = false;
   bool is_kicked_ = false;
   bool may_start_ = true;
+  core::duration plan_time_{};
   std::uint64_t synced_version_ = 0;
   core::time_point dealt_at_;
   core::time_point claimed_at_;
