Ask a VM whether a lasting task runs before its start is settled by a stop

It may have been carried out, and the stop then takes a task that is at work, beside others that are away. Change: the next listing tells; only a start that it doesn't show is stopped. A run that the VM has shown before needs no settling at all.

--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -22,9 +22,7 @@
       }
       return;
     case start_result::kUnknown:
-      // The VM may still carry the order out, seconds from now. Until a stop is
-      // confirmed there the task must not start elsewhere.
-      run->is_stop_wanted = true;
+      NoteUnsettled(run, now);
       return;
     case start_result::kNoRoom:
     case start_result::kUnwell:
@@ -52,6 +50,21 @@
   }
 }
 
+// The VM may still carry the order out, seconds from now. Until a stop is
+// confirmed there the task must not start elsewhere. A lasting task may be at
+// work already, and a stop would take it from its users; so the VM tells first
+// whether it runs. Other tasks are stopped at once: they would only wait.
+void pool_scheduler::impl::NoteUnsettled(run_state* run, time_point now) {
+  if (run->confirmed_at) {
+    return;
+  }
+  if (run->IsLasting()) {
+    run->unsettled_since = now;
+  } else {
+    run->is_stop_wanted = true;
+  }
+}
+
 void pool_scheduler::impl::TakeStopAnswer(vm_state* vm,
                                           const run_ref& target,
                                           bool is_answered,
@@ -78,9 +91,10 @@
     return hold;
   }
   hold.lease_until = vm->Grant(settings_.lease, now);
-  const bool has_stops = std::any_of(
-      vm->runs().begin(), vm->runs().end(),
-      [](const auto& entry) { return entry.second.is_stop_wanted; });
+  const bool has_stops =
+      std::any_of(vm->runs().begin(), vm->runs().end(), [](const auto& entry) {
+        return entry.second.is_stop_wanted || entry.second.unsettled_since;
+      });
   if (has_unacked || has_stops) {
     hold.wait = settings_.watch_wait / 10;
   } else {
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -84,6 +84,7 @@
     Adopt(vm, row, now);
     return;
   }
+  run->unsettled_since.reset();
   if (!run->confirmed_at) {
     run->confirmed_at = now;
     NoteBegun(jobs_.Find(row.task.job));
@@ -282,6 +283,8 @@
     }
     if (run.stop_answered_at && *run.stop_answered_at <= sent_at) {
       over.push_back(task);
+    } else if (run.unsettled_since && *run.unsettled_since <= sent_at) {
+      run.is_stop_wanted = true;
     } else if (run.confirmed_at && *run.confirmed_at <= sent_at) {
       run.is_stop_wanted = true;
       run.next_stop_at = std::max(run.next_stop_at, now);
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -24,6 +24,9 @@
   /// Since when the VM is known to have taken the run.
   std::optional<time_point> confirmed_at;
   bool is_start_in_flight = false;
+  /// Since when the VM may or may not have taken the run: its start had no
+  /// answer, and no later listing has told.
+  std::optional<time_point> unsettled_since;
   bool is_stop_wanted = false;
   bool is_stop_in_flight = false;
   std::optional<time_point> stop_answered_at;
