Send a request as one text

Cause: an owner that starts 1,950 tasks a second used 0.33 of a core, 15% of it in the serializer's list of views (perf, call graph). Change: the request is written into one string.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,10 +6,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -29,17 +31,49 @@
 // page of records of 1 MB in base64.
 constexpr std::size_t kMostAnswerBytes = std::size_t{8} << 20U;
 
-http::verb ToVerb(method verb) {
+std::string_view NameOfVerb(method verb) {
   switch (verb) {
     case method::kPost:
-      return http::verb::post;
+      return "POST ";
     case method::kDelete:
-      return http::verb::delete_;
+      return "DELETE ";
     case method::kGet:
     case method::kOther:
-      return http::verb::get;
+      return "GET ";
   }
-  return http::verb::get;
+  return "GET ";
+}
+
+void AddHeader(std::string_view name, std::string_view value, std::string* to) {
+  to->append(name).append(": ").append(value).append("\r\n");
+}
+
+// One text is sent with one copy. The library's serializer makes a list of
+// views of the fields and goes through it for each write; for an owner that
+// sends some thousand small requests a second that was a tenth of its time.
+// Precondition: no name or value holds a line end.
+std::string ToText(const client_request& request, const std::string& host) {
+  constexpr std::size_t kUsualHeadBytes = 256;
+  std::string text;
+  text.reserve(kUsualHeadBytes + request.body.size());
+  text.append(NameOfVerb(request.verb))
+      .append(request.target)
+      .append(" HTTP/1.1\r\n");
+  if (FindHeader(request.headers, "Host").empty()) {
+    AddHeader("Host", host, &text);
+  }
+  for (const auto& [name, value] : request.headers) {
+    AddHeader(name, value, &text);
+  }
+  if (request.verb == method::kPost) {
+    AddHeader("Content-Type", request.content_type, &text);
+    AddHeader("Content-Length", std::to_string(request.body.size()), &text);
+  }
+  text.append("\r\n");
+  if (request.verb == method::kPost) {
+    text.append(request.body);
+  }
+  return text;
 }
 
 // True when the peer hasn't closed the idle connection, nor sent anything.
@@ -68,18 +102,7 @@
     auto call = std::make_shared<pending_call>(context_);
     call->on_reply = std::move(on_reply);
     call->deadline = steady_clock::now() + timeout;
-    call->message.method(ToVerb(request.verb));
-    call->message.target(request.target);
-    call->message.version(11);
-    call->message.set(http::field::host, host_);
-    for (const auto& [name, value] : request.headers) {
-      call->message.set(name, value);
-    }
-    if (request.verb == method::kPost) {
-      call->message.set(http::field::content_type, request.content_type);
-      call->message.body() = std::move(request.body);
-    }
-    call->message.prepare_payload();
+    call->text = ToText(request, host_);
     call->last_deadline = call->deadline + options_.answer_limit;
     waiting_.push_back(call);
     AwaitDeadline(call);
@@ -105,7 +128,7 @@
 
   struct pending_call {
     explicit pending_call(asio::io_context& context) : timer(context) {}
-    http::request<http::string_body> message;
+    std::string text;
     http::response_parser<http::string_body> parser;
     reply_handler on_reply;
     steady_clock::time_point sent_at;
@@ -171,8 +194,8 @@
   void Write(const call_ptr& call) {
     call->is_sent = true;
     call->sent_at = steady_clock::now();
-    http::async_write(
-        call->held->stream, call->message,
+    asio::async_write(
+        call->held->stream, asio::buffer(call->text),
         [self = shared_from_this(), call](error_code error, std::size_t) {
           if (call->is_over) {
             return;
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -264,6 +265,48 @@
   }
 }
 
+// A process is held up, by work or by a suspension, past the deadlines of all
+// its calls. The peers have answered in time, and the answers wait in the
+// sockets. Taken for silent, each peer would be called again, on a new
+// connection, by a process that is late already.
+TEST_CASE("An answer that came while the process was held up counts") {
+  boost::asio::io_context peers_context;
+  const std::string address = FreeAddress();
+  std::optional<responder> held;
+  http_server server(&peers_context, address, {},
+                     [&](const server_request& /*request*/, responder respond) {
+                       held = std::move(respond);
+                     });
+  boost::asio::io_context context;
+  http_client client(&context, address, {});
+  std::optional<client_reply> reply;
+  constexpr milliseconds kTimeout(300);
+  client.Send(Post("/path", "body"), kTimeout,
+              [&](client_reply got) { reply = std::move(got); });
+  while (!held) {
+    context.restart();
+    context.poll();
+    peers_context.restart();
+    peers_context.run_for(milliseconds(1));
+  }
+
+  SECTION("when the peer has answered") {
+    (*held)({200, {}, "in time"});
+    peers_context.restart();
+    peers_context.run_for(milliseconds(10));
+    std::this_thread::sleep_for(kTimeout);
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kAnswered);
+    CHECK(reply->body == "in time");
+  }
+
+  SECTION("and a peer that hasn't is given up all the same") {
+    std::this_thread::sleep_for(kTimeout);
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kUnanswered);
+  }
+}
+
 TEST_CASE("A call to a port without a listener was not sent") {
   boost::asio::io_context context;
   http_client client(&context, FreeAddress(), {});
