--- a/include/plantainhead/core/jobs/routing.h
+++ b/include/plantainhead/core/jobs/routing.h
@@ -58,9 +58,10 @@
   route_match Find(std::string_view host, std::string_view path) const;
   /// Returns the queue's route, or null.
   const queue_route* FindQueue(const queue_id& queue) const;
-  /// Returns the names of the pools in order, which is the same in every
-  /// process that has the same configuration.
-  std::vector<pool_id> Pools() const;
+  /// Returns the names of the pools that work, thus of all but the spare ones,
+  /// in order, which is the same in every process that has the same
+  /// configuration.
+  std::vector<pool_id> WorkingPools() const;
   bool HasPool(const pool_id& pool) const { return pools_.count(pool) != 0; }
 
  private:
--- a/include/plantainhead/settings/scheduler_settings.h
+++ b/include/plantainhead/settings/scheduler_settings.h
@@ -19,6 +19,9 @@
   std::string caller_address;
   /// `listen.probes`: "IP:PORT" at which readiness is asked for.
   std::string probe_address;
+  /// `listen.peers`: "IP:PORT" for the other processes; empty for none, and the
+  /// process then answers for its own pools only what callers ask itself.
+  std::string peer_address;
   /// `listen.metrics`: "IP:PORT" of the metrics; empty for none.
   std::string metrics_address;
   /// `store.address`: of the metadata store.
@@ -29,6 +32,9 @@
   core::duration longest_lease = std::chrono::seconds(6);
   /// `lease.holder`: how long an order for a host keeps other holders out.
   core::duration holder_lease = std::chrono::seconds(3);
+  /// `configuration.apply`: within this time of its publication a configuration
+  /// must be in force in every process.
+  core::duration configuration_apply = std::chrono::seconds(2);
   /// `processor`: of the VM, in cores.
   double processor_cores = 1.0;
   /// `stop.grace`: time between the request to stop and the end by force.
--- a/soak/scheduler_process.cc
+++ b/soak/scheduler_process.cc
@@ -60,8 +60,8 @@
       callers_(NextAddress()) {
   std::ofstream settings(directory_ + "/" + name_ + ".yaml");
   settings << "name: " << name_ << "\nlisten:\n  callers: \"" << callers_
-           << "\"\n  probes: \"" << NextAddress() << "\"\nstore:\n  address: \""
-           << store << "\"\n";
+           << "\"\n  probes: \"" << NextAddress() << "\"\n  peers: \""
+           << NextAddress() << "\"\nstore:\n  address: \"" << store << "\"\n";
 }
 
 scheduler_process::~scheduler_process() {
--- /dev/null
+++ b/src/core/jobs/owner_book.cc
@@ -0,0 +1,54 @@
+#include "plantainhead/core/jobs/owner_book.h"
+
+#include <utility>
+
+namespace plantainhead::core::jobs {
+
+bool owner_book::Note(std::uint32_t partition, owner_address owner) {
+  entry& known = entries_[partition];
+  if (owner.epoch <= known.owner.epoch) {
+    return false;
+  }
+  known.owner = std::move(owner);
+  known.resume_at.reset();
+  return true;
+}
+
+owner_address owner_book::Newest(std::uint32_t partition) const {
+  const auto found = entries_.find(partition);
+  return found == entries_.end() ? owner_address() : found->second.owner;
+}
+
+std::optional<owner_address> owner_book::Choose(std::uint32_t partition,
+                                                time_point now) {
+  const auto found = entries_.find(partition);
+  if (found == entries_.end()) {
+    return std::nullopt;
+  }
+  entry& known = found->second;
+  if (known.resume_at) {
+    if (now < *known.resume_at) {
+      return std::nullopt;
+    }
+    known.resume_at = now + settings_.rest;
+  }
+  return known.owner;
+}
+
+void owner_book::NoteAnswered(std::uint32_t partition, std::uint64_t epoch) {
+  entry& known = entries_[partition];
+  if (known.owner.epoch == epoch) {
+    known.resume_at.reset();
+  }
+}
+
+void owner_book::NoteFailed(std::uint32_t partition,
+                            std::uint64_t epoch,
+                            time_point now) {
+  entry& known = entries_[partition];
+  if (known.owner.epoch == epoch) {
+    known.resume_at = now + settings_.rest;
+  }
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/core/jobs/routing.cc
+++ b/src/core/jobs/routing.cc
@@ -40,10 +40,12 @@
                                   : &configuration_.routes[found->second];
 }
 
-std::vector<pool_id> routing_table::Pools() const {
+std::vector<pool_id> routing_table::WorkingPools() const {
   std::vector<pool_id> pools;
   for (const pool_settings& pool : configuration_.pools) {
-    pools.push_back(pool.id);
+    if (!pool.is_spare) {
+      pools.push_back(pool.id);
+    }
   }
   std::sort(pools.begin(), pools.end());
   return pools;
--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -28,14 +28,17 @@
     registry.Counter(kRequestsName, kRequestsHelp, {{"outcome", outcome}})
         .Add(value);
   };
-  count("accepted", figures.submissions.accepted);
+  const recorder_counts& records = figures.submissions.records;
+  count("accepted", records.accepted);
   count("repeated", figures.submissions.repeated);
-  count("refused", figures.submissions.refused);
-  count("unanswered", figures.submissions.unanswered);
-  count("cancelled", figures.submissions.cancelled);
+  count("refused", records.refused + figures.submissions.refused);
+  count("unanswered", records.unanswered);
+  count("cancelled", records.cancelled);
   count("queried", figures.submissions.queries);
   count("unknown_route", figures.submissions.unknown_route);
   count("malformed", figures.submissions.malformed);
+  count("passed_on", figures.submissions.passed_on);
+  count("owner_failed", figures.submissions.owner_failures);
   const auto level = [&](const char* name, const char* help, double value,
                          const observe::label_list& labels = {}) {
     registry.Gauge(name, help, labels).Set(value);
@@ -46,7 +49,7 @@
         static_cast<double>(figures.known_jobs));
   if (figures.job_copy_age) {
     level("plantain_job_copy_age_seconds",
-          "Since all partitions of jobs had been read to their ends.",
+          "Since the jobs of owned pools had been read to their ends.",
           std::chrono::duration<double>(*figures.job_copy_age).count());
   }
   level("plantain_configuration_version", "The version in force.",
--- /dev/null
+++ b/src/jobs/job_recorder.cc
@@ -0,0 +1,257 @@
+#include "jobs/job_recorder.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+#include "jobs/refusal.h"
+#include "net/http_status.h"
+#include "platform/ingress_codec.h"
+
+namespace plantainhead::jobs {
+
+using adapter::append_outcome;
+using core::jobs::directory_entry;
+
+class job_recorder::impl : public std::enable_shared_from_this<impl> {
+ public:
+  impl(boost::asio::io_context* context,
+       adapter::store_client* store,
+       job_world* world,
+       job_meters* meters,
+       const recorder_settings& settings)
+      : context_(*context),
+        store_(*store),
+        world_(*world),
+        meters_(*meters),
+        settings_(settings) {}
+
+  void Store(const record_request& request, const net::responder& respond) {
+    record_ptr& known = pending_[request.record.key];
+    if (known) {
+      known->request.may_land = known->request.may_land || request.may_land;
+      known->waiting.push_back(respond);
+      return;
+    }
+    const auto pending = std::make_shared<pending_record>(context_);
+    known = pending;
+    pending->request = request;
+    pending->began_at = BootTime();
+    pending->waiting.push_back(respond);
+    LookLater(pending);
+    lanes_[request.partition].waiting.push_back(pending);
+    Flush(request.partition);
+  }
+
+  const recorder_counts& counts() const { return counts_; }
+
+ private:
+  /// One record that callers wait for.
+  struct pending_record {
+    explicit pending_record(boost::asio::io_context& context)
+        : look_timer(context) {}
+    record_request request;
+    core::time_point began_at;
+    std::vector<net::responder> waiting;
+    bool is_answered = false;
+    boost::asio::steady_timer look_timer;
+  };
+  using record_ptr = std::shared_ptr<pending_record>;
+
+  /// The records for one partition.
+  struct lane {
+    std::vector<record_ptr> waiting;
+    std::size_t in_flight = 0;
+  };
+
+  // A slow store takes appends one by one, so that what arrives while some are
+  // under way goes into one append.
+  void Flush(std::uint32_t partition) {
+    lane& next = lanes_[partition];
+    if (next.waiting.empty() || next.in_flight >= settings_.most_in_flight) {
+      return;
+    }
+    ++next.in_flight;
+    const auto batch =
+        std::make_shared<std::vector<record_ptr>>(std::move(next.waiting));
+    next.waiting.clear();
+    adapter::append_call call;
+    call.partition = {kJobTopic, partition};
+    for (const record_ptr& pending : *batch) {
+      call.records.push_back(pending->request.record);
+    }
+    store_.Append(call, settings_.append_timeout,
+                  [self = weak_from_this(), batch,
+                   partition](const adapter::append_reply& reply) {
+                    const auto service = self.lock();
+                    if (!service) {
+                      return;
+                    }
+                    --service->lanes_[partition].in_flight;
+                    for (const record_ptr& pending : *batch) {
+                      service->TakeReply(pending, reply);
+                    }
+                    service->Flush(partition);
+                  });
+  }
+
+  void LookLater(const record_ptr& pending) {
+    pending->look_timer.expires_after(settings_.look_interval);
+    pending->look_timer.async_wait([self = weak_from_this(), pending](
+                                       const boost::system::error_code& error) {
+      const auto service = self.lock();
+      if (service && !error && !pending->is_answered) {
+        service->Look(pending);
+      }
+    });
+  }
+
+  void Look(const record_ptr& pending) {
+    if (BootTime() >= pending->request.give_up_at) {
+      GiveUp(pending, {append_outcome::kUnknown, 0, 0, 0});
+      return;
+    }
+    world_.RefreshJobs(pending->request.partition,
+                       [self = weak_from_this(), pending](bool /*is_read*/) {
+                         const auto service = self.lock();
+                         if (!service || pending->is_answered) {
+                           return;
+                         }
+                         if (service->IsStored(*pending)) {
+                           service->Succeed(pending, "found in the store");
+                         } else {
+                           service->LookLater(pending);
+                         }
+                       });
+  }
+
+  bool IsStored(const pending_record& pending) const {
+    const directory_entry* entry = world_.directory().Find(pending.request.id);
+    return entry != nullptr &&
+           (pending.request.purpose == record_purpose::kJob ||
+            entry->is_cancelled);
+  }
+
+  void Succeed(const record_ptr& pending, const std::string& how) {
+    const bool is_job = pending->request.purpose == record_purpose::kJob;
+    ++(is_job ? counts_.accepted : counts_.cancelled);
+    if (is_job) {
+      meters_.NoteAccepted(BootTime() - pending->began_at);
+    }
+    LogEvent(is_job ? job_event::kJobAccepted : job_event::kJobCancelled,
+             {{"job", pending->request.id},
+              {"part", std::to_string(pending->request.partition)},
+              {"how", how},
+              {"ms", Elapsed(*pending)}});
+    world_.NoteJobRecord(pending->request.partition, pending->request.record);
+    Answer(pending, {net::kOk, {}, "{}"});
+  }
+
+  void TakeReply(const record_ptr& pending,
+                 const adapter::append_reply& reply) {
+    if (pending->is_answered) {
+      return;
+    }
+    if (reply.outcome == append_outcome::kStored) {
+      Succeed(pending,
+              "at offset " + std::to_string(reply.offset) + " or next");
+      return;
+    }
+    if (reply.outcome == append_outcome::kUnknown) {
+      pending->request.may_land = true;
+    }
+    const core::time_point now = BootTime();
+    const bool is_hopeless = !pending->request.may_land &&
+                             now - pending->began_at > settings_.refusal_limit;
+    const bool is_invalid =
+        reply.outcome == append_outcome::kInvalid && !pending->request.may_land;
+    if (is_invalid || is_hopeless ||
+        now + settings_.retry_pause >= pending->request.give_up_at) {
+      GiveUp(pending, reply);
+      return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+    timer->expires_after(settings_.retry_pause);
+    timer->async_wait([self = weak_from_this(), pending,
+                       timer](const boost::system::error_code& error) {
+      const auto service = self.lock();
+      if (service && !error && !pending->is_answered) {
+        service->lanes_[pending->request.partition].waiting.push_back(pending);
+        service->Flush(pending->request.partition);
+      }
+    });
+  }
+
+  // A caller that is told "refused" may believe that its job never runs, so
+  // after an append without an answer, or with one under way, there is no such
+  // word.
+  void GiveUp(const record_ptr& pending, const adapter::append_reply& reply) {
+    const bool may_land =
+        pending->request.may_land || reply.outcome == append_outcome::kUnknown;
+    observe::log_fields fields = {
+        {"job", pending->request.id},
+        {"what", std::string(core::NameOf(pending->request.purpose))},
+        {"store", std::string(core::NameOf(reply.outcome))},
+        {"status", std::to_string(reply.status)},
+        {"ms", Elapsed(*pending)}};
+    if (may_land) {
+      ++counts_.unanswered;
+      LogEvent(job_event::kJobUnanswered, fields);
+      Answer(pending, adapter::EncodeFault(
+                          net::kGatewayTimeout,
+                          "the store didn't answer; repeat the same id"));
+      return;
+    }
+    ++counts_.refused;
+    LogEvent(job_event::kJobRefused, fields);
+    Answer(pending,
+           Refuse("the store refused the record", settings_.retry_after));
+  }
+
+  static std::string Elapsed(const pending_record& pending) {
+    return MillisOf(BootTime() - pending.began_at);
+  }
+
+  void Answer(const record_ptr& pending, const net::server_response& response) {
+    pending->is_answered = true;
+    pending->look_timer.cancel();
+    pending_.erase(pending->request.record.key);
+    for (const net::responder& respond : pending->waiting) {
+      respond(response);
+    }
+  }
+
+  boost::asio::io_context& context_;
+  adapter::store_client& store_;
+  job_world& world_;
+  job_meters& meters_;
+  recorder_settings settings_;
+  recorder_counts counts_;
+  std::map<std::string, record_ptr> pending_;
+  std::map<std::uint32_t, lane> lanes_;
+};
+
+job_recorder::job_recorder(boost::asio::io_context* context,
+                           adapter::store_client* store,
+                           job_world* world,
+                           job_meters* meters,
+                           const recorder_settings& settings)
+    : impl_(std::make_shared<impl>(context, store, world, meters, settings)) {}
+
+job_recorder::~job_recorder() = default;
+
+void job_recorder::Store(const record_request& request,
+                         const net::responder& respond) {
+  impl_->Store(request, respond);
+}
+
+const recorder_counts& job_recorder::counts() const {
+  return impl_->counts();
+}
+
+}  // namespace plantainhead::jobs
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -19,6 +19,7 @@
 #include "jobs/submissions.h"
 #include "net/http_server.h"
 #include "net/http_status.h"
+#include "peers/owner_links.h"
 #include "platform/ingress_codec.h"
 
 namespace plantainhead::jobs {
@@ -31,8 +32,9 @@
 // once; when the store is slow (0.2 s an answer) fewer connections would make
 // the last reads wait until they time out, and the takeover begin again.
 constexpr std::size_t kStoreConnections = 20;
-// A process that hasn't reached the store for this time tells that it isn't
-// ready: callers' jobs can't be stored here. Longer than three renewals.
+// A process that has reached neither the store nor an owner of a pool for this
+// time tells that it isn't ready: callers' jobs can't be stored here. Longer
+// than three renewals.
 constexpr milliseconds kReadyWithoutStore = milliseconds(2800);
 // After a request to stop new connections come for two more probes, a second
 // apart, and a little longer.
@@ -59,8 +61,13 @@
         member_name_(settings.name),
         member_settings_(MakeMemberSettings(settings)),
         store_(context, settings.store_address, kStoreConnections),
-        world_(context, &store_, {}, MakeListeners()),
-        submissions_(context, &store_, &world_, &meters_, {}),
+        world_(context,
+               &store_,
+               {},
+               settings.configuration_apply,
+               MakeListeners()),
+        owners_(context, {}),
+        submissions_(MakeSubmissionDependencies(), {}),
         archiver_(context, &store_, MakeArchiverSettings()),
         member_(context,
                 &store_,
@@ -92,13 +99,21 @@
         context_, settings_.probe_address, net::http_server_options(),
         [this](const net::server_request& request,
                const net::responder& respond) { Probe(request, respond); });
+    if (!settings_.peer_address.empty()) {
+      peers_ = std::make_unique<net::http_server>(
+          context_, settings_.peer_address, net::http_server_options(),
+          [this](const net::server_request& request,
+                 const net::responder& respond) {
+            submissions_.Handle(request, respond);
+          });
+    }
     if (!settings_.metrics_address.empty()) {
       metrics_ = std::make_unique<net::http_server>(
           context_, settings_.metrics_address, net::http_server_options(),
           [this](const net::server_request& /*request*/,
                  const net::responder& respond) { respond(Metrics()); });
     }
-    world_.Start(member_settings_.role == member_role::kRegular);
+    world_.Start();
     member_.Start();
     AwaitState();
   }
@@ -143,11 +158,26 @@
     made.meters = &meters_;
     made.member = &member_;
     made.member_name = member_name_;
+    made.peer_address = settings_.peer_address;
     made.holder = settings_.name;
     made.time_to_live = member_settings_.time_to_live;
     return made;
   }
 
+  submissions::dependencies MakeSubmissionDependencies() {
+    submissions::dependencies made;
+    made.context = context_;
+    made.store = &store_;
+    made.world = &world_;
+    made.meters = &meters_;
+    made.owners = &owners_;
+    made.epoch_of = [this](std::uint32_t partition) {
+      return ownership_.EpochOf(partition);
+    };
+    made.is_sure = [this] { return ownership_.IsSure(); };
+    return made;
+  }
+
   owner_settings MakeOwnerSettings() const {
     owner_settings made;
     made.time_to_live = member_settings_.time_to_live;
@@ -175,6 +205,11 @@
     listeners.on_configuration = [this] { ownership_.OnConfiguration(); };
     listeners.on_registry = [this] { ownership_.OnRegistry(); };
     listeners.on_fleet_records = [this] { ownership_.OnFleetRecords(); };
+    listeners.on_announcement =
+        [this](const peers::owner_announcement& announcement) {
+          owners_.book().Note(announcement.partition, announcement.owner);
+          ownership_.OnAnnouncement(announcement);
+        };
     listeners.on_store_contact = [this](bool is_answered) {
       NoteStoreContact(is_answered);
     };
@@ -206,8 +241,10 @@
   // Readiness and metrics.
 
   bool IsReady() const {
+    const core::time_point answered_at =
+        std::max(member_.AnsweredAt(), owners_.AnsweredAt());
     return !is_stopping_ && world_.IsLoaded() &&
-           BootTime() - member_.AnsweredAt() < kReadyWithoutStore;
+           BootTime() - answered_at < kReadyWithoutStore;
   }
 
   void Probe(const net::server_request& request,
@@ -235,8 +272,8 @@
     figures.is_ready = IsReady();
     figures.pools = ownership_.Counts();
     figures.known_jobs = world_.directory().entries().size();
-    if (world_.IsLoaded()) {
-      figures.job_copy_age = world_.JobCopyAge();
+    if (!ownership_.Held().empty()) {
+      figures.job_copy_age = world_.WatchedJobCopyAge();
     }
     figures.configuration_version = world_.routes().configuration().version;
     figures.faults = world_.faults().ledger().counts();
@@ -270,8 +307,8 @@
     if (member_.RenewedAt() != core::time_point()) {
       state.renewed_ago = BootTime() - member_.RenewedAt();
     }
-    if (world_.IsLoaded()) {
-      state.job_copy_age = world_.JobCopyAge();
+    if (!state.pools.empty()) {
+      state.job_copy_age = world_.WatchedJobCopyAge();
     }
     LogEvent(job_event::kProcessState, FormatState(state));
   }
@@ -306,11 +343,13 @@
   state_pace state_pace_;
   adapter::store_client store_;
   job_world world_;
+  peers::owner_links owners_;
   submissions submissions_;
   job_archiver archiver_;
   group_member member_;
   ownership ownership_;
   std::unique_ptr<net::http_server> callers_;
+  std::unique_ptr<net::http_server> peers_;
   std::unique_ptr<net::http_server> probes_;
   std::unique_ptr<net::http_server> metrics_;
   boost::asio::steady_timer state_timer_;
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -13,6 +13,7 @@
 #include "jobs/job_partitions.h"
 #include "jobs/log_follower.h"
 #include "jobs/record_codec.h"
+#include "peers/owner_announcement.h"
 #include "plantainhead/core/jobs/job_directory.h"
 #include "plantainhead/core/jobs/maintenance.h"
 #include "plantainhead/core/jobs/routing.h"
@@ -31,6 +32,12 @@
 using adapter::kProgressTopic;
 
 /// What a process knows from reading the store, kept up to date by followers.
+///
+/// Every process reads what operators publish and where the owners of pools
+/// are. Jobs, their progress and VMs are read only by the owners that schedule
+/// them: all readers share the store's bandwidth, and when each of some hundred
+/// processes read every job, reads took longer than their timeouts, were sent
+/// again by all, and none came through any more.
 /// Not thread-safe.
 class job_world {
  public:
@@ -42,30 +49,36 @@
     std::function<void()> on_configuration;
     std::function<void()> on_registry;
     std::function<void()> on_fleet_records;
+    std::function<void(const peers::owner_announcement&)> on_announcement;
     std::function<void(bool is_answered)> on_store_contact;
   };
 
+  /// `configuration_apply`: within this time a configuration must be known.
   job_world(boost::asio::io_context* context,
             adapter::store_client* store,
             const follower_settings& settings,
+            core::duration configuration_apply,
             listeners listeners);
   job_world(const job_world&) = delete;
   job_world& operator=(const job_world&) = delete;
 
-  /// `expects_pools`: the process is to own pools soon, so that it reads VMs
-  /// and the fleet's records in advance. With a slow store (0.4 s an answer) a
-  /// takeover that had to begin with that would take seconds.
-  void Start(bool expects_pools);
-  /// True when there is a configuration, and all job records and the progress
-  /// of all its pools have been read once.
+  void Start();
+  /// True when there is a configuration.
   bool IsLoaded() const;
-  /// Returns how long ago all of the partitions of jobs had been read up to
-  /// their ends. Precondition: `IsLoaded`.
-  core::duration JobCopyAge() const;
-  /// The same for those of one queue.
+  /// Returns the latest moment by which all that operators had published has
+  /// been read; the epoch when nothing has been.
+  core::time_point ConfigurationReadAt() const;
+  /// Returns the latest moment by which all jobs that the store had taken have
+  /// been read, in whatever partition; the epoch when there is none yet.
+  core::time_point AllJobsReadAt() const;
+  /// Returns how long ago the queue's partitions of jobs had been read up to
+  /// their ends.
   core::duration JobCopyAge(const core::jobs::queue_id& queue) const;
   /// The same for those that hold jobs of the pools that this process owns.
   core::duration WatchedJobCopyAge() const;
+  /// Returns whether the partitions that tell of the queue's jobs are being
+  /// read, and have been read once.
+  bool KnowsQueue(const core::jobs::queue_route& route) const;
 
   const core::jobs::routing_table& routes() const { return routes_; }
   const core::jobs::job_directory& directory() const { return directory_; }
@@ -98,20 +111,27 @@
     return vacant_vms_[pool_partition];
   }
 
+  /// Notes what this process has stored itself, in a partition of jobs, without
+  /// waiting until it is read. Nothing is noted of jobs that aren't read here.
+  void NoteJobRecord(std::uint32_t partition,
+                     const adapter::keyed_record& record);
   /// Notes what this process has stored itself.
   void NoteProgress(const core::jobs::job_id& id,
                     core::jobs::job_progress progress);
 
   /// Reads what the store has by now; `on_done` gets false when it can't be
-  /// read. A partition that isn't followed yet is from then on.
+  /// read, or the partition isn't one that is read here.
   void RefreshJobs(std::uint32_t partition, std::function<void(bool)> on_done);
-  /// The same for all partitions that tell which jobs of the queue wait.
-  /// Progress of jobs from before the queue moved to its pool is left out: what
-  /// it lacks can only make more jobs look waiting.
+  /// The same for all partitions that tell which jobs of the queue wait. The
+  /// progress of its pool's jobs is the owner's own. Progress of jobs from
+  /// before the queue moved to its pool is left out: what it lacks can only
+  /// make more jobs look waiting.
   void RefreshQueue(const core::jobs::queue_route& route,
                     std::function<void(bool)> on_done);
-  /// The same for all partitions, repeated until all have been read.
+  /// The same for all partitions, repeated until all have been read. Those that
+  /// aren't read here otherwise are only until then.
   void RefreshAllJobs(const std::function<void()>& on_done);
+  /// Reads the partition from its begin if it isn't followed yet.
   void RefreshProgress(std::uint32_t partition,
                        std::function<void(bool)> on_done);
   /// Repeated until they have been read. Precondition: a partition is owned.
@@ -135,18 +155,30 @@
   void TakeOperatorRecord(const adapter::keyed_record& record);
   void TakeConfiguration(const std::string& value);
   void TakeRegistryRecord(const adapter::keyed_record& record);
+  void TakeAnnouncement(const adapter::keyed_record& record);
+  void FollowJobs();
+  void LeaveJobs(std::uint32_t partition);
   void FollowPools();
   void FollowFleet();
-  void RefreshUntilRead(log_follower* follower,
+  void LeaveFleet();
+  bool IsPoolFollowed(std::uint32_t partition) const;
+  void RefreshUntilRead(const std::weak_ptr<log_follower>& reader,
                         const std::function<void()>& on_read);
+  void RepeatRefresh(const std::weak_ptr<log_follower>& reader,
+                     const std::function<void()>& on_read);
   template <typename Partitions>
   core::duration CopyAgeOf(const Partitions& partitions) const;
   std::set<std::uint32_t> WatchedJobPartitions() const;
-  void UpdateModes();
+  void UpdateFollowers();
+  void EndReadingOfAll();
   log_follower& PoolFollower(std::uint32_t partition);
-  std::unique_ptr<log_follower> MakeFollower(
+  std::shared_ptr<log_follower> MakeFollower(
       const adapter::store_partition& partition,
       log_follower::record_handler on_record);
+  std::shared_ptr<log_follower> MakeFollower(
+      const adapter::store_partition& partition,
+      const follower_settings& settings,
+      log_follower::record_handler on_record);
 
   boost::asio::io_context* context_;
   adapter::store_client* store_;
@@ -167,11 +199,16 @@
   std::set<std::uint32_t> watched_;
   bool is_fleet_owned_ = false;
 
-  std::unique_ptr<log_follower> operators_;
-  std::unique_ptr<log_follower> registry_follower_;
-  std::unique_ptr<log_follower> fleet_follower_;
-  std::vector<std::unique_ptr<log_follower>> job_followers_;
-  std::map<std::uint32_t, std::unique_ptr<log_follower>> pool_followers_;
+  /// Readings of all jobs that are under way.
+  std::size_t readings_of_all_ = 0;
+  core::time_point all_read_at_;
+
+  std::shared_ptr<log_follower> operators_;
+  std::shared_ptr<log_follower> addresses_;
+  std::shared_ptr<log_follower> registry_follower_;
+  std::shared_ptr<log_follower> fleet_follower_;
+  std::map<std::uint32_t, std::shared_ptr<log_follower>> job_followers_;
+  std::map<std::uint32_t, std::shared_ptr<log_follower>> pool_followers_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -84,6 +84,16 @@
     current_refresh_.clear();
   }
 
+  void Abandon() {
+    std::vector<std::function<void(bool)>> done;
+    done.swap(current_refresh_);
+    done.insert(done.end(), next_refresh_.begin(), next_refresh_.end());
+    Close();
+    for (const auto& on_done : done) {
+      on_done(false);
+    }
+  }
+
   bool is_loaded() const { return is_loaded_; }
   core::time_point complete_at() const { return complete_at_; }
   const adapter::store_partition& partition() const { return partition_; }
@@ -372,6 +382,10 @@
   impl_->Refresh(std::move(on_done));
 }
 
+void log_follower::Abandon() {
+  impl_->Abandon();
+}
+
 void log_follower::AwaitLoaded(std::function<void()> on_loaded) {
   impl_->AwaitLoaded(std::move(on_loaded));
 }
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -83,6 +83,10 @@
   /// partition isn't loaded yet.
   void Refresh(std::function<void(bool is_read)> on_done);
 
+  /// Ends all refreshes that are under way: as failed, since whoever waits for
+  /// one has a caller that waits. Reads nothing any more.
+  void Abandon();
+
   /// Calls `on_loaded` when the partition is loaded: at once, or later.
   void AwaitLoaded(std::function<void()> on_loaded);
 
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -1,11 +1,13 @@
 #include "jobs/ownership.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <utility>
 
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
+#include "jobs/record_outbox.h"
 
 namespace plantainhead::jobs {
 
@@ -16,7 +18,11 @@
        const fleet_settings& fleet_settings)
       : deps_(dependencies),
         owner_settings_(owner_settings),
-        fleet_settings_(fleet_settings) {}
+        fleet_settings_(fleet_settings),
+        announcements_(dependencies.context,
+                       dependencies.store,
+                       {adapter::kAddressTopic, 0},
+                       {}) {}
 
   void TakeDeal(std::uint64_t generation,
                 const std::set<std::uint32_t>& partitions) {
@@ -94,36 +100,84 @@
 
   bool OwnsFleet() const { return fleet_ != nullptr; }
 
+  std::uint64_t EpochOf(std::uint32_t partition) const {
+    const auto found = owners_.find(partition);
+    const bool is_active = found != owners_.end() && found->second->IsActive();
+    return is_active ? found->second->epoch() : 0;
+  }
+
+  // A member that hasn't renewed for its time to live may have lost its
+  // partitions, also when it was suspended meanwhile and hasn't noticed. If it
+  // went on, it could start a task on a VM that the new owner can't reach,
+  // after that has waited for the last lease there to end.
+  // The same holds for one that doesn't know the newest configuration: that may
+  // have changed who is dealt what.
+  bool IsSure() const {
+    const core::time_point known_at =
+        std::min(deps_.member->RenewedAt(), deps_.world->ConfigurationReadAt());
+    return BootTime() < known_at + deps_.time_to_live;
+  }
+
+  void OnAnnouncement(const peers::owner_announcement& announcement) {
+    const std::uint64_t epoch = EpochOf(announcement.partition);
+    if (announcement.owner.epoch < epoch) {
+      Announce(announcement.partition, epoch);
+    }
+  }
+
  private:
-  std::set<std::uint32_t> PartitionsWithPools() const {
-    std::set<std::uint32_t> partitions;
-    for (const core::jobs::pool_settings& pool :
-         deps_.world->routes().configuration().pools) {
-      if (!pool.is_spare) {
-        partitions.insert(PoolPartitionOf(pool.id));
+  // An earlier owner's announcement may be stored after this one's; see
+  // `OnAnnouncement`.
+  void Announce(std::uint32_t partition, std::uint64_t epoch) {
+    if (!deps_.peer_address.empty()) {
+      announcements_.Put(
+          peers::Encode({partition, {epoch, deps_.peer_address}}));
+    }
+  }
+
+  // The partitions with pools, in the order of the pools' names. The group
+  // deals its partitions to the members in turn, so that neighbours go to
+  // different members: who is dealt the one of this place owns the pools. With
+  // the partitions' own numbers, which follow from the pools' names, one member
+  // got two large pools beside others that got none.
+  std::vector<std::uint32_t> PartitionsWithPools() const {
+    std::vector<std::uint32_t> partitions;
+    for (const core::jobs::pool_id& pool :
+         deps_.world->routes().WorkingPools()) {
+      const std::uint32_t partition = PoolPartitionOf(pool);
+      const bool is_new = std::find(partitions.begin(), partitions.end(),
+                                    partition) == partitions.end();
+      if (is_new) {
+        partitions.push_back(partition);
       }
     }
     return partitions;
   }
 
+  bool IsDealt(std::size_t place) const {
+    return dealt_.count(static_cast<std::uint32_t>(place)) != 0;
+  }
+
   void Update() {
     if (is_releasing_) {
       return;
     }
+    const std::vector<std::uint32_t> with_pools = PartitionsWithPools();
     std::set<std::uint32_t> wanted;
-    for (const std::uint32_t partition : PartitionsWithPools()) {
-      if (dealt_.count(partition) != 0) {
-        wanted.insert(partition);
+    for (std::size_t place = 0; place < with_pools.size(); ++place) {
+      if (IsDealt(place)) {
+        wanted.insert(with_pools[place]);
       }
     }
     EndOthers(wanted);
+    // New owners read what the world follows from then on.
+    deps_.world->SetOwned({wanted.begin(), wanted.end()});
     for (const std::uint32_t partition : wanted) {
       if (owners_.count(partition) == 0) {
         Own(partition);
       }
     }
-    UpdateFleet();
-    deps_.world->SetOwned({wanted.begin(), wanted.end()});
+    UpdateFleet(IsDealt(with_pools.size()));
   }
 
   void EndOthers(const std::set<std::uint32_t>& wanted) {
@@ -161,6 +215,9 @@
     deps.meters = deps_.meters;
     deps.member = deps_.member_name;
     deps.is_sure = [this] { return IsSure(); };
+    deps.on_active = [this, partition](std::uint64_t epoch) {
+      Announce(partition, epoch);
+    };
     deps.on_fenced = [this, partition] {
       boost::asio::post(*deps_.context, [self = weak_from_this(), partition] {
         const auto held = self.lock();
@@ -178,9 +235,8 @@
     owner->Start(generation_);
   }
 
-  void UpdateFleet() {
-    const bool is_wanted =
-        dealt_.count(kFleetPartition) != 0 && !fleet_settings_.address.empty();
+  void UpdateFleet(bool is_dealt) {
+    const bool is_wanted = is_dealt && !fleet_settings_.address.empty();
     deps_.world->SetFleetOwned(is_wanted);
     if (!is_wanted) {
       fleet_.reset();
@@ -208,14 +264,6 @@
     fleet_->Start(generation_);
   }
 
-  // A member that hasn't renewed for its time to live may have lost its
-  // partitions, also when it was suspended meanwhile and hasn't noticed. If it
-  // went on, it could start a task on a VM that the new owner can't reach,
-  // after that has waited for the last lease there to end.
-  bool IsSure() const {
-    return BootTime() < deps_.member->RenewedAt() + deps_.time_to_live;
-  }
-
   dependencies deps_;
   owner_settings owner_settings_;
   fleet_settings fleet_settings_;
@@ -223,6 +271,7 @@
   std::set<std::uint32_t> dealt_;
   std::map<std::uint32_t, std::unique_ptr<pool_owner>> owners_;
   std::unique_ptr<fleet_owner> fleet_;
+  record_outbox announcements_;
   bool is_releasing_ = false;
 };
 
@@ -273,6 +322,18 @@
   return impl_->Held();
 }
 
+std::uint64_t ownership::EpochOf(std::uint32_t pool_partition) const {
+  return impl_->EpochOf(pool_partition);
+}
+
+bool ownership::IsSure() const {
+  return impl_->IsSure();
+}
+
+void ownership::OnAnnouncement(const peers::owner_announcement& announcement) {
+  impl_->OnAnnouncement(announcement);
+}
+
 bool ownership::OwnsFleet() const {
   return impl_->OwnsFleet();
 }
--- a/src/jobs/ownership.h
+++ b/src/jobs/ownership.h
@@ -18,6 +18,7 @@
 #include "jobs/job_world.h"
 #include "jobs/pool_owner.h"
 #include "jobs/state_line.h"
+#include "peers/owner_announcement.h"
 #include "platform/store_client.h"
 
 namespace plantainhead::jobs {
@@ -37,6 +38,8 @@
     /// Deals the partitions.
     group_member* member = nullptr;
     std::string member_name;
+    /// Where other processes ask for what it owns; empty: nowhere.
+    std::string peer_address;
     /// Names the process towards the fleet.
     std::string holder;
     /// Time to live of the member.
@@ -63,7 +66,13 @@
   void OnConfiguration();
   void OnRegistry();
   void OnFleetRecords();
+  void OnAnnouncement(const peers::owner_announcement& announcement);
 
+  /// Returns the epoch under which the partition's pools are scheduled here; 0
+  /// before the takeover is over, and once a newer owner was met.
+  std::uint64_t EpochOf(std::uint32_t pool_partition) const;
+  /// Returns whether the ownerships surely haven't passed on.
+  bool IsSure() const;
   /// Returns the counts of each pool partition that is owned.
   std::map<std::uint32_t, core::jobs::scheduler_counts> Counts() const;
   /// Returns the pool partitions that are owned or being taken over.
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -248,6 +248,7 @@
   OnRegistry();
   OnFleetRecords();
   deps_.meters->NoteTakeover(BootTime() - dealt_at_);
+  deps_.on_active(epoch_);
   Tick();
 }
 
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -131,7 +131,7 @@
         LogEvent(job_event::kVmHeard, {{"vm", vm}});
       }
       LogNewEnds(vm, link, reply.listing);
-      scheduler_->NoteJobsRead(now - deps_.world->JobCopyAge());
+      scheduler_->NoteJobsRead(deps_.world->AllJobsReadAt());
       scheduler_->OnListing(vm, sent_at, reply.listing, now);
       ReadUnknownJobs();
       Kick();
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -325,6 +325,12 @@
   return encoded;
 }
 
+bool IsSubmission(const adapter::keyed_record& record) {
+  constexpr std::size_t kMostEndBytes = 32;
+  return adapter::IsJobId(record.key) && record.value &&
+         record.value->size() > kMostEndBytes;
+}
+
 decoded<job_record> DecodeJobRecord(const adapter::keyed_record& record) {
   if (record.fault) {
     return *record.fault;
--- a/src/jobs/record_codec.h
+++ b/src/jobs/record_codec.h
@@ -100,6 +100,10 @@
 adapter::keyed_record Encode(const vacancy_record& record);
 adapter::keyed_record Encode(const order_record& record);
 
+/// Returns whether the record of a job is, by its key and its size, one of a
+/// submission. Those of ends are shorter than any submission.
+bool IsSubmission(const adapter::keyed_record& record);
+
 /// Return a whole record, or what is wrong with it. Precondition: the record
 /// has a value, or is one of those that drop a mark of a pool's partition.
 core::jobs::decoded<job_record> DecodeJobRecord(
--- a/src/jobs/state_line.h
+++ b/src/jobs/state_line.h
@@ -29,7 +29,7 @@
   /// Since the last renewal in the group that was answered was sent; nothing
   /// before there was one, as in a reserve that hasn't joined.
   std::optional<core::duration> renewed_ago;
-  /// See `job_world::JobCopyAge`; nothing before the jobs have been read.
+  /// See `job_world::WatchedJobCopyAge`; nothing without an owned pool.
   std::optional<core::duration> job_copy_age;
 };
 
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -1,8 +1,7 @@
 #include "jobs/submissions.h"
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <string>
 #include <utility>
 
 #include "jobs/clocks.h"
@@ -11,40 +10,39 @@
 #include "jobs/refusal.h"
 #include "jobs/waiting_counts.h"
 #include "net/http_status.h"
+#include "peers/passed_request.h"
 #include "platform/ingress_codec.h"
 
 namespace plantainhead::jobs {
 namespace {
 
-using adapter::append_outcome;
 using core::jobs::directory_entry;
 using core::jobs::job_id;
+using core::jobs::queue_route;
 using core::jobs::route_match;
+using peers::pass_outcome;
+using peers::pass_reply;
 using std::chrono::milliseconds;
 
-constexpr const char* kJob = "job";
-constexpr const char* kCancel = "cancel";
-
 }  // namespace
 
 class submissions::impl : public std::enable_shared_from_this<impl> {
  public:
-  impl(boost::asio::io_context* context,
-       adapter::store_client* store,
-       job_world* world,
-       job_meters* meters,
-       const submission_settings& settings)
-      : context_(*context),
-        store_(*store),
-        world_(*world),
-        meters_(*meters),
+  impl(const dependencies& dependencies, const submission_settings& settings)
+      : deps_(dependencies),
+        world_(*dependencies.world),
         settings_(settings),
-        waiting_counts_(world, settings.retry_after) {}
+        recorder_(dependencies.context,
+                  dependencies.store,
+                  dependencies.world,
+                  dependencies.meters,
+                  settings.recorder),
+        waiting_counts_(dependencies.world, settings.retry_after) {}
 
   void Handle(const net::server_request& request,
               const net::responder& respond) {
     if (world_.routes().configuration().version == 0) {
-      respond(Refusal("no configuration has been read yet"));
+      respond(NotHere(request, "no configuration has been read yet"));
       return;
     }
     const std::string path = adapter::DecodePath(request.target);
@@ -52,16 +50,22 @@
     const route_match match = world_.routes().Find(host, path);
     if (match.route == nullptr) {
       ++counts_.unknown_route;
-      respond(adapter::EncodeFault(net::kNotFound, "no such queue"));
+      // The process that passed the request on knows the queue.
+      respond(peers::HopsOf(request) > 0
+                  ? adapter::EncodeFault(net::kMisdirected, "no such queue")
+                  : adapter::EncodeFault(net::kNotFound, "no such queue"));
       return;
     }
-    const std::string id(match.rest);
-    if (id.empty() && request.verb == net::method::kGet) {
+    const task asked{*match.route, job_id(match.rest), request,
+                     respond,      GiveUpAt(request),  false};
+    const bool asks_for_number =
+        asked.id.empty() && request.verb == net::method::kGet;
+    if (asks_for_number) {
       ++counts_.queries;
-      waiting_counts_.Answer(*match.route, respond);
+      Count(asked);
       return;
     }
-    if (!adapter::IsJobId(id)) {
+    if (!adapter::IsJobId(asked.id)) {
       ++counts_.malformed;
       respond(adapter::EncodeFault(net::kBadRequest,
                                    "the path doesn't end in a job's id"));
@@ -69,13 +73,14 @@
     }
     switch (request.verb) {
       case net::method::kPost:
-        Submit(*match.route, id, request, respond);
+        Submit(asked);
         return;
       case net::method::kGet:
-        Query(*match.route, id, respond);
+        ++counts_.queries;
+        Query(asked);
         return;
       case net::method::kDelete:
-        Cancel(*match.route, id, request, respond);
+        Cancel(asked);
         return;
       case net::method::kOther:
         respond(adapter::EncodeFault(net::kMethodNotAllowed,
@@ -84,35 +89,37 @@
     }
   }
 
-  const submission_counts& counts() const { return counts_; }
+  submission_counts counts() const {
+    submission_counts counts = counts_;
+    counts.records = recorder_.counts();
+    return counts;
+  }
 
  private:
-  /// One record that callers wait for.
-  struct pending_record {
-    adapter::keyed_record record;
-    std::uint32_t partition = 0;
-    std::string what;
+  /// A request, and what it asks for.
+  struct task {
+    queue_route route;
+    /// Empty when the request is about the queue.
     job_id id;
-    core::time_point began_at;
+    net::server_request request;
+    net::responder respond;
     core::time_point give_up_at;
-    /// Some append had no answer, so that it may land at any time.
+    /// An owner that left it unanswered may have stored what it asks for.
     bool may_land = false;
-    std::vector<net::responder> waiting;
-    bool is_answered = false;
-    std::shared_ptr<boost::asio::steady_timer> look_timer;
-  };
-  using record_ptr = std::shared_ptr<pending_record>;
-
-  /// The records for one partition.
-  struct lane {
-    std::vector<record_ptr> waiting;
-    std::size_t in_flight = 0;
   };
 
   net::server_response Refusal(const std::string& why) const {
     return Refuse(why, settings_.retry_after);
   }
 
+  // A process that passed a request on asks elsewhere; a caller comes back.
+  net::server_response NotHere(const net::server_request& request,
+                               const std::string& why) const {
+    return peers::HopsOf(request) > 0
+               ? adapter::EncodeFault(net::kMisdirected, why)
+               : Refusal(why);
+  }
+
   core::time_point GiveUpAt(const net::server_request& request) const {
     const milliseconds patience =
         adapter::DecodePatience(request).value_or(settings_.default_patience);
@@ -121,318 +128,272 @@
     return BootTime() + usable;
   }
 
-  void Submit(const core::jobs::queue_route& route,
-              const job_id& id,
-              const net::server_request& request,
-              const net::responder& respond) {
-    if (world_.directory().Find(id) != nullptr) {
-      ++counts_.repeated;
-      respond({net::kOk, {}, "{}"});
-      return;
-    }
-    adapter::decoded_job decoded = adapter::DecodeJob(request.body);
-    if (!decoded.spec) {
-      ++counts_.malformed;
-      respond(adapter::EncodeFault(net::kBadRequest,
-                                   "malformed: " + decoded.fault));
-      return;
-    }
-    if (route.needs_advice) {
-      ++counts_.refused;
-      respond(Refusal("queues with an advisor are not supported yet"));
-      return;
-    }
-    decoded.spec->id = id;
-    decoded.spec->queue = route.queue;
-    decoded.spec->pool = route.pool;
-    Append(Encode(submission_record{std::move(*decoded.spec)}), route, id, kJob,
-           request, respond);
+  bool Schedules(std::uint32_t partition) const {
+    return deps_.epoch_of(partition) != 0;
   }
 
-  void Cancel(const core::jobs::queue_route& route,
-              const job_id& id,
-              const net::server_request& request,
-              const net::responder& respond) {
-    const directory_entry* entry = world_.directory().Find(id);
-    if (entry != nullptr) {
-      CancelKnown(route, id, request, respond);
-      return;
-    }
-    world_.RefreshJobs(
-        JobPartitionOf(route.queue, id),
-        [self = weak_from_this(), queue = route.queue, id, request,
-         respond](bool is_read) {
-          const auto service = self.lock();
-          if (!service) {
-            return;
-          }
-          if (service->world_.directory().Find(id) != nullptr) {
-            const core::jobs::queue_route* found =
-                service->world_.routes().FindQueue(queue);
-            if (found != nullptr) {
-              service->CancelKnown(*found, id, request, respond);
-              return;
-            }
-          }
-          respond(is_read ? adapter::EncodeFault(net::kGone, "no such job")
-                          : service->Refusal("the store can't be read"));
-        });
+  // An owner that isn't sure any more would only ask itself, until it knows of
+  // the one that follows.
+  bool HasOwnerElsewhere(std::uint32_t partition) const {
+    return deps_.owners->book().Newest(partition).epoch >
+           deps_.epoch_of(partition);
   }
 
-  void CancelKnown(const core::jobs::queue_route& route,
-                   const job_id& id,
-                   const net::server_request& request,
-                   const net::responder& respond) {
-    const directory_entry* entry = world_.directory().Find(id);
-    if (entry->is_cancelled || core::jobs::IsFinal(entry->progress.phase)) {
-      respond({net::kOk, {}, "{}"});
-      return;
-    }
-    Append(Encode(cancel_record{id}), route, id, kCancel, request, respond);
+  bool IsOwnedHere(const queue_route& route) const {
+    return Schedules(PoolPartitionOf(route.pool)) && deps_.is_sure();
   }
 
-  void Query(const core::jobs::queue_route& route,
-             const job_id& id,
-             const net::responder& respond) {
-    ++counts_.queries;
-    const directory_entry* entry = world_.directory().Find(id);
-    if (entry != nullptr) {
-      QueryKnown(id, respond);
-      return;
-    }
-    world_.RefreshJobs(
-        JobPartitionOf(route.queue, id),
-        [self = weak_from_this(), id, respond](bool is_read) {
-          const auto service = self.lock();
-          if (!service) {
-            return;
-          }
-          if (service->world_.directory().Find(id) != nullptr) {
-            service->QueryKnown(id, respond);
-            return;
-          }
-          respond(is_read ? adapter::EncodeFault(net::kGone, "no such job")
-                          : service->Refusal("the store can't be read"));
-        });
+  static bool MayPassOn(const task& asked) {
+    return peers::HopsOf(asked.request) < peers::kMostHops;
   }
 
-  // A job that hasn't ended may have since it was last read about.
-  void QueryKnown(const job_id& id, const net::responder& respond) {
-    const directory_entry* entry = world_.directory().Find(id);
-    if (core::jobs::IsFinal(entry->Phase())) {
-      respond(adapter::EncodePhase(entry->Phase()));
+  // Calls `on_reply` once; it gets no answer when there is nobody to ask.
+  void PassOn(const task& asked,
+              const core::jobs::pool_id& pool,
+              const peers::owner_links::reply_handler& on_reply) {
+    const std::uint32_t partition = PoolPartitionOf(pool);
+    if (!MayPassOn(asked) || !HasOwnerElsewhere(partition)) {
+      on_reply({});
       return;
     }
-    world_.RefreshProgress(
-        PoolPartitionOf(entry->pool),
-        [self = weak_from_this(), id, respond](bool /*is_read*/) {
+    ++counts_.passed_on;
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        (asked.give_up_at - BootTime()) * settings_.owner_share);
+    deps_.owners->Pass(
+        partition, asked.request, left,
+        [self = weak_from_this(), on_reply](const pass_reply& reply) {
           const auto service = self.lock();
           if (!service) {
             return;
           }
-          const directory_entry* known = service->world_.directory().Find(id);
-          respond(adapter::EncodePhase(known->Phase()));
+          service->counts_.owner_failures +=
+              reply.outcome == pass_outcome::kAnswered ? 0 : 1;
+          on_reply(reply);
         });
   }
 
-  // Stores the record, once for all callers that want it at the same time.
-  void Append(adapter::keyed_record record,
-              const core::jobs::queue_route& route,
-              const job_id& id,
-              const std::string& what,
-              const net::server_request& request,
-              const net::responder& respond) {
-    record_ptr& known = pending_[record.key];
-    if (known) {
-      known->waiting.push_back(respond);
+  static void Relay(const task& asked, const pass_reply& reply) {
+    net::server_response response;
+    response.status = reply.status;
+    response.body = reply.body;
+    asked.respond(std::move(response));
+  }
+
+  // Jobs.
+
+  void Submit(const task& asked) {
+    if (IsOwnedHere(asked.route)) {
+      SubmitHere(asked);
+      return;
+    }
+    if (peers::HopsOf(asked.request) > 0) {
+      asked.respond(NotHere(asked.request, "another process owns the pool"));
       return;
     }
-    const auto pending = std::make_shared<pending_record>();
-    known = pending;
-    pending->what = what;
-    pending->id = id;
-    pending->began_at = BootTime();
-    pending->give_up_at = GiveUpAt(request);
-    pending->waiting.push_back(respond);
-    pending->partition = JobPartitionOf(route.queue, id);
-    pending->record = std::move(record);
-    pending->look_timer = std::make_shared<boost::asio::steady_timer>(context_);
-    LookLater(pending);
-    lanes_[pending->partition].waiting.push_back(pending);
-    Flush(pending->partition);
+    PassOn(asked, asked.route.pool,
+           [self = shared_from_this(), asked](const pass_reply& reply) {
+             if (IsSettled(reply)) {
+               Relay(asked, reply);
+               return;
+             }
+             task left = asked;
+             left.may_land = MayLand(reply);
+             self->SubmitHere(left);
+           });
   }
 
-  // A slow store takes appends one by one, so that what arrives while some are
-  // under way goes into one append.
-  void Flush(std::uint32_t partition) {
-    lane& next = lanes_[partition];
-    if (next.waiting.empty() || next.in_flight >= settings_.most_in_flight) {
+  // An owner that refused may be the one that the store refuses, so that this
+  // process tries itself before it tells the caller so.
+  static bool IsSettled(const pass_reply& reply) {
+    return reply.outcome == pass_outcome::kAnswered &&
+           reply.status != net::kUnavailable &&
+           reply.status != net::kGatewayTimeout;
+  }
+
+  static bool MayLand(const pass_reply& reply) {
+    return reply.outcome == pass_outcome::kUnknown ||
+           reply.status == net::kGatewayTimeout;
+  }
+
+  void SubmitHere(const task& asked) {
+    if (world_.directory().Find(asked.id) != nullptr) {
+      ++counts_.repeated;
+      asked.respond({net::kOk, {}, "{}"});
       return;
     }
-    ++next.in_flight;
-    const auto batch =
-        std::make_shared<std::vector<record_ptr>>(std::move(next.waiting));
-    next.waiting.clear();
-    adapter::append_call call;
-    call.partition = {kJobTopic, partition};
-    for (const record_ptr& pending : *batch) {
-      call.records.push_back(pending->record);
+    adapter::decoded_job decoded = adapter::DecodeJob(asked.request.body);
+    if (!decoded.spec) {
+      ++counts_.malformed;
+      asked.respond(adapter::EncodeFault(net::kBadRequest,
+                                         "malformed: " + decoded.fault));
+      return;
+    }
+    if (asked.route.needs_advice) {
+      ++counts_.refused;
+      asked.respond(Refusal("queues with an advisor are not supported yet"));
+      return;
     }
-    store_.Append(call, settings_.append_timeout,
-                  [self = weak_from_this(), batch,
-                   partition](const adapter::append_reply& reply) {
-                    const auto service = self.lock();
-                    if (!service) {
-                      return;
-                    }
-                    --service->lanes_[partition].in_flight;
-                    for (const record_ptr& pending : *batch) {
-                      service->TakeReply(pending, reply);
-                    }
-                    service->Flush(partition);
-                  });
+    decoded.spec->id = asked.id;
+    decoded.spec->queue = asked.route.queue;
+    decoded.spec->pool = asked.route.pool;
+    Store(asked, Encode(submission_record{std::move(*decoded.spec)}),
+          record_purpose::kJob);
   }
 
-  void LookLater(const record_ptr& pending) {
-    pending->look_timer->expires_after(settings_.look_interval);
-    pending->look_timer->async_wait(
-        [self = weak_from_this(),
-         pending](const boost::system::error_code& error) {
-          const auto service = self.lock();
-          if (service && !error && !pending->is_answered) {
-            service->Look(pending);
-          }
-        });
+  void Store(const task& asked,
+             adapter::keyed_record record,
+             record_purpose purpose) {
+    record_request wanted;
+    wanted.record = std::move(record);
+    wanted.purpose = purpose;
+    wanted.id = asked.id;
+    wanted.partition = JobPartitionOf(asked.route.queue, asked.id);
+    wanted.give_up_at = asked.give_up_at;
+    wanted.may_land = asked.may_land;
+    recorder_.Store(wanted, asked.respond);
   }
 
-  void Look(const record_ptr& pending) {
-    if (BootTime() >= pending->give_up_at) {
-      GiveUp(pending, {append_outcome::kUnknown, 0, 0, 0});
+  // Cancellations.
+
+  void Cancel(const task& asked) {
+    if (IsOwnedHere(asked.route) && world_.KnowsQueue(asked.route)) {
+      CancelHere(asked);
       return;
     }
-    world_.RefreshJobs(pending->partition,
-                       [self = weak_from_this(), pending](bool /*is_read*/) {
-                         const auto service = self.lock();
-                         if (!service || pending->is_answered) {
-                           return;
-                         }
-                         if (service->IsStored(*pending)) {
-                           service->Succeed(pending, "found in the store");
-                         } else {
-                           service->LookLater(pending);
-                         }
-                       });
+    if (peers::HopsOf(asked.request) > 0) {
+      asked.respond(NotHere(asked.request, "another process owns the pool"));
+      return;
+    }
+    PassOn(asked, asked.route.pool,
+           [self = shared_from_this(), asked](const pass_reply& reply) {
+             if (IsSettled(reply)) {
+               Relay(asked, reply);
+               return;
+             }
+             // Whether there is such a job isn't known here. A cancellation
+             // holds for an id, and does nothing where there is no job.
+             task left = asked;
+             left.may_land = MayLand(reply);
+             self->StoreCancel(left);
+           });
   }
 
-  bool IsStored(const pending_record& pending) const {
-    const directory_entry* entry = world_.directory().Find(pending.id);
-    return entry != nullptr && (pending.what == kJob || entry->is_cancelled);
+  void CancelHere(const task& asked) {
+    if (world_.directory().Find(asked.id) != nullptr) {
+      CancelKnown(asked);
+      return;
+    }
+    ReadJob(asked, [self = shared_from_this(), asked](bool is_read) {
+      if (self->world_.directory().Find(asked.id) != nullptr) {
+        self->CancelKnown(asked);
+      } else {
+        asked.respond(self->UnknownJob(is_read));
+      }
+    });
   }
 
-  void Succeed(const record_ptr& pending, const std::string& how) {
-    const bool is_job = pending->what == kJob;
-    ++(is_job ? counts_.accepted : counts_.cancelled);
-    if (is_job) {
-      meters_.NoteAccepted(BootTime() - pending->began_at);
+  void CancelKnown(const task& asked) {
+    const directory_entry* entry = world_.directory().Find(asked.id);
+    if (entry->is_cancelled || core::jobs::IsFinal(entry->progress.phase)) {
+      asked.respond({net::kOk, {}, "{}"});
+      return;
     }
-    LogEvent(is_job ? job_event::kJobAccepted : job_event::kJobCancelled,
-             {{"job", pending->id},
-              {"part", std::to_string(pending->partition)},
-              {"how", how},
-              {"ms", Elapsed(*pending)}});
-    Answer(pending, {net::kOk, {}, "{}"});
+    StoreCancel(asked);
+  }
+
+  void StoreCancel(const task& asked) {
+    Store(asked, Encode(cancel_record{asked.id}), record_purpose::kCancel);
   }
 
-  void TakeReply(const record_ptr& pending,
-                 const adapter::append_reply& reply) {
-    if (pending->is_answered) {
+  // Questions.
+
+  void Query(const task& asked) {
+    const directory_entry* entry = world_.directory().Find(asked.id);
+    if (entry != nullptr && core::jobs::IsFinal(entry->Phase())) {
+      asked.respond(adapter::EncodePhase(entry->Phase()));
       return;
     }
-    if (reply.outcome == append_outcome::kStored) {
-      Succeed(pending,
-              "at offset " + std::to_string(reply.offset) + " or next");
+    if (entry != nullptr) {
+      QueryKnown(asked, entry->pool);
       return;
     }
-    if (reply.outcome == append_outcome::kUnknown) {
-      pending->may_land = true;
-    }
-    const core::time_point now = BootTime();
-    const bool is_hopeless =
-        !pending->may_land && now - pending->began_at > settings_.refusal_limit;
-    const bool is_invalid =
-        reply.outcome == append_outcome::kInvalid && !pending->may_land;
-    if (is_invalid || is_hopeless ||
-        now + settings_.retry_pause >= pending->give_up_at) {
-      GiveUp(pending, reply);
+    if (IsOwnedHere(asked.route) && world_.KnowsQueue(asked.route)) {
+      ReadJob(asked, [self = shared_from_this(), asked](bool is_read) {
+        const directory_entry* found = self->world_.directory().Find(asked.id);
+        if (found != nullptr) {
+          self->QueryKnown(asked, found->pool);
+        } else {
+          asked.respond(self->UnknownJob(is_read));
+        }
+      });
       return;
     }
-    const auto timer = std::make_shared<boost::asio::steady_timer>(context_);
-    timer->expires_after(settings_.retry_pause);
-    timer->async_wait([self = weak_from_this(), pending,
-                       timer](const boost::system::error_code& error) {
-      const auto service = self.lock();
-      if (service && !error && !pending->is_answered) {
-        service->lanes_[pending->partition].waiting.push_back(pending);
-        service->Flush(pending->partition);
-      }
-    });
+    QueryOwner(asked, asked.route.pool);
   }
 
-  // A caller that is told "refused" may believe that its job never runs, so
-  // after an append without an answer, or with one under way, there is no such
-  // word.
-  void GiveUp(const record_ptr& pending, const adapter::append_reply& reply) {
-    const bool may_land =
-        pending->may_land || reply.outcome == append_outcome::kUnknown;
-    observe::log_fields fields = {
-        {"job", pending->id},
-        {"what", pending->what},
-        {"store", std::string(core::NameOf(reply.outcome))},
-        {"status", std::to_string(reply.status)},
-        {"ms", Elapsed(*pending)}};
-    if (may_land) {
-      ++counts_.unanswered;
-      LogEvent(job_event::kJobUnanswered, fields);
-      Answer(pending, adapter::EncodeFault(
-                          net::kGatewayTimeout,
-                          "the store didn't answer; repeat the same id"));
+  // A job stays with the pool that it was accepted for when its queue moves.
+  void QueryKnown(const task& asked, const core::jobs::pool_id& pool) {
+    if (Schedules(PoolPartitionOf(pool))) {
+      asked.respond(
+          adapter::EncodePhase(world_.directory().Find(asked.id)->Phase()));
       return;
     }
-    ++counts_.refused;
-    LogEvent(job_event::kJobRefused, fields);
-    Answer(pending, Refusal("the store refused the record"));
+    QueryOwner(asked, pool);
   }
 
-  static std::string Elapsed(const pending_record& pending) {
-    return MillisOf(BootTime() - pending.began_at);
+  void QueryOwner(const task& asked, const core::jobs::pool_id& pool) {
+    PassOn(asked, pool,
+           [self = shared_from_this(), asked](const pass_reply& reply) {
+             if (IsSettled(reply)) {
+               Relay(asked, reply);
+               return;
+             }
+             asked.respond(self->NotHere(
+                 asked.request, "the owner of the job's pool can't be asked"));
+           });
   }
 
-  void Answer(const record_ptr& pending, const net::server_response& response) {
-    pending->is_answered = true;
-    pending->look_timer->cancel();
-    pending_.erase(pending->record.key);
-    for (const net::responder& respond : pending->waiting) {
-      respond(response);
+  // Reads what the store has of the partition that holds the job.
+  void ReadJob(const task& asked, std::function<void(bool)> on_done) {
+    world_.RefreshJobs(JobPartitionOf(asked.route.queue, asked.id),
+                       std::move(on_done));
+  }
+
+  net::server_response UnknownJob(bool is_read) const {
+    return is_read ? adapter::EncodeFault(net::kGone, "no such job")
+                   : Refusal("the store can't be read");
+  }
+
+  void Count(const task& asked) {
+    if (IsOwnedHere(asked.route)) {
+      waiting_counts_.Answer(asked.route, asked.respond);
+      return;
     }
+    PassOn(asked, asked.route.pool,
+           [self = shared_from_this(), asked](const pass_reply& reply) {
+             if (IsSettled(reply)) {
+               Relay(asked, reply);
+               return;
+             }
+             LogEvent(job_event::kCountRefused,
+                      {{"queue", asked.route.queue},
+                       {"reason", "the pool's owner can't be asked"}});
+             asked.respond(self->NotHere(
+                 asked.request, "the owner of the pool can't be asked"));
+           });
   }
 
-  boost::asio::io_context& context_;
-  adapter::store_client& store_;
+  dependencies deps_;
   job_world& world_;
-  job_meters& meters_;
   submission_settings settings_;
   submission_counts counts_;
+  job_recorder recorder_;
   waiting_counts waiting_counts_;
-  std::map<std::string, record_ptr> pending_;
-  std::map<std::uint32_t, lane> lanes_;
 };
 
-submissions::submissions(boost::asio::io_context* context,
-                         adapter::store_client* store,
-                         job_world* world,
-                         job_meters* meters,
+submissions::submissions(const dependencies& dependencies,
                          const submission_settings& settings)
-    : impl_(std::make_shared<impl>(context, store, world, meters, settings)) {}
+    : impl_(std::make_shared<impl>(dependencies, settings)) {}
 
 submissions::~submissions() = default;
 
@@ -441,7 +402,7 @@
   impl_->Handle(request, respond);
 }
 
-const submission_counts& submissions::counts() const {
+submission_counts submissions::counts() const {
   return impl_->counts();
 }
 
--- a/src/jobs/waiting_counts.cc
+++ b/src/jobs/waiting_counts.cc
@@ -17,7 +17,7 @@
   void Answer(const core::jobs::queue_route& route,
               const net::responder& respond) {
     // A count of what has been read so far would be far too low.
-    if (!world_.IsLoaded()) {
+    if (!world_.KnowsQueue(route)) {
       RefuseCount(route.queue, "the jobs haven't been read yet", respond);
       return;
     }
--- a/src/jobs/waiting_counts.h
+++ b/src/jobs/waiting_counts.h
@@ -10,12 +10,13 @@
 
 namespace plantainhead::jobs {
 
-/// Tells how many accepted jobs of a queue wait.
+/// Tells how many accepted jobs of a queue wait. Used by the owner of the
+/// queue's pool.
 ///
-/// A process that doesn't own the queue's pool reads of its jobs now and then,
-/// and not at all while a read hangs: it told that none wait when six had for
-/// 5 s. So the store is asked before each answer. Without its answer the number
-/// isn't known, and none is told. The wait for it is bounded by two of a call's
+/// Other processes may have stored jobs that the owner hasn't read: not at all
+/// while a read hangs, so that none was told to wait when six had for 5 s. So
+/// the store is asked before each answer. Without its answer the number isn't
+/// known, and none is told. The wait for it is bounded by two of a call's
 /// timeouts, as a read that is under way is waited for.
 /// Not thread-safe.
 class waiting_counts {
--- a/src/settings/scheduler_settings.cc
+++ b/src/settings/scheduler_settings.cc
@@ -25,6 +25,7 @@
   if (auto listen = top.Section("listen", presence::kRequired)) {
     listen->ReadText("callers", &settings.caller_address, presence::kRequired);
     listen->ReadText("probes", &settings.probe_address, presence::kRequired);
+    listen->ReadText("peers", &settings.peer_address);
     listen->ReadText("metrics", &settings.metrics_address);
     listen->CheckKeys();
   }
@@ -43,6 +44,11 @@
                         {milliseconds(0), hours(1)});
     lease->CheckKeys();
   }
+  if (auto configuration = top.Section("configuration")) {
+    configuration->ReadDuration("apply", &settings.configuration_apply,
+                                {milliseconds(500), hours(1)});
+    configuration->CheckKeys();
+  }
   if (auto stop = top.Section("stop")) {
     stop->ReadDuration("grace", &settings.stop_grace, {seconds(1), hours(1)});
     stop->CheckKeys();
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -247,13 +247,12 @@
 }
 
 // An operator asked two processes how many jobs wait and got 0, while six had
-// waited for 5 s. Each answered from the records that it had read so far, and
-// its reads of them hung: the store had been away when they were sent. The age
-// of what is read is bounded by no read that may hang, so the store is asked
-// before each answer, and without its answer no number is told.
+// waited for 5 s. The answer came from the records that had been read so far,
+// and the reads of them hung: the store had been away when they were sent. The
+// age of what is read is bounded by no read that may hang, so the pool's owner
+// asks the store before each answer, and without its answer no number is told.
 TEST_CASE("A number of waiting jobs is as new as the question") {
   constexpr const char* kJobsTopic = "keyed.plantain-jobs";
-  constexpr std::size_t kTopicPartitions = 16;
   site site;
   site.AddProcess("p1");
   site.AddProcess("p2");
@@ -262,8 +261,9 @@
   const auto ask = [&](const std::string& process) {
     return site.Call(site.addresses.at(process), net::method::kGet, "/q/");
   };
+  // The owner alone reads the jobs.
   REQUIRE(RunUntil(&site.context, [&] {
-    return site.store.WaitingReads(kJobsTopic) == 2 * kTopicPartitions;
+    return site.store.WaitingReads(kJobsTopic) == kPartitionsOfQueue;
   }));
   site.store.SilenceWaitingReads();
   REQUIRE(site.Submit("p1", kId).status == 200);
--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -68,6 +68,7 @@
     settings.name = name;
     settings.caller_address = FreeAddress();
     settings.probe_address = FreeAddress();
+    settings.peer_address = FreeAddress();
     settings.store_address = store_address_;
     settings.fleet_address = fleet_address;
     addresses[name] = settings.caller_address;
