--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -20,25 +20,30 @@
   }
 }
 
-}  // namespace
-
-std::string FormatMetrics(const job_figures& figures) {
-  observe::metrics registry;
+void CountRequests(const submission_counts& counts,
+                   observe::metrics* registry) {
   const auto count = [&](const char* outcome, std::uint64_t value) {
-    registry.Counter(kRequestsName, kRequestsHelp, {{"outcome", outcome}})
+    registry->Counter(kRequestsName, kRequestsHelp, {{"outcome", outcome}})
         .Add(value);
   };
-  const recorder_counts& records = figures.submissions.records;
+  const recorder_counts& records = counts.records;
   count("accepted", records.accepted);
-  count("repeated", figures.submissions.repeated);
-  count("refused", records.refused + figures.submissions.refused);
+  count("repeated", counts.repeated);
+  count("refused", records.refused + counts.refused);
   count("unanswered", records.unanswered);
   count("cancelled", records.cancelled);
-  count("queried", figures.submissions.queries);
-  count("unknown_route", figures.submissions.unknown_route);
-  count("malformed", figures.submissions.malformed);
-  count("passed_on", figures.submissions.passed_on);
-  count("owner_failed", figures.submissions.owner_failures);
+  count("queried", counts.queries);
+  count("unknown_route", counts.unknown_route);
+  count("malformed", counts.malformed);
+  count("passed_on", counts.passed_on);
+  count("owner_failed", counts.owner_failures);
+}
+
+}  // namespace
+
+std::string FormatMetrics(const job_figures& figures) {
+  observe::metrics registry;
+  CountRequests(figures.submissions, &registry);
   const auto level = [&](const char* name, const char* help, double value,
                          const observe::label_list& labels = {}) {
     registry.Gauge(name, help, labels).Set(value);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -96,7 +96,7 @@
         host_(address),
         options_(options) {}
 
-  void Send(client_request request,
+  void Send(const client_request& request,
             std::chrono::milliseconds timeout,
             reply_handler on_reply) {
     auto call = std::make_shared<pending_call>(context_);
@@ -334,10 +334,10 @@
   impl_->Close();
 }
 
-void http_client::Send(client_request request,
+void http_client::Send(const client_request& request,
                        std::chrono::milliseconds timeout,
                        reply_handler on_reply) {
-  impl_->Send(std::move(request), timeout, std::move(on_reply));
+  impl_->Send(request, timeout, std::move(on_reply));
 }
 
 std::uint64_t http_client::OpenedConnections() const {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -52,7 +52,7 @@
   /// Sends the request. `on_reply` is called once, later, unless the client is
   /// destroyed before. `timeout` covers waiting, connecting and the time until
   /// the answer begins to arrive; see `http_client_options` for the rest of it.
-  void Send(client_request request,
+  void Send(const client_request& request,
             std::chrono::milliseconds timeout,
             reply_handler on_reply);
 
