--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -38,7 +38,10 @@
 /// them: all readers share the store's bandwidth, and when each of some hundred
 /// processes read every job, reads took longer than their timeouts, were sent
 /// again by all, and none came through any more.
-/// Not thread-safe.
+/// Four files share its state: what is known (`job_world.cc`), records that
+/// can't be used (`job_world_faults.cc`), which partitions are read
+/// (`job_world_following.cc`), and readings that somebody waits for
+/// (`job_world_refreshes.cc`). Not thread-safe.
 class job_world {
  public:
   /// What may have changed.
--- /dev/null
+++ b/src/jobs/job_world_following.cc
@@ -0,0 +1,155 @@
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <utility>
+
+#include "jobs/job_world.h"
+
+// Which partitions a process reads, by what it owns.
+
+namespace plantainhead::jobs {
+
+log_follower& job_world::PoolFollower(std::uint32_t partition) {
+  std::shared_ptr<log_follower>& follower = pool_followers_[partition];
+  if (!follower) {
+    follower = MakeFollower({kProgressTopic, partition},
+                            [this, partition](const adapter::keyed_record& r) {
+                              TakePoolRecord(partition, r);
+                            });
+    follower->Start(follow_mode::kBackground);
+  }
+  return *follower;
+}
+
+bool job_world::IsPoolFollowed(std::uint32_t partition) const {
+  const auto owned = std::find(owned_.begin(), owned_.end(), partition);
+  return is_fleet_owned_ || owned != owned_.end();
+}
+
+// What the partitions told is forgotten when they are read no more: nothing
+// would take out of it what is dropped from the store meanwhile.
+void job_world::FollowPools() {
+  for (auto it = pool_followers_.begin(); it != pool_followers_.end();) {
+    const std::uint32_t partition = it->first;
+    if (IsPoolFollowed(partition)) {
+      ++it;
+      continue;
+    }
+    used_vms_.erase(partition);
+    vacant_vms_.erase(partition);
+    owners_.erase(partition);
+    if (partition == kFleetPartition) {
+      ordered_hosts_.clear();
+    }
+    it = pool_followers_.erase(it);
+  }
+  for (const core::jobs::pool_settings& pool : routes_.configuration().pools) {
+    const std::uint32_t partition = PoolPartitionOf(pool.id);
+    if (!pool.is_spare && IsPoolFollowed(partition)) {
+      PoolFollower(partition);
+    }
+  }
+}
+
+void job_world::SetOwned(const std::vector<std::uint32_t>& pool_partitions) {
+  owned_ = pool_partitions;
+  UpdateFollowers();
+}
+
+void job_world::SetFleetOwned(bool is_owned) {
+  is_fleet_owned_ = is_owned;
+  UpdateFollowers();
+}
+
+// An owner must learn of new jobs at once, and of cancellations also of jobs
+// whose queue has moved to another pool since: read in the background these
+// came 7 s late.
+std::set<std::uint32_t> job_world::WatchedJobPartitions() const {
+  std::set<std::uint32_t> watched;
+  const auto watch = [&](const core::jobs::pool_id& pool,
+                         const core::jobs::queue_id& queue) {
+    const auto owned =
+        std::find(owned_.begin(), owned_.end(), PoolPartitionOf(pool));
+    if (owned != owned_.end()) {
+      const auto partitions = JobPartitionsOf(queue);
+      watched.insert(partitions.begin(), partitions.end());
+    }
+  };
+  for (const core::jobs::queue_route& route : routes_.configuration().routes) {
+    watch(route.pool, route.queue);
+  }
+  for (const auto& [pool_and_queue, count] : directory_.OpenJobs()) {
+    watch(pool_and_queue.first, pool_and_queue.second);
+  }
+  return watched;
+}
+
+void job_world::FollowJobs() {
+  watched_ = WatchedJobPartitions();
+  const bool reads_all = readings_of_all_ > 0;
+  for (std::uint32_t i = 0; i < kJobPartitions; ++i) {
+    const bool is_watched = watched_.count(i) != 0;
+    if (!is_watched && !reads_all) {
+      LeaveJobs(i);
+      continue;
+    }
+    const follow_mode mode =
+        is_watched ? follow_mode::kWatch : follow_mode::kBackground;
+    std::shared_ptr<log_follower>& follower = job_followers_[i];
+    if (follower) {
+      follower->SetMode(mode);
+      continue;
+    }
+    follower = MakeFollower(
+        {kJobTopic, i},
+        [this](const adapter::keyed_record& r) { TakeJobRecord(r); });
+    follower->Start(mode);
+  }
+}
+
+void job_world::LeaveJobs(std::uint32_t partition) {
+  const auto found = job_followers_.find(partition);
+  if (found != job_followers_.end()) {
+    const auto follower = std::move(found->second);
+    job_followers_.erase(found);
+    follower->Abandon();
+  }
+}
+
+void job_world::UpdateFollowers() {
+  FollowJobs();
+  FollowPools();
+  const bool owns_any = !owned_.empty() || is_fleet_owned_;
+  // An owner gives no orders while it doesn't know what operators want.
+  operators_->SetMode(owns_any ? follow_mode::kWatch
+                               : follow_mode::kBackground);
+  if (!owns_any) {
+    LeaveFleet();
+    return;
+  }
+  FollowFleet();
+  registry_follower_->SetMode(owned_.empty() ? follow_mode::kBackground
+                                             : follow_mode::kWatch);
+}
+
+void job_world::FollowFleet() {
+  if (registry_follower_) {
+    return;
+  }
+  registry_follower_ = MakeFollower(
+      {adapter::kRegistryTopic, 0},
+      [this](const adapter::keyed_record& r) { TakeRegistryRecord(r); });
+  registry_follower_->Start(follow_mode::kBackground);
+  fleet_follower_ = MakeFollower(
+      {kFleetTopic, 0},
+      [this](const adapter::keyed_record& r) { TakeFleetRecord(r); });
+  fleet_follower_->Start(follow_mode::kWatch);
+}
+
+void job_world::LeaveFleet() {
+  registry_follower_.reset();
+  fleet_follower_.reset();
+  registry_ = core::jobs::vm_registry();
+  fleet_records_.clear();
+}
+
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/src/jobs/job_world_refreshes.cc
@@ -0,0 +1,129 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+#include <utility>
+
+#include "jobs/clocks.h"
+#include "jobs/event_log.h"
+#include "jobs/job_world.h"
+
+// Readings that somebody waits for.
+
+namespace plantainhead::jobs {
+
+void job_world::RefreshJobs(std::uint32_t partition,
+                            std::function<void(bool)> on_done) {
+  const auto found = job_followers_.find(partition);
+  if (found == job_followers_.end()) {
+    on_done(false);
+    return;
+  }
+  found->second->Refresh(std::move(on_done));
+}
+
+void job_world::RefreshQueue(const core::jobs::queue_route& route,
+                             std::function<void(bool)> on_done) {
+  struct reading {
+    std::size_t left = 0;
+    bool is_read = true;
+    std::function<void(bool)> on_done;
+  };
+  const auto state = std::make_shared<reading>();
+  state->on_done = std::move(on_done);
+  const auto partitions = JobPartitionsOf(route.queue);
+  state->left = partitions.size();
+  for (const std::uint32_t partition : partitions) {
+    RefreshJobs(partition, [state](bool is_read) {
+      state->is_read = state->is_read && is_read;
+      if (--state->left == 0) {
+        state->on_done(state->is_read);
+      }
+    });
+  }
+}
+
+void job_world::RefreshAllJobs(const std::function<void()>& on_done) {
+  const core::time_point began = BootTime();
+  ++readings_of_all_;
+  FollowJobs();
+  const auto left = std::make_shared<std::size_t>(job_followers_.size());
+  for (const auto& [partition, follower] : job_followers_) {
+    RefreshUntilRead(follower, [this, left, began, on_done] {
+      if (--*left == 0) {
+        all_read_at_ = std::max(all_read_at_, began);
+        on_done();
+        EndReadingOfAll();
+      }
+    });
+  }
+}
+
+// Followers that aren't needed any more may be among the callers of this.
+void job_world::EndReadingOfAll() {
+  boost::asio::post(*context_, [this] {
+    --readings_of_all_;
+    FollowJobs();
+  });
+}
+
+// Repeats what has failed, and not what other partitions have read already. A
+// partition that isn't read here any more needs no reading.
+void job_world::RefreshUntilRead(const std::weak_ptr<log_follower>& reader,
+                                 const std::function<void()>& on_read) {
+  const auto follower = reader.lock();
+  if (!follower) {
+    return;
+  }
+  follower->AwaitLoaded([this, reader, on_read] {
+    const auto loaded = reader.lock();
+    if (!loaded) {
+      return;
+    }
+    loaded->Refresh([this, reader, on_read](bool is_read) {
+      if (is_read) {
+        on_read();
+      } else {
+        RepeatRefresh(reader, on_read);
+      }
+    });
+  });
+}
+
+void job_world::RepeatRefresh(const std::weak_ptr<log_follower>& reader,
+                              const std::function<void()>& on_read) {
+  const auto follower = reader.lock();
+  if (!follower) {
+    return;
+  }
+  LogEvent(job_event::kReadRepeated,
+           {{"topic", follower->partition().topic},
+            {"part", std::to_string(follower->partition().number)}});
+  const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
+  timer->expires_after(settings_.least_pause);
+  timer->async_wait([this, reader, on_read,
+                     timer](const boost::system::error_code& /*error*/) {
+    RefreshUntilRead(reader, on_read);
+  });
+}
+
+void job_world::RefreshProgress(std::uint32_t partition,
+                                std::function<void(bool)> on_done) {
+  log_follower& follower = PoolFollower(partition);
+  const std::weak_ptr<log_follower> reader = pool_followers_.at(partition);
+  follower.AwaitLoaded([reader, on_done = std::move(on_done)] {
+    if (const auto loaded = reader.lock()) {
+      loaded->Refresh(on_done);
+    }
+  });
+}
+
+void job_world::RefreshRegistry(const std::function<void()>& on_done) {
+  RefreshUntilRead(registry_follower_, on_done);
+}
+
+void job_world::RefreshFleetRecords(const std::function<void()>& on_done) {
+  RefreshUntilRead(fleet_follower_, on_done);
+}
+
+}  // namespace plantainhead::jobs
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -172,6 +172,20 @@
         });
   }
 
+  // The same, for a request that ends with the owner's answer if that settles
+  // it. `otherwise` is called once if it doesn't.
+  void AskOwner(const task& asked,
+                const core::jobs::pool_id& pool,
+                const peers::owner_links::reply_handler& otherwise) {
+    PassOn(asked, pool, [asked, otherwise](const pass_reply& reply) {
+      if (IsSettled(reply)) {
+        Relay(asked, reply);
+      } else {
+        otherwise(reply);
+      }
+    });
+  }
+
   static void Relay(const task& asked, const pass_reply& reply) {
     net::server_response response;
     response.status = reply.status;
@@ -190,16 +204,12 @@
       asked.respond(NotHere(asked.request, "another process owns the pool"));
       return;
     }
-    PassOn(asked, asked.route.pool,
-           [self = shared_from_this(), asked](const pass_reply& reply) {
-             if (IsSettled(reply)) {
-               Relay(asked, reply);
-               return;
-             }
-             task left = asked;
-             left.may_land = MayLand(reply);
-             self->SubmitHere(left);
-           });
+    AskOwner(asked, asked.route.pool,
+             [self = shared_from_this(), asked](const pass_reply& reply) {
+               task left = asked;
+               left.may_land = MayLand(reply);
+               self->SubmitHere(left);
+             });
   }
 
   // An owner that refused may be the one that the store refuses, so that this
@@ -264,18 +274,14 @@
       asked.respond(NotHere(asked.request, "another process owns the pool"));
       return;
     }
-    PassOn(asked, asked.route.pool,
-           [self = shared_from_this(), asked](const pass_reply& reply) {
-             if (IsSettled(reply)) {
-               Relay(asked, reply);
-               return;
-             }
-             // Whether there is such a job isn't known here. A cancellation
-             // holds for an id, and does nothing where there is no job.
-             task left = asked;
-             left.may_land = MayLand(reply);
-             self->StoreCancel(left);
-           });
+    AskOwner(asked, asked.route.pool,
+             [self = shared_from_this(), asked](const pass_reply& reply) {
+               // Whether there is such a job isn't known here. A cancellation
+               // holds for an id, and does nothing where there is no job.
+               task left = asked;
+               left.may_land = MayLand(reply);
+               self->StoreCancel(left);
+             });
   }
 
   void CancelHere(const task& asked) {
@@ -342,15 +348,12 @@
   }
 
   void QueryOwner(const task& asked, const core::jobs::pool_id& pool) {
-    PassOn(asked, pool,
-           [self = shared_from_this(), asked](const pass_reply& reply) {
-             if (IsSettled(reply)) {
-               Relay(asked, reply);
-               return;
-             }
-             asked.respond(self->NotHere(
-                 asked.request, "the owner of the job's pool can't be asked"));
-           });
+    AskOwner(
+        asked, pool,
+        [self = shared_from_this(), asked](const pass_reply& /*reply*/) {
+          asked.respond(self->NotHere(
+              asked.request, "the owner of the job's pool can't be asked"));
+        });
   }
 
   // Reads what the store has of the partition that holds the job.
@@ -369,18 +372,14 @@
       waiting_counts_.Answer(asked.route, asked.respond);
       return;
     }
-    PassOn(asked, asked.route.pool,
-           [self = shared_from_this(), asked](const pass_reply& reply) {
-             if (IsSettled(reply)) {
-               Relay(asked, reply);
-               return;
-             }
-             LogEvent(job_event::kCountRefused,
-                      {{"queue", asked.route.queue},
-                       {"reason", "the pool's owner can't be asked"}});
-             asked.respond(self->NotHere(
-                 asked.request, "the owner of the pool can't be asked"));
-           });
+    AskOwner(asked, asked.route.pool,
+             [self = shared_from_this(), asked](const pass_reply& /*reply*/) {
+               LogEvent(job_event::kCountRefused,
+                        {{"queue", asked.route.queue},
+                         {"reason", "the pool's owner can't be asked"}});
+               asked.respond(self->NotHere(
+                   asked.request, "the owner of the pool can't be asked"));
+             });
   }
 
   dependencies deps_;
