--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -56,8 +56,8 @@
                   : adapter::EncodeFault(net::kNotFound, "no such queue"));
       return;
     }
-    const task asked{*match.route, job_id(match.rest), request,
-                     respond,      GiveUpAt(request),  false};
+    const caller_request asked{*match.route, job_id(match.rest), request,
+                               respond,      GiveUpAt(request),  false};
     const bool asks_for_number =
         asked.id.empty() && request.verb == net::method::kGet;
     if (asks_for_number) {
@@ -96,8 +96,8 @@
   }
 
  private:
-  /// A request, and what it asks for.
-  struct task {
+  /// A request, also one that was passed on, and what it asks for.
+  struct caller_request {
     queue_route route;
     /// Empty when the request is about the queue.
     job_id id;
@@ -143,12 +143,12 @@
     return Schedules(PoolPartitionOf(route.pool)) && deps_.is_sure();
   }
 
-  static bool MayPassOn(const task& asked) {
+  static bool MayPassOn(const caller_request& asked) {
     return peers::HopsOf(asked.request) < peers::kMostHops;
   }
 
   // Calls `on_reply` once; it gets no answer when there is nobody to ask.
-  void PassOn(const task& asked,
+  void PassOn(const caller_request& asked,
               const core::jobs::pool_id& pool,
               const peers::owner_links::reply_handler& on_reply) {
     const std::uint32_t partition = PoolPartitionOf(pool);
@@ -174,7 +174,7 @@
 
   // The same, for a request that ends with the owner's answer if that settles
   // it. `otherwise` is called once if it doesn't.
-  void AskOwner(const task& asked,
+  void AskOwner(const caller_request& asked,
                 const core::jobs::pool_id& pool,
                 const peers::owner_links::reply_handler& otherwise) {
     PassOn(asked, pool, [asked, otherwise](const pass_reply& reply) {
@@ -186,7 +186,7 @@
     });
   }
 
-  static void Relay(const task& asked, const pass_reply& reply) {
+  static void Relay(const caller_request& asked, const pass_reply& reply) {
     net::server_response response;
     response.status = reply.status;
     response.body = reply.body;
@@ -195,7 +195,7 @@
 
   // Jobs.
 
-  void Submit(const task& asked) {
+  void Submit(const caller_request& asked) {
     if (IsOwnedHere(asked.route)) {
       SubmitHere(asked);
       return;
@@ -206,7 +206,7 @@
     }
     AskOwner(asked, asked.route.pool,
              [self = shared_from_this(), asked](const pass_reply& reply) {
-               task left = asked;
+               caller_request left = asked;
                left.may_land = MayLand(reply);
                self->SubmitHere(left);
              });
@@ -225,7 +225,7 @@
            reply.status == net::kGatewayTimeout;
   }
 
-  void SubmitHere(const task& asked) {
+  void SubmitHere(const caller_request& asked) {
     if (world_.directory().Find(asked.id) != nullptr) {
       ++counts_.repeated;
       asked.respond({net::kOk, {}, "{}"});
@@ -250,7 +250,7 @@
           record_purpose::kJob);
   }
 
-  void Store(const task& asked,
+  void Store(const caller_request& asked,
              adapter::keyed_record record,
              record_purpose purpose) {
     record_request wanted;
@@ -265,7 +265,7 @@
 
   // Cancellations.
 
-  void Cancel(const task& asked) {
+  void Cancel(const caller_request& asked) {
     if (IsOwnedHere(asked.route) && world_.KnowsQueue(asked.route)) {
       CancelHere(asked);
       return;
@@ -278,13 +278,13 @@
              [self = shared_from_this(), asked](const pass_reply& reply) {
                // Whether there is such a job isn't known here. A cancellation
                // holds for an id, and does nothing where there is no job.
-               task left = asked;
+               caller_request left = asked;
                left.may_land = MayLand(reply);
                self->StoreCancel(left);
              });
   }
 
-  void CancelHere(const task& asked) {
+  void CancelHere(const caller_request& asked) {
     if (world_.directory().Find(asked.id) != nullptr) {
       CancelKnown(asked);
       return;
@@ -298,7 +298,7 @@
     });
   }
 
-  void CancelKnown(const task& asked) {
+  void CancelKnown(const caller_request& asked) {
     const directory_entry* entry = world_.directory().Find(asked.id);
     if (entry->is_cancelled || core::jobs::IsFinal(entry->progress.phase)) {
       asked.respond({net::kOk, {}, "{}"});
@@ -307,13 +307,13 @@
     StoreCancel(asked);
   }
 
-  void StoreCancel(const task& asked) {
+  void StoreCancel(const caller_request& asked) {
     Store(asked, Encode(cancel_record{asked.id}), record_purpose::kCancel);
   }
 
   // Questions.
 
-  void Query(const task& asked) {
+  void Query(const caller_request& asked) {
     const directory_entry* entry = world_.directory().Find(asked.id);
     if (entry != nullptr && core::jobs::IsFinal(entry->Phase())) {
       asked.respond(adapter::EncodePhase(entry->Phase()));
@@ -338,7 +338,8 @@
   }
 
   // A job stays with the pool that it was accepted for when its queue moves.
-  void QueryKnown(const task& asked, const core::jobs::pool_id& pool) {
+  void QueryKnown(const caller_request& asked,
+                  const core::jobs::pool_id& pool) {
     if (Schedules(PoolPartitionOf(pool))) {
       asked.respond(
           adapter::EncodePhase(world_.directory().Find(asked.id)->Phase()));
@@ -347,7 +348,8 @@
     QueryOwner(asked, pool);
   }
 
-  void QueryOwner(const task& asked, const core::jobs::pool_id& pool) {
+  void QueryOwner(const caller_request& asked,
+                  const core::jobs::pool_id& pool) {
     AskOwner(
         asked, pool,
         [self = shared_from_this(), asked](const pass_reply& /*reply*/) {
@@ -357,7 +359,7 @@
   }
 
   // Reads what the store has of the partition that holds the job.
-  void ReadJob(const task& asked, std::function<void(bool)> on_done) {
+  void ReadJob(const caller_request& asked, std::function<void(bool)> on_done) {
     world_.RefreshJobs(JobPartitionOf(asked.route.queue, asked.id),
                        std::move(on_done));
   }
@@ -367,7 +369,7 @@
                    : Refusal("the store can't be read");
   }
 
-  void Count(const task& asked) {
+  void Count(const caller_request& asked) {
     if (IsOwnedHere(asked.route)) {
       waiting_counts_.Answer(asked.route, asked.respond);
       return;
