--- a/src/jobs/job_partitions.h
+++ b/src/jobs/job_partitions.h
@@ -9,8 +9,8 @@
 /// Which partitions of the store's topics hold what.
 namespace plantainhead::jobs {
 
-/// Partitions of the topic of accepted jobs that are used. Each is read by all
-/// processes.
+/// Partitions of the topic of accepted jobs that are used. Each is read by the
+/// owners of the pools whose queues it holds.
 inline constexpr std::uint32_t kJobPartitions = 16;
 /// Partitions over which the jobs of one queue are spread. The store takes the
 /// appends to a partition one after the other, each 2 ms, or 120 ms when it is
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -49,8 +49,8 @@
 }
 
 // One text is sent with one copy. The library's serializer makes a list of
-// views of the fields and goes through it for each write; for an owner that
-// sends some thousand small requests a second that was a tenth of its time.
+// views of the fields and goes through it for each write, which an owner that
+// sends some thousand small requests a second has no processor time for.
 // Precondition: no name or value holds a line end.
 std::string ToText(const client_request& request, const std::string& host) {
   constexpr std::size_t kUsualHeadBytes = 256;
--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "free_address.h"
 #include "jobs/job_service.h"
 #include "net/address.h"
 #include "net/http_client.h"
@@ -21,15 +22,9 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::FreeAddress;
 using testing::RunUntil;
 
-inline std::string FreeAddress() {
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(context,
-                                          net::ParseAddress("127.0.0.1:0"));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 inline constexpr const char* kConfiguration =
     R"({"version":3,"routes":[{"name":"q","host":"a.example","path_prefix":"/q/",
         "service":"pool","max_attempts":2,"stretch":2}],
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "free_address.h"
 #include "loopback.h"
 #include "net/address.h"
 #include "net/http_client.h"
@@ -25,15 +26,9 @@
 namespace {
 
 using std::chrono::milliseconds;
+using testing::FreeAddress;
 using testing::RunUntil;
 
-// Returns a free port on 127.0.0.1 as "IP:PORT".
-std::string FreeAddress() {
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(context, ParseAddress("127.0.0.1:0"));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 client_request Post(const std::string& target, const std::string& body) {
   client_request request;
   request.verb = method::kPost;
--- a/tests/peers/owner_links_test.cc
+++ b/tests/peers/owner_links_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "free_address.h"
 #include "jobs/clocks.h"
 #include "net/address.h"
 #include "net/http_server.h"
@@ -20,17 +21,11 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using testing::FreeAddress;
 using testing::RunUntil;
 
 constexpr std::uint32_t kPartition = 3;
 
-std::string FreeAddress() {
-  boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(context,
-                                          net::ParseAddress("127.0.0.1:0"));
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 /// A process with a link to an owner that a test plays.
 struct linked_owner {
   linked_owner() : links(&context, Settings()), address(FreeAddress()) {
