Log which runs were on a VM when it was lost

Cause of the change: in the logs of the incident a task's starts follow one another with the loss of a VM between them, and no line says which tasks the VM had, so that the three hypotheses can only be told apart by guessing from times.

Change: 'task lost' names each run that was on a VM when it was lost, how (its life is over, or only its lease), and whether the VM had ever listed it; a counter plantain_task_losses_total. A start that another life of the VM refused is no loss. No decision changes.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -12,6 +12,7 @@
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/orders.h"
 #include "plantainhead/core/jobs/pool_sizer.h"
+#include "plantainhead/core/jobs/run_loss.h"
 #include "plantainhead/core/jobs/vm_reports.h"
 #include "plantainhead/core/time.h"
 
@@ -74,10 +75,20 @@
   std::size_t placed_tasks = 0;
   std::uint64_t starts = 0;
   std::uint64_t lapsed_runs = 0;
+  /// Runs that were on a VM when it was lost, the lapsed ones among them.
+  std::uint64_t lost_runs = 0;
   std::uint64_t failed_runs = 0;
   std::uint64_t hung_runs = 0;
 };
 
+/// A run that was lost with its VM, for reports.
+struct lost_run {
+  run_ref run;
+  loss_kind kind = loss_kind::kCrashAtStart;
+
+  bool operator==(const lost_run&) const = default;
+};
+
 /// Decides for one pool which task runs on which VM.
 ///
 /// Pure: events and times come in, orders come out. The promises it keeps, with
@@ -177,6 +188,9 @@
   /// Returns the orders to send now. `wall_now` is only used for due times.
   std::vector<vm_order> Plan(time_point now, time_point wall_now);
 
+  /// Returns, for reports, the runs that were lost with their VMs since the
+  /// last call.
+  std::vector<lost_run> TakeLosses();
   /// Returns what has to be stored next, if anything.
   std::optional<progress_batch> TakeBatch();
   /// Precondition: batches are stored in their order.
--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -44,8 +44,11 @@
       }
       return;
     }
-    case start_result::kFenced:
     case start_result::kReplaced:
+      // That life of the VM never got the order, so it didn't end under it.
+      EndRun(vm, target.task);
+      return;
+    case start_result::kFenced:
       return;
   }
 }
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -85,6 +85,7 @@
     return;
   }
   run->unsettled_since.reset();
+  run->is_listed = true;
   if (!run->confirmed_at) {
     run->confirmed_at = now;
     NoteBegun(jobs_.Find(row.task.job));
@@ -113,6 +114,7 @@
   run.run = row.run;
   run.ordered_at = now;
   run.confirmed_at = now;
+  run.is_listed = true;
   run.progressed_at = now;
   run.percent = row.percent;
   run.reading = row.reading;
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -18,6 +18,13 @@
 // them being recorded: each failed run is recorded within some 50 ms.
 constexpr std::uint32_t kUntoldRuns = 100;
 
+loss_kind KindOf(const run_state& run, bool is_over) {
+  if (is_over) {
+    return run.is_listed ? loss_kind::kCrashLater : loss_kind::kCrashAtStart;
+  }
+  return run.is_listed ? loss_kind::kSilenceLater : loss_kind::kSilenceAtStart;
+}
+
 }  // namespace
 
 void pool_scheduler::impl::EndRun(vm_state* vm, const task_name& name) {
@@ -54,7 +61,7 @@
 // acknowledged the end of a task that would start again here. Such an owner has
 // claimed the partition before, so that the store refuses the record of these
 // ends; they start again only after it is stored.
-void pool_scheduler::impl::EndUnheardRuns(vm_state* vm) {
+void pool_scheduler::impl::EndUnheardRuns(vm_state* vm, bool is_over) {
   for (const auto& [task, run] : vm->untaken_ends) {
     NoteForgotten(task, run);
   }
@@ -62,7 +69,10 @@
   std::vector<task_name> tasks;
   for (const auto& [task, run] : vm->runs()) {
     tasks.push_back(task);
+    losses_.push_back({{vm->description().id, task, run.run},
+                       KindOf(run, is_over)});
   }
+  counts_.lost_runs += tasks.size();
   for (const task_name& name : tasks) {
     EndRun(vm, name);
     job_state* job = jobs_.Find(name.job);
@@ -73,10 +83,11 @@
   }
 }
 
-void pool_scheduler::impl::Replace(const vm_id& id) {
+void pool_scheduler::impl::Replace(const vm_id& id, time_point now) {
   vm_state* vm = FindVm(id);
   if (vm != nullptr) {
-    EndUnheardRuns(vm);
+    // Past its lease the runs had ended before that life of the VM did.
+    EndUnheardRuns(vm, !vm->IsLapsed(now));
     dropped_vms_.push_back(id);
     vms_.erase(id);
     ++vms_version_;
@@ -103,7 +114,7 @@
     }
     has_untold_vm_ = has_untold_vm_ || (!is_recovered_ && !vm.is_settled);
     counts_.lapsed_runs += vm.runs().size();
-    EndUnheardRuns(&vm);
+    EndUnheardRuns(&vm, false);
     vm.MarkLapsed();
     // It is used again only after it has told all, and after a new record: the
     // next owner needn't ask a VM that has none.
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -135,13 +135,12 @@
     OnFenced();
     return;
   }
-  if (result == start_result::kReplaced) {
-    OnReplaced(target.vm, now);
-    return;
-  }
   if (vm_state* vm = impl_->FindVm(target.vm)) {
     impl_->TakeStartAnswer(vm, target, result, now);
   }
+  if (result == start_result::kReplaced) {
+    OnReplaced(target.vm, now);
+  }
 }
 
 void pool_scheduler::OnStopAnswer(const run_ref& target,
@@ -167,8 +166,8 @@
   }
 }
 
-void pool_scheduler::OnReplaced(const vm_id& vm, time_point /*now*/) {
-  impl_->Replace(vm);
+void pool_scheduler::OnReplaced(const vm_id& vm, time_point now) {
+  impl_->Replace(vm, now);
 }
 
 hold_parameters pool_scheduler::NextHold(const vm_id& vm, time_point now) {
@@ -184,6 +183,10 @@
   return impl_->Plan(now, wall_now);
 }
 
+std::vector<lost_run> pool_scheduler::TakeLosses() {
+  return impl_->TakeLosses();
+}
+
 std::optional<progress_batch> pool_scheduler::TakeBatch() {
   return impl_->TakeBatch();
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -11,6 +11,7 @@
 #include "core/jobs/job_table.h"
 #include "core/jobs/vm_state.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
+#include "plantainhead/core/jobs/run_loss.h"
 
 namespace plantainhead::core::jobs {
 
@@ -51,10 +52,11 @@
                       const run_ref& target,
                       bool is_answered,
                       time_point now);
-  void Replace(const vm_id& id);
+  void Replace(const vm_id& id, time_point now);
   hold_parameters NextHold(vm_state* vm, time_point now);
 
   std::vector<vm_order> Plan(time_point now, time_point wall_now);
+  std::vector<lost_run> TakeLosses() { return std::exchange(losses_, {}); }
   std::optional<progress_batch> TakeBatch();
   void NoteStored(const progress_batch& batch);
   void NoteJobsRead(time_point through) {
@@ -104,8 +106,9 @@
   // Ends of runs.
   /// The run left no effect that is known: its task may start elsewhere.
   void EndRun(vm_state* vm, const task_name& task);
-  /// Ends all runs on a VM of which nothing more can be heard.
-  void EndUnheardRuns(vm_state* vm);
+  /// Ends all runs on a VM of which nothing more can be heard. `is_over`: that
+  /// life of it is known to be over.
+  void EndUnheardRuns(vm_state* vm, bool is_over);
   void LapseSilentVms(time_point now);
   void ForgetGoneVms(time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
@@ -163,6 +166,8 @@
   std::uint64_t vms_version_ = 1;
   std::uint64_t stored_through_ = 0;
   scheduler_counts counts_;
+  /// Runs that were lost and haven't been reported.
+  std::vector<lost_run> losses_;
   /// VMs that may take tasks in this plan, and the most room that any of them
   /// has: most tasks of a backlog fit nowhere, and needn't be tried on each VM.
   std::vector<vm_state*> takers_;
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -24,6 +24,8 @@
   /// Since when the VM is known to have taken the run.
   std::optional<time_point> confirmed_at;
   bool is_start_in_flight = false;
+  /// The VM has listed the run as running.
+  bool is_listed = false;
   /// Since when the VM may or may not have taken the run: its start had no
   /// answer, and no later listing has told.
   std::optional<time_point> unsettled_since;
--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -47,6 +47,7 @@
     case job_event::kTaskNotStarted:
     case job_event::kTaskStopped:
     case job_event::kTaskEnded:
+    case job_event::kTaskLost:
       return kTaskBudget;
     default:
       return kLineBudget;
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -39,6 +39,7 @@
   kTaskNotStarted,
   kTaskStopped,
   kTaskEnded,
+  kTaskLost,
   kVmLost,
   kVmHeard,
   kVmVacated,
@@ -53,7 +54,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 40> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 41> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
@@ -82,6 +83,7 @@
     {job_event::kTaskNotStarted, "task not started"},
     {job_event::kTaskStopped, "task stopped"},
     {job_event::kTaskEnded, "task ended"},
+    {job_event::kTaskLost, "task lost"},
     {job_event::kVmLost, "vm lost"},
     {job_event::kVmHeard, "vm heard"},
     {job_event::kVmVacated, "vm vacated"},
--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -82,6 +82,10 @@
         .Counter("plantain_task_lapses_total",
                  "Runs given up because their VM was silent.", labels)
         .Add(counts.lapsed_runs);
+    registry
+        .Counter("plantain_task_losses_total",
+                 "Runs that were on a VM when it was lost.", labels)
+        .Add(counts.lost_runs);
     registry
         .Counter("plantain_task_hangs_total",
                  "Runs stopped because they made no progress.", labels)
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -126,6 +126,7 @@
     const std::vector<core::jobs::vm_order> orders =
         scheduler_->Plan(began, WallTime());
     plan_time_ = BootTime() - began;
+    LogLosses();
     deps_.meters->NotePlan(plan_time_);
     for (const core::jobs::vm_order& order : orders) {
       std::visit([this](const auto& kind) { Send(kind); }, order);
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -102,6 +102,7 @@
                 const std::shared_ptr<vm_link>& link,
                 core::time_point sent_at,
                 const adapter::hold_reply& reply);
+  void LogLosses();
   void LogNewEnds(const core::jobs::vm_id& vm,
                   const std::shared_ptr<vm_link>& link,
                   const core::jobs::vm_listing& listing);
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -168,6 +168,15 @@
   }
 }
 
+// Which tasks a lost VM had, and which of them it had never listed, is what
+// tells a task that crashes its VMs from those beside it.
+void pool_owner::impl::LogLosses() {
+  for (const core::jobs::lost_run& lost : scheduler_->TakeLosses()) {
+    lines_.AddTask(job_event::kTaskLost, lost.run,
+                   {{"how", std::string(core::NameOf(lost.kind))}}, BootTime());
+  }
+}
+
 void pool_owner::impl::LogNewEnds(const vm_id& vm,
                                   const std::shared_ptr<vm_link>& link,
                                   const core::jobs::vm_listing& listing) {
