Give each test process its own loopback IP

A test failed once since its port was in use: 'What else is passed on to an owner that is lost', beside four other tests.

Change: an IP of 127.0.0.0/8 by process id, and ports counted up.

--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -1,14 +1,13 @@
 #include "jobs/group_member.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 
-#include "net/address.h"
+#include "free_address.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
 #include "run_until.h"
@@ -25,11 +24,7 @@
 /// A store, and members that join its group.
 class group {
  public:
-  group() : store(&context) {
-    boost::asio::ip::tcp::acceptor free_port(context,
-                                             net::ParseAddress("127.0.0.1:0"));
-    address_ = "127.0.0.1:" + std::to_string(free_port.local_endpoint().port());
-    free_port.close();
+  group() : store(&context), address_(testing::FreeAddress()) {
     server_ = std::make_unique<net::http_server>(
         &context, address_, net::http_server_options(),
         [this](const net::server_request& request,
--- a/tests/jobs/log_follower_test.cc
+++ b/tests/jobs/log_follower_test.cc
@@ -2,14 +2,13 @@
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "net/address.h"
+#include "free_address.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
 #include "run_until.h"
@@ -28,11 +27,7 @@
 class followed_partition {
  public:
   followed_partition() : store(&context) {
-    boost::asio::ip::tcp::acceptor free_port(context,
-                                             net::ParseAddress("127.0.0.1:0"));
-    const std::string address =
-        "127.0.0.1:" + std::to_string(free_port.local_endpoint().port());
-    free_port.close();
+    const std::string address = testing::FreeAddress();
     server_ = std::make_unique<net::http_server>(
         &context, address, net::http_server_options(),
         [this](const net::server_request& request,
