Count a loss as soon as a VM falls silent under a task that just began

Found by the pool model with owners that replace one another every few seconds: a task that crashes its VMs was started a sixth time, since three owners were replaced between a crash and the first answer of the VM's next life, which comes seconds later, and nothing of those starts was recorded.

Change: when a VM falls silent, runs that had just begun there count against their tasks until the VM is heard again; what is known later of the same run replaces it. Runs that were counted also keep their numbers from being given again.

--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -177,9 +177,9 @@
   if (task == nullptr) {
     return false;
   }
+  // A VM that tells how a run ended hasn't crashed under it.
+  const bool is_withdrawn = WithdrawLoss(name, run);
   if (run <= task->ended_run) {
-    // A VM that tells how a run ended hasn't crashed under it.
-    const bool is_withdrawn = WithdrawLoss(name, run);
     return ApplyLate(name, task, run, how) || is_withdrawn;
   }
   task->ended_run = run;
@@ -264,16 +264,29 @@
   return true;
 }
 
-void job_state::CountLoss(const task_name& name, const run_loss& loss) {
+bool job_state::CountLoss(const task_name& name, const run_loss& loss) {
   task_state* task = Find(name);
   if (task == nullptr || !IsEvidence(loss.kind)) {
-    return;
+    return false;
+  }
+  const auto same_run = [&loss](const run_loss& other) {
+    return other.run == loss.run;
+  };
+  const auto known =
+      std::find_if(task->losses.begin(), task->losses.end(), same_run);
+  if (known != task->losses.end() && known->kind == loss.kind) {
+    return false;
+  }
+  if (known != task->losses.end()) {
+    known->kind = loss.kind;
+  } else {
+    task->losses.push_back(loss);
   }
-  task->losses.push_back(loss);
   if (SuspicionOf(task->losses) == suspicion::kCertain) {
     is_given_up_ = true;
     Finish(job_phase::kFailed);
   }
+  return true;
 }
 
 bool job_state::WithdrawLoss(const task_name& name, std::uint32_t run) {
@@ -335,6 +348,9 @@
     }
     task->ended_run = record.ended_run;
     task->last_run = record.ended_run;
+    for (const run_loss& loss : record.losses) {
+      task->last_run = std::max(task->last_run, loss.run);
+    }
     task->failed_runs = record.failed_runs;
     task->is_presumed = record.is_presumed;
     task->checkpoint = record.checkpoint;
@@ -369,7 +385,7 @@
       const std::vector<task_state>& tasks = occurrence.steps[s].tasks;
       for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         const task_state& task = tasks[i];
-        if (task.ended_run == 0) {
+        if (task.ended_run == 0 && task.losses.empty()) {
           continue;
         }
         const bool is_done = task.phase == task_phase::kDone;
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -137,10 +137,10 @@
   /// Takes a run for ended that no VM can be running. Returns false when its
   /// end was recorded before.
   bool PresumeEnd(const task_name& name, std::uint32_t run);
-  /// Counts a run against the task that was lost with its VM. The job fails
-  /// when the task is certain to crash its VMs.
-  /// Precondition: the run's end was presumed.
-  void CountLoss(const task_name& name, const run_loss& loss);
+  /// Counts a run against the task that was, or may have been, lost with its
+  /// VM. What was counted for the run before is replaced. The job fails when
+  /// the task is certain to crash its VMs. Returns false when it is no news.
+  bool CountLoss(const task_name& name, const run_loss& loss);
   /// Takes back what was counted for a run whose VM turns out to live. Returns
   /// false when nothing was.
   bool WithdrawLoss(const task_name& name, std::uint32_t run);
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -113,7 +113,7 @@
 
 // The VM was only cut off: what ran on it didn't crash it.
 void pool_scheduler::impl::WithdrawLosses(vm_state* vm) {
-  for (const auto& [task, run] : std::exchange(vm->lapsed_runs, {})) {
+  for (const auto& [task, run] : std::exchange(vm->doubted_runs, {})) {
     job_state* job = jobs_.Find(task.job);
     if (job != nullptr && job->WithdrawLoss(task, run)) {
       jobs_.NoteChange(job);
@@ -149,6 +149,9 @@
     vm->Add(row.task, run);
     return;
   }
+  if (job->WithdrawLoss(row.task, row.run)) {
+    jobs_.NoteChange(job);
+  }
   task_state* task = job->Find(row.task);
   const bool is_wanted = task != nullptr &&
                          task->phase == task_phase::kWaiting &&
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -52,7 +52,9 @@
 void pool_scheduler::impl::CountLoss(job_state* job,
                                      const task_name& task,
                                      const run_loss& loss) {
-  job->CountLoss(task, loss);
+  if (!job->CountLoss(task, loss)) {
+    return;
+  }
   jobs_.NoteChange(job);
   if (IsFinal(job->phase())) {
     StopRunsOf(task.job);
@@ -72,6 +74,26 @@
   }
 }
 
+// A VM that leaves, or is emptied, ends without any task's doing.
+bool pool_scheduler::impl::IsEndPlanned(const vm_state& vm) {
+  return vm.description().draining || vm.is_closed;
+}
+
+// Whether the VM crashed shows seconds later. If this owner is replaced by then
+// the next one has no other way to learn what was started there.
+void pool_scheduler::impl::DoubtFreshRuns(vm_state* vm) {
+  if (IsEndPlanned(*vm)) {
+    return;
+  }
+  for (const auto& [task, run] : vm->runs()) {
+    job_state* job = jobs_.Find(task.job);
+    if (run.is_fresh && job != nullptr) {
+      vm->doubted_runs.emplace_back(task, run.run);
+      CountLoss(job, task, {run.run, loss_kind::kSilenceAtStart});
+    }
+  }
+}
+
 // A newer owner may have heard from the VM what this one hasn't, and may have
 // acknowledged the end of a task that would start again here. Such an owner has
 // claimed the partition before, so that the store refuses the record of these
@@ -88,8 +110,7 @@
   }
   losses_.insert(losses_.end(), lost.begin(), lost.end());
   counts_.lost_runs += lost.size();
-  // A VM that leaves, or is emptied, ends without any task's doing.
-  const bool is_planned = vm->description().draining || vm->is_closed;
+  const bool is_planned = IsEndPlanned(*vm);
   for (const auto& [run, kind] : lost) {
     job_state* job = EndRun(vm, run.task);
     if (job != nullptr && !is_planned) {
@@ -101,7 +122,7 @@
       task->starts_after_batch = jobs_.next_batch();
     }
     if (!is_over) {
-      vm->lapsed_runs.emplace_back(run.task, run.run);
+      vm->doubted_runs.emplace_back(run.task, run.run);
     }
   }
 }
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -162,6 +162,10 @@
 
 void pool_scheduler::OnHoldUnanswered(const vm_id& vm) {
   if (vm_state* found = impl_->FindVm(vm)) {
+    // Once in each silence.
+    if (found->IsReachable()) {
+      impl_->DoubtFreshRuns(found);
+    }
     found->NoteUnanswered();
   }
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -56,6 +56,9 @@
                       bool is_answered,
                       time_point now);
   void Replace(const vm_id& id, time_point now);
+  /// Counts what began on a VM just before it fell silent against its tasks,
+  /// until the VM is heard again.
+  void DoubtFreshRuns(vm_state* vm);
   hold_parameters NextHold(vm_state* vm, time_point now);
 
   std::vector<vm_order> Plan(time_point now, time_point wall_now);
@@ -116,6 +119,7 @@
   /// Ends all runs on a VM of which nothing more can be heard. `is_over`: that
   /// life of it is known to be over.
   void EndUnheardRuns(vm_state* vm, bool is_over);
+  static bool IsEndPlanned(const vm_state& vm);
   void LapseSilentVms(time_point now);
   void ForgetGoneVms(time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
--- a/tests/core/jobs/crashing_task_test.cc
+++ b/tests/core/jobs/crashing_task_test.cc
@@ -45,6 +45,15 @@
     BringNextLife();
   }
 
+  /// The owner is replaced after the VM has crashed and before its next life
+  /// answers, and the next one meets only that life.
+  void CrashAndReplaceOwner() {
+    driver_->scheduler.OnHoldUnanswered(Id());
+    ReplaceOwner();
+    driver_->Pass(seconds(6));
+    BringNextLife();
+  }
+
   /// The VM falls silent, and its next life comes from somewhere else after
   /// the lease is over.
   void CrashForGood() {
@@ -157,6 +166,15 @@
     CHECK(starts <= kMostStarts);
     CHECK(vm.Phase() == job_phase::kFailed);
   }
+
+  SECTION("when no owner lives to learn that its VM crashed") {
+    for (int i = 0; i < kRounds; ++i) {
+      starts += vm.Start(true).size();
+      vm.CrashAndReplaceOwner();
+    }
+    CHECK(starts <= kMostStarts);
+    CHECK(vm.Phase() == job_phase::kFailed);
+  }
 }
 
 std::shared_ptr<const job_spec> SmallJob(int number, bool crashes) {
