Soak: jobs whose task crashes each VM that starts it

One job in twenty now has a task that ends its VM's life 5 ms after the start; the next life begins at the same address 0.5 to 6 s later. Such a job must be shown as failed, starts at most five times once processes are in touch again, and no job may be shown as failed under whose tasks no two VMs crashed.

--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -53,6 +53,23 @@
       .dump();
 }
 
+void site_vm::Crash() {
+  is_silent = true;
+  running_.clear();
+  holds_.clear();
+  lapse_timer_->cancel();
+}
+
+void site_vm::BeginLife(const std::string& id) {
+  id_ = id;
+  highest_.clear();
+  ended_.clear();
+  last_end_ = 0;
+  fence_ = 0;
+  lease_until_ = {};
+  is_silent = false;
+}
+
 void site_vm::Tell(vm_event event,
                    const std::string& task,
                    std::uint32_t run) const {
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -38,6 +38,10 @@
   std::string RegistryValue(const std::string& pool,
                             const std::string& address = "") const;
   const std::string& id() const { return id_; }
+  /// Ends this life and all that runs. Calls have no answer until the next one.
+  void Crash();
+  /// Begins another life, which knows nothing of the one before.
+  void BeginLife(const std::string& id);
   /// Returns how often each task was started.
   const std::map<std::string, int>& starts() const { return starts_; }
   /// Returns how many tasks run now.
--- a/soak/run_ledger.cc
+++ b/soak/run_ledger.cc
@@ -1,8 +1,15 @@
 #include "run_ledger.h"
 
+#include <algorithm>
+
 namespace plantainhead::soak {
 namespace {
 
+// A job may be given up when so many VMs have crashed under one of its tasks.
+constexpr int kCrashesOfGivenUp = 2;
+// Once three VMs have crashed under a task it may start twice more.
+constexpr int kMostCrashingStarts = 5;
+
 std::string JobOf(const std::string& task) {
   return task.substr(0, task.find('.'));
 }
@@ -33,6 +40,21 @@
   note.is_completed = true;
 }
 
+void run_ledger::NoteCrashing(const std::string& job) {
+  jobs_[job].is_crashing = true;
+}
+
+void run_ledger::NoteFailed(const std::string& job) {
+  const bool may_be_given_up =
+      std::any_of(crashes_.begin(), crashes_.end(), [&job](const auto& entry) {
+        return JobOf(entry.first) == job && entry.second >= kCrashesOfGivenUp;
+      });
+  if (!may_be_given_up) {
+    violations_.push_back("shown as failed without cause: " + job);
+  }
+  jobs_[job].is_completed = true;
+}
+
 void run_ledger::NoteMissing(const std::string& job) {
   if (jobs_[job].answer == job_answer::kAccepted) {
     violations_.push_back("an accepted job isn't known: " + job);
@@ -55,6 +77,10 @@
     case vm_event::kStarted:
       ++starts_;
       job.has_started = true;
+      if (is_calm_ && job.is_crashing &&
+          ++starts_in_calm_[task] > kMostCrashingStarts) {
+        violations_.push_back("goes on crashing VMs: " + what);
+      }
       if (!running_[task].empty()) {
         violations_.push_back("two runs at once: " + what);
       }
@@ -83,7 +109,7 @@
 
 void run_ledger::NoteVmEnd(const std::string& vm) {
   for (auto& [task, vms] : running_) {
-    vms.erase(vm);
+    crashes_[task] += static_cast<int>(vms.erase(vm));
   }
 }
 
--- a/soak/run_ledger.h
+++ b/soak/run_ledger.h
@@ -25,6 +25,13 @@
   void NoteCancelSent(const std::string& job);
   /// A process says that the job is completed.
   void NoteCompleted(const std::string& job);
+  /// The job has a task that crashes the VMs that start it, so that it must be
+  /// shown as failed instead.
+  void NoteCrashing(const std::string& job);
+  /// A process says that the job has failed.
+  void NoteFailed(const std::string& job);
+  /// No fault has come for a while: all processes are in touch.
+  void NoteCalm() { is_calm_ = true; }
   /// A process says that there is no such job.
   void NoteMissing(const std::string& job);
   void NoteRun(const std::string& vm,
@@ -44,6 +51,7 @@
   struct job_note {
     std::size_t tasks = 0;
     job_answer answer = job_answer::kUnknown;
+    bool is_crashing = false;
     bool is_completed = false;
     bool is_cancel_sent = false;
     bool has_started = false;
@@ -54,6 +62,10 @@
   /// VMs on which a task runs now.
   std::map<std::string, std::set<std::string>> running_;
   std::set<std::string> acknowledged_;
+  /// Lives of VMs that ended under the task.
+  std::map<std::string, int> crashes_;
+  std::map<std::string, int> starts_in_calm_;
+  bool is_calm_ = false;
   std::size_t starts_ = 0;
   std::vector<std::string> violations_;
 };
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <filesystem>
 #include <iostream>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,14 @@
         {"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":300,
          "depends_on":[0]}]})";
 constexpr std::size_t kTasksOfJob = 3;
+// Its task crashes each VM that starts it.
+constexpr const char* kCrashingJob =
+    R"({"spec":"x","steps":[
+        {"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":300}]})";
+constexpr int kCrashingEvery = 20;
+constexpr milliseconds kCrashDelay(5);
+constexpr int kLeastDownMs = 500;
+constexpr int kMostDownMs = 6000;
 constexpr milliseconds kSubmissionGap(120);
 constexpr milliseconds kQueryGap(400);
 constexpr milliseconds kTick(100);
@@ -39,6 +48,8 @@
 constexpr int kMostFaultGapMs = 900;
 constexpr int kLeastFaultMs = 300;
 constexpr int kMostFaultMs = 5000;
+// Faults that were under way are over by then, and processes in touch.
+constexpr milliseconds kInTouchAfter(kMostFaultMs + 3000);
 // Jobs that were accepted must have ended this long after the last fault: the
 // longest lease (4.6 s), a takeover, and their work, with much to spare.
 constexpr seconds kCalm(60);
@@ -55,6 +66,10 @@
                      const std::string& task,
                      std::uint32_t run) {
                 ledger_.NoteRun(vm, event, task, run);
+                if (event == fakes::vm_event::kStarted &&
+                    crashing_.count(task.substr(0, task.find('.'))) != 0) {
+                  site_.After(kCrashDelay, [this, vm] { CrashVm(vm); });
+                }
               }) {
     for (int i = 0; i < options_.vms; ++i) {
       site_.AddVm(kPool);
@@ -71,6 +86,7 @@
     NextFault();
     site_.context.run_for(seconds(options_.seconds));
     is_calm_ = true;
+    site_.After(kInTouchAfter, [this] { ledger_.NoteCalm(); });
     // Faults that were under way end within their time.
     const auto end = steady_clock::now() + kCalm;
     while (steady_clock::now() < end && !ledger_.OpenJobs().empty()) {
@@ -91,6 +107,15 @@
     });
   }
 
+  void CrashVm(const std::string& id) {
+    if (site_.vms.count(id) == 0 || site_.vms[id].vm->is_silent) {
+      return;
+    }
+    ledger_.NoteVmEnd(id);
+    site_.CrashVm(id, kPool,
+                  milliseconds(site_.Draw(kLeastDownMs, kMostDownMs)));
+  }
+
   soak_vm& AnyVm() {
     auto chosen = site_.vms.begin();
     // The last ones are the lives that haven't ended.
@@ -185,9 +210,14 @@
       return;
     }
     const std::string id = JobIdOf(++last_job_);
-    ledger_.NoteSubmission(id, kTasksOfJob);
+    const bool is_crashing = last_job_ % kCrashingEvery == 0;
+    ledger_.NoteSubmission(id, is_crashing ? 1 : kTasksOfJob);
     net::client_request request = CallerRequest(net::method::kPost, "q", id);
-    request.body = kJob;
+    request.body = is_crashing ? kCrashingJob : kJob;
+    if (is_crashing) {
+      crashing_.insert(id);
+      ledger_.NoteCrashing(id);
+    }
     AnyCaller().Send(std::move(request), seconds(4),
                      [this, id](const net::client_reply& reply) {
                        if (reply.reached != net::delivery::kAnswered) {
@@ -209,6 +239,9 @@
             if (reply.status == 200 &&
                 reply.body.find("completed") != std::string::npos) {
               ledger_.NoteCompleted(id);
+            } else if (reply.status == 200 &&
+                       reply.body.find("failed") != std::string::npos) {
+              ledger_.NoteFailed(id);
             } else if (reply.status == 410) {
               ledger_.NoteMissing(id);
             }
@@ -234,6 +267,7 @@
 
   soak_options options_;
   run_ledger ledger_;
+  std::set<std::string> crashing_;
   std::vector<std::string> faults_of_their_own_;
   steady_clock::time_point faults_end_;
   int last_job_ = 0;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -64,16 +64,41 @@
   const std::string address = NextAddress();
   soak_vm& one = vms[id];
   one.vm = std::make_unique<fakes::site_vm>(&context, id, address, kTaskTime);
-  one.vm->on_event = [this, id](fakes::vm_event event, const std::string& task,
-                                std::uint32_t run) {
-    on_run_(id, event, task, run);
-  };
+  ListenTo(one.vm.get());
   one.proxy = std::make_unique<fault_proxy>(&context, address);
   store.Put("keyed.servers", id,
             one.vm->RegistryValue(pool, one.proxy->address()));
   return id;
 }
 
+void soak_site::ListenTo(fakes::site_vm* vm) {
+  vm->on_event = [this, id = vm->id()](
+                     fakes::vm_event event, const std::string& task,
+                     std::uint32_t run) { on_run_(id, event, task, run); };
+}
+
+void soak_site::CrashVm(const std::string& id,
+                        const std::string& pool,
+                        std::chrono::milliseconds pause) {
+  const auto found = vms.find(id);
+  if (found == vms.end()) {
+    return;
+  }
+  found->second.vm->Crash();
+  found->second.proxy->ResetAll();
+  After(pause, [this, id, pool] {
+    auto life = vms.extract(id);
+    life.key() = "vm-" + std::to_string(++last_vm_);
+    soak_vm& one = life.mapped();
+    one.vm->BeginLife(life.key());
+    ListenTo(one.vm.get());
+    store.Put("keyed.servers", id, std::nullopt);
+    store.Put("keyed.servers", life.key(),
+              one.vm->RegistryValue(pool, one.proxy->address()));
+    vms.insert(std::move(life));
+  });
+}
+
 std::vector<std::string> soak_site::Tend() {
   std::vector<std::string> ends;
   store.ExpireSilent();
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -72,6 +72,10 @@
              const std::function<void()>& action);
   /// Adds a VM to the pool, and returns its id.
   std::string AddVm(const std::string& pool);
+  /// Ends the life of a VM; the next one begins at the same address.
+  void CrashVm(const std::string& id,
+               const std::string& pool,
+               std::chrono::milliseconds pause);
   /// Ends silent members, and starts processes that have ended, but
   /// those that are to be down. Returns how
   /// those ended that did so by themselves.
@@ -84,6 +88,8 @@
   std::vector<soak_process> processes;
 
  private:
+  void ListenTo(fakes::site_vm* vm);
+
   run_handler on_run_;
   std::mt19937_64 random_;
   std::unique_ptr<net::http_server> store_server_;
