Add a failing test: an end as done that is told late doesn't count

The small twin of the large fleet runs tasks again that have ended as done. One way to it, brought about without a network: a VM is silent, its run is taken for ended, the next one is placed, and the VM tells that the first one is done. The end is acknowledged, and neither counted nor does it stop the next run; if the next run ends otherwise before, it isn't counted either. Whether that is what the twin sees isn't shown yet.

--- /dev/null
+++ b/tests/core/jobs/late_end_test.cc
@@ -0,0 +1,72 @@
+#include <catch2/catch.hpp>
+
+#include "core/jobs/scheduler_driver.h"
+#include "plantainhead/core/jobs/pool_scheduler.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against ends that are acknowledged and don't count, so that the task
+// runs again: its VM tells of the end after the run was taken for ended and the
+// next one was placed.
+TEST_CASE("An end as done counts whenever a VM tells of it") {
+  scheduler_driver driver;
+  driver.Bring({Vm("vm-1"), Vm("vm-2")});
+  driver.Add(Job("job", {Step(1)}));
+  const auto starts = driver.StartAll();
+  REQUIRE(starts.size() == 1);
+  const run_ref first = starts[0].target;
+  const vm_id other = first.vm == "vm-1" ? "vm-2" : "vm-1";
+  driver.scheduler.OnHoldUnanswered(first.vm);
+  driver.Pass(seconds(5));
+  driver.List(other, {}, {});
+  CHECK(driver.Starts().empty());
+  driver.Store();
+  const auto again = driver.StartAll();
+  REQUIRE(again.size() == 1);
+  const run_ref second = again[0].target;
+  REQUIRE(second.vm == other);
+  const auto phase = [&] {
+    job_phase last = job_phase::kQueued;
+    for (const progress_batch& batch : driver.Store()) {
+      for (const auto& [id, progress] : batch.jobs) {
+        last = progress.phase;
+      }
+    }
+    return last;
+  };
+
+  SECTION("while the next run is placed, which is stopped then") {
+    driver.List(first.vm, {},
+                {Ended(1, first.task, first.run, end_kind::kDone)});
+    CHECK(phase() == job_phase::kCompleted);
+    CHECK(driver.Starts().empty());
+    REQUIRE(driver.stops.size() == 1);
+    CHECK(driver.stops[0].target == second);
+  }
+
+  SECTION("after the next run has ended otherwise") {
+    driver.Pass(milliseconds(100));
+    driver.List(second.vm, {},
+                {Ended(1, second.task, second.run, end_kind::kStopped)});
+    driver.List(first.vm, {},
+                {Ended(1, first.task, first.run, end_kind::kDone)});
+    CHECK(phase() == job_phase::kCompleted);
+    CHECK(driver.Starts().empty());
+  }
+
+  SECTION("and a failure of the next run doesn't count any more") {
+    driver.Add(Job("after", {Step(1)}));
+    driver.List(first.vm, {},
+                {Ended(1, first.task, first.run, end_kind::kDone)});
+    driver.List(second.vm, {},
+                {Ended(1, second.task, second.run, end_kind::kFailed)});
+    CHECK(phase() == job_phase::kCompleted);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
