Soak: a late order to a life of a VM that is over does nothing

Traced in its logs: the orders were sent to vm-5, were to be carried out late, and its life ended before; the stand-in carried them out in its next life, vm-10, which refuses orders to another life in every other case. The soak's own fault.

--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -125,9 +125,10 @@
   if (request.target == "/plantainhead/run-start" && start_delay.count() > 0) {
     const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
     timer->expires_after(start_delay);
-    timer->async_wait([this, request, token = fence_,
+    timer->async_wait([this, request, token = fence_, life = id_,
                        timer](const boost::system::error_code& /*error*/) {
-      if (json::parse(request.body).value("fence_token", token) >= fence_) {
+      if (life == id_ && !is_silent &&
+          json::parse(request.body).value("fence_token", token) >= fence_) {
         Start(request, [](const net::server_response& /*response*/) {});
       }
     });
