Count an end as done whenever a VM tells of it

A task that had ended as done was started again and ran to its end a second time.

Cause: an end that is told for an earlier run than the newest counted only while the task waited and that earlier run's end was presumed. When the next run was placed, or had ended otherwise, the end was acknowledged and forgotten. Class: what is acknowledged must be counted, or not be acknowledged.

Change: an end as done completes its task whichever run it is of; runs of the task that are placed are stopped; a failure of such a run doesn't count any more.

--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -195,11 +195,9 @@
     if (step.gang) {
       for (task_state& member : steps.tasks) {
         member.ended_run = std::max(member.ended_run, run);
-        MarkDone(&steps, &member);
       }
     }
-    MarkDone(&steps, task);
-    CheckCompletion();
+    CompleteTask(name, task);
     return true;
   }
   if (is_newest) {
@@ -217,6 +215,9 @@
                              task_state* task,
                              std::uint32_t run) {
   std::vector<std::uint32_t>& failed = task->failed_runs;
+  if (task->phase == task_phase::kDone) {
+    return false;
+  }
   if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
     return false;
   }
@@ -238,17 +239,28 @@
   if (how == end_kind::kFailed) {
     return CountFailure(name, task, run);
   }
-  const bool is_done = how == end_kind::kDone && task->is_presumed &&
-                       task->phase == task_phase::kWaiting &&
-                       !StepOf(name).lasting && !StepOf(name).gang;
+  const bool is_done = how == end_kind::kDone &&
+                       task->phase != task_phase::kDone &&
+                       !StepOf(name).lasting;
   if (is_done) {
     task->is_presumed = false;
-    MarkDone(&occurrences_[name.occurrence].steps[name.step], task);
-    CheckCompletion();
+    CompleteTask(name, task);
   }
   return is_done;
 }
 
+// One end as done stands for all members of a gang.
+void job_state::CompleteTask(const task_name& name, task_state* task) {
+  step_state& step = occurrences_[name.occurrence].steps[name.step];
+  if (StepOf(name).gang) {
+    for (task_state& member : step.tasks) {
+      MarkDone(&step, &member);
+    }
+  }
+  MarkDone(&step, task);
+  CheckCompletion();
+}
+
 bool job_state::PresumeEnd(const task_name& name, std::uint32_t run) {
   task_state* task = Find(name);
   if (task == nullptr || run <= task->ended_run) {
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -155,7 +155,8 @@
                  task_state* task,
                  std::uint32_t run,
                  end_kind how);
-  /// Returns false when the failure was counted before.
+  void CompleteTask(const task_name& name, task_state* task);
+  /// Returns false when the failure was counted before, or the task is done.
   bool CountFailure(const task_name& name, task_state* task, std::uint32_t run);
   void Finish(job_phase phase);
   void Open(std::uint32_t occurrence);
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -244,6 +244,9 @@
   }
   NoteHealth(vm, end, now);
   NoteBegun(job);
+  // A newer run may have been placed.
+  const task_state* task = job->Find(end.task);
+  const bool is_late = task != nullptr && end.run < task->last_run;
   const bool is_new = job->ApplyEnd(end.task, end.run, end.how, end.checkpoint,
                                     vm->description().id);
   if (is_new) {
@@ -256,6 +259,8 @@
     jobs_.NoteChange(job);
     if (IsFinal(job->phase())) {
       StopRunsOf(job->spec().id);
+    } else if (is_late && end.how == end_kind::kDone) {
+      StopRunsOfDone(end.task);
     }
   }
   return true;
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -152,6 +152,22 @@
   }
 }
 
+void pool_scheduler::impl::StopRunsOfDone(const task_name& task) {
+  job_state* job = jobs_.Find(task.job);
+  for (auto& [vm_name, vm] : vms_) {
+    for (auto it =
+             vm.runs().lower_bound({task.job, task.occurrence, task.step, 0});
+         it != vm.runs().end() && it->first.job == task.job &&
+         it->first.occurrence == task.occurrence && it->first.step == task.step;
+         ++it) {
+      const task_state* state = job->Find(it->first);
+      it->second.is_stop_wanted =
+          it->second.is_stop_wanted ||
+          (state != nullptr && state->phase == task_phase::kDone);
+    }
+  }
+}
+
 void pool_scheduler::impl::LapseSilentVms(time_point now) {
   for (auto& [id, vm] : vms_) {
     // What a VM has told since the last lease ended is no older than that.
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -77,6 +77,8 @@
   void AdoptRunsOf(const job_id& id, time_point now);
   /// Wants a stop of every run of the job.
   void StopRunsOf(const job_id& id);
+  /// Wants a stop of every run of the step's tasks that are done.
+  void StopRunsOfDone(const task_name& task);
 
  private:
   struct candidate {
