Soak: a VM that is gone doesn't come back after a crash

The short run ended once with 'local_endpoint: Bad file descriptor'. Traced: a VM that a task had crashed was taken for good before its next life began, so that its proxy was closed. The soak's own fault.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -99,6 +99,7 @@
   // Another life takes its place; the registry notices later.
   void ReplaceVm(const std::string& id) {
     ledger_.NoteVmEnd(id);
+    site_.vms[id].is_gone = true;
     site_.vms[id].vm->on_event = nullptr;
     site_.vms[id].proxy->Cut();
     site_.After(seconds(2), [this, id] {
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -81,12 +81,15 @@
                         const std::string& pool,
                         std::chrono::milliseconds pause) {
   const auto found = vms.find(id);
-  if (found == vms.end()) {
+  if (found == vms.end() || found->second.is_gone) {
     return;
   }
   found->second.vm->Crash();
   found->second.proxy->ResetAll();
   After(pause, [this, id, pool] {
+    if (vms.at(id).is_gone) {
+      return;
+    }
     auto life = vms.extract(id);
     life.key() = "vm-" + std::to_string(++last_vm_);
     soak_vm& one = life.mapped();
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -36,6 +36,8 @@
 struct soak_vm {
   std::unique_ptr<fakes::site_vm> vm;
   std::unique_ptr<fault_proxy> proxy;
+  /// It doesn't come back at this address.
+  bool is_gone = false;
 };
 
 /// A scheduler behind the proxy to its store.
