--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -135,7 +135,7 @@
   } else if (request.target == "/plantainhead/run-start") {
     Start(request, respond);
   } else if (request.target == "/plantainhead/hold") {
-    Hold(request.body, respond);
+    Hold(request.body, listing_delay.count() > 0 ? Delayed(respond) : respond);
   } else if (request.target == "/plantainhead/run-stop") {
     const std::string task = body["task"].get<std::string>();
     const auto number = body["run"].get<std::uint32_t>();
@@ -253,6 +253,18 @@
   });
 }
 
+net::responder site_vm::Delayed(const net::responder& respond) const {
+  return [context = context_, delay = listing_delay,
+          respond](const net::server_response& response) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(*context);
+    timer->expires_after(delay);
+    timer->async_wait(
+        [respond, response, timer](const boost::system::error_code& /*error*/) {
+          respond(response);
+        });
+  };
+}
+
 void site_vm::WakeHolds() {
   std::vector<net::responder> waiting;
   waiting.swap(holds_);
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -55,6 +55,8 @@
   bool refuses_starts = false;
   /// Orders to start are carried out this much later, and then not answered.
   std::chrono::milliseconds start_delay{0};
+  /// Holds are answered this much later, as over a link that is full.
+  std::chrono::milliseconds listing_delay{0};
   /// Is told what happens. Only ends as done are told to be acknowledged.
   std::function<void(vm_event, const std::string& task, std::uint32_t run)>
       on_event;
@@ -74,6 +76,8 @@
   void ExtendLease(std::int64_t deadline_ms);
   void AwaitLapse();
   void Hold(const std::string& body, const net::responder& respond);
+  /// Returns what answers `listing_delay` later.
+  net::responder Delayed(const net::responder& respond) const;
   void EndLater(const std::string& task, std::uint32_t number);
   void EndTask(const std::string& task, std::uint32_t number, const char* how);
   std::string Listing() const;
