Use answers of holds that arrive after their timeout

Tasks that had ended as done ran again, and lasting tasks were stopped, on owners whose link is full.

Cause: an answer that came after the timeout met nobody. The VM had told its ends in it, and is silent for its owner until an answer is in time. Class: a slow answer was taken for none.

Change: a hold without an answer in time makes its VM silent as before, and the next hold goes out on another connection; the answer of the first is awaited 3 s longer and used. Listings are ordered by the VM's own clock, so that one that was overtaken changes nothing.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -179,8 +179,8 @@
                      start_result result,
                      time_point now);
   void OnStopAnswer(const run_ref& target, bool is_answered, time_point now);
-  /// Precondition: `sent_at` is when the hold was sent; holds of a VM follow
-  /// one another.
+  /// A listing that the VM made before one that was taken changes nothing.
+  /// Precondition: `sent_at` is when the hold was sent.
   void OnListing(const vm_id& vm,
                  time_point sent_at,
                  const vm_listing& listing,
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -58,6 +58,10 @@
                                        time_point sent_at,
                                        const vm_listing& listing,
                                        time_point now) {
+  if (listing.vm_clock < vm->last_clock()) {
+    // The answer of an earlier hold, on another connection.
+    return;
+  }
   vm->Hear(listing.vm_clock, now);
   WithdrawLosses(vm);
   for (const running_task& row : listing.running) {
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -86,6 +86,8 @@
   /// True when the last call had an answer.
   bool IsReachable() const { return is_heard_ && unanswered_ == 0; }
   time_point last_heard() const { return last_heard_; }
+  /// Returns what the VM's clock was when it was last heard; zero before that.
+  duration last_clock() const { return clock_sample_; }
 
   /// Returns a time on the VM's clock, `lease` from now, up to which an order
   /// may let it run tasks, and remembers it. Nothing before it was heard.
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -27,6 +27,9 @@
   std::chrono::milliseconds order_timeout = std::chrono::milliseconds(700);
   /// For a VM's answer to a hold, beyond the hold's wait.
   std::chrono::milliseconds hold_timeout = std::chrono::milliseconds(700);
+  /// And its answer is used up to this much later: it may tell of ends that the
+  /// VM need not tell again. A link that is full delays answers by seconds.
+  std::chrono::milliseconds hold_patience = std::chrono::milliseconds(3000);
   /// Pause after a hold without an answer.
   std::chrono::milliseconds hold_retry = std::chrono::milliseconds(250);
   /// Least time between two holds of a VM.
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -90,16 +90,30 @@
   link->is_holding = true;
   const core::time_point sent_at = BootTime();
   link->held_at = sent_at;
-  link->client.Hold(scheduler_->NextHold(vm, sent_at), epoch_,
-                    settings_.hold_timeout,
-                    [self = weak_from_this(), link, vm,
+  const auto take = [self = weak_from_this(), link, vm,
                      sent_at](const adapter::hold_reply& reply) {
-                      link->is_holding = false;
-                      const auto owner = self.lock();
-                      if (owner && !owner->is_closed_ && owner->scheduler_) {
-                        owner->TakeHold(vm, link, sent_at, reply);
-                      }
-                    });
+    const auto owner = self.lock();
+    if (owner && !owner->is_closed_ && owner->scheduler_) {
+      owner->TakeHold(vm, link, sent_at, reply);
+    }
+  };
+  const auto is_late = std::make_shared<bool>(false);
+  net::late_answer late;
+  late.patience = settings_.hold_patience;
+  late.on_late = [link, take, is_late] {
+    *is_late = true;
+    link->is_holding = false;
+    take(adapter::hold_reply());
+  };
+  link->client.Hold(
+      scheduler_->NextHold(vm, sent_at), epoch_, settings_.hold_timeout, late,
+      [link, take, is_late](const adapter::hold_reply& reply) {
+        // Another hold may be under way by now.
+        link->is_holding = link->is_holding && *is_late;
+        if (!*is_late || reply.outcome != hold_outcome::kUnanswered) {
+          take(reply);
+        }
+      });
 }
 
 // A VM tells of a job that hasn't been read. Until all jobs of that time have
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -98,9 +98,11 @@
 
   void Send(const client_request& request,
             std::chrono::milliseconds timeout,
+            late_answer late,
             reply_handler on_reply) {
     auto call = std::make_shared<pending_call>(context_);
     call->on_reply = std::move(on_reply);
+    call->late = std::move(late);
     call->deadline = steady_clock::now() + timeout;
     call->text = ToText(request, host_);
     call->last_deadline = call->deadline + options_.answer_limit;
@@ -131,6 +133,7 @@
     std::string text;
     http::response_parser<http::string_body> parser;
     reply_handler on_reply;
+    late_answer late;
     steady_clock::time_point sent_at;
     steady_clock::time_point deadline;
     steady_clock::time_point last_deadline;
@@ -273,9 +276,23 @@
     if (call->is_sent) {
       DropIdleSince(call->sent_at);
     }
+    if (call->is_sent && call->late.patience.count() > 0) {
+      AwaitLateAnswer(call);
+      return;
+    }
     Finish(call, {reached, 0, {}}, false);
   }
 
+  void AwaitLateAnswer(const call_ptr& call) {
+    call->deadline += std::exchange(call->late.patience, {});
+    call->last_deadline = std::max(call->last_deadline, call->deadline);
+    AwaitDeadline(call);
+    const auto on_late = std::exchange(call->late.on_late, nullptr);
+    if (on_late && !is_closed_) {
+      on_late();
+    }
+  }
+
   // When the path to the peer was lost for a while, all connections that were
   // idle then may be silent for good. Each would cost another call its whole
   // timeout, up to twenty in a row; a new connection costs a round trip. Those
@@ -337,7 +354,14 @@
 void http_client::Send(const client_request& request,
                        std::chrono::milliseconds timeout,
                        reply_handler on_reply) {
-  impl_->Send(request, timeout, std::move(on_reply));
+  impl_->Send(request, timeout, {}, std::move(on_reply));
+}
+
+void http_client::Send(const client_request& request,
+                       std::chrono::milliseconds timeout,
+                       late_answer late,
+                       reply_handler on_reply) {
+  impl_->Send(request, timeout, std::move(late), std::move(on_reply));
 }
 
 std::uint64_t http_client::OpenedConnections() const {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,10 +30,18 @@
   std::chrono::milliseconds answer_limit = std::chrono::seconds(20);
 };
 
+/// What happens when an answer is late but may still come.
+struct late_answer {
+  /// The answer is awaited this much longer. Zero: not at all.
+  std::chrono::milliseconds patience{0};
+  /// Is called, once, when that begins.
+  std::function<void()> on_late;
+};
+
 /// Calls one server, over a few connections that are kept open.
 ///
-/// A connection whose call ended without a whole answer is closed, so that a
-/// late answer meets nobody. No call is ever sent twice.
+/// A connection whose call ended without a whole answer is closed, so that an
+/// answer after that meets nobody. No call is ever sent twice.
 /// Not thread-safe: used from the thread of its `io_context` only.
 class http_client {
  public:
@@ -55,6 +63,13 @@
   void Send(const client_request& request,
             std::chrono::milliseconds timeout,
             reply_handler on_reply);
+  /// The same. A call that has been sent and has no answer in time isn't given
+  /// up before `late.patience` is over, too; its connection is taken until
+  /// then.
+  void Send(const client_request& request,
+            std::chrono::milliseconds timeout,
+            late_answer late,
+            reply_handler on_reply);
 
   /// Returns how many connections were opened so far.
   std::uint64_t OpenedConnections() const;
--- a/tests/core/jobs/late_end_test.cc
+++ b/tests/core/jobs/late_end_test.cc
@@ -68,5 +68,28 @@
   }
 }
 
+// Guards against an answer on one connection that overtakes an earlier one on
+// another: what the earlier one shows is over.
+TEST_CASE("A listing from before the last one that was taken changes nothing") {
+  scheduler_driver driver;
+  driver.Bring({Vm("vm-1")});
+  driver.Add(Job("job", {Step(1)}));
+  const auto starts = driver.StartAll();
+  REQUIRE(starts.size() == 1);
+  const run_ref target = starts[0].target;
+  driver.Pass(milliseconds(100));
+  vm_listing overtaken;
+  overtaken.vm_clock = driver.now.time_since_epoch();
+  overtaken.running = {Running(target.task, target.run)};
+  const time_point sent_at = driver.now;
+  driver.Pass(milliseconds(500));
+  driver.List("vm-1", {},
+              {Ended(1, target.task, target.run, end_kind::kFailed)});
+  driver.Store();
+  REQUIRE(driver.scheduler.IsEmpty("vm-1"));
+  driver.scheduler.OnListing("vm-1", sent_at, overtaken, driver.now);
+  CHECK(driver.scheduler.IsEmpty("vm-1"));
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -302,6 +302,52 @@
   }
 }
 
+// Guards against answers of value that are thrown away since the link is full.
+TEST_CASE("A late answer counts while it is awaited") {
+  boost::asio::io_context context;
+  const std::string address = FreeAddress();
+  std::optional<responder> held;
+  http_server server(&context, address, {},
+                     [&](const server_request& /*request*/, responder respond) {
+                       held = std::move(respond);
+                     });
+  http_client client(&context, address, {});
+  std::optional<client_reply> reply;
+  int times_late = 0;
+  late_answer late;
+  late.patience = milliseconds(200);
+  late.on_late = [&] { ++times_late; };
+
+  SECTION("and its caller is told that it is late") {
+    late.patience = std::chrono::seconds(60);
+    client.Send(Post("/path", "body"), milliseconds(50), late,
+                [&](client_reply got) { reply = std::move(got); });
+    REQUIRE(RunUntil(&context, [&] { return times_late == 1 && held; }));
+    CHECK_FALSE(reply.has_value());
+    (*held)({200, {}, "late"});
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kAnswered);
+    CHECK(reply->body == "late");
+  }
+
+  SECTION("and is given up after that") {
+    client.Send(Post("/path", "body"), milliseconds(50), late,
+                [&](client_reply got) { reply = std::move(got); });
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kUnanswered);
+    CHECK(times_late == 1);
+  }
+
+  SECTION("but a call that was never sent isn't late") {
+    http_client nobody(&context, FreeAddress(), {});
+    nobody.Send(Post("/path", "body"), std::chrono::seconds(10), late,
+                [&](client_reply got) { reply = std::move(got); });
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kNotSent);
+    CHECK(times_late == 0);
+  }
+}
+
 TEST_CASE("A call to a port without a listener was not sent") {
   boost::asio::io_context context;
   http_client client(&context, FreeAddress(), {});
