Bound the starts under way by what an owner's link carries

Cause: an owner orders all that fits at once. Over a link of 2 Mbit/s most orders time out; each then needs a stop, a listing and a new start, which fill the link further. Class: a retry storm without a bound.

Change: a window of starts under way (8 to 512) that grows with answers in time and is halved, once in 0.7 s, when they are late or missing; gangs larger than it start when nothing else does; holds of a VM follow one another no sooner than answers take while these are late.

A simulated link of 200 starts a second: with the window fewer than one in ten times out, without it most do.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -191,6 +191,12 @@
   /// A VM refused an order because a newer owner holds it.
   void OnFenced() { is_fenced_ = true; }
 
+  /// Returns how long VMs take to answer while that is longer than usual, and
+  /// else zero. Holds that follow one another sooner only delay the answers.
+  duration AnswerDelay() const;
+  /// Returns whether the last plan ordered as many starts as may be under way,
+  /// so that an answer lets more begin.
+  bool HoldsStartsBack() const;
   /// Returns how to send the next hold, and grants the lease in it.
   hold_parameters NextHold(const vm_id& vm, time_point now);
   /// Returns the orders to send now. `wall_now` is only used for due times.
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -47,6 +47,7 @@
   for (const auto& [id, job] : jobs_.open()) {
     job->OpenDue(wall_now);
   }
+  CountStarts();
   if (MayStart(now)) {
     FindTakers(now);
     for (const candidate& next : Candidates(now)) {
@@ -57,6 +58,16 @@
   return orders;
 }
 
+void pool_scheduler::impl::CountStarts() {
+  starts_under_way_ = 0;
+  for (const auto& [id, vm] : vms_) {
+    starts_under_way_ += static_cast<std::size_t>(std::count_if(
+        vm.runs().begin(), vm.runs().end(),
+        [](const auto& run) { return run.second.is_start_in_flight; }));
+  }
+  starts_left_ = window_.size() - std::min(window_.size(), starts_under_way_);
+}
+
 // After a takeover a task may be running, or may have ended, on any VM that
 // hasn't told all. It must not start elsewhere before that, or before the VM's
 // lease is over.
@@ -159,6 +170,9 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     const task_name name{job->spec().id, occurrence, step, i};
     const task_state& task = *job->Find(name);
+    if (starts_left_ == 0) {
+      return;
+    }
     if (task.phase != task_phase::kWaiting ||
         task.starts_after_batch > stored_through_) {
       continue;
@@ -183,7 +197,10 @@
                                      time_point now,
                                      std::vector<vm_order>* orders) {
   step_state& state = job->occurrences()[occurrence].steps[step];
-  if (state.placed > 0) {
+  // A gang that is larger than the window starts when nothing else does.
+  const bool is_held_back =
+      state.tasks.size() > starts_left_ && starts_under_way_ > 0;
+  if (state.placed > 0 || is_held_back) {
     return;
   }
   std::uint32_t run = 0;
@@ -403,6 +420,8 @@
   job->MarkPlaced(task, run);
   job->MarkStarted(now);
   ++counts_.starts;
+  ++starts_under_way_;
+  starts_left_ -= std::min<std::size_t>(starts_left_, 1);
   orders->emplace_back(start_order{{vm->description().id, task, run},
                                    job->shared_spec(),
                                    job->Find(task)->checkpoint,
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -135,6 +135,7 @@
     OnFenced();
     return;
   }
+  impl_->NoteStartTime(impl_->FindVm(target.vm), target, result, now);
   if (vm_state* vm = impl_->FindVm(target.vm)) {
     impl_->TakeStartAnswer(vm, target, result, now);
   }
@@ -174,6 +175,14 @@
   impl_->Replace(vm, now);
 }
 
+duration pool_scheduler::AnswerDelay() const {
+  return impl_->AnswerDelay();
+}
+
+bool pool_scheduler::HoldsStartsBack() const {
+  return impl_->HoldsStartsBack();
+}
+
 hold_parameters pool_scheduler::NextHold(const vm_id& vm, time_point now) {
   vm_state* found = impl_->FindVm(vm);
   return found == nullptr ? hold_parameters() : impl_->NextHold(found, now);
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/jobs/job_table.h"
+#include "core/jobs/start_window.h"
 #include "core/jobs/vm_state.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
 #include "plantainhead/core/jobs/run_loss.h"
@@ -55,6 +56,13 @@
                       const run_ref& target,
                       bool is_answered,
                       time_point now);
+  /// Notes the answer to a start for the window of starts. `vm` may be null.
+  void NoteStartTime(vm_state* vm,
+                     const run_ref& target,
+                     start_result result,
+                     time_point now);
+  duration AnswerDelay() const { return window_.delay(); }
+  bool HoldsStartsBack() const { return starts_left_ == 0; }
   void Replace(const vm_id& id, time_point now);
   /// Counts what began on a VM just before it fell silent against its tasks,
   /// until the VM is heard again.
@@ -134,6 +142,7 @@
   bool TakesTasks(const vm_state& vm, const pool_id& pool) const;
 
   // Placement.
+  void CountStarts();
   void FindTakers(time_point now);
   bool IsRecovered(time_point now);
   void SkipUntoldRuns(time_point now);
@@ -190,6 +199,10 @@
   /// Until then VMs are asked often, so that suspected tasks hold them up for
   /// a short time only.
   time_point alert_until_;
+  start_window window_;
+  /// Starts that may still be ordered in this plan, and what is under way.
+  std::size_t starts_left_ = 0;
+  std::size_t starts_under_way_ = 0;
   /// What found no VM in this plan.
   std::vector<unplaced_need> unplaced_;
   /// A VM's lease ran out before it had told what was started there.
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -102,6 +102,9 @@
                 const std::shared_ptr<vm_link>& link,
                 core::time_point sent_at,
                 const adapter::hold_reply& reply);
+  /// How long to wait before the next hold of a VM that listed this.
+  std::chrono::milliseconds GapAfter(
+      const core::jobs::vm_listing& listing) const;
   void LogLosses();
   void LogNewEnds(const core::jobs::vm_id& vm,
                   const std::shared_ptr<vm_link>& link,
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -149,10 +149,7 @@
       scheduler_->OnListing(vm, sent_at, reply.listing, now);
       ReadUnknownJobs();
       Kick();
-      // Ends that aren't acknowledged would be listed again at once, so the
-      // next hold waits for their record to be stored.
-      HoldLater(vm, reply.listing.ended.empty() ? settings_.hold_gap
-                                                : settings_.ack_gap);
+      HoldLater(vm, GapAfter(reply.listing));
       return;
     case hold_outcome::kFenced:
       scheduler_->OnFenced();
@@ -182,6 +179,17 @@
   }
 }
 
+// Ends that aren't acknowledged would be listed again at once, so the next hold
+// waits for their record to be stored.
+milliseconds pool_owner::impl::GapAfter(
+    const core::jobs::vm_listing& listing) const {
+  const milliseconds gap =
+      listing.ended.empty() ? settings_.hold_gap : settings_.ack_gap;
+  const auto delay =
+      std::chrono::duration_cast<milliseconds>(scheduler_->AnswerDelay());
+  return std::max(gap, delay);
+}
+
 // Which tasks a lost VM had, and which of them it had never listed, is what
 // tells a task that crashes its VMs from those beside it.
 void pool_owner::impl::LogLosses() {
@@ -226,7 +234,7 @@
         const bool is_started = result == start_result::kStarted;
         owner->NoteStart(target, result);
         owner->scheduler_->OnStartAnswer(target, result, BootTime());
-        if (!is_started) {
+        if (!is_started || owner->scheduler_->HoldsStartsBack()) {
           owner->Kick();
         }
       });
--- /dev/null
+++ b/tests/core/jobs/start_window_test.cc
@@ -0,0 +1,133 @@
+#include "core/jobs/start_window.h"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "core/jobs/scheduler_driver.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kTick(1);
+constexpr milliseconds kTimeout(700);
+constexpr int kRounds = 60'000;
+
+struct link_figures {
+  int answered = 0;
+  int timed_out = 0;
+};
+
+// An owner with more to start than it may, over a link that passes an order
+// each `spacing`, in turn. Orders that wait past the timeout are given up, and
+// take their time on the link all the same.
+link_figures Play(duration spacing, bool has_window) {
+  start_window window;
+  std::deque<time_point> waiting;
+  link_figures figures;
+  time_point now(seconds(1));
+  time_point free_at = now;
+  std::size_t given_up = 0;
+  for (int i = 0; i < kRounds; ++i, now += kTick) {
+    const std::size_t most = has_window ? window.size() : 512;
+    while (waiting.size() - given_up < most) {
+      waiting.push_back(now);
+    }
+    while (given_up < waiting.size() && now - waiting[given_up] >= kTimeout) {
+      ++given_up;
+      ++figures.timed_out;
+      window.NoteAnswer(kTimeout, false, now);
+    }
+    while (free_at <= now && !waiting.empty()) {
+      const duration took = now - waiting.front();
+      waiting.pop_front();
+      free_at += spacing;
+      if (given_up > 0) {
+        --given_up;
+        continue;
+      }
+      ++figures.answered;
+      window.NoteAnswer(took, true, now);
+    }
+  }
+  return figures;
+}
+
+// Guards against an owner whose link is full, and which sends more starts than
+// are answered in time: it must stop what it can't know, and starts it again.
+TEST_CASE("The starts under way follow what a link carries") {
+  SECTION("few time out on a link that carries 200 a second") {
+    const link_figures figures = Play(milliseconds(5), true);
+    CHECK(figures.timed_out * 10 < figures.answered);
+
+    SECTION("which is used all the same") {
+      constexpr int kCarried = 200 * 60;
+      CHECK(figures.answered * 10 > kCarried * 8);
+    }
+  }
+
+  SECTION("most do without a window") {
+    const link_figures figures = Play(milliseconds(5), false);
+    CHECK(figures.timed_out > figures.answered);
+  }
+
+  SECTION("a link that carries all isn't held back") {
+    start_window window;
+    for (int i = 0; i < 1000; ++i) {
+      window.NoteAnswer(milliseconds(6), true, time_point(milliseconds(i)));
+    }
+    CHECK(window.size() == 512);
+    CHECK(window.delay() == duration::zero());
+  }
+
+  SECTION("and the time that answers take is told while it is long") {
+    start_window window;
+    for (int i = 0; i < 100; ++i) {
+      window.NoteAnswer(milliseconds(600), true, time_point(seconds(i)));
+    }
+    CHECK(window.delay() > milliseconds(500));
+    CHECK(window.size() < 20);
+  }
+}
+
+// Guards against a backlog that is ordered at once.
+TEST_CASE("An owner orders no more starts than may be under way") {
+  scheduler_driver driver;
+  std::vector<vm_description> vms;
+  constexpr int kVms = 100;
+  for (int i = 0; i < kVms; ++i) {
+    vms.push_back(Vm("vm-" + std::to_string(i)));
+  }
+  driver.Bring(vms);
+  driver.Add(Job("job", {Step(700)}));
+  const auto starts = driver.Starts();
+  CHECK(starts.size() == 512);
+  CHECK(driver.scheduler.HoldsStartsBack());
+  CHECK(driver.Starts().empty());
+
+  SECTION("and goes on when VMs have answered") {
+    for (const start_order& start : starts) {
+      driver.scheduler.OnStartAnswer(start.target, start_result::kStarted,
+                                     driver.now);
+    }
+    CHECK(driver.Starts().size() == 188);
+    CHECK_FALSE(driver.scheduler.HoldsStartsBack());
+  }
+
+  SECTION("and has half as many under way once answers are missing") {
+    driver.Pass(milliseconds(700));
+    for (const start_order& start : starts) {
+      driver.scheduler.OnStartAnswer(start.target, start_result::kUnknown,
+                                     driver.now);
+    }
+    CHECK(driver.Starts().size() <= 256);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
