Hold back a late end as done, and tie losses to their VM

The end of an earlier run was told late and counted, and the order for the next run, unanswered, was carried out seconds later. Change: such an end isn't taken, nor acknowledged, until the next run's start is settled by a stop; while ends are held back a listing proves no absence.

Losses that were recorded when a VM fell silent could stay with a task for good, when the next owner heard the VM and the run had never got there: after five of them its job would fail. Change: a loss names the life of the VM, and all of them go when it is heard again, by whichever owner.

The window of starts goes by the time of a result alone: a connection that is refused at once says nothing of the link.

--- a/include/plantainhead/core/jobs/run_loss.h
+++ b/include/plantainhead/core/jobs/run_loss.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_CORE_JOBS_RUN_LOSS_H_
 
 #include <cstdint>
+#include <string>
 
 #include "plantainhead/core/names.h"
 
@@ -39,6 +40,9 @@
 struct run_loss {
   std::uint32_t run = 0;
   loss_kind kind = loss_kind::kCrashAtStart;
+  /// The life of the VM that lost it, or may have. If it is heard again, the
+  /// run wasn't lost.
+  std::string vm;
 
   bool operator==(const run_loss&) const = default;
 };
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -177,10 +177,8 @@
   if (task == nullptr) {
     return false;
   }
-  // A VM that tells how a run ended hasn't crashed under it.
-  const bool is_withdrawn = WithdrawLoss(name, run);
   if (run <= task->ended_run) {
-    return ApplyLate(name, task, run, how) || is_withdrawn;
+    return ApplyLate(name, task, run, how);
   }
   task->ended_run = run;
   task->is_presumed = false;
@@ -293,6 +291,7 @@
     known->kind = loss.kind;
   } else {
     task->losses.push_back(loss);
+    has_losses_ = true;
   }
   if (SuspicionOf(task->losses) == suspicion::kCertain) {
     is_given_up_ = true;
@@ -301,12 +300,23 @@
   return true;
 }
 
-bool job_state::WithdrawLoss(const task_name& name, std::uint32_t run) {
-  task_state* task = Find(name);
-  return task != nullptr &&
-         std::erase_if(task->losses, [run](const run_loss& loss) {
-           return loss.run == run;
-         }) > 0;
+bool job_state::WithdrawLosses(const vm_id& vm) {
+  if (!has_losses_) {
+    return false;
+  }
+  bool is_withdrawn = false;
+  has_losses_ = false;
+  for (auto& [number, occurrence] : occurrences_) {
+    for (step_state& step : occurrence.steps) {
+      for (task_state& task : step.tasks) {
+        const auto count = std::erase_if(
+            task.losses, [&vm](const run_loss& loss) { return loss.vm == vm; });
+        is_withdrawn = is_withdrawn || count > 0;
+        has_losses_ = has_losses_ || !task.losses.empty();
+      }
+    }
+  }
+  return is_withdrawn;
 }
 
 bool job_state::ForgetLosses(const task_name& name) {
@@ -367,6 +377,7 @@
     task->is_presumed = record.is_presumed;
     task->checkpoint = record.checkpoint;
     task->losses = record.losses;
+    has_losses_ = has_losses_ || !task->losses.empty();
     if (record.done) {
       MarkDone(&occurrences_[record.occurrence].steps[record.step], task);
     }
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -141,9 +141,9 @@
   /// VM. What was counted for the run before is replaced. The job fails when
   /// the task is certain to crash its VMs. Returns false when it is no news.
   bool CountLoss(const task_name& name, const run_loss& loss);
-  /// Takes back what was counted for a run whose VM turns out to live. Returns
-  /// false when nothing was.
-  bool WithdrawLoss(const task_name& name, std::uint32_t run);
+  /// Takes back what was counted for runs on a VM that turns out to live.
+  /// Returns false when nothing was.
+  bool WithdrawLosses(const vm_id& vm);
   /// Forgets what counts against a lasting task that is at work. Returns false
   /// when nothing did.
   bool ForgetLosses(const task_name& name);
@@ -173,6 +173,8 @@
   std::uint32_t repeated_runs_ = 0;
   bool is_inherited_ = false;
   bool is_given_up_ = false;
+  /// Some task may have losses.
+  bool has_losses_ = false;
   std::map<std::uint32_t, occurrence_state> occurrences_;
   std::uint32_t opened_ = 0;
   /// See `job_progress`.
--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -6,14 +6,11 @@
 
 void pool_scheduler::impl::NoteStartTime(vm_state* vm,
                                          const run_ref& target,
-                                         start_result result,
                                          time_point now) {
   const run_state* run =
       vm == nullptr ? nullptr : vm->Find(target.task, target.run);
   if (run != nullptr) {
-    const bool is_answered =
-        result != start_result::kUnknown && result != start_result::kNotSent;
-    window_.NoteAnswer(now - run->ordered_at, is_answered, now);
+    window_.NoteResult(now - run->ordered_at, now);
   }
 }
 
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -62,8 +62,10 @@
     // The answer of an earlier hold, on another connection.
     return;
   }
+  if (!vm->IsReachable()) {
+    WithdrawLosses(vm->description().id);
+  }
   vm->Hear(listing.vm_clock, now);
-  WithdrawLosses(vm);
   for (const running_task& row : listing.running) {
     TakeRunning(vm, row, now);
   }
@@ -116,10 +118,9 @@
 }
 
 // The VM was only cut off: what ran on it didn't crash it.
-void pool_scheduler::impl::WithdrawLosses(vm_state* vm) {
-  for (const auto& [task, run] : std::exchange(vm->doubted_runs, {})) {
-    job_state* job = jobs_.Find(task.job);
-    if (job != nullptr && job->WithdrawLoss(task, run)) {
+void pool_scheduler::impl::WithdrawLosses(const vm_id& vm) {
+  for (const auto& [id, job] : jobs_.open()) {
+    if (job->WithdrawLosses(vm)) {
       jobs_.NoteChange(job);
     }
   }
@@ -153,9 +154,6 @@
     vm->Add(row.task, run);
     return;
   }
-  if (job->WithdrawLoss(row.task, row.run)) {
-    jobs_.NoteChange(job);
-  }
   task_state* task = job->Find(row.task);
   const bool is_wanted = task != nullptr &&
                          task->phase == task_phase::kWaiting &&
@@ -237,6 +235,9 @@
     }
   }
   vm->unknown_end_since.reset();
+  if (job != nullptr && end.how == end_kind::kDone && StopLaterStarts(end)) {
+    return false;
+  }
   vm->taken_through = end.number;
   vm->unstored_ends.emplace_back(end.number, jobs_.next_batch());
   const auto held = vm->runs().find(end.task);
@@ -270,6 +271,27 @@
   return true;
 }
 
+// Wants a stop of the task's later runs that may yet start. An end as done
+// waits for that: a task must not start after its job is shown as completed.
+// Returns whether there are any.
+bool pool_scheduler::impl::StopLaterStarts(const ended_task& end) {
+  job_state* job = jobs_.Find(end.task.job);
+  if (job->Find(end.task) == nullptr) {
+    return false;
+  }
+  const bool is_gang = job->StepOf(end.task).gang;
+  bool is_any = false;
+  for (auto& [id, vm] : vms_) {
+    ForRunsOfStep(&vm, end.task, [&](const task_name& task, run_state* run) {
+      const bool may_start = run->run > end.run && !run->confirmed_at &&
+                             (is_gang || task.index == end.task.index);
+      run->is_stop_wanted = run->is_stop_wanted || may_start;
+      is_any = is_any || may_start;
+    });
+  }
+  return is_any;
+}
+
 // A VM that fails all it is given looks idle, so that it would draw, and fail,
 // every next task until jobs run out of attempts. Failures in a row of several
 // jobs tell it from a job that can't be done; at most a third of the pool is
@@ -306,7 +328,7 @@
                                        time_point sent_at,
                                        const vm_listing& listing,
                                        time_point now) {
-  if (listing.is_partial || vm->unknown_end_since) {
+  if (listing.is_partial || !vm->untaken_ends.empty()) {
     return;
   }
   std::set<std::pair<task_name, std::uint32_t>> running;
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -88,8 +88,8 @@
   for (const auto& [task, run] : vm->runs()) {
     job_state* job = jobs_.Find(task.job);
     if (run.is_fresh && job != nullptr) {
-      vm->doubted_runs.emplace_back(task, run.run);
-      CountLoss(job, task, {run.run, loss_kind::kSilenceAtStart});
+      CountLoss(job, task,
+                {run.run, loss_kind::kSilenceAtStart, vm->description().id});
     }
   }
 }
@@ -114,16 +114,13 @@
   for (const auto& [run, kind] : lost) {
     job_state* job = EndRun(vm, run.task);
     if (job != nullptr && !is_planned) {
-      CountLoss(job, run.task, {run.run, kind});
+      CountLoss(job, run.task, {run.run, kind, run.vm});
     }
     job = jobs_.Find(run.task.job);
     task_state* task = job == nullptr ? nullptr : job->Find(run.task);
     if (task != nullptr) {
       task->starts_after_batch = jobs_.next_batch();
     }
-    if (!is_over) {
-      vm->doubted_runs.emplace_back(run.task, run.run);
-    }
   }
 }
 
@@ -155,16 +152,12 @@
 void pool_scheduler::impl::StopRunsOfDone(const task_name& task) {
   job_state* job = jobs_.Find(task.job);
   for (auto& [vm_name, vm] : vms_) {
-    for (auto it =
-             vm.runs().lower_bound({task.job, task.occurrence, task.step, 0});
-         it != vm.runs().end() && it->first.job == task.job &&
-         it->first.occurrence == task.occurrence && it->first.step == task.step;
-         ++it) {
-      const task_state* state = job->Find(it->first);
-      it->second.is_stop_wanted =
-          it->second.is_stop_wanted ||
-          (state != nullptr && state->phase == task_phase::kDone);
-    }
+    ForRunsOfStep(&vm, task, [job](const task_name& name, run_state* run) {
+      const task_state* state = job->Find(name);
+      const bool is_done =
+          state != nullptr && state->phase == task_phase::kDone;
+      run->is_stop_wanted = run->is_stop_wanted || is_done;
+    });
   }
 }
 
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -135,7 +135,7 @@
     OnFenced();
     return;
   }
-  impl_->NoteStartTime(impl_->FindVm(target.vm), target, result, now);
+  impl_->NoteStartTime(impl_->FindVm(target.vm), target, now);
   if (vm_state* vm = impl_->FindVm(target.vm)) {
     impl_->TakeStartAnswer(vm, target, result, now);
   }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -56,11 +56,8 @@
                       const run_ref& target,
                       bool is_answered,
                       time_point now);
-  /// Notes the answer to a start for the window of starts. `vm` may be null.
-  void NoteStartTime(vm_state* vm,
-                     const run_ref& target,
-                     start_result result,
-                     time_point now);
+  /// Notes the result of a start for the window of starts. `vm` may be null.
+  void NoteStartTime(vm_state* vm, const run_ref& target, time_point now);
   duration AnswerDelay() const { return window_.delay(); }
   bool HoldsStartsBack() const { return starts_left_ == 0; }
   void Replace(const vm_id& id, time_point now);
@@ -87,6 +84,18 @@
   void StopRunsOf(const job_id& id);
   /// Wants a stop of every run of the step's tasks that are done.
   void StopRunsOfDone(const task_name& task);
+  bool StopLaterStarts(const ended_task& end);
+  /// Calls `use` with each run on the VM of a task of the step.
+  template <typename Use>
+  static void ForRunsOfStep(vm_state* vm, const task_name& step, Use use) {
+    for (auto it =
+             vm->runs().lower_bound({step.job, step.occurrence, step.step, 0});
+         it != vm->runs().end() && it->first.job == step.job &&
+         it->first.occurrence == step.occurrence && it->first.step == step.step;
+         ++it) {
+      use(it->first, &it->second);
+    }
+  }
 
  private:
   struct candidate {
@@ -109,7 +118,7 @@
   void TakeRunning(vm_state* vm, const running_task& row, time_point now);
   void Adopt(vm_state* vm, const running_task& row, time_point now);
   void NoteBegun(job_state* job);
-  void WithdrawLosses(vm_state* vm);
+  void WithdrawLosses(const vm_id& vm);
   void NoteAtWork(const task_name& task);
   bool TakeEnd(vm_state* vm, const ended_task& end, time_point now);
   void NoteHealth(vm_state* vm, const ended_task& end, time_point now);
--- a/src/core/jobs/start_window.cc
+++ b/src/core/jobs/start_window.cc
@@ -15,9 +15,9 @@
 
 }  // namespace
 
-void start_window::NoteAnswer(duration took, bool is_answered, time_point now) {
+void start_window::NoteResult(duration took, time_point now) {
   usual_ += (took - usual_) / kSmoothing;
-  if (is_answered && took <= kSlow) {
+  if (took <= kSlow) {
     size_ += size_ < fast_below_ ? 1.0 : 1.0 / size_;
     size_ = std::min(size_, kMost);
     return;
--- a/src/core/jobs/start_window.h
+++ b/src/core/jobs/start_window.h
@@ -8,15 +8,14 @@
 namespace plantainhead::core::jobs {
 
 /// Bounds the starts that an owner has under way by what its link carries, as a
-/// sender's congestion window does: it grows with each answer that comes soon,
-/// and is halved when answers are late or missing. Without it an owner with a
+/// sender's congestion window does: it grows with each result that comes soon,
+/// and is halved when results are late. Without it an owner with a
 /// backlog sends more starts than its link carries within their timeout, has to
 /// stop what it can't know, and starts it again. Not thread-safe.
 class start_window {
  public:
-  /// Notes how an order to start ended. `took`: from the order to the answer,
-  /// or until it was given up.
-  void NoteAnswer(duration took, bool is_answered, time_point now);
+  /// Notes that an order to start was answered, or was given up, after `took`.
+  void NoteResult(duration took, time_point now);
   /// Returns how many may be under way.
   std::size_t size() const { return static_cast<std::size_t>(size_); }
   /// Returns how long answers take at present while they are late; zero while
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -110,8 +110,6 @@
   /// Since when an end of an unknown job holds back the later ones.
   std::optional<time_point> unknown_end_since;
 
-  /// Runs that it may have lost, since it is silent, until it is heard again.
-  std::vector<std::pair<task_name, std::uint32_t>> doubted_runs;
   /// Runs whose ends the last listing told and that aren't taken in.
   std::map<task_name, std::uint32_t> untaken_ends;
 
--- a/tests/core/jobs/late_end_test.cc
+++ b/tests/core/jobs/late_end_test.cc
@@ -48,6 +48,44 @@
     CHECK(driver.stops[0].target == second);
   }
 
+  // Guards against tasks that start after their job was shown as completed.
+  SECTION("and not while the next run may yet start") {
+    scheduler_driver unsettled;
+    unsettled.Bring({Vm("vm-1"), Vm("vm-2")});
+    unsettled.Add(Job("job", {Step(1)}));
+    const run_ref run = unsettled.StartAll()[0].target;
+    const vm_id next = run.vm == "vm-1" ? "vm-2" : "vm-1";
+    unsettled.scheduler.OnHoldUnanswered(run.vm);
+    unsettled.Pass(seconds(5));
+    unsettled.List(next, {}, {});
+    unsettled.Starts();
+    unsettled.Store();
+    REQUIRE(unsettled.Starts().size() == 1);
+    const std::vector<ended_task> done = {
+        Ended(1, run.task, run.run, end_kind::kDone)};
+    unsettled.List(run.vm, {}, done);
+    const run_ref unsure{next, run.task, run.run + 1};
+    unsettled.scheduler.OnStartAnswer(unsure, start_result::kUnknown,
+                                      unsettled.now);
+    CHECK(unsettled.Starts().empty());
+    REQUIRE(unsettled.stops.size() == 1);
+    for (const progress_batch& batch : unsettled.Store()) {
+      CHECK(batch.results.empty());
+    }
+    CHECK(unsettled.scheduler.NextHold(run.vm, unsettled.now)
+              .acknowledged_through == 0);
+
+    SECTION("but when that is settled") {
+      unsettled.scheduler.OnStopAnswer(unsure, true, unsettled.now);
+      unsettled.Pass(milliseconds(100));
+      unsettled.List(next, {}, {});
+      unsettled.List(run.vm, {}, done);
+      const auto batches = unsettled.Store();
+      REQUIRE_FALSE(batches.empty());
+      CHECK(batches.back().jobs[0].second.phase == job_phase::kCompleted);
+    }
+  }
+
   SECTION("after the next run has ended otherwise") {
     driver.Pass(milliseconds(100));
     driver.List(second.vm, {},
