Ask often only where a suspected task has just started; a window by late results

Cause: after each crash of a VM all VMs of its pool were asked five times as often for 2 s, which an owner of 380 VMs has no time for; and the window of starts was halved when answers took 0.25 s, as they do while an owner orders hundreds of starts.

Change: only a VM with a suspected task that has just started is asked sooner; the window is halved by results after 0.6 s. The choice of a VM is split in three.

--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -113,8 +113,8 @@
   } else {
     hold.wait = vm->HasServing() ? settings_.watch_wait : settings_.hold_wait;
   }
-  if (now < alert_until_) {
-    hold.wait = std::min(hold.wait, settings_.alert_wait);
+  if (vm->HasFreshSuspect()) {
+    hold.wait = std::min(hold.wait, settings_.suspect_wait);
   }
   return hold;
 }
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -17,6 +17,18 @@
          vm.labels.end();
 }
 
+// How little a VM suits a task of the step.
+int BurdenOf(const vm_state& vm, const step_spec& step, bool is_near) {
+  int burden = is_near ? 0 : 4;
+  if (step.fills) {
+    burden += vm.HasServing() ? 2 : 0;
+  }
+  if (step.lasting) {
+    burden += vm.HasLasting() ? 0 : 1;
+  }
+  return burden;
+}
+
 }  // namespace
 
 resources RoomOf(const step_spec& step) {
@@ -324,6 +336,19 @@
          SuspicionOf(job.Find(task)->losses) != suspicion::kNone;
 }
 
+bool pool_scheduler::impl::MayHold(const vm_state& vm,
+                                   const task_name& task,
+                                   const step_spec& step,
+                                   bool is_kept_apart) const {
+  // If the VM crashes it must be plain which task did it.
+  if (vm.HasFreshSuspect() || (is_kept_apart && vm.HasFresh())) {
+    return false;
+  }
+  const bool is_full =
+      step.most_per_vm > 0 && RunsOfStep(vm, task) >= step.most_per_vm;
+  return !is_full && vm.runs().count(task) == 0;
+}
+
 // Takes the VM that is left with the least processor time, so that VMs with
 // much room stay free for large tasks. Lasting tasks go where others are
 // already, as far as their steps allow: the VMs without any can be given away
@@ -356,14 +381,7 @@
       continue;
     }
     has_room = true;
-    // If the VM crashes it must be plain which task did it.
-    if (vm.HasFreshSuspect() || (is_kept_apart && vm.HasFresh())) {
-      continue;
-    }
-    const bool is_full =
-        (step.most_per_vm > 0 && RunsOfStep(vm, task) >= step.most_per_vm) ||
-        vm.runs().count(task) != 0;
-    if (is_full) {
+    if (!MayHold(vm, task, step, is_kept_apart)) {
       continue;
     }
     if (is_elsewhere && id == state.failed_on) {
@@ -372,17 +390,9 @@
     }
     const bool is_near = rack.empty() || HasLabel(vm.description(), rack);
     const std::int64_t left = vm.Free().cpu_millis - room.cpu_millis;
-    int burden = is_near ? 0 : 4;
-    if (step.fills) {
-      burden += vm.HasServing() ? 2 : 0;
-    }
-    if (step.lasting) {
-      burden += vm.HasLasting() ? 0 : 1;
-    }
-    if (is_kept_apart) {
-      // As little as can be is to be lost with the VM.
-      burden = static_cast<int>(vm.runs().size());
-    }
+    // With a VM that crashes as little as can be is to be lost.
+    const int burden = is_kept_apart ? static_cast<int>(vm.runs().size())
+                                     : BurdenOf(vm, step, is_near);
     const std::tuple<int, std::int64_t> cost = {burden, left};
     if (best == nullptr || cost < best_cost) {
       best = &vm;
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -128,11 +128,7 @@
   vm_state* vm = FindVm(id);
   if (vm != nullptr) {
     // Past its lease the runs had ended before that life of the VM did.
-    const bool is_over = !vm->IsLapsed(now);
-    if (is_over && !vm->runs().empty()) {
-      alert_until_ = now + settings_.alert_time;
-    }
-    EndUnheardRuns(vm, is_over);
+    EndUnheardRuns(vm, !vm->IsLapsed(now));
     dropped_vms_.push_back(id);
     vms_.erase(id);
     ++vms_version_;
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -175,6 +175,11 @@
   bool IsHopeless(const pool_id& pool, const step_spec& step) const;
   /// Whether the task starts only beside runs that aren't fresh.
   static bool IsKeptApart(job_state& job, const task_name& task);
+  /// Whether the VM could hold one more task of the step, apart from its room.
+  bool MayHold(const vm_state& vm,
+               const task_name& task,
+               const step_spec& step,
+               bool is_kept_apart) const;
   vm_state* ChooseVm(job_state* job,
                      const task_name& task,
                      const std::string& rack,
@@ -205,9 +210,6 @@
   /// has: most tasks of a backlog fit nowhere, and needn't be tried on each VM.
   std::vector<vm_state*> takers_;
   resources most_room_;
-  /// Until then VMs are asked often, so that suspected tasks hold them up for
-  /// a short time only.
-  time_point alert_until_;
   start_window window_;
   /// Starts that may still be ordered in this plan, and what is under way.
   std::size_t starts_left_ = 0;
--- a/src/core/jobs/start_window.cc
+++ b/src/core/jobs/start_window.cc
@@ -6,8 +6,9 @@
 namespace {
 
 constexpr double kLeast = 8;
-// Answers that take longer have waited for the link: VMs answer in some ms.
-constexpr duration kSlow = std::chrono::milliseconds(250);
+// Answers that take longer have waited for the link. VMs answer in some ms, and
+// an owner that orders hundreds of starts is busy for some tenths of a second.
+constexpr duration kSlow = std::chrono::milliseconds(600);
 // The answers of what was sent before the last halving say nothing new.
 constexpr duration kLeastHalvingGap = std::chrono::milliseconds(700);
 // The share of a new sample in the smoothed time.
