Look for later starts only behind an older run's end

Each end as done went through all VMs of the owner for runs that might yet start. A later run raises the task's last run when it is placed, so that only an end older than that can have one. Behaviour is the same.

--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -276,7 +276,8 @@
 // Returns whether there are any.
 bool pool_scheduler::impl::StopLaterStarts(const ended_task& end) {
   job_state* job = jobs_.Find(end.task.job);
-  if (job->Find(end.task) == nullptr) {
+  const task_state* ended = job->Find(end.task);
+  if (ended == nullptr || end.run >= ended->last_run) {
     return false;
   }
   const bool is_gang = job->StepOf(end.task).gang;
