--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -307,13 +307,10 @@
 std::uint32_t pool_scheduler::impl::RunsOfStep(const vm_state& vm,
                                                const task_name& task) const {
   std::uint32_t count = 0;
-  for (auto it =
-           vm.runs().lower_bound({task.job, task.occurrence, task.step, 0});
-       it != vm.runs().end() && it->first.job == task.job &&
-       it->first.occurrence == task.occurrence && it->first.step == task.step;
-       ++it) {
-    ++count;
-  }
+  ForRunsOfStep(&vm, task,
+                [&count](const task_name& /*name*/, const run_state* /*run*/) {
+                  ++count;
+                });
   return count;
 }
 
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -248,16 +248,13 @@
   const step_spec& step = job->StepOf(name);
   std::uint32_t at_work = 0;
   for (const auto& [id, vm] : vms_) {
-    for (auto it =
-             vm.runs().lower_bound({name.job, name.occurrence, name.step, 0});
-         it != vm.runs().end() && it->first.job == name.job &&
-         it->first.occurrence == name.occurrence && it->first.step == name.step;
-         ++it) {
-      const bool is_other = it->first.index != name.index;
-      const bool is_at_work = it->second.percent >= kAtWork &&
-                              !it->second.is_stop_wanted && vm.IsReachable();
+    const bool is_reachable = vm.IsReachable();
+    ForRunsOfStep(&vm, name, [&](const task_name& task, const run_state* run) {
+      const bool is_other = task.index != name.index;
+      const bool is_at_work =
+          run->percent >= kAtWork && !run->is_stop_wanted && is_reachable;
       at_work += is_other && is_at_work ? 1 : 0;
-    }
+    });
   }
   const std::uint32_t missing = step.task_count - 1 - at_work;
   return missing < std::max(step.may_miss, 1U);
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -86,8 +86,8 @@
   void StopRunsOfDone(const task_name& task);
   bool StopLaterStarts(const ended_task& end);
   /// Calls `use` with each run on the VM of a task of the step.
-  template <typename Use>
-  static void ForRunsOfStep(vm_state* vm, const task_name& step, Use use) {
+  template <typename Vm, typename Use>
+  static void ForRunsOfStep(Vm* vm, const task_name& step, Use use) {
     for (auto it =
              vm->runs().lower_bound({step.job, step.occurrence, step.step, 0});
          it != vm->runs().end() && it->first.job == step.job &&
