Log unanswered renewals, unsure owners, and how long takeovers take

Cause: the logs couldn't tell a takeover that doesn't end from an owner that holds its starts back: nothing was written on renewals of the membership without an answer, on an owner that isn't sure of it, or on the time since a partition was dealt. Ruled out: a metric alone; it is fetched every 5 s and is gone with the process. Change: three events, two fields. No change of logic.

--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -45,6 +45,9 @@
   kVmVacated,
   kOwnershipGained,
   kOwnershipLost,
+  kOwnerUnsure,
+  kOwnerSure,
+  kRenewalUnanswered,
   kTakeoverFailed,
   kHostServiced,
   kHostNotServiced,
@@ -54,7 +57,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 41> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 44> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
@@ -89,6 +92,9 @@
     {job_event::kVmVacated, "vm vacated"},
     {job_event::kOwnershipGained, "ownership gained"},
     {job_event::kOwnershipLost, "ownership lost"},
+    {job_event::kOwnerUnsure, "owner unsure"},
+    {job_event::kOwnerSure, "owner sure"},
+    {job_event::kRenewalUnanswered, "renewal unanswered"},
     {job_event::kTakeoverFailed, "takeover failed"},
     {job_event::kHostServiced, "host serviced"},
     {job_event::kHostNotServiced, "host not serviced"},
--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "jobs/clocks.h"
+#include "jobs/event_log.h"
 
 namespace plantainhead::jobs {
 namespace {
@@ -197,13 +198,26 @@
             member->Renew();
           }
         });
-    if (reply.is_joined) {
-      renewed_at_ = sent_at;
-      answered_at_ = BootTime();
-      generation_ = reply.generation;
-      on_dealt_(generation_, std::set<std::uint32_t>(reply.partitions.begin(),
-                                                     reply.partitions.end()));
+    if (!reply.is_joined) {
+      LogUnanswered(sent_at, reply.status);
+      return;
+    }
+    renewed_at_ = sent_at;
+    answered_at_ = BootTime();
+    generation_ = reply.generation;
+    on_dealt_(generation_, std::set<std::uint32_t>(reply.partitions.begin(),
+                                                   reply.partitions.end()));
+  }
+
+  // A member whose time to live passes loses all its partitions.
+  void LogUnanswered(core::time_point sent_at, unsigned status) const {
+    const core::time_point now = BootTime();
+    observe::log_fields fields = {{"status", std::to_string(status)},
+                                  {"waited_ms", MillisOf(now - sent_at)}};
+    if (renewed_at_ != core::time_point()) {
+      fields.emplace_back("renewed_ms_ago", MillisOf(now - renewed_at_));
     }
+    LogEvent(job_event::kRenewalUnanswered, fields);
   }
 
   adapter::store_client& store_;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -120,7 +120,9 @@
     return;
   }
   SyncLinks();
-  if (deps_.is_sure()) {
+  const bool is_sure = deps_.is_sure();
+  NoteSureness(is_sure);
+  if (is_sure) {
     const core::time_point began = BootTime();
     NoteCancellationsRead(began);
     const std::vector<core::jobs::vm_order> orders =
@@ -139,6 +141,17 @@
   }
 }
 
+// An owner that isn't sure gives no orders and holds no VM, so that what runs
+// there lapses.
+void pool_owner::impl::NoteSureness(bool is_sure) {
+  if (is_sure != was_sure_) {
+    was_sure_ = is_sure;
+    LogEvent(is_sure ? job_event::kOwnerSure : job_event::kOwnerUnsure,
+             {{"partition", std::to_string(partition_)},
+              {"epoch", std::to_string(epoch_)}});
+  }
+}
+
 // Tasks that could start are late while it isn't known what was cancelled, so
 // that there is a line on each such time.
 void pool_owner::impl::NoteCancellationsRead(core::time_point now) {
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -85,6 +85,7 @@
   void Kick();
   void Work();
   void NoteCancellationsRead(core::time_point now);
+  void NoteSureness(bool is_sure);
   void Lose(const std::string& reason);
   void StoreProgress();
   void TakeStored(const std::optional<core::jobs::progress_batch>& batch,
@@ -155,6 +156,7 @@
   bool is_closed_ = false;
   bool is_kicked_ = false;
   bool may_start_ = true;
+  bool was_sure_ = true;
   core::duration plan_time_{};
   std::uint64_t synced_version_ = 0;
   core::time_point dealt_at_;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -75,6 +75,7 @@
   LogEvent(job_event::kTakeoverFailed,
            {{"partition", std::to_string(partition_)},
             {"epoch", std::to_string(epoch_)},
+            {"dealt_ms_ago", MillisOf(BootTime() - dealt_at_)},
             {"reason", reason}});
 }
 
@@ -239,6 +240,8 @@
            {{"partition", std::to_string(partition_)},
             {"epoch", std::to_string(epoch_)},
             {"open_jobs", std::to_string(open)},
+            {"dealt_ms_ago", MillisOf(BootTime() - dealt_at_)},
+            {"claimed_ms_ago", MillisOf(BootTime() - claimed_at_)},
             {"predecessor", predecessor_.member},
             {"predecessor_acts", may_predecessor_act_ ? "maybe" : "no"}});
   for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
