Log loads of a partition that have no answer

Cause: a load that fails begins anew from its first page, and left no line, so that the reads of a takeover that never ends weren't seen; only reads that follow were logged. Change: the line on unanswered reads, with mode load. No change of logic.

--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "jobs/clocks.h"
@@ -149,14 +150,19 @@
     if (after.empty()) {
       load_began_at_ = BootTime();
     }
-    store_.ReadNewest(
-        partition_, after, settings_.timeout,
-        [self = weak_from_this(), after](const adapter::newest_reply& reply) {
-          const auto follower = self.lock();
-          if (follower && !follower->is_closed_) {
-            follower->TakePage(after, reply);
-          }
-        });
+    const core::time_point sent_at = BootTime();
+    store_.ReadNewest(partition_, after, settings_.timeout,
+                      [self = weak_from_this(), after,
+                       sent_at](const adapter::newest_reply& reply) {
+                        const auto follower = self.lock();
+                        if (follower && !follower->is_closed_) {
+                          if (!reply.is_read) {
+                            follower->LogUnanswered("load", sent_at,
+                                                    reply.status);
+                          }
+                          follower->TakePage(after, reply);
+                        }
+                      });
   }
 
   void TakePage(const std::string& after, const adapter::newest_reply& reply) {
@@ -219,7 +225,7 @@
   void TakeFollowed(const sent_read& sent, const adapter::read_reply& reply) {
     const bool is_failed = reply.outcome == read_outcome::kFailed;
     if (is_failed) {
-      LogUnanswered(sent, reply.status);
+      LogUnanswered(core::NameOf(sent.mode), sent.at, reply.status);
     }
     const bool is_news = TakeRecords(reply);
     if (reply.outcome == read_outcome::kRead && cursor_ >= reply.end) {
@@ -256,13 +262,15 @@
   }
 
   // A read that hung may have kept records from this process for as long.
-  void LogUnanswered(const sent_read& sent, unsigned status) const {
+  void LogUnanswered(std::string_view mode,
+                     core::time_point sent_at,
+                     unsigned status) const {
     LogEvent(job_event::kReadUnanswered,
              {{"topic", partition_.topic},
               {"part", std::to_string(partition_.number)},
-              {"mode", std::string(core::NameOf(sent.mode))},
+              {"mode", std::string(mode)},
               {"status", std::to_string(status)},
-              {"waited_ms", MillisOf(BootTime() - sent.at)}});
+              {"waited_ms", MillisOf(BootTime() - sent_at)}});
   }
 
   void LogUnframed() const {
