--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -10,6 +11,7 @@
 
 #include "free_address.h"
 #include "jobs/job_service.h"
+#include "narrow_link.h"
 #include "net/address.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -43,11 +45,19 @@
         &context, store_address_, net::http_server_options(),
         [this](const net::server_request& request,
                const net::responder& respond) {
-          store.Handle(request, respond);
+          store.Handle(request,
+                       store_link_ ? store_link_->Carry(respond) : respond);
         });
     store.Put("keyed.op", "config", kConfiguration);
   }
 
+  /// Lets all answers of the store go through one link of this capacity.
+  /// Precondition: no process was added yet.
+  void NarrowStoreLink(std::int64_t bytes_per_second) {
+    store_link_ =
+        std::make_unique<fakes::narrow_link>(&context, bytes_per_second);
+  }
+
   fakes::site_vm& AddVm(const std::string& id, milliseconds task_time) {
     const std::string address = FreeAddress();
     vms[id] =
@@ -147,6 +157,7 @@
 
  private:
   std::string store_address_;
+  std::unique_ptr<fakes::narrow_link> store_link_;
   std::unique_ptr<net::http_server> store_server_;
   std::map<std::string, std::string> probes_;
   std::map<std::string, std::string> metrics_;
