Read partitions a few at a time, as many as the link carries

Cause: a new owner asked for all partitions of jobs, progress, VMs and the fleet at once. Over a narrow link each answer came after its timeout of 0.9 s, was thrown away and asked for again; its bytes held up the next ones, and the renewals of the membership. The group dealt the pool to the next process, which began from nothing. The class of fault: retries that take the capacity that would end them (a metastable failure); a heartbeat that shares a queue with bulk reads. A longer timeout alone: the reads of a process that starts beside several takeovers would outlast any. Change: partition_loader keeps as many loads under way as a window allows that follows their answers; start_window is that window with settings, as send_window.

--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "core/jobs/job_table.h"
-#include "core/jobs/start_window.h"
+#include "core/jobs/send_window.h"
 #include "core/jobs/vm_state.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
 #include "plantainhead/core/jobs/run_loss.h"
@@ -210,7 +210,7 @@
   /// has: most tasks of a backlog fit nowhere, and needn't be tried on each VM.
   std::vector<vm_state*> takers_;
   resources most_room_;
-  start_window window_;
+  send_window window_;
   /// Starts that may still be ordered in this plan, and what is under way.
   std::size_t starts_left_ = 0;
   std::size_t starts_under_way_ = 0;
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -48,6 +48,7 @@
                      listeners listeners)
     : context_(context),
       store_(store),
+      loader_(store),
       settings_(settings),
       listeners_(std::move(listeners)) {
   operators_ = MakeFollower(
@@ -70,7 +71,7 @@
     const follower_settings& settings,
     log_follower::record_handler on_record) {
   return std::make_shared<log_follower>(
-      context_, store_, partition, settings, std::move(on_record),
+      context_, store_, &loader_, partition, settings, std::move(on_record),
       [this](bool is_answered) { listeners_.on_store_contact(is_answered); });
 }
 
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -185,6 +185,7 @@
 
   boost::asio::io_context* context_;
   adapter::store_client* store_;
+  partition_loader loader_;
   follower_settings settings_;
   listeners listeners_;
   core::jobs::routing_table routes_;
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -20,11 +20,13 @@
  public:
   impl(asio::io_context* context,
        adapter::store_client* store,
+       partition_loader* loader,
        adapter::store_partition partition,
        const follower_settings& settings,
        record_handler on_record,
        contact_handler on_contact)
       : store_(*store),
+        loader_(*loader),
         partition_(std::move(partition)),
         settings_(settings),
         on_record_(std::move(on_record)),
@@ -150,19 +152,18 @@
     if (after.empty()) {
       load_began_at_ = BootTime();
     }
-    const core::time_point sent_at = BootTime();
-    store_.ReadNewest(partition_, after, settings_.timeout,
-                      [self = weak_from_this(), after,
-                       sent_at](const adapter::newest_reply& reply) {
-                        const auto follower = self.lock();
-                        if (follower && !follower->is_closed_) {
-                          if (!reply.is_read) {
-                            follower->LogUnanswered("load", sent_at,
-                                                    reply.status);
-                          }
-                          follower->TakePage(after, reply);
-                        }
-                      });
+    const core::time_point asked_at = BootTime();
+    loader_.Load(weak_from_this(), partition_, after, settings_.timeout,
+                 [self = weak_from_this(), after,
+                  asked_at](const adapter::newest_reply& reply) {
+                   const auto follower = self.lock();
+                   if (follower && !follower->is_closed_) {
+                     if (!reply.is_read) {
+                       follower->LogUnanswered("load", asked_at, reply.status);
+                     }
+                     follower->TakePage(after, reply);
+                   }
+                 });
   }
 
   void TakePage(const std::string& after, const adapter::newest_reply& reply) {
@@ -339,6 +340,7 @@
   }
 
   adapter::store_client& store_;
+  partition_loader& loader_;
   adapter::store_partition partition_;
   follower_settings settings_;
   record_handler on_record_;
@@ -363,12 +365,14 @@
 
 log_follower::log_follower(asio::io_context* context,
                            adapter::store_client* store,
+                           partition_loader* loader,
                            adapter::store_partition partition,
                            const follower_settings& settings,
                            record_handler on_record,
                            contact_handler on_contact)
     : impl_(std::make_shared<impl>(context,
                                    store,
+                                   loader,
                                    std::move(partition),
                                    settings,
                                    std::move(on_record),
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include "jobs/partition_loader.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/core/time.h"
 #include "platform/store_client.h"
@@ -65,8 +66,11 @@
   using record_handler = std::function<void(const adapter::keyed_record&)>;
   using contact_handler = std::function<void(bool is_answered)>;
 
+  /// Preconditions: `store` and `loader` outlive it. All followers of a process
+  /// share one loader.
   log_follower(boost::asio::io_context* context,
                adapter::store_client* store,
+               partition_loader* loader,
                adapter::store_partition partition,
                const follower_settings& settings,
                record_handler on_record,
--- a/tests/core/jobs/start_window_test.cc
+++ b/tests/core/jobs/send_window_test.cc
@@ -1,4 +1,4 @@
-#include "core/jobs/start_window.h"
+#include "core/jobs/send_window.h"
 
 #include <catch2/catch.hpp>
 
@@ -27,7 +27,7 @@
 // each `spacing`, in turn. Orders that wait past the timeout are given up, and
 // take their time on the link all the same.
 link_figures Play(duration spacing, bool has_window) {
-  start_window window;
+  send_window window;
   std::deque<time_point> waiting;
   link_figures figures;
   time_point now(seconds(1));
@@ -77,7 +77,7 @@
   }
 
   SECTION("a link that carries all isn't held back") {
-    start_window window;
+    send_window window;
     for (int i = 0; i < 1000; ++i) {
       window.NoteResult(milliseconds(6), time_point(milliseconds(i)));
     }
@@ -86,7 +86,7 @@
   }
 
   SECTION("and the time that answers take is told while it is long") {
-    start_window window;
+    send_window window;
     for (int i = 0; i < 100; ++i) {
       window.NoteResult(milliseconds(650), time_point(seconds(i)));
     }
--- a/tests/jobs/log_follower_test.cc
+++ b/tests/jobs/log_follower_test.cc
@@ -36,11 +36,13 @@
         });
     client_ = std::make_unique<adapter::store_client>(&context, address,
                                                       kStoreConnections);
+    loader_ = std::make_unique<partition_loader>(client_.get());
   }
 
   log_follower& Follow(const follower_settings& settings) {
     follower_ = std::make_unique<log_follower>(
-        &context, client_.get(), adapter::store_partition{kTopic, 0}, settings,
+        &context, client_.get(), loader_.get(),
+        adapter::store_partition{kTopic, 0}, settings,
         [this](const adapter::keyed_record& record) {
           keys.push_back(record.key);
         },
@@ -56,6 +58,7 @@
  private:
   std::unique_ptr<net::http_server> server_;
   std::unique_ptr<adapter::store_client> client_;
+  std::unique_ptr<partition_loader> loader_;
   std::unique_ptr<log_follower> follower_;
 };
 
