Renew a membership without waiting for late answers

Cause: a renewal was given up after 1.2 s, and the next one waited for that, for a connection that other calls to the store had taken, and for its own answer. Over a full link the store took the renewals in time, but their answers came late and were thrown away, so that the owner was unsure, or its time to live passed. The class of fault: a heartbeat that shares a queue with bulk work, and whose late answers don't count. Ruled out: a longer time to live: owners count on that of the one before, and a pool whose owner dies would wait longer. Change: a renewal without an answer for 0.5 s is followed by another one; its answer counts up to the time to live. Evidence: group_member_test "A renewal whose answer arrives late counts" failed before (no renewal in 60 s), and passes in 1.8 s.

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -148,14 +148,21 @@
       return;
     }
     is_in_flight_ = true;
-    const core::time_point sent_at = BootTime();
+    const renewal sent{++last_renewal_, BootTime()};
+    net::late_answer late;
+    late.patience = settings_.time_to_live - settings_.late_after;
+    late.on_late = [self = weak_from_this(), sent] {
+      if (const auto member = self.lock()) {
+        member->TakeLateness(sent);
+      }
+    };
     store_.Join(
         {settings_.group, member_, settings_.topic, settings_.time_to_live,
          generation_},
-        settings_.timeout,
-        [self = weak_from_this(), sent_at](const adapter::join_reply& reply) {
+        settings_.late_after, std::move(late),
+        [self = weak_from_this(), sent](const adapter::join_reply& reply) {
           if (const auto member = self.lock()) {
-            member->TakeReply(sent_at, reply);
+            member->TakeReply(sent, reply);
           }
         });
   }
@@ -171,6 +178,11 @@
   core::time_point answered_at() const { return answered_at_; }
 
  private:
+  struct renewal {
+    std::uint64_t number = 0;
+    core::time_point sent_at;
+  };
+
   // A call that is lost does no harm: the time to live ends the membership.
   void LeaveForNow() {
     if (is_withdrawing_) {
@@ -179,17 +191,20 @@
     }
   }
 
-  void TakeReply(core::time_point sent_at, const adapter::join_reply& reply) {
+  bool IsOver() const {
+    return has_left_ ||
+           (settings_.role == member_role::kReserve && !is_member_);
+  }
+
+  void TakeLateness(const renewal& sent) {
     is_in_flight_ = false;
-    const bool is_over =
-        has_left_ || (settings_.role == member_role::kReserve && !is_member_);
-    if (is_over) {
-      return;
+    if (!IsOver()) {
+      LogUnanswered(sent.sent_at, 0);
+      RenewLater(settings_.renewal / 3);
     }
-    // A failed renewal is repeated sooner, so that a short outage of the store
-    // doesn't use up the time to live.
-    const auto pause =
-        reply.is_joined ? settings_.renewal : settings_.renewal / 3;
+  }
+
+  void RenewLater(std::chrono::milliseconds pause) {
     timer_.expires_after(pause);
     timer_.async_wait(
         [self = weak_from_this()](const boost::system::error_code& error) {
@@ -198,12 +213,31 @@
             member->Renew();
           }
         });
+  }
+
+  void TakeReply(const renewal& sent, const adapter::join_reply& reply) {
+    const bool is_late = !is_in_flight_ || sent.number != last_renewal_;
+    is_in_flight_ = is_in_flight_ && is_late;
+    if (IsOver()) {
+      return;
+    }
+    if (!is_late) {
+      // A failed renewal is repeated sooner, so that a short outage of the
+      // store doesn't use up the time to live.
+      RenewLater(reply.is_joined ? settings_.renewal : settings_.renewal / 3);
+    }
     if (!reply.is_joined) {
-      LogUnanswered(sent_at, reply.status);
+      if (!is_late) {
+        LogUnanswered(sent.sent_at, reply.status);
+      }
       return;
     }
-    renewed_at_ = sent_at;
+    renewed_at_ = std::max(renewed_at_, sent.sent_at);
     answered_at_ = BootTime();
+    // The answer of a later renewal may have come before.
+    if (reply.generation < generation_) {
+      return;
+    }
     generation_ = reply.generation;
     on_dealt_(generation_, std::set<std::uint32_t>(reply.partitions.begin(),
                                                    reply.partitions.end()));
@@ -227,6 +261,7 @@
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer look_timer_;
   std::size_t used_partitions_ = 0;
+  std::uint64_t last_renewal_ = 0;
   std::uint64_t generation_ = 0;
   core::time_point renewed_at_;
   core::time_point answered_at_;
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -38,6 +38,10 @@
   /// store counts a renewal as a tenth of a call.
   std::chrono::milliseconds renewal = std::chrono::milliseconds(300);
   std::chrono::milliseconds timeout = std::chrono::milliseconds(1200);
+  /// A renewal without an answer for this time is followed by another one. Its
+  /// own answer counts all the same, up to the time to live after it was sent:
+  /// over a full link each answer is late.
+  std::chrono::milliseconds late_after = std::chrono::milliseconds(500);
   /// A process that starts beside at least this many regular members doesn't
   /// join, unless there are more partitions with pools: each join deals
   /// partitions anew, and a pool whose owner changes starts nothing for about
--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -1,13 +1,16 @@
 #include "jobs/group_member.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 
 #include "free_address.h"
+#include "jobs/clocks.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
 #include "run_until.h"
@@ -29,7 +32,8 @@
         &context, address_, net::http_server_options(),
         [this](const net::server_request& request,
                const net::responder& respond) {
-          store.Handle(request, respond);
+          Delay(answer_delay,
+                [this, request, respond] { store.Handle(request, respond); });
         });
     client_ = std::make_unique<adapter::store_client>(&context, address_,
                                                       kStoreConnections);
@@ -51,12 +55,23 @@
     members[name]->Start();
   }
 
+  void Delay(milliseconds time, const std::function<void()>& action) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context);
+    timer->expires_after(time);
+    timer->async_wait(
+        [timer, action](const boost::system::error_code& /*error*/) {
+          action();
+        });
+  }
+
   bool Await(const std::set<std::string>& names) {
     return RunUntil(&context, [&] { return store.Members() == names; });
   }
 
   boost::asio::io_context context;
   fakes::site_store store;
+  /// Of all calls that arrive from then on.
+  milliseconds answer_delay{0};
   std::map<std::string, std::unique_ptr<group_member>> members;
   std::map<std::string, std::set<std::uint32_t>> dealt;
 
@@ -93,5 +108,20 @@
   }
 }
 
+// Guards against a membership that runs out although the store takes each
+// renewal: over a full link the answers came after the timeout and were thrown
+// away.
+TEST_CASE("A renewal whose answer arrives late counts") {
+  group group;
+  group.Add("large-1", member_role::kRegular);
+  REQUIRE(RunUntil(&group.context,
+                   [&] { return !group.dealt["large-1"].empty(); }));
+  group.answer_delay = milliseconds(1500);
+  const group_member& member = *group.members.at("large-1");
+  const core::time_point slow_from = BootTime();
+  CHECK(
+      RunUntil(&group.context, [&] { return member.RenewedAt() > slow_from; }));
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
