Leave jobs and cancellations to the pool's owner in one place

Query and CancelHere each read the store for a job that isn't known.

Change, with the same behaviour: owner_relay tells which pools are owned here and passes requests on to the owners of the others; submissions has one way for what stores a record (TryOwner) and one reading (ReadJob); each names the step that goes on. caller_request is a header of both.

Ruled out: to let Query answer a final state after its reading, too, which would join two more lines: it answers where the owner is asked now.

--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -35,8 +35,8 @@
   count("queried", counts.queries);
   count("unknown_route", counts.unknown_route);
   count("malformed", counts.malformed);
-  count("passed_on", counts.passed_on);
-  count("owner_failed", counts.owner_failures);
+  count("passed_on", counts.relayed.passed_on);
+  count("owner_failed", counts.relayed.owner_failures);
 }
 
 }  // namespace
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -170,11 +170,11 @@
     made.store = &store_;
     made.world = &world_;
     made.meters = &meters_;
-    made.owners = &owners_;
-    made.epoch_of = [this](std::uint32_t partition) {
+    made.relay.owners = &owners_;
+    made.relay.epoch_of = [this](std::uint32_t partition) {
       return ownership_.EpochOf(partition);
     };
-    made.is_sure = [this] { return ownership_.IsSure(); };
+    made.relay.is_sure = [this] { return ownership_.IsSure(); };
     return made;
   }
 
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -4,8 +4,11 @@
 #include <string>
 #include <utility>
 
+#include "jobs/caller_request.h"
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
+#include "jobs/job_partitions.h"
+#include "jobs/owner_relay.h"
 #include "jobs/record_codec.h"
 #include "jobs/refusal.h"
 #include "jobs/waiting_counts.h"
@@ -20,8 +23,6 @@
 using core::jobs::job_id;
 using core::jobs::queue_route;
 using core::jobs::route_match;
-using peers::pass_outcome;
-using peers::pass_reply;
 using std::chrono::milliseconds;
 
 }  // namespace
@@ -29,9 +30,9 @@
 class submissions::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(const dependencies& dependencies, const submission_settings& settings)
-      : deps_(dependencies),
-        world_(*dependencies.world),
+      : world_(*dependencies.world),
         settings_(settings),
+        relay_(dependencies.relay, settings.owner_share),
         recorder_(dependencies.context,
                   dependencies.store,
                   dependencies.world,
@@ -63,15 +64,29 @@
     if (asks_for_number) {
       ++counts_.queries;
       Count(asked);
-      return;
+    } else {
+      HandleJob(asked);
     }
+  }
+
+  submission_counts counts() const {
+    submission_counts counts = counts_;
+    counts.records = recorder_.counts();
+    counts.relayed = relay_.counts();
+    return counts;
+  }
+
+ private:
+  using step = void (impl::*)(const caller_request&);
+
+  void HandleJob(const caller_request& asked) {
     if (!adapter::IsJobId(asked.id)) {
       ++counts_.malformed;
-      respond(adapter::EncodeFault(net::kBadRequest,
-                                   "the path doesn't end in a job's id"));
+      asked.respond(adapter::EncodeFault(net::kBadRequest,
+                                         "the path doesn't end in a job's id"));
       return;
     }
-    switch (request.verb) {
+    switch (asked.request.verb) {
       case net::method::kPost:
         Submit(asked);
         return;
@@ -83,31 +98,12 @@
         Cancel(asked);
         return;
       case net::method::kOther:
-        respond(adapter::EncodeFault(net::kMethodNotAllowed,
-                                     "use POST, GET or DELETE"));
+        asked.respond(adapter::EncodeFault(net::kMethodNotAllowed,
+                                           "use POST, GET or DELETE"));
         return;
     }
   }
 
-  submission_counts counts() const {
-    submission_counts counts = counts_;
-    counts.records = recorder_.counts();
-    return counts;
-  }
-
- private:
-  /// A request, also one that was passed on, and what it asks for.
-  struct caller_request {
-    queue_route route;
-    /// Empty when the request is about the queue.
-    job_id id;
-    net::server_request request;
-    net::responder respond;
-    core::time_point give_up_at;
-    /// An owner that left it unanswered may have stored what it asks for.
-    bool may_land = false;
-  };
-
   net::server_response Refusal(const std::string& why) const {
     return Refuse(why, settings_.retry_after);
   }
@@ -128,101 +124,55 @@
     return BootTime() + usable;
   }
 
-  bool Schedules(std::uint32_t partition) const {
-    return deps_.epoch_of(partition) != 0;
-  }
-
-  // An owner that isn't sure any more would only ask itself, until it knows of
-  // the one that follows.
-  bool HasOwnerElsewhere(std::uint32_t partition) const {
-    return deps_.owners->book().Newest(partition).epoch >
-           deps_.epoch_of(partition);
-  }
-
-  bool IsOwnedHere(const queue_route& route) const {
-    return Schedules(PoolPartitionOf(route.pool)) && deps_.is_sure();
+  // Whether this process owns the queue's pool, and knows which of its jobs are
+  // in the store.
+  bool KnowsJobsOf(const queue_route& route) const {
+    return relay_.Owns(route.pool) && world_.KnowsQueue(route);
   }
 
-  static bool MayPassOn(const caller_request& asked) {
-    return peers::HopsOf(asked.request) < peers::kMostHops;
-  }
-
-  // Calls `on_reply` once; it gets no answer when there is nobody to ask.
-  void PassOn(const caller_request& asked,
-              const core::jobs::pool_id& pool,
-              const peers::owner_links::reply_handler& on_reply) {
-    const std::uint32_t partition = PoolPartitionOf(pool);
-    if (!MayPassOn(asked) || !HasOwnerElsewhere(partition)) {
-      on_reply({});
+  // Leaves a request that stores a record to the pool's owner. Where none
+  // settles it this process goes on with `without_owner`.
+  void TryOwner(const caller_request& asked, step without_owner) {
+    if (peers::HopsOf(asked.request) > 0) {
+      asked.respond(NotHere(asked.request, "another process owns the pool"));
       return;
     }
-    ++counts_.passed_on;
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        (asked.give_up_at - BootTime()) * settings_.owner_share);
-    deps_.owners->Pass(
-        partition, asked.request, left,
-        [self = weak_from_this(), on_reply](const pass_reply& reply) {
-          const auto service = self.lock();
-          if (!service) {
-            return;
-          }
-          service->counts_.owner_failures +=
-              reply.outcome == pass_outcome::kAnswered ? 0 : 1;
-          on_reply(reply);
+    relay_.Ask(
+        asked, asked.route.pool,
+        [self = shared_from_this(), asked, without_owner](bool may_land) {
+          caller_request left = asked;
+          left.may_land = may_land;
+          (self.get()->*without_owner)(left);
         });
   }
 
-  // The same, for a request that ends with the owner's answer if that settles
-  // it. `otherwise` is called once if it doesn't.
-  void AskOwner(const caller_request& asked,
-                const core::jobs::pool_id& pool,
-                const peers::owner_links::reply_handler& otherwise) {
-    PassOn(asked, pool, [asked, otherwise](const pass_reply& reply) {
-      if (IsSettled(reply)) {
-        Relay(asked, reply);
-      } else {
-        otherwise(reply);
-      }
-    });
+  // Reads what the store has of the partition that holds the job, and goes on
+  // with `known` if the job is there.
+  void ReadJob(const caller_request& asked, step known) {
+    world_.RefreshJobs(
+        JobPartitionOf(asked.route.queue, asked.id),
+        [self = shared_from_this(), asked, known](bool is_read) {
+          if (self->world_.directory().Find(asked.id) != nullptr) {
+            (self.get()->*known)(asked);
+          } else {
+            asked.respond(self->UnknownJob(is_read));
+          }
+        });
   }
 
-  static void Relay(const caller_request& asked, const pass_reply& reply) {
-    net::server_response response;
-    response.status = reply.status;
-    response.body = reply.body;
-    asked.respond(std::move(response));
+  net::server_response UnknownJob(bool is_read) const {
+    return is_read ? adapter::EncodeFault(net::kGone, "no such job")
+                   : Refusal("the store can't be read");
   }
 
   // Jobs.
 
   void Submit(const caller_request& asked) {
-    if (IsOwnedHere(asked.route)) {
+    if (relay_.Owns(asked.route.pool)) {
       SubmitHere(asked);
-      return;
-    }
-    if (peers::HopsOf(asked.request) > 0) {
-      asked.respond(NotHere(asked.request, "another process owns the pool"));
-      return;
+    } else {
+      TryOwner(asked, &impl::SubmitHere);
     }
-    AskOwner(asked, asked.route.pool,
-             [self = shared_from_this(), asked](const pass_reply& reply) {
-               caller_request left = asked;
-               left.may_land = MayLand(reply);
-               self->SubmitHere(left);
-             });
-  }
-
-  // An owner that refused may be the one that the store refuses, so that this
-  // process tries itself before it tells the caller so.
-  static bool IsSettled(const pass_reply& reply) {
-    return reply.outcome == pass_outcome::kAnswered &&
-           reply.status != net::kUnavailable &&
-           reply.status != net::kGatewayTimeout;
-  }
-
-  static bool MayLand(const pass_reply& reply) {
-    return reply.outcome == pass_outcome::kUnknown ||
-           reply.status == net::kGatewayTimeout;
   }
 
   void SubmitHere(const caller_request& asked) {
@@ -266,36 +216,21 @@
   // Cancellations.
 
   void Cancel(const caller_request& asked) {
-    if (IsOwnedHere(asked.route) && world_.KnowsQueue(asked.route)) {
+    if (KnowsJobsOf(asked.route)) {
       CancelHere(asked);
-      return;
-    }
-    if (peers::HopsOf(asked.request) > 0) {
-      asked.respond(NotHere(asked.request, "another process owns the pool"));
-      return;
+    } else {
+      // Whether there is such a job isn't known here. A cancellation holds for
+      // an id, and does nothing where there is no job.
+      TryOwner(asked, &impl::StoreCancel);
     }
-    AskOwner(asked, asked.route.pool,
-             [self = shared_from_this(), asked](const pass_reply& reply) {
-               // Whether there is such a job isn't known here. A cancellation
-               // holds for an id, and does nothing where there is no job.
-               caller_request left = asked;
-               left.may_land = MayLand(reply);
-               self->StoreCancel(left);
-             });
   }
 
   void CancelHere(const caller_request& asked) {
     if (world_.directory().Find(asked.id) != nullptr) {
       CancelKnown(asked);
-      return;
+    } else {
+      ReadJob(asked, &impl::CancelKnown);
     }
-    ReadJob(asked, [self = shared_from_this(), asked](bool is_read) {
-      if (self->world_.directory().Find(asked.id) != nullptr) {
-        self->CancelKnown(asked);
-      } else {
-        asked.respond(self->UnknownJob(is_read));
-      }
-    });
   }
 
   void CancelKnown(const caller_request& asked) {
@@ -320,74 +255,52 @@
       return;
     }
     if (entry != nullptr) {
-      QueryKnown(asked, entry->pool);
-      return;
-    }
-    if (IsOwnedHere(asked.route) && world_.KnowsQueue(asked.route)) {
-      ReadJob(asked, [self = shared_from_this(), asked](bool is_read) {
-        const directory_entry* found = self->world_.directory().Find(asked.id);
-        if (found != nullptr) {
-          self->QueryKnown(asked, found->pool);
-        } else {
-          asked.respond(self->UnknownJob(is_read));
-        }
-      });
-      return;
+      QueryKnown(asked);
+    } else if (KnowsJobsOf(asked.route)) {
+      ReadJob(asked, &impl::QueryKnown);
+    } else {
+      QueryOwner(asked, asked.route.pool);
     }
-    QueryOwner(asked, asked.route.pool);
   }
 
   // A job stays with the pool that it was accepted for when its queue moves.
-  void QueryKnown(const caller_request& asked,
-                  const core::jobs::pool_id& pool) {
-    if (Schedules(PoolPartitionOf(pool))) {
-      asked.respond(
-          adapter::EncodePhase(world_.directory().Find(asked.id)->Phase()));
-      return;
+  void QueryKnown(const caller_request& asked) {
+    const directory_entry* entry = world_.directory().Find(asked.id);
+    if (relay_.Schedules(entry->pool)) {
+      asked.respond(adapter::EncodePhase(entry->Phase()));
+    } else {
+      QueryOwner(asked, entry->pool);
     }
-    QueryOwner(asked, pool);
   }
 
   void QueryOwner(const caller_request& asked,
                   const core::jobs::pool_id& pool) {
-    AskOwner(
-        asked, pool,
-        [self = shared_from_this(), asked](const pass_reply& /*reply*/) {
+    relay_.Ask(
+        asked, pool, [self = shared_from_this(), asked](bool /*may_land*/) {
           asked.respond(self->NotHere(
               asked.request, "the owner of the job's pool can't be asked"));
         });
   }
 
-  // Reads what the store has of the partition that holds the job.
-  void ReadJob(const caller_request& asked, std::function<void(bool)> on_done) {
-    world_.RefreshJobs(JobPartitionOf(asked.route.queue, asked.id),
-                       std::move(on_done));
-  }
-
-  net::server_response UnknownJob(bool is_read) const {
-    return is_read ? adapter::EncodeFault(net::kGone, "no such job")
-                   : Refusal("the store can't be read");
-  }
-
   void Count(const caller_request& asked) {
-    if (IsOwnedHere(asked.route)) {
+    if (relay_.Owns(asked.route.pool)) {
       waiting_counts_.Answer(asked.route, asked.respond);
       return;
     }
-    AskOwner(asked, asked.route.pool,
-             [self = shared_from_this(), asked](const pass_reply& /*reply*/) {
-               LogEvent(job_event::kCountRefused,
-                        {{"queue", asked.route.queue},
-                         {"reason", "the pool's owner can't be asked"}});
-               asked.respond(self->NotHere(
-                   asked.request, "the owner of the pool can't be asked"));
-             });
+    relay_.Ask(asked, asked.route.pool,
+               [self = shared_from_this(), asked](bool /*may_land*/) {
+                 LogEvent(job_event::kCountRefused,
+                          {{"queue", asked.route.queue},
+                           {"reason", "the pool's owner can't be asked"}});
+                 asked.respond(self->NotHere(
+                     asked.request, "the owner of the pool can't be asked"));
+               });
   }
 
-  dependencies deps_;
   job_world& world_;
   submission_settings settings_;
   submission_counts counts_;
+  owner_relay relay_;
   job_recorder recorder_;
   waiting_counts waiting_counts_;
 };
--- a/src/jobs/submissions.h
+++ b/src/jobs/submissions.h
@@ -3,15 +3,13 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <memory>
 
 #include "jobs/job_meters.h"
 #include "jobs/job_recorder.h"
 #include "jobs/job_world.h"
+#include "jobs/owner_relay.h"
 #include "net/http_message.h"
-#include "peers/owner_links.h"
-#include "plantainhead/core/time.h"
 #include "platform/store_client.h"
 
 namespace plantainhead::jobs {
@@ -33,14 +31,12 @@
 /// Counts by outcome.
 struct submission_counts {
   recorder_counts records;
+  relay_counts relayed;
   std::uint64_t repeated = 0;
   std::uint64_t refused = 0;
   std::uint64_t queries = 0;
   std::uint64_t unknown_route = 0;
   std::uint64_t malformed = 0;
-  /// Passed on to an owner, and of those the ones that it didn't answer.
-  std::uint64_t passed_on = 0;
-  std::uint64_t owner_failures = 0;
 };
 
 /// Answers callers: takes jobs and cancellations, and tells states.
@@ -62,12 +58,7 @@
     adapter::store_client* store = nullptr;
     job_world* world = nullptr;
     job_meters* meters = nullptr;
-    peers::owner_links* owners = nullptr;
-    /// The epoch under which this process schedules the pools of a partition; 0
-    /// when it doesn't.
-    std::function<std::uint64_t(std::uint32_t pool_partition)> epoch_of;
-    /// Whether that surely hasn't passed on to another process.
-    std::function<bool()> is_sure;
+    owner_relay::dependencies relay;
   };
 
   submissions(const dependencies& dependencies,
