Add VMs and jobs to a gathered line in one place

Cause: AddVm and AddJob were the same but for the subject. Change: both call AddItem.

The pair of fleet_owner and pool_owner_takeover isn't looked at here.

--- a/src/jobs/line_gatherer.cc
+++ b/src/jobs/line_gatherer.cc
@@ -55,18 +55,14 @@
                           const core::jobs::vm_id& vm,
                           const observe::log_fields& common,
                           core::time_point now) {
-  group* events = FindOrBegin(event, subject::kVm, common, now);
-  events->items.try_emplace(vm);
-  events->count = events->items.size();
+  AddItem(event, subject::kVm, vm, common, now);
 }
 
 void line_gatherer::AddJob(job_event event,
                            const core::jobs::job_id& job,
                            const observe::log_fields& common,
                            core::time_point now) {
-  group* events = FindOrBegin(event, subject::kJob, common, now);
-  events->items.try_emplace(job);
-  events->count = events->items.size();
+  AddItem(event, subject::kJob, job, common, now);
 }
 
 std::vector<gathered_line> line_gatherer::TakeDue(core::time_point now) {
@@ -103,6 +99,16 @@
   return lines;
 }
 
+void line_gatherer::AddItem(job_event event,
+                            subject kind,
+                            const std::string& item,
+                            const observe::log_fields& common,
+                            core::time_point now) {
+  group* events = FindOrBegin(event, kind, common, now);
+  events->items.try_emplace(item);
+  events->count = events->items.size();
+}
+
 line_gatherer::group* line_gatherer::FindOrBegin(
     job_event event,
     subject kind,
--- a/src/jobs/line_gatherer.h
+++ b/src/jobs/line_gatherer.h
@@ -75,6 +75,11 @@
     std::size_t count = 0;
   };
 
+  void AddItem(job_event event,
+               subject kind,
+               const std::string& item,
+               const observe::log_fields& common,
+               core::time_point now);
   group* FindOrBegin(job_event event,
                      subject kind,
                      const observe::log_fields& common,
