Read and log when the life of a VM began

Cause: the logs couldn't tell which life of a VM an answer is of. A VM may begin again under its id since a term of the platform changed. Change: `born` is read from registry entries and listings, leniently: one that is missing or can't be used is as before. `vm heard` has it. No decision uses it.

--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -16,8 +16,11 @@
 
 /// The caller's name of a job; it is the idempotency key of the submission.
 using job_id = std::string;
-/// One life of a VM. A VM that starts anew has another id.
+/// A VM. One that begins anew has another id, or another `life_mark`.
 using vm_id = std::string;
+/// Tells one life of a VM from others under the same id: when it began, in
+/// milliseconds since 1970 by its own clock. Nothing: it isn't told.
+using life_mark = std::optional<std::int64_t>;
 /// A pool of VMs that serve the same queues.
 using pool_id = std::string;
 using queue_id = std::string;
--- a/include/plantainhead/core/jobs/vm_reports.h
+++ b/include/plantainhead/core/jobs/vm_reports.h
@@ -15,6 +15,7 @@
 /// A VM as the platform's registry lists it.
 struct vm_description {
   vm_id id;
+  life_mark born;
   pool_id pool;
   std::string address;
   std::string availability_zone;
@@ -74,6 +75,7 @@
 
 /// A VM's answer to a hold.
 struct vm_listing {
+  life_mark born;
   /// The VM's own clock when it answered.
   duration vm_clock = duration::zero();
   std::vector<running_task> running;
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -103,6 +103,10 @@
                 const std::shared_ptr<vm_link>& link,
                 core::time_point sent_at,
                 const adapter::hold_reply& reply);
+  /// Logs a VM that is heard again, or for the first time in its life.
+  void NoteHeard(const core::jobs::vm_id& vm,
+                 vm_link* link,
+                 const core::jobs::life_mark& born);
   /// How long to wait before the next hold of a VM that listed this.
   std::chrono::milliseconds GapAfter(
       const core::jobs::vm_listing& listing) const;
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -138,12 +138,7 @@
   const core::time_point now = BootTime();
   switch (reply.outcome) {
     case hold_outcome::kListed:
-      if (link->is_lost) {
-        link->is_lost = false;
-        // Not before the line on its loss.
-        LogLines(lines_.TakeAll());
-        LogEvent(job_event::kVmHeard, {{"vm", vm}});
-      }
+      NoteHeard(vm, link.get(), reply.listing.born);
       LogNewEnds(vm, link, reply.listing);
       scheduler_->NoteJobsRead(deps_.world->AllJobsReadAt());
       scheduler_->OnListing(vm, sent_at, reply.listing, now);
@@ -179,6 +174,29 @@
   }
 }
 
+void pool_owner::impl::NoteHeard(const vm_id& vm,
+                                 vm_link* link,
+                                 const core::jobs::life_mark& born) {
+  const bool begins_again = born && link->born && *born != *link->born;
+  if (!link->is_lost && !begins_again) {
+    link->born = born ? born : link->born;
+    return;
+  }
+  // Not before the line on its loss.
+  LogLines(lines_.TakeAll());
+  observe::log_fields fields = {{"vm", vm}};
+  if (born) {
+    fields.emplace_back("born", std::to_string(*born));
+  }
+  if (begins_again) {
+    fields.emplace_back("born_before", std::to_string(*link->born));
+    fields.emplace_back("ends_logged_before", std::to_string(link->logged_end));
+  }
+  LogEvent(job_event::kVmHeard, fields);
+  link->is_lost = false;
+  link->born = born ? born : link->born;
+}
+
 // Ends that aren't acknowledged would be listed again at once, so the next hold
 // waits for their record to be stored.
 milliseconds pool_owner::impl::GapAfter(
--- a/src/jobs/vm_link.h
+++ b/src/jobs/vm_link.h
@@ -24,6 +24,8 @@
   bool is_waiting = false;
   core::time_point held_at;
   bool is_lost = false;
+  /// Of the life that was heard last.
+  core::jobs::life_mark born;
   /// The greatest number of an end that was logged.
   std::uint64_t logged_end = 0;
 };
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -98,6 +98,22 @@
   CHECK_FALSE(DecodeListing("not json"));
 }
 
+// Guards against VMs that are lost because of a mark that can't be used.
+TEST_CASE("A VM may tell when its life began") {
+  const auto born_in = [](const std::string& field) {
+    const auto listing = DecodeListing(R"({"clock_ms":1)" + field + "}");
+    REQUIRE(listing);
+    return listing->born;
+  };
+  CHECK(born_in(R"(,"born":1790000000123)") == 1'790'000'000'123);
+  CHECK(born_in("") == std::nullopt);
+  CHECK(born_in(R"(,"born":null)") == std::nullopt);
+  CHECK(born_in(R"(,"born":"1790000000123")") == std::nullopt);
+  CHECK(born_in(R"(,"born":0.5)") == std::nullopt);
+  CHECK(born_in(R"(,"born":-1)") == std::nullopt);
+  CHECK(born_in(R"(,"born":18446744073709551615)") == std::nullopt);
+}
+
 TEST_CASE("Records are framed as the store takes and gives them") {
   const std::string raw =
       EncodeRecord({"key", "value"}) + EncodeRecord({"gone", std::nullopt});
@@ -148,8 +164,9 @@
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",
           "slots":8,"state":"draining","cold_left_ms":0,"seq":1,
           "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1"],
-          "remaining_ms":1500})");
+          "remaining_ms":1500,"born":1790000000123})");
   REQUIRE(vm);
+  CHECK(vm->born == 1'790'000'000'123);
   CHECK(vm->pool == "s");
   CHECK(vm->capacity.cpu_millis == 16000);
   CHECK(vm->draining);
