Add failing tests: VMs that begin again under their ids

Evidence, on this code: an end that the next life lists as its first is passed over and acknowledged; what ran in the former life isn't over; its loss isn't counted against its task; a stop that the former life confirmed counts for the next one. The ends fail with the next life's clock below and above the former one's.

--- /dev/null
+++ b/tests/core/jobs/vm_restart_test.cc
@@ -0,0 +1,218 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "core/jobs/scheduler_driver.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kFirstLife = 1'790'000'000'000;
+constexpr std::int64_t kNextLife = kFirstLife + 7000;
+
+/// A pool of two VMs, one of which begins again under its id.
+class restarted_vm {
+ public:
+  restarted_vm() { driver.Bring({Described(kFirstLife), Vm("vm-2", 1000)}); }
+
+  static vm_description Described(std::int64_t born) {
+    vm_description vm = Vm("vm-1");
+    vm.born = born;
+    return vm;
+  }
+
+  /// Lists the VM's entry as its next life writes it.
+  void Register() {
+    driver.scheduler.UpdateVms({Described(kNextLife), Vm("vm-2", 1000)},
+                               driver.now);
+  }
+
+  void List(std::int64_t born,
+            duration clock,
+            std::vector<running_task> running = {},
+            std::vector<ended_task> ended = {}) {
+    ListSentAt(driver.now, born, clock, std::move(running), std::move(ended));
+  }
+
+  void ListSentAt(time_point sent_at,
+                  std::int64_t born,
+                  duration clock,
+                  std::vector<running_task> running = {},
+                  std::vector<ended_task> ended = {}) {
+    vm_listing listing;
+    listing.born = born;
+    listing.vm_clock = clock;
+    listing.running = std::move(running);
+    listing.ended = std::move(ended);
+    driver.scheduler.OnListing("vm-1", sent_at, listing, driver.now);
+  }
+
+  duration FirstClock() const { return driver.now.time_since_epoch(); }
+
+  /// Lets a job with this many tasks end as done on the first life.
+  void EndTasksOfFirstLife(std::uint32_t count) {
+    driver.Add(Job("before", {Step(count, 1500)}));
+    driver.StartAll();
+    std::vector<ended_task> ended;
+    for (std::uint32_t i = 0; i < count; ++i) {
+      ended.push_back(Ended(i + 1, {"before", 0, 0, i}, 1, end_kind::kDone));
+    }
+    List(kFirstLife, FirstClock(), {}, ended);
+    driver.Store();
+  }
+
+  scheduler_driver driver;
+  const task_name task{"job", 0, 0, 0};
+};
+
+// Guards against tasks that run twice: the first ends of a VM that begins again
+// under its id passed for ends of its former life that were taken before.
+TEST_CASE("Ends of a VM's next life are taken from the first one on") {
+  restarted_vm vm;
+  scheduler_driver& driver = vm.driver;
+  vm.EndTasksOfFirstLife(3);
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        3);
+  driver.scheduler.OnHoldUnanswered("vm-1");
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        0);
+  driver.Pass(seconds(2));
+
+  const auto clock = GENERATE(as<duration>(), seconds(1), seconds(9'000'000));
+  vm.List(kNextLife, clock);
+  vm.Register();
+  driver.Add(Job("job", {Step(1, 2000)}));
+  REQUIRE(driver.StartAll().size() == 1);
+  driver.Pass(milliseconds(500));
+  vm.List(kNextLife, clock + milliseconds(500), {},
+          {Ended(1, vm.task, 1, end_kind::kDone)});
+  const auto batches = driver.Store();
+  REQUIRE(batches.size() == 1);
+  CHECK(batches[0].jobs.back().second.phase == job_phase::kCompleted);
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        1);
+  CHECK(driver.StartAll().empty());
+}
+
+// Guards against runs that a VM lost with its former life and that go on as if
+// they were on the next one.
+TEST_CASE("What ran in a VM's former life is over when the next one is heard") {
+  restarted_vm vm;
+  scheduler_driver& driver = vm.driver;
+  driver.Add(Job("job", {Step(1, 2000)}));
+  REQUIRE(driver.StartAll().size() == 1);
+  vm.List(kFirstLife, vm.FirstClock(), {Running(vm.task, 1)});
+  driver.Pass(seconds(1));
+
+  SECTION("by its listing") {
+    vm.List(kNextLife, seconds(1));
+    driver.Store();
+    CHECK(driver.StartAll().empty());
+
+    SECTION("and it takes tasks once the registry has its entry") {
+      vm.Register();
+      const auto starts = driver.StartAll();
+      REQUIRE(starts.size() == 1);
+      CHECK(starts[0].target.run == 2);
+    }
+
+    SECTION("and a late answer of the former life changes nothing") {
+      vm.Register();
+      REQUIRE(driver.StartAll().size() == 1);
+      vm.ListSentAt(driver.now - seconds(1), kFirstLife, vm.FirstClock(), {},
+                    {Ended(1, vm.task, 1, end_kind::kStopped)});
+      driver.Pass(milliseconds(500));
+      vm.List(kNextLife, milliseconds(1500), {},
+              {Ended(1, vm.task, 2, end_kind::kDone)});
+      driver.Store();
+      CHECK(driver.StartAll().empty());
+      CHECK(
+          driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+          1);
+    }
+  }
+
+  SECTION("by the registry, and it takes tasks once it is heard") {
+    vm.Register();
+    driver.Store();
+    CHECK(driver.StartAll().empty());
+    vm.List(kNextLife, seconds(1));
+    driver.Store();
+    CHECK(driver.StartAll().size() == 1);
+  }
+}
+
+// Guards against tasks that crash their VMs and start without limit: the next
+// life of a VM under its id passed for one that had only been cut off.
+TEST_CASE("A run that a VM's former life lost counts against its task") {
+  restarted_vm vm;
+  scheduler_driver& driver = vm.driver;
+  driver.Add(Job("job", {Step(1, 2000)}));
+  REQUIRE(driver.StartAll().size() == 1);
+  driver.scheduler.OnHoldUnanswered("vm-1");
+  driver.Pass(seconds(2));
+  vm.List(kNextLife, seconds(1));
+  vm.Register();
+  driver.Starts();
+  vm.List(kNextLife, seconds(1));
+  const auto losses = driver.scheduler.TakeLosses();
+  REQUIRE(losses.size() == 1);
+  CHECK(losses[0].kind == loss_kind::kCrashAtStart);
+  const auto batches = driver.Store();
+  REQUIRE_FALSE(batches.empty());
+  const job_progress& progress = batches.back().jobs.back().second;
+  REQUIRE(progress.tasks.size() == 1);
+  CHECK(progress.tasks[0].losses.size() == 1);
+}
+
+// Guards against a start of the former life that the next one carries out late,
+// beside a newer run.
+TEST_CASE("A start without an answer is settled with a VM's next life, too") {
+  restarted_vm vm;
+  scheduler_driver& driver = vm.driver;
+  driver.Add(Job("job", {Step(1, 2000)}));
+  const auto starts = driver.Starts();
+  REQUIRE(starts.size() == 1);
+  driver.scheduler.OnStartAnswer(starts[0].target, start_result::kUnknown,
+                                 driver.now);
+
+  SECTION("when the former life was lost before it confirmed the stop") {
+    driver.scheduler.OnHoldUnanswered("vm-1");
+    driver.Starts();
+    REQUIRE(driver.stops.size() == 1);
+    driver.Pass(seconds(2));
+    vm.List(kNextLife, seconds(1));
+    vm.Register();
+    // Whichever life confirmed this stop, it may have been the former one.
+    driver.scheduler.OnStopAnswer(starts[0].target, true, driver.now);
+    vm.List(kNextLife, seconds(1));
+    driver.Store();
+    CHECK(driver.Starts().empty());
+  }
+
+  SECTION("when the former life had confirmed the stop") {
+    driver.Starts();
+    driver.scheduler.OnStopAnswer(starts[0].target, true, driver.now);
+    vm.List(kFirstLife, vm.FirstClock() + milliseconds(1));
+    driver.Store();
+    driver.Pass(milliseconds(1));
+    vm.List(kNextLife, seconds(1));
+    vm.Register();
+    driver.Starts();
+  }
+  REQUIRE(driver.stops.size() == 1);
+  CHECK(driver.stops[0].target.run == 1);
+  driver.scheduler.OnStopAnswer(driver.stops[0].target, true, driver.now);
+  driver.Pass(milliseconds(10));
+  vm.List(kNextLife, milliseconds(1010));
+  driver.Store();
+  const auto again = driver.Starts();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].target.run == 2);
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
