Leave a group for good, and take deals in their order

Cause: a join that the store took after the member's leave joined it again for its time to live, and its pool had no owner; with renewals beside one another that is likelier. Of two answers of one generation an older one could replace a newer, and one older than the time to live could claim a pool. Evidence: "A member that has left isn't joined again by a late join" failed before; "A renewal doesn't wait for other calls" guards the connections of their own.

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -219,6 +219,7 @@
     const bool is_late = !is_in_flight_ || sent.number != last_renewal_;
     is_in_flight_ = is_in_flight_ && is_late;
     if (IsOver()) {
+      LeaveAgain(reply);
       return;
     }
     if (!is_late) {
@@ -234,15 +235,32 @@
     }
     renewed_at_ = std::max(renewed_at_, sent.sent_at);
     answered_at_ = BootTime();
-    // The answer of a later renewal may have come before.
-    if (reply.generation < generation_) {
+    if (!IsNews(sent, reply)) {
       return;
     }
     generation_ = reply.generation;
+    dealt_by_ = sent.number;
     on_dealt_(generation_, std::set<std::uint32_t>(reply.partitions.begin(),
                                                    reply.partitions.end()));
   }
 
+  // The store may have taken a join after it had taken the leave.
+  void LeaveAgain(const adapter::join_reply& reply) {
+    const bool is_withdrawing = !has_left_ && is_withdrawing_;
+    if (reply.is_joined && !is_withdrawing) {
+      store_.Leave(settings_.group, member_, settings_.timeout, [] {});
+    }
+  }
+
+  // The answer of a later renewal may have come before; and after the time to
+  // live the partitions may be dealt to others.
+  bool IsNews(const renewal& sent, const adapter::join_reply& reply) const {
+    const bool is_later =
+        reply.generation > generation_ ||
+        (reply.generation == generation_ && sent.number > dealt_by_);
+    return is_later && BootTime() < sent.sent_at + settings_.time_to_live;
+  }
+
   // A member whose time to live passes loses all its partitions.
   void LogUnanswered(core::time_point sent_at, unsigned status) const {
     const core::time_point now = BootTime();
@@ -262,6 +280,8 @@
   boost::asio::steady_timer look_timer_;
   std::size_t used_partitions_ = 0;
   std::uint64_t last_renewal_ = 0;
+  /// The renewal whose answer was passed on last.
+  std::uint64_t dealt_by_ = 0;
   std::uint64_t generation_ = 0;
   core::time_point renewed_at_;
   core::time_point answered_at_;
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -37,6 +37,7 @@
   /// has left, so that this is what a handover takes at most, beside 50 ms. The
   /// store counts a renewal as a tenth of a call.
   std::chrono::milliseconds renewal = std::chrono::milliseconds(300);
+  /// Of a look at the members, and of leaving.
   std::chrono::milliseconds timeout = std::chrono::milliseconds(1200);
   /// A renewal without an answer for this time is followed by another one. Its
   /// own answer counts all the same, up to the time to live after it was sent:
--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -32,8 +32,16 @@
         &context, address_, net::http_server_options(),
         [this](const net::server_request& request,
                const net::responder& respond) {
-          Delay(answer_delay,
-                [this, request, respond] { store.Handle(request, respond); });
+          const bool is_join = request.target == "/plantainhead/log-join";
+          if (answers_only_joins && !is_join) {
+            return;
+          }
+          const int late = is_join && answer_delay.count() > 0 ? 1 : 0;
+          late_joins += late;
+          Delay(answer_delay, [this, request, respond, late] {
+            late_joins -= late;
+            store.Handle(request, respond);
+          });
         });
     client_ = std::make_unique<adapter::store_client>(&context, address_,
                                                       kStoreConnections);
@@ -64,6 +72,14 @@
         });
   }
 
+  /// Sends calls that take all connections of the client for good.
+  void TakeConnections() {
+    for (std::size_t i = 0; i < kStoreConnections; ++i) {
+      client_->ReadNewest({"keyed.topic", 0}, "", std::chrono::hours(1),
+                          [](const adapter::newest_reply& /*reply*/) {});
+    }
+  }
+
   bool Await(const std::set<std::string>& names) {
     return RunUntil(&context, [&] { return store.Members() == names; });
   }
@@ -72,6 +88,9 @@
   fakes::site_store store;
   /// Of all calls that arrive from then on.
   milliseconds answer_delay{0};
+  bool answers_only_joins = false;
+  /// Joins that have arrived and aren't handled yet.
+  int late_joins = 0;
   std::map<std::string, std::unique_ptr<group_member>> members;
   std::map<std::string, std::set<std::uint32_t>> dealt;
 
@@ -123,5 +142,33 @@
       RunUntil(&group.context, [&] { return member.RenewedAt() > slow_from; }));
 }
 
+// Guards against a membership that runs out since its renewals wait for
+// connections that long reads have taken.
+TEST_CASE("A renewal doesn't wait for other calls") {
+  group group;
+  group.answers_only_joins = true;
+  group.TakeConnections();
+  group.Add("large-1", member_role::kRegular);
+  group.members.at("large-1")->RenewNow();
+  CHECK(group.Await({"large-1"}));
+}
+
+// Guards against a pool without an owner: a join that the store took after the
+// member had left gave it its partitions again, for its whole time to live.
+TEST_CASE("A member that has left isn't joined again by a late join") {
+  group group;
+  group.Add("large-1", member_role::kRegular);
+  REQUIRE(RunUntil(&group.context,
+                   [&] { return !group.dealt["large-1"].empty(); }));
+  group.answer_delay = milliseconds(900);
+  REQUIRE(RunUntil(&group.context, [&] { return group.late_joins > 0; }));
+  group.answer_delay = milliseconds(0);
+  bool has_left = false;
+  group.members.at("large-1")->Leave([&] { has_left = true; });
+  REQUIRE(RunUntil(&group.context, [&] { return has_left; }));
+  REQUIRE(RunUntil(&group.context, [&] { return group.late_joins == 0; }));
+  CHECK(group.Await({}));
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
