Load what an owner needs first before the jobs

Cause: a takeover's claim waits for the pool's progress, and an owner's orders for the configuration, and both stood in line behind all partitions of jobs. A call that failed at once counted as a quick answer. Change: jobs are loaded last; only answers and timeouts tell about the link. Ruled out: a window for each rank; the link is one.

--- a/src/jobs/job_world_following.cc
+++ b/src/jobs/job_world_following.cc
@@ -7,6 +7,16 @@
 // Which partitions a process reads, by what it owns.
 
 namespace plantainhead::jobs {
+namespace {
+
+// An owner claims its pool before it knows all jobs, and an owner that doesn't
+// know the configuration gives no orders.
+follower_settings JobSettings(follower_settings settings) {
+  settings.load_rank = load_rank::kLast;
+  return settings;
+}
+
+}  // namespace
 
 log_follower& job_world::PoolFollower(std::uint32_t partition) {
   std::shared_ptr<log_follower>& follower = pool_followers_[partition];
@@ -100,7 +110,7 @@
       continue;
     }
     follower = MakeFollower(
-        {kJobTopic, i},
+        {kJobTopic, i}, JobSettings(settings_),
         [this](const adapter::keyed_record& r) { TakeJobRecord(r); });
     follower->Start(mode);
   }
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -153,7 +153,8 @@
       load_began_at_ = BootTime();
     }
     const core::time_point asked_at = BootTime();
-    loader_.Load(weak_from_this(), partition_, after, settings_.timeout,
+    loader_.Load({weak_from_this(), partition_, after, settings_.timeout,
+                  settings_.load_rank},
                  [self = weak_from_this(), after,
                   asked_at](const adapter::newest_reply& reply) {
                    const auto follower = self.lock();
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -49,6 +49,7 @@
   /// How long the store may take to answer: 4 ms as a rule, 0.25 s when it is
   /// slow.
   std::chrono::milliseconds timeout = std::chrono::milliseconds(900);
+  jobs::load_rank load_rank = jobs::load_rank::kFirst;
   /// Pause after a failed read; it doubles up to the most of its mode.
   std::chrono::milliseconds least_pause = std::chrono::milliseconds(50);
   std::chrono::milliseconds most_pause = std::chrono::milliseconds(800);
--- a/src/jobs/partition_loader.cc
+++ b/src/jobs/partition_loader.cc
@@ -26,64 +26,60 @@
   explicit impl(adapter::store_client* store)
       : store_(*store), window_(LoadWindow()) {}
 
-  void Load(std::weak_ptr<void> reader,
-            adapter::store_partition partition,
-            std::string after,
-            std::chrono::milliseconds timeout,
-            page_handler on_page) {
-    waiting_.push_back({std::move(reader), std::move(partition),
-                        std::move(after), timeout, std::move(on_page)});
+  void Load(const wanted_page& page, page_handler on_page) {
+    auto& waiting =
+        page.rank == load_rank::kFirst ? waiting_first_ : waiting_last_;
+    waiting.push_back({page, std::move(on_page)});
     SendNext();
   }
 
  private:
-  struct wanted_page {
-    std::weak_ptr<void> reader;
-    adapter::store_partition partition;
-    std::string after;
-    std::chrono::milliseconds timeout;
+  struct waiting_page {
+    wanted_page page;
     page_handler on_page;
   };
 
   void SendNext() {
-    while (!waiting_.empty() && under_way_ < window_.size()) {
-      const wanted_page page = std::move(waiting_.front());
-      waiting_.pop_front();
-      if (!page.reader.expired()) {
-        Send(page);
+    while (under_way_ < window_.size()) {
+      auto& waiting = waiting_first_.empty() ? waiting_last_ : waiting_first_;
+      if (waiting.empty()) {
+        return;
+      }
+      const waiting_page next = std::move(waiting.front());
+      waiting.pop_front();
+      if (!next.page.reader.expired()) {
+        Send(next);
       }
     }
   }
 
-  void Send(const wanted_page& page) {
+  void Send(const waiting_page& next) {
     ++under_way_;
     const core::time_point sent_at = BootTime();
-    store_.ReadNewest(page.partition, page.after, page.timeout,
-                      [self = weak_from_this(), on_page = page.on_page,
-                       sent_at](adapter::newest_reply reply) {
-                        if (const auto loader = self.lock()) {
-                          loader->TakeReply(sent_at, std::move(reply), on_page);
+    const std::chrono::milliseconds timeout = next.page.timeout;
+    store_.ReadNewest(next.page.partition, next.page.after, timeout,
+                      [self = weak_from_this(), on_page = next.on_page, sent_at,
+                       timeout](adapter::newest_reply reply) {
+                        const auto loader = self.lock();
+                        if (!loader) {
+                          return;
+                        }
+                        const core::duration took = BootTime() - sent_at;
+                        // One that fails sooner was refused, and says nothing
+                        // about the link.
+                        if (reply.is_read || took >= timeout) {
+                          loader->window_.NoteResult(took, sent_at + took);
                         }
+                        --loader->under_way_;
+                        on_page(std::move(reply));
+                        loader->SendNext();
                       });
   }
 
-  // A refusal says nothing about the link.
-  void TakeReply(core::time_point sent_at,
-                 adapter::newest_reply reply,
-                 const page_handler& on_page) {
-    --under_way_;
-    const core::time_point now = BootTime();
-    const bool is_refused = !reply.is_read && reply.status != 0;
-    if (!is_refused) {
-      window_.NoteResult(now - sent_at, now);
-    }
-    on_page(std::move(reply));
-    SendNext();
-  }
-
   adapter::store_client& store_;
   core::jobs::send_window window_;
-  std::deque<wanted_page> waiting_;
+  std::deque<waiting_page> waiting_first_;
+  std::deque<waiting_page> waiting_last_;
   std::size_t under_way_ = 0;
 };
 
@@ -92,12 +88,8 @@
 
 partition_loader::~partition_loader() = default;
 
-void partition_loader::Load(const std::weak_ptr<void>& reader,
-                            const adapter::store_partition& partition,
-                            const std::string& after,
-                            std::chrono::milliseconds timeout,
-                            page_handler on_page) {
-  impl_->Load(reader, partition, after, timeout, std::move(on_page));
+void partition_loader::Load(const wanted_page& page, page_handler on_page) {
+  impl_->Load(page, std::move(on_page));
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/partition_loader.h
+++ b/src/jobs/partition_loader.h
@@ -10,6 +10,22 @@
 
 namespace plantainhead::jobs {
 
+enum class load_rank {
+  /// Read before all pages of the other rank that wait.
+  kFirst,
+  kLast,
+};
+
+struct wanted_page {
+  std::weak_ptr<void> reader;
+  adapter::store_partition partition;
+  /// The last key of the page before; empty for the first one.
+  std::string after;
+  /// Counts from the moment the read is sent.
+  std::chrono::milliseconds timeout{0};
+  load_rank rank = load_rank::kFirst;
+};
+
 /// Reads pages of the newest records of partitions, a few at a time: no more
 /// than the link carries within their timeout. A process that takes a pool over
 /// wants all of many partitions at once. If it asked for them together, each
@@ -26,16 +42,10 @@
   /// Pages that are waited for are dropped; no handler is called any more.
   ~partition_loader();
 
-  /// Reads the page after the key `after`, or the first one when that is empty,
-  /// in the order of the calls. A page that `reader` no longer wants when its
-  /// turn comes, since it is gone, isn't read, and `on_page` isn't called.
-  /// `timeout` counts from the moment the read is sent. `on_page` is called
+  /// Reads a page; those of the same rank in the order of the calls. A page
+  /// whose reader is gone when its turn comes isn't read. `on_page` is called
   /// later, never by this call.
-  void Load(const std::weak_ptr<void>& reader,
-            const adapter::store_partition& partition,
-            const std::string& after,
-            std::chrono::milliseconds timeout,
-            page_handler on_page);
+  void Load(const wanted_page& page, page_handler on_page);
 
  private:
   class impl;
--- /dev/null
+++ b/tests/jobs/partition_loader_test.cc
@@ -0,0 +1,117 @@
+#include "jobs/partition_loader.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "free_address.h"
+#include "net/http_server.h"
+#include "run_until.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using testing::RunUntil;
+
+constexpr std::size_t kStoreConnections = 20;
+constexpr std::size_t kFirstAtOnce = 4;
+constexpr const char* kEmptyPage = R"({"items":[],"has_more":false,"end":0})";
+
+/// A loader, and a store that answers when a test says so.
+class held_store {
+ public:
+  held_store() {
+    const std::string address = testing::FreeAddress();
+    server_ = std::make_unique<net::http_server>(
+        &context, address, net::http_server_options(),
+        [this](const net::server_request& request,
+               const net::responder& respond) {
+          const std::size_t part = request.target.find("part=");
+          read.push_back(std::stoi(request.target.substr(part + 5)));
+          held_.push_back(respond);
+        });
+    client_ = std::make_unique<adapter::store_client>(&context, address,
+                                                      kStoreConnections);
+    loader = std::make_unique<partition_loader>(client_.get());
+  }
+
+  void Load(std::uint32_t part, load_rank rank) { LoadFor(reader, part, rank); }
+
+  void LoadFor(const std::shared_ptr<int>& owner,
+               std::uint32_t part,
+               load_rank rank) {
+    loader->Load(
+        {owner, {"keyed.topic", part}, "", std::chrono::hours(1), rank},
+        [this](const adapter::newest_reply& reply) {
+          loaded += reply.is_read ? 1 : 0;
+        });
+  }
+
+  bool AwaitRead(std::size_t count) {
+    return RunUntil(&context, [&] { return read.size() == count; });
+  }
+
+  void AnswerOne() {
+    const net::responder respond = held_.front();
+    held_.erase(held_.begin());
+    respond({200, {}, kEmptyPage});
+  }
+
+  boost::asio::io_context context;
+  std::unique_ptr<partition_loader> loader;
+  std::shared_ptr<int> reader = std::make_shared<int>(0);
+  /// Partitions, in the order in which they were read.
+  std::vector<int> read;
+  int loaded = 0;
+
+ private:
+  std::vector<net::responder> held_;
+  std::unique_ptr<net::http_server> server_;
+  std::unique_ptr<adapter::store_client> client_;
+};
+
+// Guards against a process that reads all at once, more than its link carries.
+TEST_CASE("Partitions are read a few at a time") {
+  held_store store;
+  for (std::uint32_t part = 0; part < 10; ++part) {
+    store.Load(part, load_rank::kLast);
+  }
+  REQUIRE(store.AwaitRead(kFirstAtOnce));
+
+  SECTION("more while answers come soon") {
+    store.AnswerOne();
+    CHECK(store.AwaitRead(kFirstAtOnce + 2));
+    CHECK(store.loaded == 1);
+  }
+
+  SECTION("those that can't wait before the others") {
+    store.Load(10, load_rank::kFirst);
+    store.AnswerOne();
+    REQUIRE(store.AwaitRead(kFirstAtOnce + 2));
+    CHECK(store.read[kFirstAtOnce] == 10);
+  }
+
+  SECTION("none for a reader that is gone") {
+    auto other = std::make_shared<int>(0);
+    store.LoadFor(other, 10, load_rank::kFirst);
+    other.reset();
+    store.AnswerOne();
+    REQUIRE(store.AwaitRead(kFirstAtOnce + 2));
+    CHECK(store.read[kFirstAtOnce] == 4);
+  }
+
+  SECTION("and nobody is told once the loader is gone") {
+    store.loader.reset();
+    store.AnswerOne();
+    store.context.run_for(std::chrono::milliseconds(20));
+    CHECK(store.loaded == 0);
+    CHECK(store.read.size() == kFirstAtOnce);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::jobs
