See a host back from service whose VM has the same id

Cause: a serviced host counted as back only with a VM of another id. Since a VM may begin again under its id, the wave would stand still, and the VM would stay closed. Change: a host that was listed in service after the order is back when it is up. Evidence: the new section of wave_keeper_test failed before.

--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -111,6 +111,8 @@
     time_point next_order_at;
     /// When the order to service it was accepted.
     time_point accepted_at;
+    /// A list that was asked for after that showed it in service.
+    bool was_seen_down = false;
   };
   struct wave_progress {
     maintenance_wave wave;
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -146,9 +146,10 @@
   return busy;
 }
 
-// A host is back when it is up in another life. A list that was asked for
-// before the host went down shows it as up, and a host of a spare pool has no
-// life to compare: taken for back, it would let one host too many go down.
+// A host is back when it is up in another life, which may have the VM's id. A
+// list that was asked for before the host went down shows it as up, and a host
+// of a spare pool has no life to compare: taken for back, it would let one host
+// too many go down.
 void wave_keeper::NoteReturns(wave_progress* wave,
                               std::vector<wave_action>* actions) {
   for (auto& [host, progress] : wave->hosts) {
@@ -156,10 +157,14 @@
     if (progress.phase != host_phase::kDown || listed == nullptr) {
       continue;
     }
+    progress.was_seen_down = progress.was_seen_down ||
+                             (listed->host.state == host_state::kInService &&
+                              listed->last_listed > progress.accepted_at);
     const bool is_back =
         listed->host.state == host_state::kUp &&
         listed->last_listed > progress.accepted_at &&
-        (progress.vm.empty() || listed->host.vm != progress.vm);
+        (progress.vm.empty() || listed->host.vm != progress.vm ||
+         progress.was_seen_down);
     if (is_back) {
       progress.phase = host_phase::kDone;
       if (!progress.vm.empty()) {
--- a/tests/core/jobs/wave_keeper_test.cc
+++ b/tests/core/jobs/wave_keeper_test.cc
@@ -73,6 +73,21 @@
     CHECK(again[0].host == "h1");
   }
 
+  // Guards against a wave that stands still since a VM comes back under its id.
+  SECTION("also when its VM begins again under the same id") {
+    keeper.OnServiceAnswer(7, "h1", service_result::kAccepted, now);
+    now += milliseconds(100);
+    hosts[0].state = host_state::kInService;
+    keeper.UpdateHosts(hosts, {}, now);
+    CHECK(Of<service_host>(keeper.Plan(now)).empty());
+    now += seconds(2);
+    hosts[0].state = host_state::kUp;
+    keeper.UpdateHosts(hosts, {}, now);
+    const auto actions = keeper.Plan(now);
+    CHECK(Of<release_vm>(actions).size() == 1);
+    CHECK(Of<service_host>(actions).size() == 1);
+  }
+
   SECTION("the next host goes down when the first is up in another life") {
     keeper.OnServiceAnswer(7, "h1", service_result::kAccepted, now);
     now += milliseconds(100);
