Stand-in and soak: VMs that begin again under their ids

Cause: each life of a VM had an id of its own, so that neither process tests nor the soak could show what a VM does that keeps it. Change: the stand-in's clock, born and counts start anew with each life, and half of the soak's VMs keep their ids.

--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -12,17 +12,22 @@
 namespace {
 
 using json = nlohmann::json;
+using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-net::server_response Answer(unsigned status, json body) {
-  body["clock_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(
-                         steady_clock::now().time_since_epoch())
-                         .count();
-  return {status, {}, body.dump()};
-}
+// Of the first life, in milliseconds since 1970.
+constexpr std::int64_t kFirstBorn = 1'700'000'000'000;
 
 }  // namespace
 
+net::server_response site_vm::Answer(unsigned status,
+                                     nlohmann::json body) const {
+  const auto clock = std::chrono::duration_cast<milliseconds>(
+      steady_clock::now() - clock_zero_);
+  body["clock_ms"] = clock.count();
+  return {status, {}, body.dump()};
+}
+
 site_vm::site_vm(boost::asio::io_context* context,
                  std::string id,
                  const std::string& address,
@@ -48,6 +53,7 @@
               {"state", "ready"},
               {"cold_left_ms", 0},
               {"seq", 1},
+              {"born", kFirstBorn + life_},
               {"capacity", {{"cpu", 4000}, {"mem_mb", 8000}, {"gpu", 0}}},
               {"labels", json::array({"a", "r1"})}}
       .dump();
@@ -62,6 +68,8 @@
 
 void site_vm::BeginLife(const std::string& id) {
   id_ = id;
+  ++life_;
+  clock_zero_ = steady_clock::now();
   highest_.clear();
   ended_.clear();
   last_end_ = 0;
@@ -79,7 +87,8 @@
 }
 
 void site_vm::ExtendLease(std::int64_t deadline_ms) {
-  const steady_clock::time_point until{std::chrono::milliseconds(deadline_ms)};
+  const steady_clock::time_point until =
+      clock_zero_ + std::chrono::milliseconds(deadline_ms);
   if (until > lease_until_) {
     lease_until_ = until;
     AwaitLapse();
@@ -125,9 +134,9 @@
   if (request.target == "/plantainhead/run-start" && start_delay.count() > 0) {
     const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
     timer->expires_after(start_delay);
-    timer->async_wait([this, request, token = fence_, life = id_,
+    timer->async_wait([this, request, token = fence_, life = life_,
                        timer](const boost::system::error_code& /*error*/) {
-      if (life == id_ && !is_silent &&
+      if (life == life_ && !is_silent &&
           json::parse(request.body).value("fence_token", token) >= fence_) {
         Start(request, [](const net::server_response& /*response*/) {});
       }
@@ -164,8 +173,7 @@
   const auto deadline =
       body.value("deadline_ms", std::numeric_limits<std::int64_t>::max() /
                                     std::int64_t{4000000});
-  if (steady_clock::time_point{std::chrono::milliseconds(deadline)} <
-      steady_clock::now()) {
+  if (clock_zero_ + std::chrono::milliseconds(deadline) < steady_clock::now()) {
     respond(Answer(409, {{"reason", "late"}}));
     return;
   }
@@ -190,10 +198,12 @@
 void site_vm::EndLater(const std::string& task, std::uint32_t number) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
   timer->expires_after(task_time_);
-  timer->async_wait(
-      [this, task, number, timer](const boost::system::error_code& /*error*/) {
-        EndTask(task, number, "done");
-      });
+  timer->async_wait([this, task, number, life = life_,
+                     timer](const boost::system::error_code& /*error*/) {
+    if (life == life_) {
+      EndTask(task, number, "done");
+    }
+  });
 }
 
 void site_vm::EndTask(const std::string& task,
@@ -224,7 +234,10 @@
     finished.push_back(
         json::array({end.number, end.task, end.run, end.how, ""}));
   }
-  return Answer(200, {{"running", running}, {"finished", finished}}).body;
+  return Answer(200, {{"born", kFirstBorn + life_},
+                      {"running", running},
+                      {"finished", finished}})
+      .body;
 }
 
 void site_vm::Hold(const std::string& body, const net::responder& respond) {
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -21,7 +22,7 @@
 /// The payload of jobs whose tasks run until they are stopped.
 inline constexpr const char* kLastingPayload = "lasts";
 
-/// Stands in for one life of a VM that runs tasks under a lease: start, stop,
+/// Stands in for a VM that runs tasks under a lease: start, stop,
 /// hold and pace. Each task takes the same time, but those that last. Counts
 /// what must not happen.
 /// Not thread-safe.
@@ -40,7 +41,8 @@
   const std::string& id() const { return id_; }
   /// Ends this life and all that runs. Calls have no answer until the next one.
   void Crash();
-  /// Begins another life, which knows nothing of the one before.
+  /// Begins another life, which knows nothing of the one before: its clock and
+  /// its counts start anew. The id may be the same.
   void BeginLife(const std::string& id);
   /// Returns how often each task was started.
   const std::map<std::string, int>& starts() const { return starts_; }
@@ -70,9 +72,10 @@
 
   void Handle(const net::server_request& request,
               const net::responder& respond);
+  net::server_response Answer(unsigned status, nlohmann::json body) const;
   void Start(const net::server_request& request, const net::responder& respond);
   void Tell(vm_event event, const std::string& task, std::uint32_t run) const;
-  /// Lets tasks run until then, on the steady clock; never shortens.
+  /// Lets tasks run until then, on the VM's clock; never shortens.
   void ExtendLease(std::int64_t deadline_ms);
   void AwaitLapse();
   void Hold(const std::string& body, const net::responder& respond);
@@ -101,6 +104,8 @@
   std::vector<ended> ended_;
   std::uint64_t last_end_ = 0;
   std::uint64_t fence_ = 0;
+  std::int64_t life_ = 0;
+  std::chrono::steady_clock::time_point clock_zero_;
   std::chrono::steady_clock::time_point lease_until_;
   std::shared_ptr<boost::asio::steady_timer> lapse_timer_;
   std::vector<net::responder> holds_;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -91,11 +91,14 @@
       return;
     }
     auto life = vms.extract(id);
-    life.key() = "vm-" + std::to_string(++last_vm_);
+    const bool keeps_id = Draw(0, 1) == 0;
+    if (!keeps_id) {
+      life.key() = "vm-" + std::to_string(++last_vm_);
+      store.Put("keyed.servers", id, std::nullopt);
+    }
     soak_vm& one = life.mapped();
     one.vm->BeginLife(life.key());
     ListenTo(one.vm.get());
-    store.Put("keyed.servers", id, std::nullopt);
     store.Put("keyed.servers", life.key(),
               one.vm->RegistryValue(pool, one.proxy->address()));
     vms.insert(std::move(life));
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -74,7 +74,8 @@
              const std::function<void()>& action);
   /// Adds a VM to the pool, and returns its id.
   std::string AddVm(const std::string& pool);
-  /// Ends the life of a VM; the next one begins at the same address.
+  /// Ends the life of a VM; the next one begins at the same address, and in
+  /// half of the cases under the same id.
   void CrashVm(const std::string& id,
                const std::string& pool,
                std::chrono::milliseconds pause);
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -181,6 +181,27 @@
   }
 }
 
+// Guards against ends of a VM's next life that pass for those of its former
+// one: its tasks ran twice.
+TEST_CASE("A VM that begins again under its id runs each task once") {
+  site site;
+  auto& vm = site.AddVm("vm-1", milliseconds(30));
+  site.AddProcess("p1");
+  REQUIRE(site.AwaitReady("p1"));
+  REQUIRE(site.Submit("p1", kId).status == 200);
+  REQUIRE(site.AwaitState("p1", "completed"));
+  vm.Crash();
+  site.Pass(milliseconds(200));
+  vm.BeginLife("vm-1");
+  site.store.Put("keyed.servers", "vm-1", vm.RegistryValue("pool"));
+  const std::string next = "fedcba9876543210";
+  REQUIRE(site.Submit("p1", next).status == 200);
+  CHECK(site.AwaitState("p1", "completed", next));
+  for (const auto& [task, starts] : vm.starts()) {
+    CHECK(starts == 1);
+  }
+}
+
 // The order to start a task is carried out and its answer is lost. The owner
 // must not start the task elsewhere beside it.
 TEST_CASE("A start whose answer is lost doubles no task") {
