Test VMs whose capacity shrinks

The registry's entry of a VM may say less than what runs there takes.

The pool model shrinks and grows VMs. An order that was sent before the change may arrive after it, so the model compares what a VM holds with the capacity that it had when the last of these orders was sent.

--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -37,6 +37,8 @@
   duration crash_every = duration::zero();
   /// The same for VMs whose entry in the registry can't be read for up to 8 s.
   duration unreadable_every = duration::zero();
+  /// The same for VMs that have 0.3 to 0.8 of their capacity for up to 8 s.
+  duration shrink_every = duration::zero();
   /// Tasks of jobs whose payload is this end the life of each VM that starts
   /// them, within 10 ms. Empty: none.
   std::string crashing_payload;
@@ -118,6 +120,7 @@
   static constexpr duration kActing = std::chrono::milliseconds(2400);
   static constexpr duration kStopTime = std::chrono::milliseconds(100);
   static constexpr int kMostCrashes = 3;
+  static constexpr std::int64_t kVmCores = 8000;
 
   struct vm_run {
     std::uint32_t run = 0;
@@ -125,6 +128,9 @@
     time_point ends_at;
     bool fails = false;
     bool is_stopping = false;
+    time_point sent_at;
+    /// The VM's capacity when the order to start it was sent.
+    resources told;
   };
 
   struct vm {
@@ -141,6 +147,7 @@
     time_point lease_until;
     time_point silent_until;
     time_point unreadable_until;
+    time_point shrunk_until;
     /// The clock runs up to 2% slow, from its own zero.
     double speed = 1.0;
     duration zero = duration::zero();
@@ -173,7 +180,7 @@
   void AddVm() {
     const vm_id id = "vm-" + std::to_string(++last_vm_);
     vm& added = vms_[id];
-    added.description = Vm(id, 8000);
+    added.description = Vm(id, kVmCores);
     added.speed = 0.98 + 0.02 * Chance();
     added.zero = Between(std::chrono::seconds(0), std::chrono::seconds(1000));
   }
@@ -257,6 +264,42 @@
     }
   }
 
+  // The registry tells at once. Orders that are under way go by what it told
+  // before; see `CheckStart`.
+  void ShrinkVms() {
+    bool is_changed = false;
+    for (auto& [id, machine] : vms_) {
+      if (machine.shrunk_until <= now && machine.shrunk_until > now - kTick) {
+        machine.description.capacity = Vm(id, kVmCores).capacity;
+        is_changed = true;
+      }
+    }
+    if (Comes(faults_.shrink_every) && !vms_.empty()) {
+      vm& shrunk =
+          std::next(vms_.begin(), static_cast<long>(random_() % vms_.size()))
+              ->second;
+      const double share = 0.3 + 0.5 * Chance();
+      resources& capacity = shrunk.description.capacity;
+      capacity = Vm(shrunk.description.id, kVmCores).capacity;
+      capacity.cpu_millis = ShareOf(capacity.cpu_millis, share);
+      capacity.memory_mb = ShareOf(capacity.memory_mb, share);
+      shrunk.shrunk_until =
+          now + Between(std::chrono::seconds(1), std::chrono::seconds(8));
+      is_changed = true;
+    }
+    if (is_changed) {
+      for (const auto& reader : {owner_, zombie_}) {
+        if (reader) {
+          reader->scheduler->UpdateVms(Registry(), now);
+        }
+      }
+    }
+  }
+
+  static std::int64_t ShareOf(std::int64_t whole, double share) {
+    return static_cast<std::int64_t>(static_cast<double>(whole) * share);
+  }
+
   void NoteCrash(const vm& machine) {
     for (const auto& [task, held] : machine.runs) {
       ++crashes_under[task];
@@ -300,6 +343,7 @@
     }
     CrashVms();
     BringUnreadableEntries();
+    ShrinkVms();
     if (Comes(faults_.takeover_every)) {
       // The earlier owner goes on for a while, as one that was suspended does.
       zombie_ = owner_;
@@ -507,10 +551,15 @@
         chosen->second.unreadable_until > now) {
       violations.push_back(target.vm + " was chosen by an unreadable entry");
     }
+    const time_point sent_at = now;
+    const resources told = chosen == vms_.end()
+                               ? resources()
+                               : chosen->second.description.capacity;
     Call(
         worker, target.vm, true,
         [=, this](vm* machine) -> std::function<void()> {
-          const start_result result = Start(machine, worker, order);
+          const start_result result =
+              Start(machine, worker, order, sent_at, told);
           return [=, this] {
             worker->scheduler->OnStartAnswer(target, result, now);
           };
@@ -520,9 +569,12 @@
         });
   }
 
+  // `told` is the VM's capacity when the order was sent, at `sent_at`.
   start_result Start(vm* machine,
                      const owner_ptr& worker,
-                     const start_order& order) {
+                     const start_order& order,
+                     time_point sent_at,
+                     const resources& told) {
     if (!Fence(machine, worker)) {
       return start_result::kFenced;
     }
@@ -545,6 +597,8 @@
     started.ends_at = now + order.job->steps[task.step].estimate +
                       Between(duration::zero(), std::chrono::milliseconds(300));
     started.fails = Chance() < faults_.failing_runs;
+    started.sent_at = sent_at;
+    started.told = told;
     CheckStart(*machine, task, started);
     const bool crashes = !faults_.crashing_payload.empty() &&
                          order.job->payload == faults_.crashing_payload;
@@ -572,11 +626,15 @@
   void CheckStart(const vm& machine, const task_name& task, const vm_run& run) {
     const std::string name = task.job + "." + std::to_string(task.step) + "." +
                              std::to_string(task.index);
+    // The order that was sent last counts with all the others. The capacity may
+    // have changed since.
+    const vm_run* last = &run;
     resources used = run.room;
     for (const auto& [other, held] : machine.runs) {
       used = used + held.room;
+      last = held.sent_at > last->sent_at ? &held : last;
     }
-    if (!Fits(used, machine.description.capacity)) {
+    if (!Fits(used, last->told)) {
       violations.push_back("over capacity: " + name);
     }
     for (const auto& [id, other] : vms_) {
--- a/tests/core/jobs/pool_model_test.cc
+++ b/tests/core/jobs/pool_model_test.cc
@@ -132,6 +132,26 @@
     }));
   }
 
+  // Guards against starts, and against tasks that are lost or run twice, by a
+  // capacity that a VM had before.
+  SECTION("VMs whose capacity shrinks and grows") {
+    model_faults faults;
+    faults.shrink_every = milliseconds(700);
+    CHECK(rc::check([&] {
+      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
+    }));
+  }
+
+  SECTION("VMs whose capacity shrinks and grows, with all else") {
+    model_faults faults = AllFaults();
+    faults.shrink_every = milliseconds(700);
+    CHECK(rc::check([&] {
+      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
+    }));
+  }
+
   SECTION("all of it together") {
     CHECK(rc::check([&] {
       const auto seed = *rc::gen::arbitrary<std::uint32_t>();
