Don't blame tasks that run beside a suspected one for its crash

Callers saw jobs as failed that could be done: their tasks only ran beside others that crashed their VMs.

Cause: when a VM is lost, the loss counted against every run on it, and a job is given up after four crashes of a task's VMs at any time. A suspected task is started apart, so that a crash right after is plainly its doing; but it was counted against those that had run there for long, too. In a rush with many such tasks one long task meets four.

The new test failed at the fourth such crash.

Ruled out: crashes at their own start (none of these tasks had two of them), lost records of an owner that was replaced (one owner counted all four).

Change: a loss doesn't count against a run while a suspected one has just begun on its VM. Nothing else can have just begun there, so that a task that crashes VMs at its starts is still counted each time.

--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "core/jobs/pool_scheduler_impl.h"
@@ -79,6 +80,14 @@
   return vm.description().draining || vm.is_closed;
 }
 
+// A suspected task starts apart so that it is plain which task crashes the VM.
+// Where several such tasks crash one VM after the other, those that run beside
+// them would be given up with them.
+bool pool_scheduler::impl::IsClearedBySuspect(const vm_state& vm,
+                                              const run_state& run) {
+  return vm.HasFreshSuspect() && !(run.is_fresh && run.is_suspected);
+}
+
 // Whether the VM crashed shows seconds later. If this owner is replaced by then
 // the next one has no other way to learn what was started there.
 void pool_scheduler::impl::DoubtFreshRuns(vm_state* vm) {
@@ -104,16 +113,20 @@
   }
   vm->untaken_ends.clear();
   std::vector<lost_run> lost;
+  std::set<task_name> cleared;
   for (const auto& [task, run] : vm->runs()) {
     lost.push_back(
         {{vm->description().id, task, run.run}, KindOf(run, is_over)});
+    if (IsClearedBySuspect(*vm, run)) {
+      cleared.insert(task);
+    }
   }
   losses_.insert(losses_.end(), lost.begin(), lost.end());
   counts_.lost_runs += lost.size();
   const bool is_planned = IsEndPlanned(*vm);
   for (const auto& [run, kind] : lost) {
     job_state* job = EndRun(vm, run.task);
-    if (job != nullptr && !is_planned) {
+    if (job != nullptr && !is_planned && cleared.count(run.task) == 0) {
       CountLoss(job, run.task, {run.run, kind, run.vm});
     }
     job = jobs_.Find(run.task.job);
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -139,6 +139,8 @@
   /// life of it is known to be over.
   void EndUnheardRuns(vm_state* vm, bool is_over);
   static bool IsEndPlanned(const vm_state& vm);
+  /// Whether a crash of the VM now is another task's doing than the run's.
+  static bool IsClearedBySuspect(const vm_state& vm, const run_state& run);
   void LapseSilentVms(time_point now);
   void ForgetGoneVms(time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
--- a/tests/core/jobs/suspected_task_test.cc
+++ b/tests/core/jobs/suspected_task_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 #include "core/jobs/scheduler_driver.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
@@ -154,6 +156,53 @@
   }
 }
 
+// Seen by callers: jobs of theirs were shown as failed, whose tasks only ran
+// beside others that crashed their VMs.
+// Guards against jobs that are given up for what a suspected task beside them
+// does to the VM.
+TEST_CASE("A task beside a suspected one that crashes its VM isn't blamed") {
+  constexpr int kRounds = 6;
+  scheduler_driver driver;
+  driver.Add(Job("bystander", {Step(1)}));
+  const task_name bystander{"bystander", 0, 0, 0};
+  std::map<job_id, job_progress> told;
+  const auto store = [&] {
+    for (const progress_batch& batch : driver.Store()) {
+      for (const auto& [id, progress] : batch.jobs) {
+        told[id] = progress;
+      }
+    }
+  };
+  for (int i = 0; i < kRounds; ++i) {
+    const vm_id vm = "vm-" + std::to_string(i);
+    driver.Bring({Vm(vm)});
+    const auto starts = driver.StartAll();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.task == bystander);
+    driver.Pass(kShortWhile);
+    driver.List(vm, {Running(bystander, starts[0].target.run)}, {});
+    driver.Pass(kShortWhile);
+    driver.List(vm, {Running(bystander, starts[0].target.run, 60)}, {});
+
+    const job_id id = "suspect-" + std::to_string(i);
+    driver.Add(Job(id, {Step(1)}));
+    job_progress progress;
+    progress.phase = job_phase::kRunning;
+    progress.tasks.push_back({0, 0, 0, 1, {}, false, "", true, {}});
+    progress.tasks[0].losses = {{1, loss_kind::kCrashAtStart, "vm"}};
+    driver.scheduler.RestoreJob(id, progress);
+    const auto apart = driver.StartAll();
+    REQUIRE(apart.size() == 1);
+    CHECK(apart[0].target.task.job == id);
+    driver.Pass(milliseconds(10));
+    driver.scheduler.OnReplaced(vm, driver.now);
+    store();
+    CHECK(told[id].phase == job_phase::kFailed);
+    REQUIRE(told["bystander"].phase == job_phase::kRunning);
+  }
+  CHECK(told["bystander"].tasks.at(0).losses.empty());
+}
+
 // Guards against lasting jobs that are given up after they have outlived a few
 // VMs: what counts are crashes at starts in a row.
 TEST_CASE("A lasting task that was at work has nothing against it") {
