Start nothing on a VM whose reports have stopped

Cause: a VM tells of its capacity only through the registry. One that shrank while the store was away reported it up to 1.5 s after the store was back, and the owner started tasks by entries from before. The class of fault: a decision by a copy whose age isn't bound, as for cancellations; likely also the known DRAIN by a late copy of the registry. Ruled out: a reading of the registry that hangs (its copy was 46 ms old). Change: nothing starts on a VM of which two reports in a row are missing, by how often it has reported; the fleet's owner watches the registry, so that it can own a pool at once. Open: a new owner goes by the entries that it reads first until a VM has reported twice.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -154,6 +154,9 @@
   /// Replaces the list of the pool's VMs. A VM that is gone from it gets no new
   /// tasks, and is forgotten when nothing can be running on it.
   void UpdateVms(const std::vector<vm_description>& vms, time_point now);
+  /// Takes in until when the reports of VMs of their capacity are trusted; see
+  /// `report_ages`. After that nothing starts there.
+  void NoteReports(const std::map<vm_id, time_point>& trusted_until);
   /// Empties a VM: no new tasks, and lasting ones move as their steps allow.
   void CloseVm(const vm_id& vm, time_point now);
   /// Takes back `CloseVm`.
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -61,6 +61,16 @@
   ++vms_version_;
 }
 
+void pool_scheduler::impl::NoteReports(
+    const std::map<vm_id, time_point>& trusted_until) {
+  for (auto& [id, vm] : vms_) {
+    const auto found = trusted_until.find(id);
+    if (found != trusted_until.end()) {
+      vm.trusted_until = found->second;
+    }
+  }
+}
+
 void pool_scheduler::impl::TakeListing(vm_state* vm,
                                        time_point sent_at,
                                        const vm_listing& listing,
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -78,6 +78,11 @@
   impl_->UpdateVms(vms, now);
 }
 
+void pool_scheduler::NoteReports(
+    const std::map<vm_id, time_point>& trusted_until) {
+  impl_->NoteReports(trusted_until);
+}
+
 void pool_scheduler::CloseVm(const vm_id& vm, time_point now) {
   vm_state* found = impl_->FindVm(vm);
   if (found != nullptr && !found->is_closed) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -80,6 +80,7 @@
   void NoteCancellationsRead(time_point through) {
     cancellations_read_through_ = through;
   }
+  void NoteReports(const std::map<vm_id, time_point>& trusted_until);
   bool MayStart(time_point now) const;
   bool HasUnknownJobs() const;
   /// Takes over the runs of a job that VMs have told of before it was known.
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -147,6 +147,8 @@
   std::uint32_t failures_in_row = 0;
   std::set<job_id> failing_jobs;
   bool is_listed = true;
+  /// Until when what it told of its capacity is gone by; nothing: always.
+  std::optional<time_point> trusted_until;
   /// A listing of it has been taken in completely.
   bool is_settled = false;
   /// A record that it is used is stored, or is on its way.
--- a/src/jobs/job_world_faults.cc
+++ b/src/jobs/job_world_faults.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "jobs/clocks.h"
 #include "jobs/fleet_records.h"
 #include "jobs/job_world.h"
 #include "plantainhead/core/jobs/record_faults.h"
@@ -81,6 +82,7 @@
 void job_world::TakeRegistryRecord(const adapter::keyed_record& record) {
   const bool is_dropped = !record.value && !record.fault;
   if (is_dropped) {
+    report_ages_.Drop(record.key);
     registry_.Drop(record.key);
     faults_.NoteSound(adapter::kRegistryTopic, record.key);
   } else if (auto vm = DecodeEntry(record)) {
@@ -93,6 +95,10 @@
       faults_.Note(adapter::kRegistryTopic, record.key,
                    {core::jobs::fault_kind::kUnknownName, "service"});
     }
+    // The record was written after what had been read before it.
+    const bool is_loaded = registry_follower_ && registry_follower_->IsLoaded();
+    report_ages_.Note(
+        record.key, is_loaded ? registry_follower_->CompleteAt() : BootTime());
     if (!registry_.Put(std::move(*vm))) {
       return;
     }
--- a/src/jobs/job_world_following.cc
+++ b/src/jobs/job_world_following.cc
@@ -137,8 +137,8 @@
     return;
   }
   FollowFleet();
-  registry_follower_->SetMode(owned_.empty() ? follow_mode::kBackground
-                                             : follow_mode::kWatch);
+  // Also by one that owns no pool yet: starts go by fresh entries only.
+  registry_follower_->SetMode(follow_mode::kWatch);
 }
 
 void job_world::FollowFleet() {
@@ -159,6 +159,7 @@
   registry_follower_.reset();
   fleet_follower_.reset();
   registry_ = core::jobs::vm_registry();
+  report_ages_.Clear();
   fleet_records_.clear();
 }
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -125,6 +125,7 @@
   if (is_sure) {
     const core::time_point began = BootTime();
     NoteCancellationsRead(began);
+    scheduler_->NoteReports(deps_.world->report_ages().trusted_until());
     const std::vector<core::jobs::vm_order> orders =
         scheduler_->Plan(began, WallTime());
     plan_time_ = BootTime() - began;
--- a/tests/core/jobs/shrunk_vm_test.cc
+++ b/tests/core/jobs/shrunk_vm_test.cc
@@ -238,6 +238,33 @@
   CHECK(starts[0].target.task.job == "next");
 }
 
+// Guards against starts by a capacity that a VM had before the store was away:
+// it can't report a smaller one meanwhile.
+TEST_CASE("A VM whose report of its capacity is old") {
+  scheduler_driver driver;
+  driver.Bring({Vm("vm-1")});
+  driver.Add(Job("job", {Step(1)}));
+  const duration left = milliseconds(3000);
+  driver.scheduler.NoteReports({{"vm-1", driver.now + left}});
+
+  SECTION("still gets tasks while one report may have been lost") {
+    driver.Pass(left);
+    driver.List("vm-1", {}, {});
+    CHECK(driver.Starts().size() == 1);
+  }
+
+  SECTION("gets none when it is older, until it reports again") {
+    driver.Pass(left + milliseconds(1));
+    driver.List("vm-1", {}, {});
+    CHECK(driver.Starts().empty());
+    driver.scheduler.UpdateVms({Vm("vm-1", 500)}, driver.now);
+    driver.scheduler.NoteReports({{"vm-1", driver.now + left}});
+    CHECK(driver.Starts().empty());
+    driver.scheduler.UpdateVms({Vm("vm-1", 1000)}, driver.now);
+    CHECK(driver.Starts().size() == 1);
+  }
+}
+
 // Guards against a gang of which a part starts, as one of its VMs has shrunk.
 TEST_CASE("A gang that a shrunk VM has no room for waits as a whole") {
   scheduler_driver driver;
