--- a/fakes/narrow_link.h
+++ b/fakes/narrow_link.h
@@ -14,8 +14,9 @@
 namespace plantainhead::fakes {
 
 /// Carries the answers to one process one after the other, as a link of little
-/// capacity does. An answer takes its time also when nobody waits for it any
-/// more: its bytes are under way. Not thread-safe.
+/// capacity does. Each answer arrives whole, when its time is over. It takes
+/// its time also when nobody waits for it any more: its bytes are under way.
+/// Not thread-safe.
 class narrow_link {
  public:
   /// Precondition: `bytes_per_second` is positive. It may be set at any time.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -28,9 +28,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Connections for short calls to the store. A takeover reads 18 partitions at
-// once; when the store is slow (0.2 s an answer) fewer connections would make
-// the last reads wait until they time out, and the takeover begin again.
+// Connections for short calls to the store. A takeover refreshes 18 partitions
+// at once; when the store is slow (0.2 s an answer) fewer connections would
+// make the last reads wait until they time out, and the takeover begin again.
 constexpr std::size_t kStoreConnections = 20;
 // A process that has reached neither the store nor an owner of a pool for this
 // time tells that it isn't ready: callers' jobs can't be stored here. Longer
--- a/src/jobs/partition_loader.cc
+++ b/src/jobs/partition_loader.cc
@@ -10,7 +10,8 @@
 namespace plantainhead::jobs {
 namespace {
 
-// Some of the client's connections are left for calls that can't wait.
+// Begins with few, since nothing is known of the link, and leaves some of the
+// client's connections to calls that can't wait.
 core::jobs::window_settings LoadWindow() {
   core::jobs::window_settings settings;
   settings.least = 1;
