--- a/include/plantainhead/core/jobs/report_ages.h
+++ b/include/plantainhead/core/jobs/report_ages.h
@@ -8,30 +8,28 @@
 
 namespace plantainhead::core::jobs {
 
-/// Tells until when what VMs report of themselves may be gone by. A VM reports
-/// at regular times; when two reports in a row are missing, its capacity may
-/// have shrunk since. Not thread-safe.
+/// Tells until when what VMs report of themselves may be gone by. VMs report at
+/// regular times, all as often; when two reports of one in a row are missing,
+/// its capacity may have shrunk since. Not thread-safe.
 class report_ages {
  public:
   /// Notes a report that was made at `at` at the earliest.
   void Note(const vm_id& vm, time_point at);
   void Drop(const vm_id& vm);
   void Clear();
-  /// Returns the VMs that have been seen to report regularly. The reference is
-  /// valid as long as the object.
+  /// Returns nothing of VMs that were noted before any had reported twice. The
+  /// reference is valid as long as the object.
   const std::map<vm_id, time_point>& trusted_until() const {
     return trusted_until_;
   }
 
  private:
-  struct reports {
-    time_point last_at;
-    /// Smoothed; zero before the second report.
-    duration gap = duration::zero();
-  };
+  void NoteGap(duration gap);
 
-  std::map<vm_id, reports> reports_;
+  std::map<vm_id, time_point> last_at_;
   std::map<vm_id, time_point> trusted_until_;
+  /// Between two reports of a VM, smoothed over all; zero before the first.
+  duration usual_gap_ = duration::zero();
 };
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/report_ages.cc
+++ b/src/core/jobs/report_ages.cc
@@ -6,7 +6,10 @@
 namespace {
 
 // The share of a new gap in the smoothed one.
-constexpr int kSmoothing = 4;
+constexpr int kSmoothing = 16;
+// A gap that is longer than this many usual ones comes from a store that was
+// away, and not from how often VMs report.
+constexpr int kLongestGaps = 2;
 constexpr int kGapsTrusted = 2;
 // Reports are read somewhat later than they are made.
 constexpr duration kReadingTime = std::chrono::milliseconds(200);
@@ -15,28 +18,34 @@
 }  // namespace
 
 void report_ages::Note(const vm_id& vm, time_point at) {
-  const auto [found, is_first] = reports_.try_emplace(vm);
-  reports& seen = found->second;
-  if (!is_first && at > seen.last_at) {
-    const duration gap = at - seen.last_at;
-    seen.gap +=
-        seen.gap == duration::zero() ? gap : (gap - seen.gap) / kSmoothing;
+  const auto [last, is_first] = last_at_.try_emplace(vm, at);
+  if (!is_first && at > last->second) {
+    NoteGap(at - last->second);
+    last->second = at;
   }
-  seen.last_at = std::max(seen.last_at, at);
-  if (seen.gap > duration::zero()) {
+  if (usual_gap_ > duration::zero()) {
     trusted_until_[vm] =
-        seen.last_at +
-        std::max(kLeastTrusted, kGapsTrusted * seen.gap + kReadingTime);
+        last->second +
+        std::max(kLeastTrusted, kGapsTrusted * usual_gap_ + kReadingTime);
   }
 }
 
+void report_ages::NoteGap(duration gap) {
+  if (usual_gap_ == duration::zero()) {
+    usual_gap_ = gap;
+    return;
+  }
+  const duration counted = std::min(gap, kLongestGaps * usual_gap_);
+  usual_gap_ += (counted - usual_gap_) / kSmoothing;
+}
+
 void report_ages::Drop(const vm_id& vm) {
-  reports_.erase(vm);
+  last_at_.erase(vm);
   trusted_until_.erase(vm);
 }
 
 void report_ages::Clear() {
-  reports_.clear();
+  last_at_.clear();
   trusted_until_.clear();
 }
 
--- a/tests/core/jobs/report_ages_test.cc
+++ b/tests/core/jobs/report_ages_test.cc
@@ -28,6 +28,22 @@
           first + seconds(10) + milliseconds(20'200));
   }
 
+  SECTION("also of one that has reported once, when others have oftener") {
+    ages.Note("vm", first + milliseconds(1500));
+    ages.Note("new", first + seconds(2));
+    CHECK(ages.trusted_until().at("new") ==
+          first + seconds(2) + milliseconds(3200));
+  }
+
+  SECTION("and a store that was away for once changes little") {
+    for (int i = 1; i <= 10; ++i) {
+      ages.Note("vm", first + i * seconds(2));
+    }
+    ages.Note("vm", first + seconds(80));
+    CHECK(ages.trusted_until().at("vm") <
+          first + seconds(80) + milliseconds(4500));
+  }
+
   SECTION("never again") {
     ages.Note("vm", first);
     CHECK(ages.trusted_until().empty());
