--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -127,6 +127,7 @@
                 const life_mark& born,
                 time_point now);
   void BeginLife(vm_state* vm, const life_mark& born, time_point now);
+  /// Prepares a run to be settled with the next life of its VM.
   static void DoubtRun(run_state* run, const life_mark& former_life);
   void StopUnansweredStarts(vm_state* vm, time_point now);
   /// Ends runs that nothing more can be heard of, and counts them against their
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -27,8 +27,8 @@
   bool is_start_in_flight = false;
   /// The life of the VM that it is on has listed it.
   bool is_listed = false;
-  /// It was ordered in this life of the VM, which hadn't listed it when another
-  /// one began: either may have taken it.
+  /// The life of the VM in which it was ordered, if another one has begun
+  /// before it was listed: either may have taken it.
   life_mark former_life;
   /// It began a short while ago, as far as is known: if the VM crashes, it is
   /// the likeliest cause.
@@ -126,7 +126,7 @@
   void MarkLapsed() { is_heard_ = false; }
 
   life_mark born;
-  /// Also those that are settled with this life.
+  /// Starts that had no answer, also those whose runs are over by now.
   std::map<task_name, unanswered_start> unanswered_starts;
   /// Ends: the greatest number that was taken in, and what may be acknowledged.
   std::uint64_t taken_through = 0;
