Soak: VMs report regularly, as the platform's do

The stand-in's VMs wrote their entries once, or once more when they began again under the same id; since then they passed for VMs whose reports had stopped. The platform's VMs write theirs every 1.5 s. Change: the soak's VMs, and the one of the test with a VM that begins again, report regularly. No change in src/.

--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -63,6 +63,7 @@
   const std::string id = "vm-" + std::to_string(++last_vm_);
   const std::string address = NextAddress();
   soak_vm& one = vms[id];
+  one.pool = pool;
   one.vm = std::make_unique<fakes::site_vm>(&context, id, address, kTaskTime);
   ListenTo(one.vm.get());
   one.proxy = std::make_unique<fault_proxy>(&context, address);
@@ -105,7 +106,24 @@
   });
 }
 
+// As the platform's VMs do, whether or not anything has changed.
+void soak_site::ReportVms() {
+  constexpr std::chrono::milliseconds kReportEvery(1500);
+  const auto now = std::chrono::steady_clock::now();
+  if (now - reported_at_ < kReportEvery) {
+    return;
+  }
+  reported_at_ = now;
+  for (const auto& [id, one] : vms) {
+    if (!one.is_gone && !one.vm->is_silent) {
+      store.Put("keyed.servers", id,
+                one.vm->RegistryValue(one.pool, one.proxy->address()));
+    }
+  }
+}
+
 std::vector<std::string> soak_site::Tend() {
+  ReportVms();
   std::vector<std::string> ends;
   store.ExpireSilent();
   for (soak_process& one : processes) {
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -36,6 +36,7 @@
 struct soak_vm {
   std::unique_ptr<fakes::site_vm> vm;
   std::unique_ptr<fault_proxy> proxy;
+  std::string pool;
   /// It doesn't come back at this address.
   bool is_gone = false;
 };
@@ -92,11 +93,13 @@
 
  private:
   void ListenTo(fakes::site_vm* vm);
+  void ReportVms();
 
   run_handler on_run_;
   std::mt19937_64 random_;
   std::unique_ptr<net::http_server> store_server_;
   int last_vm_ = 0;
+  std::chrono::steady_clock::time_point reported_at_;
 };
 
 /// Returns a caller's request for a job of the queue, or for the queue itself
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -186,6 +186,7 @@
 TEST_CASE("A VM that begins again under its id runs each task once") {
   site site;
   auto& vm = site.AddVm("vm-1", milliseconds(30));
+  site.ReportRegularly("vm-1");
   site.AddProcess("p1");
   REQUIRE(site.AwaitReady("p1"));
   REQUIRE(site.Submit("p1", kId).status == 200);
@@ -193,7 +194,6 @@
   vm.Crash();
   site.Pass(milliseconds(200));
   vm.BeginLife("vm-1");
-  site.store.Put("keyed.servers", "vm-1", vm.RegistryValue("pool"));
   const std::string next = "fedcba9876543210";
   REQUIRE(site.Submit("p1", next).status == 200);
   CHECK(site.AwaitState("p1", "completed", next));
--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -40,7 +41,8 @@
 /// scheduler, which talk over loopback.
 class site {
  public:
-  site() : store(&context), store_address_(FreeAddress()) {
+  site()
+      : store(&context), report_timer_(context), store_address_(FreeAddress()) {
     store_server_ = std::make_unique<net::http_server>(
         &context, store_address_, net::http_server_options(),
         [this](const net::server_request& request,
@@ -66,6 +68,21 @@
     return *vms[id];
   }
 
+  /// Writes the VM's entry again and again, as the platform's VMs do.
+  void ReportRegularly(const std::string& id) {
+    constexpr milliseconds kReportEvery(300);
+    if (!vms.at(id)->is_silent) {
+      store.Put("keyed.servers", id, vms.at(id)->RegistryValue("pool"));
+    }
+    report_timer_.expires_after(kReportEvery);
+    report_timer_.async_wait(
+        [this, id](const boost::system::error_code& error) {
+          if (!error) {
+            ReportRegularly(id);
+          }
+        });
+  }
+
   /// `fleet_address`: of the interface to the fleet; empty for none.
   void AddProcess(const std::string& name,
                   const std::string& fleet_address = "") {
@@ -156,6 +173,7 @@
   std::map<std::string, std::string> addresses;
 
  private:
+  boost::asio::steady_timer report_timer_;
   std::string store_address_;
   std::unique_ptr<fakes::narrow_link> store_link_;
   std::unique_ptr<net::http_server> store_server_;
