One test of whether marks are of two lives, one way to note a life, one lost run

Cause: "both known and different" stood five times; the registry and listings noted a VM's life by two pieces of code; a lost run was put together three times, and the ends that weren't taken in were forgotten in two places; CheckAbsent tested twice what it had named before. Lost runs of two former lives, settled by one listing, were recorded under one of them. Change: vm_life.h with AreOtherLives, TakeLife for both, LostRunOf and ForgetUntakenEnds; a lost run tells its life. Behaviour is the same but for that last record.

--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "plantainhead/core/jobs/run_loss.h"
+#include "plantainhead/core/jobs/vm_life.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/core/time.h"
 
@@ -16,11 +17,6 @@
 
 /// The caller's name of a job; it is the idempotency key of the submission.
 using job_id = std::string;
-/// A VM. One that begins anew has another id, or another `life_mark`.
-using vm_id = std::string;
-/// Tells one life of a VM from others under the same id: when it began, in
-/// milliseconds since 1970 by its own clock. Nothing: it isn't told.
-using life_mark = std::optional<std::int64_t>;
 /// A pool of VMs that serve the same queues.
 using pool_id = std::string;
 using queue_id = std::string;
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -90,6 +90,7 @@
 struct lost_run {
   run_ref run;
   loss_kind kind = loss_kind::kCrashAtStart;
+  life_mark born = std::nullopt;
 
   bool operator==(const lost_run&) const = default;
 };
--- a/include/plantainhead/core/jobs/run_loss.h
+++ b/include/plantainhead/core/jobs/run_loss.h
@@ -3,8 +3,8 @@
 
 #include <cstdint>
 #include <optional>
-#include <string>
 
+#include "plantainhead/core/jobs/vm_life.h"
 #include "plantainhead/core/names.h"
 
 namespace plantainhead::core::jobs {
@@ -43,9 +43,8 @@
   loss_kind kind = loss_kind::kCrashAtStart;
   /// The VM that lost it, or may have. If that life of it is heard again, the
   /// run wasn't lost.
-  std::string vm;
-  /// Which life of it, when it tells.
-  std::optional<std::int64_t> born = std::nullopt;
+  vm_id vm;
+  life_mark born = std::nullopt;
 
   bool operator==(const run_loss&) const = default;
 };
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -311,9 +311,7 @@
       for (task_state& task : step.tasks) {
         const auto count =
             std::erase_if(task.losses, [&](const run_loss& loss) {
-              const bool is_other_life =
-                  loss.born && born && *loss.born != *born;
-              return loss.vm == vm && !is_other_life;
+              return loss.vm == vm && !AreOtherLives(loss.born, born);
             });
         is_withdrawn = is_withdrawn || count > 0;
         has_losses_ = has_losses_ || !task.losses.empty();
--- a/src/core/jobs/pool_lives.cc
+++ b/src/core/jobs/pool_lives.cc
@@ -11,16 +11,17 @@
 }  // namespace
 
 bool pool_scheduler::impl::TakeLife(vm_state* vm,
-                                    time_point sent_at,
+                                    std::optional<time_point> asked_at,
                                     const life_mark& born,
                                     time_point now) {
-  if (!born || !vm->born || *born == *vm->born) {
+  if (!AreOtherLives(born, vm->born)) {
     vm->born = born ? born : vm->born;
     return true;
   }
   // The clock by which a life is marked may have been set back; but a hold that
   // was sent when the present life was known reaches no life before it.
-  const bool is_next = *born > *vm->born || sent_at >= vm->life_known_at();
+  const bool is_next =
+      *born > *vm->born || (asked_at && *asked_at >= vm->life_known_at());
   if (is_next) {
     BeginLife(vm, born, now);
   }
@@ -34,21 +35,18 @@
 void pool_scheduler::impl::BeginLife(vm_state* vm,
                                      const life_mark& born,
                                      time_point now) {
-  for (const auto& [task, run] : vm->untaken_ends) {
-    NoteForgotten(task, run);
-  }
+  ForgetUntakenEnds(vm);
   // Past its lease the runs had ended before that life of the VM did.
   const bool is_over = !vm->IsLapsed(now);
   std::vector<lost_run> lost;
   for (auto& [task, run] : vm->runs()) {
     if (run.is_listed) {
-      lost.push_back(
-          {{vm->description().id, task, run.run}, LossKindOf(run, is_over)});
+      lost.push_back(LostRunOf(*vm, task, run, is_over));
     } else {
       DoubtRun(&run, vm->born);
     }
   }
-  EndLostRuns(vm, lost, vm->born);
+  EndLostRuns(vm, lost);
   vm->BeginLife(born, now);
   StopUnansweredStarts(vm, now);
   ++vms_version_;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -41,13 +41,7 @@
     }
     auto [found, is_new] = vms_.try_emplace(description.id, description);
     vm_state& vm = found->second;
-    const bool begins_again =
-        description.born && vm.born && *description.born > *vm.born;
-    if (begins_again) {
-      BeginLife(&vm, description.born, now);
-    } else if (!vm.born) {
-      vm.born = description.born;
-    }
+    TakeLife(&vm, std::nullopt, description.born, now);
     vm.description() = description;
     vm.is_listed = true;
     // An owner that was paused may have been the first to see this VM, and may
@@ -358,7 +352,6 @@
   }
   std::vector<task_name> over;
   std::vector<lost_run> lost;
-  life_mark former_life;
   for (auto& [task, run] : vm->runs()) {
     if (running.count({task, run.run}) != 0) {
       continue;
@@ -367,14 +360,13 @@
         run.stop_answered_at && *run.stop_answered_at <= sent_at;
     const bool was_started = run.confirmed_at && *run.confirmed_at <= sent_at;
     if (run.former_life && (is_stopped || was_started)) {
-      former_life = run.former_life;
-      lost.push_back(
-          {{vm->description().id, task, run.run}, LossKindOf(run, true)});
-    } else if (run.stop_answered_at && *run.stop_answered_at <= sent_at) {
+      lost.push_back(LostRunOf(*vm, task, run, true));
+      lost.back().born = run.former_life;
+    } else if (is_stopped) {
       over.push_back(task);
     } else if (run.unsettled_since && *run.unsettled_since <= sent_at) {
       run.is_stop_wanted = true;
-    } else if (run.confirmed_at && *run.confirmed_at <= sent_at) {
+    } else if (was_started) {
       run.is_stop_wanted = true;
       run.next_stop_at = std::max(run.next_stop_at, now);
     }
@@ -382,7 +374,7 @@
   for (const task_name& task : over) {
     EndRun(vm, task);
   }
-  EndLostRuns(vm, lost, former_life);
+  EndLostRuns(vm, lost);
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -20,8 +20,6 @@
 // A stop whose answer is awaited for this long will have none.
 constexpr duration kStopGivenUp = std::chrono::seconds(3);
 
-}  // namespace
-
 loss_kind LossKindOf(const run_state& run, bool is_over) {
   if (is_over && !run.confirmed_at) {
     return loss_kind::kCrashUnanswered;
@@ -32,6 +30,8 @@
   return run.is_fresh ? loss_kind::kSilenceAtStart : loss_kind::kSilenceLater;
 }
 
+}  // namespace
+
 job_state* pool_scheduler::impl::EndRun(vm_state* vm, const task_name& name) {
   const auto held = vm->runs().find(name);
   if (held == vm->runs().end()) {
@@ -112,21 +112,31 @@
 // claimed the partition before, so that the store refuses the record of these
 // ends; they start again only after it is stored.
 void pool_scheduler::impl::EndUnheardRuns(vm_state* vm, bool is_over) {
+  ForgetUntakenEnds(vm);
+  std::vector<lost_run> lost;
+  for (const auto& [task, run] : vm->runs()) {
+    lost.push_back(LostRunOf(*vm, task, run, is_over));
+  }
+  EndLostRuns(vm, lost);
+}
+
+void pool_scheduler::impl::ForgetUntakenEnds(vm_state* vm) {
   for (const auto& [task, run] : vm->untaken_ends) {
     NoteForgotten(task, run);
   }
   vm->untaken_ends.clear();
-  std::vector<lost_run> lost;
-  for (const auto& [task, run] : vm->runs()) {
-    lost.push_back(
-        {{vm->description().id, task, run.run}, LossKindOf(run, is_over)});
-  }
-  EndLostRuns(vm, lost, vm->born);
+}
+
+lost_run pool_scheduler::impl::LostRunOf(const vm_state& vm,
+                                         const task_name& task,
+                                         const run_state& run,
+                                         bool is_over) {
+  return {
+      {vm.description().id, task, run.run}, LossKindOf(run, is_over), vm.born};
 }
 
 void pool_scheduler::impl::EndLostRuns(vm_state* vm,
-                                       const std::vector<lost_run>& lost,
-                                       const life_mark& born) {
+                                       const std::vector<lost_run>& lost) {
   losses_.insert(losses_.end(), lost.begin(), lost.end());
   counts_.lost_runs += lost.size();
   const bool is_planned = IsEndPlanned(*vm);
@@ -136,7 +146,7 @@
       cleared.insert(task);
     }
   }
-  for (const auto& [run, kind] : lost) {
+  for (const auto& [run, kind, born] : lost) {
     job_state* job = EndRun(vm, run.task);
     if (job != nullptr && !is_planned && cleared.count(run.task) == 0) {
       CountLoss(job, run.task, {run.run, kind, run.vm, born});
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -22,9 +22,6 @@
 /// Returns what a task of the step takes of a VM's capacity.
 resources RoomOf(const step_spec& step);
 
-/// How a run on a VM is lost whose life, if `is_over`, has ended.
-loss_kind LossKindOf(const run_state& run, bool is_over);
-
 /// The state of a `pool_scheduler`. Seven files share it: what VMs list
 /// (`pool_reports.cc`), that they begin again (`pool_lives.cc`), how they
 /// answer orders (`pool_answers.cc`), what is stored (`pool_records.cc`), which
@@ -120,10 +117,10 @@
   void AssumeLeaseOf(const vm_id& id, vm_state* vm);
 
   // Lives.
-  /// Notes which life of the VM made a listing. Returns false when that life is
-  /// over.
+  /// Notes of which life of the VM a listing or a registry entry is. Returns
+  /// false when that life is over. `asked_at`: when a listing was asked for.
   bool TakeLife(vm_state* vm,
-                time_point sent_at,
+                std::optional<time_point> asked_at,
                 const life_mark& born,
                 time_point now);
   void BeginLife(vm_state* vm, const life_mark& born, time_point now);
@@ -132,9 +129,14 @@
   void StopUnansweredStarts(vm_state* vm, time_point now);
   /// Ends runs that nothing more can be heard of, and counts them against their
   /// tasks.
-  void EndLostRuns(vm_state* vm,
-                   const std::vector<lost_run>& lost,
-                   const life_mark& born);
+  void EndLostRuns(vm_state* vm, const std::vector<lost_run>& lost);
+  void ForgetUntakenEnds(vm_state* vm);
+  /// Returns a run that is lost with its VM. `is_over`: so is the life of the
+  /// VM that it was on.
+  static lost_run LostRunOf(const vm_state& vm,
+                            const task_name& task,
+                            const run_state& run,
+                            bool is_over);
 
   // Reports.
   void TakeRunning(vm_state* vm, const running_task& row, time_point now);
--- a/src/core/jobs/vm_state.cc
+++ b/src/core/jobs/vm_state.cc
@@ -72,7 +72,6 @@
   acknowledged_through = 0;
   unstored_ends.clear();
   unknown_end_since.reset();
-  untaken_ends.clear();
   avoid_until = {};
   failures_in_row = 0;
   failing_jobs.clear();
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -108,9 +108,7 @@
   time_point life_known_at() const { return life_known_at_; }
   /// Returns whether the registry's entry is of the present life, as far as is
   /// told.
-  bool IsDescribed() const {
-    return !born || !description_.born || *born == *description_.born;
-  }
+  bool IsDescribed() const { return !AreOtherLives(born, description_.born); }
 
   /// Returns a time on the VM's clock, `lease` from now, up to which an order
   /// may let it run tasks, and remembers it. Nothing before it was heard.
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -177,22 +177,21 @@
 void pool_owner::impl::NoteHeard(const vm_id& vm,
                                  vm_link* link,
                                  const core::jobs::life_mark& born) {
-  const bool begins_again = born && link->born && *born != *link->born;
-  if (!link->is_lost && !begins_again) {
-    link->born = born ? born : link->born;
-    return;
-  }
-  // Not before the line on its loss.
-  LogLines(lines_.TakeAll());
-  observe::log_fields fields = {{"vm", vm}};
-  if (born) {
-    fields.emplace_back("born", std::to_string(*born));
-  }
-  if (begins_again) {
-    fields.emplace_back("born_before", std::to_string(*link->born));
-    fields.emplace_back("ends_logged_before", std::to_string(link->logged_end));
+  const bool begins_again = core::jobs::AreOtherLives(born, link->born);
+  if (link->is_lost || begins_again) {
+    // Not before the line on its loss.
+    LogLines(lines_.TakeAll());
+    observe::log_fields fields = {{"vm", vm}};
+    if (born) {
+      fields.emplace_back("born", std::to_string(*born));
+    }
+    if (begins_again) {
+      fields.emplace_back("born_before", std::to_string(*link->born));
+      fields.emplace_back("ends_logged_before",
+                          std::to_string(link->logged_end));
+    }
+    LogEvent(job_event::kVmHeard, fields);
   }
-  LogEvent(job_event::kVmHeard, fields);
   link->logged_end = begins_again ? 0 : link->logged_end;
   link->is_lost = false;
   link->born = born ? born : link->born;
--- a/src/jobs/vm_link.h
+++ b/src/jobs/vm_link.h
@@ -9,7 +9,7 @@
 
 namespace plantainhead::jobs {
 
-/// An owner's connections to one life of a VM, and the hold that is under way.
+/// An owner's connections to a VM, and the hold that is under way.
 struct vm_link {
   vm_link(boost::asio::io_context* context,
           const core::jobs::vm_id& id,
