Load partitions and withdraw members with the calls that are there

Cause: the handler of a page stood four levels deep in the call that sends it, and copied the page on its way; a reserve that withdraws set its timer with a copy of RenewLater. Change: TakeReply by itself, pages by reference, RenewLater for both. Behaviour is the same. Checks: the members', followers' and loader's tests.

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -117,14 +117,7 @@
     is_member_ = false;
     is_withdrawing_ = true;
     on_dealt_(generation_, {});
-    timer_.expires_after(settings_.leave_limit);
-    timer_.async_wait(
-        [self = weak_from_this()](const boost::system::error_code& error) {
-          const auto member = self.lock();
-          if (member && !error) {
-            member->Renew();
-          }
-        });
+    RenewLater(settings_.leave_limit);
   }
 
   void LookLater(std::chrono::milliseconds pause) {
--- a/src/jobs/partition_loader.cc
+++ b/src/jobs/partition_loader.cc
@@ -57,26 +57,28 @@
   void Send(const waiting_page& next) {
     ++under_way_;
     const core::time_point sent_at = BootTime();
-    const std::chrono::milliseconds timeout = next.page.timeout;
-    store_.ReadNewest(next.page.partition, next.page.after, timeout,
-                      [self = weak_from_this(), on_page = next.on_page, sent_at,
-                       timeout](adapter::newest_reply reply) {
-                        const auto loader = self.lock();
-                        if (!loader) {
-                          return;
+    store_.ReadNewest(next.page.partition, next.page.after, next.page.timeout,
+                      [self = weak_from_this(), sent_at,
+                       next](const adapter::newest_reply& reply) {
+                        if (const auto loader = self.lock()) {
+                          loader->TakeReply(next, sent_at, reply);
                         }
-                        const core::duration took = BootTime() - sent_at;
-                        // One that fails sooner was refused, and says nothing
-                        // about the link.
-                        if (reply.is_read || took >= timeout) {
-                          loader->window_.NoteResult(took, sent_at + took);
-                        }
-                        --loader->under_way_;
-                        on_page(std::move(reply));
-                        loader->SendNext();
                       });
   }
 
+  void TakeReply(const waiting_page& sent,
+                 core::time_point sent_at,
+                 const adapter::newest_reply& reply) {
+    --under_way_;
+    const core::time_point now = BootTime();
+    // One that fails sooner was refused, and says nothing about the link.
+    if (reply.is_read || now - sent_at >= sent.page.timeout) {
+      window_.NoteResult(now - sent_at, now);
+    }
+    sent.on_page(reply);
+    SendNext();
+  }
+
   adapter::store_client& store_;
   core::jobs::send_window window_;
   std::deque<waiting_page> waiting_first_;
--- a/src/jobs/partition_loader.h
+++ b/src/jobs/partition_loader.h
@@ -33,7 +33,7 @@
 /// of its membership would wait behind them. Not thread-safe.
 class partition_loader {
  public:
-  using page_handler = std::function<void(adapter::newest_reply)>;
+  using page_handler = std::function<void(const adapter::newest_reply&)>;
 
   /// Precondition: `store` outlives it.
   explicit partition_loader(adapter::store_client* store);
