Ask in one place whether a VM is usable, and forget old starts

Cause: placement and the pool's size each listed what a usable VM is, and each change of it had to be made twice. Change: IsUsable serves both; old starts are forgotten when one is noted, too. Behaviour is the same.

--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -32,7 +32,7 @@
       }
       return;
     case start_result::kUnknown:
-      vm->unanswered_starts[target.task] = {target.run, now};
+      NoteUnansweredStart(vm, target, now);
       NoteUnsettled(run, now);
       return;
     case start_result::kNoRoom:
--- a/src/core/jobs/pool_lives.cc
+++ b/src/core/jobs/pool_lives.cc
@@ -61,11 +61,22 @@
   run->is_stop_wanted = run->is_stop_wanted || !run->confirmed_at;
 }
 
-// The former life may have confirmed a stop of a start that is on its way yet.
-void pool_scheduler::impl::StopUnansweredStarts(vm_state* vm, time_point now) {
+void pool_scheduler::impl::ForgetOldStarts(vm_state* vm, time_point now) {
   std::erase_if(vm->unanswered_starts, [now](const auto& start) {
     return now - start.second.given_up_at > kLatestCall;
   });
+}
+
+void pool_scheduler::impl::NoteUnansweredStart(vm_state* vm,
+                                               const run_ref& target,
+                                               time_point now) {
+  ForgetOldStarts(vm, now);
+  vm->unanswered_starts[target.task] = {target.run, now};
+}
+
+// The former life may have confirmed a stop of a start that is on its way yet.
+void pool_scheduler::impl::StopUnansweredStarts(vm_state* vm, time_point now) {
+  ForgetOldStarts(vm, now);
   for (const auto& [task, start] : vm->unanswered_starts) {
     const job_state* job = jobs_.Find(task.job);
     if (job == nullptr || vm->runs().count(task) != 0) {
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -279,11 +279,9 @@
   unplaced_.clear();
   most_room_ = {};
   for (auto& [id, vm] : vms_) {
-    const bool is_usable = vm.is_listed && vm.IsDescribed() && vm.is_recorded &&
-                           vm.is_settled && !vm.is_closed;
     const bool is_trusted = !vm.trusted_until || now <= *vm.trusted_until;
-    const bool takes = is_usable && is_trusted && vm.IsReachable() &&
-                       !vm.description().draining && !vm.HasForeign();
+    const bool takes =
+        IsUsable(vm) && is_trusted && vm.is_recorded && !vm.HasForeign();
     if (!takes) {
       continue;
     }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -126,6 +126,10 @@
   void BeginLife(vm_state* vm, const life_mark& born, time_point now);
   /// Prepares a run to be settled with the next life of its VM.
   static void DoubtRun(run_state* run, const life_mark& former_life);
+  static void ForgetOldStarts(vm_state* vm, time_point now);
+  static void NoteUnansweredStart(vm_state* vm,
+                                  const run_ref& target,
+                                  time_point now);
   void StopUnansweredStarts(vm_state* vm, time_point now);
   /// Ends runs that nothing more can be heard of, and counts them against their
   /// tasks.
@@ -175,7 +179,9 @@
   void PlanPace(vm_state* vm, std::vector<vm_order>* orders);
 
   // Size.
-  bool TakesTasks(const vm_state& vm, const pool_id& pool) const;
+  static bool TakesTasks(const vm_state& vm, const pool_id& pool);
+  /// Whether the VM, as it is and as the registry tells of it, may take tasks.
+  static bool IsUsable(const vm_state& vm);
 
   // Placement.
   void CountStarts();
--- a/src/core/jobs/pool_size.cc
+++ b/src/core/jobs/pool_size.cc
@@ -5,11 +5,13 @@
 
 namespace plantainhead::core::jobs {
 
-bool pool_scheduler::impl::TakesTasks(const vm_state& vm,
-                                      const pool_id& pool) const {
+bool pool_scheduler::impl::IsUsable(const vm_state& vm) {
   return vm.is_listed && vm.IsDescribed() && vm.is_settled &&
-         vm.IsReachable() && !vm.is_closed && !vm.description().draining &&
-         vm.description().pool == pool;
+         vm.IsReachable() && !vm.is_closed && !vm.description().draining;
+}
+
+bool pool_scheduler::impl::TakesTasks(const vm_state& vm, const pool_id& pool) {
+  return IsUsable(vm) && vm.description().pool == pool;
 }
 
 pool_load pool_scheduler::impl::Load(const pool_id& pool, time_point now) {
