Soak: one way to write a VM's entry

Cause: the entry was written by three copies, a VM's pool was handed over where the VM knows it, and a time was kept to report every 1.5 s beside Every, which does just that. Change: ReportVm, Every, no pool for CrashVm. Behaviour is the same. Checks: both soak tests.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -113,8 +113,7 @@
       return;
     }
     ledger_.NoteVmEnd(id);
-    site_.CrashVm(id, kPool,
-                  milliseconds(site_.Draw(kLeastDownMs, kMostDownMs)));
+    site_.CrashVm(id, milliseconds(site_.Draw(kLeastDownMs, kMostDownMs)));
   }
 
   soak_vm& AnyVm() {
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -6,6 +6,8 @@
 namespace plantainhead::soak {
 namespace {
 
+constexpr std::chrono::milliseconds kReportGap(1500);
+
 constexpr std::chrono::milliseconds kTaskTime(300);
 constexpr std::chrono::seconds kIdleLimit(20);
 constexpr std::size_t kMostCalls = 32;
@@ -36,6 +38,7 @@
         net::http_client_options{kMostCalls, kIdleLimit});
     processes.push_back(std::move(one));
   }
+  Every(kReportGap, [this] { ReportVms(); });
 }
 
 int soak_site::Draw(int least, int most) {
@@ -67,11 +70,15 @@
   one.vm = std::make_unique<fakes::site_vm>(&context, id, address, kTaskTime);
   ListenTo(one.vm.get());
   one.proxy = std::make_unique<fault_proxy>(&context, address);
-  store.Put("keyed.servers", id,
-            one.vm->RegistryValue(pool, one.proxy->address()));
+  ReportVm(id, one);
   return id;
 }
 
+void soak_site::ReportVm(const std::string& id, const soak_vm& one) {
+  store.Put("keyed.servers", id,
+            one.vm->RegistryValue(one.pool, one.proxy->address()));
+}
+
 void soak_site::ListenTo(fakes::site_vm* vm) {
   vm->on_event = [this, id = vm->id()](
                      fakes::vm_event event, const std::string& task,
@@ -79,7 +86,6 @@
 }
 
 void soak_site::CrashVm(const std::string& id,
-                        const std::string& pool,
                         std::chrono::milliseconds pause) {
   const auto found = vms.find(id);
   if (found == vms.end() || found->second.is_gone) {
@@ -87,7 +93,7 @@
   }
   found->second.vm->Crash();
   found->second.proxy->ResetAll();
-  After(pause, [this, id, pool] {
+  After(pause, [this, id] {
     if (vms.at(id).is_gone) {
       return;
     }
@@ -100,30 +106,21 @@
     soak_vm& one = life.mapped();
     one.vm->BeginLife(life.key());
     ListenTo(one.vm.get());
-    store.Put("keyed.servers", life.key(),
-              one.vm->RegistryValue(pool, one.proxy->address()));
+    ReportVm(life.key(), one);
     vms.insert(std::move(life));
   });
 }
 
 // As the platform's VMs do, whether or not anything has changed.
 void soak_site::ReportVms() {
-  constexpr std::chrono::milliseconds kReportEvery(1500);
-  const auto now = std::chrono::steady_clock::now();
-  if (now - reported_at_ < kReportEvery) {
-    return;
-  }
-  reported_at_ = now;
   for (const auto& [id, one] : vms) {
     if (!one.is_gone && !one.vm->is_silent) {
-      store.Put("keyed.servers", id,
-                one.vm->RegistryValue(one.pool, one.proxy->address()));
+      ReportVm(id, one);
     }
   }
 }
 
 std::vector<std::string> soak_site::Tend() {
-  ReportVms();
   std::vector<std::string> ends;
   store.ExpireSilent();
   for (soak_process& one : processes) {
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -77,9 +77,7 @@
   std::string AddVm(const std::string& pool);
   /// Ends the life of a VM; the next one begins at the same address, and in
   /// half of the cases under the same id.
-  void CrashVm(const std::string& id,
-               const std::string& pool,
-               std::chrono::milliseconds pause);
+  void CrashVm(const std::string& id, std::chrono::milliseconds pause);
   /// Ends silent members, and starts processes that have ended, but
   /// those that are to be down. Returns how
   /// those ended that did so by themselves.
@@ -93,13 +91,13 @@
 
  private:
   void ListenTo(fakes::site_vm* vm);
+  void ReportVm(const std::string& id, const soak_vm& one);
   void ReportVms();
 
   run_handler on_run_;
   std::mt19937_64 random_;
   std::unique_ptr<net::http_server> store_server_;
   int last_vm_ = 0;
-  std::chrono::steady_clock::time_point reported_at_;
 };
 
 /// Returns a caller's request for a job of the queue, or for the queue itself
