--- a/include/plantainhead/core/jobs/report_ages.h
+++ b/include/plantainhead/core/jobs/report_ages.h
@@ -15,7 +15,9 @@
  public:
   /// Notes a report that was made at `at` at the earliest.
   void Note(const vm_id& vm, time_point at);
+  /// Forgets a VM that has left.
   void Drop(const vm_id& vm);
+  /// Forgets all VMs, but not how often they report.
   void Clear();
   /// Returns nothing of VMs that were noted before any had reported twice. The
   /// reference is valid as long as the object.
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -80,6 +80,7 @@
   core::duration JobCopyAge(const core::jobs::queue_id& queue) const;
   /// The same for those that hold jobs of the pools that this process owns.
   core::duration WatchedJobCopyAge() const;
+  /// Returns how far VMs' entries are trusted; valid as long as the object.
   const core::jobs::report_ages& report_ages() const { return report_ages_; }
   /// Returns whether the partitions that tell of the queue's jobs are being
   /// read, and have been read once.
--- a/src/jobs/partition_loader.h
+++ b/src/jobs/partition_loader.h
@@ -17,6 +17,7 @@
 };
 
 struct wanted_page {
+  /// The page isn't read once this is gone.
   std::weak_ptr<void> reader;
   adapter::store_partition partition;
   /// The last key of the page before; empty for the first one.
--- a/tests/core/jobs/pool_model_test.cc
+++ b/tests/core/jobs/pool_model_test.cc
@@ -55,6 +55,14 @@
   return violations;
 }
 
+// Plays with seeds that the test's own seed gives.
+bool KeepsPromises(const model_faults& faults) {
+  return rc::check([&] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
+  });
+}
+
 model_faults AllFaults() {
   model_faults faults;
   faults.late_orders = 0.05;
@@ -71,10 +79,7 @@
     model_faults faults;
     faults.late_orders = 0.2;
     faults.lost_answers = 0.1;
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   // A caller asked how many jobs wait and was told 0: the first tasks of all
@@ -84,29 +89,20 @@
     model_faults faults;
     faults.lost_orders = 0.2;
     faults.refused_orders = 0.3;
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   SECTION("VMs that fall silent or crash") {
     model_faults faults;
     faults.silence_every = seconds(2);
     faults.crash_every = seconds(3);
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   SECTION("owners that replace one another while the earlier one goes on") {
     model_faults faults;
     faults.takeover_every = seconds(2);
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   // A task ran twice: the owner before had read its job sooner than the new
@@ -116,20 +112,14 @@
     faults.takeover_every = seconds(2);
     faults.read_delay = kLatestRead;
     faults.takeover_time = kLongestTakeover;
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   // Their tasks run on, and none starts there or, on that ground, elsewhere.
   SECTION("VMs whose entries can't be read, with all else") {
     model_faults faults = AllFaults();
     faults.unreadable_every = seconds(2);
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   // Guards against starts, and against tasks that are lost or run twice, by a
@@ -137,26 +127,17 @@
   SECTION("VMs whose capacity shrinks and grows") {
     model_faults faults;
     faults.shrink_every = milliseconds(700);
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   SECTION("VMs whose capacity shrinks and grows, with all else") {
     model_faults faults = AllFaults();
     faults.shrink_every = milliseconds(700);
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 
   SECTION("all of it together") {
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, AllFaults()) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(AllFaults()));
   }
 
   SECTION("all of it together, with lost or refused orders and late reads") {
@@ -165,10 +146,7 @@
     faults.refused_orders = 0.1;
     faults.read_delay = kLatestRead;
     faults.takeover_time = kLongestTakeover;
-    CHECK(rc::check([&] {
-      const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-      RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-    }));
+    CHECK(KeepsPromises(faults));
   }
 }
 
@@ -190,10 +168,7 @@
     faults.takeover_every = seconds(3);
   }
 
-  CHECK(rc::check([&] {
-    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-    RC_ASSERT(Play(seed, faults) == std::vector<std::string>());
-  }));
+  CHECK(KeepsPromises(faults));
 }
 
 // Seeds that failed once.
