Read member lists with partitions that nobody holds

Cause: the store lists a partition without an owner with an empty name. DecodeMembers took that for a fault and the list for unread, and reserves, which join by the list alone, waited for good once the earlier members had expired. Ruled out: refused or unanswered calls (status 200), a membership that was lost again (no renewal was ever answered).

Change: such rows are counted apart. A takeover takes its predecessor for gone only when no partition is without a member. A list that can't be used is logged with its status, fault and field. Ages of what never was are left out of the log lines.

Tests failed before: "Reserves join when no partition has a member any more", "A list of members tells of partitions that nobody holds".

--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -312,6 +312,11 @@
       rows.push_back(json::array({"topic", partition, member, 0}));
     }
   }
+  // Of a group that has lost all its members.
+  const bool is_unowned = generation_ != 0 && members_.empty();
+  for (std::uint32_t i = 0; is_unowned && i < kPartitions; ++i) {
+    rows.push_back(json::array({"topic", i, "", 0}));
+  }
   return json{{"parts", rows}}.dump();
 }
 
--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -18,6 +18,7 @@
     case job_event::kRecordInvalid:
     case job_event::kReadRepeated:
     case job_event::kReadUnanswered:
+    case job_event::kMembersUnknown:
     case job_event::kCountRefused:
     case job_event::kJobUnanswered:
     case job_event::kStartsPaused:
@@ -42,6 +43,7 @@
   switch (event) {
     case job_event::kReadRepeated:
     case job_event::kReadUnanswered:
+    case job_event::kMembersUnknown:
       return kReadBudget;
     case job_event::kTaskStarted:
     case job_event::kTaskNotStarted:
@@ -54,6 +56,14 @@
   }
 }
 
+void AppendAge(const char* name,
+               core::time_point time,
+               observe::log_fields* fields) {
+  if (time != core::time_point()) {
+    fields->emplace_back(name, MillisOf(BootTime() - time));
+  }
+}
+
 void LogEvent(job_event event, const observe::log_fields& fields) {
   static std::array<line_budget, kJobEventNames.size()> budgets;
   const event_budget budget = BudgetOf(event);
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "plantainhead/core/names.h"
+#include "plantainhead/core/time.h"
 #include "plantainhead/observe/logging.h"
 
 namespace plantainhead::jobs {
@@ -48,6 +49,7 @@
   kOwnerUnsure,
   kOwnerSure,
   kRenewalUnanswered,
+  kMembersUnknown,
   kTakeoverFailed,
   kHostServiced,
   kHostNotServiced,
@@ -57,7 +59,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 44> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 45> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
@@ -95,6 +97,7 @@
     {job_event::kOwnerUnsure, "owner unsure"},
     {job_event::kOwnerSure, "owner sure"},
     {job_event::kRenewalUnanswered, "renewal unanswered"},
+    {job_event::kMembersUnknown, "members unknown"},
     {job_event::kTakeoverFailed, "takeover failed"},
     {job_event::kHostServiced, "host serviced"},
     {job_event::kHostNotServiced, "host not serviced"},
@@ -135,6 +138,13 @@
 /// Thread safety: one thread at a time.
 void LogEvent(job_event event, const observe::log_fields& fields);
 
+/// Appends how many milliseconds ago the time was; nothing for the epoch, which
+/// stands for never.
+/// Thread safety: safe from any thread for different lists.
+void AppendAge(const char* name,
+               core::time_point time,
+               observe::log_fields* fields);
+
 /// Returns how many lines the process has written.
 /// Thread safety: as `LogEvent`.
 std::uint64_t LinesWritten();
--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -76,6 +76,8 @@
     }
     if (reply.is_read) {
       answered_at_ = BootTime();
+    } else {
+      LogMembersUnknown(reply);
     }
     const auto regular = static_cast<std::size_t>(
         std::count_if(reply.members.begin(), reply.members.end(),
@@ -254,14 +256,21 @@
     return is_later && BootTime() < sent.sent_at + settings_.time_to_live;
   }
 
+  static void LogMembersUnknown(const adapter::members_reply& reply) {
+    observe::log_fields fields = {{"status", std::to_string(reply.status)}};
+    if (reply.fault) {
+      fields.emplace_back("fault", core::NameOf(reply.fault->kind));
+      fields.emplace_back("field", reply.fault->field);
+    }
+    LogEvent(job_event::kMembersUnknown, fields);
+  }
+
   // A member whose time to live passes loses all its partitions.
   void LogUnanswered(core::time_point sent_at, unsigned status) const {
-    const core::time_point now = BootTime();
-    observe::log_fields fields = {{"status", std::to_string(status)},
-                                  {"waited_ms", MillisOf(now - sent_at)}};
-    if (renewed_at_ != core::time_point()) {
-      fields.emplace_back("renewed_ms_ago", MillisOf(now - renewed_at_));
-    }
+    observe::log_fields fields = {
+        {"status", std::to_string(status)},
+        {"waited_ms", MillisOf(BootTime() - sent_at)}};
+    AppendAge("renewed_ms_ago", renewed_at_, &fields);
     LogEvent(job_event::kRenewalUnanswered, fields);
   }
 
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -220,31 +220,31 @@
     const core::time_point now = BootTime();
     if (!is_answered) {
       if (store_contact_.NoteFailure(now)) {
-        LogEvent(job_event::kStoreLost,
-                 {{"renewed_ms_ago", MillisSince(member_.RenewedAt())}});
+        observe::log_fields fields;
+        AppendAge("renewed_ms_ago", member_.RenewedAt(), &fields);
+        LogEvent(job_event::kStoreLost, fields);
       }
       return;
     }
     if (const auto regained = store_contact_.NoteAnswer(now)) {
-      LogEvent(job_event::kStoreRegained,
-               {{"renewed_ms_ago", MillisSince(member_.RenewedAt())},
-                {"losses", std::to_string(regained->losses)},
-                {"lost_ms", MillisOf(regained->lost_for)},
-                {"held_ms", MillisOf(regained->held_for)}});
+      observe::log_fields fields = {
+          {"losses", std::to_string(regained->losses)},
+          {"lost_ms", MillisOf(regained->lost_for)},
+          {"held_ms", MillisOf(regained->held_for)}};
+      AppendAge("renewed_ms_ago", member_.RenewedAt(), &fields);
+      LogEvent(job_event::kStoreRegained, fields);
     }
   }
 
-  static std::string MillisSince(core::time_point time) {
-    return MillisOf(BootTime() - time);
-  }
-
   // Readiness and metrics.
 
+  core::time_point AnsweredAt() const {
+    return std::max(member_.AnsweredAt(), owners_.AnsweredAt());
+  }
+
   bool IsReady() const {
-    const core::time_point answered_at =
-        std::max(member_.AnsweredAt(), owners_.AnsweredAt());
     return !is_stopping_ && world_.IsLoaded() &&
-           BootTime() - answered_at < kReadyWithoutStore;
+           BootTime() - AnsweredAt() < kReadyWithoutStore;
   }
 
   void Probe(const net::server_request& request,
@@ -256,11 +256,12 @@
     const bool is_ready = IsReady();
     if (is_ready != was_ready_) {
       was_ready_ = is_ready;
-      LogEvent(job_event::kReadinessChanged,
-               {{"ready", is_ready ? "yes" : "no"},
-                {"loaded", world_.IsLoaded() ? "yes" : "no"},
-                {"answered_ms_ago", MillisSince(member_.AnsweredAt())},
-                {"stopping", is_stopping_ ? "yes" : "no"}});
+      observe::log_fields fields = {
+          {"ready", is_ready ? "yes" : "no"},
+          {"loaded", world_.IsLoaded() ? "yes" : "no"},
+          {"stopping", is_stopping_ ? "yes" : "no"}};
+      AppendAge("answered_ms_ago", AnsweredAt(), &fields);
+      LogEvent(job_event::kReadinessChanged, fields);
     }
     respond(is_ready ? net::server_response{net::kOk, {}, "{}"}
                      : adapter::EncodeFault(net::kUnavailable, "not ready"));
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -171,9 +171,11 @@
           return;
         }
         // With fewer members than partitions each member holds one, so that
-        // one that holds none has left or has expired.
+        // one that holds none has left or has expired. A partition without a
+        // member may still be on its way from one to another.
         const bool is_gone =
-            reply.is_read && reply.members.size() < kPoolPartitions &&
+            reply.is_read && reply.unowned == 0 &&
+            reply.members.size() < kPoolPartitions &&
             reply.members.count(owner->predecessor_.member) == 0;
         owner->may_predecessor_act_ = !is_gone;
         done();
--- a/tests/adapter/store_codec_test.cc
+++ b/tests/adapter/store_codec_test.cc
@@ -140,6 +140,23 @@
   CHECK_FALSE(DecodeMembers("{}").is_read);
   CHECK_FALSE(DecodeMembers("\xff").is_read);
   CHECK(DecodeMembers(R"([["t",3,"p1",0]])").members.count("p1") == 1);
+
+  SECTION("and where that row is") {
+    const members_reply reply = DecodeMembers(odd.dump());
+    REQUIRE(reply.fault.has_value());
+    CHECK(reply.fault->kind == core::jobs::fault_kind::kWrongType);
+    CHECK(reply.fault->field == "[0][2]");
+  }
+}
+
+// Guards against a group that never forms again: a list with a partition that
+// nobody holds passed for one that can't be read.
+TEST_CASE("A list of members tells of partitions that nobody holds") {
+  const json rows = {{"owners", {{"t", 3, "", 0}, {"t", 4, "p2", 0}}}};
+  const members_reply reply = DecodeMembers(rows.dump());
+  REQUIRE(reply.is_read);
+  CHECK(reply.unowned == 1);
+  CHECK(reply.members == std::set<std::string>{"p2"});
 }
 
 }  // namespace
--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -127,6 +127,21 @@
   }
 }
 
+// Guards against a group that never forms again once all its members have
+// gone and only reserves are left.
+TEST_CASE("Reserves join when no partition has a member any more") {
+  group group;
+  group.Add("large-1", member_role::kRegular);
+  REQUIRE(group.Await({"large-1"}));
+  group.members.clear();
+  group.store.Expire("large-1");
+  group.Add("small-1", member_role::kReserve);
+  group.Add("small-2", member_role::kReserve);
+  REQUIRE(group.Await({"small-1+reserve", "small-2+reserve"}));
+  CHECK(RunUntil(&group.context,
+                 [&] { return !group.dealt["small-1"].empty(); }));
+}
+
 // Guards against a membership that runs out although the store takes each
 // renewal: over a full link the answers came after the timeout and were thrown
 // away.
