Send no order for a host long after its record

Cause: a new owner of the fleet leaves recorded hosts alone for 3.3 s from its claim, but nothing bounded the time from the record of an order to the order. A late answer of the store, the wait for a connection (up to 2 s) and a busy loop all add to it. Evidence: the owner with epoch 21 is silent from 59.947 to 74.928 s and sends four orders as it comes back, one for each connection; epoch 32 had moved these hosts at 68.3 s. Ruled out: two holders with one token (21 and 32), a platform that delays orders (its answers came 2 ms later).

Change: right before an order is written the owner must be sure and the record at most 0.7 s old (client_request::may_send), else it is recorded again. Others' hosts stay closed 0.7 s longer.

Tests failed before: "An order for a host is recorded again when its record is old", "a call that may not be sent any more isn't"; "Hosts of others stay closed for as long as orders may be late" is new with its setting.

--- a/include/plantainhead/core/jobs/host_order_ledger.h
+++ b/include/plantainhead/core/jobs/host_order_ledger.h
@@ -16,9 +16,12 @@
   /// host that another holder may have ordered gets no order for this time,
   /// since the platform doesn't check orders' fences.
   duration holder_lease = std::chrono::milliseconds(3000);
+  /// A holder sends an order at most this long after it asked for the record of
+  /// it, so that a new owner knows how late one may still come.
+  duration send_limit = duration::zero();
   /// What an order may take to arrive. A holder that was restarted waits for
   /// it, so that an order of its earlier life doesn't follow a newer one; it is
-  /// added to the lease of others.
+  /// added to the lease of others, as the limit of sending is.
   duration arrival_reserve = std::chrono::milliseconds(300);
 };
 
@@ -57,7 +60,8 @@
 
  private:
   duration ClosedTime() const {
-    return settings_.holder_lease + settings_.arrival_reserve;
+    return settings_.holder_lease + settings_.send_limit +
+           settings_.arrival_reserve;
   }
 
   host_order_settings settings_;
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -54,12 +54,13 @@
   kHostServiced,
   kHostNotServiced,
   kHostMoved,
+  kHostOrdersLate,
   kPoolSized,
   kWaveCompleted,
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 45> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 46> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
@@ -102,6 +103,7 @@
     {job_event::kHostServiced, "host serviced"},
     {job_event::kHostNotServiced, "host not serviced"},
     {job_event::kHostMoved, "host moved"},
+    {job_event::kHostOrdersLate, "host orders late"},
     {job_event::kPoolSized, "pool sized"},
     {job_event::kWaveCompleted, "wave completed"},
     {job_event::kLinesLeftOut, "lines left out"},
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -29,7 +29,9 @@
   /// reading is paid for.
   std::chrono::milliseconds list_interval = std::chrono::milliseconds(600);
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(200);
-  core::jobs::host_order_settings orders;
+  /// A store that is slow takes up to 0.5 s for a record.
+  core::jobs::host_order_settings orders{.send_limit =
+                                             std::chrono::milliseconds(700)};
 };
 
 /// Takes the fleet's partition over and walks maintenance waves through,
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -72,10 +73,16 @@
   std::vector<adapter::keyed_record> RecordsOf(
       const std::vector<host_order>& batch,
       core::time_point now);
+  /// `asked_at`: when the record of the batch was asked for.
   void TakeRecorded(const std::vector<host_order>& batch,
+                    core::time_point asked_at,
                     progress_writer::result result);
-  void Send(const core::jobs::move_host& move);
-  void Send(const core::jobs::service_host& action);
+  bool MaySend(core::time_point recorded_at) const;
+  void Send(const core::jobs::move_host& move, core::time_point recorded_at);
+  void Send(const core::jobs::service_host& action,
+            core::time_point recorded_at);
+  /// Returns what tells whether an order may still be sent.
+  std::function<bool()> SendGate(core::time_point recorded_at);
   void TakeMove(const core::jobs::move_host& move,
                 adapter::duty_outcome outcome);
   void TakeService(const core::jobs::service_host& action,
--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -64,11 +64,11 @@
   if (records.empty()) {
     return;
   }
-  writer_.Write(std::move(records), [self = weak_from_this(),
-                                     batch](progress_writer::result result) {
+  writer_.Write(std::move(records), [self = weak_from_this(), batch,
+                                     now](progress_writer::result result) {
     const auto owner = self.lock();
     if (owner && !owner->is_closed_) {
-      owner->TakeRecorded(batch, result);
+      owner->TakeRecorded(batch, now, result);
     }
   });
 }
@@ -102,23 +102,45 @@
 }
 
 void fleet_owner::impl::TakeRecorded(const std::vector<host_order>& batch,
+                                     core::time_point asked_at,
                                      progress_writer::result result) {
   if (result != progress_writer::result::kStored) {
     Lose();
     return;
   }
-  // This process may have been suspended since it asked for the record.
-  if (!deps_.is_sure()) {
+  if (!MaySend(asked_at)) {
+    LogEvent(job_event::kHostOrdersLate,
+             {{"orders", std::to_string(batch.size())},
+              {"recorded_ms_ago", MillisOf(BootTime() - asked_at)}});
     orders_.insert(orders_.end(), batch.begin(), batch.end());
     return;
   }
   for (const host_order& order : batch) {
-    std::visit([this](const auto& kind) { Send(kind); }, order);
+    std::visit([&](const auto& kind) { Send(kind, asked_at); }, order);
   }
 }
 
-void fleet_owner::impl::Send(const core::jobs::move_host& move) {
+// A new owner counts the time for which it leaves a host alone from its claim,
+// which may follow the record at once. This process may have been suspended
+// since it asked for the record, the store may have answered late, and orders
+// wait for one another's connections.
+bool fleet_owner::impl::MaySend(core::time_point recorded_at) const {
+  return deps_.is_sure() &&
+         BootTime() - recorded_at <= settings_.orders.send_limit;
+}
+
+std::function<bool()> fleet_owner::impl::SendGate(
+    core::time_point recorded_at) {
+  return [self = weak_from_this(), recorded_at] {
+    const auto owner = self.lock();
+    return owner && !owner->is_closed_ && owner->MaySend(recorded_at);
+  };
+}
+
+void fleet_owner::impl::Send(const core::jobs::move_host& move,
+                             core::time_point recorded_at) {
   client_.Move(move.host, move.pool, epoch_, settings_.order_timeout,
+               SendGate(recorded_at),
                [self = weak_from_this(), move](duty_outcome outcome) {
                  const auto owner = self.lock();
                  if (owner && !owner->is_closed_) {
@@ -127,8 +149,10 @@
                });
 }
 
-void fleet_owner::impl::Send(const core::jobs::service_host& action) {
+void fleet_owner::impl::Send(const core::jobs::service_host& action,
+                             core::time_point recorded_at) {
   client_.Service(action.host, action.wave, epoch_, settings_.order_timeout,
+                  SendGate(recorded_at),
                   [self = weak_from_this(), action](duty_outcome outcome) {
                     const auto owner = self.lock();
                     if (owner && !owner->is_closed_) {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -105,6 +105,7 @@
     call->late = std::move(late);
     call->deadline = steady_clock::now() + timeout;
     call->text = ToText(request, host_);
+    call->may_send = request.may_send;
     call->last_deadline = call->deadline + options_.answer_limit;
     waiting_.push_back(call);
     AwaitDeadline(call);
@@ -131,6 +132,7 @@
   struct pending_call {
     explicit pending_call(asio::io_context& context) : timer(context) {}
     std::string text;
+    std::function<bool()> may_send;
     http::response_parser<http::string_body> parser;
     reply_handler on_reply;
     late_answer late;
@@ -157,7 +159,7 @@
       ++busy_;
       if (free) {
         call->held = std::move(free);
-        Write(call);
+        WriteIfAllowed(call);
       } else {
         Connect(call);
       }
@@ -190,10 +192,25 @@
             return;
           }
           SetSocketOptions(call->held->stream.socket().native_handle());
-          self->Write(call);
+          self->WriteIfAllowed(call);
         });
   }
 
+  // A call that isn't sent ends later, so that a long queue of them doesn't
+  // nest as deep.
+  void WriteIfAllowed(const call_ptr& call) {
+    if (!call->may_send || call->may_send()) {
+      Write(call);
+      return;
+    }
+    asio::post(context_, [self = weak_from_this(), call] {
+      const auto client = self.lock();
+      if (client && !call->is_over) {
+        client->Finish(call, {delivery::kNotSent, 0, {}}, true);
+      }
+    });
+  }
+
   void Write(const call_ptr& call) {
     call->is_sent = true;
     call->sent_at = steady_clock::now();
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -26,6 +26,9 @@
   header_list headers;
   std::string body;
   std::string content_type = "application/json";
+  /// Asked right before the request is written. When it returns false the call
+  /// ends as not sent. Empty: always true.
+  std::function<bool()> may_send;
 };
 
 struct client_reply {
--- a/tests/core/jobs/host_order_ledger_test.cc
+++ b/tests/core/jobs/host_order_ledger_test.cc
@@ -39,6 +39,21 @@
   }
 }
 
+// Guards against two holders that order one host within the lease: the earlier
+// one sent its order long after the record of it.
+TEST_CASE("Hosts of others stay closed for as long as orders may be late") {
+  host_order_ledger ledger({.send_limit = milliseconds(700)}, "p1");
+  time_point now{std::chrono::hours(1)};
+  ledger.Inherit({{"own", "p1"}, {"other", "p2"}}, now);
+  now += milliseconds(300);
+  CHECK(ledger.MayOrder("own", now));
+  now += milliseconds(3699);
+  CHECK_FALSE(ledger.MayOrder("other", now));
+  CHECK(ledger.TakeOutdated(now).empty());
+  now += milliseconds(1);
+  CHECK(ledger.MayOrder("other", now));
+}
+
 // A record that was dropped too early would let a new owner order the host
 // within the lease; one that stays closes the host for each new owner.
 TEST_CASE("The record of an order lasts as long as it keeps others out") {
--- a/tests/jobs/fleet_owner_test.cc
+++ b/tests/jobs/fleet_owner_test.cc
@@ -37,17 +37,21 @@
                             .get<std::string>());
                     respond({200, {}, "{}"});
                   } else {
+                    ++listings_;
                     respond({200, {}, kHosts});
                   }
                 }) {}
 
   const std::string& address() const { return address_; }
+  /// Only an owner of the fleet reads the list.
+  int listings() const { return listings_; }
   /// The hosts for which an order to service them came, in turn.
   const std::vector<std::string>& serviced() const { return serviced_; }
 
  private:
   std::string address_;
   net::http_server server_;
+  int listings_ = 0;
   std::vector<std::string> serviced_;
 };
 
@@ -76,5 +80,26 @@
   CHECK(fleet.serviced() == std::vector<std::string>{"h2"});
 }
 
+// Guards against two holders that order one host within the lease: the store
+// answered late, and the order left long after the record that tells the next
+// owner of it.
+TEST_CASE("An order for a host is recorded again when its record is old") {
+  site site;
+  spare_fleet fleet(&site.context);
+  site.store.Put("keyed.op", "config", kSpareConfiguration);
+  site.AddProcess("p1", fleet.address());
+  REQUIRE(RunUntil(&site.context, [&] { return fleet.listings() > 0; }));
+  site.store.faults.loses_answers = true;
+  site.store.Put("keyed.op", "wave/7", kWave);
+  const auto records = [&] {
+    return site.store.CountRecords("keyed.plantain-progress", "order/h1") +
+           site.store.CountRecords("keyed.plantain-progress", "order/h2");
+  };
+  REQUIRE(RunUntil(&site.context, [&] { return records() > 0; }));
+  site.store.faults.loses_answers = false;
+  REQUIRE(RunUntil(&site.context, [&] { return !fleet.serviced().empty(); }));
+  CHECK(records() > 1);
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -103,6 +103,34 @@
     CHECK(requests.size() <= 2);
   }
 
+  // Guards against an order that is sent although it came to be too old while
+  // it waited for a connection.
+  SECTION("a call that may not be sent any more isn't") {
+    answers = false;
+    client.Send(Post("/first", ""), std::chrono::seconds(30),
+                [](const client_reply& /*reply*/) {});
+    bool may_send = true;
+    client_request late = Post("/late", "");
+    late.may_send = [&] { return may_send; };
+    reply.reset();
+    client.Send(late, std::chrono::seconds(30),
+                [&](client_reply got) { reply = std::move(got); });
+    REQUIRE(RunUntil(&context, [&] { return held.size() == 1; }));
+    may_send = false;
+    answers = true;
+    held[0]({200, {}, ""});
+    REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+    CHECK(reply->reached == delivery::kNotSent);
+    CHECK(requests.back().target == "/first");
+
+    SECTION("and its connection serves the next") {
+      call(std::chrono::seconds(10));
+      REQUIRE(RunUntil(&context, [&] { return reply.has_value(); }));
+      CHECK(reply->status == 201);
+      CHECK(client.OpenedConnections() == 1);
+    }
+  }
+
   SECTION("a server that stops ends the connection with the answer") {
     server.BeginStop();
     call(std::chrono::seconds(10));
