Tell listeners once of many records

What callers saw: on the large site owners did nothing for 2 to 15 s, lost their pools to others and came back late: jobs waited, and orders for hosts came too late.

Cause: each record of the fleet made the owners look through all of them. As a queue's turn ends, hundreds come in one answer. Work grows with the square.

Test failed before: "What listens to records is told once of many that come together".

--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -18,6 +18,7 @@
     case job_event::kRecordInvalid:
     case job_event::kReadRepeated:
     case job_event::kReadUnanswered:
+    case job_event::kRecordsSlow:
     case job_event::kMembersUnknown:
     case job_event::kCountRefused:
     case job_event::kJobUnanswered:
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -24,6 +24,7 @@
   kRecordInvalid,
   kReadRepeated,
   kReadUnanswered,
+  kRecordsSlow,
   kReadinessChanged,
   kJobAccepted,
   kJobRead,
@@ -60,7 +61,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 46> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 47> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kProcessStopping, "process stopping"},
@@ -73,6 +74,7 @@
     {job_event::kRecordInvalid, "record invalid"},
     {job_event::kReadRepeated, "read repeated"},
     {job_event::kReadUnanswered, "read unanswered"},
+    {job_event::kRecordsSlow, "records slow"},
     {job_event::kReadinessChanged, "readiness changed"},
     {job_event::kJobAccepted, "job accepted"},
     {job_event::kJobRead, "job read"},
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -50,7 +50,9 @@
       store_(store),
       loader_(store),
       settings_(settings),
-      listeners_(std::move(listeners)) {
+      listeners_(std::move(listeners)),
+      registry_news_(context, [this] { listeners_.on_registry(); }),
+      fleet_records_news_(context, [this] { listeners_.on_fleet_records(); }) {
   operators_ = MakeFollower(
       {adapter::kOperatorTopic, 0},
       OperatorSettings(settings, configuration_apply),
@@ -256,7 +258,7 @@
     }
     // Records may be read again; the first reading tells the time.
     waves_.try_emplace(wave->number, std::move(*wave));
-    listeners_.on_fleet_records();
+    fleet_records_news_.Request();
   }
 }
 
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -12,6 +12,7 @@
 #include "jobs/fault_log.h"
 #include "jobs/job_partitions.h"
 #include "jobs/log_follower.h"
+#include "jobs/paced_action.h"
 #include "jobs/record_codec.h"
 #include "peers/owner_announcement.h"
 #include "plantainhead/core/jobs/job_directory.h"
@@ -45,7 +46,8 @@
 /// (`job_world_refreshes.cc`). Not thread-safe.
 class job_world {
  public:
-  /// What may have changed.
+  /// What may have changed. `on_registry` and `on_fleet_records` are called
+  /// once for many records, soon after these are known.
   struct listeners {
     std::function<void(const std::shared_ptr<const core::jobs::job_spec>&)>
         on_job;
@@ -191,6 +193,9 @@
   partition_loader loader_;
   follower_settings settings_;
   listeners listeners_;
+  /// Many records come at once, and what listens to them looks through all.
+  paced_action registry_news_;
+  paced_action fleet_records_news_;
   core::jobs::routing_table routes_;
   core::jobs::job_directory directory_;
   core::jobs::vm_registry registry_;
--- a/src/jobs/job_world_faults.cc
+++ b/src/jobs/job_world_faults.cc
@@ -76,7 +76,7 @@
   } else {
     fleet_records_.erase(record.key);
   }
-  listeners_.on_fleet_records();
+  fleet_records_news_.Request();
 }
 
 void job_world::TakeRegistryRecord(const adapter::keyed_record& record) {
@@ -108,7 +108,7 @@
       registry_.PutUnreadable(record.key);
     }
   }
-  listeners_.on_registry();
+  registry_news_.Request();
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -16,6 +16,13 @@
 using adapter::read_outcome;
 using std::chrono::milliseconds;
 
+namespace {
+
+// Records whose handling takes longer are worth a line.
+constexpr milliseconds kSlowHandling(200);
+
+}  // namespace
+
 class log_follower::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(asio::io_context* context,
@@ -181,9 +188,11 @@
       // it are all in the pages.
       load_end_ = reply.end;
     }
+    const core::time_point began = BootTime();
     for (const adapter::keyed_record& record : reply.records) {
       on_record_(record);
     }
+    LogIfSlow(reply.records.size(), began);
     if (reply.has_more) {
       Load(reply.last_key);
       return;
@@ -290,6 +299,7 @@
   // Returns whether there was one that hadn't been read.
   bool TakeRecords(const adapter::read_reply& reply) {
     bool is_news = false;
+    const core::time_point began = BootTime();
     for (const adapter::keyed_record& record : reply.records) {
       if (record.offset >= cursor_) {
         cursor_ = record.offset + 1;
@@ -297,9 +307,22 @@
         is_news = true;
       }
     }
+    LogIfSlow(reply.records.size(), began);
     return is_news;
   }
 
+  // All else that the process does waits meanwhile, renewals too.
+  void LogIfSlow(std::size_t records, core::time_point began) const {
+    const core::duration took = BootTime() - began;
+    if (took >= kSlowHandling) {
+      LogEvent(job_event::kRecordsSlow,
+               {{"topic", partition_.topic},
+                {"part", std::to_string(partition_.number)},
+                {"records", std::to_string(records)},
+                {"ms", MillisOf(took)}});
+    }
+  }
+
   // A read that is under way may have been answered before what the caller
   // wants to see was stored, so each refresh needs a read that begins after it.
   void StartRefresh() {
--- /dev/null
+++ b/src/jobs/paced_action.h
@@ -0,0 +1,37 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_PACED_ACTION_H_
+#define PLANTAINHEAD_SRC_JOBS_PACED_ACTION_H_
+
+#include <functional>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace plantainhead::jobs {
+
+/// Runs an action once for many requests. An action that looks through all
+/// records, run for each record of a large answer, takes seconds, in which
+/// nothing else is done. Not thread-safe: used from the thread of its
+/// `io_context` only.
+class paced_action {
+ public:
+  /// Preconditions: `context` outlives it; `action` is set.
+  paced_action(boost::asio::io_context* context, std::function<void()> action);
+  paced_action(const paced_action&) = delete;
+  paced_action& operator=(const paced_action&) = delete;
+  /// Ends without running what is requested.
+  ~paced_action();
+
+  /// Runs the action later: after the handlers that are under way, and not
+  /// before a multiple of the time has passed that the last run took.
+  void Request();
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_PACED_ACTION_H_
--- /dev/null
+++ b/tests/jobs/job_world_test.cc
@@ -0,0 +1,107 @@
+#include "jobs/job_world.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+#include "free_address.h"
+#include "net/http_server.h"
+#include "platform/store_client.h"
+#include "run_until.h"
+#include "site_store.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using testing::RunUntil;
+
+constexpr std::size_t kConnections = 40;
+constexpr std::size_t kRecords = 300;
+
+/// What the owner of a fleet reads.
+class reading_world {
+ public:
+  reading_world() : store(&context), address_(testing::FreeAddress()) {
+    server_ = std::make_unique<net::http_server>(
+        &context, address_, net::http_server_options(),
+        [this](const net::server_request& request,
+               const net::responder& respond) {
+          store.Handle(request, respond);
+        });
+    client_ = std::make_unique<adapter::store_client>(&context, address_,
+                                                      kConnections);
+    job_world::listeners listeners;
+    listeners.on_job = [](const auto& /*job*/) {};
+    listeners.on_cancel = [](const auto& /*job*/) {};
+    listeners.on_configuration = [] {};
+    listeners.on_registry = [this] {
+      ++registry_calls;
+      knows_last_vm = world->registry().IsListed("last");
+    };
+    listeners.on_fleet_records = [this] {
+      ++fleet_calls;
+      fleet_records_told = world->fleet_records().size();
+    };
+    listeners.on_announcement = [](const auto& /*announcement*/) {};
+    listeners.on_store_contact = [](bool /*is_answered*/) {};
+    world = std::make_unique<job_world>(&context, client_.get(),
+                                        follower_settings(),
+                                        std::chrono::seconds(2), listeners);
+    store.Put("keyed.op", "config",
+              R"({"version":3,"routes":[],"services":[{"name":"pool"}]})");
+    world->Start();
+    world->SetFleetOwned(true);
+  }
+
+  bool AwaitFollowed() {
+    bool is_read = false;
+    world->RefreshFleetRecords([&] { is_read = true; });
+    return RunUntil(&context, [&] { return is_read; });
+  }
+
+  boost::asio::io_context context;
+  fakes::site_store store;
+  std::unique_ptr<job_world> world;
+  std::size_t registry_calls = 0;
+  std::size_t fleet_calls = 0;
+  /// As of the last call.
+  bool knows_last_vm = false;
+  std::size_t fleet_records_told = 0;
+
+ private:
+  std::string address_;
+  std::unique_ptr<net::http_server> server_;
+  std::unique_ptr<adapter::store_client> client_;
+};
+
+// Guards against an owner that does nothing else for seconds, and loses what it
+// owns: it looked through all records once for each that an answer held.
+TEST_CASE("What listens to records is told once of many that come together") {
+  reading_world reading;
+  REQUIRE(reading.AwaitFollowed());
+
+  SECTION("records of the fleet") {
+    for (std::size_t i = 0; i < kRecords; ++i) {
+      reading.store.Put("keyed.plantain-fleet", "closed/vm" + std::to_string(i),
+                        "1");
+    }
+    REQUIRE(RunUntil(&reading.context,
+                     [&] { return reading.fleet_records_told == kRecords; }));
+    CHECK(reading.fleet_calls < kRecords / 10);
+  }
+
+  SECTION("entries of VMs") {
+    for (std::size_t i = 0; i < kRecords; ++i) {
+      reading.store.Put("keyed.servers", "vm" + std::to_string(i),
+                        std::nullopt);
+    }
+    reading.store.Put("keyed.servers", "last", "{");
+    REQUIRE(RunUntil(&reading.context, [&] { return reading.knows_last_vm; }));
+    CHECK(reading.registry_calls < kRecords / 10);
+  }
+}
+
+}  // namespace
+}  // namespace plantainhead::jobs
--- /dev/null
+++ b/tests/jobs/paced_action_test.cc
@@ -0,0 +1,53 @@
+#include "jobs/paced_action.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+namespace plantainhead::jobs {
+namespace {
+
+TEST_CASE("An action runs once for many requests") {
+  boost::asio::io_context context;
+  int runs = 0;
+  paced_action action(&context, [&] { ++runs; });
+  action.Request();
+  action.Request();
+  CHECK(runs == 0);
+  context.run();
+  CHECK(runs == 1);
+
+  SECTION("and again for one that comes after it") {
+    action.Request();
+    context.restart();
+    context.run();
+    CHECK(runs == 2);
+  }
+}
+
+TEST_CASE("An action that is requested while it runs, runs again") {
+  boost::asio::io_context context;
+  int runs = 0;
+  std::unique_ptr<paced_action> action;
+  action = std::make_unique<paced_action>(&context, [&] {
+    if (++runs < 3) {
+      action->Request();
+    }
+  });
+  action->Request();
+  context.run();
+  CHECK(runs == 3);
+}
+
+TEST_CASE("An action doesn't run once its object is gone") {
+  boost::asio::io_context context;
+  int runs = 0;
+  auto action = std::make_unique<paced_action>(&context, [&] { ++runs; });
+  action->Request();
+  action.reset();
+  context.run();
+  CHECK(runs == 0);
+}
+
+}  // namespace
+}  // namespace plantainhead::jobs
