See where VMs are on their way, how late owners are, what late jobs waited for

Change: jobs measure what their tasks wait for (room, recovery after a takeover, reading of cancellations, answers of VMs), and the verdict goes by it; `job ended` has the times. `pool sized` counts the VMs that take no tasks by stage, `fleet sized` tells what holds up hosts that pools want. A watch measures how far the thread is behind: `loop late`, `process state` (loop_lag_ms) and plantain_loop_lag_seconds. No decision changes.

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -18,6 +18,21 @@
   pool_id pool;
 };
 
+/// How far hosts are on their way to the pools that want them.
+struct balance_figures {
+  /// VMs that pools want, and how many of these they neither have nor get.
+  std::uint32_t wanted = 0;
+  std::uint32_t missing = 0;
+  /// Hosts that could be moved now.
+  std::uint32_t free = 0;
+  /// Hosts with an order to move that has no answer yet.
+  std::uint32_t ordered = 0;
+  /// Hosts whose move was accepted or is under way.
+  std::uint32_t moving = 0;
+
+  bool operator==(const balance_figures&) const = default;
+};
+
 struct balancer_settings {
   /// An order that may not have arrived is sent again after this time; it has
   /// no effect if it did.
@@ -59,6 +74,8 @@
                     bool is_settled,
                     time_point now);
 
+  /// Returns how far hosts are; `busy` as for `Plan`.
+  balance_figures Figures(const std::set<host_id>& busy) const;
   /// Returns the moves to order now. `busy` are hosts that are being serviced.
   std::vector<move_host> Plan(const std::set<host_id>& busy, time_point now);
 
--- a/include/plantainhead/core/jobs/job_result.h
+++ b/include/plantainhead/core/jobs/job_result.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "plantainhead/core/jobs/job_types.h"
+#include "plantainhead/core/jobs/wait_clock.h"
 #include "plantainhead/core/names.h"
 #include "plantainhead/core/time.h"
 
@@ -23,6 +24,8 @@
   time_point deadline;
   /// The estimate of its longest chain of work.
   duration chain = duration::zero();
+  /// What its tasks waited for.
+  wait_clock waits;
   /// Runs that failed, lapsed, or were stopped to run elsewhere.
   std::uint32_t repeated_runs = 0;
   /// It was accepted under an earlier owner, so that it is older than
@@ -44,13 +47,17 @@
   kOwnerChanged,
   /// Runs of it were lost or failed and were repeated.
   kRunsRepeated,
-  /// Its first task started too late for what its caller estimated.
+  /// Without the waits of its tasks it would have been in time, or its first
+  /// task started too late for what its caller estimated; mostly no VM had
+  /// room.
   kWaitedForRoom,
-  /// It started in time and took longer than its caller estimated.
+  /// The same, but mostly the owner of its pool started nothing.
+  kWaitedForOwner,
+  /// It took longer than its caller estimated, apart from what it waited.
   kRanLong,
 };
 
-inline constexpr name_table<job_verdict, 8> kJobVerdictNames = {{
+inline constexpr name_table<job_verdict, 9> kJobVerdictNames = {{
     {job_verdict::kInTime, "in time"},
     {job_verdict::kFailed, "failed"},
     {job_verdict::kGivenUp, "given up, crashes VMs"},
@@ -58,6 +65,7 @@
     {job_verdict::kOwnerChanged, "late, owner changed"},
     {job_verdict::kRunsRepeated, "late, runs repeated"},
     {job_verdict::kWaitedForRoom, "late, waited for room"},
+    {job_verdict::kWaitedForOwner, "late, waited for its owner"},
     {job_verdict::kRanLong, "late, ran long"},
 }};
 inline constexpr const auto& NamesOf(job_verdict) {
--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -11,6 +11,19 @@
 
 namespace plantainhead::core::jobs {
 
+/// How far the VMs of a pool are on their way to taking tasks. Each counts in
+/// the first line that holds for it.
+struct vm_stages {
+  /// Emptied, to be given away or serviced, or about to leave.
+  std::uint32_t closed = 0;
+  /// Hasn't listed what runs on it, or not since it fell silent.
+  std::uint32_t unheard = 0;
+  /// The record that the pool uses it isn't stored.
+  std::uint32_t unrecorded = 0;
+  /// What it told of its capacity is old, or it runs what isn't known.
+  std::uint32_t untrusted = 0;
+};
+
 /// What a pool's tasks take and could take now.
 struct pool_load {
   /// Of the runs on its VMs.
@@ -21,6 +34,8 @@
   resources rising;
   /// VMs that take tasks.
   std::uint32_t usable_vms = 0;
+  /// VMs that are listed and take none.
+  vm_stages stages;
   /// Of a VM of the pool, on average.
   resources vm_capacity;
   /// Most tasks of one step that must stand on different VMs.
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -55,6 +55,27 @@
   return counts;
 }
 
+balance_figures fleet_balancer::Figures(const std::set<host_id>& busy) const {
+  balance_figures figures;
+  std::map<pool_id, std::uint32_t> counts = Counts();
+  for (const auto& [pool, wanted] : wanted_) {
+    figures.wanted += wanted;
+    figures.missing += wanted - std::min(wanted, counts[pool]);
+  }
+  for (const fleet_host& host : hosts_) {
+    const auto move = moves_.find(host.host);
+    const bool is_accepted = move != moves_.end() && move->second.is_accepted;
+    if (is_accepted || host.state == host_state::kMoving) {
+      ++figures.moving;
+    } else if (move != moves_.end()) {
+      ++figures.ordered;
+    } else if (IsFree(host, busy)) {
+      ++figures.free;
+    }
+  }
+  return figures;
+}
+
 bool fleet_balancer::IsFree(const fleet_host& host,
                             const std::set<host_id>& busy) const {
   const bool is_idle = spare_.count(host.pool) != 0 ||
--- a/src/core/jobs/job_result.cc
+++ b/src/core/jobs/job_result.cc
@@ -19,9 +19,15 @@
     return job_verdict::kRunsRepeated;
   }
   const time_point latest_start = result.deadline - result.chain;
-  const bool has_waited =
+  const bool began_late =
       !result.started_at || *result.started_at > latest_start;
-  return has_waited ? job_verdict::kWaitedForRoom : job_verdict::kRanLong;
+  const bool has_waited = result.waits.total() >= ended_at - result.deadline;
+  if (!began_late && !has_waited) {
+    return job_verdict::kRanLong;
+  }
+  return result.waits.Main() == wait_cause::kRoom
+             ? job_verdict::kWaitedForRoom
+             : job_verdict::kWaitedForOwner;
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -110,6 +110,17 @@
   });
 }
 
+bool job_state::HasWaiting() const {
+  for (const auto& [number, occurrence] : occurrences_) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (occurrence.steps[s].Waiting() > 0 && IsOpen(occurrence, s)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 bool job_state::SkipUntoldRuns(std::uint32_t count) {
   if (has_skipped_runs_ || IsFinal(phase_)) {
     return false;
@@ -395,6 +406,7 @@
   result.started_at = started_at_;
   result.deadline = deadline_;
   result.chain = LongestChain();
+  result.waits = waits_;
   result.repeated_runs = repeated_runs_;
   result.is_inherited = is_inherited_;
   result.is_given_up = is_given_up_;
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -64,12 +64,25 @@
     FindTakers(now);
     for (const candidate& next : Candidates(now)) {
       PlaceJob(next.job, now, &orders);
+      NoteWait(next.job, starts_left_ == 0 ? wait_cause::kAnswers
+                                           : wait_cause::kRoom,
+               now);
+    }
+  } else {
+    for (const auto& [id, job] : jobs_.open()) {
+      NoteWait(job, wait_cause::kReading, now);
     }
   }
   ForgetGoneVms(now);
   return orders;
 }
 
+void pool_scheduler::impl::NoteWait(job_state* job,
+                                    wait_cause cause,
+                                    time_point now) {
+  job->NoteWait(job->HasWaiting() ? std::optional(cause) : std::nullopt, now);
+}
+
 void pool_scheduler::impl::CountStarts() {
   starts_under_way_ = 0;
   for (const auto& [id, vm] : vms_) {
@@ -121,6 +134,7 @@
     const bool is_held = may_be_running || with_untaken_ends.count(id) != 0 ||
                          job->starts_after_batch() > stored_through_;
     if (is_held) {
+      NoteWait(job, wait_cause::kRecovery, now);
       continue;
     }
     std::uint32_t waiting = 0;
@@ -136,6 +150,7 @@
       chain = std::max(chain, job->RemainingChain(occurrence));
     }
     if (waiting == 0) {
+      job->NoteWait(std::nullopt, now);
       continue;
     }
     const bool is_late = now + chain > job->deadline();
@@ -279,9 +294,8 @@
   unplaced_.clear();
   most_room_ = {};
   for (auto& [id, vm] : vms_) {
-    const bool is_trusted = !vm.trusted_until || now <= *vm.trusted_until;
-    const bool takes =
-        IsUsable(vm) && is_trusted && vm.is_recorded && !vm.HasForeign();
+    const bool takes = IsUsable(vm) && IsTrusted(vm, now) && vm.is_recorded &&
+                       !vm.HasForeign();
     if (!takes) {
       continue;
     }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -182,10 +182,15 @@
   static bool TakesTasks(const vm_state& vm, const pool_id& pool);
   /// Whether the VM, as it is and as the registry tells of it, may take tasks.
   static bool IsUsable(const vm_state& vm);
+  /// Whether what it told of its capacity still holds.
+  static bool IsTrusted(const vm_state& vm, time_point now);
+  static void CountStage(const vm_state& vm, time_point now, vm_stages* stages);
 
   // Placement.
   void CountStarts();
   void FindTakers(time_point now);
+  /// Notes what the job's tasks wait for, if any does.
+  static void NoteWait(job_state* job, wait_cause cause, time_point now);
   bool IsRecovered(time_point now);
   void SkipUntoldRuns(time_point now);
   void NoteForgotten(const task_name& task, std::uint32_t run);
--- a/src/core/jobs/pool_size.cc
+++ b/src/core/jobs/pool_size.cc
@@ -14,10 +14,31 @@
   return IsUsable(vm) && vm.description().pool == pool;
 }
 
+bool pool_scheduler::impl::IsTrusted(const vm_state& vm, time_point now) {
+  return !vm.trusted_until || now <= *vm.trusted_until;
+}
+
+void pool_scheduler::impl::CountStage(const vm_state& vm,
+                                      time_point now,
+                                      vm_stages* stages) {
+  if (vm.is_closed || vm.description().draining) {
+    ++stages->closed;
+  } else if (!IsUsable(vm)) {
+    ++stages->unheard;
+  } else if (!vm.is_recorded) {
+    ++stages->unrecorded;
+  } else if (!IsTrusted(vm, now) || vm.HasForeign()) {
+    ++stages->untrusted;
+  }
+}
+
 pool_load pool_scheduler::impl::Load(const pool_id& pool, time_point now) {
   pool_load load;
   resources total;
   for (const auto& [id, vm] : vms_) {
+    if (vm.is_listed && vm.description().pool == pool) {
+      CountStage(vm, now, &load.stages);
+    }
     if (TakesTasks(vm, pool)) {
       ++load.usable_vms;
       total = total + vm.description().capacity;
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -14,6 +14,7 @@
 enum class job_event {
   kProcessStarted,
   kProcessState,
+  kLoopLate,
   kProcessStopping,
   kProcessStopped,
   kSettingsRead,
@@ -56,14 +57,16 @@
   kHostNotServiced,
   kHostMoved,
   kHostOrdersLate,
+  kFleetSized,
   kPoolSized,
   kWaveCompleted,
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 47> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 49> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
+    {job_event::kLoopLate, "loop late"},
     {job_event::kProcessStopping, "process stopping"},
     {job_event::kProcessStopped, "process stopped"},
     {job_event::kSettingsRead, "settings read"},
@@ -106,6 +109,7 @@
     {job_event::kHostNotServiced, "host not serviced"},
     {job_event::kHostMoved, "host moved"},
     {job_event::kHostOrdersLate, "host orders late"},
+    {job_event::kFleetSized, "fleet sized"},
     {job_event::kPoolSized, "pool sized"},
     {job_event::kWaveCompleted, "wave completed"},
     {job_event::kLinesLeftOut, "lines left out"},
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -152,6 +152,32 @@
     orders_.emplace_back(move);
   }
   SendOrders(now);
+  LogFigures(now);
+}
+
+void fleet_owner::impl::LogFigures(core::time_point now) {
+  if (now - figures_at_ < settings_.figures_gap) {
+    return;
+  }
+  const std::set<core::jobs::host_id> serviced = keeper_.BusyHosts();
+  const std::set<core::jobs::host_id> held = ledger_.Closed(now);
+  const core::jobs::balance_figures figures =
+      balancer_.Figures(HostsNotToMove(now));
+  if (figures == figures_) {
+    return;
+  }
+  figures_ = figures;
+  figures_at_ = now;
+  LogEvent(job_event::kFleetSized,
+           {{"wanted", std::to_string(figures.wanted)},
+            {"missing", std::to_string(figures.missing)},
+            {"free", std::to_string(figures.free)},
+            {"ordered", std::to_string(figures.ordered)},
+            {"unsent", std::to_string(orders_.size())},
+            {"moving", std::to_string(figures.moving)},
+            {"in_waves", std::to_string(serviced.size())},
+            {"held_back", std::to_string(held.size())},
+            {"list_ms", MillisOf(now - requested_at_)}});
 }
 
 void fleet_owner::impl::Do(const core::jobs::close_vm& action) {
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -28,6 +28,8 @@
   /// Time between two readings of the list. A host is away for some 2 s; each
   /// reading is paid for.
   std::chrono::milliseconds list_interval = std::chrono::milliseconds(600);
+  /// Least time between two lines on how far hosts are.
+  std::chrono::milliseconds figures_gap = std::chrono::milliseconds(500);
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(200);
   /// A store that is slow takes up to 0.5 s for a record.
   core::jobs::host_order_settings orders{.send_limit =
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -48,6 +48,8 @@
   // Work.
   void Tick();
   void Work();
+  /// Logs what holds up hosts that pools want, if that has changed.
+  void LogFigures(core::time_point now);
   void Do(const core::jobs::close_vm& action);
   void Do(const core::jobs::release_vm& action);
   void Do(const core::jobs::service_host& action);
@@ -107,6 +109,8 @@
   bool is_listing_ = false;
   core::time_point listed_at_;
   core::time_point requested_at_;
+  core::jobs::balance_figures figures_;
+  core::time_point figures_at_;
   std::vector<host_order> orders_;
   std::vector<core::jobs::fleet_host> page_hosts_;
   std::vector<adapter::faulty_host> page_faults_;
--- a/src/jobs/job_meters.cc
+++ b/src/jobs/job_meters.cc
@@ -15,7 +15,9 @@
                                "answer.")),
       takeover_(registry_.Latency("plantain_takeover_seconds",
                                   "From being dealt a partition until its "
-                                  "owner gives orders.")) {}
+                                  "owner gives orders.")),
+      loop_lag_(registry_.Latency("plantain_loop_lag_seconds",
+                                  "How far the thread of all work is behind.")) {}
 
 void job_meters::NoteStoreCall(adapter::store_call call, core::duration time) {
   registry_
--- a/src/jobs/job_meters.h
+++ b/src/jobs/job_meters.h
@@ -25,6 +25,8 @@
   void NotePlan(core::duration time) { plan_.Record(time); }
   /// A VM answered an order to start a task.
   void NoteStart(core::duration time) { start_.Record(time); }
+  /// The thread of all work was behind by this time.
+  void NoteLoopLag(core::duration lag) { loop_lag_.Record(lag); }
   /// From being dealt a partition to the first order.
   void NoteTakeover(core::duration time) { takeover_.Record(time); }
   /// A job has ended, and its end is stored. Returns what spent its time.
@@ -40,6 +42,7 @@
   observe::latency_histogram& plan_;
   observe::latency_histogram& start_;
   observe::latency_histogram& takeover_;
+  observe::latency_histogram& loop_lag_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -13,6 +13,7 @@
 #include "jobs/job_meters.h"
 #include "jobs/job_metrics.h"
 #include "jobs/job_world.h"
+#include "jobs/loop_watch.h"
 #include "jobs/ownership.h"
 #include "jobs/state_line.h"
 #include "jobs/store_contact.h"
@@ -45,6 +46,9 @@
 // 9 to 12 VMs 0.25 of a core is plenty.
 constexpr double kOwnerCores = 0.2;
 constexpr milliseconds kStopTick = milliseconds(50);
+// A loop that is this far behind is worth a line: answers of VMs take some
+// milliseconds, and a renewal that is late by seconds loses what is owned.
+constexpr milliseconds kLoopLate = milliseconds(250);
 // Left of the grace when the process ends whatever is open.
 constexpr milliseconds kStopReserve = milliseconds(700);
 
@@ -80,6 +84,7 @@
         ownership_(MakeOwnershipDependencies(),
                    MakeOwnerSettings(),
                    MakeFleetSettings()),
+        loop_watch_(context, [this](core::duration lag) { NoteLag(lag); }),
         state_timer_(*context),
         stop_timer_(*context) {}
 
@@ -115,6 +120,7 @@
     }
     world_.Start();
     member_.Start();
+    loop_watch_.Start();
     AwaitState();
   }
 
@@ -299,8 +305,16 @@
         });
   }
 
-  void LogState() const {
+  void NoteLag(core::duration lag) {
+    meters_.NoteLoopLag(lag);
+    if (lag >= kLoopLate) {
+      LogEvent(job_event::kLoopLate, {{"ms", MillisOf(lag)}});
+    }
+  }
+
+  void LogState() {
     process_state state;
+    state.loop_lag = loop_watch_.TakeMost();
     state.pools = ownership_.Held();
     state.owns_fleet = ownership_.OwnsFleet();
     state.is_ready = IsReady();
@@ -353,6 +367,7 @@
   std::unique_ptr<net::http_server> peers_;
   std::unique_ptr<net::http_server> probes_;
   std::unique_ptr<net::http_server> metrics_;
+  loop_watch loop_watch_;
   boost::asio::steady_timer state_timer_;
   boost::asio::steady_timer stop_timer_;
   std::function<void()> on_stopped_;
--- /dev/null
+++ b/src/jobs/loop_watch.h
@@ -0,0 +1,43 @@
+#ifndef PLANTAINHEAD_SRC_JOBS_LOOP_WATCH_H_
+#define PLANTAINHEAD_SRC_JOBS_LOOP_WATCH_H_
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+
+#include "plantainhead/core/time.h"
+
+namespace plantainhead::jobs {
+
+/// Measures how far the thread of an `io_context` is behind: how late a timer
+/// fires, which waits its turn behind whatever else is due. Not thread-safe.
+class loop_watch {
+ public:
+  using lag_handler = std::function<void(core::duration lag)>;
+
+  /// `on_lag` is called after each measurement. Preconditions: `context` and
+  /// what `on_lag` uses outlive it.
+  loop_watch(boost::asio::io_context* context, lag_handler on_lag)
+      : on_lag_(std::move(on_lag)), timer_(*context) {}
+  loop_watch(const loop_watch&) = delete;
+  loop_watch& operator=(const loop_watch&) = delete;
+
+  /// Begins to measure. Call it once.
+  void Start();
+  /// Returns the longest lag since the last call of it.
+  core::duration TakeMost();
+
+ private:
+  void TakeLag();
+
+  lag_handler on_lag_;
+  boost::asio::steady_timer timer_;
+  core::duration most_{};
+};
+
+/// Time between two measurements.
+inline constexpr std::chrono::milliseconds kLoopLook{100};
+
+}  // namespace plantainhead::jobs
+
+#endif  // PLANTAINHEAD_SRC_JOBS_LOOP_WATCH_H_
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -247,6 +247,12 @@
     fields.emplace_back("first_start_ms",
                         MillisOf(*job.started_at - job.arrived_at));
   }
+  for (const auto& [cause, name] : core::jobs::kWaitCauseNames) {
+    if (job.waits.waited(cause) > core::duration::zero()) {
+      fields.emplace_back("waited_" + std::string(name) + "_ms",
+                          MillisOf(job.waits.waited(cause)));
+    }
+  }
   LogLines(lines_.TakeOf(job.id));
   LogEvent(job_event::kJobEnded, fields);
   deps_.archiver->Add(job.queue, job.id, job.phase);
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -108,6 +108,10 @@
            {{"pool", pool},
             {"wanted", std::to_string(count)},
             {"usable", std::to_string(load.usable_vms)},
+            {"closed", std::to_string(load.stages.closed)},
+            {"unheard", std::to_string(load.stages.unheard)},
+            {"unrecorded", std::to_string(load.stages.unrecorded)},
+            {"untrusted", std::to_string(load.stages.untrusted)},
             {"used_millis", std::to_string(load.used.cpu_millis)},
             {"waiting_millis", std::to_string(load.waiting.cpu_millis)}});
   fleet_outbox_.Put(EncodeWantedVms(pool, wanted));
--- a/src/jobs/state_line.cc
+++ b/src/jobs/state_line.cc
@@ -24,7 +24,8 @@
       {"owns", ToText(state.pools)},
       {"fleet", state.owns_fleet ? "yes" : "no"},
       {"ready", state.is_ready ? "yes" : "no"},
-      {"configuration", std::to_string(state.configuration_version)}};
+      {"configuration", std::to_string(state.configuration_version)},
+      {"loop_lag_ms", MillisOf(state.loop_lag)}};
   if (state.renewed_ago) {
     fields.emplace_back("renewed_ms_ago", MillisOf(*state.renewed_ago));
   }
--- a/src/jobs/state_line.h
+++ b/src/jobs/state_line.h
@@ -29,6 +29,8 @@
   /// Since the last renewal in the group that was answered was sent; nothing
   /// before there was one, as in a reserve that hasn't joined.
   std::optional<core::duration> renewed_ago;
+  /// The most since the last line; see `loop_watch`.
+  core::duration loop_lag{};
   /// See `job_world::WatchedJobCopyAge`; nothing without an owned pool.
   std::optional<core::duration> job_copy_age;
 };
--- a/tests/core/jobs/job_result_test.cc
+++ b/tests/core/jobs/job_result_test.cc
@@ -1,6 +1,8 @@
 #include "plantainhead/core/jobs/job_result.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <vector>
 
 #include "core/jobs/scheduler_driver.h"
 
@@ -28,6 +30,23 @@
     CHECK(VerdictOf(result, late) == job_verdict::kWaitedForRoom);
   }
 
+  SECTION("it waited when later tasks of it did for as long as it was late") {
+    result.waits.Note(wait_cause::kRoom, begin + seconds(1));
+    SECTION("for room") {
+      result.waits.Note(std::nullopt, begin + seconds(2));
+      CHECK(VerdictOf(result, late) == job_verdict::kWaitedForRoom);
+    }
+    SECTION("mostly for the owner of its pool") {
+      result.waits.Note(wait_cause::kRecovery, begin + milliseconds(1300));
+      result.waits.Note(std::nullopt, begin + seconds(2));
+      CHECK(VerdictOf(result, late) == job_verdict::kWaitedForOwner);
+    }
+    SECTION("but not when it waited for less") {
+      result.waits.Note(std::nullopt, begin + milliseconds(1900));
+      CHECK(VerdictOf(result, late) == job_verdict::kRanLong);
+    }
+  }
+
   SECTION("what was repeated, or went through two owners, comes before that") {
     result.started_at = begin + milliseconds(1001);
     result.repeated_runs = 1;
@@ -45,5 +64,39 @@
   }
 }
 
+// Guards against a job that is said to have run long, though only its first
+// task found room at once.
+TEST_CASE("A job whose second step finds no room waited for room") {
+  scheduler_driver driver;
+  step_spec second = Step(1, 8000);
+  second.depends_on = {0};
+  driver.Bring({Vm("vm-1")});
+  driver.Add(Job("a", {Step(1), second}));
+  REQUIRE(driver.StartAll().size() == 1);
+  driver.Add(Job("b", {Step(1, 5000)}));
+  REQUIRE(driver.StartAll().size() == 1);
+  driver.Pass(seconds(1));
+  const task_name a{"a", 0, 0, 0};
+  const task_name b{"b", 0, 0, 0};
+  driver.List("vm-1", {Running(b, 1)}, {Ended(1, a, 1, end_kind::kDone)});
+  REQUIRE(driver.StartAll().empty());
+  driver.Pass(seconds(2));
+  driver.List("vm-1", {}, {Ended(2, b, 1, end_kind::kDone)});
+  REQUIRE(driver.StartAll().size() == 1);
+  driver.Pass(seconds(2));
+  const task_name last{"a", 0, 1, 0};
+  driver.List("vm-1", {}, {Ended(3, last, 1, end_kind::kDone)});
+  std::vector<job_result> results;
+  for (const progress_batch& batch : driver.Store()) {
+    results.insert(results.end(), batch.results.begin(), batch.results.end());
+  }
+  const auto ended = std::find_if(
+      results.begin(), results.end(),
+      [](const job_result& result) { return result.id == "a"; });
+  REQUIRE(ended != results.end());
+  CHECK(ended->waits.waited(wait_cause::kRoom) == seconds(2));
+  CHECK(VerdictOf(*ended, driver.now) == job_verdict::kWaitedForRoom);
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
--- a/tests/jobs/state_line_test.cc
+++ b/tests/jobs/state_line_test.cc
@@ -17,19 +17,22 @@
     CHECK(FormatState(state) == observe::log_fields{{"owns", ""},
                                                     {"fleet", "no"},
                                                     {"ready", "no"},
-                                                    {"configuration", "13"}});
+                                                    {"configuration", "13"},
+                                                    {"loop_lag_ms", "0"}});
   }
 
   SECTION("when it owns pools, and is taking one over") {
     state.pools = {{3, 12, true}, {7, 0, false}};
     state.owns_fleet = true;
     state.is_ready = true;
+    state.loop_lag = milliseconds(310);
     state.renewed_ago = milliseconds(120);
     state.job_copy_age = milliseconds(3500);
     CHECK(FormatState(state) == observe::log_fields{{"owns", "3@12 7@0?"},
                                                     {"fleet", "yes"},
                                                     {"ready", "yes"},
                                                     {"configuration", "13"},
+                                                    {"loop_lag_ms", "310"},
                                                     {"renewed_ms_ago", "120"},
                                                     {"job_copy_ms", "3500"}});
   }
