--- /dev/null
+++ b/src/core/jobs/host_order_queue.cc
@@ -0,0 +1,46 @@
+#include "plantainhead/core/jobs/host_order_queue.h"
+
+#include <utility>
+
+namespace plantainhead::core::jobs {
+
+const host_id& HostOf(const host_order& order) {
+  return std::visit(
+      [](const auto& kind) -> const host_id& { return kind.host; }, order);
+}
+
+void host_order_queue::Add(host_order order) {
+  LaneOf(order).waiting.push_back(std::move(order));
+}
+
+std::vector<host_order> host_order_queue::Take(
+    const host_predicate& may_order) {
+  std::vector<host_order> taken;
+  TakeFrom(&moves_, may_order, &taken);
+  TakeFrom(&services_, may_order, &taken);
+  return taken;
+}
+
+void host_order_queue::TakeFrom(lane* from,
+                                const host_predicate& may_order,
+                                std::vector<host_order>* taken) {
+  std::vector<host_order> left;
+  for (host_order& order : from->waiting) {
+    if (from->under_way < from->most && may_order(HostOf(order))) {
+      ++from->under_way;
+      taken->push_back(std::move(order));
+    } else {
+      left.push_back(std::move(order));
+    }
+  }
+  from->waiting = std::move(left);
+}
+
+void host_order_queue::GiveBack(const std::vector<host_order>& orders) {
+  for (const host_order& order : orders) {
+    NoteOver(order);
+    Add(order);
+  }
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -34,7 +34,8 @@
       keeper_(settings.waves),
       balancer_(settings.balancer),
       vacancies_(settings.vacancies),
-      ledger_(settings.orders, deps_.holder) {}
+      ledger_(settings.orders, deps_.holder),
+      queue_(settings.queue) {}
 
 void fleet_owner::impl::Start(std::uint64_t generation) {
   generation_ = generation;
@@ -149,7 +150,7 @@
   balancer_.UpdateLeaving(LeavingVms());
   for (const core::jobs::move_host& move :
        balancer_.Plan(HostsNotToMove(now), now)) {
-    orders_.emplace_back(move);
+    queue_.Add(move);
   }
   SendOrders(now);
   LogFigures(now);
@@ -173,7 +174,7 @@
             {"missing", std::to_string(figures.missing)},
             {"free", std::to_string(figures.free)},
             {"ordered", std::to_string(figures.ordered)},
-            {"unsent", std::to_string(orders_.size())},
+            {"unsent", std::to_string(queue_.waiting())},
             {"moving", std::to_string(figures.moving)},
             {"in_waves", std::to_string(serviced.size())},
             {"held_back", std::to_string(held.size())},
@@ -190,7 +191,7 @@
 }
 
 void fleet_owner::impl::Do(const core::jobs::service_host& action) {
-  orders_.emplace_back(action);
+  queue_.Add(action);
 }
 
 void fleet_owner::impl::Do(const core::jobs::complete_wave& action) {
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -11,6 +11,7 @@
 #include "jobs/progress_writer.h"
 #include "plantainhead/core/jobs/fleet_balancer.h"
 #include "plantainhead/core/jobs/host_order_ledger.h"
+#include "plantainhead/core/jobs/host_order_queue.h"
 #include "plantainhead/core/jobs/vacancy_checker.h"
 #include "plantainhead/core/jobs/wave_keeper.h"
 #include "platform/store_client.h"
@@ -31,6 +32,7 @@
   /// Least time between two lines on how far hosts are.
   std::chrono::milliseconds figures_gap = std::chrono::milliseconds(500);
   std::chrono::milliseconds takeover_retry = std::chrono::milliseconds(200);
+  core::jobs::order_queue_settings queue;
   /// A store that is slow takes up to 0.5 s for a record.
   core::jobs::host_order_settings orders{.send_limit =
                                              std::chrono::milliseconds(700)};
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -10,7 +10,6 @@
 #include <set>
 #include <string>
 #include <utility>
-#include <variant>
 #include <vector>
 
 #include "jobs/fleet_owner.h"
@@ -22,8 +21,7 @@
 
 namespace plantainhead::jobs {
 
-using host_order =
-    std::variant<core::jobs::move_host, core::jobs::service_host>;
+using core::jobs::host_order;
 
 /// The state of a `fleet_owner`. Three files share it: what is read of the
 /// fleet (`fleet_owner_reading.cc`), how orders for hosts are recorded and sent
@@ -111,7 +109,7 @@
   core::time_point requested_at_;
   core::jobs::balance_figures figures_;
   core::time_point figures_at_;
-  std::vector<host_order> orders_;
+  core::jobs::host_order_queue queue_;
   std::vector<core::jobs::fleet_host> page_hosts_;
   std::vector<adapter::faulty_host> page_faults_;
   /// Of the newest list.
--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -11,6 +11,7 @@
 namespace plantainhead::jobs {
 
 using adapter::duty_outcome;
+using core::jobs::HostOf;
 using core::jobs::service_result;
 
 namespace {
@@ -32,12 +33,6 @@
   return service_result::kUnknown;
 }
 
-const core::jobs::host_id& HostOf(const host_order& order) {
-  return std::visit(
-      [](const auto& kind) -> const core::jobs::host_id& { return kind.host; },
-      order);
-}
-
 }  // namespace
 
 // Were a host that an earlier owner may have ordered chosen all the same, the
@@ -75,14 +70,9 @@
 
 // Returns the orders for hosts for which no earlier owner may have given one.
 std::vector<host_order> fleet_owner::impl::TakeDueOrders(core::time_point now) {
-  std::vector<host_order> due;
-  std::vector<host_order> later;
-  for (host_order& order : orders_) {
-    const bool is_due = ledger_.MayOrder(HostOf(order), now);
-    (is_due ? due : later).push_back(std::move(order));
-  }
-  orders_ = std::move(later);
-  return due;
+  return queue_.Take([this, now](const core::jobs::host_id& host) {
+    return ledger_.MayOrder(host, now);
+  });
 }
 
 // Returns the records of the orders, and drops those of orders that are so old
@@ -112,7 +102,7 @@
     LogEvent(job_event::kHostOrdersLate,
              {{"orders", std::to_string(batch.size())},
               {"recorded_ms_ago", MillisOf(BootTime() - asked_at)}});
-    orders_.insert(orders_.end(), batch.begin(), batch.end());
+    queue_.GiveBack(batch);
     return;
   }
   for (const host_order& order : batch) {
@@ -163,6 +153,7 @@
 
 void fleet_owner::impl::TakeMove(const core::jobs::move_host& move,
                                  duty_outcome outcome) {
+  queue_.NoteOver(move);
   LogEvent(job_event::kHostMoved,
            {{"host", move.host},
             {"pool", move.pool},
@@ -173,6 +164,7 @@
 
 void fleet_owner::impl::TakeService(const core::jobs::service_host& action,
                                     duty_outcome outcome) {
+  queue_.NoteOver(action);
   const bool is_accepted = outcome == duty_outcome::kAccepted;
   LogEvent(is_accepted ? job_event::kHostServiced : job_event::kHostNotServiced,
            {{"host", action.host},
--- /dev/null
+++ b/tests/core/jobs/host_order_queue_test.cc
@@ -0,0 +1,66 @@
+#include "plantainhead/core/jobs/host_order_queue.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+namespace plantainhead::core::jobs {
+namespace {
+
+std::size_t CountMoves(const std::vector<host_order>& orders) {
+  std::size_t moves = 0;
+  for (const host_order& order : orders) {
+    moves += std::holds_alternative<move_host>(order) ? 1 : 0;
+  }
+  return moves;
+}
+
+bool Always(const host_id& /*host*/) {
+  return true;
+}
+
+// Guards against orders that are recorded in vain: hundreds waited for their
+// connections together until they were too old to be sent, and were recorded
+// and given up again and again.
+TEST_CASE("No more orders are recorded than can be sent soon") {
+  host_order_queue queue({.most_moves = 10, .most_services = 4});
+  for (int i = 0; i < 200; ++i) {
+    queue.Add(service_host{7, "s" + std::to_string(i)});
+  }
+  for (int i = 0; i < 30; ++i) {
+    queue.Add(move_host{"m" + std::to_string(i), "pool"});
+  }
+  const std::vector<host_order> first = queue.Take(Always);
+  CHECK(first.size() == 14);
+  CHECK(CountMoves(first) == 10);
+  CHECK(queue.waiting() == 216);
+  CHECK(queue.Take(Always).empty());
+
+  SECTION("as many follow of a kind as are over") {
+    queue.NoteOver(first.front());
+    queue.NoteOver(first.back());
+    const std::vector<host_order> next = queue.Take(Always);
+    CHECK(next.size() == 2);
+    CHECK(CountMoves(next) == 1);
+  }
+
+  SECTION("those that are given back wait again") {
+    queue.GiveBack(first);
+    CHECK(queue.waiting() == 230);
+    CHECK(queue.Take(Always).size() == 14);
+  }
+}
+
+TEST_CASE("An order for a host that is held back lets others go first") {
+  host_order_queue queue({.most_moves = 1, .most_services = 1});
+  queue.Add(move_host{"held", "pool"});
+  queue.Add(move_host{"free", "pool"});
+  const auto taken =
+      queue.Take([](const host_id& host) { return host != "held"; });
+  REQUIRE(taken.size() == 1);
+  CHECK(HostOf(taken.front()) == "free");
+  CHECK(queue.waiting() == 1);
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
