Plan a wave in a time that doesn't grow with the cube of its hosts

Cause: for each host that is closed all due hosts were looked through, and for each of these all hosts of the wave, to count what its pool misses: 550 hosts three times over. The VMs that waves need were also looked for one by one. Class: work that grows faster than the fleet, on the thread of all else.

Change: what pools miss is counted once a plan, and kept up to date; the VMs that are needed are gathered once. What is chosen is the same (wave_keeper_test is unchanged).

--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -123,6 +123,14 @@
     fleet_host host;
     time_point last_listed;
   };
+  /// A host that is up and whose turn may come.
+  struct due_host {
+    host_progress* progress = nullptr;
+    const fleet_host* host = nullptr;
+    /// How many VMs of its pool are being emptied or are down.
+    std::uint32_t* busy = nullptr;
+  };
+  using due_iterator = std::vector<due_host>::iterator;
 
   void PlanWave(wave_progress* wave,
                 time_point now,
@@ -130,18 +138,20 @@
   void NoteReturns(wave_progress* wave, std::vector<wave_action>* actions);
   bool IsMissing(const host_id& host) const;
   const listed_host* FindHost(const host_id& host) const;
-  std::uint32_t Busy(const pool_id& pool) const;
+  std::map<pool_id, std::uint32_t> CountBusy() const;
   void CloseNext(wave_progress* wave,
                  time_point now,
                  std::vector<wave_action>* actions);
   std::uint32_t NeededAtOnce(const wave_progress& wave, time_point now) const;
   bool RunsTasks(const fleet_host& host) const;
-  std::pair<const host_id, host_progress>* FindNext(wave_progress* wave,
-                                                    bool only_spare,
-                                                    bool spares_short);
-  std::pair<const host_id, host_progress>* FindClosed(wave_progress* wave);
+  std::vector<due_host> DueHosts(wave_progress* wave,
+                                 std::map<pool_id, std::uint32_t>* busy);
+  due_iterator FindNext(std::vector<due_host>* due,
+                        bool only_spare,
+                        bool spares_short) const;
+  due_iterator FindClosed(std::vector<due_host>* due) const;
   bool IsReady(const host_progress& progress, const fleet_host& host) const;
-  bool IsNeeded(const vm_id& vm) const;
+  std::set<vm_id> NeededVms() const;
   void ReleaseUnneeded(std::vector<wave_action>* actions);
   void Release(const vm_id& vm, std::vector<wave_action>* actions);
 
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -1,6 +1,7 @@
 #include "plantainhead/core/jobs/wave_keeper.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace plantainhead::core::jobs {
 
@@ -130,16 +131,16 @@
   return requested_at_ - since > settings_.missing_limit;
 }
 
-// Returns how many of the pool's VMs are being emptied or are down.
-std::uint32_t wave_keeper::Busy(const pool_id& pool) const {
-  std::uint32_t busy = 0;
+// Returns how many VMs of each pool are being emptied or are down.
+std::map<pool_id, std::uint32_t> wave_keeper::CountBusy() const {
+  std::map<pool_id, std::uint32_t> busy;
   for (const auto& [number, wave] : waves_) {
     for (const auto& [host, progress] : wave.hosts) {
-      const listed_host* listed = FindHost(host);
       const bool is_busy = progress.phase != host_phase::kDue &&
                            progress.phase != host_phase::kDone;
-      if (is_busy && listed != nullptr && listed->host.pool == pool) {
-        ++busy;
+      const listed_host* listed = is_busy ? FindHost(host) : nullptr;
+      if (listed != nullptr) {
+        ++busy[listed->host.pool];
       }
     }
   }
@@ -207,44 +208,46 @@
   return std::min(most, static_cast<std::uint32_t>(needed));
 }
 
-// Returns a due host whose VM an earlier keeper has closed. Its pool misses the
-// VM already; were other hosts closed first, it would miss both.
-std::pair<const host_id, wave_keeper::host_progress>* wave_keeper::FindClosed(
-    wave_progress* wave) {
-  for (auto& entry : wave->hosts) {
-    const listed_host* listed = FindHost(entry.first);
-    const bool is_closed = entry.second.phase == host_phase::kDue &&
-                           listed != nullptr &&
-                           listed->host.state == host_state::kUp &&
-                           closed_.count(listed->host.vm) != 0;
-    if (is_closed) {
-      return &entry;
+std::vector<wave_keeper::due_host> wave_keeper::DueHosts(
+    wave_progress* wave,
+    std::map<pool_id, std::uint32_t>* busy) {
+  std::vector<due_host> due;
+  for (auto& [host, progress] : wave->hosts) {
+    const listed_host* listed =
+        progress.phase == host_phase::kDue ? FindHost(host) : nullptr;
+    if (listed != nullptr && listed->host.state == host_state::kUp) {
+      due.push_back({&progress, &listed->host, &(*busy)[listed->host.pool]});
     }
   }
-  return nullptr;
+  return due;
+}
+
+// Returns a host whose VM an earlier keeper has closed. Its pool misses the VM
+// already; were other hosts closed first, it would miss both.
+wave_keeper::due_iterator wave_keeper::FindClosed(
+    std::vector<due_host>* due) const {
+  return std::find_if(due->begin(), due->end(), [this](const due_host& next) {
+    return closed_.count(next.host->vm) != 0;
+  });
 }
 
-// Returns the next due host, spread over the pools, so that none loses many VMs
-// at once.
-std::pair<const host_id, wave_keeper::host_progress>*
-wave_keeper::FindNext(wave_progress* wave, bool only_spare, bool spares_short) {
-  std::pair<const host_id, host_progress>* next = nullptr;
+// Returns the next host, spread over the pools, so that none loses many VMs at
+// once.
+wave_keeper::due_iterator wave_keeper::FindNext(std::vector<due_host>* due,
+                                                bool only_spare,
+                                                bool spares_short) const {
+  auto next = due->end();
   std::uint32_t least = 0;
-  for (auto& entry : wave->hosts) {
-    const listed_host* listed = FindHost(entry.first);
-    if (entry.second.phase != host_phase::kDue || listed == nullptr ||
-        listed->host.state != host_state::kUp) {
-      continue;
-    }
-    const bool runs_tasks = RunsTasks(listed->host);
+  for (auto it = due->begin(); it != due->end(); ++it) {
+    const bool runs_tasks = RunsTasks(*it->host);
     const bool is_missed =
-        runs_tasks && spares_short && short_.count(listed->host.pool) != 0;
+        runs_tasks && spares_short && short_.count(it->host->pool) != 0;
     if (is_missed || (runs_tasks && only_spare)) {
       continue;
     }
-    const std::uint32_t busy = runs_tasks ? 1 + Busy(listed->host.pool) : 0;
-    if (next == nullptr || busy < least) {
-      next = &entry;
+    const std::uint32_t busy = runs_tasks ? 1 + *it->busy : 0;
+    if (next == due->end() || busy < least) {
+      next = it;
       least = busy;
     }
   }
@@ -268,22 +271,29 @@
     begun += is_begun ? 1 : 0;
     begun_in_pools += is_begun && !progress.vm.empty() ? 1 : 0;
   }
+  if (begun >= most) {
+    return;
+  }
+  std::map<pool_id, std::uint32_t> busy = CountBusy();
+  std::vector<due_host> due = DueHosts(wave, &busy);
   for (; begun < most; ++begun) {
-    auto* next = FindClosed(wave);
-    if (next == nullptr) {
-      next = FindNext(wave, begun_in_pools >= needed, needed < most);
+    auto next = FindClosed(&due);
+    if (next == due.end()) {
+      next = FindNext(&due, begun_in_pools >= needed, needed < most);
     }
-    if (next == nullptr) {
+    if (next == due.end()) {
       return;
     }
-    const fleet_host& host = FindHost(next->first)->host;
-    next->second.phase = host_phase::kClosing;
-    next->second.vm = host.vm;
+    const fleet_host& host = *next->host;
+    next->progress->phase = host_phase::kClosing;
+    next->progress->vm = host.vm;
+    ++*next->busy;
     if (RunsTasks(host)) {
       ++begun_in_pools;
       released_.erase(host.vm);
       actions->emplace_back(close_vm{host.vm});
     }
+    due.erase(next);
   }
 }
 
@@ -349,23 +359,25 @@
   CloseNext(wave, now, actions);
 }
 
-// Returns whether the VM is being emptied, or may be serviced, for a wave.
-bool wave_keeper::IsNeeded(const vm_id& vm) const {
+// Returns the VMs that are being emptied, or may be serviced, for a wave.
+std::set<vm_id> wave_keeper::NeededVms() const {
+  std::set<vm_id> needed;
   for (const auto& [number, wave] : waves_) {
     for (const auto& [host, progress] : wave.hosts) {
       const listed_host* listed = FindHost(host);
       const bool is_due = !wave.is_complete &&
                           progress.phase == host_phase::kDue &&
-                          listed != nullptr && listed->host.vm == vm;
+                          listed != nullptr;
       const bool is_in_hand = progress.phase != host_phase::kDue &&
-                              progress.phase != host_phase::kDone &&
-                              progress.vm == vm;
-      if (is_due || is_in_hand) {
-        return true;
+                              progress.phase != host_phase::kDone;
+      if (is_due) {
+        needed.insert(listed->host.vm);
+      } else if (is_in_hand) {
+        needed.insert(progress.vm);
       }
     }
   }
-  return false;
+  return needed;
 }
 
 // A VM may be closed for a host that turns out not to be of its wave, that has
@@ -373,8 +385,15 @@
 // back. It would take no tasks for the rest of its life, and its pool would
 // miss it. Released, it is used again, or given away if it is vacant already.
 void wave_keeper::ReleaseUnneeded(std::vector<wave_action>* actions) {
-  for (const vm_id& vm : closed_) {
-    if (released_.count(vm) == 0 && !IsNeeded(vm)) {
+  std::vector<vm_id> unreleased;
+  std::set_difference(closed_.begin(), closed_.end(), released_.begin(),
+                      released_.end(), std::back_inserter(unreleased));
+  if (unreleased.empty()) {
+    return;
+  }
+  const std::set<vm_id> needed = NeededVms();
+  for (const vm_id& vm : unreleased) {
+    if (needed.count(vm) == 0) {
       Release(vm, actions);
     }
   }
