Tell a large queue's turn by its first tenth of a second

Cause: a rise is told by the jobs of the last 0.4 s, so that after 0.1 s a quarter of the rate is seen. Class: a smoothed signal that lags its step.

Change: where the last 0.1 s holds twelve jobs or more, and these come twice as fast as those of the window, their rate counts. Queues of small fleets never bring as many.

The test failed before: 270,000 in place of 1,000,000 mCPU after 0.1 s.

--- a/include/plantainhead/core/jobs/arrival_meter.h
+++ b/include/plantainhead/core/jobs/arrival_meter.h
@@ -13,6 +13,12 @@
   /// A rise is looked for in the jobs of this time. In its turn a queue brings
   /// 9 to 36 jobs a second, so that this holds 4 to 14 of them.
   duration window = std::chrono::milliseconds(400);
+  /// And in this much of its end, if it holds so many jobs and they come faster
+  /// there by this: a rise that has just begun fills a small part of the
+  /// window.
+  duration short_window = std::chrono::milliseconds(100);
+  std::size_t least_short_jobs = 12;
+  double steepness = 2.0;
   /// And compared with those of this time before it.
   duration past = std::chrono::milliseconds(2600);
   /// Fewer jobs than this in the window are no rise.
@@ -41,6 +47,9 @@
   resources RisingDemand(time_point now);
 
  private:
+  /// Returns how many jobs a second come now.
+  double RateNow(time_point now) const;
+
   /// Resources x seconds.
   struct arrival {
     time_point at;
--- a/src/core/jobs/arrival_meter.cc
+++ b/src/core/jobs/arrival_meter.cc
@@ -1,5 +1,6 @@
 #include "plantainhead/core/jobs/arrival_meter.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace plantainhead::core::jobs {
@@ -29,6 +30,22 @@
   }
 }
 
+double arrival_meter::RateNow(time_point now) const {
+  const auto since = [this](time_point begin) {
+    return static_cast<std::size_t>(
+        std::count_if(arrivals_.begin(), arrivals_.end(),
+                      [begin](const arrival& job) { return job.at >= begin; }));
+  };
+  const std::size_t in_short = since(now - settings_.short_window);
+  const double rate = static_cast<double>(since(now - settings_.window)) /
+                      Seconds(settings_.window);
+  const double short_rate =
+      static_cast<double>(in_short) / Seconds(settings_.short_window);
+  const bool is_steep = in_short >= settings_.least_short_jobs &&
+                        short_rate >= settings_.steepness * rate;
+  return is_steep ? short_rate : rate;
+}
+
 resources arrival_meter::RisingDemand(time_point now) {
   const time_point window_begin = now - settings_.window;
   const time_point past_begin = window_begin - settings_.past;
@@ -43,7 +60,7 @@
     sum.memory += job.memory;
     sum.gpus += job.gpus;
   }
-  const double rate = static_cast<double>(recent) / Seconds(settings_.window);
+  const double rate = RateNow(now);
   const double past_rate =
       static_cast<double>(arrivals_.size() - recent) / Seconds(settings_.past);
   const bool is_rise =
--- a/tests/core/jobs/arrival_meter_test.cc
+++ b/tests/core/jobs/arrival_meter_test.cc
@@ -67,6 +67,16 @@
     }
   }
 
+  // Guards against a large pool that asks for its VMs bit by bit, each part
+  // 1.5 s before it comes: its first jobs pass for a fraction of their rate.
+  SECTION("Where jobs come fast, all is asked for within 0.1 s") {
+    for (int i = 1; i <= 20; ++i) {
+      now += milliseconds(5);
+      meter.Note(ShortJob(), now);
+    }
+    CHECK(meter.RisingDemand(now).cpu_millis >= 1'000'000);
+  }
+
   SECTION("Once it is under way, what waits tells enough") {
     pass_turn(milliseconds(2500));
     CHECK(meter.RisingDemand(now) == resources());
