Count a claim only when it is read back as this process's

What callers would see: one task on two VMs, and orders of two owners.

Cause: an owner claims a partition by an append with its epoch, on condition that nothing was added since it read. The store takes an append of the same epoch and number for a repeated one and answers it as the first. Two processes that have read the partition at the same time claim it under one epoch, the higher of the group's generation and the last epoch plus one; both are told that their claim is stored, and both give orders, also under one fence at the VMs. Until now the group dealt a partition to one member, so that this took two deals within one takeover. Class: an idempotence key that two writers share.

Change: a claim counts when the partition, read after it, names this process with this epoch; else it is made anew.

The test failed before (true != true).

--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -90,7 +90,7 @@
                     return;
                   }
                   if (result == progress_writer::result::kStored) {
-                    owner->ReadAfterClaim();
+                    owner->ReadClaim();
                   } else {
                     owner->After(owner->settings_.takeover_retry,
                                  &impl::ReadBeforeClaim);
@@ -98,6 +98,26 @@
                 });
 }
 
+// See `pool_owner`: another process's claim may have been stored in its place.
+void fleet_owner::impl::ReadClaim() {
+  deps_.world->RefreshProgress(
+      kFleetPartition, [self = weak_from_this()](bool is_read) {
+        const auto owner = self.lock();
+        if (!owner || owner->is_closed_) {
+          return;
+        }
+        const owner_record newest =
+            owner->deps_.world->OwnerOf(kFleetPartition);
+        const bool is_own = is_read && newest.epoch == owner->epoch_ &&
+                            newest.member == owner->deps_.member;
+        if (is_own) {
+          owner->ReadAfterClaim();
+        } else {
+          owner->After(owner->settings_.takeover_retry, &impl::ReadBeforeClaim);
+        }
+      });
+}
+
 // What an earlier owner has done is told by records that this process may not
 // have read yet. Without them it would close VMs of hosts that were serviced
 // already, and order their service a second time.
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -39,6 +39,7 @@
   void After(std::chrono::milliseconds pause, void (impl::*action)());
   void ReadBeforeClaim();
   void Claim();
+  void ReadClaim();
   void ReadAfterClaim();
   void Begin();
   void Lose();
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -74,6 +74,7 @@
   void ReadBeforeClaim();
   void Claim();
   void TakeClaim(progress_writer::result result);
+  void ReadClaim();
   void ReadAfterClaim();
   void AskForPredecessor(const std::function<void()>& done);
   std::map<core::jobs::vm_id, core::time_point> InheritedLeaseEnds() const;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -130,8 +130,30 @@
     return;
   }
   claimed_at_ = BootTime();
-  is_claimed_ = true;
-  ReadAfterClaim();
+  ReadClaim();
+}
+
+// Two processes that read the partition at the same time claim it under one
+// epoch. The store takes the second claim for the first one, repeated, and
+// answers it alike: only the record tells whose it was.
+void pool_owner::impl::ReadClaim() {
+  deps_.world->RefreshProgress(
+      partition_, [self = weak_from_this()](bool is_read) {
+        const auto owner = self.lock();
+        if (!owner || owner->is_closed_) {
+          return;
+        }
+        const owner_record newest =
+            owner->deps_.world->OwnerOf(owner->partition_);
+        owner->is_claimed_ = is_read && newest.epoch == owner->epoch_ &&
+                             newest.member == owner->deps_.member;
+        if (owner->is_claimed_) {
+          owner->ReadAfterClaim();
+        } else {
+          owner->LogTakeoverFailed("the claim wasn't read back");
+          owner->RetryClaim();
+        }
+      });
 }
 
 // What an earlier owner may have acted on, it has read from the store. So all
--- /dev/null
+++ b/tests/jobs/claim_test.cc
@@ -0,0 +1,103 @@
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "free_address.h"
+#include "jobs/job_archiver.h"
+#include "jobs/job_meters.h"
+#include "jobs/job_world.h"
+#include "jobs/pool_owner.h"
+#include "net/http_server.h"
+#include "run_until.h"
+#include "site_store.h"
+
+namespace plantainhead::jobs {
+namespace {
+
+using std::chrono::seconds;
+using testing::FreeAddress;
+using testing::RunUntil;
+
+/// A process that claims a partition of pools as if nobody else could.
+struct claimant {
+  claimant(boost::asio::io_context* context,
+           adapter::store_client* client,
+           const std::string& name)
+      : world(context, client, {}, seconds(2), Listeners()),
+        archiver(context, client, {}) {
+    world.Start();
+    pool_owner::dependencies deps;
+    deps.context = context;
+    deps.store = client;
+    deps.world = &world;
+    deps.archiver = &archiver;
+    deps.meters = &meters;
+    deps.member = name;
+    deps.is_sure = [] { return true; };
+    deps.on_active = [](std::uint64_t) {};
+    deps.on_fenced = [] {};
+    world.SetOwned({0});
+    owner = std::make_unique<pool_owner>(deps, 0, owner_settings());
+  }
+
+  static job_world::listeners Listeners() {
+    job_world::listeners listeners;
+    listeners.on_job = [](const auto&) {};
+    listeners.on_cancel = [](const auto&) {};
+    listeners.on_configuration = [] {};
+    listeners.on_registry = [] {};
+    listeners.on_fleet_records = [] {};
+    listeners.on_announcement = [](const auto&) {};
+    listeners.on_store_contact = [](bool) {};
+    return listeners;
+  }
+
+  job_world world;
+  job_archiver archiver;
+  job_meters meters;
+  std::unique_ptr<pool_owner> owner;
+};
+
+// Guards against two owners of one pool: both had claimed it under one epoch,
+// and the store answered the second claim as the first one, repeated.
+TEST_CASE("Of two claims under one epoch one counts") {
+  boost::asio::io_context context;
+  fakes::site_store store(&context);
+  const std::string address = FreeAddress();
+  // Both have read the partition before the first claim is stored.
+  int claims = 0;
+  std::function<void()> first_claim;
+  net::http_server server(
+      &context, address, net::http_server_options(),
+      [&](const net::server_request& request, const net::responder& respond) {
+        const bool is_claim = claims < 2 && request.target.find("log-append") !=
+                                                std::string::npos;
+        if (is_claim && ++claims == 1) {
+          first_claim = [&store, request, respond] {
+            store.Handle(request, respond);
+          };
+          return;
+        }
+        if (is_claim) {
+          first_claim();
+        }
+        store.Handle(request, respond);
+      });
+  constexpr std::size_t kConnections = 40;
+  adapter::store_client client(&context, address, kConnections);
+  claimant first(&context, &client, "p1");
+  claimant second(&context, &client, "p2");
+  constexpr std::uint64_t kGeneration = 15;
+  first.owner->Start(kGeneration);
+  second.owner->Start(kGeneration);
+  REQUIRE(RunUntil(&context, [&] {
+    return first.owner->IsActive() || second.owner->IsActive();
+  }));
+  context.run_for(seconds(1));
+  CHECK(first.owner->IsActive() != second.owner->IsActive());
+}
+
+}  // namespace
+}  // namespace plantainhead::jobs
