Know a reserve that lives when its pool is taken over

What callers would see: a task that starts twice, in a fleet of weak processes.

Cause: the group has a reserve as NAME+reserve, and the record of an owner names the process alone. A new owner looked for that name among the members, didn't find it, and didn't wait for the predecessor's time to live although it may still have given orders. Class: one thing under two names.

Change: the members' processes are compared. Regular owners are unaffected.

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -31,6 +31,16 @@
 
 }  // namespace
 
+std::set<std::string> ProcessesOf(const std::set<std::string>& members) {
+  std::set<std::string> processes;
+  for (const std::string& member : members) {
+    processes.insert(IsReserveName(member)
+                         ? member.substr(0, member.size() - kReserveMark.size())
+                         : member);
+  }
+  return processes;
+}
+
 class group_member::impl : public std::enable_shared_from_this<impl> {
  public:
   impl(boost::asio::io_context* context,
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -65,6 +65,10 @@
   std::chrono::milliseconds leave_limit = std::chrono::milliseconds(1500);
 };
 
+/// Returns the processes that are members, whatever their roles.
+/// Thread safety: safe from any thread.
+std::set<std::string> ProcessesOf(const std::set<std::string>& members);
+
 /// Membership in the store's group, which deals the partitions evenly, whatever
 /// its members can do. An owner of a large pool starts several hundred tasks a
 /// second, for which an eighth of a core isn't enough; so processes with little
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -198,7 +198,7 @@
         const bool is_gone =
             reply.is_read && reply.unowned == 0 &&
             reply.members.size() < kPoolPartitions &&
-            reply.members.count(owner->predecessor_.member) == 0;
+            ProcessesOf(reply.members).count(owner->predecessor_.member) == 0;
         owner->may_predecessor_act_ = !is_gone;
         done();
       });
--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -142,6 +142,12 @@
                  [&] { return !group.dealt["small-1"].empty(); }));
 }
 
+// Guards against a reserve that owns a pool and lives, and that the next owner
+// takes for gone: the group has it under another name.
+TEST_CASE("A reserve is a member under its process's name") {
+  CHECK(ProcessesOf({"p1+reserve", "p2"}) == std::set<std::string>{"p1", "p2"});
+}
+
 // Guards against a membership that runs out although the store takes each
 // renewal: over a full link the answers came after the timeout and were thrown
 // away.
