--- a/src/jobs/job_meters.cc
+++ b/src/jobs/job_meters.cc
@@ -16,8 +16,9 @@
       takeover_(registry_.Latency("plantain_takeover_seconds",
                                   "From being dealt a partition until its "
                                   "owner gives orders.")),
-      loop_lag_(registry_.Latency("plantain_loop_lag_seconds",
-                                  "How far the thread of all work is behind.")) {}
+      loop_lag_(
+          registry_.Latency("plantain_loop_lag_seconds",
+                            "How far the thread of all work is behind.")) {}
 
 void job_meters::NoteStoreCall(adapter::store_call call, core::duration time) {
   registry_
--- a/tests/jobs/loop_watch_test.cc
+++ b/tests/jobs/loop_watch_test.cc
@@ -15,9 +15,8 @@
 TEST_CASE("A loop that is held up tells for how long") {
   boost::asio::io_context context;
   core::duration told{};
-  loop_watch watch(&context, [&told](core::duration lag) {
-    told = std::max(told, lag);
-  });
+  loop_watch watch(&context,
+                   [&told](core::duration lag) { told = std::max(told, lag); });
   watch.Start();
   const milliseconds held_up = 3 * kLoopLook;
   boost::asio::post(context,
