--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -234,12 +234,17 @@
   auto next =
       std::next(members_.begin(),
                 static_cast<std::ptrdiff_t>(first_member_ % members_.size()));
+  const std::size_t block =
+      deals_in_blocks ? (kPartitions + members_.size() - 1) / members_.size()
+                      : 1;
   for (std::uint32_t i = 0; i < kPartitions; ++i) {
     if (next == members_.end()) {
       next = members_.begin();
     }
     next->second.insert(i);
-    ++next;
+    if ((i + 1) % block == 0) {
+      ++next;
+    }
   }
 }
 
@@ -351,6 +356,21 @@
   return value;
 }
 
+std::optional<std::string> site_store::NewestIn(const std::string& topic,
+                                                std::uint32_t part,
+                                                const std::string& key) const {
+  std::optional<std::string> value;
+  const auto found = partitions_.find({topic, part});
+  if (found != partitions_.end()) {
+    for (const stored_record& record : found->second.records) {
+      if (record.key == key) {
+        value = record.value;
+      }
+    }
+  }
+  return value;
+}
+
 std::size_t site_store::CountRecords(const std::string& topic,
                                      const std::string& key) const {
   std::size_t count = 0;
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -52,6 +52,10 @@
   /// Returns the newest value of the key in any partition of the topic.
   std::optional<std::string> Newest(const std::string& topic,
                                     const std::string& key) const;
+  /// The same in one partition.
+  std::optional<std::string> NewestIn(const std::string& topic,
+                                      std::uint32_t part,
+                                      const std::string& key) const;
   /// Returns how many records of the key were ever appended.
   std::size_t CountRecords(const std::string& topic,
                            const std::string& key) const;
@@ -72,6 +76,8 @@
   void RefuseWaitingReads();
 
   store_faults faults;
+  /// Deals each member partitions that follow one another, and not in turn.
+  bool deals_in_blocks = false;
 
  private:
   using partition_key = std::pair<std::string, std::uint32_t>;
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -64,8 +64,8 @@
     FindTakers(now);
     for (const candidate& next : Candidates(now)) {
       PlaceJob(next.job, now, &orders);
-      NoteWait(next.job, starts_left_ == 0 ? wait_cause::kAnswers
-                                           : wait_cause::kRoom,
+      NoteWait(next.job,
+               starts_left_ == 0 ? wait_cause::kAnswers : wait_cause::kRoom,
                now);
     }
   } else {
--- a/tests/core/jobs/job_result_test.cc
+++ b/tests/core/jobs/job_result_test.cc
@@ -90,9 +90,9 @@
   for (const progress_batch& batch : driver.Store()) {
     results.insert(results.end(), batch.results.begin(), batch.results.end());
   }
-  const auto ended = std::find_if(
-      results.begin(), results.end(),
-      [](const job_result& result) { return result.id == "a"; });
+  const auto ended =
+      std::find_if(results.begin(), results.end(),
+                   [](const job_result& result) { return result.id == "a"; });
   REQUIRE(ended != results.end());
   CHECK(ended->waits.waited(wait_cause::kRoom) == seconds(2));
   CHECK(VerdictOf(*ended, driver.now) == job_verdict::kWaitedForRoom);
