--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -34,7 +34,8 @@
       keeper_(settings.waves),
       balancer_(settings.balancer),
       vacancies_(settings.vacancies),
-      ledger_(settings.orders, deps_.holder) {}
+      ledger_(settings.orders, deps_.holder),
+      queue_(settings.queue) {}
 
 void fleet_owner::impl::Start(std::uint64_t generation) {
   generation_ = generation;
@@ -89,7 +90,7 @@
                     return;
                   }
                   if (result == progress_writer::result::kStored) {
-                    owner->ReadAfterClaim();
+                    owner->ReadClaim();
                   } else {
                     owner->After(owner->settings_.takeover_retry,
                                  &impl::ReadBeforeClaim);
@@ -97,6 +98,26 @@
                 });
 }
 
+// See `pool_owner`: another process's claim may have been stored in its place.
+void fleet_owner::impl::ReadClaim() {
+  deps_.world->RefreshProgress(
+      kFleetPartition, [self = weak_from_this()](bool is_read) {
+        const auto owner = self.lock();
+        if (!owner || owner->is_closed_) {
+          return;
+        }
+        const owner_record newest =
+            owner->deps_.world->OwnerOf(kFleetPartition);
+        const bool is_own = is_read && newest.epoch == owner->epoch_ &&
+                            newest.member == owner->deps_.member;
+        if (is_own) {
+          owner->ReadAfterClaim();
+        } else {
+          owner->After(owner->settings_.takeover_retry, &impl::ReadBeforeClaim);
+        }
+      });
+}
+
 // What an earlier owner has done is told by records that this process may not
 // have read yet. Without them it would close VMs of hosts that were serviced
 // already, and order their service a second time.
@@ -149,7 +170,7 @@
   balancer_.UpdateLeaving(LeavingVms());
   for (const core::jobs::move_host& move :
        balancer_.Plan(HostsNotToMove(now), now)) {
-    orders_.emplace_back(move);
+    queue_.Add(move);
   }
   SendOrders(now);
   LogFigures(now);
@@ -173,7 +194,7 @@
             {"missing", std::to_string(figures.missing)},
             {"free", std::to_string(figures.free)},
             {"ordered", std::to_string(figures.ordered)},
-            {"unsent", std::to_string(orders_.size())},
+            {"unsent", std::to_string(queue_.waiting())},
             {"moving", std::to_string(figures.moving)},
             {"in_waves", std::to_string(serviced.size())},
             {"held_back", std::to_string(held.size())},
@@ -190,7 +211,7 @@
 }
 
 void fleet_owner::impl::Do(const core::jobs::service_host& action) {
-  orders_.emplace_back(action);
+  queue_.Add(action);
 }
 
 void fleet_owner::impl::Do(const core::jobs::complete_wave& action) {
