--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -180,6 +180,7 @@
   if (now - figures_at_ < settings_.figures_gap) {
     return;
   }
+  figures_at_ = now;
   const std::set<core::jobs::host_id> serviced = keeper_.BusyHosts();
   const std::set<core::jobs::host_id> held = ledger_.Closed(now);
   const core::jobs::balance_figures figures =
@@ -188,7 +189,6 @@
     return;
   }
   figures_ = figures;
-  figures_at_ = now;
   LogEvent(job_event::kFleetSized,
            {{"wanted", std::to_string(figures.wanted)},
             {"missing", std::to_string(figures.missing)},
