--- a/include/plantainhead/core/jobs/arrival_meter.h
+++ b/include/plantainhead/core/jobs/arrival_meter.h
@@ -13,13 +13,14 @@
   /// A rise is looked for in the jobs of this time. In its turn a queue brings
   /// 9 to 36 jobs a second, so that this holds 4 to 14 of them.
   duration window = std::chrono::milliseconds(400);
-  /// And in this much of its end, if it holds so many jobs and they come faster
-  /// there by this: a rise that has just begun fills a small part of the
-  /// window.
+  /// The end of the window, whose rate counts in place of the whole window's
+  /// while a rise is steep: one that has just begun fills little of the window.
   duration short_window = std::chrono::milliseconds(100);
+  /// With fewer jobs at its end no rise is steep.
   std::size_t least_short_jobs = 12;
+  /// Jobs must come this many times as fast there as in the whole window.
   double steepness = 2.0;
-  /// And compared with those of this time before it.
+  /// The rate is compared with that of this time before the window.
   duration past = std::chrono::milliseconds(2600);
   /// Fewer jobs than this in the window are no rise.
   std::size_t least_jobs = 3;
