See for what takeovers wait, and how old an owner's copies are

No line told for which VMs a takeover waits, how old the copy of VMs is that an owner decides by, why all jobs are read again, or how long a VM takes from being closed to its record and a host from its order to the answer.

New lines: takeover settled, jobs reread, vm gained. New fields: vm_copy_ms, fleet_copy_ms and rising_millis of pool sized, closed_ms_ago of vm vacated, ordered_ms_ago of host moved. No decision changes.

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -74,6 +75,9 @@
                     bool is_settled,
                     time_point now);
 
+  /// Returns when the move of the host was ordered, or ordered again; nothing
+  /// when none is under way.
+  std::optional<time_point> OrderedAt(const host_id& host) const;
   /// Returns how far hosts are; `busy` as for `Plan`.
   balance_figures Figures(const std::set<host_id>& busy) const;
   /// Returns the moves to order now. `busy` are hosts that are being serviced.
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -73,6 +73,26 @@
   std::map<vm_id, time_point> lapsed_at;
 };
 
+/// The VMs for which a new owner waits before it starts what an earlier owner
+/// may have started: each must tell what it runs, or its lease must end.
+struct takeover_wait {
+  bool is_over = false;
+  /// VMs that the registry lists.
+  std::uint32_t listed = 0;
+  /// VMs that are only known from the records of an earlier owner.
+  std::uint32_t unlisted = 0;
+  /// One of them.
+  vm_id vm;
+};
+
+/// A VM that runs a task, or has ended one, of a job that isn't known.
+struct unknown_job_vm {
+  vm_id vm;
+  bool is_listed = false;
+  /// Its last hold had an answer.
+  bool is_reachable = false;
+};
+
 /// Figures for reports.
 struct scheduler_counts {
   std::size_t open_jobs = 0;
@@ -136,8 +156,8 @@
   void NoteCancellationsRead(time_point through);
   /// Returns whether cancellations are known well enough to start tasks.
   bool MayStart(time_point now) const;
-  /// Returns whether a VM tells of a job that isn't known.
-  bool HasUnknownJobs() const;
+  /// Returns a VM that tells of a job that isn't known, if there is one.
+  std::optional<unknown_job_vm> FindUnknownJob() const;
   /// Notes a job that ended under an earlier owner. VMs may still list its
   /// runs.
   void AddEndedJob(const job_id& id);
@@ -160,6 +180,8 @@
   void NoteReports(const std::map<vm_id, time_point>& trusted_until);
   /// Empties a VM: no new tasks, and lasting ones move as their steps allow.
   void CloseVm(const vm_id& vm, time_point now);
+  /// Returns since when the VM is closed; nothing if it isn't.
+  std::optional<time_point> ClosedAt(const vm_id& vm) const;
   /// Takes back `CloseVm`.
   void OpenVm(const vm_id& vm);
   /// Returns what the pool's tasks take and could take, as of the last plan.
@@ -213,6 +235,8 @@
   /// Precondition: batches are stored in their order.
   void OnBatchStored(const progress_batch& batch);
 
+  /// Returns for which VMs the takeover waits, as of the last plan.
+  takeover_wait TakeoverWait(time_point now) const;
   /// True when a newer owner was met. Give no more orders then.
   bool IsFenced() const { return is_fenced_; }
   scheduler_counts Counts() const;
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -34,6 +34,12 @@
   found->second.changed_at = now;
 }
 
+std::optional<time_point> fleet_balancer::OrderedAt(const host_id& host) const {
+  const auto found = moves_.find(host);
+  return found == moves_.end() ? std::nullopt
+                               : std::optional(found->second.changed_at);
+}
+
 // Returns how many VMs each pool has or is getting, without those that take no
 // tasks.
 std::map<pool_id, std::uint32_t> fleet_balancer::Counts() const {
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -111,6 +111,21 @@
   return is_recovered_;
 }
 
+takeover_wait pool_scheduler::impl::TakeoverWait(time_point now) const {
+  takeover_wait wait;
+  wait.is_over = is_recovered_;
+  if (is_recovered_) {
+    return wait;
+  }
+  for (const auto& [id, vm] : vms_) {
+    if (!vm.is_settled && !vm.IsLapsed(now)) {
+      ++(vm.is_listed ? wait.listed : wait.unlisted);
+      wait.vm = id;
+    }
+  }
+  return wait;
+}
+
 // A VM may have told of a task's end before the job was read. Its next listing
 // tells it again; a start before that would run a task that is done.
 std::set<job_id> pool_scheduler::impl::JobsWithUntakenEnds() const {
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -185,17 +185,23 @@
   }
 }
 
-bool pool_scheduler::impl::HasUnknownJobs() const {
+std::optional<unknown_job_vm> pool_scheduler::impl::FindUnknownJob() const {
   const auto is_unknown = [this](const auto& run) {
     return run.second.IsForeign() && !jobs_.IsEnded(run.first.job);
   };
-  return std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
-    const vm_state& vm = entry.second;
-    const bool has_unknown_run =
-        vm.HasForeign() &&
-        std::any_of(vm.runs().begin(), vm.runs().end(), is_unknown);
-    return has_unknown_run || vm.unknown_end_since.has_value();
-  });
+  const auto found =
+      std::find_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
+        const vm_state& vm = entry.second;
+        const bool has_unknown_run =
+            vm.HasForeign() &&
+            std::any_of(vm.runs().begin(), vm.runs().end(), is_unknown);
+        return has_unknown_run || vm.unknown_end_since.has_value();
+      });
+  if (found == vms_.end()) {
+    return std::nullopt;
+  }
+  return unknown_job_vm{found->first, found->second.is_listed,
+                        found->second.IsReachable()};
 }
 
 // An earlier owner may have read the job sooner and started it, and the VM may
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -36,8 +36,12 @@
   return impl_->MayStart(now);
 }
 
-bool pool_scheduler::HasUnknownJobs() const {
-  return impl_->HasUnknownJobs();
+std::optional<unknown_job_vm> pool_scheduler::FindUnknownJob() const {
+  return impl_->FindUnknownJob();
+}
+
+takeover_wait pool_scheduler::TakeoverWait(time_point now) const {
+  return impl_->TakeoverWait(now);
 }
 
 void pool_scheduler::AddEndedJob(const job_id& id) {
@@ -91,6 +95,12 @@
   }
 }
 
+std::optional<time_point> pool_scheduler::ClosedAt(const vm_id& vm) const {
+  const vm_state* found = impl_->FindVm(vm);
+  return found != nullptr && found->is_closed ? std::optional(found->closed_at)
+                                              : std::nullopt;
+}
+
 void pool_scheduler::OpenVm(const vm_id& vm) {
   if (vm_state* found = impl_->FindVm(vm)) {
     found->is_closed = false;
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -79,7 +79,8 @@
   }
   void NoteReports(const std::map<vm_id, time_point>& trusted_until);
   bool MayStart(time_point now) const;
-  bool HasUnknownJobs() const;
+  std::optional<unknown_job_vm> FindUnknownJob() const;
+  takeover_wait TakeoverWait(time_point now) const;
   /// Takes over the runs of a job that VMs have told of before it was known.
   void AdoptRunsOf(const job_id& id, time_point now);
   /// Wants a stop of every run of the job.
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -24,6 +24,7 @@
   kConfigurationInvalid,
   kRecordInvalid,
   kReadRepeated,
+  kJobsReread,
   kReadUnanswered,
   kRecordsSlow,
   kReadinessChanged,
@@ -44,6 +45,7 @@
   kTaskEnded,
   kTaskLost,
   kVmLost,
+  kVmGained,
   kVmHeard,
   kVmVacated,
   kOwnershipGained,
@@ -53,6 +55,7 @@
   kRenewalUnanswered,
   kMembersUnknown,
   kTakeoverFailed,
+  kTakeoverSettled,
   kHostServiced,
   kHostNotServiced,
   kHostMoved,
@@ -63,7 +66,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 49> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 52> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -76,6 +79,7 @@
     {job_event::kConfigurationInvalid, "configuration invalid"},
     {job_event::kRecordInvalid, "record invalid"},
     {job_event::kReadRepeated, "read repeated"},
+    {job_event::kJobsReread, "jobs reread"},
     {job_event::kReadUnanswered, "read unanswered"},
     {job_event::kRecordsSlow, "records slow"},
     {job_event::kReadinessChanged, "readiness changed"},
@@ -96,6 +100,7 @@
     {job_event::kTaskEnded, "task ended"},
     {job_event::kTaskLost, "task lost"},
     {job_event::kVmLost, "vm lost"},
+    {job_event::kVmGained, "vm gained"},
     {job_event::kVmHeard, "vm heard"},
     {job_event::kVmVacated, "vm vacated"},
     {job_event::kOwnershipGained, "ownership gained"},
@@ -105,6 +110,7 @@
     {job_event::kRenewalUnanswered, "renewal unanswered"},
     {job_event::kMembersUnknown, "members unknown"},
     {job_event::kTakeoverFailed, "takeover failed"},
+    {job_event::kTakeoverSettled, "takeover settled"},
     {job_event::kHostServiced, "host serviced"},
     {job_event::kHostNotServiced, "host not serviced"},
     {job_event::kHostMoved, "host moved"},
--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -154,10 +154,14 @@
 void fleet_owner::impl::TakeMove(const core::jobs::move_host& move,
                                  duty_outcome outcome) {
   queue_.NoteOver(move);
-  LogEvent(job_event::kHostMoved,
-           {{"host", move.host},
-            {"pool", move.pool},
-            {"outcome", std::string(core::NameOf(outcome))}});
+  observe::log_fields fields = {
+      {"host", move.host},
+      {"pool", move.pool},
+      {"outcome", std::string(core::NameOf(outcome))}};
+  if (const auto ordered_at = balancer_.OrderedAt(move.host)) {
+    AppendAge("ordered_ms_ago", *ordered_at, &fields);
+  }
+  LogEvent(job_event::kHostMoved, fields);
   balancer_.OnMoveAnswer(move.host, outcome == duty_outcome::kAccepted,
                          outcome != duty_outcome::kUnknown, BootTime());
 }
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -117,6 +117,18 @@
   return CopyAgeOf(watched_);
 }
 
+core::duration job_world::AgeOf(const std::shared_ptr<log_follower>& follower) {
+  return BootTime() - (follower ? follower->CompleteAt() : core::time_point());
+}
+
+core::duration job_world::RegistryCopyAge() const {
+  return AgeOf(registry_follower_);
+}
+
+core::duration job_world::FleetCopyAge() const {
+  return AgeOf(fleet_follower_);
+}
+
 bool job_world::KnowsQueue(const core::jobs::queue_route& route) const {
   const auto partitions = JobPartitionsOf(route.queue);
   return std::all_of(
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -82,6 +82,10 @@
   core::duration JobCopyAge(const core::jobs::queue_id& queue) const;
   /// The same for those that hold jobs of the pools that this process owns.
   core::duration WatchedJobCopyAge() const;
+  /// The same for the entries of VMs, and for what owners of pools and of the
+  /// fleet tell each other. Precondition: this process owns one of them.
+  core::duration RegistryCopyAge() const;
+  core::duration FleetCopyAge() const;
   /// Returns how far VMs' entries are trusted; valid as long as the object.
   const core::jobs::report_ages& report_ages() const { return report_ages_; }
   /// Returns whether the partitions that tell of the queue's jobs are being
@@ -174,6 +178,7 @@
                         const std::function<void()>& on_read);
   void RepeatRefresh(const std::weak_ptr<log_follower>& reader,
                      const std::function<void()>& on_read);
+  static core::duration AgeOf(const std::shared_ptr<log_follower>& follower);
   template <typename Partitions>
   core::duration CopyAgeOf(const Partitions& partitions) const;
   std::set<std::uint32_t> WatchedJobPartitions() const;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -129,6 +129,7 @@
     const std::vector<core::jobs::vm_order> orders =
         scheduler_->Plan(began, WallTime());
     plan_time_ = BootTime() - began;
+    NoteTakeoverWait(began);
     LogLosses();
     deps_.meters->NotePlan(plan_time_);
     for (const core::jobs::vm_order& order : orders) {
@@ -153,6 +154,33 @@
   }
 }
 
+// Until a takeover is settled, tasks that an earlier owner may have started
+// wait, however much room there is.
+void pool_owner::impl::NoteTakeoverWait(core::time_point now) {
+  if (is_takeover_settled_) {
+    return;
+  }
+  const core::jobs::takeover_wait wait = scheduler_->TakeoverWait(now);
+  if (!wait.is_over) {
+    first_wait_ = first_wait_.value_or(wait);
+    if (wait.listed + wait.unlisted > 0) {
+      last_wait_ = wait;
+    }
+    return;
+  }
+  is_takeover_settled_ = true;
+  const core::jobs::takeover_wait first = first_wait_.value_or(wait);
+  LogEvent(job_event::kTakeoverSettled,
+           {{"partition", std::to_string(partition_)},
+            {"epoch", std::to_string(epoch_)},
+            {"claimed_ms_ago", MillisOf(now - claimed_at_)},
+            {"first_listed", std::to_string(first.listed)},
+            {"first_unlisted", std::to_string(first.unlisted)},
+            {"last_listed", std::to_string(last_wait_.listed)},
+            {"last_unlisted", std::to_string(last_wait_.unlisted)},
+            {"last_vm", last_wait_.vm}});
+}
+
 // Tasks that could start are late while it isn't known what was cancelled, so
 // that there is a line on each such time.
 void pool_owner::impl::NoteCancellationsRead(core::time_point now) {
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -112,6 +112,9 @@
             {"unheard", std::to_string(load.stages.unheard)},
             {"unrecorded", std::to_string(load.stages.unrecorded)},
             {"untrusted", std::to_string(load.stages.untrusted)},
+            {"vm_copy_ms", MillisOf(deps_.world->RegistryCopyAge())},
+            {"fleet_copy_ms", MillisOf(deps_.world->FleetCopyAge())},
+            {"rising_millis", std::to_string(load.rising.cpu_millis)},
             {"used_millis", std::to_string(load.used.cpu_millis)},
             {"waiting_millis", std::to_string(load.waiting.cpu_millis)}});
   fleet_outbox_.Put(EncodeWantedVms(pool, wanted));
@@ -151,10 +154,14 @@
 void pool_owner::impl::NoteVacanciesStored() {
   for (const core::jobs::vacant_vm& vacant : vacancies_.NoteStored()) {
     const bool is_offered = vacant.reason == vacancy_reason::kOffered;
-    LogEvent(job_event::kVmVacated,
-             {{"vm", vacant.vm},
-              {"partition", std::to_string(partition_)},
-              {"reason", is_offered ? "not needed" : "service"}});
+    observe::log_fields fields = {
+        {"vm", vacant.vm},
+        {"partition", std::to_string(partition_)},
+        {"reason", is_offered ? "not needed" : "service"}};
+    if (const auto closed_at = scheduler_->ClosedAt(vacant.vm)) {
+      AppendAge("closed_ms_ago", *closed_at, &fields);
+    }
+    LogEvent(job_event::kVmVacated, fields);
   }
 }
 
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -87,6 +87,7 @@
   void Work();
   void NoteCancellationsRead(core::time_point now);
   void NoteSureness(bool is_sure);
+  void NoteTakeoverWait(core::time_point now);
   void Lose(const std::string& reason);
   void StoreProgress();
   void TakeStored(const std::optional<core::jobs::progress_batch>& batch,
@@ -162,6 +163,10 @@
   bool is_kicked_ = false;
   bool may_start_ = true;
   bool was_sure_ = true;
+  bool is_takeover_settled_ = false;
+  std::optional<core::jobs::takeover_wait> first_wait_;
+  /// As of the last plan that waited for a VM.
+  core::jobs::takeover_wait last_wait_;
   core::duration plan_time_{};
   std::uint64_t synced_version_ = 0;
   core::time_point dealt_at_;
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -38,6 +38,7 @@
     try {
       links_[vm.id] =
           std::make_shared<vm_link>(deps_.context, vm.id, vm.address);
+      links_[vm.id]->known_at = BootTime();
     } catch (const std::invalid_argument& error) {
       // The place of its record in the partition, too, was unreadable.
       deps_.world->faults().Note(
@@ -120,15 +121,26 @@
 // been, neither the task's end can be acknowledged nor the run be stopped, and
 // partitions that aren't watched are read up to 10 s late.
 void pool_owner::impl::ReadUnknownJobs() {
-  if (is_reading_jobs_ || !scheduler_->HasUnknownJobs()) {
+  if (is_reading_jobs_) {
+    return;
+  }
+  const auto unknown = scheduler_->FindUnknownJob();
+  if (!unknown) {
     return;
   }
   is_reading_jobs_ = true;
-  deps_.world->RefreshAllJobs([self = weak_from_this()] {
-    if (const auto owner = self.lock()) {
-      owner->is_reading_jobs_ = false;
-    }
-  });
+  deps_.world->RefreshAllJobs(
+      [self = weak_from_this(), unknown = *unknown, began = BootTime()] {
+        if (const auto owner = self.lock()) {
+          owner->is_reading_jobs_ = false;
+          LogEvent(job_event::kJobsReread,
+                   {{"partition", std::to_string(owner->partition_)},
+                    {"vm", unknown.vm},
+                    {"listed", unknown.is_listed ? "yes" : "no"},
+                    {"reachable", unknown.is_reachable ? "yes" : "no"},
+                    {"ms", MillisOf(BootTime() - began)}});
+        }
+      });
 }
 
 void pool_owner::impl::TakeHold(const vm_id& vm,
@@ -177,6 +189,13 @@
 void pool_owner::impl::NoteHeard(const vm_id& vm,
                                  vm_link* link,
                                  const core::jobs::life_mark& born) {
+  if (!link->heard_at) {
+    link->heard_at = BootTime();
+    observe::log_fields fields = {{"vm", vm},
+                                  {"partition", std::to_string(partition_)}};
+    AppendAge("known_ms_ago", link->known_at, &fields);
+    LogEvent(job_event::kVmGained, fields);
+  }
   const bool begins_again = core::jobs::AreOtherLives(born, link->born);
   if (link->is_lost || begins_again) {
     // Not before the line on its loss.
--- a/src/jobs/vm_link.h
+++ b/src/jobs/vm_link.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_SRC_JOBS_VM_LINK_H_
 
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <string>
 
 #include "plantainhead/core/time.h"
@@ -23,6 +24,9 @@
   bool is_holding = false;
   bool is_waiting = false;
   core::time_point held_at;
+  /// When the VM was first known, and first heard.
+  core::time_point known_at;
+  std::optional<core::time_point> heard_at;
   bool is_lost = false;
   /// Of the life that was heard last.
   core::jobs::life_mark born;
