Read answers in large pieces

For 2 to 5 s an owner saw none of its new VMs, its copy of jobs was 2.6 s old, and the list of hosts took 2.7 s, though its loop was at most 150 ms behind and its renewals were answered.

Cause: the library reads an answer with as many bytes at a time as its buffer has room for, and 512 while that is empty. Each piece is a call to the system and waits for its turn behind all else that the loop has to do. A page of the hosts' list takes 200 turns, a MB of records 2,000; at 10 ms a turn that is seconds. An idle process doesn't notice. Nothing shows it: no call times out, since more of the answer has always arrived.

Change: pieces of 4 KiB, and of what is left of the body up to 256 KiB once the header tells it.

Evidence: an answer of 128 KiB took 258 turns of the loop in the new test on the code before (bound 32); now it passes.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -31,6 +31,11 @@
 // page of records of 1 MB in base64.
 constexpr std::size_t kMostAnswerBytes = std::size_t{8} << 20U;
 
+// What is asked of a socket at once: enough for nearly all answers of VMs, and
+// for a large one as much as a socket holds.
+constexpr std::size_t kFirstPiece = std::size_t{4} << 10U;
+constexpr std::size_t kMostPiece = std::size_t{256} << 10U;
+
 std::string_view NameOfVerb(method verb) {
   switch (verb) {
     case method::kPost:
@@ -230,23 +235,66 @@
 
   void Read(const call_ptr& call) {
     call->parser.body_limit(kMostAnswerBytes);
-    http::async_read(
-        call->held->stream, call->held->buffer, call->parser,
-        [self = shared_from_this(), call](error_code error, std::size_t) {
-          if (call->is_over) {
-            return;
-          }
-          if (error) {
-            self->Finish(call, {delivery::kUnanswered, 0, {}}, false);
-            return;
+    call->parser.eager(true);
+    ReadPiece(call);
+  }
+
+  // The library's own loop asks for 512 bytes at a time of a buffer that is
+  // consumed as it fills. Each piece waits for its turn behind all else that is
+  // due, so that a busy process would take seconds to read some hundred KB.
+  void ReadPiece(const call_ptr& call) {
+    call->held->stream.async_read_some(
+        call->held->buffer.prepare(NextPiece(call->parser)),
+        [self = shared_from_this(), call](error_code error, std::size_t bytes) {
+          if (!call->is_over) {
+            self->TakePiece(call, error, bytes);
           }
-          auto message = call->parser.release();
-          client_reply reply{delivery::kAnswered, message.result_int(),
-                             std::move(message.body())};
-          self->Finish(call, std::move(reply), message.keep_alive());
         });
   }
 
+  static std::size_t NextPiece(
+      const http::response_parser<http::string_body>& parser) {
+    const std::uint64_t wanted =
+        parser.is_header_done()
+            ? parser.content_length_remaining().value_or(kMostPiece)
+            : kFirstPiece;
+    return static_cast<std::size_t>(
+        std::clamp<std::uint64_t>(wanted, kFirstPiece, kMostPiece));
+  }
+
+  static error_code Parse(beast::flat_buffer* buffer,
+                          http::response_parser<http::string_body>* parser) {
+    error_code error;
+    std::size_t used = 0;
+    do {
+      used = parser->put(buffer->data(), error);
+      buffer->consume(used);
+    } while (!error && used > 0 && buffer->size() > 0 && !parser->is_done());
+    return error == http::error::need_more ? error_code() : error;
+  }
+
+  void TakePiece(const call_ptr& call, error_code error, std::size_t bytes) {
+    beast::flat_buffer& buffer = call->held->buffer;
+    buffer.commit(bytes);
+    if (error == asio::error::eof && call->parser.got_some()) {
+      call->parser.put_eof(error);
+    } else if (!error) {
+      error = Parse(&buffer, &call->parser);
+    }
+    if (error) {
+      Finish(call, {delivery::kUnanswered, 0, {}}, false);
+      return;
+    }
+    if (!call->parser.is_done()) {
+      ReadPiece(call);
+      return;
+    }
+    auto message = call->parser.release();
+    client_reply reply{delivery::kAnswered, message.result_int(),
+                       std::move(message.body())};
+    Finish(call, std::move(reply), message.keep_alive());
+  }
+
   void AwaitDeadline(const call_ptr& call) {
     call->timer.expires_at(call->deadline);
     call->timer.async_wait([self = weak_from_this(), call](error_code error) {
--- a/tests/net/http_test.cc
+++ b/tests/net/http_test.cc
@@ -330,6 +330,48 @@
   }
 }
 
+// Guards against large answers that arrive for seconds because each KiB of them
+// waits for its turn behind all else that a busy process does.
+TEST_CASE("A large answer takes few turns of its reader's loop") {
+  constexpr std::size_t kBytes = std::size_t{128} << 10U;
+  constexpr int kMostTurns = 32;
+  boost::asio::io_context peers_context;
+  const std::string address = FreeAddress();
+  http_server server(
+      &peers_context, address, {},
+      [&](const server_request& request, responder respond) {
+        const bool is_large = request.target == "/large";
+        respond({200, {}, std::string(is_large ? kBytes : 1, 'a')});
+      });
+  boost::asio::io_context context;
+  http_client client(&context, address, {});
+  std::optional<client_reply> reply;
+  const auto turns_for = [&](const std::string& target) {
+    reply.reset();
+    client.Send(Post(target, ""), std::chrono::seconds(30),
+                [&](client_reply got) { reply = std::move(got); });
+    int turns = 0;
+    while (!reply) {
+      // All that the peer can send is there before each turn.
+      peers_context.restart();
+      peers_context.run_for(milliseconds(2));
+      context.restart();
+      turns += static_cast<int>(context.poll_one());
+    }
+    return turns;
+  };
+
+  const int turns_for_little = turns_for("/little");
+  const int turns_for_much = turns_for("/large");
+  CHECK(reply->body.size() == kBytes);
+  CHECK(turns_for_much - turns_for_little < kMostTurns);
+
+  SECTION("also when the connection has brought little before") {
+    turns_for("/little");
+    CHECK(turns_for("/large") < kMostTurns);
+  }
+}
+
 // Guards against answers of value that are thrown away since the link is full.
 TEST_CASE("A late answer counts while it is awaited") {
   boost::asio::io_context context;
