Don't wait in a takeover for VMs that were recorded as vacant

After each change of owner a pool with several hundred usable VMs starts nothing but new jobs for 4 to 5 s.

Cause: a new owner starts nothing that the one before may have started until each recorded VM has told what it runs, or its lease is over. Where VMs change their pool each few seconds, some of them were emptied and moved away just before: they never answer, so that each takeover lasted as long as a lease. The record of their vacancy, which is stored under the owner's fence before anybody may move them, says that they run nothing.

The new test fails on the code before.

The exactness is as before: a VM that is heard all the same tells what it runs, and one that isn't recorded as vacant is waited for.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -172,6 +172,11 @@
   /// Adds a VM that an earlier owner may have used, whether or not the registry
   /// lists it. Precondition: called before the first `UpdateVms`.
   void AddKnownVm(const known_vm& vm);
+  /// Adds a VM of which an earlier owner has recorded that it runs nothing and
+  /// takes no task for the rest of its life: nothing waits until it tells that
+  /// or its lease is over. Precondition: as for `AddKnownVm`; it is closed
+  /// before the next plan.
+  void AddVacantVm(const known_vm& vm);
   /// Replaces the list of the pool's VMs. A VM that is gone from it gets no new
   /// tasks, and is forgotten when nothing can be running on it.
   void UpdateVms(const std::vector<vm_description>& vms, time_point now);
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -77,6 +77,11 @@
   impl_->AddKnownVm(vm);
 }
 
+void pool_scheduler::AddVacantVm(const known_vm& vm) {
+  impl_->AddKnownVm(vm);
+  impl_->FindVm(vm.id)->is_settled = true;
+}
+
 void pool_scheduler::UpdateVms(const std::vector<vm_description>& vms,
                                time_point now) {
   impl_->UpdateVms(vms, now);
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -268,10 +268,16 @@
             {"claimed_ms_ago", MillisOf(BootTime() - claimed_at_)},
             {"predecessor", predecessor_.member},
             {"predecessor_acts", may_predecessor_act_ ? "maybe" : "no"}});
+  const std::set<core::jobs::vm_id>& vacant =
+      deps_.world->VacantVms(partition_);
   for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
-    scheduler_->AddKnownVm({id, address});
+    if (vacant.count(id) != 0) {
+      scheduler_->AddVacantVm({id, address});
+    } else {
+      scheduler_->AddKnownVm({id, address});
+    }
   }
-  vacancies_.Restore(deps_.world->VacantVms(partition_));
+  vacancies_.Restore(vacant);
   OnRegistry();
   OnFleetRecords();
   deps_.meters->NoteTakeover(BootTime() - dealt_at_);
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -18,6 +18,46 @@
   return bounds;
 }
 
+// Guards against a pool that stands still for the length of a lease after each
+// change of its owner, for VMs that were emptied and moved away before.
+TEST_CASE("A new owner doesn't wait for VMs that were recorded as vacant") {
+  scheduler_driver driver(Bounds());
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.scheduler.AddVacantVm({"vm-2", "10.0.0.2:80"});
+  driver.Add(Job("job", {Step(2)}));
+
+  SECTION("one that has left") {
+    driver.scheduler.UpdateVms({Vm("vm-1")}, driver.now);
+    driver.List("vm-1", {}, {});
+    CHECK(driver.Starts().size() == 2);
+  }
+
+  SECTION("one that is listed and silent") {
+    driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+    driver.scheduler.CloseVm("vm-2", driver.now);
+    driver.scheduler.OnHoldUnanswered("vm-2");
+    driver.List("vm-1", {}, {});
+    CHECK(driver.Starts().size() == 2);
+  }
+
+  SECTION("but for all others") {
+    driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+    driver.scheduler.CloseVm("vm-2", driver.now);
+    driver.List("vm-2", {}, {});
+    CHECK(driver.Starts().empty());
+  }
+
+  SECTION("and what it tells to run all the same isn't started again") {
+    driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+    driver.scheduler.CloseVm("vm-2", driver.now);
+    driver.List("vm-2", {Running({"job", 0, 0, 0}, 1)}, {});
+    driver.List("vm-1", {}, {});
+    const auto starts = driver.Starts();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.task.index == 1);
+  }
+}
+
 // An owner is replaced. What it started runs on, and VMs that the new owner
 // hasn't heard may hold any task of the jobs that were accepted before. A task
 // that started at once would run twice.
