--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -24,6 +24,10 @@
 // After an accept failed for want of descriptors the next try waits this long.
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 
+// Of a session's buffer: nearly all requests fit, so that each is read at once.
+// The library reads no more at a time than the buffer has room for.
+constexpr std::size_t kRequestBytes = std::size_t{4} << 10U;
+
 method ToMethod(http::verb verb) {
   switch (verb) {
     case http::verb::get:
@@ -86,8 +90,9 @@
 
  private:
   struct session {
-    explicit session(asio::ip::tcp::socket socket)
-        : stream(std::move(socket)) {}
+    explicit session(asio::ip::tcp::socket socket) : stream(std::move(socket)) {
+      buffer.reserve(kRequestBytes);
+    }
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
