Take vacant VMs for settled also when they are only listed

A new owner takes over the set of vacant VMs before it takes the list.

The new test fails on the code before: the VM is new to the owner, and its lease is assumed (takeover_test).

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -169,14 +170,15 @@
   /// is unknown or has ended.
   bool CancelJob(const job_id& id);
 
+  /// Takes over the VMs of which an earlier owner has recorded that they run
+  /// nothing, and take no task for the rest of their lives: they aren't waited
+  /// for. The registry lists some of them for seconds after they are gone.
+  /// Preconditions: called before `AddKnownVm`; they are closed before the
+  /// first plan.
+  void RestoreVacantVms(std::set<vm_id> vms);
   /// Adds a VM that an earlier owner may have used, whether or not the registry
   /// lists it. Precondition: called before the first `UpdateVms`.
   void AddKnownVm(const known_vm& vm);
-  /// Adds a VM of which an earlier owner has recorded that it runs nothing and
-  /// takes no task for the rest of its life: nothing waits until it tells that
-  /// or its lease is over. Precondition: as for `AddKnownVm`; it is closed
-  /// before the next plan.
-  void AddVacantVm(const known_vm& vm);
   /// Replaces the list of the pool's VMs. A VM that is gone from it gets no new
   /// tasks, and is forgotten when nothing can be running on it.
   void UpdateVms(const std::vector<vm_description>& vms, time_point now);
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -20,6 +20,7 @@
   vm.is_recorded = true;
   vm.is_record_due = false;
   AssumeLeaseOf(known.id, &vm);
+  vm.is_settled = vacant_.count(known.id) != 0;
   ++vms_version_;
 }
 
@@ -46,7 +47,11 @@
     vm.is_listed = true;
     // An owner that was paused may have been the first to see this VM, and may
     // have started a task on it that would start twice here.
-    if (is_new && (!has_list_ || now < takeover_.fresh_from)) {
+    const bool may_be_used =
+        is_new && (!has_list_ || now < takeover_.fresh_from);
+    if (may_be_used && vacant_.count(description.id) != 0) {
+      vm.is_settled = true;
+    } else if (may_be_used) {
       AssumeLeaseOf(description.id, &vm);
       is_recovered_ = false;
     }
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -77,9 +77,8 @@
   impl_->AddKnownVm(vm);
 }
 
-void pool_scheduler::AddVacantVm(const known_vm& vm) {
-  impl_->AddKnownVm(vm);
-  impl_->FindVm(vm.id)->is_settled = true;
+void pool_scheduler::RestoreVacantVms(std::set<vm_id> vms) {
+  impl_->RestoreVacantVms(std::move(vms));
 }
 
 void pool_scheduler::UpdateVms(const std::vector<vm_description>& vms,
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -43,6 +43,7 @@
   pool_load Load(const pool_id& pool, time_point now);
   std::vector<vm_id> LeastUsed(const pool_id& pool, std::size_t count);
 
+  void RestoreVacantVms(std::set<vm_id> vms) { vacant_ = std::move(vms); }
   void AddKnownVm(const known_vm& vm);
   void UpdateVms(const std::vector<vm_description>& listed, time_point now);
   void TakeListing(vm_state* vm,
@@ -235,6 +236,8 @@
   takeover_bounds takeover_;
   job_table jobs_;
   std::map<vm_id, vm_state> vms_;
+  /// What an earlier owner recorded as vacant.
+  std::set<vm_id> vacant_;
   /// Lives that are known to be over; the registry may still list them.
   std::set<vm_id> replaced_;
   /// Forgotten VMs whose records are to be dropped.
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -270,12 +270,9 @@
             {"predecessor_acts", may_predecessor_act_ ? "maybe" : "no"}});
   const std::set<core::jobs::vm_id>& vacant =
       deps_.world->VacantVms(partition_);
+  scheduler_->RestoreVacantVms(vacant);
   for (const auto& [id, address] : deps_.world->UsedVms(partition_)) {
-    if (vacant.count(id) != 0) {
-      scheduler_->AddVacantVm({id, address});
-    } else {
-      scheduler_->AddKnownVm({id, address});
-    }
+    scheduler_->AddKnownVm({id, address});
   }
   vacancies_.Restore(vacant);
   OnRegistry();
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -22,10 +22,12 @@
 // change of its owner, for VMs that were emptied and moved away before.
 TEST_CASE("A new owner doesn't wait for VMs that were recorded as vacant") {
   scheduler_driver driver(Bounds());
+  driver.scheduler.RestoreVacantVms({"vm-2"});
   driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
-  driver.scheduler.AddVacantVm({"vm-2", "10.0.0.2:80"});
   driver.Add(Job("job", {Step(2)}));
 
+  driver.scheduler.AddKnownVm({"vm-2", "10.0.0.2:80"});
+
   SECTION("one that has left") {
     driver.scheduler.UpdateVms({Vm("vm-1")}, driver.now);
     driver.List("vm-1", {}, {});
@@ -58,6 +60,19 @@
   }
 }
 
+// Guards against the same for VMs whose records of use were dropped, and that
+// the registry lists for some seconds more.
+TEST_CASE("A new owner doesn't wait for vacant VMs that are only listed yet") {
+  scheduler_driver driver(Bounds());
+  driver.scheduler.RestoreVacantVms({"vm-2"});
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.Add(Job("job", {Step(2)}));
+  driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+  driver.scheduler.CloseVm("vm-2", driver.now);
+  driver.List("vm-1", {}, {});
+  CHECK(driver.Starts().size() == 2);
+}
+
 // An owner is replaced. What it started runs on, and VMs that the new owner
 // hasn't heard may hold any task of the jobs that were accepted before. A task
 // that started at once would run twice.
