A member that comes back joins only if it is needed

Their partitions have owners by then. Each join deals all partitions anew: within 0.5 s every pool and the fleet change hands, though all owners are sound; of the late jobs 32% and 28% had their time run out within 5 s of such a change, and a new owner of the fleet leaves hundreds of hosts alone for 4 s.

Change: a member whose membership has run out looks at the members first. It joins while there are fewer than the partitions with pools and half as many more; else it gives up what it was dealt and goes on looking, as a process does that starts beside enough members. One that the group still lists renews.

The new test fails on the code before (the group has three members again).

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -71,8 +71,13 @@
   }
 
   void LookForOthers() {
+    if (has_left_) {
+      return;
+    }
+    // Where a call hangs after an outage, the next one may be answered.
+    const auto timeout = HasJoined() ? settings_.late_after : settings_.timeout;
     store_.ListMembers(
-        settings_.group, settings_.timeout,
+        settings_.group, timeout,
         [self = weak_from_this()](const adapter::members_reply& reply) {
           if (const auto member = self.lock()) {
             member->TakeMembers(reply);
@@ -102,15 +107,45 @@
       LookLater(settings_.reserve_look_interval);
       return;
     }
-    const bool is_enough = regular >= needed;
     const bool is_known = reply.members.count(member_) != 0;
-    if (!reply.is_read || is_known || !is_enough) {
+    if (HasJoined()) {
+      const auto spare = static_cast<std::size_t>(
+          settings_.spare_members * static_cast<double>(used_partitions_));
+      const std::size_t enough = std::max(needed, used_partitions_ + spare);
+      TakeMembersAfterLapse(reply, is_known || regular < enough);
+      return;
+    }
+    if (!reply.is_read || is_known || regular < needed) {
+      Renew();
+      return;
+    }
+    LookLater(settings_.look_interval);
+  }
+
+  void TakeMembersAfterLapse(const adapter::members_reply& reply,
+                             bool may_join) {
+    if (!reply.is_read) {
+      LookLater(settings_.renewal / 3);
+      return;
+    }
+    if (may_join) {
+      is_outside_ = false;
+      has_looked_ = true;
       Renew();
       return;
     }
+    StayOutside();
     LookLater(settings_.look_interval);
   }
 
+  // Its partitions are others' by now.
+  void StayOutside() {
+    if (!is_outside_) {
+      is_outside_ = true;
+      on_dealt_(generation_, {});
+    }
+  }
+
   // `is_short`: regular members are missing; `has_room`: one more member is of
   // use.
   void UpdateReserve(bool is_short, bool has_room) {
@@ -152,6 +187,13 @@
       LeaveForNow();
       return;
     }
+    if (is_outside_) {
+      return;
+    }
+    if (HasLapsed() && !has_looked_) {
+      LookForOthers();
+      return;
+    }
     is_in_flight_ = true;
     const renewal sent{++last_renewal_, BootTime()};
     net::late_answer late;
@@ -196,6 +238,16 @@
     }
   }
 
+  // If a member whose time to live has passed joined at once, all partitions
+  // would be dealt anew: pools of owners that did their work all the while
+  // would change hands together. So it looks first whether it is needed.
+  bool HasLapsed() const {
+    return settings_.role == member_role::kRegular && HasJoined() &&
+           BootTime() >= renewed_at_ + settings_.time_to_live;
+  }
+
+  bool HasJoined() const { return renewed_at_ != core::time_point(); }
+
   bool IsOver() const {
     return has_left_ ||
            (settings_.role == member_role::kReserve && !is_member_);
@@ -232,6 +284,7 @@
       // store doesn't use up the time to live.
       RenewLater(reply.is_joined ? settings_.renewal : settings_.renewal / 3);
     }
+    has_looked_ = false;
     if (!reply.is_joined) {
       if (!is_late) {
         LogUnanswered(sent.sent_at, reply.status);
@@ -299,6 +352,10 @@
   core::time_point answered_at_;
   bool is_in_flight_ = false;
   bool has_left_ = false;
+  /// After its membership had run out it saw that it is needed.
+  bool has_looked_ = false;
+  /// After its membership had run out it saw that it isn't needed.
+  bool is_outside_ = false;
   /// Of a reserve.
   bool is_member_ = false;
   bool is_short_ = false;
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -55,6 +55,12 @@
   /// six, so that few can do the work of many, and 30 reserves that joined
   /// together dealt a pool anew four times in 3 s.
   std::size_t enough_for_reserves = 2;
+  /// A member whose membership has run out, because it was cut off or frozen,
+  /// joins again only while there are fewer regular members than partitions
+  /// with pools and this many for each of them. Its partitions have owners by
+  /// then; were all dealt anew, pools of sound owners would change hands
+  /// together.
+  double spare_members = 0.5;
   /// Time between two looks at whether there are still enough.
   std::chrono::milliseconds look_interval = std::chrono::milliseconds(500);
   /// The same of a reserve. It joins when two looks in a row have shown too few
--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -33,6 +33,12 @@
         [this](const net::server_request& request,
                const net::responder& respond) {
           const bool is_join = request.target == "/plantainhead/log-join";
+          const bool is_cut =
+              !cut_off.empty() &&
+              (!is_join || request.body.find(cut_off) != std::string::npos);
+          if (is_cut) {
+            return;
+          }
           if (answers_only_joins && !is_join) {
             return;
           }
@@ -55,6 +61,7 @@
     settings.look_interval = milliseconds(20);
     settings.reserve_look_interval = milliseconds(20);
     settings.leave_limit = milliseconds(20);
+    settings.time_to_live = time_to_live;
     members[name] = std::make_unique<group_member>(
         &context, client_.get(), settings, name,
         [this, name](std::uint64_t, const std::set<std::uint32_t>& partitions) {
@@ -89,6 +96,9 @@
   /// Of all calls that arrive from then on.
   milliseconds answer_delay{0};
   bool answers_only_joins = false;
+  /// Joins of this member, and all looks at the members, have no answer.
+  std::string cut_off;
+  milliseconds time_to_live = member_settings().time_to_live;
   /// Joins that have arrived and aren't handled yet.
   int late_joins = 0;
   std::map<std::string, std::unique_ptr<group_member>> members;
@@ -127,6 +137,50 @@
   }
 }
 
+// Guards against pools that all change hands at once, their owners being sound,
+// because members that were cut off for a while come back together.
+TEST_CASE("A member that comes back joins only if it is needed") {
+  group group;
+  group.time_to_live = milliseconds(1000);
+  group.Add("large-1", member_role::kRegular);
+  group.Add("large-2", member_role::kRegular);
+  REQUIRE(group.Await({"large-1", "large-2"}));
+  group.Add("large-3", member_role::kRegular);
+  group.members.at("large-3")->RenewNow();
+  REQUIRE(group.Await({"large-1", "large-2", "large-3"}));
+  REQUIRE(RunUntil(&group.context,
+                   [&] { return !group.dealt["large-3"].empty(); }));
+  group.cut_off = "large-3";
+  group.store.Expire("large-3");
+  const core::time_point cut_at = BootTime();
+  const group_member& member = *group.members.at("large-3");
+  REQUIRE(RunUntil(&group.context, [&] {
+    return BootTime() > member.RenewedAt() + group.time_to_live &&
+           BootTime() > cut_at + group.time_to_live;
+  }));
+
+  SECTION("and else gives up what it was dealt") {
+    group.cut_off.clear();
+    REQUIRE(RunUntil(&group.context,
+                     [&] { return group.dealt["large-3"].empty(); }));
+    group.context.run_for(milliseconds(200));
+    CHECK(group.store.Members() == std::set<std::string>{"large-1", "large-2"});
+
+    SECTION("until others are gone") {
+      group.members.erase("large-2");
+      group.store.Expire("large-2");
+      CHECK(group.Await({"large-1", "large-3"}));
+    }
+  }
+
+  SECTION("as it is when another one has gone meanwhile") {
+    group.members.erase("large-2");
+    group.store.Expire("large-2");
+    group.cut_off.clear();
+    CHECK(group.Await({"large-1", "large-3"}));
+  }
+}
+
 // Guards against a group that never forms again once all its members have
 // gone and only reserves are left.
 TEST_CASE("Reserves join when no partition has a member any more") {
