Count a rise until its VMs can be there

Cause: a rise is told by comparing the rate of jobs with that of the 2.6 s before, which has risen too while the VMs are on their way; and while another pool lacks VMs a pool remembers its needs for 0.4 s only. That memory is meant for pools whose turn is over, and cut that of the one whose turn begins.

Change: what a rise asked for counts for 2.5 s after it was last seen. The new test fails on the code before (2 in place of 7 after 2 s).

--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -55,6 +55,9 @@
   /// The same while another pool lacks VMs. It outlasts the gaps between the
   /// bursts of a few jobs.
   duration scarce_memory = std::chrono::milliseconds(400);
+  /// A rise counts for this time after it was last seen, also while another
+  /// pool lacks VMs: until its VMs are there, its tasks wait for them.
+  duration rise_memory = std::chrono::milliseconds(2500);
 };
 
 /// Decides how many VMs a pool should have. Pure and not thread-safe.
@@ -74,9 +77,15 @@
 
  private:
   std::uint32_t Needed(const pool_load& load) const;
+  /// Returns how many VMs the VMs' worth of tasks need.
+  std::uint32_t Filled(double vms) const;
+  void NoteRise(const pool_load& load, time_point now);
 
   sizer_settings settings_;
   std::optional<time_point> first_update_;
+  /// What the last rise asked for most, and when it was last seen.
+  std::uint32_t rise_ = 0;
+  time_point rise_seen_at_;
   /// Falling needs, the newest last.
   std::deque<std::pair<time_point, std::uint32_t>> needs_;
 };
--- a/src/core/jobs/pool_sizer.cc
+++ b/src/core/jobs/pool_sizer.cc
@@ -19,17 +19,34 @@
 
 }  // namespace
 
+std::uint32_t pool_sizer::Filled(double vms) const {
+  return static_cast<std::uint32_t>(std::ceil(vms / settings_.fill));
+}
+
 std::uint32_t pool_sizer::Needed(const pool_load& load) const {
-  const double vms = std::max(VmsFor(load.used + load.waiting, load),
-                              VmsFor(load.rising, load));
-  const auto needed =
-      static_cast<std::uint32_t>(std::ceil(vms / settings_.fill));
-  return std::max(needed, load.spread) + settings_.reserve;
+  const std::uint32_t now_needed =
+      Filled(VmsFor(load.used + load.waiting, load));
+  return std::max({now_needed, rise_, load.spread}) + settings_.reserve;
+}
+
+// A rise is noticed by the rate of the jobs, compared with that before. That
+// rate soon holds before as well, while the VMs are on their way. If less were
+// wanted then, the hosts would go elsewhere, and be asked for a second time.
+void pool_sizer::NoteRise(const pool_load& load, time_point now) {
+  if (now - rise_seen_at_ > settings_.rise_memory) {
+    rise_ = 0;
+  }
+  const std::uint32_t rise = Filled(VmsFor(load.rising, load));
+  if (rise > 0) {
+    rise_ = std::max(rise_, rise);
+    rise_seen_at_ = now;
+  }
 }
 
 std::uint32_t pool_sizer::Update(const pool_load& load,
                                  bool is_scarce,
                                  time_point now) {
+  NoteRise(load, now);
   const std::uint32_t needed = Needed(load);
   first_update_ = first_update_.value_or(now);
   while (!needs_.empty() && needs_.back().second <= needed) {
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -58,6 +58,30 @@
   }
 }
 
+// Guards against a pool that asks for fewer VMs while those that a rise needs
+// are on their way to it.
+TEST_CASE("A rise counts until its VMs can be there") {
+  sizer_settings settings;
+  settings.fill = 1.0;
+  settings.reserve = 1;
+  pool_sizer sizer(settings);
+  time_point now{std::chrono::hours(1)};
+  pool_load load = Load(1000, 2000);
+  load.rising.cpu_millis = 60000;
+  CHECK(sizer.Update(load, true, now) == 7);
+  now += seconds(2);
+  CHECK(sizer.Update(Load(1000, 2000), true, now) == 7);
+
+  SECTION("and no longer") {
+    now += seconds(1);
+    CHECK(sizer.Update(Load(1000, 2000), true, now) == 2);
+  }
+
+  SECTION("and what waits beyond it counts") {
+    CHECK(sizer.Update(Load(1000, 90000), true, now) == 11);
+  }
+}
+
 // All processes start again in a queue's turn. The pools of the queues whose
 // turn is over hold the hosts that it lacks, and their owners have seen nothing
 // yet. They must not shrink by a load that they haven't seen, nor keep the
