--- a/tests/core/jobs/wave_keeper_test.cc
+++ b/tests/core/jobs/wave_keeper_test.cc
@@ -326,6 +326,20 @@
     CHECK(Of<service_host>(keeper.Plan(begin + milliseconds(1))).size() == 8);
   }
 
+  // Guards against a wave that takes the idle hosts for which a pool waits.
+  SECTION("no more of the spare pool either, while a pool lacks VMs") {
+    for (int i = 0; i < 8; ++i) {
+      hosts[20 - i].pool = "spare";
+      hosts[20 - i].vm = "";
+    }
+    wave.published_at = begin;
+    keeper.AddWave(wave);
+    keeper.UpdateHosts(hosts, {"spare"}, begin);
+    keeper.UpdateShort({"p"});
+    CHECK(Of<close_vm>(keeper.Plan(begin)).empty());
+    CHECK(Of<service_host>(keeper.Plan(begin + milliseconds(1))).size() == 6);
+  }
+
   SECTION("none of a pool that lacks VMs, while there is time") {
     wave.published_at = begin;
     keeper.AddWave(wave);
