Measure a host's absence by the lists that left it out

Cause: wave_keeper::IsMissing measured from the last list that had the host. A time in which no list could be read counted as absence, so that after such a time of 10 s the first list without the host sufficed.

Ruled out: Plan without a new list ("A wave isn't complete because no list can be read" passed before): only a list moves the time that is measured to.

Change: of each host the first list that left it out is kept, and the absence spans from that list to the newest. Not mended here: two such lists with a time without lists between them still count as one absence, also for a host that no list has shown.

--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <variant>
@@ -62,8 +63,8 @@
   /// An order that may not have arrived is sent again after this time; it has
   /// no effect if it did.
   duration order_retry = std::chrono::seconds(1);
-  /// A host that lists leave out for this time has left for good. Racks that go
-  /// dark come back within 8 s.
+  /// A host that lists leave out for this time, from the first of them to the
+  /// last, has left for good. Racks that go dark come back within 8 s.
   duration missing_limit = std::chrono::seconds(10);
 };
 
@@ -122,6 +123,8 @@
   struct listed_host {
     fleet_host host;
     time_point last_listed;
+    /// The first list since then, which left it out.
+    std::optional<time_point> left_out_since;
   };
   /// A host that is up and whose turn may come.
   struct due_host {
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -47,8 +47,13 @@
 void wave_keeper::UpdateHosts(const std::vector<fleet_host>& hosts,
                               const std::set<pool_id>& spare,
                               time_point requested_at) {
+  for (auto& [name, listed] : hosts_) {
+    if (!listed.left_out_since) {
+      listed.left_out_since = requested_at;
+    }
+  }
   for (const fleet_host& host : hosts) {
-    hosts_[host.host] = {host, requested_at};
+    hosts_[host.host] = {host, requested_at, std::nullopt};
   }
   spare_ = spare;
   if (!is_listed_) {
@@ -122,13 +127,14 @@
   return found == hosts_.end() ? nullptr : &found->second;
 }
 
-// Only newer lists without the host tell that it left. While no list can be
-// read every host would seem to be missing, and the wave complete.
+// Only lists without the host tell that it left. Measured from the last list
+// that had it, a time in which no list can be read would count as absence: one
+// list without a host that is away for a moment would complete the wave.
 bool wave_keeper::IsMissing(const host_id& host) const {
   const listed_host* listed = FindHost(host);
-  const time_point since =
-      listed == nullptr ? first_requested_at_ : listed->last_listed;
-  return requested_at_ - since > settings_.missing_limit;
+  const std::optional<time_point> since =
+      listed == nullptr ? first_requested_at_ : listed->left_out_since;
+  return since && requested_at_ - *since > settings_.missing_limit;
 }
 
 // Returns how many VMs of each pool are being emptied or are down.
--- a/tests/core/jobs/wave_keeper_test.cc
+++ b/tests/core/jobs/wave_keeper_test.cc
@@ -276,6 +276,35 @@
   CHECK(Of<complete_wave>(keeper.Plan(now)).empty());
 }
 
+// Guards against a wave reported complete after a single list without a host.
+TEST_CASE("One list after a time without lists doesn't tell that a host left") {
+  wave_keeper keeper{wave_settings()};
+  time_point now{std::chrono::hours(1)};
+  const std::vector<fleet_host> both = {Host("h1", "p", "a1"),
+                                        Host("h2", "p", "a2")};
+  keeper.AddWave(Wave({"h1", "h2"}, 2));
+  keeper.NoteServiced(7, "h1");
+  keeper.UpdateHosts(both, {}, now);
+  keeper.Plan(now);
+
+  SECTION("after an outage of 11 s") {
+    now += seconds(11);
+    keeper.UpdateHosts({both[0]}, {}, now);
+    CHECK(Of<complete_wave>(keeper.Plan(now)).empty());
+    now += seconds(1);
+    keeper.UpdateHosts(both, {}, now);
+    CHECK(Of<complete_wave>(keeper.Plan(now)).empty());
+  }
+
+  SECTION("after an outage of 5 s, when it is absent for 7 s") {
+    now += seconds(5);
+    keeper.UpdateHosts({both[0]}, {}, now);
+    now += seconds(6);
+    keeper.UpdateHosts({both[0]}, {}, now);
+    CHECK(Of<complete_wave>(keeper.Plan(now)).empty());
+  }
+}
+
 // The pattern: a wave of 24 of 49 hosts in 27 s, 10 at once, while the queues
 // have their turns and each pool wants every VM in its own. Taken as fast as
 // the wave allows, a fifth of the fleet is away in its first turn, and jobs
