--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -197,7 +197,8 @@
   /// Returns up to `count` VMs of the pool that hold no lasting task, those
   /// with the least work first.
   std::vector<vm_id> LeastUsed(const pool_id& pool, std::size_t count) const;
-  /// Returns whether the VM is known, heard, and holds no run.
+  /// Returns whether the VM is known, has told all, and holds neither a run nor
+  /// the end of one that isn't taken in.
   bool IsEmpty(const vm_id& vm) const;
   /// Returns by when the lease of each VM that may be running tasks is over,
   /// for the next owner.
--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -83,9 +83,8 @@
 
   sizer_settings settings_;
   std::optional<time_point> first_update_;
-  /// What the last rise asked for most, and when it was last seen.
-  std::uint32_t rise_ = 0;
-  time_point rise_seen_at_;
+  /// What rises asked for, falling, the newest last.
+  std::deque<std::pair<time_point, std::uint32_t>> rises_;
   /// Falling needs, the newest last.
   std::deque<std::pair<time_point, std::uint32_t>> needs_;
 };
--- a/src/core/jobs/pool_lives.cc
+++ b/src/core/jobs/pool_lives.cc
@@ -48,6 +48,7 @@
   }
   EndLostRuns(vm, lost);
   vm->BeginLife(born, now);
+  vacant_.erase(vm->description().id);
   StopUnansweredStarts(vm, now);
   ++vms_version_;
 }
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -205,13 +205,15 @@
     EndUnheardRuns(&vm, false);
     vm.MarkLapsed();
     // It is used again only after it has told all, and after a new record: the
-    // next owner needn't ask a VM that has none.
-    vm.is_settled = false;
+    // next owner needn't ask a VM that has none. Of one that was vacant before
+    // nothing is left to tell.
+    const bool was_vacant = vacant_.count(id) != 0;
+    vm.is_settled = was_vacant;
     if (vm.is_recorded) {
       vm.is_recorded = false;
       vm.is_record_due = true;
       dropped_vms_.push_back(id);
-      lapse_batch_ = jobs_.next_batch();
+      lapse_batch_ = was_vacant ? lapse_batch_ : jobs_.next_batch();
     }
   }
   SkipUntoldRuns(now);
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -122,7 +122,8 @@
 
 bool pool_scheduler::IsEmpty(const vm_id& vm) const {
   const vm_state* found = impl_->FindVm(vm);
-  return found != nullptr && found->IsHeard() && found->runs().empty();
+  return found != nullptr && found->IsHeard() && found->is_settled &&
+         found->runs().empty() && found->untaken_ends.empty();
 }
 
 std::map<vm_id, time_point> pool_scheduler::LeaseEnds() const {
--- a/src/core/jobs/pool_sizer.cc
+++ b/src/core/jobs/pool_sizer.cc
@@ -17,6 +17,16 @@
                    Ratio(demand.gpus, load.vm_capacity.gpus)});
 }
 
+// Adds a value to those of which only later ones that are greater count.
+void KeepPeaks(std::uint32_t value,
+               time_point now,
+               std::deque<std::pair<time_point, std::uint32_t>>* peaks) {
+  while (!peaks->empty() && peaks->back().second <= value) {
+    peaks->pop_back();
+  }
+  peaks->emplace_back(now, value);
+}
+
 }  // namespace
 
 std::uint32_t pool_sizer::Filled(double vms) const {
@@ -26,20 +36,21 @@
 std::uint32_t pool_sizer::Needed(const pool_load& load) const {
   const std::uint32_t now_needed =
       Filled(VmsFor(load.used + load.waiting, load));
-  return std::max({now_needed, rise_, load.spread}) + settings_.reserve;
+  const std::uint32_t rise = rises_.empty() ? 0 : rises_.front().second;
+  return std::max({now_needed, rise, load.spread}) + settings_.reserve;
 }
 
 // A rise is noticed by the rate of the jobs, compared with that before. That
 // rate soon holds before as well, while the VMs are on their way. If less were
 // wanted then, the hosts would go elsewhere, and be asked for a second time.
 void pool_sizer::NoteRise(const pool_load& load, time_point now) {
-  if (now - rise_seen_at_ > settings_.rise_memory) {
-    rise_ = 0;
-  }
   const std::uint32_t rise = Filled(VmsFor(load.rising, load));
   if (rise > 0) {
-    rise_ = std::max(rise_, rise);
-    rise_seen_at_ = now;
+    KeepPeaks(rise, now, &rises_);
+  }
+  while (!rises_.empty() &&
+         now - rises_.front().first > settings_.rise_memory) {
+    rises_.pop_front();
   }
 }
 
@@ -49,10 +60,7 @@
   NoteRise(load, now);
   const std::uint32_t needed = Needed(load);
   first_update_ = first_update_.value_or(now);
-  while (!needs_.empty() && needs_.back().second <= needed) {
-    needs_.pop_back();
-  }
-  needs_.emplace_back(now, needed);
+  KeepPeaks(needed, now, &needs_);
   while (now - needs_.front().first > settings_.memory) {
     needs_.pop_front();
   }
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -260,12 +260,12 @@
   return next;
 }
 
-// A host of the spare pool is missed by nobody while no pool lacks VMs, and most
-// hosts are there at one time or another. So those go first, as many as the wave
-// allows. While a pool lacks VMs it would wait for a host in service as long as
-// for two moves, so that only as many are in hand as the wave's time demands.
-// The same always holds for the pools' hosts, and none of a pool that lacks VMs
-// is taken before all that the wave allows are needed.
+// A host of the spare pool is missed by nobody while no pool lacks VMs, and
+// most hosts are there at one time or another. So those go first, as many as
+// the wave allows. While a pool lacks VMs it would wait for a host in service
+// as long as for two moves, so that only as many are in hand as the wave's time
+// demands. The same always holds for the pools' hosts, and none of a pool that
+// lacks VMs is taken before all that the wave allows are needed.
 void wave_keeper::CloseNext(wave_progress* wave,
                             time_point now,
                             std::vector<wave_action>* actions) {
@@ -280,13 +280,16 @@
     begun_in_pools += is_begun && !progress.vm.empty() ? 1 : 0;
   }
   const std::uint32_t limit = short_.empty() ? most : needed;
-  if (begun >= limit) {
+  if (begun >= most) {
     return;
   }
   std::map<pool_id, std::uint32_t> busy = CountBusy();
   std::vector<due_host> due = DueHosts(wave, &busy);
-  for (; begun < limit; ++begun) {
+  for (; begun < most; ++begun) {
     auto next = FindClosed(&due);
+    if (next == due.end() && begun >= limit) {
+      return;
+    }
     if (next == due.end()) {
       next = FindNext(&due, begun_in_pools >= needed, needed < most);
     }
--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -71,9 +71,10 @@
   }
 
   void LookForOthers() {
-    if (has_left_) {
+    if (has_left_ || is_looking_) {
       return;
     }
+    is_looking_ = true;
     // Where a call hangs after an outage, the next one may be answered.
     const auto timeout = HasJoined() ? settings_.late_after : settings_.timeout;
     store_.ListMembers(
@@ -86,6 +87,7 @@
   }
 
   void TakeMembers(const adapter::members_reply& reply) {
+    is_looking_ = false;
     if (has_left_) {
       return;
     }
@@ -124,18 +126,25 @@
 
   void TakeMembersAfterLapse(const adapter::members_reply& reply,
                              bool may_join) {
-    if (!reply.is_read) {
-      LookLater(settings_.renewal / 3);
+    if (!HasLapsed()) {
+      // A join was answered since the members were asked for.
       return;
     }
-    if (may_join) {
+    // With a store that answers no look, all would stay outside.
+    const bool looks_in_vain =
+        !reply.is_read && BootTime() - looking_since_ > settings_.time_to_live;
+    if (looks_in_vain || (reply.is_read && may_join)) {
       is_outside_ = false;
       has_looked_ = true;
       Renew();
       return;
     }
-    StayOutside();
-    LookLater(settings_.look_interval);
+    if (reply.is_read) {
+      StayOutside();
+      LookLater(settings_.look_interval);
+    } else {
+      LookLater(settings_.renewal);
+    }
   }
 
   // Its partitions are others' by now.
@@ -191,6 +200,9 @@
       return;
     }
     if (HasLapsed() && !has_looked_) {
+      if (looking_since_ == core::time_point()) {
+        looking_since_ = BootTime();
+      }
       LookForOthers();
       return;
     }
@@ -293,6 +305,12 @@
     }
     renewed_at_ = std::max(renewed_at_, sent.sent_at);
     answered_at_ = BootTime();
+    looking_since_ = {};
+    if (is_outside_) {
+      // The store took a join that had no answer in time.
+      is_outside_ = false;
+      RenewLater(settings_.renewal);
+    }
     if (!IsNews(sent, reply)) {
       return;
     }
@@ -352,6 +370,9 @@
   core::time_point answered_at_;
   bool is_in_flight_ = false;
   bool has_left_ = false;
+  bool is_looking_ = false;
+  /// Since when it looks at the others because its membership has run out.
+  core::time_point looking_since_;
   /// After its membership had run out it saw that it is needed.
   bool has_looked_ = false;
   /// After its membership had run out it saw that it isn't needed.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -292,7 +292,7 @@
     auto message = call->parser.release();
     client_reply reply{delivery::kAnswered, message.result_int(),
                        std::move(message.body())};
-    Finish(call, std::move(reply), message.keep_alive());
+    Finish(call, std::move(reply), message.keep_alive() && buffer.size() == 0);
   }
 
   void AwaitDeadline(const call_ptr& call) {
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -77,6 +77,13 @@
     CHECK(sizer.Update(Load(1000, 2000), true, now) == 2);
   }
 
+  SECTION("also when a smaller one follows") {
+    load.rising.cpu_millis = 20000;
+    CHECK(sizer.Update(load, true, now) == 7);
+    now += seconds(1);
+    CHECK(sizer.Update(Load(1000, 2000), true, now) == 3);
+  }
+
   SECTION("and what waits beyond it counts") {
     CHECK(sizer.Update(Load(1000, 90000), true, now) == 11);
   }
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -73,6 +73,32 @@
   CHECK(driver.Starts().size() == 2);
 }
 
+// Guards against a takeover that waits for records of leases that have ended,
+// one after the other, on VMs that were vacant.
+TEST_CASE("The end of a vacant VM's lease holds up no takeover") {
+  takeover_bounds bounds = Bounds();
+  bounds.lapsed_at["vm-2"] = kClaimed;
+  scheduler_driver driver(bounds);
+  driver.scheduler.RestoreVacantVms({"vm-2"});
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.scheduler.AddKnownVm({"vm-2", "10.0.0.2:80"});
+  driver.Add(Job("job", {Step(2)}));
+  driver.scheduler.UpdateVms({Vm("vm-1")}, driver.now);
+  driver.Starts();
+  driver.List("vm-1", {}, {});
+  CHECK(driver.Starts().size() == 2);
+}
+
+// Guards against a VM that is recorded as vacant before all that it tells is
+// known: the next owner doesn't ask it, and would start its task again.
+TEST_CASE("A VM that tells an end of an unknown job isn't empty") {
+  scheduler_driver driver(Bounds());
+  driver.Bring({Vm("vm-1")});
+  CHECK(driver.scheduler.IsEmpty("vm-1"));
+  driver.List("vm-1", {}, {Ended(1, {"unknown", 0, 0, 0}, 1, end_kind::kDone)});
+  CHECK_FALSE(driver.scheduler.IsEmpty("vm-1"));
+}
+
 // An owner is replaced. What it started runs on, and VMs that the new owner
 // hasn't heard may hold any task of the jobs that were accepted before. A task
 // that started at once would run twice.
--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -173,6 +173,12 @@
     }
   }
 
+  SECTION("or if nobody tells who the others are") {
+    group.answers_only_joins = true;
+    group.cut_off.clear();
+    CHECK(group.Await({"large-1", "large-2", "large-3"}));
+  }
+
   SECTION("as it is when another one has gone meanwhile") {
     group.members.erase("large-2");
     group.store.Expire("large-2");
