--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -54,6 +54,7 @@
   kOwnerSure,
   kRenewalUnanswered,
   kMembersUnknown,
+  kMembershipLapsed,
   kTakeoverFailed,
   kTakeoverSettled,
   kHostServiced,
@@ -66,7 +67,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 52> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 53> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -109,6 +110,7 @@
     {job_event::kOwnerSure, "owner sure"},
     {job_event::kRenewalUnanswered, "renewal unanswered"},
     {job_event::kMembersUnknown, "members unknown"},
+    {job_event::kMembershipLapsed, "membership lapsed"},
     {job_event::kTakeoverFailed, "takeover failed"},
     {job_event::kTakeoverSettled, "takeover settled"},
     {job_event::kHostServiced, "host serviced"},
--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -75,10 +75,8 @@
       return;
     }
     is_looking_ = true;
-    // Where a call hangs after an outage, the next one may be answered.
-    const auto timeout = HasJoined() ? settings_.late_after : settings_.timeout;
     store_.ListMembers(
-        settings_.group, timeout,
+        settings_.group, settings_.timeout,
         [self = weak_from_this()](const adapter::members_reply& reply) {
           if (const auto member = self.lock()) {
             member->TakeMembers(reply);
@@ -109,14 +107,11 @@
       LookLater(settings_.reserve_look_interval);
       return;
     }
-    const bool is_known = reply.members.count(member_) != 0;
     if (HasJoined()) {
-      const auto spare = static_cast<std::size_t>(
-          settings_.spare_members * static_cast<double>(used_partitions_));
-      const std::size_t enough = std::max(needed, used_partitions_ + spare);
-      TakeMembersAfterLapse(reply, is_known || regular < enough);
+      TakeMembersAfterLapse(reply, regular);
       return;
     }
+    const bool is_known = reply.members.count(member_) != 0;
     if (!reply.is_read || is_known || regular < needed) {
       Renew();
       return;
@@ -125,26 +120,46 @@
   }
 
   void TakeMembersAfterLapse(const adapter::members_reply& reply,
-                             bool may_join) {
+                             std::size_t regular) {
     if (!HasLapsed()) {
       // A join was answered since the members were asked for.
       return;
     }
-    // With a store that answers no look, all would stay outside.
+    const auto spare = static_cast<std::size_t>(
+        settings_.spare_members * static_cast<double>(used_partitions_));
+    const std::size_t enough =
+        std::max(settings_.enough_members, used_partitions_ + spare);
+    const bool is_known = reply.members.count(member_) != 0;
+    // A store that refuses each look may take joins, which cost it less.
     const bool looks_in_vain =
-        !reply.is_read && BootTime() - looking_since_ > settings_.time_to_live;
-    if (looks_in_vain || (reply.is_read && may_join)) {
+        !reply.is_read && reply.status != 0 &&
+        BootTime() - looking_since_ > settings_.time_to_live;
+    if (looks_in_vain || (reply.is_read && (is_known || regular < enough))) {
+      LogLapse(regular, is_known, "joins");
       is_outside_ = false;
       has_looked_ = true;
       Renew();
       return;
     }
-    if (reply.is_read) {
-      StayOutside();
-      LookLater(settings_.look_interval);
-    } else {
+    if (!reply.is_read) {
       LookLater(settings_.renewal);
+      return;
     }
+    if (!is_outside_) {
+      LogLapse(regular, is_known, "isn't needed");
+    }
+    StayOutside();
+    LookLater(settings_.look_interval);
+  }
+
+  void LogLapse(std::size_t regular,
+                bool is_known,
+                const std::string& decision) const {
+    observe::log_fields fields = {{"decision", decision},
+                                  {"members", std::to_string(regular)},
+                                  {"listed", is_known ? "yes" : "no"}};
+    AppendAge("renewed_ms_ago", renewed_at_, &fields);
+    LogEvent(job_event::kMembershipLapsed, fields);
   }
 
   // Its partitions are others' by now.
--- a/tests/jobs/group_member_test.cc
+++ b/tests/jobs/group_member_test.cc
@@ -39,6 +39,10 @@
           if (is_cut) {
             return;
           }
+          if (refuses_looks && !is_join) {
+            respond({429, {}, ""});
+            return;
+          }
           if (answers_only_joins && !is_join) {
             return;
           }
@@ -96,6 +100,7 @@
   /// Of all calls that arrive from then on.
   milliseconds answer_delay{0};
   bool answers_only_joins = false;
+  bool refuses_looks = false;
   /// Joins of this member, and all looks at the members, have no answer.
   std::string cut_off;
   milliseconds time_to_live = member_settings().time_to_live;
@@ -173,8 +178,8 @@
     }
   }
 
-  SECTION("or if nobody tells who the others are") {
-    group.answers_only_joins = true;
+  SECTION("or if the store refuses to tell who the others are") {
+    group.refuses_looks = true;
     group.cut_off.clear();
     CHECK(group.Await({"large-1", "large-2", "large-3"}));
   }
