Count a job's time from when its caller handed it in

After each takeover all open jobs counted as just arrived: those that were late went before others that could be in time, drew VMs as waiting work, and their results were called in time.

Cause: an owner knew only when it had read a job itself (in a takeover: when it had claimed the partition), and counted the deadline from there.

Ruled out: changing `arrived_at` of the scheduler's jobs. It also tells whether an earlier owner may have started a job, and stays what it was; a trial that asked the new time there instead fails the third new core test.

Change: the record of a submission tells the wall time at which the request came to the process that stored it (older records don't have the field).

--- a/include/plantainhead/core/jobs/job_result.h
+++ b/include/plantainhead/core/jobs/job_result.h
@@ -16,7 +16,8 @@
   job_id id;
   queue_id queue;
   job_phase phase = job_phase::kCompleted;
-  /// When this owner learned of the job.
+  /// When its caller handed it in; where that isn't known, when this owner
+  /// learned of it.
   time_point arrived_at;
   /// When its first task was ordered to start; none if none was.
   std::optional<time_point> started_at;
@@ -28,8 +29,8 @@
   wait_clock waits;
   /// Runs that failed, lapsed, or were stopped to run elsewhere.
   std::uint32_t repeated_runs = 0;
-  /// It was accepted under an earlier owner, so that it is older than
-  /// `arrived_at` says.
+  /// It was accepted under an earlier owner, whose waits and repeated runs
+  /// aren't told here.
   bool is_inherited = false;
   /// It failed since VMs were lost under one of its tasks again and again.
   bool is_given_up = false;
--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -100,6 +100,9 @@
   std::string payload;
   std::vector<step_spec> steps;
   std::optional<job_schedule> schedule;
+  /// Wall time, to the millisecond, at which a process took the job in; nothing
+  /// where its record doesn't tell.
+  std::optional<time_point> handed_in_at = std::nullopt;
 };
 
 /// What operators ask of a queue.
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -140,11 +140,13 @@
   ~pool_scheduler();
 
   /// Adds a job; one that is known already is left as it is. Jobs that are
-  /// added before the first `UpdateVms` are an earlier owner's.
-  /// Precondition: `spec` is valid (see `FindFaults`).
+  /// added before the first `UpdateVms` are an earlier owner's. `now` tells
+  /// whether an earlier owner may have started the job; its target counts from
+  /// `age` before. Precondition: `spec` is valid (see `FindFaults`).
   void AddJob(std::shared_ptr<const job_spec> spec,
               const queue_policy& policy,
-              time_point now);
+              time_point now,
+              duration age = duration::zero());
   /// Notes that all jobs that were accepted by then have been added, or noted
   /// as ended. A VM may tell of a job that isn't known yet; only after a later
   /// moment has been noted is it certain that there is no such job.
--- a/include/plantainhead/core/jobs/wait_clock.h
+++ b/include/plantainhead/core/jobs/wait_clock.h
@@ -16,7 +16,7 @@
   kRoom,
   /// What earlier runs of them did isn't known, or isn't stored, yet.
   kRecovery,
-  /// Which jobs were cancelled isn't known.
+  /// The job wasn't known to its owner, or isn't known not to be cancelled.
   kReading,
   /// As many starts as the owner's link bears are without an answer.
   kAnswers,
--- /dev/null
+++ b/src/core/jobs/job_age.cc
@@ -0,0 +1,14 @@
+#include "plantainhead/core/jobs/job_age.h"
+
+#include <algorithm>
+
+namespace plantainhead::core::jobs {
+
+duration AgeOf(const job_spec& job, time_point wall_now) {
+  if (!job.handed_in_at) {
+    return duration::zero();
+  }
+  return std::clamp(wall_now - *job.handed_in_at, duration::zero(), kMostAge);
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -16,8 +16,11 @@
 
 job_state::job_state(std::shared_ptr<const job_spec> spec,
                      const queue_policy& policy,
-                     time_point arrived_at)
-    : spec_(std::move(spec)), arrived_at_(arrived_at) {
+                     time_point arrived_at,
+                     time_point handed_in_at)
+    : spec_(std::move(spec)),
+      arrived_at_(arrived_at),
+      handed_in_at_(handed_in_at) {
   SetPolicy(policy);
   if (!spec_->schedule) {
     Open(0);
@@ -28,7 +31,7 @@
   policy_ = policy;
   const double allowed =
       policy.stretch * static_cast<double>(LongestChain().count());
-  deadline_ = arrived_at_ + duration(static_cast<std::int64_t>(allowed)) +
+  deadline_ = handed_in_at_ + duration(static_cast<std::int64_t>(allowed)) +
               policy.latency_target;
 }
 
@@ -402,7 +405,7 @@
   result.id = spec_->id;
   result.queue = spec_->queue;
   result.phase = phase_;
-  result.arrived_at = arrived_at_;
+  result.arrived_at = handed_in_at_;
   result.started_at = started_at_;
   result.deadline = deadline_;
   result.chain = LongestChain();
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -62,10 +62,12 @@
 class job_state {
  public:
   /// Preconditions: `spec` is set and has a step; `arrived_at` is when this
-  /// process learned of the job.
+  /// process learned of the job, and `handed_in_at`, which isn't later, when
+  /// its caller handed it in.
   job_state(std::shared_ptr<const job_spec> spec,
             const queue_policy& policy,
-            time_point arrived_at);
+            time_point arrived_at,
+            time_point handed_in_at);
 
   const job_spec& spec() const { return *spec_; }
   const std::shared_ptr<const job_spec>& shared_spec() const { return spec_; }
@@ -74,7 +76,10 @@
   job_phase phase() const { return phase_; }
   /// When the job should have ended, by its caller's estimates.
   time_point deadline() const { return deadline_; }
+  /// Tells only whether an earlier owner may have started the job. What its
+  /// caller sees counts from `handed_in_at`.
   time_point arrived_at() const { return arrived_at_; }
+  time_point handed_in_at() const { return handed_in_at_; }
   /// Notes that an earlier owner had accepted the job.
   void MarkInherited() { is_inherited_ = true; }
   /// Notes that a task was ordered to start.
@@ -173,6 +178,7 @@
   std::shared_ptr<const job_spec> spec_;
   queue_policy policy_;
   time_point arrived_at_;
+  time_point handed_in_at_;
   time_point deadline_;
   job_phase phase_ = job_phase::kQueued;
   std::optional<time_point> started_at_;
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -6,13 +6,15 @@
 
 job_state* job_table::Add(std::shared_ptr<const job_spec> spec,
                           const queue_policy& policy,
-                          time_point now) {
+                          time_point now,
+                          duration age) {
   const job_id id = spec->id;
   auto [found, is_new] = jobs_.try_emplace(id);
   if (!is_new) {
     return nullptr;
   }
-  found->second = std::make_unique<job_state>(std::move(spec), policy, now);
+  found->second =
+      std::make_unique<job_state>(std::move(spec), policy, now, now - age);
   open_.emplace(id, found->second.get());
   return found->second.get();
 }
--- a/src/core/jobs/job_table.h
+++ b/src/core/jobs/job_table.h
@@ -17,10 +17,12 @@
 /// The jobs of one pool, and which of them must be recorded. Not thread-safe.
 class job_table {
  public:
-  /// Returns the new job, or null when it is known.
+  /// Returns the new job, which was handed in `age` before `now`, or null when
+  /// it is known.
   job_state* Add(std::shared_ptr<const job_spec> spec,
                  const queue_policy& policy,
-                 time_point now);
+                 time_point now,
+                 duration age);
   /// Returns the job, or null when it is unknown or only known as ended.
   job_state* Find(const job_id& id);
   /// Notes a job that ended under an earlier owner.
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -14,13 +14,17 @@
 
 void pool_scheduler::AddJob(std::shared_ptr<const job_spec> spec,
                             const queue_policy& policy,
-                            time_point now) {
-  job_state* job = impl_->jobs().Add(std::move(spec), policy, now);
-  if (job != nullptr && !impl_->has_list()) {
-    job->MarkInherited();
+                            time_point now,
+                            duration age) {
+  job_state* job = impl_->jobs().Add(std::move(spec), policy, now, age);
+  if (job == nullptr) {
+    return;
   }
-  if (job != nullptr) {
-    impl_->AdoptRunsOf(job->spec().id, now);
+  impl_->AdoptRunsOf(job->spec().id, now);
+  if (impl_->has_list()) {
+    impl_->NoteReading(job);
+  } else {
+    job->MarkInherited();
   }
 }
 
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -84,6 +84,10 @@
   takeover_wait TakeoverWait(time_point now) const;
   /// Takes over the runs of a job that VMs have told of before it was known.
   void AdoptRunsOf(const job_id& id, time_point now);
+  /// Counts what a job, since it was handed in, has waited to be read.
+  static void NoteReading(job_state* job) {
+    NoteWait(job, wait_cause::kReading, job->handed_in_at());
+  }
   /// Wants a stop of every run of the job.
   void StopRunsOf(const job_id& id);
   /// Wants a stop of every run of the step's tasks that are done.
--- a/src/jobs/caller_request.h
+++ b/src/jobs/caller_request.h
@@ -16,6 +16,8 @@
   net::server_request request;
   net::responder respond;
   core::time_point give_up_at;
+  /// Wall time at which it came to this process.
+  core::time_point came_at;
   /// An owner that left it unanswered may have stored what it asks for.
   bool may_land = false;
 };
--- a/src/jobs/clocks.h
+++ b/src/jobs/clocks.h
@@ -14,7 +14,8 @@
 /// Thread safety: safe from any thread.
 core::time_point BootTime();
 
-/// Returns the time of day, which may jump. Only due times use it.
+/// Returns the time of day, which may jump. Only due times and the ages of jobs
+/// use it.
 /// Thread safety: safe from any thread.
 core::time_point WallTime();
 
--- a/src/jobs/job_meters.cc
+++ b/src/jobs/job_meters.cc
@@ -41,14 +41,14 @@
       .Add();
   registry_
       .Latency("plantain_job_seconds",
-               "From an owner's learning of a job until its end is stored.",
+               "From a job's handing in until its end is stored.",
                {{"queue", result.queue}})
       .Record(ended_at - result.arrived_at);
   if (result.started_at) {
     registry_
         .Latency("plantain_job_first_start_seconds",
-                 "From an owner's learning of a job until the first order to "
-                 "start a task of it.",
+                 "From a job's handing in until the first order of its last "
+                 "owner to start a task of it.",
                  {{"queue", result.queue}})
         .Record(*result.started_at - result.arrived_at);
   }
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -8,6 +8,7 @@
 
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
+#include "plantainhead/core/jobs/job_age.h"
 
 namespace plantainhead::jobs {
 
@@ -33,7 +34,8 @@
   if (scheduler_ && PoolPartitionOf(job->pool) == partition_) {
     lines_.AddJob(job_event::kJobRead, job->id,
                   {{"partition", std::to_string(partition_)}}, BootTime());
-    scheduler_->AddJob(job, deps_.world->PolicyOf(job->queue), BootTime());
+    scheduler_->AddJob(job, deps_.world->PolicyOf(job->queue), BootTime(),
+                       core::jobs::AgeOf(*job, WallTime()));
     const auto size = sizes_.find(job->pool);
     if (size != sizes_.end()) {
       size->second.arrivals.Note(*job, BootTime());
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -5,6 +5,7 @@
 
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
+#include "plantainhead/core/jobs/job_age.h"
 
 namespace plantainhead::jobs {
 
@@ -243,6 +244,8 @@
   const core::jobs::takeover_bounds bounds = MakeBounds();
   scheduler_ = std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
   std::size_t open = 0;
+  const core::time_point wall_claimed_at =
+      WallTime() - (BootTime() - claimed_at_);
   for (const auto& [id, entry] : deps_.world->directory().entries()) {
     if (core::jobs::IsFinal(entry.progress.phase)) {
       scheduler_->AddEndedJob(id);
@@ -254,7 +257,8 @@
     // An earlier owner may have read all that was stored by the claim, so
     // that none of these jobs counts as fresh.
     scheduler_->AddJob(entry.spec, deps_.world->PolicyOf(entry.queue),
-                       claimed_at_);
+                       claimed_at_,
+                       core::jobs::AgeOf(*entry.spec, wall_claimed_at));
     scheduler_->RestoreJob(id, entry.progress);
     if (entry.is_cancelled) {
       scheduler_->CancelJob(id);
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -164,6 +164,10 @@
   if (!repeat.IsMissing()) {
     spec.schedule = ReadSchedule(repeat);
   }
+  const value_reader handed_in = record.At("h");
+  if (!handed_in.IsMissing()) {
+    spec.handed_in_at = core::time_point(handed_in.Millis());
+  }
   return spec;
 }
 
@@ -282,6 +286,11 @@
         json::array({spec.schedule->first_due.time_since_epoch().count(),
                      spec.schedule->interval.count(), spec.schedule->count});
   }
+  if (spec.handed_in_at) {
+    value["h"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     spec.handed_in_at->time_since_epoch())
+                     .count();
+  }
   return {spec.id, value.dump()};
 }
 
--- /dev/null
+++ b/tests/core/jobs/job_age_test.cc
@@ -0,0 +1,130 @@
+#include "plantainhead/core/jobs/job_age.h"
+
+#include <catch2/catch.hpp>
+
+#include "core/jobs/scheduler_driver.h"
+#include "plantainhead/core/jobs/pool_scheduler.h"
+
+namespace plantainhead::core::jobs {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point kClaimed = time_point(hours(1));
+
+takeover_bounds Bounds() {
+  takeover_bounds bounds;
+  bounds.fresh_from = kClaimed + seconds(2);
+  bounds.others_lapsed_at = kClaimed + seconds(7);
+  return bounds;
+}
+
+// One task that takes the whole VM for 1 s, of 2 s that are allowed.
+std::shared_ptr<const job_spec> LargeJob(const job_id& id) {
+  return Job(id, {Step(1, 8000)});
+}
+
+// Guards against clocks that jump: each job would be late, or none.
+TEST_CASE("A job's age is within bounds, whatever the clocks tell") {
+  const time_point now{hours(500'000)};
+  job_spec job;
+  CHECK(AgeOf(job, now) == duration::zero());
+  job.handed_in_at = now - milliseconds(1234);
+  CHECK(AgeOf(job, now) == milliseconds(1234));
+  job.handed_in_at = now + seconds(5);
+  CHECK(AgeOf(job, now) == duration::zero());
+  job.handed_in_at = now - hours(1);
+  CHECK(AgeOf(job, now) == kMostAge);
+  job.handed_in_at = time_point();
+  CHECK(AgeOf(job, now) == kMostAge);
+}
+
+// Guards against jobs whose deadlines begin anew with each takeover: those that
+// are late go before others that can be in time, and draw VMs.
+TEST_CASE("A new owner counts a job's time from when it was handed in") {
+  scheduler_driver driver(Bounds());
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.scheduler.AddJob(LargeJob("a-late"), Policy(), driver.now, seconds(5));
+  driver.scheduler.AddJob(LargeJob("b-new"), Policy(), driver.now,
+                          milliseconds(100));
+  driver.scheduler.AddJob(LargeJob("c-urgent"), Policy(), driver.now,
+                          milliseconds(900));
+  driver.scheduler.UpdateVms({Vm("vm-1")}, driver.now);
+
+  SECTION("what can be in time goes first, by its deadline") {
+    driver.List("vm-1", {}, {});
+    const auto starts = driver.Starts();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.task.job == "c-urgent");
+  }
+
+  SECTION("what is late draws no VMs") {
+    CHECK(driver.scheduler.Load("pool", driver.now).waiting.cpu_millis ==
+          2 * 8000);
+  }
+
+  SECTION("also when its queue's policy changes") {
+    queue_policy longer = Policy();
+    longer.latency_target = seconds(2);
+    driver.scheduler.SetPolicy("queue", longer);
+    CHECK(driver.scheduler.Load("pool", driver.now).waiting.cpu_millis ==
+          2 * 8000);
+    longer.latency_target = seconds(4);
+    driver.scheduler.SetPolicy("queue", longer);
+    CHECK(driver.scheduler.Load("pool", driver.now).waiting.cpu_millis ==
+          3 * 8000);
+  }
+}
+
+// Guards against a start of what an earlier owner may have started, or a wait
+// for what it can't: when a job was handed in tells neither.
+TEST_CASE("A job's age doesn't tell whether an earlier owner started it") {
+  scheduler_driver driver(Bounds());
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.scheduler.AddKnownVm({"vm-2", "10.0.0.2:80"});
+  driver.scheduler.AddJob(Job("old", {Step(1)}), Policy(), driver.now,
+                          seconds(30));
+  driver.scheduler.AddJob(Job("young", {Step(1)}), Policy(), driver.now);
+  driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+  driver.List("vm-1", {}, {});
+  driver.Store();
+  driver.List("vm-1", {}, {});
+  // The second VM is silent and may run both.
+  CHECK(driver.Starts().empty());
+
+  driver.Pass(seconds(3));
+  driver.List("vm-1", {}, {});
+  driver.scheduler.AddJob(Job("read-late", {Step(1)}), Policy(), driver.now,
+                          seconds(30));
+  const auto starts = driver.Starts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.task.job == "read-late");
+}
+
+// Guards against reports that call a job in time that its caller had to wait
+// for, since the time before its owner read it doesn't count.
+TEST_CASE("A job's result counts from when it was handed in") {
+  scheduler_driver driver;
+  driver.Bring({Vm("vm-1")});
+  driver.scheduler.AddJob(Job("job", {Step(1)}), Policy(), driver.now,
+                          milliseconds(1500));
+  const time_point handed_in = driver.now - milliseconds(1500);
+  const auto starts = driver.StartAll();
+  REQUIRE(starts.size() == 1);
+  driver.Pass(seconds(1));
+  driver.List("vm-1", {},
+              {Ended(1, starts[0].target.task, 1, end_kind::kDone)});
+  const auto batches = driver.Store();
+  REQUIRE(!batches.empty());
+  REQUIRE(batches.back().results.size() == 1);
+  const job_result& result = batches.back().results[0];
+  CHECK(result.arrived_at == handed_in);
+  CHECK(result.deadline == handed_in + seconds(2));
+  CHECK(result.waits.waited(wait_cause::kReading) == milliseconds(1500));
+  CHECK(VerdictOf(result, driver.now) == job_verdict::kWaitedForOwner);
+}
+
+}  // namespace
+}  // namespace plantainhead::core::jobs
--- a/tests/jobs/foreign_records_test.cc
+++ b/tests/jobs/foreign_records_test.cc
@@ -6,6 +6,7 @@
 
 #include "jobs/fleet_records.h"
 #include "jobs/record_codec.h"
+#include "platform/record_reader.h"
 #include "record_mutations.h"
 
 // Another writer has put a record into a topic of this project. It gives a
@@ -89,6 +90,26 @@
        "s[1].lt: missing", "s[1].mm: missing", "s[1].rl: missing"},
       kDecodeJob);
 
+  SECTION("a time of handing in that makes no sense") {
+    submission_record record = SampleSubmission();
+    record.spec.handed_in_at =
+        core::time_point(std::chrono::milliseconds(1790000000123));
+    CheckMutations(Encode(record),
+                   {"h: missing", "r: missing", "s[1].cp: missing",
+                    "s[1].d: missing", "s[1].g: missing", "s[1].lt: missing",
+                    "s[1].mm: missing", "s[1].rl: missing"},
+                   kDecodeJob);
+    json value = json::parse(Encode(record).value.value());
+    for (const json& odd : {json(-1), json(adapter::kMostMillis + 1)}) {
+      value["h"] = odd;
+      CHECK(DecodeJobRecord({kId, value.dump()}).fault() ==
+            record_fault{fault_kind::kOutOfRange, "h"});
+    }
+    value["h"] = "soon";
+    CHECK(DecodeJobRecord({kId, value.dump()}).fault() ==
+          record_fault{fault_kind::kWrongType, "h"});
+  }
+
   SECTION("a step that waits for itself or for a later one") {
     json value = json::parse(Encode(SampleSubmission()).value.value());
     value["s"][1]["d"] = {1};
--- a/tests/jobs/record_codec_test.cc
+++ b/tests/jobs/record_codec_test.cc
@@ -55,6 +55,26 @@
   CHECK(read.schedule->count == 9);
 }
 
+// Guards against jobs that count as just handed in whenever their owner
+// changes.
+TEST_CASE("A job's record tells when it was handed in") {
+  submission_record record;
+  record.spec.id = "0123456789abcdef";
+  record.spec.queue = "queue";
+  record.spec.pool = "pool";
+  record.spec.steps.resize(1);
+  const auto read_back = [](const submission_record& written) {
+    const auto decoded = DecodeJobRecord(Encode(written));
+    REQUIRE(decoded);
+    return std::get<submission_record>(*decoded).spec.handed_in_at;
+  };
+  // Records of earlier versions don't have it.
+  CHECK(Encode(record).value->find("\"h\"") == std::string::npos);
+  CHECK_FALSE(read_back(record));
+  record.spec.handed_in_at = core::time_point(milliseconds(1790000000123));
+  CHECK(read_back(record) == record.spec.handed_in_at);
+}
+
 TEST_CASE("The short record of a job that has ended is read back") {
   using core::jobs::job_phase;
   const auto decoded =
