Reset the connection of a call that is given up

Their looks at the end of the cut showed all 15 as members, themselves among them (line membership lapsed, listed yes): joins that they had sent in the first 2.4 s of the cut, and had given up, were carried out 10 s later, and dealt all partitions anew.

Cause: a connection that is closed with unacknowledged bytes sends them again until they arrive. The time limit on unacknowledged bytes didn't prevent that.

Change: the connection of a call that is given up is reset. The call may have been carried out, as before; it isn't any more once the path is back.

No test: the loopback loses no packets.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -380,6 +380,10 @@
       idle_.push_back(std::move(call->held));
     } else {
       error_code ignored;
+      // What was sent of a call that is given up isn't sent again: it would be
+      // carried out when the path to the peer is back, long after its time.
+      call->held->stream.socket().set_option(asio::socket_base::linger(true, 0),
+                                             ignored);
       call->held->stream.socket().close(ignored);
       // The handlers that are still due refer to the connection through the
       // call, which they hold.
