Call a start off when its job is cancelled before it is sent

Change: right before a start is written, its owner must be sure, and the job known, open, and its cancellations known well enough.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -159,6 +159,9 @@
   void NoteCancellationsRead(time_point through);
   /// Returns whether cancellations are known well enough to start tasks.
   bool MayStart(time_point now) const;
+  /// Returns whether a start of a task of the job that was ordered before may
+  /// be sent now: the job is known and not over.
+  bool MayStillStart(const job_id& job, time_point now) const;
   /// Returns a VM that tells of a job that isn't known, if there is one.
   std::optional<unknown_job_vm> FindUnknownJob() const;
   /// Notes a job that ended under an earlier owner. VMs may still list its
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -40,6 +40,11 @@
   return impl_->MayStart(now);
 }
 
+bool pool_scheduler::MayStillStart(const job_id& job, time_point now) const {
+  const job_state* found = impl_->jobs().Find(job);
+  return found != nullptr && !IsFinal(found->phase()) && MayStart(now);
+}
+
 std::optional<unknown_job_vm> pool_scheduler::FindUnknownJob() const {
   return impl_->FindUnknownJob();
 }
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -117,6 +117,8 @@
                   const std::shared_ptr<vm_link>& link,
                   const core::jobs::vm_listing& listing);
   void Send(const core::jobs::start_order& order);
+  /// Returns what tells whether a start of a task of the job may still be sent.
+  std::function<bool()> StartGate(const core::jobs::job_id& job);
   void NoteStart(const core::jobs::run_ref& target,
                  core::jobs::start_result result);
   void Send(const core::jobs::stop_order& order);
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -261,7 +261,7 @@
   const run_ref target = order.target;
   const core::time_point sent_at = BootTime();
   link->client.Start(
-      order, epoch_, settings_.order_timeout,
+      order, epoch_, settings_.order_timeout, StartGate(target.task.job),
       [self = weak_from_this(), target, sent_at](start_result result) {
         const auto owner = self.lock();
         if (!owner || owner->is_closed_ || !owner->scheduler_) {
@@ -277,6 +277,17 @@
       });
 }
 
+// The job may be cancelled while the order waits for a connection.
+std::function<bool()> pool_owner::impl::StartGate(
+    const core::jobs::job_id& job) {
+  return [self = weak_from_this(), job] {
+    const auto owner = self.lock();
+    return owner && !owner->is_closed_ && owner->scheduler_ &&
+           owner->deps_.is_sure() &&
+           owner->scheduler_->MayStillStart(job, BootTime());
+  };
+}
+
 void pool_owner::impl::NoteStart(const run_ref& target, start_result result) {
   if (result == start_result::kStarted) {
     lines_.AddTask(job_event::kTaskStarted, target, {}, BootTime());
