Meter arrivals by when jobs were handed in

An owner that reads at once what came in a second or more asks for VMs for a rate many times the real one.

Cause: the meter of a pool's arrivals noted each job at the time of its reading.

Ruled out: passing earlier times as they are. The meter drops old jobs from the front of its queue, so that jobs out of order would stay and count for the calm before a rise.

Change: a job is noted by its age, in its place among the others; one that is older than what the meter looks at is left out.

Evidence: with the new parameter in place but without effect, the new sections and the new test fail (15 jobs of 1.5 s are a rise, 40 jobs of 4 s ago too, and a turn after late jobs is none). After the change all core tests pass.

--- a/include/plantainhead/core/jobs/arrival_meter.h
+++ b/include/plantainhead/core/jobs/arrival_meter.h
@@ -39,9 +39,12 @@
   explicit arrival_meter(const arrival_settings& settings)
       : settings_(settings) {}
 
-  /// Notes a job that has just arrived. Lasting steps count for nothing: they
-  /// don't come at a rate. Precondition: times don't fall.
-  void Note(const job_spec& job, time_point now);
+  /// Notes a job that has just been read and was handed in `age` before; ages
+  /// may come in any order. Lasting steps count for nothing: they don't come at
+  /// a rate. Precondition: times don't fall.
+  void Note(const job_spec& job,
+            time_point now,
+            duration age = duration::zero());
   /// Returns what the tasks will take on average if jobs go on to come as they
   /// do now; nothing while no rise is under way. By the callers' estimates, and
   /// for jobs of average size: a single large one is no rise.
@@ -60,6 +63,7 @@
   };
 
   arrival_settings settings_;
+  /// By their times.
   std::deque<arrival> arrivals_;
 };
 
--- a/src/core/jobs/arrival_meter.cc
+++ b/src/core/jobs/arrival_meter.cc
@@ -12,9 +12,12 @@
 
 }  // namespace
 
-void arrival_meter::Note(const job_spec& job, time_point now) {
+void arrival_meter::Note(const job_spec& job, time_point now, duration age) {
+  if (age > settings_.window + settings_.past) {
+    return;
+  }
   arrival noted;
-  noted.at = now;
+  noted.at = now - age;
   for (const step_spec& step : job.steps) {
     if (step.lasting) {
       continue;
@@ -26,7 +29,10 @@
   }
   const bool is_lasting = noted.cpu == 0 && noted.memory == 0;
   if (!is_lasting) {
-    arrivals_.push_back(noted);
+    const auto next = std::upper_bound(
+        arrivals_.begin(), arrivals_.end(), noted.at,
+        [](time_point at, const arrival& other) { return at < other.at; });
+    arrivals_.insert(next, noted);
   }
 }
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -34,11 +34,11 @@
   if (scheduler_ && PoolPartitionOf(job->pool) == partition_) {
     lines_.AddJob(job_event::kJobRead, job->id,
                   {{"partition", std::to_string(partition_)}}, BootTime());
-    scheduler_->AddJob(job, deps_.world->PolicyOf(job->queue), BootTime(),
-                       core::jobs::AgeOf(*job, WallTime()));
+    const core::duration age = core::jobs::AgeOf(*job, WallTime());
+    scheduler_->AddJob(job, deps_.world->PolicyOf(job->queue), BootTime(), age);
     const auto size = sizes_.find(job->pool);
     if (size != sizes_.end()) {
-      size->second.arrivals.Note(*job, BootTime());
+      size->second.arrivals.Note(*job, BootTime(), age);
     }
     // Pages of the newest records may show a cancellation before its job.
     const core::jobs::directory_entry* entry =
--- a/tests/core/jobs/arrival_meter_test.cc
+++ b/tests/core/jobs/arrival_meter_test.cc
@@ -92,6 +92,23 @@
   }
 }
 
+// Guards against a turn that isn't noticed: jobs that were handed in seconds
+// before count for the calm before it.
+TEST_CASE("A rise is noticed also after jobs that were read late") {
+  arrival_meter meter{arrival_settings()};
+  time_point now{std::chrono::hours(1)};
+  meter.Note(ShortJob(), now);
+  for (int i = 0; i < 40; ++i) {
+    meter.Note(ShortJob(), now, milliseconds(2500));
+  }
+  now += milliseconds(1500);
+  for (int i = 0; i < 12; ++i) {
+    now += milliseconds(33);
+    meter.Note(ShortJob(), now);
+  }
+  CHECK(meter.RisingDemand(now).cpu_millis >= 155000);
+}
+
 TEST_CASE("Jobs that come evenly, or two at once, are no rise") {
   arrival_meter meter{arrival_settings()};
   time_point now{std::chrono::hours(1)};
@@ -124,6 +141,28 @@
     }
   }
 
+  // An owner whose reading has hung, or that has just taken over, reads at once
+  // what has come in a second or more. Taken for a steep rise, that drew VMs
+  // for ten times the rate.
+  SECTION("ten a second that are read together") {
+    for (int i = 0; i < 40; ++i) {
+      now += milliseconds(100);
+      meter.Note(ShortJob(), now);
+    }
+    now += milliseconds(1500);
+    for (int i = 0; i < 15; ++i) {
+      meter.Note(ShortJob(), now, i * milliseconds(100));
+    }
+    CHECK(meter.RisingDemand(now) == resources());
+  }
+
+  SECTION("many that are older than what it looks at") {
+    for (int i = 0; i < 40; ++i) {
+      meter.Note(ShortJob(), now, seconds(4));
+    }
+    CHECK(meter.RisingDemand(now) == resources());
+  }
+
   SECTION("two after a calm") {
     meter.Note(ShortJob(), now);
     meter.Note(ShortJob(), now);
