Halve the starts under way only when many answers are late

Cause: each start without an answer in 0.6 s halved the number of starts that may be under way, for all VMs of the pool; it comes back by one a round. A VM that falls silent is no full link.

Ruled out: room, a pause of starts (no such line), the loop (9 to 122 ms late).

Change: the number is halved when a tenth of the results since the last look are late. Evidence: with one answer in a hundred missing the window fell from 512 to 29 on the code before, in the new section of send_window_test; it stays at 512 now. The sections on full links pass unchanged.

--- a/src/core/jobs/send_window.h
+++ b/src/core/jobs/send_window.h
@@ -20,13 +20,16 @@
   duration slow = std::chrono::milliseconds(600);
   /// The answers of what was sent before the last halving say nothing new.
   duration least_halving_gap = std::chrono::milliseconds(700);
+  /// A full link makes most results late. Where fewer are, single peers are
+  /// silent, and all others would be held back for them.
+  double least_slow_share = 0.1;
 };
 
 /// Bounds the calls that are under way by what the link carries, as a sender's
 /// congestion window does: it grows with each result that comes soon, and is
-/// halved when results are late. Without it a process with a backlog sends more
-/// calls than its link carries within their timeout, gives them up, and sends
-/// them again. Not thread-safe.
+/// halved when many results are late. Without it a process with a backlog sends
+/// more calls than its link carries within their timeout, gives them up, and
+/// sends them again. Not thread-safe.
 class send_window {
  public:
   /// Precondition: 0 < least <= first <= most.
@@ -45,7 +48,10 @@
   /// Up to here the window doubles with each round of answers.
   double fast_below_;
   duration usual_ = duration::zero();
-  time_point halved_at_;
+  /// The results since the window was last halved, or might have been.
+  time_point counted_from_;
+  std::size_t counted_ = 0;
+  std::size_t slow_ = 0;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/tests/core/jobs/send_window_test.cc
+++ b/tests/core/jobs/send_window_test.cc
@@ -85,6 +85,16 @@
     CHECK(window.delay() == duration::zero());
   }
 
+  // Guards against a pool whose starts wait for those on one silent VM.
+  SECTION("nor is one by a peer that doesn't answer") {
+    send_window window;
+    time_point now(seconds(1));
+    for (int i = 0; i < 10'000; ++i, now += kTick) {
+      window.NoteResult(i % 100 == 0 ? kTimeout : milliseconds(6), now);
+    }
+    CHECK(window.size() == 512);
+  }
+
   SECTION("and the time that answers take is told while it is long") {
     send_window window;
     for (int i = 0; i < 100; ++i) {
