--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -135,7 +135,10 @@
         !reply.is_read && reply.status != 0 &&
         BootTime() - looking_since_ > settings_.time_to_live;
     if (looks_in_vain || (reply.is_read && (is_known || regular < enough))) {
-      LogLapse(regular, is_known, "joins");
+      if (!has_decided_) {
+        LogLapse(regular, is_known, "joins");
+      }
+      has_decided_ = true;
       is_outside_ = false;
       has_looked_ = true;
       Renew();
@@ -309,7 +312,8 @@
     if (!is_late) {
       // A failed renewal is repeated sooner, so that a short outage of the
       // store doesn't use up the time to live.
-      RenewLater(reply.is_joined ? settings_.renewal : settings_.renewal / 3);
+      const bool is_urgent = !reply.is_joined && !HasLapsed();
+      RenewLater(is_urgent ? settings_.renewal / 3 : settings_.renewal);
     }
     has_looked_ = false;
     if (!reply.is_joined) {
@@ -321,6 +325,7 @@
     renewed_at_ = std::max(renewed_at_, sent.sent_at);
     answered_at_ = BootTime();
     looking_since_ = {};
+    has_decided_ = false;
     if (is_outside_) {
       // The store took a join that had no answer in time.
       is_outside_ = false;
@@ -388,6 +393,8 @@
   bool is_looking_ = false;
   /// Since when it looks at the others because its membership has run out.
   core::time_point looking_since_;
+  /// To join again; logged once.
+  bool has_decided_ = false;
   /// After its membership had run out it saw that it is needed.
   bool has_looked_ = false;
   /// After its membership had run out it saw that it isn't needed.
