Watch for jobs that are stored for a queue's former pool

Found by the review of cancellations and deals: a process that learns late that a queue has moved stores jobs for its former pool.

Change: former routes are watched for 30 s.

--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -16,6 +16,10 @@
 namespace plantainhead::jobs {
 namespace {
 
+// Processes that can't read the store learn of a configuration some seconds
+// later than it applies, and what they store may itself land late.
+constexpr std::chrono::seconds kFormerRoute(30);
+
 // Each process reads what operators publish, and each idle read is a call to
 // the store, so that those who own nothing wait longer. A read that hangs is
 // given up, and the next one answered, within the time that is allowed.
@@ -274,6 +278,19 @@
   }
 }
 
+void job_world::NoteFormerRoutes(
+    const core::jobs::routing_configuration& next) {
+  for (const core::jobs::queue_route& route : routes_.configuration().routes) {
+    const bool stays = std::any_of(
+        next.routes.begin(), next.routes.end(), [&](const auto& other) {
+          return other.queue == route.queue && other.pool == route.pool;
+        });
+    if (!stays) {
+      former_routes_[{route.pool, route.queue}] = BootTime() + kFormerRoute;
+    }
+  }
+}
+
 void job_world::TakeConfiguration(const std::string& value) {
   auto decoded = adapter::DecodeConfiguration(value);
   if (!decoded) {
@@ -290,6 +307,7 @@
   if (decoded->version <= routes_.configuration().version) {
     return;
   }
+  NoteFormerRoutes(*decoded);
   routes_ = core::jobs::routing_table(std::move(*decoded));
   for (const core::jobs::queue_route& route : routes_.configuration().routes) {
     policies_[route.queue] = route.policy;
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jobs/fault_log.h"
@@ -165,6 +166,8 @@
                      const core::jobs::record_fault& fault);
   void TakeFleetRecord(const adapter::keyed_record& record);
   void TakeOperatorRecord(const adapter::keyed_record& record);
+  /// Notes the queues' routes that the next configuration doesn't have.
+  void NoteFormerRoutes(const core::jobs::routing_configuration& next);
   void TakeConfiguration(const std::string& value);
   void TakeRegistryRecord(const adapter::keyed_record& record);
   void TakeAnnouncement(const adapter::keyed_record& record);
@@ -209,6 +212,11 @@
   std::map<std::uint64_t, core::jobs::maintenance_wave> waves_;
   std::map<std::string, std::string> fleet_records_;
   std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
+  /// Until when jobs may still come by routes that there were. A process that
+  /// learns of a configuration late stores jobs for a queue's former pool.
+  std::map<std::pair<core::jobs::pool_id, core::jobs::queue_id>,
+           core::time_point>
+      former_routes_;
   std::map<std::uint32_t, owner_record> owners_;
   std::map<std::uint32_t, std::map<core::jobs::vm_id, std::string>> used_vms_;
   std::map<std::uint32_t, std::set<core::jobs::vm_id>> vacant_vms_;
--- a/src/jobs/job_world_following.cc
+++ b/src/jobs/job_world_following.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/io_context.hpp>
 #include <utility>
 
+#include "jobs/clocks.h"
 #include "jobs/job_world.h"
 
 // Which partitions a process reads, by what it owns.
@@ -90,6 +91,11 @@
   for (const auto& [pool_and_queue, count] : directory_.OpenJobs()) {
     watch(pool_and_queue.first, pool_and_queue.second);
   }
+  for (const auto& [pool_and_queue, until] : former_routes_) {
+    if (BootTime() < until) {
+      watch(pool_and_queue.first, pool_and_queue.second);
+    }
+  }
   return watched;
 }
 
--- a/tests/jobs/narrow_link_test.cc
+++ b/tests/jobs/narrow_link_test.cc
@@ -47,5 +47,53 @@
   CHECK(site.AwaitState("p1", "completed"));
 }
 
+// Guards against LOST: lasting tasks that lapse in a planned restart, since
+// nobody holds their VM while the next owner reads the jobs of all pools.
+TEST_CASE("A lasting task outlives a planned change of its pool's owner") {
+  site site;
+  PutJobsOfAnotherPool(&site);
+  auto& vm = site.AddVm("vm-1", seconds(100));
+  int lapsed = 0;
+  vm.on_event = [&](fakes::vm_event event, const std::string& /*task*/,
+                    std::uint32_t /*run*/) {
+    lapsed += event == fakes::vm_event::kLapsed ? 1 : 0;
+  };
+  site.NarrowStoreLink(kBytesPerSecond);
+  site.AddProcess("p1");
+  REQUIRE(site.AwaitReady("p1"));
+  REQUIRE(site.Call(site.addresses.at("p1"), net::method::kPost,
+                    "/q/" + std::string(kId),
+                    R"({"spec":"lasts","steps":[{"count":1,"cpu":1000,
+                        "mem_mb":10,"lasting":true}]})")
+              .status == 200);
+  REQUIRE(RunUntil(&site.context, [&] { return vm.Running() == 1; }));
+  site.AddProcess("p2");
+  REQUIRE(site.AwaitReady("p2"));
+
+  SECTION("that stops") {
+    bool is_stopped = false;
+    site.processes.at("p1")->Stop([&] { is_stopped = true; });
+    REQUIRE(RunUntil(&site.context, [&] { return is_stopped; }));
+    site.processes.erase("p1");
+    site.Pass(seconds(9));
+  }
+
+  SECTION("that the group deals the pool away from while it works") {
+    site.store.DealAnew();
+    site.Pass(seconds(9));
+  }
+
+  SECTION("while deals follow one another") {
+    for (int i = 0; i < 4; ++i) {
+      site.store.DealAnew();
+      site.Pass(seconds(2));
+    }
+    site.Pass(seconds(4));
+  }
+
+  CHECK(lapsed == 0);
+  CHECK(vm.Running() == 1);
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
