Leave several pools to others while the group has members to spare

Cause: when members expire the group gives their partitions to any others, and nothing parts them again.

Change: a member that has held two partitions with pools (or the fleet's) for a second, in a group with more members than need be, has its owners record their ends and leaves; it stays outside as one does that comes back unneeded. New line membership yielded.

--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -121,14 +122,14 @@
 
   void TakeMembersAfterLapse(const adapter::members_reply& reply,
                              std::size_t regular) {
+    const std::size_t enough = EnoughToStayOutside();
     if (!HasLapsed()) {
       // A join was answered since the members were asked for.
+      if (reply.is_read && IsCrowded() && regular > enough) {
+        Yield();
+      }
       return;
     }
-    const auto spare = static_cast<std::size_t>(
-        settings_.spare_members * static_cast<double>(used_partitions_));
-    const std::size_t enough =
-        std::max(settings_.enough_members, used_partitions_ + spare);
     const bool is_known = reply.members.count(member_) != 0;
     // A store that refuses each look may take joins, which cost it less.
     const bool looks_in_vain =
@@ -155,6 +156,58 @@
     LookLater(settings_.look_interval);
   }
 
+  std::size_t EnoughToStayOutside() const {
+    const auto spare = static_cast<std::size_t>(
+        settings_.spare_members * static_cast<double>(used_partitions_));
+    return std::max(settings_.enough_members, used_partitions_ + spare);
+  }
+
+  // Whether it has held several partitions with pools for a while, though there
+  // are more members than such partitions.
+  bool IsCrowded() const {
+    return crowded_since_ &&
+           BootTime() - *crowded_since_ >= settings_.yield_after;
+  }
+
+  void NoteDealt(const std::vector<std::uint32_t>& partitions) {
+    const auto used = std::count_if(partitions.begin(), partitions.end(),
+                                    [this](std::uint32_t partition) {
+                                      return partition < used_partitions_;
+                                    });
+    if (used < 2) {
+      crowded_since_.reset();
+    } else {
+      crowded_since_ = crowded_since_.value_or(BootTime());
+    }
+  }
+
+  // Its owners record their ends before it leaves, so that the next ones, which
+  // are dealt one each as a rule, needn't wait.
+  void Yield() {
+    LogEvent(job_event::kMembershipYielded,
+             {{"generation", std::to_string(generation_)}});
+    crowded_since_.reset();
+    is_outside_ = true;
+    is_yielding_ = true;
+    on_dealt_(generation_, {});
+    look_timer_.expires_after(settings_.yield_pause);
+    look_timer_.async_wait(
+        [self = weak_from_this()](const boost::system::error_code& error) {
+          const auto member = self.lock();
+          if (member && !error) {
+            member->LeaveYielded();
+          }
+        });
+  }
+
+  void LeaveYielded() {
+    is_yielding_ = false;
+    if (!has_left_) {
+      store_.Leave(settings_.group, member_, settings_.timeout, [] {});
+      LookLater(settings_.time_to_live);
+    }
+  }
+
   void LogLapse(std::size_t regular,
                 bool is_known,
                 const std::string& decision) const {
@@ -209,14 +262,14 @@
     if (is_in_flight_ || has_left_) {
       return;
     }
+    if (is_outside_) {
+      return;
+    }
     timer_.cancel();
     if (settings_.role == member_role::kReserve && !is_member_) {
       LeaveForNow();
       return;
     }
-    if (is_outside_) {
-      return;
-    }
     if (HasLapsed() && !has_looked_) {
       if (looking_since_ == core::time_point()) {
         looking_since_ = BootTime();
@@ -324,8 +377,15 @@
     }
     renewed_at_ = std::max(renewed_at_, sent.sent_at);
     answered_at_ = BootTime();
+    NoteDealt(reply.partitions);
+    if (IsCrowded() && settings_.role == member_role::kRegular) {
+      LookForOthers();
+    }
     looking_since_ = {};
     has_decided_ = false;
+    if (is_yielding_) {
+      return;
+    }
     if (is_outside_) {
       // The store took a join that had no answer in time.
       is_outside_ = false;
@@ -391,6 +451,10 @@
   bool is_in_flight_ = false;
   bool has_left_ = false;
   bool is_looking_ = false;
+  /// Since when it holds several partitions with pools.
+  std::optional<core::time_point> crowded_since_;
+  /// Its owners are recording their ends.
+  bool is_yielding_ = false;
   /// Since when it looks at the others because its membership has run out.
   core::time_point looking_since_;
   /// To join again; logged once.
