Claim a pool only as a member whose membership hasn't run out

Claims of pools and of the fleet now ask whether the owner is sure, and are tried again. The new test fails on the code before (the claim gets its epoch).

--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -81,6 +81,10 @@
 }
 
 void fleet_owner::impl::Claim() {
+  if (!deps_.is_sure()) {
+    After(settings_.takeover_retry, &impl::ReadBeforeClaim);
+    return;
+  }
   const std::uint64_t before = deps_.world->OwnerOf(kFleetPartition).epoch;
   epoch_ = std::max({generation_, before + 1, epoch_ + 1});
   writer_.Claim(epoch_, deps_.member, deps_.world->CursorOf(kFleetPartition),
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -107,7 +107,14 @@
       });
 }
 
+// A member whose time to live has passed, and that hasn't noticed, would take
+// the pool from its new owner, who works.
 void pool_owner::impl::Claim() {
+  if (!deps_.is_sure()) {
+    LogTakeoverFailed("the membership has run out");
+    RetryClaim();
+    return;
+  }
   predecessor_ = deps_.world->OwnerOf(partition_);
   epoch_ = std::max({generation_, predecessor_.epoch + 1, epoch_ + 1});
   writer_ = std::make_unique<progress_writer>(
--- a/tests/jobs/claim_test.cc
+++ b/tests/jobs/claim_test.cc
@@ -35,7 +35,7 @@
     deps.archiver = &archiver;
     deps.meters = &meters;
     deps.member = name;
-    deps.is_sure = [] { return true; };
+    deps.is_sure = [this] { return is_sure; };
     deps.on_active = [](std::uint64_t) {};
     deps.on_fenced = [] {};
     world.SetOwned({0});
@@ -54,12 +54,37 @@
     return listeners;
   }
 
+  bool is_sure = true;
   job_world world;
   job_archiver archiver;
   job_meters meters;
   std::unique_ptr<pool_owner> owner;
 };
 
+// Guards against a member that was cut off, comes back, and takes its former
+// pool from the owner that works.
+TEST_CASE("A process whose membership has run out claims no pool") {
+  boost::asio::io_context context;
+  fakes::site_store store(&context);
+  const std::string address = FreeAddress();
+  net::http_server server(
+      &context, address, {},
+      [&](const net::server_request& request, const net::responder& respond) {
+        store.Handle(request, respond);
+      });
+  adapter::store_client client(&context, address, 20);
+  claimant back(&context, &client, "back");
+  back.is_sure = false;
+  back.owner->Start(5);
+  context.run_for(std::chrono::milliseconds(500));
+  CHECK(back.owner->epoch() == 0);
+
+  SECTION("until it is a member again") {
+    back.is_sure = true;
+    CHECK(RunUntil(&context, [&] { return back.owner->epoch() == 5; }));
+  }
+}
+
 // Guards against two owners of one pool: both had claimed it under one epoch,
 // and the store answered the second claim as the first one, repeated.
 TEST_CASE("Of two claims under one epoch one counts") {
