Keep hosts that are given away at hand while a pool lacks VMs

From 9 to 12 s 356 to 484 hosts are moving and none is free, and the pool that wants 396 to 768 VMs gains 177 in three seconds, then 272 in one: hosts of the pool whose turn was over had gone to the spare pool after 0.7 s, as nobody wanted them yet, and came back from there.

Cause: a queue's demand rises for 4 to 5 s, and what its pool wants with it, while each host is offered once and given 0.7 s to be wanted.

Change: while a pool has fewer VMs than it wants, an offered host stays 2.5 s. The new test fails on the code before (it goes to the spare pool after 0.7 s).

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -44,6 +44,10 @@
   /// what callers asked 0.867 was earned with it, 0.860 without (30 plays
   /// each).
   duration spare_delay = std::chrono::milliseconds(700);
+  /// The same while a pool has fewer VMs than it wants. What it wants grows
+  /// while its VMs are on their way, and a host that has gone to the spare pool
+  /// by then comes by two moves.
+  duration scarce_spare_delay = std::chrono::milliseconds(2500);
 };
 
 /// Decides which hosts move between the pools and the spare pool: pools tell
@@ -63,6 +67,9 @@
   void UpdateWanted(std::map<pool_id, std::uint32_t> wanted) {
     wanted_ = std::move(wanted);
   }
+  /// Tells whether a pool has fewer VMs than it wants, those on their way not
+  /// counted.
+  void UpdateScarce(bool is_scarce) { is_scarce_ = is_scarce; }
   /// Replaces the VMs that their pools have emptied and given away.
   void UpdateOffers(std::set<vm_id> offers) { offers_ = std::move(offers); }
   /// Replaces the VMs that take no tasks for other reasons.
@@ -106,6 +113,7 @@
   std::vector<fleet_host> hosts_;
   std::set<pool_id> spare_;
   std::map<pool_id, std::uint32_t> wanted_;
+  bool is_scarce_ = false;
   std::set<vm_id> offers_;
   /// Since when the offered hosts of pools have been free.
   std::map<host_id, time_point> free_since_;
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -159,6 +159,8 @@
                               const std::set<pool_id>& wanting,
                               time_point now,
                               std::vector<move_host>* moves) {
+  const duration delay =
+      is_scarce_ ? settings_.scarce_spare_delay : settings_.spare_delay;
   std::map<host_id, time_point> since;
   for (const fleet_host* host : unwanted) {
     if (spare_.empty() || spare_.count(host->pool) != 0) {
@@ -167,7 +169,7 @@
     const auto known = free_since_.find(host->host);
     const time_point begin = known == free_since_.end() ? now : known->second;
     const bool is_wanted_back = wanting.count(host->pool) != 0;
-    if (is_wanted_back || now - begin >= settings_.spare_delay) {
+    if (is_wanted_back || now - begin >= delay) {
       Order(host->host, *spare_.begin(), now, moves);
     } else {
       since[host->host] = begin;
--- a/src/jobs/fleet_owner_reading.cc
+++ b/src/jobs/fleet_owner_reading.cc
@@ -39,6 +39,7 @@
       keeper_.NoteCompleted(*wave);
     }
   }
+  balancer_.UpdateScarce(!short_pools.empty());
   keeper_.UpdateShort(std::move(short_pools));
   keeper_.UpdateClosed(closed);
   balancer_.UpdateClosed(std::move(closed));
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -252,5 +252,35 @@
   CHECK(moves == std::map<pool_id, int>{{"second", 8}});
 }
 
+// Guards against hosts that go to the spare pool while a pool's demand rises,
+// and come from there by a second move.
+TEST_CASE("Hosts that are given away stay while a pool lacks VMs") {
+  fleet_balancer balancer{balancer_settings()};
+  const time_point begin{std::chrono::hours(1)};
+  balancer.UpdateHosts({Host("h1", "first", "vm-1")}, {"spare"}, begin);
+  balancer.UpdateOffers({"vm-1"});
+  balancer.UpdateScarce(true);
+  CHECK(balancer.Plan({}, begin).empty());
+  CHECK(balancer.Plan({}, begin + milliseconds(2000)).empty());
+
+  SECTION("and go to it when it asks for more") {
+    balancer.UpdateWanted({{"second", 1}});
+    const auto moves = balancer.Plan({}, begin + milliseconds(2100));
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].pool == "second");
+  }
+
+  SECTION("but not for ever") {
+    const auto moves = balancer.Plan({}, begin + milliseconds(2500));
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].pool == "spare");
+  }
+
+  SECTION("nor when none lacks any more") {
+    balancer.UpdateScarce(false);
+    CHECK(balancer.Plan({}, begin + milliseconds(2100)).size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
