Remember a rise only when many jobs tell it

A pool of nine VMs sees a rise by 4 to 14 jobs, by chance too, and kept others' VMs for it. A rise that fewer than 40 jobs tell counts for the moment, as it did.

--- a/include/plantainhead/core/jobs/arrival_meter.h
+++ b/include/plantainhead/core/jobs/arrival_meter.h
@@ -49,6 +49,8 @@
   /// do now; nothing while no rise is under way. By the callers' estimates, and
   /// for jobs of average size: a single large one is no rise.
   resources RisingDemand(time_point now);
+  /// Returns how many jobs the last `RisingDemand` told the rate by.
+  std::size_t recent_jobs() const { return recent_jobs_; }
 
  private:
   /// Returns how many jobs a second come now.
@@ -65,6 +67,7 @@
   arrival_settings settings_;
   /// By their times.
   std::deque<arrival> arrivals_;
+  std::size_t recent_jobs_ = 0;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/include/plantainhead/core/jobs/pool_sizer.h
+++ b/include/plantainhead/core/jobs/pool_sizer.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_CORE_JOBS_POOL_SIZER_H_
 #define PLANTAINHEAD_CORE_JOBS_POOL_SIZER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -32,6 +33,8 @@
   resources waiting;
   /// What jobs that come at a rising rate will take; see `arrival_meter`.
   resources rising;
+  /// How many jobs told that rate.
+  std::size_t rising_jobs = 0;
   /// VMs that take tasks.
   std::uint32_t usable_vms = 0;
   /// VMs that are listed and take none.
@@ -58,6 +61,9 @@
   /// A rise counts for this time after it was last seen, also while another
   /// pool lacks VMs: until its VMs are there, its tasks wait for them.
   duration rise_memory = std::chrono::milliseconds(2500);
+  /// A rate that fewer jobs tell is off by chance by more than a sixth. It
+  /// counts for the moment only.
+  std::size_t least_remembered_jobs = 40;
 };
 
 /// Decides how many VMs a pool should have. Pure and not thread-safe.
--- a/src/core/jobs/arrival_meter.cc
+++ b/src/core/jobs/arrival_meter.cc
@@ -66,6 +66,7 @@
     sum.memory += job.memory;
     sum.gpus += job.gpus;
   }
+  recent_jobs_ = recent;
   const double rate = RateNow(now);
   const double past_rate =
       static_cast<double>(arrivals_.size() - recent) / Seconds(settings_.past);
--- a/src/core/jobs/pool_sizer.cc
+++ b/src/core/jobs/pool_sizer.cc
@@ -36,8 +36,10 @@
 std::uint32_t pool_sizer::Needed(const pool_load& load) const {
   const std::uint32_t now_needed =
       Filled(VmsFor(load.used + load.waiting, load));
-  const std::uint32_t rise = rises_.empty() ? 0 : rises_.front().second;
-  return std::max({now_needed, rise, load.spread}) + settings_.reserve;
+  const std::uint32_t rise = Filled(VmsFor(load.rising, load));
+  const std::uint32_t past_rise = rises_.empty() ? 0 : rises_.front().second;
+  return std::max({now_needed, rise, past_rise, load.spread}) +
+         settings_.reserve;
 }
 
 // A rise is noticed by the rate of the jobs, compared with that before. That
@@ -45,7 +47,7 @@
 // wanted then, the hosts would go elsewhere, and be asked for a second time.
 void pool_sizer::NoteRise(const pool_load& load, time_point now) {
   const std::uint32_t rise = Filled(VmsFor(load.rising, load));
-  if (rise > 0) {
+  if (rise > 0 && load.rising_jobs >= settings_.least_remembered_jobs) {
     KeepPeaks(rise, now, &rises_);
   }
   while (!rises_.empty() &&
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -62,6 +62,7 @@
     auto [size, is_new] =
         sizes_.try_emplace(pool.id, settings_.sizer, settings_.arrivals);
     load.rising = size->second.arrivals.RisingDemand(now);
+    load.rising_jobs = size->second.arrivals.recent_jobs();
     core::jobs::pool_sizer& sizer = size->second.sizer;
     const bool is_scarce = IsScarce(pool.id);
     const std::uint32_t wanted = sizer.Update(load, is_scarce, now);
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -68,6 +68,7 @@
   time_point now{std::chrono::hours(1)};
   pool_load load = Load(1000, 2000);
   load.rising.cpu_millis = 60000;
+  load.rising_jobs = settings.least_remembered_jobs;
   CHECK(sizer.Update(load, true, now) == 7);
   now += seconds(2);
   CHECK(sizer.Update(Load(1000, 2000), true, now) == 7);
@@ -89,6 +90,17 @@
   }
 }
 
+// Guards against a small pool that keeps to a chance rise, and to others' VMs.
+TEST_CASE("A rise that few jobs tell counts for the moment only") {
+  pool_sizer sizer{sizer_settings()};
+  const time_point now{std::chrono::hours(1)};
+  pool_load load = Load(1000, 2000);
+  load.rising.cpu_millis = 60000;
+  load.rising_jobs = sizer_settings().least_remembered_jobs - 1;
+  const std::uint32_t risen = sizer.Update(load, true, now);
+  CHECK(sizer.Update(Load(1000, 2000), true, now + seconds(2)) < risen);
+}
+
 // All processes start again in a queue's turn. The pools of the queues whose
 // turn is over hold the hosts that it lacks, and their owners have seen nothing
 // yet. They must not shrink by a load that they haven't seen, nor keep the
