--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -109,7 +109,7 @@
       return;
     }
     if (HasJoined()) {
-      TakeMembersAfterLapse(reply, regular);
+      TakeMembersAsMember(reply, regular);
       return;
     }
     const bool is_known = reply.members.count(member_) != 0;
@@ -120,16 +120,21 @@
     LookLater(settings_.look_interval);
   }
 
-  void TakeMembersAfterLapse(const adapter::members_reply& reply,
-                             std::size_t regular) {
-    const std::size_t enough = EnoughToStayOutside();
-    if (!HasLapsed()) {
-      // A join was answered since the members were asked for.
-      if (reply.is_read && IsCrowded() && regular > enough) {
-        Yield();
-      }
+  void TakeMembersAsMember(const adapter::members_reply& reply,
+                           std::size_t regular) {
+    if (HasLapsed()) {
+      ReturnOrStayOutside(reply, regular);
       return;
     }
+    // If it had lapsed before, a join was answered since.
+    if (reply.is_read && IsCrowded() && regular > EnoughToStayOutside()) {
+      Yield();
+    }
+  }
+
+  void ReturnOrStayOutside(const adapter::members_reply& reply,
+                           std::size_t regular) {
+    const std::size_t enough = EnoughToStayOutside();
     const bool is_known = reply.members.count(member_) != 0;
     // A store that refuses each look may take joins, which cost it less.
     const bool looks_in_vain =
@@ -190,14 +195,7 @@
     is_outside_ = true;
     is_yielding_ = true;
     on_dealt_(generation_, {});
-    look_timer_.expires_after(settings_.yield_pause);
-    look_timer_.async_wait(
-        [self = weak_from_this()](const boost::system::error_code& error) {
-          const auto member = self.lock();
-          if (member && !error) {
-            member->LeaveYielded();
-          }
-        });
+    CallLater(&look_timer_, settings_.yield_pause, &impl::LeaveYielded);
   }
 
   void LeaveYielded() {
@@ -248,21 +246,11 @@
   }
 
   void LookLater(std::chrono::milliseconds pause) {
-    look_timer_.expires_after(pause);
-    look_timer_.async_wait(
-        [self = weak_from_this()](const boost::system::error_code& error) {
-          const auto member = self.lock();
-          if (member && !error) {
-            member->LookForOthers();
-          }
-        });
+    CallLater(&look_timer_, pause, &impl::LookForOthers);
   }
 
   void Renew() {
-    if (is_in_flight_ || has_left_) {
-      return;
-    }
-    if (is_outside_) {
+    if (is_in_flight_ || has_left_ || is_outside_) {
       return;
     }
     timer_.cancel();
@@ -345,14 +333,21 @@
   }
 
   void RenewLater(std::chrono::milliseconds pause) {
-    timer_.expires_after(pause);
-    timer_.async_wait(
-        [self = weak_from_this()](const boost::system::error_code& error) {
-          const auto member = self.lock();
-          if (member && !error) {
-            member->Renew();
-          }
-        });
+    CallLater(&timer_, pause, &impl::Renew);
+  }
+
+  // Replaces what the timer was to call.
+  void CallLater(boost::asio::steady_timer* timer,
+                 std::chrono::milliseconds pause,
+                 void (impl::*action)()) {
+    timer->expires_after(pause);
+    timer->async_wait([self = weak_from_this(),
+                       action](const boost::system::error_code& error) {
+      const auto member = self.lock();
+      if (member && !error) {
+        (member.get()->*action)();
+      }
+    });
   }
 
   void TakeReply(const renewal& sent, const adapter::join_reply& reply) {
