Take back that members leave several pools to others; return one by one

A join gives the joiner the first partitions, so that a member that leaves and one that joins both move pools of others. What parts pools that one process was dealt must be an agreement on who owns what, not a new deal.

--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -55,7 +55,6 @@
   kRenewalUnanswered,
   kMembersUnknown,
   kMembershipLapsed,
-  kMembershipYielded,
   kTakeoverFailed,
   kTakeoverSettled,
   kHostServiced,
@@ -68,7 +67,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 54> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 53> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -112,7 +111,6 @@
     {job_event::kRenewalUnanswered, "renewal unanswered"},
     {job_event::kMembersUnknown, "members unknown"},
     {job_event::kMembershipLapsed, "membership lapsed"},
-    {job_event::kMembershipYielded, "membership yielded"},
     {job_event::kTakeoverFailed, "takeover failed"},
     {job_event::kTakeoverSettled, "takeover settled"},
     {job_event::kHostServiced, "host serviced"},
--- a/src/jobs/group_member.cc
+++ b/src/jobs/group_member.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -109,7 +108,7 @@
       return;
     }
     if (HasJoined()) {
-      TakeMembersAsMember(reply, regular);
+      ReturnOrStayOutside(reply, regular);
       return;
     }
     const bool is_known = reply.members.count(member_) != 0;
@@ -120,27 +119,34 @@
     LookLater(settings_.look_interval);
   }
 
-  void TakeMembersAsMember(const adapter::members_reply& reply,
+  void ReturnOrStayOutside(const adapter::members_reply& reply,
                            std::size_t regular) {
-    if (HasLapsed()) {
-      ReturnOrStayOutside(reply, regular);
+    if (!HasLapsed()) {
+      // A join was answered since the members were asked for.
       return;
     }
-    // If it had lapsed before, a join was answered since.
-    if (reply.is_read && IsCrowded() && regular > EnoughToStayOutside()) {
-      Yield();
-    }
-  }
-
-  void ReturnOrStayOutside(const adapter::members_reply& reply,
-                           std::size_t regular) {
-    const std::size_t enough = EnoughToStayOutside();
+    const auto spare = static_cast<std::size_t>(
+        settings_.spare_members * static_cast<double>(used_partitions_));
+    const std::size_t enough =
+        std::max(settings_.enough_members, used_partitions_ + spare);
     const bool is_known = reply.members.count(member_) != 0;
     // A store that refuses each look may take joins, which cost it less.
     const bool looks_in_vain =
         !reply.is_read && reply.status != 0 &&
         BootTime() - looking_since_ > settings_.time_to_live;
-    if (looks_in_vain || (reply.is_read && (is_known || regular < enough))) {
+    const bool is_short = reply.is_read && regular < enough;
+    if (is_short && is_outside_ && !is_known && regular > 0 && !has_waited_) {
+      // Others that stay outside see the same. Those that look later see that
+      // it has joined.
+      has_waited_ = true;
+      const auto spread =
+          static_cast<std::size_t>(settings_.return_spread.count());
+      LookLater(std::chrono::milliseconds(std::hash<std::string>()(member_) %
+                                          spread));
+      return;
+    }
+    has_waited_ = false;
+    if (looks_in_vain || is_short || (reply.is_read && is_known)) {
       if (!has_decided_) {
         LogLapse(regular, is_known, "joins");
       }
@@ -161,51 +167,6 @@
     LookLater(settings_.look_interval);
   }
 
-  std::size_t EnoughToStayOutside() const {
-    const auto spare = static_cast<std::size_t>(
-        settings_.spare_members * static_cast<double>(used_partitions_));
-    return std::max(settings_.enough_members, used_partitions_ + spare);
-  }
-
-  // Whether it has held several partitions with pools for a while, though there
-  // are more members than such partitions.
-  bool IsCrowded() const {
-    return crowded_since_ &&
-           BootTime() - *crowded_since_ >= settings_.yield_after;
-  }
-
-  void NoteDealt(const std::vector<std::uint32_t>& partitions) {
-    const auto used = std::count_if(partitions.begin(), partitions.end(),
-                                    [this](std::uint32_t partition) {
-                                      return partition < used_partitions_;
-                                    });
-    if (used < 2) {
-      crowded_since_.reset();
-    } else {
-      crowded_since_ = crowded_since_.value_or(BootTime());
-    }
-  }
-
-  // Its owners record their ends before it leaves, so that the next ones, which
-  // are dealt one each as a rule, needn't wait.
-  void Yield() {
-    LogEvent(job_event::kMembershipYielded,
-             {{"generation", std::to_string(generation_)}});
-    crowded_since_.reset();
-    is_outside_ = true;
-    is_yielding_ = true;
-    on_dealt_(generation_, {});
-    CallLater(&look_timer_, settings_.yield_pause, &impl::LeaveYielded);
-  }
-
-  void LeaveYielded() {
-    is_yielding_ = false;
-    if (!has_left_) {
-      store_.Leave(settings_.group, member_, settings_.timeout, [] {});
-      LookLater(settings_.time_to_live);
-    }
-  }
-
   void LogLapse(std::size_t regular,
                 bool is_known,
                 const std::string& decision) const {
@@ -372,15 +333,8 @@
     }
     renewed_at_ = std::max(renewed_at_, sent.sent_at);
     answered_at_ = BootTime();
-    NoteDealt(reply.partitions);
-    if (IsCrowded() && settings_.role == member_role::kRegular) {
-      LookForOthers();
-    }
     looking_since_ = {};
     has_decided_ = false;
-    if (is_yielding_) {
-      return;
-    }
     if (is_outside_) {
       // The store took a join that had no answer in time.
       is_outside_ = false;
@@ -446,10 +400,6 @@
   bool is_in_flight_ = false;
   bool has_left_ = false;
   bool is_looking_ = false;
-  /// Since when it holds several partitions with pools.
-  std::optional<core::time_point> crowded_since_;
-  /// Its owners are recording their ends.
-  bool is_yielding_ = false;
   /// Since when it looks at the others because its membership has run out.
   core::time_point looking_since_;
   /// To join again; logged once.
@@ -458,6 +408,8 @@
   bool has_looked_ = false;
   /// After its membership had run out it saw that it isn't needed.
   bool is_outside_ = false;
+  /// It saw that it is needed again, and gave others the time to join.
+  bool has_waited_ = false;
   /// Of a reserve.
   bool is_member_ = false;
   bool is_short_ = false;
--- a/src/jobs/group_member.h
+++ b/src/jobs/group_member.h
@@ -61,12 +61,9 @@
   /// then; were all dealt anew, pools of sound owners would change hands
   /// together.
   double spare_members = 0.5;
-  /// A member that has held several partitions with pools for this time leaves
-  /// them to others, if there are more regular members than need be in the
-  /// group: one process has processor time for one large pool.
-  std::chrono::milliseconds yield_after = std::chrono::milliseconds(1000);
-  /// What its owners are given to record their ends before it leaves the group.
-  std::chrono::milliseconds yield_pause = std::chrono::milliseconds(150);
+  /// Those that stay outside join at different moments in this time when a
+  /// member goes, so that no more do than are needed.
+  std::chrono::milliseconds return_spread = std::chrono::milliseconds(1000);
   /// Time between two looks at whether there are still enough.
   std::chrono::milliseconds look_interval = std::chrono::milliseconds(500);
   /// The same of a reserve. It joins when two looks in a row have shown too few
