Meter what the thread of all work is busy with

Ruled out: a longer look at the lag; a turn doesn't get longer by what waits. Change: work_meter counts the thread's processor time by kind of work, nested scopes without one another. A counter plantain_loop_busy_microseconds_total and the fields busy_ms and busy_within_ms of the line process state tell it.

--- a/src/jobs/clocks.cc
+++ b/src/jobs/clocks.cc
@@ -23,6 +23,10 @@
   return Read(CLOCK_REALTIME);
 }
 
+core::duration ThreadTime() {
+  return Read(CLOCK_THREAD_CPUTIME_ID).time_since_epoch();
+}
+
 std::string MillisOf(core::duration time) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
--- a/src/jobs/clocks.h
+++ b/src/jobs/clocks.h
@@ -19,6 +19,10 @@
 /// Thread safety: safe from any thread.
 core::time_point WallTime();
 
+/// Returns the processor time that the calling thread has used.
+/// Thread safety: safe from any thread.
+core::duration ThreadTime();
+
 /// Returns the time in whole milliseconds, as lines of the log have it.
 /// Thread safety: safe from any thread.
 std::string MillisOf(core::duration time);
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -161,6 +161,7 @@
 }
 
 void fleet_owner::impl::Work() {
+  const auto work = Meter();
   const core::time_point now = BootTime();
   if (!deps_.is_sure()) {
     return;
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "jobs/job_meters.h"
 #include "jobs/job_world.h"
 #include "jobs/progress_writer.h"
 #include "plantainhead/core/jobs/fleet_balancer.h"
@@ -47,6 +48,7 @@
     boost::asio::io_context* context = nullptr;
     adapter::store_client* store = nullptr;
     job_world* world = nullptr;
+    job_meters* meters = nullptr;
     std::string member;
     /// Names the process towards the platform.
     std::string holder;
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -17,6 +17,7 @@
 #include "jobs/progress_writer.h"
 #include "jobs/record_codec.h"
 #include "jobs/record_outbox.h"
+#include "jobs/work_meter.h"
 #include "platform/fleet_client.h"
 
 namespace plantainhead::jobs {
@@ -45,6 +46,9 @@
   void Lose();
 
   // Work.
+  work_meter::scope Meter() {
+    return {&deps_.meters->work(), loop_work::kFleet};
+  }
   void Tick();
   void Work();
   /// Logs what holds up hosts that pools want, if that has changed.
--- a/src/jobs/fleet_owner_reading.cc
+++ b/src/jobs/fleet_owner_reading.cc
@@ -15,6 +15,7 @@
 }  // namespace
 
 void fleet_owner::impl::TakeRecords() {
+  const auto work = Meter();
   for (const auto& [number, wave] : deps_.world->waves()) {
     keeper_.AddWave(wave);
   }
@@ -49,6 +50,7 @@
 }
 
 void fleet_owner::impl::TakeVacancies() {
+  const auto work = Meter();
   using core::jobs::vacancy_reason;
   for (const std::uint32_t partition : vacancies_.Partitions()) {
     vacancies_.UpdateVacant(partition, deps_.world->VacantVms(partition));
@@ -93,6 +95,7 @@
 }
 
 void fleet_owner::impl::TakePage(const adapter::fleet_page& reply) {
+  const auto work = Meter();
   if (!reply.is_read) {
     for (const adapter::faulty_host& row : reply.faults) {
       deps_.world->faults().Note(kFleetList, row.host, row.fault);
--- a/src/jobs/job_meters.cc
+++ b/src/jobs/job_meters.cc
@@ -1,5 +1,7 @@
 #include "jobs/job_meters.h"
 
+#include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace plantainhead::jobs {
@@ -28,6 +30,20 @@
       .Record(time);
 }
 
+std::string job_meters::ToText() {
+  const work_times times = work_.Totals();
+  for (const auto& [kind, name] : kLoopWorkNames) {
+    const auto used = std::chrono::duration_cast<std::chrono::microseconds>(
+        times[static_cast<std::size_t>(kind)]);
+    observe::counter& shown = registry_.Counter(
+        "plantain_loop_busy_microseconds_total",
+        "Processor time of the thread of all work, by kind of work.",
+        {{"work", std::string(name)}});
+    shown.Add(static_cast<std::uint64_t>(used.count()) - shown.value());
+  }
+  return registry_.ToText();
+}
+
 core::jobs::job_verdict job_meters::NoteResult(
     const core::jobs::job_result& result,
     core::time_point ended_at) {
--- a/src/jobs/job_meters.h
+++ b/src/jobs/job_meters.h
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "jobs/clocks.h"
+#include "jobs/work_meter.h"
 #include "plantainhead/core/jobs/job_result.h"
 #include "plantainhead/core/time.h"
 #include "plantainhead/observe/metrics.h"
@@ -33,11 +35,15 @@
   core::jobs::job_verdict NoteResult(const core::jobs::job_result& result,
                                      core::time_point ended_at);
 
+  /// Meters what the thread of all work is busy with.
+  work_meter& work() { return work_; }
+
   /// Returns all as Prometheus text.
-  std::string ToText() const { return registry_.ToText(); }
+  std::string ToText();
 
  private:
   observe::metrics registry_;
+  work_meter work_{ThreadTime};
   observe::latency_histogram& accept_;
   observe::latency_histogram& plan_;
   observe::latency_histogram& start_;
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -203,14 +203,21 @@
     job_world::listeners listeners;
     listeners.on_job =
         [this](const std::shared_ptr<const core::jobs::job_spec>& job) {
+          const work_meter::scope work(&meters_.work(), loop_work::kJobs);
           ownership_.OnJob(job);
         };
     listeners.on_cancel = [this](const core::jobs::job_id& job) {
       ownership_.OnCancel(job);
     };
     listeners.on_configuration = [this] { ownership_.OnConfiguration(); };
-    listeners.on_registry = [this] { ownership_.OnRegistry(); };
-    listeners.on_fleet_records = [this] { ownership_.OnFleetRecords(); };
+    listeners.on_registry = [this] {
+      const work_meter::scope work(&meters_.work(), loop_work::kRegistry);
+      ownership_.OnRegistry();
+    };
+    listeners.on_fleet_records = [this] {
+      const work_meter::scope work(&meters_.work(), loop_work::kFleetRecords);
+      ownership_.OnFleetRecords();
+    };
     listeners.on_announcement =
         [this](const peers::owner_announcement& announcement) {
           owners_.book().Note(announcement.partition, announcement.owner);
@@ -325,9 +332,22 @@
     if (!state.pools.empty()) {
       state.job_copy_age = world_.WatchedJobCopyAge();
     }
+    state.busy = TakeBusy();
+    state.busy_within = BootTime() - std::exchange(busy_taken_at_, BootTime());
     LogEvent(job_event::kProcessState, FormatState(state));
   }
 
+  // Returns what was used since the last call.
+  work_times TakeBusy() {
+    const work_times totals = meters_.work().Totals();
+    work_times busy{};
+    for (std::size_t kind = 0; kind < busy.size(); ++kind) {
+      busy[kind] = totals[kind] - busy_taken_[kind];
+    }
+    busy_taken_ = totals;
+    return busy;
+  }
+
   // Stop.
 
   void StopTick() {
@@ -356,6 +376,8 @@
   job_meters meters_;
   store_contact store_contact_;
   state_pace state_pace_;
+  work_times busy_taken_{};
+  core::time_point busy_taken_at_ = BootTime();
   adapter::store_client store_;
   job_world world_;
   peers::owner_links owners_;
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -249,6 +249,7 @@
     deps.context = deps_.context;
     deps.store = deps_.store;
     deps.world = deps_.world;
+    deps.meters = deps_.meters;
     deps.member = deps_.member_name;
     deps.holder = deps_.holder;
     deps.is_sure = [this] { return IsSure(); };
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -121,10 +121,14 @@
     Lose("a VM is held by a newer owner");
     return;
   }
-  SyncLinks();
+  {
+    const auto links = Meter(loop_work::kLinks);
+    SyncLinks();
+  }
   const bool is_sure = deps_.is_sure();
   NoteSureness(is_sure);
   if (is_sure) {
+    const auto plan = Meter(loop_work::kPlan);
     const core::time_point began = BootTime();
     NoteCancellationsRead(began);
     scheduler_->NoteReports(deps_.world->report_ages().trusted_until());
@@ -134,12 +138,14 @@
     NoteTakeoverWait(began);
     LogLosses();
     deps_.meters->NotePlan(plan_time_);
+    const auto starts = Meter(loop_work::kStarts);
     for (const core::jobs::vm_order& order : orders) {
       std::visit([this](const auto& kind) { Send(kind); }, order);
     }
   }
   StoreProgress();
   if (deps_.is_sure()) {
+    const auto vacancies = Meter(loop_work::kVacancies);
     FindVacantVms();
     TellVacantVms();
   }
@@ -210,6 +216,7 @@
 }
 
 void pool_owner::impl::StoreProgress() {
+  const auto progress = Meter(loop_work::kProgress);
   if (writer_->IsBusy()) {
     return;
   }
@@ -245,6 +252,7 @@
 void pool_owner::impl::TakeStored(
     const std::optional<core::jobs::progress_batch>& batch,
     progress_writer::result result) {
+  const auto progress = Meter(loop_work::kProgress);
   if (result != progress_writer::result::kStored) {
     Lose("the store has a newer owner");
     return;
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -49,6 +49,7 @@
   if (!scheduler_) {
     return;
   }
+  const auto sizing = Meter(loop_work::kSizing);
   const core::time_point now = BootTime();
   for (const core::jobs::pool_settings& pool :
        deps_.world->routes().configuration().pools) {
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -21,6 +21,7 @@
 #include "jobs/record_codec.h"
 #include "jobs/record_outbox.h"
 #include "jobs/vm_link.h"
+#include "jobs/work_meter.h"
 
 namespace plantainhead::jobs {
 
@@ -82,6 +83,9 @@
   void Begin();
 
   // Work.
+  work_meter::scope Meter(loop_work kind) {
+    return {&deps_.meters->work(), kind};
+  }
   void Tick();
   void Kick();
   void Work();
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -147,6 +147,7 @@
                                 const std::shared_ptr<vm_link>& link,
                                 core::time_point sent_at,
                                 const adapter::hold_reply& reply) {
+  const auto holds = Meter(loop_work::kHolds);
   const core::time_point now = BootTime();
   switch (reply.outcome) {
     case hold_outcome::kListed:
@@ -267,6 +268,7 @@
         if (!owner || owner->is_closed_ || !owner->scheduler_) {
           return;
         }
+        const auto starts = owner->Meter(loop_work::kStarts);
         owner->deps_.meters->NoteStart(BootTime() - sent_at);
         const bool is_started = result == start_result::kStarted;
         owner->NoteStart(target, result);
--- a/src/jobs/state_line.cc
+++ b/src/jobs/state_line.cc
@@ -32,6 +32,10 @@
   if (state.job_copy_age) {
     fields.emplace_back("job_copy_ms", MillisOf(*state.job_copy_age));
   }
+  if (state.busy) {
+    fields.emplace_back("busy_ms", ToText(*state.busy));
+    fields.emplace_back("busy_within_ms", MillisOf(state.busy_within));
+  }
   return fields;
 }
 
--- a/src/jobs/state_line.h
+++ b/src/jobs/state_line.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "jobs/work_meter.h"
 #include "plantainhead/core/time.h"
 #include "plantainhead/observe/logging.h"
 
@@ -33,6 +34,9 @@
   core::duration loop_lag{};
   /// See `job_world::WatchedJobCopyAge`; nothing without an owned pool.
   std::optional<core::duration> job_copy_age;
+  /// Processor time since the last line, and how long ago that was.
+  std::optional<work_times> busy;
+  core::duration busy_within{};
 };
 
 /// Returns the fields of the line `process state`. `owns` lists partitions as
