--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -105,6 +105,9 @@
   std::uint64_t lost_runs = 0;
   std::uint64_t failed_runs = 0;
   std::uint64_t hung_runs = 0;
+  /// VMs that were looked at, one by one or in a pass. It tells whether the
+  /// work follows what changes or the size of the pool.
+  std::uint64_t visited_vms = 0;
 };
 
 /// A run that was lost with its VM, for reports.
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -43,6 +43,7 @@
                                                  time_point wall_now) {
   std::vector<vm_order> orders;
   LapseSilentVms(now);
+  visited_vms_ += vms_.size();
   for (auto& [id, vm] : vms_) {
     // A listing is acted on once.
     const bool is_news = vm.IsReachable() && vm.last_heard() > vm.checked_at;
@@ -85,6 +86,7 @@
 
 void pool_scheduler::impl::CountStarts() {
   starts_under_way_ = 0;
+  visited_vms_ += vms_.size();
   for (const auto& [id, vm] : vms_) {
     starts_under_way_ += static_cast<std::size_t>(std::count_if(
         vm.runs().begin(), vm.runs().end(),
@@ -130,6 +132,7 @@
 // tells it again; a start before that would run a task that is done.
 std::set<job_id> pool_scheduler::impl::JobsWithUntakenEnds() const {
   std::set<job_id> jobs;
+  visited_vms_ += vms_.size();
   for (const auto& [id, vm] : vms_) {
     for (const auto& [task, run] : vm.untaken_ends) {
       jobs.insert(task.job);
@@ -308,6 +311,7 @@
   takers_.clear();
   unplaced_.clear();
   most_room_ = {};
+  visited_vms_ += vms_.size();
   for (auto& [id, vm] : vms_) {
     const bool takes = IsUsable(vm) && IsTrusted(vm, now) && vm.is_recorded &&
                        !vm.HasForeign();
@@ -396,6 +400,7 @@
   std::size_t eligible = 0;
   bool has_room = false;
   std::tuple<int, std::int64_t> best_cost;
+  visited_vms_ += takers_.size();
   for (vm_state* taker : takers_) {
     vm_state& vm = *taker;
     const vm_id& id = vm.description().id;
--- a/src/core/jobs/pool_records.cc
+++ b/src/core/jobs/pool_records.cc
@@ -7,6 +7,7 @@
 
 std::optional<progress_batch> pool_scheduler::impl::TakeBatch() {
   std::vector<known_vm> used;
+  visited_vms_ += vms_.size();
   for (auto& [id, vm] : vms_) {
     if (vm.is_record_due && vm.is_listed && vm.IsReachable()) {
       vm.is_record_due = false;
@@ -43,6 +44,7 @@
 }
 
 void pool_scheduler::impl::AckStored() {
+  visited_vms_ += vms_.size();
   for (auto& [id, vm] : vms_) {
     while (!vm.unstored_ends.empty() &&
            vm.unstored_ends.front().second <= stored_through_) {
@@ -55,6 +57,7 @@
 scheduler_counts pool_scheduler::impl::Counts() const {
   scheduler_counts counts = counts_;
   counts.open_jobs = jobs_.open().size();
+  counts.visited_vms = visited_vms_;
   for (const auto& [id, job] : jobs_.open()) {
     for (const auto& [number, occurrence] : job->occurrences()) {
       for (const step_state& step : occurrence.steps) {
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -62,6 +62,7 @@
 
 void pool_scheduler::impl::NoteReports(
     const std::map<vm_id, time_point>& trusted_until) {
+  visited_vms_ += vms_.size();
   for (auto& [id, vm] : vms_) {
     const auto found = trusted_until.find(id);
     if (found != trusted_until.end()) {
@@ -191,6 +192,7 @@
 }
 
 std::optional<unknown_job_vm> pool_scheduler::impl::FindUnknownJob() const {
+  visited_vms_ += vms_.size();
   const auto is_unknown = [this](const auto& run) {
     return run.second.IsForeign() && !jobs_.IsEnded(run.first.job);
   };
@@ -214,6 +216,7 @@
 // next listing to be taken over, the plan before that would start it a second
 // time. Runs of which no VM has told yet are another matter: see `IsRecovered`.
 void pool_scheduler::impl::AdoptRunsOf(const job_id& id, time_point now) {
+  visited_vms_ += vms_.size();
   for (auto& [vm_id, vm] : vms_) {
     std::vector<running_task> told;
     for (const auto& [task, run] : vm.runs()) {
@@ -307,6 +310,7 @@
   }
   const bool is_gang = job->StepOf(end.task).gang;
   bool is_any = false;
+  visited_vms_ += vms_.size();
   for (auto& [id, vm] : vms_) {
     ForRunsOfStep(&vm, end.task, [&](const task_name& task, run_state* run) {
       const bool may_start = run->run > end.run && !run->confirmed_at &&
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -172,6 +172,7 @@
 }
 
 void pool_scheduler::impl::StopRunsOf(const job_id& id) {
+  visited_vms_ += vms_.size();
   for (auto& [vm_name, vm] : vms_) {
     for (auto it = vm.runs().lower_bound({id, 0, 0, 0});
          it != vm.runs().end() && it->first.job == id; ++it) {
@@ -182,6 +183,7 @@
 
 void pool_scheduler::impl::StopRunsOfDone(const task_name& task) {
   job_state* job = jobs_.Find(task.job);
+  visited_vms_ += vms_.size();
   for (auto& [vm_name, vm] : vms_) {
     ForRunsOfStep(&vm, task, [job](const task_name& name, run_state* run) {
       const task_state* state = job->Find(name);
@@ -193,6 +195,7 @@
 }
 
 void pool_scheduler::impl::LapseSilentVms(time_point now) {
+  visited_vms_ += vms_.size();
   for (auto& [id, vm] : vms_) {
     // What a VM has told since the last lease ended is no older than that.
     const bool has_told_since =
@@ -243,6 +246,7 @@
 }
 
 void pool_scheduler::impl::ForgetGoneVms(time_point now) {
+  visited_vms_ += vms_.size();
   for (auto it = vms_.begin(); it != vms_.end();) {
     const vm_state& vm = it->second;
     const bool is_forgotten =
@@ -284,6 +288,7 @@
   }
   const step_spec& step = job->StepOf(name);
   std::uint32_t at_work = 0;
+  visited_vms_ += vms_.size();
   for (const auto& [id, vm] : vms_) {
     const bool is_reachable = vm.IsReachable();
     ForRunsOfStep(&vm, name, [&](const task_name& task, const run_state* run) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -250,6 +250,8 @@
   std::uint64_t vms_version_ = 1;
   std::uint64_t stored_through_ = 0;
   scheduler_counts counts_;
+  /// See `scheduler_counts`.
+  mutable std::uint64_t visited_vms_ = 0;
   /// Runs that were lost and haven't been reported.
   std::vector<lost_run> losses_;
   /// VMs that may take tasks in this plan, and the most room that any of them
--- a/src/core/jobs/pool_size.cc
+++ b/src/core/jobs/pool_size.cc
@@ -35,6 +35,7 @@
 pool_load pool_scheduler::impl::Load(const pool_id& pool, time_point now) {
   pool_load load;
   resources total;
+  visited_vms_ += vms_.size();
   for (const auto& [id, vm] : vms_) {
     if (vm.is_listed && vm.description().pool == pool) {
       CountStage(vm, now, &load.stages);
@@ -84,6 +85,7 @@
 std::vector<vm_id> pool_scheduler::impl::LeastUsed(const pool_id& pool,
                                                    std::size_t count) {
   std::vector<std::pair<std::int64_t, vm_id>> idle;
+  visited_vms_ += vms_.size();
   for (const auto& [id, vm] : vms_) {
     if (TakesTasks(vm, pool) && !vm.HasLasting()) {
       idle.emplace_back(-vm.Free().cpu_millis, id);
