--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -190,8 +190,15 @@
   /// Replaces the list of the pool's VMs. A VM that is gone from it gets no new
   /// tasks, and is forgotten when nothing can be running on it.
   void UpdateVms(const std::vector<vm_description>& vms, time_point now);
-  /// Takes in until when the reports of VMs of their capacity are trusted; see
+  /// Takes in one VM of the list that is new or described in another way.
+  /// Precondition: `UpdateVms` was called.
+  void UpdateVm(const vm_description& vm, time_point now);
+  /// Takes one VM out of the list; see `UpdateVms`.
+  void UnlistVm(const vm_id& vm);
+  /// Takes in until when the VM's report of its capacity is trusted; see
   /// `report_ages`. After that nothing starts there.
+  void NoteReport(const vm_id& vm, time_point trusted_until);
+  /// The same for several VMs.
   void NoteReports(const std::map<vm_id, time_point>& trusted_until);
   /// Empties a VM: no new tasks, and lasting ones move as their steps allow.
   void CloseVm(const vm_id& vm, time_point now);
@@ -211,10 +218,18 @@
   /// Returns by when the lease of each VM that may be running tasks is over,
   /// for the next owner.
   std::map<vm_id, time_point> LeaseEnds() const;
-  /// Returns the VMs that need a hold; also those that left the list.
+  /// Returns the VMs that need a hold; also those that left the list. Copies
+  /// them all.
   std::vector<vm_description> Vms() const;
-  /// Changes whenever the result of `Vms` does.
-  std::uint64_t VmsVersion() const;
+  /// Returns one of them, or null. It is valid until the next call that isn't
+  /// const.
+  const vm_description* FindVm(const vm_id& vm) const;
+  /// Returns the VMs that have joined `Vms`, have left it, or are described in
+  /// another way since the last call. One may come twice.
+  std::vector<vm_id> TakeVmChanges();
+  /// Returns the closed VMs that were empty at a plan since the last call, as
+  /// `IsEmpty` tells. One may come twice.
+  std::vector<vm_id> TakeEmptied();
 
   void OnStartAnswer(const run_ref& target,
                      start_result result,
--- a/include/plantainhead/core/jobs/report_ages.h
+++ b/include/plantainhead/core/jobs/report_ages.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_CORE_JOBS_REPORT_AGES_H_
 
 #include <map>
+#include <optional>
 
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/time.h"
@@ -15,6 +16,8 @@
  public:
   /// Notes a report that was made at `at` at the earliest.
   void Note(const vm_id& vm, time_point at);
+  /// Returns until when the VM's last report is gone by; see `trusted_until`.
+  std::optional<time_point> TrustedUntil(const vm_id& vm) const;
   /// Forgets a VM that has left.
   void Drop(const vm_id& vm);
   /// Forgets all VMs, but not how often they report.
--- a/include/plantainhead/core/jobs/vacancy_checker.h
+++ b/include/plantainhead/core/jobs/vacancy_checker.h
@@ -21,6 +21,7 @@
   /// Its host is to be serviced.
   kForService,
 };
+inline constexpr std::size_t kVacancyReasons = 2;
 
 /// An owner of a pool tells that it has emptied a VM and uses it no more.
 struct vacancy_hint {
--- a/include/plantainhead/core/jobs/vacancy_keeper.h
+++ b/include/plantainhead/core/jobs/vacancy_keeper.h
@@ -1,10 +1,13 @@
 #ifndef PLANTAINHEAD_CORE_JOBS_VACANCY_KEEPER_H_
 #define PLANTAINHEAD_CORE_JOBS_VACANCY_KEEPER_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -39,6 +42,16 @@
   bool operator==(const vacant_vm&) const = default;
 };
 
+/// Where a VM is still known.
+struct vm_presence {
+  /// The pool's owner has to do with it.
+  bool is_held = true;
+  /// It is held, or the registry lists it.
+  bool is_listed = true;
+
+  bool operator==(const vm_presence&) const = default;
+};
+
 /// Decides which VMs the owner of a pool closes, and takes each of them on its
 /// way from being closed to being handed to the owner of the fleet: closed,
 /// found empty, being recorded, recorded as vacant, told.
@@ -46,21 +59,24 @@
 /// A VM that is recorded as vacant is moved or serviced at any moment. A task
 /// that started there, after a change of owner or before this VM was known,
 /// would be ended by that. So it stays closed until its life ends, and nobody
-/// is told of it before its record is stored. Pure and not thread-safe.
+/// is told of it before its record is stored.
+///
+/// It is told what has changed, and looks only at the VMs that this concerns.
+/// Pure and not thread-safe.
 class vacancy_keeper {
  public:
   /// Returns the least used VMs of a pool that take tasks, at most `count`.
   using vm_chooser = std::function<std::vector<vm_id>(std::uint32_t count)>;
-  using vm_predicate = std::function<bool(const vm_id&)>;
-  using hint_predicate = std::function<bool(const vacant_vm&)>;
 
   explicit vacancy_keeper(const vacancy_keeper_settings& settings)
       : settings_(settings) {}
 
   /// Takes over what an earlier owner has recorded. Call it before all else.
-  void Restore(std::set<vm_id> recorded) { vacant_ = std::move(recorded); }
+  void Restore(const std::set<vm_id>& recorded);
   /// Replaces the VMs that are to be emptied for the service of their hosts.
-  void UpdateForService(std::set<vm_id> vms) { for_service_ = std::move(vms); }
+  void UpdateForService(const std::set<vm_id>& vms);
+  /// The same for one VM.
+  void NoteForService(const vm_id& vm, bool is_for_service);
   /// Closes what the pool can do without, or takes back what it lacks; `wanted`
   /// is how many VMs it should have. Returns whether other VMs are closed than
   /// before.
@@ -68,28 +84,58 @@
               const pool_load& load,
               std::uint32_t wanted,
               const vm_chooser& least_used);
-  /// Returns the VMs that take no tasks.
-  std::set<vm_id> Closed() const;
-
-  /// Looks for closed VMs that have become empty. `is_present`: the owner
-  /// has to do with the VM. Returns whether one was found.
-  bool FindVacant(const vm_predicate& is_present, const vm_predicate& is_empty);
+  /// Returns whether the VM takes no tasks.
+  bool IsClosed(const vm_id& vm) const { return entries_.count(vm) != 0; }
+  /// Returns the VMs that were closed or opened since the last call. One may
+  /// come twice.
+  std::vector<vm_id> TakeChanged();
+
+  /// Takes in that a closed VM has become empty. Returns whether that is news.
+  bool NoteEmpty(const vm_id& vm);
+  /// Takes in whether the VM is still known. Until it is called for a closed VM
+  /// that counts as present.
+  void NotePresence(const vm_id& vm,
+                    const vm_presence& presence,
+                    time_point now);
+  /// Takes in whether the store shows the hint. One that isn't shown for a
+  /// while after it was told has got lost: the owner of the fleet would take
+  /// the VM for one in use, and neither move it nor send another.
+  void NoteHintShown(const vacant_vm& hint, bool is_shown);
   /// Returns what is to be stored now. Precondition: what was returned before
   /// is stored, and `NoteStored` was called.
-  vacancy_batch TakeBatch(const vm_predicate& is_present, time_point now);
+  vacancy_batch TakeBatch(time_point now);
   /// The last batch is stored. Returns the VMs that are recorded as vacant
   /// since.
   std::vector<vacant_vm> NoteStored();
   /// Returns the VMs of which the owner of the fleet is to be told. An earlier
-  /// owner may have recorded some without telling. `is_shown`: the store shows
-  /// the hint. One that isn't shown for a while has got lost: the owner of the
-  /// fleet would take the VM for one in use, and neither move it nor send
-  /// another.
-  std::vector<vacant_vm> TakeHints(const vm_predicate& is_present,
-                                   const hint_predicate& is_shown,
-                                   time_point now);
+  /// owner may have recorded some without telling.
+  std::vector<vacant_vm> TakeHints(time_point now);
+
+  /// Returns how many VMs were looked at.
+  std::uint64_t visited_vms() const { return visited_vms_; }
 
  private:
+  /// How far a closed VM is.
+  enum class stage { kEmptied, kFound, kRecording, kVacant };
+
+  /// What the owner of the fleet was told of a VM, for one reason.
+  struct hint_state {
+    std::optional<time_point> told_at;
+    bool is_shown = false;
+  };
+
+  struct closed_vm {
+    bool is_for_service = false;
+    /// Its place among the released VMs, if the pool can do without it.
+    std::optional<std::uint64_t> released;
+    stage at = stage::kEmptied;
+    vm_presence presence;
+    std::optional<time_point> gone_since;
+    std::array<hint_state, kVacancyReasons> hints;
+    /// Its place among the hints that are due.
+    std::optional<time_point> hint_due;
+  };
+
   /// A VM that is emptied to be given away.
   struct released_vm {
     vm_id vm;
@@ -98,23 +144,28 @@
 
   bool Release(const pool_id& pool, const std::vector<vm_id>& vms);
   bool TakeBack(const pool_id& pool, std::uint32_t count);
-  void Forget(const vm_id& vm);
-  bool IsReleased(const vm_id& vm) const;
-  bool MayBeRecorded(const vm_id& vm) const;
-  vacancy_reason ReasonOf(const vm_id& vm) const;
+  closed_vm* Find(const vm_id& vm);
+  /// Returns the entry of the VM, which is closed from now on.
+  closed_vm* Close(const vm_id& vm);
+  /// Opens the VM when nothing keeps it closed.
+  void OpenIfFree(const vm_id& vm);
+  void DropRelease(closed_vm* entry);
+  void PlanHint(const vm_id& vm, closed_vm* entry);
+  static vacancy_reason ReasonOf(const closed_vm& entry);
+  static hint_state* HintOf(closed_vm* entry);
 
   vacancy_keeper_settings settings_;
+  std::unordered_map<vm_id, closed_vm> entries_;
   std::set<vm_id> for_service_;
-  /// The last one last.
-  std::vector<released_vm> released_;
-  /// VMs that are empty, in the order of what happens with each: found so,
-  /// being recorded, recorded, and told to the fleet's owner.
+  /// Those whose records weren't asked for; the last one last.
+  std::map<std::uint64_t, released_vm> released_;
+  std::uint64_t next_release_ = 0;
   std::set<vm_id> found_;
-  std::set<vm_id> recording_;
-  std::set<vm_id> vacant_;
-  std::map<std::pair<vm_id, vacancy_reason>, time_point> told_;
-  /// Vacant VMs whose lives seem to be over, and since when.
-  std::map<vm_id, time_point> gone_;
+  std::vector<vm_id> recording_;
+  std::set<std::pair<time_point, vm_id>> gone_;
+  std::set<std::pair<time_point, vm_id>> hints_due_;
+  std::vector<vm_id> changed_;
+  std::uint64_t visited_vms_ = 0;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/include/plantainhead/core/jobs/vm_registry.h
+++ b/include/plantainhead/core/jobs/vm_registry.h
@@ -32,6 +32,9 @@
   /// The same for the pools that are wanted; the others aren't copied.
   std::vector<vm_description> Usable(const routing_table& routes,
                                      const pool_predicate& is_wanted) const;
+  /// Returns the VM, or null when no readable record names it. It is valid
+  /// until the next change.
+  const vm_description* Find(const vm_id& id) const;
   /// Returns whether there is a record of the VM, readable or not.
   bool IsListed(const vm_id& id) const;
   /// Returns all VMs of which there is a record.
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -158,6 +158,8 @@
   /// Forgets what counts against a lasting task that is at work. Returns false
   /// when nothing did.
   bool ForgetLosses(const task_name& name);
+  /// Returns whether something may count against a task.
+  bool HasLosses() const { return has_losses_; }
   void Cancel() { Finish(job_phase::kCancelled); }
 
  private:
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -43,6 +43,24 @@
   }
 }
 
+void job_table::NoteLosses(job_state* job) {
+  if (job->HasLosses() && !IsFinal(job->phase())) {
+    with_losses_.insert(job->spec().id);
+  }
+}
+
+std::vector<job_state*> job_table::TakeWithLosses() {
+  std::vector<job_state*> jobs;
+  for (const job_id& id : with_losses_) {
+    const auto found = open_.find(id);
+    if (found != open_.end()) {
+      jobs.push_back(found->second);
+    }
+  }
+  with_losses_.clear();
+  return jobs;
+}
+
 std::optional<progress_batch> job_table::TakeBatch(bool has_more) {
   if (changed_.empty() && !has_more) {
     return std::nullopt;
--- a/src/core/jobs/job_table.h
+++ b/src/core/jobs/job_table.h
@@ -37,6 +37,11 @@
   void NoteRestored(job_state* job);
   const std::map<job_id, job_state*>& open() const { return open_; }
 
+  /// Notes that something may count against the job's tasks.
+  void NoteLosses(job_state* job);
+  /// Returns the jobs that were noted since the last call and are open.
+  std::vector<job_state*> TakeWithLosses();
+
   /// The number that the next batch will have.
   std::uint64_t next_batch() const { return next_batch_; }
   /// Returns the changed jobs as a batch; nothing when there are none and the
@@ -47,6 +52,7 @@
   std::unordered_map<job_id, std::unique_ptr<job_state>> jobs_;
   std::map<job_id, job_state*> open_;
   std::set<job_id> changed_;
+  std::set<job_id> with_losses_;
   std::unordered_set<job_id> ended_;
   std::uint64_t next_batch_ = 1;
 };
--- a/src/core/jobs/pool_lives.cc
+++ b/src/core/jobs/pool_lives.cc
@@ -50,7 +50,7 @@
   vm->BeginLife(born, now);
   vacant_.erase(vm->description().id);
   StopUnansweredStarts(vm, now);
-  ++vms_version_;
+  NoteVmChange(*vm);
 }
 
 void pool_scheduler::impl::DoubtRun(run_state* run,
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -17,14 +17,14 @@
          vm.labels.end();
 }
 
-// How little a VM suits a task of the step.
-int BurdenOf(const vm_state& vm, const step_spec& step, bool is_near) {
-  int burden = is_near ? 0 : 4;
+// How little VMs of the kind suit a task of the step.
+int BurdenOf(std::size_t kind, const step_spec& step) {
+  int burden = 0;
   if (step.fills) {
-    burden += vm.HasServing() ? 2 : 0;
+    burden += taker_list::HasServing(kind) ? 2 : 0;
   }
   if (step.lasting) {
-    burden += vm.HasLasting() ? 0 : 1;
+    burden += taker_list::HasLasting(kind) ? 0 : 1;
   }
   return burden;
 }
@@ -42,27 +42,25 @@
 std::vector<vm_order> pool_scheduler::impl::Plan(time_point now,
                                                  time_point wall_now) {
   std::vector<vm_order> orders;
-  LapseSilentVms(now);
-  visited_vms_ += vms_.size();
-  for (auto& [id, vm] : vms_) {
-    // A listing is acted on once.
-    const bool is_news = vm.IsReachable() && vm.last_heard() > vm.checked_at;
-    if (is_news) {
-      vm.checked_at = vm.last_heard();
-      StopHungRuns(&vm, now);
-      PlanPace(&vm, &orders);
-    }
-    if (vm.description().draining || vm.is_closed) {
-      EmptyVm(&vm, now);
-    }
-    PlanStops(&vm, now, &orders);
+  vms_.WakeDue(now);
+  for (vm_state* vm : vms_.TakeDue()) {
+    LapseIfSilent(vm, now);
+    vms_.Touch(vm);
+  }
+  SkipUntoldRuns(now);
+  // With those that a lapse of others has changed.
+  const std::vector<vm_state*> due = vms_.TakeDue();
+  for (vm_state* vm : due) {
+    PlanVm(vm, now, &orders);
+    vms_.Touch(vm);
   }
   for (const auto& [id, job] : jobs_.open()) {
     job->OpenDue(wall_now);
   }
+  IndexChanged(now);
   CountStarts();
   if (MayStart(now)) {
-    FindTakers(now);
+    unplaced_.clear();
     for (const candidate& next : Candidates(now)) {
       PlaceJob(next.job, now, &orders);
       NoteWait(next.job,
@@ -74,10 +72,63 @@
       NoteWait(job, wait_cause::kReading, now);
     }
   }
-  ForgetGoneVms(now);
+  for (vm_state* vm : vms_.TakeDue()) {
+    PlanNextLook(vm, now);
+    ForgetIfGone(vm, now);
+  }
   return orders;
 }
 
+void pool_scheduler::impl::PlanVm(vm_state* vm,
+                                  time_point now,
+                                  std::vector<vm_order>* orders) {
+  // A listing is acted on once.
+  const bool is_news = vm->IsReachable() && vm->last_heard() > vm->checked_at;
+  if (is_news) {
+    vm->checked_at = vm->last_heard();
+    StopHungRuns(vm, now);
+    PlanPace(vm, orders);
+  }
+  if (vm->description().draining || vm->is_closed) {
+    EmptyVm(vm, now);
+  }
+  PlanStops(vm, now, orders);
+  if (vm->is_closed && vm->IsEmpty()) {
+    emptied_.push_back(vm->description().id);
+  }
+}
+
+void pool_scheduler::impl::IndexChanged(time_point now) {
+  indexed_at_ = std::max(indexed_at_, now);
+  for (vm_state* vm : vms_.TakeChanged()) {
+    index_.Update(vm, indexed_at_);
+  }
+}
+
+// What else may change the plan for a VM is a call about it.
+void pool_scheduler::impl::PlanNextLook(vm_state* vm, time_point now) {
+  const bool is_emptied = vm->is_closed || vm->description().draining;
+  const bool is_at_work =
+      (is_emptied && !vm->runs().empty()) ||
+      std::any_of(vm->runs().begin(), vm->runs().end(),
+                  [](const auto& run) { return run.second.is_stop_wanted; });
+  if (is_at_work) {
+    vms_.WakeAt(vm, now);
+    return;
+  }
+  std::optional<time_point> next;
+  if (!vm->IsLapsed(now)) {
+    next = vm->lapse_at();
+  }
+  if (vm->trusted_until && vm->IsTrusted(now)) {
+    const time_point doubted_from = *vm->trusted_until + duration(1);
+    next = next ? std::min(*next, doubted_from) : doubted_from;
+  }
+  if (next) {
+    vms_.WakeAt(vm, *next);
+  }
+}
+
 void pool_scheduler::impl::NoteWait(job_state* job,
                                     wait_cause cause,
                                     time_point now) {
@@ -85,13 +136,7 @@
 }
 
 void pool_scheduler::impl::CountStarts() {
-  starts_under_way_ = 0;
-  visited_vms_ += vms_.size();
-  for (const auto& [id, vm] : vms_) {
-    starts_under_way_ += static_cast<std::size_t>(std::count_if(
-        vm.runs().begin(), vm.runs().end(),
-        [](const auto& run) { return run.second.is_start_in_flight; }));
-  }
+  starts_under_way_ = index_.starts_under_way();
   starts_left_ = window_.size() - std::min(window_.size(), starts_under_way_);
 }
 
@@ -105,25 +150,22 @@
   // A VM that has lapsed without telling counts when the store has taken the
   // record of it: a newer owner, which may have heard it, would have claimed
   // the partition before.
-  is_recovered_ =
-      lapse_batch_ <= stored_through_ &&
-      std::all_of(vms_.begin(), vms_.end(), [now](const auto& entry) {
-        return entry.second.is_settled || entry.second.IsLapsed(now);
-      });
+  IndexChanged(now);
+  is_recovered_ = lapse_batch_ <= stored_through_ && index_.unsettled().empty();
   return is_recovered_;
 }
 
-takeover_wait pool_scheduler::impl::TakeoverWait(time_point now) const {
+takeover_wait pool_scheduler::impl::TakeoverWait(time_point now) {
   takeover_wait wait;
   wait.is_over = is_recovered_;
   if (is_recovered_) {
     return wait;
   }
-  for (const auto& [id, vm] : vms_) {
-    if (!vm.is_settled && !vm.IsLapsed(now)) {
-      ++(vm.is_listed ? wait.listed : wait.unlisted);
-      wait.vm = id;
-    }
+  IndexChanged(now);
+  vms_.NoteVisits(index_.unsettled().size());
+  for (const vm_state* vm : index_.unsettled()) {
+    ++(vm->is_listed ? wait.listed : wait.unlisted);
+    wait.vm = vm->description().id;
   }
   return wait;
 }
@@ -132,9 +174,9 @@
 // tells it again; a start before that would run a task that is done.
 std::set<job_id> pool_scheduler::impl::JobsWithUntakenEnds() const {
   std::set<job_id> jobs;
-  visited_vms_ += vms_.size();
-  for (const auto& [id, vm] : vms_) {
-    for (const auto& [task, run] : vm.untaken_ends) {
+  vms_.NoteVisits(index_.with_untaken_ends().size());
+  for (const vm_state* vm : index_.with_untaken_ends()) {
+    for (const auto& [task, run] : vm->untaken_ends) {
       jobs.insert(task.job);
     }
   }
@@ -260,10 +302,11 @@
   std::vector<std::string> racks = {""};
   if (job->spec().steps[step].same_rack) {
     racks.clear();
-    for (const auto& [id, vm] : vms_) {
-      const std::vector<std::string>& labels = vm.description().labels;
-      if (labels.size() > 1) {
-        racks.push_back(labels.back());
+    if (const pool_figures* pool = index_.Find(job->spec().pool)) {
+      for (const auto& [rack, takers] : pool->takers_by_rack) {
+        if (takers > 0) {
+          racks.push_back(rack);
+        }
       }
     }
     racks.emplace_back("");
@@ -283,11 +326,13 @@
       reserved.step = &job->spec().steps[step];
       reserved.room = RoomOf(*reserved.step);
       vm->Add(name, reserved);
+      index_.Update(vm, now);
       placed.emplace_back(vm, name);
     }
     const bool fits = placed.size() == state.tasks.size();
     for (const auto& [vm, name] : placed) {
       vm->Erase(name);
+      index_.Update(vm, now);
     }
     if (!fits) {
       // What found no room beside the trial may find some without it.
@@ -307,36 +352,6 @@
          now - *cancellations_read_through_ <= settings_.oldest_cancellations;
 }
 
-void pool_scheduler::impl::FindTakers(time_point now) {
-  takers_.clear();
-  unplaced_.clear();
-  most_room_ = {};
-  visited_vms_ += vms_.size();
-  for (auto& [id, vm] : vms_) {
-    const bool takes = IsUsable(vm) && IsTrusted(vm, now) && vm.is_recorded &&
-                       !vm.HasForeign();
-    if (!takes) {
-      continue;
-    }
-    takers_.push_back(&vm);
-    if (now >= vm.avoid_until) {
-      const resources room = vm.Free();
-      most_room_.cpu_millis = std::max(most_room_.cpu_millis, room.cpu_millis);
-      most_room_.memory_mb = std::max(most_room_.memory_mb, room.memory_mb);
-      most_room_.gpus = std::max(most_room_.gpus, room.gpus);
-    }
-  }
-}
-
-bool pool_scheduler::impl::IsEligible(const vm_state& vm,
-                                      const pool_id& pool,
-                                      const step_spec& step) const {
-  const vm_description& description = vm.description();
-  return description.pool == pool &&
-         (step.required_label.empty() ||
-          HasLabel(description, step.required_label));
-}
-
 std::uint32_t pool_scheduler::impl::RunsOfStep(const vm_state& vm,
                                                const task_name& task) const {
   std::uint32_t count = 0;
@@ -379,62 +394,120 @@
   return !is_full && vm.runs().count(task) == 0;
 }
 
+/// A search for a VM that takes a task.
+struct pool_scheduler::impl::vm_search {
+  const task_name& task;
+  const step_spec& step;
+  resources room;
+  bool is_kept_apart = false;
+  /// Where the last run of the task failed, if it must go elsewhere.
+  const vm_id* avoided = nullptr;
+  time_point now;
+  /// What was found on the way.
+  bool has_room = false;
+  vm_state* last_resort = nullptr;
+};
+
+bool pool_scheduler::impl::Suits(vm_state* vm, vm_search* search) const {
+  const std::string& label = search->step.required_label;
+  const bool has_room = Fits(search->room, vm->Free()) &&
+                        search->now >= vm->avoid_until &&
+                        (label.empty() || HasLabel(vm->description(), label));
+  search->has_room = search->has_room || has_room;
+  if (!has_room ||
+      !MayHold(*vm, search->task, search->step, search->is_kept_apart)) {
+    return false;
+  }
+  if (search->avoided != nullptr && vm->description().id == *search->avoided) {
+    search->last_resort = vm;
+    return false;
+  }
+  return true;
+}
+
 // Takes the VM that is left with the least processor time, so that VMs with
 // much room stay free for large tasks. Lasting tasks go where others are
 // already, as far as their steps allow: the VMs without any can be given away
 // when the demand falls. Those that only fill keep away from those that serve.
+vm_state* pool_scheduler::impl::FindBest(const taker_list& takers,
+                                         vm_search* search) const {
+  vm_state* best = nullptr;
+  std::tuple<int, ranked_vm> best_cost;
+  for (std::size_t kind = 0; kind < taker_list::kKinds; ++kind) {
+    const ranked_vms& list = takers.OfKind(kind);
+    const int burden = BurdenOf(kind, search->step);
+    for (auto it = list.lower_bound(search->room.cpu_millis); it != list.end();
+         ++it) {
+      vms_.NoteVisits(1);
+      if (Suits(it->vm, search)) {
+        const std::tuple<int, ranked_vm> cost = {burden, *it};
+        if (best == nullptr || cost < best_cost) {
+          best = it->vm;
+          best_cost = cost;
+        }
+        break;
+      }
+    }
+  }
+  return best;
+}
+
+// With a VM that crashes as little as can be is to be lost.
+vm_state* pool_scheduler::impl::FindLeastBusy(const taker_list& takers,
+                                              vm_search* search) const {
+  vm_state* best = nullptr;
+  std::tuple<std::size_t, ranked_vm> best_cost;
+  for (std::size_t kind = 0; kind < taker_list::kKinds; ++kind) {
+    for (const ranked_vm& taker : takers.OfKind(kind)) {
+      vms_.NoteVisits(1);
+      const std::tuple<std::size_t, ranked_vm> cost = {taker.vm->runs().size(),
+                                                       taker};
+      if (Suits(taker.vm, search) && (best == nullptr || cost < best_cost)) {
+        best = taker.vm;
+        best_cost = cost;
+      }
+    }
+  }
+  return best;
+}
+
 vm_state* pool_scheduler::impl::ChooseVm(job_state* job,
                                          const task_name& task,
                                          const std::string& rack,
                                          time_point now) {
   const step_spec& step = job->spec().steps[task.step];
-  const resources room = RoomOf(step);
-  if (!Fits(room, most_room_) || IsHopeless(job->spec().pool, step)) {
+  const pool_figures* pool = index_.Find(job->spec().pool);
+  if (pool == nullptr || IsHopeless(job->spec().pool, step)) {
+    return nullptr;
+  }
+  const auto in_rack = pool->takers.find(rack);
+  const auto eligible = pool->takers.find(step.required_label);
+  if (eligible == pool->takers.end()) {
     return nullptr;
   }
   const task_state& state = *job->Find(task);
-  const bool is_elsewhere = now < state.failed_until;
-  const bool is_kept_apart = IsKeptApart(*job, task);
+  vm_search search{task,
+                   step,
+                   RoomOf(step),
+                   IsKeptApart(*job, task),
+                   now < state.failed_until ? &state.failed_on : nullptr,
+                   now,
+                   false,
+                   nullptr};
   vm_state* best = nullptr;
-  vm_state* last_resort = nullptr;
-  std::size_t eligible = 0;
-  bool has_room = false;
-  std::tuple<int, std::int64_t> best_cost;
-  visited_vms_ += takers_.size();
-  for (vm_state* taker : takers_) {
-    vm_state& vm = *taker;
-    const vm_id& id = vm.description().id;
-    if (!IsEligible(vm, job->spec().pool, step)) {
-      continue;
-    }
-    ++eligible;
-    if (!Fits(room, vm.Free()) || now < vm.avoid_until) {
-      continue;
-    }
-    has_room = true;
-    if (!MayHold(vm, task, step, is_kept_apart)) {
-      continue;
-    }
-    if (is_elsewhere && id == state.failed_on) {
-      last_resort = &vm;
-      continue;
-    }
-    const bool is_near = rack.empty() || HasLabel(vm.description(), rack);
-    const std::int64_t left = vm.Free().cpu_millis - room.cpu_millis;
-    // With a VM that crashes as little as can be is to be lost.
-    const int burden = is_kept_apart ? static_cast<int>(vm.runs().size())
-                                     : BurdenOf(vm, step, is_near);
-    const std::tuple<int, std::int64_t> cost = {burden, left};
-    if (best == nullptr || cost < best_cost) {
-      best = &vm;
-      best_cost = cost;
+  if (search.is_kept_apart) {
+    best = FindLeastBusy(eligible->second, &search);
+  } else {
+    if (!rack.empty() && in_rack != pool->takers.end()) {
+      best = FindBest(in_rack->second, &search);
     }
+    best = best == nullptr ? FindBest(eligible->second, &search) : best;
   }
-  if (!has_room) {
-    unplaced_.push_back({job->spec().pool, step.required_label, room});
+  if (!search.has_room) {
+    unplaced_.push_back({job->spec().pool, step.required_label, search.room});
   }
-  if (best == nullptr && eligible <= 1) {
-    return last_resort;
+  if (best == nullptr && eligible->second.size() <= 1) {
+    return search.last_resort;
   }
   return best;
 }
@@ -460,6 +533,8 @@
   vm->Add(task, state);
   job->MarkPlaced(task, run);
   job->MarkStarted(now);
+  index_.Update(vm, now);
+  vms_.Touch(vm);
   ++counts_.starts;
   ++starts_under_way_;
   starts_left_ -= std::min<std::size_t>(starts_left_, 1);
--- a/src/core/jobs/pool_records.cc
+++ b/src/core/jobs/pool_records.cc
@@ -6,13 +6,14 @@
 namespace plantainhead::core::jobs {
 
 std::optional<progress_batch> pool_scheduler::impl::TakeBatch() {
+  IndexChanged(indexed_at_);
   std::vector<known_vm> used;
-  visited_vms_ += vms_.size();
-  for (auto& [id, vm] : vms_) {
-    if (vm.is_record_due && vm.is_listed && vm.IsReachable()) {
-      vm.is_record_due = false;
-      used.push_back({id, vm.description().address});
-    }
+  const std::vector<vm_state*> due(index_.record_due().begin(),
+                                   index_.record_due().end());
+  for (vm_state* vm : due) {
+    vm->is_record_due = false;
+    used.push_back({vm->description().id, vm->description().address});
+    index_.Update(vm, indexed_at_);
   }
   const bool has_vms = !used.empty() || !dropped_vms_.empty();
   auto batch = jobs_.TakeBatch(has_vms);
@@ -23,9 +24,11 @@
   } else {
     // Ends that changed no record need no batch of their own. What they tell
     // may be in the one that is under way.
-    for (auto& [id, vm] : vms_) {
-      for (auto& [number, needed] : vm.unstored_ends) {
-        needed = std::min(needed, jobs_.next_batch() - 1);
+    for (const vm_id& id : unacknowledged_) {
+      if (vm_state* vm = vms_.FindUnchanged(id)) {
+        for (auto& [number, needed] : vm->unstored_ends) {
+          needed = std::min(needed, jobs_.next_batch() - 1);
+        }
       }
     }
     AckStored();
@@ -44,20 +47,25 @@
 }
 
 void pool_scheduler::impl::AckStored() {
-  visited_vms_ += vms_.size();
-  for (auto& [id, vm] : vms_) {
-    while (!vm.unstored_ends.empty() &&
-           vm.unstored_ends.front().second <= stored_through_) {
-      vm.acknowledged_through = vm.unstored_ends.front().first;
-      vm.unstored_ends.pop_front();
+  vms_.NoteVisits(unacknowledged_.size());
+  std::erase_if(unacknowledged_, [this](const vm_id& id) {
+    vm_state* vm = vms_.FindUnchanged(id);
+    if (vm == nullptr) {
+      return true;
     }
-  }
+    while (!vm->unstored_ends.empty() &&
+           vm->unstored_ends.front().second <= stored_through_) {
+      vm->acknowledged_through = vm->unstored_ends.front().first;
+      vm->unstored_ends.pop_front();
+    }
+    return vm->unstored_ends.empty();
+  });
 }
 
 scheduler_counts pool_scheduler::impl::Counts() const {
   scheduler_counts counts = counts_;
   counts.open_jobs = jobs_.open().size();
-  counts.visited_vms = visited_vms_;
+  counts.visited_vms = vms_.visits();
   for (const auto& [id, job] : jobs_.open()) {
     for (const auto& [number, occurrence] : job->occurrences()) {
       for (const step_state& step : occurrence.steps) {
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -6,22 +6,17 @@
 
 namespace plantainhead::core::jobs {
 
-vm_state* pool_scheduler::impl::FindVm(const vm_id& id) {
-  const auto found = vms_.find(id);
-  return found == vms_.end() ? nullptr : &found->second;
-}
-
 void pool_scheduler::impl::AddKnownVm(const known_vm& known) {
   vm_description description;
   description.id = known.id;
   description.address = known.address;
-  vm_state& vm = vms_.try_emplace(known.id, description).first->second;
+  vm_state& vm = *vms_.Add(description).first;
   vm.is_listed = false;
   vm.is_recorded = true;
   vm.is_record_due = false;
   AssumeLeaseOf(known.id, &vm);
   vm.is_settled = vacant_.count(known.id) != 0;
-  ++vms_version_;
+  NoteVmChange(vm);
 }
 
 void pool_scheduler::impl::AssumeLeaseOf(const vm_id& id, vm_state* vm) {
@@ -33,44 +28,66 @@
 
 void pool_scheduler::impl::UpdateVms(const std::vector<vm_description>& listed,
                                      time_point now) {
-  for (auto& [id, vm] : vms_) {
+  for (auto& [id, vm] : vms_.All()) {
     vm.is_listed = false;
+    vms_.Touch(&vm);
   }
   for (const vm_description& description : listed) {
-    if (replaced_.count(description.id) != 0) {
-      continue;
-    }
-    auto [found, is_new] = vms_.try_emplace(description.id, description);
-    vm_state& vm = found->second;
-    TakeLife(&vm, std::nullopt, description.born, now);
-    vm.description() = description;
-    vm.is_listed = true;
-    // An owner that was paused may have been the first to see this VM, and may
-    // have started a task on it that would start twice here.
-    const bool may_be_used =
-        is_new && (!has_list_ || now < takeover_.fresh_from);
-    if (may_be_used && vacant_.count(description.id) != 0) {
-      vm.is_settled = true;
-    } else if (may_be_used) {
-      AssumeLeaseOf(description.id, &vm);
-      is_recovered_ = false;
-    }
+    UpdateVm(description, now);
   }
   has_list_ = true;
-  ++vms_version_;
 }
 
-void pool_scheduler::impl::NoteReports(
-    const std::map<vm_id, time_point>& trusted_until) {
-  visited_vms_ += vms_.size();
-  for (auto& [id, vm] : vms_) {
-    const auto found = trusted_until.find(id);
-    if (found != trusted_until.end()) {
-      vm.trusted_until = found->second;
-    }
+void pool_scheduler::impl::UpdateVm(const vm_description& description,
+                                    time_point now) {
+  if (replaced_.count(description.id) != 0) {
+    return;
+  }
+  const auto [vm, is_new] = vms_.Add(description);
+  TakeLife(vm, std::nullopt, description.born, now);
+  if (is_new || vm->description() != description) {
+    vm->Describe(description);
+    NoteVmChange(*vm);
+  }
+  vm->is_listed = true;
+  // An owner that was paused may have been the first to see this VM, and may
+  // have started a task on it that would start twice here.
+  const bool may_be_used = is_new && (!has_list_ || now < takeover_.fresh_from);
+  if (may_be_used && vacant_.count(description.id) != 0) {
+    vm->is_settled = true;
+  } else if (may_be_used) {
+    AssumeLeaseOf(description.id, vm);
+    is_recovered_ = false;
+  }
+}
+
+void pool_scheduler::impl::UnlistVm(const vm_id& id) {
+  if (vm_state* vm = FindVm(id)) {
+    vm->is_listed = false;
   }
 }
 
+// Most reports only put off when the VM is looked at again, so that they don't
+// count as a change.
+void pool_scheduler::impl::NoteReport(const vm_id& id,
+                                      time_point trusted_until) {
+  const vm_state* known = PeekVm(id);
+  if (known == nullptr) {
+    return;
+  }
+  const bool is_first = !known->trusted_until.has_value();
+  const bool was_doubted = known->indexed.stage == vm_stage::kUntrusted;
+  if (is_first || was_doubted || trusted_until < *known->trusted_until) {
+    FindVm(id)->trusted_until = trusted_until;
+  } else {
+    vms_.FindUnchanged(id)->trusted_until = trusted_until;
+  }
+}
+
+void pool_scheduler::impl::NoteVmChange(const vm_state& vm) {
+  vm_changes_.push_back(vm.description().id);
+}
+
 void pool_scheduler::impl::TakeListing(vm_state* vm,
                                        time_point sent_at,
                                        const vm_listing& listing,
@@ -138,10 +155,11 @@
 
 // The VM was only cut off: what ran on it didn't crash it.
 void pool_scheduler::impl::WithdrawLosses(const vm_state& vm) {
-  for (const auto& [id, job] : jobs_.open()) {
+  for (job_state* job : jobs_.TakeWithLosses()) {
     if (job->WithdrawLosses(vm.description().id, vm.born)) {
       jobs_.NoteChange(job);
     }
+    jobs_.NoteLosses(job);
   }
 }
 
@@ -191,24 +209,22 @@
   }
 }
 
-std::optional<unknown_job_vm> pool_scheduler::impl::FindUnknownJob() const {
-  visited_vms_ += vms_.size();
+std::optional<unknown_job_vm> pool_scheduler::impl::FindUnknownJob() {
   const auto is_unknown = [this](const auto& run) {
     return run.second.IsForeign() && !jobs_.IsEnded(run.first.job);
   };
-  const auto found =
-      std::find_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
-        const vm_state& vm = entry.second;
-        const bool has_unknown_run =
-            vm.HasForeign() &&
-            std::any_of(vm.runs().begin(), vm.runs().end(), is_unknown);
-        return has_unknown_run || vm.unknown_end_since.has_value();
-      });
-  if (found == vms_.end()) {
+  IndexChanged(indexed_at_);
+  const vm_set& vms = index_.with_unknown_jobs();
+  vms_.NoteVisits(vms.size());
+  const auto found = std::find_if(vms.begin(), vms.end(), [&](vm_state* vm) {
+    return vm->unknown_end_since.has_value() ||
+           std::any_of(vm->runs().begin(), vm->runs().end(), is_unknown);
+  });
+  if (found == vms.end()) {
     return std::nullopt;
   }
-  return unknown_job_vm{found->first, found->second.is_listed,
-                        found->second.IsReachable()};
+  const vm_state& vm = **found;
+  return unknown_job_vm{vm.description().id, vm.is_listed, vm.IsReachable()};
 }
 
 // An earlier owner may have read the job sooner and started it, and the VM may
@@ -216,18 +232,18 @@
 // next listing to be taken over, the plan before that would start it a second
 // time. Runs of which no VM has told yet are another matter: see `IsRecovered`.
 void pool_scheduler::impl::AdoptRunsOf(const job_id& id, time_point now) {
-  visited_vms_ += vms_.size();
-  for (auto& [vm_id, vm] : vms_) {
+  for (vm_state* vm : vms_.WithRunsOf(id)) {
     std::vector<running_task> told;
-    for (const auto& [task, run] : vm.runs()) {
+    for (const auto& [task, run] : vm->runs()) {
       if (run.IsForeign() && task.job == id) {
         told.push_back({task, run.run, "", run.percent, run.reading});
       }
     }
     for (const running_task& row : told) {
-      vm.Erase(row.task);
-      Adopt(&vm, row, now);
+      vm->Erase(row.task);
+      Adopt(vm, row, now);
     }
+    vms_.Touch(vm);
   }
   const auto forgotten = forgotten_runs_.find(id);
   if (forgotten == forgotten_runs_.end()) {
@@ -267,6 +283,9 @@
     return false;
   }
   vm->taken_through = end.number;
+  if (vm->unstored_ends.empty()) {
+    unacknowledged_.push_back(vm->description().id);
+  }
   vm->unstored_ends.emplace_back(end.number, jobs_.next_batch());
   const auto held = vm->runs().find(end.task);
   if (held != vm->runs().end() && held->second.run <= end.run) {
@@ -310,9 +329,9 @@
   }
   const bool is_gang = job->StepOf(end.task).gang;
   bool is_any = false;
-  visited_vms_ += vms_.size();
-  for (auto& [id, vm] : vms_) {
-    ForRunsOfStep(&vm, end.task, [&](const task_name& task, run_state* run) {
+  for (vm_state* vm : vms_.WithRunsOf(end.task.job)) {
+    vms_.Touch(vm);
+    ForRunsOfStep(vm, end.task, [&](const task_name& task, run_state* run) {
       const bool may_start = run->run > end.run && !run->confirmed_at &&
                              (is_gang || task.index == end.task.index);
       run->is_stop_wanted = run->is_stop_wanted || may_start;
@@ -343,8 +362,9 @@
       vm->failing_jobs.size() < 2) {
     return;
   }
+  const auto& all = vms_.All();
   const auto set_aside = std::count_if(
-      vms_.begin(), vms_.end(),
+      all.begin(), all.end(),
       [&](const auto& entry) { return entry.second.avoid_until > now; });
   if (3 * (static_cast<std::size_t>(set_aside) + 1) <= vms_.size() + 2) {
     vm->avoid_until = now + settings_.quarantine;
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -60,6 +60,7 @@
     return;
   }
   jobs_.NoteChange(job);
+  jobs_.NoteLosses(job);
   if (IsFinal(job->phase())) {
     StopRunsOf(task.job);
   }
@@ -165,17 +166,18 @@
     // Past its lease the runs had ended before that life of the VM did.
     EndUnheardRuns(vm, !vm->IsLapsed(now));
     dropped_vms_.push_back(id);
-    vms_.erase(id);
-    ++vms_version_;
+    NoteVmChange(*vm);
+    index_.Remove(vm);
+    vms_.Erase(vm);
   }
   replaced_.insert(id);
 }
 
 void pool_scheduler::impl::StopRunsOf(const job_id& id) {
-  visited_vms_ += vms_.size();
-  for (auto& [vm_name, vm] : vms_) {
-    for (auto it = vm.runs().lower_bound({id, 0, 0, 0});
-         it != vm.runs().end() && it->first.job == id; ++it) {
+  for (vm_state* vm : vms_.WithRunsOf(id)) {
+    vms_.Touch(vm);
+    for (auto it = vm->runs().lower_bound({id, 0, 0, 0});
+         it != vm->runs().end() && it->first.job == id; ++it) {
       it->second.is_stop_wanted = true;
     }
   }
@@ -183,9 +185,9 @@
 
 void pool_scheduler::impl::StopRunsOfDone(const task_name& task) {
   job_state* job = jobs_.Find(task.job);
-  visited_vms_ += vms_.size();
-  for (auto& [vm_name, vm] : vms_) {
-    ForRunsOfStep(&vm, task, [job](const task_name& name, run_state* run) {
+  for (vm_state* vm : vms_.WithRunsOf(task.job)) {
+    vms_.Touch(vm);
+    ForRunsOfStep(vm, task, [job](const task_name& name, run_state* run) {
       const task_state* state = job->Find(name);
       const bool is_done =
           state != nullptr && state->phase == task_phase::kDone;
@@ -194,32 +196,29 @@
   }
 }
 
-void pool_scheduler::impl::LapseSilentVms(time_point now) {
-  visited_vms_ += vms_.size();
-  for (auto& [id, vm] : vms_) {
-    // What a VM has told since the last lease ended is no older than that.
-    const bool has_told_since =
-        vm.IsHeard() && vm.last_heard() >= vm.lapse_at();
-    if (!vm.IsLapsed(now) || has_told_since) {
-      continue;
-    }
-    has_untold_vm_ = has_untold_vm_ || (!is_recovered_ && !vm.is_settled);
-    counts_.lapsed_runs += vm.runs().size();
-    EndUnheardRuns(&vm, false);
-    vm.MarkLapsed();
-    // It is used again only after it has told all, and after a new record: the
-    // next owner needn't ask a VM that has none. Of one that was vacant before
-    // nothing is left to tell.
-    const bool was_vacant = vacant_.count(id) != 0;
-    vm.is_settled = was_vacant;
-    if (vm.is_recorded) {
-      vm.is_recorded = false;
-      vm.is_record_due = true;
-      dropped_vms_.push_back(id);
-      lapse_batch_ = was_vacant ? lapse_batch_ : jobs_.next_batch();
-    }
+void pool_scheduler::impl::LapseIfSilent(vm_state* vm, time_point now) {
+  // What a VM has told since the last lease ended is no older than that.
+  const bool has_told_since =
+      vm->IsHeard() && vm->last_heard() >= vm->lapse_at();
+  if (!vm->IsLapsed(now) || has_told_since) {
+    return;
+  }
+  has_untold_vm_ = has_untold_vm_ || (!is_recovered_ && !vm->is_settled);
+  counts_.lapsed_runs += vm->runs().size();
+  EndUnheardRuns(vm, false);
+  vm->MarkLapsed();
+  // It is used again only after it has told all, and after a new record: the
+  // next owner needn't ask a VM that has none. Of one that was vacant before
+  // nothing is left to tell.
+  const vm_id& id = vm->description().id;
+  const bool was_vacant = vacant_.count(id) != 0;
+  vm->is_settled = was_vacant;
+  if (vm->is_recorded) {
+    vm->is_recorded = false;
+    vm->is_record_due = true;
+    dropped_vms_.push_back(id);
+    lapse_batch_ = was_vacant ? lapse_batch_ : jobs_.next_batch();
   }
-  SkipUntoldRuns(now);
 }
 
 // A VM that never told what an earlier owner had started there may tell it
@@ -245,18 +244,16 @@
   has_untold_vm_ = now < takeover_.fresh_from;
 }
 
-void pool_scheduler::impl::ForgetGoneVms(time_point now) {
-  visited_vms_ += vms_.size();
-  for (auto it = vms_.begin(); it != vms_.end();) {
-    const vm_state& vm = it->second;
-    const bool is_forgotten =
-        !vm.is_listed && vm.runs().empty() && vm.IsLapsed(now);
-    if (is_forgotten && it->second.is_recorded) {
-      dropped_vms_.push_back(it->first);
-    }
-    vms_version_ += is_forgotten ? 1 : 0;
-    it = is_forgotten ? vms_.erase(it) : std::next(it);
+void pool_scheduler::impl::ForgetIfGone(vm_state* vm, time_point now) {
+  if (vm->is_listed || !vm->runs().empty() || !vm->IsLapsed(now)) {
+    return;
+  }
+  if (vm->is_recorded) {
+    dropped_vms_.push_back(vm->description().id);
   }
+  NoteVmChange(*vm);
+  index_.Remove(vm);
+  vms_.Erase(vm);
 }
 
 void pool_scheduler::impl::StopHungRuns(vm_state* vm, time_point now) {
@@ -288,10 +285,9 @@
   }
   const step_spec& step = job->StepOf(name);
   std::uint32_t at_work = 0;
-  visited_vms_ += vms_.size();
-  for (const auto& [id, vm] : vms_) {
-    const bool is_reachable = vm.IsReachable();
-    ForRunsOfStep(&vm, name, [&](const task_name& task, const run_state* run) {
+  for (vm_state* vm : vms_.WithRunsOf(name.job)) {
+    const bool is_reachable = vm->IsReachable();
+    ForRunsOfStep(vm, name, [&](const task_name& task, const run_state* run) {
       const bool is_other = task.index != name.index;
       const bool is_at_work =
           run->percent >= kAtWork && !run->is_stop_wanted && is_reachable;
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -63,6 +63,7 @@
   if (job != nullptr) {
     job->Restore(progress);
     impl_->jobs().NoteRestored(job);
+    impl_->jobs().NoteLosses(job);
   }
 }
 
@@ -95,28 +96,44 @@
   impl_->UpdateVms(vms, now);
 }
 
+void pool_scheduler::UpdateVm(const vm_description& vm, time_point now) {
+  impl_->UpdateVm(vm, now);
+}
+
+void pool_scheduler::UnlistVm(const vm_id& vm) {
+  impl_->UnlistVm(vm);
+}
+
+void pool_scheduler::NoteReport(const vm_id& vm, time_point trusted_until) {
+  impl_->NoteReport(vm, trusted_until);
+}
+
 void pool_scheduler::NoteReports(
     const std::map<vm_id, time_point>& trusted_until) {
-  impl_->NoteReports(trusted_until);
+  for (const auto& [vm, until] : trusted_until) {
+    impl_->NoteReport(vm, until);
+  }
 }
 
 void pool_scheduler::CloseVm(const vm_id& vm, time_point now) {
-  vm_state* found = impl_->FindVm(vm);
-  if (found != nullptr && !found->is_closed) {
+  const vm_state* known = impl_->PeekVm(vm);
+  if (known != nullptr && !known->is_closed) {
+    vm_state* found = impl_->FindVm(vm);
     found->is_closed = true;
     found->closed_at = now;
   }
 }
 
 std::optional<time_point> pool_scheduler::ClosedAt(const vm_id& vm) const {
-  const vm_state* found = impl_->FindVm(vm);
+  const vm_state* found = impl_->PeekVm(vm);
   return found != nullptr && found->is_closed ? std::optional(found->closed_at)
                                               : std::nullopt;
 }
 
 void pool_scheduler::OpenVm(const vm_id& vm) {
-  if (vm_state* found = impl_->FindVm(vm)) {
-    found->is_closed = false;
+  const vm_state* known = impl_->PeekVm(vm);
+  if (known != nullptr && known->is_closed) {
+    impl_->FindVm(vm)->is_closed = false;
   }
 }
 
@@ -130,14 +147,13 @@
 }
 
 bool pool_scheduler::IsEmpty(const vm_id& vm) const {
-  const vm_state* found = impl_->FindVm(vm);
-  return found != nullptr && found->IsHeard() && found->is_settled &&
-         found->runs().empty() && found->untaken_ends.empty();
+  const vm_state* found = impl_->PeekVm(vm);
+  return found != nullptr && found->IsEmpty();
 }
 
 std::map<vm_id, time_point> pool_scheduler::LeaseEnds() const {
   std::map<vm_id, time_point> ends;
-  for (const auto& [id, vm] : impl_->vms()) {
+  for (const auto& [id, vm] : impl_->vms().All()) {
     if (vm.is_recorded) {
       ends[id] = vm.lapse_at();
     }
@@ -147,14 +163,23 @@
 
 std::vector<vm_description> pool_scheduler::Vms() const {
   std::vector<vm_description> all;
-  for (const auto& [id, vm] : impl_->vms()) {
+  for (const auto& [id, vm] : impl_->vms().All()) {
     all.push_back(vm.description());
   }
   return all;
 }
 
-std::uint64_t pool_scheduler::VmsVersion() const {
-  return impl_->vms_version();
+const vm_description* pool_scheduler::FindVm(const vm_id& vm) const {
+  const vm_state* found = impl_->PeekVm(vm);
+  return found == nullptr ? nullptr : &found->description();
+}
+
+std::vector<vm_id> pool_scheduler::TakeVmChanges() {
+  return impl_->TakeVmChanges();
+}
+
+std::vector<vm_id> pool_scheduler::TakeEmptied() {
+  return impl_->TakeEmptied();
 }
 
 void pool_scheduler::OnStartAnswer(const run_ref& target,
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -10,7 +10,9 @@
 
 #include "core/jobs/job_table.h"
 #include "core/jobs/send_window.h"
+#include "core/jobs/vm_index.h"
 #include "core/jobs/vm_state.h"
+#include "core/jobs/vm_table.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
 #include "plantainhead/core/jobs/run_loss.h"
 
@@ -33,12 +35,13 @@
       : settings_(settings), takeover_(takeover) {}
 
   job_table& jobs() { return jobs_; }
-  std::map<vm_id, vm_state>& vms() { return vms_; }
+  vm_table& vms() { return vms_; }
   /// True once the registry's VMs are known: jobs that were added before that
   /// are an earlier owner's.
   bool has_list() const { return has_list_; }
-  std::uint64_t vms_version() const { return vms_version_; }
-  vm_state* FindVm(const vm_id& id);
+  /// Returns the VM for a change of it, or null when it is unknown.
+  vm_state* FindVm(const vm_id& id) { return vms_.Change(id); }
+  const vm_state* PeekVm(const vm_id& id) const { return vms_.Find(id); }
   scheduler_counts Counts() const;
   pool_load Load(const pool_id& pool, time_point now);
   std::vector<vm_id> LeastUsed(const pool_id& pool, std::size_t count);
@@ -46,6 +49,8 @@
   void RestoreVacantVms(std::set<vm_id> vms) { vacant_ = std::move(vms); }
   void AddKnownVm(const known_vm& vm);
   void UpdateVms(const std::vector<vm_description>& listed, time_point now);
+  void UpdateVm(const vm_description& description, time_point now);
+  void UnlistVm(const vm_id& id);
   void TakeListing(vm_state* vm,
                    time_point sent_at,
                    const vm_listing& listing,
@@ -78,10 +83,12 @@
   void NoteCancellationsRead(time_point through) {
     cancellations_read_through_ = through;
   }
-  void NoteReports(const std::map<vm_id, time_point>& trusted_until);
+  void NoteReport(const vm_id& id, time_point trusted_until);
+  std::vector<vm_id> TakeVmChanges() { return std::exchange(vm_changes_, {}); }
+  std::vector<vm_id> TakeEmptied() { return std::exchange(emptied_, {}); }
   bool MayStart(time_point now) const;
-  std::optional<unknown_job_vm> FindUnknownJob() const;
-  takeover_wait TakeoverWait(time_point now) const;
+  std::optional<unknown_job_vm> FindUnknownJob();
+  takeover_wait TakeoverWait(time_point now);
   /// Takes over the runs of a job that VMs have told of before it was known.
   void AdoptRunsOf(const job_id& id, time_point now);
   /// Counts what a job, since it was handed in, has waited to be read.
@@ -176,25 +183,27 @@
   static bool IsEndPlanned(const vm_state& vm);
   /// Whether a crash of the VM now is another task's doing than the run's.
   static bool IsClearedBySuspect(const vm_state& vm, const run_state& run);
-  void LapseSilentVms(time_point now);
-  void ForgetGoneVms(time_point now);
+  void LapseIfSilent(vm_state* vm, time_point now);
+  void ForgetIfGone(vm_state* vm, time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
   void EmptyVm(vm_state* vm, time_point now);
   bool MayDisturb(const task_name& task);
   void PlanStops(vm_state* vm, time_point now, std::vector<vm_order>* orders);
   void PlanPace(vm_state* vm, std::vector<vm_order>* orders);
 
+  // What has changed.
+  /// Takes the changed VMs into the index.
+  void IndexChanged(time_point now);
+  void PlanVm(vm_state* vm, time_point now, std::vector<vm_order>* orders);
+  /// Sees to it that the VM is planned for again when that may be due.
+  void PlanNextLook(vm_state* vm, time_point now);
+  void NoteVmChange(const vm_state& vm);
+
   // Size.
-  static bool TakesTasks(const vm_state& vm, const pool_id& pool);
-  /// Whether the VM, as it is and as the registry tells of it, may take tasks.
-  static bool IsUsable(const vm_state& vm);
-  /// Whether what it told of its capacity still holds.
-  static bool IsTrusted(const vm_state& vm, time_point now);
-  static void CountStage(const vm_state& vm, time_point now, vm_stages* stages);
+  void AddDemand(job_state* job, time_point now, pool_load* load) const;
 
   // Placement.
   void CountStarts();
-  void FindTakers(time_point now);
   /// Notes what the job's tasks wait for, if any does.
   static void NoteWait(job_state* job, wait_cause cause, time_point now);
   bool IsRecovered(time_point now);
@@ -213,9 +222,6 @@
                  std::uint32_t step,
                  time_point now,
                  std::vector<vm_order>* orders);
-  bool IsEligible(const vm_state& vm,
-                  const pool_id& pool,
-                  const step_spec& step) const;
   bool IsHopeless(const pool_id& pool, const step_spec& step) const;
   /// Whether the task starts only beside runs that aren't fresh.
   static bool IsKeptApart(job_state& job, const task_name& task);
@@ -228,6 +234,11 @@
                      const task_name& task,
                      const std::string& rack,
                      time_point now);
+  struct vm_search;
+  /// Returns whether the VM suits the task.
+  bool Suits(vm_state* vm, vm_search* search) const;
+  vm_state* FindBest(const taker_list& takers, vm_search* search) const;
+  vm_state* FindLeastBusy(const taker_list& takers, vm_search* search) const;
   std::uint32_t RunsOfStep(const vm_state& vm, const task_name& task) const;
   void Start(job_state* job,
              const task_name& task,
@@ -239,25 +250,27 @@
   scheduler_settings settings_;
   takeover_bounds takeover_;
   job_table jobs_;
-  std::map<vm_id, vm_state> vms_;
+  vm_table vms_;
+  vm_index index_;
+  /// Up to when the index takes into account that times have passed.
+  time_point indexed_at_;
   /// What an earlier owner recorded as vacant.
   std::set<vm_id> vacant_;
   /// Lives that are known to be over; the registry may still list them.
   std::set<vm_id> replaced_;
   /// Forgotten VMs whose records are to be dropped.
   std::vector<vm_id> dropped_vms_;
+  /// VMs that are new, gone or described in another way since they were taken.
+  std::vector<vm_id> vm_changes_;
+  /// Closed VMs that have become empty since they were taken.
+  std::vector<vm_id> emptied_;
+  /// VMs with ends that wait for their batch of records to be stored.
+  std::vector<vm_id> unacknowledged_;
   bool has_list_ = false;
-  std::uint64_t vms_version_ = 1;
   std::uint64_t stored_through_ = 0;
   scheduler_counts counts_;
-  /// See `scheduler_counts`.
-  mutable std::uint64_t visited_vms_ = 0;
   /// Runs that were lost and haven't been reported.
   std::vector<lost_run> losses_;
-  /// VMs that may take tasks in this plan, and the most room that any of them
-  /// has: most tasks of a backlog fit nowhere, and needn't be tried on each VM.
-  std::vector<vm_state*> takers_;
-  resources most_room_;
   send_window window_;
   /// Starts that may still be ordered in this plan, and what is under way.
   std::size_t starts_left_ = 0;
--- a/src/core/jobs/report_ages.cc
+++ b/src/core/jobs/report_ages.cc
@@ -39,6 +39,12 @@
   usual_gap_ += (counted - usual_gap_) / kSmoothing;
 }
 
+std::optional<time_point> report_ages::TrustedUntil(const vm_id& vm) const {
+  const auto found = trusted_until_.find(vm);
+  return found == trusted_until_.end() ? std::nullopt
+                                       : std::optional(found->second);
+}
+
 void report_ages::Drop(const vm_id& vm) {
   last_at_.erase(vm);
   trusted_until_.erase(vm);
--- a/src/core/jobs/vacancy_keeper.cc
+++ b/src/core/jobs/vacancy_keeper.cc
@@ -1,10 +1,44 @@
 #include "plantainhead/core/jobs/vacancy_keeper.h"
 
-#include <algorithm>
-#include <cstddef>
+#include <iterator>
 
 namespace plantainhead::core::jobs {
 
+void vacancy_keeper::Restore(const std::set<vm_id>& recorded) {
+  for (const vm_id& vm : recorded) {
+    closed_vm* entry = Close(vm);
+    entry->at = stage::kVacant;
+    PlanHint(vm, entry);
+  }
+}
+
+void vacancy_keeper::UpdateForService(const std::set<vm_id>& vms) {
+  const std::set<vm_id> before = for_service_;
+  for (const vm_id& vm : before) {
+    if (vms.count(vm) == 0) {
+      NoteForService(vm, false);
+    }
+  }
+  for (const vm_id& vm : vms) {
+    NoteForService(vm, true);
+  }
+}
+
+void vacancy_keeper::NoteForService(const vm_id& vm, bool is_for_service) {
+  if (is_for_service == (for_service_.count(vm) != 0)) {
+    return;
+  }
+  closed_vm* entry = Close(vm);
+  entry->is_for_service = is_for_service;
+  if (is_for_service) {
+    for_service_.insert(vm);
+  } else {
+    for_service_.erase(vm);
+  }
+  PlanHint(vm, entry);
+  OpenIfFree(vm);
+}
+
 bool vacancy_keeper::Resize(const pool_id& pool,
                             const pool_load& load,
                             std::uint32_t wanted,
@@ -22,8 +56,10 @@
                              const std::vector<vm_id>& vms) {
   bool is_changed = false;
   for (const vm_id& vm : vms) {
-    if (!IsReleased(vm)) {
-      released_.push_back({vm, pool});
+    closed_vm* entry = Close(vm);
+    if (!entry->released) {
+      entry->released = next_release_++;
+      released_[*entry->released] = {vm, pool};
       is_changed = true;
     }
   }
@@ -37,122 +73,183 @@
 // acts on nothing else. The last one goes first, as least of it is empty yet.
 bool vacancy_keeper::TakeBack(const pool_id& pool, std::uint32_t count) {
   std::uint32_t taken = 0;
-  for (std::size_t i = released_.size(); i > 0 && taken < count; --i) {
-    const released_vm& released = released_[i - 1];
-    const bool is_free = released.pool == pool &&
-                         for_service_.count(released.vm) == 0 &&
-                         !MayBeRecorded(released.vm);
-    if (!is_free) {
+  for (auto it = released_.end(); it != released_.begin() && taken < count;) {
+    it = std::prev(it);
+    ++visited_vms_;
+    const vm_id vm = it->second.vm;
+    if (it->second.pool != pool || for_service_.count(vm) != 0) {
       continue;
     }
-    found_.erase(released.vm);
-    released_.erase(released_.begin() + static_cast<std::ptrdiff_t>(i - 1));
+    closed_vm* entry = Find(vm);
+    entry->at = stage::kEmptied;
+    found_.erase(vm);
+    const auto after = std::next(it);
+    DropRelease(entry);
+    it = after;
+    OpenIfFree(vm);
     ++taken;
   }
   return taken > 0;
 }
 
-bool vacancy_keeper::IsReleased(const vm_id& vm) const {
-  return std::any_of(
-      released_.begin(), released_.end(),
-      [&](const released_vm& released) { return released.vm == vm; });
+vacancy_keeper::closed_vm* vacancy_keeper::Find(const vm_id& vm) {
+  const auto found = entries_.find(vm);
+  if (found == entries_.end()) {
+    return nullptr;
+  }
+  ++visited_vms_;
+  return &found->second;
+}
+
+vacancy_keeper::closed_vm* vacancy_keeper::Close(const vm_id& vm) {
+  const auto [entry, is_new] = entries_.try_emplace(vm);
+  ++visited_vms_;
+  if (is_new) {
+    changed_.push_back(vm);
+  }
+  return &entry->second;
 }
 
-bool vacancy_keeper::MayBeRecorded(const vm_id& vm) const {
-  return recording_.count(vm) != 0 || vacant_.count(vm) != 0;
+void vacancy_keeper::OpenIfFree(const vm_id& vm) {
+  const closed_vm& entry = entries_.at(vm);
+  const bool is_kept =
+      entry.is_for_service || entry.released || entry.at != stage::kEmptied;
+  if (is_kept) {
+    return;
+  }
+  if (entry.gone_since) {
+    gone_.erase({*entry.gone_since, vm});
+  }
+  entries_.erase(vm);
+  changed_.push_back(vm);
 }
 
-std::set<vm_id> vacancy_keeper::Closed() const {
-  std::set<vm_id> closed = for_service_;
-  for (const released_vm& released : released_) {
-    closed.insert(released.vm);
+void vacancy_keeper::DropRelease(closed_vm* entry) {
+  if (entry->released) {
+    released_.erase(*entry->released);
+    entry->released.reset();
   }
-  for (const auto* more : {&found_, &recording_, &vacant_}) {
-    closed.insert(more->begin(), more->end());
+}
+
+std::vector<vm_id> vacancy_keeper::TakeChanged() {
+  return std::exchange(changed_, {});
+}
+
+bool vacancy_keeper::NoteEmpty(const vm_id& vm) {
+  closed_vm* entry = Find(vm);
+  if (entry == nullptr || entry->at != stage::kEmptied) {
+    return false;
   }
-  return closed;
+  entry->at = stage::kFound;
+  found_.insert(vm);
+  return true;
 }
 
-bool vacancy_keeper::FindVacant(const vm_predicate& is_present,
-                                const vm_predicate& is_empty) {
-  std::set<vm_id> closing = for_service_;
-  for (const released_vm& released : released_) {
-    closing.insert(released.vm);
+void vacancy_keeper::NotePresence(const vm_id& vm,
+                                  const vm_presence& presence,
+                                  time_point now) {
+  closed_vm* entry = Find(vm);
+  if (entry == nullptr || entry->presence == presence) {
+    return;
+  }
+  entry->presence = presence;
+  if (entry->gone_since && presence.is_listed) {
+    gone_.erase({*entry->gone_since, vm});
+    entry->gone_since.reset();
+  } else if (!entry->gone_since && !presence.is_listed) {
+    entry->gone_since = now;
+    gone_.emplace(now, vm);
   }
-  const auto ended = std::remove_if(
-      released_.begin(), released_.end(),
-      [&](const released_vm& released) { return !is_present(released.vm); });
-  released_.erase(ended, released_.end());
-  bool is_found = false;
-  for (const vm_id& vm : closing) {
-    const bool is_new = !MayBeRecorded(vm) && is_empty(vm);
-    is_found = (is_new && found_.insert(vm).second) || is_found;
+  PlanHint(vm, entry);
+  if (!presence.is_held) {
+    DropRelease(entry);
+    OpenIfFree(vm);
+  }
+}
+
+void vacancy_keeper::NoteHintShown(const vacant_vm& hint, bool is_shown) {
+  if (closed_vm* entry = Find(hint.vm)) {
+    entry->hints[static_cast<std::size_t>(hint.reason)].is_shown = is_shown;
+    PlanHint(hint.vm, entry);
   }
-  return is_found;
 }
 
-vacancy_batch vacancy_keeper::TakeBatch(const vm_predicate& is_present,
-                                        time_point now) {
+vacancy_batch vacancy_keeper::TakeBatch(time_point now) {
   vacancy_batch batch;
   batch.vacant.assign(found_.begin(), found_.end());
-  recording_ = std::move(found_);
+  recording_ = batch.vacant;
   found_.clear();
-  for (auto it = vacant_.begin(); it != vacant_.end();) {
-    const vm_id vm = *it;
-    ++it;
-    if (is_present(vm)) {
-      gone_.erase(vm);
+  for (const vm_id& vm : recording_) {
+    closed_vm* entry = Find(vm);
+    entry->at = stage::kRecording;
+    DropRelease(entry);
+  }
+  while (!gone_.empty() && now - gone_.begin()->first > settings_.memory) {
+    const vm_id vm = gone_.begin()->second;
+    gone_.erase(gone_.begin());
+    closed_vm* entry = Find(vm);
+    if (entry->at != stage::kVacant) {
+      entry->gone_since = now;
+      gone_.emplace(now, vm);
       continue;
     }
-    const time_point since = gone_.try_emplace(vm, now).first->second;
-    if (now - since > settings_.memory) {
-      batch.dropped.push_back(vm);
-      Forget(vm);
-    }
+    batch.dropped.push_back(vm);
+    entry->gone_since.reset();
+    entry->at = stage::kEmptied;
+    entry->hints = {};
+    PlanHint(vm, entry);
+    OpenIfFree(vm);
   }
   return batch;
 }
 
-void vacancy_keeper::Forget(const vm_id& vm) {
-  vacant_.erase(vm);
-  gone_.erase(vm);
-  told_.erase({vm, vacancy_reason::kOffered});
-  told_.erase({vm, vacancy_reason::kForService});
-}
-
 std::vector<vacant_vm> vacancy_keeper::NoteStored() {
   std::vector<vacant_vm> recorded;
-  for (const vm_id& vm : recording_) {
-    recorded.push_back({vm, ReasonOf(vm)});
+  for (const vm_id& vm : std::exchange(recording_, {})) {
+    closed_vm* entry = Find(vm);
+    entry->at = stage::kVacant;
+    recorded.push_back({vm, ReasonOf(*entry)});
+    PlanHint(vm, entry);
   }
-  vacant_.insert(recording_.begin(), recording_.end());
-  recording_.clear();
   return recorded;
 }
 
-std::vector<vacant_vm> vacancy_keeper::TakeHints(const vm_predicate& is_present,
-                                                 const hint_predicate& is_shown,
-                                                 time_point now) {
+std::vector<vacant_vm> vacancy_keeper::TakeHints(time_point now) {
   std::vector<vacant_vm> hints;
-  for (const vm_id& vm : vacant_) {
-    const vacant_vm hint = {vm, ReasonOf(vm)};
-    if (!is_present(vm)) {
-      continue;
-    }
-    const auto [told, is_new] = told_.try_emplace({vm, hint.reason}, now);
-    const bool is_lost =
-        now - told->second >= settings_.hint_retry && !is_shown(hint);
-    if (is_new || is_lost) {
-      told->second = now;
-      hints.push_back(hint);
-    }
+  while (!hints_due_.empty() && hints_due_.begin()->first <= now) {
+    const vm_id vm = hints_due_.begin()->second;
+    closed_vm* entry = Find(vm);
+    HintOf(entry)->told_at = now;
+    hints.push_back({vm, ReasonOf(*entry)});
+    PlanHint(vm, entry);
   }
   return hints;
 }
 
-vacancy_reason vacancy_keeper::ReasonOf(const vm_id& vm) const {
-  return for_service_.count(vm) != 0 ? vacancy_reason::kForService
-                                     : vacancy_reason::kOffered;
+// Notes when the owner of the fleet is to be told of the VM next, if at all.
+void vacancy_keeper::PlanHint(const vm_id& vm, closed_vm* entry) {
+  if (entry->hint_due) {
+    hints_due_.erase({*entry->hint_due, vm});
+    entry->hint_due.reset();
+  }
+  const hint_state& hint = *HintOf(entry);
+  const bool is_wanted = entry->at == stage::kVacant &&
+                         entry->presence.is_held &&
+                         (!hint.told_at || !hint.is_shown);
+  if (is_wanted) {
+    entry->hint_due =
+        hint.told_at ? *hint.told_at + settings_.hint_retry : time_point();
+    hints_due_.emplace(*entry->hint_due, vm);
+  }
+}
+
+vacancy_reason vacancy_keeper::ReasonOf(const closed_vm& entry) {
+  return entry.is_for_service ? vacancy_reason::kForService
+                              : vacancy_reason::kOffered;
+}
+
+vacancy_keeper::hint_state* vacancy_keeper::HintOf(closed_vm* entry) {
+  return &entry->hints[static_cast<std::size_t>(ReasonOf(*entry))];
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/vm_registry.cc
+++ b/src/core/jobs/vm_registry.cc
@@ -41,6 +41,11 @@
   return usable;
 }
 
+const vm_description* vm_registry::Find(const vm_id& id) const {
+  const auto found = readable_.find(id);
+  return found == readable_.end() ? nullptr : &found->second;
+}
+
 bool vm_registry::IsListed(const vm_id& id) const {
   return readable_.count(id) != 0 || unreadable_.count(id) != 0;
 }
--- a/src/core/jobs/vm_state.cc
+++ b/src/core/jobs/vm_state.cc
@@ -23,6 +23,9 @@
 
 run_state& vm_state::Add(const task_name& task, const run_state& run) {
   Erase(task);
+  if (!HasRunsOf(task.job)) {
+    job_vms_->Add(task.job, this);
+  }
   Count(run, 1);
   return runs_.emplace(task, run).first->second;
 }
@@ -31,10 +34,26 @@
   const auto found = runs_.find(task);
   if (found != runs_.end()) {
     Count(found->second, -1);
+    const job_id job = found->first.job;
     runs_.erase(found);
+    if (!HasRunsOf(job)) {
+      job_vms_->Remove(job, this);
+    }
+  }
+}
+
+void vm_state::ClearRuns() {
+  while (!runs_.empty()) {
+    const task_name task = runs_.begin()->first;
+    Erase(task);
   }
 }
 
+bool vm_state::HasRunsOf(const job_id& job) const {
+  const auto found = runs_.lower_bound({job, 0, 0, 0});
+  return found != runs_.end() && found->first.job == job;
+}
+
 void vm_state::Count(const run_state& run, int change) {
   used_ = change > 0 ? used_ + run.room : used_ - run.room;
   foreign_ += run.IsForeign() ? change : 0;
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -6,9 +6,11 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
+#include "core/jobs/job_vms.h"
 #include "plantainhead/core/jobs/job_types.h"
 #include "plantainhead/core/jobs/orders.h"
 #include "plantainhead/core/jobs/vm_reports.h"
@@ -67,13 +69,62 @@
   time_point given_up_at;
 };
 
+class taker_list;
+struct pool_figures;
+
+/// How far a VM is on its way to taking tasks; see `vm_stages`.
+enum class vm_stage {
+  /// The registry doesn't list it.
+  kGone,
+  kClosed,
+  kUnheard,
+  kUnrecorded,
+  kUntrusted,
+  kTaking,
+};
+
+/// What a VM adds to the figures of its pool; see `vm_index`.
+struct vm_figures {
+  /// Null: it isn't counted.
+  pool_figures* pool = nullptr;
+  vm_stage stage = vm_stage::kGone;
+  bool is_usable = false;
+  resources capacity;
+  resources free;
+  /// See `taker_list`.
+  std::size_t kind = 0;
+  std::size_t starts_under_way = 0;
+
+  bool operator==(const vm_figures&) const = default;
+};
+
+/// Where `vm_index` lists a VM, by its description.
+struct vm_places {
+  pool_figures* pool = nullptr;
+  /// For the VM while it takes tasks.
+  std::vector<taker_list*> takers;
+  /// Null: it is in no rack.
+  std::size_t* takers_in_rack = nullptr;
+};
+
 /// The present life of a VM as its pool's owner sees it. Not thread-safe.
 class vm_state {
  public:
-  explicit vm_state(vm_description description)
-      : description_(std::move(description)) {}
+  /// `number` tells the VMs of a table apart, in the order in which they became
+  /// known. Precondition: `job_vms` outlives it.
+  vm_state(vm_description description, std::uint32_t number, job_vms* job_vms)
+      : number_(number),
+        job_vms_(job_vms),
+        description_(std::move(description)) {}
+  vm_state(const vm_state&) = delete;
+  vm_state& operator=(const vm_state&) = delete;
+
+  std::uint32_t number() const { return number_; }
 
-  vm_description& description() { return description_; }
+  void Describe(vm_description description) {
+    description_ = std::move(description);
+    has_new_description = true;
+  }
   const vm_description& description() const { return description_; }
 
   std::map<task_name, run_state>& runs() { return runs_; }
@@ -82,7 +133,23 @@
   /// Adds a run that takes `room`.
   run_state& Add(const task_name& task, const run_state& run);
   void Erase(const task_name& task);
+  void ClearRuns();
   resources Free() const { return description_.capacity - used_; }
+  /// Returns whether the VM, as it is and as the registry tells of it, may take
+  /// tasks.
+  bool IsUsable() const {
+    return is_listed && IsDescribed() && is_settled && IsReachable() &&
+           !is_closed && !description_.draining;
+  }
+  /// Returns whether what it told of its capacity still holds.
+  bool IsTrusted(time_point now) const {
+    return !trusted_until || now <= *trusted_until;
+  }
+  /// Returns whether it has told all, and holds neither a run nor the end of
+  /// one that isn't taken in.
+  bool IsEmpty() const {
+    return is_heard_ && is_settled && runs_.empty() && untaken_ends.empty();
+  }
   /// Counted, since every placement asks.
   bool HasForeign() const { return foreign_ > 0; }
   bool HasLasting() const { return lasting_ > 0; }
@@ -156,10 +223,23 @@
   bool is_closed = false;
   time_point closed_at;
 
+  /// As it was last taken into the index, and where.
+  vm_figures indexed;
+  vm_places places;
+  /// The places are those of an earlier description.
+  bool has_new_description = true;
+  /// See `vm_table`.
+  bool is_changed = false;
+  bool is_due = false;
+  std::optional<time_point> wake_at;
+
  private:
+  std::uint32_t number_;
+  job_vms* job_vms_;
   vm_description description_;
   std::map<task_name, run_state> runs_;
   void Count(const run_state& run, int change);
+  bool HasRunsOf(const job_id& job) const;
 
   resources used_;
   int foreign_ = 0;
--- /dev/null
+++ b/src/core/jobs/vm_table.cc
@@ -0,0 +1,128 @@
+#include "core/jobs/vm_table.h"
+
+#include <algorithm>
+
+namespace plantainhead::core::jobs {
+
+const vm_state* vm_table::Find(const vm_id& id) const {
+  const auto found = lookup_.find(id);
+  if (found == lookup_.end()) {
+    return nullptr;
+  }
+  NoteVisits(1);
+  return found->second;
+}
+
+vm_state* vm_table::FindUnchanged(const vm_id& id) {
+  const auto found = lookup_.find(id);
+  return found == lookup_.end() ? nullptr : found->second;
+}
+
+vm_state* vm_table::Change(const vm_id& id) {
+  const auto found = lookup_.find(id);
+  if (found == lookup_.end()) {
+    return nullptr;
+  }
+  NoteVisits(1);
+  Touch(found->second);
+  return found->second;
+}
+
+void vm_table::Touch(vm_state* vm) {
+  if (!vm->is_changed) {
+    vm->is_changed = true;
+    changed_.push_back(vm);
+  }
+  if (!vm->is_due) {
+    vm->is_due = true;
+    due_.push_back(vm);
+  }
+}
+
+std::pair<vm_state*, bool> vm_table::Add(const vm_description& description) {
+  const auto [found, is_new] =
+      by_id_.try_emplace(description.id, description, next_number_, &job_vms_);
+  vm_state* vm = &found->second;
+  if (is_new) {
+    ++next_number_;
+    lookup_.emplace(found->first, vm);
+  }
+  NoteVisits(1);
+  Touch(vm);
+  return {vm, is_new};
+}
+
+void vm_table::Erase(vm_state* vm) {
+  if (vm->is_changed) {
+    std::erase(changed_, vm);
+  }
+  if (vm->is_due) {
+    std::erase(due_, vm);
+  }
+  if (vm->wake_at) {
+    wakes_.erase({*vm->wake_at, vm});
+  }
+  vm->ClearRuns();
+  const vm_id id = vm->description().id;
+  lookup_.erase(id);
+  by_id_.erase(id);
+}
+
+void vm_table::WakeAt(vm_state* vm, time_point at) {
+  if (vm->wake_at == at) {
+    return;
+  }
+  if (vm->wake_at) {
+    wakes_.erase({*vm->wake_at, vm});
+  }
+  vm->wake_at = at;
+  wakes_.emplace(at, vm);
+}
+
+void vm_table::WakeDue(time_point now) {
+  while (!wakes_.empty() && wakes_.begin()->first <= now) {
+    vm_state* vm = wakes_.begin()->second;
+    wakes_.erase(wakes_.begin());
+    vm->wake_at.reset();
+    Touch(vm);
+  }
+}
+
+std::vector<vm_state*> vm_table::TakeChanged() {
+  std::vector<vm_state*> changed;
+  changed.swap(changed_);
+  for (vm_state* vm : changed) {
+    vm->is_changed = false;
+  }
+  return Sorted(std::move(changed));
+}
+
+std::vector<vm_state*> vm_table::TakeDue() {
+  std::vector<vm_state*> due;
+  due.swap(due_);
+  for (vm_state* vm : due) {
+    vm->is_due = false;
+  }
+  return Sorted(std::move(due));
+}
+
+std::vector<vm_state*> vm_table::Sorted(std::vector<vm_state*> vms) const {
+  std::sort(vms.begin(), vms.end(), [](const vm_state* a, const vm_state* b) {
+    return a->number() < b->number();
+  });
+  NoteVisits(vms.size());
+  return vms;
+}
+
+std::vector<vm_state*> vm_table::WithRunsOf(const job_id& job) {
+  const std::vector<vm_state*> vms = job_vms_.Of(job);
+  NoteVisits(vms.size());
+  return vms;
+}
+
+std::map<vm_id, vm_state>& vm_table::All() {
+  NoteVisits(by_id_.size());
+  return by_id_;
+}
+
+}  // namespace plantainhead::core::jobs
--- a/src/jobs/fleet_records.cc
+++ b/src/jobs/fleet_records.cc
@@ -38,12 +38,6 @@
   return key.substr(prefix.size());
 }
 
-// Of either kind of hint.
-std::optional<core::jobs::vm_id> HintedVmOf(const std::string& key) {
-  const auto offered = AfterPrefix(key, kOffered);
-  return offered ? offered : AfterPrefix(key, kEmpty);
-}
-
 std::optional<std::uint64_t> ParseWanted(std::string_view text) {
   if (!text.empty() && text.back() == kShort[0]) {
     text.remove_suffix(1);
@@ -83,6 +77,17 @@
           std::to_string(wanted.count) + (wanted.is_short ? kShort : "")};
 }
 
+std::optional<core::jobs::vacant_vm> HintedVmOf(const std::string& key) {
+  using core::jobs::vacancy_reason;
+  if (const auto offered = AfterPrefix(key, kOffered)) {
+    return core::jobs::vacant_vm{*offered, vacancy_reason::kOffered};
+  }
+  if (const auto empty = AfterPrefix(key, kEmpty)) {
+    return core::jobs::vacant_vm{*empty, vacancy_reason::kForService};
+  }
+  return std::nullopt;
+}
+
 std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key) {
   return AfterPrefix(key, kOffered);
 }
@@ -133,16 +138,13 @@
 std::optional<core::jobs::vacancy_hint> DecodeVacancyHint(
     const std::string& key,
     const std::string& value) {
-  core::jobs::vacancy_hint hint;
-  if (const auto offered = AfterPrefix(key, kOffered)) {
-    hint.vm = *offered;
-    hint.reason = core::jobs::vacancy_reason::kOffered;
-  } else if (const auto empty = AfterPrefix(key, kEmpty)) {
-    hint.vm = *empty;
-    hint.reason = core::jobs::vacancy_reason::kForService;
-  } else {
+  const auto hinted = HintedVmOf(key);
+  if (!hinted) {
     return std::nullopt;
   }
+  core::jobs::vacancy_hint hint;
+  hint.vm = hinted->vm;
+  hint.reason = hinted->reason;
   const std::string_view text = value;
   const auto separator = text.find(kPartSeparator);
   if (separator == std::string_view::npos) {
@@ -172,7 +174,7 @@
   bool is_sound = value == kMark;
   std::string name;
   if (const auto hinted = HintedVmOf(record.key)) {
-    name = *hinted;
+    name = hinted->vm;
     is_sound = !record.value || DecodeVacancyHint(record.key, value);
   } else if (const auto closed = ClosedVmOf(record.key)) {
     name = *closed;
--- a/src/jobs/fleet_records.h
+++ b/src/jobs/fleet_records.h
@@ -9,6 +9,7 @@
 #include "plantainhead/core/jobs/maintenance.h"
 #include "plantainhead/core/jobs/record_faults.h"
 #include "plantainhead/core/jobs/vacancy_checker.h"
+#include "plantainhead/core/jobs/vacancy_keeper.h"
 #include "platform/store_client.h"
 
 /// What the fleet's owner and the pools' owners tell each other through the
@@ -50,6 +51,8 @@
 
 /// Return the VM that a record's key names, if it is of this kind.
 std::optional<core::jobs::vm_id> ClosedVmOf(const std::string& key);
+/// Returns of which VM a hint under the key tells, and why; nothing for others.
+std::optional<core::jobs::vacant_vm> HintedVmOf(const std::string& key);
 std::optional<core::jobs::vm_id> OfferedVmOf(const std::string& key);
 /// Returns nothing when the record is of another kind, or malformed.
 std::optional<core::jobs::vacancy_hint> DecodeVacancyHint(
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -212,11 +212,15 @@
     listeners.on_configuration = [this] { ownership_.OnConfiguration(); };
     listeners.on_registry = [this] {
       const work_meter::scope work(&meters_.work(), loop_work::kRegistry);
-      ownership_.OnRegistry();
+      ownership_.OnRegistry(world_.TakeChangedVms());
+    };
+    listeners.on_report = [this](const core::jobs::vm_id& vm,
+                                 core::time_point trusted_until) {
+      ownership_.OnReport(vm, trusted_until);
     };
     listeners.on_fleet_records = [this] {
       const work_meter::scope work(&meters_.work(), loop_work::kFleetRecords);
-      ownership_.OnFleetRecords();
+      ownership_.OnFleetRecords(world_.TakeChangedFleetKeys());
     };
     listeners.on_announcement =
         [this](const peers::owner_announcement& announcement) {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -48,7 +48,8 @@
 class job_world {
  public:
   /// What may have changed. `on_registry` and `on_fleet_records` are called
-  /// once for many records, soon after these are known.
+  /// once for many records, soon after these are known; see `TakeChangedVms`
+  /// and `TakeChangedFleetKeys`. `on_report` is called for each report of a VM.
   struct listeners {
     std::function<void(const std::shared_ptr<const core::jobs::job_spec>&)>
         on_job;
@@ -56,6 +57,9 @@
     std::function<void()> on_configuration;
     std::function<void()> on_registry;
     std::function<void()> on_fleet_records;
+    std::function<void(const core::jobs::vm_id&,
+                       core::time_point trusted_until)>
+        on_report = [](const auto&, auto) {};
     std::function<void(const peers::owner_announcement&)> on_announcement;
     std::function<void(bool is_answered)> on_store_contact;
   };
@@ -101,6 +105,16 @@
   const std::map<std::uint64_t, core::jobs::maintenance_wave>& waves() const {
     return waves_;
   }
+  /// Returns the VMs whose entries in the registry have changed or gone since
+  /// the last call.
+  std::set<core::jobs::vm_id> TakeChangedVms() {
+    return std::exchange(changed_vms_, {});
+  }
+  /// Returns the keys whose records of the fleet have changed or gone since the
+  /// last call.
+  std::set<std::string> TakeChangedFleetKeys() {
+    return std::exchange(changed_fleet_keys_, {});
+  }
   const std::map<std::string, std::string>& fleet_records() const {
     return fleet_records_;
   }
@@ -211,6 +225,8 @@
   fault_log faults_;
   std::map<std::uint64_t, core::jobs::maintenance_wave> waves_;
   std::map<std::string, std::string> fleet_records_;
+  std::set<core::jobs::vm_id> changed_vms_;
+  std::set<std::string> changed_fleet_keys_;
   std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
   /// Until when jobs may still come by routes that there were. A process that
   /// learns of a configuration late stores jobs for a queue's former pool.
--- a/src/jobs/job_world_faults.cc
+++ b/src/jobs/job_world_faults.cc
@@ -76,6 +76,7 @@
   } else {
     fleet_records_.erase(record.key);
   }
+  changed_fleet_keys_.insert(record.key);
   fleet_records_news_.Request();
 }
 
@@ -99,6 +100,9 @@
     const bool is_loaded = registry_follower_ && registry_follower_->IsLoaded();
     report_ages_.Note(
         record.key, is_loaded ? registry_follower_->CompleteAt() : BootTime());
+    if (const auto until = report_ages_.TrustedUntil(record.key)) {
+      listeners_.on_report(record.key, *until);
+    }
     if (!registry_.Put(std::move(*vm))) {
       return;
     }
@@ -108,6 +112,7 @@
       registry_.PutUnreadable(record.key);
     }
   }
+  changed_vms_.insert(record.key);
   registry_news_.Request();
 }
 
--- a/src/jobs/job_world_following.cc
+++ b/src/jobs/job_world_following.cc
@@ -167,6 +167,8 @@
   registry_ = core::jobs::vm_registry();
   report_ages_.Clear();
   fleet_records_.clear();
+  changed_vms_.clear();
+  changed_fleet_keys_.clear();
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -67,15 +67,21 @@
     Update();
   }
 
-  void OnRegistry() {
+  void OnRegistry(const std::set<core::jobs::vm_id>& changed) {
     for (auto& [partition, owner] : owners_) {
-      owner->OnRegistry();
+      owner->OnRegistry(changed);
     }
   }
 
-  void OnFleetRecords() {
+  void OnReport(const core::jobs::vm_id& vm, core::time_point trusted_until) {
     for (auto& [partition, owner] : owners_) {
-      owner->OnFleetRecords();
+      owner->OnReport(vm, trusted_until);
+    }
+  }
+
+  void OnFleetRecords(const std::set<std::string>& keys) {
+    for (auto& [partition, owner] : owners_) {
+      owner->OnFleetRecords(keys);
     }
     if (fleet_) {
       fleet_->OnFleetRecords();
@@ -306,12 +312,17 @@
   impl_->OnConfiguration();
 }
 
-void ownership::OnRegistry() {
-  impl_->OnRegistry();
+void ownership::OnRegistry(const std::set<core::jobs::vm_id>& changed) {
+  impl_->OnRegistry(changed);
+}
+
+void ownership::OnReport(const core::jobs::vm_id& vm,
+                         core::time_point trusted_until) {
+  impl_->OnReport(vm, trusted_until);
 }
 
-void ownership::OnFleetRecords() {
-  impl_->OnFleetRecords();
+void ownership::OnFleetRecords(const std::set<std::string>& keys) {
+  impl_->OnFleetRecords(keys);
 }
 
 std::map<std::uint32_t, core::jobs::scheduler_counts> ownership::Counts()
--- a/src/jobs/ownership.h
+++ b/src/jobs/ownership.h
@@ -64,8 +64,11 @@
   void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
   void OnCancel(const core::jobs::job_id& job);
   void OnConfiguration();
-  void OnRegistry();
-  void OnFleetRecords();
+  /// Entries of these VMs in the registry have changed or gone.
+  void OnRegistry(const std::set<core::jobs::vm_id>& changed);
+  void OnReport(const core::jobs::vm_id& vm, core::time_point trusted_until);
+  /// Records of the fleet under these keys have changed or gone.
+  void OnFleetRecords(const std::set<std::string>& keys);
   void OnAnnouncement(const peers::owner_announcement& announcement);
 
   /// Returns the epoch under which the partition's pools are scheduled here; 0
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -58,15 +58,43 @@
   }
 }
 
-void pool_owner::impl::OnRegistry() {
+void pool_owner::impl::OnRegistry(const std::set<vm_id>& changed) {
   if (!scheduler_) {
     return;
   }
+  const core::jobs::vm_registry& registry = deps_.world->registry();
+  for (const vm_id& id : changed) {
+    const vm_description* vm = registry.Find(id);
+    const bool is_own = vm != nullptr &&
+                        deps_.world->routes().HasPool(vm->pool) &&
+                        PoolPartitionOf(vm->pool) == partition_;
+    if (is_own) {
+      scheduler_->UpdateVm(*vm, BootTime());
+      if (const auto until = deps_.world->report_ages().TrustedUntil(id)) {
+        scheduler_->NoteReport(id, *until);
+      }
+    } else {
+      scheduler_->UnlistVm(id);
+    }
+    SyncClosed(id);
+  }
+  Kick();
+}
+
+void pool_owner::impl::OnReport(const vm_id& vm,
+                                core::time_point trusted_until) {
+  if (scheduler_) {
+    scheduler_->NoteReport(vm, trusted_until);
+  }
+}
+
+void pool_owner::impl::TakeRegistry() {
   const std::vector<vm_description> vms = deps_.world->registry().Usable(
       deps_.world->routes(), [this](const core::jobs::pool_id& pool) {
         return PoolPartitionOf(pool) == partition_;
       });
   scheduler_->UpdateVms(vms, BootTime());
+  scheduler_->NoteReports(deps_.world->report_ages().trusted_until());
   Kick();
 }
 
@@ -77,7 +105,7 @@
       scheduler_->SetPolicy(route.queue, route.policy);
     }
     // It may name pools that it didn't before.
-    OnRegistry();
+    TakeRegistry();
   }
 }
 
@@ -131,7 +159,6 @@
     const auto plan = Meter(loop_work::kPlan);
     const core::time_point began = BootTime();
     NoteCancellationsRead(began);
-    scheduler_->NoteReports(deps_.world->report_ages().trusted_until());
     const std::vector<core::jobs::vm_order> orders =
         scheduler_->Plan(began, WallTime());
     plan_time_ = BootTime() - began;
@@ -341,16 +368,20 @@
   impl_->OnCancel(job);
 }
 
-void pool_owner::OnRegistry() {
-  impl_->OnRegistry();
+void pool_owner::OnRegistry(const std::set<vm_id>& changed) {
+  impl_->OnRegistry(changed);
+}
+
+void pool_owner::OnReport(const vm_id& vm, core::time_point trusted_until) {
+  impl_->OnReport(vm, trusted_until);
 }
 
 void pool_owner::OnConfiguration() {
   impl_->OnConfiguration();
 }
 
-void pool_owner::OnFleetRecords() {
-  impl_->OnFleetRecords();
+void pool_owner::OnFleetRecords(const std::set<std::string>& keys) {
+  impl_->OnFleetRecords(keys);
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "jobs/job_archiver.h"
@@ -101,9 +102,13 @@
 
   void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
   void OnCancel(const core::jobs::job_id& job);
-  void OnRegistry();
+  /// Entries of these VMs in the registry have changed or gone.
+  void OnRegistry(const std::set<core::jobs::vm_id>& changed);
+  /// The VM has reported its capacity; see `report_ages`.
+  void OnReport(const core::jobs::vm_id& vm, core::time_point trusted_until);
   void OnConfiguration();
-  void OnFleetRecords();
+  /// Records of the fleet under these keys have changed or gone.
+  void OnFleetRecords(const std::set<std::string>& keys);
 
  private:
   class impl;
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -12,34 +12,49 @@
 using core::jobs::vacancy_reason;
 using core::jobs::vm_id;
 
-void pool_owner::impl::OnFleetRecords() {
-  if (scheduler_) {
-    vacancies_.UpdateForService(ClosedForService());
-    CloseVms();
-    Kick();
+void pool_owner::impl::OnFleetRecords(const std::set<std::string>& keys) {
+  if (!scheduler_) {
+    return;
+  }
+  for (const std::string& key : keys) {
+    TakeFleetRecord(key);
   }
+  CloseVms();
+  Kick();
 }
 
-// Looks through all records of the fleet: for each change of them, not for each
-// plan.
-std::set<vm_id> pool_owner::impl::ClosedForService() const {
-  std::set<vm_id> closed;
-  for (const auto& [key, value] : deps_.world->fleet_records()) {
-    if (const auto vm = ClosedVmOf(key)) {
-      closed.insert(*vm);
+void pool_owner::impl::TakeFleetRecord(const std::string& key) {
+  const auto& records = deps_.world->fleet_records();
+  const auto record = records.find(key);
+  const bool is_there = record != records.end();
+  if (const auto vm = ClosedVmOf(key)) {
+    vacancies_.NoteForService(*vm, is_there);
+  } else if (const auto hinted = HintedVmOf(key)) {
+    vacancies_.NoteHintShown(*hinted, is_there);
+  } else if (const auto pool = WantingPoolOf(key)) {
+    if (is_there && DecodeWantedVms(record->second).is_short) {
+      short_pools_.insert(*pool);
+    } else {
+      short_pools_.erase(*pool);
     }
   }
-  return closed;
 }
 
 void pool_owner::impl::CloseVms() {
-  const std::set<vm_id> closed = vacancies_.Closed();
-  for (const core::jobs::vm_description& vm : scheduler_->Vms()) {
-    if (closed.count(vm.id) != 0) {
-      scheduler_->CloseVm(vm.id, BootTime());
-    } else {
-      scheduler_->OpenVm(vm.id);
-    }
+  for (const vm_id& vm : vacancies_.TakeChanged()) {
+    SyncClosed(vm);
+  }
+}
+
+void pool_owner::impl::SyncClosed(const vm_id& vm) {
+  if (vacancies_.IsClosed(vm)) {
+    scheduler_->CloseVm(vm, BootTime());
+    const bool is_held = links_.count(vm) != 0;
+    vacancies_.NotePresence(
+        vm, {is_held, is_held || deps_.world->registry().IsListed(vm)},
+        BootTime());
+  } else {
+    scheduler_->OpenVm(vm);
   }
 }
 
@@ -88,11 +103,7 @@
 }
 
 bool pool_owner::impl::IsScarce(const core::jobs::pool_id& except) const {
-  const auto& records = deps_.world->fleet_records();
-  return std::any_of(records.begin(), records.end(), [&](const auto& record) {
-    const auto pool = WantingPoolOf(record.first);
-    return pool && *pool != except && DecodeWantedVms(record.second).is_short;
-  });
+  return short_pools_.size() > short_pools_.count(except);
 }
 
 void pool_owner::impl::TellWanted(const core::jobs::pool_id& pool,
@@ -122,27 +133,20 @@
   fleet_outbox_.Put(EncodeWantedVms(pool, wanted));
 }
 
-bool pool_owner::impl::IsLinked(const vm_id& vm) const {
-  return links_.count(vm) != 0;
-}
-
 void pool_owner::impl::FindVacantVms() {
-  const bool is_found = vacancies_.FindVacant(
-      [this](const vm_id& vm) { return IsLinked(vm); },
-      [this](const vm_id& vm) { return scheduler_->IsEmpty(vm); });
-  if (is_found) {
-    Kick();
+  for (const vm_id& vm : scheduler_->TakeEmptied()) {
+    if (vacancies_.NoteEmpty(vm)) {
+      Kick();
+    }
   }
 }
 
 // Returns records of the VMs that were found vacant, and drops those of VMs
 // whose lives have been over for a while.
 std::vector<adapter::keyed_record> pool_owner::impl::TakeVacancyRecords() {
-  const core::jobs::vacancy_batch batch = vacancies_.TakeBatch(
-      [this](const vm_id& vm) {
-        return IsLinked(vm) || deps_.world->registry().IsListed(vm);
-      },
-      BootTime());
+  const core::jobs::vacancy_batch batch = vacancies_.TakeBatch(BootTime());
+  // Those that are dropped are used again if they come back.
+  CloseVms();
   std::vector<adapter::keyed_record> records;
   for (const vm_id& vm : batch.vacant) {
     records.push_back(Encode(vacancy_record{vm, false}));
@@ -169,13 +173,7 @@
 
 // Tells the owner of the fleet which VMs are vacant.
 void pool_owner::impl::TellVacantVms() {
-  const std::vector<core::jobs::vacant_vm> hints = vacancies_.TakeHints(
-      [this](const vm_id& vm) { return IsLinked(vm); },
-      [this](const core::jobs::vacant_vm& vacant) {
-        return deps_.world->fleet_records().count(HintOf(vacant).key) != 0;
-      },
-      BootTime());
-  for (const core::jobs::vacant_vm& vacant : hints) {
+  for (const core::jobs::vacant_vm& vacant : vacancies_.TakeHints(BootTime())) {
     fleet_outbox_.Put(HintOf(vacant));
   }
 }
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -53,9 +54,10 @@
   core::jobs::scheduler_counts Counts() const;
   void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
   void OnCancel(const core::jobs::job_id& job);
-  void OnRegistry();
+  void OnRegistry(const std::set<core::jobs::vm_id>& changed);
+  void OnReport(const core::jobs::vm_id& vm, core::time_point trusted_until);
   void OnConfiguration();
-  void OnFleetRecords();
+  void OnFleetRecords(const std::set<std::string>& keys);
 
  private:
   struct pool_size {
@@ -100,7 +102,13 @@
   static void LogLines(const std::vector<gathered_line>& lines);
 
   // VMs.
+  /// Takes over all VMs of the registry.
+  void TakeRegistry();
+  /// Takes over what has changed of the VMs that need a hold.
   void SyncLinks();
+  void SyncLink(const core::jobs::vm_description& vm);
+  /// Sees to it that the VM is closed if it has to be.
+  void SyncClosed(const core::jobs::vm_id& vm);
   std::shared_ptr<vm_link> FindLink(const core::jobs::vm_id& vm);
   void HoldLater(const core::jobs::vm_id& vm, std::chrono::milliseconds pause);
   void Hold(const core::jobs::vm_id& vm);
@@ -129,6 +137,8 @@
   void Send(const core::jobs::pace_order& order);
 
   // Fleet.
+  void TakeFleetRecord(const std::string& key);
+  /// Closes and opens VMs as the vacancies have changed.
   void CloseVms();
   void SizePools();
   bool Resize(const core::jobs::pool_id& pool,
@@ -140,8 +150,6 @@
                   const core::jobs::pool_load& load,
                   std::uint32_t count,
                   core::time_point now);
-  std::set<core::jobs::vm_id> ClosedForService() const;
-  bool IsLinked(const core::jobs::vm_id& vm) const;
   void FindVacantVms();
   std::vector<adapter::keyed_record> TakeVacancyRecords();
   void NoteVacanciesStored();
@@ -174,14 +182,15 @@
   /// As of the last plan that waited for a VM.
   core::jobs::takeover_wait last_wait_;
   core::duration plan_time_{};
-  std::uint64_t synced_version_ = 0;
   core::time_point dealt_at_;
   core::time_point claimed_at_;
   std::unique_ptr<progress_writer> writer_;
   std::unique_ptr<core::jobs::pool_scheduler> scheduler_;
   std::map<core::jobs::vm_id, core::time_point> lease_ends_;
   core::time_point release_until_;
-  std::map<core::jobs::vm_id, std::shared_ptr<vm_link>> links_;
+  std::unordered_map<core::jobs::vm_id, std::shared_ptr<vm_link>> links_;
+  /// Pools that have fewer VMs than they want.
+  std::set<core::jobs::pool_id> short_pools_;
   std::map<core::jobs::pool_id, pool_size> sizes_;
   core::jobs::vacancy_keeper vacancies_;
 };
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -286,8 +286,11 @@
     scheduler_->AddKnownVm({id, address});
   }
   vacancies_.Restore(vacant);
-  OnRegistry();
-  OnFleetRecords();
+  TakeRegistry();
+  for (const auto& [key, value] : deps_.world->fleet_records()) {
+    TakeFleetRecord(key);
+  }
+  SyncLinks();
   deps_.meters->NoteTakeover(BootTime() - dealt_at_);
   deps_.on_active(epoch_);
   Tick();
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -25,38 +25,37 @@
 }  // namespace
 
 void pool_owner::impl::SyncLinks() {
-  if (scheduler_->VmsVersion() == synced_version_) {
-    return;
-  }
-  synced_version_ = scheduler_->VmsVersion();
-  const std::vector<vm_description> vms = scheduler_->Vms();
-  for (const vm_description& vm : vms) {
-    const auto found = links_.find(vm.id);
-    if (found != links_.end() && found->second->address == vm.address) {
-      continue;
+  for (const vm_id& id : scheduler_->TakeVmChanges()) {
+    if (const vm_description* vm = scheduler_->FindVm(id)) {
+      SyncLink(*vm);
+    } else {
+      links_.erase(id);
     }
-    try {
-      links_[vm.id] =
-          std::make_shared<vm_link>(deps_.context, vm.id, vm.address);
-      links_[vm.id]->known_at = BootTime();
-    } catch (const std::invalid_argument& error) {
-      // The place of its record in the partition, too, was unreadable.
-      deps_.world->faults().Note(
-          adapter::kRegistryTopic, vm.id,
-          {core::jobs::fault_kind::kOutOfRange, error.what()});
-      continue;
-    }
-    Hold(vm.id);
-  }
-  for (auto it = links_.begin(); it != links_.end();) {
-    const bool is_known = std::any_of(
-        vms.begin(), vms.end(),
-        [&](const vm_description& vm) { return vm.id == it->first; });
-    it = is_known ? std::next(it) : links_.erase(it);
+    SyncClosed(id);
   }
   CloseVms();
 }
 
+void pool_owner::impl::SyncLink(const vm_description& vm) {
+  const auto found = links_.find(vm.id);
+  if (found != links_.end() && found->second->address == vm.address) {
+    return;
+  }
+  try {
+    const auto link =
+        std::make_shared<vm_link>(deps_.context, vm.id, vm.address);
+    link->known_at = BootTime();
+    links_[vm.id] = link;
+  } catch (const std::invalid_argument& error) {
+    // The place of its record in the partition, too, was unreadable.
+    deps_.world->faults().Note(
+        adapter::kRegistryTopic, vm.id,
+        {core::jobs::fault_kind::kOutOfRange, error.what()});
+    return;
+  }
+  Hold(vm.id);
+}
+
 std::shared_ptr<vm_link> pool_owner::impl::FindLink(const vm_id& vm) {
   const auto found = links_.find(vm);
   return found == links_.end() ? nullptr : found->second;
