Let a plan look at jobs whose tasks wait, not at all open jobs

Change: job_table keeps the jobs that may have a waiting task, those with a schedule and those that last; the remaining chain of an occurrence is worked out once for each step that ends.

--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -50,7 +50,15 @@
   return longest;
 }
 
-duration job_state::RemainingChain(const occurrence_state& occurrence) const {
+duration job_state::RemainingChain(occurrence_state* occurrence) const {
+  if (!occurrence->remaining_chain) {
+    occurrence->remaining_chain = FindRemainingChain(*occurrence);
+  }
+  return *occurrence->remaining_chain;
+}
+
+duration job_state::FindRemainingChain(
+    const occurrence_state& occurrence) const {
   std::vector<duration> ends;
   ends.reserve(spec_->steps.size());
   duration longest = duration::zero();
@@ -75,14 +83,16 @@
   opened_ = std::max(opened_, occurrence + 1);
 }
 
-void job_state::OpenDue(time_point wall_now) {
+bool job_state::OpenDue(time_point wall_now) {
+  const std::uint32_t opened_before = opened_;
   while (!IsFinal(phase_)) {
     const auto due = NextDue();
     if (!due || *due > wall_now) {
-      return;
+      break;
     }
     Open(opened_);
   }
+  return opened_ > opened_before;
 }
 
 std::optional<time_point> job_state::NextDue() const {
@@ -180,6 +190,11 @@
   }
   task->phase = task_phase::kDone;
   ++step->done;
+  if (step->IsDone()) {
+    for (auto& [number, occurrence] : occurrences_) {
+      occurrence.remaining_chain.reset();
+    }
+  }
 }
 
 bool job_state::ApplyEnd(const task_name& name,
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -56,6 +56,8 @@
 
 struct occurrence_state {
   std::vector<step_state> steps;
+  /// What `RemainingChain` has found since a task was done.
+  std::optional<duration> remaining_chain;
 };
 
 /// One accepted job and how far it is. Not thread-safe.
@@ -101,8 +103,9 @@
   /// Returns what must outlast this process.
   job_progress Progress() const;
 
-  /// Opens the occurrences that are due by `wall_now`.
-  void OpenDue(time_point wall_now);
+  /// Opens the occurrences that are due by `wall_now`. Returns whether there
+  /// are any.
+  bool OpenDue(time_point wall_now);
   /// Returns when the next occurrence opens, on the wall clock, or nothing.
   std::optional<time_point> NextDue() const;
 
@@ -117,7 +120,8 @@
   /// Returns whether all steps that `step` depends on are done.
   bool IsOpen(const occurrence_state& occurrence, std::uint32_t step) const;
   /// Returns an estimate of the work left on the longest chain.
-  duration RemainingChain(const occurrence_state& occurrence) const;
+  duration RemainingChain(occurrence_state* occurrence) const;
+  bool HasOccurrence() const { return !occurrences_.empty(); }
 
   /// Leaves out `count` run numbers that an earlier owner may have given, once
   /// in this object's life. Returns true when it is news.
@@ -174,6 +178,7 @@
   void Finish(job_phase phase);
   void Open(std::uint32_t occurrence);
   void MarkDone(step_state* step, task_state* task);
+  duration FindRemainingChain(const occurrence_state& occurrence) const;
   void CheckCompletion();
   duration LongestChain() const;
 
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -1,5 +1,6 @@
 #include "core/jobs/job_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace plantainhead::core::jobs {
@@ -15,8 +16,18 @@
   }
   found->second =
       std::make_unique<job_state>(std::move(spec), policy, now, now - age);
-  open_.emplace(id, found->second.get());
-  return found->second.get();
+  job_state* job = found->second.get();
+  open_.emplace(id, job);
+  waiting_.emplace(id, job);
+  if (job->spec().schedule) {
+    scheduled_.emplace(id, job);
+  }
+  const std::vector<step_spec>& steps = job->spec().steps;
+  if (std::any_of(steps.begin(), steps.end(),
+                  [](const step_spec& step) { return step.lasting; })) {
+    lasting_.emplace(id, job);
+  }
+  return job;
 }
 
 job_state* job_table::Find(const job_id& id) {
@@ -38,8 +49,13 @@
 }
 
 void job_table::NoteRestored(job_state* job) {
-  if (IsFinal(job->phase())) {
-    open_.erase(job->spec().id);
+  const job_id& id = job->spec().id;
+  if (!IsFinal(job->phase())) {
+    waiting_.emplace(id, job);
+    return;
+  }
+  for (auto* jobs : {&open_, &waiting_, &scheduled_, &lasting_}) {
+    jobs->erase(id);
   }
 }
 
--- a/src/core/jobs/job_table.h
+++ b/src/core/jobs/job_table.h
@@ -33,9 +33,16 @@
 
   /// Marks the job as changed, and forgets it as open when it has ended.
   void NoteChange(job_state* job);
-  /// Takes a job that has ended out of those that are open.
+  /// Notes that tasks of the job may wait, or that it has ended.
   void NoteRestored(job_state* job);
   const std::map<job_id, job_state*>& open() const { return open_; }
+  /// Open jobs with a task that waits, and some that had one at the last plan.
+  const std::map<job_id, job_state*>& waiting() const { return waiting_; }
+  /// Notes that no task of the job waits. Precondition: it is known.
+  void NoteNoneWaits(const job_id& id) { waiting_.erase(id); }
+  /// Open jobs with a schedule, and those with a step that lasts.
+  const std::map<job_id, job_state*>& scheduled() const { return scheduled_; }
+  const std::map<job_id, job_state*>& lasting() const { return lasting_; }
 
   /// Notes that something may count against the job's tasks.
   void NoteLosses(job_state* job);
@@ -51,6 +58,9 @@
  private:
   std::unordered_map<job_id, std::unique_ptr<job_state>> jobs_;
   std::map<job_id, job_state*> open_;
+  std::map<job_id, job_state*> waiting_;
+  std::map<job_id, job_state*> scheduled_;
+  std::map<job_id, job_state*> lasting_;
   std::set<job_id> changed_;
   std::set<job_id> with_losses_;
   std::unordered_set<job_id> ended_;
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -54,9 +54,7 @@
     PlanVm(vm, now, &orders);
     vms_.Touch(vm);
   }
-  for (const auto& [id, job] : jobs_.open()) {
-    job->OpenDue(wall_now);
-  }
+  OpenOccurrences(wall_now);
   IndexChanged(now);
   CountStarts();
   if (MayStart(now)) {
@@ -68,7 +66,7 @@
                now);
     }
   } else {
-    for (const auto& [id, job] : jobs_.open()) {
+    for (const auto& [id, job] : jobs_.waiting()) {
       NoteWait(job, wait_cause::kReading, now);
     }
   }
@@ -79,6 +77,14 @@
   return orders;
 }
 
+void pool_scheduler::impl::OpenOccurrences(time_point wall_now) {
+  for (const auto& [id, job] : jobs_.scheduled()) {
+    if (job->OpenDue(wall_now)) {
+      jobs_.NoteRestored(job);
+    }
+  }
+}
+
 void pool_scheduler::impl::PlanVm(vm_state* vm,
                                   time_point now,
                                   std::vector<vm_order>* orders) {
@@ -188,7 +194,13 @@
   const bool is_recovered = IsRecovered(now);
   const std::set<job_id> with_untaken_ends = JobsWithUntakenEnds();
   std::vector<candidate> candidates;
-  for (const auto& [id, job] : jobs_.open()) {
+  std::vector<job_id> none_waits;
+  for (const auto& [id, job] : jobs_.waiting()) {
+    if (!job->HasWaiting()) {
+      job->NoteWait(std::nullopt, now);
+      none_waits.push_back(id);
+      continue;
+    }
     const bool may_be_running =
         !is_recovered && job->arrived_at() < takeover_.fresh_from;
     const bool is_held = may_be_running || with_untaken_ends.count(id) != 0 ||
@@ -197,21 +209,14 @@
       NoteWait(job, wait_cause::kRecovery, now);
       continue;
     }
-    std::uint32_t waiting = 0;
     duration chain = duration::zero();
     bool lasts = false;
-    for (const auto& [number, occurrence] : job->occurrences()) {
+    for (auto& [number, occurrence] : job->occurrences()) {
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-        if (job->IsOpen(occurrence, s)) {
-          waiting += occurrence.steps[s].Waiting();
-          lasts = lasts || job->spec().steps[s].lasting;
-        }
+        lasts = lasts ||
+                (job->spec().steps[s].lasting && job->IsOpen(occurrence, s));
       }
-      chain = std::max(chain, job->RemainingChain(occurrence));
-    }
-    if (waiting == 0) {
-      job->NoteWait(std::nullopt, now);
-      continue;
+      chain = std::max(chain, job->RemainingChain(&occurrence));
     }
     const bool is_late = now + chain > job->deadline();
     int rank = job->policy().priority;
@@ -222,6 +227,9 @@
     }
     candidates.push_back({job, rank, job->deadline()});
   }
+  for (const job_id& id : none_waits) {
+    jobs_.NoteNoneWaits(id);
+  }
   std::sort(candidates.begin(), candidates.end(),
             [](const candidate& a, const candidate& b) {
               return std::tie(a.rank, a.order, a.job->spec().id) <
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -194,13 +194,15 @@
   // What has changed.
   /// Takes the changed VMs into the index.
   void IndexChanged(time_point now);
+  void OpenOccurrences(time_point wall_now);
   void PlanVm(vm_state* vm, time_point now, std::vector<vm_order>* orders);
   /// Sees to it that the VM is planned for again when that may be due.
   void PlanNextLook(vm_state* vm, time_point now);
   void NoteVmChange(const vm_state& vm);
 
   // Size.
-  void AddDemand(job_state* job, time_point now, pool_load* load) const;
+  static void AddDemand(job_state* job, time_point now, pool_load* load);
+  static void AddSpread(const job_state& job, pool_load* load);
 
   // Placement.
   void CountStarts();
--- a/src/core/jobs/pool_size.cc
+++ b/src/core/jobs/pool_size.cc
@@ -19,25 +19,25 @@
                           figures->capacity.gpus / count};
     }
   }
-  for (const auto& [id, job] : jobs_.open()) {
+  for (const auto& [id, job] : jobs_.waiting()) {
     if (job->spec().pool == pool) {
       AddDemand(job, now, &load);
     }
   }
+  for (const auto& [id, job] : jobs_.lasting()) {
+    if (job->spec().pool == pool) {
+      AddSpread(*job, &load);
+    }
+  }
   return load;
 }
 
 void pool_scheduler::impl::AddDemand(job_state* job,
                                      time_point now,
-                                     pool_load* load) const {
-  for (const auto& [number, occurrence] : job->occurrences()) {
+                                     pool_load* load) {
+  for (auto& [number, occurrence] : job->occurrences()) {
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       const step_spec& step = job->spec().steps[s];
-      if (step.lasting && step.most_per_vm > 0) {
-        load->spread =
-            std::max(load->spread, (step.task_count + step.most_per_vm - 1) /
-                                       step.most_per_vm);
-      }
       const std::int64_t waiting = occurrence.steps[s].Waiting();
       if (waiting == 0) {
         continue;
@@ -46,7 +46,7 @@
       // somewhat earlier, and runs in what room there is.
       const bool is_late =
           !step.lasting &&
-          now + job->RemainingChain(occurrence) > job->deadline();
+          now + job->RemainingChain(&occurrence) > job->deadline();
       if (is_late || !job->IsOpen(occurrence, s)) {
         continue;
       }
@@ -58,6 +58,19 @@
   }
 }
 
+void pool_scheduler::impl::AddSpread(const job_state& job, pool_load* load) {
+  if (!job.HasOccurrence()) {
+    return;
+  }
+  for (const step_spec& step : job.spec().steps) {
+    if (step.lasting && step.most_per_vm > 0) {
+      load->spread =
+          std::max(load->spread,
+                   (step.task_count + step.most_per_vm - 1) / step.most_per_vm);
+    }
+  }
+}
+
 std::vector<vm_id> pool_scheduler::impl::LeastUsed(const pool_id& pool,
                                                    std::size_t count) {
   IndexChanged(indexed_at_);
