Keep lists of VMs by label only for labels that are asked for

Change: a list by label is made at the first step that asks for the label; which VMs told of unknown jobs is kept at the listing, all else at the next plan.

--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -484,13 +484,9 @@
                                          const std::string& rack,
                                          time_point now) {
   const step_spec& step = job->spec().steps[task.step];
-  const pool_figures* pool = index_.Find(job->spec().pool);
-  if (pool == nullptr || IsHopeless(job->spec().pool, step)) {
-    return nullptr;
-  }
-  const auto in_rack = pool->takers.find(rack);
-  const auto eligible = pool->takers.find(step.required_label);
-  if (eligible == pool->takers.end()) {
+  const pool_id& pool = job->spec().pool;
+  const taker_list* eligible = index_.TakersWith(pool, step.required_label);
+  if (eligible == nullptr || IsHopeless(pool, step)) {
     return nullptr;
   }
   const task_state& state = *job->Find(task);
@@ -504,17 +500,17 @@
                    nullptr};
   vm_state* best = nullptr;
   if (search.is_kept_apart) {
-    best = FindLeastBusy(eligible->second, &search);
+    best = FindLeastBusy(*eligible, &search);
   } else {
-    if (!rack.empty() && in_rack != pool->takers.end()) {
-      best = FindBest(in_rack->second, &search);
+    if (!rack.empty()) {
+      best = FindBest(*index_.TakersWith(pool, rack), &search);
     }
-    best = best == nullptr ? FindBest(eligible->second, &search) : best;
+    best = best == nullptr ? FindBest(*eligible, &search) : best;
   }
   if (!search.has_room) {
-    unplaced_.push_back({job->spec().pool, step.required_label, search.room});
+    unplaced_.push_back({pool, step.required_label, search.room});
   }
-  if (best == nullptr && eligible->second.size() <= 1) {
+  if (best == nullptr && eligible->size() <= 1) {
     return search.last_resort;
   }
   return best;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -114,6 +114,7 @@
     }
   }
   CheckAbsent(vm, sent_at, listing, now);
+  index_.UpdateUnknown(vm);
   vm->is_settled =
       vm->is_settled || (!listing.is_partial && !vm->unknown_end_since);
 }
@@ -213,7 +214,6 @@
   const auto is_unknown = [this](const auto& run) {
     return run.second.IsForeign() && !jobs_.IsEnded(run.first.job);
   };
-  IndexChanged(indexed_at_);
   const vm_set& vms = index_.with_unknown_jobs();
   vms_.NoteVisits(vms.size());
   const auto found = std::find_if(vms.begin(), vms.end(), [&](vm_state* vm) {
--- a/src/core/jobs/vm_index.cc
+++ b/src/core/jobs/vm_index.cc
@@ -1,8 +1,8 @@
 #include "core/jobs/vm_index.h"
 
 #include <algorithm>
-#include <set>
 #include <string>
+#include <vector>
 
 namespace plantainhead::core::jobs {
 namespace {
@@ -68,7 +68,11 @@
 void vm_index::Update(vm_state* vm, time_point now) {
   if (vm->has_new_description) {
     Subtract(vm);
+    if (vm->places.pool != nullptr) {
+      vm->places.pool->vms.erase(vm);
+    }
     FindPlaces(vm);
+    vm->places.pool->vms.insert(vm);
     vm->has_new_description = false;
   }
   const vm_figures figures = FiguresOf(*vm, now);
@@ -78,14 +82,21 @@
   }
   Put(&unsettled_, vm, !vm->is_settled && !vm->IsLapsed(now));
   Put(&with_untaken_ends_, vm, !vm->untaken_ends.empty());
-  Put(&with_unknown_jobs_, vm,
-      vm->HasForeign() || vm->unknown_end_since.has_value());
+  UpdateUnknown(vm);
   Put(&record_due_, vm,
       vm->is_record_due && vm->is_listed && vm->IsReachable());
 }
 
+void vm_index::UpdateUnknown(vm_state* vm) {
+  Put(&with_unknown_jobs_, vm,
+      vm->HasForeign() || vm->unknown_end_since.has_value());
+}
+
 void vm_index::Remove(vm_state* vm) {
   Subtract(vm);
+  if (vm->places.pool != nullptr) {
+    vm->places.pool->vms.erase(vm);
+  }
   for (vm_set* vms :
        {&unsettled_, &with_untaken_ends_, &with_unknown_jobs_, &record_due_}) {
     vms->erase(vm);
@@ -97,14 +108,43 @@
   return found == pools_.end() ? nullptr : &found->second;
 }
 
+const taker_list* vm_index::TakersWith(const pool_id& pool,
+                                       const std::string& label) {
+  const auto found = pools_.find(pool);
+  if (found == pools_.end()) {
+    return nullptr;
+  }
+  pool_figures& figures = found->second;
+  if (figures.takers.count(label) == 0) {
+    ListLabel(label, &figures);
+  }
+  return &figures.takers.at(label);
+}
+
+void vm_index::ListLabel(const std::string& label, pool_figures* pool) {
+  taker_list& listed = pool->takers[label];
+  for (vm_state* vm : pool->vms) {
+    const std::vector<std::string>& labels = vm->description().labels;
+    if (std::find(labels.begin(), labels.end(), label) == labels.end()) {
+      continue;
+    }
+    vm->places.takers.push_back(&listed);
+    if (vm->indexed.stage == vm_stage::kTaking) {
+      listed.Insert(vm->indexed.kind, {vm->indexed.free.cpu_millis, vm});
+    }
+  }
+}
+
 void vm_index::FindPlaces(vm_state* vm) {
   pool_figures& pool = pools_[vm->description().pool];
   const std::vector<std::string>& labels = vm->description().labels;
-  std::set<std::string> lists(labels.begin(), labels.end());
-  lists.insert("");
   vm->places = {&pool, {}, nullptr};
-  for (const std::string& label : lists) {
-    vm->places.takers.push_back(&pool.takers[label]);
+  pool.takers.try_emplace("");
+  for (auto& [label, takers] : pool.takers) {
+    if (label.empty() ||
+        std::find(labels.begin(), labels.end(), label) != labels.end()) {
+      vm->places.takers.push_back(&takers);
+    }
   }
   if (labels.size() > 1) {
     vm->places.takers_in_rack = &pool.takers_by_rack[labels.back()];
--- a/src/core/jobs/vm_index.h
+++ b/src/core/jobs/vm_index.h
@@ -74,6 +74,7 @@
 
 /// What is kept of all VMs of one pool.
 struct pool_figures {
+  vm_set vms;
   std::uint32_t usable_vms = 0;
   /// Of the usable VMs.
   resources capacity;
@@ -81,7 +82,8 @@
   vm_stages stages;
   /// Usable VMs without a lasting task, the most free first.
   ranked_vms idle;
-  /// By label; under the empty one all of them.
+  /// Under the empty label all of them, and those with a label that was asked
+  /// for; see `TakersWith`.
   std::map<std::string, taker_list> takers;
   std::map<std::string, std::size_t> takers_by_rack;
 };
@@ -92,11 +94,17 @@
  public:
   /// Takes in the VM as it is now.
   void Update(vm_state* vm, time_point now);
+  /// Takes in only whether the VM has told of a job that isn't known.
+  void UpdateUnknown(vm_state* vm);
   /// Forgets the VM.
   void Remove(vm_state* vm);
 
   /// Returns what is kept of the pool, or null when it never had a VM.
   const pool_figures* Find(const pool_id& pool) const;
+  /// Returns the takers of the pool with the label; the empty one stands for
+  /// all. The first call for a label looks at all of them. Null: the pool never
+  /// had a VM.
+  const taker_list* TakersWith(const pool_id& pool, const std::string& label);
   /// Returns how many starts are on their way to VMs.
   std::size_t starts_under_way() const { return starts_under_way_; }
   /// VMs that haven't told all, and whose leases aren't over.
@@ -110,6 +118,7 @@
 
  private:
   void FindPlaces(vm_state* vm);
+  static void ListLabel(const std::string& label, pool_figures* pool);
   static vm_figures FiguresOf(const vm_state& vm, time_point now);
   void Add(vm_state* vm, const vm_figures& figures);
   void Subtract(vm_state* vm);
