--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -1,10 +1,13 @@
 #ifndef PLANTAINHEAD_CORE_JOBS_FLEET_BALANCER_H_
 #define PLANTAINHEAD_CORE_JOBS_FLEET_BALANCER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "plantainhead/core/jobs/job_types.h"
@@ -59,7 +62,7 @@
       : settings_(settings) {}
 
   /// Replaces the list of the fleet's hosts, which was asked for at
-  /// `requested_at`.
+  /// `requested_at`. Looks at each of them.
   void UpdateHosts(const std::vector<fleet_host>& hosts,
                    const std::set<pool_id>& spare,
                    time_point requested_at);
@@ -67,15 +70,31 @@
   void UpdateWanted(std::map<pool_id, std::uint32_t> wanted) {
     wanted_ = std::move(wanted);
   }
+  /// Takes in how many VMs the pool wants; nothing: it isn't known.
+  void NoteWanted(const pool_id& pool, std::optional<std::uint32_t> wanted);
   /// Tells whether a pool has fewer VMs than it wants, those on their way not
   /// counted.
   void UpdateScarce(bool is_scarce) { is_scarce_ = is_scarce; }
   /// Replaces the VMs that their pools have emptied and given away.
-  void UpdateOffers(std::set<vm_id> offers) { offers_ = std::move(offers); }
+  void UpdateOffers(const std::set<vm_id>& offers) {
+    Replace(&offers_, offers);
+  }
+  /// The same for one VM.
+  void NoteOffer(const vm_id& vm, bool is_offered) {
+    Put(&offers_, vm, is_offered);
+  }
   /// Replaces the VMs that take no tasks for other reasons.
-  void UpdateClosed(std::set<vm_id> closed) { closed_ = std::move(closed); }
+  void UpdateClosed(const std::set<vm_id>& closed) {
+    Replace(&closed_, closed);
+  }
+  /// The same for one VM.
+  void NoteClosed(const vm_id& vm, bool is_closed) {
+    Put(&closed_, vm, is_closed);
+  }
   /// Replaces the VMs that have said that they leave.
-  void UpdateLeaving(std::set<vm_id> leaving) { leaving_ = std::move(leaving); }
+  void UpdateLeaving(const std::set<vm_id>& leaving) {
+    Replace(&leaving_, leaving);
+  }
   /// `is_settled`: the order was carried out, or surely wasn't.
   void OnMoveAnswer(const host_id& host,
                     bool is_accepted,
@@ -90,6 +109,9 @@
   /// Returns the moves to order now. `busy` are hosts that are being serviced.
   std::vector<move_host> Plan(const std::set<host_id>& busy, time_point now);
 
+  /// Returns how many hosts were looked at.
+  std::uint64_t visited_hosts() const { return visited_hosts_; }
+
  private:
   struct pending_move {
     pool_id pool;
@@ -98,28 +120,68 @@
     time_point changed_at;
   };
 
-  bool IsFree(const fleet_host& host, const std::set<host_id>& busy) const;
-  std::map<pool_id, std::uint32_t> Counts() const;
-  void PutAside(const std::vector<const fleet_host*>& unwanted,
+  /// As what a host counts.
+  struct host_standing {
+    /// Empty: none.
+    pool_id pool;
+    bool is_free = false;
+    bool is_spare = false;
+    bool is_ordered = false;
+    bool is_moving = false;
+  };
+
+  /// A host of the list.
+  struct known_host {
+    fleet_host host;
+    /// In the list.
+    std::size_t place = 0;
+    /// Of the list that it was last in.
+    std::uint64_t list = 0;
+    host_standing counts_as;
+    /// Since when nobody has wanted it, though its pool gives it away.
+    std::optional<time_point> unwanted_since;
+  };
+  /// Hosts that may be moved unless they are busy, by their places.
+  using free_hosts = std::map<std::size_t, known_host*>;
+
+  /// Counts the host as what it is by now.
+  void Reassess(known_host* known);
+  void Count(known_host* known, bool is_added);
+  void ReassessHost(const host_id& host);
+  void Put(std::set<vm_id>* vms, const vm_id& vm, bool is_in);
+  void Replace(std::set<vm_id>* vms, const std::set<vm_id>& next);
+  bool IsFree(const fleet_host& host) const;
+  std::uint32_t CountOf(const pool_id& pool) const;
+  /// Returns the last one in the list that may go to the pool, or null.
+  known_host* FindFree(const pool_id& pool, const std::set<host_id>& busy);
+  void PutAside(const std::set<host_id>& busy,
                 const std::set<pool_id>& wanting,
                 time_point now,
                 std::vector<move_host>* moves);
-  void Order(const host_id& host,
+  void Order(known_host* known,
              const pool_id& pool,
              time_point now,
              std::vector<move_host>* moves);
 
   balancer_settings settings_;
-  std::vector<fleet_host> hosts_;
+  std::unordered_map<host_id, known_host> hosts_;
+  std::unordered_map<vm_id, known_host*> by_vm_;
+  std::uint64_t list_ = 0;
+  /// How many VMs each pool has or is getting, without those that take no
+  /// tasks.
+  std::map<pool_id, std::uint32_t> counts_;
+  free_hosts free_spares_;
+  free_hosts free_offers_;
+  std::uint32_t ordered_ = 0;
+  std::uint32_t moving_ = 0;
   std::set<pool_id> spare_;
   std::map<pool_id, std::uint32_t> wanted_;
   bool is_scarce_ = false;
   std::set<vm_id> offers_;
-  /// Since when the offered hosts of pools have been free.
-  std::map<host_id, time_point> free_since_;
   std::set<vm_id> closed_;
   std::set<vm_id> leaving_;
   std::map<host_id, pending_move> moves_;
+  std::uint64_t visited_hosts_ = 0;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/include/plantainhead/core/jobs/vacancy_checker.h
+++ b/include/plantainhead/core/jobs/vacancy_checker.h
@@ -41,6 +41,13 @@
   duration missing_limit = std::chrono::seconds(10);
 };
 
+/// Whether a VM is surely vacant.
+struct vacancy_change {
+  vm_id vm;
+  vacancy_reason reason = vacancy_reason::kOffered;
+  bool is_confirmed = false;
+};
+
 /// Decides which hints the fleet's owner may act on.
 ///
 /// Hints are appended without a fence, so that one of an owner that was
@@ -60,6 +67,10 @@
 
   /// Replaces the hints.
   void UpdateHints(const std::vector<vacancy_hint>& hints);
+  /// Takes in one hint.
+  void NoteHint(const vacancy_hint& hint);
+  /// Forgets one hint.
+  void DropHint(const vm_id& vm, vacancy_reason reason);
   /// Returns the partitions that must be read, and takes their readings for
   /// begun.
   std::set<std::uint32_t> TakeReadings();
@@ -72,11 +83,14 @@
   /// as the last reading that ended. It ends hints whose records are gone, and
   /// has those read again whose records are back.
   void UpdateVacant(std::uint32_t partition, const std::set<vm_id>& vacant);
-  /// Returns the partitions of all hints.
-  std::set<std::uint32_t> Partitions() const;
+  /// The same for one VM.
+  void NoteVacant(std::uint32_t partition, const vm_id& vm, bool is_vacant);
 
   /// Returns the VMs that are surely vacant for this reason.
   std::set<vm_id> Confirmed(vacancy_reason reason) const;
+  /// Returns the VMs, with the reason, that are surely vacant or no longer so
+  /// since the last call. One may come twice.
+  std::vector<vacancy_change> TakeChanges();
   /// Returns the offered VMs whose lives are over, once each, so that their
   /// hints can be taken back. `present` are those that the list of the fleet or
   /// the registry shows. A life that has just begun may be in neither yet: its
@@ -93,8 +107,17 @@
     bool is_taken_as_gone = false;
   };
 
+  using hint_key = std::pair<vm_id, vacancy_reason>;
+
+  void SetPhase(const hint_key& key, noted_hint* noted, state phase);
+  void NoteVacant(const hint_key& key, noted_hint* noted, bool is_vacant);
+
   vacancy_settings settings_;
-  std::map<std::pair<vm_id, vacancy_reason>, noted_hint> hints_;
+  std::map<hint_key, noted_hint> hints_;
+  std::map<std::uint32_t, std::set<hint_key>> by_partition_;
+  std::map<std::uint32_t, std::set<hint_key>> unread_;
+  std::map<std::uint32_t, std::set<hint_key>> reading_;
+  std::vector<vacancy_change> changes_;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/include/plantainhead/core/jobs/wave_keeper.h
+++ b/include/plantainhead/core/jobs/wave_keeper.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -74,8 +75,9 @@
  public:
   explicit wave_keeper(const wave_settings& settings) : settings_(settings) {}
 
-  /// Adds waves; one that is known stays as it is.
-  void AddWave(const maintenance_wave& wave);
+  /// Adds a wave; one that is known stays as it is. Returns whether it is new:
+  /// what was noted of it before that isn't kept.
+  bool AddWave(const maintenance_wave& wave);
   /// Notes what an earlier keeper recorded. It counts also for a host that is
   /// being emptied.
   void NoteServiced(std::uint64_t wave, const host_id& host);
@@ -88,9 +90,13 @@
   /// Replaces the pools that have fewer VMs than they want.
   void UpdateShort(std::set<pool_id> pools) { short_ = std::move(pools); }
   /// Replaces the VMs that are closed for service, as recorded.
-  void UpdateClosed(std::set<vm_id> vms);
+  void UpdateClosed(const std::set<vm_id>& vms);
+  /// The same for one VM.
+  void NoteClosed(const vm_id& vm, bool is_closed);
   /// Replaces the set of VMs that have been emptied.
   void UpdateEmpty(std::set<vm_id> empty) { empty_ = std::move(empty); }
+  /// The same for one VM.
+  void NoteEmpty(const vm_id& vm, bool is_empty);
   void OnServiceAnswer(std::uint64_t wave,
                        const host_id& host,
                        service_result result,
@@ -103,6 +109,7 @@
   bool HasWork() const;
 
  private:
+  struct listed_host;
   enum class host_phase { kDue, kClosing, kOrdered, kDown, kDone };
   struct host_progress {
     host_phase phase = host_phase::kDue;
@@ -114,6 +121,8 @@
     time_point accepted_at;
     /// A list that was asked for after that showed it in service.
     bool was_seen_down = false;
+    /// Null until the host is first found in a list.
+    const listed_host* listed = nullptr;
   };
   struct wave_progress {
     maintenance_wave wave;
@@ -139,9 +148,10 @@
                 time_point now,
                 std::vector<wave_action>* actions);
   void NoteReturns(wave_progress* wave, std::vector<wave_action>* actions);
-  bool IsMissing(const host_id& host) const;
   const listed_host* FindHost(const host_id& host) const;
-  std::map<pool_id, std::uint32_t> CountBusy() const;
+  const listed_host* FindHost(const host_id& host, host_progress* progress);
+  bool IsMissing(const listed_host* listed) const;
+  std::map<pool_id, std::uint32_t> CountBusy();
   void CloseNext(wave_progress* wave,
                  time_point now,
                  std::vector<wave_action>* actions);
@@ -155,12 +165,16 @@
   due_iterator FindClosed(std::vector<due_host>* due) const;
   bool IsReady(const host_progress& progress, const fleet_host& host) const;
   std::set<vm_id> NeededVms() const;
+  /// Returns whether the present list tells that the VM is needed.
+  bool IsSurelyNeeded(const vm_id& vm) const;
   void ReleaseUnneeded(std::vector<wave_action>* actions);
   void Release(const vm_id& vm, std::vector<wave_action>* actions);
 
   wave_settings settings_;
   std::map<std::uint64_t, wave_progress> waves_;
+  /// Its elements are pointed to, and stay.
   std::map<host_id, listed_host> hosts_;
+  std::unordered_map<vm_id, host_id> host_of_vm_;
   std::set<pool_id> spare_;
   std::set<pool_id> short_;
   std::set<vm_id> closed_;
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -1,19 +1,119 @@
 #include "plantainhead/core/jobs/fleet_balancer.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace plantainhead::core::jobs {
 
 void fleet_balancer::UpdateHosts(const std::vector<fleet_host>& hosts,
                                  const std::set<pool_id>& spare,
                                  time_point requested_at) {
-  hosts_ = hosts;
   spare_ = spare;
   // A list that was asked for after a move was accepted shows it.
-  for (auto it = moves_.begin(); it != moves_.end();) {
-    const bool is_shown =
-        it->second.is_accepted && requested_at > it->second.changed_at;
-    it = is_shown ? moves_.erase(it) : std::next(it);
+  std::erase_if(moves_, [requested_at](const auto& move) {
+    return move.second.is_accepted && requested_at > move.second.changed_at;
+  });
+  ++list_;
+  counts_.clear();
+  free_spares_.clear();
+  free_offers_.clear();
+  by_vm_.clear();
+  ordered_ = 0;
+  moving_ = 0;
+  for (std::size_t place = 0; place < hosts.size(); ++place) {
+    known_host& known = hosts_[hosts[place].host];
+    known.host = hosts[place];
+    known.place = place;
+    known.list = list_;
+    known.counts_as = {};
+    if (!known.host.vm.empty()) {
+      by_vm_[known.host.vm] = &known;
+    }
+  }
+  std::erase_if(
+      hosts_, [this](const auto& entry) { return entry.second.list != list_; });
+  for (auto& [name, known] : hosts_) {
+    Reassess(&known);
+  }
+}
+
+void fleet_balancer::NoteWanted(const pool_id& pool,
+                                std::optional<std::uint32_t> wanted) {
+  if (wanted) {
+    wanted_[pool] = *wanted;
+  } else {
+    wanted_.erase(pool);
+  }
+}
+
+void fleet_balancer::Reassess(known_host* known) {
+  ++visited_hosts_;
+  Count(known, false);
+  const fleet_host& host = known->host;
+  const auto move = moves_.find(host.host);
+  const bool has_move = move != moves_.end();
+  const bool is_coming = host.state == host_state::kMoving;
+  const bool is_usable =
+      host.state == host_state::kUp && offers_.count(host.vm) == 0 &&
+      closed_.count(host.vm) == 0 && leaving_.count(host.vm) == 0;
+  host_standing next;
+  if (has_move) {
+    next.pool = move->second.pool;
+  } else if (is_coming || is_usable) {
+    next.pool = host.pool;
+  }
+  next.is_moving = is_coming || (has_move && move->second.is_accepted);
+  next.is_ordered = has_move && !next.is_moving;
+  next.is_free = !has_move && IsFree(host);
+  next.is_spare = spare_.count(host.pool) != 0;
+  known->counts_as = next;
+  if (!next.is_free || next.is_spare) {
+    known->unwanted_since.reset();
+  }
+  Count(known, true);
+}
+
+void fleet_balancer::Count(known_host* known, bool is_added) {
+  const host_standing& standing = known->counts_as;
+  const std::uint32_t one = is_added ? 1U : ~0U;
+  if (!standing.pool.empty()) {
+    counts_[standing.pool] += one;
+  }
+  ordered_ += standing.is_ordered ? one : 0U;
+  moving_ += standing.is_moving ? one : 0U;
+  if (!standing.is_free) {
+    return;
+  }
+  free_hosts& list = standing.is_spare ? free_spares_ : free_offers_;
+  if (is_added) {
+    list[known->place] = known;
+  } else {
+    list.erase(known->place);
+  }
+}
+
+void fleet_balancer::ReassessHost(const host_id& host) {
+  const auto found = hosts_.find(host);
+  if (found != hosts_.end()) {
+    Reassess(&found->second);
+  }
+}
+
+void fleet_balancer::Put(std::set<vm_id>* vms, const vm_id& vm, bool is_in) {
+  const bool is_changed = is_in ? vms->insert(vm).second : vms->erase(vm) != 0;
+  const auto found = by_vm_.find(vm);
+  if (is_changed && found != by_vm_.end()) {
+    Reassess(found->second);
+  }
+}
+
+void fleet_balancer::Replace(std::set<vm_id>* vms,
+                             const std::set<vm_id>& next) {
+  std::vector<vm_id> changed;
+  std::set_symmetric_difference(vms->begin(), vms->end(), next.begin(),
+                                next.end(), std::back_inserter(changed));
+  for (const vm_id& vm : changed) {
+    Put(vms, vm, next.count(vm) != 0);
   }
 }
 
@@ -27,11 +127,12 @@
   }
   if (is_settled && !is_accepted) {
     moves_.erase(found);
-    return;
+  } else {
+    found->second.is_in_flight = false;
+    found->second.is_accepted = is_accepted;
+    found->second.changed_at = now;
   }
-  found->second.is_in_flight = false;
-  found->second.is_accepted = is_accepted;
-  found->second.changed_at = now;
+  ReassessHost(host);
 }
 
 std::optional<time_point> fleet_balancer::OrderedAt(const host_id& host) const {
@@ -40,67 +141,69 @@
                                : std::optional(found->second.changed_at);
 }
 
-// Returns how many VMs each pool has or is getting, without those that take no
-// tasks.
-std::map<pool_id, std::uint32_t> fleet_balancer::Counts() const {
-  std::map<pool_id, std::uint32_t> counts;
-  for (const fleet_host& host : hosts_) {
-    const auto move = moves_.find(host.host);
-    if (move != moves_.end()) {
-      ++counts[move->second.pool];
-      continue;
-    }
-    const bool is_coming = host.state == host_state::kMoving;
-    const bool is_usable =
-        host.state == host_state::kUp && offers_.count(host.vm) == 0 &&
-        closed_.count(host.vm) == 0 && leaving_.count(host.vm) == 0;
-    if (is_coming || is_usable) {
-      ++counts[host.pool];
-    }
-  }
-  return counts;
+std::uint32_t fleet_balancer::CountOf(const pool_id& pool) const {
+  const auto found = counts_.find(pool);
+  return found == counts_.end() ? 0 : found->second;
 }
 
 balance_figures fleet_balancer::Figures(const std::set<host_id>& busy) const {
   balance_figures figures;
-  std::map<pool_id, std::uint32_t> counts = Counts();
   for (const auto& [pool, wanted] : wanted_) {
     figures.wanted += wanted;
-    figures.missing += wanted - std::min(wanted, counts[pool]);
-  }
-  for (const fleet_host& host : hosts_) {
-    const auto move = moves_.find(host.host);
-    const bool is_accepted = move != moves_.end() && move->second.is_accepted;
-    if (is_accepted || host.state == host_state::kMoving) {
-      ++figures.moving;
-    } else if (move != moves_.end()) {
-      ++figures.ordered;
-    } else if (IsFree(host, busy)) {
-      ++figures.free;
-    }
+    figures.missing += wanted - std::min(wanted, CountOf(pool));
+  }
+  figures.moving = moving_;
+  figures.ordered = ordered_;
+  figures.free =
+      static_cast<std::uint32_t>(free_spares_.size() + free_offers_.size());
+  for (const host_id& host : busy) {
+    const auto found = hosts_.find(host);
+    const bool is_held =
+        found != hosts_.end() && found->second.counts_as.is_free;
+    figures.free -= is_held ? 1 : 0;
   }
   return figures;
 }
 
-bool fleet_balancer::IsFree(const fleet_host& host,
-                            const std::set<host_id>& busy) const {
+bool fleet_balancer::IsFree(const fleet_host& host) const {
   const bool is_idle = spare_.count(host.pool) != 0 ||
                        (!host.vm.empty() && offers_.count(host.vm) != 0);
   // The platform refuses to move a VM that leaves.
   return host.state == host_state::kUp && is_idle &&
-         leaving_.count(host.vm) == 0 && moves_.count(host.host) == 0 &&
-         busy.count(host.host) == 0;
+         leaving_.count(host.vm) == 0;
 }
 
-void fleet_balancer::Order(const host_id& host,
+void fleet_balancer::Order(known_host* known,
                            const pool_id& pool,
                            time_point now,
                            std::vector<move_host>* moves) {
+  const host_id& host = known->host.host;
   pending_move& move = moves_[host];
   move.pool = pool;
   move.is_in_flight = true;
   move.changed_at = now;
   moves->push_back({host, pool});
+  Reassess(known);
+}
+
+// A move to the pool that a host is in has no effect: the VM that was given
+// away there would never be used again. It goes by way of the spare pool.
+fleet_balancer::known_host* fleet_balancer::FindFree(
+    const pool_id& pool,
+    const std::set<host_id>& busy) {
+  known_host* last = nullptr;
+  for (const free_hosts* list : {&free_spares_, &free_offers_}) {
+    for (auto it = list->rbegin(); it != list->rend(); ++it) {
+      ++visited_hosts_;
+      known_host* known = it->second;
+      if (known->host.pool != pool && busy.count(known->host.host) == 0) {
+        const bool is_later = last == nullptr || known->place > last->place;
+        last = is_later ? known : last;
+        break;
+      }
+    }
+  }
+  return last;
 }
 
 std::vector<move_host> fleet_balancer::Plan(const std::set<host_id>& busy,
@@ -114,20 +217,13 @@
       moves.push_back({host, move.pool});
     }
   }
-  std::map<pool_id, std::uint32_t> counts = Counts();
-  std::vector<const fleet_host*> free;
-  for (const fleet_host& host : hosts_) {
-    if (IsFree(host, busy)) {
-      free.push_back(&host);
-    }
-  }
   // The pool that misses most goes first, VM by VM.
   std::set<pool_id> unserved;
-  while (!free.empty()) {
+  while (true) {
     const pool_id* neediest = nullptr;
     std::int64_t most = 0;
     for (const auto& [pool, wanted] : wanted_) {
-      const std::int64_t missing = std::int64_t{wanted} - counts[pool];
+      const std::int64_t missing = std::int64_t{wanted} - CountOf(pool);
       if (missing > most && unserved.count(pool) == 0) {
         most = missing;
         neediest = &pool;
@@ -136,46 +232,45 @@
     if (neediest == nullptr) {
       break;
     }
-    // A move to the pool that a host is in has no effect: the VM that was given
-    // away there would never be used again. It goes by way of the spare pool.
-    const auto chosen = std::find_if(
-        free.rbegin(), free.rend(),
-        [&](const fleet_host* host) { return host->pool != *neediest; });
-    if (chosen == free.rend()) {
+    if (known_host* chosen = FindFree(*neediest, busy)) {
+      Order(chosen, *neediest, now, &moves);
+    } else {
       unserved.insert(*neediest);
-      continue;
     }
-    Order((*chosen)->host, *neediest, now, &moves);
-    ++counts[*neediest];
-    free.erase(std::next(chosen).base());
   }
-  PutAside(free, unserved, now, &moves);
+  PutAside(busy, unserved, now, &moves);
   return moves;
 }
 
 // Sends hosts that nobody has wanted for a while to the spare pool; at once
 // those that their own pools want back, since there is no other way.
-void fleet_balancer::PutAside(const std::vector<const fleet_host*>& unwanted,
+void fleet_balancer::PutAside(const std::set<host_id>& busy,
                               const std::set<pool_id>& wanting,
                               time_point now,
                               std::vector<move_host>* moves) {
+  if (spare_.empty()) {
+    return;
+  }
   const duration delay =
       is_scarce_ ? settings_.scarce_spare_delay : settings_.spare_delay;
-  std::map<host_id, time_point> since;
-  for (const fleet_host* host : unwanted) {
-    if (spare_.empty() || spare_.count(host->pool) != 0) {
+  std::vector<known_host*> unwanted;
+  for (const auto& [place, known] : free_offers_) {
+    unwanted.push_back(known);
+  }
+  visited_hosts_ += unwanted.size();
+  for (known_host* known : unwanted) {
+    if (busy.count(known->host.host) != 0) {
+      known->unwanted_since.reset();
       continue;
     }
-    const auto known = free_since_.find(host->host);
-    const time_point begin = known == free_since_.end() ? now : known->second;
-    const bool is_wanted_back = wanting.count(host->pool) != 0;
+    const time_point begin = known->unwanted_since.value_or(now);
+    const bool is_wanted_back = wanting.count(known->host.pool) != 0;
     if (is_wanted_back || now - begin >= delay) {
-      Order(host->host, *spare_.begin(), now, moves);
+      Order(known, *spare_.begin(), now, moves);
     } else {
-      since[host->host] = begin;
+      known->unwanted_since = begin;
     }
   }
-  free_since_ = std::move(since);
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/vacancy_checker.cc
+++ b/src/core/jobs/vacancy_checker.cc
@@ -3,35 +3,75 @@
 namespace plantainhead::core::jobs {
 
 void vacancy_checker::UpdateHints(const std::vector<vacancy_hint>& hints) {
-  std::map<std::pair<vm_id, vacancy_reason>, noted_hint> noted;
+  std::set<hint_key> kept;
   for (const vacancy_hint& hint : hints) {
-    const std::pair<vm_id, vacancy_reason> key(hint.vm, hint.reason);
-    const auto known = hints_.find(key);
-    // A hint of another owner is news: the earlier one may have been refuted.
-    const bool is_known = known != hints_.end() && known->second.hint == hint;
-    if (is_known) {
-      noted[key] = known->second;
-    } else {
-      noted[key].hint = hint;
+    kept.emplace(hint.vm, hint.reason);
+    NoteHint(hint);
+  }
+  const std::map<hint_key, noted_hint> all = hints_;
+  for (const auto& [key, noted] : all) {
+    if (kept.count(key) == 0) {
+      DropHint(key.first, key.second);
     }
   }
-  hints_ = std::move(noted);
 }
 
-std::set<std::uint32_t> vacancy_checker::TakeReadings() {
-  std::set<std::uint32_t> under_way;
-  for (const auto& [key, noted] : hints_) {
-    if (noted.phase == state::kReading) {
-      under_way.insert(noted.hint.partition);
+void vacancy_checker::NoteHint(const vacancy_hint& hint) {
+  const hint_key key(hint.vm, hint.reason);
+  const auto known = hints_.find(key);
+  if (known != hints_.end()) {
+    if (known->second.hint == hint) {
+      return;
     }
+    // A hint of another owner is news: the earlier one may have been refuted.
+    DropHint(hint.vm, hint.reason);
+  }
+  noted_hint& noted = hints_[key];
+  noted.hint = hint;
+  by_partition_[hint.partition].insert(key);
+  unread_[hint.partition].insert(key);
+}
+
+void vacancy_checker::DropHint(const vm_id& vm, vacancy_reason reason) {
+  const hint_key key(vm, reason);
+  const auto known = hints_.find(key);
+  if (known == hints_.end()) {
+    return;
+  }
+  SetPhase(key, &known->second, state::kRefuted);
+  by_partition_[known->second.hint.partition].erase(key);
+  hints_.erase(known);
+}
+
+void vacancy_checker::SetPhase(const hint_key& key,
+                               noted_hint* noted,
+                               state phase) {
+  const std::uint32_t partition = noted->hint.partition;
+  const bool was_confirmed = noted->phase == state::kConfirmed;
+  const bool is_confirmed = phase == state::kConfirmed;
+  noted->phase = phase;
+  unread_[partition].erase(key);
+  reading_[partition].erase(key);
+  if (phase == state::kUnread) {
+    unread_[partition].insert(key);
+  } else if (phase == state::kReading) {
+    reading_[partition].insert(key);
+  }
+  if (was_confirmed != is_confirmed) {
+    changes_.push_back({key.first, key.second, is_confirmed});
   }
+}
+
+std::set<std::uint32_t> vacancy_checker::TakeReadings() {
   std::set<std::uint32_t> due;
-  for (auto& [key, noted] : hints_) {
-    const bool is_due = noted.phase == state::kUnread &&
-                        under_way.count(noted.hint.partition) == 0;
-    if (is_due) {
-      noted.phase = state::kReading;
-      due.insert(noted.hint.partition);
+  for (auto& [partition, keys] : unread_) {
+    if (keys.empty() || !reading_[partition].empty()) {
+      continue;
+    }
+    due.insert(partition);
+    const std::set<hint_key> begun = keys;
+    for (const hint_key& key : begun) {
+      SetPhase(key, &hints_.at(key), state::kReading);
     }
   }
   return due;
@@ -40,48 +80,53 @@
 void vacancy_checker::EndReading(std::uint32_t partition,
                                  bool is_read,
                                  const std::set<vm_id>& vacant) {
-  for (auto& [key, noted] : hints_) {
-    if (noted.hint.partition != partition || noted.phase != state::kReading) {
-      continue;
-    }
-    if (!is_read) {
-      noted.phase = state::kUnread;
-    } else {
-      noted.phase = vacant.count(noted.hint.vm) != 0 ? state::kConfirmed
-                                                     : state::kRefuted;
-    }
+  const std::set<hint_key> read = reading_[partition];
+  for (const hint_key& key : read) {
+    const bool is_vacant = vacant.count(key.first) != 0;
+    const state answered = is_vacant ? state::kConfirmed : state::kRefuted;
+    SetPhase(key, &hints_.at(key), is_read ? answered : state::kUnread);
   }
   if (is_read) {
     UpdateVacant(partition, vacant);
   }
 }
 
+void vacancy_checker::UpdateVacant(std::uint32_t partition,
+                                   const std::set<vm_id>& vacant) {
+  for (const hint_key& key : by_partition_[partition]) {
+    NoteVacant(key, &hints_.at(key), vacant.count(key.first) != 0);
+  }
+}
+
+void vacancy_checker::NoteVacant(std::uint32_t partition,
+                                 const vm_id& vm,
+                                 bool is_vacant) {
+  for (const auto reason :
+       {vacancy_reason::kOffered, vacancy_reason::kForService}) {
+    const auto found = hints_.find({vm, reason});
+    if (found != hints_.end() && found->second.hint.partition == partition) {
+      NoteVacant(found->first, &found->second, is_vacant);
+    }
+  }
+}
+
 // The pool's owner drops the record of a VM that the registry misses for long,
 // and uses the VM again when it is back. The list of the fleet may have shown
 // it all the while, so that its hint stands; acted on, that would move the VM
 // with the tasks that run there. When the owner empties the VM once more the
 // hint is the same as before, so that a refuted one isn't refuted for good.
-void vacancy_checker::UpdateVacant(std::uint32_t partition,
-                                   const std::set<vm_id>& vacant) {
-  for (auto& [key, noted] : hints_) {
-    if (noted.hint.partition != partition) {
-      continue;
-    }
-    const bool is_vacant = vacant.count(noted.hint.vm) != 0;
-    if (noted.phase == state::kConfirmed && !is_vacant) {
-      noted.phase = state::kRefuted;
-    } else if (noted.phase == state::kRefuted && is_vacant) {
-      noted.phase = state::kUnread;
-    }
+void vacancy_checker::NoteVacant(const hint_key& key,
+                                 noted_hint* noted,
+                                 bool is_vacant) {
+  if (noted->phase == state::kConfirmed && !is_vacant) {
+    SetPhase(key, noted, state::kRefuted);
+  } else if (noted->phase == state::kRefuted && is_vacant) {
+    SetPhase(key, noted, state::kUnread);
   }
 }
 
-std::set<std::uint32_t> vacancy_checker::Partitions() const {
-  std::set<std::uint32_t> partitions;
-  for (const auto& [key, noted] : hints_) {
-    partitions.insert(noted.hint.partition);
-  }
-  return partitions;
+std::vector<vacancy_change> vacancy_checker::TakeChanges() {
+  return std::exchange(changes_, {});
 }
 
 std::set<vm_id> vacancy_checker::Confirmed(vacancy_reason reason) const {
--- a/src/core/jobs/vm_registry.cc
+++ b/src/core/jobs/vm_registry.cc
@@ -10,17 +10,24 @@
   is_news = is_news || is_new || found->second != vm;
   if (is_news) {
     found->second = std::move(vm);
+    if (found->second.draining) {
+      leaving_.insert(found->first);
+    } else {
+      leaving_.erase(found->first);
+    }
   }
   return is_news;
 }
 
 void vm_registry::PutUnreadable(const vm_id& id) {
   readable_.erase(id);
+  leaving_.erase(id);
   unreadable_.insert(id);
 }
 
 void vm_registry::Drop(const vm_id& id) {
   readable_.erase(id);
+  leaving_.erase(id);
   unreadable_.erase(id);
 }
 
@@ -58,14 +65,4 @@
   return listed;
 }
 
-std::set<vm_id> vm_registry::Leaving() const {
-  std::set<vm_id> leaving;
-  for (const auto& [id, vm] : readable_) {
-    if (vm.draining) {
-      leaving.insert(id);
-    }
-  }
-  return leaving;
-}
-
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/wave_keeper.cc
+++ b/src/core/jobs/wave_keeper.cc
@@ -5,15 +5,16 @@
 
 namespace plantainhead::core::jobs {
 
-void wave_keeper::AddWave(const maintenance_wave& wave) {
+bool wave_keeper::AddWave(const maintenance_wave& wave) {
   auto [found, is_new] = waves_.try_emplace(wave.number);
   if (!is_new) {
-    return;
+    return false;
   }
   found->second.wave = wave;
   for (const host_id& host : wave.hosts) {
     found->second.hosts.try_emplace(host);
   }
+  return true;
 }
 
 // The record of an earlier keeper may be read after this one has begun to empty
@@ -52,8 +53,10 @@
       listed.left_out_since = requested_at;
     }
   }
+  host_of_vm_.clear();
   for (const fleet_host& host : hosts) {
     hosts_[host.host] = {host, requested_at, std::nullopt};
+    host_of_vm_[host.vm] = host.host;
   }
   spare_ = spare;
   if (!is_listed_) {
@@ -63,10 +66,26 @@
   is_listed_ = true;
 }
 
-void wave_keeper::UpdateClosed(std::set<vm_id> vms) {
-  closed_ = std::move(vms);
-  for (auto it = released_.begin(); it != released_.end();) {
-    it = closed_.count(*it) != 0 ? std::next(it) : released_.erase(it);
+void wave_keeper::UpdateClosed(const std::set<vm_id>& vms) {
+  closed_ = vms;
+  std::erase_if(released_,
+                [this](const vm_id& vm) { return closed_.count(vm) == 0; });
+}
+
+void wave_keeper::NoteClosed(const vm_id& vm, bool is_closed) {
+  if (is_closed) {
+    closed_.insert(vm);
+  } else {
+    closed_.erase(vm);
+    released_.erase(vm);
+  }
+}
+
+void wave_keeper::NoteEmpty(const vm_id& vm, bool is_empty) {
+  if (is_empty) {
+    empty_.insert(vm);
+  } else {
+    empty_.erase(vm);
   }
 }
 
@@ -127,24 +146,31 @@
   return found == hosts_.end() ? nullptr : &found->second;
 }
 
+const wave_keeper::listed_host* wave_keeper::FindHost(const host_id& host,
+                                                      host_progress* progress) {
+  if (progress->listed == nullptr) {
+    progress->listed = FindHost(host);
+  }
+  return progress->listed;
+}
+
 // Only lists without the host tell that it left. Measured from the last list
 // that had it, a time in which no list can be read would count as absence: one
 // list without a host that is away for a moment would complete the wave.
-bool wave_keeper::IsMissing(const host_id& host) const {
-  const listed_host* listed = FindHost(host);
+bool wave_keeper::IsMissing(const listed_host* listed) const {
   const std::optional<time_point> since =
       listed == nullptr ? first_requested_at_ : listed->left_out_since;
   return since && requested_at_ - *since > settings_.missing_limit;
 }
 
 // Returns how many VMs of each pool are being emptied or are down.
-std::map<pool_id, std::uint32_t> wave_keeper::CountBusy() const {
+std::map<pool_id, std::uint32_t> wave_keeper::CountBusy() {
   std::map<pool_id, std::uint32_t> busy;
-  for (const auto& [number, wave] : waves_) {
-    for (const auto& [host, progress] : wave.hosts) {
+  for (auto& [number, wave] : waves_) {
+    for (auto& [host, progress] : wave.hosts) {
       const bool is_busy = progress.phase != host_phase::kDue &&
                            progress.phase != host_phase::kDone;
-      const listed_host* listed = is_busy ? FindHost(host) : nullptr;
+      const listed_host* listed = is_busy ? FindHost(host, &progress) : nullptr;
       if (listed != nullptr) {
         ++busy[listed->host.pool];
       }
@@ -160,8 +186,11 @@
 void wave_keeper::NoteReturns(wave_progress* wave,
                               std::vector<wave_action>* actions) {
   for (auto& [host, progress] : wave->hosts) {
-    const listed_host* listed = FindHost(host);
-    if (progress.phase != host_phase::kDown || listed == nullptr) {
+    if (progress.phase != host_phase::kDown) {
+      continue;
+    }
+    const listed_host* listed = FindHost(host, &progress);
+    if (listed == nullptr) {
       continue;
     }
     progress.was_seen_down = progress.was_seen_down ||
@@ -219,8 +248,9 @@
     std::map<pool_id, std::uint32_t>* busy) {
   std::vector<due_host> due;
   for (auto& [host, progress] : wave->hosts) {
-    const listed_host* listed =
-        progress.phase == host_phase::kDue ? FindHost(host) : nullptr;
+    const listed_host* listed = progress.phase == host_phase::kDue
+                                    ? FindHost(host, &progress)
+                                    : nullptr;
     if (listed != nullptr && listed->host.state == host_state::kUp) {
       due.push_back({&progress, &listed->host, &(*busy)[listed->host.pool]});
     }
@@ -317,8 +347,8 @@
     return;
   }
   auto down = std::count_if(
-      wave->hosts.begin(), wave->hosts.end(), [this](const auto& entry) {
-        const listed_host* listed = FindHost(entry.first);
+      wave->hosts.begin(), wave->hosts.end(), [this](auto& entry) {
+        const listed_host* listed = FindHost(entry.first, &entry.second);
         const bool is_in_service =
             listed != nullptr && listed->host.state == host_state::kInService;
         return is_in_service || entry.second.phase == host_phase::kOrdered ||
@@ -326,10 +356,10 @@
       });
   bool is_complete = true;
   for (auto& [host, progress] : wave->hosts) {
-    const listed_host* listed = FindHost(host);
+    const listed_host* listed = FindHost(host, &progress);
     const bool is_open = progress.phase != host_phase::kDone &&
                          progress.phase != host_phase::kDown;
-    is_complete = is_complete && (!is_open || IsMissing(host));
+    is_complete = is_complete && (!is_open || IsMissing(listed));
     if (listed == nullptr || !is_open || progress.is_order_in_flight ||
         now < progress.next_order_at) {
       continue;
@@ -392,6 +422,22 @@
   return needed;
 }
 
+bool wave_keeper::IsSurelyNeeded(const vm_id& vm) const {
+  const auto host = host_of_vm_.find(vm);
+  if (host == host_of_vm_.end()) {
+    return false;
+  }
+  return std::any_of(waves_.begin(), waves_.end(), [&](const auto& entry) {
+    const wave_progress& wave = entry.second;
+    const auto found = wave.hosts.find(host->second);
+    if (found == wave.hosts.end() || found->second.phase == host_phase::kDone) {
+      return false;
+    }
+    return found->second.phase == host_phase::kDue ? !wave.is_complete
+                                                   : found->second.vm == vm;
+  });
+}
+
 // A VM may be closed for a host that turns out not to be of its wave, that has
 // left while the wave ended, or by a keeper that was lost before it took that
 // back. It would take no tasks for the rest of its life, and its pool would
@@ -400,6 +446,8 @@
   std::vector<vm_id> unreleased;
   std::set_difference(closed_.begin(), closed_.end(), released_.begin(),
                       released_.end(), std::back_inserter(unreleased));
+  std::erase_if(unreleased,
+                [this](const vm_id& vm) { return IsSurelyNeeded(vm); });
   if (unreleased.empty()) {
     return;
   }
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -47,9 +47,9 @@
   timer_.cancel();
 }
 
-void fleet_owner::impl::OnFleetRecords() {
+void fleet_owner::impl::OnFleetRecords(const std::set<std::string>& keys) {
   if (is_active_) {
-    TakeRecords();
+    TakeRecords(keys);
   }
 }
 
@@ -139,7 +139,10 @@
            {{"partition", "fleet"}, {"epoch", std::to_string(epoch_)}});
   is_active_ = true;
   ledger_.Inherit(deps_.world->ordered_hosts(), BootTime());
-  TakeRecords();
+  for (const auto& [key, value] : deps_.world->fleet_records()) {
+    TakeRecord(key);
+  }
+  TakeRecords({});
   Tick();
 }
 
@@ -172,7 +175,7 @@
   for (const core::jobs::wave_action& action : keeper_.Plan(now)) {
     std::visit([this](const auto& kind) { Do(kind); }, action);
   }
-  balancer_.UpdateLeaving(LeavingVms());
+  balancer_.UpdateLeaving(deps_.world->registry().Leaving());
   for (const core::jobs::move_host& move :
        balancer_.Plan(HostsNotToMove(now), now)) {
     queue_.Add(move);
@@ -237,8 +240,8 @@
   impl_->Start(generation);
 }
 
-void fleet_owner::OnFleetRecords() {
-  impl_->OnFleetRecords();
+void fleet_owner::OnFleetRecords(const std::set<std::string>& keys) {
+  impl_->OnFleetRecords(keys);
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/fleet_owner.h
+++ b/src/jobs/fleet_owner.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "jobs/job_meters.h"
@@ -63,7 +64,8 @@
   ~fleet_owner();
 
   void Start(std::uint64_t generation);
-  void OnFleetRecords();
+  /// Records of the fleet under these keys have changed or gone.
+  void OnFleetRecords(const std::set<std::string>& keys);
 
  private:
   class impl;
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -33,7 +33,7 @@
   impl(dependencies dependencies, const fleet_settings& settings);
   void Start(std::uint64_t generation);
   void Close();
-  void OnFleetRecords();
+  void OnFleetRecords(const std::set<std::string>& keys);
 
  private:
   // Takeover.
@@ -59,7 +59,9 @@
   void Do(const core::jobs::complete_wave& action);
 
   // Reading.
-  void TakeRecords();
+  void TakeRecords(const std::set<std::string>& keys);
+  void TakeRecord(const std::string& key);
+  void NoteWanted(const core::jobs::pool_id& pool, const std::string* value);
   void TakeVacancies();
   void TakeReading(std::uint32_t partition, bool is_read);
   void List();
@@ -67,7 +69,6 @@
   void TakePage(const adapter::fleet_page& reply);
   void KeepFaultyHosts();
   void DropOffersOfGoneVms();
-  std::set<core::jobs::vm_id> LeavingVms() const;
 
   // Orders.
   /// Returns the hosts that are in the hands of a wave, or for which an earlier
@@ -105,6 +106,8 @@
   core::jobs::fleet_balancer balancer_;
   core::jobs::vacancy_checker vacancies_;
   core::jobs::host_order_ledger ledger_;
+  /// Pools that have fewer VMs than they want.
+  std::set<core::jobs::pool_id> short_pools_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
   bool is_active_ = false;
--- a/src/jobs/fleet_owner_reading.cc
+++ b/src/jobs/fleet_owner_reading.cc
@@ -14,49 +14,80 @@
 
 }  // namespace
 
-void fleet_owner::impl::TakeRecords() {
+void fleet_owner::impl::TakeRecords(const std::set<std::string>& keys) {
   const auto work = Meter();
+  bool has_new_wave = false;
   for (const auto& [number, wave] : deps_.world->waves()) {
-    keeper_.AddWave(wave);
+    has_new_wave = keeper_.AddWave(wave) || has_new_wave;
   }
-  std::set<core::jobs::vm_id> closed;
-  std::vector<core::jobs::vacancy_hint> hints;
-  std::map<core::jobs::pool_id, std::uint32_t> wanted;
-  std::set<core::jobs::pool_id> short_pools;
-  for (const auto& [key, value] : deps_.world->fleet_records()) {
-    if (auto hint = DecodeVacancyHint(key, value)) {
-      hints.push_back(std::move(*hint));
-    } else if (const auto closing = ClosedVmOf(key)) {
-      closed.insert(*closing);
-    } else if (const auto pool = WantingPoolOf(key)) {
-      const wanted_vms want = DecodeWantedVms(value);
-      wanted[*pool] = want.count;
-      if (want.is_short) {
-        short_pools.insert(*pool);
-      }
-    } else if (const auto serviced = ServicedHostOf(key)) {
-      keeper_.NoteServiced(serviced->wave, serviced->host);
-    } else if (const auto wave = CompletedWaveOf(key)) {
-      keeper_.NoteCompleted(*wave);
+  if (has_new_wave) {
+    // Records of the wave may have been read before the wave.
+    for (const auto& [key, value] : deps_.world->fleet_records()) {
+      TakeRecord(key);
     }
   }
-  balancer_.UpdateScarce(!short_pools.empty());
-  keeper_.UpdateShort(std::move(short_pools));
-  keeper_.UpdateClosed(closed);
-  balancer_.UpdateClosed(std::move(closed));
-  balancer_.UpdateWanted(std::move(wanted));
-  vacancies_.UpdateHints(hints);
+  for (const std::string& key : keys) {
+    TakeRecord(key);
+  }
+  balancer_.UpdateScarce(!short_pools_.empty());
+  keeper_.UpdateShort(short_pools_);
   TakeVacancies();
 }
 
+void fleet_owner::impl::TakeRecord(const std::string& key) {
+  const auto& records = deps_.world->fleet_records();
+  const auto found = records.find(key);
+  const std::string* value = found == records.end() ? nullptr : &found->second;
+  if (const auto hinted = HintedVmOf(key)) {
+    const auto hint =
+        value == nullptr ? std::nullopt : DecodeVacancyHint(key, *value);
+    if (hint) {
+      vacancies_.NoteHint(*hint);
+    } else {
+      vacancies_.DropHint(hinted->vm, hinted->reason);
+    }
+  } else if (const auto closing = ClosedVmOf(key)) {
+    keeper_.NoteClosed(*closing, value != nullptr);
+    balancer_.NoteClosed(*closing, value != nullptr);
+  } else if (const auto pool = WantingPoolOf(key)) {
+    NoteWanted(*pool, value);
+  } else if (value == nullptr) {
+    // What was done stays done.
+    return;
+  } else if (const auto serviced = ServicedHostOf(key)) {
+    keeper_.NoteServiced(serviced->wave, serviced->host);
+  } else if (const auto wave = CompletedWaveOf(key)) {
+    keeper_.NoteCompleted(*wave);
+  }
+}
+
+void fleet_owner::impl::NoteWanted(const core::jobs::pool_id& pool,
+                                   const std::string* value) {
+  const bool is_known = value != nullptr;
+  const wanted_vms wanted = is_known ? DecodeWantedVms(*value) : wanted_vms();
+  balancer_.NoteWanted(pool,
+                       is_known ? std::optional(wanted.count) : std::nullopt);
+  if (wanted.is_short) {
+    short_pools_.insert(pool);
+  } else {
+    short_pools_.erase(pool);
+  }
+}
+
 void fleet_owner::impl::TakeVacancies() {
-  const auto work = Meter();
   using core::jobs::vacancy_reason;
-  for (const std::uint32_t partition : vacancies_.Partitions()) {
-    vacancies_.UpdateVacant(partition, deps_.world->VacantVms(partition));
+  const auto work = Meter();
+  for (const auto& [partition, vm] : deps_.world->TakeChangedVacancies()) {
+    const bool is_vacant = deps_.world->VacantVms(partition).count(vm) != 0;
+    vacancies_.NoteVacant(partition, vm, is_vacant);
+  }
+  for (const core::jobs::vacancy_change& change : vacancies_.TakeChanges()) {
+    if (change.reason == vacancy_reason::kOffered) {
+      balancer_.NoteOffer(change.vm, change.is_confirmed);
+    } else {
+      keeper_.NoteEmpty(change.vm, change.is_confirmed);
+    }
   }
-  keeper_.UpdateEmpty(vacancies_.Confirmed(vacancy_reason::kForService));
-  balancer_.UpdateOffers(vacancies_.Confirmed(vacancy_reason::kOffered));
   for (const std::uint32_t partition : vacancies_.TakeReadings()) {
     deps_.world->RefreshProgress(
         partition, [self = weak_from_this(), partition](bool is_read) {
@@ -149,8 +180,4 @@
   }
 }
 
-std::set<core::jobs::vm_id> fleet_owner::impl::LeavingVms() const {
-  return deps_.world->registry().Leaving();
-}
-
 }  // namespace plantainhead::jobs
--- a/src/jobs/job_world.cc
+++ b/src/jobs/job_world.cc
@@ -215,39 +215,42 @@
     }
     return;
   }
-  std::visit(core::overloaded{[this](progress_record& progress) {
-                                directory_.NoteProgress(
-                                    progress.job, std::move(progress.progress));
-                              },
-                              [this, partition](owner_record& owner) {
-                                owner_record& note = owners_[partition];
-                                if (owner.epoch >= note.epoch) {
-                                  note = std::move(owner);
-                                }
-                              },
-                              [this, partition](vm_record& vm) {
-                                if (vm.is_dropped) {
-                                  used_vms_[partition].erase(vm.vm);
-                                } else {
-                                  used_vms_[partition][vm.vm] = vm.address;
-                                }
-                              },
-                              [this, partition](vacancy_record& vacancy) {
-                                if (vacancy.is_dropped) {
-                                  vacant_vms_[partition].erase(vacancy.vm);
-                                } else {
-                                  vacant_vms_[partition].insert(vacancy.vm);
-                                }
-                              },
-                              [this](order_record& order) {
-                                if (order.is_dropped) {
-                                  ordered_hosts_.erase(order.host);
-                                } else {
-                                  ordered_hosts_[order.host] =
-                                      std::move(order.holder);
-                                }
-                              }},
-             *decoded);
+  std::visit(
+      core::overloaded{[this](progress_record& progress) {
+                         directory_.NoteProgress(progress.job,
+                                                 std::move(progress.progress));
+                       },
+                       [this, partition](owner_record& owner) {
+                         owner_record& note = owners_[partition];
+                         if (owner.epoch >= note.epoch) {
+                           note = std::move(owner);
+                         }
+                       },
+                       [this, partition](vm_record& vm) {
+                         if (vm.is_dropped) {
+                           used_vms_[partition].erase(vm.vm);
+                         } else {
+                           used_vms_[partition][vm.vm] = vm.address;
+                         }
+                       },
+                       [this, partition](vacancy_record& vacancy) {
+                         if (is_fleet_owned_) {
+                           changed_vacancies_.emplace(partition, vacancy.vm);
+                         }
+                         if (vacancy.is_dropped) {
+                           vacant_vms_[partition].erase(vacancy.vm);
+                         } else {
+                           vacant_vms_[partition].insert(vacancy.vm);
+                         }
+                       },
+                       [this](order_record& order) {
+                         if (order.is_dropped) {
+                           ordered_hosts_.erase(order.host);
+                         } else {
+                           ordered_hosts_[order.host] = std::move(order.holder);
+                         }
+                       }},
+      *decoded);
 }
 
 void job_world::TakeOperatorRecord(const adapter::keyed_record& record) {
--- a/src/jobs/job_world.h
+++ b/src/jobs/job_world.h
@@ -115,6 +115,11 @@
   std::set<std::string> TakeChangedFleetKeys() {
     return std::exchange(changed_fleet_keys_, {});
   }
+  /// Returns of which VMs the records of vacancies, by partition, have changed
+  /// since the last call. They are noted while the fleet is owned.
+  std::set<std::pair<std::uint32_t, core::jobs::vm_id>> TakeChangedVacancies() {
+    return std::exchange(changed_vacancies_, {});
+  }
   const std::map<std::string, std::string>& fleet_records() const {
     return fleet_records_;
   }
@@ -227,6 +232,7 @@
   std::map<std::string, std::string> fleet_records_;
   std::set<core::jobs::vm_id> changed_vms_;
   std::set<std::string> changed_fleet_keys_;
+  std::set<std::pair<std::uint32_t, core::jobs::vm_id>> changed_vacancies_;
   std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
   /// Until when jobs may still come by routes that there were. A process that
   /// learns of a configuration late stores jobs for a queue's former pool.
--- a/src/jobs/job_world_following.cc
+++ b/src/jobs/job_world_following.cc
@@ -68,6 +68,7 @@
 
 void job_world::SetFleetOwned(bool is_owned) {
   is_fleet_owned_ = is_owned;
+  changed_vacancies_.clear();
   UpdateFollowers();
 }
 
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -84,7 +84,7 @@
       owner->OnFleetRecords(keys);
     }
     if (fleet_) {
-      fleet_->OnFleetRecords();
+      fleet_->OnFleetRecords(keys);
     }
   }
 
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -294,5 +294,68 @@
   }
 }
 
+/// Returns how many hosts are visited when a pool gives one VM away and another
+/// pool gets it, in a fleet with `count` more hosts in each of them.
+std::uint64_t VisitsBeside(int count) {
+  fleet_balancer balancer{balancer_settings()};
+  const time_point now{std::chrono::hours(1)};
+  std::vector<fleet_host> hosts = {Host("given", "first", "vm-given")};
+  for (int i = 0; i < count; ++i) {
+    const std::string number = std::to_string(i);
+    hosts.push_back(Host("a" + number, "first", "vm-a" + number));
+    hosts.push_back(Host("b" + number, "second", "vm-b" + number));
+  }
+  balancer.UpdateHosts(hosts, {"spare"}, now);
+  balancer.UpdateWanted(
+      {{"first", 0}, {"second", static_cast<std::uint32_t>(count) + 1}});
+  CHECK(balancer.Plan({}, now).empty());
+  const std::uint64_t before = balancer.visited_hosts();
+  balancer.NoteOffer("vm-given", true);
+  const auto moves = balancer.Plan({}, now);
+  REQUIRE(moves.size() == 1);
+  balancer.OnMoveAnswer(moves[0].host, true, true, now);
+  CHECK(balancer.Figures({}).moving == 1);
+  return balancer.visited_hosts() - before;
+}
+
+// Guards against an owner of the fleet that looks at all hosts for each one
+// that moves, and has no time left while many do.
+TEST_CASE("A move doesn't make the owner of the fleet look at all hosts") {
+  const std::uint64_t in_small_fleet = VisitsBeside(25);
+  CHECK(in_small_fleet > 0);
+  CHECK(VisitsBeside(550) <= in_small_fleet);
+}
+
+// Guards against a host that counts for its former pool, or as free, after a
+// change of it alone.
+TEST_CASE("Changes told one by one come to the same as a list of them") {
+  const time_point now{std::chrono::hours(1)};
+  const std::vector<fleet_host> hosts = {
+      Host("a1", "a", "vm-a1"), Host("a2", "a", "vm-a2"),
+      Host("b1", "b", "vm-b1"), Host("s1", "spare", "")};
+  fleet_balancer by_one{balancer_settings()};
+  by_one.UpdateHosts(hosts, {"spare"}, now);
+  by_one.NoteWanted("a", 2);
+  by_one.NoteWanted("b", 2);
+  by_one.NoteOffer("vm-a1", true);
+  by_one.NoteClosed("vm-a2", true);
+  fleet_balancer by_list{balancer_settings()};
+  by_list.UpdateHosts(hosts, {"spare"}, now);
+  by_list.UpdateWanted({{"a", 2}, {"b", 2}});
+  by_list.UpdateOffers({"vm-a1"});
+  by_list.UpdateClosed({"vm-a2"});
+  CHECK(by_one.Figures({}) == by_list.Figures({}));
+  CHECK(by_one.Figures({}).free == 2);
+
+  SECTION("and so does taking them back") {
+    by_one.NoteOffer("vm-a1", false);
+    by_one.NoteClosed("vm-a2", false);
+    by_list.UpdateOffers({});
+    by_list.UpdateClosed({});
+    CHECK(by_one.Figures({}) == by_list.Figures({}));
+    CHECK(by_one.Figures({}).missing == 1);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
--- a/tests/core/jobs/vacancy_checker_test.cc
+++ b/tests/core/jobs/vacancy_checker_test.cc
@@ -163,5 +163,37 @@
   }
 }
 
+// Guards against a VM that is moved though its vacancy was refuted, or isn't
+// moved though it was confirmed, because nobody was told.
+TEST_CASE("Each change of what is surely vacant is told once") {
+  vacancy_checker checker{vacancy_settings()};
+  checker.NoteHint(Offer("vm-1"));
+  CHECK(checker.TakeChanges().empty());
+  REQUIRE(checker.TakeReadings().size() == 1);
+  checker.EndReading(kPartition, true, {"vm-1"});
+  auto changes = checker.TakeChanges();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].vm == "vm-1");
+  CHECK(changes[0].is_confirmed);
+  CHECK(checker.TakeChanges().empty());
+
+  SECTION("also when the record is dropped") {
+    checker.NoteVacant(kPartition + 1, "vm-1", false);
+    CHECK(checker.TakeChanges().empty());
+    checker.NoteVacant(kPartition, "vm-1", false);
+    changes = checker.TakeChanges();
+    REQUIRE(changes.size() == 1);
+    CHECK_FALSE(changes[0].is_confirmed);
+    CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+  }
+
+  SECTION("and when the hint is") {
+    checker.DropHint("vm-1", vacancy_reason::kOffered);
+    changes = checker.TakeChanges();
+    REQUIRE(changes.size() == 1);
+    CHECK_FALSE(changes[0].is_confirmed);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
