--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -284,6 +284,24 @@
   }
 }
 
+// Returns the racks to try for a gang, one after the other; the empty one
+// stands for any.
+std::vector<std::string> pool_scheduler::impl::RacksFor(
+    const job_state& job,
+    std::uint32_t step) const {
+  std::vector<std::string> racks;
+  const pool_figures* pool = index_.Find(job.spec().pool);
+  if (job.spec().steps[step].same_rack && pool != nullptr) {
+    for (const auto& [rack, takers] : pool->takers_by_rack) {
+      if (takers > 0) {
+        racks.push_back(rack);
+      }
+    }
+  }
+  racks.emplace_back("");
+  return racks;
+}
+
 // Members of a gang that start while others find no room only hold capacity and
 // end as alone. So all are placed, or none.
 void pool_scheduler::impl::PlaceGang(job_state* job,
@@ -307,19 +325,7 @@
     run = std::max(run, job->NextRun(task));
     checkpoint = std::max(checkpoint, task.checkpoint);
   }
-  std::vector<std::string> racks = {""};
-  if (job->spec().steps[step].same_rack) {
-    racks.clear();
-    if (const pool_figures* pool = index_.Find(job->spec().pool)) {
-      for (const auto& [rack, takers] : pool->takers_by_rack) {
-        if (takers > 0) {
-          racks.push_back(rack);
-        }
-      }
-    }
-    racks.emplace_back("");
-  }
-  for (const std::string& rack : racks) {
+  for (const std::string& rack : RacksFor(*job, step)) {
     std::vector<std::pair<vm_state*, task_name>> placed;
     const std::size_t unplaced_before = unplaced_.size();
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -219,6 +220,8 @@
                  std::uint32_t step,
                  time_point now,
                  std::vector<vm_order>* orders);
+  std::vector<std::string> RacksFor(const job_state& job,
+                                    std::uint32_t step) const;
   void PlaceGang(job_state* job,
                  std::uint32_t occurrence,
                  std::uint32_t step,
--- a/src/core/jobs/vm_table.cc
+++ b/src/core/jobs/vm_table.cc
@@ -115,7 +115,7 @@
 }
 
 std::vector<vm_state*> vm_table::WithRunsOf(const job_id& job) {
-  const std::vector<vm_state*> vms = job_vms_.Of(job);
+  std::vector<vm_state*> vms = job_vms_.Of(job);
   NoteVisits(vms.size());
   return vms;
 }
