--- a/include/plantainhead/core/jobs/vacancy_keeper.h
+++ b/include/plantainhead/core/jobs/vacancy_keeper.h
@@ -115,8 +115,9 @@
   std::uint64_t visited_vms() const { return visited_vms_; }
 
  private:
-  /// How far a closed VM is.
-  enum class stage { kEmptied, kFound, kRecording, kVacant };
+  /// How far a closed VM is: being emptied, found empty, its record asked for,
+  /// recorded as vacant.
+  enum class stage { kClosing, kFound, kRecording, kVacant };
 
   /// What the owner of the fleet was told of a VM, for one reason.
   struct hint_state {
@@ -128,7 +129,7 @@
     bool is_for_service = false;
     /// Its place among the released VMs, if the pool can do without it.
     std::optional<std::uint64_t> released;
-    stage at = stage::kEmptied;
+    stage at = stage::kClosing;
     vm_presence presence;
     std::optional<time_point> gone_since;
     std::array<hint_state, kVacancyReasons> hints;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -80,7 +80,7 @@
   if (is_first || was_doubted || trusted_until < *known->trusted_until) {
     FindVm(id)->trusted_until = trusted_until;
   } else {
-    vms_.FindUnchanged(id)->trusted_until = trusted_until;
+    vms_.FindUntouched(id)->trusted_until = trusted_until;
   }
 }
 
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -25,11 +25,13 @@
 /// Returns what a task of the step takes of a VM's capacity.
 resources RoomOf(const step_spec& step);
 
-/// The state of a `pool_scheduler`. Seven files share it: what VMs list
-/// (`pool_reports.cc`), that they begin again (`pool_lives.cc`), how they
-/// answer orders (`pool_answers.cc`), what is stored (`pool_records.cc`), which
-/// runs end (`pool_runs.cc`), where tasks start (`pool_placement.cc`) and what
-/// they take (`pool_size.cc`).
+/// The state of a `pool_scheduler`. It looks at VMs that have changed, and not
+/// at all of them: who changes a VM takes it from `FindVm` or calls
+/// `vm_table::Touch`. Eight files share it: what a plan looks at
+/// (`pool_plan.cc`), what VMs list (`pool_reports.cc`), that they begin again
+/// (`pool_lives.cc`), how they answer orders (`pool_answers.cc`), what is stored
+/// (`pool_records.cc`), which runs end (`pool_runs.cc`), where tasks start
+/// (`pool_placement.cc`) and what they take (`pool_size.cc`).
 class pool_scheduler::impl {
  public:
   impl(const scheduler_settings& settings, const takeover_bounds& takeover)
@@ -185,6 +187,7 @@
   /// Whether a crash of the VM now is another task's doing than the run's.
   static bool IsClearedBySuspect(const vm_state& vm, const run_state& run);
   void LapseIfSilent(vm_state* vm, time_point now);
+  /// Forgets a VM that the registry lists no more and that can run nothing.
   void ForgetIfGone(vm_state* vm, time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
   void EmptyVm(vm_state* vm, time_point now);
@@ -199,6 +202,7 @@
   void PlanVm(vm_state* vm, time_point now, std::vector<vm_order>* orders);
   /// Sees to it that the VM is planned for again when that may be due.
   void PlanNextLook(vm_state* vm, time_point now);
+  /// Notes that the VM is new, described anew or about to be forgotten.
   void NoteVmChange(const vm_state& vm);
 
   // Size.
@@ -240,8 +244,10 @@
                      const std::string& rack,
                      time_point now);
   struct vm_search;
-  /// Returns whether the VM suits the task.
+  /// Returns whether the VM takes the task, and notes in the search whether it
+  /// has room.
   bool Suits(vm_state* vm, vm_search* search) const;
+  /// Return the VM of the list that suits the task best, or null.
   vm_state* FindBest(const taker_list& takers, vm_search* search) const;
   vm_state* FindLeastBusy(const taker_list& takers, vm_search* search) const;
   std::uint32_t RunsOfStep(const vm_state& vm, const task_name& task) const;
--- a/src/core/jobs/vacancy_keeper.cc
+++ b/src/core/jobs/vacancy_keeper.cc
@@ -81,7 +81,7 @@
       continue;
     }
     closed_vm* entry = Find(vm);
-    entry->at = stage::kEmptied;
+    entry->at = stage::kClosing;
     found_.erase(vm);
     const auto after = std::next(it);
     DropRelease(entry);
@@ -113,7 +113,7 @@
 void vacancy_keeper::OpenIfFree(const vm_id& vm) {
   const closed_vm& entry = entries_.at(vm);
   const bool is_kept =
-      entry.is_for_service || entry.released || entry.at != stage::kEmptied;
+      entry.is_for_service || entry.released || entry.at != stage::kClosing;
   if (is_kept) {
     return;
   }
@@ -137,7 +137,7 @@
 
 bool vacancy_keeper::NoteEmpty(const vm_id& vm) {
   closed_vm* entry = Find(vm);
-  if (entry == nullptr || entry->at != stage::kEmptied) {
+  if (entry == nullptr || entry->at != stage::kClosing) {
     return false;
   }
   entry->at = stage::kFound;
@@ -195,7 +195,7 @@
     }
     batch.dropped.push_back(vm);
     entry->gone_since.reset();
-    entry->at = stage::kEmptied;
+    entry->at = stage::kClosing;
     entry->hints = {};
     PlanHint(vm, entry);
     OpenIfFree(vm);
--- a/src/core/jobs/vm_table.cc
+++ b/src/core/jobs/vm_table.cc
@@ -13,7 +13,7 @@
   return found->second;
 }
 
-vm_state* vm_table::FindUnchanged(const vm_id& id) {
+vm_state* vm_table::FindUntouched(const vm_id& id) {
   const auto found = lookup_.find(id);
   return found == lookup_.end() ? nullptr : found->second;
 }
--- a/src/core/jobs/vm_table.h
+++ b/src/core/jobs/vm_table.h
@@ -28,7 +28,7 @@
   /// The same for a change of it: it counts as changed.
   vm_state* Change(const vm_id& id);
   /// The same for a change that a plan needn't know of.
-  vm_state* FindUnchanged(const vm_id& id);
+  vm_state* FindUntouched(const vm_id& id);
   /// Marks the VM as changed. Precondition: it is in the table.
   void Touch(vm_state* vm);
   /// Returns the VM, marked as changed, and whether it is new.
@@ -36,8 +36,8 @@
   /// Precondition: it is in the table.
   void Erase(vm_state* vm);
 
-  /// Marks the VM as changed when a plan is made at `at` or later. An earlier
-  /// date is replaced. Precondition: it is in the table.
+  /// Marks the VM as changed when a plan is made at `at` or later. The date
+  /// replaces the one before. Precondition: it is in the table.
   void WakeAt(vm_state* vm, time_point at);
   /// Marks those as changed whose date has come.
   void WakeDue(time_point now);
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -173,7 +173,7 @@
   StoreProgress();
   if (deps_.is_sure()) {
     const auto vacancies = Meter(loop_work::kVacancies);
-    FindVacantVms();
+    TakeEmptiedVms();
     TellVacantVms();
   }
 }
--- a/src/jobs/pool_owner_fleet.cc
+++ b/src/jobs/pool_owner_fleet.cc
@@ -133,7 +133,7 @@
   fleet_outbox_.Put(EncodeWantedVms(pool, wanted));
 }
 
-void pool_owner::impl::FindVacantVms() {
+void pool_owner::impl::TakeEmptiedVms() {
   for (const vm_id& vm : scheduler_->TakeEmptied()) {
     if (vacancies_.NoteEmpty(vm)) {
       Kick();
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -150,7 +150,7 @@
                   const core::jobs::pool_load& load,
                   std::uint32_t count,
                   core::time_point now);
-  void FindVacantVms();
+  void TakeEmptiedVms();
   std::vector<adapter::keyed_record> TakeVacancyRecords();
   void NoteVacanciesStored();
   void TellVacantVms();
