--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -29,7 +29,8 @@
 /// at all of them: who changes a VM takes it from `FindVm` or calls
 /// `vm_table::Touch`. Eight files share it: what a plan looks at
 /// (`pool_plan.cc`), what VMs list (`pool_reports.cc`), that they begin again
-/// (`pool_lives.cc`), how they answer orders (`pool_answers.cc`), what is stored
+/// (`pool_lives.cc`), how they answer orders (`pool_answers.cc`), what is
+/// stored
 /// (`pool_records.cc`), which runs end (`pool_runs.cc`), where tasks start
 /// (`pool_placement.cc`) and what they take (`pool_size.cc`).
 class pool_scheduler::impl {
