Order and take marked VMs in one place; a name

Found by reading the change again: the order of VMs by number stood in job_vms, vm_table and vm_index, and TakeChanged and TakeDue were one loop with two marks. by_number stands beside vm_state now, and vm_table::Take serves both. job_table::NoteRestored also serves occurrences that open, so that it is called NoteTasks. No change of behaviour.

--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -45,10 +45,10 @@
 
 void job_table::NoteChange(job_state* job) {
   changed_.insert(job->spec().id);
-  NoteRestored(job);
+  NoteTasks(job);
 }
 
-void job_table::NoteRestored(job_state* job) {
+void job_table::NoteTasks(job_state* job) {
   const job_id& id = job->spec().id;
   if (!IsFinal(job->phase())) {
     waiting_.emplace(id, job);
--- a/src/core/jobs/job_table.h
+++ b/src/core/jobs/job_table.h
@@ -34,7 +34,7 @@
   /// Marks the job as changed, and forgets it as open when it has ended.
   void NoteChange(job_state* job);
   /// Notes that tasks of the job may wait, or that it has ended.
-  void NoteRestored(job_state* job);
+  void NoteTasks(job_state* job);
   const std::map<job_id, job_state*>& open() const { return open_; }
   /// Open jobs with a task that waits, and some that had one at the last plan.
   const std::map<job_id, job_state*>& waiting() const { return waiting_; }
--- a/src/core/jobs/job_vms.cc
+++ b/src/core/jobs/job_vms.cc
@@ -26,9 +26,7 @@
     return {};
   }
   std::vector<vm_state*> vms = found->second;
-  std::sort(vms.begin(), vms.end(), [](const vm_state* a, const vm_state* b) {
-    return a->number() < b->number();
-  });
+  std::sort(vms.begin(), vms.end(), by_number());
   return vms;
 }
 
--- a/src/core/jobs/pool_plan.cc
+++ b/src/core/jobs/pool_plan.cc
@@ -50,7 +50,7 @@
 void pool_scheduler::impl::OpenOccurrences(time_point wall_now) {
   for (const auto& [id, job] : jobs_.scheduled()) {
     if (job->OpenDue(wall_now)) {
-      jobs_.NoteRestored(job);
+      jobs_.NoteTasks(job);
     }
   }
 }
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -62,7 +62,7 @@
   job_state* job = impl_->jobs().Find(id);
   if (job != nullptr) {
     job->Restore(progress);
-    impl_->jobs().NoteRestored(job);
+    impl_->jobs().NoteTasks(job);
     impl_->jobs().NoteLosses(job);
   }
 }
--- a/src/core/jobs/vm_index.h
+++ b/src/core/jobs/vm_index.h
@@ -13,12 +13,6 @@
 
 namespace plantainhead::core::jobs {
 
-/// Orders VMs as they became known.
-struct by_number {
-  bool operator()(const vm_state* a, const vm_state* b) const {
-    return a->number() < b->number();
-  }
-};
 using vm_set = std::set<vm_state*, by_number>;
 
 /// A VM in a list; the lowest rank goes first.
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -255,6 +255,13 @@
   time_point life_known_at_;
 };
 
+/// Orders VMs as they became known.
+struct by_number {
+  bool operator()(const vm_state* a, const vm_state* b) const {
+    return a->number() < b->number();
+  }
+};
+
 }  // namespace plantainhead::core::jobs
 
 #endif  // PLANTAINHEAD_SRC_CORE_JOBS_VM_STATE_H_
--- a/src/core/jobs/vm_table.cc
+++ b/src/core/jobs/vm_table.cc
@@ -89,29 +89,23 @@
 }
 
 std::vector<vm_state*> vm_table::TakeChanged() {
-  std::vector<vm_state*> changed;
-  changed.swap(changed_);
-  for (vm_state* vm : changed) {
-    vm->is_changed = false;
-  }
-  return Sorted(std::move(changed));
+  return Take(&changed_, &vm_state::is_changed);
 }
 
 std::vector<vm_state*> vm_table::TakeDue() {
-  std::vector<vm_state*> due;
-  due.swap(due_);
-  for (vm_state* vm : due) {
-    vm->is_due = false;
-  }
-  return Sorted(std::move(due));
+  return Take(&due_, &vm_state::is_due);
 }
 
-std::vector<vm_state*> vm_table::Sorted(std::vector<vm_state*> vms) const {
-  std::sort(vms.begin(), vms.end(), [](const vm_state* a, const vm_state* b) {
-    return a->number() < b->number();
-  });
-  NoteVisits(vms.size());
-  return vms;
+std::vector<vm_state*> vm_table::Take(std::vector<vm_state*>* marked,
+                                      bool vm_state::*mark) {
+  std::vector<vm_state*> taken;
+  taken.swap(*marked);
+  for (vm_state* vm : taken) {
+    vm->*mark = false;
+  }
+  std::sort(taken.begin(), taken.end(), by_number());
+  NoteVisits(taken.size());
+  return taken;
 }
 
 std::vector<vm_state*> vm_table::WithRunsOf(const job_id& job) {
--- a/src/core/jobs/vm_table.h
+++ b/src/core/jobs/vm_table.h
@@ -58,7 +58,9 @@
   std::uint64_t visits() const { return visits_; }
 
  private:
-  std::vector<vm_state*> Sorted(std::vector<vm_state*> vms) const;
+  /// Empties a list of marked VMs, and takes the mark off each of them.
+  std::vector<vm_state*> Take(std::vector<vm_state*>* marked,
+                              bool vm_state::*mark);
 
   std::map<vm_id, vm_state> by_id_;
   /// The keys are those of `by_id_`.
