--- a/review/stand_ins/runner.cc
+++ b/review/stand_ins/runner.cc
@@ -204,6 +204,9 @@
         if (error || life != life_) {
           return;
         }
+        for (const ended_run& end : ended_) {
+          end.run->has_lapsed_before_note = end.run->noted_ms < 0;
+        }
         const auto lapsed = running_;
         for (const auto& [task, run] : lapsed) {
           End(run, "lapsed");
--- a/review/stand_ins/runner.h
+++ b/review/stand_ins/runner.h
@@ -29,6 +29,8 @@
   std::int64_t ended_ms = 0;
   /// When `acked_through` reached the end; -1 if it has not.
   std::int64_t noted_ms = -1;
+  /// The runner's lease lapsed after the end and before it was taken note of.
+  bool has_lapsed_before_note = false;
 };
 
 /// All runs of all tasks, in the order of their starts. Shared by the runners.
