Open the occurrences of a scheduled job that VMs list

Cause: a new owner opened occurrences only in a plan, from its own clock. Holds are sent before that, so that listings named tasks that the job didn't have yet. A listed run was adopted as unwanted and stopped, a listed end was taken for a duplicate. The leases did not lapse, and jobs without a schedule survived.

Change: a listed run or end opens its occurrence, also one that a VM listed before the job was read, and also if this process's clock is behind that of the earlier owner. A task that the job doesn't have opens nothing. No call to the store is added, and records are unchanged.

--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -76,11 +76,25 @@
 }
 
 void job_state::Open(std::uint32_t occurrence) {
-  occurrence_state& state = occurrences_[occurrence];
+  const auto [found, is_new] = occurrences_.try_emplace(occurrence);
+  if (!is_new) {
+    return;
+  }
   for (const step_spec& step : spec_->steps) {
-    state.steps.emplace_back().tasks.resize(step.task_count);
+    found->second.steps.emplace_back().tasks.resize(step.task_count);
   }
-  opened_ = std::max(opened_, occurrence + 1);
+}
+
+bool job_state::OpenListed(const task_name& name) {
+  const bool is_valid = name.occurrence < OccurrencesOf(*spec_) &&
+                        name.step < spec_->steps.size() &&
+                        name.index < spec_->steps[name.step].task_count;
+  const bool is_open = occurrences_.count(name.occurrence) != 0;
+  if (!is_valid || is_open || IsFinal(phase_)) {
+    return false;
+  }
+  Open(name.occurrence);
+  return true;
 }
 
 bool job_state::OpenDue(time_point wall_now) {
@@ -90,7 +104,7 @@
     if (!due || *due > wall_now) {
       break;
     }
-    Open(opened_);
+    Open(opened_++);
   }
   return opened_ > opened_before;
 }
@@ -395,7 +409,7 @@
     const bool is_valid = record.occurrence < OccurrencesOf(*spec_) &&
                           record.step < spec_->steps.size();
     while (is_valid && opened_ <= record.occurrence) {
-      Open(opened_);
+      Open(opened_++);
     }
     job_task_state* task =
         Find({spec_->id, record.occurrence, record.step, record.index});
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -112,6 +112,10 @@
   /// Opens the occurrences that are due by `wall_now`. Returns whether there
   /// were any.
   bool OpenDue(time_point wall_now);
+  /// Opens the occurrence of a task that a VM lists: an earlier owner has
+  /// opened it. Returns false, and changes nothing, if it was open, if the job
+  /// has ended, or if the job has no such task.
+  bool OpenListed(const task_name& name);
   /// Returns the wall-clock time at which the next occurrence opens, if there
   /// is one.
   std::optional<time_point> NextDue() const;
@@ -188,6 +192,7 @@
                     job_task_state* task,
                     std::uint32_t run);
   void Finish(job_phase phase);
+  /// Does nothing if the occurrence is open.
   void Open(std::uint32_t occurrence);
   void MarkDone(step_state* step, job_task_state* task);
   duration FindRemainingChain(const occurrence_state& occurrence) const;
@@ -208,6 +213,7 @@
   /// Whether any task may have losses.
   bool has_losses_ = false;
   std::map<std::uint32_t, occurrence_state> occurrences_;
+  /// The number of the first occurrence that was not opened by its due time.
   std::uint32_t opened_ = 0;
   /// See `job_progress`.
   std::uint32_t unreported_runs_ = 0;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -174,6 +174,14 @@
   }
 }
 
+// A plan opens the occurrences that are due by this process's clock. Listings
+// arrive before the first plan, or from an earlier owner whose clock was ahead.
+void pool_scheduler::impl::OpenListed(job_state* job, const task_name& task) {
+  if (job->OpenListed(task)) {
+    jobs_.NoteTasks(job);
+  }
+}
+
 // Adopts a run that this owner did not order, or that it presumed ended: an
 // earlier owner ordered it, or the order was carried out late.
 void pool_scheduler::impl::Adopt(vm_state* vm,
@@ -195,6 +203,7 @@
     vm->Add(row.task, run);
     return;
   }
+  OpenListed(job, row.task);
   job_task_state* task = job->Find(row.task);
   const bool is_wanted = task != nullptr &&
                          task->phase == task_phase::kWaiting &&
@@ -253,8 +262,10 @@
   if (forgotten == highest_unknown_runs_.end()) {
     return;
   }
+  job_state* job = jobs_.Find(id);
   for (const auto& [task, run] : forgotten->second) {
-    jobs_.Find(id)->NoteReportedRun(task, run);
+    OpenListed(job, task);
+    job->NoteReportedRun(task, run);
   }
   highest_unknown_runs_.erase(forgotten);
 }
@@ -283,6 +294,9 @@
     }
   }
   vm->unknown_end_since.reset();
+  if (job != nullptr) {
+    OpenListed(job, end.task);
+  }
   if (job != nullptr && end.how == end_kind::kDone && StopLaterStarts(end)) {
     return false;
   }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -171,6 +171,7 @@
   // Reports.
   void ProcessRunning(vm_state* vm, const running_task& row, time_point now);
   void Adopt(vm_state* vm, const running_task& row, time_point now);
+  void OpenListed(job_state* job, const task_name& task);
   void NoteRunning(job_state* job);
   void WithdrawLosses(const vm_state& vm);
   void NoteListed(vm_state* vm, const task_name& task, run_state* run);
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -520,5 +520,105 @@
   }
 }
 
+// Guards against tasks of a job with a schedule that a new owner stops, starts
+// a second time or forgets as ended, because it has not opened their occurrence
+// when a VM lists them.
+TEST_CASE("A new owner opens the occurrences that VMs list before its plans") {
+  scheduler_driver driver(Bounds());
+  const task_name task{"job", 1, 0, 0};
+  const auto job = std::make_shared<job_spec>(*Job("job", {Step(2)}));
+  job->schedule = job_schedule{driver.now - seconds(20), seconds(15), 3};
+  const auto take_over = [&] {
+    driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+    driver.scheduler.AddKnownVm({"vm-2", "10.0.0.2:80"});
+    driver.Add(job);
+    // The tasks of occurrence 0 are done.
+    job_progress progress;
+    progress.phase = job_phase::kRunning;
+    progress.tasks = {{0, 0, 0, 1, {}, true, "", false, {}},
+                      {0, 0, 1, 1, {}, true, "", false, {}}};
+    driver.scheduler.RestoreJob("job", progress);
+    driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+  };
+
+  SECTION("a listed run continues, and only the other task starts") {
+    take_over();
+    driver.List("vm-1", {Running(task, 1)}, {});
+    driver.List("vm-2", {}, {});
+    const auto starts = driver.Starts();
+    CHECK(driver.stops.empty());
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.task.occurrence == 1);
+    CHECK(starts[0].target.task.index == 1);
+  }
+
+  SECTION("a listed end is counted before it is acknowledged") {
+    take_over();
+    driver.List("vm-1", {}, {Ended(1, task, 1, end_kind::kDone)});
+    driver.List("vm-2", {}, {});
+    const auto starts = driver.Starts();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.task.index == 1);
+    const auto batches = driver.Store();
+    REQUIRE(!batches.empty());
+    REQUIRE(batches[0].jobs.size() == 1);
+    CHECK(batches[0].jobs[0].second.tasks.back().occurrence == 1);
+    CHECK(batches[0].jobs[0].second.tasks.back().done);
+    CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+          1);
+  }
+
+  SECTION("a listed failure counts as an attempt") {
+    take_over();
+    driver.List("vm-1", {},
+                {Ended(1, task, 1, end_kind::kFailed),
+                 Ended(2, task, 2, end_kind::kFailed)});
+    const auto batches = driver.Store();
+    REQUIRE(!batches.empty());
+    REQUIRE(batches[0].jobs.size() == 1);
+    CHECK(batches[0].jobs[0].second.phase == job_phase::kFailed);
+  }
+
+  SECTION("also when its clock is behind that of the earlier owner") {
+    job->schedule->first_due = driver.now - seconds(14);
+    take_over();
+    driver.List("vm-1", {Running(task, 1)}, {});
+    driver.List("vm-2", {}, {});
+    CHECK(driver.Starts().size() == 1);
+    CHECK(driver.stops.empty());
+
+    SECTION("and the occurrence is not opened again when it is due") {
+      driver.Store();
+      driver.Pass(seconds(1));
+      driver.List("vm-1", {}, {Ended(1, task, 1, end_kind::kDone)});
+      CHECK(driver.Starts().empty());
+    }
+  }
+
+  SECTION("also when the job is read after a VM has listed its tasks") {
+    driver.now = kClaimed;
+    driver.Register({Vm("vm-1"), Vm("vm-2")});
+    driver.List("vm-1", {Running({"job", 0, 0, 0}, 1)}, {});
+    driver.Pass(milliseconds(1500));
+    driver.Add(job);
+    driver.List("vm-2", {}, {});
+    for (const start_order& start : driver.Starts()) {
+      CHECK(start.target.task != task_name{"job", 0, 0, 0});
+    }
+    CHECK(driver.stops.empty());
+  }
+
+  SECTION("a task that the job does not have opens nothing") {
+    take_over();
+    driver.List("vm-1", {Running({"job", 2, 0, 2}, 1)}, {});
+    driver.List("vm-2", {}, {Ended(1, {"job", 3, 0, 0}, 1, end_kind::kDone)});
+    for (const start_order& start : driver.Starts()) {
+      CHECK(start.target.task.occurrence == 1);
+    }
+    REQUIRE(driver.stops.size() == 1);
+    CHECK(driver.stops[0].target.task.index == 2);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
