Store submissions of moved queues only after reading

Cause: a submission has the key of the record of the job's end, and a process without the owner stores it without reading. After a move the new record names the other pool, whose owner doesn't read the progress that says that the job has ended. A job that still ran was started beside itself in the same way.

Change: owners record once which pools a queue has had, beside the addresses of owners. Submissions to a queue with more than one pool are stored only by an owner that has read the partition; others answer 503, or 504 after an unknown append. A takeover of a pool with such queues reads the progress of their other pools, and a job stays in the pool that has recorded progress of it, so that late appends and earlier versions can't move it. Queues that were not moved cost no call more.

--- a/include/plantainhead/core/jobs/job_directory.h
+++ b/include/plantainhead/core/jobs/job_directory.h
@@ -2,6 +2,7 @@
 #define PLANTAINHEAD_CORE_JOBS_JOB_DIRECTORY_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -21,7 +22,14 @@
   bool is_accepted = false;
   bool is_cancelled = false;
   job_progress progress;
+  /// The partitions of pools that contain progress of the job, as a bit set.
+  std::uint64_t progress_partitions = 0;
 
+  bool HasProgress() const { return progress_partitions != 0; }
+  /// Precondition: `partition` is below 64.
+  bool HasProgressIn(std::uint32_t partition) const {
+    return ((progress_partitions >> partition) & 1U) != 0;
+  }
   /// Returns the phase to report to callers.
   job_phase Phase() const;
 };
@@ -40,6 +48,9 @@
   /// before.
   bool NoteCancel(const job_id& id);
   void NoteProgress(const job_id& id, job_progress progress);
+  /// Records that a partition of pools contains progress of the job.
+  /// Precondition: `partition` is below 64.
+  void NoteProgressPartition(const job_id& id, std::uint32_t partition);
 
   /// Returns the entry, or null if no submission with this id is known.
   const directory_entry* Find(const job_id& id) const;
--- a/src/core/jobs/job_directory.cc
+++ b/src/core/jobs/job_directory.cc
@@ -95,6 +95,11 @@
   });
 }
 
+void job_directory::NoteProgressPartition(const job_id& id,
+                                          std::uint32_t partition) {
+  entries_[id].progress_partitions |= std::uint64_t{1} << partition;
+}
+
 const directory_entry* job_directory::Find(const job_id& id) const {
   const auto found = entries_.find(id);
   if (found == entries_.end() || !found->second.is_accepted) {
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -64,6 +64,7 @@
     for (auto& [partition, owner] : owners_) {
       owner->OnConfiguration();
     }
+    RecordServedQueues();
     Update();
   }
 
@@ -141,6 +142,23 @@
     }
   }
 
+  // Other processes must know a queue's former pools after the queue has moved,
+  // so that the pools are recorded before that.
+  void RecordServedQueues() {
+    const queue_history& history = deps_.view->history();
+    for (const auto& [queue, pools] : history.pools()) {
+      const bool is_own = std::any_of(
+          pools.begin(), pools.end(), [this](const core::jobs::pool_id& pool) {
+            return EpochOf(PoolPartitionOf(pool)) != 0;
+          });
+      for (const core::jobs::pool_id& pool : pools) {
+        if (is_own && !history.IsStored({queue, pool})) {
+          announcements_.Put(Encode(served_queue{queue, pool}));
+        }
+      }
+    }
+  }
+
   // Returns the partitions with pools, ordered by pool name. The group assigns
   // its partitions to the members in turn, so adjacent ones go to different
   // members: the member that is assigned the group partition with the index of
@@ -224,6 +242,7 @@
     deps.is_ownership_confirmed = [this] { return IsOwnershipConfirmed(); };
     deps.on_active = [this, partition](std::uint64_t epoch) {
       Announce(partition, epoch);
+      RecordServedQueues();
     };
     deps.on_fenced = [this, partition] {
       boost::asio::post(*deps_.context, [self = weak_from_this(), partition] {
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -29,9 +29,17 @@
   return scheduler_ ? scheduler_->Counts() : core::jobs::scheduler_counts();
 }
 
+bool pool_owner::impl::IsOwnJob(const core::jobs::job_spec& job) const {
+  const core::jobs::directory_entry* entry =
+      deps_.view->directory().Find(job.id);
+  const bool is_elsewhere = entry != nullptr && entry->HasProgress() &&
+                            !entry->HasProgressIn(partition_);
+  return PoolPartitionOf(job.pool) == partition_ && !is_elsewhere;
+}
+
 void pool_owner::impl::OnJob(
     const std::shared_ptr<const core::jobs::job_spec>& job) {
-  if (scheduler_ && PoolPartitionOf(job->pool) == partition_) {
+  if (scheduler_ && IsOwnJob(*job)) {
     lines_.AddJob(job_event::kJobRead, job->id,
                   {{"partition", std::to_string(partition_)}}, BootTime());
     const core::duration age = core::jobs::AgeOf(*job, WallTime());
@@ -289,7 +297,7 @@
   OnVacanciesStored();
   if (batch) {
     for (const auto& [id, progress] : batch->jobs) {
-      deps_.view->NoteProgress(id, progress);
+      deps_.view->NoteProgress(partition_, id, progress);
     }
     for (const core::jobs::job_result& job : batch->results) {
       OnJobEnded(job);
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -72,6 +72,14 @@
     core::time_point published_at;
   };
 
+  /// Returns whether a job that was read from the store belongs to a pool of
+  /// the partition.
+  bool IsOwnJob(const core::jobs::job_spec& job) const;
+  /// Returns the job of an entry with its pool in the partition; null if it
+  /// belongs to another partition or has ended.
+  std::shared_ptr<const core::jobs::job_spec> OwnSpecOf(
+      const core::jobs::directory_entry& entry) const;
+
   // Takeover.
   void WriteRelease(const std::function<void()>& on_released);
   void LogTakeoverFailed(const std::string& reason) const;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -170,7 +170,7 @@
 // Everything that is in the store now must therefore be known before the first
 // order.
 void pool_owner::impl::ReadAfterClaim() {
-  const auto left = std::make_shared<int>(4);
+  const auto left = std::make_shared<int>(5);
   const auto done = [self = weak_from_this(), left] {
     const auto owner = self.lock();
     if (--*left == 0 && owner && !owner->is_closed_) {
@@ -180,6 +180,7 @@
   deps_.view->RefreshAllJobs(done);
   deps_.view->RefreshRegistry(done);
   deps_.view->RefreshFleetRecords(done);
+  deps_.view->RefreshFormerProgress(partition_, done);
   CheckPredecessor(done);
 }
 
@@ -250,6 +251,33 @@
   return bounds;
 }
 
+// A repeated submission of a job may have replaced its record after its queue
+// was moved, and then names the other pool. The job stays in the pool whose
+// owner has recorded progress of it.
+std::shared_ptr<const core::jobs::job_spec> pool_owner::impl::OwnSpecOf(
+    const core::jobs::directory_entry& entry) const {
+  if (!entry.spec ||
+      (entry.HasProgress() && !entry.HasProgressIn(partition_))) {
+    return nullptr;
+  }
+  if (PoolPartitionOf(entry.pool) == partition_) {
+    return entry.spec;
+  }
+  const auto& pools = deps_.view->history().pools();
+  const auto found = pools.find(entry.queue);
+  if (!entry.HasProgress() || found == pools.end()) {
+    return nullptr;
+  }
+  for (const core::jobs::pool_id& pool : found->second) {
+    if (PoolPartitionOf(pool) == partition_) {
+      auto spec = std::make_shared<core::jobs::job_spec>(*entry.spec);
+      spec->pool = pool;
+      return spec;
+    }
+  }
+  return nullptr;
+}
+
 void pool_owner::impl::Activate() {
   if (is_released_) {
     return;
@@ -263,15 +291,15 @@
     if (core::jobs::IsFinal(entry.progress.phase)) {
       scheduler_->AddEndedJob(id);
     }
-    if (!entry.spec || PoolPartitionOf(entry.pool) != partition_) {
+    const auto spec = OwnSpecOf(entry);
+    if (!spec) {
       continue;
     }
     ++open;
     // An earlier owner may have read everything that was stored before the
     // claim, so none of these jobs is treated as fresh.
-    scheduler_->AddJob(entry.spec, deps_.view->PolicyOf(entry.queue),
-                       claimed_at_,
-                       core::jobs::AgeOf(*entry.spec, wall_claimed_at));
+    scheduler_->AddJob(spec, deps_.view->PolicyOf(entry.queue), claimed_at_,
+                       core::jobs::AgeOf(*spec, wall_claimed_at));
     scheduler_->RestoreJob(id, entry.progress);
     if (entry.is_cancelled) {
       scheduler_->CancelJob(id);
--- a/src/jobs/store_view.cc
+++ b/src/jobs/store_view.cc
@@ -167,9 +167,16 @@
   }
 }
 
-void store_view::NoteProgress(const core::jobs::job_id& id,
+void store_view::NoteProgress(std::uint32_t pool_partition,
+                              const core::jobs::job_id& id,
                               core::jobs::job_progress progress) {
   directory_.NoteProgress(id, std::move(progress));
+  directory_.NoteProgressPartition(id, pool_partition);
+}
+
+bool store_view::MayHaveOtherPool(const core::jobs::queue_route& route) const {
+  return !address_follower_->IsLoaded() ||
+         history_.HasOtherPool(route.queue, route.pool);
 }
 
 void store_view::ApplyJobRecord(const adapter::keyed_record& record) {
@@ -218,9 +225,9 @@
     return;
   }
   std::visit(
-      core::overloaded{[this](progress_record& progress) {
-                         directory_.NoteProgress(progress.job,
-                                                 std::move(progress.progress));
+      core::overloaded{[this, partition](progress_record& progress) {
+                         NoteProgress(partition, progress.job,
+                                      std::move(progress.progress));
                        },
                        [this, partition](owner_record& owner) {
                          owner_record& current = owners_[partition];
@@ -317,6 +324,7 @@
   routes_ = core::jobs::routing_table(std::move(*decoded));
   for (const core::jobs::queue_route& route : routes_.configuration().routes) {
     policies_[route.queue] = route.policy;
+    history_.NoteConfigured({route.queue, route.pool});
   }
   LogEvent(job_event::kConfigurationApplied,
            {{"version", std::to_string(routes_.configuration().version)},
@@ -329,6 +337,10 @@
   if (!record.value && !record.fault) {
     return;
   }
+  if (IsServedQueueKey(record.key)) {
+    ApplyServedQueue(record);
+    return;
+  }
   const auto decoded = peers::DecodeAnnouncement(record);
   if (!decoded) {
     faults_.Note(adapter::kAddressTopic, record.key, decoded.fault());
@@ -338,4 +350,14 @@
   listeners_.on_announcement(*decoded);
 }
 
+void store_view::ApplyServedQueue(const adapter::keyed_record& record) {
+  const auto served = DecodeServedQueue(record);
+  if (!served) {
+    faults_.Note(adapter::kAddressTopic, record.key, served.fault());
+    return;
+  }
+  faults_.NoteValid(adapter::kAddressTopic, record.key);
+  history_.NoteStored(*served);
+}
+
 }  // namespace plantainhead::jobs
--- a/src/jobs/store_view.h
+++ b/src/jobs/store_view.h
@@ -13,6 +13,7 @@
 #include "jobs/fault_log.h"
 #include "jobs/job_partitions.h"
 #include "jobs/log_follower.h"
+#include "jobs/queue_history.h"
 #include "jobs/record_codec.h"
 #include "jobs/throttled_action.h"
 #include "peers/owner_announcement.h"
@@ -160,9 +161,15 @@
   /// not followed.
   void NoteJobRecord(std::uint32_t partition,
                      const adapter::keyed_record& record);
-  /// Applies progress that this process has stored.
-  void NoteProgress(const core::jobs::job_id& id,
+  /// Applies progress that this process has stored in a partition of pools.
+  void NoteProgress(std::uint32_t pool_partition,
+                    const core::jobs::job_id& id,
                     core::jobs::job_progress progress);
+  /// Returns the pools that each queue has, or has had.
+  const queue_history& history() const { return history_; }
+  /// Returns whether jobs of the queue may be, or may have been, in a pool
+  /// other than that of its route.
+  bool MayHaveOtherPool(const core::jobs::queue_route& route) const;
 
   /// Reads the partition up to its current end. Calls `on_done` with false if
   /// it cannot be read or is not followed.
@@ -180,6 +187,11 @@
   /// it is not followed yet.
   void RefreshProgress(std::uint32_t partition,
                        std::function<void(bool)> on_done);
+  /// Reads the progress of jobs whose queue has, or has had, a pool in the
+  /// partition and one in another: all partitions of those other pools, retried
+  /// until they have been read. Reads nothing if no such queue was moved.
+  void RefreshFormerProgress(std::uint32_t partition,
+                             const std::function<void()>& on_done);
   /// These retry until the records have been read. Precondition: this process
   /// owns a partition.
   void RefreshRegistry(const std::function<void()>& on_done);
@@ -205,6 +217,7 @@
   void ApplyConfiguration(const std::string& value);
   void ApplyRegistryRecord(const adapter::keyed_record& record);
   void ApplyAnnouncement(const adapter::keyed_record& record);
+  void ApplyServedQueue(const adapter::keyed_record& record);
   void FollowJobs();
   void UnfollowJobs(std::uint32_t partition);
   void FollowPools();
@@ -221,6 +234,9 @@
   std::set<std::uint32_t> WatchedJobPartitions() const;
   void UpdateFollowers();
   void EndFullRefresh();
+  /// Returns the partitions that `RefreshFormerProgress` reads.
+  std::set<std::uint32_t> FormerPartitions(std::uint32_t partition) const;
+  void EndFormerRead(std::uint32_t partition);
   log_follower& PoolFollower(std::uint32_t partition);
   std::shared_ptr<log_follower> MakeFollower(
       const adapter::store_partition& partition,
@@ -263,6 +279,10 @@
   std::set<std::uint32_t> watched_job_partitions_;
   bool is_fleet_owned_ = false;
 
+  queue_history history_;
+  /// Number of calls of `RefreshFormerProgress` that read each partition.
+  std::map<std::uint32_t, std::size_t> former_reads_;
+
   /// Number of calls of `RefreshAllJobs` in progress.
   std::size_t full_refreshes_ = 0;
   core::time_point all_jobs_read_at_;
--- a/src/jobs/store_view_following.cc
+++ b/src/jobs/store_view_following.cc
@@ -34,7 +34,8 @@
 bool store_view::IsPoolFollowed(std::uint32_t partition) const {
   const auto owned = std::find(owned_pool_partitions_.begin(),
                                owned_pool_partitions_.end(), partition);
-  return is_fleet_owned_ || owned != owned_pool_partitions_.end();
+  return is_fleet_owned_ || owned != owned_pool_partitions_.end() ||
+         former_reads_.count(partition) != 0;
 }
 
 // Discards the state of partitions that are no longer followed, because records
--- a/src/jobs/store_view_refreshes.cc
+++ b/src/jobs/store_view_refreshes.cc
@@ -119,6 +119,54 @@
   });
 }
 
+std::set<std::uint32_t> store_view::FormerPartitions(
+    std::uint32_t partition) const {
+  std::set<std::uint32_t> former;
+  for (const auto& [queue, pools] : history_.pools()) {
+    std::set<std::uint32_t> partitions;
+    for (const core::jobs::pool_id& pool : pools) {
+      partitions.insert(PoolPartitionOf(pool));
+    }
+    if (partitions.erase(partition) != 0) {
+      former.merge(partitions);
+    }
+  }
+  return former;
+}
+
+void store_view::RefreshFormerProgress(std::uint32_t partition,
+                                       const std::function<void()>& on_done) {
+  address_follower_->AwaitLoaded([this, partition, on_done] {
+    const std::set<std::uint32_t> former = FormerPartitions(partition);
+    if (former.empty()) {
+      on_done();
+      return;
+    }
+    const auto remaining = std::make_shared<std::size_t>(former.size());
+    for (const std::uint32_t other : former) {
+      ++former_reads_[other];
+      PoolFollower(other);
+      RefreshUntilRead(pool_followers_.at(other),
+                       [this, other, remaining, on_done] {
+                         EndFormerRead(other);
+                         if (--*remaining == 0) {
+                           on_done();
+                         }
+                       });
+    }
+  });
+}
+
+// Posted for the same reason as in `EndFullRefresh`.
+void store_view::EndFormerRead(std::uint32_t partition) {
+  boost::asio::post(*context_, [this, partition] {
+    if (--former_reads_.at(partition) == 0) {
+      former_reads_.erase(partition);
+    }
+    FollowPools();
+  });
+}
+
 void store_view::RefreshRegistry(const std::function<void()>& on_done) {
   RefreshUntilRead(registry_follower_, on_done);
 }
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -174,12 +174,59 @@
 
   void Submit(const caller_request& incoming) {
     if (relay_.Owns(incoming.route.pool)) {
+      SubmitAsOwner(incoming);
+    } else {
+      ForwardOrElse(incoming, &impl::SubmitWithoutOwner);
+    }
+  }
+
+  // A job of a queue that was moved may be, or may have ended, in the former
+  // pool. A submission would replace its record and make it a job of the new
+  // pool, so that the record must have been looked for.
+  void SubmitAsOwner(const caller_request& incoming) {
+    const bool is_known = view_.directory().Find(incoming.id) != nullptr;
+    if (is_known || !view_.MayHaveOtherPool(incoming.route)) {
+      SubmitHere(incoming);
+      return;
+    }
+    if (!view_.IsQueueLoaded(incoming.route)) {
+      RejectUnread(incoming);
+      return;
+    }
+    view_.RefreshJobs(JobPartitionOf(incoming.route.queue, incoming.id),
+                      [self = shared_from_this(), incoming](bool is_read) {
+                        if (is_read) {
+                          self->SubmitHere(incoming);
+                        } else {
+                          self->RejectUnread(incoming);
+                        }
+                      });
+  }
+
+  // This process does not read the jobs of the pool.
+  void SubmitWithoutOwner(const caller_request& incoming) {
+    const bool is_known = view_.directory().Find(incoming.id) != nullptr;
+    if (is_known || !view_.MayHaveOtherPool(incoming.route)) {
       SubmitHere(incoming);
     } else {
-      ForwardOrElse(incoming, &impl::SubmitHere);
+      RejectUnread(incoming);
     }
   }
 
+  void RejectUnread(const caller_request& incoming) {
+    ++counts_.refused;
+    LogEvent(job_event::kJobRefused,
+             {{"job", incoming.id},
+              {"reason", "the jobs of a queue that was moved are not read"}});
+    incoming.respond(
+        incoming.may_be_appended
+            ? adapter::EncodeError(
+                  net::kGatewayTimeout,
+                  "the owner did not answer; repeat the request with the same "
+                  "id")
+            : Unavailable("the jobs of the queue cannot be read"));
+  }
+
   void SubmitHere(const caller_request& incoming) {
     if (view_.directory().Find(incoming.id) != nullptr) {
       ++counts_.repeated;
--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "free_address.h"
+#include "jobs/job_partitions.h"
 #include "jobs/job_service.h"
 #include "narrow_link.h"
 #include "net/address.h"
@@ -47,12 +48,29 @@
         &context, store_address_, net::http_server_options(),
         [this](const net::server_request& request,
                const net::responder& respond) {
+          CountStoreCall(request.target);
           store.Handle(request,
                        store_link_ ? store_link_->Carry(respond) : respond);
         });
     store.Put("keyed.op", "config", kConfiguration);
   }
 
+  /// Counts appends, reads that do not wait, and reads of the newest records,
+  /// in total and by topic.
+  void CountStoreCall(const std::string& target) {
+    const bool waits = target.find("wait_ms=") != std::string::npos &&
+                       target.find("wait_ms=0") == std::string::npos;
+    const std::size_t topic = target.find("topic=");
+    for (const std::string kind : {"append", "read", "newest"}) {
+      if (!waits && target.find("/log-" + kind) != std::string::npos) {
+        ++store_calls[kind];
+        ++store_calls[kind + " " +
+                      target.substr(topic + 6,
+                                    target.find('&', topic) - topic - 6)];
+      }
+    }
+  }
+
   /// Limits all responses of the store to one link of this capacity.
   /// Precondition: no process has been added yet.
   void NarrowStoreLink(std::int64_t bytes_per_second) {
@@ -91,6 +109,7 @@
     settings.caller_address = FreeAddress();
     settings.probe_address = FreeAddress();
     settings.peer_address = FreeAddress();
+    peer_addresses_[name] = settings.peer_address;
     settings.store_address = store_address_;
     settings.fleet_address = fleet_address;
     addresses[name] = settings.caller_address;
@@ -155,6 +174,25 @@
     return false;
   }
 
+  /// Returns the process that was the last to announce itself as the owner of
+  /// the pool; empty if there is none.
+  std::string OwnerOf(const std::string& pool) const {
+    const auto announced = store.Newest("keyed.plantain-addresses",
+                                        std::to_string(PoolPartitionOf(pool)));
+    for (const auto& [name, address] : peer_addresses_) {
+      if (announced && announced->find(address) != std::string::npos) {
+        return name;
+      }
+    }
+    return "";
+  }
+
+  /// Ends a process as a crash does. Its membership stays until `Expire`.
+  void Crash(const std::string& process) { processes.erase(process); }
+
+  /// Lets the membership of a crashed process expire.
+  void Expire(const std::string& process) { store.Expire(process); }
+
   void RunFor(milliseconds time) { context.run_for(time); }
 
   int StartsOf(const std::string& task) const {
@@ -171,6 +209,8 @@
   std::map<std::string, std::unique_ptr<fakes::site_vm>> vms;
   std::map<std::string, std::unique_ptr<job_service>> processes;
   std::map<std::string, std::string> addresses;
+  /// See `CountStoreCall`.
+  std::map<std::string, int> store_calls;
 
  private:
   boost::asio::steady_timer report_timer_;
@@ -178,6 +218,7 @@
   std::unique_ptr<fakes::narrow_link> store_link_;
   std::unique_ptr<net::http_server> store_server_;
   std::map<std::string, std::string> probes_;
+  std::map<std::string, std::string> peer_addresses_;
   std::map<std::string, std::string> metrics_;
 };
 
