Store the cancellation of an unknown job before it is answered

Cause: the pool's owner read the partition and answered 410 for a job that wasn't there, without a record. That says nothing about an append that may still be carried out.

Change: the owner stores the cancellation, which applies to an id, and reads the partition afterwards, to answer 410 or 200. A cancellation whose append gets no answer is now found in the store also if the job is unknown; before, it always ended with 504. A cancellation of an unknown job costs one append more; nothing else changes.

--- a/include/plantainhead/core/jobs/job_directory.h
+++ b/include/plantainhead/core/jobs/job_directory.h
@@ -54,6 +54,9 @@
 
   /// Returns the entry, or null if no submission with this id is known.
   const directory_entry* Find(const job_id& id) const;
+  /// Returns whether a cancellation of the id is known, also if no submission
+  /// is.
+  bool IsCancelled(const job_id& id) const;
   /// Returns the number of accepted jobs of the queue that have not started.
   std::size_t Pending(const queue_id& queue) const;
   /// Returns the number of jobs that have not ended, by the pool for which the
--- a/src/core/jobs/job_directory.cc
+++ b/src/core/jobs/job_directory.cc
@@ -108,6 +108,11 @@
   return &found->second;
 }
 
+bool job_directory::IsCancelled(const job_id& id) const {
+  const auto found = entries_.find(id);
+  return found != entries_.end() && found->second.is_cancelled;
+}
+
 std::size_t job_directory::Pending(const queue_id& queue) const {
   const auto found = pending_.find(queue);
   return found == pending_.end() ? 0 : found->second;
--- a/src/jobs/job_recorder.cc
+++ b/src/jobs/job_recorder.cc
@@ -16,7 +16,6 @@
 namespace plantainhead::jobs {
 
 using adapter::append_outcome;
-using core::jobs::directory_entry;
 
 class job_recorder::impl : public std::enable_shared_from_this<impl> {
  public:
@@ -134,10 +133,10 @@
   }
 
   bool IsStored(const pending_record& pending) const {
-    const directory_entry* entry = view_.directory().Find(pending.request.id);
-    return entry != nullptr &&
-           (pending.request.purpose == record_purpose::kJob ||
-            entry->is_cancelled);
+    const core::jobs::job_directory& directory = view_.directory();
+    return pending.request.purpose == record_purpose::kJob
+               ? directory.Find(pending.request.id) != nullptr
+               : directory.IsCancelled(pending.request.id);
   }
 
   void Succeed(const record_ptr& pending, const std::string& how) {
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -284,10 +284,38 @@
     if (view_.directory().Find(incoming.id) != nullptr) {
       CancelKnown(incoming);
     } else {
-      ReadJob(incoming, &impl::CancelKnown);
+      CancelUnknown(incoming);
     }
   }
 
+  // An append of the submission may still be carried out. The stored
+  // cancellation applies to it then, whenever that is. What was appended before
+  // the cancellation is read afterwards.
+  void CancelUnknown(const caller_request& incoming) {
+    caller_request stored = incoming;
+    stored.respond = [self = shared_from_this(),
+                      incoming](net::server_response response) {
+      if (response.status == net::kOk) {
+        self->RespondToStoredCancel(incoming);
+      } else {
+        incoming.respond(std::move(response));
+      }
+    };
+    StoreCancel(stored);
+  }
+
+  void RespondToStoredCancel(const caller_request& incoming) {
+    view_.RefreshJobs(
+        JobPartitionOf(incoming.route.queue, incoming.id),
+        [self = shared_from_this(), incoming](bool is_read) {
+          const bool is_unknown =
+              is_read && self->view_.directory().Find(incoming.id) == nullptr;
+          incoming.respond(is_unknown
+                               ? self->UnknownJob(true)
+                               : net::server_response{net::kOk, {}, "{}"});
+        });
+  }
+
   void CancelKnown(const caller_request& incoming) {
     const directory_entry* entry = view_.directory().Find(incoming.id);
     if (entry->is_cancelled || core::jobs::IsFinal(entry->progress.phase)) {
--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -306,5 +306,79 @@
   }
 }
 
+// Guards against a job that runs after its cancellation was answered, because
+// the store carries out an append of its submission later.
+TEST_CASE("A job that is stored after its cancellation does not run") {
+  site site;
+  site.AddVm("vm-1", milliseconds(30));
+  site.AddProcess("p1");
+  site.AddProcess("p2");
+  REQUIRE(site.AwaitReady("p1"));
+  REQUIRE(site.AwaitReady("p2"));
+  site.RunFor(seconds(1));
+  const std::string owner = site.OwnerOf("pool");
+  const std::string other = owner == "p1" ? "p2" : "p1";
+  const auto cancel = [&](const std::string& process) {
+    return site
+        .Call(site.addresses.at(process), net::method::kDelete,
+              "/q/" + std::string(kId))
+        .status;
+  };
+  const auto store_late = [&] {
+    submission_record late;
+    late.spec.id = kId;
+    late.spec.queue = "q";
+    late.spec.pool = "pool";
+    late.spec.payload = "x";
+    late.spec.steps.emplace_back().estimate = milliseconds(50);
+    late.spec.steps.back().task_count = 2;
+    site.store.Put("keyed.plantain-jobs", kId, Encode(late).value,
+                   JobPartitionOf("q", kId));
+    site.RunFor(seconds(1));
+  };
+
+  SECTION("when the owner was asked") {
+    CHECK(cancel(owner) == 410);
+    store_late();
+    CHECK(site.StateOf(owner, kId) == R"({"state":"cancelled"})");
+
+    SECTION("and the next owner reads both") {
+      site.Crash(owner);
+      site.Expire(owner);
+      site.RunFor(seconds(6));
+      CHECK(site.StateOf(other, kId) == R"({"state":"cancelled"})");
+    }
+  }
+
+  SECTION("when another process was asked") {
+    CHECK(cancel(other) == 410);
+    store_late();
+  }
+
+  SECTION("when the owner changes before it is stored") {
+    CHECK(cancel(owner) == 410);
+    site.Crash(owner);
+    site.Expire(owner);
+    site.RunFor(seconds(6));
+    store_late();
+    CHECK(site.StateOf(other, kId) == R"({"state":"cancelled"})");
+  }
+
+  SECTION("when the store did not answer the owner's append") {
+    site.store.faults.loses_answers = true;
+    CHECK(cancel(owner) == 410);
+    site.store.faults.loses_answers = false;
+    store_late();
+  }
+
+  SECTION("and a cancellation that cannot be stored is not acknowledged") {
+    site.store.faults.is_refusing = true;
+    CHECK(cancel(owner) == 503);
+    site.store.faults.is_refusing = false;
+  }
+
+  CHECK(site.StartsOf(std::string(kId) + ".0.0.0") == 0);
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
