Record the newest policy of each queue, and watch its former pools

Cause: the platform keeps only the newest configuration, and the policy of a removed route was kept in the memory of processes that had seen it. An owner that started later took the default, one attempt. In the same way an owner that started after a queue had moved didn't read jobs that a process with the older configuration stores for the former pool, and nobody ran them.

Change: the owner of a queue's pool records its policy beside the recorded pools of queues, once for each change, with the version of the configuration; the newest version counts, and an older record that is stored late is replaced.

--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -201,7 +201,9 @@
   timer->async_wait([this, task, number, life = life_,
                      timer](const boost::system::error_code& /*error*/) {
     if (life == life_) {
-      EndTask(task, number, "done");
+      const bool fails = failing_ends > 0;
+      failing_ends -= fails ? 1 : 0;
+      EndTask(task, number, fails ? "failed" : "done");
     }
   });
 }
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -53,6 +53,8 @@
   bool is_silent = false;
   /// Orders to start are carried out and not answered.
   bool loses_start_answers = false;
+  /// This many of the next tasks that end do so as failed.
+  int failing_ends = 0;
   /// Orders to start are refused for want of room.
   bool refuses_starts = false;
   /// Orders to start are carried out this much later, and then not answered.
--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -120,6 +120,8 @@
   double stretch = 1.0;
   /// plus this duration.
   duration latency_target = duration::zero();
+
+  bool operator==(const queue_policy&) const = default;
 };
 
 /// The phase of a job from its submission to its end.
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -236,6 +236,7 @@
                                                     announcement.owner);
           ownership_.OnAnnouncement(announcement);
         };
+    listeners.on_outdated_policy = [this] { ownership_.OnOutdatedPolicy(); };
     listeners.on_store_contact = [this](bool is_answered) {
       NoteStoreContact(is_answered);
     };
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -64,7 +64,7 @@
     for (auto& [partition, owner] : owners_) {
       owner->OnConfiguration();
     }
-    RecordServedQueues();
+    RecordQueues();
     Update();
   }
 
@@ -132,6 +132,13 @@
     }
   }
 
+  // An older record may have been stored after a newer one.
+  void OnOutdatedPolicy() {
+    if (!is_releasing_) {
+      RecordQueues();
+    }
+  }
+
  private:
   // An earlier owner's announcement may be stored after this one; see
   // `OnAnnouncement`.
@@ -142,9 +149,22 @@
     }
   }
 
-  // Other processes must know a queue's former pools after the queue has moved,
-  // so that the pools are recorded before that.
-  void RecordServedQueues() {
+  // Returns whether this process is the owner of a pool that the queue has, or
+  // has had.
+  bool OwnsPoolOf(const core::jobs::queue_id& queue) const {
+    const auto& pools = deps_.view->history().pools();
+    const auto found = pools.find(queue);
+    return found != pools.end() &&
+           std::any_of(found->second.begin(), found->second.end(),
+                       [this](const core::jobs::pool_id& pool) {
+                         return EpochOf(PoolPartitionOf(pool)) != 0;
+                       });
+  }
+
+  // A configuration states neither the former pools of a queue that was moved
+  // nor the policy of one whose route was removed, so that both are recorded
+  // before that.
+  void RecordQueues() {
     const queue_history& history = deps_.view->history();
     for (const auto& [queue, pools] : history.pools()) {
       const bool is_own = std::any_of(
@@ -157,6 +177,11 @@
         }
       }
     }
+    for (const recorded_policy& policy : history.PoliciesToStore()) {
+      if (OwnsPoolOf(policy.queue)) {
+        announcements_.Put(Encode(policy));
+      }
+    }
   }
 
   // Returns the partitions with pools, ordered by pool name. The group assigns
@@ -242,7 +267,7 @@
     deps.is_ownership_confirmed = [this] { return IsOwnershipConfirmed(); };
     deps.on_active = [this, partition](std::uint64_t epoch) {
       Announce(partition, epoch);
-      RecordServedQueues();
+      RecordQueues();
     };
     deps.on_fenced = [this, partition] {
       boost::asio::post(*deps_.context, [self = weak_from_this(), partition] {
@@ -362,6 +387,10 @@
   return impl_->IsOwnershipConfirmed();
 }
 
+void ownership::OnOutdatedPolicy() {
+  impl_->OnOutdatedPolicy();
+}
+
 void ownership::OnAnnouncement(const peers::owner_announcement& announcement) {
   impl_->OnAnnouncement(announcement);
 }
--- a/src/jobs/ownership.h
+++ b/src/jobs/ownership.h
@@ -74,6 +74,8 @@
   /// The fleet records under these keys have changed or were removed.
   void OnFleetRecords(const std::set<std::string>& keys);
   void OnAnnouncement(const peers::owner_announcement& announcement);
+  /// The store contains an older policy of a queue than the newest known one.
+  void OnOutdatedPolicy();
 
   /// Returns the epoch under which this process schedules the pools of the
   /// partition; 0 before the takeover has completed, and after a newer owner
--- a/src/jobs/store_view.cc
+++ b/src/jobs/store_view.cc
@@ -146,8 +146,10 @@
 
 core::jobs::queue_policy store_view::PolicyOf(
     const core::jobs::queue_id& queue) const {
-  const auto found = policies_.find(queue);
-  return found == policies_.end() ? core::jobs::queue_policy() : found->second;
+  const core::jobs::queue_route* route = routes_.FindQueue(queue);
+  return route != nullptr
+             ? route->policy
+             : history_.PolicyOf(queue).value_or(core::jobs::queue_policy());
 }
 
 owner_record store_view::OwnerOf(std::uint32_t pool_partition) const {
@@ -323,8 +325,9 @@
   RetainFormerRoutes(*decoded);
   routes_ = core::jobs::routing_table(std::move(*decoded));
   for (const core::jobs::queue_route& route : routes_.configuration().routes) {
-    policies_[route.queue] = route.policy;
     history_.NoteConfigured({route.queue, route.pool});
+    history_.NotePolicy(
+        {route.queue, route.policy, routes_.configuration().version});
   }
   LogEvent(job_event::kConfigurationApplied,
            {{"version", std::to_string(routes_.configuration().version)},
@@ -341,6 +344,10 @@
     ApplyServedQueue(record);
     return;
   }
+  if (IsPolicyKey(record.key)) {
+    ApplyRecordedPolicy(record);
+    return;
+  }
   const auto decoded = peers::DecodeAnnouncement(record);
   if (!decoded) {
     faults_.Note(adapter::kAddressTopic, record.key, decoded.fault());
@@ -358,6 +365,26 @@
   }
   faults_.NoteValid(adapter::kAddressTopic, record.key);
   history_.NoteStored(*served);
+  const core::jobs::queue_route* route = routes_.FindQueue(served->queue);
+  if (route == nullptr || route->pool != served->pool) {
+    // This process may have started after the configuration that removed the
+    // route.
+    former_routes_.try_emplace({served->pool, served->queue},
+                               BootTime() + kFormerRouteRetention);
+    FollowJobs();
+  }
+}
+
+void store_view::ApplyRecordedPolicy(const adapter::keyed_record& record) {
+  const auto recorded = DecodeRecordedPolicy(record);
+  if (!recorded) {
+    faults_.Note(adapter::kAddressTopic, record.key, recorded.fault());
+    return;
+  }
+  faults_.NoteValid(adapter::kAddressTopic, record.key);
+  if (history_.NoteStoredPolicy(*recorded)) {
+    listeners_.on_outdated_policy();
+  }
 }
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/store_view.h
+++ b/src/jobs/store_view.h
@@ -64,6 +64,8 @@
                        core::time_point trusted_until)>
         on_report = [](const auto&, auto) {};
     std::function<void(const peers::owner_announcement&)> on_announcement;
+    /// The store contains an older policy of a queue than the newest known one.
+    std::function<void()> on_outdated_policy = [] {};
     std::function<void(bool is_answered)> on_store_contact;
   };
 
@@ -139,7 +141,8 @@
   const std::map<core::jobs::host_id, std::string>& ordered_hosts() const {
     return ordered_hosts_;
   }
-  /// Returns the newest policy of the queue, also after its route was removed.
+  /// Returns the newest policy of the queue that a configuration or the store
+  /// contains, also after its route was removed.
   core::jobs::queue_policy PolicyOf(const core::jobs::queue_id& queue) const;
   /// Returns the newest claim of the partition; its epoch is 0 if there is
   /// none.
@@ -218,6 +221,7 @@
   void ApplyRegistryRecord(const adapter::keyed_record& record);
   void ApplyAnnouncement(const adapter::keyed_record& record);
   void ApplyServedQueue(const adapter::keyed_record& record);
+  void ApplyRecordedPolicy(const adapter::keyed_record& record);
   void FollowJobs();
   void UnfollowJobs(std::uint32_t partition);
   void FollowPools();
@@ -265,7 +269,6 @@
   std::set<core::jobs::vm_id> changed_vms_;
   std::set<std::string> changed_fleet_keys_;
   std::set<std::pair<std::uint32_t, core::jobs::vm_id>> changed_vacancies_;
-  std::map<core::jobs::queue_id, core::jobs::queue_policy> policies_;
   /// Times until which jobs may still arrive by removed routes. A process that
   /// learns of a configuration late stores jobs for a queue's former pool.
   std::map<std::pair<core::jobs::pool_id, core::jobs::queue_id>,
--- a/tests/jobs/moved_queue_test.cc
+++ b/tests/jobs/moved_queue_test.cc
@@ -243,6 +243,23 @@
   CHECK(site.AwaitState("p4", is_long ? "running" : "completed"));
 }
 
+// Guards against a job that nobody reads: it is stored for the former pool of
+// its queue after the owner of that pool was restarted.
+TEST_CASE(
+    "An owner that starts after a queue has moved reads its former jobs") {
+  moved_site site;
+  REQUIRE(site.Submit("p1", kId).status == net::kOk);
+  const auto record = site.store.Newest(kJobsTopic, kId);
+  REQUIRE(record);
+  REQUIRE(site.AwaitState("p1", "completed"));
+  site.MoveQueue();
+  site.RestartAll();
+  site.store.Put(kJobsTopic, kNextJob, record, JobPartitionOf("q", kNextJob));
+  CHECK(RunUntil(&site.context,
+                 [&] { return site.StartsOf(kNextJob + ".0.0.0") == 1; }));
+  CHECK(site.vms.at("vm-1")->starts().count(kNextJob + ".0.0.0") == 1);
+}
+
 // Guards against reads that every submission and every takeover would wait for:
 // only queues that were moved need them.
 TEST_CASE("The jobs of a queue that was not moved are not looked for") {
