Parse the entries of the platform's lists one by one

Operators of systems like this saw processes end, or stop following a list, as another writer had left one odd entry in it: nested very deeply, with a number too large, or with a port out of range. Here no process ends, but plantain-entry rejected the whole list of VMs or tasks for any such entry, without a log line, and plantain-scheduler the page of hosts for a number or nesting.

Cause: a list was parsed and decoded as one text, and given up at its first fault.

Change: a list is taken apart without being parsed, and its entries are parsed alone. What was known of an odd entry stays; if its name cannot be read, so do all entries that are missing in a whole list. Faults are logged. The registry of plantain-scheduler has a record for each VM; a test shows that an odd one hides no other.

--- a/src/platform/list_reader.cc
+++ b/src/platform/list_reader.cc
@@ -4,12 +4,25 @@
 
 #include <caf/after.hpp>
 
+#include "plantainhead/observe/logging.h"
+
 namespace plantainhead::platform {
+namespace {
+
+void LogFaults(const std::vector<std::string>& faults) {
+  for (const std::string& fault : faults) {
+    observe::WriteLog(core::log_severity::kWarning,
+                      "cannot decode an entry of the platform's lists",
+                      {{"fault", fault}});
+  }
+}
+
+}  // namespace
 
 list_reader::list_reader(link_context* context)
     : link_worker(context, context->options.answer_timeout),
-      vms_("vms", &core::vm_listing::vm),
-      tasks_("tasks", &core::task_listing::job),
+      vms_("vms", "vm", &core::vm_listing::vm),
+      tasks_("tasks", "job", &core::task_listing::job),
       backoff_(context->MakeBackoff()) {}
 
 void list_reader::Run(caf::blocking_actor* self) {
@@ -38,10 +51,11 @@
     return false;
   }
   try {
-    vms_.ApplyResponse(vms.body);
-    tasks_.ApplyResponse(tasks.body);
+    LogFaults(vms_.ApplyResponse(vms.body));
+    LogFaults(tasks_.ApplyResponse(tasks.body));
     return true;
-  } catch (const codec_error&) {
+  } catch (const codec_error& error) {
+    LogFaults({error.what()});
     return false;
   }
 }
--- a/tests/adapter/malformed_records_test.cc
+++ b/tests/adapter/malformed_records_test.cc
@@ -198,6 +198,26 @@
     CHECK(page.hosts.size() == 1);
   }
 
+  SECTION("a row that cannot be parsed is a fault of its own") {
+    for (const std::string& row :
+         {std::string("1e999"), std::string(R"({"machine":"m1","x":1e999})"),
+          std::string(R"({"machine":18446744073709551616})"),
+          std::string(1000, '[') + std::string(1000, ']'),
+          R"({"machine":"m1","labels":)" + std::string(100'000, '[') +
+              std::string(100'000, ']') + "}"}) {
+      CAPTURE(row.substr(0, 40));
+      const fleet_page page = DecodeFleetPage(
+          R"({"machines":[)" + row +
+          R"(,{"machine":"m2","pool":"p","state":"up","labels":[],"id":"i"}],)"
+          R"("next_token":"t"})");
+      REQUIRE(page.is_read);
+      CHECK(page.unreadable_hosts.size() == 1);
+      REQUIRE(page.hosts.size() == 1);
+      CHECK(page.hosts[0].host == "m2");
+      CHECK(page.next_page_token == "t");
+    }
+  }
+
   SECTION("a page whose rows cannot be parsed is unreadable") {
     for (const std::string& text : testing::MalformedTexts(kFleetPage)) {
       CHECK_FALSE(DecodeFleetPage(text).is_read);
--- a/tests/jobs/foreign_site_test.cc
+++ b/tests/jobs/foreign_site_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "jobs/small_site.h"
 #include "jobs/store_view.h"
@@ -91,6 +92,39 @@
   }
 }
 
+// Guards against processes that end, or stop following the VMs, because another
+// writer has left an odd entry among those of the VMs.
+TEST_CASE("An odd registry entry does not hide the other VMs") {
+  const std::string deep(100'000, '[');
+  const std::string end(100'000, ']');
+  site site;
+  auto& odd = site.AddVm("odd", milliseconds(30));
+  const std::string valid = odd.RegistryValue("pool");
+  const std::string fields = valid.substr(0, valid.size() - 1);
+  const std::vector<std::string> entries = {
+      deep + end, fields + R"(,"other":)" + deep + end + "}",
+      fields + R"(,"other":1e999})",
+      fields + R"(,"remaining_ms":18446744073709551616})",
+      odd.RegistryValue("pool", "127.0.0.1:99999")};
+  const std::string& entry = entries.at(GENERATE(0, 1, 2, 3, 4));
+  CAPTURE(entry.substr(0, 60));
+  const bool is_there_at_start = GENERATE(true, false);
+  if (is_there_at_start) {
+    site.store.Put("keyed.servers", "odd", entry);
+  } else {
+    site.store.Put("keyed.servers", "odd", std::nullopt);
+  }
+  site.AddProcess("p1");
+  REQUIRE(site.AwaitReady("p1"));
+  site.RunFor(milliseconds(300));
+  site.store.Put("keyed.servers", "odd", entry);
+  site.AddVm("vm-1", milliseconds(30));
+  REQUIRE(site.Submit("p1", kId).status == 200);
+  CHECK(site.AwaitState("p1", "completed"));
+  CHECK(odd.starts().empty());
+  CHECK(AwaitFault(&site, "p1"));
+}
+
 TEST_CASE("A malformed configuration leaves the last valid one in effect") {
   site site;
   site.AddVm("vm-1", milliseconds(30));
