--- a/review/stand_ins_2/partition_proxy.cc
+++ b/review/stand_ins_2/partition_proxy.cc
@@ -42,6 +42,8 @@
                            });
   }
 
+  void LoseAnswerTo(const std::string& text) { lost_answer_to_ = text; }
+
   void SetPartitioned(bool is_partitioned) {
     is_partitioned_ = is_partitioned;
     const auto open = links_;
@@ -77,6 +79,7 @@
     bool is_connecting = false;
     bool is_connected = false;
     bool is_closed = false;
+    bool loses_answer = false;
   };
   using link_ptr = std::shared_ptr<link>;
 
@@ -113,6 +116,15 @@
               self->owner_->on_request) {
             self->owner_->on_request(piece);
           }
+          if (side == kClient && !self->lost_answer_to_.empty() &&
+              piece.find(self->lost_answer_to_) != std::string_view::npos) {
+            self->lost_answer_to_.clear();
+            one->loses_answer = true;
+          }
+          if (side == kServer && one->loses_answer) {
+            self->Reset(one);
+            return;
+          }
           one->pending[side].append(piece);
           self->Flush(one);
           self->Read(one, side);
@@ -192,6 +204,7 @@
   partition_proxy* owner_;
   std::list<link_ptr> links_;
   bool is_partitioned_ = false;
+  std::string lost_answer_to_;
 };
 
 partition_proxy::partition_proxy(asio::io_context* context,
@@ -216,4 +229,8 @@
   impl_->SetPartitioned(false);
 }
 
+void partition_proxy::LoseAnswerTo(const std::string& text) {
+  impl_->LoseAnswerTo(text);
+}
+
 }  // namespace plantainhead::review
--- a/review/stand_ins_2/partition_proxy.h
+++ b/review/stand_ins_2/partition_proxy.h
@@ -28,6 +28,9 @@
   std::string address() const;
   void BeginPartition();
   void EndPartition();
+  /// Loses the next answer to a request that contains `text`: the server gets
+  /// the request, and the connection is reset when it answers.
+  void LoseAnswerTo(const std::string& text);
   /// Called with each piece that a client has sent, before it is passed on, so
   /// that the partition may begin under it.
   std::function<void(std::string_view)> on_request;
