--- a/review/stand_ins_2/long_history_case.cc
+++ b/review/stand_ins_2/long_history_case.cc
@@ -43,6 +43,9 @@
         "estimate_ms":300}]})";
 // The site's queues get 20.1 jobs a second in all, so that this is 16.6 hours.
 constexpr int kHistory = 1200000;
+constexpr std::chrono::microseconds kHistoryTime = std::chrono::minutes(996);
+// Jobs have to be known for `status_s` (120 s); all of these ended earlier.
+constexpr std::chrono::microseconds kKeptFor = std::chrono::seconds(150);
 constexpr std::int64_t kMemoryLimitMb = 260;
 constexpr seconds kRecovery(12);
 constexpr milliseconds kTaskTime(300);
@@ -190,12 +193,38 @@
     });
   }
 
+  // Sets times of the last minutes in the text back, so that a record that
+  // names the time of its job is as old as the job.
+  static void ShiftTimes(std::chrono::microseconds age, std::string* text) {
+    constexpr std::size_t kMillisDigits = 13;
+    constexpr std::size_t kMicrosDigits = 16;
+    const auto now = std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    std::size_t at = 0;
+    while ((at = text->find_first_of("0123456789", at)) != std::string::npos) {
+      const std::size_t end =
+          std::min(text->find_first_not_of("0123456789", at), text->size());
+      const std::size_t digits = end - at;
+      if (digits == kMillisDigits || digits == kMicrosDigits) {
+        const std::int64_t unit = digits == kMillisDigits ? 1000 : 1;
+        const std::int64_t time = std::stoll(text->substr(at, digits)) * unit;
+        if (std::abs(time - now.count()) < kKeptFor.count()) {
+          text->replace(at, digits,
+                        std::to_string((time - age.count()) / unit));
+        }
+      }
+      at = end;
+    }
+  }
+
   void AddHistory(const std::vector<log_store::kept_record>& kept) {
     char id[17] = {};
     for (int i = 1; i <= kHistory; ++i) {
       std::snprintf(id, sizeof(id), "5c0e7a21%08x", i);
+      const auto age = kKeptFor + (kHistoryTime - kKeptFor) * i / kHistory;
       for (log_store::kept_record one : kept) {
         one.key.replace(0, 16, id);
+        ShiftTimes(age, &one.value);
         if (one.topic.find("jobs") != std::string::npos) {
           one.part = jobs::JobPartitionOf(kQueue, id);
         }
--- a/review/stand_ins_2/long_schedule_case.cc
+++ b/review/stand_ins_2/long_schedule_case.cc
@@ -51,8 +51,10 @@
 constexpr milliseconds kHeartbeat(1500);
 constexpr milliseconds kQueryGap(500);
 constexpr seconds kCallTimeout(3);
-// When the other job is handed in, after the repeated one.
-constexpr seconds kLate(52);
+// When the other job is handed in: so long after the first rejected append, and
+// at the latest so long after the repeated job.
+constexpr seconds kAfterRejection(5);
+constexpr seconds kLate(75);
 constexpr seconds kEarly(6);
 // A job must not have nothing running for 3 s while the turn of a task has
 // come. The script waits much longer.
@@ -72,6 +74,9 @@
     store_->Put("keyed.op", "config", kConfiguration);
     store_->on_rejected = [this](const std::string& query,
                                  const std::string& key, std::size_t bytes) {
+      if (rejected_ == 0) {
+        After(kAfterRejection, [this] { SubmitOther(); });
+      }
       if (++rejected_ <= 5) {
         record_.Line("the store rejects an append: " + query + ", record of " +
                      key + " has " + std::to_string(bytes) + " bytes");
@@ -187,6 +192,10 @@
   }
 
   void SubmitOther() {
+    if (is_other_sent_) {
+      return;
+    }
+    is_other_sent_ = true;
     record_.Line("runs of the repeated job: " + std::to_string(starts_) +
                  " started, " + std::to_string(done_) + " done, of " +
                  std::to_string(occurrences_ * kTasks));
@@ -273,6 +282,7 @@
   int done_ = 0;
   int other_running_ = 0;
   bool are_accepted_ = false;
+  bool is_other_sent_ = false;
   std::optional<steady_clock::time_point> other_accepted_at_;
   steady_clock::time_point other_ended_at_;
   std::map<std::string, std::string> states_;
