Log restarts of VMs with the calls that the next incarnation may have received

"vm restarted" is logged when either source shows the restart. It has the runs that either incarnation may have accepted, the age of the last lease on the former clock and the last acknowledgement. No decision is changed.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -130,6 +130,23 @@
   bool operator==(const lost_run&) const = default;
 };
 
+/// Reports that a VM has restarted under its id, with what the next incarnation
+/// may have received that was meant for the former one.
+struct vm_restart {
+  vm_id vm;
+  vm_incarnation incarnation;
+  vm_incarnation former_incarnation;
+  /// Runs that either incarnation may have accepted.
+  std::size_t uncertain_runs = 0;
+  /// When a lease was last granted on the former clock; the default value if
+  /// none was.
+  time_point granted_at;
+  /// The highest number of an end that the holds have acknowledged.
+  std::uint64_t acknowledged_through = 0;
+
+  bool operator==(const vm_restart&) const = default;
+};
+
 /// Decides which task runs on which VM of one pool.
 /// It does no I/O: events and times are passed in, and orders are returned. It
 /// guarantees the following, although orders may be lost or carried out late:
@@ -276,6 +293,9 @@
   /// Returns the runs that were lost with their VMs since the last call, for
   /// reports.
   std::vector<lost_run> TakeLosses();
+  /// Returns the restarts of VMs that were found since the last call, for
+  /// reports.
+  std::vector<vm_restart> TakeRestarts();
   /// Returns the next batch to store, if there is one.
   std::optional<progress_batch> TakeBatch();
   /// Precondition: batches are stored in the order of their numbers.
--- a/src/core/jobs/pool_incarnations.cc
+++ b/src/core/jobs/pool_incarnations.cc
@@ -49,6 +49,9 @@
     }
   }
   EndLostRuns(vm, lost);
+  restarts_.push_back({vm->description().id, incarnation, vm->incarnation,
+                       vm->runs().size(), vm->granted_at(),
+                       vm->acknowledged_through});
   vm->BeginIncarnation(incarnation, now);
   vacant_.erase(vm->description().id);
   StopUnansweredStarts(vm, now);
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -254,6 +254,10 @@
   return impl_->TakeLosses();
 }
 
+std::vector<vm_restart> pool_scheduler::TakeRestarts() {
+  return impl_->TakeRestarts();
+}
+
 std::optional<progress_batch> pool_scheduler::TakeBatch() {
   return impl_->TakeBatch();
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -80,6 +80,9 @@
 
   std::vector<vm_order> Plan(time_point now, time_point wall_now);
   std::vector<lost_run> TakeLosses() { return std::exchange(losses_, {}); }
+  std::vector<vm_restart> TakeRestarts() {
+    return std::exchange(restarts_, {});
+  }
   std::optional<progress_batch> TakeBatch();
   void NoteStored(const progress_batch& batch);
   void NoteJobsRead(time_point through) {
@@ -301,6 +304,8 @@
   scheduler_counts counts_;
   /// Lost runs that have not been reported.
   std::vector<lost_run> losses_;
+  /// Restarts of VMs that have not been reported.
+  std::vector<vm_restart> restarts_;
   send_window window_;
   /// The number of starts that this plan may still order, and of those in
   /// flight.
--- a/src/core/jobs/vm_state.cc
+++ b/src/core/jobs/vm_state.cc
@@ -88,6 +88,7 @@
   has_answered_ = false;
   unanswered_ = 0;
   clock_sample_ = duration::zero();
+  granted_at_ = {};
   processed_through = 0;
   acknowledged_through = 0;
   unstored_ends.clear();
@@ -102,6 +103,7 @@
   if (!has_answered_) {
     return std::nullopt;
   }
+  granted_at_ = now;
   const duration until = clock_sample_ + (now - last_answer_at_) + lease;
   const auto longest = static_cast<std::int64_t>(
       static_cast<double>((until - clock_sample_).count()) / kSlowestClock);
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -193,6 +193,9 @@
   bool IsLeaseExpired(time_point now) const { return now >= lease_expires_at_; }
   /// Returns the latest time at which the last lease expires.
   time_point lease_expires_at() const { return lease_expires_at_; }
+  /// Returns when a lease was last granted on the current clock; the default
+  /// value if none was.
+  time_point granted_at() const { return granted_at_; }
   /// Takes leases into account that another owner granted until `until`.
   void AssumeLease(time_point until);
   /// Marks the VM as not heard from: all its runs have ended.
@@ -262,6 +265,7 @@
   std::uint32_t unanswered_ = 0;
   time_point last_answer_at_;
   duration clock_sample_ = duration::zero();
+  time_point granted_at_;
   time_point lease_expires_at_;
   time_point incarnation_known_at_;
 };
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -47,6 +47,7 @@
   kVmLost,
   kVmGained,
   kVmHeard,
+  kVmRestarted,
   kVmVacated,
   kOwnershipGained,
   kOwnershipLost,
@@ -67,7 +68,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 53> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 54> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -103,6 +104,7 @@
     {job_event::kVmLost, "vm lost"},
     {job_event::kVmGained, "vm gained"},
     {job_event::kVmHeard, "vm heard"},
+    {job_event::kVmRestarted, "vm restarted"},
     {job_event::kVmVacated, "vm vacated"},
     {job_event::kOwnershipGained, "ownership gained"},
     {job_event::kOwnershipLost, "ownership lost"},
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -172,6 +172,7 @@
         scheduler_->Plan(began, WallTime());
     plan_time_ = BootTime() - began;
     LogTakeoverWait(began);
+    LogRestarts();
     LogLosses();
     deps_.meters->NotePlan(plan_time_);
     const auto starts = Meter(loop_work::kStarts);
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -136,6 +136,7 @@
   /// Returns the delay before the next hold of a VM that returned this listing.
   std::chrono::milliseconds NextHoldDelay(
       const core::jobs::run_listing& listing) const;
+  void LogRestarts();
   void LogLosses();
   void LogNewEnds(const core::jobs::vm_id& vm,
                   const std::shared_ptr<vm_connection>& link,
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -230,6 +230,20 @@
   return std::max(gap, delay);
 }
 
+// The registry may be the first to show a restart, before any call is answered.
+void pool_owner::impl::LogRestarts() {
+  for (const core::jobs::vm_restart& restart : scheduler_->TakeRestarts()) {
+    observe::log_fields fields = {
+        {"vm", restart.vm},
+        {"born", std::to_string(restart.incarnation.value_or(0))},
+        {"born_before", std::to_string(restart.former_incarnation.value_or(0))},
+        {"uncertain_runs", std::to_string(restart.uncertain_runs)},
+        {"acked_through", std::to_string(restart.acknowledged_through)}};
+    AppendAge("granted_ms_ago", restart.granted_at, &fields);
+    LogEvent(job_event::kVmRestarted, fields);
+  }
+}
+
 // Which tasks a lost VM had, and which of them it had never listed,
 // distinguishes a task that crashes its VMs from other tasks there.
 void pool_owner::impl::LogLosses() {
