Send calls only to the incarnation of a VM for which they were made

Callers saw tasks run twice: a VM restarted under its id and was cut off soon after, while long tasks ran.

Cause: an owner makes a start or a hold for one incarnation of a VM; the deadline in it is on that incarnation's clock, and the acknowledgement counts its ends. The call was sent to an address. Once the VM had restarted there, a new connection led to the next incarnation, whose clock had begun anew. It took the deadline for one far in the future and held its tasks for the longest lease (10 s) while the owner assumed 4.6 s, and started them again elsewhere. The id in the header is the same for both.

Change: every order and hold names the incarnation for which it was made. vm_client sends it only on a connection on which the VM has listed its tasks in that incarnation; the first request of each connection is a hold without a lease or an acknowledgement, which has no effect on any incarnation. If another one answers, the call is not sent, and the owner processes the listing. The rule holds for starts, stops, limits of speed, leases and acknowledgements alike, and needs neither a record nor a longer wait, so that it also holds for the next owner.

Ruled out as the cause of the reported cases: late starts and late acknowledgements; the orders of the report were carried out in time, and the runs overlap.

--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -37,8 +37,13 @@
       address_(address),
       task_time_(task_time) {
   lapse_timer_ = std::make_shared<boost::asio::steady_timer>(*context);
+  Listen();
+}
+
+void site_vm::Listen() {
+  server_.reset();
   server_ = std::make_unique<net::http_server>(
-      context, address, net::http_server_options(),
+      context_, address_, net::http_server_options(),
       [this](const net::server_request& request,
              const net::responder& respond) { Handle(request, respond); });
 }
@@ -76,6 +81,8 @@
   fence_ = 0;
   lease_until_ = {};
   is_silent = false;
+  calls_ = 0;
+  Listen();
 }
 
 void site_vm::Tell(vm_event event,
@@ -89,6 +96,9 @@
 void site_vm::ExtendLease(std::int64_t deadline_ms) {
   const steady_clock::time_point until =
       clock_zero_ + std::chrono::milliseconds(deadline_ms);
+  longest_lease_ = std::max(
+      longest_lease_,
+      std::chrono::duration_cast<milliseconds>(until - steady_clock::now()));
   if (until > lease_until_) {
     lease_until_ = until;
     AwaitLapse();
@@ -121,6 +131,7 @@
   if (is_silent) {
     return;
   }
+  ++calls_;
   if (net::FindHeader(request.headers, "X-Plantainhead-Expect-Instance") !=
       id_) {
     respond(Answer(421, json::object()));
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -42,10 +42,15 @@
   /// Ends this life and all that runs. Calls have no answer until the next one.
   void Crash();
   /// Begins another life, which knows nothing of the one before: its clock and
-  /// its counts start anew. The id may be the same.
+  /// its counts start anew, and the connections of the one before are closed.
+  /// The id may be the same.
   void BeginLife(const std::string& id);
   /// Returns how often each task was started.
   const std::map<std::string, int>& starts() const { return starts_; }
+  /// Returns the longest time for which a call has extended the lease.
+  std::chrono::milliseconds longest_lease() const { return longest_lease_; }
+  /// Returns how many calls the current life has received.
+  int calls() const { return calls_; }
   /// Returns how many tasks run now.
   std::size_t Running() const { return running_.size(); }
 
@@ -72,6 +77,7 @@
     bool is_lasting = false;
   };
 
+  void Listen();
   void Handle(const net::server_request& request,
               const net::responder& respond);
   net::server_response Answer(unsigned status, nlohmann::json body) const;
@@ -94,6 +100,8 @@
   std::string address_;
   std::chrono::milliseconds task_time_;
   std::unique_ptr<net::http_server> server_;
+  std::chrono::milliseconds longest_lease_{0};
+  int calls_ = 0;
   std::map<std::string, run> running_;
   std::map<std::string, std::uint32_t> highest_;
   std::map<std::string, int> starts_;
--- a/include/plantainhead/core/jobs/orders.h
+++ b/include/plantainhead/core/jobs/orders.h
@@ -29,6 +29,9 @@
 /// Orders a VM to start a task.
 struct start_order {
   run_ref target;
+  /// The incarnation for which the order was made. No other one must receive
+  /// it. Empty: unknown.
+  vm_incarnation incarnation;
   std::shared_ptr<const job_spec> job;
   /// The checkpoint from which the task resumes. Empty: it starts from the
   /// beginning.
@@ -40,11 +43,15 @@
 /// Orders a VM to stop a task.
 struct stop_order {
   run_ref target;
+  /// See `start_order`.
+  vm_incarnation incarnation = std::nullopt;
 };
 
 /// Orders a VM to limit a task to a percentage of its full speed.
 struct pace_order {
   run_ref target;
+  /// See `start_order`.
+  vm_incarnation incarnation;
   std::uint32_t percent = 100;
 };
 
@@ -54,6 +61,8 @@
 /// The parameters of the next hold of a VM. A hold is a long-polling call that
 /// renews the lease of a VM and returns its running and ended tasks.
 struct hold_parameters {
+  /// See `start_order`.
+  vm_incarnation incarnation;
   std::uint64_t acknowledged_through = 0;
   /// The end of the lease, on the VM's clock. Empty: the hold only reads the
   /// state of the VM and does not extend its lease.
--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -104,6 +104,7 @@
 
 hold_parameters pool_scheduler::impl::NextHold(vm_state* vm, time_point now) {
   hold_parameters hold;
+  hold.incarnation = vm->incarnation;
   const bool has_unacked = vm->acknowledged_through < vm->processed_through;
   if (!vm->IsReachable()) {
     // The lease of a VM that does not answer is not extended: what may be
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -455,6 +455,7 @@
   ++starts_in_flight_;
   starts_left_ -= std::min<std::size_t>(starts_left_, 1);
   orders->emplace_back(start_order{{vm->description().id, task, run},
+                                   vm->incarnation,
                                    job->shared_spec(),
                                    job->Find(task)->checkpoint,
                                    *lease_until});
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -340,7 +340,8 @@
     if (is_due) {
       run.is_stop_in_flight = true;
       run.stop_sent_at = now;
-      orders->emplace_back(stop_order{{vm->description().id, task, run.run}});
+      orders->emplace_back(
+          stop_order{{vm->description().id, task, run.run}, vm->incarnation});
     }
   }
 }
@@ -373,8 +374,8 @@
     }
     if (pace != run.pace) {
       run.pace = pace;
-      orders->emplace_back(
-          pace_order{{vm->description().id, task, run.run}, pace});
+      orders->emplace_back(pace_order{
+          {vm->description().id, task, run.run}, vm->incarnation, pace});
     }
   }
 }
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -123,6 +123,16 @@
   void ScheduleHold(const core::jobs::vm_id& vm,
                     std::chrono::milliseconds pause);
   void Hold(const core::jobs::vm_id& vm);
+  adapter::introduction_listener MakeIntroductionListener(
+      const core::jobs::vm_id& vm);
+  /// Handles the answer of a VM that is not in the expected incarnation.
+  void OnUnexpectedVm(const core::jobs::vm_id& vm,
+                      core::time_point sent_at,
+                      const adapter::hold_reply& reply);
+  void ProcessListing(const core::jobs::vm_id& vm,
+                      const std::shared_ptr<vm_connection>& link,
+                      core::time_point sent_at,
+                      const core::jobs::run_listing& listing);
   void ReadUnknownJobs();
   void OnHoldAnswer(const core::jobs::vm_id& vm,
                     const std::shared_ptr<vm_connection>& link,
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -42,8 +42,8 @@
     return;
   }
   try {
-    const auto link =
-        std::make_shared<vm_connection>(deps_.context, vm.id, vm.address);
+    const auto link = std::make_shared<vm_connection>(
+        deps_.context, vm.id, vm.address, MakeIntroductionListener(vm.id));
     link->known_at = BootTime();
     links_[vm.id] = link;
   } catch (const std::invalid_argument& error) {
@@ -151,12 +151,7 @@
   const core::time_point now = BootTime();
   switch (reply.outcome) {
     case hold_outcome::kListed:
-      OnVmResponse(vm, link.get(), reply.listing.incarnation);
-      LogNewEnds(vm, link, reply.listing);
-      scheduler_->NoteJobsRead(deps_.view->AllJobsReadAt());
-      scheduler_->OnListing(vm, sent_at, reply.listing, now);
-      ReadUnknownJobs();
-      SchedulePlan();
+      ProcessListing(vm, link, sent_at, reply.listing);
       ScheduleHold(vm, NextHoldDelay(reply.listing));
       return;
     case hold_outcome::kFenced:
@@ -187,6 +182,53 @@
   }
 }
 
+void pool_owner::impl::ProcessListing(
+    const vm_id& vm,
+    const std::shared_ptr<vm_connection>& link,
+    core::time_point sent_at,
+    const core::jobs::run_listing& listing) {
+  OnVmResponse(vm, link.get(), listing.incarnation);
+  LogNewEnds(vm, link, listing);
+  scheduler_->NoteJobsRead(deps_.view->AllJobsReadAt());
+  scheduler_->OnListing(vm, sent_at, listing, BootTime());
+  ReadUnknownJobs();
+  SchedulePlan();
+}
+
+adapter::introduction_listener pool_owner::impl::MakeIntroductionListener(
+    const vm_id& vm) {
+  return [self = weak_from_this(), vm](milliseconds age,
+                                       const adapter::hold_reply& reply) {
+    const auto owner = self.lock();
+    if (owner && !owner->is_closed_ && owner->scheduler_) {
+      owner->OnUnexpectedVm(vm, BootTime() - age, reply);
+    }
+  };
+}
+
+// A hold of the expected incarnation may still wait for its answer. It decides
+// on its own about a VM that does not answer.
+void pool_owner::impl::OnUnexpectedVm(const vm_id& vm,
+                                      core::time_point sent_at,
+                                      const adapter::hold_reply& reply) {
+  const auto link = FindLink(vm);
+  if (!link) {
+    return;
+  }
+  switch (reply.outcome) {
+    case hold_outcome::kListed:
+      ProcessListing(vm, link, sent_at, reply.listing);
+      return;
+    case hold_outcome::kFenced:
+    case hold_outcome::kReplaced:
+      OnHoldAnswer(vm, link, sent_at, reply);
+      return;
+    case hold_outcome::kFailed:
+    case hold_outcome::kUnanswered:
+      return;
+  }
+}
+
 void pool_owner::impl::OnVmResponse(
     const vm_id& vm,
     vm_connection* link,
--- a/src/jobs/vm_connection.h
+++ b/src/jobs/vm_connection.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "plantainhead/core/time.h"
 #include "platform/vm_client.h"
@@ -16,8 +17,11 @@
 struct vm_connection {
   vm_connection(boost::asio::io_context* context,
                 const core::jobs::vm_id& id,
-                const std::string& vm_address)
-      : address(vm_address), client(context, id, vm_address), timer(*context) {}
+                const std::string& vm_address,
+                adapter::introduction_listener listener)
+      : address(vm_address),
+        client(context, id, vm_address, std::move(listener)),
+        timer(*context) {}
 
   std::string address;
   adapter::vm_client client;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -116,6 +116,8 @@
     call->deadline = steady_clock::now() + timeout;
     call->request_text = SerializeRequest(request, host_);
     call->may_send = request.may_send;
+    call->introduces = request.introduces;
+    call->peer_number = peer_number_;
     call->max_deadline = call->deadline + options_.response_timeout;
     queued_calls_.push_back(call);
     AwaitDeadline(call);
@@ -126,16 +128,32 @@
     is_closed_ = true;
     queued_calls_.clear();
     idle_.clear();
+    introduction_ = {};
+  }
+
+  void SetIntroduction(peer_introduction introduction) {
+    introduction_ = std::move(introduction);
+  }
+
+  void ExpectNewPeer() {
+    ++peer_number_;
+    idle_.clear();
+    for (const call_ptr& call : std::exchange(queued_calls_, {})) {
+      EndUnsent(call);
+    }
   }
 
   std::uint64_t opened_connections() const { return opened_connections_; }
 
  private:
   struct connection {
-    explicit connection(asio::io_context& context) : stream(context) {}
+    connection(asio::io_context& context, std::uint64_t peer)
+        : stream(context), peer_number(peer) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     steady_clock::time_point idle_since;
+    std::uint64_t peer_number;
+    bool is_introduced = false;
   };
   using connection_ptr = std::unique_ptr<connection>;
 
@@ -151,6 +169,12 @@
     steady_clock::time_point max_deadline;
     asio::steady_timer timer;
     connection_ptr active_connection;
+    bool introduces = false;
+    /// The value of `peer_number_` when the call was made.
+    std::uint64_t peer_number = 0;
+    /// The call that introduces the connection of this one, and the reverse.
+    std::shared_ptr<pending_call> introduction;
+    std::shared_ptr<pending_call> introduced_call;
     /// The result of `ArrivedBytes` at the last deadline.
     std::size_t arrived_bytes = 0;
     bool is_sent = false;
@@ -191,7 +215,8 @@
 
   void Connect(const call_ptr& call) {
     ++opened_connections_;
-    call->active_connection = std::make_unique<connection>(context_);
+    call->active_connection =
+        std::make_unique<connection>(context_, call->peer_number);
     call->active_connection->stream.async_connect(
         endpoint_, [self = shared_from_this(), call](error_code error) {
           if (call->is_finished) {
@@ -210,8 +235,16 @@
   // A call that must not be sent ends in a separate handler: a long queue of
   // such calls would otherwise cause deep recursion.
   void WriteIfAllowed(const call_ptr& call) {
-    if (!call->may_send || call->may_send()) {
-      Write(call);
+    const bool is_outdated = is_closed_ || call->peer_number != peer_number_;
+    if (!is_outdated && (!call->may_send || call->may_send())) {
+      const bool must_introduce = introduction_.make_request &&
+                                  !call->introduces &&
+                                  !call->active_connection->is_introduced;
+      if (must_introduce) {
+        Introduce(call);
+      } else {
+        Write(call);
+      }
       return;
     }
     asio::post(context_, [self = weak_from_this(), call] {
@@ -222,6 +255,56 @@
     });
   }
 
+  // The introduction uses the connection of the call until it is answered, and
+  // ends by the deadline of the call.
+  void Introduce(const call_ptr& call) {
+    auto introduction = std::make_shared<pending_call>(context_);
+    introduction->request_text =
+        SerializeRequest(introduction_.make_request(), host_);
+    introduction->introduced_call = call;
+    introduction->active_connection = std::move(call->active_connection);
+    call->introduction = introduction;
+    Write(introduction);
+  }
+
+  // Returns whether the call proceeds on the connection that was introduced to
+  // it. Otherwise the call has ended.
+  bool ContinueIntroduced(const call_ptr& introduction,
+                          const client_reply& reply,
+                          bool is_reusable) {
+    const call_ptr call = std::exchange(introduction->introduced_call, nullptr);
+    call->introduction = nullptr;
+    const bool is_answered =
+        reply.outcome == call_outcome::kAnswered && !is_closed_;
+    if (is_answered && !introduction_.is_expected(reply)) {
+      introduction_.on_unexpected(
+          reply, std::chrono::ceil<std::chrono::milliseconds>(
+                     steady_clock::now() - introduction->sent_at));
+    } else if (is_answered && is_reusable && !call->is_finished) {
+      introduction->is_finished = true;
+      introduction->active_connection->is_introduced = true;
+      call->active_connection = std::move(introduction->active_connection);
+      WriteIfAllowed(call);
+      return true;
+    }
+    EndUnsent(call);
+    return false;
+  }
+
+  // Ends a call that has no connection, in a separate handler.
+  void EndUnsent(const call_ptr& call) {
+    if (call->is_finished) {
+      return;
+    }
+    call->is_finished = true;
+    call->timer.cancel();
+    asio::post(context_, [self = weak_from_this(), call] {
+      if (const auto client = self.lock()) {
+        client->CallHandler(call, {call_outcome::kNotSent, 0, {}});
+      }
+    });
+  }
+
   void Write(const call_ptr& call) {
     call->is_sent = true;
     call->sent_at = steady_clock::now();
@@ -337,6 +420,10 @@
     if (call->is_finished || ExtendDeadline(call)) {
       return;
     }
+    if (const call_ptr introduction = call->introduction) {
+      Finish(introduction, {call_outcome::kUnanswered, 0, {}}, false);
+      return;
+    }
     const bool is_queued = call->active_connection == nullptr;
     if (is_queued) {
       std::erase(queued_calls_, call);
@@ -379,6 +466,20 @@
   }
 
   void Finish(const call_ptr& call, client_reply reply, bool is_reusable) {
+    if (call->introduced_call) {
+      if (ContinueIntroduced(call, reply, is_reusable)) {
+        return;
+      }
+      is_reusable = false;
+    }
+    const bool identifies_peer = call->introduces &&
+                                 introduction_.is_expected &&
+                                 reply.outcome == call_outcome::kAnswered;
+    if (identifies_peer) {
+      call->active_connection->is_introduced = introduction_.is_expected(reply);
+    }
+    is_reusable =
+        is_reusable && call->active_connection->peer_number == peer_number_;
     call->is_finished = true;
     call->timer.cancel();
     --connections_in_use_;
@@ -421,6 +522,9 @@
   std::vector<connection_ptr> idle_;
   std::size_t connections_in_use_ = 0;
   std::uint64_t opened_connections_ = 0;
+  peer_introduction introduction_;
+  /// Counts the peers that have been expected.
+  std::uint64_t peer_number_ = 0;
   bool is_closed_ = false;
 };
 
@@ -446,6 +550,14 @@
   impl_->Send(request, timeout, std::move(late), std::move(on_reply));
 }
 
+void http_client::SetIntroduction(peer_introduction introduction) {
+  impl_->SetIntroduction(std::move(introduction));
+}
+
+void http_client::ExpectNewPeer() {
+  impl_->ExpectNewPeer();
+}
+
 std::uint64_t http_client::OpenedConnections() const {
   return impl_->opened_connections();
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -43,6 +43,21 @@
   std::function<void()> on_late;
 };
 
+/// Identifies the peer of each new connection before a request is sent on it.
+/// Another peer may listen at the same address by then, and would carry out a
+/// request that was made for the expected one.
+struct peer_introduction {
+  /// Returns the first request of a connection. It must have no effect on any
+  /// peer.
+  std::function<client_request()> make_request;
+  /// Returns whether the response is from the expected peer.
+  std::function<bool(const client_reply&)> is_expected;
+  /// Called with a complete response that was not from the expected peer, and
+  /// with the time since the request was sent.
+  std::function<void(const client_reply&, std::chrono::milliseconds)>
+      on_unexpected;
+};
+
 /// Asynchronous HTTP/1.1 client for one server, with a small pool of persistent
 /// connections.
 ///
@@ -78,6 +93,14 @@
             late_response_policy late,
             reply_handler on_reply);
 
+  /// Lets every connection be introduced before it is used. A call whose
+  /// connection leads to an unexpected peer is not sent. Precondition: all
+  /// functions are set, and no call has been made.
+  void SetIntroduction(peer_introduction introduction);
+  /// Records that another peer is expected from now on. Calls that have not
+  /// been sent end with `kNotSent`, and no existing connection is used again.
+  void ExpectNewPeer();
+
   /// Returns the number of connections opened so far.
   std::uint64_t OpenedConnections() const;
 
--- a/src/net/http_message.h
+++ b/src/net/http_message.h
@@ -31,6 +31,9 @@
   /// Called immediately before the request is written. If it returns false, the
   /// call ends with the outcome `kNotSent`. If empty, the request is sent.
   std::function<bool()> may_send;
+  /// The request has no effect on any peer, and its response identifies the
+  /// peer. See `peer_introduction`.
+  bool introduces = false;
 };
 
 /// The result of a request that this process sent.
--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -40,6 +40,11 @@
   /// Whether orders that are carried out late may reach the next incarnation of
   /// the VM.
   bool late_orders_outlive_vms = false;
+  /// A crashed VM that returns under the same id is back within 0.6 s and stops
+  /// answering this much later, for 9 s. Zero: it does not.
+  duration cut_after_restart = duration::zero();
+  /// How long after a restart the registry shows the next incarnation.
+  duration registry_delay = duration::zero();
   /// Mean time between two VMs whose registry entry cannot be read for up to 8
   /// s.
   duration unreadable_every = duration::zero();
@@ -333,7 +338,17 @@
     machine->zero =
         Between(std::chrono::seconds(0), std::chrono::seconds(1000));
     machine->description.incarnation = ++last_incarnation_;
-    owner_->scheduler->UpdateVms(Registry(), now);
+    Later(faults_.registry_delay,
+          [this] { owner_->scheduler->UpdateVms(Registry(), now); });
+    if (faults_.cut_after_restart > duration::zero()) {
+      const vm_id id = machine->description.id;
+      Later(faults_.cut_after_restart, [this, id] {
+        const auto found = vms_.find(id);
+        if (found != vms_.end()) {
+          found->second.unresponsive_until = now + std::chrono::seconds(9);
+        }
+      });
+    }
   }
 
   void RestartDueVms() {
@@ -389,8 +404,11 @@
       const auto lost =
           std::next(vms_.begin(), static_cast<long>(random_() % vms_.size()));
       if (Occurs(faults_.same_id_share)) {
-        CrashUnderSameId(&lost->second, Between(std::chrono::milliseconds(10),
-                                                std::chrono::seconds(6)));
+        const bool is_cut = faults_.cut_after_restart > duration::zero();
+        CrashUnderSameId(&lost->second,
+                         Between(std::chrono::milliseconds(10),
+                                 is_cut ? std::chrono::milliseconds(600)
+                                        : std::chrono::seconds(6)));
       } else {
         NoteCrash(lost->second);
         vms_.erase(lost);
@@ -440,14 +458,24 @@
     return Between(std::chrono::milliseconds(1), std::chrono::milliseconds(30));
   }
 
+  /// The peer of a call.
+  struct call_target {
+    vm_id id;
+    /// Another incarnation does not receive the call; see `vm_client`.
+    vm_incarnation incarnation;
+  };
+
   // Transmits a call to the VM and its answer back. `at_vm` runs at the VM, and
   // the function that it returns runs at the owner if the answer arrives;
-  // otherwise `unanswered` runs after the timeout.
+  // otherwise `unanswered` runs after the timeout. If the VM is in another
+  // incarnation, the owner receives its listing, and then `not_sent` runs.
   void Call(const owner_ptr& worker,
-            const vm_id& id,
+            const call_target& target,
             bool is_order,
             const std::function<std::function<void()>(vm*)>& at_vm,
-            const std::function<void()>& unanswered) {
+            const std::function<void()>& unanswered,
+            const std::function<void()>& not_sent) {
+    const vm_id id = target.id;
     if (is_order && Occurs(faults_.lost_orders)) {
       Later(kAnswerTimeout, unanswered);
       return;
@@ -458,7 +486,8 @@
         is_late ? Between(std::chrono::seconds(2), std::chrono::seconds(12))
                 : Delay();
     const time_point sent_at = now;
-    const vm_incarnation meant = IncarnationOf(id);
+    const vm_incarnation meant =
+        target.incarnation ? target.incarnation : IncarnationOf(id);
     Later(delay, [=, this] {
       if (replaced_.count(id) != 0) {
         worker->scheduler->OnReplaced(id, now);
@@ -467,6 +496,17 @@
       const auto found = vms_.find(id);
       const bool is_over = is_late && IncarnationOf(id) != meant &&
                            !faults_.late_orders_outlive_vms;
+      const bool is_other =
+          !is_late && found != vms_.end() &&
+          AreDifferentIncarnations(target.incarnation, IncarnationOf(id));
+      if (is_other && now >= found->second.unresponsive_until) {
+        const run_listing listing = List(found->second);
+        Later(Delay(), [=, this] {
+          worker->scheduler->OnListing(id, sent_at, listing, now);
+          not_sent();
+        });
+        return;
+      }
       const bool is_reached = found != vms_.end() && !is_over &&
                               now >= found->second.unresponsive_until;
       const auto answer = is_reached ? at_vm(&found->second) : nullptr;
@@ -561,34 +601,40 @@
     const auto again = [this, worker, id] {
       worker->next_hold[id] = now + std::chrono::milliseconds(100);
     };
+    const auto unanswered = [=] {
+      worker->scheduler->OnHoldUnanswered(id);
+      again();
+    };
     Call(
-        worker, id, false,
+        worker, {id, hold.incarnation}, false,
         [=, this](vm* machine) -> std::function<void()> {
           if (!Fence(machine, worker)) {
             return [worker] { worker->scheduler->OnFenced(); };
           }
           Extend(machine, hold.lease_until);
           Acknowledge(machine, hold.acknowledged_through);
-          run_listing listing;
-          listing.incarnation = machine->description.incarnation;
-          listing.vm_clock = ClockOf(*machine);
-          for (const auto& [task, held] : machine->runs) {
-            listing.running.push_back(
-                {task, held.run, "",
-                 static_cast<std::uint32_t>(now.time_since_epoch().count() /
-                                            10000 % 99),
-                 0});
-          }
-          listing.ended = machine->ended;
+          const run_listing listing = List(*machine);
           return [=, this] {
             worker->scheduler->OnListing(id, sent_at, listing, now);
             again();
           };
         },
-        [=] {
-          worker->scheduler->OnHoldUnanswered(id);
-          again();
-        });
+        unanswered, unanswered);
+  }
+
+  run_listing List(const vm& machine) const {
+    run_listing listing;
+    listing.incarnation = machine.description.incarnation;
+    listing.vm_clock = ClockOf(machine);
+    for (const auto& [task, held] : machine.runs) {
+      listing.running.push_back(
+          {task, held.run, "",
+           static_cast<std::uint32_t>(now.time_since_epoch().count() / 10000 %
+                                      99),
+           0});
+    }
+    listing.ended = machine.ended;
+    return listing;
   }
 
   // A task counts as done from the acknowledgement of its end on, unless the
@@ -629,7 +675,7 @@
                                          ? resources()
                                          : chosen->second.description.capacity;
     Call(
-        worker, target.vm, true,
+        worker, {target.vm, order.incarnation}, true,
         [=, this](vm* machine) -> std::function<void()> {
           const start_result result =
               Start(machine, worker, order, sent_at, known_capacity);
@@ -639,6 +685,9 @@
         },
         [=, this] {
           worker->scheduler->OnStartAnswer(target, start_result::kUnknown, now);
+        },
+        [=, this] {
+          worker->scheduler->OnStartAnswer(target, start_result::kNotSent, now);
         });
   }
 
@@ -728,8 +777,11 @@
 
   void Send(const owner_ptr& worker, const stop_order& order) {
     const run_ref target = order.target;
+    const auto unanswered = [=, this] {
+      worker->scheduler->OnStopAnswer(target, false, now);
+    };
     Call(
-        worker, target.vm, true,
+        worker, {target.vm, order.incarnation}, true,
         [=, this](vm* machine) -> std::function<void()> {
           if (!Fence(machine, worker)) {
             return [worker] { worker->scheduler->OnFenced(); };
@@ -745,7 +797,7 @@
           return
               [=, this] { worker->scheduler->OnStopAnswer(target, true, now); };
         },
-        [=, this] { worker->scheduler->OnStopAnswer(target, false, now); });
+        unanswered, unanswered);
   }
 
   void Send(const owner_ptr& /*worker*/, const pace_order& /*order*/) {}
