Let an introduction outlast the call that needs it

With the commit before, orders never reached a VM whose answers take longer than the timeout of an order (0.7 s), as over a saturated link: the introduction of the connection ended with the order, and the next order began another one.

Change: an introduction has a deadline of its own. If the call has timed out by then, the connection serves the next one. Once another incarnation is known, the calls to the former one end at once instead of keeping their connections, and holds of the new one don't wait for them. An owner tells its client of a new incarnation when the registry or a listing shows it.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -253,6 +253,8 @@
   /// Returns one of `Vms()`, or null. The pointer is valid until the next call
   /// of a non-const method.
   const vm_description* FindVm(const vm_id& vm) const;
+  /// Returns the current incarnation of the VM; empty if it is unknown.
+  vm_incarnation IncarnationOf(const vm_id& vm) const;
   /// Returns the VMs that have been added to `Vms`, removed from it, or whose
   /// description has changed since the last call. A VM may occur twice.
   std::vector<vm_id> TakeVmChanges();
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -174,6 +174,11 @@
   return found == nullptr ? nullptr : &found->description();
 }
 
+vm_incarnation pool_scheduler::IncarnationOf(const vm_id& vm) const {
+  const vm_state* found = impl_->PeekVm(vm);
+  return found == nullptr ? std::nullopt : found->incarnation;
+}
+
 std::vector<vm_id> pool_scheduler::TakeVmChanges() {
   return impl_->TakeVmChanges();
 }
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -39,6 +39,7 @@
 void pool_owner::impl::SyncLink(const vm_description& vm) {
   const auto found = links_.find(vm.id);
   if (found != links_.end() && found->second->address == vm.address) {
+    found->second->client.ExpectIncarnation(scheduler_->IncarnationOf(vm.id));
     return;
   }
   try {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <set>
 #include <stdexcept>
 #include <string_view>
 #include <utility>
@@ -127,6 +128,7 @@
   void Close() {
     is_closed_ = true;
     queued_calls_.clear();
+    sent_calls_.clear();
     idle_.clear();
     introduction_ = {};
   }
@@ -141,6 +143,15 @@
     for (const call_ptr& call : std::exchange(queued_calls_, {})) {
       EndUnsent(call);
     }
+    // The former peer will not answer any more.
+    asio::post(context_, [self = weak_from_this(), calls = sent_calls_] {
+      const auto client = self.lock();
+      for (const call_ptr& call : calls) {
+        if (client && !call->is_finished) {
+          client->Finish(call, {call_outcome::kUnanswered, 0, {}}, false);
+        }
+      }
+    });
   }
 
   std::uint64_t opened_connections() const { return opened_connections_; }
@@ -172,8 +183,7 @@
     bool introduces = false;
     /// The value of `peer_number_` when the call was made.
     std::uint64_t peer_number = 0;
-    /// The call that introduces the connection of this one, and the reverse.
-    std::shared_ptr<pending_call> introduction;
+    /// The call that waits until this one has introduced its connection.
     std::shared_ptr<pending_call> introduced_call;
     /// The result of `ArrivedBytes` at the last deadline.
     std::size_t arrived_bytes = 0;
@@ -255,15 +265,20 @@
     });
   }
 
-  // The introduction uses the connection of the call until it is answered, and
-  // ends by the deadline of the call.
+  // The introduction has a deadline of its own: a peer whose answers take
+  // longer than the timeout of the call would otherwise never be introduced.
   void Introduce(const call_ptr& call) {
     auto introduction = std::make_shared<pending_call>(context_);
     introduction->request_text =
         SerializeRequest(introduction_.make_request(), host_);
     introduction->introduced_call = call;
+    introduction->peer_number = call->peer_number;
     introduction->active_connection = std::move(call->active_connection);
-    call->introduction = introduction;
+    introduction->deadline =
+        steady_clock::now() + options_.introduction_timeout;
+    introduction->max_deadline =
+        introduction->deadline + options_.response_timeout;
+    AwaitDeadline(introduction);
     Write(introduction);
   }
 
@@ -273,16 +288,19 @@
                           const client_reply& reply,
                           bool is_reusable) {
     const call_ptr call = std::exchange(introduction->introduced_call, nullptr);
-    call->introduction = nullptr;
     const bool is_answered =
         reply.outcome == call_outcome::kAnswered && !is_closed_;
     if (is_answered && !introduction_.is_expected(reply)) {
       introduction_.on_unexpected(
           reply, std::chrono::ceil<std::chrono::milliseconds>(
                      steady_clock::now() - introduction->sent_at));
-    } else if (is_answered && is_reusable && !call->is_finished) {
-      introduction->is_finished = true;
+    } else if (is_answered && is_reusable) {
       introduction->active_connection->is_introduced = true;
+      if (call->is_finished) {
+        return false;
+      }
+      introduction->is_finished = true;
+      introduction->timer.cancel();
       call->active_connection = std::move(introduction->active_connection);
       WriteIfAllowed(call);
       return true;
@@ -308,6 +326,7 @@
   void Write(const call_ptr& call) {
     call->is_sent = true;
     call->sent_at = steady_clock::now();
+    sent_calls_.insert(call);
     asio::async_write(
         call->active_connection->stream, asio::buffer(call->request_text),
         [self = shared_from_this(), call](error_code error, std::size_t) {
@@ -420,10 +439,6 @@
     if (call->is_finished || ExtendDeadline(call)) {
       return;
     }
-    if (const call_ptr introduction = call->introduction) {
-      Finish(introduction, {call_outcome::kUnanswered, 0, {}}, false);
-      return;
-    }
     const bool is_queued = call->active_connection == nullptr;
     if (is_queued) {
       std::erase(queued_calls_, call);
@@ -466,11 +481,12 @@
   }
 
   void Finish(const call_ptr& call, client_reply reply, bool is_reusable) {
+    sent_calls_.erase(call);
     if (call->introduced_call) {
       if (ContinueIntroduced(call, reply, is_reusable)) {
         return;
       }
-      is_reusable = false;
+      is_reusable = is_reusable && call->active_connection->is_introduced;
     }
     const bool identifies_peer = call->introduces &&
                                  introduction_.is_expected &&
@@ -519,6 +535,7 @@
   std::string host_;
   http_client_options options_;
   std::deque<call_ptr> queued_calls_;
+  std::set<call_ptr> sent_calls_;
   std::vector<connection_ptr> idle_;
   std::size_t connections_in_use_ = 0;
   std::uint64_t opened_connections_ = 0;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -33,6 +33,9 @@
   /// The maximum time for such a response to arrive completely, counted from
   /// the end of the call's timeout.
   std::chrono::milliseconds response_timeout = std::chrono::seconds(20);
+  /// The maximum time to wait for the response to an introduction, also if the
+  /// call that needs the connection has timed out. See `peer_introduction`.
+  std::chrono::milliseconds introduction_timeout = std::chrono::seconds(4);
 };
 
 /// Controls how long a call waits for a response after its timeout.
@@ -98,7 +101,9 @@
   /// functions are set, and no call has been made.
   void SetIntroduction(peer_introduction introduction);
   /// Records that another peer is expected from now on. Calls that have not
-  /// been sent end with `kNotSent`, and no existing connection is used again.
+  /// been sent end with `kNotSent`, those that were sent with `kUnanswered`,
+  /// and no existing connection is used again. Precondition: a connection of
+  /// the former peer does not lead to the new one.
   void ExpectNewPeer();
 
   /// Returns the number of connections opened so far.
--- a/tests/net/http_introduction_test.cc
+++ b/tests/net/http_introduction_test.cc
@@ -123,6 +123,16 @@
     CHECK(peer.Await().outcome == call_outcome::kNotSent);
     CHECK(peer.requests.back() != "/waiting");
   }
+
+  // Guards against a new peer that is not called as long as a call to the
+  // former one waits for its answer.
+  SECTION("and a call that was sent ends when another peer is expected") {
+    peer.is_silent = true;
+    peer.Send("/sent");
+    REQUIRE(RunUntil(&peer.context, [&] { return !peer.unanswered.empty(); }));
+    peer.client.ExpectNewPeer();
+    CHECK(peer.Await().outcome == call_outcome::kUnanswered);
+  }
 }
 
 TEST_CASE("A call that introduces needs no introduction") {
@@ -138,6 +148,22 @@
   CHECK(peer.requests == strings{kIntroduction, "/order"});
 }
 
+// Guards against orders that are never sent to a peer whose answers take longer
+// than the timeout of an order.
+TEST_CASE("An introduction that is answered late serves the next call") {
+  introduced_client peer;
+  peer.is_silent = true;
+  peer.Send("/order", milliseconds(50));
+  CHECK(peer.Await().outcome == call_outcome::kNotSent);
+  REQUIRE(peer.unanswered.size() == 1);
+  peer.unanswered[0]({200, {}, "first"});
+  peer.is_silent = false;
+  peer.Send("/next");
+  CHECK(peer.Await().outcome == call_outcome::kAnswered);
+  CHECK(peer.requests == strings{kIntroduction, "/next"});
+  CHECK(peer.client.OpenedConnections() == 1);
+}
+
 // Guards against a call that counts as possibly carried out although it was
 // never sent, because the introduction was not answered.
 TEST_CASE("A call whose connection is not introduced in time is not sent") {
@@ -146,9 +172,6 @@
   peer.Send("/order", milliseconds(50));
   CHECK(peer.Await().outcome == call_outcome::kNotSent);
   CHECK(peer.requests == strings{kIntroduction});
-  peer.is_silent = false;
-  peer.Send("/next");
-  CHECK(peer.Await().outcome == call_outcome::kAnswered);
 }
 
 }  // namespace
