Ignore failed holds of earlier incarnations of VMs

Callers would see: a VM that has restarted under its id and works loses a renewal of its lease, is logged as lost, and tasks that have just started there are recorded as suspected of crashing it, which can end in a given-up job.

Cause: a hold that was made for one incarnation and fails late was counted for the VM's id, so also against the next incarnation, even if that one had already answered on another connection.

Change: the scheduler gets the time at which the hold was sent, and ignores the failure if the current incarnation became known later. The next hold decides. The owner logs `vm answer ignored`.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -271,7 +271,12 @@
                  time_point sent_at,
                  const run_listing& listing,
                  time_point now);
-  void OnHoldUnanswered(const vm_id& vm);
+  /// Handles a hold that received no valid answer. Returns false if the failure
+  /// is ignored: the hold was sent before the current incarnation of the VM
+  /// became known, and may have failed with an earlier one. Precondition:
+  /// `sent_at` is when the hold was sent, or empty if it is unknown.
+  bool OnHoldUnanswered(const vm_id& vm,
+                        std::optional<time_point> sent_at = std::nullopt);
   /// Handles an answer of another incarnation of the VM: all runs of the known
   /// one have ended.
   void OnReplaced(const vm_id& vm, time_point now);
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -215,14 +215,21 @@
   }
 }
 
-void pool_scheduler::OnHoldUnanswered(const vm_id& vm) {
-  if (vm_state* found = impl_->FindVm(vm)) {
-    // Only for the first of several unanswered holds in a row.
-    if (found->IsReachable()) {
-      impl_->SuspectNewlyStartedRuns(found);
-    }
-    found->NoteUnanswered();
+bool pool_scheduler::OnHoldUnanswered(const vm_id& vm,
+                                      std::optional<time_point> sent_at) {
+  vm_state* found = impl_->FindVm(vm);
+  if (found == nullptr) {
+    return true;
   }
+  if (sent_at && *sent_at < found->incarnation_known_at()) {
+    return false;
+  }
+  // Only for the first of several unanswered holds in a row.
+  if (found->IsReachable()) {
+    impl_->SuspectNewlyStartedRuns(found);
+  }
+  found->NoteUnanswered();
+  return true;
 }
 
 void pool_scheduler::OnReplaced(const vm_id& vm, time_point now) {
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -48,6 +48,7 @@
   kVmGained,
   kVmHeard,
   kVmRestarted,
+  kVmAnswerIgnored,
   kVmVacated,
   kOwnershipGained,
   kOwnershipLost,
@@ -68,7 +69,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 54> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 55> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -105,6 +106,7 @@
     {job_event::kVmGained, "vm gained"},
     {job_event::kVmHeard, "vm heard"},
     {job_event::kVmRestarted, "vm restarted"},
+    {job_event::kVmAnswerIgnored, "vm answer ignored"},
     {job_event::kVmVacated, "vm vacated"},
     {job_event::kOwnershipGained, "ownership gained"},
     {job_event::kOwnershipLost, "ownership lost"},
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -174,14 +174,18 @@
       if (reply.fault) {
         deps_.view->faults().Note(kVmListing, vm, *reply.fault);
       }
-      if (!link->is_lost) {
+      if (!scheduler_->OnHoldUnanswered(vm, sent_at)) {
+        lines_.AddVm(job_event::kVmAnswerIgnored, vm,
+                     {{"reason", "an earlier incarnation may have failed"},
+                      {"status", std::to_string(reply.status)}},
+                     now);
+      } else if (!link->is_lost) {
         link->is_lost = true;
         lines_.AddVm(job_event::kVmLost, vm,
                      {{"reason", "a hold received no valid answer"},
                       {"status", std::to_string(reply.status)}},
                      now);
       }
-      scheduler_->OnHoldUnanswered(vm);
       ScheduleHold(vm, settings_.hold_retry_delay);
       return;
   }
--- a/tests/core/jobs/vm_restart_test.cc
+++ b/tests/core/jobs/vm_restart_test.cc
@@ -245,5 +245,35 @@
   CHECK(again[0].target.run == 2);
 }
 
+// Guards against a lease that is not renewed and a task that is suspected of
+// crashing its VM, because a hold of the previous incarnation fails late.
+TEST_CASE("A hold fails only the incarnation for which it was sent") {
+  restarted_vm vm;
+  scheduler_driver& driver = vm.driver;
+  const time_point former_sent_at = driver.now;
+  driver.Pass(seconds(1));
+  vm.RegisterNextIncarnation();
+  vm.List(kNextIncarnation, seconds(1));
+  driver.Add(Job("job", {Step(1, 2000)}));
+  REQUIRE(driver.StartAll().size() == 1);
+  vm.List(kNextIncarnation, seconds(1), {Running(vm.task, 1)});
+  driver.Store();
+  driver.Pass(milliseconds(100));
+
+  SECTION("a hold of the previous one does not count") {
+    CHECK_FALSE(driver.scheduler.OnHoldUnanswered("vm-1", former_sent_at));
+    CHECK(driver.scheduler.NextHold("vm-1", driver.now).lease_until);
+    CHECK(driver.Store().empty());
+  }
+
+  SECTION("a hold of the current one counts") {
+    CHECK(driver.scheduler.OnHoldUnanswered("vm-1", driver.now));
+    CHECK_FALSE(driver.scheduler.NextHold("vm-1", driver.now).lease_until);
+    const auto batches = driver.Store();
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].jobs.back().second.tasks.at(0).losses.size() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
