Ignore rejections of calls that were made for earlier incarnations of VMs

Callers would see: a task that runs twice, and a VM that is never used again. A VM restarts under its id at another address, and another VM takes its former address. A hold or a start that is still on its way to the former address is rejected there (421).

Cause: the rejection was taken to mean that the VM with this id is gone. All runs of the incarnation that works at the new address counted as lost and started again elsewhere.

Change: a rejection counts only if the call was sent after the current incarnation became known. The next hold decides. The owner logs `vm answer ignored`.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -277,9 +277,14 @@
   /// `sent_at` is when the hold was sent, or empty if it is unknown.
   bool OnHoldUnanswered(const vm_id& vm,
                         std::optional<time_point> sent_at = std::nullopt);
-  /// Handles an answer of another incarnation of the VM: all runs of the known
-  /// one have ended.
-  void OnReplaced(const vm_id& vm, time_point now);
+  /// Handles an answer of a VM with another id at the address of the VM: all
+  /// runs of the known incarnation have ended. Returns false if the answer is
+  /// ignored: the call was sent before that incarnation became known.
+  /// Precondition: `sent_at` is when the call was sent, or empty if it is
+  /// unknown.
+  bool OnReplaced(const vm_id& vm,
+                  time_point now,
+                  std::optional<time_point> sent_at = std::nullopt);
   /// Handles the rejection of an order by a VM that a newer owner has fenced.
   void OnFenced() { is_fenced_ = true; }
 
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -190,11 +190,14 @@
     return;
   }
   impl_->NoteStartTime(impl_->FindVm(target.vm), target, now);
+  time_point ordered_at;
   if (vm_state* vm = impl_->FindVm(target.vm)) {
+    const run_state* run = vm->Find(target.task, target.run);
+    ordered_at = run == nullptr ? ordered_at : run->ordered_at;
     impl_->ProcessStartAnswer(vm, target, result, now);
   }
   if (result == start_result::kReplaced) {
-    OnReplaced(target.vm, now);
+    OnReplaced(target.vm, now, ordered_at);
   }
 }
 
@@ -232,8 +235,15 @@
   return true;
 }
 
-void pool_scheduler::OnReplaced(const vm_id& vm, time_point now) {
+bool pool_scheduler::OnReplaced(const vm_id& vm,
+                                time_point now,
+                                std::optional<time_point> sent_at) {
+  const vm_state* known = impl_->PeekVm(vm);
+  if (known != nullptr && sent_at && *sent_at < known->incarnation_known_at()) {
+    return false;
+  }
   impl_->Replace(vm, now);
+  return true;
 }
 
 duration pool_scheduler::AnswerDelay() const {
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -164,10 +164,16 @@
       SchedulePlan();
       return;
     case hold_outcome::kReplaced:
-      lines_.AddVm(job_event::kVmLost, vm,
-                   {{"reason", "another incarnation of the VM answered"}}, now);
-      scheduler_->OnReplaced(vm, now);
-      SchedulePlan();
+      if (scheduler_->OnReplaced(vm, now, sent_at)) {
+        lines_.AddVm(job_event::kVmLost, vm,
+                     {{"reason", "another incarnation of the VM answered"}},
+                     now);
+        SchedulePlan();
+      } else {
+        lines_.AddVm(job_event::kVmAnswerIgnored, vm,
+                     {{"reason", "an earlier incarnation was replaced"}}, now);
+        ScheduleHold(vm, settings_.hold_retry_delay);
+      }
       return;
     case hold_outcome::kFailed:
     case hold_outcome::kUnanswered:
--- a/tests/core/jobs/vm_restart_test.cc
+++ b/tests/core/jobs/vm_restart_test.cc
@@ -275,5 +275,50 @@
   }
 }
 
+// Guards against a task that runs twice. A call to the former address of a VM
+// is answered there by another VM, after the first one has restarted under its
+// id at another address.
+TEST_CASE("A late rejection does not end the runs of the next incarnation") {
+  restarted_vm vm;
+  scheduler_driver& driver = vm.driver;
+  driver.Add(Job("first", {Step(1, 2000)}));
+  const auto former = driver.Starts();
+  REQUIRE(former.size() == 1);
+  const time_point former_sent_at = driver.now;
+  driver.Pass(seconds(1));
+  vm.RegisterNextIncarnation();
+  vm.List(kNextIncarnation, seconds(1));
+  driver.Add(Job("job", {Step(1, 2000)}));
+  const auto starts = driver.Starts();
+  REQUIRE(starts.size() == 1);
+  REQUIRE(starts[0].target.task == vm.task);
+  driver.scheduler.OnStartAnswer(starts[0].target, start_result::kStarted,
+                                 driver.now);
+  driver.Pass(milliseconds(100));
+
+  SECTION("of a hold") {
+    CHECK_FALSE(
+        driver.scheduler.OnReplaced("vm-1", driver.now, former_sent_at));
+    CHECK(driver.scheduler.FindVm("vm-1") != nullptr);
+    CHECK(driver.scheduler.TakeLosses().empty());
+  }
+
+  SECTION("of a start, which has not been accepted by any incarnation") {
+    driver.scheduler.OnStartAnswer(former[0].target, start_result::kReplaced,
+                                   driver.now);
+    CHECK(driver.scheduler.FindVm("vm-1") != nullptr);
+    CHECK(driver.scheduler.TakeLosses().empty());
+    driver.Store();
+    const auto again = driver.Starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].target.task.job == "first");
+  }
+
+  SECTION("unless the call was sent to this incarnation") {
+    CHECK(driver.scheduler.OnReplaced("vm-1", driver.now, driver.now));
+    CHECK(driver.scheduler.FindVm("vm-1") == nullptr);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
