--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -160,24 +160,34 @@
       SchedulePlan();
       return;
     case hold_outcome::kReplaced:
-      lines_.AddVm(job_event::kVmLost, vm,
-                   {{"reason", "another incarnation of the VM answered"}}, now);
-      scheduler_->OnReplaced(vm, now);
-      SchedulePlan();
+      if (scheduler_->OnReplaced(vm, now, sent_at)) {
+        lines_.AddVm(job_event::kVmLost, vm,
+                     {{"reason", "another incarnation of the VM answered"}},
+                     now);
+        SchedulePlan();
+      } else {
+        lines_.AddVm(job_event::kVmAnswerIgnored, vm,
+                     {{"reason", "an earlier incarnation was replaced"}}, now);
+        ScheduleHold(vm, settings_.hold_retry_delay);
+      }
       return;
     case hold_outcome::kFailed:
     case hold_outcome::kUnanswered:
       if (reply.fault) {
         deps_.view->faults().Note(kVmListing, vm, *reply.fault);
       }
-      if (!link->is_lost) {
+      if (!scheduler_->OnHoldUnanswered(vm, sent_at)) {
+        lines_.AddVm(job_event::kVmAnswerIgnored, vm,
+                     {{"reason", "an earlier incarnation may have failed"},
+                      {"status", std::to_string(reply.status)}},
+                     now);
+      } else if (!link->is_lost) {
         link->is_lost = true;
         lines_.AddVm(job_event::kVmLost, vm,
                      {{"reason", "a hold received no valid answer"},
                       {"status", std::to_string(reply.status)}},
                      now);
       }
-      scheduler_->OnHoldUnanswered(vm);
       ScheduleHold(vm, settings_.hold_retry_delay);
       return;
   }
