--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -89,8 +89,10 @@
 void site_vm::ExtendLease(std::int64_t deadline_ms) {
   const steady_clock::time_point until =
       clock_zero_ + std::chrono::milliseconds(deadline_ms);
-  if (until > lease_until_) {
-    lease_until_ = until;
+  const steady_clock::time_point granted =
+      lease_limit ? std::min(until, steady_clock::now() + *lease_limit) : until;
+  if (granted > lease_until_) {
+    lease_until_ = granted;
     AwaitLapse();
   }
 }
@@ -185,19 +187,24 @@
   highest_[task] = number;
   ++starts_[task];
   Tell(vm_event::kStarted, task, number);
-  const bool is_lasting = body.value("spec", "") == kLastingPayload;
-  running_[task] = {number, steady_clock::now() + task_time_, is_lasting};
+  const std::string payload = body.value("spec", "");
+  const bool is_lasting = payload == kLastingPayload;
+  const bool is_long = payload == kLongPayload;
+  const milliseconds time = is_long ? long_task_time : task_time_;
+  running_[task] = {number, steady_clock::now() + time, is_lasting, is_long};
   if (!is_lasting) {
-    EndLater(task, number);
+    EndLater(task, number, time);
   }
   if (!loses_start_answers) {
     respond(Answer(200, json::object()));
   }
 }
 
-void site_vm::EndLater(const std::string& task, std::uint32_t number) {
+void site_vm::EndLater(const std::string& task,
+                       std::uint32_t number,
+                       std::chrono::milliseconds time) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
-  timer->expires_after(task_time_);
+  timer->expires_after(time);
   timer->async_wait([this, task, number, life = life_,
                      timer](const boost::system::error_code& /*error*/) {
     if (life == life_) {
@@ -225,10 +232,19 @@
   WakeHolds();
 }
 
+int site_vm::LongPercent(const run& held) const {
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      held.ends_at - steady_clock::now());
+  return static_cast<int>(
+      std::clamp<std::int64_t>(100 - 100 * left / long_task_time, 0, 99));
+}
+
 std::string site_vm::Listing() const {
   json running = json::array();
   for (const auto& [task, held] : running_) {
-    const int percent = held.is_lasting ? 100 : 50;
+    const int percent = held.is_lasting ? 100
+                        : held.is_long  ? LongPercent(held)
+                                        : 50;
     running.push_back(json::array({task, held.number, "", percent, 100}));
   }
   json finished = json::array();
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
 
 /// The payload of jobs whose tasks run until they are stopped.
 inline constexpr const char* kLastingPayload = "lasts";
+/// The payload of jobs whose tasks take `long_task_time`.
+inline constexpr const char* kLongPayload = "long";
 
 /// Stands in for a VM that runs tasks under a lease: start, stop,
 /// hold and pace. Each task takes the same time, but those that last. Counts
@@ -59,6 +62,9 @@
   bool refuses_starts = false;
   /// Orders to start are carried out this much later, and then not answered.
   std::chrono::milliseconds start_delay{0};
+  /// A call extends the lease by at most this time, as on the platform.
+  std::optional<std::chrono::milliseconds> lease_limit;
+  std::chrono::milliseconds long_task_time{0};
   /// Holds are answered this much later, as over a link that is full.
   std::chrono::milliseconds listing_delay{0};
   /// Is told what happens. Only ends as done are told to be acknowledged.
@@ -70,6 +76,7 @@
     std::uint32_t number = 0;
     std::chrono::steady_clock::time_point ends_at;
     bool is_lasting = false;
+    bool is_long = false;
   };
 
   void Handle(const net::server_request& request,
@@ -83,8 +90,12 @@
   void Hold(const std::string& body, const net::responder& respond);
   /// Returns what answers `listing_delay` later.
   net::responder Delayed(const net::responder& respond) const;
-  void EndLater(const std::string& task, std::uint32_t number);
+  void EndLater(const std::string& task,
+                std::uint32_t number,
+                std::chrono::milliseconds time);
   void EndTask(const std::string& task, std::uint32_t number, const char* how);
+  /// Returns how much of its work a long task has done.
+  int LongPercent(const run& held) const;
   std::string Listing() const;
   void WakeHolds();
   bool IsFenced(std::uint64_t token);
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -28,27 +28,29 @@
   void SetFault(link_fault fault, std::chrono::milliseconds delay) {
     fault_ = fault;
     delay_ = delay;
+    if (fault != link_fault::kDark) {
+      const auto waiting = std::move(waiting_);
+      waiting_.clear();
+      for (const pair_ptr& one : waiting) {
+        Connect(one);
+      }
+    }
   }
 
   void Accept() {
     auto next = std::make_shared<pair>(context_);
-    acceptor_.async_accept(
-        next->caller, [self = shared_from_this(), next](error_code error) {
-          if (error) {
-            return;
-          }
-          self->pairs_.push_back(next);
-          next->server.async_connect(self->server_,
-                                     [self, next](error_code refused) {
-                                       if (refused) {
-                                         self->Reset(next);
-                                         return;
-                                       }
-                                       self->Pump(next, true);
-                                       self->Pump(next, false);
-                                     });
-          self->Accept();
-        });
+    acceptor_.async_accept(next->caller,
+                           [self = shared_from_this(), next](error_code error) {
+                             if (error) {
+                               return;
+                             }
+                             if (self->fault_ == link_fault::kDark) {
+                               self->waiting_.push_back(next);
+                             } else {
+                               self->Connect(next);
+                             }
+                             self->Accept();
+                           });
   }
 
   void SilenceOpen() {
@@ -68,6 +70,7 @@
   void Close() {
     error_code ignored;
     acceptor_.close(ignored);
+    waiting_.clear();
     ResetAll();
   }
 
@@ -82,6 +85,19 @@
   };
   using pair_ptr = std::shared_ptr<pair>;
 
+  void Connect(const pair_ptr& one) {
+    pairs_.push_back(one);
+    one->server.async_connect(
+        server_, [self = shared_from_this(), one](error_code refused) {
+          if (refused) {
+            self->Reset(one);
+            return;
+          }
+          self->Pump(one, true);
+          self->Pump(one, false);
+        });
+  }
+
   void Reset(const pair_ptr& one) {
     error_code ignored;
     for (tcp::socket* socket : {&one->caller, &one->server}) {
@@ -108,6 +124,7 @@
 
   void Pass(const pair_ptr& one, bool is_request, std::size_t size) {
     const bool is_lost = one->is_silent || fault_ == link_fault::kSilent ||
+                         fault_ == link_fault::kDark ||
                          (fault_ == link_fault::kLosesAnswers && !is_request);
     if (is_lost) {
       // The connection stays silent for good: bytes of it are missing.
@@ -135,6 +152,7 @@
   tcp::endpoint server_;
   tcp::acceptor acceptor_;
   std::list<pair_ptr> pairs_;
+  std::list<pair_ptr> waiting_;
   link_fault fault_ = link_fault::kNone;
   std::chrono::milliseconds delay_{0};
 };
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -19,6 +19,9 @@
   kLosesAnswers,
   /// Nothing passes, and nobody is told.
   kSilent,
+  /// As `kSilent`, but connections that are opened reach the server when the
+  /// fault is over, as by SYNs that are sent again.
+  kDark,
 };
 
 /// Passes connections to a server on, with faults between. Not thread-safe.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -38,6 +38,18 @@
     R"({"spec":"x","steps":[
         {"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":300}]})";
 constexpr int kCrashingEvery = 20;
+// Two tasks that are at work while their VMs are cut off.
+constexpr const char* kLongJob =
+    R"({"spec":"long","steps":[
+        {"count":2,"cpu":250,"mem_mb":10,"estimate_ms":9000}]})";
+constexpr std::size_t kTasksOfLongJob = 2;
+constexpr int kLongEvery = 7;
+constexpr int kMostRestartGapMs = 2500;
+constexpr int kLeastDarkMs = 300;
+constexpr int kMostDarkMs = 1000;
+constexpr int kMostTouchMs = 3000;
+constexpr int kLeastCutMs = 4000;
+constexpr int kMostCutMs = 9000;
 constexpr milliseconds kCrashDelay(5);
 constexpr int kLeastDownMs = 500;
 constexpr int kMostDownMs = 6000;
@@ -50,6 +62,8 @@
 constexpr int kMostFaultMs = 5000;
 // Faults that were under way are over by then, and processes in touch.
 constexpr milliseconds kInTouchAfter(kMostFaultMs + 3000);
+constexpr milliseconds kInTouchAfterCuts(kMostDarkMs + kMostTouchMs +
+                                         kMostCutMs + 3000);
 // Jobs that were accepted must have ended this long after the last fault: the
 // longest lease (4.6 s), a takeover, and their work, with much to spare.
 constexpr seconds kCalm(60);
@@ -84,9 +98,13 @@
     site_.Every(kQueryGap, [this] { QueryOpen(); });
     faults_end_ = steady_clock::now() + seconds(options_.seconds);
     NextFault();
+    if (options_.has_restarts) {
+      NextRestart();
+    }
     site_.context.run_for(seconds(options_.seconds));
     is_calm_ = true;
-    site_.After(kInTouchAfter, [this] { ledger_.NoteCalm(); });
+    site_.After(options_.has_restarts ? kInTouchAfterCuts : kInTouchAfter,
+                [this] { ledger_.NoteCalm(); });
     // Faults that were under way end within their time.
     const auto end = steady_clock::now() + kCalm;
     while (steady_clock::now() < end && !ledger_.OpenJobs().empty()) {
@@ -132,6 +150,31 @@
                 [this] { NextFault(); });
   }
 
+  void NextRestart() {
+    if (steady_clock::now() >= faults_end_) {
+      return;
+    }
+    RestartAndCut(AnyVm().vm->id());
+    site_.After(milliseconds(site_.Draw(0, kMostRestartGapMs)),
+                [this] { NextRestart(); });
+  }
+
+  // The VM is in touch for a while between, so that tasks start there.
+  void RestartAndCut(const std::string& id) {
+    soak_vm& one = site_.vms.at(id);
+    if (one.is_gone || one.vm->is_silent) {
+      return;
+    }
+    const milliseconds dark(site_.Draw(kLeastDarkMs, kMostDarkMs));
+    const milliseconds touch(site_.Draw(0, kMostTouchMs));
+    const milliseconds cut(site_.Draw(kLeastCutMs, kMostCutMs));
+    ledger_.NoteVmEnd(id);
+    site_.RestartVm(id, dark);
+    site_.After(dark + touch, [this, proxy = one.proxy.get(), cut] {
+      Harm(proxy, link_fault::kSilent, cut, milliseconds(0));
+    });
+  }
+
   void BeginFault(milliseconds length) {
     soak_process& process = site_.AnyProcess();
     scheduler_process* const signalled = process.process.get();
@@ -211,9 +254,13 @@
     }
     const std::string id = JobIdOf(++last_job_);
     const bool is_crashing = last_job_ % kCrashingEvery == 0;
-    ledger_.NoteSubmission(id, is_crashing ? 1 : kTasksOfJob);
+    const bool is_long =
+        options_.has_restarts && !is_crashing && last_job_ % kLongEvery == 0;
+    ledger_.NoteSubmission(id, is_crashing ? 1
+                               : is_long   ? kTasksOfLongJob
+                                           : kTasksOfJob);
     net::client_request request = CallerRequest(net::method::kPost, "q", id);
-    request.body = is_crashing ? kCrashingJob : kJob;
+    request.body = is_crashing ? kCrashingJob : is_long ? kLongJob : kJob;
     if (is_crashing) {
       crashing_.insert(id);
       ledger_.NoteCrashing(id);
@@ -287,6 +334,10 @@
   app.add_option("--silences", chosen.silences,
                  "Run this many episodes in which connections to the store "
                  "fall silent instead, each with calm after it");
+  app.add_flag(
+      "--restarts", chosen.has_restarts,
+      "VMs restart under their ids as well and are then cut off, while "
+      "long tasks run");
   app.add_option("--processes", chosen.processes, "Schedulers")
       ->check(CLI::Range(1, 50));
   app.add_option("--vms", chosen.vms, "VMs")->check(CLI::Range(1, 200));
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -9,6 +9,10 @@
 constexpr std::chrono::milliseconds kReportGap(1500);
 
 constexpr std::chrono::milliseconds kTaskTime(300);
+// Longer than a lease of the owner (4.6 s), so that a task that is started
+// elsewhere after its end may meet the first run.
+constexpr std::chrono::milliseconds kLongTaskTime(9000);
+constexpr std::chrono::milliseconds kLeaseLimit(10000);
 constexpr std::chrono::seconds kIdleLimit(20);
 constexpr std::size_t kMostCalls = 32;
 constexpr std::size_t kIdLength = 16;
@@ -68,6 +72,8 @@
   soak_vm& one = vms[id];
   one.pool = pool;
   one.vm = std::make_unique<fakes::site_vm>(&context, id, address, kTaskTime);
+  one.vm->long_task_time = kLongTaskTime;
+  one.vm->lease_limit = kLeaseLimit;
   ListenTo(one.vm.get());
   one.proxy = std::make_unique<fault_proxy>(&context, address);
   ReportVm(id, one);
@@ -111,6 +117,29 @@
   });
 }
 
+void soak_site::RestartVm(const std::string& id,
+                          std::chrono::milliseconds pause) {
+  soak_vm& one = vms.at(id);
+  one.vm->Crash();
+  one.proxy->SetFault(link_fault::kDark);
+  // Owners notice at once in half of the cases, and connect again.
+  if (Draw(0, 1) == 0) {
+    one.proxy->ResetAll();
+  }
+  After(pause, [this, id] {
+    const auto found = vms.find(id);
+    if (found == vms.end() || found->second.is_gone) {
+      return;
+    }
+    soak_vm& back = found->second;
+    back.vm->BeginLife(id);
+    ListenTo(back.vm.get());
+    back.proxy->ResetAll();
+    back.proxy->SetFault(link_fault::kNone);
+    ReportVm(id, back);
+  });
+}
+
 // As the platform's VMs do, whether or not anything has changed.
 void soak_site::ReportVms() {
   for (const auto& [id, one] : vms) {
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -28,6 +28,8 @@
   int seconds = 12;
   /// Episodes of silence that are run instead, if any.
   int silences = 0;
+  /// VMs restart under their ids and are then cut off, besides.
+  bool has_restarts = false;
   int processes = 3;
   int vms = 4;
 };
@@ -78,6 +80,9 @@
   /// Ends the life of a VM; the next one begins at the same address, and in
   /// half of the cases under the same id.
   void CrashVm(const std::string& id, std::chrono::milliseconds pause);
+  /// Ends the life of a VM without a word; the next one begins under the same
+  /// id, and calls that were sent between reach it.
+  void RestartVm(const std::string& id, std::chrono::milliseconds pause);
   /// Ends silent members, and starts processes that have ended, but
   /// those that are to be down. Returns how
   /// those ended that did so by themselves.
