Add hostile clients to the soak, and bounds on memory and answers

The soak had none.

In all modes the soak now checks that no process holds more than the memory of its machine (260 MB), and that each process answers an ordinary request after the faults. It prints when a check failed, as the logs have it.

--- a/soak/scheduler_process.cc
+++ b/soak/scheduler_process.cc
@@ -103,6 +103,20 @@
   }
 }
 
+std::uint64_t scheduler_process::ResidentBytes() const {
+  if (!is_running()) {
+    return 0;
+  }
+  std::ifstream pages("/proc/" + std::to_string(pid_) + "/statm");
+  std::uint64_t size = 0;
+  std::uint64_t resident = 0;
+  // A process that has just ended has none.
+  if (!(pages >> size >> resident)) {
+    return 0;
+  }
+  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
 std::optional<std::string> scheduler_process::Reap() {
   int status = 0;
   if (!is_running() || waitpid(pid_, &status, WNOHANG) != pid_) {
--- a/soak/scheduler_process.h
+++ b/soak/scheduler_process.h
@@ -33,7 +33,11 @@
   /// Notes an exit. Returns how it ended, if it did so by itself.
   std::optional<std::string> Reap();
 
+  /// Returns its resident memory in bytes, 0 if it doesn't run.
+  std::uint64_t ResidentBytes() const;
+
   bool is_running() const { return pid_ > 0; }
+  const std::string& name() const { return name_; }
   const std::string& callers() const { return callers_; }
 
  private:
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -1,13 +1,19 @@
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <filesystem>
+#include <iomanip>
 #include <iostream>
+#include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "fault_proxy.h"
+#include "hostile_crowd.h"
 #include "net/http_client.h"
 #include "run_ledger.h"
 #include "scheduler_process.h"
@@ -68,6 +74,16 @@
 // longest lease (4.6 s), a takeover, and their work, with much to spare.
 constexpr seconds kCalm(60);
 
+// As the logs of the processes have it.
+std::string UtcTime() {
+  const std::time_t now = std::time(nullptr);
+  std::tm parts{};
+  gmtime_r(&now, &parts);
+  std::ostringstream text;
+  text << std::put_time(&parts, "%H:%M:%S");
+  return text.str();
+}
+
 /// One run: real processes, faults by a seed, and callers.
 class soak_run {
  public:
@@ -101,13 +117,22 @@
     if (options_.has_restarts) {
       NextRestart();
     }
+    if (options_.has_hostile) {
+      for (const soak_process& one : site_.processes) {
+        hostile_.push_back(std::make_unique<hostile_crowd>(
+            &site_.context, one.process->callers()));
+      }
+    }
     site_.context.run_for(seconds(options_.seconds));
     is_calm_ = true;
+    hostile_.clear();
     site_.After(options_.has_restarts ? kInTouchAfterCuts : kInTouchAfter,
                 [this] { ledger_.NoteCalm(); });
     // Faults that were under way end within their time.
     const auto end = steady_clock::now() + kCalm;
-    while (steady_clock::now() < end && !ledger_.OpenJobs().empty()) {
+    while (steady_clock::now() < end &&
+           (!ledger_.OpenJobs().empty() || !HaveAllAnswered())) {
+      AskAll();
       site_.context.run_for(kTick);
     }
     return Report();
@@ -243,9 +268,30 @@
   void Tick() {
     for (const std::string& end : site_.Tend()) {
       faults_of_their_own_.push_back(end);
+      std::cout << UtcTime() << ' ' << end << '\n';
+    }
+    for (; told_ < ledger_.violations().size(); ++told_) {
+      std::cout << UtcTime() << ' ' << ledger_.violations()[told_] << '\n';
     }
   }
 
+  void AskAll() {
+    for (soak_process& one : site_.processes) {
+      if (!one.has_answered) {
+        one.caller->Send(CallerRequest(net::method::kGet, "q", ""), seconds(4),
+                         [&one](const net::client_reply& reply) {
+                           one.has_answered |= reply.status == 200;
+                         });
+      }
+    }
+  }
+
+  bool HaveAllAnswered() const {
+    return std::all_of(
+        site_.processes.begin(), site_.processes.end(),
+        [](const soak_process& one) { return one.has_answered; });
+  }
+
   net::http_client& AnyCaller() { return *site_.AnyProcess().caller; }
 
   void Submit() {
@@ -303,9 +349,15 @@
     for (const std::string& id : ledger_.OpenJobs()) {
       wrong.push_back("accepted and not completed: " + id);
     }
+    for (const soak_process& one : site_.processes) {
+      if (!one.has_answered) {
+        wrong.push_back("doesn't answer in calm: " + one.process->name());
+      }
+    }
     std::cout << "seed " << options_.seed << ": " << last_job_ << " jobs, "
               << ledger_.accepted() << " accepted, " << ledger_.starts()
-              << " starts, " << wrong.size() << " promises broken\n";
+              << " starts, peak " << site_.peak_bytes() / 1'000'000 << " MB, "
+              << wrong.size() << " promises broken\n";
     for (const std::string& line : wrong) {
       std::cout << "  " << line << '\n';
     }
@@ -314,9 +366,12 @@
 
   soak_options options_;
   run_ledger ledger_;
+  std::vector<std::unique_ptr<hostile_crowd>> hostile_;
   std::set<std::string> crashing_;
   std::vector<std::string> faults_of_their_own_;
   steady_clock::time_point faults_end_;
+  /// Violations that have been printed with their time.
+  std::size_t told_ = 0;
   int last_job_ = 0;
   bool is_calm_ = false;
   soak_site site_;
@@ -338,6 +393,9 @@
       "--restarts", chosen.has_restarts,
       "VMs restart under their ids as well and are then cut off, while "
       "long tasks run");
+  app.add_flag("--hostile", chosen.has_hostile,
+               "Hostile clients send trailers without end, bodies that stop "
+               "short and slow heads as well");
   app.add_option("--processes", chosen.processes, "Schedulers")
       ->check(CLI::Range(1, 50));
   app.add_option("--vms", chosen.vms, "VMs")->check(CLI::Range(1, 200));
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,5 +1,6 @@
 #include "soak_site.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
@@ -16,6 +17,8 @@
 constexpr std::chrono::seconds kIdleLimit(20);
 constexpr std::size_t kMostCalls = 32;
 constexpr std::size_t kIdLength = 16;
+// The memory of a machine of the users' sites, in bytes.
+constexpr std::uint64_t kMachineMemory = 260'000'000;
 
 }  // namespace
 
@@ -156,6 +159,13 @@
     if (const auto end = one.process->Reap()) {
       ends.push_back(*end);
     }
+    const std::uint64_t held = one.process->ResidentBytes();
+    peak_bytes_ = std::max(peak_bytes_, held);
+    if (held > kMachineMemory && !one.is_too_large) {
+      one.is_too_large = true;
+      ends.push_back(one.process->name() + " holds " + std::to_string(held) +
+                     " bytes");
+    }
     if (!one.process->is_running() && !one.is_down) {
       one.process->Start();
     }
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -30,6 +30,8 @@
   int silences = 0;
   /// VMs restart under their ids and are then cut off, besides.
   bool has_restarts = false;
+  /// Hostile clients besides, at each process.
+  bool has_hostile = false;
   int processes = 3;
   int vms = 4;
 };
@@ -50,6 +52,9 @@
   std::unique_ptr<net::http_client> caller;
   /// It isn't started again.
   bool is_down = false;
+  bool is_too_large = false;
+  /// It has answered an ordinary request in calm.
+  bool has_answered = false;
 };
 
 /// Real scheduler processes, with a store and VMs that this process plays, and
@@ -85,9 +90,12 @@
   void RestartVm(const std::string& id, std::chrono::milliseconds pause);
   /// Ends silent members, and starts processes that have ended, but
   /// those that are to be down. Returns how
-  /// those ended that did so by themselves.
+  /// those ended that did so by themselves, and which exceed the memory of
+  /// their machine, once each.
   std::vector<std::string> Tend();
   soak_process& AnyProcess();
+  /// Returns the most memory that a process held when it was looked at.
+  std::uint64_t peak_bytes() const { return peak_bytes_; }
 
   boost::asio::io_context context;
   fakes::site_store store;
@@ -103,6 +111,7 @@
   std::mt19937_64 random_;
   std::unique_ptr<net::http_server> store_server_;
   int last_vm_ = 0;
+  std::uint64_t peak_bytes_ = 0;
 };
 
 /// Returns a caller's request for a job of the queue, or for the queue itself
