Add changes and signals in series to the soak, and callers that keep sending

Keep-alive clients and series of changes were missing: callers of the soak took any process and spread over up to 32 connections, the configuration never changed, and signals came one at a time.

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -1,9 +1,11 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <ctime>
 #include <filesystem>
+#include <functional>
 #include <iomanip>
 #include <iostream>
 #include <memory>
@@ -32,6 +34,14 @@
     R"({"version":3,"routes":[{"name":"q","host":"a.example",
         "path_prefix":"/q/","service":"pool","max_attempts":20,"stretch":2}],
         "services":[{"name":"pool"}]})";
+constexpr int kFirstVersion = 3;
+constexpr int kMostChanges = 4;
+constexpr int kMostChangeGapMs = 300;
+constexpr int kMostSeriesGapMs = 2000;
+constexpr int kMostSignalGapMs = 150;
+constexpr std::size_t kSteadyCallers = 2;
+constexpr milliseconds kSteadyGap(20);
+constexpr int kSteadyJobEvery = 50;
 // Three tasks: two side by side, then one.
 constexpr const char* kJob =
     R"({"spec":"x","steps":[
@@ -84,6 +94,19 @@
   return text.str();
 }
 
+// The queue stays as it is but for its stretch; another comes and goes.
+std::string ConfigurationOf(int version) {
+  const bool is_odd = version % 2 != 0;
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"q","host":"a.example","path_prefix":"/q/",)" +
+         R"("service":"pool","max_attempts":20,"stretch":)" +
+         (is_odd ? "2}" : "3}") +
+         (is_odd ? ""
+                 : R"(,{"name":"r","host":"a.example","path_prefix":"/r/",)"
+                   R"("service":"pool","max_attempts":20,"stretch":2})") +
+         R"(],"services":[{"name":"pool"}]})";
+}
+
 /// One run: real processes, faults by a seed, and callers.
 class soak_run {
  public:
@@ -123,6 +146,10 @@
             &site_.context, one.process->callers()));
       }
     }
+    if (options_.has_changes) {
+      BeginSteadyCallers();
+      NextSeries();
+    }
     site_.context.run_for(seconds(options_.seconds));
     is_calm_ = true;
     hostile_.clear();
@@ -175,6 +202,69 @@
                 [this] { NextFault(); });
   }
 
+  // Changes of the configuration and signals, some of them at the same time.
+  void NextSeries() {
+    if (steady_clock::now() >= faults_end_) {
+      return;
+    }
+    milliseconds at(0);
+    for (int i = site_.Draw(1, kMostChanges); i > 0; --i) {
+      site_.After(at, [this] {
+        site_.store.Put("keyed.op", "config", ConfigurationOf(++version_));
+      });
+      at += milliseconds(site_.Draw(0, kMostChangeGapMs));
+      site_.After(at, [this] { SignalTwice(); });
+    }
+    site_.After(at + milliseconds(site_.Draw(0, kMostSeriesGapMs)),
+                [this] { NextSeries(); });
+  }
+
+  void SignalTwice() {
+    static constexpr std::array kSignals = {SIGTERM, SIGHUP, SIGSTOP, SIGKILL};
+    const scheduler_process* const process = site_.AnyProcess().process.get();
+    const milliseconds gap(site_.Draw(0, kMostSignalGapMs));
+    const auto draw = [this] {
+      return kSignals[static_cast<std::size_t>(
+          site_.Draw(0, static_cast<int>(kSignals.size()) - 1))];
+    };
+    process->Signal(draw());
+    site_.After(gap, [process, second = draw()] { process->Signal(second); });
+    site_.After(2 * gap + kTick, [process] { process->Signal(SIGCONT); });
+  }
+
+  void BeginSteadyCallers() {
+    for (const soak_process& one : site_.processes) {
+      for (std::size_t i = 0; i < kSteadyCallers; ++i) {
+        steady_callers_.push_back(std::make_unique<net::http_client>(
+            &site_.context, one.process->callers(),
+            net::http_client_options{.max_connections = 1}));
+        KeepSending(steady_callers_.back().get());
+      }
+    }
+  }
+
+  // Sends on the same connection until the process closes it.
+  void KeepSending(net::http_client* caller) {
+    if (is_calm_) {
+      return;
+    }
+    const auto again = [this, caller] {
+      site_.After(kSteadyGap, [this, caller] { KeepSending(caller); });
+    };
+    if (++steady_calls_ % kSteadyJobEvery == 0) {
+      SubmitTo(caller, again);
+      return;
+    }
+    const std::string id = last_accepted_;
+    caller->Send(CallerRequest(net::method::kGet, "q", id), seconds(4),
+                 [this, id, again](const net::client_reply& reply) {
+                   if (reply.status == 410) {
+                     ledger_.NoteMissing(id);
+                   }
+                   again();
+                 });
+  }
+
   void NextRestart() {
     if (steady_clock::now() >= faults_end_) {
       return;
@@ -295,9 +385,12 @@
   net::http_client& AnyCaller() { return *site_.AnyProcess().caller; }
 
   void Submit() {
-    if (is_calm_) {
-      return;
+    if (!is_calm_) {
+      SubmitTo(&AnyCaller(), [] {});
     }
+  }
+
+  void SubmitTo(net::http_client* caller, const std::function<void()>& done) {
     const std::string id = JobIdOf(++last_job_);
     const bool is_crashing = last_job_ % kCrashingEvery == 0;
     const bool is_long =
@@ -311,17 +404,19 @@
       crashing_.insert(id);
       ledger_.NoteCrashing(id);
     }
-    AnyCaller().Send(std::move(request), seconds(4),
-                     [this, id](const net::client_reply& reply) {
-                       if (reply.outcome != net::call_outcome::kAnswered) {
-                         return;
-                       }
-                       if (reply.status == 200) {
-                         ledger_.NoteAnswer(id, job_answer::kAccepted);
-                       } else if (reply.status == 503) {
-                         ledger_.NoteAnswer(id, job_answer::kRefused);
-                       }
-                     });
+    caller->Send(request, seconds(4),
+                 [this, id, done](const net::client_reply& reply) {
+                   done();
+                   if (reply.outcome != net::call_outcome::kAnswered) {
+                     return;
+                   }
+                   if (reply.status == 200) {
+                     ledger_.NoteAnswer(id, job_answer::kAccepted);
+                     last_accepted_ = id;
+                   } else if (reply.status == 503) {
+                     ledger_.NoteAnswer(id, job_answer::kRefused);
+                   }
+                 });
   }
 
   void QueryOpen() {
@@ -372,9 +467,13 @@
   steady_clock::time_point faults_end_;
   /// Violations that have been printed with their time.
   std::size_t told_ = 0;
+  int version_ = kFirstVersion;
+  int steady_calls_ = 0;
+  std::string last_accepted_;
   int last_job_ = 0;
   bool is_calm_ = false;
   soak_site site_;
+  std::vector<std::unique_ptr<net::http_client>> steady_callers_;
 };
 
 int Main(int argc, char** argv) {
@@ -396,6 +495,9 @@
   app.add_flag("--hostile", chosen.has_hostile,
                "Hostile clients send trailers without end, bodies that stop "
                "short and slow heads as well");
+  app.add_flag("--changes", chosen.has_changes,
+               "Changes of the configuration and signals come in series as "
+               "well, and callers keep sending on their connections");
   app.add_option("--processes", chosen.processes, "Schedulers")
       ->check(CLI::Range(1, 50));
   app.add_option("--vms", chosen.vms, "VMs")->check(CLI::Range(1, 200));
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -32,6 +32,9 @@
   bool has_restarts = false;
   /// Hostile clients besides, at each process.
   bool has_hostile = false;
+  /// Changes of the configuration and signals in series besides, and callers
+  /// that keep sending until their process is gone.
+  bool has_changes = false;
   int processes = 3;
   int vms = 4;
 };
