--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -1,13 +1,21 @@
 #include <CLI/CLI.hpp>
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <filesystem>
+#include <functional>
+#include <iomanip>
 #include <iostream>
+#include <memory>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "fault_proxy.h"
+#include "hostile_crowd.h"
 #include "net/http_client.h"
 #include "run_ledger.h"
 #include "scheduler_process.h"
@@ -26,6 +34,14 @@
     R"({"version":3,"routes":[{"name":"q","host":"a.example",
         "path_prefix":"/q/","service":"pool","max_attempts":20,"stretch":2}],
         "services":[{"name":"pool"}]})";
+constexpr int kFirstVersion = 3;
+constexpr int kMostChanges = 4;
+constexpr int kMostChangeGapMs = 300;
+constexpr int kMostSeriesGapMs = 2000;
+constexpr int kMostSignalGapMs = 150;
+constexpr std::size_t kSteadyCallers = 2;
+constexpr milliseconds kSteadyGap(20);
+constexpr int kSteadyJobEvery = 50;
 // Three tasks: two side by side, then one.
 constexpr const char* kJob =
     R"({"spec":"x","steps":[
@@ -38,6 +54,18 @@
     R"({"spec":"x","steps":[
         {"count":1,"cpu":1000,"mem_mb":10,"estimate_ms":300}]})";
 constexpr int kCrashingEvery = 20;
+// Two tasks that are at work while their VMs are cut off.
+constexpr const char* kLongJob =
+    R"({"spec":"long","steps":[
+        {"count":2,"cpu":250,"mem_mb":10,"estimate_ms":9000}]})";
+constexpr std::size_t kTasksOfLongJob = 2;
+constexpr int kLongEvery = 7;
+constexpr int kMostRestartGapMs = 2500;
+constexpr int kLeastDarkMs = 300;
+constexpr int kMostDarkMs = 1000;
+constexpr int kMostTouchMs = 3000;
+constexpr int kLeastCutMs = 4000;
+constexpr int kMostCutMs = 9000;
 constexpr milliseconds kCrashDelay(5);
 constexpr int kLeastDownMs = 500;
 constexpr int kMostDownMs = 6000;
@@ -50,10 +78,35 @@
 constexpr int kMostFaultMs = 5000;
 // Faults that were under way are over by then, and processes in touch.
 constexpr milliseconds kInTouchAfter(kMostFaultMs + 3000);
+constexpr milliseconds kInTouchAfterCuts(kMostDarkMs + kMostTouchMs +
+                                         kMostCutMs + 3000);
 // Jobs that were accepted must have ended this long after the last fault: the
 // longest lease (4.6 s), a takeover, and their work, with much to spare.
 constexpr seconds kCalm(60);
 
+// As the logs of the processes have it.
+std::string UtcTime() {
+  const std::time_t now = std::time(nullptr);
+  std::tm parts{};
+  gmtime_r(&now, &parts);
+  std::ostringstream text;
+  text << std::put_time(&parts, "%H:%M:%S");
+  return text.str();
+}
+
+// The queue stays as it is but for its stretch; another comes and goes.
+std::string ConfigurationOf(int version) {
+  const bool is_odd = version % 2 != 0;
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"name":"q","host":"a.example","path_prefix":"/q/",)" +
+         R"("service":"pool","max_attempts":20,"stretch":)" +
+         (is_odd ? "2}" : "3}") +
+         (is_odd ? ""
+                 : R"(,{"name":"r","host":"a.example","path_prefix":"/r/",)"
+                   R"("service":"pool","max_attempts":20,"stretch":2})") +
+         R"(],"services":[{"name":"pool"}]})";
+}
+
 /// One run: real processes, faults by a seed, and callers.
 class soak_run {
  public:
@@ -84,12 +137,29 @@
     site_.Every(kQueryGap, [this] { QueryOpen(); });
     faults_end_ = steady_clock::now() + seconds(options_.seconds);
     NextFault();
+    if (options_.has_restarts) {
+      NextRestart();
+    }
+    if (options_.has_hostile) {
+      for (const soak_process& one : site_.processes) {
+        hostile_.push_back(std::make_unique<hostile_crowd>(
+            &site_.context, one.process->callers()));
+      }
+    }
+    if (options_.has_changes) {
+      BeginSteadyCallers();
+      NextSeries();
+    }
     site_.context.run_for(seconds(options_.seconds));
     is_calm_ = true;
-    site_.After(kInTouchAfter, [this] { ledger_.NoteCalm(); });
+    hostile_.clear();
+    site_.After(options_.has_restarts ? kInTouchAfterCuts : kInTouchAfter,
+                [this] { ledger_.NoteCalm(); });
     // Faults that were under way end within their time.
     const auto end = steady_clock::now() + kCalm;
-    while (steady_clock::now() < end && !ledger_.OpenJobs().empty()) {
+    while (steady_clock::now() < end &&
+           (!ledger_.OpenJobs().empty() || !HaveAllAnswered())) {
+      AskAll();
       site_.context.run_for(kTick);
     }
     return Report();
@@ -132,6 +202,94 @@
                 [this] { NextFault(); });
   }
 
+  // Changes of the configuration and signals, some of them at the same time.
+  void NextSeries() {
+    if (steady_clock::now() >= faults_end_) {
+      return;
+    }
+    milliseconds at(0);
+    for (int i = site_.Draw(1, kMostChanges); i > 0; --i) {
+      site_.After(at, [this] {
+        site_.store.Put("keyed.op", "config", ConfigurationOf(++version_));
+      });
+      at += milliseconds(site_.Draw(0, kMostChangeGapMs));
+      site_.After(at, [this] { SignalTwice(); });
+    }
+    site_.After(at + milliseconds(site_.Draw(0, kMostSeriesGapMs)),
+                [this] { NextSeries(); });
+  }
+
+  void SignalTwice() {
+    static constexpr std::array kSignals = {SIGTERM, SIGHUP, SIGSTOP, SIGKILL};
+    const scheduler_process* const process = site_.AnyProcess().process.get();
+    const milliseconds gap(site_.Draw(0, kMostSignalGapMs));
+    const auto draw = [this] {
+      return kSignals[static_cast<std::size_t>(
+          site_.Draw(0, static_cast<int>(kSignals.size()) - 1))];
+    };
+    process->Signal(draw());
+    site_.After(gap, [process, second = draw()] { process->Signal(second); });
+    site_.After(2 * gap + kTick, [process] { process->Signal(SIGCONT); });
+  }
+
+  void BeginSteadyCallers() {
+    for (const soak_process& one : site_.processes) {
+      for (std::size_t i = 0; i < kSteadyCallers; ++i) {
+        steady_callers_.push_back(std::make_unique<net::http_client>(
+            &site_.context, one.process->callers(),
+            net::http_client_options{.max_connections = 1}));
+        KeepSending(steady_callers_.back().get());
+      }
+    }
+  }
+
+  // Sends on the same connection until the process closes it.
+  void KeepSending(net::http_client* caller) {
+    if (is_calm_) {
+      return;
+    }
+    const auto again = [this, caller] {
+      site_.After(kSteadyGap, [this, caller] { KeepSending(caller); });
+    };
+    if (++steady_calls_ % kSteadyJobEvery == 0) {
+      SubmitTo(caller, again);
+      return;
+    }
+    const std::string id = last_accepted_;
+    caller->Send(CallerRequest(net::method::kGet, "q", id), seconds(4),
+                 [this, id, again](const net::client_reply& reply) {
+                   if (reply.status == 410) {
+                     ledger_.NoteMissing(id);
+                   }
+                   again();
+                 });
+  }
+
+  void NextRestart() {
+    if (steady_clock::now() >= faults_end_) {
+      return;
+    }
+    RestartAndCut(AnyVm().vm->id());
+    site_.After(milliseconds(site_.Draw(0, kMostRestartGapMs)),
+                [this] { NextRestart(); });
+  }
+
+  // The VM is in touch for a while between, so that tasks start there.
+  void RestartAndCut(const std::string& id) {
+    soak_vm& one = site_.vms.at(id);
+    if (one.is_gone || one.vm->is_silent) {
+      return;
+    }
+    const milliseconds dark(site_.Draw(kLeastDarkMs, kMostDarkMs));
+    const milliseconds touch(site_.Draw(0, kMostTouchMs));
+    const milliseconds cut(site_.Draw(kLeastCutMs, kMostCutMs));
+    ledger_.NoteVmEnd(id);
+    site_.RestartVm(id, dark);
+    site_.After(dark + touch, [this, proxy = one.proxy.get(), cut] {
+      Harm(proxy, link_fault::kSilent, cut, milliseconds(0));
+    });
+  }
+
   void BeginFault(milliseconds length) {
     soak_process& process = site_.AnyProcess();
     scheduler_process* const signalled = process.process.get();
@@ -200,35 +358,65 @@
   void Tick() {
     for (const std::string& end : site_.Tend()) {
       faults_of_their_own_.push_back(end);
+      std::cout << UtcTime() << ' ' << end << '\n';
+    }
+    for (; told_ < ledger_.violations().size(); ++told_) {
+      std::cout << UtcTime() << ' ' << ledger_.violations()[told_] << '\n';
     }
   }
 
+  void AskAll() {
+    for (soak_process& one : site_.processes) {
+      if (!one.has_answered) {
+        one.caller->Send(CallerRequest(net::method::kGet, "q", ""), seconds(4),
+                         [&one](const net::client_reply& reply) {
+                           one.has_answered |= reply.status == 200;
+                         });
+      }
+    }
+  }
+
+  bool HaveAllAnswered() const {
+    return std::all_of(
+        site_.processes.begin(), site_.processes.end(),
+        [](const soak_process& one) { return one.has_answered; });
+  }
+
   net::http_client& AnyCaller() { return *site_.AnyProcess().caller; }
 
   void Submit() {
-    if (is_calm_) {
-      return;
+    if (!is_calm_) {
+      SubmitTo(&AnyCaller(), [] {});
     }
+  }
+
+  void SubmitTo(net::http_client* caller, const std::function<void()>& done) {
     const std::string id = JobIdOf(++last_job_);
     const bool is_crashing = last_job_ % kCrashingEvery == 0;
-    ledger_.NoteSubmission(id, is_crashing ? 1 : kTasksOfJob);
+    const bool is_long =
+        options_.has_restarts && !is_crashing && last_job_ % kLongEvery == 0;
+    ledger_.NoteSubmission(id, is_crashing ? 1
+                               : is_long   ? kTasksOfLongJob
+                                           : kTasksOfJob);
     net::client_request request = CallerRequest(net::method::kPost, "q", id);
-    request.body = is_crashing ? kCrashingJob : kJob;
+    request.body = is_crashing ? kCrashingJob : is_long ? kLongJob : kJob;
     if (is_crashing) {
       crashing_.insert(id);
       ledger_.NoteCrashing(id);
     }
-    AnyCaller().Send(std::move(request), seconds(4),
-                     [this, id](const net::client_reply& reply) {
-                       if (reply.outcome != net::call_outcome::kAnswered) {
-                         return;
-                       }
-                       if (reply.status == 200) {
-                         ledger_.NoteAnswer(id, job_answer::kAccepted);
-                       } else if (reply.status == 503) {
-                         ledger_.NoteAnswer(id, job_answer::kRefused);
-                       }
-                     });
+    caller->Send(request, seconds(4),
+                 [this, id, done](const net::client_reply& reply) {
+                   done();
+                   if (reply.outcome != net::call_outcome::kAnswered) {
+                     return;
+                   }
+                   if (reply.status == 200) {
+                     ledger_.NoteAnswer(id, job_answer::kAccepted);
+                     last_accepted_ = id;
+                   } else if (reply.status == 503) {
+                     ledger_.NoteAnswer(id, job_answer::kRefused);
+                   }
+                 });
   }
 
   void QueryOpen() {
@@ -256,9 +444,15 @@
     for (const std::string& id : ledger_.OpenJobs()) {
       wrong.push_back("accepted and not completed: " + id);
     }
+    for (const soak_process& one : site_.processes) {
+      if (!one.has_answered) {
+        wrong.push_back("doesn't answer in calm: " + one.process->name());
+      }
+    }
     std::cout << "seed " << options_.seed << ": " << last_job_ << " jobs, "
               << ledger_.accepted() << " accepted, " << ledger_.starts()
-              << " starts, " << wrong.size() << " promises broken\n";
+              << " starts, peak " << site_.peak_bytes() / 1'000'000 << " MB, "
+              << wrong.size() << " promises broken\n";
     for (const std::string& line : wrong) {
       std::cout << "  " << line << '\n';
     }
@@ -267,12 +461,19 @@
 
   soak_options options_;
   run_ledger ledger_;
+  std::vector<std::unique_ptr<hostile_crowd>> hostile_;
   std::set<std::string> crashing_;
   std::vector<std::string> faults_of_their_own_;
   steady_clock::time_point faults_end_;
+  /// Violations that have been printed with their time.
+  std::size_t told_ = 0;
+  int version_ = kFirstVersion;
+  int steady_calls_ = 0;
+  std::string last_accepted_;
   int last_job_ = 0;
   bool is_calm_ = false;
   soak_site site_;
+  std::vector<std::unique_ptr<net::http_client>> steady_callers_;
 };
 
 int Main(int argc, char** argv) {
@@ -287,6 +488,16 @@
   app.add_option("--silences", chosen.silences,
                  "Run this many episodes in which connections to the store "
                  "fall silent instead, each with calm after it");
+  app.add_flag(
+      "--restarts", chosen.has_restarts,
+      "VMs restart under their ids as well and are then cut off, while "
+      "long tasks run");
+  app.add_flag("--hostile", chosen.has_hostile,
+               "Hostile clients send trailers without end, bodies that stop "
+               "short and slow heads as well");
+  app.add_flag("--changes", chosen.has_changes,
+               "Changes of the configuration and signals come in series as "
+               "well, and callers keep sending on their connections");
   app.add_option("--processes", chosen.processes, "Schedulers")
       ->check(CLI::Range(1, 50));
   app.add_option("--vms", chosen.vms, "VMs")->check(CLI::Range(1, 200));
