Attribute failed holds to incarnations in the pool model

The model passed failed holds without the time at which they were sent, so that they counted against the next incarnation as they did in the product before.

--- a/tests/core/jobs/pool_model.h
+++ b/tests/core/jobs/pool_model.h
@@ -602,7 +602,7 @@
       worker->next_hold[id] = now + std::chrono::milliseconds(100);
     };
     const auto unanswered = [=] {
-      worker->scheduler->OnHoldUnanswered(id);
+      worker->scheduler->OnHoldUnanswered(id, sent_at);
       again();
     };
     Call(
