Limit the bytes of a request's head, chunk lines and trailers

A client that sent a header line, header lines, a request line, a chunk extension, a chunk's size, a trailer line or a body after "PRI / HTTP/1.1" without end made the entry keep all of it: the process grew until its VM had no memory, and ended.

Cause: cpp-httplib's line reader has no limit; it looks at a line's size only when the line is there, counts no header lines, takes chunk lines and the trailer line of any length and reads the body of the method PRI up to the end of the connection.

Change: socket_stream counts the head (limits.head, 64KiB); body_reader reads bodies instead of the library and counts chunk extensions and trailers (limits.trailers, 8KiB). Trailers within the limit are dropped; they were refused before, which HTTP doesn't ask for. PRI is refused. All refusals are 400 `bad-request`, `not-run` with Retry-After.

--- a/include/plantainhead/caller/http_server.h
+++ b/include/plantainhead/caller/http_server.h
@@ -33,6 +33,11 @@
   std::size_t most_requests_per_connection = 1000;
   /// Most bytes of a request's body; above it the answer is 413.
   std::size_t body_limit = std::size_t{8} << 20U;
+  /// Most bytes of a request's head; above it the answer is 400.
+  std::size_t head_limit = std::size_t{64} << 10U;
+  /// Most bytes of the chunk extensions and trailers of one body; above it the
+  /// answer is 400.
+  std::size_t trailer_limit = std::size_t{8} << 10U;
   /// Time from a request's first byte within which all of it must be there.
   std::chrono::milliseconds read_limit = std::chrono::seconds(15);
   /// Time within which a caller must take each piece of its answer.
--- a/include/plantainhead/settings/entry_settings.h
+++ b/include/plantainhead/settings/entry_settings.h
@@ -33,6 +33,11 @@
 
   /// `limits.body`: maximum size of a request or response body in bytes.
   std::uint64_t body_limit = 8 << 20;
+  /// `limits.head`: maximum size of a request's head in bytes.
+  std::uint64_t head_limit = 64 << 10;
+  /// `limits.trailers`: maximum size of the chunk extensions and trailers of
+  /// one request in bytes.
+  std::uint64_t trailer_limit = 8 << 10;
   /// `limits.http-threads`: maximum number of concurrent connections of callers
   /// and operators. An idle keep-alive connection also occupies a thread.
   std::uint32_t http_threads = 128;
--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -8,8 +8,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "caller/answer_writer.h"
 #include "caller/count_guard.h"
-#include "caller/request_parser.h"
 #include "endpoint/http_headers.h"
 
 namespace plantainhead::caller {
@@ -47,6 +47,8 @@
 
 thread_local exchange* current_exchange = nullptr;
 
+constexpr int kBadRequest = 400;
+
 // Headers that make cpp-httplib change a body or an answer: it would unpack
 // what is to be passed on packed, pack an answer a second time, cut ranges out
 // of it, or take a form apart and leave the body empty.
@@ -90,6 +92,10 @@
   if (encodings == 1 && endpoint::ToLower(encoding) != "chunked") {
     return "only the transfer encoding 'chunked' is known";
   }
+  if (request.method == "PRI") {
+    // The library would read a body up to the end of the connection.
+    return "HTTP/2 isn't known here";
+  }
   const bool has_body =
       encodings == 1 || length.find_first_not_of('0') != std::string::npos;
   if (has_body && !MayHaveBody(request.method)) {
@@ -129,6 +135,12 @@
   return *current_exchange;
 }
 
+refusal HeadTooLarge(std::size_t limit) {
+  return {kBadRequest, "bad-request",
+          "the head of a request may have at most " + std::to_string(limit) +
+              " bytes"};
+}
+
 connection_server::connection_server(limits bounds)
     : limits_(bounds),
       pool_(bounds.threads),
@@ -246,9 +258,22 @@
   }
 }
 
+void connection_server::Refuse(endpoint::socket_stream* stream,
+                               const refusal& why) {
+  const written_answer answer = WriteRefusal(why);
+  std::string bytes = "HTTP/1.1 " + std::to_string(answer.status) + " \r\n";
+  for (const auto& [name, value] : answer.headers) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  }
+  bytes += "Connection: close\r\nContent-Length: " +
+           std::to_string(answer.body->size()) + "\r\n\r\n" + *answer.body;
+  stream->write(bytes.data(), bytes.size());
+}
+
 bool connection_server::ServeOne(connection* item) {
   item->stream.set_read_deadline(clock::now() + limits_.read_limit);
-  item->stream.StartMessage();
+  item->stream.StartMessage(limits_.head);
+  const std::size_t written = item->stream.written();
   ++item->requests;
   const bool last = ending_ || item->requests >= limits_.most_requests;
   exchange current;
@@ -259,6 +284,10 @@
       item->stream, last, closed_by_caller,
       [&](httplib::Request& request) { Prepare(request, &current); });
   current_exchange = nullptr;
+  if (!whole && item->stream.head_too_large() &&
+      item->stream.written() == written) {
+    Refuse(&item->stream, HeadTooLarge(limits_.head));
+  }
   return whole && !last && !closed_by_caller && !current.close;
 }
 
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "caller/idle_connections.h"
+#include "caller/request_parser.h"
 #include "plantainhead/core/requests/request.h"
 
 namespace plantainhead::caller {
@@ -25,7 +26,7 @@
   core::header_list headers;
   /// The handler sets it when the rest of the connection can't be trusted.
   bool close = false;
-  const endpoint::socket_stream* stream = nullptr;
+  endpoint::socket_stream* stream = nullptr;
   /// Set when the length of the body is in doubt or the body isn't allowed.
   std::string framing_fault;
 };
@@ -34,6 +35,9 @@
 /// Precondition: called from a handler of a `connection_server`.
 exchange& CurrentExchange();
 
+/// Returns the refusal of a request whose head has more than `limit` bytes.
+refusal HeadTooLarge(std::size_t limit);
+
 /// cpp-httplib's server with threads for requests instead of connections.
 ///
 /// It replaces only how connections are waited for. Parsing, routing and
@@ -47,6 +51,8 @@
     std::size_t most_requests;
     std::chrono::milliseconds read_limit;
     std::chrono::milliseconds write_limit;
+    /// Bytes of a request's head.
+    std::size_t head;
   };
 
   explicit connection_server(limits bounds);
@@ -71,6 +77,8 @@
   void Serve(connection_ptr item);
   bool AwaitNextRequest(connection* item) const;
   bool ServeOne(connection* item);
+  // Answers a request of which the library has made nothing.
+  void Refuse(endpoint::socket_stream* stream, const refusal& why);
   void Enqueue(connection_ptr item);
 
   const limits limits_;
--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "caller/answer_writer.h"
+#include "caller/body_reader.h"
 #include "caller/connection_server.h"
 #include "caller/count_guard.h"
 #include "caller/request_parser.h"
@@ -82,6 +83,8 @@
   RequirePositive(options.idle_timeout > zero, "'idle_timeout' is 0");
   RequirePositive(options.most_requests_per_connection > 0,
                   "'most_requests_per_connection' is 0");
+  RequirePositive(options.head_limit > 0, "'head_limit' is 0");
+  RequirePositive(options.trailer_limit > 0, "'trailer_limit' is 0");
   RequirePositive(options.read_limit > zero, "'read_limit' is 0");
   RequirePositive(options.write_limit > zero, "'write_limit' is 0");
   RequirePositive(options.default_patience > zero, "'default_patience' is 0");
@@ -99,7 +102,8 @@
         routes_(routes),
         server_({options_.threads, options_.most_idle_connections,
                  options_.idle_timeout, options_.most_requests_per_connection,
-                 options_.read_limit, options_.write_limit}) {
+                 options_.read_limit, options_.write_limit,
+                 options_.head_limit}) {
     Register();
   }
 
@@ -118,10 +122,11 @@
   void Register();
   void Handle(const httplib::Request& request,
               httplib::Response& response,
-              const httplib::ContentReader* reader);
+              bool may_have_body);
   std::variant<core::shared_body, refusal> ReadBody(
       const httplib::Request& request,
-      const httplib::ContentReader* reader) const;
+      bool may_have_body) const;
+  refusal RefusalOf(body_fault fault) const;
   written_answer AnswerCaller(const httplib::Request& request,
                               core::shared_body body);
   written_answer AnswerRoute(const httplib::Request& request,
@@ -143,12 +148,13 @@
 void http_server::impl::Register() {
   const auto plain = [this](const httplib::Request& request,
                             httplib::Response& response) {
-    Handle(request, response, nullptr);
+    Handle(request, response, false);
   };
+  // The library hands over its reader of bodies with these; ours is used.
   const auto with_body = [this](const httplib::Request& request,
                                 httplib::Response& response,
-                                const httplib::ContentReader& reader) {
-    Handle(request, response, &reader);
+                                const httplib::ContentReader&) {
+    Handle(request, response, true);
   };
   // A request whose length is in doubt is answered before the library reads
   // its body.
@@ -157,7 +163,7 @@
         if (CurrentExchange().framing_fault.empty()) {
           return httplib::Server::HandlerResponse::Unhandled;
         }
-        Handle(request, response, nullptr);
+        Handle(request, response, false);
         return httplib::Server::HandlerResponse::Handled;
       });
   server_.Get("/", plain);
@@ -178,27 +184,31 @@
   // The library's own refusals: malformed requests and unknown methods. What
   // follows on the connection can't be told from the rest of such a request.
   server_.set_error_handler(
-      [](const httplib::Request& request, httplib::Response& response) {
+      [this](const httplib::Request& request, httplib::Response& response) {
         if (response.has_header("Plantain-Outcome") ||
             response.has_header("Content-Type")) {
           return;
         }
         CurrentExchange().close = true;
         response.headers.emplace("Connection", "close");
-        const refusal why = {response.status, "bad-request",
-                             "the request isn't one that HTTP allows here"};
+        const refusal why =
+            CurrentExchange().stream->head_too_large()
+                ? HeadTooLarge(options_.head_limit)
+                : refusal{response.status, "bad-request",
+                          "the request isn't one that HTTP allows here"};
         Fill(WriteRefusal(why), request.method, "", &response);
       });
 }
 
 void http_server::impl::Handle(const httplib::Request& request,
                                httplib::Response& response,
-                               const httplib::ContentReader* reader) {
+                               bool may_have_body) {
   exchange& current = CurrentExchange();
   const std::string* id =
       endpoint::FindHeader(current.headers, "plantain-request-id");
   const std::string echo = id != nullptr ? *id : "";
-  std::variant<core::shared_body, refusal> body = ReadBody(request, reader);
+  std::variant<core::shared_body, refusal> body =
+      ReadBody(request, may_have_body);
   if (const refusal* why = std::get_if<refusal>(&body)) {
     // What is left of the body would be read as the next request.
     current.close = true;
@@ -219,40 +229,48 @@
   Fill(answer, request.method, echo, &response);
 }
 
+refusal http_server::impl::RefusalOf(body_fault fault) const {
+  constexpr int kBadRequest = 400;
+  constexpr int kTooLarge = 413;
+  switch (fault) {
+    case body_fault::kTooLarge:
+      return {kTooLarge,
+              std::string(core::NameOf(core::answer_reason::kBodyTooLarge)),
+              "a body may have at most " + std::to_string(options_.body_limit) +
+                  " bytes"};
+    case body_fault::kFramingTooLarge:
+      return {kBadRequest, "bad-request",
+              "chunk extensions and trailers may have at most " +
+                  std::to_string(options_.trailer_limit) + " bytes"};
+    case body_fault::kMalformed:
+      return {kBadRequest, "bad-request",
+              "the chunks of the body are malformed"};
+    default:
+      return {kBadRequest, "bad-request", "the body ended early"};
+  }
+}
+
 std::variant<core::shared_body, refusal> http_server::impl::ReadBody(
     const httplib::Request& request,
-    const httplib::ContentReader* reader) const {
+    bool may_have_body) const {
   const exchange& current = CurrentExchange();
   if (!current.framing_fault.empty()) {
     return refusal{400, "bad-request", current.framing_fault};
   }
-  const refusal too_large = {
-      413, std::string(core::NameOf(core::answer_reason::kBodyTooLarge)),
-      "a body may have at most " + std::to_string(options_.body_limit) +
-          " bytes"};
-  if (request.get_header_value<std::uint64_t>("Content-Length") >
-      options_.body_limit) {
-    return too_large;
-  }
   auto bytes = std::make_shared<std::string>();
-  bool overflow = false;
-  const bool whole =
-      reader == nullptr || (*reader)([&](const char* data, std::size_t size) {
-        overflow = bytes->size() + size > options_.body_limit;
-        if (!overflow) {
-          bytes->append(data, size);
-        }
-        return !overflow;
-      });
-  if (overflow) {
-    return too_large;
+  body_fault fault = body_fault::kNone;
+  if (may_have_body) {
+    body_reader reader(current.stream,
+                       {options_.body_limit, options_.trailer_limit},
+                       [](std::size_t) { return true; });
+    fault = request.has_header("Transfer-Encoding")
+                ? reader.ReadChunked(bytes.get())
+                : reader.ReadLength(
+                      request.get_header_value<std::uint64_t>("Content-Length"),
+                      bytes.get());
   }
-  // The library takes a chunk that doesn't end as it should for the last one,
-  // and would read the rest of the body as the next request.
-  const bool ended = !request.has_header("Transfer-Encoding") ||
-                     current.stream->tail() == endpoint::kLastChunk;
-  if (!whole || !ended) {
-    return refusal{400, "bad-request", "the body ended early"};
+  if (fault != body_fault::kNone) {
+    return RefusalOf(fault);
   }
   return core::shared_body(std::move(bytes));
 }
--- a/src/endpoint/socket_stream.cc
+++ b/src/endpoint/socket_stream.cc
@@ -100,7 +100,12 @@
     pending_escape_.remove_prefix(1);
     return 1;
   }
+  if (head_left_ == 0) {
+    head_too_large_ = true;
+    return -1;
+  }
   const ssize_t count = ReadRaw(data, 1);
+  head_left_ -= count == 1 ? 1 : 0;
   if (count == 1 && head_.Consume(*data)) {
     pending_escape_ = kEscapeSuffix;
   }
--- a/src/endpoint/socket_stream.h
+++ b/src/endpoint/socket_stream.h
@@ -4,8 +4,10 @@
 #include <httplib.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -36,12 +38,24 @@
   /// Returns true if received bytes are buffered that have not been read yet.
   bool HasBuffered() const { return begin_ != end_; }
 
-  /// Declares that the next byte read starts the head of a message.
-  void StartMessage() { head_.Restart(); }
+  /// Declares that the next byte read starts the head of a message, whose head
+  /// may have at most `head_limit` bytes; reading beyond them fails.
+  void StartMessage(
+      std::size_t head_limit = std::numeric_limits<std::size_t>::max()) {
+    head_.Restart();
+    head_left_ = head_limit;
+    head_too_large_ = false;
+  }
+
+  /// Returns true if the head of the current message exceeds its limit.
+  bool head_too_large() const { return head_too_large_; }
 
   /// Returns true once the system has accepted at least one byte for sending.
   bool has_written() const { return written_ > 0; }
 
+  /// Returns how many bytes the system has accepted for sending.
+  std::size_t written() const { return written_; }
+
   /// Returns the bytes read last, at most `kTailSize`.
   std::string_view tail() const { return tail_; }
 
@@ -77,6 +91,8 @@
   header_escaper head_;
   // The rest of an escape sequence that has not been read yet.
   std::string_view pending_escape_;
+  std::size_t head_left_ = std::numeric_limits<std::size_t>::max();
+  bool head_too_large_ = false;
 };
 
 /// Waits until one of `events`, as defined for poll(), occurs on `socket` or
--- a/src/runtime/daemon_options.cc
+++ b/src/runtime/daemon_options.cc
@@ -49,6 +49,8 @@
   options.port = settings.http_port;
   options.threads = settings.http_threads;
   options.body_limit = settings.body_limit;
+  options.head_limit = settings.head_limit;
+  options.trailer_limit = settings.trailer_limit;
   options.greatest_patience =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           settings.max_request_timeout);
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -21,6 +21,9 @@
 constexpr std::uint64_t kMaxThreads = 4096;
 constexpr std::uint64_t kMinBody = 1 << 10;
 constexpr std::uint64_t kMaxBody = 1 << 30;
+constexpr std::uint64_t kMinHead = 8 << 10;
+constexpr std::uint64_t kMaxHead = 1 << 20;
+constexpr std::uint64_t kMinTrailers = 1 << 10;
 
 bool IsIpNumber(const std::string& host) {
   std::array<unsigned char, sizeof(in6_addr)> address{};
@@ -86,6 +89,9 @@
     return;
   }
   limits->ReadBytes("body", &settings->body_limit, {kMinBody, kMaxBody});
+  limits->ReadBytes("head", &settings->head_limit, {kMinHead, kMaxHead});
+  limits->ReadBytes("trailers", &settings->trailer_limit,
+                    {kMinTrailers, kMaxHead});
   ReadUnsigned(&*limits, "http-threads", &settings->http_threads,
                {4, kMaxThreads});
   ReadUnsigned(&*limits, "endpoint-threads", &settings->endpoint_threads,
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -259,6 +259,66 @@
   }
 }
 
+// Guards against lines and trailers that grow until the process has no memory.
+TEST_CASE("A request is refused when its parts beside the body are too large") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server_options options = SmallOptions();
+  options.head_limit = 200;
+  options.trailer_limit = 20;
+  http_server server(options, decisions.Gateway(), {});
+  const std::uint16_t port = server.Start();
+  const std::string chunked =
+      "POST /s/intake/ HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  // None of them comes to an end.
+  for (const std::string& bytes :
+       {"GET /s/" + std::string(200, 'x'),
+        "GET /s/intake/ HTTP/1.1\r\nX-A: " + std::string(200, 'x'),
+        "GET /s/intake/ HTTP/1.1\r\n" + std::string(100, '\n') + "X-A: 1\r\n" +
+            std::string(100, '\n'),
+        chunked + "5;" + std::string(21, 'x'),
+        chunked + "1;aaaaaaaaaa\r\nx\r\n1;aaaaaaaaaaa",
+        chunked + "0000000000000000",
+        chunked + "0\r\nX: 1\r\nX: 2\r\nX: 3\r\nX: 4\r\nX: 5\r\nX",
+        chunked + "0\r\nX-A: " + std::string(21, 'x')}) {
+    INFO(bytes);
+    const testing::raw_connection caller = testing::ConnectTo(port);
+    caller.Send(bytes);
+    const std::string answer = caller.ReadAll();
+    CHECK(answer.find("HTTP/1.1 400 ") == 0);
+    CHECK(answer.find("Plantain-Outcome: not-run") != std::string::npos);
+    CHECK(answer.find("Retry-After: ") != std::string::npos);
+    CHECK(answer.find("Connection: close") != std::string::npos);
+    CHECK(answer.find("ended early") == std::string::npos);
+  }
+  CHECK(decisions.submitted() == 0);
+
+  SECTION("and served when they are as large as allowed") {
+    const testing::raw_connection caller = testing::ConnectTo(port);
+    std::string bytes = chunked;
+    for (int i = 0; i < 64; ++i) {
+      bytes += "1\r\nx\r\n";
+    }
+    caller.Send(bytes + "0;" + std::string(10, 'x') + "\r\nX-A: 12345\r\n\r\n" +
+                Get("/s/intake/2"));
+    CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+    CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+    CHECK(decisions.submitted() == 2);
+    CHECK(decisions.last().path == "/2");
+  }
+}
+
+// Guards against a method whose body the library reads without any limit.
+TEST_CASE("The first line of HTTP/2 is refused before a body is read") {
+  fake_core decisions;
+  http_server server(SmallOptions(), decisions.Gateway(), {});
+  const testing::raw_connection caller = testing::ConnectTo(server.Start());
+  caller.Send("PRI / HTTP/1.1\r\nHost: entry\r\n\r\n");
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("HTTP/1.1 400 ") == 0);
+  CHECK(answer.find("HTTP/2") != std::string::npos);
+}
+
 TEST_CASE("An answer to HEAD has no body, and the connection stays in step") {
   fake_core decisions;
   decisions.AnswerAllWith(Done("hello"));
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -35,6 +35,23 @@
     send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
 
+  /// Sends all bytes. Returns false if the peer has closed the connection or
+  /// reads nothing for long.
+  bool TrySend(const std::string& bytes) const {
+    const timeval most = {20, 0};
+    setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &most, sizeof(most));
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+      const ssize_t count = send(socket_, bytes.data() + sent,
+                                 bytes.size() - sent, MSG_NOSIGNAL);
+      if (count <= 0) {
+        return false;
+      }
+      sent += static_cast<std::size_t>(count);
+    }
+    return true;
+  }
+
   /// Reads until `end` has been received. Returns fewer bytes if the peer
   /// closes the connection first.
   std::string ReadUntil(const std::string& end) const {
--- a/tests/settings/entry_settings_test.cc
+++ b/tests/settings/entry_settings_test.cc
@@ -38,6 +38,8 @@
     CHECK(settings.http_port == 8080);
     CHECK(settings.platform_port == 7070);
     CHECK(settings.body_limit == 8U << 20);
+    CHECK(settings.head_limit == 64U << 10);
+    CHECK(settings.trailer_limit == 8U << 10);
     CHECK(settings.max_request_timeout == std::chrono::seconds(60));
     CHECK(settings.count_interval == std::chrono::minutes(1));
     CHECK(settings.suspicion_timeout == std::chrono::seconds(1));
