Give all bodies of callers one budget of memory

Callers that sent many bodies at once and stopped just short of their end held body_limit bytes for each thread: 128 x 8 MiB is 1 GiB on a VM that has 260 MB. The process ran out of memory. Answers that nobody took added to it.

Cause: only the single body had a limit.

Change: transfer_table counts the bytes of all bodies of requests and answers (limits.bodies, 64MiB). When they are used up, the exchange that has waited for its caller for longest is interrupted: a request is answered 503 `overload`, `not-run` with Retry-After, an answer is cut. Requests that are being decided keep what they hold; if nothing else is left, the new one is refused. What has arrived whole is never interrupted. A sender that always had bytes ready could read on after read_limit; the deadline now holds for it too. Two gauges tell.

--- a/include/plantainhead/caller/http_server.h
+++ b/include/plantainhead/caller/http_server.h
@@ -33,6 +33,11 @@
   std::size_t most_requests_per_connection = 1000;
   /// Most bytes of a request's body; above it the answer is 413.
   std::size_t body_limit = std::size_t{8} << 20U;
+  /// Most bytes of all bodies of requests and answers that are held at once.
+  /// Beyond it, the exchange that has waited for its caller for longest is
+  /// ended: a request is answered `not-run`, an answer is cut. When there is
+  /// none, the new request is answered `not-run`. At least `body_limit`.
+  std::size_t bodies_limit = std::size_t{64} << 20U;
   /// Most bytes of a request's head; above it the answer is 400.
   std::size_t head_limit = std::size_t{64} << 10U;
   /// Most bytes of the chunk extensions and trailers of one body; above it the
@@ -52,6 +57,14 @@
   std::function<core::time_point()> now;
 };
 
+/// What an `http_server` holds and has ended early.
+struct http_server_counters {
+  /// Bytes of bodies that are held now.
+  std::size_t body_bytes = 0;
+  /// Exchanges ended for the sake of others, since the start.
+  std::size_t interrupted = 0;
+};
+
 /// The HTTP side of an entry towards callers, operators and probes.
 ///
 /// Paths that start with `/s/` are callers' requests; they go to the gateway
@@ -87,6 +100,10 @@
   /// Thread safety: call it from one thread; later calls do nothing.
   void Stop();
 
+  /// Returns a snapshot of the counters.
+  /// Thread safety: safe from any thread.
+  http_server_counters counters() const;
+
   /// Returns how many connections are open without a request.
   /// Thread safety: safe from any thread.
   std::size_t IdleConnections() const;
--- a/include/plantainhead/settings/entry_settings.h
+++ b/include/plantainhead/settings/entry_settings.h
@@ -33,6 +33,9 @@
 
   /// `limits.body`: maximum size of a request or response body in bytes.
   std::uint64_t body_limit = 8 << 20;
+  /// `limits.bodies`: maximum number of bytes of all bodies of requests and
+  /// answers that are held at once; at least `limits.body`.
+  std::uint64_t bodies_limit = 64 << 20;
   /// `limits.head`: maximum size of a request's head in bytes.
   std::uint64_t head_limit = 64 << 10;
   /// `limits.trailers`: maximum size of the chunk extensions and trailers of
--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -48,6 +48,7 @@
 thread_local exchange* current_exchange = nullptr;
 
 constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
 
 // Headers that make cpp-httplib change a body or an answer: it would unpack
 // what is to be passed on packed, pack an answer a second time, cut ranges out
@@ -141,8 +142,15 @@
               " bytes"};
 }
 
+refusal Overloaded() {
+  return {kUnavailable,
+          std::string(core::NameOf(core::answer_reason::kOverload)),
+          "the entry is short of memory or threads"};
+}
+
 connection_server::connection_server(limits bounds)
     : limits_(bounds),
+      transfers_(bounds.bodies),
       pool_(bounds.threads),
       idle_({bounds.most_idle, bounds.idle_timeout},
             [this](connection_ptr item) { Enqueue(std::move(item)); }) {
@@ -277,18 +285,23 @@
   ++item->requests;
   const bool last = ending_ || item->requests >= limits_.most_requests;
   exchange current;
+  transfer_table::transfer transfer(&transfers_, &item->stream);
   current.stream = &item->stream;
+  current.transfer = &transfer;
   current_exchange = &current;
   bool closed_by_caller = false;
   const bool whole = process_request(
       item->stream, last, closed_by_caller,
       [&](httplib::Request& request) { Prepare(request, &current); });
   current_exchange = nullptr;
-  if (!whole && item->stream.head_too_large() &&
-      item->stream.written() == written) {
+  const bool unanswered = !whole && item->stream.written() == written;
+  if (unanswered && item->stream.head_too_large()) {
     Refuse(&item->stream, HeadTooLarge(limits_.head));
+  } else if (unanswered && item->stream.interrupted()) {
+    Refuse(&item->stream, Overloaded());
   }
-  return whole && !last && !closed_by_caller && !current.close;
+  return whole && !last && !closed_by_caller && !current.close &&
+         !item->stream.interrupted();
 }
 
 }  // namespace plantainhead::caller
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -13,6 +13,7 @@
 
 #include "caller/idle_connections.h"
 #include "caller/request_parser.h"
+#include "caller/transfer_table.h"
 #include "plantainhead/core/requests/request.h"
 
 namespace plantainhead::caller {
@@ -27,6 +28,7 @@
   /// The handler sets it when the rest of the connection can't be trusted.
   bool close = false;
   endpoint::socket_stream* stream = nullptr;
+  transfer_table::transfer* transfer = nullptr;
   /// Set when the length of the body is in doubt or the body isn't allowed.
   std::string framing_fault;
 };
@@ -38,6 +40,10 @@
 /// Returns the refusal of a request whose head has more than `limit` bytes.
 refusal HeadTooLarge(std::size_t limit);
 
+/// Returns the refusal of a request that was interrupted for the sake of
+/// others, or that got no memory.
+refusal Overloaded();
+
 /// cpp-httplib's server with threads for requests instead of connections.
 ///
 /// It replaces only how connections are waited for. Parsing, routing and
@@ -53,6 +59,8 @@
     std::chrono::milliseconds write_limit;
     /// Bytes of a request's head.
     std::size_t head;
+    /// Bytes of all bodies at once.
+    std::size_t bodies;
   };
 
   explicit connection_server(limits bounds);
@@ -69,6 +77,7 @@
   void Stop();
 
   std::size_t IdleConnections() const { return idle_.size(); }
+  const transfer_table& transfers() const { return transfers_; }
 
  private:
   bool process_and_close_socket(socket_t socket) override;
@@ -82,6 +91,7 @@
   void Enqueue(connection_ptr item);
 
   const limits limits_;
+  transfer_table transfers_;
   httplib::ThreadPool pool_;
   idle_connections idle_;
   std::atomic<std::size_t> busy_threads_ = 0;
--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -84,6 +84,8 @@
   RequirePositive(options.most_requests_per_connection > 0,
                   "'most_requests_per_connection' is 0");
   RequirePositive(options.head_limit > 0, "'head_limit' is 0");
+  RequirePositive(options.bodies_limit >= options.body_limit,
+                  "'bodies_limit' is less than 'body_limit'");
   RequirePositive(options.trailer_limit > 0, "'trailer_limit' is 0");
   RequirePositive(options.read_limit > zero, "'read_limit' is 0");
   RequirePositive(options.write_limit > zero, "'write_limit' is 0");
@@ -102,8 +104,8 @@
         routes_(routes),
         server_({options_.threads, options_.most_idle_connections,
                  options_.idle_timeout, options_.most_requests_per_connection,
-                 options_.read_limit, options_.write_limit,
-                 options_.head_limit}) {
+                 options_.read_limit, options_.write_limit, options_.head_limit,
+                 options_.bodies_limit}) {
     Register();
   }
 
@@ -127,6 +129,8 @@
       const httplib::Request& request,
       bool may_have_body) const;
   refusal RefusalOf(body_fault fault) const;
+  written_answer Answer(const httplib::Request& request,
+                        core::shared_body body);
   written_answer AnswerCaller(const httplib::Request& request,
                               core::shared_body body);
   written_answer AnswerRoute(const httplib::Request& request,
@@ -192,7 +196,8 @@
         CurrentExchange().close = true;
         response.headers.emplace("Connection", "close");
         const refusal why =
-            CurrentExchange().stream->head_too_large()
+            CurrentExchange().stream->interrupted() ? Overloaded()
+            : CurrentExchange().stream->head_too_large()
                 ? HeadTooLarge(options_.head_limit)
                 : refusal{response.status, "bad-request",
                           "the request isn't one that HTTP allows here"};
@@ -210,17 +215,19 @@
   std::variant<core::shared_body, refusal> body =
       ReadBody(request, may_have_body);
   if (const refusal* why = std::get_if<refusal>(&body)) {
+    current.transfer->StartWriting(0);
     // What is left of the body would be read as the next request.
     current.close = true;
     response.headers.emplace("Connection", "close");
     Fill(WriteRefusal(*why), request.method, echo, &response);
     return;
   }
-  const core::shared_body& bytes = std::get<core::shared_body>(body);
-  const bool for_service = request.target.rfind(kServicePrefix, 0) == 0;
+  current.transfer->StartDeciding();
   const written_answer answer =
-      for_service ? AnswerCaller(request, bytes) : AnswerRoute(request, bytes);
-  if (server_.ending()) {
+      Answer(request, std::get<core::shared_body>(std::move(body)));
+  // The library writes from a copy of its own.
+  current.transfer->StartWriting(answer.body ? 2 * answer.body->size() : 0);
+  if (server_.ending() || current.stream->interrupted()) {
     // The stop may have begun while the answer was waited for. A caller that
     // isn't told would send its next request into a connection that closes.
     current.close = true;
@@ -242,6 +249,8 @@
       return {kBadRequest, "bad-request",
               "chunk extensions and trailers may have at most " +
                   std::to_string(options_.trailer_limit) + " bytes"};
+    case body_fault::kNoMemory:
+      return Overloaded();
     case body_fault::kMalformed:
       return {kBadRequest, "bad-request",
               "the chunks of the body are malformed"};
@@ -260,9 +269,9 @@
   auto bytes = std::make_shared<std::string>();
   body_fault fault = body_fault::kNone;
   if (may_have_body) {
-    body_reader reader(current.stream,
-                       {options_.body_limit, options_.trailer_limit},
-                       [](std::size_t) { return true; });
+    body_reader reader(
+        current.stream, {options_.body_limit, options_.trailer_limit},
+        [&](std::size_t bytes) { return current.transfer->Reserve(bytes); });
     fault = request.has_header("Transfer-Encoding")
                 ? reader.ReadChunked(bytes.get())
                 : reader.ReadLength(
@@ -270,11 +279,18 @@
                       bytes.get());
   }
   if (fault != body_fault::kNone) {
-    return RefusalOf(fault);
+    return current.stream->interrupted() ? Overloaded() : RefusalOf(fault);
   }
   return core::shared_body(std::move(bytes));
 }
 
+written_answer http_server::impl::Answer(const httplib::Request& request,
+                                         core::shared_body body) {
+  const bool for_service = request.target.rfind(kServicePrefix, 0) == 0;
+  return for_service ? AnswerCaller(request, std::move(body))
+                     : AnswerRoute(request, body);
+}
+
 written_answer http_server::impl::AnswerCaller(const httplib::Request& request,
                                                core::shared_body body) {
   raw_request raw;
@@ -373,6 +389,11 @@
   impl_->Stop();
 }
 
+http_server_counters http_server::counters() const {
+  const transfer_table& transfers = impl_->server().transfers();
+  return {transfers.held(), transfers.interrupted()};
+}
+
 std::size_t http_server::IdleConnections() const {
   return impl_->server().IdleConnections();
 }
--- a/src/endpoint/socket_stream.cc
+++ b/src/endpoint/socket_stream.cc
@@ -76,9 +76,16 @@
   return WaitFor(socket_, POLLOUT, clock::now() + write_timeout_);
 }
 
+void socket_stream::Interrupt(bool writing) {
+  interrupted_ = true;
+  // Wakes the thread that waits.
+  shutdown(socket_, writing ? SHUT_RDWR : SHUT_RD);
+}
+
 ssize_t socket_stream::Receive(char* data, std::size_t size) {
   while (true) {
-    if (!WaitFor(socket_, POLLIN, read_deadline_)) {
+    // Past the deadline nothing more is read, whether or not it is there.
+    if (clock::now() >= read_deadline_) {
       return -1;
     }
     const ssize_t count = recv(socket_, data, size, MSG_DONTWAIT);
@@ -87,6 +94,9 @@
     if (!again) {
       return count;
     }
+    if (interrupted_ || !WaitFor(socket_, POLLIN, read_deadline_)) {
+      return -1;
+    }
   }
 }
 
@@ -146,9 +156,6 @@
 
 ssize_t socket_stream::write(const char* data, size_t size) {
   while (true) {
-    if (!is_writable()) {
-      return -1;
-    }
     const ssize_t count =
         send(socket_, data, size, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (count > 0) {
@@ -159,6 +166,9 @@
     if (!again) {
       return count;
     }
+    if (interrupted_ || !is_writable()) {
+      return -1;
+    }
   }
 }
 
--- a/src/endpoint/socket_stream.h
+++ b/src/endpoint/socket_stream.h
@@ -38,6 +38,13 @@
   /// Returns true if received bytes are buffered that have not been read yet.
   bool HasBuffered() const { return begin_ != end_; }
 
+  /// Ends a wait for the peer and fails all later waits; what has arrived can
+  /// still be read. With `writing`, nothing more is sent.
+  /// Thread safety: safe from any thread while the socket is open.
+  void Interrupt(bool writing);
+  /// Thread safety: safe from any thread.
+  bool interrupted() const { return interrupted_; }
+
   /// Declares that the next byte read starts the head of a message, whose head
   /// may have at most `head_limit` bytes; reading beyond them fails.
   void StartMessage(
@@ -91,6 +98,7 @@
   header_escaper head_;
   // The rest of an escape sequence that has not been read yet.
   std::string_view pending_escape_;
+  std::atomic<bool> interrupted_ = false;
   std::size_t head_left_ = std::numeric_limits<std::size_t>::max();
   bool head_too_large_ = false;
 };
--- a/src/runtime/daemon_options.cc
+++ b/src/runtime/daemon_options.cc
@@ -49,6 +49,7 @@
   options.port = settings.http_port;
   options.threads = settings.http_threads;
   options.body_limit = settings.body_limit;
+  options.bodies_limit = settings.bodies_limit;
   options.head_limit = settings.head_limit;
   options.trailer_limit = settings.trailer_limit;
   options.greatest_patience =
--- a/src/runtime/entry_daemon.cc
+++ b/src/runtime/entry_daemon.cc
@@ -283,6 +283,7 @@
     observer_.SetDecisionGauges(core, clock_.Now());
   });
   observer_.SetLinkGauges(peers_->counters());
+  observer_.SetCallerGauges(http_->counters());
 }
 
 void entry_daemon::impl::WritePortFile() const {
--- a/src/runtime/entry_observer.cc
+++ b/src/runtime/entry_observer.cc
@@ -46,6 +46,17 @@
       static_cast<double>(claims.claims_held));
 }
 
+void entry_observer::SetCallerGauges(
+    const caller::http_server_counters& callers) {
+  metrics_
+      .Gauge("plantainhead_body_bytes", "Bytes of callers' bodies in memory")
+      .Set(static_cast<double>(callers.body_bytes));
+  metrics_
+      .Gauge("plantainhead_exchanges_interrupted",
+             "Exchanges with callers ended for want of memory or threads")
+      .Set(static_cast<double>(callers.interrupted));
+}
+
 void entry_observer::SetLinkGauges(const entry::peer_link_counters& link) {
   const auto set = [&](const char* name, const char* help,
                        std::uint64_t value) {
--- a/src/runtime/entry_observer.h
+++ b/src/runtime/entry_observer.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_SRC_RUNTIME_ENTRY_OBSERVER_H_
 #define PLANTAINHEAD_SRC_RUNTIME_ENTRY_OBSERVER_H_
 
+#include "plantainhead/caller/http_server.h"
 #include "plantainhead/caller/route.h"
 #include "plantainhead/core/entry/entry_core.h"
 #include "plantainhead/entry/peer_link.h"
@@ -21,6 +22,8 @@
 
   /// Sets the gauges that tell of the decisions.
   void SetDecisionGauges(const core::entry_core& core, core::time_point now);
+  /// Sets the gauges that tell of the connections with callers.
+  void SetCallerGauges(const caller::http_server_counters& callers);
   /// Sets the gauges that tell of the link to other entries.
   void SetLinkGauges(const entry::peer_link_counters& link);
 
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -21,6 +21,7 @@
 constexpr std::uint64_t kMaxThreads = 4096;
 constexpr std::uint64_t kMinBody = 1 << 10;
 constexpr std::uint64_t kMaxBody = 1 << 30;
+constexpr std::uint64_t kMaxBodies = std::uint64_t{1} << 40;
 constexpr std::uint64_t kMinHead = 8 << 10;
 constexpr std::uint64_t kMaxHead = 1 << 20;
 constexpr std::uint64_t kMinTrailers = 1 << 10;
@@ -83,12 +84,15 @@
   platform->CheckKeys();
 }
 
-void ReadLimits(yaml_mapping* top, entry_settings* settings) {
+void ReadLimits(yaml_mapping* top,
+                finding_sink* sink,
+                entry_settings* settings) {
   std::optional<yaml_mapping> limits = top->Section("limits");
   if (!limits) {
     return;
   }
   limits->ReadBytes("body", &settings->body_limit, {kMinBody, kMaxBody});
+  limits->ReadBytes("bodies", &settings->bodies_limit, {kMinBody, kMaxBodies});
   limits->ReadBytes("head", &settings->head_limit, {kMinHead, kMaxHead});
   limits->ReadBytes("trailers", &settings->trailer_limit,
                     {kMinTrailers, kMaxHead});
@@ -99,6 +103,10 @@
   limits->ReadDuration("patience", &settings->max_request_timeout,
                        {seconds(1), hours(1)});
   limits->CheckKeys();
+  if (settings->bodies_limit < settings->body_limit) {
+    sink->Add(limits->At("bodies"),
+              "'limits.bodies' must be at least 'limits.body'");
+  }
 }
 
 void ReadTimes(yaml_mapping* top,
@@ -167,7 +175,7 @@
   ReadUnsigned(&top, "peer-port", &settings.peer_port, {0, kMaxPort});
   top.ReadText("port-file", &settings.port_file);
   ReadPlatform(&top, &sink, &settings);
-  ReadLimits(&top, &settings);
+  ReadLimits(&top, &sink, &settings);
   ReadTimes(&top, &sink, &settings);
   ReadLog(&top, &sink, &settings);
   top.CheckKeys();
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "loopback.h"
@@ -308,6 +309,44 @@
   }
 }
 
+// Guards against many bodies that stop short of their end and stay open.
+TEST_CASE("The bodies of all requests share one budget") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server_options options = SmallOptions();
+  options.read_limit = 10min;
+  options.body_limit = 1000;
+  options.bodies_limit = 2000;
+  http_server server(options, decisions.Gateway(), {});
+  const std::uint16_t port = server.Start();
+  const std::string nearly =
+      "POST /s/intake/ HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" +
+      std::string(999, 'x');
+  std::vector<testing::raw_connection> crowd;
+  for (std::size_t held = 0; crowd.size() < 2;) {
+    crowd.push_back(testing::ConnectTo(port));
+    crowd.back().Send(nearly);
+    while (server.counters().body_bytes == held) {
+      std::this_thread::yield();
+    }
+    held = server.counters().body_bytes;
+  }
+
+  const testing::raw_connection caller = testing::ConnectTo(port);
+  caller.Send(nearly + "x");
+  CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+  const std::string refused = crowd.front().ReadAll();
+  CHECK(refused.find("HTTP/1.1 503 ") == 0);
+  CHECK(refused.find("Plantain-Outcome: not-run") != std::string::npos);
+  CHECK(refused.find("Plantain-Reason: overload") != std::string::npos);
+  CHECK(refused.find("Retry-After: ") != std::string::npos);
+  CHECK(server.counters().interrupted == 1);
+  CHECK(decisions.submitted() == 1);
+
+  crowd.back().Send("x");
+  CHECK(crowd.back().ReadMessage(5).find("hello") != std::string::npos);
+}
+
 // Guards against a method whose body the library reads without any limit.
 TEST_CASE("The first line of HTTP/2 is refused before a body is read") {
   fake_core decisions;
--- a/tests/crowd/entry_crowd_test.cc
+++ b/tests/crowd/entry_crowd_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <string>
+#include <vector>
 
 #include "crowd/entry_process.h"
 #include "loopback.h"
@@ -96,5 +97,32 @@
   CheckSound(&entry, before, 1);
 }
 
+// Guards against many bodies at once that together need more than the memory.
+TEST_CASE("An entry outlives many bodies that stop short of their end") {
+  constexpr std::size_t kCrowd = 48;
+  entry_process entry("  body: 1MiB\n  bodies: 4MiB\n  http-threads: 64\n");
+  const std::size_t before = entry.PeakMemory();
+  std::vector<raw_connection> crowd;
+  std::string most;
+  SECTION("in large chunks") {
+    most = kChunkedHead + "fffff\r\n" + std::string(kMebibyte - 2, 'x');
+  }
+  SECTION("in chunks of one byte") {
+    most = kChunkedHead;
+    for (std::size_t i = 0; i < kMebibyte / 8; ++i) {
+      most += "1\r\nx\r\n";
+    }
+  }
+  SECTION("of a known length") {
+    most = "POST /s/intake/ HTTP/1.1\r\nContent-Length: 1048576\r\n\r\n" +
+           std::string(kMebibyte - 1, 'x');
+  }
+  for (std::size_t i = 0; i < kCrowd; ++i) {
+    crowd.push_back(ConnectTo(entry.http_port()));
+    SendRepeatedly(crowd.back(), most, 1);
+  }
+  CheckSound(&entry, before, kCrowd);
+}
+
 }  // namespace
 }  // namespace plantainhead::testing
--- a/tests/crowd/entry_process.cc
+++ b/tests/crowd/entry_process.cc
@@ -15,8 +15,8 @@
 namespace plantainhead::testing {
 namespace {
 
-// Ends a test whose entry would never start.
-constexpr std::chrono::seconds kStartLimit(60);
+// Ends a test that would wait for ever.
+constexpr std::chrono::seconds kWaitLimit(60);
 constexpr std::chrono::milliseconds kPause(20);
 
 std::string MakeDirectory() {
@@ -31,10 +31,10 @@
 
 template <typename Condition>
 void Await(const char* what, Condition holds) {
-  const auto end = std::chrono::steady_clock::now() + kStartLimit;
+  const auto end = std::chrono::steady_clock::now() + kWaitLimit;
   while (!holds()) {
     if (std::chrono::steady_clock::now() > end) {
-      throw std::runtime_error(std::string("the entry did not start: ") + what);
+      throw std::runtime_error(std::string("waited in vain: ") + what);
     }
     std::this_thread::sleep_for(kPause);
   }
@@ -124,6 +124,17 @@
   return count;
 }
 
+void entry_process::AwaitMetric(const std::string& name, double least) const {
+  httplib::Client operator_client("127.0.0.1", http_port_);
+  Await(name.c_str(), [&] {
+    const auto answer = operator_client.Get("/metrics");
+    const std::size_t at =
+        answer ? answer->body.find("\n" + name + " ") : std::string::npos;
+    return at != std::string::npos &&
+           std::stod(answer->body.substr(at + name.size() + 2)) >= least;
+  });
+}
+
 std::uint64_t entry_process::Incarnation() const {
   httplib::Client operator_client("127.0.0.1", http_port_);
   const auto answer = operator_client.Get("/v1/status");
--- a/tests/crowd/entry_process.h
+++ b/tests/crowd/entry_process.h
@@ -35,6 +35,9 @@
   std::size_t PeakMemory() const;
   /// Returns the number of its open descriptors.
   std::size_t Descriptors() const;
+  /// Waits until a metric of the entry has at least the value `least`.
+  /// Errors: throws `std::runtime_error` if it never does.
+  void AwaitMetric(const std::string& name, double least) const;
   /// Returns the incarnation that peers name in their greeting.
   std::uint64_t Incarnation() const;
 
--- a/tests/settings/entry_settings_test.cc
+++ b/tests/settings/entry_settings_test.cc
@@ -38,6 +38,7 @@
     CHECK(settings.http_port == 8080);
     CHECK(settings.platform_port == 7070);
     CHECK(settings.body_limit == 8U << 20);
+    CHECK(settings.bodies_limit == 64U << 20);
     CHECK(settings.head_limit == 64U << 10);
     CHECK(settings.trailer_limit == 8U << 10);
     CHECK(settings.max_request_timeout == std::chrono::seconds(60));
@@ -96,6 +97,12 @@
     CHECK(FindingsIn(text).size() == 1);
   }
 
+  SECTION("when one body wouldn't fit among all bodies") {
+    const std::string text = std::string(kMinimalSettings) +
+                             "limits: {body: 2MiB, bodies: 1MiB}\n";
+    CHECK(FindingsIn(text).size() == 1);
+  }
+
   SECTION("when the host is a wildcard address") {
     const std::string text = std::string(kMinimalSettings) + "http-port: 1\n";
     std::string wildcard = text;
