--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -37,8 +37,13 @@
       address_(address),
       task_time_(task_time) {
   lapse_timer_ = std::make_shared<boost::asio::steady_timer>(*context);
+  Listen();
+}
+
+void site_vm::Listen() {
+  server_.reset();
   server_ = std::make_unique<net::http_server>(
-      context, address, net::http_server_options(),
+      context_, address_, net::http_server_options(),
       [this](const net::server_request& request,
              const net::responder& respond) { Handle(request, respond); });
 }
@@ -76,6 +81,8 @@
   fence_ = 0;
   lease_until_ = {};
   is_silent = false;
+  calls_ = 0;
+  Listen();
 }
 
 void site_vm::Tell(vm_event event,
@@ -89,8 +96,13 @@
 void site_vm::ExtendLease(std::int64_t deadline_ms) {
   const steady_clock::time_point until =
       clock_zero_ + std::chrono::milliseconds(deadline_ms);
-  if (until > lease_until_) {
-    lease_until_ = until;
+  longest_lease_ = std::max(
+      longest_lease_,
+      std::chrono::duration_cast<milliseconds>(until - steady_clock::now()));
+  const steady_clock::time_point granted =
+      lease_limit ? std::min(until, steady_clock::now() + *lease_limit) : until;
+  if (granted > lease_until_) {
+    lease_until_ = granted;
     AwaitLapse();
   }
 }
@@ -121,6 +133,7 @@
   if (is_silent) {
     return;
   }
+  ++calls_;
   if (net::FindHeader(request.headers, "X-Plantainhead-Expect-Instance") !=
       id_) {
     respond(Answer(421, json::object()));
@@ -185,19 +198,24 @@
   highest_[task] = number;
   ++starts_[task];
   Tell(vm_event::kStarted, task, number);
-  const bool is_lasting = body.value("spec", "") == kLastingPayload;
-  running_[task] = {number, steady_clock::now() + task_time_, is_lasting};
+  const std::string payload = body.value("spec", "");
+  const bool is_lasting = payload == kLastingPayload;
+  const bool is_long = payload == kLongPayload;
+  const milliseconds time = is_long ? long_task_time : task_time_;
+  running_[task] = {number, steady_clock::now() + time, is_lasting, is_long};
   if (!is_lasting) {
-    EndLater(task, number);
+    EndLater(task, number, time);
   }
   if (!loses_start_answers) {
     respond(Answer(200, json::object()));
   }
 }
 
-void site_vm::EndLater(const std::string& task, std::uint32_t number) {
+void site_vm::EndLater(const std::string& task,
+                       std::uint32_t number,
+                       std::chrono::milliseconds time) {
   const auto timer = std::make_shared<boost::asio::steady_timer>(*context_);
-  timer->expires_after(task_time_);
+  timer->expires_after(time);
   timer->async_wait([this, task, number, life = life_,
                      timer](const boost::system::error_code& /*error*/) {
     if (life == life_) {
@@ -225,10 +243,19 @@
   WakeHolds();
 }
 
+int site_vm::LongPercent(const run& held) const {
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      held.ends_at - steady_clock::now());
+  return static_cast<int>(
+      std::clamp<std::int64_t>(100 - 100 * left / long_task_time, 0, 99));
+}
+
 std::string site_vm::Listing() const {
   json running = json::array();
   for (const auto& [task, held] : running_) {
-    const int percent = held.is_lasting ? 100 : 50;
+    const int percent = held.is_lasting ? 100
+                        : held.is_long  ? LongPercent(held)
+                                        : 50;
     running.push_back(json::array({task, held.number, "", percent, 100}));
   }
   json finished = json::array();
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
 
 /// The payload of jobs whose tasks run until they are stopped.
 inline constexpr const char* kLastingPayload = "lasts";
+/// The payload of jobs whose tasks take `long_task_time`.
+inline constexpr const char* kLongPayload = "long";
 
 /// Stands in for a VM that runs tasks under a lease: start, stop,
 /// hold and pace. Each task takes the same time, but those that last. Counts
@@ -42,10 +45,15 @@
   /// Ends this life and all that runs. Calls have no answer until the next one.
   void Crash();
   /// Begins another life, which knows nothing of the one before: its clock and
-  /// its counts start anew. The id may be the same.
+  /// its counts start anew, and the connections of the one before are closed.
+  /// The id may be the same.
   void BeginLife(const std::string& id);
   /// Returns how often each task was started.
   const std::map<std::string, int>& starts() const { return starts_; }
+  /// Returns the longest time for which a call has extended the lease.
+  std::chrono::milliseconds longest_lease() const { return longest_lease_; }
+  /// Returns how many calls the current life has received.
+  int calls() const { return calls_; }
   /// Returns how many tasks run now.
   std::size_t Running() const { return running_.size(); }
 
@@ -59,6 +67,9 @@
   bool refuses_starts = false;
   /// Orders to start are carried out this much later, and then not answered.
   std::chrono::milliseconds start_delay{0};
+  /// A call extends the lease by at most this time, as on the platform.
+  std::optional<std::chrono::milliseconds> lease_limit;
+  std::chrono::milliseconds long_task_time{0};
   /// Holds are answered this much later, as over a link that is full.
   std::chrono::milliseconds listing_delay{0};
   /// Is told what happens. Only ends as done are told to be acknowledged.
@@ -70,8 +81,10 @@
     std::uint32_t number = 0;
     std::chrono::steady_clock::time_point ends_at;
     bool is_lasting = false;
+    bool is_long = false;
   };
 
+  void Listen();
   void Handle(const net::server_request& request,
               const net::responder& respond);
   net::server_response Answer(unsigned status, nlohmann::json body) const;
@@ -83,8 +96,12 @@
   void Hold(const std::string& body, const net::responder& respond);
   /// Returns what answers `listing_delay` later.
   net::responder Delayed(const net::responder& respond) const;
-  void EndLater(const std::string& task, std::uint32_t number);
+  void EndLater(const std::string& task,
+                std::uint32_t number,
+                std::chrono::milliseconds time);
   void EndTask(const std::string& task, std::uint32_t number, const char* how);
+  /// Returns how much of its work a long task has done.
+  int LongPercent(const run& held) const;
   std::string Listing() const;
   void WakeHolds();
   bool IsFenced(std::uint64_t token);
@@ -94,6 +111,8 @@
   std::string address_;
   std::chrono::milliseconds task_time_;
   std::unique_ptr<net::http_server> server_;
+  std::chrono::milliseconds longest_lease_{0};
+  int calls_ = 0;
   std::map<std::string, run> running_;
   std::map<std::string, std::uint32_t> highest_;
   std::map<std::string, int> starts_;
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -130,6 +130,23 @@
   bool operator==(const lost_run&) const = default;
 };
 
+/// Reports that a VM has restarted under its id, with what the next incarnation
+/// may have received that was meant for the former one.
+struct vm_restart {
+  vm_id vm;
+  vm_incarnation incarnation;
+  vm_incarnation former_incarnation;
+  /// Runs that either incarnation may have accepted.
+  std::size_t uncertain_runs = 0;
+  /// When a lease was last granted on the former clock; the default value if
+  /// none was.
+  time_point granted_at;
+  /// The highest number of an end that the holds have acknowledged.
+  std::uint64_t acknowledged_through = 0;
+
+  bool operator==(const vm_restart&) const = default;
+};
+
 /// Decides which task runs on which VM of one pool.
 /// It does no I/O: events and times are passed in, and orders are returned. It
 /// guarantees the following, although orders may be lost or carried out late:
@@ -236,6 +253,8 @@
   /// Returns one of `Vms()`, or null. The pointer is valid until the next call
   /// of a non-const method.
   const vm_description* FindVm(const vm_id& vm) const;
+  /// Returns the current incarnation of the VM; empty if it is unknown.
+  vm_incarnation IncarnationOf(const vm_id& vm) const;
   /// Returns the VMs that have been added to `Vms`, removed from it, or whose
   /// description has changed since the last call. A VM may occur twice.
   std::vector<vm_id> TakeVmChanges();
@@ -254,10 +273,20 @@
                  time_point sent_at,
                  const run_listing& listing,
                  time_point now);
-  void OnHoldUnanswered(const vm_id& vm);
-  /// Handles an answer of another incarnation of the VM: all runs of the known
-  /// one have ended.
-  void OnReplaced(const vm_id& vm, time_point now);
+  /// Handles a hold that received no valid answer. Returns false if the failure
+  /// is ignored: the hold was sent before the current incarnation of the VM
+  /// became known, and may have failed with an earlier one. Precondition:
+  /// `sent_at` is when the hold was sent, or empty if it is unknown.
+  bool OnHoldUnanswered(const vm_id& vm,
+                        std::optional<time_point> sent_at = std::nullopt);
+  /// Handles an answer of a VM with another id at the address of the VM: all
+  /// runs of the known incarnation have ended. Returns false if the answer is
+  /// ignored: the call was sent before that incarnation became known.
+  /// Precondition: `sent_at` is when the call was sent, or empty if it is
+  /// unknown.
+  bool OnReplaced(const vm_id& vm,
+                  time_point now,
+                  std::optional<time_point> sent_at = std::nullopt);
   /// Handles the rejection of an order by a VM that a newer owner has fenced.
   void OnFenced() { is_fenced_ = true; }
 
@@ -276,6 +305,9 @@
   /// Returns the runs that were lost with their VMs since the last call, for
   /// reports.
   std::vector<lost_run> TakeLosses();
+  /// Returns the restarts of VMs that were found since the last call, for
+  /// reports.
+  std::vector<vm_restart> TakeRestarts();
   /// Returns the next batch to store, if there is one.
   std::optional<progress_batch> TakeBatch();
   /// Precondition: batches are stored in the order of their numbers.
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,5 +1,6 @@
 #include "soak_site.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
@@ -9,9 +10,15 @@
 constexpr std::chrono::milliseconds kReportGap(1500);
 
 constexpr std::chrono::milliseconds kTaskTime(300);
+// Longer than a lease of the owner (4.6 s), so that a task that is started
+// elsewhere after its end may meet the first run.
+constexpr std::chrono::milliseconds kLongTaskTime(9000);
+constexpr std::chrono::milliseconds kLeaseLimit(10000);
 constexpr std::chrono::seconds kIdleLimit(20);
 constexpr std::size_t kMostCalls = 32;
 constexpr std::size_t kIdLength = 16;
+// The memory of a machine of the users' sites, in bytes.
+constexpr std::uint64_t kMachineMemory = 260'000'000;
 
 }  // namespace
 
@@ -68,6 +75,8 @@
   soak_vm& one = vms[id];
   one.pool = pool;
   one.vm = std::make_unique<fakes::site_vm>(&context, id, address, kTaskTime);
+  one.vm->long_task_time = kLongTaskTime;
+  one.vm->lease_limit = kLeaseLimit;
   ListenTo(one.vm.get());
   one.proxy = std::make_unique<fault_proxy>(&context, address);
   ReportVm(id, one);
@@ -111,6 +120,29 @@
   });
 }
 
+void soak_site::RestartVm(const std::string& id,
+                          std::chrono::milliseconds pause) {
+  soak_vm& one = vms.at(id);
+  one.vm->Crash();
+  one.proxy->SetFault(link_fault::kDark);
+  // Owners notice at once in half of the cases, and connect again.
+  if (Draw(0, 1) == 0) {
+    one.proxy->ResetAll();
+  }
+  After(pause, [this, id] {
+    const auto found = vms.find(id);
+    if (found == vms.end() || found->second.is_gone) {
+      return;
+    }
+    soak_vm& back = found->second;
+    back.vm->BeginLife(id);
+    ListenTo(back.vm.get());
+    back.proxy->ResetAll();
+    back.proxy->SetFault(link_fault::kNone);
+    ReportVm(id, back);
+  });
+}
+
 // As the platform's VMs do, whether or not anything has changed.
 void soak_site::ReportVms() {
   for (const auto& [id, one] : vms) {
@@ -127,6 +159,13 @@
     if (const auto end = one.process->Reap()) {
       ends.push_back(*end);
     }
+    const std::uint64_t held = one.process->ResidentBytes();
+    peak_bytes_ = std::max(peak_bytes_, held);
+    if (held > kMachineMemory && !one.is_too_large) {
+      one.is_too_large = true;
+      ends.push_back(one.process->name() + " holds " + std::to_string(held) +
+                     " bytes");
+    }
     if (!one.process->is_running() && !one.is_down) {
       one.process->Start();
     }
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -39,11 +39,12 @@
 void pool_owner::impl::SyncLink(const vm_description& vm) {
   const auto found = links_.find(vm.id);
   if (found != links_.end() && found->second->address == vm.address) {
+    found->second->client.ExpectIncarnation(scheduler_->IncarnationOf(vm.id));
     return;
   }
   try {
-    const auto link =
-        std::make_shared<vm_connection>(deps_.context, vm.id, vm.address);
+    const auto link = std::make_shared<vm_connection>(
+        deps_.context, vm.id, vm.address, MakeIntroductionListener(vm.id));
     link->known_at = BootTime();
     links_[vm.id] = link;
   } catch (const std::invalid_argument& error) {
@@ -151,12 +152,7 @@
   const core::time_point now = BootTime();
   switch (reply.outcome) {
     case hold_outcome::kListed:
-      OnVmResponse(vm, link.get(), reply.listing.incarnation);
-      LogNewEnds(vm, link, reply.listing);
-      scheduler_->NoteJobsRead(deps_.view->AllJobsReadAt());
-      scheduler_->OnListing(vm, sent_at, reply.listing, now);
-      ReadUnknownJobs();
-      SchedulePlan();
+      ProcessListing(vm, link, sent_at, reply.listing);
       ScheduleHold(vm, NextHoldDelay(reply.listing));
       return;
     case hold_outcome::kFenced:
@@ -164,29 +160,86 @@
       SchedulePlan();
       return;
     case hold_outcome::kReplaced:
-      lines_.AddVm(job_event::kVmLost, vm,
-                   {{"reason", "another incarnation of the VM answered"}}, now);
-      scheduler_->OnReplaced(vm, now);
-      SchedulePlan();
+      if (scheduler_->OnReplaced(vm, now, sent_at)) {
+        lines_.AddVm(job_event::kVmLost, vm,
+                     {{"reason", "another incarnation of the VM answered"}},
+                     now);
+        SchedulePlan();
+      } else {
+        lines_.AddVm(job_event::kVmAnswerIgnored, vm,
+                     {{"reason", "an earlier incarnation was replaced"}}, now);
+        ScheduleHold(vm, settings_.hold_retry_delay);
+      }
       return;
     case hold_outcome::kFailed:
     case hold_outcome::kUnanswered:
       if (reply.fault) {
         deps_.view->faults().Note(kVmListing, vm, *reply.fault);
       }
-      if (!link->is_lost) {
+      if (!scheduler_->OnHoldUnanswered(vm, sent_at)) {
+        lines_.AddVm(job_event::kVmAnswerIgnored, vm,
+                     {{"reason", "an earlier incarnation may have failed"},
+                      {"status", std::to_string(reply.status)}},
+                     now);
+      } else if (!link->is_lost) {
         link->is_lost = true;
         lines_.AddVm(job_event::kVmLost, vm,
                      {{"reason", "a hold received no valid answer"},
                       {"status", std::to_string(reply.status)}},
                      now);
       }
-      scheduler_->OnHoldUnanswered(vm);
       ScheduleHold(vm, settings_.hold_retry_delay);
       return;
   }
 }
 
+void pool_owner::impl::ProcessListing(
+    const vm_id& vm,
+    const std::shared_ptr<vm_connection>& link,
+    core::time_point sent_at,
+    const core::jobs::run_listing& listing) {
+  OnVmResponse(vm, link.get(), listing.incarnation);
+  LogNewEnds(vm, link, listing);
+  scheduler_->NoteJobsRead(deps_.view->AllJobsReadAt());
+  scheduler_->OnListing(vm, sent_at, listing, BootTime());
+  ReadUnknownJobs();
+  SchedulePlan();
+}
+
+adapter::introduction_listener pool_owner::impl::MakeIntroductionListener(
+    const vm_id& vm) {
+  return [self = weak_from_this(), vm](milliseconds age,
+                                       const adapter::hold_reply& reply) {
+    const auto owner = self.lock();
+    if (owner && !owner->is_closed_ && owner->scheduler_) {
+      owner->OnUnexpectedVm(vm, BootTime() - age, reply);
+    }
+  };
+}
+
+// A hold of the expected incarnation may still wait for its answer. It decides
+// on its own about a VM that does not answer.
+void pool_owner::impl::OnUnexpectedVm(const vm_id& vm,
+                                      core::time_point sent_at,
+                                      const adapter::hold_reply& reply) {
+  const auto link = FindLink(vm);
+  if (!link) {
+    return;
+  }
+  switch (reply.outcome) {
+    case hold_outcome::kListed:
+      ProcessListing(vm, link, sent_at, reply.listing);
+      return;
+    case hold_outcome::kFenced:
+    case hold_outcome::kReplaced:
+      OnHoldAnswer(vm, link, sent_at, reply);
+      return;
+    case hold_outcome::kFailed:
+    case hold_outcome::kUnanswered:
+      return;
+  }
+}
+
 void pool_owner::impl::OnVmResponse(
     const vm_id& vm,
     vm_connection* link,
@@ -230,6 +283,20 @@
   return std::max(gap, delay);
 }
 
+// The registry may be the first to show a restart, before any call is answered.
+void pool_owner::impl::LogRestarts() {
+  for (const core::jobs::vm_restart& restart : scheduler_->TakeRestarts()) {
+    observe::log_fields fields = {
+        {"vm", restart.vm},
+        {"born", std::to_string(restart.incarnation.value_or(0))},
+        {"born_before", std::to_string(restart.former_incarnation.value_or(0))},
+        {"uncertain_runs", std::to_string(restart.uncertain_runs)},
+        {"acked_through", std::to_string(restart.acknowledged_through)}};
+    AppendAge("granted_ms_ago", restart.granted_at, &fields);
+    LogEvent(job_event::kVmRestarted, fields);
+  }
+}
+
 // Which tasks a lost VM had, and which of them it had never listed,
 // distinguishes a task that crashes its VMs from other tasks there.
 void pool_owner::impl::LogLosses() {
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <set>
 #include <stdexcept>
 #include <string_view>
 #include <utility>
@@ -116,6 +117,8 @@
     call->deadline = steady_clock::now() + timeout;
     call->request_text = SerializeRequest(request, host_);
     call->may_send = request.may_send;
+    call->introduces = request.introduces;
+    call->peer_number = peer_number_;
     call->max_deadline = call->deadline + options_.response_timeout;
     queued_calls_.push_back(call);
     AwaitDeadline(call);
@@ -125,17 +128,43 @@
   void Close() {
     is_closed_ = true;
     queued_calls_.clear();
+    sent_calls_.clear();
     idle_.clear();
+    introduction_ = {};
+  }
+
+  void SetIntroduction(peer_introduction introduction) {
+    introduction_ = std::move(introduction);
+  }
+
+  void ExpectNewPeer() {
+    ++peer_number_;
+    idle_.clear();
+    for (const call_ptr& call : std::exchange(queued_calls_, {})) {
+      EndUnsent(call);
+    }
+    // The former peer will not answer any more.
+    asio::post(context_, [self = weak_from_this(), calls = sent_calls_] {
+      const auto client = self.lock();
+      for (const call_ptr& call : calls) {
+        if (client && !call->is_finished) {
+          client->Finish(call, {call_outcome::kUnanswered, 0, {}}, false);
+        }
+      }
+    });
   }
 
   std::uint64_t opened_connections() const { return opened_connections_; }
 
  private:
   struct connection {
-    explicit connection(asio::io_context& context) : stream(context) {}
+    connection(asio::io_context& context, std::uint64_t peer)
+        : stream(context), peer_number(peer) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     steady_clock::time_point idle_since;
+    std::uint64_t peer_number;
+    bool is_introduced = false;
   };
   using connection_ptr = std::unique_ptr<connection>;
 
@@ -151,6 +180,11 @@
     steady_clock::time_point max_deadline;
     asio::steady_timer timer;
     connection_ptr active_connection;
+    bool introduces = false;
+    /// The value of `peer_number_` when the call was made.
+    std::uint64_t peer_number = 0;
+    /// The call that waits until this one has introduced its connection.
+    std::shared_ptr<pending_call> introduced_call;
     /// The result of `ArrivedBytes` at the last deadline.
     std::size_t arrived_bytes = 0;
     bool is_sent = false;
@@ -191,7 +225,8 @@
 
   void Connect(const call_ptr& call) {
     ++opened_connections_;
-    call->active_connection = std::make_unique<connection>(context_);
+    call->active_connection =
+        std::make_unique<connection>(context_, call->peer_number);
     call->active_connection->stream.async_connect(
         endpoint_, [self = shared_from_this(), call](error_code error) {
           if (call->is_finished) {
@@ -210,8 +245,16 @@
   // A call that must not be sent ends in a separate handler: a long queue of
   // such calls would otherwise cause deep recursion.
   void WriteIfAllowed(const call_ptr& call) {
-    if (!call->may_send || call->may_send()) {
-      Write(call);
+    const bool is_outdated = is_closed_ || call->peer_number != peer_number_;
+    if (!is_outdated && (!call->may_send || call->may_send())) {
+      const bool must_introduce = introduction_.make_request &&
+                                  !call->introduces &&
+                                  !call->active_connection->is_introduced;
+      if (must_introduce) {
+        Introduce(call);
+      } else {
+        Write(call);
+      }
       return;
     }
     asio::post(context_, [self = weak_from_this(), call] {
@@ -222,9 +265,68 @@
     });
   }
 
+  // The introduction has a deadline of its own: a peer whose answers take
+  // longer than the timeout of the call would otherwise never be introduced.
+  void Introduce(const call_ptr& call) {
+    auto introduction = std::make_shared<pending_call>(context_);
+    introduction->request_text =
+        SerializeRequest(introduction_.make_request(), host_);
+    introduction->introduced_call = call;
+    introduction->peer_number = call->peer_number;
+    introduction->active_connection = std::move(call->active_connection);
+    introduction->deadline =
+        steady_clock::now() + options_.introduction_timeout;
+    introduction->max_deadline =
+        introduction->deadline + options_.response_timeout;
+    AwaitDeadline(introduction);
+    Write(introduction);
+  }
+
+  // Returns whether the call proceeds on the connection that was introduced to
+  // it. Otherwise the call has ended.
+  bool ContinueIntroduced(const call_ptr& introduction,
+                          const client_reply& reply,
+                          bool is_reusable) {
+    const call_ptr call = std::exchange(introduction->introduced_call, nullptr);
+    const bool is_answered =
+        reply.outcome == call_outcome::kAnswered && !is_closed_;
+    if (is_answered && !introduction_.is_expected(reply)) {
+      introduction_.on_unexpected(
+          reply, std::chrono::ceil<std::chrono::milliseconds>(
+                     steady_clock::now() - introduction->sent_at));
+    } else if (is_answered && is_reusable) {
+      introduction->active_connection->is_introduced = true;
+      if (call->is_finished) {
+        return false;
+      }
+      introduction->is_finished = true;
+      introduction->timer.cancel();
+      call->active_connection = std::move(introduction->active_connection);
+      WriteIfAllowed(call);
+      return true;
+    }
+    EndUnsent(call);
+    return false;
+  }
+
+  // Ends a call that has no connection, in a separate handler.
+  void EndUnsent(const call_ptr& call) {
+    if (call->is_finished) {
+      return;
+    }
+    call->is_finished = true;
+    call->timer.cancel();
+    asio::post(context_, [self = weak_from_this(), call] {
+      if (const auto client = self.lock()) {
+        client->CallHandler(call, {call_outcome::kNotSent, 0, {}});
+      }
+    });
+  }
+
   void Write(const call_ptr& call) {
     call->is_sent = true;
     call->sent_at = steady_clock::now();
+    sent_calls_.insert(call);
     asio::async_write(
         call->active_connection->stream, asio::buffer(call->request_text),
         [self = shared_from_this(), call](error_code error, std::size_t) {
@@ -379,6 +481,21 @@
   }
 
   void Finish(const call_ptr& call, client_reply reply, bool is_reusable) {
+    sent_calls_.erase(call);
+    if (call->introduced_call) {
+      if (ContinueIntroduced(call, reply, is_reusable)) {
+        return;
+      }
+      is_reusable = is_reusable && call->active_connection->is_introduced;
+    }
+    const bool identifies_peer = call->introduces &&
+                                 introduction_.is_expected &&
+                                 reply.outcome == call_outcome::kAnswered;
+    if (identifies_peer) {
+      call->active_connection->is_introduced = introduction_.is_expected(reply);
+    }
+    is_reusable =
+        is_reusable && call->active_connection->peer_number == peer_number_;
     call->is_finished = true;
     call->timer.cancel();
     --connections_in_use_;
@@ -418,9 +535,13 @@
   std::string host_;
   http_client_options options_;
   std::deque<call_ptr> queued_calls_;
+  std::set<call_ptr> sent_calls_;
   std::vector<connection_ptr> idle_;
   std::size_t connections_in_use_ = 0;
   std::uint64_t opened_connections_ = 0;
+  peer_introduction introduction_;
+  /// Counts the peers that have been expected.
+  std::uint64_t peer_number_ = 0;
   bool is_closed_ = false;
 };
 
@@ -446,6 +567,14 @@
   impl_->Send(request, timeout, std::move(late), std::move(on_reply));
 }
 
+void http_client::SetIntroduction(peer_introduction introduction) {
+  impl_->SetIntroduction(std::move(introduction));
+}
+
+void http_client::ExpectNewPeer() {
+  impl_->ExpectNewPeer();
+}
+
 std::uint64_t http_client::OpenedConnections() const {
   return impl_->opened_connections();
 }
