--- a/src/runtime/entry_observer.cc
+++ b/src/runtime/entry_observer.cc
@@ -55,6 +55,10 @@
       .Gauge("plantainhead_exchanges_interrupted",
              "Exchanges with callers ended for want of memory or threads")
       .Set(static_cast<double>(callers.interrupted));
+  metrics_
+      .Gauge("plantainhead_connections_turned_away",
+             "Callers' connections closed because too many waited for a thread")
+      .Set(static_cast<double>(callers.turned_away));
 }
 
 void entry_observer::SetLinkGauges(const entry::peer_link_counters& link) {
@@ -69,6 +73,9 @@
       link.bytes_sent);
   set("plantainhead_frame_bytes_received", "Bytes from other entries",
       link.bytes_received);
+  set("plantainhead_peer_connections_evicted",
+      "Peers' connections closed because others needed their place or memory",
+      link.evicted);
   set("plantainhead_frames_malformed", "Connections closed for malformed bytes",
       link.malformed);
 }
