--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -60,6 +60,16 @@
         {"count":2,"cpu":250,"mem_mb":10,"estimate_ms":9000}]})";
 constexpr std::size_t kTasksOfLongJob = 2;
 constexpr int kLongEvery = 7;
+
+struct job_kind {
+  const char* body;
+  std::size_t tasks;
+  bool is_crashing = false;
+};
+constexpr job_kind kShort{kJob, kTasksOfJob};
+constexpr job_kind kLong{kLongJob, kTasksOfLongJob};
+constexpr job_kind kCrashing{kCrashingJob, 1, true};
+
 constexpr int kMostRestartGapMs = 2500;
 constexpr int kLeastDarkMs = 300;
 constexpr int kMostDarkMs = 1000;
@@ -252,7 +262,7 @@
       site_.After(kSteadyGap, [this, caller] { KeepSending(caller); });
     };
     if (++steady_calls_ % kSteadyJobEvery == 0) {
-      SubmitTo(caller, again);
+      SubmitTo(caller, kShort, again);
       return;
     }
     const std::string id = last_accepted_;
@@ -386,21 +396,27 @@
 
   void Submit() {
     if (!is_calm_) {
-      SubmitTo(&AnyCaller(), [] {});
+      SubmitTo(&AnyCaller(), NextKind(), [] {});
+    }
+  }
+
+  const job_kind& NextKind() {
+    ++submissions_;
+    if (submissions_ % kCrashingEvery == 0) {
+      return kCrashing;
     }
+    return options_.has_restarts && submissions_ % kLongEvery == 0 ? kLong
+                                                                   : kShort;
   }
 
-  void SubmitTo(net::http_client* caller, const std::function<void()>& done) {
+  void SubmitTo(net::http_client* caller,
+                const job_kind& kind,
+                const std::function<void()>& done) {
     const std::string id = JobIdOf(++last_job_);
-    const bool is_crashing = last_job_ % kCrashingEvery == 0;
-    const bool is_long =
-        options_.has_restarts && !is_crashing && last_job_ % kLongEvery == 0;
-    ledger_.NoteSubmission(id, is_crashing ? 1
-                               : is_long   ? kTasksOfLongJob
-                                           : kTasksOfJob);
+    ledger_.NoteSubmission(id, kind.tasks);
     net::client_request request = CallerRequest(net::method::kPost, "q", id);
-    request.body = is_crashing ? kCrashingJob : is_long ? kLongJob : kJob;
-    if (is_crashing) {
+    request.body = kind.body;
+    if (kind.is_crashing) {
       crashing_.insert(id);
       ledger_.NoteCrashing(id);
     }
@@ -471,6 +487,7 @@
   int steady_calls_ = 0;
   std::string last_accepted_;
   int last_job_ = 0;
+  int submissions_ = 0;
   bool is_calm_ = false;
   soak_site site_;
   std::vector<std::unique_ptr<net::http_client>> steady_callers_;
