Use VMs that were replaced again in their next incarnation

Callers would see: a pool that has fewer VMs than its registry lists, until its owner changes; jobs wait for room.

Cause: an owner that was answered by another VM (421) kept the id of the VM that had been there and ignored all its registry entries from then on. The VM may restart under its id, at another address or at the same one later.

Evidence: the new test failed before the change:

A VM that was replaced is used again in its next incarnation when the registry has the entry of that incarnation REQUIRE( driver.scheduler.FindVm("vm-1") != nullptr ) with expansion: nullptr != nullptr

Its other section passed: the entry of the incarnation that has ended stays ignored.

Change: the incarnation is kept with the id. An entry of another incarnation adds the VM again; it gets tasks only after its first listing.

--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -40,8 +40,12 @@
 
 void pool_scheduler::impl::UpdateVm(const vm_description& description,
                                     time_point now) {
-  if (replaced_.count(description.id) != 0) {
-    return;
+  const auto replaced = replaced_.find(description.id);
+  if (replaced != replaced_.end()) {
+    if (!AreDifferentIncarnations(description.incarnation, replaced->second)) {
+      return;
+    }
+    replaced_.erase(replaced);
   }
   const auto [vm, is_new] = vms_.Add(description);
   UpdateIncarnation(vm, std::nullopt, description.incarnation, now);
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -170,7 +170,9 @@
 
 void pool_scheduler::impl::Replace(const vm_id& id, time_point now) {
   vm_state* vm = FindVm(id);
+  vm_incarnation& replaced = replaced_[id];
   if (vm != nullptr) {
+    replaced = vm->incarnation;
     // If the lease has expired, the runs ended before the incarnation did.
     EndAllRunsAsLost(vm, !vm->IsLeaseExpired(now));
     dropped_vms_.push_back(id);
@@ -178,7 +180,6 @@
     index_.Remove(vm);
     vms_.Erase(vm);
   }
-  replaced_.insert(id);
 }
 
 void pool_scheduler::impl::StopRunsOf(const job_id& id) {
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -287,9 +287,9 @@
   time_point indexed_at_;
   /// VMs that an earlier owner recorded as vacant.
   std::set<vm_id> vacant_;
-  /// Ids of VMs whose incarnation is known to have ended; the registry may
-  /// still list them.
-  std::set<vm_id> replaced_;
+  /// VMs whose incarnation is known to have ended, with that incarnation; the
+  /// registry may still list them.
+  std::map<vm_id, vm_incarnation> replaced_;
   /// Removed VMs whose records are to be deleted.
   std::vector<vm_id> dropped_vms_;
   /// VMs that were added, removed or changed since `TakeVmChanges` was last
--- a/tests/core/jobs/vm_restart_test.cc
+++ b/tests/core/jobs/vm_restart_test.cc
@@ -320,5 +320,33 @@
   }
 }
 
+// Guards against a VM that is never used again, since another VM had taken over
+// its address before it restarted under its id.
+TEST_CASE("A VM that was replaced is used again in its next incarnation") {
+  restarted_vm vm;
+  scheduler_driver& driver = vm.driver;
+  driver.scheduler.OnReplaced("vm-1", driver.now);
+  driver.Pass(seconds(1));
+
+  SECTION("when the registry has the entry of that incarnation") {
+    vm.RegisterNextIncarnation();
+    REQUIRE(driver.scheduler.FindVm("vm-1") != nullptr);
+    vm.List(kNextIncarnation, seconds(1));
+    driver.Store();
+    vm.List(kNextIncarnation, seconds(1));
+    driver.Add(Job("job", {Step(1, 2000)}));
+    const auto starts = driver.StartAll();
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].target.vm == "vm-1");
+  }
+
+  SECTION("not while the registry has the entry of the former one") {
+    driver.scheduler.UpdateVms(
+        {restarted_vm::Described(kFirstIncarnation), Vm("vm-2", 1000)},
+        driver.now);
+    CHECK(driver.scheduler.FindVm("vm-1") == nullptr);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
