Refute the vacancy of a VM that another pool has

Callers would see: tasks that are killed by a move or a service of their host. A pool releases a VM, its host is moved to another pool, and the VM restarts there under its id and works.

Cause: vacancy records and hints are kept by the VM's id. The owner of the first pool deletes its record 20 s after the VM has left the registry, which it does not do under the same id. The hint stays confirmed, so that the owner of the fleet takes the VM of the other pool for vacant.

and the new test failed before the change (with an empty UpdatePlaces):

CHECK( checker.Confirmed(vacancy_reason::kOffered).empty() ), expansion: false CHECK( checker.TakePartitionsToRead() == std::set<std::uint32_t>{kPartition} ) test cases: 1 | 1 failed, assertions: 12 | 4 passed | 8 failed

Change: the vacancy checker learns from each fleet list which pool has a VM, and refutes hints of another pool's partition, for offers and for services. When the VM is back, the hint is checked again. No record changes.

Result: the test passes. core_tests without [slow]: 265 of 266 pass; the other one is the entry of KNOWN-RED.txt "The invariants of a pool hold while VMs restart under their ids", with the listed result. site_tests "*host*,*fleet*": 6 test cases pass. No test covers that the owner of the fleet passes the list on.

--- a/include/plantainhead/core/jobs/vacancy_checker.h
+++ b/include/plantainhead/core/jobs/vacancy_checker.h
@@ -87,6 +87,12 @@
   /// Like `UpdateVacant`, for one VM.
   void NoteVacant(std::uint32_t partition, const vm_id& vm, bool is_vacant);
 
+  /// Replaces the partitions of the pools that have the VMs, according to the
+  /// fleet list. A hint from another partition is refuted until the VM is back:
+  /// the VM was moved and has restarted under its id, and the other pool uses
+  /// it.
+  void UpdatePlaces(std::map<vm_id, std::uint32_t> partitions);
+
   /// Returns the VMs that are confirmed to be vacant for this reason.
   std::set<vm_id> Confirmed(vacancy_reason reason) const;
   /// Returns the VMs, with the reason, that have become confirmed or are no
@@ -107,15 +113,20 @@
     state phase = state::kUnread;
     std::optional<time_point> missing_since;
     bool is_reported_gone = false;
+    bool is_elsewhere = false;
   };
 
   using hint_key = std::pair<vm_id, vacancy_reason>;
 
   void SetPhase(const hint_key& key, tracked_hint* tracked, state phase);
   void NoteVacant(const hint_key& key, tracked_hint* tracked, bool is_vacant);
+  /// Refutes the hint if its VM is in another partition, and lets it be checked
+  /// again once the VM is back.
+  void CheckPlace(const hint_key& key, tracked_hint* tracked);
 
   vacancy_settings settings_;
   std::map<hint_key, tracked_hint> hints_;
+  std::map<vm_id, std::uint32_t> partitions_;
   std::map<std::uint32_t, std::set<hint_key>> by_partition_;
   std::map<std::uint32_t, std::set<hint_key>> unread_;
   std::map<std::uint32_t, std::set<hint_key>> reading_;
--- a/src/core/jobs/vacancy_checker.cc
+++ b/src/core/jobs/vacancy_checker.cc
@@ -31,6 +31,7 @@
   tracked.hint = hint;
   by_partition_[hint.partition].insert(key);
   unread_[hint.partition].insert(key);
+  CheckPlace(key, &tracked);
 }
 
 void vacancy_checker::DropHint(const vm_id& vm, vacancy_reason reason) {
@@ -122,7 +123,8 @@
                                  bool is_vacant) {
   if (tracked->phase == state::kConfirmed && !is_vacant) {
     SetPhase(key, tracked, state::kRefuted);
-  } else if (tracked->phase == state::kRefuted && is_vacant) {
+  } else if (tracked->phase == state::kRefuted && is_vacant &&
+             !tracked->is_elsewhere) {
     SetPhase(key, tracked, state::kUnread);
   }
 }
@@ -164,4 +166,21 @@
   return gone;
 }
 
+void vacancy_checker::UpdatePlaces(std::map<vm_id, std::uint32_t> partitions) {
+  partitions_ = std::move(partitions);
+  for (auto& [key, tracked] : hints_) {
+    CheckPlace(key, &tracked);
+  }
+}
+
+void vacancy_checker::CheckPlace(const hint_key& key, tracked_hint* tracked) {
+  const auto found = partitions_.find(key.first);
+  const bool is_elsewhere =
+      found != partitions_.end() && found->second != tracked->hint.partition;
+  if (is_elsewhere != tracked->is_elsewhere) {
+    tracked->is_elsewhere = is_elsewhere;
+    SetPhase(key, tracked, is_elsewhere ? state::kRefuted : state::kUnread);
+  }
+}
+
 }  // namespace plantainhead::core::jobs
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -67,6 +67,8 @@
   void List();
   void ListPage(const std::string& page);
   void OnPage(const adapter::fleet_page& reply);
+  /// Tells the vacancy checker which pools have the VMs of the list.
+  void UpdatePlaces();
   void AddUnreadableHosts();
   void RemoveStaleOffers();
 
--- a/src/jobs/fleet_owner_reading.cc
+++ b/src/jobs/fleet_owner_reading.cc
@@ -1,9 +1,12 @@
+#include <cstdint>
+#include <map>
 #include <set>
 #include <utility>
 #include <vector>
 
 #include "jobs/clocks.h"
 #include "jobs/fleet_owner_impl.h"
+#include "jobs/job_partitions.h"
 #include "plantainhead/core/jobs/fleet_list.h"
 
 namespace plantainhead::jobs {
@@ -160,9 +163,21 @@
   }
   maintenance_.UpdateHosts(page_hosts_, spare, list_requested_at_);
   balancer_.UpdateHosts(page_hosts_, spare, list_requested_at_);
+  UpdatePlaces();
+  UpdateVacancies();
   RunCycle();
 }
 
+void fleet_owner::impl::UpdatePlaces() {
+  std::map<core::jobs::vm_id, std::uint32_t> partitions;
+  for (const core::jobs::fleet_host& host : page_hosts_) {
+    if (!host.vm.empty()) {
+      partitions[host.vm] = PoolPartitionOf(host.pool);
+    }
+  }
+  vacancy_checker_.UpdatePlaces(std::move(partitions));
+}
+
 void fleet_owner::impl::AddUnreadableHosts() {
   std::vector<core::jobs::host_id> faulty;
   for (const adapter::unreadable_host& row : page_faults_) {
--- a/tests/core/jobs/vacancy_checker_test.cc
+++ b/tests/core/jobs/vacancy_checker_test.cc
@@ -203,5 +203,39 @@
   }
 }
 
+// Guards against a VM that is moved away from the pool that uses it. Its former
+// pool had released it, and it has restarted under its id in the other pool.
+TEST_CASE("The offer of a VM ends when another pool has it") {
+  vacancy_checker checker{vacancy_settings()};
+  checker.UpdateHints({Offer("vm-1")});
+  checker.TakePartitionsToRead();
+  const bool is_read_before = GENERATE(true, false);
+  if (is_read_before) {
+    checker.OnPartitionRead(kPartition, true, {"vm-1"});
+    checker.UpdatePlaces({{"vm-1", kPartition}});
+    REQUIRE(checker.Confirmed(vacancy_reason::kOffered).size() == 1);
+  }
+  checker.UpdatePlaces({{"vm-1", kPartition + 1}});
+  checker.OnPartitionRead(kPartition, true, {"vm-1"});
+  CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+
+  SECTION("its record does not confirm the offer") {
+    checker.NoteVacant(kPartition, "vm-1", true);
+    checker.UpdateHints({Offer("vm-1", kEpoch + 1)});
+    checker.TakePartitionsToRead();
+    checker.OnPartitionRead(kPartition, true, {"vm-1"});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered).empty());
+  }
+
+  SECTION("the offer is checked again when the VM is back") {
+    checker.UpdatePlaces({{"vm-1", kPartition}});
+    CHECK(checker.TakePartitionsToRead() ==
+          std::set<std::uint32_t>{kPartition});
+    checker.OnPartitionRead(kPartition, true, {"vm-1"});
+    CHECK(checker.Confirmed(vacancy_reason::kOffered) ==
+          std::set<vm_id>{"vm-1"});
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
