Bound the memory that requests of the scheduler's HTTP servers take

Clients that nobody controls ended a process: it ran out of memory. The read buffer of a connection had no maximum, so that trailers and chunk extensions without end were buffered, and nothing bounded the sum over connections: bodies of 2000 x 256 KiB a listener stay inside every limit of one request.

A connection buffers twice the largest head at most (431 above it, also for more than 100 headers or trailers). One budget for the four listeners bounds the bytes of requests that are read or handled, beyond 8 KiB a connection, so that short requests and probes need no room. When it is used up, the connection whose incomplete request began first is closed; when there is none, the request is refused with 503 and Retry-After before it is handled. Settings `http.head` and `http.request-memory`, a log line and metrics.

Not covered: bytes in receive buffers of the kernel.

--- a/include/plantainhead/settings/scheduler_settings.h
+++ b/include/plantainhead/settings/scheduler_settings.h
@@ -8,6 +8,17 @@
 
 namespace plantainhead::settings {
 
+/// Limits of a process's HTTP servers.
+struct http_limits {
+  /// `http.head`: maximum size of a request line with its headers, in bytes.
+  std::uint64_t head_limit = std::uint64_t{8} << 10U;
+  /// `http.request-memory`: maximum number of bytes held for requests on all
+  /// listeners together. A small part of each connection is not counted.
+  std::uint64_t request_memory = std::uint64_t{16} << 20U;
+
+  friend bool operator==(const http_limits&, const http_limits&) = default;
+};
+
 /// Start-up settings of one process of the job scheduler. The comment of each
 /// field gives its YAML key.
 struct scheduler_process_settings {
@@ -41,6 +52,9 @@
   /// `stop.grace`: time between the request to stop and forced termination.
   core::duration stop_grace = std::chrono::seconds(6);
 
+  /// `http`: limits of all listeners.
+  http_limits http;
+
   friend bool operator==(const scheduler_process_settings&,
                          const scheduler_process_settings&) = default;
 };
--- a/src/jobs/event_log.cc
+++ b/src/jobs/event_log.cc
@@ -19,6 +19,7 @@
     case job_event::kReadRepeated:
     case job_event::kReadUnanswered:
     case job_event::kRecordsSlow:
+    case job_event::kServerLimitReached:
     case job_event::kMembersUnknown:
     case job_event::kCountRefused:
     case job_event::kJobUnanswered:
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -28,6 +28,7 @@
   kReadUnanswered,
   kRecordsSlow,
   kReadinessChanged,
+  kServerLimitReached,
   kJobAccepted,
   kJobRead,
   kJobRefused,
@@ -68,7 +69,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 54> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 55> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -85,6 +86,7 @@
     {job_event::kReadUnanswered, "read unanswered"},
     {job_event::kRecordsSlow, "records slow"},
     {job_event::kReadinessChanged, "readiness changed"},
+    {job_event::kServerLimitReached, "server limit reached"},
     {job_event::kJobAccepted, "job accepted"},
     {job_event::kJobRead, "job read"},
     {job_event::kJobRefused, "job refused"},
--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -42,6 +42,22 @@
   count("owner_failed", counts.relayed.owner_failures);
 }
 
+void AddServerLimits(const job_metrics_snapshot& snapshot,
+                     observe::metrics* registry) {
+  for (const auto& [limit, times] : snapshot.server_limits) {
+    registry
+        ->Counter("plantain_http_limits_total",
+                  "Requests refused and connections closed for a limit.",
+                  {{"listener", limit.first},
+                   {"limit", std::string(core::NameOf(limit.second))}})
+        .Add(times);
+  }
+  registry
+      ->Gauge("plantain_http_request_bytes",
+              "Bytes held for requests that count in the budget.", {})
+      .Set(static_cast<double>(snapshot.request_memory));
+}
+
 }  // namespace
 
 std::string FormatMetrics(const job_metrics_snapshot& snapshot) {
@@ -68,6 +84,7 @@
             "Number of keys whose newest record is invalid.",
             static_cast<double>(snapshot.faulty_keys));
   AddFaultCounters(snapshot.faults, &registry);
+  AddServerLimits(snapshot, &registry);
   for (const auto& [partition, counts] : snapshot.pools) {
     const observe::label_list labels = {
         {"partition", std::to_string(partition)}};
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -6,8 +6,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "jobs/submissions.h"
+#include "net/http_server.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
 #include "plantainhead/core/jobs/record_faults.h"
 #include "plantainhead/core/time.h"
@@ -27,6 +29,11 @@
   core::jobs::record_fault_counter::counts_by_fault faults;
   /// Number of keys whose newest record is invalid.
   std::size_t faulty_keys = 0;
+  /// Requests refused and connections closed for a limit, by listener.
+  std::map<std::pair<std::string, net::server_limit>, std::uint64_t>
+      server_limits;
+  /// Bytes held for requests, of those that are bounded.
+  std::size_t request_memory = 0;
 };
 
 /// Formats the snapshot as Prometheus text (version 0.0.4).
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -88,6 +89,8 @@
         ownership_(MakeOwnershipDependencies(),
                    MakeOwnerSettings(),
                    MakeFleetSettings()),
+        request_budget_(
+            std::make_shared<net::memory_budget>(settings.http.request_memory)),
         loop_lag_monitor_(context,
                           [this](core::duration lag) { NoteLag(lag); }),
         state_timer_(*context),
@@ -100,18 +103,18 @@
               call, std::chrono::duration_cast<core::duration>(time));
         });
     caller_server_ = std::make_unique<net::http_server>(
-        context_, settings_.caller_address, net::http_server_options(),
+        context_, settings_.caller_address, MakeServerOptions("callers"),
         [this](const net::server_request& request,
                const net::responder& respond) {
           submissions_.Handle(request, respond);
         });
     probe_server_ = std::make_unique<net::http_server>(
-        context_, settings_.probe_address, net::http_server_options(),
+        context_, settings_.probe_address, MakeServerOptions("probes"),
         [this](const net::server_request& request,
                const net::responder& respond) { Probe(request, respond); });
     if (!settings_.peer_address.empty()) {
       peer_server_ = std::make_unique<net::http_server>(
-          context_, settings_.peer_address, net::http_server_options(),
+          context_, settings_.peer_address, MakeServerOptions("peers"),
           [this](const net::server_request& request,
                  const net::responder& respond) {
             submissions_.Handle(request, respond);
@@ -119,7 +122,7 @@
     }
     if (!settings_.metrics_address.empty()) {
       metrics_server_ = std::make_unique<net::http_server>(
-          context_, settings_.metrics_address, net::http_server_options(),
+          context_, settings_.metrics_address, MakeServerOptions("metrics"),
           [this](const net::server_request& /*request*/,
                  const net::responder& respond) { respond(Metrics()); });
     }
@@ -145,6 +148,19 @@
   }
 
  private:
+  net::http_server_options MakeServerOptions(const std::string& listener) {
+    net::http_server_options result;
+    result.head_limit = settings_.http.head_limit;
+    result.budget = request_budget_;
+    result.on_limit = [this, listener](net::server_limit limit) {
+      ++server_limits_[{listener, limit}];
+      LogEvent(job_event::kServerLimitReached,
+               {{"listener", listener},
+                {"limit", std::string(core::NameOf(limit))}});
+    };
+    return result;
+  }
+
   static member_settings MakeMemberSettings(
       const settings::scheduler_process_settings& settings) {
     member_settings result;
@@ -304,6 +320,8 @@
     }
     figures.configuration_version = view_.routes().configuration().version;
     figures.faults = view_.faults().counter().counts();
+    figures.server_limits = server_limits_;
+    figures.request_memory = request_budget_->held();
     figures.faulty_keys = view_.faults().counter().FaultyKeys();
     net::server_response response;
     response.body = FormatMetrics(figures) + meters_.ToText();
@@ -399,6 +417,9 @@
   job_archiver archiver_;
   group_member member_;
   ownership ownership_;
+  std::shared_ptr<net::memory_budget> request_budget_;
+  std::map<std::pair<std::string, net::server_limit>, std::uint64_t>
+      server_limits_;
   std::unique_ptr<net::http_server> caller_server_;
   std::unique_ptr<net::http_server> peer_server_;
   std::unique_ptr<net::http_server> probe_server_;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,10 +1,12 @@
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <utility>
@@ -26,9 +28,14 @@
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 
 // The initial size of a session's read buffer. Nearly all requests fit, so that
-// each is read with one call; the library reads at most as many bytes at once
-// as the buffer has capacity for.
+// each is read with one call.
 constexpr std::size_t kInitialBufferBytes = std::size_t{4} << 10U;
+constexpr std::size_t kMinReadBytes = 512;
+// The bytes of a connection that are not counted in the budget.
+constexpr std::size_t kUncountedBytes = 2 * kInitialBufferBytes;
+// What the HTTP library holds for a header in addition to its text.
+constexpr std::size_t kHeaderOverheadBytes = 64;
+constexpr const char* kRetryAfterSeconds = "1";
 
 method ToMethod(http::verb verb) {
   switch (verb) {
@@ -81,6 +88,7 @@
     acceptor_.close(ignored);
     accept_timer_.cancel();
     handler_ = nullptr;
+    options_.on_limit = nullptr;
     const auto copy = sessions_;
     for (const auto& client_session : copy) {
       client_session->stream.socket().close(ignored);
@@ -92,14 +100,18 @@
 
  private:
   struct session {
-    explicit session(asio::ip::tcp::socket socket) : stream(std::move(socket)) {
+    session(asio::ip::tcp::socket socket, std::size_t buffer_limit)
+        : stream(std::move(socket)), buffer(buffer_limit) {
       buffer.reserve(kInitialBufferBytes);
     }
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
+    // What the parsed headers take, once the head is complete.
+    std::size_t header_bytes = 0;
     bool is_active = false;
+    std::optional<memory_budget::holding> memory;
   };
   using session_ptr = std::shared_ptr<session>;
 
@@ -118,7 +130,19 @@
     }
     if (sessions_.size() < options_.max_connections) {
       SetSocketOptions(socket.native_handle());
-      auto new_session = std::make_shared<session>(std::move(socket));
+      auto new_session =
+          std::make_shared<session>(std::move(socket), 2 * options_.head_limit);
+      new_session->memory.emplace(
+          options_.budget,
+          [self = weak_from_this(), evicted = std::weak_ptr(new_session)] {
+            const auto server = self.lock();
+            const auto client_session = evicted.lock();
+            if (server && client_session) {
+              server->NoteLimit(server_limit::kMemory);
+              client_session->parser.reset();
+              server->CloseSession(client_session);
+            }
+          });
       sessions_.insert(new_session);
       Read(new_session);
     }
@@ -127,41 +151,144 @@
 
   void Read(const session_ptr& client_session) {
     client_session->is_active = false;
+    client_session->header_bytes = 0;
     client_session->parser.emplace();
+    client_session->parser->eager(true);
+    client_session->parser->header_limit(
+        static_cast<std::uint32_t>(options_.head_limit));
     client_session->parser->body_limit(options_.body_limit);
+    beast::flat_buffer& buffer = client_session->buffer;
+    if (buffer.size() == 0 && buffer.capacity() > kInitialBufferBytes) {
+      buffer.shrink_to_fit();
+      buffer.reserve(kInitialBufferBytes);
+    }
     client_session->stream.expires_after(options_.idle_timeout);
-    http::async_read(client_session->stream, client_session->buffer,
-                     *client_session->parser,
-                     [self = shared_from_this(), client_session](
-                         error_code error, std::size_t) {
-                       self->OnRequestRead(client_session, error);
-                     });
+    if (buffer.size() == 0) {
+      ReadMore(client_session);
+    } else {
+      Parse(client_session);
+    }
   }
 
-  void OnRequestRead(const session_ptr& client_session, error_code error) {
-    if (error == http::error::body_limit) {
-      BeginRequest(client_session);
-      Write(client_session,
-            {kContentTooLarge, {}, R"({"error":"the body is too large"})"},
-            false);
+  void ReadMore(const session_ptr& client_session) {
+    beast::flat_buffer& buffer = client_session->buffer;
+    const std::size_t size =
+        std::min(std::max(kMinReadBytes, buffer.capacity() - buffer.size()),
+                 buffer.max_size() - buffer.size());
+    if (size == 0) {
+      RefuseHead(client_session);
+      return;
+    }
+    client_session->stream.async_read_some(
+        buffer.prepare(size), [self = shared_from_this(), client_session](
+                                  error_code error, std::size_t received) {
+          // An evicted connection may have a completed read.
+          if (error || !client_session->stream.socket().is_open()) {
+            self->CloseSession(client_session);
+            return;
+          }
+          client_session->buffer.commit(received);
+          self->Parse(client_session);
+        });
+  }
+
+  void Parse(const session_ptr& client_session) {
+    auto& parser = *client_session->parser;
+    beast::flat_buffer& buffer = client_session->buffer;
+    client_session->memory->BeginRequest();
+    error_code error;
+    std::size_t parsed = 1;
+    while (!error && parsed > 0 && buffer.size() > 0 && !parser.is_done()) {
+      parsed = parser.put(buffer.data(), error);
+      buffer.consume(parsed);
+    }
+    if (error && error != http::error::need_more) {
+      RefuseInvalid(client_session, error);
+      return;
+    }
+    if (!CheckHeaders(client_session)) {
+      RefuseHead(client_session);
+      return;
+    }
+    if (!client_session->memory->TryResize(BytesOf(*client_session))) {
+      Refuse(client_session, server_limit::kMemory,
+             {kUnavailable,
+              {{"Retry-After", kRetryAfterSeconds}},
+              R"({"error":"too many large requests"})"});
       return;
     }
-    const bool is_malformed =
-        error &&
-        error.category() ==
-            make_error_code(http::error::bad_method).category() &&
-        error != http::error::end_of_stream &&
-        error != http::error::partial_message;
-    if (is_malformed) {
+    if (parser.is_done()) {
+      OnRequestRead(client_session);
+    } else {
+      ReadMore(client_session);
+    }
+  }
+
+  // Returns whether the request has no more headers than allowed.
+  bool CheckHeaders(const session_ptr& client_session) const {
+    const auto& parser = *client_session->parser;
+    const bool has_new_headers =
+        parser.is_done() ||
+        (parser.is_header_done() && client_session->header_bytes == 0);
+    if (!has_new_headers) {
+      return true;
+    }
+    const auto& message = parser.get();
+    std::size_t count = 0;
+    client_session->header_bytes = message.target().size();
+    for (const auto& field : message) {
+      ++count;
+      client_session->header_bytes += field.name_string().size() +
+                                      field.value().size() +
+                                      kHeaderOverheadBytes;
+    }
+    return count <= options_.header_count_limit;
+  }
+
+  // Returns the bytes of an incomplete request that count in the budget.
+  static std::size_t BytesOf(const session& client_session) {
+    const std::size_t bytes = client_session.buffer.capacity() +
+                              client_session.header_bytes +
+                              client_session.parser->get().body().capacity();
+    return bytes - std::min(bytes, kUncountedBytes);
+  }
+
+  void RefuseInvalid(const session_ptr& client_session, error_code error) {
+    if (error == http::error::body_limit) {
+      Refuse(client_session, server_limit::kBody,
+             {kContentTooLarge, {}, R"({"error":"the body is too large"})"});
+    } else if (error == http::error::header_limit) {
+      RefuseHead(client_session);
+    } else {
       BeginRequest(client_session);
       Write(client_session,
             {kBadRequest, {}, R"({"error":"malformed HTTP request"})"}, false);
-      return;
     }
-    if (error) {
-      CloseSession(client_session);
-      return;
+  }
+
+  void RefuseHead(const session_ptr& client_session) {
+    Refuse(client_session, server_limit::kHead,
+           {kHeadersTooLarge, {}, R"({"error":"the headers are too large"})"});
+  }
+
+  // Answers an incomplete request, which is never handled.
+  void Refuse(const session_ptr& client_session,
+              server_limit limit,
+              server_response response) {
+    NoteLimit(limit);
+    BeginRequest(client_session);
+    client_session->parser.reset();
+    client_session->memory->Resize(0);
+    Write(client_session, std::move(response), false);
+  }
+
+  void NoteLimit(server_limit limit) const {
+    if (options_.on_limit) {
+      options_.on_limit(limit);
     }
+  }
+
+  void OnRequestRead(const session_ptr& client_session) {
     BeginRequest(client_session);
     auto message = client_session->parser->release();
     client_session->parser.reset();
@@ -187,6 +314,7 @@
   }
 
   void BeginRequest(const session_ptr& client_session) {
+    client_session->memory->Pin();
     client_session->is_active = true;
     ++active_requests_;
     client_session->stream.expires_never();
@@ -205,6 +333,7 @@
       client_session->response.set(http::field::content_type,
                                    response.content_type);
     }
+    client_session->memory->Resize(response.body.size());
     client_session->response.body() = std::move(response.body);
     client_session->response.keep_alive(keep_alive && !is_stopping_);
     client_session->response.prepare_payload();
@@ -213,6 +342,7 @@
                       [self = shared_from_this(), client_session](
                           error_code error, std::size_t) {
                         --self->active_requests_;
+                        client_session->memory->Resize(0);
                         self->OnResponseWritten(client_session, error);
                       });
   }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "net/http_message.h"
+#include "net/memory_budget.h"
+#include "plantainhead/core/names.h"
 
 namespace boost::asio {
 class io_context;
@@ -15,8 +17,27 @@
 
 namespace plantainhead::net {
 
+/// The limits for which an HTTP server refuses requests or closes connections.
+enum class server_limit { kHead, kBody, kMemory };
+
+inline constexpr core::name_table<server_limit, 3> kServerLimitNames = {{
+    {server_limit::kHead, "head"},
+    {server_limit::kBody, "body"},
+    {server_limit::kMemory, "memory"},
+}};
+inline constexpr const auto& NamesOf(server_limit) {
+  return kServerLimitNames;
+}
+
 /// Limits and timeouts of an HTTP server.
 struct http_server_options {
+  /// The maximum size of a request line with its headers, in bytes. Twice as
+  /// much is buffered, which also bounds trailers and chunk extensions. Larger
+  /// ones are answered with 431.
+  std::size_t head_limit = std::size_t{8} << 10U;
+  /// The maximum number of headers and trailers of a request. More are answered
+  /// with 431.
+  std::size_t header_count_limit = 100;
   /// The maximum body size in bytes. Larger requests are answered with 413.
   std::size_t body_limit = std::size_t{256} << 10U;
   /// A connection is closed if no complete request arrives within this time.
@@ -26,6 +47,13 @@
   /// The maximum number of connections. Further connections are closed
   /// immediately.
   std::size_t max_connections = 2000;
+  /// Bounds the bytes held for requests, together with the other servers that
+  /// share it; unbounded if not set. A small part of each connection is not
+  /// counted, so that short requests are always read. Requests without room are
+  /// answered with 503.
+  std::shared_ptr<memory_budget> budget;
+  /// Called when a request is refused or a connection is closed for a limit.
+  std::function<void(server_limit)> on_limit;
 };
 
 /// Asynchronous HTTP/1.1 server on one address. A pending request does not
--- a/src/net/http_status.h
+++ b/src/net/http_status.h
@@ -14,6 +14,7 @@
 inline constexpr unsigned kContentTooLarge = 413;
 inline constexpr unsigned kMisdirected = 421;
 inline constexpr unsigned kTooManyRequests = 429;
+inline constexpr unsigned kHeadersTooLarge = 431;
 inline constexpr unsigned kUnavailable = 503;
 inline constexpr unsigned kGatewayTimeout = 504;
 inline constexpr unsigned kInsufficientStorage = 507;
--- a/src/settings/scheduler_settings.cc
+++ b/src/settings/scheduler_settings.cc
@@ -12,6 +12,10 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr std::uint64_t kKib = std::uint64_t{1} << 10U;
+constexpr std::uint64_t kMib = std::uint64_t{1} << 20U;
+constexpr std::uint64_t kMaxRequestMemory = std::uint64_t{16} << 30U;
+
 }  // namespace
 
 scheduler_process_settings ParseSchedulerSettings(const std::string& text,
@@ -49,6 +53,12 @@
                                 {milliseconds(500), hours(1)});
     configuration->CheckKeys();
   }
+  if (auto http = top.Section("http")) {
+    http->ReadBytes("head", &settings.http.head_limit, {kKib, kMib});
+    http->ReadBytes("request-memory", &settings.http.request_memory,
+                    {kMib, kMaxRequestMemory});
+    http->CheckKeys();
+  }
   if (auto stop = top.Section("stop")) {
     stop->ReadDuration("grace", &settings.stop_grace, {seconds(1), hours(1)});
     stop->CheckKeys();
--- a/tests/settings/settings_reloader_test.cc
+++ b/tests/settings/settings_reloader_test.cc
@@ -99,11 +99,14 @@
         "listen: {callers: 127.0.0.1:9, probes: 127.0.0.1:2}\n"
         "store: {address: 127.0.0.1:3}\n"
         "lease: {most: 5s}\n"
+        "http: {head: 4KiB, request-memory: 8MiB}\n"
         "stop: {grace: 9s}\n");
     CHECK(MessagesOf(reloader.Reload()) ==
           std::vector<std::string>{
               "'listen.callers' cannot be changed without a restart",
-              "'lease.most' cannot be changed without a restart"});
+              "'lease.most' cannot be changed without a restart",
+              "'http.head' cannot be changed without a restart",
+              "'http.request-memory' cannot be changed without a restart"});
     CHECK(reloader.current() == at_start);
 
     SECTION("and is reported once") {
