Make room for callers when connections or slow requests use up a listener

Callers found no connection: a listener closed each further one as long as 2000 were open, whether or not they sent anything, and the idle timeout of 60 s was the only bound for a request that never ends. Four listeners of 2000 also exceed the 4,100 descriptors of a VM.

A listener that is full closes the connection that has been idle for longest, else the one whose incomplete request began first, else the new one; a request that has been read keeps its connection. A request must arrive within `http.request-timeout` from its first byte. `http.connections` bounds callers' and peers' connections; probes and metrics have 64 each.

--- a/include/plantainhead/settings/scheduler_settings.h
+++ b/include/plantainhead/settings/scheduler_settings.h
@@ -15,6 +15,12 @@
   /// `http.request-memory`: maximum number of bytes held for requests on all
   /// listeners together. A small part of each connection is not counted.
   std::uint64_t request_memory = std::uint64_t{16} << 20U;
+  /// `http.request-timeout`: maximum time from the first byte of a request to
+  /// its end.
+  core::duration request_timeout = std::chrono::seconds(10);
+  /// `http.connections`: maximum number of connections of callers, and of those
+  /// of other processes.
+  std::uint64_t connections = 1700;
 
   friend bool operator==(const http_limits&, const http_limits&) = default;
 };
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -48,6 +48,8 @@
 // s, with higher peaks; with only 0.12 of a core it falls behind and places
 // tasks late. With 9 to 12 VMs 0.25 of a core is ample.
 constexpr double kOwnerCores = 0.2;
+// Maximum number of connections for probes, and of those for metrics.
+constexpr std::size_t kOperatorConnections = 64;
 constexpr milliseconds kStopPollInterval = milliseconds(50);
 // Event loop lag that is logged. Responses of VMs take some milliseconds, and a
 // renewal that is seconds late loses the process its pools.
@@ -103,18 +105,21 @@
               call, std::chrono::duration_cast<core::duration>(time));
         });
     caller_server_ = std::make_unique<net::http_server>(
-        context_, settings_.caller_address, MakeServerOptions("callers"),
+        context_, settings_.caller_address,
+        MakeServerOptions("callers", settings_.http.connections),
         [this](const net::server_request& request,
                const net::responder& respond) {
           submissions_.Handle(request, respond);
         });
     probe_server_ = std::make_unique<net::http_server>(
-        context_, settings_.probe_address, MakeServerOptions("probes"),
+        context_, settings_.probe_address,
+        MakeServerOptions("probes", kOperatorConnections),
         [this](const net::server_request& request,
                const net::responder& respond) { Probe(request, respond); });
     if (!settings_.peer_address.empty()) {
       peer_server_ = std::make_unique<net::http_server>(
-          context_, settings_.peer_address, MakeServerOptions("peers"),
+          context_, settings_.peer_address,
+          MakeServerOptions("peers", settings_.http.connections),
           [this](const net::server_request& request,
                  const net::responder& respond) {
             submissions_.Handle(request, respond);
@@ -122,7 +127,8 @@
     }
     if (!settings_.metrics_address.empty()) {
       metrics_server_ = std::make_unique<net::http_server>(
-          context_, settings_.metrics_address, MakeServerOptions("metrics"),
+          context_, settings_.metrics_address,
+          MakeServerOptions("metrics", kOperatorConnections),
           [this](const net::server_request& /*request*/,
                  const net::responder& respond) { respond(Metrics()); });
     }
@@ -148,9 +154,13 @@
   }
 
  private:
-  net::http_server_options MakeServerOptions(const std::string& listener) {
+  net::http_server_options MakeServerOptions(const std::string& listener,
+                                             std::size_t max_connections) {
     net::http_server_options result;
     result.head_limit = settings_.http.head_limit;
+    result.request_timeout = std::chrono::duration_cast<milliseconds>(
+        settings_.http.request_timeout);
+    result.max_connections = max_connections;
     result.budget = request_budget_;
     result.on_limit = [this, listener](net::server_limit limit) {
       ++server_limits_[{listener, limit}];
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <iterator>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -93,6 +94,7 @@
     for (const auto& client_session : copy) {
       client_session->stream.socket().close(ignored);
     }
+    closable_.clear();
     sessions_.clear();
   }
 
@@ -111,6 +113,9 @@
     // What the parsed headers take, once the head is complete.
     std::size_t header_bytes = 0;
     bool is_active = false;
+    bool has_begun = false;
+    // Its place among the connections that can be closed, if it is one.
+    std::pair<bool, std::uint64_t> place;
     std::optional<memory_budget::holding> memory;
   };
   using session_ptr = std::shared_ptr<session>;
@@ -128,6 +133,12 @@
       });
       return;
     }
+    if (sessions_.size() >= options_.max_connections) {
+      NoteLimit(server_limit::kConnections);
+      if (!closable_.empty()) {
+        CloseSession(session_ptr(closable_.begin()->second));
+      }
+    }
     if (sessions_.size() < options_.max_connections) {
       SetSocketOptions(socket.native_handle());
       auto new_session =
@@ -151,6 +162,8 @@
 
   void Read(const session_ptr& client_session) {
     client_session->is_active = false;
+    client_session->has_begun = false;
+    MakeClosable(client_session);
     client_session->header_bytes = 0;
     client_session->parser.emplace();
     client_session->parser->eager(true);
@@ -183,6 +196,9 @@
         buffer.prepare(size), [self = shared_from_this(), client_session](
                                   error_code error, std::size_t received) {
           // An evicted connection may have a completed read.
+          if (error == beast::error::timeout && client_session->has_begun) {
+            self->NoteLimit(server_limit::kRequestTime);
+          }
           if (error || !client_session->stream.socket().is_open()) {
             self->CloseSession(client_session);
             return;
@@ -195,7 +211,12 @@
   void Parse(const session_ptr& client_session) {
     auto& parser = *client_session->parser;
     beast::flat_buffer& buffer = client_session->buffer;
-    client_session->memory->BeginRequest();
+    if (!client_session->has_begun) {
+      client_session->has_begun = true;
+      client_session->memory->BeginRequest();
+      client_session->stream.expires_after(options_.request_timeout);
+      MakeClosable(client_session);
+    }
     error_code error;
     std::size_t parsed = 1;
     while (!error && parsed > 0 && buffer.size() > 0 && !parser.is_done()) {
@@ -313,7 +334,15 @@
     });
   }
 
+  // The connection is the last one to be closed among those in its state.
+  void MakeClosable(const session_ptr& client_session) {
+    closable_.erase(client_session->place);
+    client_session->place = {client_session->has_begun, ++last_place_};
+    closable_.emplace(client_session->place, client_session);
+  }
+
   void BeginRequest(const session_ptr& client_session) {
+    closable_.erase(client_session->place);
     client_session->memory->Pin();
     client_session->is_active = true;
     ++active_requests_;
@@ -361,6 +390,7 @@
   void CloseSession(const session_ptr& client_session) {
     error_code ignored;
     client_session->stream.socket().close(ignored);
+    closable_.erase(client_session->place);
     sessions_.erase(client_session);
   }
 
@@ -369,6 +399,10 @@
   http_server_options options_;
   request_handler handler_;
   std::set<session_ptr> sessions_;
+  // Connections without a request in progress: those that are idle, then those
+  // with an incomplete request, each in the order of their beginnings.
+  std::map<std::pair<bool, std::uint64_t>, session_ptr> closable_;
+  std::uint64_t last_place_ = 0;
   std::size_t active_requests_ = 0;
   bool is_stopping_ = false;
 };
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -18,12 +18,20 @@
 namespace plantainhead::net {
 
 /// The limits for which an HTTP server refuses requests or closes connections.
-enum class server_limit { kHead, kBody, kMemory };
+enum class server_limit {
+  kHead,
+  kBody,
+  kMemory,
+  kRequestTime,
+  kConnections,
+};
 
-inline constexpr core::name_table<server_limit, 3> kServerLimitNames = {{
+inline constexpr core::name_table<server_limit, 5> kServerLimitNames = {{
     {server_limit::kHead, "head"},
     {server_limit::kBody, "body"},
     {server_limit::kMemory, "memory"},
+    {server_limit::kRequestTime, "request time"},
+    {server_limit::kConnections, "connections"},
 }};
 inline constexpr const auto& NamesOf(server_limit) {
   return kServerLimitNames;
@@ -40,12 +48,16 @@
   std::size_t header_count_limit = 100;
   /// The maximum body size in bytes. Larger requests are answered with 413.
   std::size_t body_limit = std::size_t{256} << 10U;
-  /// A connection is closed if no complete request arrives within this time.
+  /// A connection is closed if no request begins within this time.
   std::chrono::milliseconds idle_timeout = std::chrono::seconds(60);
+  /// A connection is closed if a request takes longer to arrive, from its first
+  /// byte to its end.
+  std::chrono::milliseconds request_timeout = std::chrono::seconds(10);
   /// The maximum time for writing a response.
   std::chrono::milliseconds transfer_timeout = std::chrono::seconds(10);
-  /// The maximum number of connections. Further connections are closed
-  /// immediately.
+  /// The maximum number of connections. For a further one, the connection is
+  /// closed that has been idle for longest, or else the one whose incomplete
+  /// request began first, or else the new one.
   std::size_t max_connections = 2000;
   /// Bounds the bytes held for requests, together with the other servers that
   /// share it; unbounded if not set. A small part of each connection is not
--- a/src/settings/scheduler_settings.cc
+++ b/src/settings/scheduler_settings.cc
@@ -14,6 +14,7 @@
 
 constexpr std::uint64_t kKib = std::uint64_t{1} << 10U;
 constexpr std::uint64_t kMib = std::uint64_t{1} << 20U;
+constexpr std::uint64_t kMaxConnections = 1'000'000;
 constexpr std::uint64_t kMaxRequestMemory = std::uint64_t{16} << 30U;
 
 }  // namespace
@@ -57,6 +58,10 @@
     http->ReadBytes("head", &settings.http.head_limit, {kKib, kMib});
     http->ReadBytes("request-memory", &settings.http.request_memory,
                     {kMib, kMaxRequestMemory});
+    http->ReadDuration("request-timeout", &settings.http.request_timeout,
+                       {milliseconds(100), hours(1)});
+    http->ReadWholeNumber("connections", &settings.http.connections,
+                          {1, kMaxConnections});
     http->CheckKeys();
   }
   if (auto stop = top.Section("stop")) {
--- a/src/settings/settings_reloader.cc
+++ b/src/settings/settings_reloader.cc
@@ -86,6 +86,9 @@
   check("http.head", current.http.head_limit, fresh.http.head_limit);
   check("http.request-memory", current.http.request_memory,
         fresh.http.request_memory);
+  check("http.request-timeout", current.http.request_timeout,
+        fresh.http.request_timeout);
+  check("http.connections", current.http.connections, fresh.http.connections);
   return findings;
 }
 
--- a/tests/net/http_limits_test.cc
+++ b/tests/net/http_limits_test.cc
@@ -211,5 +211,67 @@
   }
 }
 
+// Guards against connections that keep ordinary callers out.
+TEST_CASE("A server that has no connection left makes room for a new one") {
+  boost::asio::io_context context;
+  const std::string address = FreeAddress();
+  http_server_options options;
+  options.max_connections = 2;
+  std::vector<server_limit> limits;
+  options.on_limit = [&](server_limit limit) { limits.push_back(limit); };
+  std::vector<responder> pending;
+  http_server server(&context, address, options,
+                     [&](const server_request&, responder respond) {
+                       pending.push_back(std::move(respond));
+                     });
+  const std::string get = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  raw_client first(&context, address);
+  raw_client second(&context, address);
+  first.Send(get);
+  REQUIRE(RunUntil(&context, [&] { return pending.size() == 1; }));
+  raw_client third(&context, address);
+
+  SECTION("by closing one without a request in progress") {
+    third.Send(get);
+    REQUIRE(RunUntil(&context, [&] { return pending.size() == 2; }));
+    CHECK(RunUntil(&context, [&] { return second.IsClosed(); }));
+    CHECK(limits == std::vector<server_limit>{server_limit::kConnections});
+    pending[0]({200, {}, "ok"});
+    pending[1]({200, {}, "ok"});
+    CHECK(first.Gets("200"));
+    CHECK(third.Gets("200"));
+  }
+
+  SECTION("but not one with a request that is being handled") {
+    second.Send(get);
+    REQUIRE(RunUntil(&context, [&] { return third.IsClosed(); }));
+    REQUIRE(RunUntil(&context, [&] { return pending.size() == 2; }));
+    pending[0]({200, {}, "ok"});
+    pending[1]({200, {}, "ok"});
+    CHECK(first.Gets("200"));
+    CHECK(second.Gets("200"));
+  }
+}
+
+// Guards against requests that arrive so slowly that they never end.
+TEST_CASE("A request that does not arrive in time closes its connection") {
+  boost::asio::io_context context;
+  const std::string address = FreeAddress();
+  http_server_options options;
+  options.request_timeout = std::chrono::milliseconds(1);
+  std::vector<server_limit> limits;
+  options.on_limit = [&](server_limit limit) { limits.push_back(limit); };
+  http_server server(&context, address, options,
+                     [&](const server_request&, const responder& respond) {
+                       respond({200, {}, "ok"});
+                     });
+  raw_client idle(&context, address);
+  raw_client slow(&context, address);
+  slow.Send("GET / HTTP/1.1\r\n");
+  CHECK(RunUntil(&context, [&] { return slow.IsClosed() && !limits.empty(); }));
+  CHECK_FALSE(idle.IsClosed());
+  CHECK(limits == std::vector<server_limit>{server_limit::kRequestTime});
+}
+
 }  // namespace
 }  // namespace plantainhead::net
--- a/tests/process/hostile_clients_test.cc
+++ b/tests/process/hostile_clients_test.cc
@@ -55,6 +55,19 @@
   return result;
 }
 
+void CheckOrdinaryRequests(scheduler_run* process) {
+  CHECK(testing::Ask(process->callers,
+                     kHead + "Content-Type: application/json\r\n"
+                             "Content-Length: 75\r\n\r\n"
+                             R"({"spec":"x","steps":[{"count":1,"cpu":1000,)"
+                             R"("mem_mb":10,"estimate_ms":300}]})") ==
+        "HTTP/1.1 200 OK");
+  CHECK(process->BecomesReady());
+  CHECK(testing::Ask(process->metrics,
+                     "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n") ==
+        "HTTP/1.1 200 OK");
+}
+
 // Guards against clients that exhaust the memory or the descriptors of a
 // process with requests that never end.
 TEST_CASE("A process survives clients that never end their requests") {
@@ -89,19 +102,33 @@
 
   REQUIRE(scheduler_run::HasReadAll(process.callers));
   REQUIRE(process.IsAlive());
-  CHECK(testing::Ask(process.callers,
-                     kHead + "Content-Type: application/json\r\n"
-                             "Content-Length: 75\r\n\r\n"
-                             R"({"spec":"x","steps":[{"count":1,"cpu":1000,)"
-                             R"("mem_mb":10,"estimate_ms":300}]})") ==
-        "HTTP/1.1 200 OK");
-  CHECK(process.BecomesReady());
-  CHECK(testing::Ask(process.metrics,
-                     "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n") ==
-        "HTTP/1.1 200 OK");
+  CheckOrdinaryRequests(&process);
   CHECK(process.PeakMemoryKib() - memory <= kMaxMemoryGrowthKib);
   CHECK(process.OpenDescriptors() - descriptors <= kMaxDescriptorGrowth);
 }
 
+// Guards against idle connections that use up the descriptors of a process, or
+// keep ordinary callers out.
+TEST_CASE("A process survives more connections than it allows") {
+  scheduler_run process("http: {connections: 100}\n");
+  REQUIRE(process.BecomesReady());
+  const long descriptors = process.OpenDescriptors();
+  crowd callers(process.callers);
+  crowd scrapers(process.metrics);
+
+  SECTION("to the callers' address") {
+    callers.Send(300, "");
+  }
+  SECTION("to the metrics' address") {
+    scrapers.Send(300, "");
+  }
+  SECTION("with requests that never end") {
+    callers.Send(300, kHead);
+  }
+
+  CheckOrdinaryRequests(&process);
+  CHECK(process.OpenDescriptors() - descriptors <= kMaxDescriptorGrowth);
+}
+
 }  // namespace
 }  // namespace plantainhead
--- a/tests/settings/settings_reloader_test.cc
+++ b/tests/settings/settings_reloader_test.cc
@@ -99,14 +99,17 @@
         "listen: {callers: 127.0.0.1:9, probes: 127.0.0.1:2}\n"
         "store: {address: 127.0.0.1:3}\n"
         "lease: {most: 5s}\n"
-        "http: {head: 4KiB, request-memory: 8MiB}\n"
+        "http: {head: 4KiB, request-memory: 8MiB, request-timeout: 5s, "
+        "connections: 100}\n"
         "stop: {grace: 9s}\n");
     CHECK(MessagesOf(reloader.Reload()) ==
           std::vector<std::string>{
               "'listen.callers' cannot be changed without a restart",
               "'lease.most' cannot be changed without a restart",
               "'http.head' cannot be changed without a restart",
-              "'http.request-memory' cannot be changed without a restart"});
+              "'http.request-memory' cannot be changed without a restart",
+              "'http.request-timeout' cannot be changed without a restart",
+              "'http.connections' cannot be changed without a restart"});
     CHECK(reloader.current() == at_start);
 
     SECTION("and is reported once") {
