--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -59,7 +59,7 @@
     R"({"spec":"long","steps":[
         {"count":2,"cpu":250,"mem_mb":10,"estimate_ms":9000}]})";
 constexpr std::size_t kTasksOfLongJob = 2;
-constexpr int kLongEvery = 7;
+constexpr int kLongEvery = 3;
 
 struct job_kind {
   const char* body;
@@ -146,7 +146,9 @@
     site_.Every(kSubmissionGap, [this] { Submit(); });
     site_.Every(kQueryGap, [this] { QueryOpen(); });
     faults_end_ = steady_clock::now() + seconds(options_.seconds);
-    NextFault();
+    if (!options_.is_alone) {
+      NextFault();
+    }
     if (options_.has_restarts) {
       NextRestart();
     }
@@ -515,6 +517,9 @@
   app.add_flag("--changes", chosen.has_changes,
                "Changes of the configuration and signals come in series as "
                "well, and callers keep sending on their connections");
+  app.add_flag("--alone", chosen.is_alone,
+               "Without faults in any order, to see what those that were asked "
+               "for do");
   app.add_option("--processes", chosen.processes, "Schedulers")
       ->check(CLI::Range(1, 50));
   app.add_option("--vms", chosen.vms, "VMs")->check(CLI::Range(1, 200));
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -35,6 +35,8 @@
   /// Changes of the configuration and signals in series besides, and callers
   /// that keep sending until their process is gone.
   bool has_changes = false;
+  /// No faults in any order.
+  bool is_alone = false;
   int processes = 3;
   int vms = 4;
 };
