Deliver calls that were sent in the dark also when their caller has given up

A caller that closes its connection before the VM is back had its call dropped by the reset of the connection behind the proxy. On a network such a call can still be carried out. The proxy now passes the end of what was sent on instead.

--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -45,6 +45,7 @@
                                return;
                              }
                              if (self->fault_ == link_fault::kDark) {
+                               next->was_held = true;
                                self->waiting_.push_back(next);
                              } else {
                                self->Connect(next);
@@ -82,6 +83,7 @@
     tcp::socket server;
     std::array<std::array<char, 16384>, 2> buffers{};
     bool is_silent = false;
+    bool was_held = false;
   };
   using pair_ptr = std::shared_ptr<pair>;
 
@@ -111,15 +113,21 @@
   void Pump(const pair_ptr& one, bool is_request) {
     tcp::socket& from = is_request ? one->caller : one->server;
     auto& buffer = one->buffers[is_request ? 0 : 1];
-    from.async_read_some(asio::buffer(buffer),
-                         [self = shared_from_this(), one, is_request](
-                             error_code error, std::size_t size) {
-                           if (error) {
-                             self->Reset(one);
-                             return;
-                           }
-                           self->Pass(one, is_request, size);
-                         });
+    from.async_read_some(
+        asio::buffer(buffer), [self = shared_from_this(), one, is_request](
+                                  error_code error, std::size_t size) {
+          if (error == asio::error::eof && one->was_held && is_request) {
+            // A reset would drop what was sent before.
+            error_code ignored;
+            one->server.shutdown(tcp::socket::shutdown_send, ignored);
+            return;
+          }
+          if (error) {
+            self->Reset(one);
+            return;
+          }
+          self->Pass(one, is_request, size);
+        });
   }
 
   void Pass(const pair_ptr& one, bool is_request, std::size_t size) {
