--- a/soak/scheduler_process.cc
+++ b/soak/scheduler_process.cc
@@ -83,6 +83,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A process that inherited the sockets of the stand-ins would keep their
+  // addresses in use.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::array<char*, 3> arguments = {program_.data(), settings.data(), nullptr};
   const int error = posix_spawn(&pid_, program_.c_str(), &actions, nullptr,
                                 arguments.data(), environ);
