Let the budgets of an entry grow with the largest body

An entry with a settings file of an earlier version would not start if its largest body exceeded 31 MiB: limits.frames and limits.bodies are new, and their defaults were checked against it. They are raised to fit now; values that are written are checked as before.

--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <optional>
@@ -94,6 +95,11 @@
     return;
   }
   limits->ReadBytes("body", &settings->body_limit, {kMinBody, kMaxBody});
+  // A file of an earlier version may allow a larger body than the defaults.
+  settings->bodies_limit =
+      std::max(settings->bodies_limit, settings->body_limit);
+  settings->frames_limit =
+      std::max(settings->frames_limit, settings->body_limit + kFrameMargin);
   limits->ReadBytes("bodies", &settings->bodies_limit, {kMinBody, kMaxBodies});
   limits->ReadBytes("frames", &settings->frames_limit, {kMinBody, kMaxBodies});
   limits->ReadBytes("head", &settings->head_limit, {kMinHead, kMaxHead});
--- a/tests/settings/entry_settings_test.cc
+++ b/tests/settings/entry_settings_test.cc
@@ -58,6 +58,15 @@
   }
 }
 
+// Guards against an entry that doesn't start with the settings of an earlier
+// version, which limit only the size of one body.
+TEST_CASE("The budgets of an entry grow with the largest body") {
+  const entry_settings settings = ParseEntrySettings(
+      std::string(kMinimalSettings) + "limits: {body: 64MiB}\n", "file.yaml");
+  CHECK(settings.bodies_limit == 64U << 20);
+  CHECK(settings.frames_limit == 65U << 20);
+}
+
 TEST_CASE("All errors in the settings are reported together") {
   SECTION("with their exact locations, in the order of the file") {
     const std::string text =
