Return the memory of freed bodies to the system

An entry under many bodies kept memory that it had freed: its peak grew by more than the budget of 4 MiB explains, and crowd_tests failed in 3 of 10 runs beside other work.

Cause: glibc raises its threshold for mmap to the size of each freed block, up to 32 MiB; later bodies come from the arena of each thread and stay there.

Change: plantain-entry fixes the threshold at 64 KiB.

--- a/tools/plantain_entry.cc
+++ b/tools/plantain_entry.cc
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <pthread.h>
 #include <signal.h>
 
@@ -10,6 +11,13 @@
 
 namespace {
 
+// By default glibc keeps freed bodies in the arena of each thread, up to 32 MiB
+// apiece, so that bodies long gone fill the memory of a VM.
+void ReturnFreedBodies() {
+  constexpr int kFromSystem = 64 << 10;
+  mallopt(M_MMAP_THRESHOLD, kFromSystem);
+}
+
 // Blocks the signals that end the process, before any thread starts, so that
 // only `sigwait` sees them.
 sigset_t BlockSignals() {
@@ -81,6 +89,7 @@
 
 int main(int argc, char** argv) {
   using plantainhead::settings::entry_settings;
+  ReturnFreedBodies();
   const sigset_t ending = BlockSignals();
   plantainhead::tools::daemon_program<entry_settings> program;
   program.name = "plantain-entry";
