Keep slow requests from taking all threads of an entry

Callers that sent a part of a request and kept the connection open held a thread each for 15 s. With more of them than threads ordinary callers and the balancer's probes got no answer; connections queued for a thread without limit, until the descriptors ran out.

Cause: the eighth of the threads that is kept for probes covers only requests that wait for the decisions. Accepted connections went through the threads' queue.

Change: while connections wait for a thread, exchanges that have waited longest for their callers, and for at least 100 ms, are interrupted (503 `overload`, `not-run`). A request whose bytes are all there is never interrupted. At most `most_idle_connections` wait for a thread; those beyond are answered the same and closed (gauge plantainhead_connections_turned_away). New connections need no thread until their first byte.

--- a/include/plantainhead/caller/http_server.h
+++ b/include/plantainhead/caller/http_server.h
@@ -23,9 +23,12 @@
   /// Requests that are read, waited for or answered at once. A connection
   /// without a request takes no thread. An eighth, and at least one, is kept
   /// for probes and operators; callers beyond the rest are told `not-run`.
+  /// While connections wait for a thread, exchanges that have waited for their
+  /// caller for longest are ended, as with `bodies_limit`.
   std::size_t threads = 256;
   /// Connections that are kept open without a request; beyond them the one
-  /// that has been idle longest is closed.
+  /// that has been idle longest is closed. As many may wait for a thread with
+  /// a request; beyond them a connection is answered `not-run` and closed.
   std::size_t most_idle_connections = 512;
   /// A connection without a request is closed after this time.
   std::chrono::milliseconds idle_timeout = std::chrono::seconds(30);
@@ -63,6 +66,9 @@
   std::size_t body_bytes = 0;
   /// Exchanges ended for the sake of others, since the start.
   std::size_t interrupted = 0;
+  /// Connections turned away because too many wait for a thread, since the
+  /// start.
+  std::size_t turned_away = 0;
 };
 
 /// The HTTP side of an entry towards callers, operators and probes.
--- a/src/caller/connection_server.cc
+++ b/src/caller/connection_server.cc
@@ -31,18 +31,15 @@
 // way through the watching thread.
 constexpr std::chrono::milliseconds kLinger{2};
 
-// cpp-httplib makes a queue for each run of its accept loop and ends it with
-// the loop; the threads of `pool` outlive it.
-class borrowed_queue : public httplib::TaskQueue {
+// How long an exchange may wait for its caller while others wait for a thread.
+constexpr std::chrono::milliseconds kThreadGrace{100};
+
+// cpp-httplib makes a queue for each run of its accept loop. Taking a
+// connection in needs no thread of its own.
+class inline_queue : public httplib::TaskQueue {
  public:
-  explicit borrowed_queue(httplib::TaskQueue* pool) : pool_(pool) {}
-  void enqueue(std::function<void()> task) override {
-    pool_->enqueue(std::move(task));
-  }
+  void enqueue(std::function<void()> task) override { task(); }
   void shutdown() override {}
-
- private:
-  httplib::TaskQueue* pool_;
 };
 
 thread_local exchange* current_exchange = nullptr;
@@ -152,9 +149,11 @@
     : limits_(bounds),
       transfers_(bounds.bodies),
       pool_(bounds.threads),
-      idle_({bounds.most_idle, bounds.idle_timeout},
-            [this](connection_ptr item) { Enqueue(std::move(item)); }) {
-  new_task_queue = [this] { return new borrowed_queue(&pool_); };
+      idle_(
+          {bounds.most_idle, bounds.idle_timeout},
+          [this](connection_ptr item) { Enqueue(std::move(item)); },
+          [this] { return Relieve(); }) {
+  new_task_queue = [] { return new inline_queue; };
   set_tcp_nodelay(true);
   // The library's default is SO_REUSEPORT, by which a second process could
   // take half of the callers of a port unnoticed.
@@ -226,14 +225,41 @@
 }
 
 bool connection_server::process_and_close_socket(socket_t socket) {
-  Serve(std::make_unique<connection>(socket, limits_.write_limit));
+  auto item = std::make_unique<connection>(socket, limits_.write_limit);
+  if (!endpoint::WaitFor(socket, POLLIN, clock::now())) {
+    item = idle_.Add(std::move(item));
+  }
+  if (item != nullptr) {
+    Enqueue(std::move(item));
+  }
   return true;
 }
 
 void connection_server::Enqueue(connection_ptr item) {
+  if (queued_ >= limits_.most_idle) {
+    ++turned_away_;
+    // Nobody may wait here for a caller that takes no answers.
+    item->stream.Interrupt(false);
+    Refuse(&item->stream, Overloaded());
+    return;
+  }
+  ++queued_;
   // std::function wants a copyable closure.
   auto shared = std::make_shared<connection_ptr>(std::move(item));
-  pool_.enqueue([this, shared] { Serve(std::move(*shared)); });
+  pool_.enqueue([this, shared] {
+    --queued_;
+    Serve(std::move(*shared));
+  });
+  Relieve();
+}
+
+bool connection_server::Relieve() {
+  const std::size_t wanted = queued_ + busy_threads_;
+  if (wanted <= limits_.threads) {
+    return false;
+  }
+  transfers_.Interrupt(wanted - limits_.threads, kThreadGrace);
+  return true;
 }
 
 bool connection_server::AwaitNextRequest(connection* item) const {
--- a/src/caller/connection_server.h
+++ b/src/caller/connection_server.h
@@ -77,6 +77,7 @@
   void Stop();
 
   std::size_t IdleConnections() const { return idle_.size(); }
+  std::size_t TurnedAway() const { return turned_away_; }
   const transfer_table& transfers() const { return transfers_; }
 
  private:
@@ -89,12 +90,17 @@
   // Answers a request of which the library has made nothing.
   void Refuse(endpoint::socket_stream* stream, const refusal& why);
   void Enqueue(connection_ptr item);
+  // Interrupts exchanges that wait for their callers while connections wait for
+  // a thread. Returns whether any do.
+  bool Relieve();
 
   const limits limits_;
   transfer_table transfers_;
+  std::atomic<std::size_t> queued_ = 0;
+  std::atomic<std::size_t> turned_away_ = 0;
+  std::atomic<std::size_t> busy_threads_ = 0;
   httplib::ThreadPool pool_;
   idle_connections idle_;
-  std::atomic<std::size_t> busy_threads_ = 0;
   std::atomic<bool> ending_ = false;
   std::atomic<bool> stopping_ = false;
   int port_ = 0;
--- a/src/caller/http_server.cc
+++ b/src/caller/http_server.cc
@@ -391,7 +391,8 @@
 
 http_server_counters http_server::counters() const {
   const transfer_table& transfers = impl_->server().transfers();
-  return {transfers.held(), transfers.interrupted()};
+  return {transfers.held(), transfers.interrupted(),
+          impl_->server().TurnedAway()};
 }
 
 std::size_t http_server::IdleConnections() const {
--- a/src/caller/idle_connections.cc
+++ b/src/caller/idle_connections.cc
@@ -17,6 +17,7 @@
 using clock = endpoint::socket_stream::clock;
 
 constexpr std::chrono::milliseconds kSweepInterval{200};
+constexpr std::chrono::milliseconds kBusySweepInterval{20};
 constexpr std::size_t kEventsAtOnce = 64;
 
 int OrThrow(int descriptor, const char* what) {
@@ -44,8 +45,9 @@
 }
 
 idle_connections::idle_connections(limits bounds,
-                                   std::function<void(connection_ptr)> wake)
-    : limits_(bounds), wake_(std::move(wake)) {
+                                   std::function<void(connection_ptr)> wake,
+                                   std::function<bool()> sweep)
+    : limits_(bounds), wake_(std::move(wake)), sweep_(std::move(sweep)) {
   epoll_ = OrThrow(epoll_create1(EPOLL_CLOEXEC), "epoll_create1");
   stop_event_ = OrThrow(eventfd(0, EFD_CLOEXEC), "eventfd");
   Watch(epoll_, stop_event_);
@@ -132,10 +134,12 @@
 
 void idle_connections::Run() {
   std::array<epoll_event, kEventsAtOnce> events;
+  bool busy = false;
   while (true) {
+    const auto wait = busy ? kBusySweepInterval : kSweepInterval;
     const int count =
         epoll_wait(epoll_, events.data(), static_cast<int>(events.size()),
-                   static_cast<int>(kSweepInterval.count()));
+                   static_cast<int>(wait.count()));
     for (int i = 0; i < count; ++i) {
       const int socket = events[static_cast<std::size_t>(i)].data.fd;
       if (socket == stop_event_) {
@@ -145,6 +149,7 @@
         wake_(std::move(item));
       }
     }
+    busy = sweep_();
     while (TakeOldest(clock::now() - limits_.timeout) != nullptr) {
     }
   }
--- a/src/caller/idle_connections.h
+++ b/src/caller/idle_connections.h
@@ -43,9 +43,12 @@
   };
 
   /// `wake` takes each connection that can be read; it is called from the
-  /// watching thread and must not block. Throws `std::system_error` when the
-  /// system gives no epoll or eventfd.
-  idle_connections(limits bounds, std::function<void(connection_ptr)> wake);
+  /// watching thread and must not block. So is `sweep`, now and then; it is
+  /// called again soon while it returns true. Throws `std::system_error` when
+  /// the system gives no epoll or eventfd.
+  idle_connections(limits bounds,
+                   std::function<void(connection_ptr)> wake,
+                   std::function<bool()> sweep);
   ~idle_connections();
 
   idle_connections(const idle_connections&) = delete;
@@ -78,6 +81,7 @@
 
   const limits limits_;
   const std::function<void(connection_ptr)> wake_;
+  const std::function<bool()> sweep_;
   int epoll_ = -1;
   int stop_event_ = -1;
   mutable std::mutex mutex_;
--- a/src/runtime/entry_observer.cc
+++ b/src/runtime/entry_observer.cc
@@ -55,6 +55,10 @@
       .Gauge("plantainhead_exchanges_interrupted",
              "Exchanges with callers ended for want of memory or threads")
       .Set(static_cast<double>(callers.interrupted));
+  metrics_
+      .Gauge("plantainhead_connections_turned_away",
+             "Callers' connections closed because too many waited for a thread")
+      .Set(static_cast<double>(callers.turned_away));
 }
 
 void entry_observer::SetLinkGauges(const entry::peer_link_counters& link) {
--- a/tests/caller/http_server_test.cc
+++ b/tests/caller/http_server_test.cc
@@ -476,6 +476,82 @@
   CHECK(decisions.submitted() == 3);
 }
 
+// Guards against slow requests that keep all threads from everybody else.
+TEST_CASE("Requests that aren't there whole give way to others") {
+  fake_core decisions;
+  decisions.AnswerAllWith(Done("hello"));
+  http_server_options options = SmallOptions();
+  options.read_limit = 10min;
+  http_server server(
+      options, decisions.Gateway(),
+      {{"GET", "/readyz", [](const http_request&) { return http_answer{}; }}});
+  const std::uint16_t port = server.Start();
+  std::string part;
+  SECTION("when a part of the first line is missing") {
+    part = "GET /s/in";
+  }
+  SECTION("when a part of the head is missing") {
+    part = "GET /s/intake/ HTTP/1.1\r\nHost:";
+  }
+  SECTION("when a part of the body is missing") {
+    part = "POST /s/intake/ HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf";
+  }
+  std::vector<testing::raw_connection> slow;
+  const auto add_slow = [&] {
+    for (int i = 0; i < 12; ++i) {
+      slow.push_back(testing::ConnectTo(port));
+      slow.back().Send(part);
+    }
+  };
+  add_slow();
+
+  const testing::raw_connection caller = testing::ConnectTo(port);
+  caller.Send(Get("/s/intake/"));
+  CHECK(caller.ReadMessage(5).find("hello") != std::string::npos);
+  caller.Send(Get("/readyz"));
+  CHECK(caller.ReadMessage().find("HTTP/1.1 200 ") == 0);
+  add_slow();
+  const std::string refused = slow.front().ReadAll();
+  CHECK(refused.find("HTTP/1.1 503 ") == 0);
+  CHECK(refused.find("Plantain-Outcome: not-run") != std::string::npos);
+  CHECK(refused.find("Retry-After: ") != std::string::npos);
+  CHECK(decisions.submitted() == 1);
+}
+
+// Guards against connections that wait for a thread without a limit.
+TEST_CASE("Connections beyond those that may wait for a thread are told so") {
+  fake_core decisions;
+  http_server_options options = SmallOptions();
+  options.threads = 1;
+  options.most_idle_connections = 2;
+  http_server server(options, decisions.Gateway(), {});
+  const std::uint16_t port = server.Start();
+  const testing::raw_connection busy = testing::ConnectTo(port);
+  busy.Send(Get("/s/intake/"));
+  decisions.AwaitSubmitted(1);
+  std::vector<testing::raw_connection> others;
+  for (int i = 0; i < 5; ++i) {
+    others.push_back(testing::ConnectTo(port));
+    others.back().Send("GET /s/intake/ HTTP/1.1\r\nConnection: close\r\n\r\n");
+  }
+  while (server.counters().turned_away < 3) {
+    std::this_thread::yield();
+  }
+  decisions.AnswerAllWith(Done("hello"));
+  decisions.AnswerNext(Done("hello"));
+  int answered = 0;
+  for (const testing::raw_connection& one : others) {
+    const std::string answer = one.ReadAll();
+    answered += answer.find("HTTP/1.1 200 ") == 0 ? 1 : 0;
+    const bool refused =
+        answer.find("HTTP/1.1 503 ") == 0 &&
+        answer.find("Plantain-Outcome: not-run") != std::string::npos;
+    CHECK((refused || answer.find("hello") != std::string::npos));
+  }
+  CHECK(answered == 2);
+  CHECK(busy.ReadMessage(5).find("hello") != std::string::npos);
+}
+
 TEST_CASE("Two requests sent at once on one connection are both answered") {
   fake_core decisions;
   decisions.AnswerAllWith(Done("hello"));
--- a/tests/crowd/entry_crowd_test.cc
+++ b/tests/crowd/entry_crowd_test.cc
@@ -124,5 +124,25 @@
   CheckSound(&entry, before, kCrowd);
 }
 
+// Guards against slow requests that keep all threads from everybody else.
+TEST_CASE("An entry answers beside more slow requests than threads") {
+  constexpr std::size_t kCrowd = 200;
+  entry_process entry("  http-threads: 8\n");
+  const std::size_t before = entry.PeakMemory();
+  std::string start;
+  SECTION("of which only a part of the head arrives") {
+    start = "GET /s/intake/ HTTP/1.1\r\nHost:";
+  }
+  SECTION("of which only a part of the body arrives") {
+    start = "POST /s/intake/ HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf";
+  }
+  std::vector<raw_connection> crowd;
+  for (std::size_t i = 0; i < kCrowd; ++i) {
+    crowd.push_back(ConnectTo(entry.http_port()));
+    crowd.back().Send(start);
+  }
+  CheckSound(&entry, before, kCrowd);
+}
+
 }  // namespace
 }  // namespace plantainhead::testing
