Bound the frames of peers that arrive only in part

A client that knows an entry's incarnation (its status page shows it) could announce a long frame and send nothing more: 24 bytes made the entry allocate and fill up to 9 MiB, and 1024 such connections were allowed. Clients that connected and said nothing kept peers out once there were 1024 of them.

Cause: CAF allocates what it is told to read at once; a full listener turned the newest connection away, whoever it was.

Change: payloads above 16 KiB are read in pieces; all that have arrived in part share limits.frames (32MiB), beyond which the connection whose frame has been incomplete for longest is closed. A full listener closes the connection that has been without a greeting for longest, or else the one whose frame has been incomplete for longest. Gauge plantainhead_peer_connections_evicted.

--- a/include/plantainhead/entry/peer_link.h
+++ b/include/plantainhead/entry/peer_link.h
@@ -33,7 +33,12 @@
   /// Maximum number of bytes queued for one peer; beyond it, the connection is
   /// closed.
   std::size_t queue_limit = std::size_t{32} << 20;
-  /// Maximum number of concurrent inbound connections.
+  /// Maximum number of bytes of all frames that have arrived in part; beyond
+  /// it, the connection whose frame has been incomplete for longest is closed.
+  std::size_t partial_limit = std::size_t{32} << 20;
+  /// Maximum number of concurrent inbound connections; beyond it, the one that
+  /// has been without a greeting for longest is closed, or else the one whose
+  /// frame has been incomplete for longest, or else the new one.
   std::size_t inbound_limit = 1024;
   /// Delay before reconnecting after a connection was lost or could not be
   /// established. Frames to the peer are dropped during this time.
@@ -52,6 +57,8 @@
   std::uint64_t malformed = 0;
   /// Connections closed because they were intended for another process.
   std::uint64_t misdirected = 0;
+  /// Inbound connections closed because others needed their place or memory.
+  std::uint64_t evicted = 0;
   /// Valid frames of a message type that this version does not know.
   std::uint64_t skipped = 0;
   /// Frames dropped before they were written to a connection.
--- a/include/plantainhead/settings/entry_settings.h
+++ b/include/plantainhead/settings/entry_settings.h
@@ -36,6 +36,9 @@
   /// `limits.bodies`: maximum number of bytes of all bodies of requests and
   /// answers that are held at once; at least `limits.body`.
   std::uint64_t bodies_limit = 64 << 20;
+  /// `limits.frames`: maximum number of bytes of all frames of other entries
+  /// that have arrived in part; at least `limits.body` and 1 MiB.
+  std::uint64_t frames_limit = 32 << 20;
   /// `limits.head`: maximum size of a request's head in bytes.
   std::uint64_t head_limit = 64 << 10;
   /// `limits.trailers`: maximum size of the chunk extensions and trailers of
--- a/src/entry/peer_broker.cc
+++ b/src/entry/peer_broker.cc
@@ -1,5 +1,6 @@
 #include "entry/peer_broker.h"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -14,6 +15,10 @@
   return static_cast<int>(handle.id());
 }
 
+// CAF allocates what it is told to read before any of it arrives. Longer
+// payloads are read in pieces of this size.
+constexpr std::size_t kPiece = std::size_t{16} << 10;
+
 }  // namespace
 
 using caf::io::connection_handle;
@@ -97,11 +102,14 @@
 }
 
 void peer_broker::Accept(connection_handle handle) {
-  if (incoming_.size() >= shared_->options.inbound_limit) {
+  if (incoming_.size() >= shared_->options.inbound_limit && !EvictOne()) {
+    ++shared_->counters.evicted;
     RejectConnection(handle);
     return;
   }
-  incoming_.emplace(handle, incoming_connection{});
+  incoming_connection& incoming = incoming_[handle];
+  incoming.order = next_order_++;
+  partial_bytes_ += incoming.payload.capacity();
   configure_read(handle, receive_policy::exactly(kFrameHeaderSize));
 }
 
@@ -113,10 +121,12 @@
   shared_->counters.bytes_received += data.buf.size();
   incoming_connection& incoming = found->second;
   try {
-    if (incoming.greeting_received) {
-      ReadFrame(data, incoming);
-    } else {
+    if (!incoming.greeting_received) {
       ReadGreeting(data, incoming);
+    } else if (!incoming.header) {
+      ReadHeader(data.handle, {data.buf.data(), data.buf.size()}, incoming);
+    } else {
+      ReadPayload(data.handle, {data.buf.data(), data.buf.size()}, incoming);
     }
   } catch (const frame_error&) {
     // The stream is no longer synchronized, so the start of the next frame is
@@ -144,7 +154,7 @@
 }
 
 void peer_broker::RejectConnection(connection_handle handle) {
-  incoming_.erase(handle);
+  ForgetIncoming(handle);
   // CAF's graceful close shuts down one direction and waits until the remote
   // side closes the other, so that a client that keeps its socket open would
   // occupy a descriptor indefinitely. After a shutdown of both directions, the
@@ -153,20 +163,78 @@
   Abort(SocketOf(handle));
 }
 
-void peer_broker::ReadFrame(const caf::io::new_data_msg& data,
-                            incoming_connection& incoming) {
-  const std::string_view bytes(data.buf.data(), data.buf.size());
-  if (!incoming.header) {
-    incoming.header = DecodeHeader(bytes, shared_->options.frame_limit);
-    configure_read(data.handle,
-                   receive_policy::exactly(incoming.header->payload_size));
-    return;
-  }
+void peer_broker::ReadHeader(connection_handle handle,
+                             std::string_view bytes,
+                             incoming_connection& incoming) {
+  incoming.header = DecodeHeader(bytes, shared_->options.frame_limit);
+  incoming.order = next_order_++;
+  AwaitPayload(handle, incoming);
+}
+
+void peer_broker::AwaitPayload(connection_handle handle,
+                               const incoming_connection& incoming) {
+  const std::size_t size = incoming.header->payload_size;
+  configure_read(handle, size <= kPiece
+                             ? receive_policy::exactly(size)
+                             : receive_policy::at_most(std::min(
+                                   kPiece, size - incoming.payload.size())));
+}
+
+void peer_broker::ReadPayload(connection_handle handle,
+                              std::string_view bytes,
+                              incoming_connection& incoming) {
   const frame_header header = *incoming.header;
+  if (bytes.size() < header.payload_size) {
+    if (!GrowPayload(handle, incoming.payload.size() + bytes.size(),
+                     incoming)) {
+      return;
+    }
+    incoming.payload.append(bytes);
+    if (incoming.payload.size() < header.payload_size) {
+      AwaitPayload(handle, incoming);
+      return;
+    }
+    bytes = incoming.payload;
+  }
+  DeliverFrame(header, bytes);
+  partial_bytes_ -= incoming.payload.capacity();
+  incoming.payload = std::string();
+  partial_bytes_ += incoming.payload.capacity();
   incoming.header.reset();
-  configure_read(data.handle, receive_policy::exactly(kFrameHeaderSize));
+  configure_read(handle, receive_policy::exactly(kFrameHeaderSize));
+}
+
+bool peer_broker::GrowPayload(connection_handle handle,
+                              std::size_t size,
+                              incoming_connection& incoming) {
+  const std::size_t held = incoming.payload.capacity();
+  if (size <= held) {
+    return true;
+  }
+  const std::size_t wanted = std::max(
+      size, std::min<std::size_t>(2 * held, incoming.header->payload_size));
+  while (partial_bytes_ + wanted - held > shared_->options.partial_limit) {
+    const auto oldest = FindOldest([](const incoming_connection& item) {
+      return item.header && !item.payload.empty();
+    });
+    // If no other holds anything, the frame alone exceeds the limit.
+    const connection_handle victim =
+        oldest == incoming_.end() ? handle : oldest->first;
+    ++shared_->counters.evicted;
+    RejectConnection(victim);
+    if (victim == handle) {
+      return false;
+    }
+  }
+  incoming.payload.reserve(wanted);
+  partial_bytes_ += incoming.payload.capacity() - held;
+  return true;
+}
+
+void peer_broker::DeliverFrame(const frame_header& header,
+                               std::string_view payload) {
   try {
-    core::peer_frame frame = DecodePayload(header, bytes, shared_->now());
+    core::peer_frame frame = DecodePayload(header, payload, shared_->now());
     ++shared_->counters.frames_received;
     shared_->post(core::frame_received{std::move(frame)});
   } catch (const frame_error& error) {
@@ -177,8 +245,45 @@
   }
 }
 
+void peer_broker::ForgetIncoming(connection_handle handle) {
+  const auto found = incoming_.find(handle);
+  if (found != incoming_.end()) {
+    partial_bytes_ -= found->second.payload.capacity();
+    incoming_.erase(found);
+  }
+}
+
+template <typename Condition>
+peer_broker::incoming_map::iterator peer_broker::FindOldest(Condition holds) {
+  auto oldest = incoming_.end();
+  for (auto it = incoming_.begin(); it != incoming_.end(); ++it) {
+    const bool older =
+        oldest == incoming_.end() || it->second.order < oldest->second.order;
+    if (older && holds(it->second)) {
+      oldest = it;
+    }
+  }
+  return oldest;
+}
+
+bool peer_broker::EvictOne() {
+  auto victim = FindOldest(
+      [](const incoming_connection& item) { return !item.greeting_received; });
+  if (victim == incoming_.end()) {
+    victim = FindOldest([](const incoming_connection& item) {
+      return item.header.has_value();
+    });
+  }
+  if (victim == incoming_.end()) {
+    return false;
+  }
+  ++shared_->counters.evicted;
+  RejectConnection(victim->first);
+  return true;
+}
+
 void peer_broker::OnConnectionClosed(connection_handle handle) {
-  incoming_.erase(handle);
+  ForgetIncoming(handle);
   const auto found = outgoing_.find(handle);
   if (found != outgoing_.end()) {
     const core::incarnation peer = found->second;
--- a/src/entry/peer_broker.h
+++ b/src/entry/peer_broker.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "plantainhead/entry/peer_link.h"
 
@@ -23,6 +24,7 @@
   std::atomic<std::uint64_t> bytes_received{0};
   std::atomic<std::uint64_t> malformed{0};
   std::atomic<std::uint64_t> misdirected{0};
+  std::atomic<std::uint64_t> evicted{0};
   std::atomic<std::uint64_t> skipped{0};
   std::atomic<std::uint64_t> dropped{0};
   std::atomic<std::uint64_t> disconnects{0};
@@ -75,7 +77,13 @@
     bool greeting_received = false;
     // Set after the header has been received, until the payload arrives.
     std::optional<frame_header> header;
+    // The part of the payload that has arrived.
+    std::string payload;
+    // Orders the connections by the time for which they have been incomplete.
+    std::uint64_t order = 0;
   };
+  using incoming_map =
+      std::map<caf::io::connection_handle, incoming_connection>;
 
   caf::result<std::uint16_t> Listen();
   void SendFrame(const outgoing_frame& frame);
@@ -84,8 +92,26 @@
   void OnData(const caf::io::new_data_msg& data);
   void ReadGreeting(const caf::io::new_data_msg& data,
                     incoming_connection& incoming);
-  void ReadFrame(const caf::io::new_data_msg& data,
-                 incoming_connection& incoming);
+  void ReadHeader(caf::io::connection_handle handle,
+                  std::string_view bytes,
+                  incoming_connection& incoming);
+  void ReadPayload(caf::io::connection_handle handle,
+                   std::string_view bytes,
+                   incoming_connection& incoming);
+  void DeliverFrame(const frame_header& header, std::string_view payload);
+  void AwaitPayload(caf::io::connection_handle handle,
+                    const incoming_connection& incoming);
+  // Makes room for `size` bytes of the connection's payload. Returns false if
+  // the connection was closed for it.
+  bool GrowPayload(caf::io::connection_handle handle,
+                   std::size_t size,
+                   incoming_connection& incoming);
+  void ForgetIncoming(caf::io::connection_handle handle);
+  template <typename Condition>
+  incoming_map::iterator FindOldest(Condition holds);
+  // Closes a connection that keeps a place without use. Returns false if there
+  // is none.
+  bool EvictOne();
   void RejectConnection(caf::io::connection_handle handle);
   void OnConnectionClosed(caf::io::connection_handle handle);
   void OnPeerDisconnected(core::incarnation peer);
@@ -94,7 +120,10 @@
   std::shared_ptr<peer_link_shared> shared_;
   std::map<core::incarnation, outgoing_connection> peers_;
   std::map<caf::io::connection_handle, core::incarnation> outgoing_;
-  std::map<caf::io::connection_handle, incoming_connection> incoming_;
+  incoming_map incoming_;
+  std::uint64_t next_order_ = 0;
+  // Bytes allocated for payloads that have arrived in part.
+  std::size_t partial_bytes_ = 0;
 };
 
 }  // namespace plantainhead::entry
--- a/src/entry/peer_link.cc
+++ b/src/entry/peer_link.cc
@@ -102,7 +102,8 @@
   const atomic_counters& from = state_->shared->counters;
   return {from.frames_sent,    from.frames_received, from.bytes_sent,
           from.bytes_received, from.malformed,       from.misdirected,
-          from.skipped,        from.dropped,         from.disconnects};
+          from.evicted,        from.skipped,         from.dropped,
+          from.disconnects};
 }
 
 }  // namespace plantainhead::entry
--- a/src/runtime/daemon_options.cc
+++ b/src/runtime/daemon_options.cc
@@ -37,6 +37,7 @@
   options.host = settings.host;
   options.port = settings.peer_port;
   options.frame_limit = FrameLimit(settings);
+  options.partial_limit = settings.frames_limit;
   options.queue_limit =
       std::max(options.queue_limit, kQueuedFrames * FrameLimit(settings));
   return options;
--- a/src/runtime/entry_observer.cc
+++ b/src/runtime/entry_observer.cc
@@ -73,6 +73,9 @@
       link.bytes_sent);
   set("plantainhead_frame_bytes_received", "Bytes from other entries",
       link.bytes_received);
+  set("plantainhead_peer_connections_evicted",
+      "Peers' connections closed because others needed their place or memory",
+      link.evicted);
   set("plantainhead_frames_malformed", "Connections closed for malformed bytes",
       link.malformed);
 }
--- a/src/settings/entry_settings.cc
+++ b/src/settings/entry_settings.cc
@@ -22,6 +22,8 @@
 constexpr std::uint64_t kMinBody = 1 << 10;
 constexpr std::uint64_t kMaxBody = 1 << 30;
 constexpr std::uint64_t kMaxBodies = std::uint64_t{1} << 40;
+// What a frame needs beside the body that it carries, at most.
+constexpr std::uint64_t kFrameMargin = 1 << 20;
 constexpr std::uint64_t kMinHead = 8 << 10;
 constexpr std::uint64_t kMaxHead = 1 << 20;
 constexpr std::uint64_t kMinTrailers = 1 << 10;
@@ -93,6 +95,7 @@
   }
   limits->ReadBytes("body", &settings->body_limit, {kMinBody, kMaxBody});
   limits->ReadBytes("bodies", &settings->bodies_limit, {kMinBody, kMaxBodies});
+  limits->ReadBytes("frames", &settings->frames_limit, {kMinBody, kMaxBodies});
   limits->ReadBytes("head", &settings->head_limit, {kMinHead, kMaxHead});
   limits->ReadBytes("trailers", &settings->trailer_limit,
                     {kMinTrailers, kMaxHead});
@@ -107,6 +110,10 @@
     sink->Add(limits->At("bodies"),
               "'limits.bodies' must be at least 'limits.body'");
   }
+  if (settings->frames_limit < settings->body_limit + kFrameMargin) {
+    sink->Add(limits->At("frames"),
+              "'limits.frames' must be at least 1MiB more than 'limits.body'");
+  }
 }
 
 void ReadTimes(yaml_mapping* top,
--- a/tests/crowd/entry_crowd_test.cc
+++ b/tests/crowd/entry_crowd_test.cc
@@ -7,6 +7,7 @@
 
 #include "crowd/entry_process.h"
 #include "loopback.h"
+#include "plantainhead/entry/frame_codec.h"
 
 namespace plantainhead::testing {
 namespace {
@@ -144,5 +145,30 @@
   CheckSound(&entry, before, kCrowd);
 }
 
+// Guards against frames that are announced as long and never arrive whole.
+TEST_CASE("An entry outlives frames that stop short of their end") {
+  constexpr std::size_t kCrowd = 48;
+  entry_process entry("  frames: 10MiB\n");
+  const std::size_t before = entry.PeakMemory();
+  const std::string greeting =
+      entry::EncodeGreeting(core::incarnation{entry.Incarnation()});
+  std::string header = entry::PrependHeader(std::string(8 * kMebibyte, '\0'));
+  header.resize(entry::kFrameHeaderSize);
+  std::string rest;
+  SECTION("at their start") {}
+  SECTION("after a part") {
+    rest = std::string(kMebibyte, '\0');
+  }
+  std::vector<raw_connection> crowd;
+  for (std::size_t i = 0; i < kCrowd; ++i) {
+    crowd.push_back(ConnectTo(entry.peer_port()));
+    SendRepeatedly(crowd.back(), greeting + header + rest, 1);
+  }
+  // What has been announced is known by then.
+  entry.AwaitMetric("plantainhead_frame_bytes_received",
+                    kCrowd * 2.0 * entry::kFrameHeaderSize);
+  CheckSound(&entry, before, kCrowd);
+}
+
 }  // namespace
 }  // namespace plantainhead::testing
--- a/tests/entry/peer_link_test.cc
+++ b/tests/entry/peer_link_test.cc
@@ -13,6 +13,7 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
+#include <thread>
 
 #include "entry/frame_samples.h"
 
@@ -170,6 +171,22 @@
     CHECK(b.link.counters().frames_received == SampleFrames().size());
   }
 
+  SECTION("of a size that arrives in pieces") {
+    core::peer_frame frame = SampleRequest();
+    const auto body =
+        std::make_shared<const std::string>(std::size_t{1} << 20, 'x');
+    std::get<core::forward_request>(frame.message).request.body = body;
+    for (int i = 0; i < 3; ++i) {
+      a.link.Send(To(2, b.port, frame));
+    }
+    for (int i = 0; i < 3; ++i) {
+      const auto got = b.events.Await<core::frame_received>();
+      CHECK(*std::get<core::forward_request>(got.frame.message).request.body ==
+            *body);
+    }
+    CHECK(b.link.counters().evicted == 0);
+  }
+
   SECTION("in the order in which they are sent") {
     constexpr std::uint64_t kFrames = 2000;
     for (std::uint64_t i = 0; i < kFrames; ++i) {
@@ -231,6 +248,54 @@
   CHECK(NumberOf(b.events.Await<core::frame_received>()) == 2);
 }
 
+// Guards against clients that announce long frames and never send their ends.
+TEST_CASE("Frames that arrive only in part are bounded together") {
+  test_system system;
+  peer_link_options options;
+  options.partial_limit = std::size_t{100} << 10;
+  test_entry b(system, options);
+  constexpr std::size_t kPart = std::size_t{60} << 10;
+  const std::string start =
+      (EncodeGreeting(core::incarnation{2}) +
+       PrependHeader(std::string(std::size_t{1} << 20, '\0')))
+          .substr(0, 2 * kFrameHeaderSize + kPart);
+
+  raw_socket first(b.port);
+  first.Write(start);
+  while (b.link.counters().bytes_received < start.size()) {
+    std::this_thread::yield();
+  }
+  raw_socket second(b.port);
+  second.Write(start);
+  first.AwaitEnd();
+  CHECK(b.link.counters().evicted == 1);
+
+  test_entry a(system);
+  a.link.Send(To(2, b.port, NumberedCancel(4)));
+  CHECK(NumberOf(b.events.Await<core::frame_received>()) == 4);
+  CHECK(b.link.counters().evicted == 1);
+}
+
+// Guards against clients that connect and say nothing until no peer can.
+TEST_CASE("Connections without a greeting give way to others") {
+  test_system system;
+  peer_link_options options;
+  options.inbound_limit = 2;
+  test_entry a(system);
+  test_entry b(system, options);
+  a.link.Send(To(2, b.port, NumberedCancel(1)));
+  b.events.Await<core::frame_received>();
+  raw_socket first(b.port);
+  raw_socket second(b.port);
+  first.AwaitEnd();
+  raw_socket third(b.port);
+  second.AwaitEnd();
+  CHECK(b.link.counters().evicted == 2);
+  a.link.Send(To(2, b.port, NumberedCancel(2)));
+  CHECK(NumberOf(b.events.Await<core::frame_received>()) == 2);
+  CHECK(a.link.counters().disconnects == 0);
+}
+
 // An entry waits for responses from a peer that crashes. The link detects that
 // the connection has closed and reports it, so that pending requests can be
 // answered immediately instead of at their deadlines.
--- a/tests/runtime/daemon_options_test.cc
+++ b/tests/runtime/daemon_options_test.cc
@@ -28,6 +28,11 @@
     CHECK(PeerOptions(settings, {}).queue_limit > frame);
   }
 
+  SECTION("a frame fits among all frames that have arrived in part") {
+    CHECK(PeerOptions(settings, {}).frame_limit <=
+          PeerOptions(settings, {}).partial_limit);
+  }
+
   SECTION("the lease's holder stops before others may take it") {
     const auto lease = CoreOptions(settings, {}).lease;
     CHECK(lease.margin > core::duration::zero());
--- a/tests/settings/entry_settings_test.cc
+++ b/tests/settings/entry_settings_test.cc
@@ -39,6 +39,7 @@
     CHECK(settings.platform_port == 7070);
     CHECK(settings.body_limit == 8U << 20);
     CHECK(settings.bodies_limit == 64U << 20);
+    CHECK(settings.frames_limit == 32U << 20);
     CHECK(settings.head_limit == 64U << 10);
     CHECK(settings.trailer_limit == 8U << 10);
     CHECK(settings.max_request_timeout == std::chrono::seconds(60));
@@ -98,8 +99,14 @@
   }
 
   SECTION("when one body wouldn't fit among all bodies") {
-    const std::string text = std::string(kMinimalSettings) +
-                             "limits: {body: 2MiB, bodies: 1MiB}\n";
+    const std::string text =
+        std::string(kMinimalSettings) + "limits: {body: 2MiB, bodies: 1MiB}\n";
+    CHECK(FindingsIn(text).size() == 1);
+  }
+
+  SECTION("when one body wouldn't fit among all frames") {
+    const std::string text =
+        std::string(kMinimalSettings) + "limits: {body: 2MiB, frames: 2MiB}\n";
     CHECK(FindingsIn(text).size() == 1);
   }
 
