Lower the default budget of bodies to 32 MiB

With 64 MiB, callers whose bodies arrive whole would still take more than the 260 MB of a VM: an entry that passes a body on to an endpoint holds about four copies of it.

--- a/include/plantainhead/caller/http_server.h
+++ b/include/plantainhead/caller/http_server.h
@@ -40,7 +40,7 @@
   /// Beyond it, the exchange that has waited for its caller for longest is
   /// ended: a request is answered `not-run`, an answer is cut. When there is
   /// none, the new request is answered `not-run`. At least `body_limit`.
-  std::size_t bodies_limit = std::size_t{64} << 20U;
+  std::size_t bodies_limit = std::size_t{32} << 20U;
   /// Most bytes of a request's head; above it the answer is 400.
   std::size_t head_limit = std::size_t{64} << 10U;
   /// Most bytes of the chunk extensions and trailers of one body; above it the
--- a/include/plantainhead/settings/entry_settings.h
+++ b/include/plantainhead/settings/entry_settings.h
@@ -35,7 +35,7 @@
   std::uint64_t body_limit = 8 << 20;
   /// `limits.bodies`: maximum number of bytes of all bodies of requests and
   /// answers that are held at once; at least `limits.body`.
-  std::uint64_t bodies_limit = 64 << 20;
+  std::uint64_t bodies_limit = 32 << 20;
   /// `limits.frames`: maximum number of bytes of all frames of other entries
   /// that have arrived in part; at least `limits.body` and 1 MiB.
   std::uint64_t frames_limit = 32 << 20;
--- a/tests/settings/entry_settings_test.cc
+++ b/tests/settings/entry_settings_test.cc
@@ -38,7 +38,7 @@
     CHECK(settings.http_port == 8080);
     CHECK(settings.platform_port == 7070);
     CHECK(settings.body_limit == 8U << 20);
-    CHECK(settings.bodies_limit == 64U << 20);
+    CHECK(settings.bodies_limit == 32U << 20);
     CHECK(settings.frames_limit == 32U << 20);
     CHECK(settings.head_limit == 64U << 10);
     CHECK(settings.trailer_limit == 8U << 10);
