--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -42,8 +42,8 @@
     setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &most, sizeof(most));
     std::size_t sent = 0;
     while (sent < bytes.size()) {
-      const ssize_t count = send(socket_, bytes.data() + sent,
-                                 bytes.size() - sent, MSG_NOSIGNAL);
+      const ssize_t count =
+          send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
       if (count <= 0) {
         return false;
       }
