--- a/tests/core/jobs/pool_model_test.cc
+++ b/tests/core/jobs/pool_model_test.cc
@@ -16,18 +16,12 @@
 // The duration of the reads after a claim if one of them hangs.
 constexpr milliseconds kLongestTakeover(2000);
 
-// `long_share` is the share of steps whose tasks take 12 s.
-std::shared_ptr<const job_spec> RandomJob(int number,
-                                          std::mt19937* random,
-                                          double long_share) {
+std::shared_ptr<const job_spec> RandomJob(int number, std::mt19937* random) {
   std::vector<step_spec> steps;
   const auto count = 1 + (*random)() % 3;
   for (std::uint32_t i = 0; i < count; ++i) {
     step_spec step = Step(1 + (*random)() % 5, 500 + 500 * ((*random)() % 5));
     step.estimate = milliseconds(200 + 100 * ((*random)() % 10));
-    if (long_share > 0.0 && (*random)() % 100 < 100 * long_share) {
-      step.estimate = seconds(12);
-    }
     if (i > 0) {
       step.depends_on = {i - 1};
     }
@@ -39,29 +33,23 @@
   return Job("job-" + std::to_string(number), std::move(steps));
 }
 
-// Runs a pool with faults and then without, and returns the violations. Long
-// tasks may be on several VMs that crash, so that their jobs may be given up;
-// the model reports one that is given up without cause.
+// Runs a pool with faults and then without, and returns the violations.
 std::vector<std::string> RunModel(std::uint32_t seed,
-                                  const model_faults& faults,
-                                  double long_share = 0.0) {
+                                  const model_faults& faults) {
   std::mt19937 random(seed);
   pool_model model(seed, faults, 5);
   model.Run(milliseconds(500));
   constexpr int kJobs = 25;
   for (int i = 0; i < kJobs; ++i) {
-    model.Submit(RandomJob(i, &random, long_share), Policy(50));
+    model.Submit(RandomJob(i, &random), Policy(50));
     model.Run(milliseconds(400));
   }
   model.StopFaults();
-  model.Run(long_share > 0.0 ? seconds(120) : seconds(60));
+  model.Run(seconds(60));
   std::vector<std::string> violations = model.violations;
   for (int i = 0; i < kJobs; ++i) {
     const job_id id = "job-" + std::to_string(i);
-    const job_phase phase = model.PhaseOf(id);
-    const bool is_over = phase == job_phase::kCompleted ||
-                         (long_share > 0.0 && phase == job_phase::kFailed);
-    if (!is_over) {
+    if (model.PhaseOf(id) != job_phase::kCompleted) {
       violations.push_back("not completed: " + id);
     }
   }
@@ -69,10 +57,10 @@
 }
 
 // Runs the model with seeds that are derived from the seed of the test.
-bool HoldsInvariants(const model_faults& faults, double long_share = 0.0) {
+bool HoldsInvariants(const model_faults& faults) {
   return rc::check([&] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
-    RC_ASSERT(RunModel(seed, faults, long_share) == std::vector<std::string>());
+    RC_ASSERT(RunModel(seed, faults) == std::vector<std::string>());
   });
 }
 
@@ -186,24 +174,6 @@
   CHECK(HoldsInvariants(faults));
 }
 
-// Guards against long tasks that run twice because a VM holds them under a
-// lease that was granted on the clock of its former incarnation.
-TEST_CASE("A long task runs once while restarted VMs stop answering") {
-  model_faults faults;
-  faults.same_id_share = 1.0;
-  faults.crash_every = seconds(4);
-  faults.cut_after_restart = seconds(2);
-  faults.registry_delay = milliseconds(300);
-
-  SECTION("by the same owner") {}
-
-  SECTION("also if owners replace each other") {
-    faults.takeover_every = seconds(5);
-  }
-
-  CHECK(HoldsInvariants(faults, 0.35));
-}
-
 // Seeds of earlier failures.
 TEST_CASE("The invariants of a pool hold for seeds of earlier failures") {
   const std::uint32_t seed = GENERATE(130U);
