Name the incarnation of a VM in logs by our own word

The log lines "vm heard" and "vm restarted" had the fields `born` and `born_before`, which are words of the users' platform; no folder but platform/ has them. Operators who search their logs saw two names for one thing.

The fields are `incarnation` and `incarnation_before` now, as in the code and in OPERATIONS.md. Evidence: no "born" is left in src/ and include/. No decision changes.

--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -258,10 +258,11 @@
     LogLines(lines_.TakeAll());
     observe::log_fields fields = {{"vm", vm}};
     if (incarnation) {
-      fields.emplace_back("born", std::to_string(*incarnation));
+      fields.emplace_back("incarnation", std::to_string(*incarnation));
     }
     if (begins_again) {
-      fields.emplace_back("born_before", std::to_string(*link->incarnation));
+      fields.emplace_back("incarnation_before",
+                          std::to_string(*link->incarnation));
       fields.emplace_back("ends_logged_before",
                           std::to_string(link->last_logged_end));
     }
@@ -288,8 +289,9 @@
   for (const core::jobs::vm_restart& restart : scheduler_->TakeRestarts()) {
     observe::log_fields fields = {
         {"vm", restart.vm},
-        {"born", std::to_string(restart.incarnation.value_or(0))},
-        {"born_before", std::to_string(restart.former_incarnation.value_or(0))},
+        {"incarnation", std::to_string(restart.incarnation.value_or(0))},
+        {"incarnation_before",
+         std::to_string(restart.former_incarnation.value_or(0))},
         {"uncertain_runs", std::to_string(restart.uncertain_runs)},
         {"acked_through", std::to_string(restart.acknowledged_through)}};
     AppendAge("granted_ms_ago", restart.granted_at, &fields);
