Let a VM that has restarted reject late calls to its former incarnation

Callers would see a task run twice, or an end that is lost: a VM carries a call out seconds after it was sent, and by then has restarted under its id.

Cause: a VM rejects a call whose fencing token is lower than the highest that it has seen. The next incarnation has seen none, and the owner called both incarnations with the same token, its epoch. So the next one accepted a late start, or a late hold with a deadline on the former clock or an acknowledgement. The connection doesn't help: the call had arrived.

Change: once a restart is known, the owner reserves the next token in its owner record, with the batch that is stored next, and then calls the VM with it. The record has the format of before, and owners of the landed code begin above it as well. A VM that rejects one of the owner's own lower tokens doesn't cost it the pool. What a late call can do before that, in the time between the restart and the first call with the new token, stays.

The stand-in now also takes the deadline of a start that is too old, as the platform's VMs do. Cost: one record for each batch of restarts, in a write that mostly takes place anyway.

--- a/fakes/site_vm.cc
+++ b/fakes/site_vm.cc
@@ -122,6 +122,7 @@
 
 bool site_vm::IsFenced(std::uint64_t token) {
   if (token < fence_) {
+    ++fenced_calls_;
     return true;
   }
   fence_ = token;
@@ -133,6 +134,10 @@
   if (is_silent) {
     return;
   }
+  if (holds_back_calls) {
+    held_back_.push_back(request);
+    return;
+  }
   ++calls_;
   if (net::FindHeader(request.headers, "X-Plantainhead-Expect-Instance") !=
       id_) {
@@ -169,6 +174,20 @@
   }
 }
 
+void site_vm::CarryOutHeldBack() {
+  for (const net::server_request& request : std::exchange(held_back_, {})) {
+    Handle(request, [](const net::server_response& /*response*/) {});
+  }
+}
+
+std::size_t site_vm::HeldBack(const std::string& path) const {
+  return static_cast<std::size_t>(
+      std::count_if(held_back_.begin(), held_back_.end(),
+                    [&path](const net::server_request& request) {
+                      return request.target == path;
+                    }));
+}
+
 void site_vm::Start(const net::server_request& request,
                     const net::responder& respond) {
   const json body = json::parse(request.body);
@@ -179,13 +198,14 @@
     respond(Answer(200, json::object()));
     return;
   }
+  const auto deadline =
+      body.value("deadline_ms", std::numeric_limits<std::int64_t>::max() /
+                                    std::int64_t{4000000});
   if (number <= highest_[task]) {
+    ExtendLease(deadline);
     respond(Answer(409, {{"reason", "old"}}));
     return;
   }
-  const auto deadline =
-      body.value("deadline_ms", std::numeric_limits<std::int64_t>::max() /
-                                    std::int64_t{4000000});
   if (clock_zero_ + std::chrono::milliseconds(deadline) < steady_clock::now()) {
     respond(Answer(409, {{"reason", "late"}}));
     return;
--- a/fakes/site_vm.h
+++ b/fakes/site_vm.h
@@ -54,11 +54,20 @@
   std::chrono::milliseconds longest_lease() const { return longest_lease_; }
   /// Returns how many calls the current life has received.
   int calls() const { return calls_; }
+  /// Returns how many calls were rejected for their tokens.
+  int fenced_calls() const { return fenced_calls_; }
+  /// Carries out the calls that were held back, without an answer.
+  void CarryOutHeldBack();
+  /// Returns how many calls to this path are held back.
+  std::size_t HeldBack(const std::string& path) const;
   /// Returns how many tasks run now.
   std::size_t Running() const { return running_.size(); }
 
   /// No call is carried out or answered; what runs goes on under its lease.
   bool is_silent = false;
+  /// Calls are not carried out until `CarryOutHeldBack`, also if that is in
+  /// another life.
+  bool holds_back_calls = false;
   /// Orders to start are carried out and not answered.
   bool loses_start_answers = false;
   /// This many of the next tasks that end do so as failed.
@@ -113,6 +122,7 @@
   std::unique_ptr<net::http_server> server_;
   std::chrono::milliseconds longest_lease_{0};
   int calls_ = 0;
+  int fenced_calls_ = 0;
   std::map<std::string, run> running_;
   std::map<std::string, std::uint32_t> highest_;
   std::map<std::string, int> starts_;
@@ -130,6 +140,7 @@
   std::chrono::steady_clock::time_point lease_until_;
   std::shared_ptr<boost::asio::steady_timer> lapse_timer_;
   std::vector<net::responder> holds_;
+  std::vector<net::server_request> held_back_;
 };
 
 }  // namespace plantainhead::fakes
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -172,7 +172,7 @@
         scheduler_->Plan(began, WallTime());
     plan_time_ = BootTime() - began;
     LogTakeoverWait(began);
-    LogRestarts();
+    ProcessRestarts();
     LogLosses();
     deps_.meters->NotePlan(plan_time_);
     const auto starts = Meter(loop_work::kStarts);
@@ -272,6 +272,9 @@
       records.push_back(Encode(vm_record{vm.id, vm.address, false}));
     }
   }
+  if (const auto token = tokens_.Reserve()) {
+    records.push_back(Encode(owner_record{*token, deps_.member, {}}));
+  }
   if (records.empty() && !batch) {
     return;
   }
@@ -295,6 +298,7 @@
     LoseOwnership("the store contains a claim of a newer owner");
     return;
   }
+  tokens_.OnStored();
   OnVacanciesStored();
   if (batch) {
     for (const auto& [id, progress] : batch->jobs) {
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -16,6 +16,7 @@
 
 #include "jobs/cpu_time_meter.h"
 #include "jobs/event_aggregator.h"
+#include "jobs/fencing_tokens.h"
 #include "jobs/fleet_records.h"
 #include "jobs/group_member.h"
 #include "jobs/pool_owner.h"
@@ -134,10 +135,14 @@
                       core::time_point sent_at,
                       const core::jobs::run_listing& listing);
   void ReadUnknownJobs();
+  /// `token` is the fencing token with which the hold was sent.
   void OnHoldAnswer(const core::jobs::vm_id& vm,
                     const std::shared_ptr<vm_connection>& link,
                     core::time_point sent_at,
+                    std::uint64_t token,
                     const adapter::hold_reply& reply);
+  /// Handles a call that the VM has rejected for its token.
+  void OnTokenRejected(const core::jobs::vm_id& vm, std::uint64_t token);
   /// Updates the link after a listing. Logs a VM that responds again, or for
   /// the first time in its incarnation.
   void OnVmResponse(const core::jobs::vm_id& vm,
@@ -146,7 +151,7 @@
   /// Returns the delay before the next hold of a VM that returned this listing.
   std::chrono::milliseconds NextHoldDelay(
       const core::jobs::run_listing& listing) const;
-  void LogRestarts();
+  void ProcessRestarts();
   void LogLosses();
   void LogNewEnds(const core::jobs::vm_id& vm,
                   const std::shared_ptr<vm_connection>& link,
@@ -190,6 +195,7 @@
   event_aggregator lines_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
+  fencing_tokens tokens_{0};
   /// The previous owner record of the partition.
   owner_record predecessor_;
   bool may_predecessor_be_active_ = false;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -61,7 +61,7 @@
     });
     return;
   }
-  owner_record end{epoch_, "", {}};
+  owner_record end{std::max(epoch_, tokens_.highest()), "", {}};
   for (const auto& [vm, lease_expires_at] : lease_ends_) {
     end.leases[vm] =
         std::max(core::duration::zero(), lease_expires_at - BootTime());
@@ -284,6 +284,7 @@
   }
   const core::jobs::takeover_bounds bounds = MakeBounds();
   scheduler_ = std::make_unique<pool_scheduler>(settings_.scheduler, bounds);
+  tokens_ = fencing_tokens(epoch_);
   std::size_t open = 0;
   const core::time_point wall_claimed_at =
       WallTime() - (BootTime() - claimed_at_);
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -91,11 +91,12 @@
   link->is_hold_pending = true;
   const core::time_point sent_at = BootTime();
   link->hold_sent_at = sent_at;
-  const auto take = [self = weak_from_this(), link, vm,
-                     sent_at](const adapter::hold_reply& reply) {
+  const std::uint64_t token = tokens_.TokenOf(vm);
+  const auto take = [self = weak_from_this(), link, vm, sent_at,
+                     token](const adapter::hold_reply& reply) {
     const auto owner = self.lock();
     if (owner && !owner->is_closed_ && owner->scheduler_) {
-      owner->OnHoldAnswer(vm, link, sent_at, reply);
+      owner->OnHoldAnswer(vm, link, sent_at, token, reply);
     }
   };
   const auto is_late = std::make_shared<bool>(false);
@@ -106,8 +107,13 @@
     link->is_hold_pending = false;
     take(adapter::hold_reply());
   };
+  core::jobs::hold_parameters hold = scheduler_->NextHold(vm, sent_at);
+  if (tokens_.IsRising(vm)) {
+    // The next hold carries the higher token, which must not wait.
+    hold.wait = core::duration::zero();
+  }
   link->client.Hold(
-      scheduler_->NextHold(vm, sent_at), epoch_, settings_.hold_timeout, late,
+      hold, token, settings_.hold_timeout, late,
       [link, take, is_late](const adapter::hold_reply& reply) {
         // Another hold may be in flight by now.
         link->is_hold_pending = link->is_hold_pending && *is_late;
@@ -147,6 +153,7 @@
 void pool_owner::impl::OnHoldAnswer(const vm_id& vm,
                                     const std::shared_ptr<vm_connection>& link,
                                     core::time_point sent_at,
+                                    std::uint64_t token,
                                     const adapter::hold_reply& reply) {
   const auto holds = Meter(loop_work::kHolds);
   const core::time_point now = BootTime();
@@ -156,8 +163,8 @@
       ScheduleHold(vm, NextHoldDelay(reply.listing));
       return;
     case hold_outcome::kFenced:
-      scheduler_->OnFenced();
-      SchedulePlan();
+      OnTokenRejected(vm, token);
+      ScheduleHold(vm, settings_.hold_retry_delay);
       return;
     case hold_outcome::kReplaced:
       if (scheduler_->OnReplaced(vm, now, sent_at)) {
@@ -206,6 +213,13 @@
   SchedulePlan();
 }
 
+void pool_owner::impl::OnTokenRejected(const vm_id& vm, std::uint64_t token) {
+  if (tokens_.IsFencedByOther(vm, token)) {
+    scheduler_->OnFenced();
+  }
+  SchedulePlan();
+}
+
 adapter::introduction_listener pool_owner::impl::MakeIntroductionListener(
     const vm_id& vm) {
   return [self = weak_from_this(), vm](milliseconds age,
@@ -232,7 +246,7 @@
       return;
     case hold_outcome::kFenced:
     case hold_outcome::kReplaced:
-      OnHoldAnswer(vm, link, sent_at, reply);
+      OnHoldAnswer(vm, link, sent_at, tokens_.TokenOf(vm), reply);
       return;
     case hold_outcome::kFailed:
     case hold_outcome::kUnanswered:
@@ -285,8 +299,9 @@
 }
 
 // The registry may be the first to show a restart, before any call is answered.
-void pool_owner::impl::LogRestarts() {
+void pool_owner::impl::ProcessRestarts() {
   for (const core::jobs::vm_restart& restart : scheduler_->TakeRestarts()) {
+    tokens_.NoteRestart(restart.vm);
     observe::log_fields fields = {
         {"vm", restart.vm},
         {"incarnation", std::to_string(restart.incarnation.value_or(0))},
@@ -333,13 +348,19 @@
   }
   const run_ref target = order.target;
   const core::time_point sent_at = BootTime();
+  const std::uint64_t token = tokens_.TokenOf(target.vm);
   link->client.Start(
-      order, epoch_, settings_.order_timeout, MakeStartCheck(target.task.job),
-      [self = weak_from_this(), target, sent_at](start_result result) {
+      order, token, settings_.order_timeout, MakeStartCheck(target.task.job),
+      [self = weak_from_this(), target, sent_at, token](start_result result) {
         const auto owner = self.lock();
         if (!owner || owner->is_closed_ || !owner->scheduler_) {
           return;
         }
+        if (result == start_result::kFenced) {
+          // The VM has not carried the order out.
+          owner->OnTokenRejected(target.vm, token);
+          result = start_result::kNotSent;
+        }
         const auto starts = owner->Meter(loop_work::kStarts);
         owner->deps_.meters->NoteStart(BootTime() - sent_at);
         const bool is_started = result == start_result::kStarted;
@@ -379,7 +400,7 @@
   }
   const run_ref target = order.target;
   link->client.Stop(
-      order, epoch_, settings_.order_timeout,
+      order, tokens_.TokenOf(target.vm), settings_.order_timeout,
       [self = weak_from_this(), target](bool is_confirmed) {
         const auto owner = self.lock();
         if (!owner || owner->is_closed_ || !owner->scheduler_) {
@@ -395,7 +416,8 @@
 
 void pool_owner::impl::Send(const core::jobs::pace_order& order) {
   if (const auto link = FindLink(order.target.vm)) {
-    link->client.Pace(order, epoch_, settings_.order_timeout);
+    link->client.Pace(order, tokens_.TokenOf(order.target.vm),
+                      settings_.order_timeout);
   }
 }
 
