Log each change of a host's phase in a wave

Hypotheses for the wave that stops: (1) a refusal after an answer that was lost is taken to mean "not serviced", and the wave then waits for a second return of the host; (2) the lists are old or unreadable, so that the return is not seen; (3) the VM is never recorded as drained. Sight: the logs could not tell these apart, since no line says in which phase a host is. `host phase changed` now has the phases, the incarnation and what the last list showed, with its age.

--- a/include/plantainhead/core/jobs/maintenance.h
+++ b/include/plantainhead/core/jobs/maintenance.h
@@ -40,6 +40,30 @@
   return kHostStateNames;
 }
 
+/// Progress of a host in a maintenance wave.
+enum class host_phase {
+  /// Waits for its turn.
+  kDue,
+  /// Its VM is being drained, or is drained and waits for its turn.
+  kClosing,
+  /// Its service was ordered and may have begun.
+  kOrdered,
+  /// Its service has begun, and its return has not been seen yet.
+  kDown,
+  kDone,
+};
+
+inline constexpr name_table<host_phase, 5> kHostPhaseNames = {{
+    {host_phase::kDue, "due"},
+    {host_phase::kClosing, "closing"},
+    {host_phase::kOrdered, "ordered"},
+    {host_phase::kDown, "down"},
+    {host_phase::kDone, "done"},
+}};
+inline constexpr const auto& NamesOf(host_phase) {
+  return kHostPhaseNames;
+}
+
 /// A host as shown in the platform's fleet list.
 struct fleet_host {
   host_id host;
--- a/include/plantainhead/core/jobs/maintenance_scheduler.h
+++ b/include/plantainhead/core/jobs/maintenance_scheduler.h
@@ -41,6 +41,21 @@
 using wave_action =
     std::variant<close_vm, release_vm, service_host, complete_wave>;
 
+/// A change of the progress of a host, for logs.
+struct host_phase_change {
+  std::uint64_t wave = 0;
+  host_id host;
+  host_phase from = host_phase::kDue;
+  host_phase to = host_phase::kDue;
+  /// The incarnation that is being drained or was ordered; may be empty.
+  vm_id vm;
+  /// What the last list showed: the state, the incarnation and when the list
+  /// was requested. Empty if no list has contained the host.
+  std::optional<host_state> listed_state;
+  vm_id listed_vm;
+  time_point listed_at;
+};
+
 /// Outcome of an order to service a host.
 enum class service_result {
   /// The service has begun, or was already done.
@@ -109,6 +124,10 @@
                        time_point now);
 
   std::vector<wave_action> Plan(time_point now);
+  /// Returns the changes of phases since the last call.
+  std::vector<host_phase_change> TakePhaseChanges() {
+    return std::exchange(phase_changes_, {});
+  }
   /// Returns the hosts that are being drained or serviced.
   std::set<host_id> BusyHosts() const;
   /// Returns whether a wave is not complete or a host has not returned yet, so
@@ -117,7 +136,6 @@
 
  private:
   struct listed_host;
-  enum class host_phase { kDue, kClosing, kOrdered, kDown, kDone };
   struct host_progress {
     host_phase phase = host_phase::kDue;
     /// The incarnation that is being drained or was terminated.
@@ -156,6 +174,10 @@
                 time_point now,
                 std::vector<wave_action>* actions);
   void NoteReturns(fleet_wave* wave, std::vector<wave_action>* actions);
+  void SetPhase(std::uint64_t wave,
+                const host_id& host,
+                host_progress* progress,
+                host_phase phase);
   const listed_host* FindHost(const host_id& host) const;
   const listed_host* FindHost(const host_id& host, host_progress* progress);
   bool IsMissing(const listed_host* listed) const;
@@ -190,6 +212,7 @@
   /// VMs that were released but are still recorded as closed.
   std::set<vm_id> released_;
   std::set<vm_id> empty_;
+  std::vector<host_phase_change> phase_changes_;
   time_point first_requested_at_;
   time_point requested_at_;
   bool is_listed_ = false;
--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -33,9 +33,9 @@
   if (progress == found->second.hosts.end()) {
     return;
   }
-  host_phase& phase = progress->second.phase;
+  const host_phase phase = progress->second.phase;
   if (phase == host_phase::kDue || phase == host_phase::kClosing) {
-    phase = host_phase::kDone;
+    SetPhase(wave, host, &progress->second, host_phase::kDone);
   }
 }
 
@@ -103,14 +103,14 @@
   progress.next_order_at = now + settings_.order_retry;
   switch (result) {
     case service_result::kAccepted:
-      progress.phase = host_phase::kDown;
       progress.accepted_at = now;
+      SetPhase(wave, host, &progress, host_phase::kDown);
       return;
     case service_result::kTemporaryFailure:
-      progress.phase = host_phase::kClosing;
+      SetPhase(wave, host, &progress, host_phase::kClosing);
       return;
     case service_result::kPermanentFailure:
-      progress.phase = host_phase::kDone;
+      SetPhase(wave, host, &progress, host_phase::kDone);
       return;
     case service_result::kUnknown:
       // The host counts as down until an answer arrives.
@@ -118,6 +118,28 @@
   }
 }
 
+void maintenance_scheduler::SetPhase(std::uint64_t wave,
+                                     const host_id& host,
+                                     host_progress* progress,
+                                     host_phase phase) {
+  if (progress->phase == phase) {
+    return;
+  }
+  host_phase_change change;
+  change.wave = wave;
+  change.host = host;
+  change.from = progress->phase;
+  change.to = phase;
+  change.vm = progress->vm;
+  if (const listed_host* listed = FindHost(host)) {
+    change.listed_state = listed->host.state;
+    change.listed_vm = listed->host.vm;
+    change.listed_at = listed->last_listed;
+  }
+  phase_changes_.push_back(std::move(change));
+  progress->phase = phase;
+}
+
 bool maintenance_scheduler::HasWork() const {
   return std::any_of(waves_.begin(), waves_.end(), [](const auto& entry) {
     return !entry.second.is_complete ||
@@ -205,7 +227,7 @@
         (progress.vm.empty() || listed->host.vm != progress.vm ||
          progress.was_seen_down);
     if (is_back) {
-      progress.phase = host_phase::kDone;
+      SetPhase(wave->wave.number, host, &progress, host_phase::kDone);
       if (!progress.vm.empty()) {
         Release(progress.vm, actions);
       }
@@ -336,8 +358,9 @@
       return;
     }
     const fleet_host& host = *next->host;
-    next->progress->phase = host_phase::kClosing;
     next->progress->vm = host.vm;
+    SetPhase(wave->wave.number, host.host, next->progress,
+             host_phase::kClosing);
     ++*next->busy;
     if (RunsTasks(host)) {
       ++begun_in_pools;
@@ -381,6 +404,7 @@
       if (!progress.vm.empty()) {
         Release(progress.vm, actions);
       }
+      SetPhase(wave->wave.number, host, &progress, host_phase::kDue);
       progress = {};
       continue;
     }
@@ -391,7 +415,7 @@
                          down < wave->wave.max_concurrent;
     if (is_repeat || is_turn) {
       down += is_turn ? 1 : 0;
-      progress.phase = host_phase::kOrdered;
+      SetPhase(wave->wave.number, host, &progress, host_phase::kOrdered);
       progress.is_order_in_flight = true;
       actions->emplace_back(service_host{wave->wave.number, host});
     }
@@ -402,7 +426,7 @@
     // available again.
     for (auto& [host, progress] : wave->hosts) {
       if (progress.phase == host_phase::kClosing) {
-        progress.phase = host_phase::kDone;
+        SetPhase(wave->wave.number, host, &progress, host_phase::kDone);
       }
     }
     actions->emplace_back(complete_wave{wave->wave.number});
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -64,13 +64,14 @@
   kHostNotServiced,
   kHostMoved,
   kHostOrdersLate,
+  kHostPhaseChanged,
   kFleetSized,
   kPoolSized,
   kWaveCompleted,
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 56> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 57> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -123,6 +124,7 @@
     {job_event::kHostNotServiced, "host not serviced"},
     {job_event::kHostMoved, "host moved"},
     {job_event::kHostOrdersLate, "host orders late"},
+    {job_event::kHostPhaseChanged, "host phase changed"},
     {job_event::kFleetSized, "fleet sized"},
     {job_event::kPoolSized, "pool sized"},
     {job_event::kWaveCompleted, "wave completed"},
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -179,6 +179,7 @@
   for (const core::jobs::wave_action& action : maintenance_.Plan(now)) {
     std::visit([this](const auto& kind) { Execute(kind); }, action);
   }
+  LogPhaseChanges();
   balancer_.UpdateLeaving(deps_.view->registry().Draining());
   for (const core::jobs::move_host& move :
        balancer_.Plan(HostsExcludedFromMoves(now), now)) {
@@ -213,6 +214,25 @@
             {"list_ms", MillisOf(now - list_requested_at_)}});
 }
 
+void fleet_owner::impl::LogPhaseChanges() {
+  for (const core::jobs::host_phase_change& change :
+       maintenance_.TakePhaseChanges()) {
+    observe::log_fields fields = {
+        {"host", change.host},
+        {"wave", std::to_string(change.wave)},
+        {"from", std::string(core::NameOf(change.from))},
+        {"to", std::string(core::NameOf(change.to))},
+        {"vm", change.vm}};
+    if (change.listed_state) {
+      fields.emplace_back("listed",
+                          std::string(core::NameOf(*change.listed_state)));
+      fields.emplace_back("listed_vm", change.listed_vm);
+    }
+    AppendAge("listed_ms_ago", change.listed_at, &fields);
+    LogEvent(job_event::kHostPhaseChanged, fields);
+  }
+}
+
 void fleet_owner::impl::Execute(const core::jobs::close_vm& action) {
   fleet_outbox_.Put(EncodeClosedVm(action.vm));
 }
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -53,6 +53,7 @@
   void RunCycle();
   /// Logs the state of the hosts that pools want, if it has changed.
   void LogStats(core::time_point now);
+  void LogPhaseChanges();
   void Execute(const core::jobs::close_vm& action);
   void Execute(const core::jobs::release_vm& action);
   void Execute(const core::jobs::service_host& action);
