Let lists decide what an unanswered service order has done

Cause: the host was in service when its order was repeated. The refusal "busy" was taken to mean that the host had not been serviced. The host went back to closing, its next incarnation was drained and ordered, and the answer "already done" made the wave wait for a return that had already happened. Change: an answer speaks of its own order only. After an order without an answer, the host counts as down through any later refusal (busy, limited, not sent) until a list that was requested after the last answer shows it in service (it was serviced: recorded), in another incarnation (drained and ordered again), or crashed or moving (the next host need not wait). A row that cannot be read decides nothing. Evidence: maintenance_scheduler_test "A refused order does not tell what an unanswered order has done" fails in four sections on the code before; among them, a second host was ordered while the first was in service (LIMIT).

--- a/include/plantainhead/core/jobs/maintenance.h
+++ b/include/plantainhead/core/jobs/maintenance.h
@@ -72,6 +72,8 @@
   std::vector<std::string> labels;
   /// Its current incarnation; empty if there is none.
   vm_id vm;
+  /// False if only the name could be read; `state` is then not the actual one.
+  bool is_readable = true;
 };
 
 }  // namespace plantainhead::core::jobs
--- a/include/plantainhead/core/jobs/maintenance_scheduler.h
+++ b/include/plantainhead/core/jobs/maintenance_scheduler.h
@@ -38,8 +38,15 @@
   std::uint64_t wave = 0;
 };
 
-using wave_action =
-    std::variant<close_vm, release_vm, service_host, complete_wave>;
+/// Action: record that the host was taken down for service, although no answer
+/// to its order has said so.
+struct record_service {
+  std::uint64_t wave = 0;
+  host_id host;
+};
+
+using wave_action = std::
+    variant<close_vm, release_vm, service_host, record_service, complete_wave>;
 
 /// A change of the progress of a host, for logs.
 struct host_phase_change {
@@ -60,7 +67,8 @@
 enum class service_result {
   /// The service has begun, or was already done.
   kAccepted,
-  /// The service has certainly not begun; retry later.
+  /// The service has not begun with this order; retry later. This does not tell
+  /// whether it has begun with an earlier order.
   kTemporaryFailure,
   /// The host cannot be serviced in this wave.
   kPermanentFailure,
@@ -141,6 +149,10 @@
     /// The incarnation that is being drained or was terminated.
     vm_id vm;
     bool is_order_in_flight = false;
+    /// An order for this incarnation was not answered.
+    bool may_have_begun = false;
+    /// When the last answer arrived, or was given up.
+    time_point answered_at;
     time_point next_order_at;
     /// When the service order was accepted.
     time_point accepted_at;
@@ -174,10 +186,30 @@
                 time_point now,
                 std::vector<wave_action>* actions);
   void NoteReturns(fleet_wave* wave, std::vector<wave_action>* actions);
+  /// Decides from the current list what became of orders without an answer.
+  void ResolveOrders(fleet_wave* wave, std::vector<wave_action>* actions);
+  void OrderServices(fleet_wave* wave,
+                     time_point now,
+                     std::vector<wave_action>* actions);
+  void Complete(fleet_wave* wave, std::vector<wave_action>* actions);
+  bool IsBack(const host_progress& progress, const listed_host& listed) const;
+  /// Returns whether a service of the host may belong to another wave.
+  bool MayBelongToOther(std::uint64_t wave, const host_id& host) const;
+  /// Returns whether the host is in service or may soon be.
+  bool MayBeDown(const host_progress& progress,
+                 const listed_host* listed) const;
+  /// Returns whether the host is up in the incarnation that was drained.
+  bool IsDrained(const host_progress& progress,
+                 const listed_host& listed) const;
   void SetPhase(std::uint64_t wave,
                 const host_id& host,
                 host_progress* progress,
                 host_phase phase);
+  /// Makes the host due again, in another incarnation.
+  void Restart(std::uint64_t wave,
+               const host_id& host,
+               host_progress* progress,
+               std::vector<wave_action>* actions);
   const listed_host* FindHost(const host_id& host) const;
   const listed_host* FindHost(const host_id& host, host_progress* progress);
   bool IsMissing(const listed_host* listed) const;
--- a/src/core/jobs/fleet_list.cc
+++ b/src/core/jobs/fleet_list.cc
@@ -11,6 +11,7 @@
   fleet_host host;
   host.host = name;
   host.state = host_state::kDown;
+  host.is_readable = false;
   return host;
 }
 
--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -100,6 +100,7 @@
   }
   host_progress& progress = found->second.hosts[host];
   progress.is_order_in_flight = false;
+  progress.answered_at = now;
   progress.next_order_at = now + settings_.order_retry;
   switch (result) {
     case service_result::kAccepted:
@@ -107,13 +108,18 @@
       SetPhase(wave, host, &progress, host_phase::kDown);
       return;
     case service_result::kTemporaryFailure:
-      SetPhase(wave, host, &progress, host_phase::kClosing);
+      // A host that an earlier order has taken down is refused as busy. It
+      // counts as down until a list shows what became of that order.
+      if (!progress.may_have_begun) {
+        SetPhase(wave, host, &progress, host_phase::kClosing);
+      }
       return;
     case service_result::kPermanentFailure:
       SetPhase(wave, host, &progress, host_phase::kDone);
       return;
     case service_result::kUnknown:
-      // The host counts as down until an answer arrives.
+      // The host counts as down until a list or an answer shows otherwise.
+      progress.may_have_begun = true;
       return;
   }
 }
@@ -204,10 +210,19 @@
   return busy;
 }
 
-// A host is back when it is up in another incarnation, which may have the same
-// VM id. A list that was requested before the host went down shows it as up,
-// and a host of a spare pool has no incarnation to compare. Such a list must
-// not count as a return, since one host too many would be taken down.
+// A list that was requested before the host went down shows it as up, and a
+// host of a spare pool has no incarnation to compare. Such a list must not
+// count as a return, since one host too many would be taken down.
+bool maintenance_scheduler::IsBack(const host_progress& progress,
+                                   const listed_host& listed) const {
+  if (listed.host.state != host_state::kUp ||
+      listed.last_listed <= progress.accepted_at) {
+    return false;
+  }
+  return progress.vm.empty() || listed.host.vm != progress.vm ||
+         progress.was_seen_down;
+}
+
 void maintenance_scheduler::NoteReturns(fleet_wave* wave,
                                         std::vector<wave_action>* actions) {
   for (auto& [host, progress] : wave->hosts) {
@@ -221,12 +236,7 @@
     progress.was_seen_down = progress.was_seen_down ||
                              (listed->host.state == host_state::kInService &&
                               listed->last_listed > progress.accepted_at);
-    const bool is_back =
-        listed->host.state == host_state::kUp &&
-        listed->last_listed > progress.accepted_at &&
-        (progress.vm.empty() || listed->host.vm != progress.vm ||
-         progress.was_seen_down);
-    if (is_back) {
+    if (IsBack(progress, *listed)) {
       SetPhase(wave->wave.number, host, &progress, host_phase::kDone);
       if (!progress.vm.empty()) {
         Release(progress.vm, actions);
@@ -235,12 +245,78 @@
   }
 }
 
+bool maintenance_scheduler::MayBelongToOther(std::uint64_t wave,
+                                             const host_id& host) const {
+  return std::any_of(waves_.begin(), waves_.end(), [&](const auto& entry) {
+    const auto found = entry.second.hosts.find(host);
+    return entry.first != wave && found != entry.second.hosts.end() &&
+           (found->second.phase == host_phase::kOrdered ||
+            found->second.phase == host_phase::kDown);
+  });
+}
+
+void maintenance_scheduler::Restart(std::uint64_t wave,
+                                    const host_id& host,
+                                    host_progress* progress,
+                                    std::vector<wave_action>* actions) {
+  if (!progress->vm.empty()) {
+    Release(progress->vm, actions);
+  }
+  SetPhase(wave, host, progress, host_phase::kDue);
+  *progress = {};
+}
+
+// The answer to a later order does not tell whether an earlier order without an
+// answer was carried out, so lists that were requested after it decide. A host
+// in service was taken down by it. A host that is up in another incarnation may
+// have been serviced or may have restarted by itself. It runs tasks again, so
+// that it is drained before it is ordered once more.
+void maintenance_scheduler::ResolveOrders(fleet_wave* wave,
+                                          std::vector<wave_action>* actions) {
+  const std::uint64_t number = wave->wave.number;
+  for (auto& [host, progress] : wave->hosts) {
+    const bool is_unanswered =
+        progress.phase == host_phase::kOrdered && !progress.is_order_in_flight;
+    const listed_host* listed =
+        is_unanswered ? FindHost(host, &progress) : nullptr;
+    if (listed == nullptr || !listed->host.is_readable ||
+        listed->last_listed <= progress.answered_at) {
+      continue;
+    }
+    switch (listed->host.state) {
+      case host_state::kInService:
+        if (!MayBelongToOther(number, host)) {
+          progress.accepted_at = progress.answered_at;
+          SetPhase(number, host, &progress, host_phase::kDown);
+          actions->emplace_back(record_service{number, host});
+        }
+        break;
+      case host_state::kUp:
+        if (listed->host.vm != progress.vm) {
+          Restart(number, host, &progress, actions);
+        }
+        break;
+      case host_state::kMoving:
+      case host_state::kDown:
+        // It is not in service, and the next host need not wait for it.
+        SetPhase(number, host, &progress, host_phase::kClosing);
+        break;
+    }
+  }
+}
+
 bool maintenance_scheduler::IsReady(const host_progress& progress,
                                     const fleet_host& host) const {
   return host.vm.empty() || spare_.count(host.pool) != 0 ||
          empty_.count(progress.vm) != 0;
 }
 
+bool maintenance_scheduler::IsDrained(const host_progress& progress,
+                                      const listed_host& listed) const {
+  return listed.host.state == host_state::kUp &&
+         listed.host.vm == progress.vm && IsReady(progress, listed.host);
+}
+
 bool maintenance_scheduler::RunsTasks(const fleet_host& host) const {
   return !host.vm.empty() && spare_.count(host.pool) == 0;
 }
@@ -371,28 +447,28 @@
   }
 }
 
-void maintenance_scheduler::PlanWave(fleet_wave* wave,
-                                     time_point now,
-                                     std::vector<wave_action>* actions) {
-  NoteReturns(wave, actions);
-  if (wave->is_complete) {
-    return;
+bool maintenance_scheduler::MayBeDown(const host_progress& progress,
+                                      const listed_host* listed) const {
+  if (progress.phase == host_phase::kOrdered ||
+      progress.phase == host_phase::kDown) {
+    return true;
   }
+  return listed != nullptr && listed->host.state == host_state::kInService;
+}
+
+void maintenance_scheduler::OrderServices(fleet_wave* wave,
+                                          time_point now,
+                                          std::vector<wave_action>* actions) {
+  const std::uint64_t number = wave->wave.number;
   auto down = std::count_if(
       wave->hosts.begin(), wave->hosts.end(), [this](auto& entry) {
-        const listed_host* listed = FindHost(entry.first, &entry.second);
-        const bool is_in_service =
-            listed != nullptr && listed->host.state == host_state::kInService;
-        return is_in_service || entry.second.phase == host_phase::kOrdered ||
-               entry.second.phase == host_phase::kDown;
+        return MayBeDown(entry.second, FindHost(entry.first, &entry.second));
       });
-  bool is_complete = true;
   for (auto& [host, progress] : wave->hosts) {
-    const listed_host* listed = FindHost(host, &progress);
-    const bool is_open = progress.phase != host_phase::kDone &&
-                         progress.phase != host_phase::kDown;
-    is_complete = is_complete && (!is_open || IsMissing(listed));
-    if (listed == nullptr || !is_open || progress.is_order_in_flight ||
+    const bool is_begun = progress.phase == host_phase::kClosing ||
+                          progress.phase == host_phase::kOrdered;
+    const listed_host* listed = is_begun ? FindHost(host, &progress) : nullptr;
+    if (listed == nullptr || progress.is_order_in_flight ||
         now < progress.next_order_at) {
       continue;
     }
@@ -401,37 +477,55 @@
                              listed->host.vm != progress.vm;
     if (is_new_life) {
       // The incarnation that was being drained has ended on its own.
-      if (!progress.vm.empty()) {
-        Release(progress.vm, actions);
-      }
-      SetPhase(wave->wave.number, host, &progress, host_phase::kDue);
-      progress = {};
+      Restart(number, host, &progress, actions);
       continue;
     }
     const bool is_repeat = progress.phase == host_phase::kOrdered;
-    const bool is_turn = progress.phase == host_phase::kClosing &&
-                         listed->host.state == host_state::kUp &&
-                         IsReady(progress, listed->host) &&
-                         down < wave->wave.max_concurrent;
-    if (is_repeat || is_turn) {
-      down += is_turn ? 1 : 0;
-      SetPhase(wave->wave.number, host, &progress, host_phase::kOrdered);
+    if (!is_repeat && !IsDrained(progress, *listed)) {
+      continue;
+    }
+    const bool is_counted = MayBeDown(progress, listed);
+    if (is_counted || down < wave->wave.max_concurrent) {
+      down += is_counted ? 0 : 1;
+      SetPhase(number, host, &progress, host_phase::kOrdered);
       progress.is_order_in_flight = true;
-      actions->emplace_back(service_host{wave->wave.number, host});
+      actions->emplace_back(service_host{number, host});
     }
   }
-  if (is_complete) {
-    wave->is_complete = true;
-    // Hosts that were still being drained have left. If one returns, it is
-    // available again.
-    for (auto& [host, progress] : wave->hosts) {
-      if (progress.phase == host_phase::kClosing) {
-        SetPhase(wave->wave.number, host, &progress, host_phase::kDone);
-      }
+}
+
+void maintenance_scheduler::Complete(fleet_wave* wave,
+                                     std::vector<wave_action>* actions) {
+  wave->is_complete = true;
+  // Hosts that were still being drained have left. If one returns, it is
+  // available again.
+  for (auto& [host, progress] : wave->hosts) {
+    if (progress.phase == host_phase::kClosing) {
+      SetPhase(wave->wave.number, host, &progress, host_phase::kDone);
     }
-    actions->emplace_back(complete_wave{wave->wave.number});
+  }
+  actions->emplace_back(complete_wave{wave->wave.number});
+}
+
+void maintenance_scheduler::PlanWave(fleet_wave* wave,
+                                     time_point now,
+                                     std::vector<wave_action>* actions) {
+  NoteReturns(wave, actions);
+  if (wave->is_complete) {
+    return;
+  }
+  ResolveOrders(wave, actions);
+  const bool is_complete =
+      std::all_of(wave->hosts.begin(), wave->hosts.end(), [this](auto& entry) {
+        const host_phase phase = entry.second.phase;
+        return phase == host_phase::kDone || phase == host_phase::kDown ||
+               IsMissing(FindHost(entry.first, &entry.second));
+      });
+  if (is_complete) {
+    Complete(wave, actions);
     return;
   }
+  OrderServices(wave, now, actions);
   CloseNext(wave, now, actions);
 }
 
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -246,6 +246,10 @@
   queue_.Add(action);
 }
 
+void fleet_owner::impl::Execute(const core::jobs::record_service& action) {
+  fleet_outbox_.Put(EncodeServicedHost({action.wave, action.host}));
+}
+
 void fleet_owner::impl::Execute(const core::jobs::complete_wave& action) {
   LogEvent(job_event::kWaveCompleted, {{"wave", std::to_string(action.wave)}});
   fleet_outbox_.Put(EncodeCompletedWave(action.wave));
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -57,6 +57,7 @@
   void Execute(const core::jobs::close_vm& action);
   void Execute(const core::jobs::release_vm& action);
   void Execute(const core::jobs::service_host& action);
+  void Execute(const core::jobs::record_service& action);
   void Execute(const core::jobs::complete_wave& action);
 
   // Fleet records and the host list.
--- a/tests/core/jobs/maintenance_scheduler_test.cc
+++ b/tests/core/jobs/maintenance_scheduler_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace plantainhead::core::jobs {
 namespace {
@@ -313,6 +314,109 @@
   }
 }
 
+// Guards against a wave that stops for good: the answer to an order is lost,
+// and the refusal of the repeated order is taken to mean that the host was not
+// serviced.
+TEST_CASE("A refused order does not tell what an unanswered order has done") {
+  maintenance_scheduler scheduler{maintenance_settings()};
+  time_point now{std::chrono::hours(1)};
+  scheduler.AddWave(Wave({"h1", "h2"}, 1));
+  std::vector<fleet_host> hosts = {Host("h1", "p", "a1"),
+                                   Host("h2", "p", "a2")};
+  const auto list = [&] {
+    now += milliseconds(100);
+    scheduler.UpdateHosts(hosts, {}, now);
+    now += milliseconds(10);
+  };
+  const auto answer = [&](service_result result) {
+    now += milliseconds(10);
+    scheduler.OnServiceAnswer(7, "h1", result, now);
+  };
+  list();
+  scheduler.Plan(now);
+  scheduler.UpdateClosed({"a1", "a2"});
+  scheduler.UpdateEmpty({"a1", "a2"});
+  REQUIRE(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  answer(service_result::kUnknown);
+  now += seconds(1);
+  REQUIRE(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  answer(service_result::kTemporaryFailure);
+
+  SECTION("the host counts as down") {
+    CHECK(Of<service_host>(scheduler.Plan(now)).empty());
+
+    SECTION("also while the list shows it as it was, and is ordered again") {
+      now += seconds(1);
+      list();
+      const auto ordered = Of<service_host>(scheduler.Plan(now));
+      REQUIRE(ordered.size() == 1);
+      CHECK(ordered[0].host == "h1");
+    }
+
+    SECTION("also while its row in the list is unreadable") {
+      hosts[0].state = host_state::kDown;
+      hosts[0].is_readable = false;
+      list();
+      CHECK(Of<service_host>(scheduler.Plan(now)).empty());
+    }
+  }
+
+  SECTION("a host that a list shows in service was serviced") {
+    hosts[0].state = host_state::kInService;
+    list();
+    auto actions = scheduler.Plan(now);
+    REQUIRE(Of<record_service>(actions).size() == 1);
+    CHECK(Of<record_service>(actions)[0].host == "h1");
+    CHECK(Of<service_host>(actions).empty());
+
+    SECTION("and the next host goes down when it is back") {
+      hosts[0] = Host("h1", "p", "b1");
+      list();
+      actions = scheduler.Plan(now);
+      REQUIRE(Of<release_vm>(actions).size() == 1);
+      CHECK(Of<release_vm>(actions)[0].vm == "a1");
+      REQUIRE(Of<service_host>(actions).size() == 1);
+      CHECK(Of<service_host>(actions)[0].host == "h2");
+    }
+  }
+
+  SECTION("a host that no list has shown in service is drained again") {
+    hosts[0] = Host("h1", "p", "b1");
+    list();
+    const auto actions = scheduler.Plan(now);
+    REQUIRE(Of<release_vm>(actions).size() == 1);
+    CHECK(Of<release_vm>(actions)[0].vm == "a1");
+    scheduler.UpdateClosed({"a2", "b1"});
+    scheduler.UpdateEmpty({"a2", "b1"});
+    // The released slot may go to either host.
+    scheduler.OnServiceAnswer(7, "h2", service_result::kPermanentFailure, now);
+    now += seconds(1);
+    list();
+    const auto ordered = Of<service_host>(scheduler.Plan(now));
+    REQUIRE(ordered.size() == 1);
+    REQUIRE(ordered[0].host == "h1");
+    answer(service_result::kAccepted);
+
+    SECTION("and the wave completes if the service was already done") {
+      CHECK(Of<complete_wave>(scheduler.Plan(now)).size() == 1);
+    }
+
+    SECTION("and it is not back before a service that begins now can be seen") {
+      list();
+      CHECK(Of<release_vm>(scheduler.Plan(now)).empty());
+      CHECK(scheduler.BusyHosts() == std::set<host_id>{"h1"});
+    }
+  }
+
+  SECTION("the next host does not wait for a host that has crashed") {
+    hosts[0].state = host_state::kDown;
+    list();
+    const auto ordered = Of<service_host>(scheduler.Plan(now));
+    REQUIRE(ordered.size() == 1);
+    CHECK(ordered[0].host == "h2");
+  }
+}
+
 // Load pattern: a wave of 24 of 49 hosts with a time limit of 27 s, at most 10
 // hosts at once, while each pool in turn has a burst and wants every VM. At the
 // fastest rate that the wave allows, a fifth of the fleet is unavailable during
