Release a host whose service was done before it was ordered

What callers would see: a VM stays closed for good after its wave, and is moved by nobody. Cause: the owner of the fleet is lost after it has ordered a service and before it has recorded it. The next owner drains the host's next incarnation, orders it and is answered "already done". It then waits for a return of a host that does not go down. No answer has to be lost for this. Change: a host that a list, requested 3 s after the accepted order, still shows up in the same incarnation was serviced before. A list that is older decides nothing, so that a service which begins with this order is not missed, and the wave's limit holds. Evidence: maintenance_scheduler_test "A host that was serviced but not recorded so is released" fails on the code before.

--- a/include/plantainhead/core/jobs/maintenance_scheduler.h
+++ b/include/plantainhead/core/jobs/maintenance_scheduler.h
@@ -89,6 +89,9 @@
   /// An order that may not have arrived is sent again after this time. Orders
   /// are idempotent.
   duration order_retry = std::chrono::seconds(1);
+  /// A host that a list still shows up in the same incarnation, requested this
+  /// long after an order was accepted, was serviced before that order.
+  duration service_visible_limit = std::chrono::seconds(3);
   /// A host is considered to have left permanently if fleet lists have omitted
   /// it for this time, measured from the first such list to the last. Racks
   /// that lose power return within 8 s.
--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -212,7 +212,8 @@
 
 // A list that was requested before the host went down shows it as up, and a
 // host of a spare pool has no incarnation to compare. Such a list must not
-// count as a return, since one host too many would be taken down.
+// count as a return, since one host too many would be taken down. A host that
+// was serviced before the order that was accepted does not go down at all.
 bool maintenance_scheduler::IsBack(const host_progress& progress,
                                    const listed_host& listed) const {
   if (listed.host.state != host_state::kUp ||
@@ -220,7 +221,9 @@
     return false;
   }
   return progress.vm.empty() || listed.host.vm != progress.vm ||
-         progress.was_seen_down;
+         progress.was_seen_down ||
+         listed.last_listed - progress.accepted_at >
+             settings_.service_visible_limit;
 }
 
 void maintenance_scheduler::NoteReturns(fleet_wave* wave,
--- a/tests/core/jobs/maintenance_scheduler_test.cc
+++ b/tests/core/jobs/maintenance_scheduler_test.cc
@@ -399,6 +399,12 @@
 
     SECTION("and the wave completes if the service was already done") {
       CHECK(Of<complete_wave>(scheduler.Plan(now)).size() == 1);
+      now += seconds(4);
+      list();
+      const auto back = Of<release_vm>(scheduler.Plan(now));
+      REQUIRE(back.size() == 1);
+      CHECK(back[0].vm == "b1");
+      CHECK(scheduler.BusyHosts().empty());
     }
 
     SECTION("and it is not back before a service that begins now can be seen") {
@@ -417,6 +423,28 @@
   }
 }
 
+// Guards against a wave whose last host stays closed for good: an earlier
+// scheduler was lost before it recorded that the host was serviced, and the
+// next one waits for a service that does not begin.
+TEST_CASE("A host that was serviced but not recorded so is released") {
+  maintenance_scheduler scheduler{maintenance_settings()};
+  time_point now{std::chrono::hours(1)};
+  scheduler.AddWave(Wave({"h1"}, 1));
+  scheduler.UpdateHosts({Host("h1", "p", "b1")}, {}, now);
+  scheduler.Plan(now);
+  scheduler.UpdateClosed({"b1"});
+  scheduler.UpdateEmpty({"b1"});
+  REQUIRE(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  scheduler.OnServiceAnswer(7, "h1", service_result::kAccepted, now);
+  CHECK(Of<complete_wave>(scheduler.Plan(now)).size() == 1);
+  for (int i = 0; i < 10; ++i) {
+    now += seconds(1);
+    scheduler.UpdateHosts({Host("h1", "p", "b1")}, {}, now);
+    scheduler.Plan(now);
+  }
+  CHECK(scheduler.BusyHosts().empty());
+}
+
 // Load pattern: a wave of 24 of 49 hosts with a time limit of 27 s, at most 10
 // hosts at once, while each pool in turn has a burst and wants every VM. At the
 // fastest rate that the wave allows, a fifth of the fleet is unavailable during
