Don't repeat a service order for an incarnation that was not drained

What callers would see: tasks on a VM are terminated by a service although the VM was not drained. Cause: an order without an answer was repeated every second, whatever the list showed. If it was never carried out and the host restarted by itself, the repetition met an incarnation that runs tasks. Change: an order, repeated or not, is planned only while the list shows the host up in the incarnation that was drained and is still recorded as drained. Evidence: maintenance_scheduler_test "An order is not repeated for an incarnation that was not drained" fails in both sections on the code before.

--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -483,8 +483,7 @@
       Restart(number, host, &progress, actions);
       continue;
     }
-    const bool is_repeat = progress.phase == host_phase::kOrdered;
-    if (!is_repeat && !IsDrained(progress, *listed)) {
+    if (!IsDrained(progress, *listed)) {
       continue;
     }
     const bool is_counted = MayBeDown(progress, listed);
--- a/tests/core/jobs/maintenance_scheduler_test.cc
+++ b/tests/core/jobs/maintenance_scheduler_test.cc
@@ -357,6 +357,7 @@
       hosts[0].state = host_state::kDown;
       hosts[0].is_readable = false;
       list();
+      now += seconds(1);
       CHECK(Of<service_host>(scheduler.Plan(now)).empty());
     }
   }
@@ -423,6 +424,38 @@
   }
 }
 
+// Guards against tasks that are terminated: an order is not carried out, the
+// host restarts by itself, and the order is repeated although the next
+// incarnation runs tasks.
+TEST_CASE("An order is not repeated for an incarnation that was not drained") {
+  maintenance_scheduler scheduler{maintenance_settings()};
+  time_point now{std::chrono::hours(1)};
+  scheduler.AddWave(Wave({"h1"}, 1));
+  scheduler.UpdateHosts({Host("h1", "p", "a1")}, {}, now);
+  scheduler.Plan(now);
+  scheduler.UpdateEmpty({"a1"});
+  REQUIRE(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  scheduler.OnServiceAnswer(7, "h1", service_result::kUnknown, now);
+  now += seconds(2);
+
+  SECTION("after it has restarted") {
+    scheduler.UpdateHosts({Host("h1", "p", "b1")}, {}, now);
+    const auto actions = scheduler.Plan(now);
+    CHECK(Of<service_host>(actions).empty());
+    REQUIRE(Of<close_vm>(actions).size() == 1);
+    CHECK(Of<close_vm>(actions)[0].vm == "b1");
+    now += seconds(2);
+    CHECK(Of<service_host>(scheduler.Plan(now)).empty());
+    scheduler.UpdateEmpty({"b1"});
+    CHECK(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  }
+
+  SECTION("nor if its VM is no longer recorded as drained") {
+    scheduler.UpdateEmpty({});
+    CHECK(Of<service_host>(scheduler.Plan(now)).empty());
+  }
+}
+
 // Guards against a wave whose last host stays closed for good: an earlier
 // scheduler was lost before it recorded that the host was serviced, and the
 // next one waits for a service that does not begin.
