Count hosts that an earlier owner may have ordered as down

What operators would see: a wave takes down one host more than its maximum. Cause: the owner of the fleet is lost while an order is on its way. The next owner reads a list that shows the host up, and orders another one before the first order is carried out. It did not order the recorded host itself for a while, but did not count it either. Closed VMs are continued with first, which hid this for hosts of pools; hosts of a spare pool have no VM to close. Change: a host with an order record that must not be ordered yet counts as down if it runs no tasks, and no order is planned for it, so that none waits in the queue until the host may be in another state. Evidence: maintenance_scheduler_test "A host that an earlier scheduler may have ordered counts as down" fails on the code before.

--- a/include/plantainhead/core/jobs/maintenance_scheduler.h
+++ b/include/plantainhead/core/jobs/maintenance_scheduler.h
@@ -129,6 +129,9 @@
   void UpdateEmpty(std::set<vm_id> empty) { empty_ = std::move(empty); }
   /// Like `UpdateEmpty`, for one VM.
   void NoteEmpty(const vm_id& vm, bool is_empty);
+  /// Replaces the set of hosts that an earlier scheduler may have ordered and
+  /// that must not be ordered yet.
+  void UpdateBlocked(std::set<host_id> hosts) { blocked_ = std::move(hosts); }
   void OnServiceAnswer(std::uint64_t wave,
                        const host_id& host,
                        service_result result,
@@ -199,7 +202,8 @@
   /// Returns whether a service of the host may belong to another wave.
   bool MayBelongToOther(std::uint64_t wave, const host_id& host) const;
   /// Returns whether the host is in service or may soon be.
-  bool MayBeDown(const host_progress& progress,
+  bool MayBeDown(const host_id& host,
+                 const host_progress& progress,
                  const listed_host* listed) const;
   /// Returns whether the host is up in the incarnation that was drained.
   bool IsDrained(const host_progress& progress,
@@ -247,6 +251,7 @@
   /// VMs that were released but are still recorded as closed.
   std::set<vm_id> released_;
   std::set<vm_id> empty_;
+  std::set<host_id> blocked_;
   std::vector<host_phase_change> phase_changes_;
   time_point first_requested_at_;
   time_point requested_at_;
--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -450,13 +450,25 @@
   }
 }
 
-bool maintenance_scheduler::MayBeDown(const host_progress& progress,
+// An earlier scheduler may have ordered a blocked host just before it was lost,
+// so that the host goes down after the list was read. Only a host that runs no
+// tasks can have been ordered.
+bool maintenance_scheduler::MayBeDown(const host_id& host,
+                                      const host_progress& progress,
                                       const listed_host* listed) const {
   if (progress.phase == host_phase::kOrdered ||
       progress.phase == host_phase::kDown) {
     return true;
   }
-  return listed != nullptr && listed->host.state == host_state::kInService;
+  if (listed == nullptr) {
+    return false;
+  }
+  const fleet_host& shown = listed->host;
+  const bool was_orderable =
+      shown.state == host_state::kUp && progress.phase != host_phase::kDone &&
+      (!RunsTasks(shown) || closed_.count(shown.vm) != 0);
+  return shown.state == host_state::kInService ||
+         (was_orderable && blocked_.count(host) != 0);
 }
 
 void maintenance_scheduler::OrderServices(fleet_wave* wave,
@@ -465,7 +477,8 @@
   const std::uint64_t number = wave->wave.number;
   auto down = std::count_if(
       wave->hosts.begin(), wave->hosts.end(), [this](auto& entry) {
-        return MayBeDown(entry.second, FindHost(entry.first, &entry.second));
+        return MayBeDown(entry.first, entry.second,
+                         FindHost(entry.first, &entry.second));
       });
   for (auto& [host, progress] : wave->hosts) {
     const bool is_begun = progress.phase == host_phase::kClosing ||
@@ -483,10 +496,10 @@
       Restart(number, host, &progress, actions);
       continue;
     }
-    if (!IsDrained(progress, *listed)) {
+    if (!IsDrained(progress, *listed) || blocked_.count(host) != 0) {
       continue;
     }
-    const bool is_counted = MayBeDown(progress, listed);
+    const bool is_counted = MayBeDown(host, progress, listed);
     if (is_counted || down < wave->wave.max_concurrent) {
       down += is_counted ? 0 : 1;
       SetPhase(number, host, &progress, host_phase::kOrdered);
--- a/src/jobs/fleet_owner.cc
+++ b/src/jobs/fleet_owner.cc
@@ -176,6 +176,7 @@
   if (!is_listing_ && now - listed_at_ >= settings_.list_interval) {
     List();
   }
+  maintenance_.UpdateBlocked(order_tracker_.BlockedHosts(now));
   for (const core::jobs::wave_action& action : maintenance_.Plan(now)) {
     std::visit([this](const auto& kind) { Execute(kind); }, action);
   }
--- a/tests/core/jobs/maintenance_scheduler_test.cc
+++ b/tests/core/jobs/maintenance_scheduler_test.cc
@@ -478,6 +478,32 @@
   CHECK(scheduler.BusyHosts().empty());
 }
 
+// Guards against one host too many in service: an earlier scheduler has ordered
+// a host just before it was lost, and the order is carried out after the next
+// one has read the list.
+TEST_CASE("A host that an earlier scheduler may have ordered counts as down") {
+  maintenance_scheduler scheduler{maintenance_settings()};
+  time_point now{std::chrono::hours(1)};
+  scheduler.AddWave(Wave({"h1", "h2"}, 1));
+  std::vector<fleet_host> hosts = {Host("h1", "spare", ""),
+                                   Host("h2", "spare", "")};
+  scheduler.UpdateBlocked({"h2"});
+  scheduler.UpdateHosts(hosts, {"spare"}, now);
+  scheduler.Plan(now);
+  CHECK(Of<service_host>(scheduler.Plan(now)).empty());
+
+  SECTION("until that order can no longer be carried out") {
+    scheduler.UpdateBlocked({});
+    CHECK(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  }
+
+  SECTION("unless the list shows that it runs tasks") {
+    hosts[1] = Host("h2", "p", "a2");
+    scheduler.UpdateHosts(hosts, {"spare"}, now);
+    CHECK(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  }
+}
+
 // Load pattern: a wave of 24 of 49 hosts with a time limit of 27 s, at most 10
 // hosts at once, while each pool in turn has a burst and wants every VM. At the
 // fastest rate that the wave allows, a fifth of the fleet is unavailable during
