Release a host that returns after its wave has completed

What callers would see: a VM that is up and idle, and never used or moved again. Cause: a host whose order was not answered had left, and its wave completed without it. When the host returned, nothing looked at it any more: its VM stayed closed, and the host excluded from moves. Change: the lists decide what became of an unanswered order also after the wave has completed. A host that is up again is released. Evidence: maintenance_scheduler_test "A host that returns after its wave has completed is released" fails on the code before.

--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -295,7 +295,7 @@
         }
         break;
       case host_state::kUp:
-        if (listed->host.vm != progress.vm) {
+        if (listed->host.vm != progress.vm || wave->is_complete) {
           Restart(number, host, &progress, actions);
         }
         break;
@@ -526,10 +526,10 @@
                                      time_point now,
                                      std::vector<wave_action>* actions) {
   NoteReturns(wave, actions);
+  ResolveOrders(wave, actions);
   if (wave->is_complete) {
     return;
   }
-  ResolveOrders(wave, actions);
   const bool is_complete =
       std::all_of(wave->hosts.begin(), wave->hosts.end(), [this](auto& entry) {
         const host_phase phase = entry.second.phase;
--- a/tests/core/jobs/maintenance_scheduler_test.cc
+++ b/tests/core/jobs/maintenance_scheduler_test.cc
@@ -456,6 +456,33 @@
   }
 }
 
+// Guards against a host that no wave and no pool can use any more: it had left
+// while its order was unanswered, and returns after the wave has completed.
+TEST_CASE("A host that returns after its wave has completed is released") {
+  maintenance_scheduler scheduler{maintenance_settings()};
+  time_point now{std::chrono::hours(1)};
+  scheduler.AddWave(Wave({"h1"}, 1));
+  const std::vector<fleet_host> hosts = {Host("h1", "p", "a1"),
+                                         Host("h2", "p", "a2")};
+  scheduler.UpdateHosts(hosts, {}, now);
+  scheduler.Plan(now);
+  scheduler.UpdateClosed({"a1"});
+  scheduler.UpdateEmpty({"a1"});
+  REQUIRE(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  scheduler.OnServiceAnswer(7, "h1", service_result::kUnknown, now);
+  for (int i = 0; i < 12; ++i) {
+    now += seconds(1);
+    scheduler.UpdateHosts({hosts[1]}, {}, now);
+  }
+  REQUIRE(Of<complete_wave>(scheduler.Plan(now)).size() == 1);
+  now += seconds(1);
+  scheduler.UpdateHosts(hosts, {}, now);
+  const auto released = Of<release_vm>(scheduler.Plan(now));
+  REQUIRE(released.size() == 1);
+  CHECK(released[0].vm == "a1");
+  CHECK(scheduler.BusyHosts().empty());
+}
+
 // Guards against a wave whose last host stays closed for good: an earlier
 // scheduler was lost before it recorded that the host was serviced, and the
 // next one waits for a service that does not begin.
