Let lists decide what an unanswered move has done

What callers would see: a pool waits for a VM that another pool gets, or tasks on a VM are terminated by a move that is sent a second time. And the move was repeated whatever the list showed: if it had never been carried out and the host had restarted by itself, the repetition met an incarnation that runs tasks. Change: a move without an answer stays through later refusals (busy, limited, not sent), and is repeated only while the list shows the host idle and in the same incarnation. Otherwise a list that was requested after the last answer ends it: the host has moved, or has restarted. "Invalid" still ends the move, since it says that no order of this kind can be carried out. Tests: the flags of `OnMoveAnswer` became one result; the calls in fleet_size_test say the same as before. Evidence: fleet_size_test "A refused move does not tell what an unanswered move has done" and "A move is not repeated for another incarnation of its host" fail on the code before.

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -23,6 +23,19 @@
   pool_id pool;
 };
 
+/// Outcome of an order to move a host.
+enum class move_result {
+  /// The move has begun, or was already done.
+  kAccepted,
+  /// The host has not moved with this order. This does not tell whether an
+  /// earlier order has moved it.
+  kRefused,
+  /// The host cannot move to this pool.
+  kImpossible,
+  /// The host may have moved, or may move later.
+  kUnknown,
+};
+
 /// Counters that show how far the fleet is from the distribution of hosts that
 /// the pools want.
 struct balancer_stats {
@@ -99,12 +112,7 @@
   void UpdateLeaving(const std::set<vm_id>& leaving) {
     Replace(&leaving_, leaving);
   }
-  /// Handles the answer to a move order. `is_reconciled`: it is certain whether
-  /// the order was carried out.
-  void OnMoveAnswer(const host_id& host,
-                    bool is_accepted,
-                    bool is_reconciled,
-                    time_point now);
+  void OnMoveAnswer(const host_id& host, move_result result, time_point now);
 
   /// Returns when the move of the host was last ordered; `nullopt` if no move
   /// is in progress.
@@ -121,8 +129,12 @@
  private:
   struct pending_move {
     pool_id pool;
+    /// The incarnation that was idle when the move was planned.
+    vm_id vm;
     bool is_in_flight = true;
     bool is_accepted = false;
+    /// An order was not answered.
+    bool may_have_begun = false;
     time_point changed_at;
   };
 
@@ -158,6 +170,12 @@
   void SetMembership(std::set<vm_id>* vms, const vm_id& vm, bool is_member);
   void Replace(std::set<vm_id>* vms, const std::set<vm_id>& next);
   bool IsMovable(const fleet_host& host) const;
+  /// Returns whether the host is still idle and in the same incarnation as when
+  /// its move was planned.
+  bool IsStillMovable(const host_id& host, const pending_move& move) const;
+  /// Ends moves whose outcome the list shows, which was requested at
+  /// `requested_at`.
+  void DropResolvedMoves(time_point requested_at);
   std::uint32_t CountOf(const pool_id& pool) const;
   /// Returns the host with the highest position in the list that may move to
   /// the pool, or null.
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -9,11 +9,6 @@
                                  const std::set<pool_id>& spare,
                                  time_point requested_at) {
   spare_ = spare;
-  // A list that was requested after the move was accepted already shows the
-  // move.
-  std::erase_if(moves_, [requested_at](const auto& move) {
-    return move.second.is_accepted && requested_at > move.second.changed_at;
-  });
   ++list_;
   counts_.clear();
   free_spares_.clear();
@@ -33,11 +28,36 @@
   }
   std::erase_if(
       hosts_, [this](const auto& entry) { return entry.second.list != list_; });
+  DropResolvedMoves(requested_at);
   for (auto& [name, known] : hosts_) {
     Reclassify(&known);
   }
 }
 
+// A list that was requested after the move was accepted already shows the move.
+// A host whose order was not answered has moved, or has restarted by itself, if
+// it is no longer as it was when the move was planned. It may run tasks again,
+// which another order would terminate.
+void fleet_balancer::DropResolvedMoves(time_point requested_at) {
+  std::erase_if(moves_, [this, requested_at](const auto& entry) {
+    const pending_move& move = entry.second;
+    if (move.is_in_flight || requested_at <= move.changed_at) {
+      return false;
+    }
+    const auto known = hosts_.find(entry.first);
+    return move.is_accepted ||
+           (known != hosts_.end() && known->second.host.is_readable &&
+            !IsStillMovable(entry.first, move));
+  });
+}
+
+bool fleet_balancer::IsStillMovable(const host_id& host,
+                                    const pending_move& move) const {
+  const auto known = hosts_.find(host);
+  return known != hosts_.end() && known->second.host.vm == move.vm &&
+         IsMovable(known->second.host);
+}
+
 void fleet_balancer::NoteWanted(const pool_id& pool,
                                 std::optional<std::uint32_t> wanted) {
   if (wanted) {
@@ -121,20 +141,28 @@
   }
 }
 
+// The platform refuses to move a host that is moving already. If the refusal of
+// a repeated order were taken to mean that the host has not moved, the host
+// would be promised to another pool.
 void fleet_balancer::OnMoveAnswer(const host_id& host,
-                                  bool is_accepted,
-                                  bool is_reconciled,
+                                  move_result result,
                                   time_point now) {
   const auto found = moves_.find(host);
   if (found == moves_.end()) {
     return;
   }
-  if (is_reconciled && !is_accepted) {
+  pending_move& move = found->second;
+  const bool is_over =
+      result == move_result::kImpossible ||
+      (result == move_result::kRefused && !move.may_have_begun);
+  if (is_over) {
     moves_.erase(found);
   } else {
-    found->second.is_in_flight = false;
-    found->second.is_accepted = is_accepted;
-    found->second.changed_at = now;
+    move.is_in_flight = false;
+    move.is_accepted = result == move_result::kAccepted;
+    move.may_have_begun =
+        move.may_have_begun || result == move_result::kUnknown;
+    move.changed_at = now;
   }
   ReclassifyHost(host);
 }
@@ -184,6 +212,7 @@
   const host_id& host = known->host.host;
   pending_move& move = moves_[host];
   move.pool = pool;
+  move.vm = known->host.vm;
   move.is_in_flight = true;
   move.changed_at = now;
   moves->push_back({host, pool});
@@ -217,7 +246,8 @@
   std::vector<move_host> moves;
   for (auto& [host, move] : moves_) {
     const bool is_due = !move.is_in_flight && !move.is_accepted &&
-                        now - move.changed_at >= settings_.order_retry;
+                        now - move.changed_at >= settings_.order_retry &&
+                        IsStillMovable(host, move);
     if (is_due) {
       move.is_in_flight = true;
       moves.push_back({host, move.pool});
--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -12,11 +12,29 @@
 
 using adapter::host_order_outcome;
 using core::jobs::HostOf;
+using core::jobs::move_result;
 using core::jobs::service_result;
 
 namespace {
 
-service_result ToResult(host_order_outcome outcome) {
+move_result ToMoveResult(host_order_outcome outcome) {
+  switch (outcome) {
+    case host_order_outcome::kAccepted:
+      return move_result::kAccepted;
+    case host_order_outcome::kInvalid:
+    case host_order_outcome::kNotInWave:
+      return move_result::kImpossible;
+    case host_order_outcome::kUnknown:
+      return move_result::kUnknown;
+    case host_order_outcome::kFenced:
+    case host_order_outcome::kBusy:
+    case host_order_outcome::kRefused:
+      return move_result::kRefused;
+  }
+  return move_result::kUnknown;
+}
+
+service_result ToServiceResult(host_order_outcome outcome) {
   switch (outcome) {
     case host_order_outcome::kAccepted:
       return service_result::kAccepted;
@@ -164,8 +182,7 @@
     AppendAge("ordered_ms_ago", *ordered_at, &fields);
   }
   LogEvent(job_event::kHostMoved, fields);
-  balancer_.OnMoveAnswer(move.host, outcome == host_order_outcome::kAccepted,
-                         outcome != host_order_outcome::kUnknown, BootTime());
+  balancer_.OnMoveAnswer(move.host, ToMoveResult(outcome), BootTime());
 }
 
 void fleet_owner::impl::OnServiceReply(const core::jobs::service_host& action,
@@ -180,8 +197,8 @@
     LoseOwnership();
     return;
   }
-  maintenance_.OnServiceAnswer(action.wave, action.host, ToResult(outcome),
-                               BootTime());
+  maintenance_.OnServiceAnswer(action.wave, action.host,
+                               ToServiceResult(outcome), BootTime());
   if (is_accepted) {
     fleet_outbox_.Put(EncodeServicedHost({action.wave, action.host}));
   }
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -148,7 +148,7 @@
     CHECK(balancer.Plan({}, now).empty());
 
     SECTION("an order that may not have arrived is sent again") {
-      balancer.OnMoveAnswer(moves[0].host, false, false, now);
+      balancer.OnMoveAnswer(moves[0].host, move_result::kUnknown, now);
       CHECK(balancer.Plan({}, now).empty());
       now += seconds(2);
       const auto again = balancer.Plan({}, now);
@@ -157,12 +157,12 @@
     }
 
     SECTION("a refused move frees the host for another one") {
-      balancer.OnMoveAnswer(moves[0].host, false, true, now);
+      balancer.OnMoveAnswer(moves[0].host, move_result::kRefused, now);
       CHECK(balancer.Plan({}, now).size() == 1);
     }
 
     SECTION("a list from before the move does not revert it") {
-      balancer.OnMoveAnswer(moves[0].host, true, true, now);
+      balancer.OnMoveAnswer(moves[0].host, move_result::kAccepted, now);
       balancer.UpdateHosts(hosts, {"spare"}, now - milliseconds(10));
       CHECK(balancer.Plan({}, now).empty());
     }
@@ -261,7 +261,7 @@
     }
     for (const move_host& move : balancer.Plan({}, now)) {
       ++moves[move.pool];
-      balancer.OnMoveAnswer(move.host, true, true, now);
+      balancer.OnMoveAnswer(move.host, move_result::kAccepted, now);
     }
   }
   CHECK(moves == std::map<pool_id, int>{{"second", 8}});
@@ -297,6 +297,64 @@
   }
 }
 
+// Guards against a host that is promised to two pools: the answer to its move
+// is lost, and the refusal of the repeated order is taken to mean that it has
+// not moved.
+TEST_CASE("A refused move does not tell what an unanswered move has done") {
+  fleet_balancer balancer{balancer_settings()};
+  time_point now{std::chrono::hours(1)};
+  balancer.UpdateHosts({Host("s1", "spare", "")}, {"spare"}, now);
+  balancer.UpdateWanted({{"a", 1}});
+  REQUIRE(balancer.Plan({}, now).size() == 1);
+  balancer.OnMoveAnswer("s1", move_result::kUnknown, now);
+  now += seconds(1);
+  REQUIRE(balancer.Plan({}, now).size() == 1);
+  balancer.OnMoveAnswer("s1", move_result::kRefused, now);
+  balancer.UpdateWanted({{"a", 1}, {"b", 1}});
+  CHECK(balancer.Plan({}, now).empty());
+
+  SECTION("it is repeated while a list shows the host as it was") {
+    now += seconds(1);
+    balancer.UpdateHosts({Host("s1", "spare", "")}, {"spare"}, now);
+    const auto moves = balancer.Plan({}, now);
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].pool == "a");
+  }
+
+  SECTION("it is over once a list shows the host in its new pool") {
+    now += seconds(1);
+    balancer.UpdateHosts({Host("s1", "a", "vm-s1")}, {"spare"}, now);
+    CHECK(balancer.Plan({}, now).empty());
+    CHECK(balancer.Stats({}).ordered == 0);
+  }
+
+  SECTION("a host that cannot move is free again") {
+    balancer.OnMoveAnswer("s1", move_result::kImpossible, now);
+    CHECK(balancer.Plan({}, now).size() == 1);
+  }
+}
+
+// Guards against tasks that are terminated: a move is not carried out, the host
+// restarts by itself, and the order is repeated although the next incarnation
+// runs tasks.
+TEST_CASE("A move is not repeated for another incarnation of its host") {
+  fleet_balancer balancer{balancer_settings()};
+  time_point now{std::chrono::hours(1)};
+  balancer.UpdateHosts({Host("h1", "a", "vm-1")}, {"spare"}, now);
+  balancer.UpdateOffers({"vm-1"});
+  balancer.UpdateWanted({{"b", 1}});
+  REQUIRE(balancer.Plan({}, now).size() == 1);
+
+  SECTION("after it was not answered") {
+    balancer.OnMoveAnswer("h1", move_result::kUnknown, now);
+    now += seconds(1);
+    balancer.UpdateHosts({Host("h1", "a", "vm-2")}, {"spare"}, now);
+    now += seconds(1);
+    CHECK(balancer.Plan({}, now).empty());
+    CHECK(balancer.Stats({}).ordered == 0);
+  }
+}
+
 /// Returns how many hosts are visited when one pool releases a VM and another
 /// pool receives it, in a fleet with `count` more hosts in each pool.
 std::uint64_t CountVisitedHosts(int count) {
@@ -316,7 +374,7 @@
   balancer.NoteOffer("vm-given", true);
   const auto moves = balancer.Plan({}, now);
   REQUIRE(moves.size() == 1);
-  balancer.OnMoveAnswer(moves[0].host, true, true, now);
+  balancer.OnMoveAnswer(moves[0].host, move_result::kAccepted, now);
   CHECK(balancer.Stats({}).moving == 1);
   return balancer.visited_hosts() - before;
 }
