Drop orders for hosts that have restarted while the orders waited

What callers would see: tasks on a VM are terminated by a service or a move, although nobody drained the VM. Cause: an order names a host, not its incarnation. Orders wait in a queue for their record, for a connection or for the lease of an earlier owner. If the host restarts by itself meanwhile, the order meets an incarnation that runs tasks. Change: before orders are recorded, those whose host is not as it was when they were planned are dropped, logged as `host order dropped`, and count as not sent. Evidence: host_order_queue_test "Stale orders leave the queue without being sent", maintenance_scheduler_test "A planned order is stale once its host has restarted" and the section "nor sent, if it still waits" in fleet_size_test fail on the code before, with the new calls as stubs. Not covered: the time between the record of an order and its arrival, which is bounded by `max_send_delay`, and a restart that no list has shown yet.

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -113,6 +113,10 @@
     Replace(&leaving_, leaving);
   }
   void OnMoveAnswer(const host_id& host, move_result result, time_point now);
+  /// Returns whether a planned move that has not been sent yet would still find
+  /// the host idle and in the same incarnation. If not, it must not be sent and
+  /// counts as answered with `kRefused`.
+  bool MayMove(const move_host& move) const;
 
   /// Returns when the move of the host was last ordered; `nullopt` if no move
   /// is in progress.
--- a/include/plantainhead/core/jobs/host_order_queue.h
+++ b/include/plantainhead/core/jobs/host_order_queue.h
@@ -33,6 +33,7 @@
 class host_order_queue {
  public:
   using host_predicate = std::function<bool(const host_id&)>;
+  using order_predicate = std::function<bool(const host_order&)>;
 
   explicit host_order_queue(const order_queue_settings& settings)
       : moves_(settings.max_moves), services_(settings.max_services) {}
@@ -42,6 +43,8 @@
   /// `may_order` is true. They are in flight until `NoteFinished` or `Requeue`
   /// is called for them.
   std::vector<host_order> Take(const host_predicate& may_order);
+  /// Removes the waiting orders for which `is_stale` is true and returns them.
+  std::vector<host_order> TakeStale(const order_predicate& is_stale);
   /// Puts orders that were not sent back into the queue.
   void Requeue(const std::vector<host_order>& orders);
   /// Notes that the order was answered, or failed without an answer.
--- a/include/plantainhead/core/jobs/maintenance_scheduler.h
+++ b/include/plantainhead/core/jobs/maintenance_scheduler.h
@@ -136,6 +136,10 @@
                        const host_id& host,
                        service_result result,
                        time_point now);
+  /// Returns whether a planned order that has not been sent yet would still
+  /// find the incarnation that was drained for it. If not, it must not be sent
+  /// and counts as answered with `kTemporaryFailure`.
+  bool MayService(const service_host& order) const;
 
   std::vector<wave_action> Plan(time_point now);
   /// Returns the changes of phases since the last call.
--- a/src/core/jobs/fleet_balancer.cc
+++ b/src/core/jobs/fleet_balancer.cc
@@ -58,6 +58,11 @@
          IsMovable(known->second.host);
 }
 
+bool fleet_balancer::MayMove(const move_host& move) const {
+  const auto found = moves_.find(move.host);
+  return found != moves_.end() && IsStillMovable(move.host, found->second);
+}
+
 void fleet_balancer::NoteWanted(const pool_id& pool,
                                 std::optional<std::uint32_t> wanted) {
   if (wanted) {
--- a/src/core/jobs/host_order_queue.cc
+++ b/src/core/jobs/host_order_queue.cc
@@ -1,5 +1,7 @@
 #include "plantainhead/core/jobs/host_order_queue.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace plantainhead::core::jobs {
@@ -36,6 +38,20 @@
   from->waiting = std::move(left);
 }
 
+std::vector<host_order> host_order_queue::TakeStale(
+    const order_predicate& is_stale) {
+  std::vector<host_order> stale;
+  for (lane* each : {&moves_, &services_}) {
+    std::vector<host_order>& waiting = each->waiting;
+    const auto first = std::stable_partition(
+        waiting.begin(), waiting.end(),
+        [&](const host_order& order) { return !is_stale(order); });
+    std::move(first, waiting.end(), std::back_inserter(stale));
+    waiting.erase(first, waiting.end());
+  }
+  return stale;
+}
+
 void host_order_queue::Requeue(const std::vector<host_order>& orders) {
   for (const host_order& order : orders) {
     NoteFinished(order);
--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -124,6 +124,18 @@
   }
 }
 
+bool maintenance_scheduler::MayService(const service_host& order) const {
+  const auto wave = waves_.find(order.wave);
+  if (wave == waves_.end()) {
+    return false;
+  }
+  const auto progress = wave->second.hosts.find(order.host);
+  const listed_host* listed = FindHost(order.host);
+  return progress != wave->second.hosts.end() && listed != nullptr &&
+         progress->second.phase == host_phase::kOrdered &&
+         IsDrained(progress->second, *listed);
+}
+
 void maintenance_scheduler::SetPhase(std::uint64_t wave,
                                      const host_id& host,
                                      host_progress* progress,
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -64,6 +64,7 @@
   kHostNotServiced,
   kHostMoved,
   kHostOrdersLate,
+  kHostOrderDropped,
   kHostPhaseChanged,
   kFleetSized,
   kPoolSized,
@@ -71,7 +72,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 57> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 58> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -124,6 +125,7 @@
     {job_event::kHostNotServiced, "host not serviced"},
     {job_event::kHostMoved, "host moved"},
     {job_event::kHostOrdersLate, "host orders late"},
+    {job_event::kHostOrderDropped, "host order dropped"},
     {job_event::kHostPhaseChanged, "host phase changed"},
     {job_event::kFleetSized, "fleet sized"},
     {job_event::kPoolSized, "pool sized"},
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -80,6 +80,8 @@
   std::set<core::jobs::host_id> HostsExcludedFromMoves(
       core::time_point now) const;
   void SendOrders(core::time_point now);
+  /// Drops queued orders whose hosts are no longer as they were planned.
+  void DropStaleOrders(core::time_point now);
   std::vector<host_order> TakeDueOrders(core::time_point now);
   std::vector<adapter::keyed_record> MakeOrderRecords(
       const std::vector<host_order>& batch,
--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -72,6 +72,7 @@
   if (writer_.IsBusy()) {
     return;
   }
+  DropStaleOrders(now);
   const std::vector<host_order> batch = TakeDueOrders(now);
   std::vector<adapter::keyed_record> records = MakeOrderRecords(batch, now);
   if (records.empty()) {
@@ -86,6 +87,28 @@
   });
 }
 
+// An order names a host and not its incarnation. If a host restarts by itself
+// while its order waits, the order would terminate the tasks of the next
+// incarnation.
+void fleet_owner::impl::DropStaleOrders(core::time_point now) {
+  const auto is_stale = [this](const host_order& order) {
+    if (const auto* move = std::get_if<core::jobs::move_host>(&order)) {
+      return !balancer_.MayMove(*move);
+    }
+    return !maintenance_.MayService(std::get<core::jobs::service_host>(order));
+  };
+  for (const host_order& order : queue_.TakeStale(is_stale)) {
+    LogEvent(job_event::kHostOrderDropped, {{"host", HostOf(order)}});
+    if (const auto* move = std::get_if<core::jobs::move_host>(&order)) {
+      balancer_.OnMoveAnswer(move->host, move_result::kRefused, now);
+    } else {
+      const auto& service = std::get<core::jobs::service_host>(order);
+      maintenance_.OnServiceAnswer(service.wave, service.host,
+                                   service_result::kTemporaryFailure, now);
+    }
+  }
+}
+
 // Returns the queued orders for hosts that no earlier owner may have ordered
 // recently.
 std::vector<host_order> fleet_owner::impl::TakeDueOrders(core::time_point now) {
--- a/tests/core/jobs/fleet_size_test.cc
+++ b/tests/core/jobs/fleet_size_test.cc
@@ -348,11 +348,18 @@
   SECTION("after it was not answered") {
     balancer.OnMoveAnswer("h1", move_result::kUnknown, now);
     now += seconds(1);
+    CHECK(balancer.MayMove({"h1", "b"}));
     balancer.UpdateHosts({Host("h1", "a", "vm-2")}, {"spare"}, now);
     now += seconds(1);
     CHECK(balancer.Plan({}, now).empty());
     CHECK(balancer.Stats({}).ordered == 0);
   }
+
+  SECTION("nor sent, if it still waits") {
+    now += seconds(1);
+    balancer.UpdateHosts({Host("h1", "a", "vm-2")}, {"spare"}, now);
+    CHECK_FALSE(balancer.MayMove({"h1", "b"}));
+  }
 }
 
 /// Returns how many hosts are visited when one pool releases a VM and another
--- a/tests/core/jobs/host_order_queue_test.cc
+++ b/tests/core/jobs/host_order_queue_test.cc
@@ -51,6 +51,22 @@
   }
 }
 
+// Guards against an order that waits and terminates tasks of a host that has
+// restarted meanwhile.
+TEST_CASE("Stale orders leave the queue without being sent") {
+  host_order_queue queue({.max_moves = 1, .max_services = 1});
+  queue.Add(service_host{7, "stale"});
+  queue.Add(service_host{7, "ready"});
+  queue.Add(move_host{"stale", "pool"});
+  const auto stale = queue.TakeStale(
+      [](const host_order& order) { return HostOf(order) == "stale"; });
+  CHECK(stale.size() == 2);
+  const auto taken = queue.Take(Always);
+  REQUIRE(taken.size() == 1);
+  CHECK(HostOf(taken.front()) == "ready");
+  CHECK(queue.waiting() == 0);
+}
+
 TEST_CASE("An order for a blocked host does not block other orders") {
   host_order_queue queue({.max_moves = 1, .max_services = 1});
   queue.Add(move_host{"held", "pool"});
--- a/tests/core/jobs/maintenance_scheduler_test.cc
+++ b/tests/core/jobs/maintenance_scheduler_test.cc
@@ -531,6 +531,25 @@
   }
 }
 
+// Guards against tasks that are terminated: a planned order waits, and the host
+// restarts by itself before the order is sent.
+TEST_CASE("A planned order is stale once its host has restarted") {
+  maintenance_scheduler scheduler{maintenance_settings()};
+  time_point now{std::chrono::hours(1)};
+  scheduler.AddWave(Wave({"h1"}, 1));
+  scheduler.UpdateHosts({Host("h1", "p", "a1")}, {}, now);
+  scheduler.Plan(now);
+  scheduler.UpdateEmpty({"a1"});
+  REQUIRE(Of<service_host>(scheduler.Plan(now)).size() == 1);
+  CHECK(scheduler.MayService({7, "h1"}));
+  now += seconds(1);
+  scheduler.UpdateHosts({Host("h1", "p", "b1")}, {}, now);
+  CHECK_FALSE(scheduler.MayService({7, "h1"}));
+  scheduler.OnServiceAnswer(7, "h1", service_result::kTemporaryFailure, now);
+  now += seconds(1);
+  CHECK(Of<service_host>(scheduler.Plan(now)).empty());
+}
+
 // Load pattern: a wave of 24 of 49 hosts with a time limit of 27 s, at most 10
 // hosts at once, while each pool in turn has a burst and wants every VM. At the
 // fastest rate that the wave allows, a fifth of the fleet is unavailable during
