Give up the fleet when a move is fenced

What operators would see: an owner of the fleet that sends the same moves ten times a second and uses up the calls that all processes may make. Cause: "fenced" as the answer to a move was handled as any refusal, although it says that a newer owner controls the host. A service that is fenced already ended the ownership. Change: a fenced move does the same; the process claims the fleet anew under a higher epoch if it still is a member. Evidence: fleet_owner_test "A fleet owner whose move is fenced claims the fleet again" fails on the code before.

--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -205,6 +205,10 @@
     AppendAge("ordered_ms_ago", *ordered_at, &fields);
   }
   LogEvent(job_event::kHostMoved, fields);
+  if (outcome == host_order_outcome::kFenced) {
+    LoseOwnership();
+    return;
+  }
   balancer_.OnMoveAnswer(move.host, ToMoveResult(outcome), BootTime());
 }
 
--- a/tests/jobs/fleet_owner_test.cc
+++ b/tests/jobs/fleet_owner_test.cc
@@ -102,5 +102,36 @@
   CHECK(records() > 1);
 }
 
+// Guards against an owner that sends a move again and again although a newer
+// owner controls the host.
+TEST_CASE("A fleet owner whose move is fenced claims the fleet again") {
+  site site;
+  const std::string address = FreeAddress();
+  int moves = 0;
+  net::http_server server(
+      &site.context, address, net::http_server_options(),
+      [&](const net::server_request& request, const net::responder& respond) {
+        if (request.target == "/plantainhead/machine-move") {
+          ++moves;
+          respond({409, {}, R"({"reason":"fence"})"});
+        } else {
+          respond({200, {}, kHosts});
+        }
+      });
+  site.store.Put("keyed.op", "config",
+                 R"({"version":3,"routes":[],"services":[{"name":"pool"},
+                     {"name":"spares","spare":true}]})");
+  site.store.Put("keyed.plantain-fleet", "wanted/pool", "1");
+  site.AddProcess("p1", address);
+  const auto owner = [&] {
+    return site.store.NewestIn("keyed.plantain-progress", kFleetPartition,
+                               "owner");
+  };
+  REQUIRE(RunUntil(&site.context, [&] { return moves > 0; }));
+  const auto before = owner();
+  REQUIRE(before);
+  CHECK(RunUntil(&site.context, [&] { return owner() != before; }));
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
