--- a/tests/adapter/fleet_client_test.cc
+++ b/tests/adapter/fleet_client_test.cc
@@ -71,5 +71,32 @@
   }
 }
 
+// Guards against an order that was carried out and is taken to have failed: the
+// platform says of a rate limit that the order was refused, and of no other
+// status.
+TEST_CASE("Only a rate limit shows that an order was refused") {
+  boost::asio::io_context context;
+  const std::string address = testing::FreeAddress();
+  unsigned status = 0;
+  net::http_server server(&context, address, net::http_server_options(),
+                          [&](const net::server_request& /*request*/,
+                              const net::responder& respond) {
+                            respond({status, {}, "{}"});
+                          });
+  fleet_client client(&context, address, "p1");
+  const auto outcome_of = [&](unsigned answer) {
+    status = answer;
+    std::optional<host_order_outcome> outcome;
+    client.ServiceHost(
+        "h", 7, 1, hours(1), [] { return true; },
+        [&](host_order_outcome result) { outcome = result; });
+    RunUntil(&context, [&] { return outcome.has_value(); });
+    return outcome;
+  };
+  CHECK(outcome_of(429) == host_order_outcome::kRefused);
+  CHECK(outcome_of(503) == host_order_outcome::kUnknown);
+  CHECK(outcome_of(500) == host_order_outcome::kUnknown);
+}
+
 }  // namespace
 }  // namespace plantainhead::adapter
