Remember the owner before a claim whose answer is lost

What callers would see: a task that runs twice. Cause: a claim whose answer is lost may have been stored. It was repeated with the process's own first claim as its predecessor, which needs no waiting and has no leases. The true predecessor, which may still be active, was forgotten. Change: a claim that finds an earlier one of its own keeps the predecessor of that one. Evidence: claim_test "A repeated claim still considers the owner before it" fails on the code before: the members of the group are not asked for. Not covered: a process that is restarted between the two claims, and several processes that claim one after another without becoming active.

--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -87,6 +87,8 @@
   void RetryClaim();
   void ReadBeforeClaim();
   void Claim();
+  /// Returns whether an earlier claim of this object stored the record.
+  bool IsOwnClaim(const owner_record& record) const;
   void OnClaimAnswer(progress_writer::result result);
   void VerifyClaim();
   void ReadAfterClaim();
@@ -195,6 +197,8 @@
   event_aggregator lines_;
   std::uint64_t generation_ = 0;
   std::uint64_t epoch_ = 0;
+  /// The epoch of the first claim; 0 before that.
+  std::uint64_t first_epoch_ = 0;
   fencing_tokens tokens_{0};
   /// The previous owner record of the partition.
   owner_record predecessor_;
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -108,6 +108,13 @@
       });
 }
 
+// A claim whose answer was lost may have been stored. The owner before it may
+// still be active, and its record tells how long its leases last.
+bool pool_owner::impl::IsOwnClaim(const owner_record& record) const {
+  return first_epoch_ != 0 && record.epoch >= first_epoch_ &&
+         record.member == deps_.member;
+}
+
 // A member whose time to live has passed without its noticing would otherwise
 // take the pool from its new, working owner.
 void pool_owner::impl::Claim() {
@@ -116,8 +123,12 @@
     RetryClaim();
     return;
   }
-  predecessor_ = deps_.view->OwnerOf(partition_);
-  epoch_ = std::max({generation_, predecessor_.epoch + 1, epoch_ + 1});
+  const owner_record newest = deps_.view->OwnerOf(partition_);
+  if (!IsOwnClaim(newest)) {
+    predecessor_ = newest;
+  }
+  epoch_ = std::max({generation_, newest.epoch + 1, epoch_ + 1});
+  first_epoch_ = first_epoch_ == 0 ? epoch_ : first_epoch_;
   writer_ = std::make_unique<progress_writer>(
       deps_.context, deps_.store,
       adapter::store_partition{kProgressTopic, partition_}, settings_.writer);
--- a/tests/jobs/claim_test.cc
+++ b/tests/jobs/claim_test.cc
@@ -124,5 +124,42 @@
   CHECK(first.owner->epoch() != second.owner->epoch());
 }
 
+// Guards against tasks that run twice: the answer to a claim is lost, and its
+// repetition takes the lost claim for the predecessor and does not wait for the
+// owner before it.
+TEST_CASE("A repeated claim still considers the owner before it") {
+  boost::asio::io_context context;
+  fakes::site_store store(&context);
+  const std::string address = FreeAddress();
+  int member_reads = 0;
+  int claims = 0;
+  net::http_server server(
+      &context, address, net::http_server_options(),
+      [&](const net::server_request& request, const net::responder& respond) {
+        const auto contains = [&](const char* text) {
+          return request.target.find(text) != std::string::npos;
+        };
+        member_reads += contains("log-owners") ? 1 : 0;
+        const bool is_claim = contains("log-append") && contains("as_of");
+        claims += is_claim ? 1 : 0;
+        constexpr int kLostClaim = 2;
+        store.faults.loses_answers = is_claim && claims == kLostClaim;
+        store.Handle(request, respond);
+        store.faults.loses_answers = false;
+      });
+  constexpr std::size_t kConnections = 40;
+  adapter::store_client client(&context, address, kConnections);
+  claimant first(&context, &client, "p1");
+  first.owner->Start(1);
+  REQUIRE(RunUntil(&context, [&] { return first.owner->IsActive(); }));
+  REQUIRE(claims == 1);
+  REQUIRE(member_reads == 0);
+  claimant second(&context, &client, "p2");
+  second.owner->Start(20);
+  REQUIRE(RunUntil(&context, [&] { return second.owner->IsActive(); }));
+  CHECK(claims > 2);
+  CHECK(member_reads > 0);
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
