Don't repeat the stop of a run that its VM lists after all

Cause: a start is not answered, and a listing does not show the run, so that it is stopped. The stop is not answered either, the start is carried out late, and the stop was repeated although the VM lists the run at work. Change: a run remembers why it is to be stopped. If the only reason was that its VM did not list it, the stop is withdrawn as soon as the VM lists it, unless a stop has been confirmed. Any other reason, such as a cancelled job, takes precedence. Evidence: unanswered_start_test "A long-running task whose start was not answered", section "is not stopped again when the VM has started it late", fails on the code before. "is stopped again when its job was cancelled before the VM lists it" holds before and after.

--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -77,7 +77,7 @@
   if (run->IsLongRunning()) {
     run->start_unknown_since = now;
   } else {
-    run->is_stop_wanted = true;
+    run->WantStop(stop_cause::kUnwanted);
   }
 }
 
--- a/src/core/jobs/pool_incarnations.cc
+++ b/src/core/jobs/pool_incarnations.cc
@@ -65,7 +65,9 @@
   run->is_start_in_flight = false;
   run->start_unknown_since.reset();
   run->stop_answered_at.reset();
-  run->is_stop_wanted = run->is_stop_wanted || !run->confirmed_at;
+  if (!run->confirmed_at) {
+    run->WantStop(stop_cause::kUnwanted);
+  }
 }
 
 void pool_scheduler::impl::DropOldStarts(vm_state* vm, time_point now) {
@@ -95,7 +97,7 @@
     run.step = &job->StepOf(task);
     run.demand = DemandOf(*run.step);
     run.ordered_at = now;
-    run.is_stop_wanted = true;
+    run.WantStop(stop_cause::kUnwanted);
     vm->Add(task, run);
   }
 }
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -134,6 +134,11 @@
   }
   NoteListed(vm, row.task, run);
   run->start_unknown_since.reset();
+  // An order may be carried out late. Its stop, if it was not answered, has no
+  // reason any more, and would interrupt a task that may be at work.
+  if (run->cause == stop_cause::kNotListed && !run->stop_answered_at) {
+    run->is_stop_wanted = false;
+  }
   if (!run->confirmed_at) {
     run->confirmed_at = now;
     NoteRunning(jobs_.Find(row.task.job));
@@ -154,7 +159,7 @@
       vm->Erase(row.task);
       Adopt(vm, row, now);
     } else if (jobs_read_through_ > run->ordered_at) {
-      run->is_stop_wanted = true;
+      run->WantStop(stop_cause::kUnwanted);
     }
   }
 }
@@ -356,7 +361,9 @@
     ForRunsOfStep(vm, end.task, [&](const task_name& task, run_state* run) {
       const bool may_start = run->run > end.run && !run->confirmed_at &&
                              (is_gang || task.index == end.task.index);
-      run->is_stop_wanted = run->is_stop_wanted || may_start;
+      if (may_start) {
+        run->WantStop(stop_cause::kUnwanted);
+      }
       is_any = is_any || may_start;
     });
   }
@@ -422,9 +429,9 @@
     } else if (is_stopped) {
       over.push_back(task);
     } else if (run.start_unknown_since && *run.start_unknown_since <= sent_at) {
-      run.is_stop_wanted = true;
+      run.WantStop(stop_cause::kNotListed);
     } else if (was_started) {
-      run.is_stop_wanted = true;
+      run.WantStop(stop_cause::kNotListed);
       run.next_stop_at = std::max(run.next_stop_at, now);
     }
   }
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -187,7 +187,7 @@
     vms_.MarkChanged(vm);
     for (auto it = vm->runs().lower_bound({id, 0, 0, 0});
          it != vm->runs().end() && it->first.job == id; ++it) {
-      it->second.is_stop_wanted = true;
+      it->second.WantStop(stop_cause::kUnwanted);
     }
   }
 }
@@ -200,7 +200,9 @@
       const job_task_state* state = job->Find(name);
       const bool is_done =
           state != nullptr && state->phase == task_phase::kDone;
-      run->is_stop_wanted = run->is_stop_wanted || is_done;
+      if (is_done) {
+        run->WantStop(stop_cause::kUnwanted);
+      }
     });
   }
 }
@@ -278,7 +280,7 @@
     if (state == nullptr) {
       continue;
     }
-    run.is_stop_wanted = true;
+    run.WantStop(stop_cause::kUnwanted);
     state->failed_on = vm->description().id;
     state->failed_until = now + settings_.failed_vm_avoidance;
     vm->avoid_until = std::max(vm->avoid_until, now + settings_.quarantine);
@@ -321,10 +323,11 @@
       continue;
     }
     const step_spec& step = job->StepOf(task);
-    if (step.long_running) {
-      run.is_stop_wanted = leaves || MayInterrupt(task);
-    } else {
-      run.is_stop_wanted = is_overdue || (step.checkpoints && !step.gang);
+    const bool may_stop = step.long_running
+                              ? leaves || MayInterrupt(task)
+                              : is_overdue || (step.checkpoints && !step.gang);
+    if (may_stop) {
+      run.WantStop(stop_cause::kUnwanted);
     }
   }
 }
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -18,6 +18,15 @@
 
 namespace plantainhead::core::jobs {
 
+/// Why a run is to be stopped.
+enum class stop_cause {
+  /// It is not known whether the VM has the run. The run continues if the VM
+  /// lists it.
+  kNotListed,
+  /// The run is not wanted any more.
+  kUnwanted,
+};
+
 /// Tracks a run that is, or may be, on a VM. It uses its share of the capacity
 /// until the VM has listed its end or cannot be running it any more.
 struct run_state {
@@ -41,6 +50,8 @@
   /// was not answered, and no later listing has resolved it.
   std::optional<time_point> start_unknown_since;
   bool is_stop_wanted = false;
+  /// The cause of the wanted stop; `kUnwanted` takes precedence.
+  stop_cause cause = stop_cause::kUnwanted;
   bool is_stop_in_flight = false;
   time_point stop_sent_at;
   std::optional<time_point> stop_answered_at;
@@ -55,6 +66,12 @@
   /// as the scheduler.
   const step_spec* step = nullptr;
 
+  void WantStop(stop_cause next) {
+    if (!is_stop_wanted || next == stop_cause::kUnwanted) {
+      cause = next;
+    }
+    is_stop_wanted = true;
+  }
   bool IsOfUnknownJob() const { return step == nullptr; }
   bool IsLongRunning() const { return step != nullptr && step->long_running; }
   bool IsLatencySensitive() const {
--- a/tests/core/jobs/unanswered_start_test.cc
+++ b/tests/core/jobs/unanswered_start_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "core/jobs/scheduler_driver.h"
@@ -49,6 +50,43 @@
     CHECK(driver.stops[0].target == target);
   }
 
+  // Guards against the stop of a task at work: its start was carried out after
+  // a listing without it, and its stop was not answered.
+  SECTION("is not stopped again when the VM has started it late") {
+    driver.Pass(milliseconds(100));
+    driver.List(target.vm, {}, {});
+    CHECK(driver.Starts().empty());
+    REQUIRE(driver.stops.size() == 1);
+    driver.Pass(milliseconds(300));
+    driver.List(target.vm, {Running(target.task, 1, 100)}, {});
+    driver.scheduler.OnStopAnswer(target, false, driver.now);
+    driver.Pass(milliseconds(400));
+    driver.List(target.vm, {Running(target.task, 1, 100)}, {});
+    CHECK(driver.Starts().empty());
+    CHECK(driver.stops.empty());
+
+    SECTION("unless its job is cancelled") {
+      driver.scheduler.CancelJob("job");
+      CHECK(driver.Starts().empty());
+      CHECK(driver.stops.size() == 2);
+    }
+  }
+
+  SECTION(
+      "is stopped again when its job was cancelled before the VM lists it") {
+    driver.Pass(milliseconds(100));
+    driver.List(target.vm, {}, {});
+    CHECK(driver.Starts().empty());
+    driver.scheduler.CancelJob("job");
+    driver.scheduler.OnStopAnswer(target, false, driver.now);
+    driver.Pass(milliseconds(400));
+    driver.List(target.vm, {Running(target.task, 1, 100)}, {});
+    CHECK(driver.Starts().empty());
+    const auto& stops = driver.stops;
+    CHECK(std::any_of(stops.begin(), stops.end(),
+                      [&](const auto& stop) { return stop.target == target; }));
+  }
+
   SECTION("is not resolved by a listing that was requested before") {
     driver.Pass(milliseconds(100));
     driver.ListSentAt(target.vm, unanswered_at - milliseconds(1), {}, {});
