Ask again whether a task may be stopped before its stop is repeated

What callers would see: a long-running task is stopped while too many others of its step are away (AVAIL). Cause: a VM is drained, the stop of a task is sent and not answered. Until it is repeated another task of the step fails. The limit was asked for the first stop only. Change: the repetition asks it too. If the task may not be stopped now, it counts as at work again, and is stopped once the limit allows it. Evidence: unanswered_start_test "A repeated stop waits while too many tasks are unavailable" fails on the code before.

--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -327,7 +327,8 @@
                               ? leaves || MayInterrupt(task)
                               : is_overdue || (step.checkpoints && !step.gang);
     if (may_stop) {
-      run.WantStop(stop_cause::kUnwanted);
+      run.WantStop(step.long_running && !leaves ? stop_cause::kDrain
+                                                : stop_cause::kUnwanted);
     }
   }
 }
@@ -341,7 +342,13 @@
     const bool is_due = run.is_stop_wanted && !is_in_flight &&
                         !run.is_start_in_flight && !run.stop_answered_at &&
                         now >= run.next_stop_at;
-    if (is_due) {
+    // The stop that was sent may not have been carried out, and other tasks may
+    // have become unavailable since.
+    const bool is_repeat = run.stop_sent_at != time_point();
+    if (is_due && is_repeat && run.cause == stop_cause::kDrain &&
+        !MayInterrupt(task)) {
+      run.is_stop_wanted = false;
+    } else if (is_due) {
       run.is_stop_in_flight = true;
       run.stop_sent_at = now;
       orders->emplace_back(
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -23,6 +23,9 @@
   /// It is not known whether the VM has the run. The run continues if the VM
   /// lists it.
   kNotListed,
+  /// Its VM is being drained for service. The run continues while too many
+  /// tasks of its step are unavailable.
+  kDrain,
   /// The run is not wanted any more.
   kUnwanted,
 };
--- a/tests/core/jobs/unanswered_start_test.cc
+++ b/tests/core/jobs/unanswered_start_test.cc
@@ -95,6 +95,46 @@
   }
 }
 
+// Guards against the stop of a task at work while too many others of its step
+// are unavailable: a VM is drained, the stop is not answered, and another task
+// fails before it is repeated.
+TEST_CASE("A repeated stop waits while too many tasks are unavailable") {
+  scheduler_driver driver;
+  driver.Register({Vm("vm-1"), Vm("vm-2"), Vm("vm-3")});
+  step_spec step = Step(3);
+  step.long_running = true;
+  step.max_per_vm = 1;
+  step.max_unavailable = 1;
+  driver.Add(Job("job", {step}));
+  const auto starts = driver.StartAll();
+  REQUIRE(starts.size() == 3);
+  const auto list = [&](std::size_t i, std::uint32_t percent) {
+    const run_ref& target = starts[i].target;
+    driver.List(target.vm, {Running(target.task, 1, percent)}, {});
+  };
+  driver.Pass(milliseconds(100));
+  for (std::size_t i = 0; i < 3; ++i) {
+    list(i, 100);
+  }
+  driver.scheduler.CloseVm(starts[0].target.vm, driver.now);
+  CHECK(driver.Starts().empty());
+  REQUIRE(driver.stops.size() == 1);
+  REQUIRE(driver.stops[0].target == starts[0].target);
+  driver.scheduler.OnStopAnswer(starts[0].target, false, driver.now);
+  driver.Pass(milliseconds(400));
+  list(0, 100);
+  list(1, 40);
+  CHECK(driver.Starts().empty());
+  CHECK(driver.stops.empty());
+
+  SECTION("and is sent once they are available again") {
+    driver.Pass(milliseconds(100));
+    list(1, 100);
+    CHECK(driver.Starts().empty());
+    CHECK(driver.stops.size() == 1);
+  }
+}
+
 // The VM lists the run before the call to start it times out. The order was
 // sent only once, so that it cannot arrive again.
 TEST_CASE("A run that a VM has listed needs no answer to its start") {
