Repeat a stop of an unlisted run only after another listing without it

What callers would see: a long-running task at work is stopped while others of its step are away (AVAIL). Change: a stop that was sent since the VM did not list the run, and was not answered, is wanted again only when a listing that was requested later does not show the run either. Evidence: unanswered_start_test, section "is not stopped again when the VM has started it late", fails on the commit before with the stop that follows no listing.

--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -99,6 +99,12 @@
     run->stop_answered_at = now;
   } else {
     run->next_stop_at = now + settings_.stop_retry;
+    if (run->cause == stop_cause::kNotListed) {
+      // The start may have been carried out since the listing without the run,
+      // so that only a listing that is requested now can call for another stop.
+      run->is_stop_wanted = false;
+      run->start_unknown_since = now;
+    }
   }
 }
 
--- a/tests/core/jobs/unanswered_start_test.cc
+++ b/tests/core/jobs/unanswered_start_test.cc
@@ -58,9 +58,10 @@
     CHECK(driver.Starts().empty());
     REQUIRE(driver.stops.size() == 1);
     driver.Pass(milliseconds(300));
-    driver.List(target.vm, {Running(target.task, 1, 100)}, {});
     driver.scheduler.OnStopAnswer(target, false, driver.now);
     driver.Pass(milliseconds(400));
+    CHECK(driver.Starts().empty());
+    CHECK(driver.stops.empty());
     driver.List(target.vm, {Running(target.task, 1, 100)}, {});
     CHECK(driver.Starts().empty());
     CHECK(driver.stops.empty());
