Release a host also if it is first seen down after its wave has completed

A host with an unanswered order that comes back into the list as crashed or moving went to a phase that nothing looks at in a wave that is complete.

--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -298,6 +298,10 @@
         listed->last_listed <= progress.answered_at) {
       continue;
     }
+    if (wave->is_complete && listed->host.state != host_state::kInService) {
+      Restart(number, host, &progress, actions);
+      continue;
+    }
     switch (listed->host.state) {
       case host_state::kInService:
         if (!MayBelongToOther(number, host)) {
@@ -307,7 +311,7 @@
         }
         break;
       case host_state::kUp:
-        if (listed->host.vm != progress.vm || wave->is_complete) {
+        if (listed->host.vm != progress.vm) {
           Restart(number, host, &progress, actions);
         }
         break;
@@ -511,9 +515,9 @@
     if (!IsDrained(progress, *listed) || blocked_.count(host) != 0) {
       continue;
     }
-    const bool is_counted = MayBeDown(host, progress, listed);
-    if (is_counted || down < wave->wave.max_concurrent) {
-      down += is_counted ? 0 : 1;
+    const bool is_repeat = progress.phase == host_phase::kOrdered;
+    if (is_repeat || down < wave->wave.max_concurrent) {
+      down += is_repeat ? 0 : 1;
       SetPhase(number, host, &progress, host_phase::kOrdered);
       progress.is_order_in_flight = true;
       actions->emplace_back(service_host{number, host});
--- a/tests/core/jobs/maintenance_scheduler_test.cc
+++ b/tests/core/jobs/maintenance_scheduler_test.cc
@@ -462,8 +462,8 @@
   maintenance_scheduler scheduler{maintenance_settings()};
   time_point now{std::chrono::hours(1)};
   scheduler.AddWave(Wave({"h1"}, 1));
-  const std::vector<fleet_host> hosts = {Host("h1", "p", "a1"),
-                                         Host("h2", "p", "a2")};
+  std::vector<fleet_host> hosts = {Host("h1", "p", "a1"),
+                                   Host("h2", "p", "a2")};
   scheduler.UpdateHosts(hosts, {}, now);
   scheduler.Plan(now);
   scheduler.UpdateClosed({"a1"});
@@ -476,6 +476,11 @@
   }
   REQUIRE(Of<complete_wave>(scheduler.Plan(now)).size() == 1);
   now += seconds(1);
+
+  SECTION("also if it is not up yet") {
+    hosts[0].state = host_state::kDown;
+  }
+
   scheduler.UpdateHosts(hosts, {}, now);
   const auto released = Of<release_vm>(scheduler.Plan(now));
   REQUIRE(released.size() == 1);
