Don't count on tasks that a former owner may have stopped

What callers saw: right after a change of a pool's owner in a wave, more long-running tasks of a step were stopped than it allows (AVAIL). Cause, shown by a unit test only: a VM lists a run as running until it ends, also if the former owner has stopped it. The next owner counted it as at work. Change: an adopted run on a closed VM counts as away for 1 s, longer than a stop takes. Evidence: takeover_test "A new owner does not count on tasks that may have been stopped" fails on the code before.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -41,6 +41,8 @@
   duration crash_window = std::chrono::milliseconds(100);
   /// The time after which a stop that was not answered is sent again.
   duration stop_retry = std::chrono::milliseconds(400);
+  /// The time after which a task whose VM has received a stop has ended.
+  duration stop_time = std::chrono::milliseconds(1000);
   /// A task is considered hung if its progress has not changed for this long,
   /// over at least two listings. A healthy task that takes at most 1 s ends
   /// before this limit.
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -199,6 +199,7 @@
   run_state run;
   run.run = row.run;
   run.is_reported = true;
+  run.is_adopted = true;
   run.ordered_at = now;
   run.confirmed_at = now;
   run.progressed_at = now;
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -290,8 +290,9 @@
 
 // The number of tasks of a long-running step that are down for planned reasons
 // must never exceed `max_unavailable`. Every task that is not ready counts as
-// unavailable, whatever the reason.
-bool pool_scheduler::impl::MayInterrupt(const task_name& name) {
+// unavailable, whatever the reason. A VM lists a run that an earlier owner has
+// stopped as running until it ends.
+bool pool_scheduler::impl::MayInterrupt(const task_name& name, time_point now) {
   job_state* job = jobs_.Find(name.job);
   if (job == nullptr || job->Find(name) == nullptr) {
     return true;
@@ -300,10 +301,14 @@
   std::uint32_t at_work = 0;
   for (vm_state* vm : vms_.WithRunsOf(name.job)) {
     const bool is_reachable = vm->IsReachable();
+    const bool is_closed = vm->is_closed;
     ForRunsOfStep(vm, name, [&](const task_name& task, const run_state* run) {
       const bool is_other = task.index != name.index;
-      const bool is_at_work =
-          run->percent >= kReadyPercent && !run->is_stop_wanted && is_reachable;
+      const bool may_be_stopped = is_closed && run->is_adopted &&
+                                  now - run->ordered_at < settings_.stop_time;
+      const bool is_at_work = run->percent >= kReadyPercent &&
+                              !run->is_stop_wanted && is_reachable &&
+                              !may_be_stopped;
       at_work += is_other && is_at_work ? 1 : 0;
     });
   }
@@ -324,7 +329,7 @@
     }
     const step_spec& step = job->StepOf(task);
     const bool may_stop = step.long_running
-                              ? leaves || MayInterrupt(task)
+                              ? leaves || MayInterrupt(task, now)
                               : is_overdue || (step.checkpoints && !step.gang);
     if (may_stop) {
       run.WantStop(step.long_running && !leaves ? stop_cause::kDrain
@@ -346,7 +351,7 @@
     // have become unavailable since.
     const bool is_repeat = run.stop_sent_at != time_point();
     if (is_due && is_repeat && run.cause == stop_cause::kDrain &&
-        !MayInterrupt(task)) {
+        !MayInterrupt(task, now)) {
       run.is_stop_wanted = false;
     } else if (is_due) {
       run.is_stop_in_flight = true;
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -206,7 +206,7 @@
   void RemoveIfGone(vm_state* vm, time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
   void EmptyVm(vm_state* vm, time_point now);
-  bool MayInterrupt(const task_name& task);
+  bool MayInterrupt(const task_name& task, time_point now);
   void PlanStops(vm_state* vm, time_point now, std::vector<vm_order>* orders);
   void PlanPace(vm_state* vm, std::vector<vm_order>* orders);
 
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -44,6 +44,8 @@
   /// The incarnation of the VM in which the run was ordered, if another one has
   /// started before the run was listed. Either of them may have accepted it.
   vm_incarnation former_incarnation;
+  /// The run was listed by the VM and not ordered by this owner.
+  bool is_adopted = false;
   /// The run started a short while ago, as far as is known. If the VM crashes,
   /// it is the most likely cause.
   bool is_newly_started = true;
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "core/jobs/scheduler_driver.h"
 #include "plantainhead/core/jobs/pool_scheduler.h"
@@ -61,6 +62,50 @@
   }
 }
 
+// Guards against stops while too many tasks are unavailable: the former owner
+// has stopped a task that its VM still lists as running.
+TEST_CASE("A new owner does not count on tasks that may have been stopped") {
+  takeover_bounds bounds;
+  bounds.exclusive_from = kClaimed + milliseconds(1);
+  scheduler_driver driver(bounds);
+  step_spec step = Step(3);
+  step.long_running = true;
+  step.max_unavailable = 1;
+  driver.Add(Job("job", {step}));
+  const auto list = [&driver](std::uint32_t index) {
+    driver.List("vm-" + std::to_string(index),
+                {Running({"job", 0, 0, index}, 1, 100)}, {});
+  };
+  driver.scheduler.UpdateVms({Vm("vm-0"), Vm("vm-1"), Vm("vm-2")}, driver.now);
+  for (std::uint32_t index = 0; index < 3; ++index) {
+    list(index);
+  }
+  driver.scheduler.CloseVm("vm-0", driver.now);
+  driver.scheduler.CloseVm("vm-1", driver.now);
+  CHECK(driver.Starts().empty());
+  CHECK(driver.stops.empty());
+
+  SECTION("until a stop would have ended them") {
+    driver.Pass(milliseconds(1100));
+    for (std::uint32_t index = 0; index < 3; ++index) {
+      list(index);
+    }
+    CHECK(driver.Starts().empty());
+    CHECK(driver.stops.size() == 1);
+  }
+
+  SECTION("and not if they have ended") {
+    driver.Pass(milliseconds(500));
+    driver.List("vm-0", {},
+                {Ended(1, {"job", 0, 0, 0}, 1, end_kind::kStopped)});
+    driver.Pass(milliseconds(600));
+    list(1);
+    list(2);
+    driver.Starts();
+    CHECK(driver.stops.empty());
+  }
+}
+
 // Guards against the same delay because of VMs whose records were deleted and
 // that the registry lists for some more seconds.
 TEST_CASE("A new owner does not wait for vacant VMs that are only registered") {
