Name the reason of a wanted stop, and visit stale orders by kind

No change of behaviour: `stop_reason` and `wanted_stop` for what was called a cause, visitors in place of a chain of tests, and comments on the handlers of answers.

--- a/include/plantainhead/core/jobs/fleet_balancer.h
+++ b/include/plantainhead/core/jobs/fleet_balancer.h
@@ -112,6 +112,8 @@
   void UpdateLeaving(const std::set<vm_id>& leaving) {
     Replace(&leaving_, leaving);
   }
+  /// Handles the answer to a move order. It speaks of this order only; what an
+  /// earlier one without an answer has done is decided by lists.
   void OnMoveAnswer(const host_id& host, move_result result, time_point now);
   /// Returns whether a planned move that has not been sent yet would still find
   /// the host idle and in the same incarnation. If not, it must not be sent and
--- a/include/plantainhead/core/jobs/maintenance_scheduler.h
+++ b/include/plantainhead/core/jobs/maintenance_scheduler.h
@@ -132,6 +132,8 @@
   /// Replaces the set of hosts that an earlier scheduler may have ordered and
   /// that must not be ordered yet.
   void UpdateBlocked(std::set<host_id> hosts) { blocked_ = std::move(hosts); }
+  /// Handles the answer to a service order. It speaks of this order only; what
+  /// an earlier one without an answer has done is decided by lists.
   void OnServiceAnswer(std::uint64_t wave,
                        const host_id& host,
                        service_result result,
@@ -202,6 +204,7 @@
                      time_point now,
                      std::vector<wave_action>* actions);
   void Complete(fleet_wave* wave, std::vector<wave_action>* actions);
+  /// Returns whether the service of a host that is down has ended.
   bool IsBack(const host_progress& progress, const listed_host& listed) const;
   /// Returns whether a service of the host may belong to another wave.
   bool MayBelongToOther(std::uint64_t wave, const host_id& host) const;
@@ -212,6 +215,7 @@
   /// Returns whether the host is up in the incarnation that was drained.
   bool IsDrained(const host_progress& progress,
                  const listed_host& listed) const;
+  /// Sets the phase and notes the change for logs.
   void SetPhase(std::uint64_t wave,
                 const host_id& host,
                 host_progress* progress,
--- a/src/core/jobs/pool_answers.cc
+++ b/src/core/jobs/pool_answers.cc
@@ -77,7 +77,7 @@
   if (run->IsLongRunning()) {
     run->start_unknown_since = now;
   } else {
-    run->WantStop(stop_cause::kUnwanted);
+    run->WantStop(stop_reason::kUnwanted);
   }
 }
 
@@ -99,7 +99,7 @@
     run->stop_answered_at = now;
   } else {
     run->next_stop_at = now + settings_.stop_retry;
-    if (run->cause == stop_cause::kNotListed) {
+    if (run->wanted_stop == stop_reason::kNotListed) {
       // The start may have been carried out since the listing without the run,
       // so that only a listing that is requested now can call for another stop.
       run->is_stop_wanted = false;
--- a/src/core/jobs/pool_incarnations.cc
+++ b/src/core/jobs/pool_incarnations.cc
@@ -66,7 +66,7 @@
   run->start_unknown_since.reset();
   run->stop_answered_at.reset();
   if (!run->confirmed_at) {
-    run->WantStop(stop_cause::kUnwanted);
+    run->WantStop(stop_reason::kUnwanted);
   }
 }
 
@@ -97,7 +97,7 @@
     run.step = &job->StepOf(task);
     run.demand = DemandOf(*run.step);
     run.ordered_at = now;
-    run.WantStop(stop_cause::kUnwanted);
+    run.WantStop(stop_reason::kUnwanted);
     vm->Add(task, run);
   }
 }
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -136,7 +136,7 @@
   run->start_unknown_since.reset();
   // An order may be carried out late. Its stop, if it was not answered, has no
   // reason any more, and would interrupt a task that may be at work.
-  if (run->cause == stop_cause::kNotListed && !run->stop_answered_at) {
+  if (run->wanted_stop == stop_reason::kNotListed && !run->stop_answered_at) {
     run->is_stop_wanted = false;
   }
   if (!run->confirmed_at) {
@@ -159,7 +159,7 @@
       vm->Erase(row.task);
       Adopt(vm, row, now);
     } else if (jobs_read_through_ > run->ordered_at) {
-      run->WantStop(stop_cause::kUnwanted);
+      run->WantStop(stop_reason::kUnwanted);
     }
   }
 }
@@ -363,7 +363,7 @@
       const bool may_start = run->run > end.run && !run->confirmed_at &&
                              (is_gang || task.index == end.task.index);
       if (may_start) {
-        run->WantStop(stop_cause::kUnwanted);
+        run->WantStop(stop_reason::kUnwanted);
       }
       is_any = is_any || may_start;
     });
@@ -430,9 +430,9 @@
     } else if (is_stopped) {
       over.push_back(task);
     } else if (run.start_unknown_since && *run.start_unknown_since <= sent_at) {
-      run.WantStop(stop_cause::kNotListed);
+      run.WantStop(stop_reason::kNotListed);
     } else if (was_started) {
-      run.WantStop(stop_cause::kNotListed);
+      run.WantStop(stop_reason::kNotListed);
       run.next_stop_at = std::max(run.next_stop_at, now);
     }
   }
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -187,7 +187,7 @@
     vms_.MarkChanged(vm);
     for (auto it = vm->runs().lower_bound({id, 0, 0, 0});
          it != vm->runs().end() && it->first.job == id; ++it) {
-      it->second.WantStop(stop_cause::kUnwanted);
+      it->second.WantStop(stop_reason::kUnwanted);
     }
   }
 }
@@ -201,7 +201,7 @@
       const bool is_done =
           state != nullptr && state->phase == task_phase::kDone;
       if (is_done) {
-        run->WantStop(stop_cause::kUnwanted);
+        run->WantStop(stop_reason::kUnwanted);
       }
     });
   }
@@ -280,7 +280,7 @@
     if (state == nullptr) {
       continue;
     }
-    run.WantStop(stop_cause::kUnwanted);
+    run.WantStop(stop_reason::kUnwanted);
     state->failed_on = vm->description().id;
     state->failed_until = now + settings_.failed_vm_avoidance;
     vm->avoid_until = std::max(vm->avoid_until, now + settings_.quarantine);
@@ -332,8 +332,8 @@
                               ? leaves || MayInterrupt(task, now)
                               : is_overdue || (step.checkpoints && !step.gang);
     if (may_stop) {
-      run.WantStop(step.long_running && !leaves ? stop_cause::kDrain
-                                                : stop_cause::kUnwanted);
+      run.WantStop(step.long_running && !leaves ? stop_reason::kDrain
+                                                : stop_reason::kUnwanted);
     }
   }
 }
@@ -350,7 +350,7 @@
     // The stop that was sent may not have been carried out, and other tasks may
     // have become unavailable since.
     const bool is_repeat = run.stop_sent_at != time_point();
-    if (is_due && is_repeat && run.cause == stop_cause::kDrain &&
+    if (is_due && is_repeat && run.wanted_stop == stop_reason::kDrain &&
         !MayInterrupt(task, now)) {
       run.is_stop_wanted = false;
     } else if (is_due) {
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -19,7 +19,7 @@
 namespace plantainhead::core::jobs {
 
 /// Why a run is to be stopped.
-enum class stop_cause {
+enum class stop_reason {
   /// It is not known whether the VM has the run. The run continues if the VM
   /// lists it.
   kNotListed,
@@ -55,8 +55,8 @@
   /// was not answered, and no later listing has resolved it.
   std::optional<time_point> start_unknown_since;
   bool is_stop_wanted = false;
-  /// The cause of the wanted stop; `kUnwanted` takes precedence.
-  stop_cause cause = stop_cause::kUnwanted;
+  /// The reason if a stop is wanted. `kUnwanted` takes precedence.
+  stop_reason wanted_stop = stop_reason::kUnwanted;
   bool is_stop_in_flight = false;
   time_point stop_sent_at;
   std::optional<time_point> stop_answered_at;
@@ -71,9 +71,10 @@
   /// as the scheduler.
   const step_spec* step = nullptr;
 
-  void WantStop(stop_cause next) {
-    if (!is_stop_wanted || next == stop_cause::kUnwanted) {
-      cause = next;
+  /// Requests a stop of the run.
+  void WantStop(stop_reason next) {
+    if (!is_stop_wanted || next == stop_reason::kUnwanted) {
+      wanted_stop = next;
     }
     is_stop_wanted = true;
   }
--- a/src/jobs/fleet_owner_impl.h
+++ b/src/jobs/fleet_owner_impl.h
@@ -53,6 +53,7 @@
   void RunCycle();
   /// Logs the state of the hosts that pools want, if it has changed.
   void LogStats(core::time_point now);
+  /// Logs how the hosts of waves have progressed since the last call.
   void LogPhaseChanges();
   void Execute(const core::jobs::close_vm& action);
   void Execute(const core::jobs::release_vm& action);
@@ -82,6 +83,11 @@
   void SendOrders(core::time_point now);
   /// Drops queued orders whose hosts are no longer as they were planned.
   void DropStaleOrders(core::time_point now);
+  bool IsStale(const core::jobs::move_host& move) const;
+  bool IsStale(const core::jobs::service_host& action) const;
+  void NoteNotSent(const core::jobs::move_host& move, core::time_point now);
+  void NoteNotSent(const core::jobs::service_host& action,
+                   core::time_point now);
   std::vector<host_order> TakeDueOrders(core::time_point now);
   std::vector<adapter::keyed_record> MakeOrderRecords(
       const std::vector<host_order>& batch,
--- a/src/jobs/fleet_owner_orders.cc
+++ b/src/jobs/fleet_owner_orders.cc
@@ -91,24 +91,37 @@
 // while its order waits, the order would terminate the tasks of the next
 // incarnation.
 void fleet_owner::impl::DropStaleOrders(core::time_point now) {
-  const auto is_stale = [this](const host_order& order) {
-    if (const auto* move = std::get_if<core::jobs::move_host>(&order)) {
-      return !balancer_.MayMove(*move);
-    }
-    return !maintenance_.MayService(std::get<core::jobs::service_host>(order));
-  };
-  for (const host_order& order : queue_.TakeStale(is_stale)) {
+  const std::vector<host_order> stale =
+      queue_.TakeStale([this](const host_order& order) {
+        return std::visit([this](const auto& kind) { return IsStale(kind); },
+                          order);
+      });
+  for (const host_order& order : stale) {
     LogEvent(job_event::kHostOrderDropped, {{"host", HostOf(order)}});
-    if (const auto* move = std::get_if<core::jobs::move_host>(&order)) {
-      balancer_.OnMoveAnswer(move->host, move_result::kRefused, now);
-    } else {
-      const auto& service = std::get<core::jobs::service_host>(order);
-      maintenance_.OnServiceAnswer(service.wave, service.host,
-                                   service_result::kTemporaryFailure, now);
-    }
+    std::visit([this, now](const auto& kind) { NoteNotSent(kind, now); },
+               order);
   }
 }
 
+bool fleet_owner::impl::IsStale(const core::jobs::move_host& move) const {
+  return !balancer_.MayMove(move);
+}
+
+bool fleet_owner::impl::IsStale(const core::jobs::service_host& action) const {
+  return !maintenance_.MayService(action);
+}
+
+void fleet_owner::impl::NoteNotSent(const core::jobs::move_host& move,
+                                    core::time_point now) {
+  balancer_.OnMoveAnswer(move.host, move_result::kRefused, now);
+}
+
+void fleet_owner::impl::NoteNotSent(const core::jobs::service_host& action,
+                                    core::time_point now) {
+  maintenance_.OnServiceAnswer(action.wave, action.host,
+                               service_result::kTemporaryFailure, now);
+}
+
 // Returns the queued orders for hosts that no earlier owner may have ordered
 // recently.
 std::vector<host_order> fleet_owner::impl::TakeDueOrders(core::time_point now) {
