Look up closed VMs only for hosts that may not be ordered yet

Suspected cause: for each host of a wave and in each cycle the owner of the fleet looked up its pool and its VM, although the answer matters only for the few hosts that an earlier owner may have ordered. Work has to follow what changed. Change: the hosts are asked for first; the result is the same.

--- a/src/core/jobs/maintenance_scheduler.cc
+++ b/src/core/jobs/maintenance_scheduler.cc
@@ -480,11 +480,11 @@
     return false;
   }
   const fleet_host& shown = listed->host;
-  const bool was_orderable =
-      shown.state == host_state::kUp && progress.phase != host_phase::kDone &&
-      (!RunsTasks(shown) || closed_.count(shown.vm) != 0);
-  return shown.state == host_state::kInService ||
-         (was_orderable && blocked_.count(host) != 0);
+  if (shown.state != host_state::kUp || blocked_.count(host) == 0) {
+    return shown.state == host_state::kInService;
+  }
+  return progress.phase != host_phase::kDone &&
+         (!RunsTasks(shown) || closed_.count(shown.vm) != 0);
 }
 
 void maintenance_scheduler::OrderServices(fleet_wave* wave,
