Keep state only for tasks that have started

Callers saw: after one accepted job of 2,400,000 tasks (a request of 18 KB), or 240 jobs of 10,000 tasks (81 bytes each), or one job of 1,000,000 occurrences that are due (146 bytes), no task of any job of the pool started any more. The owner of the pool exceeded its memory, was killed, read the jobs again and was killed again.

Cause: job_state::Open created the state of all tasks of all steps at once, 152 bytes a task, and OpenDue all occurrences that are due. Each plan visited all steps of all waiting jobs, and so did Counts, Load and the records.

Change: a task has a state of its own from its first start until it is done. Done tasks, steps and occurrences are kept as ranges of numbers. A step is made ready when the steps before it are done; a job knows its ready steps with waiting tasks, and what these need, without a search. A plan visits at most 256 ready steps of a job and continues there in the next one. A gang is not tried if the pool as a whole lacks what it needs.

--- a/include/plantainhead/core/jobs/job_types.h
+++ b/include/plantainhead/core/jobs/job_types.h
@@ -188,6 +188,46 @@
   bool operator==(const task_record&) const = default;
 };
 
+/// Consecutive occurrences of a job that are done, from `begin` to `end`, which
+/// is excluded.
+struct done_occurrences {
+  std::uint32_t begin = 0;
+  std::uint32_t end = 0;
+
+  bool operator==(const done_occurrences&) const = default;
+};
+
+/// Like `done_occurrences`, for steps of an occurrence.
+struct done_steps {
+  std::uint32_t occurrence = 0;
+  std::uint32_t begin = 0;
+  std::uint32_t end = 0;
+
+  bool operator==(const done_steps&) const = default;
+};
+
+/// Like `done_occurrences`, for tasks of a step.
+struct done_tasks {
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+  std::uint32_t begin = 0;
+  std::uint32_t end = 0;
+
+  bool operator==(const done_tasks&) const = default;
+};
+
+/// The tasks of a job that are done, unless they are listed one by one.
+struct done_ranges {
+  std::vector<done_occurrences> occurrences;
+  std::vector<done_steps> steps;
+  std::vector<done_tasks> tasks;
+
+  bool IsEmpty() const {
+    return occurrences.empty() && steps.empty() && tasks.empty();
+  }
+  bool operator==(const done_ranges&) const = default;
+};
+
 /// The state of a job that is stored so that it survives a change of the owner.
 /// In a final phase it contains no tasks.
 struct job_progress {
@@ -196,6 +236,7 @@
   /// An earlier owner may have used run numbers up to this one on a VM that
   /// never reported those runs.
   std::uint32_t unreported_runs = 0;
+  done_ranges done = {};
 
   bool operator==(const job_progress&) const = default;
 };
--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -108,8 +108,8 @@
 /// Counters and gauges of a `pool_scheduler`.
 struct scheduler_counts {
   std::size_t open_jobs = 0;
-  std::size_t waiting_tasks = 0;
-  std::size_t placed_tasks = 0;
+  std::uint64_t waiting_tasks = 0;
+  std::uint64_t placed_tasks = 0;
   std::uint64_t starts = 0;
   std::uint64_t lease_expired_runs = 0;
   /// Runs that were on a VM when it was lost, including those whose lease
@@ -121,6 +121,11 @@
   /// the work is proportional to the number of changes or to the size of the
   /// pool.
   std::uint64_t visited_vms = 0;
+  /// The number of visits of steps in search of tasks to start.
+  std::uint64_t visited_steps = 0;
+  /// Jobs that start no further tasks since their progress would not fit into a
+  /// record of the store.
+  std::size_t full_jobs = 0;
 };
 
 /// Reports a run that was lost with its VM.
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -85,7 +85,7 @@
   batch.number = next_batch_++;
   batch.jobs.reserve(changed_.size());
   for (const job_id& id : changed_) {
-    const job_state& job = *jobs_.at(id);
+    job_state& job = *jobs_.at(id);
     batch.jobs.emplace_back(id, job.Progress());
     if (IsFinal(job.phase())) {
       batch.results.push_back(job.Result());
--- a/src/core/jobs/pool_load.cc
+++ b/src/core/jobs/pool_load.cc
@@ -21,7 +21,7 @@
   }
   for (const auto& [id, job] : jobs_.waiting()) {
     if (job->spec().pool == pool) {
-      AddDemand(job, now, &load);
+      load.waiting = load.waiting + job->WaitingDemand(now);
     }
   }
   for (const auto& [id, job] : jobs_.long_running()) {
@@ -32,33 +32,6 @@
   return load;
 }
 
-void pool_scheduler::impl::AddDemand(job_state* job,
-                                     time_point now,
-                                     pool_load* load) {
-  for (auto& [number, occurrence] : job->occurrences()) {
-    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-      const step_spec& step = job->spec().steps[s];
-      const std::int64_t waiting = occurrence.steps[s].Waiting();
-      if (waiting == 0) {
-        continue;
-      }
-      // A job that is late does not add to the demand for VMs: it gains little
-      // from ending somewhat earlier, and it runs in the capacity that is
-      // available.
-      const bool is_late =
-          !step.long_running &&
-          now + job->RemainingChain(&occurrence) > job->deadline();
-      if (is_late || !job->IsOpen(occurrence, s)) {
-        continue;
-      }
-      const resources demand = DemandOf(step);
-      load->waiting = load->waiting + resources{waiting * demand.cpu_millis,
-                                                waiting * demand.memory_mb,
-                                                waiting * demand.gpus};
-    }
-  }
-}
-
 void pool_scheduler::impl::AddSpread(const job_state& job, pool_load* load) {
   if (!job.HasOccurrence()) {
     return;
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -11,6 +11,8 @@
 // late after them.
 constexpr int kLongRunningRank = -1;
 constexpr int kLateRank = 1000;
+// The number of ready steps of a job that a plan visits.
+constexpr std::size_t kMaxStepsOfPlan = 256;
 
 bool HasLabel(const vm_description& vm, const std::string& label) {
   return std::find(vm.labels.begin(), vm.labels.end(), label) !=
@@ -31,14 +33,6 @@
 
 }  // namespace
 
-resources DemandOf(const step_spec& step) {
-  resources demand = step.need;
-  if (step.best_effort) {
-    demand.cpu_millis = 0;
-  }
-  return demand;
-}
-
 // After a takeover, a task may be running or may have ended on any VM that has
 // not listed all its tasks. It must not start elsewhere before that, or before
 // the lease of the VM has expired.
@@ -105,18 +99,9 @@
       NoteWait(job, wait_cause::kRecovery, now);
       continue;
     }
-    duration chain = duration::zero();
-    bool lasts = false;
-    for (auto& [number, occurrence] : job->occurrences()) {
-      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-        lasts = lasts || (job->spec().steps[s].long_running &&
-                          job->IsOpen(occurrence, s));
-      }
-      chain = std::max(chain, job->RemainingChain(&occurrence));
-    }
-    const bool is_late = now + chain > job->deadline();
+    const bool is_late = now + job->RemainingChain() > job->deadline();
     int rank = job->policy().priority;
-    if (lasts) {
+    if (job->HasReadyLongRunning()) {
       rank = kLongRunningRank;
     } else if (is_late) {
       rank += kLateRank;
@@ -134,41 +119,69 @@
   return candidates;
 }
 
+// A job with many ready steps continues with the next ones in the next plan.
 void pool_scheduler::impl::PlaceJob(job_state* job,
                                     time_point now,
                                     std::vector<vm_order>* orders) {
-  for (auto& [number, occurrence] : job->occurrences()) {
-    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-      if (occurrence.steps[s].Waiting() == 0 || !job->IsOpen(occurrence, s)) {
-        continue;
-      }
-      if (job->spec().steps[s].gang) {
-        PlaceGang(job, number, s, now, orders);
-      } else {
-        PlaceStep(job, number, s, now, orders);
-      }
+  using step_ref = job_state::step_ref;
+  std::vector<step_ref>& steps = steps_to_place_;
+  steps.clear();
+  const step_ref begin = job->next_step;
+  job->WaitingSteps(begin, kMaxStepsOfPlan, &steps);
+  const std::size_t before_wrap = steps.size();
+  if (begin != step_ref()) {
+    job->WaitingSteps(step_ref(), kMaxStepsOfPlan, &steps);
+    while (steps.size() > before_wrap && steps.back() >= begin) {
+      steps.pop_back();
     }
   }
+  const bool is_full = steps.size() == kMaxStepsOfPlan;
+  job->next_step =
+      is_full ? step_ref{steps.back().occurrence, steps.back().step + 1}
+              : step_ref();
+  for (const step_ref& step : steps) {
+    if (starts_left_ == 0) {
+      job->next_step = is_full ? step : step_ref();
+      return;
+    }
+    ++counts_.visited_steps;
+    PlaceReadyStep(job, step, now, orders);
+  }
+}
+
+void pool_scheduler::impl::PlaceReadyStep(job_state* job,
+                                          const job_state::step_ref& step,
+                                          time_point now,
+                                          std::vector<vm_order>* orders) {
+  if (job->spec().steps[step.step].gang) {
+    PlaceGang(job, step, now, orders);
+  } else {
+    PlaceStep(job, step, now, orders);
+  }
 }
 
 void pool_scheduler::impl::PlaceStep(job_state* job,
-                                     std::uint32_t occurrence,
-                                     std::uint32_t step,
+                                     const job_state::step_ref& step,
                                      time_point now,
                                      std::vector<vm_order>* orders) {
-  const std::string& rack = job->spec().steps[step].preferred_rack;
-  const auto count = job->occurrences()[occurrence].steps[step].tasks.size();
-  for (std::uint32_t i = 0; i < count; ++i) {
-    const task_name name{job->spec().id, occurrence, step, i};
-    const job_task_state& task = *job->Find(name);
-    if (starts_left_ == 0) {
+  const step_spec& spec = job->spec().steps[step.step];
+  task_name name{job->spec().id, step.occurrence, step.step, 0};
+  for (;; ++name.index) {
+    const step_state* state = job->FindStep(step);
+    const std::uint32_t untracked =
+        state == nullptr ? name.index : state->NextUntracked(name.index);
+    const std::uint32_t retry =
+        state == nullptr ? spec.task_count : state->NextRetry(name.index);
+    name.index = std::min(job->MayTrack(1) ? untracked : spec.task_count,
+                          job->MayRetry() ? retry : spec.task_count);
+    if (starts_left_ == 0 || name.index >= spec.task_count) {
       return;
     }
-    if (task.phase != task_phase::kWaiting ||
-        task.starts_after_batch > stored_through_) {
+    const job_task_state& task = *job->Find(name);
+    if (task.starts_after_batch > stored_through_) {
       continue;
     }
-    vm_state* vm = ChooseVm(job, name, rack, now);
+    vm_state* vm = ChooseVm(job, name, spec.preferred_rack, now);
     if (vm == nullptr && MustRunIsolated(*job, name)) {
       continue;
     }
@@ -198,35 +211,56 @@
   return racks;
 }
 
+bool pool_scheduler::impl::MayFitGang(const pool_id& pool,
+                                      const step_spec& step) const {
+  const pool_vm_index* index = index_.Find(pool);
+  if (index == nullptr) {
+    return false;
+  }
+  const resources demand = DemandOf(step);
+  const std::int64_t count = step.task_count;
+  const resources free = index->capacity - index->used;
+  return demand.cpu_millis <= free.cpu_millis / count &&
+         demand.memory_mb <= free.memory_mb / count &&
+         demand.gpus <= free.gpus / count;
+}
+
 // If only some members of a gang could start, they would use capacity until
 // they end as incomplete. So either all members are placed, or none.
 void pool_scheduler::impl::PlaceGang(job_state* job,
-                                     std::uint32_t occurrence,
-                                     std::uint32_t step,
+                                     const job_state::step_ref& step,
                                      time_point now,
                                      std::vector<vm_order>* orders) {
-  step_state& state = job->occurrences()[occurrence].steps[step];
+  const step_spec& spec = job->spec().steps[step.step];
+  const step_state* state = job->FindStep(step);
   // A gang that is larger than the window starts when no other start is in
   // flight.
   const bool is_held_back =
-      state.tasks.size() > starts_left_ && starts_in_flight_ > 0;
-  if (state.placed > 0 || is_held_back) {
+      spec.task_count > starts_left_ && starts_in_flight_ > 0;
+  const std::size_t tracked = state == nullptr ? 0 : state->tracked().size();
+  const bool has_record_room =
+      job->MayRetry() &&
+      job->MayTrack(spec.task_count - static_cast<std::uint32_t>(tracked));
+  if ((state != nullptr && state->placed() > 0) || is_held_back ||
+      !has_record_room || !MayFitGang(job->spec().pool, spec)) {
     return;
   }
-  std::uint32_t run = 0;
+  std::uint32_t run = job->NextRun(job_task_state());
   std::string checkpoint;
-  for (const job_task_state& task : state.tasks) {
-    if (task.starts_after_batch > stored_through_) {
-      return;
+  if (state != nullptr) {
+    for (const auto& [index, task] : state->tracked()) {
+      if (task.starts_after_batch > stored_through_) {
+        return;
+      }
+      run = std::max(run, job->NextRun(task));
+      checkpoint = std::max(checkpoint, task.checkpoint);
     }
-    run = std::max(run, job->NextRun(task));
-    checkpoint = std::max(checkpoint, task.checkpoint);
   }
-  for (const std::string& rack : RacksFor(*job, step)) {
+  for (const std::string& rack : RacksFor(*job, step.step)) {
     std::vector<std::pair<vm_state*, task_name>> placed;
     const std::size_t unplaced_before = unmet_demands_.size();
-    for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
-      const task_name name{job->spec().id, occurrence, step, i};
+    for (std::uint32_t i = 0; i < spec.task_count; ++i) {
+      const task_name name{job->spec().id, step.occurrence, step.step, i};
       vm_state* vm = ChooseVm(job, name, rack, now);
       const bool is_in_rack =
           vm != nullptr && (rack.empty() || HasLabel(vm->description(), rack));
@@ -234,13 +268,13 @@
         break;
       }
       run_state reserved;
-      reserved.step = &job->spec().steps[step];
-      reserved.demand = DemandOf(*reserved.step);
+      reserved.step = &spec;
+      reserved.demand = DemandOf(spec);
       vm->Add(name, reserved);
       index_.Update(vm, now);
       placed.emplace_back(vm, name);
     }
-    const bool fits = placed.size() == state.tasks.size();
+    const bool fits = placed.size() == spec.task_count;
     for (const auto& [vm, name] : placed) {
       vm->Erase(name);
       index_.Update(vm, now);
@@ -252,7 +286,7 @@
       continue;
     }
     for (const auto& [vm, name] : placed) {
-      job->Find(name)->checkpoint = checkpoint;
+      job->Track(name)->checkpoint = checkpoint;
       Start(job, name, run, vm, now, orders);
     }
     return;
--- a/src/core/jobs/pool_records.cc
+++ b/src/core/jobs/pool_records.cc
@@ -67,12 +67,9 @@
   counts.open_jobs = jobs_.open().size();
   counts.visited_vms = vms_.visits();
   for (const auto& [id, job] : jobs_.open()) {
-    for (const auto& [number, occurrence] : job->occurrences()) {
-      for (const step_state& step : occurrence.steps) {
-        counts.waiting_tasks += step.Waiting();
-        counts.placed_tasks += step.placed;
-      }
-    }
+    counts.waiting_tasks += job->waiting_tasks();
+    counts.placed_tasks += job->placed_tasks();
+    counts.full_jobs += job->MayTrack(1) ? 0 : 1;
   }
   return counts;
 }
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -214,7 +214,7 @@
     return;
   }
   OpenListed(job, row.task);
-  job_task_state* task = job->Find(row.task);
+  const job_task_state* task = job->Find(row.task);
   const bool is_wanted = task != nullptr &&
                          task->phase == task_phase::kWaiting &&
                          row.run > task->ended_run;
@@ -332,7 +332,7 @@
   if (is_new) {
     if (end.how == end_kind::kFailed) {
       ++counts_.failed_runs;
-      if (job_task_state* task = job->Find(end.task)) {
+      if (job_task_state* task = job->Track(end.task)) {
         task->failed_until = now + settings_.failed_vm_avoidance;
       }
     }
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -161,7 +161,7 @@
       CountLoss(job, run.task, {run.run, kind, run.vm, incarnation});
     }
     job = jobs_.Find(run.task.job);
-    job_task_state* task = job == nullptr ? nullptr : job->Find(run.task);
+    job_task_state* task = job == nullptr ? nullptr : job->Track(run.task);
     if (task != nullptr) {
       task->starts_after_batch = jobs_.next_batch();
     }
@@ -276,13 +276,14 @@
       continue;
     }
     job_state* job = jobs_.Find(task.job);
-    job_task_state* state = job == nullptr ? nullptr : job->Find(task);
-    if (state == nullptr) {
+    if (job == nullptr || job->Find(task) == nullptr) {
       continue;
     }
     run.WantStop(stop_reason::kUnwanted);
-    state->failed_on = vm->description().id;
-    state->failed_until = now + settings_.failed_vm_avoidance;
+    if (job_task_state* state = job->Track(task)) {
+      state->failed_on = vm->description().id;
+      state->failed_until = now + settings_.failed_vm_avoidance;
+    }
     vm->avoid_until = std::max(vm->avoid_until, now + settings_.quarantine);
     ++counts_.hung_runs;
   }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -22,9 +22,6 @@
 /// The progress at which a long-running task is ready to serve.
 inline constexpr std::uint32_t kReadyPercent = 100;
 
-/// Returns the resources that a task of the step takes of a VM's capacity.
-resources DemandOf(const step_spec& step);
-
 /// The implementation of `pool_scheduler`. It visits only VMs that have changed
 /// rather than all of them: code that changes a VM obtains it from `FindVm` or
 /// calls `vm_table::MarkChanged`. The implementation is split into eight files:
@@ -222,7 +219,6 @@
   void NoteVmChange(const vm_state& vm);
 
   // Load.
-  static void AddDemand(job_state* job, time_point now, pool_load* load);
   static void AddSpread(const job_state& job, pool_load* load);
 
   // Placement.
@@ -236,17 +232,23 @@
   std::vector<candidate> Candidates(time_point now);
   void PlaceJob(job_state* job, time_point now, std::vector<vm_order>* orders);
   void PlaceStep(job_state* job,
-                 std::uint32_t occurrence,
-                 std::uint32_t step,
+                 const job_state::step_ref& step,
                  time_point now,
                  std::vector<vm_order>* orders);
+  /// Places the tasks of one ready step.
+  void PlaceReadyStep(job_state* job,
+                      const job_state::step_ref& step,
+                      time_point now,
+                      std::vector<vm_order>* orders);
   std::vector<std::string> RacksFor(const job_state& job,
                                     std::uint32_t step) const;
   void PlaceGang(job_state* job,
-                 std::uint32_t occurrence,
-                 std::uint32_t step,
+                 const job_state::step_ref& step,
                  time_point now,
                  std::vector<vm_order>* orders);
+  /// Returns whether the pool has the free resources that the gang needs,
+  /// however they are spread over its VMs.
+  bool MayFitGang(const pool_id& pool, const step_spec& step) const;
   bool IsKnownUnplaceable(const pool_id& pool, const step_spec& step) const;
   /// Returns whether the task may start only on a VM without newly started
   /// runs.
@@ -311,6 +313,8 @@
   /// flight.
   std::size_t starts_left_ = 0;
   std::size_t starts_in_flight_ = 0;
+  /// The steps that this plan visits of a job.
+  std::vector<job_state::step_ref> steps_to_place_;
   /// Requirements that no VM could meet in this plan.
   std::vector<unmet_demand> unmet_demands_;
   /// Whether the lease of a VM expired before the VM had listed what was
