Split batches that are larger than a call of the store

Callers saw: submissions of 216 KB that arrive together were answered late or refused ("the store refused the record"), and a pool whose jobs record more than 2 MB at once would have lost its owner again and again.

Cause: job_recorder combined all waiting submissions of a partition, and progress_writer all records of a batch, into one append. The store takes 2,097,152 bytes a call and rejects a larger one as a whole.

Change: both take as many records as fit into half a call and send the rest in the next append, in their order. A batch counts as stored when its last part is. Jobs come before the VMs in a batch, so that a new owner that finds only the first part queries VMs that it need not query.

Not measured: that the late answers of the 216 KB submissions had this cause.

--- a/fakes/site_store.cc
+++ b/fakes/site_store.cc
@@ -49,6 +49,26 @@
   return text;
 }
 
+// Returns whether the store takes records of these sizes in one call.
+bool IsWithinLimits(const std::string& body) {
+  constexpr std::size_t kLengthBytes = 4;
+  constexpr std::size_t kRecordBytes = 262144;
+  constexpr std::size_t kCallBytes = 2097152;
+  std::size_t total = 0;
+  for (std::size_t at = 0; at < body.size();) {
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < kLengthBytes; ++i) {
+      length = (length << 8U) | static_cast<unsigned char>(body[at + i]);
+    }
+    total += length;
+    if (length > kRecordBytes || total > kCallBytes) {
+      return false;
+    }
+    at += length + kLengthBytes;
+  }
+  return true;
+}
+
 std::string ToBase64(const std::string& text) {
   namespace base64 = boost::beast::detail::base64;
   std::string encoded(base64::encoded_size(text.size()), '\0');
@@ -93,6 +113,11 @@
 void site_store::Append(const query_map& query,
                         const std::string& body,
                         const net::responder& respond) {
+  if (!IsWithinLimits(body)) {
+    ++oversized_appends;
+    respond(Answer(400, {{"reason", "too large"}}));
+    return;
+  }
   partition& target = partitions_[{
       query.at("topic"), static_cast<std::uint32_t>(NumberOf(query, "part"))}];
   const std::uint64_t end = target.records.size();
--- a/fakes/site_store.h
+++ b/fakes/site_store.h
@@ -76,6 +76,8 @@
   void RefuseWaitingReads();
 
   store_faults faults;
+  /// How many appends were larger than the store takes.
+  int oversized_appends = 0;
   /// Deals each member partitions that follow one another, and not in turn.
   bool deals_in_blocks = false;
 
--- a/src/jobs/job_recorder.cc
+++ b/src/jobs/job_recorder.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "jobs/append_limits.h"
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "jobs/unavailable_response.h"
@@ -78,9 +79,10 @@
       return;
     }
     ++next.in_flight;
-    const auto batch =
-        std::make_shared<std::vector<record_ptr>>(std::move(next.waiting));
-    next.waiting.clear();
+    const auto batch = std::make_shared<std::vector<record_ptr>>(TakeForAppend(
+        &next.waiting, [](const record_ptr& pending) -> const auto& {
+          return pending->request.record;
+        }));
     adapter::append_call call;
     call.partition = {kJobTopic, partition};
     for (const record_ptr& pending : *batch) {
--- a/src/jobs/progress_writer.cc
+++ b/src/jobs/progress_writer.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "jobs/append_limits.h"
 #include "jobs/clocks.h"
 #include "jobs/record_codec.h"
 
@@ -33,11 +34,10 @@
   }
 
   void Write(std::vector<adapter::keyed_record> records, done_handler on_done) {
-    ++call_.identity->sequence;
     call_.expected_end.reset();
-    call_.records = std::move(records);
+    unsent_ = std::move(records);
     on_done_ = std::move(on_done);
-    Send();
+    SendNext();
   }
 
   bool is_writing() const { return on_done_ != nullptr; }
@@ -51,6 +51,19 @@
   }
 
  private:
+  // Records that do not fit into one append go into several, in their order.
+  void SendNext() {
+    ++call_.identity->sequence;
+    call_.records.clear();
+    if (!unsent_.empty()) {
+      call_.records = TakeForAppend(
+          &unsent_, [](const adapter::keyed_record& record) -> const auto& {
+            return record;
+          });
+    }
+    Send();
+  }
+
   void Send() {
     store_.Append(
         call_, settings_.timeout,
@@ -66,7 +79,11 @@
     const bool is_claim = call_.expected_end.has_value();
     switch (reply.outcome) {
       case append_outcome::kStored:
-        Finish(result::kStored);
+        if (unsent_.empty()) {
+          Finish(result::kStored);
+        } else {
+          SendNext();
+        }
         return;
       case append_outcome::kFenced:
         Finish(result::kFenced);
@@ -112,6 +129,8 @@
   writer_settings settings_;
   boost::asio::steady_timer timer_;
   adapter::append_call call_;
+  /// The records of the batch that later appends contain.
+  std::vector<adapter::keyed_record> unsent_;
   done_handler on_done_;
   core::time_point next_write_at_;
 };
--- a/src/jobs/progress_writer.h
+++ b/src/jobs/progress_writer.h
@@ -28,7 +28,8 @@
 };
 
 /// Appends an owner's records to its partition with fencing, one batch at a
-/// time.
+/// time. A batch that is too large for one append is stored in parts, in its
+/// order; a new owner may find only the first parts.
 ///
 /// The first append claims the partition: it carries a new epoch, and succeeds
 /// only if nothing was appended since the claimant read the partition. From
--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -44,8 +44,10 @@
  public:
   site()
       : store(&context), report_timer_(context), store_address_(FreeAddress()) {
+    net::http_server_options options;
+    options.body_limit = std::size_t{4} << 20U;
     store_server_ = std::make_unique<net::http_server>(
-        &context, store_address_, net::http_server_options(),
+        &context, store_address_, options,
         [this](const net::server_request& request,
                const net::responder& respond) {
           CountStoreCall(request.target);
