Record done tasks as ranges, and bound the record of a job

Callers saw: after 17,200 to 17,650 tasks of one job of 25 steps of 10,000 tasks (a request of 1,401 bytes) nothing of any job of the pool ended any more, also after all schedulers had been started again.

Cause: a job's progress had a row for each task that had ended, and was stored in one record. Once it exceeded the store's 262,144 bytes, each append of its pool was rejected. The list of failed runs of a task that lasts grew without end, and a single checkpoint or many failures could do the same.

Change: - Done occurrences, steps and tasks are recorded as ranges once their rows would exceed 250,000 bytes. Up to there the record keeps the form of the landed code, which reads no ranges; record_codec_test compares it byte by byte. A record with ranges lacks a field that the landed code requires, so that it logs it as invalid rather than taking it for complete. - A job starts further tasks only while its record has room for their ends, and none of those that have failed once the record is nearly full. It is logged ("job record full") and counted (plantain_full_jobs). - Tasks that last do not record their failures, which count for nothing. - A record that is too large all the same is stored without checkpoints, or not at all, while the records of other jobs are stored. It is logged ("record too large") and counted (plantain_oversized_records_total). - The copy of the progress in job_directory has ranges, too.

In a roll, an owner of the landed code that takes over a job with ranges starts its done tasks again. Such a job has more than 9,200 done tasks; the landed code could record some 14,000.

--- a/include/plantainhead/core/jobs/job_progress.h
+++ b/include/plantainhead/core/jobs/job_progress.h
@@ -13,7 +13,7 @@
 inline constexpr std::size_t kMaxRecordBytes = 262144;
 /// Tasks that are done are recorded one by one up to this size of a record,
 /// since older versions read no other form.
-inline constexpr std::size_t kMaxPlainBytes = SIZE_MAX;
+inline constexpr std::size_t kMaxPlainBytes = 250000;
 /// The maximum size of a recorded task that is done.
 inline constexpr std::size_t kDoneTaskBytes = 27;
 /// The maximum size of a recorded task that is not done, without what depends
--- a/include/plantainhead/core/jobs/orders.h
+++ b/include/plantainhead/core/jobs/orders.h
@@ -83,6 +83,9 @@
 struct progress_batch {
   std::uint64_t number = 0;
   std::vector<std::pair<job_id, job_progress>> jobs;
+  /// Those jobs in `jobs` that start no further tasks since their progress
+  /// would not fit into a record.
+  std::vector<job_id> full_jobs;
   /// The results of those jobs in `jobs` that have ended.
   std::vector<job_result> results;
   /// VMs on which tasks may be started once this batch is stored.
--- a/src/core/jobs/job_directory.cc
+++ b/src/core/jobs/job_directory.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "plantainhead/core/jobs/job_progress.h"
+
 namespace plantainhead::core::jobs {
 namespace {
 
@@ -51,6 +53,7 @@
   if (IsFinal(entry.progress.phase)) {
     entry.spec.reset();
     entry.progress.tasks = {};
+    entry.progress.done = {};
   }
 }
 
@@ -90,6 +93,7 @@
     // Pages of the newest records are not a consistent snapshot: an older
     // record of the job may be read after its final one.
     if (!IsFinal(entry->progress.phase)) {
+      Compact(&progress);
       entry->progress = std::move(progress);
     }
   });
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -89,6 +89,8 @@
     batch.jobs.emplace_back(id, job.Progress());
     if (IsFinal(job.phase())) {
       batch.results.push_back(job.Result());
+    } else if (!job.MayTrack(1)) {
+      batch.full_jobs.push_back(id);
     }
   }
   changed_.clear();
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -225,6 +225,23 @@
          demand.gpus <= free.gpus / count;
 }
 
+bool pool_scheduler::impl::MayPlaceGang(const job_state& job,
+                                        const job_state::step_ref& step) const {
+  const step_spec& spec = job.spec().steps[step.step];
+  const step_state* state = job.FindStep(step);
+  // A gang that is larger than the window starts when no other start is in
+  // flight.
+  const bool is_held_back =
+      spec.task_count > starts_left_ && starts_in_flight_ > 0;
+  const std::size_t tracked = state == nullptr ? 0 : state->tracked().size();
+  const bool is_placed = state != nullptr && state->placed() > 0;
+  const bool has_record_room =
+      job.MayRetry() &&
+      job.MayTrack(spec.task_count - static_cast<std::uint32_t>(tracked));
+  return !is_placed && !is_held_back && has_record_room &&
+         MayFitGang(job.spec().pool, spec);
+}
+
 // If only some members of a gang could start, they would use capacity until
 // they end as incomplete. So either all members are placed, or none.
 void pool_scheduler::impl::PlaceGang(job_state* job,
@@ -233,16 +250,7 @@
                                      std::vector<vm_order>* orders) {
   const step_spec& spec = job->spec().steps[step.step];
   const step_state* state = job->FindStep(step);
-  // A gang that is larger than the window starts when no other start is in
-  // flight.
-  const bool is_held_back =
-      spec.task_count > starts_left_ && starts_in_flight_ > 0;
-  const std::size_t tracked = state == nullptr ? 0 : state->tracked().size();
-  const bool has_record_room =
-      job->MayRetry() &&
-      job->MayTrack(spec.task_count - static_cast<std::uint32_t>(tracked));
-  if ((state != nullptr && state->placed() > 0) || is_held_back ||
-      !has_record_room || !MayFitGang(job->spec().pool, spec)) {
+  if (!MayPlaceGang(*job, step)) {
     return;
   }
   std::uint32_t run = job->NextRun(job_task_state());
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -249,6 +249,8 @@
   /// Returns whether the pool has the free resources that the gang needs,
   /// however they are spread over its VMs.
   bool MayFitGang(const pool_id& pool, const step_spec& step) const;
+  bool MayPlaceGang(const job_state& job,
+                    const job_state::step_ref& step) const;
   bool IsKnownUnplaceable(const pool_id& pool, const step_spec& step) const;
   /// Returns whether the task may start only on a VM without newly started
   /// runs.
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -23,6 +23,7 @@
   kConfigurationApplied,
   kConfigurationInvalid,
   kRecordInvalid,
+  kRecordTooLarge,
   kReadRepeated,
   kJobsReread,
   kReadUnanswered,
@@ -39,6 +40,7 @@
   kStartsResumed,
   kCountTold,
   kCountRefused,
+  kJobRecordFull,
   kJobEnded,
   kTaskStarted,
   kTaskNotStarted,
@@ -72,7 +74,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 58> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 60> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -84,6 +86,7 @@
     {job_event::kConfigurationApplied, "configuration applied"},
     {job_event::kConfigurationInvalid, "configuration invalid"},
     {job_event::kRecordInvalid, "record invalid"},
+    {job_event::kRecordTooLarge, "record too large"},
     {job_event::kReadRepeated, "read repeated"},
     {job_event::kJobsReread, "jobs reread"},
     {job_event::kReadUnanswered, "read unanswered"},
@@ -100,6 +103,7 @@
     {job_event::kStartsResumed, "starts resumed"},
     {job_event::kCountTold, "count told"},
     {job_event::kCountRefused, "count refused"},
+    {job_event::kJobRecordFull, "job record full"},
     {job_event::kJobEnded, "job ended"},
     {job_event::kTaskStarted, "task started"},
     {job_event::kTaskNotStarted, "task not started"},
--- a/src/jobs/job_meters.cc
+++ b/src/jobs/job_meters.cc
@@ -19,9 +19,11 @@
           registry_.Latency("plantain_takeover_seconds",
                             "Time from the assignment of a partition until "
                             "its owner gives orders.")),
-      loop_lag_(
-          registry_.Latency("plantain_loop_lag_seconds",
-                            "Delay of timers on the event loop thread.")) {}
+      loop_lag_(registry_.Latency("plantain_loop_lag_seconds",
+                                  "Delay of timers on the event loop thread.")),
+      oversized_records_(registry_.Counter(
+          "plantain_oversized_records_total",
+          "Records of jobs' progress that were too large for the store.")) {}
 
 void job_meters::NoteStoreCall(adapter::store_call call, core::duration time) {
   registry_
--- a/src/jobs/job_meters.h
+++ b/src/jobs/job_meters.h
@@ -28,6 +28,8 @@
   void NotePlan(core::duration time) { plan_.Record(time); }
   /// Records the time in which a VM answered an order to start a task.
   void NoteStart(core::duration time) { start_.Record(time); }
+  /// Counts a record of a job's progress that was too large for the store.
+  void NoteOversizedRecord() { oversized_records_.Add(); }
   /// Records by how much the event loop is behind.
   void NoteLoopLag(core::duration lag) { loop_lag_.Record(lag); }
   /// Records the time from the assignment of a partition until its new owner
@@ -52,6 +54,7 @@
   observe::latency_histogram& start_;
   observe::latency_histogram& takeover_;
   observe::latency_histogram& loop_lag_;
+  observe::counter& oversized_records_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -92,6 +92,10 @@
               static_cast<double>(counts.open_jobs), labels);
     set_gauge("plantain_waiting_tasks", "Tasks that may not start yet.",
               static_cast<double>(counts.waiting_tasks), labels);
+    set_gauge("plantain_full_jobs",
+              "Jobs that start no further tasks since their progress would not "
+              "fit into a record.",
+              static_cast<double>(counts.full_jobs), labels);
     set_gauge("plantain_placed_tasks", "Tasks that have a run on a VM.",
               static_cast<double>(counts.placed_tasks), labels);
     registry
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -9,6 +9,7 @@
 #include "jobs/clocks.h"
 #include "jobs/event_log.h"
 #include "plantainhead/core/jobs/job_age.h"
+#include "plantainhead/core/jobs/job_progress.h"
 
 namespace plantainhead::jobs {
 
@@ -261,8 +262,11 @@
   std::vector<adapter::keyed_record> records = TakeVacancyRecords();
   auto batch = scheduler_->TakeBatch();
   if (batch) {
+    NoteFullJobs(*batch);
     for (const auto& [id, progress] : batch->jobs) {
-      records.push_back(Encode(progress_record{id, progress}));
+      if (auto record = EncodeProgress(id, progress)) {
+        records.push_back(std::move(*record));
+      }
     }
     // Removals come first: a VM that is used again was removed before.
     for (const vm_id& vm : batch->dropped_vms) {
@@ -290,6 +294,42 @@
   });
 }
 
+void pool_owner::impl::NoteFullJobs(const core::jobs::progress_batch& batch) {
+  const std::set<core::jobs::job_id> full(batch.full_jobs.begin(),
+                                          batch.full_jobs.end());
+  for (const auto& [id, progress] : batch.jobs) {
+    if (full.count(id) == 0) {
+      full_jobs_.erase(id);
+    } else if (full_jobs_.insert(id).second) {
+      LogEvent(job_event::kJobRecordFull,
+               {{"job", id}, {"partition", std::to_string(partition_)}});
+    }
+  }
+}
+
+// The store would reject the whole batch for one record that is too large, and
+// with it the progress of all other jobs.
+std::optional<adapter::keyed_record> pool_owner::impl::EncodeProgress(
+    const core::jobs::job_id& job,
+    const core::jobs::job_progress& progress) {
+  adapter::keyed_record record = Encode(progress_record{job, progress});
+  const std::size_t bytes = adapter::BytesOf(record);
+  if (bytes <= adapter::kMaxRecordBytes) {
+    return record;
+  }
+  core::jobs::job_progress shortened = progress;
+  core::jobs::FitIntoRecord(&shortened);
+  record = Encode(progress_record{job, std::move(shortened)});
+  const bool fits = adapter::BytesOf(record) <= adapter::kMaxRecordBytes;
+  deps_.meters->NoteOversizedRecord();
+  LogEvent(job_event::kRecordTooLarge,
+           {{"job", job},
+            {"partition", std::to_string(partition_)},
+            {"bytes", std::to_string(bytes)},
+            {"stored", fits ? "without checkpoints" : "no"}});
+  return fits ? std::optional(std::move(record)) : std::nullopt;
+}
+
 void pool_owner::impl::OnProgressStored(
     const std::optional<core::jobs::progress_batch>& batch,
     progress_writer::result result) {
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -109,6 +109,13 @@
   void LogTakeoverWait(core::time_point now);
   void LoseOwnership(const std::string& reason);
   void StoreProgress();
+  /// Logs the jobs that have become full.
+  void NoteFullJobs(const core::jobs::progress_batch& batch);
+  /// Returns the record of a job's progress, or nothing if it does not fit into
+  /// a record of the store.
+  std::optional<adapter::keyed_record> EncodeProgress(
+      const core::jobs::job_id& job,
+      const core::jobs::job_progress& progress);
   void OnProgressStored(const std::optional<core::jobs::progress_batch>& batch,
                         progress_writer::result result);
   void OnJobEnded(const core::jobs::job_result& job);
@@ -227,6 +234,8 @@
   std::set<core::jobs::pool_id> undersized_pools_;
   std::map<core::jobs::pool_id, pool_sizing> pool_sizings_;
   core::jobs::vacancy_manager vacancy_manager_;
+  /// See `progress_batch`.
+  std::set<core::jobs::job_id> full_jobs_;
 };
 
 }  // namespace plantainhead::jobs
--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -23,6 +23,11 @@
 using json = nlohmann::json;
 
 constexpr const char* kEndedAs = "x";
+// Fields of the phase in a progress record. Versions that do not read ranges
+// must not take such a record for one of a job without progress, so that the
+// field that they require is missing in it.
+constexpr const char* kPhase = "s";
+constexpr const char* kPhaseWithRanges = "c";
 constexpr const char* kOwnerKey = "owner";
 constexpr std::string_view kVmPrefix = "vm/";
 constexpr std::string_view kVacantPrefix = "vacant/";
@@ -186,6 +191,15 @@
           row.At(3).OptionalInteger(0, adapter::kMaxMillis)};
 }
 
+// Calls `add` with each row of a list that may be missing.
+template <typename Add>
+void ForRows(const value_reader& rows, Add add) {
+  const std::size_t count = rows.IsMissing() ? 0 : rows.RowCount();
+  for (std::size_t i = 0; i < count; ++i) {
+    add(rows.At(i));
+  }
+}
+
 core::jobs::task_record ReadTask(const value_reader& row) {
   core::jobs::task_record task;
   task.occurrence = row.At(std::size_t{0}).Count();
@@ -198,23 +212,56 @@
   task.is_presumed = Optional(row.At(7), false, [](const value_reader& field) {
     return field.Count(0, 1) != 0;
   });
-  const value_reader losses = row.At(8);
-  const std::size_t loss_count = losses.IsMissing() ? 0 : losses.RowCount();
-  for (std::size_t i = 0; i < loss_count; ++i) {
-    task.losses.push_back(ReadLoss(losses.At(i)));
-  }
+  ForRows(row.At(8), [&task](const value_reader& loss) {
+    task.losses.push_back(ReadLoss(loss));
+  });
   return task;
 }
 
+core::jobs::done_ranges ReadDone(const value_reader& record) {
+  core::jobs::done_ranges done;
+  ForRows(record.At("do"), [&done](const value_reader& row) {
+    done.occurrences.push_back(
+        {row.At(std::size_t{0}).Count(), row.At(1).Count()});
+  });
+  ForRows(record.At("ds"), [&done](const value_reader& row) {
+    done.steps.push_back(
+        {row.At(std::size_t{0}).Count(), row.At(1).Count(), row.At(2).Count()});
+  });
+  ForRows(record.At("dt"), [&done](const value_reader& row) {
+    done.tasks.push_back({row.At(std::size_t{0}).Count(), row.At(1).Count(),
+                          row.At(2).Count(), row.At(3).Count()});
+  });
+  return done;
+}
+
+json ToJson(const core::jobs::done_ranges& done) {
+  json fields = json::object();
+  for (const auto& range : done.occurrences) {
+    fields["do"].push_back({range.begin, range.end});
+  }
+  for (const auto& range : done.steps) {
+    fields["ds"].push_back({range.occurrence, range.begin, range.end});
+  }
+  for (const auto& range : done.tasks) {
+    fields["dt"].push_back(
+        {range.occurrence, range.step, range.begin, range.end});
+  }
+  return fields;
+}
+
 core::jobs::job_progress ReadProgress(const value_reader& record) {
   core::jobs::job_progress progress;
-  progress.phase = record.At("s").EnumValue<core::jobs::job_phase>();
-  progress.unreported_runs = OptionalCount(record.At("u"));
-  const value_reader tasks = record.At("t");
-  const std::size_t count = tasks.IsMissing() ? 0 : tasks.RowCount();
-  for (std::size_t i = 0; i < count; ++i) {
-    progress.tasks.push_back(ReadTask(tasks.At(i)));
+  const value_reader with_ranges = record.At(kPhaseWithRanges);
+  progress.phase = (with_ranges.IsMissing() ? record.At(kPhase) : with_ranges)
+                       .EnumValue<core::jobs::job_phase>();
+  if (!with_ranges.IsMissing()) {
+    progress.done = ReadDone(record);
   }
+  progress.unreported_runs = OptionalCount(record.At("u"));
+  ForRows(record.At("t"), [&progress](const value_reader& row) {
+    progress.tasks.push_back(ReadTask(row));
+  });
   return progress;
 }
 
@@ -307,7 +354,10 @@
 }
 
 adapter::keyed_record Encode(const progress_record& record) {
-  json value = {{"s", core::NameOf(record.progress.phase)}};
+  const core::jobs::done_ranges& done = record.progress.done;
+  json value = ToJson(done);
+  value[done.IsEmpty() ? kPhase : kPhaseWithRanges] =
+      core::NameOf(record.progress.phase);
   if (record.progress.unreported_runs > 0) {
     value["u"] = record.progress.unreported_runs;
   }
--- a/tests/core/jobs/large_job_test.cc
+++ b/tests/core/jobs/large_job_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/jobs/scheduler_driver.h"
+#include "plantainhead/core/jobs/job_progress.h"
 
 namespace plantainhead::core::jobs {
 namespace {
@@ -96,5 +97,134 @@
   CHECK(HeapBytes() - before < std::size_t{2} * 1024 * 1024);
 }
 
+// Guards against tasks that run again, or never, because a new owner reads a
+// record whose tasks are listed as ranges.
+TEST_CASE("A new owner continues a job whose progress is recorded in ranges") {
+  std::vector<step_spec> steps = Chain(4, 4000);
+  steps[2].depends_on = {0};
+  const auto job = std::make_shared<job_spec>(*Job("wide", steps));
+  std::uint32_t expected = 16000;
+
+  SECTION("of a job that runs once") {}
+
+  SECTION("of a job with a schedule") {
+    for (step_spec& step : job->steps) {
+      step.task_count = 40;
+    }
+    job->schedule =
+        job_schedule{time_point(), std::chrono::milliseconds(1), 100};
+  }
+
+  std::map<task_name, std::uint32_t> runs;
+  job_progress recorded;
+  std::size_t ranges = 0;
+  for (int owner = 0; owner < 8 && !IsFinal(recorded.phase); ++owner) {
+    ending_pool pool;
+    pool.Add(job);
+    pool.scheduler.RestoreJob("wide", recorded);
+    for (int round = 0; round < 150; ++round) {
+      pool.RunOnce();
+    }
+    recorded = pool.recorded.at("wide");
+    ranges += recorded.done.IsEmpty() ? 0 : 1;
+    for (const auto& [task, count] : pool.runs) {
+      runs[task] += count;
+    }
+  }
+  CHECK(recorded.phase == job_phase::kCompleted);
+  CHECK(ranges > 0);
+  CHECK(runs.size() == expected);
+  CHECK(std::all_of(runs.begin(), runs.end(),
+                    [](const auto& task) { return task.second == 1; }));
+}
+
+// Guards against jobs that stop their pool because each failure of a task that
+// lasts makes their record larger.
+TEST_CASE("Failures of a long-running task do not enlarge its record") {
+  ending_pool pool;
+  step_spec step = Step(1);
+  step.long_running = true;
+  pool.Add(Job("lasting", {step}));
+  const auto run_failing = [&pool](int times) {
+    for (int i = 0; i < times; ++i) {
+      pool.RunOnce(end_kind::kFailed);
+      pool.Pass(std::chrono::seconds(5));
+      pool.List("vm-1", {}, {});
+      pool.List("vm-2", {}, {});
+    }
+    return RecordBytes(pool.recorded.at("lasting").tasks.at(0));
+  };
+  const std::size_t few = run_failing(10);
+  CHECK(run_failing(80) == few);
+  CHECK(pool.runs.begin()->second > 50);
+}
+
+// Guards against a job whose later steps never start because the steps before
+// them, which no VM can run, are always visited first.
+TEST_CASE("A step that can be placed starts behind many that cannot") {
+  ending_pool pool;
+  std::vector<step_spec> steps(2000, Step(1));
+  for (step_spec& step : steps) {
+    step.required_label = "unknown";
+  }
+  steps.back().required_label = "";
+  pool.Add(Job("wide", steps));
+  std::size_t started = 0;
+  for (int plan = 0; plan < 10; ++plan) {
+    started += pool.RunOnce();
+  }
+  CHECK(started == 1);
+  CHECK(pool.scheduler.Counts().visited_steps <= 10 * 256);
+}
+
+// Guards against a schedule that stands still because a step of its first
+// occurrences can run on no VM.
+TEST_CASE("Occurrences open while a later step of others waits for a VM") {
+  ending_pool pool;
+  std::vector<step_spec> steps = Chain(2, 1);
+  steps[1].required_label = "unknown";
+  const auto job = std::make_shared<job_spec>(*Job("repeated", steps));
+  job->schedule =
+      job_schedule{time_point(), std::chrono::milliseconds(1), 1000};
+  pool.Add(job);
+  for (int plan = 0; plan < 100; ++plan) {
+    pool.RunOnce();
+  }
+  CHECK(pool.runs.size() == 1000);
+}
+
+// Guards against a job whose tasks, once they have run, do not fit into its
+// record, although each of them may have to be recorded.
+TEST_CASE("A job starts no more tasks than its record can hold") {
+  ending_pool pool;
+  step_spec step = Step(kMaxTasks, 0);
+  step.need = resources();
+  pool.Add(Job("wide", std::vector<step_spec>(3, step)), Policy(5));
+  std::map<vm_id, std::vector<ended_task>> ended;
+  std::size_t started = 0;
+  for (int plan = 0; plan < 400; ++plan) {
+    for (const start_order& start : pool.StartAll()) {
+      std::vector<ended_task>& ends = ended[start.target.vm];
+      ends.push_back(Ended(ends.size() + 1, start.target.task, start.target.run,
+                           end_kind::kDone));
+      ++started;
+    }
+  }
+  const scheduler_counts counts = pool.scheduler.Counts();
+  CHECK(counts.placed_tasks == started);
+  CHECK(counts.waiting_tasks == 3 * kMaxTasks - started);
+  CHECK(started <= 5000);
+  CHECK(counts.full_jobs == 1);
+
+  SECTION("and starts others when these are done") {
+    for (const vm_id vm : {"vm-1", "vm-2"}) {
+      pool.List(vm, {}, ended[vm]);
+    }
+    pool.Store();
+    CHECK(pool.scheduler.Counts().full_jobs == 0);
+    CHECK_FALSE(pool.StartAll().empty());
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
--- a/tests/jobs/record_codec_test.cc
+++ b/tests/jobs/record_codec_test.cc
@@ -116,6 +116,37 @@
   CHECK(std::get<progress_record>(*decoded).progress == progress);
 }
 
+TEST_CASE("A progress record with ranges is decoded unchanged") {
+  core::jobs::job_progress progress;
+  progress.phase = core::jobs::job_phase::kRunning;
+  progress.tasks.push_back({5, 1, 2, 3, {1, 2}, false, "saved", true});
+  progress.done.occurrences = {{0, 2}, {3, 5}};
+  progress.done.steps = {{5, 0, 1}};
+  progress.done.tasks = {{5, 1, 0, 2}, {5, 1, 3, 9}};
+  const auto decoded =
+      DecodePoolRecord(Encode(progress_record{"job", progress}));
+  REQUIRE(decoded);
+  CHECK(std::get<progress_record>(*decoded).progress == progress);
+}
+
+// Guards against tasks that run again while an older version owns their pool.
+TEST_CASE("A progress record without ranges has the form of older versions") {
+  const std::string text =
+      R"({"s":"running","t":[[0,0,0,1,[],1],[0,0,1,2,[1],0,"saved",1]],"u":4})";
+  core::jobs::job_progress progress;
+  progress.phase = core::jobs::job_phase::kRunning;
+  progress.unreported_runs = 4;
+  progress.tasks = {{0, 0, 0, 1, {}, true, "", false},
+                    {0, 0, 1, 2, {1}, false, "saved", true}};
+  CHECK(Encode(progress_record{"job", progress}).value == text);
+  adapter::keyed_record record;
+  record.key = "job";
+  record.value = text;
+  const auto decoded = DecodePoolRecord(record);
+  REQUIRE(decoded);
+  CHECK(std::get<progress_record>(*decoded).progress == progress);
+}
+
 TEST_CASE("Owner and VM records are distinguished from job records") {
   const auto owner = DecodePoolRecord(
       Encode(owner_record{7, "node", {{"vm", milliseconds(5)}}}));
