--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -61,6 +61,17 @@
             .fault == "spec");
 }
 
+// Guards against processes that end because a submission is nested so deeply
+// that its value overflows the stack.
+TEST_CASE("A deeply nested job is rejected without parsing it") {
+  for (const std::size_t depth : {17, 120'000}) {
+    const std::string nested =
+        std::string(depth, '[') + std::string(depth, ']');
+    CHECK(DecodeJob(R"({"spec":"x","steps":[)" + nested + "]}").fault ==
+          "the body is nested too deeply");
+  }
+}
+
 TEST_CASE("Job ids, hosts and paths are decoded from requests") {
   CHECK(IsJobId("0123456789abcdef"));
   CHECK_FALSE(IsJobId("0123456789abcde"));
