Refuse jobs that cannot be held, and say which field is at fault

Callers saw: - 200 for jobs that never ran: no process could decode their records, as with an estimate of 4,000,000,000,000,000 ms, a negative interval, a label of 70 KB or a step with 110,000 dependencies (a body of 220 KB). - 503 with Retry-After, again and again, for a job of 20,000 small steps, whose record is larger than the store takes. - 200 for a gang, or lasting steps, of more tasks than the record of a job can list; all of them have to run at the same time.

Cause: DecodeJob did not check what the record of a job can contain. Counts above 32 bits were cut, so that "at most on a VM" became "no limit".

Change: such a job gets 400 with the path of the field; nothing is stored. At most 3,000 tasks of a job may have to run together. Repeated dependencies of a step are dropped.

--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -250,8 +250,15 @@
     decoded.spec->queue = incoming.route.queue;
     decoded.spec->pool = incoming.route.pool;
     decoded.spec->submitted_at = incoming.received_at;
-    Store(incoming, Encode(submission_record{std::move(*decoded.spec)}),
-          record_purpose::kJob);
+    adapter::keyed_record record =
+        Encode(submission_record{std::move(*decoded.spec)});
+    if (adapter::BytesOf(record) > adapter::kMaxRecordBytes) {
+      ++counts_.malformed;
+      incoming.respond(adapter::EncodeError(
+          net::kBadRequest, "malformed: steps: too large for a record"));
+      return;
+    }
+    Store(incoming, std::move(record), record_purpose::kJob);
   }
 
   void Store(const caller_request& incoming,
--- a/tests/adapter/codec_test.cc
+++ b/tests/adapter/codec_test.cc
@@ -72,6 +72,52 @@
   }
 }
 
+// Guards against accepted jobs that are lost because no process can decode
+// their records.
+TEST_CASE("A job is rejected if its record could not be decoded") {
+  const auto fault_of = [](const std::string& step) {
+    return DecodeJob(R"({"steps":[{"count":1,)" + step + "}]}").fault;
+  };
+  CHECK(fault_of(R"("estimate_ms":4000000000000000)") ==
+        "steps[0].estimate_ms");
+  CHECK(fault_of(R"("target_ms":-1)") == "steps[0].target_ms");
+  CHECK(fault_of(R"("anti_affinity":4294967296)") == "steps[0].anti_affinity");
+  CHECK(fault_of(R"("may_miss":4294967296)") == "steps[0].may_miss");
+  const std::string long_text(70000, 'x');
+  CHECK(fault_of(R"("requirements":")" + long_text + "\"") ==
+        "steps[0].requirements");
+  CHECK(fault_of(R"("image":")" + long_text + "\"") == "steps[0].image");
+  CHECK(DecodeJob(R"({"steps":[{"count":1}],"repeat_count":2,)"
+                  R"("interval_ms":-5})")
+            .fault == "interval_ms");
+  CHECK(DecodeJob(R"({"steps":[{"count":1},)"
+                  R"({"count":1,"depends_on":[4294967296]}]})")
+            .fault == "steps[1].depends_on");
+
+  SECTION("but a repeated dependency counts once") {
+    std::string list = "0";
+    for (int i = 0; i < 110'000; ++i) {
+      list += ",0";
+    }
+    const decoded_job job = DecodeJob(
+        R"({"steps":[{"count":1},{"count":1,"depends_on":[)" + list + "]}]}");
+    REQUIRE(job.spec);
+    CHECK(job.spec->steps[1].depends_on == std::vector<std::uint32_t>{0});
+  }
+}
+
+// Guards against accepted jobs that can never run as they ask, since their
+// record has no room for all tasks that run at the same time.
+TEST_CASE("A job is rejected if too many of its tasks must run together") {
+  CHECK(DecodeJob(R"({"steps":[{"count":3000,"gang":true}]})").spec);
+  CHECK(DecodeJob(R"({"steps":[{"count":3001,"gang":true}]})").fault ==
+        "steps[0].count");
+  CHECK(DecodeJob(R"({"steps":[{"count":2000,"long_running":true},)"
+                  R"({"count":2000,"long_running":true}]})")
+            .fault == "steps[1].count");
+  CHECK(DecodeJob(R"({"steps":[{"count":10000},{"count":10000}]})").spec);
+}
+
 TEST_CASE("Job ids, hosts and paths are decoded from requests") {
   CHECK(IsJobId("0123456789abcdef"));
   CHECK_FALSE(IsJobId("0123456789abcde"));
