Limit the tasks of a pool that run at the same time

Callers saw: nothing yet. Jobs whose tasks need no resources (76 bytes each) fit on the VMs of a pool without limit, so that their owner takes memory for all of them; and a plan tried each waiting gang on the VMs one by one although the pool as a whole has no room for it.

Change: at most 30,000 runs on all VMs of an owner together (scheduler_settings::max_runs).

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -66,6 +66,9 @@
   /// to 1 s old, or 2 s if a read hangs, plus the time of two responses of the
   /// store (0.8 s when it is very slow).
   duration max_cancellation_age = std::chrono::milliseconds(2600);
+  /// The maximum number of runs on all VMs together. Tasks that need no
+  /// resources would otherwise take memory without limit.
+  std::size_t max_runs = 30000;
   /// How long the tasks of a closed VM may run before they are stopped. Most
   /// tasks take at most 1 s, so that they end without losing work.
   duration empty_limit = std::chrono::milliseconds(2000);
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -218,11 +218,13 @@
     return false;
   }
   const resources demand = DemandOf(step);
-  const std::int64_t count = step.task_count;
   const resources free = index->capacity - index->used;
-  return demand.cpu_millis <= free.cpu_millis / count &&
-         demand.memory_mb <= free.memory_mb / count &&
-         demand.gpus <= free.gpus / count;
+  const auto may_fit = [&step](std::int64_t need, std::int64_t room) {
+    return need <= 0 || need <= room / std::int64_t{step.task_count};
+  };
+  return may_fit(demand.cpu_millis, free.cpu_millis) &&
+         may_fit(demand.memory_mb, free.memory_mb) &&
+         may_fit(demand.gpus, free.gpus);
 }
 
 bool pool_scheduler::impl::MayPlaceGang(const job_state& job,
--- a/src/core/jobs/pool_plan.cc
+++ b/src/core/jobs/pool_plan.cc
@@ -115,7 +115,10 @@
 
 void pool_scheduler::impl::CountStarts() {
   starts_in_flight_ = index_.starts_in_flight();
-  starts_left_ = window_.size() - std::min(window_.size(), starts_in_flight_);
+  const std::size_t runs_left =
+      settings_.max_runs - std::min(settings_.max_runs, index_.runs());
+  starts_left_ = std::min(
+      runs_left, window_.size() - std::min(window_.size(), starts_in_flight_));
 }
 
 }  // namespace plantainhead::core::jobs
--- a/src/core/jobs/vm_index.cc
+++ b/src/core/jobs/vm_index.cc
@@ -162,6 +162,7 @@
   entry.starts_in_flight = static_cast<std::size_t>(std::count_if(
       vm.runs().begin(), vm.runs().end(),
       [](const auto& run) { return run.second.is_start_in_flight; }));
+  entry.runs = vm.runs().size();
   return entry;
 }
 
@@ -169,6 +170,7 @@
   vm->indexed = entry;
   pool_vm_index& pool = *entry.pool;
   starts_in_flight_ += entry.starts_in_flight;
+  runs_ += entry.runs;
   if (std::uint32_t* count = CountOf(entry.stage, &pool.stages)) {
     ++*count;
   }
@@ -198,6 +200,7 @@
   }
   pool_vm_index& pool = *entry.pool;
   starts_in_flight_ -= entry.starts_in_flight;
+  runs_ -= entry.runs;
   if (std::uint32_t* count = CountOf(entry.stage, &pool.stages)) {
     --*count;
   }
--- a/src/core/jobs/vm_index.h
+++ b/src/core/jobs/vm_index.h
@@ -107,6 +107,8 @@
                                          const std::string& label);
   /// Returns the number of starts in flight.
   std::size_t starts_in_flight() const { return starts_in_flight_; }
+  /// Returns the number of runs on the VMs of all pools.
+  std::size_t runs() const { return runs_; }
   /// Returns the VMs that have not listed all their tasks and whose leases have
   /// not expired.
   const vm_set& unreconciled() const { return unreconciled_; }
@@ -127,6 +129,7 @@
   /// Pointers to the elements are kept in `vm_state::index_slots`.
   std::map<pool_id, pool_vm_index> pools_;
   std::size_t starts_in_flight_ = 0;
+  std::size_t runs_ = 0;
   vm_set unreconciled_;
   vm_set with_unprocessed_ends_;
   vm_set with_unknown_jobs_;
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -118,6 +118,7 @@
   /// See `available_vm_list`.
   std::size_t kind = 0;
   std::size_t starts_in_flight = 0;
+  std::size_t runs = 0;
 
   bool operator==(const vm_index_entry&) const = default;
 };
--- a/tests/core/jobs/large_job_test.cc
+++ b/tests/core/jobs/large_job_test.cc
@@ -226,5 +226,35 @@
   }
 }
 
+// Guards against owners that exceed their memory for tasks that need no
+// resources, all of which fit on the VMs of a pool.
+TEST_CASE("A pool runs a limited number of tasks at the same time") {
+  ending_pool pool;
+  step_spec step = Step(kMaxTasks);
+  step.need = resources();
+  for (int i = 0; i < 20; ++i) {
+    pool.Add(Job("wide-" + std::to_string(i), {step}));
+  }
+  for (int plan = 0; plan < 400; ++plan) {
+    pool.StartAll();
+  }
+  const std::size_t placed = pool.scheduler.Counts().placed_tasks;
+  CHECK(placed == scheduler_settings().max_runs);
+}
+
+// Guards against plans that try each gang on each VM, although the pool has not
+// enough room for any of them.
+TEST_CASE("A gang that the pool cannot hold takes no search") {
+  ending_pool pool;
+  step_spec step = Step(3000);
+  step.gang = true;
+  for (int i = 0; i < 50; ++i) {
+    pool.Add(Job("gang-" + std::to_string(i), {step}));
+  }
+  const std::uint64_t before = pool.scheduler.Counts().visited_vms;
+  CHECK(pool.StartAll().empty());
+  CHECK(pool.scheduler.Counts().visited_vms - before < 10);
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
