Release the memory of jobs that have ended

Callers saw: with jobs of 6,000 steps (216 KB), an owner that was killed for its memory although few of the jobs were open.

Cause: job_table kept the state of each job, and with it the submission, until the owner ended: 224 bytes for each step.

Evidence: large_job_test "The memory of a job is released after its end": 20 cancelled jobs of 3,000 steps hold more than 8 MiB; it fails at its last check without the change.

Change: 30 s after the end of a job is stored, only the fact that it ended is kept, unless a VM still lists a run of it. Orders that are carried out late (15 s) find the job until then. A job that has ended is not added again.

--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -18,19 +18,19 @@
 }
 
 const job_task_state& NewTask() {
-  static const job_task_state task;
-  return task;
+  static const job_task_state kTask;
+  return kTask;
 }
 
 // Ends and runs of a task that is done change nothing, whatever their number.
 const job_task_state& DoneTask() {
-  static const job_task_state task = [] {
+  static const job_task_state kTask = [] {
     job_task_state done;
     done.phase = task_phase::kDone;
     done.ended_run = std::numeric_limits<std::uint32_t>::max();
     return done;
   }();
-  return task;
+  return kTask;
 }
 
 resources Multiply(const resources& need, std::int64_t count) {
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "plantainhead/core/jobs/index_ranges.h"
@@ -127,7 +128,10 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
 
-    auto operator<=>(const step_ref&) const = default;
+    bool operator==(const step_ref&) const = default;
+    friend bool operator<(const step_ref& a, const step_ref& b) {
+      return std::tie(a.occurrence, a.step) < std::tie(b.occurrence, b.step);
+    }
   };
 
   /// Preconditions: `spec` is set and has a step; `arrived_at` is when this
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -10,6 +10,9 @@
                           time_point now,
                           duration age) {
   const job_id id = spec->id;
+  if (IsEnded(id)) {
+    return nullptr;
+  }
   auto [found, is_new] = jobs_.try_emplace(id);
   if (!is_new) {
     return nullptr;
@@ -35,6 +38,16 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+bool job_table::Forget(const job_id& id) {
+  if (changed_.count(id) != 0) {
+    return false;
+  }
+  with_losses_.erase(id);
+  jobs_.erase(id);
+  ended_.insert(id);
+  return true;
+}
+
 void job_table::SetPolicy(const queue_id& queue, const queue_policy& policy) {
   for (const auto& [id, job] : open_) {
     if (job->spec().queue == queue) {
--- a/src/core/jobs/job_table.h
+++ b/src/core/jobs/job_table.h
@@ -28,7 +28,10 @@
   job_state* Find(const job_id& id);
   /// Records a job that ended under an earlier owner.
   void AddEnded(const job_id& id) { ended_.insert(id); }
-  /// Returns whether the job ended under an earlier owner.
+  /// Replaces a job that has ended by the fact that it has. Returns false, and
+  /// changes nothing, if a change of the job is not recorded yet.
+  bool Forget(const job_id& id);
+  /// Returns whether the job ended under an earlier owner or was forgotten.
   bool IsEnded(const job_id& id) const { return ended_.count(id) != 0; }
   void SetPolicy(const queue_id& queue, const queue_policy& policy);
 
--- a/src/core/jobs/pool_placement.cc
+++ b/src/core/jobs/pool_placement.cc
@@ -131,7 +131,7 @@
   const std::size_t before_wrap = steps.size();
   if (begin != step_ref()) {
     job->WaitingSteps(step_ref(), kMaxStepsOfPlan, &steps);
-    while (steps.size() > before_wrap && steps.back() >= begin) {
+    while (steps.size() > before_wrap && !(steps.back() < begin)) {
       steps.pop_back();
     }
   }
--- a/src/core/jobs/pool_plan.cc
+++ b/src/core/jobs/pool_plan.cc
@@ -8,6 +8,11 @@
 // The steps of a plan: which VMs and jobs it visits, and in which order.
 
 namespace plantainhead::core::jobs {
+namespace {
+
+constexpr duration kEndedJobRetention = std::chrono::seconds(30);
+
+}  // namespace
 
 std::vector<vm_order> pool_scheduler::impl::Plan(time_point now,
                                                  time_point wall_now) {
@@ -25,6 +30,7 @@
     vms_.MarkChanged(vm);
   }
   OpenOccurrences(wall_now);
+  ForgetEndedJobs(now);
   IndexChanged(now);
   CountStarts();
   if (MayStart(now)) {
@@ -55,6 +61,21 @@
   }
 }
 
+// Orders of the job that are carried out late find it until then.
+void pool_scheduler::impl::ForgetEndedJobs(time_point now) {
+  for (job_id& id : newly_ended_) {
+    ended_.emplace_back(now, std::move(id));
+  }
+  newly_ended_.clear();
+  while (!ended_.empty() && now - ended_.front().first > kEndedJobRetention) {
+    const job_id id = std::move(ended_.front().second);
+    ended_.pop_front();
+    if (!vms_.WithRunsOf(id).empty() || !jobs_.Forget(id)) {
+      ended_.emplace_back(now, id);
+    }
+  }
+}
+
 void pool_scheduler::impl::PlanVm(vm_state* vm,
                                   time_point now,
                                   std::vector<vm_order>* orders) {
--- a/src/core/jobs/pool_records.cc
+++ b/src/core/jobs/pool_records.cc
@@ -42,6 +42,9 @@
       vm->is_recorded = true;
     }
   }
+  for (const job_result& job : batch.results) {
+    newly_ended_.push_back(job.id);
+  }
   stored_through_ = batch.number;
   AckStored();
 }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_SRC_CORE_JOBS_POOL_SCHEDULER_IMPL_H_
 #define PLANTAINHEAD_SRC_CORE_JOBS_POOL_SCHEDULER_IMPL_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -211,6 +212,8 @@
   /// Updates the changed VMs in the index.
   void IndexChanged(time_point now);
   void OpenOccurrences(time_point wall_now);
+  /// Releases the memory of jobs that ended some time ago.
+  void ForgetEndedJobs(time_point now);
   void PlanVm(vm_state* vm, time_point now, std::vector<vm_order>* orders);
   /// Schedules the next check of the VM for when its plan may change.
   void ScheduleNextCheck(vm_state* vm, time_point now);
@@ -306,6 +309,10 @@
   bool has_registry_ = false;
   std::uint64_t stored_through_ = 0;
   scheduler_counts counts_;
+  /// Jobs whose ends have been stored since the last plan, and those of earlier
+  /// plans with the time of the plan.
+  std::vector<job_id> newly_ended_;
+  std::deque<std::pair<time_point, job_id>> ended_;
   /// Lost runs that have not been reported.
   std::vector<lost_run> losses_;
   /// Restarts of VMs that have not been reported.
--- a/tests/core/jobs/large_job_test.cc
+++ b/tests/core/jobs/large_job_test.cc
@@ -226,6 +226,28 @@
   }
 }
 
+// Guards against owners that exceed their memory for jobs that have ended.
+TEST_CASE("The memory of a job is released after its end") {
+  ending_pool pool;
+  const std::size_t before = HeapBytes();
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "long-" + std::to_string(i);
+    pool.Add(Job(id, Chain(3000, 1)));
+    pool.RunOnce();
+    REQUIRE(pool.scheduler.CancelJob(id));
+    pool.RunOnce();
+  }
+  CHECK(HeapBytes() - before > std::size_t{8} * 1024 * 1024);
+  pool.Pass(std::chrono::seconds(31));
+  pool.RunOnce();
+  CHECK(HeapBytes() - before < std::size_t{1} * 1024 * 1024);
+
+  SECTION("and a job that has ended does not start again") {
+    pool.Add(Job("long-1", Chain(1, 1)));
+    CHECK(pool.StartAll().empty());
+  }
+}
+
 // Guards against owners that exceed their memory for tasks that need no
 // resources, all of which fit on the VMs of a pool.
 TEST_CASE("A pool runs a limited number of tasks at the same time") {
