Bound the memory of accepted jobs that wait

Cause: what a process accepts, and what it reads of other processes from the store, was held whatever its size: 192 bytes and more for each step.

Change: - job_directory counts the memory of open jobs against jobs.memory (96 MiB). - The owner of a pool refuses a job with 503 and Retry-After 5 from three quarters of it on, and a job of more than 64 KiB from a half on, so that small jobs are accepted beside large ones. Nothing of a refused job is stored. If another process may have stored it, the answer is 504. - A job that the store has and for which there is no memory is known by its id, pool and queue: callers see it as queued, and can cancel it. Its record is read again when others have ended, in the order of submission, those with progress first; before that, jobs of pools that the process does not own are closed. A new owner that finds more jobs than it can hold reads all, and then opens them in this order. - An unopened job that a VM lists is opened at once. Its runs continue, and its ends are acknowledged only after that. - A job that is opened late starts from its recorded progress.

The former code holds all of them; there is nothing in it to compare with.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -183,11 +183,13 @@
   /// Adds a job. Does nothing if the job is known. Jobs that are added before
   /// the first `UpdateVms` belong to an earlier owner. `now` determines whether
   /// an earlier owner may have started the job; its target latency is measured
-  /// from `age` before `now`. Precondition: `spec` is valid.
+  /// from `age` before `now`. `progress` is what an earlier owner recorded.
+  /// Precondition: `spec` is valid.
   void AddJob(std::shared_ptr<const job_spec> spec,
               const queue_policy& policy,
               time_point now,
-              duration age = duration::zero());
+              duration age = duration::zero(),
+              const job_progress& progress = {});
   /// Records that all jobs that were accepted by `through` have been added, or
   /// added as ended. A VM may list a task of a job that has not been read yet.
   /// It is certain that there is no such job only after this method was called
@@ -209,6 +211,11 @@
   /// Records a job that ended under an earlier owner. VMs may still list its
   /// runs.
   void AddEndedJob(const job_id& id);
+  /// Records an accepted job that is added later, when there is memory for it.
+  /// Its runs continue, and their ends are not acknowledged before that.
+  void AddUnopenedJob(const job_id& id);
+  /// Returns the unopened jobs of which VMs list tasks.
+  std::vector<job_id> ListedUnopenedJobs() const;
   /// Restores the state that an earlier owner recorded. Precondition: the job
   /// was added, and none of its tasks has been started since.
   void RestoreJob(const job_id& id, const job_progress& progress);
--- a/include/plantainhead/settings/scheduler_settings.h
+++ b/include/plantainhead/settings/scheduler_settings.h
@@ -55,6 +55,8 @@
   core::duration configuration_apply = std::chrono::seconds(2);
   /// `processor`: processor capacity of the VM in cores.
   double processor_cores = 1.0;
+  /// `jobs.memory`: memory for accepted jobs that have not ended, in bytes.
+  std::uint64_t job_memory = std::uint64_t{96} << 20U;
   /// `stop.grace`: time between the request to stop and forced termination.
   core::duration stop_grace = std::chrono::seconds(6);
 
--- a/src/core/jobs/job_directory.cc
+++ b/src/core/jobs/job_directory.cc
@@ -2,13 +2,15 @@
 
 #include <utility>
 
+#include "plantainhead/core/jobs/job_memory.h"
 #include "plantainhead/core/jobs/job_progress.h"
 
 namespace plantainhead::core::jobs {
 namespace {
 
 bool IsOpen(const directory_entry& entry) {
-  return entry.spec != nullptr && !IsFinal(entry.progress.phase);
+  return (entry.spec != nullptr || entry.is_unopened) &&
+         !IsFinal(entry.progress.phase);
 }
 
 }  // namespace
@@ -51,18 +53,79 @@
   }
   CountOpen(entry, was_open);
   if (IsFinal(entry.progress.phase)) {
-    entry.spec.reset();
+    DropSpec(&entry);
+    if (entry.is_unopened) {
+      entry.is_unopened = false;
+      unopened_.erase(id);
+    }
     entry.progress.tasks = {};
     entry.progress.done = {};
   }
 }
 
+void job_directory::DropSpec(directory_entry* entry) {
+  if (entry->spec) {
+    memory_ -= MemoryOf(*entry->spec);
+    entry->spec.reset();
+  }
+}
+
+bool job_directory::HasMemoryFor(const job_id& id, std::size_t bytes) const {
+  if (IsWanted(id)) {
+    return true;
+  }
+  const auto found = entries_.find(id);
+  const bool has_progress =
+      found != entries_.end() && found->second.HasProgress();
+  const std::size_t limit =
+      has_progress ? memory_limit_ + memory_limit_ / 2 : memory_limit_;
+  return memory_ + bytes <= limit;
+}
+
+void job_directory::AddUnopened(const job_spec& spec) {
+  Update(spec.id, [&](directory_entry* entry) {
+    if (!entry->is_accepted) {
+      entry->is_accepted = true;
+      entry->is_unopened = true;
+      entry->pool = spec.pool;
+      entry->queue = spec.queue;
+      unopened_[spec.id] = {MemoryOf(spec), spec.submitted_at, false};
+    }
+  });
+}
+
+void job_directory::Unopen(const job_id& id) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || !found->second.spec) {
+    return;
+  }
+  directory_entry& entry = found->second;
+  unopened_[id] = {MemoryOf(*entry.spec), entry.spec->submitted_at, false};
+  entry.is_unopened = true;
+  DropSpec(&entry);
+}
+
+void job_directory::Want(const job_id& id) {
+  const auto found = unopened_.find(id);
+  if (found != unopened_.end()) {
+    found->second.is_wanted = true;
+  }
+}
+
+bool job_directory::IsWanted(const job_id& id) const {
+  const auto found = unopened_.find(id);
+  return found != unopened_.end() && found->second.is_wanted;
+}
+
 bool job_directory::AddJob(std::shared_ptr<const job_spec> spec) {
   bool is_new = false;
   const job_id id = spec->id;
   Update(id, [&](directory_entry* entry) {
-    is_new = !entry->is_accepted;
+    is_new = !entry->is_accepted || entry->is_unopened;
     if (is_new) {
+      entry->is_unopened = false;
+      unopened_.erase(id);
+      memory_ += MemoryOf(*spec);
       entry->is_accepted = true;
       entry->pool = spec->pool;
       entry->queue = spec->queue;
--- a/src/core/jobs/job_table.cc
+++ b/src/core/jobs/job_table.cc
@@ -13,6 +13,7 @@
   if (IsEnded(id)) {
     return nullptr;
   }
+  unopened_.erase(id);
   auto [found, is_new] = jobs_.try_emplace(id);
   if (!is_new) {
     return nullptr;
--- a/src/core/jobs/job_table.h
+++ b/src/core/jobs/job_table.h
@@ -33,6 +33,9 @@
   bool Forget(const job_id& id);
   /// Returns whether the job ended under an earlier owner or was forgotten.
   bool IsEnded(const job_id& id) const { return ended_.count(id) != 0; }
+  /// Records an accepted job that is not added yet.
+  void AddUnopened(const job_id& id) { unopened_.insert(id); }
+  bool IsUnopened(const job_id& id) const { return unopened_.count(id) != 0; }
   void SetPolicy(const queue_id& queue, const queue_policy& policy);
 
   /// Marks the job as changed, and removes it from the open jobs if it has
@@ -74,6 +77,7 @@
   std::set<job_id> changed_;
   std::set<job_id> with_losses_;
   std::unordered_set<job_id> ended_;
+  std::unordered_set<job_id> unopened_;
   std::uint64_t next_batch_ = 1;
 };
 
--- a/src/core/jobs/pool_plan.cc
+++ b/src/core/jobs/pool_plan.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "core/jobs/pool_scheduler_impl.h"
+#include "plantainhead/core/jobs/job_memory.h"
 
 // The steps of a plan: which VMs and jobs it visits, and in which order.
 
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr duration kEndedJobRetention = std::chrono::seconds(30);
+// Beyond this memory the jobs that ended first are forgotten earlier.
+constexpr std::size_t kMaxEndedBytes = std::size_t{16} << 20U;
 
 }  // namespace
 
@@ -64,14 +67,25 @@
 // Orders of the job that are carried out late find it until then.
 void pool_scheduler::impl::ForgetEndedJobs(time_point now) {
   for (job_id& id : newly_ended_) {
-    ended_.emplace_back(now, std::move(id));
+    if (const job_state* job = jobs_.Find(id)) {
+      ended_.push_back({now, std::move(id), MemoryOf(job->spec())});
+      ended_bytes_ += ended_.back().bytes;
+    }
   }
   newly_ended_.clear();
-  while (!ended_.empty() && now - ended_.front().first > kEndedJobRetention) {
-    const job_id id = std::move(ended_.front().second);
+  for (std::size_t left = ended_.size(); left > 0; --left) {
+    const bool is_due = now - ended_.front().at > kEndedJobRetention ||
+                        ended_bytes_ > kMaxEndedBytes;
+    if (!is_due) {
+      return;
+    }
+    ended_job job = std::move(ended_.front());
     ended_.pop_front();
-    if (!vms_.WithRunsOf(id).empty() || !jobs_.Forget(id)) {
-      ended_.emplace_back(now, id);
+    if (vms_.WithRunsOf(job.id).empty() && jobs_.Forget(job.id)) {
+      ended_bytes_ -= job.bytes;
+    } else {
+      job.at = now;
+      ended_.push_back(std::move(job));
     }
   }
 }
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -158,7 +158,8 @@
     if (jobs_.Find(row.task.job) != nullptr) {
       vm->Erase(row.task);
       Adopt(vm, row, now);
-    } else if (jobs_read_through_ > run->ordered_at) {
+    } else if (jobs_read_through_ > run->ordered_at &&
+               !jobs_.IsUnopened(row.task.job)) {
       run->WantStop(stop_reason::kUnwanted);
     }
   }
@@ -249,6 +250,23 @@
                         vm.IsReachable()};
 }
 
+std::vector<job_id> pool_scheduler::impl::ListedUnopenedJobs() const {
+  std::set<job_id> listed;
+  const auto note = [&](const auto& entry) {
+    if (jobs_.IsUnopened(entry.first.job)) {
+      listed.insert(entry.first.job);
+    }
+  };
+  const vm_set& vms = index_.with_unknown_jobs();
+  vms_.NoteVisits(vms.size());
+  for (const vm_state* vm : vms) {
+    std::for_each(vm->runs().begin(), vm->runs().end(), note);
+    std::for_each(vm->unprocessed_ends.begin(), vm->unprocessed_ends.end(),
+                  note);
+  }
+  return {listed.begin(), listed.end()};
+}
+
 // An earlier owner may have read and started the job sooner, and the VM may
 // have listed its runs before this owner read the job. If they were adopted
 // only with the next listing of the VM, a plan before that would start the
@@ -299,7 +317,8 @@
     if (!vm->unknown_end_since) {
       vm->unknown_end_since = now;
     }
-    if (jobs_read_through_ <= *vm->unknown_end_since) {
+    if (jobs_read_through_ <= *vm->unknown_end_since ||
+        jobs_.IsUnopened(end.task.job)) {
       return false;
     }
   }
--- a/src/core/jobs/pool_scheduler.cc
+++ b/src/core/jobs/pool_scheduler.cc
@@ -15,11 +15,15 @@
 void pool_scheduler::AddJob(std::shared_ptr<const job_spec> spec,
                             const queue_policy& policy,
                             time_point now,
-                            duration age) {
+                            duration age,
+                            const job_progress& progress) {
   job_state* job = impl_->jobs().Add(std::move(spec), policy, now, age);
   if (job == nullptr) {
     return;
   }
+  if (progress != job_progress()) {
+    RestoreJob(job->spec().id, progress);
+  }
   impl_->AdoptRunsOf(job->spec().id, now);
   if (impl_->has_registry()) {
     impl_->NoteReading(job);
@@ -57,6 +61,14 @@
   impl_->jobs().AddEnded(id);
 }
 
+void pool_scheduler::AddUnopenedJob(const job_id& id) {
+  impl_->jobs().AddUnopened(id);
+}
+
+std::vector<job_id> pool_scheduler::ListedUnopenedJobs() const {
+  return impl_->ListedUnopenedJobs();
+}
+
 void pool_scheduler::RestoreJob(const job_id& id,
                                 const job_progress& progress) {
   job_state* job = impl_->jobs().Find(id);
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -94,6 +94,7 @@
   std::vector<vm_id> TakeEmptied() { return std::exchange(emptied_, {}); }
   bool MayStart(time_point now) const;
   std::optional<unknown_job_vm> FindUnknownJob();
+  std::vector<job_id> ListedUnopenedJobs() const;
   takeover_wait TakeoverWait(time_point now);
   /// Adopts the runs of a job that VMs have listed before it was known.
   void AdoptRunsOf(const job_id& id, time_point now);
@@ -128,6 +129,13 @@
     time_point order;
   };
 
+  /// A job whose end is stored.
+  struct ended_job {
+    time_point at;
+    job_id id;
+    std::size_t bytes = 0;
+  };
+
   /// The requirements of the tasks of a step that no VM could meet, except for
   /// those that only some of the tasks have.
   struct unmet_demand {
@@ -312,7 +320,8 @@
   /// Jobs whose ends have been stored since the last plan, and those of earlier
   /// plans with the time of the plan.
   std::vector<job_id> newly_ended_;
-  std::deque<std::pair<time_point, job_id>> ended_;
+  std::deque<ended_job> ended_;
+  std::size_t ended_bytes_ = 0;
   /// Lost runs that have not been reported.
   std::vector<lost_run> losses_;
   /// Restarts of VMs that have not been reported.
--- a/src/jobs/event_log.h
+++ b/src/jobs/event_log.h
@@ -33,6 +33,7 @@
   kJobAccepted,
   kJobRead,
   kJobRefused,
+  kJobUnopened,
   kJobUnanswered,
   kJobCancelled,
   kCancellationRead,
@@ -74,7 +75,7 @@
   kLinesLeftOut,
 };
 
-inline constexpr core::name_table<job_event, 60> kJobEventNames = {{
+inline constexpr core::name_table<job_event, 61> kJobEventNames = {{
     {job_event::kProcessStarted, "process started"},
     {job_event::kProcessState, "process state"},
     {job_event::kLoopLate, "loop late"},
@@ -96,6 +97,7 @@
     {job_event::kJobAccepted, "job accepted"},
     {job_event::kJobRead, "job read"},
     {job_event::kJobRefused, "job refused"},
+    {job_event::kJobUnopened, "job unopened"},
     {job_event::kJobUnanswered, "job unanswered"},
     {job_event::kJobCancelled, "job cancelled"},
     {job_event::kCancellationRead, "cancellation read"},
--- a/src/jobs/job_metrics.cc
+++ b/src/jobs/job_metrics.cc
@@ -58,6 +58,47 @@
       .Set(static_cast<double>(snapshot.request_memory));
 }
 
+void AddPoolMetrics(const job_metrics_snapshot& snapshot,
+                    observe::metrics* registry) {
+  const auto set_gauge = [&](const char* name, const char* help, double value,
+                             const observe::label_list& labels) {
+    registry->Gauge(name, help, labels).Set(value);
+  };
+  for (const auto& [partition, counts] : snapshot.pools) {
+    const observe::label_list labels = {
+        {"partition", std::to_string(partition)}};
+    set_gauge("plantain_open_jobs", "Jobs in owned pools that have not ended.",
+              static_cast<double>(counts.open_jobs), labels);
+    set_gauge("plantain_waiting_tasks", "Tasks that may not start yet.",
+              static_cast<double>(counts.waiting_tasks), labels);
+    set_gauge("plantain_full_jobs",
+              "Jobs that start no further tasks since their progress would not "
+              "fit into a record.",
+              static_cast<double>(counts.full_jobs), labels);
+    set_gauge("plantain_placed_tasks", "Tasks that have a run on a VM.",
+              static_cast<double>(counts.placed_tasks), labels);
+    registry
+        ->Counter("plantain_task_starts_total",
+                  "Orders to start a task that were given.", labels)
+        .Add(counts.starts);
+    registry
+        ->Counter("plantain_task_failures_total", "Runs that failed.", labels)
+        .Add(counts.failed_runs);
+    registry
+        ->Counter("plantain_task_lapses_total",
+                  "Runs abandoned because their VM did not respond.", labels)
+        .Add(counts.lease_expired_runs);
+    registry
+        ->Counter("plantain_task_losses_total",
+                  "Runs that were on a VM when it was lost.", labels)
+        .Add(counts.lost_runs);
+    registry
+        ->Counter("plantain_task_hangs_total",
+                  "Runs stopped because they made no progress.", labels)
+        .Add(counts.hung_runs);
+  }
+}
+
 }  // namespace
 
 std::string FormatMetrics(const job_metrics_snapshot& snapshot) {
@@ -72,6 +113,12 @@
   set_gauge("plantain_jobs_known",
             "Number of jobs that have been read from the store.",
             static_cast<double>(snapshot.known_jobs));
+  set_gauge("plantain_job_memory_bytes",
+            "Estimated memory of the jobs that have not ended.",
+            static_cast<double>(snapshot.job_memory));
+  set_gauge("plantain_unopened_jobs",
+            "Accepted jobs that wait until there is memory for them.",
+            static_cast<double>(snapshot.unopened_jobs));
   if (snapshot.job_copy_age) {
     set_gauge("plantain_job_copy_age_seconds",
               "Time since all stored jobs of owned pools had been read.",
@@ -85,39 +132,7 @@
             static_cast<double>(snapshot.faulty_keys));
   AddFaultCounters(snapshot.faults, &registry);
   AddServerLimits(snapshot, &registry);
-  for (const auto& [partition, counts] : snapshot.pools) {
-    const observe::label_list labels = {
-        {"partition", std::to_string(partition)}};
-    set_gauge("plantain_open_jobs", "Jobs in owned pools that have not ended.",
-              static_cast<double>(counts.open_jobs), labels);
-    set_gauge("plantain_waiting_tasks", "Tasks that may not start yet.",
-              static_cast<double>(counts.waiting_tasks), labels);
-    set_gauge("plantain_full_jobs",
-              "Jobs that start no further tasks since their progress would not "
-              "fit into a record.",
-              static_cast<double>(counts.full_jobs), labels);
-    set_gauge("plantain_placed_tasks", "Tasks that have a run on a VM.",
-              static_cast<double>(counts.placed_tasks), labels);
-    registry
-        .Counter("plantain_task_starts_total",
-                 "Orders to start a task that were given.", labels)
-        .Add(counts.starts);
-    registry
-        .Counter("plantain_task_failures_total", "Runs that failed.", labels)
-        .Add(counts.failed_runs);
-    registry
-        .Counter("plantain_task_lapses_total",
-                 "Runs abandoned because their VM did not respond.", labels)
-        .Add(counts.lease_expired_runs);
-    registry
-        .Counter("plantain_task_losses_total",
-                 "Runs that were on a VM when it was lost.", labels)
-        .Add(counts.lost_runs);
-    registry
-        .Counter("plantain_task_hangs_total",
-                 "Runs stopped because they made no progress.", labels)
-        .Add(counts.hung_runs);
-  }
+  AddPoolMetrics(snapshot, &registry);
   return registry.ToText();
 }
 
--- a/src/jobs/job_metrics.h
+++ b/src/jobs/job_metrics.h
@@ -23,6 +23,10 @@
   /// Counts by partition, for the partitions that the process owns.
   std::map<std::uint32_t, core::jobs::scheduler_counts> pools;
   std::size_t known_jobs = 0;
+  /// Estimated memory of the open jobs, in bytes.
+  std::size_t job_memory = 0;
+  /// Accepted jobs for which there is no memory.
+  std::size_t unopened_jobs = 0;
   /// See `store_view::WatchedJobCopyAge`; not set if the process owns no pool.
   std::optional<core::duration> job_copy_age;
   std::uint64_t configuration_version = 0;
--- a/src/jobs/job_service.cc
+++ b/src/jobs/job_service.cc
@@ -132,6 +132,7 @@
           [this](const net::server_request& /*request*/,
                  const net::responder& respond) { respond(Metrics()); });
     }
+    view_.SetJobMemory(settings_.job_memory);
     view_.Start();
     member_.Start();
     loop_lag_monitor_.Start();
@@ -239,6 +240,12 @@
           const cpu_time_meter::scope work(&meters_.work(), loop_work::kJobs);
           ownership_.OnJob(job);
         };
+    listeners.on_unopened_job = [this](const core::jobs::job_id& job) {
+      ownership_.OnUnopenedJob(job);
+    };
+    listeners.is_owner_active = [this](std::uint32_t partition) {
+      return ownership_.IsOwnerActive(partition);
+    };
     listeners.on_cancel = [this](const core::jobs::job_id& job) {
       ownership_.OnCancel(job);
     };
@@ -325,6 +332,8 @@
     figures.is_ready = IsReady();
     figures.pools = ownership_.Counts();
     figures.known_jobs = view_.directory().entries().size();
+    figures.job_memory = view_.directory().memory();
+    figures.unopened_jobs = view_.directory().unopened().size();
     if (!ownership_.HeldPartitions().empty()) {
       figures.job_copy_age = view_.WatchedJobCopyAge();
     }
--- a/src/jobs/log_follower.cc
+++ b/src/jobs/log_follower.cc
@@ -79,6 +79,14 @@
     }
   }
 
+  void ReadAgain(std::function<void(bool)> on_done) {
+    next_reread_.push_back(std::move(on_done));
+    if (current_reread_.empty()) {
+      current_reread_.swap(next_reread_);
+      ReadPageAgain("");
+    }
+  }
+
   void AwaitLoaded(std::function<void()> on_loaded) {
     if (is_loaded_) {
       on_loaded();
@@ -93,12 +101,16 @@
     awaiting_load_.clear();
     next_refresh_.clear();
     current_refresh_.clear();
+    next_reread_.clear();
+    current_reread_.clear();
   }
 
   void Abort() {
     std::vector<std::function<void(bool)>> done;
     done.swap(current_refresh_);
-    done.insert(done.end(), next_refresh_.begin(), next_refresh_.end());
+    for (const auto* more : {&next_refresh_, &current_reread_, &next_reread_}) {
+      done.insert(done.end(), more->begin(), more->end());
+    }
     Close();
     for (const auto& on_done : done) {
       on_done(false);
@@ -211,6 +223,41 @@
     }
   }
 
+  void ReadPageAgain(const std::string& after) {
+    loader_.Load(
+        {weak_from_this(), partition_, after, settings_.timeout,
+         settings_.load_priority},
+        [self = weak_from_this(), after](const adapter::newest_reply& reply) {
+          const auto follower = self.lock();
+          if (follower && !follower->is_closed_) {
+            follower->HandlePageAgain(after, reply);
+          }
+        });
+  }
+
+  void HandlePageAgain(const std::string& after,
+                       const adapter::newest_reply& reply) {
+    on_contact_(reply.is_read);
+    const core::time_point began = BootTime();
+    for (const adapter::keyed_record& record : reply.records) {
+      on_record_(record);
+    }
+    LogIfSlow(reply.records.size(), began);
+    if (reply.is_read && reply.has_more && reply.last_key != after) {
+      ReadPageAgain(reply.last_key);
+      return;
+    }
+    std::vector<std::function<void(bool)>> done;
+    done.swap(current_reread_);
+    for (const auto& on_done : done) {
+      on_done(reply.is_read);
+    }
+    if (!is_closed_ && current_reread_.empty() && !next_reread_.empty()) {
+      current_reread_.swap(next_reread_);
+      ReadPageAgain("");
+    }
+  }
+
   // After a failure the first read does not wait for a record: an owner starts
   // no task until it knows the state of the partition again, and for a
   // partition without new records a long-poll read confirms that only when its
@@ -392,6 +439,8 @@
   std::vector<std::function<void()>> awaiting_load_;
   std::vector<std::function<void(bool)>> current_refresh_;
   std::vector<std::function<void(bool)>> next_refresh_;
+  std::vector<std::function<void(bool)>> current_reread_;
+  std::vector<std::function<void(bool)>> next_reread_;
 };
 
 log_follower::log_follower(asio::io_context* context,
@@ -425,6 +474,10 @@
   impl_->Refresh(std::move(on_done));
 }
 
+void log_follower::ReadAgain(std::function<void(bool)> on_done) {
+  impl_->ReadAgain(std::move(on_done));
+}
+
 void log_follower::Abort() {
   impl_->Abort();
 }
--- a/src/jobs/log_follower.h
+++ b/src/jobs/log_follower.h
@@ -93,6 +93,11 @@
   /// immediately if the partition is not loaded yet.
   void Refresh(std::function<void(bool is_read)> on_done);
 
+  /// Passes the newest record of each key to the handler once more, beside what
+  /// the follower reads otherwise, and then calls `on_done`. The argument is
+  /// false if the store could not be read.
+  void ReadAgain(std::function<void(bool is_read)> on_done);
+
   /// Stops reading, and ends all refreshes in progress as failed, because a
   /// caller may be waiting for each of them.
   void Abort();
--- a/src/jobs/ownership.cc
+++ b/src/jobs/ownership.cc
@@ -52,6 +52,17 @@
     }
   }
 
+  bool IsOwnerActive(std::uint32_t partition) const {
+    const auto found = owners_.find(partition);
+    return found != owners_.end() && found->second->IsActive();
+  }
+
+  void OnUnopenedJob(const core::jobs::job_id& job) {
+    for (auto& [partition, owner] : owners_) {
+      owner->OnUnopenedJob(job);
+    }
+  }
+
   void OnCancel(const core::jobs::job_id& job) {
     for (auto& [partition, owner] : owners_) {
       owner->OnCancel(job);
@@ -349,6 +360,14 @@
   impl_->OnJob(job);
 }
 
+bool ownership::IsOwnerActive(std::uint32_t partition) const {
+  return impl_->IsOwnerActive(partition);
+}
+
+void ownership::OnUnopenedJob(const core::jobs::job_id& job) {
+  impl_->OnUnopenedJob(job);
+}
+
 void ownership::OnCancel(const core::jobs::job_id& job) {
   impl_->OnCancel(job);
 }
--- a/src/jobs/ownership.h
+++ b/src/jobs/ownership.h
@@ -64,8 +64,13 @@
   /// the releases of the pools are recorded.
   void Release(const std::function<void()>& on_released);
 
+  /// Returns whether this process has an owner of the partition that has read
+  /// its jobs.
+  bool IsOwnerActive(std::uint32_t partition) const;
+
   // Events of `store_view`.
   void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
+  void OnUnopenedJob(const core::jobs::job_id& job);
   void OnCancel(const core::jobs::job_id& job);
   void OnConfiguration();
   /// The registry entries of these VMs have changed or were removed.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -40,18 +40,29 @@
 
 void pool_owner::impl::OnJob(
     const std::shared_ptr<const core::jobs::job_spec>& job) {
-  if (scheduler_ && IsOwnJob(*job)) {
+  const core::jobs::directory_entry* entry =
+      deps_.view->directory().Find(job->id);
+  const bool has_own_progress =
+      entry != nullptr && entry->HasProgressIn(partition_);
+  std::shared_ptr<const core::jobs::job_spec> own;
+  if (has_own_progress) {
+    // The job was closed before, or its queue was moved.
+    own = OwnSpecOf(*entry);
+  } else if (IsOwnJob(*job)) {
+    own = job;
+  }
+  if (scheduler_ && own) {
     lines_.AddJob(job_event::kJobRead, job->id,
                   {{"partition", std::to_string(partition_)}}, BootTime());
     const core::duration age = core::jobs::AgeOf(*job, WallTime());
-    scheduler_->AddJob(job, deps_.view->PolicyOf(job->queue), BootTime(), age);
+    scheduler_->AddJob(
+        own, deps_.view->PolicyOf(job->queue), BootTime(), age,
+        has_own_progress ? entry->progress : core::jobs::job_progress());
     const auto size = pool_sizings_.find(job->pool);
     if (size != pool_sizings_.end()) {
       size->second.arrivals.RecordArrival(*job, BootTime(), age);
     }
     // A page of newest records may contain a cancellation before its job.
-    const core::jobs::directory_entry* entry =
-        deps_.view->directory().Find(job->id);
     if (entry != nullptr && entry->is_cancelled) {
       scheduler_->CancelJob(job->id);
     }
@@ -59,6 +70,15 @@
   }
 }
 
+void pool_owner::impl::OnUnopenedJob(const core::jobs::job_id& job) {
+  const core::jobs::directory_entry* entry = deps_.view->directory().Find(job);
+  const bool is_own = entry != nullptr && entry->is_unopened &&
+                      PoolPartitionOf(entry->pool) == partition_;
+  if (scheduler_ && is_own) {
+    scheduler_->AddUnopenedJob(job);
+  }
+}
+
 void pool_owner::impl::OnCancel(const core::jobs::job_id& job) {
   if (scheduler_ && scheduler_->CancelJob(job)) {
     LogEvent(job_event::kCancellationRead,
@@ -419,6 +439,10 @@
   impl_->OnJob(job);
 }
 
+void pool_owner::OnUnopenedJob(const core::jobs::job_id& job) {
+  impl_->OnUnopenedJob(job);
+}
+
 void pool_owner::OnCancel(const core::jobs::job_id& job) {
   impl_->OnCancel(job);
 }
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -114,6 +114,7 @@
   core::jobs::scheduler_counts Counts() const;
 
   void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
+  void OnUnopenedJob(const core::jobs::job_id& job);
   void OnCancel(const core::jobs::job_id& job);
   /// The registry entries of these VMs have changed or were removed.
   void OnRegistry(const std::set<core::jobs::vm_id>& changed);
--- a/src/jobs/pool_owner_impl.h
+++ b/src/jobs/pool_owner_impl.h
@@ -55,6 +55,7 @@
   std::uint64_t epoch() const { return epoch_; }
   core::jobs::scheduler_counts Counts() const;
   void OnJob(const std::shared_ptr<const core::jobs::job_spec>& job);
+  void OnUnopenedJob(const core::jobs::job_id& job);
   void OnCancel(const core::jobs::job_id& job);
   void OnRegistry(const std::set<core::jobs::vm_id>& changed);
   void OnReport(const core::jobs::vm_id& vm, core::time_point trusted_until);
--- a/src/jobs/pool_owner_takeover.cc
+++ b/src/jobs/pool_owner_takeover.cc
@@ -303,6 +303,12 @@
     if (core::jobs::IsFinal(entry.progress.phase)) {
       scheduler_->AddEndedJob(id);
     }
+    const bool is_own_unopened =
+        entry.is_unopened && (PoolPartitionOf(entry.pool) == partition_ ||
+                              entry.HasProgressIn(partition_));
+    if (is_own_unopened) {
+      scheduler_->AddUnopenedJob(id);
+    }
     const auto spec = OwnSpecOf(entry);
     if (!spec) {
       continue;
--- a/src/jobs/pool_owner_vms.cc
+++ b/src/jobs/pool_owner_vms.cc
@@ -128,6 +128,9 @@
 // run cannot be stopped; partitions that are not watched are read up to 10 s
 // late.
 void pool_owner::impl::ReadUnknownJobs() {
+  for (const core::jobs::job_id& id : scheduler_->ListedUnopenedJobs()) {
+    deps_.view->OpenJob(id);
+  }
   if (is_reading_jobs_) {
     return;
   }
--- a/src/jobs/store_view.cc
+++ b/src/jobs/store_view.cc
@@ -57,7 +57,8 @@
       listeners_(std::move(listeners)),
       registry_notification_(context, [this] { listeners_.on_registry(); }),
       fleet_records_notification_(context,
-                                  [this] { listeners_.on_fleet_records(); }) {
+                                  [this] { listeners_.on_fleet_records(); }),
+      opening_timer_(*context) {
   operator_follower_ = MakeFollower(
       {adapter::kOperatorTopic, 0},
       OperatorSettings(settings, configuration_apply),
@@ -172,8 +173,12 @@
 void store_view::NoteProgress(std::uint32_t pool_partition,
                               const core::jobs::job_id& id,
                               core::jobs::job_progress progress) {
+  const bool is_final = core::jobs::IsFinal(progress.phase);
   directory_.NoteProgress(id, std::move(progress));
   directory_.NoteProgressPartition(id, pool_partition);
+  if (is_final && !directory_.unopened().empty()) {
+    ScheduleOpening();
+  }
 }
 
 bool store_view::MayHaveOtherPool(const core::jobs::queue_route& route) const {
@@ -188,8 +193,9 @@
   }
   // An owner reads back its own records. Only the first submission of an id
   // counts, so a second one need not be decoded.
-  const bool is_repeated =
-      IsSubmission(record) && directory_.Find(record.key) != nullptr;
+  const bool is_repeated = IsSubmission(record) &&
+                           directory_.Find(record.key) != nullptr &&
+                           !directory_.IsWanted(record.key);
   if (is_repeated) {
     return;
   }
@@ -198,22 +204,17 @@
     faults_.Note(kJobTopic, record.key, decoded.fault());
     return;
   }
-  std::visit(core::overloaded{
-                 [this](submission_record& submission) {
-                   auto spec = std::make_shared<const core::jobs::job_spec>(
-                       std::move(submission.spec));
-                   if (directory_.AddJob(spec)) {
-                     listeners_.on_job(spec);
-                   }
-                 },
-                 [this](const ended_record& ended) {
-                   directory_.NoteEnded(ended.job, ended.phase);
-                 },
-                 [this](const cancel_record& cancel) {
-                   if (directory_.NoteCancel(cancel.job)) {
-                     listeners_.on_cancel(cancel.job);
-                   }
-                 }},
+  std::visit(core::overloaded{[this](submission_record& submission) {
+                                ApplySubmission(std::move(submission.spec));
+                              },
+                              [this](const ended_record& ended) {
+                                directory_.NoteEnded(ended.job, ended.phase);
+                              },
+                              [this](const cancel_record& cancel) {
+                                if (directory_.NoteCancel(cancel.job)) {
+                                  listeners_.on_cancel(cancel.job);
+                                }
+                              }},
              *decoded);
 }
 
--- a/src/jobs/store_view.h
+++ b/src/jobs/store_view.h
@@ -1,6 +1,7 @@
 #ifndef PLANTAINHEAD_SRC_JOBS_STORE_VIEW_H_
 #define PLANTAINHEAD_SRC_JOBS_STORE_VIEW_H_
 
+#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -57,6 +58,13 @@
     std::function<void(const std::shared_ptr<const core::jobs::job_spec>&)>
         on_job;
     std::function<void(const core::jobs::job_id&)> on_cancel;
+    /// An accepted job waits unopened; see `job_directory`.
+    std::function<void(const core::jobs::job_id&)> on_unopened_job =
+        [](const auto&) {};
+    /// Returns whether this process has an owner of the pools of the partition
+    /// that has read its jobs.
+    std::function<bool(std::uint32_t pool_partition)> is_owner_active =
+        [](auto) { return false; };
     std::function<void()> on_configuration;
     std::function<void()> on_registry;
     std::function<void()> on_fleet_records;
@@ -80,6 +88,14 @@
   store_view& operator=(const store_view&) = delete;
 
   void Start();
+  /// Sets the memory for jobs that have not ended, in bytes. Jobs for which
+  /// there is none wait unopened, and are read again later.
+  void SetJobMemory(std::size_t bytes) { directory_.SetMemoryLimit(bytes); }
+  /// Returns whether a new job that takes `bytes` can be accepted for a pool
+  /// that this process owns.
+  bool HasMemoryForNewJob(std::size_t bytes) const;
+  /// Opens an unopened job as soon as its record has been read again.
+  void OpenJob(const core::jobs::job_id& id);
   /// Returns true if a configuration has been read.
   bool IsLoaded() const;
   /// Returns the latest known time up to which everything that operators
@@ -207,6 +223,23 @@
 
  private:
   void ApplyJobRecord(const adapter::keyed_record& record);
+  void ApplySubmission(core::jobs::job_spec spec);
+  /// Returns whether the job is, or may be, in a pool that this process owns.
+  bool MayBeOwned(const core::jobs::directory_entry& entry) const;
+  /// Returns whether an owner in this process may have read the job.
+  bool MayBeKnown(const core::jobs::directory_entry& entry) const;
+  /// Closes jobs that no owner in this process knows, but none with progress in
+  /// an owned pool.
+  void UnopenOtherJobs();
+  /// Requests the unopened jobs of owned pools for which there is memory, in
+  /// the order of their submission. Returns the partitions that hold them.
+  std::set<std::uint32_t> WantWaitingJobs();
+  void OpenWaitingJobs();
+  void ScheduleOpening();
+  void ReadAgain(std::uint32_t job_partition);
+  /// Opens the waiting jobs for which there is memory, if a full refresh has
+  /// found more jobs than that, and then calls `on_done`.
+  void EndOverfullRefresh(const std::function<void()>& on_done);
   void ApplyPoolRecord(std::uint32_t partition,
                        const adapter::keyed_record& record);
   /// Applies the effect that an undecodable record of the partition has.
@@ -290,6 +323,13 @@
   std::size_t full_refreshes_ = 0;
   core::time_point all_jobs_read_at_;
 
+  boost::asio::steady_timer opening_timer_;
+  bool is_opening_scheduled_ = false;
+  /// A full refresh in progress has found more jobs than there is memory for.
+  /// They are opened in their order when all have been read.
+  bool is_overfull_ = false;
+  core::time_point other_jobs_unopened_at_;
+
   std::shared_ptr<log_follower> operator_follower_;
   std::shared_ptr<log_follower> address_follower_;
   std::shared_ptr<log_follower> registry_follower_;
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -14,6 +14,7 @@
 #include "jobs/unavailable_response.h"
 #include "net/http_status.h"
 #include "peers/forwarded_request.h"
+#include "plantainhead/core/jobs/job_memory.h"
 #include "platform/ingress_codec.h"
 
 namespace plantainhead::jobs {
@@ -227,6 +228,21 @@
             : Unavailable("the jobs of the queue cannot be read"));
   }
 
+  void RejectForMemory(const caller_request& incoming) {
+    ++counts_.refused;
+    LogEvent(job_event::kJobRefused,
+             {{"job", incoming.id},
+              {"reason", "there is no memory for another job"}});
+    incoming.respond(
+        incoming.may_be_appended
+            ? adapter::EncodeError(
+                  net::kGatewayTimeout,
+                  "the owner did not answer; repeat the request with the same "
+                  "id")
+            : MakeUnavailableResponse("too many accepted jobs are waiting",
+                                      settings_.memory_retry_after));
+  }
+
   void SubmitHere(const caller_request& incoming) {
     if (view_.directory().Find(incoming.id) != nullptr) {
       ++counts_.repeated;
@@ -246,6 +262,11 @@
           Unavailable("queues with an advisor are not supported yet"));
       return;
     }
+    if (relay_.Owns(incoming.route.pool) &&
+        !view_.HasMemoryForNewJob(core::jobs::MemoryOf(*decoded.spec))) {
+      RejectForMemory(incoming);
+      return;
+    }
     decoded.spec->id = incoming.id;
     decoded.spec->queue = incoming.route.queue;
     decoded.spec->pool = incoming.route.pool;
--- a/src/jobs/submissions.h
+++ b/src/jobs/submissions.h
@@ -27,6 +27,9 @@
   /// Value of Retry-After when the owner of a pool cannot be reached: about as
   /// long as a pool has no owner after its owner was lost.
   std::chrono::seconds retry_after = std::chrono::seconds(1);
+  /// Value of Retry-After when there is no memory for another job: jobs have to
+  /// end first.
+  std::chrono::seconds memory_retry_after = std::chrono::seconds(5);
 };
 
 /// Counts of requests by outcome.
--- a/src/settings/scheduler_settings.cc
+++ b/src/settings/scheduler_settings.cc
@@ -16,6 +16,8 @@
 constexpr std::uint64_t kMib = std::uint64_t{1} << 20U;
 constexpr std::uint64_t kMaxConnections = 1'000'000;
 constexpr std::uint64_t kMaxRequestMemory = std::uint64_t{16} << 30U;
+constexpr std::uint64_t kMinJobMemory = std::uint64_t{4} << 20U;
+constexpr std::uint64_t kMaxJobMemory = std::uint64_t{1} << 40U;
 
 }  // namespace
 
@@ -64,6 +66,11 @@
                           {1, kMaxConnections});
     http->CheckKeys();
   }
+  if (auto jobs = top.Section("jobs")) {
+    jobs->ReadBytes("memory", &settings.job_memory,
+                    {kMinJobMemory, kMaxJobMemory});
+    jobs->CheckKeys();
+  }
   if (auto stop = top.Section("stop")) {
     stop->ReadDuration("grace", &settings.stop_grace, {seconds(1), hours(1)});
     stop->CheckKeys();
--- a/src/settings/settings_reloader.cc
+++ b/src/settings/settings_reloader.cc
@@ -83,6 +83,7 @@
   check("fleet.address", current.fleet_address, fresh.fleet_address);
   check("lease.most", current.max_vm_lease, fresh.max_vm_lease);
   check("lease.holder", current.holder_lease, fresh.holder_lease);
+  check("jobs.memory", current.job_memory, fresh.job_memory);
   check("http.head", current.http.head_limit, fresh.http.head_limit);
   check("http.request-memory", current.http.request_memory,
         fresh.http.request_memory);
--- a/tests/core/jobs/job_directory_test.cc
+++ b/tests/core/jobs/job_directory_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "core/jobs/scheduler_driver.h"
+#include "plantainhead/core/jobs/job_memory.h"
 
 namespace plantainhead::core::jobs {
 namespace {
@@ -53,5 +54,70 @@
   }
 }
 
+// Guards against processes that exceed their memory for accepted jobs that they
+// read from the store.
+TEST_CASE("A job for which there is no memory waits unopened") {
+  job_directory directory;
+  const auto first = Job("first", {Step(1)});
+  const std::size_t bytes = MemoryOf(*first);
+  directory.SetMemoryLimit(bytes + bytes / 2);
+  REQUIRE(directory.HasMemoryFor("first", bytes));
+  REQUIRE(directory.AddJob(first));
+  CHECK(directory.memory() == bytes);
+  REQUIRE_FALSE(directory.HasMemoryFor("second", bytes));
+  directory.AddUnopened(*Job("second", {Step(1)}));
+  const directory_entry* entry = directory.Find("second");
+  REQUIRE(entry != nullptr);
+
+  SECTION("and is known, waiting and open to callers") {
+    CHECK(entry->spec == nullptr);
+    CHECK(entry->Phase() == job_phase::kQueued);
+    CHECK(directory.Pending("queue") == 2);
+    CHECK(directory.OpenJobs().at({"pool", "queue"}) == 2);
+    CHECK(directory.memory() == bytes);
+  }
+
+  SECTION("and can be cancelled") {
+    CHECK(directory.NoteCancel("second"));
+    CHECK(entry->Phase() == job_phase::kCancelled);
+  }
+
+  SECTION("and is opened when it is wanted") {
+    directory.Want("second");
+    CHECK(directory.HasMemoryFor("second", bytes));
+    CHECK(directory.AddJob(Job("second", {Step(1)})));
+    CHECK(directory.unopened().empty());
+    CHECK(directory.memory() == 2 * bytes);
+    CHECK(directory.OpenJobs().at({"pool", "queue"}) == 2);
+    CHECK_FALSE(directory.AddJob(Job("second", {Step(1)})));
+  }
+
+  SECTION("and is forgotten when it has ended") {
+    directory.NoteProgress("second", {job_phase::kCompleted, {}});
+    CHECK(directory.unopened().empty());
+    CHECK(directory.OpenJobs().at({"pool", "queue"}) == 1);
+  }
+
+  SECTION("until the memory of another one is released") {
+    directory.NoteProgress("first", {job_phase::kCompleted, {}});
+    CHECK(directory.memory() == 0);
+    CHECK(directory.HasMemoryFor("second", bytes));
+  }
+
+  SECTION("like one that is closed again") {
+    directory.Unopen("first");
+    CHECK(directory.memory() == 0);
+    CHECK(directory.unopened().size() == 2);
+    CHECK(directory.AddJob(first));
+    CHECK(directory.memory() == bytes);
+  }
+
+  SECTION("unless it has progress, for which there is more memory") {
+    directory.NoteProgress("third", {job_phase::kRunning, {}});
+    directory.NoteProgressPartition("third", 1);
+    CHECK(directory.HasMemoryFor("third", bytes / 2));
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
--- a/tests/core/jobs/takeover_test.cc
+++ b/tests/core/jobs/takeover_test.cc
@@ -665,5 +665,65 @@
   }
 }
 
+// Guards against tasks that are stopped, or run again, because their job waits
+// for memory when a new owner reads it.
+TEST_CASE("The runs of an unopened job continue until it is opened") {
+  scheduler_driver driver(Bounds());
+  const task_name first{"job", 0, 0, 0};
+  const task_name second{"job", 0, 0, 1};
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.scheduler.AddUnopenedJob("job");
+  driver.scheduler.UpdateVms({Vm("vm-1"), Vm("vm-2")}, driver.now);
+  const auto list = [&] {
+    driver.scheduler.NoteJobsRead(driver.now + seconds(1));
+    driver.List("vm-1", {Running(first, 1)},
+                {Ended(1, second, 1, end_kind::kDone)});
+    driver.List("vm-2", {}, {});
+    driver.Pass(seconds(2));
+  };
+  list();
+  list();
+  CHECK(driver.Starts().empty());
+  CHECK(driver.stops.empty());
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        0);
+  CHECK(driver.scheduler.ListedUnopenedJobs() == std::vector<job_id>{"job"});
+
+  driver.Add(Job("job", {Step(3)}));
+  CHECK(driver.scheduler.ListedUnopenedJobs().empty());
+  list();
+  const auto starts = driver.StartAll();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.task.index == 2);
+  CHECK(driver.stops.empty());
+  driver.Store();
+  CHECK(driver.scheduler.NextHold("vm-1", driver.now).acknowledged_through ==
+        1);
+}
+
+// Guards against tasks that run again because a job was opened without the
+// progress that is recorded of it.
+TEST_CASE("A job that is opened late continues from its progress") {
+  scheduler_driver driver(Bounds());
+  driver.scheduler.AddKnownVm({"vm-1", "10.0.0.1:80"});
+  driver.scheduler.AddUnopenedJob("job");
+  driver.scheduler.UpdateVms({Vm("vm-1")}, driver.now);
+  driver.List("vm-1", {Running({"job", 0, 0, 1}, 4)}, {});
+  job_progress progress;
+  progress.phase = job_phase::kRunning;
+  progress.tasks = {{0, 0, 0, 1, {}, true, "", false, {}},
+                    {0, 0, 1, 3, {2}, false, "saved", false, {}},
+                    {0, 0, 2, 5, {}, false, "saved", false, {}}};
+  driver.scheduler.AddJob(Job("job", {Step(3)}), Policy(), driver.now,
+                          duration::zero(), progress);
+  driver.List("vm-1", {Running({"job", 0, 0, 1}, 4)}, {});
+  const auto starts = driver.StartAll();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target.task.index == 2);
+  CHECK(starts[0].target.run == 6);
+  CHECK(starts[0].checkpoint == "saved");
+  CHECK(driver.stops.empty());
+}
+
 }  // namespace
 }  // namespace plantainhead::core::jobs
--- a/tests/jobs/small_site.h
+++ b/tests/jobs/small_site.h
@@ -114,6 +114,7 @@
     peer_addresses_[name] = settings.peer_address;
     settings.store_address = store_address_;
     settings.fleet_address = fleet_address;
+    settings.job_memory = job_memory;
     addresses[name] = settings.caller_address;
     probes_[name] = settings.probe_address;
     settings.metrics_address = FreeAddress();
@@ -213,6 +214,8 @@
   std::map<std::string, std::string> addresses;
   /// See `CountStoreCall`.
   std::map<std::string, int> store_calls;
+  /// The memory for jobs of processes that are added later.
+  std::uint64_t job_memory = settings::scheduler_process_settings().job_memory;
 
  private:
   boost::asio::steady_timer report_timer_;
