--- a/src/core/jobs/job_state.cc
+++ b/src/core/jobs/job_state.cc
@@ -61,10 +61,16 @@
   return &found->second;
 }
 
-void step_state::MarkPlaced(std::uint32_t index) {
-  tracked_.at(index).phase = task_phase::kPlaced;
-  retries_.erase(index);
+job_task_state* step_state::MarkPlaced(std::uint32_t index) {
+  const auto [found, is_new] = tracked_.try_emplace(index);
+  if (is_new) {
+    touched_.Add(index);
+  } else {
+    retries_.erase(index);
+  }
+  found->second.phase = task_phase::kPlaced;
   ++placed_;
+  return &found->second;
 }
 
 void step_state::MarkWaiting(std::uint32_t index) {
@@ -373,19 +379,23 @@
 }
 
 void job_state::MarkPlaced(const task_name& name, std::uint32_t run) {
-  job_task_state* task = Track(name);
-  if (task == nullptr) {
+  const job_task_state* found = Find(name);
+  if (found == nullptr || found->phase == task_phase::kDone) {
     return;
   }
-  if (task->phase == task_phase::kWaiting) {
-    const step_ref ref{name.occurrence, name.step};
-    step_state* step = TrackStep(ref);
-    const std::uint32_t waiting = step->Waiting();
-    step->MarkPlaced(name.index);
-    --waiting_;
-    ++placed_;
-    NoteWaiting(ref, waiting, waiting - 1);
+  if (found->phase == task_phase::kPlaced) {
+    NoteReportedRun(name, run);
+    return;
   }
+  const step_ref ref{name.occurrence, name.step};
+  step_state* step = TrackStep(ref);
+  const std::uint32_t waiting = step->Waiting();
+  const std::size_t tracked = step->tracked().size();
+  job_task_state* task = step->MarkPlaced(name.index);
+  tracked_ += step->tracked().size() - tracked;
+  --waiting_;
+  ++placed_;
+  NoteWaiting(ref, waiting, waiting - 1);
   task->last_run = std::max(task->last_run, run);
 }
 
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -75,8 +75,10 @@
   /// Returns the state of the task, which it creates if the task has none.
   /// Precondition: the task is not done.
   job_task_state* Track(std::uint32_t index);
-  /// Preconditions: the task is tracked and waiting, or tracked and placed.
-  void MarkPlaced(std::uint32_t index);
+  /// Returns the state of the task, which it creates if the task has none.
+  /// Precondition: the task is waiting.
+  job_task_state* MarkPlaced(std::uint32_t index);
+  /// Precondition: the task is placed.
   void MarkWaiting(std::uint32_t index);
   void MarkDone(std::uint32_t index);
   void MarkDone(std::uint32_t begin, std::uint32_t end);
