Judge by a task's own pace whether it stands still

Callers saw: a job whose tasks take 600 s, estimated at 50 s, never ended.

Cause: StopHungRuns stops a run whose percent has not changed for 2.5 s. VMs list whole percent, so that each task of more than 250 s looks hung.

Change: the percent may stay the same for three times as long as it did on average; before its first change, for as long as a fifth of the task takes by its estimate; and twice as long each time that the task was considered hung more than once. 2.5 s stay the least.

--- a/include/plantainhead/core/jobs/pool_scheduler.h
+++ b/include/plantainhead/core/jobs/pool_scheduler.h
@@ -44,8 +44,9 @@
   /// The time after which a task whose VM has received a stop has ended.
   duration stop_time = std::chrono::milliseconds(1000);
   /// A task is considered hung if its progress has not changed for this long,
-  /// over at least two listings. A healthy task that takes at most 1 s ends
-  /// before this limit.
+  /// over at least two listings, and for longer than it may take by its
+  /// estimate or its earlier progress. A healthy task that takes at most 1 s
+  /// ends before this limit.
   duration hang_limit = std::chrono::milliseconds(2500);
   /// How long a VM that fails every task gets no new ones.
   duration quarantine = std::chrono::seconds(4);
--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -48,6 +48,8 @@
   /// The task may start only after this batch is stored; see
   /// `EndAllRunsAsLost`.
   std::uint64_t starts_after_batch = 0;
+  /// How often the task was considered hung.
+  std::uint32_t hung_runs = 0;
   /// The VM on which the last run failed. The next run avoids it until
   /// `failed_until`.
   vm_id failed_on;
--- a/src/core/jobs/pool_reports.cc
+++ b/src/core/jobs/pool_reports.cc
@@ -147,6 +147,10 @@
     vm->MarkSurvived(run);
   }
   run->reading = row.reading;
+  if (!run->first_listed_at) {
+    run->first_listed_at = now;
+    run->first_percent = row.percent;
+  }
   if (run->percent != row.percent) {
     run->percent = row.percent;
     run->progressed_at = now;
@@ -205,6 +209,8 @@
   run.confirmed_at = now;
   run.progressed_at = now;
   run.percent = row.percent;
+  run.first_percent = row.percent;
+  run.first_listed_at = now;
   run.reading = row.reading;
   job_state* job = jobs_.Find(row.task.job);
   if (job == nullptr) {
--- a/src/core/jobs/pool_runs.cc
+++ b/src/core/jobs/pool_runs.cc
@@ -18,6 +18,14 @@
 // them being recorded: each failed run is recorded within about 50 ms.
 constexpr std::uint32_t kMaxUnreportedRuns = 100;
 
+// A percent may take this many times as long as those before it, and the first
+// one as long as by the estimate of the whole task.
+constexpr int kMaxProgressDeviation = 3;
+constexpr int kMaxEstimateError = 20;
+// The limit doubles each time that a task is considered hung after these times.
+constexpr std::uint32_t kHungRunsAtLimit = 1;
+constexpr std::uint32_t kMaxDoublings = 10;
+
 // A stop that was not answered within this time will not be answered.
 constexpr duration kStopTimeout = std::chrono::seconds(3);
 
@@ -268,6 +276,24 @@
   vms_.Erase(vm);
 }
 
+// VMs report progress in whole percent, so that a task that works for minutes
+// appears to stand still for seconds.
+duration pool_scheduler::impl::HangLimit(const run_state& run,
+                                         const job_task_state& task) const {
+  duration limit = settings_.hang_limit;
+  if (run.percent > run.first_percent && run.first_listed_at) {
+    const duration mean = (run.progressed_at - *run.first_listed_at) /
+                          (run.percent - run.first_percent);
+    limit = std::max(limit, kMaxProgressDeviation * mean);
+  } else {
+    limit =
+        std::max(limit, kMaxEstimateError * run.step->estimate / kReadyPercent);
+  }
+  const std::uint32_t repeated =
+      task.hung_runs - std::min(task.hung_runs, kHungRunsAtLimit);
+  return limit * (1 << std::min(repeated, kMaxDoublings));
+}
+
 void pool_scheduler::impl::StopHungRuns(vm_state* vm, time_point now) {
   for (auto& [task, run] : vm->runs()) {
     if (!run.confirmed_at || run.is_stop_wanted || run.IsOfUnknownJob() ||
@@ -276,11 +302,14 @@
       continue;
     }
     job_state* job = jobs_.Find(task.job);
-    if (job == nullptr || job->Find(task) == nullptr) {
+    const job_task_state* known = job == nullptr ? nullptr : job->Find(task);
+    if (known == nullptr ||
+        vm->last_answer_at() - run.progressed_at < HangLimit(run, *known)) {
       continue;
     }
     run.WantStop(stop_reason::kUnwanted);
     if (job_task_state* state = job->Track(task)) {
+      ++state->hung_runs;
       state->failed_on = vm->description().id;
       state->failed_until = now + settings_.failed_vm_avoidance;
     }
--- a/src/core/jobs/pool_scheduler_impl.h
+++ b/src/core/jobs/pool_scheduler_impl.h
@@ -211,6 +211,8 @@
   /// Removes a VM that is no longer registered and that can run no task.
   void RemoveIfGone(vm_state* vm, time_point now);
   void StopHungRuns(vm_state* vm, time_point now);
+  /// Returns how long the progress of the run may stay the same.
+  duration HangLimit(const run_state& run, const job_task_state& task) const;
   void EmptyVm(vm_state* vm, time_point now);
   bool MayInterrupt(const task_name& task, time_point now);
   void PlanStops(vm_state* vm, time_point now, std::vector<vm_order>* orders);
--- a/src/core/jobs/vm_state.h
+++ b/src/core/jobs/vm_state.h
@@ -64,11 +64,14 @@
   std::uint32_t percent = 0;
   /// When `percent` was last observed to change.
   time_point progressed_at;
+  /// The percent with which the run was first listed, and when that was.
+  std::uint32_t first_percent = 0;
+  std::optional<time_point> first_listed_at;
   std::int64_t reading = 0;
   /// The percentage of its full speed to which the run was last limited.
   std::uint32_t pace = 100;
-  /// The step of the task; null if its job is unknown here. Steps live as long
-  /// as the scheduler.
+  /// The step of the task; null if its job is unknown here. A job is not
+  /// forgotten while VMs have runs of it.
   const step_spec* step = nullptr;
 
   /// Requests a stop of the run.
