Keep jobs of other pools from filling the memory for jobs

Callers saw: nothing yet. A process reads the jobs of all pools at each takeover and learned nothing more of those that it does not own, so that they would have counted against jobs.memory until it refused every new job.

Change: a new job, too, closes the jobs that no owner in the process knows. The order of waiting jobs holds for pools that are being taken over, and only for them: jobs of pools with an active owner are opened while there is memory. job_memory_test now compares the whole order. Decoded jobs reserve their steps.

--- a/src/jobs/record_codec.cc
+++ b/src/jobs/record_codec.cc
@@ -163,6 +163,7 @@
   spec.payload = record.At("b").Text();
   const value_reader steps = record.At("s");
   const std::size_t count = steps.RowCount();
+  spec.steps.reserve(count);
   for (std::size_t i = 0; i < count; ++i) {
     spec.steps.push_back(ReadStep(steps.At(i), i));
   }
--- a/src/jobs/store_view.h
+++ b/src/jobs/store_view.h
@@ -92,8 +92,8 @@
   /// there is none wait unopened, and are read again later.
   void SetJobMemory(std::size_t bytes) { directory_.SetMemoryLimit(bytes); }
   /// Returns whether a new job that takes `bytes` can be accepted for a pool
-  /// that this process owns.
-  bool HasMemoryForNewJob(std::size_t bytes) const;
+  /// that this process owns. May close jobs of other pools for it.
+  bool MakeMemoryForNewJob(std::size_t bytes);
   /// Opens an unopened job as soon as its record has been read again.
   void OpenJob(const core::jobs::job_id& id);
   /// Returns true if a configuration has been read.
@@ -228,12 +228,21 @@
   bool MayBeOwned(const core::jobs::directory_entry& entry) const;
   /// Returns whether an owner in this process may have read the job.
   bool MayBeKnown(const core::jobs::directory_entry& entry) const;
+  bool HasMemoryForNewJob(std::size_t bytes) const;
+  /// Returns whether a new owner in this process has not read the jobs of the
+  /// pool yet.
+  bool IsBeingTakenOver(const core::jobs::pool_id& pool) const;
+  bool AreJobsWaitingForTakeover() const;
   /// Closes jobs that no owner in this process knows, but none with progress in
   /// an owned pool.
   void UnopenOtherJobs();
+  /// Like `UnopenOtherJobs`, unless it was called a short while ago.
+  void UnopenOtherJobsAtTimes();
   /// Requests the unopened jobs of owned pools for which there is memory, in
   /// the order of their submission. Returns the partitions that hold them.
-  std::set<std::uint32_t> WantWaitingJobs();
+  /// Pools whose new owner has not read all jobs yet are included only for a
+  /// takeover.
+  std::set<std::uint32_t> WantWaitingJobs(bool is_takeover);
   void OpenWaitingJobs();
   void ScheduleOpening();
   void ReadAgain(std::uint32_t job_partition);
--- a/src/jobs/store_view_memory.cc
+++ b/src/jobs/store_view_memory.cc
@@ -51,19 +51,39 @@
   return directory_.memory() + bytes <= limit;
 }
 
+bool store_view::MakeMemoryForNewJob(std::size_t bytes) {
+  if (!HasMemoryForNewJob(bytes)) {
+    UnopenOtherJobsAtTimes();
+  }
+  return HasMemoryForNewJob(bytes);
+}
+
+bool store_view::IsBeingTakenOver(const core::jobs::pool_id& pool) const {
+  const std::uint32_t partition = PoolPartitionOf(pool);
+  const bool is_owned =
+      std::find(owned_pool_partitions_.begin(), owned_pool_partitions_.end(),
+                partition) != owned_pool_partitions_.end();
+  return is_owned && !listeners_.is_owner_active(partition);
+}
+
+bool store_view::AreJobsWaitingForTakeover() const {
+  const auto& unopened = directory_.unopened();
+  return std::any_of(unopened.begin(), unopened.end(), [this](const auto& job) {
+    return IsBeingTakenOver(directory_.Find(job.first)->pool);
+  });
+}
+
 void store_view::ApplySubmission(core::jobs::job_spec decoded) {
   const auto spec =
       std::make_shared<const core::jobs::job_spec>(std::move(decoded));
   const std::size_t bytes = core::jobs::MemoryOf(*spec);
+  const bool is_taken_over = IsBeingTakenOver(spec->pool);
   if (!directory_.HasMemoryFor(spec->id, bytes)) {
-    is_overfull_ = is_overfull_ || full_refreshes_ > 0;
-    const core::time_point now = BootTime();
-    if (now - other_jobs_unopened_at_ >= kMinUnopeningInterval) {
-      other_jobs_unopened_at_ = now;
-      UnopenOtherJobs();
-    }
+    is_overfull_ = is_overfull_ || (is_taken_over && full_refreshes_ > 0);
+    UnopenOtherJobsAtTimes();
   }
-  const bool may_open = !is_overfull_ || directory_.IsWanted(spec->id);
+  const bool may_open =
+      !(is_overfull_ && is_taken_over) || directory_.IsWanted(spec->id);
   if (may_open && directory_.HasMemoryFor(spec->id, bytes)) {
     if (directory_.AddJob(spec)) {
       listeners_.on_job(spec);
@@ -79,6 +99,14 @@
   ScheduleOpening();
 }
 
+void store_view::UnopenOtherJobsAtTimes() {
+  const core::time_point now = BootTime();
+  if (now - other_jobs_unopened_at_ >= kMinUnopeningInterval) {
+    other_jobs_unopened_at_ = now;
+    UnopenOtherJobs();
+  }
+}
+
 void store_view::UnopenOtherJobs() {
   std::vector<core::jobs::job_id> others;
   for (const auto& [id, entry] : directory_.entries()) {
@@ -91,12 +119,13 @@
   }
 }
 
-std::set<std::uint32_t> store_view::WantWaitingJobs() {
+std::set<std::uint32_t> store_view::WantWaitingJobs(bool is_takeover) {
   using waiting_job = std::tuple<bool, core::time_point, core::jobs::job_id>;
   std::vector<waiting_job> waiting;
   for (const auto& [id, job] : directory_.unopened()) {
     const core::jobs::directory_entry& entry = *directory_.Find(id);
-    if (MayBeOwned(entry)) {
+    const bool is_held_back = !is_takeover && IsBeingTakenOver(entry.pool);
+    if (MayBeOwned(entry) && !is_held_back) {
       waiting.emplace_back(!entry.HasProgress(),
                            job.submitted_at.value_or(core::time_point()), id);
     }
@@ -119,14 +148,14 @@
 }
 
 void store_view::OpenWaitingJobs() {
-  for (const std::uint32_t partition : WantWaitingJobs()) {
+  for (const std::uint32_t partition : WantWaitingJobs(false)) {
     ReadAgain(partition);
   }
 }
 
 void store_view::EndOverfullRefresh(const std::function<void()>& on_done) {
   is_overfull_ = false;
-  const std::set<std::uint32_t> partitions = WantWaitingJobs();
+  const std::set<std::uint32_t> partitions = WantWaitingJobs(true);
   const auto remaining = std::make_shared<std::size_t>(1);
   const auto on_read = [remaining, on_done](bool /*is_read*/) {
     if (--*remaining == 0) {
--- a/src/jobs/store_view_refreshes.cc
+++ b/src/jobs/store_view_refreshes.cc
@@ -46,18 +46,11 @@
 void store_view::RefreshAllJobs(const std::function<void()>& on_done) {
   const core::time_point began = BootTime();
   ++full_refreshes_;
-  if (!directory_.unopened().empty()) {
+  if (AreJobsWaitingForTakeover()) {
     // Jobs that are read before a new owner claims its pool come in any order.
     is_overfull_ = true;
     UnopenOtherJobs();
   }
-  const std::set<std::uint32_t> wanted = WantWaitingJobs();
-  std::set<std::uint32_t> loaded;
-  for (const auto& [partition, follower] : job_followers_) {
-    if (follower->IsLoaded()) {
-      loaded.insert(partition);
-    }
-  }
   FollowJobs();
   const auto remaining = std::make_shared<std::size_t>(job_followers_.size());
   const auto on_all_read = [this, began, on_done] {
@@ -76,15 +69,7 @@
     }
   };
   for (const auto& [partition, follower] : job_followers_) {
-    const std::weak_ptr<log_follower> reader = follower;
-    if (wanted.count(partition) == 0 || loaded.count(partition) == 0) {
-      RefreshUntilRead(reader, on_read);
-      continue;
-    }
-    // The jobs that are opened now were read before.
-    follower->ReadAgain([this, reader, on_read](bool /*is_read*/) {
-      RefreshUntilRead(reader, on_read);
-    });
+    RefreshUntilRead(follower, on_read);
   }
 }
 
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -263,7 +263,7 @@
       return;
     }
     if (relay_.Owns(incoming.route.pool) &&
-        !view_.HasMemoryForNewJob(core::jobs::MemoryOf(*decoded.spec))) {
+        !view_.MakeMemoryForNewJob(core::jobs::MemoryOf(*decoded.spec))) {
       RejectForMemory(incoming);
       return;
     }
--- a/tests/jobs/job_memory_test.cc
+++ b/tests/jobs/job_memory_test.cc
@@ -150,7 +150,7 @@
     }
   }
   CHECK(opened.size() == kJobs);
-  CHECK(std::is_sorted(opened.begin(), opened.end()));
+  CHECK(opened == std::vector<int>{0, 1, 2, 3, 4, 5, 6, 7, 8, 9});
   for (int i = 0; i < kJobs; ++i) {
     CHECK(site.StartsOf(IdOf(i) + ".0.0.0") == 1);
   }
--- a/tests/jobs/store_view_test.cc
+++ b/tests/jobs/store_view_test.cc
@@ -7,7 +7,10 @@
 #include <string>
 
 #include "free_address.h"
+#include "jobs/job_partitions.h"
+#include "jobs/record_codec.h"
 #include "net/http_server.h"
+#include "plantainhead/core/jobs/job_memory.h"
 #include "platform/store_client.h"
 #include "run_until.h"
 #include "site_store.h"
@@ -103,5 +106,56 @@
   }
 }
 
+/// A process that owns `pool` and has read jobs of another pool.
+struct other_jobs_fixture : store_view_fixture {
+  explicit other_jobs_fixture(int jobs) {
+    spec.queue = "other-queue";
+    spec.pool = "other-pool";
+    spec.steps.resize(100);
+    bytes = core::jobs::MemoryOf(spec);
+    view->SetJobMemory(2 * bytes);
+    REQUIRE(PoolPartitionOf("pool") != PoolPartitionOf(spec.pool));
+    for (int i = 0; i < jobs; ++i) {
+      spec.id = "0123456789abcde" + std::to_string(i);
+      const adapter::keyed_record record = Encode(submission_record{spec});
+      store.Put("keyed.plantain-jobs", record.key, record.value,
+                JobPartitionOf(spec.queue, spec.id));
+    }
+    view->SetOwned({PoolPartitionOf("pool")});
+    REQUIRE(RefreshAll());
+  }
+
+  bool RefreshAll() {
+    bool is_read = false;
+    view->RefreshAllJobs([&] { is_read = true; });
+    return RunUntil(&context, [&] { return is_read; });
+  }
+
+  core::jobs::job_spec spec;
+  std::size_t bytes = 0;
+};
+
+// Guards against owners that refuse all jobs because jobs of pools that they do
+// not own, which they read at a takeover, fill their memory.
+TEST_CASE("Jobs of other pools make room for those of owned pools") {
+  SECTION("when a new job is submitted") {
+    other_jobs_fixture fixture(2);
+    CHECK(fixture.view->directory().memory() > fixture.bytes);
+    CHECK(fixture.view->MakeMemoryForNewJob(fixture.bytes));
+    CHECK(fixture.view->directory().memory() == 0);
+  }
+
+  SECTION("and are opened when their pool is owned, too") {
+    other_jobs_fixture fixture(6);
+    CHECK(fixture.view->directory().unopened().size() >= 4);
+    fixture.view->SetJobMemory(10 * fixture.bytes);
+    fixture.view->SetOwned(
+        {PoolPartitionOf("pool"), PoolPartitionOf("other-pool")});
+    REQUIRE(fixture.RefreshAll());
+    CHECK(fixture.view->directory().unopened().empty());
+    CHECK(fixture.view->directory().memory() > 5 * fixture.bytes);
+  }
+}
+
 }  // namespace
 }  // namespace plantainhead::jobs
