--- a/src/core/jobs/job_state.h
+++ b/src/core/jobs/job_state.h
@@ -57,7 +57,7 @@
 };
 
 /// Tracks one step of an occurrence of a job. Only tasks that have started and
-/// are not done have a state of their own.
+/// are not done have a state of their own. Not thread-safe.
 class step_state {
  public:
   explicit step_state(std::uint32_t task_count) : task_count_(task_count) {}
@@ -82,16 +82,17 @@
   job_task_state* MarkPlaced(std::uint32_t index);
   /// Precondition: the task is placed.
   void MarkWaiting(std::uint32_t index);
-  void MarkDone(std::uint32_t index);
+  /// Marks the tasks from `begin` to `end`, which is excluded, as done.
   void MarkDone(std::uint32_t begin, std::uint32_t end);
   std::map<std::uint32_t, job_task_state>& tracked() { return tracked_; }
   const std::map<std::uint32_t, job_task_state>& tracked() const {
     return tracked_;
   }
-  /// Return the first waiting task from `begin` on that is tracked, or that is
-  /// not; the number of tasks if there is none.
+  /// Return the first task from `begin` on that is tracked and waiting, or that
+  /// is neither tracked nor done; the number of tasks if there is none.
   std::uint32_t NextRetry(std::uint32_t begin) const;
   std::uint32_t NextUntracked(std::uint32_t begin) const;
+  /// Returns the tasks that are done.
   index_ranges DoneTasks() const;
 
  private:
@@ -214,7 +215,8 @@
   /// those of occurrences that are late and have an end.
   resources WaitingDemand(time_point now);
   bool HasOccurrence() const { return !occurrences_.empty(); }
-  /// Return the number of tasks of open occurrences.
+  /// Return the numbers of tasks of open occurrences that wait, whether or not
+  /// their steps are ready, and that are placed.
   std::uint64_t waiting_tasks() const { return waiting_; }
   std::uint64_t placed_tasks() const { return placed_; }
   /// Returns whether `count` more tasks may start for the first time. If not,
@@ -223,7 +225,7 @@
   /// Returns whether tasks that have started may start again. If not, the
   /// record has no room for their ends.
   bool MayRetry() const { return record_bytes_ <= kMaxRetryBytes; }
-  /// The step at which the next plan continues.
+  /// The step at which the next plan continues. The plan sets it.
   step_ref next_step;
 
   /// Skips `count` run numbers that an earlier owner may have used. Has an
--- a/tests/core/jobs/large_job_test.cc
+++ b/tests/core/jobs/large_job_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -15,9 +16,9 @@
 
 constexpr std::uint32_t kMaxTasks = 10000;
 
-std::size_t HeapBytes() {
+std::int64_t HeapBytes() {
   const auto info = mallinfo2();
-  return info.uordblks + info.hblkhd;
+  return static_cast<std::int64_t>(info.uordblks + info.hblkhd);
 }
 
 // Returns steps of which each depends on the one before it.
@@ -69,7 +70,7 @@
 // Guards against owners that exceed their memory for a job of 2,400,000 tasks.
 TEST_CASE("The memory of a job does not grow with its tasks") {
   ending_pool pool;
-  const std::size_t before = HeapBytes();
+  const std::int64_t before = HeapBytes();
 
   SECTION("in a chain of wide steps") {
     pool.Add(Job("wide", Chain(240, kMaxTasks)));
@@ -94,7 +95,7 @@
 
   CHECK(pool.RunOnce() == 16);
   CHECK(pool.RunOnce() == 16);
-  CHECK(HeapBytes() - before < std::size_t{2} * 1024 * 1024);
+  CHECK(HeapBytes() - before < std::int64_t{2} * 1024 * 1024);
 }
 
 // Guards against tasks that run again, or never, because a new owner reads a
@@ -229,7 +230,7 @@
 // Guards against owners that exceed their memory for jobs that have ended.
 TEST_CASE("The memory of a job is released after its end") {
   ending_pool pool;
-  const std::size_t before = HeapBytes();
+  const std::int64_t before = HeapBytes();
   for (int i = 0; i < 20; ++i) {
     const std::string id = "long-" + std::to_string(i);
     pool.Add(Job(id, Chain(3000, 1)));
@@ -237,10 +238,10 @@
     REQUIRE(pool.scheduler.CancelJob(id));
     pool.RunOnce();
   }
-  CHECK(HeapBytes() - before > std::size_t{8} * 1024 * 1024);
+  CHECK(HeapBytes() - before > std::int64_t{8} * 1024 * 1024);
   pool.Pass(std::chrono::seconds(31));
   pool.RunOnce();
-  CHECK(HeapBytes() - before < std::size_t{1} * 1024 * 1024);
+  CHECK(HeapBytes() - before < std::int64_t{1} * 1024 * 1024);
 
   SECTION("and a job that has ended does not start again") {
     pool.Add(Job("long-1", Chain(1, 1)));
